--- /dev/null
+++ b/crates/arbutuslugd/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon: one per entry instance.
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Configuration: one totally ordered log of changes, observed by every instance.
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leases, roll-outs and orders to engines.
--- /dev/null
+++ b/crates/endpoint/src/lib.rs
@@ -0,0 +1,1 @@
+//! The edge to model engines, plain services and the rating service.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Callers' HTTP and one request's life.
--- /dev/null
+++ b/crates/journal/src/lib.rs
@@ -0,0 +1,1 @@
+//! Claims, bills, sessions and budget grants, kept in the platform.
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' service: wire types and client.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Links between instances: membership, news, calls.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! The edge to the platform's object API.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,4 @@
+//! The decisions, pure: no I/O, no clock, no global random source.
+//!
+//! Every function takes what it needs, time and random source included, and
+//! returns the decision with its reason, so that `explain` can print why.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon's settings file, checked whole before anything starts.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the outside systems, and the trial.
--- /dev/null
+++ b/crates/timeline/src/lib.rs
@@ -0,0 +1,1 @@
+//! Typed events with a hybrid logical clock, and their merging over processes.
