--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,1 +1,29 @@
-fn main() {}
+//! Benchmarks over whole instances: ratios in one run, and slopes.
+//!
+//! One subcommand per question; each prints one table and compares what it
+//! measures with a baseline of the same run. Nothing here runs in CI.
+
+use clap::Command;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+/// One question: its name, what it answers, and how it is run.
+struct Question {
+    name: &'static str,
+    about: &'static str,
+    run: fn(),
+}
+
+/// Every question; a module adds its line here.
+const QUESTIONS: &[Question] = &[];
+
+fn main() {
+    let command = Command::new("bench").about("Measures arbutuslug on this machine").subcommand_required(true);
+    let command = QUESTIONS.iter().fold(command, |c, q| c.subcommand(Command::new(q.name).about(q.about)));
+    let matches = command.get_matches();
+    let chosen = matches.subcommand_name();
+    if let Some(question) = QUESTIONS.iter().find(|q| Some(q.name) == chosen) {
+        (question.run)();
+    }
+}
