--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -2,3 +2,8 @@
 //!
 //! Every function takes what it needs, time and random source included, and
 //! returns the decision with its reason, so that `explain` can print why.
+
+pub mod address;
+pub mod guard;
+pub mod retry;
+pub mod rollout;
