--- /dev/null
+++ b/crates/route/src/admission.rs
@@ -0,0 +1,264 @@
+//! Whose request runs next, and which are refused at once.
+//!
+//! Each customer with waiting work gets the share of the runs that its weight
+//! gives it (start-time fair queueing); within one customer the earliest
+//! deadline goes first. A request that would not be done by its deadline is
+//! refused when it comes, with the time after which it would fit, and not
+//! after having waited for nothing.
+
+mod flow;
+
+use std::{collections::HashMap, fmt};
+
+use slotmap::SlotMap;
+use world::{Millis, Timestamp, contract::Customer};
+
+use flow::Flow;
+
+slotmap::new_key_type! {
+    /// A waiting request within a [`Queue`].
+    pub struct Key;
+}
+
+/// Most requests that wait at an instance; a bound on memory.
+const MAX_WAITING: usize = 10_000;
+/// Least time a refused caller is told to wait, in milliseconds.
+const MIN_RETRY_MS: Millis = 100;
+/// Retry times are spread over this share, so that those refused together do
+/// not come back together.
+const RETRY_SPREAD: u64 = 4;
+/// Lowest priority of an engine.
+const LAST_PRIORITY: u8 = 9;
+
+/// A request that asks to run.
+#[derive(Debug, Clone, Copy)]
+pub struct Ticket<'a> {
+    /// Whose.
+    pub customer: &'a Customer,
+    /// The contract's weight.
+    pub weight: u32,
+    /// When it must be done.
+    pub deadline: Timestamp,
+    /// Expected time of its run, in milliseconds.
+    pub run_ms: Millis,
+    /// Hash of the request; spreads retry times.
+    pub draw: u64,
+}
+
+/// A request whose turn has come.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Admitted {
+    /// Its place, now gone.
+    pub key: Key,
+    /// Whose.
+    pub customer: Customer,
+    /// For the engine: 0 highest to 9.
+    pub priority: u8,
+    /// Time it waited, in milliseconds.
+    pub waited_ms: Millis,
+    /// What its run was expected to take, in milliseconds.
+    pub run_ms: Millis,
+}
+
+/// Why a request may not wait. It has not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// What stands against it.
+    pub cause: Cause,
+    /// When to come back, in milliseconds.
+    pub retry_after_ms: Millis,
+}
+
+/// What stands against a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cause {
+    /// It would not be done by its deadline.
+    Deadline {
+        /// Expected wait in the queue.
+        wait_ms: Millis,
+        /// Time left.
+        left_ms: Millis,
+    },
+    /// Too many wait.
+    Full,
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.cause {
+            Cause::Deadline { wait_ms, left_ms } => write!(
+                f,
+                "would wait {wait_ms} ms and has {left_ms} ms left; come back in {} ms or allow more time",
+                self.retry_after_ms
+            ),
+            Cause::Full => write!(f, "too many requests wait; come back in {} ms", self.retry_after_ms),
+        }
+    }
+}
+
+impl std::error::Error for Refusal {}
+
+/// One waiting request.
+#[derive(Debug)]
+struct Waiting {
+    customer: Customer,
+    deadline: Timestamp,
+    since: Timestamp,
+    run_ms: Millis,
+    draw: u64,
+}
+
+/// Requests that wait for a run, and the count of those that run.
+#[derive(Debug)]
+pub struct Queue {
+    limit: u32,
+    running: u32,
+    flows: HashMap<Customer, Flow>,
+    waiting: SlotMap<Key, Waiting>,
+    virtual_time: f64,
+}
+
+impl Queue {
+    /// An empty queue before `limit` runs at a time.
+    #[must_use]
+    pub fn new(limit: u32) -> Self {
+        Self { limit: limit.max(1), running: 0, flows: HashMap::new(), waiting: SlotMap::with_key(), virtual_time: 0.0 }
+    }
+
+    /// Changes how many may run at a time.
+    pub fn set_limit(&mut self, limit: u32) {
+        self.limit = limit.max(1);
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Requests that run.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Takes a request in, or refuses it at once.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`]; the request has not run and does not wait.
+    pub fn offer(&mut self, ticket: &Ticket<'_>, now: Timestamp) -> Result<Key, Refusal> {
+        let left_ms = ticket.deadline.since(now);
+        let wait_ms = self.wait(ticket, now);
+        let late_by = (wait_ms + ticket.run_ms).saturating_sub(left_ms);
+        if late_by > 0 {
+            return Err(refusal(Cause::Deadline { wait_ms, left_ms }, late_by, ticket.draw));
+        }
+        if self.waiting.len() >= MAX_WAITING {
+            return Err(refusal(Cause::Full, wait_ms, ticket.draw));
+        }
+        let waiting = Waiting {
+            customer: ticket.customer.clone(),
+            deadline: ticket.deadline,
+            since: now,
+            run_ms: ticket.run_ms,
+            draw: ticket.draw,
+        };
+        let key = self.waiting.insert(waiting);
+        let flow = self.flows.entry(ticket.customer.clone()).or_default();
+        flow.push(key, ticket, self.virtual_time);
+        Ok(key)
+    }
+
+    /// The next request to run, when one may.
+    ///
+    /// Each is to be ended with [`Queue::finished`].
+    pub fn next(&mut self, now: Timestamp) -> Option<Admitted> {
+        if self.running >= self.limit {
+            return None;
+        }
+        let backlogged = self.flows.iter_mut().filter(|(_, flow)| !flow.is_empty());
+        let (_, flow) = backlogged.min_by(|(a, x), (b, y)| x.start().total_cmp(&y.start()).then(a.cmp(b)))?;
+        self.virtual_time = self.virtual_time.max(flow.start());
+        let lead = flow.start();
+        let key = flow.pop()?;
+        let waiting = self.waiting.remove(key)?;
+        flow.charge(waiting.run_ms, lead);
+        self.running += 1;
+        let priority = self.priority(&waiting.customer, waiting.deadline, waiting.run_ms, now);
+        Some(Admitted {
+            key,
+            priority,
+            waited_ms: now.since(waiting.since),
+            run_ms: waiting.run_ms,
+            customer: waiting.customer,
+        })
+    }
+
+    /// Ends a run that [`Queue::next`] gave out.
+    pub fn finished(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Takes a waiting request out, when its caller has gone.
+    pub fn cancel(&mut self, key: Key) -> bool {
+        let Some(waiting) = self.waiting.remove(key) else { return false };
+        if let Some(flow) = self.flows.get_mut(&waiting.customer) {
+            flow.remove(key, waiting.deadline, waiting.run_ms);
+        }
+        true
+    }
+
+    /// Takes out every request that can no longer meet its deadline.
+    ///
+    /// An earlier deadline may have come in before them, or runs may have
+    /// become slower; they are told now and not at their deadline.
+    pub fn shed(&mut self, now: Timestamp) -> Vec<(Key, Refusal)> {
+        let late: Vec<_> = self
+            .waiting
+            .iter()
+            .filter_map(|(key, w)| {
+                let left_ms = w.deadline.since(now);
+                let late_by = w.run_ms.saturating_sub(left_ms);
+                (late_by > 0).then(|| (key, refusal(Cause::Deadline { wait_ms: 0, left_ms }, late_by, w.draw)))
+            })
+            .collect();
+        for (key, _) in &late {
+            self.cancel(*key);
+        }
+        late
+    }
+
+    /// Expected wait of a request that came now, in milliseconds.
+    ///
+    /// The runs ahead of it are its own customer's with earlier deadlines, at
+    /// the rate of its share; never more than all that waits.
+    fn wait(&self, ticket: &Ticket<'_>, _now: Timestamp) -> Millis {
+        if self.running < self.limit && self.waiting.is_empty() {
+            return 0;
+        }
+        let active = self.flows.iter().filter(|(id, flow)| !flow.is_empty() && *id != ticket.customer);
+        let others: u64 = active.map(|(_, flow)| u64::from(flow.weight())).sum();
+        let mine = u64::from(ticket.weight.max(1));
+        let ahead = self.flows.get(ticket.customer).map_or(0, |flow| flow.ahead_ms(ticket.deadline));
+        let total: Millis = self.flows.values().map(Flow::queued_ms).sum();
+        let limit = u64::from(self.limit);
+        let share = (ahead + ticket.run_ms).saturating_mul(mine + others) / (mine * limit);
+        share.min((total + ticket.run_ms) / limit)
+    }
+
+    /// Priority for the engine: by slack, and last for who is over its share.
+    fn priority(&self, customer: &Customer, deadline: Timestamp, run_ms: Millis, now: Timestamp) -> u8 {
+        let slack = deadline.since(now).saturating_sub(run_ms);
+        let urgency = u8::try_from(slack / run_ms.max(1)).unwrap_or(LAST_PRIORITY).min(LAST_PRIORITY / 2);
+        let over = self.flows.get(customer).is_some_and(|flow| flow.start() > self.virtual_time);
+        let penalty = if over { LAST_PRIORITY / 2 } else { 0 };
+        (urgency + penalty).min(LAST_PRIORITY)
+    }
+}
+
+fn refusal(cause: Cause, after_ms: Millis, draw: u64) -> Refusal {
+    let after_ms = after_ms.max(MIN_RETRY_MS);
+    let spread = draw % (after_ms / RETRY_SPREAD + 1);
+    Refusal { cause, retry_after_ms: after_ms + spread }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -4,6 +4,10 @@
 //! returns the decision with its reason, so that `explain` can print why.
 
 pub mod address;
+pub mod admission;
+pub mod endpoint;
 pub mod guard;
+pub mod model;
+pub mod quality;
 pub mod retry;
 pub mod rollout;
--- /dev/null
+++ b/crates/route/src/model/reason.rs
@@ -0,0 +1,171 @@
+//! Why a choice was made, or why nothing may run.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use world::{Millis, contract::Objective, model::Version, money::Amount};
+
+use crate::quality::Estimate;
+
+/// Why this ladder; printed by `explain`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Reason {
+    /// The configuration it was made under.
+    pub generation: u64,
+    /// The contract's objective.
+    pub objective: Objective,
+    /// The contract's quality target.
+    pub target: f64,
+    /// The quality asked of this choice, after the account.
+    pub required: f64,
+    /// Passes ahead of the target, unrated answers counted with caution.
+    pub credit: f64,
+    /// What settled it.
+    pub rule: Rule,
+    /// Expected quality of the ladder.
+    pub quality: Estimate,
+    /// Expected cost of the ladder.
+    pub expected_cost: Amount,
+    /// Expected time of the ladder, in milliseconds.
+    pub expected_ms: Millis,
+    /// The steps.
+    pub steps: Vec<Step>,
+    /// Ladders weighed.
+    pub considered: u32,
+    /// A version the session had to leave.
+    pub moved: Option<Version>,
+}
+
+/// One step of the ladder.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Step {
+    /// The version.
+    pub version: Version,
+    /// Its expected quality as a first answer.
+    pub quality: Estimate,
+    /// Whether the session was on it.
+    pub pinned: bool,
+    /// Whether it is under roll-out.
+    pub new: bool,
+}
+
+/// What settled a choice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Rule {
+    /// Nothing else may run.
+    Only,
+    /// The best by the objective of those that meet the target.
+    MeetsTarget,
+    /// Cheaper than the target asks: the account is ahead.
+    AheadOfTarget,
+    /// Nothing meets the target for sure: the best quality there is.
+    BestEffort,
+}
+
+/// Why nothing may run. Nothing has run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Refusal {
+    /// No contract names the customer.
+    NoContract,
+    /// The contract does not allow the model.
+    ModelNotAllowed,
+    /// Every allowed version is withdrawn, held back or not yet exposed.
+    NoVersion,
+    /// No version answers in time.
+    Deadline {
+        /// Time the fastest version needs.
+        needed_ms: Millis,
+        /// Time left.
+        left_ms: Millis,
+    },
+    /// No version fits the price ceiling.
+    Budget {
+        /// Most that the cheapest version can cost.
+        needed: Amount,
+        /// What may be spent.
+        left: Amount,
+    },
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, step) in self.steps.iter().enumerate() {
+            if index > 0 {
+                f.write_str(", then if its rating fails ")?;
+            }
+            write!(f, "{step}")?;
+        }
+        write!(f, ": {}", self.rule)?;
+        write!(
+            f,
+            "; expected quality {:.3} ± {:.3} for a target of {:.3} (asked {:.3}, account {:+.1})",
+            self.quality.mean, self.quality.deviation, self.target, self.required, self.credit
+        )?;
+        write!(f, "; expected cost {}, expected time {} ms", self.expected_cost, self.expected_ms)?;
+        write!(
+            f,
+            "; objective {}; {} ladders weighed; generation {}",
+            objective(self.objective),
+            self.considered,
+            self.generation
+        )?;
+        match &self.moved {
+            Some(version) => write!(f, "; the session left {version}, which takes no more work"),
+            None => Ok(()),
+        }
+    }
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let note = match (self.pinned, self.new) {
+            (true, _) => ", the session's",
+            (false, true) => ", under roll-out",
+            (false, false) => "",
+        };
+        write!(f, "{} (quality {:.3} ± {:.3}{note})", self.version, self.quality.mean, self.quality.deviation)
+    }
+}
+
+impl fmt::Display for Rule {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Only => "nothing else may run",
+            Self::MeetsTarget => "best by the objective among those that meet the target",
+            Self::AheadOfTarget => "the account is ahead of the target",
+            Self::BestEffort => "nothing is sure to meet the target, so the best quality",
+        })
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoContract => f.write_str("no contract names this customer; ask the operator to apply one"),
+            Self::ModelNotAllowed => {
+                f.write_str("the contract does not allow this model; name another or have it added to the contract")
+            }
+            Self::NoVersion => f.write_str(
+                "every version the contract allows is withdrawn or held back; have a serving one added to the contract",
+            ),
+            Self::Deadline { needed_ms, left_ms } => {
+                write!(f, "the fastest version needs {needed_ms} ms and {left_ms} ms are left; allow more time")
+            }
+            Self::Budget { needed, left } => write!(
+                f,
+                "the cheapest version may cost {needed} and {left} may be spent; ask for fewer tokens or raise the budget"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for Refusal {}
+
+fn objective(objective: Objective) -> &'static str {
+    match objective {
+        Objective::Cost => "cost",
+        Objective::Latency => "latency",
+        Objective::Exposure => "exposure",
+    }
+}
--- /dev/null
+++ b/crates/route/src/quality.rs
@@ -0,0 +1,270 @@
+//! Learned pass rates: how often a version's answers pass their rating, per
+//! customer and request class.
+//!
+//! Ratings come late, are missing, or stop for an hour, so every figure comes
+//! with its uncertainty. Three levels shrink towards each other: a version in
+//! general, a version in a class, and a version in a class for one customer.
+//! A new class therefore starts from what other customers saw, and a class
+//! that nobody has seen starts with a wide spread, which the choice reads as
+//! "not safe yet".
+//!
+//! Beside the rates stands one [`Account`] per customer and class: passes
+//! ahead of or behind the target. It is what makes the target hold for the
+//! answers really given, not only for the rates believed.
+
+mod account;
+mod speed;
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+use world::{Millis, Timestamp, contract::Customer, hash, model::Version, request::Class};
+use xxhash_rust::xxh3::Xxh3DefaultBuilder;
+
+pub use account::{Account, Pending};
+pub use speed::Speed;
+
+/// Cells kept at each level; the one longest unused goes first.
+const MAX_CELLS: usize = 65_536;
+/// Classes learned per customer; further ones share one cell.
+const MAX_CLASSES: usize = 64;
+/// Ratings a cell remembers; older ones fade, so that a version that turns
+/// bad shows within some hundreds of answers.
+const MEMORY: f64 = 1_000.0;
+/// Most ratings a parent level counts for in its child.
+const PARENT_WEIGHT: f64 = 30.0;
+/// Ratings at which a parent counts for half of that.
+const PARENT_HALF: f64 = 30.0;
+/// Ratings the blank prior counts for.
+const BLANK_WEIGHT: f64 = 2.0;
+/// Pass rate of a version nobody has rated.
+const BLANK_RATE: f64 = 0.5;
+/// Factor on the first-stage rate where an earlier step has failed and no
+/// rating tells better: what fails once is harder than the rest.
+const HARDER: f64 = 0.7;
+
+/// Where in a cascade an answer was given.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Stage {
+    /// First answer to its request.
+    First,
+    /// After an earlier step's answer had failed its rating.
+    Escalated,
+}
+
+/// Whose answers: one customer's in one class.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Cell {
+    customer: u64,
+    class: u64,
+}
+
+impl Cell {
+    /// The cell of a customer's class.
+    #[must_use]
+    pub fn new(customer: &Customer, class: &Class) -> Self {
+        Self { customer: hash::stable(customer.as_str().as_bytes()), class: hash::stable(class.as_str().as_bytes()) }
+    }
+
+    fn key(self) -> u64 {
+        mix(self.customer, self.class)
+    }
+}
+
+/// A pass rate and how sure it is.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Estimate {
+    /// Expected share that passes, 0 to 1.
+    pub mean: f64,
+    /// Standard deviation of that share.
+    pub deviation: f64,
+}
+
+impl Estimate {
+    /// The rate that holds with `z` standard deviations to spare.
+    #[must_use]
+    pub fn lower(&self, z: f64) -> f64 {
+        z.mul_add(-self.deviation, self.mean).clamp(0.0, 1.0)
+    }
+}
+
+/// Everything learned about quality and speed.
+#[derive(Debug, Clone, Default)]
+pub struct Book {
+    counts: HashMap<u64, Counts, Xxh3DefaultBuilder>,
+    accounts: HashMap<u64, Account, Xxh3DefaultBuilder>,
+    classes: HashMap<u64, Vec<u64>, Xxh3DefaultBuilder>,
+    speeds: HashMap<u64, Speed, Xxh3DefaultBuilder>,
+    clock: u64,
+}
+
+impl Book {
+    /// Takes in one rating.
+    pub fn rate(&mut self, cell: Cell, version: &Version, stage: Stage, pass: bool) {
+        let cell = self.known(cell);
+        let version = version_key(version, stage);
+        for key in [version, mix(version, cell.class), mix(version, cell.key())] {
+            self.count(key, pass);
+        }
+    }
+
+    /// A version's pass rate for a customer's class.
+    ///
+    /// `parent` is the version a roll-out replaces: until the new one has
+    /// ratings, its predecessor's rate is the best guess there is.
+    #[must_use]
+    pub fn estimate(&self, cell: Cell, version: &Version, parent: Option<&Version>, stage: Stage) -> Estimate {
+        let cell = self.lookup(cell);
+        let blank = match (stage, parent) {
+            (Stage::Escalated, _) => {
+                let first = self.posterior(cell, version_key(version, Stage::First), Belief::BLANK);
+                Belief { rate: first.rate * HARDER, weight: BLANK_WEIGHT }
+            }
+            (Stage::First, Some(parent)) => {
+                let old = self.posterior(cell, version_key(parent, Stage::First), Belief::BLANK);
+                Belief { rate: old.rate, weight: BLANK_WEIGHT }
+            }
+            (Stage::First, None) => Belief::BLANK,
+        };
+        self.posterior(cell, version_key(version, stage), blank).estimate()
+    }
+
+    /// The account of a customer's class; empty when nothing is known.
+    #[must_use]
+    pub fn account(&self, cell: Cell) -> Account {
+        self.accounts.get(&self.lookup(cell).key()).copied().unwrap_or_default()
+    }
+
+    /// The account of a customer's class, to write on.
+    pub fn account_mut(&mut self, cell: Cell) -> &mut Account {
+        let cell = self.known(cell);
+        self.accounts.entry(cell.key()).or_default()
+    }
+
+    /// How long a version's runs take.
+    #[must_use]
+    pub fn speed(&self, version: &Version, now: Timestamp) -> Speed {
+        self.speeds.get(&version_key(version, Stage::First)).copied().unwrap_or_default().aged(now)
+    }
+
+    /// Takes in one finished run.
+    pub fn ran(&mut self, version: &Version, millis: Millis, output_tokens: u32, now: Timestamp) {
+        self.speeds.entry(version_key(version, Stage::First)).or_default().observe(millis, output_tokens, now);
+    }
+
+    fn posterior(&self, cell: Cell, version: u64, blank: Belief) -> Belief {
+        let general = blank.updated(self.counts.get(&version));
+        let class = general.as_parent().updated(self.counts.get(&mix(version, cell.class)));
+        class.as_parent().updated(self.counts.get(&mix(version, cell.key())))
+    }
+
+    fn count(&mut self, key: u64, pass: bool) {
+        self.clock += 1;
+        let clock = self.clock;
+        if self.counts.len() >= MAX_CELLS && !self.counts.contains_key(&key) {
+            self.forget();
+        }
+        self.counts.entry(key).or_default().add(pass, clock);
+    }
+
+    /// Drops the older half of the cells: rare, and linear only then.
+    fn forget(&mut self) {
+        let horizon = self.clock.saturating_sub(MAX_CELLS as u64);
+        self.counts.retain(|_, counts| counts.touched > horizon);
+        if self.counts.len() >= MAX_CELLS {
+            self.counts.clear();
+        }
+    }
+
+    /// The cell that is learned for `cell`.
+    ///
+    /// Callers name classes freely. One that put a number into the name would
+    /// fill the book with cells of one rating each; past the limit a customer's
+    /// further classes are learned as one.
+    fn known(&mut self, cell: Cell) -> Cell {
+        let classes = self.classes.entry(cell.customer).or_default();
+        if classes.contains(&cell.class) {
+            return cell;
+        }
+        if classes.len() < MAX_CLASSES {
+            classes.push(cell.class);
+            return cell;
+        }
+        Cell { class: 0, ..cell }
+    }
+
+    fn lookup(&self, cell: Cell) -> Cell {
+        match self.classes.get(&cell.customer) {
+            Some(classes) if classes.len() >= MAX_CLASSES && !classes.contains(&cell.class) => {
+                Cell { class: 0, ..cell }
+            }
+            _ => cell,
+        }
+    }
+}
+
+/// Ratings of one cell at one level.
+#[derive(Debug, Clone, Copy, Default)]
+struct Counts {
+    pass: f64,
+    fail: f64,
+    touched: u64,
+}
+
+impl Counts {
+    fn add(&mut self, pass: bool, clock: u64) {
+        let total = self.pass + self.fail;
+        if total >= MEMORY {
+            let keep = (MEMORY - 1.0) / total;
+            self.pass *= keep;
+            self.fail *= keep;
+        }
+        if pass {
+            self.pass += 1.0;
+        } else {
+            self.fail += 1.0;
+        }
+        self.touched = clock;
+    }
+}
+
+/// A rate worth `weight` ratings.
+#[derive(Debug, Clone, Copy)]
+struct Belief {
+    rate: f64,
+    weight: f64,
+}
+
+impl Belief {
+    const BLANK: Self = Self { rate: BLANK_RATE, weight: BLANK_WEIGHT };
+
+    fn updated(self, counts: Option<&Counts>) -> Self {
+        let Some(counts) = counts else { return self };
+        let weight = self.weight + counts.pass + counts.fail;
+        Self { rate: self.rate.mul_add(self.weight, counts.pass) / weight, weight }
+    }
+
+    /// What the next level down takes over: the rate, at a bounded weight.
+    fn as_parent(self) -> Self {
+        let seen = (self.weight - BLANK_WEIGHT).max(0.0);
+        Self { rate: self.rate, weight: BLANK_WEIGHT + PARENT_WEIGHT * seen / (seen + PARENT_HALF) }
+    }
+
+    fn estimate(self) -> Estimate {
+        let variance = self.rate * (1.0 - self.rate) / (self.weight + 1.0);
+        Estimate { mean: self.rate, deviation: variance.sqrt() }
+    }
+}
+
+fn version_key(version: &Version, stage: Stage) -> u64 {
+    let model = hash::stable(version.model.as_str().as_bytes());
+    let number = hash::stable(version.number.as_str().as_bytes());
+    mix(mix(model, number), stage as u64 + 1)
+}
+
+/// One hash of two; a collision would mix two cells' ratings and is as
+/// unlikely as any of 64 bits.
+fn mix(a: u64, b: u64) -> u64 {
+    hash::rendezvous(a, &b.to_le_bytes())
+}
