--- /dev/null
+++ b/crates/platform/src/handle.rs
@@ -0,0 +1,365 @@
+//! Calls with budget, retries and read-back.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde::Serialize;
+use tokio::time::{Instant, sleep, timeout};
+use world::hash;
+
+use crate::{
+    Error, Item, Listing, MAX_VALUE, Member, Priority, Settings, Watch, Write,
+    attempt::{Attempt, Verdict, down},
+    backoff::Backoff,
+    budget::Bucket,
+    envelope::{self, Envelope, Nonce},
+    store::{Answer, Call, Fault, Object, Store},
+};
+
+/// Objects asked for in one page of a list.
+const PAGE: usize = 500;
+
+/// The object API with this instance's budget; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Handle {
+    shared: Arc<Shared>,
+    deadline: Duration,
+}
+
+#[derive(Debug)]
+struct Shared {
+    settings: Settings,
+    store: Arc<dyn Store>,
+    writes: Bucket,
+    reads: Bucket,
+    rng: Mutex<StdRng>,
+}
+
+impl Handle {
+    pub(crate) fn open(settings: Settings, store: Arc<dyn Store>) -> Self {
+        // The writer goes into the seed: two instances with one seed in their
+        // settings must not draw the same nonces, or each would take the
+        // other's value for its own.
+        let seed = settings.seed.unwrap_or_else(rand::random) ^ hash::stable(settings.writer.as_bytes());
+        let deadline = settings.deadline;
+        let shared = Shared {
+            store,
+            writes: Bucket::spawn(settings.writes_per_s),
+            reads: Bucket::spawn(settings.reads_per_s),
+            rng: Mutex::new(StdRng::seed_from_u64(seed)),
+            settings,
+        };
+        Self { shared: Arc::new(shared), deadline }
+    }
+
+    /// The same platform with another deadline per operation.
+    #[must_use]
+    pub fn within(&self, deadline: Duration) -> Self {
+        Self { shared: self.shared.clone(), deadline }
+    }
+
+    /// How it was opened.
+    #[must_use]
+    pub fn settings(&self) -> &Settings {
+        &self.shared.settings
+    }
+
+    /// Reads one object.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Down`], [`Error::Refused`], [`Error::Malformed`].
+    pub async fn get(&self, priority: Priority, key: &str) -> Result<Option<Item>, Error> {
+        let until = Instant::now() + self.deadline;
+        self.get_until(until, priority, key).await
+    }
+
+    /// Creates an object if its key is free.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`] when the answer was lost and could not be read back;
+    /// with every other error nothing was changed.
+    pub async fn create<T: Serialize + ?Sized>(
+        &self,
+        priority: Priority,
+        key: &str,
+        value: &T,
+    ) -> Result<Write, Error> {
+        let own = self.nonce();
+        let nonces = vec![own];
+        let value = self.seal(key, &nonces, value)?;
+        let call = Call::Create { key: key.into(), value };
+        self.write(priority, Attempt { call, own, base: None, nonces }).await
+    }
+
+    /// Replaces an object if `item` still is its present state.
+    ///
+    /// # Errors
+    ///
+    /// As [`Handle::create`].
+    pub async fn update<T: Serialize + ?Sized>(
+        &self,
+        priority: Priority,
+        item: &Item,
+        value: &T,
+    ) -> Result<Write, Error> {
+        let own = self.nonce();
+        let nonces = envelope::extend(&item.nonces, own);
+        let value = self.seal(&item.key, &nonces, value)?;
+        let call = Call::Update { key: item.key.clone(), version: item.version, value };
+        self.write(priority, Attempt { call, own, base: item.nonces.first().copied(), nonces }).await
+    }
+
+    /// Deletes an object if `item` still is its present state. Done means
+    /// that the key is free, whoever freed it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Handle::create`].
+    pub async fn delete(&self, priority: Priority, item: &Item) -> Result<Write, Error> {
+        let call = Call::Delete { key: item.key.clone(), version: item.version };
+        let base = item.nonces.first().copied();
+        self.write(priority, Attempt { call, own: self.nonce(), base, nonces: Vec::new() }).await
+    }
+
+    /// Reads all objects with a prefix, by key, page by page.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Down`], [`Error::Refused`], [`Error::Malformed`].
+    pub async fn list(&self, priority: Priority, prefix: &str) -> Result<Listing, Error> {
+        let mut listing = Listing { version: 0, items: Vec::new() };
+        let mut after = String::new();
+        loop {
+            let (version, objects, more) = self.page(priority, prefix, &after, PAGE, false).await?;
+            // Changes made between two pages are above the first page's
+            // version, so a watch from there sees them all.
+            if after.is_empty() {
+                listing.version = version;
+            }
+            if let Some(last) = objects.last() {
+                after.clone_from(&last.key);
+            }
+            for object in objects {
+                listing.items.push(Item::parse(object)?);
+            }
+            if !more {
+                return Ok(listing);
+            }
+        }
+    }
+
+    /// Reads at most `limit` keys with a prefix above `after`, in order.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Down`], [`Error::Refused`].
+    pub async fn keys(
+        &self,
+        priority: Priority,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<String>, Error> {
+        let (_, objects, _) = self.page(priority, prefix, after, limit, true).await?;
+        Ok(objects.into_iter().map(|object| object.key).collect())
+    }
+
+    /// Watches a prefix from a version on, as a listing named it.
+    #[must_use]
+    pub fn watch(&self, priority: Priority, prefix: &str, from: u64) -> Watch {
+        Watch::new(self.clone(), priority, prefix, from)
+    }
+
+    /// Reads the platform's list of instances, which lags.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Down`], [`Error::Refused`].
+    pub async fn instances(&self, priority: Priority) -> Result<Vec<Member>, Error> {
+        match self.read(priority, Call::Instances).await? {
+            Answer::Instances(members) => Ok(members),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    async fn page(
+        &self,
+        priority: Priority,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+        keys_only: bool,
+    ) -> Result<(u64, Vec<Object>, bool), Error> {
+        let call = Call::List { prefix: prefix.into(), after: after.into(), limit, keys_only };
+        match self.read(priority, call).await? {
+            Answer::Listed { version, objects, more } => Ok((version, objects, more)),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    /// One wait of a watch, one try.
+    pub(crate) async fn wait(&self, priority: Priority, prefix: &str, from: u64) -> Result<Answer, Error> {
+        let wait = self.shared.settings.watch_wait;
+        self.shared.reads.take(priority).await;
+        let call = Call::Watch { prefix: prefix.into(), from, wait };
+        self.call(call, wait + self.shared.settings.call_timeout).await.map_err(|fault| down(&fault))
+    }
+
+    pub(crate) fn backoff(&self) -> Backoff {
+        Backoff::new(self.shared.settings.backoff_min, self.shared.settings.backoff_max)
+    }
+
+    pub(crate) async fn pause(&self, backoff: &mut Backoff, least: Duration) {
+        let wait = self.with_rng(|rng| backoff.next(least, rng));
+        sleep(wait).await;
+    }
+
+    async fn get_until(&self, until: Instant, priority: Priority, key: &str) -> Result<Option<Item>, Error> {
+        match self.read_until(until, priority, Call::Get { key: key.into() }).await? {
+            Answer::Found(object) => Item::parse(object).map(Some),
+            Answer::Absent => Ok(None),
+            other => Err(unexpected(&other)),
+        }
+    }
+
+    async fn read(&self, priority: Priority, call: Call) -> Result<Answer, Error> {
+        self.read_until(Instant::now() + self.deadline, priority, call).await
+    }
+
+    /// Reads, again and again until a deadline.
+    async fn read_until(&self, until: Instant, priority: Priority, call: Call) -> Result<Answer, Error> {
+        let mut backoff = self.backoff();
+        let mut last = Fault::Down { cause: "no budget for a try before the deadline".into() };
+        loop {
+            if !self.take(until, &self.shared.reads, priority).await {
+                return Err(down(&last));
+            }
+            match self.call(call.clone(), self.time_left(until)).await {
+                Ok(answer) => return Ok(answer),
+                Err(Fault::Refused { message }) => return Err(Error::Refused { message }),
+                Err(fault) => {
+                    if !self.pause_until(until, &mut backoff, &fault).await {
+                        return Err(down(&fault));
+                    }
+                    last = fault;
+                }
+            }
+        }
+    }
+
+    /// Writes, again and again until its fate is certain or the deadline.
+    async fn write(&self, priority: Priority, attempt: Attempt) -> Result<Write, Error> {
+        let until = Instant::now() + self.deadline;
+        let mut backoff = self.backoff();
+        // Set by the first lost answer and never taken back: even after a
+        // read-back found nothing, that try may still be on its way and take
+        // effect, so that "not done" can no longer be promised.
+        let mut in_doubt = false;
+        let mut last = Fault::Down { cause: "no budget for a try before the deadline".into() };
+        loop {
+            if !self.take(until, &self.shared.writes, priority).await {
+                return Err(attempt.failure(in_doubt, &last));
+            }
+            let fault = match self.call(attempt.call.clone(), self.time_left(until)).await {
+                Ok(Answer::Written(version)) => return Ok(Write::Done(attempt.item(version, &self.shared.settings))),
+                // Without a lost answer nobody but another can have come first.
+                Ok(Answer::Conflict(version)) if !in_doubt => return Ok(Write::Lost { version }),
+                Ok(Answer::Absent) if !in_doubt => return Ok(Write::Lost { version: 0 }),
+                Ok(Answer::Conflict(_) | Answer::Absent) => None,
+                Ok(other) => return Err(unexpected(&other)),
+                Err(Fault::Refused { message }) if !in_doubt => return Err(Error::Refused { message }),
+                Err(fault) => Some(fault),
+            };
+            if let Some(fault) = fault {
+                in_doubt |= matches!(fault, Fault::Lost { .. });
+                if !self.pause_until(until, &mut backoff, &fault).await {
+                    return Err(attempt.failure(in_doubt, &fault));
+                }
+                last = fault;
+            }
+            if in_doubt {
+                match self.read_back(until, priority, &attempt).await {
+                    Some(Verdict::Settled(write)) => return Ok(write),
+                    Some(Verdict::Again) => {}
+                    Some(Verdict::Unknown) | None => return Err(attempt.failure(in_doubt, &last)),
+                }
+            }
+        }
+    }
+
+    /// Reads what became of a write; nothing when that was impossible.
+    async fn read_back(&self, until: Instant, priority: Priority, attempt: &Attempt) -> Option<Verdict> {
+        let found = self.get_until(until, priority, attempt.key()).await.ok()?;
+        metrics::counter!("platform_read_backs_total").increment(1);
+        Some(attempt.judge(found, &self.shared.settings))
+    }
+
+    /// One call, one try, counted.
+    async fn call(&self, call: Call, longest: Duration) -> Result<Answer, Fault> {
+        let name = call.name();
+        let started = Instant::now();
+        let result = match timeout(longest, self.shared.store.call(call)).await {
+            Ok(result) => result,
+            Err(_) => Err(Fault::Lost { cause: format!("no answer within {longest:?}") }),
+        };
+        let outcome = result.as_ref().map_or_else(Fault::name, |_| "ok");
+        metrics::counter!("platform_calls_total", "call" => name, "outcome" => outcome).increment(1);
+        metrics::histogram!("platform_call_seconds", "call" => name).record(started.elapsed().as_secs_f64());
+        result
+    }
+
+    /// Waits for budget; false when the deadline comes first.
+    async fn take(&self, until: Instant, bucket: &Bucket, priority: Priority) -> bool {
+        let started = Instant::now();
+        let taken = tokio::time::timeout_at(until, bucket.take(priority)).await.is_ok();
+        let waited = started.elapsed().as_secs_f64();
+        metrics::histogram!("platform_budget_wait_seconds", "priority" => priority.as_str()).record(waited);
+        taken
+    }
+
+    /// Waits out the backoff; false when the deadline comes first.
+    async fn pause_until(&self, until: Instant, backoff: &mut Backoff, fault: &Fault) -> bool {
+        let least = match fault {
+            Fault::Busy { retry_after } => *retry_after,
+            _ => Duration::ZERO,
+        };
+        let wait = self.with_rng(|rng| backoff.next(least, rng));
+        if Instant::now() + wait >= until {
+            return false;
+        }
+        sleep(wait).await;
+        true
+    }
+
+    fn time_left(&self, until: Instant) -> Duration {
+        until.saturating_duration_since(Instant::now()).min(self.shared.settings.call_timeout)
+    }
+
+    fn seal<T: Serialize + ?Sized>(&self, key: &str, nonces: &[Nonce], body: &T) -> Result<Bytes, Error> {
+        let envelope = Envelope { nonces: nonces.to_vec(), writer: self.shared.settings.writer.clone(), body };
+        let value = serde_json::to_vec(&envelope)
+            .map_err(|error| Error::Malformed { key: key.into(), message: error.to_string() })?;
+        if value.len() > MAX_VALUE {
+            return Err(Error::TooLarge { key: key.into(), bytes: value.len() });
+        }
+        Ok(value.into())
+    }
+
+    fn nonce(&self) -> Nonce {
+        self.with_rng(|rng| Nonce(rng.random()))
+    }
+
+    fn with_rng<T>(&self, draw: impl FnOnce(&mut StdRng) -> T) -> T {
+        draw(&mut self.shared.rng.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+fn unexpected(answer: &Answer) -> Error {
+    Error::Refused { message: format!("an answer of another kind: {answer:?}") }
+}
--- /dev/null
+++ b/crates/platform/src/item.rs
@@ -0,0 +1,58 @@
+//! Objects as callers of this crate see them.
+
+use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
+
+use crate::{
+    envelope::{self, Nonce},
+    error::Error,
+    store,
+};
+
+/// An object that was read or written: what an update or deletion builds on.
+#[derive(Debug, Clone)]
+pub struct Item {
+    /// Its key.
+    pub key: String,
+    /// Version of its last change.
+    pub version: u64,
+    /// Who wrote it last: instance and incarnation.
+    pub writer: String,
+    /// Its value, without the envelope.
+    pub body: Box<RawValue>,
+    pub(crate) nonces: Vec<Nonce>,
+}
+
+/// Objects with one prefix.
+#[derive(Debug, Clone)]
+pub struct Listing {
+    /// The store's version from which a watch misses nothing.
+    pub version: u64,
+    /// The objects, by key.
+    pub items: Vec<Item>,
+}
+
+impl Item {
+    /// Reads the value.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Malformed`] when it is no `T`.
+    pub fn read<T: DeserializeOwned>(&self) -> Result<T, Error> {
+        serde_json::from_str(self.body.get())
+            .map_err(|error| Error::Malformed { key: self.key.clone(), message: error.to_string() })
+    }
+
+    /// Takes a stored object's envelope off.
+    pub(crate) fn parse(object: store::Object) -> Result<Self, Error> {
+        let malformed = || Error::Malformed { key: object.key.clone(), message: "no JSON value".into() };
+        let envelope = object.value.as_deref().and_then(envelope::open).ok_or_else(malformed)?;
+        Ok(Self {
+            key: object.key,
+            version: object.version,
+            writer: envelope.writer,
+            body: envelope.body,
+            nonces: envelope.nonces,
+        })
+    }
+}
