--- a/crates/world/src/rollout.rs
+++ b/crates/world/src/rollout.rs
@@ -58,3 +58,12 @@
     /// Stopped for good; takes no new work.
     Withdrawn,
 }
+
+impl Rollout {
+    /// A roll-out at its start, with the usual steps.
+    #[must_use]
+    pub fn new(version: model::Version, predecessor: model::Number) -> Self {
+        let (steps, step_ms) = (default_steps(), default_step_ms());
+        Self { version, predecessor, steps, step_ms, step: 0, state: State::default(), reason: None }
+    }
+}
