--- a/crates/standin/src/objects/bucket.rs
+++ b/crates/standin/src/objects/bucket.rs
@@ -14,7 +14,7 @@
 
 impl Bucket {
     pub(crate) fn new(rate: f64, now: Instant) -> Self {
-        Self { rate, tokens: rate, filled: now }
+        Self { rate, tokens: rate.max(1.0), filled: now }
     }
 
     /// Takes one call, or tells how long until the next may come.
