--- a/crates/route/src/model.rs
+++ b/crates/route/src/model.rs
@@ -23,7 +23,10 @@
     session::{Pin, Session},
 };
 
-use crate::quality::{Book, Cell};
+use crate::{
+    quality::{Book, Cell},
+    rollout::{Stops, Unit},
+};
 use ladder::{Ladder, Market};
 pub use permit::{Permit, Permits};
 pub use reason::{Reason, Refusal, Rule, Step};
@@ -50,9 +53,10 @@
     pub class: &'a Class,
     /// The session it belongs to.
     pub session: Option<&'a Session>,
-    /// Stable hash of the session's name, or else of the request's key; decides
-    /// whether it takes part in a roll-out, alike at every instance.
-    pub sticky: u64,
+    /// Its session or else itself, as roll-outs count it; alike at every instance.
+    pub unit: Unit,
+    /// Versions stopped by evidence that the configuration does not show yet.
+    pub stops: &'a Stops,
     /// Whether it may run twice.
     pub repeat: Repeat,
     /// Length of the prompt in tokens.
@@ -86,7 +90,8 @@
 /// A [`Refusal`] when nothing may run; nothing has run then.
 pub fn choose(inputs: &Inputs<'_>) -> Result<Choice, Refusal> {
     let contract = inputs.catalog.contract(inputs.customer).ok_or(Refusal::NoContract)?;
-    let permits = Permits::resolve(inputs.catalog, inputs.customer, inputs.model, inputs.session, inputs.sticky)?;
+    let permits =
+        Permits::resolve(inputs.catalog, inputs.stops, inputs.customer, inputs.model, inputs.session, inputs.unit)?;
     let cell = Cell::new(inputs.customer, inputs.class);
     let market = Market::open(inputs, cell, &permits);
     let account = inputs.book.account(cell);
@@ -141,6 +146,13 @@
         self.ceiling
     }
 
+    /// The rate at which the request is expected to pass, with caution: what
+    /// [`Book::open`] is to be told.
+    #[must_use]
+    pub fn expected(&self) -> f64 {
+        self.reason.quality.lower(1.0)
+    }
+
     /// Why.
     #[must_use]
     pub fn reason(&self) -> &Reason {
--- a/crates/route/src/model/permit.rs
+++ b/crates/route/src/model/permit.rs
@@ -5,14 +5,13 @@
     Catalog,
     catalog::Standing,
     contract::{Contract, Customer},
-    hash,
     model::{self, Release, Version},
     money::Price,
-    rollout,
     session::{Pin, Session},
 };
 
 use super::reason::Refusal;
+use crate::rollout::{self, Stops, Unit};
 
 /// Leave to run a customer's request on one version.
 ///
@@ -36,7 +35,6 @@
 #[derive(Debug, Clone)]
 pub struct Permits {
     held: Vec<Permit>,
-    ranks: Vec<u8>,
     moved: Option<Version>,
 }
 
@@ -93,24 +91,22 @@
     ///
     /// Asked before every dispatch: between the choice and a later step of the
     /// ladder, or after a wait in a queue, the version may have been withdrawn
-    /// and would otherwise still get this one run.
+    /// and would otherwise still get this one run. A paused roll-out takes no
+    /// session it does not have.
     #[must_use]
-    pub fn renew(&self, catalog: &Catalog) -> Option<Self> {
+    pub fn renew(&self, catalog: &Catalog, stops: &Stops) -> Option<Self> {
         let contract = catalog.contract(&self.customer)?;
         let release = catalog.release(&self.version)?;
-        if !allows(contract, &self.version) {
+        if !rollout::keeps(catalog, stops, contract, &self.version) {
             return None;
         }
-        match catalog.standing(&self.version) {
-            Standing::Withdrawn | Standing::Unknown => return None,
-            Standing::Held { .. } if !self.pinned => return None,
-            Standing::Held { .. } | Standing::Exposed { .. } | Standing::Serving => {}
+        if !self.pinned && matches!(catalog.standing(&self.version), Standing::Held { .. }) {
+            return None;
         }
-        let predecessor = self.predecessor.clone();
-        Some(Self { predecessor, pinned: self.pinned, ..Self::new(catalog, &self.customer, &self.version, release) })
+        Some(Self::new(catalog, &self.customer, &self.version, release, self.pinned))
     }
 
-    fn new(catalog: &Catalog, customer: &Customer, version: &Version, release: &Release) -> Self {
+    fn new(catalog: &Catalog, customer: &Customer, version: &Version, release: &Release, pinned: bool) -> Self {
         Self {
             customer: customer.clone(),
             version: version.clone(),
@@ -118,8 +114,8 @@
             price: release.price,
             max_output: release.max_output,
             generation: catalog.generation(),
-            predecessor: None,
-            pinned: false,
+            predecessor: predecessor(catalog, version),
+            pinned,
         }
     }
 }
@@ -127,33 +123,40 @@
 impl Permits {
     /// Every version that a request may run on, one per tier.
     ///
+    /// A pinned version has its tier; a tier without a pin goes to the version
+    /// that the roll-outs give new sessions.
+    ///
     /// # Errors
     ///
     /// [`Refusal::NoContract`], [`Refusal::ModelNotAllowed`] or
     /// [`Refusal::NoVersion`].
     pub fn resolve(
         catalog: &Catalog,
+        stops: &Stops,
         customer: &Customer,
         model: &model::Id,
         session: Option<&Session>,
-        sticky: u64,
+        unit: Unit,
     ) -> Result<Self, Refusal> {
         let contract = catalog.contract(customer).ok_or(Refusal::NoContract)?;
-        let allowed = contract.models.iter().find(|a| a.model == *model).ok_or(Refusal::ModelNotAllowed)?;
-        let releases = &catalog.model(model).ok_or(Refusal::ModelNotAllowed)?.versions;
-
-        let mut found = Self { held: Vec::with_capacity(4), ranks: Vec::with_capacity(4), moved: None };
-        for release in releases.iter().filter(|r| allowed.versions.contains(&r.version)) {
-            let version = Version { model: model.clone(), number: release.version.clone() };
-            let Some(claim) = claim(catalog, contract, &version, session, sticky) else { continue };
-            found.offer(catalog, customer, &version, release, claim);
+        if !contract.models.iter().any(|allowed| allowed.model == *model) {
+            return Err(Refusal::ModelNotAllowed);
+        }
+        let mut permits = Self { held: Vec::with_capacity(4), moved: None };
+        // A session of another customer would carry pins past this contract's
+        // exposure limit; it counts as none.
+        let pins = session.filter(|s| s.customer == *customer).map_or(&[][..], |s| s.pins.as_slice());
+        for pin in pins.iter().filter(|pin| pin.version.model == *model) {
+            permits.keep(catalog, stops, contract, customer, pin);
         }
-        found.moved = session.and_then(|s| found.broken_pin(s, model));
-        found.held.sort_unstable_by_key(|permit| permit.tier);
-        if found.held.is_empty() {
+        for version in rollout::open(catalog, stops, contract, model, unit) {
+            permits.offer(catalog, customer, &version);
+        }
+        permits.held.sort_unstable_by_key(|permit| permit.tier);
+        if permits.held.is_empty() {
             return Err(Refusal::NoVersion);
         }
-        Ok(found)
+        Ok(permits)
     }
 
     /// The permits, cheapest tier first; never empty.
@@ -168,112 +171,35 @@
         self.moved.as_ref()
     }
 
-    /// Keeps the stronger claim on a tier; of two alike, the later release.
-    fn offer(&mut self, catalog: &Catalog, customer: &Customer, version: &Version, release: &Release, claim: Claim) {
-        let mut permit = Permit::new(catalog, customer, version, release);
-        permit.pinned = matches!(claim, Claim::Pinned { .. });
-        let rank = claim.rank();
-        permit.predecessor = claim.predecessor();
-        let Some(held) = self.held.iter().position(|held| held.tier == release.tier) else {
-            self.held.push(permit);
-            self.ranks.push(rank);
+    fn keep(&mut self, catalog: &Catalog, stops: &Stops, contract: &Contract, customer: &Customer, pin: &Pin) {
+        let release = catalog.release(&pin.version).filter(|_| rollout::keeps(catalog, stops, contract, &pin.version));
+        let Some(release) = release else {
+            self.moved = Some(pin.version.clone());
             return;
         };
-        if rank >= self.ranks[held] {
-            self.held[held] = permit;
-            self.ranks[held] = rank;
-        }
-    }
-
-    fn broken_pin(&self, session: &Session, model: &model::Id) -> Option<Version> {
-        let mut pins = session.pins.iter().filter(|pin| pin.version.model == *model);
-        let kept = |pin: &Pin| self.held.iter().any(|permit| permit.pinned && permit.version == pin.version);
-        pins.find(|pin| !kept(pin)).map(|pin| pin.version.clone())
-    }
-}
-
-/// Why a version may take a request.
-enum Claim {
-    /// It serves, but a roll-out has replaced it.
-    Replaced,
-    /// It serves its tier.
-    Serving,
-    /// The request takes part in its roll-out.
-    Exposed { predecessor: Version },
-    /// The session is on it.
-    Pinned { predecessor: Option<Version> },
-}
-
-impl Claim {
-    fn rank(&self) -> u8 {
-        match self {
-            Self::Replaced => 0,
-            Self::Serving => 1,
-            Self::Exposed { .. } => 2,
-            Self::Pinned { .. } => 3,
+        if !self.held.iter().any(|held| held.tier == release.tier) {
+            self.held.push(Permit::new(catalog, customer, &pin.version, release, true));
         }
     }
 
-    fn predecessor(self) -> Option<Version> {
-        match self {
-            Self::Replaced | Self::Serving => None,
-            Self::Exposed { predecessor } => Some(predecessor),
-            Self::Pinned { predecessor } => predecessor,
+    /// Gives a tier to a version; of two alike, the later release has it.
+    fn offer(&mut self, catalog: &Catalog, customer: &Customer, version: &Version) {
+        let Some(release) = catalog.release(version) else { return };
+        let permit = Permit::new(catalog, customer, version, release, false);
+        match self.held.iter_mut().find(|held| held.tier == release.tier) {
+            None => self.held.push(permit),
+            Some(held) if held.pinned || (held.predecessor.is_some() && permit.predecessor.is_none()) => {}
+            Some(held) => *held = permit,
         }
     }
 }
 
-/// What a version can claim on a request; nothing when it may not have it.
-fn claim(
-    catalog: &Catalog,
-    contract: &Contract,
-    version: &Version,
-    session: Option<&Session>,
-    sticky: u64,
-) -> Option<Claim> {
-    let pinned = session.is_some_and(|s| s.pins.iter().any(|pin| pin.version == *version));
-    match catalog.standing(version) {
-        Standing::Serving if pinned => Some(Claim::Pinned { predecessor: None }),
-        Standing::Serving if replaced(catalog, contract, version) => Some(Claim::Replaced),
-        Standing::Serving => Some(Claim::Serving),
-        Standing::Exposed { rollout, .. } | Standing::Held { rollout } if pinned => {
-            Some(Claim::Pinned { predecessor: predecessor(catalog, &rollout) })
-        }
-        Standing::Exposed { share, rollout } => {
-            let share = share.min(contract.exposure.new_version_share);
-            let predecessor = predecessor(catalog, &rollout)?;
-            takes_part(sticky, &rollout, share).then_some(Claim::Exposed { predecessor })
-        }
-        Standing::Held { .. } | Standing::Withdrawn | Standing::Unknown => None,
-    }
-}
-
-/// Whether a promoted version that the contract allows stands in its place.
-fn replaced(catalog: &Catalog, contract: &Contract, version: &Version) -> bool {
-    catalog.rollouts().values().any(|rollout| {
-        rollout.state == rollout::State::Promoted
-            && rollout.version.model == version.model
-            && rollout.predecessor == version.number
-            && allows(contract, &rollout.version)
-            && catalog.standing(&rollout.version) == Standing::Serving
-    })
-}
-
-fn predecessor(catalog: &Catalog, id: &rollout::Id) -> Option<Version> {
-    let rollout = catalog.rollouts().get(id)?;
+/// The version that a roll-out under way replaces by `version`.
+fn predecessor(catalog: &Catalog, version: &Version) -> Option<Version> {
+    let rollout = match catalog.standing(version) {
+        Standing::Exposed { rollout, .. } | Standing::Held { rollout } => rollout,
+        Standing::Serving | Standing::Withdrawn | Standing::Unknown => return None,
+    };
+    let rollout = catalog.rollouts().get(&rollout)?;
     Some(Version { model: rollout.version.model.clone(), number: rollout.predecessor.clone() })
 }
-
-/// Whether a session (or a lone request) is in a roll-out's share.
-///
-/// Hashed with the roll-out's name: a session that met one bad version is no
-/// likelier than others to meet the next.
-#[expect(clippy::cast_precision_loss, reason = "a share needs no more than 53 bits")]
-fn takes_part(sticky: u64, rollout: &rollout::Id, share: f64) -> bool {
-    let point = hash::rendezvous(sticky, rollout.as_str().as_bytes()) as f64 / u64::MAX as f64;
-    point < share
-}
-
-fn allows(contract: &Contract, version: &Version) -> bool {
-    contract.models.iter().any(|a| a.model == version.model && a.versions.contains(&version.number))
-}
--- a/crates/route/src/quality.rs
+++ b/crates/route/src/quality.rs
@@ -136,8 +136,25 @@
         self.accounts.get(&self.lookup(cell).key()).copied().unwrap_or_default()
     }
 
-    /// The account of a customer's class, to write on.
-    pub fn account_mut(&mut self, cell: Cell) -> &mut Account {
+    /// Enters a request that is about to run, expected to pass at `rate`.
+    ///
+    /// Entered at the choice and not at the answer: of many requests at a time
+    /// each must see what the ones before it may still cost the account.
+    pub fn open(&mut self, cell: Cell, rate: f64, target: f64) -> Pending {
+        self.account_mut(cell).open(rate, target)
+    }
+
+    /// Enters the rating of a request's final answer.
+    pub fn close(&mut self, cell: Cell, pending: Pending, pass: bool) {
+        self.account_mut(cell).close(pending, pass);
+    }
+
+    /// Takes out a request that has given no answer.
+    pub fn void(&mut self, cell: Cell, pending: Pending) {
+        self.account_mut(cell).void(pending);
+    }
+
+    fn account_mut(&mut self, cell: Cell) -> &mut Account {
         let cell = self.known(cell);
         self.accounts.entry(cell.key()).or_default()
     }
--- a/crates/route/src/quality/account.rs
+++ b/crates/route/src/quality/account.rs
@@ -21,6 +21,7 @@
 /// An answer that waits for its rating.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Pending {
+    target: f64,
     expected: f64,
     variance: f64,
 }
@@ -28,7 +29,7 @@
 impl Account {
     /// Enters an answer of unknown rating, expected to pass at `rate`.
     pub fn open(&mut self, rate: f64, target: f64) -> Pending {
-        let pending = Pending { expected: rate - target, variance: rate * (1.0 - rate) };
+        let pending = Pending { target, expected: rate - target, variance: rate * (1.0 - rate) };
         self.pending += pending.expected;
         self.pending_variance += pending.variance;
         self.answers = (self.answers + 1.0).min(MEMORY);
@@ -36,10 +37,15 @@
     }
 
     /// Replaces an expected rating by the real one.
-    pub fn close(&mut self, pending: Pending, pass: bool, target: f64) {
+    pub fn close(&mut self, pending: Pending, pass: bool) {
+        self.void(pending);
+        self.rated += f64::from(u8::from(pass)) - pending.target;
+    }
+
+    /// Takes an answer out that was never given.
+    pub fn void(&mut self, pending: Pending) {
         self.pending -= pending.expected;
         self.pending_variance = (self.pending_variance - pending.variance).max(0.0);
-        self.rated += f64::from(u8::from(pass)) - target;
     }
 
     /// Passes ahead of the target, `z` standard deviations of the unrated
