Let engines go on with a broken answer and fall silent

A stream broken at a dead engine is continued elsewhere with the part given so far as the assistant's message; a stream that hangs amid its answer is the fault that idle limits are for.

--- a/crates/standin/src/answer.rs
+++ b/crates/standin/src/answer.rs
@@ -35,6 +35,22 @@
     hash::stable(&prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)])
 }
 
+/// Parts a chat that ends in a broken answer, to be gone on with, from it.
+#[must_use]
+pub fn continued(messages: &[Message]) -> (&[Message], &str) {
+    match messages {
+        [asked @ .., last] if last.role == "assistant" && !asked.is_empty() => (asked, &last.content),
+        all => (all, ""),
+    }
+}
+
+/// How many of an answer's tokens the part given so far covers.
+#[must_use]
+pub fn covered(tokens: &[String], given: &str) -> usize {
+    let mut rest = given;
+    tokens.iter().take_while(|token| rest.strip_prefix(token.as_str()).map(|left| rest = left).is_some()).count()
+}
+
 /// Tokens of a prompt.
 #[must_use]
 pub fn prompt_tokens(prompt: &str) -> u64 {
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -100,6 +100,13 @@
         /// Of the streams, resumed ones included.
         odds: Odds,
     },
+    /// Falls silent once this event was sent; the run goes on.
+    Stall {
+        /// Events sent first.
+        after: u64,
+        /// Of the streams, resumed ones included.
+        odds: Odds,
+    },
     /// Forgets an attempt when its stream breaks: it cannot be resumed.
     Forget(Odds),
     /// Sends an event twice.
@@ -178,6 +185,8 @@
     lose_answers: Odds,
     break_after: u64,
     break_streams: Odds,
+    stall_after: u64,
+    stall: Odds,
     forget: Odds,
     duplicate: Odds,
     foreign: Odds,
@@ -260,6 +269,7 @@
             Switch::Hang(odds) => faults.hang = odds,
             Switch::LoseAnswers(odds) => faults.lose_answers = odds,
             Switch::BreakStreams { after, odds } => (faults.break_after, faults.break_streams) = (after, odds),
+            Switch::Stall { after, odds } => (faults.stall_after, faults.stall) = (after, odds),
             Switch::Forget(odds) => faults.forget = odds,
             Switch::Duplicate(odds) => faults.duplicate = odds,
             Switch::Foreign(odds) => faults.foreign = odds,
--- a/crates/standin/src/engine/api.rs
+++ b/crates/standin/src/engine/api.rs
@@ -207,10 +207,12 @@
     }
 
     fn attempt(&self, state: &mut State, ask: &Ask, id: &str, priority: u8, bad: Option<Fault>) -> Attempt {
-        let prompt = answer::prompt(&ask.messages);
+        let (asked, given) = answer::continued(&ask.messages);
+        let prompt = answer::prompt(asked);
         let mut tokens = answer::tokens(&ask.model, &prompt);
+        tokens.drain(..answer::covered(&tokens, given));
         if bad == Some(Fault::Answers) {
-            tokens[0] = answer::BAD.into();
+            tokens.insert(0, answer::BAD.into());
         }
         let max = ask.max_tokens.map_or(usize::MAX, |max| usize::try_from(max).unwrap_or(usize::MAX));
         let finish = if tokens.len() > max { "length" } else { "stop" };
--- a/crates/standin/src/engine/stream.rs
+++ b/crates/standin/src/engine/stream.rs
@@ -33,14 +33,15 @@
     next: usize,
     sent: u64,
     break_after: Option<u64>,
+    stall_after: Option<u64>,
     done: bool,
 }
 
 /// The events of an attempt from one on.
 pub(super) fn response(shared: Arc<Shared>, attempt: Arc<Attempt>, from: usize) -> Response<Body> {
-    let break_after = shared.lock().breaks_after();
+    let (break_after, stall_after) = shared.lock().harm_stream();
     let progress = attempt.progress.subscribe();
-    let reader = Reader { shared, attempt, progress, next: from, sent: 0, break_after, done: false };
+    let reader = Reader { shared, attempt, progress, next: from, sent: 0, break_after, stall_after, done: false };
     let frames = events(reader).map(|event| event.map(Frame::data));
     let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
@@ -65,6 +66,9 @@
             self.shared.lock().stream_broken(&self.attempt.id);
             return Err(Broken);
         }
+        if self.stall_after.is_some_and(|after| self.sent >= after) {
+            futures::future::pending::<()>().await;
+        }
         let tokens = self.attempt.answer.len();
         let ready = |progress: &Progress| progress.end.is_some() || progress.tokens > self.next;
         let progress = *self.progress.wait_for(ready).await.map_err(|_| Broken)?;
@@ -85,9 +89,11 @@
 }
 
 impl super::State {
-    fn breaks_after(&mut self) -> Option<u64> {
+    /// After how many events a new stream breaks, and falls silent.
+    fn harm_stream(&mut self) -> (Option<u64>, Option<u64>) {
         let breaks = self.dice.strikes(&mut self.faults.break_streams);
-        breaks.then_some(self.faults.break_after)
+        let stalls = self.dice.strikes(&mut self.faults.stall);
+        (breaks.then_some(self.faults.break_after), stalls.then_some(self.faults.stall_after))
     }
 
     fn stream_broken(&mut self, id: &str) {
--- a/crates/standin/tests/standin/main.rs
+++ b/crates/standin/tests/standin/main.rs
@@ -181,6 +181,19 @@
     assert_eq!(handle.records()[0].end, Some(End::Completed));
 }
 
+// The engine that had the stream is gone. Another goes on from the part that
+// the caller has: together the whole answer of the one version.
+#[tokio::test]
+async fn broken_answer_is_gone_on_with_elsewhere() {
+    let (_handle, client) = engine(engine::Options::default()).await;
+    let all = whole("tow log");
+    let (given, rest) = all.split_at(answer::tokens(VERSION, "user: tow log\n")[0].len());
+    let mut body = ask("tow log");
+    body["messages"].as_array_mut().expect("messages").push(json!({ "role": "assistant", "content": given }));
+    let reply = client.call("POST", "/v1/chat/completions", &[("Arbutuslug-Attempt", "a1")], Some(body)).await;
+    assert_eq!(reply.expect("an answer").content(), rest);
+}
+
 #[tokio::test]
 async fn plain_completion_equals_the_stream() {
     let (_handle, client) = engine(engine::Options::default()).await;
