--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,7 @@
 //! Callers' HTTP and one request's life.
+
+pub mod ask;
+pub mod life;
+pub mod problem;
+pub mod session;
+pub mod tape;
--- /dev/null
+++ b/crates/entry/tests/life.rs
@@ -0,0 +1,178 @@
+//! The state machine: tables of whole lives, and promises under random events.
+
+use entry::life::{Command, Event, Life, Ran, State};
+use proptest::prelude::*;
+use world::request::Repeat::{self, Idempotent, Never};
+
+const NOT_SENT: Event = Event::Refused { arrived: false };
+const TURNED_AWAY: Event = Event::Refused { arrived: true };
+
+/// Runs a life through `events` and compares its last command and state.
+fn check(repeat: Repeat, events: &[Event], last: Command, state: State) {
+    let (mut life, mut command) = Life::begin(repeat);
+    for event in events {
+        command = life.step(*event).unwrap_or_else(|illegal| panic!("{illegal}"));
+    }
+    assert_eq!((command, life.state()), (last, state), "after {events:?}");
+}
+
+macro_rules! lives {
+    ($($name:ident: $repeat:ident [$($event:expr),* $(,)?] => $last:expr, $state:ident;)*) => {
+        $(#[test] fn $name() { check($repeat, &[$($event),*], $last, State::$state); })*
+    };
+}
+
+lives! {
+    idempotent_answer: Idempotent
+        [Event::Admitted, Event::Chosen { steps: 1 }, Event::Started, Event::Frame, Event::Whole, Event::Billed]
+        => Command::Deliver, Answered;
+    never_claims_before_choosing: Never [Event::Admitted] => Command::Claim, Claiming;
+    never_answer: Never
+        [Event::Admitted, Event::Claimed, Event::Chosen { steps: 3 }, Event::Started, Event::Whole, Event::Billed]
+        => Command::Deliver, Answered;
+    refused_admission_is_not_run: Idempotent [Event::Declined] => Command::Fail { ran: Ran::No }, Failed;
+    lost_claim_is_not_run: Never [Event::Admitted, Event::Declined] => Command::Fail { ran: Ran::No }, Failed;
+    no_version_is_not_run: Never [Event::Admitted, Event::Claimed, Event::Declined]
+        => Command::Fail { ran: Ran::No }, Failed;
+    deadline_in_queue_is_not_run: Never [Event::TimeUp] => Command::Fail { ran: Ran::No }, Failed;
+    deadline_while_sending_is_unknown: Never
+        [Event::Admitted, Event::Claimed, Event::Chosen { steps: 1 }, Event::TimeUp]
+        => Command::Fail { ran: Ran::Unknown }, Failed;
+    never_tries_elsewhere_when_unsent: Never
+        [Event::Admitted, Event::Claimed, Event::Chosen { steps: 1 }, NOT_SENT, Event::Again]
+        => Command::Dispatch, Dispatching;
+    never_is_not_sent_twice_after_arrival: Never
+        [Event::Admitted, Event::Claimed, Event::Chosen { steps: 1 }, TURNED_AWAY]
+        => Command::Fail { ran: Ran::No }, Failed;
+    never_lost_dispatch_is_unknown: Never
+        [Event::Admitted, Event::Claimed, Event::Chosen { steps: 1 }, Event::Lost]
+        => Command::Fail { ran: Ran::Unknown }, Failed;
+    never_broken_stream_is_resumed: Never
+        [Event::Admitted, Event::Claimed, Event::Chosen { steps: 1 }, Event::Started, Event::Frame, Event::Broke]
+        => Command::Resume, Resuming;
+    never_broken_for_good_fails: Never
+        [Event::Admitted, Event::Claimed, Event::Chosen { steps: 1 }, Event::Started, Event::Frame, Event::Broke,
+         Event::Gone]
+        => Command::Fail { ran: Ran::Yes }, Failed;
+    never_goes_on_alone: Never
+        [Event::Admitted, Event::Claimed, Event::Chosen { steps: 1 }, Event::Started]
+        => Command::Read, Running;
+    idempotent_retries_a_lost_dispatch: Idempotent
+        [Event::Admitted, Event::Chosen { steps: 1 }, Event::Lost] => Command::Retry, Retrying;
+    idempotent_gives_up_honestly: Idempotent
+        [Event::Admitted, Event::Chosen { steps: 1 }, Event::Lost, Event::Again, TURNED_AWAY, Event::GiveUp]
+        => Command::Fail { ran: Ran::Unknown }, Failed;
+    refusals_alone_are_not_run: Idempotent
+        [Event::Admitted, Event::Chosen { steps: 1 }, TURNED_AWAY, Event::Again, NOT_SENT, Event::GiveUp]
+        => Command::Fail { ran: Ran::No }, Failed;
+    hang_up_cancels_idempotent: Idempotent
+        [Event::Admitted, Event::Chosen { steps: 1 }, Event::Started, Event::CallerGone]
+        => Command::Abandon, Abandoned;
+    hang_up_in_queue_ends_never: Never [Event::CallerGone] => Command::Abandon, Abandoned;
+    cascade_rates_before_billing: Idempotent
+        [Event::Admitted, Event::Chosen { steps: 2 }, Event::Started, Event::Frame, Event::Whole]
+        => Command::Rate, Rating;
+    cascade_escalates: Idempotent
+        [Event::Admitted, Event::Chosen { steps: 2 }, Event::Started, Event::Whole, Event::Rejected]
+        => Command::Dispatch, Dispatching;
+    cascade_ends_at_last_step: Idempotent
+        [Event::Admitted, Event::Chosen { steps: 2 }, Event::Started, Event::Whole, Event::Rejected, Event::Started,
+         Event::Whole]
+        => Command::Bill, Billing;
+    cascade_keeps_a_good_answer: Idempotent
+        [Event::Admitted, Event::Chosen { steps: 2 }, Event::Started, Event::Whole, Event::Kept]
+        => Command::Bill, Billing;
+    escalation_that_fails_has_run: Idempotent
+        [Event::Admitted, Event::Chosen { steps: 2 }, Event::Started, Event::Whole, Event::Rejected, NOT_SENT,
+         Event::GiveUp]
+        => Command::Fail { ran: Ran::Yes }, Failed;
+    unbilled_answer_is_held_back: Idempotent
+        [Event::Admitted, Event::Chosen { steps: 1 }, Event::Started, Event::Whole, Event::Unbilled]
+        => Command::Fail { ran: Ran::Yes }, Failed;
+}
+
+#[test]
+fn nothing_follows_the_end() {
+    let (mut life, _) = Life::begin(Idempotent);
+    life.step(Event::Declined).expect("a refusal can come first");
+    assert!(life.step(Event::Admitted).is_err());
+    assert_eq!(life.state(), State::Failed);
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        3 => Just(Event::Admitted),
+        3 => Just(Event::Claimed),
+        4 => (1u8..4).prop_map(|steps| Event::Chosen { steps }),
+        4 => Just(Event::Started),
+        4 => Just(Event::Again),
+        4 => Just(Event::Frame),
+        2 => Just(Event::Whole),
+        2 => any::<bool>().prop_map(|arrived| Event::Refused { arrived }),
+        2 => prop_oneof![Just(Event::Broke), Just(Event::Resumed), Just(Event::Gone), Just(Event::Lost)],
+        2 => prop_oneof![Just(Event::Kept), Just(Event::Rejected), Just(Event::Billed), Just(Event::Unbilled)],
+        1 => prop_oneof![Just(Event::Declined), Just(Event::GiveUp), Just(Event::CallerGone), Just(Event::TimeUp),
+                         Just(Event::Fault)],
+    ]
+}
+
+/// What an observer outside the machine saw happen.
+#[derive(Default)]
+struct Witness {
+    claimed: bool,
+    billed: bool,
+    /// A dispatch whose outcome is not a certain refusal.
+    open: bool,
+    arrived: bool,
+    delivered: bool,
+}
+
+impl Witness {
+    fn saw(&mut self, event: Event) {
+        match event {
+            Event::Claimed => self.claimed = true,
+            Event::Billed => self.billed = true,
+            Event::Refused { arrived } => {
+                self.open = false;
+                self.arrived |= arrived;
+            }
+            Event::Started | Event::Lost => self.arrived = true,
+            _ => {}
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(4_000))]
+
+    /// Events come in any order the machine takes. Whatever they are: no
+    /// dispatch of a non-idempotent request without its claim or after a byte
+    /// may have arrived, no last frame before the bill, no `ran: no` while a
+    /// dispatch is not certainly refused.
+    #[test]
+    fn promises_hold_whatever_happens(never: bool, events in prop::collection::vec(event(), 1..60)) {
+        let repeat = if never { Never } else { Idempotent };
+        let (mut life, _) = Life::begin(repeat);
+        let mut witness = Witness::default();
+        let mut unrefused = false;
+        for event in events {
+            let Ok(command) = life.step(event) else { continue };
+            witness.saw(event);
+            unrefused |= matches!(event, Event::Started | Event::Lost);
+            match command {
+                Command::Dispatch => {
+                    prop_assert!(!never || witness.claimed, "dispatched without a claim");
+                    prop_assert!(!never || !witness.arrived, "dispatched twice");
+                    witness.open = true;
+                }
+                Command::Deliver => {
+                    prop_assert!(witness.billed && !witness.delivered, "last frame before the bill");
+                    witness.delivered = true;
+                }
+                Command::Fail { ran: Ran::No } => prop_assert!(!witness.open && !unrefused, "`ran: no` is not true"),
+                Command::Rate => prop_assert!(!never, "a non-idempotent request was cascaded"),
+                _ => {}
+            }
+        }
+    }
+}
