--- a/crates/standin/src/engine/api.rs
+++ b/crates/standin/src/engine/api.rs
@@ -13,7 +13,7 @@
 use super::{
     Fault, Order, Shared, State,
     attempt::{Attempt, End, Progress, Usage},
-    load, slots, stream,
+    slots, stream,
 };
 use crate::{
     answer::{self, Message, Pace},
@@ -231,7 +231,7 @@
             version: ask.model.clone(),
             priority,
             prompt,
-            received: load::now(),
+            received: fault::wall_clock(),
             answer: tokens,
             finish,
             usage,
--- a/crates/standin/src/engine/load.rs
+++ b/crates/standin/src/engine/load.rs
@@ -5,6 +5,8 @@
 use tokio::time::Instant;
 use world::{Millis, Timestamp};
 
+use crate::fault::wall_clock;
+
 /// Changes of load kept, so that a report has something old to tell.
 const MAX_MARKS: usize = 4_096;
 
@@ -29,20 +31,14 @@
         if self.marks.len() == MAX_MARKS {
             self.marks.pop_front();
         }
-        self.marks.push_back(Mark { at: Some(Instant::now()), as_of: now(), running, queued });
+        self.marks.push_back(Mark { at: Some(Instant::now()), as_of: wall_clock(), running, queued });
     }
 
     /// What a report says that lags by `lag`: the load as it was then.
     pub(super) fn report(&self, lag: Millis) -> Mark {
-        let now_wall = now();
-        let as_of = Timestamp(now_wall.0.saturating_sub(lag));
+        let as_of = Timestamp(wall_clock().0.saturating_sub(lag));
         let until = Instant::now().checked_sub(Duration::from_millis(lag));
         let known = self.marks.iter().rev().find(|mark| mark.at <= until);
         known.map_or(Mark { at: None, as_of, running: 0, queued: 0 }, |mark| Mark { as_of, ..*mark })
     }
 }
-
-pub(super) fn now() -> Timestamp {
-    let span = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
-    Timestamp(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
-}
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -1,11 +1,12 @@
-//! How often a fault strikes: seeded, so that a run can be had again.
+//! How often a fault strikes: seeded, so that a run can be had again; and
+//! the clocks of delays and records.
 
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
-use world::Millis;
+use world::{Millis, Timestamp};
 
 /// How often a fault strikes: surely the next few times, then by chance.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
@@ -61,3 +62,9 @@
         tokio::time::sleep(Duration::from_millis(span)).await;
     }
 }
+
+/// The wall clock, for records.
+pub(crate) fn wall_clock() -> Timestamp {
+    let span = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    Timestamp(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+}
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -11,7 +11,7 @@
 use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use world::Millis;
+use world::{Millis, Timestamp};
 
 use crate::{
     fault::{self, Dice, Odds},
@@ -57,6 +57,8 @@
     pub attempt: String,
     /// What was sent.
     pub body: String,
+    /// When it came.
+    pub received: Timestamp,
 }
 
 /// A running plain service.
@@ -187,6 +189,7 @@
             key: header(call, "idempotency-key").into(),
             attempt: header(call, "arbutuslug-attempt").into(),
             body: String::from_utf8_lossy(call.body()).into_owned(),
+            received: fault::wall_clock(),
         });
         Some(self.effects.len())
     }
