--- a/crates/route/src/model.rs
+++ b/crates/route/src/model.rs
@@ -79,6 +79,7 @@
 #[derive(Debug, Clone)]
 pub struct Choice {
     steps: Vec<Permit>,
+    expected: Vec<f64>,
     ceiling: Amount,
     reason: Reason,
 }
@@ -124,7 +125,8 @@
             considered: decided.considered,
             moved: permits.moved().cloned(),
         };
-        Self { steps, ceiling: decided.ladder.ceiling, reason }
+        let expected = market.expected(rungs, &decided.ladder);
+        Self { steps, expected, ceiling: decided.ladder.ceiling, reason }
     }
 
     /// The version to start on.
@@ -146,11 +148,12 @@
         self.ceiling
     }
 
-    /// The rate at which the request is expected to pass, with caution: what
-    /// [`Book::open`] is to be told.
+    /// The rate at which the request is expected to pass once it has come to a
+    /// step, with caution: what [`Book::open`] and [`Book::escalated`] are to
+    /// be told. Zero past the last step.
     #[must_use]
-    pub fn expected(&self) -> f64 {
-        self.reason.quality.lower(1.0)
+    pub fn expected(&self, step: usize) -> f64 {
+        self.expected.get(step).copied().unwrap_or_default()
     }
 
     /// Why.
--- a/crates/route/src/model/ladder.rs
+++ b/crates/route/src/model/ladder.rs
@@ -13,7 +13,7 @@
     Inputs, Permits, Rater,
     reason::{Refusal, Rule, Step},
 };
-use crate::quality::{Account, Book, Cell, Estimate, Speed, Stage};
+use crate::quality::{Account, Book, Cell, Estimate, Guess, Speed, Stage};
 
 /// Longest ladder.
 const MAX_STEPS: usize = 3;
@@ -23,12 +23,16 @@
 const RATING_MS: f64 = 100.0;
 /// Share of what an earlier tier passes that a later one passes too.
 const NESTED: f64 = 0.97;
+/// Pass rate of the first tier while nobody has rated it.
+const BLANK_FIRST: f64 = 0.5;
+/// Pass rate of the last tier while nobody has rated it.
+const BLANK_LAST: f64 = 0.9;
 /// Standard deviations taken off an estimated rate.
 const CAUTION: f64 = 1.0;
 /// The same where contact with unproven versions weighs most.
 const EXPOSURE_CAUTION: f64 = 2.0;
 /// Standard deviations taken off the unrated part of the account.
-const ACCOUNT_CAUTION: f64 = 1.5;
+const ACCOUNT_CAUTION: f64 = 2.5;
 /// Passes the account keeps ahead; one failed answer costs less than this.
 const RESERVE: f64 = 1.0;
 /// Answers over which an account behind its reserve is to catch up.
@@ -142,6 +146,23 @@
         offers.map(step).collect()
     }
 
+    /// Expected quality of what is left of a ladder at each step, with caution.
+    pub fn expected(&self, rungs: &[u8], ladder: &Ladder) -> Vec<f64> {
+        let mut left = 1.0;
+        let mut expected = Vec::with_capacity(rungs.len());
+        for rung in rungs.iter().rev() {
+            let escalated =
+                self.offers.iter().find(|offer| offer.permit == *rung).map(|offer| offer.escalated.lower(CAUTION));
+            left *= 1.0 - escalated.unwrap_or_default();
+            expected.push(1.0 - left);
+        }
+        expected.reverse();
+        if let Some(first) = expected.first_mut() {
+            *first = ladder.quality.lower(CAUTION);
+        }
+        expected
+    }
+
     /// Every ladder inside deadline and ceiling.
     fn drafts(&self, objective: Objective) -> Vec<Draft> {
         let mut drafts = Vec::with_capacity(32);
@@ -287,6 +308,7 @@
     let most = inputs.max_tokens.unwrap_or(u32::MAX).min(permit.max_output());
     let output = speed.output_tokens().min(f64::from(most));
     let price = permit.price();
+    let guess = Guess { parent: permit.predecessor(), blank: blank(index, permits.as_slice().len()) };
     #[expect(clippy::cast_precision_loss, reason = "prices are far below 2^52 nano-units a token")]
     let cost = (price.input.0 as f64 * f64::from(inputs.prompt_tokens) + price.output.0 as f64 * output) / 1e6;
     Offer {
@@ -294,12 +316,20 @@
         cost,
         ceiling: price.cost(u64::from(inputs.prompt_tokens), u64::from(most)),
         speed,
-        first: book.estimate(cell, permit.version(), permit.predecessor(), Stage::First),
-        escalated: book.estimate(cell, permit.version(), permit.predecessor(), Stage::Escalated),
+        first: book.estimate(cell, permit.version(), guess, Stage::First),
+        escalated: book.estimate(cell, permit.version(), guess, Stage::Escalated),
         new: permit.predecessor().is_some(),
     }
 }
 
+/// Pass rate of a version nobody has rated: tiers are put in order by those
+/// who know the models, so a class that is new starts at the last.
+fn blank(index: usize, tiers: usize) -> f64 {
+    let place = |n: usize| f64::from(u32::try_from(n).unwrap_or(u32::MAX));
+    let last = tiers.saturating_sub(1).max(1);
+    (BLANK_LAST - BLANK_FIRST).mul_add(place(index + usize::from(tiers == 1)) / place(last), BLANK_FIRST)
+}
+
 /// Learns first answers from escalated ones.
 ///
 /// A cascade that always starts cheap never sees its last version answer
--- a/crates/route/src/quality.rs
+++ b/crates/route/src/quality.rs
@@ -13,6 +13,7 @@
 //! answers really given, not only for the rates believed.
 
 mod account;
+mod ledger;
 mod speed;
 
 use std::collections::HashMap;
@@ -22,6 +23,7 @@
 use xxhash_rust::xxh3::Xxh3DefaultBuilder;
 
 pub use account::{Account, Pending};
+pub use ledger::{Answer, Ledger};
 pub use speed::Speed;
 
 /// Cells kept at each level; the one longest unused goes first.
@@ -37,8 +39,6 @@
 const PARENT_HALF: f64 = 30.0;
 /// Ratings the blank prior counts for.
 const BLANK_WEIGHT: f64 = 2.0;
-/// Pass rate of a version nobody has rated.
-const BLANK_RATE: f64 = 0.5;
 /// Factor on the first-stage rate where an earlier step has failed and no
 /// rating tells better: what fails once is harder than the rest.
 const HARDER: f64 = 0.7;
@@ -89,6 +89,15 @@
     }
 }
 
+/// What a version's rate is taken for while it has no ratings.
+#[derive(Debug, Clone, Copy)]
+pub struct Guess<'a> {
+    /// The version that a roll-out replaces by it.
+    pub parent: Option<&'a Version>,
+    /// The rate where nothing at all is known.
+    pub blank: f64,
+}
+
 /// Everything learned about quality and speed.
 #[derive(Debug, Clone, Default)]
 pub struct Book {
@@ -111,21 +120,22 @@
 
     /// A version's pass rate for a customer's class.
     ///
-    /// `parent` is the version a roll-out replaces: until the new one has
-    /// ratings, its predecessor's rate is the best guess there is.
+    /// `guess` stands in while it has no ratings.
     #[must_use]
-    pub fn estimate(&self, cell: Cell, version: &Version, parent: Option<&Version>, stage: Stage) -> Estimate {
+    pub fn estimate(&self, cell: Cell, version: &Version, guess: Guess<'_>, stage: Stage) -> Estimate {
         let cell = self.lookup(cell);
+        let Guess { parent, blank } = guess;
+        let unknown = Belief { rate: blank, weight: BLANK_WEIGHT };
         let blank = match (stage, parent) {
             (Stage::Escalated, _) => {
-                let first = self.posterior(cell, version_key(version, Stage::First), Belief::BLANK);
+                let first = self.posterior(cell, version_key(version, Stage::First), unknown);
                 Belief { rate: first.rate * HARDER, weight: BLANK_WEIGHT }
             }
             (Stage::First, Some(parent)) => {
-                let old = self.posterior(cell, version_key(parent, Stage::First), Belief::BLANK);
+                let old = self.posterior(cell, version_key(parent, Stage::First), unknown);
                 Belief { rate: old.rate, weight: BLANK_WEIGHT }
             }
-            (Stage::First, None) => Belief::BLANK,
+            (Stage::First, None) => unknown,
         };
         self.posterior(cell, version_key(version, stage), blank).estimate()
     }
@@ -144,11 +154,25 @@
         self.account_mut(cell).open(rate, target)
     }
 
+    /// Enters that a request has escalated and is now expected to pass at `rate`.
+    ///
+    /// Those that reach a later step are the harder ones. Left at the whole
+    /// ladder's rate, the unrated among them would count as better than they
+    /// are, and the class would end below its target.
+    pub fn escalated(&mut self, cell: Cell, pending: Pending, rate: f64) -> Pending {
+        self.account_mut(cell).reopen(pending, rate)
+    }
+
     /// Enters the rating of a request's final answer.
     pub fn close(&mut self, cell: Cell, pending: Pending, pass: bool) {
         self.account_mut(cell).close(pending, pass);
     }
 
+    /// Enters that an answer's rating will not come.
+    pub fn lapse(&mut self, cell: Cell, pending: Pending) {
+        self.account_mut(cell).lapse(pending);
+    }
+
     /// Takes out a request that has given no answer.
     pub fn void(&mut self, cell: Cell, pending: Pending) {
         self.account_mut(cell).void(pending);
@@ -254,8 +278,6 @@
 }
 
 impl Belief {
-    const BLANK: Self = Self { rate: BLANK_RATE, weight: BLANK_WEIGHT };
-
     fn updated(self, counts: Option<&Counts>) -> Self {
         let Some(counts) = counts else { return self };
         let weight = self.weight + counts.pass + counts.fail;
--- a/crates/route/src/quality/account.rs
+++ b/crates/route/src/quality/account.rs
@@ -2,8 +2,15 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Weight of the newest answer once an account has seen many.
-const MEMORY: f64 = 2_000.0;
+/// Most passes an account may be ahead. Where even the cheapest version is
+/// better than asked, the account would grow for months, and would then pay
+/// for a version that has turned bad for as long.
+const MAX_AHEAD: f64 = 20.0;
+/// Most passes an account may be behind: a bad day is made good, but not by
+/// paying for the best version all year.
+const MAX_BEHIND: f64 = 100.0;
+/// Largest variance of lapsed answers.
+const MAX_LAPSED: f64 = 25.0;
 
 /// Passes ahead of (positive) or behind (negative) the target.
 ///
@@ -15,7 +22,7 @@
     rated: f64,
     pending: f64,
     pending_variance: f64,
-    answers: f64,
+    lapsed_variance: f64,
 }
 
 /// An answer that waits for its rating.
@@ -32,14 +39,29 @@
         let pending = Pending { target, expected: rate - target, variance: rate * (1.0 - rate) };
         self.pending += pending.expected;
         self.pending_variance += pending.variance;
-        self.answers = (self.answers + 1.0).min(MEMORY);
         pending
     }
 
+    /// Expects another rate of an answer not yet rated.
+    pub fn reopen(&mut self, pending: Pending, rate: f64) -> Pending {
+        self.void(pending);
+        self.open(rate, pending.target)
+    }
+
     /// Replaces an expected rating by the real one.
     pub fn close(&mut self, pending: Pending, pass: bool) {
         self.void(pending);
-        self.rated += f64::from(u8::from(pass)) - pending.target;
+        self.enter(f64::from(u8::from(pass)) - pending.target);
+    }
+
+    /// Lets an answer count as expected for good: its rating will not come.
+    ///
+    /// Its spread stays: the answer was as good or bad as any, only nobody
+    /// will say.
+    pub fn lapse(&mut self, pending: Pending) {
+        self.void(pending);
+        self.enter(pending.expected);
+        self.lapsed_variance = (self.lapsed_variance + pending.variance).min(MAX_LAPSED);
     }
 
     /// Takes an answer out that was never given.
@@ -52,12 +74,10 @@
     /// answers taken off.
     #[must_use]
     pub fn credit(&self, z: f64) -> f64 {
-        z.mul_add(-self.pending_variance.sqrt(), self.rated + self.pending)
+        z.mul_add(-(self.pending_variance + self.lapsed_variance).sqrt(), self.rated + self.pending)
     }
 
-    /// Answers entered, up to the account's memory.
-    #[must_use]
-    pub fn answers(&self) -> f64 {
-        self.answers
+    fn enter(&mut self, passes: f64) {
+        self.rated = (self.rated + passes).clamp(-MAX_BEHIND, MAX_AHEAD);
     }
 }
