--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -110,7 +110,6 @@
 
 /// Spans of time, in milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[expect(clippy::struct_field_names, reason = "fields name their unit, as in the file")]
 pub struct Timing {
     /// Oldest configuration that new work may start on.
     pub freshness_ms: Millis,
