--- /dev/null
+++ b/crates/journal/src/state.rs
@@ -0,0 +1,394 @@
+//! State of one shard: a pure function of its log.
+//!
+//! [`State::apply`] folds a record in and is all a new home needs to rebuild
+//! the state. [`State::decide`] says what a question calls for: an answer
+//! from memory, a record that must be durable before its reply, or an answer
+//! that is a promise and needs proof that this is still the home. No I/O, no
+//! clock: the home ([`crate::home`]) supplies both.
+
+use std::collections::HashMap;
+
+use world::{
+    hash, instance,
+    request::{KEY_SKEW, KEY_WINDOW, Outcome},
+    session::Pin,
+    time::{Millis, Timestamp},
+};
+
+use crate::{
+    Reason,
+    bill::{Bill, Holder},
+    op::{Known, Op, Register, Release, Reply},
+    placement::Placement,
+    record::{Bind, Claim, Close, Digest, End, Mark, Origin, Record, Seq, Settle, Standing},
+    wire,
+};
+
+/// How long a binding outlives its last use, and a closed holder its end.
+pub const BINDING_WINDOW: Millis = KEY_WINDOW;
+/// How long a closed holder is remembered. Bills of a longer pause would count
+/// twice against a budget; an instance that was paused for a week is replaced.
+pub const CLOSED_WINDOW: Millis = 7 * KEY_WINDOW;
+/// A binding used again later than this is recorded as used.
+const TOUCH_AFTER: Millis = BINDING_WINDOW / 4;
+
+/// What a question calls for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Decision {
+    /// Reply now: a wrong home can do no harm with it.
+    Answer(Reply),
+    /// Reply once this instance has been shown to be the home still.
+    Promise(Reply),
+    /// Reply once the record is durable.
+    Record(Record, Reply),
+    /// The key has a record in the segment under way: ask again after it.
+    Wait,
+}
+
+/// What a decision is made in.
+#[derive(Debug, Clone, Copy)]
+pub struct Context<'a> {
+    /// The time now.
+    pub now: Timestamp,
+    /// Who is a member.
+    pub placement: &'a Placement,
+}
+
+/// One shard.
+#[derive(Debug, Default)]
+pub struct State {
+    marks: HashMap<Digest, Entry>,
+    bindings: HashMap<Digest, Binding>,
+    closed: HashMap<Holder, Timestamp>,
+    running: HashMap<Digest, Running>,
+    durable: Seq,
+}
+
+/// Bounds of a shard's memory.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Most requests remembered.
+    pub keys: usize,
+    /// Most bindings remembered.
+    pub bindings: usize,
+    /// Most idempotent requests registered.
+    pub running: usize,
+}
+
+impl Default for Bounds {
+    /// About 20 MB for a full shard.
+    fn default() -> Self {
+        Self { keys: 100_000, bindings: 20_000, running: 20_000 }
+    }
+}
+
+#[derive(Debug)]
+struct Entry {
+    standing: Standing,
+    nonce: u64,
+    fingerprint: u64,
+    made_at: Timestamp,
+    billed: u64,
+    seq: Seq,
+}
+
+#[derive(Debug)]
+struct Binding {
+    pins: Vec<Pin>,
+    at: Timestamp,
+    seq: Seq,
+}
+
+#[derive(Debug)]
+struct Running {
+    nonce: u64,
+    by: Origin,
+    fingerprint: u64,
+    until: Timestamp,
+}
+
+impl State {
+    /// Folds one record of segment `seq` in.
+    ///
+    /// The first record wins wherever two say different things, so that every
+    /// reader of the log sees the same state.
+    pub fn apply(&mut self, record: &Record, seq: Seq) {
+        match record {
+            Record::Claim(claim) => self.apply_claim(claim, seq),
+            Record::Settle(settle) => self.apply_settle(settle, seq),
+            Record::Bill(bill) => self.apply_bill(bill, seq),
+            Record::Bind(bind) => self.apply_bind(bind, seq),
+            Record::Close(close) => {
+                self.closed.entry(close.holder.clone()).or_insert(close.at);
+            }
+            Record::Mark(mark) => self.apply_mark(mark, seq),
+        }
+    }
+
+    /// Everything up to `seq` is durable.
+    pub fn settle_up_to(&mut self, seq: Seq) {
+        self.durable = seq;
+    }
+
+    /// What `op` calls for.
+    pub fn decide(&mut self, op: &Op, context: &Context<'_>, bounds: &Bounds) -> Decision {
+        match op {
+            Op::Claim(claim) => self.decide_claim(claim, context, bounds),
+            Op::Register(register) => self.decide_register(register, context, bounds),
+            Op::Release(release) => self.decide_release(release),
+            Op::Settle(settle) => self.decide_settle(settle),
+            Op::Bill(bill) => self.decide_bill(bill),
+            Op::Bind(bind) => self.decide_bind(bind, bounds),
+            Op::Outcome(digest) => self.decide_outcome(*digest, context),
+            Op::Close(close) if self.closed.contains_key(&close.holder) => Decision::Answer(Reply::Done),
+            Op::Close(close) => Decision::Record(Record::Close(close.clone()), Reply::Done),
+        }
+    }
+
+    /// Forgets what is past its window.
+    pub fn expire(&mut self, now: Timestamp) {
+        let durable = self.durable;
+        self.marks.retain(|_, e| e.seq > durable || now.since(e.made_at) <= KEY_WINDOW + KEY_SKEW);
+        self.bindings.retain(|_, b| b.seq > durable || now.since(b.at) <= BINDING_WINDOW);
+        self.closed.retain(|_, at| now.since(*at) <= CLOSED_WINDOW);
+        self.running.retain(|_, r| r.until > now);
+    }
+
+    /// The whole state as records, without what is registered in memory only.
+    #[must_use]
+    pub fn records(&self) -> Vec<Record> {
+        let marks = self.marks.iter().map(|(digest, entry)| Record::Mark(entry.mark(*digest)));
+        let closed = self.closed.iter().map(|(holder, at)| Record::Close(Close { holder: holder.clone(), at: *at }));
+        let bindings = self.bindings.iter().map(|(digest, binding)| {
+            Record::Bind(Bind { digest: *digest, pins: binding.pins.clone(), replaces: None, at: binding.at })
+        });
+        marks.chain(closed).chain(bindings).collect()
+    }
+
+    /// Number of requests remembered.
+    #[must_use]
+    pub fn keys(&self) -> usize {
+        self.marks.len()
+    }
+
+    fn apply_claim(&mut self, claim: &Claim, seq: Seq) {
+        let entry = Entry {
+            standing: Standing::Running(claim.by.clone()),
+            nonce: claim.nonce,
+            fingerprint: claim.fingerprint,
+            made_at: claim.made_at,
+            billed: 0,
+            seq,
+        };
+        match self.marks.get_mut(&claim.digest) {
+            None => {
+                self.marks.insert(claim.digest, entry);
+            }
+            // A claim that comes after its own settlement is dead: its origin
+            // gave up on it and told the caller "not run".
+            Some(old) if old.standing == Standing::NotRun && old.nonce != claim.nonce && old.billed == 0 => {
+                *old = entry;
+            }
+            Some(_) => {}
+        }
+    }
+
+    fn apply_settle(&mut self, settle: &Settle, seq: Seq) {
+        let standing = match settle.end {
+            End::Answered => Standing::Answered,
+            End::NotRun => Standing::NotRun,
+            End::Unknown => Standing::Unknown,
+        };
+        match self.marks.get_mut(&settle.digest) {
+            None => {
+                let Settle { nonce, made_at, .. } = *settle;
+                let entry = Entry { standing, nonce, fingerprint: 0, made_at, billed: 0, seq };
+                self.marks.insert(settle.digest, entry);
+            }
+            Some(old) if old.nonce == settle.nonce && old.open() => {
+                old.standing = standing;
+                old.seq = seq;
+            }
+            Some(_) => {}
+        }
+    }
+
+    fn apply_bill(&mut self, bill: &Bill, seq: Seq) {
+        if bill.grant.as_ref().is_some_and(|grant| self.closed.contains_key(&grant.holder)) {
+            return;
+        }
+        let digest = Digest::request(&bill.id);
+        let entry = self.marks.entry(digest).or_insert(Entry {
+            standing: Standing::Answered,
+            nonce: 0,
+            fingerprint: 0,
+            made_at: bill.at,
+            billed: 0,
+            seq,
+        });
+        if entry.billed == 0 {
+            entry.billed = bill_hash(bill);
+            entry.standing = Standing::Answered;
+            entry.seq = seq;
+        }
+    }
+
+    fn apply_bind(&mut self, bind: &Bind, seq: Seq) {
+        let binding = Binding { pins: bind.pins.clone(), at: bind.at, seq };
+        match self.bindings.get_mut(&bind.digest) {
+            None => {
+                self.bindings.insert(bind.digest, binding);
+            }
+            Some(old) if old.pins == bind.pins || bind.replaces.as_ref() == Some(&old.pins) => *old = binding,
+            Some(_) => {}
+        }
+    }
+
+    fn apply_mark(&mut self, mark: &Mark, seq: Seq) {
+        let Mark { digest, standing, nonce, fingerprint, made_at, billed } = mark.clone();
+        self.marks.insert(digest, Entry { standing, nonce, fingerprint, made_at, billed, seq });
+    }
+
+    fn decide_claim(&self, claim: &Claim, context: &Context<'_>, bounds: &Bounds) -> Decision {
+        if context.now.since(claim.made_at) > KEY_WINDOW {
+            return Decision::Answer(Reply::Refused(Reason::KeyTooOld));
+        }
+        if claim.made_at > context.now.plus(KEY_SKEW) {
+            return Decision::Answer(Reply::Refused(Reason::KeyTooNew));
+        }
+        let record = Decision::Record(Record::Claim(claim.clone()), Reply::Claimed);
+        match self.marks.get(&claim.digest) {
+            None if self.marks.len() >= bounds.keys => Decision::Answer(Reply::Refused(Reason::Full)),
+            None => record,
+            Some(entry) if entry.seq > self.durable => Decision::Wait,
+            Some(entry) if entry.fingerprint != 0 && entry.fingerprint != claim.fingerprint => {
+                Decision::Answer(Reply::Refused(Reason::OtherBody))
+            }
+            Some(entry) if entry.nonce == claim.nonce && matches!(entry.standing, Standing::Running(_)) => {
+                Decision::Answer(Reply::Claimed)
+            }
+            Some(entry) if entry.standing == Standing::NotRun && entry.nonce != claim.nonce => record,
+            Some(entry) => Decision::Answer(Reply::Known(entry.known(context.placement))),
+        }
+    }
+
+    fn decide_register(&mut self, register: &Register, context: &Context<'_>, bounds: &Bounds) -> Decision {
+        if register.made_at.is_some_and(|made_at| context.now.since(made_at) > KEY_WINDOW) {
+            return Decision::Answer(Reply::Refused(Reason::KeyTooOld));
+        }
+        if let Some(entry) = self.marks.get(&register.digest).filter(|e| e.standing != Standing::NotRun) {
+            return Decision::Answer(Reply::Known(entry.known(context.placement)));
+        }
+        let running = Running {
+            nonce: register.nonce,
+            by: register.by.clone(),
+            fingerprint: register.fingerprint,
+            until: context.now.plus(register.lasts_ms),
+        };
+        match self.running.get(&register.digest) {
+            Some(old) if old.until > context.now && old.nonce != register.nonce && context.placement.knows(&old.by) => {
+                if old.fingerprint != register.fingerprint {
+                    return Decision::Answer(Reply::Refused(Reason::OtherBody));
+                }
+                return Decision::Answer(Reply::RunningAt(old.by.instance.clone()));
+            }
+            None if self.running.len() >= bounds.running => {
+                return Decision::Answer(Reply::Refused(Reason::Full));
+            }
+            _ => {}
+        }
+        self.running.insert(register.digest, running);
+        Decision::Answer(Reply::First)
+    }
+
+    fn decide_release(&mut self, release: &Release) -> Decision {
+        if self.running.get(&release.digest).is_some_and(|r| r.nonce == release.nonce) {
+            self.running.remove(&release.digest);
+        }
+        Decision::Answer(Reply::Done)
+    }
+
+    fn decide_settle(&self, settle: &Settle) -> Decision {
+        let done = Decision::Answer(Reply::Done);
+        match self.marks.get(&settle.digest) {
+            Some(entry) if entry.seq > self.durable => Decision::Wait,
+            Some(entry) if entry.nonce != settle.nonce || !entry.open() => done,
+            Some(entry) if entry.standing == Standing::Unknown && settle.end == End::Unknown => done,
+            _ => Decision::Record(Record::Settle(*settle), Reply::Done),
+        }
+    }
+
+    fn decide_bill(&self, bill: &Bill) -> Decision {
+        let entry = self.marks.get(&Digest::request(&bill.id));
+        match entry {
+            Some(entry) if entry.seq > self.durable => return Decision::Wait,
+            Some(entry) if entry.billed == bill_hash(bill) => return Decision::Answer(Reply::Done),
+            Some(entry) if entry.billed != 0 => return Decision::Answer(Reply::Already),
+            _ => {}
+        }
+        if bill.grant.as_ref().is_some_and(|grant| self.closed.contains_key(&grant.holder)) {
+            return Decision::Answer(Reply::Refused(Reason::GrantClosed));
+        }
+        Decision::Record(Record::Bill(bill.clone()), Reply::Done)
+    }
+
+    fn decide_bind(&self, bind: &Bind, bounds: &Bounds) -> Decision {
+        let record = Decision::Record(Record::Bind(bind.clone()), Reply::Bound(bind.pins.clone()));
+        match self.bindings.get(&bind.digest) {
+            None if self.bindings.len() >= bounds.bindings => Decision::Answer(Reply::Refused(Reason::Full)),
+            None => record,
+            Some(old) if old.seq > self.durable => Decision::Wait,
+            Some(old) if old.pins == bind.pins && bind.at.since(old.at) > TOUCH_AFTER => record,
+            Some(old) if old.pins != bind.pins && bind.replaces.as_ref() == Some(&old.pins) => record,
+            Some(old) => Decision::Answer(Reply::Bound(old.pins.clone())),
+        }
+    }
+
+    /// "Not run" and "no record" are promises: a home that has been replaced
+    /// without noticing could give them about a request that runs elsewhere.
+    /// The other outcomes stay true, or harmless, once they have been true.
+    fn decide_outcome(&self, digest: Digest, context: &Context<'_>) -> Decision {
+        let outcome = match self.marks.get(&digest) {
+            Some(entry) if entry.seq > self.durable => return Decision::Wait,
+            Some(entry) => Some(entry.known(context.placement).outcome),
+            None => self.running.get(&digest).filter(|r| r.until > context.now).map(|_| Outcome::Running),
+        };
+        match outcome {
+            None | Some(Outcome::NotRun) => Decision::Promise(Reply::Outcome(outcome)),
+            Some(_) => Decision::Answer(Reply::Outcome(outcome)),
+        }
+    }
+}
+
+impl Entry {
+    fn open(&self) -> bool {
+        matches!(self.standing, Standing::Running(_) | Standing::Unknown)
+    }
+
+    fn known(&self, placement: &Placement) -> Known {
+        let (outcome, at): (_, Option<instance::Id>) = match &self.standing {
+            Standing::Running(by) if placement.knows(by) => (Outcome::Running, Some(by.instance.clone())),
+            // The instance that ran it is gone: nobody can tell any more.
+            Standing::Running(_) | Standing::Unknown => (Outcome::Unknown, None),
+            Standing::Answered => (Outcome::Answered, None),
+            Standing::NotRun => (Outcome::NotRun, None),
+        };
+        Known { outcome, at }
+    }
+
+    fn mark(&self, digest: Digest) -> Mark {
+        Mark {
+            digest,
+            standing: self.standing.clone(),
+            nonce: self.nonce,
+            fingerprint: self.fingerprint,
+            made_at: self.made_at,
+            billed: self.billed,
+        }
+    }
+}
+
+/// Tells a repeat of a bill from another bill of the same request; never 0.
+fn bill_hash(bill: &Bill) -> u64 {
+    hash::stable(&wire::encode_bill(bill)).max(1)
+}
