--- /dev/null
+++ b/crates/journal/src/handle.rs
@@ -0,0 +1,514 @@
+//! The journal as the rest of an instance uses it.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use platform::Priority;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::{Instant, timeout_at},
+};
+use world::{
+    contract::Customer,
+    instance,
+    request::{self, Outcome},
+    session::{self, Pin},
+    time::Timestamp,
+};
+
+use crate::{
+    Bill, Error, Reason, audit,
+    bill::Holder,
+    clock::millis,
+    config::{BillWait, Config},
+    home::{self, Setting},
+    keeper::{self, Kept, Key, Order},
+    object::PREFIX,
+    op::{Known, Op, Register, Release, Reply},
+    placement::{Member, Placement},
+    record::{Bind, Claim, Close, Digest, End, Settle, Shard},
+    router::{Outbound, Router},
+    wire::{self, Request},
+};
+
+/// Grace of a second holder before it delivers itself.
+const HOLDER_GRACE: Duration = Duration::from_secs(10);
+/// Other instances asked to hold a bill before giving up.
+const HOLDERS_TRIED: usize = 3;
+
+/// Answer to a claim.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Claimed {
+    /// The request is this caller's to run, and that is durable.
+    First,
+    /// It was claimed, or answered, before; it must not run here.
+    Known(Known),
+}
+
+/// Answer to a registration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Registered {
+    /// Nobody else is known to run it.
+    First,
+    /// It runs at an instance already; join it there.
+    RunningAt(instance::Id),
+    /// It was answered or claimed before.
+    Known(Known),
+}
+
+/// What is known of a bill when its last frame may go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Receipt {
+    /// The platform has it.
+    Durable,
+    /// Another bill for the same request was recorded first: this one does
+    /// not count, and what was reserved for it is free again.
+    Already,
+    /// Two instances in different failure domains hold it.
+    Held,
+}
+
+/// The journal of one instance; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Handle {
+    router: Router,
+    platform: platform::Handle,
+    members: Arc<watch::Sender<Arc<Placement>>>,
+    keeper: mpsc::UnboundedSender<Order>,
+    shared: Arc<Mutex<Shared>>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    rng: StdRng,
+    runs: HashMap<Digest, Run>,
+}
+
+/// A request that runs here.
+#[derive(Debug, Clone)]
+enum Run {
+    Claimed { nonce: u64, made_at: Timestamp },
+    Registered(Register, Instant),
+}
+
+/// Starts this instance's part of the journal; alone until
+/// [`Handle::set_members`] names others.
+///
+/// Calls for other instances go out on `outbound`. Must run inside a tokio
+/// runtime.
+#[must_use]
+pub fn spawn(config: Config, platform: platform::Handle, outbound: mpsc::Sender<Outbound>) -> Handle {
+    let mut rng = StdRng::seed_from_u64(config.seed.unwrap_or_else(rand::random));
+    let config = Arc::new(config);
+    let alone = Member {
+        id: config.origin.instance.clone(),
+        incarnation: config.origin.incarnation,
+        domain: config.domain.clone(),
+        live: true,
+    };
+    let (members, placement) = watch::channel(Arc::new(Placement::new(vec![alone], config.shards)));
+    let (keeper, orders) = mpsc::unbounded_channel();
+    let (held, mut holding) = mpsc::unbounded_channel();
+    let setting =
+        Setting { config: config.clone(), platform: platform.clone(), placement: placement.clone(), keeper: held };
+    let homes = (0..config.shards).map(|s| home::spawn(Shard(s), setting.clone(), rng.random())).collect();
+    let router = Router { config: config.clone(), placement, homes, outbound };
+    keeper::spawn(router.clone(), config.kept, rng.random(), orders);
+    let to_keeper = keeper.clone();
+    tokio::spawn(async move {
+        while let Some(bill) = holding.recv().await {
+            let order = Order::Keep { kept: Kept::Bill(bill), after: Duration::ZERO, done: None };
+            if to_keeper.send(order).is_err() {
+                return;
+            }
+        }
+    });
+    let shared = Arc::new(Mutex::new(Shared { rng, runs: HashMap::new() }));
+    Handle { router, platform, members: Arc::new(members), keeper, shared }
+}
+
+impl Handle {
+    /// Tells who the members are: live ones are homes, leaving ones finish.
+    pub fn set_members(&self, members: Vec<Member>) {
+        let placement = Arc::new(Placement::new(members, self.router.config.shards));
+        let old = self.members.send_replace(placement.clone());
+        self.register_anew(&old, &placement);
+    }
+
+    /// Records that a request which must not be repeated is about to run.
+    ///
+    /// `made_at` is the key's time of making: from the key, or from the
+    /// caller's header. There is no claim without one, since keys are only
+    /// remembered for a window and an older key must be known by its age.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotRecorded`]; [`Error::Unknown`] when the claim may stand:
+    /// the request must not run then, and the claim is taken back in the
+    /// background.
+    pub async fn claim(
+        &self,
+        id: &request::Id,
+        made_at: Timestamp,
+        fingerprint: u64,
+        deadline: Instant,
+    ) -> Result<Claimed, Error> {
+        let digest = Digest::request(id);
+        let nonce = self.nonce();
+        let by = self.router.config.origin.clone();
+        let claim = Claim { digest, nonce, by, made_at, fingerprint };
+        match self.ask(digest, Op::Claim(claim), deadline).await {
+            Ok(Reply::Claimed) => {
+                self.shared().runs.insert(digest, Run::Claimed { nonce, made_at });
+                Ok(Claimed::First)
+            }
+            Ok(Reply::Known(known)) => Ok(Claimed::Known(known)),
+            Err(Error::Unknown) => {
+                self.keep_settled(Settle { digest, nonce, made_at, end: End::NotRun });
+                Err(Error::Unknown)
+            }
+            other => Err(unexpected(other)),
+        }
+    }
+
+    /// Remembers, in memory at the home, that an idempotent request runs here
+    /// for `lasts` at most.
+    ///
+    /// # Errors
+    ///
+    /// Any: the request may run all the same, it is only not joined.
+    pub async fn register(
+        &self,
+        id: &request::Id,
+        fingerprint: u64,
+        lasts: Duration,
+        deadline: Instant,
+    ) -> Result<Registered, Error> {
+        let digest = Digest::request(id);
+        let register = Register {
+            digest,
+            nonce: self.nonce(),
+            by: self.router.config.origin.clone(),
+            fingerprint,
+            made_at: id.key.made_at(),
+            lasts_ms: millis(lasts),
+        };
+        match self.ask(digest, Op::Register(register.clone()), deadline).await {
+            Ok(Reply::First) => {
+                let run = Run::Registered(register, Instant::now() + lasts);
+                self.shared().runs.insert(digest, run);
+                Ok(Registered::First)
+            }
+            Ok(Reply::RunningAt(instance)) => Ok(Registered::RunningAt(instance)),
+            Ok(Reply::Known(known)) => Ok(Registered::Known(known)),
+            other => Err(unexpected(other)),
+        }
+    }
+
+    /// Records how a request that was claimed or registered here ended.
+    ///
+    /// # Errors
+    ///
+    /// Any: it is not durable yet, and goes on being delivered.
+    pub async fn settle(&self, id: &request::Id, outcome: Outcome, deadline: Instant) -> Result<(), Error> {
+        let digest = Digest::request(id);
+        let end = match outcome {
+            Outcome::Running => return Ok(()),
+            Outcome::Answered => End::Answered,
+            Outcome::NotRun => End::NotRun,
+            Outcome::Unknown => End::Unknown,
+        };
+        let run = self.shared().runs.remove(&digest);
+        match run {
+            None => Ok(()),
+            Some(Run::Registered(register, _)) => {
+                let release = Op::Release(Release { digest, nonce: register.nonce });
+                self.ask(digest, release, deadline).await.map(|_| ())
+            }
+            Some(Run::Claimed { nonce, made_at }) => {
+                let settle = Settle { digest, nonce, made_at, end };
+                match self.ask(digest, Op::Settle(settle), deadline).await {
+                    Ok(Reply::Done) => Ok(()),
+                    other => {
+                        self.keep_settled(settle);
+                        Err(unexpected(other))
+                    }
+                }
+            }
+        }
+    }
+
+    /// Records what a request cost; once, whatever number of times it is
+    /// called. The last frame may go when this returns a receipt.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotRecorded`] with [`Reason::GrantClosed`]: reserve again.
+    /// Every other error: only this instance holds the bill, and goes on
+    /// delivering it.
+    pub async fn bill(&self, bill: &Bill, deadline: Instant) -> Result<Receipt, Error> {
+        let digest = Digest::request(&bill.id);
+        let at_once = self.router.config.bill_wait == BillWait::Holders;
+        let after = if at_once { Duration::ZERO } else { deadline.saturating_duration_since(Instant::now()) };
+        if !self.keep(Kept::Bill(bill.clone()), after).await {
+            return Err(Error::NotRecorded(Reason::Full));
+        }
+        if at_once && self.hold_elsewhere(bill, deadline).await {
+            return Ok(Receipt::Held);
+        }
+        let reply = self.ask(digest, Op::Bill(bill.clone()), deadline).await;
+        match reply {
+            Ok(Reply::Done) => {
+                self.drop_kept(digest);
+                Ok(Receipt::Durable)
+            }
+            Ok(Reply::Already) => {
+                self.drop_kept(digest);
+                Ok(Receipt::Already)
+            }
+            Ok(Reply::Refused(Reason::GrantClosed)) => {
+                let _ = self.keeper.send(Order::Drop(Key { digest, nonce: 0 }));
+                Err(Error::NotRecorded(Reason::GrantClosed))
+            }
+            Ok(Reply::Held) if self.home_is_outside(digest) => Ok(Receipt::Held),
+            other if self.hold_elsewhere(bill, deadline).await => {
+                tracing::debug!(request = %bill.id, ?other, "bill held by two instances");
+                Ok(Receipt::Held)
+            }
+            _ => Err(Error::Unknown),
+        }
+    }
+
+    /// Binds a caller-named session to versions, or finds the binding that
+    /// won. A binding equal to `replaces` gives way: so a withdrawal moves a
+    /// session once, whoever asks first.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`] when the binding may stand; asking again tells.
+    pub async fn bind_session(
+        &self,
+        customer: &Customer,
+        session: &session::Id,
+        pins: &[Pin],
+        replaces: Option<&[Pin]>,
+        deadline: Instant,
+    ) -> Result<Vec<Pin>, Error> {
+        let digest = Digest::session(customer, session);
+        let at = self.router.config.clock.now();
+        let bind = Bind { digest, pins: pins.to_vec(), replaces: replaces.map(<[Pin]>::to_vec), at };
+        match self.ask(digest, Op::Bind(bind), deadline).await {
+            Ok(Reply::Bound(pins)) => Ok(pins),
+            other => Err(unexpected(other)),
+        }
+    }
+
+    /// Tells how a request stands; nothing when the journal has no record of it.
+    ///
+    /// # Errors
+    ///
+    /// Any: it cannot be told now.
+    pub async fn outcome(&self, id: &request::Id, deadline: Instant) -> Result<Option<Outcome>, Error> {
+        let digest = Digest::request(id);
+        match self.ask(digest, Op::Outcome(digest), deadline).await {
+            Ok(Reply::Outcome(outcome)) => Ok(outcome),
+            other => Err(unexpected(other)),
+        }
+    }
+
+    /// A customer's bills: all that are durable, and those held here.
+    ///
+    /// # Errors
+    ///
+    /// The platform's, or [`Error::Unknown`] for objects that do not read.
+    pub async fn bills(&self, customer: &Customer) -> Result<Vec<Bill>, Error> {
+        let mut bills = self.all_bills().await?;
+        let (done, kept) = oneshot::channel();
+        if self.keeper.send(Order::Bills(done)).is_ok() {
+            for bill in kept.await.unwrap_or_default() {
+                if !bills.iter().any(|known| known.id == bill.id) {
+                    bills.push(bill);
+                }
+            }
+        }
+        bills.retain(|bill| bill.customer() == customer);
+        Ok(bills)
+    }
+
+    /// Every durable bill, each once.
+    ///
+    /// # Errors
+    ///
+    /// As [`Handle::bills`].
+    pub async fn all_bills(&self) -> Result<Vec<Bill>, Error> {
+        let down = |error: platform::Error| {
+            tracing::warn!(%error, "bills not read");
+            Error::NotRecorded(Reason::PlatformDown)
+        };
+        let listing = self.platform.list(Priority::Statistics, PREFIX).await.map_err(down)?;
+        let objects = listing.items.iter().map(|item| (item.key.as_str(), item.body.get().as_bytes()));
+        audit::bills(objects).map_err(|invalid| {
+            tracing::error!(%invalid, "bills not read");
+            Error::Unknown
+        })
+    }
+
+    /// Sees to it that no bill of a grants' holder is recorded any more, in
+    /// any shard; what was recorded before is then all there will ever be.
+    ///
+    /// # Errors
+    ///
+    /// Any: some shards may take its bills still; call again.
+    pub async fn close(&self, holder: &Holder, deadline: Instant) -> Result<(), Error> {
+        let at = self.router.config.clock.now();
+        for shard in (0..self.router.config.shards).map(Shard) {
+            let close = Close { holder: holder.clone(), at };
+            match self.router.ask(shard, Op::Close(close), deadline).await {
+                Ok(Reply::Done) => {}
+                other => return Err(unexpected(other)),
+            }
+        }
+        Ok(())
+    }
+
+    /// Answers a call that another instance's journal sent out.
+    pub async fn serve(&self, bytes: &[u8]) -> Bytes {
+        let reply = match wire::decode_request(bytes) {
+            Ok(Request::Home(shard, op)) => {
+                let deadline = Instant::now() + self.router.config.peer_timeout;
+                self.router.ask_here(shard, op, deadline).await.unwrap_or(Reply::Unknown)
+            }
+            Ok(Request::Hold(bill)) => {
+                let kept = self.keep(Kept::Bill(bill), HOLDER_GRACE).await;
+                if kept { Reply::Held } else { Reply::Refused(Reason::Full) }
+            }
+            Err(invalid) => {
+                tracing::warn!(%invalid, "call of a peer not understood");
+                Reply::Unknown
+            }
+        };
+        wire::encode_reply(&reply).into()
+    }
+
+    /// Waits until nothing is kept here any more; false at the deadline. For
+    /// a shutdown, after the members have heard that this instance leaves.
+    pub async fn flush(&self, deadline: Instant) -> bool {
+        let (done, flushed) = oneshot::channel();
+        if self.keeper.send(Order::Flush(done)).is_err() {
+            return false;
+        }
+        matches!(timeout_at(deadline, flushed).await, Ok(Ok(())))
+    }
+
+    /// This run of this instance.
+    #[must_use]
+    pub fn config(&self) -> &Config {
+        &self.router.config
+    }
+
+    /// Whether a run of an instance is a member.
+    #[must_use]
+    pub fn knows(&self, instance: &instance::Id, incarnation: instance::Incarnation) -> bool {
+        let origin = crate::record::Origin { instance: instance.clone(), incarnation };
+        self.router.placement.borrow().knows(&origin)
+    }
+
+    async fn ask(&self, digest: Digest, op: Op, deadline: Instant) -> Result<Reply, Error> {
+        self.router.ask(digest.shard(self.router.shards()), op, deadline).await
+    }
+
+    /// A new home knows nothing of what runs here: tell it.
+    fn register_anew(&self, old: &Placement, new: &Placement) {
+        let now = Instant::now();
+        let shards = self.router.shards();
+        let moved: Vec<Register> = {
+            let mut shared = self.shared();
+            shared.runs.retain(|_, run| !matches!(run, Run::Registered(_, until) if *until <= now));
+            let registers = shared.runs.values().filter_map(|run| match run {
+                Run::Registered(register, _) => Some(register.clone()),
+                Run::Claimed { .. } => None,
+            });
+            registers.filter(|r| old.home(r.digest.shard(shards)) != new.home(r.digest.shard(shards))).collect()
+        };
+        for register in moved {
+            let handle = self.clone();
+            tokio::spawn(async move {
+                let deadline = Instant::now() + handle.router.config.peer_timeout;
+                let _ = handle.ask(register.digest, Op::Register(register), deadline).await;
+            });
+        }
+    }
+
+    fn home_is_outside(&self, digest: Digest) -> bool {
+        let placement = self.router.placement.borrow();
+        let home = placement.home(digest.shard(self.router.shards()));
+        home.and_then(|home| placement.domain(home)).is_some_and(|domain| *domain != self.router.config.domain)
+    }
+
+    /// Has an instance of another failure domain hold a bill.
+    async fn hold_elsewhere(&self, bill: &Bill, deadline: Instant) -> bool {
+        let outside: Vec<instance::Id> = {
+            let placement = self.router.placement.borrow();
+            let ids = placement.outside(&self.router.config.domain, bill.id.hash());
+            ids.into_iter().take(HOLDERS_TRIED).cloned().collect()
+        };
+        // The bill comes first: a deadline that has passed must not lose it.
+        let deadline = deadline.max(Instant::now() + self.router.config.peer_timeout);
+        for instance in outside {
+            let hold = Request::Hold(bill.clone());
+            if self.router.ask_peer(&instance, &hold, deadline).await == Some(Reply::Held) {
+                return true;
+            }
+        }
+        false
+    }
+
+    async fn keep(&self, kept: Kept, after: Duration) -> bool {
+        let (done, taken) = oneshot::channel();
+        let sent = self.keeper.send(Order::Keep { kept, after, done: Some(done) });
+        sent.is_ok() && taken.await.unwrap_or(false)
+    }
+
+    fn keep_settled(&self, settle: Settle) {
+        let order = Order::Keep { kept: Kept::Settle(settle), after: Duration::ZERO, done: None };
+        let _ = self.keeper.send(order);
+    }
+
+    /// The bill is durable, or another counts.
+    fn drop_kept(&self, digest: Digest) {
+        let _ = self.keeper.send(Order::Drop(Key { digest, nonce: 0 }));
+        self.forget_claim(digest);
+    }
+
+    /// A bill settles its claim too.
+    fn forget_claim(&self, digest: Digest) {
+        let mut shared = self.shared();
+        if matches!(shared.runs.get(&digest), Some(Run::Claimed { .. })) {
+            shared.runs.remove(&digest);
+        }
+    }
+
+    fn nonce(&self) -> u64 {
+        self.shared().rng.random_range(1..=u64::MAX)
+    }
+
+    fn shared(&self) -> MutexGuard<'_, Shared> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn unexpected(reply: Result<Reply, Error>) -> Error {
+    match reply {
+        Err(error) => error,
+        Ok(Reply::Refused(reason)) => Error::NotRecorded(reason),
+        Ok(reply) => {
+            tracing::warn!(?reply, "reply of another kind from a home; is a peer of another build?");
+            Error::Unknown
+        }
+    }
+}
--- a/crates/journal/src/op.rs
+++ b/crates/journal/src/op.rs
@@ -1,6 +1,11 @@
 //! What instances ask of a shard's home, and its replies.
 
-use world::{instance, request::Outcome, session::Pin, time::{Millis, Timestamp}};
+use world::{
+    instance,
+    request::Outcome,
+    session::Pin,
+    time::{Millis, Timestamp},
+};
 
 use crate::{
     bill::Bill,
--- a/crates/journal/src/placement.rs
+++ b/crates/journal/src/placement.rs
@@ -4,7 +4,7 @@
 //! instance of highest weight that has fewer than its even share. Few shards
 //! over few instances would otherwise lie very unevenly, and the busiest
 //! home sets the latency. Instances that see other members may name other
-//! homes; that is harmless (see [`crate::home`]), only slower.
+//! homes; that is harmless (each proves by its writes that it is the home), only slower.
 
 use world::{
     domain::Domain,
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -4,7 +4,7 @@
 //! the state. [`State::decide`] says what a question calls for: an answer
 //! from memory, a record that must be durable before its reply, or an answer
 //! that is a promise and needs proof that this is still the home. No I/O, no
-//! clock: the home ([`crate::home`]) supplies both.
+//! clock: the home (the home.s task) supplies both.
 
 use std::collections::HashMap;
 
@@ -29,6 +29,8 @@
 /// How long a closed holder is remembered. Bills of a longer pause would count
 /// twice against a budget; an instance that was paused for a week is replaced.
 pub const CLOSED_WINDOW: Millis = 7 * KEY_WINDOW;
+/// How long a billed request is remembered at the least.
+const BILL_WINDOW_MIN: Millis = 10 * 60 * 1_000;
 /// A binding used again later than this is recorded as used.
 const TOUCH_AFTER: Millis = BINDING_WINDOW / 4;
 
@@ -146,8 +148,18 @@
     }
 
     /// Forgets what is past its window.
-    pub fn expire(&mut self, now: Timestamp) {
+    ///
+    /// Claims are remembered for the whole window or refused. Requests that
+    /// are only billed are forgotten earlier when they take more than half of
+    /// the room: a repeat may then be recorded as a second bill, which readers
+    /// leave out, since bills are a set by request.
+    pub fn expire(&mut self, now: Timestamp, bounds: &Bounds) {
         let durable = self.durable;
+        let mut window = KEY_WINDOW;
+        while self.marks.len() > bounds.keys / 2 && window > BILL_WINDOW_MIN {
+            window /= 2;
+            self.marks.retain(|_, e| e.nonce != 0 || e.seq > durable || now.since(e.made_at) <= window);
+        }
         self.marks.retain(|_, e| e.seq > durable || now.since(e.made_at) <= KEY_WINDOW + KEY_SKEW);
         self.bindings.retain(|_, b| b.seq > durable || now.since(b.at) <= BINDING_WINDOW);
         self.closed.retain(|_, at| now.since(*at) <= CLOSED_WINDOW);
--- a/crates/journal/src/wire/message.rs
+++ b/crates/journal/src/wire/message.rs
@@ -230,8 +230,8 @@
     type Error = Invalid;
 
     fn try_from(wire: Option<Wide>) -> Result<Self, Invalid> {
-        let wide = wire.ok_or_else(|| Invalid::missing("digest"))?;
-        Ok(Self(u128::from(wide.high) << 64 | u128::from(wide.low)))
+        let halves = wire.ok_or_else(|| Invalid::missing("digest"))?;
+        Ok(Self(u128::from(halves.high) << 64 | u128::from(halves.low)))
     }
 }
 
@@ -282,12 +282,7 @@
             End::NotRun => Outcome::NotRun,
             End::Unknown => Outcome::Unknown,
         };
-        Self {
-            digest: Some(settle.digest.into()),
-            nonce: settle.nonce,
-            made_at: settle.made_at.0,
-            end: end.into(),
-        }
+        Self { digest: Some(settle.digest.into()), nonce: settle.nonce, made_at: settle.made_at.0, end: end.into() }
     }
 }
 
@@ -367,11 +362,7 @@
 
 impl From<&bill::Holder> for Holder {
     fn from(holder: &bill::Holder) -> Self {
-        Self {
-            instance: holder.instance.as_str().into(),
-            incarnation: holder.incarnation.0,
-            epoch: holder.epoch,
-        }
+        Self { instance: holder.instance.as_str().into(), incarnation: holder.incarnation.0, epoch: holder.epoch }
     }
 }
 
