Add the configuration log: apply, observe, history, freshness

One create-if-absent per change decides every race. Readers watch the platform, others ask a peer once a second. Platform listings can start after a key, so that a log's reader lists only what it lacks.

--- /dev/null
+++ b/crates/config/src/applier.rs
@@ -0,0 +1,179 @@
+//! The task that makes changes.
+
+use std::sync::Arc;
+
+use platform::Write;
+use timeline::{Event, Recorder};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    task::JoinHandle,
+    time::Instant,
+};
+
+use crate::{
+    edit::{Applied, Edit},
+    error::Error,
+    log::{Found, Log},
+    observer::{Message, Origin},
+    record::Change,
+    settings::{Keep, Settings},
+    state::{Revision, State},
+};
+
+/// Times an applier looks whether a snapshot is due, between two snapshots.
+const SNAPSHOT_LOOKS: u64 = 8;
+
+/// One operator's change.
+#[derive(Debug)]
+pub(crate) struct Apply {
+    pub(crate) author: String,
+    pub(crate) edits: Vec<Edit>,
+    pub(crate) answer: oneshot::Sender<Result<Applied, Error>>,
+}
+
+/// The task's state.
+#[derive(Debug)]
+pub(crate) struct Applier {
+    settings: Arc<Settings>,
+    log: Log,
+    state: watch::Receiver<Arc<State>>,
+    inbox: mpsc::WeakSender<Message>,
+    recorder: Recorder,
+    /// Keeps the log short, apart from the changes that go on meanwhile.
+    keeping: Option<JoinHandle<()>>,
+}
+
+impl Applier {
+    pub(crate) fn new(
+        settings: Arc<Settings>,
+        log: Log,
+        state: watch::Receiver<Arc<State>>,
+        inbox: mpsc::WeakSender<Message>,
+        recorder: Recorder,
+    ) -> Self {
+        Self { settings, log, state, inbox, recorder, keeping: None }
+    }
+
+    /// One change at a time: two at once would only race each other.
+    pub(crate) async fn run(mut self, mut requests: mpsc::Receiver<Apply>) {
+        while let Some(Apply { author, edits, answer }) = requests.recv().await {
+            let result = self.apply(&author, &edits).await;
+            if let Ok(applied) = &result {
+                self.note(*applied, &edits);
+            }
+            let _ = answer.send(result);
+            self.keep_short();
+        }
+    }
+
+    async fn apply(&self, author: &str, edits: &[Edit]) -> Result<Applied, Error> {
+        let until = Instant::now() + self.settings.deadline;
+        // What is in force here may be old. That is no risk for a change, since
+        // the create decides; but a refusal must rest on the newest state.
+        let mut newest = false;
+        loop {
+            let state = self.state.borrow().clone();
+            let change = match state.propose(edits, self.revision(author, state.generation() + 1)) {
+                Ok(Some(change)) => change,
+                Ok(None) if newest => return Ok(Applied { generation: state.generation(), changed: false }),
+                Err(error) if newest => return Err(error),
+                Ok(None) | Err(_) => {
+                    self.catch_up(state.generation()).await?;
+                    newest = true;
+                    continue;
+                }
+            };
+            if let Some(applied) = self.append(change).await? {
+                return Ok(applied);
+            }
+            if Instant::now() >= until {
+                return Err(Error::Busy);
+            }
+            self.catch_up(state.generation()).await?;
+            newest = true;
+        }
+    }
+
+    /// Makes the entry; nothing when another was first.
+    async fn append(&self, change: Change) -> Result<Option<Applied>, Error> {
+        let generation = change.generation();
+        let asked = Instant::now();
+        let item = match self.log.append(&change).await {
+            Ok(Write::Done(item)) => item,
+            Ok(Write::Lost { .. }) => return Ok(None),
+            Err(platform::Error::Unknown { .. }) => return Err(Error::Unknown { generation }),
+            Err(error) => return Err(error.into()),
+        };
+        self.check_not_cut(generation, &item).await?;
+        self.tell(Found::changes(vec![change]), Origin::Applied { asked }).await?;
+        Ok(Some(Applied { generation, changed: true }))
+    }
+
+    /// An instance paused for very long may create an entry that was cut off
+    /// long ago: it would be told "accepted" for a change that nobody will
+    /// ever see. Entries are cut only `keep.changes` below a snapshot, so any
+    /// snapshot that far above ours proves that ours is void.
+    async fn check_not_cut(&self, generation: u64, item: &platform::Item) -> Result<(), Error> {
+        let unknown = Error::Unknown { generation };
+        let newest = self.log.newest_snapshot().await.map_err(|_| unknown.clone())?.unwrap_or(0);
+        if newest < generation + self.settings.keep.changes {
+            return Ok(());
+        }
+        let _ = self.log.retract(item).await;
+        Err(Error::Busy)
+    }
+
+    async fn catch_up(&self, generation: u64) -> Result<(), Error> {
+        let asked = Instant::now();
+        let found = self.log.read_after(generation).await?;
+        self.tell(found, Origin::Read { asked }).await
+    }
+
+    /// Hands something to the observer and waits until it is in force here.
+    async fn tell(&self, found: Found, origin: Origin) -> Result<(), Error> {
+        let (done, told) = oneshot::channel();
+        let inbox = self.inbox.upgrade().ok_or(Error::Closed)?;
+        inbox.send(Message::Found { found, origin, done: Some(done) }).await.map_err(|_| Error::Closed)?;
+        told.await.map_err(|_| Error::Closed)
+    }
+
+    fn revision(&self, author: &str, generation: u64) -> Revision {
+        let instance = self.settings.instance.to_string();
+        Revision { generation, at: (self.settings.clock)(), author: author.into(), instance }
+    }
+
+    fn note(&self, applied: Applied, edits: &[Edit]) {
+        if applied.changed {
+            let objects = edits.iter().map(Edit::key).collect();
+            self.recorder.record(Event::Edit { generation: applied.generation, objects });
+        }
+    }
+
+    /// Snapshots and cuts off once in a while; whoever makes a change that is
+    /// due does it, and when it fails the next one does.
+    fn keep_short(&mut self) {
+        let state = self.state.borrow().clone();
+        let every = self.settings.keep.snapshot_every;
+        // Looking costs a read, so not after each change.
+        let due = state.generation().is_multiple_of((every / SNAPSHOT_LOOKS).max(1));
+        if !due || self.keeping.as_ref().is_some_and(|keeping| !keeping.is_finished()) {
+            return;
+        }
+        let (log, keep) = (self.log.clone(), self.settings.keep);
+        self.keeping = Some(tokio::spawn(async move {
+            if let Err(error) = shorten(&log, &state, keep).await {
+                tracing::warn!(%error, "no snapshot yet; a later change tries again");
+            }
+        }));
+    }
+}
+
+async fn shorten(log: &Log, state: &State, keep: Keep) -> Result<(), Error> {
+    let newest = log.newest_snapshot().await?.unwrap_or(0);
+    if state.generation() < newest + keep.snapshot_every {
+        return Ok(());
+    }
+    log.write_snapshot(state).await?;
+    log.cut(state.generation().saturating_sub(keep.changes)).await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/config/src/handle.rs
@@ -0,0 +1,213 @@
+//! What the other crates call.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use prost::Message as _;
+use tokio::sync::{mpsc, oneshot, watch};
+use world::{
+    Catalog,
+    domain::Domain,
+    object::{Key, Object},
+};
+
+use crate::{
+    applier::Apply,
+    contact::Contact,
+    edit::{Applied, Edit},
+    error::Error,
+    log::Log,
+    observer::Message,
+    record::Action,
+    settings::Settings,
+    state::{Revision, State},
+    wire,
+};
+
+/// Most bytes of changes in one answer; whoever missed more asks again.
+const ANSWER_SIZE: usize = 256 * 1024;
+
+/// The configuration at this instance; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Handle {
+    catalog: watch::Receiver<Arc<Catalog>>,
+    state: watch::Receiver<Arc<State>>,
+    contact: Arc<Contact>,
+    inbox: mpsc::Sender<Message>,
+    applies: mpsc::Sender<Apply>,
+    log: Log,
+    settings: Arc<Settings>,
+}
+
+/// One step of an object's history.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Past {
+    /// Which change, when and by whom.
+    pub revision: Revision,
+    /// What it left; nothing for a deletion.
+    pub object: Option<Object>,
+}
+
+/// Where this instance stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Status {
+    /// The generation in force.
+    pub generation: u64,
+    /// Whether new work may start.
+    pub fresh: bool,
+    /// Time since the last confirmation; nothing before the first.
+    pub age: Option<Duration>,
+}
+
+impl Handle {
+    pub(crate) fn new(
+        catalog: watch::Receiver<Arc<Catalog>>,
+        state: watch::Receiver<Arc<State>>,
+        contact: Arc<Contact>,
+        inbox: mpsc::Sender<Message>,
+        applies: mpsc::Sender<Apply>,
+        log: Log,
+        settings: Arc<Settings>,
+    ) -> Self {
+        Self { catalog, state, contact, inbox, applies, log, settings }
+    }
+
+    /// The catalog in force.
+    #[must_use]
+    pub fn current(&self) -> Arc<Catalog> {
+        self.catalog.borrow().clone()
+    }
+
+    /// The catalog in force, and each that follows.
+    #[must_use]
+    pub fn subscribe(&self) -> watch::Receiver<Arc<Catalog>> {
+        self.catalog.clone()
+    }
+
+    /// Whether new work may start: platform or peers have confirmed the
+    /// catalog in force within the freshness bound.
+    #[must_use]
+    pub fn fresh(&self) -> bool {
+        self.contact.fresh()
+    }
+
+    /// Where this instance stands.
+    #[must_use]
+    pub fn status(&self) -> Status {
+        let generation = self.state.borrow().generation();
+        Status { generation, fresh: self.fresh(), age: self.contact.newest() }
+    }
+
+    /// Sets whether this instance watches the platform for its failure domain.
+    pub async fn set_reader(&self, reader: bool) {
+        self.tell(Message::SetReader(reader)).await;
+    }
+
+    /// Takes a peer's news or a peer's answer to [`crate::Outbound::Want`].
+    pub async fn offer(&self, bytes: Bytes) {
+        self.tell(Message::Offer(bytes)).await;
+    }
+
+    /// Answers a peer's want; an unreadable one gets the whole state.
+    #[must_use]
+    pub fn serve(&self, bytes: &[u8]) -> Bytes {
+        let want = wire::Want::decode(bytes).unwrap_or_default();
+        // The age before the state: the other way round, a change that comes
+        // between would lend its fresh confirmation to the state before it.
+        let age = self.contact.platform_age();
+        let state = self.state.borrow().clone();
+        wire::encode(&news(&state, age, &self.settings.domain, want))
+    }
+
+    /// The whole state, to be offered to an instance that starts.
+    #[must_use]
+    pub fn snapshot_bytes(&self) -> Bytes {
+        let state = self.state.borrow().clone();
+        let snapshot = serde_json::to_vec(&state.to_snapshot()).unwrap_or_default().into();
+        let domain = self.settings.domain.to_string();
+        wire::encode(&wire::News { domain, head: state.generation(), snapshot, ..wire::News::default() })
+    }
+
+    /// Takes a peer's whole state; nothing happens when it is no newer.
+    pub async fn offer_snapshot(&self, bytes: Bytes) {
+        self.offer(bytes).await;
+    }
+
+    /// Checks edits and makes them the next generation, in force here when
+    /// this returns and everywhere within seconds.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`] when the change may have been accepted; with every
+    /// other error nothing was changed.
+    pub async fn apply(&self, author: &str, edits: Vec<Edit>) -> Result<Applied, Error> {
+        let (answer, answered) = oneshot::channel();
+        let apply = Apply { author: author.into(), edits, answer };
+        self.applies.send(apply).await.map_err(|_| Error::Closed)?;
+        answered.await.map_err(|_| Error::Closed)?
+    }
+
+    /// The last change of an object, its deletion included.
+    #[must_use]
+    pub fn revision(&self, key: &Key) -> Option<Revision> {
+        Some(self.state.borrow().entry(key)?.revision.clone())
+    }
+
+    /// The changes of an object, newest first, as far back as they are kept;
+    /// one read of the platform for each.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Down`], [`Error::Unreadable`].
+    pub async fn history(&self, key: &Key, limit: usize) -> Result<Vec<Past>, Error> {
+        let mut history = Vec::new();
+        let mut generation = self.revision(key).map_or(0, |revision| revision.generation);
+        while generation > 0 && history.len() < limit {
+            let Some(change) = self.log.change(generation).await? else { break };
+            let Some(edit) = change.edits.into_iter().find(|edit| edit.action.key().as_ref() == Some(key)) else {
+                break;
+            };
+            let object = match edit.action {
+                Action::Delete(_) => None,
+                Action::Put(value) => Some(read(generation, &value)?),
+            };
+            history.push(Past { revision: change.revision, object });
+            generation = edit.before;
+        }
+        Ok(history)
+    }
+
+    async fn tell(&self, message: Message) {
+        // Without an observer the runtime shuts down.
+        let _ = self.inbox.send(message).await;
+    }
+}
+
+/// What is newer than a generation, as a message for peers.
+pub(crate) fn news(state: &State, age: Option<Duration>, domain: &Domain, want: wire::Want) -> wire::News {
+    let wire::Want { id, after } = want;
+    // Rounded up: never younger than it is.
+    let confirmed_ms = age.and_then(|age| u64::try_from(age.as_millis() + 1).ok());
+    let domain = domain.to_string();
+    let mut news = wire::News { id, domain, head: state.generation(), confirmed_ms, ..wire::News::default() };
+    if after >= state.generation() {
+        return news;
+    }
+    let Some(changes) = state.changes_after(after) else {
+        news.snapshot = serde_json::to_vec(&state.to_snapshot()).unwrap_or_default().into();
+        return news;
+    };
+    let mut bytes = 0;
+    for change in changes {
+        bytes += change.json.len();
+        if bytes > ANSWER_SIZE && !news.changes.is_empty() {
+            break;
+        }
+        news.changes.push(change.json.clone());
+    }
+    news
+}
+
+fn read(generation: u64, value: &serde_json::Value) -> Result<Object, Error> {
+    Object::from_json(value).map_err(|error| Error::Unreadable { generation, message: error.to_string() })
+}
--- /dev/null
+++ b/crates/config/src/reader.rs
@@ -0,0 +1,94 @@
+//! Watches the log for a whole failure domain.
+
+use std::sync::Arc;
+
+use platform::{Batch, Change as Event, Item};
+use tokio::{
+    sync::{mpsc, watch},
+    time::{Instant, sleep},
+};
+
+use crate::{
+    error::Error,
+    log::{self, Found, Log},
+    observer::{Message, Origin},
+    settings::Settings,
+    state::State,
+};
+
+/// One reader; runs until aborted or the observer is gone.
+#[derive(Debug)]
+pub(crate) struct Reader {
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) log: Log,
+    pub(crate) state: watch::Receiver<Arc<State>>,
+    pub(crate) inbox: mpsc::WeakSender<Message>,
+}
+
+impl Reader {
+    pub(crate) async fn run(self) {
+        let mut watch = self.start().await;
+        loop {
+            watch.relist_after(&log::change_key(self.generation()));
+            // Errors need nothing here: the watch backs off by itself, and
+            // the observer's own reads tell it that the platform is away.
+            let Ok(batch) = watch.next().await else { continue };
+            let changes = match parse(batch) {
+                Ok(changes) if changes.is_empty() => continue,
+                Ok(changes) => changes,
+                Err(error) => {
+                    self.send(Message::Unreadable(error)).await;
+                    continue;
+                }
+            };
+            if !self.send(Message::Found { found: Found::changes(changes), origin: Origin::Watch, done: None }).await {
+                return;
+            }
+        }
+    }
+
+    /// Reads what there is and the version to watch from.
+    async fn start(&self) -> platform::Watch {
+        loop {
+            let asked = Instant::now();
+            match self.log.read_after(self.generation()).await {
+                Ok(found) => {
+                    let version = found.version;
+                    let origin = Origin::Read { asked };
+                    self.send(Message::Found { found, origin, done: None }).await;
+                    return self.log.watch(version).waiting(self.settings.watch_wait);
+                }
+                // The platform's own backoff has run until its deadline.
+                Err(error) => {
+                    self.send(Message::Unreadable(error)).await;
+                    sleep(self.settings.interval).await;
+                }
+            }
+        }
+    }
+
+    fn generation(&self) -> u64 {
+        self.state.borrow().generation()
+    }
+
+    async fn send(&self, message: Message) -> bool {
+        let Some(inbox) = self.inbox.upgrade() else { return false };
+        inbox.send(message).await.is_ok()
+    }
+}
+
+fn parse(batch: Batch) -> Result<Vec<crate::record::Change>, Error> {
+    let items: Vec<Item> = match batch {
+        Batch::Changes { changes, .. } => changes.into_iter().filter_map(put).collect(),
+        Batch::Relisted(listing) => listing.items,
+    };
+    items.iter().filter_map(log::parse_change).collect()
+}
+
+/// Deletions are the cut-off's and need nothing.
+fn put(event: Event) -> Option<Item> {
+    match event {
+        Event::Put(item) => Some(item),
+        Event::Deleted { .. } => None,
+    }
+}
--- /dev/null
+++ b/crates/config/src/state.rs
@@ -0,0 +1,198 @@
+//! All objects of a generation with their last changes, and the step to the
+//! next generation. Pure.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use world::{
+    Catalog, Timestamp,
+    object::{Key, Object},
+};
+
+use crate::{
+    edit::{Edit, Expected},
+    error::{Conflict, Error},
+    record::{self, Action, Change, Snapshot},
+};
+
+/// Changes kept for peers that missed some; whoever missed more takes a snapshot.
+const RECENT: usize = 128;
+
+/// Which change, when and by whom.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Revision {
+    /// Its place in the order of all changes.
+    pub generation: u64,
+    /// When it was made, by the clock of the instance that made it.
+    pub at: Timestamp,
+    /// The operator.
+    pub author: String,
+    /// The instance that made it.
+    pub instance: String,
+}
+
+/// All objects of one generation.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct State {
+    catalog: Arc<Catalog>,
+    entries: BTreeMap<Key, Entry>,
+    recent: Vec<Recent>,
+}
+
+/// One object with its last change; a deleted one stays for its history.
+#[derive(Debug, Clone)]
+pub(crate) struct Entry {
+    pub(crate) revision: Revision,
+    pub(crate) object: Option<Object>,
+}
+
+/// A change as peers get it.
+#[derive(Debug, Clone)]
+pub(crate) struct Recent {
+    pub(crate) generation: u64,
+    pub(crate) json: Bytes,
+}
+
+impl State {
+    pub(crate) fn catalog(&self) -> &Arc<Catalog> {
+        &self.catalog
+    }
+
+    pub(crate) fn generation(&self) -> u64 {
+        self.catalog.generation()
+    }
+
+    pub(crate) fn entry(&self, key: &Key) -> Option<&Entry> {
+        self.entries.get(key)
+    }
+
+    /// The changes after a generation, if all of them are still held.
+    pub(crate) fn changes_after(&self, generation: u64) -> Option<&[Recent]> {
+        let first = self.recent.first().map_or(self.generation() + 1, |recent| recent.generation);
+        let skipped = (generation + 1).checked_sub(first)?;
+        let skipped = usize::try_from(skipped).unwrap_or(usize::MAX).min(self.recent.len());
+        Some(&self.recent[skipped..])
+    }
+
+    /// Reads a snapshot.
+    pub(crate) fn from_snapshot(snapshot: &Snapshot) -> Result<Self, Error> {
+        let generation = snapshot.generation;
+        let mut state = Self::default();
+        for entry in &snapshot.entries {
+            state.put(generation, &entry.action, &entry.revision)?;
+        }
+        state.build(generation)
+    }
+
+    /// Every object, as a snapshot without parts.
+    pub(crate) fn to_snapshot(&self) -> Snapshot {
+        let entries = self.entries.iter().map(|(key, entry)| {
+            let action = action_of(key, entry.object.as_ref());
+            record::Entry { revision: entry.revision.clone(), action }
+        });
+        Snapshot { generation: self.generation(), entries: entries.collect(), parts: Vec::new() }
+    }
+
+    /// The state after all those changes that follow without a hole; nothing
+    /// when none does. Built once for all of them.
+    pub(crate) fn after(&self, changes: &[Change]) -> Result<Option<Self>, Error> {
+        let mut next: Option<Self> = None;
+        let mut generation = self.generation();
+        for change in changes.iter().filter(|change| change.generation() > self.generation()) {
+            if change.generation() != generation + 1 {
+                break;
+            }
+            generation += 1;
+            next.get_or_insert_with(|| self.clone()).take(change)?;
+        }
+        next.map(|state| state.build(generation)).transpose()
+    }
+
+    /// Forgets objects deleted up to a generation.
+    pub(crate) fn forget_deleted(&mut self, up_to: u64) {
+        self.entries.retain(|_, entry| entry.object.is_some() || entry.revision.generation > up_to);
+    }
+
+    /// Checks an operator's edits against what stands here and makes the next
+    /// change of them; nothing when all of them stand here already.
+    pub(crate) fn propose(&self, edits: &[Edit], revision: Revision) -> Result<Option<Change>, Error> {
+        let mut keys = std::collections::BTreeSet::new();
+        let mut changed = Vec::new();
+        for edit in edits {
+            let key = edit.key();
+            self.check_expected(&key, edit.expected())?;
+            if self.object(&key) != edit.object() {
+                let before = self.entry(&key).map_or(0, |entry| entry.revision.generation);
+                changed.push(record::Edit { before, action: action_of(&key, edit.object()) });
+            }
+            if !keys.insert(key.clone()) {
+                return Err(Error::Twice(key));
+            }
+        }
+        if changed.is_empty() {
+            return Ok(None);
+        }
+        let change = Change::new(revision, changed);
+        // Checked whole, as every observer will: what does not build here
+        // must not enter the log.
+        self.after(std::slice::from_ref(&change))?;
+        Ok(Some(change))
+    }
+
+    fn object(&self, key: &Key) -> Option<&Object> {
+        self.entry(key)?.object.as_ref()
+    }
+
+    fn check_expected(&self, key: &Key, expected: Expected) -> Result<(), Error> {
+        let entry = self.entry(key);
+        let exists = entry.is_some_and(|entry| entry.object.is_some());
+        let holds = match expected {
+            Expected::Any => true,
+            Expected::Absent => !exists,
+            Expected::At(generation) => exists && entry.is_some_and(|entry| entry.revision.generation == generation),
+        };
+        if holds {
+            return Ok(());
+        }
+        let found = entry.map(|entry| entry.revision.clone());
+        Err(Error::Conflict(Box::new(Conflict { object: key.clone(), expected, found, exists })))
+    }
+
+    fn take(&mut self, change: &Change) -> Result<(), Error> {
+        for edit in &change.edits {
+            self.put(change.generation(), &edit.action, &change.revision)?;
+        }
+        let json = serde_json::to_vec(change).map_err(|error| unreadable(change.generation(), &error))?;
+        self.recent.push(Recent { generation: change.generation(), json: json.into() });
+        let excess = self.recent.len().saturating_sub(RECENT);
+        self.recent.drain(..excess);
+        Ok(())
+    }
+
+    fn put(&mut self, generation: u64, action: &Action, revision: &Revision) -> Result<(), Error> {
+        let (key, object) = match action {
+            Action::Delete(key) => (key.clone(), None),
+            Action::Put(value) => {
+                let object = Object::from_json(value).map_err(|error| unreadable(generation, &error))?;
+                (object.key(), Some(object))
+            }
+        };
+        self.entries.insert(key, Entry { revision: revision.clone(), object });
+        Ok(())
+    }
+
+    fn build(mut self, generation: u64) -> Result<Self, Error> {
+        let objects = self.entries.values().filter_map(|entry| entry.object.clone());
+        self.catalog = Arc::new(Catalog::build(generation, objects).map_err(Error::Invalid)?);
+        Ok(self)
+    }
+}
+
+fn action_of(key: &Key, object: Option<&Object>) -> Action {
+    object.map_or_else(|| Action::Delete(key.clone()), |object| Action::Put(object.to_json()))
+}
+
+fn unreadable(generation: u64, error: &impl ToString) -> Error {
+    Error::Unreadable { generation, message: error.to_string() }
+}
--- /dev/null
+++ b/crates/config/tests/config/freshness.rs
@@ -0,0 +1,94 @@
+//! When an instance takes new work, and when it must not.
+
+use std::time::Duration;
+
+use timeline::{Event, Filter};
+use tokio::time::sleep;
+
+use crate::site::{Options, Site, model, put};
+
+/// Longer than the freshness bound.
+const LONG: Duration = Duration::from_secs(8);
+
+async fn settled(options: Options) -> Site {
+    let site = Site::open(options).await;
+    put(site.config(0), model("m", 1)).await.expect("accepted");
+    site.wait(1).await;
+    sleep(Duration::from_secs(2)).await;
+    site
+}
+
+fn fresh(site: &Site) -> Vec<bool> {
+    site.instances.iter().map(|instance| instance.config.fresh()).collect()
+}
+
+#[tokio::test(start_paused = true)]
+async fn stays_fresh_when_nothing_changes() {
+    let site = settled(Options::default()).await;
+    for _ in 0..60 {
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(fresh(&site), [true; 4]);
+    }
+}
+
+/// The platform goes away for everyone. Callers go on being served: no change
+/// can be accepted anywhere, and instances in more than half of the failure
+/// domains tell each other that they know nothing newer.
+#[tokio::test(start_paused = true)]
+async fn outage_of_the_platform_leaves_the_site_fresh() {
+    let site = settled(Options::default()).await;
+    site.platform.set_down(true);
+    for _ in 0..60 {
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(fresh(&site), [true; 4]);
+    }
+}
+
+/// One instance is cut off from platform and peers. A change accepted after
+/// that cannot reach it, so it must turn callers away once the bound has
+/// passed: else it would go on sending work to a version that was withdrawn.
+#[tokio::test(start_paused = true)]
+async fn partitioned_instance_goes_stale_and_comes_back() {
+    let site = settled(Options::default()).await;
+    site.instances[3].client.set_down(true);
+    site.cut(3, true);
+    sleep(LONG).await;
+    assert_eq!(fresh(&site), [true, true, true, false]);
+    put(site.config(0), model("m", 2)).await.expect("accepted");
+    sleep(LONG).await;
+    assert_eq!(site.generations(), [2, 2, 2, 1]);
+    site.cut(3, false);
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(site.generations(), [2; 4]);
+    assert_eq!(fresh(&site), [true; 4]);
+    let events = site.instances[3].recorder.query(&Filter::default()).records;
+    let turns = events.iter().filter(|record| matches!(record.event, Event::Freshness { .. })).count();
+    assert_eq!(turns, 3, "fresh, stale, fresh");
+}
+
+/// Two of four failure domains are cut off together. They hear each other, and
+/// must go stale all the same: the other half may have the platform and may
+/// have accepted a withdrawal.
+#[tokio::test(start_paused = true)]
+async fn half_of_the_domains_is_not_enough() {
+    let site = settled(Options { instances: 2, domains: 4, ..Options::default() }).await;
+    site.platform.set_down(true);
+    sleep(LONG).await;
+    assert_eq!(fresh(&site), [false; 2]);
+}
+
+/// An instance starts while the platform is away. It takes the highest
+/// generation that its peers hold and serves from that.
+#[tokio::test(start_paused = true)]
+async fn instance_that_starts_in_an_outage_hears_from_peers() {
+    let options = Options::default();
+    let mut site = settled(options).await;
+    for versions in 2..200 {
+        put(site.config(0), model("m", versions)).await.expect("accepted");
+    }
+    site.platform.set_down(true);
+    site.start(options).await;
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(site.generations(), [199; 5]);
+    assert!(site.config(4).fresh());
+}
--- /dev/null
+++ b/crates/config/tests/config/site.rs
@@ -0,0 +1,178 @@
+//! Instances on one fake platform, with peer links as tasks of one process.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use config::{Edit, Error, Expected, Handle, Keep, Outbound, Scope, Settings};
+use platform::fake::{Client, Platform};
+use timeline::{Capacity, Recorder, Source};
+use tokio::{sync::mpsc, time::sleep};
+use world::{Timestamp, domain::Domain, instance, object::Object};
+
+/// How long a message is under way between two instances.
+const LINK: Duration = Duration::from_millis(1);
+
+/// A fake platform with instances on it, one per failure domain.
+pub struct Site {
+    pub platform: Platform,
+    pub instances: Vec<Instance>,
+    links: Arc<Links>,
+}
+
+/// One instance.
+pub struct Instance {
+    pub config: Handle,
+    pub client: Client,
+    pub recorder: Recorder,
+}
+
+/// What every link knows.
+struct Links {
+    peers: Mutex<Vec<Handle>>,
+    /// Links that are cut, by instance.
+    cut: Mutex<Vec<bool>>,
+}
+
+/// What is not the default.
+#[derive(Clone, Copy)]
+pub struct Options {
+    pub instances: usize,
+    /// Failure domains that the settings name.
+    pub domains: usize,
+    pub keep: Keep,
+    /// Whether every instance watches the platform, or none does.
+    pub readers: bool,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self { instances: 4, domains: 4, keep: Keep::default(), readers: true }
+    }
+}
+
+impl Site {
+    pub async fn open(options: Options) -> Self {
+        let links = Arc::new(Links { peers: Mutex::default(), cut: Mutex::default() });
+        let mut site = Self { platform: Platform::open(), instances: Vec::new(), links };
+        for _ in 0..options.instances {
+            site.start(options).await;
+        }
+        site
+    }
+
+    /// Starts one more instance.
+    pub async fn start(&mut self, options: Options) {
+        let index = self.instances.len();
+        let client = self.platform.client();
+        let id = instance::Id::parse(&format!("i{index}")).expect("a name");
+        let platform =
+            platform::open_with(platform::Settings::fake(format!("i{index}/1"), 1), Arc::new(client.clone()));
+        let mut settings = Settings::new(id.clone(), domain(index));
+        settings.domains = (0..options.domains).map(domain).collect();
+        settings.keep = options.keep;
+        settings.seed = Some(1);
+        settings.clock = || Timestamp(1_000);
+        let source = Source { instance: id, incarnation: instance::Incarnation(1) };
+        let recorder = Recorder::open(source, Capacity::default());
+        let (config, outbound) = config::spawn(settings, platform, recorder.clone());
+        lock(&self.links.peers).push(config.clone());
+        lock(&self.links.cut).push(false);
+        tokio::spawn(carry(self.links.clone(), index, outbound));
+        config.set_reader(options.readers).await;
+        self.instances.push(Instance { config, client, recorder });
+    }
+
+    pub fn config(&self, index: usize) -> &Handle {
+        &self.instances[index].config
+    }
+
+    /// Cuts an instance's peer links, or joins them again.
+    pub fn cut(&self, index: usize, cut: bool) {
+        lock(&self.links.cut)[index] = cut;
+    }
+
+    /// Generations in force, by instance.
+    pub fn generations(&self) -> Vec<u64> {
+        self.instances.iter().map(|instance| instance.config.current().generation()).collect()
+    }
+
+    /// Waits until a generation is in force everywhere.
+    pub async fn wait(&self, generation: u64) {
+        for instance in &self.instances {
+            let mut catalog = instance.config.subscribe();
+            let reached = catalog.wait_for(|catalog| catalog.generation() >= generation);
+            let reached = tokio::time::timeout(Duration::from_mins(1), reached).await;
+            assert!(reached.is_ok(), "generation {generation} is not in force everywhere: {:?}", self.generations());
+        }
+    }
+}
+
+pub fn domain(index: usize) -> Domain {
+    Domain::parse(&format!("d{index}")).expect("a name")
+}
+
+/// A model with this many versions.
+pub fn model(name: &str, versions: u32) -> Object {
+    let versions: Vec<_> = (1..=versions)
+        .map(|v| format!("{{ version: \"{v}\", price: {{ input: \"1\", output: \"1\", currency: EUR }} }}"))
+        .collect();
+    let text = format!("kind: model\nname: {name}\nspec: {{ versions: [{}] }}", versions.join(", "));
+    Object::parse_file(&text).expect("a model").remove(0)
+}
+
+/// Applies one object whatever stands there.
+pub async fn put(config: &Handle, object: Object) -> Result<u64, Error> {
+    config.apply("ann", vec![Edit::Put(object, Expected::Any)]).await.map(|applied| applied.generation)
+}
+
+async fn carry(links: Arc<Links>, from: usize, mut outbound: mpsc::Receiver<Outbound>) {
+    while let Some(message) = outbound.recv().await {
+        match message {
+            Outbound::News(bytes) => links.others(from).into_iter().for_each(|to| links.publish(from, to, &bytes)),
+            Outbound::Want { scope: Scope::EachDomain, bytes } => {
+                links.others(from).into_iter().for_each(|to| links.call(from, to, &bytes));
+            }
+            Outbound::Want { scope: Scope::One, bytes } => {
+                if let Some(to) = links.others(from).first() {
+                    links.call(from, *to, &bytes);
+                }
+            }
+        }
+    }
+}
+
+impl Links {
+    fn others(&self, from: usize) -> Vec<usize> {
+        let cut = lock(&self.cut).clone();
+        (0..cut.len()).filter(|to| *to != from && !cut[*to] && !cut[from]).collect()
+    }
+
+    fn peer(&self, index: usize) -> Handle {
+        lock(&self.peers)[index].clone()
+    }
+
+    fn publish(&self, _from: usize, to: usize, bytes: &Bytes) {
+        let (peer, bytes) = (self.peer(to), bytes.clone());
+        tokio::spawn(async move {
+            sleep(LINK).await;
+            peer.offer(bytes).await;
+        });
+    }
+
+    fn call(&self, from: usize, to: usize, bytes: &Bytes) {
+        let (asker, peer, bytes) = (self.peer(from), self.peer(to), bytes.clone());
+        tokio::spawn(async move {
+            sleep(LINK).await;
+            let answer = peer.serve(&bytes);
+            sleep(LINK).await;
+            asker.offer(answer).await;
+        });
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/platform/src/handle.rs
+++ b/crates/platform/src/handle.rs
@@ -133,25 +133,42 @@
     ///
     /// [`Error::Down`], [`Error::Refused`], [`Error::Malformed`].
     pub async fn list(&self, priority: Priority, prefix: &str) -> Result<Listing, Error> {
-        let mut listing = Listing { version: 0, items: Vec::new() };
-        let mut after = String::new();
-        loop {
-            let (version, objects, more) = self.page(priority, prefix, &after, PAGE, false).await?;
-            // Changes made between two pages are above the first page's
-            // version, so a watch from there sees them all.
-            if after.is_empty() {
-                listing.version = version;
-            }
-            if let Some(last) = objects.last() {
-                after.clone_from(&last.key);
-            }
-            for object in objects {
-                listing.items.push(Item::parse(object)?);
-            }
-            if !more {
-                return Ok(listing);
-            }
+        self.list_after(priority, prefix, "").await
+    }
+
+    /// Reads all objects with a prefix whose keys are above `after`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Down`], [`Error::Refused`], [`Error::Malformed`].
+    pub async fn list_after(&self, priority: Priority, prefix: &str, after: &str) -> Result<Listing, Error> {
+        let mut whole = self.list_page(priority, prefix, after, PAGE).await?;
+        while whole.more {
+            let after = whole.items.last().map_or_else(String::new, |item| item.key.clone());
+            let page = self.list_page(priority, prefix, &after, PAGE).await?;
+            // The first page's version stays: changes made between two pages
+            // are above it, so a watch from there sees them all.
+            whole.items.extend(page.items);
+            whole.more = page.more;
         }
+        Ok(whole)
+    }
+
+    /// Reads at most `limit` objects with a prefix whose keys are above `after`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Down`], [`Error::Refused`], [`Error::Malformed`].
+    pub async fn list_page(
+        &self,
+        priority: Priority,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Listing, Error> {
+        let (version, objects, more) = self.page(priority, prefix, after, limit, false).await?;
+        let items = objects.into_iter().map(Item::parse).collect::<Result<_, _>>()?;
+        Ok(Listing { version, items, more })
     }
 
     /// Reads at most `limit` keys with a prefix above `after`, in order.
@@ -204,8 +221,13 @@
     }
 
     /// One wait of a watch, one try.
-    pub(crate) async fn wait(&self, priority: Priority, prefix: &str, from: u64) -> Result<Answer, Error> {
-        let wait = self.shared.settings.watch_wait;
+    pub(crate) async fn wait(
+        &self,
+        priority: Priority,
+        prefix: &str,
+        from: u64,
+        wait: Duration,
+    ) -> Result<Answer, Error> {
         self.shared.reads.take(priority).await;
         let call = Call::Watch { prefix: prefix.into(), from, wait };
         self.call(call, wait + self.shared.settings.call_timeout).await.map_err(|fault| down(&fault))
--- a/crates/platform/src/item.rs
+++ b/crates/platform/src/item.rs
@@ -30,6 +30,8 @@
     pub version: u64,
     /// The objects, by key.
     pub items: Vec<Item>,
+    /// Whether further objects follow.
+    pub more: bool,
 }
 
 impl Item {
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -11,6 +11,8 @@
     priority: Priority,
     prefix: String,
     from: u64,
+    wait: Duration,
+    relist_after: String,
     lagging: bool,
     backoff: Option<Backoff>,
 }
@@ -47,7 +49,22 @@
 
 impl Watch {
     pub(crate) fn new(handle: Handle, priority: Priority, prefix: &str, from: u64) -> Self {
-        Self { handle, priority, prefix: prefix.into(), from, lagging: false, backoff: None }
+        let wait = handle.settings().watch_wait;
+        let prefix = prefix.into();
+        Self { handle, priority, prefix, from, wait, relist_after: String::new(), lagging: false, backoff: None }
+    }
+
+    /// Waits this long for changes before an empty batch.
+    #[must_use]
+    pub fn waiting(mut self, wait: Duration) -> Self {
+        self.wait = wait;
+        self
+    }
+
+    /// After a gap, lists only keys above this one: a log's reader needs no
+    /// entry that it has already.
+    pub fn relist_after(&mut self, key: &str) {
+        key.clone_into(&mut self.relist_after);
     }
 
     /// Waits for changes; dropping the future loses none.
@@ -74,7 +91,7 @@
     }
 
     async fn poll(&mut self) -> Result<Batch, Error> {
-        match self.handle.wait(self.priority, &self.prefix, self.from).await? {
+        match self.handle.wait(self.priority, &self.prefix, self.from, self.wait).await? {
             // A replica behind the one that answered last may name an older
             // version: going back would hand out changes twice.
             store::Answer::Changed { version, changes } => {
@@ -92,8 +109,12 @@
     }
 
     async fn relist(&mut self) -> Result<Batch, Error> {
-        let listing = self.handle.list(self.priority, &self.prefix).await?;
-        self.from = self.from.max(listing.version);
+        let listing = self.handle.list_after(self.priority, &self.prefix, &self.relist_after).await?;
+        // A replica that has not seen what we saw cannot fill the gap.
+        if listing.version < self.from {
+            return Err(Error::Down { cause: "the list is older than the watch".into() });
+        }
+        self.from = listing.version;
         self.lagging = false;
         Ok(Batch::Relisted(listing))
     }
