--- /dev/null
+++ b/crates/entry/src/desk/learn.rs
@@ -0,0 +1,112 @@
+//! What ratings and runs teach: quality, speed, and the version guard.
+
+use std::collections::{HashMap, VecDeque};
+
+use control::observation::{Observation, Outcome};
+use endpoint::rating::Rating;
+use route::{
+    model::Rater,
+    quality::{Book, Cell, Pending, Stage},
+    rollout::Unit,
+};
+use world::{Millis, Timestamp, contract::Customer, model::Version};
+
+use super::Given;
+
+/// Answers that may wait for their rating; the oldest go first.
+const MAX_GIVEN: usize = 65_536;
+/// Time without the rater after a call to it failed.
+const RATER_REST_MS: Millis = 5_000;
+
+/// A request as it was entered at its choice.
+#[derive(Debug, Clone)]
+pub struct Entered {
+    /// Whose.
+    pub customer: Customer,
+    /// Its session or itself.
+    pub unit: Unit,
+    pub(super) cell: Cell,
+    pub(super) pending: Pending,
+}
+
+/// All that is learned, and the answers that wait for a rating.
+#[derive(Debug)]
+pub(super) struct Learn {
+    pub book: Book,
+    control: control::Handle,
+    given: HashMap<String, Given>,
+    order: VecDeque<String>,
+    rater_rests_until: Timestamp,
+}
+
+impl Learn {
+    pub fn new(control: control::Handle) -> Self {
+        Self {
+            book: Book::default(),
+            control,
+            given: HashMap::new(),
+            order: VecDeque::new(),
+            rater_rests_until: Timestamp(0),
+        }
+    }
+
+    /// Whether a cascade can be decided now.
+    pub fn rater(&self, now: Timestamp) -> Rater {
+        if now < self.rater_rests_until { Rater::Down } else { Rater::Up }
+    }
+
+    /// The rating service failed: no cascades for a while, so that requests
+    /// do not each wait for it in vain.
+    pub fn rater_down(&mut self, now: Timestamp) {
+        self.rater_rests_until = now.plus(RATER_REST_MS);
+    }
+
+    pub fn void(&mut self, entered: &Entered) {
+        self.book.void(entered.cell, entered.pending);
+    }
+
+    /// An answer was handed over and its rating comes later.
+    pub fn given(&mut self, given: Given) {
+        self.order.push_back(given.id.clone());
+        self.given.insert(given.id.clone(), given);
+        while self.order.len() > MAX_GIVEN {
+            let Some(oldest) = self.order.pop_front() else { break };
+            // Its rating never came: the account keeps its cautious guess.
+            self.given.remove(&oldest);
+        }
+    }
+
+    /// An answer was rated while its caller waited.
+    pub fn judged(&mut self, entered: &Entered, version: &Version, stage: Stage, pass: bool, last: bool) {
+        self.book.rate(entered.cell, version, stage, pass);
+        if last {
+            self.book.close(entered.cell, entered.pending, pass);
+        }
+        self.observe(entered, version, pass);
+    }
+
+    /// Ratings that came later, our own answers' and other instances'.
+    ///
+    /// All teach which version is good. Only our own close an account and
+    /// count for the guard: evidence is summed over instances, and a rating
+    /// counted by each of them would weigh as many times too much.
+    pub fn ratings(&mut self, ratings: Vec<Rating>) {
+        for rating in ratings {
+            let Some(given) = self.given.remove(&rating.id) else {
+                let cell = Cell::new(&rating.customer, &rating.class);
+                self.book.rate(cell, &rating.version, Stage::First, rating.pass);
+                continue;
+            };
+            self.judged(&given.entered, &given.version, given.stage, rating.pass, true);
+        }
+    }
+
+    fn observe(&self, entered: &Entered, version: &Version, pass: bool) {
+        self.control.observe(Observation {
+            customer: entered.customer.clone(),
+            unit: entered.unit,
+            version: version.clone(),
+            outcome: Outcome::Rated { pass },
+        });
+    }
+}
--- /dev/null
+++ b/crates/entry/src/desk/state.rs
@@ -0,0 +1,363 @@
+//! The desk's state and its loop.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use endpoint::report::{CacheChange, CacheEvent, Load};
+use rand::{SeedableRng, rngs::SmallRng};
+use route::{
+    admission::{Admitted, Queue, Refusal, Ticket as Asked},
+    endpoint::{self as placing, Event, Fleet, Key, Peer, Report, Rule, Target},
+    model::{self, Choice, Inputs},
+    quality::Cell,
+    retry,
+};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::MissedTickBehavior,
+};
+use world::{Catalog, Millis, Timestamp, contract::Customer, endpoint::Id, model::Version};
+
+use super::{Ending, Entered, Line, Message, Place, Ticket, Wanted, Wish, learn::Learn};
+use crate::clock;
+
+/// How often waiting requests are looked over for ones that come too late.
+const SHED_EVERY: Duration = Duration::from_millis(50);
+/// Customers whose retry budget is kept; all start anew when there are more.
+const MAX_BUDGETS: usize = 16_384;
+
+type Reply = oneshot::Sender<Result<Admitted, Refusal>>;
+
+/// Everything the desk knows.
+pub(super) struct State {
+    fleet: Fleet,
+    catalog: Arc<Catalog>,
+    lines: HashMap<Line, Waiting>,
+    policy: retry::Policy,
+    budgets: HashMap<Customer, retry::Budget>,
+    learn: Learn,
+    leaving: Vec<Id>,
+    random: SmallRng,
+}
+
+/// One queue with those who wait in it.
+struct Waiting {
+    queue: Queue,
+    replies: HashMap<route::admission::Key, Reply>,
+}
+
+impl State {
+    pub fn new(me: Peer, policy: retry::Policy, control: control::Handle) -> Self {
+        Self {
+            fleet: Fleet::new(me),
+            catalog: Arc::default(),
+            lines: HashMap::new(),
+            policy,
+            budgets: HashMap::new(),
+            learn: Learn::new(control),
+            leaving: Vec::new(),
+            random: SmallRng::from_os_rng(),
+        }
+    }
+
+    pub async fn run(mut self, mut inbox: mpsc::Receiver<Message>) {
+        let mut shed = tokio::time::interval(SHED_EVERY);
+        shed.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                message = inbox.recv() => match message {
+                    Some(message) => self.on(message),
+                    None => return,
+                },
+                _ = shed.tick() => self.shed(),
+            }
+        }
+    }
+
+    fn on(&mut self, message: Message) {
+        let now = clock::now();
+        match message {
+            Message::Admit(ticket, reply) => self.admit(&ticket, reply, now),
+            Message::Leave(line) => self.left(&line, now),
+            Message::Choose(wish, reply) => drop(reply.send(self.choose(&wish, now))),
+            Message::Place(wanted, reply) => self.place(&wanted, reply, now),
+            Message::Ended(key, target, ending) => self.ended(key, &target, ending, now),
+            Message::Retry(customer, request, failure, reply) => {
+                let _ = reply.send(self.retry(&customer, &request, failure, now));
+            }
+            Message::Void(entered) => self.learn.void(&entered),
+            Message::Given(given) => self.learn.given(given),
+            Message::Judged { entered, version, stage, pass, last } => {
+                self.learn.judged(&entered, &version, stage, pass, last);
+            }
+            Message::RaterDown => self.learn.rater_down(now),
+            Message::Ratings(ratings) => self.learn.ratings(ratings),
+            Message::Report(endpoint, load) => self.report(&endpoint, &load, now),
+            Message::Cache(endpoint, events) => self.cache(&endpoint, &events, now),
+            Message::Leaving(endpoints) => self.set_leaving(endpoints, now),
+            Message::World(catalog, instances) => self.world(catalog, &instances, now),
+            Message::Endpoints(reply) => {
+                drop(reply.send(self.fleet.endpoints().map(|(_, endpoint)| endpoint.clone()).collect()));
+            }
+        }
+    }
+
+    fn admit(&mut self, ticket: &Ticket, reply: Reply, now: Timestamp) {
+        let run_ms = self.least_ms(&ticket.line, now);
+        let limit = self.limit(&ticket.line, now);
+        let line = self.lines.entry(ticket.line.clone()).or_insert_with(Waiting::new);
+        line.queue.set_limit(limit);
+        let asked = Asked {
+            customer: &ticket.customer,
+            weight: ticket.weight,
+            deadline: ticket.deadline,
+            run_ms,
+            draw: ticket.draw,
+        };
+        match line.queue.offer(&asked, now) {
+            Ok(key) => drop(line.replies.insert(key, reply)),
+            Err(refusal) => drop(reply.send(Err(refusal))),
+        }
+        line.grant(now);
+        let budgets = &mut self.budgets;
+        if budgets.len() >= MAX_BUDGETS && !budgets.contains_key(&ticket.customer) {
+            budgets.clear();
+        }
+        budgets.entry(ticket.customer.clone()).or_insert_with(|| retry::Budget::new(&self.policy)).earn(&self.policy);
+    }
+
+    fn left(&mut self, line: &Line, now: Timestamp) {
+        if let Some(waiting) = self.lines.get_mut(line) {
+            waiting.queue.finished();
+        }
+        let limit = self.limit(line, now);
+        if let Some(waiting) = self.lines.get_mut(line) {
+            waiting.queue.set_limit(limit);
+            waiting.grant(now);
+        }
+    }
+
+    /// Tells those that can no longer be done in time, now and not at their
+    /// deadline, and frees places as endpoints report room.
+    fn shed(&mut self) {
+        let now = clock::now();
+        let lines: Vec<_> = self.lines.keys().cloned().collect();
+        for line in lines {
+            let limit = self.limit(&line, now);
+            let Some(waiting) = self.lines.get_mut(&line) else { continue };
+            waiting.queue.set_limit(limit);
+            waiting.shed(now);
+            waiting.grant(now);
+            metrics::gauge!("entry_queue_waiting", "line" => line.label())
+                .set(f64::from(u32::try_from(waiting.queue.waiting()).unwrap_or(u32::MAX)));
+        }
+    }
+
+    /// Runs that may go on at a time: those that do, and the room left.
+    fn limit(&self, line: &Line, now: Timestamp) -> u32 {
+        let running = self.lines.get(line).map_or(0, |waiting| waiting.queue.running());
+        let room: u32 = self.targets(line).iter().map(|target| self.fleet.room(target, now)).sum();
+        running.saturating_add(room)
+    }
+
+    fn targets(&self, line: &Line) -> Vec<Target> {
+        match line {
+            Line::Service(id) => vec![Target::Service(id.clone())],
+            Line::Model(id) => {
+                let releases = self.catalog.model(id).map_or(&[][..], |model| &model.versions);
+                let version = |number: &world::model::Number| Version { model: id.clone(), number: number.clone() };
+                releases.iter().map(|release| Target::Version(version(&release.version))).collect()
+            }
+        }
+    }
+
+    /// Time that the fastest version hardly beats, in milliseconds.
+    fn least_ms(&self, line: &Line, now: Timestamp) -> Millis {
+        let least = self.targets(line).into_iter().filter_map(|target| match target {
+            Target::Version(version) => Some(self.learn.book.speed(&version, now).least_ms()),
+            Target::Service(_) => None,
+        });
+        whole(least.fold(f64::INFINITY, f64::min)).max(1)
+    }
+
+    fn choose(&mut self, wish: &Wish, now: Timestamp) -> Result<(Choice, Entered), model::Refusal> {
+        let inputs = Inputs {
+            catalog: &wish.catalog,
+            customer: &wish.customer,
+            model: &wish.model,
+            class: &wish.class,
+            session: wish.session.as_ref(),
+            unit: wish.unit,
+            stops: &wish.stops,
+            repeat: wish.repeat,
+            prompt_tokens: wish.prompt_tokens,
+            max_tokens: wish.max_tokens,
+            now,
+            left_ms: wish.left_ms,
+            ceiling: wish.ceiling,
+            rater: self.learn.rater(now),
+            book: &self.learn.book,
+        };
+        let choice = model::choose(&inputs)?;
+        let cell = Cell::new(&wish.customer, &wish.class);
+        let pending = self.learn.book.open(cell, choice.expected(), choice.reason().target);
+        Ok((choice, Entered { customer: wish.customer.clone(), unit: wish.unit, cell, pending }))
+    }
+
+    fn place(&mut self, wanted: &Wanted, reply: oneshot::Sender<Result<Place, placing::Refusal>>, now: Timestamp) {
+        let asked =
+            placing::Wanted { target: &wanted.target, prefix: wanted.prefix, avoid: &wanted.avoid, draw: wanted.draw };
+        let placed = self.fleet.choose(&asked, now).and_then(|choice| {
+            let endpoint = self.fleet.endpoint(choice.key).ok_or(placing::Refusal::NoneLeft)?;
+            Ok(Place {
+                key: choice.key,
+                endpoint: endpoint.id.clone(),
+                address: endpoint.address,
+                reason: reason(&choice),
+                expected_ms: self.expected_ms(&wanted.target, now),
+            })
+        });
+        let key = placed.as_ref().ok().map(|place| place.key);
+        if reply.send(placed).is_ok()
+            && let Some(key) = key
+        {
+            self.fleet.on(Event::Dispatched(key), now);
+        }
+    }
+
+    fn expected_ms(&self, target: &Target, now: Timestamp) -> Millis {
+        match target {
+            Target::Version(version) => whole(self.learn.book.speed(version, now).least_ms()),
+            Target::Service(_) => 0,
+        }
+    }
+
+    fn ended(&mut self, key: Key, target: &Target, ending: Ending, now: Timestamp) {
+        match ending {
+            Ending::Whole { millis, tokens } => {
+                if let Target::Version(version) = target {
+                    self.learn.book.ran(version, millis, tokens, now);
+                }
+                self.fleet.on(Event::Finished { key, target, millis, tokens }, now);
+            }
+            Ending::Failed(failure) => self.fleet.on(Event::Failed { key, target, failure }, now),
+            Ending::Cancelled => self.fleet.on(Event::Cancelled(key), now),
+        }
+    }
+
+    fn retry(
+        &mut self,
+        customer: &Customer,
+        request: &retry::Request,
+        failure: retry::Failure,
+        now: Timestamp,
+    ) -> retry::Decision {
+        let budget = self.budgets.entry(customer.clone()).or_insert_with(|| retry::Budget::new(&self.policy));
+        retry::decide(&self.policy, budget, request, failure, now, &mut self.random)
+    }
+
+    fn report(&mut self, endpoint: &Id, load: &Load, now: Timestamp) {
+        let report = Report {
+            as_of: load.as_of_ms,
+            running: load.running,
+            queued: load.queued,
+            slots: load.slots,
+            loaded: Some(&load.versions),
+        };
+        self.fleet.on(Event::Load { endpoint, report }, now);
+    }
+
+    fn cache(&mut self, endpoint: &Id, events: &[CacheEvent], now: Timestamp) {
+        for event in events {
+            let prefix = event.prefix;
+            self.fleet.on(
+                match event.kind {
+                    CacheChange::Stored => Event::Stored { endpoint, prefix },
+                    CacheChange::Evicted => Event::Evicted { endpoint, prefix },
+                },
+                now,
+            );
+        }
+    }
+
+    fn set_leaving(&mut self, endpoints: Vec<Id>, now: Timestamp) {
+        let back: Vec<_> = self.leaving.iter().filter(|id| !endpoints.contains(id)).cloned().collect();
+        for endpoint in &back {
+            self.fleet.on(Event::Leaving { endpoint, leaving: false }, now);
+        }
+        self.leaving = endpoints;
+        self.mark_leaving(now);
+    }
+
+    fn mark_leaving(&mut self, now: Timestamp) {
+        for endpoint in &self.leaving {
+            self.fleet.on(Event::Leaving { endpoint, leaving: true }, now);
+        }
+    }
+
+    fn world(&mut self, catalog: Arc<Catalog>, instances: &[Peer], now: Timestamp) {
+        self.fleet.apply(&catalog, instances);
+        self.catalog = catalog;
+        // An endpoint may be new in the catalog and leaving already.
+        self.mark_leaving(now);
+    }
+}
+
+impl Waiting {
+    fn new() -> Self {
+        Self { queue: Queue::new(1), replies: HashMap::new() }
+    }
+
+    /// Gives out all free places.
+    fn grant(&mut self, now: Timestamp) {
+        while let Some(admitted) = self.queue.next(now) {
+            let reply = self.replies.remove(&admitted.key);
+            let taken = reply.is_some_and(|reply| reply.send(Ok(admitted)).is_ok());
+            // The caller hung up while it waited: its place is free again.
+            if !taken {
+                self.queue.finished();
+            }
+        }
+    }
+
+    fn shed(&mut self, now: Timestamp) {
+        for (key, refusal) in self.queue.shed(now) {
+            if let Some(reply) = self.replies.remove(&key) {
+                drop(reply.send(Err(refusal)));
+            }
+        }
+        let gone: Vec<_> = self.replies.iter().filter(|(_, reply)| reply.is_closed()).map(|(key, _)| *key).collect();
+        for key in gone {
+            self.queue.cancel(key);
+            self.replies.remove(&key);
+        }
+    }
+}
+
+impl Line {
+    /// For metric labels; models and services are few.
+    fn label(&self) -> String {
+        match self {
+            Self::Model(id) => id.to_string(),
+            Self::Service(id) => id.to_string(),
+        }
+    }
+}
+
+fn reason(choice: &placing::Choice) -> String {
+    let rule = match choice.rule {
+        Rule::Holder => "holds the prompt's prefix",
+        Rule::Preferred => "preferred for the prompt's prefix",
+        Rule::LessLoaded => "less loaded of two drawn",
+        Rule::Only => "the only one left",
+    };
+    format!("{rule}; load {:.2}, mean {:.2}, {} weighed", choice.load, choice.mean, choice.considered)
+}
+
+fn whole(millis: f64) -> Millis {
+    if !millis.is_finite() {
+        return 0;
+    }
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "finite and clamped")]
+    let whole = millis.clamp(0.0, 1e15) as Millis;
+    whole
+}
--- a/crates/entry/tests/life.rs
+++ b/crates/entry/tests/life.rs
@@ -118,6 +118,7 @@
 
 /// What an observer outside the machine saw happen.
 #[derive(Default)]
+#[expect(clippy::struct_excessive_bools, reason = "independent facts, not a state")]
 struct Witness {
     claimed: bool,
     billed: bool,
