--- a/crates/peer/src/generated.rs
+++ b/crates/peer/src/generated.rs
@@ -30,31 +30,27 @@
     pub oldest: u32,
     #[prost(message, optional, tag = "3")]
     pub sender: ::core::option::Option<Member>,
-    /// Whom the caller means; empty while it knows an address only.
-    #[prost(string, tag = "4")]
-    pub wanted: ::prost::alloc::string::String,
+    /// The sender has all the links it may keep and will close one soon.
+    #[prost(bool, tag = "4")]
+    pub full: bool,
 }
-/// Sent on every link at the heartbeat interval.
+/// Sent on every link at the heartbeat interval, and at once after a change.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Heartbeat {
-    #[prost(uint64, tag = "1")]
-    pub sequence: u64,
-    /// The sender's own entry and those that changed or whose turn it is.
-    #[prost(message, repeated, tag = "2")]
+    /// Entries that changed since the last heartbeat on this link.
+    #[prost(message, repeated, tag = "1")]
     pub members: ::prost::alloc::vec::Vec<Member>,
-    #[prost(message, repeated, tag = "3")]
+    /// The sender's own digests that changed since the last heartbeat on this link.
+    #[prost(message, repeated, tag = "2")]
     pub digests: ::prost::alloc::vec::Vec<Digest>,
-    /// Hash over all that the sender knows of the fleet.
-    #[prost(uint64, tag = "4")]
+    /// Hash over the members that the sender counts.
+    #[prost(fixed64, tag = "3")]
     pub view: u64,
-    /// The sender's whole view follows in `members`.
-    #[prost(bool, tag = "5")]
-    pub whole: bool,
-    /// The sender asks for the receiver's whole view.
-    #[prost(bool, tag = "6")]
-    pub want_whole: bool,
+    /// The sender asks for everything the receiver knows.
+    #[prost(bool, tag = "4")]
+    pub want_all: bool,
 }
-/// One instance as the sender knows it.
+/// One instance. All but `doubt` is that instance's own word.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Member {
     #[prost(string, tag = "1")]
@@ -62,7 +58,7 @@
     /// Which run; a later start has a higher number.
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
-    /// Raised by the member itself to refute a suspicion.
+    /// Raised by the member itself with each new word, to refute a doubt too.
     #[prost(uint32, tag = "3")]
     pub refutation: u32,
     #[prost(enumeration = "State", tag = "4")]
@@ -75,20 +71,16 @@
     pub peers: ::prost::alloc::string::String,
     #[prost(string, tag = "8")]
     pub operators: ::prost::alloc::string::String,
+    /// What the sender holds against it.
+    #[prost(enumeration = "Doubt", tag = "9")]
+    pub doubt: i32,
 }
-/// The newest value that some instance holds for a topic.
+/// The newest value that the sender holds for a topic.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Digest {
     #[prost(uint32, tag = "1")]
     pub topic: u32,
-    #[prost(string, tag = "2")]
-    pub origin: ::prost::alloc::string::String,
-    #[prost(uint64, tag = "3")]
-    pub incarnation: u64,
-    /// Raised by the origin with each change.
-    #[prost(uint64, tag = "4")]
-    pub sequence: u64,
-    #[prost(bytes = "bytes", tag = "5")]
+    #[prost(bytes = "bytes", tag = "2")]
     pub value: ::prost::bytes::Bytes,
 }
 /// One piece of news for every live instance.
@@ -108,6 +100,9 @@
     /// Links travelled so far.
     #[prost(uint32, tag = "6")]
     pub hops: u32,
+    /// The origin is not linked with all: pass it on.
+    #[prost(bool, tag = "7")]
+    pub relay: bool,
 }
 /// Who calls, on every call outside a link.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -121,18 +116,13 @@
 pub struct ProbeRequest {
     #[prost(message, optional, tag = "1")]
     pub caller: ::core::option::Option<Caller>,
-    /// Where the instance asked after listens.
-    #[prost(string, tag = "2")]
-    pub peers: ::prost::alloc::string::String,
-    #[prost(string, tag = "3")]
-    pub id: ::prost::alloc::string::String,
-    /// The answer is about the caller of the probe itself when set.
-    #[prost(bool, tag = "4")]
-    pub direct: bool,
+    /// The instance asked after, with the doubt that it may refute.
+    #[prost(message, optional, tag = "2")]
+    pub target: ::core::option::Option<Member>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ProbeReply {
-    /// The answer of the instance asked after; absent when there was none.
+    /// The word of the instance asked after; absent when there was none.
     #[prost(message, optional, tag = "1")]
     pub member: ::core::option::Option<Member>,
 }
@@ -158,15 +148,15 @@
     #[prost(bytes = "bytes", tag = "1")]
     pub body: ::prost::bytes::Bytes,
 }
-/// Whether a member takes work.
+/// A member's own word.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum State {
     Unspecified = 0,
     Live = 1,
-    Suspect = 2,
-    Leaving = 3,
-    Gone = 4,
+    Leaving = 2,
+    /// Ended on purpose; final for its incarnation.
+    Left = 3,
 }
 impl State {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -177,9 +167,8 @@
         match self {
             Self::Unspecified => "STATE_UNSPECIFIED",
             Self::Live => "STATE_LIVE",
-            Self::Suspect => "STATE_SUSPECT",
             Self::Leaving => "STATE_LEAVING",
-            Self::Gone => "STATE_GONE",
+            Self::Left => "STATE_LEFT",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -187,9 +176,38 @@
         match value {
             "STATE_UNSPECIFIED" => Some(Self::Unspecified),
             "STATE_LIVE" => Some(Self::Live),
-            "STATE_SUSPECT" => Some(Self::Suspect),
             "STATE_LEAVING" => Some(Self::Leaving),
-            "STATE_GONE" => Some(Self::Gone),
+            "STATE_LEFT" => Some(Self::Left),
+            _ => None,
+        }
+    }
+}
+/// What others hold against a member's word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum Doubt {
+    None = 0,
+    Suspect = 1,
+    Gone = 2,
+}
+impl Doubt {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::None => "DOUBT_NONE",
+            Self::Suspect => "DOUBT_SUSPECT",
+            Self::Gone => "DOUBT_GONE",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "DOUBT_NONE" => Some(Self::None),
+            "DOUBT_SUSPECT" => Some(Self::Suspect),
+            "DOUBT_GONE" => Some(Self::Gone),
             _ => None,
         }
     }
--- /dev/null
+++ b/crates/peer/src/link.rs
@@ -0,0 +1,129 @@
+//! One link: two streams of frames over a connection of its own.
+
+use std::net::SocketAddr;
+
+use tokio::{sync::mpsc, time::timeout};
+use tokio_stream::wrappers::ReceiverStream;
+use tokio_util::task::AbortOnDropHandle;
+use tonic::{Code, Streaming};
+use world::{Millis, instance::Id};
+
+use crate::{
+    generated::{Frame, frame::Kind},
+    news::{Allowance, News},
+    pool::Pool,
+    settings::Settings,
+    spread::Heartbeat,
+    task::{Clock, Event},
+    wire::{self, Greeting},
+};
+
+/// A link after both greetings.
+#[derive(Debug)]
+pub(crate) struct Opened {
+    pub(crate) greeting: Greeting,
+    pub(crate) sender: mpsc::Sender<Frame>,
+    pub(crate) incoming: Streaming<Frame>,
+}
+
+/// Why a dialled link did not come about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// No connection, or no greeting in time.
+    Unreachable,
+    /// The other side has a link with us already, or is this instance itself.
+    Duplicate,
+    /// A later run under our name is known there.
+    Superseded,
+    /// Another key or protocol version.
+    Refused,
+}
+
+/// What came over a link.
+#[derive(Debug)]
+pub(crate) enum Received {
+    Heartbeat(Heartbeat),
+    News(News),
+    /// A kind of a later build, or news over the allowance.
+    Other,
+}
+
+/// Dials a peer and exchanges greetings.
+pub(crate) async fn dial(
+    address: SocketAddr,
+    greeting: Greeting,
+    pool: &Pool,
+    settings: &Settings,
+) -> Result<Opened, Failure> {
+    let opening = open(address, greeting, pool, settings.limits.frames);
+    timeout(settings.timing.dial(), opening).await.unwrap_or(Err(Failure::Unreachable))
+}
+
+async fn open(address: SocketAddr, greeting: Greeting, pool: &Pool, frames: usize) -> Result<Opened, Failure> {
+    let mut client = pool.fresh(address).await.map_err(|_| Failure::Unreachable)?;
+    let (sender, receiver) = mpsc::channel(frames);
+    sender.try_send(wire::frame(greeting)).map_err(|_| Failure::Unreachable)?;
+    let reply = client.link(pool.request(ReceiverStream::new(receiver))).await;
+    let mut incoming = reply.map_err(|status| failure(status.code()))?.into_inner();
+    let greeting = greeting_from(&mut incoming).await.ok_or(Failure::Refused)?;
+    Ok(Opened { greeting, sender, incoming })
+}
+
+fn failure(code: Code) -> Failure {
+    match code {
+        Code::AlreadyExists => Failure::Duplicate,
+        Code::Aborted => Failure::Superseded,
+        Code::Unauthenticated | Code::FailedPrecondition => Failure::Refused,
+        _ => Failure::Unreachable,
+    }
+}
+
+/// Takes the first frame, which has to be a greeting that we understand.
+pub(crate) async fn greeting_from(incoming: &mut Streaming<Frame>) -> Option<Greeting> {
+    match incoming.message().await.ok()??.kind? {
+        Kind::Greeting(greeting) => greeting.try_into().ok(),
+        Kind::Heartbeat(_) | Kind::News(_) => None,
+    }
+}
+
+/// Whose frames a reader brings.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Source {
+    pub(crate) id: Id,
+    /// Tells a link from an earlier one with the same peer.
+    pub(crate) serial: u64,
+}
+
+/// Reads a link until it ends. Each reader waits for room for one event at a
+/// time, so a flooding peer gets its turn among the others and no more.
+pub(crate) fn read(
+    mut incoming: Streaming<Frame>,
+    source: Source,
+    events: mpsc::Sender<Event>,
+    clock: Clock,
+    rate: u32,
+) -> AbortOnDropHandle<()> {
+    AbortOnDropHandle::new(tokio::spawn(async move {
+        let mut allowance = Allowance::new(rate, clock.now());
+        while let Ok(Some(frame)) = incoming.message().await {
+            let received = receive(frame, &mut allowance, clock.now());
+            if events.send(Event::Received(source.clone(), received)).await.is_err() {
+                return;
+            }
+        }
+        // The task may have ended; then nobody has to know.
+        let _ = events.send(Event::Closed(source)).await;
+    }))
+}
+
+fn receive(frame: Frame, allowance: &mut Allowance, now: Millis) -> Received {
+    match frame.kind {
+        Some(Kind::Heartbeat(heartbeat)) => Received::Heartbeat(heartbeat.into()),
+        Some(Kind::News(news)) if allowance.take(now) => news.try_into().map_or(Received::Other, Received::News),
+        Some(Kind::News(_)) => {
+            metrics::counter!("peer_news_dropped_total", "where" => "allowance").increment(1);
+            Received::Other
+        }
+        Some(Kind::Greeting(_)) | None => Received::Other,
+    }
+}
--- /dev/null
+++ b/crates/peer/src/membership/silence.rs
@@ -0,0 +1,140 @@
+//! What becomes of a member that is not heard.
+
+use world::{Millis, instance::Id, instance::State};
+
+use super::{Action, Asking, Change, Membership};
+use crate::member::{Doubt, Member};
+
+/// Heartbeats that this instance may miss itself before it blames its own pause.
+const OWN_PAUSE: Millis = 3;
+
+impl Membership {
+    /// Names the members that this instance is answerable for: those that it
+    /// has or wants a link with.
+    pub fn watch(&mut self, ids: impl IntoIterator<Item = Id>, now: Millis) {
+        let wanted = ids.into_iter().collect();
+        let before = std::mem::replace(&mut self.watched, wanted);
+        for id in self.watched.difference(&before) {
+            if let Some(entry) = self.others.get_mut(id) {
+                entry.heard = now;
+            }
+        }
+    }
+
+    /// A frame came on our own link with the member.
+    pub fn heard(&mut self, id: &Id, now: Millis) {
+        let Some(entry) = self.others.get_mut(id) else { return };
+        entry.heard = now;
+        entry.direct = Some(now);
+        entry.asking = Asking::No;
+        if entry.member.doubt != Doubt::None {
+            self.tell(id);
+        }
+    }
+
+    /// The member could not be connected to: it counts as silent already.
+    pub fn unreachable(&mut self, id: &Id, now: Millis) {
+        let span = self.timing.silence;
+        let Some(entry) = self.others.get_mut(id) else { return };
+        entry.direct = None;
+        entry.heard = entry.heard.min(now.saturating_sub(span + 1));
+    }
+
+    /// Another one reached the member and brings its word.
+    pub fn vouched(&mut self, word: Member, now: Millis) {
+        let id = word.instance.id.clone();
+        self.merge_one(word, None, now);
+        if let Some(entry) = self.others.get_mut(&id) {
+            entry.heard = now;
+            entry.asking = Asking::Vouched;
+        }
+    }
+
+    /// Nobody who was asked could reach the member.
+    pub fn unvouched(&mut self, id: &Id, now: Millis) {
+        let Some(entry) = self.others.get_mut(id) else { return };
+        let quietly = entry.asking == Asking::Quietly;
+        entry.asking = Asking::No;
+        if quietly {
+            self.suspect(id, now);
+        }
+    }
+
+    /// Lets time pass; called once a heartbeat.
+    pub fn tick(&mut self, now: Millis) {
+        self.forgive_own_pause(now);
+        let ids: Vec<_> = self.others.keys().cloned().collect();
+        for id in ids {
+            self.tick_one(&id, now);
+        }
+    }
+
+    /// A paused instance that wakes hears nobody for a moment, though nobody
+    /// is at fault; without this it would doubt the whole fleet at once.
+    fn forgive_own_pause(&mut self, now: Millis) {
+        let pause = now.saturating_sub(self.ticked);
+        self.ticked = now;
+        if pause <= OWN_PAUSE * self.timing.heartbeat {
+            return;
+        }
+        for entry in self.others.values_mut() {
+            entry.heard = now;
+            entry.since += pause;
+        }
+    }
+
+    fn tick_one(&mut self, id: &Id, now: Millis) {
+        let Some(entry) = self.others.get(id) else { return };
+        let stood = now.saturating_sub(entry.since);
+        if !entry.member.is_counted() {
+            if stood > self.timing.forget {
+                self.others.remove(id);
+            }
+            return;
+        }
+        if entry.member.doubt == Doubt::Suspect {
+            if stood >= self.patience(id) {
+                self.remove(id, now);
+            }
+            return;
+        }
+        let silent = now.saturating_sub(entry.heard) > self.timing.silence;
+        if silent && self.watched.contains(id) {
+            self.miss(id, now);
+        }
+    }
+
+    fn miss(&mut self, id: &Id, now: Millis) {
+        let Some(entry) = self.others.get_mut(id) else { return };
+        match entry.asking {
+            Asking::No | Asking::Doubted => self.suspect(id, now),
+            // A one-way cut: others hear it well. Doubting it at each silence
+            // would make it refute for ever.
+            Asking::Vouched => {
+                entry.asking = Asking::Quietly;
+                self.actions.push(Action::Probe(entry.member.clone()));
+            }
+            Asking::Quietly => {}
+        }
+    }
+
+    fn suspect(&mut self, id: &Id, now: Millis) {
+        let Some(entry) = self.others.get_mut(id) else { return };
+        if entry.member.doubt != Doubt::None || entry.member.instance.state == State::Gone {
+            return;
+        }
+        entry.doubt(now);
+        entry.asking = Asking::Doubted;
+        self.actions.push(Action::Probe(entry.member.clone()));
+        self.changes.push(Change { id: id.clone(), from: None });
+    }
+
+    fn remove(&mut self, id: &Id, now: Millis) {
+        let Some(entry) = self.others.get_mut(id) else { return };
+        entry.member.doubt = Doubt::Gone;
+        entry.since = now;
+        entry.asking = Asking::No;
+        entry.direct = None;
+        self.changes.push(Change { id: id.clone(), from: None });
+    }
+}
--- /dev/null
+++ b/crates/peer/src/pool.rs
@@ -0,0 +1,134 @@
+//! Connections for calls, streams and probes; links have their own.
+
+use std::{
+    collections::BTreeMap,
+    fmt,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use tokio::sync::OnceCell;
+use tonic::{
+    Request,
+    metadata::MetadataValue,
+    transport::{Channel, Endpoint},
+};
+use world::instance::{Id, Incarnation, Instance};
+
+use crate::{
+    error::Error,
+    generated::{Caller, peer_client::PeerClient},
+    settings::{Key, Settings},
+};
+
+/// Connections kept open; the one unused for longest goes first.
+const CONNECTIONS: usize = 64;
+/// How often an idle connection with calls on it is checked.
+const KEEP_ALIVE: Duration = Duration::from_secs(5);
+
+/// Opens and keeps connections. Behind a lock and not a task: it is held for a
+/// look-up only, and a message there and back would double a call's way.
+pub(crate) struct Pool {
+    me: Instance,
+    key: Key,
+    dial: Duration,
+    body: usize,
+    lines: Mutex<Lines>,
+}
+
+#[derive(Default)]
+struct Lines {
+    by_id: BTreeMap<Id, Line>,
+    used: u64,
+}
+
+struct Line {
+    incarnation: Incarnation,
+    channel: Arc<OnceCell<Channel>>,
+    used: u64,
+}
+
+impl fmt::Debug for Pool {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Pool").field("me", &self.me.id).finish_non_exhaustive()
+    }
+}
+
+impl Pool {
+    pub(crate) fn new(settings: &Settings) -> Self {
+        Self {
+            me: settings.me.clone(),
+            key: settings.key.clone(),
+            dial: settings.timing.dial(),
+            body: settings.limits.body,
+            lines: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn caller(&self) -> Caller {
+        Caller { id: self.me.id.to_string(), incarnation: self.me.incarnation.0 }
+    }
+
+    /// A client over the kept connection, made when there is none.
+    pub(crate) async fn client(&self, to: &Instance) -> Result<PeerClient<Channel>, Error> {
+        let cell = self.line(to);
+        let channel = cell.get_or_try_init(|| self.connect(to.peers)).await;
+        let channel = channel.map_err(|_| Error::Unreachable(to.id.clone()))?.clone();
+        Ok(self.wrap(channel))
+    }
+
+    /// A client over a connection of its own.
+    pub(crate) async fn fresh(&self, address: SocketAddr) -> Result<PeerClient<Channel>, tonic::transport::Error> {
+        self.connect(address).await.map(|channel| self.wrap(channel))
+    }
+
+    /// A request with the shared secret.
+    pub(crate) fn request<T>(&self, message: T) -> Request<T> {
+        let mut request = Request::new(message);
+        let bytes = self.key.text().as_bytes();
+        request.metadata_mut().insert_bin(crate::server::KEY, MetadataValue::from_bytes(bytes));
+        request
+    }
+
+    fn wrap(&self, channel: Channel) -> PeerClient<Channel> {
+        let room = self.body + crate::server::OVERHEAD;
+        PeerClient::new(channel).max_decoding_message_size(room).max_encoding_message_size(room)
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Channel, tonic::transport::Error> {
+        let endpoint = Endpoint::from_shared(format!("http://{address}"))?
+            .connect_timeout(self.dial)
+            .tcp_nodelay(true)
+            .http2_keep_alive_interval(KEEP_ALIVE)
+            .keep_alive_timeout(self.dial);
+        endpoint.connect().await
+    }
+
+    fn line(&self, to: &Instance) -> Arc<OnceCell<Channel>> {
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.used += 1;
+        let used = lines.used;
+        let fresh = || Line { incarnation: to.incarnation, channel: Arc::default(), used };
+        let line = lines.by_id.entry(to.id.clone()).or_insert_with(fresh);
+        if line.incarnation != to.incarnation {
+            *line = fresh();
+        }
+        line.used = used;
+        let channel = line.channel.clone();
+        lines.trim();
+        channel
+    }
+}
+
+impl Lines {
+    fn trim(&mut self) {
+        if self.by_id.len() <= CONNECTIONS {
+            return;
+        }
+        let oldest = self.by_id.iter().min_by_key(|(_, line)| line.used).map(|(id, _)| id.clone());
+        if let Some(id) = oldest {
+            self.by_id.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/server.rs
@@ -0,0 +1,207 @@
+//! What peers may ask of this instance, over tonic.
+
+use std::{fmt, pin::Pin, sync::Arc};
+
+use futures::{Stream, StreamExt, stream};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, oneshot, watch},
+    time::timeout,
+};
+use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tokio_util::sync::CancellationToken;
+use tonic::{
+    Code, Request, Response, Status, Streaming, metadata::MetadataValue, service::interceptor::InterceptedService,
+    transport::Server,
+};
+use world::instance::{Id, State};
+
+use crate::{
+    error::NOT_RUN,
+    generated::{
+        CallReply, CallRequest, Caller, Chunk, Frame, ProbeReply, ProbeRequest,
+        peer_server::{Peer, PeerServer},
+    },
+    inbound::Inbound,
+    link,
+    member::{Member, Members},
+    pool::Pool,
+    settings::{Key, Settings},
+    task::Event,
+    topic::Topic,
+    traffic::Meter,
+};
+
+/// Where the shared secret travels.
+pub(crate) const KEY: &str = "arbutuslug-key-bin";
+/// Room in a message for all but the body.
+pub(crate) const OVERHEAD: usize = 64 << 10;
+
+/// Answers peers; everything that needs the links goes to the task.
+#[derive(Debug, Clone)]
+pub(crate) struct Service {
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) events: mpsc::Sender<Event>,
+    pub(crate) inbound: mpsc::Sender<Inbound>,
+    pub(crate) members: watch::Receiver<Arc<Members>>,
+    pub(crate) pool: Arc<Pool>,
+}
+
+/// Serves until cancelled.
+pub(crate) async fn serve(service: Service, listener: TcpListener, meter: Meter, cancel: CancellationToken) {
+    let settings = service.settings.clone();
+    let key = settings.key.clone();
+    let room = settings.limits.body + OVERHEAD;
+    let peer = PeerServer::new(service).max_decoding_message_size(room).max_encoding_message_size(room);
+    let checked = InterceptedService::new(peer, move |request| check(&key, request));
+    let incoming = TcpListenerStream::new(listener).map(move |stream| {
+        let stream = stream?;
+        // A heartbeat that waits for more to send is late for nothing.
+        stream.set_nodelay(true)?;
+        Ok::<_, std::io::Error>(meter.count(stream))
+    });
+    let mut builder = Server::builder().http2_keepalive_interval(Some(settings.timing.heartbeat() * 10));
+    let server = builder.add_service(checked).serve_with_incoming_shutdown(incoming, cancel.cancelled_owned());
+    if let Err(error) = server.await {
+        tracing::error!(%error, "peer listener ended");
+    }
+}
+
+fn check(key: &Key, request: Request<()>) -> Result<Request<()>, Status> {
+    let offered = request.metadata().get_bin(KEY).and_then(|value| value.to_bytes().ok());
+    if offered.is_some_and(|offered| key.is(&offered)) {
+        return Ok(request);
+    }
+    metrics::counter!("peer_refused_total", "why" => "key").increment(1);
+    Err(not_run(Code::Unauthenticated, "wrong key; give all instances the same one"))
+}
+
+/// A status that says that the owner never saw the call.
+fn not_run(code: Code, why: &str) -> Status {
+    let mut status = Status::new(code, why);
+    status.metadata_mut().insert(NOT_RUN, MetadataValue::from_static("1"));
+    status
+}
+
+type Frames = stream::Map<ReceiverStream<Frame>, fn(Frame) -> Result<Frame, Status>>;
+
+#[tonic::async_trait]
+impl Peer for Service {
+    type LinkStream = Frames;
+    type StreamStream = Pin<Box<dyn Stream<Item = Result<Chunk, Status>> + Send>>;
+
+    async fn link(&self, request: Request<Streaming<Frame>>) -> Result<Response<Frames>, Status> {
+        let mut incoming = request.into_inner();
+        let first = timeout(self.settings.timing.dial(), link::greeting_from(&mut incoming)).await;
+        let greeting = first.ok().flatten();
+        let greeting = greeting.ok_or_else(|| not_run(Code::FailedPrecondition, "no greeting of a known version"))?;
+        let (reply, answer) = oneshot::channel();
+        self.tell(Event::Accept { greeting, incoming, reply }).await?;
+        match answer.await {
+            Ok(Ok(frames)) => Ok(Response::new(ReceiverStream::new(frames).map(Ok as fn(_) -> _))),
+            Ok(Err(refusal)) => Err(not_run(refusal.code(), refusal.message())),
+            Err(_) => Err(closing()),
+        }
+    }
+
+    async fn probe(&self, request: Request<ProbeRequest>) -> Result<Response<ProbeReply>, Status> {
+        let asked = request.into_inner().target.ok_or_else(|| not_run(Code::InvalidArgument, "no target"))?;
+        let target = Member::try_from(asked.clone()).map_err(|e| not_run(Code::InvalidArgument, e.0))?;
+        if target.instance.id == self.settings.me.id {
+            let (reply, answer) = oneshot::channel();
+            self.tell(Event::Asked(target, reply)).await?;
+            let word = answer.await.map_err(|_| closing())?;
+            return Ok(Response::new(ProbeReply { member: Some((&word).into()) }));
+        }
+        let member = timeout(self.settings.timing.dial(), probe(&self.pool, &target)).await.ok().flatten();
+        Ok(Response::new(ProbeReply { member: member.as_ref().map(Into::into) }))
+    }
+
+    async fn call(&self, request: Request<CallRequest>) -> Result<Response<CallReply>, Status> {
+        let call = request.into_inner();
+        let (from, topic) = self.admit(&call)?;
+        let (reply, answer) = oneshot::channel();
+        self.hand_over(Inbound::Call { from, topic, body: call.body, reply })?;
+        let body = answer.await.map_err(|_| Status::aborted("the owner gave no answer"))?;
+        Ok(Response::new(CallReply { body }))
+    }
+
+    async fn stream(&self, request: Request<CallRequest>) -> Result<Response<Self::StreamStream>, Status> {
+        let call = request.into_inner();
+        let (from, topic) = self.admit(&call)?;
+        let (sink, chunks) = mpsc::channel(self.settings.limits.chunks);
+        self.hand_over(Inbound::Stream { from, topic, body: call.body, sink })?;
+        let chunks = ReceiverStream::new(chunks).map(|body| Ok(Chunk { body }));
+        Ok(Response::new(Box::pin(chunks)))
+    }
+}
+
+impl Service {
+    async fn tell(&self, event: Event) -> Result<(), Status> {
+        self.events.send(event).await.map_err(|_| closing())
+    }
+
+    /// Checks who calls whom about what.
+    fn admit(&self, call: &CallRequest) -> Result<(Id, Topic), Status> {
+        let (from, incarnation) = caller(call.caller.as_ref())?;
+        let members = self.members.borrow();
+        let me = &members.me;
+        if me.state == State::Gone {
+            return Err(closing());
+        }
+        if call.wanted != 0 && call.wanted != me.incarnation.0 {
+            // The caller means the run before this one, whose memory is lost.
+            return Err(not_run(Code::FailedPrecondition, "this instance was started anew since"));
+        }
+        if members.get(&from).is_some_and(|known| known.incarnation.0 > incarnation) {
+            // A run that has been replaced must not act under its name.
+            return Err(not_run(Code::FailedPrecondition, "the caller was started anew since"));
+        }
+        let topic = Topic::try_from(call.topic);
+        let topic = topic.map_err(|_| not_run(Code::Unimplemented, "this build does not know the topic"))?;
+        Ok((from, topic))
+    }
+
+    /// Never waits: a queue that is full is a true "not run" at once, which
+    /// serves the caller better than an unknown outcome at its deadline.
+    fn hand_over(&self, message: Inbound) -> Result<(), Status> {
+        self.inbound.try_send(message).map_err(|error| match error {
+            mpsc::error::TrySendError::Full(_) => not_run(Code::ResourceExhausted, "too many messages wait here"),
+            mpsc::error::TrySendError::Closed(_) => closing(),
+        })
+    }
+}
+
+fn caller(caller: Option<&Caller>) -> Result<(Id, u64), Status> {
+    let caller = caller.ok_or_else(|| not_run(Code::InvalidArgument, "no caller"))?;
+    let id = Id::parse(&caller.id).map_err(|_| not_run(Code::InvalidArgument, "the caller's name is no name"))?;
+    Ok((id, caller.incarnation))
+}
+
+fn closing() -> Status {
+    not_run(Code::FailedPrecondition, "this instance is shutting down")
+}
+
+/// Asks a member for its word over a connection of its own.
+pub(crate) async fn probe(pool: &Pool, target: &Member) -> Option<Member> {
+    let client = pool.fresh(target.instance.peers).await.ok()?;
+    ask(client, pool, target).await
+}
+
+/// Asks a peer after `target`, which may be the peer itself.
+pub(crate) async fn ask(
+    mut client: crate::generated::peer_client::PeerClient<tonic::transport::Channel>,
+    pool: &Pool,
+    target: &Member,
+) -> Option<Member> {
+    let request = ProbeRequest { caller: Some(pool.caller()), target: Some(target.into()) };
+    let reply = client.probe(pool.request(request)).await.ok()?;
+    let word = Member::try_from(reply.into_inner().member?).ok()?;
+    (word.instance.id == target.instance.id).then_some(word)
+}
+
+impl fmt::Debug for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.kind())
+    }
+}
--- /dev/null
+++ b/crates/peer/src/task.rs
@@ -0,0 +1,297 @@
+//! The task that owns the links.
+//!
+//! Everything that happens arrives as an [`Event`] or [`Command`], is handled
+//! without waiting, and what has to be told is put into the links' queues at
+//! the end of each round. A queue that is full costs its own link only.
+
+mod dialling;
+mod links;
+mod messages;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, oneshot, watch},
+    time::{Instant, Interval, MissedTickBehavior, interval},
+};
+use tokio_util::{sync::CancellationToken, task::AbortOnDropHandle};
+use tonic::{Status, Streaming};
+use world::{
+    Millis,
+    instance::{Id, State},
+};
+
+use crate::{
+    generated::Frame,
+    handle::{Command, Handle},
+    inbound::Inbound,
+    link::{Failure, Opened, Received, Source},
+    member::{Member, Members},
+    membership::Membership,
+    news::Seen,
+    pool::Pool,
+    server::{self, Service},
+    settings::Settings,
+    spread::Digests,
+    traffic::Meter,
+    wire::Greeting,
+};
+
+/// Events waiting for the task. Small, because each reader waits in line for a
+/// place: a flood then stands this far before the others' frames, no more.
+const EVENTS: usize = 64;
+/// Commands waiting for the task.
+const COMMANDS: usize = 256;
+/// Events handled before the links are told.
+const ROUND: usize = 32;
+/// How long a last word has to get out.
+const LAST_WORD: Duration = Duration::from_millis(200);
+
+/// What happens.
+pub(crate) enum Event {
+    /// A peer dialled us.
+    Accept {
+        greeting: Greeting,
+        incoming: Streaming<Frame>,
+        reply: oneshot::Sender<Result<mpsc::Receiver<Frame>, Status>>,
+    },
+    /// Dialling ended.
+    Dialled { address: SocketAddr, wanted: Option<Id>, outcome: Result<Opened, Failure> },
+    /// A frame came.
+    Received(Source, Received),
+    /// A link's incoming side ended.
+    Closed(Source),
+    /// A peer asks us for our word, and may tell a doubt.
+    Asked(Member, oneshot::Sender<Member>),
+    /// A probe ended.
+    Probed { id: Id, word: Option<Member> },
+}
+
+impl Event {
+    pub(crate) fn kind(&self) -> &'static str {
+        match self {
+            Self::Accept { .. } => "accept",
+            Self::Dialled { .. } => "dialled",
+            Self::Received(..) => "received",
+            Self::Closed(_) => "closed",
+            Self::Asked(..) => "asked",
+            Self::Probed { .. } => "probed",
+        }
+    }
+}
+
+/// Milliseconds since the start, monotonic and our own.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Clock(Instant);
+
+impl Clock {
+    pub(crate) fn now(self) -> Millis {
+        u64::try_from(self.0.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+pub(crate) struct Task {
+    settings: Arc<Settings>,
+    clock: Clock,
+    membership: Membership,
+    members: watch::Sender<Arc<Members>>,
+    links: BTreeMap<Id, links::Link>,
+    serial: u64,
+    digests: Digests,
+    seen: Seen,
+    published: u64,
+    dialling: dialling::Dialling,
+    events: mpsc::Sender<Event>,
+    inbound: mpsc::Sender<Inbound>,
+    pool: Arc<Pool>,
+}
+
+/// Starts the task and the server.
+pub(crate) fn start(settings: Settings, listener: TcpListener) -> (Handle, mpsc::Receiver<Inbound>) {
+    let address = settings.me.peers;
+    let settings = Arc::new(settings);
+    let pool = Arc::new(Pool::new(&settings));
+    let (events, event_queue) = mpsc::channel(EVENTS);
+    let (commands, command_queue) = mpsc::channel(COMMANDS);
+    let (inbound, inbound_queue) = mpsc::channel(settings.limits.inbound);
+    let (members, members_seen) = watch::channel(Arc::new(Members::alone(settings.me.clone())));
+    let (meter, stop, abort) = (Meter::default(), CancellationToken::new(), CancellationToken::new());
+
+    let service = Service {
+        settings: settings.clone(),
+        events: events.clone(),
+        inbound: inbound.clone(),
+        members: members_seen.clone(),
+        pool: pool.clone(),
+    };
+    let server = AbortOnDropHandle::new(tokio::spawn(server::serve(service, listener, meter.clone(), stop.clone())));
+    let clock = Clock(Instant::now());
+    let task = Task {
+        membership: Membership::new(settings.me.clone(), settings.timing, clock.now()),
+        dialling: dialling::Dialling::new(&settings),
+        settings,
+        clock,
+        members,
+        links: BTreeMap::new(),
+        serial: 0,
+        digests: Digests::default(),
+        seen: Seen::default(),
+        published: 0,
+        events,
+        inbound,
+        pool: pool.clone(),
+    };
+    let handle = Handle { commands, members: members_seen, pool, address, meter, abort: abort.clone() };
+    tokio::spawn(async move {
+        tokio::select! {
+            () = abort.cancelled() => {}
+            () = task.run(event_queue, command_queue) => {}
+        }
+        stop.cancel();
+        drop(server);
+    });
+    (handle, inbound_queue)
+}
+
+impl Task {
+    async fn run(mut self, mut events: mpsc::Receiver<Event>, mut commands: mpsc::Receiver<Command>) {
+        let mut heartbeat = self.heartbeat();
+        self.dial_seeds();
+        loop {
+            tokio::select! {
+                _ = heartbeat.tick() => self.beat(),
+                Some(event) = events.recv() => self.round(event, &mut events),
+                command = commands.recv() => match command {
+                    // Without a handle nobody could end it any more.
+                    None => return self.depart(None).await,
+                    Some(Command::Close(done)) => return self.depart(Some(done)).await,
+                    Some(command) => self.command(command),
+                },
+            }
+            self.settle();
+        }
+    }
+
+    fn heartbeat(&self) -> Interval {
+        let mut heartbeat = interval(self.settings.timing.heartbeat());
+        // After a pause one heartbeat says all that the missed ones would.
+        heartbeat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        heartbeat
+    }
+
+    fn round(&mut self, first: Event, events: &mut mpsc::Receiver<Event>) {
+        self.event(first);
+        for _ in 1..ROUND {
+            let Ok(event) = events.try_recv() else { return };
+            self.event(event);
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        let now = self.clock.now();
+        match event {
+            Event::Accept { greeting, incoming, reply } => self.accept(greeting, incoming, reply),
+            Event::Dialled { address, wanted, outcome } => self.dialled(address, wanted, outcome),
+            Event::Received(source, received) => self.received(&source, received),
+            Event::Closed(source) => self.closed(&source),
+            Event::Asked(doubt, reply) => {
+                let from = self.settings.me.id.clone();
+                self.membership.merge(vec![doubt], &from, now);
+                // The asker may have given up.
+                let _ = reply.send(self.membership.me().clone());
+            }
+            Event::Probed { id, word: None } => self.membership.unvouched(&id, now),
+            Event::Probed { word: Some(word), .. } => self.membership.vouched(word, now),
+        }
+    }
+
+    fn command(&mut self, command: Command) {
+        match command {
+            Command::Publish(topic, body) => self.publish(topic, body),
+            Command::Digest(topic, value) => self.set_digest(topic, value),
+            Command::Listed(listed) => self.membership.set_listed(listed),
+            Command::Known(known) => self.dialling.know(self.membership.strangers(&known)),
+            Command::Leave(done) => {
+                self.membership.leave();
+                self.settle();
+                // The caller may not care.
+                let _ = done.send(());
+            }
+            Command::Close(_) => unreachable!("handled by the loop"),
+        }
+    }
+
+    /// Once a heartbeat.
+    fn beat(&mut self) {
+        let now = self.clock.now();
+        self.membership.tick(now);
+        self.seen.keep(|id| self.membership.get(id).is_some());
+        self.dial_stray();
+        self.beat_links();
+    }
+
+    /// After each round: act on what the membership found, keep the links as
+    /// planned, tell what changed.
+    fn settle(&mut self) {
+        for action in self.membership.take_actions() {
+            self.act(action);
+        }
+        self.keep_links();
+        let changes = self.membership.take_changes();
+        if !changes.is_empty() {
+            self.note_changes(&changes);
+        }
+        self.show_members();
+        self.flush_links();
+    }
+
+    fn note_changes(&mut self, changes: &[crate::membership::Change]) {
+        let mut told: BTreeMap<Option<&Id>, BTreeSet<&Id>> = BTreeMap::new();
+        for change in changes {
+            told.entry(change.from.as_ref()).or_default().insert(&change.id);
+        }
+        for (id, link) in &mut self.links {
+            let news = told.iter().filter(|(from, _)| **from != Some(id)).flat_map(|(_, ids)| ids);
+            news.for_each(|changed| link.spread.add(changed));
+        }
+    }
+
+    fn show_members(&mut self) {
+        let members = self.membership.members();
+        self.members.send_if_modified(|shown| {
+            let changed = **shown != members;
+            if changed {
+                *shown = Arc::new(members);
+            }
+            changed
+        });
+    }
+
+    /// Tells all that this run has ended and gives the word a moment.
+    async fn depart(mut self, done: Option<oneshot::Sender<()>>) {
+        self.membership.depart();
+        self.settle();
+        let empty = async {
+            while self.links.values().any(|link| !link.is_empty()) {
+                tokio::time::sleep(LAST_WORD / 20).await;
+            }
+        };
+        // A link that does not drain has a peer that is not listening; it will
+        // notice by the silence.
+        let _ = tokio::time::timeout(LAST_WORD, empty).await;
+        if let Some(done) = done {
+            // The caller may have given up.
+            let _ = done.send(());
+        }
+    }
+
+    fn is_ended(&self) -> bool {
+        self.membership.me().instance.state == State::Gone
+    }
+}
--- /dev/null
+++ b/crates/peer/src/task/dialling.rs
@@ -0,0 +1,170 @@
+//! Looking for peers: seeds, instances that the object API names, and those
+//! removed, which may be the far side of a partition.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use rand::{Rng, seq::IteratorRandom};
+use world::{
+    Millis,
+    instance::{Id, Instance},
+};
+
+use super::{Event, Task};
+use crate::{
+    link::{self, Failure, Opened},
+    settings::Settings,
+    wire::Greeting,
+};
+
+/// Seeds dialled at the start; the rest one by one if these do not answer.
+const FIRST_SEEDS: usize = 3;
+/// Heartbeats a peer is left alone that has no room for a link.
+const REST: Millis = 30;
+/// Doublings of the wait after failures.
+const DOUBLINGS: u32 = 4;
+
+/// Whom to dial, and when again.
+#[derive(Debug)]
+pub(super) struct Dialling {
+    heartbeat: Millis,
+    seeds: Vec<SocketAddr>,
+    strangers: BTreeMap<Id, Instance>,
+    under_way: BTreeSet<SocketAddr>,
+    /// Our own addresses, as others met us there.
+    own: BTreeSet<SocketAddr>,
+    waits: BTreeMap<Id, Wait>,
+    missing: BTreeMap<Id, Millis>,
+}
+
+#[derive(Debug, Default)]
+struct Wait {
+    until: Millis,
+    failures: u32,
+}
+
+impl Dialling {
+    pub(super) fn new(settings: &Settings) -> Self {
+        Self {
+            heartbeat: settings.timing.heartbeat,
+            seeds: settings.seeds.clone(),
+            strangers: BTreeMap::new(),
+            under_way: BTreeSet::new(),
+            own: BTreeSet::from([settings.me.peers]),
+            waits: BTreeMap::new(),
+            missing: BTreeMap::new(),
+        }
+    }
+
+    /// Takes the latest instances that nobody has met.
+    pub(super) fn know(&mut self, strangers: Vec<Instance>) {
+        self.strangers = strangers.into_iter().map(|i| (i.id.clone(), i)).collect();
+    }
+
+    pub(super) fn may_dial(&self, id: &Id, now: Millis) -> bool {
+        self.waits.get(id).is_none_or(|wait| wait.until <= now)
+    }
+
+    /// Leaves a peer alone for a while that has no room.
+    pub(super) fn rest(&mut self, id: &Id, now: Millis) {
+        self.waits.entry(id.clone()).or_default().until = now + REST * self.heartbeat;
+    }
+
+    pub(super) fn met(&mut self, id: &Id) {
+        self.strangers.remove(id);
+        self.waits.remove(id);
+        self.missing.remove(id);
+    }
+
+    fn failed(&mut self, id: &Id, now: Millis) {
+        let wait = self.waits.entry(id.clone()).or_default();
+        let span = self.heartbeat << wait.failures.min(DOUBLINGS);
+        // Jitter: all that lost one peer would come back to it at once.
+        wait.until = now + rand::rng().random_range(span / 2..=span);
+        wait.failures += 1;
+    }
+
+    /// How long a planned link has been missing.
+    pub(super) fn missing_for(&mut self, id: &Id, now: Millis) -> Millis {
+        now - *self.missing.entry(id.clone()).or_insert(now)
+    }
+
+    pub(super) fn forget_missing(&mut self, wanted: impl Fn(&Id) -> bool) {
+        self.missing.retain(|id, _| wanted(id));
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.under_way.is_empty()
+    }
+}
+
+impl Task {
+    pub(super) fn dial_seeds(&mut self) {
+        let seeds = self.dialling.seeds.clone();
+        for address in seeds.into_iter().choose_multiple(&mut rand::rng(), FIRST_SEEDS) {
+            self.dial(address, None);
+        }
+    }
+
+    /// Tries one address at random that no link leads to. One a heartbeat
+    /// finds the far side of a healed partition in a few seconds and costs
+    /// next to nothing while there is none.
+    pub(super) fn dial_stray(&mut self) {
+        if self.is_ended() {
+            return;
+        }
+        let counted: BTreeSet<_> =
+            self.membership.others().filter(|m| m.is_counted()).map(|m| m.instance.peers).collect();
+        let gone = self.membership.others().filter(|m| !m.is_counted()).map(|m| m.instance.peers);
+        let strangers = self.dialling.strangers.values().map(|i| i.peers);
+        let seeds = self.dialling.seeds.iter().copied();
+        let strays = gone.chain(strangers).chain(seeds);
+        let alone = self.links.is_empty();
+        let stray = strays.filter(|a| alone || !counted.contains(a)).choose(&mut rand::rng());
+        if let Some(address) = stray {
+            self.dial(address, None);
+        }
+    }
+
+    /// Dials in a task of its own, once at a time for each address.
+    pub(super) fn dial(&mut self, address: SocketAddr, wanted: Option<Id>) {
+        if self.dialling.own.contains(&address) || !self.dialling.under_way.insert(address) {
+            return;
+        }
+        let (pool, settings, events) = (self.pool.clone(), self.settings.clone(), self.events.clone());
+        let greeting = Greeting { sender: self.membership.me().clone(), full: false };
+        tokio::spawn(async move {
+            let outcome = link::dial(address, greeting, &pool, &settings).await;
+            // The task may have ended; the link then closes with the event.
+            let _ = events.send(Event::Dialled { address, wanted, outcome }).await;
+        });
+    }
+
+    pub(super) fn dialled(&mut self, address: SocketAddr, wanted: Option<Id>, outcome: Result<Opened, Failure>) {
+        self.dialling.under_way.remove(&address);
+        let now = self.clock.now();
+        match outcome {
+            Ok(opened) => self.opened(address, wanted.as_ref(), opened),
+            Err(Failure::Superseded) => {
+                tracing::error!(%address, "a later run under this instance's name is known; this one ends its links");
+                self.membership.supersede();
+            }
+            Err(failure) => {
+                tracing::debug!(%address, ?failure, "peer not linked");
+                let Some(id) = wanted else { return };
+                self.dialling.failed(&id, now);
+                if failure == Failure::Unreachable {
+                    self.membership.unreachable(&id, now);
+                    self.membership.tick(now);
+                }
+            }
+        }
+    }
+
+    /// The address turned out to be our own.
+    pub(super) fn is_own(&mut self, address: SocketAddr) {
+        self.dialling.own.insert(address);
+    }
+}
--- /dev/null
+++ b/crates/peer/src/task/messages.rs
@@ -0,0 +1,203 @@
+//! Frames in and out, news, digests, probes.
+
+use std::collections::BTreeSet;
+
+use bytes::Bytes;
+use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
+use tokio::time::timeout;
+use world::instance::{Id, Instance};
+
+use super::{Event, Task};
+use crate::{
+    inbound::Inbound,
+    link::{Received, Source},
+    member::Member,
+    membership::Action,
+    news::News,
+    pool::Pool,
+    server,
+    spread::Heartbeat,
+    topic::Topic,
+    wire,
+};
+
+/// Peers asked after a silent one.
+const PROBERS: usize = 3;
+/// Links that news may travel at most; far more than any way is long.
+const HOPS: u32 = 16;
+
+impl Task {
+    pub(super) fn received(&mut self, source: &Source, received: Received) {
+        // A frame of a link that has been replaced, in flight when it was.
+        if self.links.get(&source.id).is_none_or(|link| link.source != *source) {
+            return;
+        }
+        let now = self.clock.now();
+        self.membership.heard(&source.id, now);
+        match received {
+            Received::Heartbeat(heartbeat) => self.heartbeat_from(&source.id, heartbeat),
+            Received::News(news) => self.news_from(&source.id, &news),
+            Received::Other => {}
+        }
+    }
+
+    fn heartbeat_from(&mut self, id: &Id, heartbeat: Heartbeat) {
+        let now = self.clock.now();
+        self.membership.merge(heartbeat.members, id, now);
+        let mine = self.membership.view();
+        let Some(link) = self.links.get_mut(id) else { return };
+        link.spread.compare(heartbeat.view, mine);
+        if heartbeat.want_all {
+            link.spread.add_all(&self.membership);
+        }
+        // A topic of a later build has no owner here.
+        let known = heartbeat.digests.into_iter().filter_map(|(topic, value)| Some((topic.try_into().ok()?, value)));
+        link.digests.extend(known);
+        self.hand_over_digests(id);
+    }
+
+    /// Gives owners the digests they have not got; what does not fit into the
+    /// queue now is tried again with the next heartbeat.
+    fn hand_over_digests(&mut self, id: &Id) {
+        let inbound = &self.inbound;
+        let Some(link) = self.links.get_mut(id) else { return };
+        link.digests.retain(|topic, value| {
+            let digest = Inbound::Digest { from: id.clone(), topic: *topic, value: value.clone() };
+            inbound.try_send(digest).is_err()
+        });
+    }
+
+    fn news_from(&mut self, from: &Id, news: &News) {
+        let known = self.membership.get(&news.origin);
+        let earlier_run = known.is_some_and(|m| m.instance.incarnation > news.incarnation);
+        if news.origin == self.settings.me.id || earlier_run || !self.seen.is_new(news) {
+            return;
+        }
+        self.deliver(from, news);
+        if news.relay && news.hops < HOPS {
+            let relayed = News { hops: news.hops + 1, ..news.clone() };
+            self.send_news(&relayed, Some(from));
+        }
+    }
+
+    fn deliver(&self, from: &Id, news: &News) {
+        // A topic of a later build is passed on and has no owner here.
+        let Ok(topic) = Topic::try_from(news.topic) else { return };
+        let (origin, body) = (news.origin.clone(), news.body.clone());
+        if self.inbound.try_send(Inbound::News { from: from.clone(), origin, topic, body }).is_err() {
+            metrics::counter!("peer_news_dropped_total", "where" => "inbound").increment(1);
+        }
+    }
+
+    pub(super) fn publish(&mut self, topic: Topic, body: Bytes) {
+        self.published += 1;
+        let me = &self.membership.me().instance;
+        let counted = self.membership.others().filter(|m| m.is_counted()).count();
+        let news = News {
+            origin: me.id.clone(),
+            incarnation: me.incarnation,
+            sequence: self.published,
+            topic: topic.number(),
+            body,
+            hops: 0,
+            relay: self.links.len() < counted,
+        };
+        self.send_news(&news, None);
+    }
+
+    fn send_news(&self, news: &News, from: Option<&Id>) {
+        let others = self.links.iter().filter(|(id, _)| Some(*id) != from && **id != news.origin);
+        for (_, link) in others {
+            link.send(wire::frame(news.clone()));
+        }
+    }
+
+    pub(super) fn set_digest(&mut self, topic: Topic, value: Bytes) {
+        if self.digests.set(topic, value) {
+            self.links.values_mut().for_each(|link| link.spread.add_digest(topic));
+        }
+    }
+
+    /// One heartbeat on every link.
+    pub(super) fn beat_links(&mut self) {
+        let ids: Vec<_> = self.links.keys().cloned().collect();
+        for id in ids {
+            self.hand_over_digests(&id);
+            self.beat_link(&id);
+        }
+    }
+
+    /// What is due on each link, at once.
+    pub(super) fn flush_links(&mut self) {
+        let due: Vec<_> = self.links.iter().filter(|(_, l)| l.spread.is_due()).map(|(id, _)| id.clone()).collect();
+        for id in due {
+            while self.links.get(&id).is_some_and(|link| link.spread.is_due()) && self.beat_link(&id) {}
+        }
+    }
+
+    fn beat_link(&mut self, id: &Id) -> bool {
+        let Some(link) = self.links.get_mut(id) else { return false };
+        let heartbeat = link.spread.next(&self.membership, &self.digests);
+        let sent = link.send(wire::frame(heartbeat));
+        if sent {
+            link.spread.sent();
+        }
+        sent
+    }
+
+    pub(super) fn act(&mut self, action: Action) {
+        match action {
+            Action::Probe(member) => self.probe(&member),
+            Action::Tell(member) => self.tell(member),
+        }
+    }
+
+    /// Tells a member what is held against it, on our link with it or on a
+    /// connection of its own; its answer is its new word.
+    fn tell(&self, member: Member) {
+        if let Some(link) = self.links.get(&member.instance.id) {
+            let view = self.membership.view();
+            link.send(wire::frame(Heartbeat { members: vec![member], view, ..Heartbeat::default() }));
+            return;
+        }
+        self.ask(member, Vec::new());
+    }
+
+    /// Asks peers of different failure domains after a member, and the member
+    /// itself on a new connection.
+    fn probe(&self, member: &Member) {
+        let mut domains = BTreeSet::new();
+        let linked = self.links.keys().filter(|id| **id != member.instance.id);
+        let peers = linked.filter_map(|id| self.membership.get(id)).filter(|m| m.is_counted());
+        let apart = peers.filter(|m| domains.insert(m.instance.domain.clone()));
+        let probers = apart.take(PROBERS).map(|m| m.instance.clone()).collect();
+        self.ask(member.clone(), probers);
+    }
+
+    fn ask(&self, member: Member, probers: Vec<Instance>) {
+        let (pool, events) = (self.pool.clone(), self.events.clone());
+        let within = self.settings.timing.dial() * 2;
+        tokio::spawn(async move {
+            let word = timeout(within, first_word(&pool, &member, &probers)).await.ok().flatten();
+            let id = member.instance.id.clone();
+            // The task may have ended; then nobody has to know.
+            let _ = events.send(Event::Probed { id, word }).await;
+        });
+    }
+}
+
+/// The first answer that brings the member's word.
+async fn first_word(pool: &Pool, member: &Member, probers: &[Instance]) -> Option<Member> {
+    let answers: FuturesUnordered<BoxFuture<'_, Option<Member>>> = FuturesUnordered::new();
+    answers.push(Box::pin(server::probe(pool, member)));
+    for peer in probers {
+        answers.push(Box::pin(probe_through(pool, peer, member)));
+    }
+    let mut words = answers.filter_map(std::future::ready);
+    words.next().await
+}
+
+async fn probe_through(pool: &Pool, peer: &Instance, member: &Member) -> Option<Member> {
+    let client = pool.client(peer).await.ok()?;
+    server::ask(client, pool, member).await
+}
--- /dev/null
+++ b/crates/peer/src/wire.rs
@@ -0,0 +1,198 @@
+//! Between our types and the generated wire types.
+//!
+//! A message of another build is read as far as this one knows it: unknown
+//! fields are skipped, an unknown state takes no new work, an entry that makes
+//! no sense is left out alone.
+
+use std::net::SocketAddr;
+
+use world::instance::{Id, Incarnation, Instance, State};
+
+use crate::{
+    generated as pb,
+    member::{Doubt, Member},
+    news::News,
+    spread::Heartbeat,
+};
+
+#[cfg(test)]
+mod tests;
+
+/// Protocol version of this build.
+pub const VERSION: u32 = 1;
+/// Oldest version that this build understands.
+pub const OLDEST: u32 = 1;
+
+/// A message that makes no sense; the text names the field.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Invalid(pub &'static str);
+
+impl From<&Member> for pb::Member {
+    fn from(member: &Member) -> Self {
+        let instance = &member.instance;
+        Self {
+            id: instance.id.to_string(),
+            incarnation: instance.incarnation.0,
+            refutation: member.refutation,
+            state: word(instance.state).into(),
+            domain: instance.domain.to_string(),
+            callers: instance.callers.to_string(),
+            peers: instance.peers.to_string(),
+            operators: instance.operators.to_string(),
+            doubt: pb::Doubt::from(member.doubt).into(),
+        }
+    }
+}
+
+fn word(state: State) -> pb::State {
+    match state {
+        State::Live | State::Suspect => pb::State::Live,
+        State::Leaving => pb::State::Leaving,
+        State::Gone => pb::State::Left,
+    }
+}
+
+impl From<Doubt> for pb::Doubt {
+    fn from(doubt: Doubt) -> Self {
+        match doubt {
+            Doubt::None => Self::None,
+            Doubt::Suspect => Self::Suspect,
+            Doubt::Gone => Self::Gone,
+        }
+    }
+}
+
+impl TryFrom<pb::Member> for Member {
+    type Error = Invalid;
+
+    fn try_from(wire: pb::Member) -> Result<Self, Invalid> {
+        let state = match wire.state() {
+            pb::State::Live => State::Live,
+            pb::State::Left => State::Gone,
+            // Also one that a later build made up: no new work goes there.
+            pb::State::Leaving | pb::State::Unspecified => State::Leaving,
+        };
+        let doubt = match wire.doubt() {
+            pb::Doubt::None => Doubt::None,
+            pb::Doubt::Suspect => Doubt::Suspect,
+            pb::Doubt::Gone => Doubt::Gone,
+        };
+        let instance = Instance {
+            id: Id::parse(&wire.id).map_err(|_| Invalid("id"))?,
+            incarnation: Incarnation(wire.incarnation),
+            domain: wire.domain.parse().map_err(|_| Invalid("domain"))?,
+            callers: address(&wire.callers).ok_or(Invalid("callers"))?,
+            peers: address(&wire.peers).ok_or(Invalid("peers"))?,
+            operators: address(&wire.operators).ok_or(Invalid("operators"))?,
+            state,
+        };
+        Ok(Self { instance, refutation: wire.refutation, doubt })
+    }
+}
+
+fn address(text: &str) -> Option<SocketAddr> {
+    text.parse().ok()
+}
+
+impl From<Heartbeat> for pb::Heartbeat {
+    fn from(heartbeat: Heartbeat) -> Self {
+        Self {
+            members: heartbeat.members.iter().map(Into::into).collect(),
+            digests: heartbeat.digests.into_iter().map(|(topic, value)| pb::Digest { topic, value }).collect(),
+            view: heartbeat.view,
+            want_all: heartbeat.want_all,
+        }
+    }
+}
+
+impl From<pb::Heartbeat> for Heartbeat {
+    fn from(wire: pb::Heartbeat) -> Self {
+        Self {
+            members: wire.members.into_iter().filter_map(|m| m.try_into().ok()).collect(),
+            digests: wire.digests.into_iter().map(|d| (d.topic, d.value)).collect(),
+            view: wire.view,
+            want_all: wire.want_all,
+        }
+    }
+}
+
+impl From<News> for pb::News {
+    fn from(news: News) -> Self {
+        Self {
+            origin: news.origin.to_string(),
+            incarnation: news.incarnation.0,
+            sequence: news.sequence,
+            topic: news.topic,
+            body: news.body,
+            hops: news.hops,
+            relay: news.relay,
+        }
+    }
+}
+
+impl TryFrom<pb::News> for News {
+    type Error = Invalid;
+
+    fn try_from(wire: pb::News) -> Result<Self, Invalid> {
+        Ok(Self {
+            origin: Id::parse(&wire.origin).map_err(|_| Invalid("origin"))?,
+            incarnation: Incarnation(wire.incarnation),
+            sequence: wire.sequence,
+            topic: wire.topic,
+            body: wire.body,
+            hops: wire.hops,
+            relay: wire.relay,
+        })
+    }
+}
+
+/// The first frame on a link.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Greeting {
+    /// Who greets.
+    pub sender: Member,
+    /// It has all the links it may keep.
+    pub full: bool,
+}
+
+impl From<Greeting> for pb::Greeting {
+    fn from(greeting: Greeting) -> Self {
+        Self { version: VERSION, oldest: OLDEST, sender: Some((&greeting.sender).into()), full: greeting.full }
+    }
+}
+
+impl TryFrom<pb::Greeting> for Greeting {
+    type Error = Invalid;
+
+    fn try_from(wire: pb::Greeting) -> Result<Self, Invalid> {
+        if wire.version < OLDEST || wire.oldest > VERSION {
+            return Err(Invalid("version"));
+        }
+        let sender = wire.sender.ok_or(Invalid("sender"))?.try_into()?;
+        Ok(Self { sender, full: wire.full })
+    }
+}
+
+/// One frame with its kind.
+#[must_use]
+pub fn frame(kind: impl Into<pb::frame::Kind>) -> pb::Frame {
+    pb::Frame { kind: Some(kind.into()) }
+}
+
+impl From<Heartbeat> for pb::frame::Kind {
+    fn from(heartbeat: Heartbeat) -> Self {
+        Self::Heartbeat(heartbeat.into())
+    }
+}
+
+impl From<News> for pb::frame::Kind {
+    fn from(news: News) -> Self {
+        Self::News(news.into())
+    }
+}
+
+impl From<Greeting> for pb::frame::Kind {
+    fn from(greeting: Greeting) -> Self {
+        Self::Greeting(greeting.into())
+    }
+}
--- /dev/null
+++ b/crates/peer/tests/links.rs
@@ -0,0 +1,196 @@
+//! Instances over real connections.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use fleet::{fleet, id, next, settings, spawn, until};
+use futures::StreamExt;
+use peer::{Error, Inbound, Key, Limits, Settings, Topic};
+use world::instance::State;
+
+const WITHIN: Duration = Duration::from_secs(10);
+
+#[tokio::test]
+async fn a_call_is_answered_by_its_owner() {
+    let mut nodes = fleet(2, Limits::default()).await;
+    let caller = nodes[1].handle.clone();
+    let calling = tokio::spawn(async move { caller.call(&id(0), Topic::Journal, "claim".into(), WITHIN).await });
+    let (from, topic, body, reply) = next(&mut nodes[0].inbound, |message| match message {
+        Inbound::Call { from, topic, body, reply } => Some((from, topic, body, reply)),
+        _ => None,
+    })
+    .await;
+    assert_eq!((from, topic, body), (id(1), Topic::Journal, Bytes::from("claim")));
+    reply.send("done".into()).unwrap();
+    assert_eq!(calling.await.unwrap(), Ok(Bytes::from("done")));
+}
+
+#[tokio::test]
+async fn a_call_says_whether_it_may_have_arrived() {
+    // The caller of a claim must know "not run" from "may have run": the first
+    // may be tried elsewhere, the second must be asked about.
+    let limits = Limits { inbound: 1, ..Limits::default() };
+    let mut nodes = fleet(2, limits).await;
+    let handle = nodes[1].handle.clone();
+    let owner = id(0);
+    let call = |within| handle.call(&owner, Topic::Journal, Bytes::new(), within);
+
+    let stranger = handle.call(&id(9), Topic::Journal, Bytes::new(), WITHIN).await;
+    assert_eq!(stranger, Err(Error::Unknown(id(9))));
+
+    // Waits in the owner's queue past its time.
+    let unanswered = call(Duration::from_millis(100)).await.unwrap_err();
+    assert!(matches!(unanswered, Error::Lost(..)) && unanswered.may_have_arrived(), "{unanswered}");
+
+    // The queue is full of the first.
+    let full = call(WITHIN).await.unwrap_err();
+    assert!(matches!(full, Error::Refused(..)) && !full.may_have_arrived(), "{full}");
+
+    // The owner takes it and drops the reply.
+    nodes[0].inbound.recv().await.unwrap();
+    let calling = tokio::spawn({
+        let handle = handle.clone();
+        async move { handle.call(&id(0), Topic::Journal, Bytes::new(), WITHIN).await }
+    });
+    drop(nodes[0].inbound.recv().await.unwrap());
+    assert!(calling.await.unwrap().unwrap_err().may_have_arrived());
+}
+
+#[tokio::test]
+async fn a_stream_is_sent_no_faster_than_it_is_read() {
+    // A slow reader of a large answer must cost the sender a bounded queue and
+    // not the whole answer's memory.
+    const CHUNK: usize = 64 << 10;
+    const CHUNKS: usize = 2_000;
+    let mut nodes = fleet(2, Limits::default()).await;
+    let mut answers = nodes[1].handle.stream(&id(0), Topic::Timeline, "all".into()).await.unwrap();
+    let sink = next(&mut nodes[0].inbound, |message| match message {
+        Inbound::Stream { sink, .. } => Some(sink),
+        _ => None,
+    })
+    .await;
+    let mut taken = 0;
+    while let Ok(Ok(())) = tokio::time::timeout(WITHIN / 20, sink.send(Bytes::from(vec![0; CHUNK]))).await {
+        taken += 1;
+        assert!(taken < CHUNKS, "the sender was never held back");
+    }
+    // Reading lets it go on, and every chunk comes.
+    let sending = tokio::spawn(async move {
+        for _ in taken..CHUNKS {
+            sink.send(Bytes::from(vec![0; CHUNK])).await.unwrap();
+        }
+    });
+    let mut read = 0;
+    while let Some(chunk) = answers.next().await {
+        assert_eq!(chunk.unwrap().len(), CHUNK);
+        read += 1;
+    }
+    sending.await.unwrap();
+    assert_eq!(read, CHUNKS);
+}
+
+/// Publishes from each and expects each piece once, everywhere else.
+async fn check_news(size: usize, links: usize) {
+    let mut nodes = fleet(size, Limits { links, ..Limits::default() }).await;
+    for origin in 0..size {
+        nodes[origin].handle.publish(Topic::Config, Bytes::from(origin.to_string())).await.unwrap();
+        for place in (0..size).filter(|place| *place != origin) {
+            let (by, body) = next(&mut nodes[place].inbound, |message| match message {
+                Inbound::News { origin, topic: Topic::Config, body, .. } => Some((origin, body)),
+                _ => None,
+            })
+            .await;
+            assert_eq!((by, body), (id(origin), Bytes::from(origin.to_string())));
+        }
+    }
+}
+
+macro_rules! news {
+    ($($name:ident: $size:expr, $links:expr;)*) => {
+        $(#[tokio::test] async fn $name() { check_news($size, $links).await; })*
+    };
+}
+
+news! {
+    news_reaches_all_of_a_full_mesh: 5, 12;
+    news_reaches_all_over_three_links_each: 10, 3;
+}
+
+#[tokio::test]
+async fn a_wrong_key_is_refused() {
+    // A process that can reach the port but lacks the key must learn nothing
+    // and change nothing.
+    let node = spawn(settings(0, 1, vec![])).await;
+    let seeds = vec![node.handle.address()];
+    let wrong = Settings { key: Key::new("guess"), ..settings(1, 1, seeds.clone()) };
+    let stranger = spawn(wrong).await;
+    let friend = spawn(settings(2, 1, seeds)).await;
+    until(&friend.handle, |members| members.live().count() == 2).await;
+    assert_eq!(stranger.handle.members().borrow().others.len(), 0);
+    assert!(node.handle.members().borrow().get(&id(1)).is_none());
+}
+
+#[tokio::test]
+async fn a_crash_is_noticed_and_a_restart_taken_back() {
+    // An instance ends without a word and is started anew under its name at
+    // another port. The others count it out, and then the new run in.
+    let nodes = fleet(4, Limits::default()).await;
+    nodes[3].handle.abort();
+    for node in &nodes[..3] {
+        until(&node.handle, |m| m.others[&id(3)].state == State::Gone).await;
+    }
+    let again = spawn(settings(3, 2, vec![nodes[0].handle.address()])).await;
+    for node in &nodes[..3] {
+        until(&node.handle, |m| m.others[&id(3)].incarnation.0 == 2 && m.others[&id(3)].state == State::Live).await;
+    }
+    until(&again.handle, |m| m.live().count() == 4).await;
+}
+
+#[tokio::test]
+async fn leaving_and_closing_are_told_at_once() {
+    let mut nodes = fleet(3, Limits::default()).await;
+    let leaving = nodes.pop().unwrap();
+    leaving.handle.leave().await.unwrap();
+    for node in &nodes {
+        until(&node.handle, |m| m.others[&id(2)].state == State::Leaving).await;
+    }
+    leaving.handle.close().await.unwrap();
+    for node in &nodes {
+        until(&node.handle, |m| m.others[&id(2)].state == State::Gone).await;
+    }
+    assert_eq!(leaving.handle.publish(Topic::Config, Bytes::new()).await, Err(Error::Closed));
+}
+
+#[tokio::test]
+async fn the_earlier_run_of_a_name_ends_its_links() {
+    // Somebody starts an instance whose earlier run was only paused. Two runs
+    // under one name would take the same keys: the earlier one has to stop.
+    let node = spawn(settings(0, 1, vec![])).await;
+    let seeds = vec![node.handle.address()];
+    let earlier = spawn(settings(1, 1, seeds.clone())).await;
+    until(&earlier.handle, |m| m.live().count() == 2).await;
+    let later = spawn(settings(1, 2, seeds)).await;
+    until(&later.handle, |m| m.live().count() == 2).await;
+    until(&earlier.handle, |m| m.me.state == State::Gone).await;
+    let refused = earlier.handle.call(&id(0), Topic::Journal, Bytes::new(), WITHIN).await.unwrap_err();
+    assert!(!refused.may_have_arrived(), "{refused}");
+}
+
+#[tokio::test]
+async fn a_digest_reaches_neighbours_on_change_and_newcomers() {
+    let mut node = spawn(settings(0, 1, vec![])).await;
+    node.handle.set_digest(Topic::Config, "17".into()).await.unwrap();
+    let mut newcomer = spawn(settings(1, 1, vec![node.handle.address()])).await;
+    let digest = |message| match message {
+        Inbound::Digest { from, topic, value } => Some((from, topic, value)),
+        _ => None,
+    };
+    let first = next(&mut newcomer.inbound, digest).await;
+    assert_eq!(first, (id(0), Topic::Config, Bytes::from("17")));
+    newcomer.handle.set_digest(Topic::Config, "18".into()).await.unwrap();
+    let second = next(&mut node.inbound, digest).await;
+    assert_eq!(second, (id(1), Topic::Config, Bytes::from("18")));
+}
--- /dev/null
+++ b/crates/peer/tests/support/fleet.rs
@@ -0,0 +1,83 @@
+//! Several instances in one process, over real connections on port 0.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use peer::{Handle, Inbound, Key, Limits, Members, Settings, Timing};
+use tokio::sync::mpsc;
+use world::{
+    domain::Domain,
+    instance::{Id, Incarnation, Instance, State},
+};
+
+/// Long enough for any of these tests; none asserts how long a thing takes.
+const PATIENCE: Duration = Duration::from_secs(30);
+const DOMAINS: usize = 3;
+
+/// Shorter spans, so that a test does not take long; far above scheduling noise.
+pub const TIMING: Timing = Timing { heartbeat: 100, silence: 1_500, suspicion: 1_000, forget: 60_000 };
+
+pub struct Node {
+    pub handle: Handle,
+    pub inbound: mpsc::Receiver<Inbound>,
+}
+
+pub fn id(place: usize) -> Id {
+    Id::parse(&format!("i{place:02}")).unwrap()
+}
+
+pub fn settings(place: usize, incarnation: u64, seeds: Vec<SocketAddr>) -> Settings {
+    let local: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    let me = Instance {
+        id: id(place),
+        incarnation: Incarnation(incarnation),
+        domain: Domain::parse(&format!("d{}", place % DOMAINS)).unwrap(),
+        callers: local,
+        peers: local,
+        operators: local,
+        state: State::Live,
+    };
+    let mut settings = Settings::new(me, local, seeds, Key::new("secret"));
+    settings.timing = TIMING;
+    settings
+}
+
+pub async fn spawn(settings: Settings) -> Node {
+    let (handle, inbound) = peer::spawn(settings).await.unwrap();
+    Node { handle, inbound }
+}
+
+/// Starts instances that know the first one's address only.
+pub async fn fleet(size: usize, limits: Limits) -> Vec<Node> {
+    let mut nodes: Vec<Node> = Vec::new();
+    for place in 0..size {
+        let seeds = nodes.first().map(|n| n.handle.address()).into_iter().collect();
+        nodes.push(spawn(Settings { limits, ..settings(place, 1, seeds) }).await);
+    }
+    for node in &nodes {
+        until(&node.handle, |members| members.live().count() == size).await;
+    }
+    nodes
+}
+
+/// Waits until an instance sees the members so.
+pub async fn until(handle: &Handle, wanted: impl Fn(&Members) -> bool) -> Arc<Members> {
+    let mut members = handle.members();
+    let seen = tokio::time::timeout(PATIENCE, members.wait_for(|m| wanted(m))).await;
+    match seen {
+        Ok(Ok(members)) => members.clone(),
+        _ => panic!("{:?}", handle.members().borrow()),
+    }
+}
+
+/// The next inbound message that `pick` wants.
+pub async fn next<T>(inbound: &mut mpsc::Receiver<Inbound>, pick: impl Fn(Inbound) -> Option<T>) -> T {
+    let wanted = async {
+        loop {
+            let message = inbound.recv().await.expect("the task runs");
+            if let Some(wanted) = pick(message) {
+                return wanted;
+            }
+        }
+    };
+    tokio::time::timeout(PATIENCE, wanted).await.expect("the message comes")
+}
