--- /dev/null
+++ b/crates/budget/src/handle.rs
@@ -0,0 +1,132 @@
+//! Reservations as the rest of an instance uses them.
+
+use journal::bill::Grant;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::{Instant, timeout_at},
+};
+use world::{
+    contract::{self, Customer},
+    money::Amount,
+};
+
+use crate::{
+    Error,
+    task::{Message, Reserve},
+};
+
+/// The budgets of one instance; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Handle {
+    pub(crate) tasks: mpsc::UnboundedSender<Message>,
+}
+
+/// Money set aside for one request. Dropped without [`Handle::commit`], it is
+/// free again.
+#[derive(Debug)]
+pub struct Reservation {
+    customer: Customer,
+    grant: Grant,
+    ceiling: Amount,
+    /// Nothing once committed.
+    release: Option<mpsc::UnboundedSender<Message>>,
+}
+
+impl Handle {
+    /// Sets a request's price ceiling aside.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Exhausted`], [`Error::Unavailable`]: the request must not run.
+    pub async fn reserve(
+        &self,
+        customer: &Customer,
+        budget: &contract::Budget,
+        ceiling: Amount,
+        deadline: Instant,
+    ) -> Result<Reservation, Error> {
+        let (reply, answer) = oneshot::channel();
+        let reserve = Reserve { customer: customer.clone(), budget: *budget, ceiling, reply };
+        self.tasks.send(Message::Reserve(reserve)).map_err(|_| Error::Unavailable)?;
+        let grant = timeout_at(deadline, answer).await.map_err(|_| Error::Unavailable)?;
+        let grant = grant.map_err(|_| Error::Unavailable)??;
+        Ok(Reservation { customer: customer.clone(), grant, ceiling, release: Some(self.tasks.clone()) })
+    }
+
+    /// Ends a reservation of which `actual` was billed. Called when the bill
+    /// has its receipt, and also when its fate is unknown: it may count.
+    pub fn commit(&self, mut reservation: Reservation, actual: Amount) {
+        reservation.release = None;
+        let _ = self.tasks.send(reservation.end(actual));
+    }
+
+    /// Ends a reservation of which nothing was billed.
+    pub fn release(&self, reservation: Reservation) {
+        drop(reservation);
+    }
+
+    /// Sets `actual` aside anew for a bill that was refused because its grant
+    /// had been settled by another instance.
+    ///
+    /// # Errors
+    ///
+    /// As [`Handle::reserve`]: the answer cannot be billed and must not be given.
+    pub async fn renew(
+        &self,
+        reservation: Reservation,
+        budget: &contract::Budget,
+        actual: Amount,
+        deadline: Instant,
+    ) -> Result<Reservation, Error> {
+        let closed = Message::Closed { customer: reservation.customer.clone(), grant: reservation.grant.clone() };
+        let _ = self.tasks.send(closed);
+        let customer = reservation.customer.clone();
+        drop(reservation);
+        self.reserve(&customer, budget, actual, deadline).await
+    }
+
+    /// Gives every grant back, for a shutdown; false when some could not be
+    /// until the deadline. Those are settled by their bills later.
+    pub async fn flush(&self, deadline: Instant) -> bool {
+        let (done, flushed) = oneshot::channel();
+        if self.tasks.send(Message::Flush(done)).is_err() {
+            return false;
+        }
+        matches!(timeout_at(deadline, flushed).await, Ok(Ok(true)))
+    }
+
+    /// How much of a customer's budget lies here, neither spent nor reserved.
+    pub async fn idle(&self, customer: &Customer) -> Amount {
+        let (reply, answer) = oneshot::channel();
+        if self.tasks.send(Message::Idle(customer.clone(), reply)).is_err() {
+            return Amount::ZERO;
+        }
+        answer.await.unwrap_or_default()
+    }
+}
+
+impl Reservation {
+    /// The grant that the bill has to name.
+    #[must_use]
+    pub fn grant(&self) -> &Grant {
+        &self.grant
+    }
+
+    /// What is set aside.
+    #[must_use]
+    pub fn ceiling(&self) -> Amount {
+        self.ceiling
+    }
+
+    fn end(&self, actual: Amount) -> Message {
+        Message::Commit { customer: self.customer.clone(), grant: self.grant.clone(), ceiling: self.ceiling, actual }
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        if let Some(tasks) = self.release.take() {
+            let _ = tasks.send(self.end(Amount::ZERO));
+        }
+    }
+}
--- /dev/null
+++ b/crates/budget/src/task.rs
@@ -0,0 +1,449 @@
+//! The task that owns this instance's wallets.
+
+use std::{
+    collections::{HashMap, HashSet, VecDeque},
+    time::Duration,
+};
+
+use journal::bill::{Grant, Holder};
+use tokio::{
+    sync::{mpsc, oneshot},
+    task::JoinSet,
+    time::{Instant, MissedTickBehavior, interval},
+};
+use world::{
+    contract::{self, Customer},
+    money::Amount,
+    time::Timestamp,
+};
+
+use crate::{
+    Config, Error,
+    job::{Ask, Cut, Place},
+    period::Period,
+    wallet::Wallet,
+};
+
+/// Cuts ahead of need, and looks at an exhausted account, are this far apart:
+/// the end of a budget would otherwise be a write or read per request.
+const AHEAD_EVERY: Duration = Duration::from_secs(1);
+
+/// What the task is told.
+#[derive(Debug)]
+pub(crate) enum Message {
+    Reserve(Reserve),
+    Commit {
+        customer: Customer,
+        grant: Grant,
+        ceiling: Amount,
+        actual: Amount,
+    },
+    /// A bill was refused since its grant was settled.
+    Closed {
+        customer: Customer,
+        grant: Grant,
+    },
+    Flush(oneshot::Sender<bool>),
+    Idle(Customer, oneshot::Sender<Amount>),
+}
+
+/// A request that wants money set aside.
+#[derive(Debug)]
+pub(crate) struct Reserve {
+    pub customer: Customer,
+    pub budget: contract::Budget,
+    pub ceiling: Amount,
+    pub reply: oneshot::Sender<Result<Grant, Error>>,
+}
+
+/// What a wallet is found under.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Key {
+    customer: Customer,
+    period: Timestamp,
+}
+
+/// A wallet with its grant and who waits for it.
+#[derive(Debug)]
+struct Purse {
+    place: Place,
+    wallet: Wallet,
+    budget: contract::Budget,
+    waiting: VecDeque<Reserve>,
+    /// A cut or a return is under way.
+    busy: bool,
+    /// The object shows a grant of this holder.
+    held: bool,
+    /// Ceiling of the last request.
+    last: Amount,
+    /// No cut ahead of need before this.
+    next_ahead: Instant,
+    /// What was left when too little was, and until when that is believed.
+    dry: Option<(Amount, Instant)>,
+}
+
+#[derive(Debug)]
+enum Event {
+    Cut(Key, Holder, Cut),
+    GaveBack(Key, Holder),
+    Settled(Holder, bool),
+}
+
+pub(crate) struct Task {
+    config: Config,
+    platform: platform::Handle,
+    journal: journal::Handle,
+    purses: HashMap<Key, Purse>,
+    epoch: u32,
+    /// Holders that are no members, since when, and where they hold.
+    gone: HashMap<Holder, (Instant, Place)>,
+    settling: HashSet<Holder>,
+    jobs: JoinSet<Event>,
+}
+
+impl Task {
+    pub fn new(config: Config, platform: platform::Handle, journal: journal::Handle) -> Self {
+        Self {
+            config,
+            platform,
+            journal,
+            purses: HashMap::new(),
+            epoch: 0,
+            gone: HashMap::new(),
+            settling: HashSet::new(),
+            jobs: JoinSet::new(),
+        }
+    }
+
+    pub async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Message>) {
+        let mut ticks = interval(self.config.tick);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                message = inbox.recv() => match message {
+                    Some(Message::Flush(done)) => self.flush(done),
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+                Some(Ok(event)) = self.jobs.join_next() => self.on_event(event),
+                _ = ticks.tick() => self.tick(),
+            }
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Reserve(reserve) => self.reserve(reserve),
+            Message::Commit { customer, grant, ceiling, actual } => {
+                let key = Key { customer, period: grant.period };
+                if let Some(purse) = self.purses.get_mut(&key).filter(|p| p.place.holder == grant.holder) {
+                    purse.wallet.commit(ceiling, actual, Instant::now());
+                }
+            }
+            Message::Closed { customer, grant } => self.closed(&Key { customer, period: grant.period }, &grant.holder),
+            Message::Idle(customer, reply) => {
+                let own = self.purses.iter().filter(|(key, _)| key.customer == customer);
+                let sum = own.fold(Amount::ZERO, |sum, (_, purse)| sum.saturating_add(purse.wallet.available()));
+                let _ = reply.send(sum);
+            }
+            Message::Flush(_) => {}
+        }
+    }
+
+    fn reserve(&mut self, reserve: Reserve) {
+        let period = Period::at(self.config.clock.now(), reserve.budget.period);
+        let key = Key { customer: reserve.customer.clone(), period: period.start };
+        // A contract that names another kind of period has another account.
+        if self.purses.get(&key).is_some_and(|purse| purse.place.period != period) {
+            self.end(&key);
+        }
+        if !self.purses.contains_key(&key) {
+            let purse = self.new_purse(&reserve, period);
+            self.purses.insert(key.clone(), purse);
+        }
+        let Some(purse) = self.purses.get_mut(&key) else {
+            return;
+        };
+        purse.budget = reserve.budget;
+        purse.last = reserve.ceiling;
+        purse.waiting.push_back(reserve);
+        self.serve(&key);
+    }
+
+    /// Every wallet is a holder of its own: what an earlier one of the same
+    /// customer spent is settled, and must not be counted by its bills again.
+    fn new_purse(&mut self, reserve: &Reserve, period: Period) -> Purse {
+        let holder = Holder {
+            instance: self.config.origin.instance.clone(),
+            incarnation: self.config.origin.incarnation,
+            epoch: self.epoch,
+        };
+        self.epoch += 1;
+        let platform = self.platform.within(self.config.patience);
+        Purse {
+            place: Place { platform, customer: reserve.customer.clone(), period, holder },
+            wallet: Wallet::new(Instant::now()),
+            budget: reserve.budget,
+            waiting: VecDeque::new(),
+            busy: false,
+            held: false,
+            last: reserve.ceiling,
+            next_ahead: Instant::now(),
+            dry: None,
+        }
+    }
+
+    /// Gives to those who wait, in order, and tops up ahead of need.
+    fn serve(&mut self, key: &Key) {
+        let Some(purse) = self.purses.get_mut(key) else {
+            return;
+        };
+        purse.give();
+        purse.refuse_dry();
+        let now = Instant::now();
+        let wanted = purse.wallet.wanted(purse.last, &self.config.sizing);
+        let low = purse.wallet.available() < Amount(wanted.0 / 2);
+        let ahead = low && now >= purse.next_ahead;
+        if purse.busy || (purse.waiting.is_empty() && !ahead) {
+            return;
+        }
+        purse.busy = true;
+        purse.next_ahead = now + AHEAD_EVERY;
+        let ask = purse.ask(wanted, self.config.sizing);
+        let (place, key) = (purse.place.clone(), key.clone());
+        self.jobs.spawn(async move {
+            let cut = place.cut(ask).await;
+            Event::Cut(key, place.holder, cut)
+        });
+    }
+
+    fn on_event(&mut self, event: Event) {
+        match event {
+            Event::Cut(key, holder, cut) => self.on_cut(&key, &holder, cut),
+            Event::GaveBack(key, holder) => {
+                if let Some(purse) = self.purses.get_mut(&key).filter(|p| p.place.holder == holder) {
+                    purse.busy = false;
+                    self.serve_waiting(&key);
+                }
+            }
+            Event::Settled(holder, done) => {
+                self.settling.remove(&holder);
+                if done {
+                    self.gone.remove(&holder);
+                }
+            }
+        }
+    }
+
+    fn on_cut(&mut self, key: &Key, holder: &Holder, cut: Cut) {
+        let Some(purse) = self.purses.get_mut(key).filter(|p| p.place.holder == *holder) else {
+            return;
+        };
+        purse.busy = false;
+        match cut {
+            Cut::Granted { grant, holders } => {
+                purse.held = true;
+                purse.wallet.set_granted(grant);
+                purse.give();
+                let place = purse.place.clone();
+                self.notice_gone(&place, holders);
+                self.serve_waiting(key);
+            }
+            Cut::Exhausted { grant, left, holders } => {
+                purse.dry = Some((left, Instant::now() + AHEAD_EVERY));
+                purse.wallet.set_granted(grant);
+                purse.give();
+                let until = purse.place.period.end;
+                purse.refuse(&Error::Exhausted { until });
+                let place = purse.place.clone();
+                self.notice_gone(&place, holders);
+            }
+            Cut::Closed => self.closed(key, holder),
+            Cut::Failed => {
+                // An unknown cut may have made the object's entry.
+                purse.give();
+                purse.refuse(&Error::Unavailable);
+            }
+        }
+    }
+
+    fn serve_waiting(&mut self, key: &Key) {
+        if self.purses.get(key).is_some_and(|purse| !purse.waiting.is_empty()) {
+            self.serve(key);
+        }
+    }
+
+    /// Another instance settled a wallet's grant: go on with a new one.
+    fn closed(&mut self, key: &Key, holder: &Holder) {
+        if self.purses.get(key).is_none_or(|purse| purse.place.holder != *holder) {
+            return;
+        }
+        let Some(purse) = self.purses.remove(key) else {
+            return;
+        };
+        tracing::warn!(%holder, customer = %key.customer, "grant was settled by another instance");
+        self.settle(purse.place);
+        for reserve in purse.waiting {
+            self.reserve(reserve);
+        }
+    }
+
+    /// Remembers holders that are gone, to settle them after a wait.
+    fn notice_gone(&mut self, place: &Place, holders: Vec<Holder>) {
+        for holder in holders {
+            if self.is_alive(&holder) {
+                self.gone.remove(&holder);
+                continue;
+            }
+            let place = Place { holder: holder.clone(), ..place.clone() };
+            self.gone.entry(holder).or_insert((Instant::now(), place));
+        }
+    }
+
+    fn is_alive(&self, holder: &Holder) -> bool {
+        let origin = &self.config.origin;
+        if holder.instance == origin.instance && holder.incarnation == origin.incarnation {
+            return self.purses.values().any(|purse| purse.place.holder == *holder);
+        }
+        self.journal.knows(&holder.instance, holder.incarnation)
+    }
+
+    fn tick(&mut self) {
+        let now = Instant::now();
+        let gone: Vec<Holder> = self.gone.keys().cloned().collect();
+        for holder in gone {
+            if self.is_alive(&holder) {
+                self.gone.remove(&holder);
+            } else if let Some((_, place)) =
+                self.gone.get(&holder).filter(|(t, _)| now >= *t + self.config.settle_after)
+            {
+                self.settle(place.clone());
+            }
+        }
+        let keys: Vec<Key> = self.purses.keys().cloned().collect();
+        for key in keys {
+            self.tend(&key, now);
+        }
+    }
+
+    /// Ends a wallet that is idle or past its period; gives back what a busy
+    /// one holds beyond its need.
+    fn tend(&mut self, key: &Key, now: Instant) {
+        let wall = self.config.clock.now();
+        let Some(purse) = self.purses.get_mut(key).filter(|p| !p.busy && p.waiting.is_empty()) else {
+            return;
+        };
+        let over = wall >= purse.place.period.end;
+        let idle = now >= purse.wallet.used_at() + self.config.idle_after;
+        if (over || idle) && !purse.wallet.in_use() {
+            self.end(key);
+            return;
+        }
+        let wanted = purse.wallet.wanted(purse.last, &self.config.sizing);
+        let excess = purse.wallet.available().saturating_sub(Amount(wanted.0.saturating_mul(2)));
+        if excess == Amount::ZERO {
+            return;
+        }
+        purse.busy = true;
+        purse.wallet.take_out(excess);
+        let (place, key) = (purse.place.clone(), key.clone());
+        self.jobs.spawn(async move {
+            place.give_back(excess).await;
+            Event::GaveBack(key, place.holder)
+        });
+    }
+
+    fn end(&mut self, key: &Key) {
+        if let Some(purse) = self.purses.remove(key).filter(|purse| purse.held) {
+            let (place, spent) = (purse.place, purse.wallet.spent());
+            self.jobs.spawn(async move {
+                let done = place.end(spent).await;
+                Event::Settled(place.holder, done)
+            });
+        }
+    }
+
+    /// Settles a lost grant by its bills.
+    fn settle(&mut self, place: Place) {
+        if !self.settling.insert(place.holder.clone()) {
+            return;
+        }
+        let journal = self.journal.clone();
+        let patience = self.config.settle_patience;
+        self.jobs.spawn(async move {
+            let done = place.settle(&journal, patience).await;
+            Event::Settled(place.holder, done)
+        });
+    }
+
+    /// What is still reserved counts as spent: its bill may come yet.
+    fn flush(&mut self, done: oneshot::Sender<bool>) {
+        let mut ends = JoinSet::new();
+        for (_, mut purse) in self.purses.drain() {
+            purse.refuse(&Error::Unavailable);
+            let spent = purse.wallet.spent().saturating_add(purse.wallet.reserved());
+            if purse.held || purse.busy {
+                ends.spawn(async move { purse.place.end(spent).await });
+            }
+        }
+        tokio::spawn(async move {
+            let all = ends.join_all().await;
+            let _ = done.send(all.into_iter().all(|ended| ended));
+        });
+    }
+}
+
+impl Purse {
+    fn give(&mut self) {
+        let now = Instant::now();
+        while let Some(reserve) = self.waiting.front() {
+            // Whoever does not wait any more gets nothing set aside.
+            if reserve.reply.is_closed() {
+                self.waiting.pop_front();
+                continue;
+            }
+            if !self.wallet.reserve(reserve.ceiling, now) {
+                return;
+            }
+            let grant = Grant { holder: self.place.holder.clone(), period: self.place.period.start };
+            let Some(reserve) = self.waiting.pop_front() else {
+                return;
+            };
+            if reserve.reply.send(Ok(grant)).is_err() {
+                self.wallet.commit(reserve.ceiling, Amount::ZERO, now);
+            }
+        }
+    }
+
+    /// Refuses at once what a moment ago was more than all that is left.
+    fn refuse_dry(&mut self) {
+        let (Some((left, until)), Some(first)) = (self.dry, self.waiting.front()) else {
+            return;
+        };
+        let missing = first.ceiling.saturating_sub(self.wallet.available());
+        if Instant::now() < until && missing > left {
+            let until = self.place.period.end;
+            self.refuse(&Error::Exhausted { until });
+        }
+    }
+
+    fn refuse(&mut self, error: &Error) {
+        for reserve in self.waiting.drain(..) {
+            let _ = reserve.reply.send(Err(error.clone()));
+        }
+    }
+
+    fn ask(&self, wanted: Amount, sizing: crate::wallet::Sizing) -> Ask {
+        let available = self.wallet.available();
+        let needed = self.waiting.iter().fold(Amount::ZERO, |sum, r| sum.saturating_add(r.ceiling));
+        let first = self.waiting.front().map_or(Amount::ZERO, |r| r.ceiling);
+        Ask {
+            least: first.saturating_sub(available).max(Amount(1)),
+            missing: needed.saturating_sub(available),
+            wanted: wanted.saturating_sub(available),
+            limit: self.budget.amount,
+            sizing,
+            held: self.held,
+        }
+    }
+}
