Name every failure domain of the site in the settings

Without them an instance cannot tell whether it is in step with most of the site while the platform is down, and would stop taking work too early.

--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -48,6 +48,7 @@
     fn settings(&mut self, file: File) -> Option<Settings> {
         let instance = self.parsed::<instance::Id>("instance", &file.instance);
         let domain = self.parsed::<Domain>("domain", &file.domain);
+        let domains = self.domains(domain.as_ref(), &file.domains);
         let listeners = self.listeners(&file.listeners);
         let platform = self.platform(&file.platform);
         let peers = self.peers(&file.peers);
@@ -62,6 +63,7 @@
         Some(Settings {
             instance: instance?,
             domain: domain?,
+            domains: domains?,
             listeners: listeners?,
             platform: platform?,
             peers: peers?,
@@ -78,6 +80,18 @@
         })
     }
 
+    /// The site's failure domains; the own one alone when none are listed.
+    fn domains(&mut self, own: Option<&Domain>, file: &[file::Field<String>]) -> Option<Vec<Domain>> {
+        let domains: Vec<_> = file.iter().map(|domain| self.parsed::<Domain>("domains", domain)).collect();
+        let domains: Vec<Domain> = domains.into_iter().collect::<Option<_>>()?;
+        let own = own?;
+        let (Some(first), false) = (file.first(), domains.contains(own)) else {
+            return Some(if domains.is_empty() { vec![own.clone()] } else { domains });
+        };
+        self.value("domains", first, "leaves out this instance's own `domain`; list every failure domain of the site");
+        None
+    }
+
     fn listeners(&mut self, file: &file::Listeners) -> Option<Listeners> {
         let callers = self.listener("listeners.callers.bind", "listeners.callers.advertise", &file.callers);
         let peers = self.listener("listeners.peers.bind", "listeners.peers.advertise", &file.peers);
--- a/crates/settings/src/file.rs
+++ b/crates/settings/src/file.rs
@@ -23,6 +23,8 @@
 pub(crate) struct File {
     pub(crate) instance: Field<String>,
     pub(crate) domain: Field<String>,
+    #[serde(default)]
+    pub(crate) domains: Vec<Field<String>>,
     pub(crate) listeners: Listeners,
     pub(crate) platform: Platform,
     pub(crate) peers: Peers,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -22,6 +22,9 @@
     pub instance: instance::Id,
     /// The failure domain it stands in.
     pub domain: Domain,
+    /// Every failure domain of the site, the own included. While the platform
+    /// is down, instances in step with more than half of them take new work.
+    pub domains: Vec<Domain>,
     /// Where it listens.
     pub listeners: Listeners,
     /// The platform's object API.
@@ -168,6 +171,7 @@
         let listener = Listener { bind: SocketAddr::from(([127, 0, 0, 1], 0)), advertise: None };
         Self {
             instance,
+            domains: vec![domain.clone()],
             domain,
             listeners: Listeners { callers: listener, peers: listener, operators: listener },
             platform: Platform { address: platform, ..check::default_platform(platform) },
