Add the operators' command-line tool

Cause: operators drive the fleet by objects and roll-outs and must see when a change is in force. Change: every verb of the interface over the operators' client; a lost answer is resolved by reading the history for the change's id; progress names the instances that lag; the time line merges all instances, also while following.

--- /dev/null
+++ b/crates/arbutuslug/src/verb/apply.rs
@@ -0,0 +1,53 @@
+//! `apply FILE`
+
+use std::{collections::BTreeMap, path::Path, time::Duration};
+
+use operator::{Change, Edit, Stored, What};
+use world::object::{Key, Object};
+
+use crate::{
+    console::Console,
+    exit::Failure,
+    fleet::Fleet,
+    verb::{force, objects, submit},
+};
+
+/// Applies a file's objects, each on the condition that it is as it was read.
+pub(crate) async fn run(
+    fleet: Fleet<'_>,
+    author: &str,
+    path: &Path,
+    read_at: Option<u64>,
+    wait: Duration,
+    console: &mut Console<'_>,
+) -> Result<(), Failure> {
+    let file = objects::read(path)?;
+    let read_at = read_at.or(file.read_at);
+    let stored = fleet.read(async |client| client.get(None, None).await).await?;
+    let stored: BTreeMap<Key, Stored> = stored.into_iter().map(|stored| (stored.object.key(), stored)).collect();
+    let edits: Vec<_> = file.objects.into_iter().filter_map(|object| edit(object, &stored, read_at)).collect();
+    if edits.is_empty() {
+        return console.print("unchanged: every object is in force as the file has it");
+    }
+    let change = Change { id: submit::new_id(), author: author.into(), edits };
+    let keys: Vec<_> = change.edits.iter().map(Edit::key).collect();
+    let applied =
+        submit::change(fleet, &change.id, &keys[0], async |client| client.apply(&change).await, console).await?;
+    submit::tell(&applied, console)?;
+    force::until(fleet, applied.generation, wait, console).await
+}
+
+/// The edit an object needs; nothing when it is in force already.
+///
+/// An object that changed after the file was read keeps the generation the
+/// file was read at as its condition: the instance then refuses and names the
+/// other change, where the newer generation would overwrite it unseen.
+fn edit(object: Object, stored: &BTreeMap<Key, Stored>, read_at: Option<u64>) -> Option<Edit> {
+    let old = stored.get(&object.key());
+    if old.is_some_and(|old| old.object == object) {
+        return None;
+    }
+    let found = old.map_or(0, |old| old.generation);
+    let expected = read_at.map_or(found, |read_at| found.min(read_at));
+    Some(Edit { expected: Some(expected), what: What::Put(object) })
+}
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -16,7 +16,7 @@
 };
 
 use crate::{
-    Account, Action, Bill, Change, Draining, Edit, Error, Events, Fault, Malformed, Outcome, Progress, Revision,
+    Account, Action, Bill, Change, Draining, Edit, Error, Events, Fault, Malformed, Outcome, Progress, Revision, Seen,
     Status, Stored, answer, wire, wire::operator_client::OperatorClient,
 };
 
@@ -240,13 +240,28 @@
         Ok(reply.into_inner().try_into()?)
     }
 
-    /// Events of the instance asked.
+    /// Events of the instance asked, up to now.
     ///
     /// # Errors
     ///
     /// [`Error`], as for every call.
-    pub async fn timeline(&mut self, filter: &Filter, follow: bool) -> Result<Messages<wire::Page, Events>, Error> {
-        let reply = self.inner.timeline(wire::TimelineRequest::of(filter, follow)).await;
+    pub async fn timeline(&mut self, filter: &Filter) -> Result<Messages<wire::Page, Events>, Error> {
+        let reply = self.inner.timeline(wire::TimelineRequest::of(filter, false, None)).await;
+        self.messages(reply)
+    }
+
+    /// Events of the instance asked, those to come included; its clock comes
+    /// at least twice a second.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`], as for every call.
+    pub async fn follow(
+        &mut self,
+        filter: &Filter,
+        after: Option<&Seen>,
+    ) -> Result<Messages<wire::Page, Events>, Error> {
+        let reply = self.inner.timeline(wire::TimelineRequest::of(filter, true, after)).await;
         self.messages(reply)
     }
 
--- a/crates/operator/src/generated.rs
+++ b/crates/operator/src/generated.rs
@@ -346,7 +346,7 @@
     pub version: ::prost::alloc::string::String,
     #[prost(string, repeated, tag = "3")]
     pub kinds: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
-    /// Only records after this number; of the incarnation given.
+    /// Only records after this number of the run below.
     #[prost(uint64, tag = "4")]
     pub after: u64,
     #[prost(uint64, tag = "5")]
@@ -354,6 +354,10 @@
     /// Keep the stream open for records to come.
     #[prost(bool, tag = "6")]
     pub follow: bool,
+    /// The run of the instance that `after` counts in; another run's records
+    /// are wanted from its first.
+    #[prost(uint64, tag = "7")]
+    pub incarnation: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Page {
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -19,7 +19,7 @@
 pub use client::{Client, MAX_MESSAGE_BYTES, Messages, Target};
 pub use edit::{Action, Change, Edit, What};
 pub use error::{Error, Malformed};
-pub use page::Events;
+pub use page::{Events, Seen};
 pub use status::{Draining, Member, Progress, Status};
 
 /// Generated messages, client and server.
--- a/crates/operator/src/page.rs
+++ b/crates/operator/src/page.rs
@@ -14,6 +14,15 @@
     pub now: Stamp,
 }
 
+/// The last record that a follower has of an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Seen {
+    /// Which run of the instance.
+    pub incarnation: instance::Incarnation,
+    /// The record's number in that run.
+    pub number: u64,
+}
+
 impl From<&Events> for wire::Page {
     fn from(events: &Events) -> Self {
         let page = &events.page;
@@ -59,7 +68,7 @@
 impl wire::TimelineRequest {
     /// The request for a filter.
     #[must_use]
-    pub fn of(filter: &Filter, follow: bool) -> Self {
+    pub fn of(filter: &Filter, follow: bool, after: Option<&Seen>) -> Self {
         let request = filter.request.as_ref().map(|subject| match &subject.customer {
             Some(customer) => format!("{customer}/{}", subject.key),
             None => subject.key.to_string(),
@@ -68,18 +77,19 @@
             request: request.unwrap_or_default(),
             version: filter.version.as_ref().map(ToString::to_string).unwrap_or_default(),
             kinds: filter.kinds.iter().map(ToString::to_string).collect(),
-            after: filter.after,
+            after: after.map_or(filter.after, |seen| seen.number),
             limit: filter.limit as u64,
             follow,
+            incarnation: after.map_or(0, |seen| seen.incarnation.0),
         }
     }
 
-    /// The filter of the request.
+    /// The filter of the request, at a run of an instance.
     ///
     /// # Errors
     ///
     /// [`Malformed`] for a text that names no request, version or kind.
-    pub fn filter(&self) -> Result<Filter, Malformed> {
+    pub fn filter(&self, incarnation: instance::Incarnation) -> Result<Filter, Malformed> {
         let request = (!self.request.is_empty()).then(|| self.request.parse()).transpose();
         let version = (!self.version.is_empty()).then(|| Version::parse(&self.version)).transpose();
         let kinds = self.kinds.iter().map(|kind| kind.parse()).collect::<Result<_, _>>();
@@ -87,7 +97,8 @@
             request: request.map_err(|e| Malformed::new("request", &e))?,
             version: version.map_err(|e| Malformed::new("version", &e))?,
             kinds: kinds.map_err(|e| Malformed::new("kinds", &e))?,
-            after: self.after,
+            // Numbers start anew with each run.
+            after: if self.incarnation == incarnation.0 { self.after } else { 0 },
             limit: usize::try_from(self.limit).unwrap_or(usize::MAX),
         })
     }
--- a/crates/operator/tests/conversions.rs
+++ b/crates/operator/tests/conversions.rs
@@ -2,7 +2,7 @@
 
 use operator::{
     Account, Action, Applied, Bill, Change, Conflict, Draining, Edit, Events, Fault, Malformed, Member, Outcome,
-    Progress, Revision, Status, Stored, What, wire,
+    Progress, Revision, Seen, Status, Stored, What, wire,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
 use timeline::{Event, Filter, Kind, Page, Ran, Record, Source, Stamp, Step};
@@ -152,7 +152,17 @@
         after: 5,
         limit: 10,
     };
-    assert_eq!(wire::TimelineRequest::of(&filter, true).filter(), Ok(filter));
+    assert_eq!(wire::TimelineRequest::of(&filter, true, None).filter(Incarnation(0)), Ok(filter));
+}
+
+/// A follower comes back after the instance was started anew. Numbers began
+/// at 1 again, so the old number must not hide the new run's first records.
+#[test]
+fn number_counts_in_its_own_run_only() {
+    let seen = Seen { incarnation: Incarnation(4), number: 90 };
+    let request = wire::TimelineRequest::of(&Filter::default(), true, Some(&seen));
+    assert_eq!(request.filter(Incarnation(4)).unwrap().after, 90);
+    assert_eq!(request.filter(Incarnation(5)).unwrap().after, 0);
 }
 
 /// Reads a message that must be refused, and compares the field named.
@@ -220,7 +230,7 @@
     let of = |change: fn(&mut wire::TimelineRequest)| {
         let mut request = wire::TimelineRequest::default();
         change(&mut request);
-        request.filter().expect_err("must be refused").field
+        request.filter(Incarnation(1)).expect_err("must be refused").field
     };
     assert_eq!(of(|r| r.request = "a/b/c".into()), "request");
     assert_eq!(of(|r| r.version = "summary".into()), "version");
--- a/crates/timeline/src/lib.rs
+++ b/crates/timeline/src/lib.rs
@@ -9,11 +9,12 @@
 mod clock;
 mod event;
 mod filter;
+pub mod follow;
 pub mod merge;
 mod recorder;
 mod ring;
 
 pub use clock::{Clock, MAX_SKEW_MS, Skew, Stamp};
-pub use event::{Event, GrantMove, Holding, Kind, OutageStep, Phase, Ran, Step};
+pub use event::{Event, GrantMove, Holding, Kind, OutageStep, Phase, Ran, Step, UnknownKind};
 pub use filter::{Filter, Subject};
 pub use recorder::{Capacity, Page, Record, Recorder, Source};
