--- /dev/null
+++ b/crates/control/src/coordinator.rs
@@ -0,0 +1,229 @@
+//! Carries roll-outs on while this instance holds the lease.
+//!
+//! All that a roll-out is stands in its object: state, step, reason. The
+//! coordinator reads it, plans the next move ([`route::rollout::plan`]) and
+//! writes it on the condition that nobody else did meanwhile. One that is lost
+//! between any two moves is replaced by the next holder, who reads the same
+//! object; what it knew besides, how long a step has lasted and what engines
+//! hold, the next one learns anew, at worst waiting a little longer.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
+
+use config::{Edit, Expected};
+use route::{
+    guard::Verdict,
+    rollout::{self as exposure, Plan, Progress},
+};
+use timeline::{Event, Phase, Recorder};
+use tokio::{
+    sync::{mpsc, watch},
+    time::{Duration, Instant, MissedTickBehavior, interval},
+};
+use world::{
+    Catalog, Millis,
+    endpoint::Endpoint,
+    model::Version,
+    object::{Key, Kind, Object},
+    rollout::{Id, Rollout, State},
+};
+
+use crate::{
+    Settings,
+    guard::Verdicts,
+    lease::Term,
+    loads::{Loads, Wanted},
+    order::Call,
+};
+
+/// Time between two looks at all roll-outs.
+const TICK: Duration = Duration::from_millis(500);
+
+/// Time from a withdrawal until engines drop the version. Runs under way end
+/// meanwhile; unloading at once would cut off their answers.
+const DRAIN: Duration = Duration::from_mins(2);
+
+/// Part of a version's endpoints that must hold it before it takes all of its
+/// tier's work; the rest may be down.
+const ENOUGH: f64 = 0.9;
+
+/// Fewest endpoints that must hold it before it takes any, where there are as
+/// many: one alone would make it slow, and the guard would stop it for that.
+const FEWEST: usize = 2;
+
+/// The task's ends.
+pub(crate) struct Coordinator {
+    pub settings: Arc<Settings>,
+    pub config: config::Handle,
+    pub recorder: Recorder,
+    pub terms: watch::Receiver<Option<Term>>,
+    pub verdicts: watch::Receiver<Arc<Verdicts>>,
+    pub calls: mpsc::Sender<Call>,
+}
+
+/// What is known beside the objects; ends with the term.
+struct Office {
+    epoch: u64,
+    loads: Loads,
+    since: HashMap<Id, Seen>,
+}
+
+/// Since when a roll-out has stood where it stands.
+struct Seen {
+    state: State,
+    step: usize,
+    at: Instant,
+}
+
+impl Coordinator {
+    pub async fn run(mut self) {
+        let mut tick = interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut office: Option<Office> = None;
+        loop {
+            tokio::select! {
+                _ = tick.tick() => {}
+                changed = self.terms.changed() => if changed.is_err() { return },
+            }
+            let Some(term) = self.term() else {
+                office = None;
+                continue;
+            };
+            let mut present = office.take().filter(|o| o.epoch == term.epoch).unwrap_or_else(|| self.enter(term));
+            self.work(&mut present, term).await;
+            office = Some(present);
+        }
+    }
+
+    fn term(&self) -> Option<Term> {
+        self.terms.borrow().filter(|term| !term.left().is_zero())
+    }
+
+    fn enter(&self, term: Term) -> Office {
+        let loads = Loads::new(self.calls.clone(), self.settings.loads_at_once);
+        Office { epoch: term.epoch, loads, since: HashMap::new() }
+    }
+
+    async fn work(&self, office: &mut Office, term: Term) {
+        let catalog = self.config.current();
+        office.see(&catalog);
+        office.loads.want(&office.wanted(&catalog));
+        office.loads.step(term, &self.recorder).await;
+        for (id, rollout) in catalog.rollouts() {
+            let verdict = self.verdict(id, rollout);
+            let plan = exposure::plan(rollout, &verdict, &office.progress(&catalog, id, rollout));
+            if let Some(next) = carried_out(rollout, &plan) {
+                self.write(id, rollout, next).await;
+            }
+        }
+    }
+
+    /// What the guard thinks of the step in force, and nothing of another.
+    fn verdict(&self, id: &Id, rollout: &Rollout) -> Verdict {
+        let verdicts = self.verdicts.borrow();
+        match verdicts.get(id) {
+            Some((step, verdict)) if *step == rollout.step => verdict.clone(),
+            _ => Verdict::Continue,
+        }
+    }
+
+    async fn write(&self, id: &Id, old: &Rollout, next: Rollout) {
+        let key = Key { kind: Kind::Rollout, name: id.to_string() };
+        let Some(revision) = self.config.revision(&key) else { return };
+        // The plan was made from the catalog read before. If the object has
+        // changed since, an operator's pause say, the plan is void.
+        if self.config.current().rollouts().get(id) != Some(old) {
+            return;
+        }
+        let phase = phase(&next);
+        let (version, reason) = (next.version.clone(), next.reason.clone().unwrap_or_default());
+        let edit = Edit::Put(Object::Rollout(id.clone(), next), Expected::At(revision.generation));
+        match self.config.apply(&self.settings.author(), vec![edit]).await {
+            Ok(applied) if applied.changed => {
+                self.recorder.record(Event::Rollout { rollout: id.clone(), version, phase, reason });
+            }
+            Ok(_) => {}
+            Err(error) => tracing::warn!(rollout = %id, %error, "roll-out not moved on, will be tried again"),
+        }
+    }
+}
+
+impl Office {
+    fn see(&mut self, catalog: &Catalog) {
+        self.since.retain(|id, _| catalog.rollouts().contains_key(id));
+        for (id, rollout) in catalog.rollouts() {
+            let fresh = Seen { state: rollout.state, step: rollout.step, at: Instant::now() };
+            let seen = self.since.entry(id.clone()).or_insert(Seen { ..fresh });
+            if seen.state != rollout.state || seen.step != rollout.step {
+                *seen = fresh;
+            }
+        }
+    }
+
+    fn at_step(&self, id: &Id) -> Duration {
+        self.since.get(id).map_or(Duration::ZERO, |seen| seen.at.elapsed())
+    }
+
+    /// What engines are to hold: versions under roll-out, and those withdrawn
+    /// long enough ago no more.
+    fn wanted(&self, catalog: &Catalog) -> BTreeMap<Version, (Wanted, Vec<Endpoint>)> {
+        let mut wanted = BTreeMap::new();
+        for (id, rollout) in catalog.rollouts() {
+            let want = match rollout.state {
+                State::Loading | State::Exposing | State::Paused => Wanted::Loaded,
+                State::Withdrawn if self.at_step(id) >= DRAIN => Wanted::Dropped,
+                State::Withdrawn | State::Promoted => continue,
+            };
+            wanted.insert(rollout.version.clone(), (want, catalog.endpoints(&rollout.version).to_vec()));
+        }
+        wanted
+    }
+
+    fn progress(&self, catalog: &Catalog, id: &Id, rollout: &Rollout) -> Progress {
+        let endpoints = catalog.endpoints(&rollout.version).len();
+        let at_step_ms = Millis::try_from(self.at_step(id).as_millis()).unwrap_or(Millis::MAX);
+        Progress { at_step_ms, loaded: self.loads.loaded(&rollout.version), wanted: wanted(endpoints, rollout) }
+    }
+}
+
+/// Endpoints that must hold the version for the step to come.
+fn wanted(endpoints: usize, rollout: &Rollout) -> usize {
+    let next = if rollout.state == State::Loading { rollout.step } else { rollout.step + 1 };
+    let share = rollout.steps.get(next).copied().unwrap_or(1.0).min(ENOUGH);
+    #[expect(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "at most some ten thousand endpoints, times a share from 0 to 1"
+    )]
+    let needed = (endpoints as f64 * share).floor() as usize;
+    // A version without endpoints never takes traffic.
+    needed.max(FEWEST.min(endpoints)).max(1)
+}
+
+/// The object that a plan leaves behind; nothing while it waits.
+fn carried_out(rollout: &Rollout, plan: &Plan) -> Option<Rollout> {
+    let next = rollout.clone();
+    Some(match plan {
+        Plan::Wait(_) => return None,
+        Plan::Expose => Rollout { state: State::Exposing, reason: Some("endpoints have loaded it".into()), ..next },
+        Plan::Step(step) => Rollout { step: *step, reason: Some("no worse than its predecessor".into()), ..next },
+        Plan::Promote => {
+            let reason = Some("no worse than its predecessor at every step".into());
+            Rollout { state: State::Promoted, reason, ..next }
+        }
+        Plan::Withdraw(reason) => Rollout { state: State::Withdrawn, reason: Some(reason.to_string()), ..next },
+    })
+}
+
+fn phase(rollout: &Rollout) -> Phase {
+    match rollout.state {
+        State::Loading => Phase::Loading,
+        State::Exposing => Phase::Exposing { share: rollout.steps.get(rollout.step).copied().unwrap_or(0.0) },
+        State::Paused => Phase::Paused,
+        State::Promoted => Phase::Promoted,
+        State::Withdrawn => Phase::Withdrawn,
+    }
+}
--- a/crates/route/src/guard.rs
+++ b/crates/route/src/guard.rs
@@ -11,6 +11,11 @@
 //! `alpha`, however often it is looked at. `alpha` is shared out over signals
 //! and steps, each step starting with new counts, because a rate that moves
 //! with the time of day would otherwise be taken for the version's.
+//!
+//! A version may turn bad amid a step. The step's long good record would then
+//! hide it for about as long again, so half of `alpha` goes to windows of the
+//! step, each with counts of its own; later windows get less of it, so that
+//! their number needs no bound.
 
 use std::{fmt, ops::AddAssign};
 
@@ -192,10 +197,28 @@
 /// Natural logarithm of the e-value above which a step does not end.
 const SUSPICION: f64 = 3.0;
 
-/// Judges the evidence of one step.
+/// The latest part of a step.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Window {
+    /// Which part, from 0.
+    pub number: u32,
+    /// What was seen in it.
+    pub evidence: Evidence,
+}
+
+/// Judges the evidence of one step, its latest window besides.
 #[must_use]
-pub fn judge(policy: &Policy, evidence: &Evidence) -> Verdict {
-    let limit = threshold(policy);
+pub fn judge(policy: &Policy, step: &Evidence, window: &Window) -> Verdict {
+    if window.number > 0 {
+        let late = judge_sums(policy, window_threshold(policy, window.number), &window.evidence);
+        if matches!(late, Verdict::Stop(_)) {
+            return late;
+        }
+    }
+    judge_sums(policy, threshold(policy), step)
+}
+
+fn judge_sums(policy: &Policy, limit: f64, evidence: &Evidence) -> Verdict {
     let mut suspicious = false;
     for signal in Signal::ALL {
         let new = evidence.new.of(signal);
@@ -226,9 +249,19 @@
     let tests = Signal::ALL.len() * policy.steps.max(1);
     #[expect(clippy::cast_precision_loss, reason = "a handful of tests")]
     let tests = tests as f64;
-    (tests / policy.alpha).ln()
+    (tests / (policy.alpha * STEP_PART)).ln()
 }
 
+/// The same for one window: the parts `6 / (pi^2 n^2)` add up to one.
+fn window_threshold(policy: &Policy, number: u32) -> f64 {
+    let number = f64::from(number);
+    let part = 6.0 / (std::f64::consts::PI * number).powi(2);
+    threshold(policy) + (STEP_PART / ((1.0 - STEP_PART) * part)).ln()
+}
+
+/// Part of `alpha` for steps as a whole; the rest is the windows'.
+const STEP_PART: f64 = 0.5;
+
 /// Natural logarithm of the e-value that the new arm's rate exceeds the
 /// control's by more than `margin`.
 #[must_use]
