--- a/crates/platform/src/attempt.rs
+++ b/crates/platform/src/attempt.rs
@@ -69,12 +69,13 @@
         if item.version == replaced {
             return Verdict::Again;
         }
+        // A short trail shows every write since the key was free, and the base
+        // is not among them: it was freed since.
+        let whole = item.nonces.len() < envelope::TRAIL;
         let fate = match self.call {
-            // A created key's trail starts with its creation: it is whole as
-            // long as it is not full.
-            Call::Create { .. } if item.nonces.len() < envelope::TRAIL && !item.nonces.contains(&self.own) => {
-                Fate::Lost
-            }
+            // A created key's trail starts with its creation.
+            Call::Create { .. } if whole && !item.nonces.contains(&self.own) => Fate::Lost,
+            Call::Delete { .. } if whole && self.base.is_some_and(|base| !item.nonces.contains(&base)) => Fate::Done,
             _ => envelope::fate(&item.nonces, self.own, self.base),
         };
         match fate {
--- a/crates/platform/src/fake.rs
+++ b/crates/platform/src/fake.rs
@@ -162,6 +162,12 @@
         self.lock().data.list("", "", usize::MAX).0
     }
 
+    /// Every change since the last compaction, oldest first.
+    #[must_use]
+    pub fn history(&self) -> Vec<Object> {
+        self.lock().data.history().to_vec()
+    }
+
     /// The store's version.
     #[must_use]
     pub fn version(&self) -> u64 {
--- a/crates/platform/src/fake/data.rs
+++ b/crates/platform/src/fake/data.rs
@@ -24,6 +24,10 @@
         self.version
     }
 
+    pub(super) fn history(&self) -> &[Object] {
+        &self.history
+    }
+
     pub(super) fn compact(&mut self) {
         self.history.clear();
         self.compacted = self.version;
--- a/crates/platform/src/handle.rs
+++ b/crates/platform/src/handle.rs
@@ -80,6 +80,11 @@
 
     /// Creates an object if its key is free.
     ///
+    /// Exact as long as nobody deletes the key before this returns: a
+    /// deletion hides a first try whose answer was lost, and the object would
+    /// be created again. Keys that are deleted at all must be deleted only
+    /// long after they were made, as logs are cut off.
+    ///
     /// # Errors
     ///
     /// [`Error::Unknown`] when the answer was lost and could not be read back;
@@ -115,8 +120,11 @@
         self.write(priority, Attempt { call, own, base: item.nonces.first().copied(), nonces }).await
     }
 
-    /// Deletes an object if `item` still is its present state. Done means
-    /// that the key is free, whoever freed it.
+    /// Deletes an object if `item` still is its present state.
+    ///
+    /// A deletion leaves no nonce: when its answer was lost, done means only
+    /// that the key was freed, and of two who delete at once both may hear
+    /// it. What only one may do must rest on [`Handle::update`].
     ///
     /// # Errors
     ///
