--- a/crates/journal/src/error.rs
+++ b/crates/journal/src/error.rs
@@ -46,6 +46,14 @@
     }
 }
 
+impl Reason {
+    /// Whether it also tells of earlier tries under the same nonce: it was
+    /// decided on what is recorded of the key.
+    pub(crate) fn is_conclusive(self) -> bool {
+        matches!(self, Self::OtherBody | Self::GrantClosed)
+    }
+}
+
 impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
--- a/crates/journal/src/handle.rs
+++ b/crates/journal/src/handle.rs
@@ -7,7 +7,6 @@
 };
 
 use bytes::Bytes;
-use platform::Priority;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -22,13 +21,13 @@
 };
 
 use crate::{
-    Bill, Error, Reason, audit,
+    Bill, Error, Reason,
     bill::Holder,
+    books,
     clock::millis,
     config::{BillWait, Config},
     home::{self, Setting},
     keeper::{self, Kept, Key, Order},
-    object::PREFIX,
     op::{Known, Op, Register, Release, Reply},
     placement::{Member, Placement},
     record::{Bind, Claim, Close, Digest, End, Settle, Shard},
@@ -117,7 +116,8 @@
     let setting =
         Setting { config: config.clone(), platform: platform.clone(), placement: placement.clone(), keeper: held };
     let homes = (0..config.shards).map(|s| home::spawn(Shard(s), setting.clone(), rng.random())).collect();
-    let router = Router { config: config.clone(), placement, homes, outbound };
+    let jitter = Arc::new(Mutex::new(StdRng::seed_from_u64(rng.random())));
+    let router = Router { config: config.clone(), placement, homes, outbound, rng: jitter };
     keeper::spawn(router.clone(), config.kept, rng.random(), orders);
     let to_keeper = keeper.clone();
     tokio::spawn(async move {
@@ -346,15 +346,13 @@
     ///
     /// As [`Handle::bills`].
     pub async fn all_bills(&self) -> Result<Vec<Bill>, Error> {
-        let down = |error: platform::Error| {
+        let config = &self.router.config;
+        books::read(&self.platform, config.shards, config.ring).await.map_err(|error| {
             tracing::warn!(%error, "bills not read");
-            Error::NotRecorded(Reason::PlatformDown)
-        };
-        let listing = self.platform.list(Priority::Statistics, PREFIX).await.map_err(down)?;
-        let objects = listing.items.iter().map(|item| (item.key.as_str(), item.body.get().as_bytes()));
-        audit::bills(objects).map_err(|invalid| {
-            tracing::error!(%invalid, "bills not read");
-            Error::Unknown
+            match error {
+                platform::Error::Malformed { .. } => Error::Unknown,
+                _ => Error::NotRecorded(Reason::PlatformDown),
+            }
         })
     }
 
--- a/crates/journal/src/home.rs
+++ b/crates/journal/src/home.rs
@@ -40,6 +40,9 @@
 
 /// Pause before a home that was replaced, or failed to open, opens again.
 const REOPEN: Duration = Duration::from_millis(300);
+/// An opening reads before it writes, and may take this many times longer
+/// than one answer before the platform counts as down.
+const OPENING_ANSWERS: u32 = 5;
 /// How often expired keys are dropped.
 const EXPIRE_EVERY: Duration = Duration::from_secs(30);
 /// Bytes of records in one segment, at most.
@@ -301,13 +304,7 @@
     /// Notices an outage: whatever is not on its way yet is certainly not
     /// recorded, and is refused rather than left to its deadline.
     fn check_patience(&mut self, now: Instant) {
-        let since = match &self.phase {
-            Phase::Away { .. } => None,
-            Phase::Opening { since } => Some(*since),
-            Phase::Home(active) => active.flight.as_ref().map(|flight| flight.since),
-        };
-        let stalled = since.is_some_and(|since| now >= since + self.setting.config.patience);
-        if !stalled {
+        if self.patience_ends().is_none_or(|end| now < end) {
             // A shard that is away after a failed opening stays as it was.
             self.stalled &= matches!(self.phase, Phase::Away { .. });
             return;
@@ -324,6 +321,16 @@
         }
     }
 
+    /// When the platform counts as down unless it answers before.
+    fn patience_ends(&self) -> Option<Instant> {
+        let patience = self.setting.config.patience;
+        match &self.phase {
+            Phase::Away { .. } => None,
+            Phase::Opening { since } => Some(*since + patience * OPENING_ANSWERS),
+            Phase::Home(active) => active.flight.as_ref().map(|flight| flight.since + patience),
+        }
+    }
+
     fn bills_under_way(&mut self) -> Vec<Message> {
         let Phase::Home(active) = &mut self.phase else {
             return Vec::new();
@@ -413,14 +420,13 @@
 
     fn wake_at(&self) -> Instant {
         let mut wake = self.expire_at;
+        if let Some(end) = self.patience_ends().filter(|_| !self.stalled) {
+            wake = wake.min(end);
+        }
         match &self.phase {
             Phase::Away { until } if self.wanted() => wake = wake.min(*until),
-            Phase::Opening { since } if !self.stalled => wake = wake.min(*since + self.setting.config.patience),
             Phase::Away { .. } | Phase::Opening { .. } => {}
             Phase::Home(active) => {
-                if let Some(flight) = active.flight.as_ref().filter(|_| !self.stalled) {
-                    wake = wake.min(flight.since + self.setting.config.patience);
-                }
                 if active.flight.is_none() && !self.queue.is_empty() && !active.is_ring_full(self.keys) {
                     wake = wake.min(active.next_write.max(Instant::now()));
                 }
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod audit;
 pub mod bill;
+mod books;
 pub mod clock;
 mod compact;
 pub mod config;
--- a/crates/journal/src/router.rs
+++ b/crates/journal/src/router.rs
@@ -1,9 +1,12 @@
 //! Brings a question to a shard's home, wherever that is at the time.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use bytes::Bytes;
-use rand::Rng;
+use rand::{Rng, rngs::StdRng};
 use tokio::{
     sync::{mpsc, oneshot, watch},
     time::{Instant, sleep, timeout_at},
@@ -41,6 +44,7 @@
     pub placement: watch::Receiver<Arc<Placement>>,
     pub homes: Arc<[mpsc::Sender<Message>]>,
     pub outbound: mpsc::Sender<Outbound>,
+    pub rng: Arc<Mutex<StdRng>>,
 }
 
 impl Router {
@@ -68,9 +72,12 @@
             match asked {
                 Some(Reply::NotHome) => {}
                 Some(Reply::Unknown) | None => in_doubt = true,
+                // A refusal speaks of this try only: an earlier one that was
+                // not answered may be on its way to the platform still.
+                Some(Reply::Refused(reason)) if in_doubt && !reason.is_conclusive() => return Err(Error::Unknown),
                 Some(reply) => return Ok(reply),
             }
-            let wait = pause.mul_f64(rand::rng().random_range(0.5..1.0));
+            let wait = pause.mul_f64(self.spread());
             if Instant::now() + wait >= deadline {
                 return Err(if in_doubt { Error::Unknown } else { Error::NotRecorded(Reason::NoHome) });
             }
@@ -79,6 +86,11 @@
         }
     }
 
+    /// Spreads askers that failed at the same time.
+    fn spread(&self) -> f64 {
+        self.rng.lock().unwrap_or_else(PoisonError::into_inner).random_range(0.5..1.0)
+    }
+
     /// Asks one instance once; nothing when no answer came.
     pub async fn ask_peer(&self, to: &instance::Id, request: &Request, deadline: Instant) -> Option<Reply> {
         let until = deadline.min(Instant::now() + self.config.peer_timeout);
