Test membership under faults and any schedule of them

Cause: a doubt heard between waking from a pause and the next tick was dated into the future by the pause, so the member stayed suspect for as long again. Change: the moved date is capped at now.

--- a/crates/peer/src/membership/silence.rs
+++ b/crates/peer/src/membership/silence.rs
@@ -79,7 +79,8 @@
         }
         for entry in self.others.values_mut() {
             entry.heard = now;
-            entry.since += pause;
+            // A doubt heard since waking, before this tick, is not that old.
+            entry.since = (entry.since + pause).min(now);
         }
     }
 
--- /dev/null
+++ b/crates/peer/src/membership/tests/schedule.rs
@@ -0,0 +1,85 @@
+//! After any schedule of faults and their healing, all agree on who is there.
+
+use proptest::{prelude::*, test_runner::RngSeed};
+
+use super::{SETTLED, sim::Sim};
+
+const SIZE: usize = 8;
+/// Faults that pass what the suspicion spans, and the memory of the removed.
+const LONGEST: usize = 80;
+
+#[derive(Debug, Clone)]
+enum Fault {
+    Cut(usize, usize),
+    Part(usize),
+    Heal,
+    Kill(usize),
+    Restart(usize),
+    Pause(usize),
+    Wake(usize),
+    Leave(usize),
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    let node = || 0..SIZE;
+    prop_oneof![
+        4 => (node(), node()).prop_map(|(one, other)| Fault::Cut(one, other)),
+        2 => node().prop_map(Fault::Part),
+        2 => Just(Fault::Heal),
+        2 => node().prop_map(Fault::Kill),
+        2 => node().prop_map(Fault::Restart),
+        2 => node().prop_map(Fault::Pause),
+        2 => node().prop_map(Fault::Wake),
+        1 => node().prop_map(Fault::Leave),
+    ]
+}
+
+fn inject(sim: &mut Sim, fault: &Fault) {
+    match *fault {
+        Fault::Cut(one, other) => {
+            sim.cuts.insert((one, other));
+        }
+        Fault::Part(first) => {
+            let (ones, others): (Vec<_>, Vec<_>) = (0..SIZE).partition(|place| *place < first);
+            sim.part(&ones, &others);
+        }
+        Fault::Heal => sim.cuts.clear(),
+        Fault::Kill(place) => sim.kill(place),
+        Fault::Restart(place) => sim.restart(place),
+        Fault::Pause(place) => sim.nodes[place].paused = true,
+        Fault::Wake(place) => sim.nodes[place].paused = false,
+        Fault::Leave(place) if sim.nodes[place].awake() => sim.nodes[place].membership.leave(),
+        Fault::Leave(_) => {}
+    }
+}
+
+/// The same few cases every time; as many others as `PROPTEST_CASES` says.
+fn config() -> ProptestConfig {
+    let asked = ProptestConfig { failure_persistence: None, ..ProptestConfig::default() };
+    if std::env::var_os("PROPTEST_CASES").is_some() {
+        return asked;
+    }
+    ProptestConfig { cases: 64, rng_seed: RngSeed::Fixed(7), ..asked }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn all_agree_after_healing(
+        faults in prop::collection::vec((fault(), 0..LONGEST), 1..12),
+        limit in prop_oneof![Just(SIZE), Just(3), Just(4)],
+        seed: u64,
+    ) {
+        let mut sim = Sim::new(SIZE, limit, seed);
+        for (fault, heartbeats) in &faults {
+            inject(&mut sim, fault);
+            sim.run(*heartbeats);
+        }
+        sim.cuts.clear();
+        sim.nodes.iter_mut().for_each(|node| node.paused = false);
+        sim.run(2 * SETTLED);
+        prop_assert_eq!(sim.disagreement(), None);
+        prop_assert!((0..SIZE).all(|place| sim.links(place) <= limit.max(SIZE - 1)));
+    }
+}
