Let operators give a change its own id

Cause: when the answer to a change is lost, the operators' tool must find out whether it was made; generation and author do not tell two changes of one operator apart. Change: Revision carries an id, Handle::apply_as takes it.

--- a/crates/config/src/applier.rs
+++ b/crates/config/src/applier.rs
@@ -27,6 +27,7 @@
 #[derive(Debug)]
 pub(crate) struct Apply {
     pub(crate) author: String,
+    pub(crate) change: String,
     pub(crate) edits: Vec<Edit>,
     pub(crate) answer: oneshot::Sender<Result<Applied, Error>>,
 }
@@ -56,8 +57,8 @@
 
     /// One change at a time: two at once would only race each other.
     pub(crate) async fn run(mut self, mut requests: mpsc::Receiver<Apply>) {
-        while let Some(Apply { author, edits, answer }) = requests.recv().await {
-            let result = self.apply(&author, &edits).await;
+        while let Some(Apply { author, change, edits, answer }) = requests.recv().await {
+            let result = self.apply(&author, &change, &edits).await;
             if let Ok(applied) = &result {
                 self.note(*applied, &edits);
             }
@@ -66,14 +67,15 @@
         }
     }
 
-    async fn apply(&self, author: &str, edits: &[Edit]) -> Result<Applied, Error> {
+    async fn apply(&self, author: &str, change: &str, edits: &[Edit]) -> Result<Applied, Error> {
         let until = Instant::now() + self.settings.deadline;
         // What is in force here may be old. That is no risk for a change, since
         // the create decides; but a refusal must rest on the newest state.
         let mut newest = false;
         loop {
             let state = self.state.borrow().clone();
-            let change = match state.propose(edits, self.revision(author, state.generation() + 1)) {
+            let revision = self.revision(author, change, state.generation() + 1);
+            let change = match state.propose(edits, revision) {
                 Ok(Some(change)) => change,
                 Ok(None) if newest => return Ok(Applied { generation: state.generation(), changed: false }),
                 Err(error) if newest => return Err(error),
@@ -137,9 +139,9 @@
         told.await.map_err(|_| Error::Closed)
     }
 
-    fn revision(&self, author: &str, generation: u64) -> Revision {
+    fn revision(&self, author: &str, change: &str, generation: u64) -> Revision {
         let instance = self.settings.instance.to_string();
-        Revision { generation, at: (self.settings.clock)(), author: author.into(), instance }
+        Revision { generation, at: (self.settings.clock)(), author: author.into(), instance, change: change.into() }
     }
 
     fn note(&self, applied: Applied, edits: &[Edit]) {
--- a/crates/config/src/handle.rs
+++ b/crates/config/src/handle.rs
@@ -141,8 +141,18 @@
     /// [`Error::Unknown`] when the change may have been accepted; with every
     /// other error nothing was changed.
     pub async fn apply(&self, author: &str, edits: Vec<Edit>) -> Result<Applied, Error> {
+        self.apply_as(author, "", edits).await
+    }
+
+    /// As [`Handle::apply`], under the operator's own id of the change, which
+    /// the history shows.
+    ///
+    /// # Errors
+    ///
+    /// As [`Handle::apply`].
+    pub async fn apply_as(&self, author: &str, change: &str, edits: Vec<Edit>) -> Result<Applied, Error> {
         let (answer, answered) = oneshot::channel();
-        let apply = Apply { author: author.into(), edits, answer };
+        let apply = Apply { author: author.into(), change: change.into(), edits, answer };
         self.applies.send(apply).await.map_err(|_| Error::Closed)?;
         answered.await.map_err(|_| Error::Closed)?
     }
--- a/crates/config/src/state.rs
+++ b/crates/config/src/state.rs
@@ -30,6 +30,10 @@
     pub author: String,
     /// The instance that made it.
     pub instance: String,
+    /// The operator's own id of the change, by which it is found again when
+    /// the answer was lost; empty when none was given.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub change: String,
 }
 
 /// All objects of one generation.
