Let the life's witness know that a declined dispatch sent nothing

Declined in Dispatching means that no endpoint was found, so no byte was sent; the random test's witness counted such a dispatch as open and failed on a true 'not run'. The check stays as strict: a lost or started dispatch still forbids it.

--- a/crates/entry/tests/life.rs
+++ b/crates/entry/tests/life.rs
@@ -86,6 +86,17 @@
         [Event::Admitted, Event::Chosen { steps: 2 }, Event::Started, Event::Whole, Event::Rejected, NOT_SENT,
          Event::GiveUp]
         => Command::Fail { ran: Ran::Yes }, Failed;
+    no_endpoint_is_not_run: Never
+        [Event::Admitted, Event::Claimed, Event::Chosen { steps: 1 }, Event::Declined]
+        => Command::Fail { ran: Ran::No }, Failed;
+    no_endpoint_after_a_lost_dispatch_is_unknown: Idempotent
+        [Event::Admitted, Event::Chosen { steps: 1 }, Event::Lost, Event::Again, Event::Declined]
+        => Command::Fail { ran: Ran::Unknown }, Failed;
+    diverged_answer_has_run: Idempotent
+        [Event::Admitted, Event::Chosen { steps: 1 }, Event::Started, Event::Frame, Event::Broke, Event::Gone,
+         Event::Again, Event::Started, Event::Diverged]
+        => Command::Fail { ran: Ran::Yes }, Failed;
+    earlier_claim_answers_in_its_place: Never [Event::Admitted, Event::Superseded] => Command::Retire, Superseded;
     unbilled_answer_is_held_back: Idempotent
         [Event::Admitted, Event::Chosen { steps: 1 }, Event::Started, Event::Whole, Event::Unbilled]
         => Command::Fail { ran: Ran::Yes }, Failed;
@@ -111,6 +122,7 @@
         2 => any::<bool>().prop_map(|arrived| Event::Refused { arrived }),
         2 => prop_oneof![Just(Event::Broke), Just(Event::Resumed), Just(Event::Gone), Just(Event::Lost)],
         2 => prop_oneof![Just(Event::Kept), Just(Event::Rejected), Just(Event::Billed), Just(Event::Unbilled)],
+        1 => prop_oneof![Just(Event::Superseded), Just(Event::Diverged)],
         1 => prop_oneof![Just(Event::Declined), Just(Event::GiveUp), Just(Event::CallerGone), Just(Event::TimeUp),
                          Just(Event::Fault)],
     ]
@@ -137,6 +149,8 @@
                 self.open = false;
                 self.arrived |= arrived;
             }
+            // No endpoint was found, so no byte of this dispatch was sent.
+            Event::Declined => self.open = false,
             Event::Started | Event::Lost => self.arrived = true,
             _ => {}
         }
