--- a/crates/control/tests/it/main.rs
+++ b/crates/control/tests/it/main.rs
@@ -1,5 +1,8 @@
 //! Control's failure tests, on a paused clock with seeded faults.
 
 mod lease;
+mod operate;
 mod orders;
+mod rollout;
+mod site;
 mod support;
--- /dev/null
+++ b/crates/control/tests/it/rollout.rs
@@ -0,0 +1,258 @@
+//! Roll-outs under lost coordinators, operators' races and outages.
+
+use std::time::Duration;
+
+use control::operate::Action;
+use tokio::time::{Instant, sleep};
+use world::rollout::{Rollout, State};
+
+use crate::{
+    site::{LINK, Site, new_version},
+    support::seconds,
+};
+
+/// Most answers of a bad version before the fleet has stopped it.
+const MOST_BAD: u64 = 120;
+
+fn withdraw() -> Action {
+    Action::Withdraw { reason: "an operator's reason".into() }
+}
+
+/// Nothing goes wrong: the version is loaded, two loads at a time, exposed
+/// step by step and promoted.
+#[tokio::test(start_paused = true)]
+async fn clean() {
+    let site = Site::open(3).await;
+    site.roll_out().await;
+    let mut at_once = 0;
+    while site.rollout(1).is_none_or(|rollout| rollout.state == State::Loading) {
+        at_once = at_once.max(site.engines.all().iter().map(|engine| engine.loading).sum());
+        sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(at_once, 2, "the weight store bears two loads at a time");
+    assert!(site.engines.holding(&new_version()) >= 2);
+    site.wait_for(1, State::Promoted).await;
+    assert_eq!(site.engines.holding(&new_version()), 4);
+}
+
+/// Where a roll-out stands when its coordinator is lost.
+async fn lose_leader_at(reached: impl Fn(&Rollout) -> bool) -> Site {
+    let mut site = Site::open(3).await;
+    site.roll_out().await;
+    let watcher = (site.leader() + 1) % 3;
+    site.wait(watcher, reached).await;
+    site.lose(site.leader());
+    site
+}
+
+macro_rules! lost {
+    ($($(#[doc = $doc:literal])* $name:ident: $reached:expr;)*) => {
+        $($(#[doc = $doc])* #[tokio::test(start_paused = true)]
+        async fn $name() {
+            let site = lose_leader_at($reached).await;
+            let left = (site.leader() + 1) % 3;
+            site.wait_for(left, State::Promoted).await;
+            assert_ne!(site.leader(), (left + 2) % 3, "another carried it on");
+        })*
+    };
+}
+
+lost! {
+    /// The coordinator is lost before any engine has loaded the version: the
+    /// next asks the engines what they hold and orders the rest.
+    lost_while_loading: |rollout| rollout.state == State::Loading;
+
+    /// Lost as the first sessions meet the version.
+    lost_at_first_step: |rollout| rollout.state == State::Exposing;
+
+    /// Lost between two steps: the next waits the step's time anew.
+    lost_at_second_step: |rollout| rollout.step == 1;
+
+    /// Lost at the last step, which leaves no predecessor to compare with.
+    lost_at_last_step: |rollout| rollout.step == 3;
+}
+
+/// The version fails 30 ratings in 100 more than its predecessor. Every
+/// instance sees a seventh of it; together they stop it, everywhere.
+#[tokio::test(start_paused = true)]
+async fn bad_version() {
+    let site = Site::open(7).await;
+    site.set_bad(350);
+    site.roll_out().await;
+    let rollout = site.wait_for(3, State::Withdrawn).await;
+    assert_eq!(rollout.step, 0);
+    assert!(rollout.reason.as_deref().unwrap_or_default().starts_with("failed ratings"), "{:?}", rollout.reason);
+    let met = site.traffic().new;
+    assert!(met <= MOST_BAD, "{met} answers of the bad version");
+    seconds(5.0).await;
+    assert_eq!(site.traffic().new, met, "no new session meets a withdrawn version");
+}
+
+/// A version turns bad after its first step went well. What was seen at that
+/// step must not hide it.
+#[tokio::test(start_paused = true)]
+async fn turns_bad_while_serving() {
+    let site = Site::open(4).await;
+    site.roll_out().await;
+    site.wait(1, |rollout| rollout.step == 1).await;
+    let before = site.traffic().new;
+    site.set_bad(350);
+    site.wait_for(2, State::Withdrawn).await;
+    let met = site.traffic().new - before;
+    assert!(met <= 2 * MOST_BAD, "{met} answers since it turned bad");
+}
+
+/// Waits until the first instance stops the version; returns which, and when.
+async fn first_stop(site: &Site) -> (usize, Instant) {
+    loop {
+        if let Some(number) = (0..site.instances.len()).find(|number| site.is_stopped(*number)) {
+            return (number, Instant::now());
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+async fn stopped_everywhere(site: &Site) -> Instant {
+    while !(0..site.instances.len()).all(|number| site.is_stopped(number)) {
+        sleep(Duration::from_millis(10)).await;
+    }
+    Instant::now()
+}
+
+/// The platform is down when the guard stops a version. Peers hear of it at
+/// once and expose nobody more; the withdrawal is written when it is back.
+#[tokio::test(start_paused = true)]
+async fn stopped_in_an_outage() {
+    let site = Site::open(5).await;
+    site.roll_out().await;
+    site.wait_for(1, State::Exposing).await;
+    site.platform.set_down(true);
+    site.set_bad(350);
+    let (_, first) = first_stop(&site).await;
+    let last = stopped_everywhere(&site).await;
+    assert!(last - first <= Duration::from_secs(1), "{:?}", last - first);
+    let met = site.traffic().new;
+    seconds(60.0).await;
+    assert_eq!(site.traffic().new, met, "stopped all through the outage");
+    assert_eq!(site.rollout(1).unwrap().state, State::Exposing, "nothing can be written yet");
+    site.platform.set_down(false);
+    for number in 0..5 {
+        site.wait_for(number, State::Withdrawn).await;
+    }
+}
+
+/// The link between the instance that stops a version and another is cut. The
+/// other hears it from those that did hear, a repeat later.
+#[tokio::test(start_paused = true)]
+async fn stop_lost_on_one_link() {
+    let site = Site::open(4).await;
+    site.roll_out().await;
+    site.wait_for(1, State::Exposing).await;
+    // Down, so that the withdrawal itself does not tell it.
+    site.platform.set_down(true);
+    site.set_bad(350);
+    let (first, at) = first_stop(&site).await;
+    let other = (first + 1) % 4;
+    site.cut(first, other, true);
+    let last = stopped_everywhere(&site).await;
+    assert!(last - at <= Duration::from_secs(1) + 2 * LINK, "{:?}", last - at);
+}
+
+/// The instance whose evidence stopped the version dies right after it told
+/// its peers, before it could write. Another makes the stop last.
+#[tokio::test(start_paused = true)]
+async fn lost_right_after_the_stop() {
+    let mut site = Site::open(4).await;
+    site.roll_out().await;
+    site.wait_for(1, State::Exposing).await;
+    site.set_bad(350);
+    let (first, _) = first_stop(&site).await;
+    site.instances[first].client.set_down(true);
+    sleep(LINK + Duration::from_millis(20)).await;
+    site.lose(first);
+    let other = (first + 1) % 4;
+    site.wait_for(other, State::Withdrawn).await;
+}
+
+/// Two faults together: the coordinator is lost, and the platform is down for
+/// half a minute while the others wait for its lease.
+#[tokio::test(start_paused = true)]
+async fn coordinator_lost_in_an_outage() {
+    let mut site = Site::open(3).await;
+    site.roll_out().await;
+    let leader = site.leader();
+    site.wait((leader + 1) % 3, |rollout| rollout.step == 1).await;
+    site.lose(leader);
+    site.platform.set_down(true);
+    seconds(30.0).await;
+    site.platform.set_down(false);
+    site.wait_for((leader + 1) % 3, State::Promoted).await;
+}
+
+/// An operator pauses while the coordinator is about to go a step on. Whoever
+/// writes first, the pause holds at the end and no step follows it: the loser
+/// reads again, and a paused roll-out is left alone.
+#[tokio::test(start_paused = true)]
+async fn pause_races_with_a_step() {
+    for offset_ms in (0..1_000).step_by(125) {
+        let site = Site::open(2).await;
+        site.roll_out().await;
+        site.wait_for(1, State::Exposing).await;
+        sleep(Duration::from_millis(3_500 + offset_ms)).await;
+        while let Err(error) = site.operate(1, &Action::Pause).await {
+            assert!(error.contains("nothing was changed"), "{error}");
+        }
+        let paused = site.wait_for(0, State::Paused).await;
+        seconds(60.0).await;
+        assert_eq!(site.rollout(0), Some(paused));
+        site.operate(1, &Action::Resume).await.unwrap();
+        site.wait_for(0, State::Promoted).await;
+    }
+}
+
+/// An operator promotes a version at the moment that the guard stops it. The
+/// stop wins: promoted or not, it is bad.
+#[tokio::test(start_paused = true)]
+async fn promote_races_with_a_stop() {
+    let site = Site::open(4).await;
+    site.roll_out().await;
+    site.wait_for(1, State::Exposing).await;
+    site.set_bad(350);
+    first_stop(&site).await;
+    let _ = site.operate(2, &Action::Promote).await;
+    for number in 0..4 {
+        site.wait_for(number, State::Withdrawn).await;
+    }
+}
+
+/// An operator withdraws: no instance exposes anybody within a second, and
+/// engines drop the version only after running answers had time to end.
+#[tokio::test(start_paused = true)]
+async fn withdrawn_by_an_operator() {
+    let site = Site::open(3).await;
+    site.roll_out().await;
+    site.wait(1, |rollout| rollout.step == 1).await;
+    site.operate(2, &withdraw()).await.unwrap();
+    let at = Instant::now();
+    seconds(30.0).await;
+    let late = site.traffic().exposures.iter().filter(|(_, when)| *when > at + Duration::from_secs(1)).count();
+    assert_eq!(late, 0);
+    assert!(site.engines.holding(&new_version()) >= 2, "answers under way are not cut off");
+    seconds(180.0).await;
+    assert_eq!(site.engines.holding(&new_version()), 0);
+    assert!(site.operate(0, &Action::Resume).await.unwrap_err().contains("never comes back"));
+}
+
+/// An engine restarts amid the roll-out and has lost the version: it is
+/// ordered to load it again.
+#[tokio::test(start_paused = true)]
+async fn engine_restarted() {
+    let site = Site::open(2).await;
+    site.roll_out().await;
+    site.wait(1, |rollout| rollout.step == 2).await;
+    site.engines.restart(9_000);
+    assert_eq!(site.engines.holding(&new_version()), 3);
+    site.operate(1, &Action::Pause).await.unwrap();
+    seconds(60.0).await;
+    assert_eq!(site.engines.holding(&new_version()), 4);
+}
--- /dev/null
+++ b/crates/control/tests/it/site.rs
@@ -0,0 +1,401 @@
+//! Instances with control on one fake platform, engines and traffic beside
+//! them, peer links as tasks of one process.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use config::{Edit, Expected, Outbound};
+use control::{
+    Edges, Handle, Observation, Settings,
+    observation::Outcome,
+    operate::{self, Action},
+    order::{self, Call},
+};
+use platform::fake::{Client, Platform};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use route::rollout::{self as exposure, Unit};
+use timeline::{Filter, Recorder};
+use tokio::{
+    sync::mpsc,
+    task::AbortHandle,
+    time::{Instant, sleep, timeout},
+};
+use world::{
+    contract::Customer,
+    domain::Domain,
+    instance::Incarnation,
+    model::{self, Number, Version},
+    object::{Key, Kind, Object},
+    rollout::{self, Rollout, State},
+};
+
+use crate::support;
+
+/// How long a message between two instances is under way: the news delay.
+pub const LINK: Duration = Duration::from_millis(200);
+
+/// Requests a second at each instance.
+const RATE: u64 = 50;
+
+/// Failed ratings in a thousand of a good version.
+const GOOD: u64 = 50;
+
+/// How long an engine takes to load a version.
+const LOADING: Duration = Duration::from_secs(3);
+
+const OBJECTS: &str = r#"
+kind: model
+name: m
+spec:
+  versions:
+    - { version: "1", price: { input: "1", output: "1", currency: EUR } }
+    - { version: "2", price: { input: "1", output: "1", currency: EUR } }
+---
+kind: contract
+name: c
+spec:
+  keys: []
+  models: [{ model: m, versions: ["1", "2"] }]
+  budget: { amount: "1000", currency: EUR, period: month }
+---
+kind: pool
+name: p
+spec:
+  domain: d0
+  serves: { versions: ["m@1", "m@2"] }
+  endpoints:
+    - { name: e0, address: "127.0.0.1:9000" }
+    - { name: e1, address: "127.0.0.1:9001" }
+    - { name: e2, address: "127.0.0.1:9002" }
+    - { name: e3, address: "127.0.0.1:9003" }
+"#;
+
+/// A fleet with one roll-out of `m@2`.
+pub struct Site {
+    pub platform: Platform,
+    pub instances: Vec<Instance>,
+    pub engines: Engines,
+    links: Arc<Mutex<Links>>,
+    traffic: Arc<Mutex<Traffic>>,
+}
+
+/// One instance; nothing in it works on after [`Site::lose`].
+pub struct Instance {
+    pub config: config::Handle,
+    pub client: Client,
+    pub recorder: Recorder,
+    control: Option<Handle>,
+    tasks: Vec<AbortHandle>,
+}
+
+#[derive(Default)]
+struct Links {
+    ends: Vec<(config::Handle, Handle)>,
+    cut: BTreeSet<(usize, usize)>,
+}
+
+/// What requests met.
+#[derive(Debug, Clone, Default)]
+pub struct Traffic {
+    /// Failed ratings in a thousand of `m@2`.
+    pub bad: u64,
+    /// Answers of `m@2`.
+    pub new: u64,
+    /// New sessions that `m@2` took, by instance, at their times.
+    pub exposures: Vec<(usize, Instant)>,
+}
+
+pub fn rollout_id() -> rollout::Id {
+    rollout::Id::parse("r").unwrap()
+}
+
+pub fn new_version() -> Version {
+    Version::parse("m@2").unwrap()
+}
+
+impl Site {
+    /// Opens a fleet with everything but the roll-out in force.
+    pub async fn open(instances: usize) -> Self {
+        let mut site = Self {
+            platform: Platform::open(),
+            instances: Vec::new(),
+            engines: Engines::default(),
+            links: Arc::default(),
+            traffic: Arc::new(Mutex::new(Traffic { bad: GOOD, ..Traffic::default() })),
+        };
+        for _ in 0..instances {
+            site.start().await;
+        }
+        let objects = Object::parse_file(OBJECTS).unwrap();
+        let edits = objects.into_iter().map(|object| Edit::Put(object, Expected::Any)).collect();
+        site.instances[0].config.apply("ann", edits).await.unwrap();
+        support::seconds(2.0).await;
+        site
+    }
+
+    /// Starts one more instance.
+    pub async fn start(&mut self) {
+        let number = self.instances.len();
+        let (client, platform) = support::platform(&self.platform, number);
+        let recorder = support::recorder(number);
+        let mut settings = config::Settings::new(support::instance(number), Domain::parse("d0").unwrap());
+        settings.seed = Some(1);
+        let (config, outbound) = config::spawn(settings, platform.clone(), recorder.clone());
+        config.set_reader(true).await;
+        let edges =
+            Edges { platform, config: config.clone(), engines: self.engines.spawn(), recorder: recorder.clone() };
+        let (control, news) = control::spawn(Settings::new(support::instance(number), Incarnation(1)), edges);
+        lock(&self.links).ends.push((config.clone(), control.clone()));
+        let requests = requests(number, config.clone(), control.clone(), self.traffic.clone());
+        let tasks = vec![
+            tokio::spawn(carry_config(self.links.clone(), number, outbound)).abort_handle(),
+            tokio::spawn(carry_news(self.links.clone(), number, news)).abort_handle(),
+            tokio::spawn(requests).abort_handle(),
+        ];
+        self.instances.push(Instance { config, client, recorder, control: Some(control), tasks });
+    }
+
+    /// An instance dies at once: cut off from everybody, all its handles gone.
+    pub fn lose(&mut self, number: usize) {
+        for other in 0..self.instances.len() {
+            self.cut(number, other, true);
+        }
+        let instance = &mut self.instances[number];
+        instance.client.set_down(true);
+        instance.tasks.iter().for_each(AbortHandle::abort);
+        instance.control = None;
+    }
+
+    /// Cuts or joins both directions of a link.
+    pub fn cut(&self, a: usize, b: usize, cut: bool) {
+        let mut links = lock(&self.links);
+        for link in [(a, b), (b, a)] {
+            if cut {
+                links.cut.insert(link)
+            } else {
+                links.cut.remove(&link)
+            };
+        }
+    }
+
+    /// Makes `m@2` fail this many ratings in a thousand.
+    pub fn set_bad(&self, bad: u64) {
+        lock(&self.traffic).bad = bad;
+    }
+
+    pub fn traffic(&self) -> Traffic {
+        lock(&self.traffic).clone()
+    }
+
+    /// An operator's action at an instance.
+    pub async fn operate(&self, number: usize, action: &Action) -> Result<(), String> {
+        let config = &self.instances[number].config;
+        let object = operate::act(&config.current(), &rollout_id(), action).map_err(|error| error.to_string())?;
+        let key = Key { kind: Kind::Rollout, name: rollout_id().to_string() };
+        let expected = config.revision(&key).map_or(Expected::Absent, |revision| Expected::At(revision.generation));
+        let applied = config.apply("ann", vec![Edit::Put(object, expected)]).await;
+        applied.map(|_| ()).map_err(|error| error.to_string())
+    }
+
+    /// Begins the roll-out, with steps that suit a test.
+    pub async fn roll_out(&self) {
+        let mut rollout = Rollout::new(new_version(), Number::parse("1").unwrap());
+        rollout.steps = vec![0.05, 0.25, 0.5, 1.0];
+        rollout.step_ms = 4_000;
+        let edit = Edit::Put(Object::Rollout(rollout_id(), rollout), Expected::Absent);
+        self.instances[0].config.apply("ann", vec![edit]).await.unwrap();
+    }
+
+    /// The roll-out as an instance's catalog has it.
+    pub fn rollout(&self, number: usize) -> Option<Rollout> {
+        self.instances[number].config.current().rollouts().get(&rollout_id()).cloned()
+    }
+
+    /// Waits until an instance's catalog has the roll-out as wanted.
+    pub async fn wait(&self, number: usize, wanted: impl Fn(&Rollout) -> bool) -> Rollout {
+        let waiting = async {
+            loop {
+                if let Some(rollout) = self.rollout(number).filter(&wanted) {
+                    return rollout;
+                }
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let reached = timeout(Duration::from_mins(20), waiting).await;
+        reached.unwrap_or_else(|_| panic!("never came, stands at {:?}", self.rollout(number)))
+    }
+
+    pub async fn wait_for(&self, number: usize, state: State) -> Rollout {
+        self.wait(number, |rollout| rollout.state == state).await
+    }
+
+    /// The instance that took the lease last, among those that are left.
+    pub fn leader(&self) -> usize {
+        let takes = |instance: &Instance| {
+            let page = instance.recorder.query(&Filter::default());
+            page.records.iter().rev().find_map(|record| match &record.event {
+                timeline::Event::TakeOver { epoch, .. } => Some(*epoch),
+                _ => None,
+            })
+        };
+        let (number, _) = self.instances.iter().enumerate().max_by_key(|(_, i)| takes(i)).unwrap();
+        number
+    }
+
+    /// Whether the version is stopped at an instance, by signal or by catalog.
+    pub fn is_stopped(&self, number: usize) -> bool {
+        let instance = &self.instances[number];
+        let withdrawn = self.rollout(number).is_some_and(|rollout| rollout.state == State::Withdrawn);
+        withdrawn || instance.control.as_ref().is_none_or(|control| control.stops().contains(&new_version()))
+    }
+}
+
+/// Sessions of one request each, until aborted.
+async fn requests(number: usize, config: config::Handle, control: Handle, traffic: Arc<Mutex<Traffic>>) {
+    let mut random = StdRng::seed_from_u64(number as u64);
+    let customer = Customer::parse("c").unwrap();
+    let model = model::Id::parse("m").unwrap();
+    let new = new_version();
+    loop {
+        sleep(Duration::from_millis(1_000 / RATE)).await;
+        let catalog = config.current();
+        let Some(contract) = catalog.contract(&customer) else { continue };
+        let unit = Unit(random.random());
+        let open = exposure::open(&catalog, &control.stops(), contract, &model, unit);
+        let Some(version) = open.first() else { continue };
+        let share = {
+            let mut traffic = lock(&traffic);
+            if *version == new {
+                traffic.new += 1;
+                traffic.exposures.push((number, Instant::now()));
+                traffic.bad
+            } else {
+                GOOD
+            }
+        };
+        let latency_ms = random.random_range(100..1_000);
+        let pass = random.random_range(0..1_000) >= share;
+        for outcome in [Outcome::Answered { latency_ms }, Outcome::Rated { pass }] {
+            control.observe(Observation { customer: customer.clone(), unit, version: version.clone(), outcome });
+        }
+    }
+}
+
+/// Engines that take orders; they ignore the fencing number.
+#[derive(Clone, Default)]
+pub struct Engines(Arc<Mutex<BTreeMap<SocketAddr, Engine>>>);
+
+#[derive(Debug, Clone, Default)]
+pub struct Engine {
+    /// What it holds.
+    pub versions: BTreeSet<Version>,
+    /// Versions it is loading now.
+    pub loading: usize,
+    /// Fencing numbers of its orders.
+    pub fences: Vec<u64>,
+}
+
+impl Engines {
+    /// What the engines are like now.
+    pub fn all(&self) -> Vec<Engine> {
+        lock(&self.0).values().cloned().collect()
+    }
+
+    /// Engines that hold a version.
+    pub fn holding(&self, version: &Version) -> usize {
+        self.all().iter().filter(|engine| engine.versions.contains(version)).count()
+    }
+
+    /// Forgets what an engine held, as a restart does.
+    pub fn restart(&self, port: u16) {
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        lock(&self.0).insert(address, Engine::default());
+    }
+
+    fn spawn(&self) -> mpsc::Sender<Call> {
+        let (sender, mut calls) = mpsc::channel(64);
+        let engines = self.clone();
+        tokio::spawn(async move {
+            while let Some(call) = calls.recv().await {
+                tokio::spawn(engines.clone().answer(call));
+            }
+        });
+        sender
+    }
+
+    async fn answer(self, call: Call) {
+        match call {
+            Call::Loaded { address, reply } => {
+                sleep(Duration::from_millis(5)).await;
+                let versions = lock(&self.0).entry(address).or_default().versions.iter().cloned().collect();
+                let _ = reply.send(Some(versions));
+            }
+            Call::Order { address, order, term, reply } => {
+                let sent = order::within(term, async {
+                    sleep(Duration::from_millis(5)).await;
+                    Ok(self.take(address, &order))
+                });
+                let _ = reply.send(sent.await);
+            }
+        }
+    }
+
+    fn take(&self, address: SocketAddr, order: &endpoint::order::Order) -> Vec<Version> {
+        let mut engines = lock(&self.0);
+        let engine = engines.entry(address).or_default();
+        engine.fences.push(order.fence);
+        engine.versions.retain(|version| !order.unload.contains(version));
+        if !order.load.is_empty() {
+            engine.loading += 1;
+            tokio::spawn(self.clone().load(address, order.load.clone()));
+        }
+        order.load.clone()
+    }
+
+    async fn load(self, address: SocketAddr, versions: Vec<Version>) {
+        sleep(LOADING).await;
+        let mut engines = lock(&self.0);
+        let engine = engines.entry(address).or_default();
+        engine.loading = engine.loading.saturating_sub(1);
+        engine.versions.extend(versions);
+    }
+}
+
+async fn carry_news(links: Arc<Mutex<Links>>, from: usize, mut news: mpsc::Receiver<Bytes>) {
+    while let Some(bytes) = news.recv().await {
+        for (_, control) in reachable(&links, from) {
+            let bytes = bytes.clone();
+            tokio::spawn(async move {
+                sleep(LINK).await;
+                control.heard(bytes);
+            });
+        }
+    }
+}
+
+async fn carry_config(links: Arc<Mutex<Links>>, from: usize, mut outbound: mpsc::Receiver<Outbound>) {
+    while let Some(Outbound::News(bytes) | Outbound::Want { bytes, .. }) = outbound.recv().await {
+        for (config, _) in reachable(&links, from) {
+            let bytes = bytes.clone();
+            tokio::spawn(async move {
+                sleep(LINK).await;
+                config.offer(bytes).await;
+            });
+        }
+    }
+}
+
+fn reachable(links: &Mutex<Links>, from: usize) -> Vec<(config::Handle, Handle)> {
+    let links = lock(links);
+    let ends = links.ends.iter().enumerate();
+    ends.filter(|(to, _)| *to != from && !links.cut.contains(&(from, *to))).map(|(_, end)| end.clone()).collect()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
