--- a/crates/arbutuslug/src/verb/explain.rs
+++ b/crates/arbutuslug/src/verb/explain.rs
@@ -1,9 +1,9 @@
 //! `explain REQUEST`
 
-use operator::Account;
+use operator::{Account, Bill};
 use serde::Serialize;
 use timeline::{
-    Event, Filter, Record, Subject,
+    Event, Filter, Record, Step, Subject,
     merge::{Gap, Timeline},
 };
 use world::request;
@@ -24,12 +24,29 @@
     let filter = Filter { request: Some(subject.clone()), ..Filter::default() };
     let timeline = gather(fleet, &filter).await?;
     let request = identify(subject, &timeline)?;
-    let account = fleet.read(async |client| client.explain(&request).await).await?;
     let Timeline { records, gaps } = timeline;
+    let bill = records.iter().find_map(billed);
+    let mut account = fleet.read(async |client| client.explain(&request, bill.is_none()).await).await?;
+    account.bill = account.bill.or(bill);
     let explanation = Explanation { request, account, records, gaps };
     console.show(&explanation, text)
 }
 
+/// The bill that an event tells of.
+fn billed(record: &Record) -> Option<Bill> {
+    let Event::Request { request, step: Step::Billed { version, cost, currency, attempts } } = &record.event else {
+        return None;
+    };
+    Some(Bill {
+        request: request.clone(),
+        version: version.clone(),
+        cost: *cost,
+        currency: *currency,
+        attempts: *attempts,
+        at: record.at.timestamp(),
+    })
+}
+
 /// The one request meant; keys are unique only within a customer.
 fn identify(subject: &Subject, timeline: &Timeline) -> Result<request::Id, Failure> {
     if let Some(customer) = &subject.customer {
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -229,13 +229,15 @@
         self.messages(reply)
     }
 
-    /// What became of a request.
+    /// What became of a request; with its bill out of the journal, which
+    /// costs the platform a read of all bills.
     ///
     /// # Errors
     ///
-    /// [`Error`], as for every call.
-    pub async fn explain(&mut self, id: &request::Id) -> Result<Account, Error> {
-        let request = self.request(wire::ExplainRequest { customer: id.customer.to_string(), key: id.key.to_string() });
+    /// [`Error::Refused`] when the journal has no record of it.
+    pub async fn explain(&mut self, id: &request::Id, with_bill: bool) -> Result<Account, Error> {
+        let (customer, key) = (id.customer.to_string(), id.key.to_string());
+        let request = self.request(wire::ExplainRequest { customer, key, with_bill });
         let reply = self.inner.explain(request).await.map_err(|code| failure(self.address, &code))?;
         Ok(reply.into_inner().try_into()?)
     }
--- a/crates/operator/src/generated.rs
+++ b/crates/operator/src/generated.rs
@@ -327,6 +327,9 @@
     pub customer: ::prost::alloc::string::String,
     #[prost(string, tag = "2")]
     pub key: ::prost::alloc::string::String,
+    /// Read the bill from the journal; costs a read of all bills.
+    #[prost(bool, tag = "3")]
+    pub with_bill: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ExplainReply {
@@ -387,6 +390,34 @@
     #[prost(bytes = "bytes", tag = "3")]
     pub event: ::prost::bytes::Bytes,
 }
+/// What an instance asks another on the operators' topic.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PeerQuestion {
+    #[prost(oneof = "peer_question::What", tags = "1")]
+    pub what: ::core::option::Option<peer_question::What>,
+}
+/// Nested message and enum types in `PeerQuestion`.
+pub mod peer_question {
+    #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum What {
+        #[prost(message, tag = "1")]
+        Standing(super::StatusRequest),
+    }
+}
+/// Its answer.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PeerAnswer {
+    #[prost(oneof = "peer_answer::What", tags = "1")]
+    pub what: ::core::option::Option<peer_answer::What>,
+}
+/// Nested message and enum types in `PeerAnswer`.
+pub mod peer_answer {
+    #[derive(Clone, PartialEq, Eq, Hash, ::prost::Oneof)]
+    pub enum What {
+        #[prost(message, tag = "1")]
+        Standing(super::Instance),
+    }
+}
 /// Generated client implementations.
 pub mod operator_client {
     #![allow(
--- a/crates/operator/tests/conversions.rs
+++ b/crates/operator/tests/conversions.rs
@@ -217,7 +217,7 @@
     state_that_is_none: Member, wire_member(|m| m.state = "dead".into()) => "state";
     operators_address_that_is_none: Member, wire_member(|m| m.operators = "here".into()) => "operators";
     outcome_that_is_none: Account, wire::ExplainReply { outcome: "maybe".into(), bill: None } => "outcome";
-    request_without_key: request::Id, wire::ExplainRequest { customer: "a".into(), key: String::new() } => "key";
+    request_without_key: request::Id, wire::ExplainRequest { customer: "a".into(), ..wire::ExplainRequest::default() } => "key";
     event_that_is_none: Events, wire::Page {
         instance: "a".into(),
         records: vec![wire::Record { at: 1, number: 1, event: b"{}".to_vec().into() }],
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -307,11 +307,16 @@
             (value.into_bytes(), format!("environment variable {name}"))
         }
     };
+    // Keys travel in headers, which take no other bytes.
     let secret = bytes.trim_ascii();
-    if secret.len() < MIN_SECRET_LEN {
+    let text = str::from_utf8(secret).ok().filter(|text| text.bytes().all(|byte| byte.is_ascii_graphic()));
+    let Some(text) = text else {
+        return Err(format!("{place} holds bytes that are not printable ASCII; use hex or base64"));
+    };
+    if text.len() < MIN_SECRET_LEN {
         return Err(format!("{place} holds fewer than {MIN_SECRET_LEN} bytes; use a longer random secret"));
     }
-    Ok(Secret::from_bytes(secret))
+    Ok(Secret::new(text))
 }
 
 fn clamp_u32(number: u64) -> u32 {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -175,10 +175,10 @@
             domain,
             listeners: Listeners { callers: listener, peers: listener, operators: listener },
             platform: Platform { address: platform, ..check::default_platform(platform) },
-            peers: Peers { seeds: Vec::new(), key: Secret::from_bytes(b"local-peer-key-for-trials") },
+            peers: Peers { seeds: Vec::new(), key: Secret::new("local-peer-key-for-trials") },
             keys: Keys {
-                operators: Secret::from_bytes(b"local-operator-key-for-trials"),
-                sessions: Secret::from_bytes(b"local-session-key-for-trials"),
+                operators: Secret::new("local-operator-key-for-trials"),
+                sessions: Secret::new("local-session-key-for-trials"),
             },
             ratings: None,
             limits: Limits::default(),
--- a/crates/settings/src/secret.rs
+++ b/crates/settings/src/secret.rs
@@ -7,27 +7,27 @@
 /// Shortest secret, in bytes.
 pub const MIN_SECRET_LEN: usize = 16;
 
-/// A secret's bytes; `Debug` shows none of them.
+/// A secret, printable ASCII; `Debug` shows none of it.
 #[derive(Clone)]
-pub struct Secret(std::sync::Arc<[u8]>);
+pub struct Secret(std::sync::Arc<str>);
 
 impl Secret {
-    /// A secret from bytes at hand.
+    /// A secret at hand.
     #[must_use]
-    pub fn from_bytes(bytes: &[u8]) -> Self {
-        Self(bytes.into())
+    pub fn new(text: &str) -> Self {
+        Self(text.into())
     }
 
-    /// The bytes.
+    /// The secret itself.
     #[must_use]
-    pub fn expose(&self) -> &[u8] {
+    pub fn expose(&self) -> &str {
         &self.0
     }
 
     /// Whether `given` is the secret, in time that tells only its length.
     #[must_use]
     pub fn matches(&self, given: &[u8]) -> bool {
-        self.0.ct_eq(given).into()
+        self.0.as_bytes().ct_eq(given).into()
     }
 }
 
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -98,6 +98,7 @@
     secret_variable_not_set: "CARGO_MANIFEST_DIR" => "NO_SUCH_VARIABLE", ["line 12", "`peers.key`", "not set"];
     secret_file_not_there: "{ env: CARGO_MANIFEST_DIR }" => "{ file: /no/such/file }", ["line 12", "cannot read file"];
     secret_too_short: "CARGO_MANIFEST_DIR" => "CARGO_PKG_VERSION", ["line 12", "fewer than 16 bytes"];
+    secret_with_blanks_inside: "CARGO_MANIFEST_DIR" => "CARGO_PKG_DESCRIPTION", ["line 12", "printable ASCII"];
     secret_source_unknown: "{ env: CARGO_MANIFEST_DIR }" => "{ vault: x }", ["line 12", "`{ file: PATH }`"];
     not_yaml: "listeners:" => "listeners: {", ["line"];
     a_list_in_place_of_a_mapping: "retries:\n  share: 0.2" => "retries: [1]", ["line 21"];
@@ -138,6 +139,6 @@
     let platform = "127.0.0.1:9000".parse().unwrap();
     let local = |name: &str| Settings::local(name.parse().unwrap(), "tartu-a".parse().unwrap(), platform);
     let (a, b) = (local("a"), local("b"));
-    assert!(a.peers.key.matches(b.peers.key.expose()));
-    assert!(!a.peers.key.matches(a.keys.operators.expose()));
+    assert!(a.peers.key.matches(b.peers.key.expose().as_bytes()));
+    assert!(!a.peers.key.matches(a.keys.operators.expose().as_bytes()));
 }
