Name cached prefixes as instances do

Instances take the first 256 bytes of the messages as sent; the stand-in hashed its own prompt, so that no cache event could ever match.

--- a/crates/standin/src/answer.rs
+++ b/crates/standin/src/answer.rs
@@ -10,7 +10,7 @@
 const MORE_TOKENS: u64 = 24;
 /// First token of an answer by a version that was made bad.
 pub const BAD: &str = "wrong ";
-/// Bytes of the prompt that make its prefix.
+/// Bytes of the messages that make their prefix.
 const PREFIX_BYTES: usize = 256;
 
 /// One message of a chat.
@@ -29,10 +29,11 @@
     messages.iter().map(line).collect()
 }
 
-/// Hash of a prompt's prefix, as cache events name it.
+/// Hash of a prompt's prefix, as cache events name it; `messages` is the
+/// member of the body as it was sent.
 #[must_use]
-pub fn prefix(prompt: &str) -> u64 {
-    hash::stable(&prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)])
+pub fn prefix(messages: &str) -> u64 {
+    hash::stable(&messages.as_bytes()[..messages.len().min(PREFIX_BYTES)])
 }
 
 /// Parts a chat that ends in a broken answer, to be gone on with, from it.
--- a/crates/standin/src/engine/api.rs
+++ b/crates/standin/src/engine/api.rs
@@ -7,7 +7,7 @@
 
 use http::{Method, Response, StatusCode};
 use serde::Deserialize;
-use serde_json::{Value, json};
+use serde_json::{Value, json, value::RawValue};
 use tokio::sync::watch;
 
 use super::{
@@ -32,7 +32,7 @@
 #[derive(Debug, Deserialize)]
 struct Ask {
     model: String,
-    messages: Vec<Message>,
+    messages: Box<RawValue>,
     #[serde(default)]
     max_tokens: Option<u64>,
     #[serde(default)]
@@ -184,6 +184,8 @@
         if id.is_empty() || state.attempts.contains_key(id) {
             return Err(Box::new(problem(StatusCode::CONFLICT, "name each attempt once, in Arbutuslug-Attempt")));
         }
+        let messages: Vec<Message> = serde_json::from_str(ask.messages.get())
+            .map_err(|error| Box::new(problem(StatusCode::BAD_REQUEST, &format!("`messages`: {error}"))))?;
         if !state.versions.contains(&ask.model) {
             return Err(Box::new(problem(StatusCode::NOT_FOUND, "this version is not loaded here")));
         }
@@ -201,13 +203,21 @@
             hang: state.dice.strikes(&mut state.faults.hang),
             lose: state.dice.strikes(&mut state.faults.lose_answers),
         };
-        let attempt = Arc::new(self.attempt(state, ask, id, priority, bad));
+        let attempt = Arc::new(self.attempt(state, ask, &messages, id, priority, bad));
         state.remember(attempt.clone(), self.options.remembered);
         Ok((attempt, asked, harm))
     }
 
-    fn attempt(&self, state: &mut State, ask: &Ask, id: &str, priority: u8, bad: Option<Fault>) -> Attempt {
-        let (asked, given) = answer::continued(&ask.messages);
+    fn attempt(
+        &self,
+        state: &mut State,
+        ask: &Ask,
+        messages: &[Message],
+        id: &str,
+        priority: u8,
+        bad: Option<Fault>,
+    ) -> Attempt {
+        let (asked, given) = answer::continued(messages);
         let prompt = answer::prompt(asked);
         let mut tokens = answer::tokens(&ask.model, &prompt);
         tokens.drain(..answer::covered(&tokens, given));
@@ -218,7 +228,7 @@
         let finish = if tokens.len() > max { "length" } else { "stop" };
         tokens.truncate(max);
         let mut lost = Odds::share(self.options.lost_events);
-        let cached = state.cache.touch(answer::prefix(&prompt), || state.dice.strikes(&mut lost));
+        let cached = state.cache.touch(answer::prefix(ask.messages.get()), || state.dice.strikes(&mut lost));
         let prompt_tokens = answer::prompt_tokens(&prompt);
         let usage = Usage {
             prompt: prompt_tokens,
