Test the callers' side against the stand-ins

A site of stand-ins and instances wired as the daemon's: whole and streamed answers, a plain service and addresses; bills read from the stand-in platform's objects.

--- /dev/null
+++ b/crates/entry/tests/path/site.rs
@@ -0,0 +1,311 @@
+//! A small site: stand-ins of the outside, and instances wired as the daemon
+//! wires them, as tasks of this process.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use config::{Edit, Expected, Outbound, Scope};
+use entry::{Links, Settings};
+use journal::Bill;
+use peer::{Inbound, Topic};
+use sha2::{Digest, Sha256};
+use standin::{
+    engine::{self, Engine},
+    objects::{self, Limits, Objects},
+    rating::{self, Rating},
+    service::{self, Service},
+};
+use timeline::{Capacity, Recorder, Source};
+use tokio::{net::TcpListener, sync::mpsc, task::JoinHandle, time::Instant};
+use world::{
+    domain::Domain,
+    instance::{Id, Incarnation, Instance, State},
+    object::Object,
+};
+
+use crate::client::Client;
+
+pub const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+/// What the callers of the two customers send.
+pub const CLUB: &str = "club-key";
+pub const WATER: &str = "water-key";
+/// Versions of the model `summary`, one a tier.
+pub const CHEAP: &str = "summary@1";
+pub const DEAR: &str = "summary@9";
+
+/// What a site is made of.
+pub struct Plan {
+    pub instances: usize,
+    pub engine: engine::Options,
+    pub rating: Option<rating::Options>,
+    /// Lines added to the customers' contracts.
+    pub contract: &'static str,
+    /// Time that callers may keep addresses.
+    pub keep_ms: u64,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self { instances: 1, engine: engine::Options::default(), rating: None, contract: "", keep_ms: 50 }
+    }
+}
+
+/// The outside and the instances.
+pub struct Site {
+    pub objects: objects::Handle,
+    pub engines: Vec<engine::Handle>,
+    pub service: service::Handle,
+    pub rating: Option<rating::Handle>,
+    pub nodes: Vec<Node>,
+}
+
+/// One instance.
+pub struct Node {
+    pub entry: entry::Handle,
+    pub links: Links,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+        self.links.peer.abort();
+    }
+}
+
+impl Site {
+    pub async fn open(plan: Plan) -> Self {
+        let objects = Objects::bind(ANY, Limits::none()).await.expect("port 0 is free");
+        let mut engines = Vec::new();
+        for seed in 0..2 {
+            let versions = [CHEAP, "summary@2", DEAR].map(str::to_owned).into();
+            let options = engine::Options { versions, seed, ..plan.engine.clone() };
+            engines.push(Engine::bind(ANY, options).await.expect("port 0 is free"));
+        }
+        let service = Service::bind(ANY, 1).await.expect("port 0 is free");
+        let rating = match plan.rating.clone() {
+            Some(options) => Some(Rating::bind(ANY, options).await.expect("port 0 is free")),
+            None => None,
+        };
+        let mut site = Self { objects, engines, service, rating, nodes: Vec::new() };
+        for number in 0..plan.instances {
+            let node = site.node(number, &plan).await;
+            site.nodes.push(node);
+        }
+        site.apply(&site.file(plan.contract)).await;
+        site.settle(plan.instances).await;
+        site
+    }
+
+    /// Makes a change and waits until every instance has it.
+    pub async fn apply(&self, file: &str) {
+        let objects = Object::parse_file(file).expect("objects are well formed");
+        let edits = objects.into_iter().map(|object| Edit::Put(object, Expected::Any)).collect();
+        let first = &self.nodes[0].links.config;
+        while !first.fresh() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let applied = first.apply("test", edits).await.expect("accepted");
+        for node in &self.nodes {
+            let mut catalogs = node.links.config.subscribe();
+            let there = catalogs.wait_for(|catalog| catalog.generation() >= applied.generation).await;
+            there.expect("the observer runs");
+        }
+    }
+
+    /// Waits until all instances know each other and their endpoints.
+    async fn settle(&self, instances: usize) {
+        for node in &self.nodes {
+            let mut members = node.links.peer.members();
+            members.wait_for(|members| members.live().count() == instances).await.expect("the links run");
+            while !node.links.config.fresh() {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+
+    pub fn client(&self, node: usize) -> Client {
+        Client::new(self.nodes[node].entry.address())
+    }
+
+    /// Bills as the stand-in platform holds them, each once.
+    pub fn bills(&self) -> Vec<Bill> {
+        let objects = self.objects.dump(journal::object::PREFIX);
+        let values: Vec<_> = objects
+            .iter()
+            .map(|object| (object.key.as_str(), object.value.to_string()))
+            .collect();
+        journal::audit::bills(values.iter().map(|(key, value)| (*key, value.as_bytes()))).expect("segments")
+    }
+
+    /// Bills once there are `count`; they are recorded behind the answers.
+    pub async fn bills_when(&self, count: usize) -> Vec<Bill> {
+        for _ in 0..400 {
+            if self.bills().len() >= count {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        self.bills()
+    }
+
+    /// Dispatches that any engine took.
+    pub fn runs(&self) -> Vec<engine::Record> {
+        self.engines.iter().flat_map(engine::Handle::records).collect()
+    }
+
+    pub fn switch(&self, switch: &engine::Switch) {
+        self.engines.iter().for_each(|engine| engine.switch(switch.clone()));
+    }
+
+    /// The objects that the site starts with.
+    pub fn file(&self, contract: &str) -> String {
+        let key = |text: &str| {
+            let digest = Sha256::digest(text.as_bytes());
+            digest.iter().map(|byte| format!("{byte:02x}")).collect::<String>()
+        };
+        let customer = |name: &str, secret: &str| {
+            format!(
+                "---\nkind: contract\nname: {name}\nspec:\n  keys: [{{ sha256: \"{}\" }}]\n  models: [{{ model: summary, versions: [\"1\", \"2\", \"9\"] }}]\n  services: [logbook]\n  budget: {{ amount: \"100\", currency: EUR, period: month }}\n  {contract}\n",
+                key(secret)
+            )
+        };
+        let engines: Vec<_> = self
+            .engines
+            .iter()
+            .enumerate()
+            .map(|(n, e)| format!("{{ name: e{n}, address: \"{}\" }}", e.addr()))
+            .collect();
+        format!(
+            "kind: model\nname: summary\nspec:\n  versions:\n    - {{ version: \"1\", tier: 0, price: {{ input: \"1\", output: \"2\", currency: EUR }} }}\n    - {{ version: \"9\", tier: 1, price: {{ input: \"10\", output: \"20\", currency: EUR }} }}\n---\nkind: model\nname: closed\nspec:\n  versions:\n    - {{ version: \"1\", tier: 0, price: {{ input: \"1\", output: \"2\", currency: EUR }} }}\n---\nkind: service\nname: logbook\nspec:\n  not_repeatable: [{{ method: POST, path_prefix: /launches }}]\n  price: {{ call: \"0.01\", currency: EUR }}\n---\nkind: service\nname: closed\nspec: {{}}\n---\nkind: pool\nname: engines\nspec:\n  domain: a\n  serves: {{ versions: [summary@1, summary@9] }}\n  endpoints: [{}]\n---\nkind: pool\nname: logbooks\nspec:\n  domain: a\n  serves: {{ service: logbook }}\n  endpoints: [{{ name: l1, address: \"{}\" }}]\n{}{}",
+            engines.join(", "),
+            self.service.addr(),
+            customer("club", CLUB),
+            customer("water", WATER),
+        )
+        .replace("versions: [\"1\", \"2\", \"9\"]", "versions: [\"1\", \"9\"]")
+    }
+
+    async fn node(&self, number: usize, plan: &Plan) -> Node {
+        let id = Id::parse(&format!("i{number}")).expect("a name");
+        let domain = Domain::parse(&format!("d{number}")).expect("a name");
+        let incarnation = Incarnation(1);
+        let listener = TcpListener::bind(ANY).await.expect("port 0 is free");
+        let callers = listener.local_addr().expect("bound");
+
+        let recorder = Recorder::open(Source { instance: id.clone(), incarnation }, Capacity::default());
+        let mut platform = platform::Settings::new(self.objects.addr(), format!("{id}/1"));
+        (platform.writes_per_s, platform.reads_per_s) = (5_000.0, 5_000.0);
+        let platform = platform::open(platform);
+        let (config, config_out) =
+            config::spawn(config::Settings::new(id.clone(), domain.clone()), platform.clone(), recorder.clone());
+        config.set_reader(true).await;
+        let me = Instance {
+            id: id.clone(),
+            incarnation,
+            domain: domain.clone(),
+            callers,
+            peers: ANY,
+            operators: ANY,
+            state: State::Live,
+        };
+        let seeds = self.nodes.iter().map(|node| node.links.peer.address()).collect();
+        let (peer, inbound) =
+            peer::spawn(peer::Settings::new(me, ANY, seeds, peer::Key::new("k"))).await.expect("port 0 is free");
+        let (journal_out, journal_rx) = mpsc::channel(1_024);
+        let origin = journal::Origin { instance: id.clone(), incarnation };
+        let mut journal = journal::Config::new(origin.clone(), domain.clone());
+        journal.segments_per_s = 2_000.0;
+        let journal = journal::spawn(journal, platform.clone(), journal_out);
+        let budget = budget::spawn(budget::Config::new(origin), platform.clone(), journal.clone());
+        let endpoint = endpoint::open(endpoint::Settings {
+            rating: self.rating.as_ref().map(rating::Handle::addr),
+            idle_timeout: Duration::from_millis(300),
+            ..endpoint::Settings::default()
+        });
+        let links = Links { config, journal, budget, peer, endpoint, control: control::idle(), platform, recorder };
+        let keys = entry::session::Keys::new(vec![b"session-key".to_vec()]).expect("a key");
+        let mut settings = Settings::new(id, domain, keys);
+        settings.rated = self.rating.is_some();
+        settings.addresses.keep_ms = plan.keep_ms;
+        settings.body_timeout = Duration::from_millis(400);
+        let entry = entry::bind(listener, settings, links.clone()).expect("bound");
+        let tasks = vec![
+            tokio::spawn(pump_config(links.clone(), config_out)),
+            tokio::spawn(pump_journal(links.peer.clone(), journal_rx)),
+            tokio::spawn(pump_members(links.clone())),
+            tokio::spawn(pump_inbound(links.clone(), entry.clone(), inbound)),
+        ];
+        Node { entry, links, tasks }
+    }
+}
+
+const WITHIN: Duration = Duration::from_secs(2);
+
+async fn pump_config(links: Links, mut out: mpsc::Receiver<Outbound>) {
+    while let Some(message) = out.recv().await {
+        match message {
+            Outbound::News(bytes) => drop(links.peer.publish(Topic::Config, bytes).await),
+            Outbound::Want { scope: Scope::One | Scope::EachDomain, bytes } => {
+                let other = links.peer.members().borrow().live().nth(1).map(|i| i.id.clone());
+                let Some(other) = other else { continue };
+                if let Ok(news) = links.peer.call(&other, Topic::Config, bytes, WITHIN).await {
+                    links.config.offer(news).await;
+                }
+            }
+        }
+    }
+}
+
+async fn pump_journal(peer: peer::Handle, mut out: mpsc::Receiver<journal::Outbound>) {
+    while let Some(message) = out.recv().await {
+        let peer = peer.clone();
+        tokio::spawn(async move {
+            if let Ok(answer) = peer.call(&message.to, Topic::Journal, message.bytes, WITHIN).await {
+                let _ = message.reply.send(answer);
+            }
+        });
+    }
+}
+
+async fn pump_members(links: Links) {
+    let mut members = links.peer.members();
+    loop {
+        let list = members.borrow_and_update().clone();
+        let member = |i: &Instance| journal::Member {
+            id: i.id.clone(),
+            incarnation: i.incarnation,
+            domain: i.domain.clone(),
+            live: matches!(i.state, State::Live | State::Suspect),
+        };
+        links.journal.set_members(list.all().filter(|i| i.state != State::Gone).map(member).collect());
+        if members.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn pump_inbound(links: Links, entry: entry::Handle, mut inbound: mpsc::Receiver<Inbound>) {
+    while let Some(message) = inbound.recv().await {
+        let (links, entry) = (links.clone(), entry.clone());
+        tokio::spawn(async move {
+            match message {
+                Inbound::Call { topic: Topic::Config, body, reply, .. } => drop(reply.send(links.config.serve(&body))),
+                Inbound::Call { topic: Topic::Journal, body, reply, .. } => {
+                    drop(reply.send(links.journal.serve(&body).await));
+                }
+                Inbound::News { topic: Topic::Config, body, .. } => links.config.offer(body).await,
+                Inbound::Stream { topic: Topic::Request, body, sink, .. } => entry.serve(body, sink).await,
+                _ => {}
+            }
+        });
+    }
+}
+
+/// A moment that no test should reach.
+pub fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(20)
+}
+
+/// Shares a site between tasks of a test.
+pub type Shared = Arc<Site>;
