--- a/crates/journal/src/home.rs
+++ b/crates/journal/src/home.rs
@@ -108,7 +108,7 @@
 enum Event {
     Opened(Result<Box<Active>, Opening>),
     Written { token: u64, result: Result<Write, platform::Error> },
-    Covered(Done),
+    Covered { token: u64, done: Done },
     Proved { token: u64, proof: Proof },
 }
 
@@ -292,13 +292,16 @@
         let Phase::Home(active) = &mut self.phase else {
             return;
         };
-        let due = active.last.0 + 1 - active.floor.0 >= self.setting.config.ring / 2;
-        if !due || active.flight.is_some() || active.covering || Instant::now() < active.cover_at {
+        // Another home's cut-off may be past all that is known here.
+        let uncovered = (active.last.0 + 1).saturating_sub(active.floor.0);
+        let due = uncovered >= self.setting.config.ring / 2;
+        if !due || active.flight.is_some() || active.covering.is_some() || Instant::now() < active.cover_at {
             return;
         }
-        let job = active.job(self.keys, self.rng.random(), self.setting.config.clock.now());
+        let token = self.rng.random();
+        let job = active.job(self.keys, token, self.setting.config.clock.now());
         let platform = self.setting.platform.clone();
-        self.jobs.spawn(async move { Event::Covered(compact::run(platform, job).await) });
+        self.jobs.spawn(async move { Event::Covered { token, done: compact::run(platform, job).await } });
     }
 
     /// Notices an outage: whatever is not on its way yet is certainly not
@@ -350,9 +353,9 @@
                 self.away();
             }
             Event::Written { token, result } => self.on_written(token, result),
-            Event::Covered(done) => {
+            Event::Covered { token, done } => {
                 if let Phase::Home(active) = &mut self.phase {
-                    active.on_covered(done);
+                    active.on_covered(token, done);
                 }
             }
             Event::Proved { token, proof } => self.on_proved(token, proof),
--- a/crates/journal/src/home/active.rs
+++ b/crates/journal/src/home/active.rs
@@ -44,7 +44,8 @@
     pub promises: Promises,
     /// Replies whose proof is under way.
     pub proving: Option<(u64, Promises)>,
-    pub covering: bool,
+    /// Token of the cut-off under way.
+    pub covering: Option<u64>,
     pub cover_at: Instant,
     slots: BTreeMap<String, Item>,
     bills: Vec<Bill>,
@@ -127,7 +128,7 @@
             next_write: Instant::now(),
             promises: Promises::new(),
             proving: None,
-            covering: false,
+            covering: None,
             cover_at: Instant::now(),
             slots: loaded.slots,
             bills: loaded.bills,
@@ -189,7 +190,7 @@
 
     /// What a cut-off at the last durable segment takes.
     pub fn job(&mut self, keys: Keys, token: u64, now: Timestamp) -> Job {
-        self.covering = true;
+        self.covering = Some(token);
         self.covered = std::mem::take(&mut self.bills);
         Job {
             keys,
@@ -203,8 +204,11 @@
         }
     }
 
-    pub fn on_covered(&mut self, done: Done) {
-        self.covering = false;
+    pub fn on_covered(&mut self, token: u64, done: Done) {
+        // One that an earlier opening began: its bills are not this one's.
+        if self.covering.take_if(|covering| *covering == token).is_none() {
+            return;
+        }
         let covered = std::mem::take(&mut self.covered);
         match done {
             Done::Covered { floor, manifest, item } => {
