Spread links over failure domains and test odd peers

Cause: the last instances to choose chords found most others full and took up to 6 of 12 links in one late failure domain. Change: a domain gets at most twice an even share of an instance's links, on both sides of a link.

--- a/crates/peer/src/membership/tests.rs
+++ b/crates/peer/src/membership/tests.rs
@@ -166,15 +166,14 @@
     lines.iter().map(|(place, state)| Listed { name: id(*place), state: *state }).collect()
 }
 
-/// Heartbeats until the silent `i1` is removed.
+/// When the silent `i1` is removed.
 fn removed_after(mut membership: Membership) -> Millis {
-    (1..)
-        .map(|beat| beat * TIMING.heartbeat)
-        .find(|now| {
-            membership.tick(*now);
-            !membership.get(&id(1)).unwrap().is_counted()
-        })
-        .unwrap()
+    let mut now = 0;
+    while membership.get(&id(1)).unwrap().is_counted() {
+        now += TIMING.heartbeat;
+        membership.tick(now);
+    }
+    now
 }
 
 #[test]
--- a/crates/peer/src/task.rs
+++ b/crates/peer/src/task.rs
@@ -7,6 +7,8 @@
 mod dialling;
 mod links;
 mod messages;
+#[cfg(test)]
+mod tests;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/crates/peer/src/task/links.rs
+++ b/crates/peer/src/task/links.rs
@@ -8,7 +8,7 @@
 use tonic::{Status, Streaming};
 use world::{
     Millis,
-    instance::{Id, Incarnation},
+    instance::{Id, Incarnation, Instance},
 };
 
 use super::Task;
@@ -72,7 +72,8 @@
             return;
         }
         let (sender, receiver) = mpsc::channel(self.settings.limits.frames);
-        let answer = Greeting { sender: self.membership.me().clone(), full: self.is_full_for(&id) };
+        let answer =
+            Greeting { sender: self.membership.me().clone(), full: self.is_full_for(&greeting.sender.instance) };
         // The queue is new and has room.
         let _ = sender.try_send(wire::frame(answer));
         if reply.send(Ok(receiver)).is_ok() {
@@ -209,7 +210,7 @@
         links.into_iter().map(|link| link.source.id.clone()).collect()
     }
 
-    fn counted(&self) -> Vec<&world::instance::Instance> {
+    fn counted(&self) -> Vec<&Instance> {
         self.membership.others().filter(|m| m.is_counted()).map(|m| &m.instance).collect()
     }
 
@@ -217,7 +218,8 @@
         topology::is_near(&self.settings.me, &self.counted(), id, self.settings.limits.links)
     }
 
-    fn is_full_for(&self, id: &Id) -> bool {
-        self.links.len() >= self.settings.limits.links && !self.is_near(id)
+    fn is_full_for(&self, other: &Instance) -> bool {
+        let (counted, linked) = (self.counted(), self.linked());
+        !topology::has_room(&self.settings.me, &counted, &linked, other, self.settings.limits.links)
     }
 }
--- /dev/null
+++ b/crates/peer/src/task/tests.rs
@@ -0,0 +1,183 @@
+//! Odd peers, over real connections: later builds, floods, one that never reads.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use tokio::{
+    net::TcpStream,
+    sync::mpsc,
+    time::{sleep, timeout},
+};
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::{Code, Streaming};
+use world::instance::{Id, Instance, State};
+
+use crate::{
+    Error, Handle, Inbound, Key, Settings, Timing, Topic, generated as pb,
+    generated::{CallRequest, Frame, frame::Kind},
+    member::Member,
+    pool::Pool,
+};
+
+const PATIENCE: Duration = Duration::from_secs(30);
+/// A topic of a later build.
+const LATER: u32 = 4_000;
+
+fn settings(name: &str, seed: Option<&Handle>) -> Settings {
+    let local = "127.0.0.1:0".parse().unwrap();
+    let me = Instance {
+        id: Id::parse(name).unwrap(),
+        incarnation: world::instance::Incarnation(1),
+        domain: "d1".parse().unwrap(),
+        callers: local,
+        peers: local,
+        operators: local,
+        state: State::Live,
+    };
+    let mut settings = Settings::new(me, local, seed.map(Handle::address).into_iter().collect(), Key::new("secret"));
+    settings.timing = Timing { heartbeat: 100, silence: 2_000, suspicion: 1_000, forget: 60_000 };
+    settings
+}
+
+/// A peer made by hand, linked with a real instance.
+struct Raw {
+    pool: Arc<Pool>,
+    sender: mpsc::Sender<Frame>,
+    incoming: Streaming<Frame>,
+}
+
+impl Raw {
+    async fn link(name: &str, to: &Handle) -> Self {
+        let settings = settings(name, None);
+        let pool = Arc::new(Pool::new(&settings));
+        let (sender, receiver) = mpsc::channel(1_024);
+        let member = pb::Member::from(&Member::new(settings.me));
+        // Of a later build, which still understands this one.
+        let greeting = pb::Greeting { version: 9, oldest: 1, sender: Some(member), full: false };
+        sender.send(Frame { kind: Some(Kind::Greeting(greeting)) }).await.unwrap();
+        let mut client = pool.fresh(to.address()).await.unwrap();
+        let incoming = client.link(pool.request(ReceiverStream::new(receiver))).await.unwrap().into_inner();
+        Self { pool, sender, incoming }
+    }
+
+    async fn send(&self, kind: Option<Kind>) {
+        self.sender.send(Frame { kind }).await.unwrap();
+    }
+
+    fn news(&self, sequence: u64, topic: u32, relay: bool) -> Kind {
+        Kind::News(pb::News {
+            origin: self.pool.caller().id,
+            incarnation: 1,
+            sequence,
+            topic,
+            body: Bytes::from(sequence.to_string()),
+            hops: 0,
+            relay,
+        })
+    }
+}
+
+async fn until_live(handle: &Handle, count: usize) {
+    let mut members = handle.members();
+    let waited = timeout(PATIENCE, members.wait_for(|m| m.live().count() == count)).await;
+    assert!(matches!(waited, Ok(Ok(_))), "{:?}", handle.members().borrow());
+}
+
+async fn next_news(inbound: &mut mpsc::Receiver<Inbound>, by: &str) -> Bytes {
+    let wanted = async {
+        loop {
+            match inbound.recv().await.expect("the task runs") {
+                Inbound::News { origin, body, .. } if origin.as_str() == by => return body,
+                _ => {}
+            }
+        }
+    };
+    timeout(PATIENCE, wanted).await.expect("the news comes")
+}
+
+#[tokio::test]
+async fn what_a_later_build_adds_is_kept_out_of_the_way() {
+    // A roll-out of ours has two builds at work. Frames, topics and digests
+    // that only the later one knows arrive at the earlier one: it takes the
+    // rest, keeps the link, passes the news on, and refuses the calls as not run.
+    let (node, mut inbound) = crate::spawn(settings("a", None)).await.unwrap();
+    let raw = Raw::link("z", &node).await;
+    let mut other = Raw::link("y", &node).await;
+    until_live(&node, 3).await;
+
+    raw.send(None).await;
+    let digests = vec![pb::Digest { topic: LATER, value: "x".into() }, pb::Digest { topic: 1, value: "17".into() }];
+    raw.send(Some(Kind::Heartbeat(pb::Heartbeat { digests, ..pb::Heartbeat::default() }))).await;
+    raw.send(Some(raw.news(1, LATER, true))).await;
+    raw.send(Some(raw.news(2, Topic::Stop.number(), false))).await;
+
+    let first = timeout(PATIENCE, inbound.recv()).await.unwrap().unwrap();
+    assert!(matches!(&first, Inbound::Digest { topic: Topic::Config, value, .. } if value == "17"), "{first:?}");
+    let second = timeout(PATIENCE, inbound.recv()).await.unwrap().unwrap();
+    assert!(matches!(&second, Inbound::News { topic: Topic::Stop, .. }), "{second:?}");
+
+    let relayed = async {
+        loop {
+            let frame = other.incoming.message().await.unwrap().expect("the link stays");
+            if let Some(Kind::News(news)) = frame.kind {
+                return (news.topic, news.hops);
+            }
+        }
+    };
+    assert_eq!(timeout(PATIENCE, relayed).await.unwrap(), (LATER, 1));
+
+    let call = CallRequest { caller: Some(raw.pool.caller()), topic: LATER, body: Bytes::new(), wanted: 0 };
+    let mut client = raw.pool.fresh(node.address()).await.unwrap();
+    let status = client.call(raw.pool.request(call)).await.unwrap_err();
+    assert_eq!(status.code(), Code::Unimplemented);
+    assert!(!Error::from_status(&Id::parse("a").unwrap(), &status).may_have_arrived());
+}
+
+#[tokio::test]
+async fn a_flood_from_one_peer_does_not_hold_up_others() {
+    // One peer sends far more news than any owner can use. Without a bound all
+    // of it would be relayed, and heartbeats of others would wait behind it.
+    let (node, mut inbound) = crate::spawn(settings("a", None)).await.unwrap();
+    let (other, _other_inbound) = crate::spawn(settings("b", Some(&node))).await.unwrap();
+    until_live(&node, 2).await;
+    let raw = Raw::link("z", &node).await;
+    let flood = tokio::spawn(async move {
+        for sequence in 1.. {
+            raw.send(Some(raw.news(sequence, Topic::Config.number(), true))).await;
+        }
+    });
+    until_live(&node, 3).await;
+    for sequence in 0..5 {
+        other.publish(Topic::Stop, Bytes::from(sequence.to_string())).await.unwrap();
+        assert_eq!(next_news(&mut inbound, "b").await, sequence.to_string());
+        assert!(node.members().borrow().live().any(|i| i.id.as_str() == "b"));
+    }
+    flood.abort();
+}
+
+#[tokio::test]
+async fn a_peer_that_never_reads_costs_its_own_link_only() {
+    // Its queue and the connection's buffers fill; what does not fit is dropped
+    // for it alone, and the publisher never waits.
+    let (node, _inbound) = crate::spawn(settings("a", None)).await.unwrap();
+    let (other, mut inbound) = crate::spawn(settings("b", Some(&node))).await.unwrap();
+    until_live(&node, 2).await;
+    let _deaf = Raw::link("z", &node).await;
+    until_live(&node, 3).await;
+    let body = Bytes::from(vec![b'x'; 64 << 10]);
+    for _ in 0..100 {
+        node.publish(Topic::Config, body.clone()).await.unwrap();
+        assert_eq!(next_news(&mut inbound, "a").await.len(), body.len());
+    }
+    assert!(other.members().borrow().live().any(|i| i.id.as_str() == "a"));
+}
+
+#[tokio::test]
+async fn a_connection_that_says_nothing_is_harmless() {
+    // Opened by mistake, or by a peer that hangs before its greeting.
+    let (node, _inbound) = crate::spawn(settings("a", None)).await.unwrap();
+    let _silent = TcpStream::connect(node.address()).await.unwrap();
+    sleep(Duration::from_millis(10)).await;
+    let (other, _other_inbound) = crate::spawn(settings("b", Some(&node))).await.unwrap();
+    until_live(&other, 2).await;
+}
--- a/crates/peer/src/topology.rs
+++ b/crates/peer/src/topology.rs
@@ -7,7 +7,7 @@
 //! short, and are chosen over as many failure domains as possible, so that a
 //! lost domain cuts nobody off until the ring has closed again.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use world::{
     domain::Domain,
@@ -57,14 +57,25 @@
 
     let chords: Vec<&Id> = linked.iter().filter(|id| !near.contains(id)).collect();
     let room = limit.saturating_sub(RING);
-    let domains = domains(me, counted, linked);
+    let used = domains(me, counted, linked);
+    let share = share(me, counted, limit);
     if chords.len() < room {
-        plan.chords = candidates(me, counted, linked, near, &domains);
+        plan.chords = candidates(me, counted, linked, near, &used, share);
     }
-    plan.close = surplus(counted, chords, room, domains);
+    plan.close = surplus(counted, chords, room, used, share);
     plan
 }
 
+/// Whether a link that `other` has dialled would be kept.
+#[must_use]
+pub fn has_room(me: &Instance, counted: &[&Instance], linked: &[Id], other: &Instance, limit: usize) -> bool {
+    if is_near(me, counted, &other.id, limit) {
+        return true;
+    }
+    let used = domains(me, counted, linked).get(&other.domain).copied().unwrap_or(0);
+    linked.len() < limit && used < share(me, counted, limit)
+}
+
 /// Whether `other` stands next to `me` in the ring, or the fleet is small
 /// enough for all to be linked.
 #[must_use]
@@ -105,19 +116,26 @@
     domains
 }
 
+/// Most links with one failure domain: twice an even share. The last ones to
+/// choose find most others full, and would take all their links where a late
+/// domain has room; with it they would lose them all.
+fn share(me: &Instance, counted: &[&Instance], limit: usize) -> usize {
+    let domains: BTreeSet<_> = counted.iter().map(|i| &i.domain).chain([&me.domain]).collect();
+    2 * limit.div_ceil(domains.len())
+}
+
 fn candidates(
     me: &Instance,
     counted: &[&Instance],
     linked: &[Id],
     near: [&Id; RING],
-    domains: &BTreeMap<&Domain, usize>,
+    used: &BTreeMap<&Domain, usize>,
+    share: usize,
 ) -> Vec<Id> {
-    let free = |i: &&&Instance| !linked.contains(&i.id) && !near.contains(&&i.id);
+    let used = |i: &Instance| used.get(&i.domain).copied().unwrap_or(0);
+    let free = |i: &&&Instance| !linked.contains(&i.id) && !near.contains(&&i.id) && used(i) < share;
     let mut free: Vec<&Instance> = counted.iter().filter(free).copied().collect();
-    free.sort_by_cached_key(|i| {
-        let used = domains.get(&i.domain).copied().unwrap_or(0);
-        (used, u64::MAX - liking(&me.id, &i.id), i.id.clone())
-    });
+    free.sort_by_cached_key(|i| (used(i), u64::MAX - liking(&me.id, &i.id), i.id.clone()));
     free.into_iter().map(|i| i.id.clone()).collect()
 }
 
@@ -127,13 +145,22 @@
     hash::rendezvous(place(one) ^ place(other), b"link")
 }
 
-/// Chords too many: the youngest of the most used domains first.
-fn surplus(counted: &[&Instance], mut chords: Vec<&Id>, room: usize, mut used: BTreeMap<&Domain, usize>) -> Vec<Id> {
+/// Chords too many: the youngest of the most used domain first.
+fn surplus(
+    counted: &[&Instance],
+    mut chords: Vec<&Id>,
+    room: usize,
+    mut used: BTreeMap<&Domain, usize>,
+    share: usize,
+) -> Vec<Id> {
     let domain = |id: &Id| counted.iter().find(|i| i.id == *id).map(|i| &i.domain);
     let mut close = Vec::new();
-    while chords.len() > room {
+    loop {
         let load = |id: &Id| domain(id).and_then(|d| used.get(d)).copied().unwrap_or(usize::MAX);
         let Some(worst) = (0..chords.len()).max_by_key(|place| (load(chords[*place]), *place)) else { break };
+        if chords.len() <= room && load(chords[worst]) <= share {
+            break;
+        }
         let id = chords.remove(worst);
         if let Some(count) = domain(id).and_then(|d| used.get_mut(d)) {
             *count -= 1;
--- a/crates/peer/src/wire/tests.rs
+++ b/crates/peer/src/wire/tests.rs
@@ -1,1 +1,110 @@
+//! Messages of builds before and after this one.
 
+use prost::Message;
+use world::instance::State;
+
+use super::{Greeting, Invalid, frame};
+use crate::{
+    generated as pb,
+    member::{Doubt, Member},
+    spread::Heartbeat,
+};
+
+/// A member as the first build wrote it: no refutation, no doubt.
+#[derive(Clone, PartialEq, Message)]
+struct OldMember {
+    #[prost(string, tag = "1")]
+    id: String,
+    #[prost(uint64, tag = "2")]
+    incarnation: u64,
+    #[prost(int32, tag = "4")]
+    state: i32,
+    #[prost(string, tag = "5")]
+    domain: String,
+    #[prost(string, tag = "6")]
+    callers: String,
+    #[prost(string, tag = "7")]
+    peers: String,
+    #[prost(string, tag = "8")]
+    operators: String,
+    /// Of a later build.
+    #[prost(string, optional, tag = "100")]
+    colour: Option<String>,
+}
+
+fn member() -> OldMember {
+    OldMember {
+        id: "i1".into(),
+        incarnation: 3,
+        state: pb::State::Live.into(),
+        domain: "d1".into(),
+        callers: "127.0.0.1:1".into(),
+        peers: "127.0.0.1:2".into(),
+        operators: "127.0.0.1:3".into(),
+        colour: None,
+    }
+}
+
+/// Reads a member off the wire.
+fn check(wire: &OldMember, expected: &Result<State, Invalid>) {
+    let read = pb::Member::decode(wire.encode_to_vec().as_slice()).unwrap();
+    let member = Member::try_from(read);
+    assert_eq!(&member.as_ref().map(Member::state).map_err(Clone::clone), expected);
+    if let Ok(member) = member {
+        assert_eq!((member.refutation, member.doubt), (0, Doubt::None));
+    }
+}
+
+macro_rules! members {
+    ($($name:ident: $wire:expr => $expected:expr;)*) => { $(#[test] fn $name() { check(&$wire, &$expected); })* };
+}
+
+members! {
+    of_an_earlier_build: member() => Ok(State::Live);
+    with_a_field_of_a_later_build: OldMember { colour: Some("blue".into()), ..member() } => Ok(State::Live);
+    // Not known to take work: it gets none.
+    with_a_state_of_a_later_build: OldMember { state: 77, ..member() } => Ok(State::Leaving);
+    without_a_state: OldMember { state: 0, ..member() } => Ok(State::Leaving);
+    without_a_name: OldMember { id: String::new(), ..member() } => Err(Invalid("id"));
+    with_a_host_name: OldMember { peers: "host:1".into(), ..member() } => Err(Invalid("peers"));
+}
+
+/// Whether a greeting of these versions is understood.
+fn check_version(version: u32, oldest: u32, expected: bool) {
+    let sender = pb::Member::decode(member().encode_to_vec().as_slice()).unwrap();
+    let greeting = pb::Greeting { version, oldest, sender: Some(sender), full: false };
+    assert_eq!(Greeting::try_from(greeting).is_ok(), expected);
+}
+
+macro_rules! versions {
+    ($($name:ident: $version:expr, $oldest:expr => $expected:expr;)*) => {
+        $(#[test] fn $name() { check_version($version, $oldest, $expected); })*
+    };
+}
+
+versions! {
+    this_version: 1, 1 => true;
+    a_later_one_that_understands_us: 9, 1 => true;
+    a_later_one_that_does_not: 9, 2 => false;
+    one_that_does_not_say: 0, 0 => false;
+}
+
+#[test]
+fn a_broken_entry_is_left_out_alone() {
+    let good = pb::Member::decode(member().encode_to_vec().as_slice()).unwrap();
+    let broken = pb::Member { domain: "no domain".into(), ..good.clone() };
+    let heartbeat = Heartbeat::from(pb::Heartbeat { members: vec![broken, good], ..pb::Heartbeat::default() });
+    assert_eq!(heartbeat.members.len(), 1);
+}
+
+#[test]
+fn what_is_written_is_read_again() {
+    let read = pb::Member::decode(member().encode_to_vec().as_slice()).unwrap();
+    let member = Member { refutation: 4, doubt: Doubt::Gone, ..Member::try_from(read).unwrap() };
+    let heartbeat = Heartbeat { members: vec![member], digests: vec![(1, "17".into())], view: 5, want_all: true };
+    let bytes = frame(heartbeat.clone()).encode_to_vec();
+    let Some(pb::frame::Kind::Heartbeat(read)) = pb::Frame::decode(bytes.as_slice()).unwrap().kind else {
+        panic!("not a heartbeat");
+    };
+    assert_eq!(Heartbeat::from(read), heartbeat);
+}
--- /dev/null
+++ b/crates/peer/tests/aggregation.rs
@@ -0,0 +1,54 @@
+//! Every instance's sum reaches every domain's root, once.
+
+use std::collections::BTreeMap;
+
+use peer::{
+    Members,
+    aggregation::{FAN_IN, Place, place},
+};
+use world::instance::{Id, Incarnation, Instance, State};
+
+fn instance(number: usize, domains: usize) -> Instance {
+    let address = "127.0.0.1:1".parse().unwrap();
+    Instance {
+        id: Id::parse(&format!("i{number}")).unwrap(),
+        incarnation: Incarnation(1),
+        domain: format!("d{}", number % domains).parse().unwrap(),
+        callers: address,
+        peers: address,
+        operators: address,
+        state: State::Live,
+    }
+}
+
+fn check(size: usize, domains: usize) {
+    let all: Vec<_> = (0..size).map(|number| instance(number, domains)).collect();
+    let seen_by = |me: &Instance| {
+        let others = all.iter().filter(|i| i.id != me.id).map(|i| (i.id.clone(), i.clone())).collect();
+        place(&Members { me: me.clone(), others, unmet: vec![] })
+    };
+    let places: BTreeMap<Id, Place> = all.iter().map(|i| (i.id.clone(), seen_by(i))).collect();
+    let roots: Vec<_> = places.iter().filter(|(_, p)| p.parent.is_none()).map(|(id, _)| id).collect();
+    assert_eq!(roots.len(), domains.min(size));
+    for (id, place) in &places {
+        assert!(place.children.len() <= FAN_IN);
+        assert!(place.children.iter().all(|child| places[child].parent.as_ref() == Some(id)));
+        if place.parent.is_none() {
+            assert_eq!(place.roots.len(), roots.len() - 1);
+        }
+    }
+    // Each but the roots is the child of one, so every sum arrives once.
+    let children: usize = places.values().map(|p| p.children.len()).sum();
+    assert_eq!(children + roots.len(), size);
+}
+
+macro_rules! fleets {
+    ($($name:ident: $size:expr, $domains:expr;)*) => { $(#[test] fn $name() { check($size, $domains); })* };
+}
+
+fleets! {
+    alone: 1, 1;
+    seven: 7, 3;
+    one_domain: 100, 1;
+    seven_hundred_and_fifty: 750, 8;
+}
