--- a/crates/arbutuslugd/src/lib.rs
+++ b/crates/arbutuslugd/src/lib.rs
@@ -1,1 +1,3 @@
 //! The daemon: one per entry instance.
+
+pub mod operators;
