--- a/crates/entry/tests/path/site.rs
+++ b/crates/entry/tests/path/site.rs
@@ -131,10 +131,7 @@
     /// Bills as the stand-in platform holds them, each once.
     pub fn bills(&self) -> Vec<Bill> {
         let objects = self.objects.dump(journal::object::PREFIX);
-        let values: Vec<_> = objects
-            .iter()
-            .map(|object| (object.key.as_str(), object.value.to_string()))
-            .collect();
+        let values: Vec<_> = objects.iter().map(|object| (object.key.as_str(), object.value.to_string())).collect();
         journal::audit::bills(values.iter().map(|(key, value)| (*key, value.as_bytes()))).expect("segments")
     }
 
--- a/crates/journal/src/handle.rs
+++ b/crates/journal/src/handle.rs
@@ -27,7 +27,7 @@
     clock::millis,
     config::{BillWait, Config},
     home::{self, Setting},
-    keeper::{self, Kept, Key, Order},
+    keeper::{self, Kept, Key, Order, Promised},
     op::{Known, Op, Register, Release, Reply},
     placement::{Member, Placement},
     record::{Bind, Claim, Close, Digest, End, Settle, Shard},
@@ -122,7 +122,7 @@
     let to_keeper = keeper.clone();
     tokio::spawn(async move {
         while let Some(bill) = holding.recv().await {
-            let order = Order::Keep { kept: Kept::Bill(bill), after: Duration::ZERO, done: None };
+            let order = Order::Keep { kept: Kept::Bill(bill, Promised::Yes), after: Duration::ZERO, done: None };
             if to_keeper.send(order).is_err() {
                 return;
             }
@@ -250,16 +250,17 @@
     ///
     /// [`Error::NotRecorded`] with [`Reason::GrantClosed`]: reserve again.
     /// Every other error: only this instance holds the bill, and goes on
-    /// delivering it.
+    /// delivering it; the last frame must not go, for the bill may be lost
+    /// with this instance, or come to nothing when its grant is settled first.
     pub async fn bill(&self, bill: &Bill, deadline: Instant) -> Result<Receipt, Error> {
         let digest = Digest::request(&bill.id);
         let at_once = self.router.config.bill_wait == BillWait::Holders;
         let after = if at_once { Duration::ZERO } else { deadline.saturating_duration_since(Instant::now()) };
-        if !self.keep(Kept::Bill(bill.clone()), after).await {
+        if !self.keep(Kept::Bill(bill.clone(), Promised::NotYet), after).await {
             return Err(Error::NotRecorded(Reason::Full));
         }
         if at_once && self.hold_elsewhere(bill, deadline).await {
-            return Ok(Receipt::Held);
+            return Ok(self.promise(digest));
         }
         let reply = self.ask(digest, Op::Bill(bill.clone()), deadline).await;
         match reply {
@@ -275,10 +276,10 @@
                 let _ = self.keeper.send(Order::Drop(Key { digest, nonce: 0 }));
                 Err(Error::NotRecorded(Reason::GrantClosed))
             }
-            Ok(Reply::Held) if self.home_is_outside(digest) => Ok(Receipt::Held),
+            Ok(Reply::Held) if self.home_is_outside(digest) => Ok(self.promise(digest)),
             other if self.hold_elsewhere(bill, deadline).await => {
                 tracing::debug!(request = %bill.id, ?other, "bill held by two instances");
-                Ok(Receipt::Held)
+                Ok(self.promise(digest))
             }
             _ => Err(Error::Unknown),
         }
@@ -381,8 +382,11 @@
                 let deadline = Instant::now() + self.router.config.peer_timeout;
                 self.router.ask_here(shard, op, deadline).await.unwrap_or(Reply::Unknown)
             }
+            Ok(Request::Hold(bill)) if !self.router.placement.borrow().may_hold(&bill) => {
+                Reply::Refused(Reason::NoHome)
+            }
             Ok(Request::Hold(bill)) => {
-                let kept = self.keep(Kept::Bill(bill), HOLDER_GRACE).await;
+                let kept = self.keep(Kept::Bill(bill, Promised::Yes), HOLDER_GRACE).await;
                 if kept { Reply::Held } else { Reply::Refused(Reason::Full) }
             }
             Err(invalid) => {
@@ -483,6 +487,13 @@
         self.forget_claim(digest);
     }
 
+    /// The last frame goes: this bill must be recorded whatever happens.
+    fn promise(&self, digest: Digest) -> Receipt {
+        let _ = self.keeper.send(Order::Promise(Key { digest, nonce: 0 }));
+        self.forget_claim(digest);
+        Receipt::Held
+    }
+
     /// A bill settles its claim too.
     fn forget_claim(&self, digest: Digest) {
         let mut shared = self.shared();
--- a/crates/journal/src/home.rs
+++ b/crates/journal/src/home.rs
@@ -180,7 +180,7 @@
         let Op::Bill(bill) = &message.op else {
             return reply(message, Reply::Refused(Reason::PlatformDown));
         };
-        let held = self.setting.keeper.send(bill.clone()).is_ok();
+        let held = self.setting.placement.borrow().may_hold(bill) && self.setting.keeper.send(bill.clone()).is_ok();
         reply(message, if held { Reply::Held } else { Reply::Unknown });
     }
 
--- a/crates/journal/src/keeper.rs
+++ b/crates/journal/src/keeper.rs
@@ -31,10 +31,19 @@
 /// What is kept.
 #[derive(Debug, Clone)]
 pub(crate) enum Kept {
-    Bill(Bill),
+    /// A bill, and whether its caller may have got the last frame for its
+    /// being held.
+    Bill(Bill, Promised),
     Settle(Settle),
 }
 
+/// Whether a last frame may have gone because a bill is held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Promised {
+    Yes,
+    NotYet,
+}
+
 /// What the keeper is told.
 #[derive(Debug)]
 pub(crate) enum Order {
@@ -42,6 +51,8 @@
     Keep { kept: Kept, after: Duration, done: Option<oneshot::Sender<bool>> },
     /// It is durable.
     Drop(Key),
+    /// The last frame of the bill's request goes.
+    Promise(Key),
     /// Answer once nothing is kept.
     Flush(oneshot::Sender<()>),
     /// Answer with the bills kept.
@@ -58,14 +69,14 @@
 impl Kept {
     fn key(&self) -> Key {
         match self {
-            Self::Bill(bill) => Key { digest: Digest::request(&bill.id), nonce: 0 },
+            Self::Bill(bill, _) => Key { digest: Digest::request(&bill.id), nonce: 0 },
             Self::Settle(settle) => Key { digest: settle.digest, nonce: settle.nonce },
         }
     }
 
     fn op(&self) -> Op {
         match self {
-            Self::Bill(bill) => Op::Bill(bill.clone()),
+            Self::Bill(bill, _) => Op::Bill(bill.clone()),
             Self::Settle(settle) => Op::Settle(*settle),
         }
     }
@@ -124,6 +135,11 @@
                 }
             }
             Order::Drop(key) => self.forget(key),
+            Order::Promise(key) => {
+                if let Some(Slot { kept: Kept::Bill(_, promised), .. }) = self.kept.get_mut(&key) {
+                    *promised = Promised::Yes;
+                }
+            }
             Order::Flush(done) => {
                 let now = Instant::now();
                 self.kept.values_mut().for_each(|slot| slot.due = now);
@@ -132,7 +148,7 @@
             }
             Order::Bills(done) => {
                 let bills = self.kept.values().filter_map(|slot| match &slot.kept {
-                    Kept::Bill(bill) => Some(bill.clone()),
+                    Kept::Bill(bill, _) => Some(bill.clone()),
                     Kept::Settle(_) => None,
                 });
                 let _ = done.send(bills.collect());
@@ -185,15 +201,19 @@
         }
     }
 
-    /// The caller has its answer, so the bill stands although its grant was
-    /// settled without it: the customer is billed, and the budget is past its
-    /// limit by this amount. It takes the loss of both holders for as long as
-    /// a grant's settlement waits; the counter tells operators.
+    /// Where the caller may have its answer, the bill stands although its
+    /// grant was settled without it: the customer is billed, and the budget is
+    /// past its limit by this amount. It takes the loss of both holders for as
+    /// long as a grant's settlement waits; the counter tells operators. Where
+    /// no answer went, the bill is void.
     fn take_off_grant(&mut self, key: Key) {
-        if let Some(Slot { kept: Kept::Bill(bill), .. }) = self.kept.get_mut(&key) {
-            metrics::counter!("journal_bills_past_grant_total").increment(1);
-            tracing::warn!(request = %bill.id, "bill came after its grant was settled; recorded past the budget");
-            bill.grant = None;
+        match self.kept.get_mut(&key) {
+            Some(Slot { kept: Kept::Bill(bill, Promised::Yes), .. }) => {
+                metrics::counter!("journal_bills_past_grant_total").increment(1);
+                tracing::warn!(request = %bill.id, "bill came after its grant was settled; recorded past the budget");
+                bill.grant = None;
+            }
+            _ => self.forget(key),
         }
     }
 
--- a/crates/journal/src/placement.rs
+++ b/crates/journal/src/placement.rs
@@ -12,7 +12,10 @@
     instance::{self, Incarnation},
 };
 
-use crate::record::{Origin, Shard};
+use crate::{
+    bill::{Bill, Holder},
+    record::{Origin, Shard},
+};
 
 /// One instance as the journal needs to know it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -55,6 +58,20 @@
         self.members.iter().any(|m| m.id == origin.instance && m.incarnation == origin.incarnation)
     }
 
+    /// Whether a bill may be held here for its origin.
+    ///
+    /// An instance that is no member may have had its grant settled just
+    /// before the platform went down. Its caller would get a last frame for a
+    /// bill that the settlement has left out of the budget.
+    #[must_use]
+    pub fn may_hold(&self, bill: &Bill) -> bool {
+        let Some(grant) = &bill.grant else {
+            return true;
+        };
+        let Holder { instance, incarnation, .. } = &grant.holder;
+        self.members.iter().any(|m| m.id == *instance && m.incarnation == *incarnation)
+    }
+
     /// Failure domain of an instance.
     #[must_use]
     pub fn domain(&self, id: &instance::Id) -> Option<&Domain> {
