Test the configuration log under faults and interleavings

Answers lost at each write, outages, slowness, pauses beyond the cut-off, watch gaps and lagging replicas, two operators interleaved with losses.

--- a/crates/config/src/applier.rs
+++ b/crates/config/src/applier.rs
@@ -106,7 +106,9 @@
             Err(platform::Error::Unknown { .. }) => return Err(Error::Unknown { generation }),
             Err(error) => return Err(error.into()),
         };
-        self.check_not_cut(generation, &item).await?;
+        if self.is_void(generation, &item).await? {
+            return Ok(None);
+        }
         self.tell(Found::changes(vec![change]), Origin::Applied { asked }).await?;
         Ok(Some(Applied { generation, changed: true }))
     }
@@ -115,14 +117,17 @@
     /// long ago: it would be told "accepted" for a change that nobody will
     /// ever see. Entries are cut only `keep.changes` below a snapshot, so any
     /// snapshot that far above ours proves that ours is void.
-    async fn check_not_cut(&self, generation: u64, item: &platform::Item) -> Result<(), Error> {
-        let unknown = Error::Unknown { generation };
-        let newest = self.log.newest_snapshot().await.map_err(|_| unknown.clone())?.unwrap_or(0);
-        if newest < generation + self.settings.keep.changes {
-            return Ok(());
+    async fn is_void(&self, generation: u64, item: &platform::Item) -> Result<bool, Error> {
+        let newest = self.log.newest_snapshot().await.map_err(|_| Error::Unknown { generation })?;
+        if newest.unwrap_or(0) < generation + self.settings.keep.changes {
+            return Ok(false);
+        }
+        // Left standing it would do no harm: readers take no entry that is
+        // parted from the rest by a hole, and the next cut deletes it.
+        if let Err(error) = self.log.retract(item).await {
+            tracing::warn!(%error, generation, "a void entry stays until the next cut");
         }
-        let _ = self.log.retract(item).await;
-        Err(Error::Busy)
+        Ok(true)
     }
 
     async fn catch_up(&self, generation: u64) -> Result<(), Error> {
--- /dev/null
+++ b/crates/config/tests/config/interleaving.rs
@@ -0,0 +1,177 @@
+//! Two operators at two instances, with answers lost at any place: what each
+//! of them hears is what is in the log, and everyone ends up with the same.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use config::{Applied, Edit, Error, Expected, Handle, Keep};
+use platform::fake::Loss;
+use proptest::{prelude::*, test_runner::RngSeed};
+use tokio::time::sleep;
+use world::object::{Key, Kind, Object};
+
+use crate::{
+    faults::entries,
+    site::{Options, Site, model},
+};
+
+/// What one operator does and meets.
+#[derive(Debug, Clone)]
+struct Script {
+    steps: Vec<Step>,
+    losses: Vec<(u64, Loss)>,
+}
+
+#[derive(Debug, Clone)]
+struct Step {
+    pause: u64,
+    /// Which of few objects.
+    object: u8,
+    delete: bool,
+    /// Whether it names the generation that it read.
+    conditional: bool,
+}
+
+/// What an operator asked for and heard.
+#[derive(Debug)]
+struct Told {
+    author: String,
+    edit: Edit,
+    answer: Result<Applied, Error>,
+}
+
+fn loss() -> impl Strategy<Value = Loss> {
+    prop_oneof![
+        Just(Loss::Before),
+        Just(Loss::After),
+        (0..3_000_u64).prop_map(|ms| Loss::Late(Duration::from_millis(ms))),
+        Just(Loss::Refused),
+    ]
+}
+
+fn script() -> impl Strategy<Value = Script> {
+    let step = (0..30_u64, 0..2_u8, prop::bool::weighted(0.2), any::<bool>())
+        .prop_map(|(pause, object, delete, conditional)| Step { pause, object, delete, conditional });
+    let steps = prop::collection::vec(step, 1..6);
+    let losses = prop::collection::vec((1..10_u64, loss()), 0..5);
+    (steps, losses).prop_map(|(steps, losses)| Script { steps, losses })
+}
+
+async fn operate(name: &str, config: &Handle, script: &Script) -> Vec<Told> {
+    let mut told = Vec::new();
+    for (number, step) in script.steps.iter().enumerate() {
+        sleep(Duration::from_millis(step.pause)).await;
+        let key = Key { kind: Kind::Model, name: format!("m{}", step.object) };
+        let expected = expected(config, &key, step.conditional);
+        // Each operator's versions differ, so that each change is its own.
+        let versions = u32::try_from(number).expect("few") * 2 + u32::from(name == "bob") + 1;
+        let edit =
+            if step.delete { Edit::Delete(key, expected) } else { Edit::Put(model(&key.name, versions), expected) };
+        let author = format!("{name} {number}");
+        let answer = config.apply(&author, vec![edit.clone()]).await;
+        told.push(Told { author, edit, answer });
+    }
+    told
+}
+
+fn expected(config: &Handle, key: &Key, conditional: bool) -> Expected {
+    match (conditional, config.revision(key), config.current().object(key)) {
+        (false, ..) => Expected::Any,
+        (true, Some(revision), Some(_)) => Expected::At(revision.generation),
+        (true, ..) => Expected::Absent,
+    }
+}
+
+/// The log as it stands: generation and entry.
+fn log(site: &Site) -> BTreeMap<u64, serde_json::Value> {
+    let objects = site.platform.objects().into_iter();
+    let entries = objects.filter_map(|object| {
+        let generation = object.key.strip_prefix("config/change/")?.parse().ok()?;
+        let value: serde_json::Value = serde_json::from_slice(&object.value?).ok()?;
+        Some((generation, value["body"].clone()))
+    });
+    entries.collect()
+}
+
+async fn check(scripts: [Script; 2]) -> Result<(), TestCaseError> {
+    let keep = Keep { snapshot_every: 4, changes: 1_000 };
+    let mut site = Site::open(Options { instances: 3, domains: 3, keep, readers: true }).await;
+    for (index, script) in scripts.iter().enumerate() {
+        script.losses.iter().for_each(|(n, loss)| site.instances[index].client.lose(*n, *loss));
+    }
+    let watched = tokio::spawn(watch(site.config(2).clone()));
+    let ann = operate("ann", site.config(0), &scripts[0]);
+    let bob = operate("bob", site.config(1), &scripts[1]);
+    let (ann, bob) = tokio::join!(ann, bob);
+    sleep(Duration::from_secs(15)).await;
+    let log = log(&site);
+    for told in ann.iter().chain(&bob) {
+        check_told(&log, told)?;
+    }
+    let head = u64::try_from(log.len()).expect("few");
+    prop_assert_eq!(log.keys().copied().collect::<Vec<_>>(), (1..=head).collect::<Vec<_>>(), "no hole");
+    // One more starts from the snapshot and sees what the others see.
+    site.start(Options { instances: 4, domains: 3, keep, readers: true }).await;
+    sleep(Duration::from_secs(3)).await;
+    prop_assert_eq!(site.generations(), vec![head; 4]);
+    let objects = |index: usize| site.config(index).current().objects().collect::<Vec<Object>>();
+    for index in 1..4 {
+        prop_assert_eq!(objects(index), objects(0));
+    }
+    watched.abort();
+    prop_assert!(entries(&site, "config/snapshot/").iter().all(|generation| *generation <= head));
+    Ok(())
+}
+
+/// Fails when a generation goes back.
+async fn watch(config: Handle) {
+    let mut catalog = config.subscribe();
+    let mut last = 0;
+    while catalog.changed().await.is_ok() {
+        let generation = catalog.borrow_and_update().generation();
+        assert!(generation > last, "{generation} after {last}");
+        last = generation;
+    }
+}
+
+fn check_told(log: &BTreeMap<u64, serde_json::Value>, told: &Told) -> Result<(), TestCaseError> {
+    let found: Vec<u64> =
+        log.iter().filter(|(_, entry)| entry["author"] == told.author.as_str()).map(|(g, _)| *g).collect();
+    match &told.answer {
+        Ok(applied) if applied.changed => {
+            prop_assert_eq!(&found, &vec![applied.generation], "{} was told accepted", told.author);
+            check_expected(log, told, applied.generation)
+        }
+        Err(Error::Unknown { generation }) => {
+            prop_assert!(found.is_empty() || found == [*generation], "{} is in {:?}", told.author, found);
+            Ok(())
+        }
+        other => {
+            prop_assert!(found.is_empty(), "{} was told {:?} and is in {:?}", told.author, other, found);
+            Ok(())
+        }
+    }
+}
+
+/// A conditional change follows right on the one it named.
+fn check_expected(log: &BTreeMap<u64, serde_json::Value>, told: &Told, generation: u64) -> Result<(), TestCaseError> {
+    let (Edit::Put(_, expected) | Edit::Delete(_, expected)) = &told.edit;
+    let before = log[&generation]["edits"][0]["before"].as_u64();
+    if let Expected::At(named) = expected {
+        prop_assert_eq!(before, Some(*named), "{} overwrote a change it did not know", told.author);
+    }
+    Ok(())
+}
+
+proptest! {
+    // A fixed seed: the same verdict every time. PROPTEST_CASES sets how many.
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
+    #[test]
+    fn operators_hear_what_is_in_the_log(scripts in [script(), script()]) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+        runtime.expect("a runtime").block_on(check(scripts))?;
+    }
+}
--- /dev/null
+++ b/crates/config/tests/config/log.rs
@@ -0,0 +1,138 @@
+//! Reading the log: gaps, lagging watches, pauses, entries that do not read.
+
+use std::time::Duration;
+
+use config::Keep;
+use platform::Priority;
+use tokio::time::sleep;
+
+use crate::{
+    faults::entries,
+    site::{Options, Site, model, put},
+};
+
+/// Only what the platform tells counts: no peer links.
+async fn without_links() -> Site {
+    let site = Site::open(Options { keep: Keep { snapshot_every: 8, changes: 16 }, ..Options::default() }).await;
+    put(site.config(0), model("m", 1)).await.expect("accepted");
+    site.wait(1).await;
+    (0..4).for_each(|index| site.cut(index, true));
+    site
+}
+
+/// The platform forgets the changes that a reader's watch was to go on from.
+/// The reader lists what it lacks; nothing is skipped.
+#[tokio::test(start_paused = true)]
+async fn watch_gap_is_read_over() {
+    let site = without_links().await;
+    site.instances[1].client.set_down(true);
+    for versions in 2..6 {
+        put(site.config(0), model("m", versions)).await.expect("accepted");
+    }
+    site.platform.compact();
+    site.instances[1].client.set_down(false);
+    site.wait(5).await;
+}
+
+/// Watches are answered by a replica that lags behind for good. Changes come
+/// by the plain reads that confirm freshness, within an interval or two.
+#[tokio::test(start_paused = true)]
+async fn lagging_watch_does_not_hold_back_changes() {
+    let site = without_links().await;
+    site.platform.set_stale_watches(1_000);
+    put(site.config(0), model("m", 2)).await.expect("accepted");
+    sleep(Duration::from_millis(2_500)).await;
+    assert_eq!(site.generations(), [2; 4]);
+}
+
+/// A reader is paused, the log goes on and is cut off above its generation.
+/// When it wakes, what its watch brings does not follow on its own state: it
+/// must take the snapshot, in one step and forward only.
+#[tokio::test(start_paused = true)]
+async fn reader_that_wakes_behind_the_cut_off_takes_the_snapshot() {
+    let site = without_links().await;
+    site.instances[1].client.set_down(true);
+    let mut seen = site.config(1).subscribe();
+    for versions in 2..65 {
+        put(site.config(0), model("m", versions)).await.expect("accepted");
+        sleep(Duration::from_millis(100)).await;
+    }
+    sleep(Duration::from_secs(10)).await;
+    assert!(!entries(&site, "config/change/").contains(&2), "cut off");
+    assert!(!site.config(1).fresh());
+    seen.mark_unchanged();
+    site.instances[1].client.set_down(false);
+    site.wait(64).await;
+    assert!(site.config(1).fresh());
+    assert_eq!(entries(&site, "config/snapshot/").len(), 2, "older snapshots are gone");
+}
+
+/// A reader hands its part over to another instance of its domain and back.
+#[tokio::test(start_paused = true)]
+async fn reader_changes() {
+    let site = without_links().await;
+    for reader in [false, true, true, false, true] {
+        site.config(1).set_reader(reader).await;
+        let versions = u32::try_from(site.config(0).current().generation()).expect("few") + 1;
+        put(site.config(0), model("m", versions)).await.expect("accepted");
+        site.wait(u64::from(versions)).await;
+    }
+}
+
+/// An entry comes from a newer build and does not read here. The instance
+/// keeps what it has and takes no new work, since a withdrawal may be in
+/// there; an entry that it can read does not hide the one that it cannot.
+#[tokio::test(start_paused = true)]
+async fn unreadable_entry_stops_new_work() {
+    let site = without_links().await;
+    let handle =
+        platform::open_with(platform::Settings::fake("newer/1", 9), std::sync::Arc::new(site.platform.client()));
+    let entry = serde_json::json!({
+        "generation": 2, "at": 0, "author": "ann", "instance": "i9",
+        "edits": [{ "before": 0, "put": { "kind": "model", "name": "m", "spec": { "versions": [], "newer": true } } }],
+    });
+    let created = handle.create(Priority::Config, "config/change/0000000000000002", &entry).await;
+    assert!(created.expect("up").is_done());
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(site.generations(), [1; 4]);
+    assert!(site.instances.iter().all(|instance| !instance.config.fresh()));
+}
+
+/// The objects of a fleet do not fit into one value of the platform. The
+/// snapshot is split, and an instance that starts from it has all of them.
+#[tokio::test(start_paused = true)]
+async fn snapshot_above_a_megabyte_is_split() {
+    let options = Options { keep: Keep { snapshot_every: 4, changes: 8 }, instances: 1, domains: 1, readers: true };
+    let mut site = Site::open(options).await;
+    for name in ["a", "b", "c", "d"] {
+        put(site.config(0), model(name, 5_000)).await.expect("accepted");
+    }
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(entries(&site, "config/snapshot/"), [4]);
+    assert!(site.platform.objects().iter().any(|object| object.key.starts_with("config/part/")));
+    site.start(options).await;
+    site.wait(4).await;
+    assert_eq!(site.config(1).current().models(), site.config(0).current().models());
+}
+
+/// What an idle site costs: a reader's watch and its confirmations, and
+/// nothing at all for those that hear from peers.
+#[tokio::test(start_paused = true)]
+async fn idle_calls_stay_under_two_a_second() {
+    for (readers, most) in [(true, 2 * 60 * 4), (false, 0)] {
+        let site = Site::open(Options { readers: true, ..Options::default() }).await;
+        put(site.config(0), model("m", 1)).await.expect("accepted");
+        site.wait(1).await;
+        if !readers {
+            for index in 1..4 {
+                site.config(index).set_reader(false).await;
+            }
+        }
+        sleep(Duration::from_secs(10)).await;
+        let before = site.platform.records().len();
+        sleep(Duration::from_mins(1)).await;
+        let calls = site.platform.records().len() - before;
+        let most = if readers { most } else { 2 * 60 };
+        assert!(calls <= most, "{calls} calls in a minute, readers: {readers}");
+    }
+}
--- /dev/null
+++ b/crates/config/tests/config/peers.rs
@@ -0,0 +1,102 @@
+//! What instances tell each other.
+
+use std::time::Duration;
+
+use config::wire::{News, Want};
+use prost::Message;
+use tokio::time::sleep;
+
+use crate::site::{Options, Site, model, put};
+
+async fn changed(versions: u32) -> Site {
+    let site = Site::open(Options::default()).await;
+    for versions in 1..=versions {
+        put(site.config(0), model("m", versions)).await.expect("accepted");
+    }
+    site.wait(versions.into()).await;
+    site
+}
+
+fn ask(site: &Site, after: u64) -> News {
+    let answer = site.config(0).serve(&Want { id: 7, after }.encode_to_vec());
+    News::decode(answer).expect("news")
+}
+
+#[tokio::test(start_paused = true)]
+async fn answer_holds_just_what_is_missing() {
+    let site = changed(5).await;
+    for after in 0..7 {
+        let news = ask(&site, after);
+        let missing = usize::try_from(5_u64.saturating_sub(after)).expect("small");
+        assert_eq!((news.id, news.head, news.changes.len()), (7, 5, missing));
+        assert!(news.snapshot.is_empty());
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn whoever_missed_much_gets_the_whole_state() {
+    let site = changed(200).await;
+    let news = ask(&site, 10);
+    assert!(news.changes.is_empty() && !news.snapshot.is_empty());
+}
+
+/// News comes twice, in the wrong order and from long ago. What is in force
+/// only ever goes forward.
+#[tokio::test(start_paused = true)]
+async fn old_and_repeated_news_changes_nothing() {
+    let mut site = changed(3).await;
+    let old: Vec<_> = (0..3).map(|after| site.config(0).serve(&Want { id: 0, after }.encode_to_vec())).collect();
+    let snapshot = site.config(0).snapshot_bytes();
+    put(site.config(0), model("m", 4)).await.expect("accepted");
+    site.wait(4).await;
+    site.start(Options::default()).await;
+    site.wait(4).await;
+    for news in old.iter().chain([&snapshot]).chain(old.iter().rev()) {
+        site.config(4).offer(news.clone()).await;
+        site.config(1).offer_snapshot(news.clone()).await;
+    }
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(site.generations(), [4; 5]);
+}
+
+/// A peer of a newer build sends fields that this one does not know, and an
+/// older one leaves out what came later. Both are understood.
+#[tokio::test(start_paused = true)]
+async fn news_of_another_build_is_understood() {
+    let site = changed(1).await;
+    site.cut(0, true);
+    put(site.config(0), model("m", 2)).await.expect("accepted");
+    let mut bytes = site.config(0).serve(&Want { id: 0, after: 1 }.encode_to_vec()).to_vec();
+    // Field 99, text.
+    bytes.extend([0x9a, 0x06, 0x03, b'n', b'e', b'w']);
+    site.config(1).offer(bytes.into()).await;
+    sleep(Duration::from_millis(1)).await;
+    assert_eq!(site.config(1).current().generation(), 2);
+}
+
+/// Bytes that are no message come in. They are dropped, and what follows is
+/// taken.
+#[tokio::test(start_paused = true)]
+async fn bytes_that_do_not_read_are_dropped() {
+    let site = changed(1).await;
+    site.config(1).offer(vec![0xff; 40].into()).await;
+    let answer = site.config(1).serve(&[0xff; 40]);
+    assert_eq!(News::decode(answer).expect("news").head, 1);
+    put(site.config(0), model("m", 2)).await.expect("accepted");
+    site.wait(2).await;
+}
+
+/// The link to the instance that makes changes is lost just before its news
+/// goes out. The others hear of the change all the same: their reader's watch
+/// brings it, or they ask a peer within an interval.
+#[tokio::test(start_paused = true)]
+async fn news_that_got_lost_is_asked_for() {
+    let site = changed(1).await;
+    for listener in [2, 3] {
+        site.config(listener).set_reader(false).await;
+    }
+    site.cut(0, true);
+    put(site.config(0), model("m", 2)).await.expect("accepted");
+    sleep(Duration::from_millis(2_500)).await;
+    assert_eq!(site.generations(), [2; 4]);
+}
--- a/crates/config/tests/config/site.rs
+++ b/crates/config/tests/config/site.rs
@@ -131,13 +131,13 @@
 async fn carry(links: Arc<Links>, from: usize, mut outbound: mpsc::Receiver<Outbound>) {
     while let Some(message) = outbound.recv().await {
         match message {
-            Outbound::News(bytes) => links.others(from).into_iter().for_each(|to| links.publish(from, to, &bytes)),
+            Outbound::News(bytes) => links.others(from).into_iter().for_each(|to| publish(&links, from, to, &bytes)),
             Outbound::Want { scope: Scope::EachDomain, bytes } => {
-                links.others(from).into_iter().for_each(|to| links.call(from, to, &bytes));
+                links.others(from).into_iter().for_each(|to| call(&links, from, to, &bytes));
             }
             Outbound::Want { scope: Scope::One, bytes } => {
                 if let Some(to) = links.others(from).first() {
-                    links.call(from, *to, &bytes);
+                    call(&links, from, *to, &bytes);
                 }
             }
         }
@@ -154,23 +154,34 @@
         lock(&self.peers)[index].clone()
     }
 
-    fn publish(&self, _from: usize, to: usize, bytes: &Bytes) {
-        let (peer, bytes) = (self.peer(to), bytes.clone());
-        tokio::spawn(async move {
-            sleep(LINK).await;
-            peer.offer(bytes).await;
-        });
+    /// A message under way when its link is cut is lost.
+    async fn pass(&self, from: usize, to: usize) -> bool {
+        sleep(LINK).await;
+        let cut = lock(&self.cut);
+        !cut[from] && !cut[to]
     }
+}
 
-    fn call(&self, from: usize, to: usize, bytes: &Bytes) {
-        let (asker, peer, bytes) = (self.peer(from), self.peer(to), bytes.clone());
-        tokio::spawn(async move {
-            sleep(LINK).await;
-            let answer = peer.serve(&bytes);
-            sleep(LINK).await;
-            asker.offer(answer).await;
-        });
-    }
+fn publish(links: &Arc<Links>, from: usize, to: usize, bytes: &Bytes) {
+    let (links, bytes) = (links.clone(), bytes.clone());
+    tokio::spawn(async move {
+        if links.pass(from, to).await {
+            links.peer(to).offer(bytes).await;
+        }
+    });
+}
+
+fn call(links: &Arc<Links>, from: usize, to: usize, bytes: &Bytes) {
+    let (links, bytes) = (links.clone(), bytes.clone());
+    tokio::spawn(async move {
+        if !links.pass(from, to).await {
+            return;
+        }
+        let answer = links.peer(to).serve(&bytes);
+        if links.pass(to, from).await {
+            links.peer(from).offer(answer).await;
+        }
+    });
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
