Take no stray entry below the cut-off for the next change

A write of an instance paused for long can arrive after its generation was cut off. A reader standing right before it took it into force (two tests showed it).

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -83,7 +83,7 @@
     let (state, watched) = watch::channel(Arc::new(State::default()));
     let catalog = watch::Sender::new(watched.borrow().catalog().clone());
     let contact = Arc::new(Contact::new(&settings));
-    let log = Log::new(platform);
+    let log = Log::new(platform, settings.keep);
     let handle = Handle::new(
         catalog.subscribe(),
         watched.clone(),
--- a/crates/config/src/log.rs
+++ b/crates/config/src/log.rs
@@ -6,6 +6,7 @@
 use crate::{
     error::Error,
     record::{Change, Entry, Snapshot},
+    settings::Keep,
     state::State,
 };
 
@@ -19,6 +20,8 @@
 const PART_SIZE: usize = 768 * 1024;
 /// Snapshots kept; a reader that has just found one gets time to read it.
 const SNAPSHOTS_KEPT: usize = 2;
+/// Tries to read a snapshot and what follows while others cut off.
+const SNAPSHOT_TRIES: u32 = 8;
 /// Most old changes deleted after one snapshot.
 const CUT_BATCH: usize = 512;
 /// Keys read to find the newest snapshot.
@@ -30,6 +33,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Log {
     platform: platform::Handle,
+    keep: Keep,
 }
 
 /// What a reading of the log brought: everything after the generation asked for.
@@ -44,13 +48,13 @@
 }
 
 impl Log {
-    pub(crate) fn new(platform: platform::Handle) -> Self {
-        Self { platform }
+    pub(crate) fn new(platform: platform::Handle, keep: Keep) -> Self {
+        Self { platform, keep }
     }
 
     /// The same log with another deadline per call.
     pub(crate) fn within(&self, deadline: std::time::Duration) -> Self {
-        Self { platform: self.platform.within(deadline) }
+        Self { platform: self.platform.within(deadline), keep: self.keep }
     }
 
     pub(crate) fn watch(&self, version: u64) -> platform::Watch {
@@ -61,20 +65,23 @@
     pub(crate) async fn read_after(&self, generation: u64) -> Result<Found, Error> {
         if generation > 0 {
             let found = self.changes_after(generation).await?;
-            if found.connects(generation) {
+            if found.connects(generation, self.keep.changes) {
                 return Ok(found);
             }
         }
-        loop {
-            let Some(newest) = self.newest_snapshot().await? else {
-                return self.changes_after(0).await;
-            };
-            // Cut off between the two reads: a newer one stands there now.
-            let Some(snapshot) = self.snapshot(newest).await? else { continue };
-            let mut found = self.changes_after(newest).await?;
-            found.snapshot = Some(snapshot);
-            return Ok(found);
+        for _ in 0..SNAPSHOT_TRIES {
+            // Not found: cut off between two reads, and a newer one stands there.
+            let newest = self.newest_snapshot().await?.unwrap_or(0);
+            let snapshot = if newest == 0 { None } else { self.snapshot(newest).await? };
+            if snapshot.is_some() || newest == 0 {
+                let found = self.changes_after(newest).await?;
+                // Nothing above the newest snapshot has ever been cut off.
+                if found.connects(newest, u64::MAX) {
+                    return Ok(Found { snapshot, ..found });
+                }
+            }
         }
+        Err(Error::Busy)
     }
 
     /// One change; nothing when it is cut off or never was.
@@ -171,9 +178,17 @@
         self.changes.last().map_or(snapshot, |change| change.generation().max(snapshot))
     }
 
-    fn connects(&self, generation: u64) -> bool {
-        // Without any hole: an entry that an instance paused for long made in
-        // the place of one cut off stands apart from the rest.
+    /// Whether the changes may be taken after a generation.
+    ///
+    /// An instance paused for long may have made a stray entry in the place of
+    /// one that was cut off. Taken for the next change by a reader that stands
+    /// right before it, it would part that reader's state from everyone's. A
+    /// stray is at least `kept` generations below the newest snapshot, so it
+    /// either has a hole above it or that many entries.
+    fn connects(&self, generation: u64, kept: u64) -> bool {
+        if u64::try_from(self.changes.len()).is_ok_and(|len| len >= kept) {
+            return false;
+        }
         self.changes.iter().zip(generation + 1..).all(|(change, expected)| change.generation() == expected)
     }
 }
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -12,6 +12,7 @@
     error::Error,
     log::{self, Found, Log},
     observer::{Message, Origin},
+    record::Change,
     settings::Settings,
     state::State,
 };
@@ -30,10 +31,19 @@
         let mut watch = self.start().await;
         loop {
             watch.relist_after(&log::change_key(self.generation()));
-            // Errors need nothing here: the watch backs off by itself, and
-            // the observer's own reads tell it that the platform is away.
-            let Ok(batch) = watch.next().await else { continue };
-            let changes = match parse(batch) {
+            let events = match watch.next().await {
+                Ok(Batch::Changes { changes, .. }) => changes,
+                // After a gap only the log itself can tell which entries
+                // follow on what is in force.
+                Ok(Batch::Relisted(_)) => {
+                    watch = self.start().await;
+                    continue;
+                }
+                // Needs nothing here: the watch backs off by itself, and the
+                // observer's own reads tell it that the platform is away.
+                Err(_) => continue,
+            };
+            let changes = match parse(events) {
                 Ok(changes) if changes.is_empty() => continue,
                 Ok(changes) => changes,
                 Err(error) => {
@@ -77,11 +87,8 @@
     }
 }
 
-fn parse(batch: Batch) -> Result<Vec<crate::record::Change>, Error> {
-    let items: Vec<Item> = match batch {
-        Batch::Changes { changes, .. } => changes.into_iter().filter_map(put).collect(),
-        Batch::Relisted(listing) => listing.items,
-    };
+fn parse(events: Vec<Event>) -> Result<Vec<Change>, Error> {
+    let items: Vec<Item> = events.into_iter().filter_map(put).collect();
     items.iter().filter_map(log::parse_change).collect()
 }
 
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -31,7 +31,8 @@
     pub clock: fn() -> Timestamp,
 }
 
-/// What the platform keeps of the log.
+/// What the platform keeps of the log; the same at every instance, since it
+/// decides which entries may be taken for the next change.
 #[derive(Debug, Clone, Copy)]
 pub struct Keep {
     /// A snapshot each so many generations.
--- a/crates/config/tests/config/apply.rs
+++ b/crates/config/tests/config/apply.rs
@@ -1,7 +1,10 @@
 //! Changes as operators make them.
 
-use config::{Edit, Error, Expected};
-use world::object::{Key, Kind};
+use std::time::Duration;
+
+use config::{Applied, Edit, Error, Expected};
+use tokio::time::sleep;
+use world::object::{Key, Kind, Object};
 
 use crate::site::{Options, Site, model, put};
 
@@ -66,3 +69,71 @@
     site.wait(2).await;
     assert_eq!(site.config(2).current().models().len(), 2);
 }
+
+/// Instance 3 has not heard of generation 2 yet when an operator works there.
+async fn behind() -> Site {
+    let site = Site::open(Options::default()).await;
+    put(site.config(0), model("m", 1)).await.expect("accepted");
+    site.wait(1).await;
+    sleep(Duration::from_secs(2)).await;
+    site.config(3).set_reader(false).await;
+    site.cut(3, true);
+    put(site.config(0), model("m", 2)).await.expect("accepted");
+    assert_eq!(site.config(3).current().generation(), 1);
+    site
+}
+
+/// An operator puts back what this instance still has in force. Taken for
+/// "unchanged" it would be reported as accepted while generation 2, which
+/// says otherwise, comes into force everywhere.
+#[tokio::test(start_paused = true)]
+async fn unchanged_here_may_be_a_change() {
+    let site = behind().await;
+    assert_eq!(put(site.config(3), model("m", 1)).await, Ok(3));
+}
+
+/// An operator who has read generation 2 elsewhere changes it here. Refused on
+/// the strength of an old state, he would be told of a conflict with a change
+/// that is older than the one he knows.
+#[tokio::test(start_paused = true)]
+async fn refusal_rests_on_the_newest_state() {
+    let site = behind().await;
+    let edit = Edit::Put(model("m", 3), Expected::At(2));
+    assert_eq!(site.config(3).apply("ann", vec![edit]).await.map(|applied| applied.generation), Ok(3));
+}
+
+/// The same for objects that do not fit each other.
+#[tokio::test(start_paused = true)]
+async fn check_rests_on_the_newest_state() {
+    let site = behind().await;
+    assert_eq!(put(site.config(3), pool("m@2")).await, Ok(3));
+}
+
+#[tokio::test(start_paused = true)]
+async fn objects_that_do_not_fit_are_refused() {
+    let site = behind().await;
+    let refused = put(site.config(0), pool("m@9")).await;
+    assert!(matches!(&refused, Err(Error::Invalid(faults)) if faults.len() == 1), "{refused:?}");
+    assert_eq!(site.config(0).current().generation(), 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_stands_there_already_makes_no_generation() {
+    let site = Site::open(Options::default()).await;
+    put(site.config(0), model("m", 1)).await.expect("accepted");
+    let again = site.config(1).apply("ann", vec![Edit::Put(model("m", 1), Expected::Any)]).await;
+    assert_eq!(again, Ok(Applied { generation: 1, changed: false }));
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_object_twice_is_refused() {
+    let site = Site::open(Options::default()).await;
+    let edits = [1, 2].map(|versions| Edit::Put(model("m", versions), Expected::Any));
+    assert_eq!(site.config(0).apply("ann", edits.into()).await, Err(Error::Twice(key("m"))));
+}
+
+fn pool(version: &str) -> Object {
+    let text =
+        format!("kind: pool\nname: p\nspec: {{ domain: d0, serves: {{ versions: [{version}] }}, endpoints: [] }}");
+    Object::parse_file(&text).expect("a pool").remove(0)
+}
--- a/crates/config/tests/config/faults.rs
+++ b/crates/config/tests/config/faults.rs
@@ -1,6 +1,6 @@
 //! Changes while answers get lost and the platform comes and goes.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use config::{Edit, Error, Expected, Keep};
 use platform::fake::Loss;
@@ -174,38 +174,69 @@
 }
 
 /// The write of a paused instance arrives after the log was cut off above it,
-/// and the instance is gone by then. The stray entry stands there for good:
-/// it must not confuse those who start or catch up.
-#[tokio::test(start_paused = true)]
-async fn stray_entry_below_the_cut_off_confuses_nobody() {
+/// and the instance is gone by then. The stray entry stands there for good. An
+/// instance that comes back at just the generation before it must not take it
+/// for the next one: its state would differ from everyone's, and stay so.
+async fn check_stray(paused_at: u64) {
     let options = Options { keep: SHORT, ..Options::default() };
     let mut site = Site::open(options).await;
     put(site.config(0), model("m", 1)).await.expect("accepted");
-    site.wait(1).await;
-    for gone in [2, 3] {
-        site.instances[gone].client.set_down(true);
-        site.cut(gone, true);
-    }
-    let lost = site.platform.client();
-    let handle = platform::open_with(platform::Settings::fake("ghost/1", 1), std::sync::Arc::new(lost.clone()));
-    lost.lose(1, Loss::Late(Duration::from_secs(30)));
-    let stray = site.platform.objects()[0].value.clone().expect("an entry");
-    let stray: serde_json::Value = serde_json::from_slice(&stray).expect("JSON");
-    let mut stray = stray["body"].clone();
-    stray["generation"] = 2.into();
-    let ghost = tokio::spawn(async move {
-        let short = handle.within(Duration::from_millis(10));
-        short.create(platform::Priority::Config, "config/change/0000000000000002", &stray).await
-    });
-    assert!(ghost.await.expect("no panic").is_err());
-    for versions in 2..33 {
-        put(site.config(0), model("m", versions)).await.expect("accepted");
+    let pause = |site: &Site| {
+        site.instances[3].client.set_down(true);
+        site.cut(3, true);
+        write_late(site, paused_at + 1);
+    };
+    for generation in 2..33 {
+        site.wait(if generation > paused_at { 1 } else { generation - 1 }).await;
+        if generation == paused_at + 1 {
+            sleep(Duration::from_secs(2)).await;
+            pause(&site);
+        }
+        put(site.config(0), model("m", u32::try_from(generation).expect("few"))).await.expect("accepted");
         sleep(Duration::from_millis(100)).await;
     }
     sleep(Duration::from_secs(40)).await;
-    assert!(entries(&site, "config/change/").contains(&2), "the stray has arrived");
+    assert!(entries(&site, "config/change/").contains(&(paused_at + 1)), "the stray has arrived");
+    assert_eq!(site.config(3).current().generation(), paused_at);
+    site.platform.compact();
+    let watched: Vec<_> = [0, 3].map(|index| tokio::spawn(never_stray(site.config(index).clone()))).into();
     site.instances[3].client.set_down(false);
     site.start(options).await;
     sleep(Duration::from_secs(10)).await;
-    assert_eq!(site.generations(), [32, 32, 1, 32, 32], "the third is still cut off");
+    assert_eq!(site.generations(), [32; 5]);
+    assert!(watched.iter().all(|watch| !watch.is_finished()), "the stray was in force");
+}
+
+#[tokio::test(start_paused = true)]
+async fn stray_entry_far_below_the_cut_off() {
+    check_stray(1).await;
+}
+
+/// Changes up to 24 are cut off at 32: the stray stands where the 24th was and
+/// connects to the 25th.
+#[tokio::test(start_paused = true)]
+async fn stray_entry_right_below_the_cut_off() {
+    check_stray(23).await;
+}
+
+/// Sends an entry that arrives half a minute later.
+fn write_late(site: &Site, generation: u64) {
+    let client = site.platform.client();
+    client.lose(1, Loss::Late(Duration::from_secs(30)));
+    let entry = serde_json::json!({
+        "generation": generation, "at": 0, "author": "ghost", "instance": "i9",
+        "edits": [{ "before": 0, "put": model("stray", 1).to_json() }],
+    });
+    let ghost = platform::open_with(platform::Settings::fake("ghost/1", 1), Arc::new(client));
+    tokio::spawn(async move {
+        let ghost = ghost.within(Duration::from_millis(1));
+        ghost.create(platform::Priority::Config, &format!("config/change/{generation:016}"), &entry).await
+    });
+}
+
+/// Ends when the stray entry is in force.
+async fn never_stray(config: config::Handle) {
+    let stray = "stray".parse().expect("a name");
+    let mut catalog = config.subscribe();
+    let _ = catalog.wait_for(|catalog| catalog.model(&stray).is_some()).await;
 }
