--- /dev/null
+++ b/crates/arbutuslugd/tests/operators/main.rs
@@ -0,0 +1,6 @@
+//! The operators' listener and the tool, over real sockets and a fake platform.
+
+mod access;
+mod changes;
+mod requests;
+mod site;
