--- a/crates/entry/src/desk/state.rs
+++ b/crates/entry/src/desk/state.rs
@@ -178,7 +178,7 @@
     /// Time that the fastest version hardly beats, in milliseconds.
     fn least_ms(&self, line: &Line, now: Timestamp) -> Millis {
         let least = self.targets(line).into_iter().filter_map(|target| match target {
-            Target::Version(version) => Some(self.learn.book.speed(&version, now).least_ms()),
+            Target::Version(version) => Some(self.learn.book.speed(Cell::ANY, &version, now).least_ms()),
             Target::Service(_) => None,
         });
         whole(least.fold(f64::INFINITY, f64::min)).max(1)
@@ -233,7 +233,7 @@
 
     fn expected_ms(&self, target: &Target, now: Timestamp) -> Millis {
         match target {
-            Target::Version(version) => whole(self.learn.book.speed(version, now).least_ms()),
+            Target::Version(version) => whole(self.learn.book.speed(Cell::ANY, version, now).least_ms()),
             Target::Service(_) => 0,
         }
     }
@@ -242,7 +242,7 @@
         match ending {
             Ending::Whole { millis, tokens } => {
                 if let Target::Version(version) = target {
-                    self.learn.book.ran(version, millis, tokens, now);
+                    self.learn.book.ran(Cell::ANY, version, millis, tokens, now);
                 }
                 self.fleet.on(Event::Finished { key, target, millis, tokens }, now);
             }
--- a/crates/entry/src/feed.rs
+++ b/crates/entry/src/feed.rs
@@ -2,7 +2,6 @@
 
 use std::{sync::Arc, time::Duration};
 
-use platform::{Priority, Role, Standing};
 use route::endpoint::Peer;
 use tokio::{
     task::JoinHandle,
@@ -14,8 +13,6 @@
 
 /// How often engines are asked for their load and cache events.
 const REPORT_EVERY: Duration = Duration::from_secs(1);
-/// How often the list of leaving endpoints is read.
-const LEAVING_EVERY: Duration = Duration::from_secs(1);
 /// How long the rating service may wait for the next rating.
 const RATINGS_WAIT_MS: u64 = 5_000;
 /// Pause after the rating service failed.
@@ -89,24 +86,15 @@
     }
 }
 
-/// Reads which endpoints are leaving.
-///
-/// They get no new work from the next reading on, within two seconds of the
-/// list saying so.
+/// Tells the desk which endpoints are leaving, with each change of the list.
 async fn leaving(shared: Arc<Shared>) {
-    let mut ticks = interval(LEAVING_EVERY);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut leaving = shared.links.leaving.clone();
     loop {
-        ticks.tick().await;
-        let listed = match shared.links.platform.instances(Priority::Statistics).await {
-            Ok(listed) => listed,
-            Err(error) => {
-                tracing::debug!(%error, "the list of instances was not read");
-                continue;
-            }
-        };
-        let leaving = listed.iter().filter(|m| m.role == Role::Endpoint && m.standing == Standing::Leaving);
-        shared.desk.leaving(leaving.filter_map(|m| Id::parse(&m.name).ok()).collect());
+        let endpoints = leaving.borrow_and_update().clone();
+        shared.desk.leaving(endpoints);
+        if leaving.changed().await.is_err() {
+            return;
+        }
     }
 }
 
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use tokio::{
     net::TcpListener,
-    sync::{Mutex, mpsc},
+    sync::{Mutex, mpsc, watch},
     task::JoinHandle,
     time::{Instant, sleep},
 };
@@ -71,6 +71,12 @@
         *self.shared.in_flight().borrow()
     }
 
+    /// Requests under way, and each change.
+    #[must_use]
+    pub fn watch_in_flight(&self) -> watch::Receiver<u64> {
+        self.shared.in_flight()
+    }
+
     /// Answers a stream of [`peer::Topic::Request`]: a request that another
     /// instance's caller joins. Ends when the answer does.
     pub async fn serve(&self, question: Bytes, sink: mpsc::Sender<Bytes>) {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -10,7 +10,7 @@
 
 use timeline::{Event, Recorder, Step};
 use tokio::sync::watch;
-use world::{Catalog, Millis, domain::Domain, instance, request};
+use world::{Catalog, Millis, domain::Domain, endpoint as world_endpoint, instance, request};
 
 use crate::{
     desk,
@@ -81,8 +81,8 @@
     pub endpoint: endpoint::Handle,
     /// The version guard.
     pub control: control::Handle,
-    /// The object API, for its list of leaving endpoints.
-    pub platform: platform::Handle,
+    /// Endpoints that the platform's list calls leaving.
+    pub leaving: watch::Receiver<Vec<world_endpoint::Id>>,
     /// The time line.
     pub recorder: Recorder,
 }
--- a/crates/entry/tests/path/site.rs
+++ b/crates/entry/tests/path/site.rs
@@ -220,7 +220,8 @@
             idle_timeout: Duration::from_millis(300),
             ..endpoint::Settings::default()
         });
-        let links = Links { config, journal, budget, peer, endpoint, control: control::idle(), platform, recorder };
+        let (_, leaving) = tokio::sync::watch::channel(Vec::new());
+        let links = Links { config, journal, budget, peer, endpoint, control: control::idle(), leaving, recorder };
         let keys = entry::session::Keys::new(vec![b"session-key".to_vec()]).expect("a key");
         let mut settings = Settings::new(id, domain, keys);
         settings.rated = self.rating.is_some();
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -53,8 +53,18 @@
 /// # Errors
 ///
 /// The listener's address cannot be bound.
-pub async fn spawn(mut settings: Settings) -> io::Result<(Handle, mpsc::Receiver<Inbound>)> {
+pub async fn spawn(settings: Settings) -> io::Result<(Handle, mpsc::Receiver<Inbound>)> {
     let listener = TcpListener::bind(settings.listen).await?;
+    spawn_on(listener, settings)
+}
+
+/// The same on a socket that is bound already, so that its address can be told
+/// before the first link.
+///
+/// # Errors
+///
+/// The socket has no address.
+pub fn spawn_on(listener: TcpListener, mut settings: Settings) -> io::Result<(Handle, mpsc::Receiver<Inbound>)> {
     let bound = listener.local_addr()?;
     if settings.me.peers.port() == 0 {
         settings.me.peers.set_port(bound.port());
--- a/crates/route/src/quality.rs
+++ b/crates/route/src/quality.rs
@@ -61,6 +61,9 @@
 }
 
 impl Cell {
+    /// Nobody's: what holds in general.
+    pub const ANY: Self = Self { customer: 0, class: 0 };
+
     /// The cell of a customer's class.
     #[must_use]
     pub fn new(customer: &Customer, class: &Class) -> Self {
