Estimate others' runs from own since the last report

Cause: a report two seconds old says nothing about runs that began since, so every instance filled the same idle endpoint: at 90% load 4.2% of the deadlines were missed and the largest load was 2.5 times the mean (round robin: 0.5%, 1.5). Change: of the reported runs those that must have ended are taken off, and others are thought to have sent in proportion to what we have sent; the preferred endpoint is passed over above the mean.

--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -6,6 +6,8 @@
 //! instances run.
 
 mod cost;
+mod load;
+mod site;
 mod table;
 mod trace;
 
@@ -19,8 +21,10 @@
     tables: fn(u64) -> Vec<Table>,
 }
 
-const QUESTIONS: &[Question] =
-    &[Question { name: "cost", about: "Cost at the quality target, against baselines", tables: cost::tables }];
+const QUESTIONS: &[Question] = &[
+    Question { name: "cost", about: "Cost at the quality target, against baselines", tables: cost::tables },
+    Question { name: "load", about: "Latency and load by endpoint choice", tables: load::tables },
+];
 
 /// Asks every question.
 const ALL: &str = "all";
--- a/crates/route/src/endpoint.rs
+++ b/crates/route/src/endpoint.rs
@@ -39,9 +39,13 @@
 }
 
 /// Load bound of a preferred endpoint, as a multiple of the mean.
-const LOAD_BOUND: f64 = 1.25;
+const LOAD_BOUND: f64 = 1.0;
 /// Load added to an endpoint of another failure domain, in its slots.
-const REMOTE: f64 = 0.1;
+const REMOTE: f64 = 0.05;
+/// Most runs that each other instance is thought to send for one of ours.
+const MAX_RATIO: f64 = 2.0;
+/// Least age of a report, in runs.
+const LEAST_AGE: f64 = 0.01;
 /// Known holders of prefixes; all are forgotten when there are more.
 const MAX_HOLDERS: usize = 8_192;
 /// Most of a target's endpoints that may be ejected at a time.
@@ -406,10 +410,57 @@
 #[derive(Debug, Clone, Copy)]
 struct Candidate {
     key: Key,
+    affinity: u64,
+    seen: server::Seen,
     load: f64,
+    weight: f64,
+    remote: f64,
     score: f64,
 }
 
+/// What all candidates have in common.
+#[derive(Debug, Clone, Copy)]
+struct Field {
+    /// Others' runs for one of ours, as of the reports.
+    ratio: f64,
+    /// Time of a run in a batch, in milliseconds.
+    run_ms: f64,
+}
+
+impl Field {
+    fn of(candidates: &[Candidate], run_ms: f64, instances: usize) -> Self {
+        let sum = |value: fn(&server::Seen) -> f64| candidates.iter().map(|c| value(&c.seen)).sum::<f64>();
+        let ratio = sum(|seen| seen.others) / sum(|seen| seen.own_then).max(1.0);
+        let peers = f64::from(u32::try_from(instances.saturating_sub(1)).unwrap_or(u32::MAX));
+        Self { ratio: ratio.min(MAX_RATIO * peers), run_ms }
+    }
+}
+
+impl Candidate {
+    /// Brings the load up to now.
+    ///
+    /// Of the runs in the report some have ended, at the pace of the batch.
+    /// Of those that others have sent since, nothing is heard yet; but they
+    /// decide as we do, with the same reports and the same preferred
+    /// endpoints, so they have sent in proportion to what we have sent. Without
+    /// that every instance sees the same idle endpoint for the two seconds that
+    /// a report is old, and all of them fill it.
+    fn settle(&mut self, field: &Field, now: Timestamp) {
+        let seen = &self.seen;
+        let runs = (seen.age_ms(now) / field.run_ms).max(LEAST_AGE);
+        let faded = (-runs).exp();
+        let then = seen.own_then + seen.others;
+        let came = field.ratio * seen.sent;
+        let others = if then <= seen.slots {
+            seen.others * faded + came * (1.0 - faded) / runs
+        } else {
+            seen.others * ((then - seen.slots * runs) / then).max(faded) + came
+        };
+        self.load = (seen.own + others + 1.0) / seen.slots;
+        self.score = self.load / self.weight + self.remote;
+    }
+}
+
 /// The outcome of weighing a subset.
 #[derive(Debug)]
 struct Weighed {
@@ -421,40 +472,48 @@
 
 impl Fleet {
     fn weighed(&self, subset: &Subset, wanted: &Wanted<'_>, now: Timestamp) -> Option<Weighed> {
-        let usable = || subset.members.iter().filter(|member| self.usable(subset, member, wanted, now));
-        let mut candidates: Vec<(Candidate, u64)> = Vec::with_capacity(subset.members.len());
-        for member in usable() {
-            let server = &self.servers[member.key];
-            let load = server.load(now);
-            let remote = if member.local { 0.0 } else { REMOTE };
-            let affinity = wanted.prefix.map_or(0, |prefix| subset::weight(prefix, member.hash));
-            candidates.push((
-                Candidate { key: member.key, load, score: load / server.health.weight(now) + remote },
-                affinity,
-            ));
-        }
+        let usable = subset.members.iter().filter(|member| self.usable(subset, member, wanted, now));
+        let mut candidates: Vec<Candidate> = usable.map(|member| self.candidate(member, wanted, now)).collect();
         let considered = u32::try_from(candidates.len()).unwrap_or(u32::MAX);
-        let mean = candidates.iter().map(|(c, _)| c.score).sum::<f64>() / f64::from(considered.max(1));
-        let weighed = |best, rule| Some(Weighed { best, rule, mean, considered });
+        let count = f64::from(considered.max(1));
+        let field = Field::of(&candidates, subset.run_ms(), self.instances);
+        for candidate in &mut candidates {
+            candidate.settle(&field, now);
+        }
+        let mean = candidates.iter().map(|c| c.load).sum::<f64>() / count;
+        let weighed = |best: &Candidate, rule| Some(Weighed { best: *best, rule, mean, considered });
         if candidates.len() < 2 {
-            return candidates.first().and_then(|(only, _)| weighed(*only, Rule::Only));
+            return candidates.first().and_then(|only| weighed(only, Rule::Only));
         }
-        let bound = LOAD_BOUND.mul_add(mean, REMOTE);
         if let Some(prefix) = wanted.prefix {
-            let within = || candidates.iter().filter(|(c, _)| c.score <= bound);
+            let bound = LOAD_BOUND * candidates.iter().map(|c| c.score).sum::<f64>() / count;
+            let within = || candidates.iter().filter(|c| c.score <= bound);
             let holder = self.holders.get(&prefix);
-            if let Some((held, _)) = within().find(|(c, _)| Some(&c.key) == holder) {
-                return weighed(*held, Rule::Holder);
+            if let Some(held) = within().find(|c| Some(&c.key) == holder) {
+                return weighed(held, Rule::Holder);
             }
-            if let Some((preferred, _)) = within().max_by_key(|(_, affinity)| *affinity) {
-                return weighed(*preferred, Rule::Preferred);
+            if let Some(preferred) = within().max_by_key(|c| c.affinity) {
+                return weighed(preferred, Rule::Preferred);
             }
         }
         let (first, second) = two(wanted.draw, candidates.len());
-        let (first, second) = (candidates[first].0, candidates[second].0);
+        let (first, second) = (&candidates[first], &candidates[second]);
         weighed(if second.score < first.score { second } else { first }, Rule::LessLoaded)
     }
 
+    fn candidate(&self, member: &subset::Member, wanted: &Wanted<'_>, now: Timestamp) -> Candidate {
+        let server = &self.servers[member.key];
+        Candidate {
+            key: member.key,
+            affinity: wanted.prefix.map_or(0, |prefix| subset::weight(prefix, member.hash)),
+            seen: server.seen(),
+            load: 0.0,
+            weight: server.health.weight(now),
+            remote: if member.local { 0.0 } else { REMOTE },
+            score: 0.0,
+        }
+    }
+
     fn usable(&self, subset: &Subset, member: &subset::Member, wanted: &Wanted<'_>, now: Timestamp) -> bool {
         let Some(server) = self.servers.get(member.key) else { return false };
         !server.leaving
--- a/crates/route/src/endpoint/server.rs
+++ b/crates/route/src/endpoint/server.rs
@@ -17,16 +17,45 @@
     pub health: Health,
     pub leaving: bool,
     own: u32,
+    sent: u32,
+    own_then: f64,
+    sent_then: u32,
     history: VecDeque<Sample>,
     others: f64,
     as_of: Timestamp,
 }
 
-/// Own runs under way from a moment on.
+/// An endpoint's load as far as it is known.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Seen {
+    /// This instance's runs.
+    pub own: f64,
+    /// This instance's runs at the last report.
+    pub own_then: f64,
+    /// The others' runs at the last report.
+    pub others: f64,
+    /// Runs this instance has sent since the last report.
+    pub sent: f64,
+    /// When the last report held.
+    pub as_of: Timestamp,
+    /// Runs it batches.
+    pub slots: f64,
+}
+
+impl Seen {
+    /// Age of the last report, in milliseconds.
+    #[expect(clippy::cast_precision_loss, reason = "an age is far below 2^52 milliseconds")]
+    pub fn age_ms(&self, now: Timestamp) -> f64 {
+        now.since(self.as_of) as f64
+    }
+}
+
+/// Own runs under way, and sent so far, from a moment on.
 #[derive(Debug, Clone, Copy)]
 struct Sample {
     from: Timestamp,
     own: u32,
+    sent: u32,
 }
 
 impl Server {
@@ -36,6 +65,9 @@
             health: Health::default(),
             leaving: false,
             own: 0,
+            sent: 0,
+            own_then: 0.0,
+            sent_then: 0,
             history: VecDeque::new(),
             others: 0.0,
             as_of: Timestamp(0),
@@ -44,6 +76,7 @@
 
     pub fn dispatched(&mut self, now: Timestamp) {
         self.own += 1;
+        self.sent = self.sent.wrapping_add(1);
         self.remember(now);
     }
 
@@ -62,15 +95,25 @@
         }
         self.as_of = report.as_of;
         let total = report.running.saturating_add(report.queued);
-        self.others = f64::from(total.saturating_sub(self.own_at(report.as_of)));
+        let then = self.at(report.as_of);
+        self.own_then = f64::from(then.own);
+        self.sent_then = then.sent;
+        self.others = f64::from(total.saturating_sub(then.own));
         if report.slots > 0 {
             self.endpoint.slots = report.slots;
         }
     }
 
-    /// Runs here, as a share of the slots, one more included.
-    pub fn load(&self, _now: Timestamp) -> f64 {
-        (f64::from(self.own) + self.others + 1.0) / f64::from(self.endpoint.slots.max(1))
+    /// All that a choice looks at.
+    pub fn seen(&self) -> Seen {
+        Seen {
+            own: f64::from(self.own),
+            own_then: self.own_then,
+            others: self.others,
+            sent: f64::from(self.sent.wrapping_sub(self.sent_then)),
+            as_of: self.as_of,
+            slots: f64::from(self.endpoint.slots.max(1)),
+        }
     }
 
     /// Slots thought to be free.
@@ -78,14 +121,15 @@
         (f64::from(self.endpoint.slots) - f64::from(self.own) - self.others).max(0.0)
     }
 
-    fn own_at(&self, time: Timestamp) -> u32 {
-        self.history.iter().rev().find(|sample| sample.from <= time).map_or(0, |sample| sample.own)
+    fn at(&self, time: Timestamp) -> Sample {
+        let held = self.history.iter().rev().find(|sample| sample.from <= time).or(self.history.front());
+        held.copied().unwrap_or(Sample { from: time, own: self.own, sent: self.sent })
     }
 
     fn remember(&mut self, now: Timestamp) {
         match self.history.back_mut() {
-            Some(last) if now.since(last.from) < GRAIN_MS => last.own = self.own,
-            _ => self.history.push_back(Sample { from: now, own: self.own }),
+            Some(last) if now.since(last.from) < GRAIN_MS => (last.own, last.sent) = (self.own, self.sent),
+            _ => self.history.push_back(Sample { from: now, own: self.own, sent: self.sent }),
         }
         // The oldest sample kept is the one that holds at the horizon.
         while self.history.get(1).is_some_and(|second| now.since(second.from) > HISTORY_MS) {
--- a/crates/route/src/endpoint/subset.rs
+++ b/crates/route/src/endpoint/subset.rs
@@ -21,6 +21,11 @@
 /// Share of the newest run in the typical pace.
 const STEP: f64 = 0.02;
 
+/// Step by which the time of a run follows.
+const RUN_STEP: f64 = 0.005;
+/// Time of a run before the first has ended.
+const BLANK_RUN_MS: f64 = 1_000.0;
+
 /// One endpoint of a subset.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Member {
@@ -35,18 +40,24 @@
     pub members: Vec<Member>,
     absent: HashMap<Key, Timestamp>,
     pace: Option<f64>,
+    run_ms: f64,
 }
 
 impl Subset {
     pub fn new(members: Vec<Member>, before: Option<&Self>) -> Self {
         let absent = before.map(|b| b.absent.clone()).unwrap_or_default();
-        Self { members, absent, pace: before.and_then(|b| b.pace) }
+        Self { members, absent, pace: before.and_then(|b| b.pace), run_ms: before.map_or(BLANK_RUN_MS, |b| b.run_ms) }
     }
 
     /// Takes in a run's time and says how slow it was against the typical one.
     pub fn observe(&mut self, millis: Millis, tokens: u32) -> f64 {
         #[expect(clippy::cast_precision_loss, reason = "run times are far below 2^52 milliseconds")]
-        let pace = millis.max(1) as f64 / f64::from(tokens.max(1));
+        let millis = millis.max(1) as f64;
+        let pace = millis / f64::from(tokens.max(1));
+        // Follows the lower quartile: waits in an engine's queue must not count
+        // as time in its batch.
+        let step = if millis < self.run_ms { -3.0 * RUN_STEP } else { RUN_STEP };
+        self.run_ms *= 1.0 + step;
         let typical = self.pace.get_or_insert(pace);
         // A mean of logarithms: one run that hung for minutes must not make
         // every slow endpoint look typical.
@@ -54,6 +65,11 @@
         pace / *typical
     }
 
+    /// Time of a run in a batch, in milliseconds.
+    pub fn run_ms(&self) -> f64 {
+        self.run_ms.max(1.0)
+    }
+
     pub fn absent(&mut self, key: Key, now: Timestamp) {
         self.absent.insert(key, now.plus(ABSENT_MS));
     }
