--- a/crates/arbutuslug/src/fleet.rs
+++ b/crates/arbutuslug/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Asks whichever instance answers.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use operator::{Client, Error, Target};
 
@@ -53,6 +53,11 @@
         self.targets.is_empty()
     }
 
+    /// Time limit of one call.
+    pub(crate) fn timeout(self) -> Duration {
+        self.targets.first().map(|target| target.timeout).unwrap_or_default()
+    }
+
     /// The same way in to another instance.
     pub(crate) fn target(self, address: SocketAddr) -> Option<Target> {
         self.targets.first().map(|target| Target { address, ..target.clone() })
--- a/crates/arbutuslug/src/verb/submit.rs
+++ b/crates/arbutuslug/src/verb/submit.rs
@@ -8,8 +8,8 @@
 
 use crate::{console::Console, exit::Failure, fleet::Fleet};
 
-/// Longest search for a change whose answer was lost.
-const RESOLVE: Duration = Duration::from_secs(20);
+/// Longest search for a change whose answer was lost, in calls' time limits.
+const SEARCH: u32 = 2;
 
 /// Pause between two looks.
 const PAUSE: Duration = Duration::from_millis(250);
@@ -58,7 +58,7 @@
         if let Some(applied) = find(fleet, id, key).await {
             return Ok(applied);
         }
-        if since.elapsed() >= RESOLVE {
+        if since.elapsed() >= fleet.timeout() * SEARCH {
             return Err(unknown(id, key, &cause));
         }
         tokio::time::sleep(PAUSE).await;
