--- /dev/null
+++ b/crates/trial/src/check/tests.rs
@@ -0,0 +1,204 @@
+//! Every check can fail: a run in which all promises held is spoilt in one
+//! place, and just that is found.
+
+use std::time::Duration;
+
+use journal::{Bill, bill};
+use standin::{answer, engine, service};
+use world::{Catalog, Timestamp, object::Object, request};
+
+use super::{Breach, check, request_id};
+use crate::{
+    books::Books,
+    caller::{End, Sent, Whole},
+    client::{Problem, Ran},
+    plan::{Ask, Kind, Repeat, Script, Session},
+    traffic::{Played, Traffic},
+    withdraw::Withdrawal,
+};
+
+const OBJECTS: &str = r#"
+kind: model
+name: m
+spec:
+  versions:
+    - { version: "1", price: { input: "1", output: "2", currency: EUR } }
+    - { version: "2", price: { input: "1", output: "2", currency: EUR } }
+---
+kind: contract
+name: c
+spec:
+  keys: []
+  models: [{ model: m, versions: ["1"] }]
+  budget: { amount: "1", currency: EUR, period: day }
+"#;
+
+/// A session of two chats, and a call of a service.
+struct Run {
+    traffic: Traffic,
+    books: Books,
+    withdrawal: Option<Withdrawal>,
+}
+
+fn catalog() -> Catalog {
+    Catalog::build(1, Object::parse_file(OBJECTS).expect("objects")).expect("a catalog")
+}
+
+fn run() -> Run {
+    let chat = Kind::Chat { model: "m".into(), class: "short", stream: true, once: true, max_tokens: None };
+    let call = Kind::Call { service: "s".into(), path: "/deposits".into() };
+    let asks = [("a1", chat.clone()), ("a2", chat), ("b1", call)];
+    let asks: Vec<_> =
+        asks.into_iter().map(|(tag, kind)| Ask { tag: tag.into(), salt: [0; 10], kind, repeat: Repeat::No }).collect();
+    let sent = asks.iter().map(|ask| vec![sent(ask)]).collect();
+    let mut books = Books::default();
+    for ask in &asks[..2] {
+        let prompt = format!("user: {}\n", ask.content());
+        let id = id(ask);
+        books.bills.insert(id.clone(), vec![bill(&id, &prompt)]);
+        books.records.push(record(ask, &prompt));
+    }
+    let id = id(&asks[2]);
+    books.bills.insert(id.clone(), vec![bill(&id, "")]);
+    books.effects.push(effect(&asks[2]));
+    let script = Script { customer: "c".parse().expect("a name"), session: Session::Handle, asks };
+    let traffic = Traffic { played: vec![Played { script, sent }], took: Duration::ZERO };
+    Run { traffic, books, withdrawal: None }
+}
+
+fn sent(ask: &Ask) -> Sent {
+    let version = if matches!(ask.kind, Kind::Chat { .. }) { "m@1" } else { "" };
+    let whole = Whole { version: version.into(), session: None, moved: false, text: ask.tag.clone() };
+    Sent {
+        tag: ask.tag.clone(),
+        key: ask.tag.clone(),
+        end: End::Whole(whole),
+        not_run: Vec::new(),
+        tries: 1,
+        took: Duration::ZERO,
+    }
+}
+
+fn id(ask: &Ask) -> request::Id {
+    request_id(&"c".parse().expect("a name"), &sent(ask))
+}
+
+fn record(ask: &Ask, prompt: &str) -> engine::Record {
+    engine::Record {
+        attempt: ask.tag.clone(),
+        version: "m@1".into(),
+        priority: 5,
+        prompt: prompt.into(),
+        received: Timestamp(100),
+        tokens: 3,
+        end: Some(engine::End::Completed),
+    }
+}
+
+fn effect(ask: &Ask) -> service::Effect {
+    service::Effect {
+        method: "POST".into(),
+        path: "/deposits".into(),
+        key: ask.tag.clone(),
+        attempt: "x".into(),
+        body: format!("{{\"tag\":\"{}\"}}", ask.tag),
+        received: Timestamp(100),
+    }
+}
+
+fn bill(id: &request::Id, prompt: &str) -> Bill {
+    let catalog = catalog();
+    let release = catalog.release(&"m@1".to_owned().try_into().expect("a version")).expect("it is there").clone();
+    Bill {
+        id: id.clone(),
+        at: Timestamp(200),
+        amount: release.price.cost(answer::prompt_tokens(prompt), 3),
+        currency: release.price.currency,
+        item: bill::Item::Service("s".parse().expect("a name")),
+        input_tokens: answer::prompt_tokens(prompt),
+        output_tokens: 3,
+        attempts: 1,
+        grant: None,
+    }
+}
+
+fn refused() -> End {
+    End::Refused(Problem { ran: Ran::No, ..Problem::default() })
+}
+
+impl Run {
+    fn sent(&mut self, place: usize) -> &mut Sent {
+        &mut self.traffic.played[0].sent[place][0]
+    }
+
+    fn bills(&mut self, tag: &str) -> &mut Vec<Bill> {
+        let bills = self.books.bills.iter_mut().find(|(id, _)| id.key.as_str() == tag);
+        bills.expect("it is billed").1
+    }
+}
+
+fn check_spoilt(spoil: fn(&mut Run), expected: &[fn(&Breach) -> bool]) {
+    let mut run = run();
+    spoil(&mut run);
+    let found = check(&catalog(), &run.traffic, &run.books, run.withdrawal.as_ref()).0;
+    assert_eq!(found.len(), expected.len(), "{found:?}");
+    assert!(found.iter().zip(expected).all(|(breach, is)| is(breach)), "{found:?}");
+}
+
+macro_rules! spoilt {
+    ($($name:ident: $spoil:expr => [$($expected:pat),*];)*) => {
+        $(#[test] fn $name() { check_spoilt($spoil, &[$(|breach| matches!(breach, $expected)),*]); })*
+    };
+}
+
+spoilt! {
+    all_held: |_| {} => [];
+    answer_is_lost: |run| run.sent(0).end = End::Lost(String::new()) => [Breach::Lost(_)];
+    two_answers_of_one_key: |run| {
+        let mut other = run.sent(0).clone();
+        other.end = End::Whole(Whole { version: "m@1".into(), session: None, moved: false, text: "other".into() });
+        run.traffic.played[0].sent[0].push(other);
+    } => [Breach::Doubled(_)];
+    chat_ran_twice: |run| {
+        let record = run.books.records[0].clone();
+        run.books.records.push(record);
+    } => [Breach::Doubled(_)];
+    call_took_effect_twice: |run| {
+        let effect = run.books.effects[0].clone();
+        run.books.effects.push(effect);
+    } => [Breach::Doubled(_)];
+    bill_is_missing: |run| run.books.bills.clear() =>
+        [Breach::BillMissing(_), Breach::BillMissing(_), Breach::BillMissing(_)];
+    bill_is_doubled: |run| {
+        let mut second = run.bills("a1")[0].clone();
+        second.attempts = 2;
+        run.bills("a1").push(second);
+    } => [Breach::BillDoubled(_)];
+    bill_of_nobody: |run| {
+        let bills = run.bills("a1").clone();
+        let id = request::Id { customer: "c".parse().unwrap(), key: "nobody".parse().unwrap() };
+        run.books.bills.insert(id, bills);
+    } => [Breach::BillDoubled(_)];
+    bill_of_another_amount: |run| run.bills("a1")[0].amount.0 += 1 => [Breach::BillWrong(_)];
+    refused_and_billed: |run| {
+        run.sent(2).end = refused();
+        run.books.effects.clear();
+    } => [Breach::BillDoubled(_)];
+    not_run_yet_it_ran: |run| run.sent(2).not_run = vec![Timestamp(101)] => [Breach::FalseNotRun(_)];
+    not_run_before_it_ran: |run| run.sent(2).not_run = vec![Timestamp(99)] => [];
+    version_outside_the_contract: |run| run.books.records[0].version = "m@2".into() => [Breach::Version(_)];
+    session_changes_unsaid: |run| {
+        let End::Whole(whole) = &mut run.sent(1).end else { unreachable!() };
+        whole.version = "m@2".into();
+    } => [Breach::Session(_)];
+    session_moves_and_says_so: |run| {
+        let End::Whole(whole) = &mut run.sent(1).end else { unreachable!() };
+        (whole.version, whole.moved) = ("m@2".into(), true);
+    } => [];
+    work_after_withdrawal: |run| {
+        run.withdrawal = Some(Withdrawal { version: "m@1".into(), since: Timestamp(99), took: Duration::ZERO });
+    } => [Breach::Withdrawn(_), Breach::Withdrawn(_)];
+    work_before_withdrawal: |run| {
+        run.withdrawal = Some(Withdrawal { version: "m@1".into(), since: Timestamp(100), took: Duration::ZERO });
+    } => [];
+}
