Carry clocks on peer messages

Cause: without them the time line ordered two instances' events by their wall clocks, so an effect could stand before its cause. Change: calls, answers, chunks and news carry the sender's hybrid logical clock (9 bytes each); heartbeats do not. The daemon hands its recorder to the links.

--- a/crates/arbutuslugd/src/daemon.rs
+++ b/crates/arbutuslugd/src/daemon.rs
@@ -178,7 +178,7 @@
 ) -> Result<Daemon, Error> {
     let origin = Origin { instance: me.id.clone(), incarnation: me.incarnation };
     let recorder = recorder(settings, &me);
-    let (peers, inbound) = spawn_peers(settings, &me, sockets.peers)?;
+    let (peers, inbound) = spawn_peers(settings, &me, recorder.clone(), sockets.peers)?;
     let (config, config_out) = config::spawn(config_settings(settings), platform.clone(), recorder.clone());
     let (journal, journal_out) = spawn_journal(settings, &origin, &platform);
     let budget = budget::spawn(budget::Config::new(origin), platform.clone(), journal.clone());
@@ -307,11 +307,13 @@
 fn spawn_peers(
     settings: &Settings,
     me: &Instance,
+    recorder: Recorder,
     socket: TcpListener,
 ) -> Result<(peer::Handle, tokio::sync::mpsc::Receiver<peer::Inbound>), Error> {
     let key = peer::Key::new(settings.peers.key.expose());
     let address = settings.listeners.peers.bind;
-    let links = peer::Settings::new(me.clone(), address, settings.peers.seeds.clone(), key);
+    let mut links = peer::Settings::new(me.clone(), address, settings.peers.seeds.clone(), key);
+    links.recorder = Some(recorder);
     peer::spawn_on(socket, links).map_err(|cause| Error::Bind { listener: "peers", address, cause })
 }
 
--- a/crates/peer/src/generated.rs
+++ b/crates/peer/src/generated.rs
@@ -103,6 +103,9 @@
     /// The origin is not linked with all: pass it on.
     #[prost(bool, tag = "7")]
     pub relay: bool,
+    /// The origin's hybrid logical clock; 0 for none.
+    #[prost(fixed64, tag = "8")]
+    pub stamp: u64,
 }
 /// Who calls, on every call outside a link.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -111,6 +114,9 @@
     pub id: ::prost::alloc::string::String,
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
+    /// The caller's hybrid logical clock; 0 for none.
+    #[prost(fixed64, tag = "3")]
+    pub stamp: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ProbeRequest {
@@ -142,11 +148,17 @@
 pub struct CallReply {
     #[prost(bytes = "bytes", tag = "1")]
     pub body: ::prost::bytes::Bytes,
+    /// The answerer's hybrid logical clock; 0 for none.
+    #[prost(fixed64, tag = "2")]
+    pub stamp: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Chunk {
     #[prost(bytes = "bytes", tag = "1")]
     pub body: ::prost::bytes::Bytes,
+    /// The answerer's hybrid logical clock; 0 for none.
+    #[prost(fixed64, tag = "2")]
+    pub stamp: u64,
 }
 /// A member's own word.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
--- a/crates/peer/src/handle.rs
+++ b/crates/peer/src/handle.rs
@@ -74,7 +74,11 @@
         let mut client = client.unwrap_or_else(|_| Err(Error::Unreachable(to.clone())))?;
         let request = self.pool.request(self.question(&peer, topic, body));
         match timeout_at(deadline, client.call(request)).await {
-            Ok(Ok(reply)) => Ok(reply.into_inner().body),
+            Ok(Ok(reply)) => {
+                let reply = reply.into_inner();
+                self.pool.ticks().observe(reply.stamp);
+                Ok(reply.body)
+            }
             Ok(Err(status)) => Err(Error::from_status(to, &status)),
             Err(_) => Err(Error::Lost(to.clone(), "no answer in time".into())),
         }
@@ -98,7 +102,9 @@
         let request = self.pool.request(self.question(&peer, topic, body));
         let reply = client.stream(request).await.map_err(|status| Error::from_status(to, &status))?;
         let to = to.clone();
+        let ticks = self.pool.ticks().clone();
         let answer = move |chunk: Result<crate::generated::Chunk, tonic::Status>| {
+            let chunk = chunk.inspect(|chunk| ticks.observe(chunk.stamp));
             chunk.map(|c| c.body).map_err(|status| Error::Lost(to.clone(), status.message().into()))
         };
         Ok(reply.into_inner().map(answer))
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod settings;
 pub mod spread;
 mod task;
+mod ticks;
 mod topic;
 pub mod topology;
 mod traffic;
--- a/crates/peer/src/news.rs
+++ b/crates/peer/src/news.rs
@@ -32,6 +32,8 @@
     pub hops: u32,
     /// Whether receivers pass it on.
     pub relay: bool,
+    /// The origin's clock; 0 for none.
+    pub stamp: u64,
 }
 
 /// Which news has been seen, one small window per origin.
--- a/crates/peer/src/news/tests.rs
+++ b/crates/peer/src/news/tests.rs
@@ -14,6 +14,7 @@
         body: Bytes::new(),
         hops: 0,
         relay: true,
+        stamp: 0,
     }
 }
 
--- a/crates/peer/src/pool.rs
+++ b/crates/peer/src/pool.rs
@@ -20,6 +20,7 @@
     error::Error,
     generated::{Caller, peer_client::PeerClient},
     settings::{Key, Settings},
+    ticks::Ticks,
 };
 
 /// Connections kept open; the one unused for longest goes first.
@@ -34,6 +35,7 @@
     key: Key,
     dial: Duration,
     body: usize,
+    ticks: Ticks,
     lines: Mutex<Lines>,
 }
 
@@ -62,12 +64,17 @@
             key: settings.key.clone(),
             dial: settings.timing.dial(),
             body: settings.limits.body,
+            ticks: Ticks::new(settings.recorder.clone()),
             lines: Mutex::default(),
         }
     }
 
     pub(crate) fn caller(&self) -> Caller {
-        Caller { id: self.me.id.to_string(), incarnation: self.me.incarnation.0 }
+        Caller { id: self.me.id.to_string(), incarnation: self.me.incarnation.0, stamp: self.ticks.stamp() }
+    }
+
+    pub(crate) fn ticks(&self) -> &Ticks {
+        &self.ticks
     }
 
     /// A client over the kept connection, made when there is none.
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -123,15 +123,16 @@
         let (reply, answer) = oneshot::channel();
         self.hand_over(Inbound::Call { from, topic, body: call.body, reply })?;
         let body = answer.await.map_err(|_| Status::aborted("the owner gave no answer"))?;
-        Ok(Response::new(CallReply { body }))
+        Ok(Response::new(CallReply { body, stamp: self.pool.ticks().stamp() }))
     }
 
     async fn stream(&self, request: Request<CallRequest>) -> Result<Response<Self::StreamStream>, Status> {
         let call = request.into_inner();
         let (from, topic) = self.admit(&call)?;
         let (sink, chunks) = mpsc::channel(self.settings.limits.chunks);
+        let ticks = self.pool.ticks().clone();
         self.hand_over(Inbound::Stream { from, topic, body: call.body, sink })?;
-        let chunks = ReceiverStream::new(chunks).map(|body| Ok(Chunk { body }));
+        let chunks = ReceiverStream::new(chunks).map(move |body| Ok(Chunk { body, stamp: ticks.stamp() }));
         Ok(Response::new(Box::pin(chunks)))
     }
 }
@@ -159,6 +160,7 @@
         }
         let topic = Topic::try_from(call.topic);
         let topic = topic.map_err(|_| not_run(Code::Unimplemented, "this build does not know the topic"))?;
+        self.pool.ticks().observe(call.caller.as_ref().map_or(0, |caller| caller.stamp));
         Ok((from, topic))
     }
 
--- a/crates/peer/src/settings.rs
+++ b/crates/peer/src/settings.rs
@@ -3,6 +3,7 @@
 use std::{fmt, net::SocketAddr, time::Duration};
 
 use subtle::ConstantTimeEq;
+use timeline::Recorder;
 use world::{Millis, instance::Instance};
 
 /// How an instance takes part.
@@ -20,13 +21,15 @@
     pub timing: Timing,
     /// Bounds on links and queues.
     pub limits: Limits,
+    /// Whose clock goes with each message and follows the senders'.
+    pub recorder: Option<Recorder>,
 }
 
 impl Settings {
     /// Settings with the usual spans and bounds.
     #[must_use]
     pub fn new(me: Instance, listen: SocketAddr, seeds: Vec<SocketAddr>, key: Key) -> Self {
-        Self { me, listen, seeds, key, timing: Timing::default(), limits: Limits::default() }
+        Self { me, listen, seeds, key, timing: Timing::default(), limits: Limits::default(), recorder: None }
     }
 }
 
--- a/crates/peer/src/task/messages.rs
+++ b/crates/peer/src/task/messages.rs
@@ -83,6 +83,7 @@
     fn deliver(&self, from: &Id, news: &News) {
         // A topic of a later build is passed on and has no owner here.
         let Ok(topic) = Topic::try_from(news.topic) else { return };
+        self.pool.ticks().observe(news.stamp);
         let (origin, body) = (news.origin.clone(), news.body.clone());
         if self.inbound.try_send(Inbound::News { from: from.clone(), origin, topic, body }).is_err() {
             metrics::counter!("peer_news_dropped_total", "where" => "inbound").increment(1);
@@ -101,6 +102,7 @@
             body,
             hops: 0,
             relay: self.links.len() < counted,
+            stamp: self.pool.ticks().stamp(),
         };
         self.send_news(&news, None);
     }
--- a/crates/peer/src/task/tests.rs
+++ b/crates/peer/src/task/tests.rs
@@ -73,6 +73,7 @@
             body: Bytes::from(sequence.to_string()),
             hops: 0,
             relay,
+            stamp: 0,
         })
     }
 }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -126,6 +126,7 @@
             body: news.body,
             hops: news.hops,
             relay: news.relay,
+            stamp: news.stamp,
         }
     }
 }
@@ -142,6 +143,7 @@
             body: wire.body,
             hops: wire.hops,
             relay: wire.relay,
+            stamp: wire.stamp,
         })
     }
 }
--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -9,7 +9,8 @@
 use fleet::{fleet, id, next, settings, spawn, until};
 use futures::StreamExt;
 use peer::{Error, Inbound, Key, Limits, Settings, Topic};
-use world::instance::State;
+use timeline::{Capacity, Clock, Recorder, Source};
+use world::instance::{Incarnation, State};
 
 const WITHIN: Duration = Duration::from_secs(10);
 
@@ -194,3 +195,45 @@
     let second = next(&mut node.inbound, digest).await;
     assert_eq!(second, (id(1), Topic::Config, Bytes::from("18")));
 }
+
+/// A wall clock three seconds ahead of everybody else's.
+fn ahead() -> uhlc::NTP64 {
+    uhlc::system_time_clock() + uhlc::NTP64::from(Duration::from_secs(3))
+}
+
+fn recorder(place: usize, clock: Clock) -> Recorder {
+    let source = Source { instance: id(place), incarnation: Incarnation(1) };
+    Recorder::over(source, Capacity::default(), clock)
+}
+
+/// One instance's clock runs three seconds ahead. It calls, publishes and
+/// streams; what the other does on receipt must come later in the time line,
+/// or an operator would read the effect before its cause.
+#[tokio::test]
+async fn effects_are_stamped_after_their_causes() {
+    let (first, second) = (recorder(0, Clock::over(ahead)), recorder(1, Clock::default()));
+    let mut fast = spawn(Settings { recorder: Some(first.clone()), ..settings(0, 1, Vec::new()) }).await;
+    let seeds = vec![fast.handle.address()];
+    let mut slow = spawn(Settings { recorder: Some(second.clone()), ..settings(1, 1, seeds) }).await;
+    until(&fast.handle, |members| members.live().count() == 2).await;
+
+    let cause = first.clock();
+    fast.handle.publish(Topic::Config, "news".into()).await.unwrap();
+    next(&mut slow.inbound, |message| matches!(message, Inbound::News { .. }).then_some(())).await;
+    assert!(second.clock() > cause, "news");
+
+    // A fresh clock, so that the reply alone can have moved it.
+    let caller = recorder(2, Clock::default());
+    let third = spawn(Settings { recorder: Some(caller.clone()), ..settings(2, 1, vec![fast.handle.address()]) }).await;
+    until(&third.handle, |members| members.live().count() == 3).await;
+    let calling = tokio::spawn(async move { third.handle.call(&id(0), Topic::Journal, "q".into(), WITHIN).await });
+    let reply = next(&mut fast.inbound, |message| match message {
+        Inbound::Call { reply, .. } => Some(reply),
+        _ => None,
+    })
+    .await;
+    let cause = first.clock();
+    reply.send("a".into()).unwrap();
+    calling.await.unwrap().unwrap();
+    assert!(caller.clock() > cause, "reply");
+}
