--- a/crates/arbutuslug/src/describe.rs
+++ b/crates/arbutuslug/src/describe.rs
@@ -109,7 +109,7 @@
     match action {
         GrantMove::Taken => "taken",
         GrantMove::Returned => "returned",
-        GrantMove::Settled => "settled",
-        GrantMove::Exhausted => "refused, the budget is spent:",
+        GrantMove::Settled => "settled, spent",
+        GrantMove::Exhausted => "refused, left in the budget",
     }
 }
--- a/crates/arbutuslugd/src/daemon.rs
+++ b/crates/arbutuslugd/src/daemon.rs
@@ -14,6 +14,7 @@
     members::{self, Followers},
     meter,
     operators::{self, Duty, Handles, Phase},
+    outage,
     pump::{self, Owners},
     registry,
 };
@@ -180,8 +181,8 @@
     let recorder = recorder(settings, &me);
     let (peers, inbound) = spawn_peers(settings, &me, recorder.clone(), sockets.peers)?;
     let (config, config_out) = config::spawn(config_settings(settings), platform.clone(), recorder.clone());
-    let (journal, journal_out) = spawn_journal(settings, &origin, &platform);
-    let budget = budget::spawn(budget::Config::new(origin), platform.clone(), journal.clone());
+    let (journal, journal_out) = spawn_journal(settings, &origin, &platform, &recorder);
+    let budget = budget::spawn(budget_config(origin, &recorder), platform.clone(), journal.clone());
     let endpoint = endpoint::open(endpoint::Settings { rating: settings.ratings, ..endpoint::Settings::default() });
     let edges = control::Edges {
         platform: platform.clone(),
@@ -244,6 +245,7 @@
         latest,
     };
     let mut wiring = JoinSet::new();
+    wiring.spawn(outage::record(platform.reachable(), recorder.clone()));
     wiring.spawn(pump::inbound(inbound, owners));
     wiring.spawn(pump::configuration(config_out, config.clone(), peers.clone()));
     wiring.spawn(pump::journal(journal_out, peers.clone()));
@@ -329,15 +331,21 @@
     settings: &Settings,
     origin: &Origin,
     platform: &platform::Handle,
+    recorder: &Recorder,
 ) -> (journal::Handle, tokio::sync::mpsc::Receiver<journal::Outbound>) {
     let (out, outbound) = tokio::sync::mpsc::channel(1_024);
     let config = journal::config::Config {
         segments_per_s: f64::from(settings.platform.writes_per_s) * JOURNAL_SHARE,
+        recorder: Some(recorder.clone()),
         ..journal::config::Config::new(origin.clone(), settings.domain.clone())
     };
     (journal::spawn(config, platform.clone(), out), outbound)
 }
 
+fn budget_config(origin: Origin, recorder: &Recorder) -> budget::Config {
+    budget::Config { recorder: Some(recorder.clone()), ..budget::Config::new(origin) }
+}
+
 fn entry_settings(settings: &Settings) -> Result<entry::Settings, Error> {
     let keys = vec![settings.keys.sessions.expose().as_bytes().to_vec()];
     let keys = entry::session::Keys::new(keys).ok_or(Error::Secret("sessions.key"))?;
--- a/crates/arbutuslugd/src/lib.rs
+++ b/crates/arbutuslugd/src/lib.rs
@@ -9,6 +9,7 @@
 mod members;
 mod meter;
 pub mod operators;
+mod outage;
 pub mod process;
 mod pump;
 mod registry;
--- /dev/null
+++ b/crates/arbutuslugd/src/outage.rs
@@ -0,0 +1,24 @@
+//! Records the platform's outages, as seen from here.
+
+use timeline::{Event, OutageStep, Recorder};
+use tokio::{sync::watch, time::Instant};
+
+/// Follows whether the platform answers, until its handle is gone.
+pub async fn record(mut reachable: watch::Receiver<bool>, recorder: Recorder) {
+    let mut begun: Option<Instant> = None;
+    while reachable.changed().await.is_ok() {
+        let answers = *reachable.borrow_and_update();
+        match (answers, begun) {
+            (false, None) => {
+                begun = Some(Instant::now());
+                recorder.record(Event::Outage { step: OutageStep::Begun });
+            }
+            (true, Some(since)) => {
+                begun = None;
+                let lasted_ms = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
+                recorder.record(Event::Outage { step: OutageStep::Ended { lasted_ms } });
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/budget/src/job.rs
+++ b/crates/budget/src/job.rs
@@ -4,8 +4,12 @@
 
 use journal::bill::{Grant, Holder};
 use platform::{Error, Item, Priority, Write};
+use timeline::{Event, GrantMove, Recorder};
 use tokio::time::Instant;
-use world::{contract::Customer, money::Amount};
+use world::{
+    contract::Customer,
+    money::{Amount, Currency},
+};
 
 use crate::{
     account::Account,
@@ -23,6 +27,8 @@
     pub customer: Customer,
     pub period: Period,
     pub holder: Holder,
+    pub currency: Currency,
+    pub recorder: Option<Recorder>,
 }
 
 /// What a cut asks for.
@@ -69,11 +75,13 @@
             let left = account.left(ask.limit);
             let size = cut_size(ask.missing, ask.wanted, left, &ask.sizing);
             if left < ask.least || size == Amount::ZERO {
+                self.note(GrantMove::Exhausted, left);
                 return Cut::Exhausted { grant, left, holders: account.holders() };
             }
             account.cut(&self.holder, size, ask.limit);
             match self.write(item, &account).await {
                 Ok(true) => {
+                    self.note(GrantMove::Taken, size);
                     let grant = account.grant(&self.holder).unwrap_or_default();
                     return Cut::Granted { grant, holders: account.holders() };
                 }
@@ -98,7 +106,8 @@
             account.give_back(&self.holder, unspent);
             match self.write(item, &account).await {
                 Ok(false) => {}
-                Ok(true) | Err(_) => return,
+                Ok(true) => return self.note(GrantMove::Returned, unspent),
+                Err(_) => return,
             }
         }
     }
@@ -143,7 +152,10 @@
                 return true;
             }
             match self.write(item, &account).await {
-                Ok(true) => return true,
+                Ok(true) => {
+                    self.note(GrantMove::Settled, spent);
+                    return true;
+                }
                 Ok(false) => {}
                 Err(_) => return false,
             }
@@ -151,6 +163,13 @@
         false
     }
 
+    fn note(&self, action: GrantMove, amount: Amount) {
+        if let Some(recorder) = &self.recorder {
+            let (customer, currency) = (self.customer.clone(), self.currency);
+            recorder.record(Event::Grant { customer, action, amount, currency });
+        }
+    }
+
     async fn read(&self) -> Result<(Option<Item>, Account), Error> {
         let item = self.platform.get(Priority::Bill, &Account::key(&self.customer, &self.period)).await?;
         let account = item.as_ref().map(Item::read).transpose()?.unwrap_or_default();
--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -46,6 +46,8 @@
     pub settle_after: Duration,
     /// Longest wait for one settlement's closing.
     pub settle_patience: Duration,
+    /// Records what becomes of grants.
+    pub recorder: Option<timeline::Recorder>,
 }
 
 impl Config {
@@ -61,6 +63,7 @@
             idle_after: Duration::from_mins(5),
             settle_after: Duration::from_mins(1),
             settle_patience: Duration::from_secs(30),
+            recorder: None,
         }
     }
 }
--- a/crates/budget/src/task.rs
+++ b/crates/budget/src/task.rs
@@ -181,7 +181,14 @@
         self.epoch += 1;
         let platform = self.platform.within(self.config.patience);
         Purse {
-            place: Place { platform, customer: reserve.customer.clone(), period, holder },
+            place: Place {
+                platform,
+                customer: reserve.customer.clone(),
+                period,
+                holder,
+                currency: reserve.budget.currency,
+                recorder: self.config.recorder.clone(),
+            },
             wallet: Wallet::new(Instant::now()),
             budget: reserve.budget,
             waiting: VecDeque::new(),
--- a/crates/journal/src/config.rs
+++ b/crates/journal/src/config.rs
@@ -36,6 +36,8 @@
     pub clock: Clock,
     /// Seed of nonces and jitter; drawn from the system when absent.
     pub seed: Option<u64>,
+    /// Records which shards this instance becomes and ceases to be the home of.
+    pub recorder: Option<timeline::Recorder>,
 }
 
 /// What a bill's receipt waits for.
@@ -66,6 +68,7 @@
             bill_wait: BillWait::default(),
             clock: Clock::System,
             seed: None,
+            recorder: None,
         }
     }
 }
--- a/crates/journal/src/home.rs
+++ b/crates/journal/src/home.rs
@@ -346,7 +346,10 @@
 
     fn on_event(&mut self, event: Event) {
         match event {
-            Event::Opened(Ok(active)) => self.phase = Phase::Home(active),
+            Event::Opened(Ok(active)) => {
+                self.note(|holding| timeline::Event::TakeOver { holding, epoch: active.last.0, from: None });
+                self.phase = Phase::Home(active);
+            }
             Event::Opened(Err(opening)) => {
                 tracing::info!(shard = self.shard.0, %opening, "shard not opened, will try again");
                 self.stalled = matches!(opening, Opening::Failed(Failure::Platform(_)));
@@ -387,6 +390,11 @@
         let Phase::Home(active) = std::mem::replace(&mut self.phase, Phase::Away { until: Instant::now() }) else {
             return;
         };
+        self.note(|holding| {
+            let reason = "another instance opened the shard".into();
+            // Whoever opened it took the number after our last.
+            timeline::Event::HandOver { holding, epoch: active.last.0 + 1, reason }
+        });
         // A lost race means "not recorded" nearly always, but a segment that
         // arrived late and was then overwritten looks the same. Asking the new
         // home again is safe either way: nonces make repeats harmless.
@@ -396,6 +404,13 @@
         self.away();
     }
 
+    fn note(&self, event: impl FnOnce(timeline::Holding) -> timeline::Event) {
+        if let Some(recorder) = &self.setting.config.recorder {
+            let holding = timeline::Holding::Shard { journal: "journal".into(), shard: u32::from(self.shard.0) };
+            recorder.record(event(holding));
+        }
+    }
+
     fn away(&mut self) {
         let wait = REOPEN.mul_f64(self.rng.random_range(0.5..1.5));
         self.phase = Phase::Away { until: Instant::now() + wait };
--- a/crates/platform/src/handle.rs
+++ b/crates/platform/src/handle.rs
@@ -8,7 +8,10 @@
 use bytes::Bytes;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde::Serialize;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep, timeout},
+};
 use world::hash;
 
 use crate::{
@@ -17,6 +20,7 @@
     backoff::Backoff,
     budget::Bucket,
     envelope::{self, Envelope, Nonce},
+    reach::Reach,
     store::{Answer, Call, Fault, Object, Store},
 };
 
@@ -37,6 +41,7 @@
     writes: Bucket,
     reads: Bucket,
     rng: Mutex<StdRng>,
+    reach: Reach,
 }
 
 impl Handle {
@@ -51,6 +56,7 @@
             writes: Bucket::spawn(settings.writes_per_s),
             reads: Bucket::spawn(settings.reads_per_s),
             rng: Mutex::new(StdRng::seed_from_u64(seed)),
+            reach: Reach::default(),
             settings,
         };
         Self { shared: Arc::new(shared), deadline }
@@ -68,6 +74,12 @@
         &self.shared.settings
     }
 
+    /// Whether the platform answers; a new value with each change.
+    #[must_use]
+    pub fn reachable(&self) -> watch::Receiver<bool> {
+        self.shared.reach.subscribe()
+    }
+
     /// Reads one object.
     ///
     /// # Errors
@@ -338,6 +350,7 @@
             Ok(result) => result,
             Err(_) => Err(Fault::Lost { cause: format!("no answer within {longest:?}") }),
         };
+        self.shared.reach.note(!matches!(result, Err(Fault::Down { .. } | Fault::Lost { .. })));
         let outcome = result.as_ref().map_or_else(Fault::name, |_| "ok");
         metrics::counter!("platform_calls_total", "call" => name, "outcome" => outcome).increment(1);
         metrics::histogram!("platform_call_seconds", "call" => name).record(started.elapsed().as_secs_f64());
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -23,6 +23,7 @@
 mod handle;
 pub mod http;
 mod item;
+mod reach;
 mod settings;
 pub mod store;
 mod watch;
--- a/crates/timeline/src/event.rs
+++ b/crates/timeline/src/event.rs
@@ -330,9 +330,9 @@
     Taken,
     /// Given back unused.
     Returned,
-    /// A lost instance's grant, settled from its bills.
+    /// Ended, by its holder or by its bills; the amount is what was spent of it.
     Settled,
-    /// Nothing left to grant.
+    /// Refused; the amount is what was left, too little.
     Exhausted,
 }
 
