Bound an instance's runs and rank under a flood

Requests let in at the last moment came too late. Change: Fleet::limit gives own runs plus a part of what is free, which shrinks who has most when the engines are over-full, and never less than an even part; an endpoint of several versions counts once; under backlog a deadline must leave 1.6 times the run, and waits are estimated from the measured rate of ends. Queue::finished takes the time.

--- a/crates/entry/src/desk/state.rs
+++ b/crates/entry/src/desk/state.rs
@@ -132,7 +132,7 @@
 
     fn left(&mut self, line: &Line, now: Timestamp) {
         if let Some(waiting) = self.lines.get_mut(line) {
-            waiting.queue.finished();
+            waiting.queue.finished(now);
         }
         let limit = self.limit(line, now);
         if let Some(waiting) = self.lines.get_mut(line) {
@@ -157,11 +157,9 @@
         }
     }
 
-    /// Runs that may go on at a time: those that do, and the room left.
+    /// Runs that may go on at a time.
     fn limit(&self, line: &Line, now: Timestamp) -> u32 {
-        let running = self.lines.get(line).map_or(0, |waiting| waiting.queue.running());
-        let room: u32 = self.targets(line).iter().map(|target| self.fleet.room(target, now)).sum();
-        running.saturating_add(room)
+        self.fleet.limit(&self.targets(line), now)
     }
 
     fn targets(&self, line: &Line) -> Vec<Target> {
--- a/crates/replay/src/load.rs
+++ b/crates/replay/src/load.rs
@@ -20,8 +20,16 @@
 }
 
 fn table(seed: u64, load: f64) -> Table {
-    let columns =
-        ["endpoint choice", "p50 ms", "p95 ms", "p99 ms", "deadline missed", "largest to mean load", "prefix hits"];
+    let columns = [
+        "endpoint choice",
+        "p50 ms",
+        "p95 ms",
+        "p99 ms",
+        "deadline missed",
+        "of them late",
+        "largest to mean load",
+        "prefix hits",
+    ];
     let title = format!("Load at {:.0}% of capacity, reports {} s late", load * 100.0, REPORT_LATE_MS / 1_000);
     let mut table = Table::new(title, &columns);
     for policy in Policy::ALL {
@@ -47,6 +55,7 @@
         quantile(0.95),
         quantile(0.99),
         format!("{:.4}", f64::from(outcome.missed[0]) / f64::from(outcome.requests[0])),
+        format!("{:.4}", f64::from(outcome.missed[0] - outcome.refused[0]) / f64::from(outcome.requests[0])),
         format!("{:.2}", outcome.imbalance),
         format!("{:.3}", f64::from(outcome.hits) / f64::from(outcome.runs)),
     ]
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -6,6 +6,7 @@
 //! instances run.
 
 mod cost;
+mod fairness;
 mod load;
 mod site;
 mod table;
@@ -24,6 +25,7 @@
 const QUESTIONS: &[Question] = &[
     Question { name: "cost", about: "Cost at the quality target, against baselines", tables: cost::tables },
     Question { name: "load", about: "Latency and load by endpoint choice", tables: load::tables },
+    Question { name: "fairness", about: "A small customer beside a flood", tables: fairness::tables },
 ];
 
 /// Asks every question.
--- a/crates/replay/src/site.rs
+++ b/crates/replay/src/site.rs
@@ -131,6 +131,7 @@
     plan: &'a Plan,
     rng: ChaCha8Rng,
     target: Target,
+    limit: u32,
     names: Vec<endpoint::Id>,
     engines: Vec<Engine>,
     instances: Vec<Instance>,
@@ -160,6 +161,7 @@
             plan,
             rng: ChaCha8Rng::seed_from_u64(plan.seed),
             target: Target::Version(version),
+            limit,
             engines: names.iter().map(|_| Engine::new(SLOTS)).collect(),
             names,
             instances: (0..INSTANCES).map(instance).collect(),
@@ -271,6 +273,10 @@
 
     /// Starts what an instance may start, and refuses what has become late.
     fn serve(&mut self, instance: usize, now: Timestamp) {
+        if self.plan.admission {
+            let Instance { router, queue, .. } = &mut self.instances[instance];
+            queue.set_limit(router.limit(&self.target, now).unwrap_or(self.limit));
+        }
         let late = self.instances[instance].queue.shed(now);
         for (key, _) in late {
             if let Some(index) = take(&mut self.instances[instance].waiting, key) {
@@ -319,7 +325,7 @@
         let seen = Seen::Finished { key: run.key, target: &self.target, millis, tokens: request.tokens };
         let instance = &mut self.instances[request.instance];
         instance.router.seen(seen, now);
-        instance.queue.finished();
+        instance.queue.finished(now);
         if request.at.0 >= WARM_UP_MS {
             let time = now.since(request.at);
             self.outcome.times[request.caller].record(time).expect("the histogram grows");
--- a/crates/replay/src/site/policy.rs
+++ b/crates/replay/src/site/policy.rs
@@ -59,6 +59,11 @@
         self.fleet.on(event, now);
     }
 
+    /// Runs the instance may have under way, where the policy says.
+    pub fn limit(&self, target: &Target, now: Timestamp) -> Option<u32> {
+        (self.policy == Policy::Ours).then(|| self.fleet.limit([target], now))
+    }
+
     /// The endpoint for a run, with its place in the catalog.
     pub fn choose(&mut self, target: &Target, prefix: u64, draw: u64, now: Timestamp) -> (Key, usize) {
         let count = self.keys.len();
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -7,6 +7,7 @@
 //! after having waited for nothing.
 
 mod flow;
+mod rate;
 
 use std::{collections::HashMap, fmt};
 
@@ -14,6 +15,7 @@
 use world::{Millis, Timestamp, contract::Customer};
 
 use flow::Flow;
+use rate::Rate;
 
 slotmap::new_key_type! {
     /// A waiting request within a [`Queue`].
@@ -27,6 +29,8 @@
 /// Retry times are spread over this share, so that those refused together do
 /// not come back together.
 const RETRY_SPREAD: u64 = 4;
+/// Percent of a run's expected time that a deadline must leave under backlog.
+const SPARE_PERCENT: u64 = 160;
 /// Lowest priority of an engine.
 const LAST_PRIORITY: u8 = 9;
 
@@ -116,13 +120,21 @@
     flows: HashMap<Customer, Flow>,
     waiting: SlotMap<Key, Waiting>,
     virtual_time: f64,
+    rate: Rate,
 }
 
 impl Queue {
     /// An empty queue before `limit` runs at a time.
     #[must_use]
     pub fn new(limit: u32) -> Self {
-        Self { limit: limit.max(1), running: 0, flows: HashMap::new(), waiting: SlotMap::with_key(), virtual_time: 0.0 }
+        Self {
+            limit: limit.max(1),
+            running: 0,
+            flows: HashMap::new(),
+            waiting: SlotMap::with_key(),
+            virtual_time: 0.0,
+            rate: Rate::default(),
+        }
     }
 
     /// Changes how many may run at a time.
@@ -149,8 +161,8 @@
     /// A [`Refusal`]; the request has not run and does not wait.
     pub fn offer(&mut self, ticket: &Ticket<'_>, now: Timestamp) -> Result<Key, Refusal> {
         let left_ms = ticket.deadline.since(now);
-        let wait_ms = self.wait(ticket, now);
-        let late_by = (wait_ms + ticket.run_ms).saturating_sub(left_ms);
+        let wait_ms = self.wait(ticket);
+        let late_by = (wait_ms + self.run_ms(ticket.run_ms)).saturating_sub(left_ms);
         if late_by > 0 {
             return Err(refusal(Cause::Deadline { wait_ms, left_ms }, late_by, ticket.draw));
         }
@@ -196,15 +208,16 @@
     }
 
     /// Ends a run that [`Queue::next`] gave out.
-    pub fn finished(&mut self) {
+    pub fn finished(&mut self, now: Timestamp) {
         self.running = self.running.saturating_sub(1);
+        self.rate.finished(!self.waiting.is_empty(), now);
     }
 
     /// Takes a waiting request out, when its caller has gone.
     pub fn cancel(&mut self, key: Key) -> bool {
         let Some(waiting) = self.waiting.remove(key) else { return false };
         if let Some(flow) = self.flows.get_mut(&waiting.customer) {
-            flow.remove(key, waiting.deadline, waiting.run_ms);
+            flow.remove(key, waiting.deadline);
         }
         true
     }
@@ -214,15 +227,12 @@
     /// An earlier deadline may have come in before them, or runs may have
     /// become slower; they are told now and not at their deadline.
     pub fn shed(&mut self, now: Timestamp) -> Vec<(Key, Refusal)> {
-        let late: Vec<_> = self
-            .waiting
-            .iter()
-            .filter_map(|(key, w)| {
-                let left_ms = w.deadline.since(now);
-                let late_by = w.run_ms.saturating_sub(left_ms);
-                (late_by > 0).then(|| (key, refusal(Cause::Deadline { wait_ms: 0, left_ms }, late_by, w.draw)))
-            })
-            .collect();
+        let late = |w: &Waiting| {
+            let left_ms = w.deadline.since(now);
+            let late_by = self.run_ms(w.run_ms).saturating_sub(left_ms);
+            (late_by > 0).then(|| refusal(Cause::Deadline { wait_ms: 0, left_ms }, late_by, w.draw))
+        };
+        let late: Vec<_> = self.waiting.iter().filter_map(|(key, w)| late(w).map(|refusal| (key, refusal))).collect();
         for (key, _) in &late {
             self.cancel(*key);
         }
@@ -233,18 +243,29 @@
     ///
     /// The runs ahead of it are its own customer's with earlier deadlines, at
     /// the rate of its share; never more than all that waits.
-    fn wait(&self, ticket: &Ticket<'_>, _now: Timestamp) -> Millis {
+    fn wait(&self, ticket: &Ticket<'_>) -> Millis {
         if self.running < self.limit && self.waiting.is_empty() {
             return 0;
         }
         let active = self.flows.iter().filter(|(id, flow)| !flow.is_empty() && *id != ticket.customer);
         let others: u64 = active.map(|(_, flow)| u64::from(flow.weight())).sum();
         let mine = u64::from(ticket.weight.max(1));
-        let ahead = self.flows.get(ticket.customer).map_or(0, |flow| flow.ahead_ms(ticket.deadline));
-        let total: Millis = self.flows.values().map(Flow::queued_ms).sum();
-        let limit = u64::from(self.limit);
-        let share = (ahead + ticket.run_ms).saturating_mul(mine + others) / (mine * limit);
-        share.min((total + ticket.run_ms) / limit)
+        let ahead = self.flows.get(ticket.customer).map_or(0, |flow| flow.ahead(ticket.deadline));
+        let by_share = (ahead + 1).saturating_mul(mine + others) / mine;
+        let turns = by_share.min(self.waiting.len() as u64 + 1);
+        self.rate.time(turns).unwrap_or_else(|| turns * ticket.run_ms / u64::from(self.limit))
+    }
+
+    /// Time from the turn to the answer that a deadline must leave.
+    ///
+    /// What the caller expects is the time of a run alone. Under backlog the
+    /// engines are full and runs differ; let in by the expected time, half of
+    /// the last ones would be run and come too late to be of use.
+    fn run_ms(&self, expected_ms: Millis) -> Millis {
+        if self.waiting.is_empty() && self.running < self.limit {
+            return expected_ms;
+        }
+        expected_ms * SPARE_PERCENT / 100
     }
 
     /// Priority for the engine: by slack, and last for who is over its share.
--- a/crates/route/src/admission/flow.rs
+++ b/crates/route/src/admission/flow.rs
@@ -1,6 +1,6 @@
 //! One customer's waiting requests.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use world::{Millis, Timestamp};
 
@@ -10,8 +10,7 @@
 pub(super) struct Flow {
     weight: u32,
     start: f64,
-    by_deadline: BTreeMap<(Timestamp, Key), Millis>,
-    queued_ms: Millis,
+    by_deadline: BTreeSet<(Timestamp, Key)>,
 }
 
 impl Flow {
@@ -22,20 +21,15 @@
         if self.by_deadline.is_empty() {
             self.start = self.start.max(virtual_time);
         }
-        self.by_deadline.insert((ticket.deadline, key), ticket.run_ms);
-        self.queued_ms += ticket.run_ms;
+        self.by_deadline.insert((ticket.deadline, key));
     }
 
     pub fn pop(&mut self) -> Option<Key> {
-        let ((_, key), run_ms) = self.by_deadline.pop_first()?;
-        self.queued_ms -= run_ms;
-        Some(key)
+        self.by_deadline.pop_first().map(|(_, key)| key)
     }
 
-    pub fn remove(&mut self, key: Key, deadline: Timestamp, run_ms: Millis) {
-        if self.by_deadline.remove(&(deadline, key)).is_some() {
-            self.queued_ms -= run_ms;
-        }
+    pub fn remove(&mut self, key: Key, deadline: Timestamp) {
+        self.by_deadline.remove(&(deadline, key));
     }
 
     /// Moves the flow's next turn on by the work just taken.
@@ -57,12 +51,8 @@
         self.by_deadline.is_empty()
     }
 
-    pub fn queued_ms(&self) -> Millis {
-        self.queued_ms
-    }
-
-    /// Work that goes before a request with this deadline.
-    pub fn ahead_ms(&self, deadline: Timestamp) -> Millis {
-        self.by_deadline.iter().take_while(|((due, _), _)| *due <= deadline).map(|(_, run_ms)| *run_ms).sum()
+    /// Requests that go before one with this deadline.
+    pub fn ahead(&self, deadline: Timestamp) -> u64 {
+        self.by_deadline.iter().take_while(|(due, _)| *due <= deadline).count() as u64
     }
 }
--- a/crates/route/src/endpoint.rs
+++ b/crates/route/src/endpoint.rs
@@ -30,7 +30,7 @@
 };
 
 pub use health::Failure;
-use server::Server;
+use server::{Field, Seen, Server};
 use subset::Subset;
 
 slotmap::new_key_type! {
@@ -42,10 +42,9 @@
 const LOAD_BOUND: f64 = 1.0;
 /// Load added to an endpoint of another failure domain, in its slots.
 const REMOTE: f64 = 0.05;
-/// Most runs that each other instance is thought to send for one of ours.
-const MAX_RATIO: f64 = 2.0;
-/// Least age of a report, in runs.
-const LEAST_AGE: f64 = 0.01;
+/// Runs an endpoint is given, as a multiple of its slots: a batch that has to
+/// wait for news of each ended run would stand half empty.
+const HEADROOM: f64 = 1.1;
 /// Known holders of prefixes; all are forgotten when there are more.
 const MAX_HOLDERS: usize = 8_192;
 /// Most of a target's endpoints that may be ejected at a time.
@@ -315,19 +314,39 @@
         self.servers.iter().map(|(key, server)| (key, &server.endpoint))
     }
 
-    /// This instance's part of the free slots for a target, at least one.
+    /// Runs that this instance may have under way for any of `targets`: those
+    /// it has and its part of the free slots, and never less than an even part
+    /// of all slots.
     ///
     /// What lies waiting in an engine cannot be ranked any more, so work in
-    /// excess of this waits in the instance's own queue.
+    /// excess of this waits in the instance's own queue. An endpoint that
+    /// serves several of the targets counts once.
     #[must_use]
-    pub fn room(&self, target: &Target, now: Timestamp) -> u32 {
-        let Some(subset) = self.targets.get(target) else { return 0 };
-        let servers = subset.members.iter().filter_map(|m| self.servers.get(m.key));
-        let free: f64 = servers.filter(|s| !s.leaving).map(|s| s.free(now)).sum();
-        let sharing = f64::from(u32::try_from(self.instances).unwrap_or(u32::MAX));
+    pub fn limit<'a>(&self, targets: impl IntoIterator<Item = &'a Target>, now: Timestamp) -> u32 {
+        let subsets: Vec<_> = targets.into_iter().filter_map(|target| self.targets.get(target)).collect();
+        let mut keys: Vec<_> =
+            subsets.iter().flat_map(|subset| subset.members.iter().map(|member| member.key)).collect();
+        keys.sort_unstable();
+        keys.dedup();
+        let run_ms = subsets.iter().map(|subset| subset.run_ms()).fold(1.0, f64::max);
+        let fit = |key: &Key| self.servers.get(*key).filter(|s| !s.leaving && !s.health.ejected(now));
+        let seen: Vec<_> = keys.iter().filter_map(fit).map(Server::seen).collect();
+
+        let field = Field::of(seen.iter(), run_ms, self.instances);
+        let (mut own, mut others, mut slots) = (0.0, 0.0, 0.0);
+        for server in &seen {
+            own += server.own;
+            others += server.others_now(&field, now);
+            slots += server.slots * HEADROOM;
+        }
+        let even = slots / f64::from(u32::try_from(self.instances).unwrap_or(u32::MAX));
+        let part = if own + others > 0.0 { own / (own + others) } else { 1.0 };
+        // Below zero when the endpoints are over-full: who has most gives most
+        // back, so that an instance with a new customer gets its even part.
+        let free = slots - own - others;
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "slots are few and positive")]
-        let room = (free / sharing).ceil() as u32;
-        room.max(1)
+        let limit = part.mul_add(free, own).max(even).max(1.0).round() as u32;
+        limit
     }
 
     fn with(&mut self, key: Key, change: impl FnOnce(&mut Server)) {
@@ -411,52 +430,16 @@
 struct Candidate {
     key: Key,
     affinity: u64,
-    seen: server::Seen,
+    seen: Seen,
     load: f64,
     weight: f64,
     remote: f64,
     score: f64,
 }
 
-/// What all candidates have in common.
-#[derive(Debug, Clone, Copy)]
-struct Field {
-    /// Others' runs for one of ours, as of the reports.
-    ratio: f64,
-    /// Time of a run in a batch, in milliseconds.
-    run_ms: f64,
-}
-
-impl Field {
-    fn of(candidates: &[Candidate], run_ms: f64, instances: usize) -> Self {
-        let sum = |value: fn(&server::Seen) -> f64| candidates.iter().map(|c| value(&c.seen)).sum::<f64>();
-        let ratio = sum(|seen| seen.others) / sum(|seen| seen.own_then).max(1.0);
-        let peers = f64::from(u32::try_from(instances.saturating_sub(1)).unwrap_or(u32::MAX));
-        Self { ratio: ratio.min(MAX_RATIO * peers), run_ms }
-    }
-}
-
 impl Candidate {
-    /// Brings the load up to now.
-    ///
-    /// Of the runs in the report some have ended, at the pace of the batch.
-    /// Of those that others have sent since, nothing is heard yet; but they
-    /// decide as we do, with the same reports and the same preferred
-    /// endpoints, so they have sent in proportion to what we have sent. Without
-    /// that every instance sees the same idle endpoint for the two seconds that
-    /// a report is old, and all of them fill it.
     fn settle(&mut self, field: &Field, now: Timestamp) {
-        let seen = &self.seen;
-        let runs = (seen.age_ms(now) / field.run_ms).max(LEAST_AGE);
-        let faded = (-runs).exp();
-        let then = seen.own_then + seen.others;
-        let came = field.ratio * seen.sent;
-        let others = if then <= seen.slots {
-            seen.others * faded + came * (1.0 - faded) / runs
-        } else {
-            seen.others * ((then - seen.slots * runs) / then).max(faded) + came
-        };
-        self.load = (seen.own + others + 1.0) / seen.slots;
+        self.load = (self.seen.own + self.seen.others_now(field, now) + 1.0) / self.seen.slots;
         self.score = self.load / self.weight + self.remote;
     }
 }
@@ -476,7 +459,7 @@
         let mut candidates: Vec<Candidate> = usable.map(|member| self.candidate(member, wanted, now)).collect();
         let considered = u32::try_from(candidates.len()).unwrap_or(u32::MAX);
         let count = f64::from(considered.max(1));
-        let field = Field::of(&candidates, subset.run_ms(), self.instances);
+        let field = Field::of(candidates.iter().map(|c| &c.seen), subset.run_ms(), self.instances);
         for candidate in &mut candidates {
             candidate.settle(&field, now);
         }
--- a/crates/route/src/endpoint/server.rs
+++ b/crates/route/src/endpoint/server.rs
@@ -10,6 +10,10 @@
 const HISTORY_MS: Millis = 5_000;
 /// Own runs are remembered at this grain.
 const GRAIN_MS: Millis = 50;
+/// Most runs that each other instance is thought to send for one of ours.
+const MAX_RATIO: f64 = 2.0;
+/// Least age of a report, in runs.
+const LEAST_AGE: f64 = 0.01;
 
 #[derive(Debug)]
 pub(super) struct Server {
@@ -42,11 +46,48 @@
     pub slots: f64,
 }
 
+/// What the endpoints weighed together have in common.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Field {
+    /// Others' runs for one of ours, as of the reports.
+    ratio: f64,
+    /// Time of a run in a batch, in milliseconds.
+    run_ms: f64,
+}
+
+impl Field {
+    pub fn of<'a>(seen: impl Iterator<Item = &'a Seen>, run_ms: f64, instances: usize) -> Self {
+        let (mut others, mut own) = (0.0, 0.0);
+        for server in seen {
+            others += server.others;
+            own += server.own_then;
+        }
+        let peers = f64::from(u32::try_from(instances.saturating_sub(1)).unwrap_or(u32::MAX));
+        Self { ratio: (others / f64::max(own, 1.0)).min(MAX_RATIO * peers), run_ms }
+    }
+}
+
 impl Seen {
-    /// Age of the last report, in milliseconds.
-    #[expect(clippy::cast_precision_loss, reason = "an age is far below 2^52 milliseconds")]
-    pub fn age_ms(&self, now: Timestamp) -> f64 {
-        now.since(self.as_of) as f64
+    /// The others' runs by now.
+    ///
+    /// Of the runs in the report some have ended, at the pace of the batch.
+    /// Of those that others have sent since, nothing is heard yet; but they
+    /// decide as we do, with the same reports and the same preferred
+    /// endpoints, so they have sent in proportion to what we have sent. Without
+    /// that every instance sees the same idle endpoint for the two seconds that
+    /// a report is old, and all of them fill it.
+    pub fn others_now(&self, field: &Field, now: Timestamp) -> f64 {
+        #[expect(clippy::cast_precision_loss, reason = "an age is far below 2^52 milliseconds")]
+        let age_ms = now.since(self.as_of) as f64;
+        let runs = (age_ms / field.run_ms).max(LEAST_AGE);
+        let faded = (-runs).exp();
+        let then = self.own_then + self.others;
+        let came = field.ratio * self.sent;
+        if then <= self.slots {
+            return self.others * faded + came * (1.0 - faded) / runs;
+        }
+        let left = ((then - self.slots * runs) / then).max(faded);
+        self.others * left + came
     }
 }
 
@@ -116,11 +157,6 @@
         }
     }
 
-    /// Slots thought to be free.
-    pub fn free(&self, _now: Timestamp) -> f64 {
-        (f64::from(self.endpoint.slots) - f64::from(self.own) - self.others).max(0.0)
-    }
-
     fn at(&self, time: Timestamp) -> Sample {
         let held = self.history.iter().rev().find(|sample| sample.from <= time).or(self.history.front());
         held.copied().unwrap_or(Sample { from: time, own: self.own, sent: self.sent })
