Test how bad sessions are dealt in place of two rates

The test of two rates takes a swing of the failure rate with the time of day, or one customer's failing session, for the version's, and it loses evidence at each step. Sessions are dealt to the arms by hash, so of the bad sessions a known part is the new version's; the test looks at that alone, pools all steps, counts each session once, and gives windows a part of alpha.

--- a/crates/control/src/guard.rs
+++ b/crates/control/src/guard.rs
@@ -131,9 +131,8 @@
         let catalog = self.catalog.borrow().clone();
         let mut verdicts = Verdicts::new();
         for (id, rollout) in ledger::running(&catalog) {
-            let sums = self.ledger.sums(id, rollout);
-            let policy = guard::Policy { steps: rollout.steps.len(), ..self.settings.guard };
-            let verdict = guard::judge(&policy, &sums.step, &sums.window);
+            let fleet = self.ledger.fleet(id, rollout);
+            let verdict = guard::judge(&self.settings.guard, rollout, &fleet.steps, &fleet.window);
             if let Verdict::Stop(reason) = &verdict {
                 let stop = stop(id, rollout, reason);
                 self.stop(&catalog, stop, self.settings.instance.clone());
--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -8,8 +8,8 @@
 
 use hdrhistogram::Histogram;
 use route::{
-    guard::{Evidence, Tally, Window},
-    rollout::{self as exposure, Arm},
+    guard::{Evidence, Signal, Tally, Window},
+    rollout::{self as exposure, Arm, Unit},
 };
 use tokio::time::{Duration, Instant};
 use world::{
@@ -32,9 +32,8 @@
 /// Longest latency told apart, in milliseconds.
 const LONGEST_MS: u64 = 600_000;
 
-/// Largest ratio of control to new sessions at which a step keeps the counts
-/// of the step before as its control.
-const THIN_CONTROL: f64 = 0.1;
+/// Bad sessions remembered, so that each counts once; then all are forgotten.
+const BAD_SESSIONS: usize = 100_000;
 
 /// One step of one roll-out.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -47,6 +46,18 @@
 /// Which run of which instance.
 pub(crate) type Source = (instance::Id, instance::Incarnation);
 
+/// A session's signal in a roll-out.
+type BadSession = (rollout::Id, Unit, Signal);
+
+/// The fleet's evidence of one roll-out.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub(crate) struct Fleet {
+    /// By step, up to the present one.
+    pub steps: Vec<Evidence>,
+    /// The present step's latest window.
+    pub window: Window,
+}
+
 /// One instance's sums at one step.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub(crate) struct Sums {
@@ -60,6 +71,7 @@
     own: BTreeMap<Step, Own>,
     others: HashMap<Source, BTreeMap<Step, Sums>>,
     baselines: HashMap<Version, Baseline>,
+    bad: HashMap<BadSession, u32>,
 }
 
 #[derive(Debug)]
@@ -82,11 +94,24 @@
         for (id, rollout) in running(catalog) {
             let Some(arm) = arm(catalog, rollout, observation) else { continue };
             let slow = self.slow(rollout, observation);
-            let own = self.own.entry(step_of(id, rollout)).or_insert_with(Own::new);
+            let step = step_of(id, rollout);
+            let own = self.own.entry(step.clone()).or_insert_with(Own::new);
             own.turn_window();
-            let bad = add(&mut own.sums.step, arm, observation.outcome, slow);
-            add(&mut own.sums.window.evidence, arm, observation.outcome, slow);
-            bad_news |= bad && arm == Arm::New;
+            let window = own.sums.window.number;
+            for (signal, bad) in seen(observation.outcome, slow) {
+                let (first, first_in_window) = if bad {
+                    first_bad(&mut self.bad, (id.clone(), observation.unit, signal), window)
+                } else {
+                    (true, true)
+                };
+                if first {
+                    count(&mut own.sums.step, arm, signal, bad);
+                }
+                if first_in_window {
+                    count(&mut own.sums.window.evidence, arm, signal, bad);
+                }
+                bad_news |= first && bad && arm == Arm::New;
+            }
         }
         bad_news
     }
@@ -106,20 +131,17 @@
         self.others.values().filter(|steps| !steps.is_empty()).count()
     }
 
-    /// The fleet's evidence at a roll-out's present step.
-    pub fn sums(&self, id: &rollout::Id, rollout: &Rollout) -> Sums {
+    /// The fleet's evidence of a roll-out.
+    pub fn fleet(&self, id: &rollout::Id, rollout: &Rollout) -> Fleet {
         let mut step = step_of(id, rollout);
-        let mut sums = self.total(&step);
-        let share = rollout.steps.get(rollout.step).copied().unwrap_or(1.0);
-        if 1.0 - share < THIN_CONTROL * share && step.number > 0 {
-            // A step that exposes everybody leaves nobody to compare with; the
-            // predecessor is then as it was at the step before.
-            step.number -= 1;
-            let before = self.total(&step).step.control;
-            sums.step.control += before;
-            sums.window.evidence.control += before;
+        let mut fleet = Fleet::default();
+        for number in 0..=rollout.step {
+            step.number = number;
+            let total = self.total(&step);
+            fleet.steps.push(total.step);
+            fleet.window = total.window;
         }
-        sums
+        fleet
     }
 
     fn total(&self, step: &Step) -> Sums {
@@ -143,9 +165,10 @@
     pub fn settle(&mut self, catalog: &Catalog) {
         let keep = |step: &Step| {
             let rollout = catalog.rollouts().get(&step.rollout);
-            rollout.is_some_and(|r| is_running(r) && r.version == step.version && step.number + 1 >= r.step)
+            rollout.is_some_and(|r| is_running(r) && r.version == step.version)
         };
         self.own.retain(|step, _| keep(step));
+        self.bad.retain(|(id, ..), _| catalog.rollouts().get(id).is_some_and(is_running));
         self.others.values_mut().for_each(|steps| steps.retain(|step, _| keep(step)));
         self.others.retain(|_, steps| !steps.is_empty());
         let watched: Vec<_> = running(catalog).map(|(_, rollout)| predecessor(rollout)).collect();
@@ -230,23 +253,33 @@
     (arm == Arm::Control).then_some(arm)
 }
 
-fn add(evidence: &mut Evidence, arm: Arm, outcome: Outcome, slow: Option<bool>) -> bool {
-    let tally: &mut Tally = if arm == Arm::New { &mut evidence.new } else { &mut evidence.control };
-    match outcome {
-        Outcome::Answered { .. } => {
-            tally.errors.add(false);
-            if let Some(slow) = slow {
-                tally.latency.add(slow);
-            }
-            slow == Some(true)
-        }
-        Outcome::Failed => {
-            tally.errors.add(true);
-            true
-        }
-        Outcome::Rated { pass } => {
-            tally.ratings.add(!pass);
-            !pass
-        }
+/// What an outcome says of each signal.
+fn seen(outcome: Outcome, slow: Option<bool>) -> impl Iterator<Item = (Signal, bool)> {
+    let (first, second) = match outcome {
+        Outcome::Answered { .. } => (Some((Signal::Errors, false)), slow.map(|slow| (Signal::Latency, slow))),
+        Outcome::Failed => (Some((Signal::Errors, true)), None),
+        Outcome::Rated { pass } => (Some((Signal::Ratings, !pass)), None),
+    };
+    first.into_iter().chain(second)
+}
+
+/// Whether a session's bad thing is its first in the roll-out, and in the window.
+///
+/// A session that fails once often fails again, with the same hard task. Each
+/// session is dealt to an arm once; counting its failures one by one would
+/// take one unlucky session for many.
+fn first_bad(known: &mut HashMap<BadSession, u32>, session: BadSession, window: u32) -> (bool, bool) {
+    if known.len() >= BAD_SESSIONS {
+        // A guard that counts some twice is better than one that is blind.
+        known.clear();
     }
+    match known.insert(session, window) {
+        None => (true, true),
+        Some(before) => (false, before != window),
+    }
+}
+
+fn count(evidence: &mut Evidence, arm: Arm, signal: Signal, bad: bool) {
+    let tally: &mut Tally = if arm == Arm::New { &mut evidence.new } else { &mut evidence.control };
+    tally.of_mut(signal).add(bad);
 }
--- a/crates/control/tests/it/rollout.rs
+++ b/crates/control/tests/it/rollout.rs
@@ -88,6 +88,21 @@
     assert_eq!(site.traffic().new, met, "no new session meets a withdrawn version");
 }
 
+/// One session asks for something impossible, again and again, and every
+/// answer fails. It was dealt to the new version once; it counts once, and a
+/// good version is not stopped for one customer's bad morning.
+#[tokio::test(start_paused = true)]
+async fn one_failing_session_stops_nothing() {
+    let site = Site::open(2).await;
+    site.roll_out().await;
+    site.wait_for(1, State::Exposing).await;
+    for _ in 0..20 {
+        site.fail_session(1, 50);
+        seconds(0.5).await;
+    }
+    site.wait_for(1, State::Promoted).await;
+}
+
 /// A version turns bad after its first step went well. What was seen at that
 /// step must not hide it.
 #[tokio::test(start_paused = true)]
--- a/crates/control/tests/it/site.rs
+++ b/crates/control/tests/it/site.rs
@@ -247,6 +247,17 @@
         number
     }
 
+    /// One session of `m@2` whose every answer fails its rating.
+    pub fn fail_session(&self, number: usize, answers: usize) {
+        let control = self.instances[number].control.as_ref().expect("not lost");
+        let customer = Customer::parse("c").unwrap();
+        for _ in 0..answers {
+            let outcome = Outcome::Rated { pass: false };
+            let unit = Unit(1);
+            control.observe(Observation { customer: customer.clone(), unit, version: new_version(), outcome });
+        }
+    }
+
     /// Whether the version is stopped at an instance, by signal or by catalog.
     pub fn is_stopped(&self, number: usize) -> bool {
         let instance = &self.instances[number];
--- a/crates/route/src/guard.rs
+++ b/crates/route/src/guard.rs
@@ -2,47 +2,54 @@
 //!
 //! Three signals are counted in two arms: errors, failed ratings, and answers
 //! slower than a high quantile of the predecessor. Counts are sums, so that
-//! what several instances saw adds up. Each signal has an e-process: the
-//! likelihood of the counts, mixed over all pairs of rates, against the best
-//! likelihood that "the new version is not worse" can reach. For every pair
-//! of rates allowed by that null the mixture over the likelihood is a
-//! martingale that starts at 1, and the e-process lies below it; Ville's
-//! inequality then bounds the chance that it ever reaches `1 / alpha` by
-//! `alpha`, however often it is looked at. `alpha` is shared out over signals
-//! and steps, each step starting with new counts, because a rate that moves
-//! with the time of day would otherwise be taken for the version's.
+//! what several instances saw adds up.
 //!
-//! A version may turn bad amid a step. The step's long good record would then
-//! hide it for about as long again, so half of `alpha` goes to windows of the
-//! step, each with counts of its own; later windows get less of it, so that
-//! their number needs no bound.
+//! Sessions are dealt to the arms by hash, so while the new version is no
+//! worse, a session that shows something bad is one of the new version's with
+//! a known probability, whatever the rate of bad things is, how it moves with
+//! the time of day, or how it differs between customers. The test looks only
+//! at that: of the bad sessions, how many are the new version's. Each signal
+//! has an e-process, the likelihood of the deal mixed over several factors by
+//! which the version may be worse, against the likelihood when it is not. It
+//! is a nonnegative supermartingale that starts at 1, so by Ville's inequality
+//! it ever reaches `1 / alpha` with probability `alpha` at most, however often
+//! it is looked at. Steps deal at other odds, so their likelihoods multiply.
+//! `alpha` is shared out over signals and over three tests:
+//!
+//! - the roll-out as a whole;
+//! - windows of a step: a version that turns bad late would else be hidden by
+//!   its good record for about as long again;
+//! - a step that exposes nearly everybody, where nobody is left to deal to the
+//!   other arm: there the new version is compared with the step before, by a
+//!   test of two rates that puts up with a margin, since rates move with time.
 
 use std::{fmt, ops::AddAssign};
 
 use serde::{Deserialize, Serialize};
+use world::rollout::Rollout;
+
+use crate::rollout;
 
 /// How strict the test is.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Policy {
-    /// Bound on the chance that a clean roll-out is stopped, per observer.
+    /// Bound on the chance that one instance stops a clean roll-out.
     pub alpha: f64,
-    /// Steps of the roll-out that share `alpha`.
-    pub steps: usize,
     /// Fewest answers of the new version before a step may end.
     pub min_answers: u64,
     /// Fewest rated ones of them; 0 where no service rates answers.
     pub min_rated: u64,
-    /// Rise of a signal's rate that is put up with, by [`Signal`].
+    /// Factor of a signal's rate that is put up with.
     pub margin: Margin,
 }
 
 impl Default for Policy {
     fn default() -> Self {
-        Self { alpha: 1e-4, steps: 5, min_answers: 50, min_rated: 30, margin: Margin::default() }
+        Self { alpha: 1.4e-4, min_answers: 50, min_rated: 30, margin: Margin::default() }
     }
 }
 
-/// Rise of each signal's rate that is put up with, from 0 to 1.
+/// Factor of each signal's rate that is put up with, from 1 on.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Margin {
     /// Of errors.
@@ -55,7 +62,7 @@
 
 impl Default for Margin {
     fn default() -> Self {
-        Self { errors: 0.0, ratings: 0.0, latency: 0.02 }
+        Self { errors: 1.0, ratings: 1.0, latency: 1.4 }
     }
 }
 
@@ -139,6 +146,17 @@
     }
 }
 
+impl Tally {
+    /// The counts of one signal, to be added to.
+    pub fn of_mut(&mut self, signal: Signal) -> &mut Count {
+        match signal {
+            Signal::Errors => &mut self.errors,
+            Signal::Ratings => &mut self.ratings,
+            Signal::Latency => &mut self.latency,
+        }
+    }
+}
+
 impl AddAssign for Tally {
     fn add_assign(&mut self, other: Self) {
         self.errors += other.errors;
@@ -194,8 +212,9 @@
     }
 }
 
-/// Natural logarithm of the e-value above which a step does not end.
-const SUSPICION: f64 = 3.0;
+/// Natural logarithm of the e-value above which a step does not end: the
+/// evidence has to lean towards "no worse" before more people meet a version.
+const SUSPICION: f64 = 0.0;
 
 /// The latest part of a step.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -206,33 +225,71 @@
     pub evidence: Evidence,
 }
 
-/// Judges the evidence of one step, its latest window besides.
+/// Judges a roll-out by the evidence of each of its steps up to the present
+/// one, the latest window of which comes besides.
 #[must_use]
-pub fn judge(policy: &Policy, step: &Evidence, window: &Window) -> Verdict {
-    if window.number > 0 {
-        let late = judge_sums(policy, window_threshold(policy, window.number), &window.evidence);
-        if matches!(late, Verdict::Stop(_)) {
-            return late;
-        }
-    }
-    judge_sums(policy, threshold(policy), step)
-}
-
-fn judge_sums(policy: &Policy, limit: f64, evidence: &Evidence) -> Verdict {
+pub fn judge(policy: &Policy, rollout: &Rollout, steps: &[Evidence], window: &Window) -> Verdict {
     let mut suspicious = false;
+    let thin = rollout::thin(rollout.steps.get(rollout.step).copied().unwrap_or(1.0));
     for signal in Signal::ALL {
-        let new = evidence.new.of(signal);
-        let control = evidence.control.of(signal);
-        let ln_e = ln_e(new, control, policy.margin.of(signal));
-        if ln_e >= limit {
-            return Verdict::Stop(Reason { signal, new, control, ln_e });
+        for (test, ln_e) in tests(policy, rollout, steps, window, signal) {
+            if ln_e >= threshold(policy, test) {
+                return Verdict::Stop(reason(steps, signal, ln_e));
+            }
+            // Where nobody is dealt any more the whole's evidence stands still
+            // and could hold a step for ever.
+            suspicious |= test == Test::Whole && ln_e > SUSPICION && !thin;
         }
-        suspicious |= ln_e >= SUSPICION;
     }
-    let enough = evidence.new.errors.n >= policy.min_answers && evidence.new.ratings.n >= policy.min_rated;
+    let new = steps.get(rollout.step).map(|evidence| evidence.new).unwrap_or_default();
+    let enough = new.errors.n >= policy.min_answers && new.ratings.n >= policy.min_rated;
     if enough && !suspicious { Verdict::Advance } else { Verdict::Continue }
 }
 
+/// What a signal is tested by, each with its own part of `alpha`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Test {
+    /// The deal over all steps.
+    Whole,
+    /// The deal in one window.
+    Window(u32),
+    /// Rates at a step without a control, against the step before.
+    Rates,
+}
+
+fn tests(
+    policy: &Policy,
+    rollout: &Rollout,
+    steps: &[Evidence],
+    window: &Window,
+    signal: Signal,
+) -> impl Iterator<Item = (Test, f64)> {
+    let margin = policy.margin.of(signal);
+    let share = |step: usize| rollout.steps.get(step).copied().unwrap_or(1.0);
+    let dealt = steps.iter().enumerate().filter(|(step, _)| !rollout::thin(share(*step)));
+    let dealt = dealt.map(|(step, evidence)| (rollout::control_ratio(share(step)), evidence));
+    let whole = Some((Test::Whole, ln_e_deal(dealt, signal, margin)));
+    let thin = rollout::thin(share(rollout.step));
+    let window = (window.number > 0 && !thin).then(|| {
+        let dealt = std::iter::once((rollout::control_ratio(share(rollout.step)), &window.evidence));
+        (Test::Window(window.number), ln_e_deal(dealt, signal, margin))
+    });
+    let rates = (thin && rollout.step > 0).then(|| {
+        let new = steps.get(rollout.step).map(|evidence| evidence.new.of(signal)).unwrap_or_default();
+        let control = steps.get(rollout.step - 1).map(|evidence| evidence.control.of(signal)).unwrap_or_default();
+        (Test::Rates, ln_e_rates(new, control, RATE_MARGIN))
+    });
+    whole.into_iter().chain(window).chain(rates)
+}
+
+fn reason(steps: &[Evidence], signal: Signal, ln_e: f64) -> Reason {
+    let mut total = Evidence::default();
+    for evidence in steps {
+        total += *evidence;
+    }
+    Reason { signal, new: total.new.of(signal), control: total.control.of(signal), ln_e }
+}
+
 impl Margin {
     fn of(&self, signal: Signal) -> f64 {
         match signal {
@@ -244,28 +301,50 @@
 }
 
 /// Natural logarithm of the e-value that stops a version.
-#[must_use]
-pub fn threshold(policy: &Policy) -> f64 {
-    let tests = Signal::ALL.len() * policy.steps.max(1);
-    #[expect(clippy::cast_precision_loss, reason = "a handful of tests")]
-    let tests = tests as f64;
-    (tests / (policy.alpha * STEP_PART)).ln()
-}
-
-/// The same for one window: the parts `6 / (pi^2 n^2)` add up to one.
-fn window_threshold(policy: &Policy, number: u32) -> f64 {
-    let number = f64::from(number);
-    let part = 6.0 / (std::f64::consts::PI * number).powi(2);
-    threshold(policy) + (STEP_PART / ((1.0 - STEP_PART) * part)).ln()
+fn threshold(policy: &Policy, test: Test) -> f64 {
+    let part = match test {
+        Test::Whole => 0.7,
+        // The parts `6 / (pi^2 n^2)` of all windows add up to one.
+        Test::Window(number) => 0.2 * 6.0 / (std::f64::consts::PI * f64::from(number)).powi(2),
+        Test::Rates => 0.1,
+    };
+    (to_f64(Signal::ALL.len()) / (policy.alpha * part)).ln()
+}
+
+#[expect(clippy::cast_precision_loss, reason = "handfuls of signals, steps and factors")]
+fn to_f64(count: usize) -> f64 {
+    count as f64
+}
+
+/// Factors by which a worse version may exceed the margin, each as likely.
+const FACTORS: [f64; 5] = [1.5, 2.5, 5.0, 10.0, 40.0];
+
+/// Natural logarithm of the e-value that a session of the new arm is more than
+/// `margin` times as likely to be bad as one of the control arm, over deals
+/// each with its ratio of control sessions to new ones.
+fn ln_e_deal<'a>(deals: impl Iterator<Item = (f64, &'a Evidence)>, signal: Signal, margin: f64) -> f64 {
+    let mut logs = [0.0; FACTORS.len()];
+    for (ratio, evidence) in deals {
+        let (_, bad_new) = parts(evidence.new.of(signal));
+        let (_, bad_control) = parts(evidence.control.of(signal));
+        let same = margin / (margin + ratio);
+        for (log, factor) in logs.iter_mut().zip(FACTORS) {
+            // Of bad sessions, the new arm's part when it is this much worse.
+            let worse = factor * margin / (factor * margin + ratio);
+            *log += bad_new * (worse / same).ln() + bad_control * ((1.0 - worse) / (1.0 - same)).ln();
+        }
+    }
+    let most = logs.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+    most + (logs.iter().map(|log| (log - most).exp()).sum::<f64>() / to_f64(FACTORS.len())).ln()
 }
 
-/// Part of `alpha` for steps as a whole; the rest is the windows'.
-const STEP_PART: f64 = 0.5;
+/// Rise of a rate against the step before that is put up with.
+const RATE_MARGIN: f64 = 0.05;
 
 /// Natural logarithm of the e-value that the new arm's rate exceeds the
-/// control's by more than `margin`.
-#[must_use]
-pub fn ln_e(new: Count, control: Count, margin: f64) -> f64 {
+/// control's by more than `margin`: the likelihood of both counts, mixed over
+/// all rates, against the best that rates within the margin can reach.
+fn ln_e_rates(new: Count, control: Count, margin: f64) -> f64 {
     if new.n == 0 || control.n == 0 {
         return 0.0;
     }
--- a/crates/route/src/rollout.rs
+++ b/crates/route/src/rollout.rs
@@ -41,7 +41,8 @@
 
     /// Where the unit lies from 0 to 1 for a version.
     fn fraction(self, version: &Version) -> f64 {
-        let mixed = hash::rendezvous(self.0, version.to_string().as_bytes());
+        let salted = hash::rendezvous(self.0, version.model.as_str().as_bytes());
+        let mixed = hash::rendezvous(salted, version.number.as_str().as_bytes());
         #[expect(clippy::cast_precision_loss, reason = "53 bits fill an f64's mantissa exactly")]
         let fraction = (mixed >> 11) as f64 / (1u64 << 53) as f64;
         fraction
@@ -138,7 +139,22 @@
 }
 
 /// Most control sessions to one exposed session.
-const CONTROL_RATIO: f64 = 10.0;
+const CONTROL_RATIO: f64 = 30.0;
+
+/// Control sessions to one exposed session at a step's share.
+#[must_use]
+pub fn control_ratio(share: f64) -> f64 {
+    if share > 0.0 { ((1.0 - share) / share).min(CONTROL_RATIO) } else { CONTROL_RATIO }
+}
+
+/// Whether a step's share leaves too few to compare with.
+#[must_use]
+pub fn thin(share: f64) -> bool {
+    control_ratio(share) < THIN_RATIO
+}
+
+/// Fewest control sessions to one exposed session that make a comparison.
+const THIN_RATIO: f64 = 0.25;
 
 /// The arm of a customer's session at a step's share.
 ///
@@ -149,7 +165,7 @@
 #[must_use]
 pub fn arm(share: f64, contract: &Contract, version: &Version, unit: Unit) -> Arm {
     let own = limited(share, contract);
-    let ratio = if share > 0.0 { ((1.0 - share) / share).min(CONTROL_RATIO) } else { 0.0 };
+    let ratio = control_ratio(share);
     let place = unit.fraction(version);
     if place < own {
         return Arm::New;
--- /dev/null
+++ b/crates/route/tests/guard.rs
@@ -0,0 +1,145 @@
+//! The version guard's false alarms and its power, by seeded simulation.
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use route::{
+    guard::{self, Count, Evidence, Policy, Tally, Verdict, Window},
+    rollout::control_ratio,
+};
+use world::{
+    model::{Number, Version},
+    rollout::Rollout,
+};
+
+const STEPS: [f64; 4] = [0.01, 0.05, 0.2, 0.5];
+
+fn rollout(step: usize) -> Rollout {
+    let mut rollout = Rollout::new(Version::parse("m@2").unwrap(), Number::parse("1").unwrap());
+    rollout.step = step;
+    rollout
+}
+
+/// Deals one answer to an arm at a step's share and counts a failed rating.
+/// True when it was the new version's: only then the evidence against it grows.
+fn answer(random: &mut ChaCha8Rng, evidence: &mut Evidence, share: f64, good: f64, worse: f64) -> bool {
+    let new = random.random_bool(1.0 / (1.0 + control_ratio(share)));
+    let failed = random.random_bool(if new { worse } else { good });
+    let tally = if new { &mut evidence.new } else { &mut evidence.control };
+    tally.errors.add(false);
+    tally.ratings.add(failed);
+    new && failed
+}
+
+/// Answers at each of the steps until a stop; returns the new version's count.
+fn play(policy: &Policy, seed: u64, per_step: usize, rate: impl Fn(usize) -> (f64, f64)) -> Option<u64> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut steps = Vec::new();
+    for (step, share) in STEPS.into_iter().enumerate() {
+        steps.push(Evidence::default());
+        for number in 0..per_step {
+            let (good, worse) = rate(step * per_step + number);
+            if !answer(&mut random, &mut steps[step], share, good, worse) {
+                continue;
+            }
+            if let Verdict::Stop(_) = guard::judge(policy, &rollout(step), &steps, &Window::default()) {
+                return Some(steps.iter().map(|evidence| evidence.new.errors.n).sum());
+            }
+        }
+    }
+    None
+}
+
+/// A clean version, judged after each answer, while the rate of failed ratings
+/// swings between 2 and 30 in 100 and every tenth customer fails half of its
+/// ratings. A test that compares rates over time would take such a swing for
+/// the version's. With `alpha` at 1 in 20, far fewer may be stopped.
+#[test]
+fn clean_versions_are_not_stopped() {
+    let policy = Policy { alpha: 0.05, ..Policy::default() };
+    let runs = 1_000;
+    let stopped = (0..runs)
+        .filter(|seed| {
+            let swing = |number: usize| if (number / 500).is_multiple_of(2) { 0.02 } else { 0.30 };
+            let rate = |number: usize| if number.is_multiple_of(10) { 0.5 } else { swing(number) };
+            play(&policy, *seed, 1_500, |number| (rate(number), rate(number))).is_some()
+        })
+        .count();
+    assert!(stopped <= 50, "{stopped} of {runs} clean versions stopped, alpha allows 50");
+    assert!(stopped > 0, "none at all: the test is far weaker than alpha allows, or does not look");
+}
+
+macro_rules! power {
+    ($($name:ident: $good:literal to $worse:literal, half within $answers:literal;)*) => {
+        $(#[test]
+        fn $name() {
+            let policy = Policy::default();
+            let mut met: Vec<_> = (0..41)
+                .map(|seed| play(&policy, seed, 100_000, |_| ($good, $worse)).unwrap_or(u64::MAX))
+                .collect();
+            met.sort_unstable();
+            assert!(met[20] <= $answers, "half of them met {} answers", met[20]);
+        })*
+    };
+}
+
+power! {
+    thirty_in_a_hundred_worse: 0.05 to 0.335, half within 60;
+    ten_in_a_hundred_worse: 0.05 to 0.145, half within 330;
+    three_in_a_hundred_worse: 0.05 to 0.0785, half within 2_500;
+    errors_where_there_were_none: 0.000_1 to 0.3, half within 25;
+}
+
+/// A version was good for 40,000 answers of a step and then turns bad. The
+/// step's sums alone would need thousands of bad answers to tell; the window
+/// it turned bad in tells after about as many as at the start.
+#[test]
+fn late_change_is_seen_in_its_window() {
+    let policy = Policy::default();
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let share = 0.2;
+    let mut step = Evidence::default();
+    for _ in 0..200_000 {
+        answer(&mut random, &mut step, share, 0.05, 0.05);
+    }
+    let mut window = Window { number: 4, evidence: Evidence::default() };
+    let mut steps = vec![Evidence::default(), Evidence::default(), step];
+    let mut met = 0;
+    let stopped = |steps: &[Evidence], window: &Window| {
+        matches!(guard::judge(&policy, &rollout(2), steps, window), Verdict::Stop(_))
+    };
+    while !stopped(&steps, &window) {
+        let mut one = Evidence::default();
+        answer(&mut random, &mut one, share, 0.05, 0.335);
+        steps[2] += one;
+        window.evidence += one;
+        met += one.new.errors.n;
+    }
+    assert!(met <= 150, "{met} answers since it turned bad");
+    assert!(!stopped(&steps, &Window::default()), "the whole step alone does not tell yet");
+}
+
+/// At the last step everybody meets the version and nobody is left to compare
+/// with. One that turns bad only then is seen against the step before.
+#[test]
+fn last_step_is_compared_with_the_one_before() {
+    let count = |n, bad| Count { n, bad };
+    let tally = |n, failed| Tally { errors: count(n, 0), ratings: count(n, failed), latency: Count::default() };
+    let mut steps = vec![Evidence::default(); 5];
+    steps[3] = Evidence { new: tally(2_000, 100), control: tally(2_000, 100) };
+    let verdict = |steps: &[Evidence]| guard::judge(&Policy::default(), &rollout(4), steps, &Window::default());
+    steps[4].new = tally(200, 12);
+    assert_eq!(verdict(&steps), Verdict::Advance);
+    steps[4].new = tally(200, 70);
+    assert!(matches!(verdict(&steps), Verdict::Stop(_)));
+}
+
+/// Rating service down: no step ends on errors alone where ratings are wanted.
+#[test]
+fn no_step_ends_without_ratings() {
+    let mut evidence = Evidence::default();
+    evidence.new.errors = Count { n: 1_000, bad: 5 };
+    evidence.control.errors = Count { n: 30_000, bad: 150 };
+    let judge = |policy: &Policy| guard::judge(policy, &rollout(0), &[evidence], &Window::default());
+    assert_eq!(judge(&Policy::default()), Verdict::Continue);
+    assert_eq!(judge(&Policy { min_rated: 0, ..Policy::default() }), Verdict::Advance);
+}
--- /dev/null
+++ b/crates/route/tests/retry.rs
@@ -0,0 +1,113 @@
+//! Retries and hedges stay inside budget and deadline.
+
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use route::retry::{self, Budget, Decision, Failure, Hedge, Policy, Reason, Request};
+use world::{Timestamp, request::Repeat};
+
+const NOT_RUN: Failure = Failure::NotRun { retry_after: None };
+
+fn request(repeat: Repeat, tries: u32) -> Request {
+    Request { repeat, tries, deadline: Timestamp(10_000), expected_ms: 500 }
+}
+
+fn check(request: &Request, failure: Failure, now: u64, wanted: Result<(), Reason>) {
+    let policy = Policy::default();
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let decision = retry::decide(&policy, &mut Budget::new(&policy), request, failure, Timestamp(now), &mut random);
+    let outcome = match decision {
+        Decision::Retry { .. } => Ok(()),
+        Decision::GiveUp(reason) => Err(reason),
+    };
+    assert_eq!(outcome, wanted);
+}
+
+macro_rules! cases {
+    ($($name:ident: $request:expr, $failure:expr, at $now:literal => $wanted:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            check(&$request, $failure, $now, $wanted);
+        })*
+    };
+}
+
+cases! {
+    idempotent_may_run_twice: request(Repeat::Idempotent, 1), Failure::MayHaveRun, at 0 => Ok(());
+    never_after_a_possible_run: request(Repeat::Never, 1), Failure::MayHaveRun, at 0 => Err(Reason::NotRepeatable);
+    certain_not_run_goes_again: request(Repeat::Never, 1), NOT_RUN, at 0 => Ok(());
+    not_past_the_deadline: request(Repeat::Idempotent, 1), NOT_RUN, at 9_600 => Err(Reason::Deadline);
+    asked_wait_past_the_deadline: request(Repeat::Idempotent, 1),
+        Failure::NotRun { retry_after: Some(9_900) }, at 0 => Err(Reason::Deadline);
+    most_tries: request(Repeat::Idempotent, 4), NOT_RUN, at 0 => Err(Reason::Tries);
+}
+
+#[test]
+fn hedges_only_late_and_only_where_harmless() {
+    let policy = Policy::default();
+    let hedge = |request: &Request, now| retry::hedge(&policy, &mut Budget::new(&policy), request, Timestamp(now));
+    let idempotent = request(Repeat::Idempotent, 1);
+    assert_eq!(hedge(&idempotent, 0), Hedge::At(Timestamp(9_375)));
+    assert_eq!(hedge(&idempotent, 9_400), Hedge::Dispatch);
+    assert_eq!(hedge(&idempotent, 9_501), Hedge::Never(Reason::Deadline));
+    assert_eq!(hedge(&request(Repeat::Never, 1), 9_400), Hedge::Never(Reason::NotRepeatable));
+    assert_eq!(hedge(&request(Repeat::Idempotent, 2), 9_400), Hedge::Never(Reason::Tries));
+}
+
+/// Every endpoint fails everything. Dispatches stay under `1 + share` times
+/// the first tries and the burst: retries cannot feed the overload.
+#[test]
+fn overload_is_not_multiplied() {
+    let policy = Policy::default();
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let mut budget = Budget::new(&policy);
+    let mut dispatches = 0;
+    for _ in 0..10_000 {
+        budget.earn(&policy);
+        for tries in 1.. {
+            dispatches += 1;
+            let failed = Request { tries, ..request(Repeat::Idempotent, 1) };
+            let decision = retry::decide(&policy, &mut budget, &failed, NOT_RUN, Timestamp(0), &mut random);
+            if matches!(decision, Decision::GiveUp(_)) {
+                break;
+            }
+        }
+    }
+    assert!((10_990..=11_005).contains(&dispatches), "{dispatches} dispatches of 10,000 requests");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(5), ..ProptestConfig::default() })]
+
+    /// Whatever fails when: nothing that may have run runs twice where it must
+    /// not, no retry would end after the deadline, no budget is overdrawn.
+    #[test]
+    fn no_decision_breaks_a_rule(
+        seed: u64,
+        steps in prop::collection::vec((any::<bool>(), 0u8..3, 0u64..2_000, 0u32..6, 0u64..12_000, 1u64..4_000), 1..60),
+    ) {
+        let policy = Policy::default();
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut budget = Budget::new(&policy);
+        for (idempotent, kind, asked, tries, now, expected_ms) in steps {
+            let repeat = if idempotent { Repeat::Idempotent } else { Repeat::Never };
+            let failure = match kind {
+                0 => NOT_RUN,
+                1 => Failure::NotRun { retry_after: Some(asked) },
+                _ => Failure::MayHaveRun,
+            };
+            let request = Request { repeat, tries, deadline: Timestamp(10_000), expected_ms };
+            let before = budget.left();
+            let decision = retry::decide(&policy, &mut budget, &request, failure, Timestamp(now), &mut random);
+            if let Decision::Retry { after_ms } = decision {
+                prop_assert!(idempotent || failure != Failure::MayHaveRun);
+                prop_assert!(now + after_ms + expected_ms <= 10_000);
+                prop_assert!(kind != 1 || after_ms >= asked);
+                prop_assert!((before - budget.left() - 1.0).abs() < 1e-9);
+            } else {
+                prop_assert!((before - budget.left()).abs() < 1e-9, "a refusal costs nothing");
+            }
+            prop_assert!(budget.left() >= 0.0);
+        }
+    }
+}
