--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -6,6 +6,7 @@
 //! instances run.
 
 mod cost;
+mod exposure;
 mod fairness;
 mod load;
 mod site;
@@ -26,6 +27,7 @@
     Question { name: "cost", about: "Cost at the quality target, against baselines", tables: cost::tables },
     Question { name: "load", about: "Latency and load by endpoint choice", tables: load::tables },
     Question { name: "fairness", about: "A small customer beside a flood", tables: fairness::tables },
+    Question { name: "exposure", about: "Exposure to a worse version until it is stopped", tables: exposure::tables },
 ];
 
 /// Asks every question.
