Test endpoint choice and admission, spread subsets evenly

Writing the test of subsets showed that runs over the other failure domains' endpoints only, a different list in each domain, put some endpoints into 5 subsets and others into 1 (96 instances, 3,200 endpoints). Runs now go over all endpoints: 1 to 4, none left out. A request that would be late is never given its turn: it waits to be shed.

--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -24,6 +24,8 @@
 
 /// Most requests that wait at an instance; a bound on memory.
 const MAX_WAITING: usize = 10_000;
+/// Customers remembered before those with nothing to wait or pay for go.
+const MAX_IDLE_FLOWS: usize = 256;
 /// Least time a refused caller is told to wait, in milliseconds.
 const MIN_RETRY_MS: Millis = 100;
 /// Retry times are spread over this share, so that those refused together do
@@ -177,6 +179,10 @@
             draw: ticket.draw,
         };
         let key = self.waiting.insert(waiting);
+        if self.flows.len() >= MAX_IDLE_FLOWS {
+            let present = self.virtual_time;
+            self.flows.retain(|_, flow| !flow.is_empty() || flow.start() > present);
+        }
         let flow = self.flows.entry(ticket.customer.clone()).or_default();
         flow.push(key, ticket, self.virtual_time);
         Ok(key)
@@ -184,27 +190,26 @@
 
     /// The next request to run, when one may.
     ///
-    /// Each is to be ended with [`Queue::finished`].
+    /// Each is to be ended with [`Queue::finished`]. One that would be late is
+    /// never given out; it waits for [`Queue::shed`].
     pub fn next(&mut self, now: Timestamp) -> Option<Admitted> {
         if self.running >= self.limit {
             return None;
         }
-        let backlogged = self.flows.iter_mut().filter(|(_, flow)| !flow.is_empty());
-        let (_, flow) = backlogged.min_by(|(a, x), (b, y)| x.start().total_cmp(&y.start()).then(a.cmp(b)))?;
-        self.virtual_time = self.virtual_time.max(flow.start());
-        let lead = flow.start();
-        let key = flow.pop()?;
+        let in_time = |key: &Key| self.waiting.get(*key).is_some_and(|w| w.deadline.since(now) >= w.run_ms);
+        let firsts = self.flows.iter().filter_map(|(id, flow)| Some((id, flow.start(), flow.first(in_time)?)));
+        let (customer, start, key) = firsts.min_by(|(a, x, _), (b, y, _)| x.total_cmp(y).then(a.cmp(b)))?;
+
+        let customer = customer.clone();
         let waiting = self.waiting.remove(key)?;
-        flow.charge(waiting.run_ms, lead);
+        let flow = self.flows.get_mut(&customer)?;
+        self.virtual_time = self.virtual_time.max(start);
+        flow.remove(key, waiting.deadline);
+        flow.charge(waiting.run_ms, start);
         self.running += 1;
-        let priority = self.priority(&waiting.customer, waiting.deadline, waiting.run_ms, now);
-        Some(Admitted {
-            key,
-            priority,
-            waited_ms: now.since(waiting.since),
-            run_ms: waiting.run_ms,
-            customer: waiting.customer,
-        })
+        let priority = self.priority(&customer, waiting.deadline, waiting.run_ms, now);
+        let waited_ms = now.since(waiting.since);
+        Some(Admitted { key, customer, priority, waited_ms, run_ms: waiting.run_ms })
     }
 
     /// Ends a run that [`Queue::next`] gave out.
--- a/crates/route/src/admission/flow.rs
+++ b/crates/route/src/admission/flow.rs
@@ -24,8 +24,9 @@
         self.by_deadline.insert((ticket.deadline, key));
     }
 
-    pub fn pop(&mut self) -> Option<Key> {
-        self.by_deadline.pop_first().map(|(_, key)| key)
+    /// The request of the earliest deadline that `fits`.
+    pub fn first(&self, fits: impl Fn(&Key) -> bool) -> Option<Key> {
+        self.by_deadline.iter().map(|(_, key)| *key).find(fits)
     }
 
     pub fn remove(&mut self, key: Key, deadline: Timestamp) {
--- a/crates/route/src/endpoint/subset.rs
+++ b/crates/route/src/endpoint/subset.rs
@@ -14,8 +14,8 @@
 
 /// Endpoints of a target taken in the instance's own failure domain.
 const LOCAL: usize = 48;
-/// Endpoints of a target taken in the others.
-const REMOTE: usize = 16;
+/// Endpoints of a target taken wherever they stand.
+const ANYWHERE: usize = 16;
 /// How long an endpoint that answered "not loaded" is left out.
 const ABSENT_MS: Millis = 2_000;
 /// Share of the newest run in the typical pace.
@@ -109,12 +109,17 @@
         }
     }
 
-    /// The endpoints of a target that this instance works with.
+    /// The endpoints of a target that this instance works with: a run of its
+    /// own failure domain's, and a run of all for when that one is full or gone.
     pub fn subset<'a>(&self, domain: &Domain, endpoints: &'a [Endpoint]) -> Vec<&'a Endpoint> {
-        let (local, remote): (Vec<_>, Vec<_>) = endpoints.iter().partition(|endpoint| endpoint.domain == *domain);
+        let local = endpoints.iter().filter(|endpoint| endpoint.domain == *domain).collect();
         let mut subset = run(local, self.local, LOCAL);
         let spare = LOCAL - subset.len().min(LOCAL);
-        subset.extend(run(remote, self.all, REMOTE + spare));
+        for endpoint in run(endpoints.iter().collect(), self.all, ANYWHERE + spare) {
+            if !subset.iter().any(|held| std::ptr::eq(*held, endpoint)) {
+                subset.push(endpoint);
+            }
+        }
         subset
     }
 }
--- /dev/null
+++ b/crates/route/tests/admission.rs
@@ -0,0 +1,185 @@
+//! Whose turn it is, and who is refused at once.
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use route::admission::{Cause, Key, Queue, Ticket};
+use world::{Timestamp, contract::Customer};
+
+const RUN_MS: u64 = 100;
+
+fn customer(name: &str) -> Customer {
+    Customer::parse(name).expect("a name")
+}
+
+fn ticket(customer: &Customer, weight: u32, deadline: u64) -> Ticket<'_> {
+    Ticket { customer, weight, deadline: Timestamp(deadline), run_ms: RUN_MS, draw: 7 }
+}
+
+/// Gives out `turns` runs, one after the other, and counts them by customer.
+fn shares(queue: &mut Queue, turns: usize) -> BTreeMap<String, usize> {
+    let mut shares = BTreeMap::new();
+    for _ in 0..turns {
+        let admitted = queue.next(Timestamp(0)).expect("somebody waits");
+        *shares.entry(admitted.customer.to_string()).or_default() += 1;
+        queue.finished(Timestamp(0));
+    }
+    shares
+}
+
+fn check_shares(weights: &[(&str, u32, usize)], turns: usize, expected: &[(&str, usize)]) {
+    let mut queue = Queue::new(1);
+    for (name, weight, requests) in weights {
+        for _ in 0..*requests {
+            let offered = queue.offer(&ticket(&customer(name), *weight, 1_000_000), Timestamp(0));
+            offered.expect("the deadline is far");
+        }
+    }
+    let expected = expected.iter().map(|(name, turns)| (name.to_string(), *turns)).collect();
+    assert_eq!(shares(&mut queue, turns), expected);
+}
+
+macro_rules! shared {
+    ($($name:ident: $weights:expr, $turns:expr => $expected:expr;)*) => {
+        $(#[test] fn $name() { check_shares(&$weights, $turns, &$expected); })*
+    };
+}
+
+shared! {
+    equal_weights_take_turns: [("a", 1, 50), ("b", 1, 50)], 20 => [("a", 10), ("b", 10)];
+    weight_gives_the_share: [("a", 3, 50), ("b", 1, 50)], 20 => [("a", 15), ("b", 5)];
+    a_flood_does_not_starve_the_small: [("large", 1, 500), ("small", 1, 5)], 10 => [("large", 5), ("small", 5)];
+    what_one_leaves_the_other_takes: [("a", 1, 2), ("b", 1, 50)], 20 => [("a", 2), ("b", 18)];
+}
+
+#[test]
+fn earliest_deadline_first_within_a_customer() {
+    let (mut queue, a) = (Queue::new(1), customer("a"));
+    let keys = [9_000, 3_000, 6_000].map(|due| queue.offer(&ticket(&a, 1, due), Timestamp(0)).expect("there is time"));
+    let mut turns = Vec::new();
+    while let Some(admitted) = queue.next(Timestamp(0)) {
+        queue.finished(Timestamp(0));
+        turns.push(admitted.key);
+    }
+    assert_eq!(turns, [keys[1], keys[2], keys[0]]);
+}
+
+/// A customer that was idle for long comes back with a burst. Had it saved up
+/// its unused turns, the burst would shut everybody else out.
+#[test]
+fn idle_time_is_not_saved_up() {
+    let (mut queue, a, b) = (Queue::new(1), customer("a"), customer("b"));
+    for _ in 0..100 {
+        queue.offer(&ticket(&a, 1, 1_000_000), Timestamp(0)).expect("there is time");
+        queue.next(Timestamp(0)).expect("it waits");
+        queue.finished(Timestamp(0));
+    }
+    for _ in 0..20 {
+        queue.offer(&ticket(&a, 1, 1_000_000), Timestamp(0)).expect("there is time");
+        queue.offer(&ticket(&b, 1, 1_000_000), Timestamp(0)).expect("there is time");
+    }
+    let shares = shares(&mut queue, 10);
+    assert!((4..=6).contains(&shares["a"]), "{shares:?}");
+}
+
+/// One run at a time, ten wait, and the eleventh has time for five. It is told
+/// now, with a time after which it would fit, and does not wait for nothing.
+#[test]
+fn what_cannot_be_done_in_time_is_refused_at_once() {
+    let (mut queue, a) = (Queue::new(1), customer("a"));
+    for _ in 0..10 {
+        queue.offer(&ticket(&a, 1, 400), Timestamp(0)).ok();
+    }
+    let waiting = queue.waiting();
+    let refusal = queue.offer(&ticket(&a, 1, 400), Timestamp(0)).expect_err("there is no time");
+    assert!(matches!(refusal.cause, Cause::Deadline { .. }));
+    assert!(refusal.retry_after_ms >= RUN_MS, "{refusal}");
+    assert_eq!(queue.waiting(), waiting);
+}
+
+/// An earlier deadline overtakes; the one behind it can no longer be done. It
+/// is shed as soon as that is so and not given out late.
+#[test]
+fn overtaken_work_is_shed_and_never_run_late() {
+    let (mut queue, a) = (Queue::new(1), customer("a"));
+    let slow = queue.offer(&ticket(&a, 1, 150), Timestamp(0)).expect("there is time");
+    let shed = queue.shed(Timestamp(60));
+    assert_eq!(shed.iter().map(|(key, _)| *key).collect::<Vec<_>>(), [slow]);
+    assert!(queue.next(Timestamp(60)).is_none());
+}
+
+/// What the caller of the queue does.
+#[derive(Debug, Clone)]
+enum Act {
+    Offer { customer: usize, weight: u32, within_ms: u64, run_ms: u64 },
+    Next,
+    Finish,
+    Cancel(usize),
+    Limit(u32),
+    Pass(u64),
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    prop_oneof![
+        4 => (0..4usize, 1..5u32, 0..3_000u64, 1..500u64)
+            .prop_map(|(customer, weight, within_ms, run_ms)| Act::Offer { customer, weight, within_ms, run_ms }),
+        3 => Just(Act::Next),
+        3 => Just(Act::Finish),
+        1 => (0..50usize).prop_map(Act::Cancel),
+        1 => (0..6u32).prop_map(Act::Limit),
+        2 => (0..400u64).prop_map(Act::Pass),
+    ]
+}
+
+proptest! {
+    /// Every request let in is told one thing, once: its turn, or that it has
+    /// none; no more run than may; none is given its turn too late.
+    #[test]
+    fn every_request_is_told_once(acts in proptest::collection::vec(act(), 1..200)) {
+        let names: Vec<_> = ["a", "b", "c", "d"].map(customer).into();
+        let mut queue = Queue::new(2);
+        let (mut now, mut limit, mut running) = (Timestamp(0), 2, 0u32);
+        let mut waiting: BTreeMap<Key, (Timestamp, u64)> = BTreeMap::new();
+        for act in acts {
+            match act {
+                Act::Offer { customer, weight, within_ms, run_ms } => {
+                    let deadline = now.plus(within_ms);
+                    let ticket = Ticket { customer: &names[customer], weight, deadline, run_ms, draw: within_ms };
+                    match queue.offer(&ticket, now) {
+                        Ok(key) => prop_assert!(waiting.insert(key, (deadline, run_ms)).is_none()),
+                        Err(refusal) => prop_assert!(refusal.retry_after_ms > 0),
+                    }
+                }
+                Act::Next => if let Some(admitted) = queue.next(now) {
+                    let (deadline, run_ms) = waiting.remove(&admitted.key).expect("it was told already");
+                    prop_assert!(now.plus(run_ms) <= deadline);
+                    prop_assert!(running < limit);
+                    prop_assert!(admitted.priority <= 9);
+                    running += 1;
+                },
+                Act::Finish if running > 0 => {
+                    queue.finished(now);
+                    running -= 1;
+                }
+                Act::Finish => {}
+                Act::Cancel(nth) => if let Some(key) = waiting.keys().nth(nth).copied() {
+                    waiting.remove(&key);
+                    prop_assert!(queue.cancel(key));
+                },
+                Act::Limit(to) => {
+                    limit = to.max(1);
+                    queue.set_limit(to);
+                }
+                Act::Pass(millis) => {
+                    now = now.plus(millis);
+                    for (key, _) in queue.shed(now) {
+                        prop_assert!(waiting.remove(&key).is_some());
+                    }
+                    prop_assert!(waiting.values().all(|(deadline, run_ms)| now.plus(*run_ms) <= *deadline));
+                }
+            }
+            prop_assert_eq!(queue.waiting(), waiting.len());
+            prop_assert_eq!(queue.running(), running);
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/tests/endpoint.rs
@@ -0,0 +1,308 @@
+//! Which endpoint a run goes to, and to which none goes.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt::Write as _,
+    ops::RangeInclusive,
+};
+
+use proptest::prelude::*;
+use route::endpoint::{Choice, Event, Failure, Fleet, Key, Peer, Refusal, Report, Rule, Target, Wanted};
+use world::{Catalog, Timestamp, endpoint::Id, model::Version, object::Object};
+
+const NOW: Timestamp = Timestamp(1_000_000);
+
+fn catalog(domains: usize, each: usize) -> Catalog {
+    let mut text = String::from(
+        "kind: model\nname: m\nspec: { versions: [{ version: \"1\", price: { input: \"1\", output: \"1\", currency: EUR } }] }\n",
+    );
+    for domain in 0..domains {
+        let _ = write!(
+            text,
+            "---\nkind: pool\nname: p{domain}\nspec:\n  domain: d{domain}\n  serves: {{ versions: [m@1] }}\n  endpoints:\n"
+        );
+        for n in 0..each {
+            let _ = writeln!(text, "    - {{ name: e{domain}-{n}, address: \"127.0.0.1:1\" }}");
+        }
+    }
+    let objects = Object::parse_file(&text).expect("objects are well formed");
+    Catalog::build(1, objects).expect("objects fit each other")
+}
+
+fn peer(index: usize, domains: usize) -> Peer {
+    Peer {
+        id: format!("i{index}").parse().expect("a name"),
+        domain: format!("d{}", index % domains).parse().expect("a name"),
+    }
+}
+
+fn target() -> Target {
+    Target::Version(Version::parse("m@1").expect("a version"))
+}
+
+fn fleet(domains: usize, each: usize) -> Fleet {
+    let mut fleet = Fleet::new(peer(0, domains));
+    fleet.apply(&catalog(domains, each), &[peer(0, domains), peer(1, domains)]);
+    fleet
+}
+
+fn choose(fleet: &Fleet, prefix: Option<u64>, avoid: &[Key], draw: u64, now: Timestamp) -> Result<Choice, Refusal> {
+    fleet.choose(&Wanted { target: &target(), prefix, avoid, draw }, now)
+}
+
+fn id(fleet: &Fleet, key: Key) -> Id {
+    fleet.endpoint(key).expect("it is in the fleet").id.clone()
+}
+
+fn fail(fleet: &mut Fleet, key: Key, times: u32, now: Timestamp) {
+    for _ in 0..times {
+        fleet.on(Event::Dispatched(key), now);
+        fleet.on(Event::Failed { key, target: &target(), failure: Failure::Broken }, now);
+    }
+}
+
+#[test]
+fn a_prefix_prefers_the_same_endpoint_at_every_instance() {
+    let catalog = catalog(1, 6);
+    let peers = [peer(0, 1), peer(1, 1), peer(2, 1)];
+    let chosen: BTreeSet<_> = peers
+        .iter()
+        .map(|me| {
+            let mut fleet = Fleet::new(me.clone());
+            fleet.apply(&catalog, &peers);
+            id(&fleet, choose(&fleet, Some(42), &[], 1, NOW).expect("there are some").key)
+        })
+        .collect();
+    assert_eq!(chosen.len(), 1);
+}
+
+#[test]
+fn a_loaded_endpoint_is_passed_over() {
+    let mut fleet = fleet(1, 6);
+    let preferred = choose(&fleet, Some(42), &[], 1, NOW).expect("there are some");
+    fleet.on(Event::Dispatched(preferred.key), NOW);
+    fleet.on(Event::Dispatched(preferred.key), NOW);
+    let next = choose(&fleet, Some(42), &[], 1, NOW).expect("there are some");
+    assert_eq!(preferred.rule, Rule::Preferred);
+    assert_ne!(next.key, preferred.key);
+}
+
+#[test]
+fn a_known_holder_of_the_prefix_comes_first() {
+    let mut fleet = fleet(1, 6);
+    let preferred = id(&fleet, choose(&fleet, Some(42), &[], 1, NOW).expect("there are some").key);
+    let other = fleet.endpoints().map(|(_, e)| e.id.clone()).find(|id| *id != preferred).expect("there are six");
+    fleet.on(Event::Stored { endpoint: &other, prefix: 42 }, NOW);
+    let held = choose(&fleet, Some(42), &[], 1, NOW).expect("there are some");
+    assert_eq!((id(&fleet, held.key), held.rule), (other.clone(), Rule::Holder));
+
+    fleet.on(Event::Evicted { endpoint: &other, prefix: 42 }, NOW);
+    assert_eq!(choose(&fleet, Some(42), &[], 1, NOW).expect("there are some").rule, Rule::Preferred);
+}
+
+/// An endpoint breaks five runs in a row: no more go there. After its ejection
+/// it gets a tenth of its work and more with time; one more failure while
+/// coming back ejects it again, for longer.
+#[test]
+fn a_failing_endpoint_is_ejected_and_returns_gradually() {
+    let mut fleet = fleet(1, 6);
+    let (bad, _) = fleet.endpoints().next().expect("there are six");
+    let share = |fleet: &Fleet, now| {
+        let to_bad = (0..600u64).filter(|draw| {
+            let draw = world::hash::stable(&draw.to_le_bytes());
+            choose(fleet, None, &[], draw, now).expect("there are some").key == bad
+        });
+        to_bad.count()
+    };
+    let healthy = share(&fleet, NOW);
+    fail(&mut fleet, bad, 5, NOW);
+    assert_eq!(share(&fleet, NOW.plus(9_999)), 0);
+
+    let back = NOW.plus(11_000);
+    assert!(share(&fleet, back) < healthy / 4, "{} of {healthy}", share(&fleet, back));
+    assert!(share(&fleet, NOW.plus(50_000)) > healthy / 2);
+    fail(&mut fleet, bad, 1, back);
+    assert_eq!(share(&fleet, back.plus(19_999)), 0);
+}
+
+/// Every endpoint fails: the cause is elsewhere. Ejecting them all would leave
+/// nothing to run on; a third is the most that goes.
+#[test]
+fn never_all_are_ejected() {
+    let mut fleet = fleet(1, 6);
+    let keys: Vec<_> = fleet.endpoints().map(|(key, _)| key).collect();
+    for key in &keys {
+        fail(&mut fleet, *key, 50, NOW);
+    }
+    let considered = choose(&fleet, None, &[], 1, NOW).expect("some are left").considered;
+    assert_eq!(considered, 4);
+}
+
+/// A refusal of a full engine or of one that is still loading says nothing
+/// about its health.
+#[test]
+fn a_full_endpoint_is_not_ejected() {
+    let mut fleet = fleet(1, 6);
+    let (key, _) = fleet.endpoints().next().expect("there are six");
+    for _ in 0..50 {
+        fleet.on(Event::Dispatched(key), NOW);
+        fleet.on(Event::Failed { key, target: &target(), failure: Failure::Full }, NOW);
+    }
+    assert_eq!(choose(&fleet, None, &[], 1, NOW).expect("there are some").considered, 6);
+}
+
+#[test]
+fn an_endpoint_without_the_version_is_left_out_for_a_while() {
+    let mut fleet = fleet(1, 2);
+    let (key, _) = fleet.endpoints().next().expect("there are two");
+    fleet.on(Event::Dispatched(key), NOW);
+    fleet.on(Event::Failed { key, target: &target(), failure: Failure::NotLoaded }, NOW);
+    assert_eq!(choose(&fleet, None, &[], 1, NOW).expect("one is left").considered, 1);
+    assert_eq!(choose(&fleet, None, &[], 1, NOW.plus(2_000)).expect("both are back").considered, 2);
+}
+
+/// The reports are two seconds old and show one idle endpoint. An instance
+/// that believed them would send all its runs there until the next report.
+#[test]
+fn an_old_report_does_not_draw_everything() {
+    let mut fleet = fleet(1, 4);
+    let ids: Vec<_> = fleet.endpoints().map(|(_, endpoint)| endpoint.id.clone()).collect();
+    for (index, endpoint) in ids.iter().enumerate() {
+        let running = if index == 0 { 0 } else { 8 };
+        let report = Report { as_of: NOW, running, queued: 0, slots: 16, loaded: None };
+        fleet.on(Event::Load { endpoint, report }, NOW.plus(2_000));
+    }
+    let now = NOW.plus(2_000);
+    let mut sent: BTreeMap<Id, u32> = BTreeMap::new();
+    for draw in 0..40u64 {
+        let draw = world::hash::stable(&draw.to_le_bytes());
+        let key = choose(&fleet, None, &[], draw, now).expect("there are some").key;
+        fleet.on(Event::Dispatched(key), now);
+        *sent.entry(id(&fleet, key)).or_default() += 1;
+    }
+    assert!(sent[&ids[0]] <= 20, "{sent:?}");
+}
+
+fn subsets(instances: usize, domains: usize, each: usize) -> Vec<BTreeSet<Id>> {
+    let catalog = catalog(domains, each);
+    let peers: Vec<_> = (0..instances).map(|index| peer(index, domains)).collect();
+    let subset = |me: &Peer| {
+        let mut fleet = Fleet::new(me.clone());
+        fleet.apply(&catalog, &peers);
+        fleet.endpoints().map(|(_, endpoint)| endpoint.id.clone()).collect()
+    };
+    peers.iter().map(subset).collect()
+}
+
+/// No subset larger than `size`, no endpoint in fewer or more than `users`.
+fn check_subsets(instances: usize, domains: usize, each: usize, size: usize, users: RangeInclusive<usize>) {
+    let subsets = subsets(instances, domains, each);
+    let mut found: BTreeMap<&Id, usize> = BTreeMap::new();
+    subsets.iter().flatten().for_each(|id| *found.entry(id).or_default() += 1);
+    assert_eq!(found.len(), domains * each, "an endpoint is in no subset");
+    let largest = subsets.iter().map(BTreeSet::len).max().expect("there are instances");
+    assert!(largest <= size, "{largest}");
+    assert!(found.values().all(|count| users.contains(count)), "{:?}", found.values().collect::<BTreeSet<_>>());
+}
+
+macro_rules! subset {
+    ($($name:ident: $instances:expr, $domains:expr, $each:expr => $size:expr, $users:expr;)*) => {
+        $(#[test] fn $name() { check_subsets($instances, $domains, $each, $size, $users); })*
+    };
+}
+
+subset! {
+    a_small_site_is_worked_with_whole: 7, 4, 5 => 20, 7..=7;
+    a_large_site_is_shared_evenly: 96, 8, 400 => 82, 1..=4;
+    few_instances_before_many_endpoints_leave_none_out: 4, 2, 200 => 153, 1..=4;
+}
+
+/// An instance goes; each of the others keeps most of its endpoints, so that
+/// connections and caches stay warm.
+#[test]
+fn one_instance_less_moves_little() {
+    let (catalog, peers) = (catalog(1, 400), (0..40).map(|index| peer(index, 1)).collect::<Vec<_>>());
+    for me in &peers[1..] {
+        let mut fleet = Fleet::new(me.clone());
+        fleet.apply(&catalog, &peers);
+        let before: BTreeSet<_> = fleet.endpoints().map(|(_, endpoint)| endpoint.id.clone()).collect();
+        fleet.apply(&catalog, &peers[1..]);
+        let kept = fleet.endpoints().filter(|(_, endpoint)| before.contains(&endpoint.id)).count();
+        assert!(kept * 4 >= before.len() * 3, "{} keeps {kept} of {}", me.id, before.len());
+    }
+}
+
+/// What happens to an endpoint, by its place in the fleet.
+#[derive(Debug, Clone)]
+enum Act {
+    Choose { prefix: u64, draw: u64, avoid: usize },
+    Finish(usize, u64),
+    Fail(usize, u8),
+    Report { endpoint: usize, age_ms: u64, running: u32 },
+    Leaving(usize, bool),
+    Pass(u64),
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    prop_oneof![
+        6 => (0..8u64, any::<u64>(), 0..8usize).prop_map(|(prefix, draw, avoid)| Act::Choose { prefix, draw, avoid }),
+        3 => (0..8usize, 1..60_000u64).prop_map(|(endpoint, millis)| Act::Finish(endpoint, millis)),
+        3 => (0..8usize, 0..4u8).prop_map(|(endpoint, how)| Act::Fail(endpoint, how)),
+        2 => (0..8usize, 0..20_000u64, 0..100u32)
+            .prop_map(|(endpoint, age_ms, running)| Act::Report { endpoint, age_ms, running }),
+        1 => (0..8usize, any::<bool>()).prop_map(|(endpoint, leaving)| Act::Leaving(endpoint, leaving)),
+        1 => (0..20_000u64).prop_map(Act::Pass),
+    ]
+}
+
+proptest! {
+    /// No run goes to an endpoint that is leaving or has failed the request;
+    /// none is refused while another one is left.
+    #[test]
+    fn runs_go_only_where_they_may(acts in proptest::collection::vec(act(), 1..200)) {
+        let (mut fleet, target) = (fleet(2, 4), target());
+        let all: Vec<_> = fleet.endpoints().map(|(key, endpoint)| (key, endpoint.id.clone())).collect();
+        let failures = [Failure::Full, Failure::Error, Failure::Broken, Failure::Timeout];
+        let (mut now, mut leaving) = (NOW, BTreeSet::new());
+        for act in acts {
+            match act {
+                Act::Choose { prefix, draw, avoid } => {
+                    let avoid: Vec<_> = all.iter().take(avoid).map(|(key, _)| *key).collect();
+                    match choose(&fleet, Some(prefix), &avoid, draw, now) {
+                        Ok(choice) => {
+                            prop_assert!(!leaving.contains(&choice.key));
+                            prop_assert!(!avoid.contains(&choice.key));
+                            prop_assert!(choice.load.is_finite() && choice.mean.is_finite());
+                            fleet.on(Event::Dispatched(choice.key), now);
+                        }
+                        Err(refusal) => {
+                            prop_assert_eq!(refusal, Refusal::NoneLeft);
+                            // At most two of eight are ejected at a time.
+                            let left = all.iter().filter(|(key, _)| !leaving.contains(key) && !avoid.contains(key));
+                            prop_assert!(left.count() <= 2);
+                        }
+                    }
+                }
+                Act::Finish(place, millis) => {
+                    fleet.on(Event::Finished { key: all[place].0, target: &target, millis, tokens: 10 }, now);
+                }
+                Act::Fail(place, how) => {
+                    let failure = failures[usize::from(how)];
+                    fleet.on(Event::Failed { key: all[place].0, target: &target, failure }, now);
+                }
+                Act::Report { endpoint, age_ms, running } => {
+                    let as_of = Timestamp(now.0 - age_ms.min(now.0));
+                    let report = Report { as_of, running, queued: 0, slots: 16, loaded: None };
+                    fleet.on(Event::Load { endpoint: &all[endpoint].1, report }, now);
+                }
+                Act::Leaving(place, is) => {
+                    let (key, endpoint) = &all[place];
+                    fleet.on(Event::Leaving { endpoint, leaving: is }, now);
+                    if is { leaving.insert(*key) } else { leaving.remove(key) };
+                }
+                Act::Pass(millis) => now = now.plus(millis),
+            }
+            prop_assert!(fleet.limit([&target], now) >= 1);
+        }
+    }
+}
