--- a/crates/config/src/handle.rs
+++ b/crates/config/src/handle.rs
@@ -91,6 +91,16 @@
         self.contact.fresh()
     }
 
+    /// Time since the platform last confirmed the catalog in force, to this
+    /// instance or to a peer that passed it on; nothing before the first.
+    ///
+    /// Longer than a few confirmations' interval means that nobody here
+    /// reaches the platform.
+    #[must_use]
+    pub fn platform_age(&self) -> Option<Duration> {
+        self.contact.platform_age()
+    }
+
     /// Where this instance stands.
     #[must_use]
     pub fn status(&self) -> Status {
