--- a/crates/control/src/guard.rs
+++ b/crates/control/src/guard.rs
@@ -32,7 +32,10 @@
 const TICK: Duration = Duration::from_millis(100);
 
 /// Time between two messages to peers in a small fleet.
-const NEWS_INTERVAL: Duration = Duration::from_millis(500);
+const NEWS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time between two repeats of a stop that is not in force yet.
+const STOP_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Peers up to which [`NEWS_INTERVAL`] holds; more make it longer, so that
 /// what an instance receives does not grow with the fleet.
@@ -171,7 +174,7 @@
         let gone = self.told.at.elapsed();
         let due = (self.told.changed && gone >= interval)
             || (self.told.urgent && gone >= interval / HURRY)
-            || (stopped && gone >= NEWS_INTERVAL);
+            || (stopped && gone >= STOP_INTERVAL);
         if due {
             self.tell_now();
         }
--- a/crates/control/src/wire.rs
+++ b/crates/control/src/wire.rs
@@ -118,7 +118,8 @@
             step: step.number as u64,
             total: Some(EvidenceMessage::from(&sums.step)),
             window: sums.window.number,
-            latest: Some(EvidenceMessage::from(&sums.window.evidence)),
+            // The first window is the step so far; it travels once.
+            latest: (sums.window.number > 0).then(|| EvidenceMessage::from(&sums.window.evidence)),
         }
     }
 }
@@ -132,9 +133,10 @@
             version: Version::parse(&message.version).map_err(|_| Malformed)?,
             number: usize::try_from(message.step).map_err(|_| Malformed)?,
         };
-        let evidence = message.latest.unwrap_or_default().into();
+        let total: Evidence = message.total.unwrap_or_default().into();
+        let evidence = if message.window == 0 { total } else { message.latest.unwrap_or_default().into() };
         let window = Window { number: message.window, evidence };
-        Ok((step, Sums { step: message.total.unwrap_or_default().into(), window }))
+        Ok((step, Sums { step: total, window }))
     }
 }
 
