Relay news along a tree that mends itself, plan links on change only

Change: a link that brings a body twice carries names only; a body that does not come is asked for at who named it. Links are planned and members shown after a change and once a heartbeat. Gauges for links and members. Figures: in a test of 100 instances with about 10 links the first news takes over 400 bodies, settled ones at most 120 for 99 receivers, exactly once each, also after a tenth of the instances is lost.

--- a/crates/peer/src/generated.rs
+++ b/crates/peer/src/generated.rs
@@ -4,7 +4,7 @@
 /// What travels on a link.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Frame {
-    #[prost(oneof = "frame::Kind", tags = "1, 2, 3")]
+    #[prost(oneof = "frame::Kind", tags = "1, 2, 3, 4, 5, 6")]
     pub kind: ::core::option::Option<frame::Kind>,
 }
 /// Nested message and enum types in `Frame`.
@@ -17,6 +17,12 @@
         Heartbeat(super::Heartbeat),
         #[prost(message, tag = "3")]
         News(super::News),
+        #[prost(message, tag = "4")]
+        Have(super::Name),
+        #[prost(message, tag = "5")]
+        Want(super::Name),
+        #[prost(message, tag = "6")]
+        Prune(super::Prune),
     }
 }
 /// First frame each way on a link.
@@ -107,6 +113,19 @@
     #[prost(fixed64, tag = "8")]
     pub stamp: u64,
 }
+/// Names one piece of news: `have` offers it, `want` asks for its body.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Name {
+    #[prost(string, tag = "1")]
+    pub origin: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+}
+/// The receiver had that news already: offer the next ones on this link only.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Prune {}
 /// Who calls, on every call outside a link.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Caller {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod membership;
 pub mod news;
 mod pool;
+pub mod relay;
 mod server;
 pub mod settings;
 pub mod spread;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -10,8 +10,9 @@
 
 use crate::{
     generated::{Frame, frame::Kind},
-    news::{Allowance, News},
+    news::Allowance,
     pool::Pool,
+    relay::Message,
     settings::Settings,
     spread::Heartbeat,
     task::{Clock, Event},
@@ -43,7 +44,7 @@
 #[derive(Debug)]
 pub(crate) enum Received {
     Heartbeat(Heartbeat),
-    News(News),
+    Message(Message),
     /// A kind of a later build, or news over the allowance.
     Other,
 }
@@ -82,7 +83,7 @@
 pub(crate) async fn greeting_from(incoming: &mut Streaming<Frame>) -> Option<Greeting> {
     match incoming.message().await.ok()??.kind? {
         Kind::Greeting(greeting) => greeting.try_into().ok(),
-        Kind::Heartbeat(_) | Kind::News(_) => None,
+        _ => None,
     }
 }
 
@@ -117,13 +118,17 @@
 }
 
 fn receive(frame: Frame, allowance: &mut Allowance, now: Millis) -> Received {
-    match frame.kind {
-        Some(Kind::Heartbeat(heartbeat)) => Received::Heartbeat(heartbeat.into()),
-        Some(Kind::News(news)) if allowance.take(now) => news.try_into().map_or(Received::Other, Received::News),
-        Some(Kind::News(_)) => {
+    let message = match frame.kind {
+        Some(Kind::Heartbeat(heartbeat)) => return Received::Heartbeat(heartbeat.into()),
+        Some(Kind::News(_)) if !allowance.take(now) => {
             metrics::counter!("peer_news_dropped_total", "where" => "allowance").increment(1);
-            Received::Other
+            return Received::Other;
         }
-        Some(Kind::Greeting(_)) | None => Received::Other,
-    }
+        Some(Kind::News(news)) => news.try_into().map(Message::News),
+        Some(Kind::Have(name)) => name.try_into().map(Message::Have),
+        Some(Kind::Want(name)) => name.try_into().map(Message::Want),
+        Some(Kind::Prune(_)) => Ok(Message::Prune),
+        Some(Kind::Greeting(_)) | None => return Received::Other,
+    };
+    message.map_or(Received::Other, Received::Message)
 }
--- a/crates/peer/src/membership.rs
+++ b/crates/peer/src/membership.rs
@@ -19,7 +19,10 @@
 #[cfg(test)]
 mod tests;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    cell::Cell,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use world::{
     Millis,
@@ -61,6 +64,10 @@
     list: list::List,
     superseded: bool,
     ticked: Millis,
+    /// Raised with every change that others can see.
+    revision: u64,
+    /// Absent after a change, until it is asked for.
+    view: Cell<Option<u64>>,
     actions: Vec<Action>,
     changes: Vec<Change>,
 }
@@ -101,6 +108,8 @@
             list: list::List::default(),
             superseded: false,
             ticked: now,
+            revision: 0,
+            view: Cell::new(None),
             actions: Vec::new(),
             changes: Vec::new(),
         }
@@ -133,8 +142,31 @@
     /// Hash over the counted members, equal where two views are.
     #[must_use]
     pub fn view(&self) -> u64 {
+        if let Some(view) = self.view.get() {
+            return view;
+        }
         let counted = self.others().chain([&self.me]).filter(|m| m.is_counted());
-        counted.fold(0, |sum, member| sum ^ member.print())
+        let view = counted.fold(0, |sum, member| sum ^ member.print());
+        self.view.set(Some(view));
+        view
+    }
+
+    /// Differs when anything else but the times of hearing does.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// To be called after every change of an entry.
+    fn changed(&mut self) {
+        self.revision += 1;
+        self.view.set(None);
+    }
+
+    /// An entry changed, and others are to hear it.
+    fn tell_change(&mut self, id: &Id, from: Option<&Id>) {
+        self.changes.push(Change { id: id.clone(), from: from.cloned() });
+        self.changed();
     }
 
     /// Whether a later run under this name was met; this one is to end.
@@ -147,6 +179,7 @@
     pub fn supersede(&mut self) {
         self.superseded = true;
         self.me.instance.state = State::Gone;
+        self.changed();
     }
 
     /// What has become due since the last call.
@@ -188,7 +221,7 @@
     fn speak(&mut self) {
         self.me.refutation += 1;
         let id = self.me.instance.id.clone();
-        self.changes.push(Change { id, from: None });
+        self.tell_change(&id, None);
     }
 
     fn merge_one(&mut self, told: Member, from: Option<&Id>, now: Millis) {
@@ -206,7 +239,7 @@
         let doubted = told.doubt != Doubt::None;
         if told.age() > entry.member.age() {
             entry.take(told, now);
-            self.changes.push(Change { id: id.clone(), from: from.cloned() });
+            self.tell_change(&id, from);
         }
         if doubted {
             self.hear_doubt(&id, from, now);
@@ -235,7 +268,7 @@
         }
         let id = told.instance.id.clone();
         self.others.insert(id.clone(), Entry::new(told, now));
-        self.changes.push(Change { id, from: from.cloned() });
+        self.tell_change(&id, from);
     }
 
     fn hear_doubt(&mut self, id: &Id, from: Option<&Id>, now: Millis) {
@@ -250,7 +283,7 @@
             return self.tell(id);
         }
         entry.doubt(now);
-        self.changes.push(Change { id: id.clone(), from: from.cloned() });
+        self.tell_change(id, from);
     }
 
     /// Tells a member that its word is doubted somewhere.
--- a/crates/peer/src/membership/list.rs
+++ b/crates/peer/src/membership/list.rs
@@ -50,6 +50,7 @@
         let before = self.list.lines.as_ref().and_then(standing);
         let after = standing(&lines);
         self.list.lines = Some(lines);
+        self.changed();
         // Only a turn seen in this run counts: a late list may still show the
         // end of the run before, and a fresh instance would leave at once.
         if before == Some(Standing::Live) && after == Some(Standing::Leaving) {
--- a/crates/peer/src/membership/silence.rs
+++ b/crates/peer/src/membership/silence.rs
@@ -2,7 +2,7 @@
 
 use world::{Millis, instance::Id, instance::State};
 
-use super::{Action, Asking, Change, Membership};
+use super::{Action, Asking, Membership};
 use crate::member::{Doubt, Member};
 
 /// Heartbeats that this instance may miss itself before it blames its own pause.
@@ -90,6 +90,7 @@
         if !entry.member.is_counted() {
             if stood > self.timing.forget {
                 self.others.remove(id);
+                self.changed();
             }
             return;
         }
@@ -127,7 +128,7 @@
         entry.doubt(now);
         entry.asking = Asking::Doubted;
         self.actions.push(Action::Probe(entry.member.clone()));
-        self.changes.push(Change { id: id.clone(), from: None });
+        self.tell_change(id, None);
     }
 
     fn remove(&mut self, id: &Id, now: Millis) {
@@ -136,6 +137,6 @@
         entry.since = now;
         entry.asking = Asking::No;
         entry.direct = None;
-        self.changes.push(Change { id: id.clone(), from: None });
+        self.tell_change(id, None);
     }
 }
--- a/crates/peer/src/news.rs
+++ b/crates/peer/src/news.rs
@@ -1,6 +1,6 @@
 //! News: numbered by its origin, told apart from what has been seen.
 
-use std::collections::BTreeMap;
+use std::{cmp::Ordering, collections::BTreeMap};
 
 use bytes::Bytes;
 use world::{
@@ -36,6 +36,25 @@
     pub stamp: u64,
 }
 
+/// What tells one piece of news from all others.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Name {
+    /// Who published it.
+    pub origin: Id,
+    /// In which run.
+    pub incarnation: Incarnation,
+    /// From 1 in each run.
+    pub sequence: u64,
+}
+
+impl News {
+    /// Its name.
+    #[must_use]
+    pub fn name(&self) -> Name {
+        Name { origin: self.origin.clone(), incarnation: self.incarnation, sequence: self.sequence }
+    }
+}
+
 /// Which news has been seen, one small window per origin.
 #[derive(Debug, Default)]
 pub struct Seen {
@@ -53,13 +72,23 @@
 impl Seen {
     /// Whether the news is new, which it is once only. News of an earlier run,
     /// and news older than the window, counts as seen.
-    pub fn is_new(&mut self, news: &News) -> bool {
-        let fresh = || Window { incarnation: news.incarnation, highest: 0, bits: 0 };
-        let window = self.origins.entry(news.origin.clone()).or_insert_with(fresh);
-        if news.incarnation > window.incarnation {
+    pub fn is_new(&mut self, name: &Name) -> bool {
+        let fresh = || Window { incarnation: name.incarnation, highest: 0, bits: 0 };
+        let window = self.origins.entry(name.origin.clone()).or_insert_with(fresh);
+        if name.incarnation > window.incarnation {
             *window = fresh();
         }
-        news.incarnation == window.incarnation && window.add(news.sequence)
+        name.incarnation == window.incarnation && window.add(name.sequence)
+    }
+
+    /// Whether it counts as seen, without seeing it.
+    #[must_use]
+    pub fn has(&self, name: &Name) -> bool {
+        self.origins.get(&name.origin).is_some_and(|window| match name.incarnation.cmp(&window.incarnation) {
+            Ordering::Less => true,
+            Ordering::Equal => window.has(name.sequence),
+            Ordering::Greater => false,
+        })
     }
 
     /// Drops the windows of all but these origins.
@@ -69,6 +98,11 @@
 }
 
 impl Window {
+    fn has(&self, sequence: u64) -> bool {
+        let Some(back) = self.highest.checked_sub(sequence) else { return false };
+        back >= WINDOW || self.bits & (1 << back) != 0
+    }
+
     fn add(&mut self, sequence: u64) -> bool {
         if sequence > self.highest {
             let step = sequence - self.highest;
@@ -77,11 +111,10 @@
             self.highest = sequence;
             return true;
         }
-        let back = self.highest - sequence;
-        if back >= WINDOW || self.bits & (1 << back) != 0 {
+        if self.has(sequence) {
             return false;
         }
-        self.bits |= 1 << back;
+        self.bits |= 1 << (self.highest - sequence);
         true
     }
 }
--- a/crates/peer/src/news/tests.rs
+++ b/crates/peer/src/news/tests.rs
@@ -1,28 +1,20 @@
 //! What counts as seen, and what a link may bring.
 
-use bytes::Bytes;
 use world::instance::{Id, Incarnation};
 
-use super::{Allowance, News, Seen};
-
-fn news(origin: &str, incarnation: u64, sequence: u64) -> News {
-    News {
-        origin: Id::parse(origin).unwrap(),
-        incarnation: Incarnation(incarnation),
-        sequence,
-        topic: 1,
-        body: Bytes::new(),
-        hops: 0,
-        relay: true,
-        stamp: 0,
-    }
+use super::{Allowance, Name, Seen};
+
+fn name(origin: &str, incarnation: u64, sequence: u64) -> Name {
+    Name { origin: Id::parse(origin).unwrap(), incarnation: Incarnation(incarnation), sequence }
 }
 
 /// Gives news of (incarnation, sequence) in this order and says which is new.
 fn check(given: &[(u64, u64, bool)]) {
     let mut seen = Seen::default();
     for (incarnation, sequence, expected) in given {
-        let is_new = seen.is_new(&news("a", *incarnation, *sequence));
+        let name = name("a", *incarnation, *sequence);
+        assert_eq!(seen.has(&name), !expected, "before {incarnation}/{sequence} of {given:?}");
+        let is_new = seen.is_new(&name);
         assert_eq!(is_new, *expected, "{incarnation}/{sequence} of {given:?}");
     }
 }
@@ -42,9 +34,9 @@
 #[test]
 fn origins_are_apart_and_forgotten() {
     let mut seen = Seen::default();
-    assert!(seen.is_new(&news("a", 1, 1)) && seen.is_new(&news("b", 1, 1)));
+    assert!(seen.is_new(&name("a", 1, 1)) && seen.is_new(&name("b", 1, 1)));
     seen.keep(|id| id.as_str() == "a");
-    assert!(!seen.is_new(&news("a", 1, 1)) && seen.is_new(&news("b", 1, 1)));
+    assert!(!seen.is_new(&name("a", 1, 1)) && seen.is_new(&name("b", 1, 1)));
 }
 
 #[test]
--- /dev/null
+++ b/crates/peer/src/relay/tests.rs
@@ -0,0 +1,185 @@
+//! News over a graph of links, with a clock of messages: each takes 10 ms.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use world::{
+    Millis,
+    instance::{Id, Incarnation},
+};
+
+use super::{Message, Messages, Relay, WAIT};
+use crate::news::News;
+
+const HOP: Millis = 10;
+/// Longer than any question is waited with, all offers included.
+const QUIET: Millis = 40 * WAIT;
+
+struct Graph {
+    now: Millis,
+    nodes: BTreeMap<Id, Relay>,
+    /// What is under way: when it arrives, from whom, to whom.
+    air: Vec<(Millis, Id, Id, Message)>,
+    got: BTreeMap<Id, u64>,
+    bodies: usize,
+    published: u64,
+}
+
+fn id(place: usize) -> Id {
+    Id::parse(&format!("i{place}")).unwrap()
+}
+
+impl Graph {
+    /// A ring with chords, as the topology makes them.
+    fn new(size: usize, chords: usize) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(7);
+        let nodes = (0..size).map(|place| (id(place), Relay::default())).collect();
+        let mut graph = Self { now: 0, nodes, air: Vec::new(), got: BTreeMap::new(), bodies: 0, published: 0 };
+        for place in 0..size {
+            graph.link(place, (place + 1) % size);
+            for _ in 0..chords / 2 {
+                graph.link(place, rng.random_range(0..size));
+            }
+        }
+        graph
+    }
+
+    fn link(&mut self, one: usize, other: usize) {
+        if one != other {
+            self.nodes.get_mut(&id(one)).unwrap().linked(&id(other));
+            self.nodes.get_mut(&id(other)).unwrap().linked(&id(one));
+        }
+    }
+
+    fn lose(&mut self, place: usize) {
+        self.nodes.remove(&id(place));
+        self.nodes.values_mut().for_each(|relay| relay.unlinked(&id(place)));
+    }
+
+    /// Publishes and says how many bodies were sent; all have it once after.
+    fn publish(&mut self, place: usize) -> usize {
+        self.published += 1;
+        let news = News {
+            origin: id(place),
+            incarnation: Incarnation(1),
+            sequence: self.published,
+            topic: 1,
+            body: Bytes::from_static(b"body"),
+            hops: 0,
+            relay: true,
+            stamp: 0,
+        };
+        (self.got, self.bodies) = (BTreeMap::new(), 0);
+        let messages = self.nodes.get_mut(&id(place)).unwrap().publish(&news);
+        self.send(&id(place), messages);
+        let end = self.now + QUIET;
+        while self.now < end {
+            self.step();
+        }
+        let others: BTreeSet<_> = self.nodes.keys().filter(|node| **node != id(place)).collect();
+        let have: BTreeSet<_> = self.got.keys().collect();
+        assert_eq!(have, others, "not everywhere");
+        assert!(self.got.values().all(|times| *times == 1), "more than once");
+        self.bodies
+    }
+
+    fn step(&mut self) {
+        self.now += HOP;
+        let now = self.now;
+        let (arrived, air) = std::mem::take(&mut self.air).into_iter().partition(|(at, ..)| *at <= now);
+        self.air = air;
+        for (_, from, to, message) in arrived {
+            self.arrive(&from, &to, message);
+        }
+        for node in self.nodes.keys().cloned().collect::<Vec<_>>() {
+            let relay = self.nodes.get_mut(&node).unwrap();
+            if relay.due().is_some_and(|due| due <= now) {
+                let messages = relay.ask(now);
+                self.send(&node, messages);
+            }
+        }
+    }
+
+    fn arrive(&mut self, from: &Id, to: &Id, message: Message) {
+        let Some(relay) = self.nodes.get_mut(to) else { return };
+        let messages = match message {
+            Message::News(news) => {
+                let (is_new, messages) = relay.news(from, &news);
+                *self.got.entry(to.clone()).or_default() += u64::from(is_new);
+                messages
+            }
+            Message::Have(name) => {
+                relay.have(from, name, self.now);
+                Messages::new()
+            }
+            Message::Want(name) => relay.want(from, &name),
+            Message::Prune => {
+                relay.prune(from);
+                Messages::new()
+            }
+        };
+        self.send(to, messages);
+    }
+
+    fn send(&mut self, from: &Id, messages: Messages) {
+        for (to, message) in messages {
+            self.bodies += usize::from(matches!(message, Message::News(_)));
+            self.air.push((self.now + HOP, from.clone(), to, message));
+        }
+    }
+}
+
+#[test]
+fn the_tree_sends_each_body_about_once() {
+    let mut graph = Graph::new(100, 10);
+    let flood = graph.publish(0);
+    assert!(flood > 400, "{flood} bodies: the first news floods");
+    for origin in 1..20 {
+        graph.publish(origin * 5);
+    }
+    let settled = graph.publish(0);
+    assert!(settled <= 120, "{settled} bodies for 99 receivers");
+}
+
+#[test]
+fn the_tree_mends_itself_when_instances_are_lost() {
+    // A tenth of the instances is lost in the middle of the tree, and nobody's
+    // links are replaced yet. The names on the pruned links show what is
+    // missing; the next news is everywhere all the same, and exactly once.
+    let mut graph = Graph::new(100, 10);
+    for origin in 0..10 {
+        graph.publish(origin);
+    }
+    for place in (3..100).step_by(10) {
+        graph.lose(place);
+    }
+    for origin in [0, 50, 99, 0, 50, 99] {
+        graph.publish(origin);
+    }
+    let settled = graph.publish(0);
+    assert!(settled <= 120, "{settled} bodies for 89 receivers");
+}
+
+#[test]
+fn a_body_that_nobody_can_give_is_given_up() {
+    // The one that offered it has gone; the memory of it must not stay.
+    let mut relay = Relay::default();
+    relay.linked(&id(1));
+    let name = crate::news::Name { origin: id(9), incarnation: Incarnation(1), sequence: 1 };
+    relay.have(&id(1), name.clone(), 0);
+    assert_eq!(relay.due(), Some(WAIT));
+    assert_eq!(relay.ask(WAIT), [(id(1), Message::Want(name))]);
+    assert_eq!(relay.ask(2 * WAIT), []);
+    assert_eq!(relay.due(), None);
+}
+
+#[test]
+fn a_flood_of_names_is_bounded() {
+    let mut relay = Relay::default();
+    for sequence in 1..10_000 {
+        relay.have(&id(1), crate::news::Name { origin: id(9), incarnation: Incarnation(1), sequence }, 0);
+    }
+    assert_eq!(relay.missing.len(), super::MISSING);
+}
--- a/crates/peer/src/task.rs
+++ b/crates/peer/src/task.rs
@@ -20,7 +20,7 @@
 use tokio::{
     net::TcpListener,
     sync::{mpsc, oneshot, watch},
-    time::{Instant, Interval, MissedTickBehavior, interval},
+    time::{Instant, Interval, MissedTickBehavior, interval, sleep_until},
 };
 use tokio_util::{sync::CancellationToken, task::AbortOnDropHandle};
 use tonic::{Status, Streaming};
@@ -36,8 +36,8 @@
     link::{Failure, Opened, Received, Source},
     member::{Member, Members},
     membership::Membership,
-    news::Seen,
     pool::Pool,
+    relay::Relay,
     server::{self, Service},
     settings::Settings,
     spread::Digests,
@@ -52,6 +52,9 @@
 const COMMANDS: usize = 256;
 /// Events handled before the links are told.
 const ROUND: usize = 32;
+/// States as metrics spell them.
+const STATES: [(State, &str); 4] =
+    [(State::Live, "live"), (State::Suspect, "suspect"), (State::Leaving, "leaving"), (State::Gone, "gone")];
 /// How long a last word has to get out.
 const LAST_WORD: Duration = Duration::from_millis(200);
 
@@ -93,6 +96,10 @@
 pub(crate) struct Clock(Instant);
 
 impl Clock {
+    fn at(self, time: Millis) -> Instant {
+        self.0 + Duration::from_millis(time)
+    }
+
     pub(crate) fn now(self) -> Millis {
         u64::try_from(self.0.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
@@ -106,9 +113,13 @@
     links: BTreeMap<Id, links::Link>,
     serial: u64,
     digests: Digests,
-    seen: Seen,
+    relay: Relay,
     published: u64,
     dialling: dialling::Dialling,
+    /// What the links were planned from last; absent when to be planned anew.
+    planned: Option<u64>,
+    /// What `members` shows.
+    shown: u64,
     events: mpsc::Sender<Event>,
     inbound: mpsc::Sender<Inbound>,
     pool: Arc<Pool>,
@@ -143,8 +154,10 @@
         links: BTreeMap::new(),
         serial: 0,
         digests: Digests::default(),
-        seen: Seen::default(),
+        relay: Relay::default(),
         published: 0,
+        planned: None,
+        shown: 0,
         events,
         inbound,
         pool: pool.clone(),
@@ -166,7 +179,9 @@
         let mut heartbeat = self.heartbeat();
         self.dial_seeds();
         loop {
+            let late = self.relay.due().map(|due| self.clock.at(due));
             tokio::select! {
+                () = sleep_until(late.unwrap_or_else(Instant::now)), if late.is_some() => self.ask_late(),
                 _ = heartbeat.tick() => self.beat(),
                 Some(event) = events.recv() => self.round(event, &mut events),
                 command = commands.recv() => match command {
@@ -233,9 +248,21 @@
     fn beat(&mut self) {
         let now = self.clock.now();
         self.membership.tick(now);
-        self.seen.keep(|id| self.membership.get(id).is_some());
+        self.relay.keep(|id| self.membership.get(id).is_some());
         self.dial_stray();
         self.beat_links();
+        // Waits may have ended.
+        self.planned = None;
+        self.report();
+    }
+
+    fn report(&self) {
+        metrics::gauge!("peer_links").set(count(self.links.len()));
+        let shown = self.members.borrow();
+        for (state, label) in STATES {
+            let members = shown.all().filter(|i| i.state == state).count();
+            metrics::gauge!("peer_members", "state" => label).set(count(members));
+        }
     }
 
     /// After each round: act on what the membership found, keep the links as
@@ -244,7 +271,10 @@
         for action in self.membership.take_actions() {
             self.act(action);
         }
-        self.keep_links();
+        if self.planned != Some(self.membership.revision()) {
+            self.keep_links();
+            self.planned = Some(self.membership.revision());
+        }
         let changes = self.membership.take_changes();
         if !changes.is_empty() {
             self.note_changes(&changes);
@@ -265,14 +295,10 @@
     }
 
     fn show_members(&mut self) {
-        let members = self.membership.members();
-        self.members.send_if_modified(|shown| {
-            let changed = **shown != members;
-            if changed {
-                *shown = Arc::new(members);
-            }
-            changed
-        });
+        if self.shown != self.membership.revision() {
+            self.shown = self.membership.revision();
+            self.members.send_replace(Arc::new(self.membership.members()));
+        }
     }
 
     /// Tells all that this run has ended and gives the word a moment.
@@ -297,3 +323,7 @@
         self.membership.me().instance.state == State::Gone
     }
 }
+
+fn count(number: usize) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
--- a/crates/peer/src/task/dialling.rs
+++ b/crates/peer/src/task/dialling.rs
@@ -144,6 +144,7 @@
 
     pub(super) fn dialled(&mut self, address: SocketAddr, wanted: Option<Id>, outcome: Result<Opened, Failure>) {
         self.dialling.under_way.remove(&address);
+        self.planned = None;
         let now = self.clock.now();
         match outcome {
             Ok(opened) => self.opened(address, wanted.as_ref(), opened),
--- a/crates/peer/src/task/links.rs
+++ b/crates/peer/src/task/links.rs
@@ -142,7 +142,9 @@
         let spread = Spread::new(&self.membership, &self.digests);
         let link = Link { source, spread, digests: BTreeMap::new(), sender, incarnation, ours, _reader: reader };
         tracing::debug!(peer = %id, link.ours, "linked");
+        self.relay.linked(&id);
         self.links.insert(id, link);
+        self.planned = None;
         // What is due goes out before the plan may close the link again: a
         // newcomer learns the fleet even from a peer without room.
         self.flush_links();
@@ -151,7 +153,7 @@
     pub(super) fn closed(&mut self, source: &Source) {
         if self.links.get(&source.id).is_some_and(|link| link.source == *source) {
             tracing::debug!(peer = %source.id, "link ended");
-            self.links.remove(&source.id);
+            self.unlink(&source.id);
             // One that closed for want of room would be dialled for ever.
             if !self.is_near(&source.id) {
                 self.dialling.rest(&source.id, self.clock.now());
@@ -159,13 +161,18 @@
         }
     }
 
+    fn unlink(&mut self, id: &Id) {
+        self.links.remove(id);
+        self.relay.unlinked(id);
+        self.planned = None;
+    }
+
     /// Dials and closes as the topology plans.
     pub(super) fn keep_links(&mut self) {
-        if self.is_ended() && self.membership.is_superseded() {
-            self.links.clear();
-        }
         if self.is_ended() {
-            return;
+            // A word of this run would be taken for one of the later run's.
+            let all = if self.membership.is_superseded() { self.linked() } else { Vec::new() };
+            return all.iter().for_each(|id| self.unlink(id));
         }
         let now = self.clock.now();
         let linked = self.linked();
@@ -175,7 +182,7 @@
         };
         for id in &plan.close {
             tracing::debug!(peer = %id, "link closed: too many");
-            self.links.remove(id);
+            self.unlink(id);
             self.dialling.rest(id, now);
         }
         self.dialling.forget_missing(|id| plan.late.contains(id));
--- a/crates/peer/src/task/messages.rs
+++ b/crates/peer/src/task/messages.rs
@@ -13,8 +13,9 @@
     link::{Received, Source},
     member::Member,
     membership::Action,
-    news::News,
+    news::{Name, News},
     pool::Pool,
+    relay::{Message, Messages},
     server,
     spread::Heartbeat,
     topic::Topic,
@@ -23,8 +24,6 @@
 
 /// Peers asked after a silent one.
 const PROBERS: usize = 3;
-/// Links that news may travel at most; far more than any way is long.
-const HOPS: u32 = 16;
 
 impl Task {
     pub(super) fn received(&mut self, source: &Source, received: Received) {
@@ -36,7 +35,7 @@
         self.membership.heard(&source.id, now);
         match received {
             Received::Heartbeat(heartbeat) => self.heartbeat_from(&source.id, heartbeat),
-            Received::News(news) => self.news_from(&source.id, &news),
+            Received::Message(message) => self.message_from(&source.id, message),
             Received::Other => {}
         }
     }
@@ -67,17 +66,41 @@
         });
     }
 
+    fn message_from(&mut self, from: &Id, message: Message) {
+        match message {
+            Message::News(news) => self.news_from(from, &news),
+            Message::Have(name) if self.is_of_now(&name) => self.relay.have(from, name, self.clock.now()),
+            Message::Have(_) => {}
+            Message::Want(name) => {
+                let messages = self.relay.want(from, &name);
+                self.send_all(messages);
+            }
+            Message::Prune => self.relay.prune(from),
+        }
+    }
+
+    /// Not our own, nor of a run that has been replaced.
+    fn is_of_now(&self, name: &Name) -> bool {
+        let known = self.membership.get(&name.origin);
+        let replaced = known.is_some_and(|m| m.instance.incarnation > name.incarnation);
+        name.origin != self.settings.me.id && !replaced
+    }
+
     fn news_from(&mut self, from: &Id, news: &News) {
-        let known = self.membership.get(&news.origin);
-        let earlier_run = known.is_some_and(|m| m.instance.incarnation > news.incarnation);
-        if news.origin == self.settings.me.id || earlier_run || !self.seen.is_new(news) {
+        if !self.is_of_now(&news.name()) {
             return;
         }
-        self.deliver(from, news);
-        if news.relay && news.hops < HOPS {
-            let relayed = News { hops: news.hops + 1, ..news.clone() };
-            self.send_news(&relayed, Some(from));
+        let (is_new, messages) = self.relay.news(from, news);
+        if is_new {
+            self.deliver(from, news);
         }
+        self.send_all(messages);
+    }
+
+    /// Bodies are late: a link or an instance of the tree is lost.
+    pub(super) fn ask_late(&mut self) {
+        let messages = self.relay.ask(self.clock.now());
+        self.send_all(messages);
     }
 
     fn deliver(&self, from: &Id, news: &News) {
@@ -104,13 +127,15 @@
             relay: self.links.len() < counted,
             stamp: self.pool.ticks().stamp(),
         };
-        self.send_news(&news, None);
+        let messages = self.relay.publish(&news);
+        self.send_all(messages);
     }
 
-    fn send_news(&self, news: &News, from: Option<&Id>) {
-        let others = self.links.iter().filter(|(id, _)| Some(*id) != from && **id != news.origin);
-        for (_, link) in others {
-            link.send(wire::frame(news.clone()));
+    fn send_all(&self, messages: Messages) {
+        for (id, message) in messages {
+            if let Some(link) = self.links.get(&id) {
+                link.send(wire::frame(message));
+            }
         }
     }
 
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -11,7 +11,8 @@
 use crate::{
     generated as pb,
     member::{Doubt, Member},
-    news::News,
+    news::{Name, News},
+    relay::Message,
     spread::Heartbeat,
 };
 
@@ -148,6 +149,21 @@
     }
 }
 
+impl From<Name> for pb::Name {
+    fn from(name: Name) -> Self {
+        Self { origin: name.origin.to_string(), incarnation: name.incarnation.0, sequence: name.sequence }
+    }
+}
+
+impl TryFrom<pb::Name> for Name {
+    type Error = Invalid;
+
+    fn try_from(wire: pb::Name) -> Result<Self, Invalid> {
+        let origin = Id::parse(&wire.origin).map_err(|_| Invalid("origin"))?;
+        Ok(Self { origin, incarnation: Incarnation(wire.incarnation), sequence: wire.sequence })
+    }
+}
+
 /// The first frame on a link.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Greeting {
@@ -187,9 +203,14 @@
     }
 }
 
-impl From<News> for pb::frame::Kind {
-    fn from(news: News) -> Self {
-        Self::News(news.into())
+impl From<Message> for pb::frame::Kind {
+    fn from(message: Message) -> Self {
+        match message {
+            Message::News(news) => Self::News(news.into()),
+            Message::Have(name) => Self::Have(name.into()),
+            Message::Want(name) => Self::Want(name.into()),
+            Message::Prune => Self::Prune(pb::Prune {}),
+        }
     }
 }
 
