--- a/crates/route/tests/admission.rs
+++ b/crates/route/tests/admission.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 use route::admission::{Cause, Key, Queue, Ticket};
 use world::{Timestamp, contract::Customer};
 
@@ -132,6 +132,12 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     /// Every request let in is told one thing, once: its turn, or that it has
     /// none; no more run than may; none is given its turn too late.
     #[test]
--- a/crates/route/tests/endpoint.rs
+++ b/crates/route/tests/endpoint.rs
@@ -6,7 +6,7 @@
     ops::RangeInclusive,
 };
 
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 use route::endpoint::{Choice, Event, Failure, Fleet, Key, Peer, Refusal, Report, Rule, Target, Wanted};
 use world::{Catalog, Timestamp, endpoint::Id, model::Version, object::Object};
 
@@ -256,6 +256,12 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     /// No run goes to an endpoint that is leaving or has failed the request;
     /// none is refused while another one is left.
     #[test]
