--- a/crates/entry/src/http/calls.rs
+++ b/crates/entry/src/http/calls.rs
@@ -44,6 +44,7 @@
     let stream = chat.stream;
     let contract = contract(&catalog, &terms)?;
     check_model(&catalog, contract, &chat)?;
+    shared.check_outage(contract)?;
     let repeat = terms.repeat();
     let request = request(shared, terms, repeat, Work::Chat(chat), contract)?;
     let reader = start(shared, request).map_err(|problem| problem.about(&key))?;
@@ -63,6 +64,7 @@
     if !contract.services.contains(&id) {
         return Err(Problem::not_run(Kind::ServiceNotAllowed, format!("service `{id}`")));
     }
+    shared.check_outage(contract)?;
     let plain = path.split('?').next().unwrap_or_default();
     let repeat = if spec.repeatable(http.method().as_str(), plain) { terms.repeat() } else { Repeat::Never };
     let method = http.method().clone();
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -10,7 +10,12 @@
 
 use timeline::{Event, Recorder, Step};
 use tokio::sync::watch;
-use world::{Catalog, Millis, domain::Domain, endpoint as world_endpoint, instance, request};
+use world::{
+    Catalog, Millis,
+    contract::{Contract, Outage},
+    domain::Domain,
+    endpoint as world_endpoint, instance, request,
+};
 
 use crate::{
     desk,
@@ -45,6 +50,8 @@
     pub retry: route::retry::Policy,
     /// Whether there is a rating service.
     pub rated: bool,
+    /// Time without a word from the platform that counts as its outage.
+    pub outage_after: Duration,
 }
 
 impl Settings {
@@ -62,6 +69,7 @@
             addresses: route::address::Policy::default(),
             retry: route::retry::Policy::default(),
             rated: false,
+            outage_after: Duration::from_millis(3_500),
         }
     }
 }
@@ -140,6 +148,17 @@
         Ok(())
     }
 
+    /// Refuses work whose contract does not want it run during an outage.
+    pub fn check_outage(&self, contract: &Contract) -> Result<(), Problem> {
+        let age = self.links.config.platform_age();
+        let down = age.is_none_or(|age| age > self.settings.outage_after);
+        if contract.outage == Outage::Serve || !down {
+            return Ok(());
+        }
+        let detail = "the platform is down and the contract has work refused meanwhile";
+        Err(Problem::not_run(Kind::PlatformDown, detail).after(STALE_RETRY_MS))
+    }
+
     /// Other instances that take work.
     pub fn elsewhere(&self) -> Vec<Address> {
         let members = self.links.peer.members().borrow().clone();
--- /dev/null
+++ b/crates/entry/tests/path/bad_input.rs
@@ -0,0 +1,157 @@
+//! Bad input: a clear problem document, nothing run, nothing billed.
+
+use http::Method;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+use crate::{
+    client::{Client, Headers, ask},
+    site::{CLUB, Plan, Site},
+};
+
+const CHAT: &str = "/v1/chat/completions";
+const KEYED: (&str, &str) = ("authorization", "Bearer club-key");
+
+/// One bad call, and what it is told.
+struct Case {
+    name: &'static str,
+    method: Method,
+    path: &'static str,
+    headers: Vec<(&'static str, String)>,
+    body: String,
+    expected: (u16, &'static str),
+}
+
+fn post(name: &'static str, body: impl Into<String>, expected: (u16, &'static str)) -> Case {
+    let headers = vec![(KEYED.0, KEYED.1.to_owned())];
+    Case { name, method: Method::POST, path: CHAT, headers, body: body.into(), expected }
+}
+
+fn header(name: &'static str, header: &'static str, value: &str, expected: (u16, &'static str)) -> Case {
+    let mut case = post(name, ask("fine", false), expected);
+    case.headers.push((header, value.to_owned()));
+    case
+}
+
+fn at(name: &'static str, method: Method, path: &'static str, expected: (u16, &'static str)) -> Case {
+    Case { method, path, ..post(name, "", expected) }
+}
+
+fn auth(name: &'static str, value: Option<&str>) -> Case {
+    let headers = value.map(|value| ("authorization", value.to_owned())).into_iter().collect();
+    Case { headers, ..post(name, ask("fine", false), (401, "wrong-key")) }
+}
+
+const MALFORMED: (u16, &str) = (400, "malformed");
+
+fn cases() -> Vec<Case> {
+    // Made in 1970 and in 2106, by their first 48 bits.
+    let old = "00000000-0001-7000-8000-000000000000";
+    let ahead = "03e8ffff-ffff-7000-8000-000000000000";
+    vec![
+        auth("no key", None),
+        auth("unknown key", Some("Bearer nobody")),
+        auth("empty key", Some("Bearer ")),
+        auth("another scheme", Some("Basic club-key")),
+        auth("key without scheme", Some("club-key")),
+        post("no body", "", MALFORMED),
+        post("no JSON", "launch", MALFORMED),
+        post("cut JSON", "{\"model\":\"summary\",\"messages\":[", MALFORMED),
+        post("a list", "[]", MALFORMED),
+        post("no model", "{\"messages\":[{\"role\":\"user\",\"content\":\"a\"}]}", MALFORMED),
+        post("model is no text", "{\"model\":7,\"messages\":[{\"role\":\"user\",\"content\":\"a\"}]}", MALFORMED),
+        post(
+            "model is no name",
+            "{\"model\":\"../x\",\"messages\":[{\"role\":\"user\",\"content\":\"a\"}]}",
+            MALFORMED,
+        ),
+        post("no messages", "{\"model\":\"summary\"}", MALFORMED),
+        post("empty messages", "{\"model\":\"summary\",\"messages\":[]}", MALFORMED),
+        post("messages is text", "{\"model\":\"summary\",\"messages\":\"a\"}", MALFORMED),
+        post("message without role", "{\"model\":\"summary\",\"messages\":[{\"content\":\"a\"}]}", MALFORMED),
+        post("message without content", "{\"model\":\"summary\",\"messages\":[{\"role\":\"user\"}]}", MALFORMED),
+        post("stream is no bool", ask("a", false).replace("false", "\"yes\""), MALFORMED),
+        post("no tokens", ask("a", false).replace("\"stream\"", "\"max_tokens\":0,\"stream\""), MALFORMED),
+        post("negative tokens", ask("a", false).replace("\"stream\"", "\"max_tokens\":-1,\"stream\""), MALFORMED),
+        post("two answers", ask("a", false).replace("\"stream\"", "\"n\":2,\"stream\""), MALFORMED),
+        post("unknown model", ask("a", false).replace("summary", "nothing"), (404, "unknown-model")),
+        post("model not allowed", ask("a", false).replace("summary", "closed"), (403, "model-not-allowed")),
+        post("body too large", ask(&"a".repeat(5 << 20), false), (413, "body-too-large")),
+        header("key with a slash", "idempotency-key", "a/b", MALFORMED),
+        header("empty idempotency key", "idempotency-key", "", MALFORMED),
+        header("long idempotency key", "idempotency-key", &"k".repeat(200), MALFORMED),
+        header("expired idempotency key", "idempotency-key", old, (409, "key-expired")),
+        header("idempotency key of the future", "idempotency-key", ahead, MALFORMED),
+        header("idempotent is maybe", "arbutuslug-idempotent", "maybe", MALFORMED),
+        header("deadline is text", "arbutuslug-deadline-ms", "soon", MALFORMED),
+        header("deadline has passed", "arbutuslug-deadline-ms", "0", MALFORMED),
+        header("class with a blank", "arbutuslug-request-class", "a b", MALFORMED),
+        header("session with a blank", "arbutuslug-session", "a b", MALFORMED),
+        header("made-up handle", "arbutuslug-session", "s1.e30.e30", (400, "bad-session")),
+        header("headers too large", "x-more", &"m".repeat(20_000), (431, "headers-too-large")),
+        at("no such call", Method::GET, "/v2/chat", (404, "no-such-call")),
+        at("root", Method::GET, "/", (404, "no-such-call")),
+        at("GET for chat", Method::GET, CHAT, (405, "wrong-method")),
+        at("POST for addresses", Method::POST, "/v1/addresses", (405, "wrong-method")),
+        at("bad domain", Method::GET, "/v1/addresses?domain=a%20b", MALFORMED),
+        at("two sessions", Method::GET, "/v1/addresses?session=a&session=b", MALFORMED),
+        at("unknown service", Method::GET, "/v1/services/nothing/a", (404, "unknown-service")),
+        at("service not allowed", Method::GET, "/v1/services/closed/a", (403, "service-not-allowed")),
+        at("climbing path", Method::POST, "/v1/services/logbook/x/../launches", MALFORMED),
+        at("escaped path", Method::POST, "/v1/services/logbook/%6caunches", MALFORMED),
+        at("doubled slash", Method::POST, "/v1/services/logbook//launches", MALFORMED),
+        at("unknown request", Method::GET, "/v1/requests/nothing", (404, "unknown-request")),
+    ]
+}
+
+async fn check(client: Client, case: &Case) {
+    let headers: Vec<_> = case.headers.iter().map(|(name, value)| (*name, value.as_str())).collect();
+    let reply = client.call(case.method.clone(), case.path, &headers as Headers<'_>, case.body.clone()).await;
+    let (status, kind, ran) = reply.problem();
+    assert_eq!((status, kind.as_str()), case.expected, "{}: {}", case.name, reply.text);
+    let unknowable = matches!(kind.as_str(), "key-expired" | "unknown-request");
+    assert_eq!(ran, if unknowable { "unknown" } else { "no" }, "{}", case.name);
+}
+
+#[tokio::test]
+async fn bad_input_is_told_and_runs_nothing() {
+    let site = Site::open(Plan::default()).await;
+    let cases = cases();
+    assert!(cases.len() >= 25);
+    for case in &cases {
+        check(site.client(0), case).await;
+    }
+    assert!(site.runs().is_empty() && site.service.effects().is_empty() && site.service.reads() == 0);
+    assert!(site.bills().is_empty());
+    site.client(0).chat(CLUB, &[], "still serves").await.content();
+}
+
+/// Sends raw bytes and reads what comes until the connection closes or pauses.
+async fn raw(site: &Site, bytes: &[u8]) -> String {
+    let mut socket = TcpStream::connect(site.nodes[0].entry.address()).await.expect("listens");
+    socket.write_all(bytes).await.expect("sent");
+    let mut answer = vec![0; 4_096];
+    let read = socket.read(&mut answer).await.expect("an answer");
+    String::from_utf8_lossy(&answer[..read]).into_owned()
+}
+
+// A caller announces a body and sends it a byte at a time, or not at all. Its
+// connection is not held for ever.
+#[tokio::test]
+async fn slow_body_is_told() {
+    let site = Site::open(Plan::default()).await;
+    let head =
+        format!("POST {CHAT} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer club-key\r\ncontent-length: 100\r\n\r\n{{");
+    let answer = raw(&site, head.as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(answer.contains("slow-body"), "{answer}");
+}
+
+#[tokio::test]
+async fn text_that_is_no_http_does_no_harm() {
+    let site = Site::open(Plan::default()).await;
+    raw(&site, b"launch sheet\r\n\r\n").await;
+    site.client(0).chat(CLUB, &[], "still serves").await.content();
+}
--- /dev/null
+++ b/crates/entry/tests/path/breaks.rs
@@ -0,0 +1,201 @@
+//! Faults of engines and services at each stage of a run.
+
+use http::Method;
+use standin::{
+    engine::{self, Fault, Switch},
+    fault::Odds,
+    service,
+};
+
+use crate::{
+    client::Headers,
+    site::{CLUB, Plan, Site},
+    whole::answer_of,
+};
+
+const CONTENT: &str = "launch sheet of the day";
+/// A request that must not be repeated.
+const NEVER: Headers<'_> = &[("arbutuslug-idempotent", "false")];
+
+/// Which engine takes `CONTENT` first; the choice is by its prefix.
+async fn first_engine(site: &Site) -> usize {
+    let reply = site.client(0).chat(CLUB, &[], CONTENT).await;
+    reply.content();
+    site.engines.iter().position(|engine| !engine.records().is_empty()).expect("one ran it")
+}
+
+/// What came of a run under a fault.
+struct Came {
+    runs: usize,
+    bills: usize,
+}
+
+/// Strikes the engine that takes the run, and expects a whole answer.
+async fn check_mended(faults: &[Switch], headers: Headers<'_>, runs: usize) {
+    let site = Site::open(Plan::default()).await;
+    let first = first_engine(&site).await;
+    for fault in faults {
+        site.engines[first].switch(fault.clone());
+    }
+    let stream = site.client(0).stream(CLUB, headers, CONTENT).await;
+    let version = stream.headers["arbutuslug-version"].to_str().expect("text").to_owned();
+    let told = stream.told().await;
+    assert_eq!(told.text, answer_of(&version, CONTENT), "{told:?}");
+    assert!(told.done && told.error.is_none(), "{told:?}");
+    let came = Came { runs: site.runs().len() - 1, bills: site.bills_when(2).await.len() - 1 };
+    assert_eq!((came.runs, came.bills), (runs, 1), "runs and bills");
+}
+
+macro_rules! mended {
+    ($($name:ident: [$($fault:expr),*] $headers:expr => $runs:literal;)*) => {
+        $(#[tokio::test] async fn $name() { check_mended(&[$($fault),*], $headers, $runs).await; })*
+    };
+}
+
+const CUT: Switch = Switch::BreakStreams { after: 2, odds: Odds::next(1) };
+const SILENT: Switch = Switch::Stall { after: 2, odds: Odds::next(1) };
+const FORGET: Switch = Switch::Forget(Odds::ALWAYS);
+
+// The engine's stream breaks; the caller sees one answer without a seam.
+mended! {
+    cut_stream_is_resumed_on_its_engine: [CUT] &[] => 1;
+    cut_stream_of_a_non_idempotent_request_is_resumed: [CUT] NEVER => 1;
+    silent_stream_is_resumed_on_its_engine: [SILENT] &[] => 1;
+    cut_before_the_first_frame_is_resumed:
+        [Switch::BreakStreams { after: 0, odds: Odds::next(1) }] &[] => 1;
+    forgotten_stream_is_restarted_elsewhere_without_doubling: [CUT, FORGET] &[] => 2;
+    full_engine_is_passed_over: [Switch::Refuse(Odds::ALWAYS)] &[] => 1;
+    lost_dispatch_of_an_idempotent_request_is_retried: [Switch::LoseAnswers(Odds::ALWAYS)] &[] => 2;
+    repeated_and_foreign_frames_do_not_reach_the_caller:
+        [Switch::Duplicate(Odds::ALWAYS), Switch::Foreign(Odds::ALWAYS)] &[] => 1;
+}
+
+/// Strikes every engine, and expects a problem document or error event.
+async fn check_failed(faults: &[Switch], headers: Headers<'_>, expected: (&str, &str), runs: usize) {
+    let site = Site::open(Plan::default()).await;
+    for fault in faults {
+        site.switch(fault);
+    }
+    let mut stream = site.client(0).stream(CLUB, headers, CONTENT).await;
+    let (kind, ran) = if stream.status == 200 {
+        let told = stream.told().await;
+        assert!(!told.done && told.finish.is_none(), "a part looks whole: {told:?}");
+        told.error.expect("an error event")
+    } else {
+        let json: serde_json::Value = serde_json::from_str(&stream.rest().await).expect("a problem");
+        let kind = json["type"].as_str().expect("type").rsplit(':').next().expect("a kind").to_owned();
+        if json["ran"] == "no" {
+            assert!(json["retry_after_ms"].is_u64(), "not run, and no word when to come back: {json}");
+        }
+        (kind, json["ran"].as_str().expect("ran").to_owned())
+    };
+    assert_eq!((kind.as_str(), ran.as_str()), expected);
+    assert_eq!(site.runs().len(), runs, "dispatches that an engine took");
+    assert!(site.bills().is_empty(), "billed without a whole answer");
+}
+
+macro_rules! failed {
+    ($($name:ident: [$($fault:expr),*] $headers:expr => $expected:expr, $runs:literal;)*) => {
+        $(#[tokio::test] async fn $name() { check_failed(&[$($fault),*], $headers, $expected, $runs).await; })*
+    };
+}
+
+const ALL_FULL: Switch = Switch::Refuse(Odds::ALWAYS);
+const ALL_LOST: Switch = Switch::LoseAnswers(Odds::ALWAYS);
+const ALL_CUT: Switch = Switch::BreakStreams { after: 2, odds: Odds::ALWAYS };
+
+// The fault stays. The caller gets its final answer at once, with the truth
+// about what ran; nothing short ever looks whole.
+failed! {
+    refusals_everywhere_are_not_run: [ALL_FULL] &[] => ("no-endpoint", "no"), 0;
+    refused_non_idempotent_request_is_not_run: [ALL_FULL] NEVER => ("no-endpoint", "no"), 0;
+    lost_dispatch_of_a_non_idempotent_request_is_unknown: [ALL_LOST] NEVER => ("outcome-unknown", "unknown"), 1;
+    cut_and_forgotten_non_idempotent_stream_has_run: [ALL_CUT, FORGET] NEVER => ("broken-stream", "yes"), 1;
+}
+
+// The stream breaks, its engine has forgotten it, and the only other engine
+// has the version turned bad. Its answer does not go on from the part that
+// the caller has: the stream ends with an error, not with a mix of both.
+#[tokio::test]
+async fn diverging_restart_fails_openly() {
+    let site = Site::open(Plan::default()).await;
+    let first = first_engine(&site).await;
+    let version = site.runs()[0].version.clone();
+    site.engines[first].switch(CUT);
+    site.engines[first].switch(FORGET);
+    site.engines[1 - first].switch(Switch::Bad { version, fault: Fault::Answers, odds: Odds::ALWAYS });
+    let told = site.client(0).stream(CLUB, &[], CONTENT).await.told().await;
+    assert_eq!(told.error, Some(("broken-stream".into(), "yes".into())));
+    assert!(!told.done && told.finish.is_none(), "{told:?}");
+    assert_eq!(site.bills_when(1).await.len(), 1, "only the first request's bill");
+}
+
+// A whole answer is asked for without streaming, and the stream behind it
+// breaks for good: the caller gets a problem and no part of the answer.
+#[tokio::test]
+async fn broken_whole_answer_is_a_problem() {
+    let site = Site::open(Plan::default()).await;
+    site.switch(&ALL_CUT);
+    site.switch(&FORGET);
+    let reply = site.client(0).chat(CLUB, NEVER, CONTENT).await;
+    assert_eq!(reply.problem(), (502, "broken-stream".into(), "yes".into()));
+}
+
+// The engine takes longer than the caller can wait. The final answer comes at
+// the deadline, and the engine's slot is free again.
+#[tokio::test]
+async fn deadline_ends_the_run() {
+    let engine = engine::Options { first_token_ms: 60_000, ..engine::Options::default() };
+    let site = Site::open(Plan { engine, ..Plan::default() }).await;
+    let reply = site.client(0).chat(CLUB, &[("arbutuslug-deadline-ms", "150")], CONTENT).await;
+    let (status, kind, ran) = reply.problem();
+    assert_eq!((status, kind.as_str(), ran.as_str()), (504, "deadline", "unknown"));
+    site.until(|site| site.runs().iter().all(|run| run.end.is_some())).await;
+}
+
+async fn check_service(fault: service::Switch, path: &str, expected: (&str, &str), effects: usize) {
+    let site = Site::open(Plan::default()).await;
+    site.service.switch(fault);
+    let headers = [("authorization", "Bearer club-key"), ("idempotency-key", "deposit-1")];
+    let client = site.client(0);
+    let reply = client.call(Method::POST, path, &headers, "{}").await;
+    let (_, kind, ran) = reply.problem();
+    assert_eq!((kind.as_str(), ran.as_str()), expected, "{}", reply.text);
+    site.service.switch(service::Switch::Up);
+    if ran == "unknown" {
+        let again = client.call(Method::POST, path, &headers, "{}").await;
+        assert_eq!(again.problem().2, "unknown", "{}", again.text);
+    }
+    assert_eq!(site.service.effects().len(), effects, "doubled");
+}
+
+macro_rules! services {
+    ($($name:ident: $fault:expr => $expected:expr, $effects:literal;)*) => {
+        $(#[tokio::test] async fn $name() { check_service($fault, "/v1/services/logbook/launches", $expected, $effects).await; })*
+    };
+}
+
+// A call that must not be repeated loses its answer. The caller is told that
+// it may have run, and a repeat with the same key asks and does not run.
+services! {
+    service_answer_lost_after_the_effect_is_unknown:
+        service::Switch::BreakAfter(Odds::ALWAYS) => ("outcome-unknown", "unknown"), 1;
+    service_answer_lost_before_the_effect_is_unknown:
+        service::Switch::BreakBefore(Odds::ALWAYS) => ("outcome-unknown", "unknown"), 0;
+    service_refusal_is_not_run: service::Switch::Refuse(Odds::ALWAYS) => ("no-endpoint", "no"), 0;
+}
+
+// A refused call is not run, so the same key may run later, once.
+#[tokio::test]
+async fn refused_call_may_run_under_its_key_later() {
+    let site = Site::open(Plan::default()).await;
+    site.service.switch(service::Switch::Refuse(Odds::ALWAYS));
+    let headers = [("authorization", "Bearer club-key"), ("idempotency-key", "deposit-1")];
+    let client = site.client(0);
+    let call = || client.call(Method::POST, "/v1/services/logbook/launches", &headers, "{}");
+    call().await.problem();
+    site.service.switch(service::Switch::Up);
+    assert_eq!(call().await.status.as_u16() / 100, 2);
+    assert_eq!(site.service.effects().len(), 1);
+    assert_eq!(site.bills_when(1).await.len(), 1);
+}
--- /dev/null
+++ b/crates/entry/tests/path/leaving.rs
@@ -0,0 +1,80 @@
+//! An instance leaves under load; endpoints leave.
+
+use std::time::Duration;
+
+use standin::{
+    engine,
+    objects::{Listed, Role, Standing},
+};
+use tokio::time::Instant;
+
+use crate::{
+    site::{CLUB, Plan, Site},
+    whole::answer_of,
+};
+
+// Instance 0 is told to leave while it streams answers. Other instances leave
+// it out of the addresses at once; callers that still hold its address are
+// served as long as they were told to keep it; then new work is refused with
+// other addresses. Every stream under way ends whole, and is billed.
+#[tokio::test]
+async fn drain_cuts_off_no_request() {
+    let engine = engine::Options { per_token_ms: 30, ..engine::Options::default() };
+    let site = Site::open(Plan { instances: 2, engine, keep_ms: 150, ..Plan::default() }).await;
+    let mut streams = Vec::new();
+    for n in 0..12 {
+        let content = format!("long summary {n}");
+        streams.push((content.clone(), site.client(0).stream(CLUB, &[], &content).await));
+    }
+    let entry = site.nodes[0].entry.clone();
+    let drain = tokio::spawn(async move { entry.drain(Instant::now() + Duration::from_secs(20)).await });
+    let gone = |site: &Site| site.nodes[1].links.peer.members().borrow().live().count() == 1;
+    site.until(gone).await;
+    let listed = site.client(1).get("/v1/addresses", CLUB).await.json();
+    assert_eq!(listed["addresses"].as_array().map(Vec::len), Some(1), "{listed}");
+    let kept = site.client(0).chat(CLUB, &[], "sent within the keep time").await;
+    kept.content();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    for (content, stream) in streams {
+        let version = stream.headers["arbutuslug-version"].to_str().expect("text").to_owned();
+        let told = stream.told().await;
+        assert_eq!(told.text, answer_of(&version, &content));
+        assert!(told.done, "{told:?}");
+    }
+    assert!(drain.await.expect("no panic"), "drained before the deadline");
+    assert_eq!(site.bills_when(13).await.len(), 13);
+}
+
+// While it finishes its work a leaving instance refuses new work truthfully
+// and names the others.
+#[tokio::test]
+async fn leaving_instance_refuses_new_work_with_other_addresses() {
+    let engine = engine::Options { per_token_ms: 60, ..engine::Options::default() };
+    let site = Site::open(Plan { instances: 2, engine, keep_ms: 20, ..Plan::default() }).await;
+    let last = site.client(0).stream(CLUB, &[], "long summary").await;
+    let entry = site.nodes[0].entry.clone();
+    let drain = tokio::spawn(async move { entry.drain(Instant::now() + Duration::from_secs(20)).await });
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    let refused = site.client(0).chat(CLUB, &[], "too late").await;
+    assert_eq!(refused.problem(), (503, "leaving".into(), "no".into()));
+    let addresses = refused.json()["addresses"].clone();
+    assert_eq!(addresses[0]["address"], site.nodes[1].entry.address().to_string(), "{addresses}");
+    assert!(last.told().await.done);
+    assert!(drain.await.expect("no panic"));
+}
+
+// The platform lists an endpoint as leaving. After the next reading of the
+// list it gets no new work.
+#[tokio::test]
+async fn leaving_endpoint_gets_no_new_work() {
+    let site = Site::open(Plan::default()).await;
+    let listed = |name: &str| Listed { name: name.into(), role: Role::Endpoint, state: Standing::Leaving };
+    site.objects.set_instances(vec![listed("e0")]);
+    tokio::time::sleep(Duration::from_millis(1_300)).await;
+    let before = site.engines[0].records().len();
+    for n in 0..20 {
+        site.client(0).chat(CLUB, &[], &format!("summary {n}")).await.content();
+    }
+    assert_eq!(site.engines[0].records().len(), before);
+    assert_eq!(site.engines[1].records().len(), 20);
+}
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -1,6 +1,13 @@
 //! The callers' side end to end, against the stand-ins: what callers see, and
 //! what the stand-ins' own records say.
 
+mod bad_input;
+mod breaks;
 mod client;
+mod gone;
+mod leaving;
+mod outage;
+mod repeats;
+mod sessions;
 mod site;
 mod whole;
--- /dev/null
+++ b/crates/entry/tests/path/outage.rs
@@ -0,0 +1,66 @@
+//! The platform is down.
+
+use standin::objects::Switch;
+
+use crate::site::{CLUB, Plan, Site};
+
+const NEVER: (&str, &str) = ("arbutuslug-idempotent", "false");
+
+/// Three instances, each of which has served a request before the outage.
+async fn down(contract: &'static str) -> Site {
+    let site = Site::open(Plan { instances: 3, contract, ..Plan::default() }).await;
+    for node in 0..3 {
+        site.client(node).chat(CLUB, &[], "before").await.content();
+    }
+    site.bills_when(3).await;
+    site.objects.switch(Switch::Down);
+    let told = |site: &Site| site.nodes[0].links.config.platform_age().is_some_and(|age| age.as_millis() > 700);
+    site.until(told).await;
+    site
+}
+
+// An idempotent request comes during an outage. Its bill is held by two
+// instances in different failure domains, and recorded when the platform is
+// back.
+#[tokio::test]
+async fn outage_serves_idempotent_requests_and_bills_them_later() {
+    let site = down("").await;
+    site.client(0).chat(CLUB, &[], "during").await.content();
+    assert_eq!(site.bills().len(), 3, "not recorded yet");
+    site.objects.switch(Switch::Up);
+    assert_eq!(site.bills_when(4).await.len(), 4);
+}
+
+// Without a durable claim a request that must not be repeated does not run.
+#[tokio::test]
+async fn outage_refuses_non_idempotent_requests_as_not_run() {
+    let site = down("").await;
+    let runs = site.runs().len();
+    let reply = site.client(0).chat(CLUB, &[NEVER, ("arbutuslug-deadline-ms", "3000")], "during").await;
+    assert_eq!(reply.problem(), (503, "platform-down".into(), "no".into()));
+    assert_eq!(site.runs().len(), runs);
+}
+
+// A contract may want work refused rather than billed late.
+#[tokio::test]
+async fn outage_refuses_where_the_contract_says_so() {
+    let site = down("outage: refuse").await;
+    let reply = site.client(0).chat(CLUB, &[], "during").await;
+    assert_eq!(reply.problem(), (503, "platform-down".into(), "no".into()));
+    site.objects.switch(Switch::Up);
+    let up = |site: &Site| site.nodes[0].links.config.platform_age().is_some_and(|age| age.as_millis() < 300);
+    site.until(up).await;
+    site.client(0).chat(CLUB, &[], "after").await.content();
+}
+
+// An instance that has no fresh word from platform or peers could miss a
+// withdrawal, so it takes no new work.
+#[tokio::test]
+async fn stale_configuration_takes_no_new_work() {
+    let site = Site::open(Plan::default()).await;
+    site.objects.switch(Switch::Down);
+    site.until(|site| !site.nodes[0].links.config.fresh()).await;
+    let reply = site.client(0).chat(CLUB, &[], "late").await;
+    assert_eq!(reply.problem(), (503, "stale-configuration".into(), "no".into()));
+    assert!(site.runs().is_empty());
+}
--- /dev/null
+++ b/crates/entry/tests/path/repeats.rs
@@ -0,0 +1,140 @@
+//! Repeats of a request, here and at other instances.
+
+use http::Method;
+use standin::engine;
+
+use crate::{
+    site::{CLUB, Plan, Site, WATER},
+    whole::answer_of,
+};
+
+const KEY: (&str, &str) = ("idempotency-key", "season-7");
+const NEVER: (&str, &str) = ("arbutuslug-idempotent", "false");
+const CONTENT: &str = "season summary";
+
+fn slow() -> Plan {
+    let engine = engine::Options { per_token_ms: 20, ..engine::Options::default() };
+    Plan { instances: 2, engine, ..Plan::default() }
+}
+
+/// Sends a request, repeats it at `node` while it runs, and expects one run,
+/// one bill, and the same answer to both.
+async fn check_join(headers: &[(&str, &str)], node: usize) {
+    let site = Site::open(slow()).await;
+    let mut first = site.client(0).stream(CLUB, headers, CONTENT).await;
+    while first.so_far().text.is_empty() {
+        assert!(first.more().await, "an answer");
+    }
+    let repeat = site.client(node).stream(CLUB, headers, CONTENT).await;
+    let version = repeat.headers["arbutuslug-version"].to_str().expect("text").to_owned();
+    let (first, repeat) = tokio::join!(first.told(), repeat.told());
+    assert_eq!(first.text, answer_of(&version, CONTENT));
+    assert_eq!(first, repeat);
+    assert!(repeat.done, "{repeat:?}");
+    assert_eq!(site.runs().len(), 1, "ran twice");
+    assert_eq!(site.bills_when(1).await.len(), 1);
+}
+
+macro_rules! joins {
+    ($($name:ident: $headers:expr, $node:literal;)*) => {
+        $(#[tokio::test] async fn $name() { check_join($headers, $node).await; })*
+    };
+}
+
+joins! {
+    repeat_here_joins_the_running_one: &[KEY], 0;
+    repeat_elsewhere_joins_the_running_one: &[KEY], 1;
+    non_idempotent_repeat_here_joins_the_running_one: &[KEY, NEVER], 0;
+    non_idempotent_repeat_elsewhere_joins_the_running_one: &[KEY, NEVER], 1;
+}
+
+// The answer was whole, but its caller lost the connection at the last frame
+// and asks again. Here the answer is still held and sent again.
+#[tokio::test]
+async fn answered_request_is_answered_again_from_memory() {
+    let site = Site::open(Plan::default()).await;
+    let first = site.client(0).chat(CLUB, &[KEY, NEVER], CONTENT).await.content();
+    assert_eq!(site.client(0).chat(CLUB, &[KEY, NEVER], CONTENT).await.content(), first);
+    assert_eq!(site.runs().len(), 1);
+    assert_eq!(site.bills_when(1).await.len(), 1);
+}
+
+// Elsewhere the answer of a non-idempotent request is not held: its caller is
+// told that it ran, and it does not run again.
+#[tokio::test]
+async fn answered_non_idempotent_request_never_runs_elsewhere() {
+    let site = Site::open(Plan { instances: 2, ..Plan::default() }).await;
+    site.client(0).chat(CLUB, &[KEY, NEVER], CONTENT).await.content();
+    let repeat = site.client(1).chat(CLUB, &[KEY, NEVER], CONTENT).await;
+    assert_eq!(repeat.problem(), (409, "answered-before".into(), "yes".into()));
+    assert_eq!(site.runs().len(), 1);
+}
+
+// An idempotent one may run again elsewhere so that its caller gets an
+// answer; it is billed once all the same.
+#[tokio::test]
+async fn answered_idempotent_request_is_billed_once_wherever_repeated() {
+    let site = Site::open(Plan { instances: 2, ..Plan::default() }).await;
+    let first = site.client(0).chat(CLUB, &[KEY], CONTENT).await.content();
+    site.bills_when(1).await;
+    assert_eq!(site.client(1).chat(CLUB, &[KEY], CONTENT).await.content(), first);
+    assert_eq!(site.bills_when(1).await.len(), 1);
+}
+
+#[tokio::test]
+async fn one_key_is_for_one_request() {
+    let site = Site::open(Plan { instances: 2, ..Plan::default() }).await;
+    site.client(0).chat(CLUB, &[KEY, NEVER], CONTENT).await.content();
+    let here = site.client(0).chat(CLUB, &[KEY, NEVER], "another").await;
+    assert_eq!(here.problem(), (422, "key-reused".into(), "no".into()));
+    let elsewhere = site.client(1).chat(CLUB, &[KEY, NEVER], "another").await;
+    assert_eq!(elsewhere.problem(), (422, "key-reused".into(), "no".into()));
+}
+
+async fn check_outcome(customer: &str, expected: Option<&str>) {
+    let site = Site::open(Plan { instances: 2, ..Plan::default() }).await;
+    site.client(0).chat(CLUB, &[KEY, NEVER], CONTENT).await.content();
+    let told = site.client(1).get("/v1/requests/season-7", customer).await;
+    match expected {
+        Some(outcome) => assert_eq!(told.json()["outcome"], outcome),
+        None => assert_eq!(told.problem().0, 404, "another customer's request is shown"),
+    }
+}
+
+#[tokio::test]
+async fn outcome_is_told_at_any_instance() {
+    check_outcome(CLUB, Some("answered")).await;
+}
+
+#[tokio::test]
+async fn outcome_is_told_to_its_own_customer_only() {
+    check_outcome(WATER, None).await;
+}
+
+// Two customers use the same key. Each gets its own answer and its own bill.
+#[tokio::test]
+async fn customers_do_not_share_keys() {
+    let site = Site::open(Plan::default()).await;
+    let club = site.client(0).chat(CLUB, &[KEY], "club").await;
+    let water = site.client(0).chat(WATER, &[KEY], "water").await;
+    assert_eq!(club.content(), answer_of(club.header("arbutuslug-version"), "club"));
+    assert_eq!(water.content(), answer_of(water.header("arbutuslug-version"), "water"));
+    assert_eq!(site.bills_when(2).await.len(), 2);
+}
+
+// A call that may not be repeated is sent to both instances at once. One runs
+// it; the other joins or refuses. There is one effect.
+#[tokio::test]
+async fn simultaneous_calls_have_one_effect() {
+    let site = Site::open(Plan { instances: 2, ..Plan::default() }).await;
+    let headers = [("authorization", "Bearer club-key"), KEY];
+    let clients = [site.client(0), site.client(1)];
+    let call = |node: usize| clients[node].call(Method::POST, "/v1/services/logbook/launches", &headers, "{}");
+    let replies = futures::future::join_all((0..8).map(|n| call(n % 2))).await;
+    assert!(replies.iter().any(|reply| reply.status.is_success()));
+    for reply in replies.iter().filter(|reply| !reply.status.is_success()) {
+        assert_ne!(reply.problem().2, "no", "it ran: {}", reply.text);
+    }
+    assert_eq!(site.service.effects().len(), 1);
+    assert_eq!(site.bills_when(1).await.len(), 1);
+}
--- a/crates/entry/tests/path/site.rs
+++ b/crates/entry/tests/path/site.rs
@@ -1,7 +1,7 @@
 //! A small site: stand-ins of the outside, and instances wired as the daemon
 //! wires them, as tasks of this process.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use config::{Edit, Expected, Outbound, Scope};
 use entry::{Links, Settings};
@@ -15,7 +15,7 @@
     service::{self, Service},
 };
 use timeline::{Capacity, Recorder, Source};
-use tokio::{net::TcpListener, sync::mpsc, task::JoinHandle, time::Instant};
+use tokio::{net::TcpListener, sync::mpsc, task::JoinHandle};
 use world::{
     domain::Domain,
     instance::{Id, Incarnation, Instance, State},
@@ -146,6 +146,13 @@
         self.bills()
     }
 
+    /// Waits until something is so.
+    pub async fn until(&self, so: impl Fn(&Self) -> bool) {
+        while !so(self) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
     /// Dispatches that any engine took.
     pub fn runs(&self) -> Vec<engine::Record> {
         self.engines.iter().flat_map(engine::Handle::records).collect()
@@ -159,7 +166,7 @@
     pub fn file(&self, contract: &str) -> String {
         let key = |text: &str| {
             let digest = Sha256::digest(text.as_bytes());
-            digest.iter().map(|byte| format!("{byte:02x}")).collect::<String>()
+            digest.iter().fold(String::new(), |text, byte| format!("{text}{byte:02x}"))
         };
         let customer = |name: &str, secret: &str| {
             format!(
@@ -185,7 +192,7 @@
 
     async fn node(&self, number: usize, plan: &Plan) -> Node {
         let id = Id::parse(&format!("i{number}")).expect("a name");
-        let domain = Domain::parse(&format!("d{number}")).expect("a name");
+        let domain = domain_of(number);
         let incarnation = Incarnation(1);
         let listener = TcpListener::bind(ANY).await.expect("port 0 is free");
         let callers = listener.local_addr().expect("bound");
@@ -194,8 +201,13 @@
         let mut platform = platform::Settings::new(self.objects.addr(), format!("{id}/1"));
         (platform.writes_per_s, platform.reads_per_s) = (5_000.0, 5_000.0);
         let platform = platform::open(platform);
-        let (config, config_out) =
-            config::spawn(config::Settings::new(id.clone(), domain.clone()), platform.clone(), recorder.clone());
+        let mut config = config::Settings::new(id.clone(), domain.clone());
+        // Alone, an instance has nobody else to be in step with.
+        let domains = if plan.instances > 1 { plan.instances } else { 0 };
+        config.domains = (0..domains).map(domain_of).collect();
+        config.freshness = Duration::from_secs(1);
+        (config.interval, config.watch_wait) = (Duration::from_millis(100), Duration::from_millis(500));
+        let (config, config_out) = config::spawn(config, platform.clone(), recorder.clone());
         config.set_reader(true).await;
         let me = Instance {
             id: id.clone(),
@@ -226,6 +238,7 @@
         let mut settings = Settings::new(id, domain, keys);
         settings.rated = self.rating.is_some();
         settings.addresses.keep_ms = plan.keep_ms;
+        settings.outage_after = Duration::from_millis(500);
         settings.body_timeout = Duration::from_millis(400);
         let entry = entry::bind(listener, settings, links.clone()).expect("bound");
         let tasks = vec![
@@ -238,6 +251,10 @@
     }
 }
 
+fn domain_of(number: usize) -> Domain {
+    Domain::parse(&format!("d{number}")).expect("a name")
+}
+
 const WITHIN: Duration = Duration::from_secs(2);
 
 async fn pump_config(links: Links, mut out: mpsc::Receiver<Outbound>) {
@@ -299,11 +316,3 @@
         });
     }
 }
-
-/// A moment that no test should reach.
-pub fn soon() -> Instant {
-    Instant::now() + Duration::from_secs(20)
-}
-
-/// Shares a site between tasks of a test.
-pub type Shared = Arc<Site>;
