--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -15,7 +15,7 @@
     admission, endpoint as placing,
     endpoint::{Failure, Key, Target},
     model::Choice,
-    quality::Stage,
+    quality::{Cell, Stage},
     retry,
     rollout::{Stops, Unit},
 };
@@ -100,6 +100,8 @@
     pub avoid: Vec<Key>,
     /// A number drawn for this dispatch.
     pub draw: u64,
+    /// Whose, and of which class; how long runs take is learned by it.
+    pub cell: Cell,
 }
 
 /// A request's turn; its place goes to the next one when this is dropped.
@@ -136,6 +138,7 @@
     pub expected_ms: Millis,
     key: Key,
     target: Target,
+    cell: Cell,
     desk: Handle,
     ended: bool,
 }
@@ -150,14 +153,14 @@
     /// Tells how the dispatch ended.
     pub fn end(mut self, ending: Ending) {
         self.ended = true;
-        self.desk.tell(Message::Ended(self.key, self.target.clone(), ending));
+        self.desk.tell(Message::Ended(self.key, self.target.clone(), self.cell, ending));
     }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
         if !self.ended {
-            self.desk.tell(Message::Ended(self.key, self.target.clone(), Ending::Cancelled));
+            self.desk.tell(Message::Ended(self.key, self.target.clone(), self.cell, Ending::Cancelled));
         }
     }
 }
@@ -197,7 +200,7 @@
     Leave(Line),
     Choose(Box<Wish>, oneshot::Sender<Result<(Choice, Entered), route::model::Refusal>>),
     Place(Wanted, oneshot::Sender<Result<Place, placing::Refusal>>),
-    Ended(Key, Target, Ending),
+    Ended(Key, Target, Cell, Ending),
     Retry(Customer, retry::Request, retry::Failure, oneshot::Sender<retry::Decision>),
     Void(Entered),
     Lapse(Entered),
--- a/crates/entry/src/desk/state.rs
+++ b/crates/entry/src/desk/state.rs
@@ -83,7 +83,7 @@
             Message::Leave(line) => self.left(&line, now),
             Message::Choose(wish, reply) => drop(reply.send(self.choose(&wish, now))),
             Message::Place(wanted, reply) => self.place(&wanted, reply, now),
-            Message::Ended(key, target, ending) => self.ended(key, &target, ending, now),
+            Message::Ended(key, target, cell, ending) => self.ended(key, &target, cell, ending, now),
             Message::Retry(customer, request, failure, reply) => {
                 let _ = reply.send(self.retry(&customer, &request, failure, now));
             }
@@ -216,9 +216,10 @@
                 endpoint: endpoint.id.clone(),
                 address: endpoint.address,
                 reason: reason(&choice),
-                expected_ms: self.expected_ms(&wanted.target, now),
+                expected_ms: self.expected_ms(&wanted.target, wanted.cell, now),
                 key: choice.key,
                 target: wanted.target.clone(),
+                cell: wanted.cell,
                 desk: Handle { inbox: self.inbox.upgrade().ok_or(refused)? },
                 ended: false,
             })
@@ -229,18 +230,18 @@
         drop(reply.send(placed));
     }
 
-    fn expected_ms(&self, target: &Target, now: Timestamp) -> Millis {
+    fn expected_ms(&self, target: &Target, cell: Cell, now: Timestamp) -> Millis {
         match target {
-            Target::Version(version) => whole(self.learn.book.speed(Cell::ANY, version, now).least_ms()),
+            Target::Version(version) => whole(self.learn.book.speed(cell, version, now).least_ms()),
             Target::Service(_) => 0,
         }
     }
 
-    fn ended(&mut self, key: Key, target: &Target, ending: Ending, now: Timestamp) {
+    fn ended(&mut self, key: Key, target: &Target, cell: Cell, ending: Ending, now: Timestamp) {
         match ending {
             Ending::Whole { millis, tokens } => {
                 if let Target::Version(version) = target {
-                    self.learn.book.ran(Cell::ANY, version, millis, tokens, now);
+                    self.learn.book.ran(cell, version, millis, tokens, now);
                 }
                 self.fleet.on(Event::Finished { key, target, millis, tokens }, now);
             }
--- a/crates/entry/src/drive/dispatch.rs
+++ b/crates/entry/src/drive/dispatch.rs
@@ -4,7 +4,7 @@
 
 use endpoint::{Attempt as Name, Dispatch, Error, error::Refusal};
 use http::{HeaderMap, HeaderName, header};
-use route::{endpoint as placing, endpoint::Failure, endpoint::Target, retry};
+use route::{endpoint as placing, endpoint::Failure, endpoint::Target, quality::Cell, retry};
 use timeline::{Ran, Step};
 use tokio::time::{Instant, sleep};
 use world::hash;
@@ -87,13 +87,14 @@
             Work::Call(_) => None,
         };
         let draw = hash::rendezvous(self.request.id().hash(), &self.tries.to_le_bytes());
+        let cell = Cell::new(self.request.customer(), &self.request.terms.class);
         let stopping = |_| Problem::not_run(Kind::Leaving, "this instance is stopping");
-        let wanted = Wanted { target: target.clone(), prefix, avoid: self.avoid.clone(), draw };
+        let wanted = Wanted { target: target.clone(), prefix, avoid: self.avoid.clone(), draw, cell };
         let placed = match self.shared.desk.place(wanted).await.map_err(stopping)? {
             Err(placing::Refusal::NoneLeft) if !self.avoid.is_empty() => {
                 // All have failed it once: any may have recovered.
                 self.avoid.clear();
-                let wanted = Wanted { target, prefix, avoid: Vec::new(), draw };
+                let wanted = Wanted { target, prefix, avoid: Vec::new(), draw, cell };
                 self.shared.desk.place(wanted).await.map_err(stopping)?
             }
             placed => placed,
