--- a/crates/arbutuslugd/src/daemon.rs
+++ b/crates/arbutuslugd/src/daemon.rs
@@ -190,7 +190,7 @@
         engines: control::order::spawn(endpoint.clone()),
         recorder: recorder.clone(),
     };
-    let (control, control_out) = control::spawn(control::Settings::new(me.id.clone(), me.incarnation), edges);
+    let (control, control_out) = control::spawn(control_settings(settings, &me), edges);
     let (leaving, leaving_list) = watch::channel(Vec::new());
     let links = entry::Links {
         config: config.clone(),
@@ -327,6 +327,15 @@
     }
 }
 
+fn control_settings(settings: &Settings, me: &Instance) -> control::Settings {
+    let mut control = control::Settings::new(me.id.clone(), me.incarnation);
+    if settings.ratings.is_none() {
+        // No rating will ever come: a roll-out that waits for some stands still.
+        control.guard.min_rated = 0;
+    }
+    control
+}
+
 fn spawn_journal(
     settings: &Settings,
     origin: &Origin,
