--- a/crates/timeline/tests/merge.rs
+++ b/crates/timeline/tests/merge.rs
@@ -3,6 +3,7 @@
 use proptest::{prelude::*, test_runner::RngSeed};
 use timeline::{
     Capacity, Clock, Event, Filter, Page, Recorder, Source, Stamp,
+    follow::{Follow, Shown},
     merge::{Gap, Timeline},
 };
 use uhlc::NTP64;
@@ -52,29 +53,81 @@
     WALLS.iter().enumerate().map(open).collect()
 }
 
-/// Plays the acts; each event's generation is its index in the returned list
-/// of causes, which holds the events that must come before it.
-fn play(site: &[Recorder], acts: &[Act]) -> Vec<Vec<u64>> {
-    let mut causes: Vec<Vec<u64>> = Vec::new();
-    let mut latest: Vec<Option<u64>> = vec![None; site.len()];
-    let mut record = |at: usize, cause: Option<u64>| {
-        let event = causes.len() as u64;
-        causes.push(latest[at].into_iter().chain(cause).collect());
-        latest[at] = Some(event);
-        (event, site[at].record(Event::Configuration { generation: event }))
-    };
-    for act in acts {
-        match *act {
-            Act::Record { at } => drop(record(at, None)),
-            Act::Send { from, to } => {
-                let (event, _) = record(from, None);
-                let carried = site[from].clock();
-                site[to].observe(carried);
-                record(to, Some(event));
+/// Plays acts; each event's generation is its index in the list of causes,
+/// which holds the events that must come before it.
+struct Player<'a> {
+    site: &'a [Recorder],
+    causes: Vec<Vec<u64>>,
+    latest: Vec<Option<u64>>,
+}
+
+impl<'a> Player<'a> {
+    fn new(site: &'a [Recorder]) -> Self {
+        Self { site, causes: Vec::new(), latest: vec![None; site.len()] }
+    }
+
+    fn play(&mut self, acts: &[Act]) {
+        for act in acts {
+            match *act {
+                Act::Record { at } => drop(self.record(at, None)),
+                Act::Send { from, to } => {
+                    let event = self.record(from, None);
+                    let carried = self.site[from].clock();
+                    self.site[to].observe(carried);
+                    self.record(to, Some(event));
+                }
             }
         }
     }
-    causes
+
+    fn record(&mut self, at: usize, cause: Option<u64>) -> u64 {
+        let event = self.causes.len() as u64;
+        self.causes.push(self.latest[at].into_iter().chain(cause).collect());
+        self.latest[at] = Some(event);
+        self.site[at].record(Event::Configuration { generation: event });
+        event
+    }
+}
+
+fn play(site: &[Recorder], acts: &[Act]) -> Vec<Vec<u64>> {
+    let mut player = Player::new(site);
+    player.play(acts);
+    player.causes
+}
+
+/// Whether every event comes after its causes.
+fn causal(order: &[u64], causes: &[Vec<u64>]) -> bool {
+    order.iter().enumerate().all(|(place, event)| {
+        let causes = &causes[usize::try_from(*event).expect("few events")];
+        causes.iter().all(|cause| order[..place].contains(cause))
+    })
+}
+
+/// Follows the site as the operators' tool does.
+struct Reader<'a> {
+    site: &'a [Recorder],
+    after: Vec<u64>,
+    merge: Follow,
+    shown: Vec<Shown>,
+}
+
+impl<'a> Reader<'a> {
+    fn new(site: &'a [Recorder]) -> Self {
+        let mut merge = Follow::default();
+        for recorder in site {
+            merge.add(recorder.source().instance.clone());
+        }
+        Self { site, after: vec![0; site.len()], merge, shown: Vec::new() }
+    }
+
+    fn read(&mut self, index: usize) {
+        let recorder = &self.site[index];
+        let now = recorder.clock();
+        let page = recorder.query(&Filter { after: self.after[index], ..Filter::default() });
+        self.after[index] = page.last;
+        self.merge.push(&recorder.source().instance, page.records, now);
+        self.shown.extend(self.merge.ready());
+    }
 }
 
 fn pages(site: &[Recorder]) -> Vec<Page> {
@@ -104,16 +157,37 @@
         let order = generations(&timeline);
         prop_assert_eq!(order.len(), causes.len());
         prop_assert!(timeline.gaps.is_empty());
-        for (place, event) in order.iter().enumerate() {
-            let early = &order[..place];
-            for cause in &causes[usize::try_from(*event).unwrap()] {
-                prop_assert!(early.contains(cause), "event {} came before its cause {}", event, cause);
-            }
-        }
+        prop_assert!(causal(&order, &causes));
         answers.rotate_left(rotation);
         prop_assert_eq!(generations(&Timeline::merge(answers, Vec::new())), order);
     }
 
+    /// Instances are read at odd times while events go on. What is shown is
+    /// in causal order, nothing comes late, and in the end nothing is missing.
+    #[test]
+    fn following_keeps_the_order(
+        rounds in prop::collection::vec((prop::collection::vec(act(), 0..6), 0..WALLS.len()), 1..30),
+    ) {
+        let site = site(1_000);
+        let mut reader = Reader::new(&site);
+        let mut player = Player::new(&site);
+        for (acts, read) in &rounds {
+            player.play(acts);
+            reader.read(*read);
+        }
+        // Clocks must pass the fastest one's last record.
+        let last = site[WALLS.len() - 1].clock();
+        for recorder in &site {
+            recorder.observe(last);
+        }
+        (0..site.len()).for_each(|index| reader.read(index));
+        prop_assert!(reader.shown.iter().all(|shown| !shown.late));
+        let timeline = Timeline { records: reader.shown.into_iter().map(|s| s.record).collect(), gaps: Vec::new() };
+        let order = generations(&timeline);
+        prop_assert_eq!(order.len(), player.causes.len());
+        prop_assert!(causal(&order, &player.causes));
+    }
+
     /// With small rings, every missing event lies at or before a named gap of
     /// its own instance, and no gap is named where nothing is missing.
     #[test]
