Look at records outside the recorder's lock

Change: records are shared; the lock covers taking references only, and a limit clones no more than it returns.

--- a/crates/timeline/src/recorder.rs
+++ b/crates/timeline/src/recorder.rs
@@ -158,14 +158,17 @@
         let rings = self.lock();
         let requests = filter.wants_kind(Kind::Request);
         let others = Kind::ALL.iter().any(|kind| *kind != Kind::Request && filter.wants_kind(*kind));
-        let of_requests = rings.requests.after(filter.after).filter(|record| requests && filter.wants(record));
-        let of_others = rings.others.after(filter.after).filter(|record| others && filter.wants(record));
-        let mut records: Vec<_> = of_requests.chain(of_others).cloned().collect();
+        // Shared under the lock and looked at after it: every request records,
+        // and would wait while an operator's filter goes through the rings.
+        let of_requests = rings.requests.after(filter.after).filter(|_| requests);
+        let of_others = rings.others.after(filter.after).filter(|_| others);
+        let mut records: Vec<Arc<Record>> = of_requests.chain(of_others).cloned().collect();
         let dropped_requests = rings.requests.dropped_after(filter.after).filter(|_| requests);
         let dropped_others = rings.others.dropped_after(filter.after).filter(|_| others);
         let last = rings.last;
         drop(rings);
 
+        records.retain(|record| filter.wants(record));
         records.sort_by_key(|record| record.number);
         let mut overflowed_before = dropped_requests.into_iter().chain(dropped_others).map(|d| d.at).max();
         if filter.limit > 0 && records.len() > filter.limit {
@@ -173,6 +176,7 @@
             overflowed_before = overflowed_before.max(Some(records[left_out - 1].at));
             records.drain(..left_out);
         }
+        let records = records.iter().map(|record| Record::clone(record)).collect();
         Page { source: self.shared.source.clone(), records, overflowed_before, last }
     }
 
--- a/crates/timeline/src/ring.rs
+++ b/crates/timeline/src/ring.rs
@@ -1,13 +1,13 @@
 //! A bounded run of records that remembers what it dropped.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, sync::Arc};
 
 use crate::{Stamp, recorder::Record};
 
 /// The latest records, up to a capacity.
 #[derive(Debug)]
 pub(crate) struct Ring {
-    records: VecDeque<Record>,
+    records: VecDeque<Arc<Record>>,
     capacity: usize,
     dropped: Option<Dropped>,
 }
@@ -30,11 +30,11 @@
         {
             self.dropped = Some(Dropped { at: oldest.at, number: oldest.number });
         }
-        self.records.push_back(record);
+        self.records.push_back(Arc::new(record));
     }
 
     /// Records after a number, oldest first.
-    pub(crate) fn after(&self, number: u64) -> impl DoubleEndedIterator<Item = &Record> {
+    pub(crate) fn after(&self, number: u64) -> impl DoubleEndedIterator<Item = &Arc<Record>> {
         let start = self.records.partition_point(|record| record.number <= number);
         self.records.range(start..)
     }
