--- /dev/null
+++ b/crates/entry/tests/path/cascades.rs
@@ -0,0 +1,117 @@
+//! Cascades: a cheap answer is rated before any of it is shown.
+
+use std::collections::BTreeMap;
+
+use standin::rating::{self, Switch};
+
+use crate::{
+    site::{CHEAP, CLUB, DEAR, Plan, Site},
+    whole::answer_of,
+};
+
+const CONTENT: &str = "season summary";
+
+fn plan(cheap: f64) -> Plan {
+    let quality = BTreeMap::from([(CHEAP.to_owned(), cheap), (DEAR.to_owned(), 1.0)]);
+    let rating = rating::Options { quality, ..rating::Options::default() };
+    Plan { rating: Some(rating), contract: "quality: { target: 0.95 }", ..Plan::default() }
+}
+
+/// Versions that ran, in order.
+fn ran(site: &Site) -> Vec<String> {
+    let mut runs = site.runs();
+    runs.sort_by_key(|run| run.received);
+    runs.into_iter().map(|run| run.version).collect()
+}
+
+/// The first request that starts on the cheap version: nothing is known of
+/// either, so that the choice may start anywhere.
+async fn first_cascade(site: &Site) -> (String, String, usize) {
+    for n in 0..60 {
+        let before = site.runs().len();
+        let content = format!("{CONTENT} {n}");
+        let told = site.client(0).stream(CLUB, &[], &content).await;
+        let version = told.headers["arbutuslug-version"].to_str().expect("text").to_owned();
+        let told = told.told().await;
+        assert_eq!(told.text, answer_of(&version, &content), "{told:?}");
+        let runs = ran(site).split_off(before);
+        if runs[0] == CHEAP {
+            return (version, content, runs.len());
+        }
+    }
+    panic!("no request started on the cheap version");
+}
+
+// The cheap answer passes its rating: it is delivered, and no other runs.
+#[tokio::test]
+async fn cheap_answer_that_passes_is_kept() {
+    let site = Site::open(plan(1.0)).await;
+    let (version, _, runs) = first_cascade(&site).await;
+    assert_eq!((version.as_str(), runs), (CHEAP, 1));
+}
+
+// The cheap answer fails its rating. The caller gets the dear version's whole
+// answer and nothing of the cheap one; one bill covers both runs.
+#[tokio::test]
+async fn cheap_answer_that_fails_is_escalated() {
+    let site = Site::open(plan(0.0)).await;
+    let (version, _, runs) = first_cascade(&site).await;
+    assert_eq!((version.as_str(), runs), (DEAR, 2));
+    let requests = site.bills().len().max(1);
+    let bills = site.bills_when(requests).await;
+    let cascade = bills.iter().find(|bill| bill.attempts == 2).expect("one bill with two attempts");
+    let others = bills.iter().filter(|bill| bill.id == cascade.id).count();
+    assert_eq!(others, 1);
+    let dear_alone = bills.iter().filter(|bill| bill.attempts == 1).map(|bill| bill.amount).max();
+    assert!(dear_alone.is_none_or(|alone| cascade.amount > alone), "both runs are billed");
+}
+
+// The rating service is down: no cheap answer is shown unrated, and no
+// request waits for it in vain for long.
+#[tokio::test]
+async fn no_unrated_cheap_answer_while_the_rater_is_down() {
+    let site = Site::open(plan(1.0)).await;
+    site.rating.as_ref().expect("a rating service").switch(Switch::Down);
+    for n in 0..20 {
+        let reply = site.client(0).chat(CLUB, &[], &format!("{CONTENT} {n}")).await;
+        assert_eq!(reply.header("arbutuslug-version"), DEAR, "unrated");
+        reply.content();
+    }
+    let cheap = ran(&site).iter().filter(|version| *version == CHEAP).count();
+    assert!(cheap <= 1, "{cheap} cascades started without a rater");
+}
+
+// A request that must not be repeated never cascades: one dispatch.
+#[tokio::test]
+async fn non_idempotent_request_never_cascades() {
+    let site = Site::open(plan(0.0)).await;
+    for n in 0..20 {
+        let headers = [("arbutuslug-idempotent", "false")];
+        site.client(0).chat(CLUB, &headers, &format!("{CONTENT} {n}")).await.content();
+    }
+    assert_eq!(site.runs().len(), 20);
+    assert!(site.bills_when(20).await.iter().all(|bill| bill.attempts == 1));
+}
+
+// Answers that were not rated at once are submitted, and their ratings teach
+// which version is good: in the end the cheap, bad version is left alone.
+#[tokio::test]
+async fn delayed_ratings_are_learned() {
+    let site = Site::open(plan(0.0)).await;
+    for n in 0..40 {
+        let headers = [("arbutuslug-idempotent", "false")];
+        site.client(0).chat(CLUB, &headers, &format!("{CONTENT} {n}")).await.content();
+    }
+    let rating = site.rating.as_ref().expect("a rating service");
+    site.until(|_| rating.submitted() == 40).await;
+    let mut dear_in_a_row = 0;
+    for n in 0..200 {
+        let headers = [("arbutuslug-idempotent", "false")];
+        let reply = site.client(0).chat(CLUB, &headers, &format!("later {n}")).await;
+        dear_in_a_row = if reply.header("arbutuslug-version") == DEAR { dear_in_a_row + 1 } else { 0 };
+        if dear_in_a_row == 20 {
+            return;
+        }
+    }
+    panic!("the bad version goes on answering");
+}
--- /dev/null
+++ b/crates/entry/tests/path/limits.rs
@@ -0,0 +1,71 @@
+//! Budgets, queues and retry budgets: refusals are at once and true.
+
+use standin::{
+    engine::{self, Switch},
+    fault::Odds,
+};
+
+use crate::site::{CLUB, Plan, Site, WATER};
+
+// The budget covers a few requests. The rest are refused before they run, and
+// what was billed stays within the budget.
+#[tokio::test]
+async fn spent_budget_refuses_before_the_run() {
+    let site = Site::open(Plan::default()).await;
+    let small = site.file("").replacen("amount: \"100\"", "amount: \"0.05\"", 1);
+    site.apply(&small).await;
+    let mut refused = 0;
+    for n in 0..30 {
+        let reply = site.client(0).chat(CLUB, &[], &format!("summary {n}")).await;
+        if reply.status.is_success() {
+            continue;
+        }
+        refused += 1;
+        assert_eq!(reply.problem(), (402, "budget-spent".into(), "no".into()));
+    }
+    assert!(refused > 0, "nothing was refused");
+    assert_eq!(site.runs().len(), 30 - refused);
+    let billed: u64 = site.bills_when(30 - refused).await.iter().map(|bill| bill.amount.0).sum();
+    assert!(billed <= 50_000_000, "{billed} nanos of a budget of 0.05");
+    site.client(0).chat(WATER, &[], "another customer").await.content();
+}
+
+// All engines refuse. Each request gets its final answer at once, with the
+// time to come back, and retries stay within the customer's budget.
+#[tokio::test]
+async fn retries_stay_within_their_budget() {
+    let site = Site::open(Plan::default()).await;
+    site.switch(&Switch::LoseAnswers(Odds::ALWAYS));
+    for n in 0..40 {
+        let reply = site.client(0).chat(CLUB, &[], &format!("summary {n}")).await;
+        assert_eq!(reply.problem().2, "unknown");
+    }
+    let runs = site.runs().len();
+    assert!(runs <= 40 + 4 + 5 + 1, "{runs} dispatches for 40 requests at a share of a tenth and a burst of five");
+}
+
+// More requests come than can be done by their deadlines. Those in excess are
+// refused as not run, long before their deadline; the others are answered.
+#[tokio::test]
+async fn overload_refuses_early_and_truly() {
+    let engine =
+        engine::Options { slots: 2, queue: 0, first_token_ms: 60, per_token_ms: 0, ..engine::Options::default() };
+    let site = Site::open(Plan { engine, ..Plan::default() }).await;
+    for n in 0..4 {
+        site.client(0).chat(CLUB, &[], &format!("warm {n}")).await.content();
+    }
+    let client = site.client(0);
+    let calls = (0..60)
+        .map(|n| async move { client.chat(CLUB, &[("arbutuslug-deadline-ms", "400")], &format!("summary {n}")).await });
+    let replies = futures::future::join_all(calls).await;
+    let (answered, refused): (Vec<_>, Vec<_>) = replies.iter().partition(|reply| reply.status.is_success());
+    assert!(!answered.is_empty() && !refused.is_empty(), "{} answered", answered.len());
+    for reply in &refused {
+        let (_, kind, ran) = reply.problem();
+        assert!(matches!(kind.as_str(), "deadline" | "busy" | "no-endpoint"), "{}", reply.text);
+        if ran == "no" && kind != "deadline" {
+            assert!(reply.json()["retry_after_ms"].is_u64(), "{}", reply.text);
+        }
+    }
+    assert_eq!(site.bills_when(4 + answered.len()).await.len(), 4 + answered.len());
+}
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -3,9 +3,11 @@
 
 mod bad_input;
 mod breaks;
+mod cascades;
 mod client;
 mod gone;
 mod leaving;
+mod limits;
 mod outage;
 mod repeats;
 mod sessions;
