Give a repeat the first answer wherever it is sent

Once an answer was billed its key's home knew only that it was answered; a repeat at another instance ran again there and could get another version. Change: the home remembers who answered (from the claim or the bill's grant); a repeat fetches the held answer from there, and only runs again, or is told, when it is held no more.

--- a/crates/arbutuslugd/tests/path.rs
+++ b/crates/arbutuslugd/tests/path.rs
@@ -132,8 +132,13 @@
     assert!(first.body.trim_end().ends_with("data: [DONE]"), "{}", first.body);
     assert_eq!(first.headers["arbutuslug-version"], "summary@3");
 
+    // The caller's second try, at another instance, must not get another
+    // answer to the same request: it ran again there, on whatever version was
+    // chosen then, once the first answer was billed and its run forgotten.
+    // The home now names who holds the answer.
     let again = site.ask(1, Method::POST, "/v1/chat/completions", CHAT, Some("sheet-1")).await;
     assert_eq!(again.status, StatusCode::OK, "{}", again.body);
+    assert_eq!(site.engine.records().len(), 1);
 
     let outcome = site.ask(2, Method::GET, "/v1/requests/sheet-1", "", None).await;
     assert!(outcome.body.contains("answered"), "{}", outcome.body);
--- a/crates/entry/src/drive/enter.rs
+++ b/crates/entry/src/drive/enter.rs
@@ -39,7 +39,7 @@
         let registered = self.shared.links.journal.register(self.request.id(), fingerprint, lasts, deadline).await;
         match registered {
             Ok(Registered::RunningAt(home)) => !self.follow(&home).await,
-            Ok(Registered::Known(known)) => self.known_idempotent(&known),
+            Ok(Registered::Known(known)) => self.known_idempotent(&known).await,
             Err(Error::NotRecorded(reason @ (Reason::OtherBody | Reason::KeyTooOld | Reason::KeyTooNew))) => {
                 self.refuse(refusal(reason));
                 false
@@ -51,15 +51,18 @@
     }
 
     /// An earlier request with this key has left a record.
-    fn known_idempotent(&mut self, known: &Known) -> bool {
-        match known.outcome {
-            // Its answer is not held here any more: run it again, billed once.
-            Outcome::Answered | Outcome::NotRun => true,
-            Outcome::Running => {
+    async fn known_idempotent(&mut self, known: &Known) -> bool {
+        match (known.outcome, &known.at) {
+            // A second run could answer otherwise, on another version say, and
+            // the caller would hold two answers to one request: the first one
+            // is fetched for as long as it is held.
+            (Outcome::Answered, Some(at)) => !self.follow(at).await,
+            (Outcome::Answered, None) | (Outcome::NotRun, _) => true,
+            (Outcome::Running, _) => {
                 self.refuse(Problem::new(Kind::StillRunning, Ran::Unknown, "it was sent before as not to be repeated"));
                 false
             }
-            Outcome::Unknown => {
+            (Outcome::Unknown, _) => {
                 let detail = "it was sent before as not to be repeated, and may have run";
                 self.refuse(Problem::new(Kind::OutcomeUnknown, Ran::Unknown, detail));
                 false
@@ -161,7 +164,7 @@
     /// The key was claimed before: this request never runs here.
     async fn known_claim(&mut self, known: Known) -> Event {
         self.turn = None;
-        if known.outcome == Outcome::Running
+        if matches!(known.outcome, Outcome::Running | Outcome::Answered)
             && let Some(at) = &known.at
             && self.follow(at).await
         {
--- a/crates/journal/src/op.rs
+++ b/crates/journal/src/op.rs
@@ -93,6 +93,6 @@
 pub struct Known {
     /// How it stands.
     pub outcome: Outcome,
-    /// Where it runs; nothing once it has ended.
+    /// Where it runs, or where it was answered and its answer may be held.
     pub at: Option<instance::Id>,
 }
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -92,6 +92,9 @@
     made_at: Timestamp,
     billed: u64,
     seq: Seq,
+    /// Who answered it and may hold the answer still; a hint, not kept in
+    /// snapshots.
+    answered: Option<Origin>,
 }
 
 #[derive(Debug)]
@@ -191,6 +194,7 @@
             made_at: claim.made_at,
             billed: 0,
             seq,
+            answered: None,
         };
         match self.marks.get_mut(&claim.digest) {
             None => {
@@ -214,10 +218,11 @@
         match self.marks.get_mut(&settle.digest) {
             None => {
                 let Settle { nonce, made_at, .. } = *settle;
-                let entry = Entry { standing, nonce, fingerprint: 0, made_at, billed: 0, seq };
+                let entry = Entry { standing, nonce, fingerprint: 0, made_at, billed: 0, seq, answered: None };
                 self.marks.insert(settle.digest, entry);
             }
             Some(old) if old.nonce == settle.nonce && old.open() => {
+                old.answer(&standing);
                 old.standing = standing;
                 old.seq = seq;
             }
@@ -237,8 +242,14 @@
             made_at: bill.at,
             billed: 0,
             seq,
+            answered: None,
         });
         if entry.billed == 0 {
+            entry.answer(&Standing::Answered);
+            if let (None, Some(grant)) = (&entry.answered, &bill.grant) {
+                let Holder { instance, incarnation, .. } = grant.holder.clone();
+                entry.answered = Some(Origin { instance, incarnation });
+            }
             entry.billed = bill_hash(bill);
             entry.standing = Standing::Answered;
             entry.seq = seq;
@@ -258,7 +269,7 @@
 
     fn apply_mark(&mut self, mark: &Mark, seq: Seq) {
         let Mark { digest, standing, nonce, fingerprint, made_at, billed } = mark.clone();
-        self.marks.insert(digest, Entry { standing, nonce, fingerprint, made_at, billed, seq });
+        self.marks.insert(digest, Entry { standing, nonce, fingerprint, made_at, billed, seq, answered: None });
     }
 
     fn decide_claim(&self, claim: &Claim, context: &Context<'_>, bounds: &Bounds) -> Decision {
@@ -377,12 +388,23 @@
         matches!(self.standing, Standing::Running(_) | Standing::Unknown)
     }
 
+    /// Notes who answers before the standing forgets who ran it.
+    fn answer(&mut self, next: &Standing) {
+        if let (Standing::Running(by), Standing::Answered) = (&self.standing, next) {
+            self.answered = Some(by.clone());
+        }
+    }
+
     fn known(&self, placement: &Placement) -> Known {
         let (outcome, at): (_, Option<instance::Id>) = match &self.standing {
             Standing::Running(by) if placement.knows(by) => (Outcome::Running, Some(by.instance.clone())),
             // The instance that ran it is gone: nobody can tell any more.
             Standing::Running(_) | Standing::Unknown => (Outcome::Unknown, None),
-            Standing::Answered => (Outcome::Answered, None),
+            // A repeat asks there for the answer that its first caller got.
+            Standing::Answered => {
+                let holder = self.answered.as_ref().filter(|by| placement.knows(by));
+                (Outcome::Answered, holder.map(|by| by.instance.clone()))
+            }
             Standing::NotRun => (Outcome::NotRun, None),
         };
         Known { outcome, at }
