--- a/crates/standin/src/engine/api.rs
+++ b/crates/standin/src/engine/api.rs
@@ -101,7 +101,7 @@
             () = attempt.cancel.cancelled() => false,
         };
         if !got {
-            attempt.progress.send_modify(|progress| progress.end = Some(End::Cancelled));
+            attempt.progress.send_modify(|progress| progress.finish(End::Cancelled));
             // A turn that came at the same moment is handed on.
             turn.close();
             if turn.try_recv().is_ok() {
--- a/crates/standin/src/engine/attempt.rs
+++ b/crates/standin/src/engine/attempt.rs
@@ -7,7 +7,7 @@
 use tokio_util::sync::CancellationToken;
 use world::Timestamp;
 
-use crate::answer::Pace;
+use crate::{answer::Pace, fault::wall_clock};
 
 /// The engine's own record of an attempt.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,6 +26,8 @@
     pub tokens: u64,
     /// How it ended, if it has.
     pub end: Option<End>,
+    /// When it ended, if it has.
+    pub ended: Option<Timestamp>,
 }
 
 /// How an attempt ended.
@@ -43,6 +45,15 @@
 pub(super) struct Progress {
     pub(super) tokens: usize,
     pub(super) end: Option<End>,
+    pub(super) ended: Option<Timestamp>,
+}
+
+impl Progress {
+    /// Marks how and when it ended.
+    pub(super) fn finish(&mut self, end: End) {
+        self.end = Some(end);
+        self.ended = Some(wall_clock());
+    }
 }
 
 /// What usage an answer states.
@@ -76,7 +87,7 @@
 
 impl Attempt {
     pub(super) fn record(&self) -> Record {
-        let Progress { tokens, end } = *self.progress.borrow();
+        let Progress { tokens, end, ended } = *self.progress.borrow();
         Record {
             attempt: self.id.clone(),
             version: self.version.clone(),
@@ -85,6 +96,7 @@
             received: self.received,
             tokens: tokens as u64,
             end,
+            ended,
         }
     }
 
@@ -95,7 +107,7 @@
             () = self.make() => {}
         }
         let end = if self.cancel.is_cancelled() { End::Cancelled } else { End::Completed };
-        self.progress.send_modify(|progress| progress.end = Some(end));
+        self.progress.send_modify(|progress| progress.finish(end));
     }
 
     async fn make(&self) {
--- a/crates/trial/src/caller.rs
+++ b/crates/trial/src/caller.rs
@@ -67,11 +67,19 @@
     pub(crate) key: String,
     pub(crate) end: End,
     /// When it was told that nothing had been run under its key.
-    pub(crate) not_run: Vec<Timestamp>,
+    pub(crate) not_run: Vec<NotRun>,
     pub(crate) tries: u32,
     pub(crate) took: Duration,
 }
 
+/// A promise that nothing had been run under a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct NotRun {
+    pub(crate) told: Timestamp,
+    /// The refusal's `type`.
+    pub(crate) kind: String,
+}
+
 #[derive(Deserialize)]
 struct Addresses {
     addresses: Vec<Address>,
@@ -199,7 +207,7 @@
         };
         let pause = problem.retry_after_ms.map(|ms| Duration::from_millis(ms).min(MAX_PAUSE));
         if problem.ran == Ran::No {
-            sent.not_run.push(now());
+            sent.not_run.push(NotRun { told: now(), kind: problem.kind.clone() });
             sent.end = End::Refused(problem.clone());
             return pause.map_or(Next::End(End::Refused(problem)), Next::Again);
         }
--- a/crates/trial/src/check/tests.rs
+++ b/crates/trial/src/check/tests.rs
@@ -10,7 +10,7 @@
 use super::{Breach, check, request_id};
 use crate::{
     books::Books,
-    caller::{End, Sent, Whole},
+    caller::{End, NotRun, Sent, Whole},
     client::{Problem, Ran},
     plan::{Ask, Kind, Repeat, Script, Session},
     traffic::{Played, Traffic},
@@ -92,6 +92,7 @@
         received: Timestamp(100),
         tokens: 3,
         end: Some(engine::End::Completed),
+        ended: Some(Timestamp(120)),
     }
 }
 
@@ -122,6 +123,10 @@
     }
 }
 
+fn not_run(told: u64) -> NotRun {
+    NotRun { told: Timestamp(told), kind: String::new() }
+}
+
 fn refused() -> End {
     End::Refused(Problem { ran: Ran::No, ..Problem::default() })
 }
@@ -184,8 +189,8 @@
         run.sent(2).end = refused();
         run.books.effects.clear();
     } => [Breach::BillDoubled(_)];
-    not_run_yet_it_ran: |run| run.sent(2).not_run = vec![Timestamp(101)] => [Breach::FalseNotRun(_)];
-    not_run_before_it_ran: |run| run.sent(2).not_run = vec![Timestamp(99)] => [];
+    not_run_yet_it_ran: |run| run.sent(2).not_run = vec![not_run(101)] => [Breach::FalseNotRun(_)];
+    not_run_before_it_ran: |run| run.sent(2).not_run = vec![not_run(99)] => [];
     version_outside_the_contract: |run| run.books.records[0].version = "m@2".into() => [Breach::Version(_)];
     session_changes_unsaid: |run| {
         let End::Whole(whole) = &mut run.sent(1).end else { unreachable!() };
