Tell limits from overflows, count ratings, bound the metrics' memory

Change: a limit is a gap of its own; ratings are counted per customer and version; spans go into buckets, gathered every five seconds. Checked: cargo test -p timeline -p operator -p arbutuslug -p arbutuslugd.

--- a/crates/arbutuslug/src/describe.rs
+++ b/crates/arbutuslug/src/describe.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, UNIX_EPOCH};
 
-use timeline::{Event, GrantMove, OutageStep, Phase, Ran, Step};
+use timeline::{Event, GrantMove, OutageStep, Phase, Ran, Step, merge::Gap};
 use world::{Timestamp, model::Version};
 
 /// A time for people, UTC.
@@ -53,6 +53,26 @@
     }
 }
 
+/// What is missing, and where it may still be found.
+pub(crate) fn gap(gap: &Gap) -> String {
+    match gap {
+        Gap::Overflow { source, before } => {
+            let before = time(before.timestamp());
+            format!(
+                "{}: records up to {before} may be missing, its ring overflowed; look in its log lines",
+                source.instance
+            )
+        }
+        Gap::Limited { source, before } => {
+            let before = time(before.timestamp());
+            format!("{}: records up to {before} are left out; raise --limit or filter", source.instance)
+        }
+        Gap::Silent { instance, cause } => {
+            format!("{instance}: no records, it did not answer ({cause}); look in its log lines")
+        }
+    }
+}
+
 /// A request's step in words.
 pub(crate) fn step(step: &Step) -> String {
     match step {
--- a/crates/arbutuslug/src/verb/explain.rs
+++ b/crates/arbutuslug/src/verb/explain.rs
@@ -60,7 +60,7 @@
         [] => {
             let remedy = "give CUSTOMER/KEY to read its outcome and bill from the journal";
             let mut lines = vec![format!("no instance remembers request {}; {remedy}", subject.key)];
-            lines.extend(timeline.gaps.iter().map(|gap| format!("gap: {gap}")));
+            lines.extend(timeline.gaps.iter().map(|gap| format!("gap: {}", describe::gap(gap))));
             Err(Failure::Refused(lines.join("\n")))
         }
         several => {
@@ -86,7 +86,7 @@
     if records.is_empty() {
         lines.push("no instance remembers its steps; look in their log lines".into());
     }
-    lines.extend(gaps.iter().map(|gap| format!("gap: {gap}")));
+    lines.extend(gaps.iter().map(|gap| format!("gap: {}", describe::gap(gap))));
     lines.join("\n")
 }
 
--- a/crates/arbutuslug/src/verb/follow.rs
+++ b/crates/arbutuslug/src/verb/follow.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     console::{Console, Format, json, yaml},
+    describe,
     exit::Failure,
     fleet::Fleet,
     verb::timeline::line,
@@ -97,9 +98,8 @@
     fn take(&mut self, told: Told, console: &mut Console<'_>) -> Result<(), Failure> {
         match told {
             Told::Events(id, events) => {
-                if let Some(before) = events.page.overflowed_before {
-                    let source = events.page.source.clone();
-                    gap(&Gap::Overflow { source, before }, console)?;
+                for missing in events.page.gaps() {
+                    gap(&missing, console)?;
                 }
                 let incarnation = events.page.source.incarnation;
                 self.seen.insert(id.clone(), Seen { incarnation, number: events.page.last });
@@ -149,7 +149,7 @@
 }
 
 fn gap(gap: &Gap, console: &mut Console<'_>) -> Result<(), Failure> {
-    console.note(&format!("gap: {gap}"));
+    console.note(&format!("gap: {}", describe::gap(gap)));
     match console.format() {
         Format::Table => Ok(()),
         Format::Json => console.print(&json(gap)?),
--- a/crates/arbutuslug/src/verb/status.rs
+++ b/crates/arbutuslug/src/verb/status.rs
@@ -1,6 +1,7 @@
 //! `status`
 
 use operator::{Member, Status};
+use world::instance::State;
 
 use crate::{
     console::Console,
@@ -39,6 +40,7 @@
 fn remark(member: &Member, generation: u64) -> String {
     match &member.silent {
         Some(cause) => format!("does not answer: {cause}"),
+        None if member.state == State::Gone => String::new(),
         None if !member.fresh => format!("no news for {} ms, takes no new work", member.age_ms),
         None if member.lags(generation) => "behind".into(),
         None => String::new(),
--- a/crates/arbutuslug/src/verb/timeline.rs
+++ b/crates/arbutuslug/src/verb/timeline.rs
@@ -25,7 +25,7 @@
         Format::Json | Format::Yaml => console.show(&timeline, |_| String::new())?,
     }
     for gap in &timeline.gaps {
-        console.note(&format!("gap: {gap}"));
+        console.note(&format!("gap: {}", describe::gap(gap)));
     }
     Ok(())
 }
--- a/crates/arbutuslug/tests/tool/follow.rs
+++ b/crates/arbutuslug/tests/tool/follow.rs
@@ -47,7 +47,10 @@
     };
     let records = times.iter().enumerate().map(record).collect();
     let last = times.len() as u64;
-    Events { page: Page { source: source.clone(), records, overflowed_before: None, last }, now: Stamp(now * MS) }
+    Events {
+        page: Page { source: source.clone(), records, overflowed_before: None, limited_before: None, last },
+        now: Stamp(now * MS),
+    }
 }
 
 /// Two instances; the second one's stream stays open or ends.
--- a/crates/arbutuslugd/src/daemon.rs
+++ b/crates/arbutuslugd/src/daemon.rs
@@ -245,6 +245,7 @@
         latest,
     };
     let mut wiring = JoinSet::new();
+    wiring.spawn(meter::gather(meter::handle()));
     wiring.spawn(outage::record(platform.reachable(), recorder.clone()));
     wiring.spawn(pump::inbound(inbound, owners));
     wiring.spawn(pump::configuration(config_out, config.clone(), peers.clone()));
--- a/crates/arbutuslugd/src/operators/follow.rs
+++ b/crates/arbutuslugd/src/operators/follow.rs
@@ -77,6 +77,7 @@
         parts.push(Events { page: part, now: timeline::Stamp::default() });
         page.records = rest;
         page.overflowed_before = None;
+        page.limited_before = None;
     }
     parts.push(Events { page, now });
     parts
--- a/crates/entry/src/desk/learn.rs
+++ b/crates/entry/src/desk/learn.rs
@@ -112,6 +112,10 @@
     }
 
     fn observe(&self, entered: &Entered, version: &Version, pass: bool) {
+        let (customer, rated) = (entered.customer.to_string(), version.to_string());
+        let outcome = if pass { "pass" } else { "fail" };
+        metrics::counter!("entry_ratings_total", "customer" => customer, "version" => rated, "outcome" => outcome)
+            .increment(1);
         self.control.observe(Observation {
             customer: entered.customer.clone(),
             unit: entered.unit,
--- a/crates/operator/src/generated.rs
+++ b/crates/operator/src/generated.rs
@@ -379,6 +379,9 @@
     /// The source's clock when it answered: later records have later stamps.
     #[prost(uint64, tag = "6")]
     pub now: u64,
+    /// Records at or before this stamp were left out by the limit.
+    #[prost(uint64, optional, tag = "7")]
+    pub limited_before: ::core::option::Option<u64>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Record {
--- a/crates/operator/src/page.rs
+++ b/crates/operator/src/page.rs
@@ -31,6 +31,7 @@
             incarnation: page.source.incarnation.0,
             records: page.records.iter().map(Into::into).collect(),
             overflowed_before: page.overflowed_before.map(|stamp| stamp.0),
+            limited_before: page.limited_before.map(|stamp| stamp.0),
             last: page.last,
             now: events.now.0,
         }
@@ -60,8 +61,9 @@
         };
         let records = page.records.into_iter().map(record).collect::<Result<_, Malformed>>()?;
         let overflowed_before = page.overflowed_before.map(Stamp);
+        let limited_before = page.limited_before.map(Stamp);
         let now = Stamp(page.now);
-        Ok(Self { page: Page { source, records, overflowed_before, last: page.last }, now })
+        Ok(Self { page: Page { source, records, overflowed_before, limited_before, last: page.last }, now })
     }
 }
 
--- a/crates/operator/tests/conversions.rs
+++ b/crates/operator/tests/conversions.rs
@@ -122,6 +122,7 @@
                 },
             }],
             overflowed_before: Some(Stamp(12)),
+            limited_before: Some(Stamp(13)),
             last: 4,
         },
         now: Stamp(99),
--- a/crates/timeline/src/merge.rs
+++ b/crates/timeline/src/merge.rs
@@ -1,7 +1,5 @@
 //! Pages of many instances in one causal order.
 
-use std::fmt;
-
 use serde::Serialize;
 use world::instance;
 
@@ -27,6 +25,13 @@
         /// Its records at or before this may be missing.
         before: Stamp,
     },
+    /// The query's limit left records out.
+    Limited {
+        /// Whose records.
+        source: Source,
+        /// Its records at or before this were left out.
+        before: Stamp,
+    },
     /// An instance did not answer.
     Silent {
         /// Which instance.
@@ -36,23 +41,6 @@
     },
 }
 
-impl fmt::Display for Gap {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Overflow { source, before } => {
-                let (instance, millis) = (&source.instance, before.timestamp().0);
-                write!(
-                    f,
-                    "{instance}: records up to {millis} ms may be missing, its ring overflowed; look in its log lines"
-                )
-            }
-            Self::Silent { instance, cause } => {
-                write!(f, "{instance}: no records, it did not answer ({cause}); look in its log lines")
-            }
-        }
-    }
-}
-
 impl Timeline {
     /// Merges pages.
     ///
@@ -64,7 +52,7 @@
         let mut gaps = silent;
         let mut records = Vec::new();
         for page in pages {
-            gaps.extend(page.overflowed_before.map(|before| Gap::Overflow { source: page.source, before }));
+            gaps.extend(page.gaps());
             records.extend(page.records);
         }
         records.sort_by(|a, b| place(a).cmp(&place(b)));
@@ -73,6 +61,16 @@
     }
 }
 
+impl Page {
+    /// What is missing from it.
+    pub fn gaps(&self) -> impl Iterator<Item = Gap> {
+        let source = || self.source.clone();
+        let overflow = self.overflowed_before.map(|before| Gap::Overflow { source: source(), before });
+        let limited = self.limited_before.map(|before| Gap::Limited { source: source(), before });
+        overflow.into_iter().chain(limited)
+    }
+}
+
 fn place(record: &Record) -> (Stamp, &Source, u64) {
     (record.at, &record.source, record.number)
 }
--- a/crates/timeline/src/recorder.rs
+++ b/crates/timeline/src/recorder.rs
@@ -48,6 +48,8 @@
     pub records: Vec<Record>,
     /// Wanted records at or before this may be missing: the ring overflowed.
     pub overflowed_before: Option<Stamp>,
+    /// Wanted records at or before this were left out by the query's limit.
+    pub limited_before: Option<Stamp>,
     /// Number of the source's latest record; the next query's `after`.
     pub last: u64,
 }
@@ -170,14 +172,15 @@
 
         records.retain(|record| filter.wants(record));
         records.sort_by_key(|record| record.number);
-        let mut overflowed_before = dropped_requests.into_iter().chain(dropped_others).map(|d| d.at).max();
+        let overflowed_before = dropped_requests.into_iter().chain(dropped_others).map(|d| d.at).max();
+        let mut limited_before = None;
         if filter.limit > 0 && records.len() > filter.limit {
             let left_out = records.len() - filter.limit;
-            overflowed_before = overflowed_before.max(Some(records[left_out - 1].at));
+            limited_before = Some(records[left_out - 1].at);
             records.drain(..left_out);
         }
         let records = records.iter().map(|record| Record::clone(record)).collect();
-        Page { source: self.shared.source.clone(), records, overflowed_before, last }
+        Page { source: self.shared.source.clone(), records, overflowed_before, limited_before, last }
     }
 
     /// Changes whenever a record is added; holds the latest record's number.
--- a/crates/timeline/tests/merge.rs
+++ b/crates/timeline/tests/merge.rs
@@ -218,6 +218,5 @@
     let silent = Gap::Silent { instance: instance::Id::parse("i1").unwrap(), cause: "connection refused".into() };
     let timeline = Timeline::merge(pages(&site[..1]), vec![silent.clone()]);
     assert_eq!(timeline.records.len(), 1);
-    assert_eq!(timeline.gaps, std::slice::from_ref(&silent));
-    assert!(silent.to_string().starts_with("i1: no records"));
+    assert_eq!(timeline.gaps, [silent]);
 }
--- a/crates/timeline/tests/recorder.rs
+++ b/crates/timeline/tests/recorder.rs
@@ -73,14 +73,15 @@
     assert_eq!(recorder.query(&latest).overflowed_before, None, "nothing after number 3 was dropped");
 }
 
-/// A limit leaves out the oldest; the page says so as for an overflow.
+/// A limit leaves out the oldest; the page says which.
 #[test]
 fn limit_keeps_the_latest_and_says_so() {
     let recorder = recorder(10, 10);
     let stamps: Vec<Stamp> = (0..4).map(|_| recorder.record(request("a"))).collect();
     let page = recorder.query(&Filter { limit: 1, ..Filter::default() });
     assert_eq!(numbers(&page.records), [4]);
-    assert_eq!(page.overflowed_before, Some(stamps[2]));
+    assert_eq!(page.limited_before, Some(stamps[2]));
+    assert_eq!(page.overflowed_before, None);
 }
 
 /// A peer's clock is a day ahead. Its stamp is left out, so that one wrong
