--- a/crates/route/src/endpoint/subset.rs
+++ b/crates/route/src/endpoint/subset.rs
@@ -13,9 +13,9 @@
 use super::{Key, Peer};
 
 /// Endpoints of a target taken in the instance's own failure domain.
-const LOCAL: usize = 48;
+const LOCAL: usize = 24;
 /// Endpoints of a target taken wherever they stand.
-const ANYWHERE: usize = 16;
+const ANYWHERE: usize = 8;
 /// How long an endpoint that answered "not loaded" is left out.
 const ABSENT_MS: Millis = 2_000;
 /// Share of the newest run in the typical pace.
--- a/crates/route/src/model/ladder.rs
+++ b/crates/route/src/model/ladder.rs
@@ -13,7 +13,7 @@
     Inputs, Permits, Rater,
     reason::{Refusal, Rule, Step},
 };
-use crate::quality::{Account, Book, Cell, Estimate, Guess, Speed, Stage};
+use crate::quality::{Account, Cell, Estimate, Guess, Profile, Speed};
 
 /// Longest ladder.
 const MAX_STEPS: usize = 3;
@@ -307,12 +307,11 @@
 
 fn offer(inputs: &Inputs<'_>, cell: Cell, permits: &Permits, index: usize) -> Offer {
     let permit = &permits.as_slice()[index];
-    let book: &Book = inputs.book;
-    let speed = book.speed(cell, permit.version(), inputs.now);
+    let guess = Guess { parent: permit.predecessor(), blank: blank(index, permits.as_slice().len()) };
+    let Profile { first, escalated, speed } = inputs.book.profile(cell, permit.version(), guess, inputs.now);
     let most = inputs.max_tokens.unwrap_or(u32::MAX).min(permit.max_output());
     let output = speed.output_tokens().min(f64::from(most));
     let price = permit.price();
-    let guess = Guess { parent: permit.predecessor(), blank: blank(index, permits.as_slice().len()) };
     #[expect(clippy::cast_precision_loss, reason = "prices are far below 2^52 nano-units a token")]
     let cost = (price.input.0 as f64 * f64::from(inputs.prompt_tokens) + price.output.0 as f64 * output) / 1e6;
     Offer {
@@ -320,8 +319,8 @@
         cost,
         ceiling: price.cost(u64::from(inputs.prompt_tokens), u64::from(most)),
         speed,
-        first: book.estimate(cell, permit.version(), guess, Stage::First),
-        escalated: book.estimate(cell, permit.version(), guess, Stage::Escalated),
+        first,
+        escalated,
         new: permit.predecessor().is_some(),
     }
 }
--- a/crates/route/src/quality.rs
+++ b/crates/route/src/quality.rs
@@ -16,16 +16,21 @@
 mod ledger;
 mod speed;
 
-use std::collections::HashMap;
+use std::{
+    collections::HashMap,
+    hash::{BuildHasherDefault, DefaultHasher},
+};
 
 use serde::{Deserialize, Serialize};
 use world::{Millis, Timestamp, contract::Customer, hash, model::Version, request::Class};
-use xxhash_rust::xxh3::Xxh3DefaultBuilder;
 
 pub use account::{Account, Pending};
 pub use ledger::{Answer, Ledger};
 pub use speed::Speed;
 
+/// Keys are hashes already; this one only has to be quick and the same always.
+type Hasher = BuildHasherDefault<DefaultHasher>;
+
 /// Cells kept at each level; the one longest unused goes first.
 const MAX_CELLS: usize = 65_536;
 /// Classes learned per customer; further ones share one cell.
@@ -92,6 +97,17 @@
     }
 }
 
+/// What is known of a version in a customer's class.
+#[derive(Debug, Clone, Copy)]
+pub struct Profile {
+    /// Pass rate as the first answer.
+    pub first: Estimate,
+    /// Pass rate after another answer has failed.
+    pub escalated: Estimate,
+    /// How long its runs take.
+    pub speed: Speed,
+}
+
 /// What a version's rate is taken for while it has no ratings.
 #[derive(Debug, Clone, Copy)]
 pub struct Guess<'a> {
@@ -104,10 +120,10 @@
 /// Everything learned about quality and speed.
 #[derive(Debug, Clone, Default)]
 pub struct Book {
-    counts: HashMap<u64, Counts, Xxh3DefaultBuilder>,
-    accounts: HashMap<u64, Account, Xxh3DefaultBuilder>,
-    classes: HashMap<u64, Vec<u64>, Xxh3DefaultBuilder>,
-    speeds: HashMap<u64, Speed, Xxh3DefaultBuilder>,
+    counts: HashMap<u64, Counts, Hasher>,
+    accounts: HashMap<u64, Account, Hasher>,
+    classes: HashMap<u64, Vec<u64>, Hasher>,
+    speeds: HashMap<u64, Speed, Hasher>,
     clock: u64,
 }
 
@@ -115,32 +131,30 @@
     /// Takes in one rating.
     pub fn rate(&mut self, cell: Cell, version: &Version, stage: Stage, pass: bool) {
         let cell = self.known(cell);
-        let version = version_key(version, stage);
+        let version = staged(version_key(version), stage);
         for key in [version, mix(version, cell.class), mix(version, cell.key())] {
             self.count(key, pass);
         }
     }
 
-    /// A version's pass rate for a customer's class.
+    /// What is known of a version in a customer's class.
     ///
-    /// `guess` stands in while it has no ratings.
+    /// `guess` stands in for ratings while there are none.
     #[must_use]
-    pub fn estimate(&self, cell: Cell, version: &Version, guess: Guess<'_>, stage: Stage) -> Estimate {
+    pub fn profile(&self, cell: Cell, version: &Version, guess: Guess<'_>, now: Timestamp) -> Profile {
         let cell = self.lookup(cell);
-        let Guess { parent, blank } = guess;
-        let unknown = Belief { rate: blank, weight: BLANK_WEIGHT };
-        let blank = match (stage, parent) {
-            (Stage::Escalated, _) => {
-                let first = self.posterior(cell, version_key(version, Stage::First), unknown);
-                Belief { rate: first.rate * HARDER, weight: BLANK_WEIGHT }
-            }
-            (Stage::First, Some(parent)) => {
-                let old = self.posterior(cell, version_key(parent, Stage::First), unknown);
-                Belief { rate: old.rate, weight: BLANK_WEIGHT }
-            }
-            (Stage::First, None) => unknown,
-        };
-        self.posterior(cell, version_key(version, stage), blank).estimate()
+        let unknown = Belief { rate: guess.blank, weight: BLANK_WEIGHT };
+        let key = version_key(version);
+        let parent = guess.parent.map_or(unknown, |parent| {
+            let old = self.posterior(cell, staged(version_key(parent), Stage::First), unknown);
+            Belief { rate: old.rate, weight: BLANK_WEIGHT }
+        });
+        let first = self.posterior(cell, staged(key, Stage::First), parent);
+        let harder = Belief { rate: first.rate * HARDER, weight: BLANK_WEIGHT };
+        let escalated = self.posterior(cell, staged(key, Stage::Escalated), harder);
+        let speed = self.speeds.get(&mix(key, cell.class)).or_else(|| self.speeds.get(&key));
+        let speed = speed.copied().unwrap_or_default().aged(now);
+        Profile { first: first.estimate(), escalated: escalated.estimate(), speed }
     }
 
     /// The account of a customer's class; empty when nothing is known.
@@ -189,7 +203,7 @@
     /// How long a version's runs take in a class, or else in general.
     #[must_use]
     pub fn speed(&self, cell: Cell, version: &Version, now: Timestamp) -> Speed {
-        let general = version_key(version, Stage::First);
+        let general = version_key(version);
         let class = mix(general, self.lookup(cell).class);
         let known = self.speeds.get(&class).or_else(|| self.speeds.get(&general));
         known.copied().unwrap_or_default().aged(now)
@@ -197,7 +211,7 @@
 
     /// Takes in one finished run.
     pub fn ran(&mut self, cell: Cell, version: &Version, millis: Millis, output_tokens: u32, now: Timestamp) {
-        let general = version_key(version, Stage::First);
+        let general = version_key(version);
         let class = mix(general, self.known(cell).class);
         if self.speeds.len() >= MAX_CELLS {
             self.speeds.clear();
@@ -309,10 +323,13 @@
     }
 }
 
-fn version_key(version: &Version, stage: Stage) -> u64 {
-    let model = hash::stable(version.model.as_str().as_bytes());
+fn version_key(version: &Version) -> u64 {
     let number = hash::stable(version.number.as_str().as_bytes());
-    mix(mix(model, number), stage as u64 + 1)
+    hash::rendezvous(number, version.model.as_str().as_bytes())
+}
+
+fn staged(version: u64, stage: Stage) -> u64 {
+    mix(version, stage as u64 + 1)
 }
 
 /// One hash of two; a collision would mix two cells' ratings and is as
--- a/crates/route/src/quality/ledger.rs
+++ b/crates/route/src/quality/ledger.rs
@@ -3,9 +3,8 @@
 use std::collections::{HashMap, VecDeque};
 
 use world::{Millis, Timestamp, model::Version};
-use xxhash_rust::xxh3::Xxh3DefaultBuilder;
 
-use super::{Book, Cell, Pending, Stage};
+use super::{Book, Cell, Hasher, Pending, Stage};
 
 /// Answers that may wait at an instance; the oldest lapses.
 const MAX_WAITING: usize = 100_000;
@@ -33,7 +32,7 @@
 /// lapses, so that the account stays as careful as the outage asks for.
 #[derive(Debug, Clone, Default)]
 pub struct Ledger {
-    waiting: HashMap<u64, Waiting, Xxh3DefaultBuilder>,
+    waiting: HashMap<u64, Waiting, Hasher>,
     order: VecDeque<(Timestamp, u64)>,
 }
 
--- a/crates/route/tests/quality.rs
+++ b/crates/route/tests/quality.rs
@@ -27,7 +27,7 @@
     rate(&mut book, cell(seen.0, seen.1), seen.2, 700, 300);
     let parent = parent.map(version);
     let guess = Guess { parent: parent.as_ref(), blank: BLANK };
-    let estimate = book.estimate(cell(asked.0, asked.1), &version(asked.2), guess, Stage::First);
+    let estimate = book.profile(cell(asked.0, asked.1), &version(asked.2), guess, Timestamp(0)).first;
     assert!((low..=high).contains(&estimate.mean), "{estimate:?}");
     assert!(estimate.deviation <= spread, "{estimate:?}");
 }
@@ -49,7 +49,7 @@
 #[test]
 fn a_guess_is_unsure() {
     let guess = Guess { parent: None, blank: BLANK };
-    let estimate = Book::default().estimate(cell("a", "k"), &version("m@1"), guess, Stage::First);
+    let estimate = Book::default().profile(cell("a", "k"), &version("m@1"), guess, Timestamp(0)).first;
     assert!(estimate.lower(1.0) < 0.75, "{estimate:?}");
 }
 
@@ -62,7 +62,7 @@
         rate(&mut book, cell("a", &format!("job-{n}")), "m@1", 1, 1);
     }
     let guess = Guess { parent: None, blank: BLANK };
-    let estimate = book.estimate(cell("a", "job-5000"), &version("m@1"), guess, Stage::First);
+    let estimate = book.profile(cell("a", "job-5000"), &version("m@1"), guess, Timestamp(0)).first;
     assert!(estimate.deviation < 0.02, "{estimate:?}");
 }
 
@@ -72,7 +72,7 @@
     rate(&mut book, cell("a", "k"), "m@1", 20_000, 0);
     rate(&mut book, cell("a", "k"), "m@1", 0, 700);
     let guess = Guess { parent: None, blank: BLANK };
-    assert!(book.estimate(cell("a", "k"), &version("m@1"), guess, Stage::First).mean < 0.6);
+    assert!(book.profile(cell("a", "k"), &version("m@1"), guess, Timestamp(0)).first.mean < 0.6);
 }
 
 /// The rating service is down for an hour. What is given then counts as
