Close silent links and refuse bodies over the limit before sending

Cause: a link whose other end had lost its side stayed for as long as TCP believed in it, and its peer was refused as linked already; a body over the limit failed in the transport and was reported as maybe run. Change: a link without a frame for the span of silence is closed; a body over the limit is refused at once as not sent. A test for each.

--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -19,6 +19,13 @@
     Refused(Id, String),
     /// The call went out and its answer did not come: it may have been run.
     Lost(Id, String),
+    /// The body is larger than messages may be; nothing was sent.
+    TooLarge {
+        /// Its size in bytes.
+        size: usize,
+        /// The most there may be.
+        limit: usize,
+    },
     /// The links were closed.
     Closed,
 }
@@ -56,6 +63,9 @@
             }
             Self::Refused(id, why) => write!(f, "instance {id} refused and did not run the call: {why}"),
             Self::Lost(id, why) => write!(f, "instance {id} may have run the call: {why}; ask for the outcome"),
+            Self::TooLarge { size, limit } => {
+                write!(f, "a body of {size} bytes is over the limit of {limit}; send it as a stream, in parts")
+            }
             Self::Closed => write!(f, "this instance's peer links are closed; it is shutting down"),
         }
     }
--- a/crates/peer/src/handle.rs
+++ b/crates/peer/src/handle.rs
@@ -69,6 +69,7 @@
     /// [`Error`], which says whether the peer may have seen the call.
     pub async fn call(&self, to: &Id, topic: Topic, body: Bytes, within: Duration) -> Result<Bytes, Error> {
         let deadline = Instant::now() + within;
+        self.pool.check(&body)?;
         let peer = self.target(to)?;
         let client = timeout_at(deadline, self.pool.client(&peer)).await;
         let mut client = client.unwrap_or_else(|_| Err(Error::Unreachable(to.clone())))?;
@@ -97,6 +98,7 @@
         topic: Topic,
         body: Bytes,
     ) -> Result<impl Stream<Item = Result<Bytes, Error>> + Send + Unpin + use<>, Error> {
+        self.pool.check(&body)?;
         let peer = self.target(to)?;
         let mut client = self.pool.client(&peer).await?;
         let request = self.pool.request(self.question(&peer, topic, body));
@@ -115,8 +117,9 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Closed`].
+    /// [`Error::Closed`], [`Error::TooLarge`].
     pub async fn publish(&self, topic: Topic, body: Bytes) -> Result<(), Error> {
+        self.pool.check(&body)?;
         self.command(Command::Publish(topic, body)).await
     }
 
--- a/crates/peer/src/pool.rs
+++ b/crates/peer/src/pool.rs
@@ -90,6 +90,12 @@
         self.connect(address).await.map(|channel| self.wrap(channel))
     }
 
+    /// Checks a body before any of it is sent.
+    pub(crate) fn check(&self, body: &[u8]) -> Result<(), Error> {
+        let (size, limit) = (body.len(), self.body);
+        if size > limit { Err(Error::TooLarge { size, limit }) } else { Ok(()) }
+    }
+
     /// A request with the shared secret.
     pub(crate) fn request<T>(&self, message: T) -> Request<T> {
         let mut request = Request::new(message);
--- a/crates/peer/src/task.rs
+++ b/crates/peer/src/task.rs
@@ -249,6 +249,7 @@
         let now = self.clock.now();
         self.membership.tick(now);
         self.relay.keep(|id| self.membership.get(id).is_some());
+        self.close_silent();
         self.dial_stray();
         self.beat_links();
         // Waits may have ended.
--- a/crates/peer/src/task/links.rs
+++ b/crates/peer/src/task/links.rs
@@ -31,6 +31,8 @@
     pub(super) spread: Spread,
     /// Digests that their owner has not been given yet.
     pub(super) digests: BTreeMap<Topic, Bytes>,
+    /// When the last frame came.
+    pub(super) heard: Millis,
     sender: mpsc::Sender<Frame>,
     incarnation: Incarnation,
     /// We dialled.
@@ -140,7 +142,8 @@
         self.membership.heard(&id, now);
         self.dialling.met(&id);
         let spread = Spread::new(&self.membership, &self.digests);
-        let link = Link { source, spread, digests: BTreeMap::new(), sender, incarnation, ours, _reader: reader };
+        let link =
+            Link { source, spread, digests: BTreeMap::new(), heard: now, sender, incarnation, ours, _reader: reader };
         tracing::debug!(peer = %id, link.ours, "linked");
         self.relay.linked(&id);
         self.links.insert(id, link);
@@ -161,6 +164,19 @@
         }
     }
 
+    /// Closes links that bring nothing. The other end may have lost its side
+    /// and dial anew, and would be refused as linked already for as long as
+    /// TCP believes in the old connection.
+    pub(super) fn close_silent(&mut self) {
+        let now = self.clock.now();
+        let silent = |link: &&Link| now.saturating_sub(link.heard) > self.settings.timing.silence;
+        let silent: Vec<_> = self.links.values().filter(silent).map(|link| link.source.id.clone()).collect();
+        for id in silent {
+            tracing::info!(peer = %id, "link closed: silent");
+            self.unlink(&id);
+        }
+    }
+
     fn unlink(&mut self, id: &Id) {
         self.links.remove(id);
         self.relay.unlinked(id);
--- a/crates/peer/src/task/messages.rs
+++ b/crates/peer/src/task/messages.rs
@@ -28,10 +28,9 @@
 impl Task {
     pub(super) fn received(&mut self, source: &Source, received: Received) {
         // A frame of a link that has been replaced, in flight when it was.
-        if self.links.get(&source.id).is_none_or(|link| link.source != *source) {
-            return;
-        }
+        let Some(link) = self.links.get_mut(&source.id).filter(|link| link.source == *source) else { return };
         let now = self.clock.now();
+        link.heard = now;
         self.membership.heard(&source.id, now);
         match received {
             Received::Heartbeat(heartbeat) => self.heartbeat_from(&source.id, heartbeat),
--- a/crates/peer/src/task/tests.rs
+++ b/crates/peer/src/task/tests.rs
@@ -173,6 +173,18 @@
     assert!(other.members().borrow().live().any(|i| i.id.as_str() == "a"));
 }
 
+#[tokio::test]
+async fn a_silent_link_is_closed_and_its_peer_removed() {
+    // The connection stands, but nothing comes: the peer hangs, or lost its
+    // side. Kept open, the link would have its peer refused as linked already.
+    let (node, _inbound) = crate::spawn(settings("a", None)).await.unwrap();
+    let mut raw = Raw::link("z", &node).await;
+    until_live(&node, 2).await;
+    let ended = async { while let Ok(Some(_)) = raw.incoming.message().await {} };
+    timeout(PATIENCE, ended).await.expect("the link is closed");
+    until_live(&node, 1).await;
+}
+
 #[tokio::test]
 async fn a_connection_that_says_nothing_is_harmless() {
     // Opened by mistake, or by a peer that hangs before its greeting.
--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -39,6 +39,10 @@
     let owner = id(0);
     let call = |within| handle.call(&owner, Topic::Journal, Bytes::new(), within);
 
+    let large = Bytes::from(vec![0; limits.body + 1]);
+    let too_large = handle.call(&owner, Topic::Journal, large, WITHIN).await.unwrap_err();
+    assert!(matches!(too_large, Error::TooLarge { .. }) && !too_large.may_have_arrived(), "{too_large}");
+
     let stranger = handle.call(&id(9), Topic::Journal, Bytes::new(), WITHIN).await;
     assert_eq!(stranger, Err(Error::Unknown(id(9))));
 
