Drop settings that had no effect, check the log filter

Cause: requests_in_flight, requests_queued and key_window_ms were read and used by nobody; a wrong log filter fell back to info unseen. Change: the bound that callers' side keeps, connections, is a setting; the filter is parsed with the rest.

--- a/crates/arbutuslugd/src/daemon.rs
+++ b/crates/arbutuslugd/src/daemon.rs
@@ -363,6 +363,7 @@
     Ok(entry::Settings {
         max_body: settings.limits.body_bytes,
         max_headers: settings.limits.header_bytes,
+        max_connections: settings.limits.connections,
         addresses: route::address::Policy { keep_ms: settings.timing.keep_ms, ..base.addresses },
         retry: route::retry::Policy {
             share: settings.retries.share,
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -16,7 +16,6 @@
 
 const BYTES: &str = "bytes";
 const MILLIS: &str = "milliseconds";
-const REQUESTS: &str = "requests";
 const EVENTS: &str = "events";
 const CALLS: &str = "calls a second";
 
@@ -59,7 +58,7 @@
         let timing = self.timing(&file.timing);
         let retries = self.retries(&file.retries);
         let timeline = self.timeline(&file.timeline);
-        let log = file.log.map_or_else(|| DEFAULT_LOG.into(), |log| log.value);
+        let log = self.log(file.log.as_ref());
         Some(Settings {
             instance: instance?,
             domain: domain?,
@@ -171,28 +170,21 @@
         let d = Limits::default();
         let body = self.number("limits.body_bytes", file.body_bytes.as_ref(), 1_024..=64 << 20, BYTES);
         let header = self.number("limits.header_bytes", file.header_bytes.as_ref(), 1_024..=256 << 10, BYTES);
-        let count = 1..=1_000_000;
-        let in_flight =
-            self.number("limits.requests_in_flight", file.requests_in_flight.as_ref(), count.clone(), REQUESTS);
-        let queued = self.number("limits.requests_queued", file.requests_queued.as_ref(), count, REQUESTS);
+        let connections = self.number("limits.connections", file.connections.as_ref(), 16..=1_000_000, "connections");
         Limits {
             body_bytes: body.map_or(d.body_bytes, clamp_usize),
             header_bytes: header.map_or(d.header_bytes, clamp_usize),
-            requests_in_flight: in_flight.map_or(d.requests_in_flight, clamp_usize),
-            requests_queued: queued.map_or(d.requests_queued, clamp_usize),
+            connections: connections.map_or(d.connections, clamp_usize),
         }
     }
 
     fn timing(&mut self, file: &file::Timing) -> Timing {
         let d = Timing::default();
-        let window = 60_000..=world::request::KEY_WINDOW;
         let freshness = self.number("timing.freshness_ms", file.freshness_ms.as_ref(), 1_000..=600_000, MILLIS);
-        let key_window = self.number("timing.key_window_ms", file.key_window_ms.as_ref(), window, MILLIS);
         let keep = self.number("timing.keep_ms", file.keep_ms.as_ref(), 100..=600_000, MILLIS);
         let drain = self.number("timing.drain_ms", file.drain_ms.as_ref(), 0..=3_600_000, MILLIS);
         Timing {
             freshness_ms: freshness.unwrap_or(d.freshness_ms),
-            key_window_ms: key_window.unwrap_or(d.key_window_ms),
             keep_ms: keep.unwrap_or(d.keep_ms),
             drain_ms: drain.unwrap_or(d.drain_ms),
         }
@@ -213,6 +205,14 @@
         Timeline { requests: requests.map_or(d.requests, clamp_usize), others: others.map_or(d.others, clamp_usize) }
     }
 
+    fn log(&mut self, given: Option<&Field<String>>) -> String {
+        let Some(given) = given else { return DEFAULT_LOG.into() };
+        if tracing_subscriber::EnvFilter::try_new(&given.value).is_err() {
+            self.value("log", given, "is no filter; write a level, or `info,timeline=warn` say");
+        }
+        given.value.clone()
+    }
+
     fn number(
         &mut self,
         field: &'static str,
--- a/crates/settings/src/file.rs
+++ b/crates/settings/src/file.rs
@@ -99,8 +99,7 @@
 pub(crate) struct Limits {
     pub(crate) body_bytes: Option<Field<u64>>,
     pub(crate) header_bytes: Option<Field<u64>>,
-    pub(crate) requests_in_flight: Option<Field<u64>>,
-    pub(crate) requests_queued: Option<Field<u64>>,
+    pub(crate) connections: Option<Field<u64>>,
 }
 
 #[derive(Default, Deserialize)]
@@ -108,7 +107,6 @@
 #[expect(clippy::struct_field_names, reason = "the file's fields name their unit")]
 pub(crate) struct Timing {
     pub(crate) freshness_ms: Option<Field<u64>>,
-    pub(crate) key_window_ms: Option<Field<u64>>,
     pub(crate) keep_ms: Option<Field<u64>>,
     pub(crate) drain_ms: Option<Field<u64>>,
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -105,10 +105,8 @@
     pub body_bytes: usize,
     /// Longest request head, in bytes.
     pub header_bytes: usize,
-    /// Requests in flight at a time.
-    pub requests_in_flight: usize,
-    /// Requests waiting for a slot at a time.
-    pub requests_queued: usize,
+    /// Callers' connections at a time.
+    pub connections: usize,
 }
 
 /// Spans of time, in milliseconds.
@@ -116,8 +114,6 @@
 pub struct Timing {
     /// Oldest configuration that new work may start on.
     pub freshness_ms: Millis,
-    /// How long idempotency keys are remembered.
-    pub key_window_ms: Millis,
     /// How long callers may keep an answer about addresses.
     pub keep_ms: Millis,
     /// Longest wait for requests in flight when leaving; 0 waits for all.
@@ -192,13 +188,13 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { body_bytes: 4 << 20, header_bytes: 16 << 10, requests_in_flight: 4_096, requests_queued: 4_096 }
+        Self { body_bytes: 4 << 20, header_bytes: 16 << 10, connections: 8_192 }
     }
 }
 
 impl Default for Timing {
     fn default() -> Self {
-        Self { freshness_ms: 10_000, key_window_ms: world::request::KEY_WINDOW, keep_ms: 5_000, drain_ms: 0 }
+        Self { freshness_ms: 10_000, keep_ms: 5_000, drain_ms: 0 }
     }
 }
 
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -100,6 +100,9 @@
     secret_too_short: "CARGO_MANIFEST_DIR" => "CARGO_PKG_VERSION", ["line 12", "fewer than 16 bytes"];
     secret_with_blanks_inside: "CARGO_MANIFEST_DIR" => "CARGO_PKG_DESCRIPTION", ["line 12", "printable ASCII"];
     secret_source_unknown: "{ env: CARGO_MANIFEST_DIR }" => "{ vault: x }", ["line 12", "`{ file: PATH }`"];
+    log_level_that_is_none: "retries:" => "log: timeline=loud\nretries:", ["line 21", "`log`", "is no filter"];
+    own_domain_not_listed: "domain: tartu-a" => "domain: tartu-a\ndomains: [voru]", ["line 3", "`domains`"];
+    connections_too_few: "body_bytes: 1048576" => "connections: 1", ["line 18", "16 to 1000000 connections"];
     not_yaml: "listeners:" => "listeners: {", ["line"];
     a_list_in_place_of_a_mapping: "retries:\n  share: 0.2" => "retries: [1]", ["line 21"];
     two_documents: "retries:" => "---\nretries:", ["line"];
