--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 //! One subcommand per question; each prints one table and compares what it
 //! measures with a baseline of the same run. Nothing here runs in CI.
 
+mod journal;
 mod path;
 #[expect(clippy::cast_precision_loss, reason = "figures for a table")]
 mod peers;
@@ -28,6 +29,7 @@
 
 /// Every question; a module adds its line here.
 const QUESTIONS: &[Question] = &[
+    Question::new("journal", "Claims and bills a second, their latency, and idle budget", journal::run),
     Question::new("path", "What an instance adds between a caller and its engine", path::run),
     Question::new("peers", "What links between instances cost, by the number of instances", peers::run),
     Question::new("streams", "Memory per open stream", path::run_streams),
