--- a/crates/budget/src/job.rs
+++ b/crates/budget/src/job.rs
@@ -40,6 +40,8 @@
     pub missing: Amount,
     /// What would last for a time.
     pub wanted: Amount,
+    /// What is at hand.
+    pub available: Amount,
     pub limit: Amount,
     pub sizing: Sizing,
     /// Whether the holder held a grant before.
@@ -50,7 +52,7 @@
 #[derive(Debug)]
 pub(crate) enum Cut {
     /// The holder's grant stands at this much.
-    Granted { grant: Amount, holders: Vec<Holder> },
+    Granted { grant: Amount, left: Amount, holders: Vec<Holder> },
     /// Not enough is left.
     Exhausted { grant: Amount, left: Amount, holders: Vec<Holder> },
     /// The holder was settled by another.
@@ -73,7 +75,7 @@
                 return Cut::Closed;
             };
             let left = account.left(ask.limit);
-            let size = cut_size(ask.missing, ask.wanted, left, &ask.sizing);
+            let size = cut_size(ask.missing, ask.wanted, ask.available, left, &ask.sizing);
             if left < ask.least || size == Amount::ZERO {
                 self.note(GrantMove::Exhausted, left);
                 return Cut::Exhausted { grant, left, holders: account.holders() };
@@ -83,7 +85,8 @@
                 Ok(true) => {
                     self.note(GrantMove::Taken, size);
                     let grant = account.grant(&self.holder).unwrap_or_default();
-                    return Cut::Granted { grant, holders: account.holders() };
+                    let left = account.left(ask.limit);
+                    return Cut::Granted { grant, left, holders: account.holders() };
                 }
                 Ok(false) => {}
                 Err(error) => {
--- a/crates/budget/src/task.rs
+++ b/crates/budget/src/task.rs
@@ -21,7 +21,7 @@
     Config, Error,
     job::{Ask, Cut, Place},
     period::Period,
-    wallet::Wallet,
+    wallet::{self, Sizing, Wallet},
 };
 
 /// Cuts ahead of need, and looks at an exhausted account, are this far apart:
@@ -76,6 +76,8 @@
     held: bool,
     /// Ceiling of the last request.
     last: Amount,
+    /// What was left to grant when the account was last read.
+    left: Amount,
     /// No cut ahead of need before this.
     next_ahead: Instant,
     /// What was left when too little was, and until when that is believed.
@@ -195,6 +197,7 @@
             busy: false,
             held: false,
             last: reserve.ceiling,
+            left: Amount::ZERO,
             next_ahead: Instant::now(),
             dry: None,
         }
@@ -208,15 +211,14 @@
         purse.give();
         purse.refuse_dry();
         let now = Instant::now();
-        let wanted = purse.wallet.wanted(purse.last, &self.config.sizing);
-        let low = purse.wallet.available() < Amount(wanted.0 / 2);
+        let low = purse.wallet.available() < Amount(purse.target(&self.config.sizing).0 / 2);
         let ahead = low && now >= purse.next_ahead;
         if purse.busy || (purse.waiting.is_empty() && !ahead) {
             return;
         }
         purse.busy = true;
         purse.next_ahead = now + AHEAD_EVERY;
-        let ask = purse.ask(wanted, self.config.sizing);
+        let ask = purse.ask(self.config.sizing);
         let (place, key) = (purse.place.clone(), key.clone());
         self.jobs.spawn(async move {
             let cut = place.cut(ask).await;
@@ -248,8 +250,9 @@
         };
         purse.busy = false;
         match cut {
-            Cut::Granted { grant, holders } => {
+            Cut::Granted { grant, left, holders } => {
                 purse.held = true;
+                purse.left = left;
                 purse.wallet.set_granted(grant);
                 purse.give();
                 let place = purse.place.clone();
@@ -257,6 +260,7 @@
                 self.serve_waiting(key);
             }
             Cut::Exhausted { grant, left, holders } => {
+                purse.left = left;
                 purse.dry = Some((left, Instant::now() + AHEAD_EVERY));
                 purse.wallet.set_granted(grant);
                 purse.give();
@@ -346,8 +350,9 @@
             self.end(key);
             return;
         }
-        let wanted = purse.wallet.wanted(purse.last, &self.config.sizing);
-        let excess = purse.wallet.available().saturating_sub(Amount(wanted.0.saturating_mul(2)));
+        purse.wallet.pass(now);
+        let target = purse.target(&self.config.sizing);
+        let excess = purse.wallet.available().saturating_sub(Amount(target.0.saturating_mul(2)));
         if excess == Amount::ZERO {
             return;
         }
@@ -440,14 +445,21 @@
         }
     }
 
-    fn ask(&self, wanted: Amount, sizing: crate::wallet::Sizing) -> Ask {
+    fn target(&self, sizing: &Sizing) -> Amount {
+        let wanted = self.wallet.wanted(self.last, sizing);
+        wallet::target(wanted, self.wallet.available(), self.left, sizing)
+    }
+
+    fn ask(&self, sizing: Sizing) -> Ask {
+        let wanted = self.wallet.wanted(self.last, &sizing);
         let available = self.wallet.available();
         let needed = self.waiting.iter().fold(Amount::ZERO, |sum, r| sum.saturating_add(r.ceiling));
         let first = self.waiting.front().map_or(Amount::ZERO, |r| r.ceiling);
         Ask {
             least: first.saturating_sub(available).max(Amount(1)),
             missing: needed.saturating_sub(available),
-            wanted: wanted.saturating_sub(available),
+            wanted,
+            available,
             limit: self.budget.amount,
             sizing,
             held: self.held,
--- a/crates/budget/src/wallet.rs
+++ b/crates/budget/src/wallet.rs
@@ -29,13 +29,13 @@
     pub ahead: Duration,
     /// Or for this many requests like the present one, whichever is more.
     pub requests: u64,
-    /// A cut takes at most one part in this many of what is left.
+    /// A holding is at most one part in this many of what is left.
     pub parts: u64,
 }
 
 impl Default for Sizing {
     fn default() -> Self {
-        Self { ahead: Duration::from_secs(30), requests: 8, parts: 14 }
+        Self { ahead: Duration::from_secs(30), requests: 8, parts: 28 }
     }
 }
 
@@ -111,6 +111,11 @@
         ahead.max(times(ceiling, sizing.requests))
     }
 
+    /// Lets the rate fall while nothing is spent.
+    pub fn pass(&mut self, now: Instant) {
+        self.measure(Amount::ZERO, now);
+    }
+
     fn measure(&mut self, actual: Amount, now: Instant) {
         self.span.1 = self.span.1.saturating_add(actual);
         let past = now.duration_since(self.span.0);
@@ -123,13 +128,19 @@
     }
 }
 
-/// How much more to ask for: what is wanted, but near the end of a budget
-/// only a part of what is left, so that the rest is not stuck at an instance
-/// whose requests have ended. The request at hand goes first.
+/// What to hold available: what is wanted, but no more than a part of what is
+/// left, the own holding included. So grants shrink with the budget, and near
+/// its end the most of what is left can still be had by whoever needs it.
+#[must_use]
+pub fn target(wanted: Amount, available: Amount, left: Amount, sizing: &Sizing) -> Amount {
+    let part = Amount(left.saturating_add(available).0 / sizing.parts.max(1));
+    wanted.min(part)
+}
+
+/// How much more to ask for; the requests at hand go first.
 #[must_use]
-pub fn cut_size(missing: Amount, wanted: Amount, left: Amount, sizing: &Sizing) -> Amount {
-    let part = Amount(left.0 / sizing.parts.max(1));
-    wanted.min(part).max(missing)
+pub fn cut_size(missing: Amount, wanted: Amount, available: Amount, left: Amount, sizing: &Sizing) -> Amount {
+    target(wanted, available, left, sizing).saturating_sub(available).max(missing)
 }
 
 /// A number of requests' ceilings.
