--- a/crates/budget/src/handle.rs
+++ b/crates/budget/src/handle.rs
@@ -10,10 +10,7 @@
     money::Amount,
 };
 
-use crate::{
-    Error,
-    task::{Message, Reserve},
-};
+use crate::{Error, purse::Reserve, task::Message};
 
 /// The budgets of one instance; cheap to clone.
 #[derive(Debug, Clone)]
--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -13,6 +13,7 @@
 mod handle;
 mod job;
 pub mod period;
+mod purse;
 mod task;
 pub mod wallet;
 
--- a/crates/budget/src/task.rs
+++ b/crates/budget/src/task.rs
@@ -11,17 +11,14 @@
     task::JoinSet,
     time::{Instant, MissedTickBehavior, interval},
 };
-use world::{
-    contract::{self, Customer},
-    money::Amount,
-    time::Timestamp,
-};
+use world::{contract::Customer, money::Amount, time::Timestamp};
 
 use crate::{
     Config, Error,
-    job::{Ask, Cut, Place},
+    job::{Cut, Place},
     period::Period,
-    wallet::{self, Sizing, Wallet},
+    purse::{Purse, Reserve},
+    wallet::Wallet,
 };
 
 /// Cuts ahead of need, and looks at an exhausted account, are this far apart:
@@ -47,15 +44,6 @@
     Idle(Customer, oneshot::Sender<Amount>),
 }
 
-/// A request that wants money set aside.
-#[derive(Debug)]
-pub(crate) struct Reserve {
-    pub customer: Customer,
-    pub budget: contract::Budget,
-    pub ceiling: Amount,
-    pub reply: oneshot::Sender<Result<Grant, Error>>,
-}
-
 /// What a wallet is found under.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Key {
@@ -63,27 +51,6 @@
     period: Timestamp,
 }
 
-/// A wallet with its grant and who waits for it.
-#[derive(Debug)]
-struct Purse {
-    place: Place,
-    wallet: Wallet,
-    budget: contract::Budget,
-    waiting: VecDeque<Reserve>,
-    /// A cut or a return is under way.
-    busy: bool,
-    /// The object shows a grant of this holder.
-    held: bool,
-    /// Ceiling of the last request.
-    last: Amount,
-    /// What was left to grant when the account was last read.
-    left: Amount,
-    /// No cut ahead of need before this.
-    next_ahead: Instant,
-    /// What was left when too little was, and until when that is believed.
-    dry: Option<(Amount, Instant)>,
-}
-
 #[derive(Debug)]
 enum Event {
     Cut(Key, Holder, Cut),
@@ -404,65 +371,3 @@
         });
     }
 }
-
-impl Purse {
-    fn give(&mut self) {
-        let now = Instant::now();
-        while let Some(reserve) = self.waiting.front() {
-            // Whoever does not wait any more gets nothing set aside.
-            if reserve.reply.is_closed() {
-                self.waiting.pop_front();
-                continue;
-            }
-            if !self.wallet.reserve(reserve.ceiling, now) {
-                return;
-            }
-            let grant = Grant { holder: self.place.holder.clone(), period: self.place.period.start };
-            let Some(reserve) = self.waiting.pop_front() else {
-                return;
-            };
-            if reserve.reply.send(Ok(grant)).is_err() {
-                self.wallet.commit(reserve.ceiling, Amount::ZERO, now);
-            }
-        }
-    }
-
-    /// Refuses at once what a moment ago was more than all that is left.
-    fn refuse_dry(&mut self) {
-        let (Some((left, until)), Some(first)) = (self.dry, self.waiting.front()) else {
-            return;
-        };
-        let missing = first.ceiling.saturating_sub(self.wallet.available());
-        if Instant::now() < until && missing > left {
-            let until = self.place.period.end;
-            self.refuse(&Error::Exhausted { until });
-        }
-    }
-
-    fn refuse(&mut self, error: &Error) {
-        for reserve in self.waiting.drain(..) {
-            let _ = reserve.reply.send(Err(error.clone()));
-        }
-    }
-
-    fn target(&self, sizing: &Sizing) -> Amount {
-        let wanted = self.wallet.wanted(self.last, sizing);
-        wallet::target(wanted, self.wallet.available(), self.left, sizing)
-    }
-
-    fn ask(&self, sizing: Sizing) -> Ask {
-        let wanted = self.wallet.wanted(self.last, &sizing);
-        let available = self.wallet.available();
-        let needed = self.waiting.iter().fold(Amount::ZERO, |sum, r| sum.saturating_add(r.ceiling));
-        let first = self.waiting.front().map_or(Amount::ZERO, |r| r.ceiling);
-        Ask {
-            least: first.saturating_sub(available).max(Amount(1)),
-            missing: needed.saturating_sub(available),
-            wanted,
-            available,
-            limit: self.budget.amount,
-            sizing,
-            held: self.held,
-        }
-    }
-}
--- a/crates/journal/src/home.rs
+++ b/crates/journal/src/home.rs
@@ -14,6 +14,7 @@
 //! run", "no record") waits for a read that shows the next slot untouched.
 
 mod active;
+mod patience;
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
@@ -40,11 +41,11 @@
 
 /// Pause before a home that was replaced, or failed to open, opens again.
 const REOPEN: Duration = Duration::from_millis(300);
-/// An opening reads before it writes, and may take this many times longer
-/// than one answer before the platform counts as down.
-const OPENING_ANSWERS: u32 = 5;
 /// How often expired keys are dropped.
 const EXPIRE_EVERY: Duration = Duration::from_secs(30);
+/// Segments that an idle home saves up: a claim that follows another closely
+/// need not wait for its turn then.
+const SAVED: u32 = 8;
 /// Bytes of records in one segment, at most.
 const SEGMENT_BYTES: usize = 400_000;
 
@@ -175,15 +176,6 @@
         None
     }
 
-    /// Refuses what certainly is not recorded; takes bills into memory.
-    fn turn_down(&self, message: Message) {
-        let Op::Bill(bill) = &message.op else {
-            return reply(message, Reply::Refused(Reason::PlatformDown));
-        };
-        let held = self.setting.placement.borrow().may_hold(bill) && self.setting.keeper.send(bill.clone()).is_ok();
-        reply(message, if held { Reply::Held } else { Reply::Unknown });
-    }
-
     /// Does whatever can be done now.
     fn advance(&mut self) {
         let now = Instant::now();
@@ -265,7 +257,7 @@
         let token = self.rng.random();
         let pace = pace(&self.setting.config, &placement);
         let flight = active.seal(self.keys, &self.setting.config.origin, token, &records, waiting);
-        active.next_write = now + pace;
+        active.next_write = active.next_write.max(now.checked_sub(pace * SAVED).unwrap_or(now)) + pace;
         metrics::counter!("journal_segments_total").increment(1);
         metrics::histogram!("journal_segment_records").record(count(records.len()));
         let platform = self.setting.platform.clone();
@@ -304,46 +296,6 @@
         self.jobs.spawn(async move { Event::Covered { token, done: compact::run(platform, job).await } });
     }
 
-    /// Notices an outage: whatever is not on its way yet is certainly not
-    /// recorded, and is refused rather than left to its deadline.
-    fn check_patience(&mut self, now: Instant) {
-        if self.patience_ends().is_none_or(|end| now < end) {
-            // A shard that is away after a failed opening stays as it was.
-            self.stalled &= matches!(self.phase, Phase::Away { .. });
-            return;
-        }
-        if !self.stalled {
-            tracing::warn!(shard = self.shard.0, "no answer from the platform; claims are refused, bills held");
-        }
-        self.stalled = true;
-        for message in std::mem::take(&mut self.queue) {
-            self.turn_down(message);
-        }
-        for message in self.bills_under_way() {
-            self.turn_down(message);
-        }
-    }
-
-    /// When the platform counts as down unless it answers before.
-    fn patience_ends(&self) -> Option<Instant> {
-        let patience = self.setting.config.patience;
-        match &self.phase {
-            Phase::Away { .. } => None,
-            Phase::Opening { since } => Some(*since + patience * OPENING_ANSWERS),
-            Phase::Home(active) => active.flight.as_ref().map(|flight| flight.since + patience),
-        }
-    }
-
-    fn bills_under_way(&mut self) -> Vec<Message> {
-        let Phase::Home(active) = &mut self.phase else {
-            return Vec::new();
-        };
-        let Some(flight) = &mut active.flight else {
-            return Vec::new();
-        };
-        flight.waiting.extract_if(.., |(message, _)| matches!(message.op, Op::Bill(_))).map(|(m, _)| m).collect()
-    }
-
     fn on_event(&mut self, event: Event) {
         match event {
             Event::Opened(Ok(active)) => {
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -6,6 +6,8 @@
 //! that is a promise and needs proof that this is still the home. No I/O, no
 //! clock: the home (the home.s task) supplies both.
 
+mod decide;
+
 use std::collections::HashMap;
 
 use world::{
@@ -16,9 +18,8 @@
 };
 
 use crate::{
-    Reason,
     bill::{Bill, Holder},
-    op::{Known, Op, Register, Release, Reply},
+    op::Known,
     placement::Placement,
     record::{Bind, Claim, Close, Digest, End, Mark, Origin, Record, Seq, Settle, Standing},
     wire,
@@ -31,30 +32,8 @@
 pub const CLOSED_WINDOW: Millis = 7 * KEY_WINDOW;
 /// How long a billed request is remembered at the least.
 const BILL_WINDOW_MIN: Millis = 10 * 60 * 1_000;
-/// A binding used again later than this is recorded as used.
-const TOUCH_AFTER: Millis = BINDING_WINDOW / 4;
-
-/// What a question calls for.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Decision {
-    /// Reply now: a wrong home can do no harm with it.
-    Answer(Reply),
-    /// Reply once this instance has been shown to be the home still.
-    Promise(Reply),
-    /// Reply once the record is durable.
-    Record(Record, Reply),
-    /// The key has a record in the segment under way: ask again after it.
-    Wait,
-}
 
-/// What a decision is made in.
-#[derive(Debug, Clone, Copy)]
-pub struct Context<'a> {
-    /// The time now.
-    pub now: Timestamp,
-    /// Who is a member.
-    pub placement: &'a Placement,
-}
+pub use decide::{Context, Decision};
 
 /// One shard.
 #[derive(Debug, Default)]
@@ -135,21 +114,6 @@
         self.durable = seq;
     }
 
-    /// What `op` calls for.
-    pub fn decide(&mut self, op: &Op, context: &Context<'_>, bounds: &Bounds) -> Decision {
-        match op {
-            Op::Claim(claim) => self.decide_claim(claim, context, bounds),
-            Op::Register(register) => self.decide_register(register, context, bounds),
-            Op::Release(release) => self.decide_release(release),
-            Op::Settle(settle) => self.decide_settle(settle),
-            Op::Bill(bill) => self.decide_bill(bill),
-            Op::Bind(bind) => self.decide_bind(bind, bounds),
-            Op::Outcome(digest) => self.decide_outcome(*digest, context),
-            Op::Close(close) if self.closed.contains_key(&close.holder) => Decision::Answer(Reply::Done),
-            Op::Close(close) => Decision::Record(Record::Close(close.clone()), Reply::Done),
-        }
-    }
-
     /// Forgets what is past its window.
     ///
     /// Claims are remembered for the whole window or refused. Requests that
@@ -271,116 +235,6 @@
         let Mark { digest, standing, nonce, fingerprint, made_at, billed } = mark.clone();
         self.marks.insert(digest, Entry { standing, nonce, fingerprint, made_at, billed, seq, answered: None });
     }
-
-    fn decide_claim(&self, claim: &Claim, context: &Context<'_>, bounds: &Bounds) -> Decision {
-        if context.now.since(claim.made_at) > KEY_WINDOW {
-            return Decision::Answer(Reply::Refused(Reason::KeyTooOld));
-        }
-        if claim.made_at > context.now.plus(KEY_SKEW) {
-            return Decision::Answer(Reply::Refused(Reason::KeyTooNew));
-        }
-        let record = Decision::Record(Record::Claim(claim.clone()), Reply::Claimed);
-        match self.marks.get(&claim.digest) {
-            None if self.marks.len() >= bounds.keys => Decision::Answer(Reply::Refused(Reason::Full)),
-            None => record,
-            Some(entry) if entry.seq > self.durable => Decision::Wait,
-            Some(entry) if entry.fingerprint != 0 && entry.fingerprint != claim.fingerprint => {
-                Decision::Answer(Reply::Refused(Reason::OtherBody))
-            }
-            Some(entry) if entry.nonce == claim.nonce && matches!(entry.standing, Standing::Running(_)) => {
-                Decision::Answer(Reply::Claimed)
-            }
-            Some(entry) if entry.standing == Standing::NotRun && entry.nonce != claim.nonce => record,
-            Some(entry) => Decision::Answer(Reply::Known(entry.known(context.placement))),
-        }
-    }
-
-    fn decide_register(&mut self, register: &Register, context: &Context<'_>, bounds: &Bounds) -> Decision {
-        if register.made_at.is_some_and(|made_at| context.now.since(made_at) > KEY_WINDOW) {
-            return Decision::Answer(Reply::Refused(Reason::KeyTooOld));
-        }
-        if let Some(entry) = self.marks.get(&register.digest).filter(|e| e.standing != Standing::NotRun) {
-            return Decision::Answer(Reply::Known(entry.known(context.placement)));
-        }
-        let running = Running {
-            nonce: register.nonce,
-            by: register.by.clone(),
-            fingerprint: register.fingerprint,
-            until: context.now.plus(register.lasts_ms),
-        };
-        match self.running.get(&register.digest) {
-            Some(old) if old.until > context.now && old.nonce != register.nonce && context.placement.knows(&old.by) => {
-                if old.fingerprint != register.fingerprint {
-                    return Decision::Answer(Reply::Refused(Reason::OtherBody));
-                }
-                return Decision::Answer(Reply::RunningAt(old.by.instance.clone()));
-            }
-            None if self.running.len() >= bounds.running => {
-                return Decision::Answer(Reply::Refused(Reason::Full));
-            }
-            _ => {}
-        }
-        self.running.insert(register.digest, running);
-        Decision::Answer(Reply::First)
-    }
-
-    fn decide_release(&mut self, release: &Release) -> Decision {
-        if self.running.get(&release.digest).is_some_and(|r| r.nonce == release.nonce) {
-            self.running.remove(&release.digest);
-        }
-        Decision::Answer(Reply::Done)
-    }
-
-    fn decide_settle(&self, settle: &Settle) -> Decision {
-        let done = Decision::Answer(Reply::Done);
-        match self.marks.get(&settle.digest) {
-            Some(entry) if entry.seq > self.durable => Decision::Wait,
-            Some(entry) if entry.nonce != settle.nonce || !entry.open() => done,
-            Some(entry) if entry.standing == Standing::Unknown && settle.end == End::Unknown => done,
-            _ => Decision::Record(Record::Settle(*settle), Reply::Done),
-        }
-    }
-
-    fn decide_bill(&self, bill: &Bill) -> Decision {
-        let entry = self.marks.get(&Digest::request(&bill.id));
-        match entry {
-            Some(entry) if entry.seq > self.durable => return Decision::Wait,
-            Some(entry) if entry.billed == bill_hash(bill) => return Decision::Answer(Reply::Done),
-            Some(entry) if entry.billed != 0 => return Decision::Answer(Reply::Already),
-            _ => {}
-        }
-        if bill.grant.as_ref().is_some_and(|grant| self.closed.contains_key(&grant.holder)) {
-            return Decision::Answer(Reply::Refused(Reason::GrantClosed));
-        }
-        Decision::Record(Record::Bill(bill.clone()), Reply::Done)
-    }
-
-    fn decide_bind(&self, bind: &Bind, bounds: &Bounds) -> Decision {
-        let record = Decision::Record(Record::Bind(bind.clone()), Reply::Bound(bind.pins.clone()));
-        match self.bindings.get(&bind.digest) {
-            None if self.bindings.len() >= bounds.bindings => Decision::Answer(Reply::Refused(Reason::Full)),
-            None => record,
-            Some(old) if old.seq > self.durable => Decision::Wait,
-            Some(old) if old.pins == bind.pins && bind.at.since(old.at) > TOUCH_AFTER => record,
-            Some(old) if old.pins != bind.pins && bind.replaces.as_ref() == Some(&old.pins) => record,
-            Some(old) => Decision::Answer(Reply::Bound(old.pins.clone())),
-        }
-    }
-
-    /// "Not run" and "no record" are promises: a home that has been replaced
-    /// without noticing could give them about a request that runs elsewhere.
-    /// The other outcomes stay true, or harmless, once they have been true.
-    fn decide_outcome(&self, digest: Digest, context: &Context<'_>) -> Decision {
-        let outcome = match self.marks.get(&digest) {
-            Some(entry) if entry.seq > self.durable => return Decision::Wait,
-            Some(entry) => Some(entry.known(context.placement).outcome),
-            None => self.running.get(&digest).filter(|r| r.until > context.now).map(|_| Outcome::Running),
-        };
-        match outcome {
-            None | Some(Outcome::NotRun) => Decision::Promise(Reply::Outcome(outcome)),
-            Some(_) => Decision::Answer(Reply::Outcome(outcome)),
-        }
-    }
 }
 
 impl Entry {
--- a/crates/journal/src/wire.rs
+++ b/crates/journal/src/wire.rs
@@ -4,6 +4,7 @@
 //! that a newer build adds is skipped by an older one.
 
 mod call;
+mod convert;
 mod message;
 
 use std::fmt;
