--- a/crates/route/src/quality/account.rs
+++ b/crates/route/src/quality/account.rs
@@ -15,7 +15,7 @@
 /// Standard deviations held back for answers whose rating is to come.
 const PENDING_CAUTION: f64 = 1.0;
 /// Standard deviations held back for answers whose rating will not come.
-const LAPSED_CAUTION: f64 = 2.0;
+const LAPSED_CAUTION: f64 = 3.0;
 
 /// Passes ahead of (positive) or behind (negative) the target.
 ///
