Name the nearest field in objects too, part the events' module

Cause: a typo in an object gave the list of known fields and the parser's own layout; only settings named the nearest. The reading stood twice. Checked: cargo test -p world -p settings -p timeline.

--- a/crates/arbutuslug/src/lib.rs
+++ b/crates/arbutuslug/src/lib.rs
@@ -1,8 +1,8 @@
 //! The operators' command-line tool, as a library that tests can call.
 //!
-//! [`run`] reads the command line ([`command`], [`invocation`]), asks the
-//! instances ([`fleet`]) and writes to a [`Console`]. What one verb does is in
-//! [`verb`], a module each.
+//! [`run`] reads the command line (`command`, `invocation`), asks the
+//! instances (`fleet`) and writes to a [`Console`]. What one verb does is in
+//! `verb`, a module each.
 
 mod command;
 mod console;
@@ -20,7 +20,7 @@
 pub use console::{Console, Format};
 pub use environment::Environment;
 pub use exit::{Exit, Failure};
-pub use invocation::{Invocation, Verb};
+pub use invocation::{Invocation, Stop, Verb};
 
 /// Runs one command line, program name included.
 pub async fn run(
--- a/crates/settings/src/file.rs
+++ b/crates/settings/src/file.rs
@@ -4,15 +4,11 @@
 
 use serde::Deserialize;
 use serde_saphyr::Spanned;
+use world::yaml;
 
 use crate::error::Fault;
 
-/// Least likeness, from 0 to 1, at which a known name is offered.
-const LIKENESS: f64 = 0.6;
-
-/// Names of [`Source`]'s forms.
-const SOURCES: [&str; 2] = ["file", "env"];
-
+/// The one closed set of words in the file is [`Source`]'s.
 const SECRET_FORM: &str = "a secret is given as `{ file: PATH }` or `{ env: NAME }`, never in the settings themselves";
 
 /// A value with its line.
@@ -127,29 +123,16 @@
 
 /// Reads the file's form.
 pub(crate) fn read(text: &str) -> Result<File, Fault> {
-    serde_saphyr::from_str(text).map_err(|error| fault(&error))
+    yaml::read(text).map_err(fault)
 }
 
-fn fault(error: &serde_saphyr::Error) -> Fault {
-    let line = error.location().map_or(0, |location| location.line());
-    match error.without_snippet() {
-        serde_saphyr::Error::SerdeUnknownField { field, expected, .. } => Fault::UnknownField {
-            line,
-            field: field.clone(),
-            nearest: nearest(field, expected),
-            known: expected.clone(),
-        },
-        // The refused text may be the secret itself, so it is not repeated.
-        serde_saphyr::Error::SerdeUnknownVariant { expected, .. } if expected.as_slice() == SOURCES => {
-            Fault::Syntax { line, message: SECRET_FORM.into() }
+fn fault(fault: yaml::Fault) -> Fault {
+    match fault {
+        yaml::Fault::UnknownField { line, field, nearest, known } => {
+            Fault::UnknownField { line, field, nearest, known }
         }
-        serde_saphyr::Error::SerdeMissingField { field, .. } => Fault::MissingField { line, field },
-        other => Fault::Syntax { line, message: other.to_string() },
+        yaml::Fault::MissingField { line, field } => Fault::MissingField { line, field },
+        yaml::Fault::UnknownWord { line, .. } => Fault::Syntax { line, message: SECRET_FORM.into() },
+        yaml::Fault::Syntax { line, message } => Fault::Syntax { line, message },
     }
 }
-
-fn nearest(field: &str, known: &[&'static str]) -> Option<&'static str> {
-    let likeness = |name: &str| strsim::jaro_winkler(field, name);
-    let best = known.iter().copied().max_by(|a, b| likeness(a).total_cmp(&likeness(b)))?;
-    (likeness(best) >= LIKENESS).then_some(best)
-}
--- a/crates/timeline/src/event.rs
+++ b/crates/timeline/src/event.rs
@@ -1,17 +1,23 @@
 //! What is recorded.
 
+mod kind;
+mod step;
+
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
 use world::{
     Millis,
     contract::Customer,
-    endpoint, instance, model,
+    endpoint, instance,
     model::Version,
     money::{Amount, Currency},
-    object, request, rollout, service, session,
+    object, request, rollout,
 };
 
+pub use kind::{Kind, UnknownKind};
+pub use step::{Ran, Step};
+
 /// One thing that happened at one instance.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
@@ -132,150 +138,6 @@
     },
 }
 
-/// A step of a request's life.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "step", rename_all = "snake_case")]
-pub enum Step {
-    /// Its head was read and its customer known.
-    Received {
-        /// The model asked for; nothing for a plain service.
-        model: Option<model::Id>,
-        /// The plain service asked for.
-        service: Option<service::Id>,
-        /// Whether it may be repeated.
-        repeat: request::Repeat,
-        /// Its session, where named.
-        session: Option<session::Id>,
-    },
-    /// It may run.
-    Admitted {
-        /// Time in the queue, in milliseconds.
-        queued_ms: Millis,
-    },
-    /// Its home holds the claim.
-    Claimed {
-        /// The home.
-        home: instance::Id,
-    },
-    /// It joined the same request already running.
-    Joined {
-        /// Where that one runs.
-        home: instance::Id,
-    },
-    /// Version decided.
-    Chosen {
-        /// The version.
-        version: Version,
-        /// Its step of the cascade.
-        tier: u8,
-        /// Why this one.
-        reason: String,
-    },
-    /// Sent to an endpoint.
-    Dispatched {
-        /// From 1.
-        attempt: u32,
-        /// The version; nothing for a plain service.
-        version: Option<Version>,
-        /// The endpoint.
-        endpoint: endpoint::Id,
-        /// Why this one.
-        reason: String,
-    },
-    /// An attempt's stream broke.
-    Broken {
-        /// Which attempt.
-        attempt: u32,
-        /// Frames received so far.
-        frames: u64,
-        /// What broke it.
-        cause: String,
-    },
-    /// An attempt's stream went on after a break.
-    Resumed {
-        /// Which attempt.
-        attempt: u32,
-        /// Frames received before.
-        frames: u64,
-    },
-    /// An attempt ended without an answer.
-    Failed {
-        /// Which attempt.
-        attempt: u32,
-        /// Whether it ran.
-        ran: Ran,
-        /// What failed.
-        cause: String,
-    },
-    /// Its session left a withdrawn version.
-    SessionMoved {
-        /// The version before.
-        from: Version,
-        /// The version now.
-        to: Version,
-    },
-    /// The answer was rated.
-    Rated {
-        /// The version that gave it.
-        version: Version,
-        /// From 0 to 1.
-        score: f64,
-    },
-    /// The cascade goes a step up.
-    Escalated {
-        /// The version whose answer fell short.
-        from: Version,
-        /// The version to run next.
-        to: Version,
-        /// Why.
-        reason: String,
-    },
-    /// Its bill is durable.
-    Billed {
-        /// The version that answered; nothing for a plain service.
-        version: Option<Version>,
-        /// What the customer pays.
-        cost: Amount,
-        /// Of the cost.
-        currency: Currency,
-        /// Attempts it took.
-        attempts: u32,
-    },
-    /// The caller got its last frame.
-    Finished {
-        /// Frames sent.
-        frames: u64,
-        /// Time since it was received, in milliseconds.
-        took_ms: Millis,
-    },
-    /// The caller got a refusal or failure as its final answer.
-    Refused {
-        /// Whether it ran; `No` is a promise.
-        ran: Ran,
-        /// The problem's name.
-        problem: String,
-        /// Details for people.
-        detail: String,
-    },
-    /// The caller went away before its last frame.
-    Abandoned {
-        /// Frames sent.
-        frames: u64,
-    },
-}
-
-/// Whether a request ran.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Ran {
-    /// No endpoint was given it; a promise.
-    No,
-    /// It ran.
-    Yes,
-    /// It may have run.
-    Unknown,
-}
-
 /// Where a roll-out stands.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -349,100 +211,6 @@
     },
 }
 
-/// What an event is about; filters and labels use it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Kind {
-    /// [`Event::Request`].
-    Request,
-    /// [`Event::Configuration`] and [`Event::Freshness`].
-    Configuration,
-    /// [`Event::Edit`].
-    Edit,
-    /// [`Event::Rollout`].
-    Rollout,
-    /// [`Event::Order`].
-    Order,
-    /// [`Event::Stop`].
-    Stop,
-    /// [`Event::TakeOver`] and [`Event::HandOver`].
-    TakeOver,
-    /// [`Event::Membership`].
-    Membership,
-    /// [`Event::Grant`].
-    Grant,
-    /// [`Event::Outage`].
-    Outage,
-    /// [`Event::Lifecycle`].
-    Lifecycle,
-    /// [`Event::ClockSkew`].
-    Clock,
-}
-
-impl Kind {
-    /// Every kind.
-    pub const ALL: [Self; 12] = [
-        Self::Request,
-        Self::Configuration,
-        Self::Edit,
-        Self::Rollout,
-        Self::Order,
-        Self::Stop,
-        Self::TakeOver,
-        Self::Membership,
-        Self::Grant,
-        Self::Outage,
-        Self::Lifecycle,
-        Self::Clock,
-    ];
-
-    /// The kind as commands and labels spell it.
-    #[must_use]
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Request => "request",
-            Self::Configuration => "configuration",
-            Self::Edit => "edit",
-            Self::Rollout => "rollout",
-            Self::Order => "order",
-            Self::Stop => "stop",
-            Self::TakeOver => "take_over",
-            Self::Membership => "membership",
-            Self::Grant => "grant",
-            Self::Outage => "outage",
-            Self::Lifecycle => "lifecycle",
-            Self::Clock => "clock",
-        }
-    }
-}
-
-impl fmt::Display for Kind {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.as_str())
-    }
-}
-
-impl std::str::FromStr for Kind {
-    type Err = UnknownKind;
-
-    fn from_str(text: &str) -> Result<Self, UnknownKind> {
-        Self::ALL.into_iter().find(|kind| kind.as_str() == text).ok_or_else(|| UnknownKind(text.into()))
-    }
-}
-
-/// A text that names no kind of event.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct UnknownKind(pub String);
-
-impl fmt::Display for UnknownKind {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let known: Vec<_> = Kind::ALL.iter().map(|kind| kind.as_str()).collect();
-        write!(f, "unknown kind of event `{}`; use one of {}", self.0.escape_debug(), known.join(", "))
-    }
-}
-
-impl std::error::Error for UnknownKind {}
-
 impl Event {
     /// What it is about.
     #[must_use]
@@ -484,14 +252,3 @@
         }
     }
 }
-
-impl Step {
-    fn concerns(&self, wanted: &Version) -> bool {
-        match self {
-            Self::Chosen { version, .. } | Self::Rated { version, .. } => version == wanted,
-            Self::Dispatched { version, .. } | Self::Billed { version, .. } => version.as_ref() == Some(wanted),
-            Self::SessionMoved { from, to } | Self::Escalated { from, to, .. } => from == wanted || to == wanted,
-            _ => false,
-        }
-    }
-}
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod service;
 pub mod session;
 pub mod time;
+pub mod yaml;
 
 pub use catalog::Catalog;
 pub use name::{Invalid, MAX_NAME_LEN};
--- a/crates/world/src/object.rs
+++ b/crates/world/src/object.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::{contract, model, name, pool, rollout, service};
+use crate::{contract, model, name, pool, rollout, service, yaml};
 
 /// Line that parts two objects of a file.
 const SEPARATOR: &str = "---";
@@ -233,8 +233,7 @@
 
 impl Reader for YamlReader<'_> {
     fn read<T: DeserializeOwned>(&self) -> Result<T, Error> {
-        serde_saphyr::from_str(self.document)
-            .map_err(|error| Error::Syntax { line: self.line, message: error.to_string() })
+        yaml::read(self.document).map_err(|fault| Error::Syntax { line: self.line, message: fault.to_string() })
     }
 }
 
--- a/crates/world/tests/objects.rs
+++ b/crates/world/tests/objects.rs
@@ -43,7 +43,10 @@
 
 refused! {
     unknown_kind_lists_the_known: "kind: contrakt\nname: a\nspec: {}" => "contract, model, rollout, pool, service";
-    unknown_field_names_its_line: "kind: model\nname: m\nspec:\n  versions: []\n  wersions: []" => "wersions";
+    unknown_field_names_its_line: "kind: model\nname: m\nspec:\n  versions: []\n  wersions: []" => "line 5: unknown field `wersions`, did you mean `versions`?";
+    unknown_word_lists_the_known: "kind: contract\nname: c\nspec:\n  objective: speed" => "line 4: unknown word; use one of cost, latency, exposure";
+    missing_field_names_its_line: "kind: contract\nname: c\nspec:\n  keys: []" => "field `budget` is missing";
+    unknown_field_of_the_envelope: "kind: model\nname: m\nspec: { versions: [] }\nspek: {}" => "line 4: unknown field `spek`, did you mean `spec`?";
     line_counts_from_the_file: &format!("{MODEL}---\nkind: model\nname: m\nspec: {{ bad: 1 }}") => "object at line 9";
     name_with_a_slash: "kind: model\nname: a/b\nspec: { versions: [] }" => "is not a name";
     price_without_currency: "kind: model\nname: m\nspec: { versions: [ { version: \"1\", price: { input: \"1\", output: \"1\" } } ] }" => "currency";
