Split endpoint choice into messages and weighing

While most slots of a preferred endpoint are free it is taken whatever the mean: at a low load one run under way made the prefix's next request miss the cache.

--- a/crates/route/src/endpoint.rs
+++ b/crates/route/src/endpoint.rs
@@ -12,25 +12,25 @@
 //! instance sees the same old reports, and would send its work to the same
 //! endpoint.
 
+mod choice;
 mod health;
+mod message;
 mod server;
 mod subset;
 
 use std::collections::HashMap;
 
-use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 use world::{
     Catalog, Millis, Timestamp,
-    domain::Domain,
     endpoint::{self, Endpoint},
-    hash, instance,
+    hash,
     model::Version,
-    service,
 };
 
 pub use health::Failure;
-use server::{Field, Seen, Server};
+pub use message::{Choice, Event, Peer, Refusal, Report, Rule, Target, Wanted};
+use server::{Field, Server};
 use subset::Subset;
 
 slotmap::new_key_type! {
@@ -38,10 +38,6 @@
     pub struct Key;
 }
 
-/// Load bound of a preferred endpoint, as a multiple of the mean.
-const LOAD_BOUND: f64 = 1.0;
-/// Load added to an endpoint of another failure domain, in its slots.
-const REMOTE: f64 = 0.05;
 /// Runs an endpoint is given, as a multiple of its slots: a batch that has to
 /// wait for news of each ended run would stand half empty.
 const HEADROOM: f64 = 1.1;
@@ -50,149 +46,6 @@
 /// Most of a target's endpoints that may be ejected at a time.
 const MAX_EJECTED: f64 = 0.34;
 
-/// What endpoints are asked for.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Target {
-    /// A model's version.
-    Version(Version),
-    /// A plain service.
-    Service(service::Id),
-}
-
-/// A run that needs an endpoint.
-#[derive(Debug, Clone, Copy)]
-pub struct Wanted<'a> {
-    /// What it runs on.
-    pub target: &'a Target,
-    /// Hash of the prompt's prefix; nothing where no cache helps.
-    pub prefix: Option<u64>,
-    /// Endpoints that have failed it already.
-    pub avoid: &'a [Key],
-    /// A number drawn for this attempt; its hash will do.
-    pub draw: u64,
-}
-
-/// An endpoint chosen, and why.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Choice {
-    /// The endpoint.
-    #[serde(skip)]
-    pub key: Key,
-    /// What settled it.
-    pub rule: Rule,
-    /// Its estimated load, as a share of its slots.
-    pub load: f64,
-    /// Mean of the same over the endpoints weighed.
-    pub mean: f64,
-    /// Endpoints weighed.
-    pub considered: u32,
-}
-
-/// What settled a choice.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Rule {
-    /// Holds the prompt's prefix, by its cache events.
-    Holder,
-    /// The prefix's preferred one.
-    Preferred,
-    /// The less loaded of two drawn.
-    LessLoaded,
-    /// The only one left.
-    Only,
-}
-
-/// No endpoint takes the run; nothing has run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Refusal {
-    /// No pool serves it, or none of its endpoints is in this instance's subset.
-    NoPool,
-    /// All its endpoints are leaving, do not have it loaded, or have failed this request.
-    NoneLeft,
-}
-
-/// A load report of an engine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Report<'a> {
-    /// When it held.
-    pub as_of: Timestamp,
-    /// Runs in the batch.
-    pub running: u32,
-    /// Runs waiting.
-    pub queued: u32,
-    /// Runs it can batch.
-    pub slots: u32,
-    /// Versions it has loaded; nothing when it does not say.
-    pub loaded: Option<&'a [Version]>,
-}
-
-/// What has happened to an endpoint.
-#[derive(Debug, Clone, Copy)]
-pub enum Event<'a> {
-    /// A run was sent to it.
-    Dispatched(Key),
-    /// A run ended well.
-    Finished {
-        /// Where.
-        key: Key,
-        /// What was run.
-        target: &'a Target,
-        /// How long it took.
-        millis: Millis,
-        /// Output tokens; 1 for a plain service.
-        tokens: u32,
-    },
-    /// A run ended otherwise.
-    Failed {
-        /// Where.
-        key: Key,
-        /// What was run.
-        target: &'a Target,
-        /// How.
-        failure: Failure,
-    },
-    /// A run was cancelled by us; says nothing about the endpoint.
-    Cancelled(Key),
-    /// A report came in.
-    Load {
-        /// Whose.
-        endpoint: &'a endpoint::Id,
-        /// What it says.
-        report: Report<'a>,
-    },
-    /// A prefix entered its cache.
-    Stored {
-        /// Whose.
-        endpoint: &'a endpoint::Id,
-        /// The prefix's hash.
-        prefix: u64,
-    },
-    /// A prefix left its cache.
-    Evicted {
-        /// Whose.
-        endpoint: &'a endpoint::Id,
-        /// The prefix's hash.
-        prefix: u64,
-    },
-    /// It is leaving, or back.
-    Leaving {
-        /// Which.
-        endpoint: &'a endpoint::Id,
-        /// Whether it takes no new work.
-        leaving: bool,
-    },
-}
-
-/// An instance as the subsets need to know it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Peer {
-    /// Its name.
-    pub id: instance::Id,
-    /// Where it stands.
-    pub domain: Domain,
-}
-
 /// What one instance knows of its endpoints.
 #[derive(Debug)]
 pub struct Fleet {
@@ -280,21 +133,7 @@
         if subset.members.is_empty() {
             return Err(Refusal::NoPool);
         }
-        let weighed = self.weighed(subset, wanted, now);
-        let rule_of = |weighed: &Weighed, rule| Choice {
-            key: weighed.best.key,
-            rule,
-            load: weighed.best.load,
-            mean: weighed.mean,
-            considered: weighed.considered,
-        };
-        match weighed {
-            None => Err(Refusal::NoneLeft),
-            Some(weighed) => {
-                let rule = weighed.rule;
-                Ok(rule_of(&weighed, rule))
-            }
-        }
+        self.weighed(subset, wanted, now).ok_or(Refusal::NoneLeft)
     }
 
     /// The key of an endpoint in this instance's subset.
@@ -425,96 +264,6 @@
     }
 }
 
-/// One endpoint's load as estimated for a choice.
-#[derive(Debug, Clone, Copy)]
-struct Candidate {
-    key: Key,
-    affinity: u64,
-    seen: Seen,
-    load: f64,
-    weight: f64,
-    remote: f64,
-    score: f64,
-}
-
-impl Candidate {
-    fn settle(&mut self, field: &Field, now: Timestamp) {
-        self.load = (self.seen.own + self.seen.others_now(field, now) + 1.0) / self.seen.slots;
-        self.score = self.load / self.weight + self.remote;
-    }
-}
-
-/// The outcome of weighing a subset.
-#[derive(Debug)]
-struct Weighed {
-    best: Candidate,
-    rule: Rule,
-    mean: f64,
-    considered: u32,
-}
-
-impl Fleet {
-    fn weighed(&self, subset: &Subset, wanted: &Wanted<'_>, now: Timestamp) -> Option<Weighed> {
-        let usable = subset.members.iter().filter(|member| self.usable(subset, member, wanted, now));
-        let mut candidates: Vec<Candidate> = usable.map(|member| self.candidate(member, wanted, now)).collect();
-        let considered = u32::try_from(candidates.len()).unwrap_or(u32::MAX);
-        let count = f64::from(considered.max(1));
-        let field = Field::of(candidates.iter().map(|c| &c.seen), subset.run_ms(), self.instances);
-        for candidate in &mut candidates {
-            candidate.settle(&field, now);
-        }
-        let mean = candidates.iter().map(|c| c.load).sum::<f64>() / count;
-        let weighed = |best: &Candidate, rule| Some(Weighed { best: *best, rule, mean, considered });
-        if candidates.len() < 2 {
-            return candidates.first().and_then(|only| weighed(only, Rule::Only));
-        }
-        if let Some(prefix) = wanted.prefix {
-            let bound = LOAD_BOUND * candidates.iter().map(|c| c.score).sum::<f64>() / count;
-            let within = || candidates.iter().filter(|c| c.score <= bound);
-            let holder = self.holders.get(&prefix);
-            if let Some(held) = within().find(|c| Some(&c.key) == holder) {
-                return weighed(held, Rule::Holder);
-            }
-            if let Some(preferred) = within().max_by_key(|c| c.affinity) {
-                return weighed(preferred, Rule::Preferred);
-            }
-        }
-        let (first, second) = two(wanted.draw, candidates.len());
-        let (first, second) = (&candidates[first], &candidates[second]);
-        weighed(if second.score < first.score { second } else { first }, Rule::LessLoaded)
-    }
-
-    fn candidate(&self, member: &subset::Member, wanted: &Wanted<'_>, now: Timestamp) -> Candidate {
-        let server = &self.servers[member.key];
-        Candidate {
-            key: member.key,
-            affinity: wanted.prefix.map_or(0, |prefix| subset::weight(prefix, member.hash)),
-            seen: server.seen(),
-            load: 0.0,
-            weight: server.health.weight(now),
-            remote: if member.local { 0.0 } else { REMOTE },
-            score: 0.0,
-        }
-    }
-
-    fn usable(&self, subset: &Subset, member: &subset::Member, wanted: &Wanted<'_>, now: Timestamp) -> bool {
-        let Some(server) = self.servers.get(member.key) else { return false };
-        !server.leaving
-            && !server.health.ejected(now)
-            && !subset.is_absent(member.key, now)
-            && !wanted.avoid.contains(&member.key)
-    }
-}
-
-/// Two different positions below `len`, at least 2, from one draw.
-fn two(draw: u64, len: usize) -> (usize, usize) {
-    let len = len as u64;
-    let first = (draw >> 32) % len;
-    let second = (first + 1 + (draw & 0xffff_ffff) % (len - 1)) % len;
-    #[expect(clippy::cast_possible_truncation, reason = "both are below a usize")]
-    (first as usize, second as usize)
-}
-
 fn served(catalog: &Catalog) -> impl Iterator<Item = (Target, &[Endpoint])> {
     let versions = catalog.models().iter().flat_map(|(id, model)| {
         model.versions.iter().map(|release| Version { model: id.clone(), number: release.version.clone() })
--- a/crates/route/tests/endpoint.rs
+++ b/crates/route/tests/endpoint.rs
@@ -80,8 +80,11 @@
 fn a_loaded_endpoint_is_passed_over() {
     let mut fleet = fleet(1, 6);
     let preferred = choose(&fleet, Some(42), &[], 1, NOW).expect("there are some");
-    fleet.on(Event::Dispatched(preferred.key), NOW);
-    fleet.on(Event::Dispatched(preferred.key), NOW);
+    for _ in 0..4 {
+        let again = choose(&fleet, Some(42), &[], 1, NOW).expect("there are some");
+        assert_eq!(again.key, preferred.key, "most of its slots are free");
+        fleet.on(Event::Dispatched(preferred.key), NOW);
+    }
     let next = choose(&fleet, Some(42), &[], 1, NOW).expect("there are some");
     assert_eq!(preferred.rule, Rule::Preferred);
     assert_ne!(next.key, preferred.key);
