Say "not run" only where it is true of the key

Ruled out: a claim taken back too early (the requests were idempotent, without claims). Change: before an instance says "not run" of a caller's key it asks the key's home; what only a lost instance's memory knew counts as unknown for keys made before the loss. A try that could not be registered, or whose earlier run could not be joined, begins as unknown.

--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -190,6 +190,8 @@
         }
         self.drop_attempt();
         self.settle(ran).await;
+        let problem = self.shared.truthful(problem, &self.request.terms, self.request.repeat).await;
+        let ran = problem.ran;
         let step = Step::Refused { ran, problem: problem.kind.as_str().into(), detail: problem.detail.clone() };
         self.shared.note(self.request.id(), step);
         self.count(problem.kind.as_str());
--- a/crates/entry/src/drive/enter.rs
+++ b/crates/entry/src/drive/enter.rs
@@ -38,15 +38,23 @@
         let fingerprint = self.request.fingerprint();
         let registered = self.shared.links.journal.register(self.request.id(), fingerprint, lasts, deadline).await;
         match registered {
-            Ok(Registered::RunningAt(home)) => !self.follow(&home).await,
+            Ok(Registered::RunningAt(home)) => {
+                self.life.ran_before(Ran::Unknown);
+                !self.follow(&home).await
+            }
             Ok(Registered::Known(known)) => self.known_idempotent(&known).await,
             Err(Error::NotRecorded(reason @ (Reason::OtherBody | Reason::KeyTooOld | Reason::KeyTooNew))) => {
                 self.refuse(refusal(reason));
                 false
             }
-            // Nobody else runs it, or the home cannot be asked. Running twice
-            // does an idempotent request no harm, and it is billed once.
-            Ok(Registered::First) | Err(_) => true,
+            Ok(Registered::First) => true,
+            // The home cannot be asked. Running twice does an idempotent
+            // request no harm, and it is billed once; but nobody can promise
+            // that it has not run.
+            Err(_) => {
+                self.life.ran_before(Ran::Unknown);
+                true
+            }
         }
     }
 
@@ -56,8 +64,14 @@
             // A second run could answer otherwise, on another version say, and
             // the caller would hold two answers to one request: the first one
             // is fetched for as long as it is held.
-            (Outcome::Answered, Some(at)) => !self.follow(at).await,
-            (Outcome::Answered, None) | (Outcome::NotRun, _) => true,
+            (Outcome::Answered, at) => {
+                self.life.ran_before(Ran::Yes);
+                match at {
+                    Some(at) => !self.follow(at).await,
+                    None => true,
+                }
+            }
+            (Outcome::NotRun, _) => true,
             (Outcome::Running, _) => {
                 self.refuse(Problem::new(Kind::StillRunning, Ran::Unknown, "it was sent before as not to be repeated"));
                 false
--- a/crates/entry/src/feed.rs
+++ b/crates/entry/src/feed.rs
@@ -7,7 +7,10 @@
     task::JoinHandle,
     time::{MissedTickBehavior, interval, sleep},
 };
-use world::endpoint::Id;
+use world::{
+    endpoint::Id,
+    instance::{self, Incarnation, State},
+};
 
 use crate::shared::Shared;
 
@@ -35,6 +38,7 @@
 async fn world(shared: Arc<Shared>) {
     let mut catalogs = shared.links.config.subscribe();
     let mut members = shared.links.peer.members();
+    let mut counted = Vec::new();
     loop {
         let catalog = catalogs.borrow_and_update().clone();
         let instances: Vec<_> = members
@@ -43,6 +47,7 @@
             .map(|instance| Peer { id: instance.id.clone(), domain: instance.domain.clone() })
             .collect();
         shared.desk.world(catalog, instances);
+        note_losses(&shared, &mut counted);
         tokio::select! {
             changed = catalogs.changed() => if changed.is_err() { return },
             changed = members.changed() => if changed.is_err() { return },
@@ -50,6 +55,22 @@
     }
 }
 
+/// Notes when an instance that took work is suspected or gone: what it knew
+/// of keys is lost. One that leaves in order loses nothing.
+fn note_losses(shared: &Shared, counted: &mut Vec<(instance::Id, Incarnation)>) {
+    let members = shared.links.peer.members().borrow().clone();
+    let live = members.others.values().filter(|i| i.state == State::Live).map(|i| (i.id.clone(), i.incarnation));
+    let live: Vec<_> = live.collect();
+    let lost = counted.iter().any(|known| {
+        let now = members.others.get(&known.0);
+        !live.contains(known) && now.is_none_or(|i| i.state != State::Leaving)
+    });
+    if lost {
+        shared.note_loss();
+    }
+    *counted = live;
+}
+
 /// Asks each engine for its load and its cache events.
 async fn reports(shared: Arc<Shared>) {
     let mut next: std::collections::HashMap<Id, u64> = std::collections::HashMap::new();
--- a/crates/entry/src/http/calls.rs
+++ b/crates/entry/src/http/calls.rs
@@ -47,7 +47,7 @@
     shared.check_outage(contract)?;
     let repeat = terms.repeat();
     let request = request(shared, terms, repeat, Work::Chat(chat), contract)?;
-    let reader = start(shared, request).map_err(|problem| problem.about(&key))?;
+    let reader = start(shared, request).await.map_err(|problem| problem.about(&key))?;
     answer::write(response, reader, stream).await
 }
 
@@ -72,7 +72,7 @@
     let body = body(shared, http).await?;
     let visit = Visit { service: id, method, path, headers, body };
     let request = request(shared, terms, repeat, Work::Call(visit), contract)?;
-    let reader = start(shared, request).map_err(|problem| problem.about(&key))?;
+    let reader = start(shared, request).await.map_err(|problem| problem.about(&key))?;
     answer::write(response, reader, false).await
 }
 
@@ -136,7 +136,7 @@
 }
 
 /// Starts a request, or joins it where it runs here already.
-fn start(shared: &Arc<Shared>, request: Request) -> Result<Reader, Problem> {
+async fn start(shared: &Arc<Shared>, request: Request) -> Result<Reader, Problem> {
     if !request.terms.keyed {
         shared.may_start()?;
         let tape = Tape::open();
@@ -153,7 +153,7 @@
         Found::New(tape, reader) => {
             if let Err(problem) = shared.may_start() {
                 shared.held.forget(request.id(), &tape);
-                return Err(problem);
+                return Err(shared.truthful(problem, &request.terms, request.repeat).await);
             }
             spawn(shared, request, tape);
             Ok(reader)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod session;
 mod shared;
 pub mod tape;
+mod truth;
 
 use std::io;
 
--- a/crates/entry/src/life.rs
+++ b/crates/entry/src/life.rs
@@ -179,6 +179,13 @@
         (life, Command::Admit)
     }
 
+    /// Notes that an earlier try under the same key ran, or may have.
+    pub fn ran_before(&mut self, ran: Ran) {
+        if self.ran == Ran::No {
+            self.ran = ran;
+        }
+    }
+
     /// Where it stands.
     #[must_use]
     pub fn state(&self) -> State {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -104,6 +104,8 @@
     pub held: Held,
     /// Set once callers have had time to hear that this instance leaves.
     pub closed: AtomicBool,
+    /// When an instance was last seen to be lost; 0 for never.
+    pub lost: AtomicU64,
     in_flight: watch::Sender<u64>,
     received: AtomicU64,
 }
@@ -117,6 +119,7 @@
             desk,
             held: Held::default(),
             closed: AtomicBool::new(false),
+            lost: AtomicU64::new(0),
             in_flight,
             received: AtomicU64::new(0),
         })
--- a/crates/entry/tests/path/leaving.rs
+++ b/crates/entry/tests/path/leaving.rs
@@ -74,3 +74,24 @@
     assert_eq!(site.engines[0].records().len(), before);
     assert_eq!(site.engines[1].records().len(), 20);
 }
+
+// The caller's first try runs at instance 0 when it repeats its key at
+// instance 1, which takes no more work. Told "not run", it would file the
+// request anew under another key and have it twice. The key's home knows the
+// run, so the refusal does not say so.
+#[tokio::test]
+async fn refusal_is_true_of_the_key_and_not_of_the_second_try_alone() {
+    let engine = engine::Options { per_token_ms: 60, ..engine::Options::default() };
+    let site = Site::open(Plan { instances: 2, engine, keep_ms: 20, ..Plan::default() }).await;
+    let key = [("idempotency-key", "sheet-7")];
+    let entry = site.nodes[1].entry.clone();
+    let last = site.client(1).stream(CLUB, &[], "keeps instance 1 busy").await;
+    let first = site.client(0).stream(CLUB, &key, "long summary").await;
+    let drain = tokio::spawn(async move { entry.drain(Instant::now() + Duration::from_secs(20)).await });
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    let refused = site.client(1).chat(CLUB, &key, "long summary").await;
+    assert_eq!(refused.problem(), (503, "leaving".into(), "unknown".into()));
+    assert!(first.told().await.done);
+    assert!(last.told().await.done);
+    assert!(drain.await.expect("no panic"), "drained before the deadline");
+}
