Let the guard hear of erring versions and size address sets by customer

Cause: a version that answers 500 to every request was retried and refused, and its guard never heard of it; a request that an engine refuses for its parameters was tried at four engines; sets of addresses grew with other customers' load; a slow caller's last bytes had two seconds when leaving. Change: a 5xx refusal is observed as a failure of the version; a 4xx one ends the request as malformed, not run; load is counted per customer; connections have the rest of the drain's time.

--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -18,7 +18,7 @@
 use route::{endpoint::Key, model::Choice, retry};
 use timeline::{Ran, Step};
 use tokio::time::{Instant, sleep_until};
-use world::{model::Version, money::Amount, request::Repeat};
+use world::{Millis, model::Version, money::Amount, request::Repeat};
 
 use crate::{
     clock,
@@ -43,6 +43,8 @@
     tries: u32,
     avoid: Vec<Key>,
     failure: retry::Failure,
+    /// Time that another dispatch is expected to take, in milliseconds.
+    expected_ms: Millis,
     /// What a failure tells the caller, apart from what ran.
     cause: Option<Problem>,
     answer: Answer,
@@ -87,7 +89,7 @@
 impl Driver {
     pub fn new(shared: Arc<Shared>, request: Request, tape: Tape) -> Self {
         let (life, _) = Life::begin(request.repeat);
-        let in_flight = shared.enter();
+        let in_flight = shared.enter(request.customer());
         Self {
             shared,
             request,
@@ -100,6 +102,7 @@
             tries: 0,
             avoid: Vec::new(),
             failure: retry::Failure::NotRun { retry_after: None },
+            expected_ms: 0,
             cause: None,
             answer: Answer::default(),
             _in_flight: in_flight,
--- a/crates/entry/src/drive/dispatch.rs
+++ b/crates/entry/src/drive/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use control::observation::Outcome as Seen;
 use endpoint::{Attempt as Name, Dispatch, Error, error::Refusal};
 use http::{HeaderMap, HeaderName, header};
 use route::{endpoint as placing, endpoint::Failure, endpoint::Target, quality::Cell, retry};
@@ -164,9 +165,22 @@
         let kind = if ran == Ran::No { Kind::NoEndpoint } else { Kind::EndpointFailed };
         let problem = Problem::not_run(kind, cause);
         self.cause = Some(if ran == Ran::No { problem.after(self.retry_after()) } else { problem });
+        self.expected_ms = place.expected_ms;
         self.avoid.push(place.key());
         place.end(Ending::Failed(failure));
-        event
+        match error {
+            Error::Refused { refusal: Refusal::Status(status @ 400..=499), .. } => {
+                self.cause = Some(Problem::not_run(Kind::Malformed, format!("the engine refused it: status {status}")));
+                Event::Declined
+            }
+            // The endpoint is well and the version is not: its guard must
+            // hear of it, although nothing was run.
+            Error::Refused { refusal: Refusal::Status(_), .. } => {
+                self.observe(Seen::Failed);
+                event
+            }
+            _ => event,
+        }
     }
 
     fn retry_after(&self) -> u64 {
@@ -178,12 +192,11 @@
 
     /// Asks for another dispatch; waits as the decision says.
     pub(super) async fn retry(&mut self) -> Event {
-        let expected_ms = 0;
         let asked = retry::Request {
             repeat: self.request.repeat,
             tries: self.tries,
             deadline: self.request.due(),
-            expected_ms,
+            expected_ms: self.expected_ms,
         };
         match self.shared.desk.retry(self.request.customer(), asked, self.failure).await {
             Ok(retry::Decision::Retry { after_ms }) => {
--- a/crates/entry/src/drive/read.rs
+++ b/crates/entry/src/drive/read.rs
@@ -133,6 +133,11 @@
         }
         self.answer.input_tokens += usage.prompt_tokens;
         self.answer.output_tokens += usage.completion_tokens;
+        if let Some(version) = self.version() {
+            let (customer, version) = (self.request.customer().to_string(), version.to_string());
+            metrics::histogram!("entry_first_token_seconds", "customer" => customer, "version" => version)
+                .record(first.as_secs_f64());
+        }
         self.observe(control::observation::Outcome::Answered { latency_ms: clock::millis(first) });
     }
 
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -22,7 +22,7 @@
     shared::{Links, Settings, Shared},
 };
 
-/// Longest wait for connections to close after their last answer.
+/// Least time for connections to close after their last answer.
 const CLOSE_WITHIN: Duration = Duration::from_secs(2);
 
 /// Serves callers until it is dropped or drained; cheap to clone.
@@ -100,7 +100,9 @@
         let mut in_flight = self.shared.in_flight();
         let empty = in_flight.wait_for(|count| *count == 0);
         let drained = tokio::time::timeout_at(deadline, empty).await.is_ok();
-        self.parts.listener.lock().await.close(CLOSE_WITHIN).await;
+        // A slow caller may still be reading the end of its answer.
+        let rest = deadline.saturating_duration_since(Instant::now()).max(CLOSE_WITHIN);
+        self.parts.listener.lock().await.close(rest).await;
         drained
     }
 }
--- a/crates/entry/src/http/addresses.rs
+++ b/crates/entry/src/http/addresses.rs
@@ -31,7 +31,7 @@
     };
     let members = shared.links.peer.members().borrow().clone();
     let instances: Vec<_> = members.all().cloned().collect();
-    let load = f64::from(u32::try_from(*shared.in_flight().borrow()).unwrap_or(u32::MAX));
+    let load = shared.load(&customer);
     let caller = Caller { customer: &customer, session: session.as_ref(), domain: domain.as_ref(), load };
     let list = address::list(&shared.settings.addresses, &instances, &caller);
     let list = List { addresses: list.instances.into_iter().map(Address::from).collect(), keep_ms: list.keep_ms };
--- a/crates/entry/src/http/calls.rs
+++ b/crates/entry/src/http/calls.rs
@@ -138,7 +138,7 @@
 /// Starts a request, or joins it where it runs here already.
 async fn start(shared: &Arc<Shared>, request: Request) -> Result<Reader, Problem> {
     if !request.terms.keyed {
-        shared.may_start()?;
+        shared.may_start(request.customer())?;
         let tape = Tape::open();
         let reader = tape.reader();
         spawn(shared, request, tape);
@@ -151,7 +151,7 @@
         }
         Found::Other => Err(Problem::not_run(Kind::KeyReused, "the key came with another body before")),
         Found::New(tape, reader) => {
-            if let Err(problem) = shared.may_start() {
+            if let Err(problem) = shared.may_start(request.customer()) {
                 shared.held.forget(request.id(), &tape);
                 return Err(shared.truthful(problem, &request.terms, request.repeat).await);
             }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,18 +1,20 @@
 //! What all requests of this instance share.
 
 use std::{
+    collections::{HashMap, hash_map::Entry},
     sync::{
-        Arc,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
 
+use route::address::{self, Caller};
 use timeline::{Event, Recorder, Step};
 use tokio::sync::watch;
 use world::{
     Catalog, Millis,
-    contract::{Contract, Outage},
+    contract::{Contract, Customer, Outage},
     domain::Domain,
     endpoint as world_endpoint, instance, request,
 };
@@ -107,7 +109,7 @@
     /// When an instance was last seen to be lost; 0 for never.
     pub lost: AtomicU64,
     in_flight: watch::Sender<u64>,
-    received: AtomicU64,
+    loads: Mutex<HashMap<Customer, u32>>,
 }
 
 impl Shared {
@@ -121,7 +123,7 @@
             closed: AtomicBool::new(false),
             lost: AtomicU64::new(0),
             in_flight,
-            received: AtomicU64::new(0),
+            loads: Mutex::default(),
         })
     }
 
@@ -136,17 +138,17 @@
     }
 
     /// Refuses new work that must not start here now.
-    pub fn may_start(&self) -> Result<(), Problem> {
+    pub fn may_start(&self, customer: &Customer) -> Result<(), Problem> {
         if self.closed.load(Ordering::Acquire) {
             let detail = "this instance finishes its work and takes no more";
-            return Err(Problem::not_run(Kind::Leaving, detail).elsewhere(self.elsewhere()).after(0));
+            return Err(Problem::not_run(Kind::Leaving, detail).elsewhere(self.elsewhere(customer)).after(0));
         }
         // With a configuration that may be old a withdrawal could be missed,
         // and a version that harms people would go on answering here.
         if !self.links.config.fresh() {
             let detail = "neither the platform nor another instance has confirmed it lately";
             let problem = Problem::not_run(Kind::StaleConfiguration, detail);
-            return Err(problem.elsewhere(self.elsewhere()).after(STALE_RETRY_MS));
+            return Err(problem.elsewhere(self.elsewhere(customer)).after(STALE_RETRY_MS));
         }
         Ok(())
     }
@@ -162,17 +164,31 @@
         Err(Problem::not_run(Kind::PlatformDown, detail).after(STALE_RETRY_MS))
     }
 
-    /// Other instances that take work.
-    pub fn elsewhere(&self) -> Vec<Address> {
+    /// The other instances that a customer's callers may use.
+    fn elsewhere(&self, customer: &Customer) -> Vec<Address> {
         let members = self.links.peer.members().borrow().clone();
-        members.live().filter(|instance| instance.id != self.settings.instance).map(Address::from).collect()
+        let others: Vec<_> = members.others.values().cloned().collect();
+        let caller = Caller { customer, session: None, domain: Some(&self.settings.domain), load: self.load(customer) };
+        address::list(&self.settings.addresses, &others, &caller).instances.into_iter().map(Address::from).collect()
+    }
+
+    /// A customer's requests in flight over all instances, as far as it can
+    /// be told from here: as many at each instance of its smallest set.
+    pub fn load(&self, customer: &Customer) -> f64 {
+        let here = self.loads().get(customer).copied().unwrap_or_default();
+        let instances = u32::try_from(self.settings.addresses.min).unwrap_or(u32::MAX);
+        f64::from(here) * f64::from(instances)
     }
 
     /// Counts a request in flight until the guard is dropped.
-    pub fn enter(self: &Arc<Self>) -> InFlight {
+    pub fn enter(self: &Arc<Self>, customer: &Customer) -> InFlight {
         self.in_flight.send_modify(|count| *count += 1);
-        self.received.fetch_add(1, Ordering::Relaxed);
-        InFlight { shared: self.clone() }
+        *self.loads().entry(customer.clone()).or_default() += 1;
+        InFlight { shared: self.clone(), customer: customer.clone() }
+    }
+
+    fn loads(&self) -> MutexGuard<'_, HashMap<Customer, u32>> {
+        self.loads.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub fn in_flight(&self) -> watch::Receiver<u64> {
@@ -184,10 +200,17 @@
 #[derive(Debug)]
 pub(crate) struct InFlight {
     shared: Arc<Shared>,
+    customer: Customer,
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        if let Entry::Occupied(mut load) = self.shared.loads().entry(self.customer.clone()) {
+            *load.get_mut() -= 1;
+            if *load.get() == 0 {
+                load.remove();
+            }
+        }
         self.shared.in_flight.send_modify(|count| *count -= 1);
     }
 }
--- a/crates/entry/tests/path/breaks.rs
+++ b/crates/entry/tests/path/breaks.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     client::Headers,
-    site::{CLUB, Plan, Site},
+    site::{CHEAP, CLUB, DEAR, Plan, Site},
     whole::answer_of,
 };
 
@@ -199,3 +199,17 @@
     assert_eq!(site.service.effects().len(), 1);
     assert_eq!(site.bills_when(1).await.len(), 1);
 }
+
+// A version answers every request with an error. Its endpoints are well, so
+// only the version's guard can stop it, and the caller hears "not run".
+#[tokio::test]
+async fn erring_version_is_not_run_and_not_billed() {
+    let site = Site::open(Plan::default()).await;
+    for version in [CHEAP, DEAR] {
+        let fault = Fault::Errors;
+        site.switch(&Switch::Bad { version: version.into(), fault, odds: Odds::ALWAYS });
+    }
+    let reply = site.client(0).chat(CLUB, &[], CONTENT).await;
+    assert_eq!(reply.problem(), (503, "no-endpoint".into(), "no".into()));
+    assert!(site.bills().is_empty());
+}
