Keep a stale file from bringing a deleted object back

Cause: an object deleted after the file was read looked like a new one. Change: the tool looks into the history of objects that are gone and names the deletion. Tests for it, for two operators racing at two instances, and for any settings text.

--- a/crates/arbutuslug/src/exit.rs
+++ b/crates/arbutuslug/src/exit.rs
@@ -63,7 +63,7 @@
         let Conflict { object, expected, found, author, at } = conflict;
         let when = crate::describe::time(*at);
         let other = if *found == 0 {
-            "it was deleted meanwhile".into()
+            format!("it was deleted by {author} at {when}")
         } else {
             format!("generation {found} was made by {author} at {when}")
         };
--- a/crates/arbutuslug/src/verb/apply.rs
+++ b/crates/arbutuslug/src/verb/apply.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, path::Path, time::Duration};
 
-use operator::{Change, Edit, Stored, What};
+use operator::{Change, Conflict, Edit, Revision, Stored, What};
 use world::object::{Key, Object};
 
 use crate::{
@@ -25,6 +25,10 @@
     let read_at = read_at.or(file.read_at);
     let stored = fleet.read(async |client| client.get(None, None).await).await?;
     let stored: BTreeMap<Key, Stored> = stored.into_iter().map(|stored| (stored.object.key(), stored)).collect();
+    if let Some(read_at) = read_at {
+        let missing = file.objects.iter().map(Object::key).filter(|key| !stored.contains_key(key));
+        refuse_deleted(fleet, missing, read_at).await?;
+    }
     let edits: Vec<_> = file.objects.into_iter().filter_map(|object| edit(object, &stored, read_at)).collect();
     if edits.is_empty() {
         return console.print("unchanged: every object is in force as the file has it");
@@ -37,6 +41,20 @@
     force::until(fleet, applied.generation, wait, console).await
 }
 
+/// Refuses objects that were deleted after the file was read: applying the
+/// file would bring back unseen what another operator took away.
+async fn refuse_deleted(fleet: Fleet<'_>, missing: impl Iterator<Item = Key>, read_at: u64) -> Result<(), Failure> {
+    for object in missing {
+        let history = fleet.read(async |client| client.history(&object).await).await?;
+        let Some(deletion) = history.into_iter().next().filter(|latest| latest.generation > read_at) else {
+            continue;
+        };
+        let Revision { author, at, .. } = deletion;
+        return Err(Failure::of_conflict(&Conflict { object, expected: read_at, found: 0, author, at }));
+    }
+    Ok(())
+}
+
 /// The edit an object needs; nothing when it is in force already.
 ///
 /// An object that changed after the file was read keeps the generation the
--- a/crates/arbutuslugd/src/operators.rs
+++ b/crates/arbutuslugd/src/operators.rs
@@ -1,9 +1,9 @@
 //! The operators' listener: the service behind `arbutuslug`, health, metrics.
 //!
 //! Health and metrics are plain HTTP, the service is gRPC; both are served on
-//! one port ([`listener`]). The service asks the daemon's handles and, for
+//! one port (`listener`). The service asks the daemon's handles and, for
 //! what concerns the whole fleet, the other instances over peer links
-//! ([`fleet`]).
+//! (`fleet`).
 
 mod access;
 mod edits;
--- a/crates/arbutuslugd/tests/operators/changes.rs
+++ b/crates/arbutuslugd/tests/operators/changes.rs
@@ -4,7 +4,7 @@
 use platform::fake::Loss;
 use world::instance::State;
 
-use crate::site::{File, Site};
+use crate::site::{File, KEY, Site, run};
 
 const MODEL: &str = "\
 kind: model
@@ -63,6 +63,49 @@
     assert!(site.done(&["get", "service", "logbook", "-o", "json"]).await.contains("0.0009"));
 }
 
+/// The same, but the other operator has deleted the object: applying the
+/// file must not bring it back.
+#[tokio::test]
+async fn stale_file_does_not_bring_a_deleted_object_back() {
+    let site = Site::open(1).await;
+    site.apply(SERVICE).await;
+    let read = site.done(&["get", "service", "logbook", "-o", "yaml"]).await;
+    site.done(&["delete", "service", "logbook", "--author", "jaan"]).await;
+    let file = File::of(&read.replace("0.0004", "0.0009"));
+    let ran = site.run(&["apply", file.path()]).await;
+    assert_eq!(ran.exit, Exit::Refused, "{ran:?}");
+    assert!(ran.err.contains("it was deleted by jaan"), "{ran:?}");
+    // Without the line that tells when it was read, it is a new object.
+    site.apply(SERVICE).await;
+}
+
+/// Two operators apply changes of one object that both read at the same
+/// generation, at two instances at once. One is done, the other is refused
+/// and told who was faster; the object is the winner's everywhere.
+#[tokio::test]
+async fn of_two_racing_operators_one_is_refused() {
+    let site = Site::open(2).await;
+    site.apply(SERVICE).await;
+    let file = |price: &str| File::of(&format!("# read at generation: 1\n{}", with_price(price)));
+    let (first, second) = (file("0.0005"), file("0.0006"));
+    let addresses = [site.nodes[0].listener.address(), site.nodes[1].listener.address()];
+    let args = |file: &File, author: &str| ["apply", file.path(), "--author", author].map(String::from);
+    let (mari, jaan) = (args(&first, "mari"), args(&second, "jaan"));
+    let (mari, jaan) = (mari.each_ref().map(String::as_str), jaan.each_ref().map(String::as_str));
+    let (mari, jaan) = tokio::join!(run(&addresses[..1], KEY, &mari), run(&addresses[1..], KEY, &jaan));
+
+    let (winner, loser, price) = match (mari.exit, jaan.exit) {
+        (Exit::Done, Exit::Refused) => ("mari", jaan, "0.0005"),
+        (Exit::Refused, Exit::Done) => ("jaan", mari, "0.0006"),
+        _ => panic!("{mari:?} {jaan:?}"),
+    };
+    assert!(loser.err.contains(&format!("generation 2 was made by {winner}")), "{loser:?}");
+    for address in addresses {
+        let ran = run(&[address], KEY, &["get", "service", "logbook", "-o", "json"]).await;
+        assert!(ran.out.contains(price), "{ran:?}");
+    }
+}
+
 #[tokio::test]
 async fn objects_that_do_not_fit_are_refused_whole() {
     let site = Site::open(1).await;
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -1,7 +1,11 @@
 //! Settings files, good and bad.
 
+use proptest::{prelude::*, test_runner::RngSeed};
 use settings::{Error, Settings};
 
+/// Same cases at every run.
+const SEED: u64 = 0x73_65_74;
+
 /// Always set by cargo for tests and long enough for a secret.
 const SECRET_ENV: &str = "CARGO_MANIFEST_DIR";
 
@@ -125,6 +129,27 @@
     assert_eq!(lines, [8, 18, 22]);
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(SEED), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever stands in the file, the answer is settings or faults.
+    #[test]
+    fn any_text_is_read_or_refused(text in ".{0,300}") {
+        prop_assert!(Settings::parse(&text).is_err());
+    }
+
+    /// The same for the good file with one byte changed.
+    #[test]
+    fn a_changed_byte_is_read_or_refused(place in 0..GOOD.len(), byte in 0_u8..128) {
+        let mut bytes = GOOD.as_bytes().to_vec();
+        bytes[place] = byte;
+        let text = String::from_utf8(bytes).expect("ASCII");
+        if let Err(error) = Settings::parse(&text) {
+            prop_assert!(!error.to_string().is_empty());
+        }
+    }
+}
+
 #[test]
 fn empty_file_is_refused() {
     let error = Settings::parse("").expect_err("must be refused");
