Send a copied answer once when it is run and rated anew

Cause: a repeat copies the answer of the instance that runs it. When that instance is lost after the text and before the last frame, the repeat runs here; a cascade's rated text then went to the tape without a look at what stood there, and the caller got the answer twice in one.

Change: the rated text is matched with the tape as streamed text is; one that does not go on from it is escalated, and fails openly if the next does not either. The test's nodes now end what they serve with themselves.

Before: copied_answer_is_not_sent_again_after_its_rating fails at its first try.

--- a/crates/entry/src/drive/account.rs
+++ b/crates/entry/src/drive/account.rs
@@ -54,10 +54,17 @@
         if !pass {
             return self.escalate("its answer failed its rating").await;
         }
+        // The text may be on the tape already, copied from an instance that
+        // was lost before the last frame: written again, the caller would
+        // hold the answer twice in one.
+        let text = std::mem::take(&mut self.answer.buffer);
+        let new = self.unsent(&text).map(str::to_owned).ok().filter(|_| self.answer.matched >= self.tape.len());
+        let Some(new) = new else {
+            return self.escalate("its answer does not go on from the part that was sent").await;
+        };
         self.answer.rated = true;
         self.write_head();
-        let text = std::mem::take(&mut self.answer.buffer);
-        self.tape.text(&text).await;
+        self.tape.text(&new).await;
         Event::Kept
     }
 
--- a/crates/entry/src/drive/read.rs
+++ b/crates/entry/src/drive/read.rs
@@ -14,7 +14,7 @@
 };
 
 /// Another endpoint's text does not begin with what was sent before.
-struct Diverged;
+pub(super) struct Diverged;
 
 impl Driver {
     /// Reads until the first frame, and then until the end or a break.
@@ -81,7 +81,7 @@
     /// After a restart elsewhere the answer comes from its beginning again.
     /// Sent once more it would double a part; a different beginning would
     /// make an answer of two halves that do not belong together.
-    fn unsent<'a>(&mut self, text: &'a str) -> Result<&'a str, Diverged> {
+    pub(super) fn unsent<'a>(&mut self, text: &'a str) -> Result<&'a str, Diverged> {
         let written = self.tape.len();
         if self.answer.matched >= written {
             self.answer.matched = written + text.len();
--- a/crates/entry/tests/path/cascades.rs
+++ b/crates/entry/tests/path/cascades.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use standin::rating::{self, Switch};
+use standin::{
+    objects,
+    rating::{self, Switch},
+};
 
 use crate::{
     site::{CHEAP, CLUB, DEAR, Plan, Site},
@@ -121,3 +124,35 @@
     }
     panic!("the bad version goes on answering");
 }
+
+// A rated answer stands on the tape and waits for its bill when the instance
+// that ran it is lost. A repeat elsewhere has copied the text and runs the
+// request anew; the text that is rated there was sent already. Sent once
+// more, the caller would hold the answer twice in one.
+#[tokio::test]
+async fn copied_answer_is_not_sent_again_after_its_rating() {
+    for n in 0..20 {
+        let mut site = Site::open(Plan { instances: 2, ..plan(1.0) }).await;
+        let content = format!("{CONTENT} {n}");
+        site.objects.switch(objects::Switch::Slow { ms: 400 });
+        let headers = [("idempotency-key", "season-7")];
+        let first = site.client(0).stream(CLUB, &headers, &content).await;
+        let mut repeat = site.client(1).stream(CLUB, &headers, &content).await;
+        while repeat.so_far().text.is_empty() {
+            assert!(repeat.more().await, "an answer");
+        }
+        let copied = site.runs().len() == 1;
+        drop(site.nodes.remove(0));
+        drop(first);
+        site.objects.switch(objects::Switch::Up);
+        let version = repeat.headers["arbutuslug-version"].to_str().expect("text").to_owned();
+        let told = repeat.told().await;
+        if told.done {
+            assert_eq!(told.text, answer_of(&version, &content));
+        }
+        if copied && told.done && ran(&site) == [CHEAP, CHEAP] {
+            return;
+        }
+    }
+    panic!("no answer was copied and run anew on the cheap version");
+}
--- a/crates/entry/tests/path/site.rs
+++ b/crates/entry/tests/path/site.rs
@@ -303,9 +303,11 @@
 }
 
 async fn pump_inbound(links: Links, entry: entry::Handle, mut inbound: mpsc::Receiver<Inbound>) {
+    // What it serves ends with the node, as when an instance is lost.
+    let mut serving = tokio::task::JoinSet::new();
     while let Some(message) = inbound.recv().await {
         let (links, entry) = (links.clone(), entry.clone());
-        tokio::spawn(async move {
+        serving.spawn(async move {
             match message {
                 Inbound::Call { topic: Topic::Config, body, reply, .. } => drop(reply.send(links.config.serve(&body))),
                 Inbound::Call { topic: Topic::Journal, body, reply, .. } => {
