--- a/crates/arbutuslugd/src/operators/access.rs
+++ b/crates/arbutuslugd/src/operators/access.rs
@@ -11,9 +11,10 @@
 /// guesser finds the key byte by byte.
 pub(super) fn allowed(headers: &HeaderMap, key: &Secret) -> bool {
     let given = headers.get(AUTHORIZATION).and_then(|value| value.as_bytes().strip_prefix(SCHEME));
-    let allowed = given.is_some_and(|given| key.matches(given));
-    if !allowed {
-        metrics::counter!("operator_refused_total", "why" => "key").increment(1);
-    }
-    allowed
+    given.is_some_and(|given| key.matches(given))
+}
+
+/// Counts a request turned away.
+pub(super) fn count_refusal() {
+    metrics::counter!("operator_refused_total", "why" => "key").increment(1);
 }
--- a/crates/arbutuslugd/src/operators/health.rs
+++ b/crates/arbutuslugd/src/operators/health.rs
@@ -10,17 +10,18 @@
 use super::{Handles, Phase, access};
 
 /// Answers a request that is no call of the service.
-pub(super) fn respond<B>(request: &Request<B>, handles: &Handles) -> Response<Full<Bytes>> {
+pub(super) fn respond<B>(request: &Request<B>, allowed: bool, handles: &Handles) -> Response<Full<Bytes>> {
     if request.method() != Method::GET && request.method() != Method::HEAD {
         return text(StatusCode::METHOD_NOT_ALLOWED, "use GET");
     }
     match request.uri().path() {
         "/healthz" => text(StatusCode::OK, "ok"),
         "/readyz" => ready(handles),
-        "/metrics" if access::allowed(request.headers(), &handles.key) => {
-            text(StatusCode::OK, &handles.metrics.render())
+        "/metrics" if allowed => text(StatusCode::OK, &handles.metrics.render()),
+        "/metrics" => {
+            access::count_refusal();
+            unauthorized()
         }
-        "/metrics" => unauthorized(),
         _ => text(StatusCode::NOT_FOUND, "use /healthz, /readyz, /metrics, or the tool `arbutuslug`"),
     }
 }
--- a/crates/arbutuslugd/src/operators/listener.rs
+++ b/crates/arbutuslugd/src/operators/listener.rs
@@ -1,6 +1,15 @@
 //! One port for gRPC and plain HTTP.
 
-use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use http::{Request, Response, header::CONTENT_TYPE};
 use hyper::{body::Incoming, service::service_fn};
@@ -25,6 +34,10 @@
 /// Longest wait for a request's head, so that idle sockets do not pile up.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Life of a connection on which nobody has shown the key. Whoever lacks it
+/// could otherwise hold every connection and lock the operators out.
+const STRANGER: Duration = Duration::from_secs(5);
+
 /// Longest wait for answers under way at the end.
 const LAST_ANSWERS: Duration = Duration::from_secs(2);
 
@@ -107,22 +120,36 @@
         let mut builder = auto::Builder::new(TokioExecutor::new());
         builder.http1().timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
         builder.http2().timer(TokioTimer::new()).keep_alive_interval(HEAD_TIMEOUT);
-        let respond = service_fn(move |request| self.clone().respond(request));
+        let trusted = Arc::new(AtomicBool::new(false));
+        let shown = trusted.clone();
+        let respond = service_fn(move |request| self.clone().respond(request, shown.clone()));
         let connection = builder.serve_connection(TokioIo::new(stream), respond).into_owned();
         let watched = connections.watch(connection);
         tokio::spawn(async move {
-            if let Err(error) = watched.await {
+            let mut watched = std::pin::pin!(watched);
+            let mut ended = tokio::time::timeout(STRANGER, &mut watched).await;
+            if ended.is_err() && trusted.load(Ordering::Relaxed) {
+                ended = Ok(watched.await);
+            }
+            if let Ok(Err(error)) = ended {
                 tracing::debug!(error, "operators' connection ended");
             }
             drop(slot);
         });
     }
 
-    async fn respond(mut self, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+    async fn respond(
+        mut self,
+        request: Request<Incoming>,
+        trusted: Arc<AtomicBool>,
+    ) -> Result<Response<Body>, Infallible> {
+        let allowed = access::allowed(request.headers(), &self.handles.key);
+        trusted.fetch_or(allowed, Ordering::Relaxed);
         if !is_call(&request) {
-            return Ok(health::respond(&request, &self.handles).map(Body::new));
+            return Ok(health::respond(&request, allowed, &self.handles).map(Body::new));
         }
-        if !access::allowed(request.headers(), &self.handles.key) {
+        if !allowed {
+            access::count_refusal();
             let status = Status::unauthenticated("wrong operators' key; give the one of the instances' settings");
             return Ok(status.into_http());
         }
--- a/crates/arbutuslugd/tests/operators/access.rs
+++ b/crates/arbutuslugd/tests/operators/access.rs
@@ -64,6 +64,22 @@
     assert!(get(address, "/metrics", &bearer).await.starts_with("HTTP/1.1 200"));
 }
 
+/// Somebody without the key opens connections and keeps them: silent ones,
+/// and one that asks for health again and again. Each is closed after a
+/// while, so that the operators cannot be locked out by holding all of them.
+#[tokio::test]
+async fn connections_without_the_key_are_closed() {
+    let site = Site::open(1).await;
+    let address = site.nodes[0].listener.address();
+    let silent = exchange(address, b"");
+    let preface = exchange(address, b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00");
+    let kept = exchange(address, b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+    let (silent, _, kept) = tokio::join!(silent, preface, kept);
+    assert!(silent.is_empty(), "{silent}");
+    assert!(kept.starts_with("HTTP/1.1 200"), "{kept}");
+    assert_eq!(run(&[address], KEY, &["status"]).await.exit, Exit::Done);
+}
+
 #[tokio::test]
 async fn readiness_follows_duty() {
     let site = Site::open(1).await;
