--- /dev/null
+++ b/crates/route/benches/memory.rs
@@ -0,0 +1,68 @@
+//! Memory per decision and of what an instance knows, with 24 versions.
+//!
+//! `cargo bench -p route --bench memory`
+
+mod site;
+
+use std::{
+    alloc::{GlobalAlloc, Layout, System},
+    sync::atomic::{AtomicU64, Ordering},
+};
+
+use route::endpoint::Target;
+use site::{SIZES, Site};
+
+/// Counts what is taken from the system's allocator.
+struct Counting;
+
+static TAKEN: AtomicU64 = AtomicU64::new(0);
+static CALLS: AtomicU64 = AtomicU64::new(0);
+static GIVEN: AtomicU64 = AtomicU64::new(0);
+
+// SAFETY: every call goes to the system's allocator unchanged.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        TAKEN.fetch_add(layout.size() as u64, Ordering::Relaxed);
+        CALLS.fetch_add(1, Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        GIVEN.fetch_add(layout.size() as u64, Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `dealloc`.
+        unsafe { System.dealloc(pointer, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+/// Decisions averaged over.
+const DECISIONS: u64 = 10_000;
+
+fn main() {
+    for endpoints in SIZES {
+        let catalog = site::catalog(endpoints);
+        let before = held();
+        let site = Site::new(catalog, endpoints);
+        let knowledge = held() - before;
+        let (taken, calls) = (TAKEN.load(Ordering::Relaxed), CALLS.load(Ordering::Relaxed));
+        for n in 0..DECISIONS {
+            let choice = site.choose_model(usize::try_from(n).expect("ten thousand"));
+            let target = Target::Version(choice.start().version().clone());
+            std::hint::black_box(site.choose_endpoint(&target, n));
+        }
+        println!(
+            "{endpoints} endpoints: {} bytes in {} allocations a decision, all freed; {knowledge} bytes known of {} endpoints, {} versions",
+            (TAKEN.load(Ordering::Relaxed) - taken) / DECISIONS,
+            (CALLS.load(Ordering::Relaxed) - calls) / DECISIONS,
+            site.fleet.endpoints().count(),
+            site.versions.len(),
+        );
+    }
+}
+
+fn held() -> u64 {
+    TAKEN.load(Ordering::Relaxed) - GIVEN.load(Ordering::Relaxed)
+}
