--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -71,6 +71,12 @@
         *self.shared.in_flight().borrow()
     }
 
+    /// Whether it refuses new work for good.
+    #[must_use]
+    pub fn closed(&self) -> bool {
+        self.shared.closed.load(Ordering::Acquire)
+    }
+
     /// Requests under way, and each change.
     #[must_use]
     pub fn watch_in_flight(&self) -> watch::Receiver<u64> {
--- a/crates/entry/src/http/calls.rs
+++ b/crates/entry/src/http/calls.rs
@@ -44,10 +44,9 @@
     let stream = chat.stream;
     let contract = contract(&catalog, &terms)?;
     check_model(&catalog, contract, &chat)?;
-    shared.check_outage(contract)?;
     let repeat = terms.repeat();
     let request = request(shared, terms, repeat, Work::Chat(chat), contract)?;
-    let reader = start(shared, request).await.map_err(|problem| problem.about(&key))?;
+    let reader = start(shared, request, contract).await.map_err(|problem| problem.about(&key))?;
     answer::write(response, reader, stream).await
 }
 
@@ -64,7 +63,6 @@
     if !contract.services.contains(&id) {
         return Err(Problem::not_run(Kind::ServiceNotAllowed, format!("service `{id}`")));
     }
-    shared.check_outage(contract)?;
     let plain = path.split('?').next().unwrap_or_default();
     let repeat = if spec.repeatable(http.method().as_str(), plain) { terms.repeat() } else { Repeat::Never };
     let method = http.method().clone();
@@ -72,7 +70,7 @@
     let body = body(shared, http).await?;
     let visit = Visit { service: id, method, path, headers, body };
     let request = request(shared, terms, repeat, Work::Call(visit), contract)?;
-    let reader = start(shared, request).await.map_err(|problem| problem.about(&key))?;
+    let reader = start(shared, request, contract).await.map_err(|problem| problem.about(&key))?;
     answer::write(response, reader, false).await
 }
 
@@ -136,9 +134,9 @@
 }
 
 /// Starts a request, or joins it where it runs here already.
-async fn start(shared: &Arc<Shared>, request: Request) -> Result<Reader, Problem> {
+async fn start(shared: &Arc<Shared>, request: Request, contract: &Contract) -> Result<Reader, Problem> {
     if !request.terms.keyed {
-        shared.may_start(request.customer())?;
+        shared.may_start(request.customer(), contract)?;
         let tape = Tape::open();
         let reader = tape.reader();
         spawn(shared, request, tape);
@@ -151,7 +149,7 @@
         }
         Found::Other => Err(Problem::not_run(Kind::KeyReused, "the key came with another body before")),
         Found::New(tape, reader) => {
-            if let Err(problem) = shared.may_start(request.customer()) {
+            if let Err(problem) = shared.may_start(request.customer(), contract) {
                 shared.held.forget(request.id(), &tape);
                 return Err(shared.truthful(problem, &request.terms, request.repeat).await);
             }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -138,7 +138,7 @@
     }
 
     /// Refuses new work that must not start here now.
-    pub fn may_start(&self, customer: &Customer) -> Result<(), Problem> {
+    pub fn may_start(&self, customer: &Customer, contract: &Contract) -> Result<(), Problem> {
         if self.closed.load(Ordering::Acquire) {
             let detail = "this instance finishes its work and takes no more";
             return Err(Problem::not_run(Kind::Leaving, detail).elsewhere(self.elsewhere(customer)).after(0));
@@ -150,11 +150,11 @@
             let problem = Problem::not_run(Kind::StaleConfiguration, detail);
             return Err(problem.elsewhere(self.elsewhere(customer)).after(STALE_RETRY_MS));
         }
-        Ok(())
+        self.check_outage(contract)
     }
 
     /// Refuses work whose contract does not want it run during an outage.
-    pub fn check_outage(&self, contract: &Contract) -> Result<(), Problem> {
+    fn check_outage(&self, contract: &Contract) -> Result<(), Problem> {
         let age = self.links.config.platform_age();
         let down = age.is_none_or(|age| age > self.settings.outage_after);
         if contract.outage == Outage::Serve || !down {
