--- a/crates/bench/src/journal.rs
+++ b/crates/bench/src/journal.rs
@@ -41,6 +41,7 @@
         bills(offered, BillWait::Holders).await;
         claims_among_bills(offered).await;
     }
+    take_over().await;
     budgets::measure().await;
 }
 
@@ -86,3 +87,22 @@
         .await;
     outcome.print("claims and bills 1:10", offered * 1.1, &fleet);
 }
+
+/// A home is lost under load: how long its shards take no claims, counted
+/// from the moment that the others hold it for gone.
+async fn take_over() {
+    let fleet = Fleet::start(|_| {}).await;
+    fleet.warm().await;
+    let outcome = Load { offered: OFFERED[1], span: SPAN }.run(|n, _| fleet.claim(n)).await;
+    fleet.lose(INSTANCES - 1);
+    let started = std::time::Instant::now();
+    let claims = Load { offered: OFFERED[1], span: Duration::from_secs(2) };
+    let after = claims.run(|n, _| fleet.claim(n % (INSTANCES - 1))).await;
+    after.print("claim: home just lost", claims.offered, &fleet);
+    println!(
+        "home lost with {} keys over all shards; longest wait of a claim after it {:.0} ms of {:.0} ms",
+        outcome.done(),
+        after.longest_ms(),
+        started.elapsed().as_secs_f64() * 1_000.0
+    );
+}
--- a/crates/bench/src/journal/fleet.rs
+++ b/crates/bench/src/journal/fleet.rs
@@ -40,6 +40,7 @@
 pub struct Fleet {
     pub nodes: Vec<Node>,
     objects: objects::Handle,
+    links: Links,
     before: Mutex<Counted>,
     next: AtomicU64,
 }
@@ -82,7 +83,7 @@
         for node in &nodes {
             node.journal.set_members(members.clone());
         }
-        Self { nodes, objects, before: Mutex::default(), next: AtomicU64::new(0) }
+        Self { nodes, objects, links, before: Mutex::default(), next: AtomicU64::new(0) }
     }
 
     /// Has every home open its shards, so that this is not measured.
@@ -96,6 +97,15 @@
         *self.before.lock().expect("not poisoned") = self.counted();
     }
 
+    /// Takes an instance away; the others know at once.
+    pub fn lose(&self, n: usize) {
+        let members: Vec<Member> = (0..INSTANCES).filter(|m| *m != n).map(member).collect();
+        self.links.lock().expect("not poisoned").remove(&member(n).id);
+        for node in self.nodes.iter().take(n) {
+            node.journal.set_members(members.clone());
+        }
+    }
+
     /// Calls of the platform since the warm-up.
     pub fn calls(&self) -> Counted {
         let (now, before) = (self.counted(), *self.before.lock().expect("not poisoned"));
--- a/crates/bench/src/journal/load.rs
+++ b/crates/bench/src/journal/load.rs
@@ -70,6 +70,11 @@
         self.latency_us.len()
     }
 
+    /// Longest latency, in milliseconds.
+    pub fn longest_ms(&self) -> f64 {
+        float(self.latency_us.max()) / 1_000.0
+    }
+
     /// Prints one line.
     pub fn print(&self, what: &str, offered: f64, fleet: &Fleet) {
         let seconds = self.took.as_secs_f64();
--- a/crates/journal/src/config.rs
+++ b/crates/journal/src/config.rs
@@ -58,7 +58,7 @@
             origin,
             domain,
             shards: 7,
-            ring: 256,
+            ring: 512,
             segments_per_s: 36.0,
             patience: Duration::from_secs(1),
             peer_timeout: Duration::from_secs(3),
