--- a/crates/budget/tests/budgets.rs
+++ b/crates/budget/tests/budgets.rs
@@ -154,6 +154,7 @@
 async fn check_loss(n: u64, loss: Loss) {
     let fleet = Fleet::new(2, |_| {});
     let handles = [open(&fleet, 0), open(&fleet, 1)];
+    fleet.ready().await;
     fleet.nodes[0].client.lose(n, loss);
     let mut spent = 0;
     for n in 0..40 {
--- a/crates/budget/tests/settlement.rs
+++ b/crates/budget/tests/settlement.rs
@@ -147,6 +147,7 @@
 async fn instance_lost_at_cut() {
     let fleet = Fleet::new(3, |config| config.shards = 3);
     let handles = [open(&fleet, 0), open(&fleet, 1)];
+    fleet.ready().await;
     fleet.nodes[0].client.lose(1, Loss::After);
     let lost = handles[0].clone();
     let asked = tokio::spawn(async move { reserve(&lost, GRANTED).await.is_ok() });
--- a/crates/journal/src/handle/bills.rs
+++ b/crates/journal/src/handle/bills.rs
@@ -45,14 +45,17 @@
     pub async fn bill(&self, bill: &Bill, deadline: Instant) -> Result<Receipt, Error> {
         let digest = Digest::request(&bill.id);
         let at_once = self.router.config.bill_wait == BillWait::Holders;
-        let after = if at_once { Duration::ZERO } else { deadline.saturating_duration_since(Instant::now()) };
+        // A home out of reach must not hold up the last frame for as long as
+        // the request's deadline: another instance can hold the bill.
+        let home_until = deadline.min(Instant::now() + self.router.config.peer_timeout);
+        let after = if at_once { Duration::ZERO } else { home_until.saturating_duration_since(Instant::now()) };
         if !self.keep(Kept::Bill(bill.clone(), Promised::NotYet), after).await {
             return Err(Error::NotRecorded(Reason::Full));
         }
         if at_once && self.hold_elsewhere(bill, deadline).await {
             return Ok(self.promise(digest));
         }
-        let reply = self.ask(digest, Op::Bill(bill.clone()), deadline).await;
+        let reply = self.ask(digest, Op::Bill(bill.clone()), home_until).await;
         match reply {
             Ok(Reply::Done) => {
                 self.drop_kept(digest);
--- a/crates/journal/src/home/active.rs
+++ b/crates/journal/src/home/active.rs
@@ -14,7 +14,7 @@
     Bill,
     compact::{Done, Job},
     load::{self, Failure, Loaded, bare},
-    object::{Keys, Manifest, Segment, seal},
+    object::{Keys, Layout, Manifest, Segment, seal},
     op::Reply,
     record::{Origin, Record, Seq},
     state::State,
@@ -97,11 +97,12 @@
 pub(super) async fn open(
     platform: &platform::Handle,
     keys: Keys,
+    layout: Layout,
     home: &Origin,
     token: u64,
 ) -> Result<Box<Active>, Opening> {
     for _ in 0..OPENINGS {
-        let loaded = load::load(platform, keys).await.map_err(Opening::Failed)?;
+        let loaded = load::load(platform, keys, layout).await.map_err(Opening::Failed)?;
         let mut active = Active::new(loaded);
         let sending = active.sending(keys, home, token, &[]);
         match sending.run(platform).await {
--- a/crates/journal/src/load.rs
+++ b/crates/journal/src/load.rs
@@ -2,12 +2,12 @@
 
 use std::{collections::BTreeMap, fmt};
 
-use platform::{Item, Priority};
+use platform::{Item, Priority, Write};
 use serde_json::value::RawValue;
 
 use crate::{
     Bill,
-    object::{Chunk, Keys, Manifest, Segment, unseal},
+    object::{Chunk, Keys, LAYOUT, Layout, Manifest, Segment, unseal},
     record::{Record, Seq},
     state::State,
     wire,
@@ -42,6 +42,8 @@
     Invalid(wire::Invalid),
     /// It kept changing.
     Busy,
+    /// The journal was begun with another layout.
+    Layout(Layout),
 }
 
 impl fmt::Display for Failure {
@@ -49,6 +51,10 @@
         match self {
             Self::Platform(error) => error.fmt(f),
             Self::Invalid(invalid) => invalid.fmt(f),
+            Self::Layout(Layout { shards, ring }) => write!(
+                f,
+                "the journal was begun with {shards} shards and rings of {ring}; run a build that has these numbers"
+            ),
             Self::Busy => f.write_str("the shard kept changing while it was read"),
         }
     }
@@ -67,7 +73,8 @@
 }
 
 /// Reads a shard whole.
-pub(crate) async fn load(platform: &platform::Handle, keys: Keys) -> Result<Loaded, Failure> {
+pub(crate) async fn load(platform: &platform::Handle, keys: Keys, layout: Layout) -> Result<Loaded, Failure> {
+    check_layout(platform, layout).await?;
     for _ in 0..TRIES {
         if let Some(loaded) = try_load(platform, keys).await? {
             return Ok(loaded);
@@ -76,6 +83,17 @@
     Err(Failure::Busy)
 }
 
+async fn check_layout(platform: &platform::Handle, own: Layout) -> Result<(), Failure> {
+    let found = match platform.get(Priority::Claim, LAYOUT).await? {
+        Some(item) => item.read()?,
+        None => match platform.create(Priority::Claim, LAYOUT, &own).await? {
+            Write::Done(_) => own,
+            Write::Lost { .. } => return Err(Failure::Busy),
+        },
+    };
+    if found == own { Ok(()) } else { Err(Failure::Layout(found)) }
+}
+
 /// Nothing when the shard changed in a way that leaves a gap.
 async fn try_load(platform: &platform::Handle, keys: Keys) -> Result<Option<Loaded>, Failure> {
     let before = platform.get(Priority::Claim, &keys.manifest()).await?;
--- a/crates/journal/src/object.rs
+++ b/crates/journal/src/object.rs
@@ -24,6 +24,18 @@
 
 /// Start of all keys of all shards.
 pub const PREFIX: &str = "journal/";
+/// Key of the [`Layout`].
+pub const LAYOUT: &str = "journal/layout";
+
+/// What every instance must agree on for good: with other numbers a key would
+/// have a home in another shard, which knows nothing of its claim.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Layout {
+    /// Number of shards.
+    pub shards: u16,
+    /// Slots of each shard's ring.
+    pub ring: u64,
+}
 
 /// A group of records, made at once.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/journal/tests/outages.rs
+++ b/crates/journal/tests/outages.rs
@@ -113,6 +113,7 @@
     let key = far_key(&fleet);
     let home = fleet.home_of(&id(&key));
     fleet.journal(0).outcome(&id(&key), soon()).await.expect("the shard is open");
+    fleet.ready().await;
     fleet.nodes[home].client.lose(1, Loss::After);
     let journal = fleet.journal(0).clone();
     let asked = id(&key);
@@ -196,6 +197,7 @@
 async fn unknown_claim_is_taken_back() {
     let fleet = Fleet::new(1, |_| {});
     fleet.journal(0).outcome(&id("k"), soon()).await.expect("the shard is open");
+    fleet.ready().await;
     fleet.nodes[0].client.lose(1, Loss::Late(Duration::from_secs(5)));
     let journal = fleet.journal(0).clone();
     let claimed = tokio::spawn(async move { journal.claim(&id("k"), START, 1, within(1_000)).await });
@@ -207,3 +209,15 @@
     sleep(Duration::from_mins(1)).await;
     assert_eq!(fleet.journal(0).claim(&id("k"), START, 1, soon()).await, Ok(Claimed::First));
 }
+
+/// An instance of a build with another number of shards would look for a
+/// claim in another shard, find none and let the request run twice.
+#[tokio::test(start_paused = true)]
+async fn instance_with_another_layout_answers_nothing() {
+    let mut fleet = Fleet::new(1, |config| config.shards = 3);
+    fleet.journal(0).claim(&id("k"), START, 1, soon()).await.expect("claimed");
+    fleet.set_config(|config| config.shards = 4);
+    let other = fleet.start(1, 1);
+    let claimed = fleet.journal(other).claim(&id("k"), START, 1, soon()).await;
+    assert!(matches!(claimed, Err(Error::NotRecorded(_))), "{claimed:?}");
+}
--- a/crates/journal/tests/support/fleet.rs
+++ b/crates/journal/tests/support/fleet.rs
@@ -84,6 +84,17 @@
         self.nodes.len() - 1
     }
 
+    /// Starts further instances with another configuration.
+    pub fn set_config(&mut self, config: fn(&mut Config)) {
+        self.config = config;
+    }
+
+    /// Waits until every home has opened its shards: the next write of a
+    /// client is the one that a test means.
+    pub async fn ready(&self) {
+        tokio::time::sleep(Duration::from_secs(5)).await;
+    }
+
     /// Tells the nodes of `who` that just they are members.
     pub fn meet(&self, who: &[usize]) {
         let members: Vec<_> = who.iter().map(|n| self.nodes[*n].member.clone()).collect();
