--- a/crates/journal/src/home.rs
+++ b/crates/journal/src/home.rs
@@ -43,9 +43,10 @@
 const REOPEN: Duration = Duration::from_millis(300);
 /// How often expired keys are dropped.
 const EXPIRE_EVERY: Duration = Duration::from_secs(30);
-/// Segments that an idle home saves up: a claim that follows another closely
-/// need not wait for its turn then.
-const SAVED: u32 = 8;
+/// An idle home saves up turns of so long: a claim that follows another closely
+/// need not wait then. Longer, the homes' savings together come to more than
+/// the platform takes, and its refusals cost more than a turn.
+const SAVED: Duration = Duration::from_millis(200);
 /// Bytes of records in one segment, at most.
 const SEGMENT_BYTES: usize = 400_000;
 
@@ -258,7 +259,7 @@
         let token = self.rng.random();
         let pace = pace(&self.setting.config, &placement);
         let flight = active.seal(self.keys, &self.setting.config.origin, token, &records, waiting);
-        active.next_write = active.next_write.max(now.checked_sub(pace * SAVED).unwrap_or(now)) + pace;
+        active.next_write = active.next_write.max(now.checked_sub(SAVED).unwrap_or(now)) + pace;
         metrics::counter!("journal_segments_total").increment(1);
         metrics::histogram!("journal_segment_records").record(count(records.len()));
         let platform = self.setting.platform.clone();
