Tell a large state to peers in parts

Cause: a whole state went to a starting instance in one message. At 5,000 contracts that is above 3 MB, and a peer link takes 4 MB; beyond that an instance that starts in an outage would have got nothing, for ever. Change: parts of half a megabyte, which the asker joins; any peer at the same generation can give the next one. Test: large_state_is_told_in_parts.

--- a/crates/config/src/handle.rs
+++ b/crates/config/src/handle.rs
@@ -24,8 +24,9 @@
     wire,
 };
 
-/// Most bytes of changes in one answer; whoever missed more asks again.
-const ANSWER_SIZE: usize = 256 * 1024;
+/// Most bytes in one answer, apart from a single larger change or object;
+/// whoever missed more asks again. Far below what a peer link takes.
+const ANSWER_SIZE: usize = 512 * 1024;
 
 /// The configuration at this instance; cheap to clone.
 #[derive(Debug, Clone)]
@@ -205,7 +206,7 @@
 
 /// What is newer than a generation, as a message for peers.
 pub(crate) fn news(state: &State, age: Option<Duration>, domain: &Domain, want: wire::Want) -> wire::News {
-    let wire::Want { id, after } = want;
+    let wire::Want { id, after, snapshot, skip } = want;
     // Rounded up: never younger than it is.
     let confirmed_ms = age.and_then(|age| u64::try_from(age.as_millis() + 1).ok());
     let domain = domain.to_string();
@@ -214,7 +215,11 @@
         return news;
     }
     let Some(changes) = state.changes_after(after) else {
-        news.snapshot = serde_json::to_vec(&state.to_snapshot()).unwrap_or_default().into();
+        // A state that has changed since is told from its start.
+        news.skip = if snapshot == state.generation() { skip } else { 0 };
+        let (part, more) = state.snapshot_part(usize::try_from(news.skip).unwrap_or(usize::MAX), ANSWER_SIZE);
+        news.snapshot = serde_json::to_vec(&part).unwrap_or_default().into();
+        news.more = more;
         return news;
     };
     let mut bytes = 0;
--- a/crates/config/src/observer.rs
+++ b/crates/config/src/observer.rs
@@ -28,6 +28,7 @@
     error::Error,
     log::{Found, Log},
     reader::Reader,
+    record::Snapshot,
     settings::Settings,
     state::State,
     wire,
@@ -106,6 +107,8 @@
     next_read: Instant,
     /// Generation that a watch brought, to be published at this time.
     unpublished: Option<(u64, Instant)>,
+    /// The first part of a state that a peer tells.
+    part: Option<Snapshot>,
     was_fresh: bool,
     blocked: Option<u64>,
 }
@@ -137,6 +140,7 @@
             read_backoff: None,
             next_read: Instant::now(),
             unpublished: None,
+            part: None,
             was_fresh: false,
             blocked: None,
             settings,
@@ -233,7 +237,8 @@
         let bound = self.settings.freshness;
         self.wants.retain(|_, asked| asked.elapsed() < bound);
         self.wants.insert(self.last_want, Instant::now());
-        let want = wire::Want { id: self.last_want, after: self.generation() };
+        let (snapshot, skip) = self.part.as_ref().map_or((0, 0), |part| (part.generation, part.entries.len() as u64));
+        let want = wire::Want { id: self.last_want, after: self.generation(), snapshot, skip };
         self.send(Outbound::Want { scope, bytes: wire::encode(&want) });
     }
 
@@ -330,7 +335,7 @@
     /// Tells every instance of the changes after a generation.
     fn publish(&self, after: u64) {
         let state = self.state.borrow().clone();
-        let want = wire::Want { id: 0, after };
+        let want = wire::Want { after, ..wire::Want::default() };
         let news = crate::handle::news(&state, self.contact.platform_age(), &self.settings.domain, want);
         self.send(Outbound::News(wire::encode(&news)));
     }
--- a/crates/config/src/observer/take.rs
+++ b/crates/config/src/observer/take.rs
@@ -6,6 +6,7 @@
 
 use super::Observer;
 use crate::{
+    Scope,
     error::Error,
     record::{Change, Snapshot},
     state::State,
@@ -22,11 +23,31 @@
         let snapshot = Some(&news.snapshot).filter(|json| !json.is_empty());
         let snapshot: Option<Snapshot> =
             snapshot.map(|json| serde_json::from_slice(json).map_err(unreadable)).transpose()?;
+        let snapshot = snapshot.and_then(|part| self.join(part, news));
         let changes = news.changes.iter().map(|json| serde_json::from_slice(json).map_err(unreadable));
         let changes = changes.collect::<Result<Vec<Change>, _>>()?;
         self.take(snapshot.as_ref(), &changes)
     }
 
+    /// Joins a part of a state to those before it; the whole once it is there.
+    fn join(&mut self, part: Snapshot, news: &wire::News) -> Option<Snapshot> {
+        let before = self.part.take().filter(|before| before.generation == part.generation);
+        let held = before.as_ref().map_or(0, |before| before.entries.len() as u64);
+        if news.skip != held {
+            // Another peer's answer to the same question, or one too late.
+            self.part = before;
+            return None;
+        }
+        let mut whole = before.unwrap_or(Snapshot { entries: Vec::new(), ..part.clone() });
+        whole.entries.extend(part.entries);
+        if !news.more {
+            return Some(whole);
+        }
+        self.part = Some(whole);
+        self.want(Scope::One);
+        None
+    }
+
     /// Puts into force what is newer and follows without a hole.
     pub(super) fn take(&mut self, snapshot: Option<&Snapshot>, changes: &[Change]) -> Result<(), Error> {
         // A snapshot below what is in force would be a step back.
@@ -44,6 +65,7 @@
     pub(super) fn put_in_force(&mut self, mut state: State) {
         let generation = state.generation();
         state.forget_deleted(generation.saturating_sub(self.settings.keep.changes));
+        self.part.take_if(|part| part.generation <= generation);
         let state = Arc::new(state);
         // The state first: whoever is woken by the catalog finds its revisions.
         self.state.send_replace(state.clone());
--- a/crates/config/src/state.rs
+++ b/crates/config/src/state.rs
@@ -91,11 +91,30 @@
 
     /// Every object, as a snapshot without parts.
     pub(crate) fn to_snapshot(&self) -> Snapshot {
-        let entries = self.entries.iter().map(|(key, entry)| {
+        Snapshot { generation: self.generation(), entries: self.snapshot_entries().collect(), parts: Vec::new() }
+    }
+
+    /// A snapshot's entries after the first `skip`, at least one and else no
+    /// more than so many bytes, and whether others follow.
+    pub(crate) fn snapshot_part(&self, skip: usize, bytes: usize) -> (Snapshot, bool) {
+        let mut entries = Vec::new();
+        let mut size = 0;
+        for entry in self.snapshot_entries().skip(skip) {
+            size += serde_json::to_vec(&entry).map_or(0, |json| json.len());
+            if size > bytes && !entries.is_empty() {
+                break;
+            }
+            entries.push(entry);
+        }
+        let more = skip + entries.len() < self.entries.len();
+        (Snapshot { generation: self.generation(), entries, parts: Vec::new() }, more)
+    }
+
+    fn snapshot_entries(&self) -> impl Iterator<Item = record::Entry> + '_ {
+        self.entries.iter().map(|(key, entry)| {
             let action = action_of(key, entry.object.as_ref());
             record::Entry { revision: entry.revision.clone(), action }
-        });
-        Snapshot { generation: self.generation(), entries: entries.collect(), parts: Vec::new() }
+        })
     }
 
     /// The state after all those changes that follow without a hole; nothing
--- a/crates/config/src/wire.rs
+++ b/crates/config/src/wire.rs
@@ -16,6 +16,12 @@
     /// The generation in force at the asker.
     #[prost(uint64, tag = "2")]
     pub after: u64,
+    /// The generation of a state that the asker has the first part of.
+    #[prost(uint64, tag = "3")]
+    pub snapshot: u64,
+    /// How many entries of it.
+    #[prost(uint64, tag = "4")]
+    pub skip: u64,
 }
 
 /// Tells what is newer: an answer, or published of its own accord.
@@ -36,9 +42,16 @@
     /// Changes that follow each other.
     #[prost(bytes = "bytes", repeated, tag = "5")]
     pub changes: Vec<Bytes>,
-    /// A whole state instead, where changes alone would not do; may be empty.
+    /// A whole state instead, where changes alone would not do, or the next
+    /// part of one; may be empty.
     #[prost(bytes = "bytes", tag = "6")]
     pub snapshot: Bytes,
+    /// Entries of the state before this part.
+    #[prost(uint64, tag = "7")]
+    pub skip: u64,
+    /// Whether further parts follow.
+    #[prost(bool, tag = "8")]
+    pub more: bool,
 }
 
 /// Encodes a message.
--- a/crates/config/tests/config/peers.rs
+++ b/crates/config/tests/config/peers.rs
@@ -18,7 +18,7 @@
 }
 
 fn ask(site: &Site, after: u64) -> News {
-    let answer = site.config(0).serve(&Want { id: 7, after }.encode_to_vec());
+    let answer = site.config(0).serve(&Want { id: 7, after, ..Want::default() }.encode_to_vec());
     News::decode(answer).expect("news")
 }
 
@@ -45,7 +45,8 @@
 #[tokio::test(start_paused = true)]
 async fn old_and_repeated_news_changes_nothing() {
     let mut site = changed(3).await;
-    let old: Vec<_> = (0..3).map(|after| site.config(0).serve(&Want { id: 0, after }.encode_to_vec())).collect();
+    let old: Vec<_> =
+        (0..3).map(|after| site.config(0).serve(&Want { after, ..Want::default() }.encode_to_vec())).collect();
     let snapshot = site.config(0).snapshot_bytes();
     put(site.config(0), model("m", 4)).await.expect("accepted");
     site.wait(4).await;
@@ -66,7 +67,7 @@
     let site = changed(1).await;
     site.cut(0, true);
     put(site.config(0), model("m", 2)).await.expect("accepted");
-    let mut bytes = site.config(0).serve(&Want { id: 0, after: 1 }.encode_to_vec()).to_vec();
+    let mut bytes = site.config(0).serve(&Want { after: 1, ..Want::default() }.encode_to_vec()).to_vec();
     // Field 99, text.
     bytes.extend([0x9a, 0x06, 0x03, b'n', b'e', b'w']);
     site.config(1).offer(bytes.into()).await;
@@ -100,3 +101,25 @@
     sleep(Duration::from_millis(2_500)).await;
     assert_eq!(site.generations(), [2; 4]);
 }
+
+/// A site's whole state is larger than a peer link takes in one message. An
+/// instance that starts while the platform is away gets it part by part.
+#[tokio::test(start_paused = true)]
+async fn large_state_is_told_in_parts() {
+    let options = Options::default();
+    let mut site = Site::open(options).await;
+    // More changes than peers hold one by one.
+    for versions in 1..150 {
+        put(site.config(0), model("m", versions)).await.expect("accepted");
+    }
+    for name in ["a", "b", "c", "d", "e", "f"] {
+        put(site.config(0), model(name, 1_500)).await.expect("accepted");
+    }
+    site.wait(155).await;
+    site.platform.set_down(true);
+    let first = ask(&site, 0);
+    assert!(first.more && first.snapshot.len() < 1 << 20, "{} bytes", first.snapshot.len());
+    site.start(options).await;
+    site.wait_for(4, 155).await;
+    assert_eq!(site.config(4).current().models(), site.config(0).current().models());
+}
