Write log lines outside the recorder's lock

Cause: a stuck reader of standard error would have held the lock that each request takes to record. Change: the line is written after the push; stamps sort the lines.

--- a/crates/timeline/benches/record.rs
+++ b/crates/timeline/benches/record.rs
@@ -3,7 +3,11 @@
 //! `cargo bench -p timeline` prints all in one run; the note
 //! docs/design/time-line.md gives the ratios.
 
-use std::hint::black_box;
+use std::{
+    hint::black_box,
+    thread,
+    time::{Duration, Instant},
+};
 
 use criterion::{Criterion, criterion_group, criterion_main};
 use timeline::{Capacity, Clock, Event, Filter, Page, Recorder, Source, Step, merge::Timeline};
@@ -28,6 +32,23 @@
     recorder.query(&Filter::default())
 }
 
+/// Time until each thread has recorded so many events.
+fn by_threads(threads: u32, records: u64, recorder: &Recorder, event: &Event, logging: &tracing::Dispatch) -> Duration {
+    let started = Instant::now();
+    thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| {
+                tracing::dispatcher::with_default(logging, || {
+                    for _ in 0..records {
+                        black_box(recorder.record(event.clone()));
+                    }
+                });
+            });
+        }
+    });
+    started.elapsed()
+}
+
 fn bench(c: &mut Criterion) {
     let customer = Customer::parse("tousuvool").expect("a name");
     let key = request::Key::parse("0190f3a0-0000-7000-8000-000000000000").expect("a key");
@@ -40,6 +61,14 @@
     c.bench_function("clone_event", |b| b.iter(|| black_box(event.clone())));
     let recorder = recorder(0);
     c.bench_function("record", |b| b.iter(|| black_box(recorder.record(event.clone()))));
+    let logging = tracing::Dispatch::new(tracing_subscriber::fmt().json().with_writer(std::io::sink).finish());
+    c.bench_function("record_and_log_by_4_threads", |b| {
+        b.iter_custom(|records| by_threads(4, records, &recorder, &event, &logging));
+    });
+    let sink = tracing_subscriber::fmt().json().with_writer(std::io::sink).finish();
+    tracing::subscriber::with_default(sink, || {
+        c.bench_function("record_and_log", |b| b.iter(|| black_box(recorder.record(event.clone()))));
+    });
     let filter =
         Filter { request: Some(request.key.as_str().parse().expect("a key")), limit: 100, ..Filter::default() };
     c.bench_function("query_full_ring", |b| b.iter(|| black_box(recorder.query(&filter).records.len())));
--- a/crates/timeline/src/recorder.rs
+++ b/crates/timeline/src/recorder.rs
@@ -129,14 +129,17 @@
         // Stamped under the lock: a ring's order is its stamps' order.
         let at = self.shared.clock.tick();
         rings.last += 1;
-        let record = Record { at, source: self.shared.source.clone(), number: rings.last, event };
-        log(&record);
         let number = rings.last;
+        let record = Arc::new(Record { at, source: self.shared.source.clone(), number, event });
         match record.event.kind() {
-            Kind::Request => rings.requests.push(record),
-            _ => rings.others.push(record),
+            Kind::Request => rings.requests.push(record.clone()),
+            _ => rings.others.push(record.clone()),
         }
         self.shared.last.send_replace(number);
+        drop(rings);
+        // After the lock: whoever reads the log slowly would hold up every
+        // request. Lines may thus stand out of order; `at` sorts them.
+        log(&record);
         at
     }
 
--- a/crates/timeline/src/ring.rs
+++ b/crates/timeline/src/ring.rs
@@ -24,13 +24,13 @@
         Self { records: VecDeque::new(), capacity: capacity.max(1), dropped: None }
     }
 
-    pub(crate) fn push(&mut self, record: Record) {
+    pub(crate) fn push(&mut self, record: Arc<Record>) {
         if self.records.len() == self.capacity
             && let Some(oldest) = self.records.pop_front()
         {
             self.dropped = Some(Dropped { at: oldest.at, number: oldest.number });
         }
-        self.records.push_back(Arc::new(record));
+        self.records.push_back(record);
     }
 
     /// Records after a number, oldest first.
