--- a/crates/config/examples/measure/force.rs
+++ b/crates/config/examples/measure/force.rs
@@ -52,6 +52,7 @@
     println!("idle: platform calls/s, all          {idle_calls:.2}");
     println!("idle: platform calls/s, per instance {:.2}", idle_calls / instances);
     println!("idle: peer bytes/s, per instance     {:.0}", idle_bytes / instances);
+    println!("whole state, bytes                   {}", fleet.members[0].config.snapshot_bytes().len());
     let fresh = fleet.members.iter().filter(|member| member.config.fresh()).count();
     println!("idle: fresh instances                {fresh}");
     if !plan.idle {
--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -17,6 +17,11 @@
     Twice(Key),
     /// Other changes came first until the deadline; nothing was changed.
     Busy,
+    /// More than one entry of the log holds; nothing was changed.
+    TooLarge {
+        /// Its size in bytes.
+        bytes: usize,
+    },
     /// The platform is out of reach; nothing was changed.
     Down(platform::Error),
     /// The change may or may not have been accepted.
@@ -58,6 +63,11 @@
             Self::Conflict(conflict) => conflict.fmt(f),
             Self::Twice(key) => write!(f, "{key} stands twice in this change; keep one"),
             Self::Busy => f.write_str("other changes came first every time; nothing was changed, apply again"),
+            Self::TooLarge { bytes } => write!(
+                f,
+                "the change has {bytes} bytes, {} at most; nothing was changed, apply it in several files",
+                platform::MAX_VALUE
+            ),
             Self::Down(error) => write!(f, "nothing was changed: {error}"),
             Self::Unknown { generation } => write!(
                 f,
@@ -89,6 +99,9 @@
 
 impl From<platform::Error> for Error {
     fn from(error: platform::Error) -> Self {
-        Self::Down(error)
+        match error {
+            platform::Error::TooLarge { bytes, .. } => Self::TooLarge { bytes },
+            error => Self::Down(error),
+        }
     }
 }
--- a/crates/config/tests/config/apply.rs
+++ b/crates/config/tests/config/apply.rs
@@ -132,6 +132,16 @@
     assert_eq!(site.config(0).apply("ann", edits.into()).await, Err(Error::Twice(key("m"))));
 }
 
+/// A file holds more than one entry of the log can. The operator hears so, in
+/// words about the file and not about the platform's keys.
+#[tokio::test(start_paused = true)]
+async fn change_above_a_megabyte_is_refused() {
+    let site = Site::open(Options::default()).await;
+    let refused = put(site.config(0), model("m", 20_000)).await;
+    assert!(matches!(&refused, Err(Error::TooLarge { .. })), "{refused:?}");
+    assert_eq!(put(site.config(0), model("m", 1)).await, Ok(1));
+}
+
 fn pool(version: &str) -> Object {
     let text =
         format!("kind: pool\nname: p\nspec: {{ domain: d0, serves: {{ versions: [{version}] }}, endpoints: [] }}");
