Leave an erring version under roll-out for its predecessor

Cause: until its guard has seen enough, a new version that errs fails everyone who meets it, on every endpoint alike. Change: a request that a version under roll-out refused with an error is chosen for anew without it, unless its session is on it already or the caller named the session. Tested besides: a hang-up before the first frame, and that an outage's refusal does not wait for the deadline.

--- a/crates/endpoint/src/error.rs
+++ b/crates/endpoint/src/error.rs
@@ -54,7 +54,8 @@
             Self::Unreachable => f.write_str("no connection; check that the endpoint is up"),
             Self::Full => f.write_str("all slots taken; try another endpoint or later"),
             Self::NotLoaded => f.write_str("version not loaded; order the endpoint to load it"),
-            Self::Status(status) => write!(f, "HTTP status {status}; check the request's parameters"),
+            Self::Status(status @ 400..=499) => write!(f, "HTTP status {status}; check the request's parameters"),
+            Self::Status(status) => write!(f, "HTTP status {status}; check the version and its engines"),
         }
     }
 }
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -15,7 +15,7 @@
 
 use budget::Reservation;
 use endpoint::{Dispatch, Run, frame::Usage};
-use route::{endpoint::Key, model::Choice, retry};
+use route::{endpoint::Key, model::Choice, retry, rollout::Stop};
 use timeline::{Ran, Step};
 use tokio::time::{Instant, sleep_until};
 use world::{Millis, model::Version, money::Amount, request::Repeat};
@@ -42,6 +42,8 @@
     attempt: Option<Attempt>,
     tries: u32,
     avoid: Vec<Key>,
+    /// Versions under roll-out that have failed this request.
+    shunned: Vec<Stop>,
     failure: retry::Failure,
     /// Time that another dispatch is expected to take, in milliseconds.
     expected_ms: Millis,
@@ -101,6 +103,7 @@
             attempt: None,
             tries: 0,
             avoid: Vec::new(),
+            shunned: Vec::new(),
             failure: retry::Failure::NotRun { retry_after: None },
             expected_ms: 0,
             cause: None,
--- a/crates/entry/src/drive/choose.rs
+++ b/crates/entry/src/drive/choose.rs
@@ -1,6 +1,11 @@
 //! Settling versions, session and price before the first dispatch.
 
-use route::model::{Choice, Refusal};
+use std::sync::Arc;
+
+use route::{
+    model::{Choice, Refusal},
+    rollout::{Stop, Stops},
+};
 use timeline::Step;
 use tokio::time::Instant;
 use world::{
@@ -146,7 +151,7 @@
         };
         let catalog = self.shared.catalog();
         let wish = Wish {
-            stops: self.shared.links.control.stops(),
+            stops: self.stops(),
             customer: self.request.customer().clone(),
             model: chat.model.clone(),
             class: self.request.terms.class.clone(),
@@ -166,6 +171,41 @@
         }
     }
 
+    /// Versions that this request must not run on, whatever the catalog says.
+    pub(super) fn stops(&self) -> Arc<Stops> {
+        let stops = self.shared.links.control.stops();
+        if self.shunned.is_empty() {
+            return stops;
+        }
+        let mut stops = (*stops).clone();
+        for stop in &self.shunned {
+            stops.insert(stop.clone());
+        }
+        Arc::new(stops)
+    }
+
+    /// Has the request leave a version under roll-out that failed it.
+    ///
+    /// Until its guard has seen enough, a bad version fails everyone who meets
+    /// it, on every endpoint alike; its predecessor would answer. A session
+    /// that is on it already stays.
+    pub(super) fn shun(&mut self) {
+        let named = matches!(self.request.session, Some(Named::Caller(_)));
+        let Some(chosen) = self.chosen.as_ref().filter(|chosen| chosen.step == 0) else { return };
+        let permit = chosen.choice.start();
+        if named || permit.pinned() || permit.predecessor().is_none() || !self.tape.is_empty() {
+            return;
+        }
+        let version = permit.version().clone();
+        let catalog = self.shared.catalog();
+        let rollout = catalog.rollouts().iter().find(|(_, rollout)| rollout.version == version);
+        if let Some((rollout, _)) = rollout {
+            let reason = "it failed this request".into();
+            self.shunned.push(Stop { version, rollout: rollout.clone(), reason });
+            self.avoid.clear();
+        }
+    }
+
     /// Without a rating service no cascade can be decided, and a request that
     /// must not be repeated never cascades.
     fn repeat(&self) -> Repeat {
--- a/crates/entry/src/drive/dispatch.rs
+++ b/crates/entry/src/drive/dispatch.rs
@@ -68,7 +68,7 @@
             return Ok(());
         };
         let catalog = self.shared.catalog();
-        let stops = self.shared.links.control.stops();
+        let stops = self.stops();
         if chosen.choice.steps()[chosen.step].renew(&catalog, &stops).is_some() {
             return Ok(());
         }
@@ -177,6 +177,7 @@
             // hear of it, although nothing was run.
             Error::Refused { refusal: Refusal::Status(_), .. } => {
                 self.observe(Seen::Failed);
+                self.shun();
                 event
             }
             _ => event,
--- a/crates/entry/tests/path/breaks.rs
+++ b/crates/entry/tests/path/breaks.rs
@@ -213,3 +213,23 @@
     assert_eq!(reply.problem(), (503, "no-endpoint".into(), "no".into()));
     assert!(site.bills().is_empty());
 }
+
+// A new version errs on every endpoint. Sessions that would meet it are
+// answered by its predecessor, before its guard has seen enough to stop it.
+#[tokio::test]
+async fn erring_version_under_roll_out_gives_way_to_its_predecessor() {
+    let site = Site::open(Plan::default()).await;
+    let two = "    - { version: \"2\", tier: 0, price: { input: \"1\", output: \"2\", currency: EUR } }\n";
+    let nine = "    - { version: \"9\"";
+    let rollout = "---\nkind: rollout\nname: r\nspec: { version: summary@2, predecessor: \"1\", steps: [1.0], state: exposing }\n";
+    let file = site.file("").replacen(nine, &format!("{two}{nine}"), 1).replace("[\"1\", \"9\"]", "[\"1\", \"2\"]");
+    let file = file.replace("[summary@1, summary@9]", "[summary@1, summary@2, summary@9]");
+    site.apply(&format!("{file}{rollout}")).await;
+    site.switch(&Switch::Bad { version: "summary@2".into(), fault: Fault::Errors, odds: Odds::ALWAYS });
+    for n in 0..5 {
+        let content = format!("{CONTENT} {n}");
+        let reply = site.client(0).chat(CLUB, &[], &content).await;
+        assert_eq!(reply.content(), answer_of(CHEAP, &content));
+        assert_eq!(reply.header("arbutuslug-session-moved"), "", "a new session has not moved");
+    }
+}
--- a/crates/entry/tests/path/gone.rs
+++ b/crates/entry/tests/path/gone.rs
@@ -26,6 +26,20 @@
     assert!(site.bills().is_empty());
 }
 
+// The caller hangs up while it waits for the first word. The run is cancelled
+// before it has made one.
+#[tokio::test]
+async fn hang_up_before_the_first_frame_cancels_the_run() {
+    let engine = engine::Options { first_token_ms: 600_000, ..engine::Options::default() };
+    let site = Site::open(Plan { engine, ..Plan::default() }).await;
+    let client = site.client(0);
+    let call = tokio::spawn(async move { client.stream(CLUB, &[], CONTENT).await });
+    site.until(|site| !site.runs().is_empty()).await;
+    call.abort();
+    site.until(|site| site.runs()[0].end.is_some()).await;
+    assert_eq!((site.runs()[0].end, site.runs()[0].tokens), (Some(End::Cancelled), 0));
+}
+
 // One of two callers with the same key hangs up. The other's answer goes on.
 #[tokio::test]
 async fn hang_up_leaves_joined_callers_their_answer() {
--- a/crates/entry/tests/path/outage.rs
+++ b/crates/entry/tests/path/outage.rs
@@ -36,7 +36,8 @@
 async fn outage_refuses_non_idempotent_requests_as_not_run() {
     let site = down("").await;
     let runs = site.runs().len();
-    let reply = site.client(0).chat(CLUB, &[NEVER, ("arbutuslug-deadline-ms", "3000")], "during").await;
+    // Given up on it is answered at once: at its deadline this test would hang.
+    let reply = site.client(0).chat(CLUB, &[NEVER, ("arbutuslug-deadline-ms", "3600000")], "during").await;
     assert_eq!(reply.problem(), (503, "platform-down".into(), "no".into()));
     assert_eq!(site.runs().len(), runs);
 }
