--- a/crates/control/tests/it/rollout.rs
+++ b/crates/control/tests/it/rollout.rs
@@ -119,16 +119,19 @@
 
 /// Waits until the first instance stops the version; returns which, and when.
 async fn first_stop(site: &Site) -> (usize, Instant) {
-    loop {
+    let limit = Instant::now() + Duration::from_mins(5);
+    while Instant::now() < limit {
         if let Some(number) = (0..site.instances.len()).find(|number| site.is_stopped(*number)) {
             return (number, Instant::now());
         }
         sleep(Duration::from_millis(10)).await;
     }
+    panic!("nobody stopped it");
 }
 
 async fn stopped_everywhere(site: &Site) -> Instant {
-    while !(0..site.instances.len()).all(|number| site.is_stopped(number)) {
+    let limit = Instant::now() + Duration::from_secs(30);
+    while Instant::now() < limit && !(0..site.instances.len()).all(|number| site.is_stopped(number)) {
         sleep(Duration::from_millis(10)).await;
     }
     Instant::now()
@@ -204,24 +207,64 @@
     site.wait_for((leader + 1) % 3, State::Promoted).await;
 }
 
-/// An operator pauses while the coordinator is about to go a step on. Whoever
-/// writes first, the pause holds at the end and no step follows it: the loser
-/// reads again, and a paused roll-out is left alone.
+/// One instance alone finds a version bad. All others stop it on its word,
+/// with the platform down, within a second.
+#[tokio::test(start_paused = true)]
+async fn one_instances_evidence_is_enough() {
+    let site = Site::open_with_one_judge(4).await;
+    site.roll_out().await;
+    site.wait_for(1, State::Exposing).await;
+    site.platform.set_down(true);
+    site.set_bad(350);
+    let (first, at) = first_stop(&site).await;
+    assert_eq!(first, 0);
+    let last = stopped_everywhere(&site).await;
+    assert!(last - at <= Duration::from_secs(1), "{:?}", last - at);
+}
+
+/// Pauses at another instance than the coordinator's; the pause must hold.
+async fn pause_holds(site: &Site) {
+    while let Err(error) = site.operate(1, &Action::Pause).await {
+        assert!(error.contains("nothing was changed"), "{error}");
+    }
+    let paused = site.wait_for(0, State::Paused).await;
+    seconds(20.0).await;
+    assert_eq!(site.rollout(0), Some(paused));
+    site.operate(1, &Action::Resume).await.unwrap();
+    site.wait_for(0, State::Promoted).await;
+}
+
+/// An operator pauses while the coordinator is about to go a step on, each
+/// call taking 300 ms. Whoever writes first, the pause holds at the end and no
+/// step follows it: the loser reads again, and a paused roll-out is left alone.
 #[tokio::test(start_paused = true)]
 async fn pause_races_with_a_step() {
-    for offset_ms in (0..1_000).step_by(125) {
+    for offset_ms in (0..1_200).step_by(150) {
         let site = Site::open(2).await;
         site.roll_out().await;
         site.wait_for(1, State::Exposing).await;
-        sleep(Duration::from_millis(3_500 + offset_ms)).await;
-        while let Err(error) = site.operate(1, &Action::Pause).await {
-            assert!(error.contains("nothing was changed"), "{error}");
+        site.platform.set_slow(Duration::from_millis(300));
+        sleep(Duration::from_millis(3_000 + offset_ms)).await;
+        pause_holds(&site).await;
+    }
+}
+
+/// Two engines have loaded the version, so it may be exposed; the orders to
+/// the other two take 1.5 s each. An operator pauses meanwhile. The plan to
+/// expose was made for a roll-out that was still loading and must be dropped.
+#[tokio::test(start_paused = true)]
+async fn pause_while_orders_are_sent() {
+    for offset_ms in (0..3_000).step_by(500) {
+        let site = Site::open(2).await;
+        site.engines.set_order_time(Duration::from_millis(1_500));
+        site.roll_out().await;
+        while site.engines.holding(&new_version()) < 2 {
+            sleep(Duration::from_millis(20)).await;
+        }
+        sleep(Duration::from_millis(offset_ms)).await;
+        if site.rollout(1).is_some_and(|rollout| rollout.state == State::Loading) {
+            pause_holds(&site).await;
         }
-        let paused = site.wait_for(0, State::Paused).await;
-        seconds(60.0).await;
-        assert_eq!(site.rollout(0), Some(paused));
-        site.operate(1, &Action::Resume).await.unwrap();
-        site.wait_for(0, State::Promoted).await;
     }
 }
 
--- a/crates/control/tests/it/site.rs
+++ b/crates/control/tests/it/site.rs
@@ -82,6 +82,8 @@
     pub engines: Engines,
     links: Arc<Mutex<Links>>,
     traffic: Arc<Mutex<Traffic>>,
+    /// Whether only the first instance's own judgement can stop a version.
+    one_judge: bool,
 }
 
 /// One instance; nothing in it works on after [`Site::lose`].
@@ -121,12 +123,22 @@
 impl Site {
     /// Opens a fleet with everything but the roll-out in force.
     pub async fn open(instances: usize) -> Self {
+        Self::open_with(instances, false).await
+    }
+
+    /// The same, with the first instance alone judging versions.
+    pub async fn open_with_one_judge(instances: usize) -> Self {
+        Self::open_with(instances, true).await
+    }
+
+    async fn open_with(instances: usize, one_judge: bool) -> Self {
         let mut site = Self {
             platform: Platform::open(),
             instances: Vec::new(),
             engines: Engines::default(),
             links: Arc::default(),
             traffic: Arc::new(Mutex::new(Traffic { bad: GOOD, ..Traffic::default() })),
+            one_judge,
         };
         for _ in 0..instances {
             site.start().await;
@@ -149,7 +161,11 @@
         config.set_reader(true).await;
         let edges =
             Edges { platform, config: config.clone(), engines: self.engines.spawn(), recorder: recorder.clone() };
-        let (control, news) = control::spawn(Settings::new(support::instance(number), Incarnation(1)), edges);
+        let mut settings = Settings::new(support::instance(number), Incarnation(1));
+        if self.one_judge && number > 0 {
+            settings.guard.alpha = f64::MIN_POSITIVE;
+        }
+        let (control, news) = control::spawn(settings, edges);
         lock(&self.links).ends.push((config.clone(), control.clone()));
         let requests = requests(number, config.clone(), control.clone(), self.traffic.clone());
         let tasks = vec![
@@ -299,7 +315,10 @@
 
 /// Engines that take orders; they ignore the fencing number.
 #[derive(Clone, Default)]
-pub struct Engines(Arc<Mutex<BTreeMap<SocketAddr, Engine>>>);
+pub struct Engines {
+    engines: Arc<Mutex<BTreeMap<SocketAddr, Engine>>>,
+    order_time: Arc<Mutex<Duration>>,
+}
 
 #[derive(Debug, Clone, Default)]
 pub struct Engine {
@@ -314,7 +333,7 @@
 impl Engines {
     /// What the engines are like now.
     pub fn all(&self) -> Vec<Engine> {
-        lock(&self.0).values().cloned().collect()
+        lock(&self.engines).values().cloned().collect()
     }
 
     /// Engines that hold a version.
@@ -325,7 +344,12 @@
     /// Forgets what an engine held, as a restart does.
     pub fn restart(&self, port: u16) {
         let address = SocketAddr::from(([127, 0, 0, 1], port));
-        lock(&self.0).insert(address, Engine::default());
+        lock(&self.engines).insert(address, Engine::default());
+    }
+
+    /// Sets how long an order takes.
+    pub fn set_order_time(&self, time: Duration) {
+        *lock(&self.order_time) = time;
     }
 
     fn spawn(&self) -> mpsc::Sender<Call> {
@@ -343,12 +367,13 @@
         match call {
             Call::Loaded { address, reply } => {
                 sleep(Duration::from_millis(5)).await;
-                let versions = lock(&self.0).entry(address).or_default().versions.iter().cloned().collect();
+                let versions = lock(&self.engines).entry(address).or_default().versions.iter().cloned().collect();
                 let _ = reply.send(Some(versions));
             }
             Call::Order { address, order, term, reply } => {
+                let time = *lock(&self.order_time);
                 let sent = order::within(term, async {
-                    sleep(Duration::from_millis(5)).await;
+                    sleep(time).await;
                     Ok(self.take(address, &order))
                 });
                 let _ = reply.send(sent.await);
@@ -357,7 +382,7 @@
     }
 
     fn take(&self, address: SocketAddr, order: &endpoint::order::Order) -> Vec<Version> {
-        let mut engines = lock(&self.0);
+        let mut engines = lock(&self.engines);
         let engine = engines.entry(address).or_default();
         engine.fences.push(order.fence);
         engine.versions.retain(|version| !order.unload.contains(version));
@@ -370,7 +395,7 @@
 
     async fn load(self, address: SocketAddr, versions: Vec<Version>) {
         sleep(LOADING).await;
-        let mut engines = lock(&self.0);
+        let mut engines = lock(&self.engines);
         let engine = engines.entry(address).or_default();
         engine.loading = engine.loading.saturating_sub(1);
         engine.versions.extend(versions);
