--- a/crates/control/tests/it/rollout.rs
+++ b/crates/control/tests/it/rollout.rs
@@ -239,12 +239,13 @@
 /// step follows it: the loser reads again, and a paused roll-out is left alone.
 #[tokio::test(start_paused = true)]
 async fn pause_races_with_a_step() {
-    for offset_ms in (0..1_200).step_by(150) {
+    for offset_ms in (0..1_500).step_by(150) {
         let site = Site::open(2).await;
         site.roll_out().await;
-        site.wait_for(1, State::Exposing).await;
+        // The first step waits for answers; this one ends by its time.
+        site.wait(1, |rollout| rollout.step == 1).await;
         site.platform.set_slow(Duration::from_millis(300));
-        sleep(Duration::from_millis(3_000 + offset_ms)).await;
+        sleep(Duration::from_millis(3_200 + offset_ms)).await;
         pause_holds(&site).await;
     }
 }
