Give the guard's alpha to where bad versions show

Errors and ratings have 0.45 of it each, the whole roll-out 0.8 against its windows; alpha is 5e-4 for each observer.

--- a/crates/route/src/guard.rs
+++ b/crates/route/src/guard.rs
@@ -45,7 +45,7 @@
 
 impl Default for Policy {
     fn default() -> Self {
-        Self { alpha: 1.4e-4, min_answers: 50, min_rated: 30, margin: Margin::default() }
+        Self { alpha: 5e-4, min_answers: 50, min_rated: 30, margin: Margin::default() }
     }
 }
 
@@ -233,7 +233,7 @@
     let thin = rollout::thin(rollout.steps.get(rollout.step).copied().unwrap_or(1.0));
     for signal in Signal::ALL {
         for (test, ln_e) in tests(policy, rollout, steps, window, signal) {
-            if ln_e >= threshold(policy, test) {
+            if ln_e >= threshold(policy, test, signal) {
                 return Verdict::Stop(reason(steps, signal, ln_e));
             }
             // Where nobody is dealt any more the whole's evidence stands still
@@ -300,15 +300,20 @@
     }
 }
 
-/// Natural logarithm of the e-value that stops a version.
-fn threshold(policy: &Policy, test: Test) -> f64 {
-    let part = match test {
-        Test::Whole => 0.7,
+/// Natural logarithm of the e-value that stops a version; the parts of
+/// `alpha` add up to one over signals and over tests.
+fn threshold(policy: &Policy, test: Test, signal: Signal) -> f64 {
+    let of_signal = match signal {
+        Signal::Errors | Signal::Ratings => 0.45,
+        Signal::Latency => 0.1,
+    };
+    let of_test = match test {
+        Test::Whole => 0.8,
         // The parts `6 / (pi^2 n^2)` of all windows add up to one.
-        Test::Window(number) => 0.2 * 6.0 / (std::f64::consts::PI * f64::from(number)).powi(2),
-        Test::Rates => 0.1,
+        Test::Window(number) => 0.15 * 6.0 / (std::f64::consts::PI * f64::from(number)).powi(2),
+        Test::Rates => 0.05,
     };
-    (to_f64(Signal::ALL.len()) / (policy.alpha * part)).ln()
+    -(policy.alpha * of_signal * of_test).ln()
 }
 
 #[expect(clippy::cast_precision_loss, reason = "handfuls of signals, steps and factors")]
