--- a/crates/arbutuslugd/src/outage.rs
+++ b/crates/arbutuslugd/src/outage.rs
@@ -1,5 +1,8 @@
 //! Records the platform's outages, as seen from here.
 
+#[cfg(test)]
+mod tests;
+
 use timeline::{Event, OutageStep, Recorder};
 use tokio::{sync::watch, time::Instant};
 
