--- a/crates/route/src/model/ladder.rs
+++ b/crates/route/src/model/ladder.rs
@@ -42,7 +42,7 @@
 /// Quality differences below this are none.
 const SAME_QUALITY: f64 = 0.005;
 /// Weight of time against cost by objective.
-const LATENCY_WEIGHT: f64 = 1.0;
+const LATENCY_WEIGHT: f64 = 0.3;
 /// Weight of a version under roll-out against cost, objective exposure.
 const NEW_WEIGHT: f64 = 0.5;
 
