--- a/crates/arbutuslug/src/verb/follow.rs
+++ b/crates/arbutuslug/src/verb/follow.rs
@@ -1,6 +1,9 @@
 //! `timeline --follow`
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use operator::{Client, Error, Events, Seen};
 use timeline::{
@@ -19,8 +22,8 @@
     verb::timeline::line,
 };
 
-/// Interval between two looks for new instances.
-const LOOK: Duration = Duration::from_secs(5);
+/// Interval between two looks for instances that are new or back.
+const LOOK: Duration = Duration::from_secs(1);
 
 /// Longest silence of an instance; each tells its clock twice a second.
 const SILENCE: Duration = Duration::from_secs(5);
@@ -37,8 +40,15 @@
 /// Shows events until nobody reads them.
 pub(crate) async fn run(fleet: Fleet<'_>, filter: &Filter, console: &mut Console<'_>) -> Result<(), Failure> {
     let (inbox, mut told) = mpsc::channel(INBOX);
-    let mut follower =
-        Follower { fleet, filter, inbox, streams: BTreeMap::new(), seen: BTreeMap::new(), merge: Follow::default() };
+    let mut follower = Follower {
+        fleet,
+        filter,
+        inbox,
+        streams: BTreeMap::new(),
+        seen: BTreeMap::new(),
+        merge: Follow::default(),
+        silent: BTreeSet::new(),
+    };
     follower.look().await?;
     let mut look_at = Instant::now() + LOOK;
     loop {
@@ -63,6 +73,8 @@
     streams: BTreeMap<instance::Id, JoinHandle<()>>,
     seen: BTreeMap<instance::Id, Seen>,
     merge: Follow,
+    /// Named as a gap and not heard since.
+    silent: BTreeSet<instance::Id>,
 }
 
 impl Drop for Follower<'_> {
@@ -98,6 +110,9 @@
     fn take(&mut self, told: Told, console: &mut Console<'_>) -> Result<(), Failure> {
         match told {
             Told::Events(id, events) => {
+                if self.silent.remove(&id) {
+                    console.note(&format!("{id} answers again"));
+                }
                 for missing in events.page.gaps() {
                     gap(&missing, console)?;
                 }
@@ -108,7 +123,11 @@
             Told::Ended(instance, cause) => {
                 self.merge.remove(&instance);
                 self.streams.remove(&instance);
-                gap(&Gap::Silent { instance, cause }, console)?;
+                // An instance that stays away is tried again and again, and
+                // told once.
+                if self.silent.insert(instance.clone()) {
+                    gap(&Gap::Silent { instance, cause }, console)?;
+                }
             }
         }
         Ok(())
--- a/crates/arbutuslug/tests/tool/fake.rs
+++ b/crates/arbutuslug/tests/tool/fake.rs
@@ -13,7 +13,7 @@
     wire,
 };
 use tokio::{net::TcpListener, sync::oneshot};
-use tokio_stream::{Stream, wrappers::TcpListenerStream};
+use tokio_stream::wrappers::TcpListenerStream;
 use tonic::{Request, Response, Status as Code};
 use world::{Timestamp, instance, object::Object};
 
@@ -43,7 +43,13 @@
     pub blind: u32,
     pub members: Vec<Member>,
     pub bills: Vec<Bill>,
-    /// Pages of the time line; each is sent once asked to follow.
+    /// What each question for the time line gets; the last one stays.
+    pub streams: VecDeque<Stream>,
+}
+
+/// Pages of the time line.
+#[derive(Debug, Clone, Default)]
+pub struct Stream {
     pub events: Vec<Events>,
     /// Whether a followed stream stays open after the last page.
     pub open: bool,
@@ -161,7 +167,7 @@
 
 struct Service(Arc<Mutex<State>>);
 
-type Answers<T> = Pin<Box<dyn Stream<Item = Result<T, Code>> + Send>>;
+type Answers<T> = Pin<Box<dyn tokio_stream::Stream<Item = Result<T, Code>> + Send>>;
 type Reply<T> = Result<Response<T>, Code>;
 
 fn lost() -> Code {
@@ -254,11 +260,18 @@
     }
 
     async fn timeline(&self, request: Request<wire::TimelineRequest>) -> Reply<Self::TimelineStream> {
-        let follow = request.into_inner().follow;
-        let (events, open) = {
-            let state = lock(&self.0);
-            (state.events.clone(), state.open)
+        let request = request.into_inner();
+        let follow = request.follow;
+        let Stream { mut events, open } = {
+            let mut state = lock(&self.0);
+            let last = state.streams.len() < 2;
+            let stream = if last { state.streams.front().cloned() } else { state.streams.pop_front() };
+            stream.unwrap_or_default()
         };
+        for Events { page, .. } in &mut events {
+            let filter = request.filter(page.source.incarnation).expect("the tool's own filter");
+            page.records.retain(|record| filter.wants(record));
+        }
         Ok(Response::new(Box::pin(async_stream::stream! {
             for page in &events {
                 yield Ok(page.into());
--- a/crates/arbutuslug/tests/tool/follow.rs
+++ b/crates/arbutuslug/tests/tool/follow.rs
@@ -7,7 +7,7 @@
 use timeline::{Event, Page, Record, Source, Stamp};
 use world::instance::Incarnation;
 
-use crate::fake::{Fake, State, member, run_into};
+use crate::fake::{Fake, State, Stream, member, run_into};
 
 /// One millisecond in stamps.
 const MS: u64 = (1 << 32) / 1_000 + 1;
@@ -36,9 +36,13 @@
     }
 }
 
-/// A page with one record per time, and the clock after it.
+/// A page of the first run, with one record per time and the clock after it.
 fn page(instance: &str, times: &[u64], now: u64) -> Events {
-    let source = Source { instance: instance.parse().unwrap(), incarnation: Incarnation(1) };
+    page_of_run(1, instance, times, now)
+}
+
+fn page_of_run(run: u64, instance: &str, times: &[u64], now: u64) -> Events {
+    let source = Source { instance: instance.parse().unwrap(), incarnation: Incarnation(run) };
     let record = |(index, at): (usize, &u64)| Record {
         at: Stamp(at * MS),
         source: source.clone(),
@@ -53,10 +57,14 @@
     }
 }
 
-/// Two instances; the second one's stream stays open or ends.
-async fn site(first: Vec<Events>, second: Vec<Events>, second_open: bool) -> (Fake, Fake) {
-    let second = Fake::start(State { events: second, open: second_open, ..State::default() }).await;
-    let first = Fake::start(State { events: first, open: true, ..State::default() }).await;
+fn stream(events: Events, open: bool) -> Stream {
+    Stream { events: vec![events], open }
+}
+
+/// Two instances; the second one answers each question as told.
+async fn site(first: Events, second: impl IntoIterator<Item = Stream>) -> (Fake, Fake) {
+    let second = Fake::start(State { streams: second.into_iter().collect(), ..State::default() }).await;
+    let first = Fake::start(State { streams: [stream(first, true)].into(), ..State::default() }).await;
     let members: Vec<Member> = vec![member("i1", 1, first.address), member("i2", 1, second.address)];
     first.state().members = members;
     (first, second)
@@ -73,7 +81,7 @@
 /// an earlier one, so the order is causal while it is followed, too.
 #[tokio::test]
 async fn events_are_shown_in_one_order() {
-    let (first, _second) = site(vec![page("i1", &[1, 4, 5, 7], 9)], vec![page("i2", &[2, 3, 6], 9)], true).await;
+    let (first, _second) = site(page("i1", &[1, 4, 5, 7], 9), [stream(page("i2", &[2, 3, 6], 9), true)]).await;
     let mut head = Head { lines: Vec::new(), most: 6 };
     let (exit, err) = run_into(&[first.address], &["timeline", "--follow"], &mut head).await;
     // The seventh line finds the output closed, as by `head`.
@@ -85,10 +93,28 @@
 /// back until then, are shown.
 #[tokio::test]
 async fn instance_that_goes_is_a_named_gap() {
-    let (first, _second) = site(vec![page("i1", &[1, 4, 5], 9)], vec![page("i2", &[2], 3)], false).await;
+    let (first, _second) = site(page("i1", &[1, 4, 5], 9), [stream(page("i2", &[2], 3), false)]).await;
     let mut head = Head { lines: Vec::new(), most: 3 };
     let (exit, err) = run_into(&[first.address], &["timeline", "--follow"], &mut head).await;
     assert_eq!(exit, Exit::Done, "{err}");
     assert_eq!(generations(&head.lines), [1, 2, 4]);
     assert!(err.contains("gap: i2: no records, it did not answer (it ended the stream)"), "{err}");
 }
+
+/// An instance goes, is away for one more question, and comes back as another
+/// run whose numbers begin anew. Its first records must not be taken for ones
+/// already seen. They come after later ones were shown and are marked so; the
+/// gap is told once.
+#[tokio::test]
+async fn instance_that_comes_back_is_followed_from_its_first_record() {
+    let streams =
+        [stream(page("i2", &[2, 3], 3), false), Stream::default(), stream(page_of_run(2, "i2", &[6, 7], 9), true)];
+    let (first, _second) = site(page("i1", &[1, 4, 8], 9), streams).await;
+    let mut head = Head { lines: Vec::new(), most: 6 };
+    let (exit, err) = run_into(&[first.address], &["timeline", "--follow"], &mut head).await;
+    assert_eq!(exit, Exit::Done, "{err}");
+    assert_eq!(generations(&head.lines), [1, 2, 3, 4, 8, 6]);
+    assert!(head.lines[5].contains("(late)"), "{:?}", head.lines);
+    assert_eq!(err.matches("gap: i2").count(), 1, "{err}");
+    assert!(err.contains("i2 answers again"), "{err}");
+}
