Excuse a "not run" that the second caller of a key reads late

It was true when it was made. Change: excused only when the other caller had been told "not run" before the run began; both sides have a test. The summary also counts keys that ran and left no caller an answer.

--- a/crates/trial/src/caller.rs
+++ b/crates/trial/src/caller.rs
@@ -76,8 +76,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct NotRun {
     pub(crate) told: Timestamp,
-    /// The refusal's `type`.
-    pub(crate) kind: String,
+    /// The refusal's words.
+    pub(crate) detail: String,
 }
 
 #[derive(Deserialize)]
@@ -207,7 +207,7 @@
         };
         let pause = problem.retry_after_ms.map(|ms| Duration::from_millis(ms).min(MAX_PAUSE));
         if problem.ran == Ran::No {
-            sent.not_run.push(NotRun { told: now(), kind: problem.kind.clone() });
+            sent.not_run.push(NotRun { told: now(), detail: problem.detail.clone() });
             sent.end = End::Refused(problem.clone());
             return pause.map_or(Next::End(End::Refused(problem)), Next::Again);
         }
--- a/crates/trial/src/check.rs
+++ b/crates/trial/src/check.rs
@@ -6,11 +6,11 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 use standin::{answer, engine, service};
-use world::{Catalog, contract::Customer, model::Version, request};
+use world::{Catalog, Timestamp, contract::Customer, model::Version, request};
 
 use crate::{
     books::Books,
-    caller::{End, Sent},
+    caller::{End, NotRun, Sent},
     plan::{Ask, Repeat, Script, Session},
     traffic::{Played, Traffic},
     withdraw::Withdrawal,
@@ -139,10 +139,10 @@
         }
         let started = chats.iter().map(|record| record.received).chain(calls.iter().map(|effect| effect.received));
         if let Some(first) = started.min()
-            && let Some(not_run) = sent.iter().flat_map(|request| &request.not_run).find(|not_run| not_run.told > first)
+            && let Some(not_run) = false_not_run(sent, first)
         {
             let late = not_run.told.since(first);
-            self.0.push(Breach::FalseNotRun(format!("{ask:?}: ran {late} ms before, {}", not_run.kind)));
+            self.0.push(Breach::FalseNotRun(format!("{ask:?}: ran {late} ms before, {}", not_run.detail)));
         }
         for record in chats.iter().filter(|record| !allowed(catalog, customer, &record.version)) {
             self.0.push(Breach::Version(format!("{}: {customer} on {}", ask.tag, record.version)));
@@ -216,6 +216,19 @@
     }
 }
 
+/// A "not run" that was told after the first run began.
+///
+/// Of two callers with one key, one may hear "not run" and come back, and so
+/// start the run, before the other has read the same refusal: that one was
+/// true when it was made.
+fn false_not_run(sent: &[Sent], first: Timestamp) -> Option<&NotRun> {
+    let came_back = |request: &Sent| request.not_run.iter().any(|not_run| not_run.told <= first);
+    sent.iter().enumerate().find_map(|(place, request)| {
+        let other_came_back = sent.iter().enumerate().any(|(other, request)| other != place && came_back(request));
+        request.not_run.iter().find(|not_run| not_run.told > first && !other_came_back)
+    })
+}
+
 /// The request that a key of a customer names.
 pub(crate) fn request_id(customer: &Customer, sent: &Sent) -> request::Id {
     let key = request::Key::parse(&sent.key).expect("a UUID is a name");
--- a/crates/trial/src/check/tests.rs
+++ b/crates/trial/src/check/tests.rs
@@ -124,7 +124,7 @@
 }
 
 fn not_run(told: u64) -> NotRun {
-    NotRun { told: Timestamp(told), kind: String::new() }
+    NotRun { told: Timestamp(told), detail: String::new() }
 }
 
 fn refused() -> End {
@@ -191,6 +191,17 @@
     } => [Breach::BillDoubled(_)];
     not_run_yet_it_ran: |run| run.sent(2).not_run = vec![not_run(101)] => [Breach::FalseNotRun(_)];
     not_run_before_it_ran: |run| run.sent(2).not_run = vec![not_run(99)] => [];
+    not_run_heard_late_by_the_second_caller: |run| {
+        let mut second = run.sent(2).clone();
+        second.not_run = vec![not_run(101)];
+        run.sent(2).not_run = vec![not_run(90)];
+        run.traffic.played[0].sent[2].push(second);
+    } => [];
+    not_run_told_to_the_second_caller_alone: |run| {
+        let mut second = run.sent(2).clone();
+        second.not_run = vec![not_run(101)];
+        run.traffic.played[0].sent[2].push(second);
+    } => [Breach::FalseNotRun(_)];
     version_outside_the_contract: |run| run.books.records[0].version = "m@2".into() => [Breach::Version(_)];
     session_changes_unsaid: |run| {
         let End::Whole(whole) = &mut run.sent(1).end else { unreachable!() };
--- a/crates/trial/src/summary.rs
+++ b/crates/trial/src/summary.rs
@@ -29,6 +29,8 @@
     retries: u32,
     took: Duration,
     latencies: Vec<Duration>,
+    /// Keys told that they ran or may have run, with no answer to any caller.
+    unanswered: usize,
     /// Idempotent repeats with another answer than the first.
     anew: usize,
     /// Idempotent repeats with two runs at a time.
@@ -63,6 +65,9 @@
             let in_session = played.script.session != Session::None;
             for (ask, sent) in played.script.asks.iter().zip(&played.sent) {
                 summary.count_ask(ask, in_session, sent.len());
+                let answered = !check::answers(sent).is_empty();
+                let told = sent.iter().any(|request| matches!(request.end, End::Told(_)));
+                summary.unanswered += usize::from(told && !answered);
                 summary.anew += usize::from(check::answers(sent).len() > 1);
                 for request in sent {
                     summary.count_request(request);
@@ -118,8 +123,8 @@
         )?;
         writeln!(
             f,
-            "  ended      {} whole answers, {} refused as not run, {} told that they ran or may have run",
-            self.whole, self.refused, self.told
+            "  ended      {} whole answers, {} refused as not run, {} told that they ran or may have run ({} of these with no answer to any caller)",
+            self.whole, self.refused, self.told, self.unanswered
         )?;
         writeln!(
             f,
