Count failure domains that the settings leave out

Cause: an instance whose settings name its own domain only took itself for more than half of the site. Cut off from platform and peers it would have stayed fresh and sent work to withdrawn versions (forgotten_domains_count). Change: domains heard of count beside those in the settings. Also: confirmations are asked for at least five times within the freshness bound; at one second, an instance was stale half of the time (tight_bound_is_met failed).

--- a/crates/config/src/contact.rs
+++ b/crates/config/src/contact.rs
@@ -17,7 +17,7 @@
 //! way.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{
         Mutex, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -41,7 +41,18 @@
     platform: AtomicU64,
     quorum: AtomicU64,
     blocked: AtomicBool,
-    reached: Mutex<BTreeMap<Domain, Instant>>,
+    reached: Mutex<Reached>,
+}
+
+/// Failure domains by what their instances said.
+#[derive(Debug, Default)]
+struct Reached {
+    /// When each was in step.
+    in_step: BTreeMap<Domain, Instant>,
+    /// Those that were ever heard of. Settings that leave some out would make
+    /// a small part of the site look like more than half of it, and instances
+    /// cut off in that part would stay fresh for ever.
+    met: BTreeSet<Domain>,
 }
 
 impl Contact {
@@ -83,29 +94,35 @@
     /// A peer in that domain had nothing newer at that time.
     pub(crate) fn in_step(&self, domain: Domain, at: Instant) {
         let mut reached = self.reached.lock().unwrap_or_else(PoisonError::into_inner);
-        let last = reached.entry(domain).or_insert(at);
+        let last = reached.in_step.entry(domain).or_insert(at);
         *last = at.max(*last);
         if let Some(at) = self.quorum_at(&reached) {
             self.raise(&self.quorum, at);
         }
     }
 
+    /// There is a domain of this name.
+    pub(crate) fn met(&self, domain: Domain) {
+        self.reached.lock().unwrap_or_else(PoisonError::into_inner).met.insert(domain);
+    }
+
     /// Blocks new work while an entry of the log cannot be read.
     pub(crate) fn block(&self, blocked: bool) {
         self.blocked.store(blocked, Ordering::Release);
     }
 
     /// Since when more than half of the domains have been in step; the own
-    /// domain counts by itself, if the settings name it.
-    fn quorum_at(&self, reached: &BTreeMap<Domain, Instant>) -> Option<Instant> {
+    /// domain counts by itself, if it is one of them.
+    fn quorum_at(&self, reached: &Reached) -> Option<Instant> {
         if self.domains.is_empty() {
             return None;
         }
-        let others = |domain: &&Domain| **domain != self.own;
-        let mut times: Vec<_> = self.domains.iter().filter(others).filter_map(|d| reached.get(d)).collect();
+        let domains: BTreeSet<_> = self.domains.iter().chain(&reached.met).collect();
+        let others = domains.iter().filter(|domain| ***domain != self.own);
+        let mut times: Vec<_> = others.filter_map(|domain| reached.in_step.get(*domain)).collect();
         times.sort_unstable_by(|a, b| b.cmp(a));
-        let own = usize::from(self.domains.contains(&self.own));
-        match self.domains.len() / 2 + 1 - own {
+        let own = usize::from(domains.contains(&self.own));
+        match domains.len() / 2 + 1 - own {
             0 => Some(Instant::now()),
             needed => times.get(needed - 1).map(|at| **at),
         }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,9 +5,9 @@
 //! whoever creates the entry has made the generation, whoever finds it taken
 //! reads it and tries the next (docs/design/configuration.md).
 //!
-//! Two tasks share the work. The [`observer`] owns the state in force: it
+//! Two tasks share the work. The observer owns the state in force: it
 //! takes entries from the platform and from peers, in order, and never goes
-//! back. The [`applier`] makes new entries. One instance per failure domain
+//! back. The applier makes new entries. One instance per failure domain
 //! is the domain's reader and watches the platform; the others hear of changes
 //! over peer links and ask a peer once a second whether they missed one.
 //!
--- a/crates/config/src/observer.rs
+++ b/crates/config/src/observer.rs
@@ -150,7 +150,7 @@
     pub(crate) async fn run(mut self, mut inbox: mpsc::Receiver<Message>) {
         let mut tick = Instant::now();
         loop {
-            let publish = self.unpublished.map_or(tick + self.settings.interval, |(_, at)| at);
+            let publish = self.unpublished.map_or(tick + self.settings.interval(), |(_, at)| at);
             tokio::select! {
                 message = inbox.recv() => match message {
                     Some(message) => self.handle(message),
@@ -158,7 +158,7 @@
                 },
                 () = sleep_until(tick) => {
                     self.tick();
-                    tick = Instant::now() + self.jittered(self.settings.interval);
+                    tick = Instant::now() + self.jittered(self.settings.interval());
                 }
                 () = sleep_until(publish), if self.unpublished.is_some() => self.publish_unpublished(),
             }
@@ -203,14 +203,14 @@
     }
 
     fn silent(&self) -> bool {
-        let bound = self.settings.interval.mul_f64(SILENT_INTERVALS);
+        let bound = self.settings.interval().mul_f64(SILENT_INTERVALS);
         self.contact.platform_age().is_none_or(|age| age > bound)
     }
 
     /// Reads the platform, one read at a time.
     fn read(&mut self) {
         self.reading = true;
-        let (log, inbox) = (self.log.within(self.settings.interval), self.inbox.clone());
+        let (log, inbox) = (self.log.within(self.settings.interval()), self.inbox.clone());
         let generation = self.generation();
         tokio::spawn(async move {
             let asked = Instant::now();
@@ -227,7 +227,7 @@
     fn read_failed(&mut self, error: &Error) {
         self.reading = false;
         self.refuse(error);
-        let (min, max) = (self.settings.interval, self.settings.interval * BACKOFF_INTERVALS);
+        let (min, max) = (self.settings.interval(), self.settings.interval() * BACKOFF_INTERVALS);
         let backoff = self.read_backoff.get_or_insert_with(|| Backoff::new(min, max));
         self.next_read = Instant::now() + backoff.next(Duration::ZERO, &mut self.rng);
     }
@@ -276,6 +276,9 @@
         let Ok(news) = wire::News::decode(bytes) else {
             return tracing::warn!("news that does not read; a peer speaks another protocol");
         };
+        if let Ok(domain) = Domain::parse(&news.domain) {
+            self.contact.met(domain);
+        }
         let before = self.generation();
         if let Err(error) = self.take_news(&news) {
             return self.refuse(&error);
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -71,7 +71,7 @@
                 // The platform's own backoff has run until its deadline.
                 Err(error) => {
                     self.send(Message::Unreadable(error)).await;
-                    sleep(self.settings.interval).await;
+                    sleep(self.settings.interval()).await;
                 }
             }
         }
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -17,7 +17,8 @@
     pub domains: Vec<Domain>,
     /// How old the last confirmation may grow before new work stops.
     pub freshness: Duration,
-    /// Time between two confirmations.
+    /// Longest time between two confirmations; a tight freshness bound makes
+    /// it shorter.
     pub interval: Duration,
     /// How long the platform holds a reader's watch.
     pub watch_wait: Duration,
@@ -41,7 +42,15 @@
     pub changes: u64,
 }
 
+/// Confirmations tried for within the freshness bound: a few may be lost or
+/// late without a pause in new work.
+const TRIES: u32 = 5;
+
 impl Settings {
+    pub(crate) fn interval(&self) -> Duration {
+        self.interval.min(self.freshness / TRIES)
+    }
+
     /// The defaults for one instance.
     #[must_use]
     pub fn new(instance: instance::Id, domain: Domain) -> Self {
--- a/crates/config/tests/config/freshness.rs
+++ b/crates/config/tests/config/freshness.rs
@@ -118,3 +118,36 @@
         assert_eq!(fresh(&site), [true, expected], "{delay} s each way");
     }
 }
+
+/// Only one of four failure domains stands in the settings. The instance in
+/// it is cut off: it has heard of the others and must not take itself for the
+/// whole site, or it would never notice.
+#[tokio::test(start_paused = true)]
+async fn forgotten_domains_count() {
+    let site = settled(Options { domains: 1, ..Options::default() }).await;
+    site.instances[0].client.set_down(true);
+    site.cut(0, true);
+    sleep(LONG).await;
+    assert_eq!(fresh(&site), [false, true, true, true]);
+}
+
+/// A site of one instance has nobody to ask, and nobody else can change
+/// anything: it goes on while the platform is away.
+#[tokio::test(start_paused = true)]
+async fn single_instance_outlives_an_outage() {
+    let site = settled(Options { instances: 1, domains: 1, ..Options::default() }).await;
+    site.platform.set_down(true);
+    sleep(LONG).await;
+    assert_eq!(fresh(&site), [true]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn tight_bound_is_met() {
+    let site = settled(Options { freshness: Duration::from_secs(1), readers: false, ..Options::default() }).await;
+    site.config(0).set_reader(true).await;
+    sleep(Duration::from_secs(3)).await;
+    for _ in 0..600 {
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(fresh(&site), [true; 4]);
+    }
+}
--- a/crates/config/tests/config/interleaving.rs
+++ b/crates/config/tests/config/interleaving.rs
@@ -94,7 +94,7 @@
 
 async fn check(scripts: [Script; 2]) -> Result<(), TestCaseError> {
     let keep = Keep { snapshot_every: 4, changes: 1_000 };
-    let mut site = Site::open(Options { instances: 3, domains: 3, keep, readers: true }).await;
+    let mut site = Site::open(Options { instances: 3, domains: 3, keep, ..Options::default() }).await;
     for (index, script) in scripts.iter().enumerate() {
         script.losses.iter().for_each(|(n, loss)| site.instances[index].client.lose(*n, *loss));
     }
@@ -110,7 +110,7 @@
     let head = u64::try_from(log.len()).expect("few");
     prop_assert_eq!(log.keys().copied().collect::<Vec<_>>(), (1..=head).collect::<Vec<_>>(), "no hole");
     // One more starts from the snapshot and sees what the others see.
-    site.start(Options { instances: 4, domains: 3, keep, readers: true }).await;
+    site.start(Options { instances: 4, domains: 3, keep, ..Options::default() }).await;
     sleep(Duration::from_secs(3)).await;
     prop_assert_eq!(site.generations(), vec![head; 4]);
     let objects = |index: usize| site.config(index).current().objects().collect::<Vec<Object>>();
--- a/crates/config/tests/config/log.rs
+++ b/crates/config/tests/config/log.rs
@@ -102,7 +102,8 @@
 /// snapshot is split, and an instance that starts from it has all of them.
 #[tokio::test(start_paused = true)]
 async fn snapshot_above_a_megabyte_is_split() {
-    let options = Options { keep: Keep { snapshot_every: 4, changes: 8 }, instances: 1, domains: 1, readers: true };
+    let options =
+        Options { keep: Keep { snapshot_every: 4, changes: 8 }, instances: 1, domains: 1, ..Options::default() };
     let mut site = Site::open(options).await;
     for name in ["a", "b", "c", "d"] {
         put(site.config(0), model(name, 5_000)).await.expect("accepted");
--- a/crates/config/tests/config/site.rs
+++ b/crates/config/tests/config/site.rs
@@ -44,13 +44,14 @@
     /// Failure domains that the settings name.
     pub domains: usize,
     pub keep: Keep,
+    pub freshness: Duration,
     /// Whether every instance watches the platform, or none does.
     pub readers: bool,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { instances: 4, domains: 4, keep: Keep::default(), readers: true }
+        Self { instances: 4, domains: 4, keep: Keep::default(), freshness: Duration::from_secs(5), readers: true }
     }
 }
 
@@ -74,6 +75,7 @@
         let mut settings = Settings::new(id.clone(), domain(index));
         settings.domains = (0..options.domains).map(domain).collect();
         settings.keep = options.keep;
+        settings.freshness = options.freshness;
         settings.seed = Some(1);
         settings.clock = || Timestamp(1_000);
         let source = Source { instance: id, incarnation: instance::Incarnation(1) };
