--- a/crates/replay/src/site.rs
+++ b/crates/replay/src/site.rs
@@ -285,7 +285,7 @@
         }
         while let Some(Admitted { key, priority, .. }) = self.instances[instance].queue.next(now) {
             if let Some(index) = take(&mut self.instances[instance].waiting, key) {
-                self.dispatch(index, priority, now);
+                self.dispatch(index, if self.plan.admission { priority } else { 0 }, now);
             }
         }
     }
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -33,8 +33,12 @@
 const RETRY_SPREAD: u64 = 4;
 /// Percent of a run's expected time that a deadline must leave under backlog.
 const SPARE_PERCENT: u64 = 160;
-/// Lowest priority of an engine.
-const LAST_PRIORITY: u8 = 9;
+/// Priority of a run with time to spare; 0 is the most urgent.
+const LEAST_URGENT: u8 = 4;
+/// Past use below which a customer counts as idle, in milliseconds.
+const NO_USE_MS: f64 = 1.0;
+/// Use beyond which a customer's runs go behind the others', in its shares.
+const OVER_SHARE: f64 = 1.25;
 
 /// A request that asks to run.
 #[derive(Debug, Clone, Copy)]
@@ -181,7 +185,7 @@
         let key = self.waiting.insert(waiting);
         if self.flows.len() >= MAX_IDLE_FLOWS {
             let present = self.virtual_time;
-            self.flows.retain(|_, flow| !flow.is_empty() || flow.start() > present);
+            self.flows.retain(|_, flow| !flow.is_empty() || flow.start() > present || flow.used(now) > NO_USE_MS);
         }
         let flow = self.flows.entry(ticket.customer.clone()).or_default();
         flow.push(key, ticket, self.virtual_time);
@@ -205,9 +209,10 @@
         let flow = self.flows.get_mut(&customer)?;
         self.virtual_time = self.virtual_time.max(start);
         flow.remove(key, waiting.deadline);
-        flow.charge(waiting.run_ms, start);
+        flow.charge(waiting.run_ms, start, now);
         self.running += 1;
-        let priority = self.priority(&customer, waiting.deadline, waiting.run_ms, now);
+        let slack_ms = waiting.deadline.since(now).saturating_sub(waiting.run_ms);
+        let priority = self.priority(&customer, slack_ms, waiting.run_ms, now);
         let waited_ms = now.since(waiting.since);
         Some(Admitted { key, customer, priority, waited_ms, run_ms: waiting.run_ms })
     }
@@ -273,13 +278,21 @@
         expected_ms * SPARE_PERCENT / 100
     }
 
-    /// Priority for the engine: by slack, and last for who is over its share.
-    fn priority(&self, customer: &Customer, deadline: Timestamp, run_ms: Millis, now: Timestamp) -> u8 {
-        let slack = deadline.since(now).saturating_sub(run_ms);
-        let urgency = u8::try_from(slack / run_ms.max(1)).unwrap_or(LAST_PRIORITY).min(LAST_PRIORITY / 2);
-        let over = self.flows.get(customer).is_some_and(|flow| flow.start() > self.virtual_time);
-        let penalty = if over { LAST_PRIORITY / 2 } else { 0 };
-        (urgency + penalty).min(LAST_PRIORITY)
+    /// Priority for the engine: by slack, and behind everybody's for who has
+    /// had more than its share of late.
+    ///
+    /// Engines rank among all instances' runs. Without the second part a flood
+    /// that is over its share here would stand in an engine's queue before a
+    /// small customer's single run.
+    fn priority(&self, customer: &Customer, slack_ms: Millis, run_ms: Millis, now: Timestamp) -> u8 {
+        let urgency = u8::try_from(slack_ms / run_ms.max(1)).unwrap_or(u8::MAX).min(LEAST_URGENT);
+        let used: f64 = self.flows.values().map(|flow| flow.used(now)).sum();
+        let weights: u32 = self.flows.values().filter(|flow| flow.used(now) > NO_USE_MS).map(Flow::weight).sum();
+        let over = self
+            .flows
+            .get(customer)
+            .is_some_and(|flow| flow.used(now) * f64::from(weights) > OVER_SHARE * used * f64::from(flow.weight()));
+        if over { urgency + LEAST_URGENT + 1 } else { urgency }
     }
 }
 
--- a/crates/route/src/admission/flow.rs
+++ b/crates/route/src/admission/flow.rs
@@ -6,10 +6,15 @@
 
 use super::{Key, Ticket};
 
+/// Time in which past use fades to about a third.
+const USE_MS: f64 = 5_000.0;
+
 #[derive(Debug, Default)]
 pub(super) struct Flow {
     weight: u32,
     start: f64,
+    used_ms: f64,
+    used_at: Timestamp,
     by_deadline: BTreeSet<(Timestamp, Key)>,
 }
 
@@ -35,8 +40,17 @@
 
     /// Moves the flow's next turn on by the work just taken.
     #[expect(clippy::cast_precision_loss, reason = "run times are far below 2^52 milliseconds")]
-    pub fn charge(&mut self, run_ms: Millis, from: f64) {
-        self.start = from + run_ms.max(1) as f64 / f64::from(self.weight.max(1));
+    pub fn charge(&mut self, run_ms: Millis, from: f64, now: Timestamp) {
+        let run_ms = run_ms.max(1) as f64;
+        self.start = from + run_ms / f64::from(self.weight.max(1));
+        self.used_ms = self.used(now) + run_ms;
+        self.used_at = now;
+    }
+
+    /// Work given to it of late, in milliseconds; fades.
+    #[expect(clippy::cast_precision_loss, reason = "times are far below 2^52 milliseconds")]
+    pub fn used(&self, now: Timestamp) -> f64 {
+        self.used_ms * (-(now.since(self.used_at) as f64) / USE_MS).exp()
     }
 
     /// Virtual time of its next turn.
--- a/crates/route/tests/admission.rs
+++ b/crates/route/tests/admission.rs
@@ -64,6 +64,25 @@
     assert_eq!(turns, [keys[1], keys[2], keys[0]]);
 }
 
+/// Engines rank the runs of all instances by the priority that comes with them.
+/// A flood and a single request are let in here alike; in the engine's queue
+/// the single one goes first.
+#[test]
+fn who_is_over_its_share_goes_behind_in_the_engines() {
+    let (mut queue, large, small) = (Queue::new(100), customer("large"), customer("small"));
+    let mut run = |customer: &Customer, now: u64| {
+        queue.offer(&ticket(customer, 1, now + 1_000_000), Timestamp(now)).expect("there is time");
+        let admitted = queue.next(Timestamp(now)).expect("it waits");
+        queue.finished(Timestamp(now));
+        admitted.priority
+    };
+    let small_first = run(&small, 0);
+    let flood = (1..50).map(|now| run(&large, now)).max().expect("there are some");
+    assert_eq!(run(&small, 50), small_first);
+    assert!(flood > small_first, "{flood} and {small_first}");
+    assert_eq!(run(&large, 500_000), small_first, "past use fades");
+}
+
 /// A customer that was idle for long comes back with a burst. Had it saved up
 /// its unused turns, the burst would shut everybody else out.
 #[test]
