Bound what a history reads

Cause: each change shown costs the platform a read; looking for a lost answer read up to 200, again and again. Change: the question says how many: 8 for a lost answer, 1 for a deletion, 20 for people.

--- a/crates/arbutuslug/src/command.rs
+++ b/crates/arbutuslug/src/command.rs
@@ -84,8 +84,17 @@
         .arg(Arg::new("name").help("One object's name"));
     let delete =
         Command::new("delete").about("Delete an object").arg(kind()).arg(name("The object's name")).arg(wait());
-    let history =
-        Command::new("history").about("Show every change of an object").arg(kind()).arg(name("The object's name"));
+    let history = Command::new("history")
+        .about("Show an object's changes, latest first")
+        .arg(kind())
+        .arg(name("The object's name"))
+        .arg(
+            Arg::new("limit")
+                .long("limit")
+                .value_parser(value_parser!(u32))
+                .default_value("20")
+                .help("At most this many; 0 for as many as the instance shows"),
+        );
     let rollout = Command::new("rollout")
         .about("Move a version's roll-out")
         .subcommand_required(true)
--- a/crates/arbutuslug/src/invocation.rs
+++ b/crates/arbutuslug/src/invocation.rs
@@ -63,7 +63,12 @@
         wait: Duration,
     },
     /// Show an object's changes.
-    History(Key),
+    History {
+        /// Which object.
+        key: Key,
+        /// At most this many.
+        limit: u32,
+    },
     /// Move a roll-out.
     Rollout {
         /// Which one.
@@ -171,7 +176,7 @@
         },
         "get" => Verb::Get { kind: kind(matches), name: matches.get_one("name").cloned() },
         "delete" => Verb::Delete { key: key(matches)?, wait: span(matches, "wait") },
-        "history" => Verb::History(key(matches)?),
+        "history" => Verb::History { key: key(matches)?, limit: limit(matches) },
         "rollout" => rollout_verb(matches)?,
         "status" => Verb::Status,
         "wait" => {
@@ -209,13 +214,12 @@
     let request = matches.get_one::<String>("request").map(|text| text.parse::<Subject>());
     let version = matches.get_one::<String>("version").map(|text| version(text));
     let kinds = matches.get_many::<String>("kind").unwrap_or_default().map(|kind| kind.parse::<timeline::Kind>());
-    let limit: u32 = *matches.get_one("limit").expect("has a default");
     let filter = Filter {
         request: request.transpose().map_err(|e| usage(&e.to_string()))?,
         version: version.transpose()?,
         kinds: kinds.collect::<Result<_, _>>().map_err(|e: timeline::UnknownKind| usage(&e.to_string()))?,
         after: 0,
-        limit: limit as usize,
+        limit: limit(matches) as usize,
     };
     Ok(Verb::Timeline { filter, follow: matches.get_flag("follow") })
 }
@@ -278,6 +282,10 @@
     matches.get_one::<String>(id).cloned().unwrap_or_default()
 }
 
+fn limit(matches: &ArgMatches) -> u32 {
+    *matches.get_one("limit").expect("has a default")
+}
+
 fn span(matches: &ArgMatches, id: &str) -> Duration {
     matches.get_one::<Duration>(id).copied().unwrap_or_default()
 }
--- a/crates/arbutuslug/src/verb.rs
+++ b/crates/arbutuslug/src/verb.rs
@@ -33,7 +33,7 @@
         Verb::Apply { file, read_at, wait } => apply::run(fleet, author, file, *read_at, *wait, console).await,
         Verb::Get { kind, name } => get::run(fleet, *kind, name.as_deref(), console).await,
         Verb::Delete { key, wait } => delete::run(fleet, author, key, *wait, console).await,
-        Verb::History(key) => history::run(fleet, key, console).await,
+        Verb::History { key, limit } => history::run(fleet, key, *limit, console).await,
         Verb::Rollout { name, action, wait } => rollout::run(fleet, author, name, action, *wait, console).await,
         Verb::Status => status::run(fleet, console).await,
         Verb::Wait { generation, wait } => force::run(fleet, *generation, *wait, console).await,
--- a/crates/arbutuslug/src/verb/apply.rs
+++ b/crates/arbutuslug/src/verb/apply.rs
@@ -45,7 +45,7 @@
 /// file would bring back unseen what another operator took away.
 async fn refuse_deleted(fleet: Fleet<'_>, missing: impl Iterator<Item = Key>, read_at: u64) -> Result<(), Failure> {
     for object in missing {
-        let history = fleet.read(async |client| client.history(&object).await).await?;
+        let history = fleet.read(async |client| client.history(&object, 1).await).await?;
         let Some(deletion) = history.into_iter().next().filter(|latest| latest.generation > read_at) else {
             continue;
         };
--- a/crates/arbutuslug/src/verb/history.rs
+++ b/crates/arbutuslug/src/verb/history.rs
@@ -6,8 +6,8 @@
 
 use crate::{console::Console, describe, exit::Failure, fleet::Fleet, table::table};
 
-pub(crate) async fn run(fleet: Fleet<'_>, key: &Key, console: &mut Console<'_>) -> Result<(), Failure> {
-    let revisions = fleet.read(async |client| client.history(key).await).await?;
+pub(crate) async fn run(fleet: Fleet<'_>, key: &Key, limit: u32, console: &mut Console<'_>) -> Result<(), Failure> {
+    let revisions = fleet.read(async |client| client.history(key, limit).await).await?;
     if revisions.is_empty() {
         return Err(Failure::Refused(format!(
             "no {key} was ever made; `arbutuslug get {}` lists those there are",
--- a/crates/arbutuslug/src/verb/submit.rs
+++ b/crates/arbutuslug/src/verb/submit.rs
@@ -11,6 +11,9 @@
 /// Longest search for a change whose answer was lost, in calls' time limits.
 const SEARCH: u32 = 2;
 
+/// Changes of the object that are looked through; ours is among the latest.
+const LATEST: u32 = 8;
+
 /// Pause between two looks.
 const PAUSE: Duration = Duration::from_millis(250);
 
@@ -85,7 +88,7 @@
 }
 
 async fn find(fleet: Fleet<'_>, id: &str, key: &Key) -> Option<Applied> {
-    let revisions = fleet.read(async |client| client.history(key).await).await.ok()?;
+    let revisions = fleet.read(async |client| client.history(key, LATEST).await).await.ok()?;
     let revision = revisions.into_iter().find(|revision| revision.change == id)?;
     Some(Applied { generation: revision.generation, changed: vec![key.clone()] })
 }
--- a/crates/arbutuslugd/src/operators/service.rs
+++ b/crates/arbutuslugd/src/operators/service.rs
@@ -15,8 +15,8 @@
 
 use super::{Handles, edits, fleet, follow};
 
-/// Changes of one object that a history shows.
-const HISTORY: usize = 200;
+/// Most changes of one object that a history shows.
+const HISTORY: u32 = 200;
 
 /// Longest wait for a key's home.
 const JOURNAL: Duration = Duration::from_secs(5);
@@ -78,10 +78,11 @@
     }
 
     async fn history(&self, request: Request<wire::HistoryRequest>) -> Reply<wire::HistoryReply> {
-        let key =
-            request.into_inner().key.ok_or_else(|| Status::invalid_argument("no object named; give kind and name"))?;
+        let wire::HistoryRequest { key, limit } = request.into_inner();
+        let key = key.ok_or_else(|| Status::invalid_argument("no object named; give kind and name"))?;
         let key = Key::try_from(key).map_err(|e| malformed(&e))?;
-        let past = self.handles.config.history(&key, HISTORY).await.map_err(|e| refused(&e))?;
+        let limit = if limit == 0 { HISTORY } else { limit.min(HISTORY) };
+        let past = self.handles.config.history(&key, limit as usize).await.map_err(|e| refused(&e))?;
         let revisions = past.into_iter().map(|past| {
             wire::Revision::from(&Revision {
                 generation: past.revision.generation,
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -172,13 +172,14 @@
         Ok(reply.objects.into_iter().map(Stored::try_from).collect::<Result<_, _>>()?)
     }
 
-    /// An object's changes, latest first.
+    /// An object's changes, latest first, `limit` at most; each costs the
+    /// platform a read.
     ///
     /// # Errors
     ///
     /// [`Error`], as for every call.
-    pub async fn history(&mut self, key: &Key) -> Result<Vec<Revision>, Error> {
-        let request = self.request(wire::HistoryRequest { key: Some(key.into()) });
+    pub async fn history(&mut self, key: &Key, limit: u32) -> Result<Vec<Revision>, Error> {
+        let request = self.request(wire::HistoryRequest { key: Some(key.into()), limit });
         let reply = self.inner.history(request).await.map_err(|code| failure(self.address, &code))?.into_inner();
         Ok(reply.revisions.into_iter().map(Revision::try_from).collect::<Result<_, _>>()?)
     }
--- a/crates/operator/src/generated.rs
+++ b/crates/operator/src/generated.rs
@@ -145,6 +145,10 @@
 pub struct HistoryRequest {
     #[prost(message, optional, tag = "1")]
     pub key: ::core::option::Option<ObjectKey>,
+    /// At most this many, the latest; each costs the platform a read. 0 takes
+    /// the server's own bound.
+    #[prost(uint32, tag = "2")]
+    pub limit: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct HistoryReply {
