Test the code generation's check, name the line of a wrong interface

Cause: nothing showed that the check can fail; a wrong interface file was reported without its name and line. The test of refused calls waits for the owner's queue in place of a span.

--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -51,12 +51,19 @@
     assert_eq!(stranger, Err(Error::Unknown(id(9))));
 
     // Waits in the owner's queue past its time.
-    let unanswered = call(Duration::from_millis(100)).await.unwrap_err();
-    assert!(matches!(unanswered, Error::Lost(..)) && unanswered.may_have_arrived(), "{unanswered}");
+    let waiting = tokio::spawn({
+        let handle = handle.clone();
+        async move { handle.call(&id(0), Topic::Journal, Bytes::new(), WITHIN / 4).await }
+    });
+    while nodes[0].inbound.is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
 
     // The queue is full of the first.
     let full = call(WITHIN).await.unwrap_err();
     assert!(matches!(full, Error::Refused(..)) && !full.may_have_arrived(), "{full}");
+    let unanswered = waiting.await.unwrap().unwrap_err();
+    assert!(matches!(unanswered, Error::Lost(..)) && unanswered.may_have_arrived(), "{unanswered}");
 
     // The owner takes it and drops the reply.
     nodes[0].inbound.recv().await.unwrap();
--- a/crates/xtask/src/codegen.rs
+++ b/crates/xtask/src/codegen.rs
@@ -10,6 +10,9 @@
     path::{Path, PathBuf},
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Where the generator leaves its files before they are compared or moved.
 const SCRATCH: &str = "target/codegen";
 /// First lines of a generated file.
@@ -47,11 +50,10 @@
 /// # Errors
 ///
 /// [`Error`], after all crates were looked at in the case of [`Error::Stale`].
-pub fn run(check: bool) -> Result<(), Error> {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+pub fn run(root: &Path, check: bool) -> Result<(), Error> {
     let mut stale = Vec::new();
-    for home in crates(&root)? {
-        let text = generate(&root, &home)?;
+    for home in crates(root)? {
+        let text = generate(root, &home)?;
         let target = home.join("src/generated.rs");
         if fs::read_to_string(&target).is_ok_and(|old| old == text) {
             continue;
@@ -78,7 +80,8 @@
     files.retain(|file| file.extension().is_some_and(|e| e == "proto"));
     files.sort();
 
-    let descriptors = protox::compile(&files, [&proto]).map_err(|e| Error::Proto(proto.clone(), e.to_string()))?;
+    // Its `Debug` is the one that names file, line and column.
+    let descriptors = protox::compile(&files, [&proto]).map_err(|e| Error::Proto(proto.clone(), format!("{e:?}")))?;
     let out = root.join(SCRATCH).join(home.file_name().unwrap_or_default());
     if out.exists() {
         fs::remove_dir_all(&out).map_err(at(&out))?;
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -2,14 +2,14 @@
 
 mod codegen;
 
-use std::process::ExitCode;
+use std::{path::Path, process::ExitCode};
 
 use clap::{Arg, ArgAction, Command};
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
     let outcome = match matches.subcommand() {
-        Some(("codegen", chore)) => codegen::run(chore.get_flag("check")),
+        Some(("codegen", chore)) => codegen::run(&root(), chore.get_flag("check")),
         _ => unreachable!("clap asks for a chore"),
     };
     if let Err(error) = outcome {
@@ -19,6 +19,11 @@
     ExitCode::SUCCESS
 }
 
+/// The workspace, wherever the chore is started.
+fn root() -> std::path::PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
 fn command() -> Command {
     let check = Arg::new("check")
         .long("check")
