--- a/crates/replay/src/exposure.rs
+++ b/crates/replay/src/exposure.rs
@@ -4,10 +4,12 @@
 //! the fleet's sums as it knows them: its own at once, its peers' 200 ms late.
 //! Ratings come 5 s after their answers, some never.
 
+use std::collections::HashSet;
+
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use route::{
-    guard::{self, Evidence, Verdict, Window},
+    guard::{self, Evidence, Signal, Verdict, Window},
     rollout::{Arm, Unit, arm},
 };
 use world::{
@@ -152,6 +154,16 @@
     })
 }
 
+/// One thing seen of an answer, a rating under way mostly.
+#[derive(Debug, Clone, Copy)]
+struct Rating {
+    instance: usize,
+    step: usize,
+    arm: Arm,
+    unit: Unit,
+    failed: bool,
+}
+
 /// Sums by step.
 type Sums = [Evidence; 5];
 
@@ -166,8 +178,10 @@
     /// Each instance's sums by step, by tick, for as long as news take.
     sums: Vec<Vec<Sums>>,
     /// Ratings under way, by tick of their arrival.
-    ratings: Vec<Vec<(usize, usize, Arm, bool)>>,
+    ratings: Vec<Vec<Rating>>,
     sessions: Vec<Vec<(Unit, Arm)>>,
+    /// Sessions that showed something bad; each counts once, as in `control`.
+    bad: HashSet<(Unit, Signal)>,
     /// When each instance knows of a stop.
     stops: [usize; INSTANCES],
     outcome: Outcome,
@@ -186,6 +200,7 @@
             sums: vec![vec![Sums::default(); INSTANCES]; NEWS_TICKS + 1],
             ratings: vec![Vec::new(); RATING_TICKS + 1],
             sessions: vec![Vec::new(); INSTANCES],
+            bad: HashSet::new(),
             stops: [usize::MAX; INSTANCES],
             outcome: Outcome::default(),
         }
@@ -199,8 +214,8 @@
             for instance in 0..INSTANCES {
                 (0..REQUESTS).for_each(|_| self.request(instance, tick));
             }
-            for (instance, step, arm, failed) in std::mem::take(&mut self.ratings[tick % (RATING_TICKS + 1)]) {
-                tally(&mut self.sums[0][instance][step], arm).ratings.add(failed);
+            for rating in std::mem::take(&mut self.ratings[tick % (RATING_TICKS + 1)]) {
+                self.count(rating, Signal::Ratings);
             }
             self.judge(tick);
             self.outcome.ticks += 1;
@@ -231,15 +246,24 @@
         } else if counted != Arm::Control {
             return;
         }
-        let counts = tally(&mut self.sums[0][instance][self.rollout.step], counted);
-        counts.errors.add(failed);
-        counts.latency.add(slow);
+        let rating = Rating { instance, step: self.rollout.step, arm: counted, unit, failed };
+        self.count(rating, Signal::Errors);
+        self.count(Rating { failed: slow, ..rating }, Signal::Latency);
         if !failed && self.random.random_bool(RATED) {
             let arrival = (tick + RATING_TICKS) % (RATING_TICKS + 1);
-            self.ratings[arrival].push((instance, self.rollout.step, counted, fails_rating));
+            self.ratings[arrival].push(Rating { failed: fails_rating, ..rating });
         }
     }
 
+    fn count(&mut self, seen: Rating, signal: Signal) {
+        if seen.failed && !self.bad.insert((seen.unit, signal)) {
+            return;
+        }
+        let evidence = &mut self.sums[0][seen.instance][seen.step];
+        let tally = if seen.arm == Arm::New { &mut evidence.new } else { &mut evidence.control };
+        tally.of_mut(signal).add(seen.failed);
+    }
+
     /// A new session or one under way, with the arm it met at its start.
     fn session(&mut self, instance: usize, stopped: bool) -> (Unit, Arm) {
         let sessions = &mut self.sessions[instance];
@@ -290,7 +314,7 @@
         let worse = counts.bad as f64 > limit * counts.n as f64;
         match counts.n >= least {
             true if worse => Verdict::Stop(guard::Reason {
-                signal: guard::Signal::Ratings,
+                signal: Signal::Ratings,
                 new: counts,
                 control: control.ratings,
                 ln_e: 0.0,
@@ -316,10 +340,6 @@
     }
 }
 
-fn tally(evidence: &mut Evidence, arm: Arm) -> &mut guard::Tally {
-    if arm == Arm::New { &mut evidence.new } else { &mut evidence.control }
-}
-
 const CONTRACT: &str = "
 kind: contract
 name: c
--- a/crates/route/src/guard.rs
+++ b/crates/route/src/guard.rs
@@ -45,7 +45,7 @@
 
 impl Default for Policy {
     fn default() -> Self {
-        Self { alpha: 5e-4, min_answers: 50, min_rated: 30, margin: Margin::default() }
+        Self { alpha: 9e-4, min_answers: 50, min_rated: 30, margin: Margin::default() }
     }
 }
 
@@ -322,7 +322,7 @@
 }
 
 /// Factors by which a worse version may exceed the margin, each as likely.
-const FACTORS: [f64; 5] = [1.5, 2.5, 5.0, 10.0, 40.0];
+const FACTORS: [f64; 3] = [1.5, 4.0, 15.0];
 
 /// Natural logarithm of the e-value that a session of the new arm is more than
 /// `margin` times as likely to be bad as one of the control arm, over deals
