--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -11,6 +11,8 @@
 mod load;
 mod site;
 mod table;
+#[cfg(test)]
+mod tests;
 mod trace;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
--- a/crates/route/tests/endpoint.rs
+++ b/crates/route/tests/endpoint.rs
@@ -128,6 +128,45 @@
     assert_eq!(share(&fleet, back.plus(19_999)), 0);
 }
 
+/// One endpoint answers, but ten times slower than its like: its callers see
+/// deadlines missed and no error. It is left out, then tried again.
+#[test]
+fn a_crawling_endpoint_is_ejected() {
+    let mut fleet = fleet(1, 6);
+    let keys: Vec<_> = fleet.endpoints().map(|(key, _)| key).collect();
+    for _ in 0..20 {
+        for (place, key) in keys.iter().enumerate() {
+            let millis = if place == 0 { 20_000 } else { 2_000 };
+            fleet.on(Event::Dispatched(*key), NOW);
+            fleet.on(Event::Finished { key: *key, target: &target(), millis, tokens: 100 }, NOW);
+        }
+    }
+    let considered = |now| choose(&fleet, None, &[], 1, now).expect("some are left").considered;
+    assert_eq!((considered(NOW), considered(NOW.plus(60_000))), (5, 6));
+}
+
+/// The configuration changes while an endpoint is ejected and another has runs
+/// under way. Forgetting either would send the next runs to the wrong ones.
+#[test]
+fn a_new_configuration_keeps_what_is_known() {
+    let mut fleet = fleet(1, 6);
+    let keys: Vec<_> = fleet.endpoints().map(|(key, _)| key).collect();
+    fail(&mut fleet, keys[0], 5, NOW);
+    let before = fleet.limit([&target()], NOW);
+    for _ in 0..200 {
+        fleet.on(Event::Dispatched(keys[1]), NOW);
+    }
+    fleet.apply(&catalog(1, 7), &[peer(0, 1), peer(1, 1)]);
+    let choice = choose(&fleet, None, &[], 1, NOW).expect("some are left");
+    assert_eq!(choice.considered, 6, "six old ones less the ejected, and a new one");
+    assert_eq!(fleet.key(&id(&fleet, keys[1])), Some(keys[1]));
+    assert!(choice.mean > 1.0, "the runs under way are forgotten");
+    assert!(fleet.limit([&target()], NOW) >= before);
+
+    fleet.apply(&catalog(1, 1), &[peer(0, 1)]);
+    assert_eq!(fleet.endpoints().count(), 1);
+}
+
 /// Every endpoint fails: the cause is elsewhere. Ejecting them all would leave
 /// nothing to run on; a third is the most that goes.
 #[test]
