Interleave outages and cut links with two operators' changes

The watcher for generations that go back is now asked whether it ended: before, its panic would have gone unseen.

--- a/crates/config/tests/config/interleaving.rs
+++ b/crates/config/tests/config/interleaving.rs
@@ -31,6 +31,22 @@
     conditional: bool,
 }
 
+/// What else goes wrong: for both operators, for one of them.
+#[derive(Debug, Clone)]
+struct Weather {
+    /// The platform is away.
+    outage: Option<Span>,
+    /// One instance has no peer links.
+    cut: Option<(usize, Span)>,
+}
+
+/// Milliseconds: from the start on, so long.
+#[derive(Debug, Clone)]
+struct Span {
+    start: u64,
+    length: u64,
+}
+
 /// What an operator asked for and heard.
 #[derive(Debug)]
 struct Told {
@@ -56,6 +72,25 @@
     (steps, losses).prop_map(|(steps, losses)| Script { steps, losses })
 }
 
+fn span() -> impl Strategy<Value = Span> {
+    (0..150_u64, 0..3_000_u64).prop_map(|(start, length)| Span { start, length })
+}
+
+fn weather() -> impl Strategy<Value = Weather> {
+    let outage = prop::option::weighted(0.3, span());
+    let cut = prop::option::weighted(0.3, (0..2_usize, span()));
+    (outage, cut).prop_map(|(outage, cut)| Weather { outage, cut })
+}
+
+/// Sets a fault for a span.
+async fn during(span: Option<Span>, set: impl Fn(bool)) {
+    let Some(Span { start, length }) = span else { return };
+    sleep(Duration::from_millis(start)).await;
+    set(true);
+    sleep(Duration::from_millis(length)).await;
+    set(false);
+}
+
 async fn operate(name: &str, config: &Handle, script: &Script) -> Vec<Told> {
     let mut told = Vec::new();
     for (number, step) in script.steps.iter().enumerate() {
@@ -92,7 +127,7 @@
     entries.collect()
 }
 
-async fn check(scripts: [Script; 2]) -> Result<(), TestCaseError> {
+async fn check(scripts: [Script; 2], weather: Weather) -> Result<(), TestCaseError> {
     let keep = Keep { snapshot_every: 4, changes: 1_000 };
     let mut site = Site::open(Options { instances: 3, domains: 3, keep, ..Options::default() }).await;
     for (index, script) in scripts.iter().enumerate() {
@@ -101,7 +136,10 @@
     let watched = tokio::spawn(watch(site.config(2).clone()));
     let ann = operate("ann", site.config(0), &scripts[0]);
     let bob = operate("bob", site.config(1), &scripts[1]);
-    let (ann, bob) = tokio::join!(ann, bob);
+    let outage = during(weather.outage, |down| site.platform.set_down(down));
+    let (cut, span) = weather.cut.unzip();
+    let cut = during(span, |is_cut| site.cut(cut.unwrap_or_default(), is_cut));
+    let (ann, bob, (), ()) = tokio::join!(ann, bob, outage, cut);
     sleep(Duration::from_secs(15)).await;
     let log = log(&site);
     for told in ann.iter().chain(&bob) {
@@ -117,6 +155,7 @@
     for index in 1..4 {
         prop_assert_eq!(objects(index), objects(0));
     }
+    prop_assert!(!watched.is_finished(), "a generation went back");
     watched.abort();
     prop_assert!(entries(&site, "config/snapshot/").iter().all(|generation| *generation <= head));
     Ok(())
@@ -170,8 +209,8 @@
         ..ProptestConfig::default()
     })]
     #[test]
-    fn operators_hear_what_is_in_the_log(scripts in [script(), script()]) {
+    fn operators_hear_what_is_in_the_log(scripts in [script(), script()], weather in weather()) {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
-        runtime.expect("a runtime").block_on(check(scripts))?;
+        runtime.expect("a runtime").block_on(check(scripts, weather))?;
     }
 }
