Wait longer for a slow platform with each lost answer

Cause: with a platform that takes three seconds for an answer, and a wait of two, every write ended as unknown and every read as down, for as long as the platform was slow. Change: the wait doubles with each lost answer, within the deadline.

--- a/crates/config/tests/config/faults.rs
+++ b/crates/config/tests/config/faults.rs
@@ -140,7 +140,7 @@
 async fn slow_platform_accepts_once() {
     let site = Site::open(Options::default()).await;
     put(site.config(0), model("m", 1)).await.expect("accepted");
-    site.platform.set_slow(Duration::from_secs(3));
+    site.platform.set_slow(Duration::from_secs(6));
     let change = put(site.config(0), model("m", 2)).await;
     assert_eq!(change.unwrap_err(), Error::Unknown { generation: 2 });
     site.platform.set_slow(Duration::ZERO);
@@ -148,6 +148,18 @@
     assert_eq!(entries(&site, "config/change/"), [1, 2]);
 }
 
+/// The platform takes three seconds for an answer, more than the first wait.
+/// The operator waits and hears of the generation.
+#[tokio::test(start_paused = true)]
+async fn slow_platform_accepts_slowly() {
+    let site = Site::open(Options::default()).await;
+    put(site.config(0), model("m", 1)).await.expect("accepted");
+    site.platform.set_slow(Duration::from_secs(3));
+    assert_eq!(put(site.config(0), model("m", 2)).await, Ok(2));
+    site.wait(2).await;
+    assert_eq!(entries(&site, "config/change/"), [1, 2]);
+}
+
 /// An instance is paused, long enough for the log to be cut off above its
 /// generation. An operator's change at it creates the entry of a generation
 /// that everyone else passed long ago; accepted, it would be in force nowhere.
--- a/crates/platform/src/handle.rs
+++ b/crates/platform/src/handle.rs
@@ -89,7 +89,7 @@
     /// [`Error::Down`], [`Error::Refused`], [`Error::Malformed`].
     pub async fn get(&self, priority: Priority, key: &str) -> Result<Option<Item>, Error> {
         let until = Instant::now() + self.deadline;
-        self.get_until(until, priority, key).await
+        self.get_until(until, priority, key, 0).await
     }
 
     /// Creates an object if its key is free.
@@ -264,8 +264,14 @@
         sleep(wait).await;
     }
 
-    async fn get_until(&self, until: Instant, priority: Priority, key: &str) -> Result<Option<Item>, Error> {
-        match self.read_until(until, priority, Call::Get { key: key.into() }).await? {
+    async fn get_until(
+        &self,
+        until: Instant,
+        priority: Priority,
+        key: &str,
+        misses: u32,
+    ) -> Result<Option<Item>, Error> {
+        match self.read_until(until, priority, Call::Get { key: key.into() }, misses).await? {
             Answer::Found(object) => Item::parse(object).map(Some),
             Answer::Absent => Ok(None),
             other => Err(unexpected(&other)),
@@ -273,21 +279,28 @@
     }
 
     async fn read(&self, priority: Priority, call: Call) -> Result<Answer, Error> {
-        self.read_until(Instant::now() + self.deadline, priority, call).await
+        self.read_until(Instant::now() + self.deadline, priority, call, 0).await
     }
 
-    /// Reads, again and again until a deadline.
-    async fn read_until(&self, until: Instant, priority: Priority, call: Call) -> Result<Answer, Error> {
+    /// Reads, again and again until a deadline, after so many lost answers.
+    async fn read_until(
+        &self,
+        until: Instant,
+        priority: Priority,
+        call: Call,
+        mut misses: u32,
+    ) -> Result<Answer, Error> {
         let mut backoff = self.backoff();
         let mut last = Fault::Down { cause: "no budget for a try before the deadline".into() };
         loop {
             if !self.take(until, &self.shared.reads, priority).await {
                 return Err(down(&last));
             }
-            match self.call(call.clone(), self.time_left(until)).await {
+            match self.call(call.clone(), self.patience(until, misses)).await {
                 Ok(answer) => return Ok(answer),
                 Err(Fault::Refused { message }) => return Err(Error::Refused { message }),
                 Err(fault) => {
+                    misses += u32::from(matches!(fault, Fault::Lost { .. }));
                     if !self.pause_until(until, &mut backoff, &fault).await {
                         return Err(down(&fault));
                     }
@@ -301,16 +314,16 @@
     async fn write(&self, priority: Priority, attempt: Attempt) -> Result<Write, Error> {
         let until = Instant::now() + self.deadline;
         let mut backoff = self.backoff();
-        // Set by the first lost answer and never taken back: even after a
+        // In doubt from the first lost answer on, for good: even after a
         // read-back found nothing, that try may still be on its way and take
         // effect, so that "not done" can no longer be promised.
-        let mut in_doubt = false;
+        let (mut in_doubt, mut misses) = (false, 0);
         let mut last = Fault::Down { cause: "no budget for a try before the deadline".into() };
         loop {
             if !self.take(until, &self.shared.writes, priority).await {
                 return Err(attempt.failure(in_doubt, &last));
             }
-            let fault = match self.call(attempt.call.clone(), self.time_left(until)).await {
+            let fault = match self.call(attempt.call.clone(), self.patience(until, misses)).await {
                 Ok(Answer::Written(version)) => return Ok(Write::Done(attempt.item(version, &self.shared.settings))),
                 // Without a lost answer nobody but another can have come first.
                 Ok(Answer::Conflict(version)) if !in_doubt => return Ok(Write::Lost { version }),
@@ -321,11 +334,12 @@
                 Err(fault) => Some(fault),
             };
             if let Some(fault) = fault {
-                in_doubt |= matches!(fault, Fault::Lost { .. });
+                misses += u32::from(matches!(fault, Fault::Lost { .. }));
+                in_doubt |= misses > 0;
                 last = fault;
             }
             if in_doubt {
-                match self.read_back(until, priority, &attempt).await {
+                match self.read_back(until, priority, &attempt, misses).await {
                     Some(Verdict::Settled(write)) => return Ok(write),
                     Some(Verdict::Again) => {}
                     Some(Verdict::Unknown) | None => return Err(attempt.failure(in_doubt, &last)),
@@ -338,8 +352,8 @@
     }
 
     /// Reads what became of a write; nothing when that was impossible.
-    async fn read_back(&self, until: Instant, priority: Priority, attempt: &Attempt) -> Option<Verdict> {
-        let found = self.get_until(until, priority, attempt.key()).await.ok()?;
+    async fn read_back(&self, until: Instant, priority: Priority, attempt: &Attempt, misses: u32) -> Option<Verdict> {
+        let found = self.get_until(until, priority, attempt.key(), misses).await.ok()?;
         metrics::counter!("platform_read_backs_total").increment(1);
         Some(attempt.judge(found, &self.shared.settings))
     }
--- a/crates/platform/src/handle/retry.rs
+++ b/crates/platform/src/handle/retry.rs
@@ -15,6 +15,9 @@
 /// Least time before the deadline in which a further try makes sense.
 const LAST_TRY: Duration = Duration::from_millis(10);
 
+/// Doublings of the wait for an answer.
+const MOST_DOUBLINGS: u32 = 4;
+
 impl Handle {
     /// One call, one try, counted.
     pub(super) async fn call(&self, call: Call, longest: Duration) -> Result<Answer, Fault> {
@@ -57,7 +60,11 @@
         true
     }
 
-    pub(super) fn time_left(&self, until: Instant) -> Duration {
-        until.saturating_duration_since(Instant::now()).min(self.shared.settings.call_timeout)
+    /// How long to wait for an answer after so many lost ones. Each doubles
+    /// it: a platform that answers, but slower than the first wait, would
+    /// otherwise never be heard, and every write would end as unknown.
+    pub(super) fn patience(&self, until: Instant, misses: u32) -> Duration {
+        let longest = self.shared.settings.call_timeout * 2_u32.saturating_pow(misses.min(MOST_DOUBLINGS));
+        until.saturating_duration_since(Instant::now()).min(longest)
     }
 }
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -17,7 +17,8 @@
     pub writes_per_s: f64,
     /// This instance's share of reads, per second; a waiting watch is one.
     pub reads_per_s: f64,
-    /// Longest wait for one answer; a write not answered by then counts as lost.
+    /// Wait for the first answer; a write not answered by then counts as lost.
+    /// Doubles with each lost answer.
     pub call_timeout: Duration,
     /// Longest wait for one operation, retries and waiting for budget included.
     pub deadline: Duration,
--- a/crates/platform/tests/write.rs
+++ b/crates/platform/tests/write.rs
@@ -197,8 +197,20 @@
     assert_eq!(get(&two.other).await.read::<String>().expect("text"), "a");
 }
 
-/// The platform answers slower than the longest wait for an answer, but it
-/// does the writes. The caller must not hear "nothing was changed".
+/// The platform answers slower than the first wait for an answer. The wait
+/// grows until the answer comes: else the caller would hear "unknown" for
+/// every write for as long as the platform is slow.
+#[tokio::test(start_paused = true)]
+async fn slow_platform_is_waited_for() {
+    let two = two();
+    two.client.set_slow(Duration::from_secs(3));
+    let item = done(create(&two.us, "a").await);
+    done(update(&two.us, &item, "b").await);
+    assert_eq!(two.platform.version(), 2);
+}
+
+/// The platform answers slower than the caller can wait, but it does the
+/// writes. The caller must not hear "nothing was changed".
 #[tokio::test(start_paused = true)]
 async fn slow_platform_is_never_not_done() {
     let two = two();
