Ask for a small file's objects alone

Cause: apply read the whole configuration, megabytes at a large site, to change one contract. Change: up to eight objects are asked for one by one.

--- a/crates/arbutuslug/src/verb/apply.rs
+++ b/crates/arbutuslug/src/verb/apply.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, path::Path, time::Duration};
 
-use operator::{Change, Conflict, Edit, Revision, Stored, What};
+use operator::{Change, Client, Conflict, Edit, Revision, Stored, What};
 use world::object::{Key, Object};
 
 use crate::{
@@ -12,6 +12,9 @@
     verb::{force, objects, submit},
 };
 
+/// Most objects that are asked for one by one.
+const ONE_BY_ONE: usize = 8;
+
 /// Applies a file's objects, each on the condition that it is as it was read.
 pub(crate) async fn run(
     fleet: Fleet<'_>,
@@ -23,8 +26,7 @@
 ) -> Result<(), Failure> {
     let file = objects::read(path)?;
     let read_at = read_at.or(file.read_at);
-    let stored = fleet.read(async |client| client.get(None, None).await).await?;
-    let stored: BTreeMap<Key, Stored> = stored.into_iter().map(|stored| (stored.object.key(), stored)).collect();
+    let stored = stored(fleet, &file.objects).await?;
     if let Some(read_at) = read_at {
         let missing = file.objects.iter().map(Object::key).filter(|key| !stored.contains_key(key));
         refuse_deleted(fleet, missing, read_at).await?;
@@ -41,6 +43,25 @@
     force::until(fleet, applied.generation, wait, console).await
 }
 
+/// The file's objects as they are in force. A few are asked for one by one:
+/// a large site's whole configuration is megabytes.
+async fn stored(fleet: Fleet<'_>, objects: &[Object]) -> Result<BTreeMap<Key, Stored>, Failure> {
+    let keys: Vec<_> = objects.iter().map(Object::key).collect();
+    let stored = if keys.len() > ONE_BY_ONE {
+        fleet.read(async |client| client.get(None, None).await).await?
+    } else {
+        let one_by_one = async |client: &mut Client| {
+            let mut stored = Vec::new();
+            for key in &keys {
+                stored.extend(client.get(Some(key.kind), Some(&key.name)).await?);
+            }
+            Ok(stored)
+        };
+        fleet.read(one_by_one).await?
+    };
+    Ok(stored.into_iter().map(|stored| (stored.object.key(), stored)).collect())
+}
+
 /// Refuses objects that were deleted after the file was read: applying the
 /// file would bring back unseen what another operator took away.
 async fn refuse_deleted(fleet: Fleet<'_>, missing: impl Iterator<Item = Key>, read_at: u64) -> Result<(), Failure> {
