Remove a member sooner whose port refuses

Cause: a crashed process was waited for as long as a paused one, though its port refuses at once; and in the first 3.5 s after a start a failed dial did not count, because the time of hearing was dated back to before the start. Change: a refused connection halves the wait for a refutation; what came of connecting is kept as such.

--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -1,6 +1,6 @@
 //! One link: two streams of frames over a connection of its own.
 
-use std::net::SocketAddr;
+use std::{error::Error, io, net::SocketAddr};
 
 use tokio::{sync::mpsc, time::timeout};
 use tokio_stream::wrappers::ReceiverStream;
@@ -32,6 +32,8 @@
 pub(crate) enum Failure {
     /// No connection, or no greeting in time.
     Unreachable,
+    /// Nobody listens at the address.
+    NobodyThere,
     /// The other side has a link with us already, or is this instance itself.
     Duplicate,
     /// A later run under our name is known there.
@@ -61,7 +63,7 @@
 }
 
 async fn open(address: SocketAddr, greeting: Greeting, pool: &Pool, frames: usize) -> Result<Opened, Failure> {
-    let mut client = pool.fresh(address).await.map_err(|_| Failure::Unreachable)?;
+    let mut client = pool.fresh(address).await.map_err(|error| connecting(&error))?;
     let (sender, receiver) = mpsc::channel(frames);
     sender.try_send(wire::frame(greeting)).map_err(|_| Failure::Unreachable)?;
     let reply = client.link(pool.request(ReceiverStream::new(receiver))).await;
@@ -70,6 +72,17 @@
     Ok(Opened { greeting, sender, incoming })
 }
 
+fn connecting(error: &tonic::transport::Error) -> Failure {
+    let mut source = error.source();
+    while let Some(cause) = source {
+        if cause.downcast_ref::<io::Error>().is_some_and(|e| e.kind() == io::ErrorKind::ConnectionRefused) {
+            return Failure::NobodyThere;
+        }
+        source = cause.source();
+    }
+    Failure::Unreachable
+}
+
 fn failure(code: Code) -> Failure {
     match code {
         Code::AlreadyExists => Failure::Duplicate,
--- a/crates/peer/src/membership.rs
+++ b/crates/peer/src/membership.rs
@@ -81,11 +81,22 @@
     direct: Option<Millis>,
     /// When others doubted it though we had just heard it.
     accused: Option<Millis>,
+    reach: Reach,
     /// Since when the doubt or departure stands.
     since: Millis,
     asking: Asking,
 }
 
+/// What came of connecting since the last sign of life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reach {
+    Fine,
+    /// No connection.
+    Unreachable,
+    /// Nobody listens at its address.
+    NobodyThere,
+}
+
 /// Whether others are being asked after a silent member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Asking {
@@ -305,7 +316,7 @@
 
 impl Entry {
     fn new(member: Member, now: Millis) -> Self {
-        Self { member, heard: now, direct: None, accused: None, since: now, asking: Asking::No }
+        Self { member, heard: now, direct: None, accused: None, reach: Reach::Fine, since: now, asking: Asking::No }
     }
 
     /// Takes a newer word.
@@ -317,6 +328,7 @@
         self.heard = now;
         self.since = now;
         self.accused = None;
+        self.reach = Reach::Fine;
         if self.asking == Asking::Doubted {
             self.asking = Asking::Vouched;
         }
--- a/crates/peer/src/membership/list.rs
+++ b/crates/peer/src/membership/list.rs
@@ -11,10 +11,10 @@
     instance::{Id, Instance, State},
 };
 
-use super::Membership;
+use super::{Membership, Reach};
 use crate::member::Member;
 
-/// How much of the suspicion is waited for when the list agrees with it.
+/// Part of the suspicion that is waited for when something else agrees with it.
 const AGREED: Millis = 2;
 
 /// One line of the platform's list.
@@ -76,11 +76,12 @@
         live.map(|(id, _)| id).filter(|id| self.get(id).is_none()).cloned().collect()
     }
 
-    /// How long the doubt about a member is waited with before it is removed.
+    /// How long the doubt about a member is waited with before it is removed:
+    /// half when something else than silence says the same.
     pub(super) fn patience(&self, id: &Id) -> Millis {
-        let Some(lines) = &self.list.lines else { return self.timing.suspicion };
-        let agrees = lines.get(id) != Some(&Standing::Live);
-        if agrees { self.timing.suspicion / AGREED } else { self.timing.suspicion }
+        let unlisted = self.list.lines.as_ref().is_some_and(|lines| lines.get(id) != Some(&Standing::Live));
+        let ended = self.others.get(id).is_some_and(|entry| entry.reach == Reach::NobodyThere);
+        if unlisted || ended { self.timing.suspicion / AGREED } else { self.timing.suspicion }
     }
 
     /// Whether a greeting may be taken: an earlier run than the known one may not.
--- a/crates/peer/src/membership/silence.rs
+++ b/crates/peer/src/membership/silence.rs
@@ -2,7 +2,7 @@
 
 use world::{Millis, instance::Id, instance::State};
 
-use super::{Action, Asking, Membership};
+use super::{Action, Asking, Membership, Reach};
 use crate::member::{Doubt, Member};
 
 /// Heartbeats that this instance may miss itself before it blames its own pause.
@@ -27,6 +27,7 @@
         entry.heard = now;
         entry.direct = Some(now);
         entry.accused = None;
+        entry.reach = Reach::Fine;
         entry.asking = Asking::No;
         if entry.member.doubt != Doubt::None {
             self.tell(id);
@@ -52,11 +53,21 @@
     }
 
     /// The member could not be connected to: it counts as silent already.
-    pub fn unreachable(&mut self, id: &Id, now: Millis) {
-        let span = self.timing.silence;
-        let Some(entry) = self.others.get_mut(id) else { return };
-        entry.direct = None;
-        entry.heard = entry.heard.min(now.saturating_sub(span + 1));
+    pub fn unreachable(&mut self, id: &Id) {
+        self.not_reached(id, Reach::Unreachable);
+    }
+
+    /// Nobody listens where the member should: a process that has ended, most
+    /// likely, and no pause, so that its refutation is waited for less long.
+    pub fn nobody_there(&mut self, id: &Id) {
+        self.not_reached(id, Reach::NobodyThere);
+    }
+
+    fn not_reached(&mut self, id: &Id, reach: Reach) {
+        if let Some(entry) = self.others.get_mut(id) {
+            entry.direct = None;
+            entry.reach = reach;
+        }
     }
 
     /// Another one reached the member and brings its word.
@@ -65,6 +76,7 @@
         self.merge_one(word, None, now);
         if let Some(entry) = self.others.get_mut(&id) {
             entry.heard = now;
+            entry.reach = Reach::Fine;
             entry.asking = Asking::Vouched;
         }
     }
@@ -98,6 +110,7 @@
         }
         for entry in self.others.values_mut() {
             entry.heard = now;
+            entry.reach = Reach::Fine;
             // A doubt heard since waking, before this tick, is not that old.
             entry.since = (entry.since + pause).min(now);
         }
@@ -120,7 +133,7 @@
             }
             return;
         }
-        let silent = now.saturating_sub(entry.heard) > self.timing.silence;
+        let silent = entry.reach != Reach::Fine || now.saturating_sub(entry.heard) > self.timing.silence;
         if silent && self.watched.contains(id) {
             self.miss(id, now);
         }
--- a/crates/peer/src/membership/tests.rs
+++ b/crates/peer/src/membership/tests.rs
@@ -202,6 +202,25 @@
     assert_eq!(removed_after(disagreeing), alone);
 }
 
+#[test]
+fn one_whose_port_refuses_is_removed_sooner_unless_it_refutes() {
+    // A crash: the port refuses at once. A wall that refuses in its place, on
+    // one way only, must remove nobody: the subject's next word ends it.
+    let mut crashed = pair();
+    crashed.nobody_there(&id(1));
+    let mut silent = pair();
+    silent.unreachable(&id(1));
+    assert!(removed_after(crashed) < removed_after(silent));
+
+    let mut walled = pair();
+    walled.nobody_there(&id(1));
+    walled.tick(TIMING.heartbeat);
+    assert_eq!(walled.get(&id(1)).unwrap().state(), State::Suspect);
+    walled.vouched(Member { refutation: 1, ..Member::new(instance(1, 1)) }, TIMING.heartbeat);
+    walled.tick(3 * TIMING.heartbeat);
+    assert_eq!(walled.get(&id(1)).unwrap().state(), State::Live);
+}
+
 #[test]
 fn only_a_turn_seen_in_this_run_makes_it_leave() {
     // A late list still shows the end of the run before this one.
--- a/crates/peer/src/membership/tests/sim.rs
+++ b/crates/peer/src/membership/tests/sim.rs
@@ -220,7 +220,7 @@
         }
         for other in plan.dial.iter().chain(&plan.late) {
             if !self.link(one, place(other)) {
-                self.nodes[one].membership.unreachable(other, self.now);
+                self.nodes[one].membership.unreachable(other);
             }
         }
         let rested = |id: &&Id| self.nodes[one].rests.get(&place(id)).is_none_or(|until| *until <= self.now);
--- a/crates/peer/src/task/dialling.rs
+++ b/crates/peer/src/task/dialling.rs
@@ -159,10 +159,12 @@
                 tracing::debug!(%address, ?failure, "peer not linked");
                 let Some(id) = wanted else { return };
                 self.dialling.failed(&id, now);
-                if failure == Failure::Unreachable {
-                    self.membership.unreachable(&id, now);
-                    self.membership.tick(now);
+                match failure {
+                    Failure::Unreachable => self.membership.unreachable(&id),
+                    Failure::NobodyThere => self.membership.nobody_there(&id),
+                    Failure::Duplicate | Failure::Superseded | Failure::Refused => return,
                 }
+                self.membership.tick(now);
             }
         }
     }
--- a/crates/peer/src/task/links.rs
+++ b/crates/peer/src/task/links.rs
@@ -93,8 +93,7 @@
         if let Some(wanted) = wanted.filter(|wanted| **wanted != id) {
             // Another instance has taken over the address: the one we meant
             // is not there.
-            let now = self.clock.now();
-            self.membership.unreachable(wanted, now);
+            self.membership.unreachable(wanted);
         }
         if self.examine(&greeting, true).is_err() {
             return;
