Strike whole deployments with faults, and mend what they showed

Cause: 55 cells of the fault matrix, each a deployment under traffic struck by one or two faults, found "not run" told of keys that had run in three: - an idempotent request's first try ended without an answer, its home forgot it, and the next try was refused as not run; - a claim's bill waited for the platform, so its home refused the repeat as not recorded; - an instance lost together with the platform: the home could not be asked. Change: a home remembers runs that ended without an answer, or were lost, for ten minutes and says so at the next registration; a home that knows a key says what it knows while its latest record waits; a home that knows no record but cannot prove itself says just that, and only then, with no instance lost since the key was made, "not run" is told without proof.

--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -36,6 +36,8 @@
     request: Request,
     tape: Tape,
     life: Life,
+    /// The key's home has said that no other try came before this one.
+    is_first: bool,
     turn: Option<Turn>,
     chosen: Option<Chosen>,
     reservation: Option<Reservation>,
@@ -97,6 +99,7 @@
             request,
             tape,
             life,
+            is_first: false,
             turn: None,
             chosen: None,
             reservation: None,
@@ -196,7 +199,9 @@
         }
         self.drop_attempt();
         self.settle(ran).await;
-        let problem = self.shared.truthful(problem, &self.request.terms, self.request.repeat).await;
+        if !self.is_first {
+            problem = self.shared.truthful(problem, &self.request.terms, self.request.repeat).await;
+        }
         let ran = problem.ran;
         let step = Step::Refused { ran, problem: problem.kind.as_str().into(), detail: problem.detail.clone() };
         self.shared.note(self.request.id(), step);
--- a/crates/entry/src/drive/enter.rs
+++ b/crates/entry/src/drive/enter.rs
@@ -47,11 +47,14 @@
                 self.refuse(refusal(reason));
                 false
             }
-            Ok(Registered::First) => true,
-            // The home cannot be asked. Running twice does an idempotent
-            // request no harm, and it is billed once; but nobody can promise
-            // that it has not run.
-            Err(_) => {
+            Ok(Registered::First) if !self.shared.lost_since(&self.request.id().key) => {
+                self.is_first = true;
+                true
+            }
+            // An earlier try may have run, or the home cannot be asked. Running
+            // twice does an idempotent request no harm, and it is billed once;
+            // but nobody can promise that it has not run.
+            Ok(Registered::First | Registered::Again) | Err(_) => {
                 self.life.ran_before(Ran::Unknown);
                 true
             }
@@ -156,6 +159,7 @@
         let claimed = self.shared.links.journal.claim(&id, made_at, fingerprint, self.request.deadline).await;
         match claimed {
             Ok(Claimed::First) => {
+                self.is_first = true;
                 self.shared.note(&id, Step::Claimed { home: self.shared.settings.instance.clone() });
                 Event::Claimed
             }
@@ -208,7 +212,7 @@
 /// A problem for what the journal refused; nothing was run.
 pub(super) fn refusal(reason: Reason) -> Problem {
     let kind = match reason {
-        Reason::PlatformDown | Reason::NoHome => Kind::PlatformDown,
+        Reason::PlatformDown | Reason::Unproved | Reason::NoHome => Kind::PlatformDown,
         Reason::Full => Kind::Busy,
         Reason::KeyTooOld => Kind::KeyExpired,
         Reason::KeyTooNew => Kind::Malformed,
--- a/crates/entry/src/truth.rs
+++ b/crates/entry/src/truth.rs
@@ -10,6 +10,7 @@
 
 use std::{sync::atomic::Ordering, time::Duration};
 
+use journal::{Error, Reason};
 use timeline::Ran;
 use tokio::time::Instant;
 use world::{
@@ -62,12 +63,13 @@
         let lost = self.lost_since(&terms.id.key);
         match self.links.journal.outcome(&terms.id, Instant::now() + ASK_WITHIN).await {
             Ok(Some(Outcome::Answered)) => Ran::Yes,
-            Ok(Some(Outcome::Running | Outcome::Unknown)) => Ran::Unknown,
             // The home has proved that it is the home: a claim that is not
             // there was never made. An idempotent request makes none.
             Ok(None | Some(Outcome::NotRun)) if repeat == Repeat::Never => Ran::No,
-            Ok(None | Some(Outcome::NotRun)) | Err(_) if lost => Ran::Unknown,
-            Ok(None | Some(Outcome::NotRun)) | Err(_) => Ran::No,
+            Ok(None | Some(Outcome::NotRun)) | Err(Error::NotRecorded(Reason::Unproved)) if !lost => Ran::No,
+            // The home was not reached, has no state yet, or went with what it
+            // knew: nobody can tell.
+            Ok(_) | Err(_) => Ran::Unknown,
         }
     }
 }
--- a/crates/journal/src/error.rs
+++ b/crates/journal/src/error.rs
@@ -20,6 +20,9 @@
 pub enum Reason {
     /// The platform does not answer.
     PlatformDown,
+    /// The same, and the key's home, which knows no record of the key, could
+    /// not prove that it still is the home.
+    Unproved,
     /// Too many calls wait already, or too many keys are remembered.
     Full,
     /// No live home was reached before the deadline.
@@ -39,7 +42,7 @@
     #[must_use]
     pub fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::PlatformDown => Some(Duration::from_secs(2)),
+            Self::PlatformDown | Self::Unproved => Some(Duration::from_secs(2)),
             Self::Full | Self::NoHome => Some(Duration::from_millis(500)),
             Self::KeyTooOld | Self::KeyTooNew | Self::OtherBody | Self::GrantClosed => None,
         }
@@ -57,7 +60,7 @@
 impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::PlatformDown => "the platform does not answer; try again when it is back",
+            Self::PlatformDown | Self::Unproved => "the platform does not answer; try again when it is back",
             Self::Full => "the journal is full; try again later or add instances",
             Self::NoHome => "the key's home was not reached in time; try again",
             Self::KeyTooOld => "the key is older than keys are remembered; use a new key for a new request",
--- a/crates/journal/src/handle.rs
+++ b/crates/journal/src/handle.rs
@@ -53,6 +53,8 @@
 pub enum Registered {
     /// Nobody else is known to run it.
     First,
+    /// Nobody else runs it now, but an earlier try may have run.
+    Again,
     /// It runs at an instance already; join it there.
     RunningAt(instance::Id),
     /// It was answered or claimed before.
@@ -191,6 +193,11 @@
                 self.shared().runs.insert(digest, run);
                 Ok(Registered::First)
             }
+            Ok(Reply::Again) => {
+                let run = Run::Registered(register, Instant::now() + lasts);
+                self.shared().runs.insert(digest, run);
+                Ok(Registered::Again)
+            }
             Ok(Reply::RunningAt(instance)) => Ok(Registered::RunningAt(instance)),
             Ok(Reply::Known(known)) => Ok(Registered::Known(known)),
             other => Err(unexpected(other)),
@@ -214,7 +221,7 @@
         match run {
             None => Ok(()),
             Some(Run::Registered(register, _)) => {
-                let release = Op::Release(Release { digest, nonce: register.nonce });
+                let release = Op::Release(Release { digest, nonce: register.nonce, ran: outcome == Outcome::Unknown });
                 self.ask(digest, release, deadline).await.map(|_| ())
             }
             Some(Run::Claimed { nonce, made_at }) => {
--- a/crates/journal/src/home/events.rs
+++ b/crates/journal/src/home/events.rs
@@ -98,7 +98,7 @@
             let answer = match proof {
                 Proof::Home => answer,
                 Proof::Replaced => Reply::NotHome,
-                Proof::Unproved => Reply::Refused(Reason::PlatformDown),
+                Proof::Unproved => Reply::Refused(Reason::Unproved),
             };
             let _ = sender.send(answer);
         }
--- a/crates/journal/src/home/patience.rs
+++ b/crates/journal/src/home/patience.rs
@@ -4,7 +4,7 @@
 
 use super::{Message, Phase, Task, reply};
 use crate::{
-    Reason,
+    Known, Reason,
     op::{Op, Reply},
 };
 
@@ -53,10 +53,23 @@
         flight.waiting.extract_if(.., |(message, _)| matches!(message.op, Op::Bill(_))).map(|(m, _)| m).collect()
     }
 
+    /// What is known of a claim's key although its latest record is not
+    /// durable yet.
+    ///
+    /// Refused as not recorded, the caller would be told "not run" of a key
+    /// that has run, since its bill waits for the platform.
+    fn known_of(&self, op: &Op) -> Option<Known> {
+        let (Phase::Home(active), Op::Claim(claim)) = (&self.phase, op) else {
+            return None;
+        };
+        active.state.known(claim, &self.setting.placement.borrow())
+    }
+
     /// Refuses what certainly is not recorded; takes bills into memory.
     pub(super) fn turn_down(&self, message: Message) {
         let Op::Bill(bill) = &message.op else {
-            return reply(message, Reply::Refused(Reason::PlatformDown));
+            let answer = self.known_of(&message.op).map_or(Reply::Refused(Reason::PlatformDown), Reply::Known);
+            return reply(message, answer);
         };
         let held = self.setting.placement.borrow().may_hold(bill) && self.setting.keeper.send(bill.clone()).is_ok();
         reply(message, if held { Reply::Held } else { Reply::Unknown });
--- a/crates/journal/src/op.rs
+++ b/crates/journal/src/op.rs
@@ -57,6 +57,8 @@
     pub digest: Digest,
     /// The run's.
     pub nonce: u64,
+    /// Whether it ended without an answer and may have run all the same.
+    pub ran: bool,
 }
 
 /// What a home answers.
@@ -70,6 +72,8 @@
     Known(Known),
     /// Registered; nobody else runs it.
     First,
+    /// Registered; nobody else runs it now, but an earlier try may have run.
+    Again,
     /// An instance runs it already.
     RunningAt(instance::Id),
     /// Another bill for the same request was recorded first.
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -30,6 +30,9 @@
 /// How long a closed holder is remembered. Bills of a longer pause would count
 /// twice against a budget; an instance that was paused for a week is replaced.
 pub const CLOSED_WINDOW: Millis = 7 * KEY_WINDOW;
+/// How long a run that ended without an answer, or was never heard of again,
+/// is remembered, so that a later refusal does not say "not run".
+const ENDED_WINDOW: Millis = 10 * 60 * 1_000;
 /// How long a billed request is remembered at the least.
 const BILL_WINDOW_MIN: Millis = 10 * 60 * 1_000;
 
@@ -89,6 +92,10 @@
     by: Origin,
     fingerprint: u64,
     until: Timestamp,
+    /// An earlier try may have run.
+    again: bool,
+    /// Runs no more.
+    ended: bool,
 }
 
 impl State {
@@ -130,7 +137,7 @@
         self.marks.retain(|_, e| e.seq > durable || now.since(e.made_at) <= KEY_WINDOW + KEY_SKEW);
         self.bindings.retain(|_, b| b.seq > durable || now.since(b.at) <= BINDING_WINDOW);
         self.closed.retain(|_, at| now.since(*at) <= CLOSED_WINDOW);
-        self.running.retain(|_, r| r.until > now);
+        self.running.retain(|_, r| r.until.plus(ENDED_WINDOW) > now);
     }
 
     /// The whole state as records, without what is registered in memory only.
@@ -144,6 +151,16 @@
         marks.chain(closed).chain(bindings).collect()
     }
 
+    /// What is known of a claim's key from others, durable or not.
+    #[must_use]
+    pub fn known(&self, claim: &Claim, placement: &Placement) -> Option<Known> {
+        let entry = self.marks.get(&claim.digest).filter(|entry| entry.nonce != claim.nonce)?;
+        let known = entry.known(placement);
+        // An outcome that is not durable could still turn out another.
+        let outcome = if entry.seq > self.durable { Outcome::Unknown } else { known.outcome };
+        Some(Known { outcome, at: known.at })
+    }
+
     /// Number of requests remembered.
     #[must_use]
     pub fn keys(&self) -> usize {
--- a/crates/journal/src/state/decide.rs
+++ b/crates/journal/src/state/decide.rs
@@ -44,7 +44,7 @@
         match op {
             Op::Claim(claim) => self.decide_claim(claim, context, bounds),
             Op::Register(register) => self.decide_register(register, context, bounds),
-            Op::Release(release) => self.decide_release(release),
+            Op::Release(release) => self.decide_release(release, context),
             Op::Settle(settle) => self.decide_settle(settle),
             Op::Bill(bill) => self.decide_bill(bill),
             Op::Bind(bind) => self.decide_bind(bind, bounds),
@@ -84,31 +84,43 @@
         if let Some(entry) = self.marks.get(&register.digest).filter(|e| e.standing != Standing::NotRun) {
             return Decision::Answer(Reply::Known(entry.known(context.placement)));
         }
-        let running = Running {
-            nonce: register.nonce,
-            by: register.by.clone(),
-            fingerprint: register.fingerprint,
-            until: context.now.plus(register.lasts_ms),
-        };
+        let mut again = false;
         match self.running.get(&register.digest) {
-            Some(old) if old.until > context.now && old.nonce != register.nonce && context.placement.knows(&old.by) => {
+            Some(old) if old.nonce == register.nonce => again = old.again,
+            Some(old) if old.is_under_way(context) => {
                 if old.fingerprint != register.fingerprint {
                     return Decision::Answer(Reply::Refused(Reason::OtherBody));
                 }
                 return Decision::Answer(Reply::RunningAt(old.by.instance.clone()));
             }
+            // It ended without an answer, its instance is lost, or it is overdue.
+            Some(_) => again = true,
             None if self.running.len() >= bounds.running => {
                 return Decision::Answer(Reply::Refused(Reason::Full));
             }
-            _ => {}
+            None => {}
         }
+        let running = Running {
+            nonce: register.nonce,
+            by: register.by.clone(),
+            fingerprint: register.fingerprint,
+            until: context.now.plus(register.lasts_ms),
+            again,
+            ended: false,
+        };
         self.running.insert(register.digest, running);
-        Decision::Answer(Reply::First)
+        Decision::Answer(if again { Reply::Again } else { Reply::First })
     }
 
-    fn decide_release(&mut self, release: &Release) -> Decision {
-        if self.running.get(&release.digest).is_some_and(|r| r.nonce == release.nonce) {
-            self.running.remove(&release.digest);
+    fn decide_release(&mut self, release: &Release, context: &Context<'_>) -> Decision {
+        match self.running.get_mut(&release.digest) {
+            Some(running) if running.nonce != release.nonce => {}
+            Some(running) if release.ran || running.again => {
+                running.ended = true;
+                running.until = context.now;
+            }
+            Some(_) => drop(self.running.remove(&release.digest)),
+            None => {}
         }
         Decision::Answer(Reply::Done)
     }
@@ -156,7 +168,7 @@
         let outcome = match self.marks.get(&digest) {
             Some(entry) if entry.seq > self.durable => return Decision::Wait,
             Some(entry) => Some(entry.known(context.placement).outcome),
-            None => self.running.get(&digest).filter(|r| r.until > context.now).map(|_| Outcome::Running),
+            None => self.running.get(&digest).map(|running| running.outcome(context)),
         };
         match outcome {
             None | Some(Outcome::NotRun) => Decision::Promise(Reply::Outcome(outcome)),
@@ -164,3 +176,13 @@
         }
     }
 }
+
+impl Running {
+    fn is_under_way(&self, context: &Context<'_>) -> bool {
+        !self.ended && self.until > context.now && context.placement.knows(&self.by)
+    }
+
+    fn outcome(&self, context: &Context<'_>) -> Outcome {
+        if self.is_under_way(context) { Outcome::Running } else { Outcome::Unknown }
+    }
+}
--- a/crates/journal/src/wire/call.rs
+++ b/crates/journal/src/wire/call.rs
@@ -57,6 +57,8 @@
     digest: Option<message::Wide>,
     #[prost(fixed64, tag = "2")]
     nonce: u64,
+    #[prost(bool, tag = "3")]
+    ran: bool,
 }
 
 #[derive(Clone, PartialEq, Eq, Message)]
@@ -89,6 +91,7 @@
     Outcome = 9,
     Refused = 10,
     NotHome = 11,
+    Again = 12,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
@@ -101,6 +104,7 @@
     KeyTooNew = 4,
     OtherBody = 5,
     GrantClosed = 6,
+    Unproved = 7,
 }
 
 /// A question as bytes.
@@ -149,7 +153,8 @@
             Op::Close(close) => record.close = Some(close.into()),
             Op::Register(register) => call.register = Some(register.into()),
             Op::Release(release) => {
-                call.release = Some(Release { digest: Some(release.digest.into()), nonce: release.nonce });
+                call.release =
+                    Some(Release { digest: Some(release.digest.into()), nonce: release.nonce, ran: release.ran });
             }
             Op::Outcome(digest) => call.outcome = Some((*digest).into()),
         }
@@ -169,7 +174,7 @@
         let op = match (call.register, call.release, call.outcome) {
             (Some(register), ..) => Op::Register(register.try_into()?),
             (_, Some(release), _) => {
-                Op::Release(op::Release { digest: release.digest.try_into()?, nonce: release.nonce })
+                Op::Release(op::Release { digest: release.digest.try_into()?, nonce: release.nonce, ran: release.ran })
             }
             (.., Some(digest)) => Op::Outcome(Some(digest).try_into()?),
             _ => record.try_into()?,
@@ -228,6 +233,7 @@
             Reply::Done => of(Kind::Done),
             Reply::Claimed => of(Kind::Claimed),
             Reply::First => of(Kind::First),
+            Reply::Again => of(Kind::Again),
             Reply::Already => of(Kind::Already),
             Reply::Held => of(Kind::Held),
             Reply::NotHome => of(Kind::NotHome),
@@ -258,6 +264,7 @@
             Kind::Done => Self::Done,
             Kind::Claimed => Self::Claimed,
             Kind::First => Self::First,
+            Kind::Again => Self::Again,
             Kind::Already => Self::Already,
             Kind::Held => Self::Held,
             Kind::NotHome => Self::NotHome,
@@ -304,6 +311,7 @@
             Reason::KeyTooNew => Self::KeyTooNew,
             Reason::OtherBody => Self::OtherBody,
             Reason::GrantClosed => Self::GrantClosed,
+            Reason::Unproved => Self::Unproved,
         }
     }
 }
@@ -318,6 +326,7 @@
             Refusal::KeyTooNew => Self::KeyTooNew,
             Refusal::OtherBody => Self::OtherBody,
             Refusal::GrantClosed => Self::GrantClosed,
+            Refusal::Unproved => Self::Unproved,
         }
     }
 }
--- a/crates/trial/src/fleet.rs
+++ b/crates/trial/src/fleet.rs
@@ -81,6 +81,12 @@
         self.leaving.push(spawn_blocking(move || lost.process.kill()));
     }
 
+    /// Holds an instance still, as a paused machine is.
+    pub(crate) fn freeze_one(&mut self, span: Duration) {
+        let place = self.instances.len() / 2;
+        self.instances[place].process.freeze(span);
+    }
+
     /// Has an instance leave; its name.
     pub(crate) fn leave_one(&mut self) -> String {
         let Instance { name, process } = self.instances.remove(0);
