--- a/crates/trial/src/serve.rs
+++ b/crates/trial/src/serve.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use serde_json::json;
+use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
     command::Command,
@@ -41,7 +42,16 @@
         },
     });
     println!("{line}");
-    drop(tokio::signal::ctrl_c().await);
+    interrupted().await;
     fleet.shutdown().await;
     Ok(())
 }
+
+/// Waits for the interrupt or for the order to end.
+async fn interrupted() {
+    let Ok(mut ended) = signal(SignalKind::terminate()) else { return };
+    tokio::select! {
+        _ = tokio::signal::ctrl_c() => {}
+        _ = ended.recv() => {}
+    }
+}
