Put a change before its effects in the time line

Change: a change carries its maker's stamp; whoever puts it in force observes that, and the maker records it under that stamp.

--- a/crates/arbutuslugd/tests/operators/changes.rs
+++ b/crates/arbutuslugd/tests/operators/changes.rs
@@ -63,6 +63,19 @@
     assert!(site.done(&["get", "service", "logbook", "-o", "json"]).await.contains("0.0009"));
 }
 
+/// A change is made at one instance and comes into force at the others over
+/// peer links. In the time line it stands before its effects.
+#[tokio::test]
+async fn change_stands_before_its_effects_in_the_time_line() {
+    let site = Site::open(3).await;
+    site.apply(SERVICE).await;
+    let lines = site.done(&["timeline", "--kind", "edit,configuration"]).await;
+    let made = lines.find("generation 1 made").expect("the change is recorded");
+    let in_force: Vec<_> = lines.match_indices("generation 1 in force").collect();
+    assert_eq!(in_force.len(), 3, "{lines}");
+    assert!(in_force.iter().all(|(place, _)| made < *place), "{lines}");
+}
+
 /// The same, but the other operator has deleted the object: applying the
 /// file must not bring it back.
 #[tokio::test]
--- a/crates/arbutuslugd/tests/operators/site.rs
+++ b/crates/arbutuslugd/tests/operators/site.rs
@@ -113,12 +113,14 @@
         let recorder = Recorder::open(source, Capacity::default());
         let (config, outbound) =
             config::spawn(config::Settings::new(id.clone(), domain.clone()), store.clone(), recorder.clone());
-        config.set_reader(true).await;
+        // One reader: the others hear of changes over peer links.
+        config.set_reader(index == 0).await;
         let origin = journal::Origin { instance: id, incarnation: Incarnation(1) };
         let (calls, _) = mpsc::channel(16);
         let journal = journal::spawn(journal::Config::new(origin, domain), store, calls);
         let mut settings = peer::Settings::new(me, local, seeds, Key::new("peers"));
         settings.timing = TIMING;
+        settings.recorder = Some(recorder.clone());
         let (peer, inbound) = peer::spawn(settings).await.unwrap();
         let (duty, watched) = watch::channel(Duty { phase: Phase::Serving, in_flight: 0 });
         let handles = Handles {
--- a/crates/config/src/applier.rs
+++ b/crates/config/src/applier.rs
@@ -59,9 +59,6 @@
     pub(crate) async fn run(mut self, mut requests: mpsc::Receiver<Apply>) {
         while let Some(Apply { author, change, edits, answer }) = requests.recv().await {
             let result = self.apply(&author, &change, &edits).await;
-            if let Ok(applied) = &result {
-                self.note(*applied, &edits);
-            }
             let _ = answer.send(result);
             self.keep_short();
         }
@@ -109,6 +106,11 @@
         if self.is_void(generation, &item).await? {
             return Ok(None);
         }
+        // Under the stamp that went with the change: readers of the platform
+        // may have it in force by now, and its effects are to be read after it.
+        let stamp = change.revision.stamp;
+        let objects = change.edits.iter().filter_map(|edit| edit.action.key()).collect();
+        self.recorder.record_at(stamp, Event::Edit { generation, objects });
         self.tell(Found::changes(vec![change]), Origin::Applied { asked }).await?;
         Ok(Some(Applied { generation, changed: true }))
     }
@@ -146,13 +148,14 @@
 
     fn revision(&self, author: &str, change: &str, generation: u64) -> Revision {
         let instance = self.settings.instance.to_string();
-        Revision { generation, at: (self.settings.clock)(), author: author.into(), instance, change: change.into() }
-    }
-
-    fn note(&self, applied: Applied, edits: &[Edit]) {
-        if applied.changed {
-            let objects = edits.iter().map(Edit::key).collect();
-            self.recorder.record(Event::Edit { generation: applied.generation, objects });
+        let stamp = self.recorder.clock();
+        Revision {
+            generation,
+            at: (self.settings.clock)(),
+            author: author.into(),
+            instance,
+            change: change.into(),
+            stamp,
         }
     }
 
--- a/crates/config/src/observer/take.rs
+++ b/crates/config/src/observer/take.rs
@@ -74,6 +74,9 @@
             self.blocked = None;
             self.contact.block(false);
         }
+        if let Some(stamp) = self.state.borrow().stamp() {
+            self.recorder.observe(stamp);
+        }
         self.recorder.record(Event::Configuration { generation });
         metrics::counter!("config_generation").absolute(generation);
         tracing::info!(generation, "configuration in force");
--- a/crates/config/src/state.rs
+++ b/crates/config/src/state.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use timeline::Stamp;
 use world::{
     Catalog, Timestamp,
     object::{Key, Object},
@@ -34,6 +35,9 @@
     /// the answer was lost; empty when none was given.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub change: String,
+    /// Its maker's clock; what follows from the change has later stamps.
+    #[serde(default)]
+    pub stamp: Stamp,
 }
 
 /// All objects of one generation.
@@ -67,6 +71,12 @@
         self.catalog.generation()
     }
 
+    /// Clock of the maker of this generation.
+    pub(crate) fn stamp(&self) -> Option<Stamp> {
+        let mut revisions = self.entries.values().map(|entry| &entry.revision);
+        revisions.find(|revision| revision.generation == self.generation()).map(|revision| revision.stamp)
+    }
+
     pub(crate) fn entry(&self, key: &Key) -> Option<&Entry> {
         self.entries.get(key)
     }
--- a/crates/timeline/src/recorder.rs
+++ b/crates/timeline/src/recorder.rs
@@ -125,9 +125,21 @@
     /// Records an event and returns its stamp.
     #[expect(clippy::must_use_candidate, reason = "the stamp serves few callers")]
     pub fn record(&self, event: Event) -> Stamp {
-        let mut rings = self.lock();
+        let rings = self.lock();
         // Stamped under the lock: a ring's order is its stamps' order.
         let at = self.shared.clock.tick();
+        self.push(rings, at, event);
+        at
+    }
+
+    /// Records an event that was stamped by [`Recorder::clock`] before it was
+    /// certain, since others may have recorded its effects by now. A follower
+    /// that has passed the stamp shows it late.
+    pub fn record_at(&self, at: Stamp, event: Event) {
+        self.push(self.lock(), at, event);
+    }
+
+    fn push(&self, mut rings: MutexGuard<'_, Rings>, at: Stamp, event: Event) {
         rings.last += 1;
         let number = rings.last;
         let record = Arc::new(Record { at, source: self.shared.source.clone(), number, event });
@@ -140,7 +152,6 @@
         // After the lock: whoever reads the log slowly would hold up every
         // request. Lines may thus stand out of order; `at` sorts them.
         log(&record);
-        at
     }
 
     /// A stamp to carry on a message to another process.
