--- a/crates/arbutuslugd/src/registry.rs
+++ b/crates/arbutuslugd/src/registry.rs
@@ -15,8 +15,11 @@
 const PREFIX: &str = "instances/";
 /// Longest wait for the platform before an instance starts without it.
 const START_WAIT: Duration = Duration::from_secs(3);
-/// Time between two readings of the entries; links bring news much sooner.
-const READ_EVERY: Duration = Duration::from_secs(30);
+/// Time between two readings of the entries for each instance that is known.
+///
+/// All entries are read at once, so a fixed time would cost bytes and calls in
+/// proportion to the instances. Links bring news of strangers much sooner.
+const READ_EVERY_PER_INSTANCE: Duration = Duration::from_secs(4);
 /// Time between two tries while there is no entry yet.
 const RETRY_EVERY: Duration = Duration::from_secs(2);
 
@@ -60,7 +63,9 @@
         if let Ok(known) = read(&platform).await {
             drop(peers.set_known(known).await);
         }
-        let span = if entered { READ_EVERY } else { RETRY_EVERY };
+        let count = peers.members().borrow().all().count();
+        let span =
+            if entered { READ_EVERY_PER_INSTANCE * u32::try_from(count).unwrap_or(u32::MAX) } else { RETRY_EVERY };
         sleep(jittered(span)).await;
     }
 }
