Wait longer for an instance than it waits for the platform

Cause: in a trial with the platform down, the refusal came after 10.0 s, as long as the tool's own limit: now and then the tool would have told an unknown outcome in its place. Change: a call's time limit is 15 s by default.

--- a/crates/arbutuslug/src/command.rs
+++ b/crates/arbutuslug/src/command.rs
@@ -8,6 +8,10 @@
 Exit status: 0 done, 1 refused (nothing was done), 2 usage, 3 outcome unknown or not yet in force everywhere.
 Environment: ARBUTUSLUG_ADDRESS, ARBUTUSLUG_KEY or ARBUTUSLUG_KEY_FILE, ARBUTUSLUG_AUTHOR.";
 
+/// Seconds for one call. Longer than an instance tries the platform for one
+/// change (10 s): else the tool gives up just before it would be told.
+const TIMEOUT_S: &str = "15";
+
 /// Seconds a change is waited for until it is in force everywhere.
 const WAIT_S: &str = "30";
 
@@ -58,7 +62,7 @@
         .global(true)
         .value_name("SECONDS")
         .value_parser(seconds)
-        .default_value("10")
+        .default_value(TIMEOUT_S)
         .help("Time limit of one call");
     let author = Arg::new("author")
         .long("author")
