--- a/crates/control/src/handle.rs
+++ b/crates/control/src/handle.rs
@@ -34,7 +34,7 @@
         self.send(Message::Observed(observation));
     }
 
-    /// Takes in what a peer published on [`crate::TOPIC`].
+    /// Takes in what a peer's control published.
     pub fn heard(&self, news: Bytes) {
         self.send(Message::Heard(news));
     }
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -3,7 +3,7 @@
 //! Records fall into shards by their key. A shard's log is a run of segments
 //! in the platform ([`object`]); its state is a pure function of the log
 //! ([`state`]). Each shard has one home among the live instances
-//! ([`placement`]), which groups records into segments ([`home`]) and proves
+//! ([`placement`]), which groups records into segments (`home`) and proves
 //! by every write that it still is the home. [`spawn`] starts an instance's
 //! part and returns its [`Handle`]; questions for other homes leave as
 //! [`Outbound`] messages and are answered there by [`Handle::serve`].
--- a/crates/route/src/quality/ledger.rs
+++ b/crates/route/src/quality/ledger.rs
@@ -27,7 +27,7 @@
 /// Answers whose rating is still to come, bounded.
 ///
 /// Ratings may be minutes late or stop for an hour, and some never come. An
-/// answer lapses when the rating of one given [`LAPSE_MS`] later is in: the
+/// answer lapses when the rating of one given `LAPSE_MS` later is in: the
 /// rating service has then passed it by. While the service is down nothing
 /// lapses, so that the account stays as careful as the outage asks for.
 #[derive(Debug, Clone, Default)]
--- a/crates/route/src/quality/speed.rs
+++ b/crates/route/src/quality/speed.rs
@@ -70,7 +70,7 @@
     ///
     /// After a slow spell every request might be refused for want of time; then
     /// no run would ever show that the spell is over, and the refusals would
-    /// stay. So times halve with every [`STALE_MS`] without a run.
+    /// stay. So times halve with every `STALE_MS` without a run.
     #[must_use]
     pub fn aged(mut self, now: Timestamp) -> Self {
         let halvings = i32::try_from(now.since(self.seen) / STALE_MS).unwrap_or(i32::MAX).min(MAX_HALVINGS);
