--- a/crates/arbutuslug/src/describe.rs
+++ b/crates/arbutuslug/src/describe.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, UNIX_EPOCH};
 
-use timeline::{Event, GrantMove, OutageStep, Phase, Ran, Step, merge::Gap};
+use timeline::{Event, GrantMove, OutageStep, Phase, Ran, Step, Wanted, merge::Gap};
 use world::{Timestamp, model::Version};
 
 /// A time for people, UTC.
@@ -25,8 +25,12 @@
         Event::Rollout { rollout, version, phase, reason } => {
             format!("{rollout} of {version} {}: {reason}", self::phase(*phase))
         }
-        Event::Order { endpoint, version, epoch, outcome } => {
-            format!("ordered {endpoint} to load {version} under epoch {epoch}: {outcome}")
+        Event::Order { endpoint, version, wanted, epoch, outcome } => {
+            let verb = match wanted {
+                Wanted::Loaded => "load",
+                Wanted::Dropped => "drop",
+            };
+            format!("ordered {endpoint} to {verb} {version} under epoch {epoch}: {outcome}")
         }
         Event::Stop { version, by, reason } => format!("{version} stopped by {by}: {reason}"),
         Event::TakeOver { holding, epoch, from } => match from {
--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -17,7 +17,7 @@
     guard::Verdict,
     rollout::{self as exposure, Plan, Progress},
 };
-use timeline::{Event, Phase, Recorder};
+use timeline::{Event, Phase, Recorder, Wanted};
 use tokio::{
     sync::{mpsc, watch},
     time::{Duration, Instant, MissedTickBehavior, interval},
@@ -30,13 +30,7 @@
     rollout::{Id, Rollout, State},
 };
 
-use crate::{
-    Settings,
-    guard::Verdicts,
-    lease::Term,
-    loads::{Loads, Wanted},
-    order::Call,
-};
+use crate::{Settings, guard::Verdicts, lease::Term, loads::Loads, order::Call};
 
 /// Time between two looks at all roll-outs.
 const TICK: Duration = Duration::from_millis(500);
--- a/crates/control/src/loads.rs
+++ b/crates/control/src/loads.rs
@@ -12,7 +12,7 @@
 };
 
 use endpoint::order::Order;
-use timeline::{Event, Recorder};
+use timeline::{Event, Recorder, Wanted};
 use tokio::{
     sync::{mpsc, oneshot},
     task::JoinSet,
@@ -41,13 +41,6 @@
 /// Questions to engines at a time.
 const ASKS_AT_ONCE: usize = 32;
 
-/// What an endpoint is to hold or not to hold.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Wanted {
-    Loaded,
-    Dropped,
-}
-
 /// All that is wanted and known; belongs to one term.
 #[derive(Debug)]
 pub(crate) struct Loads {
@@ -117,9 +110,10 @@
         }
         self.ask();
         for (key, order) in self.due(term.epoch) {
+            let wanted = if order.load.is_empty() { Wanted::Dropped } else { Wanted::Loaded };
             let outcome = self.order(&key, order, term).await;
             let (version, endpoint) = key;
-            recorder.record(Event::Order { endpoint, version, epoch: term.epoch, outcome });
+            recorder.record(Event::Order { endpoint, version, wanted, epoch: term.epoch, outcome });
         }
     }
 
--- a/crates/control/tests/it/rollout.rs
+++ b/crates/control/tests/it/rollout.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use control::operate::Action;
+use timeline::Wanted;
 use tokio::time::{Instant, sleep};
 use world::rollout::{Rollout, State};
 
@@ -299,6 +300,7 @@
     assert!(site.engines.holding(&new_version()) >= 2, "answers under way are not cut off");
     seconds(180.0).await;
     assert_eq!(site.engines.holding(&new_version()), 0);
+    assert_eq!(site.orders(Wanted::Dropped), 4, "the time line says what was ordered");
     assert!(site.operate(0, &Action::Resume).await.unwrap_err().contains("never comes back"));
 }
 
--- a/crates/control/tests/it/site.rs
+++ b/crates/control/tests/it/site.rs
@@ -17,7 +17,7 @@
 use platform::fake::{Client, Platform};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use route::rollout::{self as exposure, Unit};
-use timeline::{Filter, Recorder};
+use timeline::{Event, Filter, Recorder, Wanted};
 use tokio::{
     sync::mpsc,
     task::AbortHandle,
@@ -250,7 +250,7 @@
         let takes = |instance: &Instance| {
             let page = instance.recorder.query(&Filter::default());
             page.records.iter().rev().find_map(|record| match &record.event {
-                timeline::Event::TakeOver { epoch, .. } => Some(*epoch),
+                Event::TakeOver { epoch, .. } => Some(*epoch),
                 _ => None,
             })
         };
@@ -269,6 +269,16 @@
         }
     }
 
+    /// Orders of a kind on all time lines.
+    pub fn orders(&self, kind: Wanted) -> usize {
+        let of = |instance: &Instance| {
+            let records = instance.recorder.query(&Filter::default()).records;
+            let wanted = |event: &Event| matches!(event, Event::Order { wanted, .. } if *wanted == kind);
+            records.iter().filter(|record| wanted(&record.event)).count()
+        };
+        self.instances.iter().map(of).sum()
+    }
+
     /// Whether the version is stopped at an instance, by signal or by catalog.
     pub fn is_stopped(&self, number: usize) -> bool {
         let instance = &self.instances[number];
--- a/crates/timeline/src/event.rs
+++ b/crates/timeline/src/event.rs
@@ -57,8 +57,10 @@
     Order {
         /// The engine.
         endpoint: endpoint::Id,
-        /// The version to load.
+        /// The version it is about.
         version: Version,
+        /// What the engine is to do with it.
+        wanted: Wanted,
         /// The lease's epoch it was sent under.
         epoch: u64,
         /// What the engine answered.
@@ -138,6 +140,16 @@
     },
 }
 
+/// What an engine is to do with a version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Wanted {
+    /// Hold it.
+    Loaded,
+    /// Hold it no longer.
+    Dropped,
+}
+
 /// Where a roll-out stands.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
