--- a/crates/entry/src/tape.rs
+++ b/crates/entry/src/tape.rs
@@ -146,6 +146,9 @@
     pub async fn text(&self, text: &str) {
         self.lock().text.push_str(text);
         self.shared.written.send_replace(());
+        if !self.full() {
+            return;
+        }
         let mut read = self.shared.read.subscribe();
         while self.full() {
             if read.changed().await.is_err() {
