Let answers lapse in the entry path, learn only known stages

Cause: ratings of other instances' answers counted as first answers; those of dear versions are mostly given after a cheap one failed, on harder requests, so the dear version looked worse than it is. No test of its own yet; the rule is that of route::quality::Ledger, which has one.

--- a/crates/entry/src/desk/learn.rs
+++ b/crates/entry/src/desk/learn.rs
@@ -6,10 +6,10 @@
 use endpoint::rating::Rating;
 use route::{
     model::Rater,
-    quality::{Book, Cell, Pending, Stage},
+    quality::{Book, Cell, LAPSE_MS, Pending, Stage},
     rollout::Unit,
 };
-use world::{Millis, Timestamp, contract::Customer, model::Version};
+use world::{Catalog, Millis, Timestamp, contract::Customer, model::Version};
 
 use super::Given;
 
@@ -34,8 +34,8 @@
 pub(super) struct Learn {
     pub book: Book,
     control: control::Handle,
-    given: HashMap<String, Given>,
-    order: VecDeque<String>,
+    given: HashMap<String, (Timestamp, Given)>,
+    order: VecDeque<(Timestamp, String)>,
     rater_rests_until: Timestamp,
 }
 
@@ -75,14 +75,18 @@
     }
 
     /// An answer was handed over and its rating comes later.
-    pub fn given(&mut self, given: Given) {
-        self.order.push_back(given.id.clone());
-        self.given.insert(given.id.clone(), given);
+    pub fn given(&mut self, given: Given, now: Timestamp) {
+        self.order.push_back((now, given.id.clone()));
+        self.given.insert(given.id.clone(), (now, given));
         while self.order.len() > MAX_GIVEN {
-            let Some(oldest) = self.order.pop_front() else { break };
-            if let Some(given) = self.given.remove(&oldest) {
-                self.lapse(&given.entered);
-            }
+            self.lapse_oldest();
+        }
+    }
+
+    fn lapse_oldest(&mut self) {
+        let Some((_, oldest)) = self.order.pop_front() else { return };
+        if let Some((_, given)) = self.given.remove(&oldest) {
+            self.lapse(&given.entered);
         }
     }
 
@@ -97,17 +101,28 @@
 
     /// Ratings that came later, our own answers' and other instances'.
     ///
-    /// All teach which version is good. Only our own close an account and
-    /// count for the guard: evidence is summed over instances, and a rating
-    /// counted by each of them would weigh as many times too much.
-    pub fn ratings(&mut self, ratings: Vec<Rating>) {
+    /// Only our own close an account and count for the guard: evidence is
+    /// summed over instances, and a rating counted by each of them would weigh
+    /// as many times too much. Of the others' it is not said whether they gave
+    /// the first answer or one after another had failed; those are the harder
+    /// requests and would make a dear version look worse than it is. So only
+    /// the first tier's teach, which is never escalated to.
+    ///
+    /// An answer lapses when one given long after it has been rated: the
+    /// service has passed it by, and would keep its account waiting for ever.
+    pub fn ratings(&mut self, ratings: Vec<Rating>, catalog: &Catalog) {
         for rating in ratings {
-            let Some(given) = self.given.remove(&rating.id) else {
-                let cell = Cell::new(&rating.customer, &rating.class);
-                self.book.rate(cell, &rating.version, Stage::First, rating.pass);
+            let Some((at, given)) = self.given.remove(&rating.id) else {
+                if is_first_tier(catalog, &rating.version) {
+                    let cell = Cell::new(&rating.customer, &rating.class);
+                    self.book.rate(cell, &rating.version, Stage::First, rating.pass);
+                }
                 continue;
             };
             self.judged(&given.entered, &given.version, given.stage, rating.pass, true);
+            while self.order.front().is_some_and(|(oldest, _)| at.since(*oldest) > LAPSE_MS) {
+                self.lapse_oldest();
+            }
         }
     }
 
@@ -124,3 +139,9 @@
         });
     }
 }
+
+fn is_first_tier(catalog: &Catalog, version: &Version) -> bool {
+    let releases = catalog.model(&version.model).map_or(&[][..], |model| &model.versions);
+    let first = releases.iter().map(|release| release.tier).min();
+    catalog.release(version).is_some_and(|release| Some(release.tier) == first)
+}
--- a/crates/entry/src/desk/state.rs
+++ b/crates/entry/src/desk/state.rs
@@ -90,12 +90,12 @@
             Message::Void(entered) => self.learn.void(&entered),
             Message::Lapse(entered) => self.learn.lapse(&entered),
             Message::Escalated(entered, rate, reply) => drop(reply.send(self.learn.escalated(entered, rate))),
-            Message::Given(given) => self.learn.given(given),
+            Message::Given(given) => self.learn.given(given, now),
             Message::Judged { entered, version, stage, pass, last } => {
                 self.learn.judged(&entered, &version, stage, pass, last);
             }
             Message::RaterDown => self.learn.rater_down(now),
-            Message::Ratings(ratings) => self.learn.ratings(ratings),
+            Message::Ratings(ratings) => self.learn.ratings(ratings, &self.catalog),
             Message::Report(endpoint, load) => self.report(&endpoint, &load, now),
             Message::Cache(endpoint, events) => self.cache(&endpoint, &events, now),
             Message::Leaving(endpoints) => self.set_leaving(endpoints, now),
--- a/crates/route/src/quality.rs
+++ b/crates/route/src/quality.rs
@@ -25,7 +25,7 @@
 use world::{Millis, Timestamp, contract::Customer, hash, model::Version, request::Class};
 
 pub use account::{Account, Pending};
-pub use ledger::{Answer, Ledger};
+pub use ledger::{Answer, LAPSE_MS, Ledger};
 pub use speed::Speed;
 
 /// Keys are hashes already; this one only has to be quick and the same always.
--- a/crates/route/src/quality/ledger.rs
+++ b/crates/route/src/quality/ledger.rs
@@ -9,7 +9,7 @@
 /// Answers that may wait at an instance; the oldest lapses.
 const MAX_WAITING: usize = 100_000;
 /// How much older than a rated answer another may be and still wait.
-const LAPSE_MS: Millis = 10 * 60 * 1_000;
+pub const LAPSE_MS: Millis = 10 * 60 * 1_000;
 
 /// A final answer as its rating will be entered.
 #[derive(Debug, Clone, Copy)]
