--- a/crates/faults/src/page.rs
+++ b/crates/faults/src/page.rs
@@ -1,8 +1,9 @@
 //! Reads `docs/FAULTS.md`.
 //!
 //! A line `## fault` opens a section; a line `| step | content |` is a cell
-//! when its first column is a step. Content is test names in backticks, or
-//! `cannot: reason`. A line `## pairs` opens the section of two faults
+//! when its first column is a step. Content is test names in backticks,
+//! `cannot: reason`, or `open: what is missing` for a fault that can strike
+//! there and that no test causes yet. A line `## pairs` opens the section of two faults
 //! together, with rows `| fault + fault | step | tests |`.
 
 use crate::{Fault, Step};
@@ -30,6 +31,8 @@
     Tests(Vec<String>),
     /// Why it cannot happen.
     Cannot(String),
+    /// It can happen and no test causes it: what is missing.
+    Open(String),
 }
 
 /// What is wrong with the page.
@@ -50,7 +53,10 @@
         match self {
             Self::Heading(text) => write!(f, "`## {text}` is no fault; see faults::Fault for the spellings"),
             Self::Row(text) => {
-                write!(f, "cannot read `{text}`; write `| step | `test` |` or `| step | cannot: reason |`")
+                write!(
+                    f,
+                    "cannot read `{text}`; write `| step | `test` |`, `| step | cannot: reason |` or `| step | open: what is missing |`"
+                )
             }
             Self::Twice(fault, step) => write!(f, "{} at {} stands twice; keep one row", fault.as_str(), step.as_str()),
             Self::Missing(fault, step) => write!(f, "{} at {} is missing; add its row", fault.as_str(), step.as_str()),
@@ -151,8 +157,15 @@
 
 fn read_content(text: &str) -> Option<Content> {
     if let Some(reason) = text.strip_prefix("cannot: ") {
-        return (reason.len() >= SHORTEST_REASON).then(|| Content::Cannot(reason.into()));
+        return said(reason).map(Content::Cannot);
+    }
+    if let Some(missing) = text.strip_prefix("open: ") {
+        return said(missing).map(Content::Open);
     }
     let tests: Vec<_> = text.split('`').skip(1).step_by(2).map(String::from).collect();
     (!tests.is_empty()).then_some(Content::Tests(tests))
 }
+
+fn said(text: &str) -> Option<String> {
+    (text.len() >= SHORTEST_REASON).then(|| text.into())
+}
--- a/crates/faults/tests/page.rs
+++ b/crates/faults/tests/page.rs
@@ -29,7 +29,7 @@
 fn named(cells: &[page::Cell]) -> BTreeSet<String> {
     let tests = cells.iter().filter_map(|cell| match &cell.content {
         Content::Tests(tests) => Some(tests.iter().cloned()),
-        Content::Cannot(_) => None,
+        Content::Cannot(_) | Content::Open(_) => None,
     });
     tests.flatten().collect()
 }
@@ -80,6 +80,7 @@
     missing_cell_is_found: "| addresses | cannot: nothing of it is there |\n" => "", "is missing";
     empty_cell_is_no_content: "cannot: nothing of it is there" => "", "cannot read";
     short_reason_is_no_reason: "cannot: nothing of it is there" => "cannot: no", "cannot read";
+    open_cell_says_what_is_missing: "cannot: nothing of it is there" => "open: yes", "cannot read";
     unknown_fault_is_refused: "## pool_full" => "## pool_empty", "is no fault";
     unknown_step_is_refused: "| addresses |" => "| adresses |", "cannot read";
     cell_stands_once: "| admit |" => "| addresses |", "stands twice";
@@ -91,8 +92,51 @@
     assert_eq!(cells.len(), Fault::ALL.len() * Step::ALL.len());
 }
 
+#[test]
+fn open_cell_is_neither_tested_nor_impossible() {
+    let page = sound_page().replacen("cannot: nothing of it is there", "open: no test pulls the plug", 1);
+    let cells = page::parse(&page).expect("the page is sound");
+    assert_eq!(cells[0].content, Content::Open("no test pulls the plug".into()));
+}
+
+/// The names found in a file of a package with no other file.
+fn found(text: &str) -> Vec<String> {
+    sources::names_in(text, &sources::case_macros(text))
+}
+
+const CASES: &str =
+    "macro_rules! cases {\n    ($n:ident: $v:expr;) => {\n        #[test]\n        fn $n() {}\n    };\n}\n";
+
 #[test]
 fn tests_are_found_in_both_forms() {
     let text = "#[test]\nfn plain() {}\nfn helper() {}\ncases! {\n    by_macro: 1 => 2;\n}\n#[tokio::test]\nasync fn slow() {}\n";
-    assert_eq!(sources::names_in(text), ["plain", "by_macro", "slow"]);
+    assert_eq!(found(&format!("{CASES}{text}")), ["plain", "by_macro", "slow"]);
+}
+
+/// A cell that names a helper, a field or a match arm names no test, however
+/// much its line looks like a case.
+#[test]
+fn what_only_looks_like_a_test_is_none() {
+    let after_definition = format!("{CASES}fn helper() {{}}\n");
+    assert!(found(&after_definition).is_empty());
+    let fields = "proptest! {\n    #[test]\n    fn real(book in 0..9) {\n        S {\n            book: 1,\n        };\n        _ => 2,\n    }\n    fn helper() {}\n}\n";
+    assert_eq!(found(fields), ["real"]);
+    let deeper =
+        format!("{CASES}cases! {{\n    outer: S {{\n        field: 1,\n        arm => 2,\n    }};\n    _ => 3;\n}}\n");
+    assert_eq!(found(&deeper), ["outer"]);
+    assert!(found("helpers! {\n    no_test: 1;\n}\n").is_empty());
+}
+
+/// The page's head counts its cells; the counts are the page's own.
+#[test]
+fn head_counts_the_cells() {
+    let cells = cells();
+    let single: Vec<_> = cells.iter().filter(|cell| cell.faults.len() == 1).collect();
+    let count = |wanted: fn(&Content) -> bool| single.iter().filter(|cell| wanted(&cell.content)).count();
+    let tested = count(|content| matches!(content, Content::Tests(_)));
+    let cannot = count(|content| matches!(content, Content::Cannot(_)));
+    let open = count(|content| matches!(content, Content::Open(_)));
+    let pairs = cells.len() - single.len();
+    let line = format!("Cells: {tested} with tests, {cannot} cannot, {open} open; pairs: {pairs}.");
+    assert!(whole_page().contains(&line), "docs/FAULTS.md must say `{line}`");
 }
