Strike whole sites at each step of a roll-out

Cells of the fault matrix for load, expose and promote named tests of the lease alone or of lost coordinators.

--- a/crates/control/tests/it/engines.rs
+++ b/crates/control/tests/it/engines.rs
@@ -19,8 +19,9 @@
 /// Engines that take orders; they ignore the fencing number.
 #[derive(Clone, Default)]
 pub struct Engines {
-    engines: Arc<Mutex<BTreeMap<SocketAddr, Engine>>>,
+    by_address: Arc<Mutex<BTreeMap<SocketAddr, Engine>>>,
     order_time: Arc<Mutex<Duration>>,
+    lost: Arc<Mutex<BTreeSet<SocketAddr>>>,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -36,7 +37,7 @@
 impl Engines {
     /// What the engines are like now.
     pub fn all(&self) -> Vec<Engine> {
-        lock(&self.engines).values().cloned().collect()
+        lock(&self.by_address).values().cloned().collect()
     }
 
     /// Engines that hold a version.
@@ -47,7 +48,18 @@
     /// Forgets what an engine held, as a restart does.
     pub fn restart(&self, port: u16) {
         let address = SocketAddr::from(([127, 0, 0, 1], port));
-        lock(&self.engines).insert(address, Engine::default());
+        lock(&self.by_address).insert(address, Engine::default());
+    }
+
+    /// Whether an engine answers nothing and takes no order.
+    pub fn set_lost(&self, port: u16, is_lost: bool) {
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let mut lost = lock(&self.lost);
+        if is_lost {
+            lost.insert(address)
+        } else {
+            lost.remove(&address)
+        };
     }
 
     /// Sets how long an order takes.
@@ -68,10 +80,16 @@
     }
 
     async fn answer(self, call: Call) {
+        let (Call::Loaded { address, .. } | Call::Order { address, .. }) = &call;
+        if lock(&self.lost).contains(address) {
+            // The call hangs until its limit, and its reply is dropped.
+            sleep(order::LIMIT).await;
+            return;
+        }
         match call {
             Call::Loaded { address, reply } => {
                 sleep(Duration::from_millis(5)).await;
-                let versions = lock(&self.engines).entry(address).or_default().versions.iter().cloned().collect();
+                let versions = lock(&self.by_address).entry(address).or_default().versions.iter().cloned().collect();
                 let _ = reply.send(Some(versions));
             }
             Call::Order { address, order, term, reply } => {
@@ -86,7 +104,7 @@
     }
 
     fn take(&self, address: SocketAddr, order: &endpoint::order::Order) -> Vec<Version> {
-        let mut engines = lock(&self.engines);
+        let mut engines = lock(&self.by_address);
         let engine = engines.entry(address).or_default();
         engine.fences.push(order.fence);
         engine.versions.retain(|version| !order.unload.contains(version));
@@ -99,7 +117,7 @@
 
     async fn load(self, address: SocketAddr, versions: Vec<Version>) {
         sleep(LOADING).await;
-        let mut engines = lock(&self.engines);
+        let mut engines = lock(&self.by_address);
         let engine = engines.entry(address).or_default();
         engine.loading = engine.loading.saturating_sub(1);
         engine.versions.extend(versions);
--- a/crates/control/tests/it/main.rs
+++ b/crates/control/tests/it/main.rs
@@ -6,4 +6,5 @@
 mod orders;
 mod rollout;
 mod site;
+mod steps;
 mod support;
--- a/crates/control/tests/it/site.rs
+++ b/crates/control/tests/it/site.rs
@@ -182,6 +182,15 @@
         instance.control = None;
     }
 
+    /// An instance leaves in order: its work ends while everybody can still
+    /// be reached.
+    pub fn leave(&mut self, number: usize) {
+        let instance = &mut self.instances[number];
+        instance.tasks.iter().for_each(AbortHandle::abort);
+        instance.control = None;
+        lock(&self.links).ends[number].1 = control::idle();
+    }
+
     /// Cuts or joins both directions of a link.
     pub fn cut(&self, a: usize, b: usize, cut: bool) {
         let mut links = lock(&self.links);
@@ -228,10 +237,10 @@
     }
 
     /// Waits until an instance's catalog has the roll-out as wanted.
-    pub async fn wait(&self, number: usize, wanted: impl Fn(&Rollout) -> bool) -> Rollout {
+    pub async fn wait(&self, number: usize, mut wanted: impl FnMut(&Rollout) -> bool) -> Rollout {
         let waiting = async {
             loop {
-                if let Some(rollout) = self.rollout(number).filter(&wanted) {
+                if let Some(rollout) = self.rollout(number).filter(|rollout| wanted(rollout)) {
                     return rollout;
                 }
                 sleep(Duration::from_millis(20)).await;
