Split the daemon's start into named steps

Cause: one function of 95 lines in a file of 376 spawned every task, made each crate's settings and wired the messages, so that its order was hard to see.

Change: daemon::options makes each crate's settings of the file's, daemon::start spawns the tasks, each after those it asks, and daemon::wiring carries their messages. Order and behaviour are as before.

Checks: cargo clippy, doc and test -p arbutuslugd pass, no test changed.

--- a/crates/arbutuslugd/src/daemon.rs
+++ b/crates/arbutuslugd/src/daemon.rs
@@ -1,31 +1,28 @@
-//! Starts a daemon's tasks, wires them, and ends them in order.
+//! A daemon from its settings file to its last answer.
+//!
+//! `start` starts every crate's task, with the settings that `options`
+//! makes of the file's, and `wiring` carries messages between them; here is
+//! what binds the sockets first and ends it all in order.
+
+mod options;
+mod start;
+mod wiring;
 
 use std::{fmt, io, net::SocketAddr, time::Duration};
 
-use journal::Origin;
 use settings::{Listener, Settings};
-use timeline::{Event, Recorder, Source};
+use timeline::{Event, Recorder};
 use tokio::{net::TcpListener, sync::watch, task::JoinSet, time::Instant};
 use tokio_util::sync::CancellationToken;
 use world::instance::{Incarnation, Instance, State};
 
 use crate::{
-    list,
-    members::{self, Followers},
-    meter,
-    operators::{self, Duty, Handles, Phase},
-    outage,
-    pump::{self, Owners},
+    operators::{self, Duty, Phase},
     registry,
 };
 
 /// Longest wait for bills and grants to be written at shutdown.
 const FLUSH_WITHIN: Duration = Duration::from_secs(20);
-/// Longest wait for requests in flight when the settings set no bound.
-const DRAIN_WITHIN: Duration = Duration::from_hours(1);
-/// Share of the platform's writes that one instance's journal may use; the
-/// rest is for configuration, grants and leases.
-const JOURNAL_SHARE: f64 = 0.8;
 
 /// Why a daemon could not start.
 #[derive(Debug)]
@@ -110,10 +107,10 @@
         let operators = bind("operators", settings.listeners.operators).await?;
         let peers = bind("peers", settings.listeners.peers).await?;
         let sockets = Sockets { callers, operators, peers };
-        let platform = platform::open(platform_settings(&settings));
+        let platform = platform::open(options::platform(&settings));
         let mut me = instance(&settings, &sockets);
         let entered = registry::enter(&platform, &mut me).await;
-        start(&settings, sockets, platform, me, entered)
+        start::start(&settings, sockets, platform, me, entered)
     }
 
     /// Where callers connect.
@@ -170,101 +167,6 @@
     }
 }
 
-fn start(
-    settings: &Settings,
-    sockets: Sockets,
-    platform: platform::Handle,
-    me: Instance,
-    entered: bool,
-) -> Result<Daemon, Error> {
-    let origin = Origin { instance: me.id.clone(), incarnation: me.incarnation };
-    let recorder = recorder(settings, &me);
-    let (peers, inbound) = spawn_peers(settings, &me, recorder.clone(), sockets.peers)?;
-    let (config, config_out) = config::spawn(config_settings(settings), platform.clone(), recorder.clone());
-    let (journal, journal_out) = spawn_journal(settings, &origin, &platform, &recorder);
-    let budget = budget::spawn(budget_config(origin, &recorder), platform.clone(), journal.clone());
-    let endpoint = endpoint::open(endpoint::Settings { rating: settings.ratings, ..endpoint::Settings::default() });
-    let edges = control::Edges {
-        platform: platform.clone(),
-        config: config.clone(),
-        engines: control::order::spawn(endpoint.clone()),
-        recorder: recorder.clone(),
-    };
-    let (control, control_out) = control::spawn(control_settings(settings, &me), edges);
-    let (leaving, leaving_list) = watch::channel(Vec::new());
-    let links = entry::Links {
-        config: config.clone(),
-        journal: journal.clone(),
-        budget: budget.clone(),
-        peer: peers.clone(),
-        endpoint,
-        control: control.clone(),
-        leaving: leaving_list,
-        recorder: recorder.clone(),
-    };
-    let entry = entry::bind(sockets.callers, entry_settings(settings)?, links).map_err(|cause| Error::Bind {
-        listener: "callers",
-        address: me.callers,
-        cause,
-    })?;
-
-    let (duty, duty_known) = watch::channel(Duty { phase: Phase::Serving, in_flight: 0 });
-    let leave = CancellationToken::new();
-    let handles = Handles {
-        config: config.clone(),
-        journal: journal.clone(),
-        peer: peers.clone(),
-        recorder: recorder.clone(),
-        duty: duty_known,
-        leave: leave.clone(),
-        metrics: meter::handle(),
-        key: settings.keys.operators.clone(),
-    };
-    let listener = operators::bind(sockets.operators, handles.clone()).map_err(|cause| Error::Bind {
-        listener: "operators",
-        address: me.operators,
-        cause,
-    })?;
-
-    let (reader, reader_known) = watch::channel(me.id.clone());
-    let latest = list::Latest::default();
-    let owners = Owners {
-        config: config.clone(),
-        journal: journal.clone(),
-        list: latest.clone(),
-        entry: entry.clone(),
-        control: control.clone(),
-        operators: handles,
-    };
-    let followers = Followers { journal: journal.clone(), config: config.clone(), reader, recorder: recorder.clone() };
-    let lister = list::Reader {
-        platform: platform.clone(),
-        peers: peers.clone(),
-        asked: reader_known,
-        me: me.id.clone(),
-        latest,
-    };
-    let mut wiring = JoinSet::new();
-    wiring.spawn(meter::gather(meter::handle()));
-    wiring.spawn(outage::record(platform.reachable(), recorder.clone()));
-    wiring.spawn(pump::inbound(inbound, owners));
-    wiring.spawn(pump::configuration(config_out, config.clone(), peers.clone()));
-    wiring.spawn(pump::journal(journal_out, peers.clone()));
-    wiring.spawn(pump::control(control_out, peers.clone()));
-    wiring.spawn(meter::count(entry.watch_in_flight(), duty.clone()));
-    wiring.spawn(members::follow(peers.members(), followers));
-    wiring.spawn(lister.run(leaving));
-    wiring.spawn(registry::keep(platform.clone(), me.clone(), entered, peers.clone()));
-
-    recorder.record(Event::Lifecycle { state: State::Live, in_flight: 0 });
-    let parts = Parts { platform, config, journal, budget, peers, control, entry, recorder, leave };
-    let drain_within = match settings.timing.drain_ms {
-        0 => DRAIN_WITHIN,
-        span => Duration::from_millis(span),
-    };
-    Ok(Daemon { parts, me, drain_within, duty, listener, wiring })
-}
-
 async fn bind(listener: &'static str, at: Listener) -> Result<TcpListener, Error> {
     let address = at.bind;
     TcpListener::bind(address).await.map_err(|cause| Error::Bind { listener, address, cause })
@@ -287,90 +189,3 @@
         state: State::Live,
     }
 }
-
-fn recorder(settings: &Settings, me: &Instance) -> Recorder {
-    let source = Source { instance: me.id.clone(), incarnation: me.incarnation };
-    let capacity = timeline::Capacity { requests: settings.timeline.requests, others: settings.timeline.others };
-    Recorder::open(source, capacity)
-}
-
-fn platform_settings(settings: &Settings) -> platform::Settings {
-    let at = &settings.platform;
-    // Two processes must not draw the same nonces: the name alone would let a
-    // restarted instance take its predecessor's write for its own.
-    let writer = format!("{}-{}", settings.instance, uuid::Uuid::new_v4());
-    platform::Settings {
-        writes_per_s: f64::from(at.writes_per_s),
-        reads_per_s: f64::from(at.reads_per_s),
-        call_timeout: Duration::from_millis(at.timeout_ms),
-        ..platform::Settings::new(at.address, writer)
-    }
-}
-
-fn spawn_peers(
-    settings: &Settings,
-    me: &Instance,
-    recorder: Recorder,
-    socket: TcpListener,
-) -> Result<(peer::Handle, tokio::sync::mpsc::Receiver<peer::Inbound>), Error> {
-    let key = peer::Key::new(settings.peers.key.expose());
-    let address = settings.listeners.peers.bind;
-    let mut links = peer::Settings::new(me.clone(), address, settings.peers.seeds.clone(), key);
-    links.recorder = Some(recorder);
-    peer::spawn_on(socket, links).map_err(|cause| Error::Bind { listener: "peers", address, cause })
-}
-
-fn config_settings(settings: &Settings) -> config::Settings {
-    config::Settings {
-        domains: settings.domains.clone(),
-        freshness: Duration::from_millis(settings.timing.freshness_ms),
-        ..config::Settings::new(settings.instance.clone(), settings.domain.clone())
-    }
-}
-
-fn control_settings(settings: &Settings, me: &Instance) -> control::Settings {
-    let mut control = control::Settings::new(me.id.clone(), me.incarnation);
-    if settings.ratings.is_none() {
-        // No rating will ever come: a roll-out that waits for some stands still.
-        control.guard.min_rated = 0;
-    }
-    control
-}
-
-fn spawn_journal(
-    settings: &Settings,
-    origin: &Origin,
-    platform: &platform::Handle,
-    recorder: &Recorder,
-) -> (journal::Handle, tokio::sync::mpsc::Receiver<journal::Outbound>) {
-    let (out, outbound) = tokio::sync::mpsc::channel(1_024);
-    let config = journal::config::Config {
-        segments_per_s: f64::from(settings.platform.writes_per_s) * JOURNAL_SHARE,
-        recorder: Some(recorder.clone()),
-        ..journal::config::Config::new(origin.clone(), settings.domain.clone())
-    };
-    (journal::spawn(config, platform.clone(), out), outbound)
-}
-
-fn budget_config(origin: Origin, recorder: &Recorder) -> budget::Config {
-    budget::Config { recorder: Some(recorder.clone()), ..budget::Config::new(origin) }
-}
-
-fn entry_settings(settings: &Settings) -> Result<entry::Settings, Error> {
-    let keys = vec![settings.keys.sessions.expose().as_bytes().to_vec()];
-    let keys = entry::session::Keys::new(keys).ok_or(Error::Secret("sessions.key"))?;
-    let base = entry::Settings::new(settings.instance.clone(), settings.domain.clone(), keys);
-    Ok(entry::Settings {
-        max_body: settings.limits.body_bytes,
-        max_headers: settings.limits.header_bytes,
-        max_connections: settings.limits.connections,
-        addresses: route::address::Policy { keep_ms: settings.timing.keep_ms, ..base.addresses },
-        retry: route::retry::Policy {
-            share: settings.retries.share,
-            max_tries: settings.retries.attempts,
-            ..base.retry
-        },
-        rated: settings.ratings.is_some(),
-        ..base
-    })
-}
