--- a/crates/entry/src/drive/enter.rs
+++ b/crates/entry/src/drive/enter.rs
@@ -23,6 +23,8 @@
 
 /// Longest wait for the word of a key's home; without one the request runs.
 const REGISTER_WITHIN: std::time::Duration = std::time::Duration::from_millis(500);
+/// Longest wait for a durable claim; the platform answers in milliseconds.
+const CLAIM_WITHIN: std::time::Duration = std::time::Duration::from_secs(5);
 /// When to come back after the platform did not answer.
 const PLATFORM_RETRY_MS: u64 = 2_000;
 
@@ -156,7 +158,10 @@
         // A key that does not tell its time counts from its first use.
         let made_at = id.key.made_at().unwrap_or_else(clock::now);
         let fingerprint = self.request.fingerprint();
-        let claimed = self.shared.links.journal.claim(&id, made_at, fingerprint, self.request.deadline).await;
+        // While a write's fate is open the journal asks on. To wait for it up
+        // to the deadline would hold back a refusal that stands already.
+        let deadline = self.request.deadline.min(Instant::now() + CLAIM_WITHIN);
+        let claimed = self.shared.links.journal.claim(&id, made_at, fingerprint, deadline).await;
         match claimed {
             Ok(Claimed::First) => {
                 self.is_first = true;
--- a/crates/entry/src/drive/read.rs
+++ b/crates/entry/src/drive/read.rs
@@ -124,7 +124,8 @@
     fn account(&mut self, attempt: Attempt) {
         let usage = self.answer.last.as_ref().map(|(_, usage)| *usage).unwrap_or_default();
         let tokens = u32::try_from(usage.completion_tokens).unwrap_or(u32::MAX).max(1);
-        let first = attempt.first_frame.unwrap_or(attempt.started).duration_since(attempt.started);
+        let first_frame = attempt.first_frame.unwrap_or_else(Instant::now);
+        let first = first_frame - attempt.started;
         attempt.place.end(Ending::Whole { millis: clock::millis(attempt.started.elapsed()), tokens });
         if let Some(chosen) = &self.chosen {
             let price = chosen.choice.steps()[chosen.step].price();
@@ -136,7 +137,7 @@
         if let Some(version) = self.version() {
             let (customer, version) = (self.request.customer().to_string(), version.to_string());
             metrics::histogram!("entry_first_token_seconds", "customer" => customer, "version" => version)
-                .record(first.as_secs_f64());
+                .record((first_frame - self.request.received).as_secs_f64());
         }
         self.observe(control::observation::Outcome::Answered { latency_ms: clock::millis(first) });
     }
