--- a/crates/arbutuslug/src/invocation.rs
+++ b/crates/arbutuslug/src/invocation.rs
@@ -12,6 +12,7 @@
     model::{Number, Version},
     object::{Key, Kind},
     rollout,
+    time::millis,
 };
 
 use crate::{
@@ -290,10 +291,6 @@
     matches.get_one::<Duration>(id).copied().unwrap_or_default()
 }
 
-fn millis(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn usage(message: &str) -> Failure {
     Failure::Usage(message.into())
 }
--- a/crates/arbutuslugd/src/operators/fleet.rs
+++ b/crates/arbutuslugd/src/operators/fleet.rs
@@ -7,7 +7,10 @@
 use operator::{Member, Progress, Status, wire};
 use peer::Topic;
 use prost::Message;
-use world::instance::{self, Instance, State};
+use world::{
+    instance::{self, Instance, State},
+    time::millis,
+};
 
 use super::Handles;
 
@@ -81,7 +84,7 @@
 /// This instance's own standing.
 fn standing(handles: &Handles, me: &Instance) -> Member {
     let status = handles.config.status();
-    let age = status.age.map_or(u64::MAX, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+    let age = status.age.map_or(u64::MAX, millis);
     Member {
         generation: Some(status.generation),
         fresh: status.fresh,
--- a/crates/arbutuslugd/src/outage.rs
+++ b/crates/arbutuslugd/src/outage.rs
@@ -5,6 +5,7 @@
 
 use timeline::{Event, OutageStep, Recorder};
 use tokio::{sync::watch, time::Instant};
+use world::time::millis;
 
 /// Follows whether the platform answers, until its handle is gone.
 pub async fn record(mut reachable: watch::Receiver<bool>, recorder: Recorder) {
@@ -18,7 +19,7 @@
             }
             (true, Some(since)) => {
                 begun = None;
-                let lasted_ms = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
+                let lasted_ms = millis(since.elapsed());
                 recorder.record(Event::Outage { step: OutageStep::Ended { lasted_ms } });
             }
             _ => {}
--- a/crates/config/src/observer.rs
+++ b/crates/config/src/observer.rs
@@ -20,7 +20,7 @@
     task::AbortHandle,
     time::{Instant, sleep_until},
 };
-use world::{Catalog, Millis, domain::Domain, hash};
+use world::{Catalog, domain::Domain, hash, time::millis};
 
 use crate::{
     Outbound, Scope,
@@ -356,8 +356,7 @@
             return;
         }
         self.was_fresh = fresh;
-        let age = self.contact.newest().unwrap_or_default().as_millis();
-        let age_ms = Millis::try_from(age).unwrap_or(Millis::MAX);
+        let age_ms = millis(self.contact.newest().unwrap_or_default());
         self.recorder.record(Event::Freshness { fresh, age_ms });
         metrics::gauge!("config_fresh").set(f64::from(u8::from(fresh)));
         tracing::warn!(fresh, age_ms, "configuration freshness");
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -1,6 +1,6 @@
 //! How an instance observes the configuration.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime};
 
 use world::{Timestamp, domain::Domain, instance};
 
@@ -78,6 +78,5 @@
 }
 
 fn wall() -> Timestamp {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Timestamp(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+    SystemTime::now().into()
 }
--- a/crates/control/src/coordinator.rs
+++ b/crates/control/src/coordinator.rs
@@ -23,11 +23,12 @@
     time::{Duration, Instant, MissedTickBehavior, interval},
 };
 use world::{
-    Catalog, Millis,
+    Catalog,
     endpoint::Endpoint,
     model::Version,
     object::{Key, Kind, Object},
     rollout::{Id, Rollout, State},
+    time::millis,
 };
 
 use crate::{Settings, guard::Verdicts, lease::Term, loads::Loads, order::Call};
@@ -177,7 +178,7 @@
 
     fn progress(&self, catalog: &Catalog, id: &Id, rollout: &Rollout) -> Progress {
         let endpoints = catalog.endpoints(&rollout.version).len();
-        let at_step_ms = Millis::try_from(self.at_step(id).as_millis()).unwrap_or(Millis::MAX);
+        let at_step_ms = millis(self.at_step(id));
         Progress { at_step_ms, loaded: self.loads.loaded(&rollout.version), wanted: wanted(endpoints, rollout) }
     }
 }
--- a/crates/journal/src/clock.rs
+++ b/crates/journal/src/clock.rs
@@ -1,9 +1,9 @@
 //! Wall-clock time, which tests replace.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::SystemTime;
 
 use tokio::time::Instant;
-use world::{Millis, Timestamp};
+use world::{Timestamp, time::millis};
 
 /// Where wall-clock time comes from.
 #[derive(Debug, Clone, Copy, Default)]
@@ -26,13 +26,8 @@
     #[must_use]
     pub fn now(self) -> Timestamp {
         match self {
-            Self::System => Timestamp(millis(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default())),
+            Self::System => SystemTime::now().into(),
             Self::From(start, since) => start.plus(millis(since.elapsed())),
         }
     }
 }
-
-/// A span in milliseconds.
-pub(crate) fn millis(span: std::time::Duration) -> Millis {
-    u64::try_from(span.as_millis()).unwrap_or(Millis::MAX)
-}
--- a/crates/journal/src/handle.rs
+++ b/crates/journal/src/handle.rs
@@ -19,12 +19,11 @@
     instance,
     request::{self, Outcome},
     session::{self, Pin},
-    time::Timestamp,
+    time::{Timestamp, millis},
 };
 
 use crate::{
     Error, Reason,
-    clock::millis,
     config::Config,
     home::{self, Setting},
     keeper::{self, Kept, Order, Promised},
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -205,7 +205,7 @@
         generation: u64,
         longest: Duration,
     ) -> Result<Messages<wire::WaitProgress, Progress>, Error> {
-        let timeout_ms = u64::try_from(longest.as_millis()).unwrap_or(u64::MAX);
+        let timeout_ms = world::time::millis(longest);
         let reply = self.inner.wait(wire::WaitRequest { generation, timeout_ms }).await;
         self.messages(reply)
     }
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -1,7 +1,7 @@
 //! How often a fault strikes: seeded, so that a run can be had again; and
 //! the clocks of delays and records.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -65,6 +65,5 @@
 
 /// The wall clock, for records.
 pub(crate) fn wall_clock() -> Timestamp {
-    let span = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
-    Timestamp(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+    SystemTime::now().into()
 }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -13,6 +13,7 @@
     task::JoinSet,
 };
 use tokio_util::sync::{CancellationToken, DropGuard};
+use world::time::millis;
 
 /// Largest body taken, in bytes.
 const MAX_BODY: usize = 4 << 20;
@@ -115,7 +116,7 @@
 /// An error that says when to come back.
 pub(crate) fn later(status: StatusCode, message: &str, wait: Duration) -> Response<Body> {
     let mut response = problem(status, message);
-    let wait = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX).max(1);
+    let wait = millis(wait).max(1);
     response.headers_mut().insert(RETRY_AFTER_MS, HeaderValue::from(wait));
     response
 }
--- a/crates/trial/src/caller.rs
+++ b/crates/trial/src/caller.rs
@@ -2,7 +2,10 @@
 //! repeats under the same key, comes back when it is told to, and takes no
 //! short answer for a whole one.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, SystemTime},
+};
 
 use serde::Deserialize;
 use serde_json::json;
@@ -302,6 +305,5 @@
 
 /// The wall clock, as the engines' records have it.
 pub(crate) fn now() -> Timestamp {
-    let span = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
-    Timestamp(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+    SystemTime::now().into()
 }
--- a/crates/world/src/time.rs
+++ b/crates/world/src/time.rs
@@ -3,6 +3,8 @@
 //! Tasks measure spans with tokio's clock; what crosses a process boundary is
 //! wall-clock milliseconds since the Unix epoch.
 
+use std::time::{Duration, SystemTime};
+
 use serde::{Deserialize, Serialize};
 
 /// A span in milliseconds.
@@ -26,3 +28,16 @@
         Self(self.0.saturating_add(span))
     }
 }
+
+impl From<SystemTime> for Timestamp {
+    /// What the machine's clock showed; the epoch for times before it.
+    fn from(time: SystemTime) -> Self {
+        Self(millis(time.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default()))
+    }
+}
+
+/// A span in whole milliseconds, the longest for spans that do not fit.
+#[must_use]
+pub fn millis(span: Duration) -> Millis {
+    Millis::try_from(span.as_millis()).unwrap_or(Millis::MAX)
+}
