--- a/crates/arbutuslugd/tests/operators/changes.rs
+++ b/crates/arbutuslugd/tests/operators/changes.rs
@@ -1,6 +1,7 @@
 //! Objects and roll-outs: changed, in force, raced over, lost.
 
 use arbutuslug::Exit;
+use arbutuslugd::operators::{Duty, Phase};
 use platform::fake::Loss;
 use world::instance::State;
 
@@ -213,3 +214,33 @@
     site.wait_for_state(0, "i1", State::Gone).await;
     site.done(&["wait", "1"]).await;
 }
+
+/// An operator makes a change at an instance that is leaving. It is accepted
+/// there and in force at the other too: until it has finished, a leaving
+/// instance serves operators as ever, so that a withdrawal need not wait.
+#[tokio::test]
+async fn instance_leaving_at_apply() {
+    let site = Site::open(2).await;
+    let leaving = &site.nodes[0];
+    leaving.handles.peer.leave().await.expect("the links run");
+    leaving.duty.send_replace(Duty { phase: Phase::Leaving, in_flight: 1 });
+    let file = File::of(SERVICE);
+    let ran = run(&[leaving.listener.address()], KEY, &["apply", file.path(), "--wait", "30"]).await;
+    assert_eq!(ran.exit, Exit::Done, "{ran:?}");
+    assert_eq!(site.nodes[1].handles.config.status().generation, 1);
+}
+
+/// An instance has left in order when a change is made. The operator is told
+/// that the change is in force: the tool waits for those that serve, and one
+/// that told all of its leaving serves nobody.
+#[tokio::test]
+async fn instance_leaving_at_in_force() {
+    let site = Site::open(2).await;
+    let leaving = &site.nodes[1].handles.peer;
+    leaving.leave().await.expect("the links run");
+    leaving.close().await.expect("the links run");
+    site.wait_for_state(0, "i1", State::Gone).await;
+    let file = File::of(SERVICE);
+    let ran = run(&[site.nodes[0].listener.address()], KEY, &["apply", file.path(), "--wait", "30"]).await;
+    assert_eq!(ran.exit, Exit::Done, "{ran:?}");
+}
--- a/crates/budget/tests/budgets.rs
+++ b/crates/budget/tests/budgets.rs
@@ -92,6 +92,26 @@
     assert_eq!(account.settled, Amount(140));
 }
 
+/// An instance leaves while its first grant is being cut, each answer of the
+/// platform taking a while. What it had of the budget comes back: another can
+/// have all of it, and the customer is refused nothing that nobody spends.
+#[tokio::test(start_paused = true)]
+async fn instance_leaving_at_grant() {
+    let fleet = Fleet::new(2, |_| {});
+    let (leaving, other) = (open(&fleet, 0), open(&fleet, 1));
+    fleet.platform.set_slow(Duration::from_millis(300));
+    let asking = leaving.clone();
+    let asked = tokio::spawn(async move { reserve(&asking, 100).await.map(drop) });
+    sleep(Duration::from_millis(400)).await;
+    assert!(leaving.flush(soon()).await);
+    let _ = asked.await.expect("no panic");
+    fleet.platform.set_slow(Duration::ZERO);
+    sleep(Duration::from_secs(2)).await;
+    let account = account(&fleet);
+    assert!(account.grants.is_empty(), "{account:?}");
+    reserve(&other, LIMIT).await.expect("all of it");
+}
+
 #[tokio::test(start_paused = true)]
 async fn new_period_starts_a_new_account_and_ends_the_old() {
     let fleet = Fleet::new(1, |_| {});
--- a/crates/control/tests/it/steps.rs
+++ b/crates/control/tests/it/steps.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use control::operate::Action;
 use platform::fake::Loss;
 use world::rollout::{Rollout, State};
 
@@ -124,6 +125,11 @@
     /// The same before the last step ends.
     platform_slow_at_promote: check_slow at Promote;
 
+    /// The platform is down for half a minute while engines load. They go on
+    /// loading as ordered; no session meets the version until the step that
+    /// says so can be written.
+    platform_down_at_load: check_down at Load;
+
     /// The platform is down for half a minute as the first sessions meet the
     /// version. Operators see the step stand until it is back, then go on: a
     /// step is in force only once it is written.
@@ -192,3 +198,20 @@
     promoted(&site, 0..3).await;
     assert_eq!(site.engines.holding(&new_version()), 3);
 }
+
+/// An engine is lost while the version is withdrawn. Operators see no session
+/// meet it any more; the engine that cannot be told to drop it is told when it
+/// is back, since the wanted end stands in the object.
+#[tokio::test(start_paused = true)]
+async fn endpoint_lost_at_stop() {
+    let (site, _) = open_at(At::Promote).await;
+    site.engines.set_lost(ENGINES.start, true);
+    site.operate(0, &Action::Withdraw { reason: "an operator's reason".into() }).await.expect("accepted");
+    seconds(2.0).await;
+    let met = site.traffic().new;
+    seconds(300.0).await;
+    assert_eq!((site.engines.holding(&new_version()), site.traffic().new), (1, met));
+    site.engines.set_lost(ENGINES.start, false);
+    seconds(90.0).await;
+    assert_eq!(site.engines.holding(&new_version()), 0);
+}
--- a/crates/entry/tests/life.rs
+++ b/crates/entry/tests/life.rs
@@ -68,6 +68,13 @@
     hang_up_cancels_idempotent: Idempotent
         [Event::Admitted, Event::Chosen { steps: 1 }, Event::Started, Event::CallerGone]
         => Command::Abandon, Abandoned;
+    caller_gone_at_choose: Idempotent [Event::Admitted, Event::CallerGone] => Command::Abandon, Abandoned;
+    caller_gone_at_rate: Idempotent
+        [Event::Admitted, Event::Chosen { steps: 2 }, Event::Started, Event::Whole, Event::CallerGone]
+        => Command::Abandon, Abandoned;
+    caller_gone_at_escalate: Idempotent
+        [Event::Admitted, Event::Chosen { steps: 2 }, Event::Started, Event::Whole, Event::Rejected, Event::CallerGone]
+        => Command::Abandon, Abandoned;
     hang_up_in_queue_ends_never: Never [Event::CallerGone] => Command::Abandon, Abandoned;
     cascade_rates_before_billing: Idempotent
         [Event::Admitted, Event::Chosen { steps: 2 }, Event::Started, Event::Frame, Event::Whole]
@@ -157,6 +164,30 @@
     }
 }
 
+/// The caller hangs up where its request goes on without it: one that must
+/// not be repeated from its claim on, any once its answer is being billed. The
+/// life stands where it stood, and asking later tells its true outcome.
+fn check_goes_on(repeat: Repeat, events: &[Event], state: State) {
+    let (mut life, _) = Life::begin(repeat);
+    for event in events {
+        life.step(*event).unwrap_or_else(|illegal| panic!("{illegal}"));
+    }
+    assert!(life.outlives_caller() && life.step(Event::CallerGone).is_err(), "abandoned after {events:?}");
+    assert_eq!(life.state(), state);
+}
+
+macro_rules! going_on {
+    ($($name:ident: $repeat:ident [$($event:expr),*] => $state:ident;)*) => {
+        $(#[test] fn $name() { check_goes_on($repeat, &[$($event),*], State::$state); })*
+    };
+}
+
+going_on! {
+    caller_gone_at_claim: Never [Event::Admitted] => Claiming;
+    caller_gone_at_bill: Idempotent
+        [Event::Admitted, Event::Chosen { steps: 1 }, Event::Started, Event::Whole] => Billing;
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(4_000))]
 
--- a/crates/entry/tests/path/breaks.rs
+++ b/crates/entry/tests/path/breaks.rs
@@ -218,6 +218,21 @@
 // answered by its predecessor, before its guard has seen enough to stop it.
 #[tokio::test]
 async fn erring_version_under_roll_out_gives_way_to_its_predecessor() {
+    let site = exposing().await;
+    site.switch(&Switch::Bad { version: NEW.into(), fault: Fault::Errors, odds: Odds::ALWAYS });
+    for n in 0..5 {
+        let content = format!("{CONTENT} {n}");
+        let reply = site.client(0).chat(CLUB, &[], &content).await;
+        assert_eq!(reply.content(), answer_of(CHEAP, &content));
+        assert_eq!(reply.header("arbutuslug-session-moved"), "", "a new session has not moved");
+    }
+}
+
+/// The version under roll-out.
+const NEW: &str = "summary@2";
+
+/// A site whose new sessions all meet `NEW`.
+async fn exposing() -> Site {
     let site = Site::open(Plan::default()).await;
     let two = "    - { version: \"2\", tier: 0, price: { input: \"1\", output: \"2\", currency: EUR } }\n";
     let nine = "    - { version: \"9\"";
@@ -225,11 +240,38 @@
     let file = site.file("").replacen(nine, &format!("{two}{nine}"), 1).replace("[\"1\", \"9\"]", "[\"1\", \"2\"]");
     let file = file.replace("[summary@1, summary@9]", "[summary@1, summary@2, summary@9]");
     site.apply(&format!("{file}{rollout}")).await;
-    site.switch(&Switch::Bad { version: "summary@2".into(), fault: Fault::Errors, odds: Odds::ALWAYS });
-    for n in 0..5 {
+    site
+}
+
+// One of two engines is lost while new sessions meet a new version. They get
+// its whole answers from the other: a lost engine is no fault of the version,
+// and nobody is given its predecessor for it.
+#[tokio::test]
+async fn endpoint_lost_at_expose() {
+    let site = exposing().await;
+    site.engines[0].switch(Switch::LoseAnswers(Odds::ALWAYS));
+    for n in 0..4 {
         let content = format!("{CONTENT} {n}");
-        let reply = site.client(0).chat(CLUB, &[], &content).await;
-        assert_eq!(reply.content(), answer_of(CHEAP, &content));
-        assert_eq!(reply.header("arbutuslug-session-moved"), "", "a new session has not moved");
+        assert_eq!(site.client(0).chat(CLUB, &[], &content).await.content(), answer_of(NEW, &content));
+    }
+    assert!(!site.engines[0].records().is_empty(), "none was sent to the lost engine");
+}
+
+// All engines are full while new sessions meet a new version. Callers are told
+// "not run" and when to come back; when there is room they meet the version
+// as before: a full engine says nothing about what it would have run.
+#[tokio::test]
+async fn pool_full_at_expose() {
+    let site = exposing().await;
+    site.switch(&Switch::Refuse(Odds::ALWAYS));
+    for _ in 0..4 {
+        let reply = site.client(0).chat(CLUB, &[], CONTENT).await;
+        assert_eq!(reply.problem(), (503, "no-endpoint".into(), "no".into()));
+        assert!(reply.json()["retry_after_ms"].is_u64(), "{}", reply.text);
+    }
+    site.switch(&Switch::Up);
+    for n in 0..4 {
+        let content = format!("{CONTENT} {n}");
+        assert_eq!(site.client(0).chat(CLUB, &[], &content).await.content(), answer_of(NEW, &content));
     }
 }
--- a/crates/entry/tests/path/cascades.rs
+++ b/crates/entry/tests/path/cascades.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 
 use standin::{
-    engine, objects,
+    engine,
+    fault::Odds,
+    objects,
     rating::{self, Switch},
 };
 
@@ -172,3 +174,87 @@
     let records = site.nodes[1].links.recorder.query(&Filter::default()).records;
     records.iter().any(|record| matches!(&record.event, Event::Request { step: Step::Joined { .. }, .. }))
 }
+
+/// Each frame comes twice, with frames of other attempts among them.
+async fn check_odd_frames(cheap: f64, expected: (&str, usize)) {
+    let site = Site::open(plan(cheap)).await;
+    site.switch(&engine::Switch::Duplicate(Odds::ALWAYS));
+    site.switch(&engine::Switch::Foreign(Odds::ALWAYS));
+    let (version, _, runs) = first_cascade(&site).await;
+    assert_eq!((version.as_str(), runs), expected);
+}
+
+// The rated answer came with repeated and foreign frames. It passes as it
+// would have without: what is rated and shown is put together from the run's
+// own frames, each once.
+#[tokio::test]
+async fn answer_late_at_rate() {
+    check_odd_frames(1.0, (CHEAP, 1)).await;
+}
+
+// The same with an answer that fails: the caller gets the dear version's
+// whole answer, and no frame of the cheap run among it.
+#[tokio::test]
+async fn answer_late_at_escalate() {
+    check_odd_frames(0.0, (DEAR, 2)).await;
+}
+
+/// A key's first call at instance 0 and its repeat at instance 1, which has
+/// joined while the dear version runs after the cheap answer failed.
+async fn escalating() -> (Site, String, [crate::client::Stream; 2]) {
+    for n in 0..20 {
+        let engine = engine::Options { first_token_ms: 300, per_token_ms: 20, ..engine::Options::default() };
+        let site = Site::open(Plan { instances: 2, engine, ..plan(0.0) }).await;
+        let content = format!("{CONTENT} {n}");
+        let call = |node: usize| {
+            let (client, content) = (site.client(node), content.clone());
+            tokio::spawn(async move { client.stream(CLUB, &[("idempotency-key", "season-7")], &content).await })
+        };
+        let first = call(0);
+        site.until(|site| !site.runs().is_empty()).await;
+        if ran(&site) != [CHEAP] {
+            continue;
+        }
+        site.until(|site| site.runs().len() >= 2).await;
+        let repeat = call(1);
+        site.until(|site| joined(site) || !site.bills().is_empty()).await;
+        if !joined(&site) {
+            // The first was answered before the repeat came.
+            continue;
+        }
+        let streams = [first.await.expect("no panic"), repeat.await.expect("no panic")];
+        return (site, content, streams);
+    }
+    panic!("no repeat joined a request that started on the cheap version");
+}
+
+// The cheap answer failed its rating and the dear version runs when the
+// caller repeats its key elsewhere. Both calls get the dear answer whole; the
+// repeat starts no cascade of its own, and one bill covers both runs.
+#[tokio::test]
+async fn caller_repeats_at_escalate() {
+    let (site, content, [first, repeat]) = escalating().await;
+    let (first, repeat) = tokio::join!(first.told(), repeat.told());
+    assert_eq!(first.text, answer_of(DEAR, &content), "{first:?}");
+    assert_eq!(first, repeat);
+    assert_eq!(ran(&site), [CHEAP, DEAR]);
+    assert_eq!(site.bills_when(1).await.len(), 1);
+}
+
+// The instance that escalates is lost amid the dear run. The repeat at the
+// other goes on: it gets one whole answer, from a run there, or an error
+// event; never two answers in one, and never a part that looks whole.
+#[tokio::test]
+async fn instance_lost_at_escalate() {
+    let (mut site, content, [first, repeat]) = escalating().await;
+    drop(site.nodes.remove(0));
+    drop(first);
+    let told = repeat.told().await;
+    if told.done {
+        let answers = [CHEAP, DEAR].map(|version| answer_of(version, &content));
+        assert!(answers.contains(&told.text), "{told:?}");
+        assert_eq!(site.bills_when(1).await.len(), 1);
+    } else {
+        assert!(told.error.is_some() && told.finish.is_none(), "a part looks whole: {told:?}");
+    }
+}
--- a/crates/entry/tests/path/limits.rs
+++ b/crates/entry/tests/path/limits.rs
@@ -69,3 +69,33 @@
     }
     assert_eq!(site.bills_when(4 + answered.len()).await.len(), 4 + answered.len());
 }
+
+// Half of the engines are lost while requests wait for their turn. None waits
+// for the lost one's places until its deadline in vain: each is answered whole,
+// or told the truth of its run, and what was answered is billed.
+#[tokio::test]
+async fn endpoint_lost_at_admit() {
+    let engine =
+        engine::Options { slots: 2, queue: 0, first_token_ms: 60, per_token_ms: 0, ..engine::Options::default() };
+    let site = Site::open(Plan { engine, ..Plan::default() }).await;
+    site.client(0).chat(CLUB, &[], "warm").await.content();
+    let client = site.client(0);
+    let lost = async {
+        site.until(|site| site.runs().len() > 4).await;
+        site.engines[0].switch(Switch::LoseAnswers(Odds::ALWAYS));
+    };
+    let calls = (0..30).map(|n| async move {
+        client.chat(CLUB, &[("arbutuslug-deadline-ms", "30000")], &format!("summary {n}")).await
+    });
+    let (replies, ()) = tokio::join!(futures::future::join_all(calls), lost);
+    let (answered, refused): (Vec<_>, Vec<_>) = replies.iter().partition(|reply| reply.status.is_success());
+    assert!(answered.len() >= 4, "{} answered", answered.len());
+    for reply in &refused {
+        let (_, kind, ran) = reply.problem();
+        assert_ne!(kind, "deadline", "it waited in vain: {}", reply.text);
+        if ran == "no" {
+            assert!(reply.json()["retry_after_ms"].is_u64(), "{}", reply.text);
+        }
+    }
+    assert_eq!(site.bills_when(1 + answered.len()).await.len(), 1 + answered.len());
+}
--- a/crates/route/tests/endpoint.rs
+++ b/crates/route/tests/endpoint.rs
@@ -103,6 +103,27 @@
     assert_eq!(choose(&fleet, Some(42), &[], 1, NOW).expect("there are some").rule, Rule::Preferred);
 }
 
+/// Events of a cache are lost. Callers are answered as ever, at worst without
+/// a hit: of a prefix whose storing was never heard of, the usual endpoint is
+/// chosen; one that was evicted unheard of still draws its prefix, but only
+/// until it is loaded, as any endpoint.
+#[test]
+fn cache_events_lost_at_choose() {
+    let mut fleet = fleet(1, 6);
+    let usual = choose(&fleet, Some(42), &[], 1, NOW).expect("there are some");
+    assert_eq!(usual.rule, Rule::Preferred, "stored elsewhere, unheard of");
+    let (holder, name) = fleet.endpoints().map(|(key, e)| (key, e.id.clone())).find(|e| e.0 != usual.key).expect("six");
+    fleet.on(Event::Stored { endpoint: &name, prefix: 42 }, NOW);
+    // Evicted here, and the event is lost.
+    let mut to_holder = 0;
+    for draw in 0..64 {
+        let choice = choose(&fleet, Some(42), &[], draw, NOW).expect("there are some");
+        to_holder += usize::from(choice.key == holder);
+        fleet.on(Event::Dispatched(choice.key), NOW);
+    }
+    assert!((1..32).contains(&to_holder), "{to_holder} of 64 runs went to one of six endpoints");
+}
+
 /// An endpoint breaks five runs in a row: no more go there. After its ejection
 /// it gets a tenth of its work and more with time; one more failure while
 /// coming back ejects it again, for longer.
