Make contract::Key of a secret in one place

Change: contract::Key::of, tested by the standard's example; the four call it, and two crates need sha2 no more. No assertion changed.

--- a/crates/arbutuslugd/tests/path.rs
+++ b/crates/arbutuslugd/tests/path.rs
@@ -14,7 +14,10 @@
     objects::{self, Limits, Objects},
 };
 use tokio::time::timeout;
-use world::{contract::Customer, object::Object};
+use world::{
+    contract::{Customer, Key},
+    object::Object,
+};
 
 /// Longest wait for something that must come; far beyond what it takes.
 const PATIENCE: Duration = Duration::from_mins(1);
@@ -74,7 +77,7 @@
   budget: {{ amount: "100", currency: EUR, period: day }}
 "#,
             self.engine.addr(),
-            sha256("example-club"),
+            Key::of("example-club").sha256,
         );
         let objects = Object::parse_file(&text).expect("the objects are well formed");
         let edits = objects.into_iter().map(|object| Edit::Put(object, Expected::Any)).collect();
@@ -110,12 +113,6 @@
     }
 }
 
-fn sha256(text: &str) -> String {
-    use sha2::Digest;
-    let digits = |byte: &u8| [byte >> 4, byte & 15].map(|digit| char::from_digit(digit.into(), 16).expect("a digit"));
-    sha2::Sha256::digest(text).iter().flat_map(digits).collect()
-}
-
 const CHAT: &str = r#"{"model":"summary","messages":[{"role":"user","content":"Sum up Saturday."}],"stream":true}"#;
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/bench/src/path/rig.rs
+++ b/crates/bench/src/path/rig.rs
@@ -5,13 +5,12 @@
 use arbutuslugd::Process;
 use operator::{Change, Client, Edit, Target, What};
 use settings::Settings;
-use sha2::Digest;
 use standin::{
     engine::{self, Engine},
     objects::{self, Limits, Objects},
 };
 use tokio::runtime::{Builder, Runtime};
-use world::object::Object;
+use world::{contract::Key, object::Object};
 
 /// The caller's key.
 pub const KEY: &str = "bench-caller";
@@ -76,12 +75,7 @@
 }
 
 fn objects(engine: SocketAddr) -> String {
-    let digest = sha2::Sha256::digest(KEY);
-    let sha256: String = digest
-        .iter()
-        .flat_map(|b| [b >> 4, b & 15])
-        .map(|d| char::from_digit(d.into(), 16).expect("a digit"))
-        .collect();
+    let sha256 = Key::of(KEY).sha256;
     format!(
         r#"
 kind: model
--- a/crates/entry/src/ask.rs
+++ b/crates/entry/src/ask.rs
@@ -12,11 +12,10 @@
 use http::{HeaderMap, HeaderName, header};
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 use world::{
     Catalog, Millis, Timestamp,
-    contract::Customer,
+    contract::{self, Customer},
     hash, model, request,
     request::{Class, Repeat},
 };
@@ -83,7 +82,7 @@
     if !scheme.eq_ignore_ascii_case("bearer") || key.trim().is_empty() {
         return Err(refused("the Authorization header is not `Bearer KEY`"));
     }
-    let digest = hex(&Sha256::digest(key.trim().as_bytes()));
+    let digest = contract::Key::of(key.trim()).sha256;
     let wrong = || refused("no contract lists this key");
     let customer = catalog.customer_by_key(&digest).ok_or_else(wrong)?;
     // The table is searched by the key's hash, so that the time it takes
@@ -173,15 +172,6 @@
     Problem::not_run(Kind::Malformed, format!("header `{header}`: {detail}"))
 }
 
-fn hex(bytes: &[u8]) -> String {
-    use std::fmt::Write;
-    let mut text = String::with_capacity(bytes.len() * 2);
-    for byte in bytes {
-        let _ = write!(text, "{byte:02x}");
-    }
-    text
-}
-
 /// A chat request.
 #[derive(Debug, Clone)]
 pub struct Chat {
--- a/crates/entry/tests/path/site.rs
+++ b/crates/entry/tests/path/site.rs
@@ -7,7 +7,6 @@
 use entry::{Links, Settings};
 use journal::Bill;
 use peer::{Inbound, Topic};
-use sha2::{Digest, Sha256};
 use standin::{
     engine::{self, Engine},
     objects::{self, Limits, Objects},
@@ -17,6 +16,7 @@
 use timeline::{Capacity, Recorder, Source};
 use tokio::{net::TcpListener, sync::mpsc, task::JoinHandle};
 use world::{
+    contract::Key,
     domain::Domain,
     instance::{Id, Incarnation, Instance, State},
     object::Object,
@@ -166,14 +166,10 @@
 
     /// The objects that the site starts with.
     pub fn file(&self, contract: &str) -> String {
-        let key = |text: &str| {
-            let digest = Sha256::digest(text.as_bytes());
-            digest.iter().fold(String::new(), |text, byte| format!("{text}{byte:02x}"))
-        };
         let customer = |name: &str, secret: &str| {
             format!(
                 "---\nkind: contract\nname: {name}\nspec:\n  keys: [{{ sha256: \"{}\" }}]\n  models: [{{ model: summary, versions: [\"1\", \"2\", \"9\"] }}]\n  services: [logbook]\n  budget: {{ amount: \"100\", currency: EUR, period: month }}\n  {contract}\n",
-                key(secret)
+                Key::of(secret).sha256
             )
         };
         let engines: Vec<_> = self
--- a/crates/world/src/contract.rs
+++ b/crates/world/src/contract.rs
@@ -1,8 +1,9 @@
 //! Contracts: one for each customer; every limit follows from it.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, fmt::Write};
 
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 
 use crate::{model, money, service, time::Millis};
 
@@ -50,6 +51,19 @@
     pub sha256: String,
 }
 
+impl Key {
+    /// What is kept of a secret.
+    #[must_use]
+    pub fn of(secret: &str) -> Self {
+        let digest = Sha256::digest(secret.as_bytes());
+        let mut sha256 = String::with_capacity(2 * digest.len());
+        for byte in digest {
+            let _ = write!(sha256, "{byte:02x}");
+        }
+        Self { sha256 }
+    }
+}
+
 /// A model a contract allows, with the versions it allows.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/world/tests/objects.rs
+++ b/crates/world/tests/objects.rs
@@ -3,6 +3,7 @@
 use world::{
     Catalog,
     catalog::Standing,
+    contract,
     model::Version,
     money::{Amount, Price},
     object::Object,
@@ -113,3 +114,10 @@
     assert_eq!(made.map(|t| t.0), Some(1_688_096_058_518));
     assert_eq!(Key::parse("order-17").expect("a key").made_at(), None);
 }
+
+/// The standard's own example, FIPS 180-4.
+#[test]
+fn key_is_kept_as_hex_sha256() {
+    let expected = "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad";
+    assert_eq!(contract::Key::of("abc").sha256, expected);
+}
