--- a/crates/bench/src/path.rs
+++ b/crates/bench/src/path.rs
@@ -45,23 +45,44 @@
     cpu: Duration,
 }
 
+/// How fast the stand-in engine answers.
+struct Pace {
+    name: &'static str,
+    first_token_ms: u64,
+    per_token_ms: u64,
+}
+
+/// At once, which shows where the instance is full; and as an engine would,
+/// which shows what it adds when it is not.
+const PACES: [Pace; 2] = [
+    Pace { name: "engine answers at once", first_token_ms: 0, per_token_ms: 0 },
+    Pace { name: "engine takes 20 ms to the first token, 5 ms between", first_token_ms: 20, per_token_ms: 5 },
+];
+
 /// Runs the benchmark and prints its tables.
 pub fn run() {
     let callers = callers();
+    println!("time to the first token, in ms; instance on one thread; platform answers in 2 ms, 300 writes/s");
+    for pace in &PACES {
+        print_pace(&callers, pace);
+    }
+}
+
+fn print_pace(callers: &Runtime, pace: &Pace) {
+    println!("\n{}", pace.name);
+    println!(
+        "{:>7} {:>9} {:>8} {:>8} {:>9} {:>9} {:>10} {:>12}",
+        "callers", "way", "p50", "p99", "added p50", "added p99", "requests/s", "per core, /s"
+    );
     let rig = Rig::spawn(Options {
         versions: [rig::VERSION.into()].into(),
         slots: 4_096,
         queue: 4_096,
+        first_token_ms: pace.first_token_ms,
+        per_token_ms: pace.per_token_ms,
         ..Options::default()
     });
     let instance = rig.instance.addresses().callers;
-    println!(
-        "added time to the first token, in ms; instance on one thread; stand-in platform answers in 2 ms, 300 writes/s"
-    );
-    println!(
-        "{:>7} {:>9} {:>8} {:>8} {:>9} {:>9} {:>10} {:>12}",
-        "callers", "way", "p50", "p99", "added p50", "added p99", "requests/s", "per core, /s"
-    );
     for load in LOADS {
         let ways = [To::Engine(rig.engine), To::Instance(instance), To::Claimed(instance)];
         let mut measured = ways.map(|_| Measured::new());
