--- a/crates/control/tests/it/steps.rs
+++ b/crates/control/tests/it/steps.rs
@@ -104,6 +104,20 @@
     assert!(site.rollout(watcher).is_some_and(|rollout| rollout.step == 3));
 }
 
+/// The coordinator cannot reach the platform for long enough to lose its
+/// lease, and then can again.
+async fn check_lapsed(at: At) {
+    let (site, _) = open_at(at).await;
+    let leader = site.leader();
+    site.instances[leader].client.set_down(true);
+    seconds(20.0).await;
+    site.instances[leader].client.set_down(false);
+    promoted(&site, 0..3).await;
+    assert_ne!(site.leader(), leader, "its lease lapsed");
+    seconds(30.0).await;
+    assert!((0..3).all(|number| site.rollout(number).is_some_and(|rollout| rollout.state == State::Promoted)));
+}
+
 macro_rules! steps {
     ($($(#[doc = $doc:literal])* $name:ident: $check:ident at $at:ident;)*) => {
         $($(#[doc = $doc])* #[tokio::test(start_paused = true)]
@@ -147,6 +161,14 @@
     /// The same before the last step ends: promoted once, by the same holder.
     answer_lost_at_promote: check_answer_lost at Promote;
 
+    /// The coordinator's lease lapses as the first sessions meet the version,
+    /// and it comes back. Operators see the roll-out go on at another, and no
+    /// step by the old one: it finds its term over by its own clock.
+    lease_lapsed_at_expose: check_lapsed at Expose;
+
+    /// The same before the last step ends.
+    lease_lapsed_at_promote: check_lapsed at Promote;
+
     /// The coordinator's links to all peers are cut while engines load.
     /// Operators see the roll-out go on everywhere, because orders go to the
     /// engines and steps over the platform, not over the links.
@@ -215,3 +237,24 @@
     seconds(90.0).await;
     assert_eq!(site.engines.holding(&new_version()), 0);
 }
+
+/// The coordinator's lease lapses and the version turns bad meanwhile. It is
+/// stopped and withdrawn, since the guard needs no lease, and the coordinator
+/// that comes back leaves it so: withdrawn is an end.
+#[tokio::test(start_paused = true)]
+async fn lease_lapsed_at_stop() {
+    let (site, _) = open_at(At::Expose).await;
+    let leader = site.leader();
+    site.instances[leader].client.set_down(true);
+    // Past its term, and before a successor may order anything.
+    seconds(7.0).await;
+    site.set_bad(350);
+    let other = (leader + 1) % 3;
+    site.wait_for(other, State::Withdrawn).await;
+    seconds(20.0).await;
+    site.instances[leader].client.set_down(false);
+    seconds(30.0).await;
+    for number in 0..3 {
+        site.wait_for(number, State::Withdrawn).await;
+    }
+}
--- a/crates/entry/tests/path/cascades.rs
+++ b/crates/entry/tests/path/cascades.rs
@@ -18,14 +18,14 @@
 
 const CONTENT: &str = "season summary";
 
-fn plan(cheap: f64) -> Plan {
+pub fn plan(cheap: f64) -> Plan {
     let quality = BTreeMap::from([(CHEAP.to_owned(), cheap), (DEAR.to_owned(), 1.0)]);
     let rating = rating::Options { quality, ..rating::Options::default() };
     Plan { rating: Some(rating), contract: "quality: { target: 0.95 }", ..Plan::default() }
 }
 
 /// Versions that ran, in order.
-fn ran(site: &Site) -> Vec<String> {
+pub fn ran(site: &Site) -> Vec<String> {
     let mut runs = site.runs();
     runs.sort_by_key(|run| run.received);
     runs.into_iter().map(|run| run.version).collect()
--- /dev/null
+++ b/crates/entry/tests/path/escalation.rs
@@ -0,0 +1,135 @@
+//! Faults that strike a cascade while its cheap answer runs.
+
+use std::time::Duration;
+
+use standin::{
+    engine::{self, Switch},
+    fault::Odds,
+    objects,
+};
+use tokio::time::Instant;
+
+use crate::{
+    cascades::{plan, ran},
+    client::Stream,
+    site::{CHEAP, CLUB, DEAR, Plan, Site},
+    whole::answer_of,
+};
+
+/// Tries until a request has started on the cheap version.
+const TRIES: usize = 40;
+
+/// A request that was struck while the cheap version ran it.
+struct Struck {
+    site: Site,
+    content: String,
+    stream: Stream,
+}
+
+/// Strikes a request's cascade; nothing is known of either version, so that
+/// the choice may start anywhere.
+async fn strike(cheap: f64, blow: impl Fn(&Site)) -> Struck {
+    for n in 0..TRIES {
+        let engine = engine::Options { first_token_ms: 500, ..engine::Options::default() };
+        let site = Site::open(Plan { instances: 2, engine, ..plan(cheap) }).await;
+        let content = format!("season summary {n}");
+        let (client, asked) = (site.client(0), content.clone());
+        let call = tokio::spawn(async move { client.stream(CLUB, &[], &asked).await });
+        site.until(|site| !site.runs().is_empty()).await;
+        if ran(&site) != [CHEAP] {
+            continue;
+        }
+        blow(&site);
+        if site.runs()[0].end.is_none() {
+            return Struck { content, stream: call.await.expect("no panic"), site };
+        }
+    }
+    panic!("no request started on the cheap version");
+}
+
+/// The caller gets one version's whole answer, and it is billed once.
+async fn check_whole(struck: Struck, version: &str) -> Site {
+    let Struck { site, content, stream } = struck;
+    assert_eq!(stream.status, 200);
+    let told = stream.told().await;
+    assert_eq!((told.text.as_str(), told.done), (answer_of(version, &content).as_str(), true), "{told:?}");
+    site.objects.switch(objects::Switch::Up);
+    assert_eq!(site.bills_when(1).await.len(), 1);
+    site
+}
+
+fn platform_down(site: &Site) {
+    site.objects.switch(objects::Switch::Down);
+}
+
+fn leave(site: &Site) {
+    let entry = site.nodes[0].entry.clone();
+    tokio::spawn(async move { entry.drain(Instant::now() + Duration::from_secs(20)).await });
+}
+
+// The platform goes down before the cheap answer is rated. It passes and the
+// caller gets it: rating needs no platform, and two instances hold the bill
+// until it is back.
+#[tokio::test]
+async fn platform_down_at_rate() {
+    check_whole(strike(1.0, platform_down).await, CHEAP).await;
+}
+
+// The same with an answer that fails: the dear version runs during the outage.
+#[tokio::test]
+async fn platform_down_at_escalate() {
+    check_whole(strike(0.0, platform_down).await, DEAR).await;
+}
+
+// The instance is told to leave before the cheap answer is rated. The request
+// is in flight, so the rating and the answer still go their way.
+#[tokio::test]
+async fn instance_leaving_at_rate() {
+    check_whole(strike(1.0, leave).await, CHEAP).await;
+}
+
+// The same with an answer that fails: the dear run is part of the request
+// that was taken, and no new work.
+#[tokio::test]
+async fn instance_leaving_at_escalate() {
+    check_whole(strike(0.0, leave).await, DEAR).await;
+}
+
+// An engine takes the dear run and answers nothing. The caller gets the dear
+// version's whole answer from the other: an escalation is dispatched again
+// like any idempotent run.
+#[tokio::test]
+async fn endpoint_lost_at_escalate() {
+    let lose = |site: &Site| site.engines[0].switch(Switch::LoseAnswers(Odds::ALWAYS));
+    for _ in 0..TRIES {
+        let site = check_whole(strike(0.0, lose).await, DEAR).await;
+        if site.engines[0].records().iter().any(|run| run.version == DEAR) {
+            return;
+        }
+    }
+    panic!("no dear run went to the lost engine");
+}
+
+// The list says that an engine leaves before the cheap answer is rated. The
+// dear run goes to the other one: the endpoint is chosen when it is needed.
+#[tokio::test]
+async fn endpoint_leaving_at_escalate() {
+    let leaving = |site: &Site| {
+        site.nodes[0].leaving.send_replace(vec!["e0".parse().expect("a name")]);
+    };
+    let site = check_whole(strike(0.0, leaving).await, DEAR).await;
+    assert!(site.engines[0].records().iter().all(|run| run.version != DEAR));
+}
+
+// Every engine is full when the cheap answer fails its rating. The caller gets
+// its final answer: the request has run and there is no whole answer, nothing
+// of the failed one is shown, and nothing is billed.
+#[tokio::test]
+async fn pool_full_at_escalate() {
+    let full = |site: &Site| site.switch(&Switch::Refuse(Odds::ALWAYS));
+    let Struck { site, mut stream, .. } = strike(0.0, full).await;
+    let json: serde_json::Value = serde_json::from_str(&stream.rest().await).expect("a problem");
+    assert_eq!((stream.status.as_u16() / 100, json["ran"].as_str()), (5, Some("yes")), "{json}");
+    assert_eq!(ran(&site), [CHEAP]);
+    assert!(site.bills().is_empty());
+}
--- a/crates/entry/tests/path/main.rs
+++ b/crates/entry/tests/path/main.rs
@@ -5,6 +5,7 @@
 mod breaks;
 mod cascades;
 mod client;
+mod escalation;
 mod gone;
 mod leaving;
 mod limits;
