--- a/crates/trial/src/summary.rs
+++ b/crates/trial/src/summary.rs
@@ -116,6 +116,16 @@
 impl fmt::Display for Summary {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "{}", self.site)?;
+        self.show_callers(f)?;
+        self.show_records(f)?;
+        self.show_promises(f)?;
+        self.show_breaches(f)
+    }
+}
+
+impl Summary {
+    /// What callers sent and got.
+    fn show_callers(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
             "  sent       {} requests: {} streams, {} in sessions, {} that must not run twice, {} repeats elsewhere",
@@ -133,7 +143,11 @@
             self.latency(50),
             self.latency(99),
             self.retries
-        )?;
+        )
+    }
+
+    /// What the stand-ins saw.
+    fn show_records(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
             "  records    {} attempts at engines, {} effects at services, {} bills in the object API",
@@ -147,6 +161,11 @@
         if let Some(withdrawal) = &self.withdrawal {
             writeln!(f, "  withdrawn  {} in force everywhere after {:?}", withdrawal.version, withdrawal.took)?;
         }
+        Ok(())
+    }
+
+    /// How often each promise was broken.
+    fn show_promises(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
             "  promises   {} lost, {} doubled, {} bills missing, {} bills doubled, {} bills wrong, {} false \"not run\", {} on other versions, {} on a withdrawn version, {} sessions moved unsaid",
@@ -159,7 +178,10 @@
             self.count(|breach| matches!(breach, Breach::Version(_))),
             self.count(|breach| matches!(breach, Breach::Withdrawn(_))),
             self.count(|breach| matches!(breach, Breach::Session(_))),
-        )?;
+        )
+    }
+
+    fn show_breaches(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for breach in self.breaches.iter().take(SHOWN) {
             writeln!(f, "    {breach:?}")?;
         }
