--- a/crates/budget/tests/budgets.rs
+++ b/crates/budget/tests/budgets.rs
@@ -2,11 +2,14 @@
 
 #[path = "../../journal/tests/support/fleet.rs"]
 mod fleet;
+#[path = "support/grants.rs"]
+mod grants;
 
 use std::time::Duration;
 
-use budget::{Config, Error, Handle, Reservation};
+use budget::{Error, Handle, Reservation};
 use fleet::{Fleet, START, bill, id, soon};
+use grants::open;
 use journal::{Bill, Error as JournalError, Reason, Receipt};
 use platform::fake::Loss;
 use tokio::time::sleep;
@@ -25,13 +28,6 @@
     Budget { amount: Amount(limit), currency: "EUR".to_owned().try_into().expect("a currency"), period: Period::Month }
 }
 
-fn open(fleet: &Fleet, n: usize) -> Handle {
-    let node = &fleet.nodes[n];
-    let mut config = Config::new(node.journal.config().origin.clone());
-    config.clock = node.journal.config().clock;
-    budget::spawn(config, node.store.clone(), node.journal.clone())
-}
-
 async fn reserve(handle: &Handle, ceiling: u64) -> Result<Reservation, Error> {
     handle.reserve(&customer(), &budget(LIMIT), Amount(ceiling), soon()).await
 }
--- a/crates/budget/tests/interleavings.rs
+++ b/crates/budget/tests/interleavings.rs
@@ -2,10 +2,12 @@
 
 #[path = "../../journal/tests/support/fleet.rs"]
 mod fleet;
+#[path = "support/grants.rs"]
+mod grants;
 
 use std::time::Duration;
 
-use budget::{Config, Error, Handle, Reservation};
+use budget::{Error, Handle, Reservation};
 use fleet::{Fleet, bill, id, soon, within};
 use journal::{Bill, Error as JournalError, Reason, Receipt};
 use platform::fake::Loss;
@@ -64,11 +66,7 @@
 }
 
 fn open(fleet: &Fleet, n: usize) -> Node {
-    let node = &fleet.nodes[n];
-    let mut config = Config::new(node.journal.config().origin.clone());
-    config.clock = node.journal.config().clock;
-    let budget = budget::spawn(config, node.store.clone(), node.journal.clone());
-    Node { budget, journal: node.journal.clone() }
+    Node { budget: grants::open(fleet, n), journal: fleet.nodes[n].journal.clone() }
 }
 
 fn bill_on(key: &str, amount: u64, reservation: &Reservation) -> Bill {
--- a/crates/budget/tests/settlement.rs
+++ b/crates/budget/tests/settlement.rs
@@ -2,11 +2,14 @@
 
 #[path = "../../journal/tests/support/fleet.rs"]
 mod fleet;
+#[path = "support/grants.rs"]
+mod grants;
 
 use std::time::Duration;
 
-use budget::{Config, Error, Handle, Reservation};
+use budget::{Error, Handle, Reservation};
 use fleet::{Fleet, bill, id, soon};
+use grants::open;
 use journal::{Bill, Receipt};
 use platform::fake::Loss;
 use tokio::time::sleep;
@@ -20,13 +23,6 @@
 const GRANTED: u64 = 600_000;
 const BILLED: u64 = 250_000;
 
-fn open(fleet: &Fleet, n: usize) -> Handle {
-    let node = &fleet.nodes[n];
-    let mut config = Config::new(node.journal.config().origin.clone());
-    config.clock = node.journal.config().clock;
-    budget::spawn(config, node.store.clone(), node.journal.clone())
-}
-
 async fn reserve(handle: &Handle, ceiling: u64) -> Result<Reservation, Error> {
     let currency = "EUR".to_owned().try_into().expect("a currency");
     let budget = Budget { amount: Amount(LIMIT), currency, period: Period::Month };
--- /dev/null
+++ b/crates/budget/tests/support/grants.rs
@@ -0,0 +1,13 @@
+//! Budgets of a fleet's instances.
+
+use budget::{Config, Handle};
+
+use crate::fleet::Fleet;
+
+/// The budget task of an instance, on the clock of its journal.
+pub fn open(fleet: &Fleet, n: usize) -> Handle {
+    let node = &fleet.nodes[n];
+    let mut config = Config::new(node.journal.config().origin.clone());
+    config.clock = node.journal.config().clock;
+    budget::spawn(config, node.store.clone(), node.journal.clone())
+}
