--- a/crates/control/tests/it/steps.rs
+++ b/crates/control/tests/it/steps.rs
@@ -258,3 +258,21 @@
         site.wait_for(number, State::Withdrawn).await;
     }
 }
+
+/// A version turns bad, and each instance loses the answer of one of its
+/// writes, the withdrawal among them. Operators see it withdrawn everywhere
+/// and once: what stands is read back before anything is written again.
+#[tokio::test(start_paused = true)]
+async fn answer_lost_at_stop() {
+    for nth in WRITES {
+        let (site, _) = open_at(At::Expose).await;
+        site.instances.iter().for_each(|instance| instance.client.lose(nth, Loss::After));
+        site.set_bad(350);
+        for number in 0..3 {
+            site.wait_for(number, State::Withdrawn).await;
+        }
+        let withdrawn = site.rollout(0);
+        seconds(20.0).await;
+        assert_eq!(site.rollout(0), withdrawn, "write {nth}");
+    }
+}
