--- a/crates/arbutuslugd/tests/path.rs
+++ b/crates/arbutuslugd/tests/path.rs
@@ -11,7 +11,7 @@
 use settings::Settings;
 use standin::{
     engine::{self, Engine},
-    objects::{self, Limits, Objects},
+    objects::{self, Limits, Listed, Objects, Role, Standing},
 };
 use tokio::time::timeout;
 use world::{
@@ -19,6 +19,8 @@
     object::Object,
 };
 
+/// Twice the time after which a listed endpoint gets no new work anywhere.
+const LISTED: Duration = Duration::from_secs(4);
 /// Longest wait for something that must come; far beyond what it takes.
 const PATIENCE: Duration = Duration::from_mins(1);
 
@@ -30,7 +32,7 @@
 
 struct Site {
     objects: objects::Handle,
-    engine: engine::Handle,
+    engines: Vec<engine::Handle>,
     daemons: Vec<Daemon>,
 }
 
@@ -42,7 +44,10 @@
     async fn spawn() -> Self {
         let objects = Objects::bind(loopback(), Limits::none()).await.expect("a port is free");
         let options = engine::Options { versions: ["summary@3".into()].into(), ..engine::Options::default() };
-        let engine = Engine::bind(loopback(), options).await.expect("a port is free");
+        let mut engines = Vec::new();
+        for _ in 0..2 {
+            engines.push(Engine::bind(loopback(), options.clone()).await.expect("a port is free"));
+        }
         let mut daemons: Vec<Daemon> = Vec::new();
         for domain in ["a", "b", "c"] {
             let mut settings = Settings::local(
@@ -55,7 +60,7 @@
             settings.peers.seeds = daemons.iter().map(Daemon::peers).collect();
             daemons.push(Daemon::spawn(settings).await.expect("the daemon starts"));
         }
-        Self { objects, engine, daemons }
+        Self { objects, engines, daemons }
     }
 
     async fn configure(&self) {
@@ -67,7 +72,7 @@
 ---
 kind: pool
 name: small
-spec: {{ domain: a, serves: {{ versions: [summary@3] }}, endpoints: [ {{ name: small-1, address: "{}" }} ] }}
+spec: {{ domain: a, serves: {{ versions: [summary@3] }}, endpoints: [ {{ name: small-1, address: "{}" }}, {{ name: small-2, address: "{}" }} ] }}
 ---
 kind: contract
 name: club
@@ -76,7 +81,8 @@
   models: [ {{ model: summary, versions: ["3"] }} ]
   budget: {{ amount: "100", currency: EUR, period: day }}
 "#,
-            self.engine.addr(),
+            self.engines[0].addr(),
+            self.engines[1].addr(),
             Key::of("example-club").sha256,
         );
         let objects = Object::parse_file(&text).expect("the objects are well formed");
@@ -107,6 +113,10 @@
         Answer { status: head.status, headers: head.headers, body }
     }
 
+    fn runs(&self) -> usize {
+        self.engines.iter().map(|engine| engine.records().len()).sum()
+    }
+
     async fn bills(&self) -> Vec<journal::Bill> {
         let customer: Customer = "club".parse().expect("a name");
         self.daemons[0].parts().journal.bills(&customer).await.expect("the platform answers")
@@ -135,7 +145,7 @@
     // The home now names who holds the answer.
     let again = site.ask(1, Method::POST, "/v1/chat/completions", CHAT, Some("sheet-1")).await;
     assert_eq!(again.status, StatusCode::OK, "{}", again.body);
-    assert_eq!(site.engine.records().len(), 1);
+    assert_eq!(site.runs(), 1);
 
     let outcome = site.ask(2, Method::GET, "/v1/requests/sheet-1", "", None).await;
     assert!(outcome.body.contains("answered"), "{}", outcome.body);
@@ -156,3 +166,25 @@
     let addresses = site.ask(0, Method::GET, "/v1/addresses", "", None).await;
     assert_eq!(addresses.body.matches("\"address\"").count(), 2, "{}", addresses.body);
 }
+
+// The platform lists an engine as leaving. The domain's reader sees it, the
+// others ask the reader; callers see nothing: their requests go to the other
+// engine from every instance, and the one that leaves gets none.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_endpoint_gets_no_new_work_from_any_instance() {
+    let site = Site::spawn().await;
+    site.configure().await;
+    let listed = |name: &str, state| Listed { name: name.into(), role: Role::Endpoint, state };
+    site.objects.set_instances(vec![listed("small-1", Standing::Leaving), listed("small-2", Standing::Live)]);
+    tokio::time::sleep(LISTED).await;
+    let before = site.engines[0].records().len();
+    for at in 0..site.daemons.len() {
+        for n in 0..8 {
+            let body = CHAT.replace("Saturday", &format!("day {n} at {at}"));
+            let answer = site.ask(at, Method::POST, "/v1/chat/completions", &body, None).await;
+            assert_eq!(answer.status, StatusCode::OK, "{}", answer.body);
+        }
+    }
+    assert_eq!(site.engines[0].records().len(), before);
+    assert_eq!(site.engines[1].records().len(), site.runs() - before);
+}
