Lose an instance with requests in its queue

The cell named a kill under traffic, which strikes runs and only by chance a queue. The docs of the roll-out cells say what is seen and why in full.

--- a/crates/control/tests/it/steps.rs
+++ b/crates/control/tests/it/steps.rs
@@ -133,10 +133,12 @@
     /// that, because both wait longer than a call takes.
     platform_slow_at_load: check_slow at Load;
 
-    /// The same from the first sessions on.
+    /// The same from the first sessions on: each step waits its time and for
+    /// its answers, whose observations do not go over the platform.
     platform_slow_at_expose: check_slow at Expose;
 
-    /// The same before the last step ends.
+    /// The same before the last step ends: the write that promotes is waited
+    /// for, and every instance hears of it.
     platform_slow_at_promote: check_slow at Promote;
 
     /// The platform is down for half a minute while engines load. They go on
@@ -158,7 +160,8 @@
     /// back what stands, and plans from that.
     answer_lost_at_expose: check_answer_lost at Expose;
 
-    /// The same before the last step ends: promoted once, by the same holder.
+    /// The same before the last step ends: promoted once, by the same holder,
+    /// which reads its write back and finds it done.
     answer_lost_at_promote: check_answer_lost at Promote;
 
     /// The coordinator's lease lapses as the first sessions meet the version,
@@ -166,7 +169,8 @@
     /// step by the old one: it finds its term over by its own clock.
     lease_lapsed_at_expose: check_lapsed at Expose;
 
-    /// The same before the last step ends.
+    /// The same before the last step ends: another promotes the version, and
+    /// the old coordinator changes nothing of that when it is back.
     lease_lapsed_at_promote: check_lapsed at Promote;
 
     /// The coordinator's links to all peers are cut while engines load.
@@ -178,7 +182,8 @@
     /// reach the coordinator, its own let the steps end.
     peers_cut_at_expose: check_peers_cut at Expose;
 
-    /// The same before the last step ends.
+    /// The same before the last step ends: promoted is in the object, which
+    /// each instance reads from the platform too.
     peers_cut_at_promote: check_peers_cut at Promote;
 
     /// The coordinator shuts down in order while engines load. Operators see
@@ -190,7 +195,8 @@
     /// object, and the next coordinator waits its time anew.
     instance_leaving_at_expose: check_leaving at Expose;
 
-    /// The same before the last step ends.
+    /// The same before the last step ends: the version is promoted by another,
+    /// once the step has lasted its time anew.
     instance_leaving_at_promote: check_leaving at Promote;
 }
 
--- a/crates/entry/tests/life.rs
+++ b/crates/entry/tests/life.rs
@@ -68,6 +68,9 @@
     hang_up_cancels_idempotent: Idempotent
         [Event::Admitted, Event::Chosen { steps: 1 }, Event::Started, Event::CallerGone]
         => Command::Abandon, Abandoned;
+    // The caller hangs up and nobody else waits: what may be repeated ends at
+    // once, before its first run, between its runs or amid its second, and no
+    // more is run or billed for nobody.
     caller_gone_at_choose: Idempotent [Event::Admitted, Event::CallerGone] => Command::Abandon, Abandoned;
     caller_gone_at_rate: Idempotent
         [Event::Admitted, Event::Chosen { steps: 2 }, Event::Started, Event::Whole, Event::CallerGone]
--- a/crates/entry/tests/path/limits.rs
+++ b/crates/entry/tests/path/limits.rs
@@ -99,3 +99,29 @@
     }
     assert_eq!(site.bills_when(1 + answered.len()).await.len(), 1 + answered.len());
 }
+
+// An instance is lost while most of its requests wait for their turn. Their
+// callers see the connections break and repeat the keys at the other one: each
+// gets its whole answer there, and each key is billed once.
+#[tokio::test]
+async fn instance_lost_at_admit() {
+    let engine =
+        engine::Options { slots: 1, queue: 0, first_token_ms: 300, per_token_ms: 0, ..engine::Options::default() };
+    let mut site = Site::open(Plan { instances: 2, engine, ..Plan::default() }).await;
+    let keys: Vec<_> = (0..6).map(|n| format!("sheet-{n}")).collect();
+    let first: Vec<_> = keys
+        .iter()
+        .map(|key| {
+            let (client, key) = (site.client(0), key.clone());
+            tokio::spawn(async move { client.chat(CLUB, &[("idempotency-key", &key)], &key).await })
+        })
+        .collect();
+    site.until(|site| !site.runs().is_empty()).await;
+    drop(site.nodes.remove(0));
+    first.iter().for_each(tokio::task::JoinHandle::abort);
+    for key in &keys {
+        site.client(0).chat(CLUB, &[("idempotency-key", key)], key).await.content();
+    }
+    let bills = site.bills_when(keys.len()).await;
+    assert_eq!(bills.len(), keys.len());
+}
