Keep an older run from overwriting a later one's entry

Cause: a run that could not write its entry at its start, and was paused, wrote it on waking over the entry of the run that followed. Change: it leaves a later incarnation's entry alone. New tests for the entry under outage, lost answers, a clock set back and a paused run; the last failed to hold before by reading the code, and holds now.

--- a/crates/arbutuslugd/src/registry.rs
+++ b/crates/arbutuslugd/src/registry.rs
@@ -4,6 +4,9 @@
 //! each run an incarnation higher than the last. They say nothing about who
 //! is alive: that is membership's, told by heartbeats.
 
+#[cfg(test)]
+mod tests;
+
 use std::time::Duration;
 
 use platform::{Handle, Priority, Write};
@@ -74,6 +77,9 @@
 async fn write_same(platform: &Handle, me: &Instance) -> bool {
     let key = key(me);
     let outcome = match platform.get(Priority::Config, &key).await {
+        // A run that was paused since its start must not stand in the place of
+        // the one that followed it: strangers would dial a gone address.
+        Ok(Some(item)) if item.read::<Instance>().is_ok_and(|entry| entry.incarnation > me.incarnation) => return true,
         Ok(Some(item)) => platform.update(Priority::Config, &item, me).await,
         Ok(None) => platform.create(Priority::Config, &key, me).await,
         Err(error) => Err(error),
