--- a/crates/entry/src/ask.rs
+++ b/crates/entry/src/ask.rs
@@ -288,6 +288,12 @@
     serde_json::from_str(value.get()).map_err(|error| Problem::not_run(Kind::Malformed, format!("`{name}`: {error}")))
 }
 
+/// The headers that are named, each with its first value.
+pub(crate) fn only(headers: &HeaderMap, names: &[HeaderName]) -> HeaderMap {
+    let kept = names.iter().filter_map(|name| Some((name.clone(), headers.get(name)?.clone())));
+    kept.collect()
+}
+
 /// Text for headers, from bytes.
 pub(crate) fn encode(bytes: &[u8]) -> String {
     base64::engine::general_purpose::URL_SAFE_NO_PAD.encode(bytes)
--- a/crates/entry/src/drive/dispatch.rs
+++ b/crates/entry/src/drive/dispatch.rs
@@ -4,7 +4,7 @@
 
 use control::observation::Outcome as Seen;
 use endpoint::{Attempt as Name, Dispatch, Error, error::Refusal};
-use http::{HeaderMap, HeaderName, header};
+use http::{HeaderName, header};
 use route::{endpoint as placing, endpoint::Failure, endpoint::Target, quality::Cell, retry};
 use timeline::{Ran, Step};
 use tokio::time::{Instant, sleep};
@@ -12,7 +12,7 @@
 
 use super::{Attempt, Driver};
 use crate::{
-    clock,
+    ask, clock,
     desk::{Ending, Place, Wanted},
     life::Event,
     problem::{Kind, Problem},
@@ -22,7 +22,7 @@
 
 /// When to come back when no endpoint takes the work.
 const NO_ENDPOINT_RETRY_MS: u64 = 500;
-/// Attempts that no connection is kept for: a plain service answers at once.
+/// Headers of a plain service's answer that its caller gets.
 const PASSED_ON: [HeaderName; 5] =
     [header::CONTENT_TYPE, header::CONTENT_LANGUAGE, header::LOCATION, header::ETAG, header::CACHE_CONTROL];
 
@@ -139,7 +139,7 @@
             Ok(response) => {
                 place.end(Ending::Whole { millis: clock::millis(started.elapsed()), tokens: 1 });
                 let (parts, body) = response.into_parts();
-                let headers = passed_on(&parts.headers);
+                let headers = ask::only(&parts.headers, &PASSED_ON);
                 self.answer.reply = Some(Arc::new(Reply { status: parts.status, headers, body }));
                 Event::Started
             }
@@ -231,13 +231,3 @@
         Refusal::Status(_) => Failure::Error,
     }
 }
-
-fn passed_on(headers: &HeaderMap) -> HeaderMap {
-    let mut kept = HeaderMap::new();
-    for name in PASSED_ON {
-        if let Some(value) = headers.get(&name) {
-            kept.insert(name, value.clone());
-        }
-    }
-    kept
-}
--- a/crates/entry/src/http/calls.rs
+++ b/crates/entry/src/http/calls.rs
@@ -66,7 +66,7 @@
     let plain = path.split('?').next().unwrap_or_default();
     let repeat = if spec.repeatable(http.method().as_str(), plain) { terms.repeat() } else { Repeat::Never };
     let method = http.method().clone();
-    let headers = passed_on(http.headers());
+    let headers = ask::only(http.headers(), &PASSED_ON);
     let body = body(shared, http).await?;
     let visit = Visit { service: id, method, path, headers, body };
     let request = request(shared, terms, repeat, Work::Call(visit), contract)?;
@@ -185,13 +185,3 @@
     }
     Ok((name.to_owned(), path))
 }
-
-fn passed_on(headers: &HeaderMap) -> HeaderMap {
-    let mut kept = HeaderMap::new();
-    for name in PASSED_ON {
-        if let Some(value) = headers.get(&name) {
-            kept.insert(name, value.clone());
-        }
-    }
-    kept
-}
--- a/crates/journal/src/handle.rs
+++ b/crates/journal/src/handle.rs
@@ -187,21 +187,16 @@
             made_at: id.key.made_at(),
             lasts_ms: millis(lasts),
         };
-        match self.ask(digest, Op::Register(register.clone()), deadline).await {
-            Ok(Reply::First) => {
-                let run = Run::Registered(register, Instant::now() + lasts);
-                self.shared().runs.insert(digest, run);
-                Ok(Registered::First)
-            }
-            Ok(Reply::Again) => {
-                let run = Run::Registered(register, Instant::now() + lasts);
-                self.shared().runs.insert(digest, run);
-                Ok(Registered::Again)
-            }
-            Ok(Reply::RunningAt(instance)) => Ok(Registered::RunningAt(instance)),
-            Ok(Reply::Known(known)) => Ok(Registered::Known(known)),
-            other => Err(unexpected(other)),
-        }
+        let registered = match self.ask(digest, Op::Register(register.clone()), deadline).await {
+            Ok(Reply::First) => Registered::First,
+            Ok(Reply::Again) => Registered::Again,
+            Ok(Reply::RunningAt(instance)) => return Ok(Registered::RunningAt(instance)),
+            Ok(Reply::Known(known)) => return Ok(Registered::Known(known)),
+            other => return Err(unexpected(other)),
+        };
+        let run = Run::Registered(register, Instant::now() + lasts);
+        self.shared().runs.insert(digest, run);
+        Ok(registered)
     }
 
     /// Records how a request that was claimed or registered here ended.
