--- a/crates/arbutuslugd/src/daemon.rs
+++ b/crates/arbutuslugd/src/daemon.rs
@@ -59,7 +59,7 @@
 #[derive(Debug, Clone)]
 pub struct Parts {
     /// The object API.
-    pub platform: platform::Handle,
+    pub platform: store::Handle,
     /// The configuration.
     pub config: config::Handle,
     /// Claims, bills, sessions.
@@ -107,7 +107,7 @@
         let operators = bind("operators", settings.listeners.operators).await?;
         let peers = bind("peers", settings.listeners.peers).await?;
         let sockets = Sockets { callers, operators, peers };
-        let platform = platform::open(options::platform(&settings));
+        let platform = store::open(options::platform(&settings));
         let mut me = instance(&settings, &sockets);
         let entered = registry::enter(&platform, &mut me).await;
         start::start(&settings, sockets, platform, me, entered)
--- a/crates/arbutuslugd/src/daemon/options.rs
+++ b/crates/arbutuslugd/src/daemon/options.rs
@@ -28,16 +28,16 @@
     Recorder::open(source, capacity)
 }
 
-pub(super) fn platform(settings: &Settings) -> platform::Settings {
+pub(super) fn platform(settings: &Settings) -> store::Settings {
     let at = &settings.platform;
     // Two processes must not draw the same nonces: the name alone would let a
     // restarted instance take its predecessor's write for its own.
     let writer = format!("{}-{}", settings.instance, uuid::Uuid::new_v4());
-    platform::Settings {
+    store::Settings {
         writes_per_s: f64::from(at.writes_per_s),
         reads_per_s: f64::from(at.reads_per_s),
         call_timeout: Duration::from_millis(at.timeout_ms),
-        ..platform::Settings::new(at.address, writer)
+        ..store::Settings::new(at.address, writer)
     }
 }
 
--- a/crates/arbutuslugd/src/daemon/start.rs
+++ b/crates/arbutuslugd/src/daemon/start.rs
@@ -25,7 +25,7 @@
 pub(super) fn start(
     settings: &Settings,
     sockets: Sockets,
-    platform: platform::Handle,
+    platform: store::Handle,
     me: Instance,
     entered: bool,
 ) -> Result<Daemon, Error> {
@@ -48,7 +48,7 @@
     settings: &Settings,
     callers: TcpListener,
     peers: TcpListener,
-    platform: platform::Handle,
+    platform: store::Handle,
     me: &Instance,
 ) -> Result<(Parts, Outlets), Error> {
     let origin = Origin { instance: me.id.clone(), incarnation: me.incarnation };
--- a/crates/arbutuslugd/src/list.rs
+++ b/crates/arbutuslugd/src/list.rs
@@ -13,8 +13,8 @@
 
 use bytes::Bytes;
 use peer::Topic;
-use platform::{Priority, Role, Standing};
 use prost::Message;
+use store::{Priority, Role, Standing};
 use tokio::{
     sync::watch,
     time::{Instant, MissedTickBehavior, interval},
@@ -71,7 +71,7 @@
 #[derive(Debug)]
 pub struct Reader {
     /// The platform, for the reader of a domain and as the fallback.
-    pub platform: platform::Handle,
+    pub platform: store::Handle,
     /// Links to the domain's reader.
     pub peers: peer::Handle,
     /// The domain's reader; this instance's own name when it is the reader.
@@ -124,12 +124,12 @@
     }
 }
 
-fn leaving_endpoints(members: &[platform::Member]) -> Vec<endpoint::Id> {
+fn leaving_endpoints(members: &[store::Member]) -> Vec<endpoint::Id> {
     let leaving = members.iter().filter(|m| m.role == Role::Endpoint && m.standing == Standing::Leaving);
     leaving.filter_map(|member| member.name.parse().ok()).collect()
 }
 
-fn instances(members: &[platform::Member]) -> Vec<peer::Listed> {
+fn instances(members: &[store::Member]) -> Vec<peer::Listed> {
     let entries = members.iter().filter(|m| m.role == Role::Entry);
     let listed = entries.filter_map(|member| {
         let state = match member.standing {
--- a/crates/arbutuslugd/src/registry.rs
+++ b/crates/arbutuslugd/src/registry.rs
@@ -9,8 +9,8 @@
 
 use std::time::Duration;
 
-use platform::{Handle, Priority, Write};
 use rand::Rng;
+use store::{Handle, Priority, Write};
 use tokio::time::sleep;
 use world::instance::{Incarnation, Instance};
 
@@ -45,7 +45,7 @@
     }
 }
 
-async fn write(platform: &Handle, me: &mut Instance) -> Result<bool, platform::Error> {
+async fn write(platform: &Handle, me: &mut Instance) -> Result<bool, store::Error> {
     let key = key(me);
     let Some(item) = platform.get(Priority::Config, &key).await? else {
         return Ok(platform.create(Priority::Config, &key, me).await?.is_done());
@@ -87,7 +87,7 @@
     outcome.is_ok_and(|write| write.is_done())
 }
 
-async fn read(platform: &Handle) -> Result<Vec<Instance>, platform::Error> {
+async fn read(platform: &Handle) -> Result<Vec<Instance>, store::Error> {
     let listing = platform.list(Priority::Statistics, PREFIX).await?;
     // An entry of another build that does not read is left out, not fatal.
     Ok(listing.items.iter().filter_map(|item| item.read().ok()).collect())
--- a/crates/arbutuslugd/src/registry/tests.rs
+++ b/crates/arbutuslugd/src/registry/tests.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use platform::{
+use store::{
     Handle, Priority, Settings,
     fake::{Loss, Platform},
     open_with,
--- a/crates/arbutuslugd/tests/operators/changes.rs
+++ b/crates/arbutuslugd/tests/operators/changes.rs
@@ -2,7 +2,7 @@
 
 use arbutuslug::Exit;
 use arbutuslugd::operators::{Duty, Phase};
-use platform::fake::Loss;
+use store::fake::Loss;
 use world::instance::State;
 
 use crate::site::{File, KEY, Site, run};
--- a/crates/arbutuslugd/tests/operators/site.rs
+++ b/crates/arbutuslugd/tests/operators/site.rs
@@ -7,8 +7,8 @@
 use config::{Outbound, Scope};
 use metrics_exporter_prometheus::PrometheusBuilder;
 use peer::{Inbound, Key, Timing, Topic};
-use platform::fake::Platform;
 use settings::Secret;
+use store::fake::Platform;
 use timeline::{Capacity, Recorder, Source};
 use tokio::{net::TcpListener, sync::mpsc, sync::watch};
 use tokio_util::sync::CancellationToken;
@@ -108,7 +108,7 @@
             state: State::Live,
         };
         let client = platform.client();
-        let store = platform::open_with(platform::Settings::fake(format!("{id}/1"), 1), Arc::new(client));
+        let store = store::open_with(store::Settings::fake(format!("{id}/1"), 1), Arc::new(client));
         let source = Source { instance: id.clone(), incarnation: Incarnation(1) };
         let recorder = Recorder::open(source, Capacity::default());
         let (config, outbound) =
--- a/crates/bench/src/journal/fleet.rs
+++ b/crates/bench/src/journal/fleet.rs
@@ -12,8 +12,8 @@
 };
 
 use journal::{Bill, Claimed, Clock, Config, Handle, Member, Origin, Outbound, bill::Item};
-use platform::{Priority, Settings};
 use standin::objects::{self, Limits, Objects, Switch};
+use store::{Priority, Settings};
 use tokio::{sync::mpsc, time::Instant};
 use world::{
     instance::{self, Incarnation},
@@ -48,7 +48,7 @@
 #[derive(Debug, Clone)]
 pub struct Node {
     pub journal: Handle,
-    pub platform: platform::Handle,
+    pub platform: store::Handle,
 }
 
 /// Calls of the platform.
@@ -73,7 +73,7 @@
             let origin = Origin { instance: member.id.clone(), incarnation: member.incarnation };
             let mut config = Config::new(origin, member.domain.clone());
             set(&mut config);
-            let platform = platform::open(Settings::new(objects.addr(), member.id.as_str()));
+            let platform = store::open(Settings::new(objects.addr(), member.id.as_str()));
             let (outbound, calls) = mpsc::channel(10_000);
             let journal = journal::spawn(config, platform.clone(), outbound);
             links.lock().expect("not poisoned").insert(member.id.clone(), journal.clone());
--- a/crates/budget/src/job.rs
+++ b/crates/budget/src/job.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use journal::bill::{Grant, Holder};
-use platform::{Error, Item, Priority, Write};
+use store::{Error, Item, Priority, Write};
 use timeline::{Event, GrantMove, Recorder};
 use tokio::time::Instant;
 use world::{
@@ -23,7 +23,7 @@
 /// Where an account is, and who holds a grant in it.
 #[derive(Debug, Clone)]
 pub(crate) struct Place {
-    pub platform: platform::Handle,
+    pub platform: store::Handle,
     pub customer: Customer,
     pub period: Period,
     pub holder: Holder,
--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -71,7 +71,7 @@
 
 /// Starts this instance's budgets. Must run inside a tokio runtime.
 #[must_use]
-pub fn spawn(config: Config, platform: platform::Handle, journal: journal::Handle) -> Handle {
+pub fn spawn(config: Config, platform: store::Handle, journal: journal::Handle) -> Handle {
     let (tasks, inbox) = mpsc::unbounded_channel();
     tokio::spawn(task::Task::new(config, platform, journal).run(inbox));
     Handle { tasks }
--- a/crates/budget/src/task.rs
+++ b/crates/budget/src/task.rs
@@ -61,7 +61,7 @@
 
 pub(crate) struct Task {
     config: Config,
-    platform: platform::Handle,
+    platform: store::Handle,
     journal: journal::Handle,
     purses: HashMap<Key, Purse>,
     epoch: u32,
@@ -72,7 +72,7 @@
 }
 
 impl Task {
-    pub fn new(config: Config, platform: platform::Handle, journal: journal::Handle) -> Self {
+    pub fn new(config: Config, platform: store::Handle, journal: journal::Handle) -> Self {
         Self {
             config,
             platform,
--- a/crates/budget/tests/budgets.rs
+++ b/crates/budget/tests/budgets.rs
@@ -11,7 +11,7 @@
 use fleet::{Fleet, START, bill, id, soon};
 use grants::open;
 use journal::{Bill, Error as JournalError, Reason, Receipt};
-use platform::fake::Loss;
+use store::fake::Loss;
 use tokio::time::sleep;
 use world::{
     contract::{Budget, Customer, Period},
@@ -40,7 +40,7 @@
 fn account(fleet: &Fleet) -> budget::account::Account {
     let objects = fleet.platform.objects();
     let object = objects.iter().find(|o| o.key.starts_with("budget/")).expect("an account");
-    let body = platform::envelope::open(object.value.as_deref().expect("a value")).expect("JSON").body;
+    let body = store::envelope::open(object.value.as_deref().expect("a value")).expect("JSON").body;
     serde_json::from_str(body.get()).expect("an account")
 }
 
--- a/crates/budget/tests/interleavings.rs
+++ b/crates/budget/tests/interleavings.rs
@@ -10,8 +10,8 @@
 use budget::{Error, Handle, Reservation};
 use fleet::{Fleet, bill, id, soon, within};
 use journal::{Bill, Error as JournalError, Reason, Receipt};
-use platform::fake::Loss;
 use proptest::{prelude::*, test_runner::RngSeed};
+use store::fake::Loss;
 use tokio::{task::JoinSet, time::sleep};
 use world::{
     contract::{Budget, Period},
--- a/crates/budget/tests/settlement.rs
+++ b/crates/budget/tests/settlement.rs
@@ -11,7 +11,7 @@
 use fleet::{Fleet, bill, id, soon};
 use grants::open;
 use journal::{Bill, Receipt};
-use platform::fake::Loss;
+use store::fake::Loss;
 use tokio::time::sleep;
 use world::{
     contract::{Budget, Period},
@@ -147,7 +147,7 @@
     fleet.nodes[0].client.lose(1, Loss::After);
     // Nor can it read its cut back before it is lost.
     for read in 2..10 {
-        fleet.nodes[0].client.lose_read(read, platform::store::Fault::Down { cause: "lost".into() });
+        fleet.nodes[0].client.lose_read(read, store::api::Fault::Down { cause: "lost".into() });
     }
     let lost = handles[0].clone();
     let asked = tokio::spawn(async move { reserve(&lost, GRANTED).await.is_ok() });
--- a/crates/config/examples/measure/fleet.rs
+++ b/crates/config/examples/measure/fleet.rs
@@ -7,8 +7,8 @@
 
 use config::{Outbound, Scope};
 use peer::{Inbound, Topic};
-use platform::Settings;
 use standin::objects::{self, Limits, Objects};
+use store::Settings;
 use timeline::{Capacity, Recorder, Source};
 use tokio::sync::mpsc;
 use world::{
@@ -33,7 +33,7 @@
 pub struct Member {
     pub config: config::Handle,
     pub peers: peer::Handle,
-    pub platform: platform::Handle,
+    pub platform: store::Handle,
 }
 
 impl Fleet {
@@ -92,7 +92,7 @@
     let mut settings = config::Settings::new(id.clone(), domain);
     settings.domains = (0..DOMAINS).map(self::domain).collect();
     let recorder = Recorder::open(Source { instance: id, incarnation: Incarnation(1) }, Capacity::default());
-    let platform = platform::open(platform);
+    let platform = store::open(platform);
     let (config, outbound) = config::spawn(settings, platform.clone(), recorder);
     tokio::spawn(send(peers.clone(), config.clone(), outbound));
     tokio::spawn(receive(config.clone(), inbound));
--- a/crates/config/examples/measure/force.rs
+++ b/crates/config/examples/measure/force.rs
@@ -8,7 +8,7 @@
 
 use config::{Edit, Expected};
 use hdrhistogram::Histogram;
-use platform::Priority;
+use store::Priority;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use world::object::Object;
 
@@ -123,7 +123,7 @@
 }
 
 /// Makes one claim after the other, as fast as the budget lets it.
-async fn claim(platform: platform::Handle, prefix: String) {
+async fn claim(platform: store::Handle, prefix: String) {
     for number in 0_u64.. {
         let _ = platform.create(Priority::Claim, &format!("{prefix}/{number}"), &number).await;
     }
--- a/crates/config/examples/measure/layout.rs
+++ b/crates/config/examples/measure/layout.rs
@@ -7,8 +7,8 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use config::{Edit, Expected};
-use platform::{Batch, Change, Handle, Priority, Settings, fake::Platform, open_with};
 use serde_json::Value;
+use store::{Batch, Change, Handle, Priority, Settings, fake::Platform, open_with};
 use timeline::{Capacity, Recorder, Source};
 use world::{domain::Domain, instance};
 
@@ -67,7 +67,7 @@
     tokio::task::yield_now().await;
     let before = platform.records().len();
     for edit in 1..=CHANGES {
-        let platform::Write::Done(item) = written else { panic!("nobody else writes") };
+        let store::Write::Done(item) = written else { panic!("nobody else writes") };
         create(&writer, "contract/c0", edit, &contract(0, edit).to_json()).await;
         revisions.insert("contract/c0".into(), edit);
         written = writer.update(Priority::Config, &item, &revisions).await.expect("up");
--- a/crates/config/src/applier.rs
+++ b/crates/config/src/applier.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use platform::Write;
+use store::Write;
 use timeline::{Event, Recorder};
 use tokio::{
     sync::{mpsc, oneshot, watch},
@@ -100,7 +100,7 @@
         let item = match self.log.append(&change).await {
             Ok(Write::Done(item)) => item,
             Ok(Write::Lost { .. }) => return Ok(None),
-            Err(platform::Error::Unknown { .. }) => return Err(Error::Unknown { generation }),
+            Err(store::Error::Unknown { .. }) => return Err(Error::Unknown { generation }),
             Err(error) => return Err(error.into()),
         };
         if self.is_void(generation, &item).await? {
@@ -119,7 +119,7 @@
     /// long ago: it would be told "accepted" for a change that nobody will
     /// ever see. Entries are cut only `keep.changes` below a snapshot, so any
     /// snapshot that far above ours proves that ours is void.
-    async fn is_void(&self, generation: u64, item: &platform::Item) -> Result<bool, Error> {
+    async fn is_void(&self, generation: u64, item: &store::Item) -> Result<bool, Error> {
         let newest = self.log.newest_snapshot().await.map_err(|_| Error::Unknown { generation })?;
         if newest.unwrap_or(0) < generation + self.settings.keep.changes {
             return Ok(false);
--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -23,7 +23,7 @@
         bytes: usize,
     },
     /// The platform is out of reach; nothing was changed.
-    Down(platform::Error),
+    Down(store::Error),
     /// The change may or may not have been accepted.
     Unknown {
         /// The generation that holds it if it was.
@@ -66,7 +66,7 @@
             Self::TooLarge { bytes } => write!(
                 f,
                 "the change has {bytes} bytes, {} at most; nothing was changed, apply it in several files",
-                platform::MAX_VALUE
+                store::MAX_VALUE
             ),
             Self::Down(error) => write!(f, "nothing was changed: {error}"),
             Self::Unknown { generation } => write!(
@@ -97,10 +97,10 @@
     }
 }
 
-impl From<platform::Error> for Error {
-    fn from(error: platform::Error) -> Self {
+impl From<store::Error> for Error {
+    fn from(error: store::Error) -> Self {
         match error {
-            platform::Error::TooLarge { bytes, .. } => Self::TooLarge { bytes },
+            store::Error::TooLarge { bytes, .. } => Self::TooLarge { bytes },
             error => Self::Down(error),
         }
     }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -75,7 +75,7 @@
 /// The first catalog is the empty generation 0, and [`Handle::fresh`] is
 /// false until platform or peers have confirmed a state.
 #[must_use]
-pub fn spawn(settings: Settings, platform: platform::Handle, recorder: Recorder) -> (Handle, mpsc::Receiver<Outbound>) {
+pub fn spawn(settings: Settings, platform: store::Handle, recorder: Recorder) -> (Handle, mpsc::Receiver<Outbound>) {
     let settings = Arc::new(settings);
     let (out, outbound) = mpsc::channel(QUEUE);
     let (inbox, messages) = mpsc::channel(QUEUE);
--- a/crates/config/src/log.rs
+++ b/crates/config/src/log.rs
@@ -1,7 +1,7 @@
 //! The log in the platform: entries, snapshots, cut-off.
 
-use platform::{Item, Priority, Write};
 use serde::de::DeserializeOwned;
+use store::{Item, Priority, Write};
 
 use crate::{
     error::Error,
@@ -32,7 +32,7 @@
 /// The log in the platform.
 #[derive(Debug, Clone)]
 pub(crate) struct Log {
-    platform: platform::Handle,
+    platform: store::Handle,
     keep: Keep,
 }
 
@@ -48,7 +48,7 @@
 }
 
 impl Log {
-    pub(crate) fn new(platform: platform::Handle, keep: Keep) -> Self {
+    pub(crate) fn new(platform: store::Handle, keep: Keep) -> Self {
         Self { platform, keep }
     }
 
@@ -57,7 +57,7 @@
         Self { platform: self.platform.within(deadline), keep: self.keep }
     }
 
-    pub(crate) fn watch(&self, version: u64) -> platform::Watch {
+    pub(crate) fn watch(&self, version: u64) -> store::Watch {
         self.platform.watch(PRIORITY, CHANGES, version)
     }
 
@@ -91,12 +91,12 @@
     }
 
     /// Makes a change the next one; the create decides every race.
-    pub(crate) async fn append(&self, change: &Change) -> Result<Write, platform::Error> {
+    pub(crate) async fn append(&self, change: &Change) -> Result<Write, store::Error> {
         self.platform.create(PRIORITY, &change_key(change.generation()), change).await
     }
 
     /// Takes an entry away again.
-    pub(crate) async fn retract(&self, item: &Item) -> Result<(), platform::Error> {
+    pub(crate) async fn retract(&self, item: &Item) -> Result<(), store::Error> {
         self.platform.delete(PRIORITY, item).await.map(drop)
     }
 
@@ -109,7 +109,7 @@
     /// Writes a state's snapshot. Parts go first, under keys of their own, and
     /// the snapshot names them: whoever creates that key has made the
     /// snapshot, and a writer that stops half-way leaves nothing that reads.
-    pub(crate) async fn write_snapshot(&self, state: &State) -> Result<Write, platform::Error> {
+    pub(crate) async fn write_snapshot(&self, state: &State) -> Result<Write, store::Error> {
         let mut snapshot = state.to_snapshot();
         let mut parts = split(std::mem::take(&mut snapshot.entries));
         snapshot.entries = parts.pop().unwrap_or_default();
@@ -124,7 +124,7 @@
 
     /// Deletes what is no longer needed: all but the newest snapshots, parts
     /// older than those, and changes up to a generation.
-    pub(crate) async fn cut(&self, up_to: u64) -> Result<(), platform::Error> {
+    pub(crate) async fn cut(&self, up_to: u64) -> Result<(), store::Error> {
         let snapshots = self.platform.list_page(PRIORITY, SNAPSHOTS, "", SNAPSHOT_KEYS).await?.items;
         let (old, kept) = snapshots.split_at(snapshots.len().saturating_sub(SNAPSHOTS_KEPT));
         self.delete_all(old).await?;
@@ -137,7 +137,7 @@
         self.delete_all(&changes).await
     }
 
-    async fn delete_all(&self, items: &[Item]) -> Result<(), platform::Error> {
+    async fn delete_all(&self, items: &[Item]) -> Result<(), store::Error> {
         for item in items {
             // Lost: another cuts at the same time.
             self.platform.delete(Priority::Statistics, item).await?;
--- a/crates/config/src/observer.rs
+++ b/crates/config/src/observer.rs
@@ -11,9 +11,9 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use platform::backoff::Backoff;
 use prost::Message as _;
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use store::backoff::Backoff;
 use timeline::{Event, Recorder};
 use tokio::{
     sync::{mpsc, oneshot, watch},
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use platform::{Batch, Change as Event, Item};
+use store::{Batch, Change as Event, Item};
 use tokio::{
     sync::{mpsc, watch},
     time::{Instant, sleep},
@@ -58,7 +58,7 @@
     }
 
     /// Reads what there is and the version to watch from.
-    async fn start(&self) -> platform::Watch {
+    async fn start(&self) -> store::Watch {
         loop {
             let asked = Instant::now();
             match self.log.read_after(self.generation()).await {
--- a/crates/config/tests/config/faults.rs
+++ b/crates/config/tests/config/faults.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use config::{Edit, Error, Expected, Keep};
-use platform::{fake::Loss, store::Fault};
+use store::{api::Fault, fake::Loss};
 use tokio::time::sleep;
 use world::object::{Key, Kind};
 
@@ -280,10 +280,10 @@
         "generation": generation, "at": 0, "author": "ghost", "instance": "i9",
         "edits": [{ "before": 0, "put": model("stray", 1).to_json() }],
     });
-    let ghost = platform::open_with(platform::Settings::fake("ghost/1", 1), Arc::new(client));
+    let ghost = store::open_with(store::Settings::fake("ghost/1", 1), Arc::new(client));
     tokio::spawn(async move {
         let ghost = ghost.within(Duration::from_millis(1));
-        ghost.create(platform::Priority::Config, &format!("config/change/{generation:016}"), &entry).await
+        ghost.create(store::Priority::Config, &format!("config/change/{generation:016}"), &entry).await
     });
 }
 
--- a/crates/config/tests/config/interleaving.rs
+++ b/crates/config/tests/config/interleaving.rs
@@ -4,8 +4,8 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use config::{Applied, Edit, Error, Expected, Handle, Keep};
-use platform::fake::Loss;
 use proptest::{prelude::*, test_runner::RngSeed};
+use store::fake::Loss;
 use tokio::time::sleep;
 use world::object::{Key, Kind, Object};
 
--- a/crates/config/tests/config/log.rs
+++ b/crates/config/tests/config/log.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use config::Keep;
-use platform::Priority;
+use store::Priority;
 use tokio::time::sleep;
 
 use crate::{
@@ -85,8 +85,7 @@
 #[tokio::test(start_paused = true)]
 async fn unreadable_entry_stops_new_work() {
     let site = without_links().await;
-    let handle =
-        platform::open_with(platform::Settings::fake("newer/1", 9), std::sync::Arc::new(site.platform.client()));
+    let handle = store::open_with(store::Settings::fake("newer/1", 9), std::sync::Arc::new(site.platform.client()));
     let entry = serde_json::json!({
         "generation": 2, "at": 0, "author": "ann", "instance": "i9",
         "edits": [{ "before": 0, "put": { "kind": "model", "name": "m", "spec": { "versions": [], "newer": true } } }],
--- a/crates/config/tests/config/site.rs
+++ b/crates/config/tests/config/site.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use config::{Edit, Error, Expected, Handle, Keep, Outbound, Scope, Settings};
-use platform::fake::{Client, Platform};
+use store::fake::{Client, Platform};
 use timeline::{Capacity, Recorder, Source};
 use tokio::{sync::mpsc, time::sleep};
 use world::{Timestamp, domain::Domain, instance, object::Object};
@@ -70,8 +70,7 @@
         let index = self.instances.len();
         let client = self.platform.client();
         let id = instance::Id::parse(&format!("i{index}")).expect("a name");
-        let platform =
-            platform::open_with(platform::Settings::fake(format!("i{index}/1"), 1), Arc::new(client.clone()));
+        let platform = store::open_with(store::Settings::fake(format!("i{index}/1"), 1), Arc::new(client.clone()));
         let mut settings = Settings::new(id.clone(), domain(index));
         settings.domains = (0..options.domains).map(domain).collect();
         settings.keep = options.keep;
--- a/crates/control/src/lease.rs
+++ b/crates/control/src/lease.rs
@@ -16,9 +16,9 @@
 
 use std::time::{Duration, SystemTime};
 
-use platform::{Item, Priority, Write};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde::{Deserialize, Serialize};
+use store::{Item, Priority, Write};
 use timeline::{Event, Holding, Recorder};
 use tokio::{
     sync::watch,
@@ -101,19 +101,14 @@
 /// A receiver must check [`Term::left`] before each use: a paused process may
 /// find an ended term here.
 #[must_use]
-pub fn spawn(settings: Settings, platform: platform::Handle, recorder: Recorder) -> watch::Receiver<Option<Term>> {
+pub fn spawn(settings: Settings, platform: store::Handle, recorder: Recorder) -> watch::Receiver<Option<Term>> {
     let (sender, receiver) = watch::channel(None);
     tokio::spawn(run(settings, platform, recorder, sender));
     receiver
 }
 
 /// Wants, takes and keeps the lease until nobody listens.
-pub async fn run(
-    settings: Settings,
-    platform: platform::Handle,
-    recorder: Recorder,
-    terms: watch::Sender<Option<Term>>,
-) {
+pub async fn run(settings: Settings, platform: store::Handle, recorder: Recorder, terms: watch::Sender<Option<Term>>) {
     let random = StdRng::seed_from_u64(settings.seed);
     let platform = platform.within(settings.term / (2 * RENEWALS));
     let mut task = Task { settings, platform, recorder, terms, random, seen: None };
@@ -127,7 +122,7 @@
 
 struct Task {
     settings: Settings,
-    platform: platform::Handle,
+    platform: store::Handle,
     recorder: Recorder,
     terms: watch::Sender<Option<Term>>,
     random: StdRng,
@@ -176,7 +171,7 @@
 
     fn taken(
         &mut self,
-        write: Result<Write, platform::Error>,
+        write: Result<Write, store::Error>,
         began: Began,
         record: &Record,
         from: Option<instance::Id>,
@@ -223,8 +218,8 @@
     }
 
     /// What the next renewal is built on.
-    async fn reread(&self, item: Item, record: &Record, error: &platform::Error) -> Item {
-        if !matches!(error, platform::Error::Unknown { .. }) {
+    async fn reread(&self, item: Item, record: &Record, error: &store::Error) -> Item {
+        if !matches!(error, store::Error::Unknown { .. }) {
             return item;
         }
         // A renewal whose answer was lost may stand under another version; one
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -47,7 +47,7 @@
 #[derive(Debug, Clone)]
 pub struct Edges {
     /// The object API, for the lease.
-    pub platform: platform::Handle,
+    pub platform: store::Handle,
     /// The configuration, read and written.
     pub config: config::Handle,
     /// Calls to engines; see [`order::spawn`].
--- a/crates/control/tests/it/lease.rs
+++ b/crates/control/tests/it/lease.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use control::lease::{self, Term};
-use platform::fake::{Client, Loss, Platform};
+use store::fake::{Client, Loss, Platform};
 use tokio::sync::watch;
 use world::instance::Incarnation;
 
--- a/crates/control/tests/it/orders.rs
+++ b/crates/control/tests/it/orders.rs
@@ -13,9 +13,9 @@
     lease::{self, Term},
     order,
 };
-use platform::fake::{Client, Loss, Platform};
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use store::fake::{Client, Loss, Platform};
 use tokio::{sync::watch, time::sleep};
 use world::instance::Incarnation;
 
--- a/crates/control/tests/it/site.rs
+++ b/crates/control/tests/it/site.rs
@@ -14,9 +14,9 @@
     observation::Outcome,
     operate::{self, Action},
 };
-use platform::fake::{Client, Platform};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use route::rollout::{self as exposure, Unit};
+use store::fake::{Client, Platform};
 use timeline::{Event, Filter, Recorder, Wanted};
 use tokio::{
     sync::mpsc,
--- a/crates/control/tests/it/steps.rs
+++ b/crates/control/tests/it/steps.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use control::operate::Action;
-use platform::fake::Loss;
+use store::fake::Loss;
 use world::rollout::{Rollout, State};
 
 use crate::{
--- a/crates/control/tests/it/support.rs
+++ b/crates/control/tests/it/support.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use platform::fake::{Client, Platform};
+use store::fake::{Client, Platform};
 use timeline::{Capacity, Recorder, Source};
 use tokio::time::sleep;
 use world::instance::{Id, Incarnation};
@@ -68,10 +68,10 @@
 }
 
 /// An instance's way to the platform, and the handle over it.
-pub fn platform(platform: &Platform, number: usize) -> (Client, platform::Handle) {
+pub fn platform(platform: &Platform, number: usize) -> (Client, store::Handle) {
     let client = platform.client();
-    let settings = platform::Settings::fake(format!("i{number}"), 7);
-    (client.clone(), platform::open_with(settings, Arc::new(client)))
+    let settings = store::Settings::fake(format!("i{number}"), 7);
+    (client.clone(), store::open_with(settings, Arc::new(client)))
 }
 
 pub async fn seconds(seconds: f64) {
--- a/crates/entry/tests/path/site.rs
+++ b/crates/entry/tests/path/site.rs
@@ -196,9 +196,9 @@
         let callers = listener.local_addr().expect("bound");
 
         let recorder = Recorder::open(Source { instance: id.clone(), incarnation }, Capacity::default());
-        let mut platform = platform::Settings::new(self.objects.addr(), format!("{id}/1"));
+        let mut platform = store::Settings::new(self.objects.addr(), format!("{id}/1"));
         (platform.writes_per_s, platform.reads_per_s) = (5_000.0, 5_000.0);
-        let platform = platform::open(platform);
+        let platform = store::open(platform);
         let mut config = config::Settings::new(id.clone(), domain.clone());
         // Alone, an instance has nobody else to be in step with.
         let domains = if plan.instances > 1 { plan.instances } else { 0 };
--- a/crates/journal/src/audit.rs
+++ b/crates/journal/src/audit.rs
@@ -56,7 +56,7 @@
         return Ok((0, Vec::new()));
     };
     let unreadable = || wire::Invalid(format!("`{key}` holds no JSON"));
-    let body = platform::envelope::open(value).ok_or_else(unreadable)?.body;
+    let body = store::envelope::open(value).ok_or_else(unreadable)?.body;
     let invalid = |error: serde_json::Error| wire::Invalid(format!("`{key}`: {error}"));
     match rest.split_once('/') {
         Some(("s", _)) => {
--- a/crates/journal/src/books.rs
+++ b/crates/journal/src/books.rs
@@ -1,6 +1,6 @@
 //! Reading all durable bills while homes go on writing.
 
-use platform::{Item, Priority};
+use store::{Item, Priority};
 
 use crate::{
     Bill, audit,
@@ -16,13 +16,13 @@
 /// # Errors
 ///
 /// The platform's; a value that does not read is one.
-pub(crate) async fn read(platform: &platform::Handle, shards: u16, ring: u64) -> Result<Vec<Bill>, platform::Error> {
+pub(crate) async fn read(platform: &store::Handle, shards: u16, ring: u64) -> Result<Vec<Bill>, store::Error> {
     let mut items = Vec::new();
     for shard in (0..shards).map(Shard) {
         items.append(&mut shard_items(platform, Keys::new(shard, ring)).await?);
     }
     let objects = items.iter().map(|item| (item.key.as_str(), item.body.get().as_bytes()));
-    let malformed = |invalid: crate::wire::Invalid| platform::Error::Malformed {
+    let malformed = |invalid: crate::wire::Invalid| store::Error::Malformed {
         key: crate::object::PREFIX.into(),
         message: invalid.to_string(),
     };
@@ -35,7 +35,7 @@
 /// two would move bills into a chunk that was not there yet and let their
 /// slots be reused: bills would be missing, and a budget would take them for
 /// unspent money.
-async fn shard_items(platform: &platform::Handle, keys: Keys) -> Result<Vec<Item>, platform::Error> {
+async fn shard_items(platform: &store::Handle, keys: Keys) -> Result<Vec<Item>, store::Error> {
     let mut before = manifest(platform, keys).await?;
     for _ in 0..TRIES {
         let mut items = platform.list(Priority::Statistics, &keys.bill_chunks()).await?.items;
@@ -47,10 +47,10 @@
         before = after;
     }
     let cause = format!("`{}` changed too often while it was read", keys.manifest());
-    Err(platform::Error::Down { cause })
+    Err(store::Error::Down { cause })
 }
 
-async fn manifest(platform: &platform::Handle, keys: Keys) -> Result<Seq, platform::Error> {
+async fn manifest(platform: &store::Handle, keys: Keys) -> Result<Seq, store::Error> {
     let item = platform.get(Priority::Statistics, &keys.manifest()).await?;
     Ok(Seq(item.map_or(0, |item| item.version)))
 }
--- a/crates/journal/src/compact.rs
+++ b/crates/journal/src/compact.rs
@@ -6,7 +6,7 @@
 //! can change any more. The new home's own update then fails, and it reads
 //! the manifest again.
 
-use platform::{Item, Priority, Write};
+use store::{Item, Priority, Write};
 use world::time::Timestamp;
 
 use crate::{
@@ -48,7 +48,7 @@
 }
 
 /// Writes the chunks, then the manifest, then removes what counts no more.
-pub(crate) async fn run(platform: platform::Handle, job: Job) -> Done {
+pub(crate) async fn run(platform: store::Handle, job: Job) -> Done {
     match cover(&platform, &job).await {
         Ok(done) => done,
         Err(error) => {
@@ -58,7 +58,7 @@
     }
 }
 
-async fn cover(platform: &platform::Handle, job: &Job) -> Result<Done, platform::Error> {
+async fn cover(platform: &store::Handle, job: &Job) -> Result<Done, store::Error> {
     let keys = write_chunks(platform, job, &job.keys.key_chunks(), &job.records).await?;
     let tail = read_tail(platform, job).await?;
     let bills = if job.bills.is_empty() {
@@ -82,7 +82,7 @@
 }
 
 /// Bills of the last chunk where it is small enough to be written anew.
-async fn read_tail(platform: &platform::Handle, job: &Job) -> Result<Vec<Record>, platform::Error> {
+async fn read_tail(platform: &store::Handle, job: &Job) -> Result<Vec<Record>, store::Error> {
     let Some(name) = job.manifest.bills.as_ref().filter(|_| !job.bills.is_empty()) else {
         return Ok(Vec::new());
     };
@@ -94,15 +94,15 @@
     if chunk.data.len() > CHUNK_BYTES {
         return Ok(Vec::new());
     }
-    unseal(&chunk.data).map_err(|invalid| platform::Error::Malformed { key, message: invalid.to_string() })
+    unseal(&chunk.data).map_err(|invalid| store::Error::Malformed { key, message: invalid.to_string() })
 }
 
 async fn write_chunks(
-    platform: &platform::Handle,
+    platform: &store::Handle,
     job: &Job,
     prefix: &str,
     records: &[Record],
-) -> Result<Vec<String>, platform::Error> {
+) -> Result<Vec<String>, store::Error> {
     let mut names = Vec::new();
     for (index, chunk) in chunks(records, CHUNK_BYTES, job.now).into_iter().enumerate() {
         let name = format!("{:016}-{:016x}-{index:04}", job.floor.0, job.token);
@@ -113,7 +113,7 @@
     Ok(names)
 }
 
-async fn reread(platform: &platform::Handle, job: &Job) -> Result<Done, platform::Error> {
+async fn reread(platform: &store::Handle, job: &Job) -> Result<Done, store::Error> {
     match platform.get(Priority::Claim, &job.keys.manifest()).await? {
         Some(item) => {
             let manifest: Manifest = item.read()?;
@@ -127,7 +127,7 @@
 /// that was written anew. Nobody can make them count any more: that would
 /// need the manifest that this one replaced. What is left over by a failure
 /// goes at the next cut-off.
-async fn clean(platform: &platform::Handle, job: &Job, manifest: &Manifest) {
+async fn clean(platform: &store::Handle, job: &Job, manifest: &Manifest) {
     let prefix = job.keys.key_chunks();
     let Ok(names) = platform.keys(Priority::Statistics, &prefix, "", usize::from(u16::MAX)).await else {
         return;
@@ -143,7 +143,7 @@
 }
 
 /// Removes a bill chunk once all its bills stand in a later one.
-async fn remove_rewritten(platform: &platform::Handle, job: &Job, name: &str) {
+async fn remove_rewritten(platform: &store::Handle, job: &Job, name: &str) {
     let key = format!("{}{name}", job.keys.bill_chunks());
     let Ok(Some(item)) = platform.get(Priority::Statistics, &key).await else {
         return;
@@ -154,7 +154,7 @@
     }
 }
 
-async fn remove(platform: &platform::Handle, key: &str) {
+async fn remove(platform: &store::Handle, key: &str) {
     if let Ok(Some(item)) = platform.get(Priority::Statistics, key).await {
         let _ = platform.delete(Priority::Statistics, &item).await;
     }
--- a/crates/journal/src/handle.rs
+++ b/crates/journal/src/handle.rs
@@ -64,7 +64,7 @@
 #[derive(Debug, Clone)]
 pub struct Handle {
     router: Router,
-    platform: platform::Handle,
+    platform: store::Handle,
     members: Arc<watch::Sender<Arc<Placement>>>,
     keeper: mpsc::UnboundedSender<Order>,
     shared: Arc<Mutex<Shared>>,
@@ -89,7 +89,7 @@
 /// Calls for other instances go out on `outbound`. Must run inside a tokio
 /// runtime.
 #[must_use]
-pub fn spawn(config: Config, platform: platform::Handle, outbound: mpsc::Sender<Outbound>) -> Handle {
+pub fn spawn(config: Config, platform: store::Handle, outbound: mpsc::Sender<Outbound>) -> Handle {
     let mut rng = StdRng::seed_from_u64(config.seed.unwrap_or_else(rand::random));
     let config = Arc::new(config);
     let alone = Member {
--- a/crates/journal/src/handle/bills.rs
+++ b/crates/journal/src/handle/bills.rs
@@ -113,7 +113,7 @@
         books::read(&self.platform, config.shards, config.ring).await.map_err(|error| {
             tracing::warn!(%error, "bills not read");
             match error {
-                platform::Error::Malformed { .. } => Error::Unknown,
+                store::Error::Malformed { .. } => Error::Unknown,
                 _ => Error::NotRecorded(Reason::PlatformDown),
             }
         })
--- a/crates/journal/src/home.rs
+++ b/crates/journal/src/home.rs
@@ -19,8 +19,8 @@
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
-use platform::Write;
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use store::Write;
 use tokio::{
     sync::{mpsc, oneshot, watch},
     task::JoinSet,
@@ -61,7 +61,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Setting {
     pub config: Arc<Config>,
-    pub platform: platform::Handle,
+    pub platform: store::Handle,
     pub placement: watch::Receiver<Arc<Placement>>,
     /// Takes bills that this home said it holds.
     pub keeper: mpsc::UnboundedSender<Bill>,
@@ -109,7 +109,7 @@
 
 enum Event {
     Opened(Result<Box<Active>, Opening>),
-    Written { token: u64, result: Result<Write, platform::Error> },
+    Written { token: u64, result: Result<Write, store::Error> },
     Covered { token: u64, done: Done },
     Proved { token: u64, proof: Proof },
 }
--- a/crates/journal/src/home/active.rs
+++ b/crates/journal/src/home/active.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, fmt, time::Duration};
 
-use platform::{Item, Priority, Write};
+use store::{Item, Priority, Write};
 use tokio::{
     sync::oneshot,
     time::{Instant, sleep},
@@ -95,7 +95,7 @@
 
 /// Reads a shard and writes its opening segment.
 pub(super) async fn open(
-    platform: &platform::Handle,
+    platform: &store::Handle,
     keys: Keys,
     layout: Layout,
     home: &Origin,
@@ -241,7 +241,7 @@
     /// The segment stays the same at every go. Were a batch made anew after a
     /// lost answer, the old one could still arrive, and the claims of only
     /// one of them would be in the log.
-    pub async fn run(self, platform: &platform::Handle) -> Result<Write, platform::Error> {
+    pub async fn run(self, platform: &store::Handle) -> Result<Write, store::Error> {
         loop {
             let write = match &self.replaces {
                 None => platform.create(Priority::Claim, &self.key, &self.segment).await,
@@ -255,7 +255,7 @@
                     Ok(_) => return Ok(Write::Lost { version }),
                     Err(error) => tracing::debug!(%error, "segment not read back"),
                 },
-                Err(error @ (platform::Error::Refused { .. } | platform::Error::TooLarge { .. })) => return Err(error),
+                Err(error @ (store::Error::Refused { .. } | store::Error::TooLarge { .. })) => return Err(error),
                 Err(error) => tracing::debug!(%error, "segment not written"),
             }
             sleep(GO_AGAIN).await;
@@ -269,7 +269,7 @@
 
 impl Question {
     /// Reads the slot that a new home would have taken.
-    pub async fn ask(self, platform: &platform::Handle) -> Proof {
+    pub async fn ask(self, platform: &store::Handle) -> Proof {
         match platform.get(Priority::Claim, &self.key).await {
             Err(_) => Proof::Unproved,
             Ok(None) => Proof::Home,
--- a/crates/journal/src/home/events.rs
+++ b/crates/journal/src/home/events.rs
@@ -1,7 +1,7 @@
 //! What a home does with the answers of the platform.
 
-use platform::Write;
 use rand::Rng;
+use store::Write;
 use tokio::time::Instant;
 
 use super::{Event, Phase, Proof, REOPEN, Task, active::Opening, reply};
@@ -36,7 +36,7 @@
         }
     }
 
-    fn on_written(&mut self, token: u64, result: Result<Write, platform::Error>) {
+    fn on_written(&mut self, token: u64, result: Result<Write, store::Error>) {
         let Phase::Home(active) = &mut self.phase else {
             return;
         };
--- a/crates/journal/src/load.rs
+++ b/crates/journal/src/load.rs
@@ -2,8 +2,8 @@
 
 use std::{collections::BTreeMap, fmt};
 
-use platform::{Item, Priority, Write};
 use serde_json::value::RawValue;
+use store::{Item, Priority, Write};
 
 use crate::{
     Bill,
@@ -37,7 +37,7 @@
 #[derive(Debug)]
 pub(crate) enum Failure {
     /// The platform failed.
-    Platform(platform::Error),
+    Platform(store::Error),
     /// An object does not read.
     Invalid(wire::Invalid),
     /// It kept changing.
@@ -60,8 +60,8 @@
     }
 }
 
-impl From<platform::Error> for Failure {
-    fn from(error: platform::Error) -> Self {
+impl From<store::Error> for Failure {
+    fn from(error: store::Error) -> Self {
         Self::Platform(error)
     }
 }
@@ -73,7 +73,7 @@
 }
 
 /// Reads a shard whole.
-pub(crate) async fn load(platform: &platform::Handle, keys: Keys, layout: Layout) -> Result<Loaded, Failure> {
+pub(crate) async fn load(platform: &store::Handle, keys: Keys, layout: Layout) -> Result<Loaded, Failure> {
     check_layout(platform, layout).await?;
     for _ in 0..TRIES {
         if let Some(loaded) = try_load(platform, keys).await? {
@@ -83,7 +83,7 @@
     Err(Failure::Busy)
 }
 
-async fn check_layout(platform: &platform::Handle, own: Layout) -> Result<(), Failure> {
+async fn check_layout(platform: &store::Handle, own: Layout) -> Result<(), Failure> {
     let found = match platform.get(Priority::Claim, LAYOUT).await? {
         Some(item) => item.read()?,
         None => match platform.create(Priority::Claim, LAYOUT, &own).await? {
@@ -95,7 +95,7 @@
 }
 
 /// Nothing when the shard changed in a way that leaves a gap.
-async fn try_load(platform: &platform::Handle, keys: Keys) -> Result<Option<Loaded>, Failure> {
+async fn try_load(platform: &store::Handle, keys: Keys) -> Result<Option<Loaded>, Failure> {
     let before = platform.get(Priority::Claim, &keys.manifest()).await?;
     let manifest: Manifest = before.as_ref().map(Item::read).transpose()?.unwrap_or_default();
     let mut state = State::default();
--- a/crates/journal/tests/faults.rs
+++ b/crates/journal/tests/faults.rs
@@ -7,7 +7,7 @@
 
 use fleet::{Fleet, START, bill, id, soon};
 use journal::{Claimed, Receipt};
-use platform::fake::Loss;
+use store::fake::Loss;
 use world::request::Outcome;
 
 /// Requests of one run: enough for two cut-offs.
--- a/crates/journal/tests/interleavings.rs
+++ b/crates/journal/tests/interleavings.rs
@@ -13,8 +13,8 @@
 
 use fleet::{Fleet, START, bill, id, soon, within};
 use journal::{Claimed, Receipt};
-use platform::fake::Loss;
 use proptest::{prelude::*, test_runner::RngSeed};
+use store::fake::Loss;
 use tokio::{task::JoinSet, time::sleep};
 use world::request::Outcome;
 
--- a/crates/journal/tests/outages.rs
+++ b/crates/journal/tests/outages.rs
@@ -7,7 +7,7 @@
 
 use fleet::{Fleet, START, bill, id, soon, within};
 use journal::{BillWait, Claimed, Error, Known, Reason, Receipt, Registered};
-use platform::fake::Loss;
+use store::fake::Loss;
 use tokio::time::sleep;
 use world::request::Outcome;
 
--- a/crates/journal/tests/support/fleet.rs
+++ b/crates/journal/tests/support/fleet.rs
@@ -10,7 +10,7 @@
 };
 
 use journal::{Bill, Config, Handle, Member, Origin, Outbound, bill::Item};
-use platform::{Settings, fake};
+use store::{Settings, fake};
 use tokio::{
     sync::{mpsc, oneshot},
     time::Instant,
@@ -41,7 +41,7 @@
 pub struct Node {
     pub client: fake::Client,
     pub journal: Handle,
-    pub store: platform::Handle,
+    pub store: store::Handle,
     pub member: Member,
 }
 
@@ -75,7 +75,7 @@
         (self.config)(&mut config);
         let client = self.platform.client();
         let settings = Settings::fake(format!("{id}/{incarnation}"), n);
-        let store = platform::open_with(settings, Arc::new(client.clone()));
+        let store = store::open_with(settings, Arc::new(client.clone()));
         let (outbound, calls) = mpsc::channel(100);
         let journal = journal::spawn(config, store.clone(), outbound);
         tokio::spawn(carry(self.links.clone(), id.clone(), calls));
--- a/crates/platform/examples/outage.rs
+++ b/crates/store/examples/outage.rs
@@ -1,15 +1,15 @@
-//! How instances return after an outage: `cargo run --release -p platform
+//! How instances return after an outage: `cargo run --release -p store
 //! --example outage`. Each wants one read throughout a minute's outage; printed
 //! is how many calls come in the busiest tenth of a second after its end, with
 //! this crate's backoff and with a fixed wait between tries.
 
 use std::{sync::Arc, time::Duration};
 
-use platform::{
+use store::{
     Priority, Settings,
+    api::{Call, Store},
     fake::Platform,
     open_with,
-    store::{Call, Store},
 };
 use tokio::time::sleep;
 
--- a/crates/platform/src/attempt.rs
+++ b/crates/store/src/attempt.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     Error, Item, Settings,
+    api::{Call, Fault},
     envelope::{self, Fate, Nonce},
-    store::{Call, Fault},
 };
 
 /// What became of a write; each of them is certain.
--- a/crates/platform/src/fake.rs
+++ b/crates/store/src/fake.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     Member,
-    store::{Answer, Call, Fault, Object, Store},
+    api::{Answer, Call, Fault, Object, Store},
 };
 use data::Data;
 
--- a/crates/platform/src/fake/data.rs
+++ b/crates/store/src/fake/data.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Member,
-    store::{Answer, Call, Object},
+    api::{Answer, Call, Object},
 };
 
 /// Objects and every change since the last compaction.
--- a/crates/platform/src/handle.rs
+++ b/crates/store/src/handle.rs
@@ -18,12 +18,12 @@
 
 use crate::{
     Error, Item, Listing, MAX_VALUE, Member, Priority, Settings, Watch, Write,
+    api::{Answer, Call, Fault, Object, Store},
     attempt::{Attempt, Verdict, down},
     backoff::Backoff,
     budget::Bucket,
     envelope::{self, Envelope, Nonce},
     reach::Reach,
-    store::{Answer, Call, Fault, Object, Store},
 };
 
 /// Objects asked for in one page of a list.
--- a/crates/platform/src/handle/retry.rs
+++ b/crates/store/src/handle/retry.rs
@@ -7,9 +7,9 @@
 use super::Handle;
 use crate::{
     Priority,
+    api::{Answer, Call, Fault},
     backoff::Backoff,
     budget::Bucket,
-    store::{Answer, Call, Fault},
 };
 
 /// Least time before the deadline in which a further try makes sense.
--- a/crates/platform/src/http.rs
+++ b/crates/store/src/http.rs
@@ -14,7 +14,7 @@
     rt::{TokioExecutor, TokioTimer},
 };
 
-use crate::store::{Answer, Call, Fault, Store};
+use crate::api::{Answer, Call, Fault, Store};
 
 /// How long to wait for a connection; not connected means not done.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/platform/src/http/wire.rs
+++ b/crates/store/src/http/wire.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Member,
-    store::{self, Answer, Fault},
+    api::{self, Answer, Fault},
 };
 
 /// Reads a body; one that does not read may have come after the effect.
@@ -51,7 +51,7 @@
     pub(super) instances: Vec<Member>,
 }
 
-impl From<Object> for store::Object {
+impl From<Object> for api::Object {
     fn from(object: Object) -> Self {
         let value = object.value.map(|raw| Bytes::copy_from_slice(raw.get().as_bytes()));
         Self { key: object.key, version: object.version, value }
--- a/crates/platform/src/item.rs
+++ b/crates/store/src/item.rs
@@ -4,9 +4,9 @@
 use serde_json::value::RawValue;
 
 use crate::{
+    api,
     envelope::{self, Nonce},
     error::Error,
-    store,
 };
 
 /// An object that was read or written: what an update or deletion builds on.
@@ -46,7 +46,7 @@
     }
 
     /// Takes a stored object's envelope off.
-    pub(crate) fn parse(object: store::Object) -> Result<Self, Error> {
+    pub(crate) fn parse(object: api::Object) -> Result<Self, Error> {
         let malformed = || Error::Malformed { key: object.key.clone(), message: "no JSON value".into() };
         let envelope = object.value.as_deref().and_then(envelope::open).ok_or_else(malformed)?;
         Ok(Self {
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -11,9 +11,10 @@
 //!   answer, so that the caller hears *done*, *lost the race* or, when even
 //!   reading was impossible until the deadline, [`Error::Unknown`].
 //!
-//! Behind the handle stands one trait, [`store::Store`]: the HTTP client in
+//! Behind the handle stands one trait, [`api::Store`]: the HTTP client in
 //! [`http`], or the scripted in-memory [`fake`] in tests.
 
+pub mod api;
 mod attempt;
 pub mod backoff;
 pub mod budget;
@@ -25,18 +26,17 @@
 mod item;
 mod reach;
 mod settings;
-pub mod store;
 mod watch;
 
 use std::sync::Arc;
 
+pub use api::{Member, Role, Standing};
 pub use attempt::Write;
 pub use budget::Priority;
 pub use error::Error;
 pub use handle::Handle;
 pub use item::{Item, Listing};
 pub use settings::Settings;
-pub use store::{Member, Role, Standing};
 pub use watch::{Batch, Change, Watch};
 
 /// Largest value the platform takes, in bytes, envelope included.
@@ -53,6 +53,6 @@
 
 /// Opens any store, such as a [`fake::Client`].
 #[must_use]
-pub fn open_with(settings: Settings, store: Arc<dyn store::Store>) -> Handle {
+pub fn open_with(settings: Settings, store: Arc<dyn api::Store>) -> Handle {
     Handle::open(settings, store)
 }
--- a/crates/platform/src/watch.rs
+++ b/crates/store/src/watch.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{Error, Handle, Item, Listing, Priority, backoff::Backoff, store};
+use crate::{Error, Handle, Item, Listing, Priority, api, backoff::Backoff};
 
 /// Changes of one prefix, in order. Each wait is one read of the budget.
 #[derive(Debug)]
@@ -94,13 +94,13 @@
         match self.handle.wait(self.priority, &self.prefix, self.from, self.wait).await? {
             // A replica behind the one that answered last may name an older
             // version: going back would hand out changes twice.
-            store::Answer::Changed { version, changes } => {
+            api::Answer::Changed { version, changes } => {
                 let changes = changes.into_iter().filter(|c| c.version > self.from).map(Change::parse);
                 let changes = changes.collect::<Result<Vec<_>, _>>()?;
                 self.from = self.from.max(version);
                 Ok(Batch::Changes { version: self.from, changes })
             }
-            store::Answer::Compacted { .. } => {
+            api::Answer::Compacted { .. } => {
                 self.lagging = true;
                 self.relist().await
             }
@@ -121,7 +121,7 @@
 }
 
 impl Change {
-    fn parse(object: store::Object) -> Result<Self, Error> {
+    fn parse(object: api::Object) -> Result<Self, Error> {
         if object.value.is_none() {
             return Ok(Self::Deleted { key: object.key, version: object.version });
         }
--- a/crates/platform/tests/budget.rs
+++ b/crates/store/tests/budget.rs
@@ -2,8 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use platform::{Priority, backoff::Backoff, budget::Bucket, fake::Platform, open_with};
 use rand::{SeedableRng, rngs::StdRng};
+use store::{Priority, backoff::Backoff, budget::Bucket, fake::Platform, open_with};
 use tokio::time::{Instant, sleep};
 
 #[tokio::test(start_paused = true)]
@@ -93,7 +93,7 @@
     let platform = Platform::open();
     platform.set_down(true);
     for number in 0..750 {
-        let mut settings = platform::Settings::fake(format!("i{number}/1"), 1);
+        let mut settings = store::Settings::fake(format!("i{number}/1"), 1);
         settings.deadline = Duration::from_mins(5);
         let handle = open_with(settings, Arc::new(platform.client()));
         tokio::spawn(async move { handle.get(Priority::Config, "config/head").await });
--- a/crates/platform/tests/http.rs
+++ b/crates/store/tests/http.rs
@@ -2,11 +2,11 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use platform::{Batch, Change, Error, Handle, Priority, Role, Settings, Standing, Write, open};
 use standin::{
     fault::Odds,
     objects::{self, Limits, Listed, Objects, Switch},
 };
+use store::{Batch, Change, Error, Handle, Priority, Role, Settings, Standing, Write, open};
 
 async fn start(limits: Limits) -> (objects::Handle, Handle) {
     let standin = Objects::bind(SocketAddr::from(([127, 0, 0, 1], 0)), limits).await.expect("a free port");
--- a/crates/platform/tests/interleaving.rs
+++ b/crates/store/tests/interleaving.rs
@@ -3,13 +3,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use platform::{
+use proptest::{prelude::*, test_runner::RngSeed};
+use store::{
     Error, Handle, Priority, Settings, Write,
+    api::Fault,
     fake::{Loss, Platform},
     open_with,
-    store::Fault,
 };
-use proptest::{prelude::*, test_runner::RngSeed};
 use tokio::time::sleep;
 
 const KEY: &str = "grant/test";
--- a/crates/platform/tests/reach.rs
+++ b/crates/store/tests/reach.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
-use platform::{
+use store::{
     Priority, Settings,
     fake::{Loss, Platform},
 };
 
-async fn read(platform: &platform::Handle) {
+async fn read(platform: &store::Handle) {
     // Whether it succeeds is the platform's matter; the call counts.
     let _ = platform.get(Priority::Config, "k").await;
 }
@@ -17,7 +17,7 @@
 #[tokio::test(start_paused = true)]
 async fn outage_begins_after_several_calls_and_ends_with_the_first_answer() {
     let fake = Platform::open();
-    let handle = platform::open_with(Settings::fake("i1/1", 1), Arc::new(fake.client()));
+    let handle = store::open_with(Settings::fake("i1/1", 1), Arc::new(fake.client()));
     let reachable = handle.reachable();
 
     fake.lose(1, Loss::Before);
--- a/crates/platform/tests/watch.rs
+++ b/crates/store/tests/watch.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use platform::{
+use store::{
     Batch, Change, Error, Handle, Priority, Settings, Watch,
     fake::{Client, Platform},
     open_with,
--- a/crates/platform/tests/write.rs
+++ b/crates/store/tests/write.rs
@@ -2,11 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use platform::{
+use store::{
     Error, Handle, Item, Priority, Settings, Write,
+    api::Fault,
     fake::{Client, Loss, Platform},
     open_with,
-    store::Fault,
 };
 use tokio::time::sleep;
 
@@ -140,7 +140,7 @@
     let replace = async {
         effect(&two.platform, 2).await;
         let mut item = get(&two.other).await;
-        for number in 0..platform::envelope::TRAIL {
+        for number in 0..store::envelope::TRAIL {
             item = done(update(&two.other, &item, &format!("theirs {number}")).await);
         }
     };
@@ -249,7 +249,7 @@
 #[tokio::test(start_paused = true)]
 async fn value_above_a_megabyte_is_not_sent() {
     let two = two();
-    let write = create(&two.us, &"x".repeat(platform::MAX_VALUE)).await;
+    let write = create(&two.us, &"x".repeat(store::MAX_VALUE)).await;
     assert!(matches!(write, Err(Error::TooLarge { .. })), "{write:?}");
     assert_eq!(two.platform.records(), []);
 }
