--- a/crates/arbutuslugd/src/lib.rs
+++ b/crates/arbutuslugd/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod process;
 mod pump;
 mod registry;
+pub mod relaying;
 
 pub use daemon::Daemon;
 pub use process::Process;
--- a/crates/arbutuslugd/src/main.rs
+++ b/crates/arbutuslugd/src/main.rs
@@ -2,8 +2,8 @@
 
 use std::{path::PathBuf, process::ExitCode};
 
-use arbutuslugd::Daemon;
-use clap::{Arg, ArgAction, Command, value_parser};
+use arbutuslugd::{Daemon, relaying};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use settings::Settings;
 use tokio::signal::unix::{SignalKind, signal};
 use tracing_subscriber::EnvFilter;
@@ -26,12 +26,29 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("Settings of this instance, YAML"),
         )
+        .subcommand_negates_reqs(true)
+        .subcommand(
+            Command::new("relay").about("Passes requests through by host and path, on a platform of objects").arg(
+                Arg::new("settings")
+                    .long("settings")
+                    .value_name("FILE")
+                    .value_parser(value_parser!(PathBuf))
+                    .help("Settings of this instance, YAML; the file the platform names if not given"),
+            ),
+        )
         .arg(Arg::new("check").long("check").action(ArgAction::SetTrue).help("Check the settings and exit"))
 }
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let arguments = command().get_matches();
+    if let Some(("relay", arguments)) = arguments.subcommand() {
+        return relaying::run(arguments.get_one::<PathBuf>("settings").cloned());
+    }
+    daemon(&arguments)
+}
+
+#[tokio::main]
+async fn daemon(arguments: &ArgMatches) -> ExitCode {
     let path: &PathBuf = arguments.get_one("settings").expect("the argument is required");
     let settings = match Settings::load(path) {
         Ok(settings) => settings,
--- /dev/null
+++ b/crates/arbutuslugd/src/relaying.rs
@@ -0,0 +1,147 @@
+//! The daemon as a relay on a platform that keeps its state.
+//!
+//! One thread runs everything: an instance has a fraction of a core, and a
+//! second thread would only add switches. Log lines go to standard output
+//! through a bounded queue that drops rather than waits; what it dropped is
+//! counted and told at the next look.
+
+use std::{net::SocketAddr, path::PathBuf, process::ExitCode, sync::Arc, time::Duration};
+
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use settings::Relay;
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
+use tracing_subscriber::EnvFilter;
+
+use crate::meter;
+
+/// Log lines that wait for standard output; at a hundred a second, what a
+/// stalled reader misses within half a minute.
+const LINES: usize = 4_096;
+
+/// Pause between looks at dropped log lines.
+const LOOK: Duration = Duration::from_secs(5);
+
+/// Exit status for settings that are not valid.
+const EXIT_USAGE: u8 = 2;
+
+/// Runs until a signal, then leaves in order.
+#[must_use]
+pub fn run(path: Option<PathBuf>) -> ExitCode {
+    let Some(path) = path.or_else(platform::settings_file) else {
+        eprintln!("no settings; give a file with --settings");
+        return ExitCode::from(EXIT_USAGE);
+    };
+    let settings = match Relay::load(&path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    let (_guard, dropped) = log(&settings.log);
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("no runtime: {error}; raise the process's limits");
+            return ExitCode::FAILURE;
+        }
+    };
+    runtime.block_on(serve(settings, path, dropped))
+}
+
+fn log(filter: &str) -> (WorkerGuard, ErrorCounter) {
+    let (writer, guard) =
+        NonBlockingBuilder::default().lossy(true).buffered_lines_limit(LINES).finish(std::io::stdout());
+    let dropped = writer.error_counter();
+    let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
+    tracing_subscriber::fmt().json().flatten_event(true).with_env_filter(filter).with_writer(writer).init();
+    (guard, dropped)
+}
+
+async fn serve(settings: Relay, path: PathBuf, dropped: ErrorCounter) -> ExitCode {
+    tokio::spawn(metrics(settings.metrics));
+    tokio::spawn(count_dropped(dropped));
+    let source = Arc::new(platform::Objects::open(settings.store));
+    let instance = settings.relay.instance.clone();
+    let relay = match relay::spawn(settings.relay, platform::dialect(), source).await {
+        Ok(relay) => relay,
+        Err(error) => {
+            tracing::error!(%error, "not started");
+            eprintln!("{error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    tracing::info!(instance, version = env!("CARGO_PKG_VERSION"), "started");
+    until_terminated(&path).await;
+    relay.shutdown().await;
+    tracing::info!(instance, "stopped");
+    ExitCode::SUCCESS
+}
+
+/// Waits for the signal to leave. At the signal that settings have changed
+/// they are read and checked; addresses and bounds hold from the next start.
+async fn until_terminated(path: &std::path::Path) {
+    let mut terminate = signal(SignalKind::terminate()).expect("signals can be watched");
+    let mut interrupt = signal(SignalKind::interrupt()).expect("signals can be watched");
+    let mut reload = signal(SignalKind::hangup()).expect("signals can be watched");
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return,
+            _ = interrupt.recv() => return,
+            _ = reload.recv() => match Relay::load(path) {
+                Ok(settings) => tracing::info!(instance = settings.relay.instance, "settings read again"),
+                Err(error) => tracing::warn!(%error, "settings are not valid; the earlier ones stay"),
+            },
+        }
+    }
+}
+
+async fn count_dropped(dropped: ErrorCounter) {
+    let mut told = 0;
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let now = dropped.dropped_lines();
+        if now > told {
+            tracing::warn!(lines = now - told, "log lines dropped");
+            metrics::counter!("log_lines_dropped_total").absolute(u64::try_from(now).unwrap_or(u64::MAX));
+            told = now;
+        }
+    }
+}
+
+/// Serves metrics as text, at any path.
+async fn metrics(address: SocketAddr) {
+    let handle = meter::handle();
+    let listener = match TcpListener::bind(address).await {
+        Ok(listener) => listener,
+        Err(error) => {
+            tracing::warn!(%address, %error, "metrics are not served; free the address or change `metrics`");
+            return;
+        }
+    };
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(LOOK).await;
+            continue;
+        };
+        let handle = handle.clone();
+        let service = service_fn(move |_: Request<Incoming>| {
+            let text = handle.render();
+            async move { Ok::<_, std::convert::Infallible>(Response::new(Full::new(bytes::Bytes::from(text)))) }
+        });
+        tokio::spawn(async move {
+            let connection =
+                http1::Builder::new().timer(TokioTimer::new()).serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                tracing::debug!(%error, "metrics connection ended");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/relay/src/desk.rs
@@ -0,0 +1,228 @@
+//! What an instance believes, in one place.
+//!
+//! One thread runs everything, and the lock is never held across an await, so
+//! it is never waited for; it only lets tasks share the state without
+//! reference cycles. Every belief has a source and an age: the catalog and
+//! access keys ([`Desk::fresh`]), endpoints and their loads ([`fleet`]), other
+//! instances ([`peers`]), roll-outs ([`trials`]).
+
+pub mod fleet;
+pub mod peers;
+pub mod trials;
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use route::relay::{
+    allowance::{Allowance, Purpose},
+    freshness::{Freshness, Proof},
+};
+
+use tokio::sync::Notify;
+
+use crate::{catalog::Catalog, clock, dialect::Dialect, settings::Settings};
+
+/// What an instance believes.
+#[derive(Debug)]
+pub struct Desk {
+    /// What it was told at its start.
+    pub settings: Settings,
+    /// Names of the wire.
+    pub dialect: Dialect,
+    urgent: Notify,
+    state: Mutex<State>,
+}
+
+/// Everything that changes.
+#[derive(Debug)]
+struct State {
+    catalog: Option<Arc<Catalog>>,
+    freshness: Freshness,
+    allowances: HashMap<String, Allowance>,
+    fleet: fleet::Fleet,
+    peers: peers::Peers,
+    trials: trials::Trials,
+    listed: bool,
+    draining: bool,
+    in_flight: usize,
+    held: usize,
+}
+
+impl Desk {
+    /// Beliefs of an instance that has heard nothing yet.
+    #[must_use]
+    pub fn new(settings: Settings, dialect: Dialect) -> Arc<Self> {
+        let state = State {
+            catalog: None,
+            freshness: Freshness::new(settings.revoke),
+            allowances: HashMap::new(),
+            fleet: fleet::Fleet::default(),
+            peers: peers::Peers::default(),
+            trials: trials::Trials::default(),
+            listed: false,
+            draining: false,
+            in_flight: 0,
+            held: 0,
+        };
+        Arc::new(Self { settings, dialect, urgent: Notify::new(), state: Mutex::new(state) })
+    }
+
+    /// The catalog in force; nothing before the first was read.
+    #[must_use]
+    pub fn catalog(&self) -> Option<Arc<Catalog>> {
+        self.lock().catalog.clone()
+    }
+
+    /// Takes a catalog in unless it is older than the one in force: stale
+    /// answers must not bring back what an operator has taken away.
+    pub fn install(&self, catalog: Catalog) -> bool {
+        let mut state = self.lock();
+        if state.catalog.as_ref().is_some_and(|current| current.version >= catalog.version) {
+            return false;
+        }
+        tracing::info!(
+            version = catalog.version,
+            routes = catalog.hosts.values().map(Vec::len).sum::<usize>(),
+            "catalog in force"
+        );
+        state.catalog = Some(Arc::new(catalog));
+        true
+    }
+
+    /// Renews the lease on access keys.
+    pub fn renew(&self, asked: Duration, proof: Proof) {
+        self.lock().freshness.renew(asked, proof);
+    }
+
+    /// Whether access keys may be believed.
+    #[must_use]
+    pub fn fresh(&self) -> bool {
+        self.lock().freshness.holds(clock::now())
+    }
+
+    /// Age of what is known of access keys.
+    #[must_use]
+    pub fn keys_age(&self) -> Option<Duration> {
+        self.lock().freshness.age(clock::now())
+    }
+
+    /// Notes that endpoints and roll-outs have been listed once.
+    pub fn mark_listed(&self) {
+        self.lock().listed = true;
+    }
+
+    /// Whether callers should come here.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        let state = self.lock();
+        state.catalog.is_some() && state.listed && !state.draining
+    }
+
+    /// Whether this instance is leaving.
+    #[must_use]
+    pub fn draining(&self) -> bool {
+        self.lock().draining
+    }
+
+    /// Starts leaving: no longer ready, connections end with their answers.
+    pub fn drain(&self) {
+        self.lock().draining = true;
+        self.urgent.notify_one();
+    }
+
+    /// Waits until there is news that should not wait.
+    pub async fn hurry(&self) {
+        self.urgent.notified().await;
+    }
+
+    /// Requests that have no complete answer yet.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.lock().in_flight
+    }
+
+    /// Counts a request until the returned guard is dropped.
+    #[must_use]
+    pub fn enter(self: &Arc<Self>) -> Flight {
+        self.lock().in_flight += 1;
+        Flight { desk: Arc::clone(self) }
+    }
+
+    /// A share of the memory for bodies that is empty yet.
+    #[must_use]
+    pub fn hold_none(self: &Arc<Self>) -> Held {
+        Held { desk: Arc::clone(self), bytes: 0 }
+    }
+
+    /// Counts a request's first dispatch to a service.
+    pub fn earn(&self, service: &str) {
+        self.with_allowance(service, |allowance, _| allowance.earn(clock::now()));
+    }
+
+    /// Counts an extra dispatch to a service if the allowance has room.
+    pub fn spend(&self, service: &str, purpose: Purpose) -> bool {
+        self.with_allowance(service, |allowance, members| allowance.spend(clock::now(), members, purpose))
+    }
+
+    /// Whether the allowance has room for an extra dispatch.
+    pub fn affords(&self, service: &str, purpose: Purpose) -> bool {
+        self.with_allowance(service, |allowance, members| allowance.left(clock::now(), members, purpose) >= 1.0)
+    }
+
+    fn with_allowance<T>(&self, service: &str, apply: impl FnOnce(&mut Allowance, usize) -> T) -> T {
+        let mut state = self.lock();
+        let members = state.peers.live(clock::now()) + 1;
+        if !state.allowances.contains_key(service) {
+            state.allowances.insert(service.to_owned(), Allowance::new(self.settings.allowance));
+        }
+        let allowance = state.allowances.get_mut(service).expect("it was inserted if it was missing");
+        apply(allowance, members)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        // A panic while the lock was held ends one request; what it had
+        // changed are counts, and going on with them beats ending the process.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A request under way; dropping it counts it out.
+#[derive(Debug)]
+pub struct Flight {
+    desk: Arc<Desk>,
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.desk.lock().in_flight -= 1;
+    }
+}
+
+/// Memory that a body takes; dropping it gives it back.
+#[derive(Debug)]
+pub struct Held {
+    desk: Arc<Desk>,
+    bytes: usize,
+}
+
+impl Held {
+    /// Takes more, if there is that much left.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        let mut state = self.desk.lock();
+        if state.held + bytes > self.desk.settings.body_memory {
+            return false;
+        }
+        state.held += bytes;
+        self.bytes += bytes;
+        true
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.desk.lock().held -= self.bytes;
+    }
+}
--- /dev/null
+++ b/crates/relay/src/desk/fleet.rs
@@ -0,0 +1,447 @@
+//! Endpoints, their loads and how they have been doing.
+//!
+//! Loads are this instance's own runs, exact, plus what other instances last
+//! said of theirs. How long a run should take to its first byte is learned
+//! for each model; an endpoint is slow if it takes longer than its peers for
+//! the same. A slow or failing endpoint gets less, which keeps its record from
+//! mending, so records fade with time.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use route::relay::{
+    canary::Tally,
+    placement::{self, Candidate, Choice, Wanted},
+};
+use slotmap::SlotMap;
+use world::hash;
+
+use super::{Desk, State, trials::Arm};
+use crate::{clock, source::Endpoint};
+
+slotmap::new_key_type! {
+    /// A known endpoint.
+    pub struct Key;
+}
+
+/// Weight of a new observation in a running mean: about seven count.
+const NEWEST: f64 = 0.15;
+
+/// Time in which half of an endpoint's bad record fades.
+const FADES: Duration = Duration::from_secs(4);
+
+/// First wait after a failed connection; doubles with each further one.
+const REST: Duration = Duration::from_millis(400);
+
+/// Longest wait after failed connections.
+const LONGEST_REST: Duration = Duration::from_secs(5);
+
+/// How long an endpoint that was full counts as full.
+const FULL: Duration = Duration::from_millis(150);
+
+/// Runs added to the load of an endpoint that was full.
+const FULL_RUNS: f64 = 2.0;
+
+/// First guess of a prompt token's reading time in the largest model, in
+/// milliseconds.
+const TOKEN_MS: f64 = 0.03;
+
+/// First guess of a plain call's time, in milliseconds.
+const CALL_MS: f64 = 50.0;
+
+/// Part of an endpoint's record, times the endpoints' mean, that is noise.
+const NOISE: f64 = 1.6;
+
+/// Endpoints and what was learned of them.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    servers: SlotMap<Key, Server>,
+    by_name: HashMap<String, Key>,
+    paces: HashMap<Work, f64>,
+}
+
+/// What a pace was learned of: a service and a model.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Work {
+    service: String,
+    model: Option<usize>,
+}
+
+#[derive(Debug)]
+struct Server {
+    endpoint: Arc<Endpoint>,
+    hash: u32,
+    runs: u32,
+    backlog_ms: f64,
+    others: Load,
+    slowness: Record,
+    failing: Record,
+    misses: u32,
+    rests_until: Duration,
+    full_until: Duration,
+}
+
+/// A running mean that fades to a neutral value.
+#[derive(Debug, Clone, Copy)]
+struct Record {
+    value: f64,
+    at: Duration,
+}
+
+impl Record {
+    fn seen(&mut self, value: f64, neutral: f64, now: Duration) {
+        let current = self.now(neutral, now);
+        *self = Self { value: current + NEWEST * (value - current), at: now };
+    }
+
+    fn now(&self, neutral: f64, now: Duration) -> f64 {
+        let halves = now.saturating_sub(self.at).as_secs_f64() / FADES.as_secs_f64();
+        neutral + (self.value - neutral) * 0.5_f64.powf(halves)
+    }
+}
+
+/// Runs under way at an endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Load {
+    /// Their number.
+    pub runs: f64,
+    /// Prompt reading still owed, in milliseconds.
+    pub backlog_ms: f64,
+}
+
+/// What is to be run, for choosing an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct Job<'a> {
+    /// The service's name.
+    pub service: &'a str,
+    /// Index of the model in its ladder.
+    pub model: Option<usize>,
+    /// That model's cost over the largest one's.
+    pub size: f64,
+    /// Hash of the longest shared part and the model.
+    pub affinity: Option<u64>,
+    /// Tokens up to the end of that part.
+    pub shared_tokens: u32,
+    /// Further tokens of the prompt.
+    pub own_tokens: u32,
+    /// What dealing to versions goes by.
+    pub session: u64,
+    /// Endpoints tried already.
+    pub tried: &'a [Key],
+    /// Version to stay on, if any endpoint has it.
+    pub version: Option<&'a str>,
+}
+
+/// A run under way; dropping it takes its load off the endpoint.
+#[derive(Debug)]
+pub struct Run {
+    desk: Arc<Desk>,
+    /// The endpoint.
+    pub key: Key,
+    /// Who runs it.
+    pub endpoint: Arc<Endpoint>,
+    /// Which version's record it counts for.
+    pub arm: Arm,
+    /// Why it went there.
+    pub choice: Choice,
+    backlog_ms: f64,
+    expected_ms: f64,
+    work: Work,
+    per: f64,
+    started: Duration,
+}
+
+impl Desk {
+    /// Takes an endpoint's registration in.
+    pub fn enlist(&self, endpoint: Endpoint) {
+        let mut state = self.lock();
+        let now = clock::now();
+        state.trials.sight(&endpoint.service, &endpoint.version, now);
+        let fleet = &mut state.fleet;
+        if let Some(server) = fleet.by_name.get(&endpoint.id).and_then(|key| fleet.servers.get_mut(*key)) {
+            if *server.endpoint != endpoint {
+                tracing::info!(endpoint = endpoint.id, draining = endpoint.draining, "endpoint changed");
+                server.endpoint = Arc::new(endpoint);
+            }
+            return;
+        }
+        tracing::info!(endpoint = endpoint.id, service = endpoint.service, version = endpoint.version, address = %endpoint.address, "endpoint found");
+        let name = endpoint.id.clone();
+        let key = fleet.servers.insert(Server::new(endpoint, now));
+        fleet.by_name.insert(name, key);
+    }
+
+    /// Forgets an endpoint whose registration is gone.
+    pub fn delist(&self, id: &str) {
+        let fleet = &mut self.lock().fleet;
+        if let Some(key) = fleet.by_name.remove(id) {
+            fleet.servers.remove(key);
+            tracing::info!(endpoint = id, "endpoint gone");
+        }
+    }
+
+    /// Names of all known endpoints.
+    #[must_use]
+    pub fn enlisted(&self) -> Vec<String> {
+        self.lock().fleet.by_name.keys().cloned().collect()
+    }
+
+    /// Chooses an endpoint and counts the run there; nothing when none takes it.
+    #[must_use]
+    pub fn place(self: &Arc<Self>, job: &Job<'_>) -> Option<Run> {
+        let now = clock::now();
+        let mut state = self.lock();
+        let (key, arm, choice, pace, per) = state.weigh(job, now, self.settings.exposure)?;
+        let server = state.fleet.servers.get_mut(key)?;
+        let backlog_ms = pace * f64::from(job.own_tokens) * per_token(job);
+        server.runs += 1;
+        server.backlog_ms += backlog_ms;
+        let work = Work { service: job.service.to_owned(), model: job.model };
+        Some(Run {
+            desk: Arc::clone(self),
+            key,
+            endpoint: Arc::clone(&server.endpoint),
+            arm,
+            choice,
+            backlog_ms,
+            expected_ms: choice.wait_ms.max(0.0) + pace * per,
+            work,
+            per,
+            started: now,
+        })
+    }
+
+    /// Endpoints of a service that may take its requests.
+    #[must_use]
+    pub fn has_endpoint(&self, service: &str) -> bool {
+        self.lock().fleet.servers.values().any(|server| server.endpoint.service == service && !server.endpoint.draining)
+    }
+
+    /// Loads this instance puts on endpoints, by the hash of their names.
+    #[must_use]
+    pub fn own_loads(&self) -> Vec<(u32, Load)> {
+        let state = self.lock();
+        let busy = state.fleet.servers.values().filter(|server| server.runs > 0);
+        busy.map(|s| (s.hash, Load { runs: f64::from(s.runs), backlog_ms: s.backlog_ms })).collect()
+    }
+}
+
+impl State {
+    /// Sums other instances' loads up anew.
+    pub(super) fn settle_loads(&mut self, now: Duration) {
+        for server in self.fleet.servers.values_mut() {
+            server.others = self.peers.load(server.hash, now);
+        }
+    }
+
+    fn weigh(&mut self, job: &Job<'_>, now: Duration, exposure: f64) -> Option<(Key, Arm, Choice, f64, f64)> {
+        let per = job_units(job);
+        let pace = self.fleet.pace(job);
+        let deal = self.trials.deal(job.service, job.session, exposure, now);
+        let usable = |server: &Server, resting: bool| {
+            server.endpoint.service == job.service
+                && !server.endpoint.draining
+                && (resting || server.rests_until <= now)
+        };
+        let pool: Vec<(Key, &Server)> = {
+            let awake: Vec<_> = self.fleet.servers.iter().filter(|(_, server)| usable(server, false)).collect();
+            if awake.is_empty() {
+                self.fleet.servers.iter().filter(|(_, server)| usable(server, true)).collect()
+            } else {
+                awake
+            }
+        };
+        let on_version = |wanted: &dyn Fn(&str) -> bool, fresh: bool| -> Vec<(Key, &Server)> {
+            let tried = |key: &Key| fresh && job.tried.contains(key);
+            pool.iter().filter(|(key, s)| wanted(&s.endpoint.version) && !tried(key)).copied().collect()
+        };
+        let dealt = |version: &str| deal.allows(version);
+        let kept = |version: &str| job.version.is_none_or(|wanted| wanted == version) && deal.tolerates(version);
+        let mut chosen = if job.version.is_some() { on_version(&kept, true) } else { Vec::new() };
+        if chosen.is_empty() {
+            chosen = on_version(&dealt, true);
+        }
+        if chosen.is_empty() {
+            chosen = on_version(&dealt, false);
+        }
+        if chosen.is_empty() {
+            chosen = on_version(&|version| deal.tolerates(version), false);
+        }
+        let mean = |value: &dyn Fn(&Server) -> f64| {
+            #[expect(clippy::cast_precision_loss, reason = "endpoints are far fewer than 2^53")]
+            let count = chosen.len().max(1) as f64;
+            chosen.iter().map(|(_, server)| value(server)).sum::<f64>() / count
+        };
+        let slow = mean(&|server| server.slowness.now(1.0, now)).max(0.05);
+        let failing = mean(&|server| server.failing.now(0.0, now));
+        let candidates: Vec<Candidate<'_>> =
+            chosen.iter().map(|(_, server)| server.candidate(&self.fleet_domain(), slow, failing, now)).collect();
+        let wanted = Wanted {
+            affinity: job.affinity,
+            reread_ms: pace * per_token(job) * f64::from(job.shared_tokens),
+            first_ms: pace * per,
+        };
+        let choice = placement::choose(&candidates, wanted, job.session ^ u64::try_from(now.as_nanos()).unwrap_or(0))?;
+        let (key, server) = chosen[choice.index];
+        let arm = deal.arm(&server.endpoint.version);
+        Some((key, arm, choice, pace, per))
+    }
+
+    fn fleet_domain(&self) -> String {
+        self.peers.domain.clone()
+    }
+}
+
+/// Units that a pace is multiplied by: tokens to read, or one call.
+fn job_units(job: &Job<'_>) -> f64 {
+    if job.model.is_some() { f64::from(job.own_tokens.max(1)) * job.size.max(0.01) } else { 1.0 }
+}
+
+fn per_token(job: &Job<'_>) -> f64 {
+    if job.model.is_some() { job.size.max(0.01) } else { 0.0 }
+}
+
+impl Fleet {
+    fn pace(&self, job: &Job<'_>) -> f64 {
+        let guess = if job.model.is_some() { TOKEN_MS } else { CALL_MS };
+        let work = Work { service: job.service.to_owned(), model: job.model };
+        self.paces.get(&work).copied().unwrap_or(guess)
+    }
+}
+
+impl Server {
+    fn new(endpoint: Endpoint, now: Duration) -> Self {
+        let hash = short_hash(&endpoint.id);
+        Self {
+            endpoint: Arc::new(endpoint),
+            hash,
+            runs: 0,
+            backlog_ms: 0.0,
+            others: Load::default(),
+            slowness: Record { value: 1.0, at: now },
+            failing: Record { value: 0.0, at: now },
+            misses: 0,
+            rests_until: Duration::ZERO,
+            full_until: Duration::ZERO,
+        }
+    }
+
+    fn candidate(&self, domain: &str, slow: f64, failing: f64, now: Duration) -> Candidate<'_> {
+        let full = if self.full_until > now { f64::from(self.endpoint.slots).max(FULL_RUNS) } else { 0.0 };
+        let slowness = self.slowness.now(1.0, now) / slow;
+        Candidate {
+            id: &self.endpoint.id,
+            slots: self.endpoint.slots,
+            runs: f64::from(self.runs) + self.others.runs + full,
+            backlog_ms: self.backlog_ms + self.others.backlog_ms,
+            slowness: if slowness > NOISE { slowness } else { 1.0 },
+            failing: (self.failing.now(0.0, now) - NOISE * failing).max(0.0),
+            local: self.endpoint.domain == domain,
+        }
+    }
+}
+
+/// How an endpoint's name travels in news.
+#[must_use]
+pub fn short_hash(name: &str) -> u32 {
+    u32::try_from(hash::stable(name.as_bytes()) & u64::from(u32::MAX)).unwrap_or_default()
+}
+
+/// How a try ended, for the endpoint's record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// A good answer.
+    Good,
+    /// An answer that is a failure of the server's own.
+    Failed,
+    /// Broken, spoiled or silent.
+    Broken,
+    /// Turned away, not run.
+    Full,
+    /// No connection.
+    Unreachable,
+}
+
+impl Run {
+    /// The first byte has come: the prompt has been read.
+    pub fn first_byte(&mut self) {
+        let now = clock::now();
+        let took = clock::millis(now.saturating_sub(self.started));
+        let desk = Arc::clone(&self.desk);
+        let mut state = desk.lock();
+        self.lift(&mut state);
+        let fleet = &mut state.fleet;
+        if let Some(server) = fleet.servers.get_mut(self.key) {
+            let ratio = (took / self.expected_ms.max(1.0)).clamp(0.1, 20.0);
+            server.slowness.seen(ratio, 1.0, now);
+            server.misses = 0;
+        }
+        let guess = if self.work.model.is_some() { TOKEN_MS } else { CALL_MS };
+        let pace = fleet.paces.entry(self.work.clone()).or_insert(guess);
+        let seen = took / self.per;
+        // Waits in queues only ever add, so the pace leans to the quick ones.
+        let weight = if seen < *pace { 0.1 } else { 0.01 };
+        *pace += weight * (seen.min(20.0 * *pace) - *pace);
+    }
+
+    /// Time expected from the dispatch until the first byte, in milliseconds.
+    #[must_use]
+    pub fn expected_ms(&self) -> f64 {
+        self.expected_ms
+    }
+
+    /// Time since the dispatch over the time expected until the first byte.
+    #[must_use]
+    pub fn lateness(&self) -> f64 {
+        clock::millis(clock::now().saturating_sub(self.started)) / self.expected_ms.max(1.0)
+    }
+
+    /// Notes how the run ended.
+    pub fn ended(&mut self, how: Ended) {
+        let now = clock::now();
+        let desk = Arc::clone(&self.desk);
+        let mut state = desk.lock();
+        self.lift(&mut state);
+        let Some(server) = state.fleet.servers.get_mut(self.key) else { return };
+        match how {
+            Ended::Good => {
+                server.failing.seen(0.0, 0.0, now);
+                server.misses = 0;
+            }
+            Ended::Failed => server.failing.seen(1.0, 0.0, now),
+            Ended::Broken => {
+                server.failing.seen(1.0, 0.0, now);
+            }
+            Ended::Full => server.full_until = now + FULL,
+            Ended::Unreachable => {
+                let rest = REST * 2_u32.saturating_pow(server.misses.min(6));
+                server.misses += 1;
+                server.rests_until = now + rest.min(LONGEST_REST);
+                tracing::warn!(endpoint = server.endpoint.id, misses = server.misses, "endpoint unreachable");
+            }
+        }
+    }
+
+    /// Counts the run for or against its version.
+    pub fn judge(&self, bad: bool) {
+        let tally = Tally { runs: 1, bad: u32::from(bad) };
+        self.desk.lock().trials.count(&self.endpoint.service, self.arm, tally);
+    }
+
+    fn lift(&mut self, state: &mut State) {
+        if let Some(server) = state.fleet.servers.get_mut(self.key) {
+            server.backlog_ms = (server.backlog_ms - self.backlog_ms).max(0.0);
+        }
+        self.backlog_ms = 0.0;
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        let desk = Arc::clone(&self.desk);
+        let mut state = desk.lock();
+        self.lift(&mut state);
+        if let Some(server) = state.fleet.servers.get_mut(self.key) {
+            server.runs = server.runs.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/desk/peers.rs
@@ -0,0 +1,168 @@
+//! Other instances, as their news tells.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use super::{Desk, fleet::Load, trials::Report};
+use crate::clock;
+
+/// Silence after which an instance is believed gone: five pieces of news.
+const SILENT: Duration = Duration::from_millis(1_300);
+
+/// Silence after which nobody looks for an instance any more.
+const FORGOTTEN: Duration = Duration::from_mins(1);
+
+/// Other instances.
+#[derive(Debug, Default)]
+pub struct Peers {
+    /// The failure domain of this instance.
+    pub(super) domain: String,
+    known: HashMap<String, Peer>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    news: SocketAddr,
+    found: Duration,
+    heard: Option<Duration>,
+    word: Word,
+}
+
+/// What an instance says of itself.
+#[derive(Debug, Clone, Default)]
+pub struct Word {
+    /// Where callers reach it.
+    pub front: Option<SocketAddr>,
+    /// Its start; a later one replaces what an earlier one said.
+    pub run: u64,
+    /// Whether callers should come to it.
+    pub ready: bool,
+    /// Whether its knowledge of access keys is fresh.
+    pub fresh: bool,
+    /// Loads it puts on endpoints, by the hash of their names.
+    pub loads: HashMap<u32, Load>,
+    /// Roll-outs as it knows them.
+    pub reports: Vec<Report>,
+}
+
+impl Peers {
+    /// Number of instances heard from of late.
+    #[must_use]
+    pub fn live(&self, now: Duration) -> usize {
+        self.known.values().filter(|peer| peer.live(now)).count()
+    }
+
+    /// Load that live instances put on an endpoint.
+    pub(super) fn load(&self, endpoint: u32, now: Duration) -> Load {
+        let loads = self.known.values().filter(|peer| peer.live(now)).filter_map(|p| p.word.loads.get(&endpoint));
+        loads.fold(Load::default(), |sum, load| Load {
+            runs: sum.runs + load.runs,
+            backlog_ms: sum.backlog_ms + load.backlog_ms,
+        })
+    }
+
+    /// What instances, gone ones too, say of a roll-out.
+    pub(super) fn reports(&self, order: u32) -> impl Iterator<Item = &Report> {
+        self.known.values().flat_map(|peer| &peer.word.reports).filter(move |report| report.order == order)
+    }
+}
+
+impl Peer {
+    fn live(&self, now: Duration) -> bool {
+        self.heard.is_some_and(|heard| now < heard + SILENT)
+    }
+}
+
+impl Desk {
+    /// Notes this instance's failure domain among its peers.
+    pub fn settle_in(&self) {
+        self.lock().peers.domain.clone_from(&self.settings.domain);
+    }
+
+    /// Notes where an instance hears news.
+    pub fn meet(&self, name: &str, news: SocketAddr) {
+        if name == self.settings.instance || news == self.settings.listeners.news {
+            return;
+        }
+        let now = clock::now();
+        let mut state = self.lock();
+        let peer = state.peers.known.entry(name.to_owned()).or_insert_with(|| {
+            tracing::info!(instance = name, %news, "instance found");
+            Peer { news, found: now, heard: None, word: Word::default() }
+        });
+        peer.news = news;
+    }
+
+    /// Takes an instance's word in.
+    pub fn hear(&self, name: &str, news: SocketAddr, word: Word) {
+        self.meet(name, news);
+        let now = clock::now();
+        let mut state = self.lock();
+        let Some(peer) = state.peers.known.get_mut(name) else { return };
+        if word.run < peer.word.run {
+            return;
+        }
+        if !peer.live(now) {
+            tracing::info!(instance = name, "instance heard again");
+        }
+        peer.heard = Some(now);
+        peer.word = word;
+        state.settle_loads(now);
+    }
+
+    /// Forgets an instance that has left.
+    pub fn part(&self, name: &str) {
+        self.lock().peers.known.remove(name);
+    }
+
+    /// Whether another instance's knowledge of access keys is fresh.
+    #[must_use]
+    pub fn fresh_elsewhere(&self) -> bool {
+        let now = clock::now();
+        self.lock().peers.known.values().any(|peer| peer.live(now) && peer.word.fresh && peer.word.ready)
+    }
+
+    /// Whether this instance's name comes first among the live and ready ones
+    /// that are in touch with the store.
+    #[must_use]
+    pub fn leads(&self) -> bool {
+        let now = clock::now();
+        let state = self.lock();
+        let mut others =
+            state.peers.known.iter().filter(|(_, peer)| peer.live(now) && peer.word.ready && peer.word.fresh);
+        others.all(|(name, _)| *name > self.settings.instance)
+    }
+
+    /// Where to send news, with each instance's name.
+    #[must_use]
+    pub fn audience(&self) -> Vec<(String, SocketAddr)> {
+        let now = clock::now();
+        let mut state = self.lock();
+        state.peers.known.retain(|_, peer| now < peer.heard.unwrap_or(peer.found) + FORGOTTEN);
+        state.peers.known.iter().map(|(name, peer)| (name.clone(), peer.news)).collect()
+    }
+
+    /// Where callers may go: every instance that says it is ready, those with
+    /// fresh keys if there are any, and this one if nothing better is known.
+    #[must_use]
+    pub fn fronts(&self) -> Vec<SocketAddr> {
+        let now = clock::now();
+        let (me_ready, me_fresh) = (self.ready(), self.fresh());
+        let state = self.lock();
+        let live = state.peers.known.values().filter(|peer| peer.live(now) && peer.word.ready);
+        let mut all: Vec<(bool, SocketAddr)> =
+            live.filter_map(|peer| Some((peer.word.fresh, peer.word.front?))).collect();
+        if me_ready {
+            all.push((me_fresh, self.settings.listeners.front));
+        }
+        if all.iter().any(|(fresh, _)| *fresh) {
+            all.retain(|(fresh, _)| *fresh);
+        }
+        let mut fronts: Vec<SocketAddr> = all.into_iter().map(|(_, front)| front).collect();
+        fronts.sort_unstable();
+        fronts.truncate(MOST_ADDRESSES);
+        fronts
+    }
+}
+
+/// Most addresses in an answer to callers.
+const MOST_ADDRESSES: usize = 64;
--- /dev/null
+++ b/crates/relay/src/dialect.rs
@@ -0,0 +1,58 @@
+//! Names of the wire, given from outside.
+//!
+//! This crate knows what each header is for, not how a site spells it.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::HeaderName;
+
+/// How callers, endpoints and this instance spell what they say.
+#[derive(Debug, Clone)]
+pub struct Dialect {
+    /// Headers.
+    pub names: Names,
+    /// Path that tells whether this instance takes requests.
+    pub ready_path: &'static str,
+    /// Path that callers ask for addresses at.
+    pub addresses_path: &'static str,
+    /// Body that lists addresses and says for how many seconds to keep them.
+    pub addresses: fn(&[SocketAddr], u32) -> Bytes,
+}
+
+/// Names of headers.
+#[derive(Debug, Clone)]
+pub struct Names {
+    /// Caller's id of a request, echoed by answers.
+    pub request: HeaderName,
+    /// Milliseconds that are left for the answer.
+    pub deadline: HeaderName,
+    /// Caller's access key; never passed on.
+    pub key: HeaderName,
+    /// The key's team, as endpoints hear it.
+    pub team: HeaderName,
+    /// Endpoint that alone may run the request.
+    pub expect_endpoint: HeaderName,
+    /// Model asked for.
+    pub model: HeaderName,
+    /// Prompt tokens and most output tokens, by a comma.
+    pub tokens: HeaderName,
+    /// Parts of the prompt in order, `ID:TOKENS` by commas.
+    pub parts: HeaderName,
+    /// Caller's session.
+    pub session: HeaderName,
+    /// Rank at the engine, 0 first.
+    pub rank: HeaderName,
+    /// Last event that the receiver of a stream has.
+    pub last_event: HeaderName,
+    /// Says that the endpoint did not and will not run the request.
+    pub not_run: HeaderName,
+    /// Endpoint's signature over its answer.
+    pub signature: HeaderName,
+    /// Model's own opinion of its answer, 0 to 100.
+    pub confidence: HeaderName,
+    /// Version of the weights that answered.
+    pub weights: HeaderName,
+    /// Set by this instance alone; a caller's are dropped.
+    pub reserved: Vec<HeaderName>,
+}
--- /dev/null
+++ b/crates/relay/src/directory.rs
@@ -0,0 +1,46 @@
+//! Which instances callers should use, and whether this one takes requests.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+
+use crate::{
+    answer::{self, Body},
+    desk::Desk,
+};
+
+/// How long callers may keep an answer, in seconds. Some keep it three times
+/// as long, so this bounds how long an instance that has left is still tried;
+/// each answer costs a request's worth of processor time.
+const KEEP_S: u32 = 2;
+
+/// Answers a question for addresses.
+pub fn addresses(desk: &Arc<Desk>, request: &Request<Incoming>) -> Response<Body> {
+    if request.uri().path() != desk.dialect.addresses_path {
+        return status(StatusCode::NOT_FOUND);
+    }
+    let fronts = desk.fronts();
+    if fronts.is_empty() {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let longest = u32::try_from(desk.settings.keep_addresses.as_secs()).unwrap_or(KEEP_S);
+    let mut response = Response::new(answer::full((desk.dialect.addresses)(&fronts, KEEP_S.min(longest.max(1)))));
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+/// Answers whether this instance takes requests.
+pub fn ready(desk: &Arc<Desk>, request: &Request<Incoming>) -> Response<Body> {
+    if request.uri().path() != desk.dialect.ready_path {
+        return status(StatusCode::NOT_FOUND);
+    }
+    status(if desk.ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+}
+
+fn status(code: StatusCode) -> Response<Body> {
+    let mut response = Response::new(answer::full(Bytes::new()));
+    *response.status_mut() = code;
+    response
+}
--- /dev/null
+++ b/crates/relay/src/exchange.rs
@@ -0,0 +1,76 @@
+//! The life of one request: admitted, tried, answered.
+//!
+//! A request is tried until an answer may go to the caller, within the route's
+//! attempts, the retry allowance and its time. What may not be repeated is
+//! sent again only after an endpoint has said that it did not run. Nothing
+//! goes to the caller before an answer is decided on; from then on a stream
+//! may change endpoints after a whole event, under the first one's headers.
+
+mod admit;
+mod stream;
+mod tries;
+
+use std::sync::Arc;
+
+use http::{Request, Response, header};
+use hyper::body::Incoming;
+
+use crate::{
+    answer::{Body, Refusal},
+    ask::{Ask, end_to_end},
+    clock,
+    desk::Desk,
+};
+
+/// Serves one request.
+pub async fn serve(desk: Arc<Desk>, request: Request<Incoming>) -> Response<Body> {
+    let mut exchange = match admit::admit(&desk, request).await {
+        Ok(exchange) => exchange,
+        Err((ask, refusal)) => return refuse(&desk, &ask, &refusal, None),
+    };
+    let limit = tokio::time::Instant::now() + exchange.left();
+    let mut response = match tokio::time::timeout_at(limit, exchange.run()).await {
+        Ok(Ok(tries::Won::Whole(response))) => response,
+        Ok(Ok(tries::Won::Stream(live))) => stream::relay(exchange, *live),
+        Ok(Err(refusal)) => refuse(&desk, &exchange.ask, &refusal, Some(&exchange)),
+        Err(_) => {
+            let refusal = if exchange.may_have_run { Refusal::TimedOut } else { Refusal::Expired };
+            refuse(&desk, &exchange.ask, &refusal, Some(&exchange))
+        }
+    };
+    if desk.draining() {
+        response.headers_mut().insert(header::CONNECTION, http::HeaderValue::from_static("close"));
+    }
+    response
+}
+
+fn refuse(desk: &Desk, ask: &Ask, refusal: &Refusal, exchange: Option<&tries::Exchange>) -> Response<Body> {
+    let age = desk.keys_age().map(clock::millis);
+    let catalog = desk.catalog().map(|catalog| catalog.version);
+    tracing::info!(
+        request = ask.id,
+        refused = ?refusal,
+        status = refusal.status().as_u16(),
+        route = exchange.map(|e| e.pass.route.name.as_str()),
+        service = exchange.map(|e| e.service.as_str()),
+        tries = exchange.map(|e| e.sent),
+        cause = exchange.map(|e| e.cause.as_str()),
+        took_ms = exchange.map(|e| clock::millis(clock::now().saturating_sub(e.started))),
+        catalog,
+        keys_age_ms = age,
+        "request refused"
+    );
+    metrics::counter!("relay_refusals_total", "status" => refusal.status().as_str().to_owned()).increment(1);
+    let mut response = refusal.answer(rand::random());
+    if matches!(refusal, Refusal::TooLarge | Refusal::Truncated | Refusal::Memory) || desk.draining() {
+        // Part of the body may still be on the way; it must not be taken for
+        // the next request.
+        response.headers_mut().insert(header::CONNECTION, http::HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Headers of an endpoint's answer that go on to the caller.
+fn passed_on(response: &Response<Incoming>) -> http::HeaderMap {
+    end_to_end(response.headers())
+}
--- /dev/null
+++ b/crates/relay/src/exchange/stream.rs
@@ -0,0 +1,121 @@
+//! A stream on its way to the caller, resumed where its endpoint breaks.
+
+use std::{io, time::Duration};
+
+use bytes::Bytes;
+use http::Response;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+
+use super::{
+    passed_on,
+    tries::{Exchange, Live},
+};
+use crate::{answer::Body, catalog::Kind, clock, desk::fleet::Ended, events::Splitter, upstream::Outcome};
+
+/// Pauses over the route's wanted one after which an endpoint is given up.
+const STALL: f64 = 3.0;
+
+/// Least pause after which an endpoint is given up: engines that read long
+/// prompts in between pause for about a second.
+const LEAST_STALL: Duration = Duration::from_millis(1_500);
+
+/// What came of waiting for the next bytes.
+enum Next {
+    Bytes(Bytes),
+    End,
+    Broken(String),
+}
+
+/// The answer to a caller whose stream has begun.
+pub fn relay(exchange: Exchange, live: Live) -> Response<Body> {
+    let mut response = Response::new(());
+    *response.status_mut() = live.answer.response.status();
+    *response.headers_mut() = passed_on(&live.answer.response);
+    exchange.log(&live.run, live.answer.response.status());
+    response.map(|()| StreamBody::new(events(exchange, live)).boxed_unsync())
+}
+
+/// Whole events until the stream's end; an error ends the caller's connection.
+fn events(mut exchange: Exchange, mut live: Live) -> impl futures::Stream<Item = io::Result<Frame<Bytes>>> {
+    async_stream::stream! {
+        let mut splitter = Splitter::new(exchange.ask.last_event);
+        loop {
+            let cause = match next(&exchange, &mut live).await {
+                Next::Bytes(bytes) => match splitter.push(&bytes) {
+                    Ok(Some(whole)) => {
+                        yield Ok(Frame::data(whole));
+                        continue;
+                    }
+                    Ok(None) => continue,
+                    Err(_) => "an event is too long".to_owned(),
+                },
+                Next::End if !splitter.is_partial() => {
+                    live.run.ended(Ended::Good);
+                    break;
+                }
+                Next::End => "ended within an event".to_owned(),
+                Next::Broken(cause) => cause,
+            };
+            exchange.may_have_run = true;
+            exchange.note(&mut live.run, &Outcome::Unknown(cause));
+            splitter.restart();
+            let Some(next) = resume(&mut exchange, &live, splitter.last()).await else {
+                tracing::info!(
+                    request = exchange.ask.id,
+                    cause = exchange.cause,
+                    tries = exchange.sent,
+                    last_event = splitter.last(),
+                    took_ms = clock::millis(clock::now().saturating_sub(exchange.started)),
+                    "stream broken off"
+                );
+                yield Err(io::Error::other("the stream broke off"));
+                break;
+            };
+            live = next;
+        }
+        drop(exchange.flight.take());
+    }
+}
+
+async fn next(exchange: &Exchange, live: &mut Live) -> Next {
+    let pause = exchange.pass.route.pause.unwrap_or(LEAST_STALL);
+    let stall = pause.mul_f64(STALL).max(LEAST_STALL).min(exchange.left());
+    match tokio::time::timeout(stall, live.answer.response.body_mut().frame()).await {
+        Err(_) => Next::Broken("no event in time".into()),
+        Ok(None) => Next::End,
+        Ok(Some(Err(error))) => Next::Broken(error.to_string()),
+        Ok(Some(Ok(frame))) => Next::Bytes(frame.into_data().unwrap_or_default()),
+    }
+}
+
+/// Goes on at another endpoint, with the same model and, if possible, version.
+async fn resume(exchange: &mut Exchange, broken: &Live, last: Option<u64>) -> Option<Live> {
+    if !matches!(exchange.pass.route.kind, Kind::Stream { resumable: true }) {
+        return None;
+    }
+    let model = broken.model;
+    exchange.version = Some(broken.run.endpoint.version.clone());
+    loop {
+        let mut run = exchange.next_run(model).await.ok()?;
+        let outcome = exchange.send(&mut run, model, last.or(exchange.ask.last_event)).await;
+        match outcome {
+            Outcome::Answer(answer) if answer.response.status().is_success() => {
+                run.first_byte();
+                tracing::info!(
+                    request = exchange.ask.id,
+                    endpoint = run.endpoint.id,
+                    last_event = last,
+                    tries = exchange.sent,
+                    "stream resumed"
+                );
+                return Some(Live { answer: *answer, run, model });
+            }
+            Outcome::Answer(answer) => {
+                let cause = format!("failed with {}", answer.response.status());
+                exchange.note(&mut run, &Outcome::Unknown(cause));
+            }
+            other => exchange.note(&mut run, &other),
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/exchange/tries.rs
@@ -0,0 +1,392 @@
+//! Tries of a request until an answer is decided on.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Full};
+use route::relay::{
+    allowance::Purpose,
+    ladder::{self, Room, Step},
+};
+use world::hash;
+
+use super::{
+    admit::{self, Pass},
+    passed_on,
+};
+use crate::{
+    answer::{self, Body, Refusal},
+    ask::{self, Ask},
+    catalog::Kind,
+    clock,
+    desk::{
+        Desk, Flight, Held,
+        fleet::{Ended, Job, Key, Run},
+    },
+    upstream::{self, Answer, Outcome},
+};
+
+/// Unreachable endpoints after which a request is given up.
+const MOST_UNREACHABLE: u32 = 4;
+
+/// Time over the expected until the first byte that a run gets before another
+/// endpoint is tried.
+const PATIENCE: f64 = 5.0;
+
+/// Part of the goal that a run gets at least before another one is tried.
+const PATIENCE_OF_GOAL: f64 = 0.8;
+
+/// Least time in which a further try makes sense.
+const WORTH_A_TRY: Duration = Duration::from_millis(30);
+
+/// Lateness of a first byte that counts against a version under roll-out.
+const LATE: f64 = 4.0;
+
+/// How long a request waits for a service that has no endpoint at all.
+const WAIT_FOR_ENDPOINT: Duration = Duration::from_millis(250);
+
+/// A request under way.
+#[derive(Debug)]
+pub struct Exchange {
+    pub(super) desk: Arc<Desk>,
+    pub(super) flight: Option<Flight>,
+    pub(super) _held: Held,
+    pub(super) ask: Ask,
+    pub(super) pass: Pass,
+    pub(super) service: String,
+    pub(super) host: String,
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) started: Duration,
+    pub(super) limit: Duration,
+    pub(super) tried: Vec<Key>,
+    pub(super) sent: u32,
+    pub(super) unreachable: u32,
+    pub(super) may_have_run: bool,
+    pub(super) cause: String,
+    pub(super) draw: f64,
+    pub(super) version: Option<String>,
+}
+
+/// An answer that is decided on.
+#[derive(Debug)]
+pub enum Won {
+    /// A whole answer.
+    Whole(Response<Body>),
+    /// A stream that has begun.
+    Stream(Box<Live>),
+}
+
+/// A stream under way at an endpoint.
+#[derive(Debug)]
+pub struct Live {
+    /// The endpoint's answer.
+    pub answer: Answer,
+    /// Its place there.
+    pub run: Run,
+    /// Index of the model that answers.
+    pub model: Option<usize>,
+}
+
+/// What became of one try.
+enum Tried {
+    Won(Won),
+    /// Sealed failure of the endpoint's own; the answer to give if no other comes.
+    Failed(Response<Body>),
+    Again,
+}
+
+impl Exchange {
+    /// Time that is left.
+    pub fn left(&self) -> Duration {
+        self.limit.saturating_sub(clock::now())
+    }
+
+    /// Tries until an answer is decided on.
+    pub async fn run(&mut self) -> Result<Won, Refusal> {
+        let mut model = self.start_model();
+        let mut failed: Option<Response<Body>> = None;
+        loop {
+            let run = match self.next_run(model).await {
+                Ok(run) => run,
+                Err(refusal) => return failed.map(Won::Whole).ok_or(refusal),
+            };
+            match self.try_at(run, &mut model, self.ask.last_event).await {
+                Tried::Won(won) => return Ok(won),
+                Tried::Failed(response) => failed = Some(response),
+                Tried::Again => {}
+            }
+        }
+    }
+
+    /// A place for the next try, if there may be one.
+    pub(super) async fn next_run(&mut self, model: Option<usize>) -> Result<Run, Refusal> {
+        // The catalog may have changed while the request waited or was tried:
+        // a withdrawn key or a moved route must not be used once more.
+        self.pass = admit::check(&self.desk, &self.host, self.uri.path(), &self.ask).map_err(|r| self.given_up(r))?;
+        if self.left() < WORTH_A_TRY {
+            return Err(self.given_up(Refusal::Expired));
+        }
+        let may_try = !self.may_have_run || self.pass.route.kind.repeatable();
+        if !may_try || self.sent >= self.pass.route.attempts || self.unreachable >= MOST_UNREACHABLE {
+            return Err(self.given_up(Refusal::TurnedAway));
+        }
+        self.pass.route.target(self.draw).ok_or(Refusal::NoRoute)?.clone_into(&mut self.service);
+        let run = match self.place(model) {
+            Some(run) => run,
+            None => self.wait_for_place(model).await?,
+        };
+        if self.sent == 0 {
+            if self.unreachable == 0 {
+                self.desk.earn(&self.service);
+            }
+        } else if !self.desk.spend(&self.service, Purpose::Repair) {
+            return Err(self.given_up(Refusal::TurnedAway));
+        }
+        Ok(run)
+    }
+
+    async fn wait_for_place(&self, model: Option<usize>) -> Result<Run, Refusal> {
+        let until = clock::now() + WAIT_FOR_ENDPOINT.min(self.left());
+        while clock::now() < until {
+            tokio::time::sleep(Duration::from_millis(25)).await;
+            if let Some(run) = self.place(model) {
+                return Ok(run);
+            }
+        }
+        Err(self.given_up(Refusal::NoEndpoint))
+    }
+
+    /// The refusal that is true of this request.
+    fn given_up(&self, refusal: Refusal) -> Refusal {
+        if !self.may_have_run {
+            return refusal;
+        }
+        match refusal {
+            Refusal::Expired => Refusal::TimedOut,
+            _ => Refusal::Lost,
+        }
+    }
+
+    fn place(&self, model: Option<usize>) -> Option<Run> {
+        let shared = self.ask.shared();
+        let salt = model.map_or(0, |index| u64::try_from(index).unwrap_or(0) + 1);
+        let session = self.ask.session.unwrap_or_else(|| hash::stable(self.ask.id.as_bytes()));
+        self.desk.place(&Job {
+            service: &self.service,
+            model: model.or_else(|| self.ask.tokens.map(|_| 0)),
+            size: self.size(model),
+            affinity: shared.map(|part| hash::rendezvous(part.id, &salt.to_le_bytes())),
+            shared_tokens: shared.map_or(0, |part| part.tokens),
+            own_tokens: self.ask.own_tokens(),
+            session,
+            tried: &self.tried,
+            version: self.version.as_deref(),
+        })
+    }
+
+    /// A model's cost over the largest one's.
+    fn size(&self, model: Option<usize>) -> f64 {
+        let models = &self.pass.route.models;
+        let largest = models.last().map_or(1.0, |model| model.cost.max(f64::MIN_POSITIVE));
+        model.and_then(|index| models.get(index)).map_or(1.0, |model| model.cost / largest)
+    }
+
+    fn start_model(&self) -> Option<usize> {
+        let models = self.pass.route.models.len();
+        if models == 0 || !self.ask.any_model {
+            return None;
+        }
+        let service = self.pass.route.target(self.draw).unwrap_or_default();
+        let room = Room {
+            attempts: self.pass.route.attempts,
+            allowance: self.desk.affords(service, Purpose::Escalation),
+            time: true,
+        };
+        Some(ladder::start(models, room))
+    }
+
+    /// Sends the request once and weighs the answer.
+    async fn try_at(&mut self, mut run: Run, model: &mut Option<usize>, last_event: Option<u64>) -> Tried {
+        let outcome = self.send(&mut run, *model, last_event).await;
+        let answer = match outcome {
+            Outcome::Answer(answer) => *answer,
+            other => {
+                self.note(&mut run, &other);
+                return Tried::Again;
+            }
+        };
+        run.first_byte();
+        let status = answer.response.status();
+        let stream = matches!(self.pass.route.kind, Kind::Stream { .. });
+        if status.is_success() && stream {
+            run.judge(run.lateness() > LATE);
+            if let Some(next) = self.escalation(&answer, *model) {
+                tracing::info!(request = self.ask.id, from = model, to = next, "answer dropped for a larger model");
+                *model = Some(next);
+                self.may_have_run = true;
+                return Tried::Again;
+            }
+            return Tried::Won(Won::Stream(Box::new(Live { answer, run, model: *model })));
+        }
+        self.whole(answer, run).await
+    }
+
+    /// Notes a try that brought no answer.
+    pub(super) fn note(&mut self, run: &mut Run, outcome: &Outcome) {
+        self.tried.push(run.key);
+        let (ended, cause) = match outcome {
+            Outcome::Unreachable(cause) => {
+                self.unreachable += 1;
+                self.sent -= 1;
+                (Ended::Unreachable, cause.clone())
+            }
+            Outcome::NotRun(status) => (Ended::Full, format!("turned away with {status}")),
+            Outcome::Unknown(cause) => {
+                self.may_have_run = true;
+                (Ended::Broken, cause.clone())
+            }
+            Outcome::Answer(_) => (Ended::Good, String::new()),
+        };
+        run.ended(ended);
+        tracing::info!(
+            request = self.ask.id,
+            endpoint = run.endpoint.id,
+            how = ?ended,
+            cause,
+            wait_ms = run.choice.wait_ms,
+            preferred = run.choice.preferred,
+            "try failed"
+        );
+        self.cause = cause;
+    }
+
+    /// Sends the request to the endpoint of a run.
+    pub(super) async fn send(&mut self, run: &mut Run, model: Option<usize>, last_event: Option<u64>) -> Outcome {
+        let left = self.left();
+        let request = self.request(run, model, last_event, left);
+        self.sent += 1;
+        let patience = self.patience(run).min(left);
+        upstream::send(run.endpoint.address, request, &self.ask.id, &self.desk.dialect.names, patience).await
+    }
+
+    /// How long a run may take to its first byte.
+    fn patience(&self, run: &Run) -> Duration {
+        let route = &self.pass.route;
+        let last = self.sent >= route.attempts || !self.desk.affords(&self.service, Purpose::Repair);
+        if last || !route.kind.repeatable() {
+            return self.left();
+        }
+        let expected = Duration::from_secs_f64(run.expected_ms() * PATIENCE / 1_000.0);
+        expected.max(route.goal.mul_f64(PATIENCE_OF_GOAL))
+    }
+
+    fn request(
+        &self,
+        run: &Run,
+        model: Option<usize>,
+        last_event: Option<u64>,
+        left: Duration,
+    ) -> Request<Full<Bytes>> {
+        let names = &self.desk.dialect.names;
+        let mut headers = self.headers.clone();
+        let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(names.deadline.clone(), ask::value(&left.to_string()));
+        headers.insert(names.expect_endpoint.clone(), ask::value(&run.endpoint.id));
+        if let Some(team) = &self.pass.team {
+            headers.insert(names.team.clone(), ask::value(&team.name));
+        }
+        if let Some(model) = model.and_then(|index| self.pass.route.models.get(index)) {
+            headers.insert(names.model.clone(), ask::value(&model.name));
+        }
+        if self.ask.tokens.is_some() {
+            let rank = self.pass.team.as_ref().and_then(|team| team.rank).unwrap_or(self.pass.route.rank);
+            headers.insert(names.rank.clone(), ask::value(&rank.min(9).to_string()));
+        }
+        if let Some(last) = last_event {
+            headers.insert(names.last_event.clone(), ask::value(&last.to_string()));
+        }
+        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = path.parse().unwrap_or_else(|_| self.uri.clone());
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// Whether an answer should be dropped for a larger model's; pays for it.
+    fn escalation(&self, answer: &Answer, model: Option<usize>) -> Option<usize> {
+        let index = model?;
+        let names = &self.desk.dialect.names;
+        let confidence = answer.response.headers().get(&names.confidence);
+        let confidence = confidence.and_then(|value| value.to_str().ok()?.trim().parse().ok());
+        let room = Room {
+            attempts: self.pass.route.attempts.saturating_sub(self.sent),
+            allowance: self.desk.affords(&self.service, Purpose::Escalation),
+            time: self.left() > self.pass.route.goal.mul_f64(0.5),
+        };
+        match ladder::step(index, self.pass.route.models.len(), confidence, room) {
+            Step::Keep => None,
+            Step::Escalate(next) => Some(next),
+        }
+    }
+
+    /// Reads a whole answer; a lost end may be repaired like a lost answer.
+    async fn whole(&mut self, answer: Answer, mut run: Run) -> Tried {
+        let headers = passed_on(&answer.response);
+        let status = answer.response.status();
+        let (body, _connection) = answer.into_body();
+        let bytes = match body.collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(error) => {
+                self.note(&mut run, &Outcome::Unknown(error.to_string()));
+                return Tried::Again;
+            }
+        };
+        let failed = status.is_server_error();
+        run.ended(if failed { Ended::Failed } else { Ended::Good });
+        run.judge(failed || run.lateness() > LATE);
+        let mut response = Response::new(answer::full(bytes));
+        *response.status_mut() = promised(status);
+        *response.headers_mut() = headers;
+        self.log(&run, status);
+        if failed {
+            self.may_have_run = true;
+            self.tried.push(run.key);
+            return Tried::Failed(response);
+        }
+        Tried::Won(Won::Whole(response))
+    }
+
+    /// Logs the answer that was decided on.
+    pub(super) fn log(&self, run: &Run, status: StatusCode) {
+        let took = clock::millis(clock::now().saturating_sub(self.started));
+        tracing::info!(
+            request = self.ask.id,
+            route = self.pass.route.name,
+            service = self.service,
+            endpoint = run.endpoint.id,
+            status = status.as_u16(),
+            tries = self.sent,
+            took_ms = took,
+            wait_ms = run.choice.wait_ms,
+            preferred = run.choice.preferred,
+            catalog = self.pass.version,
+            "answered"
+        );
+        metrics::histogram!("relay_answer_ms", "service" => self.service.clone()).record(took);
+    }
+}
+
+/// A status that promises "not run" may not be passed on for what has run.
+fn promised(status: StatusCode) -> StatusCode {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS | StatusCode::REQUEST_TIMEOUT => {
+            StatusCode::BAD_GATEWAY
+        }
+        other => other,
+    }
+}
--- /dev/null
+++ b/crates/relay/src/follow.rs
@@ -0,0 +1,256 @@
+//! Keeping what the instance believes in step with the store.
+//!
+//! Each kind of record is listed, then watched from the listing's revision.
+//! Every call has a time limit, since a connection may go silent for good;
+//! after any doubt the kind is listed again, because a watch that was cut may
+//! have missed changes.
+
+use std::{sync::Arc, time::Duration};
+
+use route::relay::freshness::Proof;
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    clock,
+    desk::Desk,
+    source::{Batch, Change, Fault, Instance, Kind, Listing, Record, Source},
+};
+
+/// Longest wait of a watch on the catalog. It renews the lease on access keys,
+/// which has to outlast two of them and a lost one's time limit.
+const CATALOG_WAIT: Duration = Duration::from_millis(1_200);
+
+/// Longest wait of a watch on endpoints: one that went silent must be noticed
+/// before a leaving endpoint may get no more work.
+const ENDPOINTS_WAIT: Duration = Duration::from_millis(1_200);
+
+/// Longest wait of a watch on roll-outs; other instances tell of them sooner.
+const ROLLOUTS_WAIT: Duration = Duration::from_secs(4);
+
+/// Time beyond a watch's wait, and of any other call, after which a connection
+/// counts as silent: many round trips, a store that is slow by fifty times.
+const CALL_LIMIT: Duration = Duration::from_millis(600);
+
+/// First and longest wait after a call that failed.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(500));
+
+/// Outage of the store after which a missing endpoint may only have lapsed.
+const OUTAGE: Duration = Duration::from_secs(1);
+
+/// Time that endpoints which lapsed during an outage take to register again.
+const RETURN: Duration = Duration::from_millis(2_300);
+
+/// Pause between listings of this system's instances: news spreads membership,
+/// the listing only joins parts that have lost each other.
+const INSTANCES_PAUSE: Duration = Duration::from_secs(15);
+
+/// Pause between looks at roll-outs.
+const ROLLOUT_PAUSE: Duration = Duration::from_millis(250);
+
+/// Looks after which any instance reports a stage that the store does not show,
+/// the one whose duty it is having failed to.
+const OTHERS_TURN: u32 = 8;
+
+/// Follows one kind for good.
+pub async fn follow(desk: Arc<Desk>, source: Arc<dyn Source>, kind: Kind) {
+    let mut follower =
+        Follower { desk, source, kind, revision: None, lost_since: None, failures: 0, lapsed: Vec::new() };
+    loop {
+        follower.step().await;
+    }
+}
+
+struct Follower {
+    desk: Arc<Desk>,
+    source: Arc<dyn Source>,
+    kind: Kind,
+    revision: Option<u64>,
+    lost_since: Option<Duration>,
+    failures: u32,
+    lapsed: Vec<(String, Duration)>,
+}
+
+impl Follower {
+    async fn step(&mut self) {
+        let asked = clock::now();
+        let result = match self.revision {
+            None => self.list(asked).await,
+            Some(from) => self.watch(from, asked).await,
+        };
+        self.expire();
+        let Err(fault) = result else {
+            self.regained();
+            return;
+        };
+        self.revision = None;
+        if fault == Fault::Compacted {
+            tracing::info!(kind = ?self.kind, "history is gone, listing again");
+            return;
+        }
+        if self.lost_since.is_none() {
+            tracing::warn!(kind = ?self.kind, %fault, "store lost");
+            self.lost_since = Some(asked);
+        }
+        let wait = BACKOFF.0.saturating_mul(2_u32.saturating_pow(self.failures.min(8))).min(BACKOFF.1);
+        self.failures += 1;
+        sleep(wait.mul_f64(0.7 + 0.6 * rand::random::<f64>())).await;
+    }
+
+    async fn list(&mut self, asked: Duration) -> Result<(), Fault> {
+        let listing = timeout(CALL_LIMIT, self.source.list(self.kind)).await.map_err(|_| silent())??;
+        if self.kind == Kind::Catalog && !listing.records.is_empty() {
+            self.take_all(listing);
+            self.desk.renew(asked, Proof::Read);
+        } else {
+            self.take_all(listing);
+        }
+        Ok(())
+    }
+
+    async fn watch(&mut self, from: u64, asked: Duration) -> Result<(), Fault> {
+        let wait = match self.kind {
+            Kind::Catalog => CATALOG_WAIT,
+            Kind::Endpoints => ENDPOINTS_WAIT,
+            Kind::Rollouts | Kind::Instances => ROLLOUTS_WAIT,
+        };
+        let call = self.source.watch(self.kind, from, wait);
+        let batch = timeout(wait + CALL_LIMIT, call).await.map_err(|_| silent())??;
+        let Batch { revision, changes } = batch;
+        for change in changes {
+            self.take(change);
+        }
+        self.revision = Some(revision);
+        if self.kind == Kind::Catalog {
+            self.desk.renew(asked, Proof::Quiet);
+        }
+        Ok(())
+    }
+
+    fn regained(&mut self) {
+        self.failures = 0;
+        if let Some(since) = self.lost_since.take() {
+            tracing::info!(kind = ?self.kind, after_ms = clock::millis(clock::now().saturating_sub(since)), "store regained");
+        }
+    }
+
+    /// Takes a whole listing in; what it lacks is gone, at once unless the
+    /// store was away so long that endpoints may only have lapsed there.
+    fn take_all(&mut self, listing: Listing) {
+        if self.kind == Kind::Endpoints {
+            let now = clock::now();
+            let outage = self.lost_since.is_some_and(|since| now.saturating_sub(since) > OUTAGE);
+            let listed = |id: &String| listing.records.iter().any(|change| &change.name == id);
+            for id in self.desk.enlisted().into_iter().filter(|id| !listed(id)) {
+                if !outage {
+                    self.desk.delist(&id);
+                } else if !self.lapsed.iter().any(|(other, _)| *other == id) {
+                    self.lapsed.push((id, now + RETURN));
+                }
+            }
+        }
+        self.revision = Some(listing.revision);
+        for change in listing.records {
+            self.take(change);
+        }
+        if self.kind == Kind::Endpoints {
+            self.desk.mark_listed();
+        }
+    }
+
+    fn take(&mut self, change: Change) {
+        match change.record {
+            Some(Record::Catalog(catalog)) => {
+                self.desk.install(*catalog);
+            }
+            Some(Record::Endpoint(endpoint)) => {
+                self.lapsed.retain(|(id, _)| *id != endpoint.id);
+                self.desk.enlist(endpoint);
+            }
+            Some(Record::Rollout(rollout)) => self.desk.order(rollout),
+            Some(Record::Instance(instance)) => self.desk.meet(&instance.name, instance.news),
+            None => match self.kind {
+                Kind::Endpoints => self.desk.delist(&change.name),
+                Kind::Rollouts => self.desk.withdraw_order(&change.name),
+                Kind::Instances => self.desk.part(&change.name),
+                Kind::Catalog => tracing::warn!("the catalog was deleted; the last one stays in force"),
+            },
+        }
+    }
+
+    fn expire(&mut self) {
+        let now = clock::now();
+        let (gone, waiting) = std::mem::take(&mut self.lapsed).into_iter().partition(|(_, until)| *until <= now);
+        self.lapsed = waiting;
+        let gone: Vec<(String, Duration)> = gone;
+        for (id, _) in gone {
+            self.desk.delist(&id);
+        }
+    }
+}
+
+fn silent() -> Fault {
+    Fault::Lost("no answer in time".into())
+}
+
+/// Registers this instance and finds the others.
+pub async fn join(desk: Arc<Desk>, source: Arc<dyn Source>) {
+    let me = Instance { name: desk.settings.instance.clone(), news: desk.settings.listeners.news };
+    let mut registered = false;
+    loop {
+        if !registered {
+            match timeout(CALL_LIMIT, source.register(&me)).await {
+                Ok(Ok(())) => registered = true,
+                Ok(Err(fault)) => tracing::info!(%fault, "not registered yet"),
+                Err(_) => tracing::info!("not registered yet: no answer in time"),
+            }
+        }
+        let listed = match timeout(CALL_LIMIT, source.list(Kind::Instances)).await {
+            Ok(Ok(listing)) => {
+                for change in listing.records {
+                    if let Some(Record::Instance(instance)) = change.record {
+                        desk.meet(&instance.name, instance.news);
+                    }
+                }
+                true
+            }
+            Ok(Err(fault)) => {
+                tracing::info!(%fault, "instances not listed");
+                false
+            }
+            Err(_) => false,
+        };
+        let pause = if registered && listed { INSTANCES_PAUSE } else { Duration::from_millis(700) };
+        sleep(pause.mul_f64(0.8 + 0.4 * rand::random::<f64>())).await;
+    }
+}
+
+/// Moves roll-outs on and reports their stages to the store.
+///
+/// Every instance does; the one whose name comes first reports, and the others
+/// if it fails to. Reports are conditional writes, so whoever is late changes
+/// nothing.
+pub async fn roll_out(desk: Arc<Desk>, source: Arc<dyn Source>) {
+    let mut unsaid_for = 0;
+    loop {
+        sleep(ROLLOUT_PAUSE).await;
+        let unsaid = desk.advance_trials();
+        if unsaid.is_empty() {
+            unsaid_for = 0;
+            continue;
+        }
+        unsaid_for += 1;
+        if !desk.leads() && unsaid_for < OTHERS_TURN {
+            continue;
+        }
+        for (rollout, stage) in unsaid {
+            match timeout(CALL_LIMIT, source.report(&rollout, stage)).await {
+                Ok(Ok(())) => {
+                    tracing::info!(service = rollout.service, target = rollout.target, ?stage, "stage reported");
+                    unsaid_for = 0;
+                }
+                Ok(Err(fault)) => tracing::info!(service = rollout.service, ?stage, %fault, "stage not reported"),
+                Err(_) => tracing::info!(service = rollout.service, ?stage, "stage not reported: no answer in time"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/handle.rs
@@ -0,0 +1,122 @@
+//! Starting the relay, and leaving in order.
+
+use std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep, timeout},
+};
+
+use crate::{
+    clock,
+    desk::Desk,
+    dialect::Dialect,
+    directory, exchange, follow, front, news,
+    settings::Settings,
+    source::{Kind, Source},
+};
+
+/// Time kept back of the grace for the process to end in.
+const LAST: Duration = Duration::from_millis(600);
+
+/// Quiet after which nobody is expected to come any more.
+const QUIET: Duration = Duration::from_millis(400);
+
+/// How many times as long as told some callers keep an answer about addresses.
+const KEPT: u32 = 3;
+
+/// How long callers keep answers about addresses; see `directory`.
+const KEEP: Duration = Duration::from_secs(2);
+
+/// Why the relay could not start.
+#[derive(Debug)]
+pub struct Error {
+    /// Which listener.
+    pub listener: &'static str,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The system's words.
+    pub cause: io::Error,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { listener, address, cause } = self;
+        write!(f, "cannot listen at {address}: {cause}; free the address or change `relay.listeners.{listener}`")
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// A running relay; dropping it ends it.
+#[derive(Debug)]
+pub struct Handle {
+    desk: Arc<Desk>,
+    source: Arc<dyn Source>,
+    tasks: JoinSet<()>,
+}
+
+/// Starts the relay; returns once it listens.
+///
+/// # Errors
+///
+/// [`Error`] when an address cannot be bound.
+pub async fn spawn(settings: Settings, dialect: Dialect, source: Arc<dyn Source>) -> Result<Handle, Error> {
+    let at = settings.listeners;
+    let failed = |listener, address| move |cause| Error { listener, address, cause };
+    let callers = front::bind(at.front).map_err(failed("front", at.front))?;
+    let ready = front::bind(at.ready).map_err(failed("ready", at.ready))?;
+    let directory = front::bind(at.directory).map_err(failed("directory", at.directory))?;
+    let socket = news::bind(at.news).await.map_err(failed("news", at.news))?;
+    let desk = Desk::new(settings, dialect);
+    desk.settle_in();
+    let mut tasks = JoinSet::new();
+    let shared = Arc::clone(&desk);
+    tasks.spawn(front::accept(callers, move |request| exchange::serve(Arc::clone(&shared), request)));
+    let shared = Arc::clone(&desk);
+    tasks.spawn(front::accept(ready, move |request| std::future::ready(directory::ready(&shared, &request))));
+    let shared = Arc::clone(&desk);
+    tasks.spawn(front::accept(directory, move |request| std::future::ready(directory::addresses(&shared, &request))));
+    for kind in [Kind::Catalog, Kind::Rollouts, Kind::Endpoints] {
+        tasks.spawn(follow::follow(Arc::clone(&desk), Arc::clone(&source), kind));
+    }
+    tasks.spawn(follow::join(Arc::clone(&desk), Arc::clone(&source)));
+    tasks.spawn(follow::roll_out(Arc::clone(&desk), Arc::clone(&source)));
+    tasks.spawn(news::exchange(Arc::clone(&desk), socket));
+    Ok(Handle { desk, source, tasks })
+}
+
+impl Handle {
+    /// What the instance believes.
+    #[must_use]
+    pub fn desk(&self) -> &Arc<Desk> {
+        &self.desk
+    }
+
+    /// Leaves in order: told to others at once, open to callers that still
+    /// have the address, until every answer is out or the grace is over.
+    pub async fn shutdown(mut self) {
+        let started = Instant::now();
+        let grace = self.desk.settings.grace.saturating_sub(LAST);
+        self.desk.drain();
+        tracing::info!(in_flight = self.desk.in_flight(), "leaving");
+        let name = self.desk.settings.instance.clone();
+        match timeout(QUIET, self.source.deregister(&name)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(fault)) => tracing::info!(%fault, "registration left behind"),
+            Err(_) => tracing::info!("registration left behind: no answer in time"),
+        }
+        let mut quiet_since = Instant::now();
+        while started.elapsed() < grace {
+            if self.desk.in_flight() > 0 {
+                quiet_since = Instant::now();
+            }
+            if started.elapsed() > KEEP * KEPT && quiet_since.elapsed() > QUIET {
+                break;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        tracing::info!(in_flight = self.desk.in_flight(), took_ms = clock::millis(started.elapsed()), "left");
+        self.tasks.shutdown().await;
+    }
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,36 @@
+//! Requests passed through unchanged, by host and path.
+//!
+//! Callers ask any instance for addresses, connect and send requests; the
+//! instance finds the route in the catalog, chooses an endpoint of the route's
+//! service, forwards the request and hands the answer back as the endpoint
+//! gave it. [`spawn`] starts it all:
+//!
+//! - `follow` keeps the catalog, the endpoints and roll-outs in step with a
+//!   [`source::Source`];
+//! - `news` exchanges loads, evidence and membership with other instances;
+//! - `front` and `directory` listen; `exchange` is the life of one request,
+//!   `upstream` one try of it, `events` a stream of events resumed on the way.
+//!
+//! Decisions are made in [`route::relay`]. Names of headers, paths and formats
+//! on the wire come from outside as a [`dialect::Dialect`].
+
+mod answer;
+pub mod ask;
+pub mod catalog;
+pub mod clock;
+pub mod desk;
+pub mod dialect;
+mod directory;
+mod events;
+mod exchange;
+mod follow;
+mod front;
+mod handle;
+mod news;
+pub mod rollout;
+pub mod settings;
+pub mod source;
+mod upstream;
+
+pub use handle::{Handle, spawn};
+pub use settings::Settings;
--- /dev/null
+++ b/crates/relay/src/source.rs
@@ -0,0 +1,131 @@
+//! The one trait between the relay and the store that keeps its state.
+
+use std::{fmt, net::SocketAddr, time::Duration};
+
+use futures::future::BoxFuture;
+use route::relay::canary::Stage;
+
+use crate::{catalog::Catalog, rollout::Rollout};
+
+/// What is kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Kind {
+    /// The catalog, one record.
+    Catalog,
+    /// Endpoints of all services.
+    Endpoints,
+    /// Operators' orders to move a service to another version.
+    Rollouts,
+    /// This system's instances.
+    Instances,
+}
+
+/// One record.
+#[derive(Debug, Clone)]
+pub enum Record {
+    /// The catalog.
+    Catalog(Box<Catalog>),
+    /// An endpoint.
+    Endpoint(Endpoint),
+    /// An order.
+    Rollout(Rollout),
+    /// An instance.
+    Instance(Instance),
+}
+
+/// An endpoint as it has registered itself.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Endpoint {
+    /// Its name, new at each of its starts.
+    pub id: String,
+    /// Its service's name.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Failure domain it stands in.
+    pub domain: String,
+    /// Version of its software.
+    pub version: String,
+    /// Runs it takes at a time.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// How much longer it is slow after its start.
+    pub cold: Duration,
+}
+
+/// An instance as it has registered itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Instance {
+    /// Its name.
+    pub name: String,
+    /// Where it hears news.
+    pub news: SocketAddr,
+}
+
+/// A record's name, and the record unless it was deleted.
+#[derive(Debug, Clone)]
+pub struct Change {
+    /// The record's name.
+    pub name: String,
+    /// The record; nothing when it was deleted.
+    pub record: Option<Record>,
+}
+
+/// Records of a kind.
+#[derive(Debug, Clone)]
+pub struct Listing {
+    /// The store's revision of this answer.
+    pub revision: u64,
+    /// Every record.
+    pub records: Vec<Change>,
+}
+
+/// Changes to records of a kind.
+#[derive(Debug, Clone)]
+pub struct Batch {
+    /// The store's revision up to which changes are here.
+    pub revision: u64,
+    /// Changes, oldest first.
+    pub changes: Vec<Change>,
+}
+
+/// Why there is no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fault {
+    /// The history asked for is gone; list again.
+    Compacted,
+    /// Another write came first, or the object is gone.
+    Conflict,
+    /// Not taken; certainly not done.
+    Refused(String),
+    /// No answer; a write may or may not be done.
+    Lost(String),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Compacted => f.write_str("history is gone; list again"),
+            Self::Conflict => f.write_str("another write came first; read again"),
+            Self::Refused(cause) => write!(f, "refused: {cause}; try again later"),
+            Self::Lost(cause) => write!(f, "no answer: {cause}; ask again"),
+        }
+    }
+}
+
+/// A store with revisions, conditional writes and watches.
+///
+/// Calls have no time limit of their own: the caller drops a call to end it.
+pub trait Source: fmt::Debug + Send + Sync {
+    /// Lists a kind's records, linearizable.
+    fn list(&self, kind: Kind) -> BoxFuture<'_, Result<Listing, Fault>>;
+    /// Waits for changes after a revision.
+    fn watch(&self, kind: Kind, from: u64, wait: Duration) -> BoxFuture<'_, Result<Batch, Fault>>;
+    /// Writes a roll-out's status if its revision still is the one read.
+    fn report<'a>(&'a self, rollout: &'a Rollout, stage: Stage) -> BoxFuture<'a, Result<(), Fault>>;
+    /// Registers this instance; its name may be registered already.
+    fn register<'a>(&'a self, instance: &'a Instance) -> BoxFuture<'a, Result<(), Fault>>;
+    /// Takes this instance's registration back.
+    fn deregister<'a>(&'a self, name: &'a str) -> BoxFuture<'a, Result<(), Fault>>;
+}
--- /dev/null
+++ b/crates/relay/src/upstream.rs
@@ -0,0 +1,109 @@
+//! One try of a request at one endpoint, on a connection of its own.
+//!
+//! A connection serves one try. A kept one would save a round trip, but what
+//! a server sends after a complete answer, or a close that crosses the next
+//! request, then spoils that request, and one that must not run twice cannot
+//! be sent again. A new connection rules both out.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::dialect::Names;
+
+/// Longest wait for a connection: many round trips, and well below the wait
+/// for a lost first packet's repetition.
+const CONNECT: Duration = Duration::from_millis(400);
+
+/// How a try ended.
+#[derive(Debug)]
+pub enum Outcome {
+    /// No connection; nothing was sent.
+    Unreachable(String),
+    /// The endpoint said that it did not and will not run it.
+    NotRun(StatusCode),
+    /// It may have run; no trustworthy answer came.
+    Unknown(String),
+    /// An answer; its body is still on the way.
+    Answer(Box<Answer>),
+}
+
+/// An answer whose body is still on the way; dropping it ends the run.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status, headers and body.
+    pub response: Response<Incoming>,
+    connection: AbortOnDropHandle<()>,
+}
+
+impl Answer {
+    /// The body, and the connection that it comes by.
+    pub fn into_body(self) -> (Incoming, AbortOnDropHandle<()>) {
+        (self.response.into_body(), self.connection)
+    }
+}
+
+/// Sends a request to an endpoint and waits for the head of its answer.
+///
+/// `id` is the caller's id of the request, as the answer has to echo it.
+pub async fn send(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    id: &str,
+    names: &Names,
+    patience: Duration,
+) -> Outcome {
+    let stream = match tokio::time::timeout(CONNECT.min(patience), TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Outcome::Unreachable(error.to_string()),
+        Err(_) => return Outcome::Unreachable("no connection in time".into()),
+    };
+    if let Err(error) = stream.set_nodelay(true) {
+        return Outcome::Unreachable(error.to_string());
+    }
+    let (mut sender, connection) = match http1::handshake(TokioIo::new(stream)).await {
+        Ok(pair) => pair,
+        Err(error) => return Outcome::Unreachable(error.to_string()),
+    };
+    let connection = AbortOnDropHandle::new(tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            tracing::debug!(%error, "connection to an endpoint ended");
+        }
+    }));
+    let response = match tokio::time::timeout(patience, sender.try_send_request(request)).await {
+        Err(_) => return Outcome::Unknown("no answer in time".into()),
+        Ok(Err(mut error)) => {
+            let unsent = error.take_message().is_some();
+            let cause = error.into_error().to_string();
+            return if unsent { Outcome::Unreachable(cause) } else { Outcome::Unknown(cause) };
+        }
+        Ok(Ok(response)) => response,
+    };
+    judge(response, id, names, connection)
+}
+
+fn judge(response: Response<Incoming>, id: &str, names: &Names, connection: AbortOnDropHandle<()>) -> Outcome {
+    let headers = response.headers();
+    let status = response.status();
+    if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
+        return Outcome::NotRun(status);
+    }
+    // The answer of an earlier request on a server's confused connection would
+    // reach the wrong caller; its id tells.
+    if headers.get(&names.request).is_none_or(|echo| echo.as_bytes() != id.as_bytes()) {
+        return Outcome::Unknown("the answer is another request's".into());
+    }
+    if !headers.contains_key(&names.signature) {
+        return Outcome::Unknown("the answer is not signed".into());
+    }
+    if headers.contains_key(header::CONTENT_ENCODING) {
+        return Outcome::Unknown("the answer is encoded, which nobody asked for".into());
+    }
+    Outcome::Answer(Box::new(Answer { response, connection }))
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod guard;
 pub mod model;
 pub mod quality;
+pub mod relay;
 pub mod retry;
 pub mod rollout;
--- /dev/null
+++ b/crates/route/src/relay/canary.rs
@@ -0,0 +1,108 @@
+//! Dealing requests to a version under roll-out, and judging it.
+//!
+//! A small, fixed share of callers' sessions meets the new version while it is
+//! on trial; the share is by hash, so every instance deals alike, and it stays
+//! far below what a bad version may get. Once it has stood the trial everybody
+//! moves to it, runs on the old version end, and the roll-out is done. A
+//! version that fails is left at once by whichever instance has the evidence.
+
+use std::time::Duration;
+
+use world::hash;
+
+/// Share of sessions that meet a version on trial, over the exposure allowed:
+/// retries and small services may push the share of dispatches above it.
+const TRIAL_OF_EXPOSURE: f64 = 0.4;
+
+/// Part of the time for a roll-out that its trial takes. The rest must
+/// suffice to move everybody and to end the longest runs on the old version.
+const TRIAL: f64 = 0.62;
+
+/// Part of the time for a roll-out after which it is declared done.
+const DONE: f64 = 0.88;
+
+/// Fewest answers a version must have given before it can be judged good.
+const MIN_ANSWERS: u32 = 20;
+
+/// Fewest bad answers that can condemn a version: below it, chance.
+const MIN_BAD: u32 = 5;
+
+/// Factor over its predecessor's share of bad answers that condemns.
+const WORSE: f64 = 2.5;
+
+/// Share of bad answers on top of that factor: servers that fail or slow down
+/// by themselves strike a small pool by chance.
+const EXCESS: f64 = 0.10;
+
+/// Where a roll-out stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// A few sessions meet the new version.
+    Trial,
+    /// Everybody moves to the new version.
+    Shift,
+    /// The new version is the only one.
+    Done,
+    /// Nobody meets the new version.
+    Reverted,
+}
+
+/// What a version's runs came to.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Answers and failures.
+    pub runs: u32,
+    /// Failures and slow answers.
+    pub bad: u32,
+}
+
+impl Tally {
+    /// Sums two tallies.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self { runs: self.runs.saturating_add(other.runs), bad: self.bad.saturating_add(other.bad) }
+    }
+
+    /// Share of bad runs.
+    #[must_use]
+    pub fn rate(self) -> f64 {
+        if self.runs == 0 { 0.0 } else { f64::from(self.bad) / f64::from(self.runs) }
+    }
+}
+
+/// Whether the evidence condemns a version against its predecessor.
+#[must_use]
+pub fn bad(new: Tally, old: Tally) -> bool {
+    new.bad >= MIN_BAD && new.rate() > WORSE * old.rate() + EXCESS
+}
+
+/// The stage that follows from time and evidence.
+#[must_use]
+pub fn advance(stage: Stage, elapsed: Duration, over: Duration, new: Tally, old: Tally) -> Stage {
+    match stage {
+        Stage::Trial | Stage::Shift if bad(new, old) => Stage::Reverted,
+        Stage::Trial if elapsed >= over.mul_f64(TRIAL) && new.runs >= MIN_ANSWERS => Stage::Shift,
+        Stage::Shift if elapsed >= over.mul_f64(DONE) => Stage::Done,
+        Stage::Trial | Stage::Shift | Stage::Done | Stage::Reverted => stage,
+    }
+}
+
+/// Whether a session meets the new version at a stage.
+///
+/// `exposure` is the share of a service's requests that a bad version may get.
+#[must_use]
+pub fn meets(stage: Stage, session: u64, version: &str, exposure: f64) -> bool {
+    match stage {
+        Stage::Reverted => false,
+        Stage::Shift | Stage::Done => true,
+        Stage::Trial => fraction(session, version) < exposure * TRIAL_OF_EXPOSURE,
+    }
+}
+
+/// Where a session lies from 0 to 1 for a version.
+fn fraction(session: u64, version: &str) -> f64 {
+    let mixed = hash::rendezvous(session, version.as_bytes());
+    #[expect(clippy::cast_precision_loss, reason = "53 bits fill an f64's mantissa exactly")]
+    let fraction = (mixed >> 11) as f64 / (1u64 << 53) as f64;
+    fraction
+}
--- /dev/null
+++ b/crates/route/src/relay/placement.rs
@@ -0,0 +1,108 @@
+//! Which endpoint runs a request.
+//!
+//! The load pattern: prompts share long parts, an endpoint keeps the parts it
+//! has read, and reading one again costs as much as hundreds of generated
+//! tokens. Rendezvous hashing of the longest shared part gives every instance
+//! the same preferred endpoint without a word between them. It is taken unless
+//! waiting there would cost more than reading the part again at the least
+//! loaded endpoint; so hot parts spread over further endpoints just as far as
+//! that pays, and requests without a shared part go where the wait is least.
+
+use world::hash;
+
+/// Wait that a run in excess of the slots adds, in milliseconds: about a run's
+/// decoding time over the slots that may come free meanwhile.
+const QUEUED_MS: f64 = 150.0;
+
+/// Wait that each run on an endpoint adds by making its steps longer, in
+/// milliseconds over a typical first step.
+const SHARED_MS: f64 = 3.0;
+
+/// Added for an endpoint of another failure domain, in milliseconds: the way
+/// there, and the bytes that are paid for.
+const REMOTE_MS: f64 = 4.0;
+
+/// Added for certain failure, in milliseconds: what a failed try costs a caller.
+const FAILURE_MS: f64 = 3_000.0;
+
+/// Preferred endpoints of a shared part that are tried in order: a second one
+/// keeps its copy warm for when the first is lost or overloaded.
+const PREFERRED: usize = 2;
+
+/// An endpoint as the decision sees it.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate<'a> {
+    /// Its name.
+    pub id: &'a str,
+    /// Runs it takes at a time.
+    pub slots: u32,
+    /// Runs under way there, of all instances.
+    pub runs: f64,
+    /// Prompt reading still owed there, in milliseconds.
+    pub backlog_ms: f64,
+    /// Its time over the time that others take for the same, 1 if alike.
+    pub slowness: f64,
+    /// Share of its runs that fail in excess of its peers'.
+    pub failing: f64,
+    /// Whether it stands in this instance's failure domain.
+    pub local: bool,
+}
+
+/// What is to be run.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Wanted {
+    /// Hash of the longest shared part of the prompt and its model.
+    pub affinity: Option<u64>,
+    /// Time to read that part again, in milliseconds.
+    pub reread_ms: f64,
+    /// Time the request itself takes an idle endpoint until its first byte, in
+    /// milliseconds.
+    pub first_ms: f64,
+}
+
+/// The endpoint chosen, by its index among the candidates, and why.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Choice {
+    /// Index among the candidates.
+    pub index: usize,
+    /// Wait expected there before the first byte, in milliseconds.
+    pub wait_ms: f64,
+    /// Whether it is a preferred one.
+    pub preferred: bool,
+}
+
+/// Chooses an endpoint; nothing when there is no candidate.
+#[must_use]
+pub fn choose(candidates: &[Candidate<'_>], wanted: Wanted, tie: u64) -> Option<Choice> {
+    let waits: Vec<f64> = candidates.iter().map(|candidate| wait_ms(candidate, wanted)).collect();
+    let salted = |index: usize| hash::rendezvous(tie, candidates[index].id.as_bytes());
+    let least =
+        (0..candidates.len()).min_by(|&a, &b| waits[a].total_cmp(&waits[b]).then_with(|| salted(a).cmp(&salted(b))))?;
+    let choice = |index: usize, preferred| Choice { index, wait_ms: waits[index], preferred };
+    let Some(key) = wanted.affinity else { return Some(choice(least, false)) };
+    let bound = waits[least] + wanted.reread_ms;
+    let preferred = preferred(candidates, key).into_iter().flatten().find(|&index| waits[index] <= bound);
+    Some(preferred.map_or_else(|| choice(least, false), |index| choice(index, true)))
+}
+
+/// Wait before the first byte at an endpoint, in milliseconds.
+fn wait_ms(candidate: &Candidate<'_>, wanted: Wanted) -> f64 {
+    let over = (candidate.runs + 1.0 - f64::from(candidate.slots)).max(0.0);
+    let queue = candidate.backlog_ms + candidate.runs * SHARED_MS + over * QUEUED_MS;
+    let remote = if candidate.local { 0.0 } else { REMOTE_MS };
+    (queue + wanted.first_ms) * candidate.slowness.max(1.0) - wanted.first_ms + remote + candidate.failing * FAILURE_MS
+}
+
+/// The endpoints with the highest rendezvous weights, best first.
+fn preferred(candidates: &[Candidate<'_>], key: u64) -> [Option<usize>; PREFERRED] {
+    let mut best: [Option<(u64, usize)>; PREFERRED] = [None; PREFERRED];
+    for (index, candidate) in candidates.iter().enumerate() {
+        let mut entry = Some((hash::rendezvous(key, candidate.id.as_bytes()), index));
+        for place in &mut best {
+            if entry > *place {
+                std::mem::swap(&mut entry, place);
+            }
+        }
+    }
+    best.map(|place| place.map(|(_, index)| index))
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,11 +7,13 @@
 mod check;
 mod error;
 mod file;
+pub mod relay;
 mod secret;
 
 use std::{net::SocketAddr, path::Path};
 
 pub use error::{Error, Fault};
+pub use relay::Relay;
 pub use secret::{MIN_SECRET_LEN, Secret};
 use world::{Millis, domain::Domain, instance};
 
--- /dev/null
+++ b/crates/settings/src/relay.rs
@@ -0,0 +1,163 @@
+//! Settings of an instance that passes requests through unchanged.
+//!
+//! Spans are in milliseconds and sizes in bytes or MiB, as the fields' names
+//! say. Unknown fields are errors, as in the daemon's other settings.
+
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+use relay::settings::{Listeners, Settings};
+use route::relay::allowance;
+use serde::Deserialize;
+
+use crate::{Error, Fault};
+
+/// Everything such an instance is told at its start.
+#[derive(Debug, Clone)]
+pub struct Relay {
+    /// The relay's own settings.
+    pub relay: Settings,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// Filter of log lines, `info` or `info,relay=debug` say.
+    pub log: String,
+}
+
+/// Part of the memory that waiting bodies may take.
+const BODIES_OF_MEMORY: usize = 4;
+
+/// The file as written.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    instance: String,
+    domain: String,
+    listeners: FileListeners,
+    store: SocketAddr,
+    metrics: SocketAddr,
+    #[serde(default = "default_log")]
+    log: String,
+    #[serde(default)]
+    seeds: Vec<SocketAddr>,
+    #[serde(default)]
+    revoke_ms: Option<u64>,
+    retries: FileRetries,
+    exposure_share: f64,
+    grace_ms: u64,
+    #[serde(default = "default_keep_ms")]
+    keep_addresses_ms: u64,
+    #[serde(default = "default_heartbeat_ms")]
+    heartbeat_ms: u64,
+    memory_mib: usize,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FileListeners {
+    front: SocketAddr,
+    ready: SocketAddr,
+    directory: SocketAddr,
+    news: SocketAddr,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FileRetries {
+    ratio: f64,
+    reserve: f64,
+    window_ms: u64,
+}
+
+fn default_log() -> String {
+    crate::check::DEFAULT_LOG.into()
+}
+
+/// Callers that are told nothing else keep addresses this long.
+fn default_keep_ms() -> u64 {
+    5_000
+}
+
+/// Endpoints that are told nothing else register anew this often.
+fn default_heartbeat_ms() -> u64 {
+    1_000
+}
+
+impl Relay {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] when the file cannot be read or is not valid.
+    pub fn load(path: &Path) -> Result<Self, Error> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| Error::Unreadable { path: path.to_owned(), cause: error.to_string() })?;
+        Self::parse(&text)
+    }
+
+    /// Reads settings from YAML.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Invalid`] with every fault found.
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let file: File = serde_saphyr::from_str(text)
+            .map_err(|error| Error::Invalid { faults: vec![Fault::Syntax { line: 0, message: error.to_string() }] })?;
+        let faults = file.faults();
+        if !faults.is_empty() {
+            return Err(Error::Invalid { faults });
+        }
+        Ok(file.settings())
+    }
+}
+
+impl File {
+    fn faults(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        let mut check = |field: &'static str, good: bool, remedy: &'static str| {
+            if !good {
+                faults.push(Fault::Value { line: 0, field, message: remedy.to_owned() });
+            }
+        };
+        check("instance", !self.instance.is_empty(), "name the instance");
+        check("retries.ratio", (0.0..=10.0).contains(&self.retries.ratio), "write a number from 0 to 10");
+        check("retries.reserve", self.retries.reserve >= 0.0, "write a number from 0 on");
+        check("retries.window_ms", self.retries.window_ms > 0, "write milliseconds above 0");
+        check("exposure_share", (0.0..=1.0).contains(&self.exposure_share), "write a share from 0 to 1");
+        check("memory_mib", self.memory_mib >= 16, "write at least 16");
+        check("grace_ms", self.grace_ms >= 1_000, "write at least 1000");
+        check("revoke_ms", self.revoke_ms.is_none_or(|bound| bound >= 2_000), "write at least 2000, or leave it out");
+        faults
+    }
+
+    fn settings(self) -> Relay {
+        let millis = Duration::from_millis;
+        Relay {
+            relay: Settings {
+                instance: self.instance,
+                domain: self.domain,
+                listeners: Listeners {
+                    front: self.listeners.front,
+                    ready: self.listeners.ready,
+                    directory: self.listeners.directory,
+                    news: self.listeners.news,
+                },
+                seeds: self.seeds,
+                revoke: self.revoke_ms.map(millis),
+                allowance: allowance::Policy {
+                    ratio: self.retries.ratio,
+                    reserve: self.retries.reserve,
+                    window: millis(self.retries.window_ms),
+                },
+                exposure: self.exposure_share,
+                grace: millis(self.grace_ms),
+                keep_addresses: millis(self.keep_addresses_ms),
+                heartbeat: millis(self.heartbeat_ms),
+                body_memory: (self.memory_mib << 20) / BODIES_OF_MEMORY,
+            },
+            store: self.store,
+            metrics: self.metrics,
+            log: self.log,
+        }
+    }
+}
