Keep small answers while endpoints are overloaded, doubt stalls by evidence

Cause: after an outage of the store every returning caller met cold caches; escalations to the large model queued behind each other, waits were taken for lost endpoints and sent again on top, and the overload fed itself (p50 of all streams 1 to 3.5 s for 25 s). Ruled out: uneven placement (busiest over mean 1.13), our own processor time (0.02 of 0.25 cores). Change: an escalation must come in time, or the small answer is likely wrong; a stalled stream is left only if its endpoint is silent on all runs; expected times follow the service's lateness of late.

--- a/crates/relay/src/desk/fleet.rs
+++ b/crates/relay/src/desk/fleet.rs
@@ -78,6 +78,7 @@
     misses: u32,
     rests_until: Duration,
     full_until: Duration,
+    heard: Duration,
 }
 
 /// A running mean that fades to a neutral value.
@@ -144,6 +145,7 @@
     /// Why it went there.
     pub choice: Choice,
     backlog_ms: f64,
+    alone_ms: f64,
     expected_ms: f64,
     work: Work,
     per: f64,
@@ -190,7 +192,8 @@
     pub fn place(self: &Arc<Self>, job: &Job<'_>) -> Option<Run> {
         let now = clock::now();
         let mut state = self.lock();
-        let (key, arm, choice, pace, per) = state.weigh(job, now, self.settings.exposure)?;
+        let Weighed { key, arm, choice, pace, slow } = state.weigh(job, now, self.settings.exposure)?;
+        let per = job_units(job);
         let server = state.fleet.servers.get_mut(key)?;
         let backlog_ms = pace * f64::from(job.own_tokens) * per_token(job);
         server.runs += 1;
@@ -203,13 +206,22 @@
             arm,
             choice,
             backlog_ms,
-            expected_ms: choice.wait_ms.max(0.0) + pace * per,
+            alone_ms: choice.wait_ms.max(0.0) + pace * per,
+            expected_ms: (choice.wait_ms.max(0.0) + pace * per) * slow,
             work,
             per,
             started: now,
         })
     }
 
+    /// Time that a run would take to its first byte if it were placed now, in
+    /// milliseconds; nothing when no endpoint takes it.
+    #[must_use]
+    pub fn expect(&self, job: &Job<'_>) -> Option<f64> {
+        let Weighed { choice, pace, slow, .. } = self.lock().weigh(job, clock::now(), self.settings.exposure)?;
+        Some((choice.wait_ms.max(0.0) + pace * job_units(job)) * slow)
+    }
+
     /// Endpoints of a service that may take its requests.
     #[must_use]
     pub fn has_endpoint(&self, service: &str) -> bool {
@@ -225,6 +237,19 @@
     }
 }
 
+/// Where a job would go.
+struct Weighed {
+    key: Key,
+    arm: Arm,
+    choice: Choice,
+    /// Milliseconds a unit of the job.
+    pace: f64,
+    /// Times of late over those expected, over the service, at least 1: when
+    /// all endpoints fall behind, what is expected has to follow, or waiting
+    /// requests would be taken for lost ones and sent again on top.
+    slow: f64,
+}
+
 impl State {
     /// Sums other instances' loads up anew.
     pub(super) fn settle_loads(&mut self, now: Duration) {
@@ -233,7 +258,7 @@
         }
     }
 
-    fn weigh(&mut self, job: &Job<'_>, now: Duration, exposure: f64) -> Option<(Key, Arm, Choice, f64, f64)> {
+    fn weigh(&self, job: &Job<'_>, now: Duration, exposure: f64) -> Option<Weighed> {
         let per = job_units(job);
         let pace = self.fleet.pace(job);
         let deal = self.trials.deal(job.service, job.session, exposure, now);
@@ -283,7 +308,7 @@
         let choice = placement::choose(&candidates, wanted, job.session ^ u64::try_from(now.as_nanos()).unwrap_or(0))?;
         let (key, server) = chosen[choice.index];
         let arm = deal.arm(&server.endpoint.version);
-        Some((key, arm, choice, pace, per))
+        Some(Weighed { key, arm, choice, pace, slow: slow.max(1.0) })
     }
 
     fn fleet_domain(&self) -> String {
@@ -322,6 +347,7 @@
             misses: 0,
             rests_until: Duration::ZERO,
             full_until: Duration::ZERO,
+            heard: Duration::ZERO,
         }
     }
 
@@ -371,9 +397,10 @@
         self.lift(&mut state);
         let fleet = &mut state.fleet;
         if let Some(server) = fleet.servers.get_mut(self.key) {
-            let ratio = (took / self.expected_ms.max(1.0)).clamp(0.1, 20.0);
+            let ratio = (took / self.alone_ms.max(1.0)).clamp(0.1, 20.0);
             server.slowness.seen(ratio, 1.0, now);
             server.misses = 0;
+            server.heard = now;
         }
         let guess = if self.work.model.is_some() { TOKEN_MS } else { CALL_MS };
         let pace = fleet.paces.entry(self.work.clone()).or_insert(guess);
@@ -383,6 +410,21 @@
         *pace += weight * (seen.min(20.0 * *pace) - *pace);
     }
 
+    /// More of the answer has come.
+    pub fn more_bytes(&self) {
+        let now = clock::now();
+        if let Some(server) = self.desk.lock().fleet.servers.get_mut(self.key) {
+            server.heard = now;
+        }
+    }
+
+    /// Time since anything was heard of the endpoint, by this instance's runs.
+    #[must_use]
+    pub fn silence(&self) -> Duration {
+        let now = clock::now();
+        self.desk.lock().fleet.servers.get(self.key).map_or(Duration::MAX, |s| now.saturating_sub(s.heard))
+    }
+
     /// Time expected from the dispatch until the first byte, in milliseconds.
     #[must_use]
     pub fn expected_ms(&self) -> f64 {
--- a/crates/relay/src/exchange/stream.rs
+++ b/crates/relay/src/exchange/stream.rs
@@ -13,12 +13,20 @@
 };
 use crate::{answer::Body, catalog::Kind, clock, desk::fleet::Ended, events::Splitter, upstream::Outcome};
 
-/// Pauses over the route's wanted one after which an endpoint is given up.
-const STALL: f64 = 3.0;
+/// Pauses over the route's wanted one after which a run is doubted.
+const STALL: f64 = 2.0;
 
-/// Least pause after which an endpoint is given up: engines that read long
-/// prompts in between pause for about a second.
-const LEAST_STALL: Duration = Duration::from_millis(1_500);
+/// Least pause after which a run is doubted: engines that read long prompts in
+/// between pause for about a second.
+const LEAST_STALL: Duration = Duration::from_millis(1_200);
+
+/// Silence of the whole endpoint that confirms the doubt. An endpoint that
+/// still sends on other runs is only overloaded; to start its runs anew
+/// elsewhere would make all of them wait longer.
+const DARK: Duration = Duration::from_secs(1);
+
+/// Doubts after which a run is given up whatever else the endpoint sends.
+const MOST_DOUBTS: u32 = 4;
 
 /// What came of waiting for the next bytes.
 enum Next {
@@ -79,13 +87,22 @@
 
 async fn next(exchange: &Exchange, live: &mut Live) -> Next {
     let pause = exchange.pass.route.pause.unwrap_or(LEAST_STALL);
-    let stall = pause.mul_f64(STALL).max(LEAST_STALL).min(exchange.left());
-    match tokio::time::timeout(stall, live.answer.response.body_mut().frame()).await {
-        Err(_) => Next::Broken("no event in time".into()),
-        Ok(None) => Next::End,
-        Ok(Some(Err(error))) => Next::Broken(error.to_string()),
-        Ok(Some(Ok(frame))) => Next::Bytes(frame.into_data().unwrap_or_default()),
+    let stall = pause.mul_f64(STALL).max(LEAST_STALL);
+    for _ in 0..MOST_DOUBTS {
+        let left = exchange.left();
+        let frame = tokio::time::timeout(stall.min(left), live.answer.response.body_mut().frame()).await;
+        match frame {
+            Err(_) if left <= stall || live.run.silence() > DARK => break,
+            Err(_) => {}
+            Ok(None) => return Next::End,
+            Ok(Some(Err(error))) => return Next::Broken(error.to_string()),
+            Ok(Some(Ok(frame))) => {
+                live.run.more_bytes();
+                return Next::Bytes(frame.into_data().unwrap_or_default());
+            }
+        }
     }
+    Next::Broken("no event in time".into())
 }
 
 /// Goes on at another endpoint, with the same model and, if possible, version.
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Full};
 use route::relay::{
     allowance::Purpose,
-    ladder::{self, Room, Step},
+    ladder::{self, Outlook, Room, Step},
 };
 use world::hash;
 
@@ -172,10 +172,14 @@
     }
 
     fn place(&self, model: Option<usize>) -> Option<Run> {
+        self.desk.place(&self.job(model))
+    }
+
+    fn job(&self, model: Option<usize>) -> Job<'_> {
         let shared = self.ask.shared();
         let salt = model.map_or(0, |index| u64::try_from(index).unwrap_or(0) + 1);
         let session = self.ask.session.unwrap_or_else(|| hash::stable(self.ask.id.as_bytes()));
-        self.desk.place(&Job {
+        Job {
             service: &self.service,
             model: model.or_else(|| self.ask.tokens.map(|_| 0)),
             size: self.size(model),
@@ -185,7 +189,7 @@
             session,
             tried: &self.tried,
             version: self.version.as_deref(),
-        })
+        }
     }
 
     /// A model's cost over the largest one's.
@@ -204,7 +208,7 @@
         let room = Room {
             attempts: self.pass.route.attempts,
             allowance: self.desk.affords(service, Purpose::Escalation),
-            time: true,
+            outlook: Outlook::InTime,
         };
         Some(ladder::start(models, room))
     }
@@ -327,17 +331,31 @@
         let names = &self.desk.dialect.names;
         let confidence = answer.response.headers().get(&names.confidence);
         let confidence = confidence.and_then(|value| value.to_str().ok()?.trim().parse().ok());
+        let models = self.pass.route.models.len();
         let room = Room {
             attempts: self.pass.route.attempts.saturating_sub(self.sent),
             allowance: self.desk.affords(&self.service, Purpose::Escalation),
-            time: self.left() > self.pass.route.goal.mul_f64(0.5),
+            outlook: self.outlook(models.saturating_sub(1)),
         };
-        match ladder::step(index, self.pass.route.models.len(), confidence, room) {
+        match ladder::step(index, models, confidence, room) {
             Step::Keep => None,
             Step::Escalate(next) => Some(next),
         }
     }
 
+    /// Whether a model's first event would still come in time.
+    fn outlook(&self, model: usize) -> Outlook {
+        let Some(expected_ms) = self.desk.expect(&self.job(Some(model))) else { return Outlook::Never };
+        let passed_ms = clock::millis(clock::now().saturating_sub(self.started));
+        if passed_ms + expected_ms <= clock::millis(self.pass.route.goal) {
+            Outlook::InTime
+        } else if expected_ms <= 0.5 * clock::millis(self.left()) {
+            Outlook::Late
+        } else {
+            Outlook::Never
+        }
+    }
+
     /// Reads a whole answer; a lost end may be repaired like a lost answer.
     async fn whole(&mut self, answer: Answer, mut run: Run) -> Tried {
         let headers = passed_on(&answer.response);
--- a/crates/route/src/relay/ladder.rs
+++ b/crates/route/src/relay/ladder.rs
@@ -9,6 +9,22 @@
 /// Lowest opinion, from 0 to 100, at which a smaller model's answer is kept.
 pub const CUT: u32 = 60;
 
+/// The same when the larger model's answer would come late, as it does while
+/// endpoints are overloaded: a late answer is worth about a third to callers,
+/// so a small model's answer in time is kept unless it is likely wrong.
+pub const LATE_CUT: u32 = 25;
+
+/// When a further run's first event would come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outlook {
+    /// Within the route's goal.
+    InTime,
+    /// After it, within the caller's time.
+    Late,
+    /// Too late for anybody.
+    Never,
+}
+
 /// What is left for a further run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Room {
@@ -16,8 +32,8 @@
     pub attempts: u32,
     /// Whether the retry allowance has room.
     pub allowance: bool,
-    /// Whether the time left suffices for another first token.
-    pub time: bool,
+    /// When its first event would come.
+    pub outlook: Outlook,
 }
 
 /// What to do with a model's answer.
@@ -40,8 +56,13 @@
 #[must_use]
 pub fn step(index: usize, models: usize, confidence: Option<u32>, room: Room) -> Step {
     let last = models.saturating_sub(1);
-    let sure = confidence.is_none_or(|confidence| confidence >= CUT);
-    if sure || index >= last || room.attempts == 0 || !room.allowance || !room.time {
+    let cut = match room.outlook {
+        Outlook::InTime => CUT,
+        Outlook::Late => LATE_CUT,
+        Outlook::Never => return Step::Keep,
+    };
+    let sure = confidence.is_none_or(|confidence| confidence >= cut);
+    if sure || index >= last || room.attempts == 0 || !room.allowance {
         return Step::Keep;
     }
     Step::Escalate(last)
--- /dev/null
+++ b/crates/route/tests/relay/allowance.rs
@@ -0,0 +1,75 @@
+//! Repeats stay within their bound, whatever fails.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use route::relay::allowance::{Allowance, Policy, Purpose};
+
+const POLICY: Policy = Policy { ratio: 0.9, reserve: 54.0, window: Duration::from_secs(10) };
+
+/// All servers of a service fail for a while: every instance would repeat
+/// every request. Over any window, all instances together stay within the
+/// ratio of what callers sent plus the reserve.
+#[test]
+fn repeats_of_a_fleet_stay_within_the_bound() {
+    let instances = 7;
+    let mut fleet: Vec<_> = (0..instances).map(|_| Allowance::new(POLICY)).collect();
+    let (mut firsts, mut extras) = (Vec::new(), Vec::new());
+    for step in 0_u64..6_000 {
+        let now = Duration::from_millis(step * 10);
+        for allowance in &mut fleet {
+            // A lull halfway: what was earned before it must not be spent after.
+            if step % 3 == 0 && !(2_000..4_000).contains(&step) {
+                allowance.earn(now);
+                firsts.push(now);
+            }
+            if allowance.spend(now, instances, Purpose::Repair) {
+                extras.push(now);
+            }
+        }
+    }
+    for end in (0..60_000).step_by(250).map(Duration::from_millis) {
+        let within = |all: &[Duration]| all.iter().filter(|at| **at <= end && **at + POLICY.window > end).count();
+        #[expect(clippy::cast_precision_loss, reason = "a few thousand")]
+        let bound = POLICY.ratio * within(&firsts) as f64 + POLICY.reserve;
+        #[expect(clippy::cast_precision_loss, reason = "a few thousand")]
+        let spent = within(&extras) as f64;
+        assert!(spent <= bound, "{spent} repeats of {bound} until {end:?}");
+    }
+    assert!(extras.len() > firsts.len() / 2, "{} of {}", extras.len(), firsts.len());
+}
+
+#[test]
+fn escalations_leave_room_for_repairs() {
+    let mut allowance = Allowance::new(POLICY);
+    let now = Duration::from_secs(100);
+    for _ in 0..100 {
+        allowance.earn(now);
+    }
+    while allowance.spend(now, 7, Purpose::Escalation) {}
+    assert!(allowance.spend(now, 7, Purpose::Repair));
+}
+
+proptest! {
+    /// An instance alone keeps the bound for any sequence of requests.
+    #[test]
+    fn one_instance_keeps_the_bound(steps in prop::collection::vec((0_u64..400, any::<bool>()), 1..400)) {
+        let mut allowance = Allowance::new(POLICY);
+        let (mut now, mut firsts, mut extras) = (Duration::ZERO, Vec::new(), Vec::new());
+        for (pause, first) in steps {
+            now += Duration::from_millis(pause);
+            if first {
+                allowance.earn(now);
+                firsts.push(now);
+            } else if allowance.spend(now, 1, Purpose::Repair) {
+                extras.push(now);
+            }
+            let within = |all: &[Duration]| all.iter().filter(|at| **at + POLICY.window > now).count();
+            #[expect(clippy::cast_precision_loss, reason = "a few hundred")]
+            let bound = POLICY.ratio * within(&firsts) as f64 + POLICY.reserve;
+            #[expect(clippy::cast_precision_loss, reason = "a few hundred")]
+            let spent = within(&extras) as f64;
+            prop_assert!(spent <= bound);
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/tests/relay/placement.rs
@@ -0,0 +1,84 @@
+//! Where work goes: to what an endpoint has read, until waiting costs more.
+
+use route::relay::placement::{Candidate, Wanted, choose};
+
+const IDLE: Candidate<'_> =
+    Candidate { id: "a", slots: 32, runs: 0.0, backlog_ms: 0.0, slowness: 1.0, failing: 0.0, local: true };
+
+const NAMES: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+
+fn idle() -> Vec<Candidate<'static>> {
+    NAMES.iter().map(|&id| Candidate { id, ..IDLE }).collect()
+}
+
+fn shared(key: u64) -> Wanted {
+    Wanted { affinity: Some(key), reread_ms: 150.0, first_ms: 60.0 }
+}
+
+#[test]
+fn requests_that_share_a_part_meet_at_one_endpoint() {
+    let mut reversed = idle();
+    reversed.reverse();
+    for key in 0..50 {
+        let here = choose(&idle(), shared(key), 1).unwrap();
+        let there = choose(&reversed, shared(key), 2).unwrap();
+        assert!(here.preferred);
+        assert_eq!(NAMES[here.index], reversed[there.index].id);
+    }
+}
+
+/// One part gets much of the traffic. Its endpoint is left for the next one as
+/// soon as waiting there costs more than reading the part again.
+#[test]
+fn hot_part_spreads_just_as_far_as_that_pays() {
+    let mut candidates = idle();
+    let first = choose(&candidates, shared(7), 0).unwrap().index;
+    candidates[first].backlog_ms = 140.0;
+    assert_eq!(choose(&candidates, shared(7), 0).unwrap().index, first);
+    candidates[first].backlog_ms = 160.0;
+    let second = choose(&candidates, shared(7), 0).unwrap();
+    assert!(second.preferred && second.index != first);
+    candidates[second.index].backlog_ms = 160.0;
+    let third = choose(&candidates, shared(7), 0).unwrap();
+    assert!(!third.preferred && third.index != first && third.index != second.index);
+}
+
+macro_rules! avoided {
+    ($($(#[$doc:meta])* $name:ident: $spoil:expr;)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            let plain = Wanted { affinity: None, reread_ms: 0.0, first_ms: 40.0 };
+            for tie in 0..30 {
+                let mut candidates = idle();
+                let spoil: fn(&mut Candidate<'_>) = $spoil;
+                spoil(&mut candidates[2]);
+                assert_ne!(choose(&candidates, plain, tie).unwrap().index, 2);
+            }
+        }
+    )*};
+}
+
+avoided! {
+    busy_endpoint_is_avoided: |candidate| candidate.runs = 10.0;
+    full_endpoint_is_avoided: |candidate| candidate.runs = 40.0;
+    slow_endpoint_is_avoided: |candidate| candidate.slowness = 4.0;
+    // Its health probe is good, and it fails part of its requests.
+    failing_endpoint_is_avoided: |candidate| candidate.failing = 0.3;
+    far_endpoint_is_avoided: |candidate| candidate.local = false;
+}
+
+#[test]
+fn equal_endpoints_share_the_load() {
+    let plain = Wanted { affinity: None, reread_ms: 0.0, first_ms: 40.0 };
+    let mut counts = [0_u32; 6];
+    for tie in 0..600 {
+        counts[choose(&idle(), plain, tie).unwrap().index] += 1;
+    }
+    assert!(counts.iter().all(|&count| (60..150).contains(&count)), "{counts:?}");
+}
+
+#[test]
+fn no_endpoint_is_no_choice() {
+    assert_eq!(choose(&[], shared(1), 0), None);
+}
