Learn a fixed part and a reading part of the time to a first byte

Cause: a time for each token was learned from short prompts, whose time is overhead; long prompts then looked like queues of seconds (pace 2 ms a unit in place of 0.05), so work fled from good endpoints and escalations were given up. Ruled out: penalties for failures (0 to 0.02 in the same choices). Before: median wait believed 2.2 s where p50 was 0.13 s. Conclusion: kept, being right; pure tests.

--- a/crates/relay/src/desk/fleet.rs
+++ b/crates/relay/src/desk/fleet.rs
@@ -10,6 +10,7 @@
 
 use route::relay::{
     canary::Tally,
+    pace::Pace,
     placement::{self, Candidate, Choice, Wanted},
 };
 use slotmap::SlotMap;
@@ -45,6 +46,17 @@
 /// milliseconds.
 const TOKEN_MS: f64 = 0.03;
 
+/// Weight of an observation in a service's usual lateness; some fifty count.
+const USUAL: f64 = 0.02;
+
+/// Length of text before a token at which reading it takes twice as long as
+/// at the start: attention's part of the work in dense models of about 70
+/// billion parameters.
+const DOUBLES_AT: f64 = 54_000.0;
+
+/// First guess of the time to a first byte besides reading, in milliseconds.
+const BASE_MS: f64 = 15.0;
+
 /// First guess of a plain call's time, in milliseconds.
 const CALL_MS: f64 = 50.0;
 
@@ -56,7 +68,8 @@
 pub struct Fleet {
     servers: SlotMap<Key, Server>,
     by_name: HashMap<String, Key>,
-    paces: HashMap<Work, f64>,
+    paces: HashMap<Work, Pace>,
+    usual: HashMap<String, f64>,
 }
 
 /// What a pace was learned of: a service and a model.
@@ -148,7 +161,7 @@
     alone_ms: f64,
     expected_ms: f64,
     work: Work,
-    per: f64,
+    units: f64,
     started: Duration,
 }
 
@@ -193,9 +206,9 @@
         let now = clock::now();
         let mut state = self.lock();
         let Weighed { key, arm, choice, pace, slow } = state.weigh(job, now, self.settings.exposure)?;
-        let per = job_units(job);
+        let units = job_units(job);
         let server = state.fleet.servers.get_mut(key)?;
-        let backlog_ms = pace * f64::from(job.own_tokens) * per_token(job);
+        let backlog_ms = pace.reading_ms(units);
         server.runs += 1;
         server.backlog_ms += backlog_ms;
         let work = Work { service: job.service.to_owned(), model: job.model };
@@ -206,10 +219,10 @@
             arm,
             choice,
             backlog_ms,
-            alone_ms: choice.wait_ms.max(0.0) + pace * per,
-            expected_ms: (choice.wait_ms.max(0.0) + pace * per) * slow,
+            alone_ms: choice.wait_ms.max(0.0) + pace.job_ms(units),
+            expected_ms: (choice.wait_ms.max(0.0) + pace.job_ms(units)) * slow,
             work,
-            per,
+            units,
             started: now,
         })
     }
@@ -219,7 +232,7 @@
     #[must_use]
     pub fn expect(&self, job: &Job<'_>) -> Option<f64> {
         let Weighed { choice, pace, slow, .. } = self.lock().weigh(job, clock::now(), self.settings.exposure)?;
-        Some((choice.wait_ms.max(0.0) + pace * job_units(job)) * slow)
+        Some((choice.wait_ms.max(0.0) + pace.job_ms(job_units(job))) * slow)
     }
 
     /// Endpoints of a service that may take its requests.
@@ -242,8 +255,7 @@
     key: Key,
     arm: Arm,
     choice: Choice,
-    /// Milliseconds a unit of the job.
-    pace: f64,
+    pace: Pace,
     /// Times of late over those expected, over the service, at least 1: when
     /// all endpoints fall behind, what is expected has to follow, or waiting
     /// requests would be taken for lost ones and sent again on top.
@@ -259,7 +271,6 @@
     }
 
     fn weigh(&self, job: &Job<'_>, now: Duration, exposure: f64) -> Option<Weighed> {
-        let per = job_units(job);
         let pace = self.fleet.pace(job);
         let deal = self.trials.deal(job.service, job.session, exposure, now);
         let usable = |server: &Server, resting: bool| {
@@ -297,18 +308,19 @@
             chosen.iter().map(|(_, server)| value(server)).sum::<f64>() / count
         };
         let slow = mean(&|server| server.slowness.now(1.0, now)).max(0.05);
+        let late = self.fleet.usual.get(job.service).copied().unwrap_or(1.0);
         let failing = mean(&|server| server.failing.now(0.0, now));
         let candidates: Vec<Candidate<'_>> =
             chosen.iter().map(|(_, server)| server.candidate(&self.fleet_domain(), slow, failing, now)).collect();
         let wanted = Wanted {
             affinity: job.affinity,
-            reread_ms: pace * per_token(job) * f64::from(job.shared_tokens),
-            first_ms: pace * per,
+            reread_ms: pace.reading_ms(reading(job, job.shared_tokens, 0)),
+            first_ms: pace.job_ms(job_units(job)),
         };
         let choice = placement::choose(&candidates, wanted, job.session ^ u64::try_from(now.as_nanos()).unwrap_or(0))?;
         let (key, server) = chosen[choice.index];
         let arm = deal.arm(&server.endpoint.version);
-        Some(Weighed { key, arm, choice, pace, slow: slow.max(1.0) })
+        Some(Weighed { key, arm, choice, pace, slow: late.max(1.0) })
     }
 
     fn fleet_domain(&self) -> String {
@@ -316,20 +328,26 @@
     }
 }
 
-/// Units that a pace is multiplied by: tokens to read, or one call.
+/// Units of reading in a job.
 fn job_units(job: &Job<'_>) -> f64 {
-    if job.model.is_some() { f64::from(job.own_tokens.max(1)) * job.size.max(0.01) } else { 1.0 }
+    reading(job, job.own_tokens, job.shared_tokens)
 }
 
-fn per_token(job: &Job<'_>) -> f64 {
-    if job.model.is_some() { job.size.max(0.01) } else { 0.0 }
+/// Units of reading tokens after others: as many as the tokens, times the
+/// model's size, and more the longer the text before each is.
+fn reading(job: &Job<'_>, tokens: u32, after: u32) -> f64 {
+    if job.model.is_none() {
+        return 0.0;
+    }
+    let tokens = f64::from(tokens);
+    let before = f64::from(after) + tokens / 2.0;
+    tokens * (1.0 + before / DOUBLES_AT) * job.size.max(0.01)
 }
 
 impl Fleet {
-    fn pace(&self, job: &Job<'_>) -> f64 {
-        let guess = if job.model.is_some() { TOKEN_MS } else { CALL_MS };
+    fn pace(&self, job: &Job<'_>) -> Pace {
         let work = Work { service: job.service.to_owned(), model: job.model };
-        self.paces.get(&work).copied().unwrap_or(guess)
+        self.paces.get(&work).copied().unwrap_or_else(|| first_guess(job.model))
     }
 }
 
@@ -366,6 +384,10 @@
     }
 }
 
+fn first_guess(model: Option<usize>) -> Pace {
+    if model.is_some() { Pace::new(BASE_MS, TOKEN_MS) } else { Pace::new(CALL_MS, 0.0) }
+}
+
 /// How an endpoint's name travels in news.
 #[must_use]
 pub fn short_hash(name: &str) -> u32 {
@@ -398,16 +420,16 @@
         let fleet = &mut state.fleet;
         if let Some(server) = fleet.servers.get_mut(self.key) {
             let ratio = (took / self.alone_ms.max(1.0)).clamp(0.1, 20.0);
-            server.slowness.seen(ratio, 1.0, now);
+            // Against what is usual for the service: a bias of the expectation
+            // would make every endpoint that is new look slow or quick.
+            let usual = fleet.usual.entry(self.work.service.clone()).or_insert(1.0);
+            *usual += USUAL * (ratio - *usual);
+            server.slowness.seen(ratio / usual.max(0.1), 1.0, now);
             server.misses = 0;
             server.heard = now;
         }
-        let guess = if self.work.model.is_some() { TOKEN_MS } else { CALL_MS };
-        let pace = fleet.paces.entry(self.work.clone()).or_insert(guess);
-        let seen = took / self.per;
-        // Waits in queues only ever add, so the pace leans to the quick ones.
-        let weight = if seen < *pace { 0.1 } else { 0.01 };
-        *pace += weight * (seen.min(20.0 * *pace) - *pace);
+        let guess = first_guess(self.work.model);
+        fleet.paces.entry(self.work.clone()).or_insert(guess).learn(self.units, took);
     }
 
     /// More of the answer has come.
--- a/crates/relay/src/exchange/stream.rs
+++ b/crates/relay/src/exchange/stream.rs
@@ -40,7 +40,8 @@
     let mut response = Response::new(());
     *response.status_mut() = live.answer.response.status();
     *response.headers_mut() = passed_on(&live.answer.response);
-    exchange.log(&live.run, live.answer.response.status());
+    let confidence = exchange.confidence(&live.answer);
+    exchange.log(&live.run, live.answer.response.status(), live.model, confidence);
     response.map(|()| StreamBody::new(events(exchange, live)).boxed_unsync())
 }
 
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -328,9 +328,7 @@
     /// Whether an answer should be dropped for a larger model's; pays for it.
     fn escalation(&self, answer: &Answer, model: Option<usize>) -> Option<usize> {
         let index = model?;
-        let names = &self.desk.dialect.names;
-        let confidence = answer.response.headers().get(&names.confidence);
-        let confidence = confidence.and_then(|value| value.to_str().ok()?.trim().parse().ok());
+        let confidence = self.confidence(answer);
         let models = self.pass.route.models.len();
         let room = Room {
             attempts: self.pass.route.attempts.saturating_sub(self.sent),
@@ -343,6 +341,12 @@
         }
     }
 
+    /// A model's own opinion of its answer.
+    pub(super) fn confidence(&self, answer: &Answer) -> Option<u32> {
+        let value = answer.response.headers().get(&self.desk.dialect.names.confidence)?;
+        value.to_str().ok()?.trim().parse().ok()
+    }
+
     /// Whether a model's first event would still come in time.
     fn outlook(&self, model: usize) -> Outlook {
         let Some(expected_ms) = self.desk.expect(&self.job(Some(model))) else { return Outlook::Never };
@@ -374,7 +378,7 @@
         let mut response = Response::new(answer::full(bytes));
         *response.status_mut() = promised(status);
         *response.headers_mut() = headers;
-        self.log(&run, status);
+        self.log(&run, status, None, None);
         if failed {
             self.tried.push(run.key);
             return Tried::Failed(response);
@@ -383,7 +387,7 @@
     }
 
     /// Logs the answer that was decided on.
-    pub(super) fn log(&self, run: &Run, status: StatusCode) {
+    pub(super) fn log(&self, run: &Run, status: StatusCode, model: Option<usize>, confidence: Option<u32>) {
         let took = clock::millis(clock::now().saturating_sub(self.started));
         tracing::info!(
             request = self.ask.id,
@@ -395,6 +399,9 @@
             took_ms = took,
             wait_ms = run.choice.wait_ms,
             preferred = run.choice.preferred,
+            model,
+            confidence,
+            tokens = self.ask.tokens.map(|tokens| tokens.prompt),
             catalog = self.pass.version,
             "answered"
         );
--- a/crates/route/tests/relay/main.rs
+++ b/crates/route/tests/relay/main.rs
@@ -4,4 +4,5 @@
 mod canary;
 mod freshness;
 mod ladder;
+mod pace;
 mod placement;
