Let a few instances watch the store, and the others ask those

Ruled out: longer waits alone (the lease on keys needs a proof every second or so at each instance). Change: three instances watch; the others ask one of them three times a second what has changed and how old its proof is, counted from the question. Looks at a lost store are rarer at those that will hear of its return.

--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -4,10 +4,12 @@
 //! it is never waited for; it only lets tasks share the state without
 //! reference cycles. Every belief has a source and an age: the catalog and
 //! access keys ([`Desk::fresh`]), endpoints and their loads ([`fleet`]), other
-//! instances ([`peers`]), roll-outs ([`trials`]).
+//! instances ([`peers`]), roll-outs ([`trials`]); [`track`] keeps them in step
+//! through other instances.
 
 pub mod fleet;
 pub mod peers;
+pub mod track;
 pub mod trials;
 
 use std::{
@@ -23,7 +25,7 @@
 
 use tokio::sync::Notify;
 
-use crate::{catalog::Catalog, clock, dialect::Dialect, settings::Settings};
+use crate::{catalog::Catalog, clock, dialect::Dialect, settings::Settings, source::Kind};
 
 /// Part of the grace in which callers may not have heard of the leave.
 const UNHEARD: f64 = 0.3;
@@ -39,6 +41,8 @@
     /// Names of the wire.
     pub dialect: Dialect,
     urgent: Notify,
+    catalog_wanted: Notify,
+    endpoints_wanted: Notify,
     state: Mutex<State>,
 }
 
@@ -51,7 +55,9 @@
     fleet: fleet::Fleet,
     peers: peers::Peers,
     trials: trials::Trials,
+    track: track::Track,
     listed: bool,
+    in_touch: bool,
     /// When this instance began to leave.
     draining: Option<Duration>,
     in_flight: usize,
@@ -69,12 +75,21 @@
             fleet: fleet::Fleet::default(),
             peers: peers::Peers::default(),
             trials: trials::Trials::default(),
+            track: track::Track::default(),
             listed: false,
+            in_touch: false,
             draining: None,
             in_flight: 0,
             held: 0,
         };
-        Arc::new(Self { settings, dialect, urgent: Notify::new(), state: Mutex::new(state) })
+        Arc::new(Self {
+            settings,
+            dialect,
+            urgent: Notify::new(),
+            catalog_wanted: Notify::new(),
+            endpoints_wanted: Notify::new(),
+            state: Mutex::new(state),
+        })
     }
 
     /// The catalog in force; nothing before the first was read.
@@ -99,6 +114,15 @@
         true
     }
 
+    /// Waits until another instance has said that a kind must be read anew.
+    pub async fn wanted(&self, kind: Kind) {
+        match kind {
+            Kind::Catalog => self.catalog_wanted.notified().await,
+            Kind::Endpoints => self.endpoints_wanted.notified().await,
+            Kind::Rollouts | Kind::Instances => std::future::pending().await,
+        }
+    }
+
     /// Renews the lease on access keys.
     pub fn renew(&self, asked: Duration, proof: Proof) {
         self.lock().freshness.renew(asked, proof);
@@ -110,6 +134,31 @@
         self.lock().freshness.holds(clock::now())
     }
 
+    /// Notes whether this instance's own calls to the store succeed.
+    pub fn note_touch(&self, succeeded: bool) {
+        self.lock().in_touch = succeeded;
+    }
+
+    /// Whether this instance's last call to the store succeeded.
+    #[must_use]
+    pub fn touched(&self) -> bool {
+        self.lock().in_touch
+    }
+
+    /// Whether this instance's own calls to the store succeed, or it has had
+    /// no reason to make any.
+    #[must_use]
+    pub fn in_touch(&self) -> bool {
+        let state = self.lock();
+        state.in_touch && state.freshness.holds(clock::now())
+    }
+
+    /// Instances believed to live, this one included.
+    #[must_use]
+    pub fn members(&self) -> usize {
+        self.lock().peers.live(clock::now()) + 1
+    }
+
     /// Age of what is known of access keys.
     #[must_use]
     pub fn keys_age(&self) -> Option<Duration> {
--- a/crates/relay/src/desk/peers.rs
+++ b/crates/relay/src/desk/peers.rs
@@ -2,11 +2,17 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use super::{Desk, fleet::Load, trials::Report};
+use world::hash;
+
+use super::{Desk, fleet::Load, track::Watcher, trials::Report};
 use crate::clock;
 
-/// Silence after which an instance is believed gone: five pieces of news.
-const SILENT: Duration = Duration::from_millis(1_300);
+/// Pieces of news that must be missing before an instance is believed gone:
+/// one may be lost, and the next one late.
+const MISSING: u32 = 3;
+
+/// Least silence after which an instance is believed gone.
+const SILENT: Duration = Duration::from_millis(1_100);
 
 /// Silence after which nobody looks for an instance any more.
 const FORGOTTEN: Duration = Duration::from_mins(1);
@@ -38,6 +44,12 @@
     pub ready: bool,
     /// Whether its knowledge of access keys is fresh.
     pub fresh: bool,
+    /// Failure domain it stands in.
+    pub domain: String,
+    /// Whether its own calls to the store succeed.
+    pub in_touch: bool,
+    /// Longest time until its next piece of news.
+    pub pause: Duration,
     /// Loads it puts on endpoints, by the hash of their names.
     pub loads: HashMap<u32, Load>,
     /// Roll-outs as it knows them.
@@ -60,6 +72,24 @@
         })
     }
 
+    /// Live instances that may watch the store, by rank: those whose own calls
+    /// to it succeed, or any.
+    pub(super) fn watchers(&self, now: Duration, in_touch: bool) -> Vec<Watcher> {
+        let able = |peer: &Peer| peer.live(now) && peer.word.ready && (peer.word.in_touch || !in_touch);
+        let mut watchers: Vec<Watcher> = self
+            .known
+            .iter()
+            .filter(|(_, peer)| able(peer))
+            .map(|(name, peer)| Watcher {
+                news: peer.news,
+                rank: hash::stable(name.as_bytes()),
+                near: peer.word.domain == self.domain,
+            })
+            .collect();
+        watchers.sort_by_key(|watcher| watcher.rank);
+        watchers
+    }
+
     /// What instances, gone ones too, say of a roll-out.
     pub(super) fn reports(&self, order: u32) -> impl Iterator<Item = &Report> {
         self.known.values().flat_map(|peer| &peer.word.reports).filter(move |report| report.order == order)
@@ -68,7 +98,8 @@
 
 impl Peer {
     fn live(&self, now: Duration) -> bool {
-        self.heard.is_some_and(|heard| now < heard + SILENT)
+        let silent = SILENT.max(self.word.pause * MISSING);
+        self.heard.is_some_and(|heard| now < heard + silent)
     }
 }
 
--- /dev/null
+++ b/crates/relay/src/desk/track.rs
@@ -0,0 +1,246 @@
+//! Keeping in step through another instance in place of the store.
+//!
+//! Each call to the store is paid for, and its rates grow more slowly than the
+//! fleet. So a few instances watch the store, and the others ask one of those:
+//! they say up to which revision they know the endpoints, and hear what has
+//! changed since, which catalog is in force, and how old the proof of that is.
+//! The proof counts from when the question was sent, so that a delay on the
+//! way only makes it look older. What does not fit, or is no longer kept, is
+//! read from the store; so is everything while nobody answers.
+
+use std::{collections::VecDeque, net::SocketAddr, time::Duration};
+
+use route::relay::freshness::Proof;
+use world::hash;
+
+use super::Desk;
+use crate::{clock, rollout::Rollout, source::Endpoint};
+
+/// Instances that watch the store: one more than may be lost at a time
+/// without any other noticing.
+const WATCHERS: usize = 3;
+
+/// Silence after which an instance watches the store itself: three questions.
+const UNANSWERED: Duration = Duration::from_millis(1_100);
+
+/// Age of a proof from which the instance that gives it counts as cut off.
+const PROOF_TOO_OLD: Duration = Duration::from_millis(3_200);
+
+/// Changes kept for those who are behind; a roll-out's worth.
+const KEPT: usize = 256;
+
+/// A change to an endpoint.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    /// It registered, or its registration changed.
+    Known(Endpoint),
+    /// Its registration is gone.
+    Gone(String),
+}
+
+/// How far this instance is in step.
+#[derive(Debug, Default)]
+pub struct Track {
+    revision: u64,
+    from: u64,
+    kept: VecDeque<(u64, Change)>,
+    answered: Option<Duration>,
+    orders_known: bool,
+}
+
+/// What an instance that is behind asks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Question {
+    /// Revision up to which it knows the endpoints.
+    pub revision: u64,
+}
+
+/// What it hears.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// Version of the catalog in force.
+    pub catalog: u64,
+    /// Age of the proof that it is.
+    pub proof_age: Duration,
+    /// Revision that the changes lead to; the asked one if they are too many
+    /// or no longer kept.
+    pub revision: u64,
+    /// Whether the endpoints have to be read from the store.
+    pub gap: bool,
+    /// Changes since, oldest first.
+    pub changes: Vec<Change>,
+    /// Every roll-out ordered.
+    pub orders: Vec<Rollout>,
+}
+
+impl Track {
+    /// Notes a whole listing of endpoints.
+    fn listed(&mut self, revision: u64) {
+        if revision >= self.revision {
+            self.revision = revision;
+            self.from = revision;
+            self.kept.clear();
+        }
+    }
+
+    /// Notes changes up to a revision.
+    fn changed(&mut self, revision: u64, changes: impl IntoIterator<Item = Change>) {
+        if revision <= self.revision {
+            return;
+        }
+        self.revision = revision;
+        self.kept.extend(changes.into_iter().map(|change| (revision, change)));
+        while self.kept.len() > KEPT {
+            if let Some((dropped, _)) = self.kept.pop_front() {
+                self.from = dropped;
+            }
+        }
+    }
+
+    /// Changes after a revision; nothing if they are not all kept.
+    fn since(&self, revision: u64) -> Option<Vec<Change>> {
+        if revision < self.from {
+            return None;
+        }
+        Some(self.kept.iter().filter(|(at, _)| *at > revision).map(|(_, change)| change.clone()).collect())
+    }
+}
+
+impl Desk {
+    /// Notes a whole listing of endpoints from the store.
+    pub fn note_listing(&self, revision: u64) {
+        self.lock().track.listed(revision);
+    }
+
+    /// Notes changes to endpoints from the store.
+    pub fn note_changes(&self, revision: u64, changes: Vec<Change>) {
+        self.lock().track.changed(revision, changes);
+    }
+
+    /// Notes that all roll-outs have been listed.
+    pub fn note_orders(&self) {
+        self.lock().track.orders_known = true;
+    }
+
+    /// Revision up to which endpoints are known.
+    #[must_use]
+    pub fn endpoints_revision(&self) -> u64 {
+        self.lock().track.revision
+    }
+
+    /// Whether another instance keeps this one in step, so that it need not
+    /// watch the store.
+    #[must_use]
+    pub fn led(&self) -> bool {
+        let now = clock::now();
+        let state = self.lock();
+        // One that is cut off from the store does not count as watching it.
+        let answered = state.track.answered.is_some_and(|at| now < at + UNANSWERED);
+        answered && !(state.in_touch && self.watches(state.peers.watchers(now, true)))
+    }
+
+    /// Whether this instance is one of the few that look for a lost store
+    /// often; the others hear from them when it is back.
+    #[must_use]
+    pub fn looks_first(&self) -> bool {
+        self.watches(self.lock().peers.watchers(clock::now(), false))
+    }
+
+    /// Whom to ask, nearest first: nobody if this instance is to watch the
+    /// store itself. `turn` moves on when a question was not answered.
+    #[must_use]
+    pub fn whom_to_ask(&self, turn: usize) -> Option<SocketAddr> {
+        let now = clock::now();
+        let state = self.lock();
+        let mut watchers = state.peers.watchers(now, true);
+        if state.track.revision == 0 || (state.in_touch && self.watches(watchers.clone())) {
+            return None;
+        }
+        watchers.truncate(WATCHERS);
+        watchers.sort_by_key(|watcher| !watcher.near);
+        watchers.get(turn % watchers.len().max(1)).map(|watcher| watcher.news)
+    }
+
+    /// Whether this instance is one of those that watch the store: the few
+    /// whose names hash lowest, the same by everybody's reckoning.
+    fn watches(&self, others: Vec<Watcher>) -> bool {
+        let me = hash::stable(self.settings.instance.as_bytes());
+        others.into_iter().filter(|other| other.rank < me).count() < WATCHERS
+    }
+
+    /// What this instance asks.
+    #[must_use]
+    pub fn question(&self) -> Question {
+        Question { revision: self.endpoints_revision() }
+    }
+
+    /// Answers another instance; nothing while this one knows too little.
+    #[must_use]
+    pub fn reply(&self, question: Question, most: usize) -> Option<Reply> {
+        let proof_age = self.keys_age()?;
+        let state = self.lock();
+        if !state.listed || !state.track.orders_known {
+            return None;
+        }
+        let changes = state.track.since(question.revision).filter(|changes| changes.len() <= most);
+        Some(Reply {
+            catalog: state.catalog.as_ref()?.version,
+            proof_age,
+            revision: if changes.is_some() { state.track.revision } else { question.revision },
+            gap: changes.is_none(),
+            changes: changes.unwrap_or_default(),
+            orders: state.trials.orders(),
+        })
+    }
+
+    /// Takes a reply to a question sent at `asked` in.
+    pub fn take_reply(&self, asked: Duration, reply: Reply) {
+        if reply.proof_age > PROOF_TOO_OLD {
+            return;
+        }
+        for change in &reply.changes {
+            match change {
+                Change::Known(endpoint) => self.enlist(endpoint.clone()),
+                Change::Gone(id) => self.delist(id),
+            }
+        }
+        self.take_orders(&reply.orders);
+        let mut state = self.lock();
+        state.track.changed(reply.revision, reply.changes);
+        state.track.answered = Some(clock::now());
+        if reply.gap {
+            self.endpoints_wanted.notify_one();
+        }
+        match state.catalog.as_ref().map(|catalog| catalog.version) {
+            // Only who has the very catalog that is proven may count on it.
+            Some(version) if version >= reply.catalog => {
+                state.freshness.renew(asked.saturating_sub(reply.proof_age), Proof::Read);
+            }
+            _ => self.catalog_wanted.notify_one(),
+        }
+    }
+
+    fn take_orders(&self, orders: &[Rollout]) {
+        let known = self.lock().trials.orders();
+        for gone in known.iter().filter(|order| !orders.iter().any(|other| other.service == order.service)) {
+            self.withdraw_order(&gone.service);
+        }
+        for order in orders {
+            let newer = known.iter().any(|mine| mine.service == order.service && mine.revision >= order.revision);
+            if !newer {
+                self.order(order.clone());
+            }
+        }
+    }
+}
+
+/// An instance that may watch the store for others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Watcher {
+    /// Where it hears questions.
+    pub news: SocketAddr,
+    /// Its place among the instances.
+    pub rank: u64,
+    /// Whether it stands in the same failure domain.
+    pub near: bool,
+}
--- a/crates/relay/src/desk/trials.rs
+++ b/crates/relay/src/desk/trials.rs
@@ -145,6 +145,11 @@
         Deal { target: None, meets: false, reverted: false, stage: None, unexplained }
     }
 
+    /// Every order.
+    pub(super) fn orders(&self) -> Vec<Rollout> {
+        self.services.values().filter_map(|service| Some(service.order.as_ref()?.rollout.clone())).collect()
+    }
+
     /// Counts a run.
     pub(super) fn count(&mut self, service: &str, arm: Arm, tally: Tally) {
         let Some(order) = self.services.get_mut(service).and_then(|service| service.order.as_mut()) else { return };
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -12,13 +12,13 @@
 
 use crate::{
     clock,
-    desk::Desk,
+    desk::{Desk, track},
     source::{Batch, Change, Fault, Instance, Kind, Listing, Record, Source},
 };
 
 /// Longest wait of a watch on the catalog. It renews the lease on access keys,
 /// which has to outlast two of them and a lost one's time limit.
-const CATALOG_WAIT: Duration = Duration::from_millis(1_200);
+const CATALOG_WAIT: Duration = Duration::from_millis(900);
 
 /// Longest wait of a watch on endpoints: one that went silent must be noticed
 /// before a leaving endpoint may get no more work.
@@ -34,15 +34,25 @@
 /// First and longest wait after a call that failed.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(500));
 
+/// Longest wait between looks for a lost store of an instance that will hear
+/// of its return from others: each look is paid for, by every instance.
+const LOOK: Duration = Duration::from_millis(1_500);
+
 /// Outage of the store after which a missing endpoint may only have lapsed.
 const OUTAGE: Duration = Duration::from_secs(1);
 
 /// Time that endpoints which lapsed during an outage take to register again.
 const RETURN: Duration = Duration::from_millis(2_300);
 
-/// Pause between listings of this system's instances: news spreads membership,
+/// Longest rest before a look whether somebody still keeps this one in step.
+const REST: Duration = Duration::from_millis(200);
+
+/// Least time between readings that other instances' word brings about.
+const APART: Duration = Duration::from_millis(300);
+
+/// Pause between listings of this system's instances, by any of them: news spreads membership,
 /// the listing only joins parts that have lost each other.
-const INSTANCES_PAUSE: Duration = Duration::from_secs(15);
+const INSTANCES_PAUSE: Duration = Duration::from_secs(5);
 
 /// Pause between looks at roll-outs.
 const ROLLOUT_PAUSE: Duration = Duration::from_millis(250);
@@ -53,8 +63,17 @@
 
 /// Follows one kind for good.
 pub async fn follow(desk: Arc<Desk>, source: Arc<dyn Source>, kind: Kind) {
-    let mut follower =
-        Follower { desk, source, kind, revision: None, lost_since: None, failures: 0, lapsed: Vec::new() };
+    let mut follower = Follower {
+        desk,
+        source,
+        kind,
+        revision: None,
+        listed: false,
+        lost_since: None,
+        last_lost: Duration::ZERO,
+        failures: 0,
+        lapsed: Vec::new(),
+    };
     loop {
         follower.step().await;
     }
@@ -65,19 +84,28 @@
     source: Arc<dyn Source>,
     kind: Kind,
     revision: Option<u64>,
+    listed: bool,
     lost_since: Option<Duration>,
+    last_lost: Duration,
     failures: u32,
     lapsed: Vec<(String, Duration)>,
 }
 
 impl Follower {
     async fn step(&mut self) {
+        if self.listed && self.desk.led() {
+            self.rest().await;
+            return;
+        }
         let asked = clock::now();
         let result = match self.revision {
             None => self.list(asked).await,
             Some(from) => self.watch(from, asked).await,
         };
         self.expire();
+        if self.kind == Kind::Catalog {
+            self.desk.note_touch(result.is_ok());
+        }
         let Err(fault) = result else {
             self.regained();
             return;
@@ -91,11 +119,42 @@
             tracing::warn!(kind = ?self.kind, %fault, "store lost");
             self.lost_since = Some(asked);
         }
-        let wait = BACKOFF.0.saturating_mul(2_u32.saturating_pow(self.failures.min(8))).min(BACKOFF.1);
+        self.last_lost = clock::now();
+        let longest = if self.desk.looks_first() { BACKOFF.1 } else { LOOK };
+        let wait = BACKOFF.0.saturating_mul(2_u32.saturating_pow(self.failures.min(8))).min(longest);
         self.failures += 1;
         sleep(wait.mul_f64(0.7 + 0.6 * rand::random::<f64>())).await;
     }
 
+    /// While another instance keeps this one in step there is nothing to ask
+    /// the store, but for what that one cannot tell.
+    async fn rest(&mut self) {
+        self.revision = None;
+        self.expire();
+        let wanted = timeout(REST, self.desk.wanted(self.kind)).await.is_ok();
+        let asked = clock::now();
+        let look = self.kind == Kind::Catalog && !self.desk.touched() && asked > self.last_lost + LOOK;
+        if !wanted && !look {
+            if asked > self.last_lost + RETURN {
+                self.lost_since = None;
+            }
+            return;
+        }
+        let result = self.list(asked).await;
+        if self.kind == Kind::Catalog {
+            self.desk.note_touch(result.is_ok());
+        }
+        match result {
+            Ok(()) => self.regained(),
+            Err(fault) => {
+                tracing::info!(kind = ?self.kind, %fault, "store not read");
+                self.last_lost = asked;
+            }
+        }
+        // Versions in quick succession are read once.
+        sleep(APART).await;
+    }
+
     async fn list(&mut self, asked: Duration) -> Result<(), Fault> {
         let listing = timeout(CALL_LIMIT, self.source.list(self.kind)).await.map_err(|_| silent())??;
         if self.kind == Kind::Catalog && !listing.records.is_empty() {
@@ -116,6 +175,9 @@
         let call = self.source.watch(self.kind, from, wait);
         let batch = timeout(wait + CALL_LIMIT, call).await.map_err(|_| silent())??;
         let Batch { revision, changes } = batch;
+        if self.kind == Kind::Endpoints {
+            self.desk.note_changes(revision, changes.iter().filter_map(endpoint_change).collect());
+        }
         for change in changes {
             self.take(change);
         }
@@ -152,8 +214,14 @@
         for change in listing.records {
             self.take(change);
         }
-        if self.kind == Kind::Endpoints {
-            self.desk.mark_listed();
+        self.listed = true;
+        match self.kind {
+            Kind::Endpoints => {
+                self.desk.note_listing(listing.revision);
+                self.desk.mark_listed();
+            }
+            Kind::Rollouts => self.desk.note_orders(),
+            Kind::Catalog | Kind::Instances => {}
         }
     }
 
@@ -188,6 +256,14 @@
     }
 }
 
+fn endpoint_change(change: &Change) -> Option<track::Change> {
+    match &change.record {
+        Some(Record::Endpoint(endpoint)) => Some(track::Change::Known(endpoint.clone())),
+        Some(_) => None,
+        None => Some(track::Change::Gone(change.name.clone())),
+    }
+}
+
 fn silent() -> Fault {
     Fault::Lost("no answer in time".into())
 }
@@ -219,7 +295,9 @@
             }
             Err(_) => false,
         };
-        let pause = if registered && listed { INSTANCES_PAUSE } else { Duration::from_millis(700) };
+        // The more instances there are, the more often one of them looks.
+        let many = u32::try_from(desk.members()).unwrap_or(u32::MAX);
+        let pause = if registered && listed { INSTANCES_PAUSE * many.max(1) } else { Duration::from_millis(700) };
         sleep(pause.mul_f64(0.8 + 0.4 * rand::random::<f64>())).await;
     }
 }
--- a/crates/relay/tests/it/main.rs
+++ b/crates/relay/tests/it/main.rs
@@ -8,3 +8,4 @@
 mod server;
 mod site;
 mod streams;
+mod track;
--- a/crates/relay/tests/it/site.rs
+++ b/crates/relay/tests/it/site.rs
@@ -159,7 +159,8 @@
     }
 }
 
-fn settings() -> Settings {
+/// Settings on the loopback address, with free ports.
+pub fn settings() -> Settings {
     let free = SocketAddr::from(([127, 0, 0, 1], 0));
     Settings {
         instance: "here".into(),
@@ -230,7 +231,8 @@
     Route { models: vec![model("small", 0.1), model("large", 1.0)], ..route(prefix, kind) }
 }
 
-fn dialect() -> Dialect {
+/// Names of our own.
+pub fn dialect() -> Dialect {
     let name = HeaderName::from_static;
     Dialect {
         names: Names {
--- /dev/null
+++ b/crates/relay/tests/it/track.rs
@@ -0,0 +1,93 @@
+//! Instances kept in step by another one in place of the store.
+
+use std::{sync::Arc, time::Duration};
+
+use relay::{
+    catalog::Kind,
+    clock,
+    desk::{
+        Desk,
+        track::{Change, Question},
+    },
+};
+use route::relay::freshness::Proof;
+
+use crate::site::{catalog, dialect, endpoint, route, settings};
+
+/// An instance that knows a catalog and one endpoint as of revision 10.
+fn knowing(version: u64) -> Arc<Desk> {
+    let desk = Desk::new(settings(), dialect());
+    desk.install(catalog(version, vec![route("/a/", Kind::Idempotent)]));
+    desk.enlist(endpoint("e0", ([127, 0, 0, 1], 9).into()));
+    desk.note_listing(10);
+    desk.note_orders();
+    desk.mark_listed();
+    desk
+}
+
+fn known(desk: &Desk) -> Vec<String> {
+    let mut names = desk.enlisted();
+    names.sort();
+    names
+}
+
+#[test]
+fn changes_since_are_passed_on_in_order() {
+    let (watcher, other) = (knowing(1), knowing(1));
+    watcher.renew(clock::now(), Proof::Read);
+    let e1 = endpoint("e1", ([127, 0, 0, 1], 10).into());
+    watcher.note_changes(12, vec![Change::Known(e1), Change::Gone("e0".into())]);
+    let reply = watcher.reply(other.question(), 60).unwrap();
+    assert!(!reply.gap);
+    other.take_reply(clock::now(), reply);
+    assert_eq!(known(&other), ["e1"]);
+    assert_eq!(other.question(), Question { revision: 12 });
+}
+
+/// The watcher has listed anew after the store forgot its history: what
+/// happened before the listing is not kept, so the other has to list as well
+/// and must not believe that it is in step.
+#[test]
+fn gap_is_told_and_nothing_is_skipped() {
+    let (watcher, other) = (knowing(1), knowing(1));
+    watcher.renew(clock::now(), Proof::Read);
+    watcher.note_listing(40);
+    let reply = watcher.reply(other.question(), 60).unwrap();
+    assert!(reply.gap);
+    other.take_reply(clock::now(), reply);
+    assert_eq!(other.question(), Question { revision: 10 });
+}
+
+/// A key is taken away after the question was sent, and the reply is long
+/// under way. The proof counts from the question, so it can only look older.
+#[test]
+fn proof_counts_from_the_question() {
+    let (watcher, other) = (knowing(1), knowing(1));
+    let asked = clock::now();
+    std::thread::sleep(Duration::from_millis(30));
+    watcher.renew(clock::now(), Proof::Read);
+    other.take_reply(asked, watcher.reply(other.question(), 60).unwrap());
+    assert!(other.keys_age().unwrap() >= Duration::from_millis(30));
+}
+
+/// The watcher proves a catalog that the other does not have: its own, older
+/// keys are not proven by that.
+#[test]
+fn older_catalog_is_not_proven() {
+    let (watcher, other) = (knowing(2), knowing(1));
+    watcher.renew(clock::now(), Proof::Read);
+    other.take_reply(clock::now(), watcher.reply(other.question(), 60).unwrap());
+    assert_eq!(other.keys_age(), None);
+    assert!(!other.fresh());
+}
+
+/// The watcher itself has lost the store: its word keeps nobody in step.
+#[test]
+fn watcher_without_proof_keeps_nobody_in_step() {
+    let (watcher, other) = (knowing(1), knowing(1));
+    assert!(watcher.reply(other.question(), 60).is_none());
+    watcher.renew(clock::now().saturating_sub(Duration::from_secs(4)), Proof::Read);
+    other.take_reply(clock::now(), watcher.reply(other.question(), 60).unwrap());
+    assert!(!other.led());
+    assert_eq!(other.keys_age(), None);
+}
