--- /dev/null
+++ b/crates/settings/tests/relay.rs
@@ -0,0 +1,61 @@
+//! Settings of a relaying instance: read whole, or every fault named.
+
+use std::time::Duration;
+
+use settings::Relay;
+
+const GOOD: &str = r#"
+instance: front-1
+domain: tartu-a
+listeners:
+  front: 10.1.0.40:8227
+  ready: 10.1.0.40:8220
+  directory: 10.1.0.40:8224
+  news: 10.1.0.40:7340
+store: 10.200.1.7:8223
+metrics: 10.1.0.40:9464
+revoke_ms: 5000
+retries: { ratio: 0.9, reserve: 54, window_ms: 10000 }
+exposure_share: 0.15
+grace_ms: 8000
+memory_mib: 260
+"#;
+
+#[test]
+fn good_settings_are_read() {
+    let settings = Relay::parse(GOOD).unwrap();
+    assert_eq!(settings.relay.instance, "front-1");
+    assert_eq!(settings.relay.revoke, Some(Duration::from_secs(5)));
+    assert_eq!(settings.relay.allowance.window, Duration::from_secs(10));
+    assert_eq!(settings.relay.body_memory, 65 << 20);
+    assert_eq!(settings.log, "info");
+}
+
+#[test]
+fn keys_without_a_strict_bound_have_none() {
+    let settings = Relay::parse(&GOOD.replace("revoke_ms: 5000\n", "")).unwrap();
+    assert_eq!(settings.relay.revoke, None);
+}
+
+macro_rules! faults {
+    ($($name:ident: $from:expr => $to:expr, $named:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let text = GOOD.replace($from, $to);
+            assert_ne!(text, GOOD);
+            let error = Relay::parse(&text).unwrap_err().to_string();
+            assert!(error.contains($named), "{error}");
+        }
+    )*};
+}
+
+faults! {
+    unknown_field: "metrics:" => "metrix:", "metrix";
+    missing_field: "domain: tartu-a\n" => "", "domain";
+    no_address: "10.200.1.7:8223" => "store.example", "store";
+    ratio_out_of_range: "ratio: 0.9" => "ratio: -1", "retries.ratio";
+    no_window: "window_ms: 10000" => "window_ms: 0", "retries.window_ms";
+    share_out_of_range: "exposure_share: 0.15" => "exposure_share: 1.5", "exposure_share";
+    too_little_memory: "memory_mib: 260" => "memory_mib: 8", "memory_mib";
+    bound_too_short_to_keep: "revoke_ms: 5000" => "revoke_ms: 500", "revoke_ms";
+}
