--- a/crates/settings/tests/relay.rs
+++ b/crates/settings/tests/relay.rs
@@ -4,7 +4,7 @@
 
 use settings::Relay;
 
-const GOOD: &str = r#"
+const GOOD: &str = r"
 instance: front-1
 domain: tartu-a
 listeners:
@@ -19,7 +19,7 @@
 exposure_share: 0.15
 grace_ms: 8000
 memory_mib: 260
-"#;
+";
 
 #[test]
 fn good_settings_are_read() {
