--- a/crates/relay/src/desk/fleet.rs
+++ b/crates/relay/src/desk/fleet.rs
@@ -9,7 +9,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use route::relay::{
-    canary::Tally,
+    canary::{self, Tally},
     pace::Pace,
     placement::{self, Candidate, Choice, Wanted},
 };
@@ -162,6 +162,7 @@
     expected_ms: f64,
     work: Work,
     units: f64,
+    slow: bool,
     started: Duration,
 }
 
@@ -223,6 +224,7 @@
             expected_ms: (choice.wait_ms.max(0.0) + pace.job_ms(units)) * slow,
             work,
             units,
+            slow: false,
             started: now,
         })
     }
@@ -424,6 +426,7 @@
             // would make every endpoint that is new look slow or quick.
             let usual = fleet.usual.entry(self.work.service.clone()).or_insert(1.0);
             *usual += USUAL * (ratio - *usual);
+            self.slow = canary::slow(ratio, *usual);
             server.slowness.seen(ratio / usual.max(0.1), 1.0, now);
             server.misses = 0;
             server.heard = now;
@@ -453,10 +456,10 @@
         self.expected_ms
     }
 
-    /// Time since the dispatch over the time expected until the first byte.
+    /// Whether the first byte came late by its service's standards.
     #[must_use]
-    pub fn lateness(&self) -> f64 {
-        clock::millis(clock::now().saturating_sub(self.started)) / self.expected_ms.max(1.0)
+    pub fn slow(&self) -> bool {
+        self.slow
     }
 
     /// Notes how the run ended.
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -40,9 +40,6 @@
 /// Least time in which a further try makes sense.
 const WORTH_A_TRY: Duration = Duration::from_millis(30);
 
-/// Lateness of a first byte that counts against a version under roll-out.
-const LATE: f64 = 4.0;
-
 /// How long a request waits for a service that has no endpoint at all.
 const WAIT_FOR_ENDPOINT: Duration = Duration::from_millis(250);
 
@@ -227,7 +224,7 @@
         let status = answer.response.status();
         let stream = matches!(self.pass.route.kind, Kind::Stream { .. });
         if status.is_success() && stream {
-            run.judge(run.lateness() > LATE);
+            run.judge(run.slow());
             if let Some(next) = self.escalation(&answer, *model) {
                 tracing::info!(request = self.ask.id, from = model, to = next, "answer dropped for a larger model");
                 *model = Some(next);
@@ -374,7 +371,7 @@
         };
         let failed = status.is_server_error();
         run.ended(if failed { Ended::Failed } else { Ended::Good });
-        run.judge(failed || run.lateness() > LATE);
+        run.judge(failed || run.slow());
         let mut response = Response::new(answer::full(bytes));
         *response.status_mut() = promised(status);
         *response.headers_mut() = headers;
--- a/crates/relay/tests/it/main.rs
+++ b/crates/relay/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod leaving;
 mod requests;
+mod rollouts;
 mod server;
 mod site;
 mod streams;
--- a/crates/route/src/relay/canary.rs
+++ b/crates/route/src/relay/canary.rs
@@ -30,6 +30,10 @@
 /// Factor over its predecessor's share of bad answers that condemns.
 const WORSE: f64 = 2.5;
 
+/// Times the usual from which a run counts as slow. Bad versions are several
+/// times slower; at two and a half, one run in ten of a good one is.
+const SLOW: f64 = 2.5;
+
 /// Share of bad answers on top of that factor: servers that fail or slow down
 /// by themselves strike a small pool by chance.
 const EXCESS: f64 = 0.10;
@@ -76,6 +80,17 @@
     new.bad >= MIN_BAD && new.rate() > WORSE * old.rate() + EXCESS
 }
 
+/// Whether a run counts as slow: its time to the first byte over the expected
+/// one, against what is usual for that over the service.
+///
+/// Against the usual, since expectations are rough and all runs are late while
+/// a service is overloaded; a version that is slow stands out all the same, as
+/// few runs are on it.
+#[must_use]
+pub fn slow(lateness: f64, usual: f64) -> bool {
+    lateness > SLOW * usual.max(f64::MIN_POSITIVE)
+}
+
 /// The stage that follows from time and evidence.
 #[must_use]
 pub fn advance(stage: Stage, elapsed: Duration, over: Duration, new: Tally, old: Tally) -> Stage {
--- a/crates/route/tests/relay/canary.rs
+++ b/crates/route/tests/relay/canary.rs
@@ -60,3 +60,12 @@
         assert!(!meets(Stage::Reverted, session, "v2", 0.15));
     }
 }
+
+/// Its answers are all good, and several times slower than the old version's.
+/// Runs of both versions are late by what is usual, while the service is busy.
+#[test]
+fn version_that_is_only_slow_is_told_from_an_overloaded_service() {
+    let usual = 3.0;
+    assert!(route::relay::canary::slow(8.0 * usual, usual));
+    assert!(!route::relay::canary::slow(1.5 * usual, usual));
+}
