Condemn a version by what is beyond chance, and let no doubtful one go on

Ruled out: lost evidence (all instances summed the same counts). Change: a pooled test of two shares, and a bound for going on.

--- a/crates/route/src/relay/canary.rs
+++ b/crates/route/src/relay/canary.rs
@@ -27,17 +27,24 @@
 /// Fewest bad answers that can condemn a version: below it, chance.
 const MIN_BAD: u32 = 5;
 
-/// Factor over its predecessor's share of bad answers that condemns.
-const WORSE: f64 = 2.5;
+/// Share of bad answers over its predecessor's that condemns, if it is beyond
+/// chance: servers that fail or slow down by themselves strike a small pool
+/// harder.
+const EXCESS: f64 = 0.10;
+
+/// Standard deviations beyond chance that condemn. The evidence is looked at
+/// some hundred times over a roll-out; at three and a half, about one good
+/// roll-out in a hundred is given up.
+const BEYOND_CHANCE: f64 = 3.5;
+
+/// Share of bad answers over its predecessor's with which a version may go on
+/// to everybody: one that is not condemned only for want of evidence must not.
+const ACCEPTED: f64 = 0.06;
 
 /// Times the usual from which a run counts as slow. Bad versions are several
 /// times slower; at two and a half, one run in ten of a good one is.
 const SLOW: f64 = 2.5;
 
-/// Share of bad answers on top of that factor: servers that fail or slow down
-/// by themselves strike a small pool by chance.
-const EXCESS: f64 = 0.10;
-
 /// Where a roll-out stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
@@ -77,7 +84,20 @@
 /// Whether the evidence condemns a version against its predecessor.
 #[must_use]
 pub fn bad(new: Tally, old: Tally) -> bool {
-    new.bad >= MIN_BAD && new.rate() > WORSE * old.rate() + EXCESS
+    new.bad >= MIN_BAD && new.rate() > old.rate() + EXCESS && beyond_chance(new, old) > BEYOND_CHANCE
+}
+
+/// Standard deviations between two shares of bad answers if both versions were
+/// alike (a pooled two-proportion z-test).
+fn beyond_chance(new: Tally, old: Tally) -> f64 {
+    let both = new.plus(old).rate();
+    let spread = both * (1.0 - both) * (1.0 / f64::from(new.runs.max(1)) + 1.0 / f64::from(old.runs.max(1)));
+    if spread <= 0.0 { 0.0 } else { (new.rate() - old.rate()) / spread.sqrt() }
+}
+
+/// Whether the evidence speaks for a version.
+fn good(new: Tally, old: Tally) -> bool {
+    new.runs >= MIN_ANSWERS && new.rate() <= old.rate() + ACCEPTED
 }
 
 /// Whether a run counts as slow: its time to the first byte over the expected
@@ -96,7 +116,7 @@
 pub fn advance(stage: Stage, elapsed: Duration, over: Duration, new: Tally, old: Tally) -> Stage {
     match stage {
         Stage::Trial | Stage::Shift if bad(new, old) => Stage::Reverted,
-        Stage::Trial if elapsed >= over.mul_f64(TRIAL) && new.runs >= MIN_ANSWERS => Stage::Shift,
+        Stage::Trial if elapsed >= over.mul_f64(TRIAL) && good(new, old) => Stage::Shift,
         Stage::Shift if elapsed >= over.mul_f64(DONE) => Stage::Done,
         Stage::Trial | Stage::Shift | Stage::Done | Stage::Reverted => stage,
     }
--- a/crates/route/tests/relay/canary.rs
+++ b/crates/route/tests/relay/canary.rs
@@ -22,6 +22,8 @@
 stages! {
     trial_goes_on: Stage::Trial, 5, GOOD => Stage::Trial;
     trial_that_was_stood_shifts: Stage::Trial, 16, GOOD => Stage::Shift;
+    // Not condemned yet, and not good either: it must not reach everybody.
+    doubtful_version_is_not_let_go_on: Stage::Trial, 16, Tally { runs: 24, bad: 4 } => Stage::Trial;
     trial_without_evidence_waits: Stage::Trial, 16, Tally::default() => Stage::Trial;
     failing_version_is_left_on_trial: Stage::Trial, 2, BAD => Stage::Reverted;
     // It turns bad late, or only under everybody's load.
@@ -44,6 +46,14 @@
     assert!(!bad(Tally { runs: 40, bad: 12 }, Tally { runs: 400, bad: 110 }));
 }
 
+/// A route of the service fails one time in ten on any version; four in ten of
+/// the new version's answers are failures. A factor over the old share would
+/// need six in ten.
+#[test]
+fn failures_that_are_usual_hide_no_bad_version() {
+    assert!(bad(Tally { runs: 40, bad: 16 }, Tally { runs: 500, bad: 60 }));
+}
+
 /// A bad version that is never found out stays within its share.
 #[test]
 fn trial_stays_far_below_what_a_bad_version_may_get() {
