Compare versions by their typical time to the first byte

Ruled out: the news' delay (a quarter of a second). Change: a test of mean logarithms of lateness; a handful of runs suffices.

--- a/crates/relay/src/desk/fleet.rs
+++ b/crates/relay/src/desk/fleet.rs
@@ -9,7 +9,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use route::relay::{
-    canary::{self, Tally},
+    canary::{Lateness, Tally},
     pace::Pace,
     placement::{self, Candidate, Choice, Wanted},
 };
@@ -162,7 +162,7 @@
     expected_ms: f64,
     work: Work,
     units: f64,
-    slow: bool,
+    lateness: Lateness,
     started: Duration,
 }
 
@@ -224,7 +224,7 @@
             expected_ms: (choice.wait_ms.max(0.0) + pace.job_ms(units)) * slow,
             work,
             units,
-            slow: false,
+            lateness: Lateness::default(),
             started: now,
         })
     }
@@ -426,7 +426,7 @@
             // would make every endpoint that is new look slow or quick.
             let usual = fleet.usual.entry(self.work.service.clone()).or_insert(1.0);
             *usual += USUAL * (ratio - *usual);
-            self.slow = canary::slow(ratio, *usual);
+            self.lateness = Lateness::of(ratio);
             server.slowness.seen(ratio / usual.max(0.1), 1.0, now);
             server.misses = 0;
             server.heard = now;
@@ -456,12 +456,6 @@
         self.expected_ms
     }
 
-    /// Whether the first byte came late by its service's standards.
-    #[must_use]
-    pub fn slow(&self) -> bool {
-        self.slow
-    }
-
     /// Notes how the run ended.
     pub fn ended(&mut self, how: Ended) {
         let now = clock::now();
@@ -490,7 +484,7 @@
 
     /// Counts the run for or against its version.
     pub fn judge(&self, bad: bool) {
-        let tally = Tally { runs: 1, bad: u32::from(bad) };
+        let tally = Tally { runs: 1, bad: u32::from(bad), lateness: self.lateness };
         self.desk.lock().trials.count(&self.endpoint.service, self.arm, tally);
     }
 
--- a/crates/relay/src/desk/trials.rs
+++ b/crates/relay/src/desk/trials.rs
@@ -38,7 +38,7 @@
 }
 
 /// Both versions' records.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Tallies {
     /// The new version's.
     pub new: Tally,
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -224,7 +224,7 @@
         let status = answer.response.status();
         let stream = matches!(self.pass.route.kind, Kind::Stream { .. });
         if status.is_success() && stream {
-            run.judge(run.slow());
+            run.judge(false);
             if let Some(next) = self.escalation(&answer, *model) {
                 tracing::info!(request = self.ask.id, from = model, to = next, "answer dropped for a larger model");
                 *model = Some(next);
@@ -371,7 +371,7 @@
         };
         let failed = status.is_server_error();
         run.ended(if failed { Ended::Failed } else { Ended::Good });
-        run.judge(failed || run.slow());
+        run.judge(failed);
         let mut response = Response::new(answer::full(bytes));
         *response.status_mut() = promised(status);
         *response.headers_mut() = headers;
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -12,7 +12,7 @@
 };
 
 use rand::seq::SliceRandom;
-use route::relay::canary::{Stage, Tally};
+use route::relay::canary::{Lateness, Stage, Tally};
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time::sleep};
 
@@ -119,14 +119,38 @@
     orders: Vec<Order>,
 }
 
+/// A version's record on the wire.
+#[derive(Debug, Serialize, Deserialize)]
+struct Counts {
+    runs: u32,
+    bad: u32,
+    timed: u32,
+    sum: f64,
+    squares: f64,
+}
+
+impl From<Tally> for Counts {
+    fn from(tally: Tally) -> Self {
+        let Lateness { runs, sum, squares } = tally.lateness;
+        Self { runs: tally.runs, bad: tally.bad, timed: runs, sum, squares }
+    }
+}
+
+impl From<&Counts> for Tally {
+    fn from(counts: &Counts) -> Self {
+        let lateness = Lateness { runs: counts.timed, sum: counts.sum, squares: counts.squares };
+        Self { runs: counts.runs, bad: counts.bad, lateness }
+    }
+}
+
 /// A roll-out on the wire.
 #[derive(Debug, Serialize, Deserialize)]
 struct Order {
     hash: u32,
     stage: u8,
     elapsed_ms: u32,
-    new: (u32, u32),
-    old: (u32, u32),
+    new: Counts,
+    old: Counts,
 }
 
 fn number(stage: Stage) -> u8 {
@@ -234,25 +258,23 @@
 
 impl From<&Report> for Order {
     fn from(report: &Report) -> Self {
-        let pair = |tally: Tally| (tally.runs, tally.bad);
         Self {
             hash: report.order,
             stage: number(report.stage),
             elapsed_ms: short_ms(report.elapsed),
-            new: pair(report.own.new),
-            old: pair(report.own.old),
+            new: report.own.new.into(),
+            old: report.own.old.into(),
         }
     }
 }
 
 impl From<&Order> for Report {
     fn from(order: &Order) -> Self {
-        let tally = |(runs, bad): (u32, u32)| Tally { runs, bad };
         Self {
             order: order.hash,
             stage: stage(order.stage),
             elapsed: Duration::from_millis(u64::from(order.elapsed_ms)),
-            own: Tallies { new: tally(order.new), old: tally(order.old) },
+            own: Tallies { new: (&order.new).into(), old: (&order.old).into() },
         }
     }
 }
--- a/crates/route/src/relay/canary.rs
+++ b/crates/route/src/relay/canary.rs
@@ -24,6 +24,10 @@
 /// Fewest answers a version must have given before it can be judged good.
 const MIN_ANSWERS: u32 = 20;
 
+/// Least variance of the logarithms that is believed: a handful of runs may
+/// agree by chance.
+const LEAST_VARIANCE: f64 = 0.1;
+
 /// Fewest bad answers that can condemn a version: below it, chance.
 const MIN_BAD: u32 = 5;
 
@@ -41,9 +45,13 @@
 /// to everybody: one that is not condemned only for want of evidence must not.
 const ACCEPTED: f64 = 0.06;
 
-/// Times the usual from which a run counts as slow. Bad versions are several
-/// times slower; at two and a half, one run in ten of a good one is.
-const SLOW: f64 = 2.5;
+/// Factor between the versions' typical times to the first byte that condemns,
+/// if it is beyond chance. Bad versions are several times slower; slow servers
+/// among a small pool make up less than twice.
+const SLOWER: f64 = 2.0;
+
+/// Standard deviations beyond chance that condemn a slow version.
+const SLOWER_BEYOND_CHANCE: f64 = 4.0;
 
 /// Where a roll-out stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -59,19 +67,63 @@
 }
 
 /// What a version's runs came to.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Tally {
     /// Answers and failures.
     pub runs: u32,
-    /// Failures and slow answers.
+    /// Failures.
     pub bad: u32,
+    /// How late first bytes were.
+    pub lateness: Lateness,
+}
+
+/// Logarithms of times to the first byte over the expected ones, summed.
+///
+/// Logarithms, since times spread by factors; and over the expected ones, so
+/// that long prompts and short ones count alike.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Lateness {
+    /// Their number.
+    pub runs: u32,
+    /// Their sum.
+    pub sum: f64,
+    /// The sum of their squares.
+    pub squares: f64,
+}
+
+impl Lateness {
+    /// One run's, by its time over the expected one.
+    #[must_use]
+    pub fn of(ratio: f64) -> Self {
+        let log = ratio.max(f64::MIN_POSITIVE).ln();
+        Self { runs: 1, sum: log, squares: log * log }
+    }
+
+    fn mean(self) -> f64 {
+        self.sum / f64::from(self.runs.max(1))
+    }
+
+    /// Variance of the mean.
+    fn spread(self) -> f64 {
+        let runs = f64::from(self.runs.max(2));
+        let variance = (self.squares - runs * self.mean().powi(2)) / (runs - 1.0);
+        variance.max(LEAST_VARIANCE) / runs
+    }
 }
 
 impl Tally {
     /// Sums two tallies.
     #[must_use]
     pub fn plus(self, other: Self) -> Self {
-        Self { runs: self.runs.saturating_add(other.runs), bad: self.bad.saturating_add(other.bad) }
+        Self {
+            runs: self.runs.saturating_add(other.runs),
+            bad: self.bad.saturating_add(other.bad),
+            lateness: Lateness {
+                runs: self.lateness.runs.saturating_add(other.lateness.runs),
+                sum: self.lateness.sum + other.lateness.sum,
+                squares: self.lateness.squares + other.lateness.squares,
+            },
+        }
     }
 
     /// Share of bad runs.
@@ -84,7 +136,16 @@
 /// Whether the evidence condemns a version against its predecessor.
 #[must_use]
 pub fn bad(new: Tally, old: Tally) -> bool {
-    new.bad >= MIN_BAD && new.rate() > old.rate() + EXCESS && beyond_chance(new, old) > BEYOND_CHANCE
+    let fails = new.bad >= MIN_BAD && new.rate() > old.rate() + EXCESS && beyond_chance(new, old) > BEYOND_CHANCE;
+    fails || slow(new.lateness, old.lateness)
+}
+
+/// Whether a version is slower than its predecessor (Welch's test of the mean
+/// logarithms): late runs of both, while the service is busy, cancel out.
+fn slow(new: Lateness, old: Lateness) -> bool {
+    let slower = new.mean() - old.mean();
+    let chance = (new.spread() + old.spread()).sqrt();
+    new.runs >= MIN_BAD && old.runs >= MIN_BAD && slower > SLOWER.ln() && slower > SLOWER_BEYOND_CHANCE * chance
 }
 
 /// Standard deviations between two shares of bad answers if both versions were
@@ -97,18 +158,8 @@
 
 /// Whether the evidence speaks for a version.
 fn good(new: Tally, old: Tally) -> bool {
-    new.runs >= MIN_ANSWERS && new.rate() <= old.rate() + ACCEPTED
-}
-
-/// Whether a run counts as slow: its time to the first byte over the expected
-/// one, against what is usual for that over the service.
-///
-/// Against the usual, since expectations are rough and all runs are late while
-/// a service is overloaded; a version that is slow stands out all the same, as
-/// few runs are on it.
-#[must_use]
-pub fn slow(lateness: f64, usual: f64) -> bool {
-    lateness > SLOW * usual.max(f64::MIN_POSITIVE)
+    let slower = new.lateness.mean() - old.lateness.mean();
+    new.runs >= MIN_ANSWERS && new.rate() <= old.rate() + ACCEPTED && slower < SLOWER.ln()
 }
 
 /// The stage that follows from time and evidence.
--- a/crates/route/tests/relay/canary.rs
+++ b/crates/route/tests/relay/canary.rs
@@ -2,12 +2,16 @@
 
 use std::time::Duration;
 
-use route::relay::canary::{Stage, Tally, advance, bad, meets};
+use route::relay::canary::{Lateness, Stage, Tally, advance, bad, meets};
 
 const OVER: Duration = Duration::from_secs(24);
-const GOOD: Tally = Tally { runs: 60, bad: 2 };
-const BAD: Tally = Tally { runs: 30, bad: 12 };
-const OLD: Tally = Tally { runs: 600, bad: 20 };
+const GOOD: Tally = tally(60, 2);
+const BAD: Tally = tally(30, 12);
+const OLD: Tally = tally(600, 20);
+
+const fn tally(runs: u32, bad: u32) -> Tally {
+    Tally { runs, bad, lateness: Lateness { runs: 0, sum: 0.0, squares: 0.0 } }
+}
 
 macro_rules! stages {
     ($($(#[$doc:meta])* $name:ident: $from:expr, $seconds:expr, $new:expr => $to:expr;)*) => {$(
@@ -23,7 +27,7 @@
     trial_goes_on: Stage::Trial, 5, GOOD => Stage::Trial;
     trial_that_was_stood_shifts: Stage::Trial, 16, GOOD => Stage::Shift;
     // Not condemned yet, and not good either: it must not reach everybody.
-    doubtful_version_is_not_let_go_on: Stage::Trial, 16, Tally { runs: 24, bad: 4 } => Stage::Trial;
+    doubtful_version_is_not_let_go_on: Stage::Trial, 16, tally(24, 4) => Stage::Trial;
     trial_without_evidence_waits: Stage::Trial, 16, Tally::default() => Stage::Trial;
     failing_version_is_left_on_trial: Stage::Trial, 2, BAD => Stage::Reverted;
     // It turns bad late, or only under everybody's load.
@@ -36,14 +40,14 @@
 
 #[test]
 fn few_bad_answers_condemn_nobody() {
-    assert!(!bad(Tally { runs: 6, bad: 3 }, OLD));
+    assert!(!bad(tally(6, 3), OLD));
     assert!(!bad(GOOD, OLD));
 }
 
 /// Servers fail for reasons of their own, on both versions alike.
 #[test]
 fn trouble_of_both_versions_condemns_neither() {
-    assert!(!bad(Tally { runs: 40, bad: 12 }, Tally { runs: 400, bad: 110 }));
+    assert!(!bad(tally(40, 12), tally(400, 110)));
 }
 
 /// A route of the service fails one time in ten on any version; four in ten of
@@ -51,7 +55,7 @@
 /// need six in ten.
 #[test]
 fn failures_that_are_usual_hide_no_bad_version() {
-    assert!(bad(Tally { runs: 40, bad: 16 }, Tally { runs: 500, bad: 60 }));
+    assert!(bad(tally(40, 16), tally(500, 60)));
 }
 
 /// A bad version that is never found out stays within its share.
@@ -71,11 +75,36 @@
     }
 }
 
-/// Its answers are all good, and several times slower than the old version's.
-/// Runs of both versions are late by what is usual, while the service is busy.
-#[test]
-fn version_that_is_only_slow_is_told_from_an_overloaded_service() {
-    let usual = 3.0;
-    assert!(route::relay::canary::slow(8.0 * usual, usual));
-    assert!(!route::relay::canary::slow(1.5 * usual, usual));
+/// Lateness of many runs that spread by a factor of two about a typical one.
+fn late(runs: u32, typical: f64) -> Lateness {
+    (0..runs)
+        .fold(Tally::default(), |sum, run| {
+            let spread = [0.5, 0.7, 1.0, 1.4, 2.0][run as usize % 5];
+            sum.plus(Tally { lateness: Lateness::of(typical * spread), ..Tally::default() })
+        })
+        .lateness
+}
+
+macro_rules! paces {
+    ($($(#[$doc:meta])* $name:ident: $runs:expr, $new:expr, $old:expr => $bad:expr;)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            let new = Tally { runs: $runs, bad: 0, lateness: late($runs, $new) };
+            let old = Tally { runs: 400, bad: 0, lateness: late(400, $old) };
+            assert_eq!(bad(new, old), $bad);
+        }
+    )*};
+}
+
+paces! {
+    // All answers are good and come several times later than the old version's.
+    slow_version_is_condemned: 15, 6.0, 1.0 => true;
+    // Short prompts take mostly the way there: eight times slower shows as three.
+    slowness_hidden_by_the_way_is_found: 30, 3.0, 1.0 => true;
+    // Both are late while the service is overloaded.
+    overloaded_service_condemns_nobody: 60, 5.0, 4.5 => false;
+    a_few_slow_runs_condemn_nobody: 4, 8.0, 1.0 => false;
+    // Some servers of its small pool are slow.
+    somewhat_slower_is_put_up_with: 60, 1.7, 1.0 => false;
 }
