Log a failure that is repaired as a failed try, not as an answer

Cause: docs/OPERATIONS.md leads from an id to its answer by one line; a request whose first try failed with 500 had two. No change to answers; tests as before.

--- a/crates/relay/src/exchange/stream.rs
+++ b/crates/relay/src/exchange/stream.rs
@@ -41,7 +41,7 @@
     *response.status_mut() = live.answer.response.status();
     *response.headers_mut() = passed_on(&live.answer.response);
     let confidence = exchange.confidence(&live.answer);
-    exchange.log(&live.run, live.answer.response.status(), live.model, confidence);
+    exchange.log(&live.run.endpoint, live.run.choice, live.answer.response.status(), live.model, confidence);
     response.map(|()| StreamBody::new(events(exchange, live)).boxed_unsync())
 }
 
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -8,6 +8,7 @@
 use route::relay::{
     allowance::Purpose,
     ladder::{self, Outlook, Room, Step},
+    placement::Choice,
 };
 use world::hash;
 
@@ -24,6 +25,7 @@
         Desk, Flight, Held,
         fleet::{Ended, Job, Key, Run},
     },
+    source::Endpoint,
     upstream::{self, Answer, Outcome},
 };
 
@@ -88,11 +90,19 @@
     pub model: Option<usize>,
 }
 
+/// A failure that an endpoint answered with.
+struct Failure {
+    response: Response<Body>,
+    status: StatusCode,
+    endpoint: Arc<Endpoint>,
+    choice: Choice,
+}
+
 /// What became of one try.
 enum Tried {
     Won(Won),
-    /// Sealed failure of the endpoint's own; the answer to give if no other comes.
-    Failed(Response<Body>),
+    /// A failure of the endpoint's own; the answer to give if no better comes.
+    Failed(Failure),
     Again,
 }
 
@@ -105,15 +115,22 @@
     /// Tries until an answer is decided on.
     pub async fn run(&mut self) -> Result<Won, Refusal> {
         let mut model = self.start_model();
-        let mut failed: Option<Response<Body>> = None;
+        let mut failed: Option<Failure> = None;
         loop {
-            let run = match self.next_run(model).await {
-                Ok(run) => run,
-                Err(refusal) => return failed.map(Won::Whole).ok_or(refusal),
+            let run = match (self.next_run(model).await, failed.take()) {
+                (Ok(run), earlier) => {
+                    failed = earlier;
+                    run
+                }
+                (Err(_), Some(failure)) => {
+                    self.log(&failure.endpoint, failure.choice, failure.status, None, None);
+                    return Ok(Won::Whole(failure.response));
+                }
+                (Err(refusal), None) => return Err(refusal),
             };
             match self.try_at(run, &mut model, self.ask.last_event).await {
                 Tried::Won(won) => return Ok(won),
-                Tried::Failed(response) => failed = Some(response),
+                Tried::Failed(failure) => failed = Some(failure),
                 Tried::Again => {}
             }
         }
@@ -248,6 +265,11 @@
             Outcome::Unknown(cause) => (Ended::Broken, cause.clone()),
             Outcome::Answer(_) => (Ended::Good, String::new()),
         };
+        self.fail(run, ended, cause);
+    }
+
+    /// Notes and logs that a try failed.
+    fn fail(&mut self, run: &mut Run, ended: Ended, cause: String) {
         run.ended(ended);
         tracing::info!(
             request = self.ask.id,
@@ -370,32 +392,41 @@
             }
         };
         let failed = status.is_server_error();
-        run.ended(if failed { Ended::Failed } else { Ended::Good });
         run.judge(failed);
         let mut response = Response::new(answer::full(bytes));
         *response.status_mut() = promised(status);
         *response.headers_mut() = headers;
-        self.log(&run, status, None, None);
+        let (endpoint, choice) = (Arc::clone(&run.endpoint), run.choice);
         if failed {
+            self.fail(&mut run, Ended::Failed, format!("failed with {status}"));
             self.tried.push(run.key);
-            return Tried::Failed(response);
+            return Tried::Failed(Failure { response, status, endpoint, choice });
         }
+        run.ended(Ended::Good);
+        self.log(&endpoint, choice, status, None, None);
         Tried::Won(Won::Whole(response))
     }
 
     /// Logs the answer that was decided on.
-    pub(super) fn log(&self, run: &Run, status: StatusCode, model: Option<usize>, confidence: Option<u32>) {
+    pub(super) fn log(
+        &self,
+        endpoint: &Endpoint,
+        choice: Choice,
+        status: StatusCode,
+        model: Option<usize>,
+        confidence: Option<u32>,
+    ) {
         let took = clock::millis(clock::now().saturating_sub(self.started));
         tracing::info!(
             request = self.ask.id,
             route = self.pass.route.name,
             service = self.service,
-            endpoint = run.endpoint.id,
+            endpoint = endpoint.id,
             status = status.as_u16(),
             tries = self.sent,
             took_ms = took,
-            wait_ms = run.choice.wait_ms,
-            preferred = run.choice.preferred,
+            wait_ms = choice.wait_ms,
+            preferred = choice.preferred,
             model,
             confidence,
             tokens = self.ask.tokens.map(|tokens| tokens.prompt),
