--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -7,6 +7,7 @@
 //! may change endpoints after a whole event, under the first one's headers.
 
 mod admit;
+mod plan;
 mod stream;
 mod tries;
 
--- /dev/null
+++ b/crates/relay/src/exchange/plan.rs
@@ -0,0 +1,145 @@
+//! What a request asks of its next try: which model, how long, which headers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use route::relay::{
+    allowance::Purpose,
+    ladder::{self, Outlook, Room, Step},
+};
+use world::hash;
+
+use super::tries::Exchange;
+use crate::{
+    ask, clock,
+    desk::fleet::{Job, Run},
+    upstream::Answer,
+};
+
+/// Time over the expected until the first byte that a run gets before another
+/// endpoint is tried.
+const PATIENCE: f64 = 5.0;
+
+/// Part of the goal that a run gets at least before another one is tried.
+const PATIENCE_OF_GOAL: f64 = 0.8;
+
+impl Exchange {
+    pub(super) fn job(&self, model: Option<usize>) -> Job<'_> {
+        let shared = self.ask.shared();
+        let salt = model.map_or(0, |index| u64::try_from(index).unwrap_or(0) + 1);
+        let session = self.ask.session.unwrap_or_else(|| hash::stable(self.ask.id.as_bytes()));
+        Job {
+            service: &self.service,
+            model: model.or_else(|| self.ask.tokens.map(|_| 0)),
+            size: self.size(model),
+            affinity: shared.map(|part| hash::rendezvous(part.id, &salt.to_le_bytes())),
+            shared_tokens: shared.map_or(0, |part| part.tokens),
+            own_tokens: self.ask.own_tokens(),
+            session,
+            tried: &self.tried,
+            version: self.version.as_deref(),
+        }
+    }
+
+    /// A model's cost over the largest one's.
+    fn size(&self, model: Option<usize>) -> f64 {
+        let models = &self.pass.route.models;
+        let largest = models.last().map_or(1.0, |model| model.cost.max(f64::MIN_POSITIVE));
+        model.and_then(|index| models.get(index)).map_or(1.0, |model| model.cost / largest)
+    }
+
+    pub(super) fn start_model(&self) -> Option<usize> {
+        let models = self.pass.route.models.len();
+        if models == 0 || !self.ask.any_model {
+            return None;
+        }
+        let service = self.pass.route.target(self.draw).unwrap_or_default();
+        let room = Room {
+            attempts: self.pass.route.attempts,
+            allowance: self.desk.affords(service, Purpose::Escalation),
+            outlook: Outlook::InTime,
+        };
+        Some(ladder::start(models, room))
+    }
+
+    /// How long a run may take to its first byte.
+    pub(super) fn patience(&self, run: &Run) -> Duration {
+        let route = &self.pass.route;
+        let last = self.sent >= route.attempts || !self.desk.affords(&self.service, Purpose::Repair);
+        if last || !route.kind.repeatable() {
+            return self.left();
+        }
+        let expected = Duration::from_secs_f64(run.expected_ms() * PATIENCE / 1_000.0);
+        expected.max(route.goal.mul_f64(PATIENCE_OF_GOAL))
+    }
+
+    pub(super) fn request(
+        &self,
+        run: &Run,
+        model: Option<usize>,
+        last_event: Option<u64>,
+        left: Duration,
+    ) -> Request<Full<Bytes>> {
+        let names = &self.desk.dialect.names;
+        let mut headers = self.headers.clone();
+        let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(names.deadline.clone(), ask::value(&left.to_string()));
+        headers.insert(names.expect_endpoint.clone(), ask::value(&run.endpoint.id));
+        if let Some(team) = &self.pass.team {
+            headers.insert(names.team.clone(), ask::value(&team.name));
+        }
+        if let Some(model) = model.and_then(|index| self.pass.route.models.get(index)) {
+            headers.insert(names.model.clone(), ask::value(&model.name));
+        }
+        if self.ask.tokens.is_some() {
+            let rank = self.pass.team.as_ref().and_then(|team| team.rank).unwrap_or(self.pass.route.rank);
+            headers.insert(names.rank.clone(), ask::value(&rank.min(9).to_string()));
+        }
+        if let Some(last) = last_event {
+            headers.insert(names.last_event.clone(), ask::value(&last.to_string()));
+        }
+        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = path.parse().unwrap_or_else(|_| self.uri.clone());
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// Whether an answer should be dropped for a larger model's; pays for it.
+    pub(super) fn escalation(&self, answer: &Answer, model: Option<usize>) -> Option<usize> {
+        let index = model?;
+        let confidence = self.confidence(answer);
+        let models = self.pass.route.models.len();
+        let room = Room {
+            attempts: self.pass.route.attempts.saturating_sub(self.sent),
+            allowance: self.desk.affords(&self.service, Purpose::Escalation),
+            outlook: self.outlook(models.saturating_sub(1)),
+        };
+        match ladder::step(index, models, confidence, room) {
+            Step::Keep => None,
+            Step::Escalate(next) => Some(next),
+        }
+    }
+
+    /// A model's own opinion of its answer.
+    pub(super) fn confidence(&self, answer: &Answer) -> Option<u32> {
+        let value = answer.response.headers().get(&self.desk.dialect.names.confidence)?;
+        value.to_str().ok()?.trim().parse().ok()
+    }
+
+    /// Whether a model's first event would still come in time.
+    fn outlook(&self, model: usize) -> Outlook {
+        let Some(expected_ms) = self.desk.expect(&self.job(Some(model))) else { return Outlook::Never };
+        let passed_ms = clock::millis(clock::now().saturating_sub(self.started));
+        if passed_ms + expected_ms <= clock::millis(self.pass.route.goal) {
+            Outlook::InTime
+        } else if expected_ms <= 0.5 * clock::millis(self.left()) {
+            Outlook::Late
+        } else {
+            Outlook::Never
+        }
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -32,5 +32,5 @@
 pub mod source;
 mod upstream;
 
-pub use handle::{Handle, spawn};
+pub use handle::{Error, Handle, spawn};
 pub use settings::Settings;
--- /dev/null
+++ b/crates/relay/src/news/wire.rs
@@ -0,0 +1,265 @@
+//! News as datagrams carry it, and its conversions.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use route::relay::canary::{Lateness, Stage, Tally};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    desk::{
+        fleet::Load,
+        peers::Word,
+        track,
+        trials::{Report, Tallies},
+    },
+    rollout::Rollout,
+    source::Endpoint,
+};
+
+/// A datagram.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) enum Packet {
+    News(Piece),
+    Question(Question),
+    Reply(Reply),
+}
+
+/// A question on the wire; the number ties the reply to it.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Question {
+    pub(super) number: u64,
+    pub(super) revision: u64,
+}
+
+/// A reply on the wire.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Reply {
+    pub(super) number: u64,
+    pub(super) catalog: u64,
+    pub(super) proof_age_ms: u32,
+    pub(super) revision: u64,
+    pub(super) gap: bool,
+    pub(super) changes: Vec<Change>,
+    pub(super) rollouts: Vec<Ordered>,
+}
+
+/// A change to an endpoint on the wire.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) enum Change {
+    Known {
+        id: String,
+        service: String,
+        address: SocketAddr,
+        domain: String,
+        version: String,
+        slots: u32,
+        draining: bool,
+        cold_ms: u32,
+    },
+    Gone(String),
+}
+
+/// An order for a roll-out on the wire.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Ordered {
+    pub(super) service: String,
+    pub(super) target: String,
+    pub(super) over_ms: u32,
+    pub(super) stage: Option<u8>,
+    pub(super) revision: u64,
+}
+
+/// A piece of news on the wire.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Piece {
+    pub(super) name: String,
+    pub(super) run: u64,
+    pub(super) front: SocketAddr,
+    pub(super) ready: bool,
+    pub(super) fresh: bool,
+    pub(super) in_touch: bool,
+    pub(super) domain: String,
+    pub(super) pause_ms: u32,
+    pub(super) named: Vec<(String, SocketAddr)>,
+    pub(super) loads: Vec<(u32, u16, u16)>,
+    pub(super) orders: Vec<Order>,
+}
+
+/// A version's record on the wire.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Counts {
+    pub(super) runs: u32,
+    pub(super) bad: u32,
+    pub(super) timed: u32,
+    pub(super) sum: f64,
+    pub(super) squares: f64,
+}
+
+impl From<Tally> for Counts {
+    fn from(tally: Tally) -> Self {
+        let Lateness { runs, sum, squares } = tally.lateness;
+        Self { runs: tally.runs, bad: tally.bad, timed: runs, sum, squares }
+    }
+}
+
+impl From<&Counts> for Tally {
+    fn from(counts: &Counts) -> Self {
+        let lateness = Lateness { runs: counts.timed, sum: counts.sum, squares: counts.squares };
+        Self { runs: counts.runs, bad: counts.bad, lateness }
+    }
+}
+
+/// A roll-out on the wire.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Order {
+    pub(super) hash: u32,
+    pub(super) stage: u8,
+    pub(super) elapsed_ms: u32,
+    pub(super) new: Counts,
+    pub(super) old: Counts,
+}
+
+pub(super) fn number(stage: Stage) -> u8 {
+    match stage {
+        Stage::Trial => 0,
+        Stage::Shift => 1,
+        Stage::Done => 2,
+        Stage::Reverted => 3,
+    }
+}
+
+pub(super) fn stage(number: u8) -> Stage {
+    match number {
+        1 => Stage::Shift,
+        2 => Stage::Done,
+        3 => Stage::Reverted,
+        _ => Stage::Trial,
+    }
+}
+
+pub(super) fn short_ms(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
+impl From<track::Change> for Change {
+    fn from(change: track::Change) -> Self {
+        match change {
+            track::Change::Gone(id) => Self::Gone(id),
+            track::Change::Known(endpoint) => Self::Known {
+                id: endpoint.id,
+                service: endpoint.service,
+                address: endpoint.address,
+                domain: endpoint.domain,
+                version: endpoint.version,
+                slots: endpoint.slots,
+                draining: endpoint.draining,
+                cold_ms: short_ms(endpoint.cold),
+            },
+        }
+    }
+}
+
+impl From<Change> for track::Change {
+    fn from(change: Change) -> Self {
+        match change {
+            Change::Gone(id) => Self::Gone(id),
+            Change::Known { id, service, address, domain, version, slots, draining, cold_ms } => {
+                let cold = Duration::from_millis(u64::from(cold_ms));
+                Self::Known(Endpoint { id, service, address, domain, version, slots, draining, cold })
+            }
+        }
+    }
+}
+
+impl From<Rollout> for Ordered {
+    fn from(rollout: Rollout) -> Self {
+        Self {
+            service: rollout.service,
+            target: rollout.target,
+            over_ms: short_ms(rollout.over),
+            stage: rollout.stage.map(number),
+            revision: rollout.revision,
+        }
+    }
+}
+
+impl From<Ordered> for Rollout {
+    fn from(ordered: Ordered) -> Self {
+        Self {
+            service: ordered.service,
+            target: ordered.target,
+            over: Duration::from_millis(u64::from(ordered.over_ms)),
+            stage: ordered.stage.map(stage),
+            revision: ordered.revision,
+        }
+    }
+}
+
+impl Reply {
+    pub(super) fn new(number: u64, reply: track::Reply) -> Self {
+        Self {
+            number,
+            catalog: reply.catalog,
+            proof_age_ms: short_ms(reply.proof_age).saturating_add(1),
+            revision: reply.revision,
+            gap: reply.gap,
+            changes: reply.changes.into_iter().map(Change::from).collect(),
+            rollouts: reply.orders.into_iter().map(Ordered::from).collect(),
+        }
+    }
+}
+
+impl From<Reply> for track::Reply {
+    fn from(reply: Reply) -> Self {
+        Self {
+            catalog: reply.catalog,
+            proof_age: Duration::from_millis(u64::from(reply.proof_age_ms)),
+            revision: reply.revision,
+            gap: reply.gap,
+            changes: reply.changes.into_iter().map(track::Change::from).collect(),
+            orders: reply.rollouts.into_iter().map(Rollout::from).collect(),
+        }
+    }
+}
+
+impl From<&Report> for Order {
+    fn from(report: &Report) -> Self {
+        Self {
+            hash: report.order,
+            stage: number(report.stage),
+            elapsed_ms: short_ms(report.elapsed),
+            new: report.own.new.into(),
+            old: report.own.old.into(),
+        }
+    }
+}
+
+impl From<&Order> for Report {
+    fn from(order: &Order) -> Self {
+        Self {
+            order: order.hash,
+            stage: stage(order.stage),
+            elapsed: Duration::from_millis(u64::from(order.elapsed_ms)),
+            own: Tallies { new: (&order.new).into(), old: (&order.old).into() },
+        }
+    }
+}
+
+impl From<&Piece> for Word {
+    fn from(piece: &Piece) -> Self {
+        let load = |&(hash, runs, backlog): &(u32, u16, u16)| {
+            (hash, Load { runs: f64::from(runs), backlog_ms: f64::from(backlog) })
+        };
+        Self {
+            front: Some(piece.front),
+            run: piece.run,
+            ready: piece.ready,
+            fresh: piece.fresh,
+            domain: piece.domain.clone(),
+            in_touch: piece.in_touch,
+            pause: Duration::from_millis(u64::from(piece.pause_ms)),
+            loads: piece.loads.iter().map(load).collect::<HashMap<_, _>>(),
+            reports: piece.orders.iter().map(Report::from).collect(),
+        }
+    }
+}
