--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use route::relay::{
     allowance::Purpose,
-    ladder::{self, Outlook, Room, Step},
+    ladder::{self, Outlook, Room, Step, Times},
 };
 use world::hash;
 
@@ -27,11 +27,15 @@
 
 impl Exchange {
     pub(super) fn job(&self, model: Option<usize>) -> Job<'_> {
+        self.job_at(&self.service, model)
+    }
+
+    fn job_at<'a>(&'a self, service: &'a str, model: Option<usize>) -> Job<'a> {
         let shared = self.ask.shared();
         let salt = model.map_or(0, |index| u64::try_from(index).unwrap_or(0) + 1);
         let session = self.ask.session.unwrap_or_else(|| hash::stable(self.ask.id.as_bytes()));
         Job {
-            service: &self.service,
+            service,
             model: model.or_else(|| self.ask.tokens.map(|_| 0)),
             size: self.size(model),
             affinity: shared.map(|part| hash::rendezvous(part.id, &salt.to_le_bytes())),
@@ -61,7 +65,11 @@
             allowance: self.desk.affords(service, Purpose::Escalation),
             outlook: Outlook::InTime,
         };
-        Some(ladder::start(models, room))
+        let goal_ms = clock::millis(self.pass.route.goal).max(1.0);
+        let over =
+            |model| self.desk.expect(&self.job_at(service, Some(model))).map_or(f64::INFINITY, |ms| ms / goal_ms);
+        let times = Times { small: over(0), large: over(models - 1) };
+        Some(ladder::start(models, room, times))
     }
 
     /// How long a run may take to its first byte.
--- a/crates/route/src/relay/ladder.rs
+++ b/crates/route/src/relay/ladder.rs
@@ -45,11 +45,30 @@
     Escalate(usize),
 }
 
+/// Times to a first event, each over the time in which it is wanted.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Times {
+    /// The smallest model's.
+    pub small: f64,
+    /// The largest model's.
+    pub large: f64,
+}
+
+/// Part of the wanted time that an expectation may take: beyond it half of the
+/// answers would come late.
+const IN_TIME: f64 = 0.85;
+
 /// The model to start with.
+///
+/// The load pattern: a few prompts are so long that the large model alone
+/// still begins in time, but not after the small one was asked first. Half of
+/// those would be answered late; they go to the large one at once.
 #[must_use]
-pub fn start(models: usize, room: Room) -> usize {
+pub fn start(models: usize, room: Room, times: Times) -> usize {
     let last = models.saturating_sub(1);
-    if room.attempts < 2 || !room.allowance { last } else { 0 }
+    let alone = times.large <= IN_TIME;
+    let after_the_small_one = times.small + times.large <= IN_TIME;
+    if room.attempts < 2 || !room.allowance || (alone && !after_the_small_one) { last } else { 0 }
 }
 
 /// What to do with the answer of the model at `index`.
--- a/crates/route/tests/relay/ladder.rs
+++ b/crates/route/tests/relay/ladder.rs
@@ -1,6 +1,6 @@
 //! Small models first; larger ones while there is room.
 
-use route::relay::ladder::{CUT, LATE_CUT, Outlook, Room, Step, start, step};
+use route::relay::ladder::{CUT, LATE_CUT, Outlook, Room, Step, Times, start, step};
 
 const ROOM: Room = Room { attempts: 2, allowance: true, outlook: Outlook::InTime };
 
@@ -31,7 +31,17 @@
 
 #[test]
 fn start_is_small_only_where_it_may_be_corrected() {
-    assert_eq!(start(3, ROOM), 0);
-    assert_eq!(start(3, Room { attempts: 1, ..ROOM }), 2);
-    assert_eq!(start(3, Room { allowance: false, ..ROOM }), 2);
+    let short = Times { small: 0.05, large: 0.2 };
+    assert_eq!(start(3, ROOM, short), 0);
+    assert_eq!(start(3, Room { attempts: 1, ..ROOM }, short), 2);
+    assert_eq!(start(3, Room { allowance: false, ..ROOM }, short), 2);
+}
+
+/// A prompt of 40,000 tokens takes the large model most of the goal. Asked
+/// after the small one it would begin late for every second caller.
+#[test]
+fn long_prompt_goes_to_the_large_model_at_once_while_that_is_in_time() {
+    assert_eq!(start(3, ROOM, Times { small: 0.15, large: 0.8 }), 2);
+    // Longer still, or while endpoints are busy, only the small one is in time.
+    assert_eq!(start(3, ROOM, Times { small: 0.2, large: 1.4 }), 0);
 }
