Keep sessions that are under way off versions on trial

Ruled out: resumed streams (they keep their version). Change: the few sessions that try versions are the same for all versions; instances remember and tell which of them were on an old one within the session's pause, and a trial begins once that has been heard.

--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -61,6 +61,8 @@
     /// When this instance began to leave.
     draining: Option<Duration>,
     in_flight: usize,
+    /// How long after a request its session goes on.
+    session: Duration,
     held: usize,
 }
 
@@ -80,6 +82,7 @@
             in_touch: false,
             draining: None,
             in_flight: 0,
+            session: settings.session,
             held: 0,
         };
         Arc::new(Self {
--- a/crates/relay/src/desk/fleet.rs
+++ b/crates/relay/src/desk/fleet.rs
@@ -12,7 +12,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use route::relay::{
-    canary::Lateness,
+    canary::{self, Lateness},
     pace::Pace,
     placement::{self, Candidate, Choice, Wanted},
 };
@@ -21,7 +21,10 @@
 
 use self::record::Record;
 pub use self::run::{Ended, Run};
-use super::{Desk, State, trials::Arm};
+use super::{
+    Desk, State,
+    trials::{Arm, Dealt},
+};
 use crate::{clock, source::Endpoint};
 
 slotmap::new_key_type! {
@@ -107,6 +110,8 @@
     pub own_tokens: u32,
     /// What dealing to versions goes by.
     pub session: u64,
+    /// Whether that is a caller's session, not just this request.
+    pub in_session: bool,
     /// Endpoints tried already.
     pub tried: &'a [Key],
     /// Version to stay on, if any endpoint has it.
@@ -159,11 +164,15 @@
         let backlog_ms = pace.reading_ms(units);
         server.runs += 1;
         server.backlog_ms += backlog_ms;
+        let endpoint = Arc::clone(&server.endpoint);
+        if job.in_session && arm == Arm::Old && canary::tries_versions(job.session, self.settings.exposure) {
+            state.trials.settle(job.session, now, self.settings.session);
+        }
         let work = Work { service: job.service.to_owned(), model: job.model };
         Some(Run {
             desk: Arc::clone(self),
             key,
-            endpoint: Arc::clone(&server.endpoint),
+            endpoint,
             arm,
             choice,
             backlog_ms,
@@ -221,7 +230,12 @@
 
     fn weigh(&self, job: &Job<'_>, now: Duration, exposure: f64) -> Option<Weighed> {
         let pace = self.fleet.pace(job);
-        let deal = self.trials.deal(job.service, job.session, exposure, now);
+        let settled = || {
+            let (session, lasts) = (job.session, self.session);
+            self.trials.settled(session, now, lasts) || self.peers.settled(session, now, lasts)
+        };
+        let settled = job.in_session && canary::tries_versions(job.session, exposure) && settled();
+        let deal = self.trials.deal(job.service, Dealt { session: job.session, settled, exposure }, now);
         let usable = |server: &Server, resting: bool| {
             server.endpoint.service == job.service
                 && !server.endpoint.draining
--- a/crates/relay/src/desk/peers.rs
+++ b/crates/relay/src/desk/peers.rs
@@ -52,6 +52,8 @@
     pub pause: Duration,
     /// Loads it puts on endpoints, by the hash of their names.
     pub loads: HashMap<u32, Load>,
+    /// Sessions that were on an old version there a moment ago.
+    pub sessions: Vec<u64>,
     /// Roll-outs as it knows them.
     pub reports: Vec<Report>,
 }
@@ -90,6 +92,12 @@
         watchers
     }
 
+    /// Whether a session was on an old version at another instance a moment ago.
+    pub(super) fn settled(&self, session: u64, now: Duration, lasts: Duration) -> bool {
+        let told = |peer: &Peer| peer.heard.is_some_and(|heard| now < heard + lasts);
+        self.known.values().any(|peer| told(peer) && peer.word.sessions.contains(&session))
+    }
+
     /// What instances, gone ones too, say of a roll-out.
     pub(super) fn reports(&self, order: u32) -> impl Iterator<Item = &Report> {
         self.known.values().flat_map(|peer| &peer.word.reports).filter(move |report| report.order == order)
--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -42,6 +42,7 @@
             shared_tokens: shared.map_or(0, |part| part.tokens),
             own_tokens: self.ask.own_tokens(),
             session,
+            in_session: self.ask.session.is_some(),
             tried: &self.tried,
             version: self.version.as_deref(),
         }
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -159,6 +159,7 @@
             .into_iter()
             .map(|(hash, load)| (hash, short(load.runs), short(load.backlog_ms)))
             .collect(),
+        sessions: desk.settled_sessions(),
         orders: desk.trial_reports().iter().map(Order::from).collect(),
     }
 }
--- a/crates/relay/src/news/wire.rs
+++ b/crates/relay/src/news/wire.rs
@@ -82,6 +82,7 @@
     pub(super) pause_ms: u32,
     pub(super) named: Vec<(String, SocketAddr)>,
     pub(super) loads: Vec<(u32, u16, u16)>,
+    pub(super) sessions: Vec<u64>,
     pub(super) orders: Vec<Order>,
 }
 
@@ -259,6 +260,7 @@
             in_touch: piece.in_touch,
             pause: Duration::from_millis(u64::from(piece.pause_ms)),
             loads: piece.loads.iter().map(load).collect::<HashMap<_, _>>(),
+            sessions: piece.sessions.clone(),
             reports: piece.orders.iter().map(Report::from).collect(),
         }
     }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -22,6 +22,8 @@
     pub allowance: allowance::Policy,
     /// Share of a service's requests that a bad version may get.
     pub exposure: f64,
+    /// Longest pause between two requests of a session.
+    pub session: Duration,
     /// Longest time that requests in flight get when leaving.
     pub grace: Duration,
     /// Longest time that callers keep an answer about addresses.
--- a/crates/relay/tests/it/site.rs
+++ b/crates/relay/tests/it/site.rs
@@ -178,6 +178,7 @@
         revoke: Some(Duration::from_secs(5)),
         allowance: allowance::Policy { ratio: 0.9, reserve: 20.0, window: Duration::from_secs(10) },
         exposure: 0.15,
+        session: Duration::from_secs(5),
         grace: Duration::from_secs(2),
         keep_addresses: Duration::from_secs(5),
         heartbeat: Duration::from_secs(1),
--- a/crates/route/src/relay/canary.rs
+++ b/crates/route/src/relay/canary.rs
@@ -14,6 +14,10 @@
 /// retries and small services may push the share of dispatches above it.
 const TRIAL_OF_EXPOSURE: f64 = 0.4;
 
+/// Time from an order until a trial begins: by then each instance has heard
+/// which sessions are on the old version at the others.
+const HEARSAY: Duration = Duration::from_millis(1_500);
+
 /// Part of the time for a roll-out that its trial takes. The rest must
 /// suffice to move everybody and to end the longest runs on the old version.
 const TRIAL: f64 = 0.62;
@@ -173,21 +177,33 @@
     }
 }
 
+/// Whether a session is one of the few that meet versions on trial.
+///
+/// The same few for every version, so that an instance can remember on which
+/// version each of them was before any order comes. `exposure` is the share of
+/// a service's requests that a bad version may get.
+#[must_use]
+pub fn tries_versions(session: u64, exposure: f64) -> bool {
+    fraction(session) < exposure * TRIAL_OF_EXPOSURE
+}
+
 /// Whether a session meets the new version at a stage.
 ///
-/// `exposure` is the share of a service's requests that a bad version may get.
+/// `elapsed` counts from the order. A session that was on the old version a
+/// moment ago stays there while the version is on trial (`settled`): callers
+/// notice when versions change within a session.
 #[must_use]
-pub fn meets(stage: Stage, session: u64, version: &str, exposure: f64) -> bool {
+pub fn meets(stage: Stage, elapsed: Duration, session: u64, settled: bool, exposure: f64) -> bool {
     match stage {
         Stage::Reverted => false,
         Stage::Shift | Stage::Done => true,
-        Stage::Trial => fraction(session, version) < exposure * TRIAL_OF_EXPOSURE,
+        Stage::Trial => elapsed >= HEARSAY && !settled && tries_versions(session, exposure),
     }
 }
 
-/// Where a session lies from 0 to 1 for a version.
-fn fraction(session: u64, version: &str) -> f64 {
-    let mixed = hash::rendezvous(session, version.as_bytes());
+/// Where a session lies from 0 to 1.
+fn fraction(session: u64) -> f64 {
+    let mixed = hash::rendezvous(session, b"canary");
     #[expect(clippy::cast_precision_loss, reason = "53 bits fill an f64's mantissa exactly")]
     let fraction = (mixed >> 11) as f64 / (1u64 << 53) as f64;
     fraction
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -44,6 +44,8 @@
     revoke_ms: Option<u64>,
     retries: FileRetries,
     exposure_share: f64,
+    #[serde(default = "default_session_s")]
+    session_s: f64,
     grace_ms: u64,
     #[serde(default = "default_keep_ms")]
     keep_addresses_ms: u64,
@@ -73,6 +75,11 @@
     crate::check::DEFAULT_LOG.into()
 }
 
+/// Sessions whose pauses nobody bounds are taken to pause this long.
+fn default_session_s() -> f64 {
+    10.0
+}
+
 /// Callers that are told nothing else keep addresses this long.
 fn default_keep_ms() -> u64 {
     5_000
@@ -124,6 +131,7 @@
         check("retries.reserve", self.retries.reserve >= 0.0, "write a number from 0 on");
         check("retries.window_ms", self.retries.window_ms > 0, "write milliseconds above 0");
         check("exposure_share", (0.0..=1.0).contains(&self.exposure_share), "write a share from 0 to 1");
+        check("session_s", (0.0..=3_600.0).contains(&self.session_s), "write seconds from 0 to 3600");
         check("memory_mib", self.memory_mib >= 16, "write at least 16");
         check("grace_ms", self.grace_ms >= 1_000, "write at least 1000");
         check("revoke_ms", self.revoke_ms.is_none_or(|bound| bound >= 2_000), "write at least 2000, or leave it out");
@@ -150,6 +158,7 @@
                     window: millis(self.retries.window_ms),
                 },
                 exposure: self.exposure_share,
+                session: Duration::from_secs_f64(self.session_s),
                 grace: millis(self.grace_ms),
                 keep_addresses: millis(self.keep_addresses_ms),
                 heartbeat: millis(self.heartbeat_ms),
