Keep status and signature together; bound whole answers; read shorter

Cause, found on reading: a signed 503 that had run went on as 502 with the signature, which belongs to another status; an endless answer had no bound. Ruled out by test: both answers, with and without repeat. Choosing endpoints is split into its steps; settings and names that nothing read are gone.

--- a/crates/relay/src/desk/fleet.rs
+++ b/crates/relay/src/desk/fleet.rs
@@ -23,7 +23,7 @@
 pub use self::run::{Ended, Run};
 use super::{
     Desk, State,
-    trials::{Arm, Dealt},
+    trials::{Arm, Deal, Dealt},
 };
 use crate::{clock, source::Endpoint};
 
@@ -193,12 +193,6 @@
         Some((choice.wait_ms.max(0.0) + pace.job_ms(job_units(job))) * slow)
     }
 
-    /// Endpoints of a service that may take its requests.
-    #[must_use]
-    pub fn has_endpoint(&self, service: &str) -> bool {
-        self.lock().fleet.servers.values().any(|server| server.endpoint.service == service && !server.endpoint.draining)
-    }
-
     /// Loads this instance puts on endpoints, by the hash of their names.
     #[must_use]
     pub fn own_loads(&self) -> Vec<(u32, Load)> {
@@ -236,35 +230,7 @@
         };
         let settled = job.in_session && canary::tries_versions(job.session, exposure) && settled();
         let deal = self.trials.deal(job.service, Dealt { session: job.session, settled, exposure }, now);
-        let usable = |server: &Server, resting: bool| {
-            server.endpoint.service == job.service
-                && !server.endpoint.draining
-                && (resting || server.rests_until <= now)
-        };
-        let pool: Vec<(Key, &Server)> = {
-            let awake: Vec<_> = self.fleet.servers.iter().filter(|(_, server)| usable(server, false)).collect();
-            if awake.is_empty() {
-                self.fleet.servers.iter().filter(|(_, server)| usable(server, true)).collect()
-            } else {
-                awake
-            }
-        };
-        let on_version = |wanted: &dyn Fn(&str) -> bool, fresh: bool| -> Vec<(Key, &Server)> {
-            let tried = |key: &Key| fresh && job.tried.contains(key);
-            pool.iter().filter(|(key, s)| wanted(&s.endpoint.version) && !tried(key)).copied().collect()
-        };
-        let dealt = |version: &str| deal.allows(version);
-        let kept = |version: &str| job.version.is_none_or(|wanted| wanted == version) && deal.tolerates(version);
-        let mut chosen = if job.version.is_some() { on_version(&kept, true) } else { Vec::new() };
-        if chosen.is_empty() {
-            chosen = on_version(&dealt, true);
-        }
-        if chosen.is_empty() {
-            chosen = on_version(&dealt, false);
-        }
-        if chosen.is_empty() {
-            chosen = on_version(&|version| deal.tolerates(version), false);
-        }
+        let chosen = self.fleet.eligible(job, &deal, now);
         let mean = |value: &dyn Fn(&Server) -> f64| {
             #[expect(clippy::cast_precision_loss, reason = "endpoints are far fewer than 2^53")]
             let count = chosen.len().max(1) as f64;
@@ -274,7 +240,7 @@
         let late = self.fleet.usual.get(job.service).copied().unwrap_or(1.0);
         let failing = mean(&|server| server.failing.now(0.0, now));
         let candidates: Vec<Candidate<'_>> =
-            chosen.iter().map(|(_, server)| server.candidate(&self.fleet_domain(), slow, failing, now)).collect();
+            chosen.iter().map(|(_, server)| server.candidate(&self.peers.domain, slow, failing, now)).collect();
         let wanted = Wanted {
             affinity: job.affinity,
             reread_ms: pace.reading_ms(reading(job, job.shared_tokens, 0)),
@@ -285,10 +251,6 @@
         let arm = deal.arm(&server.endpoint.version);
         Some(Weighed { key, arm, choice, pace, slow: late.max(1.0) })
     }
-
-    fn fleet_domain(&self) -> String {
-        self.peers.domain.clone()
-    }
 }
 
 /// Units of reading in a job.
@@ -308,6 +270,37 @@
 }
 
 impl Fleet {
+    /// Endpoints that may take a job: those not tried yet, on the version it is
+    /// to stay on or was dealt; failing that, tried ones; failing that, any
+    /// version but one that must not be met.
+    fn eligible(&self, job: &Job<'_>, deal: &Deal, now: Duration) -> Vec<(Key, &Server)> {
+        let pool = self.awake(job.service, now);
+        let among = |wanted: &dyn Fn(&str) -> bool, untried: bool| -> Vec<(Key, &Server)> {
+            let skipped = |key: &Key| untried && job.tried.contains(key);
+            pool.iter().filter(|(key, s)| wanted(&s.endpoint.version) && !skipped(key)).copied().collect()
+        };
+        let mut found = among(&|version| job.version == Some(version) && deal.tolerates(version), true);
+        if found.is_empty() {
+            found = among(&|version| deal.allows(version), true);
+        }
+        if found.is_empty() {
+            found = among(&|version| deal.allows(version), false);
+        }
+        if found.is_empty() {
+            found = among(&|version| deal.tolerates(version), false);
+        }
+        found
+    }
+
+    /// Endpoints of a service that are not leaving: those that do not rest
+    /// after a failure to connect, or all if each of them does.
+    fn awake(&self, service: &str, now: Duration) -> Vec<(Key, &Server)> {
+        let takes = |server: &Server| server.endpoint.service == service && !server.endpoint.draining;
+        let all = || self.servers.iter().filter(|(_, server)| takes(server));
+        let awake: Vec<_> = all().filter(|(_, server)| server.rests_until <= now).collect();
+        if awake.is_empty() { all().collect() } else { awake }
+    }
+
     fn pace(&self, job: &Job<'_>) -> Pace {
         let work = Work { service: job.service.to_owned(), model: job.model };
         self.paces.get(&work).copied().unwrap_or_else(|| first_guess(job.model))
--- a/crates/relay/src/desk/trials.rs
+++ b/crates/relay/src/desk/trials.rs
@@ -79,7 +79,6 @@
     target: Option<String>,
     meets: bool,
     reverted: bool,
-    stage: Option<Stage>,
     unexplained: Vec<String>,
 }
 
@@ -108,12 +107,6 @@
     pub fn arm(&self, version: &str) -> Arm {
         if self.target.as_deref() == Some(version) { Arm::New } else { Arm::Old }
     }
-
-    /// The stage of the service's roll-out.
-    #[must_use]
-    pub fn stage(&self) -> Option<Stage> {
-        self.stage
-    }
 }
 
 /// A roll-out as it is told to other instances.
@@ -142,7 +135,7 @@
     /// Which versions a request of a session may run on.
     pub(super) fn deal(&self, service: &str, dealt: Dealt, now: Duration) -> Deal {
         let Some(known) = self.services.get(service) else {
-            return Deal { target: None, meets: false, reverted: false, stage: None, unexplained: Vec::new() };
+            return Deal { target: None, meets: false, reverted: false, unexplained: Vec::new() };
         };
         if let Some(order) = &known.order {
             let elapsed = now.saturating_sub(order.since);
@@ -151,7 +144,6 @@
                 target: Some(order.rollout.target.clone()),
                 meets,
                 reverted: order.stage == Stage::Reverted,
-                stage: Some(order.stage),
                 unexplained: Vec::new(),
             };
         }
@@ -161,7 +153,7 @@
             .filter(|(version, seen)| known.settled.as_ref() != Some(*version) && now < **seen + UNEXPLAINED)
             .map(|(version, _)| version.clone())
             .collect();
-        Deal { target: None, meets: false, reverted: false, stage: None, unexplained }
+        Deal { target: None, meets: false, reverted: false, unexplained }
     }
 
     /// Every order.
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -51,8 +51,6 @@
     pub signature: HeaderName,
     /// Model's own opinion of its answer, 0 to 100.
     pub confidence: HeaderName,
-    /// Version of the weights that answered.
-    pub weights: HeaderName,
     /// Set by this instance alone; a caller's are dropped.
     pub reserved: Vec<HeaderName>,
 }
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, StatusCode, Uri};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use route::relay::{allowance::Purpose, placement::Choice};
 
 use super::{
@@ -30,6 +30,10 @@
 /// Least time in which a further try makes sense.
 const WORTH_A_TRY: Duration = Duration::from_millis(30);
 
+/// Longest answer that is read whole, in bytes: several times the longest
+/// request; an endless one would take all memory.
+const LONGEST_ANSWER: usize = 16 << 20;
+
 /// How long a request waits for a service that has no endpoint at all.
 const WAIT_FOR_ENDPOINT: Duration = Duration::from_millis(250);
 
@@ -254,8 +258,15 @@
     async fn whole(&mut self, answer: Answer, mut run: Run) -> Tried {
         let headers = passed_on(&answer.response);
         let status = answer.response.status();
+        if promises(status) {
+            // A signed answer has run; passed on, this status would tell the
+            // caller that it had not, and with another one the signature
+            // would be false.
+            self.note(&mut run, &Outcome::Unknown(format!("answered {status} without saying that it did not run")));
+            return Tried::Again;
+        }
         let (body, _connection) = answer.into_body();
-        let bytes = match body.collect().await {
+        let bytes = match Limited::new(body, LONGEST_ANSWER).collect().await {
             Ok(body) => body.to_bytes(),
             Err(error) => {
                 self.note(&mut run, &Outcome::Unknown(error.to_string()));
@@ -265,7 +276,7 @@
         let failed = status.is_server_error();
         run.judge(failed);
         let mut response = Response::new(answer::full(bytes));
-        *response.status_mut() = promised(status);
+        *response.status_mut() = status;
         *response.headers_mut() = headers;
         let (endpoint, choice) = (Arc::clone(&run.endpoint), run.choice);
         if failed {
@@ -308,12 +319,7 @@
     }
 }
 
-/// A status that promises "not run" may not be passed on for what has run.
-fn promised(status: StatusCode) -> StatusCode {
-    match status {
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS | StatusCode::REQUEST_TIMEOUT => {
-            StatusCode::BAD_GATEWAY
-        }
-        other => other,
-    }
+/// Whether callers take a status for a promise that nothing was run.
+fn promises(status: StatusCode) -> bool {
+    matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS | StatusCode::REQUEST_TIMEOUT)
 }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -28,8 +28,6 @@
     pub grace: Duration,
     /// Longest time that callers keep an answer about addresses.
     pub keep_addresses: Duration,
-    /// Longest time between an endpoint's heartbeats.
-    pub heartbeat: Duration,
     /// Memory that waiting bodies may take, in bytes.
     pub body_memory: usize,
 }
--- a/crates/relay/tests/it/answers.rs
+++ b/crates/relay/tests/it/answers.rs
@@ -78,6 +78,8 @@
     // run, and the caller must not hear a promise.
     unavailable_without_a_promise_is_no_promise:
         Kind::NonIdempotent, vec![Act::Write(head(503, 0))] => 502, 1;
+    unavailable_without_a_promise_is_repaired_where_that_may_be:
+        Kind::Idempotent, vec![Act::Write(head(503, 0)), Act::Write(whole("good"))] => 200, 2;
     failure_of_an_upload_is_passed_on:
         Kind::NonIdempotent, vec![Act::Write(head(500, 0))] => 500, 1;
     failure_of_a_fetch_is_repaired:
@@ -99,3 +101,13 @@
         assert_eq!(got.header("retry-after"), None);
     }
 }
+
+/// A server signs a 503 that it has run. The caller must neither take it for
+/// "not run" nor find the server's signature under a status it never gave.
+#[tokio::test]
+async fn status_and_signature_stay_together() {
+    let (got, _) = ask(Kind::NonIdempotent, "", vec![Act::Write(head(503, 0))]).await;
+    assert_eq!((got.status, got.header("x-signature")), (502, None), "{got:?}");
+    let (got, _) = ask(Kind::NonIdempotent, "", vec![Act::Write(head(500, 0))]).await;
+    assert_eq!((got.status, got.header("x-signature")), (500, Some("s")), "{got:?}");
+}
--- a/crates/relay/tests/it/site.rs
+++ b/crates/relay/tests/it/site.rs
@@ -181,7 +181,6 @@
         session: Duration::from_secs(5),
         grace: Duration::from_secs(2),
         keep_addresses: Duration::from_secs(5),
-        heartbeat: Duration::from_secs(1),
         body_memory: 1 << 20,
     }
 }
@@ -259,7 +258,6 @@
             not_run: name("x-not-run"),
             signature: name("x-signature"),
             confidence: name("x-confidence"),
-            weights: name("x-weights"),
             reserved: ["x-key", "x-team", "x-expect", "x-rank"].map(name).to_vec(),
         },
         ready_path: "/ready",
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -49,8 +49,6 @@
     grace_ms: u64,
     #[serde(default = "default_keep_ms")]
     keep_addresses_ms: u64,
-    #[serde(default = "default_heartbeat_ms")]
-    heartbeat_ms: u64,
     memory_mib: usize,
 }
 
@@ -85,11 +83,6 @@
     5_000
 }
 
-/// Endpoints that are told nothing else register anew this often.
-fn default_heartbeat_ms() -> u64 {
-    1_000
-}
-
 impl Relay {
     /// Reads a settings file.
     ///
@@ -161,7 +154,6 @@
                 session: Duration::from_secs_f64(self.session_s),
                 grace: millis(self.grace_ms),
                 keep_addresses: millis(self.keep_addresses_ms),
-                heartbeat: millis(self.heartbeat_ms),
                 body_memory: (self.memory_mib << 20) / BODIES_OF_MEMORY,
             },
             store: self.store,
