--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -4,6 +4,9 @@
 //! caller, so that another server can go on after the last of them, and an
 //! event whose number the caller has already is left out.
 
+#[cfg(test)]
+mod tests;
+
 use bytes::{Bytes, BytesMut};
 
 /// Longest event kept while it is incomplete, in bytes; an endless one would
--- /dev/null
+++ b/crates/relay/src/events/tests.rs
@@ -0,0 +1,65 @@
+//! Streams cut anywhere, resumed anywhere.
+
+use proptest::prelude::*;
+
+use super::{LONGEST, Splitter, TooLong};
+
+fn event(number: u64) -> String {
+    format!("id: {number}\ndata: {}\n\n", "x".repeat(usize::try_from(number % 7).unwrap()))
+}
+
+fn stream(from: u64, to: u64) -> String {
+    (from..=to).map(event).collect()
+}
+
+/// Pushes a text in pieces cut at the given places; what came out.
+fn push(splitter: &mut Splitter, text: &str, cuts: &[usize]) -> String {
+    let mut places: Vec<usize> = cuts.iter().map(|cut| cut % (text.len() + 1)).chain([0, text.len()]).collect();
+    places.sort_unstable();
+    let pieces = places.windows(2).map(|pair| &text.as_bytes()[pair[0]..pair[1]]);
+    let whole = pieces.filter_map(|piece| splitter.push(piece).expect("events are short"));
+    whole.map(|bytes| String::from_utf8(bytes.to_vec()).unwrap()).collect()
+}
+
+proptest! {
+    #[test]
+    fn pieces_cut_anywhere_come_out_whole(last in 1_u64..20, cuts in prop::collection::vec(any::<usize>(), 0..12)) {
+        let mut splitter = Splitter::new(None);
+        prop_assert_eq!(push(&mut splitter, &stream(1, last), &cuts), stream(1, last));
+        prop_assert!(!splitter.is_partial());
+        prop_assert_eq!(splitter.last(), Some(last));
+    }
+
+    /// The first server breaks off anywhere; the next one goes on after the
+    /// last whole event, or repeats some: each event comes out once, in order.
+    #[test]
+    fn broken_and_resumed_anywhere_is_one_stream(
+        last in 2_u64..20,
+        broken in any::<usize>(),
+        repeated in 0_u64..5,
+        cuts in prop::collection::vec(any::<usize>(), 0..12),
+    ) {
+        let text = stream(1, last);
+        let mut splitter = Splitter::new(None);
+        let mut out = push(&mut splitter, &text[..broken % text.len()], &cuts);
+        splitter.restart();
+        let from = splitter.last().map_or(1, |last| (last + 1).saturating_sub(repeated).max(1));
+        out += &push(&mut splitter, &stream(from, last), &cuts);
+        prop_assert_eq!(out, text);
+    }
+
+    #[test]
+    fn noise_is_passed_or_kept_and_never_panics(noise in prop::collection::vec(any::<u8>(), 0..400)) {
+        let mut splitter = Splitter::new(Some(3));
+        for piece in noise.chunks(7) {
+            prop_assert!(splitter.push(piece).is_ok());
+        }
+    }
+}
+
+/// A server sends an event without an end: it must not take all memory.
+#[test]
+fn endless_event_is_refused() {
+    let mut splitter = Splitter::new(None);
+    assert_eq!(splitter.push(&vec![b'x'; LONGEST + 1]), Err(TooLong));
+}
