Let no older listing take back what another instance has told

Cause, found on reading: a listing of endpoints that was under way when a newer word came in dropped the endpoint that the word had added, for good. Ruled out: that a gap would bring it back (the revision was already past it). The test fails without the change (e1 missing) and passes with it.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -202,6 +202,12 @@
     /// Takes a whole listing in; what it lacks is gone, at once unless the
     /// store was away so long that endpoints may only have lapsed there.
     fn take_all(&mut self, listing: Listing) {
+        // Another instance's word may have come first, and be newer: what it
+        // added would be dropped here, and nobody would tell of it again.
+        if self.kind == Kind::Endpoints && listing.revision < self.desk.endpoints_revision() {
+            self.revision = Some(listing.revision);
+            return;
+        }
         if self.kind == Kind::Endpoints {
             let now = clock::now();
             let outage = self.lost_since.is_some_and(|since| now.saturating_sub(since) > OUTAGE);
--- a/crates/relay/tests/it/site.rs
+++ b/crates/relay/tests/it/site.rs
@@ -53,6 +53,8 @@
     pub reported: Mutex<Vec<Stage>>,
     /// Times that the catalog was read.
     pub catalog_reads: AtomicUsize,
+    /// Times that the endpoints were read.
+    pub endpoint_reads: AtomicUsize,
 }
 
 impl fmt::Debug for Store {
@@ -98,6 +100,9 @@
             if kind == source::Kind::Catalog {
                 self.catalog_reads.fetch_add(1, Ordering::Relaxed);
             }
+            if kind == source::Kind::Endpoints {
+                self.endpoint_reads.fetch_add(1, Ordering::Relaxed);
+            }
             Ok(self.records(kind))
         })
     }
@@ -150,7 +155,12 @@
     /// Starts a relay on a store that holds something.
     pub async fn open_with(kept: Kept, adjust: impl FnOnce(&mut Settings)) -> Self {
         let (kept, _) = watch::channel(Kept { revision: 1, ..kept });
-        let store = Arc::new(Store { kept, reported: Mutex::default(), catalog_reads: AtomicUsize::default() });
+        let store = Arc::new(Store {
+            kept,
+            reported: Mutex::default(),
+            catalog_reads: AtomicUsize::default(),
+            endpoint_reads: AtomicUsize::default(),
+        });
         let mut settings = settings();
         adjust(&mut settings);
         let source: Arc<dyn Source> = store.clone();
--- a/crates/relay/tests/it/track.rs
+++ b/crates/relay/tests/it/track.rs
@@ -1,6 +1,9 @@
 //! Instances kept in step by another one in place of the store.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use relay::{
     catalog::Kind,
@@ -12,7 +15,7 @@
 };
 use route::relay::freshness::Proof;
 
-use crate::site::{catalog, dialect, endpoint, route, settings};
+use crate::site::{Kept, Site, catalog, dialect, endpoint, route, settings};
 
 /// An instance that knows a catalog and one endpoint as of revision 10.
 fn knowing(version: u64) -> Arc<Desk> {
@@ -44,6 +47,31 @@
     assert_eq!(other.question(), Question { revision: 12 });
 }
 
+/// A listing was under way when another instance's newer word came in: the
+/// endpoint that it told of must not be dropped for want of it in the listing,
+/// for nobody would tell of it again.
+#[tokio::test]
+async fn older_listing_takes_nothing_back() {
+    let kept = Kept {
+        catalog: Some(catalog(1, vec![route("/a/", Kind::Idempotent)])),
+        endpoints: vec![endpoint("e0", ([127, 0, 0, 1], 9).into())],
+        ..Kept::default()
+    };
+    let site = Site::open_with(kept, |_| {}).await;
+    let desk = site.relay.desk();
+    let newer = Change::Known(endpoint("e1", ([127, 0, 0, 1], 10).into()));
+    desk.enlist(endpoint("e1", ([127, 0, 0, 1], 10).into()));
+    desk.note_changes(1_000, vec![newer]);
+    let reads = || site.store.endpoint_reads.load(Ordering::Relaxed);
+    let before = reads();
+    site.store.change(|kept| kept.catalog = Some(catalog(2, vec![route("/a/", Kind::Idempotent)])));
+    while reads() < before + 2 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        site.store.change(|_| {});
+    }
+    assert_eq!(known(desk), ["e0", "e1"]);
+}
+
 /// The watcher has listed anew after the store forgot its history: what
 /// happened before the listing is not kept, so the other has to list as well
 /// and must not believe that it is in step.
