--- a/crates/arbutuslugd/src/relaying.rs
+++ b/crates/arbutuslugd/src/relaying.rs
@@ -110,7 +110,7 @@
         let now = dropped.dropped_lines();
         if now > told {
             tracing::warn!(lines = now - told, "log lines dropped");
-            metrics::counter!("log_lines_dropped_total").absolute(u64::try_from(now).unwrap_or(u64::MAX));
+            metrics::counter!("relay_log_lines_dropped_total").absolute(u64::try_from(now).unwrap_or(u64::MAX));
             told = now;
         }
     }
--- a/crates/arbutuslugd/tests/alarms.rs
+++ b/crates/arbutuslugd/tests/alarms.rs
@@ -9,7 +9,7 @@
 const MACROS: [&str; 3] = ["counter!(", "gauge!(", "histogram!("];
 
 /// Prefixes of our metrics' names, by which the page's are recognised.
-const PREFIXES: [&str; 10] = [
+const PREFIXES: [&str; 11] = [
     "budget_",
     "config_",
     "control_",
@@ -19,6 +19,7 @@
     "operator_",
     "peer_",
     "platform_",
+    "relay_",
     "timeline_",
 ];
 
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -7,6 +7,7 @@
 mod path;
 #[expect(clippy::cast_precision_loss, reason = "figures for a table")]
 mod peers;
+mod relay;
 mod usage;
 
 use clap::Command;
@@ -33,6 +34,7 @@
     Question::new("budgets", "How much of a budget lies idle at seven instances", journal::run_budgets),
     Question::new("path", "What an instance adds between a caller and its engine", path::run),
     Question::new("peers", "What links between instances cost, by the number of instances", peers::run),
+    Question::new("relay", "What a relaying instance adds to a call and to a stream", relay::run),
     Question::new("streams", "Memory per open stream", path::run_streams),
 ];
 
