Say each thing once in the relay: kept addresses, refusals, failed runs

Found on the last reading: two constants for how long callers keep addresses, a second copy of which refusal is true at a time-out, two arms alike, a comment that told of a payment made elsewhere. Behaviour is unchanged; the relay's tests and lints pass.

--- a/crates/relay/src/desk/fleet/run.rs
+++ b/crates/relay/src/desk/fleet/run.rs
@@ -119,10 +119,7 @@
                 server.failing.seen(0.0, 0.0, now);
                 server.misses = 0;
             }
-            Ended::Failed => server.failing.seen(1.0, 0.0, now),
-            Ended::Broken => {
-                server.failing.seen(1.0, 0.0, now);
-            }
+            Ended::Failed | Ended::Broken => server.failing.seen(1.0, 0.0, now),
             Ended::Full => server.full_until = now + FULL,
             Ended::Unreachable => {
                 let rest = REST * 2_u32.saturating_pow(server.misses.min(6));
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -14,7 +14,7 @@
 /// How long callers may keep an answer, in seconds. Some keep it three times
 /// as long, so this bounds how long an instance that has left is still tried;
 /// each answer costs a request's worth of processor time.
-const KEEP_S: u32 = 2;
+pub const KEEP_S: u32 = 2;
 
 /// Answers a question for addresses.
 pub fn addresses(desk: &Arc<Desk>, request: &Request<Incoming>) -> Response<Body> {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -35,7 +35,7 @@
         Ok(Ok(tries::Won::Stream(live))) => stream::relay(exchange, *live),
         Ok(Err(refusal)) => refuse(&desk, &exchange.ask, &refusal, Some(&exchange)),
         Err(_) => {
-            let refusal = if exchange.may_have_run { Refusal::TimedOut } else { Refusal::Expired };
+            let refusal = exchange.given_up(Refusal::Expired);
             refuse(&desk, &exchange.ask, &refusal, Some(&exchange))
         }
     };
--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -117,7 +117,7 @@
         request
     }
 
-    /// Whether an answer should be dropped for a larger model's; pays for it.
+    /// The larger model that an answer should be dropped for, if any.
     pub(super) fn escalation(&self, answer: &Answer, model: Option<usize>) -> Option<usize> {
         let index = model?;
         let confidence = self.confidence(answer);
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -167,7 +167,7 @@
     }
 
     /// The refusal that is true of this request.
-    fn given_up(&self, refusal: Refusal) -> Refusal {
+    pub(super) fn given_up(&self, refusal: Refusal) -> Refusal {
         if !self.may_have_run {
             return refusal;
         }
--- a/crates/relay/src/handle.rs
+++ b/crates/relay/src/handle.rs
@@ -25,9 +25,6 @@
 /// How many times as long as told some callers keep an answer about addresses.
 const KEPT: u32 = 3;
 
-/// How long callers keep answers about addresses; see `directory`.
-const KEEP: Duration = Duration::from_secs(2);
-
 /// Why the relay could not start.
 #[derive(Debug)]
 pub struct Error {
@@ -113,12 +110,13 @@
             Ok(Err(fault)) => tracing::info!(%fault, "registration left behind"),
             Err(_) => tracing::info!("registration left behind: no answer in time"),
         }
+        let kept = Duration::from_secs((directory::KEEP_S * KEPT).into());
         let mut quiet_since = Instant::now();
         while started.elapsed() < grace {
             if self.desk.in_flight() > 0 {
                 quiet_since = Instant::now();
             }
-            if started.elapsed() > KEEP * KEPT && quiet_since.elapsed() > QUIET {
+            if started.elapsed() > kept && quiet_since.elapsed() > QUIET {
                 break;
             }
             sleep(Duration::from_millis(50)).await;
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -119,9 +119,9 @@
                 desk.hear(&piece.name, from, Word::from(&piece));
             }
             Ok(Packet::Question(question)) => {
-                let question = (question.number, track::Question { revision: question.revision });
-                if let Some(reply) = desk.reply(question.1, CHANGES) {
-                    send(socket, from, &encode(&Packet::Reply(Reply::new(question.0, reply))));
+                let asked = track::Question { revision: question.revision };
+                if let Some(reply) = desk.reply(asked, CHANGES) {
+                    send(socket, from, &encode(&Packet::Reply(Reply::new(question.number, reply))));
                 }
             }
             Ok(Packet::Reply(reply)) => {
