Tell of a session's move until an answer has told it

When that answer is lost, with the instance or with its caller, the next request finds the session moved already; its own choice moves nothing, so it says nothing. Ruled out: a wrong judge (the session had changed its version and no answer had the header), and handles (they carry their pins to the caller in the very answer that tells).

A pin now keeps which version it left, which request moved it, and whether an answer has told. An answer tells while none has, a repeat of the moving request always; it is noted as told after the answer's head and before its end, so that who asks on after an answer isn't told twice (the test of that stands as it was).

Before: the new test move_whose_answer_was_lost_is_told_with_the_next fails every time (no header).

--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -18,7 +18,7 @@
 use route::{endpoint::Key, model::Choice, retry, rollout::Stop};
 use timeline::{Ran, Step};
 use tokio::time::{Instant, sleep_until};
-use world::{Millis, model::Version, money::Amount, request::Repeat};
+use world::{Millis, model::Version, money::Amount, request::Repeat, session::Pin};
 
 use crate::{
     clock,
@@ -61,7 +61,10 @@
     step: usize,
     entered: Entered,
     session: Option<String>,
+    /// Version that the answer says the session left.
     moved: Option<Version>,
+    /// Pins of a session that the caller named, as the journal has them.
+    bound: Option<Vec<Pin>>,
 }
 
 /// One dispatch.
@@ -172,7 +175,7 @@
     async fn finish(&mut self, command: Command) {
         self.turn = None;
         match command {
-            Command::Deliver => self.deliver(),
+            Command::Deliver => self.deliver().await,
             Command::Fail { ran } => self.fail(ran).await,
             Command::Retire => {}
             _ => self.abandon().await,
@@ -220,7 +223,8 @@
         self.tape.end(End::Failed(Arc::new(problem)));
     }
 
-    fn deliver(&mut self) {
+    async fn deliver(&mut self) {
+        self.note_told().await;
         let frames = self.answer.frames;
         let took_ms = clock::millis(self.request.received.elapsed());
         self.shared.note(self.request.id(), Step::Finished { frames, took_ms });
--- a/crates/entry/src/drive/choose.rs
+++ b/crates/entry/src/drive/choose.rs
@@ -9,7 +9,7 @@
 use timeline::Step;
 use tokio::time::Instant;
 use world::{
-    Catalog,
+    Catalog, model,
     money::Amount,
     request::Repeat,
     session::{Id, Pin, Session},
@@ -27,6 +27,9 @@
 
 /// Longest wait for a caller-named session's binding.
 const BIND_WITHIN: std::time::Duration = std::time::Duration::from_secs(2);
+/// Longest that the end of an answer waits until its move is noted as told:
+/// several writes to the platform; after it the move is told once more.
+const TELL_WITHIN: std::time::Duration = std::time::Duration::from_millis(200);
 /// Bindings tried when others move the same session at the same time.
 const BIND_TRIES: usize = 3;
 /// When to come back when no version may run now.
@@ -88,22 +91,55 @@
             self.shared.desk.void(entered);
             return Err(problem);
         }
-        let session = self.session_text(pins);
-        let moved = choice.reason().moved.clone();
         let start = choice.start();
+        let moved = choice.reason().moved.clone();
+        let moved = moved.or_else(|| self.untold_move(&pins, start.version()));
+        let bound = matches!(self.request.session, Some(Named::Caller(_))).then(|| pins.clone());
+        let session = self.session_text(pins);
         self.shared.note(
             self.request.id(),
             Step::Chosen { version: start.version().clone(), tier: start.tier(), reason: choice.reason().to_string() },
         );
-        if let Some(from) = &moved {
+        if let Some(from) = &choice.reason().moved {
             let to = start.version().clone();
             self.shared.note(self.request.id(), Step::SessionMoved { from: from.clone(), to });
         }
         let steps = u8::try_from(choice.steps().len()).unwrap_or(u8::MAX);
-        self.chosen = Some(Chosen { choice, step: 0, entered, session, moved });
+        self.chosen = Some(Chosen { choice, step: 0, entered, session, moved, bound });
         Ok(steps)
     }
 
+    /// The version that the session left for this one, if its caller may not
+    /// have heard of that yet.
+    fn untold_move(&self, pins: &[Pin], version: &model::Version) -> Option<model::Version> {
+        let pin = pins.iter().find(|pin| pin.version == *version)?;
+        let left = pin.left.as_ref().filter(|left| left.concerns(&self.request.id().key))?;
+        Some(left.version.clone())
+    }
+
+    /// Notes in the journal that this answer tells of a move, before it ends.
+    ///
+    /// Noted after the answer's head was written and before its end: a caller
+    /// whose next request is served after this one is not told twice, and one
+    /// that never saw the head repeats this request or is told by the next.
+    pub(super) async fn note_told(&self) {
+        let Some(Named::Caller(id)) = &self.request.session else { return };
+        let Some(chosen) = self.chosen.as_ref().filter(|chosen| chosen.moved.is_some()) else { return };
+        let Some(bound) = chosen.bound.as_deref() else { return };
+        let mut told = bound.to_vec();
+        for left in told.iter_mut().filter_map(|pin| pin.left.as_mut()) {
+            left.told = true;
+        }
+        if told == bound {
+            return;
+        }
+        let deadline = self.request.deadline.min(Instant::now() + TELL_WITHIN);
+        let journal = &self.shared.links.journal;
+        if let Err(error) = journal.bind_session(self.request.customer(), id, &told, Some(bound), deadline).await {
+            tracing::info!(request = %self.request.id(), ?error, "a session's move will be told again");
+        }
+    }
+
     /// The choice for a session whose pins are known, and its pins after it.
     async fn choose_pinned(&mut self, session: Option<Session>) -> Result<(Choice, Entered, Vec<Pin>), Problem> {
         let (choice, entered) = self.ask(session.clone()).await?;
@@ -121,6 +157,7 @@
             let session = bound.clone().map(|pins| Session { customer: customer.clone(), pins });
             let (choice, entered) = self.ask(session.clone()).await?;
             let wanted = choice.pins(session.as_ref());
+            let wanted = world::session::replace(wanted, bound.as_deref().unwrap_or_default(), &self.request.id().key);
             if bound.as_ref() == Some(&wanted) {
                 return Ok((choice, entered, wanted));
             }
--- a/crates/entry/tests/path/sessions.rs
+++ b/crates/entry/tests/path/sessions.rs
@@ -78,6 +78,34 @@
     check_session(Some("dispatch-desk"), 2).await;
 }
 
+// Version 1 is withdrawn. The request that moves a caller-named session is lost
+// before its answer: the caller never hears of the move. The next request, at
+// another instance, finds the session moved already, and has to tell all the
+// same; the one after it need not.
+#[tokio::test]
+async fn move_whose_answer_was_lost_is_told_with_the_next() {
+    let engine = standin::engine::Options { per_token_ms: 20, ..standin::engine::Options::default() };
+    let site = Site::open(Plan { engine, instances: 2, ..Plan::default() }).await;
+    let headers = [(SESSION, "dispatch-desk")];
+    let only_one =
+        with_second_version(&site, "serving").replace("versions: [\"1\", \"2\", \"9\"]", "versions: [\"1\"]");
+    site.apply(&only_one).await;
+    assert_eq!(version(&site.client(0).chat(CLUB, &headers, "first").await), "summary@1");
+    site.apply(&with_second_version(&site, "withdrawn")).await;
+
+    let runs = site.runs().len();
+    let client = site.client(0);
+    let lost = tokio::spawn(async move { client.chat(CLUB, &headers, "moves it").await });
+    site.until(|site| site.runs().len() > runs).await;
+    lost.abort();
+    site.until(|site| site.nodes[0].entry.in_flight() == 0).await;
+
+    let next = site.client(1).chat(CLUB, &headers, "next").await;
+    assert_eq!((version(&next), next.header(MOVED)), ("summary@2", "summary@1"));
+    let after = site.client(0).chat(CLUB, &headers, "after").await;
+    assert_eq!((version(&after), after.header(MOVED)), ("summary@2", ""));
+}
+
 async fn check_handle(customer: &str, change: impl Fn(&str) -> String, expected: &str) {
     let site = Site::open(Plan::default()).await;
     let first = site.client(0).chat(CLUB, &[], "first").await;
--- a/crates/journal/src/wire/convert.rs
+++ b/crates/journal/src/wire/convert.rs
@@ -6,14 +6,15 @@
     model::Version,
     money::{Amount, Currency},
     request, service,
-    session::Pin,
+    session::{Left, Pin},
     time::Timestamp,
 };
 
 use super::{
     Invalid,
     message::{
-        Bill, Bind, Claim, Close, Grant, Holder, Mark, Origin, Outcome, PinnedVersion, Pins, Record, Settle, Wide,
+        Bill, Bind, Claim, Close, Grant, Holder, LeftVersion, Mark, Origin, Outcome, PinnedVersion, Pins, Record,
+        Settle, Wide,
     },
 };
 use crate::{
@@ -215,7 +216,13 @@
 
 impl From<&[Pin]> for Pins {
     fn from(pins: &[Pin]) -> Self {
-        let pin = |pin: &Pin| PinnedVersion { tier: pin.tier.into(), version: pin.version.to_string() };
+        let left =
+            |left: &Left| LeftVersion { version: left.version.to_string(), by: left.by.to_string(), told: left.told };
+        let pin = |pin: &Pin| PinnedVersion {
+            tier: pin.tier.into(),
+            version: pin.version.to_string(),
+            left: pin.left.as_ref().map(left),
+        };
         Self { pins: pins.iter().map(pin).collect() }
     }
 }
@@ -226,12 +233,21 @@
     fn try_from(wire: Pins) -> Result<Self, Invalid> {
         let pin = |pin: PinnedVersion| {
             let tier = u8::try_from(pin.tier).map_err(|_| Invalid("tier is above 255".into()))?;
-            Ok(Pin { tier, version: Version::parse(&pin.version)? })
+            let left = pin.left.map(Left::try_from).transpose()?;
+            Ok(Pin { tier, version: Version::parse(&pin.version)?, left })
         };
         wire.pins.into_iter().map(pin).collect()
     }
 }
 
+impl TryFrom<LeftVersion> for Left {
+    type Error = Invalid;
+
+    fn try_from(wire: LeftVersion) -> Result<Self, Invalid> {
+        Ok(Self { version: Version::parse(&wire.version)?, by: request::Key::parse(&wire.by)?, told: wire.told })
+    }
+}
+
 impl From<&record::Bind> for Bind {
     fn from(bind: &record::Bind) -> Self {
         Self {
--- a/crates/journal/src/wire/message.rs
+++ b/crates/journal/src/wire/message.rs
@@ -132,6 +132,18 @@
     pub tier: u32,
     #[prost(string, tag = "2")]
     pub version: String,
+    #[prost(message, optional, tag = "3")]
+    pub left: Option<LeftVersion>,
+}
+
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct LeftVersion {
+    #[prost(string, tag = "1")]
+    pub version: String,
+    #[prost(string, tag = "2")]
+    pub by: String,
+    #[prost(bool, tag = "3")]
+    pub told: bool,
 }
 
 #[derive(Clone, PartialEq, Eq, Message)]
--- a/crates/journal/tests/claims.rs
+++ b/crates/journal/tests/claims.rs
@@ -80,8 +80,9 @@
 #[tokio::test(start_paused = true)]
 async fn session_keeps_its_first_binding_until_it_is_replaced() {
     let fleet = Fleet::new(3, |_| {});
-    let pins =
-        |version: &str| vec![world::session::Pin { tier: 0, version: Version::parse(version).expect("a version") }];
+    let pins = |version: &str| {
+        vec![world::session::Pin { tier: 0, version: Version::parse(version).expect("a version"), left: None }]
+    };
     let (customer, session) = (id("k").customer, "s".parse().expect("a name"));
     let bind = async |n: usize, new: &str, old: Option<&str>| {
         let old = old.map(pins);
--- a/crates/route/src/model.rs
+++ b/crates/route/src/model.rs
@@ -169,7 +169,7 @@
         let mut pins: Vec<Pin> = session.map(|s| s.pins.clone()).unwrap_or_default();
         for step in &self.steps {
             pins.retain(|pin| pin.tier != step.tier() || pin.version.model != step.version().model);
-            pins.push(Pin { tier: step.tier(), version: step.version().clone() });
+            pins.push(Pin { tier: step.tier(), version: step.version().clone(), left: None });
         }
         pins
     }
--- a/crates/route/tests/model.rs
+++ b/crates/route/tests/model.rs
@@ -69,7 +69,7 @@
 
 impl Case {
     fn pinned(mut self, versions: &[(u8, &str)]) -> Self {
-        let pins = versions.iter().map(|(tier, v)| Pin { tier: *tier, version: text(v) }).collect();
+        let pins = versions.iter().map(|(tier, v)| Pin { tier: *tier, version: text(v), left: None }).collect();
         self.session = Some(Session { customer: Customer::parse("c").expect("a name"), pins });
         self
     }
--- a/crates/route/tests/properties.rs
+++ b/crates/route/tests/properties.rs
@@ -127,7 +127,11 @@
     fn session(&self) -> Session {
         let pinned = self.releases.iter().enumerate().filter(|(_, release)| release.pinned);
         let mut tiers = BTreeSet::new();
-        let pins = pinned.filter(|(_, r)| tiers.insert(r.tier)).map(|(i, r)| Pin { tier: r.tier, version: version(i) });
+        let pins = pinned.filter(|(_, r)| tiers.insert(r.tier)).map(|(i, r)| Pin {
+            tier: r.tier,
+            version: version(i),
+            left: None,
+        });
         let customer = if self.owner { "c" } else { "another" };
         Session { customer: Customer::parse(customer).expect("a name"), pins: pins.collect() }
     }
