Judge a prompt's length by an idle endpoint's time

Cause: a request starts with the large model when the large one alone still begins in time and not after the small one. Both times had the waits of the moment in them, so that when endpoints crashed or callers came in a crowd, every short request looked like a long prompt and went to the large model, which reads ten times longer: the crowd fed itself.

Length is now judged by idle times; waits only speak against the large model. A prompt too long for the largest starts with the largest that begins in time.

--- a/crates/relay/src/desk/fleet.rs
+++ b/crates/relay/src/desk/fleet.rs
@@ -153,6 +153,12 @@
         self.lock().fleet.by_name.keys().cloned().collect()
     }
 
+    /// All known endpoints.
+    #[must_use]
+    pub fn known_endpoints(&self) -> Vec<Arc<Endpoint>> {
+        self.lock().fleet.servers.values().map(|server| Arc::clone(&server.endpoint)).collect()
+    }
+
     /// Chooses an endpoint and counts the run there; nothing when none takes it.
     #[must_use]
     pub fn place(self: &Arc<Self>, job: &Job<'_>) -> Option<Run> {
@@ -193,6 +199,12 @@
         Some((choice.wait_ms.max(0.0) + pace.job_ms(job_units(job))) * slow)
     }
 
+    /// Time that a run takes an idle endpoint to its first byte, in milliseconds.
+    #[must_use]
+    pub fn expect_idle(&self, job: &Job<'_>) -> f64 {
+        self.lock().fleet.pace(job).job_ms(job_units(job))
+    }
+
     /// Loads this instance puts on endpoints, by the hash of their names.
     #[must_use]
     pub fn own_loads(&self) -> Vec<(u32, Load)> {
--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use route::relay::{
     allowance::Purpose,
-    ladder::{self, Outlook, Room, Step, Times},
+    ladder::{self, Outlook, Room, Step, Time},
 };
 use world::hash;
 
@@ -67,10 +67,13 @@
             outlook: Outlook::InTime,
         };
         let goal_ms = clock::millis(self.pass.route.goal).max(1.0);
-        let over =
-            |model| self.desk.expect(&self.job_at(service, Some(model))).map_or(f64::INFINITY, |ms| ms / goal_ms);
-        let times = Times { small: over(0), large: over(models - 1) };
-        Some(ladder::start(models, room, times))
+        let time = |model| {
+            let job = self.job_at(service, Some(model));
+            let now_ms = self.desk.expect(&job).unwrap_or(f64::INFINITY);
+            Time { idle: self.desk.expect_idle(&job) / goal_ms, now: now_ms / goal_ms }
+        };
+        let times: Vec<Time> = (0..models).map(time).collect();
+        Some(ladder::start(room, &times))
     }
 
     /// How long a run may take to its first byte.
--- a/crates/route/src/relay/ladder.rs
+++ b/crates/route/src/relay/ladder.rs
@@ -45,30 +45,42 @@
     Escalate(usize),
 }
 
-/// Times to a first event, each over the time in which it is wanted.
+/// A model's time to a first event, over the time in which one is wanted.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Times {
-    /// The smallest model's.
-    pub small: f64,
-    /// The largest model's.
-    pub large: f64,
+pub struct Time {
+    /// At an idle endpoint.
+    pub idle: f64,
+    /// With the waits of this moment.
+    pub now: f64,
 }
 
 /// Part of the wanted time that an expectation may take: beyond it half of the
 /// answers would come late.
 const IN_TIME: f64 = 0.85;
 
-/// The model to start with.
+/// The model to start with, `times` standing smallest model first.
 ///
-/// The load pattern: a few prompts are so long that the large model alone
-/// still begins in time, but not after the small one was asked first. Half of
-/// those would be answered late; they go to the large one at once.
+/// Two load patterns meet here. A few prompts are so long that the large model
+/// alone still begins in time, but not after the small one was asked first:
+/// those go to the large one at once, and longer ones still to the largest
+/// that begins in time. And when endpoints are lost or callers come in a
+/// crowd, waits grow for everybody; then all requests look like that, and the
+/// large model, which reads ten times longer, would make the crowd last. So
+/// length is judged by an idle endpoint's time, waits only ever speak against
+/// the large model.
 #[must_use]
-pub fn start(models: usize, room: Room, times: Times) -> usize {
-    let last = models.saturating_sub(1);
-    let alone = times.large <= IN_TIME;
-    let after_the_small_one = times.small + times.large <= IN_TIME;
-    if room.attempts < 2 || !room.allowance || (alone && !after_the_small_one) { last } else { 0 }
+pub fn start(room: Room, times: &[Time]) -> usize {
+    let last = times.len().saturating_sub(1);
+    let (Some(small), Some(large)) = (times.first(), times.last()) else { return last };
+    if room.attempts < 2 {
+        return last;
+    }
+    let in_time = |time: &Time| time.now <= IN_TIME;
+    if large.idle > IN_TIME {
+        return times.iter().rposition(in_time).unwrap_or(0);
+    }
+    let after_the_small_one = small.idle + large.idle <= IN_TIME;
+    if in_time(large) && !(room.allowance && after_the_small_one) { last } else { 0 }
 }
 
 /// What to do with the answer of the model at `index`.
--- a/crates/route/tests/relay/ladder.rs
+++ b/crates/route/tests/relay/ladder.rs
@@ -1,6 +1,6 @@
 //! Small models first; larger ones while there is room.
 
-use route::relay::ladder::{CUT, LATE_CUT, Outlook, Room, Step, Times, start, step};
+use route::relay::ladder::{CUT, LATE_CUT, Outlook, Room, Step, Time, start, step};
 
 const ROOM: Room = Room { attempts: 2, allowance: true, outlook: Outlook::InTime };
 
@@ -29,19 +29,41 @@
     hopeless_keeps_any: 0, Some(0), Room { outlook: Outlook::Never, ..ROOM } => Step::Keep;
 }
 
-#[test]
-fn start_is_small_only_where_it_may_be_corrected() {
-    let short = Times { small: 0.05, large: 0.2 };
-    assert_eq!(start(3, ROOM, short), 0);
-    assert_eq!(start(3, Room { attempts: 1, ..ROOM }, short), 2);
-    assert_eq!(start(3, Room { allowance: false, ..ROOM }, short), 2);
+/// Times of three models at idle endpoints and, `wait` longer, now.
+fn times(idle: [f64; 3], wait: f64) -> [Time; 3] {
+    idle.map(|idle| Time { idle, now: idle + wait })
 }
 
-/// A prompt of 40,000 tokens takes the large model most of the goal. Asked
-/// after the small one it would begin late for every second caller.
-#[test]
-fn long_prompt_goes_to_the_large_model_at_once_while_that_is_in_time() {
-    assert_eq!(start(3, ROOM, Times { small: 0.15, large: 0.8 }), 2);
-    // Longer still, or while endpoints are busy, only the small one is in time.
-    assert_eq!(start(3, ROOM, Times { small: 0.2, large: 1.4 }), 0);
+macro_rules! starts {
+    ($($(#[$doc:meta])* $name:ident: $room:expr, $idle:expr, $wait:expr => $model:expr;)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            assert_eq!(start($room, &times($idle, $wait)), $model);
+        }
+    )*};
+}
+
+const SHORT: [f64; 3] = [0.05, 0.08, 0.2];
+const LONG: [f64; 3] = [0.15, 0.3, 0.8];
+const LONGEST: [f64; 3] = [0.2, 0.45, 1.4];
+
+starts! {
+    short_prompt_starts_small: ROOM, SHORT, 0.0 => 0;
+    // Nothing could correct the small model's answer.
+    single_attempt_starts_large: Room { attempts: 1, ..ROOM }, SHORT, 0.0 => 2;
+    spent_allowance_starts_large: Room { allowance: false, ..ROOM }, SHORT, 0.0 => 2;
+    // A prompt of 40,000 tokens takes the large model most of the goal. Asked
+    // after the small one it would begin late for every second caller.
+    long_prompt_goes_to_the_large_model_at_once: ROOM, LONG, 0.0 => 2;
+    long_prompt_starts_small_where_the_large_one_waits: ROOM, LONG, 0.1 => 0;
+    // Longer still: the middle one is right more often than the small one, and
+    // in time.
+    longest_prompt_goes_to_the_largest_in_time: ROOM, LONGEST, 0.0 => 1;
+    longest_prompt_starts_small_where_the_middle_one_waits: ROOM, LONGEST, 0.5 => 0;
+    // Half of the endpoints are gone and callers wait for a second. Taken for
+    // long prompts, all requests would go to the large model and make the
+    // crowd last: of 6,600 short checks on a heavy day 1,900 did.
+    crowd_starts_small: ROOM, SHORT, 0.6 => 0;
+    crowd_starts_small_without_allowance_too: Room { allowance: false, ..ROOM }, SHORT, 0.8 => 0;
 }
