Spare the store: relistings told as changes, old first listings, one look

Counted by kind in a trial: 19 calls for each instance's start, since each watched the store by itself until it had met the others; each instance listed all endpoints, three pages, whenever the watchers had listed anew, as after the store forgot its history, or had more than 60 changes to tell; in an outage three followers looked for the store, each by itself.

- A watcher that lists anew tells the differences as changes; what does not fit a datagram is told in parts.
- The first listing of endpoints may be old: the watch from its revision or the watcher's reply brings the rest before the instance counts as in touch.
- For 1.2 s after its first listing an instance waits to be kept in step before it watches by itself; batches of changes lie 150 ms apart.
- Only the catalog's follower looks for a lost store.

Ruled out: the watchers' own calls (4 a second).

Both new tests of track fail before (a gap in place of changes).

--- a/crates/relay/src/desk/track.rs
+++ b/crates/relay/src/desk/track.rs
@@ -62,8 +62,8 @@
     pub catalog: u64,
     /// Age of the proof that it is.
     pub proof_age: Duration,
-    /// Revision that the changes lead to; the asked one if they are too many
-    /// or no longer kept.
+    /// Revision that the changes lead to; the asked one if they are no longer
+    /// kept.
     pub revision: u64,
     /// Whether the endpoints have to be read from the store.
     pub gap: bool,
@@ -97,12 +97,25 @@
         }
     }
 
-    /// Changes after a revision; nothing if they are not all kept.
-    fn since(&self, revision: u64) -> Option<Vec<Change>> {
+    /// The first changes after a revision and the revision they lead to;
+    /// nothing if they are not all kept.
+    ///
+    /// At most about `most`: of those that belong to one revision all are
+    /// told, or a question from that revision on would miss the rest.
+    fn since(&self, revision: u64, most: usize) -> Option<(u64, Vec<Change>)> {
         if revision < self.from {
             return None;
         }
-        Some(self.kept.iter().filter(|(at, _)| *at > revision).map(|(_, change)| change.clone()).collect())
+        let mut told = Vec::new();
+        let mut up_to = revision;
+        for (at, change) in self.kept.iter().filter(|(at, _)| *at > revision) {
+            if told.len() >= most && *at > up_to {
+                return Some((up_to, told));
+            }
+            up_to = *at;
+            told.push(change.clone());
+        }
+        Some((self.revision.max(revision), told))
     }
 }
 
@@ -117,6 +130,22 @@
         self.lock().track.changed(revision, changes);
     }
 
+    /// How the known endpoints differ from a listing, but for those in `kept`
+    /// that it lacks.
+    #[must_use]
+    pub fn differences(&self, listed: &[&Endpoint], kept: &[&str]) -> Vec<Change> {
+        let known = self.known_endpoints();
+        let gone = known
+            .iter()
+            .filter(|known| !kept.contains(&known.id.as_str()) && !listed.iter().any(|other| other.id == known.id))
+            .map(|known| Change::Gone(known.id.clone()));
+        let new = listed
+            .iter()
+            .filter(|other| !known.iter().any(|known| **known == ***other))
+            .map(|other| Change::Known((*other).clone()));
+        gone.chain(new).collect()
+    }
+
     /// Notes that all roll-outs have been listed.
     pub fn note_orders(&self) {
         self.lock().track.orders_known = true;
@@ -182,13 +211,15 @@
         if !state.listed || !state.track.orders_known {
             return None;
         }
-        let changes = state.track.since(question.revision).filter(|changes| changes.len() <= most);
+        let since = state.track.since(question.revision, most);
+        let gap = since.is_none();
+        let (revision, changes) = since.unwrap_or((question.revision, Vec::new()));
         Some(Reply {
             catalog: state.catalog.as_ref()?.version,
             proof_age,
-            revision: if changes.is_some() { state.track.revision } else { question.revision },
-            gap: changes.is_none(),
-            changes: changes.unwrap_or_default(),
+            revision,
+            gap,
+            changes,
             orders: state.trials.orders(),
         })
     }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -13,7 +13,7 @@
 use crate::{
     clock,
     desk::{Desk, track},
-    source::{Batch, Change, Fault, Instance, Kind, Listing, Record, Source},
+    source::{Batch, Change, Endpoint, Fault, Instance, Kind, Listing, Read, Record, Source},
 };
 
 /// Longest wait of a watch on the catalog, and so the oldest that the proof of
@@ -38,12 +38,28 @@
 /// of its return from others: each look is paid for, by every instance.
 const LOOK: Duration = Duration::from_millis(1_500);
 
+/// The same while another instance keeps it in step.
+const LED_LOOK: Duration = Duration::from_secs(4);
+
 /// Outage of the store after which a missing endpoint may only have lapsed.
 const OUTAGE: Duration = Duration::from_secs(1);
 
 /// Time that endpoints which lapsed during an outage take to register again.
 const RETURN: Duration = Duration::from_millis(2_300);
 
+/// Pause after a watch that brought changes to endpoints. Servers start, crash
+/// and leave by the dozen within seconds; one call for each of them is paid
+/// for, while a leaving one may get work for seconds.
+const TOGETHER: Duration = Duration::from_millis(150);
+
+/// Wait of a watch while lapsed endpoints have still to register again.
+const LAPSED_WAIT: Duration = Duration::from_millis(300);
+
+/// Time after its first listing in which an instance expects to meet others
+/// that keep it in step: a few rounds of news. When a whole fleet starts, each
+/// instance watching by itself until then made half of the calls of its start.
+const MEETING: Duration = Duration::from_millis(1_200);
+
 /// Longest rest before a look whether somebody still keeps this one in step.
 const REST: Duration = Duration::from_millis(200);
 
@@ -73,6 +89,9 @@
         last_lost: Duration::ZERO,
         failures: 0,
         lapsed: Vec::new(),
+        unsaid: Vec::new(),
+        first_listed: None,
+        pause: None,
     };
     loop {
         follower.step().await;
@@ -89,6 +108,11 @@
     last_lost: Duration,
     failures: u32,
     lapsed: Vec<(String, Duration)>,
+    /// Changes that no revision of the store stands for yet.
+    unsaid: Vec<track::Change>,
+    first_listed: Option<Duration>,
+    /// Pause before the next call.
+    pause: Option<Duration>,
 }
 
 impl Follower {
@@ -97,6 +121,14 @@
             self.rest().await;
             return;
         }
+        if self.listed && (self.meeting() || self.waits_for_catalog()) {
+            self.expire();
+            sleep(REST).await;
+            return;
+        }
+        if let Some(pause) = self.pause.take() {
+            sleep(pause).await;
+        }
         let asked = clock::now();
         let result = match self.revision {
             None => self.list(asked).await,
@@ -126,6 +158,18 @@
         sleep(wait.mul_f64(0.7 + 0.6 * rand::random::<f64>())).await;
     }
 
+    /// Whether others that could keep this instance in step have had no time
+    /// to be met.
+    fn meeting(&self) -> bool {
+        self.first_listed.is_some_and(|first| clock::now() < first + MEETING)
+    }
+
+    /// Whether a lost store is left to the catalog's follower to look for: the
+    /// kinds are lost and regained together, and each look is paid for.
+    fn waits_for_catalog(&self) -> bool {
+        self.kind != Kind::Catalog && self.lost_since.is_some() && !self.desk.touched()
+    }
+
     /// While another instance keeps this one in step there is nothing to ask
     /// the store, but for what that one cannot tell.
     async fn rest(&mut self) {
@@ -133,7 +177,7 @@
         self.expire();
         let wanted = timeout(REST, self.desk.wanted(self.kind)).await.is_ok();
         let asked = clock::now();
-        let look = self.kind == Kind::Catalog && !self.desk.touched() && asked > self.last_lost + LOOK;
+        let look = self.kind == Kind::Catalog && !self.desk.touched() && asked > self.last_lost + LED_LOOK;
         if !wanted && !look {
             if asked > self.last_lost + RETURN {
                 self.lost_since = None;
@@ -156,7 +200,10 @@
     }
 
     async fn list(&mut self, asked: Duration) -> Result<(), Fault> {
-        let listing = timeout(CALL_LIMIT, self.source.list(self.kind)).await.map_err(|_| silent())??;
+        // A first listing may be old: the watch from its revision, or whoever
+        // keeps this instance in step, brings what came after it.
+        let read = if self.kind == Kind::Endpoints && !self.listed { Read::AnyAge } else { Read::Latest };
+        let listing = timeout(CALL_LIMIT, self.source.list(self.kind, read)).await.map_err(|_| silent())??;
         if self.kind == Kind::Catalog && !listing.records.is_empty() {
             self.take_all(listing);
             self.desk.renew(asked, Proof::Read);
@@ -169,6 +216,7 @@
     async fn watch(&mut self, from: u64, asked: Duration) -> Result<(), Fault> {
         let wait = match self.kind {
             Kind::Catalog => CATALOG_WAIT,
+            Kind::Endpoints if !self.lapsed.is_empty() => LAPSED_WAIT,
             Kind::Endpoints => ENDPOINTS_WAIT,
             Kind::Rollouts | Kind::Instances => ROLLOUTS_WAIT,
         };
@@ -176,7 +224,14 @@
         let batch = timeout(wait + CALL_LIMIT, call).await.map_err(|_| silent())??;
         let Batch { revision, changes } = batch;
         if self.kind == Kind::Endpoints {
-            self.desk.note_changes(revision, changes.iter().filter_map(endpoint_change).collect());
+            let mut told: Vec<track::Change> = changes.iter().filter_map(endpoint_change).collect();
+            if revision > self.desk.endpoints_revision() {
+                told.splice(0..0, std::mem::take(&mut self.unsaid));
+            }
+            self.desk.note_changes(revision, told);
+            if !changes.is_empty() {
+                self.pause = Some(TOGETHER);
+            }
         }
         for change in changes {
             self.take(change);
@@ -209,32 +264,47 @@
             return;
         }
         if self.kind == Kind::Endpoints {
-            let now = clock::now();
-            let outage = self.lost_since.is_some_and(|since| now.saturating_sub(since) > OUTAGE);
-            let listed = |id: &String| listing.records.iter().any(|change| &change.name == id);
-            for id in self.desk.enlisted().into_iter().filter(|id| !listed(id)) {
-                if !outage {
-                    self.desk.delist(&id);
-                } else if !self.lapsed.iter().any(|(other, _)| *other == id) {
-                    self.lapsed.push((id, now + RETURN));
-                }
-            }
+            self.compare(&listing);
         }
         self.revision = Some(listing.revision);
         for change in listing.records {
             self.take(change);
         }
         self.listed = true;
+        self.first_listed.get_or_insert_with(clock::now);
         match self.kind {
-            Kind::Endpoints => {
-                self.desk.note_listing(listing.revision);
-                self.desk.mark_listed();
-            }
+            Kind::Endpoints => self.desk.mark_listed(),
             Kind::Rollouts => self.desk.note_orders(),
             Kind::Catalog | Kind::Instances => {}
         }
     }
 
+    /// Compares the known endpoints with a listing: forgets those it lacks,
+    /// and keeps the differences for the instances that ask this one.
+    ///
+    /// Without the differences each of those would have to list as well,
+    /// whenever the store has forgotten its history or was away.
+    fn compare(&mut self, listing: &Listing) {
+        let now = clock::now();
+        let outage = self.lost_since.is_some_and(|since| now.saturating_sub(since) > OUTAGE);
+        let listed: Vec<&Endpoint> = listing.records.iter().filter_map(listed_endpoint).collect();
+        let missing = self.desk.enlisted().into_iter().filter(|id| !listed.iter().any(|other| other.id == *id));
+        let missing: Vec<String> = missing.collect();
+        let kept: Vec<&str> = if outage { missing.iter().map(String::as_str).collect() } else { Vec::new() };
+        if self.desk.endpoints_revision() == 0 {
+            self.desk.note_listing(listing.revision);
+        } else {
+            self.desk.note_changes(listing.revision, self.desk.differences(&listed, &kept));
+        }
+        for id in missing {
+            if !outage {
+                self.desk.delist(&id);
+            } else if !self.lapsed.iter().any(|(other, _)| *other == id) {
+                self.lapsed.push((id, now + RETURN));
+            }
+        }
+    }
+
     fn take(&mut self, change: Change) {
         match change.record {
             Some(Record::Catalog(catalog)) => {
@@ -262,10 +332,18 @@
         let gone: Vec<(String, Duration)> = gone;
         for (id, _) in gone {
             self.desk.delist(&id);
+            self.unsaid.push(track::Change::Gone(id));
         }
     }
 }
 
+fn listed_endpoint(change: &Change) -> Option<&Endpoint> {
+    match &change.record {
+        Some(Record::Endpoint(endpoint)) => Some(endpoint),
+        _ => None,
+    }
+}
+
 fn endpoint_change(change: &Change) -> Option<track::Change> {
     match &change.record {
         Some(Record::Endpoint(endpoint)) => Some(track::Change::Known(endpoint.clone())),
@@ -282,6 +360,10 @@
 pub async fn join(desk: Arc<Desk>, source: Arc<dyn Source>) {
     let me = Instance { name: desk.settings.instance.clone(), news: desk.settings.listeners.news };
     let mut registered = false;
+    // All instances of a fleet start at once: an old first listing would show
+    // none of the others, and each would watch the store by itself until the
+    // next one.
+    let mut read = Read::Latest;
     loop {
         if !registered {
             match timeout(CALL_LIMIT, source.register(&me)).await {
@@ -290,13 +372,14 @@
                 Err(_) => tracing::info!("not registered yet: no answer in time"),
             }
         }
-        let listed = match timeout(CALL_LIMIT, source.list(Kind::Instances)).await {
+        let listed = match timeout(CALL_LIMIT, source.list(Kind::Instances, read)).await {
             Ok(Ok(listing)) => {
                 for change in listing.records {
                     if let Some(Record::Instance(instance)) = change.record {
                         desk.meet(&instance.name, instance.news);
                     }
                 }
+                read = Read::AnyAge;
                 true
             }
             Ok(Err(fault)) => {
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -81,6 +81,15 @@
     pub records: Vec<Change>,
 }
 
+/// What a listing must show.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Read {
+    /// Everything that was written before the call (linearizable).
+    Latest,
+    /// The records as of some moment, seconds ago perhaps; costs the store less.
+    AnyAge,
+}
+
 /// Changes to records of a kind.
 #[derive(Debug, Clone)]
 pub struct Batch {
@@ -118,8 +127,8 @@
 ///
 /// Calls have no time limit of their own: the caller drops a call to end it.
 pub trait Source: fmt::Debug + Send + Sync {
-    /// Lists a kind's records, linearizable.
-    fn list(&self, kind: Kind) -> BoxFuture<'_, Result<Listing, Fault>>;
+    /// Lists a kind's records.
+    fn list(&self, kind: Kind, read: Read) -> BoxFuture<'_, Result<Listing, Fault>>;
     /// Waits for changes after a revision.
     fn watch(&self, kind: Kind, from: u64, wait: Duration) -> BoxFuture<'_, Result<Batch, Fault>>;
     /// Writes a roll-out's status if its revision still is the one read.
--- a/crates/relay/tests/it/site.rs
+++ b/crates/relay/tests/it/site.rs
@@ -92,7 +92,7 @@
 }
 
 impl Source for Store {
-    fn list(&self, kind: source::Kind) -> BoxFuture<'_, Result<Listing, Fault>> {
+    fn list(&self, kind: source::Kind, _: source::Read) -> BoxFuture<'_, Result<Listing, Fault>> {
         Box::pin(async move {
             if self.kept.borrow().silent {
                 std::future::pending::<()>().await;
--- a/crates/relay/tests/it/track.rs
+++ b/crates/relay/tests/it/track.rs
@@ -86,6 +86,54 @@
     assert_eq!(other.question(), Question { revision: 10 });
 }
 
+/// Fifty servers crash at once. What fits a datagram is told with each reply,
+/// all of one revision together, and after the last nothing is missing: nobody
+/// has to list for it.
+#[test]
+fn many_changes_are_told_in_parts() {
+    let (watcher, other) = (knowing(1), knowing(1));
+    watcher.renew(clock::now(), Proof::Read);
+    let known = |n: u16| Change::Known(endpoint(&format!("n{n:02}"), ([127, 0, 0, 1], 100 + n).into()));
+    // Two changes to a revision.
+    for n in (0..50).step_by(2) {
+        watcher.note_changes(u64::from(20 + n), vec![known(n), known(n + 1)]);
+    }
+    let mut replies = 0;
+    while other.endpoints_revision() < watcher.endpoints_revision() {
+        let reply = watcher.reply(other.question(), 15).unwrap();
+        assert!(!reply.gap && reply.changes.len() <= 16, "{reply:?}");
+        other.take_reply(clock::now(), reply);
+        replies += 1;
+    }
+    assert_eq!((other.enlisted().len(), replies), (51, 4));
+}
+
+/// The store forgets its history, and the watcher has to list anew. It knows
+/// what it knew before, so it can tell the others what has changed; before,
+/// each of them had to list as well, sixty at once on a large deployment.
+#[tokio::test]
+async fn relisting_is_told_as_changes() {
+    let kept = Kept {
+        catalog: Some(catalog(1, vec![route("/a/", Kind::Idempotent)])),
+        endpoints: vec![endpoint("e0", ([127, 0, 0, 1], 9).into()), endpoint("e1", ([127, 0, 0, 1], 10).into())],
+        ..Kept::default()
+    };
+    let site = Site::open_with(kept, |_| {}).await;
+    let watcher = site.relay.desk();
+    let asked = watcher.question();
+    site.store.change(|kept| {
+        kept.endpoints.remove(0);
+        kept.endpoints.push(endpoint("e2", ([127, 0, 0, 1], 11).into()));
+    });
+    while watcher.endpoints_revision() == asked.revision {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let reply = watcher.reply(asked, 60).unwrap();
+    let e2 = Change::Known(endpoint("e2", ([127, 0, 0, 1], 11).into()));
+    assert_eq!((reply.gap, reply.changes), (false, vec![Change::Gone("e0".into()), e2]));
+    assert_eq!(known(watcher), ["e1", "e2"]);
+}
+
 /// A key is taken away after the question was sent, and the reply is long
 /// under way. The proof counts from the question, so it can only look older.
 #[test]
