Ask a middle model where the largest would come late

The middle model reads four times faster than the largest; it is asked for an answer that is not sure if it is in time and the largest is not.

Tests of the steps are the same but for the outlook, which now stands for each model; four new ones.

--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -61,11 +61,8 @@
             return None;
         }
         let service = self.pass.route.target(self.draw).unwrap_or_default();
-        let room = Room {
-            attempts: self.pass.route.attempts,
-            allowance: self.desk.affords(service, Purpose::Escalation),
-            outlook: Outlook::InTime,
-        };
+        let room =
+            Room { attempts: self.pass.route.attempts, allowance: self.desk.affords(service, Purpose::Escalation) };
         let goal_ms = clock::millis(self.pass.route.goal).max(1.0);
         let time = |model| {
             let job = self.job_at(service, Some(model));
@@ -128,9 +125,9 @@
         let room = Room {
             attempts: self.pass.route.attempts.saturating_sub(self.sent),
             allowance: self.desk.affords(&self.service, Purpose::Escalation),
-            outlook: self.outlook(models.saturating_sub(1)),
         };
-        match ladder::step(index, models, confidence, room) {
+        let outlooks: Vec<Outlook> = (0..models).map(|model| self.outlook(model)).collect();
+        match ladder::step(index, confidence, room, &outlooks) {
             Step::Keep => None,
             Step::Escalate(next) => Some(next),
         }
--- a/crates/route/src/relay/ladder.rs
+++ b/crates/route/src/relay/ladder.rs
@@ -32,8 +32,6 @@
     pub attempts: u32,
     /// Whether the retry allowance has room.
     pub allowance: bool,
-    /// When its first event would come.
-    pub outlook: Outlook,
 }
 
 /// What to do with a model's answer.
@@ -83,18 +81,28 @@
     if in_time(large) && !(room.allowance && after_the_small_one) { last } else { 0 }
 }
 
-/// What to do with the answer of the model at `index`.
+/// What to do with the answer of the model at `index`, by when each model's
+/// first event would come, smallest first.
+///
+/// The load pattern: where the largest model would come late, a long prompt or
+/// a busy moment, an answer that is neither sure nor surely wrong was kept. A
+/// middle one reads four times faster than the largest and is right for most
+/// requests that the small one nearly answers, so it is asked if it is in time.
 #[must_use]
-pub fn step(index: usize, models: usize, confidence: Option<u32>, room: Room) -> Step {
-    let last = models.saturating_sub(1);
-    let cut = match room.outlook {
-        Outlook::InTime => CUT,
-        Outlook::Late => LATE_CUT,
-        Outlook::Never => return Step::Keep,
-    };
-    let sure = confidence.is_none_or(|confidence| confidence >= cut);
-    if sure || index >= last || room.attempts == 0 || !room.allowance {
+pub fn step(index: usize, confidence: Option<u32>, room: Room, outlooks: &[Outlook]) -> Step {
+    let last = outlooks.len().saturating_sub(1);
+    let Some(confidence) = confidence else { return Step::Keep };
+    if index >= last || room.attempts == 0 || !room.allowance || confidence >= CUT {
         return Step::Keep;
     }
-    Step::Escalate(last)
+    let is_replaced = match outlooks[last] {
+        Outlook::InTime => true,
+        Outlook::Late => confidence < LATE_CUT,
+        Outlook::Never => false,
+    };
+    if is_replaced {
+        return Step::Escalate(last);
+    }
+    let in_time = |model: &usize| outlooks[*model] == Outlook::InTime;
+    (index + 1..last).rfind(in_time).map_or(Step::Keep, Step::Escalate)
 }
--- a/crates/route/tests/relay/ladder.rs
+++ b/crates/route/tests/relay/ladder.rs
@@ -2,31 +2,43 @@
 
 use route::relay::ladder::{CUT, LATE_CUT, Outlook, Room, Step, Time, start, step};
 
-const ROOM: Room = Room { attempts: 2, allowance: true, outlook: Outlook::InTime };
+const ROOM: Room = Room { attempts: 2, allowance: true };
+
+const SOON: [Outlook; 3] = [Outlook::InTime; 3];
+const LATE: [Outlook; 3] = [Outlook::Late; 3];
+const NEVER: [Outlook; 3] = [Outlook::Never; 3];
 
 macro_rules! steps {
-    ($($(#[$doc:meta])* $name:ident: $index:expr, $opinion:expr, $room:expr => $step:expr;)*) => {$(
+    ($($(#[$doc:meta])* $name:ident: $index:expr, $opinion:expr, $room:expr, $outlooks:expr => $step:expr;)*) => {$(
         $(#[$doc])*
         #[test]
         fn $name() {
-            assert_eq!(step($index, 3, $opinion, $room), $step);
+            assert_eq!(step($index, $opinion, $room, &$outlooks), $step);
         }
     )*};
 }
 
 steps! {
-    sure_answer_is_kept: 0, Some(CUT), ROOM => Step::Keep;
-    unsure_answer_goes_to_the_largest: 0, Some(CUT - 1), ROOM => Step::Escalate(2);
-    largest_is_kept: 2, Some(0), ROOM => Step::Keep;
-    answer_without_opinion_is_kept: 0, None, ROOM => Step::Keep;
-    no_attempt_left: 0, Some(0), Room { attempts: 0, ..ROOM } => Step::Keep;
-    no_allowance_left: 0, Some(0), Room { allowance: false, ..ROOM } => Step::Keep;
+    sure_answer_is_kept: 0, Some(CUT), ROOM, SOON => Step::Keep;
+    unsure_answer_goes_to_the_largest: 0, Some(CUT - 1), ROOM, SOON => Step::Escalate(2);
+    largest_is_kept: 2, Some(0), ROOM, SOON => Step::Keep;
+    answer_without_opinion_is_kept: 0, None, ROOM, SOON => Step::Keep;
+    no_attempt_left: 0, Some(0), Room { attempts: 0, ..ROOM }, SOON => Step::Keep;
+    no_allowance_left: 0, Some(0), Room { allowance: false, ..ROOM }, SOON => Step::Keep;
     // Endpoints are overloaded: an escalation would come late and make every
     // other one later. The small answer is kept unless likely wrong.
-    overloaded_keeps_the_fairly_sure: 0, Some(LATE_CUT), Room { outlook: Outlook::Late, ..ROOM } => Step::Keep;
-    overloaded_replaces_the_wrong:
-        0, Some(LATE_CUT - 1), Room { outlook: Outlook::Late, ..ROOM } => Step::Escalate(2);
-    hopeless_keeps_any: 0, Some(0), Room { outlook: Outlook::Never, ..ROOM } => Step::Keep;
+    overloaded_keeps_the_fairly_sure: 0, Some(LATE_CUT), ROOM, LATE => Step::Keep;
+    overloaded_replaces_the_wrong: 0, Some(LATE_CUT - 1), ROOM, LATE => Step::Escalate(2);
+    hopeless_keeps_any: 0, Some(0), ROOM, NEVER => Step::Keep;
+    // A prompt of 30,000 tokens: the largest model would come late, the middle
+    // one in time.
+    middle_one_replaces_the_unsure_in_time:
+        0, Some(LATE_CUT), ROOM, [Outlook::InTime, Outlook::InTime, Outlook::Late] => Step::Escalate(1);
+    middle_one_replaces_the_wrong_where_the_largest_never_comes:
+        0, Some(0), ROOM, [Outlook::InTime, Outlook::InTime, Outlook::Never] => Step::Escalate(1);
+    wrong_answer_goes_to_the_largest_though_late:
+        0, Some(LATE_CUT - 1), ROOM, [Outlook::InTime, Outlook::InTime, Outlook::Late] => Step::Escalate(2);
+    middle_ones_answer_goes_on_or_stays: 1, Some(LATE_CUT), ROOM, LATE => Step::Keep;
 }
 
 /// Times of three models at idle endpoints and, `wait` longer, now.
