--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -13,7 +13,7 @@
 use crate::{
     clock,
     desk::{Desk, track},
-    source::{Batch, Change, Endpoint, Fault, Instance, Kind, Listing, Read, Record, Source},
+    source::{Batch, Change, Endpoint, Fault, Kind, Listing, Read, Record, Source},
 };
 
 /// Longest wait of a watch on the catalog, and so the oldest that the proof of
@@ -29,7 +29,7 @@
 
 /// Time beyond a watch's wait, and of any other call, after which a connection
 /// counts as silent: many round trips, a store that is slow by fifty times.
-const CALL_LIMIT: Duration = Duration::from_millis(600);
+pub const CALL_LIMIT: Duration = Duration::from_millis(600);
 
 /// First and longest wait after a call that failed.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(500));
@@ -66,17 +66,6 @@
 /// Least time between readings that other instances' word brings about.
 const APART: Duration = Duration::from_millis(300);
 
-/// Pause between listings of this system's instances, by any of them: news spreads membership,
-/// the listing only joins parts that have lost each other.
-const INSTANCES_PAUSE: Duration = Duration::from_secs(5);
-
-/// Pause between looks at roll-outs.
-const ROLLOUT_PAUSE: Duration = Duration::from_millis(250);
-
-/// Looks after which any instance reports a stage that the store does not show,
-/// the one whose duty it is having failed to.
-const OTHERS_TURN: u32 = 8;
-
 /// Follows one kind for good.
 pub async fn follow(desk: Arc<Desk>, source: Arc<dyn Source>, kind: Kind) {
     let mut follower = Follower {
@@ -355,73 +344,3 @@
 fn silent() -> Fault {
     Fault::Lost("no answer in time".into())
 }
-
-/// Registers this instance and finds the others.
-pub async fn join(desk: Arc<Desk>, source: Arc<dyn Source>) {
-    let me = Instance { name: desk.settings.instance.clone(), news: desk.settings.listeners.news };
-    let mut registered = false;
-    // All instances of a fleet start at once: an old first listing would show
-    // none of the others, and each would watch the store by itself until the
-    // next one.
-    let mut read = Read::Latest;
-    loop {
-        if !registered {
-            match timeout(CALL_LIMIT, source.register(&me)).await {
-                Ok(Ok(())) => registered = true,
-                Ok(Err(fault)) => tracing::info!(%fault, "not registered yet"),
-                Err(_) => tracing::info!("not registered yet: no answer in time"),
-            }
-        }
-        let listed = match timeout(CALL_LIMIT, source.list(Kind::Instances, read)).await {
-            Ok(Ok(listing)) => {
-                for change in listing.records {
-                    if let Some(Record::Instance(instance)) = change.record {
-                        desk.meet(&instance.name, instance.news);
-                    }
-                }
-                read = Read::AnyAge;
-                true
-            }
-            Ok(Err(fault)) => {
-                tracing::info!(%fault, "instances not listed");
-                false
-            }
-            Err(_) => false,
-        };
-        // The more instances there are, the more often one of them looks.
-        let many = u32::try_from(desk.members()).unwrap_or(u32::MAX);
-        let pause = if registered && listed { INSTANCES_PAUSE * many.max(1) } else { Duration::from_millis(700) };
-        sleep(pause.mul_f64(0.8 + 0.4 * rand::random::<f64>())).await;
-    }
-}
-
-/// Moves roll-outs on and reports their stages to the store.
-///
-/// Every instance does; the one whose name comes first reports, and the others
-/// if it fails to. Reports are conditional writes, so whoever is late changes
-/// nothing.
-pub async fn roll_out(desk: Arc<Desk>, source: Arc<dyn Source>) {
-    let mut unsaid_for = 0;
-    loop {
-        sleep(ROLLOUT_PAUSE).await;
-        let unsaid = desk.advance_trials();
-        if unsaid.is_empty() {
-            unsaid_for = 0;
-            continue;
-        }
-        unsaid_for += 1;
-        if !desk.leads() && unsaid_for < OTHERS_TURN {
-            continue;
-        }
-        for (rollout, stage) in unsaid {
-            match timeout(CALL_LIMIT, source.report(&rollout, stage)).await {
-                Ok(Ok(())) => {
-                    tracing::info!(service = rollout.service, target = rollout.target, ?stage, "stage reported");
-                    unsaid_for = 0;
-                }
-                Ok(Err(fault)) => tracing::info!(service = rollout.service, ?stage, %fault, "stage not reported"),
-                Err(_) => tracing::info!(service = rollout.service, ?stage, "stage not reported: no answer in time"),
-            }
-        }
-    }
-}
--- a/crates/relay/src/handle.rs
+++ b/crates/relay/src/handle.rs
@@ -11,7 +11,7 @@
     clock,
     desk::Desk,
     dialect::Dialect,
-    directory, exchange, follow, front, news,
+    directory, exchange, follow, front, join, news, report,
     settings::{Listeners, Settings},
     source::{Kind, Source},
 };
@@ -84,8 +84,8 @@
     for kind in [Kind::Catalog, Kind::Rollouts, Kind::Endpoints] {
         tasks.spawn(follow::follow(Arc::clone(&desk), Arc::clone(&source), kind));
     }
-    tasks.spawn(follow::join(Arc::clone(&desk), Arc::clone(&source)));
-    tasks.spawn(follow::roll_out(Arc::clone(&desk), Arc::clone(&source)));
+    tasks.spawn(join::join(Arc::clone(&desk), Arc::clone(&source)));
+    tasks.spawn(report::roll_out(Arc::clone(&desk), Arc::clone(&source)));
     tasks.spawn(news::exchange(Arc::clone(&desk), socket));
     Ok(Handle { desk, source, tasks })
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,7 +6,8 @@
 //! gave it. [`spawn`] starts it all:
 //!
 //! - `follow` keeps the catalog, the endpoints and roll-outs in step with a
-//!   [`source::Source`];
+//!   [`source::Source`]; `join` registers this instance and finds the others,
+//!   `report` moves roll-outs on;
 //! - `news` exchanges loads, evidence and membership with other instances;
 //! - `front` and `directory` listen; `exchange` is the life of one request,
 //!   `upstream` one try of it, `events` a stream of events resumed on the way.
@@ -26,7 +27,9 @@
 mod follow;
 mod front;
 mod handle;
+mod join;
 mod news;
+mod report;
 pub mod rollout;
 pub mod settings;
 pub mod source;
