--- a/crates/relay/tests/it/streams.rs
+++ b/crates/relay/tests/it/streams.rs
@@ -1,5 +1,7 @@
 //! Streams of events: resumed, kept in order, asked of a larger model.
 
+use std::time::{Duration, Instant};
+
 use relay::catalog::Kind;
 
 use crate::{
@@ -30,7 +32,46 @@
     assert_eq!(header(&seen[1], "last-event-id").as_deref(), Some("2"));
 }
 
-/// The same where nobody may go on: the caller's answer must look cut off.
+/// A server goes dark in the middle of a stream: no reset, no further byte. The
+/// caller waits for a second or so and the stream goes on elsewhere; before its
+/// own patience is over, it has every event once.
+#[tokio::test]
+async fn stream_of_a_dark_server_goes_on_elsewhere() {
+    let begun = stream_head(90) + &event(1) + &event(2);
+    let server = Server::open(vec![Act::Hang(begun), Act::Write(whole_stream(3, 4))]).await;
+    let site = Site::open(vec![route("/s/", RESUMABLE)], &[server.address]).await;
+    let asked = Instant::now();
+    let got = caller::call(site.front(), "POST", "/s/x", "", "prompt").await;
+    assert!(got.complete, "{got:?}");
+    assert_eq!(got.body.matches("id: ").count(), 4, "{got:?}");
+    assert!(asked.elapsed() < Duration::from_secs(4), "{:?}", asked.elapsed());
+}
+
+/// A server has so much to read that one of its streams pauses for seconds,
+/// while another one's events come. Begun anew elsewhere, it and all others
+/// like it would have to be read again and make everybody wait longer; so it
+/// is waited for as long as the server is heard.
+#[tokio::test]
+async fn stalled_stream_of_a_busy_server_is_waited_for() {
+    let stalled = vec![stream_head(90) + &event(1)];
+    let lively: Vec<String> =
+        std::iter::once(stream_head(90)).chain((1..=300).map(event)).chain([END.to_owned()]).collect();
+    let server = Server::open(vec![Act::Hang(stalled.concat()), Act::Slowly(lively)]).await;
+    let site = Site::open(vec![route("/s/", RESUMABLE)], &[server.address]).await;
+    let front = site.front();
+    let ask = move || tokio::spawn(async move { caller::call(front, "POST", "/s/x", "", "prompt").await });
+    let stalled = ask();
+    while server.seen().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let lively = ask().await.unwrap();
+    assert!(lively.complete, "{lively:?}");
+    // Three seconds and more have passed, two of the longest pauses.
+    assert_eq!(server.seen().len(), 2, "{:?}", server.seen());
+    stalled.abort();
+}
+
+/// A server crashes in the middle of an event where nobody may go on: the caller's answer must look cut off.
 #[tokio::test]
 async fn broken_stream_that_may_not_be_resumed_looks_broken() {
     let torn = stream_head(90) + &event(1);
--- a/crates/relay/tests/it/track.rs
+++ b/crates/relay/tests/it/track.rs
@@ -1,6 +1,7 @@
 //! Instances kept in step by another one in place of the store.
 
 use std::{
+    collections::HashMap,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -10,12 +11,14 @@
     clock,
     desk::{
         Desk,
+        fleet::{Job, Load, short_hash},
+        peers::Word,
         track::{Change, Question},
     },
 };
 use route::relay::freshness::Proof;
 
-use crate::site::{Kept, Site, catalog, dialect, endpoint, route, settings};
+use crate::site::{Kept, SERVICE, Site, catalog, dialect, endpoint, route, settings};
 
 /// An instance that knows a catalog and one endpoint as of revision 10.
 fn knowing(version: u64) -> Arc<Desk> {
@@ -134,6 +137,47 @@
     assert_eq!(known(watcher), ["e1", "e2"]);
 }
 
+/// An instance loses power. Callers are not sent to it any more, and what it
+/// had under way no longer counts as load, a second or so after its last word.
+#[tokio::test]
+async fn silent_instance_is_left_out() {
+    let here = knowing(1);
+    let front = ([127, 0, 0, 9], 80).into();
+    let load = Load { runs: 40.0, backlog_ms: 900.0 };
+    let word = Word {
+        front: Some(front),
+        run: 1,
+        ready: true,
+        fresh: true,
+        pause: Duration::from_millis(250),
+        loads: HashMap::from([(short_hash("e0"), load)]),
+        ..Word::default()
+    };
+    here.hear("there", ([127, 0, 0, 9], 7).into(), word);
+    let job = Job {
+        service: SERVICE,
+        model: None,
+        size: 1.0,
+        affinity: None,
+        shared_tokens: 0,
+        own_tokens: 0,
+        session: 1,
+        in_session: false,
+        tried: &[],
+        version: None,
+    };
+    let busy_ms = here.expect(&job).unwrap();
+    assert!(here.fronts().contains(&front));
+    assert_eq!(here.members(), 2);
+
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    assert!(!here.fronts().contains(&front));
+    assert_eq!(here.members(), 1);
+    // Loads are summed up with the next word of anybody.
+    here.hear("else", ([127, 0, 0, 8], 7).into(), Word { pause: Duration::from_millis(250), ..Word::default() });
+    assert!(here.expect(&job).unwrap() < busy_ms);
+}
+
 /// A key is taken away after the question was sent, and the reply is long
 /// under way. The proof counts from the question, so it can only look older.
 #[test]
