--- a/crates/relay/tests/it/streams.rs
+++ b/crates/relay/tests/it/streams.rs
@@ -53,10 +53,10 @@
 /// is waited for as long as the server is heard.
 #[tokio::test]
 async fn stalled_stream_of_a_busy_server_is_waited_for() {
-    let stalled = vec![stream_head(90) + &event(1)];
+    let stalled = stream_head(90) + &event(1);
     let lively: Vec<String> =
         std::iter::once(stream_head(90)).chain((1..=300).map(event)).chain([END.to_owned()]).collect();
-    let server = Server::open(vec![Act::Hang(stalled.concat()), Act::Slowly(lively)]).await;
+    let server = Server::open(vec![Act::Hang(stalled), Act::Slowly(lively)]).await;
     let site = Site::open(vec![route("/s/", RESUMABLE)], &[server.address]).await;
     let front = site.front();
     let ask = move || tokio::spawn(async move { caller::call(front, "POST", "/s/x", "", "prompt").await });
