Give the benchmark's store the reading that a listing asks for

The workspace did not build since the listing has a kind of reading: the benchmark has a store of its own, and only the crates at work were checked in between.

--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -24,7 +24,7 @@
     dialect::{Dialect, Names},
     rollout::Rollout,
     settings::Listeners,
-    source::{Batch, Change, Endpoint, Fault, Instance, Kind, Listing, Record, Source},
+    source::{Batch, Change, Endpoint, Fault, Instance, Kind, Listing, Read, Record, Source},
 };
 use route::relay::{allowance, canary::Stage};
 use tokio::{
@@ -171,7 +171,7 @@
 }
 
 impl Source for Fixed {
-    fn list(&self, kind: Kind) -> BoxFuture<'_, Result<Listing, Fault>> {
+    fn list(&self, kind: Kind, _: Read) -> BoxFuture<'_, Result<Listing, Fault>> {
         let record = match kind {
             Kind::Catalog => Some(Record::Catalog(Box::new(catalog()))),
             Kind::Endpoints => Some(Record::Endpoint(Endpoint {
