Remember an answered request at its home until its bill is recorded

With its life printed: an idempotent request registers, runs, is billed by two instances while the platform is slow, and its registration is taken back; until the bill is recorded the home knows neither, tells the second of two callers "first", and that one's refusal (all slots taken) says "not run" of a key that has run.

Change: the end of a registration says how it ended; an answered one stays at the home, with who answered it, until the bill is recorded there.

Ruled out: a link that broke while the repeat followed the first (no `follow` came before the refusals); a registration that was not answered in time (both callers were told "first").

Test first: `answered_request_is_known_before_its_bill_is_durable`.

--- a/crates/journal/src/handle.rs
+++ b/crates/journal/src/handle.rs
@@ -216,7 +216,7 @@
         match run {
             None => Ok(()),
             Some(Run::Registered(register, _)) => {
-                let release = Op::Release(Release { digest, nonce: register.nonce, ran: outcome == Outcome::Unknown });
+                let release = Op::Release(Release { digest, nonce: register.nonce, end });
                 self.ask(digest, release, deadline).await.map(|_| ())
             }
             Some(Run::Claimed { nonce, made_at }) => {
--- a/crates/journal/src/op.rs
+++ b/crates/journal/src/op.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     bill::Bill,
-    record::{Bind, Claim, Close, Digest, Origin, Settle},
+    record::{Bind, Claim, Close, Digest, End, Origin, Settle},
 };
 
 /// One question to a home.
@@ -57,8 +57,8 @@
     pub digest: Digest,
     /// The run's.
     pub nonce: u64,
-    /// Whether it ended without an answer and may have run all the same.
-    pub ran: bool,
+    /// How it ended.
+    pub end: End,
 }
 
 /// What a home answers.
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -94,8 +94,8 @@
     until: Timestamp,
     /// An earlier try may have run.
     again: bool,
-    /// Runs no more.
-    ended: bool,
+    /// How it ended; nothing while it runs.
+    end: Option<End>,
 }
 
 impl State {
@@ -235,6 +235,10 @@
             entry.standing = Standing::Answered;
             entry.seq = seq;
         }
+        // Its holder may be known from its registration alone.
+        if let Some(running) = self.running.remove(&digest) {
+            entry.answered.get_or_insert(running.by);
+        }
     }
 
     fn apply_bind(&mut self, bind: &Bind, seq: Seq) {
--- a/crates/journal/src/state/decide.rs
+++ b/crates/journal/src/state/decide.rs
@@ -8,7 +8,7 @@
 use super::{BINDING_WINDOW, Bounds, Running, State, bill_hash};
 use crate::{
     Bill, Reason,
-    op::{Op, Register, Release, Reply},
+    op::{Known, Op, Register, Release, Reply},
     placement::Placement,
     record::{Bind, Claim, Digest, End, Record, Settle, Standing},
 };
@@ -93,6 +93,13 @@
                 }
                 return Decision::Answer(Reply::RunningAt(old.by.instance.clone()));
             }
+            Some(old) if old.end == Some(End::Answered) => {
+                if old.fingerprint != register.fingerprint {
+                    return Decision::Answer(Reply::Refused(Reason::OtherBody));
+                }
+                let at = context.placement.knows(&old.by).then(|| old.by.instance.clone());
+                return Decision::Answer(Reply::Known(Known { outcome: Outcome::Answered, at }));
+            }
             // It ended without an answer, its instance is lost, or it is overdue.
             Some(_) => again = true,
             None if self.running.len() >= bounds.running => {
@@ -106,20 +113,26 @@
             fingerprint: register.fingerprint,
             until: context.now.plus(register.lasts_ms),
             again,
-            ended: false,
+            end: None,
         };
         self.running.insert(register.digest, running);
         Decision::Answer(if again { Reply::Again } else { Reply::First })
     }
 
+    /// An answered request is remembered here until its bill is recorded, which
+    /// takes as long as the platform is slow or away. Forgotten at once, a repeat
+    /// would be told "first": it would run anew, and a refusal of it would say
+    /// "not run" of a key that has run.
     fn decide_release(&mut self, release: &Release, context: &Context<'_>) -> Decision {
         match self.running.get_mut(&release.digest) {
             Some(running) if running.nonce != release.nonce => {}
-            Some(running) if release.ran || running.again => {
-                running.ended = true;
+            Some(running) if release.end == End::NotRun && !running.again => {
+                self.running.remove(&release.digest);
+            }
+            Some(running) => {
+                running.end = Some(release.end);
                 running.until = context.now;
             }
-            Some(_) => drop(self.running.remove(&release.digest)),
             None => {}
         }
         Decision::Answer(Reply::Done)
@@ -179,10 +192,14 @@
 
 impl Running {
     fn is_under_way(&self, context: &Context<'_>) -> bool {
-        !self.ended && self.until > context.now && context.placement.knows(&self.by)
+        self.end.is_none() && self.until > context.now && context.placement.knows(&self.by)
     }
 
     fn outcome(&self, context: &Context<'_>) -> Outcome {
-        if self.is_under_way(context) { Outcome::Running } else { Outcome::Unknown }
+        match self.end {
+            Some(End::Answered) => Outcome::Answered,
+            None if self.is_under_way(context) => Outcome::Running,
+            _ => Outcome::Unknown,
+        }
     }
 }
--- a/crates/journal/src/wire/call.rs
+++ b/crates/journal/src/wire/call.rs
@@ -57,8 +57,8 @@
     digest: Option<message::Wide>,
     #[prost(fixed64, tag = "2")]
     nonce: u64,
-    #[prost(bool, tag = "3")]
-    ran: bool,
+    #[prost(enumeration = "message::Outcome", tag = "4")]
+    end: i32,
 }
 
 #[derive(Clone, PartialEq, Eq, Message)]
@@ -153,8 +153,8 @@
             Op::Close(close) => record.close = Some(close.into()),
             Op::Register(register) => call.register = Some(register.into()),
             Op::Release(release) => {
-                call.release =
-                    Some(Release { digest: Some(release.digest.into()), nonce: release.nonce, ran: release.ran });
+                let end = message::Outcome::from(release.end).into();
+                call.release = Some(Release { digest: Some(release.digest.into()), nonce: release.nonce, end });
             }
             Op::Outcome(digest) => call.outcome = Some((*digest).into()),
         }
@@ -174,7 +174,8 @@
         let op = match (call.register, call.release, call.outcome) {
             (Some(register), ..) => Op::Register(register.try_into()?),
             (_, Some(release), _) => {
-                Op::Release(op::Release { digest: release.digest.try_into()?, nonce: release.nonce, ran: release.ran })
+                let end = release.end().try_into()?;
+                Op::Release(op::Release { digest: release.digest.try_into()?, nonce: release.nonce, end })
             }
             (.., Some(digest)) => Op::Outcome(Some(digest).try_into()?),
             _ => record.try_into()?,
--- a/crates/journal/src/wire/convert.rs
+++ b/crates/journal/src/wire/convert.rs
@@ -112,12 +112,8 @@
 
 impl From<&record::Settle> for Settle {
     fn from(settle: &record::Settle) -> Self {
-        let end = match settle.end {
-            End::Answered => Outcome::Answered,
-            End::NotRun => Outcome::NotRun,
-            End::Unknown => Outcome::Unknown,
-        };
-        Self { digest: Some(settle.digest.into()), nonce: settle.nonce, made_at: settle.made_at.0, end: end.into() }
+        let end = Outcome::from(settle.end).into();
+        Self { digest: Some(settle.digest.into()), nonce: settle.nonce, made_at: settle.made_at.0, end }
     }
 }
 
@@ -125,16 +121,34 @@
     type Error = Invalid;
 
     fn try_from(wire: Settle) -> Result<Self, Invalid> {
-        let end = match wire.end() {
-            Outcome::Answered => End::Answered,
-            Outcome::NotRun => End::NotRun,
-            Outcome::Unknown => End::Unknown,
-            Outcome::Running => return Err(Invalid::missing("end")),
-        };
+        let end = wire.end().try_into()?;
         Ok(Self { digest: wire.digest.try_into()?, nonce: wire.nonce, made_at: Timestamp(wire.made_at), end })
     }
 }
 
+impl From<End> for Outcome {
+    fn from(end: End) -> Self {
+        match end {
+            End::Answered => Self::Answered,
+            End::NotRun => Self::NotRun,
+            End::Unknown => Self::Unknown,
+        }
+    }
+}
+
+impl TryFrom<Outcome> for End {
+    type Error = Invalid;
+
+    fn try_from(wire: Outcome) -> Result<Self, Invalid> {
+        match wire {
+            Outcome::Answered => Ok(Self::Answered),
+            Outcome::NotRun => Ok(Self::NotRun),
+            Outcome::Unknown => Ok(Self::Unknown),
+            Outcome::Running => Err(Invalid::missing("end")),
+        }
+    }
+}
+
 impl From<&bill::Bill> for Bill {
     fn from(bill: &bill::Bill) -> Self {
         let (version, service) = match &bill.item {
--- a/crates/journal/tests/outages.rs
+++ b/crates/journal/tests/outages.rs
@@ -221,3 +221,28 @@
     let claimed = fleet.journal(other).claim(&id("k"), START, 1, soon()).await;
     assert!(matches!(claimed, Err(Error::NotRecorded(_))), "{claimed:?}");
 }
+
+/// Two callers send one idempotent key while the platform does not answer. The
+/// first run ends whole, its bill held by two instances and not recorded yet;
+/// its registration is taken back. A repeat that was told "first" now would run
+/// anew, and if it was turned away it would say "not run" of a key that ran.
+#[tokio::test(start_paused = true)]
+async fn answered_request_is_known_before_its_bill_is_durable() {
+    let fleet = Fleet::new(3, |_| {});
+    for n in 0..3 {
+        fleet.journal(n).claim(&id(&format!("before{n}")), START, 1, soon()).await.expect("claimed");
+    }
+    let key = far_key(&fleet);
+    let lasts = Duration::from_secs(30);
+    assert_eq!(fleet.journal(0).register(&id(&key), 1, lasts, soon()).await, Ok(Registered::First));
+    fleet.platform.set_down(true);
+    fleet.journal(0).settle(&id(&key), Outcome::Answered, soon()).await.expect("taken back");
+    let known = Known { outcome: Outcome::Answered, at: Some(fleet.nodes[0].member.id.clone()) };
+    assert_eq!(fleet.journal(1).register(&id(&key), 1, lasts, soon()).await, Ok(Registered::Known(known.clone())));
+    assert_eq!(fleet.journal(2).outcome(&id(&key), soon()).await, Ok(Some(Outcome::Answered)));
+    let other = fleet.journal(2).register(&id(&key), 2, lasts, soon()).await;
+    assert_eq!(other, Err(Error::NotRecorded(Reason::OtherBody)));
+    // Its bill, which the home knows and cannot record yet, changes nothing.
+    fleet.journal(0).bill(&bill(&key, 1), soon()).await.expect("two instances hold it");
+    assert_eq!(fleet.journal(1).register(&id(&key), 1, lasts, soon()).await, Ok(Registered::Known(known)));
+}
