Take no key for new that is older than its home

The home of the key gives its shard up for a moment while membership settles and takes it back; registrations live in its memory and are gone, and the instance that runs the request sees no change of homes and does not register anew. A repeat was told "first" and its refusal said "not run".

Change: a home tells "again" of a key that was made before it took the shard over, as after the loss of an instance.

Ruled out: two homes at one time (both registrations reached one instance, in phase "home" with another segment number).

Test first: `reopened_home_takes_no_older_key_for_new`.

--- a/crates/journal/src/home/events.rs
+++ b/crates/journal/src/home/events.rs
@@ -14,7 +14,8 @@
 impl Task {
     pub(super) fn on_event(&mut self, event: Event) {
         match event {
-            Event::Opened(Ok(active)) => {
+            Event::Opened(Ok(mut active)) => {
+                active.state.open_at(self.setting.config.clock.now());
                 self.note(|holding| timeline::Event::TakeOver { holding, epoch: active.last.0, from: None });
                 self.phase = Phase::Home(active);
             }
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -46,6 +46,9 @@
     closed: HashMap<Holder, Timestamp>,
     running: HashMap<Digest, Running>,
     durable: Seq,
+    /// When this instance took the shard over; what was registered in an
+    /// earlier home's memory is not here.
+    opened: Timestamp,
 }
 
 /// Bounds of a shard's memory.
@@ -116,6 +119,11 @@
         }
     }
 
+    /// Notes when this instance became the home.
+    pub fn open_at(&mut self, now: Timestamp) {
+        self.opened = now;
+    }
+
     /// Everything up to `seq` is durable.
     pub fn settle_up_to(&mut self, seq: Seq) {
         self.durable = seq;
--- a/crates/journal/src/state/decide.rs
+++ b/crates/journal/src/state/decide.rs
@@ -84,7 +84,11 @@
         if let Some(entry) = self.marks.get(&register.digest).filter(|e| e.standing != Standing::NotRun) {
             return Decision::Answer(Reply::Known(entry.known(context.placement)));
         }
-        let mut again = false;
+        // Registrations live in a home's memory. One that gave the shard up for
+        // a moment has forgotten them, and took the second of two repeats for
+        // the first: its refusal then said "not run" of a key that ran. Keys
+        // that tell no time are not covered.
+        let mut again = register.made_at.is_some_and(|made_at| made_at <= self.opened);
         match self.running.get(&register.digest) {
             Some(old) if old.nonce == register.nonce => again = old.again,
             Some(old) if old.is_under_way(context) => {
--- a/crates/journal/tests/outages.rs
+++ b/crates/journal/tests/outages.rs
@@ -9,6 +9,7 @@
 use journal::{BillWait, Claimed, Error, Known, Reason, Receipt, Registered};
 use store::fake::Loss;
 use tokio::time::sleep;
+use uuid::Builder;
 use world::request::Outcome;
 
 /// A key whose home is not the first node.
@@ -16,6 +17,13 @@
     (0..100).map(|n| format!("k{n}")).find(|key| fleet.home_of(&id(key)) != 0).expect("a key")
 }
 
+/// A key that tells that it was made now, and whose home is a given node.
+fn timed_key(fleet: &Fleet, home: usize) -> String {
+    let now = fleet.journal(0).config().clock.now();
+    let keys = (0..100).map(|n| Builder::from_unix_timestamp_millis(now.0, &[n; 10]).into_uuid().to_string());
+    keys.into_iter().find(|key| fleet.home_of(&id(key)) == home).expect("a key")
+}
+
 /// A key whose home is the first node.
 fn near_key(fleet: &Fleet) -> String {
     (0..100).map(|n| format!("k{n}")).find(|key| fleet.home_of(&id(key)) == 0).expect("a key")
@@ -192,6 +200,29 @@
     assert_eq!(fleet.journal(rest[1]).register(&id(&key), 1, lasts, soon()).await, Ok(Registered::RunningAt(at)));
 }
 
+/// A home takes its instance for no member for a moment, gives its shard up and
+/// takes it back, while the instance that runs a request notices nothing of it.
+/// What was registered is forgotten with that; a repeat that was told "first"
+/// now and is turned away would say "not run" of a key that runs. A key made
+/// since then is known to be new.
+#[tokio::test(start_paused = true)]
+async fn reopened_home_takes_no_older_key_for_new() {
+    let fleet = Fleet::new(3, |_| {});
+    fleet.ready().await;
+    let home = 1;
+    let lasts = Duration::from_secs(30);
+    let old = timed_key(&fleet, home);
+    assert_eq!(fleet.journal(0).register(&id(&old), 1, lasts, soon()).await, Ok(Registered::First));
+    let members = |who: &[usize]| who.iter().map(|n| fleet.nodes[*n].member.clone()).collect::<Vec<_>>();
+    fleet.journal(home).set_members(members(&[0, 2]));
+    sleep(Duration::from_secs(1)).await;
+    fleet.journal(home).set_members(members(&[0, 1, 2]));
+    assert_eq!(fleet.journal(2).register(&id(&old), 1, lasts, soon()).await, Ok(Registered::Again));
+    sleep(Duration::from_millis(1)).await;
+    let new = timed_key(&fleet, home);
+    assert_eq!(fleet.journal(2).register(&id(&new), 1, lasts, soon()).await, Ok(Registered::First));
+}
+
 /// A claim whose fate is unknown is not run; its key must not stay blocked.
 #[tokio::test(start_paused = true)]
 async fn unknown_claim_is_taken_back() {
