Ask large models sooner for routes that go first, later for those that go last

Change: an opinion counts 20 less far on routes of the last rank and 10 further on those of the first; the ranks are those of the catalog's routes with a ladder, and where all are alike nothing changes.

--- a/crates/relay/src/catalog.rs
+++ b/crates/relay/src/catalog.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use route::relay::ladder::Urgency;
+
 /// Everything an operator has configured, at one version.
 #[derive(Debug, Clone, Default)]
 pub struct Catalog {
@@ -15,6 +17,9 @@
     pub keys: Option<HashMap<String, Arc<Team>>>,
     /// Bounds on what callers may send.
     pub limits: Limits,
+    /// Lowest and highest rank of the routes that have a ladder of models; kept
+    /// by [`Catalog::add`].
+    pub ladder_ranks: Option<(u8, u8)>,
 }
 
 /// A route from a host and path prefix to services.
@@ -136,8 +141,18 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// How urgent a route is among those that have a ladder of models.
+    #[must_use]
+    pub fn urgency(&self, route: &Route) -> Urgency {
+        self.ladder_ranks.map_or(Urgency::Usual, |(first, last)| Urgency::of(route.rank, first..=last))
+    }
+
     /// Adds a route, in its place among those of its host.
     pub fn add(&mut self, host: String, route: Route) {
+        if !route.models.is_empty() {
+            let (first, last) = self.ladder_ranks.unwrap_or((route.rank, route.rank));
+            self.ladder_ranks = Some((first.min(route.rank), last.max(route.rank)));
+        }
         let routes = self.hosts.entry(host).or_default();
         let at = routes.partition_point(|other| other.prefix.len() > route.prefix.len());
         routes.insert(at, Arc::new(route));
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -6,6 +6,7 @@
 use http::{Request, header};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use route::relay::ladder::Urgency;
 use tokio::time::timeout;
 
 use super::tries::Exchange;
@@ -30,6 +31,8 @@
     pub route: Arc<Route>,
     /// Whose key it has.
     pub team: Option<Arc<Team>>,
+    /// How urgent the route is among those that have a ladder.
+    pub urgency: Urgency,
     /// The catalog's version.
     pub version: u64,
 }
@@ -102,7 +105,8 @@
         }
         _ => None,
     };
-    Ok(Pass { route: Arc::clone(route), team, version: catalog.version })
+    let urgency = catalog.urgency(route);
+    Ok(Pass { route: Arc::clone(route), team, urgency, version: catalog.version })
 }
 
 fn host(headers: &http::HeaderMap, uri: &http::Uri) -> String {
--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -127,7 +127,7 @@
             allowance: self.desk.affords(&self.service, Purpose::Escalation),
         };
         let outlooks: Vec<Outlook> = (0..models).map(|model| self.outlook(model)).collect();
-        match ladder::step(index, confidence, room, &outlooks) {
+        match ladder::step(index, confidence, self.pass.urgency, room, &outlooks) {
             Step::Keep => None,
             Step::Escalate(next) => Some(next),
         }
--- a/crates/route/src/relay/ladder.rs
+++ b/crates/route/src/relay/ladder.rs
@@ -6,6 +6,8 @@
 //! request starts small and goes to the largest model when that opinion is
 //! low: the answer that is dropped costs the small model's first tokens only.
 
+use std::ops::RangeInclusive;
+
 /// Lowest opinion, from 0 to 100, at which a smaller model's answer is kept.
 pub const CUT: u32 = 60;
 
@@ -14,6 +16,59 @@
 /// so a small model's answer in time is kept unless it is likely wrong.
 pub const LATE_CUT: u32 = 25;
 
+/// Taken off an opinion on a route that goes first: its requests have few
+/// tokens and much is owed for them, so a doubtful answer is asked for again.
+const FIRST: u32 = 10;
+
+/// Added to an opinion on a route that goes last.
+///
+/// The load pattern: checks of a few output tokens and a long prompt, most of
+/// all requests. Each that went on to the largest model had it read the prompt
+/// for as long as a hundred tokens of an urgent answer take; on a heavy day every
+/// second one did, and urgent requests waited behind them. With both, callers of
+/// a heavy day with 74 instances were given 0.862 of what they were owed in place
+/// of 0.856, with 61 instances 0.925 in place of 0.922, and models cost 2 to 5 in
+/// 100 less (one simulated day each).
+const LAST: u32 = 20;
+
+/// How urgent a route is among those that have a ladder.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Urgency {
+    /// Before all others.
+    First,
+    /// Neither, or all are alike.
+    #[default]
+    Usual,
+    /// After all others.
+    Last,
+}
+
+impl Urgency {
+    /// The urgency of a rank, 0 first, among the ranks of all routes that have
+    /// a ladder.
+    #[must_use]
+    pub fn of(rank: u8, ranks: RangeInclusive<u8>) -> Self {
+        if ranks.start() == ranks.end() {
+            Self::Usual
+        } else if rank == *ranks.start() {
+            Self::First
+        } else if rank == *ranks.end() {
+            Self::Last
+        } else {
+            Self::Usual
+        }
+    }
+
+    /// An opinion as it counts on such a route.
+    fn weigh(self, confidence: u32) -> u32 {
+        match self {
+            Self::First => confidence.saturating_sub(FIRST),
+            Self::Usual => confidence,
+            Self::Last => confidence.saturating_add(LAST),
+        }
+    }
+}
+
 /// When a further run's first event would come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outlook {
@@ -89,9 +144,9 @@
 /// middle one reads four times faster than the largest and is right for most
 /// requests that the small one nearly answers, so it is asked if it is in time.
 #[must_use]
-pub fn step(index: usize, confidence: Option<u32>, room: Room, outlooks: &[Outlook]) -> Step {
+pub fn step(index: usize, confidence: Option<u32>, urgency: Urgency, room: Room, outlooks: &[Outlook]) -> Step {
     let last = outlooks.len().saturating_sub(1);
-    let Some(confidence) = confidence else { return Step::Keep };
+    let Some(confidence) = confidence.map(|confidence| urgency.weigh(confidence)) else { return Step::Keep };
     if index >= last || room.attempts == 0 || !room.allowance || confidence >= CUT {
         return Step::Keep;
     }
--- a/crates/route/tests/relay/ladder.rs
+++ b/crates/route/tests/relay/ladder.rs
@@ -1,6 +1,6 @@
 //! Small models first; larger ones while there is room.
 
-use route::relay::ladder::{CUT, LATE_CUT, Outlook, Room, Step, Time, start, step};
+use route::relay::ladder::{CUT, LATE_CUT, Outlook, Room, Step, Time, Urgency, start, step};
 
 const ROOM: Room = Room { attempts: 2, allowance: true };
 
@@ -13,7 +13,7 @@
         $(#[$doc])*
         #[test]
         fn $name() {
-            assert_eq!(step($index, $opinion, $room, &$outlooks), $step);
+            assert_eq!(step($index, $opinion, Urgency::Usual, $room, &$outlooks), $step);
         }
     )*};
 }
@@ -41,6 +41,29 @@
     middle_ones_answer_goes_on_or_stays: 1, Some(LATE_CUT), ROOM, LATE => Step::Keep;
 }
 
+macro_rules! urgencies {
+    ($($(#[$doc:meta])* $name:ident: $rank:expr, $ranks:expr, $opinion:expr => $step:expr;)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            let urgency = Urgency::of($rank, $ranks);
+            assert_eq!(step(0, Some($opinion), urgency, ROOM, &SOON), $step);
+        }
+    )*};
+}
+
+urgencies! {
+    // Most requests are checks that go last and have long prompts. Asked of the
+    // largest model as readily as the others, they take its time from them.
+    last_route_keeps_the_fairly_sure: 2, 0..=2, CUT - 20 => Step::Keep;
+    last_route_replaces_the_unsure: 2, 0..=2, CUT - 21 => Step::Escalate(2);
+    first_route_keeps_only_the_very_sure: 0, 0..=2, CUT + 9 => Step::Escalate(2);
+    first_route_keeps_the_very_sure: 0, 0..=2, CUT + 10 => Step::Keep;
+    route_between_is_as_it_was: 1, 0..=2, CUT => Step::Keep;
+    // Nothing tells which requests matter less.
+    routes_of_one_rank_are_alike: 2, 2..=2, CUT - 1 => Step::Escalate(2);
+}
+
 /// Times of three models at idle endpoints and, `wait` longer, now.
 fn times(idle: [f64; 3], wait: f64) -> [Time; 3] {
     idle.map(|idle| Time { idle, now: idle + wait })
