Tell nobody that an endpoint is gone which has registered again

Change: lapsed endpoints have a module of their own, `follow::lapses`, pure, and a registration or another instance's lead clears what was to be told.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -5,11 +5,14 @@
 //! after any doubt the kind is listed again, because a watch that was cut may
 //! have missed changes.
 
+mod lapses;
+
 use std::{sync::Arc, time::Duration};
 
 use route::relay::freshness::Proof;
 use tokio::time::{sleep, timeout};
 
+use self::lapses::{Lapses, RETURN};
 use crate::{
     clock,
     desk::{Desk, track},
@@ -44,9 +47,6 @@
 /// Outage of the store after which a missing endpoint may only have lapsed.
 const OUTAGE: Duration = Duration::from_secs(1);
 
-/// Time that endpoints which lapsed during an outage take to register again.
-const RETURN: Duration = Duration::from_millis(2_300);
-
 /// Pause after a watch that brought changes to endpoints. Servers start, crash
 /// and leave by the dozen within seconds; one call for each of them is paid
 /// for, while a leaving one may get work for seconds.
@@ -77,8 +77,7 @@
         lost_since: None,
         last_lost: Duration::ZERO,
         failures: 0,
-        lapsed: Vec::new(),
-        unsaid: Vec::new(),
+        lapses: Lapses::default(),
         first_listed: None,
         pause: None,
     };
@@ -96,9 +95,7 @@
     lost_since: Option<Duration>,
     last_lost: Duration,
     failures: u32,
-    lapsed: Vec<(String, Duration)>,
-    /// Changes that no revision of the store stands for yet.
-    unsaid: Vec<track::Change>,
+    lapses: Lapses,
     first_listed: Option<Duration>,
     /// Pause before the next call.
     pause: Option<Duration>,
@@ -164,6 +161,7 @@
     async fn rest(&mut self) {
         self.revision = None;
         self.expire();
+        self.lapses.leave();
         let wanted = timeout(REST, self.desk.wanted(self.kind)).await.is_ok();
         let asked = clock::now();
         let look = self.kind == Kind::Catalog && !self.desk.touched() && asked > self.last_lost + LED_LOOK;
@@ -205,7 +203,7 @@
     async fn watch(&mut self, from: u64, asked: Duration) -> Result<(), Fault> {
         let wait = match self.kind {
             Kind::Catalog => CATALOG_WAIT,
-            Kind::Endpoints if !self.lapsed.is_empty() => LAPSED_WAIT,
+            Kind::Endpoints if self.lapses.waits() => LAPSED_WAIT,
             Kind::Endpoints => ENDPOINTS_WAIT,
             Kind::Rollouts | Kind::Instances => ROLLOUTS_WAIT,
         };
@@ -215,7 +213,7 @@
         if self.kind == Kind::Endpoints {
             let mut told: Vec<track::Change> = changes.iter().filter_map(endpoint_change).collect();
             if revision > self.desk.endpoints_revision() {
-                told.splice(0..0, std::mem::take(&mut self.unsaid));
+                told.splice(0..0, self.lapses.tell());
             }
             self.desk.note_changes(revision, told);
             if !changes.is_empty() {
@@ -286,10 +284,10 @@
             self.desk.note_changes(listing.revision, self.desk.differences(&listed, &kept));
         }
         for id in missing {
-            if !outage {
+            if outage {
+                self.lapses.lapse(id, now);
+            } else {
                 self.desk.delist(&id);
-            } else if !self.lapsed.iter().any(|(other, _)| *other == id) {
-                self.lapsed.push((id, now + RETURN));
             }
         }
     }
@@ -300,7 +298,7 @@
                 self.desk.install(*catalog);
             }
             Some(Record::Endpoint(endpoint)) => {
-                self.lapsed.retain(|(id, _)| *id != endpoint.id);
+                self.lapses.back(&endpoint.id);
                 self.desk.enlist(endpoint);
             }
             Some(Record::Rollout(rollout)) => self.desk.order(rollout),
@@ -315,13 +313,8 @@
     }
 
     fn expire(&mut self) {
-        let now = clock::now();
-        let (gone, waiting) = std::mem::take(&mut self.lapsed).into_iter().partition(|(_, until)| *until <= now);
-        self.lapsed = waiting;
-        let gone: Vec<(String, Duration)> = gone;
-        for (id, _) in gone {
+        for id in self.lapses.expire(clock::now()) {
             self.desk.delist(&id);
-            self.unsaid.push(track::Change::Gone(id));
         }
     }
 }
