Keep a lapsed endpoint of which another instance tells that it is back

Change: endpoints know when a registration of theirs last came; one that came after the listing that lacked it is not given up.

Test: `lapsed_endpoint_that_another_tells_of_stays` (there was no way to ask before; by the old code the endpoint is dropped).

--- a/crates/relay/src/desk/fleet.rs
+++ b/crates/relay/src/desk/fleet.rs
@@ -82,6 +82,8 @@
     rests_until: Duration,
     full_until: Duration,
     heard: Duration,
+    /// When a registration of it last came.
+    registered: Duration,
 }
 
 /// Runs under way at an endpoint.
@@ -126,6 +128,7 @@
         state.trials.sight(&endpoint.service, &endpoint.version, now);
         let fleet = &mut state.fleet;
         if let Some(server) = fleet.by_name.get(&endpoint.id).and_then(|key| fleet.servers.get_mut(*key)) {
+            server.registered = now;
             if *server.endpoint != endpoint {
                 tracing::info!(endpoint = endpoint.id, draining = endpoint.draining, "endpoint changed");
                 server.endpoint = Arc::new(endpoint);
@@ -147,6 +150,24 @@
         }
     }
 
+    /// Forgets an endpoint that has not registered since a moment; whether it
+    /// did.
+    ///
+    /// After an outage its registration may come by way of another instance,
+    /// while this one still waits for it at the store: to give it up then would
+    /// take a living endpoint out of use until it changes once more.
+    pub fn delist_lapsed(&self, id: &str, since: Duration) -> bool {
+        let is_back = {
+            let fleet = &self.lock().fleet;
+            let server = fleet.by_name.get(id).and_then(|key| fleet.servers.get(*key));
+            server.is_none_or(|server| server.registered > since)
+        };
+        if !is_back {
+            self.delist(id);
+        }
+        !is_back
+    }
+
     /// Names of all known endpoints.
     #[must_use]
     pub fn enlisted(&self) -> Vec<String> {
@@ -335,6 +356,7 @@
             rests_until: Duration::ZERO,
             full_until: Duration::ZERO,
             heard: Duration::ZERO,
+            registered: now,
         }
     }
 
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -313,8 +313,10 @@
     }
 
     fn expire(&mut self) {
-        for id in self.lapses.expire(clock::now()) {
-            self.desk.delist(&id);
+        for lapse in self.lapses.expire(clock::now()) {
+            if self.desk.delist_lapsed(&lapse.id, lapse.since) {
+                self.lapses.gone(lapse.id);
+            }
         }
     }
 }
--- a/crates/relay/src/follow/lapses.rs
+++ b/crates/relay/src/follow/lapses.rs
@@ -16,10 +16,19 @@
 /// Time that endpoints which lapsed during an outage take to register again.
 pub(super) const RETURN: Duration = Duration::from_millis(2_300);
 
+/// An endpoint that a listing lacked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Lapse {
+    /// The endpoint.
+    pub id: String,
+    /// When the listing was read.
+    pub since: Duration,
+}
+
 /// Endpoints waited for, and those given up that others do not know of yet.
 #[derive(Debug, Default)]
 pub(super) struct Lapses {
-    waiting: Vec<(String, Duration)>,
+    waiting: Vec<Lapse>,
     untold: Vec<Change>,
 }
 
@@ -31,8 +40,8 @@
 
     /// Waits for an endpoint to register again.
     pub fn lapse(&mut self, id: String, now: Duration) {
-        if !self.waiting.iter().any(|(other, _)| *other == id) {
-            self.waiting.push((id, now + RETURN));
+        if !self.waiting.iter().any(|lapse| lapse.id == id) {
+            self.waiting.push(Lapse { id, since: now });
         }
     }
 
@@ -41,16 +50,18 @@
     /// It may have been given up before: told of as gone now, a living endpoint
     /// would get no more work from the instances that hear of it from here.
     pub fn back(&mut self, id: &str) {
-        self.waiting.retain(|(other, _)| other != id);
+        self.waiting.retain(|lapse| lapse.id != id);
         self.untold.retain(|change| !matches!(change, Change::Gone(other) if other == id));
     }
 
-    /// Gives up those that were waited for long enough, and names them.
-    pub fn expire(&mut self, now: Duration) -> Vec<String> {
-        let gone = self.waiting.extract_if(.., |(_, until)| *until <= now);
-        let gone: Vec<String> = gone.map(|(id, _)| id).collect();
-        self.untold.extend(gone.iter().cloned().map(Change::Gone));
-        gone
+    /// Those that were waited for long enough; they are waited for no more.
+    pub fn expire(&mut self, now: Duration) -> Vec<Lapse> {
+        self.waiting.extract_if(.., |lapse| lapse.since + RETURN <= now).collect()
+    }
+
+    /// Notes that an endpoint was given up.
+    pub fn gone(&mut self, id: String) {
+        self.untold.push(Change::Gone(id));
     }
 
     /// What others have to be told.
--- a/crates/relay/src/follow/lapses/tests.rs
+++ b/crates/relay/src/follow/lapses/tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Lapses, RETURN};
+use super::{Lapse, Lapses, RETURN};
 use crate::desk::track::Change;
 
 const OUTAGE_ENDS: Duration = Duration::from_secs(10);
@@ -12,7 +12,9 @@
     let mut lapses = Lapses::default();
     lapses.lapse("e0".into(), OUTAGE_ENDS);
     assert!(lapses.expire(OUTAGE_ENDS).is_empty());
-    assert_eq!(lapses.expire(OUTAGE_ENDS + RETURN), ["e0"]);
+    let gone = lapses.expire(OUTAGE_ENDS + RETURN);
+    assert_eq!(gone, [Lapse { id: "e0".into(), since: OUTAGE_ENDS }]);
+    lapses.gone("e0".into());
     lapses
 }
 
--- a/crates/relay/tests/it/track.rs
+++ b/crates/relay/tests/it/track.rs
@@ -201,6 +201,23 @@
     assert!(!other.fresh());
 }
 
+/// An endpoint lapsed during an outage of the store and is waited for; meanwhile
+/// another instance leads this one and tells that it has registered again. When
+/// the wait ends it must not be given up: nobody would tell of it once more.
+#[test]
+fn lapsed_endpoint_that_another_tells_of_stays() {
+    let (watcher, other) = (knowing(1), knowing(1));
+    watcher.renew(clock::now(), Proof::Read);
+    let lapsed = clock::now();
+    std::thread::sleep(Duration::from_millis(1));
+    watcher.note_changes(12, vec![Change::Known(endpoint("e0", ([127, 0, 0, 1], 9).into()))]);
+    other.take_reply(clock::now(), watcher.reply(other.question(), 60).unwrap());
+    assert!(!other.delist_lapsed("e0", lapsed));
+    assert_eq!(known(&other), ["e0"]);
+    assert!(other.delist_lapsed("e0", clock::now()));
+    assert!(known(&other).is_empty());
+}
+
 /// The watcher itself has lost the store: its word keeps nobody in step.
 #[test]
 fn watcher_without_proof_keeps_nobody_in_step() {
