Tell the catalog's version in the news, and read a newer one

Change: news says which catalog an instance has; one that hears of a newer one than its own reads it. Of the many that say so the first brings a reading about: `Desk::behind` is asked before each.

Test first: `newer_catalog_in_anybodys_news_is_read` (without the change the instance never reads it while it is led).

--- a/crates/relay/src/desk/peers.rs
+++ b/crates/relay/src/desk/peers.rs
@@ -56,6 +56,8 @@
     pub sessions: Vec<u64>,
     /// Roll-outs as it knows them.
     pub reports: Vec<Report>,
+    /// Version of its catalog; 0 before it has one.
+    pub catalog: u64,
 }
 
 impl Peers {
@@ -144,8 +146,14 @@
             tracing::info!(instance = name, "instance heard again");
         }
         peer.heard = Some(now);
+        let catalog = word.catalog;
         peer.word = word;
         state.settle_loads(now);
+        drop(state);
+        // The instance that keeps this one in step may itself be cut off from
+        // the store and not know it yet: it goes on to prove an old catalog,
+        // for seconds. Any other that has a newer one shows that by its news.
+        self.note_newer(catalog);
     }
 
     /// Forgets an instance that has left.
--- a/crates/relay/src/desk/track.rs
+++ b/crates/relay/src/desk/track.rs
@@ -13,7 +13,7 @@
 use route::relay::freshness::Proof;
 use world::hash;
 
-use super::Desk;
+use super::{Desk, State};
 use crate::{clock, rollout::Rollout, source::Endpoint};
 
 /// Instances that watch the store: when one is lost, the others ask the next
@@ -46,6 +46,8 @@
     kept: VecDeque<(u64, Change)>,
     answered: Option<Duration>,
     orders_known: bool,
+    /// Highest version of the catalog that any instance has told of.
+    newest: u64,
 }
 
 /// What an instance that is behind asks.
@@ -242,15 +244,31 @@
         if reply.gap {
             self.endpoints_wanted.notify_one();
         }
-        match state.catalog.as_ref().map(|catalog| catalog.version) {
-            // Only who has the very catalog that is proven may count on it.
-            Some(version) if version >= reply.catalog => {
-                state.freshness.renew(asked.saturating_sub(reply.proof_age), Proof::Read);
-            }
-            _ => self.catalog_wanted.notify_one(),
+        // Only who has the very catalog that is proven may count on it.
+        if state.catalog.as_ref().is_some_and(|known| known.version >= reply.catalog) {
+            state.freshness.renew(asked.saturating_sub(reply.proof_age), Proof::Read);
+        }
+        drop(state);
+        self.note_newer(reply.catalog);
+    }
+
+    /// Notes which catalog another instance has; a newer one is to be read.
+    pub(super) fn note_newer(&self, version: u64) {
+        let mut state = self.lock();
+        state.track.newest = state.track.newest.max(version);
+        if state.is_behind() {
+            self.catalog_wanted.notify_one();
         }
     }
 
+    /// Whether another instance has a newer catalog than this one: of the many
+    /// that say so the first brings a reading about, and the others must not
+    /// bring further ones.
+    #[must_use]
+    pub fn behind(&self) -> bool {
+        self.lock().is_behind()
+    }
+
     fn take_orders(&self, orders: &[Rollout]) {
         let known = self.lock().trials.orders();
         for gone in known.iter().filter(|order| !orders.iter().any(|other| other.service == order.service)) {
@@ -265,6 +283,12 @@
     }
 }
 
+impl State {
+    fn is_behind(&self) -> bool {
+        self.catalog.as_ref().is_none_or(|known| known.version < self.track.newest)
+    }
+}
+
 /// An instance that may watch the store for others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Watcher {
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -162,7 +162,8 @@
         self.revision = None;
         self.expire();
         self.lapses.leave();
-        let wanted = timeout(REST, self.desk.wanted(self.kind)).await.is_ok();
+        let asked_for = timeout(REST, self.desk.wanted(self.kind)).await.is_ok();
+        let wanted = asked_for && (self.kind != Kind::Catalog || self.desk.behind());
         let asked = clock::now();
         let look = self.kind == Kind::Catalog && !self.desk.touched() && asked > self.last_lost + LED_LOOK;
         if !wanted && !look {
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -161,6 +161,7 @@
             .collect(),
         sessions: desk.settled_sessions(),
         orders: desk.trial_reports().iter().map(Order::from).collect(),
+        catalog: desk.catalog().map_or(0, |catalog| catalog.version),
     }
 }
 
--- a/crates/relay/src/news/wire.rs
+++ b/crates/relay/src/news/wire.rs
@@ -84,6 +84,7 @@
     pub(super) loads: Vec<(u32, u16, u16)>,
     pub(super) sessions: Vec<u64>,
     pub(super) orders: Vec<Order>,
+    pub(super) catalog: u64,
 }
 
 /// A version's record on the wire.
@@ -262,6 +263,7 @@
             loads: piece.loads.iter().map(load).collect::<HashMap<_, _>>(),
             sessions: piece.sessions.clone(),
             reports: piece.orders.iter().map(Report::from).collect(),
+            catalog: piece.catalog,
         }
     }
 }
--- a/crates/relay/tests/it/track.rs
+++ b/crates/relay/tests/it/track.rs
@@ -17,6 +17,7 @@
     },
 };
 use route::relay::freshness::Proof;
+use world::hash;
 
 use crate::site::{Kept, SERVICE, Site, catalog, dialect, endpoint, route, settings};
 
@@ -259,6 +260,55 @@
     check_told_catalog(Some(1), [2, 1]).await;
 }
 
+/// The instance that leads this one was cut off from the store in silence: its
+/// watch hangs, and for seconds it still proves the catalog that it has. The
+/// operator changes the catalog; a third instance has the new one and its news
+/// says so, upon which this one reads it.
+#[tokio::test]
+async fn newer_catalog_in_anybodys_news_is_read() {
+    let routes = || vec![route("/a/", Kind::Idempotent)];
+    let kept = Kept { catalog: Some(catalog(1, routes())), ..Kept::default() };
+    // Those of the lowest hashes watch the store, so this one has the highest.
+    let mut names = ["a", "b", "c", "d"];
+    names.sort_by_key(|name| hash::stable(name.as_bytes()));
+    let site = Site::open_with(kept, |settings| settings.instance = names[3].into()).await;
+    let (desk, cut_off) = (site.relay.desk(), knowing(1));
+    let told = |catalog| Word {
+        run: 1,
+        ready: true,
+        in_touch: true,
+        pause: Duration::from_millis(250),
+        catalog,
+        ..Word::default()
+    };
+    let lead = || {
+        for (name, port) in [(names[0], 7), (names[1], 8)] {
+            desk.hear(name, ([127, 0, 0, 7], port).into(), told(1));
+        }
+        cut_off.renew(clock::now(), Proof::Read);
+        desk.take_reply(clock::now(), cut_off.reply(Question { revision: 10 }, 60).unwrap());
+    };
+    for _ in 0..15 {
+        lead();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert!(desk.led());
+    site.store.change(|kept| kept.catalog = Some(catalog(2, routes())));
+    for _ in 0..5 {
+        lead();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(desk.catalog().unwrap().version, 1);
+    desk.hear(names[2], ([127, 0, 0, 7], 9).into(), told(2));
+    let read = async {
+        while desk.catalog().unwrap().version < 2 {
+            lead();
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    };
+    assert!(tokio::time::timeout(Duration::from_secs(5), read).await.is_ok());
+}
+
 /// The watcher itself has lost the store: its word keeps nobody in step.
 #[test]
 fn watcher_without_proof_keeps_nobody_in_step() {
