Judge a session's move by the version that the answer names

Cause: the judge of the trial held a session to be moved untold where the word came with an answer that had escalated to another tier, or on the second of a caller's two connections with one key. It also let a word about one version excuse the change of another.

Change: a whole answer that names the version which was left frees the pin on just that version, whichever tier answered and on whichever connection it came.

Tests: move_told_by_an_escalated_answer and move_told_on_the_second_connection fail on the old judge, which also passes move_of_another_version_told wrongly.

--- a/crates/trial/src/caller.rs
+++ b/crates/trial/src/caller.rs
@@ -58,8 +58,8 @@
     pub(crate) version: String,
     /// The session's handle.
     pub(crate) session: Option<String>,
-    /// The session was moved to another version.
-    pub(crate) moved: bool,
+    /// The version that the session was moved off, if the answer told of a move.
+    pub(crate) moved_off: Option<String>,
     pub(crate) text: String,
 }
 
@@ -276,7 +276,7 @@
             Some(End::Whole(Whole {
                 version: version.into(),
                 session: reply.header("arbutuslug-session").map(Into::into),
-                moved: reply.header("arbutuslug-session-moved").is_some(),
+                moved_off: reply.header("arbutuslug-session-moved").map(Into::into),
                 text,
             }))
         }
@@ -285,7 +285,7 @@
             if answer["key"] != key {
                 return Some(End::Lost(format!("the service's answer is another's: {}", reply.body)));
             }
-            Some(End::Whole(Whole { version: String::new(), session: None, moved: false, text: reply.body.clone() }))
+            Some(End::Whole(Whole { version: String::new(), session: None, moved_off: None, text: reply.body.clone() }))
         }
     }
 }
--- a/crates/trial/src/check.rs
+++ b/crates/trial/src/check.rs
@@ -205,10 +205,13 @@
         }
         let mut pins: BTreeMap<u8, String> = BTreeMap::new();
         for sent in &played.sent {
+            for left in sent.iter().filter_map(told_move) {
+                pins.retain(|_, pinned| pinned != left);
+            }
             let End::Whole(whole) = &sent[0].end else { continue };
             let Some(tier) = tier(catalog, &whole.version) else { continue };
             let before = pins.insert(tier, whole.version.clone());
-            if let Some(before) = before.filter(|before| *before != whole.version && !whole.moved) {
+            if let Some(before) = before.filter(|before| *before != whole.version) {
                 let text = format!("{}: {session:?} went from {before} to {}", sent[0].tag, whole.version);
                 self.0.push(Breach::Session(text));
             }
@@ -216,6 +219,16 @@
     }
 }
 
+/// The version that a whole answer told its session to have left.
+///
+/// The word counts whichever tier answered: an answer that was escalated may
+/// tell of a move in the tier below, where the session's next answer comes
+/// from. And it counts on either of a caller's two connections with one key.
+fn told_move(sent: &Sent) -> Option<&String> {
+    let End::Whole(whole) = &sent.end else { return None };
+    whole.moved_off.as_ref()
+}
+
 /// A "not run" that was told after the first run began.
 ///
 /// Of two callers with one key, one may hear "not run" and come back, and so
--- a/crates/trial/src/check/tests.rs
+++ b/crates/trial/src/check/tests.rs
@@ -7,7 +7,7 @@
 use standin::{answer, engine, service};
 use world::{Catalog, Timestamp, object::Object, request};
 
-use super::{Breach, check, request_id};
+use super::{Breach, Findings, check, request_id};
 use crate::{
     books::Books,
     caller::{End, NotRun, Sent, Whole},
@@ -24,6 +24,7 @@
   versions:
     - { version: "1", price: { input: "1", output: "2", currency: EUR } }
     - { version: "2", price: { input: "1", output: "2", currency: EUR } }
+    - { version: "9", tier: 1, price: { input: "2", output: "4", currency: EUR } }
 ---
 kind: contract
 name: c
@@ -68,7 +69,7 @@
 
 fn sent(ask: &Ask) -> Sent {
     let version = if matches!(ask.kind, Kind::Chat { .. }) { "m@1" } else { "" };
-    let whole = Whole { version: version.into(), session: None, moved: false, text: ask.tag.clone() };
+    let whole = Whole { version: version.into(), session: None, moved_off: None, text: ask.tag.clone() };
     Sent {
         tag: ask.tag.clone(),
         key: ask.tag.clone(),
@@ -161,7 +162,7 @@
     answer_is_lost: |run| run.sent(0).end = End::Lost(String::new()) => [Breach::Lost(_)];
     two_answers_of_one_key: |run| {
         let mut other = run.sent(0).clone();
-        other.end = End::Whole(Whole { version: "m@1".into(), session: None, moved: false, text: "other".into() });
+        other.end = End::Whole(Whole { version: "m@1".into(), session: None, moved_off: None, text: "other".into() });
         run.traffic.played[0].sent[0].push(other);
     } => [Breach::Doubled(_)];
     chat_ran_twice: |run| {
@@ -209,7 +210,7 @@
     } => [Breach::Session(_)];
     session_moves_and_says_so: |run| {
         let End::Whole(whole) = &mut run.sent(1).end else { unreachable!() };
-        (whole.version, whole.moved) = ("m@2".into(), true);
+        (whole.version, whole.moved_off) = ("m@2".into(), Some("m@1".into()));
     } => [];
     work_after_withdrawal: |run| {
         run.withdrawal = Some(Withdrawal { version: "m@1".into(), since: Timestamp(99), took: Duration::ZERO });
@@ -218,3 +219,54 @@
         run.withdrawal = Some(Withdrawal { version: "m@1".into(), since: Timestamp(100), took: Duration::ZERO });
     } => [];
 }
+
+/// Versions that answer a session's requests in turn, each with the version
+/// that its answer tells the session to have left.
+type Answers = &'static [(&'static str, Option<&'static str>)];
+
+fn session_of(answers: Answers) -> Played {
+    let mut played = run().traffic.played.remove(0);
+    let (ask, first) = (played.script.asks[0].clone(), played.sent[0][0].clone());
+    played.script.asks = vec![ask; answers.len()];
+    let sent = |&(version, moved_off): &(&str, Option<&str>)| {
+        let whole =
+            Whole { version: version.into(), session: None, moved_off: moved_off.map(Into::into), text: String::new() };
+        vec![Sent { end: End::Whole(whole), ..first.clone() }]
+    };
+    played.sent = answers.iter().map(sent).collect();
+    played
+}
+
+fn check_moves(played: &Played, breaches: usize) {
+    let mut findings = Findings::default();
+    findings.check_session(&catalog(), played);
+    assert_eq!(findings.0.len(), breaches, "{:?}", findings.0);
+}
+
+macro_rules! sessions {
+    ($($name:ident: $answers:expr => $breaches:expr;)*) => {
+        $(#[test] fn $name() { check_moves(&session_of($answers), $breaches); })*
+    };
+}
+
+// What the caller sees: tier 0 left version 1 for 2, and it was told so by an
+// answer that came from tier 1, since tier 0's was escalated. The session's
+// next answer comes from version 2 and need not tell again. A word about
+// another version, or one that came before, excuses nothing.
+sessions! {
+    move_told_by_an_escalated_answer: &[("m@1", None), ("m@9", Some("m@1")), ("m@2", None)] => 0;
+    move_of_another_version_told: &[("m@1", None), ("m@2", Some("m@9"))] => 1;
+    move_told_once_moved_twice: &[("m@1", None), ("m@2", Some("m@1")), ("m@1", None)] => 1;
+    move_untold_after_an_escalation: &[("m@1", None), ("m@9", None), ("m@2", None)] => 1;
+}
+
+// A caller sends one key on two connections. The first breaks, the second
+// brings the answer that tells of the move. The caller has been told.
+#[test]
+fn move_told_on_the_second_connection() {
+    let mut played = session_of(&[("m@1", None), ("m@2", Some("m@1")), ("m@2", None)]);
+    let whole = played.sent[1][0].clone();
+    let told = Sent { end: End::Told(Ran::Yes), ..whole.clone() };
+    played.sent[1] = vec![told, whole];
+    check_moves(&played, 0);
+}
