Tell other instances of long prompts when they are sent

Placement knew of the long prompts of the other 73 instances by news up to 1.25 s old, which takes longer than a long prompt (0.35 s): it passed by endpoints that had been free for long and chose those that had just begun to read.

Ruled out: engine time (at an idle endpoint these prompts begin within 60 ms); the two endpoints drawn (endpoints were busy that looked free); slow instances (0.02 of a core used).

Change: an instance tells all others of a prompt with 80 ms of reading or more at once, in a datagram of a dozen bytes, within 150 datagrams a second; each keeps what endpoints have to read as a backlog that melts by itself.

--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -51,6 +51,8 @@
     /// Something that a request at the start waits for is known.
     learned: Notify,
     urgent: Notify,
+    /// There are notices to send.
+    noticed: Notify,
     catalog_wanted: Notify,
     endpoints_wanted: Notify,
     state: Mutex<State>,
@@ -63,6 +65,7 @@
     freshness: Freshness,
     allowances: HashMap<String, Allowance>,
     fleet: fleet::Fleet,
+    notices: fleet::Notices,
     peers: peers::Peers,
     trials: trials::Trials,
     track: track::Track,
@@ -87,6 +90,7 @@
             freshness: Freshness::new(settings.revoke),
             allowances: HashMap::new(),
             fleet: fleet::Fleet::default(),
+            notices: fleet::Notices::new(clock::now()),
             peers: peers::Peers::default(),
             trials: trials::Trials::default(),
             track: track::Track::default(),
@@ -104,6 +108,7 @@
             opened: clock::now(),
             learned: Notify::new(),
             urgent: Notify::new(),
+            noticed: Notify::new(),
             catalog_wanted: Notify::new(),
             endpoints_wanted: Notify::new(),
             state: Mutex::new(state),
--- a/crates/relay/src/desk/fleet.rs
+++ b/crates/relay/src/desk/fleet.rs
@@ -6,6 +6,7 @@
 //! the same. A slow or failing endpoint gets less, which keeps its record from
 //! mending, so records fade with time.
 
+mod notices;
 mod record;
 mod run;
 
@@ -13,6 +14,7 @@
 
 use route::relay::{
     canary::{self, Lateness},
+    notice::Backlog,
     pace::Pace,
     placement::{self, Candidate, Choice, Wanted},
 };
@@ -20,7 +22,10 @@
 use world::hash;
 
 use self::record::Record;
-pub use self::run::{Ended, Run};
+pub use self::{
+    notices::{Notice, Notices},
+    run::{Ended, Run},
+};
 use super::{
     Desk, State,
     trials::{Arm, Deal, Dealt},
@@ -75,7 +80,11 @@
     hash: u32,
     runs: u32,
     backlog_ms: f64,
+    /// Part of it that the other instances were told of at once.
+    told_ms: f64,
     others: Load,
+    /// What notices of other instances amount to.
+    noticed: Backlog,
     slowness: Record,
     failing: Record,
     misses: u32,
@@ -192,6 +201,10 @@
         server.runs += 1;
         server.backlog_ms += backlog_ms;
         let endpoint = Arc::clone(&server.endpoint);
+        let is_told = state.tell(key, backlog_ms, now);
+        if is_told {
+            self.noticed.notify_one();
+        }
         if job.in_session && arm == Arm::Old && canary::tries_versions(job.session, self.settings.exposure) {
             state.trials.settle(job.session, now, self.settings.session);
         }
@@ -203,6 +216,7 @@
             arm,
             choice,
             backlog_ms,
+            told_ms: if is_told { backlog_ms } else { 0.0 },
             alone_ms: choice.wait_ms.max(0.0) + pace.job_ms(units),
             expected_ms: (choice.wait_ms.max(0.0) + pace.job_ms(units)) * slow,
             work,
@@ -226,12 +240,14 @@
         self.lock().fleet.pace(job).job_ms(job_units(job))
     }
 
-    /// Loads this instance puts on endpoints, by the hash of their names.
+    /// Loads this instance puts on endpoints, by the hash of their names, but
+    /// for the reading that the others were told of at once.
     #[must_use]
     pub fn own_loads(&self) -> Vec<(u32, Load)> {
         let state = self.lock();
         let busy = state.fleet.servers.values().filter(|server| server.runs > 0);
-        busy.map(|s| (s.hash, Load { runs: f64::from(s.runs), backlog_ms: s.backlog_ms })).collect()
+        let untold = |s: &Server| Load { runs: f64::from(s.runs), backlog_ms: (s.backlog_ms - s.told_ms).max(0.0) };
+        busy.map(|s| (s.hash, untold(s))).collect()
     }
 }
 
@@ -349,7 +365,9 @@
             hash,
             runs: 0,
             backlog_ms: 0.0,
+            told_ms: 0.0,
             others: Load::default(),
+            noticed: Backlog::default(),
             slowness: Record { value: 1.0, at: now },
             failing: Record { value: 0.0, at: now },
             misses: 0,
@@ -367,7 +385,7 @@
             id: &self.endpoint.id,
             slots: self.endpoint.slots,
             runs: f64::from(self.runs) + self.others.runs + full,
-            backlog_ms: self.backlog_ms + self.others.backlog_ms,
+            backlog_ms: self.backlog_ms + self.others.backlog_ms + self.noticed.left_ms(now),
             slowness: if slowness > NOISE { slowness } else { 1.0 },
             failing: (self.failing.now(0.0, now) - NOISE * failing).max(0.0),
             local: self.endpoint.domain == domain,
--- a/crates/relay/src/desk/fleet/run.rs
+++ b/crates/relay/src/desk/fleet/run.rs
@@ -39,6 +39,7 @@
     /// Why it went there.
     pub choice: Choice,
     pub(super) backlog_ms: f64,
+    pub(super) told_ms: f64,
     pub(super) alone_ms: f64,
     pub(super) expected_ms: f64,
     pub(super) work: Work,
@@ -145,8 +146,10 @@
     fn lift(&mut self, state: &mut State) {
         if let Some(server) = state.fleet.servers.get_mut(self.key) {
             server.backlog_ms = (server.backlog_ms - self.backlog_ms).max(0.0);
+            server.told_ms = (server.told_ms - self.told_ms).max(0.0);
         }
         self.backlog_ms = 0.0;
+        self.told_ms = 0.0;
     }
 }
 
--- a/crates/relay/src/desk/peers.rs
+++ b/crates/relay/src/desk/peers.rs
@@ -179,6 +179,13 @@
         others.all(|(name, _)| *name > self.settings.instance)
     }
 
+    /// Where instances heard from of late hear news.
+    #[must_use]
+    pub fn live_audience(&self) -> Vec<SocketAddr> {
+        let now = clock::now();
+        self.lock().peers.known.values().filter(|peer| peer.live(now)).map(|peer| peer.news).collect()
+    }
+
     /// Where to send news, with each instance's name.
     #[must_use]
     pub fn audience(&self) -> Vec<(String, SocketAddr)> {
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -20,7 +20,7 @@
     desk::{Desk, peers::Word, track},
 };
 
-use self::wire::{Order, Packet, Piece, Question, Reply, short_ms};
+use self::wire::{Order, Packet, Piece, Question, Reply, short, short_ms};
 
 /// Pause between pieces of news. Loads change within a run's length, some
 /// hundred milliseconds; a shorter pause costs wake-ups at every instance.
@@ -49,7 +49,7 @@
     // older than the one before is heard once that one has gone silent.
     let run = u64::try_from(clock::now().as_nanos()).unwrap_or(0);
     let asked = Mutex::default();
-    tokio::join!(tell(&desk, &socket, run), ask(&desk, &socket, &asked), hear(&desk, &socket, &asked));
+    tokio::join!(tell(&desk, &socket, run), notify(&desk, &socket), ask(&desk, &socket, &asked), hear(&desk, &socket, &asked));
 }
 
 /// The last question and when it was sent; nothing once it was answered.
@@ -94,6 +94,18 @@
     }
 }
 
+/// Tells all others at once of each long prompt.
+async fn notify(desk: &Desk, socket: &UdpSocket) {
+    loop {
+        for notice in desk.notices().await {
+            let bytes = encode(&Packet::Notice(notice.into()));
+            for news in desk.live_audience() {
+                send(socket, news, &bytes);
+            }
+        }
+    }
+}
+
 fn send(socket: &UdpSocket, to: SocketAddr, bytes: &[u8]) {
     if let Err(error) = socket.try_send_to(bytes, to) {
         tracing::debug!(%to, %error, "news not sent; the next piece makes up for it");
@@ -118,6 +130,7 @@
                 }
                 desk.hear(&piece.name, from, Word::from(&piece));
             }
+            Ok(Packet::Notice(notice)) => desk.take_notice(notice.into()),
             Ok(Packet::Question(question)) => {
                 let asked = track::Question { revision: question.revision };
                 if let Some(reply) = desk.reply(asked, CHANGES) {
@@ -142,8 +155,6 @@
     let mut named = desk.audience();
     named.shuffle(&mut rand::rng());
     named.truncate(NAMED);
-    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "clamped to the type's range")]
-    let short = |value: f64| value.clamp(0.0, f64::from(u16::MAX)) as u16;
     Piece {
         name: desk.settings.instance.clone(),
         run,
--- a/crates/relay/src/news/wire.rs
+++ b/crates/relay/src/news/wire.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     desk::{
-        fleet::Load,
+        fleet::{self, Load},
         peers::Word,
         track,
         trials::{Report, Tallies},
@@ -22,6 +22,14 @@
     News(Piece),
     Question(Question),
     Reply(Reply),
+    Notice(Notice),
+}
+
+/// Word of a long prompt on the wire.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Notice {
+    pub(super) endpoint: u32,
+    pub(super) reading_ms: u16,
 }
 
 /// A question on the wire; the number ties the reply to it.
@@ -139,10 +147,28 @@
     }
 }
 
+/// A value as news carries it, cut to the type's range.
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "clamped to the type's range")]
+pub(super) fn short(value: f64) -> u16 {
+    value.clamp(0.0, f64::from(u16::MAX)) as u16
+}
+
 pub(super) fn short_ms(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
 
+impl From<fleet::Notice> for Notice {
+    fn from(notice: fleet::Notice) -> Self {
+        Self { endpoint: notice.endpoint, reading_ms: short(notice.reading_ms) }
+    }
+}
+
+impl From<Notice> for fleet::Notice {
+    fn from(notice: Notice) -> Self {
+        Self { endpoint: notice.endpoint, reading_ms: f64::from(notice.reading_ms) }
+    }
+}
+
 impl From<track::Change> for Change {
     fn from(change: track::Change) -> Self {
         match change {
