Send shared parts to who is known to keep them, others to who is free

Yet the first reading too went to the endpoint that the part's hash names, unless it waited there 0.7 s longer than elsewhere: long prompts were in effect placed at random.

Change: notices name the shared part; every instance remembers for 15 s who was sent which. A part goes to the freest of its holders within the bound that stood before; one that nobody has read goes to the endpoint of its hash only within a quarter of that. Endpoints to choose from: six and six drawn by what is known as of now, the best four of them by old news as well, so that old news makes no herd. 400 datagrams a second.

Tests changed: the two of placement that bound a shared part's wait now say that the endpoints hold it; their bounds stand. New ones for first readings, holders, notices, at `route` and between two instances.

--- a/crates/relay/src/desk/fleet.rs
+++ b/crates/relay/src/desk/fleet.rs
@@ -14,6 +14,7 @@
 
 use route::relay::{
     canary::{self, Lateness},
+    holders::Holders,
     notice::Backlog,
     pace::Pace,
     placement::{self, Candidate, Choice, Wanted},
@@ -65,6 +66,7 @@
     by_name: HashMap<String, Key>,
     paces: HashMap<Work, Pace>,
     usual: HashMap<String, f64>,
+    holders: Holders,
 }
 
 /// What a pace was learned of: a service and a model.
@@ -201,7 +203,7 @@
         server.runs += 1;
         server.backlog_ms += backlog_ms;
         let endpoint = Arc::clone(&server.endpoint);
-        let is_told = state.tell(key, backlog_ms, now);
+        let is_told = state.tell(key, job, backlog_ms, now);
         if is_told {
             self.noticed.notify_one();
         }
@@ -251,6 +253,13 @@
     }
 }
 
+impl Job<'_> {
+    /// How its shared part is named in notices.
+    fn part(&self) -> Option<u32> {
+        self.affinity.map(|affinity| u32::try_from(affinity >> 32).unwrap_or_default())
+    }
+}
+
 /// Where a job would go.
 struct Weighed {
     key: Key,
@@ -288,8 +297,12 @@
         let slow = mean(&|server| server.slowness.now(1.0, now)).max(0.05);
         let late = self.fleet.usual.get(job.service).copied().unwrap_or(1.0);
         let failing = mean(&|server| server.failing.now(0.0, now));
-        let candidates: Vec<Candidate<'_>> =
-            chosen.iter().map(|(_, server)| server.candidate(&self.peers.domain, slow, failing, now)).collect();
+        let holders: Vec<u32> = job.part().map(|part| self.fleet.holders.of(part, now).collect()).unwrap_or_default();
+        let mut candidates = Vec::with_capacity(chosen.len());
+        for (_, server) in &chosen {
+            let holds = holders.contains(&server.hash);
+            candidates.push(Candidate { holds, ..server.candidate(&self.peers.domain, slow, failing, now) });
+        }
         let wanted = Wanted {
             affinity: job.affinity,
             reread_ms: pace.reading_ms(reading(job, job.shared_tokens, 0)),
@@ -385,10 +398,12 @@
             id: &self.endpoint.id,
             slots: self.endpoint.slots,
             runs: f64::from(self.runs) + self.others.runs + full,
-            backlog_ms: self.backlog_ms + self.others.backlog_ms + self.noticed.left_ms(now),
+            backlog_ms: self.backlog_ms + self.noticed.left_ms(now),
+            told_ms: self.others.backlog_ms,
             slowness: if slowness > NOISE { slowness } else { 1.0 },
             failing: (self.failing.now(0.0, now) - NOISE * failing).max(0.0),
             local: self.endpoint.domain == domain,
+            holds: false,
         }
     }
 }
--- a/crates/relay/src/desk/fleet/notices.rs
+++ b/crates/relay/src/desk/fleet/notices.rs
@@ -4,7 +4,7 @@
 
 use route::relay::notice::Budget;
 
-use super::Key;
+use super::{Job, Key};
 use crate::{
     clock,
     desk::{Desk, State},
@@ -14,6 +14,10 @@
 /// scheduler, so more only come while the socket does not take them.
 const MOST_KEPT: usize = 32;
 
+/// Least tokens of a shared part that others are told of: reading fewer again
+/// costs less than the word.
+const WORTH_KEEPING: u32 = 1_000;
+
 /// Word of a long prompt that was sent to an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Notice {
@@ -21,6 +25,8 @@
     pub endpoint: u32,
     /// Time that it takes to read, in milliseconds.
     pub reading_ms: f64,
+    /// Its shared part, if it has one worth keeping.
+    pub part: Option<u32>,
 }
 
 /// Notices that were not sent yet, and what may be spent on them.
@@ -40,14 +46,19 @@
 
 impl State {
     /// Has a prompt told to the other instances if it is long enough.
-    pub(super) fn tell(&mut self, key: Key, reading_ms: f64, now: Duration) -> bool {
+    pub(super) fn tell(&mut self, key: Key, job: &Job<'_>, reading_ms: f64, now: Duration) -> bool {
         let others = self.peers.live(now);
         let Some(server) = self.fleet.servers.get_mut(key) else { return false };
-        if self.notices.unsent.len() >= MOST_KEPT || !self.notices.budget.spend(now, reading_ms, others) {
+        let part = job.part().filter(|_| job.shared_tokens >= WORTH_KEEPING);
+        if let Some(part) = part {
+            self.fleet.holders.note(part, server.hash, now);
+        }
+        if self.notices.unsent.len() >= MOST_KEPT || !self.notices.budget.spend(now, reading_ms, part.is_some(), others)
+        {
             return false;
         }
         server.told_ms += reading_ms;
-        self.notices.unsent.push(Notice { endpoint: server.hash, reading_ms });
+        self.notices.unsent.push(Notice { endpoint: server.hash, reading_ms, part });
         true
     }
 }
@@ -72,5 +83,8 @@
         if let Some(server) = state.fleet.servers.values_mut().find(named) {
             server.noticed.add(now, notice.reading_ms);
         }
+        if let Some(part) = notice.part {
+            state.fleet.holders.note(part, notice.endpoint, now);
+        }
     }
 }
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -49,7 +49,12 @@
     // older than the one before is heard once that one has gone silent.
     let run = u64::try_from(clock::now().as_nanos()).unwrap_or(0);
     let asked = Mutex::default();
-    tokio::join!(tell(&desk, &socket, run), notify(&desk, &socket), ask(&desk, &socket, &asked), hear(&desk, &socket, &asked));
+    tokio::join!(
+        tell(&desk, &socket, run),
+        notify(&desk, &socket),
+        ask(&desk, &socket, &asked),
+        hear(&desk, &socket, &asked)
+    );
 }
 
 /// The last question and when it was sent; nothing once it was answered.
--- a/crates/relay/src/news/wire.rs
+++ b/crates/relay/src/news/wire.rs
@@ -30,6 +30,7 @@
 pub(super) struct Notice {
     pub(super) endpoint: u32,
     pub(super) reading_ms: u16,
+    pub(super) part: Option<u32>,
 }
 
 /// A question on the wire; the number ties the reply to it.
@@ -159,13 +160,13 @@
 
 impl From<fleet::Notice> for Notice {
     fn from(notice: fleet::Notice) -> Self {
-        Self { endpoint: notice.endpoint, reading_ms: short(notice.reading_ms) }
+        Self { endpoint: notice.endpoint, reading_ms: short(notice.reading_ms), part: notice.part }
     }
 }
 
 impl From<Notice> for fleet::Notice {
     fn from(notice: Notice) -> Self {
-        Self { endpoint: notice.endpoint, reading_ms: f64::from(notice.reading_ms) }
+        Self { endpoint: notice.endpoint, reading_ms: f64::from(notice.reading_ms), part: notice.part }
     }
 }
 
--- a/crates/relay/tests/it/main.rs
+++ b/crates/relay/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod leaving;
 mod lost;
+mod notices;
 mod requests;
 mod rollouts;
 mod server;
--- /dev/null
+++ b/crates/relay/tests/it/notices.rs
@@ -0,0 +1,100 @@
+//! Long prompts told to the other instances at once.
+
+use std::{sync::Arc, time::Duration};
+
+use relay::{
+    catalog::Kind,
+    clock,
+    desk::{
+        Desk,
+        fleet::{Job, Notice, short_hash},
+        peers::Word,
+    },
+};
+
+use crate::site::{SERVICE, catalog, dialect, endpoint, route, settings};
+
+const ENDPOINTS: [&str; 3] = ["e0", "e1", "e2"];
+
+/// An instance that knows three endpoints and another instance.
+fn knowing() -> Arc<Desk> {
+    let desk = Desk::new(settings(), dialect());
+    desk.install(catalog(1, vec![route("/a/", Kind::Idempotent)]));
+    for (id, port) in ENDPOINTS.into_iter().zip(9..) {
+        desk.enlist(endpoint(id, ([127, 0, 0, 1], port).into()));
+    }
+    desk.hear("other", ([127, 0, 0, 1], 1).into(), Word { pause: Duration::from_secs(60), ..Word::default() });
+    desk
+}
+
+/// A prompt whose last shared part is `part`, if it has one.
+fn prompt(part: Option<u64>, own_tokens: u32) -> Job<'static> {
+    Job {
+        service: SERVICE,
+        model: Some(0),
+        size: 1.0,
+        affinity: part.map(|part| part << 32),
+        shared_tokens: if part.is_some() { 5_000 } else { 0 },
+        own_tokens,
+        session: 1,
+        in_session: false,
+        tried: &[],
+        version: None,
+    }
+}
+
+/// One instance sends a prompt that takes a third of a second to read. Requests
+/// at another instance would wait behind it for as long as its news is on the
+/// way; told at once, they go to the other endpoints.
+#[tokio::test]
+async fn long_prompt_of_another_instance_is_passed_by() {
+    let (here, there) = (knowing(), knowing());
+    let run = here.place(&prompt(None, 10_000)).unwrap();
+    let notices = here.notices().await;
+    assert_eq!(notices.len(), 1);
+    for notice in notices {
+        there.take_notice(notice);
+    }
+    for _ in 0..50 {
+        assert_ne!(there.place(&prompt(None, 100)).unwrap().endpoint.id, run.endpoint.id);
+    }
+}
+
+/// What was told at once is not told again with the news: the others would
+/// count it twice.
+#[tokio::test]
+async fn what_was_told_at_once_is_left_out_of_the_news() {
+    let desk = knowing();
+    let long = desk.place(&prompt(None, 10_000)).unwrap();
+    assert_eq!(desk.notices().await.len(), 1);
+    let short = desk.place(&prompt(None, 100)).unwrap();
+    let loads = desk.own_loads();
+    let of = |id: &str| loads.iter().find(|(hash, _)| *hash == short_hash(id)).unwrap().1;
+    assert_eq!((of(&long.endpoint.id).runs, of(&long.endpoint.id).backlog_ms), (1.0, 0.0));
+    assert!(of(&short.endpoint.id).backlog_ms > 0.0);
+    drop((long, short));
+    assert!(desk.own_loads().is_empty());
+}
+
+/// Another instance has sent a shared part to one endpoint; the next request
+/// that has it finds it there, whichever endpoint its hash names.
+#[tokio::test]
+async fn shared_part_is_found_where_another_instance_sent_it() {
+    for id in ENDPOINTS {
+        let desk = knowing();
+        let part = Some(7);
+        desk.take_notice(Notice { endpoint: short_hash(id), reading_ms: 0.0, part });
+        let run = desk.place(&prompt(part.map(u64::from), 100)).unwrap();
+        assert!(run.endpoint.id == id && run.choice.preferred);
+    }
+}
+
+/// An endpoint is told of that is gone here already, or not known yet.
+#[tokio::test]
+async fn notice_of_an_unknown_endpoint_is_harmless() {
+    let desk = knowing();
+    desk.take_notice(Notice { endpoint: 1, reading_ms: 300.0, part: Some(7) });
+    let asked = clock::now();
+    assert!(desk.place(&prompt(Some(7), 100)).is_some());
+    assert!(clock::now() - asked < Duration::from_secs(1));
+}
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -4,12 +4,14 @@
 //! dispatches over the fleet, [`freshness`] says how long access keys may be
 //! believed, [`canary`] deals requests to a version under roll-out and judges
 //! it, [`ladder`] picks the model, [`pace`] learns how long reading takes,
-//! [`notice`] keeps what endpoints still have to read for other instances. Time is a [`std::time::Duration`] since any
+//! [`notice`] keeps what endpoints still have to read for other instances,
+//! [`holders`] what they have read. Time is a [`std::time::Duration`] since any
 //! fixed moment of the process, on a clock that also counts suspension.
 
 pub mod allowance;
 pub mod canary;
 pub mod freshness;
+pub mod holders;
 pub mod ladder;
 pub mod notice;
 pub mod pace;
--- a/crates/route/src/relay/notice.rs
+++ b/crates/route/src/relay/notice.rs
@@ -19,7 +19,7 @@
 /// microseconds for each, sent and received, this is half of a hundredth of a
 /// core; at 74 instances it is two notices a second, about as many as long
 /// prompts come.
-const DATAGRAMS: f64 = 150.0;
+const DATAGRAMS: f64 = 400.0;
 
 /// Notices that may be told at once after a quiet while.
 const BURST: f64 = 6.0;
@@ -59,14 +59,15 @@
         Self { left: BURST, filled: now }
     }
 
-    /// Whether a prompt that takes so long to read is told to `others`.
-    pub fn spend(&mut self, now: Duration, reading_ms: f64, others: usize) -> bool {
+    /// Whether a prompt that takes so long to read is told to `others`; any
+    /// that `shares` a part worth keeping is, while the budget lasts.
+    pub fn spend(&mut self, now: Duration, reading_ms: f64, shares: bool, others: usize) -> bool {
         #[expect(clippy::cast_precision_loss, reason = "instances are far fewer than 2^53")]
         let rate = DATAGRAMS / others.max(1) as f64;
         let passed = now.saturating_sub(self.filled).as_secs_f64();
         self.left = (self.left + passed * rate).min(BURST);
         self.filled = now;
-        if others == 0 || reading_ms < LEAST_MS || self.left < 1.0 {
+        if others == 0 || !(shares || reading_ms >= LEAST_MS) || self.left < 1.0 {
             return false;
         }
         self.left -= 1.0;
--- a/crates/route/src/relay/placement.rs
+++ b/crates/route/src/relay/placement.rs
@@ -41,9 +41,17 @@
 /// again by each of them and found by nobody.
 const PREFERRED: usize = 4;
 
-/// Endpoints drawn of each group, those nearby and all, to take the best of:
-/// a third hardly adds anything, see the module's head.
-const DRAWN: usize = 2;
+/// Endpoints drawn of each group, those nearby and all. What they have to read
+/// is known as of now, so many may be compared by it; of two and two drawn, one
+/// request in eight found all of them reading on a heavy day.
+const DRAWN: usize = 6;
+
+/// Endpoints that are compared by what news of a while ago tells as well.
+const LISTED: usize = 4;
+
+/// Part of the cost of reading a shared part again that is staked on an
+/// endpoint of which only the part's hash speaks.
+const UNSURE: f64 = 0.25;
 
 /// What reading a shared part again counts as, over the time that it takes the
 /// request itself: the other runs on the endpoint wait for it as well. With 3
@@ -70,14 +78,19 @@
     pub slots: u32,
     /// Runs under way there, of all instances.
     pub runs: f64,
-    /// Prompt reading still owed there, in milliseconds.
+    /// Prompt reading still owed there, in milliseconds, as far as this instance
+    /// put it there or was told at once.
     pub backlog_ms: f64,
+    /// The same, as news of other instances told a while ago.
+    pub told_ms: f64,
     /// Its time over the time that others take for the same, 1 if alike.
     pub slowness: f64,
     /// Share of its runs that fail in excess of its peers'.
     pub failing: f64,
     /// Whether it stands in this instance's failure domain.
     pub local: bool,
+    /// Whether it is believed to keep the shared part.
+    pub holds: bool,
 }
 
 /// What is to be run.
@@ -109,21 +122,42 @@
 #[must_use]
 pub fn choose(candidates: &[Candidate<'_>], wanted: Wanted, tie: u64) -> Option<Choice> {
     let weighed = |index: usize| (index, wait_ms(&candidates[index], wanted));
-    let (least, wait_ms) = drawn(candidates, tie).map(weighed).min_by(|a, b| a.1.total_cmp(&b.1))?;
+    let (least, wait_ms) =
+        shortlist(candidates, wanted, tie).into_iter().map(weighed).min_by(|a, b| a.1.total_cmp(&b.1))?;
     let other = Choice { index: least, wait_ms, preferred: false };
     let Some(key) = wanted.affinity else { return Some(other) };
     let again_ms = READ_AGAIN * wanted.reread_ms + READ_AGAIN_TOKEN_MS * f64::from(wanted.shared_tokens);
-    let bound = wait_ms + again_ms;
-    let preferred = preferred(candidates, key).into_iter().flatten().map(weighed).find(|(_, wait)| *wait <= bound);
+    let holders = (0..candidates.len()).filter(|&index| candidates[index].holds).map(weighed);
+    let holder = holders.min_by(|a, b| a.1.total_cmp(&b.1)).filter(|(_, wait)| *wait <= wait_ms + again_ms);
+    let unsure = wait_ms + UNSURE * again_ms;
+    let by_hash = || preferred(candidates, key).into_iter().flatten().map(weighed).find(|(_, wait)| *wait <= unsure);
+    let preferred = holder.or_else(by_hash);
     Some(preferred.map_or(other, |(index, wait_ms)| Choice { index, wait_ms, preferred: true }))
 }
 
-/// Endpoints drawn at random, some of those nearby and some of all.
-fn drawn(candidates: &[Candidate<'_>], tie: u64) -> impl Iterator<Item = usize> {
+/// Endpoints drawn at random, some of those nearby and some of all; of these
+/// the few that have least to read, as far as that is known as of now.
+fn shortlist(candidates: &[Candidate<'_>], wanted: Wanted, tie: u64) -> Vec<usize> {
     let near: Vec<usize> = (0..candidates.len()).filter(|&index| candidates[index].local).collect();
     let draw = hash::stable(&tie.to_le_bytes());
-    let of_near = spread(near.len(), draw).map(move |place| near[place]);
-    of_near.chain(spread(candidates.len(), draw.rotate_left(32)))
+    let of_all = spread(candidates.len(), draw.rotate_left(32));
+    let mut of_near = spread(near.len(), draw).map(|place| near[place]);
+    let mut drawn: Vec<usize> = Vec::with_capacity(2 * DRAWN);
+    for index in of_all {
+        drawn.extend(of_near.next());
+        drawn.push(index);
+    }
+    let known_ms = |index: &usize| known_wait_ms(&candidates[*index], wanted);
+    // Stable: those that are alike stay in the order they were drawn in.
+    drawn.sort_by(|a, b| known_ms(a).total_cmp(&known_ms(b)));
+    drawn.truncate(LISTED);
+    drawn
+}
+
+/// Wait before the first byte at an endpoint that is known as of now, in
+/// milliseconds.
+fn known_wait_ms(candidate: &Candidate<'_>, wanted: Wanted) -> f64 {
+    (candidate.backlog_ms + wanted.first_ms) * candidate.slowness.max(1.0) + candidate.failing * FAILURE_MS
 }
 
 /// Different places of so many, by a random number.
@@ -131,14 +165,16 @@
     let of = u64::try_from(count).unwrap_or(u64::MAX);
     let place = move |number: u64| usize::try_from(number).unwrap_or_default();
     let first = draw.checked_rem(of).unwrap_or_default();
-    let second = (first + 1 + (draw >> 16).checked_rem(of.saturating_sub(1)).unwrap_or_default()) % of.max(1);
-    [first, second].into_iter().take(DRAWN.min(count)).map(place)
+    // With a step prime to none of the usual counts a place may come twice,
+    // which only makes the draw smaller.
+    let step = 1 + (draw >> 16).checked_rem(of.saturating_sub(1)).unwrap_or_default();
+    (0..DRAWN.min(count) as u64).map(move |number| (first + number * step) % of.max(1)).map(place)
 }
 
 /// Wait before the first byte at an endpoint, in milliseconds.
 fn wait_ms(candidate: &Candidate<'_>, wanted: Wanted) -> f64 {
     let over = (candidate.runs + 1.0 - f64::from(candidate.slots)).max(0.0);
-    let queue = candidate.backlog_ms + candidate.runs * SHARED_MS + over * QUEUED_MS;
+    let queue = candidate.backlog_ms + candidate.told_ms + candidate.runs * SHARED_MS + over * QUEUED_MS;
     let remote = if candidate.local { 0.0 } else { REMOTE_MS };
     (queue + wanted.first_ms) * candidate.slowness.max(1.0) - wanted.first_ms + remote + candidate.failing * FAILURE_MS
 }
--- /dev/null
+++ b/crates/route/tests/relay/holders.rs
@@ -0,0 +1,46 @@
+//! Who keeps which shared part: remembered for a while, within bounds.
+
+use std::time::Duration;
+
+use route::relay::holders::Holders;
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn of(holders: &Holders, part: u32, now: Duration) -> Vec<u32> {
+    holders.of(part, now).collect()
+}
+
+/// A hot part is read by one endpoint after another. Each is remembered once,
+/// until the endpoint's memory has gone over to other parts.
+#[test]
+fn holders_of_a_hot_part_are_remembered_for_a_while() {
+    let mut holders = Holders::default();
+    holders.note(7, 1, seconds(0));
+    holders.note(7, 2, seconds(5));
+    holders.note(7, 1, seconds(10));
+    assert_eq!(of(&holders, 7, seconds(12)), [2, 1]);
+    assert_eq!(of(&holders, 7, seconds(21)), [1]);
+    assert!(of(&holders, 7, seconds(26)).is_empty());
+    assert!(of(&holders, 8, seconds(12)).is_empty());
+}
+
+/// A part goes round many endpoints: the youngest few are enough.
+#[test]
+fn youngest_holders_are_kept() {
+    let mut holders = Holders::default();
+    (1..=9).for_each(|endpoint| holders.note(7, endpoint, seconds(1)));
+    assert_eq!(of(&holders, 7, seconds(2)), [6, 7, 8, 9]);
+}
+
+/// Parts that are asked for once and never again: what is remembered of them
+/// stays bounded, and makes room for later ones.
+#[test]
+fn memory_stays_bounded() {
+    let mut holders = Holders::default();
+    (0..20_000).for_each(|part| holders.note(part, 1, seconds(1)));
+    assert!(of(&holders, 100, seconds(2)) == [1] && of(&holders, 19_999, seconds(2)).is_empty());
+    holders.note(19_999, 1, seconds(20));
+    assert_eq!(of(&holders, 19_999, seconds(20)), [1]);
+}
--- a/crates/route/tests/relay/main.rs
+++ b/crates/route/tests/relay/main.rs
@@ -3,6 +3,8 @@
 mod allowance;
 mod canary;
 mod freshness;
+mod holders;
 mod ladder;
+mod notice;
 mod pace;
 mod placement;
--- /dev/null
+++ b/crates/route/tests/relay/notice.rs
@@ -0,0 +1,55 @@
+//! Long prompts told at once: what they amount to, and what telling costs.
+
+use std::time::Duration;
+
+use route::relay::notice::{Backlog, Budget, LEAST_MS};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Two long prompts come to an endpoint, the second while the first is being
+/// read. Nobody tells when they have been read: what is left melts by itself.
+#[test]
+fn backlog_melts_as_it_is_read() {
+    let mut backlog = Backlog::default();
+    backlog.add(ms(10_000), 300.0);
+    backlog.add(ms(10_100), 200.0);
+    let left = |at: u64| backlog.left_ms(ms(at)).round();
+    assert_eq!([left(10_100), left(10_300), left(10_500), left(11_000)], [400.0, 200.0, 0.0, 0.0]);
+}
+
+/// An endpoint that has been idle for long has saved up nothing.
+#[test]
+fn idle_time_does_not_count_against_later_prompts() {
+    let mut backlog = Backlog::default();
+    backlog.add(ms(1_000), 100.0);
+    backlog.add(ms(60_000), 100.0);
+    assert_eq!(backlog.left_ms(ms(60_000)).round(), 100.0);
+}
+
+/// Notices that an instance among so many others tells within ten seconds when
+/// long prompts come without a pause.
+fn told(others: usize) -> usize {
+    let mut budget = Budget::new(ms(0));
+    (0..10_000).filter(|&at| budget.spend(ms(at), LEAST_MS, false, others)).count()
+}
+
+/// A crowd of long prompts comes: what an instance sends for it stays bounded,
+/// whatever the size of the fleet.
+#[test]
+fn datagrams_stay_bounded_at_any_size() {
+    for others in [1, 6, 60, 73, 750] {
+        let datagrams = told(others) * others;
+        assert!(datagrams <= 5_000 + 10 * others, "{datagrams} datagrams to {others} others");
+        assert!(datagrams >= 3_000, "{datagrams} datagrams to {others} others");
+    }
+}
+
+#[test]
+fn only_what_others_wait_for_is_told() {
+    let mut budget = Budget::new(ms(0));
+    assert!(!budget.spend(ms(0), LEAST_MS - 1.0, false, 6));
+    assert!(budget.spend(ms(0), 5.0, true, 6), "a shared part worth keeping is told whatever the model");
+    assert!(!budget.spend(ms(0), 500.0, true, 0), "there is nobody to tell");
+}
--- a/crates/route/tests/relay/placement.rs
+++ b/crates/route/tests/relay/placement.rs
@@ -2,8 +2,17 @@
 
 use route::relay::placement::{Candidate, Wanted, choose};
 
-const IDLE: Candidate<'_> =
-    Candidate { id: "a", slots: 32, runs: 0.0, backlog_ms: 0.0, slowness: 1.0, failing: 0.0, local: true };
+const IDLE: Candidate<'_> = Candidate {
+    id: "a",
+    slots: 32,
+    runs: 0.0,
+    backlog_ms: 0.0,
+    told_ms: 0.0,
+    slowness: 1.0,
+    failing: 0.0,
+    local: true,
+    holds: false,
+};
 
 const NAMES: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
 
@@ -38,6 +47,7 @@
     let mut taken = Vec::new();
     for _ in 0..4 {
         let index = choose(&candidates, shared(7), 0).unwrap().index;
+        candidates[index].holds = true;
         candidates[index].backlog_ms = 440.0;
         let choice = choose(&candidates, shared(7), 0).unwrap();
         assert!(choice.preferred && choice.index == index && !taken.contains(&index));
@@ -56,12 +66,61 @@
     let wanted = Wanted { affinity: Some(7), reread_ms: 15.0, shared_tokens: 5_000, first_ms: 10.0 };
     let mut candidates = idle();
     let first = choose(&candidates, wanted, 0).unwrap().index;
+    candidates[first].holds = true;
     candidates[first].backlog_ms = 290.0;
     assert_eq!(choose(&candidates, wanted, 0).unwrap().index, first);
     candidates[first].backlog_ms = 300.0;
     assert_ne!(choose(&candidates, wanted, 0).unwrap().index, first);
 }
 
+/// A part that nobody has read yet. It need not wait behind another prompt at
+/// the endpoint that its hash names: read anywhere else it costs the same. That
+/// endpoint is only taken while it is about as free as the others, since word
+/// of a reading there may have been lost.
+#[test]
+fn part_that_nobody_has_read_does_not_wait_for_its_endpoint() {
+    let mut candidates = idle();
+    let named = choose(&candidates, shared(7), 0).unwrap().index;
+    candidates[named].backlog_ms = 100.0;
+    assert_eq!(choose(&candidates, shared(7), 0).unwrap().index, named);
+    for index in 0..candidates.len() {
+        candidates[index].backlog_ms = if index == 3 { 0.0 } else { 120.0 };
+    }
+    assert_eq!(choose(&candidates, shared(7), 0).unwrap().index, 3);
+}
+
+/// Two endpoints have read a hot part; its next request goes to the one where
+/// it waits less, whichever its hash names first.
+#[test]
+fn hot_part_goes_to_the_freest_of_its_holders() {
+    for (busy, free) in [(1, 4), (4, 1)] {
+        let mut candidates = idle();
+        candidates[busy].holds = true;
+        candidates[free].holds = true;
+        candidates[busy].backlog_ms = 200.0;
+        let choice = choose(&candidates, shared(7), 0).unwrap();
+        assert!(choice.preferred && choice.index == free);
+    }
+}
+
+/// Two in five endpoints are reading, and each instance was told so at once:
+/// nobody is placed behind a reading while others are free.
+#[test]
+fn reading_endpoints_are_passed_over_when_known_at_once() {
+    let plain = Wanted { affinity: None, reread_ms: 0.0, shared_tokens: 0, first_ms: 40.0 };
+    let names: Vec<String> = (0..60).map(|n| format!("e{n}")).collect();
+    let reads = |n: usize| n % 5 < 2;
+    let candidate = |n: usize| Candidate {
+        id: &names[n],
+        backlog_ms: if reads(n) { 300.0 } else { 0.0 },
+        local: n % 4 == 0,
+        ..IDLE
+    };
+    let candidates: Vec<Candidate<'_>> = (0..60).map(candidate).collect();
+    let behind = (0..1_000).filter(|&tie| reads(choose(&candidates, plain, tie).unwrap().index)).count();
+    assert!(behind <= 10, "{behind} of 1000 behind a reading");
+}
+
 macro_rules! avoided {
     ($($(#[$doc:meta])* $name:ident: $spoil:expr;)*) => {$(
         $(#[$doc])*
