Let a starting fleet meet at once and lead itself before the first catalog

Before an operator has written the first catalog no instance is ready, and only ready ones may keep others in step, so each watched the store by itself, six calls of endpoints and two of the catalog each; each word of "no catalog" counted as a newer one.

Ruled out: too short a wait for meeting (with two seconds in place of 1.2 the same calls came later).

--- a/crates/relay/src/desk/peers.rs
+++ b/crates/relay/src/desk/peers.rs
@@ -17,12 +17,19 @@
 /// Silence after which nobody looks for an instance any more.
 const FORGOTTEN: Duration = Duration::from_mins(1);
 
+/// Time in which an instance that was found and is not heard yet is told with
+/// each piece of news. Instances that live answer within two pieces; what the
+/// store still lists of others is not worth more.
+const GREETED: Duration = Duration::from_secs(2);
+
 /// Other instances.
 #[derive(Debug, Default)]
 pub struct Peers {
     /// The failure domain of this instance.
     pub(super) domain: String,
     known: HashMap<String, Peer>,
+    /// Where instances hear news that were heard for the first time, or again.
+    greeted: Vec<SocketAddr>,
 }
 
 #[derive(Debug)]
@@ -42,6 +49,8 @@
     pub run: u64,
     /// Whether callers should come to it.
     pub ready: bool,
+    /// Whether it is about to end.
+    pub leaving: bool,
     /// Whether its knowledge of access keys is fresh.
     pub fresh: bool,
     /// Failure domain it stands in.
@@ -79,7 +88,9 @@
     /// Live instances that may watch the store, by rank: those whose own calls
     /// to it succeed, or any.
     pub(super) fn watchers(&self, now: Duration, in_touch: bool) -> Vec<Watcher> {
-        let able = |peer: &Peer| peer.live(now) && peer.word.ready && (peer.word.in_touch || !in_touch);
+        // Not only ready ones: before an operator has written the first catalog
+        // none is, and each of a whole fleet would watch the store by itself.
+        let able = |peer: &Peer| peer.live(now) && !peer.word.leaving && (peer.word.in_touch || !in_touch);
         let mut watchers: Vec<Watcher> = self
             .known
             .iter()
@@ -144,7 +155,9 @@
         }
         if !peer.live(now) {
             tracing::info!(instance = name, "instance heard again");
+            state.peers.greeted.push(news);
         }
+        let Some(peer) = state.peers.known.get_mut(name) else { return };
         peer.heard = Some(now);
         let catalog = word.catalog;
         peer.word = word;
@@ -186,6 +199,22 @@
         self.lock().peers.known.values().filter(|peer| peer.live(now)).map(|peer| peer.news).collect()
     }
 
+    /// Where news has to go besides its round: to instances that were heard for
+    /// the first time or again, and to those that were found and never heard.
+    ///
+    /// When a fleet of 74 starts, each hears of the others in part only, and a
+    /// round takes 1.25 s: after two seconds most had not met those that should
+    /// keep them in step, and watched the store by themselves.
+    #[must_use]
+    pub fn strangers(&self) -> Vec<SocketAddr> {
+        let now = clock::now();
+        let peers = &mut self.lock().peers;
+        let mut strangers = std::mem::take(&mut peers.greeted);
+        let unheard = peers.known.values().filter(|peer| peer.heard.is_none() && now < peer.found + GREETED);
+        strangers.extend(unheard.map(|peer| peer.news));
+        strangers
+    }
+
     /// Where to send news, with each instance's name.
     #[must_use]
     pub fn audience(&self) -> Vec<(String, SocketAddr)> {
--- a/crates/relay/src/desk/track.rs
+++ b/crates/relay/src/desk/track.rs
@@ -60,7 +60,7 @@
 /// What it hears.
 #[derive(Debug, Clone)]
 pub struct Reply {
-    /// Version of the catalog in force.
+    /// Version of the catalog in force; 0 before the first.
     pub catalog: u64,
     /// Age of the proof that it is.
     pub proof_age: Duration,
@@ -217,7 +217,7 @@
         let gap = since.is_none();
         let (revision, changes) = since.unwrap_or((question.revision, Vec::new()));
         Some(Reply {
-            catalog: state.catalog.as_ref()?.version,
+            catalog: state.catalog.as_ref().map_or(0, |catalog| catalog.version),
             proof_age,
             revision,
             gap,
@@ -285,7 +285,7 @@
 
 impl State {
     fn is_behind(&self) -> bool {
-        self.catalog.as_ref().is_none_or(|known| known.version < self.track.newest)
+        self.track.newest > self.catalog.as_ref().map_or(0, |known| known.version)
     }
 }
 
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -174,7 +174,7 @@
         let look = self.kind == Kind::Catalog && !self.desk.touched() && asked > self.last_lost + LED_LOOK;
         // A store that turns this instance away may serve all others, whose news
         // tells of the newer catalog sixteen times a second: without a wait each
-        // piece made two more refused calls, a quarter of a day's.
+        // piece made two more refused calls, a quarter of what a day's calls cost.
         let waits = self.failures > 0 && asked < self.last_lost + self.backoff(LOOK);
         if waits || (!wanted && !look) {
             if asked > self.last_lost + RETURN {
@@ -236,7 +236,9 @@
 
     async fn list(&mut self, read: Read, asked: Duration) -> Result<(), Fault> {
         let listing = timeout(CALL_LIMIT, self.source.list(self.kind, read)).await.map_err(|_| silent())??;
-        let proves = self.kind == Kind::Catalog && read == Read::Latest && !listing.records.is_empty();
+        // Before the first catalog an empty listing proves that there is none.
+        let shows = !listing.records.is_empty() || self.desk.catalog().is_none();
+        let proves = self.kind == Kind::Catalog && read == Read::Latest && shows;
         self.take_all(listing);
         if proves {
             self.desk.renew(asked, Proof::Read);
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -88,8 +88,9 @@
         let rounds = audience.len().div_ceil(AUDIENCE).max(1);
         let pause = PAUSE * u32::try_from(rounds).unwrap_or(u32::MAX);
         let bytes = encode(&Packet::News(piece(desk, run, pause)));
-        for (_, news) in audience.iter().skip(turn % rounds).step_by(rounds) {
-            send(socket, *news, &bytes);
+        let in_turn = audience.iter().skip(turn % rounds).step_by(rounds).map(|(_, news)| *news);
+        for news in in_turn.chain(desk.strangers()) {
+            send(socket, news, &bytes);
         }
         turn += 1;
         tokio::select! {
@@ -104,6 +105,7 @@
     loop {
         for notice in desk.notices().await {
             let bytes = encode(&Packet::Notice(notice.into()));
+            metrics::counter!("relay_notices_total").increment(1);
             for news in desk.live_audience() {
                 send(socket, news, &bytes);
             }
@@ -165,6 +167,7 @@
         run,
         front: desk.settings.listeners.front,
         ready: desk.ready(),
+        leaving: desk.draining(),
         fresh: desk.fresh(),
         in_touch: desk.in_touch(),
         domain: desk.settings.domain.clone(),
--- a/crates/relay/tests/it/track.rs
+++ b/crates/relay/tests/it/track.rs
@@ -369,3 +369,62 @@
     };
     tokio::time::timeout(Duration::from_secs(2), served).await.expect("read once it is served");
 }
+
+/// A fleet starts before an operator has written the first catalog. No instance
+/// is ready, and each watched the store by itself, tens of calls each, until the
+/// catalog came. Now one that has found no catalog leads the others too, and its
+/// proof that there is none counts from its own reading.
+#[test]
+fn instance_without_a_catalog_keeps_others_in_step() {
+    let empty = || {
+        let desk = Desk::new(settings(), dialect());
+        desk.note_listing(10);
+        desk.note_orders();
+        desk.mark_listed();
+        desk.note_touch(true);
+        desk
+    };
+    let (watcher, other) = (empty(), empty());
+    let read = clock::now();
+    watcher.renew(read, Proof::Read);
+    std::thread::sleep(Duration::from_millis(20));
+    let reply = watcher.reply(other.question(), 60).unwrap();
+    assert_eq!(reply.catalog, 0);
+    assert!(reply.proof_age >= Duration::from_millis(20));
+    for (name, port) in [("a", 7), ("b", 8)] {
+        let word = Word { in_touch: true, pause: Duration::from_millis(250), ..Word::default() };
+        other.hear(name, ([127, 0, 0, 7], port).into(), word);
+    }
+    other.take_reply(clock::now(), reply);
+    assert!(!other.ready() && !other.behind());
+    assert!(other.whom_to_ask(0).is_some() || !other.led());
+}
+
+/// Instances that leave keep nobody in step: they are gone within seconds.
+#[test]
+fn leaving_instance_is_not_asked() {
+    let desk = knowing(1);
+    let word = |leaving| Word { leaving, in_touch: true, pause: Duration::from_millis(250), ..Word::default() };
+    desk.hear("a", ([127, 0, 0, 7], 7).into(), word(true));
+    assert_eq!(desk.whom_to_ask(0), None);
+    desk.hear("b", ([127, 0, 0, 7], 8).into(), word(false));
+    assert_eq!(desk.whom_to_ask(0), Some(([127, 0, 0, 7], 8).into()));
+}
+
+/// A fleet of many starts: each instance finds some of the others in the store,
+/// and the others find it. Whoever is found is told at once and until it is
+/// heard, whoever is heard for the first time is told once.
+#[test]
+fn strangers_are_told_before_their_round_comes() {
+    let desk = knowing(1);
+    let (found, heard) = (([127, 0, 0, 7], 7).into(), ([127, 0, 0, 7], 8).into());
+    desk.meet("found", found);
+    assert_eq!(desk.strangers(), [found]);
+    let word = || Word { pause: Duration::from_millis(250), ..Word::default() };
+    desk.hear("heard", heard, word());
+    assert_eq!(desk.strangers(), [heard, found]);
+    desk.hear("heard", heard, word());
+    desk.hear("found", found, word());
+    assert_eq!(desk.strangers(), [found]);
+    assert!(desk.strangers().is_empty());
+}
