--- a/crates/route/src/relay/placement.rs
+++ b/crates/route/src/relay/placement.rs
@@ -30,8 +30,10 @@
 const SHARED_MS: f64 = 3.0;
 
 /// Added for an endpoint of another failure domain, in milliseconds: the way
-/// there, and the bytes that are paid for.
-const REMOTE_MS: f64 = 4.0;
+/// there, and the bytes that are paid for. With 15 in place of 4, bytes between
+/// failure domains fell by an eighth, and no more requests came late (a simulated
+/// day of 61 and one of 74 instances).
+const REMOTE_MS: f64 = 15.0;
 
 /// Added for certain failure, in milliseconds: what a failed try costs a caller.
 const FAILURE_MS: f64 = 3_000.0;
