Leave instances whose proof of the catalog grows old

Change: a proof older than 1.4 s is doubted (0.95 s is usual); the next question goes to the other one, and after a second doubt the instance watches the store itself. Instances that are to lead start to read 0.7 s after their first listing.

Tests first: two_old_proofs_in_a_row_end_it, doubtful_instance_is_not_asked_next and neighbours.

--- a/crates/relay/src/desk/track.rs
+++ b/crates/relay/src/desk/track.rs
@@ -23,8 +23,18 @@
 /// Silence after which an instance watches the store itself: three questions.
 const UNANSWERED: Duration = Duration::from_millis(1_100);
 
-/// Age of a proof from which the instance that gives it counts as cut off.
-const PROOF_TOO_OLD: Duration = Duration::from_millis(3_200);
+/// Age of a proof from which the instance that gives it is doubted: it reads the
+/// catalog every 0.95 s while it is in touch with the store.
+const PROOF_TOO_OLD: Duration = Duration::from_millis(1_400);
+
+/// Doubtful replies in a row after which an instance watches the store itself;
+/// the second comes from another instance than the first.
+///
+/// Those that watch the store may be cut off from it together, and go on to
+/// prove the catalog that they had. They notice after 1.5 s, and it takes as long
+/// until others have taken their place and told of a new catalog: whoever waited for
+/// that served by the old one for longer than operators allow.
+const MOST_DOUBTS: u32 = 2;
 
 /// Changes kept for those who are behind; a roll-out's worth.
 const KEPT: usize = 256;
@@ -45,6 +55,8 @@
     from: u64,
     kept: VecDeque<(u64, Change)>,
     answered: Option<Duration>,
+    /// Replies in a row whose proof was too old.
+    doubts: u32,
     orders_known: bool,
     /// Highest version of the catalog that any instance has told of.
     newest: u64,
@@ -177,6 +189,12 @@
         self.watches(self.lock().peers.watchers(clock::now(), false))
     }
 
+    /// Whether this instance ranks among those that watch the store.
+    #[must_use]
+    pub fn watches_store(&self) -> bool {
+        self.watches(self.lock().peers.watchers(clock::now(), true))
+    }
+
     /// Whom to ask, nearest first: nobody if this instance is to watch the
     /// store itself. `turn` moves on when a question was not answered.
     #[must_use]
@@ -189,6 +207,7 @@
         }
         watchers.truncate(WATCHERS);
         watchers.sort_by_key(|watcher| !watcher.near);
+        let turn = turn + usize::try_from(state.track.doubts).unwrap_or_default();
         watchers.get(turn % watchers.len().max(1)).map(|watcher| watcher.news)
     }
 
@@ -229,6 +248,7 @@
     /// Takes a reply to a question sent at `asked` in.
     pub fn take_reply(&self, asked: Duration, reply: Reply) {
         if reply.proof_age > PROOF_TOO_OLD {
+            self.doubt(&reply);
             return;
         }
         for change in &reply.changes {
@@ -241,6 +261,7 @@
         let mut state = self.lock();
         state.track.changed(reply.revision, reply.changes);
         state.track.answered = Some(clock::now());
+        state.track.doubts = 0;
         if reply.gap {
             self.endpoints_wanted.notify_one();
         }
@@ -252,6 +273,20 @@
         self.note_newer(reply.catalog);
     }
 
+    /// Notes that an instance which should watch the store proves little.
+    fn doubt(&self, reply: &Reply) {
+        let mut state = self.lock();
+        state.track.doubts += 1;
+        if state.track.doubts >= MOST_DOUBTS && state.track.answered.take().is_some() {
+            tracing::info!(
+                proof_age_ms = clock::millis(reply.proof_age),
+                "nobody proves the catalog; watching the store"
+            );
+        }
+        drop(state);
+        self.note_newer(reply.catalog);
+    }
+
     /// Notes which catalog another instance has; a newer one is to be read.
     pub(super) fn note_newer(&self, version: u64) {
         let mut state = self.lock();
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -61,6 +61,10 @@
 /// until then made half of the calls of its start.
 const MEETING: Duration = Duration::from_millis(2_000);
 
+/// The same of an instance that ranks among those that watch the store: until
+/// it has heard of others, by a round of greetings, each seems to.
+const RANKING: Duration = Duration::from_millis(700);
+
 /// Longest rest before a look whether somebody still keeps this one in step.
 const REST: Duration = Duration::from_millis(200);
 
@@ -110,6 +114,10 @@
         }
         if self.listed && (self.meeting() || self.waits_for_catalog()) {
             self.expire();
+            if self.kind == Kind::Catalog {
+                // What was read before the wait proves little by now.
+                self.revision = None;
+            }
             sleep(REST).await;
             return;
         }
@@ -151,9 +159,10 @@
     }
 
     /// Whether others that could keep this instance in step have had no time
-    /// to be met.
+    /// to be met, or to see that this one is to keep them in step.
     fn meeting(&self) -> bool {
-        self.first_listed.is_some_and(|first| clock::now() < first + MEETING)
+        let time = if self.desk.watches_store() { RANKING } else { MEETING };
+        self.first_listed.is_some_and(|first| clock::now() < first + time)
     }
 
     /// Whether a lost store is left to the catalog's follower to look for: the
--- a/crates/relay/tests/it/track.rs
+++ b/crates/relay/tests/it/track.rs
@@ -13,7 +13,7 @@
         Desk,
         fleet::{Job, Load, short_hash},
         peers::Word,
-        track::{Change, Question},
+        track::{Change, Question, Reply},
     },
 };
 use route::relay::freshness::Proof;
@@ -428,3 +428,49 @@
     assert_eq!(desk.strangers(), [found]);
     assert!(desk.strangers().is_empty());
 }
+
+/// Replies of the two instances that watch the store, as old as they say their
+/// proofs are, and whether this one goes on to be kept in step.
+fn check_doubts(ages_ms: &[u64], led: bool) {
+    let (watcher, desk) = (knowing(1), knowing(1));
+    let word = || Word { run: 1, ready: true, in_touch: true, pause: Duration::from_millis(250), ..Word::default() };
+    for (name, port) in [("a", 7), ("b", 8)] {
+        desk.hear(name, ([127, 0, 0, 7], port).into(), word());
+    }
+    for age in ages_ms {
+        watcher.renew(clock::now(), Proof::Read);
+        let reply = watcher.reply(desk.question(), 60).unwrap();
+        desk.take_reply(clock::now(), Reply { proof_age: Duration::from_millis(*age), ..reply });
+    }
+    assert_eq!(desk.led(), led);
+}
+
+macro_rules! doubts {
+    ($($name:ident: $ages:expr => $led:expr;)*) => { $(#[test] fn $name() { check_doubts($ages, $led); })* };
+}
+
+// Both instances that watch the store are cut off from it and still reach this
+// one. They prove the old catalog with proofs that grow old, while the operator
+// takes a route away: it must not be served by for longer than the operator allows.
+doubts! {
+    proofs_that_are_renewed_keep_in_step: &[300, 1_000, 700, 1_300] => true;
+    one_old_proof_is_followed_by_a_question_to_another: &[300, 1_500, 200, 1_500] => true;
+    two_old_proofs_in_a_row_end_it: &[300, 1_500, 1_500] => false;
+    renewed_proof_takes_it_up_again: &[300, 1_500, 1_500, 200] => true;
+}
+
+/// The instance that was asked proves too little: the next question goes to the
+/// other one.
+#[test]
+fn doubtful_instance_is_not_asked_next() {
+    let (watcher, desk) = (knowing(1), knowing(1));
+    let word = || Word { run: 1, ready: true, in_touch: true, pause: Duration::from_millis(250), ..Word::default() };
+    for (name, port) in [("a", 7), ("b", 8)] {
+        desk.hear(name, ([127, 0, 0, 7], port).into(), word());
+    }
+    watcher.renew(clock::now(), Proof::Read);
+    let first = desk.whom_to_ask(0).unwrap();
+    let reply = watcher.reply(desk.question(), 60).unwrap();
+    desk.take_reply(clock::now(), Reply { proof_age: Duration::from_millis(1_500), ..reply });
+    assert_ne!(desk.whom_to_ask(0).unwrap(), first);
+}
