Keep small models' answers while a crowd would make larger ones late

An answer of the small model that is likely wrong went on to the largest though late, took a slot for five seconds and made others late: the crowd fed itself.

Change: lateness for the prompt's own length and for the moment's waits are told apart; in a crowd the answer is kept, or a middle model in time is asked. Long prompts (a quarter of the goal and more to read) go on as before.

Tests: crowd_keeps_any, crowd_asks_the_middle_one_in_time; two renamed, as strict.

--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -22,6 +22,10 @@
 /// endpoint is tried.
 const PATIENCE: f64 = 5.0;
 
+/// Part of the goal up to which a prompt's reading at an idle endpoint counts as
+/// short: later than the goal it begins because of others.
+const SHORT: f64 = 0.25;
+
 /// Part of the goal that a run gets at least before another one is tried.
 const PATIENCE_OF_GOAL: f64 = 0.8;
 
@@ -144,14 +148,18 @@
 
     /// Whether a model's first event would still come in time.
     fn outlook(&self, model: usize) -> Outlook {
-        let Some(expected_ms) = self.desk.expect(&self.job(Some(model))) else { return Outlook::Never };
+        let job = self.job(Some(model));
+        let Some(expected_ms) = self.desk.expect(&job) else { return Outlook::Never };
+        let goal_ms = clock::millis(self.pass.route.goal);
         let passed_ms = clock::millis(clock::now().saturating_sub(self.started));
-        if passed_ms + expected_ms <= clock::millis(self.pass.route.goal) {
+        if passed_ms + expected_ms <= goal_ms {
             Outlook::InTime
-        } else if expected_ms <= 0.5 * clock::millis(self.left()) {
-            Outlook::Late
-        } else {
+        } else if expected_ms > 0.5 * clock::millis(self.left()) {
             Outlook::Never
+        } else if self.desk.expect_idle(&job) <= SHORT * goal_ms {
+            Outlook::Crowded
+        } else {
+            Outlook::Late
         }
     }
 }
--- a/crates/route/src/relay/ladder.rs
+++ b/crates/route/src/relay/ladder.rs
@@ -11,9 +11,9 @@
 /// Lowest opinion, from 0 to 100, at which a smaller model's answer is kept.
 pub const CUT: u32 = 60;
 
-/// The same when the larger model's answer would come late, as it does while
-/// endpoints are overloaded: a late answer is worth about a third to callers,
-/// so a small model's answer in time is kept unless it is likely wrong.
+/// The same when the larger model's answer would come late for the prompt's own
+/// length: a late answer is worth about a third to callers, so a small model's
+/// answer in time is kept unless it is likely wrong.
 pub const LATE_CUT: u32 = 25;
 
 /// Taken off an opinion on a route that goes first: its requests have few
@@ -74,8 +74,10 @@
 pub enum Outlook {
     /// Within the route's goal.
     InTime,
-    /// After it, within the caller's time.
+    /// After it, within the caller's time, for the prompt's own length.
     Late,
+    /// The same, for the waits of this moment.
+    Crowded,
     /// Too late for anybody.
     Never,
 }
@@ -143,6 +145,14 @@
 /// a busy moment, an answer that is neither sure nor surely wrong was kept. A
 /// middle one reads four times faster than the largest and is right for most
 /// requests that the small one nearly answers, so it is asked if it is in time.
+///
+/// And where only the waits of this moment would make a short prompt late, half
+/// of the small answers are likely wrong; each that went on to the largest model
+/// took its place for seconds and made others late as well, so the crowd lasted.
+/// Such an answer is kept. Late requests of heavy days with 61 and 74 instances
+/// fell from 1,692 to 1,063 and from 1,059 to 863, what callers were given of
+/// what they were owed rose from 0.909 to 0.910 and from 0.879 to 0.885 (one
+/// simulated day each).
 #[must_use]
 pub fn step(index: usize, confidence: Option<u32>, urgency: Urgency, room: Room, outlooks: &[Outlook]) -> Step {
     let last = outlooks.len().saturating_sub(1);
@@ -153,7 +163,7 @@
     let is_replaced = match outlooks[last] {
         Outlook::InTime => true,
         Outlook::Late => confidence < LATE_CUT,
-        Outlook::Never => false,
+        Outlook::Crowded | Outlook::Never => false,
     };
     if is_replaced {
         return Step::Escalate(last);
--- a/crates/route/tests/relay/ladder.rs
+++ b/crates/route/tests/relay/ladder.rs
@@ -6,6 +6,7 @@
 
 const SOON: [Outlook; 3] = [Outlook::InTime; 3];
 const LATE: [Outlook; 3] = [Outlook::Late; 3];
+const CROWDED: [Outlook; 3] = [Outlook::Crowded; 3];
 const NEVER: [Outlook; 3] = [Outlook::Never; 3];
 
 macro_rules! steps {
@@ -25,10 +26,15 @@
     answer_without_opinion_is_kept: 0, None, ROOM, SOON => Step::Keep;
     no_attempt_left: 0, Some(0), Room { attempts: 0, ..ROOM }, SOON => Step::Keep;
     no_allowance_left: 0, Some(0), Room { allowance: false, ..ROOM }, SOON => Step::Keep;
-    // Endpoints are overloaded: an escalation would come late and make every
-    // other one later. The small answer is kept unless likely wrong.
-    overloaded_keeps_the_fairly_sure: 0, Some(LATE_CUT), ROOM, LATE => Step::Keep;
-    overloaded_replaces_the_wrong: 0, Some(LATE_CUT - 1), ROOM, LATE => Step::Escalate(2);
+    // The prompt is so long that a larger model's answer would come late. The small
+    // one is kept unless likely wrong.
+    long_prompt_keeps_the_fairly_sure: 0, Some(LATE_CUT), ROOM, LATE => Step::Keep;
+    long_prompt_replaces_the_wrong: 0, Some(LATE_CUT - 1), ROOM, LATE => Step::Escalate(2);
+    // Half of the endpoints are lost, or callers come in a crowd: an escalation
+    // would come late and make every other one later.
+    crowd_keeps_any: 0, Some(0), ROOM, CROWDED => Step::Keep;
+    crowd_asks_the_middle_one_in_time:
+        0, Some(0), ROOM, [Outlook::InTime, Outlook::InTime, Outlook::Crowded] => Step::Escalate(1);
     hopeless_keeps_any: 0, Some(0), ROOM, NEVER => Step::Keep;
     // A prompt of 30,000 tokens: the largest model would come late, the middle
     // one in time.
