--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -25,6 +25,7 @@
 
 use tokio::sync::Notify;
 
+use self::peers::Phase;
 use crate::{catalog::Catalog, clock, dialect::Dialect, settings::Settings, source::Kind};
 
 /// Part of the grace in which callers may not have heard of the leave.
@@ -223,6 +224,18 @@
         state.catalog.is_some() && state.listed && state.draining.is_none()
     }
 
+    /// Where this instance stands between its start and its end.
+    #[must_use]
+    pub fn phase(&self) -> Phase {
+        if self.draining() {
+            Phase::Leaving
+        } else if self.ready() {
+            Phase::Ready
+        } else {
+            Phase::Starting
+        }
+    }
+
     /// Whether this instance is leaving.
     #[must_use]
     pub fn draining(&self) -> bool {
--- a/crates/relay/src/desk/peers.rs
+++ b/crates/relay/src/desk/peers.rs
@@ -40,6 +40,18 @@
     word: Word,
 }
 
+/// Where an instance stands between its start and its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Phase {
+    /// It cannot serve callers yet.
+    #[default]
+    Starting,
+    /// Callers should come to it.
+    Ready,
+    /// It is about to end.
+    Leaving,
+}
+
 /// What an instance says of itself.
 #[derive(Debug, Clone, Default)]
 pub struct Word {
@@ -47,10 +59,8 @@
     pub front: Option<SocketAddr>,
     /// Its start; a later one replaces what an earlier one said.
     pub run: u64,
-    /// Whether callers should come to it.
-    pub ready: bool,
-    /// Whether it is about to end.
-    pub leaving: bool,
+    /// Where it stands between its start and its end.
+    pub phase: Phase,
     /// Whether its knowledge of access keys is fresh.
     pub fresh: bool,
     /// Failure domain it stands in.
@@ -90,7 +100,8 @@
     pub(super) fn watchers(&self, now: Duration, in_touch: bool) -> Vec<Watcher> {
         // Not only ready ones: before an operator has written the first catalog
         // none is, and each of a whole fleet would watch the store by itself.
-        let able = |peer: &Peer| peer.live(now) && !peer.word.leaving && (peer.word.in_touch || !in_touch);
+        let able =
+            |peer: &Peer| peer.live(now) && peer.word.phase != Phase::Leaving && (peer.word.in_touch || !in_touch);
         let mut watchers: Vec<Watcher> = self
             .known
             .iter()
@@ -178,7 +189,11 @@
     #[must_use]
     pub fn fresh_elsewhere(&self) -> bool {
         let now = clock::now();
-        self.lock().peers.known.values().any(|peer| peer.live(now) && peer.word.fresh && peer.word.ready)
+        self.lock()
+            .peers
+            .known
+            .values()
+            .any(|peer| peer.live(now) && peer.word.fresh && peer.word.phase == Phase::Ready)
     }
 
     /// Whether this instance's name comes first among the live and ready ones
@@ -187,8 +202,11 @@
     pub fn leads(&self) -> bool {
         let now = clock::now();
         let state = self.lock();
-        let mut others =
-            state.peers.known.iter().filter(|(_, peer)| peer.live(now) && peer.word.ready && peer.word.fresh);
+        let mut others = state
+            .peers
+            .known
+            .iter()
+            .filter(|(_, peer)| peer.live(now) && peer.word.phase == Phase::Ready && peer.word.fresh);
         others.all(|(name, _)| *name > self.settings.instance)
     }
 
@@ -231,7 +249,7 @@
         let now = clock::now();
         let (me_ready, me_fresh) = (self.ready(), self.fresh());
         let state = self.lock();
-        let live = state.peers.known.values().filter(|peer| peer.live(now) && peer.word.ready);
+        let live = state.peers.known.values().filter(|peer| peer.live(now) && peer.word.phase == Phase::Ready);
         let mut all: Vec<(bool, SocketAddr)> =
             live.filter_map(|peer| Some((peer.word.fresh, peer.word.front?))).collect();
         if me_ready {
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -59,7 +59,7 @@
 /// that keep it in step: at 74 instances a round of news takes 1.25 s, and a
 /// question 0.35 s. When a whole fleet starts, each instance watching by itself
 /// until then made half of the calls of its start.
-const MEETING: Duration = Duration::from_millis(2_000);
+const MEETING: Duration = Duration::from_secs(2);
 
 /// The same of an instance that ranks among those that watch the store: until
 /// it has heard of others, by a round of greetings, each seems to.
--- a/crates/relay/src/news/wire.rs
+++ b/crates/relay/src/news/wire.rs
@@ -8,7 +8,7 @@
 use crate::{
     desk::{
         fleet::{self, Load},
-        peers::Word,
+        peers::{self, Word},
         track,
         trials::{Report, Tallies},
     },
@@ -78,14 +78,41 @@
     pub(super) revision: u64,
 }
 
+/// Where an instance stands, on the wire.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(super) enum Phase {
+    Starting,
+    Ready,
+    Leaving,
+}
+
+impl From<peers::Phase> for Phase {
+    fn from(phase: peers::Phase) -> Self {
+        match phase {
+            peers::Phase::Starting => Self::Starting,
+            peers::Phase::Ready => Self::Ready,
+            peers::Phase::Leaving => Self::Leaving,
+        }
+    }
+}
+
+impl From<Phase> for peers::Phase {
+    fn from(phase: Phase) -> Self {
+        match phase {
+            Phase::Starting => Self::Starting,
+            Phase::Ready => Self::Ready,
+            Phase::Leaving => Self::Leaving,
+        }
+    }
+}
+
 /// A piece of news on the wire.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct Piece {
     pub(super) name: String,
     pub(super) run: u64,
     pub(super) front: SocketAddr,
-    pub(super) ready: bool,
-    pub(super) leaving: bool,
+    pub(super) phase: Phase,
     pub(super) fresh: bool,
     pub(super) in_touch: bool,
     pub(super) domain: String,
@@ -283,8 +310,7 @@
         Self {
             front: Some(piece.front),
             run: piece.run,
-            ready: piece.ready,
-            leaving: piece.leaving,
+            phase: piece.phase.into(),
             fresh: piece.fresh,
             domain: piece.domain.clone(),
             in_touch: piece.in_touch,
