--- a/crates/relay/src/desk/peers.rs
+++ b/crates/relay/src/desk/peers.rs
@@ -79,6 +79,12 @@
     pub catalog: u64,
 }
 
+impl Word {
+    fn ready(&self) -> bool {
+        self.phase == Phase::Ready
+    }
+}
+
 impl Peers {
     /// Number of instances heard from of late.
     #[must_use]
@@ -189,11 +195,7 @@
     #[must_use]
     pub fn fresh_elsewhere(&self) -> bool {
         let now = clock::now();
-        self.lock()
-            .peers
-            .known
-            .values()
-            .any(|peer| peer.live(now) && peer.word.fresh && peer.word.phase == Phase::Ready)
+        self.lock().peers.known.values().any(|peer| peer.live(now) && peer.word.fresh && peer.word.ready())
     }
 
     /// Whether this instance's name comes first among the live and ready ones
@@ -202,11 +204,8 @@
     pub fn leads(&self) -> bool {
         let now = clock::now();
         let state = self.lock();
-        let mut others = state
-            .peers
-            .known
-            .iter()
-            .filter(|(_, peer)| peer.live(now) && peer.word.phase == Phase::Ready && peer.word.fresh);
+        let mut others =
+            state.peers.known.iter().filter(|(_, peer)| peer.live(now) && peer.word.ready() && peer.word.fresh);
         others.all(|(name, _)| *name > self.settings.instance)
     }
 
@@ -249,7 +248,7 @@
         let now = clock::now();
         let (me_ready, me_fresh) = (self.ready(), self.fresh());
         let state = self.lock();
-        let live = state.peers.known.values().filter(|peer| peer.live(now) && peer.word.phase == Phase::Ready);
+        let live = state.peers.known.values().filter(|peer| peer.live(now) && peer.word.ready());
         let mut all: Vec<(bool, SocketAddr)> =
             live.filter_map(|peer| Some((peer.word.fresh, peer.word.front?))).collect();
         if me_ready {
