--- a/crates/relay/src/desk/fleet.rs
+++ b/crates/relay/src/desk/fleet.rs
@@ -287,7 +287,7 @@
             slots: self.endpoint.slots,
             runs: f64::from(self.runs) + self.others.runs + full,
             backlog_ms: self.backlog_ms + self.noticed.left_ms(now),
-            told_ms: self.others.backlog_ms,
+            old_news_ms: self.others.backlog_ms,
             slowness: if slowness > NOISE { slowness } else { 1.0 },
             failing: (self.failing.now(0.0, now) - NOISE * failing).max(0.0),
             local: self.endpoint.domain == domain,
--- a/crates/route/src/relay/placement.rs
+++ b/crates/route/src/relay/placement.rs
@@ -77,9 +77,9 @@
 const READ_AGAIN_TOKEN_MS: f64 = 0.05;
 
 /// What copying one token of a shared part from its holder counts as, in
-/// milliseconds of waiting. The copy itself takes a fiftieth of the reading; the
-/// rest stands for the bytes moved, at about two thirds of the price at which a
-/// token read again by a small model stands above. Late requests of heavy days
+/// milliseconds of waiting. The copy itself takes a twelfth of the largest
+/// model's reading; the rest stands for the bytes moved, at about two thirds of
+/// the price at which a token read again by a small model stands above. Late requests of heavy days
 /// with 74 and 61 instances fell from 783 to 403 and from 1,713 to 1,491 (one
 /// simulated day each, together with the lean to the nearby).
 const COPY_TOKEN_MS: f64 = 0.035;
@@ -97,7 +97,7 @@
     /// put it there or was told at once.
     pub backlog_ms: f64,
     /// The same, as news of other instances told a while ago.
-    pub told_ms: f64,
+    pub old_news_ms: f64,
     /// Its time over the time that others take for the same, 1 if alike.
     pub slowness: f64,
     /// Share of its runs that fail in excess of its peers'.
@@ -200,7 +200,7 @@
 /// Wait before the first byte at an endpoint, in milliseconds.
 fn wait_ms(candidate: &Candidate<'_>, wanted: Wanted) -> f64 {
     let over = (candidate.runs + 1.0 - f64::from(candidate.slots)).max(0.0);
-    let queue = candidate.backlog_ms + candidate.told_ms + candidate.runs * SHARED_MS + over * QUEUED_MS;
+    let queue = candidate.backlog_ms + candidate.old_news_ms + candidate.runs * SHARED_MS + over * QUEUED_MS;
     let remote = if candidate.local { 0.0 } else { REMOTE_MS };
     (queue + wanted.first_ms) * candidate.slowness.max(1.0) - wanted.first_ms + remote + candidate.failing * FAILURE_MS
 }
--- a/crates/route/tests/relay/placement.rs
+++ b/crates/route/tests/relay/placement.rs
@@ -7,7 +7,7 @@
     slots: 32,
     runs: 0.0,
     backlog_ms: 0.0,
-    told_ms: 0.0,
+    old_news_ms: 0.0,
     slowness: 1.0,
     failing: 0.0,
     local: true,
