--- a/crates/route/src/relay/placement.rs
+++ b/crates/route/src/relay/placement.rs
@@ -57,7 +57,8 @@
 /// Part of the cost of reading a shared part again that is staked on an
 /// endpoint of which only the part's hash speaks. Callers of a heavy day with 74
 /// and one with 61 instances were given 0.927 and 0.906 of what they were owed,
-/// with none of it staked 0.921 and 0.900 (one simulated day each).
+/// with none of it staked, and prompts of 40 ms told as well, 0.921 and 0.900 (one
+/// simulated day each).
 const UNSURE: f64 = 0.25;
 
 /// What reading a shared part again counts as, over the time that it takes the
