Read registrations entry by entry; take a server's new start for a new endpoint

Cause: servers may start again under their name, and entries may be another writer's. The fleet went on with the loads, shared parts, slowness and rests of the earlier start, in other instances' news as well. One object with an unreadable name or one byte that is no text lost the whole listing or watch; a missing state or slots passed as ready with one slot; an endpoint whose entry turned odd was used on.

An endpoint whose entry does not read is gone at once; of other kinds the last readable one holds; only the object main is the catalog. A registration carries its start and its store revision, in replies between instances as well: by the revision an old write is passed over, another start is another endpoint, with another number in news. A reply that crossed an instance's own reading of the store changes no endpoint.

--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -183,11 +183,13 @@
                 slots: 1_024,
                 draining: false,
                 cold: Duration::ZERO,
+                born: None,
+                revision: 0,
             })),
             Kind::Rollouts | Kind::Instances => None,
         };
         let records = record.map(|record| Change { name: "one".into(), record: Some(record) }).into_iter().collect();
-        Box::pin(async { Ok(Listing { revision: 1, records }) })
+        Box::pin(async { Ok(Listing { revision: 1, records, unreadable: Vec::new() }) })
     }
 
     fn watch(&self, _: Kind, from: u64, wait: Duration) -> BoxFuture<'_, Result<Batch, Fault>> {
--- a/crates/relay/src/desk/fleet.rs
+++ b/crates/relay/src/desk/fleet.rs
@@ -8,6 +8,7 @@
 
 mod notices;
 mod record;
+mod registry;
 mod run;
 mod weigh;
 
@@ -128,65 +129,6 @@
 }
 
 impl Desk {
-    /// Takes an endpoint's registration in.
-    pub fn enlist(&self, endpoint: Endpoint) {
-        let mut state = self.lock();
-        let now = clock::now();
-        state.trials.sight(&endpoint.service, &endpoint.version, now);
-        let fleet = &mut state.fleet;
-        if let Some(server) = fleet.by_name.get(&endpoint.id).and_then(|key| fleet.servers.get_mut(*key)) {
-            server.registered = now;
-            if *server.endpoint != endpoint {
-                tracing::info!(endpoint = endpoint.id, draining = endpoint.draining, "endpoint changed");
-                server.endpoint = Arc::new(endpoint);
-            }
-            return;
-        }
-        tracing::info!(endpoint = endpoint.id, service = endpoint.service, version = endpoint.version, address = %endpoint.address, "endpoint found");
-        let name = endpoint.id.clone();
-        let key = fleet.servers.insert(Server::new(endpoint, now));
-        fleet.by_name.insert(name, key);
-    }
-
-    /// Forgets an endpoint whose registration is gone.
-    pub fn delist(&self, id: &str) {
-        let fleet = &mut self.lock().fleet;
-        if let Some(key) = fleet.by_name.remove(id) {
-            fleet.servers.remove(key);
-            tracing::info!(endpoint = id, "endpoint gone");
-        }
-    }
-
-    /// Forgets an endpoint that has not registered since a moment; whether it
-    /// did.
-    ///
-    /// After an outage its registration may come by way of another instance,
-    /// while this one still waits for it at the store: to give it up then would
-    /// take a living endpoint out of use until it changes once more.
-    pub fn delist_lapsed(&self, id: &str, since: Duration) -> bool {
-        let is_back = {
-            let fleet = &self.lock().fleet;
-            let server = fleet.by_name.get(id).and_then(|key| fleet.servers.get(*key));
-            server.is_none_or(|server| server.registered > since)
-        };
-        if !is_back {
-            self.delist(id);
-        }
-        !is_back
-    }
-
-    /// Names of all known endpoints.
-    #[must_use]
-    pub fn enlisted(&self) -> Vec<String> {
-        self.lock().fleet.by_name.keys().cloned().collect()
-    }
-
-    /// All known endpoints.
-    #[must_use]
-    pub fn known_endpoints(&self) -> Vec<Arc<Endpoint>> {
-        self.lock().fleet.servers.values().map(|server| Arc::clone(&server.endpoint)).collect()
-    }
-
     /// Chooses an endpoint and counts the run there; nothing when none takes it.
     #[must_use]
     pub fn place(self: &Arc<Self>, job: &Job<'_>) -> Option<Run> {
@@ -260,10 +202,9 @@
 
 impl Server {
     fn new(endpoint: Endpoint, now: Duration) -> Self {
-        let hash = short_hash(&endpoint.id);
         Self {
+            hash: start_hash(&endpoint),
             endpoint: Arc::new(endpoint),
-            hash,
             runs: 0,
             backlog_ms: 0.0,
             told_ms: 0.0,
@@ -300,7 +241,17 @@
     if model.is_some() { Pace::new(BASE_MS, TOKEN_MS) } else { Pace::new(CALL_MS, 0.0) }
 }
 
-/// How an endpoint's name travels in news.
+/// How an endpoint travels in news: each of its starts by another number, so that
+/// what others say of an earlier one is not taken for this one's.
+#[must_use]
+pub fn start_hash(endpoint: &Endpoint) -> u32 {
+    match endpoint.born {
+        None => short_hash(&endpoint.id),
+        Some(born) => short_hash(&format!("{}/{born}", endpoint.id)),
+    }
+}
+
+/// How a name travels in news.
 #[must_use]
 pub fn short_hash(name: &str) -> u32 {
     u32::try_from(hash::stable(name.as_bytes()) & u64::from(u32::MAX)).unwrap_or_default()
--- a/crates/relay/src/desk/track.rs
+++ b/crates/relay/src/desk/track.rs
@@ -251,11 +251,11 @@
             self.doubt(&reply);
             return;
         }
-        for change in &reply.changes {
-            match change {
-                Change::Known(endpoint) => self.enlist(endpoint.clone()),
-                Change::Gone(id) => self.delist(id),
-            }
+        // A reply may come after this instance has read the store itself. What
+        // changed before that is over: an endpoint that was gone and is back would
+        // be given up, and nobody would tell of it again.
+        if reply.revision > self.endpoints_revision() {
+            self.apply(&reply.changes);
         }
         self.take_orders(&reply.orders);
         let mut state = self.lock();
@@ -273,6 +273,15 @@
         self.note_newer(reply.catalog);
     }
 
+    fn apply(&self, changes: &[Change]) {
+        for change in changes {
+            match change {
+                Change::Known(endpoint) => self.enlist(endpoint.clone()),
+                Change::Gone(id) => self.delist(id),
+            }
+        }
+    }
+
     /// Notes that an instance which should watch the store proves little.
     fn doubt(&self, reply: &Reply) {
         let mut state = self.lock();
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -138,8 +138,8 @@
             return;
         };
         self.revision = None;
-        if fault == Fault::Compacted {
-            tracing::info!(kind = ?self.kind, "history is gone, listing again");
+        if matches!(fault, Fault::Compacted | Fault::Unreadable) {
+            tracing::info!(kind = ?self.kind, %fault, "listing again");
             return;
         }
         if self.lost_since.is_none() {
@@ -309,7 +309,9 @@
             self.compare(&listing);
         }
         self.revision = Some(listing.revision);
-        for change in listing.records {
+        let gone = listing.unreadable.into_iter().filter(|_| self.kind == Kind::Endpoints);
+        let gone: Vec<Change> = gone.map(|name| Change { name, record: None }).collect();
+        for change in listing.records.into_iter().chain(gone) {
             self.take(change);
         }
         self.listed = true;
@@ -330,8 +332,9 @@
         let now = clock::now();
         let outage = self.lost_since.is_some_and(|since| now.saturating_sub(since) > OUTAGE);
         let listed: Vec<&Endpoint> = listing.records.iter().filter_map(listed_endpoint).collect();
-        let missing = self.desk.enlisted().into_iter().filter(|id| !listed.iter().any(|other| other.id == *id));
-        let missing: Vec<String> = missing.collect();
+        // One that is listed and does not read has not lapsed: it is gone at once.
+        let is_missing = |id: &String| !listed.iter().any(|other| other.id == *id) && !listing.unreadable.contains(id);
+        let missing: Vec<String> = self.desk.enlisted().into_iter().filter(is_missing).collect();
         let kept: Vec<&str> = if outage { missing.iter().map(String::as_str).collect() } else { Vec::new() };
         if self.desk.endpoints_revision() == 0 {
             self.desk.note_listing(listing.revision);
--- a/crates/relay/src/news/wire.rs
+++ b/crates/relay/src/news/wire.rs
@@ -64,6 +64,8 @@
         slots: u32,
         draining: bool,
         cold_ms: u32,
+        born: Option<u64>,
+        revision: u64,
     },
     Gone(String),
 }
@@ -211,6 +213,8 @@
                 slots: endpoint.slots,
                 draining: endpoint.draining,
                 cold_ms: short_ms(endpoint.cold),
+                born: endpoint.born,
+                revision: endpoint.revision,
             },
         }
     }
@@ -220,9 +224,11 @@
     fn from(change: Change) -> Self {
         match change {
             Change::Gone(id) => Self::Gone(id),
-            Change::Known { id, service, address, domain, version, slots, draining, cold_ms } => {
+            Change::Known { id, service, address, domain, version, slots, draining, cold_ms, born, revision } => {
                 let cold = Duration::from_millis(u64::from(cold_ms));
-                Self::Known(Endpoint { id, service, address, domain, version, slots, draining, cold })
+                let endpoint =
+                    Endpoint { id, service, address, domain, version, slots, draining, cold, born, revision };
+                Self::Known(endpoint)
             }
         }
     }
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -36,7 +36,7 @@
 /// An endpoint as it has registered itself.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Endpoint {
-    /// Its name, new at each of its starts.
+    /// Its name; it may start again under it, knowing nothing of before.
     pub id: String,
     /// Its service's name.
     pub service: String,
@@ -52,6 +52,11 @@
     pub draining: bool,
     /// How much longer it is slow after its start.
     pub cold: Duration,
+    /// When it started, in Unix milliseconds by its own clock; nothing if it
+    /// does not say.
+    pub born: Option<u64>,
+    /// The store's revision of the registration.
+    pub revision: u64,
 }
 
 /// An instance as it has registered itself.
@@ -77,8 +82,10 @@
 pub struct Listing {
     /// The store's revision of this answer.
     pub revision: u64,
-    /// Every record.
+    /// Every record that reads.
     pub records: Vec<Change>,
+    /// Names of those that do not.
+    pub unreadable: Vec<String>,
 }
 
 /// What a listing must show.
@@ -104,6 +111,8 @@
 pub enum Fault {
     /// The history asked for is gone; list again.
     Compacted,
+    /// A change does not tell what it is of; list again.
+    Unreadable,
     /// Another write came first, or the object is gone.
     Conflict,
     /// Not taken; certainly not done.
@@ -116,6 +125,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Compacted => f.write_str("history is gone; list again"),
+            Self::Unreadable => f.write_str("a change does not read; list again"),
             Self::Conflict => f.write_str("another write came first; read again"),
             Self::Refused(cause) => write!(f, "refused: {cause}; try again later"),
             Self::Lost(cause) => write!(f, "no answer: {cause}; ask again"),
--- a/crates/relay/tests/it/main.rs
+++ b/crates/relay/tests/it/main.rs
@@ -3,10 +3,12 @@
 
 mod answers;
 mod caller;
+mod foreign;
 mod leaving;
 mod lost;
 mod notices;
 mod requests;
+mod restarts;
 mod rollouts;
 mod server;
 mod site;
--- a/crates/relay/tests/it/site.rs
+++ b/crates/relay/tests/it/site.rs
@@ -40,6 +40,8 @@
     pub old_catalog: Option<Catalog>,
     /// Endpoints.
     pub endpoints: Vec<Endpoint>,
+    /// Names of endpoints whose registrations do not read.
+    pub unreadable: Vec<String>,
     /// Orders.
     pub rollouts: Vec<Rollout>,
     /// Whether no call is answered.
@@ -107,7 +109,9 @@
             }
             source::Kind::Instances => Vec::new(),
         };
-        Listing { revision: kept.revision, records }
+        let is_endpoints = kind == source::Kind::Endpoints;
+        let unreadable = if is_endpoints { kept.unreadable.clone() } else { Vec::new() };
+        Listing { revision: kept.revision, records, unreadable }
     }
 }
 
@@ -128,7 +132,8 @@
                 let old = self.kept.borrow().old_catalog.clone();
                 if let Some(old) = old.filter(|_| !refuses) {
                     let record = Some(Record::Catalog(Box::new(old)));
-                    return Ok(Listing { revision: 1, records: vec![Change { name: "main".into(), record }] });
+                    let records = vec![Change { name: "main".into(), record }];
+                    return Ok(Listing { revision: 1, records, unreadable: Vec::new() });
                 }
             }
             if self.kept.borrow().refuses {
@@ -234,6 +239,8 @@
         slots: 8,
         draining: false,
         cold: Duration::ZERO,
+        born: None,
+        revision: 0,
     }
 }
 
