--- a/crates/xtask/src/days.rs
+++ b/crates/xtask/src/days.rs
@@ -24,10 +24,12 @@
     pub why: String,
 }
 
-/// Plays every day kept for the site; fails when one breaks a rule.
+/// Where the days lie; the bench's hunt plays them as well.
+const FOLDER: &str = "deploy/days";
+
+/// Plays every day on the site; fails when one breaks a rule.
 pub fn run(root: &Path, plan: &Plan) -> Result<(), String> {
-    let name = plan.site.file_stem().ok_or("give a site's file with --site")?;
-    let folder = root.join("bench/days").join(name);
+    let folder = root.join(FOLDER);
     let days = days(&folder).map_err(|error| format!("{}: {error}", folder.display()))?;
     let (next, broken) = (AtomicUsize::new(0), AtomicUsize::new(0));
     let printing = Mutex::new(());
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -46,7 +46,7 @@
         Arg::new(name).long(name).value_name("PATH").required(true).value_parser(value_parser!(PathBuf)).help(help)
     };
     let days = Command::new("days")
-        .about("Play every day of bench/days for a site and print one table")
+        .about("Play every day of deploy/days on a site and print one table")
         .arg(path("bench", "The bench's program"))
         .arg(path("site", "The site's file"))
         .arg(Arg::new("jobs").long("jobs").default_value("4").value_parser(value_parser!(usize)).help("Days at a time"))
