Tell of every move of a session, until an answer that told has come through

Cause: a caller-named session could move untold in three ways, found by reading. An answer told of one move, though two tiers may move at once, and of an earlier untold one only for the cascade's first step. An answer is noted as having told before it ends; lost after that with its instance, its repeat was told only if it was the request that moved the session, and one that must not run twice is told that it ran and nothing else. A session that moved twice before its caller heard told of the last move alone.

Change: a choice names every version left in the tiers that it may answer from; a pin keeps all versions left untold, and who told. The note of a lost answer is taken back at its repeat, and does not count once its instance is gone.

--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -61,8 +61,8 @@
     step: usize,
     entered: Entered,
     session: Option<String>,
-    /// Version that the answer says the session left.
-    moved: Option<Version>,
+    /// Versions that the answer says the session left.
+    moved: Vec<Version>,
     /// Pins of a session that the caller named, as the journal has them.
     bound: Option<Vec<Pin>>,
 }
@@ -246,7 +246,7 @@
     /// Writes the head once the version that answers is settled.
     fn write_head(&self) {
         let (session, moved) =
-            self.chosen.as_ref().map_or((None, None), |chosen| (chosen.session.clone(), chosen.moved.clone()));
+            self.chosen.as_ref().map(|chosen| (chosen.session.clone(), chosen.moved.clone())).unwrap_or_default();
         let request = self.request.id().key.clone();
         self.tape.head(Head { request, version: self.version(), session, moved });
     }
--- a/crates/entry/src/drive/choose.rs
+++ b/crates/entry/src/drive/choose.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use route::{
-    model::{Choice, Refusal},
+    model::{Choice, Permit, Refusal},
     rollout::{Stop, Stops},
 };
 use timeline::Step;
@@ -12,7 +12,7 @@
     Catalog, model,
     money::Amount,
     request::Repeat,
-    session::{Id, Pin, Session},
+    session::{Id, Left, Pin, Session, Teller, untold},
 };
 
 use super::{Chosen, Driver, enter};
@@ -92,15 +92,14 @@
             return Err(problem);
         }
         let start = choice.start();
-        let moved = choice.reason().moved.clone();
-        let moved = moved.or_else(|| self.untold_move(&pins, start.version()));
+        let moved = self.moves(&choice, &pins);
         let bound = matches!(self.request.session, Some(Named::Caller(_))).then(|| pins.clone());
         let session = self.session_text(pins);
         self.shared.note(
             self.request.id(),
             Step::Chosen { version: start.version().clone(), tier: start.tier(), reason: choice.reason().to_string() },
         );
-        if let Some(from) = &choice.reason().moved {
+        for from in &choice.reason().moved {
             let to = start.version().clone();
             self.shared.note(self.request.id(), Step::SessionMoved { from: from.clone(), to });
         }
@@ -109,12 +108,19 @@
         Ok(steps)
     }
 
-    /// The version that the session left for this one, if its caller may not
-    /// have heard of that yet.
-    fn untold_move(&self, pins: &[Pin], version: &model::Version) -> Option<model::Version> {
-        let pin = pins.iter().find(|pin| pin.version == *version)?;
-        let left = pin.left.as_ref().filter(|left| left.concerns(&self.request.id().key))?;
-        Some(left.version.clone())
+    /// The versions that the session left for those of a choice, now or before,
+    /// as far as its caller may not have heard of that yet.
+    fn moves(&self, choice: &Choice, pins: &[Pin]) -> Vec<model::Version> {
+        let mut moved = choice.reason().moved.clone();
+        let answering: Vec<_> = choice.steps().iter().map(Permit::version).collect();
+        let journal = &self.shared.links.journal;
+        let lives = |told: &Teller| journal.knows(&told.instance, told.incarnation);
+        for version in untold(pins, &answering, &self.request.id().key, lives) {
+            if !moved.contains(version) {
+                moved.push(version.clone());
+            }
+        }
+        moved
     }
 
     /// Notes in the journal that this answer tells of a move, before it ends.
@@ -124,11 +130,18 @@
     /// that never saw the head repeats this request or is told by the next.
     pub(super) async fn note_told(&self) {
         let Some(Named::Caller(id)) = &self.request.session else { return };
-        let Some(chosen) = self.chosen.as_ref().filter(|chosen| chosen.moved.is_some()) else { return };
+        let Some(chosen) = self.chosen.as_ref().filter(|chosen| !chosen.moved.is_empty()) else { return };
         let Some(bound) = chosen.bound.as_deref() else { return };
         let mut told = bound.to_vec();
-        for left in told.iter_mut().filter_map(|pin| pin.left.as_mut()) {
-            left.told = true;
+        let origin = &self.shared.links.journal.config().origin;
+        let teller = Teller {
+            request: self.request.id().key.clone(),
+            instance: origin.instance.clone(),
+            incarnation: origin.incarnation,
+        };
+        let is_told = |left: &&mut Left| left.versions.iter().all(|version| chosen.moved.contains(version));
+        for left in told.iter_mut().filter_map(|pin| pin.left.as_mut()).filter(is_told) {
+            left.told = Some(teller.clone());
         }
         if told == bound {
             return;
@@ -140,6 +153,36 @@
         }
     }
 
+    /// Notes that nobody has heard of the moves that this request's answer told.
+    ///
+    /// An instance may end between that note and its answer's end. The caller
+    /// asks again with the key, and one that must not run twice is only told that
+    /// it ran: the answer that would have told is lost for good, and the next
+    /// one, with another key, would say nothing.
+    pub(super) async fn note_untold(&self) {
+        let Some(Named::Caller(id)) = &self.request.session else { return };
+        let deadline = Instant::now() + TELL_WITHIN;
+        let (journal, customer) = (&self.shared.links.journal, self.request.customer());
+        // A session that nobody has bound yet gets an empty binding, which the
+        // next choice replaces.
+        let Ok(bound) = journal.bind_session(customer, id, &[], None, deadline).await else {
+            tracing::info!(request = %self.request.id(), "a session's binding is not known; its move may stay untold");
+            return;
+        };
+        let mut untold = bound.clone();
+        let key = &self.request.id().key;
+        let is_by_this = |left: &&mut Left| left.told.as_ref().is_some_and(|told| told.request == *key);
+        for left in untold.iter_mut().filter_map(|pin| pin.left.as_mut()).filter(is_by_this) {
+            left.told = None;
+        }
+        if untold == bound {
+            return;
+        }
+        if let Err(error) = journal.bind_session(customer, id, &untold, Some(&bound), deadline).await {
+            tracing::info!(request = %self.request.id(), ?error, "a session's move may stay untold");
+        }
+    }
+
     /// The choice for a session whose pins are known, and its pins after it.
     async fn choose_pinned(&mut self, session: Option<Session>) -> Result<(Choice, Entered, Vec<Pin>), Problem> {
         let (choice, entered) = self.ask(session.clone()).await?;
--- a/crates/entry/src/drive/enter.rs
+++ b/crates/entry/src/drive/enter.rs
@@ -201,7 +201,9 @@
                 Problem::not_run(Kind::PlatformDown, "its earlier claim is being taken back").after(PLATFORM_RETRY_MS)
             }
         };
+        // The answer first: it is known.
         self.refuse(problem);
+        self.note_untold().await;
         Event::Superseded
     }
 }
--- a/crates/entry/src/http/answer.rs
+++ b/crates/entry/src/http/answer.rs
@@ -132,8 +132,9 @@
     if let Some(session) = &head.session {
         set(response, ask::SESSION, session);
     }
-    if let Some(from) = &head.moved {
-        set(response, MOVED, &from.to_string());
+    if !head.moved.is_empty() {
+        let left: Vec<String> = head.moved.iter().map(ToString::to_string).collect();
+        set(response, MOVED, &left.join(", "));
     }
 }
 
--- a/crates/entry/src/tape.rs
+++ b/crates/entry/src/tape.rs
@@ -30,8 +30,8 @@
     pub version: Option<Version>,
     /// The session to go on with: a handle, or the caller's own name.
     pub session: Option<String>,
-    /// The withdrawn version that the session had to leave.
-    pub moved: Option<Version>,
+    /// The versions that the session left, of which its caller may not know yet.
+    pub moved: Vec<Version>,
 }
 
 /// How an answer ended.
--- a/crates/entry/tests/path/sessions.rs
+++ b/crates/entry/tests/path/sessions.rs
@@ -106,6 +106,113 @@
     assert_eq!((version(&after), after.header(MOVED)), ("summary@2", ""));
 }
 
+/// The model with two versions of each tier; of those that a session starts on,
+/// the named ones are withdrawn.
+fn two_tiers(site: &Site, withdrawn: &[&str]) -> String {
+    let file = site.file("").replace("versions: [\"1\", \"9\"]", "versions: [\"1\", \"2\", \"8\", \"9\"]");
+    let release = |number: &str, tier: u8| {
+        let state = if withdrawn.contains(&number) { "withdrawn" } else { "serving" };
+        let price = if tier == 0 { "input: \"1\", output: \"2\"" } else { "input: \"10\", output: \"20\"" };
+        format!(
+            "    - {{ version: \"{number}\", tier: {tier}, price: {{ {price}, currency: EUR }}, state: {state} }}\n"
+        )
+    };
+    let (_, rest) = file.split_once("---\n").expect("documents");
+    let versions = [release("1", 0), release("2", 0), release("8", 1), release("9", 1)].concat();
+    let model = format!("kind: model\nname: summary\nspec:\n  versions:\n{versions}");
+    format!("{model}---\n{rest}")
+        .replace("[summary@1, summary@9]", "[summary@1, summary@2, summary@8, summary@9]")
+}
+
+/// A caller-named session on versions 2 and 9, and a deployment whose answers of
+/// tier 0 all fail their rating.
+async fn on_two_tiers() -> (Site, String) {
+    let quality = [("summary@1", 0.0), ("summary@2", 0.0), ("summary@8", 1.0), ("summary@9", 1.0)];
+    let quality = quality.map(|(version, quality)| (version.to_owned(), quality)).into();
+    let rating = standin::rating::Options { quality, ..standin::rating::Options::default() };
+    let site = Site::open(Plan { rating: Some(rating), ..super::cascades::plan(0.0) }).await;
+    site.apply(&two_tiers(&site, &["1", "8"])).await;
+    for n in 0..60 {
+        let (session, before) = (format!("desk-{n}"), site.runs().len());
+        site.client(0).chat(CLUB, &[(SESSION, &session)], &format!("first {n}")).await.content();
+        if super::cascades::ran(&site).split_off(before) == ["summary@2", "summary@9"] {
+            return (site, session);
+        }
+    }
+    panic!("no request went through both tiers: {:?}", super::cascades::ran(&site));
+}
+
+// Both versions that a session is on are withdrawn at once. Its next answer that
+// needs both tiers comes from the later one; it tells of both moves, or the caller
+// would find the session on a version that it was never told of.
+#[tokio::test]
+async fn moves_of_two_tiers_are_told_together() {
+    let (site, session) = on_two_tiers().await;
+    site.apply(&two_tiers(&site, &["2", "9"])).await;
+    let mut left = std::collections::BTreeSet::from(["summary@2".to_owned(), "summary@9".to_owned()]);
+    for n in 0..60 {
+        let reply = site.client(0).chat(CLUB, &[(SESSION, &session)], &format!("next {n}")).await;
+        reply.content();
+        for version in reply.header(MOVED).split(", ").filter(|version| !version.is_empty()) {
+            assert!(left.remove(version), "{version} was told twice, or never left");
+        }
+        let answered = match version(&reply) {
+            "summary@1" => "summary@2",
+            "summary@8" => "summary@9",
+            other => panic!("answered by {other}"),
+        };
+        assert!(!left.contains(answered), "{answered} was left without a word");
+        if left.is_empty() {
+            return;
+        }
+    }
+    panic!("never told of {left:?}");
+}
+
+// An answer tells of a move and is noted as having told; then it is lost with its
+// instance. The request must not run twice, so its repeat is only told that it
+// ran. The session's next answer has to tell again.
+#[tokio::test]
+async fn move_told_by_a_lost_answer_is_told_again() {
+    let mut site = Site::open(Plan { instances: 2, ..Plan::default() }).await;
+    let headers = [(SESSION, "dispatch-desk")];
+    let only_one =
+        with_second_version(&site, "serving").replace("versions: [\"1\", \"2\", \"9\"]", "versions: [\"1\"]");
+    site.apply(&only_one).await;
+    site.client(0).chat(CLUB, &headers, "first").await.content();
+    site.apply(&with_second_version(&site, "withdrawn")).await;
+
+    let once = [(SESSION, "dispatch-desk"), ("arbutuslug-idempotent", "false"), ("idempotency-key", "season-7")];
+    let lost = site.client(0).chat(CLUB, &once, "moves it").await;
+    assert_eq!(lost.header(MOVED), "summary@1");
+    let survivor = site.client(1);
+    drop(site.nodes.remove(0));
+    let refused = async || {
+        loop {
+            // Until the shard of its key has a new home, it is not known here.
+            let repeat = survivor.chat(CLUB, &once, "moves it").await;
+            let (_, kind, ran) = repeat.problem();
+            if kind == "answered-before" {
+                return ran;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        }
+    };
+    assert_eq!(refused().await, "yes");
+
+    let told = async || {
+        loop {
+            let next = survivor.chat(CLUB, &headers, "next").await;
+            if next.status == 200 {
+                return (version(&next).to_owned(), next.header(MOVED).to_owned());
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        }
+    };
+    assert_eq!(told().await, ("summary@2".to_owned(), "summary@1".to_owned()));
+    assert_eq!(told().await, ("summary@2".to_owned(), String::new()));
+}
+
 async fn check_handle(customer: &str, change: impl Fn(&str) -> String, expected: &str) {
     let site = Site::open(Plan::default()).await;
     let first = site.client(0).chat(CLUB, &[], "first").await;
--- a/crates/entry/tests/path/site.rs
+++ b/crates/entry/tests/path/site.rs
@@ -79,7 +79,7 @@
         let objects = Objects::bind(ANY, Limits::none()).await.expect("port 0 is free");
         let mut engines = Vec::new();
         for seed in 0..2 {
-            let versions = [CHEAP, "summary@2", DEAR].map(str::to_owned).into();
+            let versions = [CHEAP, "summary@2", "summary@8", DEAR].map(str::to_owned).into();
             let options = engine::Options { versions, seed, ..plan.engine.clone() };
             engines.push(Engine::bind(ANY, options).await.expect("port 0 is free"));
         }
--- a/crates/journal/src/wire/convert.rs
+++ b/crates/journal/src/wire/convert.rs
@@ -6,7 +6,7 @@
     model::Version,
     money::{Amount, Currency},
     request, service,
-    session::{Left, Pin},
+    session::{self, Left, Pin},
     time::Timestamp,
 };
 
@@ -14,7 +14,7 @@
     Invalid,
     message::{
         Bill, Bind, Claim, Close, Grant, Holder, LeftVersion, Mark, Origin, Outcome, PinnedVersion, Pins, Record,
-        Settle, Wide,
+        Settle, Teller, Wide,
     },
 };
 use crate::{
@@ -230,8 +230,11 @@
 
 impl From<&[Pin]> for Pins {
     fn from(pins: &[Pin]) -> Self {
-        let left =
-            |left: &Left| LeftVersion { version: left.version.to_string(), by: left.by.to_string(), told: left.told };
+        let left = |left: &Left| LeftVersion {
+            versions: left.versions.iter().map(ToString::to_string).collect(),
+            by: left.by.to_string(),
+            told: left.told.as_ref().map(Teller::from),
+        };
         let pin = |pin: &Pin| PinnedVersion {
             tier: pin.tier.into(),
             version: pin.version.to_string(),
@@ -258,7 +261,31 @@
     type Error = Invalid;
 
     fn try_from(wire: LeftVersion) -> Result<Self, Invalid> {
-        Ok(Self { version: Version::parse(&wire.version)?, by: request::Key::parse(&wire.by)?, told: wire.told })
+        let versions = wire.versions.iter().map(|version| Version::parse(version)).collect::<Result<_, _>>()?;
+        let told = wire.told.map(session::Teller::try_from).transpose()?;
+        Ok(Self { versions, by: request::Key::parse(&wire.by)?, told })
+    }
+}
+
+impl From<&session::Teller> for Teller {
+    fn from(teller: &session::Teller) -> Self {
+        Self {
+            request: teller.request.to_string(),
+            instance: teller.instance.to_string(),
+            incarnation: teller.incarnation.0,
+        }
+    }
+}
+
+impl TryFrom<Teller> for session::Teller {
+    type Error = Invalid;
+
+    fn try_from(wire: Teller) -> Result<Self, Invalid> {
+        Ok(Self {
+            request: request::Key::parse(&wire.request)?,
+            instance: instance::Id::parse(&wire.instance)?,
+            incarnation: Incarnation(wire.incarnation),
+        })
     }
 }
 
--- a/crates/journal/src/wire/message.rs
+++ b/crates/journal/src/wire/message.rs
@@ -138,12 +138,23 @@
 
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct LeftVersion {
-    #[prost(string, tag = "1")]
-    pub version: String,
+    #[prost(string, repeated, tag = "1")]
+    pub versions: Vec<String>,
     #[prost(string, tag = "2")]
     pub by: String,
-    #[prost(bool, tag = "3")]
-    pub told: bool,
+    /// Whose answer has told; nothing if none has.
+    #[prost(message, optional, tag = "4")]
+    pub told: Option<Teller>,
+}
+
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Teller {
+    #[prost(string, tag = "1")]
+    pub request: String,
+    #[prost(string, tag = "2")]
+    pub instance: String,
+    #[prost(uint64, tag = "3")]
+    pub incarnation: u64,
 }
 
 #[derive(Clone, PartialEq, Eq, Message)]
--- a/crates/route/src/model.rs
+++ b/crates/route/src/model.rs
@@ -111,6 +111,10 @@
     ) -> Self {
         let Ladder { ref rungs, .. } = decided.ladder;
         let steps: Vec<_> = rungs.iter().map(|rung| permits.as_slice()[usize::from(*rung)].clone()).collect();
+        // A step that the ladder does without is not left yet: nothing takes its
+        // place before it is needed again.
+        let is_replaced = |pin: &&Pin| steps.iter().any(|step| step.tier() == pin.tier);
+        let moved = permits.left().iter().filter(is_replaced).map(|pin| pin.version.clone()).collect();
         let reason = Reason {
             generation: inputs.catalog.generation(),
             objective,
@@ -123,7 +127,7 @@
             expected_ms: decided.ladder.expected_ms(),
             steps: market.describe(rungs, permits),
             considered: decided.considered,
-            moved: permits.moved().cloned(),
+            moved,
         };
         let expected = market.expected(rungs, &decided.ladder);
         Self { steps, expected, ceiling: decided.ladder.ceiling, reason }
--- a/crates/route/src/model/permit.rs
+++ b/crates/route/src/model/permit.rs
@@ -35,7 +35,7 @@
 #[derive(Debug, Clone)]
 pub struct Permits {
     held: Vec<Permit>,
-    moved: Option<Version>,
+    left: Vec<Pin>,
 }
 
 impl Permit {
@@ -142,7 +142,7 @@
         if !contract.models.iter().any(|allowed| allowed.model == *model) {
             return Err(Refusal::ModelNotAllowed);
         }
-        let mut permits = Self { held: Vec::with_capacity(4), moved: None };
+        let mut permits = Self { held: Vec::with_capacity(4), left: Vec::new() };
         // A session of another customer would carry pins past this contract's
         // exposure limit; it counts as none.
         let pins = session.filter(|s| s.customer == *customer).map_or(&[][..], |s| s.pins.as_slice());
@@ -165,16 +165,16 @@
         &self.held
     }
 
-    /// The version a session had to leave.
+    /// The session's pins that no longer hold.
     #[must_use]
-    pub fn moved(&self) -> Option<&Version> {
-        self.moved.as_ref()
+    pub fn left(&self) -> &[Pin] {
+        &self.left
     }
 
     fn keep(&mut self, catalog: &Catalog, stops: &Stops, contract: &Contract, customer: &Customer, pin: &Pin) {
         let release = catalog.release(&pin.version).filter(|_| rollout::keeps(catalog, stops, contract, &pin.version));
         let Some(release) = release else {
-            self.moved = Some(pin.version.clone());
+            self.left.push(pin.clone());
             return;
         };
         if !self.held.iter().any(|held| held.tier == release.tier) {
--- a/crates/route/src/model/reason.rs
+++ b/crates/route/src/model/reason.rs
@@ -32,8 +32,9 @@
     pub steps: Vec<Step>,
     /// Ladders weighed.
     pub considered: u32,
-    /// A version the session had to leave.
-    pub moved: Option<Version>,
+    /// Versions the session had to leave.
+    #[serde(default)]
+    pub moved: Vec<Version>,
 }
 
 /// One step of the ladder.
@@ -110,10 +111,10 @@
             self.considered,
             self.generation
         )?;
-        match &self.moved {
-            Some(version) => write!(f, "; the session left {version}, which takes no more work"),
-            None => Ok(()),
+        for version in &self.moved {
+            write!(f, "; the session left {version}, which takes no more work")?;
         }
+        Ok(())
     }
 }
 
--- a/crates/route/tests/model.rs
+++ b/crates/route/tests/model.rs
@@ -167,7 +167,7 @@
 
     let after = case.choose().expect("something runs");
     assert_eq!(steps(&after), ["m@1"]);
-    assert_eq!(after.reason().moved, Some(text("m@2")));
+    assert_eq!(after.reason().moved, [text("m@2")]);
     assert!(
         before
             .steps()
@@ -176,6 +176,25 @@
     );
 }
 
+/// Both versions that a session is on are stopped at once. The answer may come
+/// from either tier, so the choice names both; of a tier that it does without,
+/// nothing has been left yet.
+#[test]
+fn every_version_that_a_session_leaves_is_named() {
+    let mut case = middling().pinned(&[(0, "m@1"), (1, "m@9")]);
+    let cascade = steps(&case.choose().expect("something runs"));
+    assert_eq!(cascade, ["m@1", "m@9"]);
+    let rollout = world::rollout::Id::parse("r").expect("a name");
+    for version in ["m@1", "m@9"] {
+        case.stops.insert(Stop { version: text(version), rollout: rollout.clone(), reason: "errors".into() });
+    }
+    let after = case.choose().expect("something runs");
+    let tiers: Vec<u8> = after.steps().iter().map(route::model::Permit::tier).collect();
+    let expected: Vec<_> = [(0, "m@1"), (1, "m@9")].iter().filter(|(tier, _)| tiers.contains(tier)).collect();
+    let expected: Vec<_> = expected.into_iter().map(|(_, version)| text(version)).collect();
+    assert_eq!(after.reason().moved, expected, "{:?}", steps(&after));
+}
+
 /// The choice is made under one generation; before the second step runs, its
 /// version is withdrawn by the next. The permit must not outlive it.
 #[test]
--- a/crates/trial/src/check.rs
+++ b/crates/trial/src/check.rs
@@ -205,7 +205,7 @@
         }
         let mut pins: BTreeMap<u8, String> = BTreeMap::new();
         for sent in &played.sent {
-            for left in sent.iter().filter_map(told_move) {
+            for left in sent.iter().flat_map(told_moves) {
                 pins.retain(|_, pinned| pinned != left);
             }
             let End::Whole(whole) = &sent[0].end else { continue };
@@ -219,14 +219,14 @@
     }
 }
 
-/// The version that a whole answer told its session to have left.
+/// The versions that a whole answer told its session to have left.
 ///
 /// The word counts whichever tier answered: an answer that was escalated may
 /// tell of a move in the tier below, where the session's next answer comes
 /// from. And it counts on either of a caller's two connections with one key.
-fn told_move(sent: &Sent) -> Option<&String> {
-    let End::Whole(whole) = &sent.end else { return None };
-    whole.moved_off.as_ref()
+fn told_moves(sent: &Sent) -> impl Iterator<Item = &str> {
+    let told = if let End::Whole(whole) = &sent.end { whole.moved_off.as_deref() } else { None };
+    told.into_iter().flat_map(|versions| versions.split(", "))
 }
 
 /// A "not run" that was told after the first run began.
