Ask engines at the start what their prompt caches hold

Cause: after the loss of all instances nobody knew who keeps which part of a prompt.

Change: an instance asks up to 16 engines once; requests with a prompt wait for that, some milliseconds. A prompt that is kept whole goes where it is kept, a resumed stream to the largest model that has read it, at once.

Ruled out: a shorter start (0.2 s pass between the process's first line and its first turn, with and without the log's thread; a fixed cost there).

--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -276,5 +276,7 @@
         ready_path: "/ready",
         addresses_path: "/addresses",
         addresses: |_, _| Bytes::new(),
+        cache_path: "/cache",
+        cached: |_| Vec::new(),
     }
 }
--- a/crates/entry/tests/path/sessions.rs
+++ b/crates/entry/tests/path/sessions.rs
@@ -120,8 +120,7 @@
     let (_, rest) = file.split_once("---\n").expect("documents");
     let versions = [release("1", 0), release("2", 0), release("8", 1), release("9", 1)].concat();
     let model = format!("kind: model\nname: summary\nspec:\n  versions:\n{versions}");
-    format!("{model}---\n{rest}")
-        .replace("[summary@1, summary@9]", "[summary@1, summary@2, summary@8, summary@9]")
+    format!("{model}---\n{rest}").replace("[summary@1, summary@9]", "[summary@1, summary@2, summary@8, summary@9]")
 }
 
 /// A caller-named session on versions 2 and 9, and a deployment whose answers of
--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -70,7 +70,7 @@
     peers: peers::Peers,
     trials: trials::Trials,
     track: track::Track,
-    listed: bool,
+    known: Known,
     in_touch: bool,
     /// Whether a call to the store has ever failed.
     lost_once: bool,
@@ -82,6 +82,17 @@
     held: usize,
 }
 
+/// What an instance has learned of endpoints since its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Known {
+    /// Nothing yet.
+    Nothing,
+    /// Which there are, and all roll-outs.
+    Endpoints,
+    /// What engines keep as well, as far as they have said.
+    Caches,
+}
+
 impl Desk {
     /// Beliefs of an instance that has heard nothing yet.
     #[must_use]
@@ -95,7 +106,7 @@
             peers: peers::Peers::default(),
             trials: trials::Trials::default(),
             track: track::Track::default(),
-            listed: false,
+            known: Known::Nothing,
             in_touch: false,
             lost_once: false,
             draining: None,
@@ -196,7 +207,9 @@
 
     /// Notes that endpoints and roll-outs have been listed once.
     pub fn mark_listed(&self) {
-        self.lock().listed = true;
+        let mut state = self.lock();
+        state.known = state.known.max(Known::Endpoints);
+        drop(state);
         self.learned.notify_waiters();
     }
 
@@ -208,7 +221,7 @@
             let learned = self.learned.notified();
             let is_decided = {
                 let state = self.lock();
-                state.lost_once || (state.catalog.is_some() && state.listed)
+                state.lost_once || (state.catalog.is_some() && state.known >= Known::Endpoints)
             };
             let left = (self.opened + STARTING).saturating_sub(clock::now());
             if is_decided || left.is_zero() || tokio::time::timeout(left, learned).await.is_err() {
@@ -217,11 +230,30 @@
         }
     }
 
+    /// Notes that engines have said what they keep, or did not in time.
+    pub fn mark_caches_known(&self) {
+        self.lock().known = Known::Caches;
+        self.learned.notify_waiters();
+    }
+
+    /// Waits until engines have said what they keep, or until the start has taken
+    /// too long to wait for it.
+    pub async fn caches_known(&self) {
+        loop {
+            let learned = self.learned.notified();
+            let left = (self.opened + STARTING).saturating_sub(clock::now());
+            let is_known = self.lock().known == Known::Caches;
+            if is_known || left.is_zero() || tokio::time::timeout(left, learned).await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Whether callers should come here.
     #[must_use]
     pub fn ready(&self) -> bool {
         let state = self.lock();
-        state.catalog.is_some() && state.listed && state.draining.is_none()
+        state.catalog.is_some() && state.known >= Known::Endpoints && state.draining.is_none()
     }
 
     /// Where this instance stands between its start and its end.
--- a/crates/relay/src/desk/fleet.rs
+++ b/crates/relay/src/desk/fleet.rs
@@ -6,6 +6,7 @@
 //! the same. A slow or failing endpoint gets less, which keeps its record from
 //! mending, so records fade with time.
 
+mod caches;
 mod notices;
 mod record;
 mod registry;
@@ -25,6 +26,7 @@
 use world::hash;
 
 pub use self::{
+    caches::affinity,
     notices::{Notice, Notices},
     run::{Ended, Run},
 };
@@ -114,6 +116,8 @@
     pub size: f64,
     /// Hash of the longest shared part and the model.
     pub affinity: Option<u64>,
+    /// The same of the whole prompt.
+    pub whole: Option<u64>,
     /// Tokens up to the end of that part.
     pub shared_tokens: u32,
     /// Further tokens of the prompt.
@@ -233,6 +237,7 @@
             failing: (self.failing.now(0.0, now) - NOISE * failing).max(0.0),
             local: self.endpoint.domain == domain,
             holds: false,
+            holds_whole: false,
         }
     }
 }
--- a/crates/relay/src/desk/fleet/weigh.rs
+++ b/crates/relay/src/desk/fleet/weigh.rs
@@ -8,7 +8,7 @@
     placement::{self, Candidate, Choice, Wanted},
 };
 
-use super::{Fleet, Job, Key, Server, State, Work, first_guess, notices::WORTH_KEEPING};
+use super::{Fleet, Job, Key, Server, State, Work, caches::part_of, first_guess, notices::WORTH_KEEPING};
 use crate::desk::trials::{Arm, Deal, Dealt};
 
 /// Length of text before a token at which reading it takes twice as long as
@@ -51,11 +51,16 @@
         let slow = mean(&|server| server.slowness.now(1.0, now)).max(0.05);
         let late = self.fleet.usual.get(job.service).copied().unwrap_or(1.0);
         let failing = mean(&|server| server.failing.now(0.0, now));
-        let holders: Vec<u32> = job.part().map(|part| self.fleet.holders.of(part, now).collect()).unwrap_or_default();
+        let holders = self.fleet.holders_of(job.affinity, now);
+        let holders_of_whole = self.fleet.holders_of(job.whole, now);
         let mut candidates = Vec::with_capacity(chosen.len());
         for (_, server) in &chosen {
-            let holds = holders.contains(&server.hash);
-            candidates.push(Candidate { holds, ..server.candidate(&self.peers.domain, slow, failing, now) });
+            let (holds, holds_whole) = (holders.contains(&server.hash), holders_of_whole.contains(&server.hash));
+            candidates.push(Candidate {
+                holds,
+                holds_whole,
+                ..server.candidate(&self.peers.domain, slow, failing, now)
+            });
         }
         let wanted = Wanted {
             affinity: job.affinity,
@@ -70,9 +75,14 @@
         let copied_from = choice.source.map(|index| &chosen[index].1.endpoint);
         let copied_from = copied_from.filter(|other| other.version == server.endpoint.version);
         let source = copied_from.map(|other| other.address);
-        let is_kept = candidates[choice.index].holds || source.is_some() || job.shared_tokens < WORTH_KEEPING;
-        let first = if is_kept { 0.0 } else { reading(job, job.shared_tokens, 0) };
-        Some(Weighed { key, arm, choice, pace, slow: late.max(1.0), units: job_units(job) + first, source })
+        let Candidate { holds, holds_whole, .. } = candidates[choice.index];
+        let is_kept = holds || source.is_some() || job.shared_tokens < WORTH_KEEPING;
+        let units = match (holds_whole, is_kept) {
+            (true, _) => 0.0,
+            (false, true) => job_units(job),
+            (false, false) => job_units(job) + reading(job, job.shared_tokens, 0),
+        };
+        Some(Weighed { key, arm, choice, pace, slow: late.max(1.0), units, source })
     }
 }
 
@@ -134,6 +144,6 @@
 impl Job<'_> {
     /// How its shared part is named in notices.
     pub(super) fn part(&self) -> Option<u32> {
-        self.affinity.map(|affinity| u32::try_from(affinity >> 32).unwrap_or_default())
+        self.affinity.map(part_of)
     }
 }
--- a/crates/relay/src/desk/track.rs
+++ b/crates/relay/src/desk/track.rs
@@ -13,7 +13,7 @@
 use route::relay::freshness::Proof;
 use world::hash;
 
-use super::{Desk, State};
+use super::{Desk, Known, State};
 use crate::{clock, rollout::Rollout, source::Endpoint};
 
 /// Instances that watch the store: when one is lost, the others ask the next
@@ -229,7 +229,7 @@
     pub fn reply(&self, question: Question, most: usize) -> Option<Reply> {
         let proof_age = self.keys_age()?;
         let state = self.lock();
-        if !state.listed || !state.track.orders_known {
+        if state.known < Known::Endpoints || !state.track.orders_known {
             return None;
         }
         let since = state.track.since(question.revision, most);
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -18,6 +18,19 @@
     pub addresses_path: &'static str,
     /// Body that lists addresses and says for how many seconds to keep them.
     pub addresses: fn(&[SocketAddr], u32) -> Bytes,
+    /// Path at which an engine lists its prompt cache.
+    pub cache_path: &'static str,
+    /// Reads such a list; entries that do not read are left out.
+    pub cached: fn(&[u8]) -> Vec<Cached>,
+}
+
+/// A part of a prompt that an engine keeps.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Cached {
+    /// The part's id, as callers spell it.
+    pub part: String,
+    /// Name of the model that has read it.
+    pub model: String,
 }
 
 /// Names of headers.
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -52,6 +52,10 @@
     if desk.leaves_within(pass.route.timeout) {
         return Err((ask, Refusal::Leaving));
     }
+    if ask.tokens.is_some() {
+        // A prompt that is sent before it is known who has read it is read again.
+        desk.caches_known().await;
+    }
     let time = ask.deadline.unwrap_or(NO_DEADLINE).min(pass.route.timeout);
     let limit = started + time.saturating_sub(ANSWER_TIME);
     let longest = desk.catalog().map_or(0, |catalog| catalog.limits.body_bytes);
--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -14,7 +14,7 @@
 use super::tries::Exchange;
 use crate::{
     ask, clock,
-    desk::fleet::{Job, Run},
+    desk::fleet::{Job, Run, affinity},
     upstream::Answer,
 };
 
@@ -36,13 +36,13 @@
 
     fn job_at<'a>(&'a self, service: &'a str, model: Option<usize>) -> Job<'a> {
         let shared = self.ask.shared();
-        let salt = model.map_or(0, |index| u64::try_from(index).unwrap_or(0) + 1);
         let session = self.ask.session.unwrap_or_else(|| hash::stable(self.ask.id.as_bytes()));
         Job {
             service,
             model: model.or_else(|| self.ask.tokens.map(|_| 0)),
             size: self.size(model),
-            affinity: shared.map(|part| hash::rendezvous(part.id, &salt.to_le_bytes())),
+            affinity: shared.map(|part| affinity(part.id, model)),
+            whole: self.prompt_key(model),
             shared_tokens: shared.map_or(0, |part| part.tokens),
             own_tokens: self.ask.own_tokens(),
             session,
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Hash of the whole prompt as a model reads it.
+    fn prompt_key(&self, model: Option<usize>) -> Option<u64> {
+        Some(affinity(self.ask.parts.last()?.id, model))
+    }
+
     /// A model's cost over the largest one's.
     fn size(&self, model: Option<usize>) -> f64 {
         let models = &self.pass.route.models;
@@ -64,6 +69,9 @@
         if models == 0 || !self.ask.any_model {
             return None;
         }
+        if let Some(model) = self.model_before(models) {
+            return Some(model);
+        }
         let service = self.pass.route.target(self.draw).unwrap_or_default();
         let room =
             Room { attempts: self.pass.route.attempts, allowance: self.desk.affords(service, Purpose::Escalation) };
@@ -77,6 +85,16 @@
         Some(ladder::start(room, &times))
     }
 
+    /// The model that has read the prompt of a stream which its caller resumes.
+    ///
+    /// What came before was that model's answer, or it was asked for in vain: the
+    /// largest that has read the prompt goes on at once, without a smaller one's
+    /// opinion that was dropped before.
+    fn model_before(&self, models: usize) -> Option<usize> {
+        self.ask.last_event?;
+        self.desk.model_that_read(|model| self.prompt_key(Some(model)), models)
+    }
+
     /// How long a run may take to its first byte.
     pub(super) fn patience(&self, run: &Run) -> Duration {
         let route = &self.pass.route;
@@ -129,6 +147,9 @@
         let index = model?;
         let confidence = self.confidence(answer);
         let models = self.pass.route.models.len();
+        if self.model_before(models) == Some(index) {
+            return None;
+        }
         let room = Room {
             attempts: self.pass.route.attempts.saturating_sub(self.sent),
             allowance: self.desk.affords(&self.service, Purpose::Escalation),
--- a/crates/relay/src/handle.rs
+++ b/crates/relay/src/handle.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    clock,
+    caches, clock,
     desk::Desk,
     dialect::Dialect,
     directory, exchange, follow, front, join, news, report,
@@ -84,6 +84,7 @@
     for kind in [Kind::Catalog, Kind::Rollouts, Kind::Endpoints] {
         tasks.spawn(follow::follow(Arc::clone(&desk), Arc::clone(&source), kind));
     }
+    tasks.spawn(caches::ask(Arc::clone(&desk)));
     tasks.spawn(join::join(Arc::clone(&desk), Arc::clone(&source)));
     tasks.spawn(report::roll_out(Arc::clone(&desk), Arc::clone(&source)));
     tasks.spawn(news::exchange(Arc::clone(&desk), socket));
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod answer;
 pub mod ask;
+mod caches;
 pub mod catalog;
 pub mod clock;
 pub mod desk;
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -59,23 +59,10 @@
     names: &Names,
     patience: Duration,
 ) -> Outcome {
-    let stream = match tokio::time::timeout(CONNECT.min(patience), TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => return Outcome::Unreachable(error.to_string()),
-        Err(_) => return Outcome::Unreachable("no connection in time".into()),
-    };
-    if let Err(error) = stream.set_nodelay(true) {
-        return Outcome::Unreachable(error.to_string());
-    }
-    let (mut sender, connection) = match http1::handshake(TokioIo::new(stream)).await {
-        Ok(pair) => pair,
-        Err(error) => return Outcome::Unreachable(error.to_string()),
+    let (mut sender, connection) = match connect(address, patience).await {
+        Ok(connected) => connected,
+        Err(cause) => return Outcome::Unreachable(cause),
     };
-    let connection = AbortOnDropHandle::new(tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            tracing::debug!(%error, "connection to an endpoint ended");
-        }
-    }));
     let response = match tokio::time::timeout(patience, sender.try_send_request(request)).await {
         Err(_) => return Outcome::Unknown("no answer in time".into()),
         Ok(Err(mut error)) => {
@@ -88,6 +75,29 @@
     judge(response, id, names, connection)
 }
 
+/// Connects to an endpoint; the connection ends with the returned task.
+///
+/// # Errors
+///
+/// The cause, in words for a log line.
+pub async fn connect(
+    address: SocketAddr,
+    patience: Duration,
+) -> Result<(http1::SendRequest<Full<Bytes>>, AbortOnDropHandle<()>), String> {
+    let stream = match tokio::time::timeout(CONNECT.min(patience), TcpStream::connect(address)).await {
+        Ok(stream) => stream.map_err(|error| error.to_string())?,
+        Err(_) => return Err("no connection in time".into()),
+    };
+    stream.set_nodelay(true).map_err(|error| error.to_string())?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(|error| error.to_string())?;
+    let connection = AbortOnDropHandle::new(tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            tracing::debug!(%error, "connection to an endpoint ended");
+        }
+    }));
+    Ok((sender, connection))
+}
+
 fn judge(response: Response<Incoming>, id: &str, names: &Names, connection: AbortOnDropHandle<()>) -> Outcome {
     let headers = response.headers();
     let status = response.status();
--- a/crates/relay/tests/it/main.rs
+++ b/crates/relay/tests/it/main.rs
@@ -2,6 +2,7 @@
 //! memory and endpoints that misbehave on order.
 
 mod answers;
+mod caches;
 mod caller;
 mod foreign;
 mod leaving;
--- a/crates/relay/tests/it/restarts.rs
+++ b/crates/relay/tests/it/restarts.rs
@@ -50,6 +50,7 @@
         model: Some(0),
         size: 1.0,
         affinity: part.map(|part| part << 32),
+        whole: None,
         shared_tokens: if part.is_some() { 5_000 } else { 0 },
         own_tokens: 10_000,
         session: 1,
--- a/crates/relay/tests/it/site.rs
+++ b/crates/relay/tests/it/site.rs
@@ -16,7 +16,7 @@
 use relay::{
     Handle, Settings,
     catalog::{Catalog, Kind, Model, Route, Service, Target, Team},
-    dialect::{Dialect, Names},
+    dialect::{Cached, Dialect, Names},
     rollout::Rollout,
     settings::Listeners,
     source::{self, Batch, Change, Endpoint, Fault, Instance, Listing, Record, Source},
@@ -309,5 +309,13 @@
         ready_path: "/ready",
         addresses_path: "/addresses",
         addresses: |fronts, keep| format!("{fronts:?} {keep}").into(),
+        cache_path: "/cache",
+        cached: |body| {
+            let cached = |line: &str| {
+                let (part, model) = line.split_once(' ')?;
+                Some(Cached { part: part.into(), model: model.into() })
+            };
+            String::from_utf8_lossy(body).lines().filter_map(cached).collect()
+        },
     }
 }
--- a/crates/relay/tests/it/track.rs
+++ b/crates/relay/tests/it/track.rs
@@ -160,6 +160,7 @@
         model: None,
         size: 1.0,
         affinity: None,
+        whole: None,
         shared_tokens: 0,
         own_tokens: 0,
         session: 1,
--- a/crates/route/src/relay/placement.rs
+++ b/crates/route/src/relay/placement.rs
@@ -107,6 +107,8 @@
     pub local: bool,
     /// Whether it is believed to keep the shared part.
     pub holds: bool,
+    /// Whether it is believed to keep the whole prompt.
+    pub holds_whole: bool,
 }
 
 /// What is to be run.
@@ -143,11 +145,19 @@
     let (least, wait_ms) =
         shortlist(candidates, wanted, tie).into_iter().map(weighed).min_by(|a, b| a.1.total_cmp(&b.1))?;
     let other = Choice { index: least, wait_ms, preferred: false, source: None };
-    let Some(key) = wanted.affinity else { return Some(other) };
+    let freest = |is_holder: fn(&Candidate<'_>) -> bool| {
+        let holders = (0..candidates.len()).filter(|&index| is_holder(&candidates[index])).map(weighed);
+        holders.min_by(|a, b| a.1.total_cmp(&b.1))
+    };
     let again_ms = READ_AGAIN * wanted.reread_ms + READ_AGAIN_TOKEN_MS * f64::from(wanted.shared_tokens);
-    let holders = (0..candidates.len()).filter(|&index| candidates[index].holds).map(weighed);
-    if let Some((holder, holder_ms)) = holders.min_by(|a, b| a.1.total_cmp(&b.1)) {
-        let copy_ms = again_ms.min(COPY_TOKEN_MS * f64::from(wanted.shared_tokens));
+    let copy_ms = again_ms.min(COPY_TOKEN_MS * f64::from(wanted.shared_tokens));
+    if let Some((holder, holder_ms)) = freest(|candidate| candidate.holds_whole)
+        && holder_ms <= wait_ms + wanted.first_ms + copy_ms
+    {
+        return Some(Choice { index: holder, wait_ms: holder_ms, preferred: true, source: None });
+    }
+    let Some(key) = wanted.affinity else { return Some(other) };
+    if let Some((holder, holder_ms)) = freest(|candidate| candidate.holds) {
         if holder_ms <= wait_ms + copy_ms {
             return Some(Choice { index: holder, wait_ms: holder_ms, preferred: true, source: None });
         }
--- a/crates/route/tests/relay/placement.rs
+++ b/crates/route/tests/relay/placement.rs
@@ -12,6 +12,7 @@
     failing: 0.0,
     local: true,
     holds: false,
+    holds_whole: false,
 };
 
 const NAMES: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
@@ -58,6 +59,25 @@
     }
 }
 
+/// All callers resume their streams at once after a loss of all instances. One
+/// whose whole prompt is kept goes there though others are freer, until waiting
+/// there costs more than copying the shared part and reading the rest elsewhere;
+/// so does a prompt that shares nothing.
+#[test]
+fn prompt_that_is_kept_whole_goes_there() {
+    let wanted = Wanted { affinity: Some(7), reread_ms: 150.0, shared_tokens: 5_000, first_ms: 300.0 };
+    for wanted in [wanted, Wanted { affinity: None, reread_ms: 0.0, shared_tokens: 0, ..wanted }] {
+        let mut candidates = idle();
+        candidates[2].holds = true;
+        candidates[4].holds_whole = true;
+        candidates[4].backlog_ms = 290.0;
+        let choice = choose(&candidates, wanted, 0).unwrap();
+        assert_eq!((choice.index, choice.preferred, choice.source), (4, true, None));
+        candidates[4].backlog_ms = 480.0;
+        assert_ne!(choose(&candidates, wanted, 0).unwrap().index, 4);
+    }
+}
+
 /// A small model reads a shared part of 5,000 tokens in 15 ms. Its requests left
 /// what was read for them for any endpoint that was 45 ms less busy, and half of
 /// all shared parts were read again.
--- a/crates/world/tests/sessions.rs
+++ b/crates/world/tests/sessions.rs
@@ -43,8 +43,7 @@
     let answering: Vec<Version> = case.answering.iter().map(|text| version(text)).collect();
     let answering: Vec<&Version> = answering.iter().collect();
     let lives = |teller: &Teller| teller.instance.as_str() != "lost";
-    let said: Vec<String> =
-        untold(&moved, &answering, &key(case.request), lives).map(ToString::to_string).collect();
+    let said: Vec<String> = untold(&moved, &answering, &key(case.request), lives).map(ToString::to_string).collect();
     assert_eq!(said, expected);
 }
 
