Try another engine after a quarter of the goal

Cause: a run at a slow engine was given up after eight tenths of the goal at the earliest; the engine that was tried next came too late.

Change: route::relay::patience, a quarter of the goal and five times the expected; endless expectations end no task.

--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -8,6 +8,7 @@
 use route::relay::{
     allowance::Purpose,
     ladder::{self, Outlook, Room, Step, Time},
+    patience::patience,
 };
 use world::hash;
 
@@ -18,17 +19,10 @@
     upstream::Answer,
 };
 
-/// Time over the expected until the first byte that a run gets before another
-/// endpoint is tried.
-const PATIENCE: f64 = 5.0;
-
 /// Part of the goal up to which a prompt's reading at an idle endpoint counts as
 /// short: later than the goal it begins because of others.
 const SHORT: f64 = 0.25;
 
-/// Part of the goal that a run gets at least before another one is tried.
-const PATIENCE_OF_GOAL: f64 = 0.8;
-
 impl Exchange {
     pub(super) fn job(&self, model: Option<usize>) -> Job<'_> {
         self.job_at(&self.service, model)
@@ -102,8 +96,7 @@
         if last || !route.kind.repeatable() {
             return self.left();
         }
-        let expected = Duration::from_secs_f64(run.expected_ms() * PATIENCE / 1_000.0);
-        expected.max(route.goal.mul_f64(PATIENCE_OF_GOAL))
+        patience(run.expected_ms(), route.goal)
     }
 
     pub(super) fn request(
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -4,6 +4,7 @@
 //! dispatches over the fleet, [`freshness`] says how long access keys may be
 //! believed, [`canary`] deals requests to a version under roll-out and judges
 //! it, [`ladder`] picks the model, [`pace`] learns how long reading takes,
+//! [`mod@patience`] bounds the wait for a first byte,
 //! [`notice`] keeps what endpoints still have to read for other instances,
 //! [`holders`] what they have read. Time is a [`std::time::Duration`] since any
 //! fixed moment of the process, on a clock that also counts suspension.
@@ -15,4 +16,5 @@
 pub mod ladder;
 pub mod notice;
 pub mod pace;
+pub mod patience;
 pub mod placement;
--- a/crates/route/tests/relay/main.rs
+++ b/crates/route/tests/relay/main.rs
@@ -7,4 +7,5 @@
 mod ladder;
 mod notice;
 mod pace;
+mod patience;
 mod placement;
