Say each thing once in the relay: expectations, copies' versions, failed calls

The log could say that a part was copied where the version ruled that out; one formula stood twice; two places noted a failed call; instances were ranked at each step long after the start.

Change: no change of what is decided. Tests of the relay pass as they were.

--- a/crates/relay/src/desk/fleet.rs
+++ b/crates/relay/src/desk/fleet.rs
@@ -138,7 +138,9 @@
     pub fn place(self: &Arc<Self>, job: &Job<'_>) -> Option<Run> {
         let now = clock::now();
         let mut state = self.lock();
-        let Weighed { key, arm, choice, pace, slow, units, source } = state.weigh(job, now, self.settings.exposure)?;
+        let weighed = state.weigh(job, now, self.settings.exposure)?;
+        let (alone_ms, expected_ms) = (weighed.alone_ms(), weighed.expected_ms());
+        let Weighed { key, arm, choice, pace, units, source, .. } = weighed;
         let server = state.fleet.servers.get_mut(key)?;
         let backlog_ms = pace.reading_ms(units);
         server.runs += 1;
@@ -161,8 +163,8 @@
             choice,
             backlog_ms,
             told_ms: if is_told { backlog_ms } else { 0.0 },
-            alone_ms: choice.wait_ms.max(0.0) + pace.job_ms(units),
-            expected_ms: (choice.wait_ms.max(0.0) + pace.job_ms(units)) * slow,
+            alone_ms,
+            expected_ms,
             work,
             units,
             lateness: Lateness::default(),
@@ -174,8 +176,7 @@
     /// milliseconds; nothing when no endpoint takes it.
     #[must_use]
     pub fn expect(&self, job: &Job<'_>) -> Option<f64> {
-        let Weighed { choice, pace, slow, units, .. } = self.lock().weigh(job, clock::now(), self.settings.exposure)?;
-        Some((choice.wait_ms.max(0.0) + pace.job_ms(units)) * slow)
+        Some(self.lock().weigh(job, clock::now(), self.settings.exposure)?.expected_ms())
     }
 
     /// Time that a run takes an idle endpoint to its first byte, in milliseconds.
--- a/crates/relay/src/desk/fleet/weigh.rs
+++ b/crates/relay/src/desk/fleet/weigh.rs
@@ -32,6 +32,18 @@
     pub source: Option<SocketAddr>,
 }
 
+impl Weighed {
+    /// Time to the first byte if no endpoint were behind, in milliseconds.
+    pub fn alone_ms(&self) -> f64 {
+        self.choice.wait_ms.max(0.0) + self.pace.job_ms(self.units)
+    }
+
+    /// Time to the first byte that is expected, in milliseconds.
+    pub fn expected_ms(&self) -> f64 {
+        self.alone_ms() * self.slow
+    }
+}
+
 impl State {
     /// Weighs the endpoints that may take a job; nothing when none may.
     pub(super) fn weigh(&self, job: &Job<'_>, now: Duration, exposure: f64) -> Option<Weighed> {
@@ -68,13 +80,14 @@
             shared_tokens: job.shared_tokens,
             first_ms: pace.job_ms(job_units(job)),
         };
-        let choice = placement::choose(&candidates, wanted, job.session ^ u64::try_from(now.as_nanos()).unwrap_or(0))?;
+        let mut choice =
+            placement::choose(&candidates, wanted, job.session ^ u64::try_from(now.as_nanos()).unwrap_or(0))?;
         let (key, server) = chosen[choice.index];
         let arm = deal.arm(&server.endpoint.version);
         // What another version has read means nothing to this one's weights.
-        let copied_from = choice.source.map(|index| &chosen[index].1.endpoint);
-        let copied_from = copied_from.filter(|other| other.version == server.endpoint.version);
-        let source = copied_from.map(|other| other.address);
+        let is_same = |index: &usize| chosen[*index].1.endpoint.version == server.endpoint.version;
+        choice.source = choice.source.filter(is_same);
+        let source = choice.source.map(|index| chosen[index].1.endpoint.address);
         let Candidate { holds, holds_whole, .. } = candidates[choice.index];
         let is_kept = holds || source.is_some() || job.shared_tokens < WORTH_KEEPING;
         let units = match (holds_whole, is_kept) {
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -130,13 +130,12 @@
             Some(from) => self.watch(from, asked).await,
         };
         self.expire();
-        if self.kind == Kind::Catalog {
-            self.desk.note_touch(result.is_ok());
-        }
         let Err(fault) = result else {
+            self.note_touch(true);
             self.regained();
             return;
         };
+        self.note_touch(false);
         self.revision = None;
         if matches!(fault, Fault::Compacted | Fault::Unreadable) {
             tracing::info!(kind = ?self.kind, %fault, "listing again");
@@ -146,10 +145,9 @@
             tracing::warn!(kind = ?self.kind, %fault, "store lost");
             self.lost_since = Some(asked);
         }
-        self.last_lost = clock::now();
         let longest = if self.desk.looks_first() { BACKOFF.1 } else { LOOK };
         let wait = self.backoff(longest);
-        self.failures += 1;
+        self.note_failed(clock::now());
         sleep(wait.mul_f64(0.7 + 0.6 * rand::random::<f64>())).await;
     }
 
@@ -161,8 +159,8 @@
     /// Whether others that could keep this instance in step have had no time
     /// to be met, or to see that this one is to keep them in step.
     fn meeting(&self) -> bool {
-        let time = if self.desk.watches_store() { RANKING } else { MEETING };
-        self.first_listed.is_some_and(|first| clock::now() < first + time)
+        let Some(since) = self.first_listed.map(|first| clock::now().saturating_sub(first)) else { return false };
+        since < RANKING || (since < MEETING && !self.desk.watches_store())
     }
 
     /// Whether a lost store is left to the catalog's follower to look for: the
@@ -219,9 +217,7 @@
     async fn read_latest(&mut self, asked: Duration) {
         match self.list(Read::Latest, asked).await {
             Ok(()) => {
-                if self.kind == Kind::Catalog {
-                    self.desk.note_touch(true);
-                }
+                self.note_touch(true);
                 self.regained();
             }
             Err(fault) => self.not_read(asked, &fault),
@@ -230,11 +226,22 @@
 
     fn not_read(&mut self, asked: Duration, fault: &Fault) {
         tracing::info!(kind = ?self.kind, %fault, failures = self.failures, "store not read");
+        self.note_touch(false);
+        self.note_failed(asked);
+    }
+
+    /// Notes a call that failed, as of a time.
+    fn note_failed(&mut self, at: Duration) {
+        self.last_lost = at;
+        self.failures += 1;
+    }
+
+    /// Tells the desk whether the store answers; the catalog's follower speaks
+    /// for all.
+    fn note_touch(&self, succeeded: bool) {
         if self.kind == Kind::Catalog {
-            self.desk.note_touch(false);
+            self.desk.note_touch(succeeded);
         }
-        self.last_lost = asked;
-        self.failures += 1;
     }
 
     /// A first listing of endpoints may be old: the watch from its revision, or
