Give up readings of the store by their silence, not by their length

What callers saw: instances with narrow links never had a catalog of 800 KB, went on by the old one and refused whoever had a key once its proof was too old. Cause: each call to the store had to end within 0.6 s, however much it brought; a reading that takes longer was dropped midway, begun anew and dropped again, for good, and filled the link meanwhile. Why this holds: the limit, unchanged, now counts from the last piece of the answer. A connection that falls silent is noticed as soon as before, also midway; an answer that comes in is read to its end, so no size of it is out of reach. The same limit stood in the listing of endpoints (3 MB at 10,000 servers) and of instances; both use the new one.

--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -24,7 +24,7 @@
     dialect::{Dialect, Names},
     rollout::Rollout,
     settings::Listeners,
-    source::{Batch, Change, Endpoint, Fault, Instance, Kind, Listing, Read, Record, Source},
+    source::{Batch, Change, Endpoint, Fault, Instance, Kind, Listing, Progress, Read, Record, Source},
 };
 use route::relay::{allowance, canary::Stage};
 use tokio::{
@@ -171,7 +171,7 @@
 }
 
 impl Source for Fixed {
-    fn list(&self, kind: Kind, _: Read) -> BoxFuture<'_, Result<Listing, Fault>> {
+    fn list<'a>(&'a self, kind: Kind, _: Read, _: &'a Progress) -> BoxFuture<'a, Result<Listing, Fault>> {
         let record = match kind {
             Kind::Catalog => Some(Record::Catalog(Box::new(catalog()))),
             Kind::Endpoints => Some(Record::Endpoint(Endpoint {
@@ -192,7 +192,7 @@
         Box::pin(async { Ok(Listing { revision: 1, records, unreadable: Vec::new() }) })
     }
 
-    fn watch(&self, _: Kind, from: u64, wait: Duration) -> BoxFuture<'_, Result<Batch, Fault>> {
+    fn watch<'a>(&'a self, _: Kind, from: u64, wait: Duration, _: &'a Progress) -> BoxFuture<'a, Result<Batch, Fault>> {
         Box::pin(async move {
             tokio::time::sleep(wait).await;
             Ok(Batch { revision: from, changes: Vec::new() })
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -1,7 +1,7 @@
 //! Keeping what the instance believes in step with the store.
 //!
 //! Each kind of record is listed, then watched from the listing's revision.
-//! Every call has a time limit, since a connection may go silent for good;
+//! No call may stay silent for long, since a connection may do so for good;
 //! after any doubt the kind is listed again, because a watch that was cut may
 //! have missed changes.
 
@@ -16,7 +16,8 @@
 use crate::{
     clock,
     desk::{Desk, track},
-    source::{Batch, Change, Endpoint, Fault, Kind, Listing, Read, Record, Source},
+    silence,
+    source::{Batch, Change, Endpoint, Fault, Kind, Listing, Progress, Read, Record, Source},
 };
 
 /// Longest wait of a watch on the catalog, and so the oldest that the proof of
@@ -30,10 +31,6 @@
 /// Longest wait of a watch on roll-outs; other instances tell of them sooner.
 const ROLLOUTS_WAIT: Duration = Duration::from_secs(4);
 
-/// Time beyond a watch's wait, and of any other call, after which a connection
-/// counts as silent: many round trips, a store that is slow by fifty times.
-pub const CALL_LIMIT: Duration = Duration::from_millis(600);
-
 /// First and longest wait after a call that failed.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(500));
 
@@ -77,6 +74,7 @@
         desk,
         source,
         kind,
+        progress: Progress::default(),
         revision: None,
         listed: false,
         lost_since: None,
@@ -95,6 +93,7 @@
     desk: Arc<Desk>,
     source: Arc<dyn Source>,
     kind: Kind,
+    progress: Progress,
     revision: Option<u64>,
     listed: bool,
     lost_since: Option<Duration>,
@@ -251,7 +250,8 @@
     }
 
     async fn list(&mut self, read: Read, asked: Duration) -> Result<(), Fault> {
-        let listing = timeout(CALL_LIMIT, self.source.list(self.kind, read)).await.map_err(|_| silent())??;
+        let call = self.source.list(self.kind, read, &self.progress);
+        let listing = silence::bounded(&self.progress, Duration::ZERO, call).await?;
         // Before the first catalog an empty listing proves that there is none.
         let shows = !listing.records.is_empty() || self.desk.catalog().is_none();
         let proves = self.kind == Kind::Catalog && read == Read::Latest && shows;
@@ -269,9 +269,8 @@
             Kind::Endpoints => ENDPOINTS_WAIT,
             Kind::Rollouts | Kind::Instances => ROLLOUTS_WAIT,
         };
-        let call = self.source.watch(self.kind, from, wait);
-        let batch = timeout(wait + CALL_LIMIT, call).await.map_err(|_| silent())??;
-        let Batch { revision, changes } = batch;
+        let call = self.source.watch(self.kind, from, wait, &self.progress);
+        let Batch { revision, changes } = silence::bounded(&self.progress, wait, call).await?;
         if self.kind == Kind::Endpoints {
             let mut told: Vec<track::Change> = changes.iter().filter_map(endpoint_change).collect();
             if revision > self.desk.endpoints_revision() {
@@ -400,7 +399,3 @@
         None => Some(track::Change::Gone(change.name.clone())),
     }
 }
-
-fn silent() -> Fault {
-    Fault::Lost("no answer in time".into())
-}
--- a/crates/relay/src/join.rs
+++ b/crates/relay/src/join.rs
@@ -6,8 +6,8 @@
 
 use crate::{
     desk::Desk,
-    follow::CALL_LIMIT,
-    source::{Instance, Kind, Read, Record, Source},
+    silence::{self, SILENCE},
+    source::{Instance, Kind, Progress, Read, Record, Source},
 };
 
 /// Pause between listings of this system's instances, by any of them: news spreads membership,
@@ -17,6 +17,7 @@
 /// Registers this instance and finds the others.
 pub async fn join(desk: Arc<Desk>, source: Arc<dyn Source>) {
     let me = Instance { name: desk.settings.instance.clone(), news: desk.settings.listeners.news };
+    let progress = Progress::default();
     let mut registered = false;
     // All instances of a fleet start at once: an old first listing would show
     // none of the others, and each would watch the store by itself until the
@@ -24,14 +25,15 @@
     let mut read = Read::Latest;
     loop {
         if !registered {
-            match timeout(CALL_LIMIT, source.register(&me)).await {
+            match timeout(SILENCE, source.register(&me)).await {
                 Ok(Ok(())) => registered = true,
                 Ok(Err(fault)) => tracing::info!(%fault, "not registered yet"),
                 Err(_) => tracing::info!("not registered yet: no answer in time"),
             }
         }
-        let listed = match timeout(CALL_LIMIT, source.list(Kind::Instances, read)).await {
-            Ok(Ok(listing)) => {
+        let call = source.list(Kind::Instances, read, &progress);
+        let listed = match silence::bounded(&progress, Duration::ZERO, call).await {
+            Ok(listing) => {
                 for change in listing.records {
                     if let Some(Record::Instance(instance)) = change.record {
                         desk.meet(&instance.name, instance.news);
@@ -40,11 +42,10 @@
                 read = Read::AnyAge;
                 true
             }
-            Ok(Err(fault)) => {
+            Err(fault) => {
                 tracing::info!(%fault, "instances not listed");
                 false
             }
-            Err(_) => false,
         };
         // The more instances there are, the more often one of them looks.
         let many = u32::try_from(desk.members()).unwrap_or(u32::MAX);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -33,6 +33,7 @@
 mod report;
 pub mod rollout;
 pub mod settings;
+mod silence;
 pub mod source;
 mod upstream;
 
--- a/crates/relay/src/report.rs
+++ b/crates/relay/src/report.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::{sleep, timeout};
 
-use crate::{desk::Desk, follow::CALL_LIMIT, source::Source};
+use crate::{desk::Desk, silence::SILENCE, source::Source};
 
 /// Pause between looks at roll-outs.
 const ROLLOUT_PAUSE: Duration = Duration::from_millis(250);
@@ -32,7 +32,7 @@
             continue;
         }
         for (rollout, stage) in unsaid {
-            match timeout(CALL_LIMIT, source.report(&rollout, stage)).await {
+            match timeout(SILENCE, source.report(&rollout, stage)).await {
                 Ok(Ok(())) => {
                     tracing::info!(service = rollout.service, target = rollout.target, ?stage, "stage reported");
                     unsaid_for = 0;
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -1,11 +1,16 @@
 //! The one trait between the relay and the store that keeps its state.
 
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{
+    fmt,
+    net::SocketAddr,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
 use futures::future::BoxFuture;
 use route::relay::canary::Stage;
 
-use crate::{catalog::Catalog, rollout::Rollout};
+use crate::{catalog::Catalog, clock, rollout::Rollout};
 
 /// What is kept.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -133,14 +138,43 @@
     }
 }
 
+/// When answers last brought something; a call notes it, whoever waits reads it.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// In microseconds of [`clock::now`].
+    last: AtomicU64,
+}
+
+impl Progress {
+    /// Notes that something of an answer has come: its beginning, or a piece of
+    /// it. A refusal is none.
+    pub fn note(&self) {
+        let now = u64::try_from(clock::now().as_micros()).unwrap_or(u64::MAX);
+        self.last.store(now, Ordering::Relaxed);
+    }
+
+    /// When something last came; zero before the first time.
+    #[must_use]
+    pub fn last(&self) -> Duration {
+        Duration::from_micros(self.last.load(Ordering::Relaxed))
+    }
+}
+
 /// A store with revisions, conditional writes and watches.
 ///
 /// Calls have no time limit of their own: the caller drops a call to end it.
+/// Those whose answers may be long note what comes of them.
 pub trait Source: fmt::Debug + Send + Sync {
     /// Lists a kind's records.
-    fn list(&self, kind: Kind, read: Read) -> BoxFuture<'_, Result<Listing, Fault>>;
+    fn list<'a>(&'a self, kind: Kind, read: Read, progress: &'a Progress) -> BoxFuture<'a, Result<Listing, Fault>>;
     /// Waits for changes after a revision.
-    fn watch(&self, kind: Kind, from: u64, wait: Duration) -> BoxFuture<'_, Result<Batch, Fault>>;
+    fn watch<'a>(
+        &'a self,
+        kind: Kind,
+        from: u64,
+        wait: Duration,
+        progress: &'a Progress,
+    ) -> BoxFuture<'a, Result<Batch, Fault>>;
     /// Writes a roll-out's status if its revision still is the one read.
     fn report<'a>(&'a self, rollout: &'a Rollout, stage: Stage) -> BoxFuture<'a, Result<(), Fault>>;
     /// Registers this instance; its name may be registered already.
--- a/crates/relay/tests/it/site.rs
+++ b/crates/relay/tests/it/site.rs
@@ -19,7 +19,7 @@
     dialect::{Cached, Dialect, Names},
     rollout::Rollout,
     settings::Listeners,
-    source::{self, Batch, Change, Endpoint, Fault, Instance, Listing, Record, Source},
+    source::{self, Batch, Change, Endpoint, Fault, Instance, Listing, Progress, Record, Source},
 };
 use route::relay::{allowance, canary::Stage};
 use tokio::sync::watch;
@@ -116,13 +116,21 @@
 }
 
 impl Source for Store {
-    fn list(&self, kind: source::Kind, read: source::Read) -> BoxFuture<'_, Result<Listing, Fault>> {
+    fn list<'a>(
+        &'a self,
+        kind: source::Kind,
+        read: source::Read,
+        progress: &'a Progress,
+    ) -> BoxFuture<'a, Result<Listing, Fault>> {
         Box::pin(async move {
             if self.kept.borrow().silent {
                 std::future::pending::<()>().await;
             }
             let slow = self.kept.borrow().slow;
             tokio::time::sleep(slow).await;
+            if !self.kept.borrow().refuses {
+                progress.note();
+            }
             if kind == source::Kind::Catalog {
                 self.catalog_reads.fetch_add(1, Ordering::Relaxed);
             }
@@ -146,7 +154,13 @@
         })
     }
 
-    fn watch(&self, _: source::Kind, from: u64, wait: Duration) -> BoxFuture<'_, Result<Batch, Fault>> {
+    fn watch<'a>(
+        &'a self,
+        _: source::Kind,
+        from: u64,
+        wait: Duration,
+        progress: &'a Progress,
+    ) -> BoxFuture<'a, Result<Batch, Fault>> {
         Box::pin(async move {
             let mut heard = self.kept.subscribe();
             let changed = heard.wait_for(|kept| kept.revision > from && !kept.silent);
@@ -154,8 +168,10 @@
                 if self.kept.borrow().silent {
                     std::future::pending::<()>().await;
                 }
+                progress.note();
                 return Ok(Batch { revision: from, changes: Vec::new() });
             }
+            progress.note();
             // History is not kept: whoever is behind lists again.
             Err(Fault::Compacted)
         })
