Serve nobody by a catalog that is known to be replaced past the operators' bound

What callers saw: requests without a key were passed on by a catalog that had been replaced for seconds, and requests on routes just added were answered 404, after which no caller comes back. Cause: an instance took the age of its catalog into account for access keys only. It had heard of the newer one all the while. Why this holds: from the first word of a newer catalog on, the old one is a lease that ends at the operators' bound (new setting replace_ms) less the 0.75 s that a word may take; then every request is refused at once as not run, with a Retry-After, and callers are told of other addresses. What the old one lacks is refused so from the first word on, in place of 404 or 401. While nobody tells of a newer one the old one goes on: without the store no operator has confirmed any.

--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -243,6 +243,7 @@
         listeners: Listeners { front: free, ready: free, directory: free, news: free },
         seeds: Vec::new(),
         revoke: None,
+        replace: None,
         allowance: allowance::Policy { ratio: 0.9, reserve: 50.0, window: Duration::from_secs(10) },
         exposure: 0.1,
         session: Duration::from_secs(5),
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -22,6 +22,9 @@
         /// Whether another instance knows better.
         elsewhere: bool,
     },
+    /// The catalog is known to be replaced, and this instance has not read the newer
+    /// one.
+    Replaced,
     /// This instance ends before the request could.
     Leaving,
     /// No route has its host and path.
@@ -61,6 +64,7 @@
             Self::NotStarted
             | Self::Leaving
             | Self::KeysStale { .. }
+            | Self::Replaced
             | Self::Memory
             | Self::NoEndpoint
             | Self::TurnedAway
@@ -78,7 +82,8 @@
     #[must_use]
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::Leaving | Self::KeysStale { elsewhere: true } => Some(ELSEWHERE),
+            // Whoever told of the newer catalog has it.
+            Self::Leaving | Self::Replaced | Self::KeysStale { elsewhere: true } => Some(ELSEWHERE),
             Self::NotStarted | Self::KeysStale { elsewhere: false } => Some(STARTING),
             Self::Memory | Self::NoEndpoint | Self::TurnedAway | Self::Expired => Some(BUSY),
             _ => None,
@@ -105,6 +110,7 @@
         f.write_str(match self {
             Self::NotStarted => "not run: no configuration read yet; try again shortly",
             Self::KeysStale { .. } => "not run: access keys cannot be checked now; try another address",
+            Self::Replaced => "not run: this instance has an old configuration; use another address",
             Self::Leaving => "not run: this instance is leaving; use another address",
             Self::NoRoute => "no route for this host and path",
             Self::NoKey => "the access key is missing or unknown",
--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -3,7 +3,7 @@
 //! One thread runs everything, and the lock is never held across an await, so
 //! it is never waited for; it only lets tasks share the state without
 //! reference cycles. Every belief has a source and an age: the catalog and
-//! access keys ([`Desk::fresh`]), endpoints and their loads ([`fleet`]), other
+//! access keys ([`Desk::fresh`], [`Desk::catalog_holds`]), endpoints and their loads ([`fleet`]), other
 //! instances ([`peers`]), roll-outs ([`trials`]); [`track`] keeps them in step
 //! through other instances.
 
@@ -113,7 +113,7 @@
             notices: fleet::Notices::new(clock::now()),
             peers: peers::Peers::default(),
             trials: trials::Trials::default(),
-            track: track::Track::default(),
+            track: track::Track::new(settings.replace),
             known: Known::Nothing,
             in_touch: false,
             lost_once: false,
@@ -154,6 +154,7 @@
             routes = catalog.hosts.values().map(Vec::len).sum::<usize>(),
             "catalog in force"
         );
+        state.track.succession.install(catalog.version);
         state.catalog = Some(Arc::new(catalog));
         self.learned.notify_waiters();
         true
@@ -179,10 +180,17 @@
         self.lock().freshness.renew(asked, proof);
     }
 
-    /// Whether access keys may be believed.
+    /// Whether access keys may be believed, and the rest of the catalog.
     #[must_use]
     pub fn fresh(&self) -> bool {
-        self.lock().freshness.holds(clock::now())
+        self.lock().freshness.holds(clock::now()) && self.catalog_holds()
+    }
+
+    /// Whether requests may be served by the catalog in force: not for long after
+    /// another instance has told of a newer one.
+    #[must_use]
+    pub fn catalog_holds(&self) -> bool {
+        self.lock().track.succession.holds(clock::now())
     }
 
     /// Notes whether this instance's own calls to the store succeed.
--- a/crates/relay/src/desk/track.rs
+++ b/crates/relay/src/desk/track.rs
@@ -10,10 +10,10 @@
 
 use std::{collections::VecDeque, net::SocketAddr, time::Duration};
 
-use route::relay::freshness::Proof;
+use route::relay::freshness::{Proof, Succession};
 use world::hash;
 
-use super::{Desk, Known, State};
+use super::{Desk, Known};
 use crate::{clock, rollout::Rollout, source::Endpoint};
 
 /// Instances that watch the store: when one is lost, the others ask the next
@@ -62,8 +62,8 @@
     /// Replies in a row of instances that seem to have lost the store.
     doubts: u32,
     orders_known: bool,
-    /// Highest version of the catalog that any instance has told of.
-    newest: u64,
+    /// Newer catalogs that any instance has told of.
+    pub(super) succession: Succession,
 }
 
 /// What an instance that is behind asks.
@@ -94,6 +94,12 @@
 }
 
 impl Track {
+    /// An instance that knows nothing; `replace` bounds how long it may serve by a
+    /// catalog that was replaced.
+    pub(super) fn new(replace: Option<Duration>) -> Self {
+        Self { succession: Succession::new(replace), ..Self::default() }
+    }
+
     /// Notes a whole listing of endpoints.
     fn listed(&mut self, revision: u64) {
         if revision >= self.revision {
@@ -309,10 +315,13 @@
     /// Notes which catalog another instance has; a newer one is to be read.
     pub(super) fn note_newer(&self, version: u64) {
         let mut state = self.lock();
-        state.track.newest = state.track.newest.max(version);
-        if state.is_behind() {
-            self.catalog_wanted.notify_one();
+        if state.catalog.as_ref().is_some_and(|known| known.version >= version) || version == 0 {
+            return;
+        }
+        if state.track.succession.tell(version, clock::now()) {
+            tracing::info!(version, "told of a newer catalog");
         }
+        self.catalog_wanted.notify_one();
     }
 
     /// Whether another instance has a newer catalog than this one: of the many
@@ -320,7 +329,7 @@
     /// bring further ones.
     #[must_use]
     pub fn behind(&self) -> bool {
-        self.lock().is_behind()
+        self.lock().track.succession.is_behind()
     }
 
     fn take_orders(&self, orders: &[Rollout]) {
@@ -337,12 +346,6 @@
     }
 }
 
-impl State {
-    fn is_behind(&self) -> bool {
-        self.track.newest > self.catalog.as_ref().map_or(0, |known| known.version)
-    }
-}
-
 /// An instance that may watch the store for others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Watcher {
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -96,7 +96,15 @@
 /// Checks a request against the catalog and keys in force now.
 pub fn check(desk: &Desk, host: &str, path: &str, ask: &Ask) -> Result<Pass, Refusal> {
     let catalog = desk.catalog().ok_or(Refusal::NotStarted)?;
-    let route = catalog.route(host, path).ok_or(Refusal::NoRoute)?;
+    // An operator may have moved or dropped the route seconds ago, and a request
+    // without a key would go on to where it led for good.
+    if !desk.catalog_holds() {
+        return Err(Refusal::Replaced);
+    }
+    // What a replaced catalog lacks the newer one may have: callers that are told
+    // 404 or 401 do not come back.
+    let unknown = |refusal| if desk.behind() { Refusal::Replaced } else { refusal };
+    let route = catalog.route(host, path).ok_or_else(|| unknown(Refusal::NoRoute))?;
     let team = match &catalog.keys {
         Some(keys) if !route.public => {
             // A key that was taken away while this instance was out of touch
@@ -104,8 +112,8 @@
             if !desk.fresh() {
                 return Err(Refusal::KeysStale { elsewhere: desk.fresh_elsewhere() });
             }
-            let key = ask.key.as_deref().ok_or(Refusal::NoKey)?;
-            Some(Arc::clone(keys.get(key).ok_or(Refusal::NoKey)?))
+            let team = ask.key.as_deref().and_then(|key| keys.get(key));
+            Some(Arc::clone(team.ok_or_else(|| unknown(Refusal::NoKey))?))
         }
         _ => None,
     };
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -18,6 +18,9 @@
     /// Longest time that a withdrawn key may go on working; nothing where
     /// withdrawal has no strict bound.
     pub revoke: Option<Duration>,
+    /// Longest time that a catalog may be served by after the operator's
+    /// confirmation of a newer one; nothing where that has no bound.
+    pub replace: Option<Duration>,
     /// Bound on repeated dispatches.
     pub allowance: allowance::Policy,
     /// Share of a service's requests that a bad version may get.
--- a/crates/relay/tests/it/site.rs
+++ b/crates/relay/tests/it/site.rs
@@ -235,6 +235,7 @@
         listeners: Listeners { front: free, ready: free, directory: free, news: free },
         seeds: Vec::new(),
         revoke: Some(Duration::from_secs(5)),
+        replace: Some(Duration::from_secs(2)),
         allowance: allowance::Policy { ratio: 0.9, reserve: 20.0, window: Duration::from_secs(10) },
         exposure: 0.15,
         session: Duration::from_secs(5),
--- a/crates/route/src/relay/freshness.rs
+++ b/crates/route/src/relay/freshness.rs
@@ -7,6 +7,10 @@
 //! young enough. The caller's clock must count suspension: with one that stops,
 //! an instance that slept through the withdrawal would wake and believe its
 //! keys to be fresh.
+//!
+//! What else a catalog says is believed while nobody tells of a newer one, for
+//! without the store no operator can have confirmed one. Once one is told of, the
+//! old one may go on for no longer than operators allow ([`Succession`]).
 
 use std::time::Duration;
 
@@ -27,6 +31,13 @@
     Quiet,
 }
 
+/// Time that word of a newer catalog may take to come, counted against the bound:
+/// others are asked each 0.35 s, and one question or reply may be lost.
+const HEARSAY: Duration = Duration::from_millis(750);
+
+/// Newer catalogs kept apart; a storm of changes brings some ten within a bound.
+const MOST_TOLD: usize = 64;
+
 /// Rest after a reading of the whole catalog, in lengths of that reading: a proof
 /// may take a tenth of the link that callers' requests come by.
 const RESTS: u32 = 9;
@@ -103,3 +114,57 @@
         self.proven.map(|proven| now.saturating_sub(proven))
     }
 }
+
+/// Newer catalogs than the one in force, of which others have told.
+#[derive(Debug, Clone, Default)]
+pub struct Succession {
+    bound: Option<Duration>,
+    /// Versions and when each was first told of, in both orders.
+    told: Vec<(u64, Duration)>,
+}
+
+impl Succession {
+    /// Nothing told yet; `bound` is the longest time that a catalog may be served
+    /// by after the operator's confirmation of a newer one, nothing when there is
+    /// none.
+    #[must_use]
+    pub fn new(bound: Option<Duration>) -> Self {
+        Self { bound, told: Vec::new() }
+    }
+
+    /// Takes in that there is a version newer than the one in force; returns
+    /// whether that is news.
+    pub fn tell(&mut self, version: u64, now: Duration) -> bool {
+        if self.told.last().is_some_and(|(newest, _)| *newest >= version) {
+            return false;
+        }
+        let is_full = self.told.len() == MOST_TOLD;
+        match self.told.last_mut() {
+            // The time of the one that is left out counts for this one: too strict
+            // is safe.
+            Some(newest) if is_full => newest.0 = version,
+            _ => self.told.push((version, now)),
+        }
+        true
+    }
+
+    /// Takes in which version is in force from now on.
+    pub fn install(&mut self, version: u64) {
+        self.told.retain(|(told, _)| *told > version);
+    }
+
+    /// Whether the catalog in force is known to be replaced.
+    #[must_use]
+    pub fn is_behind(&self) -> bool {
+        !self.told.is_empty()
+    }
+
+    /// Whether requests may be served by the catalog in force.
+    #[must_use]
+    pub fn holds(&self, now: Duration) -> bool {
+        match (self.bound, self.told.first()) {
+            (Some(bound), Some((_, told))) => now < *told + bound.saturating_sub(HEARSAY),
+            _ => true,
+        }
+    }
+}
--- a/crates/route/tests/relay/freshness.rs
+++ b/crates/route/tests/relay/freshness.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use route::relay::freshness::{Cadence, Freshness, Proof};
+use route::relay::freshness::{Cadence, Freshness, Proof, Succession};
 
 const BOUND: Duration = Duration::from_secs(5);
 
@@ -69,3 +69,52 @@
     // A tenth of the time at most: 450 ms in 4.5 s.
     long_reading_after_its_rest: 450, after 4_050 => true;
 }
+
+/// Versions told of and installed, by time, and whether the catalog in force may
+/// be served by at the end.
+fn check_succession(told: &[(u64, u64)], installed: u64, now: u64, holds: bool) {
+    let mut succession = Succession::new(Some(BOUND));
+    for (version, told_at) in told {
+        succession.tell(*version, at(*told_at));
+    }
+    succession.install(installed);
+    assert_eq!(succession.holds(at(now)), holds);
+}
+
+macro_rules! successions {
+    ($($(#[$doc:meta])* $name:ident: $told:expr, installed $installed:expr, at $now:expr => $holds:expr;)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            check_succession($told, $installed, $now, $holds);
+        }
+    )*};
+}
+
+successions! {
+    nobody_tells_of_a_newer_one: &[], installed 1, at 60_000 => true;
+    there_is_time_to_read_it: &[(2, 10_000)], installed 1, at 14_000 => true;
+    // The bound counts from the confirmation, of which this one heard later.
+    time_to_hear_of_it_is_kept_back: &[(2, 10_000)], installed 1, at 14_300 => false;
+    it_is_in_force: &[(2, 10_000)], installed 2, at 14_300 => true;
+    // Changes in quick succession: the one in force is newer than some that were
+    // told of, and the first that it lacks counts.
+    first_newer_one_counts: &[(2, 10_000), (3, 12_000), (4, 13_000)], installed 2, at 16_000 => true;
+    first_newer_one_counts_to_its_end: &[(2, 10_000), (3, 12_000), (4, 13_000)], installed 2, at 16_300 => false;
+    // The same word from many instances does not begin anew.
+    same_word_again: &[(2, 10_000), (2, 14_000)], installed 1, at 14_300 => false;
+    late_word_of_an_older_one: &[(3, 10_000), (2, 14_000)], installed 1, at 14_300 => false;
+}
+
+/// More changes than are kept apart: none is forgotten.
+#[test]
+fn long_storm_is_not_forgotten() {
+    let mut succession = Succession::new(Some(BOUND));
+    for version in 2..500 {
+        assert!(succession.tell(version, at(10_000)));
+    }
+    succession.install(498);
+    assert!(succession.is_behind() && !succession.holds(at(15_000)));
+    succession.install(499);
+    assert!(!succession.is_behind());
+}
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -42,6 +42,8 @@
     seeds: Vec<SocketAddr>,
     #[serde(default)]
     revoke_ms: Option<u64>,
+    #[serde(default)]
+    replace_ms: Option<u64>,
     retries: FileRetries,
     exposure_share: f64,
     #[serde(default = "default_session_s")]
@@ -127,6 +129,7 @@
         check("session_s", (0.0..=3_600.0).contains(&self.session_s), "write seconds from 0 to 3600");
         check("memory_mib", self.memory_mib >= 16, "write at least 16");
         check("grace_ms", self.grace_ms >= 1_000, "write at least 1000");
+        check("replace_ms", self.replace_ms.is_none_or(|bound| bound >= 1_000), "write at least 1000, or leave it out");
         check("revoke_ms", self.revoke_ms.is_none_or(|bound| bound >= 2_000), "write at least 2000, or leave it out");
         faults
     }
@@ -145,6 +148,7 @@
                 },
                 seeds: self.seeds,
                 revoke: self.revoke_ms.map(millis),
+                replace: self.replace_ms.map(millis),
                 allowance: allowance::Policy {
                     ratio: self.retries.ratio,
                     reserve: self.retries.reserve,
--- a/crates/settings/tests/relay.rs
+++ b/crates/settings/tests/relay.rs
@@ -15,6 +15,7 @@
 store: 10.200.1.7:8223
 metrics: 10.1.0.40:9464
 revoke_ms: 5000
+replace_ms: 2000
 retries: { ratio: 0.9, reserve: 54, window_ms: 10000 }
 exposure_share: 0.15
 grace_ms: 8000
@@ -26,6 +27,7 @@
     let settings = Relay::parse(GOOD).unwrap();
     assert_eq!(settings.relay.instance, "front-1");
     assert_eq!(settings.relay.revoke, Some(Duration::from_secs(5)));
+    assert_eq!(settings.relay.replace, Some(Duration::from_secs(2)));
     assert_eq!(settings.relay.allowance.window, Duration::from_secs(10));
     assert_eq!(settings.relay.body_memory, 65 << 20);
     assert_eq!(settings.log, "info");
@@ -37,6 +39,12 @@
     assert_eq!(settings.relay.revoke, None);
 }
 
+#[test]
+fn replaced_catalogs_without_a_bound_have_none() {
+    let settings = Relay::parse(&GOOD.replace("replace_ms: 2000\n", "")).unwrap();
+    assert_eq!(settings.relay.replace, None);
+}
+
 macro_rules! faults {
     ($($name:ident: $from:expr => $to:expr, $named:expr;)*) => {$(
         #[test]
@@ -58,4 +66,5 @@
     share_out_of_range: "exposure_share: 0.15" => "exposure_share: 1.5", "exposure_share";
     too_little_memory: "memory_mib: 260" => "memory_mib: 8", "memory_mib";
     bound_too_short_to_keep: "revoke_ms: 5000" => "revoke_ms: 500", "revoke_ms";
+    bound_too_short_to_read_a_catalog: "replace_ms: 2000" => "replace_ms: 500", "replace_ms";
 }
