Count what a reading takes of the link, not the store's own time

Cause: the rest after a reading of the catalog grew with the whole time from its question on, also when a slow store took it and the link was free; proofs would then have been older than need be. Change: the time counts from the answer's beginning to its end. The tests of proofs hold a listing back as a narrow link does, begun and then slow to come in; they fail as before without the mend of the cadence.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -269,7 +269,7 @@
         let shows = !listing.records.is_empty() || self.desk.catalog().is_none();
         let proves = self.kind == Kind::Catalog && read == Read::Latest && shows;
         if self.kind == Kind::Catalog {
-            self.cadence.note(asked, clock::now());
+            self.cadence.note(self.progress.transfer(), clock::now());
         }
         self.take_all(listing);
         if proves {
--- a/crates/relay/src/silence.rs
+++ b/crates/relay/src/silence.rs
@@ -33,6 +33,7 @@
     wait: Duration,
     call: impl Future<Output = Result<T, Fault>>,
 ) -> Result<T, Fault> {
+    progress.start();
     let mut call = pin!(call);
     let mut until = clock::now() + wait + SILENCE;
     loop {
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -138,21 +138,41 @@
     }
 }
 
-/// When answers last brought something; a call notes it, whoever waits reads it.
+/// When answers brought something; a call notes it, whoever waits reads it.
+///
+/// Times are microseconds of [`clock::now`]; zero is never.
 #[derive(Debug, Default)]
 pub struct Progress {
-    /// In microseconds of [`clock::now`].
+    /// When the last call's answer began to come.
+    first: AtomicU64,
+    /// When something last came, of whichever call.
     last: AtomicU64,
 }
 
 impl Progress {
+    /// Notes that a call begins.
+    pub fn start(&self) {
+        self.first.store(0, Ordering::Relaxed);
+    }
+
     /// Notes that something of an answer has come: its beginning, or a piece of
     /// it. A refusal is none.
     pub fn note(&self) {
         let now = u64::try_from(clock::now().as_micros()).unwrap_or(u64::MAX);
+        self.first.compare_exchange(0, now, Ordering::Relaxed, Ordering::Relaxed).ok();
         self.last.store(now, Ordering::Relaxed);
     }
 
+    /// Time from the beginning of the last answer to the last that came of it: what
+    /// it took of the link, without the store's own time.
+    #[must_use]
+    pub fn transfer(&self) -> Duration {
+        match self.first.load(Ordering::Relaxed) {
+            0 => Duration::ZERO,
+            first => self.last().saturating_sub(Duration::from_micros(first)),
+        }
+    }
+
     /// When something last came; zero before the first time.
     #[must_use]
     pub fn last(&self) -> Duration {
--- a/crates/route/src/relay/freshness.rs
+++ b/crates/route/src/relay/freshness.rs
@@ -55,10 +55,13 @@
 }
 
 impl Cadence {
-    /// Notes a reading from `asked` to `ended`.
-    pub fn note(&mut self, asked: Duration, ended: Duration) {
+    /// Notes a reading that came in for the time `took`, up to `ended`.
+    ///
+    /// Not from when it was asked for: a store that takes its time leaves the link
+    /// to callers.
+    pub fn note(&mut self, took: Duration, ended: Duration) {
         self.ended = ended;
-        self.took = ended.saturating_sub(asked);
+        self.took = took;
     }
 
     /// Whether the catalog may be read again at a time.
