Let instances with wide links watch the store for the others

Cause: those that watch were drawn by the hash of their names alone. Where a catalog takes most of a second to come in, a change is at its watcher that much later, and so at everybody. Six cases of proofs::watching, none of which needs a store.

--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -80,6 +80,8 @@
     track: track::Track,
     known: Known,
     in_touch: bool,
+    /// Whether the catalog takes too long to come in to be read after each watch.
+    is_narrow: bool,
     /// Whether a call to the store has ever failed.
     lost_once: bool,
     /// When this instance began to leave.
@@ -116,6 +118,7 @@
             track: track::Track::new(settings.replace),
             known: Known::Nothing,
             in_touch: false,
+            is_narrow: false,
             lost_once: false,
             draining: None,
             in_flight: 0,
@@ -208,6 +211,12 @@
         self.lock().in_touch
     }
 
+    /// Whether the catalog takes long to come in here.
+    #[must_use]
+    pub fn is_narrow(&self) -> bool {
+        self.lock().is_narrow
+    }
+
     /// Whether this instance's own calls to the store succeed, or it has had
     /// no reason to make any.
     #[must_use]
--- a/crates/relay/src/desk/peers.rs
+++ b/crates/relay/src/desk/peers.rs
@@ -2,9 +2,12 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use world::hash;
-
-use super::{Desk, fleet::Load, track::Watcher, trials::Report};
+use super::{
+    Desk,
+    fleet::Load,
+    track::{Rank, Watcher},
+    trials::Report,
+};
 use crate::clock;
 
 /// Pieces of news that must be missing before an instance is believed gone:
@@ -67,6 +70,8 @@
     pub domain: String,
     /// Whether its own calls to the store succeed.
     pub in_touch: bool,
+    /// Whether the catalog takes long to come in there.
+    pub is_narrow: bool,
     /// Longest time until its next piece of news.
     pub pause: Duration,
     /// Loads it puts on endpoints, by the hash of their names.
@@ -114,7 +119,7 @@
             .filter(|(_, peer)| able(peer))
             .map(|(name, peer)| Watcher {
                 news: peer.news,
-                rank: hash::stable(name.as_bytes()),
+                rank: Rank::new(name, peer.word.is_narrow),
                 near: peer.word.domain == self.domain,
             })
             .collect();
--- a/crates/relay/src/desk/track.rs
+++ b/crates/relay/src/desk/track.rs
@@ -13,7 +13,7 @@
 use route::relay::freshness::{Proof, Succession};
 use world::hash;
 
-use super::{Desk, Known};
+use super::{Desk, Known, State};
 use crate::{clock, rollout::Rollout, source::Endpoint};
 
 /// Instances that watch the store: when one is lost, the others ask the next
@@ -191,20 +191,20 @@
         let state = self.lock();
         // One that is cut off from the store does not count as watching it.
         let answered = state.track.answered.is_some_and(|at| now < at + UNANSWERED);
-        answered && !(state.in_touch && self.watches(state.peers.watchers(now, true)))
+        answered && !(state.in_touch && self.watches(&state, now, true))
     }
 
     /// Whether this instance is one of the few that look for a lost store
     /// often; the others hear from them when it is back.
     #[must_use]
     pub fn looks_first(&self) -> bool {
-        self.watches(self.lock().peers.watchers(clock::now(), false))
+        self.watches(&self.lock(), clock::now(), false)
     }
 
     /// Whether this instance ranks among those that watch the store.
     #[must_use]
     pub fn watches_store(&self) -> bool {
-        self.watches(self.lock().peers.watchers(clock::now(), true))
+        self.watches(&self.lock(), clock::now(), true)
     }
 
     /// Whom to ask, nearest first: nobody if this instance is to watch the
@@ -214,7 +214,7 @@
         let now = clock::now();
         let state = self.lock();
         let mut watchers = state.peers.watchers(now, true);
-        if state.track.revision == 0 || (state.in_touch && self.watches(watchers.clone())) {
+        if state.track.revision == 0 || (state.in_touch && self.watches(&state, now, true)) {
             return None;
         }
         watchers.truncate(WATCHERS);
@@ -223,11 +223,21 @@
         watchers.get(turn % watchers.len().max(1)).map(|watcher| watcher.news)
     }
 
-    /// Whether this instance is one of those that watch the store: the few
-    /// whose names hash lowest, the same by everybody's reckoning.
-    fn watches(&self, others: Vec<Watcher>) -> bool {
-        let me = hash::stable(self.settings.instance.as_bytes());
-        others.into_iter().filter(|other| other.rank < me).count() < WATCHERS
+    /// Whether this instance is one of those that watch the store: the few that
+    /// rank first, the same by everybody's reckoning.
+    fn watches(&self, state: &State, now: Duration, in_touch: bool) -> bool {
+        let me = Rank::new(&self.settings.instance, state.is_narrow);
+        let before = state.peers.watchers(now, in_touch).into_iter().filter(|other| other.rank < me);
+        before.count() < WATCHERS
+    }
+
+    /// Notes whether the catalog takes long to come in here.
+    pub fn note_narrow(&self, is_narrow: bool) {
+        let mut state = self.lock();
+        if state.is_narrow != is_narrow {
+            tracing::info!(is_narrow, "time that the catalog takes to come in has changed");
+            state.is_narrow = is_narrow;
+        }
     }
 
     /// What this instance asks.
@@ -352,7 +362,26 @@
     /// Where it hears questions.
     pub news: SocketAddr,
     /// Its place among the instances.
-    pub rank: u64,
+    pub rank: Rank,
     /// Whether it stands in the same failure domain.
     pub near: bool,
 }
+
+/// An instance's place among those that may watch the store, first come lowest.
+///
+/// Over a narrow link a change is at its watcher a second late, and so at all
+/// others; over a wide one a catalog of a megabyte takes some 50 ms. So those with
+/// wide links come first, and the hash of the name decides among alike.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    is_narrow: bool,
+    hash: u64,
+}
+
+impl Rank {
+    /// The place of an instance.
+    #[must_use]
+    pub fn new(name: &str, is_narrow: bool) -> Self {
+        Self { is_narrow, hash: hash::stable(name.as_bytes()) }
+    }
+}
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -213,7 +213,7 @@
     /// proves nothing of access keys. A catalog that takes long to arrive is not
     /// read twice: half a second more without the change, and a full link.
     async fn catch_up(&mut self, asked: Duration) {
-        if self.cadence.rest() > CATALOG_WAIT {
+        if self.is_narrow() {
             self.read_latest(asked).await;
             return;
         }
@@ -226,6 +226,11 @@
         }
     }
 
+    /// Whether the catalog takes too long to come in to be read after each watch.
+    fn is_narrow(&self) -> bool {
+        self.cadence.rest() > CATALOG_WAIT
+    }
+
     async fn read_latest(&mut self, asked: Duration) {
         match self.list(Read::Latest, asked).await {
             Ok(()) => {
@@ -270,6 +275,7 @@
         let proves = self.kind == Kind::Catalog && read == Read::Latest && shows;
         if self.kind == Kind::Catalog {
             self.cadence.note(self.progress.transfer(), clock::now());
+            self.desk.note_narrow(self.is_narrow());
         }
         self.take_all(listing);
         if proves {
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -169,6 +169,7 @@
         phase: desk.phase().into(),
         fresh: desk.fresh(),
         in_touch: desk.in_touch(),
+        narrow: desk.is_narrow(),
         domain: desk.settings.domain.clone(),
         pause_ms: short_ms(pause),
         named,
--- a/crates/relay/tests/it/proofs.rs
+++ b/crates/relay/tests/it/proofs.rs
@@ -5,11 +5,20 @@
     time::{Duration, Instant},
 };
 
-use relay::{catalog::Kind, clock};
+use relay::{
+    catalog::Kind,
+    clock,
+    desk::{
+        Desk,
+        peers::{Phase, Word},
+    },
+};
 use tokio::time::sleep;
 
+use world::hash;
+
 use crate::{
-    site::{Kept, Site, catalog, route},
+    site::{Kept, Site, catalog, dialect, route, settings},
     track::knowing,
 };
 
@@ -19,6 +28,9 @@
 /// Pause between questions to an instance that watches the store.
 const ASK: Duration = Duration::from_millis(350);
 
+/// Pause between pieces of news.
+const HEARD_EACH: Duration = Duration::from_millis(250);
+
 /// Several readings and watches.
 const WATCHED: Duration = Duration::from_secs(7);
 
@@ -58,3 +70,42 @@
     let reads = u32::try_from(site.store.catalog_reads.load(Ordering::Relaxed)).unwrap();
     assert!(TRANSFER * reads < begun.elapsed() / 4, "{reads} readings in {:?}", begun.elapsed());
 }
+
+/// Two of three instances watch the store, with wide links or narrow ones; whether
+/// this one is asked to, and keeps the others in step.
+fn check_watches(here: &str, is_narrow: bool, others: [(&str, bool); 3], watches: bool) {
+    let mut names = ["a", "b", "c", "d"];
+    names.sort_by_key(|name| hash::stable(name.as_bytes()));
+    let name = |place: &str| names[place.parse::<usize>().unwrap()];
+    let settings = relay::Settings { instance: name(here).into(), ..settings() };
+    let desk = Desk::new(settings, dialect());
+    desk.note_narrow(is_narrow);
+    for (place, is_narrow) in others {
+        let word =
+            Word { run: 1, phase: Phase::Ready, in_touch: true, is_narrow, pause: HEARD_EACH, ..Word::default() };
+        desk.hear(name(place), ([127, 0, 0, 7], 7).into(), word);
+    }
+    assert_eq!(desk.watches_store(), watches);
+}
+
+macro_rules! watching {
+    ($($(#[$doc:meta])* $name:ident: $here:expr, $is_narrow:expr, $others:expr => $watches:expr;)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            check_watches($here, $is_narrow, $others, $watches);
+        }
+    )*};
+}
+
+// A change reaches everybody through those that watch the store. Two instances
+// with links of 10 Mbit/s had it a second late, and so had all, though others had
+// wide links.
+watching! {
+    among_alike_the_first_two_watch: "1", false, [("0", false), ("2", false), ("3", false)] => true;
+    among_alike_the_third_does_not: "2", false, [("0", false), ("1", false), ("3", false)] => false;
+    narrow_one_leaves_it_to_wide_ones: "0", true, [("1", false), ("2", false), ("3", true)] => false;
+    wide_one_goes_before_narrow_ones: "3", false, [("0", true), ("1", true), ("2", false)] => true;
+    one_wide_link_is_not_enough_for_two: "0", true, [("1", true), ("2", true), ("3", false)] => true;
+    narrow_ones_watch_where_all_are: "1", true, [("0", true), ("2", true), ("3", true)] => true;
+}
