Let watches prove a long catalog; read it again a fortieth of the time

Cause: a change that comes while those who watch the store read the catalog for a proof waits for the reading's end, and is then transferred itself. At a tenth of the time and 0.8 s a transfer that is 1.6 s more until the fleet hears, in one change of ten. Change: a catalog that took over 0.1 s to come in is read again only after forty times as long; watches of 450 ms, which hear of a change at once, prove it meanwhile. Shorter ones are read after each watch as before. Reckoned, not measured: one change in forty waits, and only where both watchers read at once.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -213,7 +213,7 @@
     /// proves nothing of access keys. A catalog that takes long to arrive is not
     /// read twice: half a second more without the change, and a full link.
     async fn catch_up(&mut self, asked: Duration) {
-        if self.is_narrow() {
+        if self.cadence.is_long() {
             self.read_latest(asked).await;
             return;
         }
@@ -226,11 +226,6 @@
         }
     }
 
-    /// Whether the catalog takes too long to come in to be read after each watch.
-    fn is_narrow(&self) -> bool {
-        self.cadence.rest() > CATALOG_WAIT
-    }
-
     async fn read_latest(&mut self, asked: Duration) {
         match self.list(Read::Latest, asked).await {
             Ok(()) => {
@@ -275,7 +270,7 @@
         let proves = self.kind == Kind::Catalog && read == Read::Latest && shows;
         if self.kind == Kind::Catalog {
             self.cadence.note(self.progress.transfer(), clock::now());
-            self.desk.note_narrow(self.is_narrow());
+            self.desk.note_narrow(self.cadence.is_long());
         }
         self.take_all(listing);
         if proves {
@@ -312,8 +307,8 @@
             self.desk.renew(asked, Proof::Quiet);
             // A quiet watch proves little: it may have been deaf. A read after
             // each keeps the proof young enough for callers to be served for
-            // three fifths of the bound once the store is lost; after those that
-            // come before a long catalog may be read again, a third is left.
+            // three fifths of the bound once the store is lost; where a long
+            // catalog is not read after each, a third is left.
             if self.cadence.is_due(clock::now()) {
                 self.revision = None;
             }
--- a/crates/route/src/relay/freshness.rs
+++ b/crates/route/src/relay/freshness.rs
@@ -38,16 +38,21 @@
 /// Newer catalogs kept apart; a storm of changes brings some ten within a bound.
 const MOST_TOLD: usize = 64;
 
-/// Rest after a reading of the whole catalog, in lengths of that reading: a proof
-/// may take a tenth of the link that callers' requests come by.
-const RESTS: u32 = 9;
+/// Time from which the catalog takes too long to come in to be read after each
+/// watch of 0.9 s: a tenth of the link that callers' requests come by.
+const LONG: Duration = Duration::from_millis(100);
+
+/// Rest after a long reading, in lengths of it. Watches prove the catalog
+/// meanwhile, and hear of a change at once; one that falls into a reading waits for
+/// its end, here one in forty.
+const RESTS: u32 = 40;
 
 /// When the whole catalog is read again only to renew its proof.
 ///
 /// A reading proves more than a watch, and costs as long as the catalog is large
 /// and the link narrow: half a megabyte over 10 Mbit/s takes half a second. Read
 /// after each watch it would be late for its own proof and leave callers little
-/// of the link, so that the rest after a reading grows with what it took.
+/// of the link, so that the rest after a long reading grows with what it took.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Cadence {
     ended: Duration,
@@ -70,10 +75,14 @@
         at >= self.ended + self.rest()
     }
 
-    /// Rest after the last reading; zero before the first.
+    /// Whether the last reading came in for too long to be made after each watch.
     #[must_use]
-    pub fn rest(&self) -> Duration {
-        self.took * RESTS
+    pub fn is_long(&self) -> bool {
+        self.took > LONG
+    }
+
+    fn rest(&self) -> Duration {
+        if self.is_long() { self.took * RESTS } else { Duration::ZERO }
     }
 }
 
