--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -8,6 +8,7 @@
 //! through other instances.
 
 pub mod fleet;
+mod flight;
 pub mod peers;
 pub mod track;
 pub mod trials;
@@ -25,6 +26,7 @@
 
 use tokio::sync::Notify;
 
+pub use self::flight::{Flight, Held};
 use self::peers::Phase;
 use crate::{
     catalog::Catalog,
@@ -332,25 +334,6 @@
         self.urgent.notified().await;
     }
 
-    /// Requests that have no complete answer yet.
-    #[must_use]
-    pub fn in_flight(&self) -> usize {
-        self.lock().in_flight
-    }
-
-    /// Counts a request until the returned guard is dropped.
-    #[must_use]
-    pub fn enter(self: &Arc<Self>) -> Flight {
-        self.lock().in_flight += 1;
-        Flight { desk: Arc::clone(self) }
-    }
-
-    /// A share of the memory for bodies that is empty yet.
-    #[must_use]
-    pub fn hold_none(self: &Arc<Self>) -> Held {
-        Held { desk: Arc::clone(self), bytes: 0 }
-    }
-
     /// Counts a request's first dispatch to a service.
     pub fn earn(&self, service: &str) {
         self.with_allowance(service, |allowance, _| allowance.earn(clock::now()));
@@ -382,41 +365,3 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// A request under way; dropping it counts it out.
-#[derive(Debug)]
-pub struct Flight {
-    desk: Arc<Desk>,
-}
-
-impl Drop for Flight {
-    fn drop(&mut self) {
-        self.desk.lock().in_flight -= 1;
-    }
-}
-
-/// Memory that a body takes; dropping it gives it back.
-#[derive(Debug)]
-pub struct Held {
-    desk: Arc<Desk>,
-    bytes: usize,
-}
-
-impl Held {
-    /// Takes more, if there is that much left.
-    pub fn grow(&mut self, bytes: usize) -> bool {
-        let mut state = self.desk.lock();
-        if state.held + bytes > self.desk.settings.body_memory {
-            return false;
-        }
-        state.held += bytes;
-        self.bytes += bytes;
-        true
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.desk.lock().held -= self.bytes;
-    }
-}
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -5,6 +5,7 @@
 //! after any doubt the kind is listed again, because a watch that was cut may
 //! have missed changes.
 
+mod intake;
 mod lapses;
 
 use std::{sync::Arc, time::Duration};
@@ -15,9 +16,9 @@
 use self::lapses::{Lapses, RETURN};
 use crate::{
     clock,
-    desk::{Desk, track},
+    desk::Desk,
     silence,
-    source::{Batch, Change, Endpoint, Fault, Kind, Listing, Progress, Read, Record, Source},
+    source::{Fault, Kind, Progress, Read, Source},
 };
 
 /// Longest wait of a watch on the catalog, and so the oldest that the proof of
@@ -280,29 +281,10 @@
     }
 
     async fn watch(&mut self, from: u64, asked: Duration) -> Result<(), Fault> {
-        let wait = match self.kind {
-            Kind::Catalog if !self.cadence.is_due(asked + CATALOG_WAIT) => PROVING_WAIT,
-            Kind::Catalog => CATALOG_WAIT,
-            Kind::Endpoints if self.lapses.waits() => LAPSED_WAIT,
-            Kind::Endpoints => ENDPOINTS_WAIT,
-            Kind::Rollouts | Kind::Instances => ROLLOUTS_WAIT,
-        };
+        let wait = self.watch_wait(asked);
         let call = self.source.watch(self.kind, from, wait, &self.progress);
-        let Batch { revision, changes } = silence::bounded(&self.progress, wait, call).await?;
-        if self.kind == Kind::Endpoints {
-            let mut told: Vec<track::Change> = changes.iter().filter_map(endpoint_change).collect();
-            if revision > self.desk.endpoints_revision() {
-                told.splice(0..0, self.lapses.tell());
-            }
-            self.desk.note_changes(revision, told);
-            if !changes.is_empty() {
-                self.pause = Some(TOGETHER);
-            }
-        }
-        for change in changes {
-            self.take(change);
-        }
-        self.revision = Some(revision);
+        let batch = silence::bounded(&self.progress, wait, call).await?;
+        self.take_batch(batch);
         if self.kind == Kind::Catalog {
             self.desk.renew(asked, Proof::Quiet);
             // A quiet watch proves little: it may have been deaf. A read after
@@ -316,84 +298,21 @@
         Ok(())
     }
 
-    fn regained(&mut self) {
-        self.failures = 0;
-        if let Some(since) = self.lost_since.take() {
-            tracing::info!(kind = ?self.kind, after_ms = clock::millis(clock::now().saturating_sub(since)), "store regained");
-        }
-    }
-
-    /// Takes a whole listing in; what it lacks is gone, at once unless the
-    /// store was away so long that endpoints may only have lapsed there.
-    fn take_all(&mut self, listing: Listing) {
-        // Another instance's word may have come first, and be newer: what it
-        // added would be dropped here, and nobody would tell of it again.
-        if self.kind == Kind::Endpoints && listing.revision < self.desk.endpoints_revision() {
-            self.revision = Some(listing.revision);
-            return;
-        }
-        if self.kind == Kind::Endpoints {
-            self.compare(&listing);
-        }
-        self.revision = Some(listing.revision);
-        let gone = listing.unreadable.into_iter().filter(|_| self.kind == Kind::Endpoints);
-        let gone: Vec<Change> = gone.map(|name| Change { name, record: None }).collect();
-        for change in listing.records.into_iter().chain(gone) {
-            self.take(change);
-        }
-        self.listed = true;
-        self.first_listed.get_or_insert_with(clock::now);
+    /// How long a watch that begins at `asked` may be quiet.
+    fn watch_wait(&self, asked: Duration) -> Duration {
         match self.kind {
-            Kind::Endpoints => self.desk.mark_listed(),
-            Kind::Rollouts => self.desk.note_orders(),
-            Kind::Catalog | Kind::Instances => {}
-        }
-    }
-
-    /// Compares the known endpoints with a listing: forgets those it lacks,
-    /// and keeps the differences for the instances that ask this one.
-    ///
-    /// Without the differences each of those would have to list as well,
-    /// whenever the store has forgotten its history or was away.
-    fn compare(&mut self, listing: &Listing) {
-        let now = clock::now();
-        let outage = self.lost_since.is_some_and(|since| now.saturating_sub(since) > OUTAGE);
-        let listed: Vec<&Endpoint> = listing.records.iter().filter_map(listed_endpoint).collect();
-        // One that is listed and does not read has not lapsed: it is gone at once.
-        let is_missing = |id: &String| !listed.iter().any(|other| other.id == *id) && !listing.unreadable.contains(id);
-        let missing: Vec<String> = self.desk.enlisted().into_iter().filter(is_missing).collect();
-        let kept: Vec<&str> = if outage { missing.iter().map(String::as_str).collect() } else { Vec::new() };
-        if self.desk.endpoints_revision() == 0 {
-            self.desk.note_listing(listing.revision);
-        } else {
-            self.desk.note_changes(listing.revision, self.desk.differences(&listed, &kept));
-        }
-        for id in missing {
-            if outage {
-                self.lapses.lapse(id, now);
-            } else {
-                self.desk.delist(&id);
-            }
+            Kind::Catalog if !self.cadence.is_due(asked + CATALOG_WAIT) => PROVING_WAIT,
+            Kind::Catalog => CATALOG_WAIT,
+            Kind::Endpoints if self.lapses.waits() => LAPSED_WAIT,
+            Kind::Endpoints => ENDPOINTS_WAIT,
+            Kind::Rollouts | Kind::Instances => ROLLOUTS_WAIT,
         }
     }
 
-    fn take(&mut self, change: Change) {
-        match change.record {
-            Some(Record::Catalog(catalog)) => {
-                self.desk.install(*catalog);
-            }
-            Some(Record::Endpoint(endpoint)) => {
-                self.lapses.back(&endpoint.id);
-                self.desk.enlist(endpoint);
-            }
-            Some(Record::Rollout(rollout)) => self.desk.order(rollout),
-            Some(Record::Instance(instance)) => self.desk.meet(&instance.name, instance.news),
-            None => match self.kind {
-                Kind::Endpoints => self.desk.delist(&change.name),
-                Kind::Rollouts => self.desk.withdraw_order(&change.name),
-                Kind::Instances => self.desk.part(&change.name),
-                Kind::Catalog => tracing::warn!("the catalog was deleted; the last one stays in force"),
-            },
+    fn regained(&mut self) {
+        self.failures = 0;
+        if let Some(since) = self.lost_since.take() {
+            tracing::info!(kind = ?self.kind, after_ms = clock::millis(clock::now().saturating_sub(since)), "store regained");
         }
     }
 
@@ -405,18 +324,3 @@
         }
     }
 }
-
-fn listed_endpoint(change: &Change) -> Option<&Endpoint> {
-    match &change.record {
-        Some(Record::Endpoint(endpoint)) => Some(endpoint),
-        _ => None,
-    }
-}
-
-fn endpoint_change(change: &Change) -> Option<track::Change> {
-    match &change.record {
-        Some(Record::Endpoint(endpoint)) => Some(track::Change::Known(endpoint.clone())),
-        Some(_) => None,
-        None => Some(track::Change::Gone(change.name.clone())),
-    }
-}
