--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -188,7 +188,9 @@
     /// Whether access keys may be believed, and the rest of the catalog.
     #[must_use]
     pub fn fresh(&self) -> bool {
-        self.lock().freshness.holds(clock::now()) && self.catalog_holds()
+        let now = clock::now();
+        let state = self.lock();
+        state.freshness.holds(now) && state.track.succession.holds(now)
     }
 
     /// Whether requests may be served by the catalog in force: not for long after
