Break the circle of links, server and task in peer

Events and the clock (event.rs) and the reading of a link (reader.rs) have files of their own; what travels with every message stands in wire.rs. link, server and pool no longer know the task.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod aggregation;
 mod error;
+mod event;
 #[expect(clippy::all, clippy::pedantic, reason = "generated")]
 #[rustfmt::skip]
 mod generated;
@@ -23,6 +24,7 @@
 pub mod membership;
 pub mod news;
 mod pool;
+mod reader;
 pub mod relay;
 mod server;
 pub mod settings;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -4,18 +4,15 @@
 
 use tokio::{sync::mpsc, time::timeout};
 use tokio_stream::wrappers::ReceiverStream;
-use tokio_util::task::AbortOnDropHandle;
 use tonic::{Code, Streaming};
-use world::{Millis, instance::Id};
+use world::instance::Id;
 
 use crate::{
     generated::{Frame, frame::Kind},
-    news::Allowance,
     pool::Pool,
     relay::Message,
     settings::Settings,
     spread::Heartbeat,
-    task::{Clock, Event},
     wire::{self, Greeting},
 };
 
@@ -107,41 +104,3 @@
     /// Tells a link from an earlier one with the same peer.
     pub(crate) serial: u64,
 }
-
-/// Reads a link until it ends. Each reader waits for room for one event at a
-/// time, so a flooding peer gets its turn among the others and no more.
-pub(crate) fn read(
-    mut incoming: Streaming<Frame>,
-    source: Source,
-    events: mpsc::Sender<Event>,
-    clock: Clock,
-    rate: u32,
-) -> AbortOnDropHandle<()> {
-    AbortOnDropHandle::new(tokio::spawn(async move {
-        let mut allowance = Allowance::new(rate, clock.now());
-        while let Ok(Some(frame)) = incoming.message().await {
-            let received = receive(frame, &mut allowance, clock.now());
-            if events.send(Event::Received(source.clone(), received)).await.is_err() {
-                return;
-            }
-        }
-        // The task may have ended; then nobody has to know.
-        let _ = events.send(Event::Closed(source)).await;
-    }))
-}
-
-fn receive(frame: Frame, allowance: &mut Allowance, now: Millis) -> Received {
-    let message = match frame.kind {
-        Some(Kind::Heartbeat(heartbeat)) => return Received::Heartbeat(heartbeat.into()),
-        Some(Kind::News(_)) if !allowance.take(now) => {
-            metrics::counter!("peer_news_dropped_total", "where" => "allowance").increment(1);
-            return Received::Other;
-        }
-        Some(Kind::News(news)) => news.try_into().map(Message::News),
-        Some(Kind::Have(name)) => name.try_into().map(Message::Have),
-        Some(Kind::Want(name)) => name.try_into().map(Message::Want),
-        Some(Kind::Prune(_)) => Ok(Message::Prune),
-        Some(Kind::Greeting(_)) | None => return Received::Other,
-    };
-    message.map_or(Received::Other, Received::Message)
-}
--- a/crates/peer/src/pool.rs
+++ b/crates/peer/src/pool.rs
@@ -100,12 +100,12 @@
     pub(crate) fn request<T>(&self, message: T) -> Request<T> {
         let mut request = Request::new(message);
         let bytes = self.key.text().as_bytes();
-        request.metadata_mut().insert_bin(crate::server::KEY, MetadataValue::from_bytes(bytes));
+        request.metadata_mut().insert_bin(crate::wire::KEY, MetadataValue::from_bytes(bytes));
         request
     }
 
     fn wrap(&self, channel: Channel) -> PeerClient<Channel> {
-        let room = self.body + crate::server::OVERHEAD;
+        let room = self.body + crate::wire::OVERHEAD;
         PeerClient::new(channel).max_decoding_message_size(room).max_encoding_message_size(room)
     }
 
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -1,6 +1,6 @@
 //! What peers may ask of this instance, over tonic.
 
-use std::{fmt, pin::Pin, sync::Arc};
+use std::{pin::Pin, sync::Arc};
 
 use futures::{Stream, StreamExt, stream};
 use tokio::{
@@ -18,6 +18,7 @@
 
 use crate::{
     error::NOT_RUN,
+    event::Event,
     generated::{
         CallReply, CallRequest, Caller, Chunk, Frame, ProbeReply, ProbeRequest,
         peer_server::{Peer, PeerServer},
@@ -27,16 +28,11 @@
     member::{Member, Members},
     pool::Pool,
     settings::{Key, Settings},
-    task::Event,
     topic::Topic,
     traffic::Meter,
+    wire::{KEY, OVERHEAD},
 };
 
-/// Where the shared secret travels.
-pub(crate) const KEY: &str = "arbutuslug-key-bin";
-/// Room in a message for all but the body.
-pub(crate) const OVERHEAD: usize = 64 << 10;
-
 /// Answers peers; everything that needs the links goes to the task.
 #[derive(Debug, Clone)]
 pub(crate) struct Service {
@@ -201,9 +197,3 @@
     let word = Member::try_from(reply.into_inner().member?).ok()?;
     (word.instance.id == target.instance.id).then_some(word)
 }
-
-impl fmt::Debug for Event {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.kind())
-    }
-}
--- a/crates/peer/src/task.rs
+++ b/crates/peer/src/task.rs
@@ -12,7 +12,6 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
@@ -23,18 +22,13 @@
     time::{Instant, Interval, MissedTickBehavior, interval, sleep_until},
 };
 use tokio_util::{sync::CancellationToken, task::AbortOnDropHandle};
-use tonic::{Status, Streaming};
-use world::{
-    Millis,
-    instance::{Id, State},
-};
+use world::instance::{Id, State};
 
 use crate::{
-    generated::Frame,
+    event::{Clock, Event},
     handle::{Command, Handle},
     inbound::Inbound,
-    link::{Failure, Opened, Received, Source},
-    member::{Member, Members},
+    member::Members,
     membership::Membership,
     pool::Pool,
     relay::Relay,
@@ -42,7 +36,6 @@
     settings::Settings,
     spread::Digests,
     traffic::Meter,
-    wire::Greeting,
 };
 
 /// Events waiting for the task. Small, because each reader waits in line for a
@@ -58,53 +51,6 @@
 /// How long a last word has to get out.
 const LAST_WORD: Duration = Duration::from_millis(200);
 
-/// What happens.
-pub(crate) enum Event {
-    /// A peer dialled us.
-    Accept {
-        greeting: Greeting,
-        incoming: Streaming<Frame>,
-        reply: oneshot::Sender<Result<mpsc::Receiver<Frame>, Status>>,
-    },
-    /// Dialling ended.
-    Dialled { address: SocketAddr, wanted: Option<Id>, outcome: Result<Opened, Failure> },
-    /// A frame came.
-    Received(Source, Received),
-    /// A link's incoming side ended.
-    Closed(Source),
-    /// A peer asks us for our word, and may tell a doubt.
-    Asked(Member, oneshot::Sender<Member>),
-    /// A probe ended.
-    Probed { id: Id, word: Option<Member> },
-}
-
-impl Event {
-    pub(crate) fn kind(&self) -> &'static str {
-        match self {
-            Self::Accept { .. } => "accept",
-            Self::Dialled { .. } => "dialled",
-            Self::Received(..) => "received",
-            Self::Closed(_) => "closed",
-            Self::Asked(..) => "asked",
-            Self::Probed { .. } => "probed",
-        }
-    }
-}
-
-/// Milliseconds since the start, monotonic and our own.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Clock(Instant);
-
-impl Clock {
-    fn at(self, time: Millis) -> Instant {
-        self.0 + Duration::from_millis(time)
-    }
-
-    pub(crate) fn now(self) -> Millis {
-        u64::try_from(self.0.elapsed().as_millis()).unwrap_or(u64::MAX)
-    }
-}
-
 pub(crate) struct Task {
     settings: Arc<Settings>,
     clock: Clock,
@@ -144,7 +90,7 @@
         pool: pool.clone(),
     };
     let server = AbortOnDropHandle::new(tokio::spawn(server::serve(service, listener, meter.clone(), stop.clone())));
-    let clock = Clock(Instant::now());
+    let clock = Clock::start();
     let task = Task {
         membership: Membership::new(settings.me.clone(), settings.timing, clock.now()),
         dialling: dialling::Dialling::new(&settings),
--- a/crates/peer/src/task/dialling.rs
+++ b/crates/peer/src/task/dialling.rs
@@ -12,8 +12,9 @@
     instance::{Id, Instance, State},
 };
 
-use super::{Event, Task};
+use super::Task;
 use crate::{
+    event::Event,
     link::{self, Failure, Opened},
     member::Member,
     settings::Settings,
--- a/crates/peer/src/task/links.rs
+++ b/crates/peer/src/task/links.rs
@@ -14,7 +14,8 @@
 use super::Task;
 use crate::{
     generated::Frame,
-    link::{self, Opened, Source},
+    link::{Opened, Source},
+    reader,
     spread::Spread,
     topic::Topic,
     topology,
@@ -136,7 +137,7 @@
         self.serial += 1;
         let source = Source { id: id.clone(), serial: self.serial };
         let rate = self.settings.limits.news;
-        let reader = link::read(incoming, source.clone(), self.events.clone(), self.clock, rate);
+        let reader = reader::read(incoming, source.clone(), self.events.clone(), self.clock, rate);
         self.membership.merge(vec![greeting.sender], &id, now);
         self.membership.heard(&id, now);
         self.dialling.met(&id);
--- a/crates/peer/src/task/messages.rs
+++ b/crates/peer/src/task/messages.rs
@@ -7,8 +7,9 @@
 use tokio::time::timeout;
 use world::instance::{Id, Instance};
 
-use super::{Event, Task};
+use super::Task;
 use crate::{
+    event::Event,
     inbound::Inbound,
     link::{Received, Source},
     member::Member,
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -23,6 +23,10 @@
 pub const VERSION: u32 = 1;
 /// Oldest version that this build understands.
 pub const OLDEST: u32 = 1;
+/// Where the shared secret travels.
+pub(crate) const KEY: &str = "arbutuslug-key-bin";
+/// Room in a message for all but the body.
+pub(crate) const OVERHEAD: usize = 64 << 10;
 
 /// A message that makes no sense; the text names the field.
 #[derive(Debug, Clone, PartialEq, Eq)]
