--- a/crates/trial/src/caller.rs
+++ b/crates/trial/src/caller.rs
@@ -71,6 +71,8 @@
     pub(crate) end: End,
     /// When it was told that nothing had been run under its key.
     pub(crate) not_run: Vec<NotRun>,
+    /// What it was told last of a run that was or may have been, in words.
+    pub(crate) may_have_run: Option<String>,
     pub(crate) tries: u32,
     pub(crate) took: Duration,
 }
@@ -128,6 +130,7 @@
             key: key.into(),
             end: End::Lost("no end in time".into()),
             not_run: Vec::new(),
+            may_have_run: None,
             tries: 0,
             took: Duration::ZERO,
         };
@@ -215,6 +218,7 @@
             return pause.map_or(Next::End(End::Refused(problem)), Next::Again);
         }
         sent.end = End::Told(problem.ran);
+        sent.may_have_run = Some(format!("{}: {}", problem.kind, problem.detail));
         if problem.is_answered_before() {
             return Next::End(End::Told(problem.ran));
         }
--- a/crates/trial/src/check/tests.rs
+++ b/crates/trial/src/check/tests.rs
@@ -75,6 +75,7 @@
         key: ask.tag.clone(),
         end: End::Whole(whole),
         not_run: Vec::new(),
+        may_have_run: None,
         tries: 1,
         took: Duration::ZERO,
     }
--- a/crates/trial/src/scenario.rs
+++ b/crates/trial/src/scenario.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     books,
-    caller::End,
+    caller::{End, Sent},
     check,
     fleet::Fleet,
     harm,
@@ -100,6 +100,8 @@
     pub refused: usize,
     /// Requests told that they ran or may have run.
     pub told: usize,
+    /// What each of these was told, after how many tries and how long.
+    pub told_of: Vec<String>,
     /// Promises that were broken.
     pub breaches: Vec<String>,
     /// Runs at engines on the version under roll-out.
@@ -173,11 +175,13 @@
         let findings = check::check(&self.site.catalog, traffic, &books, withdrawal);
         let new = new_version(&self.site);
         self.fleet.shutdown().await;
-        let ends: Vec<_> = traffic.played.iter().flat_map(|p| p.sent.iter().flatten()).map(|sent| &sent.end).collect();
+        let all: Vec<&Sent> = traffic.played.iter().flat_map(|p| p.sent.iter().flatten()).collect();
+        let ends: Vec<_> = all.iter().map(|sent| &sent.end).collect();
         Report {
             whole: ends.iter().filter(|end| matches!(end, End::Whole(_))).count(),
             refused: ends.iter().filter(|end| matches!(end, End::Refused(_))).count(),
             told: ends.iter().filter(|end| matches!(end, End::Told(_))).count(),
+            told_of: all.iter().filter(|sent| matches!(sent.end, End::Told(_))).map(|sent| describe(sent)).collect(),
             breaches: findings.0.iter().map(|breach| format!("{breach:?}")).collect(),
             exposed: books.records.iter().filter(|record| record.version == new).count(),
             runs: books.records.len(),
@@ -186,6 +190,13 @@
     }
 }
 
+/// What a request was told of a run that was or may have been.
+fn describe(sent: &Sent) -> String {
+    let words = sent.may_have_run.as_deref().unwrap_or("nothing in words");
+    let refusals: Vec<&str> = sent.not_run.iter().map(|not_run| not_run.detail.as_str()).collect();
+    format!("{}: {words}; {} tries in {:?}, refused before as {refusals:?}", sent.key, sent.tries, sent.took)
+}
+
 /// The version of the site's roll-out.
 fn new_version(site: &Site) -> String {
     let rollout = site.catalog.rollouts().values().next().expect("the examples have a roll-out");
