--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -252,18 +252,9 @@
     /// Waits until a request can be served for the first time, or until the
     /// start has taken too long to wait for it.
     pub async fn started(&self) {
-        loop {
-            // Before the look, or a change right after it would be missed.
-            let learned = self.learned.notified();
-            let is_decided = {
-                let state = self.lock();
-                state.lost_once || (state.catalog.is_some() && state.known >= Known::Endpoints)
-            };
-            let left = (self.opened + STARTING).saturating_sub(clock::now());
-            if is_decided || left.is_zero() || tokio::time::timeout(left, learned).await.is_err() {
-                return;
-            }
-        }
+        let is_decided =
+            |state: &State| state.lost_once || (state.catalog.is_some() && state.known >= Known::Endpoints);
+        self.learn(is_decided).await;
     }
 
     /// Notes that engines have said what they keep, or did not in time.
@@ -275,10 +266,16 @@
     /// Waits until engines have said what they keep, or until the start has taken
     /// too long to wait for it.
     pub async fn caches_known(&self) {
+        self.learn(|state| state.known == Known::Caches).await;
+    }
+
+    /// Waits until enough is known, or until the start has taken too long.
+    async fn learn(&self, is_enough: impl Fn(&State) -> bool) {
         loop {
+            // Before the look, or a change right after it would be missed.
             let learned = self.learned.notified();
+            let is_known = is_enough(&self.lock());
             let left = (self.opened + STARTING).saturating_sub(clock::now());
-            let is_known = self.lock().known == Known::Caches;
             if is_known || left.is_zero() || tokio::time::timeout(left, learned).await.is_err() {
                 return;
             }
--- a/crates/relay/src/desk/track.rs
+++ b/crates/relay/src/desk/track.rs
@@ -191,20 +191,22 @@
         let state = self.lock();
         // One that is cut off from the store does not count as watching it.
         let answered = state.track.answered.is_some_and(|at| now < at + UNANSWERED);
-        answered && !(state.in_touch && self.watches(&state, now, true))
+        answered && !(state.in_touch && self.watches(&state, &state.peers.watchers(now, true)))
     }
 
     /// Whether this instance is one of the few that look for a lost store
     /// often; the others hear from them when it is back.
     #[must_use]
     pub fn looks_first(&self) -> bool {
-        self.watches(&self.lock(), clock::now(), false)
+        let state = self.lock();
+        self.watches(&state, &state.peers.watchers(clock::now(), false))
     }
 
     /// Whether this instance ranks among those that watch the store.
     #[must_use]
     pub fn watches_store(&self) -> bool {
-        self.watches(&self.lock(), clock::now(), true)
+        let state = self.lock();
+        self.watches(&state, &state.peers.watchers(clock::now(), true))
     }
 
     /// Whom to ask, nearest first: nobody if this instance is to watch the
@@ -214,7 +216,7 @@
         let now = clock::now();
         let state = self.lock();
         let mut watchers = state.peers.watchers(now, true);
-        if state.track.revision == 0 || (state.in_touch && self.watches(&state, now, true)) {
+        if state.track.revision == 0 || (state.in_touch && self.watches(&state, &watchers)) {
             return None;
         }
         watchers.truncate(WATCHERS);
@@ -225,10 +227,9 @@
 
     /// Whether this instance is one of those that watch the store: the few that
     /// rank first, the same by everybody's reckoning.
-    fn watches(&self, state: &State, now: Duration, in_touch: bool) -> bool {
+    fn watches(&self, state: &State, others: &[Watcher]) -> bool {
         let me = Rank::new(&self.settings.instance, state.is_narrow);
-        let before = state.peers.watchers(now, in_touch).into_iter().filter(|other| other.rank < me);
-        before.count() < WATCHERS
+        others.iter().filter(|other| other.rank < me).count() < WATCHERS
     }
 
     /// Notes whether the catalog takes long to come in here.
