--- a/crates/relay/tests/it/notices.rs
+++ b/crates/relay/tests/it/notices.rs
@@ -31,7 +31,7 @@
 }
 
 /// A prompt whose last shared part is `part`, if it has one.
-fn prompt(part: Option<u64>, own_tokens: u32) -> Job<'static> {
+pub fn prompt(part: Option<u64>, own_tokens: u32) -> Job<'static> {
     Job {
         service: SERVICE,
         model: Some(0),
--- a/crates/relay/tests/it/restarts.rs
+++ b/crates/relay/tests/it/restarts.rs
@@ -17,8 +17,9 @@
 
 use crate::{
     caller,
+    notices::prompt,
     server::{Act, Server, whole},
-    site::{Kept, SERVICE, Site, catalog, dialect, endpoint, route, settings},
+    site::{Kept, Site, catalog, dialect, endpoint, route, settings},
 };
 
 /// A start of an endpoint, as registered at a revision of the store.
@@ -43,26 +44,9 @@
     Word { pause: Duration::from_mins(1), loads, ..Word::default() }
 }
 
-/// A prompt whose last shared part is `part`, if it has one.
-fn prompt(part: Option<u64>) -> Job<'static> {
-    Job {
-        service: SERVICE,
-        model: Some(0),
-        size: 1.0,
-        affinity: part.map(|part| part << 32),
-        whole: None,
-        shared_tokens: if part.is_some() { 5_000 } else { 0 },
-        own_tokens: 10_000,
-        session: 1,
-        in_session: false,
-        tried: &[],
-        version: None,
-    }
-}
-
 /// Where fifty short prompts would go, one at a time.
 fn placed(desk: &Arc<Desk>) -> Vec<String> {
-    let place = |session| Job { session, own_tokens: 100, ..prompt(None) };
+    let place = |session| Job { session, own_tokens: 100, ..prompt(None, 10_000) };
     let mut found: Vec<String> =
         (0..50).map(|n| desk.place(&place(n)).expect("an endpoint").endpoint.id.clone()).collect();
     found.sort();
@@ -71,7 +55,7 @@
 }
 
 fn busy(desk: &Arc<Desk>) -> Vec<relay::desk::fleet::Run> {
-    (0..40).map(|session| desk.place(&Job { session, ..prompt(None) }).expect("an endpoint")).collect()
+    (0..40).map(|session| desk.place(&Job { session, ..prompt(None, 10_000) }).expect("an endpoint")).collect()
 }
 
 /// An endpoint crashes under forty long prompts and is back, empty. The runs of
@@ -101,7 +85,7 @@
     desk.enlist(start("e0", 9, 200, 20));
     desk.hear("other", ([127, 0, 0, 1], 1).into(), word(load(old)));
     desk.take_notice(Notice { endpoint: old, reading_ms: 9_000.0, part: None });
-    let _busy = desk.place(&Job { tried: &[], ..prompt(None) });
+    let _busy = desk.place(&Job { tried: &[], ..prompt(None, 10_000) });
     assert_eq!(placed(&desk).len(), 1, "one is busy, the other free");
     // News of the new start counts.
     let desk = knowing();
@@ -116,17 +100,17 @@
 async fn restarted_endpoint_holds_no_parts() {
     let desk = knowing();
     desk.take_notice(Notice { endpoint: start_hash(&start("e0", 9, 100, 5)), reading_ms: 0.0, part: Some(7) });
-    let run = desk.place(&prompt(Some(7))).expect("an endpoint");
+    let run = desk.place(&prompt(Some(7), 10_000)).expect("an endpoint");
     assert!(run.choice.preferred && run.endpoint.id == "e0");
     drop(run);
     desk.notices().await;
     desk.enlist(start("e0", 9, 200, 20));
-    let run = desk.place(&prompt(Some(7))).expect("an endpoint");
+    let run = desk.place(&prompt(Some(7), 10_000)).expect("an endpoint");
     assert_eq!(run.source, None);
     // Reading it again is reckoned with.
     let backlog: f64 = desk.own_loads().iter().map(|(_, load)| load.backlog_ms).sum();
     let told: f64 = desk.notices().await.iter().map(|notice| notice.reading_ms).sum();
-    let whole = desk.expect_idle(&Job { own_tokens: 15_000, shared_tokens: 0, ..prompt(Some(7)) });
+    let whole = desk.expect_idle(&Job { own_tokens: 15_000, shared_tokens: 0, ..prompt(Some(7), 10_000) });
     assert!(backlog + told > 0.8 * whole, "{backlog} + {told} of {whole}");
 }
 
