Sum loads of other instances by difference; tell each caller of 64 instances of its own

And all callers were told of the same 64 instances, sorted by address: one failure domain and a bit carried everything, 231 instances idled.

Ruled out: sums a few times a second in one pass (tried when the issue was written): they are stale between and still grow with instances times endpoints.

Change: a word replaces the one before it in the sums, so it costs what the two carry; who falls silent, leaves or starts again is taken out, held by a property test against the sum from scratch. Of many instances a caller is told of 32 in its own failure domain and the rest in turn of the others, by a weighted rendezvous hash of caller and instance; the new setting `cores` gives the weights, and larger instances watch the store first. Pure, in `route::relay::fronts`, with tests of spread, steadiness and loss.

--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -23,7 +23,7 @@
     catalog::{Catalog, Kind as Repeat, Route, Service, Target},
     dialect::{Dialect, Names},
     rollout::Rollout,
-    settings::Listeners,
+    settings::{Cores, Listeners},
     source::{Batch, Change, Endpoint, Fault, Instance, Kind, Listing, Progress, Read, Record, Source},
 };
 use route::relay::{allowance, canary::Stage};
@@ -249,6 +249,7 @@
         session: Duration::from_secs(5),
         grace: Duration::from_secs(8),
         keep_addresses: Duration::from_secs(5),
+        cores: Cores::default(),
         body_memory: 64 << 20,
     }
 }
--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -232,7 +232,7 @@
     /// Instances believed to live, this one included.
     #[must_use]
     pub fn members(&self) -> usize {
-        self.lock().peers.live(clock::now()) + 1
+        self.lock().settle_peers(clock::now()) + 1
     }
 
     /// Age of what is known of access keys.
@@ -350,7 +350,7 @@
 
     fn with_allowance<T>(&self, service: &str, apply: impl FnOnce(&mut Allowance, usize) -> T) -> T {
         let mut state = self.lock();
-        let members = state.peers.live(clock::now()) + 1;
+        let members = state.settle_peers(clock::now()) + 1;
         if !state.allowances.contains_key(service) {
             state.allowances.insert(service.to_owned(), Allowance::new(self.settings.allowance));
         }
--- a/crates/relay/src/desk/fleet.rs
+++ b/crates/relay/src/desk/fleet.rs
@@ -63,6 +63,8 @@
 pub struct Fleet {
     servers: SlotMap<Key, Server>,
     by_name: HashMap<String, Key>,
+    /// By the hash that news and notices name them by.
+    by_hash: HashMap<u32, Key>,
     paces: HashMap<Work, Pace>,
     usual: HashMap<String, f64>,
     holders: Holders,
@@ -196,24 +198,15 @@
     }
 }
 
-impl State {
-    /// Sums other instances' loads up anew.
-    pub(super) fn settle_loads(&mut self, now: Duration) {
-        for server in self.fleet.servers.values_mut() {
-            server.others = self.peers.load(server.hash, now);
-        }
-    }
-}
-
 impl Server {
-    fn new(endpoint: Endpoint, now: Duration) -> Self {
+    fn new(endpoint: Endpoint, others: Load, now: Duration) -> Self {
         Self {
             hash: start_hash(&endpoint),
             endpoint: Arc::new(endpoint),
             runs: 0,
             backlog_ms: 0.0,
             told_ms: 0.0,
-            others: Load::default(),
+            others,
             noticed: Backlog::default(),
             slowness: Record { value: 1.0, at: now },
             failing: Record { value: 0.0, at: now },
--- a/crates/relay/src/desk/fleet/notices.rs
+++ b/crates/relay/src/desk/fleet/notices.rs
@@ -47,7 +47,7 @@
 impl State {
     /// Has a prompt told to the other instances if it is long enough.
     pub(super) fn tell(&mut self, key: Key, job: &Job<'_>, reading_ms: f64, now: Duration) -> bool {
-        let others = self.peers.live(now);
+        let others = self.settle_peers(now);
         let Some(server) = self.fleet.servers.get_mut(key) else { return false };
         let part = job.part().filter(|_| job.shared_tokens >= WORTH_KEEPING);
         if let Some(part) = part {
@@ -79,8 +79,7 @@
     pub fn take_notice(&self, notice: Notice) {
         let now = clock::now();
         let mut state = self.lock();
-        let named = |server: &&mut super::Server| server.hash == notice.endpoint;
-        if let Some(server) = state.fleet.servers.values_mut().find(named) {
+        if let Some(server) = state.fleet.by_hash(notice.endpoint) {
             server.noticed.add(now, notice.reading_ms);
         }
         if let Some(part) = notice.part {
--- a/crates/relay/src/desk/fleet/registry.rs
+++ b/crates/relay/src/desk/fleet/registry.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{Fleet, Server};
+use super::{Fleet, Key, Load, Server, start_hash};
 use crate::{clock, desk::Desk, source::Endpoint};
 
 /// What a registration is to what is known under its name.
@@ -68,14 +68,15 @@
             );
         }
         state.trials.sight(&endpoint.service, &endpoint.version, now);
-        state.fleet.register(endpoint, standing, now);
+        let others = state.peers.load(start_hash(&endpoint));
+        state.fleet.register(endpoint, standing, others, now);
     }
 
     /// Forgets an endpoint whose registration is gone.
     pub fn delist(&self, id: &str) {
         let fleet = &mut self.lock().fleet;
         if let Some(key) = fleet.by_name.remove(id) {
-            fleet.servers.remove(key);
+            fleet.remove(key);
             tracing::info!(endpoint = id, "endpoint gone");
         }
     }
@@ -117,12 +118,12 @@
         Some(&server.endpoint)
     }
 
-    fn register(&mut self, endpoint: Endpoint, standing: Standing, now: Duration) {
+    fn register(&mut self, endpoint: Endpoint, standing: Standing, others: Load, now: Duration) {
         let known = self.by_name.get(&endpoint.id).copied();
         if standing == Standing::Restarted
             && let Some(key) = known
         {
-            self.servers.remove(key);
+            self.remove(key);
         }
         if let Some(server) = known.and_then(|key| self.servers.get_mut(key)) {
             server.registered = now;
@@ -130,7 +131,29 @@
             return;
         }
         let name = endpoint.id.clone();
-        let key = self.servers.insert(Server::new(endpoint, now));
+        let server = Server::new(endpoint, others, now);
+        let hash = server.hash;
+        let key = self.servers.insert(server);
         self.by_name.insert(name, key);
+        self.by_hash.insert(hash, key);
+    }
+
+    fn remove(&mut self, key: Key) {
+        let Some(server) = self.servers.remove(key) else { return };
+        if self.by_hash.get(&server.hash) == Some(&key) {
+            self.by_hash.remove(&server.hash);
+        }
+    }
+
+    /// The endpoint whose start has a hash.
+    pub(super) fn by_hash(&mut self, hash: u32) -> Option<&mut Server> {
+        self.servers.get_mut(*self.by_hash.get(&hash)?)
+    }
+
+    /// Notes what other instances put on an endpoint, if it is known.
+    pub(in crate::desk) fn bear(&mut self, endpoint: u32, load: Load) {
+        if let Some(server) = self.by_hash(endpoint) {
+            server.others = load;
+        }
     }
 }
--- a/crates/relay/src/desk/peers.rs
+++ b/crates/relay/src/desk/peers.rs
@@ -1,14 +1,27 @@
 //! Other instances, as their news tells.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+mod sums;
+#[cfg(test)]
+mod tests;
 
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+
+use rand::seq::IteratorRandom;
+use route::relay::fronts;
+use world::hash;
+
+use self::sums::Sums;
 use super::{
-    Desk,
+    Desk, State,
     fleet::Load,
     track::{Rank, Watcher},
     trials::Report,
 };
-use crate::clock;
+use crate::{clock, settings::Cores};
 
 /// Pieces of news that must be missing before an instance is believed gone:
 /// one may be lost, and the next one late.
@@ -30,16 +43,26 @@
 pub struct Peers {
     /// The failure domain of this instance.
     pub(super) domain: String,
-    known: HashMap<String, Peer>,
+    known: BTreeMap<String, Peer>,
     /// Where instances hear news that were heard for the first time, or again.
     greeted: Vec<SocketAddr>,
+    /// Loads of those that count as live.
+    sums: Sums,
+    /// How many count as live.
+    live: usize,
+    /// None of these falls silent before.
+    next_silence: Duration,
 }
 
 #[derive(Debug)]
 struct Peer {
+    /// Hash of its name.
+    hash: u64,
     news: SocketAddr,
     found: Duration,
     heard: Option<Duration>,
+    /// Whether it counts as live; [`Peers::settle`] keeps this in step.
+    counts: bool,
     word: Word,
 }
 
@@ -72,6 +95,8 @@
     pub in_touch: bool,
     /// Whether the catalog takes long to come in there.
     pub is_narrow: bool,
+    /// Processor it has.
+    pub cores: Cores,
     /// Longest time until its next piece of news.
     pub pause: Duration,
     /// Loads it puts on endpoints, by the hash of their names.
@@ -91,40 +116,74 @@
 }
 
 impl Peers {
-    /// Number of instances heard from of late.
-    #[must_use]
-    pub fn live(&self, now: Duration) -> usize {
-        self.known.values().filter(|peer| peer.live(now)).count()
+    /// Lets instances that have fallen silent count no longer.
+    ///
+    /// Looks at all of them only when one may have: a word moves its instance's
+    /// own silence on, so that comes about once a round of news.
+    fn settle(&mut self, now: Duration) {
+        if now < self.next_silence {
+            return;
+        }
+        self.next_silence = Duration::MAX;
+        for peer in self.known.values_mut().filter(|peer| peer.counts) {
+            if peer.live(now) {
+                self.next_silence = self.next_silence.min(peer.silent_at());
+                continue;
+            }
+            peer.counts = false;
+            self.live -= 1;
+            self.sums.take_away(&peer.word.loads);
+        }
     }
 
-    /// Load that live instances put on an endpoint.
-    pub(super) fn load(&self, endpoint: u32, now: Duration) -> Load {
-        let loads = self.known.values().filter(|peer| peer.live(now)).filter_map(|p| p.word.loads.get(&endpoint));
-        loads.fold(Load::default(), |sum, load| Load {
-            runs: sum.runs + load.runs,
-            backlog_ms: sum.backlog_ms + load.backlog_ms,
-        })
+    /// Takes an instance's word in.
+    fn take(&mut self, name: &str, word: Word, now: Duration) {
+        self.settle(now);
+        let Some(peer) = self.known.get_mut(name) else { return };
+        if word.run < peer.word.run {
+            return;
+        }
+        if peer.counts {
+            self.sums.take_away(&peer.word.loads);
+        } else {
+            tracing::info!(instance = name, "instance heard again");
+            self.greeted.push(peer.news);
+            peer.counts = true;
+            self.live += 1;
+        }
+        peer.heard = Some(now);
+        peer.word = word;
+        self.sums.add(&peer.word.loads);
+        self.next_silence = self.next_silence.min(peer.silent_at());
     }
 
-    /// Live instances that may watch the store, by rank: those whose own calls
-    /// to it succeed, or any.
-    pub(super) fn watchers(&self, now: Duration, in_touch: bool) -> Vec<Watcher> {
+    /// Forgets an instance.
+    fn forget(&mut self, name: &str) {
+        let Some(peer) = self.known.remove(name) else { return };
+        if peer.counts {
+            self.live -= 1;
+            self.sums.take_away(&peer.word.loads);
+        }
+    }
+
+    /// Load that live instances put on an endpoint, as of the last word or look.
+    pub(super) fn load(&self, endpoint: u32) -> Load {
+        self.sums.of(endpoint)
+    }
+
+    /// Live instances that may watch the store: those whose own calls to it
+    /// succeed, or any.
+    pub(super) fn watchers(&self, now: Duration, in_touch: bool) -> impl Iterator<Item = Watcher> {
         // Not only ready ones: before an operator has written the first catalog
         // none is, and each of a whole fleet would watch the store by itself.
-        let able =
-            |peer: &Peer| peer.live(now) && peer.word.phase != Phase::Leaving && (peer.word.in_touch || !in_touch);
-        let mut watchers: Vec<Watcher> = self
-            .known
-            .iter()
-            .filter(|(_, peer)| able(peer))
-            .map(|(name, peer)| Watcher {
-                news: peer.news,
-                rank: Rank::new(name, peer.word.is_narrow),
-                near: peer.word.domain == self.domain,
-            })
-            .collect();
-        watchers.sort_by_key(|watcher| watcher.rank);
-        watchers
+        let able = move |peer: &&Peer| {
+            peer.live(now) && peer.word.phase != Phase::Leaving && (peer.word.in_touch || !in_touch)
+        };
+        self.known.values().filter(able).map(|peer| Watcher {
+            news: peer.news,
+            rank: Rank::new(peer.word.is_narrow, peer.word.cores, peer.hash),
+            near: peer.word.domain == self.domain,
+        })
     }
 
     /// Whether a session was on an old version at another instance a moment ago.
@@ -141,8 +200,24 @@
 
 impl Peer {
     fn live(&self, now: Duration) -> bool {
-        let silent = SILENT.max(self.word.pause * MISSING);
-        self.heard.is_some_and(|heard| now < heard + silent)
+        now < self.silent_at()
+    }
+
+    /// When it counts as gone unless it is heard before.
+    fn silent_at(&self) -> Duration {
+        self.heard.map_or(Duration::ZERO, |heard| heard + SILENT.max(self.word.pause * MISSING))
+    }
+}
+
+impl State {
+    /// Brings loads of other instances in step with what was heard and who has
+    /// fallen silent; the number of those that live.
+    pub(super) fn settle_peers(&mut self, now: Duration) -> usize {
+        self.peers.settle(now);
+        for endpoint in self.peers.sums.take_changed() {
+            self.fleet.bear(endpoint, self.peers.sums.of(endpoint));
+        }
+        self.peers.live
     }
 }
 
@@ -161,7 +236,8 @@
         let mut state = self.lock();
         let peer = state.peers.known.entry(name.to_owned()).or_insert_with(|| {
             tracing::info!(instance = name, %news, "instance found");
-            Peer { news, found: now, heard: None, word: Word::default() }
+            let hash = hash::stable(name.as_bytes());
+            Peer { hash, news, found: now, heard: None, counts: false, word: Word::default() }
         });
         peer.news = news;
     }
@@ -170,20 +246,10 @@
     pub fn hear(&self, name: &str, news: SocketAddr, word: Word) {
         self.meet(name, news);
         let now = clock::now();
-        let mut state = self.lock();
-        let Some(peer) = state.peers.known.get_mut(name) else { return };
-        if word.run < peer.word.run {
-            return;
-        }
-        if !peer.live(now) {
-            tracing::info!(instance = name, "instance heard again");
-            state.peers.greeted.push(news);
-        }
-        let Some(peer) = state.peers.known.get_mut(name) else { return };
-        peer.heard = Some(now);
         let catalog = word.catalog;
-        peer.word = word;
-        state.settle_loads(now);
+        let mut state = self.lock();
+        state.peers.take(name, word, now);
+        state.settle_peers(now);
         drop(state);
         // The instance that keeps this one in step may itself be cut off from
         // the store and not know it yet: it goes on to prove an old catalog,
@@ -193,7 +259,7 @@
 
     /// Forgets an instance that has left.
     pub fn part(&self, name: &str) {
-        self.lock().peers.known.remove(name);
+        self.lock().peers.forget(name);
     }
 
     /// Whether another instance's knowledge of access keys is fresh.
@@ -237,35 +303,85 @@
         strangers
     }
 
-    /// Where to send news, with each instance's name.
+    /// Where to send the next piece of news: a part of the known instances that
+    /// moves on with each turn, and the number of turns until all have had one.
     #[must_use]
-    pub fn audience(&self) -> Vec<(String, SocketAddr)> {
+    pub fn audience(&self, turn: usize, most: usize) -> (Vec<SocketAddr>, usize) {
         let now = clock::now();
         let mut state = self.lock();
-        state.peers.known.retain(|_, peer| now < peer.heard.unwrap_or(peer.found) + FORGOTTEN);
-        state.peers.known.iter().map(|(name, peer)| (name.clone(), peer.news)).collect()
+        // Those long gone do not count any more, so nothing has to be taken away.
+        state.peers.known.retain(|_, peer| peer.counts || now < peer.heard.unwrap_or(peer.found) + FORGOTTEN);
+        let rounds = state.peers.known.len().div_ceil(most).max(1);
+        let in_turn = state.peers.known.values().skip(turn % rounds).step_by(rounds);
+        (in_turn.map(|peer| peer.news).collect(), rounds)
+    }
+
+    /// Some instances drawn at random, each with where it hears news.
+    #[must_use]
+    pub fn some_peers(&self, most: usize) -> Vec<(String, SocketAddr)> {
+        let state = self.lock();
+        let drawn = state.peers.known.iter().choose_multiple(&mut rand::rng(), most);
+        drawn.into_iter().map(|(name, peer)| (name.clone(), peer.news)).collect()
     }
 
-    /// Where callers may go: every instance that says it is ready, those with
-    /// fresh keys if there are any, and this one if nothing better is known.
+    /// Where a caller may go: instances that say they are ready, those with fresh
+    /// keys if there are any, and this one if nothing better is known; of many,
+    /// those that [`fronts::choose`] picks for the caller.
     #[must_use]
-    pub fn fronts(&self) -> Vec<SocketAddr> {
+    pub fn fronts(&self, asking: &Asking) -> Vec<SocketAddr> {
         let now = clock::now();
         let (me_ready, me_fresh) = (self.ready(), self.fresh());
         let state = self.lock();
-        let live = state.peers.known.values().filter(|peer| peer.live(now) && peer.word.ready());
-        let mut all: Vec<(bool, SocketAddr)> =
-            live.filter_map(|peer| Some((peer.word.fresh, peer.word.front?))).collect();
+        let mut all: Vec<Front<'_>> =
+            state.peers.known.values().filter(|peer| peer.live(now) && peer.word.ready()).filter_map(Front::of).collect();
         if me_ready {
-            all.push((me_fresh, self.settings.listeners.front));
+            let me = fronts::Candidate {
+                hash: hash::stable(self.settings.instance.as_bytes()),
+                domain: &self.settings.domain,
+                cores: self.settings.cores.get(),
+            };
+            all.push(Front { address: self.settings.listeners.front, is_fresh: me_fresh, candidate: me });
         }
-        if all.iter().any(|(fresh, _)| *fresh) {
-            all.retain(|(fresh, _)| *fresh);
+        if all.iter().any(|front| front.is_fresh) {
+            all.retain(|front| front.is_fresh);
         }
-        let mut fronts: Vec<SocketAddr> = all.into_iter().map(|(_, front)| front).collect();
-        fronts.sort_unstable();
-        fronts.truncate(MOST_ADDRESSES);
-        fronts
+        let candidates: Vec<fronts::Candidate<'_>> = all.iter().map(|front| front.candidate).collect();
+        let chosen = fronts::choose(&candidates, asking.caller(), MOST_ADDRESSES);
+        let mut addresses: Vec<SocketAddr> = chosen.into_iter().map(|index| all[index].address).collect();
+        addresses.sort_unstable();
+        addresses
+    }
+}
+
+/// Who asks where to go.
+#[derive(Debug, Clone, Default)]
+pub struct Asking {
+    /// Its failure domain, if it says.
+    pub domain: Option<String>,
+    /// Where it asks from.
+    pub from: Option<IpAddr>,
+}
+
+impl Asking {
+    fn caller(&self) -> fronts::Caller<'_> {
+        let domain = self.domain.as_deref();
+        let from = self.from.map(|from| from.to_string()).unwrap_or_default();
+        let key = hash::stable(domain.unwrap_or_default().as_bytes());
+        fronts::Caller { domain, hash: hash::rendezvous(key, from.as_bytes()) }
+    }
+}
+
+/// An instance that callers may be told of.
+struct Front<'a> {
+    address: SocketAddr,
+    is_fresh: bool,
+    candidate: fronts::Candidate<'a>,
+}
+
+impl<'a> Front<'a> {
+    fn of(peer: &'a Peer) -> Option<Self> {
+        let candidate = fronts::Candidate { hash: peer.hash, domain: &peer.word.domain, cores: peer.word.cores.get() };
+        Some(Self { address: peer.word.front?, is_fresh: peer.word.fresh, candidate })
     }
 }
 
--- /dev/null
+++ b/crates/relay/src/desk/peers/tests.rs
@@ -0,0 +1,93 @@
+//! Loads of other instances, kept in step with who lives.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use proptest::prelude::*;
+
+use super::{Peer, Peers, Word};
+use crate::desk::fleet::Load;
+
+const INSTANCES: u32 = 6;
+const ENDPOINTS: u32 = 5;
+
+/// What happens to an instance's peers.
+#[derive(Debug, Clone)]
+enum Event {
+    Heard { instance: u32, run: u64, loads: Vec<(u32, u16)> },
+    Left(u32),
+    Passed { ms: u64 },
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let loads = prop::collection::vec((0..ENDPOINTS, 0..50_u16), 0..4);
+    prop_oneof![
+        5 => (0..INSTANCES, 0..3_u64, loads).prop_map(|(instance, run, loads)| Event::Heard { instance, run, loads }),
+        1 => (0..INSTANCES).prop_map(Event::Left),
+        3 => (0..900_u64).prop_map(|ms| Event::Passed { ms }),
+    ]
+}
+
+fn news(instance: u32) -> SocketAddr {
+    ([127, 0, 0, 1], u16::try_from(1_000 + instance).unwrap()).into()
+}
+
+fn hear(peers: &mut Peers, instance: u32, word: Word, now: Duration) {
+    let name = format!("i{instance}");
+    let peer =
+        Peer { hash: 0, news: news(instance), found: now, heard: None, counts: false, word: Word::default() };
+    peers.known.entry(name.clone()).or_insert(peer);
+    peers.take(&name, word, now);
+}
+
+fn word(run: u64, loads: &[(u32, u16)]) -> Word {
+    let load = |runs| Load { runs: f64::from(runs), backlog_ms: 3.0 * f64::from(runs) };
+    let loads = loads.iter().map(|(endpoint, runs)| (*endpoint, load(*runs))).collect();
+    Word { run, pause: Duration::from_millis(250), loads, ..Word::default() }
+}
+
+/// The sum over all that live, from scratch.
+fn summed(peers: &Peers, endpoint: u32, now: Duration) -> Load {
+    let live = peers.known.values().filter(|peer| peer.live(now));
+    let loads = live.filter_map(|peer| peer.word.loads.get(&endpoint));
+    loads.fold(Load::default(), |sum, load| Load {
+        runs: sum.runs + load.runs,
+        backlog_ms: sum.backlog_ms + load.backlog_ms,
+    })
+}
+
+proptest! {
+    /// Loads of an instance that fell silent, left or started again stayed on
+    /// its endpoints, or were taken off them twice.
+    #[test]
+    fn sums_are_those_of_who_lives(events in prop::collection::vec(event(), 1..80)) {
+        let (mut peers, mut now) = (Peers::default(), Duration::from_secs(9));
+        for event in events {
+            match event {
+                Event::Heard { instance, run, loads } => hear(&mut peers, instance, word(run, &loads), now),
+                Event::Left(instance) => peers.forget(&format!("i{instance}")),
+                Event::Passed { ms } => now += Duration::from_millis(ms),
+            }
+            peers.settle(now);
+            prop_assert_eq!(peers.live, peers.known.values().filter(|peer| peer.live(now)).count());
+            for endpoint in 0..ENDPOINTS {
+                prop_assert_eq!(peers.load(endpoint), summed(&peers, endpoint, now));
+            }
+        }
+    }
+}
+
+/// Each piece of news was summed up over all instances and endpoints: nine tenths
+/// of the processor time of 295 instances.
+#[test]
+fn a_piece_costs_what_it_carries() {
+    let mut peers = Peers::default();
+    let now = Duration::from_secs(9);
+    let loads: HashMap<u32, Load> = word(1, &[(1, 2), (2, 4), (3, 6)]).loads;
+    for instance in 0..300 {
+        let own = loads.iter().map(|(endpoint, load)| (endpoint + 3 * instance, *load)).collect();
+        hear(&mut peers, instance, Word { loads: own, ..word(1, &[]) }, now);
+    }
+    peers.sums.take_changed();
+    hear(&mut peers, 7, Word { loads, ..word(2, &[]) }, now);
+    assert_eq!(peers.sums.take_changed().len(), 6);
+}
--- a/crates/relay/src/desk/track.rs
+++ b/crates/relay/src/desk/track.rs
@@ -8,13 +8,13 @@
 //! way only makes it look older. What does not fit, or is no longer kept, is
 //! read from the store; so is everything while nobody answers.
 
-use std::{collections::VecDeque, net::SocketAddr, time::Duration};
+use std::{cmp::Reverse, collections::VecDeque, net::SocketAddr, time::Duration};
 
 use route::relay::freshness::{Proof, Succession};
 use world::hash;
 
 use super::{Desk, Known, State};
-use crate::{clock, rollout::Rollout, source::Endpoint};
+use crate::{clock, rollout::Rollout, settings::Cores, source::Endpoint};
 
 /// Instances that watch the store: when one is lost, the others ask the next
 /// one and a further one takes its place within a second.
@@ -191,7 +191,7 @@
         let state = self.lock();
         // One that is cut off from the store does not count as watching it.
         let answered = state.track.answered.is_some_and(|at| now < at + UNANSWERED);
-        answered && !(state.in_touch && self.watches(&state, &state.peers.watchers(now, true)))
+        answered && !(state.in_touch && self.watches(&state, now, true))
     }
 
     /// Whether this instance is one of the few that look for a lost store
@@ -199,14 +199,14 @@
     #[must_use]
     pub fn looks_first(&self) -> bool {
         let state = self.lock();
-        self.watches(&state, &state.peers.watchers(clock::now(), false))
+        self.watches(&state, clock::now(), false)
     }
 
     /// Whether this instance ranks among those that watch the store.
     #[must_use]
     pub fn watches_store(&self) -> bool {
         let state = self.lock();
-        self.watches(&state, &state.peers.watchers(clock::now(), true))
+        self.watches(&state, clock::now(), true)
     }
 
     /// Whom to ask, nearest first: nobody if this instance is to watch the
@@ -215,10 +215,11 @@
     pub fn whom_to_ask(&self, turn: usize) -> Option<SocketAddr> {
         let now = clock::now();
         let state = self.lock();
-        let mut watchers = state.peers.watchers(now, true);
-        if state.track.revision == 0 || (state.in_touch && self.watches(&state, &watchers)) {
+        if state.track.revision == 0 || (state.in_touch && self.watches(&state, now, true)) {
             return None;
         }
+        let mut watchers: Vec<Watcher> = state.peers.watchers(now, true).collect();
+        watchers.sort_unstable_by_key(|watcher| watcher.rank);
         watchers.truncate(WATCHERS);
         watchers.sort_by_key(|watcher| !watcher.near);
         let turn = turn + usize::try_from(state.track.doubts).unwrap_or_default();
@@ -227,9 +228,11 @@
 
     /// Whether this instance is one of those that watch the store: the few that
     /// rank first, the same by everybody's reckoning.
-    fn watches(&self, state: &State, others: &[Watcher]) -> bool {
-        let me = Rank::new(&self.settings.instance, state.is_narrow);
-        others.iter().filter(|other| other.rank < me).count() < WATCHERS
+    fn watches(&self, state: &State, now: Duration, in_touch: bool) -> bool {
+        let hash = hash::stable(self.settings.instance.as_bytes());
+        let me = Rank::new(state.is_narrow, self.settings.cores, hash);
+        let mut before = state.peers.watchers(now, in_touch).filter(|other| other.rank < me);
+        before.nth(WATCHERS - 1).is_none()
     }
 
     /// Notes whether the catalog takes long to come in here.
@@ -372,17 +375,19 @@
 ///
 /// Over a narrow link a change is at its watcher a second late, and so at all
 /// others; over a wide one a catalog of a megabyte takes some 50 ms. So those with
-/// wide links come first, and the hash of the name decides among alike.
+/// wide links come first, then those with more processor, since a watcher answers
+/// the whole fleet's questions; the hash of the name decides among alike.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
     is_narrow: bool,
+    cores: Reverse<Cores>,
     hash: u64,
 }
 
 impl Rank {
-    /// The place of an instance.
+    /// The place of an instance, by its link, its processor and the hash of its name.
     #[must_use]
-    pub fn new(name: &str, is_narrow: bool) -> Self {
-        Self { is_narrow, hash: hash::stable(name.as_bytes()) }
+    pub fn new(is_narrow: bool, cores: Cores, hash: u64) -> Self {
+        Self { is_narrow, cores: Reverse(cores), hash }
     }
 }
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -16,6 +16,8 @@
     pub ready_path: &'static str,
     /// Path that callers ask for addresses at.
     pub addresses_path: &'static str,
+    /// The caller's failure domain, from the query of such a question.
+    pub asking_domain: fn(&str) -> Option<String>,
     /// Body that lists addresses and says for how many seconds to keep them.
     pub addresses: fn(&[SocketAddr], u32) -> Bytes,
     /// Path at which an engine lists its prompt cache.
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -8,7 +8,8 @@
 
 use crate::{
     answer::{self, Body},
-    desk::Desk,
+    desk::{Desk, peers::Asking},
+    front::Origin,
 };
 
 /// How long callers may keep an answer, in seconds. Some keep it three times
@@ -21,7 +22,7 @@
     if request.uri().path() != desk.dialect.addresses_path {
         return status(StatusCode::NOT_FOUND);
     }
-    let fronts = desk.fronts();
+    let fronts = desk.fronts(&asking(desk, request));
     if fronts.is_empty() {
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
@@ -39,6 +40,12 @@
     status(if desk.ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
 }
 
+/// Who asks, as far as the question and its connection tell.
+fn asking(desk: &Desk, request: &Request<Incoming>) -> Asking {
+    let domain = request.uri().query().and_then(desk.dialect.asking_domain);
+    Asking { domain, from: request.extensions().get().map(|Origin(address)| *address) }
+}
+
 fn status(code: StatusCode) -> Response<Body> {
     let mut response = Response::new(answer::full(Bytes::new()));
     *response.status_mut() = code;
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -1,6 +1,12 @@
 //! Listening for HTTP, one task a connection.
 
-use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    io,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use http::{Request, Response};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -29,6 +35,10 @@
 /// caller that lost power would else hold its place for hours.
 const PROBE: Duration = Duration::from_secs(10);
 
+/// Where a request's connection comes from, among its extensions.
+#[derive(Debug, Clone, Copy)]
+pub struct Origin(pub IpAddr);
+
 /// Binds a listener.
 pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
@@ -47,8 +57,8 @@
 {
     let serve = Arc::new(serve);
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, origin) = match listener.accept().await {
+            Ok((stream, address)) => (stream, Origin(address.ip())),
             Err(error) => {
                 tracing::warn!(%error, "connection not accepted");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -60,7 +70,8 @@
             continue;
         }
         let serve = Arc::clone(&serve);
-        let service = service_fn(move |request| {
+        let service = service_fn(move |mut request: Request<Incoming>| {
+            request.extensions_mut().insert(origin);
             let answer = serve(request);
             async move { Ok::<_, Infallible>(answer.await) }
         });
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -12,7 +12,6 @@
     time::Duration,
 };
 
-use rand::seq::SliceRandom;
 use tokio::{net::UdpSocket, time::sleep};
 
 use crate::{
@@ -83,13 +82,10 @@
     }
     let mut turn = 0;
     loop {
-        let mut audience = desk.audience();
-        audience.sort_unstable();
-        let rounds = audience.len().div_ceil(AUDIENCE).max(1);
+        let (in_turn, rounds) = desk.audience(turn, AUDIENCE);
         let pause = PAUSE * u32::try_from(rounds).unwrap_or(u32::MAX);
         let bytes = encode(&Packet::News(piece(desk, run, pause)));
-        let in_turn = audience.iter().skip(turn % rounds).step_by(rounds).map(|(_, news)| *news);
-        for news in in_turn.chain(desk.strangers()) {
+        for news in in_turn.into_iter().chain(desk.strangers()) {
             send(socket, news, &bytes);
         }
         turn += 1;
@@ -159,9 +155,6 @@
 }
 
 fn piece(desk: &Desk, run: u64, pause: Duration) -> Piece {
-    let mut named = desk.audience();
-    named.shuffle(&mut rand::rng());
-    named.truncate(NAMED);
     Piece {
         name: desk.settings.instance.clone(),
         run,
@@ -170,9 +163,10 @@
         fresh: desk.fresh(),
         in_touch: desk.in_touch(),
         narrow: desk.is_narrow(),
+        centicores: desk.settings.cores.0,
         domain: desk.settings.domain.clone(),
         pause_ms: short_ms(pause),
-        named,
+        named: desk.some_peers(NAMED),
         loads: desk
             .own_loads()
             .into_iter()
--- a/crates/relay/src/news/wire.rs
+++ b/crates/relay/src/news/wire.rs
@@ -13,6 +13,7 @@
         trials::{Report, Tallies},
     },
     rollout::Rollout,
+    settings::Cores,
     source::Endpoint,
 };
 
@@ -119,6 +120,7 @@
     pub(super) fresh: bool,
     pub(super) in_touch: bool,
     pub(super) narrow: bool,
+    pub(super) centicores: u32,
     pub(super) domain: String,
     pub(super) pause_ms: u32,
     pub(super) named: Vec<(String, SocketAddr)>,
@@ -325,6 +327,7 @@
             domain: piece.domain.clone(),
             in_touch: piece.in_touch,
             is_narrow: piece.narrow,
+            cores: Cores(piece.centicores),
             pause: Duration::from_millis(u64::from(piece.pause_ms)),
             loads: piece.loads.iter().map(load).collect::<HashMap<_, _>>(),
             sessions: piece.sessions.clone(),
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -31,10 +31,39 @@
     pub grace: Duration,
     /// Longest time that callers keep an answer about addresses.
     pub keep_addresses: Duration,
+    /// Processor that this instance has.
+    pub cores: Cores,
     /// Memory that waiting bodies may take, in bytes.
     pub body_memory: usize,
 }
 
+/// Processor that an instance has, in hundredths of a core, as news carries it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Cores(pub u32);
+
+impl Cores {
+    /// So many cores.
+    #[must_use]
+    pub fn new(cores: f64) -> Self {
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "clamped to the type's range")]
+        let hundredths = (cores * 100.0).round().clamp(0.0, f64::from(u32::MAX)) as u32;
+        Self(hundredths)
+    }
+
+    /// The same in cores.
+    #[must_use]
+    pub fn get(self) -> f64 {
+        f64::from(self.0) / 100.0
+    }
+}
+
+impl Default for Cores {
+    /// Instances of which nothing is said count as alike.
+    fn default() -> Self {
+        Self(100)
+    }
+}
+
 /// Where the relay listens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Listeners {
--- a/crates/relay/tests/it/site.rs
+++ b/crates/relay/tests/it/site.rs
@@ -18,7 +18,7 @@
     catalog::{Catalog, Kind, Model, Route, Service, Target, Team},
     dialect::{Cached, Dialect, Names},
     rollout::Rollout,
-    settings::Listeners,
+    settings::{Cores, Listeners},
     source::{self, Batch, Change, Endpoint, Fault, Instance, Listing, Progress, Record, Source},
 };
 use route::relay::{allowance, canary::Stage};
@@ -248,6 +248,7 @@
         session: Duration::from_secs(5),
         grace: Duration::from_secs(2),
         keep_addresses: Duration::from_secs(5),
+        cores: Cores::default(),
         body_memory: 1 << 20,
     }
 }
@@ -332,6 +333,7 @@
         },
         ready_path: "/ready",
         addresses_path: "/addresses",
+        asking_domain: |query| query.strip_prefix("domain=").map(str::to_owned),
         addresses: |fronts, keep| format!("{fronts:?} {keep}").into(),
         cache_path: "/cache",
         cached: |body| {
--- a/crates/relay/tests/it/track.rs
+++ b/crates/relay/tests/it/track.rs
@@ -12,7 +12,7 @@
     desk::{
         Desk,
         fleet::{Job, Load, short_hash},
-        peers::{Phase, Word},
+        peers::{Asking, Phase, Word},
         track::{Change, Question, Reply},
     },
 };
@@ -169,11 +169,11 @@
         version: None,
     };
     let busy_ms = here.expect(&job).unwrap();
-    assert!(here.fronts().contains(&front));
+    assert!(here.fronts(&Asking::default()).contains(&front));
     assert_eq!(here.members(), 2);
 
     tokio::time::sleep(Duration::from_millis(1_200)).await;
-    assert!(!here.fronts().contains(&front));
+    assert!(!here.fronts(&Asking::default()).contains(&front));
     assert_eq!(here.members(), 1);
     // Loads are summed up with the next word of anybody.
     here.hear("else", ([127, 0, 0, 8], 7).into(), Word { pause: Duration::from_millis(250), ..Word::default() });
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -6,12 +6,14 @@
 //! it, [`ladder`] picks the model, [`pace`] learns how long reading takes,
 //! [`mod@patience`] bounds the wait for a first byte,
 //! [`notice`] keeps what endpoints still have to read for other instances,
-//! [`holders`] what they have read. Time is a [`std::time::Duration`] since any
+//! [`holders`] what they have read; [`fronts`] picks the instances that a caller is
+//! told of. Time is a [`std::time::Duration`] since any
 //! fixed moment of the process, on a clock that also counts suspension.
 
 pub mod allowance;
 pub mod canary;
 pub mod freshness;
+pub mod fronts;
 pub mod holders;
 pub mod ladder;
 pub mod notice;
--- /dev/null
+++ b/crates/route/tests/relay/fronts.rs
@@ -0,0 +1,111 @@
+//! Callers of a large fleet are spread over all of it, steadily.
+
+use std::collections::HashMap;
+
+use route::relay::fronts::{Caller, Candidate, choose};
+use world::hash;
+
+const DOMAINS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+
+/// Places of an answer.
+const MOST: usize = 64;
+
+const LARGE: f64 = 0.5;
+const SMALL: f64 = 0.125;
+
+/// So many small instances and three large ones in each of six domains.
+fn fleet(small: usize) -> Vec<Candidate<'static>> {
+    let of = |domain: &'static str, number: usize| Candidate {
+        hash: hash::stable(format!("{domain}{number}").as_bytes()),
+        domain,
+        cores: if number < 3 { LARGE } else { SMALL },
+    };
+    DOMAINS.iter().flat_map(|domain| (0..small + 3).map(|number| of(domain, number))).collect()
+}
+
+fn caller(number: usize) -> Caller<'static> {
+    Caller { domain: Some(DOMAINS[number % DOMAINS.len()]), hash: hash::stable(&number.to_le_bytes()) }
+}
+
+/// Answers of which each instance is a part, over so many callers.
+fn answers(fleet: &[Candidate<'_>], callers: usize) -> HashMap<usize, usize> {
+    let mut answers = HashMap::new();
+    for index in (0..callers).flat_map(|number| choose(fleet, caller(number), MOST)) {
+        *answers.entry(index).or_default() += 1;
+    }
+    answers
+}
+
+/// Some five hundred callers crowded at the same 64 of 295 instances, and the
+/// others idled.
+#[test]
+fn every_instance_is_told_of() {
+    let fleet = fleet(46);
+    let answers = answers(&fleet, 500);
+    assert_eq!(answers.len(), fleet.len());
+    let small = |index: &usize| fleet[*index].cores < LARGE;
+    let most = answers.iter().filter(|(index, _)| small(index)).map(|(_, count)| *count).max().unwrap();
+    let mean = 500 * MOST / fleet.len();
+    assert!(most < 2 * mean, "{most} of {mean}");
+}
+
+/// An instance of four times the processor got no more callers than any other.
+#[test]
+fn larger_instances_get_more() {
+    let fleet = fleet(46);
+    let answers = answers(&fleet, 500);
+    let mean = |cores: f64| {
+        let counts: Vec<usize> = (0..fleet.len()).filter(|i| fleet[*i].cores == cores).map(|i| answers[&i]).collect();
+        counts.iter().sum::<usize>() / counts.len()
+    };
+    assert!(mean(LARGE) > 2 * mean(SMALL), "{} {}", mean(LARGE), mean(SMALL));
+}
+
+/// Callers crossed over to other failure domains, and with a lost domain some
+/// lost all of their instances.
+#[test]
+fn answer_stands_by_its_caller_and_in_all_domains() {
+    let fleet = fleet(46);
+    for number in 0..60 {
+        let caller = caller(number);
+        let chosen = choose(&fleet, caller, MOST);
+        let of = |domain: &str| chosen.iter().filter(|index| fleet[**index].domain == domain).count();
+        for domain in DOMAINS {
+            let places = of(domain);
+            let expected = if caller.domain == Some(domain) { 32..=32 } else { 6..=7 };
+            assert!(expected.contains(&places), "{domain}: {places}");
+        }
+    }
+}
+
+/// Answers that changed with each instance that left made callers close the
+/// connections to most others.
+#[test]
+fn loss_of_an_instance_changes_one_place() {
+    let fleet = fleet(46);
+    for lost in 0..20 {
+        let left: Vec<_> = fleet.iter().enumerate().filter(|(index, _)| *index != lost * 14).map(|(_, c)| *c).collect();
+        let hashes = |fleet: &[Candidate<'_>]| -> Vec<u64> {
+            choose(fleet, caller(lost), MOST).into_iter().map(|index| fleet[index].hash).collect()
+        };
+        let (before, after) = (hashes(&fleet), hashes(&left));
+        let kept = after.iter().filter(|hash| before.contains(hash)).count();
+        assert!(kept >= MOST - 1, "{kept}");
+    }
+}
+
+/// A lost domain's places go to the others: no caller is told of too few.
+#[test]
+fn lost_domain_is_made_up_for() {
+    let left: Vec<_> = fleet(46).into_iter().filter(|candidate| candidate.domain != "a").collect();
+    assert_eq!(choose(&left, caller(0), MOST).len(), MOST);
+    let own: Vec<_> = fleet(60).into_iter().filter(|c| c.domain == "a" || c.hash % 40 == 0).collect();
+    assert_eq!(choose(&own, caller(0), MOST).len(), MOST.min(own.len()));
+}
+
+/// A fleet that fits an answer is told whole.
+#[test]
+fn small_fleet_is_told_whole() {
+    let fleet = fleet(1);
+    assert_eq!(choose(&fleet, caller(0), MOST).len(), fleet.len());
+}
--- a/crates/route/tests/relay/main.rs
+++ b/crates/route/tests/relay/main.rs
@@ -3,6 +3,7 @@
 mod allowance;
 mod canary;
 mod freshness;
+mod fronts;
 mod holders;
 mod ladder;
 mod notice;
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -5,7 +5,7 @@
 
 use std::{net::SocketAddr, path::Path, time::Duration};
 
-use relay::settings::{Listeners, Settings};
+use relay::settings::{Cores, Listeners, Settings};
 use route::relay::allowance;
 use serde::Deserialize;
 
@@ -51,6 +51,8 @@
     grace_ms: u64,
     #[serde(default = "default_keep_ms")]
     keep_addresses_ms: u64,
+    #[serde(default = "default_cores")]
+    cores: f64,
     memory_mib: usize,
 }
 
@@ -85,6 +87,11 @@
     5_000
 }
 
+/// Instances that are told nothing else count as alike.
+fn default_cores() -> f64 {
+    1.0
+}
+
 impl Relay {
     /// Reads a settings file.
     ///
@@ -127,6 +134,7 @@
         check("retries.window_ms", self.retries.window_ms > 0, "write milliseconds above 0");
         check("exposure_share", (0.0..=1.0).contains(&self.exposure_share), "write a share from 0 to 1");
         check("session_s", (0.0..=3_600.0).contains(&self.session_s), "write seconds from 0 to 3600");
+        check("cores", (0.01..=1_024.0).contains(&self.cores), "write cores from 0.01 to 1024");
         check("memory_mib", self.memory_mib >= 16, "write at least 16");
         check("grace_ms", self.grace_ms >= 1_000, "write at least 1000");
         check("replace_ms", self.replace_ms.is_none_or(|bound| bound >= 1_000), "write at least 1000, or leave it out");
@@ -158,6 +166,7 @@
                 session: Duration::from_secs_f64(self.session_s),
                 grace: millis(self.grace_ms),
                 keep_addresses: millis(self.keep_addresses_ms),
+                cores: Cores::new(self.cores),
                 body_memory: (self.memory_mib << 20) / BODIES_OF_MEMORY,
             },
             store: self.store,
