--- a/crates/relay/src/desk/track.rs
+++ b/crates/relay/src/desk/track.rs
@@ -214,6 +214,11 @@
     #[must_use]
     pub fn whom_to_ask(&self, turn: usize) -> Option<SocketAddr> {
         let now = clock::now();
+        if self.awaits_proof() && self.keys_age().is_none() {
+            // Nobody has been heard yet whose place among the watchers counts.
+            let seeds = &self.settings.seeds;
+            return seeds.get(turn % seeds.len().max(1)).copied();
+        }
         let state = self.lock();
         if state.track.revision == 0 || (state.in_touch && self.watches(&state, now, true)) {
             return None;
@@ -288,6 +293,7 @@
         }
         self.take_orders(&reply.orders);
         let mut state = self.lock();
+        state.track.orders_known = true;
         state.track.changed(reply.revision, reply.changes);
         state.track.answered = Some(clock::now());
         state.track.doubts = 0;
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -120,7 +120,7 @@
             self.rest().await;
             return;
         }
-        if self.listed && (self.meeting() || self.waits_for_catalog()) {
+        if self.listed && !self.lacks_proof() && (self.meeting() || self.waits_for_catalog()) {
             self.expire();
             if self.kind == Kind::Catalog {
                 // What was read before the wait proves little by now.
@@ -171,6 +171,12 @@
         since < RANKING || (since < MEETING && !self.desk.watches_store())
     }
 
+    /// Whether nobody has proven in time what the first reading, of any age, brought.
+    fn lacks_proof(&self) -> bool {
+        let is_unproven = self.kind == Kind::Catalog && self.desk.keys_age().is_none();
+        is_unproven && !self.desk.awaits_proof()
+    }
+
     /// Whether a lost store is left to the catalog's follower to look for: the
     /// kinds are lost and regained together, and each look is paid for.
     fn waits_for_catalog(&self) -> bool {
@@ -257,10 +263,12 @@
         }
     }
 
-    /// A first listing of endpoints may be old: the watch from its revision, or
-    /// whoever keeps this instance in step, brings what came after it.
+    /// A first listing may be old where something brings what came after it: the
+    /// watch from its revision, or whoever keeps this instance in step. Of the
+    /// catalog only the latter can, since old access keys must not be believed.
     fn first_read(&self) -> Read {
-        if self.kind == Kind::Endpoints && !self.listed { Read::AnyAge } else { Read::Latest }
+        let is_completed = self.kind == Kind::Endpoints || self.desk.awaits_proof();
+        if is_completed && !self.listed { Read::AnyAge } else { Read::Latest }
     }
 
     async fn list(&mut self, read: Read, asked: Duration) -> Result<(), Fault> {
@@ -273,7 +281,7 @@
             self.cadence.note(self.progress.transfer(), clock::now());
             self.desk.note_narrow(self.cadence.is_long());
         }
-        self.take_all(listing);
+        self.take_all(listing, read);
         if proves {
             self.desk.renew(asked, Proof::Read);
         }
