Pass notices of long prompts on by a relay a failure domain

Seen: each long prompt was told to each other instance; at 294 others the budget of 400 datagrams a second an instance allowed 1.4 notices a second, and the fleet sent and received up to 118,000 datagrams a second (reckoned).

Change: above 96 other instances a notice goes to the largest instance of each failure domain, which gathers for 30 ms and tells its neighbours. Below 97 others nothing changes.

--- a/crates/relay/src/desk/fleet/notices.rs
+++ b/crates/relay/src/desk/fleet/notices.rs
@@ -47,13 +47,14 @@
 impl State {
     /// Has a prompt told to the other instances if it is long enough.
     pub(super) fn tell(&mut self, key: Key, job: &Job<'_>, reading_ms: f64, now: Duration) -> bool {
-        let others = self.settle_peers(now);
+        self.settle_peers(now);
+        let fanout = self.peers.fanout();
         let Some(server) = self.fleet.servers.get_mut(key) else { return false };
         let part = job.part().filter(|_| job.shared_tokens >= WORTH_KEEPING);
         if let Some(part) = part {
             self.fleet.holders.note(part, server.hash, now);
         }
-        if self.notices.unsent.len() >= MOST_KEPT || !self.notices.budget.spend(now, reading_ms, part.is_some(), others)
+        if self.notices.unsent.len() >= MOST_KEPT || !self.notices.budget.spend(now, reading_ms, part.is_some(), fanout)
         {
             return false;
         }
--- a/crates/relay/src/desk/peers.rs
+++ b/crates/relay/src/desk/peers.rs
@@ -38,6 +38,10 @@
 /// store still lists of others is not worth more.
 const GREETED: Duration = Duration::from_secs(2);
 
+/// Other instances up to which each is told of a long prompt directly. With more,
+/// relays pass notices on: a tenth of the datagrams, for a batch's delay.
+const TOLD_DIRECTLY: usize = 96;
+
 /// Other instances.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -52,6 +56,8 @@
     live: usize,
     /// None of these falls silent before.
     next_silence: Duration,
+    /// Where notices go instead of to all, if the fleet is too large for that.
+    relays: Vec<SocketAddr>,
 }
 
 #[derive(Debug)]
@@ -166,6 +172,28 @@
         }
     }
 
+    /// Instances that a notice goes to: all that live, or a relay a failure domain.
+    pub(super) fn fanout(&self) -> usize {
+        if self.relays.is_empty() { self.live } else { self.relays.len() }
+    }
+
+    /// Chooses the relays anew, from this instance and those that live: in each
+    /// failure domain the one with the most processor.
+    fn choose_relays(&mut self, me: Relay, now: Duration) {
+        self.relays.clear();
+        if self.live <= TOLD_DIRECTLY {
+            return;
+        }
+        let mut relays: BTreeMap<&str, Relay> = BTreeMap::from([(self.domain.as_str(), me)]);
+        let stays = |peer: &&Peer| peer.live(now) && peer.word.phase != Phase::Leaving;
+        for peer in self.known.values().filter(stays) {
+            let other = Relay { cores: peer.word.cores, hash: peer.hash, news: peer.news };
+            let relay = relays.entry(&peer.word.domain).or_insert(other);
+            *relay = (*relay).max(other);
+        }
+        self.relays.extend(relays.values().map(|relay| relay.news));
+    }
+
     /// Load that live instances put on an endpoint, as of the last word or look.
     pub(super) fn load(&self, endpoint: u32) -> Load {
         self.sums.of(endpoint)
@@ -280,11 +308,24 @@
         others.all(|(name, _)| *name > self.settings.instance)
     }
 
-    /// Where instances heard from of late hear news.
+    /// Whom to tell of a long prompt.
+    #[must_use]
+    pub fn notice_audience(&self) -> Audience {
+        let now = clock::now();
+        let state = self.lock();
+        if !state.peers.relays.is_empty() {
+            return Audience::Relays(state.peers.relays.clone());
+        }
+        Audience::All(state.peers.known.values().filter(|peer| peer.live(now)).map(|peer| peer.news).collect())
+    }
+
+    /// Live instances of this one's failure domain.
     #[must_use]
-    pub fn live_audience(&self) -> Vec<SocketAddr> {
+    pub fn neighbours(&self) -> Vec<SocketAddr> {
         let now = clock::now();
-        self.lock().peers.known.values().filter(|peer| peer.live(now)).map(|peer| peer.news).collect()
+        let state = self.lock();
+        let near = |peer: &&Peer| peer.live(now) && peer.word.domain == self.settings.domain;
+        state.peers.known.values().filter(near).map(|peer| peer.news).collect()
     }
 
     /// Where news has to go besides its round: to instances that were heard for
@@ -311,6 +352,12 @@
         let mut state = self.lock();
         // Those long gone do not count any more, so nothing has to be taken away.
         state.peers.known.retain(|_, peer| peer.counts || now < peer.heard.unwrap_or(peer.found) + FORGOTTEN);
+        let me = Relay {
+            cores: self.settings.cores,
+            hash: hash::stable(self.settings.instance.as_bytes()),
+            news: self.settings.listeners.news,
+        };
+        state.peers.choose_relays(me, now);
         let rounds = state.peers.known.len().div_ceil(most).max(1);
         let in_turn = state.peers.known.values().skip(turn % rounds).step_by(rounds);
         (in_turn.map(|peer| peer.news).collect(), rounds)
@@ -353,6 +400,24 @@
     }
 }
 
+/// Whom to tell of a long prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Audience {
+    /// Every instance.
+    All(Vec<SocketAddr>),
+    /// One instance a failure domain, which tells its neighbours; this one may be
+    /// among them.
+    Relays(Vec<SocketAddr>),
+}
+
+/// An instance that may pass notices on in its failure domain; the largest does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Relay {
+    cores: Cores,
+    hash: u64,
+    news: SocketAddr,
+}
+
 /// Who asks where to go.
 #[derive(Debug, Clone, Default)]
 pub struct Asking {
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -12,14 +12,19 @@
     time::Duration,
 };
 
-use tokio::{net::UdpSocket, time::sleep};
+use tokio::{net::UdpSocket, sync::Notify, time::sleep};
 
 use crate::{
     clock,
-    desk::{Desk, peers::Word, track},
+    desk::{
+        Desk,
+        fleet::short_hash,
+        peers::{Audience, Word},
+        track,
+    },
 };
 
-use self::wire::{Order, Packet, Piece, Question, Reply, short, short_ms};
+use self::wire::{Notice, Order, Packet, Piece, Question, Reply, short, short_ms};
 
 /// Pause between pieces of news. Loads change within a run's length, some
 /// hundred milliseconds; a shorter pause costs wake-ups at every instance.
@@ -39,6 +44,12 @@
 /// Changes in a reply at most; about a datagram's worth.
 const CHANGES: usize = 60;
 
+/// Time in which a relay gathers notices before it passes them on.
+const BATCH: Duration = Duration::from_millis(30);
+
+/// Notices in a datagram at most.
+const BATCHED: usize = 64;
+
 /// Other instances named in a piece, so that strangers meet.
 const NAMED: usize = 4;
 
@@ -50,12 +61,13 @@
     // Wall time only orders the starts of one instance; a start that looks
     // older than the one before is heard once that one has gone silent.
     let run = u64::try_from(clock::now().as_nanos()).unwrap_or(0);
-    let asked = Mutex::default();
+    let (asked, batch) = (Mutex::default(), Batch::default());
     tokio::join!(
         tell(&desk, &socket, run),
-        notify(&desk, &socket),
+        notify(&desk, &socket, &batch),
+        pass_on(&desk, &socket, &batch),
         ask(&desk, &socket, &asked),
-        hear(&desk, &socket, &asked)
+        hear(&desk, &socket, &asked, &batch)
     );
 }
 
@@ -100,14 +112,63 @@
     }
 }
 
-/// Tells all others at once of each long prompt.
-async fn notify(desk: &Desk, socket: &UdpSocket) {
+/// Tells the others at once of long prompts.
+async fn notify(desk: &Desk, socket: &UdpSocket, batch: &Batch) {
+    let origin = short_hash(&desk.settings.instance);
+    loop {
+        let notices: Vec<Notice> = desk.notices().await.into_iter().map(|notice| Notice::new(notice, origin)).collect();
+        metrics::counter!("relay_notices_total").increment(u64::try_from(notices.len()).unwrap_or_default());
+        let (audience, packet) = match desk.notice_audience() {
+            Audience::All(all) => (all, Packet::Notices(notices)),
+            Audience::Relays(relays) => {
+                if relays.contains(&desk.settings.listeners.news) {
+                    batch.add(notices.clone());
+                }
+                (relays, Packet::PassOn(notices))
+            }
+        };
+        let bytes = encode(&packet);
+        for news in audience.into_iter().filter(|news| *news != desk.settings.listeners.news) {
+            send(socket, news, &bytes);
+        }
+    }
+}
+
+/// Passes notices of other instances on to the neighbours, some at a time.
+async fn pass_on(desk: &Desk, socket: &UdpSocket, batch: &Batch) {
     loop {
-        for notice in desk.notices().await {
-            let bytes = encode(&Packet::Notice(notice.into()));
-            metrics::counter!("relay_notices_total").increment(1);
-            for news in desk.live_audience() {
-                send(socket, news, &bytes);
+        let notices = batch.next().await;
+        let neighbours = desk.neighbours();
+        for notices in notices.chunks(BATCHED) {
+            let bytes = encode(&Packet::Notices(notices.to_vec()));
+            for news in &neighbours {
+                send(socket, *news, &bytes);
+            }
+        }
+    }
+}
+
+/// Notices that this instance passes on with the next batch.
+#[derive(Debug, Default)]
+struct Batch {
+    notices: Mutex<Vec<Notice>>,
+    added: Notify,
+}
+
+impl Batch {
+    fn add(&self, notices: impl IntoIterator<Item = Notice>) {
+        self.notices.lock().unwrap_or_else(PoisonError::into_inner).extend(notices);
+        self.added.notify_one();
+    }
+
+    /// Waits for the first notice and those that come right after it.
+    async fn next(&self) -> Vec<Notice> {
+        loop {
+            self.added.notified().await;
+            sleep(BATCH).await;
+            let notices = std::mem::take(&mut *self.notices.lock().unwrap_or_else(PoisonError::into_inner));
+            if !notices.is_empty() {
+                return notices;
             }
         }
     }
@@ -119,7 +180,15 @@
     }
 }
 
-async fn hear(desk: &Desk, socket: &UdpSocket, asked: &Asked) {
+/// Takes notices in but for this instance's own, which relays send back as well.
+fn take_notices(desk: &Desk, notices: Vec<Notice>) {
+    let me = short_hash(&desk.settings.instance);
+    for notice in notices.into_iter().filter(|notice| notice.origin != me) {
+        desk.take_notice(notice.into());
+    }
+}
+
+async fn hear(desk: &Desk, socket: &UdpSocket, asked: &Asked, batch: &Batch) {
     let mut buffer = vec![0; LARGEST];
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
@@ -137,7 +206,11 @@
                 }
                 desk.hear(&piece.name, from, Word::from(&piece));
             }
-            Ok(Packet::Notice(notice)) => desk.take_notice(notice.into()),
+            Ok(Packet::Notices(notices)) => take_notices(desk, notices),
+            Ok(Packet::PassOn(notices)) => {
+                batch.add(notices.clone());
+                take_notices(desk, notices);
+            }
             Ok(Packet::Question(question)) => {
                 let asked = track::Question { revision: question.revision };
                 if let Some(reply) = desk.reply(asked, CHANGES) {
--- a/crates/relay/src/news/wire.rs
+++ b/crates/relay/src/news/wire.rs
@@ -23,12 +23,17 @@
     News(Piece),
     Question(Question),
     Reply(Reply),
-    Notice(Notice),
+    /// Word of long prompts.
+    Notices(Vec<Notice>),
+    /// The same, for the receiver's neighbours as well.
+    PassOn(Vec<Notice>),
 }
 
 /// Word of a long prompt on the wire.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(super) struct Notice {
+    /// Hash of the name of the instance that sent the prompt.
+    pub(super) origin: u32,
     pub(super) endpoint: u32,
     pub(super) reading_ms: u16,
     pub(super) part: Option<u32>,
@@ -192,9 +197,9 @@
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
 
-impl From<fleet::Notice> for Notice {
-    fn from(notice: fleet::Notice) -> Self {
-        Self { endpoint: notice.endpoint, reading_ms: short(notice.reading_ms), part: notice.part }
+impl Notice {
+    pub(super) fn new(notice: fleet::Notice, origin: u32) -> Self {
+        Self { origin, endpoint: notice.endpoint, reading_ms: short(notice.reading_ms), part: notice.part }
     }
 }
 
