Pass the catalog on between instances

Change: the port for news also serves the catalog in force over HTTP, eight copies at a time, encoded once; whoever is told of a newer one asks any of the last that told it, and falls back on the store. A copy proves nothing: access keys are believed by the replies' proofs as before.

--- a/crates/relay/src/catalog.rs
+++ b/crates/relay/src/catalog.rs
@@ -1,5 +1,7 @@
 //! Routes, services and access keys, as one immutable value per version.
 
+pub(crate) mod wire;
+
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use route::relay::ladder::Urgency;
--- /dev/null
+++ b/crates/relay/src/catalog/wire.rs
@@ -0,0 +1,150 @@
+//! A catalog as instances pass it on to each other.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use super::{Catalog, Kind, Limits, Model, Route, Service, Target, Team};
+
+/// A catalog on the wire.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Copy {
+    version: u64,
+    hosts: Vec<(String, Vec<RouteCopy>)>,
+    services: Vec<(String, Option<u64>)>,
+    keys: Option<Vec<(String, TeamCopy)>>,
+    header_bytes: u64,
+    body_bytes: u64,
+    header_time: Duration,
+    idle_time: Duration,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct RouteCopy {
+    name: String,
+    prefix: String,
+    kind: KindCopy,
+    timeout: Duration,
+    goal: Duration,
+    pause: Option<Duration>,
+    rank: u8,
+    attempts: u32,
+    public: bool,
+    models: Vec<(String, f64)>,
+    targets: Vec<(String, u32)>,
+}
+
+#[derive(Debug, Clone, std::marker::Copy, Serialize, Deserialize)]
+enum KindCopy {
+    Idempotent,
+    NonIdempotent,
+    Stream { resumable: bool },
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct TeamCopy {
+    name: String,
+    rank: Option<u8>,
+}
+
+impl From<&Catalog> for Copy {
+    fn from(catalog: &Catalog) -> Self {
+        let routes = |routes: &Vec<Arc<Route>>| routes.iter().map(|route| RouteCopy::from(&**route)).collect();
+        let team = |team: &Team| TeamCopy { name: team.name.clone(), rank: team.rank };
+        let Limits { header_bytes, body_bytes, header_time, idle_time } = catalog.limits;
+        Self {
+            version: catalog.version,
+            hosts: catalog.hosts.iter().map(|(host, all)| (host.clone(), routes(all))).collect(),
+            services: catalog.services.iter().map(|(name, service)| (name.clone(), service.memory_tokens)).collect(),
+            keys: catalog.keys.as_ref().map(|keys| keys.iter().map(|(key, t)| (key.clone(), team(t))).collect()),
+            header_bytes: u64::try_from(header_bytes).unwrap_or(u64::MAX),
+            body_bytes: u64::try_from(body_bytes).unwrap_or(u64::MAX),
+            header_time,
+            idle_time,
+        }
+    }
+}
+
+impl From<Copy> for Catalog {
+    fn from(copy: Copy) -> Self {
+        let size = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
+        let service = |(name, memory_tokens): (String, Option<u64>)| {
+            (name.clone(), Arc::new(Service { name, memory_tokens }))
+        };
+        let team = |(key, team): (String, TeamCopy)| (key, Arc::new(Team { name: team.name, rank: team.rank }));
+        let mut catalog = Self {
+            version: copy.version,
+            services: copy.services.into_iter().map(service).collect(),
+            keys: copy.keys.map(|keys| keys.into_iter().map(team).collect::<HashMap<_, _>>()),
+            limits: Limits {
+                header_bytes: size(copy.header_bytes),
+                body_bytes: size(copy.body_bytes),
+                header_time: copy.header_time,
+                idle_time: copy.idle_time,
+            },
+            ..Self::default()
+        };
+        for (host, routes) in copy.hosts {
+            for route in routes {
+                catalog.add(host.clone(), route.into());
+            }
+        }
+        catalog
+    }
+}
+
+impl From<&Route> for RouteCopy {
+    fn from(route: &Route) -> Self {
+        Self {
+            name: route.name.clone(),
+            prefix: route.prefix.clone(),
+            kind: route.kind.into(),
+            timeout: route.timeout,
+            goal: route.goal,
+            pause: route.pause,
+            rank: route.rank,
+            attempts: route.attempts,
+            public: route.public,
+            models: route.models.iter().map(|model| (model.name.clone(), model.cost)).collect(),
+            targets: route.targets.iter().map(|target| (target.service.clone(), target.weight)).collect(),
+        }
+    }
+}
+
+impl From<RouteCopy> for Route {
+    fn from(copy: RouteCopy) -> Self {
+        Self {
+            name: copy.name,
+            prefix: copy.prefix,
+            kind: copy.kind.into(),
+            timeout: copy.timeout,
+            goal: copy.goal,
+            pause: copy.pause,
+            rank: copy.rank,
+            attempts: copy.attempts,
+            public: copy.public,
+            models: copy.models.into_iter().map(|(name, cost)| Model { name, cost }).collect(),
+            targets: copy.targets.into_iter().map(|(service, weight)| Target { service, weight }).collect(),
+        }
+    }
+}
+
+impl From<Kind> for KindCopy {
+    fn from(kind: Kind) -> Self {
+        match kind {
+            Kind::Idempotent => Self::Idempotent,
+            Kind::NonIdempotent => Self::NonIdempotent,
+            Kind::Stream { resumable } => Self::Stream { resumable },
+        }
+    }
+}
+
+impl From<KindCopy> for Kind {
+    fn from(copy: KindCopy) -> Self {
+        match copy {
+            KindCopy::Idempotent => Self::Idempotent,
+            KindCopy::NonIdempotent => Self::NonIdempotent,
+            KindCopy::Stream { resumable } => Self::Stream { resumable },
+        }
+    }
+}
--- a/crates/relay/src/desk/peers.rs
+++ b/crates/relay/src/desk/peers.rs
@@ -317,6 +317,7 @@
         state.peers.take(name, word, now);
         state.settle_peers(now);
         drop(state);
+        self.note_teller(news, catalog);
         // The instance that keeps this one in step may itself be cut off from
         // the store and not know it yet: it goes on to prove an old catalog,
         // for seconds. Any other that has a newer one shows that by its news.
--- a/crates/relay/src/desk/track.rs
+++ b/crates/relay/src/desk/track.rs
@@ -10,6 +10,7 @@
 
 use std::{cmp::Reverse, collections::VecDeque, net::SocketAddr, time::Duration};
 
+use rand::seq::IteratorRandom;
 use route::relay::freshness::{Proof, Succession};
 use world::hash;
 
@@ -40,6 +41,10 @@
 /// that served by the old one for longer than operators allow.
 const MOST_DOUBTS: u32 = 2;
 
+/// Instances remembered that have a newer catalog: several, so that those which ask
+/// for it do not all ask the same one.
+const MOST_TELLERS: usize = 8;
+
 /// Changes kept for those who are behind; a roll-out's worth.
 const KEPT: usize = 256;
 
@@ -64,6 +69,8 @@
     orders_known: bool,
     /// Newer catalogs that any instance has told of.
     pub(super) succession: Succession,
+    /// Instances that have told of newer catalogs, with the versions.
+    tellers: VecDeque<(SocketAddr, u64)>,
 }
 
 /// What an instance that is behind asks.
@@ -344,6 +351,29 @@
         self.catalog_wanted.notify_one();
     }
 
+    /// Notes that another instance has a catalog; it can be asked for a newer one.
+    pub fn note_teller(&self, teller: SocketAddr, version: u64) {
+        let mut state = self.lock();
+        if state.catalog.as_ref().is_some_and(|known| known.version >= version) || version == 0 {
+            return;
+        }
+        let tellers = &mut state.track.tellers;
+        tellers.retain(|(known, _)| *known != teller);
+        tellers.truncate(MOST_TELLERS - 1);
+        tellers.push_front((teller, version));
+    }
+
+    /// An instance that has a newer catalog than this one, any of the last that
+    /// told so.
+    #[must_use]
+    pub fn teller(&self) -> Option<SocketAddr> {
+        let mut state = self.lock();
+        let version = state.catalog.as_ref().map_or(0, |known| known.version);
+        state.track.tellers.retain(|(_, told)| *told > version);
+        let (teller, _) = state.track.tellers.iter().choose(&mut rand::rng())?;
+        Some(*teller)
+    }
+
     /// Whether another instance has a newer catalog than this one: of the many
     /// that say so the first brings a reading about, and the others must not
     /// bring further ones.
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -17,7 +17,7 @@
 use crate::{
     clock,
     desk::Desk,
-    silence,
+    share, silence,
     source::{Fault, Kind, Progress, Read, Source},
 };
 
@@ -192,6 +192,10 @@
         let asked_for = timeout(REST, self.desk.wanted(self.kind)).await.is_ok();
         let wanted = asked_for && (self.kind != Kind::Catalog || self.desk.behind());
         let asked = clock::now();
+        if wanted && self.kind == Kind::Catalog && self.copy().await {
+            sleep(APART).await;
+            return;
+        }
         let look = self.kind == Kind::Catalog && !self.desk.touched() && asked > self.last_lost + LED_LOOK;
         // A store that turns this instance away may serve all others, whose news
         // tells of the newer catalog sixteen times a second: without a wait each
@@ -212,7 +216,24 @@
         sleep(APART).await;
     }
 
-    /// Reads a catalog of which another instance has told.
+    /// Takes a newer catalog over from an instance that has told of it; whether it
+    /// did.
+    ///
+    /// A store that turns this instance away may serve the others, and a change
+    /// that each of hundreds reads from it is paid for each time.
+    async fn copy(&self) -> bool {
+        let Some(teller) = self.desk.teller() else { return false };
+        match share::fetch(teller).await {
+            Ok(catalog) => self.desk.install(catalog),
+            Err(cause) => {
+                tracing::info!(%teller, cause, "catalog not copied");
+                false
+            }
+        }
+    }
+
+    /// Reads a catalog of which another instance has told, if that has no copy to
+    /// give.
     ///
     /// A change makes each instance of the fleet read it. A listing of any age
     /// costs a tenth, and in two of three cases it was young enough on a day of
--- a/crates/relay/src/handle.rs
+++ b/crates/relay/src/handle.rs
@@ -13,6 +13,7 @@
     dialect::Dialect,
     directory, exchange, follow, front, join, news, report,
     settings::{Listeners, Settings},
+    share::Sharer,
     source::{Kind, Source},
 };
 
@@ -64,7 +65,7 @@
     let callers = front::bind(at.front).map_err(failed("front", at.front))?;
     let ready = front::bind(at.ready).map_err(failed("ready", at.ready))?;
     let directory = front::bind(at.directory).map_err(failed("directory", at.directory))?;
-    let socket = news::bind(at.news).await.map_err(failed("news", at.news))?;
+    let (socket, copies) = news::bind(at.news).await.map_err(failed("news", at.news))?;
     let bound = |listener: &tokio::net::TcpListener, told| listener.local_addr().unwrap_or(told);
     settings.listeners = Listeners {
         front: bound(&callers, at.front),
@@ -81,6 +82,9 @@
     tasks.spawn(front::accept(ready, move |request| std::future::ready(directory::ready(&shared, &request))));
     let shared = Arc::clone(&desk);
     tasks.spawn(front::accept(directory, move |request| std::future::ready(directory::addresses(&shared, &request))));
+    let (shared, sharer) = (Arc::clone(&desk), Arc::new(Sharer::new()));
+    let share = move |request| std::future::ready(sharer.serve(&shared, &request));
+    tasks.spawn(front::accept(copies, share));
     for kind in [Kind::Catalog, Kind::Rollouts, Kind::Endpoints] {
         tasks.spawn(follow::follow(Arc::clone(&desk), Arc::clone(&source), kind));
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 //!   [`source::Source`]; `join` registers this instance and finds the others,
 //!   `report` moves roll-outs on;
 //! - `news` exchanges loads, evidence and membership with other instances;
+//! - `share` passes the catalog on to instances that cannot read it themselves;
 //! - `front` and `directory` listen; `exchange` is the life of one request,
 //!   `upstream` one try of it, `events` a stream of events resumed on the way.
 //!
@@ -33,6 +34,7 @@
 mod report;
 pub mod rollout;
 pub mod settings;
+mod share;
 mod silence;
 pub mod source;
 mod upstream;
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -12,7 +12,11 @@
     time::Duration,
 };
 
-use tokio::{net::UdpSocket, sync::Notify, time::sleep};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    sync::Notify,
+    time::sleep,
+};
 
 use crate::{
     clock,
@@ -22,6 +26,7 @@
         peers::{Audience, Sighting, Word},
         track,
     },
+    front,
 };
 
 use self::wire::{Notice, Order, Packet, Piece, Question, Reply, Seen, short, short_ms};
@@ -57,6 +62,9 @@
 /// tell three times a second of each.
 const SIGHTED: usize = 16;
 
+/// Free ports tried until one is free for connections as well.
+const PORTS_TRIED: u32 = 16;
+
 /// Largest piece; a larger one would be split on the way and lost more often.
 const LARGEST: usize = 16 << 10;
 
@@ -228,6 +236,7 @@
                 // prove less than its age says.
                 if let Some((_, at)) = asked.take_if(|(number, _)| *number == reply.number) {
                     drop(asked);
+                    desk.note_teller(from, reply.catalog);
                     desk.take_reply(at, reply.into());
                 }
             }
@@ -276,7 +285,18 @@
     })
 }
 
-/// Binds the socket that news comes by.
-pub async fn bind(address: SocketAddr) -> io::Result<Arc<UdpSocket>> {
-    UdpSocket::bind(address).await.map(Arc::new)
+/// Binds the socket that news comes by, and a listener for copies of the catalog
+/// at the same port.
+pub async fn bind(address: SocketAddr) -> io::Result<(Arc<UdpSocket>, TcpListener)> {
+    let mut left = if address.port() == 0 { PORTS_TRIED } else { 1 };
+    loop {
+        left -= 1;
+        let socket = UdpSocket::bind(address).await?;
+        match front::bind(socket.local_addr()?) {
+            Ok(listener) => return Ok((Arc::new(socket), listener)),
+            // A free port for datagrams may be taken for connections.
+            Err(error) if left == 0 => return Err(error),
+            Err(error) => tracing::debug!(%error, "another port is tried"),
+        }
+    }
 }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -73,6 +73,6 @@
     pub ready: SocketAddr,
     /// Questions for addresses.
     pub directory: SocketAddr,
-    /// News of other instances, datagrams.
+    /// News of other instances, datagrams; and copies of the catalog, connections.
     pub news: SocketAddr,
 }
--- /dev/null
+++ b/crates/relay/src/share.rs
@@ -0,0 +1,123 @@
+//! Passing the catalog on between instances.
+//!
+//! An instance that the store turns away learns from others that there is a newer
+//! catalog. Without a copy of theirs it could only refuse its callers once the
+//! operators' bound is over, and ask the store again and again. A copy proves
+//! nothing of its age: what others say of the version in force does.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use hyper::body::{Frame, Incoming};
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::timeout,
+};
+
+use crate::{
+    answer::{self, Body},
+    catalog::{Catalog, wire},
+    desk::Desk,
+    upstream,
+};
+
+/// Path of the catalog in force.
+const PATH: &str = "/catalog";
+
+/// Copies that an instance sends at once; whoever finds it busy asks the store.
+const MOST_AT_ONCE: usize = 8;
+
+/// Longest wait for a copy: a megabyte over a link of 10 Mbit/s.
+const COPY: Duration = Duration::from_millis(1_200);
+
+/// Longest copy that is read, in bytes; the store keeps no larger ones.
+const LONGEST: usize = 4 << 20;
+
+/// Part of a copy that is handed to its connection at a time, in bytes.
+const PIECE: usize = 32 << 10;
+
+/// Sends the catalog in force to other instances.
+#[derive(Debug)]
+pub struct Sharer {
+    room: Arc<Semaphore>,
+    /// The last copy sent and the version it is of.
+    copy: Mutex<Option<(u64, Bytes)>>,
+}
+
+impl Sharer {
+    /// A sharer that sends nothing yet.
+    #[must_use]
+    pub fn new() -> Self {
+        Self { room: Arc::new(Semaphore::new(MOST_AT_ONCE)), copy: Mutex::default() }
+    }
+
+    /// Answers a request for the catalog.
+    #[must_use]
+    pub fn serve(&self, desk: &Desk, request: &Request<Incoming>) -> Response<Body> {
+        if request.uri().path() != PATH {
+            return status(StatusCode::NOT_FOUND);
+        }
+        let copy = desk.catalog().and_then(|catalog| self.copy(&catalog));
+        match (copy, Arc::clone(&self.room).try_acquire_owned()) {
+            (Some(copy), Ok(place)) => Response::new(send(copy, place)),
+            _ => status(StatusCode::SERVICE_UNAVAILABLE),
+        }
+    }
+
+    fn copy(&self, catalog: &Catalog) -> Option<Bytes> {
+        let mut kept = self.copy.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((_, copy)) = kept.as_ref().filter(|(version, _)| *version == catalog.version) {
+            return Some(copy.clone());
+        }
+        let copy = postcard::to_allocvec(&wire::Copy::from(catalog)).map(Bytes::from);
+        let copy = copy.inspect_err(|error| tracing::error!(%error, "catalog not encoded")).ok()?;
+        *kept = Some((catalog.version, copy.clone()));
+        Some(copy)
+    }
+}
+
+/// A copy in pieces; its place is free once the last has gone out.
+fn send(mut copy: Bytes, place: OwnedSemaphorePermit) -> Body {
+    let pieces = async_stream::stream! {
+        let _place = place;
+        while !copy.is_empty() {
+            let piece = copy.split_to(PIECE.min(copy.len()));
+            yield Ok(Frame::data(piece));
+        }
+    };
+    StreamBody::new(pieces).boxed_unsync()
+}
+
+/// Fetches the catalog that another instance has.
+///
+/// # Errors
+///
+/// The cause, in words for a log line.
+pub async fn fetch(from: SocketAddr) -> Result<Catalog, String> {
+    timeout(COPY, receive(from)).await.map_err(|_| "no copy in time".to_owned())?
+}
+
+async fn receive(from: SocketAddr) -> Result<Catalog, String> {
+    let (mut sender, _connection) = upstream::connect(from, COPY).await?;
+    let request = Request::get(PATH).header(header::HOST, from.to_string()).body(Full::default());
+    let request = request.map_err(|error| error.to_string())?;
+    let response = sender.send_request(request).await.map_err(|error| error.to_string())?;
+    if response.status() != StatusCode::OK {
+        return Err(response.status().to_string());
+    }
+    let body = Limited::new(response.into_body(), LONGEST).collect().await.map_err(|error| error.to_string())?;
+    let copy: wire::Copy = postcard::from_bytes(&body.to_bytes()).map_err(|error| error.to_string())?;
+    Ok(copy.into())
+}
+
+fn status(code: StatusCode) -> Response<Body> {
+    let mut response = Response::new(answer::full(Bytes::new()));
+    *response.status_mut() = code;
+    response
+}
