--- a/crates/relay/src/catalog/wire.rs
+++ b/crates/relay/src/catalog/wire.rs
@@ -1,5 +1,8 @@
 //! A catalog as instances pass it on to each other.
 
+#[cfg(test)]
+mod tests;
+
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
--- /dev/null
+++ b/crates/relay/src/catalog/wire/tests.rs
@@ -0,0 +1,55 @@
+//! Copies of a catalog say all that the catalog does.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use super::Copy;
+use crate::catalog::{Catalog, Kind, Limits, Model, Route, Service, Target, Team};
+
+fn route(prefix: &str, kind: Kind) -> Route {
+    Route {
+        name: prefix.trim_matches('/').into(),
+        prefix: prefix.into(),
+        kind,
+        timeout: Duration::from_millis(1_200),
+        goal: Duration::from_millis(150),
+        pause: matches!(kind, Kind::Stream { .. }).then_some(Duration::from_millis(600)),
+        rank: 2,
+        attempts: 3,
+        public: kind == Kind::Idempotent,
+        models: vec![Model { name: "small".into(), cost: 0.1 }],
+        targets: vec![Target { service: "logbook".into(), weight: 3 }],
+    }
+}
+
+fn catalog(keys: Option<HashMap<String, Arc<Team>>>) -> Catalog {
+    let mut catalog = Catalog {
+        version: 7,
+        services: HashMap::from([(
+            "logbook".into(),
+            Arc::new(Service { name: "logbook".into(), memory_tokens: Some(9) }),
+        )]),
+        keys,
+        limits: Limits { header_bytes: 5, body_bytes: 6, ..Limits::default() },
+        ..Catalog::default()
+    };
+    for kind in [Kind::Idempotent, Kind::NonIdempotent, Kind::Stream { resumable: true }] {
+        catalog.add("clubs.example".into(), route(&format!("/{kind:?}/"), kind));
+    }
+    catalog
+}
+
+fn check(catalog: &Catalog) {
+    let bytes = postcard::to_allocvec(&Copy::from(catalog)).unwrap();
+    let copied = Catalog::from(postcard::from_bytes::<Copy>(&bytes).unwrap());
+    assert_eq!(format!("{copied:?}"), format!("{catalog:?}"));
+}
+
+macro_rules! copies {
+    ($($name:ident: $keys:expr;)*) => { $(#[test] fn $name() { check(&catalog($keys)); })* };
+}
+
+copies! {
+    without_keys: None;
+    with_no_key_left: Some(HashMap::new());
+    with_a_team: Some(HashMap::from([("key".into(), Arc::new(Team { name: "club".into(), rank: Some(1) }))]));
+}
--- a/crates/relay/src/desk/peers/tests.rs
+++ b/crates/relay/src/desk/peers/tests.rs
@@ -4,8 +4,8 @@
 
 use proptest::prelude::*;
 
-use super::{Peer, Peers, Word};
-use crate::desk::fleet::Load;
+use super::{Peer, Peers, Phase, Sighting, Word};
+use crate::desk::fleet::{Load, short_hash};
 
 const INSTANCES: u32 = 6;
 const ENDPOINTS: u32 = 5;
@@ -91,3 +91,61 @@
     hear(&mut peers, 7, Word { loads, ..word(2, &[]) }, now);
     assert_eq!(peers.sums.take_changed().len(), 6);
 }
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(10_000 + ms)
+}
+
+/// Fleet of one that was heard at the beginning, in rounds of so many milliseconds.
+fn heard(pause_ms: u64) -> Peers {
+    let mut peers = Peers::default();
+    hear(&mut peers, 0, Word { pause: Duration::from_millis(pause_ms), ..word(1, &[(1, 5)]) }, at(0));
+    peers.by_hash.insert(short_hash("i0"), "i0".into());
+    peers
+}
+
+fn sighting(age_ms: u64, leaves: bool) -> Sighting {
+    Sighting { name: short_hash("i0"), age: Duration::from_millis(age_ms), leaves }
+}
+
+/// Rounds of news took five seconds, so callers were sent to an instance that had
+/// been gone for fourteen.
+#[test]
+fn silent_instance_of_a_large_fleet_is_gone_within_seconds() {
+    let mut peers = heard(4_750);
+    peers.settle(at(3_900));
+    assert_eq!(peers.live, 1);
+    peers.settle(at(4_100));
+    assert_eq!((peers.live, peers.load(1)), (0, Load::default()));
+}
+
+/// An instance is not heard here between two rounds; others hear it.
+#[test]
+fn instance_that_others_hear_is_not_gone() {
+    let mut peers = heard(4_750);
+    peers.take_sighting(sighting(500, false), at(3_000));
+    peers.settle(at(6_000));
+    assert_eq!(peers.live, 1);
+    peers.settle(at(6_600));
+    assert_eq!(peers.live, 0);
+}
+
+/// Word of when a lost instance was heard goes round for seconds: it must not come
+/// back to life by it.
+#[test]
+fn old_sighting_keeps_nobody_alive() {
+    let mut peers = heard(250);
+    peers.take_sighting(sighting(900, false), at(800));
+    peers.settle(at(1_200));
+    assert_eq!(peers.live, 0);
+    peers.take_sighting(sighting(100, false), at(1_300));
+    assert_eq!(peers.live, 0);
+}
+
+/// Callers were sent to an instance that leaves until its own news came round.
+#[test]
+fn leaving_is_told_by_others() {
+    let mut peers = heard(4_750);
+    peers.take_sighting(sighting(10, true), at(500));
+    assert_eq!(peers.known["i0"].word.phase, Phase::Leaving);
+}
--- a/crates/relay/tests/it/behind.rs
+++ b/crates/relay/tests/it/behind.rs
@@ -8,14 +8,17 @@
     desk::{
         Desk,
         peers::{Phase, Word},
+        track::Question,
     },
 };
+use route::relay::freshness::Proof;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
     caller,
     server::{Act, Server, whole},
     site::{Kept, Site, catalog, endpoint, route},
+    track::knowing,
 };
 
 /// The operators' bound on the time from the confirmation of a catalog until
@@ -116,3 +119,33 @@
         sleep(Duration::from_millis(50)).await;
     }
 }
+
+/// The store turns an instance away while it serves the others. It knew of the new
+/// catalog and refused its callers past the bound, though any other instance could
+/// have given it a copy.
+#[tokio::test]
+async fn newer_catalog_is_copied_from_an_instance_that_has_it() {
+    let (_server, site) = open().await;
+    let newer = Kept { catalog: Some(routed(2, &["/p/", "/q/"])), ..Kept::default() };
+    let other = Site::open_with(newer, |settings| settings.instance = "there".into()).await;
+    let word = Word { run: 1, phase: Phase::Ready, pause: BOUND, catalog: 2, ..Word::default() };
+    let desk = site.relay.desk();
+    desk.hear("there", other.relay.desk().settings.listeners.news, word);
+    let copied = async {
+        while desk.behind() || desk.catalog().is_none_or(|catalog| catalog.version < 2) {
+            // Only who is kept in step waits for others' word.
+            keep_in_step(desk);
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(BOUND, copied).await.expect("copied within the bound");
+    assert_eq!(caller::call(site.front(), "GET", "/q/x", "", "").await.status, 200);
+}
+
+/// Another instance answers a question of this one.
+fn keep_in_step(desk: &Desk) {
+    let watcher = knowing(2);
+    watcher.renew(clock::now(), Proof::Read);
+    let reply = watcher.reply(Question { revision: 10 }, 60).expect("it knows enough");
+    desk.take_reply(clock::now(), reply);
+}
--- a/crates/relay/tests/it/notices.rs
+++ b/crates/relay/tests/it/notices.rs
@@ -1,20 +1,22 @@
 //! Long prompts told to the other instances at once.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use relay::{
     catalog::Kind,
     desk::{
         Desk,
         fleet::{Job, Notice, short_hash},
-        peers::Word,
+        peers::{Audience, Word},
     },
+    settings::Cores,
 };
+use tokio::{net::UdpSocket, time::timeout};
 
 use crate::{
     caller,
     server::{Act, Server, header, whole},
-    site::{SERVICE, Site, catalog, dialect, endpoint, route, settings},
+    site::{Kept, SERVICE, Site, catalog, dialect, endpoint, route, settings},
 };
 
 const ENDPOINTS: [&str; 3] = ["e0", "e1", "e2"];
@@ -120,3 +122,60 @@
     assert_eq!(header(&seen[0], "x-fetch"), Some(addresses[holder].to_string()));
     assert_eq!(header(&servers[holder].seen()[0], "x-fetch"), None);
 }
+
+/// Other instances, so many in each of three failure domains, all hearing news at
+/// one address; the first of each domain is the largest.
+fn meet_many(desk: &Desk, each: u16, news: SocketAddr) {
+    for domain in ["tartu-a", "tartu-b", "voru"] {
+        for number in 0..each {
+            let cores = Cores(if number == 0 { 50 } else { 12 });
+            let word = Word { domain: domain.into(), cores, pause: Duration::from_mins(1), ..Word::default() };
+            desk.hear(&format!("{domain}-{number}"), news, word);
+        }
+    }
+    // Relays are chosen with each piece of news.
+    desk.audience(0, 16);
+}
+
+/// A long prompt was told to each of 294 others: fifty thousand datagrams a second
+/// over the fleet, a third of its processor time.
+#[test]
+fn long_prompt_takes_a_datagram_a_failure_domain_in_a_large_fleet() {
+    let (small, large) = (knowing(), knowing());
+    meet_many(&small, 20, ([127, 0, 0, 1], 2).into());
+    meet_many(&large, 98, ([127, 0, 0, 1], 2).into());
+    assert!(matches!(small.notice_audience(), Audience::All(all) if all.len() == 61));
+    assert!(matches!(large.notice_audience(), Audience::Relays(relays) if relays.len() == 4));
+}
+
+/// A relay tells its neighbours of another instance's long prompt, and knows of it.
+#[tokio::test]
+async fn relay_passes_a_notice_on() {
+    let neighbours = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let at = neighbours.local_addr().unwrap();
+    let open = async |name: &str, cores| {
+        let server = endpoint("e0", ([127, 0, 0, 1], 9).into());
+        let kept = Kept { endpoints: vec![server], catalog: Some(catalog(1, Vec::new())), ..Kept::default() };
+        let site = Site::open_with(kept, |settings| {
+            settings.instance = name.into();
+            settings.cores = cores;
+        });
+        site.await
+    };
+    let (here, relay) = (open("a", Cores(12)).await, open("b", Cores(400)).await);
+    let word = Word { domain: "tartu-a".into(), cores: Cores(400), pause: Duration::from_mins(1), ..Word::default() };
+    here.relay.desk().hear("b", relay.relay.desk().settings.listeners.news, word);
+    for site in [&here, &relay] {
+        meet_many(site.relay.desk(), 40, at);
+    }
+    let job = prompt(None, 10_000);
+    let before = relay.relay.desk().expect(&job).unwrap();
+    let _run = here.relay.desk().place(&job).unwrap();
+    let passed_on = async {
+        let mut buffer = [0; 2_048];
+        // News goes to the same address, and is longer.
+        while neighbours.recv(&mut buffer).await.unwrap() > 40 {}
+    };
+    timeout(Duration::from_secs(5), passed_on).await.expect("neighbours are told");
+    assert!(relay.relay.desk().expect(&job).unwrap() > before + 100.0);
+}
--- a/crates/relay/tests/it/site.rs
+++ b/crates/relay/tests/it/site.rs
@@ -67,6 +67,8 @@
     pub old_catalog_reads: AtomicUsize,
     /// Times that the endpoints were read.
     pub endpoint_reads: AtomicUsize,
+    /// Readings of the latest state, of any kind.
+    pub latest_reads: AtomicUsize,
 }
 
 impl fmt::Debug for Store {
@@ -85,6 +87,7 @@
             catalog_reads: AtomicUsize::default(),
             old_catalog_reads: AtomicUsize::default(),
             endpoint_reads: AtomicUsize::default(),
+            latest_reads: AtomicUsize::default(),
         }
     }
 
@@ -125,6 +128,9 @@
         progress: &'a Progress,
     ) -> BoxFuture<'a, Result<Listing, Fault>> {
         Box::pin(async move {
+            if read == source::Read::Latest {
+                self.latest_reads.fetch_add(1, Ordering::Relaxed);
+            }
             if self.kept.borrow().silent {
                 std::future::pending::<()>().await;
             }
--- a/crates/relay/tests/it/starting.rs
+++ b/crates/relay/tests/it/starting.rs
@@ -1,13 +1,17 @@
 //! Requests that reach an instance right after its start.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use relay::{catalog::Kind, source::Source};
+use tokio::{net::UdpSocket, time::sleep};
 
 use crate::{
     caller,
     server::{Act, Server, whole},
-    site::{Kept, Store, catalog, dialect, endpoint, route, settings},
+    site::{Kept, Site, Store, catalog, dialect, endpoint, route, settings},
 };
 
 /// All instances were killed at once and are back; their callers have waited
@@ -40,3 +44,38 @@
 async fn request_does_not_wait_for_a_lost_store() {
     check(Duration::from_secs(1), 503).await;
 }
+
+/// An instance that has read the store for itself, and one that starts with the
+/// first's address, on a store of its own; the second once it serves.
+async fn start_with_seed(is_seed_up: bool) -> (Site, Site) {
+    let kept = || Kept {
+        catalog: Some(catalog(1, vec![route("/a/", Kind::Idempotent)])),
+        endpoints: vec![endpoint("e0", ([127, 0, 0, 1], 9).into())],
+        ..Kept::default()
+    };
+    let seed = Site::open_with(kept(), |settings| settings.instance = "seed".into()).await;
+    let silent = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let address = if is_seed_up { seed.relay.desk().settings.listeners.news } else { silent.local_addr().unwrap() };
+    let started = Site::open_with(kept(), |settings| settings.seeds = vec![address]).await;
+    started.relay.desk().started().await;
+    (seed, started)
+}
+
+/// Each of hundreds of instances that start together read all of the catalog, the
+/// orders and the others' registrations from the store: eleven calls a start.
+#[tokio::test]
+async fn start_is_proven_by_a_seed() {
+    let (_seed, started) = start_with_seed(true).await;
+    assert!(started.relay.desk().fresh());
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(started.store.latest_reads.load(Ordering::Relaxed), 0);
+    assert_eq!(started.relay.desk().members(), 2);
+}
+
+/// Where no seed answers, the store proves what was read, while callers wait.
+#[tokio::test]
+async fn start_without_its_seeds_is_proven_by_the_store() {
+    let (_seed, started) = start_with_seed(false).await;
+    assert!(started.relay.desk().fresh());
+    assert!(started.store.latest_reads.load(Ordering::Relaxed) > 0);
+}
