Send other failure domains brief news; bring evidence on roll-outs to the watchers

Change: above 96 others, half of the pieces go to the own failure domain, whole, with 40 sightings, and half to the others without loads and sightings: a load is older than a run before it is heard again. Each instance sends its evidence on roll-outs to those that watch the store, three times a second while there is an order, and these report a stage as the first instance does. Of the instances, one on average lists the others each 5 s, whatever comes of it.

--- a/crates/relay/src/desk/peers.rs
+++ b/crates/relay/src/desk/peers.rs
@@ -35,7 +35,7 @@
 const SILENT_TO_ALL: Duration = Duration::from_secs(4);
 
 /// Age up to which others are told when an instance was heard.
-const HEARD_LATELY: Duration = Duration::from_millis(1_500);
+const HEARD_LATELY: Duration = Duration::from_millis(2_500);
 
 /// Silence after which nobody looks for an instance any more.
 const FORGOTTEN: Duration = Duration::from_mins(1);
@@ -45,8 +45,9 @@
 /// store still lists of others is not worth more.
 const GREETED: Duration = Duration::from_secs(2);
 
-/// Other instances up to which each is told of a long prompt directly. With more,
-/// relays pass notices on: a tenth of the datagrams, for a batch's delay.
+/// Other instances up to which each is told everything directly. With more, relays
+/// pass notices of long prompts on, a tenth of the datagrams for a batch's delay, and
+/// other failure domains hear only what does not age within a round of news.
 const TOLD_DIRECTLY: usize = 96;
 
 /// Other instances.
@@ -197,6 +198,16 @@
         self.known.iter().filter_map(lately).choose_multiple(&mut rand::rng(), most)
     }
 
+    /// Forgets instances that have been silent for long. They do not count any more,
+    /// so nothing has to be taken away.
+    fn forget_long_gone(&mut self, now: Duration) {
+        let before = self.known.len();
+        self.known.retain(|_, peer| peer.counts || now < peer.heard.unwrap_or(peer.found) + FORGOTTEN);
+        if self.known.len() < before {
+            self.by_hash.retain(|_, name| self.known.contains_key(name));
+        }
+    }
+
     /// Forgets an instance.
     fn forget(&mut self, name: &str) {
         let Some(peer) = self.known.remove(name) else { return };
@@ -397,25 +408,34 @@
         strangers
     }
 
-    /// Where to send the next piece of news: a part of the known instances that
-    /// moves on with each turn, and the number of turns until all have had one.
+    /// Where to send the next pieces of news, at most so many: to parts of the known
+    /// instances that move on with each turn.
     #[must_use]
-    pub fn audience(&self, turn: usize, most: usize) -> (Vec<SocketAddr>, usize) {
+    pub fn audience(&self, turn: usize, most: usize) -> Turn {
         let now = clock::now();
-        let mut state = self.lock();
-        // Those long gone do not count any more, so nothing has to be taken away.
-        let Peers { known, by_hash, .. } = &mut state.peers;
-        known.retain(|_, peer| peer.counts || now < peer.heard.unwrap_or(peer.found) + FORGOTTEN);
-        by_hash.retain(|_, name| known.contains_key(name));
         let me = Relay {
             cores: self.settings.cores,
             hash: hash::stable(self.settings.instance.as_bytes()),
             news: self.settings.listeners.news,
         };
-        state.peers.choose_relays(me, now);
-        let rounds = state.peers.known.len().div_ceil(most).max(1);
-        let in_turn = state.peers.known.values().skip(turn % rounds).step_by(rounds);
-        (in_turn.map(|peer| peer.news).collect(), rounds)
+        let peers = &mut self.lock().peers;
+        peers.forget_long_gone(now);
+        peers.choose_relays(me, now);
+        if peers.live <= TOLD_DIRECTLY {
+            return Turn { near: Part::of(peers.known.values(), turn, most), far: Part::default() };
+        }
+        let is_near = |peer: &&Peer| peer.word.domain == peers.domain;
+        let near = Part::of(peers.known.values().filter(is_near), turn, most / 2);
+        let far = Part::of(peers.known.values().filter(|peer| !is_near(peer)), turn, most / 2);
+        Turn { near, far }
+    }
+
+    /// Takes an instance's evidence on roll-outs in, ahead of its news.
+    pub fn take_reports(&self, name: u32, reports: Vec<Report>) {
+        let Peers { known, by_hash, .. } = &mut self.lock().peers;
+        if let Some(peer) = by_hash.get(&name).and_then(|name| known.get_mut(name)) {
+            peer.word.reports = reports;
+        }
     }
 
     /// Takes in when another instance has heard others.
@@ -475,6 +495,32 @@
     }
 }
 
+/// Where the next pieces of news go.
+#[derive(Debug, Clone, Default)]
+pub struct Turn {
+    /// All instances in turn; in a large fleet, those of the own failure domain.
+    pub near: Part,
+    /// In a large fleet the others. What they hear of loads would be old before they
+    /// hear it again, and bytes between failure domains are paid for.
+    pub far: Part,
+}
+
+/// Some of many instances.
+#[derive(Debug, Clone, Default)]
+pub struct Part {
+    /// Where they hear news.
+    pub news: Vec<SocketAddr>,
+    /// Turns until all of the many have had one.
+    pub rounds: usize,
+}
+
+impl Part {
+    fn of<'a>(peers: impl Iterator<Item = &'a Peer> + Clone, turn: usize, most: usize) -> Self {
+        let rounds = peers.clone().count().div_ceil(most).max(1);
+        Self { news: peers.skip(turn % rounds).step_by(rounds).map(|peer| peer.news).collect(), rounds }
+    }
+}
+
 /// When an instance was heard.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Sighting {
--- a/crates/relay/src/desk/track.rs
+++ b/crates/relay/src/desk/track.rs
@@ -218,6 +218,15 @@
         self.watches(&state, clock::now(), true)
     }
 
+    /// Where the instances that watch the store hear news, this one left out.
+    #[must_use]
+    pub fn watchers(&self) -> Vec<SocketAddr> {
+        let state = self.lock();
+        let mut watchers: Vec<Watcher> = state.peers.watchers(clock::now(), true).collect();
+        watchers.sort_unstable_by_key(|watcher| watcher.rank);
+        watchers.into_iter().take(WATCHERS).map(|watcher| watcher.news).collect()
+    }
+
     /// Whom to ask, nearest first: nobody if this instance is to watch the
     /// store itself. `turn` moves on when a question was not answered.
     #[must_use]
--- a/crates/relay/src/handle.rs
+++ b/crates/relay/src/handle.rs
@@ -65,7 +65,7 @@
     let callers = front::bind(at.front).map_err(failed("front", at.front))?;
     let ready = front::bind(at.ready).map_err(failed("ready", at.ready))?;
     let directory = front::bind(at.directory).map_err(failed("directory", at.directory))?;
-    let (socket, copies) = news::bind(at.news).await.map_err(failed("news", at.news))?;
+    let (socket, copying) = news::bind(at.news).await.map_err(failed("news", at.news))?;
     let bound = |listener: &tokio::net::TcpListener, told| listener.local_addr().unwrap_or(told);
     settings.listeners = Listeners {
         front: bound(&callers, at.front),
@@ -82,9 +82,9 @@
     tasks.spawn(front::accept(ready, move |request| std::future::ready(directory::ready(&shared, &request))));
     let shared = Arc::clone(&desk);
     tasks.spawn(front::accept(directory, move |request| std::future::ready(directory::addresses(&shared, &request))));
-    let (shared, copier) = (Arc::clone(&desk), Arc::new(Sharer::new()));
-    let copy = move |request| std::future::ready(copier.serve(&shared, &request));
-    tasks.spawn(front::accept(copies, copy));
+    let (shared, sharer) = (Arc::clone(&desk), Arc::new(Sharer::new()));
+    let copy = move |request| std::future::ready(sharer.serve(&shared, &request));
+    tasks.spawn(front::accept(copying, copy));
     for kind in [Kind::Catalog, Kind::Rollouts, Kind::Endpoints] {
         tasks.spawn(follow::follow(Arc::clone(&desk), Arc::clone(&source), kind));
     }
--- a/crates/relay/src/join.rs
+++ b/crates/relay/src/join.rs
@@ -25,29 +25,29 @@
     let me = Instance { name: desk.settings.instance.clone(), news: desk.settings.listeners.news };
     let progress = Progress::default();
     let mut registered = register(&*source, &me).await;
-    // All instances of a fleet start at once: an old first listing would show
-    // none of the others, and each would watch the store by itself until the
-    // next one.
-    let mut read = Read::Latest;
     let mut found = found_by_seeds(&desk).await;
     loop {
-        if !registered {
-            registered = register(&*source, &me).await;
-        }
         if !found {
-            found = list(&desk, &*source, read, &progress).await;
+            // All instances of a fleet start at once: an old first listing would
+            // show none of the others, and each would watch the store by itself
+            // until the next one.
+            found = list(&desk, &*source, Read::Latest, &progress).await;
+        }
+        if registered && found {
+            break;
         }
-        if found {
-            read = Read::AnyAge;
+        sleep(spread(AGAIN)).await;
+        if !registered {
+            registered = register(&*source, &me).await;
         }
-        if !(registered && found) {
-            sleep(spread(AGAIN)).await;
-            continue;
+    }
+    loop {
+        sleep(spread(INSTANCES_PAUSE)).await;
+        let members = u32::try_from(desk.members()).unwrap_or(u32::MAX);
+        // One of them looks: which, is drawn by each for itself.
+        if rand::random_ratio(1, members) {
+            list(&desk, &*source, Read::AnyAge, &progress).await;
         }
-        // The more instances there are, the more often one of them looks.
-        let many = u32::try_from(desk.members()).unwrap_or(u32::MAX);
-        sleep(spread(INSTANCES_PAUSE * many.max(1))).await;
-        found = false;
     }
 }
 
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -24,8 +24,9 @@
     desk::{
         Desk,
         fleet::short_hash,
-        peers::{Audience, Sighting, Word},
+        peers::{Audience, Sighting, Turn, Word},
         track,
+        trials::Report,
     },
     front,
 };
@@ -59,15 +60,18 @@
 /// Other instances named in a piece, so that strangers meet.
 const NAMED: usize = 4;
 
+/// The same in a brief piece.
+const NAMED_IN_BRIEF: usize = 1;
+
 /// The same in a piece for an instance that was heard for the first time.
 const NAMED_TO_STRANGERS: usize = 24;
 
 /// Time in which those heard for the first time are gathered.
 const GREETING: Duration = Duration::from_millis(10);
 
-/// Sightings in a piece: at 295 instances, sixteen pieces each quarter of a second
-/// tell three times a second of each.
-const SIGHTED: usize = 16;
+/// Sightings in a piece: with 300 instances, eight pieces each quarter of a second
+/// tell four times a second of each.
+const SIGHTED: usize = 40;
 
 /// Free ports tried until one is free for connections as well.
 const PORTS_TRIED: u32 = 16;
@@ -106,11 +110,27 @@
             let question = Question { number, revision: desk.question().revision };
             send(socket, watcher, &encode(&Packet::Question(question)));
         }
+        report(desk, socket);
         let pause = if desk.awaits_proof() { ASK_AT_START } else { ASK };
         sleep(pause).await;
     }
 }
 
+/// Brings evidence on roll-outs together at the instances that watch the store.
+///
+/// In a large fleet each instance sees a few of a bad version's runs, and by news
+/// alone it took many seconds until anybody knew of enough of them.
+fn report(desk: &Desk, socket: &UdpSocket) {
+    let orders: Vec<Order> = desk.trial_reports().iter().map(Order::from).collect();
+    if orders.is_empty() {
+        return;
+    }
+    let bytes = encode(&Packet::Evidence(short_hash(&desk.settings.instance), orders));
+    for watcher in desk.watchers() {
+        send(socket, watcher, &bytes);
+    }
+}
+
 async fn tell(desk: &Desk, socket: &UdpSocket, run: u64) {
     // A new socket takes nothing before it has been waited for once.
     if let Err(error) = socket.writable().await {
@@ -121,12 +141,17 @@
     }
     let mut turn = 0;
     loop {
-        let (in_turn, rounds) = desk.audience(turn, AUDIENCE);
-        let pause_told = PAUSE * u32::try_from(rounds).unwrap_or(u32::MAX);
+        let Turn { near, far } = desk.audience(turn, AUDIENCE);
+        let pause_told = PAUSE * u32::try_from(near.rounds).unwrap_or(u32::MAX);
         let bytes = encode(&Packet::News(piece(desk, run, pause_told, NAMED)));
-        for news in in_turn.into_iter().chain(desk.strangers()) {
+        for news in near.news.into_iter().chain(desk.strangers()) {
             send(socket, news, &bytes);
         }
+        if !far.news.is_empty() {
+            let pause = PAUSE * u32::try_from(far.rounds).unwrap_or(u32::MAX);
+            let bytes = encode(&Packet::News(brief(desk, run, pause)));
+            far.news.iter().for_each(|news| send(socket, *news, &bytes));
+        }
         turn += 1;
         let mut pause = pin!(sleep(PAUSE));
         loop {
@@ -244,6 +269,7 @@
                 desk.take_sightings(piece.sightings.iter().map(Sighting::from));
                 desk.hear(&piece.name, from, Word::from(&piece));
             }
+            Ok(Packet::Evidence(name, orders)) => desk.take_reports(name, orders.iter().map(Report::from).collect()),
             Ok(Packet::Notices(notices)) => take_notices(desk, notices),
             Ok(Packet::PassOn(notices)) => {
                 batch.add(notices.clone());
@@ -295,6 +321,11 @@
     }
 }
 
+/// A piece without what would be old before the next one comes.
+fn brief(desk: &Desk, run: u64, pause: Duration) -> Piece {
+    Piece { loads: Vec::new(), sightings: Vec::new(), ..piece(desk, run, pause, NAMED_IN_BRIEF) }
+}
+
 /// Where a round of news takes several turns, when others were heard.
 fn sightings(desk: &Desk, pause: Duration) -> Vec<Seen> {
     if pause <= PAUSE {
--- a/crates/relay/src/news/wire.rs
+++ b/crates/relay/src/news/wire.rs
@@ -27,6 +27,8 @@
     Notices(Vec<Notice>),
     /// The same, for the receiver's neighbours as well.
     PassOn(Vec<Notice>),
+    /// An instance's evidence on roll-outs, by the hash of its name.
+    Evidence(u32, Vec<Order>),
 }
 
 /// Word of a long prompt on the wire.
--- a/crates/relay/src/report.rs
+++ b/crates/relay/src/report.rs
@@ -15,8 +15,8 @@
 
 /// Moves roll-outs on and reports their stages to the store.
 ///
-/// Every instance does; the one whose name comes first reports, and the others
-/// if it fails to. Reports are conditional writes, so whoever is late changes
+/// Every instance does; the one whose name comes first and those that watch the
+/// store report, and the others if they fail to. Reports are conditional writes, so whoever is late changes
 /// nothing.
 pub async fn roll_out(desk: Arc<Desk>, source: Arc<dyn Source>) {
     let mut unsaid_for = 0;
@@ -28,7 +28,8 @@
             continue;
         }
         unsaid_for += 1;
-        if !desk.leads() && unsaid_for < OTHERS_TURN {
+        // Those that watch the store have the most evidence and know first.
+        if !desk.leads() && !desk.watches_store() && unsaid_for < OTHERS_TURN {
             continue;
         }
         for (rollout, stage) in unsaid {
--- a/crates/relay/tests/it/notices.rs
+++ b/crates/relay/tests/it/notices.rs
@@ -136,7 +136,7 @@
             desk.hear(&format!("{domain}-{number}"), news, word);
         }
     }
-    // Relays are chosen with each piece of news.
+    // Relays are chosen with each turn of news.
     let _ = desk.audience(0, 16);
 }
 
