Read the orders where nobody tells of them

Those that rank first had read the orders at any age and could answer nobody until their own watch of four seconds had ended.

Change: whoever has no proof of the orders after 350 ms reads them, as it does the catalog (moot since orders are read at once again). The start of an instance is told from the one before by wall time: time since the machine's start begins anew when it loses power, and the others passed over all it said; one that looks older is heard once the other is silent.

--- a/crates/relay/src/desk/peers.rs
+++ b/crates/relay/src/desk/peers.rs
@@ -156,7 +156,9 @@
     fn take(&mut self, name: &str, word: Word, now: Duration) {
         self.settle(now);
         let Some(peer) = self.known.get_mut(name) else { return };
-        if word.run < peer.word.run {
+        // A start that looks older counts once the one before it is silent: the clock
+        // that tells them apart may have been set back.
+        if peer.counts && word.run < peer.word.run {
             return;
         }
         if peer.counts {
--- a/crates/relay/src/desk/peers/tests.rs
+++ b/crates/relay/src/desk/peers/tests.rs
@@ -148,3 +148,14 @@
     peers.take_sighting(sighting(10, true), at(500));
     assert_eq!(peers.known["i0"].word.phase, Phase::Leaving);
 }
+
+/// An instance lost power, and the clock of its machine began anew: what the others
+/// heard of it looked older than its start before, for good.
+#[test]
+fn start_that_looks_older_is_heard_once_the_other_is_silent() {
+    let mut peers = heard(250);
+    hear(&mut peers, 0, word(0, &[(2, 7)]), at(100));
+    assert!(peers.load(2) == Load::default());
+    hear(&mut peers, 0, word(0, &[(2, 7)]), at(1_200));
+    assert_eq!((peers.live, peers.load(2).runs.to_bits()), (1, 7.0_f64.to_bits()));
+}
--- a/crates/relay/src/desk/track.rs
+++ b/crates/relay/src/desk/track.rs
@@ -186,6 +186,12 @@
         self.lock().track.orders_known = true;
     }
 
+    /// Whether every order for a roll-out is known.
+    #[must_use]
+    pub fn knows_orders(&self) -> bool {
+        self.lock().track.orders_known
+    }
+
     /// Revision up to which endpoints are known.
     #[must_use]
     pub fn endpoints_revision(&self) -> u64 {
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -120,7 +120,11 @@
             self.rest().await;
             return;
         }
-        if self.listed && !self.lacks_proof() && (self.meeting() || self.waits_for_catalog()) {
+        let lacks_proof = self.lacks_proof();
+        if lacks_proof {
+            self.revision = None;
+        }
+        if self.listed && !lacks_proof && (self.meeting() || self.waits_for_catalog()) {
             self.expire();
             if self.kind == Kind::Catalog {
                 // What was read before the wait proves little by now.
@@ -173,7 +177,12 @@
 
     /// Whether nobody has proven in time what the first reading, of any age, brought.
     fn lacks_proof(&self) -> bool {
-        let is_unproven = self.kind == Kind::Catalog && self.desk.keys_age().is_none();
+        let is_unproven = match self.kind {
+            Kind::Catalog => self.desk.keys_age().is_none(),
+            Kind::Rollouts => !self.desk.knows_orders(),
+            // A watch from an old listing's revision brings what it lacks.
+            Kind::Endpoints | Kind::Instances => false,
+        };
         is_unproven && !self.desk.awaits_proof()
     }
 
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -10,7 +10,7 @@
     net::SocketAddr,
     pin::pin,
     sync::{Arc, Mutex, PoisonError},
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use tokio::{
@@ -81,9 +81,10 @@
 
 /// Sends and hears news for good.
 pub async fn exchange(desk: Arc<Desk>, socket: Arc<UdpSocket>) {
-    // Wall time only orders the starts of one instance; a start that looks
-    // older than the one before is heard once that one has gone silent.
-    let run = u64::try_from(clock::now().as_nanos()).unwrap_or(0);
+    // Wall time only orders the starts of one instance. Time since the machine's
+    // start would begin anew when it loses power, and nobody would hear it.
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let run = u64::try_from(since_epoch.as_nanos()).unwrap_or(0);
     let (asked, batch) = (Mutex::default(), Batch::default());
     tokio::join!(
         tell(&desk, &socket, run),
