--- /dev/null
+++ b/crates/bench/src/fleet.rs
@@ -0,0 +1,162 @@
+//! What a relaying instance's own work costs, by the size of the fleet.
+//!
+//! Each figure is the mean time of one piece of work in microseconds on one thread,
+//! without sockets: what grows here grows at every instance.
+
+use std::{
+    collections::HashMap,
+    hint::black_box,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use relay::{
+    clock,
+    desk::{
+        Desk,
+        fleet::{Job, Load, Notice, short_hash},
+        peers::{Asking, Phase, Sighting, Word},
+        track::Change,
+    },
+    settings::Cores,
+    source::Endpoint,
+};
+use route::relay::freshness::Proof;
+
+use crate::relay::{dialect, settings};
+
+const INSTANCES: [u32; 4] = [30, 100, 300, 750];
+const ENDPOINTS: [u32; 3] = [100, 1_000, 10_000];
+const DOMAINS: u32 = 6;
+
+/// Endpoints that an instance has runs at.
+const LOADED: u32 = 10;
+
+/// Time that each figure is measured for.
+const MEASURED: Duration = Duration::from_millis(200);
+
+/// Prints both tables.
+pub fn run() {
+    println!("instances, 200 endpoints | piece heard | sightings taken | news sent to | addresses told | watch asked");
+    for instances in INSTANCES {
+        let desk = desk(instances, 200);
+        let mut number = 0;
+        let heard = measure(|| {
+            number += 1;
+            desk.hear(&name(number % instances), news(number % instances), word(number % instances, number, 200));
+        });
+        let sightings = measure(|| desk.take_sightings((0..40).map(|n| sighting(n % instances))));
+        let audience = measure(|| black_box(desk.audience(number as usize, 16)));
+        let asking = Asking { domain: Some(domain(0)), from: None };
+        let fronts = measure(|| black_box(desk.fronts(&asking)));
+        let led = measure(|| black_box(desk.led()));
+        println!("{instances} | {heard:.1} | {sightings:.1} | {audience:.1} | {fronts:.1} | {led:.1}");
+    }
+    println!("endpoints, 30 instances | expectation | placement | notice | listing compared");
+    for endpoints in ENDPOINTS {
+        let desk = desk(30, endpoints);
+        let mut session = 0;
+        let expected = measure(|| {
+            session += 1;
+            black_box(desk.expect(&job(session)))
+        });
+        let placed = measure(|| {
+            session += 1;
+            black_box(desk.place(&job(session)))
+        });
+        let noticed = measure(|| {
+            session += 1;
+            let endpoint = short_hash(&format!("e{}", session % u64::from(endpoints)));
+            desk.take_notice(Notice { endpoint, reading_ms: 1.0, part: None });
+        });
+        let listed: Vec<Endpoint> = (0..endpoints).map(endpoint).collect();
+        let listed: Vec<&Endpoint> = listed.iter().collect();
+        let compared = measure(|| -> Vec<Change> { black_box(desk.differences(&listed, &[])) });
+        println!("{endpoints} | {expected:.1} | {placed:.1} | {noticed:.1} | {compared:.1}");
+    }
+}
+
+/// Mean time of some work, in microseconds.
+fn measure<T>(mut work: impl FnMut() -> T) -> f64 {
+    let begun = Instant::now();
+    let mut times = 0_u32;
+    while begun.elapsed() < MEASURED {
+        work();
+        times += 1;
+    }
+    begun.elapsed().as_secs_f64() * 1e6 / f64::from(times)
+}
+
+fn desk(instances: u32, endpoints: u32) -> Arc<Desk> {
+    let desk = Desk::new(settings(), dialect());
+    (0..endpoints).for_each(|number| desk.enlist(endpoint(number)));
+    desk.note_listing(1);
+    desk.renew(clock::now(), Proof::Read);
+    (0..instances).for_each(|number| desk.hear(&name(number), news(number), word(number, 0, endpoints)));
+    desk
+}
+
+fn word(instance: u32, run: u32, endpoints: u32) -> Word {
+    let load = Load { runs: 2.0, backlog_ms: 30.0 };
+    let loaded = (0..LOADED).map(|n| (short_hash(&format!("e{}", (instance * LOADED + n + run) % endpoints)), load));
+    Word {
+        front: Some(news(instance)),
+        run: u64::from(run),
+        phase: Phase::Ready,
+        fresh: true,
+        domain: domain(instance),
+        in_touch: true,
+        cores: Cores(if instance % 16 == 0 { 50 } else { 12 }),
+        pause: Duration::from_mins(1),
+        loads: loaded.collect::<HashMap<_, _>>(),
+        ..Word::default()
+    }
+}
+
+fn sighting(instance: u32) -> Sighting {
+    Sighting { name: short_hash(&name(instance)), age: Duration::from_millis(300), leaves: false }
+}
+
+fn job(session: u64) -> Job<'static> {
+    Job {
+        service: "model",
+        model: Some(0),
+        size: 1.0,
+        affinity: Some(session << 32),
+        whole: None,
+        shared_tokens: 5_000,
+        own_tokens: 500,
+        session,
+        in_session: false,
+        tried: &[],
+        version: None,
+    }
+}
+
+fn endpoint(number: u32) -> Endpoint {
+    Endpoint {
+        id: format!("e{number}"),
+        service: "model".into(),
+        address: news(number),
+        domain: domain(number),
+        version: "v1".into(),
+        slots: 12,
+        draining: false,
+        cold: Duration::ZERO,
+        born: None,
+        revision: 1,
+    }
+}
+
+fn name(instance: u32) -> String {
+    format!("instance-{instance}")
+}
+
+fn domain(number: u32) -> String {
+    format!("domain-{}", number % DOMAINS)
+}
+
+fn news(number: u32) -> SocketAddr {
+    ([10, 0, 0, 1], u16::try_from(1_000 + number).unwrap_or(u16::MAX)).into()
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,8 @@
 //! One subcommand per question; each prints one table and compares what it
 //! measures with a baseline of the same run. Nothing here runs in CI.
 
+#[expect(clippy::cast_possible_truncation, reason = "small counts")]
+mod fleet;
 mod journal;
 mod path;
 #[expect(clippy::cast_precision_loss, reason = "figures for a table")]
@@ -32,6 +34,7 @@
 const QUESTIONS: &[Question] = &[
     Question::new("journal", "Claims and bills a second, and their latency", journal::run),
     Question::new("budgets", "How much of a budget lies idle at seven instances", journal::run_budgets),
+    Question::new("fleet", "What a relaying instance's own work costs, by the size of the fleet", fleet::run),
     Question::new("path", "What an instance adds between a caller and its engine", path::run),
     Question::new("peers", "What links between instances cost, by the number of instances", peers::run),
     Question::new("relay", "What a relaying instance adds to a call and to a stream", relay::run),
--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -235,7 +235,7 @@
     catalog
 }
 
-fn settings() -> Settings {
+pub fn settings() -> Settings {
     let free = SocketAddr::from(([127, 0, 0, 1], 0));
     Settings {
         instance: "here".into(),
@@ -254,7 +254,7 @@
     }
 }
 
-fn dialect() -> Dialect {
+pub fn dialect() -> Dialect {
     let name = HeaderName::from_static;
     Dialect {
         names: Names {
@@ -277,6 +277,7 @@
         },
         ready_path: "/ready",
         addresses_path: "/addresses",
+        asking_domain: |_| None,
         addresses: |_, _| Bytes::new(),
         cache_path: "/cache",
         cached: |_| Vec::new(),
--- a/crates/relay/src/handle.rs
+++ b/crates/relay/src/handle.rs
@@ -82,8 +82,9 @@
     tasks.spawn(front::accept(ready, move |request| std::future::ready(directory::ready(&shared, &request))));
     let shared = Arc::clone(&desk);
     tasks.spawn(front::accept(directory, move |request| std::future::ready(directory::addresses(&shared, &request))));
-    let (shared, sharer) = (Arc::clone(&desk), Arc::new(Sharer::new()));
-    let copy = move |request| std::future::ready(sharer.serve(&shared, &request));
+    let copies = Sharer::new();
+    let shared = Arc::clone(&desk);
+    let copy = move |request| std::future::ready(copies.serve(&shared, &request));
     tasks.spawn(front::accept(copying, copy));
     for kind in [Kind::Catalog, Kind::Rollouts, Kind::Endpoints] {
         tasks.spawn(follow::follow(Arc::clone(&desk), Arc::clone(&source), kind));
--- a/crates/relay/tests/it/rollouts.rs
+++ b/crates/relay/tests/it/rollouts.rs
@@ -5,13 +5,22 @@
     time::Duration,
 };
 
-use relay::{catalog::Kind, rollout::Rollout};
-use route::relay::canary::Stage;
+use relay::{
+    catalog::Kind,
+    desk::{
+        fleet::short_hash,
+        peers::Word,
+        trials::{Report, Tallies},
+    },
+    rollout::Rollout,
+};
+use route::relay::canary::{Lateness, Stage, Tally};
 
 use crate::{
     caller,
     server::{Act, Server, head, whole},
     site::{Kept, SERVICE, Site, catalog, endpoint, route},
+    track::knowing,
 };
 
 const OVER: Duration = Duration::from_mins(1);
@@ -117,3 +126,22 @@
     let (old, new) = (old.seen().len(), new.seen().len());
     assert!(new < old, "{new} of {}", new + old);
 }
+
+/// In a large fleet each instance sees two of a bad version's failures, and by news
+/// alone none knew of enough of them for seconds. Those that watch the store are told
+/// each third of a second.
+#[test]
+fn evidence_of_many_instances_condemns_a_version() {
+    let desk = knowing(1);
+    desk.order(order());
+    let order = desk.trial_reports().remove(0).order;
+    let tally = |runs, bad| Tally { runs, bad, lateness: Lateness::default() };
+    for number in 0..30_u16 {
+        let name = format!("i{number}");
+        desk.hear(&name, ([127, 0, 0, 1], 2_000 + number).into(), Word::default());
+        let own = Tallies { new: tally(3, 2), old: tally(40, 1) };
+        let report = Report { order, stage: Stage::Trial, elapsed: Duration::from_secs(3), own };
+        desk.take_reports(short_hash(&name), vec![report]);
+    }
+    assert!(desk.advance_trials().iter().any(|(_, stage)| *stage == Stage::Reverted));
+}
