--- a/crates/relay/src/handle.rs
+++ b/crates/relay/src/handle.rs
@@ -82,8 +82,7 @@
     tasks.spawn(front::accept(ready, move |request| std::future::ready(directory::ready(&shared, &request))));
     let shared = Arc::clone(&desk);
     tasks.spawn(front::accept(directory, move |request| std::future::ready(directory::addresses(&shared, &request))));
-    let copies = Sharer::new();
-    let shared = Arc::clone(&desk);
+    let (copies, shared) = (Arc::new(Sharer::new()), Arc::clone(&desk));
     let copy = move |request| std::future::ready(copies.serve(&shared, &request));
     tasks.spawn(front::accept(copying, copy));
     for kind in [Kind::Catalog, Kind::Rollouts, Kind::Endpoints] {
