Draw by a hash of session and time

The test of an even spread failed: five of 396 endpoints were never drawn in 8,000 placements. The draw took session and time as they are, whose low bits hardly differ between requests.

--- a/crates/relay/src/desk/fleet/pool.rs
+++ b/crates/relay/src/desk/fleet/pool.rs
@@ -8,9 +8,10 @@
 use std::time::Duration;
 
 use route::relay::placement;
+use world::hash;
 
 use super::{Fleet, Job, Key, Server};
-use crate::{clock, desk::trials::Deal};
+use crate::desk::trials::Deal;
 
 /// Endpoints up to which a decision looks at all of them.
 const SMALL: usize = 64;
@@ -71,8 +72,9 @@
             (is_dealt && is_up && !job.tried.contains(&key)).then_some((key, server))
         };
         let mut keys = Vec::with_capacity(3 * DRAWN);
-        let draw = job.session ^ u64::try_from(clock::now().as_nanos()).unwrap_or(0);
-        for (of, draw) in [(&pool.near, draw), (&pool.all, draw.rotate_left(17))] {
+        let tie = job.session ^ u64::try_from(now.as_nanos()).unwrap_or(0);
+        let draw = hash::stable(&tie.to_be_bytes());
+        for (of, draw) in [(&pool.near, draw), (&pool.all, draw.rotate_left(32))] {
             let drawn = placement::sample(of.len(), DRAWN, draw, |place| takes(of[place]).is_some());
             keys.extend(drawn.into_iter().map(|place| of[place]));
         }
