Let few look for a lost store

Change: an instance that others make doubt the store leaves its first look, by the catalog's follower alone, to a random moment within 1.5 s; further ones come each 1.5 s, and more rarely the more instances there are. Those that rank first look each half a second, as before, and the others hear from them.

--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -213,6 +213,7 @@
     pub fn note_touch(&self, succeeded: bool) {
         let mut state = self.lock();
         state.in_touch = succeeded;
+        state.track.doubts_store &= !succeeded;
         state.lost_once |= !succeeded;
         drop(state);
         self.learned.notify_waiters();
--- a/crates/relay/src/desk/track.rs
+++ b/crates/relay/src/desk/track.rs
@@ -71,6 +71,9 @@
     answered: Option<Duration>,
     /// Replies in a row of instances that seem to have lost the store.
     doubts: u32,
+    /// Whether such replies ended this instance's being kept in step, and neither
+    /// others nor its own calls have shown since that the store is there.
+    pub(super) doubts_store: bool,
     orders_known: bool,
     /// Newer catalogs that any instance has told of.
     pub(super) succession: Succession,
@@ -186,6 +189,12 @@
         self.lock().track.orders_known = true;
     }
 
+    /// Whether the store may be lost, as far as others have shown.
+    #[must_use]
+    pub fn doubts_store(&self) -> bool {
+        self.lock().track.doubts_store
+    }
+
     /// Whether every order for a roll-out is known.
     #[must_use]
     pub fn knows_orders(&self) -> bool {
@@ -321,6 +330,7 @@
         state.track.changed(reply.revision, reply.changes);
         state.track.answered = Some(clock::now());
         state.track.doubts = 0;
+        state.track.doubts_store = false;
         if reply.gap {
             self.endpoints_wanted.notify_one();
         }
@@ -346,6 +356,7 @@
         let mut state = self.lock();
         state.track.doubts += 1;
         if state.track.doubts >= MOST_DOUBTS && state.track.answered.take().is_some() {
+            state.track.doubts_store = true;
             tracing::info!(
                 silence_ms = clock::millis(reply.silence),
                 proof_age_ms = clock::millis(reply.proof_age),
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -43,6 +43,10 @@
 /// of its return from others: each look is paid for, by every instance.
 const LOOK: Duration = Duration::from_millis(1_500);
 
+/// Looks for a lost store of a large fleet, over all of it: an instance a pause of this
+/// times the instances. Those that look first are heard of sooner than a look brings.
+const LOOK_EACH: Duration = Duration::from_millis(20);
+
 /// The same while another instance keeps it in step.
 const LED_LOOK: Duration = Duration::from_secs(4);
 
@@ -90,6 +94,7 @@
         lapses: Lapses::default(),
         first_listed: None,
         pause: None,
+        has_left_look: false,
     };
     loop {
         follower.step().await;
@@ -112,6 +117,8 @@
     first_listed: Option<Duration>,
     /// Pause before the next call.
     pause: Option<Duration>,
+    /// Whether the first look for a doubted store was left to others.
+    has_left_look: bool,
 }
 
 impl Follower {
@@ -133,6 +140,11 @@
             sleep(REST).await;
             return;
         }
+        if self.leaves_first_look() {
+            self.expire();
+            sleep(LOOK.mul_f64(rand::random())).await;
+            return;
+        }
         if let Some(pause) = self.pause.take() {
             sleep(pause).await;
         }
@@ -157,8 +169,11 @@
             tracing::warn!(kind = ?self.kind, %fault, "store lost");
             self.lost_since = Some(asked);
         }
-        let longest = if self.desk.looks_first() { BACKOFF.1 } else { LOOK };
-        let wait = self.backoff(longest);
+        let wait = if self.desk.looks_first() {
+            self.backoff(BACKOFF.1)
+        } else {
+            LOOK.max(LOOK_EACH * u32::try_from(self.desk.members()).unwrap_or(u32::MAX))
+        };
         self.note_failed(clock::now());
         sleep(wait.mul_f64(0.7 + 0.6 * rand::random::<f64>())).await;
     }
@@ -186,10 +201,20 @@
         is_unproven && !self.desk.awaits_proof()
     }
 
-    /// Whether a lost store is left to the catalog's follower to look for: the
-    /// kinds are lost and regained together, and each look is paid for.
+    /// Whether a store that is lost or doubted is left to the catalog's follower to
+    /// look for: the kinds are lost and regained together, and each look is paid for.
     fn waits_for_catalog(&self) -> bool {
-        self.kind != Kind::Catalog && self.lost_since.is_some() && !self.desk.touched()
+        let is_lost = self.lost_since.is_some() && !self.desk.touched();
+        self.kind != Kind::Catalog && (is_lost || self.desk.doubts_store())
+    }
+
+    /// Whether a store that others seem to have lost is left to them for a moment:
+    /// all of a fleet hear of it at once, and mostly it is lost to all.
+    fn leaves_first_look(&mut self) -> bool {
+        let doubts = self.kind == Kind::Catalog && self.desk.doubts_store() && !self.desk.looks_first();
+        let is_first = doubts && !self.has_left_look;
+        self.has_left_look = doubts;
+        is_first
     }
 
     /// While another instance keeps this one in step there is nothing to ask
--- a/crates/relay/tests/it/track.rs
+++ b/crates/relay/tests/it/track.rs
@@ -15,6 +15,7 @@
         peers::{Asking, Phase, Word},
         track::{Change, Question, Reply},
     },
+    settings::Cores,
 };
 use route::relay::freshness::Proof;
 use world::hash;
@@ -479,3 +480,35 @@
     desk.take_reply(clock::now(), Reply { proof_age: silence, silence, ..reply });
     assert_ne!(desk.whom_to_ask(0).unwrap(), first);
 }
+
+/// The store is down. Every instance of a large fleet looked for it as soon as those
+/// that watch it said so, for each kind of record and six times in the first second:
+/// some five thousand calls, each refused and paid for.
+#[tokio::test]
+async fn lost_store_is_looked_for_by_few() {
+    let site = Site::open(vec![route("/a/", Kind::Idempotent)], &[]).await;
+    let (desk, watcher) = (site.relay.desk(), knowing(1));
+    let word = || Word { cores: Cores(400), in_touch: true, pause: Duration::from_mins(1), ..Word::default() };
+    for (name, port) in [("a", 7), ("b", 8)] {
+        desk.hear(name, ([127, 0, 0, 7], port).into(), word());
+    }
+    let reply = || {
+        watcher.renew(clock::now(), Proof::Read);
+        watcher.reply(desk.question(), 60).unwrap()
+    };
+    for _ in 0..10 {
+        desk.take_reply(clock::now(), reply());
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert!(desk.led());
+    site.store.change(|kept| kept.refuses = true);
+    let before = site.store.latest_reads.load(Ordering::Relaxed);
+    let silence = Duration::from_secs(2);
+    for _ in 0..2 {
+        desk.take_reply(clock::now(), Reply { silence, ..reply() });
+    }
+    assert!(!desk.led());
+    tokio::time::sleep(Duration::from_millis(1_900)).await;
+    let looks = site.store.latest_reads.load(Ordering::Relaxed) - before;
+    assert!(looks <= 2, "{looks} looks");
+}
