--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -12,6 +12,7 @@
 pub mod peers;
 pub mod track;
 pub mod trials;
+pub mod watchers;
 
 use std::{
     collections::HashMap,
--- /dev/null
+++ b/crates/relay/src/desk/peers/fronts.rs
@@ -0,0 +1,79 @@
+//! Which instances a caller is told of.
+
+use std::net::{IpAddr, SocketAddr};
+
+use route::relay::fronts;
+use world::hash;
+
+use super::Peer;
+use crate::{clock, desk::Desk};
+
+/// Most addresses in an answer to callers.
+const MOST_ADDRESSES: usize = 64;
+
+/// Who asks where to go.
+#[derive(Debug, Clone, Default)]
+pub struct Asking {
+    /// Its failure domain, if it says.
+    pub domain: Option<String>,
+    /// Where it asks from.
+    pub from: Option<IpAddr>,
+}
+
+impl Asking {
+    fn caller(&self) -> fronts::Caller<'_> {
+        let domain = self.domain.as_deref();
+        let from = self.from.map(|from| from.to_string()).unwrap_or_default();
+        let key = hash::stable(domain.unwrap_or_default().as_bytes());
+        fronts::Caller { domain, hash: hash::rendezvous(key, from.as_bytes()) }
+    }
+}
+
+/// An instance that callers may be told of.
+struct Front<'a> {
+    address: SocketAddr,
+    is_fresh: bool,
+    candidate: fronts::Candidate<'a>,
+}
+
+impl<'a> Front<'a> {
+    fn of(peer: &'a Peer) -> Option<Self> {
+        let candidate = fronts::Candidate { hash: peer.hash, domain: &peer.word.domain, cores: peer.word.cores.get() };
+        Some(Self { address: peer.word.front?, is_fresh: peer.word.fresh, candidate })
+    }
+}
+
+impl Desk {
+    /// Where a caller may go: instances that say they are ready, those with fresh
+    /// keys if there are any, and this one if nothing better is known; of many,
+    /// those that [`fronts::choose`] picks for the caller.
+    #[must_use]
+    pub fn fronts(&self, asking: &Asking) -> Vec<SocketAddr> {
+        let now = clock::now();
+        let (me_ready, me_fresh) = (self.ready(), self.fresh());
+        let state = self.lock();
+        let mut all: Vec<Front<'_>> = state
+            .peers
+            .known
+            .values()
+            .filter(|peer| peer.live(now) && peer.word.ready())
+            .filter_map(Front::of)
+            .collect();
+        if me_ready {
+            let me = fronts::Candidate {
+                hash: hash::stable(self.settings.instance.as_bytes()),
+                domain: &self.settings.domain,
+                cores: self.settings.cores.get(),
+            };
+            all.push(Front { address: self.settings.listeners.front, is_fresh: me_fresh, candidate: me });
+        }
+        if all.iter().any(|front| front.is_fresh) {
+            all.retain(|front| front.is_fresh);
+        }
+        let candidates: Vec<fronts::Candidate<'_>> = all.iter().map(|front| front.candidate).collect();
+        let chosen = fronts::choose(&candidates, asking.caller(), MOST_ADDRESSES);
+        let mut addresses: Vec<SocketAddr> = chosen.into_iter().map(|index| all[index].address).collect();
+        addresses.sort_unstable();
+        addresses
+    }
+}
--- a/crates/relay/src/desk/track.rs
+++ b/crates/relay/src/desk/track.rs
@@ -9,7 +9,6 @@
 //! read from the store; so is everything while nobody answers.
 
 use std::{
-    cmp::Reverse,
     collections::{HashMap, HashSet, VecDeque},
     net::SocketAddr,
     time::Duration,
@@ -17,17 +16,9 @@
 
 use rand::seq::IteratorRandom;
 use route::relay::freshness::{Proof, Succession};
-use world::hash;
 
-use super::{Desk, Known, State};
-use crate::{clock, rollout::Rollout, settings::Cores, source::Endpoint};
-
-/// Instances that watch the store: when one is lost, the others ask the next
-/// one and a further one takes its place within a second.
-const WATCHERS: usize = 2;
-
-/// Silence after which an instance watches the store itself: three questions.
-const UNANSWERED: Duration = Duration::from_millis(1_100);
+use super::{Desk, Known};
+use crate::{clock, rollout::Rollout, source::Endpoint};
 
 /// Silence of the store from which the instance that tells of it is doubted: while
 /// it is in touch, each 0.95 s some of an answer about the catalog comes in.
@@ -65,12 +56,12 @@
 /// How far this instance is in step.
 #[derive(Debug, Default)]
 pub struct Track {
-    revision: u64,
+    pub(super) revision: u64,
     from: u64,
     kept: VecDeque<(u64, Change)>,
-    answered: Option<Duration>,
+    pub(super) answered: Option<Duration>,
     /// Replies in a row of instances that seem to have lost the store.
-    doubts: u32,
+    pub(super) doubts: u32,
     /// Whether such replies ended this instance's being kept in step, and neither
     /// others nor its own calls have shown since that the store is there.
     pub(super) doubts_store: bool,
@@ -207,72 +198,6 @@
         self.lock().track.revision
     }
 
-    /// Whether another instance keeps this one in step, so that it need not
-    /// watch the store.
-    #[must_use]
-    pub fn led(&self) -> bool {
-        let now = clock::now();
-        let state = self.lock();
-        // One that is cut off from the store does not count as watching it.
-        let answered = state.track.answered.is_some_and(|at| now < at + UNANSWERED);
-        answered && !(state.in_touch && self.watches(&state, now, true))
-    }
-
-    /// Whether this instance is one of the few that look for a lost store
-    /// often; the others hear from them when it is back.
-    #[must_use]
-    pub fn looks_first(&self) -> bool {
-        let state = self.lock();
-        self.watches(&state, clock::now(), false)
-    }
-
-    /// Whether this instance ranks among those that watch the store.
-    #[must_use]
-    pub fn watches_store(&self) -> bool {
-        let state = self.lock();
-        self.watches(&state, clock::now(), true)
-    }
-
-    /// Where the instances that watch the store hear news, this one left out.
-    #[must_use]
-    pub fn watchers(&self) -> Vec<SocketAddr> {
-        let state = self.lock();
-        let mut watchers: Vec<Watcher> = state.peers.watchers(clock::now(), true).collect();
-        watchers.sort_unstable_by_key(|watcher| watcher.rank);
-        watchers.into_iter().take(WATCHERS).map(|watcher| watcher.news).collect()
-    }
-
-    /// Whom to ask, nearest first: nobody if this instance is to watch the
-    /// store itself. `turn` moves on when a question was not answered.
-    #[must_use]
-    pub fn whom_to_ask(&self, turn: usize) -> Option<SocketAddr> {
-        let now = clock::now();
-        if self.awaits_proof() && self.keys_age().is_none() {
-            // Nobody has been heard yet whose place among the watchers counts.
-            let seeds = &self.settings.seeds;
-            return seeds.get(turn % seeds.len().max(1)).copied();
-        }
-        let state = self.lock();
-        if state.track.revision == 0 || (state.in_touch && self.watches(&state, now, true)) {
-            return None;
-        }
-        let mut watchers: Vec<Watcher> = state.peers.watchers(now, true).collect();
-        watchers.sort_unstable_by_key(|watcher| watcher.rank);
-        watchers.truncate(WATCHERS);
-        watchers.sort_by_key(|watcher| !watcher.near);
-        let turn = turn + usize::try_from(state.track.doubts).unwrap_or_default();
-        watchers.get(turn % watchers.len().max(1)).map(|watcher| watcher.news)
-    }
-
-    /// Whether this instance is one of those that watch the store: the few that
-    /// rank first, the same by everybody's reckoning.
-    fn watches(&self, state: &State, now: Duration, in_touch: bool) -> bool {
-        let hash = hash::stable(self.settings.instance.as_bytes());
-        let me = Rank::new(state.is_narrow, self.settings.cores, hash);
-        let mut before = state.peers.watchers(now, in_touch).filter(|other| other.rank < me);
-        before.nth(WATCHERS - 1).is_none()
-    }
-
     /// Notes whether the catalog takes long to come in here.
     pub fn note_narrow(&self, is_narrow: bool) {
         let mut state = self.lock();
@@ -423,35 +348,3 @@
         }
     }
 }
-
-/// An instance that may watch the store for others.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Watcher {
-    /// Where it hears questions.
-    pub news: SocketAddr,
-    /// Its place among the instances.
-    pub rank: Rank,
-    /// Whether it stands in the same failure domain.
-    pub near: bool,
-}
-
-/// An instance's place among those that may watch the store, first come lowest.
-///
-/// Over a narrow link a change is at its watcher a second late, and so at all
-/// others; over a wide one a catalog of a megabyte takes some 50 ms. So those with
-/// wide links come first, then those with more processor, since a watcher answers
-/// the whole fleet's questions; the hash of the name decides among alike.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Rank {
-    is_narrow: bool,
-    cores: Reverse<Cores>,
-    hash: u64,
-}
-
-impl Rank {
-    /// The place of an instance, by its link, its processor and the hash of its name.
-    #[must_use]
-    pub fn new(is_narrow: bool, cores: Cores, hash: u64) -> Self {
-        Self { is_narrow, cores: Reverse(cores), hash }
-    }
-}
