--- a/crates/relay/src/desk/peers/audience.rs
+++ b/crates/relay/src/desk/peers/audience.rs
@@ -70,7 +70,7 @@
 
     /// Chooses the relays anew, from this instance and those that live: in each
     /// failure domain the one with the most processor.
-    pub(super) fn choose_relays(&mut self, me: Relay, now: Duration) {
+    fn choose_relays(&mut self, me: Relay, now: Duration) {
         self.relays.clear();
         if self.live <= TOLD_DIRECTLY {
             return;
