Read catalog and orders at once at a start

Change: catalog and orders are read from the store's latest state at once, as before; seeds only name the others, for which nobody waits. What stood for the proof (asking seeds, old listings of orders) is gone.

--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -50,11 +50,9 @@
 /// milliseconds: 413 requests in one such second were sent away before.
 const STARTING: Duration = Duration::from_millis(500);
 
-/// Time from its start in which an instance expects others to prove what it has
-/// read: machines that start together do so within 300 ms, and a seed has read the
-/// store after 50. Past it, it reads the store's latest state itself, which leaves
-/// callers that wait for the start time to be served.
-const FIRST_PROOF: Duration = Duration::from_millis(350);
+/// Time from its start in which an instance expects to hear of a seed: machines that
+/// start together do so within 300 ms.
+const FIRST_WORD: Duration = Duration::from_millis(700);
 
 /// What an instance believes.
 #[derive(Debug)]
@@ -263,20 +261,18 @@
     /// Waits until a request can be served for the first time, or until the
     /// start has taken too long to wait for it.
     pub async fn started(&self) {
-        let serves = |state: &State| {
-            state.catalog.is_some() && state.known >= Known::Endpoints && state.freshness.holds(clock::now())
-        };
-        self.learn(|state| state.lost_once || serves(state)).await;
+        let is_decided =
+            |state: &State| state.lost_once || (state.catalog.is_some() && state.known >= Known::Endpoints);
+        self.learn(is_decided).await;
     }
 
-    /// Whether another instance may yet prove what this one reads at its start, so
-    /// that it need not be read from the store's latest state.
+    /// Whether a seed may yet be heard for the first time, so that the others need
+    /// not be looked for in the store.
     #[must_use]
-    pub fn awaits_proof(&self) -> bool {
+    pub fn awaits_seeds(&self) -> bool {
         let me = self.settings.listeners.news;
         let has_seeds = self.settings.seeds.iter().any(|seed| *seed != me);
-        // The fleet's seeds prove it for themselves: when all start, somebody has to.
-        has_seeds && !self.settings.seeds.contains(&me) && clock::now() < self.opened + FIRST_PROOF
+        has_seeds && clock::now() < self.opened + FIRST_WORD
     }
 
     /// Notes that engines have said what they keep, or did not in time.
--- a/crates/relay/src/desk/track.rs
+++ b/crates/relay/src/desk/track.rs
@@ -186,12 +186,6 @@
         self.lock().track.doubts_store
     }
 
-    /// Whether every order for a roll-out is known.
-    #[must_use]
-    pub fn knows_orders(&self) -> bool {
-        self.lock().track.orders_known
-    }
-
     /// Revision up to which endpoints are known.
     #[must_use]
     pub fn endpoints_revision(&self) -> u64 {
@@ -251,7 +245,6 @@
         }
         self.take_orders(&reply.orders);
         let mut state = self.lock();
-        state.track.orders_known = true;
         state.track.changed(reply.revision, reply.changes);
         state.track.answered = Some(clock::now());
         state.track.doubts = 0;
--- a/crates/relay/src/desk/watchers.rs
+++ b/crates/relay/src/desk/watchers.rs
@@ -87,11 +87,6 @@
     #[must_use]
     pub fn whom_to_ask(&self, turn: usize) -> Option<SocketAddr> {
         let now = clock::now();
-        if self.awaits_proof() && self.keys_age().is_none() {
-            // Nobody has been heard yet whose place among the watchers counts.
-            let seeds = &self.settings.seeds;
-            return seeds.get(turn % seeds.len().max(1)).copied();
-        }
         let state = self.lock();
         if state.track.revision == 0 || (state.in_touch && self.watches(&state, now, true)) {
             return None;
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -127,11 +127,7 @@
             self.rest().await;
             return;
         }
-        let lacks_proof = self.lacks_proof();
-        if lacks_proof {
-            self.revision = None;
-        }
-        if self.listed && !lacks_proof && (self.meeting() || self.waits_for_catalog()) {
+        if self.listed && (self.meeting() || self.waits_for_catalog()) {
             self.expire();
             if self.kind == Kind::Catalog {
                 // What was read before the wait proves little by now.
@@ -190,17 +186,6 @@
         since < RANKING || (since < MEETING && !self.desk.watches_store())
     }
 
-    /// Whether nobody has proven in time what the first reading, of any age, brought.
-    fn lacks_proof(&self) -> bool {
-        let is_unproven = match self.kind {
-            Kind::Catalog => self.desk.keys_age().is_none(),
-            Kind::Rollouts => !self.desk.knows_orders(),
-            // A watch from an old listing's revision brings what it lacks.
-            Kind::Endpoints | Kind::Instances => false,
-        };
-        is_unproven && !self.desk.awaits_proof()
-    }
-
     /// Whether a store that is lost or doubted is left to the catalog's follower to
     /// look for: the kinds are lost and regained together, and each look is paid for.
     fn waits_for_catalog(&self) -> bool {
@@ -318,12 +303,10 @@
         }
     }
 
-    /// A first listing may be old where something brings what came after it: the
-    /// watch from its revision, or whoever keeps this instance in step. Of the
-    /// catalog only the latter can, since old access keys must not be believed.
+    /// A first listing of endpoints may be old: the watch from its revision, or
+    /// whoever keeps this instance in step, brings what came after it.
     fn first_read(&self) -> Read {
-        let is_completed = self.kind == Kind::Endpoints || self.desk.awaits_proof();
-        if is_completed && !self.listed { Read::AnyAge } else { Read::Latest }
+        if self.kind == Kind::Endpoints && !self.listed { Read::AnyAge } else { Read::Latest }
     }
 
     async fn list(&mut self, read: Read, asked: Duration) -> Result<(), Fault> {
@@ -336,7 +319,7 @@
             self.cadence.note(self.progress.transfer(), clock::now());
             self.desk.note_narrow(self.cadence.is_long());
         }
-        self.take_all(listing, read);
+        self.take_all(listing);
         if proves {
             self.desk.renew(asked, Proof::Read);
         }
--- a/crates/relay/src/follow/intake.rs
+++ b/crates/relay/src/follow/intake.rs
@@ -6,13 +6,13 @@
 use crate::{
     clock,
     desk::track,
-    source::{Batch, Change, Endpoint, Kind, Listing, Read, Record},
+    source::{Batch, Change, Endpoint, Kind, Listing, Record},
 };
 
 impl Follower {
     /// Takes a whole listing in; what it lacks is gone, at once unless the
     /// store was away so long that endpoints may only have lapsed there.
-    pub(super) fn take_all(&mut self, listing: Listing, read: Read) {
+    pub(super) fn take_all(&mut self, listing: Listing) {
         // Another instance's word may have come first, and be newer: what it
         // added would be dropped here, and nobody would tell of it again.
         if self.kind == Kind::Endpoints && listing.revision < self.desk.endpoints_revision() {
@@ -32,10 +32,8 @@
         self.first_listed.get_or_insert_with(clock::now);
         match self.kind {
             Kind::Endpoints => self.desk.mark_listed(),
-            // An old listing may lack an order, and whoever is told of all that
-            // stand takes the others for withdrawn.
-            Kind::Rollouts if read == Read::Latest => self.desk.note_orders(),
-            Kind::Rollouts | Kind::Catalog | Kind::Instances => {}
+            Kind::Rollouts => self.desk.note_orders(),
+            Kind::Catalog | Kind::Instances => {}
         }
     }
 
@@ -55,9 +53,6 @@
         for change in changes {
             self.take(change);
         }
-        if self.kind == Kind::Rollouts {
-            self.desk.note_orders();
-        }
         self.revision = Some(revision);
     }
 
--- a/crates/relay/src/join.rs
+++ b/crates/relay/src/join.rs
@@ -68,7 +68,7 @@
 /// Whether a seed has answered; the others are heard of from it. A listing is a
 /// call for each fifty instances, made by each of them.
 async fn found_by_seeds(desk: &Desk) -> bool {
-    while desk.awaits_proof() && desk.members() == 1 {
+    while desk.awaits_seeds() && desk.members() == 1 {
         sleep(HEARD_LOOK).await;
     }
     desk.members() > 1 && !desk.settings.seeds.is_empty()
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -45,9 +45,6 @@
 /// must be in force well within the operator's bound of a few seconds.
 const ASK: Duration = Duration::from_millis(350);
 
-/// The same at an instance's start: callers wait for its first proof.
-const ASK_AT_START: Duration = Duration::from_millis(80);
-
 /// Changes in a reply at most; about a datagram's worth.
 const CHANGES: usize = 60;
 
@@ -112,8 +109,7 @@
             send(socket, watcher, &encode(&Packet::Question(question)));
         }
         report(desk, socket);
-        let pause = if desk.awaits_proof() { ASK_AT_START } else { ASK };
-        sleep(pause).await;
+        sleep(ASK).await;
     }
 }
 
--- a/crates/relay/tests/it/site.rs
+++ b/crates/relay/tests/it/site.rs
@@ -69,6 +69,8 @@
     pub endpoint_reads: AtomicUsize,
     /// Readings of the latest state, of any kind.
     pub latest_reads: AtomicUsize,
+    /// Times that the instances were read.
+    pub instance_reads: AtomicUsize,
 }
 
 impl fmt::Debug for Store {
@@ -88,6 +90,7 @@
             old_catalog_reads: AtomicUsize::default(),
             endpoint_reads: AtomicUsize::default(),
             latest_reads: AtomicUsize::default(),
+            instance_reads: AtomicUsize::default(),
         }
     }
 
@@ -128,6 +131,9 @@
         progress: &'a Progress,
     ) -> BoxFuture<'a, Result<Listing, Fault>> {
         Box::pin(async move {
+            if kind == source::Kind::Instances {
+                self.instance_reads.fetch_add(1, Ordering::Relaxed);
+            }
             if read == source::Read::Latest {
                 self.latest_reads.fetch_add(1, Ordering::Relaxed);
             }
