Ask the store before a copy is taken; tell callers of instances in touch with it

Change: whoever is told of a newer catalog asks the store first, any age, and takes a copy if it is turned away or shown nothing new. Callers are told of instances in touch with the store while these are at least half: the others live on what is proven to them, and are the first to refuse when it ends.

--- a/crates/relay/src/desk/peers/fronts.rs
+++ b/crates/relay/src/desk/peers/fronts.rs
@@ -33,13 +33,14 @@
 struct Front<'a> {
     address: SocketAddr,
     is_fresh: bool,
+    is_in_touch: bool,
     candidate: fronts::Candidate<'a>,
 }
 
 impl<'a> Front<'a> {
     fn of(peer: &'a Peer) -> Option<Self> {
         let candidate = fronts::Candidate { hash: peer.hash, domain: &peer.word.domain, cores: peer.word.cores.get() };
-        Some(Self { address: peer.word.front?, is_fresh: peer.word.fresh, candidate })
+        Some(Self { address: peer.word.front?, is_fresh: peer.word.fresh, is_in_touch: peer.word.in_touch, candidate })
     }
 }
 
@@ -50,7 +51,7 @@
     #[must_use]
     pub fn fronts(&self, asking: &Asking) -> Vec<SocketAddr> {
         let now = clock::now();
-        let (me_ready, me_fresh) = (self.ready(), self.fresh());
+        let (me_ready, me_fresh, me_in_touch) = (self.ready(), self.fresh(), self.in_touch());
         let state = self.lock();
         let mut all: Vec<Front<'_>> = state
             .peers
@@ -65,11 +66,23 @@
                 domain: &self.settings.domain,
                 cores: self.settings.cores.get(),
             };
-            all.push(Front { address: self.settings.listeners.front, is_fresh: me_fresh, candidate: me });
+            all.push(Front {
+                address: self.settings.listeners.front,
+                is_fresh: me_fresh,
+                is_in_touch: me_in_touch,
+                candidate: me,
+            });
         }
         if all.iter().any(|front| front.is_fresh) {
             all.retain(|front| front.is_fresh);
         }
+        // An instance that has lost the store lives on what others prove to it, and is
+        // the first to refuse access keys when they cannot; with many such, the others
+        // could not bear their callers as well.
+        let in_touch = all.iter().filter(|front| front.is_in_touch).count();
+        if in_touch * 2 >= all.len() {
+            all.retain(|front| front.is_in_touch);
+        }
         let candidates: Vec<fronts::Candidate<'_>> = all.iter().map(|front| front.candidate).collect();
         let chosen = fronts::choose(&candidates, asking.caller(), MOST_ADDRESSES);
         let mut addresses: Vec<SocketAddr> = chosen.into_iter().map(|index| all[index].address).collect();
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -211,15 +211,16 @@
         let asked_for = timeout(REST, self.desk.wanted(self.kind)).await.is_ok();
         let wanted = asked_for && (self.kind != Kind::Catalog || self.desk.behind());
         let asked = clock::now();
-        if wanted && self.kind == Kind::Catalog && self.copy().await {
-            sleep(APART).await;
-            return;
-        }
         let look = self.kind == Kind::Catalog && !self.desk.touched() && asked > self.last_lost + LED_LOOK;
         // A store that turns this instance away may serve all others, whose news
         // tells of the newer catalog sixteen times a second: without a wait each
         // piece made two more refused calls, a quarter of what a day's calls cost.
         let waits = self.failures > 0 && asked < self.last_lost + self.backoff(LOOK);
+        if waits && wanted && self.kind == Kind::Catalog {
+            self.copy().await;
+            sleep(APART).await;
+            return;
+        }
         if waits || (!wanted && !look) {
             if asked > self.last_lost + RETURN {
                 self.lost_since = None;
@@ -238,8 +239,8 @@
     /// Takes a newer catalog over from an instance that has told of it; whether it
     /// did.
     ///
-    /// A store that turns this instance away may serve the others, and a change
-    /// that each of hundreds reads from it is paid for each time.
+    /// A store that turns this instance away may serve the others. It is asked first
+    /// all the same: callers are told of instances that are in touch with it.
     async fn copy(&self) -> bool {
         let Some(teller) = self.desk.teller() else { return false };
         match share::fetch(teller).await {
@@ -251,24 +252,33 @@
         }
     }
 
-    /// Reads a catalog of which another instance has told, if that has no copy to
-    /// give.
+    /// Reads a catalog of which another instance has told.
     ///
     /// A change makes each instance of the fleet read it. A listing of any age
     /// costs a tenth, and in two of three cases it was young enough on a day of
-    /// 74 instances; where it shows nothing new, the latest is read at once. It
-    /// proves nothing of access keys. A catalog that takes long to arrive is not
+    /// 74 instances; where it shows nothing new, the other instance's copy is taken, or
+    /// the latest is read. It proves nothing of access keys. A catalog that takes long to arrive is not
     /// read twice: half a second more without the change, and a full link.
     async fn catch_up(&mut self, asked: Duration) {
         if self.cadence.is_long() {
             self.read_latest(asked).await;
+            if self.failures > 0 {
+                self.copy().await;
+            }
             return;
         }
         let version = |desk: &Desk| desk.catalog().map(|catalog| catalog.version);
         let before = version(&self.desk);
         match self.list(Read::AnyAge, asked).await {
-            Err(fault) => self.not_read(asked, &fault),
-            Ok(()) if version(&self.desk) == before => self.read_latest(clock::now()).await,
+            Err(fault) => {
+                self.not_read(asked, &fault);
+                self.copy().await;
+            }
+            Ok(()) if version(&self.desk) == before => {
+                if !self.copy().await {
+                    self.read_latest(clock::now()).await;
+                }
+            }
             Ok(()) => self.regained(),
         }
     }
--- a/crates/relay/tests/it/track.rs
+++ b/crates/relay/tests/it/track.rs
@@ -481,6 +481,38 @@
     assert_ne!(desk.whom_to_ask(0).unwrap(), first);
 }
 
+/// Two of five instances have lost the store, or three: whom callers are told of.
+fn check_touch(lost: u16, told: usize) {
+    let here = knowing(1);
+    here.renew(clock::now(), Proof::Read);
+    here.note_touch(true);
+    for number in 0..4_u16 {
+        let word = Word {
+            front: Some(([127, 0, 0, 9], 80 + number).into()),
+            phase: Phase::Ready,
+            fresh: true,
+            in_touch: number >= lost,
+            pause: Duration::from_mins(1),
+            ..Word::default()
+        };
+        here.hear(&format!("i{number}"), ([127, 0, 0, 9], 7 + number).into(), word);
+    }
+    assert_eq!(here.fronts(&Asking::default()).len(), told);
+}
+
+/// Callers were sent to instances that live on what others prove to them, though
+/// most could ask the store themselves.
+#[test]
+fn instances_that_lost_the_store_are_left_out() {
+    check_touch(2, 3);
+}
+
+/// Those that are left could not bear the callers of all.
+#[test]
+fn most_instances_are_not_left_out() {
+    check_touch(3, 5);
+}
+
 /// The store is down. Every instance of a large fleet looked for it as soon as those
 /// that watch it said so, for each kind of record and six times in the first second:
 /// some five thousand calls, each refused and paid for.
