--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -256,9 +256,10 @@
     ///
     /// A change makes each instance of the fleet read it. A listing of any age
     /// costs a tenth, and in two of three cases it was young enough on a day of
-    /// 74 instances; where it shows nothing new, the other instance's copy is taken, or
-    /// the latest is read. It proves nothing of access keys. A catalog that takes long to arrive is not
-    /// read twice: half a second more without the change, and a full link.
+    /// 74 instances; where it shows nothing new, the other instance's copy is taken,
+    /// or the latest is read. It proves nothing of access keys. A catalog that takes
+    /// long to arrive is not read twice: half a second more without the change, and
+    /// a full link.
     async fn catch_up(&mut self, asked: Duration) {
         if self.cadence.is_long() {
             self.read_latest(asked).await;
