Answer without a body, and rank the watchers, in one place each

Seen in the last reading of the change: `share` had its own copy of the directory's bodiless answer, and the watchers were sorted and cut twice in the same way. Both copies now call one piece. Behaviour as it was.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -131,6 +131,14 @@
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
 }
 
+/// An answer without a body.
+#[must_use]
+pub fn empty(code: StatusCode) -> Response<Body> {
+    let mut response = Response::new(full(Bytes::new()));
+    *response.status_mut() = code;
+    response
+}
+
 fn text(words: String) -> Body {
     full(Bytes::from(words))
 }
--- a/crates/relay/src/desk/watchers.rs
+++ b/crates/relay/src/desk/watchers.rs
@@ -46,6 +46,16 @@
     }
 }
 
+impl State {
+    /// The other instances that rank first among those in touch with the store.
+    fn first_watchers(&self, now: Duration) -> Vec<Watcher> {
+        let mut watchers: Vec<Watcher> = self.peers.watchers(now, true).collect();
+        watchers.sort_unstable_by_key(|watcher| watcher.rank);
+        watchers.truncate(WATCHERS);
+        watchers
+    }
+}
+
 impl Desk {
     /// Whether another instance keeps this one in step, so that it need not
     /// watch the store.
@@ -76,10 +86,7 @@
     /// Where the instances that watch the store hear news, this one left out.
     #[must_use]
     pub fn watchers(&self) -> Vec<SocketAddr> {
-        let state = self.lock();
-        let mut watchers: Vec<Watcher> = state.peers.watchers(clock::now(), true).collect();
-        watchers.sort_unstable_by_key(|watcher| watcher.rank);
-        watchers.into_iter().take(WATCHERS).map(|watcher| watcher.news).collect()
+        self.lock().first_watchers(clock::now()).into_iter().map(|watcher| watcher.news).collect()
     }
 
     /// Whom to ask, nearest first: nobody if this instance is to watch the
@@ -91,9 +98,7 @@
         if state.track.revision == 0 || (state.in_touch && self.watches(&state, now, true)) {
             return None;
         }
-        let mut watchers: Vec<Watcher> = state.peers.watchers(now, true).collect();
-        watchers.sort_unstable_by_key(|watcher| watcher.rank);
-        watchers.truncate(WATCHERS);
+        let mut watchers = state.first_watchers(now);
         watchers.sort_by_key(|watcher| !watcher.near);
         let turn = turn + usize::try_from(state.track.doubts).unwrap_or_default();
         watchers.get(turn % watchers.len().max(1)).map(|watcher| watcher.news)
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 
@@ -20,11 +19,11 @@
 /// Answers a question for addresses.
 pub fn addresses(desk: &Arc<Desk>, request: &Request<Incoming>) -> Response<Body> {
     if request.uri().path() != desk.dialect.addresses_path {
-        return status(StatusCode::NOT_FOUND);
+        return answer::empty(StatusCode::NOT_FOUND);
     }
     let fronts = desk.fronts(&asking(desk, request));
     if fronts.is_empty() {
-        return status(StatusCode::SERVICE_UNAVAILABLE);
+        return answer::empty(StatusCode::SERVICE_UNAVAILABLE);
     }
     let longest = u32::try_from(desk.settings.keep_addresses.as_secs()).unwrap_or(KEEP_S);
     let mut response = Response::new(answer::full((desk.dialect.addresses)(&fronts, KEEP_S.min(longest.max(1)))));
@@ -35,9 +34,9 @@
 /// Answers whether this instance takes requests.
 pub fn ready(desk: &Arc<Desk>, request: &Request<Incoming>) -> Response<Body> {
     if request.uri().path() != desk.dialect.ready_path {
-        return status(StatusCode::NOT_FOUND);
+        return answer::empty(StatusCode::NOT_FOUND);
     }
-    status(if desk.ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+    answer::empty(if desk.ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
 }
 
 /// Who asks, as far as the question and its connection tell.
@@ -45,9 +44,3 @@
     let domain = request.uri().query().and_then(desk.dialect.asking_domain);
     Asking { domain, from: request.extensions().get().map(|Origin(address)| *address) }
 }
-
-fn status(code: StatusCode) -> Response<Body> {
-    let mut response = Response::new(answer::full(Bytes::new()));
-    *response.status_mut() = code;
-    response
-}
--- a/crates/relay/src/share.rs
+++ b/crates/relay/src/share.rs
@@ -61,12 +61,12 @@
     #[must_use]
     pub fn serve(&self, desk: &Desk, request: &Request<Incoming>) -> Response<Body> {
         if request.uri().path() != PATH {
-            return status(StatusCode::NOT_FOUND);
+            return answer::empty(StatusCode::NOT_FOUND);
         }
         let copy = desk.catalog().and_then(|catalog| self.copy(&catalog));
         match (copy, Arc::clone(&self.room).try_acquire_owned()) {
             (Some(copy), Ok(place)) => Response::new(send(copy, place)),
-            _ => status(StatusCode::SERVICE_UNAVAILABLE),
+            _ => answer::empty(StatusCode::SERVICE_UNAVAILABLE),
         }
     }
 
@@ -115,9 +115,3 @@
     let copy: wire::Copy = postcard::from_bytes(&body.to_bytes()).map_err(|error| error.to_string())?;
     Ok(copy.into())
 }
-
-fn status(code: StatusCode) -> Response<Body> {
-    let mut response = Response::new(answer::full(Bytes::new()));
-    *response.status_mut() = code;
-    response
-}
