Show that a request which crashes endpoints is sent on until none is left

Two tests hold the other side: broken connections to endpoints that live, and requests that end well in between, are served on.

--- /dev/null
+++ b/crates/relay/tests/it/crashes.rs
@@ -0,0 +1,205 @@
+//! A request under which every endpoint crashes that begins to run it.
+
+use std::{net::SocketAddr, time::Duration};
+
+use relay::catalog::{Kind, Route};
+
+use crate::{
+    caller,
+    server::{Act, END, Server, event, stream_head, whole},
+    site::{Kept, Site, catalog, endpoint, laddered, route},
+};
+
+const RESUMABLE: Kind = Kind::Stream { resumable: true };
+
+/// The word in a body that endpoints crash on.
+const DEADLY: &str = "deadly";
+
+/// Endpoints that may crash under one request: three until it is known, and three
+/// that it is sent to while instances learn of it.
+const MOST: usize = 6;
+
+/// Endpoints, none of which a deadly request leaves standing.
+async fn endpoints(count: usize, begun: &str, sound: Act) -> Vec<Server> {
+    let mut servers = Vec::new();
+    for _ in 0..count {
+        servers.push(Server::open(vec![Act::CrashOn(DEADLY, begun.to_owned(), Box::new(sound.clone()))]).await);
+    }
+    servers
+}
+
+fn kept(routes: Vec<Route>, servers: &[Server]) -> Kept {
+    let endpoints = servers.iter().enumerate().map(|(n, server)| endpoint(&format!("e{n}"), server.address));
+    Kept { catalog: Some(catalog(1, routes)), endpoints: endpoints.collect(), ..Kept::default() }
+}
+
+/// Instances that have met.
+async fn instances(names: &[&str], kept: &Kept) -> Vec<Site> {
+    let mut sites: Vec<Site> = Vec::new();
+    for name in names {
+        sites.push(joining(name, kept, &sites).await);
+    }
+    for site in &sites {
+        while site.relay.desk().members() < sites.len() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+    sites
+}
+
+/// An instance that starts beside others.
+async fn joining(name: &str, kept: &Kept, others: &[Site]) -> Site {
+    let seeds: Vec<SocketAddr> = others.iter().map(|site| site.relay.desk().settings.listeners.news).collect();
+    Site::open_with(kept.clone(), |settings| {
+        settings.instance = name.into();
+        settings.seeds = seeds;
+    })
+    .await
+}
+
+/// Times that a deadly request has reached an endpoint.
+fn reached(servers: &[Server]) -> usize {
+    servers.iter().flat_map(Server::seen).filter(|request| request.contains(DEADLY)).count()
+}
+
+async fn call(site: &Site, path: &str, body: &str) -> caller::Got {
+    caller::call(site.front(), "POST", path, "", body).await
+}
+
+fn sound_stream() -> Act {
+    Act::Write(stream_head(90) + &event(1) + END)
+}
+
+/// A caller repeats a request under which endpoints crash: each repeat took three
+/// more of them down, with all that they ran, until none was left.
+#[tokio::test]
+async fn request_that_crashes_endpoints_is_refused() {
+    let servers = endpoints(12, &(stream_head(90) + &event(1)), sound_stream()).await;
+    let site = Site::open_with(kept(vec![route("/s/", RESUMABLE)], &servers), |_| {}).await;
+    for _ in 0..6 {
+        call(&site, "/s/x", DEADLY).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(reached(&servers) <= MOST, "sent {} times", reached(&servers));
+    let refused = call(&site, "/s/x", DEADLY).await;
+    assert_eq!(refused.status, 503, "{refused:?}");
+    let after: f64 = refused.header("retry-after").expect("it says when").parse().unwrap();
+    assert!(after > 60.0, "{after}");
+    // Others are served, on the same path and with the same body elsewhere.
+    assert_eq!(call(&site, "/s/x", "harmless").await.status, 200);
+}
+
+/// The request is repeated at other instances, which had not seen it and sent it on.
+#[tokio::test]
+async fn request_that_crashes_endpoints_is_refused_by_all_instances() {
+    let servers = endpoints(20, &(stream_head(90) + &event(1)), sound_stream()).await;
+    let sites = instances(&["here", "there", "elsewhere"], &kept(vec![route("/s/", RESUMABLE)], &servers)).await;
+    for turn in 0..6 {
+        call(&sites[turn % sites.len()], "/s/x", DEADLY).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(reached(&servers) <= MOST, "sent {} times", reached(&servers));
+    for site in &sites {
+        assert_eq!(call(site, "/s/x", DEADLY).await.status, 503);
+        assert_eq!(call(site, "/s/x", "harmless").await.status, 200);
+    }
+}
+
+/// An instance starts after the request has become known, and had to learn of it by
+/// three more crashes.
+#[tokio::test]
+async fn instance_that_starts_later_refuses_it_too() {
+    let servers = endpoints(20, &(stream_head(90) + &event(1)), sound_stream()).await;
+    let kept = kept(vec![route("/s/", RESUMABLE)], &servers);
+    let mut sites = instances(&["here", "there"], &kept).await;
+    for _ in 0..2 {
+        call(&sites[0], "/s/x", DEADLY).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let before = reached(&servers);
+    sites.push(joining("late", &kept, &sites).await);
+    while sites[2].relay.desk().members() < 3 {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(call(&sites[2], "/s/x", DEADLY).await.status, 503);
+    assert_eq!(reached(&servers), before);
+}
+
+/// A plain call crashes its server before any answer. It may not be repeated within
+/// an attempt, so each of its callers' attempts crashes one more.
+#[tokio::test]
+async fn call_that_crashes_endpoints_is_refused() {
+    let servers = endpoints(12, "", Act::Write(whole("ok"))).await;
+    let sites = instances(&["here", "there"], &kept(vec![route("/a/", Kind::NonIdempotent)], &servers)).await;
+    for turn in 0..10 {
+        call(&sites[turn % 2], "/a/x", DEADLY).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(reached(&servers) <= MOST, "sent {} times", reached(&servers));
+    assert_eq!(call(&sites[0], "/a/x", DEADLY).await.status, 503);
+    assert_eq!(call(&sites[1], "/a/x", "sheet").await.status, 200);
+}
+
+/// An answer is dropped for a larger model's, and its server crashes right after
+/// that: the instance has left by then and sees no connection break.
+#[tokio::test]
+async fn crash_after_an_answer_was_dropped_counts() {
+    let servers = endpoints(20, &(stream_head(10) + &event(1)), sound_stream()).await;
+    let site = Site::open_with(kept(vec![laddered("/s/")], &servers), |_| {}).await;
+    let prompt = "X-Tokens: 100,10\r\nX-Model: *\r\nX-Parts: a:50,b:50\r\n";
+    for _ in 0..6 {
+        caller::call(site.front(), "POST", "/s/x", prompt, DEADLY).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(reached(&servers) <= MOST, "sent {} times", reached(&servers));
+}
+
+/// Connections break under a request time and again, and the servers live: it is
+/// the network's or the servers' fault, and the request is sent on.
+#[tokio::test]
+async fn broken_connections_to_living_endpoints_count_for_nothing() {
+    let torn = Act::Reset(stream_head(90) + &event(1));
+    let mut servers = Vec::new();
+    for _ in 0..4 {
+        servers.push(Server::open(vec![torn.clone(), torn.clone(), torn.clone(), sound_stream()]).await);
+    }
+    let site = Site::open_with(kept(vec![route("/s/", RESUMABLE)], &servers), |_| {}).await;
+    for _ in 0..5 {
+        let got = call(&site, "/s/x", "prompt").await;
+        assert_eq!(got.status, 200, "{got:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Requests that run beside the deadly one lose their servers as often as it does.
+/// In between they end well, which shows that servers do not crash under them.
+#[tokio::test]
+async fn request_that_ends_well_in_between_is_served_on() {
+    let begun = stream_head(90) + &event(1);
+    let slow = std::iter::once(begun.clone()).chain((2..=12).map(event)).chain([END.to_owned()]).collect();
+    let servers = endpoints(4, &begun, Act::Slowly(slow)).await;
+    let sound = Server::open(vec![sound_stream()]).await;
+    let site = Site::open_with(kept(vec![route("/s/", RESUMABLE)], &servers[..1]), |_| {}).await;
+    for (turn, server) in servers.iter().enumerate() {
+        list_only(&site, endpoint(&format!("e{turn}"), server.address)).await;
+        let front = site.front();
+        let beside = tokio::spawn(async move { caller::call(front, "POST", "/s/x", "", "beside").await });
+        while !server.seen().iter().any(|request| request.contains("beside")) {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        call(&site, "/s/x", &format!("{DEADLY} {turn}")).await;
+        list_only(&site, endpoint(&format!("sound{turn}"), sound.address)).await;
+        beside.await.unwrap();
+        let got = call(&site, "/s/x", "beside").await;
+        assert_eq!(got.status, 200, "after {turn} crashes: {got:?}");
+    }
+}
+
+async fn list_only(site: &Site, only: relay::source::Endpoint) {
+    let id = only.id.clone();
+    site.store.change(|kept| kept.endpoints = vec![only]);
+    while site.relay.desk().enlisted() != [id.as_str()] {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
--- a/crates/relay/tests/it/main.rs
+++ b/crates/relay/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod behind;
 mod caches;
 mod caller;
+mod crashes;
 mod foreign;
 mod large_pool;
 mod leaving;
--- a/crates/relay/tests/it/server.rs
+++ b/crates/relay/tests/it/server.rs
@@ -11,6 +11,7 @@
     net::{TcpListener, TcpStream},
     task::AbortHandle,
 };
+use tokio_util::sync::CancellationToken as Crash;
 
 /// What to do with a request.
 #[derive(Debug, Clone)]
@@ -23,6 +24,9 @@
     Hang(String),
     /// Write bytes with a pause before each further one.
     Slowly(Vec<String>),
+    /// Crash under a request that holds a word: write bytes, reset every connection
+    /// and listen no more. Other requests get the act.
+    CrashOn(&'static str, String, Box<Act>),
 }
 
 /// An endpoint and what it has been asked.
@@ -51,11 +55,20 @@
         let (noted, left) = (Arc::clone(&seen), Arc::clone(&gone));
         let task = tokio::spawn(async move {
             let mut turn = 0;
-            loop {
-                let (stream, _) = listener.accept().await.unwrap();
-                let act = acts[turn.min(acts.len() - 1)].clone();
-                turn += 1;
-                tokio::spawn(serve(stream, act, Arc::clone(&noted), Arc::clone(&left)));
+            let crash = Crash::new();
+            let down = crash.clone();
+            let accepting = async move {
+                loop {
+                    let (stream, _) = listener.accept().await.unwrap();
+                    let act = acts[turn.min(acts.len() - 1)].clone();
+                    turn += 1;
+                    tokio::spawn(serve(stream, act, Arc::clone(&noted), Arc::clone(&left), crash.clone()));
+                }
+            };
+            // The listener goes with the task.
+            tokio::select! {
+                () = accepting => {}
+                () = down.cancelled() => {}
             }
         });
         Self { address, seen, gone, task: task.abort_handle() }
@@ -72,12 +85,29 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, act: Act, seen: Arc<Mutex<Vec<String>>>, gone: Arc<Mutex<u32>>) {
+async fn serve(mut stream: TcpStream, act: Act, seen: Arc<Mutex<Vec<String>>>, gone: Arc<Mutex<u32>>, crash: Crash) {
     let Some(request) = read(&mut stream).await else { return };
     let id = header(&request, "x-request").unwrap_or_default();
-    seen.lock().unwrap().push(request);
-    let fill = |text: &str| text.replace("{id}", &id);
+    seen.lock().unwrap().push(request.clone());
+    tokio::select! {
+        () = play(&mut stream, act, &request, &id, &gone, &crash) => {}
+        () = crash.cancelled() => {
+            stream.set_zero_linger().ok();
+        }
+    }
+}
+
+async fn play(stream: &mut TcpStream, act: Act, request: &str, id: &str, gone: &Mutex<u32>, crash: &Crash) {
+    let fill = |text: &str| text.replace("{id}", id);
     match act {
+        Act::CrashOn(word, text, _) if request.contains(word) => {
+            stream.write_all(fill(&text).as_bytes()).await.ok();
+            // The bytes reach the relay before the reset does.
+            tokio::time::sleep(Duration::from_millis(30)).await;
+            crash.cancel();
+            std::future::pending::<()>().await;
+        }
+        Act::CrashOn(_, _, other) => Box::pin(play(stream, *other, request, id, gone, crash)).await,
         Act::Write(text) => {
             stream.write_all(fill(&text).as_bytes()).await.ok();
         }
