Refuse requests under which endpoints crash

Callers saw a request that crashes whatever runs it take 55 of a site's servers down in waves, each with up to 32 streams of others; a tenth and more of other requests failed for seconds.

Cause: nothing remembered, beyond one attempt, under which requests endpoints crashed. What was tried and how it ended was a part of one exchange, so the next attempt of the same request, at whichever instance, had all its attempts again.

Change: when a run breaks off, its endpoint is connected to; one that refuses the connection has crashed, and what ran there for this instance, or had left it within two seconds, counts a crash of that start. Instances tell each other at once and repeat what is refused with their news. Three different starts without a good end in between (route::relay::quarantine) and the request is refused at once, with 503 and the time that is left as Retry-After; 502 where this attempt may have run. A further try waits for that look, at most 50 ms. Suspects begin at the largest model: an answer that is dropped is one more run. Records lapse after ten minutes and are bounded.

Why it holds: the count is by what the request is, so it does not matter which instance, attempt or endpoint it comes to, and every instance hears of each crash within a datagram. Broken connections to living endpoints count for nothing, and who was at a crash by chance is cleared by its first good end (tests).

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -41,6 +41,11 @@
     NoEndpoint,
     /// Every endpoint tried turned it away.
     TurnedAway,
+    /// Endpoints crash under it.
+    Quarantined {
+        /// How much longer it is refused.
+        left: Duration,
+    },
     /// The time for it ran out before it was run.
     Expired,
     /// It may have run, and no answer came in time.
@@ -68,6 +73,7 @@
             | Self::Memory
             | Self::NoEndpoint
             | Self::TurnedAway
+            | Self::Quarantined { .. }
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
@@ -86,6 +92,7 @@
             Self::Leaving | Self::Replaced | Self::KeysStale { elsewhere: true } => Some(ELSEWHERE),
             Self::NotStarted | Self::KeysStale { elsewhere: false } => Some(STARTING),
             Self::Memory | Self::NoEndpoint | Self::TurnedAway | Self::Expired => Some(BUSY),
+            Self::Quarantined { left } => Some(*left),
             _ => None,
         }
     }
@@ -119,6 +126,7 @@
             Self::Memory => "not run: too many bodies under way; try again shortly",
             Self::NoEndpoint => "not run: no endpoint takes requests now; try again shortly",
             Self::TurnedAway => "not run: every endpoint tried was full or unreachable; try again shortly",
+            Self::Quarantined { .. } => "not run: endpoints crashed under it several times; it is refused for a while",
             Self::Expired => "not run: its time ran out first",
             Self::TimedOut => "it may have run; no answer came in time",
             Self::Lost => "it may have run; its answer was lost",
--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -4,9 +4,11 @@
 //! it is never waited for; it only lets tasks share the state without
 //! reference cycles. Every belief has a source and an age: the catalog and
 //! access keys ([`Desk::fresh`], [`Desk::catalog_holds`]), endpoints and their loads ([`fleet`]), other
-//! instances ([`peers`]), roll-outs ([`trials`]); [`track`] keeps them in step
+//! instances ([`peers`]), roll-outs ([`trials`]), requests under which endpoints
+//! crash (`crashes`); [`track`] keeps them in step
 //! through other instances.
 
+mod crashes;
 pub mod fleet;
 mod flight;
 pub mod peers;
@@ -23,6 +25,7 @@
 use route::relay::{
     allowance::{Allowance, Purpose},
     freshness::{Freshness, Proof},
+    quarantine::{Finding, Quarantine},
 };
 
 use tokio::sync::Notify;
@@ -67,6 +70,8 @@
     urgent: Notify,
     /// There are notices to send.
     noticed: Notify,
+    /// There are findings about requests to tell.
+    found: Notify,
     /// An instance was heard for the first time, or again.
     greeting: Notify,
     catalog_wanted: Notify,
@@ -84,6 +89,9 @@
     allowances: HashMap<String, Allowance>,
     fleet: fleet::Fleet,
     notices: fleet::Notices,
+    quarantine: Quarantine,
+    /// Findings that were not sent yet.
+    findings: Vec<Finding>,
     peers: peers::Peers,
     trials: trials::Trials,
     track: track::Track,
@@ -122,6 +130,8 @@
             allowances: HashMap::new(),
             fleet: fleet::Fleet::default(),
             notices: fleet::Notices::new(clock::now()),
+            quarantine: Quarantine::default(),
+            findings: Vec::new(),
             peers: peers::Peers::default(),
             trials: trials::Trials::default(),
             track: track::Track::new(settings.replace),
@@ -141,6 +151,7 @@
             learned: Notify::new(),
             urgent: Notify::new(),
             noticed: Notify::new(),
+            found: Notify::new(),
             greeting: Notify::new(),
             catalog_wanted: Notify::new(),
             endpoints_wanted: Notify::new(),
--- a/crates/relay/src/desk/fleet.rs
+++ b/crates/relay/src/desk/fleet.rs
@@ -35,7 +35,7 @@
     record::Record,
     weigh::{Weighed, job_units},
 };
-use super::{Desk, State, trials::Arm};
+use super::{Desk, State, crashes::Left, trials::Arm};
 use crate::{clock, source::Endpoint};
 
 slotmap::new_key_type! {
@@ -82,7 +82,7 @@
 }
 
 #[derive(Debug)]
-struct Server {
+pub(super) struct Server {
     endpoint: Arc<Endpoint>,
     hash: u32,
     runs: u32,
@@ -100,6 +100,8 @@
     heard: Duration,
     /// When a registration of it last came.
     registered: Duration,
+    /// What has left it without a good end.
+    left: Left,
 }
 
 /// Runs under way at an endpoint.
@@ -176,6 +178,7 @@
             units,
             lateness: Lateness::default(),
             started: now,
+            content: None,
         })
     }
 
@@ -223,9 +226,25 @@
             full_until: Duration::ZERO,
             heard: Duration::ZERO,
             registered: now,
+            left: Left::default(),
         }
     }
 
+    /// Hash of its name and start.
+    pub(super) fn hash(&self) -> u32 {
+        self.hash
+    }
+
+    /// As it has registered.
+    pub(super) fn endpoint(&self) -> Arc<Endpoint> {
+        Arc::clone(&self.endpoint)
+    }
+
+    /// What has left it without a good end.
+    pub(super) fn left(&mut self) -> &mut Left {
+        &mut self.left
+    }
+
     fn candidate(&self, domain: &str, slow: f64, failing: f64, now: Duration) -> Candidate<'_> {
         let full = if self.full_until > now { f64::from(self.endpoint.slots).max(FULL_RUNS) } else { 0.0 };
         let slowness = self.slowness.now(1.0, now) / slow;
--- a/crates/relay/src/desk/fleet/registry.rs
+++ b/crates/relay/src/desk/fleet/registry.rs
@@ -150,6 +150,16 @@
         }
     }
 
+    /// An endpoint that is known.
+    pub(in crate::desk) fn server(&mut self, key: Key) -> Option<&mut Server> {
+        self.servers.get_mut(key)
+    }
+
+    /// The key of the endpoint whose start has a hash.
+    pub(in crate::desk) fn key_of(&self, hash: u32) -> Option<Key> {
+        self.by_hash.get(&hash).copied()
+    }
+
     /// The endpoint whose start has a hash.
     pub(super) fn by_hash(&mut self, hash: u32) -> Option<&mut Server> {
         self.servers.get_mut(*self.by_hash.get(&hash)?)
--- a/crates/relay/src/desk/fleet/run.rs
+++ b/crates/relay/src/desk/fleet/run.rs
@@ -4,6 +4,7 @@
 
 use route::relay::{
     canary::{Lateness, Tally},
+    content::Content,
     placement::Choice,
 };
 
@@ -48,6 +49,8 @@
     pub(super) units: f64,
     pub(super) lateness: Lateness,
     pub(super) started: Duration,
+    /// The request, from when it was sent until it is known how the run ended.
+    pub(super) content: Option<Content>,
 }
 
 /// How a try ended, for the endpoint's record.
@@ -63,11 +66,18 @@
     Full,
     /// No connection.
     Unreachable,
+    /// No connection, since nobody listens there any more.
+    Down,
     /// Turned away by another server that stands at its address.
     Replaced,
 }
 
 impl Run {
+    /// Notes that the request is sent.
+    pub fn sent(&mut self, content: Content) {
+        self.content = Some(content);
+    }
+
     /// The first byte has come: the prompt has been read.
     pub fn first_byte(&mut self) {
         let now = clock::now();
@@ -118,6 +128,13 @@
         let desk = Arc::clone(&self.desk);
         let mut state = desk.lock();
         self.lift(&mut state);
+        match (how, self.content.take()) {
+            (Ended::Good, Some(content)) => state.note_good_end(content, now),
+            (Ended::Broken, Some(content)) => self.leave(&mut state, content, now),
+            (Ended::Down, _) => state.note_crash(self.key, now),
+            _ => {}
+        }
+        self.desk.hurry_findings(&state);
         let Some(server) = state.fleet.servers.get_mut(self.key) else { return };
         match how {
             Ended::Good => {
@@ -130,7 +147,7 @@
             // alike, so once may be the caller's fault; any answer in between
             // shows that the endpoint lives.
             Ended::Replaced if server.misses == 0 => server.misses = 1,
-            Ended::Unreachable | Ended::Replaced => {
+            Ended::Unreachable | Ended::Down | Ended::Replaced => {
                 let rest = REST * 2_u32.saturating_pow(server.misses.min(6));
                 server.misses += 1;
                 server.rests_until = now + rest.min(LONGEST_REST);
@@ -145,6 +162,13 @@
         self.desk.lock().trials.count(&self.endpoint.service, self.arm, tally);
     }
 
+    /// Notes that this instance has left a run that may go on.
+    fn leave(&self, state: &mut State, content: Content, now: Duration) {
+        if let Some(server) = state.fleet.server(self.key) {
+            server.left().add(now, content);
+        }
+    }
+
     fn lift(&mut self, state: &mut State) {
         if let Some(server) = state.fleet.servers.get_mut(self.key) {
             server.backlog_ms = (server.backlog_ms - self.backlog_ms).max(0.0);
@@ -160,6 +184,9 @@
         let desk = Arc::clone(&self.desk);
         let mut state = desk.lock();
         self.lift(&mut state);
+        if let Some(content) = self.content.take() {
+            self.leave(&mut state, content, clock::now());
+        }
         if let Some(server) = state.fleet.servers.get_mut(self.key) {
             server.runs = server.runs.saturating_sub(1);
         }
--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -66,6 +66,11 @@
         if let Some(model) = self.model_before(models) {
             return Some(model);
         }
+        if self.desk.suspects(self.content) {
+            // A smaller model's run, dropped for a larger one's, may crash an endpoint
+            // more.
+            return Some(models - 1);
+        }
         let service = self.pass.route.target(self.draw).unwrap_or_default();
         let room =
             Room { attempts: self.pass.route.attempts, allowance: self.desk.affords(service, Purpose::Escalation) };
--- a/crates/relay/src/exchange/stream.rs
+++ b/crates/relay/src/exchange/stream.rs
@@ -32,7 +32,7 @@
 enum Next {
     Bytes(Bytes),
     End,
-    Broken(String),
+    Failed(Outcome),
 }
 
 /// The answer to a caller whose stream has begun.
@@ -50,23 +50,23 @@
     async_stream::stream! {
         let mut splitter = Splitter::new(exchange.ask.last_event);
         loop {
-            let cause = match next(&exchange, &mut live).await {
+            let outcome = match next(&exchange, &mut live).await {
                 Next::Bytes(bytes) => match splitter.push(&bytes) {
                     Ok(Some(whole)) => {
                         yield Ok(Frame::data(whole));
                         continue;
                     }
                     Ok(None) => continue,
-                    Err(_) => "an event is too long".to_owned(),
+                    Err(_) => Outcome::Unknown("an event is too long".into()),
                 },
                 Next::End if !splitter.is_partial() => {
                     live.run.ended(Ended::Good);
                     break;
                 }
-                Next::End => "ended within an event".to_owned(),
-                Next::Broken(cause) => cause,
+                Next::End => Outcome::Broken("ended within an event".into()),
+                Next::Failed(outcome) => outcome,
             };
-            exchange.note(&mut live.run, &Outcome::Unknown(cause));
+            exchange.note(&mut live.run, &outcome);
             splitter.restart();
             let Some(next) = resume(&mut exchange, &live, splitter.last()).await else {
                 tracing::info!(
@@ -97,14 +97,14 @@
             Err(_) if left <= stall || live.run.silence() > DARK => break,
             Err(_) => {}
             Ok(None) => return Next::End,
-            Ok(Some(Err(error))) => return Next::Broken(error.to_string()),
+            Ok(Some(Err(error))) => return Next::Failed(Outcome::Broken(error.to_string())),
             Ok(Some(Ok(frame))) => {
                 live.run.more_bytes();
                 return Next::Bytes(frame.into_data().unwrap_or_default());
             }
         }
     }
-    Next::Broken("no event in time".into())
+    Next::Failed(Outcome::Unknown("no event in time".into()))
 }
 
 /// Goes on at another endpoint, with the same model and, if possible, version.
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -1,11 +1,12 @@
 //! Tries of a request until an answer is decided on.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Limited};
 use route::relay::{allowance::Purpose, content::Content, placement::Choice};
+use tokio::task::JoinHandle;
 
 use super::{
     admit::{self, Pass},
@@ -21,7 +22,7 @@
         fleet::{Ended, Key, Run},
     },
     source::Endpoint,
-    upstream::{self, Answer, Outcome},
+    upstream::{self, Answer, Outcome, Unreachable},
 };
 
 /// Unreachable endpoints after which a request is given up.
@@ -39,6 +40,10 @@
 /// request; an endless one would take all memory.
 const LONGEST_ANSWER: usize = 16 << 20;
 
+/// Longest wait for a look at an endpoint where a try broke off; one that has crashed
+/// refuses connections within a round trip.
+const DOUBT: Duration = Duration::from_millis(50);
+
 /// How long a request waits for a service that has no endpoint at all.
 const WAIT_FOR_ENDPOINT: Duration = Duration::from_millis(250);
 
@@ -66,6 +71,8 @@
     pub(super) cause: String,
     pub(super) draw: f64,
     pub(super) version: Option<String>,
+    /// Looks whether the endpoint lives where the last try broke off.
+    pub(super) doubt: Option<JoinHandle<()>>,
 }
 
 /// An answer that is decided on.
@@ -136,6 +143,10 @@
 
     /// A place for the next try, if there may be one.
     pub(super) async fn next_run(&mut self, model: Option<usize>) -> Result<Run, Refusal> {
+        self.settle_doubt().await;
+        if let Some(left) = self.desk.quarantined(self.content) {
+            return Err(self.given_up(Refusal::Quarantined { left }));
+        }
         // The catalog may have changed while the request waited or was tried:
         // a withdrawn key or a moved route must not be used once more.
         self.pass = admit::check(&self.desk, &self.host, self.uri.path(), &self.ask).map_err(|r| self.given_up(r))?;
@@ -161,6 +172,15 @@
         Ok(run)
     }
 
+    /// Waits until it is known whether the endpoint of the last try has crashed: the
+    /// request may be the cause, and the next endpoint would be lost as well.
+    async fn settle_doubt(&mut self) {
+        let Some(doubt) = self.doubt.take() else { return };
+        if tokio::time::timeout(DOUBT, doubt).await.is_err() {
+            tracing::debug!(request = self.ask.id, "tried again before it was known whether the endpoint lives");
+        }
+    }
+
     async fn wait_for_place(&self, model: Option<usize>) -> Result<Run, Refusal> {
         let until = clock::now() + WAIT_FOR_ENDPOINT.min(self.left());
         while clock::now() < until {
@@ -226,16 +246,20 @@
     pub(super) fn note(&mut self, run: &mut Run, outcome: &Outcome) {
         self.tried.push(run.key);
         let (ended, cause) = match outcome {
-            Outcome::Unreachable(cause) => {
+            Outcome::Unreachable(Unreachable { cause, is_refused }) => {
                 self.unreachable += 1;
                 self.sent -= 1;
-                (Ended::Unreachable, cause.clone())
+                (if *is_refused { Ended::Down } else { Ended::Unreachable }, cause.clone())
             }
             Outcome::NotRun(StatusCode::MISDIRECTED_REQUEST) => {
                 (Ended::Replaced, "another server stands at its address".to_owned())
             }
             Outcome::NotRun(status) => (Ended::Full, format!("turned away with {status}")),
             Outcome::Unknown(cause) => (Ended::Broken, cause.clone()),
+            Outcome::Broken(cause) => {
+                self.doubt = Some(tokio::spawn(look_after(Arc::clone(&self.desk), run.key, run.endpoint.address)));
+                (Ended::Broken, cause.clone())
+            }
             Outcome::Answer(_) => (Ended::Good, String::new()),
         };
         self.fail(run, ended, cause);
@@ -262,6 +286,7 @@
         let left = self.left();
         let request = self.request(run, model, last_event, left);
         self.sent += 1;
+        run.sent(self.content);
         let patience = self.patience(run).min(left);
         // The caller's time may run out while the try is under way; what may
         // have run by then must not be called not run.
@@ -289,7 +314,7 @@
         let bytes = match Limited::new(body, LONGEST_ANSWER).collect().await {
             Ok(body) => body.to_bytes(),
             Err(error) => {
-                self.note(&mut run, &Outcome::Unknown(error.to_string()));
+                self.note(&mut run, &Outcome::Broken(error.to_string()));
                 return Tried::Again;
             }
         };
@@ -341,6 +366,13 @@
     }
 }
 
+/// Looks whether an endpoint lives at which a run broke off.
+async fn look_after(desk: Arc<Desk>, key: Key, address: SocketAddr) {
+    if upstream::is_refused(address).await {
+        desk.note_crash(key);
+    }
+}
+
 /// Whether callers take a status for a promise that nothing was run.
 fn promises(status: StatusCode) -> bool {
     matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS | StatusCode::REQUEST_TIMEOUT)
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -13,6 +13,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use route::relay::quarantine;
 use tokio::{
     net::{TcpListener, UdpSocket},
     sync::Notify,
@@ -31,7 +32,7 @@
     front,
 };
 
-use self::wire::{Notice, Order, Packet, Piece, Question, Reply, Seen, short, short_ms};
+use self::wire::{Finding, Notice, Order, Packet, Piece, Question, Reply, Seen, short, short_ms};
 
 /// Pause between pieces of news. Loads change within a run's length, some
 /// hundred milliseconds; a shorter pause costs wake-ups at every instance.
@@ -48,10 +49,10 @@
 /// Changes in a reply at most; about a datagram's worth.
 const CHANGES: usize = 60;
 
-/// Time in which a relay gathers notices before it passes them on.
+/// Time in which a relay gathers what it passes on.
 const BATCH: Duration = Duration::from_millis(30);
 
-/// Notices in a datagram at most.
+/// Notices or findings in a datagram at most.
 const BATCHED: usize = 64;
 
 /// Other instances named in a piece, so that strangers meet.
@@ -82,13 +83,15 @@
     // start would begin anew when it loses power, and nobody would hear it.
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let run = u64::try_from(since_epoch.as_nanos()).unwrap_or(0);
-    let (asked, batch) = (Mutex::default(), Batch::default());
+    let (asked, relayed) = (Mutex::default(), Relayed::default());
     tokio::join!(
         tell(&desk, &socket, run),
-        notify(&desk, &socket, &batch),
-        pass_on(&desk, &socket, &batch),
+        notify(&desk, &socket, &relayed.notices),
+        pass_on(&desk, &socket, &relayed.notices, Packet::Notices),
+        tell_findings(&desk, &socket, &relayed.findings),
+        pass_on(&desk, &socket, &relayed.findings, Packet::Findings),
         ask(&desk, &socket, &asked),
-        hear(&desk, &socket, &asked, &batch)
+        hear(&desk, &socket, &asked, &relayed)
     );
 }
 
@@ -141,13 +144,18 @@
         let Turn { near, far } = desk.audience(turn, AUDIENCE);
         let pause_told = PAUSE * u32::try_from(near.rounds).unwrap_or(u32::MAX);
         let bytes = encode(&Packet::News(piece(desk, run, pause_told, NAMED)));
+        let refused = refused(desk);
         for news in near.news.into_iter().chain(desk.strangers()) {
             send(socket, news, &bytes);
+            send_some(socket, news, refused.as_deref());
         }
         if !far.news.is_empty() {
             let pause = PAUSE * u32::try_from(far.rounds).unwrap_or(u32::MAX);
             let bytes = encode(&Packet::News(brief(desk, run, pause)));
-            far.news.iter().for_each(|news| send(socket, *news, &bytes));
+            for news in far.news {
+                send(socket, news, &bytes);
+                send_some(socket, news, refused.as_deref());
+            }
         }
         turn += 1;
         let mut pause = pin!(sleep(PAUSE));
@@ -166,40 +174,72 @@
 async fn greet(desk: &Desk, socket: &UdpSocket, run: u64, pause: Duration) {
     sleep(GREETING).await;
     let bytes = encode(&Packet::News(piece(desk, run, pause, NAMED_TO_STRANGERS)));
+    let refused = refused(desk);
     for news in desk.greeted() {
         send(socket, news, &bytes);
+        send_some(socket, news, refused.as_deref());
     }
 }
 
+/// Requests that are refused, for those that were not told or started later; nothing
+/// where there are none.
+fn refused(desk: &Desk) -> Option<Vec<u8>> {
+    let findings: Vec<Finding> = desk.refused_requests(BATCHED).into_iter().map(Finding::from).collect();
+    (!findings.is_empty()).then(|| encode(&Packet::Findings(findings)))
+}
+
 /// Tells the others at once of long prompts.
-async fn notify(desk: &Desk, socket: &UdpSocket, batch: &Batch) {
+async fn notify(desk: &Desk, socket: &UdpSocket, batch: &Batch<Notice>) {
     let origin = short_hash(&desk.settings.instance);
     loop {
         let notices: Vec<Notice> = desk.notices().await.into_iter().map(|notice| Notice::new(notice, origin)).collect();
         metrics::counter!("relay_notices_total").increment(u64::try_from(notices.len()).unwrap_or_default());
-        let (audience, packet) = match desk.notice_audience() {
-            Audience::All(all) => (all, Packet::Notices(notices)),
-            Audience::Relays(relays) => {
-                if relays.contains(&desk.settings.listeners.news) {
-                    batch.add(notices.clone());
-                }
-                (relays, Packet::PassOn(notices))
+        spread(desk, socket, batch, notices, Packet::Notices, Packet::PassOn);
+    }
+}
+
+/// Tells the others at once of what was found of requests under which endpoints crash.
+async fn tell_findings(desk: &Desk, socket: &UdpSocket, batch: &Batch<Finding>) {
+    loop {
+        let findings: Vec<Finding> = desk.findings().await.into_iter().map(Finding::from).collect();
+        for findings in findings.chunks(BATCHED) {
+            spread(desk, socket, batch, findings.to_vec(), Packet::Findings, Packet::PassOnFindings);
+        }
+    }
+}
+
+/// Sends something to all instances, in a large fleet by way of relays.
+fn spread<T: Clone>(
+    desk: &Desk,
+    socket: &UdpSocket,
+    batch: &Batch<T>,
+    told: Vec<T>,
+    to_all: fn(Vec<T>) -> Packet,
+    to_relays: fn(Vec<T>) -> Packet,
+) {
+    let me = desk.settings.listeners.news;
+    let (audience, packet) = match desk.notice_audience() {
+        Audience::All(all) => (all, to_all(told)),
+        Audience::Relays(relays) => {
+            if relays.contains(&me) {
+                batch.add(told.clone());
             }
-        };
-        let bytes = encode(&packet);
-        for news in audience.into_iter().filter(|news| *news != desk.settings.listeners.news) {
-            send(socket, news, &bytes);
+            (relays, to_relays(told))
         }
+    };
+    let bytes = encode(&packet);
+    for news in audience.into_iter().filter(|news| *news != me) {
+        send(socket, news, &bytes);
     }
 }
 
-/// Passes notices of other instances on to the neighbours, some at a time.
-async fn pass_on(desk: &Desk, socket: &UdpSocket, batch: &Batch) {
+/// Passes on to the neighbours what other instances tell, some at a time.
+async fn pass_on<T: Clone>(desk: &Desk, socket: &UdpSocket, batch: &Batch<T>, packet: fn(Vec<T>) -> Packet) {
     loop {
-        let notices = batch.next().await;
+        let told = batch.next().await;
         let neighbours = desk.neighbours();
-        for notices in notices.chunks(BATCHED) {
-            let bytes = encode(&Packet::Notices(notices.to_vec()));
+        for told in told.chunks(BATCHED) {
+            let bytes = encode(&packet(told.to_vec()));
             for news in &neighbours {
                 send(socket, *news, &bytes);
             }
@@ -207,27 +247,40 @@
     }
 }
 
-/// Notices that this instance passes on with the next batch.
+/// What this instance passes on to its neighbours.
 #[derive(Debug, Default)]
-struct Batch {
-    notices: Mutex<Vec<Notice>>,
+struct Relayed {
+    notices: Batch<Notice>,
+    findings: Batch<Finding>,
+}
+
+/// What goes on with the next datagrams.
+#[derive(Debug)]
+struct Batch<T> {
+    told: Mutex<Vec<T>>,
     added: Notify,
 }
 
-impl Batch {
-    fn add(&self, notices: impl IntoIterator<Item = Notice>) {
-        self.notices.lock().unwrap_or_else(PoisonError::into_inner).extend(notices);
+impl<T> Default for Batch<T> {
+    fn default() -> Self {
+        Self { told: Mutex::default(), added: Notify::new() }
+    }
+}
+
+impl<T> Batch<T> {
+    fn add(&self, told: impl IntoIterator<Item = T>) {
+        self.told.lock().unwrap_or_else(PoisonError::into_inner).extend(told);
         self.added.notify_one();
     }
 
-    /// Waits for the first notice and those that come right after it.
-    async fn next(&self) -> Vec<Notice> {
+    /// Waits for the first and for what comes right after it.
+    async fn next(&self) -> Vec<T> {
         loop {
             self.added.notified().await;
             sleep(BATCH).await;
-            let notices = std::mem::take(&mut *self.notices.lock().unwrap_or_else(PoisonError::into_inner));
-            if !notices.is_empty() {
-                return notices;
+            let told = std::mem::take(&mut *self.told.lock().unwrap_or_else(PoisonError::into_inner));
+            if !told.is_empty() {
+                return told;
             }
         }
     }
@@ -239,6 +292,12 @@
     }
 }
 
+fn send_some(socket: &UdpSocket, to: SocketAddr, bytes: Option<&[u8]>) {
+    if let Some(bytes) = bytes {
+        send(socket, to, bytes);
+    }
+}
+
 /// Takes notices in but for this instance's own, which relays send back as well.
 fn take_notices(desk: &Desk, notices: Vec<Notice>) {
     let me = short_hash(&desk.settings.instance);
@@ -247,7 +306,11 @@
     }
 }
 
-async fn hear(desk: &Desk, socket: &UdpSocket, asked: &Asked, batch: &Batch) {
+fn take_findings(desk: &Desk, findings: &[Finding]) {
+    desk.take_findings(findings.iter().copied().map(quarantine::Finding::from));
+}
+
+async fn hear(desk: &Desk, socket: &UdpSocket, asked: &Asked, relayed: &Relayed) {
     let mut buffer = vec![0; LARGEST];
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
@@ -269,9 +332,14 @@
             Ok(Packet::Evidence(name, orders)) => desk.take_reports(name, orders.iter().map(Report::from).collect()),
             Ok(Packet::Notices(notices)) => take_notices(desk, notices),
             Ok(Packet::PassOn(notices)) => {
-                batch.add(notices.clone());
+                relayed.notices.add(notices.clone());
                 take_notices(desk, notices);
             }
+            Ok(Packet::Findings(findings)) => take_findings(desk, &findings),
+            Ok(Packet::PassOnFindings(findings)) => {
+                relayed.findings.add(findings.clone());
+                take_findings(desk, &findings);
+            }
             Ok(Packet::Question(question)) => {
                 let asked = track::Question { revision: question.revision };
                 if let Some(reply) = desk.reply(asked, CHANGES) {
--- a/crates/relay/src/news/wire.rs
+++ b/crates/relay/src/news/wire.rs
@@ -2,7 +2,11 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use route::relay::canary::{Lateness, Stage, Tally};
+use route::relay::{
+    canary::{Lateness, Stage, Tally},
+    content::Content,
+    quarantine,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -29,6 +33,42 @@
     PassOn(Vec<Notice>),
     /// An instance's evidence on roll-outs, by the hash of its name.
     Evidence(u32, Vec<Order>),
+    /// What was found of requests under which endpoints crash.
+    Findings(Vec<Finding>),
+    /// The same, for the receiver's neighbours as well.
+    PassOnFindings(Vec<Finding>),
+}
+
+/// A finding on the wire; a request by its team and its work.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(super) enum Finding {
+    Crash { team: u32, work: u64, start: u32 },
+    EndedWell { team: u32, work: u64 },
+    Held { team: u32, work: u64, age_ms: u32 },
+}
+
+impl From<quarantine::Finding> for Finding {
+    fn from(finding: quarantine::Finding) -> Self {
+        match finding {
+            quarantine::Finding::Crash { content: Content { team, work }, start } => Self::Crash { team, work, start },
+            quarantine::Finding::EndedWell { content: Content { team, work } } => Self::EndedWell { team, work },
+            quarantine::Finding::Held { content: Content { team, work }, age } => {
+                Self::Held { team, work, age_ms: short_ms(age) }
+            }
+        }
+    }
+}
+
+impl From<Finding> for quarantine::Finding {
+    fn from(finding: Finding) -> Self {
+        match finding {
+            Finding::Crash { team, work, start } => Self::Crash { content: Content { team, work }, start },
+            Finding::EndedWell { team, work } => Self::EndedWell { content: Content { team, work } },
+            Finding::Held { team, work, age_ms } => {
+                Self::Held { content: Content { team, work }, age: Duration::from_millis(u64::from(age_ms)) }
+            }
+        }
+    }
 }
 
 /// Word of a long prompt on the wire.
--- a/crates/relay/src/share.rs
+++ b/crates/relay/src/share.rs
@@ -104,7 +104,7 @@
 }
 
 async fn receive(from: SocketAddr) -> Result<Catalog, String> {
-    let (mut sender, _connection) = upstream::connect(from, COPY).await?;
+    let (mut sender, _connection) = upstream::connect(from, COPY).await.map_err(|unreachable| unreachable.cause)?;
     let request = Request::get(PATH).header(header::HOST, from.to_string()).body(Full::default());
     let request = request.map_err(|error| error.to_string())?;
     let response = sender.send_request(request).await.map_err(|error| error.to_string())?;
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -5,7 +5,7 @@
 //! request, then spoils that request, and one that must not run twice cannot
 //! be sent again. A new connection rules both out.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
@@ -25,15 +25,28 @@
 #[derive(Debug)]
 pub enum Outcome {
     /// No connection; nothing was sent.
-    Unreachable(String),
+    Unreachable(Unreachable),
     /// The endpoint said that it did not and will not run it.
     NotRun(StatusCode),
     /// It may have run; no trustworthy answer came.
     Unknown(String),
+    /// It may have run; the endpoint's side ended the connection before the answer's
+    /// end.
+    Broken(String),
     /// An answer; its body is still on the way.
     Answer(Box<Answer>),
 }
 
+/// Why there is no connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unreachable {
+    /// In words for a log line.
+    pub cause: String,
+    /// Whether nobody listens there: the endpoint's process is gone, while a lost
+    /// path or a long queue of connections is silent.
+    pub is_refused: bool,
+}
+
 /// An answer whose body is still on the way; dropping it ends the run.
 #[derive(Debug)]
 pub struct Answer {
@@ -68,7 +81,7 @@
         Ok(Err(mut error)) => {
             let unsent = error.take_message().is_some();
             let cause = error.into_error().to_string();
-            return if unsent { Outcome::Unreachable(cause) } else { Outcome::Unknown(cause) };
+            return if unsent { Outcome::Unreachable(Unreachable::silent(cause)) } else { Outcome::Broken(cause) };
         }
         Ok(Ok(response)) => response,
     };
@@ -79,17 +92,15 @@
 ///
 /// # Errors
 ///
-/// The cause, in words for a log line.
+/// [`Unreachable`], with the cause.
 pub async fn connect(
     address: SocketAddr,
     patience: Duration,
-) -> Result<(http1::SendRequest<Full<Bytes>>, AbortOnDropHandle<()>), String> {
-    let stream = match tokio::time::timeout(CONNECT.min(patience), TcpStream::connect(address)).await {
-        Ok(stream) => stream.map_err(|error| error.to_string())?,
-        Err(_) => return Err("no connection in time".into()),
-    };
-    stream.set_nodelay(true).map_err(|error| error.to_string())?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(|error| error.to_string())?;
+) -> Result<(http1::SendRequest<Full<Bytes>>, AbortOnDropHandle<()>), Unreachable> {
+    let stream = open(address, patience).await?;
+    stream.set_nodelay(true).map_err(|error| Unreachable::silent(error.to_string()))?;
+    let (sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(|error| Unreachable::silent(error.to_string()))?;
     let connection = AbortOnDropHandle::new(tokio::spawn(async move {
         if let Err(error) = connection.await {
             tracing::debug!(%error, "connection to an endpoint ended");
@@ -98,6 +109,28 @@
     Ok((sender, connection))
 }
 
+/// Whether nobody listens at an endpoint's address.
+pub async fn is_refused(address: SocketAddr) -> bool {
+    open(address, CONNECT).await.is_err_and(|unreachable| unreachable.is_refused)
+}
+
+async fn open(address: SocketAddr, patience: Duration) -> Result<TcpStream, Unreachable> {
+    match tokio::time::timeout(CONNECT.min(patience), TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(error)) => {
+            let is_refused = error.kind() == io::ErrorKind::ConnectionRefused;
+            Err(Unreachable { cause: error.to_string(), is_refused })
+        }
+        Err(_) => Err(Unreachable::silent("no connection in time".into())),
+    }
+}
+
+impl Unreachable {
+    fn silent(cause: String) -> Self {
+        Self { cause, is_refused: false }
+    }
+}
+
 fn judge(response: Response<Incoming>, id: &str, names: &Names, connection: AbortOnDropHandle<()>) -> Outcome {
     let headers = response.headers();
     let status = response.status();
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -7,9 +7,10 @@
 //! [`mod@patience`] bounds the wait for a first byte,
 //! [`notice`] keeps what endpoints still have to read for other instances,
 //! [`holders`] what they have read; [`fronts`] picks the instances that a caller is
-//! told of; [`content`] tells
-//! requests apart by what they ask for. Time is a [`std::time::Duration`] since any
-//! fixed moment of the process, on a clock that also counts suspension.
+//! told of; [`content`] tells requests apart by what they ask for, and
+//! [`quarantine`] keeps those from endpoints that crash under them. Time is a
+//! [`std::time::Duration`] since any fixed moment of the process, on a clock
+//! that also counts suspension.
 
 pub mod allowance;
 pub mod canary;
@@ -22,3 +23,4 @@
 pub mod pace;
 pub mod patience;
 pub mod placement;
+pub mod quarantine;
--- /dev/null
+++ b/crates/route/src/relay/quarantine.rs
@@ -0,0 +1,206 @@
+//! Requests under which endpoints crash, kept from the endpoints that are left.
+//!
+//! The load pattern: an endpoint crashes as soon as it begins to run a certain
+//! request, with everything else that it runs. Its caller asks again, at any
+//! instance, and each time it is sent to further endpoints, until none is left.
+//! An endpoint's end tells of nothing but a suspicion: whatever ran there is a
+//! suspect. Who was there by chance ends well elsewhere and is cleared; what was
+//! there at the end of several endpoints and never ended well is refused.
+//!
+//! Instances tell each other what they find, so that a [`Quarantine`] counts
+//! the crashes of the whole fleet. It holds a bounded number of records, and each
+//! lapses.
+
+use std::{collections::HashMap, time::Duration};
+
+use super::content::Content;
+
+/// Endpoints that crash under a request before it is refused.
+pub const CRASHES: usize = 3;
+
+/// Time from the last crash in which a request is refused. The endpoints may have
+/// been mended meanwhile.
+pub const LASTS: Duration = Duration::from_mins(10);
+
+/// Time in which a request that is not refused any more is refused anew by a single
+/// further crash.
+const PROBATION: Duration = LASTS;
+
+/// Records kept; a mass crash brings as many as runs were under way.
+const MOST: usize = 4_096;
+
+/// What an instance finds of a request, and tells the others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Finding {
+    /// The start of an endpoint, by its hash, ended under it.
+    Crash {
+        /// The request.
+        content: Content,
+        /// Hash of the endpoint's name and start.
+        start: u32,
+    },
+    /// It ended well.
+    EndedWell {
+        /// The request.
+        content: Content,
+    },
+    /// It is refused.
+    Held {
+        /// The request.
+        content: Content,
+        /// Time since its last crash.
+        age: Duration,
+    },
+}
+
+/// What a finding changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Effect {
+    /// Nothing that was not known.
+    None,
+    /// A further crash was counted.
+    Counted,
+    /// The request is refused from now on.
+    Held,
+    /// It was a suspect or refused, and is neither any more.
+    Cleared,
+}
+
+/// Suspects, and the requests that are refused.
+#[derive(Debug, Clone, Default)]
+pub struct Quarantine {
+    records: HashMap<Content, Record>,
+}
+
+#[derive(Debug, Clone)]
+struct Record {
+    /// Different starts that crashed under it, at most [`CRASHES`].
+    starts: Vec<u32>,
+    /// Whether it is refused, or on probation after that.
+    held: bool,
+    /// When the last of them crashed, or when it ended well.
+    last: Duration,
+}
+
+impl Quarantine {
+    /// Takes a finding in.
+    pub fn take(&mut self, now: Duration, finding: Finding) -> Effect {
+        match finding {
+            Finding::Crash { content, start } => self.count(now, content, start),
+            Finding::EndedWell { content } => self.clear(now, content),
+            Finding::Held { content, age } => self.hold(now, content, age),
+        }
+    }
+
+    /// How much longer a request is refused; nothing if it is not.
+    #[must_use]
+    pub fn refuses(&self, now: Duration, content: Content) -> Option<Duration> {
+        let record = self.records.get(&content).filter(|record| record.held)?;
+        Some((record.last + LASTS).saturating_sub(now)).filter(|left| !left.is_zero())
+    }
+
+    /// Whether an endpoint has crashed under a request and it has not ended well since.
+    #[must_use]
+    pub fn suspects(&self, now: Duration, content: Content) -> bool {
+        self.records.get(&content).is_some_and(|record| !record.starts.is_empty() && !record.lapsed(now))
+    }
+
+    /// Requests that are refused, those that crashed an endpoint last first.
+    #[must_use]
+    pub fn held(&self, now: Duration, most: usize) -> Vec<Finding> {
+        let is_held = |(content, _): &(&Content, &Record)| self.refuses(now, **content).is_some();
+        let mut held: Vec<_> = self.records.iter().filter(is_held).collect();
+        held.sort_by_key(|(_, record)| std::cmp::Reverse(record.last));
+        let finding =
+            |(content, record): (&Content, &Record)| Finding::Held { content: *content, age: record.age(now) };
+        held.into_iter().take(most).map(finding).collect()
+    }
+
+    /// Number of records.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether there is no record.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    fn count(&mut self, now: Duration, content: Content, start: u32) -> Effect {
+        let was_held = self.refuses(now, content).is_some();
+        let record = self.record(now, content);
+        if record.starts.contains(&start) {
+            return Effect::None;
+        }
+        if record.starts.len() < CRASHES {
+            record.starts.push(start);
+        }
+        record.last = now;
+        record.held |= record.starts.len() == CRASHES;
+        if record.held && !was_held { Effect::Held } else { Effect::Counted }
+    }
+
+    /// One that was refused and ended well after all was under way when it came to that.
+    fn clear(&mut self, now: Duration, content: Content) -> Effect {
+        let Some(record) = self.records.get_mut(&content) else { return Effect::None };
+        let was_suspect = !record.starts.is_empty();
+        // Kept, so that late word of others from before is known to be old.
+        *record = Record { starts: Vec::new(), held: false, last: now };
+        if was_suspect { Effect::Cleared } else { Effect::None }
+    }
+
+    fn hold(&mut self, now: Duration, content: Content, age: Duration) -> Effect {
+        let last = now.saturating_sub(age);
+        let was_held = self.refuses(now, content).is_some();
+        let is_old = self.records.get(&content).is_some_and(|record| record.last >= last);
+        if is_old || age >= LASTS {
+            return Effect::None;
+        }
+        let record = self.record(now, content);
+        record.held = true;
+        record.last = last;
+        if was_held { Effect::None } else { Effect::Held }
+    }
+
+    /// The record of a request; room is made for a new one.
+    fn record(&mut self, now: Duration, content: Content) -> &mut Record {
+        if !self.records.contains_key(&content) && self.records.len() >= MOST {
+            self.make_room(now);
+        }
+        let record = self.records.entry(content).or_insert_with(|| Record::new(now));
+        if record.lapsed(now) {
+            *record = Record::new(now);
+        }
+        record
+    }
+
+    /// Forgets what has lapsed, or else the oldest; suspects before what is refused.
+    fn make_room(&mut self, now: Duration) {
+        self.records.retain(|_, record| !record.lapsed(now));
+        if self.records.len() < MOST {
+            return;
+        }
+        let rank = |(content, record): (&Content, &Record)| (record.held, record.last, *content);
+        let mut ranked: Vec<_> = self.records.iter().map(rank).collect();
+        ranked.sort_unstable();
+        for (_, _, content) in &ranked[..MOST / 8] {
+            self.records.remove(content);
+        }
+    }
+}
+
+impl Record {
+    fn new(now: Duration) -> Self {
+        Self { starts: Vec::new(), held: false, last: now }
+    }
+
+    fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.last)
+    }
+
+    fn lapsed(&self, now: Duration) -> bool {
+        self.age(now) >= if self.held { LASTS + PROBATION } else { LASTS }
+    }
+}
--- a/crates/route/tests/relay/main.rs
+++ b/crates/route/tests/relay/main.rs
@@ -11,3 +11,4 @@
 mod pace;
 mod patience;
 mod placement;
+mod quarantine;
--- /dev/null
+++ b/crates/route/tests/relay/quarantine.rs
@@ -0,0 +1,140 @@
+//! Which requests are refused because endpoints crash under them.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use route::relay::{
+    content::Content,
+    quarantine::{CRASHES, Effect, Finding, LASTS, Quarantine},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+const ONE: Content = Content { team: 1, work: 7 };
+const OTHER: Content = Content { team: 1, work: 8 };
+
+fn crash(content: Content, start: u32) -> Finding {
+    Finding::Crash { content, start }
+}
+
+/// A quarantine that has taken findings in, one a second.
+fn after(findings: &[Finding]) -> (Quarantine, Duration) {
+    let mut quarantine = Quarantine::default();
+    let mut now = LASTS * 5;
+    for finding in findings {
+        now += SECOND;
+        quarantine.take(now, *finding);
+    }
+    (quarantine, now)
+}
+
+/// Names each case: findings, one a second, and whether the request is refused then.
+macro_rules! cases {
+    ($($name:ident: $findings:expr => $refused:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let (quarantine, now) = after(&$findings);
+            assert_eq!(quarantine.refuses(now, ONE).is_some(), $refused);
+        }
+    )*};
+}
+
+cases! {
+    nothing_is_refused_at_first: [] => false;
+    two_crashes_are_a_suspicion: [crash(ONE, 1), crash(ONE, 2)] => false;
+    three_crashes_are_enough: [crash(ONE, 1), crash(ONE, 2), crash(ONE, 3)] => true;
+    one_crash_told_by_many_is_one: [crash(ONE, 1), crash(ONE, 1), crash(ONE, 1), crash(ONE, 2)] => false;
+    crashes_of_others_do_not_count: [crash(ONE, 1), crash(OTHER, 2), crash(OTHER, 3), crash(OTHER, 4)] => false;
+    good_end_in_between_clears: [
+        crash(ONE, 1), crash(ONE, 2), Finding::EndedWell { content: ONE }, crash(ONE, 3), crash(ONE, 4)
+    ] => false;
+    good_end_of_another_clears_nothing: [
+        crash(ONE, 1), crash(ONE, 2), Finding::EndedWell { content: OTHER }, crash(ONE, 3)
+    ] => true;
+    word_of_another_instance_holds: [Finding::Held { content: ONE, age: SECOND }] => true;
+    word_from_before_a_good_end_is_old: [
+        crash(ONE, 1), Finding::EndedWell { content: ONE }, Finding::Held { content: ONE, age: SECOND * 5 }
+    ] => false;
+    word_that_has_lapsed_holds_nothing: [Finding::Held { content: ONE, age: LASTS }] => false;
+}
+
+#[test]
+fn effects_say_what_is_new() {
+    let mut quarantine = Quarantine::default();
+    let effects: Vec<Effect> = [1, 2, 2, 3, 4].map(|start| quarantine.take(SECOND, crash(ONE, start))).into();
+    assert_eq!(effects, [Effect::Counted, Effect::Counted, Effect::None, Effect::Held, Effect::Counted]);
+    assert_eq!(quarantine.take(SECOND, Finding::Held { content: ONE, age: SECOND }), Effect::None);
+    assert_eq!(quarantine.take(SECOND, Finding::EndedWell { content: ONE }), Effect::Cleared);
+    assert_eq!(quarantine.take(SECOND, Finding::EndedWell { content: ONE }), Effect::None);
+    assert_eq!(quarantine.take(SECOND, Finding::EndedWell { content: OTHER }), Effect::None);
+}
+
+/// A request is not refused for good, or it never is again after its endpoints were
+/// mended; and not let in by the dozen, if they were not.
+#[test]
+fn refusal_lapses_into_probation() {
+    let (mut quarantine, last) = after(&[crash(ONE, 1), crash(ONE, 2), crash(ONE, 3)]);
+    assert_eq!(quarantine.refuses(last + SECOND, ONE), Some(LASTS.saturating_sub(SECOND)));
+    assert_eq!(quarantine.refuses(last + LASTS, ONE), None);
+    let mut mended = quarantine.clone();
+    assert_eq!(quarantine.take(last + LASTS, crash(ONE, 9)), Effect::Held);
+    assert!(quarantine.refuses(last + LASTS + SECOND, ONE).is_some());
+    mended.take(last + LASTS, Finding::EndedWell { content: ONE });
+    assert_eq!(mended.take(last + LASTS + SECOND, crash(ONE, 9)), Effect::Counted);
+}
+
+/// Crashes that are far apart have causes of their own.
+#[test]
+fn suspicion_lapses() {
+    let (mut quarantine, last) = after(&[crash(ONE, 1), crash(ONE, 2)]);
+    assert!(quarantine.suspects(last, ONE));
+    assert!(!quarantine.suspects(last + LASTS, ONE));
+    assert_eq!(quarantine.take(last + LASTS, crash(ONE, 3)), Effect::Counted);
+    assert!(quarantine.refuses(last + LASTS, ONE).is_none());
+}
+
+/// Endpoints crash with thousands of runs, more than there is room for: what is
+/// refused stays refused, and memory is bounded.
+#[test]
+fn mass_crash_pushes_no_refusal_out() {
+    let (mut quarantine, now) = after(&[crash(ONE, 1), crash(ONE, 2), crash(ONE, 3)]);
+    for work in 100..20_000 {
+        quarantine.take(now + SECOND, crash(Content { team: 2, work }, 4));
+    }
+    assert!(quarantine.len() <= 4_096);
+    assert!(quarantine.refuses(now + SECOND, ONE).is_some());
+}
+
+#[test]
+fn latest_are_told_first() {
+    let crashes = |content| (1..=3).map(move |start| crash(content, start));
+    let (quarantine, now) = after(&crashes(ONE).chain(crashes(OTHER)).collect::<Vec<_>>());
+    let told = quarantine.held(now, 1);
+    assert_eq!(told, [Finding::Held { content: OTHER, age: Duration::ZERO }]);
+    assert_eq!(quarantine.held(now, 9).len(), 2);
+}
+
+proptest! {
+    /// Instances that have heard the same crashes in different orders refuse the same.
+    #[test]
+    fn order_of_crashes_does_not_matter(
+        starts in prop::collection::vec((0_u64..3, 0_u32..5), 0..12).prop_shuffle(),
+        seed in any::<u64>(),
+    ) {
+        let mut shuffled = starts.clone();
+        shuffled.sort_by_key(|(work, start)| (work ^ u64::from(*start)).wrapping_mul(seed | 1));
+        let take = |starts: &[(u64, u32)]| {
+            let mut quarantine = Quarantine::default();
+            for (work, start) in starts {
+                quarantine.take(SECOND, crash(Content { team: 0, work: *work }, *start));
+            }
+            quarantine
+        };
+        let (one, other) = (take(&starts), take(&shuffled));
+        for work in 0..3 {
+            let content = Content { team: 0, work };
+            let crashed = (0..5).filter(|start| starts.contains(&(work, *start))).count();
+            prop_assert_eq!(one.refuses(SECOND, content).is_some(), crashed >= CRASHES);
+            prop_assert_eq!(other.refuses(SECOND, content), one.refuses(SECOND, content));
+        }
+    }
+}
