Show that a lost fleet sends a request on that it had refused

Found by looking for the cause of crashing requests elsewhere: what is refused stands in memory alone, so an instance that starts when nobody is left to tell it begins anew, with up to four crashes more where the rule allows three retries.

--- a/crates/relay/tests/it/crashes.rs
+++ b/crates/relay/tests/it/crashes.rs
@@ -1,13 +1,13 @@
 //! A request under which every endpoint crashes that begins to run it.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use relay::catalog::{Kind, Route};
 
 use crate::{
     caller,
     server::{Act, END, Server, event, stream_head, whole},
-    site::{Kept, Site, catalog, endpoint, laddered, route},
+    site::{Kept, Site, catalog, endpoint, laddered, route, settings},
 };
 
 const RESUMABLE: Kind = Kind::Stream { resumable: true };
@@ -126,6 +126,25 @@
     assert_eq!(reached(&servers), before);
 }
 
+/// All instances are lost at once and are back: they knew nothing of the request, and
+/// had to learn of it by three more crashes.
+#[tokio::test]
+async fn refusal_outlives_all_instances() {
+    let servers = endpoints(20, &(stream_head(90) + &event(1)), sound_stream()).await;
+    let lost = Site::open_with(kept(vec![route("/s/", RESUMABLE)], &servers), |_| {}).await;
+    for _ in 0..2 {
+        call(&lost, "/s/x", DEADLY).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let before = reached(&servers);
+    let store = Arc::clone(&lost.store);
+    drop(lost);
+    let site = Site::open_on(store, settings()).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(call(&site, "/s/x", DEADLY).await.status, 503);
+    assert_eq!(reached(&servers), before);
+}
+
 /// A plain call crashes its server before any answer. It may not be repeated within
 /// an attempt, so each of its callers' attempts crashes one more.
 #[tokio::test]
--- a/crates/relay/tests/it/site.rs
+++ b/crates/relay/tests/it/site.rs
@@ -228,9 +228,13 @@
 
     /// Starts a relay on a store that holds something.
     pub async fn open_with(kept: Kept, adjust: impl FnOnce(&mut Settings)) -> Self {
-        let store = Arc::new(Store::open(kept));
         let mut settings = settings();
         adjust(&mut settings);
+        Self::open_on(Arc::new(Store::open(kept)), settings).await
+    }
+
+    /// Starts a relay on a store that may have served another.
+    pub async fn open_on(store: Arc<Store>, settings: Settings) -> Self {
         let source: Arc<dyn Source> = store.clone();
         let relay = relay::spawn(settings, dialect(), source).await.expect("free ports can be bound");
         while !relay.desk().ready() {
