Keep refused requests in the store, for when all instances are lost

Callers of a fleet that was lost and is back saw a request that had been refused sent on again: it crashed endpoints anew until the instances had learned of it.

Cause: what is refused stood in the memory of instances alone, which nothing outlives.

Change: a request that comes to be refused is written to the store as an object of our own kind, by whoever found its last crash and by the instance that leads; it is taken back when the request ends well. An instance reads the kind once at its start, of any age, and again after a pause that doubles while the store is away. Lapsed records are taken back by one of those that start.

Why it holds: the record has the time of the last crash, so a restart neither shortens nor prolongs a refusal. What another writer puts under the kind is left out entry by entry. Suspects with fewer than three crashes are still learned anew.

--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -24,7 +24,7 @@
     dialect::{Dialect, Names},
     rollout::Rollout,
     settings::{Cores, Listeners},
-    source::{Batch, Change, Endpoint, Fault, Instance, Kind, Listing, Progress, Read, Record, Source},
+    source::{Batch, Change, Endpoint, Fault, Instance, Kind, Listing, Progress, Read, Record, Refused, Source},
 };
 use route::relay::{allowance, canary::Stage};
 use tokio::{
@@ -186,7 +186,7 @@
                 born: None,
                 revision: 0,
             })),
-            Kind::Rollouts | Kind::Instances => None,
+            Kind::Rollouts | Kind::Instances | Kind::Quarantine => None,
         };
         let records = record.map(|record| Change { name: "one".into(), record: Some(record) }).into_iter().collect();
         Box::pin(async { Ok(Listing { revision: 1, records, unreadable: Vec::new() }) })
@@ -210,6 +210,14 @@
     fn deregister<'a>(&'a self, _: &'a str) -> BoxFuture<'a, Result<(), Fault>> {
         Box::pin(async { Ok(()) })
     }
+
+    fn refuse<'a>(&'a self, _: &'a Refused) -> BoxFuture<'a, Result<(), Fault>> {
+        Box::pin(async { Ok(()) })
+    }
+
+    fn allow<'a>(&'a self, _: &'a Refused) -> BoxFuture<'a, Result<(), Fault>> {
+        Box::pin(async { Ok(()) })
+    }
 }
 
 fn catalog() -> Catalog {
--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -17,7 +17,7 @@
 pub mod watchers;
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -36,6 +36,7 @@
     catalog::Catalog,
     clock,
     dialect::Dialect,
+    quarantine,
     settings::Settings,
     source::{Kind, Progress},
 };
@@ -72,6 +73,8 @@
     noticed: Notify,
     /// There are findings about requests to tell.
     found: Notify,
+    /// There are refused requests to write or to take back.
+    unwritten: Notify,
     /// An instance was heard for the first time, or again.
     greeting: Notify,
     catalog_wanted: Notify,
@@ -92,6 +95,8 @@
     quarantine: Quarantine,
     /// Findings that were not sent yet.
     findings: Vec<Finding>,
+    /// What the store was not told yet.
+    unwritten: VecDeque<quarantine::Change>,
     peers: peers::Peers,
     trials: trials::Trials,
     track: track::Track,
@@ -132,6 +137,7 @@
             notices: fleet::Notices::new(clock::now()),
             quarantine: Quarantine::default(),
             findings: Vec::new(),
+            unwritten: VecDeque::new(),
             peers: peers::Peers::default(),
             trials: trials::Trials::default(),
             track: track::Track::new(settings.replace),
@@ -152,6 +158,7 @@
             urgent: Notify::new(),
             noticed: Notify::new(),
             found: Notify::new(),
+            unwritten: Notify::new(),
             greeting: Notify::new(),
             catalog_wanted: Notify::new(),
             endpoints_wanted: Notify::new(),
@@ -189,7 +196,7 @@
         match kind {
             Kind::Catalog => self.catalog_wanted.notified().await,
             Kind::Endpoints => self.endpoints_wanted.notified().await,
-            Kind::Rollouts | Kind::Instances => std::future::pending().await,
+            Kind::Rollouts | Kind::Instances | Kind::Quarantine => std::future::pending().await,
         }
     }
 
--- a/crates/relay/src/desk/crashes.rs
+++ b/crates/relay/src/desk/crashes.rs
@@ -1,14 +1,14 @@
 //! Endpoints that crash, and the requests that were there.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use route::relay::{
     content::Content,
-    quarantine::{Effect, Finding},
+    quarantine::{Effect, Finding, LASTS},
 };
 
 use super::{Desk, State, fleet::Key};
-use crate::clock;
+use crate::{clock, quarantine::Change, source::Refused};
 
 /// Time in which a request counts as run by an endpoint after this instance has left
 /// it: an answer that was dropped, a caller that has gone. An endpoint takes a moment
@@ -23,6 +23,9 @@
 /// more only come while the socket does not take them.
 const MOST_UNSENT: usize = 4_096;
 
+/// Changes kept until the store has taken them.
+const MOST_UNWRITTEN: usize = 64;
+
 /// Requests that have left an endpoint without a good end.
 #[derive(Debug, Default)]
 pub(super) struct Left(Vec<(Content, Duration)>);
@@ -65,22 +68,45 @@
         }
     }
 
-    /// Takes a finding of this instance in, and has it told.
+    /// Takes a finding of this instance in, and has it told and written.
     fn find(&mut self, finding: Finding, now: Duration) {
-        if self.take_finding(finding, now) != Effect::None && self.findings.len() < MOST_UNSENT {
+        let effect = self.take_finding(finding, now);
+        if effect != Effect::None && self.findings.len() < MOST_UNSENT {
             self.findings.push(finding);
         }
+        self.write(finding, effect);
+    }
+
+    /// Has what a finding changed written to the store.
+    fn write(&mut self, finding: Finding, effect: Effect) {
+        let refused = Refused { content: finding.content(), since: unix_ms() };
+        let change = match effect {
+            Effect::Held => Change::Refuse(refused),
+            Effect::Released => Change::Allow(refused),
+            Effect::None | Effect::Counted | Effect::Cleared => return,
+        };
+        self.queue(change);
+    }
+
+    fn queue(&mut self, change: Change) {
+        if self.unwritten.len() == MOST_UNWRITTEN {
+            tracing::warn!(?change, "too many refused requests to write; this one is only told");
+            return;
+        }
+        self.unwritten.push_back(change);
     }
 
     fn take_finding(&mut self, finding: Finding, now: Duration) -> Effect {
         let effect = self.quarantine.take(now, finding);
-        let (Finding::Crash { content, .. } | Finding::EndedWell { content } | Finding::Held { content, .. }) = finding;
+        let content = finding.content();
         match effect {
             Effect::Held => {
                 tracing::warn!(%content, ?finding, "request refused from now on: endpoints crash under it");
                 metrics::counter!("relay_quarantined_total").increment(1);
             }
-            Effect::Cleared => tracing::info!(%content, "request ended well; no crash is held against it"),
+            Effect::Cleared | Effect::Released => {
+                tracing::info!(%content, "request ended well; no crash is held against it");
+            }
             Effect::Counted => tracing::info!(%content, ?finding, "crash counted against a request"),
             Effect::None => {}
         }
@@ -112,9 +138,15 @@
     /// Takes another instance's findings in.
     pub fn take_findings(&self, findings: impl IntoIterator<Item = Finding>) {
         let now = clock::now();
+        let leads = self.leads();
         let mut state = self.lock();
         for finding in findings {
-            state.take_finding(finding, now);
+            let effect = state.take_finding(finding, now);
+            // Whoever told of the last crash may not have heard of the ones before, and
+            // not know that it was the last.
+            if leads && effect == Effect::Held && matches!(finding, Finding::Crash { .. }) {
+                state.write(finding, effect);
+            }
             // What this instance had there, and has left, was there as well.
             if let Finding::Crash { start, .. } = finding
                 && let Some(key) = state.fleet.key_of(start)
@@ -125,11 +157,50 @@
         self.hurry_findings(&state);
     }
 
-    /// Has findings told, if there are any.
+    /// Has findings told and written, if there are any.
     pub(super) fn hurry_findings(&self, state: &State) {
         if !state.findings.is_empty() {
             self.found.notify_one();
         }
+        if !state.unwritten.is_empty() {
+            self.unwritten.notify_one();
+        }
+    }
+
+    /// Takes in what was refused before this instance's start.
+    pub fn restore_refused(&self, refused: impl IntoIterator<Item = Refused>) {
+        let (now, unix_now) = (clock::now(), unix_ms());
+        let members = u32::try_from(self.members()).unwrap_or(u32::MAX);
+        let mut state = self.lock();
+        for refused in refused {
+            let age = Duration::from_millis(unix_now.saturating_sub(refused.since));
+            if age < LASTS {
+                state.take_finding(Finding::Held { content: refused.content, age }, now);
+            } else if rand::random_ratio(1, members) {
+                // One of those that start takes it back, which one is drawn.
+                state.queue(Change::Allow(refused));
+            }
+        }
+        self.hurry_findings(&state);
+    }
+
+    /// Waits until the store has to be told of a refused request.
+    pub async fn quarantine_change(&self) -> Change {
+        loop {
+            if let Some(change) = self.lock().unwritten.pop_front() {
+                return change;
+            }
+            self.unwritten.notified().await;
+        }
+    }
+
+    /// Whether a change that could not be written still holds.
+    #[must_use]
+    pub fn is_due(&self, change: Change) -> bool {
+        match change {
+            Change::Refuse(refused) => self.quarantined(refused.content).is_some(),
+            Change::Allow(refused) => self.quarantined(refused.content).is_none(),
+        }
     }
 
     /// Waits until there are findings to tell, and takes them.
@@ -149,3 +220,9 @@
         self.lock().quarantine.held(clock::now(), most)
     }
 }
+
+/// Wall time; it only has to tell ages of minutes, over starts and machines.
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -362,7 +362,7 @@
             Kind::Catalog => CATALOG_WAIT,
             Kind::Endpoints if self.lapses.waits() => LAPSED_WAIT,
             Kind::Endpoints => ENDPOINTS_WAIT,
-            Kind::Rollouts | Kind::Instances => ROLLOUTS_WAIT,
+            Kind::Rollouts | Kind::Instances | Kind::Quarantine => ROLLOUTS_WAIT,
         }
     }
 
--- a/crates/relay/src/follow/intake.rs
+++ b/crates/relay/src/follow/intake.rs
@@ -33,7 +33,7 @@
         match self.kind {
             Kind::Endpoints => self.desk.mark_listed(),
             Kind::Rollouts => self.desk.note_orders(),
-            Kind::Catalog | Kind::Instances => {}
+            Kind::Catalog | Kind::Instances | Kind::Quarantine => {}
         }
     }
 
@@ -96,10 +96,12 @@
             }
             Some(Record::Rollout(rollout)) => self.desk.order(rollout),
             Some(Record::Instance(instance)) => self.desk.meet(&instance.name, instance.news),
+            Some(Record::Refused(refused)) => self.desk.restore_refused([refused]),
             None => match self.kind {
                 Kind::Endpoints => self.desk.delist(&change.name),
                 Kind::Rollouts => self.desk.withdraw_order(&change.name),
                 Kind::Instances => self.desk.part(&change.name),
+                Kind::Quarantine => {}
                 Kind::Catalog => tracing::warn!("the catalog was deleted; the last one stays in force"),
             },
         }
--- a/crates/relay/src/handle.rs
+++ b/crates/relay/src/handle.rs
@@ -11,7 +11,7 @@
     caches, clock,
     desk::Desk,
     dialect::Dialect,
-    directory, exchange, follow, front, join, news, report,
+    directory, exchange, follow, front, join, news, quarantine, report,
     settings::{Listeners, Settings},
     share::Sharer,
     source::{Kind, Source},
@@ -91,6 +91,7 @@
     tasks.spawn(caches::ask(Arc::clone(&desk)));
     tasks.spawn(join::join(Arc::clone(&desk), Arc::clone(&source)));
     tasks.spawn(report::roll_out(Arc::clone(&desk), Arc::clone(&source)));
+    tasks.spawn(quarantine::keep(Arc::clone(&desk), Arc::clone(&source)));
     tasks.spawn(news::exchange(Arc::clone(&desk), socket));
     Ok(Handle { desk, source, tasks })
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 //!   [`source::Source`]; `join` registers this instance and finds the others,
 //!   `report` moves roll-outs on;
 //! - `news` exchanges loads, evidence and membership with other instances;
+//! - `quarantine` keeps requests under which endpoints crash in the source;
 //! - `share` passes the catalog on to instances that cannot read it themselves;
 //! - `front` and `directory` listen; `exchange` is the life of one request,
 //!   `upstream` one try of it, `events` a stream of events resumed on the way.
@@ -31,6 +32,7 @@
 mod handle;
 mod join;
 mod news;
+mod quarantine;
 mod report;
 pub mod rollout;
 pub mod settings;
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -8,7 +8,7 @@
 };
 
 use futures::future::BoxFuture;
-use route::relay::canary::Stage;
+use route::relay::{canary::Stage, content::Content};
 
 use crate::{catalog::Catalog, clock, rollout::Rollout};
 
@@ -23,6 +23,8 @@
     Rollouts,
     /// This system's instances.
     Instances,
+    /// Requests that are refused because endpoints crash under them.
+    Quarantine,
 }
 
 /// One record.
@@ -36,6 +38,8 @@
     Rollout(Rollout),
     /// An instance.
     Instance(Instance),
+    /// A refused request.
+    Refused(Refused),
 }
 
 /// An endpoint as it has registered itself.
@@ -73,6 +77,15 @@
     pub news: SocketAddr,
 }
 
+/// A request that is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refused {
+    /// The request.
+    pub content: Content,
+    /// When an endpoint last crashed under it, in Unix milliseconds.
+    pub since: u64,
+}
+
 /// A record's name, and the record unless it was deleted.
 #[derive(Debug, Clone)]
 pub struct Change {
@@ -201,4 +214,8 @@
     fn register<'a>(&'a self, instance: &'a Instance) -> BoxFuture<'a, Result<(), Fault>>;
     /// Takes this instance's registration back.
     fn deregister<'a>(&'a self, name: &'a str) -> BoxFuture<'a, Result<(), Fault>>;
+    /// Writes a refused request; it may be there already.
+    fn refuse<'a>(&'a self, refused: &'a Refused) -> BoxFuture<'a, Result<(), Fault>>;
+    /// Takes a refused request back; it may be gone already.
+    fn allow<'a>(&'a self, refused: &'a Refused) -> BoxFuture<'a, Result<(), Fault>>;
 }
--- a/crates/relay/tests/it/crashes.rs
+++ b/crates/relay/tests/it/crashes.rs
@@ -2,7 +2,11 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use relay::catalog::{Kind, Route};
+use relay::{
+    catalog::{Kind, Route},
+    source::Refused,
+};
+use route::relay::content::Content;
 
 use crate::{
     caller,
@@ -145,6 +149,36 @@
     assert_eq!(reached(&servers), before);
 }
 
+/// The store turns calls away while a request comes to be refused, and all instances
+/// are lost later.
+#[tokio::test]
+async fn refusal_is_written_once_the_store_is_back() {
+    let servers = endpoints(20, &(stream_head(90) + &event(1)), sound_stream()).await;
+    let site = Site::open_with(kept(vec![route("/s/", RESUMABLE)], &servers), |_| {}).await;
+    site.store.change(|kept| kept.refuses = true);
+    for _ in 0..2 {
+        call(&site, "/s/x", DEADLY).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(site.store.refused().is_empty());
+    site.store.change(|kept| kept.refuses = false);
+    while site.store.refused().is_empty() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// A record of long ago refuses nothing, and does not stay for good.
+#[tokio::test]
+async fn lapsed_refusal_is_taken_back() {
+    let refused = Refused { content: Content { team: 1, work: 2 }, since: 1_000 };
+    let kept = Kept { refused: vec![refused], ..kept(vec![route("/s/", RESUMABLE)], &[]) };
+    let site = Site::open_with(kept, |_| {}).await;
+    while !site.store.refused().is_empty() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(site.relay.desk().quarantined(refused.content), None);
+}
+
 /// A plain call crashes its server before any answer. It may not be repeated within
 /// an attempt, so each of its callers' attempts crashes one more.
 #[tokio::test]
--- a/crates/relay/tests/it/site.rs
+++ b/crates/relay/tests/it/site.rs
@@ -19,7 +19,7 @@
     dialect::{Cached, Dialect, Names},
     rollout::Rollout,
     settings::{Cores, Listeners},
-    source::{self, Batch, Change, Endpoint, Fault, Instance, Listing, Progress, Record, Source},
+    source::{self, Batch, Change, Endpoint, Fault, Instance, Listing, Progress, Record, Refused, Source},
 };
 use route::relay::{allowance, canary::Stage};
 use tokio::sync::watch;
@@ -44,6 +44,8 @@
     pub unreadable: Vec<String>,
     /// Orders.
     pub rollouts: Vec<Rollout>,
+    /// Refused requests.
+    pub refused: Vec<Refused>,
     /// Whether no call is answered.
     pub silent: bool,
     /// Whether every listing is refused.
@@ -102,6 +104,19 @@
         });
     }
 
+    /// Requests that are kept as refused.
+    pub fn refused(&self) -> Vec<Refused> {
+        self.kept.borrow().refused.clone()
+    }
+
+    fn write(&self, change: impl FnOnce(&mut Kept)) -> BoxFuture<'_, Result<(), Fault>> {
+        if self.kept.borrow().refuses {
+            return Box::pin(async { Err(Fault::Refused("429".into())) });
+        }
+        self.change(change);
+        Box::pin(async { Ok(()) })
+    }
+
     fn records(&self, kind: source::Kind) -> Listing {
         let kept = self.kept.borrow();
         let record = |name: &str, record| Change { name: name.to_owned(), record: Some(record) };
@@ -116,6 +131,9 @@
                 kept.rollouts.iter().map(|r| record(&r.service, Record::Rollout(r.clone()))).collect()
             }
             source::Kind::Instances => Vec::new(),
+            source::Kind::Quarantine => {
+                kept.refused.iter().map(|r| record(&r.content.to_string(), Record::Refused(*r))).collect()
+            }
         };
         let is_endpoints = kind == source::Kind::Endpoints;
         let unreadable = if is_endpoints { kept.unreadable.clone() } else { Vec::new() };
@@ -208,6 +226,14 @@
     fn deregister<'a>(&'a self, _: &'a str) -> BoxFuture<'a, Result<(), Fault>> {
         Box::pin(async { Ok(()) })
     }
+
+    fn refuse<'a>(&'a self, refused: &'a Refused) -> BoxFuture<'a, Result<(), Fault>> {
+        self.write(|kept| kept.refused.push(*refused))
+    }
+
+    fn allow<'a>(&'a self, refused: &'a Refused) -> BoxFuture<'a, Result<(), Fault>> {
+        self.write(|kept| kept.refused.retain(|kept| kept.content != refused.content))
+    }
 }
 
 /// A relay and its store.
--- a/crates/route/src/relay/content.rs
+++ b/crates/route/src/relay/content.rs
@@ -3,10 +3,16 @@
 //! Each attempt of a caller has its own id. Attempts with the same team, method,
 //! host, path and body are the same work, and do the same to whatever runs them.
 
-use std::fmt;
+use std::{fmt, str::FromStr};
 
 use world::hash;
 
+/// Digits of a team's hash as text.
+const TEAM_TEXT: usize = 8;
+
+/// Digits of a content as text.
+const TEXT: usize = 24;
+
 /// What a request asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Content {
@@ -27,6 +33,30 @@
     }
 }
 
+impl FromStr for Content {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let is_hex = text.len() == TEXT && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let (team, work) = text.split_at_checked(TEAM_TEXT).filter(|_| is_hex).ok_or(ParseError)?;
+        let team = u32::from_str_radix(team, 16).map_err(|_| ParseError)?;
+        let work = u64::from_str_radix(work, 16).map_err(|_| ParseError)?;
+        Ok(Self { team, work })
+    }
+}
+
+/// A text that names no content.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ParseError;
+
+impl fmt::Display for ParseError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a content is {TEXT} hexadecimal digits")
+    }
+}
+
+impl std::error::Error for ParseError {}
+
 impl fmt::Display for Content {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:08x}{:016x}", self.team, self.work)
--- a/crates/route/src/relay/quarantine.rs
+++ b/crates/route/src/relay/quarantine.rs
@@ -53,6 +53,16 @@
     },
 }
 
+impl Finding {
+    /// The request that it is about.
+    #[must_use]
+    pub fn content(&self) -> Content {
+        match self {
+            Self::Crash { content, .. } | Self::EndedWell { content } | Self::Held { content, .. } => *content,
+        }
+    }
+}
+
 /// What a finding changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Effect {
@@ -62,8 +72,10 @@
     Counted,
     /// The request is refused from now on.
     Held,
-    /// It was a suspect or refused, and is neither any more.
+    /// It was a suspect, and is none any more.
     Cleared,
+    /// It was refused, or on probation after that, and is neither any more.
+    Released,
 }
 
 /// Suspects, and the requests that are refused.
@@ -145,10 +157,14 @@
     /// One that was refused and ended well after all was under way when it came to that.
     fn clear(&mut self, now: Duration, content: Content) -> Effect {
         let Some(record) = self.records.get_mut(&content) else { return Effect::None };
-        let was_suspect = !record.starts.is_empty();
+        let (was_suspect, was_held) = (!record.starts.is_empty(), record.held);
         // Kept, so that late word of others from before is known to be old.
         *record = Record { starts: Vec::new(), held: false, last: now };
-        if was_suspect { Effect::Cleared } else { Effect::None }
+        match (was_held, was_suspect) {
+            (true, _) => Effect::Released,
+            (false, true) => Effect::Cleared,
+            (false, false) => Effect::None,
+        }
     }
 
     fn hold(&mut self, now: Duration, content: Content, age: Duration) -> Effect {
--- a/crates/route/tests/relay/content.rs
+++ b/crates/route/tests/relay/content.rs
@@ -39,5 +39,22 @@
 
 #[test]
 fn shows_as_hexadecimal_of_one_length() {
-    assert_eq!(Content { team: 1, work: 0xab }.to_string(), "0000000100000000000000ab");
+    let content = Content { team: 1, work: 0xab };
+    assert_eq!(content.to_string(), "0000000100000000000000ab");
+    assert_eq!("0000000100000000000000ab".parse(), Ok(content));
+}
+
+/// Anybody may write an object under the kind that refused requests are kept under.
+#[test]
+fn other_texts_name_no_content() {
+    for text in [
+        "",
+        "00",
+        "0000000100000000000000a",
+        "0000000100000000000000abc",
+        "+0000001+0000000000000ab",
+        "ä".repeat(12).as_str(),
+    ] {
+        assert!(text.parse::<Content>().is_err(), "{text}");
+    }
 }
--- a/crates/route/tests/relay/quarantine.rs
+++ b/crates/route/tests/relay/quarantine.rs
@@ -63,8 +63,10 @@
     let effects: Vec<Effect> = [1, 2, 2, 3, 4].map(|start| quarantine.take(SECOND, crash(ONE, start))).into();
     assert_eq!(effects, [Effect::Counted, Effect::Counted, Effect::None, Effect::Held, Effect::Counted]);
     assert_eq!(quarantine.take(SECOND, Finding::Held { content: ONE, age: SECOND }), Effect::None);
-    assert_eq!(quarantine.take(SECOND, Finding::EndedWell { content: ONE }), Effect::Cleared);
+    assert_eq!(quarantine.take(SECOND, Finding::EndedWell { content: ONE }), Effect::Released);
     assert_eq!(quarantine.take(SECOND, Finding::EndedWell { content: ONE }), Effect::None);
+    quarantine.take(SECOND, crash(ONE, 1));
+    assert_eq!(quarantine.take(SECOND, Finding::EndedWell { content: ONE }), Effect::Cleared);
     assert_eq!(quarantine.take(SECOND, Finding::EndedWell { content: OTHER }), Effect::None);
 }
 
