Log the limits that endpoints name in their answers

Cause: of a server that names the requests a second that it takes, no line told, so the logs of an incident could not show whether an instance had heard of a limit. Change: the header is read (its name by the dialect) and each change logged. No decision reads it. An answer that is no refusal and lacks it ends the limit; a value that does not read is none. The private result of one try is named Next, since what a try brings (outcome and limit) is upstream::Tried.

--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -280,6 +280,7 @@
             not_run: name("x-not-run"),
             signature: name("x-signature"),
             confidence: name("x-confidence"),
+            limit: HeaderName::from_static("x-limit"),
             fetch: HeaderName::from_static("x-fetch"),
             reserved: Vec::new(),
         },
--- a/crates/relay/src/desk/fleet.rs
+++ b/crates/relay/src/desk/fleet.rs
@@ -29,7 +29,7 @@
 pub use self::{
     caches::affinity,
     notices::{Notice, Notices},
-    run::{Ended, Run},
+    run::{Ended, Run, Said},
 };
 use self::{
     record::Record,
@@ -102,6 +102,8 @@
     registered: Duration,
     /// What has left it without a good end.
     left: Left,
+    /// Requests a second that it takes, if it names a limit.
+    limit: Option<f64>,
 }
 
 /// Runs under way at an endpoint.
@@ -227,6 +229,7 @@
             heard: Duration::ZERO,
             registered: now,
             left: Left::default(),
+            limit: None,
         }
     }
 
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -66,6 +66,9 @@
     pub signature: HeaderName,
     /// Model's own opinion of its answer, 0 to 100.
     pub confidence: HeaderName,
+    /// Requests a second that the endpoint takes from all instances together, while it
+    /// says so.
+    pub limit: HeaderName,
     /// Endpoint from whose memory a shared part is to be copied first.
     pub fetch: HeaderName,
     /// Set by this instance alone; a caller's are dropped.
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -22,7 +22,7 @@
         fleet::{Ended, Key, Run},
     },
     source::Endpoint,
-    upstream::{self, Answer, Outcome, Unreachable},
+    upstream::{self, Answer, Outcome, Tried, Unreachable},
 };
 
 /// Unreachable endpoints after which a request is given up.
@@ -103,8 +103,8 @@
     choice: Choice,
 }
 
-/// What became of one try.
-enum Tried {
+/// What becomes of the request after one try.
+enum Next {
     Won(Won),
     /// A failure of the endpoint's own; the answer to give if no better comes.
     Failed(Failure),
@@ -134,9 +134,9 @@
                 (Err(refusal), None) => return Err(refusal),
             };
             match self.try_at(run, &mut model, self.ask.last_event).await {
-                Tried::Won(won) => return Ok(won),
-                Tried::Failed(failure) => failed = Some(failure),
-                Tried::Again => {}
+                Next::Won(won) => return Ok(won),
+                Next::Failed(failure) => failed = Some(failure),
+                Next::Again => {}
             }
         }
     }
@@ -208,13 +208,13 @@
     }
 
     /// Sends the request once and weighs the answer.
-    async fn try_at(&mut self, mut run: Run, model: &mut Option<usize>, last_event: Option<u64>) -> Tried {
+    async fn try_at(&mut self, mut run: Run, model: &mut Option<usize>, last_event: Option<u64>) -> Next {
         let outcome = self.send(&mut run, *model, last_event).await;
         let answer = match outcome {
             Outcome::Answer(answer) => *answer,
             other => {
                 self.note(&mut run, &other);
-                return Tried::Again;
+                return Next::Again;
             }
         };
         run.first_byte();
@@ -235,9 +235,9 @@
                     "answer dropped for a larger model"
                 );
                 *model = Some(next);
-                return Tried::Again;
+                return Next::Again;
             }
-            return Tried::Won(Won::Stream(Box::new(Live { answer, run, model: *model })));
+            return Next::Won(Won::Stream(Box::new(Live { answer, run, model: *model })));
         }
         self.whole(answer, run).await
     }
@@ -291,8 +291,9 @@
         // The caller's time may run out while the try is under way; what may
         // have run by then must not be called not run.
         let ran_before = std::mem::replace(&mut self.may_have_run, true);
-        let outcome =
+        let Tried { outcome, limit } =
             upstream::send(run.endpoint.address, request, &self.ask.id, &self.desk.dialect.names, patience).await;
+        run.said(limit);
         if matches!(outcome, Outcome::Unreachable(_) | Outcome::NotRun(_)) {
             self.may_have_run = ran_before;
         }
@@ -300,7 +301,7 @@
     }
 
     /// Reads a whole answer; a lost end may be repaired like a lost answer.
-    async fn whole(&mut self, answer: Answer, mut run: Run) -> Tried {
+    async fn whole(&mut self, answer: Answer, mut run: Run) -> Next {
         let headers = passed_on(&answer.response);
         let status = answer.response.status();
         if promises(status) {
@@ -308,14 +309,14 @@
             // caller that it had not, and with another one the signature
             // would be false.
             self.note(&mut run, &Outcome::Unknown(format!("answered {status} without saying that it did not run")));
-            return Tried::Again;
+            return Next::Again;
         }
         let (body, _connection) = answer.into_body();
         let bytes = match Limited::new(body, LONGEST_ANSWER).collect().await {
             Ok(body) => body.to_bytes(),
             Err(error) => {
                 self.note(&mut run, &Outcome::Broken(error.to_string()));
-                return Tried::Again;
+                return Next::Again;
             }
         };
         let failed = status.is_server_error();
@@ -327,11 +328,11 @@
         if failed {
             self.fail(&mut run, Ended::Failed, format!("failed with {status}"));
             self.tried.push(run.key);
-            return Tried::Failed(Failure { response, status, endpoint, choice });
+            return Next::Failed(Failure { response, status, endpoint, choice });
         }
         run.ended(Ended::Good);
         self.log(&endpoint, choice, status, None, None);
-        Tried::Won(Won::Whole(response))
+        Next::Won(Won::Whole(response))
     }
 
     /// Logs the answer that was decided on.
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::dialect::Names;
+use crate::{desk::fleet::Said, dialect::Names};
 
 /// Longest wait for a connection: many round trips, and well below the wait
 /// for a lost first packet's repetition.
@@ -37,6 +37,22 @@
     Answer(Box<Answer>),
 }
 
+/// What a try brought.
+#[derive(Debug)]
+pub struct Tried {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// What the endpoint said of its limit.
+    pub limit: Said,
+}
+
+impl From<Outcome> for Tried {
+    /// A try of which the endpoint said nothing.
+    fn from(outcome: Outcome) -> Self {
+        Self { outcome, limit: Said::Nothing }
+    }
+}
+
 /// Why there is no connection.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Unreachable {
@@ -71,21 +87,41 @@
     id: &str,
     names: &Names,
     patience: Duration,
-) -> Outcome {
+) -> Tried {
     let (mut sender, connection) = match connect(address, patience).await {
         Ok(connected) => connected,
-        Err(cause) => return Outcome::Unreachable(cause),
+        Err(unreachable) => return Outcome::Unreachable(unreachable).into(),
     };
     let response = match tokio::time::timeout(patience, sender.try_send_request(request)).await {
-        Err(_) => return Outcome::Unknown("no answer in time".into()),
+        Err(_) => return Outcome::Unknown("no answer in time".into()).into(),
         Ok(Err(mut error)) => {
             let unsent = error.take_message().is_some();
             let cause = error.into_error().to_string();
-            return if unsent { Outcome::Unreachable(Unreachable::silent(cause)) } else { Outcome::Broken(cause) };
+            let outcome =
+                if unsent { Outcome::Unreachable(Unreachable::silent(cause)) } else { Outcome::Broken(cause) };
+            return outcome.into();
         }
         Ok(Ok(response)) => response,
     };
-    judge(response, id, names, connection)
+    let per_s = limit(&response, names);
+    let outcome = judge(response, id, names, connection);
+    let limit = match (per_s, &outcome) {
+        (Some(per_s), _) => Said::Limit(per_s),
+        (None, Outcome::Answer(_)) => Said::NoLimit,
+        // Who turns a request away may leave its limit out.
+        (None, _) => Said::Nothing,
+    };
+    Tried { outcome, limit }
+}
+
+/// The limit that an answer names, if it names one that reads.
+fn limit(response: &Response<Incoming>, names: &Names) -> Option<f64> {
+    let text = response.headers().get(&names.limit)?.to_str().ok()?;
+    let per_s = text.trim().parse().ok().filter(|per_s: &f64| per_s.is_finite() && *per_s >= 0.0);
+    if per_s.is_none() {
+        tracing::debug!(text, "an endpoint's limit does not read");
+    }
+    per_s
 }
 
 /// Connects to an endpoint; the connection ends with the returned task.
--- a/crates/relay/tests/it/site.rs
+++ b/crates/relay/tests/it/site.rs
@@ -370,6 +370,7 @@
             not_run: name("x-not-run"),
             signature: name("x-signature"),
             confidence: name("x-confidence"),
+            limit: name("x-limit"),
             fetch: HeaderName::from_static("x-fetch"),
             reserved: ["x-key", "x-team", "x-expect", "x-rank"].map(name).to_vec(),
         },
