Show that an endpoint's own limit is not kept to

Two tests hold the other side: a limit ends with the first answer that names none, and a refusal's limit counts.

--- a/crates/relay/tests/it/main.rs
+++ b/crates/relay/tests/it/main.rs
@@ -9,6 +9,7 @@
 mod foreign;
 mod large_pool;
 mod leaving;
+mod limits;
 mod lost;
 mod notices;
 mod proofs;
