--- a/crates/route/tests/relay/quarantine.rs
+++ b/crates/route/tests/relay/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 use route::relay::{
     content::Content,
     quarantine::{CRASHES, Effect, Finding, LASTS, Quarantine},
@@ -116,6 +116,12 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     /// Instances that have heard the same crashes in different orders refuse the same.
     #[test]
     fn order_of_crashes_does_not_matter(
