Keep to the limits that endpoints name, all instances together

Callers of two engines in need waited up to 4.5 s there: the engines named 1.3 and 1.6 requests a second and went on to get 24 and 19 in four seconds from seven instances.

Cause: nothing read the limit. Placement knew an endpoint's slots and loads alone, and what a server says of itself in its answers went to the caller only.

Change: an instance takes the limit from an answer or a refusal, tells the others at once and repeats it with news for five seconds. The limit is shared out (route::relay:: throttle): one instance in a few, drawn by rendezvous hashing over those that serve, sends an even part of nine tenths of it, with few tokens saved up; the others send nothing there. Every run takes a token, also one for a larger model or a resumed stream. Where no endpoint takes a request within the wait for one, it is refused at once, with 503 and the time until the next token as Retry-After. A limit ends with the first answer without one to a request that was sent after it was named, and lapses after a minute without a word.

Why it holds: 4 + L senders at most, with 4 + L tokens saved among them, send 4 + L + 3.6 L in any four seconds, and 5 + 5.5 L while they disagree about one of them; 6 L + 5 are allowed.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -46,6 +46,11 @@
         /// How much longer it is refused.
         left: Duration,
     },
+    /// No endpoint takes more requests now, by the limits that they name.
+    Throttled {
+        /// Time until one does.
+        after: Duration,
+    },
     /// The time for it ran out before it was run.
     Expired,
     /// It may have run, and no answer came in time.
@@ -74,6 +79,7 @@
             | Self::NoEndpoint
             | Self::TurnedAway
             | Self::Quarantined { .. }
+            | Self::Throttled { .. }
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
@@ -92,7 +98,7 @@
             Self::Leaving | Self::Replaced | Self::KeysStale { elsewhere: true } => Some(ELSEWHERE),
             Self::NotStarted | Self::KeysStale { elsewhere: false } => Some(STARTING),
             Self::Memory | Self::NoEndpoint | Self::TurnedAway | Self::Expired => Some(BUSY),
-            Self::Quarantined { left } => Some(*left),
+            Self::Quarantined { left: after } | Self::Throttled { after } => Some(*after),
             _ => None,
         }
     }
@@ -127,6 +133,7 @@
             Self::NoEndpoint => "not run: no endpoint takes requests now; try again shortly",
             Self::TurnedAway => "not run: every endpoint tried was full or unreachable; try again shortly",
             Self::Quarantined { .. } => "not run: endpoints crashed under it several times; it is refused for a while",
+            Self::Throttled { .. } => "not run: no endpoint takes more requests now; try again when told",
             Self::Expired => "not run: its time ran out first",
             Self::TimedOut => "it may have run; no answer came in time",
             Self::Lost => "it may have run; its answer was lost",
--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -75,6 +75,8 @@
     found: Notify,
     /// There are refused requests to write or to take back.
     unwritten: Notify,
+    /// There is word of endpoints' limits to tell.
+    limited: Notify,
     /// An instance was heard for the first time, or again.
     greeting: Notify,
     catalog_wanted: Notify,
@@ -158,6 +160,7 @@
             urgent: Notify::new(),
             noticed: Notify::new(),
             found: Notify::new(),
+            limited: Notify::new(),
             unwritten: Notify::new(),
             greeting: Notify::new(),
             catalog_wanted: Notify::new(),
--- a/crates/relay/src/desk/fleet.rs
+++ b/crates/relay/src/desk/fleet.rs
@@ -7,6 +7,7 @@
 //! mending, so records fade with time.
 
 mod caches;
+mod limits;
 mod notices;
 mod pool;
 mod record;
@@ -22,14 +23,16 @@
     notice::Backlog,
     pace::Pace,
     placement::Candidate,
+    throttle::Throttle,
 };
 use slotmap::SlotMap;
 use world::hash;
 
 pub use self::{
     caches::affinity,
+    limits::{Limit, Said},
     notices::{Notice, Notices},
-    run::{Ended, Run, Said},
+    run::{Ended, Run},
 };
 use self::{
     record::Record,
@@ -72,6 +75,7 @@
     paces: HashMap<Work, Pace>,
     usual: HashMap<String, f64>,
     holders: Holders,
+    limited: limits::Limited,
 }
 
 /// What a pace was learned of: a service and a model.
@@ -102,8 +106,8 @@
     registered: Duration,
     /// What has left it without a good end.
     left: Left,
-    /// Requests a second that it takes, if it names a limit.
-    limit: Option<f64>,
+    /// What may be sent there, if it names a limit.
+    throttle: Throttle,
 }
 
 /// Runs under way at an endpoint.
@@ -148,6 +152,7 @@
     pub fn place(self: &Arc<Self>, job: &Job<'_>) -> Option<Run> {
         let now = clock::now();
         let mut state = self.lock();
+        state.share_limits(now);
         state.fleet.refresh(job.service, &self.settings.domain, now);
         let weighed = state.weigh(job, now, self.settings.exposure)?;
         let (alone_ms, expected_ms) = (weighed.alone_ms(), weighed.expected_ms());
@@ -155,6 +160,7 @@
         let server = state.fleet.servers.get_mut(key)?;
         let backlog_ms = pace.reading_ms(units);
         server.runs += 1;
+        server.throttle.spend(now);
         server.backlog_ms += backlog_ms;
         let endpoint = Arc::clone(&server.endpoint);
         let is_told = state.tell(key, job, backlog_ms, now);
@@ -190,6 +196,7 @@
     pub fn expect(&self, job: &Job<'_>) -> Option<f64> {
         let now = clock::now();
         let mut state = self.lock();
+        state.share_limits(now);
         state.fleet.refresh(job.service, &self.settings.domain, now);
         Some(state.weigh(job, now, self.settings.exposure)?.expected_ms())
     }
@@ -229,7 +236,7 @@
             heard: Duration::ZERO,
             registered: now,
             left: Left::default(),
-            limit: None,
+            throttle: Throttle::default(),
         }
     }
 
--- a/crates/relay/src/desk/fleet/pool.rs
+++ b/crates/relay/src/desk/fleet/pool.rs
@@ -68,7 +68,7 @@
                 Some(stays) => stays == version && deal.tolerates(version),
                 None => deal.allows(version),
             };
-            let is_up = !server.endpoint.draining && server.rests_until <= now;
+            let is_up = !server.endpoint.draining && server.rests_until <= now && server.throttle.takes(now);
             (is_dealt && is_up && !job.tried.contains(&key)).then_some((key, server))
         };
         let mut keys = Vec::with_capacity(3 * DRAWN);
--- a/crates/relay/src/desk/fleet/run.rs
+++ b/crates/relay/src/desk/fleet/run.rs
@@ -72,33 +72,7 @@
     Replaced,
 }
 
-/// What an endpoint says of how many requests it takes.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Said {
-    /// Nothing.
-    Nothing,
-    /// So many a second, from all instances together.
-    Limit(f64),
-    /// An answer names no limit.
-    NoLimit,
-}
-
 impl Run {
-    /// Notes what the endpoint said of its limit.
-    pub fn said(&self, said: Said) {
-        let limit = match said {
-            Said::Nothing => return,
-            Said::Limit(per_s) => Some(per_s),
-            Said::NoLimit => None,
-        };
-        let mut state = self.desk.lock();
-        let Some(server) = state.fleet.servers.get_mut(self.key) else { return };
-        if server.limit != limit {
-            tracing::info!(endpoint = self.endpoint.id, per_s = limit, before = server.limit, "endpoint names a limit");
-            server.limit = limit;
-        }
-    }
-
     /// Notes that the request is sent.
     pub fn sent(&mut self, content: Content) {
         self.content = Some(content);
--- a/crates/relay/src/desk/fleet/weigh.rs
+++ b/crates/relay/src/desk/fleet/weigh.rs
@@ -146,10 +146,13 @@
         found
     }
 
-    /// Endpoints of a service that are not leaving: those that do not rest
-    /// after a failure to connect, or all if each of them does.
+    /// Endpoints of a service that are not leaving and take a request by the limit
+    /// that they name: those that do not rest after a failure to connect, or all if
+    /// each of them does.
     pub(super) fn awake(&self, service: &str, now: Duration) -> Vec<(Key, &Server)> {
-        let takes = |server: &Server| server.endpoint.service == service && !server.endpoint.draining;
+        let takes = |server: &Server| {
+            server.endpoint.service == service && !server.endpoint.draining && server.throttle.takes(now)
+        };
         let all = || self.servers.iter().filter(|(_, server)| takes(server));
         let awake: Vec<_> = all().filter(|(_, server)| server.rests_until <= now).collect();
         if awake.is_empty() { all().collect() } else { awake }
--- a/crates/relay/src/desk/peers.rs
+++ b/crates/relay/src/desk/peers.rs
@@ -46,6 +46,8 @@
 /// Other instances.
 #[derive(Debug, Default)]
 pub struct Peers {
+    /// Hash of this instance's name.
+    pub(super) me: u64,
     /// The failure domain of this instance.
     pub(super) domain: String,
     known: BTreeMap<String, Peer>,
@@ -193,6 +195,11 @@
         self.sums.of(endpoint)
     }
 
+    /// Hashes of the names of the other instances that serve callers.
+    pub(super) fn serving(&self, now: Duration) -> impl Iterator<Item = u64> {
+        self.known.values().filter(move |peer| peer.live(now) && peer.word.ready()).map(|peer| peer.hash)
+    }
+
     /// Live instances that may watch the store: those whose own calls to it
     /// succeed, or any.
     pub(super) fn watchers(&self, now: Duration, in_touch: bool) -> impl Iterator<Item = Watcher> {
@@ -245,9 +252,11 @@
 }
 
 impl Desk {
-    /// Notes this instance's failure domain among its peers.
+    /// Notes who this instance is among its peers, and its failure domain.
     pub fn settle_in(&self) {
-        self.lock().peers.domain.clone_from(&self.settings.domain);
+        let peers = &mut self.lock().peers;
+        peers.me = hash::stable(self.settings.instance.as_bytes());
+        peers.domain.clone_from(&self.settings.domain);
     }
 
     /// Notes where an instance hears news.
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -184,6 +184,11 @@
     async fn wait_for_place(&self, model: Option<usize>) -> Result<Run, Refusal> {
         let until = clock::now() + WAIT_FOR_ENDPOINT.min(self.left());
         while clock::now() < until {
+            if let Some(after) = self.desk.throttled(&self.service)
+                && clock::now() + after > until
+            {
+                return Err(self.given_up(Refusal::Throttled { after }));
+            }
             tokio::time::sleep(Duration::from_millis(25)).await;
             if let Some(run) = self.place(model) {
                 return Ok(run);
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -24,7 +24,7 @@
     clock,
     desk::{
         Desk,
-        fleet::short_hash,
+        fleet::{self, short_hash},
         peers::{Audience, Sighting, Turn, Word},
         track,
         trials::Report,
@@ -32,7 +32,7 @@
     front,
 };
 
-use self::wire::{Finding, Notice, Order, Packet, Piece, Question, Reply, Seen, short, short_ms};
+use self::wire::{Finding, Limit, Notice, Order, Packet, Piece, Question, Reply, Seen, short, short_ms};
 
 /// Pause between pieces of news. Loads change within a run's length, some
 /// hundred milliseconds; a shorter pause costs wake-ups at every instance.
@@ -52,9 +52,13 @@
 /// Time in which a relay gathers what it passes on.
 const BATCH: Duration = Duration::from_millis(30);
 
-/// Notices or findings in a datagram at most.
+/// Notices, findings or limits in a datagram at most.
 const BATCHED: usize = 64;
 
+/// Limits of endpoints that go out with a piece of news: drawn anew each time, so that
+/// instances that missed the word of one hear of it within a few.
+const LIMITS_REMINDED: usize = 16;
+
 /// Other instances named in a piece, so that strangers meet.
 const NAMED: usize = 4;
 
@@ -90,6 +94,8 @@
         pass_on(&desk, &socket, &relayed.notices, Packet::Notices),
         tell_findings(&desk, &socket, &relayed.findings),
         pass_on(&desk, &socket, &relayed.findings, Packet::Findings),
+        tell_limits(&desk, &socket, &relayed.limits),
+        pass_on(&desk, &socket, &relayed.limits, Packet::Limits),
         ask(&desk, &socket, &asked),
         hear(&desk, &socket, &asked, &relayed)
     );
@@ -144,17 +150,15 @@
         let Turn { near, far } = desk.audience(turn, AUDIENCE);
         let pause_told = PAUSE * u32::try_from(near.rounds).unwrap_or(u32::MAX);
         let bytes = encode(&Packet::News(piece(desk, run, pause_told, NAMED)));
-        let refused = refused(desk);
+        let reminders = reminders(desk);
         for news in near.news.into_iter().chain(desk.strangers()) {
-            send(socket, news, &bytes);
-            send_some(socket, news, refused.as_deref());
+            send_news(socket, news, &bytes, &reminders);
         }
         if !far.news.is_empty() {
             let pause = PAUSE * u32::try_from(far.rounds).unwrap_or(u32::MAX);
             let bytes = encode(&Packet::News(brief(desk, run, pause)));
             for news in far.news {
-                send(socket, news, &bytes);
-                send_some(socket, news, refused.as_deref());
+                send_news(socket, news, &bytes, &reminders);
             }
         }
         turn += 1;
@@ -174,18 +178,20 @@
 async fn greet(desk: &Desk, socket: &UdpSocket, run: u64, pause: Duration) {
     sleep(GREETING).await;
     let bytes = encode(&Packet::News(piece(desk, run, pause, NAMED_TO_STRANGERS)));
-    let refused = refused(desk);
+    let reminders = reminders(desk);
     for news in desk.greeted() {
-        send(socket, news, &bytes);
-        send_some(socket, news, refused.as_deref());
+        send_news(socket, news, &bytes, &reminders);
     }
 }
 
-/// Requests that are refused, for those that were not told or started later; nothing
-/// where there are none.
-fn refused(desk: &Desk) -> Option<Vec<u8>> {
+/// Requests that are refused and limits of endpoints, for instances that were not told
+/// or started later; nothing where there are none.
+fn reminders(desk: &Desk) -> Vec<Vec<u8>> {
     let findings: Vec<Finding> = desk.refused_requests(BATCHED).into_iter().map(Finding::from).collect();
-    (!findings.is_empty()).then(|| encode(&Packet::Findings(findings)))
+    let limits: Vec<Limit> = desk.limits(LIMITS_REMINDED).into_iter().map(Limit::from).collect();
+    let findings = (!findings.is_empty()).then_some(Packet::Findings(findings));
+    let limits = (!limits.is_empty()).then_some(Packet::Limits(limits));
+    findings.iter().chain(&limits).map(encode).collect()
 }
 
 /// Tells the others at once of long prompts.
@@ -208,6 +214,16 @@
     }
 }
 
+/// Tells the others at once of limits that endpoints name.
+async fn tell_limits(desk: &Desk, socket: &UdpSocket, batch: &Batch<Limit>) {
+    loop {
+        let limits: Vec<Limit> = desk.limits_to_tell().await.into_iter().map(Limit::from).collect();
+        for limits in limits.chunks(BATCHED) {
+            spread(desk, socket, batch, limits.to_vec(), Packet::Limits, Packet::PassOnLimits);
+        }
+    }
+}
+
 /// Sends something to all instances, in a large fleet by way of relays.
 fn spread<T: Clone>(
     desk: &Desk,
@@ -252,6 +268,7 @@
 struct Relayed {
     notices: Batch<Notice>,
     findings: Batch<Finding>,
+    limits: Batch<Limit>,
 }
 
 /// What goes on with the next datagrams.
@@ -292,9 +309,11 @@
     }
 }
 
-fn send_some(socket: &UdpSocket, to: SocketAddr, bytes: Option<&[u8]>) {
-    if let Some(bytes) = bytes {
-        send(socket, to, bytes);
+/// Sends a piece of news, and reminders after it.
+fn send_news(socket: &UdpSocket, to: SocketAddr, piece: &[u8], reminders: &[Vec<u8>]) {
+    send(socket, to, piece);
+    for reminder in reminders {
+        send(socket, to, reminder);
     }
 }
 
@@ -340,6 +359,11 @@
                 relayed.findings.add(findings.clone());
                 take_findings(desk, &findings);
             }
+            Ok(Packet::Limits(limits)) => desk.take_limits(limits.iter().map(fleet::Limit::from)),
+            Ok(Packet::PassOnLimits(limits)) => {
+                desk.take_limits(limits.iter().map(fleet::Limit::from));
+                relayed.limits.add(limits);
+            }
             Ok(Packet::Question(question)) => {
                 let asked = track::Question { revision: question.revision };
                 if let Some(reply) = desk.reply(asked, CHANGES) {
--- a/crates/relay/src/news/wire.rs
+++ b/crates/relay/src/news/wire.rs
@@ -37,6 +37,31 @@
     Findings(Vec<Finding>),
     /// The same, for the receiver's neighbours as well.
     PassOnFindings(Vec<Finding>),
+    /// Limits that endpoints name.
+    Limits(Vec<Limit>),
+    /// The same, for the receiver's neighbours as well.
+    PassOnLimits(Vec<Limit>),
+}
+
+/// Word of an endpoint's limit on the wire.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(super) struct Limit {
+    start: u32,
+    per_s: Option<f64>,
+    age_ms: u32,
+}
+
+impl From<fleet::Limit> for Limit {
+    fn from(limit: fleet::Limit) -> Self {
+        Self { start: limit.start, per_s: limit.per_s, age_ms: short_ms(limit.age) }
+    }
+}
+
+impl From<&Limit> for fleet::Limit {
+    fn from(limit: &Limit) -> Self {
+        let per_s = limit.per_s.filter(|per_s| per_s.is_finite() && *per_s >= 0.0);
+        Self { start: limit.start, per_s, age: Duration::from_millis(u64::from(limit.age_ms)) }
+    }
 }
 
 /// A finding on the wire; a request by its team and its work.
--- a/crates/relay/tests/it/limits.rs
+++ b/crates/relay/tests/it/limits.rs
@@ -8,7 +8,7 @@
 use crate::{
     caller,
     server::{Act, Server, whole},
-    site::{Kept, Site, catalog, endpoint, route},
+    site::{Kept, Site, catalog, endpoint, route, settings},
 };
 
 /// Requests a second that the endpoint takes.
@@ -148,3 +148,18 @@
     }
     panic!("{served} of 200 served");
 }
+
+/// An instance that starts later has not heard the endpoint itself.
+#[tokio::test]
+async fn instance_that_starts_later_hears_of_a_limit() {
+    let needy = Server::open(vec![limited()]).await;
+    let mut sites = instances(1, &[&needy]).await;
+    crowd(&sites, 1).await;
+    let store = std::sync::Arc::clone(&sites[0].store);
+    let seeds = vec![sites[0].relay.desk().settings.listeners.news];
+    sites.push(Site::open_on(store, relay::Settings { instance: "late".into(), seeds, ..settings() }).await);
+    let desk = sites[1].relay.desk();
+    while desk.limits(1).is_empty() {
+        sleep(Duration::from_millis(5)).await;
+    }
+}
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -8,9 +8,9 @@
 //! [`notice`] keeps what endpoints still have to read for other instances,
 //! [`holders`] what they have read; [`fronts`] picks the instances that a caller is
 //! told of; [`content`] tells requests apart by what they ask for, and
-//! [`quarantine`] keeps those from endpoints that crash under them. Time is a
-//! [`std::time::Duration`] since any fixed moment of the process, on a clock
-//! that also counts suspension.
+//! [`quarantine`] keeps those from endpoints that crash under them; [`throttle`]
+//! shares out the limits that endpoints name. Time is a [`std::time::Duration`]
+//! since any fixed moment of the process, on a clock that also counts suspension.
 
 pub mod allowance;
 pub mod canary;
@@ -24,3 +24,4 @@
 pub mod patience;
 pub mod placement;
 pub mod quarantine;
+pub mod throttle;
--- a/crates/route/tests/relay/main.rs
+++ b/crates/route/tests/relay/main.rs
@@ -12,3 +12,4 @@
 mod patience;
 mod placement;
 mod quarantine;
+mod throttle;
--- /dev/null
+++ b/crates/route/tests/relay/throttle.rs
@@ -0,0 +1,164 @@
+//! Limits of endpoints, shared out among instances under a crowd.
+
+use std::time::Duration;
+
+use proptest::{prelude::*, test_runner::RngSeed};
+use route::relay::throttle::{Share, Throttle, Word, share};
+use world::hash;
+
+const SECOND: Duration = Duration::from_secs(1);
+const WINDOW: Duration = Duration::from_secs(4);
+const STEP: Duration = Duration::from_millis(20);
+const START: Duration = Duration::from_hours(1);
+
+fn named(per_s: f64, at: Duration) -> Word {
+    Word { per_s: Some(per_s), at }
+}
+
+fn names(count: u64) -> Vec<u64> {
+    (0..count).map(|number| hash::stable(&number.to_le_bytes())).collect()
+}
+
+/// Parts of each instance as it sees the others.
+fn shares(per_s: f64, endpoint: u32, names: &[u64]) -> Vec<Share> {
+    let of = |me: &u64| share(per_s, endpoint, *me, names.iter().copied().filter(|name| name != me));
+    names.iter().map(of).collect()
+}
+
+/// Requests that an endpoint gets from instances that each have one to send at any
+/// moment; `change` may set their parts anew.
+fn crowd(per_s: f64, shares: &[Share], change: impl Fn(Duration) -> Option<Vec<Share>>) -> Vec<Duration> {
+    let mut throttles = vec![Throttle::default(); shares.len()];
+    for (throttle, share) in throttles.iter_mut().zip(shares) {
+        throttle.hear(START, named(per_s, START));
+        throttle.share(START, *share);
+    }
+    let (mut now, mut sent) = (START, Vec::new());
+    while now < START + 5 * WINDOW {
+        for (throttle, share) in throttles.iter_mut().zip(change(now.saturating_sub(START)).unwrap_or_default()) {
+            throttle.share(now, share);
+        }
+        for throttle in &mut throttles {
+            if throttle.takes(now) {
+                throttle.spend(now);
+                sent.push(now);
+            }
+        }
+        now += STEP;
+    }
+    sent
+}
+
+/// The most in any window of four seconds.
+fn most(sent: &[Duration]) -> usize {
+    let within = |from: &Duration| sent.iter().filter(|at| (*from..*from + WINDOW).contains(at)).count();
+    sent.iter().map(within).max().unwrap_or_default()
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts are small")]
+fn is_allowed(per_s: f64, sent: &[Duration]) -> bool {
+    most(sent) as f64 <= 1.5 * per_s * WINDOW.as_secs_f64() + 5.0
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Callers crowd all instances; the endpoint gets what it takes, and little more.
+    #[test]
+    fn crowd_keeps_to_the_limit(per_s in 0.05..40.0_f64, count in 1_u64..300, endpoint in any::<u32>()) {
+        let sent = crowd(per_s, &shares(per_s, endpoint, &names(count)), |_| None);
+        prop_assert!(is_allowed(per_s, &sent), "{} of {per_s} a second", most(&sent));
+    }
+
+    /// Instances are lost while others still count on them, and a sender takes the
+    /// place of another.
+    #[test]
+    fn crowd_keeps_to_the_limit_while_a_sender_changes(
+        per_s in 0.05..40.0_f64, count in 2_u64..60, endpoint in any::<u32>(), at in 0_u64..10_000,
+    ) {
+        let names = names(count);
+        let before = shares(per_s, endpoint, &names);
+        let lost = shares(per_s, endpoint, &names[1..]);
+        // The first is not heard by the others, and goes on.
+        let after: Vec<Share> = before[..1].iter().chain(&lost).copied().collect();
+        let at = Duration::from_millis(at);
+        let sent = crowd(per_s, &before, |since| (since >= at).then(|| after.clone()));
+        prop_assert!(is_allowed(per_s, &sent), "{} of {per_s} a second", most(&sent));
+    }
+
+    /// The limit is used, also by a fleet of hundreds.
+    #[test]
+    fn limit_is_used(per_s in 1.0..40.0_f64, count in 1_u64..300, endpoint in any::<u32>()) {
+        let sent = crowd(per_s, &shares(per_s, endpoint, &names(count)), |_| None);
+        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+        let got = sent.len() as f64 / (5.0 * WINDOW.as_secs_f64());
+        prop_assert!(got >= 0.8 * per_s, "{got} of {per_s} a second");
+    }
+}
+
+#[test]
+fn endpoint_without_a_limit_takes_everything() {
+    let mut throttle = Throttle::default();
+    for _ in 0..100 {
+        assert!(throttle.takes(START));
+        throttle.spend(START);
+    }
+    assert_eq!(throttle.wait(START), Duration::ZERO);
+}
+
+#[test]
+fn wait_is_until_the_next_token() {
+    let mut throttle = Throttle::default();
+    throttle.hear(START, named(2.0, START));
+    throttle.share(START, Share { rate: 0.5, saved: 1.0 });
+    assert!(throttle.takes(START));
+    throttle.spend(START);
+    assert!(!throttle.takes(START));
+    assert_eq!(throttle.wait(START), 2 * SECOND);
+    assert_eq!(throttle.wait(START + SECOND), SECOND);
+    assert!(throttle.takes(START + 2 * SECOND));
+}
+
+/// An instance without a part tells its callers when another one takes the next.
+#[test]
+fn wait_without_a_part_is_that_of_the_fleet() {
+    let mut throttle = Throttle::default();
+    throttle.hear(START, named(2.0, START));
+    throttle.share(START, Share::default());
+    assert!(!throttle.takes(START + 30 * SECOND));
+    assert!((0.5..0.6).contains(&throttle.wait(START).as_secs_f64()));
+}
+
+#[test]
+fn limit_of_nothing_takes_nothing() {
+    let mut throttle = Throttle::default();
+    throttle.hear(START, named(0.0, START));
+    throttle.share(START, share(0.0, 1, 2, std::iter::empty()));
+    assert!(!throttle.takes(START));
+    assert_eq!(throttle.wait(START), Duration::from_mins(1));
+}
+
+/// An answer that was under way when the endpoint named its limit says nothing of it.
+#[test]
+fn older_word_changes_nothing() {
+    let mut throttle = Throttle::default();
+    assert!(throttle.hear(START + SECOND, named(2.0, START + SECOND)));
+    assert!(!throttle.hear(START + SECOND, Word { per_s: None, at: START }));
+    assert_eq!(throttle.limit(START + SECOND), Some(2.0));
+    assert!(throttle.hear(START + 3 * SECOND, Word { per_s: None, at: START + 2 * SECOND }));
+    assert_eq!(throttle.limit(START + 3 * SECOND), None);
+}
+
+/// Nobody has asked the endpoint for long; to find out whether it is well again
+/// somebody has to.
+#[test]
+fn limit_lapses() {
+    let mut throttle = Throttle::default();
+    throttle.hear(START, named(2.0, START));
+    assert_eq!(throttle.limit(START + 59 * SECOND), Some(2.0));
+    assert_eq!(throttle.limit(START + 60 * SECOND), None);
+}
