Hold a mass crash against no request that ends well

Callers of a popular thing were refused while and after half of a service's endpoints crashed at once for a reason of their own: the same request was under way at several of them, which looked like three crashes under it.

Cause: each start counted as a crash of its own, whenever it came; a good end from before said nothing, since it was noted for suspects alone.

An instance that refuses what another has seen end well since is told so.

Why it holds: what crashes endpoints never ends well, so nothing changes for it; what does, needs three crashes a second apart without a good end in between.

--- a/crates/relay/src/desk/crashes.rs
+++ b/crates/relay/src/desk/crashes.rs
@@ -63,9 +63,7 @@
 
     /// Notes that a request ended well.
     pub(super) fn note_good_end(&mut self, content: Content, now: Duration) {
-        if !self.quarantine.is_empty() {
-            self.find(Finding::EndedWell { content }, now);
-        }
+        self.find(Finding::EndedWell { content }, now);
     }
 
     /// Takes a finding of this instance in, and has it told and written.
@@ -83,7 +81,7 @@
         let change = match effect {
             Effect::Held => Change::Refuse(refused),
             Effect::Released => Change::Allow(refused),
-            Effect::None | Effect::Counted | Effect::Cleared => return,
+            Effect::None | Effect::Counted | Effect::Cleared | Effect::Disproved => return,
         };
         self.queue(change);
     }
@@ -108,7 +106,7 @@
                 tracing::info!(%content, "request ended well; no crash is held against it");
             }
             Effect::Counted => tracing::info!(%content, ?finding, "crash counted against a request"),
-            Effect::None => {}
+            Effect::None | Effect::Disproved => {}
         }
         effect
     }
@@ -142,6 +140,9 @@
         let mut state = self.lock();
         for finding in findings {
             let effect = state.take_finding(finding, now);
+            if effect == Effect::Disproved && state.findings.len() < MOST_UNSENT {
+                state.findings.push(Finding::EndedWell { content: finding.content() });
+            }
             // Whoever told of the last crash may not have heard of the ones before, and
             // not know that it was the last.
             if leads && effect == Effect::Held && matches!(finding, Finding::Crash { .. }) {
--- a/crates/relay/tests/it/crashes.rs
+++ b/crates/relay/tests/it/crashes.rs
@@ -179,6 +179,39 @@
     assert_eq!(site.relay.desk().quarantined(refused.content), None);
 }
 
+/// Half of the endpoints crash at once under many requests for the same thing, which
+/// have nothing to do with it. Refused, nobody would get that thing for minutes.
+#[tokio::test]
+async fn popular_request_is_served_after_a_mass_crash() {
+    let slow: Vec<String> =
+        std::iter::once(stream_head(90)).chain((1..=6).map(event)).chain([END.to_owned()]).collect();
+    let servers = endpoints(8, "", Act::Slowly(slow)).await;
+    let sites = instances(&["here", "there"], &kept(vec![route("/s/", RESUMABLE)], &servers)).await;
+    for site in &sites {
+        assert_eq!(call(site, "/s/x", "popular").await.status, 200);
+    }
+    let crowd: Vec<_> = (0..64)
+        .map(|turn| {
+            let front = sites[turn % 2].front();
+            tokio::spawn(async move { caller::call(front, "POST", "/s/x", "", "popular").await })
+        })
+        .collect();
+    while servers.iter().any(|server| server.seen().len() < 4) {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    // Straight to the servers, so that nothing else is suspected.
+    let deadly = caller::request("POST", "/s/x", "", DEADLY);
+    futures::future::join_all(servers[..4].iter().map(|server| caller::send(server.address, &deadly))).await;
+    for call in crowd {
+        let got = call.await.unwrap();
+        assert!(got.complete, "{got:?}");
+    }
+    for site in &sites {
+        let got = call(site, "/s/x", "popular").await;
+        assert_eq!(got.status, 200, "{got:?}");
+    }
+}
+
 /// A plain call crashes its server before any answer. It may not be repeated within
 /// an attempt, so each of its callers' attempts crashes one more.
 #[tokio::test]
--- a/crates/route/src/relay/quarantine.rs
+++ b/crates/route/src/relay/quarantine.rs
@@ -5,7 +5,9 @@
 //! instance, and each time it is sent to further endpoints, until none is left.
 //! An endpoint's end tells of nothing but a suspicion: whatever ran there is a
 //! suspect. Who was there by chance ends well elsewhere and is cleared; what was
-//! there at the end of several endpoints and never ended well is refused.
+//! there at the end of several endpoints and never ended well is refused. A popular
+//! request is under way at many endpoints at any moment, so several that crash together
+//! are one crash to a request that has ended well lately.
 //!
 //! Instances tell each other what they find, so that a [`Quarantine`] counts
 //! the crashes of the whole fleet. It holds a bounded number of records, and each
@@ -26,8 +28,12 @@
 /// further crash.
 const PROBATION: Duration = LASTS;
 
-/// Records kept; a mass crash brings as many as runs were under way.
-const MOST: usize = 4_096;
+/// Time in which crashes count as one to a request that has ended well lately.
+const TOGETHER: Duration = Duration::from_secs(1);
+
+/// Records kept: of requests that have ended well lately, and of suspects, of which a
+/// mass crash brings as many as runs were under way.
+const MOST: usize = 8_192;
 
 /// What an instance finds of a request, and tells the others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -76,6 +82,8 @@
     Cleared,
     /// It was refused, or on probation after that, and is neither any more.
     Released,
+    /// Whoever says that it is refused has not heard that it ended well since.
+    Disproved,
 }
 
 /// Suspects, and the requests that are refused.
@@ -92,6 +100,8 @@
     held: bool,
     /// When the last of them crashed, or when it ended well.
     last: Duration,
+    /// When it last ended well.
+    good: Option<Duration>,
 }
 
 impl Quarantine {
@@ -143,7 +153,7 @@
     fn count(&mut self, now: Duration, content: Content, start: u32) -> Effect {
         let was_held = self.refuses(now, content).is_some();
         let record = self.record(now, content);
-        if record.starts.contains(&start) {
+        if record.starts.contains(&start) || record.is_same_crash(now) {
             return Effect::None;
         }
         if record.starts.len() < CRASHES {
@@ -156,10 +166,9 @@
 
     /// One that was refused and ended well after all was under way when it came to that.
     fn clear(&mut self, now: Duration, content: Content) -> Effect {
-        let Some(record) = self.records.get_mut(&content) else { return Effect::None };
+        let record = self.record(now, content);
         let (was_suspect, was_held) = (!record.starts.is_empty(), record.held);
-        // Kept, so that late word of others from before is known to be old.
-        *record = Record { starts: Vec::new(), held: false, last: now };
+        *record = Record { good: Some(now), ..Record::new(now) };
         match (was_held, was_suspect) {
             (true, _) => Effect::Released,
             (false, true) => Effect::Cleared,
@@ -170,8 +179,11 @@
     fn hold(&mut self, now: Duration, content: Content, age: Duration) -> Effect {
         let last = now.saturating_sub(age);
         let was_held = self.refuses(now, content).is_some();
-        let is_old = self.records.get(&content).is_some_and(|record| record.last >= last);
-        if is_old || age >= LASTS {
+        let known = self.records.get(&content);
+        if known.and_then(|record| record.good).is_some_and(|good| good > last) {
+            return Effect::Disproved;
+        }
+        if known.is_some_and(|record| record.last >= last) || age >= LASTS {
             return Effect::None;
         }
         let record = self.record(now, content);
@@ -192,16 +204,18 @@
         record
     }
 
-    /// Forgets what has lapsed, or else the oldest; suspects before what is refused.
+    /// Forgets what has lapsed, or else the oldest: what ended well before suspects, and
+    /// these before what is refused.
     fn make_room(&mut self, now: Duration) {
         self.records.retain(|_, record| !record.lapsed(now));
         if self.records.len() < MOST {
             return;
         }
-        let rank = |(content, record): (&Content, &Record)| (record.held, record.last, *content);
+        let rank =
+            |(content, record): (&Content, &Record)| (record.held, !record.starts.is_empty(), record.last, *content);
         let mut ranked: Vec<_> = self.records.iter().map(rank).collect();
         ranked.sort_unstable();
-        for (_, _, content) in &ranked[..MOST / 8] {
+        for (.., content) in &ranked[..MOST / 8] {
             self.records.remove(content);
         }
     }
@@ -209,7 +223,12 @@
 
 impl Record {
     fn new(now: Duration) -> Self {
-        Self { starts: Vec::new(), held: false, last: now }
+        Self { starts: Vec::new(), held: false, last: now, good: None }
+    }
+
+    /// Whether a crash of now is a part of the last one that was counted.
+    fn is_same_crash(&self, now: Duration) -> bool {
+        self.good.is_some() && !self.starts.is_empty() && now < self.last + TOGETHER
     }
 
     fn age(&self, now: Duration) -> Duration {
