Bring reminders with one turn of news in four

Cause, by reading: while a request is refused or an endpoint names a limit, each piece of news brought a second datagram along, 64 more a second for each of 295 instances, where the word itself goes to all at once. Change: one turn in four on average, drawn; whoever is heard for the first time or again is still told at once.

--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -55,6 +55,10 @@
 /// Notices, findings or limits in a datagram at most.
 const BATCHED: usize = 64;
 
+/// Turns of news, on average, of which one brings reminders along: they only make up for
+/// datagrams that were lost and instances that were cut off.
+const REMINDED: u32 = 4;
+
 /// Limits of endpoints that go out with a piece of news: drawn anew each time, so that
 /// instances that missed the word of one hear of it within a few.
 const LIMITS_REMINDED: usize = 16;
@@ -150,7 +154,8 @@
         let Turn { near, far } = desk.audience(turn, AUDIENCE);
         let pause_told = PAUSE * u32::try_from(near.rounds).unwrap_or(u32::MAX);
         let bytes = encode(&Packet::News(piece(desk, run, pause_told, NAMED)));
-        let reminders = reminders(desk);
+        // Drawn, not counted: by a count the same instances would be left out each round.
+        let reminders = if rand::random_ratio(1, REMINDED) { reminders(desk) } else { Vec::new() };
         for news in near.news.into_iter().chain(desk.strangers()) {
             send_news(socket, news, &bytes, &reminders);
         }
