Name unfinished runs and the check of an endpoint by the usual words

Read as a newcomer: what has 'left' an endpoint, a 'doubt' that is 'settled' and 'looking after' an endpoint say less than unfinished runs and a check. Behaviour as it was; relay's tests pass unchanged, 129.

--- a/crates/relay/src/desk/crashes.rs
+++ b/crates/relay/src/desk/crashes.rs
@@ -10,14 +10,12 @@
 use super::{Desk, State, fleet::Key};
 use crate::{clock, quarantine::Change, source::Refused};
 
-/// Time in which a request counts as run by an endpoint after this instance has left
-/// it: an answer that was dropped, a caller that has gone. An endpoint takes a moment
+/// Time for which an unfinished run counts as running at its endpoint: an answer that was dropped, a caller that has gone. An endpoint takes a moment
 /// to notice, and to crash.
 const LINGERS: Duration = Duration::from_secs(2);
 
-/// Requests kept of those that have left an endpoint; one that crashes right away is
-/// among the latest.
-const MOST_LEFT: usize = 64;
+/// Unfinished runs kept for an endpoint; what crashes it right away is among the latest.
+const MOST_UNFINISHED: usize = 64;
 
 /// Findings kept until they are sent; they are sent within a turn of the scheduler, so
 /// more only come while the socket does not take them.
@@ -26,22 +24,23 @@
 /// Changes kept until the store has taken them.
 const MOST_UNWRITTEN: usize = 64;
 
-/// Requests that have left an endpoint without a good end.
+/// Runs at an endpoint that this instance has left without an answer, by their
+/// requests.
 #[derive(Debug, Default)]
-pub(super) struct Left(Vec<(Content, Duration)>);
+pub(super) struct Unfinished(Vec<(Content, Duration)>);
 
-impl Left {
+impl Unfinished {
     pub(super) fn add(&mut self, now: Duration, content: Content) {
         self.0.retain(|(other, at)| *other != content && now < *at + LINGERS);
-        if self.0.len() == MOST_LEFT {
+        if self.0.len() == MOST_UNFINISHED {
             self.0.remove(0);
         }
         self.0.push((content, now));
     }
 
     fn take(&mut self, now: Duration) -> Vec<Content> {
-        let left = std::mem::take(&mut self.0).into_iter();
-        left.filter(|(_, at)| now < *at + LINGERS).map(|(content, _)| content).collect()
+        let runs = std::mem::take(&mut self.0).into_iter();
+        runs.filter(|(_, at)| now < *at + LINGERS).map(|(content, _)| content).collect()
     }
 }
 
@@ -50,7 +49,7 @@
     pub(super) fn note_crash(&mut self, key: Key, now: Duration) {
         let Some(server) = self.fleet.server(key) else { return };
         let (start, endpoint) = (server.hash(), server.endpoint());
-        let contents = server.left().take(now);
+        let contents = server.unfinished().take(now);
         if contents.is_empty() {
             return;
         }
@@ -148,7 +147,7 @@
             if leads && effect == Effect::Held && matches!(finding, Finding::Crash { .. }) {
                 state.write(finding, effect);
             }
-            // What this instance had there, and has left, was there as well.
+            // This instance's unfinished runs were there as well.
             if let Finding::Crash { start, .. } = finding
                 && let Some(key) = state.fleet.key_of(start)
             {
--- a/crates/relay/src/desk/fleet.rs
+++ b/crates/relay/src/desk/fleet.rs
@@ -38,7 +38,7 @@
     record::Record,
     weigh::{Weighed, job_units},
 };
-use super::{Desk, State, crashes::Left, trials::Arm};
+use super::{Desk, State, crashes::Unfinished, trials::Arm};
 use crate::{clock, source::Endpoint};
 
 slotmap::new_key_type! {
@@ -104,8 +104,8 @@
     heard: Duration,
     /// When a registration of it last came.
     registered: Duration,
-    /// What has left it without a good end.
-    left: Left,
+    /// Runs that were left there without an answer.
+    unfinished: Unfinished,
     /// What may be sent there, if it names a limit.
     throttle: Throttle,
 }
@@ -235,7 +235,7 @@
             full_until: Duration::ZERO,
             heard: Duration::ZERO,
             registered: now,
-            left: Left::default(),
+            unfinished: Unfinished::default(),
             throttle: Throttle::default(),
         }
     }
@@ -250,9 +250,9 @@
         Arc::clone(&self.endpoint)
     }
 
-    /// What has left it without a good end.
-    pub(super) fn left(&mut self) -> &mut Left {
-        &mut self.left
+    /// Runs that were left there without an answer.
+    pub(super) fn unfinished(&mut self) -> &mut Unfinished {
+        &mut self.unfinished
     }
 
     fn candidate(&self, domain: &str, slow: f64, failing: f64, now: Duration) -> Candidate<'_> {
--- a/crates/relay/src/desk/fleet/run.rs
+++ b/crates/relay/src/desk/fleet/run.rs
@@ -130,7 +130,7 @@
         self.lift(&mut state);
         match (how, self.content.take()) {
             (Ended::Good, Some(content)) => state.note_good_end(content, now),
-            (Ended::Broken, Some(content)) => self.leave(&mut state, content, now),
+            (Ended::Broken, Some(content)) => self.note_unfinished(&mut state, content, now),
             (Ended::Down, _) => state.note_crash(self.key, now),
             _ => {}
         }
@@ -162,10 +162,10 @@
         self.desk.lock().trials.count(&self.endpoint.service, self.arm, tally);
     }
 
-    /// Notes that this instance has left a run that may go on.
-    fn leave(&self, state: &mut State, content: Content, now: Duration) {
+    /// Notes that this instance has left the run without an answer; it may go on.
+    fn note_unfinished(&self, state: &mut State, content: Content, now: Duration) {
         if let Some(server) = state.fleet.server(self.key) {
-            server.left().add(now, content);
+            server.unfinished().add(now, content);
         }
     }
 
@@ -185,7 +185,7 @@
         let mut state = desk.lock();
         self.lift(&mut state);
         if let Some(content) = self.content.take() {
-            self.leave(&mut state, content, clock::now());
+            self.note_unfinished(&mut state, content, clock::now());
         }
         if let Some(server) = state.fleet.servers.get_mut(self.key) {
             server.runs = server.runs.saturating_sub(1);
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -92,7 +92,7 @@
         cause: String::new(),
         draw: rand::random(),
         version: None,
-        doubt: None,
+        check: None,
         pass,
         ask,
     })
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -40,9 +40,9 @@
 /// request; an endless one would take all memory.
 const LONGEST_ANSWER: usize = 16 << 20;
 
-/// Longest wait for a look at an endpoint where a try broke off; one that has crashed
+/// Longest wait for the check of an endpoint where a try broke off; one that has crashed
 /// refuses connections within a round trip.
-const DOUBT: Duration = Duration::from_millis(50);
+const CHECK_WAIT: Duration = Duration::from_millis(50);
 
 /// How long a request waits for a service that has no endpoint at all.
 const WAIT_FOR_ENDPOINT: Duration = Duration::from_millis(250);
@@ -71,8 +71,8 @@
     pub(super) cause: String,
     pub(super) draw: f64,
     pub(super) version: Option<String>,
-    /// Looks whether the endpoint lives where the last try broke off.
-    pub(super) doubt: Option<JoinHandle<()>>,
+    /// Checks whether the endpoint still listens where the last try broke off.
+    pub(super) check: Option<JoinHandle<()>>,
 }
 
 /// An answer that is decided on.
@@ -143,7 +143,7 @@
 
     /// A place for the next try, if there may be one.
     pub(super) async fn next_run(&mut self, model: Option<usize>) -> Result<Run, Refusal> {
-        self.settle_doubt().await;
+        self.await_check().await;
         if let Some(left) = self.desk.quarantined(self.content) {
             return Err(self.given_up(Refusal::Quarantined { left }));
         }
@@ -174,10 +174,10 @@
 
     /// Waits until it is known whether the endpoint of the last try has crashed: the
     /// request may be the cause, and the next endpoint would be lost as well.
-    async fn settle_doubt(&mut self) {
-        let Some(doubt) = self.doubt.take() else { return };
-        if tokio::time::timeout(DOUBT, doubt).await.is_err() {
-            tracing::debug!(request = self.ask.id, "tried again before it was known whether the endpoint lives");
+    async fn await_check(&mut self) {
+        let Some(check) = self.check.take() else { return };
+        if tokio::time::timeout(CHECK_WAIT, check).await.is_err() {
+            tracing::debug!(request = self.ask.id, "tried again before the endpoint was checked");
         }
     }
 
@@ -262,7 +262,7 @@
             Outcome::NotRun(status) => (Ended::Full, format!("turned away with {status}")),
             Outcome::Unknown(cause) => (Ended::Broken, cause.clone()),
             Outcome::Broken(cause) => {
-                self.doubt = Some(tokio::spawn(look_after(Arc::clone(&self.desk), run.key, run.endpoint.address)));
+                self.check = Some(tokio::spawn(check_endpoint(Arc::clone(&self.desk), run.key, run.endpoint.address)));
                 (Ended::Broken, cause.clone())
             }
             Outcome::Answer(_) => (Ended::Good, String::new()),
@@ -372,8 +372,8 @@
     }
 }
 
-/// Looks whether an endpoint lives at which a run broke off.
-async fn look_after(desk: Arc<Desk>, key: Key, address: SocketAddr) {
+/// Checks whether an endpoint still listens where a run broke off.
+async fn check_endpoint(desk: Arc<Desk>, key: Key, address: SocketAddr) {
     if upstream::is_refused(address).await {
         desk.note_crash(key);
     }
