Count crashes one after the other, and log those that this instance found

Cause: one request may have had runs at three endpoints within two seconds, two of them dropped for larger models; their crash together looked like three. And each instance logged every finding of all others.

Change: a crash counts where the run was sent after the last one that was counted; one that was under way then may have met the same cause. Findings of others are logged at debug, but for those by which a request is refused or is refused no more.

Why it holds: what crashes endpoints is sent on, so that its next run counts again: three crashes in a row still refuse it (crashes::*, unchanged).

--- a/crates/relay/src/desk/crashes.rs
+++ b/crates/relay/src/desk/crashes.rs
@@ -27,20 +27,29 @@
 /// Runs at an endpoint that this instance has left without an answer, by their
 /// requests.
 #[derive(Debug, Default)]
-pub(super) struct Unfinished(Vec<(Content, Duration)>);
+pub(super) struct Unfinished(Vec<UnfinishedRun>);
+
+#[derive(Debug, Clone, Copy)]
+struct UnfinishedRun {
+    content: Content,
+    sent: Duration,
+    left: Duration,
+}
 
 impl Unfinished {
-    pub(super) fn add(&mut self, now: Duration, content: Content) {
-        self.0.retain(|(other, at)| *other != content && now < *at + LINGERS);
+    /// Adds a run that was sent at a time and is left now.
+    pub(super) fn add(&mut self, now: Duration, content: Content, sent: Duration) {
+        self.0.retain(|run| run.content != content && now < run.left + LINGERS);
         if self.0.len() == MOST_UNFINISHED {
             self.0.remove(0);
         }
-        self.0.push((content, now));
+        self.0.push(UnfinishedRun { content, sent, left: now });
     }
 
-    fn take(&mut self, now: Duration) -> Vec<Content> {
-        let runs = std::mem::take(&mut self.0).into_iter();
-        runs.filter(|(_, at)| now < *at + LINGERS).map(|(content, _)| content).collect()
+    fn take(&mut self, now: Duration) -> Vec<UnfinishedRun> {
+        let mut runs = std::mem::take(&mut self.0);
+        runs.retain(|run| now < run.left + LINGERS);
+        runs
     }
 }
 
@@ -49,14 +58,16 @@
     pub(super) fn note_crash(&mut self, key: Key, now: Duration) {
         let Some(server) = self.fleet.server(key) else { return };
         let (start, endpoint) = (server.hash(), server.endpoint());
-        let contents = server.unfinished().take(now);
-        if contents.is_empty() {
+        let runs = server.unfinished().take(now);
+        if runs.is_empty() {
             return;
         }
-        tracing::warn!(endpoint = endpoint.id, requests = contents.len(), "endpoint crashed");
+        tracing::warn!(endpoint = endpoint.id, requests = runs.len(), "endpoint crashed");
         metrics::counter!("relay_crashes_total", "service" => endpoint.service.clone()).increment(1);
-        for content in contents {
-            self.find(Finding::Crash { content, start }, now);
+        for UnfinishedRun { content, sent, .. } in runs {
+            if self.quarantine.is_further(now, content, sent) {
+                self.find(Finding::Crash { content, start }, now);
+            }
         }
     }
 
@@ -68,6 +79,9 @@
     /// Takes a finding of this instance in, and has it told and written.
     fn find(&mut self, finding: Finding, now: Duration) {
         let effect = self.take_finding(finding, now);
+        if effect != Effect::None {
+            tracing::info!(content = %finding.content(), ?finding, ?effect, "found of a request");
+        }
         if effect != Effect::None && self.findings.len() < MOST_UNSENT {
             self.findings.push(finding);
         }
@@ -101,10 +115,9 @@
                 tracing::warn!(%content, ?finding, "request refused from now on: endpoints crash under it");
                 metrics::counter!("relay_quarantined_total").increment(1);
             }
-            Effect::Cleared | Effect::Released => {
-                tracing::info!(%content, "request ended well; no crash is held against it");
-            }
-            Effect::Counted => tracing::info!(%content, ?finding, "crash counted against a request"),
+            Effect::Released => tracing::info!(%content, "request refused no more: it ended well"),
+            // Each instance hears of every run that a mass crash broke off.
+            Effect::Counted | Effect::Cleared => tracing::debug!(%content, ?finding, "heard of a request"),
             Effect::None | Effect::Disproved => {}
         }
         effect
--- a/crates/relay/src/desk/fleet/run.rs
+++ b/crates/relay/src/desk/fleet/run.rs
@@ -165,7 +165,7 @@
     /// Notes that this instance has left the run without an answer; it may go on.
     fn note_unfinished(&self, state: &mut State, content: Content, now: Duration) {
         if let Some(server) = state.fleet.server(self.key) {
-            server.unfinished().add(now, content);
+            server.unfinished().add(now, content, self.started);
         }
     }
 
--- a/crates/relay/tests/it/crashes.rs
+++ b/crates/relay/tests/it/crashes.rs
@@ -4,14 +4,16 @@
 
 use relay::{
     catalog::{Kind, Route},
+    desk::{Desk, fleet::Job},
     source::Refused,
 };
 use route::relay::content::Content;
 
 use crate::{
     caller,
+    notices::prompt,
     server::{Act, END, Server, event, stream_head, whole},
-    site::{Kept, Site, catalog, endpoint, laddered, route, settings},
+    site::{Kept, Site, catalog, dialect, endpoint, laddered, route, settings},
 };
 
 const RESUMABLE: Kind = Kind::Stream { resumable: true };
@@ -212,6 +214,30 @@
     }
 }
 
+/// An answer was dropped for a larger model's twice, and its three endpoints are among
+/// many that crash at the same moment. The request had nothing to do with it, and was
+/// refused for minutes.
+#[tokio::test]
+async fn endpoints_that_crash_together_are_one_crash_to_their_unfinished_runs() {
+    let desk = Desk::new(settings(), dialect());
+    desk.install(catalog(1, vec![route("/s/", RESUMABLE)]));
+    for id in 0..3 {
+        desk.enlist(endpoint(&format!("e{id}"), ([127, 0, 0, 1], 9 + id).into()));
+    }
+    let content = Content { team: 1, work: 2 };
+    let mut keys = Vec::new();
+    for _ in 0..3 {
+        let mut run = desk.place(&Job { tried: &keys, ..prompt(None, 100) }).expect("an endpoint");
+        run.sent(content);
+        keys.push(run.key);
+    }
+    for key in &keys {
+        desk.note_crash(*key);
+    }
+    assert!(desk.suspects(content));
+    assert_eq!(desk.quarantined(content), None);
+}
+
 /// A plain call crashes its server before any answer. It may not be repeated within
 /// an attempt, so each of its callers' attempts crashes one more.
 #[tokio::test]
--- a/crates/route/src/relay/quarantine.rs
+++ b/crates/route/src/relay/quarantine.rs
@@ -5,7 +5,8 @@
 //! instance, and each time it is sent to further endpoints, until none is left.
 //! An endpoint's end tells of nothing but a suspicion: whatever ran there is a
 //! suspect. Who was there by chance ends well elsewhere and is cleared; what was
-//! there at the end of several endpoints and never ended well is refused. A popular
+//! there at the end of several endpoints, one after the other, and never ended well
+//! is refused. A popular
 //! request is under way at many endpoints at any moment, so several that crash together
 //! are one crash to a request that has ended well lately.
 //!
@@ -126,6 +127,14 @@
         self.records.get(&content).is_some_and(|record| !record.starts.is_empty() && !record.lapsed(now))
     }
 
+    /// Whether a crash under a run that was sent at a time tells more than what is known:
+    /// a run that was under way at the last crash may have met the same cause.
+    #[must_use]
+    pub fn is_further(&self, now: Duration, content: Content, sent: Duration) -> bool {
+        let known = self.records.get(&content).filter(|record| !record.starts.is_empty() && !record.lapsed(now));
+        known.is_none_or(|record| sent > record.last)
+    }
+
     /// Requests that are refused, those that crashed an endpoint last first.
     #[must_use]
     pub fn held(&self, now: Duration, most: usize) -> Vec<Finding> {
--- a/crates/route/tests/relay/quarantine.rs
+++ b/crates/route/tests/relay/quarantine.rs
@@ -9,6 +9,7 @@
 };
 
 const SECOND: Duration = Duration::from_secs(1);
+const STEP: Duration = Duration::from_millis(1);
 const ONE: Content = Content { team: 1, work: 7 };
 const OTHER: Content = Content { team: 1, work: 8 };
 
@@ -70,6 +71,18 @@
     assert_eq!(quarantine.take(SECOND, Finding::EndedWell { content: OTHER }), Effect::None);
 }
 
+/// One request has runs at several endpoints that crash at the same moment: only a run
+/// that was sent after a crash shows that the next one is not the same.
+#[test]
+fn run_under_way_at_the_last_crash_tells_nothing_further() {
+    let (mut quarantine, now) = after(&[crash(ONE, 1)]);
+    assert!(!quarantine.is_further(now + SECOND, ONE, now));
+    assert!(quarantine.is_further(now + SECOND, ONE, now + STEP));
+    assert!(quarantine.is_further(now + SECOND, OTHER, now));
+    quarantine.take(now + SECOND, Finding::EndedWell { content: ONE });
+    assert!(quarantine.is_further(now + 2 * SECOND, ONE, now));
+}
+
 /// A popular request is under way at many endpoints when several crash together, for a
 /// reason of their own. It has ended well a moment ago and does so again elsewhere.
 #[test]
