Refuse a request on others' word also where the last crash was heard

Callers could have one instance go on sending a request that all others refuse, for as long as the refusal lasts: three crashes more where the rule allows three retries in all.

Cause, found by reading the change again: a word that a request is refused counted as old if it spoke of a crash no later than the last one known. An instance that had missed two crashes and heard of the third, a moment after the teller, knew of a later one and passed over every word after that, which are there to make up for lost datagrams. And where a word was newer, by its way, it prolonged the refusal, from instance to instance. Evidence: word_holds_a_suspect_of_which_crashes_were_missed and words_prolong_no_refusal fail before.

Change: a word holds whatever is not refused yet, unless the request ended well since; it changes nothing where it is refused already.

Why it holds: only crashes and good ends move a record's time; words bring a record to others as it is.

--- a/crates/route/src/relay/quarantine.rs
+++ b/crates/route/src/relay/quarantine.rs
@@ -185,18 +185,20 @@
 
     fn hold(&mut self, now: Duration, content: Content, age: Duration) -> Effect {
         let last = now.saturating_sub(age);
-        let was_held = self.refuses(now, content).is_some();
         let known = self.records.get(&content);
         if known.and_then(|record| record.good).is_some_and(|good| good > last) {
             return Effect::Disproved;
         }
-        if known.is_some_and(|record| record.last >= last) || age >= LASTS {
+        // Each word is older than it says by its way here: taken for a later crash, words
+        // that go round would prolong a refusal for good.
+        if age >= LASTS || known.is_some_and(|record| record.refused(now).is_some()) {
             return Effect::None;
         }
+        let crashed = known.filter(|record| record.held || !record.starts.is_empty()).map(|record| record.last);
         let record = self.record(now, content);
         record.held = true;
-        record.last = last;
-        if was_held { Effect::None } else { Effect::Held }
+        record.last = crashed.map_or(last, |crashed| crashed.max(last));
+        Effect::Held
     }
 
     /// The record of a request; room is made for a new one.
--- a/crates/route/tests/relay/quarantine.rs
+++ b/crates/route/tests/relay/quarantine.rs
@@ -117,6 +117,28 @@
     assert_eq!(quarantine.take(now + SECOND, later), Effect::Held);
 }
 
+/// The words of two crashes were lost on the way and that of the third was not, a moment
+/// later than whoever refuses the request saw it. Its word, repeated with the news, makes
+/// up for them.
+#[test]
+fn word_holds_a_suspect_of_which_crashes_were_missed() {
+    let (mut quarantine, now) = after(&[crash(ONE, 3)]);
+    assert_eq!(quarantine.take(now, Finding::Held { content: ONE, age: STEP }), Effect::Held);
+    assert_eq!(quarantine.refuses(now, ONE), Some(LASTS));
+}
+
+/// Instances repeat to each other what they refuse, each word a moment older than it
+/// says. Taken as new, they would never end.
+#[test]
+fn words_prolong_no_refusal() {
+    let (mut quarantine, now) = after(&[crash(ONE, 1), crash(ONE, 2), crash(ONE, 3)]);
+    for step in 1..20 {
+        let told = Finding::Held { content: ONE, age: step * SECOND - STEP };
+        assert_eq!(quarantine.take(now + step * SECOND, told), Effect::None);
+    }
+    assert_eq!(quarantine.refuses(now + LASTS, ONE), None);
+}
+
 /// A request is not refused for good, or it never is again after its endpoints were
 /// mended; and not let in by the dozen, if they were not.
 #[test]
