--- a/crates/route/tests/relay/quarantine.rs
+++ b/crates/route/tests/relay/quarantine.rs
@@ -133,7 +133,7 @@
 fn words_prolong_no_refusal() {
     let (mut quarantine, now) = after(&[crash(ONE, 1), crash(ONE, 2), crash(ONE, 3)]);
     for step in 1..20 {
-        let told = Finding::Held { content: ONE, age: step * SECOND - STEP };
+        let told = Finding::Held { content: ONE, age: (step * SECOND).saturating_sub(STEP) };
         assert_eq!(quarantine.take(now + step * SECOND, told), Effect::None);
     }
     assert_eq!(quarantine.refuses(now + LASTS, ONE), None);
