Give what all instances are told at once a module of its own

Notices, findings and limits are lanes of one kind now (news::spread), each of which knows its datagrams; the quarantine has one look-up of a suspect. Behaviour as it was.

--- a/crates/relay/src/desk/crashes.rs
+++ b/crates/relay/src/desk/crashes.rs
@@ -10,8 +10,8 @@
 use super::{Desk, State, fleet::Key};
 use crate::{clock, quarantine::Change, source::Refused};
 
-/// Time for which an unfinished run counts as running at its endpoint: an answer that was dropped, a caller that has gone. An endpoint takes a moment
-/// to notice, and to crash.
+/// Time for which an unfinished run counts as running at its endpoint: an answer that was
+/// dropped, a caller that has gone. An endpoint takes a moment to notice, and to crash.
 const LINGERS: Duration = Duration::from_secs(2);
 
 /// Unfinished runs kept for an endpoint; what crashes it right away is among the latest.
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -3,6 +3,7 @@
 //! Each piece holds an instance's whole word, so a lost one is made good by
 //! the next. Nothing that must not be lost travels here.
 
+mod spread;
 mod wire;
 
 use std::{
@@ -16,7 +17,6 @@
 use route::relay::quarantine;
 use tokio::{
     net::{TcpListener, UdpSocket},
-    sync::Notify,
     time::sleep,
 };
 
@@ -25,14 +25,17 @@
     desk::{
         Desk,
         fleet::{self, short_hash},
-        peers::{Audience, Sighting, Turn, Word},
+        peers::{Sighting, Turn, Word},
         track,
         trials::Report,
     },
     front,
 };
 
-use self::wire::{Finding, Limit, Notice, Order, Packet, Piece, Question, Reply, Seen, short, short_ms};
+use self::{
+    spread::{BATCHED, Lanes},
+    wire::{Finding, Limit, Notice, Order, Packet, Piece, Question, Reply, Seen, short, short_ms},
+};
 
 /// Pause between pieces of news. Loads change within a run's length, some
 /// hundred milliseconds; a shorter pause costs wake-ups at every instance.
@@ -49,12 +52,6 @@
 /// Changes in a reply at most; about a datagram's worth.
 const CHANGES: usize = 60;
 
-/// Time in which a relay gathers what it passes on.
-const BATCH: Duration = Duration::from_millis(30);
-
-/// Notices, findings or limits in a datagram at most.
-const BATCHED: usize = 64;
-
 /// Turns of news, on average, of which one brings reminders along: they only make up for
 /// datagrams that were lost and instances that were cut off.
 const REMINDED: u32 = 4;
@@ -91,17 +88,12 @@
     // start would begin anew when it loses power, and nobody would hear it.
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let run = u64::try_from(since_epoch.as_nanos()).unwrap_or(0);
-    let (asked, relayed) = (Mutex::default(), Relayed::default());
+    let (asked, lanes) = (Mutex::default(), Lanes::new());
     tokio::join!(
         tell(&desk, &socket, run),
-        notify(&desk, &socket, &relayed.notices),
-        pass_on(&desk, &socket, &relayed.notices, Packet::Notices),
-        tell_findings(&desk, &socket, &relayed.findings),
-        pass_on(&desk, &socket, &relayed.findings, Packet::Findings),
-        tell_limits(&desk, &socket, &relayed.limits),
-        pass_on(&desk, &socket, &relayed.limits, Packet::Limits),
+        lanes.serve(&desk, &socket),
         ask(&desk, &socket, &asked),
-        hear(&desk, &socket, &asked, &relayed)
+        hear(&desk, &socket, &asked, &lanes)
     );
 }
 
@@ -199,115 +191,6 @@
     findings.iter().chain(&limits).map(encode).collect()
 }
 
-/// Tells the others at once of long prompts.
-async fn notify(desk: &Desk, socket: &UdpSocket, batch: &Batch<Notice>) {
-    let origin = short_hash(&desk.settings.instance);
-    loop {
-        let notices: Vec<Notice> = desk.notices().await.into_iter().map(|notice| Notice::new(notice, origin)).collect();
-        metrics::counter!("relay_notices_total").increment(u64::try_from(notices.len()).unwrap_or_default());
-        spread(desk, socket, batch, notices, Packet::Notices, Packet::PassOn);
-    }
-}
-
-/// Tells the others at once of what was found of requests under which endpoints crash.
-async fn tell_findings(desk: &Desk, socket: &UdpSocket, batch: &Batch<Finding>) {
-    loop {
-        let findings: Vec<Finding> = desk.findings().await.into_iter().map(Finding::from).collect();
-        for findings in findings.chunks(BATCHED) {
-            spread(desk, socket, batch, findings.to_vec(), Packet::Findings, Packet::PassOnFindings);
-        }
-    }
-}
-
-/// Tells the others at once of limits that endpoints name.
-async fn tell_limits(desk: &Desk, socket: &UdpSocket, batch: &Batch<Limit>) {
-    loop {
-        let limits: Vec<Limit> = desk.limits_to_tell().await.into_iter().map(Limit::from).collect();
-        for limits in limits.chunks(BATCHED) {
-            spread(desk, socket, batch, limits.to_vec(), Packet::Limits, Packet::PassOnLimits);
-        }
-    }
-}
-
-/// Sends something to all instances, in a large fleet by way of relays.
-fn spread<T: Clone>(
-    desk: &Desk,
-    socket: &UdpSocket,
-    batch: &Batch<T>,
-    told: Vec<T>,
-    to_all: fn(Vec<T>) -> Packet,
-    to_relays: fn(Vec<T>) -> Packet,
-) {
-    let me = desk.settings.listeners.news;
-    let (audience, packet) = match desk.notice_audience() {
-        Audience::All(all) => (all, to_all(told)),
-        Audience::Relays(relays) => {
-            if relays.contains(&me) {
-                batch.add(told.clone());
-            }
-            (relays, to_relays(told))
-        }
-    };
-    let bytes = encode(&packet);
-    for news in audience.into_iter().filter(|news| *news != me) {
-        send(socket, news, &bytes);
-    }
-}
-
-/// Passes on to the neighbours what other instances tell, some at a time.
-async fn pass_on<T: Clone>(desk: &Desk, socket: &UdpSocket, batch: &Batch<T>, packet: fn(Vec<T>) -> Packet) {
-    loop {
-        let told = batch.next().await;
-        let neighbours = desk.neighbours();
-        for told in told.chunks(BATCHED) {
-            let bytes = encode(&packet(told.to_vec()));
-            for news in &neighbours {
-                send(socket, *news, &bytes);
-            }
-        }
-    }
-}
-
-/// What this instance passes on to its neighbours.
-#[derive(Debug, Default)]
-struct Relayed {
-    notices: Batch<Notice>,
-    findings: Batch<Finding>,
-    limits: Batch<Limit>,
-}
-
-/// What goes on with the next datagrams.
-#[derive(Debug)]
-struct Batch<T> {
-    told: Mutex<Vec<T>>,
-    added: Notify,
-}
-
-impl<T> Default for Batch<T> {
-    fn default() -> Self {
-        Self { told: Mutex::default(), added: Notify::new() }
-    }
-}
-
-impl<T> Batch<T> {
-    fn add(&self, told: impl IntoIterator<Item = T>) {
-        self.told.lock().unwrap_or_else(PoisonError::into_inner).extend(told);
-        self.added.notify_one();
-    }
-
-    /// Waits for the first and for what comes right after it.
-    async fn next(&self) -> Vec<T> {
-        loop {
-            self.added.notified().await;
-            sleep(BATCH).await;
-            let told = std::mem::take(&mut *self.told.lock().unwrap_or_else(PoisonError::into_inner));
-            if !told.is_empty() {
-                return told;
-            }
-        }
-    }
-}
-
 fn send(socket: &UdpSocket, to: SocketAddr, bytes: &[u8]) {
     if let Err(error) = socket.try_send_to(bytes, to) {
         tracing::debug!(%to, %error, "news not sent; the next piece makes up for it");
@@ -334,7 +217,7 @@
     desk.take_findings(findings.iter().copied().map(quarantine::Finding::from));
 }
 
-async fn hear(desk: &Desk, socket: &UdpSocket, asked: &Asked, relayed: &Relayed) {
+async fn hear(desk: &Desk, socket: &UdpSocket, asked: &Asked, lanes: &Lanes) {
     let mut buffer = vec![0; LARGEST];
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
@@ -356,18 +239,18 @@
             Ok(Packet::Evidence(name, orders)) => desk.take_reports(name, orders.iter().map(Report::from).collect()),
             Ok(Packet::Notices(notices)) => take_notices(desk, notices),
             Ok(Packet::PassOn(notices)) => {
-                relayed.notices.add(notices.clone());
+                lanes.notices.add(notices.clone());
                 take_notices(desk, notices);
             }
             Ok(Packet::Findings(findings)) => take_findings(desk, &findings),
             Ok(Packet::PassOnFindings(findings)) => {
-                relayed.findings.add(findings.clone());
+                lanes.findings.add(findings.clone());
                 take_findings(desk, &findings);
             }
             Ok(Packet::Limits(limits)) => desk.take_limits(limits.iter().map(fleet::Limit::from)),
             Ok(Packet::PassOnLimits(limits)) => {
                 desk.take_limits(limits.iter().map(fleet::Limit::from));
-                relayed.limits.add(limits);
+                lanes.limits.add(limits);
             }
             Ok(Packet::Question(question)) => {
                 let asked = track::Question { revision: question.revision };
--- a/crates/route/src/relay/quarantine.rs
+++ b/crates/route/src/relay/quarantine.rs
@@ -5,10 +5,9 @@
 //! instance, and each time it is sent to further endpoints, until none is left.
 //! An endpoint's end tells of nothing but a suspicion: whatever ran there is a
 //! suspect. Who was there by chance ends well elsewhere and is cleared; what was
-//! there at the end of several endpoints, one after the other, and never ended well
-//! is refused. A popular
-//! request is under way at many endpoints at any moment, so several that crash together
-//! are one crash to a request that has ended well lately.
+//! there at the end of several endpoints, one after the other, and never ended well is
+//! refused. A popular request is under way at many endpoints at any moment, so several
+//! that crash together are one crash to a request that has ended well lately.
 //!
 //! Instances tell each other what they find, so that a [`Quarantine`] counts
 //! the crashes of the whole fleet. It holds a bounded number of records, and each
@@ -124,15 +123,14 @@
     /// Whether an endpoint has crashed under a request and it has not ended well since.
     #[must_use]
     pub fn suspects(&self, now: Duration, content: Content) -> bool {
-        self.records.get(&content).is_some_and(|record| !record.starts.is_empty() && !record.lapsed(now))
+        self.suspect(now, content).is_some()
     }
 
     /// Whether a crash under a run that was sent at a time tells more than what is known:
     /// a run that was under way at the last crash may have met the same cause.
     #[must_use]
     pub fn is_further(&self, now: Duration, content: Content, sent: Duration) -> bool {
-        let known = self.records.get(&content).filter(|record| !record.starts.is_empty() && !record.lapsed(now));
-        known.is_none_or(|record| sent > record.last)
+        self.suspect(now, content).is_none_or(|record| sent > record.last)
     }
 
     /// Requests that are refused, those that crashed an endpoint last first.
@@ -157,6 +155,11 @@
         self.records.is_empty()
     }
 
+    /// The record of a request with a crash that was not cleared and has not lapsed.
+    fn suspect(&self, now: Duration, content: Content) -> Option<&Record> {
+        self.records.get(&content).filter(|record| !record.starts.is_empty() && !record.lapsed(now))
+    }
+
     fn count(&mut self, now: Duration, content: Content, start: u32) -> Effect {
         let was_held = self.refuses(now, content).is_some();
         let record = self.record(now, content);
