Record what a key's home knew, and log runs without its word

Of a "not run" that turned out false it could not be told whether the other try had been registered, had joined, or ran by itself.

Change: the time line has a step for the registration (nothing known, ended before, runs elsewhere, recorded, no answer); a run without the home's word is an info line, what the home answered about a refused key a debug line.

--- a/crates/arbutuslug/src/describe.rs
+++ b/crates/arbutuslug/src/describe.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, UNIX_EPOCH};
 
-use timeline::{Event, GrantMove, OutageStep, Phase, Ran, Step, Wanted, merge::Gap};
+use timeline::{Event, Found, GrantMove, OutageStep, Phase, Ran, Step, Wanted, merge::Gap};
 use world::{Timestamp, model::Version};
 
 /// A time for people, UTC.
@@ -77,6 +77,16 @@
     }
 }
 
+fn found(found: Found) -> &'static str {
+    match found {
+        Found::Nothing => "its key was not used before",
+        Found::Ended => "its key was used before, and may have run",
+        Found::Running => "it runs at another instance",
+        Found::Recorded => "it was answered or claimed before",
+        Found::NoAnswer => "the key's home did not answer, so it runs without its word",
+    }
+}
+
 /// A request's step in words.
 pub(crate) fn step(step: &Step) -> String {
     match step {
@@ -87,6 +97,7 @@
         },
         Step::Admitted { queued_ms } => format!("admitted after {queued_ms} ms in the queue"),
         Step::Claimed { home } => format!("claimed at {home}"),
+        Step::Registered { found } => format!("registered: {}", self::found(*found)),
         Step::Joined { home } => format!("joined the same request running at {home}"),
         Step::Chosen { version, tier, reason } => format!("chose {version}, tier {tier}: {reason}"),
         Step::Dispatched { attempt, version, endpoint, reason } => {
--- a/crates/entry/src/drive/enter.rs
+++ b/crates/entry/src/drive/enter.rs
@@ -4,7 +4,7 @@
 
 use journal::{Claimed, Error, Known, Reason, Registered};
 use route::admission;
-use timeline::{Ran, Step};
+use timeline::{Found, Ran, Step};
 use tokio::time::Instant;
 use world::{
     instance,
@@ -39,6 +39,7 @@
         let deadline = self.request.deadline.min(Instant::now() + REGISTER_WITHIN);
         let fingerprint = self.request.fingerprint();
         let registered = self.shared.links.journal.register(self.request.id(), fingerprint, lasts, deadline).await;
+        self.shared.note(self.request.id(), Step::Registered { found: found(&registered) });
         match registered {
             Ok(Registered::RunningAt(home)) => {
                 self.life.ran_before(Ran::Unknown);
@@ -56,7 +57,12 @@
             // An earlier try may have run, or the home cannot be asked. Running
             // twice does an idempotent request no harm, and it is billed once;
             // but nobody can promise that it has not run.
-            Ok(Registered::First | Registered::Again) | Err(_) => {
+            Ok(Registered::First | Registered::Again) => {
+                self.life.ran_before(Ran::Unknown);
+                true
+            }
+            Err(error) => {
+                tracing::info!(request = %self.request.id(), %error, "runs without the word of its key's home");
                 self.life.ran_before(Ran::Unknown);
                 true
             }
@@ -208,6 +214,16 @@
     }
 }
 
+fn found(registered: &Result<Registered, Error>) -> Found {
+    match registered {
+        Ok(Registered::First) => Found::Nothing,
+        Ok(Registered::Again) => Found::Ended,
+        Ok(Registered::RunningAt(_)) => Found::Running,
+        Ok(Registered::Known(_)) => Found::Recorded,
+        Err(_) => Found::NoAnswer,
+    }
+}
+
 fn turned_away(refusal: admission::Refusal) -> Problem {
     let kind = match refusal.cause {
         admission::Cause::Deadline { .. } => Kind::Deadline,
--- a/crates/entry/src/truth.rs
+++ b/crates/entry/src/truth.rs
@@ -61,7 +61,9 @@
     /// Whether an earlier try under this key has run.
     async fn ran_before(&self, terms: &Terms, repeat: Repeat) -> Ran {
         let lost = self.lost_since(&terms.id.key);
-        match self.links.journal.outcome(&terms.id, Instant::now() + ASK_WITHIN).await {
+        let known = self.links.journal.outcome(&terms.id, Instant::now() + ASK_WITHIN).await;
+        tracing::debug!(request = %terms.id, ?known, lost, "whether a refused key has run");
+        match known {
             Ok(Some(Outcome::Answered)) => Ran::Yes,
             // The home has proved that it is the home: a claim that is not
             // there was never made. An idempotent request makes none.
--- a/crates/timeline/src/event.rs
+++ b/crates/timeline/src/event.rs
@@ -16,7 +16,7 @@
 };
 
 pub use kind::{Kind, UnknownKind};
-pub use step::{Ran, Step};
+pub use step::{Found, Ran, Step};
 
 /// One thing that happened at one instance.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/timeline/src/event/step.rs
+++ b/crates/timeline/src/event/step.rs
@@ -33,6 +33,11 @@
         /// The home.
         home: instance::Id,
     },
+    /// Its key's home was asked for earlier uses of the key.
+    Registered {
+        /// What the home knew.
+        found: Found,
+    },
     /// It joined the same request already running.
     Joined {
         /// Where that one runs.
@@ -140,6 +145,23 @@
     },
 }
 
+/// What a key's home knows of earlier uses of the key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Found {
+    /// None.
+    Nothing,
+    /// One that ended and may have run.
+    Ended,
+    /// One that runs.
+    Running,
+    /// One that was answered or claimed.
+    Recorded,
+    /// Nothing that this request could learn: the home did not answer in time,
+    /// or refused.
+    NoAnswer,
+}
+
 /// Whether a request ran.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/timeline/src/lib.rs
+++ b/crates/timeline/src/lib.rs
@@ -15,6 +15,6 @@
 mod ring;
 
 pub use clock::{Clock, MAX_SKEW_MS, Skew, Stamp};
-pub use event::{Event, GrantMove, Holding, Kind, OutageStep, Phase, Ran, Step, UnknownKind, Wanted};
+pub use event::{Event, Found, GrantMove, Holding, Kind, OutageStep, Phase, Ran, Step, UnknownKind, Wanted};
 pub use filter::{Filter, Subject};
 pub use recorder::{Capacity, Page, Record, Recorder, Source};
