Print the time lines of requests that a failed check is about

Cause: a cell or a trial that failed printed its breaches and no more. Their cause lies in the steps of one or two requests at several instances, which were gone with the deployment ("failed once, output not kept").

Change: before its instances shut down, a scenario asks them for the time lines of the requests that a breach names, with all requests of their session, and of those without a whole answer. The trial prints them on standard error. Instances that were killed or have left are missing.

--- a/crates/trial/src/fleet.rs
+++ b/crates/trial/src/fleet.rs
@@ -117,6 +117,11 @@
         Some(withdraw::withdraw(target, name.clone(), rollout.version.to_string()))
     }
 
+    /// The operators' listeners of the instances that run.
+    pub(crate) fn targets(&self, site: &Site) -> Vec<Target> {
+        (0..self.instances.len()).map(|place| self.target(site, place)).collect()
+    }
+
     fn target(&self, site: &Site, place: usize) -> Target {
         let key = site.settings[0].keys.operators.expose().to_owned();
         Target { address: self.instances[place].process.addresses().operators, key, timeout: OPERATORS_TIMEOUT }
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -18,5 +18,6 @@
 mod serve;
 mod site;
 mod summary;
+mod trace;
 mod traffic;
 mod withdraw;
--- a/crates/trial/src/program.rs
+++ b/crates/trial/src/program.rs
@@ -9,7 +9,7 @@
     harm, plan, serve,
     site::{self, Error, Site},
     summary::Summary,
-    traffic,
+    trace, traffic,
 };
 
 /// Runs the program the command line asks for.
@@ -77,5 +77,10 @@
         None => None,
     };
     let findings = check::check(&site.catalog, &traffic, &books, withdrawal.as_ref());
+    if !findings.0.is_empty() {
+        for line in trace::of(&fleet.targets(&site), &traffic, &findings.0).await {
+            eprintln!("{line}");
+        }
+    }
     Ok(Summary::of(name, &traffic, &books, withdrawal, findings))
 }
--- a/crates/trial/src/scenario.rs
+++ b/crates/trial/src/scenario.rs
@@ -22,6 +22,7 @@
     harm,
     plan::{self, Ask, Kind, Repeat, Script, Session},
     site::{Secrets, Site},
+    trace,
     traffic::{self, Traffic},
     withdraw::Withdrawal,
 };
@@ -104,6 +105,9 @@
     pub told_of: Vec<String>,
     /// Promises that were broken.
     pub breaches: Vec<String>,
+    /// Time lines of the requests that these are about, and of those without a
+    /// whole answer; a line for each step.
+    pub traces: Vec<String>,
     /// Runs at engines on the version under roll-out.
     pub exposed: usize,
     /// Runs at engines.
@@ -174,6 +178,7 @@
         let books = books::settled(&self.site, traffic).await.unwrap_or_else(|error| panic!("{error}"));
         let findings = check::check(&self.site.catalog, traffic, &books, withdrawal);
         let new = new_version(&self.site);
+        let traces = trace::of(&self.fleet.targets(&self.site), traffic, &findings.0).await;
         self.fleet.shutdown().await;
         let all: Vec<&Sent> = traffic.played.iter().flat_map(|p| p.sent.iter().flatten()).collect();
         let ends: Vec<_> = all.iter().map(|sent| &sent.end).collect();
@@ -183,6 +188,7 @@
             told: ends.iter().filter(|end| matches!(end, End::Told(_))).count(),
             told_of: all.iter().filter(|sent| matches!(sent.end, End::Told(_))).map(|sent| describe(sent)).collect(),
             breaches: findings.0.iter().map(|breach| format!("{breach:?}")).collect(),
+            traces,
             exposed: books.records.iter().filter(|record| record.version == new).count(),
             runs: books.records.len(),
             withdrawn_after: withdrawal.map(|w| w.took),
