Call no idempotent request's key not run

What callers saw: one key sent to two instances at once; one of them answered "not run" 0.5 to 2.6 s after the other had begun to run the request. A caller that believes it files the request anew under another key.

Cause: an instance that was the first to register a key at its home said "not run" later without asking again. An instance that gets no answer from the home within half a second runs the request without its word, and the home need not hear of it.

Change: "not run" is said of the key of a request that runs under a claim, and never of an idempotent request's key. A claim excludes another run, a registration cannot: whoever lacks the home's word runs all the same, or a lost instance would stop a part of all requests. A repeat under the same key is safe in either case, so the caller loses nothing.

Test: repeats::refusal_beside_a_run_that_the_keys_home_has_not_heard_of_is_no_promise failed before ("ran":"no", "the session could not be bound to its version"). The 86 tests of entry's path pass unchanged.

--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -36,8 +36,8 @@
     request: Request,
     tape: Tape,
     life: Life,
-    /// The key's home has said that no other try came before this one.
-    is_first: bool,
+    /// Its claim is durable: no other try of its key runs.
+    is_claimed: bool,
     turn: Option<Turn>,
     chosen: Option<Chosen>,
     reservation: Option<Reservation>,
@@ -102,7 +102,7 @@
             request,
             tape,
             life,
-            is_first: false,
+            is_claimed: false,
             turn: None,
             chosen: None,
             reservation: None,
@@ -202,7 +202,7 @@
         }
         self.drop_attempt();
         self.settle(ran).await;
-        if !self.is_first {
+        if !self.is_claimed {
             problem = self.shared.truthful(problem, &self.request.terms, self.request.repeat).await;
         }
         let ran = problem.ran;
--- a/crates/entry/src/drive/enter.rs
+++ b/crates/entry/src/drive/enter.rs
@@ -50,14 +50,11 @@
                 self.refuse(refusal(reason));
                 false
             }
-            Ok(Registered::First) if !self.shared.lost_since(&self.request.id().key) => {
-                self.is_first = true;
-                true
-            }
+            Ok(Registered::First) => true,
             // An earlier try may have run, or the home cannot be asked. Running
             // twice does an idempotent request no harm, and it is billed once;
             // but nobody can promise that it has not run.
-            Ok(Registered::First | Registered::Again) => {
+            Ok(Registered::Again) => {
                 self.life.ran_before(Ran::Unknown);
                 true
             }
@@ -170,7 +167,7 @@
         let claimed = self.shared.links.journal.claim(&id, made_at, fingerprint, deadline).await;
         match claimed {
             Ok(Claimed::First) => {
-                self.is_first = true;
+                self.is_claimed = true;
                 self.shared.note(&id, Step::Claimed { home: self.shared.settings.instance.clone() });
                 Event::Claimed
             }
--- a/crates/entry/src/truth.rs
+++ b/crates/entry/src/truth.rs
@@ -7,6 +7,12 @@
 //! that somebody else may have used, it asks the key's home. What only the
 //! memory of an instance held is gone with it; a key made before the last loss
 //! of an instance may have run there.
+//!
+//! An idempotent request runs without its home's word where the home does not
+//! answer in time. So the home cannot rule out a run of such a key, and neither
+//! can an instance that was the first to register it: "not run" is never said
+//! of the key of an idempotent request. Its caller loses nothing by that, since
+//! a repeat under the same key is safe whether it has run or not.
 
 use std::{sync::atomic::Ordering, time::Duration};
 
@@ -53,22 +59,25 @@
         // whatever became of the one that had the key before.
         let about_key = terms.keyed && problem.kind != Kind::KeyReused;
         if problem.ran == Ran::No && about_key {
-            problem.ran = self.ran_before(terms, repeat).await;
+            problem.ran = self.ran_elsewhere(terms, repeat).await;
         }
         problem
     }
 
-    /// Whether an earlier try under this key has run.
-    async fn ran_before(&self, terms: &Terms, repeat: Repeat) -> Ran {
+    /// Whether another try under this key has run.
+    async fn ran_elsewhere(&self, terms: &Terms, repeat: Repeat) -> Ran {
+        if repeat == Repeat::Idempotent {
+            return Ran::Unknown;
+        }
         let lost = self.lost_since(&terms.id.key);
         let known = self.links.journal.outcome(&terms.id, Instant::now() + ASK_WITHIN).await;
         tracing::debug!(request = %terms.id, ?known, lost, "whether a refused key has run");
         match known {
             Ok(Some(Outcome::Answered)) => Ran::Yes,
             // The home has proved that it is the home: a claim that is not
-            // there was never made. An idempotent request makes none.
-            Ok(None | Some(Outcome::NotRun)) if repeat == Repeat::Never => Ran::No,
-            Ok(None | Some(Outcome::NotRun)) | Err(Error::NotRecorded(Reason::Unproved)) if !lost => Ran::No,
+            // there was never made.
+            Ok(None | Some(Outcome::NotRun)) => Ran::No,
+            Err(Error::NotRecorded(Reason::Unproved)) if !lost => Ran::No,
             // The home was not reached, has no state yet, or went with what it
             // knew: nobody can tell.
             Ok(_) | Err(_) => Ran::Unknown,
--- a/crates/entry/tests/path/repeats.rs
+++ b/crates/entry/tests/path/repeats.rs
@@ -1,7 +1,8 @@
 //! Repeats of a request, here and at other instances.
 
 use http::Method;
-use standin::engine;
+use standin::{engine, objects};
+use timeline::{Event, Filter, Found, Step};
 
 use crate::{
     site::{CLUB, Plan, Site, WATER},
@@ -139,3 +140,56 @@
     assert_eq!(site.service.effects().len(), 1);
     assert_eq!(site.bills_when(1).await.len(), 1);
 }
+
+/// What the key's home told a node of each request, in the order of the requests.
+fn found(site: &Site, node: usize, key: &str) -> Option<Found> {
+    let records = site.nodes[node].links.recorder.query(&Filter::default()).records;
+    records.into_iter().find_map(|record| match record.event {
+        Event::Request { request, step: Step::Registered { found } } if request.key.as_str() == key => Some(found),
+        _ => None,
+    })
+}
+
+// One key comes at two instances. The first is registered at the key's home, and
+// refused once its session cannot be bound. Meanwhile the second, whose calls to
+// the home are lost, runs the request without the home's word.
+#[tokio::test]
+async fn refusal_beside_a_run_that_the_keys_home_has_not_heard_of_is_no_promise() {
+    let site = Site::open(Plan { instances: 3, ..Plan::default() }).await;
+    for node in 0..3 {
+        site.client(node).chat(CLUB, &[], "before").await.content();
+    }
+    site.objects.switch(objects::Switch::Down);
+    site.nodes[1].deaf.store(true, std::sync::atomic::Ordering::Release);
+    let mut beside = 0;
+    let pairs = (0..6).map(|n| {
+        let site = &site;
+        async move {
+            let (key, content) = (format!("season-{n}"), format!("summary {n}"));
+            let bound = [("idempotency-key", key.as_str()), ("arbutuslug-session", key.as_str())];
+            let (refused, second) = (site.client(0), site.client(1));
+            let repeat = [("idempotency-key", key.as_str())];
+            let ran = async {
+                let hung_up = tokio::time::timeout(std::time::Duration::from_secs(3), second.chat(CLUB, &repeat, &content));
+                drop(hung_up.await);
+            };
+            let (refused, ()) = tokio::join!(refused.chat(CLUB, &bound, &content), ran);
+            (key, refused)
+        }
+    });
+    for (key, refused) in futures::future::join_all(pairs).await {
+        let heard = (found(&site, 0, &key), found(&site, 1, &key));
+        if heard != (Some(Found::Nothing), Some(Found::NoAnswer)) {
+            continue;
+        }
+        beside += 1;
+        assert!(ran(&site, &key), "the second instance ran it");
+        assert_ne!(refused.problem().2, "no", "{}", refused.text);
+    }
+    assert!(beside > 0, "no key has its home at another instance than the second");
+}
+
+fn ran(site: &Site, key: &str) -> bool {
+    let content = key.replace("season-", "summary ");
+    site.runs().iter().any(|run| run.prompt.contains(&content))
+}
--- a/crates/entry/tests/path/site.rs
+++ b/crates/entry/tests/path/site.rs
@@ -1,7 +1,14 @@
 //! A small site: stand-ins of the outside, and instances wired as the daemon
 //! wires them, as tasks of this process.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use config::{Edit, Expected, Outbound, Scope};
 use entry::{Links, Settings};
@@ -64,6 +71,8 @@
     pub links: Links,
     /// What the platform's list says, as the daemon reads it.
     pub leaving: tokio::sync::watch::Sender<Vec<world::endpoint::Id>>,
+    /// Loses the calls of this node's journal to other instances.
+    pub deaf: Arc<AtomicBool>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -239,13 +248,14 @@
         settings.outage_after = Duration::from_millis(500);
         settings.body_timeout = Duration::from_millis(400);
         let entry = entry::bind(listener, settings, links.clone()).expect("bound");
+        let deaf = Arc::new(AtomicBool::new(false));
         let tasks = vec![
             tokio::spawn(pump_config(links.clone(), config_out)),
-            tokio::spawn(pump_journal(links.peer.clone(), journal_rx)),
+            tokio::spawn(pump_journal(links.peer.clone(), deaf.clone(), journal_rx)),
             tokio::spawn(pump_members(links.clone())),
             tokio::spawn(pump_inbound(links.clone(), entry.clone(), inbound)),
         ];
-        Node { entry, links, leaving: leaving_list, tasks }
+        Node { entry, links, leaving: leaving_list, deaf, tasks }
     }
 }
 
@@ -270,8 +280,11 @@
     }
 }
 
-async fn pump_journal(peer: peer::Handle, mut out: mpsc::Receiver<journal::Outbound>) {
+async fn pump_journal(peer: peer::Handle, deaf: Arc<AtomicBool>, mut out: mpsc::Receiver<journal::Outbound>) {
     while let Some(message) = out.recv().await {
+        if deaf.load(Ordering::Acquire) {
+            continue;
+        }
         let peer = peer.clone();
         tokio::spawn(async move {
             if let Ok(answer) = peer.call(&message.to, Topic::Journal, message.bytes, WITHIN).await {
