Ask about a key before a refusal that precedes reading says "not run"

A repeat whose body does not arrive is refused with "not run" of a key whose first try was answered at another instance.

Cause: refusals before the driver takes over (a body that is not read, a contract, model, service or session that this instance does not know) are made of this try alone.

Change: they pass the same check as all others. A body that does not read as a request stays "not run": with another body it is another request.

Test: bad_input::repeat_that_is_not_read_is_not_called_not_run and non_idempotent_repeat_that_is_not_read_is_not_called_not_run failed before, with "ran":"no" in the answer.

--- a/crates/entry/src/http/calls.rs
+++ b/crates/entry/src/http/calls.rs
@@ -38,14 +38,22 @@
 pub(super) async fn chat(shared: &Arc<Shared>, http: &mut Http, response: &mut Response) -> Result<(), Problem> {
     let catalog = shared.catalog();
     let terms = terms(&catalog, http.headers())?;
-    let key = terms.id.key.clone();
-    let body = body(shared, http).await?;
+    let (key, repeat) = (terms.id.key.clone(), terms.repeat());
+    let body = match body(shared, http).await {
+        Ok(body) => body,
+        Err(problem) => return Err(shared.truthful(problem, &terms, repeat).await),
+    };
     let chat = Chat::parse(&body)?;
     let stream = chat.stream;
-    let contract = contract(&catalog, &terms)?;
-    check_model(&catalog, contract, &chat)?;
-    let repeat = terms.repeat();
-    let request = request(shared, terms, repeat, Work::Chat(chat), contract)?;
+    let checked = contract(&catalog, &terms).and_then(|contract| {
+        check_model(&catalog, contract, &chat)?;
+        Ok((contract, session(shared, &terms)?))
+    });
+    let (contract, session) = match checked {
+        Ok(checked) => checked,
+        Err(problem) => return Err(shared.truthful(problem, &terms, repeat).await),
+    };
+    let request = Request::new(terms, repeat, Work::Chat(chat), session, contract);
     let reader = start(shared, request, contract).await.map_err(|problem| problem.about(&key))?;
     answer::write(response, reader, stream).await
 }
@@ -54,22 +62,31 @@
     let catalog = shared.catalog();
     let terms = terms(&catalog, http.headers())?;
     let key = terms.id.key.clone();
-    let contract = contract(&catalog, &terms)?;
     let (name, path) = service_path(http)?;
     let id = service::Id::parse(&name)
         .map_err(|invalid| Problem::not_run(Kind::UnknownService, format!("service: {invalid}")))?;
-    let unknown = || Problem::not_run(Kind::UnknownService, format!("no service `{id}`"));
-    let spec = catalog.service(&id).ok_or_else(unknown)?;
-    if !contract.services.contains(&id) {
-        return Err(Problem::not_run(Kind::ServiceNotAllowed, format!("service `{id}`")));
-    }
+    let checked = contract(&catalog, &terms).and_then(|contract| {
+        let unknown = || Problem::not_run(Kind::UnknownService, format!("no service `{id}`"));
+        let spec = catalog.service(&id).ok_or_else(unknown)?;
+        if !contract.services.contains(&id) {
+            return Err(Problem::not_run(Kind::ServiceNotAllowed, format!("service `{id}`")));
+        }
+        Ok((contract, spec, session(shared, &terms)?))
+    });
+    let (contract, spec, session) = match checked {
+        Ok(checked) => checked,
+        Err(problem) => return Err(shared.truthful(problem, &terms, terms.repeat()).await),
+    };
     let plain = path.split('?').next().unwrap_or_default();
     let repeat = if spec.repeatable(http.method().as_str(), plain) { terms.repeat() } else { Repeat::Never };
     let method = http.method().clone();
     let headers = ask::only(http.headers(), &PASSED_ON);
-    let body = body(shared, http).await?;
+    let body = match body(shared, http).await {
+        Ok(body) => body,
+        Err(problem) => return Err(shared.truthful(problem, &terms, repeat).await),
+    };
     let visit = Visit { service: id, method, path, headers, body };
-    let request = request(shared, terms, repeat, Work::Call(visit), contract)?;
+    let request = Request::new(terms, repeat, Work::Call(visit), session, contract);
     let reader = start(shared, request, contract).await.map_err(|problem| problem.about(&key))?;
     answer::write(response, reader, false).await
 }
@@ -125,12 +142,10 @@
     Ok(())
 }
 
-fn request(shared: &Shared, terms: Terms, repeat: Repeat, work: Work, contract: &Contract) -> Result<Request, Problem> {
-    let session = match &terms.session {
-        Some(text) => Some(session::read(&shared.settings.session_keys, &terms.customer, text)?),
-        None => None,
-    };
-    Ok(Request::new(terms, repeat, work, session, contract))
+/// The session that a call names.
+fn session(shared: &Shared, terms: &Terms) -> Result<Option<session::Named>, Problem> {
+    let read = |text: &String| session::read(&shared.settings.session_keys, &terms.customer, text);
+    terms.session.as_ref().map(read).transpose()
 }
 
 /// Starts a request, or joins it where it runs here already.
--- a/crates/entry/tests/path/bad_input.rs
+++ b/crates/entry/tests/path/bad_input.rs
@@ -129,8 +129,8 @@
 }
 
 /// Sends raw bytes and reads what comes until the connection closes or pauses.
-async fn raw(site: &Site, bytes: &[u8]) -> String {
-    let mut socket = TcpStream::connect(site.nodes[0].entry.address()).await.expect("listens");
+async fn raw(site: &Site, node: usize, bytes: &[u8]) -> String {
+    let mut socket = TcpStream::connect(site.nodes[node].entry.address()).await.expect("listens");
     socket.write_all(bytes).await.expect("sent");
     let mut answer = vec![0; 4_096];
     let read = socket.read(&mut answer).await.expect("an answer");
@@ -144,14 +144,40 @@
     let site = Site::open(Plan::default()).await;
     let head =
         format!("POST {CHAT} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer club-key\r\ncontent-length: 100\r\n\r\n{{");
-    let answer = raw(&site, head.as_bytes()).await;
+    let answer = raw(&site, 0, head.as_bytes()).await;
     assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
     assert!(answer.contains("slow-body"), "{answer}");
 }
 
+/// Repeats a request that was answered at one instance at another, where its
+/// body does not arrive.
+async fn check_slow_repeat(idempotent: &str) {
+    let site = Site::open(Plan { instances: 2, ..Plan::default() }).await;
+    let headers = [("idempotency-key", "season-7"), ("arbutuslug-idempotent", idempotent)];
+    site.client(0).chat(CLUB, &headers, "season summary").await.content();
+    let head = format!(
+        "POST {CHAT} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer club-key\r\nidempotency-key: season-7\r\narbutuslug-idempotent: {idempotent}\r\ncontent-length: 100\r\n\r\n{{"
+    );
+    let answer = raw(&site, 1, head.as_bytes()).await;
+    assert!(answer.contains("slow-body"), "{answer}");
+    assert!(!answer.contains("\"ran\":\"no\""), "{answer}");
+}
+
+// A caller's first try was answered, and its repeat breaks off at another
+// instance before it is read. The refusal is about a key that has run.
+#[tokio::test]
+async fn repeat_that_is_not_read_is_not_called_not_run() {
+    check_slow_repeat("true").await;
+}
+
+#[tokio::test]
+async fn non_idempotent_repeat_that_is_not_read_is_not_called_not_run() {
+    check_slow_repeat("false").await;
+}
+
 #[tokio::test]
 async fn text_that_is_no_http_does_no_harm() {
     let site = Site::open(Plan::default()).await;
-    raw(&site, b"launch sheet\r\n\r\n").await;
+    raw(&site, 0, b"launch sheet\r\n\r\n").await;
     site.client(0).chat(CLUB, &[], "still serves").await.content();
 }
--- a/crates/entry/tests/path/repeats.rs
+++ b/crates/entry/tests/path/repeats.rs
@@ -170,7 +170,8 @@
             let (refused, second) = (site.client(0), site.client(1));
             let repeat = [("idempotency-key", key.as_str())];
             let ran = async {
-                let hung_up = tokio::time::timeout(std::time::Duration::from_secs(3), second.chat(CLUB, &repeat, &content));
+                let hung_up =
+                    tokio::time::timeout(std::time::Duration::from_secs(3), second.chat(CLUB, &repeat, &content));
                 drop(hung_up.await);
             };
             let (refused, ()) = tokio::join!(refused.chat(CLUB, &bound, &content), ran);
