Promise "not run" to one caller of a key at most

The second one's "not run" was false when it was read.

Cause: one refusal is sent to all that wait for one run of a key, and each may act on it at once.

Change: a refusal that several have heard says "unknown", with the same time to come back. Whoever comes before it is made hears the same; whoever comes later runs anew.

Test: repeats::refusal_that_two_callers_hear_is_no_promise failed before ("no" to both); refusal_that_one_caller_hears_is_a_promise holds the other side.

--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -205,11 +205,17 @@
         if !self.is_claimed {
             problem = self.shared.truthful(problem, &self.request.terms, self.request.repeat).await;
         }
-        let ran = problem.ran;
-        let step = Step::Refused { ran, problem: problem.kind.as_str().into(), detail: problem.detail.clone() };
+        // From here on a repeat runs anew and does not join.
+        self.shared.held.forget(self.request.id(), &self.tape);
+        // Of several callers with one key, the first to hear of a refusal may
+        // come back and start the run before the others have heard of it.
+        if problem.ran == Ran::No && self.tape.is_shared() {
+            problem.ran = Ran::Unknown;
+        }
+        let step =
+            Step::Refused { ran: problem.ran, problem: problem.kind.as_str().into(), detail: problem.detail.clone() };
         self.shared.note(self.request.id(), step);
         self.count(problem.kind.as_str());
-        self.shared.held.forget(self.request.id(), &self.tape);
         self.tape.end(End::Failed(Arc::new(problem)));
     }
 
--- a/crates/entry/src/tape.rs
+++ b/crates/entry/src/tape.rs
@@ -92,6 +92,8 @@
     end: Option<End>,
     /// Bytes read so far, one per reader; nothing for one that is gone.
     readers: Vec<Option<usize>>,
+    /// Readers that there have been.
+    opened: usize,
 }
 
 impl State {
@@ -125,6 +127,7 @@
             state.readers.len() - 1
         });
         state.readers[place] = Some(0);
+        state.opened += 1;
         drop(state);
         Reader { tape: self.clone(), written: self.shared.written.subscribe(), place, stage: Stage::Head }
     }
@@ -195,6 +198,12 @@
         self.lock().end.is_some()
     }
 
+    /// Whether more than one has read it: its key is in use more than once.
+    #[must_use]
+    pub fn is_shared(&self) -> bool {
+        self.lock().opened > 1
+    }
+
     /// Waits until nobody reads.
     pub async fn deserted(&self) {
         let mut read = self.shared.read.subscribe();
--- a/crates/entry/tests/path/repeats.rs
+++ b/crates/entry/tests/path/repeats.rs
@@ -194,3 +194,30 @@
     let content = key.replace("season-", "summary ");
     site.runs().iter().any(|run| run.prompt.contains(&content))
 }
+
+// Two callers with one key wait for one claim; then no engine takes the request. One
+// of them comes back at once and starts the run while the other's refusal is still on
+// its way.
+#[tokio::test]
+async fn refusal_that_two_callers_hear_is_no_promise() {
+    let site = Site::open(Plan::default()).await;
+    site.client(0).chat(CLUB, &[NEVER], "before").await.content();
+    site.switch(&engine::Switch::Refuse(standin::fault::Odds::ALWAYS));
+    site.objects.switch(objects::Switch::Slow { ms: 300 });
+    let (first, second) = (site.client(0), site.client(0));
+    let headers = [KEY, NEVER];
+    let (first, second) = tokio::join!(first.chat(CLUB, &headers, CONTENT), second.chat(CLUB, &headers, CONTENT));
+    for refused in [first, second] {
+        assert_eq!(refused.problem(), (503, "no-endpoint".into(), "unknown".into()));
+        assert_ne!(refused.header("retry-after-ms"), "");
+    }
+}
+
+// The same, of one caller: nobody else can have started a run.
+#[tokio::test]
+async fn refusal_that_one_caller_hears_is_a_promise() {
+    let site = Site::open(Plan::default()).await;
+    site.switch(&engine::Switch::Refuse(standin::fault::Odds::ALWAYS));
+    let refused = site.client(0).chat(CLUB, &[KEY, NEVER], CONTENT).await;
+    assert_eq!(refused.problem(), (503, "no-endpoint".into(), "no".into()));
+}
