Judge a session's moves in the order in which its answers came

Cause: of a request on two connections with one key the judge took the word of both answers first, and the version of the first connection's answer afterwards. Where the second answer came later and told that the session left just that version, the next answer counted as an untold move.

Change: answers count in the order of their ends. This is stricter where the word came too late: an answer that changed its version without a word was excused since by any later word on the other connection.

Tests: move_told_after_the_first_connections_answer and move_told_too_late_for_the_first_connections_answer failed before, one in each direction; the others hold as before.

--- a/crates/trial/src/caller.rs
+++ b/crates/trial/src/caller.rs
@@ -74,6 +74,8 @@
     /// What it was told last of a run that was or may have been, in words.
     pub(crate) may_have_run: Option<String>,
     pub(crate) tries: u32,
+    /// When it came to its end.
+    pub(crate) ended: Timestamp,
     pub(crate) took: Duration,
 }
 
@@ -132,6 +134,7 @@
             not_run: Vec::new(),
             may_have_run: None,
             tries: 0,
+            ended: Timestamp(0),
             took: Duration::ZERO,
         };
         while start.elapsed() < PATIENCE {
@@ -149,6 +152,7 @@
                 }
             }
         }
+        sent.ended = now();
         sent.took = start.elapsed();
         sent
     }
--- a/crates/trial/src/check.rs
+++ b/crates/trial/src/check.rs
@@ -205,15 +205,19 @@
         }
         let mut pins: BTreeMap<u8, String> = BTreeMap::new();
         for sent in &played.sent {
-            for left in sent.iter().flat_map(told_moves) {
-                pins.retain(|_, pinned| pinned != left);
-            }
-            let End::Whole(whole) = &sent[0].end else { continue };
-            let Some(tier) = tier(catalog, &whole.version) else { continue };
-            let before = pins.insert(tier, whole.version.clone());
-            if let Some(before) = before.filter(|before| *before != whole.version) {
-                let text = format!("{}: {session:?} went from {before} to {}", sent[0].tag, whole.version);
-                self.0.push(Breach::Session(text));
+            let mut ends: Vec<(usize, &Sent)> = sent.iter().enumerate().collect();
+            ends.sort_by_key(|(_, sent)| sent.ended);
+            for (place, sent) in ends {
+                for left in told_moves(sent) {
+                    pins.retain(|_, pinned| pinned != left);
+                }
+                let (0, End::Whole(whole)) = (place, &sent.end) else { continue };
+                let Some(tier) = tier(catalog, &whole.version) else { continue };
+                let before = pins.insert(tier, whole.version.clone());
+                if let Some(before) = before.filter(|before| *before != whole.version) {
+                    let text = format!("{}: {session:?} went from {before} to {}", sent.tag, whole.version);
+                    self.0.push(Breach::Session(text));
+                }
             }
         }
     }
@@ -223,7 +227,8 @@
 ///
 /// The word counts whichever tier answered: an answer that was escalated may
 /// tell of a move in the tier below, where the session's next answer comes
-/// from. And it counts on either of a caller's two connections with one key.
+/// from. And it counts on either of a caller's two connections with one key,
+/// from when its answer was whole.
 fn told_moves(sent: &Sent) -> impl Iterator<Item = &str> {
     let told = if let End::Whole(whole) = &sent.end { whole.moved_off.as_deref() } else { None };
     told.into_iter().flat_map(|versions| versions.split(", "))
--- a/crates/trial/src/check/tests.rs
+++ b/crates/trial/src/check/tests.rs
@@ -77,6 +77,7 @@
         not_run: Vec::new(),
         may_have_run: None,
         tries: 1,
+        ended: Timestamp(0),
         took: Duration::ZERO,
     }
 }
@@ -223,9 +224,9 @@
 
 /// Versions that answer a session's requests in turn, each with the version
 /// that its answer tells the session to have left.
-type Answers = &'static [(&'static str, Option<&'static str>)];
+type Answers = [(&'static str, Option<&'static str>)];
 
-fn session_of(answers: Answers) -> Played {
+fn session_of(answers: &Answers) -> Played {
     let mut played = run().traffic.played.remove(0);
     let (ask, first) = (played.script.asks[0].clone(), played.sent[0][0].clone());
     played.script.asks = vec![ask; answers.len()];
@@ -271,3 +272,31 @@
     played.sent[1] = vec![told, whole];
     check_moves(&played, 0);
 }
+
+/// A session on version 1 whose next request goes out on two connections. Each
+/// ends at a time with an answer of a version, which may tell of a move; the
+/// request after it is answered by version 2 without a word.
+fn on_two_connections(ends: [(u64, &'static str, Option<&'static str>); 2]) -> Played {
+    let mut played = session_of(&[("m@1", None), ("m@1", None), ("m@2", None)]);
+    let sent = ends.map(|(at, version, moved_off)| {
+        let answer = session_of(&[(version, moved_off)]).sent[0][0].clone();
+        Sent { ended: Timestamp(at), ..answer }
+    });
+    played.sent[1] = sent.into();
+    played
+}
+
+macro_rules! connections {
+    ($($name:ident: $ends:expr => $breaches:expr;)*) => {
+        $(#[test] fn $name() { check_moves(&on_two_connections($ends), $breaches); })*
+    };
+}
+
+// What the caller sees: both connections with one key bring an answer, and only the
+// second tells of a move. It counts from when it came, not before.
+connections! {
+    move_told_after_the_first_connections_answer: [(10, "m@1", None), (25, "m@2", Some("m@1"))] => 0;
+    move_told_before_the_first_connections_answer: [(25, "m@1", None), (10, "m@2", Some("m@1"))] => 1;
+    move_told_too_late_for_the_first_connections_answer: [(10, "m@2", None), (25, "m@2", Some("m@1"))] => 1;
+    move_told_in_time_for_the_first_connections_answer: [(25, "m@2", None), (10, "m@2", Some("m@1"))] => 0;
+}
