Ask the instance that told of a session's move before saying nothing of it

What callers saw: a session's answers change their version, and none tells that it left the old one, where the answer that told was lost with its instance and the next request came right after.

Cause: an answer is noted as having told before it ends, and the note counts while its instance is a member. Members notice a loss seconds later. Every answer of the session in that time says nothing, and the caller has then seen the new version.

Change: before an answer keeps silent because another one has told, the instance that gave that one is asked over its link, once for each such answer; if it does not answer within 200 ms, the move is told once more. What tells of moves has a module of its own.

Test: sessions::move_told_by_an_instance_that_is_just_lost_is_told_again failed before (the next answers of sessions with a living home told nothing). An instance that runs has sent its answer or will, and a repeat under its key gets the same one from there.

--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod enter;
 mod read;
+mod tell;
 
 use std::sync::Arc;
 
--- a/crates/entry/src/drive/choose.rs
+++ b/crates/entry/src/drive/choose.rs
@@ -3,16 +3,16 @@
 use std::sync::Arc;
 
 use route::{
-    model::{Choice, Permit, Refusal},
+    model::{Choice, Refusal},
     rollout::{Stop, Stops},
 };
 use timeline::Step;
 use tokio::time::Instant;
 use world::{
-    Catalog, model,
+    Catalog,
     money::Amount,
     request::Repeat,
-    session::{Id, Left, Pin, Session, Teller, untold},
+    session::{Id, Pin, Session},
 };
 
 use super::{Chosen, Driver, enter};
@@ -27,9 +27,6 @@
 
 /// Longest wait for a caller-named session's binding.
 const BIND_WITHIN: std::time::Duration = std::time::Duration::from_secs(2);
-/// Longest that the end of an answer waits until its move is noted as told:
-/// several writes to the platform; after it the move is told once more.
-const TELL_WITHIN: std::time::Duration = std::time::Duration::from_millis(200);
 /// Bindings tried when others move the same session at the same time.
 const BIND_TRIES: usize = 3;
 /// When to come back when no version may run now.
@@ -92,7 +89,7 @@
             return Err(problem);
         }
         let start = choice.start();
-        let moved = self.moves(&choice, &pins);
+        let moved = self.moves(&choice, &pins).await;
         let bound = matches!(self.request.session, Some(Named::Caller(_))).then(|| pins.clone());
         let session = self.session_text(pins);
         self.shared.note(
@@ -108,81 +105,6 @@
         Ok(steps)
     }
 
-    /// The versions that the session left for those of a choice, now or before,
-    /// as far as its caller may not have heard of that yet.
-    fn moves(&self, choice: &Choice, pins: &[Pin]) -> Vec<model::Version> {
-        let mut moved = choice.reason().moved.clone();
-        let answering: Vec<_> = choice.steps().iter().map(Permit::version).collect();
-        let journal = &self.shared.links.journal;
-        let lives = |told: &Teller| journal.knows(&told.instance, told.incarnation);
-        for version in untold(pins, &answering, &self.request.id().key, lives) {
-            if !moved.contains(version) {
-                moved.push(version.clone());
-            }
-        }
-        moved
-    }
-
-    /// Notes in the journal that this answer tells of a move, before it ends.
-    ///
-    /// Noted after the answer's head was written and before its end: a caller
-    /// whose next request is served after this one is not told twice, and one
-    /// that never saw the head repeats this request or is told by the next.
-    pub(super) async fn note_told(&self) {
-        let Some(Named::Caller(id)) = &self.request.session else { return };
-        let Some(chosen) = self.chosen.as_ref().filter(|chosen| !chosen.moved.is_empty()) else { return };
-        let Some(bound) = chosen.bound.as_deref() else { return };
-        let mut told = bound.to_vec();
-        let origin = &self.shared.links.journal.config().origin;
-        let teller = Teller {
-            request: self.request.id().key.clone(),
-            instance: origin.instance.clone(),
-            incarnation: origin.incarnation,
-        };
-        let is_told = |left: &&mut Left| left.versions.iter().all(|version| chosen.moved.contains(version));
-        for left in told.iter_mut().filter_map(|pin| pin.left.as_mut()).filter(is_told) {
-            left.told = Some(teller.clone());
-        }
-        if told == bound {
-            return;
-        }
-        let deadline = self.request.deadline.min(Instant::now() + TELL_WITHIN);
-        let journal = &self.shared.links.journal;
-        if let Err(error) = journal.bind_session(self.request.customer(), id, &told, Some(bound), deadline).await {
-            tracing::info!(request = %self.request.id(), ?error, "a session's move will be told again");
-        }
-    }
-
-    /// Notes that nobody has heard of the moves that this request's answer told.
-    ///
-    /// An instance may end between that note and its answer's end. The caller
-    /// asks again with the key, and one that must not run twice is only told that
-    /// it ran: the answer that would have told is lost for good, and the next
-    /// one, with another key, would say nothing.
-    pub(super) async fn note_untold(&self) {
-        let Some(Named::Caller(id)) = &self.request.session else { return };
-        let deadline = Instant::now() + TELL_WITHIN;
-        let (journal, customer) = (&self.shared.links.journal, self.request.customer());
-        // A session that nobody has bound yet gets an empty binding, which the
-        // next choice replaces.
-        let Ok(bound) = journal.bind_session(customer, id, &[], None, deadline).await else {
-            tracing::info!(request = %self.request.id(), "a session's binding is not known; its move may stay untold");
-            return;
-        };
-        let mut untold = bound.clone();
-        let key = &self.request.id().key;
-        let is_by_this = |left: &&mut Left| left.told.as_ref().is_some_and(|told| told.request == *key);
-        for left in untold.iter_mut().filter_map(|pin| pin.left.as_mut()).filter(is_by_this) {
-            left.told = None;
-        }
-        if untold == bound {
-            return;
-        }
-        if let Err(error) = journal.bind_session(customer, id, &untold, Some(&bound), deadline).await {
-            tracing::info!(request = %self.request.id(), ?error, "a session's move may stay untold");
-        }
-    }
-
     /// The choice for a session whose pins are known, and its pins after it.
     async fn choose_pinned(&mut self, session: Option<Session>) -> Result<(Choice, Entered, Vec<Pin>), Problem> {
         let (choice, entered) = self.ask(session.clone()).await?;
--- /dev/null
+++ b/crates/entry/src/drive/tell.rs
@@ -0,0 +1,133 @@
+//! Telling callers that their session left a version.
+//!
+//! A move is bound before it is told, and the answer that tells of it may be lost
+//! with its instance, or on its way. The journal keeps with each pin which answer
+//! has told; the rest here is about not trusting that note too far.
+
+use std::time::Duration;
+
+use route::model::{Choice, Permit};
+use tokio::time::Instant;
+use world::{
+    model::Version,
+    request,
+    session::{Left, Pin, Teller, untold},
+};
+
+use super::Driver;
+use crate::{join, session::Named};
+
+/// Longest that an answer waits for a note of what it tells, or for the instance
+/// that told before; after it the move is told once more.
+const TELL_WITHIN: Duration = Duration::from_millis(200);
+
+impl Driver {
+    /// The versions that the session left for those of a choice, now or before,
+    /// as far as its caller may not have heard of that yet.
+    pub(super) async fn moves(&self, choice: &Choice, pins: &[Pin]) -> Vec<Version> {
+        let mut moved = choice.reason().moved.clone();
+        let answering: Vec<_> = choice.steps().iter().map(Permit::version).collect();
+        let mut lost = Vec::new();
+        for told in tellers(pins, &answering) {
+            if !self.has_told(told).await {
+                lost.push(told);
+            }
+        }
+        let lives = |told: &Teller| !lost.contains(&told);
+        for version in untold(pins, &answering, &self.request.id().key, lives) {
+            if !moved.contains(version) {
+                moved.push(version.clone());
+            }
+        }
+        moved
+    }
+
+    /// Whether an answer that told of a move has gone out whole: the instance
+    /// that gave it still runs.
+    ///
+    /// Members hold an instance to be live for seconds after it is lost. So it is
+    /// asked, once for each answer.
+    async fn has_told(&self, told: &Teller) -> bool {
+        let links = &self.shared.links;
+        if !links.journal.knows(&told.instance, told.incarnation) {
+            return false;
+        }
+        let answer = request::Id { customer: self.request.customer().clone(), key: told.request.clone() };
+        if told.instance == self.shared.settings.instance || self.shared.is_confirmed(&answer) {
+            return true;
+        }
+        let lives = join::answers(&links.peer, &told.instance, &answer, TELL_WITHIN).await;
+        if lives {
+            self.shared.confirm(answer);
+        } else {
+            tracing::info!(request = %self.request.id(), instance = %told.instance, "told of a move and does not answer; told again");
+        }
+        lives
+    }
+
+    /// Notes in the journal that this answer tells of a move, before it ends.
+    ///
+    /// Noted after the answer's head was written and before its end: a caller
+    /// whose next request is served after this one is not told twice, and one
+    /// that never saw the head repeats this request or is told by the next.
+    pub(super) async fn note_told(&self) {
+        let Some(Named::Caller(id)) = &self.request.session else { return };
+        let Some(chosen) = self.chosen.as_ref().filter(|chosen| !chosen.moved.is_empty()) else { return };
+        let Some(bound) = chosen.bound.as_deref() else { return };
+        let mut told = bound.to_vec();
+        let origin = &self.shared.links.journal.config().origin;
+        let teller = Teller {
+            request: self.request.id().key.clone(),
+            instance: origin.instance.clone(),
+            incarnation: origin.incarnation,
+        };
+        let is_told = |left: &&mut Left| left.versions.iter().all(|version| chosen.moved.contains(version));
+        for left in told.iter_mut().filter_map(|pin| pin.left.as_mut()).filter(is_told) {
+            left.told = Some(teller.clone());
+        }
+        if told == bound {
+            return;
+        }
+        let deadline = self.request.deadline.min(Instant::now() + TELL_WITHIN);
+        let journal = &self.shared.links.journal;
+        if let Err(error) = journal.bind_session(self.request.customer(), id, &told, Some(bound), deadline).await {
+            tracing::info!(request = %self.request.id(), ?error, "a session's move will be told again");
+        }
+    }
+
+    /// Notes that nobody has heard of the moves that this request's answer told.
+    ///
+    /// An instance may end between that note and its answer's end. The caller
+    /// asks again with the key, and one that must not run twice is only told that
+    /// it ran: the answer that would have told is lost for good, and the next
+    /// one, with another key, would say nothing.
+    pub(super) async fn note_untold(&self) {
+        let Some(Named::Caller(id)) = &self.request.session else { return };
+        let deadline = Instant::now() + TELL_WITHIN;
+        let (journal, customer) = (&self.shared.links.journal, self.request.customer());
+        // A session that nobody has bound yet gets an empty binding, which the
+        // next choice replaces.
+        let Ok(bound) = journal.bind_session(customer, id, &[], None, deadline).await else {
+            tracing::info!(request = %self.request.id(), "a session's binding is not known; its move may stay untold");
+            return;
+        };
+        let mut untold = bound.clone();
+        let key = &self.request.id().key;
+        let is_by_this = |left: &&mut Left| left.told.as_ref().is_some_and(|told| told.request == *key);
+        for left in untold.iter_mut().filter_map(|pin| pin.left.as_mut()).filter(is_by_this) {
+            left.told = None;
+        }
+        if untold == bound {
+            return;
+        }
+        if let Err(error) = journal.bind_session(customer, id, &untold, Some(&bound), deadline).await {
+            tracing::info!(request = %self.request.id(), ?error, "a session's move may stay untold");
+        }
+    }
+}
+
+/// Answers that told of moves to versions which may answer now.
+fn tellers<'a>(pins: &'a [Pin], answering: &[&Version]) -> Vec<&'a Teller> {
+    let answers = |pin: &&Pin| answering.contains(&&pin.version);
+    pins.iter().filter(answers).filter_map(|pin| pin.left.as_ref()?.told.as_ref()).collect()
+}
--- a/crates/entry/src/join.rs
+++ b/crates/entry/src/join.rs
@@ -5,7 +5,7 @@
 //! carries back-pressure, and an answer ends with an explicit last item: a
 //! stream that stops without one was cut.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use endpoint::frame::{Reason, Usage};
@@ -13,7 +13,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use peer::Topic;
 use serde::{Deserialize, Serialize};
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::timeout};
 use world::{instance, request::Id};
 
 use crate::{
@@ -82,6 +82,16 @@
     false
 }
 
+/// Whether an instance answers a question about a request, whatever it knows of it.
+pub(crate) async fn answers(peer: &peer::Handle, at: &instance::Id, id: &Id, within: Duration) -> bool {
+    let question = serde_json::to_vec(&Question { id: id.clone(), fingerprint: 0 }).unwrap_or_default();
+    let asked = async {
+        let mut items = peer.stream(at, Topic::Request, question.into()).await.ok()?;
+        items.next().await?.ok()
+    };
+    matches!(timeout(within, asked).await, Ok(Some(_)))
+}
+
 fn write_end(tape: &Tape, end: End) -> bool {
     tape.end(end);
     true
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,7 +1,7 @@
 //! What all requests of this instance share.
 
 use std::{
-    collections::{HashMap, hash_map::Entry},
+    collections::{HashMap, HashSet, hash_map::Entry},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -28,6 +28,9 @@
 
 /// Milliseconds after which an instance with old configuration is asked again.
 const STALE_RETRY_MS: Millis = 1_000;
+/// Most answers remembered as having told of a move; past it they are asked for
+/// again.
+const MOST_CONFIRMED: usize = 4_096;
 
 /// How callers are served.
 #[derive(Debug, Clone)]
@@ -110,6 +113,8 @@
     pub lost: AtomicU64,
     in_flight: watch::Sender<u64>,
     loads: Mutex<HashMap<Customer, u32>>,
+    /// Answers that told of a session's move and whose instance was there later.
+    confirmed: Mutex<HashSet<request::Id>>,
 }
 
 impl Shared {
@@ -124,6 +129,7 @@
             lost: AtomicU64::new(0),
             in_flight,
             loads: Mutex::default(),
+            confirmed: Mutex::default(),
         })
     }
 
@@ -132,6 +138,20 @@
         self.links.config.current()
     }
 
+    /// Whether an answer is known to have told of its session's move.
+    pub fn is_confirmed(&self, answer: &request::Id) -> bool {
+        self.confirmed.lock().unwrap_or_else(PoisonError::into_inner).contains(answer)
+    }
+
+    /// Notes that an answer has told of its session's move.
+    pub fn confirm(&self, answer: request::Id) {
+        let mut confirmed = self.confirmed.lock().unwrap_or_else(PoisonError::into_inner);
+        if confirmed.len() >= MOST_CONFIRMED {
+            confirmed.clear();
+        }
+        confirmed.insert(answer);
+    }
+
     /// Records a step of a request.
     pub fn note(&self, request: &request::Id, step: Step) {
         self.links.recorder.record(Event::Request { request: request.clone(), step });
--- a/crates/entry/tests/path/repeats.rs
+++ b/crates/entry/tests/path/repeats.rs
@@ -160,7 +160,7 @@
         site.client(node).chat(CLUB, &[], "before").await.content();
     }
     site.objects.switch(objects::Switch::Down);
-    site.nodes[1].deaf.store(true, std::sync::atomic::Ordering::Release);
+    site.nodes[1].links_fault.deaf.store(true, std::sync::atomic::Ordering::Release);
     let mut beside = 0;
     let pairs = (0..6).map(|n| {
         let site = &site;
--- a/crates/entry/tests/path/sessions.rs
+++ b/crates/entry/tests/path/sessions.rs
@@ -212,6 +212,49 @@
     assert_eq!(told().await, ("summary@2".to_owned(), String::new()));
 }
 
+/// Three instances; caller-named sessions on version 1, which is then withdrawn.
+async fn withdrawn_under(sessions: &[&str]) -> Site {
+    let site = Site::open(Plan { instances: 3, ..Plan::default() }).await;
+    let only_one =
+        with_second_version(&site, "serving").replace("versions: [\"1\", \"2\", \"9\"]", "versions: [\"1\"]");
+    site.apply(&only_one).await;
+    for session in sessions {
+        assert_eq!(version(&site.client(0).chat(CLUB, &[(SESSION, session)], "first").await), "summary@1");
+    }
+    site.apply(&with_second_version(&site, "withdrawn")).await;
+    site
+}
+
+const DESKS: [&str; 4] = ["desk-1", "desk-2", "desk-3", "desk-4"];
+
+// An answer tells of a move and is lost with its instance. The session's next
+// request comes before the others have noticed that the instance is gone.
+#[tokio::test]
+async fn move_told_by_an_instance_that_is_just_lost_is_told_again() {
+    let mut site = withdrawn_under(&DESKS).await;
+    for session in DESKS {
+        let lost = site.client(0).chat(CLUB, &[(SESSION, session)], "moves it").await;
+        assert_eq!(lost.header(MOVED), "summary@1");
+    }
+    drop(site.nodes.remove(0));
+    let next = DESKS.map(|session| {
+        let survivor = site.client(0);
+        async move {
+            loop {
+                // Until its home is known to be lost, a session cannot be confirmed.
+                let next = survivor.chat(CLUB, &[(SESSION, session)], "next").await;
+                if next.status == 200 {
+                    return (version(&next).to_owned(), next.header(MOVED).to_owned());
+                }
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            }
+        }
+    });
+    for next in futures::future::join_all(next).await {
+        assert_eq!(next, ("summary@2".to_owned(), "summary@1".to_owned()));
+    }
+}
+
 async fn check_handle(customer: &str, change: impl Fn(&str) -> String, expected: &str) {
     let site = Site::open(Plan::default()).await;
     let first = site.client(0).chat(CLUB, &[], "first").await;
--- a/crates/entry/tests/path/site.rs
+++ b/crates/entry/tests/path/site.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -65,14 +65,25 @@
     pub nodes: Vec<Node>,
 }
 
+/// What befalls an instance's links to others.
+#[derive(Debug, Default)]
+pub struct LinksFault {
+    /// Calls of its journal are lost.
+    pub deaf: AtomicBool,
+    /// Calls of its journal are late by so many milliseconds.
+    pub lag_ms: AtomicU64,
+    /// Answers held here cannot be fetched.
+    pub mute: AtomicBool,
+}
+
 /// One instance.
 pub struct Node {
     pub entry: entry::Handle,
     pub links: Links,
     /// What the platform's list says, as the daemon reads it.
     pub leaving: tokio::sync::watch::Sender<Vec<world::endpoint::Id>>,
-    /// Loses the calls of this node's journal to other instances.
-    pub deaf: Arc<AtomicBool>,
+    /// What befalls this node's links.
+    pub links_fault: Arc<LinksFault>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -248,14 +259,14 @@
         settings.outage_after = Duration::from_millis(500);
         settings.body_timeout = Duration::from_millis(400);
         let entry = entry::bind(listener, settings, links.clone()).expect("bound");
-        let deaf = Arc::new(AtomicBool::new(false));
+        let links_fault = Arc::new(LinksFault::default());
         let tasks = vec![
             tokio::spawn(pump_config(links.clone(), config_out)),
-            tokio::spawn(pump_journal(links.peer.clone(), deaf.clone(), journal_rx)),
+            tokio::spawn(pump_journal(links.peer.clone(), links_fault.clone(), journal_rx)),
             tokio::spawn(pump_members(links.clone())),
-            tokio::spawn(pump_inbound(links.clone(), entry.clone(), inbound)),
+            tokio::spawn(pump_inbound(links.clone(), entry.clone(), links_fault.clone(), inbound)),
         ];
-        Node { entry, links, leaving: leaving_list, deaf, tasks }
+        Node { entry, links, leaving: leaving_list, links_fault, tasks }
     }
 }
 
@@ -280,13 +291,15 @@
     }
 }
 
-async fn pump_journal(peer: peer::Handle, deaf: Arc<AtomicBool>, mut out: mpsc::Receiver<journal::Outbound>) {
+async fn pump_journal(peer: peer::Handle, fault: Arc<LinksFault>, mut out: mpsc::Receiver<journal::Outbound>) {
     while let Some(message) = out.recv().await {
-        if deaf.load(Ordering::Acquire) {
+        if fault.deaf.load(Ordering::Acquire) {
             continue;
         }
         let peer = peer.clone();
+        let lag = Duration::from_millis(fault.lag_ms.load(Ordering::Acquire));
         tokio::spawn(async move {
+            tokio::time::sleep(lag).await;
             if let Ok(answer) = peer.call(&message.to, Topic::Journal, message.bytes, WITHIN).await {
                 let _ = message.reply.send(answer);
             }
@@ -311,10 +324,18 @@
     }
 }
 
-async fn pump_inbound(links: Links, entry: entry::Handle, mut inbound: mpsc::Receiver<Inbound>) {
+async fn pump_inbound(
+    links: Links,
+    entry: entry::Handle,
+    fault: Arc<LinksFault>,
+    mut inbound: mpsc::Receiver<Inbound>,
+) {
     // What it serves ends with the node, as when an instance is lost.
     let mut serving = tokio::task::JoinSet::new();
     while let Some(message) = inbound.recv().await {
+        if matches!(message, Inbound::Stream { .. }) && fault.mute.load(Ordering::Acquire) {
+            continue;
+        }
         let (links, entry) = (links.clone(), entry.clone());
         serving.spawn(async move {
             match message {
