Take back the note of a lost answer's word before refusing its repeat

What callers saw: a session moved untold where the answer that told was lost and could not be fetched again: the request had run and must not run twice, so its repeat was told just that, and the session's next answer said nothing.

Cause: the note that the answer had told was taken back after the refusal went out, for 200 ms at most, and not at all where another request changed the binding meanwhile. The caller's next request came first, or the note stayed for good.

Change: the note is taken back first; the refusal waits for it for two seconds at most, and the note goes on behind it for ten minutes, over changes of the binding.

Test: sessions::move_told_by_an_answer_that_its_repeat_cannot_fetch_is_told_again failed before (the next answer told nothing).

--- a/crates/entry/src/drive/enter.rs
+++ b/crates/entry/src/drive/enter.rs
@@ -204,9 +204,8 @@
                 Problem::not_run(Kind::PlatformDown, "its earlier claim is being taken back").after(PLATFORM_RETRY_MS)
             }
         };
-        // The answer first: it is known.
-        self.refuse(problem);
         self.note_untold().await;
+        self.refuse(problem);
         Event::Superseded
     }
 }
--- a/crates/entry/src/drive/tell.rs
+++ b/crates/entry/src/drive/tell.rs
@@ -4,22 +4,33 @@
 //! with its instance, or on its way. The journal keeps with each pin which answer
 //! has told; the rest here is about not trusting that note too far.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
+use journal::Error;
 use route::model::{Choice, Permit};
-use tokio::time::Instant;
+use tokio::{
+    sync::oneshot,
+    time::{Instant, sleep, timeout_at},
+};
 use world::{
     model::Version,
     request,
-    session::{Left, Pin, Teller, untold},
+    session::{Id, Left, Pin, Teller, untold},
 };
 
 use super::Driver;
-use crate::{join, session::Named};
+use crate::{join, session::Named, shared::Shared};
 
 /// Longest that an answer waits for a note of what it tells, or for the instance
 /// that told before; after it the move is told once more.
 const TELL_WITHIN: Duration = Duration::from_millis(200);
+/// Longest that a refusal waits for the note that its first answer told nobody.
+const UNTELL_WITHIN: Duration = Duration::from_secs(2);
+/// Pause before such a note is tried again behind its refusal.
+const UNTELL_PAUSE: Duration = Duration::from_millis(500);
+/// How long such a note is tried: as long as a home remembers what became of a
+/// request that it has no record of.
+const UNTELL_FOR: Duration = Duration::from_mins(10);
 
 impl Driver {
     /// The versions that the session left for those of a choice, now or before,
@@ -97,31 +108,76 @@
 
     /// Notes that nobody has heard of the moves that this request's answer told.
     ///
-    /// An instance may end between that note and its answer's end. The caller
-    /// asks again with the key, and one that must not run twice is only told that
-    /// it ran: the answer that would have told is lost for good, and the next
-    /// one, with another key, would say nothing.
+    /// The caller asks again with the key, and one that must not run twice is only
+    /// told that it ran: the answer that would have told is lost for good, and the
+    /// next one, with another key, would say nothing. So this comes before the
+    /// refusal, and goes on behind it if it takes too long.
     pub(super) async fn note_untold(&self) {
-        let Some(Named::Caller(id)) = &self.request.session else { return };
-        let deadline = Instant::now() + TELL_WITHIN;
-        let (journal, customer) = (&self.shared.links.journal, self.request.customer());
+        let Some(Named::Caller(session)) = &self.request.session else { return };
+        let note = Untold { shared: self.shared.clone(), session: session.clone(), answer: self.request.id().clone() };
+        let (done, noted) = oneshot::channel();
+        // A task of its own: this request may end before the note is written.
+        tokio::spawn(note.deliver(done));
+        let deadline = self.request.deadline.min(Instant::now() + UNTELL_WITHIN);
+        if timeout_at(deadline, noted).await.is_err() {
+            tracing::info!(request = %self.request.id(), "that nobody heard of a session's move is noted later");
+        }
+    }
+}
+
+/// That an answer which told of a session's moves has reached nobody.
+struct Untold {
+    shared: Arc<Shared>,
+    session: Id,
+    answer: request::Id,
+}
+
+impl Untold {
+    /// Takes the note back that the answer has told.
+    async fn write(&self, deadline: Instant) -> Result<(), Error> {
+        let (journal, customer) = (&self.shared.links.journal, &self.answer.customer);
         // A session that nobody has bound yet gets an empty binding, which the
         // next choice replaces.
-        let Ok(bound) = journal.bind_session(customer, id, &[], None, deadline).await else {
-            tracing::info!(request = %self.request.id(), "a session's binding is not known; its move may stay untold");
-            return;
-        };
-        let mut untold = bound.clone();
-        let key = &self.request.id().key;
-        let is_by_this = |left: &&mut Left| left.told.as_ref().is_some_and(|told| told.request == *key);
-        for left in untold.iter_mut().filter_map(|pin| pin.left.as_mut()).filter(is_by_this) {
-            left.told = None;
+        let mut bound = journal.bind_session(customer, &self.session, &[], None, deadline).await?;
+        loop {
+            let untold = self.without_note(&bound);
+            if untold == bound {
+                return Ok(());
+            }
+            let won = journal.bind_session(customer, &self.session, &untold, Some(&bound), deadline).await?;
+            if won == untold {
+                return Ok(());
+            }
+            bound = won;
         }
-        if untold == bound {
-            return;
+    }
+
+    fn without_note(&self, bound: &[Pin]) -> Vec<Pin> {
+        let mut pins = bound.to_vec();
+        let is_by_this = |left: &&mut Left| left.told.as_ref().is_some_and(|told| told.request == self.answer.key);
+        for left in pins.iter_mut().filter_map(|pin| pin.left.as_mut()).filter(is_by_this) {
+            left.told = None;
         }
-        if let Err(error) = journal.bind_session(customer, id, &untold, Some(&bound), deadline).await {
-            tracing::info!(request = %self.request.id(), ?error, "a session's move may stay untold");
+        pins
+    }
+
+    /// Goes on until it is noted.
+    async fn deliver(self, done: oneshot::Sender<()>) {
+        let give_up = Instant::now() + UNTELL_FOR;
+        loop {
+            match self.write(Instant::now() + UNTELL_WITHIN).await {
+                Ok(()) => {
+                    // Nobody may be waiting any more.
+                    let _ = done.send(());
+                    return;
+                }
+                Err(error) if Instant::now() >= give_up => {
+                    let session = &self.session;
+                    tracing::warn!(request = %self.answer, %session, %error, "a session's move may stay untold");
+                    return;
+                }
+                Err(_) => sleep(UNTELL_PAUSE).await,
+            }
         }
     }
 }
--- a/crates/entry/tests/path/sessions.rs
+++ b/crates/entry/tests/path/sessions.rs
@@ -1,5 +1,7 @@
 //! Sessions keep their version; a withdrawal moves one once and says so.
 
+use std::sync::atomic::Ordering;
+
 use crate::{
     client::Reply,
     site::{CLUB, Plan, Site, WATER},
@@ -227,6 +229,30 @@
 
 const DESKS: [&str; 4] = ["desk-1", "desk-2", "desk-3", "desk-4"];
 
+// An answer tells of a move and is lost; its instance lives. The request must not
+// run twice, and its repeat at another instance, whose calls to the sessions' homes
+// take long, can only be told that it ran. The session's next answer tells again.
+#[tokio::test]
+async fn move_told_by_an_answer_that_its_repeat_cannot_fetch_is_told_again() {
+    let site = withdrawn_under(&DESKS).await;
+    for session in DESKS {
+        let once = [(SESSION, session), ("arbutuslug-idempotent", "false"), ("idempotency-key", session)];
+        let lost = site.client(0).chat(CLUB, &once, "moves it").await;
+        assert_eq!(lost.header(MOVED), "summary@1");
+        site.nodes[0].links_fault.mute.store(true, Ordering::Release);
+        site.nodes[1].links_fault.lag_ms.store(250, Ordering::Release);
+        let (_, kind, ran) = site.client(1).chat(CLUB, &once, "moves it").await.problem();
+        assert_eq!((kind.as_str(), ran.as_str()), ("answered-before", "yes"));
+        site.nodes[0].links_fault.mute.store(false, Ordering::Release);
+        site.nodes[1].links_fault.lag_ms.store(0, Ordering::Release);
+
+        let next = site.client(2).chat(CLUB, &[(SESSION, session)], "next").await;
+        assert_eq!((version(&next), next.header(MOVED)), ("summary@2", "summary@1"), "{session}");
+        let after = site.client(2).chat(CLUB, &[(SESSION, session)], "after").await;
+        assert_eq!((version(&after), after.header(MOVED)), ("summary@2", ""), "{session}");
+    }
+}
+
 // An answer tells of a move and is lost with its instance. The session's next
 // request comes before the others have noticed that the instance is gone.
 #[tokio::test]
