Keep a claim dead that its settlement has overtaken

What callers saw: a call that must not run twice, sent at two instances at once on a slow platform, was told "it was sent before and still runs" for as long as it was asked (378 tries in a minute); nothing ran it and nothing ever would.

Cause: an asker that gives up on a claim settles it as not run. The claim may still wait at the home behind another asker's, which stands. The settlement then names no known claim: it was answered and not recorded. When the other claim was settled, the late one was recorded and stood, with nobody to settle it.

Ruled out: a settlement that is lost, since it is delivered until its home answers.

Change: a key keeps the nonces of claims that were settled as not run while another stood, and of settled ones that a later claim replaced.

--- a/crates/journal/src/record.rs
+++ b/crates/journal/src/record.rs
@@ -169,6 +169,8 @@
     pub made_at: Timestamp,
     /// Hash of its bill; 0 without one.
     pub billed: u64,
+    /// Nonces of other claims of the key that were settled as not run.
+    pub dead: Vec<u64>,
 }
 
 /// How a request stands.
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -33,6 +33,9 @@
 /// How long a run that ended without an answer, or was never heard of again,
 /// is remembered, so that a later refusal does not say "not run".
 const ENDED_WINDOW: Millis = 10 * 60 * 1_000;
+/// Most claims of one key that are remembered as dead; an asker gives up after
+/// seconds, so that later ones are under way no more.
+const MOST_DEAD: usize = 16;
 /// How long a billed request is remembered at the least.
 const BILL_WINDOW_MIN: Millis = 10 * 60 * 1_000;
 
@@ -80,6 +83,10 @@
     /// Who answered it and may hold the answer still; a hint, not kept in
     /// snapshots.
     answered: Option<Origin>,
+    /// Nonces of other claims of the key that were settled as not run. One that
+    /// is still under way must not stand: nobody would settle it any more, and
+    /// the key would count as running for as long as keys are remembered.
+    dead: Vec<u64>,
 }
 
 #[derive(Debug)]
@@ -184,6 +191,7 @@
             billed: 0,
             seq,
             answered: None,
+            dead: Vec::new(),
         };
         match self.marks.get_mut(&claim.digest) {
             None => {
@@ -191,8 +199,10 @@
             }
             // A claim that comes after its own settlement is dead: its origin
             // gave up on it and told the caller "not run".
-            Some(old) if old.standing == Standing::NotRun && old.nonce != claim.nonce && old.billed == 0 => {
-                *old = entry;
+            Some(old) if old.standing == Standing::NotRun && !old.is_dead(claim.nonce) && old.billed == 0 => {
+                let mut dead = std::mem::take(&mut old.dead);
+                bury(&mut dead, old.nonce);
+                *old = Entry { dead, ..entry };
             }
             Some(_) => {}
         }
@@ -207,7 +217,8 @@
         match self.marks.get_mut(&settle.digest) {
             None => {
                 let Settle { nonce, made_at, .. } = *settle;
-                let entry = Entry { standing, nonce, fingerprint: 0, made_at, billed: 0, seq, answered: None };
+                let (answered, dead) = (None, Vec::new());
+                let entry = Entry { standing, nonce, fingerprint: 0, made_at, billed: 0, seq, answered, dead };
                 self.marks.insert(settle.digest, entry);
             }
             Some(old) if old.nonce == settle.nonce && old.open() => {
@@ -215,6 +226,12 @@
                 old.standing = standing;
                 old.seq = seq;
             }
+            Some(old)
+                if old.nonce != settle.nonce && settle.end == End::NotRun && old.standing != Standing::Answered =>
+            {
+                bury(&mut old.dead, settle.nonce);
+                old.seq = seq;
+            }
             Some(_) => {}
         }
     }
@@ -232,6 +249,7 @@
             billed: 0,
             seq,
             answered: None,
+            dead: Vec::new(),
         });
         if entry.billed == 0 {
             entry.answer(&Standing::Answered);
@@ -261,8 +279,8 @@
     }
 
     fn apply_mark(&mut self, mark: &Mark, seq: Seq) {
-        let Mark { digest, standing, nonce, fingerprint, made_at, billed } = mark.clone();
-        self.marks.insert(digest, Entry { standing, nonce, fingerprint, made_at, billed, seq, answered: None });
+        let Mark { digest, standing, nonce, fingerprint, made_at, billed, dead } = mark.clone();
+        self.marks.insert(digest, Entry { standing, nonce, fingerprint, made_at, billed, seq, answered: None, dead });
     }
 }
 
@@ -271,6 +289,12 @@
         matches!(self.standing, Standing::Running(_) | Standing::Unknown)
     }
 
+    /// Whether a claim was settled as not run.
+    fn is_dead(&self, nonce: u64) -> bool {
+        let is_own = self.nonce == nonce && self.standing == Standing::NotRun;
+        is_own || self.dead.contains(&nonce)
+    }
+
     /// Notes who answers before the standing forgets who ran it.
     fn answer(&mut self, next: &Standing) {
         if let (Standing::Running(by), Standing::Answered) = (&self.standing, next) {
@@ -301,10 +325,23 @@
             fingerprint: self.fingerprint,
             made_at: self.made_at,
             billed: self.billed,
+            dead: self.dead.clone(),
         }
     }
 }
 
+/// Notes a dead claim, and forgets the oldest if there are many. A nonce of 0 is
+/// no claim's.
+fn bury(dead: &mut Vec<u64>, nonce: u64) {
+    if nonce == 0 || dead.contains(&nonce) {
+        return;
+    }
+    if dead.len() >= MOST_DEAD {
+        dead.remove(0);
+    }
+    dead.push(nonce);
+}
+
 /// Tells a repeat of a bill from another bill of the same request; never 0.
 fn bill_hash(bill: &Bill) -> u64 {
     hash::stable(&wire::encode_bill(bill)).max(1)
--- a/crates/journal/src/state/decide.rs
+++ b/crates/journal/src/state/decide.rs
@@ -72,7 +72,10 @@
             Some(entry) if entry.nonce == claim.nonce && matches!(entry.standing, Standing::Running(_)) => {
                 Decision::Answer(Reply::Claimed)
             }
-            Some(entry) if entry.standing == Standing::NotRun && entry.nonce != claim.nonce => record,
+            Some(entry) if entry.is_dead(claim.nonce) => {
+                Decision::Answer(Reply::Known(Known { outcome: Outcome::NotRun, at: None }))
+            }
+            Some(entry) if entry.standing == Standing::NotRun => record,
             Some(entry) => Decision::Answer(Reply::Known(entry.known(context.placement))),
         }
     }
@@ -146,7 +149,15 @@
         let done = Decision::Answer(Reply::Done);
         match self.marks.get(&settle.digest) {
             Some(entry) if entry.seq > self.durable => Decision::Wait,
-            Some(entry) if entry.nonce != settle.nonce || !entry.open() => done,
+            Some(entry) if entry.nonce != settle.nonce => {
+                let is_moot = settle.end != End::NotRun || entry.standing == Standing::Answered;
+                if is_moot || entry.is_dead(settle.nonce) {
+                    done
+                } else {
+                    Decision::Record(Record::Settle(*settle), Reply::Done)
+                }
+            }
+            Some(entry) if !entry.open() => done,
             Some(entry) if entry.standing == Standing::Unknown && settle.end == End::Unknown => done,
             _ => Decision::Record(Record::Settle(*settle), Reply::Done),
         }
--- a/crates/journal/src/wire/convert.rs
+++ b/crates/journal/src/wire/convert.rs
@@ -343,6 +343,7 @@
             fingerprint: mark.fingerprint,
             made_at: mark.made_at.0,
             billed: mark.billed,
+            dead: mark.dead.clone(),
         }
     }
 }
@@ -365,6 +366,7 @@
             fingerprint: wire.fingerprint,
             made_at: Timestamp(wire.made_at),
             billed: wire.billed,
+            dead: wire.dead,
         })
     }
 }
--- a/crates/journal/src/wire/message.rs
+++ b/crates/journal/src/wire/message.rs
@@ -193,4 +193,6 @@
     pub made_at: u64,
     #[prost(fixed64, tag = "7")]
     pub billed: u64,
+    #[prost(fixed64, repeated, tag = "8")]
+    pub dead: Vec<u64>,
 }
