Keep a whole answer until its bill is held, and give it to the repeat

What callers saw: a request that must not run twice was refused as bill-not-held ("send it again, it is billed once"), and its repeat was told that it ran once, whole and billed. The caller has paid and gets no answer.

Cause: a bill that neither the platform nor a second instance takes in time fails the request, and every failure drops the answer. The bill is kept and recorded later.

Ruled out: an answer forgotten for room.

A bill is the same at every go: made out anew, its second go was taken for another run's and gave back what was reserved.

Tests: outage::answer_whose_bill_is_held_late_is_given_to_its_repeat and its neighbour elsewhere failed before with answered-before.

--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -9,6 +9,7 @@
 mod choose;
 mod dispatch;
 mod enter;
+mod late;
 mod read;
 mod tell;
 
@@ -16,6 +17,7 @@
 
 use budget::Reservation;
 use endpoint::{Dispatch, Run, frame::Usage};
+use journal::Bill;
 use route::{endpoint::Key, model::Choice, retry, rollout::Stop};
 use timeline::{Ran, Step};
 use tokio::time::{Instant, sleep_until};
@@ -42,6 +44,8 @@
     turn: Option<Turn>,
     chosen: Option<Chosen>,
     reservation: Option<Reservation>,
+    /// Its bill, once it was made out.
+    bill: Option<Bill>,
     attempt: Option<Attempt>,
     tries: u32,
     avoid: Vec<Key>,
@@ -107,6 +111,7 @@
             turn: None,
             chosen: None,
             reservation: None,
+            bill: None,
             attempt: None,
             tries: 0,
             avoid: Vec::new(),
@@ -129,6 +134,9 @@
             let event = self.carry_out(command).await;
             command = self.step(event);
         }
+        if let Some(late) = self.late_bill() {
+            return self.bill_late(late).await;
+        }
         self.finish(command).await;
     }
 
@@ -194,14 +202,12 @@
     }
 
     async fn fail(&mut self, ran: Ran) {
-        let mut problem = self.fail_cause().about(&self.request.id().key);
-        problem.ran = ran;
-        // The outcome of a request that must not be repeated is what its
-        // caller needs to know first.
-        if ran == Ran::Unknown && self.request.repeat == Repeat::Never {
-            problem.kind = Kind::OutcomeUnknown;
-        }
+        let mut problem = self.problem(ran);
         self.drop_attempt();
+        if problem.kind == Kind::BillNotHeld {
+            // The bill's fate is unknown: it may count.
+            self.end_reservation(None);
+        }
         self.settle(ran).await;
         if !self.is_claimed {
             problem = self.shared.truthful(problem, &self.request.terms, self.request.repeat).await;
@@ -213,6 +219,22 @@
         if problem.ran == Ran::No && self.tape.is_shared() {
             problem.ran = Ran::Unknown;
         }
+        self.end_failed(problem);
+    }
+
+    /// What a failure tells the caller.
+    fn problem(&self, ran: Ran) -> Problem {
+        let mut problem = self.fail_cause().about(&self.request.id().key);
+        problem.ran = ran;
+        // The outcome of a request that must not be repeated is what its
+        // caller needs to know first.
+        if ran == Ran::Unknown && self.request.repeat == Repeat::Never {
+            problem.kind = Kind::OutcomeUnknown;
+        }
+        problem
+    }
+
+    fn end_failed(&self, problem: Problem) {
         let step =
             Step::Refused { ran: problem.ran, problem: problem.kind.as_str().into(), detail: problem.detail.clone() };
         self.shared.note(self.request.id(), step);
--- a/crates/entry/src/drive/account.rs
+++ b/crates/entry/src/drive/account.rs
@@ -91,10 +91,9 @@
     /// Has the request's one bill held.
     pub(super) async fn bill(&mut self) -> Event {
         let deadline = self.request.deadline.max(Instant::now() + BILL_WITHIN);
-        let held = self.hold_bill(deadline).await;
-        self.end_reservation(held.as_ref().ok().map(|(_, receipt)| *receipt));
-        match held {
+        match self.hold_bill(deadline).await {
             Ok((bill, receipt)) => {
+                self.end_reservation(Some(receipt));
                 self.billed(&bill, receipt);
                 Event::Billed
             }
@@ -105,16 +104,22 @@
         }
     }
 
-    async fn hold_bill(&mut self, deadline: Instant) -> Result<(Bill, Receipt), String> {
+    pub(super) async fn hold_bill(&mut self, deadline: Instant) -> Result<(Bill, Receipt), String> {
         let give_up = Instant::now() + BILL_WITHIN;
         let mut renewed = 0;
         while renewed < BILL_TRIES {
-            let bill = self.make_bill().ok_or("the contract is gone")?;
+            // The same at every go: an earlier one may have been recorded, and
+            // another bill would be taken for another run's.
+            let bill = match &self.bill {
+                Some(bill) => bill.clone(),
+                None => self.bill.insert(self.make_bill().ok_or("the contract is gone")?).clone(),
+            };
             match self.shared.links.journal.bill(&bill, deadline).await {
                 Ok(receipt) => return Ok((bill, receipt)),
                 // This instance was taken for lost and its grant settled.
                 Err(Error::NotRecorded(Reason::GrantClosed)) => {
                     renewed += 1;
+                    self.bill = None;
                     self.renew_reservation(bill.amount, deadline).await?;
                 }
                 Err(error) if Instant::now() + BILL_PAUSE >= give_up => return Err(error.to_string()),
@@ -139,7 +144,7 @@
     }
 
     /// Without a receipt the bill's fate is unknown: it may count.
-    fn end_reservation(&mut self, receipt: Option<Receipt>) {
+    pub(super) fn end_reservation(&mut self, receipt: Option<Receipt>) {
         let Some(reservation) = self.reservation.take() else { return };
         let budget = &self.shared.links.budget;
         match receipt {
@@ -180,7 +185,7 @@
         })
     }
 
-    fn billed(&mut self, bill: &Bill, receipt: Receipt) {
+    pub(super) fn billed(&mut self, bill: &Bill, receipt: Receipt) {
         let version = self.version();
         let step = Step::Billed { version, cost: bill.amount, currency: bill.currency, attempts: bill.attempts };
         self.shared.note(self.request.id(), step);
--- a/crates/entry/src/held.rs
+++ b/crates/entry/src/held.rs
@@ -86,6 +86,13 @@
         self.lock().answers.get(id).is_some_and(|answer| !answer.tape.ended())
     }
 
+    /// Puts another tape of the same answer in a tape's place; a repeat reads that.
+    pub fn replace(&self, id: &Id, tape: &Tape, with: &Tape) {
+        if let Some(answer) = self.lock().answers.get_mut(id).filter(|answer| answer.tape.is(tape)) {
+            answer.tape = with.clone();
+        }
+    }
+
     /// Keeps a whole answer for a while.
     pub fn keep(&self, id: &Id, tape: &Tape, bytes: usize) {
         let mut shared = self.lock();
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -4,7 +4,7 @@
     collections::{HashMap, HashSet, hash_map::Entry},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -111,6 +111,8 @@
     pub closed: AtomicBool,
     /// When an instance was last seen to be lost; 0 for never.
     pub lost: AtomicU64,
+    /// Answers whose bills are held later than their callers waited.
+    pub late_bills: AtomicUsize,
     in_flight: watch::Sender<u64>,
     loads: Mutex<HashMap<Customer, u32>>,
     /// Answers that told of a session's move and whose instance was there later.
@@ -127,6 +129,7 @@
             held: Held::default(),
             closed: AtomicBool::new(false),
             lost: AtomicU64::new(0),
+            late_bills: AtomicUsize::new(0),
             in_flight,
             loads: Mutex::default(),
             confirmed: Mutex::default(),
--- a/crates/entry/src/tape.rs
+++ b/crates/entry/src/tape.rs
@@ -117,6 +117,18 @@
         Self { shared: Arc::new(Shared { state: Mutex::default(), written, read }) }
     }
 
+    /// A tape of its own with the same head and text, and no end yet.
+    #[must_use]
+    pub fn reopen(&self) -> Self {
+        let tape = Self::open();
+        {
+            let (from, mut to) = (self.lock(), tape.lock());
+            to.head.clone_from(&from.head);
+            to.text.clone_from(&from.text);
+        }
+        tape
+    }
+
     /// A reader from the beginning.
     #[must_use]
     pub fn reader(&self) -> Reader {
--- a/crates/entry/tests/path/outage.rs
+++ b/crates/entry/tests/path/outage.rs
@@ -1,8 +1,13 @@
 //! The platform is down.
 
-use standin::objects::Switch;
+use std::sync::atomic::Ordering;
 
-use crate::site::{CLUB, Plan, Site};
+use standin::{engine, objects::Switch};
+
+use crate::{
+    site::{CLUB, Plan, Site},
+    whole::answer_of,
+};
 
 const NEVER: (&str, &str) = ("arbutuslug-idempotent", "false");
 
@@ -65,3 +70,38 @@
     assert_eq!(reply.problem(), (503, "stale-configuration".into(), "no".into()));
     assert!(site.runs().is_empty());
 }
+
+// A request that must not run twice is answered whole, and neither the platform nor
+// a second instance takes its bill: the end of its answer is held back. Once the bill
+// is held, a repeat at either instance gets the answer that is paid for.
+async fn check_late_bill(node: usize) {
+    let engine = engine::Options { per_token_ms: 20, ..engine::Options::default() };
+    let site = Site::open(Plan { instances: 2, engine, ..Plan::default() }).await;
+    let headers = [("idempotency-key", "season-7"), NEVER, ("arbutuslug-deadline-ms", "3000")];
+    let mut stream = site.client(0).stream(CLUB, &headers, "season summary").await;
+    while stream.so_far().text.is_empty() {
+        assert!(stream.more().await, "an answer");
+    }
+    let version = stream.headers["arbutuslug-version"].to_str().expect("text").to_owned();
+    site.objects.switch(Switch::Down);
+    site.nodes.iter().for_each(|node| node.links_fault.deaf.store(true, Ordering::Release));
+    let told = stream.told().await;
+    assert_eq!((told.error, told.done), (Some(("bill-not-held".into(), "yes".into())), false));
+
+    site.objects.switch(Switch::Up);
+    site.nodes.iter().for_each(|node| node.links_fault.deaf.store(false, Ordering::Release));
+    assert_eq!(site.bills_when(1).await.len(), 1);
+    let repeat = site.client(node).stream(CLUB, &headers, "season summary").await.told().await;
+    assert_eq!((repeat.text, repeat.done), (answer_of(&version, "season summary"), true));
+    assert_eq!((site.runs().len(), site.bills().len()), (1, 1));
+}
+
+#[tokio::test]
+async fn answer_whose_bill_is_held_late_is_given_to_its_repeat() {
+    check_late_bill(0).await;
+}
+
+#[tokio::test]
+async fn answer_whose_bill_is_held_late_is_given_to_its_repeat_elsewhere() {
+    check_late_bill(1).await;
+}
