Bound what goes on after a refusal, and ask whether the telling answer has ended

Cause, by reading the last changes: a note that nobody heard of a session's move was tried for ten minutes by a task for each refused repeat, without a bound; and an instance that answers a question may be lost before the answer that it has noted as having told is out, while its yes is remembered.

Change: notes and bills that go on after their caller was told share 256 leaves of an instance; without one a note is tried before the refusal alone, and a warning tells. The instance is asked whether the answer still runs, and only one that has ended is remembered; a build that does not know the question answers that nothing runs there.

The second has no test of its own.

--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -134,8 +134,8 @@
             let event = self.carry_out(command).await;
             command = self.step(event);
         }
-        if let Some(late) = self.late_bill() {
-            return self.bill_late(late).await;
+        if let Some(leave) = self.late_bill() {
+            return self.bill_late(leave).await;
         }
         self.finish(command).await;
     }
--- a/crates/entry/src/drive/late.rs
+++ b/crates/entry/src/drive/late.rs
@@ -6,20 +6,17 @@
 //! same and a repeat runs nothing. So it is kept, and a repeat waits for the bill
 //! and gets the answer.
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
-    time::Duration,
-};
+use std::time::Duration;
 
 use timeline::Ran;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    sync::OwnedSemaphorePermit,
+    time::{Instant, sleep},
+};
 use world::request::Repeat;
 
 use super::Driver;
-use crate::{life::State, problem::Kind, shared::Shared};
+use crate::{life::State, problem::Kind};
 
 /// How long a bill is tried after its caller was told; as long as answers are held.
 const LATE_FOR: Duration = Duration::from_mins(2);
@@ -27,42 +24,21 @@
 const LATE_WITHIN: Duration = Duration::from_secs(5);
 /// Pause between two goes.
 const LATE_PAUSE: Duration = Duration::from_secs(1);
-/// Most late bills of an instance; past it an answer is given up with its bill.
-const MOST_LATE: usize = 256;
-
-/// The place of one among the late bills.
-pub(super) struct Late {
-    shared: Arc<Shared>,
-}
-
-impl Late {
-    fn enter(shared: &Arc<Shared>) -> Option<Self> {
-        let count: &AtomicUsize = &shared.late_bills;
-        let enter = |count| (count < MOST_LATE).then_some(count + 1);
-        count.fetch_update(Ordering::AcqRel, Ordering::Acquire, enter).ok()?;
-        Some(Self { shared: shared.clone() })
-    }
-}
-
-impl Drop for Late {
-    fn drop(&mut self) {
-        self.shared.late_bills.fetch_sub(1, Ordering::AcqRel);
-    }
-}
 
 impl Driver {
-    /// The place of a whole answer whose bill is not held, if it is to be kept.
-    pub(super) fn late_bill(&self) -> Option<Late> {
+    /// Leave to keep a whole answer whose bill is not held; nothing for every
+    /// other end, and where too much is kept already.
+    pub(super) fn late_bill(&self) -> Option<OwnedSemaphorePermit> {
         let is_unbilled = self.cause.as_ref().is_some_and(|cause| cause.kind == Kind::BillNotHeld);
         let is_kept = self.request.repeat == Repeat::Never && self.request.terms.keyed;
         if self.life.state() != State::Failed || !is_unbilled || !is_kept {
             return None;
         }
-        Late::enter(&self.shared)
+        self.shared.late.clone().try_acquire_owned().ok()
     }
 
     /// Tells the caller that the bill is not held, and goes on until it is.
-    pub(super) async fn bill_late(&mut self, _late: Late) {
+    pub(super) async fn bill_late(&mut self, _leave: OwnedSemaphorePermit) {
         self.turn = None;
         let tape = self.tape.reopen();
         self.shared.held.replace(self.request.id(), &self.tape, &tape);
--- a/crates/entry/src/drive/tell.rs
+++ b/crates/entry/src/drive/tell.rs
@@ -53,8 +53,8 @@
         moved
     }
 
-    /// Whether an answer that told of a move has gone out whole: the instance
-    /// that gave it still runs.
+    /// Whether an answer that told of a move has gone out whole, by the word of the
+    /// instance that gave it.
     ///
     /// Members hold an instance to be live for seconds after it is lost. So it is
     /// asked, once for each answer.
@@ -64,16 +64,20 @@
             return false;
         }
         let answer = request::Id { customer: self.request.customer().clone(), key: told.request.clone() };
-        if told.instance == self.shared.settings.instance || self.shared.is_confirmed(&answer) {
+        if told.instance == self.shared.settings.instance {
+            return !self.shared.held.running(&answer);
+        }
+        if self.shared.is_confirmed(&answer) {
             return true;
         }
-        let lives = join::answers(&links.peer, &told.instance, &answer, TELL_WITHIN).await;
-        if lives {
+        let has_ended = join::has_ended(&links.peer, &told.instance, &answer, TELL_WITHIN).await;
+        if has_ended {
             self.shared.confirm(answer);
         } else {
-            tracing::info!(request = %self.request.id(), instance = %told.instance, "told of a move and does not answer; told again");
+            let (request, instance) = (self.request.id(), &told.instance);
+            tracing::info!(%request, %instance, "the answer that told of a move is not known to have ended; told again");
         }
-        lives
+        has_ended
     }
 
     /// Notes in the journal that this answer tells of a move, before it ends.
@@ -115,10 +119,19 @@
     pub(super) async fn note_untold(&self) {
         let Some(Named::Caller(session)) = &self.request.session else { return };
         let note = Untold { shared: self.shared.clone(), session: session.clone(), answer: self.request.id().clone() };
+        let deadline = self.request.deadline.min(Instant::now() + UNTELL_WITHIN);
+        let Ok(leave) = self.shared.late.clone().try_acquire_owned() else {
+            if let Err(error) = note.write(deadline).await {
+                tracing::warn!(request = %self.request.id(), %error, "a session's move may stay untold");
+            }
+            return;
+        };
         let (done, noted) = oneshot::channel();
         // A task of its own: this request may end before the note is written.
-        tokio::spawn(note.deliver(done));
-        let deadline = self.request.deadline.min(Instant::now() + UNTELL_WITHIN);
+        tokio::spawn(async move {
+            note.deliver(done).await;
+            drop(leave);
+        });
         if timeout_at(deadline, noted).await.is_err() {
             tracing::info!(request = %self.request.id(), "that nobody heard of a session's move is noted later");
         }
--- a/crates/entry/src/join.rs
+++ b/crates/entry/src/join.rs
@@ -28,6 +28,9 @@
 struct Question {
     id: Id,
     fingerprint: u64,
+    /// Only whether it runs is asked, not its answer.
+    #[serde(default)]
+    status: bool,
 }
 
 /// One item of an answer on its way between instances.
@@ -36,6 +39,8 @@
 enum Wire {
     /// No such request runs here.
     Absent,
+    /// It runs here; told where only that is asked.
+    Running,
     Head(Head),
     Text(String),
     Whole {
@@ -67,13 +72,13 @@
 /// Copies an answer from the instance where it runs; false when it did not
 /// come to its end there and the request has to run here.
 pub(crate) async fn follow(peer: &peer::Handle, at: &instance::Id, id: &Id, fingerprint: u64, tape: &Tape) -> bool {
-    let question = serde_json::to_vec(&Question { id: id.clone(), fingerprint }).unwrap_or_default();
+    let question = serde_json::to_vec(&Question { id: id.clone(), fingerprint, status: false }).unwrap_or_default();
     let Ok(mut items) = peer.stream(at, Topic::Request, question.into()).await else {
         return false;
     };
     while let Some(Ok(bytes)) = items.next().await {
         match serde_json::from_slice::<Wire>(&bytes) {
-            Ok(Wire::Absent) | Err(_) => return false,
+            Ok(Wire::Absent | Wire::Running) | Err(_) => return false,
             Ok(Wire::Head(head)) => tape.head(head),
             Ok(Wire::Text(text)) => tape.text(&text).await,
             Ok(last) => return end(last).is_some_and(|end| write_end(tape, end)),
@@ -82,14 +87,16 @@
     false
 }
 
-/// Whether an instance answers a question about a request, whatever it knows of it.
-pub(crate) async fn answers(peer: &peer::Handle, at: &instance::Id, id: &Id, within: Duration) -> bool {
-    let question = serde_json::to_vec(&Question { id: id.clone(), fingerprint: 0 }).unwrap_or_default();
+/// Whether an instance says that a request does not run there, or no longer.
+pub(crate) async fn has_ended(peer: &peer::Handle, at: &instance::Id, id: &Id, within: Duration) -> bool {
+    let question = Question { id: id.clone(), fingerprint: 0, status: true };
+    let question = serde_json::to_vec(&question).unwrap_or_default();
     let asked = async {
         let mut items = peer.stream(at, Topic::Request, question.into()).await.ok()?;
-        items.next().await?.ok()
+        let bytes = items.next().await?.ok()?;
+        serde_json::from_slice::<Wire>(&bytes).ok()
     };
-    matches!(timeout(within, asked).await, Ok(Some(_)))
+    matches!(timeout(within, asked).await, Ok(Some(Wire::Absent)))
 }
 
 fn write_end(tape: &Tape, end: End) -> bool {
@@ -99,7 +106,7 @@
 
 fn end(wire: Wire) -> Option<End> {
     match wire {
-        Wire::Absent | Wire::Head(_) | Wire::Text(_) => None,
+        Wire::Absent | Wire::Running | Wire::Head(_) | Wire::Text(_) => None,
         Wire::Whole { reason, usage } => Some(End::Whole { reason, usage }),
         Wire::Failed(problem) => Some(End::Failed(Arc::new(problem))),
         Wire::Reply { status, headers, body } => {
@@ -112,7 +119,13 @@
 
 /// Streams an answer held here to the instance that asked for it.
 pub(crate) async fn serve(held: &Held, question: &[u8], sink: &mpsc::Sender<Bytes>) {
-    let reader = serde_json::from_slice::<Question>(question).ok().and_then(|q| held.join(&q.id, q.fingerprint));
+    let question = serde_json::from_slice::<Question>(question).ok();
+    if let Some(question) = question.as_ref().filter(|question| question.status) {
+        let status = if held.running(&question.id) { Wire::Running } else { Wire::Absent };
+        drop(sink.send(encoded(&status)).await);
+        return;
+    }
+    let reader = question.and_then(|question| held.join(&question.id, question.fingerprint));
     let Some(mut reader) = reader else {
         drop(sink.send(encoded(&Wire::Absent)).await);
         return;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -4,14 +4,14 @@
     collections::{HashMap, HashSet, hash_map::Entry},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
 
 use route::address::{self, Caller};
 use timeline::{Event, Recorder, Step};
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use world::{
     Catalog, Millis,
     contract::{Contract, Customer, Outage},
@@ -28,6 +28,8 @@
 
 /// Milliseconds after which an instance with old configuration is asked again.
 const STALE_RETRY_MS: Millis = 1_000;
+/// Most requests that go on after their callers were told how they ended.
+const MOST_LATE: usize = 256;
 /// Most answers remembered as having told of a move; past it they are asked for
 /// again.
 const MOST_CONFIRMED: usize = 4_096;
@@ -111,8 +113,8 @@
     pub closed: AtomicBool,
     /// When an instance was last seen to be lost; 0 for never.
     pub lost: AtomicU64,
-    /// Answers whose bills are held later than their callers waited.
-    pub late_bills: AtomicUsize,
+    /// Leaves to go on with a request after its caller was told how it ended.
+    pub late: Arc<Semaphore>,
     in_flight: watch::Sender<u64>,
     loads: Mutex<HashMap<Customer, u32>>,
     /// Answers that told of a session's move and whose instance was there later.
@@ -129,7 +131,7 @@
             held: Held::default(),
             closed: AtomicBool::new(false),
             lost: AtomicU64::new(0),
-            late_bills: AtomicUsize::new(0),
+            late: Arc::new(Semaphore::new(MOST_LATE)),
             in_flight,
             loads: Mutex::default(),
             confirmed: Mutex::default(),
