Share the rate of a warming endpoint among few senders

A server that starts under load is cold for some seconds and tolerates a limited rate meanwhile; `cold-left-ms` was decoded and decided nothing.

The mechanism is that of announced limits (`route::relay::throttle`), with as many senders as requests are tolerated in a second. It differs in whom it counts: an announced limit is divided among the instances that are alive, which in a cut fleet gives each part the whole rate. Here instances heard from within the last minute keep their places, and one that may not know the others yet (four seconds from its start, or never having heard from any) sends nothing. How long an endpoint warms up is told by its registration; after an evacuation it is the operator's `cold-s`, since registrations tell it only seconds later. Services without `cold-per-s` are used as before, so nothing changes at the earlier deployments.

A copy of the catalog carries the warm-ups at its end: an earlier build ignores them; a copy of an earlier build does not read here, and the store is asked.

Not covered: an endpoint that cools down and does not register it; its health answers would tell, and are not asked for.

--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -221,7 +221,7 @@
 }
 
 fn catalog() -> Catalog {
-    let service = Arc::new(Service { name: "bench".into(), memory_tokens: None });
+    let service = Arc::new(Service { name: "bench".into(), memory_tokens: None, warmup: None });
     let mut catalog =
         Catalog { version: 1, services: HashMap::from([("bench".to_owned(), service)]), ..Catalog::default() };
     for (prefix, kind) in [("/a/", Repeat::Idempotent), ("/s/", Repeat::Stream { resumable: true })] {
--- a/crates/relay/src/catalog.rs
+++ b/crates/relay/src/catalog.rs
@@ -99,6 +99,17 @@
     pub name: String,
     /// Tokens that fit into an endpoint's prompt cache; `None` if the service is not an engine.
     pub memory_tokens: Option<u64>,
+    /// How its endpoints warm up; `None` if they take any rate of requests meanwhile.
+    pub warmup: Option<Warmup>,
+}
+
+/// Warm-up of an endpoint after its start or after a while without requests.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Warmup {
+    /// How long it takes.
+    pub duration: Duration,
+    /// Requests per second from all instances that an endpoint tolerates meanwhile.
+    pub per_s: f64,
 }
 
 /// A customer that owns access keys.
--- a/crates/relay/src/catalog/wire.rs
+++ b/crates/relay/src/catalog/wire.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Catalog, Customer, Kind, Limits, Model, Route, Service, Target};
+use super::{Catalog, Customer, Kind, Limits, Model, Route, Service, Target, Warmup};
 
 /// Serialized form of [`Catalog`].
 #[derive(Debug, Serialize, Deserialize)]
@@ -21,6 +21,9 @@
     body_bytes: u64,
     header_time: Duration,
     idle_time: Duration,
+    /// Duration and requests per second of the warm-ups, by service. Stands last, where a
+    /// build that does not know it ignores it.
+    warmups: Vec<(String, Duration, f64)>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -69,15 +72,25 @@
             body_bytes: u64::try_from(body_bytes).unwrap_or(u64::MAX),
             header_time,
             idle_time,
+            warmups: catalog.services.values().filter_map(|service| warmup(service)).collect(),
         }
     }
 }
 
+fn warmup(service: &Service) -> Option<(String, Duration, f64)> {
+    let Warmup { duration, per_s } = service.warmup?;
+    Some((service.name.clone(), duration, per_s))
+}
+
 impl From<CatalogCopy> for Catalog {
     fn from(copy: CatalogCopy) -> Self {
         let size = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
-        let service =
-            |(name, memory_tokens): (String, Option<u64>)| (name.clone(), Arc::new(Service { name, memory_tokens }));
+        let warmups: HashMap<String, Warmup> =
+            copy.warmups.into_iter().map(|(service, duration, per_s)| (service, Warmup { duration, per_s })).collect();
+        let service = |(name, memory_tokens): (String, Option<u64>)| {
+            let warmup = warmups.get(&name).copied();
+            (name.clone(), Arc::new(Service { name, memory_tokens, warmup }))
+        };
         let customer = |(key, customer): (String, CustomerCopy)| {
             (key, Arc::new(Customer { name: customer.name, rank: customer.rank }))
         };
--- a/crates/relay/src/catalog/wire/tests.rs
+++ b/crates/relay/src/catalog/wire/tests.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use super::CatalogCopy;
-use crate::catalog::{Catalog, Customer, Kind, Limits, Model, Route, Service, Target};
+use crate::catalog::{Catalog, Customer, Kind, Limits, Model, Route, Service, Target, Warmup};
 
 fn route(prefix: &str, kind: Kind) -> Route {
     Route {
@@ -26,7 +26,11 @@
         version: 7,
         services: HashMap::from([(
             "logbook".into(),
-            Arc::new(Service { name: "logbook".into(), memory_tokens: Some(9) }),
+            Arc::new(Service {
+                name: "logbook".into(),
+                memory_tokens: Some(9),
+                warmup: Some(Warmup { duration: Duration::from_secs(3), per_s: 12.0 }),
+            }),
         )]),
         keys,
         limits: Limits { header_bytes: 5, body_bytes: 6, ..Limits::default() },
--- a/crates/relay/src/dispatcher/evacuations.rs
+++ b/crates/relay/src/dispatcher/evacuations.rs
@@ -8,7 +8,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::{Dispatcher, fleet::Fleet};
+use super::{Dispatcher, State, fleet::Fleet};
 use crate::{clock, source::Change};
 
 /// The known evacuations.
@@ -58,11 +58,12 @@
         }
     }
 
-    fn end_evacuation(&mut self, domain: &str, now: Duration) {
-        if let Some(since) = self.evacuations.domains.remove(domain) {
-            let lasted_ms = clock::millis(now.saturating_sub(since));
-            tracing::warn!(domain, lasted_ms, "evacuation of failure domain ended");
-        }
+    /// Removes a domain, and returns whether it was evacuated.
+    fn end_evacuation(&mut self, domain: &str, now: Duration) -> bool {
+        let Some(since) = self.evacuations.domains.remove(domain) else { return false };
+        let lasted_ms = clock::millis(now.saturating_sub(since));
+        tracing::warn!(domain, lasted_ms, "evacuation of failure domain ended");
+        true
     }
 
     fn set_evacuations_revision(&mut self, revision: u64) {
@@ -73,6 +74,15 @@
     }
 }
 
+impl State {
+    /// Ends the evacuation of a domain, whose endpoints have cooled down meanwhile.
+    fn end_evacuation(&mut self, domain: &str, now: Duration) {
+        if self.fleet.end_evacuation(domain, now) {
+            self.restart_warmups(domain, now);
+        }
+    }
+}
+
 impl Dispatcher {
     /// Replaces the known evacuations, unless a newer revision of them is known.
     pub fn replace_evacuations(&self, evacuated: Evacuated) {
@@ -84,7 +94,7 @@
         let is_ended = |domain: &&String| !evacuated.domains.contains(*domain);
         let ended: Vec<String> = state.fleet.evacuations.domains.keys().filter(is_ended).cloned().collect();
         for domain in ended {
-            state.fleet.end_evacuation(&domain, now);
+            state.end_evacuation(&domain, now);
         }
         for domain in evacuated.domains {
             state.fleet.evacuate(domain, now);
@@ -105,7 +115,7 @@
             if record.is_some() {
                 state.fleet.evacuate(name, now);
             } else {
-                state.fleet.end_evacuation(&name, now);
+                state.end_evacuation(&name, now);
             }
         }
         state.fleet.set_evacuations_revision(revision);
--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -14,6 +14,7 @@
 mod registry;
 mod run;
 mod selection;
+mod warmup;
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
@@ -84,6 +85,7 @@
     holders: Prefixes,
     limited: limits::LimitedEndpoints,
     pub(super) evacuations: Evacuations,
+    warming: warmup::WarmingEndpoints,
 }
 
 /// Service and model whose latency is learned.
@@ -127,6 +129,10 @@
     unfinished_runs: UnfinishedRuns,
     /// Rate at which this instance may send requests, if the endpoint announces a limit.
     throttle: Throttle,
+    /// When the endpoint is warm.
+    warm_at: Duration,
+    /// Rate at which this instance may send requests until then.
+    warmup: Throttle,
 }
 
 /// Load of the runs at an endpoint.
@@ -171,7 +177,7 @@
     pub fn place(self: &Arc<Self>, job: &Job<'_>) -> Option<Run> {
         let now = clock::now();
         let mut state = self.lock();
-        state.update_limit_shares(now);
+        self.update_shares(&mut state, now);
         state.fleet.refresh_pool(job.service, &self.settings.domain, now);
         let selection = state.select_endpoint(job, now, self.settings.max_exposure)?;
         let (nominal_ms, expected_ms) = (selection.nominal_ms(), selection.expected_ms());
@@ -180,6 +186,7 @@
         let backlog_ms = latency.processing_ms(units);
         server.runs += 1;
         server.throttle.take_token(now);
+        server.take_warmup_token(now);
         server.backlog_ms += backlog_ms;
         let endpoint = Arc::clone(&server.endpoint);
         let is_announced = state.queue_notice(key, job, backlog_ms, now);
@@ -215,11 +222,17 @@
     pub fn expected_ms(&self, job: &Job<'_>) -> Option<f64> {
         let now = clock::now();
         let mut state = self.lock();
-        state.update_limit_shares(now);
+        self.update_shares(&mut state, now);
         state.fleet.refresh_pool(job.service, &self.settings.domain, now);
         Some(state.select_endpoint(job, now, self.settings.max_exposure)?.expected_ms())
     }
 
+    /// Recomputes this instance's shares of endpoints' rates if they are out of date.
+    fn update_shares(&self, state: &mut State, now: Duration) {
+        state.update_limit_shares(now);
+        state.update_warmups(&self.settings, self.created_at, now);
+    }
+
     /// Returns the expected time to the first byte at an idle endpoint, in milliseconds.
     #[must_use]
     pub fn expected_idle_ms(&self, job: &Job<'_>) -> f64 {
@@ -257,6 +270,8 @@
             last_registered: now,
             unfinished_runs: UnfinishedRuns::default(),
             throttle: Throttle::default(),
+            warm_at: Duration::ZERO,
+            warmup: Throttle::default(),
         }
     }
 
--- a/crates/relay/src/dispatcher/fleet/limits.rs
+++ b/crates/relay/src/dispatcher/fleet/limits.rs
@@ -156,7 +156,7 @@
         recent.choose_multiple(&mut rand::rng(), max)
     }
 
-    /// Returns the time until an endpoint of a service accepts a request, if the limits of
+    /// Returns the time until an endpoint of a service accepts a request, if the rates of
     /// all available ones are used up now; `None` if one accepts a request at once or none
     /// is available.
     #[must_use]
@@ -168,10 +168,10 @@
         };
         let mut least = None;
         for server in state.fleet.servers.values().filter(up) {
-            if server.throttle.may_send(now) {
+            if state.fleet.takes_requests(server, now) {
                 return None;
             }
-            let wait = server.throttle.wait(now);
+            let wait = server.throttle.wait(now).max(server.warmup_wait(now));
             least = Some(least.map_or(wait, |least: Duration| least.min(wait)));
         }
         least
--- a/crates/relay/src/dispatcher/fleet/registry.rs
+++ b/crates/relay/src/dispatcher/fleet/registry.rs
@@ -62,6 +62,7 @@
                 version = endpoint.version,
                 address = %endpoint.address,
                 draining = endpoint.draining,
+                warmup_left_ms = clock::millis(endpoint.warmup_left),
                 born = endpoint.started_at_ms,
                 revision = endpoint.revision,
                 "endpoint registered"
@@ -127,11 +128,13 @@
         {
             self.remove(key);
         }
-        if let Some(server) = known.and_then(|key| self.servers.get_mut(key)) {
+        let warm_at = now + endpoint.warmup_left;
+        if let Some((key, server)) = known.and_then(|key| Some((key, self.servers.get_mut(key)?))) {
             server.last_registered = now;
             server.endpoint = Arc::new(endpoint);
             if kind != RegistrationKind::Same {
                 self.revision += 1;
+                self.set_warm_at(key, warm_at, now);
             }
             return;
         }
@@ -142,6 +145,7 @@
         self.by_name.insert(name, key);
         self.by_hash.insert(hash, key);
         self.revision += 1;
+        self.set_warm_at(key, warm_at, now);
     }
 
     /// Returns the registrations of a service's endpoints.
--- a/crates/relay/src/dispatcher/fleet/selection.rs
+++ b/crates/relay/src/dispatcher/fleet/selection.rs
@@ -164,7 +164,7 @@
 
     /// Returns whether an endpoint may get a request now, whether it is reachable or not.
     pub(super) fn takes_requests(&self, server: &Server, now: Duration) -> bool {
-        self.is_in_service(server) && server.throttle.may_send(now)
+        self.is_in_service(server) && server.throttle.may_send(now) && server.permits_warmup(now)
     }
 
     /// Returns whether an endpoint is neither leaving nor in an evacuated failure domain.
--- a/crates/relay/src/dispatcher/peers.rs
+++ b/crates/relay/src/dispatcher/peers.rs
@@ -212,6 +212,13 @@
         self.known.values().filter(move |peer| peer.is_live(now) && peer.status.is_ready()).map(|peer| peer.hash)
     }
 
+    /// Returns the hashes of the names of the other instances that were heard from within the
+    /// last minute and have not left.
+    pub(super) fn remembered(&self) -> impl Iterator<Item = u64> {
+        let may_serve = |peer: &&Peer| peer.last_heard.is_some() && peer.status.phase != Phase::Leaving;
+        self.known.values().filter(may_serve).map(|peer| peer.hash)
+    }
+
     /// Returns the live instances that may watch the store: all that are not leaving, or with
     /// `only_in_touch` only those of them whose own calls to the store succeed.
     pub(super) fn watchers(&self, now: Duration, only_in_touch: bool) -> impl Iterator<Item = Watcher> {
--- a/crates/relay/tests/it/caches.rs
+++ b/crates/relay/tests/it/caches.rs
@@ -24,7 +24,7 @@
 /// Returns a catalog whose service consists of engines.
 fn engine_catalog() -> Catalog {
     let mut catalog = catalog(1, vec![cascade_route("/a/")]);
-    let service = Service { name: SERVICE.into(), memory_tokens: Some(100_000) };
+    let service = Service { name: SERVICE.into(), memory_tokens: Some(100_000), warmup: None };
     catalog.services.insert(SERVICE.into(), std::sync::Arc::new(service));
     catalog
 }
--- a/crates/relay/tests/it/main.rs
+++ b/crates/relay/tests/it/main.rs
@@ -22,3 +22,4 @@
 mod streams;
 mod synchronization;
 mod unreadable_registrations;
+mod warmup;
--- a/crates/relay/tests/it/site.rs
+++ b/crates/relay/tests/it/site.rs
@@ -320,7 +320,7 @@
 /// Returns a catalog of routes with one customer.
 pub fn catalog(version: u64, routes: Vec<Route>) -> Catalog {
     let team = Arc::new(Customer { name: "club".into(), rank: None });
-    let service = Arc::new(Service { name: SERVICE.into(), memory_tokens: None });
+    let service = Arc::new(Service { name: SERVICE.into(), memory_tokens: None, warmup: None });
     let mut catalog = Catalog {
         version,
         services: HashMap::from([(SERVICE.to_owned(), service)]),
--- a/crates/route/src/relay/throttle.rs
+++ b/crates/route/src/relay/throttle.rs
@@ -124,12 +124,35 @@
     }
 }
 
+/// Computes one instance's part of the rate that a warming endpoint tolerates. `me` and
+/// `others` are the hashes of the names of the instances that may send it requests.
+///
+/// As many instances send as requests are tolerated in a second, so that a fleet larger
+/// than that sends at most one request per sender in any second. In a smaller fleet the
+/// saved tokens add half a second's requests.
+#[must_use]
+pub fn warmup_share(per_s: f64, endpoint: u32, me: u64, others: impl Iterator<Item = u64>) -> Share {
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "clamped to a small range")]
+    let senders = per_s.clamp(1.0, 1e6) as usize;
+    let Some(active_senders) = active_senders(senders, endpoint, me, others) else { return Share::default() };
+    Share { rate: USABLE_FRACTION * per_s / active_senders, max_tokens: 0.5 * per_s / active_senders }
+}
+
 /// Computes one instance's part of an endpoint's limit. `me` and `others` are the hashes of
 /// the names of the instances that serve callers.
 #[must_use]
 pub fn share(per_s: f64, endpoint: u32, me: u64, others: impl Iterator<Item = u64>) -> Share {
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "clamped to a small range")]
     let senders = MIN_SENDERS + per_s.clamp(0.0, 1e6) as usize;
+    let Some(active_senders) = active_senders(senders, endpoint, me, others) else { return Share::default() };
+    #[expect(clippy::cast_precision_loss, reason = "instances are far fewer than 2^53")]
+    let max_senders = senders as f64;
+    Share { rate: USABLE_FRACTION * per_s / active_senders, max_tokens: max_senders / active_senders }
+}
+
+/// Selects at most `senders` instances by rendezvous hashing, and returns their number if
+/// this instance is one of them.
+fn active_senders(senders: usize, endpoint: u32, me: u64, others: impl Iterator<Item = u64>) -> Option<f64> {
     let weight = |name: u64| (hash::rendezvous(name, &endpoint.to_le_bytes()), name);
     let own_weight = weight(me);
     let (mut count, mut ahead) = (1, 0);
@@ -137,10 +160,7 @@
         count += 1;
         ahead += usize::from(weight(other) > own_weight);
     }
-    if ahead >= senders {
-        return Share::default();
-    }
     #[expect(clippy::cast_precision_loss, reason = "instances are far fewer than 2^53")]
-    let (max_senders, active_senders) = (senders as f64, senders.min(count) as f64);
-    Share { rate: USABLE_FRACTION * per_s / active_senders, max_tokens: max_senders / active_senders }
+    let active_senders = senders.min(count) as f64;
+    (ahead < senders).then_some(active_senders)
 }
--- a/crates/route/tests/relay/throttle.rs
+++ b/crates/route/tests/relay/throttle.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use proptest::{prelude::*, test_runner::RngSeed};
-use route::relay::throttle::{Announcement, Share, Throttle, share};
+use route::relay::throttle::{Announcement, Share, Throttle, share, warmup_share};
 use world::hash;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -166,3 +166,36 @@
     assert_eq!(throttle.limit(START + 59 * SECOND), Some(2.0));
     assert_eq!(throttle.limit(START + 60 * SECOND), None);
 }
+
+/// Returns the parts of all instances in the rate of a warming endpoint. Each instance
+/// remembers the others, also those that it cannot reach.
+fn warmup_shares(per_s: f64, endpoint: u32, names: &[u64]) -> Vec<Share> {
+    let of = |me: &u64| warmup_share(per_s, endpoint, *me, names.iter().copied().filter(|name| name != me));
+    names.iter().map(of).collect()
+}
+
+/// Checks that a warming endpoint gets at most one and a half times its rate and five requests in
+/// any second, and still gets requests, from instances that always have one to send.
+fn check_warmup(per_s: f64, instances: u64) {
+    let shares = warmup_shares(per_s, 7, &names(instances));
+    let sent = send_at_capacity(per_s, &shares, |_| None);
+    let within = |from: &Duration| sent.iter().filter(|at| (*from..*from + SECOND).contains(at)).count();
+    let most = sent.iter().map(within).max().unwrap_or_default();
+    #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+    let (most, total) = (most as f64, sent.len() as f64);
+    assert!(most <= 1.5 * per_s + 5.0, "{most} requests in a second from {instances} instances");
+    assert!(total >= 0.5 * per_s * (5 * WINDOW).as_secs_f64(), "{total} requests from {instances} instances");
+}
+
+macro_rules! warmups {
+    ($($name:ident: $per_s:expr, $instances:expr;)*) => { $(#[test] fn $name() { check_warmup($per_s, $instances); })* };
+}
+
+warmups! {
+    warming_endpoint_before_one_instance: 12.0, 1;
+    warming_endpoint_before_seven_instances: 12.0, 7;
+    warming_endpoint_before_dozens_of_instances: 12.0, 77;
+    warming_endpoint_before_hundreds_of_instances: 12.0, 300;
+    warming_endpoint_of_a_low_rate: 2.0, 40;
+    warming_endpoint_of_a_high_rate: 80.0, 40;
+}
