Send brief news to other failure domains from 65 instances on

Above the limit other domains get news without loads, and a relay a domain passes notices of long prompts on. The limit is now 64.

--- a/crates/relay/src/dispatcher/peers/recipients.rs
+++ b/crates/relay/src/dispatcher/peers/recipients.rs
@@ -18,7 +18,7 @@
 /// relays forward notices of long prompts in batches. That takes a tenth of the datagrams but
 /// delays notices by a batch, and other failure domains receive only news that does not
 /// become outdated within a round.
-const MAX_DIRECT_RECIPIENTS: usize = 96;
+const MAX_DIRECT_RECIPIENTS: usize = 64;
 
 /// Recipients of the next news messages.
 #[derive(Debug, Clone, Default)]
--- a/crates/relay/tests/it/notices.rs
+++ b/crates/relay/tests/it/notices.rs
@@ -157,6 +157,18 @@
     assert!(matches!(large.notice_recipients(), NoticeRecipients::Relays(relays) if relays.len() == 4));
 }
 
+/// Detailed news to all others would be two thirds of the bytes between the failure domains of 79
+/// instances. Other domains get brief news.
+#[test]
+fn other_domains_get_brief_news_in_a_fleet_of_dozens() {
+    let (small, large) = (instance_with_endpoints(), instance_with_endpoints());
+    add_instances(&small, 20, ([127, 0, 0, 1], 2).into());
+    add_instances(&large, 26, ([127, 0, 0, 1], 2).into());
+    assert_eq!(small.news_recipients(0, 16).far.news.len(), 0);
+    let recipients = large.news_recipients(0, 16);
+    assert!(!recipients.near.news.is_empty() && !recipients.far.news.is_empty(), "{recipients:?}");
+}
+
 /// A relay instance passes a notice on to the other instances of its failure domain, and counts
 /// the load itself.
 #[tokio::test]
