Reword store

Comments and doc comments in the field's terms; no name, text or behaviour changes. The head of `budget` loses the story of an earlier try: one token in eight went to the oldest waiter, and behind 64 claims at each of seven instances a change took 1.5 s (p50) to be in force. Its reason stays.

--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -1,4 +1,4 @@
-//! The one trait between this process and the object API, with its messages.
+//! Trait and messages of the object API.
 
 use std::{fmt, time::Duration};
 
@@ -8,7 +8,7 @@
 
 /// An object API: over HTTP, or in memory in tests.
 pub trait Store: fmt::Debug + Send + Sync {
-    /// Makes one call and waits for its answer.
+    /// Makes one call and returns its answer.
     fn call(&self, call: Call) -> BoxFuture<'_, Result<Answer, Fault>>;
 }
 
@@ -27,7 +27,7 @@
         /// Its value, JSON.
         value: Bytes,
     },
-    /// Replaces an object if its version still is this one.
+    /// Replaces an object if its version is the given one.
     Update {
         /// Its key.
         key: String,
@@ -36,7 +36,7 @@
         /// Its new value, JSON.
         value: Bytes,
     },
-    /// Deletes an object if its version still is this one.
+    /// Deletes an object if its version is the given one.
     Delete {
         /// Its key.
         key: String,
@@ -49,9 +49,9 @@
         prefix: String,
         /// Only keys above this one; empty for all.
         after: String,
-        /// Most objects in the answer.
+        /// Maximum number of objects in the answer.
         limit: usize,
-        /// Leaves out the values.
+        /// Whether to leave out the values.
         keys_only: bool,
     },
     /// Waits for changes.
@@ -82,7 +82,7 @@
         }
     }
 
-    /// Whether it changes anything.
+    /// Whether the call changes an object.
     #[must_use]
     pub fn is_write(&self) -> bool {
         matches!(self, Self::Create { .. } | Self::Update { .. } | Self::Delete { .. })
@@ -96,13 +96,13 @@
     Found(Object),
     /// No such object.
     Absent,
-    /// The write is done; the object's (or deletion's) version.
+    /// The write was done; contains the version of the object or of its deletion.
     Written(u64),
-    /// The condition did not hold; the present version, 0 when absent.
+    /// The condition did not hold; contains the current version, 0 if there is no object.
     Conflict(u64),
     /// Objects read.
     Listed {
-        /// The store's version of this answer.
+        /// Version of the store that the answer shows.
         version: u64,
         /// The objects, by key.
         objects: Vec<Object>,
@@ -111,12 +111,12 @@
     },
     /// Changes, oldest first.
     Changed {
-        /// The store's version up to which they are all here.
+        /// Version of the store up to which the changes are complete.
         version: u64,
         /// Objects changed; a deleted one has no value.
         changes: Vec<Object>,
     },
-    /// The version to watch from is gone; list again.
+    /// The history since the requested version is no longer kept; list again.
     Compacted {
         /// The oldest version that can be watched from.
         oldest: u64,
@@ -132,23 +132,23 @@
     pub key: String,
     /// Version of its last change.
     pub version: u64,
-    /// Its value, JSON; nothing when deleted or not asked for.
+    /// Its value, JSON; `None` if it was deleted or not requested.
     pub value: Option<Bytes>,
 }
 
-/// A line of the platform's list of instances.
+/// An entry of the platform's list of instances.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     /// Its name.
     pub name: String,
-    /// What it is.
+    /// Its role.
     pub role: Role,
-    /// Whether it takes work.
+    /// Whether it accepts work.
     #[serde(rename = "state")]
     pub standing: Standing,
 }
 
-/// What a listed instance is.
+/// Role of a listed instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Role {
@@ -158,35 +158,35 @@
     Endpoint,
 }
 
-/// Whether a listed instance takes work, as the lagging list has it.
+/// Whether a listed instance accepts work. The list lags behind reality.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Standing {
-    /// Takes work.
+    /// Accepts work.
     Live,
-    /// Takes no new work.
+    /// Accepts no new work.
     Leaving,
 }
 
-/// Why a call has no answer.
+/// Why a call got no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Fault {
-    /// Past the rate; certainly not done.
+    /// The rate limit was exceeded; the call certainly had no effect.
     Busy {
-        /// When to try again.
+        /// Time after which to try again.
         retry_after: Duration,
     },
-    /// Not taken; certainly not done.
+    /// The call was not accepted; it certainly had no effect.
     Down {
-        /// For people.
+        /// Cause, as text for logs.
         cause: String,
     },
-    /// No answer; a write may or may not be done.
+    /// No answer; a write may or may not have been done.
     Lost {
-        /// For people.
+        /// Cause, as text for logs.
         cause: String,
     },
-    /// Refused for good; certainly not done.
+    /// Rejected permanently; the call certainly had no effect.
     Refused {
         /// The platform's message.
         message: String,
--- a/crates/store/src/attempt.rs
+++ b/crates/store/src/attempt.rs
@@ -1,4 +1,4 @@
-//! One write over all its tries, and what a read-back says about it.
+//! A write with all its tries, and the outcome that reading back shows.
 
 use crate::{
     Error, Item, Settings,
@@ -6,27 +6,27 @@
     envelope::{self, Fate, Nonce},
 };
 
-/// What became of a write; each of them is certain.
+/// Outcome of a write that is known for certain.
 #[derive(Debug, Clone)]
 pub enum Write {
-    /// Done. The item is the value written; another may have come since.
+    /// It was done. The item is the written value, which may have been replaced since.
     Done(Item),
-    /// The condition did not hold, nothing was changed.
+    /// The condition did not hold, and nothing was changed.
     Lost {
-        /// The version that stands there, 0 when the key is free.
+        /// Current version of the object, 0 if there is none.
         version: u64,
     },
 }
 
 impl Write {
-    /// Whether it was done.
+    /// Whether the write was done.
     #[must_use]
     pub fn is_done(&self) -> bool {
         matches!(self, Self::Done(_))
     }
 }
 
-/// One write over all its tries.
+/// A write with all its tries.
 pub(crate) struct Attempt {
     pub(crate) call: Call,
     pub(crate) own: Nonce,
@@ -34,13 +34,13 @@
     pub(crate) nonces: Vec<Nonce>,
 }
 
-/// What a read-back says.
+/// Result of reading back after a lost answer.
 pub(crate) enum Verdict {
-    /// Certain.
+    /// The outcome is certain.
     Settled(Write),
-    /// Not done so far.
+    /// The write has not taken effect so far; try again.
     Again,
-    /// Cannot be told, now or later.
+    /// The outcome cannot be determined any more.
     Unknown,
 }
 
@@ -52,13 +52,13 @@
         }
     }
 
-    /// Judges by the object that stands now; see [`crate::envelope`].
+    /// Determines the outcome from the current object; see [`crate::envelope`].
     pub(crate) fn judge(&self, found: Option<Item>, settings: &Settings) -> Verdict {
         let Some(item) = found else {
             return match self.call {
                 Call::Create { .. } => Verdict::Again,
                 Call::Delete { .. } => Verdict::Settled(Write::Done(self.item(0, settings))),
-                // Deleted since; ours may have come before that or not.
+                // The object was deleted meanwhile, before or after this write.
                 _ => Verdict::Unknown,
             };
         };
@@ -69,11 +69,11 @@
         if item.version == replaced {
             return Verdict::Again;
         }
-        // A short trail shows every write since the key was free, and the base
-        // is not among them: it was freed since.
+        // A trail that is not full contains every write since the object was created. If
+        // the base is not among them, the object was deleted meanwhile.
         let whole = item.nonces.len() < envelope::TRAIL;
         let fate = match self.call {
-            // A created key's trail starts with its creation.
+            // The trail of a created object starts with its creation.
             Call::Create { .. } if whole && !item.nonces.contains(&self.own) => Fate::Lost,
             Call::Delete { .. } if whole && self.base.is_some_and(|base| !item.nonces.contains(&base)) => Fate::Done,
             _ => envelope::fate(&item.nonces, self.own, self.base),
@@ -85,8 +85,8 @@
         }
     }
 
-    /// Our write's version, as far as the present object tells: a later
-    /// write hides it, and 0 then makes a further update on it lose at once.
+    /// Returns the version of this write if the current object shows it. If a later write
+    /// hides it, returns 0, so that an update based on it loses at once.
     fn version_of(&self, item: &Item) -> u64 {
         if item.nonces.first() == Some(&self.own) { item.version } else { 0 }
     }
@@ -113,7 +113,7 @@
     }
 }
 
-/// The caller's view of a fault after which certainly nothing was done.
+/// Converts a fault after which certainly nothing was done to the caller's error.
 pub(crate) fn down(fault: &Fault) -> Error {
     let cause = match fault {
         Fault::Busy { .. } => "past its rate".to_owned(),
--- a/crates/store/src/budget.rs
+++ b/crates/store/src/budget.rs
@@ -1,14 +1,13 @@
-//! This instance's share of the platform's rates.
+//! This instance's share of the platform's rate limits.
 //!
-//! Two token buckets, for writes and for reads. When one is empty, calls wait
-//! in the order of their [`Priority`], oldest first within one.
+//! There are two token buckets, for writes and for reads. When one is empty, calls wait in
+//! the order of their [`Priority`], and among equal ones in the order of arrival.
 //!
-//! Strict priority alone would let a flood of claims hold back a withdrawal
-//! or a lease's renewal for as long as it lasts. So of [`TURNS`] tokens each
-//! class is sure of some; a turn that its class does not need goes by
-//! priority. Giving one token in eight to the oldest waiter was tried before:
-//! behind 64 claims at each of seven instances a change then took 1.5 s (p50)
-//! to be in force, since the 64 were all older.
+//! With strict priority alone, a flood of claims would delay a withdrawal or the renewal of
+//! a lease for as long as it lasts. So each class is guaranteed some of the tokens
+//! ([`TURNS`]), and a turn that its class does not need goes by priority. The guarantee is
+//! not given to the oldest waiting call instead: a change would still wait behind all claims
+//! that arrived before it.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -17,26 +16,26 @@
     time::{Instant, sleep_until},
 };
 
-/// Whose turn each token is, over and over.
+/// Class to which each token is offered first, repeated cyclically.
 pub const TURNS: [Class; 16] = {
     use Class::{Bill, Change, Claim, Rest};
     [Claim, Claim, Bill, Claim, Change, Claim, Claim, Bill, Claim, Claim, Bill, Claim, Change, Claim, Claim, Rest]
 };
-/// Seconds of rate that an idle bucket saves up.
+/// Time for which an idle bucket accumulates tokens, in seconds.
 const BURST_S: f64 = 0.5;
 
-/// What a call is for; the first goes first.
+/// Purpose of a call, in the order in which calls are served.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Priority {
-    /// Claims: a request waits for it before it runs.
+    /// Claims, for which requests wait before they run.
     Claim,
-    /// Bills: a last frame may wait for it.
+    /// Bills, for which the last frames of answers may wait.
     Bill,
     /// Configuration.
     Config,
     /// Leases and orders.
     Lease,
-    /// Statistics: may be dropped.
+    /// Statistics, which may be dropped.
     Statistics,
 }
 
@@ -53,7 +52,7 @@
         }
     }
 
-    /// Configuration and leases share a class.
+    /// Returns the class of the call; configuration and leases share one.
     fn class(self) -> Class {
         match self {
             Self::Claim => Class::Claim,
@@ -64,7 +63,7 @@
     }
 }
 
-/// Calls that wait in one queue; the first goes first.
+/// Class of calls that wait in one queue, in the order in which classes are served.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Class {
     /// Claims.
@@ -77,7 +76,8 @@
     Rest,
 }
 
-/// A rate shared by priority. The task ends with its last handle.
+/// A token bucket whose tokens are granted by priority. Its task ends when the last handle is
+/// dropped.
 #[derive(Debug, Clone)]
 pub struct Bucket {
     asks: mpsc::UnboundedSender<Ask>,
@@ -90,7 +90,7 @@
 }
 
 impl Bucket {
-    /// Starts a bucket with a rate per second.
+    /// Starts a bucket that gets `per_s` tokens per second.
     #[must_use]
     pub fn spawn(per_s: f64) -> Self {
         let (asks, inbox) = mpsc::unbounded_channel();
@@ -98,10 +98,10 @@
         Self { asks }
     }
 
-    /// Waits for one call's worth. Dropping the future gives up the place.
+    /// Waits for a token. Dropping the future gives up the place in the queue.
     pub async fn take(&self, priority: Priority) {
         let (grant, granted) = oneshot::channel();
-        // A task that is gone means the runtime shuts down: let the call go.
+        // If the task is gone, the runtime is shutting down, and the call may proceed.
         if self.asks.send(Ask { priority, grant }).is_ok() {
             let _ = granted.await;
         }
@@ -119,7 +119,7 @@
     turn: usize,
 }
 
-/// Class, then arrival.
+/// Class and number of arrival of a waiting call.
 type Place = (Class, u64);
 
 impl Task {
@@ -161,7 +161,7 @@
         while self.tokens >= 1.0 {
             let Some(place) = self.next_place() else { return };
             let grant = self.waiting.remove(&place).expect("place was just found");
-            // Whoever has given up takes no token.
+            // A call that was given up takes no token.
             if grant.send(()).is_ok() {
                 self.tokens -= 1.0;
                 self.turn = (self.turn + 1) % TURNS.len();
@@ -177,7 +177,7 @@
 
     fn next_token(&self) -> Instant {
         let missing = (1.0 - self.tokens).max(0.0);
-        // A hair more, so that rounding never wakes us just short of a token.
+        // Slightly longer, so that rounding never ends the wait before the token is there.
         let wait = Duration::try_from_secs_f64(missing / self.per_s).unwrap_or(Duration::from_hours(1));
         Instant::now() + wait + Duration::from_micros(10)
     }
--- a/crates/store/src/envelope.rs
+++ b/crates/store/src/envelope.rs
@@ -1,33 +1,32 @@
-//! What is put around every value so that its write can be asked about later.
+//! Envelope around every stored value, which shows the outcome of earlier writes.
 //!
-//! A nonce alone tells who made the value that stands now. That is enough for
-//! a key that is only ever created. For an updated key it is not: when the
-//! answer to an update is lost and another's value stands there, either ours
-//! never happened (lost the race) or it did and the other came after (done,
-//! and already replaced). The caller must hear the right one: told "lost" it
-//! would do a grant's or lease's change twice, told "done" it would rely on a
-//! change that never was.
+//! A nonce identifies the write that made the current value. That suffices for objects that
+//! are only created. It does not for updates: if the answer to an update is lost and the
+//! current value is another writer's, the update either lost the race or was done and then
+//! replaced. The caller must learn which: if it took a done update for a lost one, it would
+//! change a grant or a lease twice; in the opposite case it would rely on a change that was
+//! never made.
 //!
-//! So each value keeps the nonces of its last [`TRAIL`] writes. An update
-//! names the value it replaces, thus its trail holds the replaced value's
-//! newest nonce, the *base*. Reading back finds one of:
+//! So each value keeps the nonces of its last [`TRAIL`] writes. An update names the value that
+//! it replaces, so its trail contains the newest nonce of that value, the *base*. Reading
+//! back finds one of the following in the trail:
 //!
-//! - our nonce in the trail: done, whoever wrote since;
-//! - not ours, but the base: all writes since the base are in sight and ours
-//!   is not among them: lost the race;
-//! - neither: more than `TRAIL` writes went by, or the key was deleted
-//!   between. What became of our write cannot be told: unknown.
+//! - the nonce of the write: it was done, even if others followed;
+//! - not that nonce, but the base: all writes since the base are known and this one is not
+//!   among them, so it lost the race;
+//! - neither: more than `TRAIL` writes followed, or the object was deleted meanwhile. The
+//!   outcome of the write is unknown.
 //!
-//! A retry carries the same nonce and the same base version, so that a first
-//! try that takes effect late and the second try can never both count.
+//! A retry has the same nonce and the same base version, so that a first try that takes
+//! effect late and the second one never both count.
 
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
-/// Nonces kept with a value, newest first.
+/// Number of nonces kept with a value.
 pub const TRAIL: usize = 8;
 
-/// Marks one write; the same over all tries of it.
+/// Identifies a write; the same for all its tries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Nonce(pub u64);
@@ -46,38 +45,38 @@
     }
 }
 
-/// A value with its marks.
+/// A value with the nonces of its last writes.
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Envelope<B> {
     /// Nonces of the last writes, newest first.
     pub nonces: Vec<Nonce>,
-    /// Who wrote it last.
+    /// Writer of the value.
     pub writer: String,
-    /// The value itself.
+    /// The value.
     pub body: B,
 }
 
-/// What a value read back says about a write.
+/// Outcome of a write, according to a value that was read back.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fate {
-    /// It was done.
+    /// The write was done.
     Done,
-    /// Another write came in its place.
+    /// Another write was done instead.
     Lost,
-    /// Cannot be told from this value.
+    /// The value does not show the outcome.
     Unknown,
 }
 
-/// A value's nonces with a further one in front.
+/// Returns a trail with a further nonce in front.
 #[must_use]
 pub fn extend(trail: &[Nonce], nonce: Nonce) -> Vec<Nonce> {
     std::iter::once(nonce).chain(trail.iter().copied()).take(TRAIL).collect()
 }
 
-/// Reads a write's fate from the trail that stands now.
+/// Determines the outcome of a write from the current trail.
 ///
-/// `base` is the newest nonce of the value the write meant to replace.
+/// `base` is the newest nonce of the value that the write was to replace.
 #[must_use]
 pub fn fate(trail: &[Nonce], own: Nonce, base: Option<Nonce>) -> Fate {
     if trail.contains(&own) {
@@ -89,8 +88,8 @@
     }
 }
 
-/// Parts a stored value into its marks and its body; a value that another
-/// program wrote has no marks and is its own body.
+/// Splits a stored value into its nonces and its body. A value that another program wrote has
+/// no nonces, and all of it is the body.
 #[must_use]
 pub fn open(value: &[u8]) -> Option<Envelope<Box<RawValue>>> {
     if let Ok(envelope) = serde_json::from_slice(value) {
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -5,29 +5,29 @@
 /// Why a call to the platform failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Error {
-    /// Out of reach until the deadline; a write was certainly not done.
+    /// The platform was out of reach until the deadline; a write was certainly not done.
     Down {
-        /// The last fault met.
+        /// Last fault.
         cause: String,
     },
-    /// A write whose answer was lost and that could not be read back in time.
+    /// The answer to a write was lost, and the object could not be read back in time.
     Unknown {
         /// The key written.
         key: String,
     },
-    /// The platform refused the call; a repeat would be refused too.
+    /// The platform rejected the call and would reject it again.
     Refused {
         /// The platform's message.
         message: String,
     },
-    /// A value above [`crate::MAX_VALUE`]; nothing was sent.
+    /// The value is longer than [`crate::MAX_VALUE`]; nothing was sent.
     TooLarge {
         /// The key to be written.
         key: String,
-        /// Its size in bytes, envelope included.
+        /// Its size in bytes, including the envelope.
         bytes: usize,
     },
-    /// A value that does not read as what was asked for.
+    /// The value cannot be decoded as the requested type.
     Malformed {
         /// The key read.
         key: String,
--- a/crates/store/src/fake.rs
+++ b/crates/store/src/fake.rs
@@ -1,8 +1,8 @@
-//! An object API in memory, with scripted faults, for tests of every crate.
+//! In-memory object API with scripted faults, for the tests of all crates.
 //!
-//! [`Platform`] is the store, [`Client`] one instance's way to it; faults can
-//! be set for either. Waits use tokio's clock, so a paused clock makes every
-//! run the same.
+//! [`Platform`] is the store and [`Client`] the connection of an instance to it; faults can be
+//! scripted for either. Waits use tokio's clock, so that runs with a paused clock are
+//! deterministic.
 
 mod data;
 
@@ -24,48 +24,48 @@
 };
 use data::Data;
 
-/// The store that all clients share; cheap to clone.
+/// Store that all clients share; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct Platform {
     shared: Arc<Mutex<Shared>>,
     version: watch::Sender<u64>,
 }
 
-/// One instance's way to the platform; cheap to clone.
+/// Connection of an instance to the platform; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct Client {
     platform: Platform,
     path: Arc<Mutex<Path>>,
 }
 
-/// What happens to one write.
+/// Fault of a write.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Loss {
-    /// It never arrives; the caller gets no answer.
+    /// The write does not arrive, and the caller gets no answer.
     Before,
-    /// It takes effect; the answer is lost.
+    /// The write takes effect, and its answer is lost.
     After,
-    /// It takes effect only after this time; the caller's try has long failed.
+    /// The write takes effect after this time, when the caller's try has failed already.
     Late(Duration),
-    /// Refused as down: certainly no effect.
+    /// The write is rejected and has no effect.
     Refused,
-    /// It takes effect, and the client is cut off from then on: its instance
-    /// was lost at this step.
+    /// The write takes effect, and the client is cut off from then on, as if its instance was
+    /// lost at this step.
     Death,
 }
 
-/// A call that arrived, for assertions.
+/// Record of a call, for assertions.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Record {
-    /// When, since the platform was opened.
+    /// Time since the platform was opened.
     pub at: Duration,
-    /// The call's name.
+    /// Name of the call.
     pub call: &'static str,
     /// Its key or prefix.
     pub key: String,
-    /// Bytes of the value sent.
+    /// Size of the value sent, in bytes.
     pub sent: usize,
-    /// Bytes of the values in the answer.
+    /// Size of the values in the answer, in bytes.
     pub received: usize,
 }
 
@@ -79,7 +79,7 @@
     stale_by: u64,
 }
 
-/// Faults on a way.
+/// Scripted faults of a connection, or of all connections.
 #[derive(Debug, Default)]
 struct Path {
     down: bool,
@@ -97,7 +97,7 @@
 }
 
 impl Platform {
-    /// An empty store.
+    /// Creates an empty store.
     #[must_use]
     pub fn open() -> Self {
         let shared = Shared {
@@ -111,38 +111,38 @@
         Self { shared: Arc::new(Mutex::new(shared)), version: watch::Sender::new(0) }
     }
 
-    /// A new instance's way to it.
+    /// Connects a new instance.
     #[must_use]
     pub fn client(&self) -> Client {
         Client { platform: self.clone(), path: Arc::default() }
     }
 
-    /// Refuses every call while set.
+    /// Sets whether every call is rejected.
     pub fn set_down(&self, down: bool) {
         self.lock().path.down = down;
-        // Wakes waiting watches, which then fail too.
+        // Wakes waiting watches, which then fail as well.
         self.version.send_modify(|_| {});
     }
 
-    /// Delays every answer by this much.
+    /// Delays every answer.
     pub fn set_slow(&self, by: Duration) {
         self.lock().path.slow = by;
     }
 
-    /// Makes the `n`th write from now (1: the next), by any client, go wrong.
+    /// Scripts a fault of the `n`th write of any client from now on; 1 is the next.
     pub fn lose(&self, n: u64, loss: Loss) {
         let path = &mut self.lock().path;
         let at = path.writes + n;
         path.losses.insert(at, loss);
     }
 
-    /// Makes watches answer from a state this many versions behind.
+    /// Makes watches show a state that is a number of versions old.
     pub fn set_stale_watches(&self, versions: u64) {
         self.lock().stale_by = versions;
         self.version.send_modify(|_| {});
     }
 
-    /// Forgets the history of changes: watches from before get 410.
+    /// Discards the history of changes; watches from earlier versions fail as compacted.
     pub fn compact(&self) {
         self.lock().data.compact();
         self.version.send_modify(|_| {});
@@ -153,25 +153,25 @@
         self.lock().instances = instances;
     }
 
-    /// Calls that arrived so far, the refused included.
+    /// Returns all calls so far, including rejected ones.
     #[must_use]
     pub fn records(&self) -> Vec<Record> {
         self.lock().records.clone()
     }
 
-    /// Every object as it stands: key, version, value with envelope.
+    /// Returns all objects; their values include the envelopes.
     #[must_use]
     pub fn objects(&self) -> Vec<Object> {
         self.lock().data.list("", "", usize::MAX).0
     }
 
-    /// Every change since the last compaction, oldest first.
+    /// Returns all changes since the last compaction, oldest first.
     #[must_use]
     pub fn history(&self) -> Vec<Object> {
         self.lock().data.history().to_vec()
     }
 
-    /// The store's version.
+    /// Returns the version of the store.
     #[must_use]
     pub fn version(&self) -> u64 {
         self.lock().data.version()
@@ -181,7 +181,7 @@
         self.shared.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Carries a call out.
+    /// Executes a call.
     fn apply(&self, call: &Call) -> Answer {
         let mut shared = self.lock();
         let instances = shared.instances.clone();
@@ -206,25 +206,25 @@
 }
 
 impl Client {
-    /// Cuts this client off while set.
+    /// Sets whether this client is cut off.
     pub fn set_down(&self, down: bool) {
         self.lock().down = down;
         self.platform.version.send_modify(|_| {});
     }
 
-    /// Delays this client's answers by this much.
+    /// Delays this client's answers.
     pub fn set_slow(&self, by: Duration) {
         self.lock().slow = by;
     }
 
-    /// Makes this client's `n`th write from now (1: the next) go wrong.
+    /// Scripts a fault of this client's `n`th write from now on; 1 is the next.
     pub fn lose(&self, n: u64, loss: Loss) {
         let mut path = self.lock();
         let at = path.writes + n;
         path.losses.insert(at, loss);
     }
 
-    /// Makes this client's `n`th read from now (1: the next) fail.
+    /// Makes this client's `n`th read from now on fail; 1 is the next.
     pub fn lose_read(&self, n: u64, fault: Fault) {
         let mut path = self.lock();
         let at = path.reads + n;
--- a/crates/store/src/fake/data.rs
+++ b/crates/store/src/fake/data.rs
@@ -1,4 +1,4 @@
-//! The fake's objects and their history.
+//! Objects of the fake store and their history.
 
 use std::collections::BTreeMap;
 
@@ -9,13 +9,13 @@
     api::{Answer, Call, Object},
 };
 
-/// Objects and every change since the last compaction.
+/// Objects, and all changes since the last compaction.
 #[derive(Debug, Default)]
 pub(super) struct Data {
     version: u64,
     objects: BTreeMap<String, (u64, Bytes)>,
     history: Vec<Object>,
-    /// Changes up to this version are forgotten.
+    /// Version up to which changes were discarded.
     compacted: u64,
 }
 
@@ -74,7 +74,8 @@
         (objects, found.next().is_some())
     }
 
-    /// Changes above `from`, as a replica `stale_by` versions behind has them.
+    /// Returns the changes after `from` as a replica shows them that is `stale_by` versions
+    /// behind.
     pub(super) fn changes(&self, prefix: &str, from: u64, stale_by: u64) -> Answer {
         if from < self.compacted {
             return Answer::Compacted { oldest: self.compacted };
--- a/crates/store/src/handle.rs
+++ b/crates/store/src/handle.rs
@@ -1,4 +1,4 @@
-//! Calls with budget, retries and read-back.
+//! Calls to the store within the budget, with retries and reading back.
 
 mod retry;
 
@@ -26,10 +26,10 @@
     reach::Reach,
 };
 
-/// Objects asked for in one page of a list.
+/// Number of objects requested in a page of a listing.
 const PAGE: usize = 500;
 
-/// The object API with this instance's budget; cheap to clone.
+/// Handle of the object API with this instance's call budget; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct Handle {
     shared: Arc<Shared>,
@@ -48,9 +48,8 @@
 
 impl Handle {
     pub(crate) fn open(settings: Settings, store: Arc<dyn Store>) -> Self {
-        // The writer goes into the seed: two instances with one seed in their
-        // settings must not draw the same nonces, or each would take the
-        // other's value for its own.
+        // The writer's name is part of the seed: if two instances with the same seed in their
+        // settings drew the same nonces, each would take the other's value for its own.
         let seed = settings.seed.unwrap_or_else(rand::random) ^ hash::stable(settings.writer.as_bytes());
         let deadline = settings.deadline;
         let shared = Shared {
@@ -64,19 +63,19 @@
         Self { shared: Arc::new(shared), deadline }
     }
 
-    /// The same platform with another deadline per operation.
+    /// Returns a handle with another deadline for each operation.
     #[must_use]
     pub fn within(&self, deadline: Duration) -> Self {
         Self { shared: self.shared.clone(), deadline }
     }
 
-    /// How it was opened.
+    /// Returns the settings with which it was opened.
     #[must_use]
     pub fn settings(&self) -> &Settings {
         &self.shared.settings
     }
 
-    /// Whether the platform answers; a new value with each change.
+    /// Returns a receiver that shows whether the platform answers.
     #[must_use]
     pub fn reachable(&self) -> watch::Receiver<bool> {
         self.shared.reach.subscribe()
@@ -94,15 +93,14 @@
 
     /// Creates an object if its key is free.
     ///
-    /// Exact as long as nobody deletes the key before this returns: a
-    /// deletion hides a first try whose answer was lost, and the object would
-    /// be created again. Keys that are deleted at all must be deleted only
-    /// long after they were made, as logs are cut off.
+    /// The result is exact unless the object is deleted before this returns: a deletion hides
+    /// a first try whose answer was lost, and the object would be created again. So objects may
+    /// only be deleted long after they were created, as when a log is truncated.
     ///
     /// # Errors
     ///
-    /// [`Error::Unknown`] when the answer was lost and could not be read back;
-    /// with every other error nothing was changed.
+    /// [`Error::Unknown`] if the answer was lost and the object could not be read back; after any
+    /// other error nothing was changed.
     pub async fn create<T: Serialize + ?Sized>(
         &self,
         priority: Priority,
@@ -116,7 +114,7 @@
         self.write(priority, Attempt { call, own, base: None, nonces }).await
     }
 
-    /// Replaces an object if `item` still is its present state.
+    /// Replaces an object if `item` is its current state.
     ///
     /// # Errors
     ///
@@ -134,11 +132,11 @@
         self.write(priority, Attempt { call, own, base: item.nonces.first().copied(), nonces }).await
     }
 
-    /// Deletes an object if `item` still is its present state.
+    /// Deletes an object if `item` is its current state.
     ///
-    /// A deletion leaves no nonce: when its answer was lost, done means only
-    /// that the key was freed, and of two who delete at once both may hear
-    /// it. What only one may do must rest on [`Handle::update`].
+    /// A deletion leaves no nonce. If its answer was lost, [`Write::Done`] only means that the
+    /// object is gone, and of two concurrent deletions both may return it. What only one instance
+    /// may do must be decided by [`Handle::update`].
     ///
     /// # Errors
     ///
@@ -149,7 +147,7 @@
         self.write(priority, Attempt { call, own: self.nonce(), base, nonces: Vec::new() }).await
     }
 
-    /// Reads all objects with a prefix, by key, page by page.
+    /// Reads all objects with a prefix, in the order of their keys.
     ///
     /// # Errors
     ///
@@ -168,8 +166,8 @@
         while whole.more {
             let after = whole.items.last().map_or_else(String::new, |item| item.key.clone());
             let page = self.list_page(priority, prefix, &after, PAGE).await?;
-            // The first page's version stays: changes made between two pages
-            // are above it, so a watch from there sees them all.
+            // The version of the first page is kept: changes made between two pages have
+            // higher versions, so a watch from there returns them all.
             whole.items.extend(page.items);
             whole.more = page.more;
         }
@@ -209,13 +207,13 @@
         Ok(objects.into_iter().map(|object| object.key).collect())
     }
 
-    /// Watches a prefix from a version on, as a listing named it.
+    /// Watches a prefix from the version of a listing on.
     #[must_use]
     pub fn watch(&self, priority: Priority, prefix: &str, from: u64) -> Watch {
         Watch::new(self.clone(), priority, prefix, from)
     }
 
-    /// Reads the platform's list of instances, which lags.
+    /// Reads the platform's list of instances, which lags behind reality.
     ///
     /// # Errors
     ///
@@ -242,7 +240,7 @@
         }
     }
 
-    /// One wait of a watch, one try.
+    /// Makes one call of a watch, without retries.
     pub(crate) async fn wait(
         &self,
         priority: Priority,
@@ -282,7 +280,7 @@
         self.read_until(Instant::now() + self.deadline, priority, call, 0).await
     }
 
-    /// Reads, again and again until a deadline, after so many lost answers.
+    /// Reads with retries until a deadline. `misses` is the number of answers lost so far.
     async fn read_until(
         &self,
         until: Instant,
@@ -310,13 +308,12 @@
         }
     }
 
-    /// Writes, again and again until its fate is certain or the deadline.
+    /// Writes with retries until the outcome is certain or the deadline passes.
     async fn write(&self, priority: Priority, attempt: Attempt) -> Result<Write, Error> {
         let until = Instant::now() + self.deadline;
         let mut backoff = self.backoff();
-        // In doubt from the first lost answer on, for good: even after a
-        // read-back found nothing, that try may still be on its way and take
-        // effect, so that "not done" can no longer be promised.
+        // Once an answer was lost, the write stays in doubt: even if reading back shows no
+        // effect, that try may still take effect later.
         let (mut in_doubt, mut misses) = (false, 0);
         let mut last = Fault::Down { cause: "no budget for a try before the deadline".into() };
         loop {
@@ -325,7 +322,7 @@
             }
             let fault = match self.call(attempt.call.clone(), self.patience(until, misses)).await {
                 Ok(Answer::Written(version)) => return Ok(Write::Done(attempt.item(version, &self.shared.settings))),
-                // Without a lost answer nobody but another can have come first.
+                // Without a lost answer the conflict is with another writer.
                 Ok(Answer::Conflict(version)) if !in_doubt => return Ok(Write::Lost { version }),
                 Ok(Answer::Absent) if !in_doubt => return Ok(Write::Lost { version: 0 }),
                 Ok(Answer::Conflict(_) | Answer::Absent) => None,
@@ -351,7 +348,7 @@
         }
     }
 
-    /// Reads what became of a write; nothing when that was impossible.
+    /// Reads back after a lost answer; `None` if that failed.
     async fn read_back(&self, until: Instant, priority: Priority, attempt: &Attempt, misses: u32) -> Option<Verdict> {
         let found = self.get_until(until, priority, attempt.key(), misses).await.ok()?;
         metrics::counter!("platform_read_backs_total").increment(1);
--- a/crates/store/src/handle/retry.rs
+++ b/crates/store/src/handle/retry.rs
@@ -1,4 +1,4 @@
-//! One try of a call, and the wait before the next.
+//! A try of a call, and the wait before the next one.
 
 use std::time::Duration;
 
@@ -12,14 +12,14 @@
     budget::Bucket,
 };
 
-/// Least time before the deadline in which a further try makes sense.
+/// Minimum time before the deadline for a further try.
 const LAST_TRY: Duration = Duration::from_millis(10);
 
-/// Doublings of the wait for an answer.
+/// Maximum number of times that the wait for an answer is doubled.
 const MOST_DOUBLINGS: u32 = 4;
 
 impl Handle {
-    /// One call, one try, counted.
+    /// Makes one call without retries, and records its outcome in the metrics.
     pub(super) async fn call(&self, call: Call, longest: Duration) -> Result<Answer, Fault> {
         let name = call.name();
         let started = Instant::now();
@@ -34,7 +34,7 @@
         result
     }
 
-    /// Waits for budget; false when the deadline comes first.
+    /// Waits for the budget; returns `false` if the deadline passes first.
     pub(super) async fn take(&self, until: Instant, bucket: &Bucket, priority: Priority) -> bool {
         let started = Instant::now();
         let taken = tokio::time::timeout_at(until, bucket.take(priority)).await.is_ok();
@@ -43,7 +43,7 @@
         taken
     }
 
-    /// Waits out the backoff; false when no time is left for a try after it.
+    /// Waits for the backoff; returns `false` if there is no time left for a further try.
     pub(super) async fn pause_until(&self, until: Instant, backoff: &mut Backoff, fault: &Fault) -> bool {
         let least = match fault {
             Fault::Busy { retry_after } => *retry_after,
@@ -53,16 +53,15 @@
         if left < LAST_TRY || left < least {
             return false;
         }
-        // A wait past the deadline would give up with time in hand, and leave
-        // a write's fate unread that one more read could have told.
+        // A wait until the deadline would waste the remaining time, in which another read
+        // may still show the outcome of a write.
         let wait = self.with_rng(|rng| backoff.next(least, rng)).min(left / 2).max(least);
         sleep(wait).await;
         true
     }
 
-    /// How long to wait for an answer after so many lost ones. Each doubles
-    /// it: a platform that answers, but slower than the first wait, would
-    /// otherwise never be heard, and every write would end as unknown.
+    /// Returns the time to wait for an answer; it doubles with each lost one. Otherwise every
+    /// write would end as unknown while the platform answers more slowly than the first wait.
     pub(super) fn patience(&self, until: Instant, misses: u32) -> Duration {
         let longest = self.shared.settings.call_timeout * 2_u32.saturating_pow(misses.min(MOST_DOUBLINGS));
         until.saturating_duration_since(Instant::now()).min(longest)
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -1,4 +1,4 @@
-//! The object API over HTTP/1.1 (docs/design/outside-protocols.md).
+//! HTTP/1.1 client of the object API (docs/design/outside-protocols.md).
 
 mod wire;
 
@@ -16,13 +16,13 @@
 
 use crate::api::{Answer, Call, Fault, Store};
 
-/// How long to wait for a connection; not connected means not done.
+/// Time limit for connecting. A call without a connection certainly had no effect.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// How long an idle connection is kept.
+/// Time for which an idle connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// When to come back after a 429 that does not say.
+/// Time after which to try again after a 429 that names none.
 const RETRY_AFTER: Duration = Duration::from_millis(50);
-/// Header that says when to come back, in milliseconds.
+/// Header with the time after which to try again, in milliseconds.
 const RETRY_AFTER_MS: &str = "retry-after-ms";
 
 /// The platform's object API at one address.
@@ -38,7 +38,7 @@
 }
 
 impl Client {
-    /// A client; connects at the first call.
+    /// Creates a client that connects at the first call.
     #[must_use]
     pub fn open(address: SocketAddr) -> Self {
         let mut connector = HttpConnector::new();
@@ -93,7 +93,8 @@
     }
 }
 
-/// Keys consist of names and `/` (see `world`), so nothing needs escaping.
+/// Returns the method and path of a call. Keys consist of names and `/` (see `world`), so
+/// nothing needs escaping.
 fn target(call: &Call) -> (Method, String) {
     match call {
         Call::Get { key } => (Method::GET, format!("/objects/{key}")),
@@ -125,7 +126,7 @@
         (_, StatusCode::OK | StatusCode::CREATED) => {
             wire::read(body).map(|wire::Version { version }| Answer::Written(version))
         }
-        // 4xx: not done. Anything else may have come after the effect.
+        // A 4xx status means that the call had no effect; any other may follow an effect.
         (_, status) if status.is_client_error() => Err(Fault::Refused { message: refusal(status, body) }),
         (_, status) => Err(Fault::Lost { cause: refusal(status, body) }),
     }
@@ -146,8 +147,8 @@
     header.map_or(RETRY_AFTER, Duration::from_millis)
 }
 
-/// Only a failed connect is certain: on an open connection the request may
-/// have left before the error came.
+/// Converts an error of the HTTP client. Only a failed connect shows that the call had no
+/// effect: over an open connection the request may have been sent before the error.
 fn fault_of(error: &legacy::Error) -> Fault {
     let cause = error.to_string();
     if error.is_connect() { Fault::Down { cause } } else { Fault::Lost { cause } }
--- a/crates/store/src/http/wire.rs
+++ b/crates/store/src/http/wire.rs
@@ -9,7 +9,7 @@
     api::{self, Answer, Fault},
 };
 
-/// Reads a body; one that does not read may have come after the effect.
+/// Decodes a body. If that fails, the call may still have had an effect.
 pub(super) fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, Fault> {
     serde_json::from_slice(body).map_err(|error| Fault::Lost { cause: format!("the answer does not read: {error}") })
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,18 +1,17 @@
-//! The edge to the platform's object API.
+//! Client of the platform's object API.
 //!
-//! Everything that two instances could disagree about is settled by one
-//! conditional write here, so this crate's job is to never guess what became
-//! of a write. [`open`] returns a [`Handle`]; its calls
+//! Instances resolve every conflict between them by one conditional write, so this crate
+//! must never guess the outcome of a write. [`open`] returns a [`Handle`]. Its calls
 //!
-//! - stay within this instance's share of the platform's rates ([`budget`]),
-//!   claims first;
-//! - try again after refusals and outages, with full jitter ([`backoff`]);
-//! - mark every value with a nonce ([`envelope`]) and read back after a lost
-//!   answer, so that the caller hears *done*, *lost the race* or, when even
-//!   reading was impossible until the deadline, [`Error::Unknown`].
+//! - stay within this instance's share of the platform's rate limits ([`budget`]), with
+//!   priority for claims;
+//! - are retried after rejections and outages, with full jitter ([`backoff`]);
+//! - mark every value with a nonce ([`envelope`]) and read it back after a lost answer. The
+//!   caller learns whether the write was done or lost the race or, if reading back failed
+//!   until the deadline, gets [`Error::Unknown`].
 //!
-//! Behind the handle stands one trait, [`api::Store`]: the HTTP client in
-//! [`http`], or the scripted in-memory [`fake`] in tests.
+//! The handle uses the trait [`api::Store`], implemented by the HTTP client in [`http`] and,
+//! for tests, by the in-memory [`fake`] with scripted faults.
 
 pub mod api;
 mod attempt;
@@ -39,19 +38,19 @@
 pub use settings::Settings;
 pub use watch::{Batch, Change, Watch};
 
-/// Largest value the platform takes, in bytes, envelope included.
+/// Largest value that the platform accepts, in bytes, including the envelope.
 pub const MAX_VALUE: usize = 1 << 20;
 
 /// Opens the platform's object API over HTTP; connects at the first call.
 ///
-/// Must run inside a tokio runtime: the call budget is a task.
+/// Must be called within a tokio runtime, since it spawns the tasks of the call budget.
 #[must_use]
 pub fn open(settings: Settings) -> Handle {
     let store = http::Client::open(settings.address);
     open_with(settings, Arc::new(store))
 }
 
-/// Opens any store, such as a [`fake::Client`].
+/// Opens any implementation of the store, such as a [`fake::Client`].
 #[must_use]
 pub fn open_with(settings: Settings, store: Arc<dyn api::Store>) -> Handle {
     Handle::open(settings, store)
--- a/crates/store/src/reach.rs
+++ b/crates/store/src/reach.rs
@@ -1,14 +1,14 @@
-//! Whether the platform answers at all.
+//! Tracks whether the platform answers.
 
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use tokio::sync::watch;
 
-/// Calls in a row without an answer until the platform counts as silent: one
-/// lost answer is no outage.
+/// Number of consecutive calls without an answer after which the platform counts as
+/// unreachable. A single lost answer is not an outage.
 const SILENT_AFTER: u32 = 3;
 
-/// Counts answers and their absence.
+/// Counts consecutive calls without an answer.
 #[derive(Debug)]
 pub(crate) struct Reach {
     unanswered: AtomicU32,
--- a/crates/store/src/settings.rs
+++ b/crates/store/src/settings.rs
@@ -1,45 +1,45 @@
-//! How an instance uses the platform.
+//! Settings of the client.
 
 use std::{
     net::{Ipv4Addr, SocketAddr},
     time::Duration,
 };
 
-/// How an instance uses the platform.
+/// Settings of an instance's client of the platform.
 #[derive(Debug, Clone)]
 pub struct Settings {
-    /// Where the object API listens.
+    /// Address of the object API.
     pub address: SocketAddr,
-    /// Who writes: instance and incarnation. Must differ between any two
-    /// processes, since nonces are drawn from it.
+    /// Name of the writer: instance and incarnation. Must be unique to the process, since
+    /// the seed of its nonces depends on it.
     pub writer: String,
     /// This instance's share of writes, per second.
     pub writes_per_s: f64,
-    /// This instance's share of reads, per second; a waiting watch is one.
+    /// This instance's share of reads, per second; each call of a watch counts as a read.
     pub reads_per_s: f64,
-    /// Wait for the first answer; a write not answered by then counts as lost.
-    /// Doubles with each lost answer.
+    /// Time to wait for an answer, after which it counts as lost. Doubles with each lost
+    /// answer of an operation.
     pub call_timeout: Duration,
-    /// Longest wait for one operation, retries and waiting for budget included.
+    /// Time limit of an operation, including retries and waiting for the budget.
     pub deadline: Duration,
-    /// How long the platform holds a watch without news.
+    /// Time for which the platform holds back the answer to a watch without changes.
     pub watch_wait: Duration,
-    /// First ceiling of the backoff between tries.
+    /// Initial ceiling of the backoff between tries.
     pub backoff_min: Duration,
-    /// Last ceiling of the backoff between tries.
+    /// Highest ceiling of the backoff between tries.
     pub backoff_max: Duration,
-    /// Seed of nonces and jitter; drawn from the system when absent.
+    /// Seed of nonces and jitter; drawn from the system if `None`.
     pub seed: Option<u64>,
 }
 
 impl Settings {
-    /// Settings for one instance, with the defaults.
+    /// Returns the default settings for an instance.
     #[must_use]
     pub fn new(address: SocketAddr, writer: impl Into<String>) -> Self {
         Self { address, writer: writer.into(), ..Self::default() }
     }
 
-    /// Settings for a test: no address, a fixed seed, ample budget.
+    /// Returns settings for a test: without an address, with a fixed seed and an ample budget.
     #[must_use]
     pub fn fake(writer: impl Into<String>, seed: u64) -> Self {
         Self {
@@ -57,7 +57,8 @@
         Self {
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             writer: String::new(),
-            // Seven instances' shares of 300 writes and 2,000 reads a second.
+            // About a seventh each of 300 writes and 2,000 reads a second, the rates of a
+            // platform with seven instances.
             writes_per_s: 40.0,
             reads_per_s: 280.0,
             call_timeout: Duration::from_secs(2),
--- a/crates/store/src/watch.rs
+++ b/crates/store/src/watch.rs
@@ -1,10 +1,10 @@
-//! Watching a prefix without missing a change.
+//! Watches the objects with a prefix without missing a change.
 
 use std::time::Duration;
 
 use crate::{Error, Handle, Item, Listing, Priority, api, backoff::Backoff};
 
-/// Changes of one prefix, in order. Each wait is one read of the budget.
+/// Watch of a prefix that returns changes in order. Each call takes one read from the budget.
 #[derive(Debug)]
 pub struct Watch {
     handle: Handle,
@@ -17,28 +17,27 @@
     backoff: Option<Backoff>,
 }
 
-/// What one wait brought.
+/// Result of waiting for changes.
 #[derive(Debug, Clone)]
 pub enum Batch {
-    /// Changes since the last batch, oldest first; none when the wait ran out,
-    /// which confirms that there are none.
+    /// Changes since the last batch, oldest first. An empty batch confirms that there were
+    /// none.
     Changes {
-        /// Complete up to this version.
+        /// Version of the store up to which the changes are complete.
         version: u64,
         /// The changes.
         changes: Vec<Change>,
     },
-    /// Changes were missed; these are all objects as they stand now. What is
-    /// not among them has been deleted.
+    /// Changes were missed. Contains all current objects; any other one was deleted.
     Relisted(Listing),
 }
 
-/// One change.
+/// A change to an object.
 #[derive(Debug, Clone)]
 pub enum Change {
-    /// Created or updated.
+    /// It was created or updated.
     Put(Item),
-    /// Deleted.
+    /// It was deleted.
     Deleted {
         /// The key.
         key: String,
@@ -54,25 +53,25 @@
         Self { handle, priority, prefix, from, wait, relist_after: String::new(), lagging: false, backoff: None }
     }
 
-    /// Waits this long for changes before an empty batch.
+    /// Sets the time after which an empty batch is returned if there are no changes.
     #[must_use]
     pub fn waiting(mut self, wait: Duration) -> Self {
         self.wait = wait;
         self
     }
 
-    /// After a gap, lists only keys above this one: a log's reader needs no
-    /// entry that it has already.
+    /// Sets the key after which objects are listed if changes were missed: the reader of a log
+    /// does not need the entries that it has already read.
     pub fn relist_after(&mut self, key: &str) {
         key.clone_into(&mut self.relist_after);
     }
 
-    /// Waits for changes; dropping the future loses none.
+    /// Waits for changes. No change is lost if the future is dropped.
     ///
     /// # Errors
     ///
-    /// [`Error::Down`] after one failed try, so that the caller notices the
-    /// silence; the next call waits out the backoff first.
+    /// [`Error::Down`] after one failed try, so that the caller notices the outage. The next call
+    /// waits for the backoff first.
     pub async fn next(&mut self) -> Result<Batch, Error> {
         if let Some(backoff) = &mut self.backoff {
             self.handle.pause(backoff, Duration::ZERO).await;
@@ -92,8 +91,8 @@
 
     async fn poll(&mut self) -> Result<Batch, Error> {
         match self.handle.wait(self.priority, &self.prefix, self.from, self.wait).await? {
-            // A replica behind the one that answered last may name an older
-            // version: going back would hand out changes twice.
+            // Another replica may be behind the one that answered last. Going back to its
+            // older version would return changes twice.
             api::Answer::Changed { version, changes } => {
                 let changes = changes.into_iter().filter(|c| c.version > self.from).map(Change::parse);
                 let changes = changes.collect::<Result<Vec<_>, _>>()?;
@@ -110,7 +109,7 @@
 
     async fn relist(&mut self) -> Result<Batch, Error> {
         let listing = self.handle.list_after(self.priority, &self.prefix, &self.relist_after).await?;
-        // A replica that has not seen what we saw cannot fill the gap.
+        // A replica that is behind the watch does not have the missed changes.
         if listing.version < self.from {
             return Err(Error::Down { cause: "the list is older than the watch".into() });
         }
