--- a/crates/relay/src/dispatcher/evacuations.rs
+++ b/crates/relay/src/dispatcher/evacuations.rs
@@ -14,9 +14,11 @@
 /// The known evacuations.
 #[derive(Debug, Default)]
 pub(super) struct Evacuations {
-    /// Revision of the store that the domains are those of; `None` before the first listing.
+    /// Revision of the store at which these were the evacuations; `None` before the first
+    /// listing.
     revision: Option<u64>,
-    /// Evacuated failure domains, with the time at which this instance learned of it.
+    /// Evacuated failure domains, with the time at which this instance learned of each
+    /// evacuation.
     domains: BTreeMap<String, Duration>,
 }
 
@@ -51,6 +53,7 @@
 }
 
 impl Fleet {
+    /// Adds a domain.
     fn evacuate(&mut self, domain: String, now: Duration) {
         if !self.evacuations.contains(&domain) {
             tracing::warn!(domain, "failure domain evacuated, its endpoints get no new requests");
@@ -66,6 +69,7 @@
         true
     }
 
+    /// Sets the revision after changes to the domains, and makes the next decisions apply them.
     fn set_evacuations_revision(&mut self, revision: u64) {
         self.evacuations.revision = Some(revision);
         self.invalidate_pools();
--- a/crates/relay/src/dispatcher/fleet/selection.rs
+++ b/crates/relay/src/dispatcher/fleet/selection.rs
@@ -153,8 +153,8 @@
         found
     }
 
-    /// Returns the endpoints of a service that may get a request now. Those in backoff after a failed connection are left out, unless all
-    /// of them are.
+    /// Returns the endpoints of a service that may get a request now. Those in backoff after a
+    /// failed connection are left out, unless all of them are.
     pub(super) fn available(&self, service: &str, now: Duration) -> Vec<(Key, &Server)> {
         let takes = |server: &Server| server.endpoint.service == service && self.takes_requests(server, now);
         let all = || self.servers.iter().filter(|(_, server)| takes(server));
@@ -162,7 +162,7 @@
         if available.is_empty() { all().collect() } else { available }
     }
 
-    /// Returns whether an endpoint may get a request now, whether it is reachable or not.
+    /// Returns whether an endpoint may get a request now if it is reachable.
     pub(super) fn takes_requests(&self, server: &Server, now: Duration) -> bool {
         self.is_in_service(server) && server.throttle.may_send(now) && server.permits_warmup(now)
     }
--- a/crates/relay/src/dispatcher/fleet/warmup.rs
+++ b/crates/relay/src/dispatcher/fleet/warmup.rs
@@ -111,7 +111,7 @@
 }
 
 impl Server {
-    /// Whether the endpoint is warm, or this instance may send it a request regardless.
+    /// Whether the endpoint is warm, or this instance's share of its rate permits a request.
     pub(super) fn permits_warmup(&self, now: Duration) -> bool {
         now >= self.warm_at || self.warmup.may_send(now)
     }
@@ -123,7 +123,8 @@
         }
     }
 
-    /// Returns the time until the endpoint takes a request from this instance or another.
+    /// Returns the time until the endpoint takes a request from this instance, or from any
+    /// instance if this one has no share of its rate.
     pub(super) fn warmup_wait(&self, now: Duration) -> Duration {
         self.warmup.wait(now).min(self.warm_at.saturating_sub(now))
     }
--- a/crates/relay/src/follow/intake.rs
+++ b/crates/relay/src/follow/intake.rs
@@ -24,7 +24,7 @@
         }
         self.revision = Some(listing.revision);
         if self.kind == Kind::Evacuations {
-            // An evacuation holds while its record is there, whatever that contains.
+            // An evacuation lasts as long as its record exists, whatever that contains.
             let readable = listing.records.into_iter().map(|change| change.name);
             let domains = readable.chain(listing.unreadable).collect();
             self.dispatcher.replace_evacuations(Evacuated { revision: listing.revision, domains });
