--- a/crates/relay/tests/it/synchronization.rs
+++ b/crates/relay/tests/it/synchronization.rs
@@ -139,6 +139,26 @@
     assert_eq!(endpoint_ids(watcher), ["e1", "e2"]);
 }
 
+/// An instance of a large fleet is killed. Its next news were due only in a minute, but callers
+/// must not be sent to it for longer than a few seconds.
+#[tokio::test]
+async fn killed_instance_is_not_named_to_callers() {
+    let here = instance_with_catalog(1);
+    let front = ([127, 0, 0, 9], 80).into();
+    let update = Status {
+        front: Some(front),
+        start: 1,
+        phase: Phase::Ready,
+        fresh: true,
+        time_to_next: Duration::from_mins(1),
+        ..Status::default()
+    };
+    here.update_peer("there", ([127, 0, 0, 9], 7).into(), update);
+    assert!(here.caller_addresses(&Caller::default()).contains(&front));
+    tokio::time::sleep(Duration::from_millis(4_300)).await;
+    assert!(!here.caller_addresses(&Caller::default()).contains(&front));
+}
+
 /// An instance loses power. About a second after its last news message, callers are not sent to
 /// it any more, and its pending requests no longer count as load.
 #[tokio::test]
