--- a/crates/arbutuslugd/tests/memory.rs
+++ b/crates/arbutuslugd/tests/memory.rs
@@ -1,4 +1,4 @@
-//! Memory of a relaying process. Small instances have 88 MiB for everything.
+//! Memory of a relaying process, which runs on instances with less than 100 MiB.
 
 use std::{
     env, fs,
--- a/crates/relay/src/dispatcher/evacuations.rs
+++ b/crates/relay/src/dispatcher/evacuations.rs
@@ -22,9 +22,9 @@
     domains: BTreeMap<String, Duration>,
 }
 
-/// The evacuated failure domains at a revision of the store.
+/// The evacuated failure domains at a revision of the store, as instances tell each other.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Evacuated {
+pub struct Snapshot {
     /// Revision of the store.
     pub revision: u64,
     /// Names of the domains.
@@ -42,9 +42,8 @@
         self.revision.is_some()
     }
 
-    /// Returns the evacuated domains with their revision.
-    pub fn evacuated(&self) -> Evacuated {
-        Evacuated { revision: self.revision.unwrap_or_default(), domains: self.domains.keys().cloned().collect() }
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot { revision: self.revision.unwrap_or_default(), domains: self.domains.keys().cloned().collect() }
     }
 
     fn is_outdated(&self, revision: u64) -> bool {
@@ -89,21 +88,21 @@
 
 impl Dispatcher {
     /// Replaces the known evacuations, unless a newer revision of them is known.
-    pub fn replace_evacuations(&self, evacuated: Evacuated) {
+    pub fn replace_evacuations(&self, snapshot: Snapshot) {
         let now = clock::now();
         let mut state = self.lock();
-        if state.fleet.evacuations.is_outdated(evacuated.revision) {
+        if state.fleet.evacuations.is_outdated(snapshot.revision) {
             return;
         }
-        let is_ended = |domain: &&String| !evacuated.domains.contains(*domain);
+        let is_ended = |domain: &&String| !snapshot.domains.contains(*domain);
         let ended: Vec<String> = state.fleet.evacuations.domains.keys().filter(is_ended).cloned().collect();
         for domain in ended {
             state.end_evacuation(&domain, now);
         }
-        for domain in evacuated.domains {
+        for domain in snapshot.domains {
             state.fleet.evacuate(domain, now);
         }
-        state.fleet.set_evacuations_revision(evacuated.revision);
+        state.fleet.set_evacuations_revision(snapshot.revision);
         drop(state);
         self.startup_progressed.notify_waiters();
     }
@@ -127,14 +126,14 @@
 
     /// Returns the evacuated failure domains.
     #[must_use]
-    pub fn evacuated(&self) -> Evacuated {
-        self.lock().fleet.evacuations.evacuated()
+    pub fn evacuations(&self) -> Snapshot {
+        self.lock().fleet.evacuations.snapshot()
     }
 
     /// Whether all endpoints of a service that are not leaving are in evacuated failure
     /// domains.
     #[must_use]
-    pub fn is_evacuated(&self, service: &str) -> bool {
+    pub fn is_service_evacuated(&self, service: &str) -> bool {
         let state = self.lock();
         let mut endpoints = state.fleet.endpoints_of(service).filter(|endpoint| !endpoint.draining).peekable();
         endpoints.peek().is_some() && endpoints.all(|endpoint| state.fleet.evacuations.contains(&endpoint.domain))
--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -84,7 +84,9 @@
     /// Endpoints that cache each prompt part.
     holders: Prefixes,
     limited: limits::LimitedEndpoints,
+    /// Failure domains whose endpoints get no new requests.
     pub(super) evacuations: Evacuations,
+    /// Endpoints that take only a limited rate until they are warm.
     warming: warmup::WarmingEndpoints,
 }
 
@@ -132,7 +134,7 @@
     /// When the endpoint is warm.
     warm_at: Duration,
     /// Rate at which this instance may send requests until then.
-    warmup: Throttle,
+    warmup_throttle: Throttle,
 }
 
 /// Load of the runs at an endpoint.
@@ -186,7 +188,7 @@
         let backlog_ms = latency.processing_ms(units);
         server.runs += 1;
         server.throttle.take_token(now);
-        server.take_warmup_token(now);
+        server.take_token_while_warming(now);
         server.backlog_ms += backlog_ms;
         let endpoint = Arc::clone(&server.endpoint);
         let is_announced = state.queue_notice(key, job, backlog_ms, now);
@@ -271,7 +273,7 @@
             unfinished_runs: UnfinishedRuns::default(),
             throttle: Throttle::default(),
             warm_at: Duration::ZERO,
-            warmup: Throttle::default(),
+            warmup_throttle: Throttle::default(),
         }
     }
 
--- a/crates/relay/src/dispatcher/fleet/warmup.rs
+++ b/crates/relay/src/dispatcher/fleet/warmup.rs
@@ -60,8 +60,8 @@
             } else {
                 Share::default()
             };
-            server.warmup.record(now, throttle::Announcement { per_s: Some(per_s), at: now });
-            server.warmup.set_share(now, share);
+            server.warmup_throttle.record(now, throttle::Announcement { per_s: Some(per_s), at: now });
+            server.warmup_throttle.set_share(now, share);
         }
         #[expect(clippy::cast_precision_loss, reason = "endpoints are far fewer than 2^53")]
         metrics::gauge!("relay_warming_endpoints").set(warming.keys.len() as f64);
@@ -112,21 +112,21 @@
 
 impl Server {
     /// Whether the endpoint is warm, or this instance's share of its rate permits a request.
-    pub(super) fn permits_warmup(&self, now: Duration) -> bool {
-        now >= self.warm_at || self.warmup.may_send(now)
+    pub(super) fn may_send_while_warming(&self, now: Duration) -> bool {
+        now >= self.warm_at || self.warmup_throttle.may_send(now)
     }
 
     /// Takes a token for a request that is sent while the endpoint warms up.
-    pub(super) fn take_warmup_token(&mut self, now: Duration) {
+    pub(super) fn take_token_while_warming(&mut self, now: Duration) {
         if now < self.warm_at {
-            self.warmup.take_token(now);
+            self.warmup_throttle.take_token(now);
         }
     }
 
     /// Returns the time until the endpoint takes a request from this instance, or from any
     /// instance if this one has no share of its rate.
     pub(super) fn warmup_wait(&self, now: Duration) -> Duration {
-        self.warmup.wait(now).min(self.warm_at.saturating_sub(now))
+        self.warmup_throttle.wait(now).min(self.warm_at.saturating_sub(now))
     }
 }
 
--- a/crates/relay/src/dispatcher/synchronization.rs
+++ b/crates/relay/src/dispatcher/synchronization.rs
@@ -19,7 +19,7 @@
 use rand::seq::IteratorRandom;
 use route::relay::freshness::{AnnouncedCatalogs, Proof};
 
-use super::{Dispatcher, Knowledge, evacuations::Evacuated};
+use super::{Dispatcher, Knowledge, evacuations};
 use crate::{clock, rollout::Rollout, source::Endpoint};
 
 /// Silence of the store above which a reply is doubtful. An instance in touch with the store
@@ -105,7 +105,7 @@
     /// All ordered roll-outs.
     pub orders: Vec<Rollout>,
     /// The evacuated failure domains.
-    pub evacuated: Evacuated,
+    pub evacuations: evacuations::Snapshot,
 }
 
 impl Synchronization {
@@ -240,7 +240,7 @@
             gap,
             changes,
             orders: state.rollouts.orders(),
-            evacuated: state.fleet.evacuations.evacuated(),
+            evacuations: state.fleet.evacuations.snapshot(),
         })
     }
 
@@ -258,7 +258,7 @@
         }
         self.apply_orders(&reply.orders);
         if self.settings.follows_evacuations() {
-            self.replace_evacuations(reply.evacuated);
+            self.replace_evacuations(reply.evacuations);
         }
         let mut state = self.lock();
         state.synchronization.record_changes(reply.revision, reply.changes);
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -170,7 +170,7 @@
         self.admission.route.target(self.target_draw).ok_or(Refusal::NoRoute)?.clone_into(&mut self.service);
         let run = match self.place(model) {
             Some(run) => run,
-            None if self.dispatcher.is_evacuated(&self.service) => {
+            None if self.dispatcher.is_service_evacuated(&self.service) => {
                 return Err(self.refusal_for_caller(Refusal::Evacuated));
             }
             None => self.wait_for_place(model).await?,
--- a/crates/relay/src/follow/intake.rs
+++ b/crates/relay/src/follow/intake.rs
@@ -5,7 +5,7 @@
 use super::{ENDPOINT_CHANGES_PAUSE, Follower, LONG_OUTAGE};
 use crate::{
     clock,
-    dispatcher::{evacuations::Evacuated, synchronization},
+    dispatcher::{evacuations, synchronization},
     source::{Batch, Change, Endpoint, Kind, Listing, Record},
 };
 
@@ -24,18 +24,9 @@
         }
         self.revision = Some(listing.revision);
         if self.kind == Kind::Evacuations {
-            // An evacuation lasts as long as its record exists, whatever that contains.
-            let readable = listing.records.into_iter().map(|change| change.name);
-            let domains = readable.chain(listing.unreadable).collect();
-            self.dispatcher.replace_evacuations(Evacuated { revision: listing.revision, domains });
-            self.has_listed = true;
-            self.first_listed.get_or_insert_with(clock::now);
-            return;
-        }
-        let gone = listing.unreadable.into_iter().filter(|_| self.kind == Kind::Endpoints);
-        let gone: Vec<Change> = gone.map(|name| Change { name, record: None }).collect();
-        for change in listing.records.into_iter().chain(gone) {
-            self.apply_change(change);
+            self.replace_evacuations(listing);
+        } else {
+            self.apply_records(listing);
         }
         self.has_listed = true;
         self.first_listed.get_or_insert_with(clock::now);
@@ -46,6 +37,24 @@
         }
     }
 
+    /// Replaces the known evacuations by those of a listing.
+    fn replace_evacuations(&self, listing: Listing) {
+        // An evacuation lasts as long as its record exists, whatever that contains.
+        let readable = listing.records.into_iter().map(|change| change.name);
+        let domains = readable.chain(listing.unreadable).collect();
+        self.dispatcher.replace_evacuations(evacuations::Snapshot { revision: listing.revision, domains });
+    }
+
+    /// Applies the records of a listing one by one. Endpoints whose records cannot be decoded
+    /// are removed.
+    fn apply_records(&mut self, listing: Listing) {
+        let gone = listing.unreadable.into_iter().filter(|_| self.kind == Kind::Endpoints);
+        let gone: Vec<Change> = gone.map(|name| Change { name, record: None }).collect();
+        for change in listing.records.into_iter().chain(gone) {
+            self.apply_change(change);
+        }
+    }
+
     /// Applies the changes that a watch returned.
     pub(super) fn apply_batch(&mut self, batch: Batch) {
         let Batch { revision, changes } = batch;
--- a/crates/relay/src/news/wire.rs
+++ b/crates/relay/src/news/wire.rs
@@ -144,12 +144,12 @@
     pub(super) gap: bool,
     pub(super) changes: Vec<Change>,
     pub(super) rollouts: Vec<RolloutOrder>,
-    pub(super) evacuated: Evacuated,
+    pub(super) evacuations: Evacuations,
 }
 
-/// Serialized form of [`evacuations::Evacuated`].
+/// Serialized form of [`evacuations::Snapshot`].
 #[derive(Debug, Serialize, Deserialize)]
-pub(super) struct Evacuated {
+pub(super) struct Evacuations {
     /// Revision of the store.
     revision: u64,
     /// Names of the evacuated failure domains.
@@ -438,7 +438,7 @@
             gap: reply.gap,
             changes: reply.changes.into_iter().map(Change::from).collect(),
             rollouts: reply.orders.into_iter().map(RolloutOrder::from).collect(),
-            evacuated: Evacuated { revision: reply.evacuated.revision, domains: reply.evacuated.domains },
+            evacuations: Evacuations { revision: reply.evacuations.revision, domains: reply.evacuations.domains },
         }
     }
 }
@@ -453,7 +453,10 @@
             gap: reply.gap,
             changes: reply.changes.into_iter().map(synchronization::Change::from).collect(),
             orders: reply.rollouts.into_iter().map(Rollout::from).collect(),
-            evacuated: evacuations::Evacuated { revision: reply.evacuated.revision, domains: reply.evacuated.domains },
+            evacuations: evacuations::Snapshot {
+                revision: reply.evacuations.revision,
+                domains: reply.evacuations.domains,
+            },
         }
     }
 }
--- a/crates/relay/tests/it/evacuations.rs
+++ b/crates/relay/tests/it/evacuations.rs
@@ -5,7 +5,7 @@
 use relay::{
     catalog::Kind,
     clock,
-    dispatcher::{Dispatcher, evacuations::Evacuated, fleet::Key},
+    dispatcher::{Dispatcher, evacuations::Snapshot, fleet::Key},
     source::{Change, Endpoint, Record},
 };
 use route::relay::freshness::Proof;
@@ -41,8 +41,8 @@
     instance
 }
 
-fn evacuated(revision: u64, domains: &[&str]) -> Evacuated {
-    Evacuated { revision, domains: domains.iter().map(ToString::to_string).collect() }
+fn evacuated(revision: u64, domains: &[&str]) -> Snapshot {
+    Snapshot { revision, domains: domains.iter().map(ToString::to_string).collect() }
 }
 
 /// Returns the domains of the endpoints at which requests are placed, sorted.
@@ -124,7 +124,7 @@
     instance.replace_evacuations(evacuated(12, &["voru"]));
     instance.replace_evacuations(evacuated(11, &[]));
     instance.apply_evacuation_changes(9, vec![Change { name: "voru".into(), record: None }]);
-    assert_eq!(instance.evacuated(), evacuated(12, &["voru"]));
+    assert_eq!(instance.evacuations(), evacuated(12, &["voru"]));
 }
 
 /// An evacuation is ordered and withdrawn between two answers of the store.
@@ -135,7 +135,7 @@
     let withdrawn = |name: &str| Change { name: name.into(), record: None };
     instance.replace_evacuations(evacuated(10, &[]));
     instance.apply_evacuation_changes(20, vec![ordered("voru"), withdrawn("voru"), ordered("tartu-a")]);
-    assert_eq!(instance.evacuated(), evacuated(20, &["tartu-a"]));
+    assert_eq!(instance.evacuations(), evacuated(20, &["tartu-a"]));
 }
 
 /// An instance that does not watch the store learns of an evacuation from one that does.
@@ -173,10 +173,10 @@
     let (first, second) = (ok_server().await, ok_server().await);
     let site = site_with_an_evacuated_domain(&[&first, &second], vec![route("/a/", Kind::Idempotent)]).await;
     site.store.change(|contents| contents.evacuations.clear());
-    while site.relay.dispatcher().evacuated().domains == ["voru"] {
+    while site.relay.dispatcher().evacuations().domains == ["voru"] {
         sleep(Duration::from_millis(5)).await;
     }
-    assert_eq!(site.relay.dispatcher().evacuated().domains, [""; 0]);
+    assert_eq!(site.relay.dispatcher().evacuations().domains, [""; 0]);
 }
 
 /// The request's endpoint is evacuated while it runs: it ends undisturbed.
@@ -197,7 +197,7 @@
         sleep(Duration::from_millis(1)).await;
     }
     site.store.change(|contents| contents.evacuations.push("tartu-a".into()));
-    while !site.relay.dispatcher().is_evacuated(SERVICE) {
+    while !site.relay.dispatcher().is_service_evacuated(SERVICE) {
         sleep(Duration::from_millis(1)).await;
     }
     let response = running.await.unwrap();
