Rebuild pools only when the evacuated domains change

Cause: reading the whole change again. Every reply of a watcher, three a second, had all pools rebuilt, whether a domain had changed or not; the condition for knowing the evacuations stood twice; a module's head ran past the line; the test of memory left its settings file behind.

Change: pools and the metric follow changes of the domains. `knows_evacuations` is one function. The test removes its file.

--- a/crates/arbutuslugd/tests/memory.rs
+++ b/crates/arbutuslugd/tests/memory.rs
@@ -2,6 +2,7 @@
 
 use std::{
     env, fs,
+    path::PathBuf,
     process::{Child, Command, Stdio},
     thread::sleep,
     time::{Duration, Instant},
@@ -24,13 +25,17 @@
 /// Longest time until the process has started and allocated memory.
 const MAX_STARTUP: Duration = Duration::from_secs(20);
 
-/// A process that is killed at the end of the test.
-struct Relay(Child);
+/// A process, which is killed at the end of the test, and its settings file.
+struct Relay {
+    process: Child,
+    settings: PathBuf,
+}
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        self.0.kill().ok();
-        self.0.wait().ok();
+        self.process.kill().ok();
+        self.process.wait().ok();
+        fs::remove_file(&self.settings).ok();
     }
 }
 
@@ -38,25 +43,25 @@
     fn start() -> Self {
         let settings = env::temp_dir().join(format!("arbutuslugd-memory-{}.yaml", std::process::id()));
         fs::write(&settings, SETTINGS).unwrap();
-        let relay = Command::new(env!("CARGO_BIN_EXE_arbutuslugd"))
+        let process = Command::new(env!("CARGO_BIN_EXE_arbutuslugd"))
             .args(["relay", "--settings"])
             .arg(&settings)
             .stdout(Stdio::null())
             .spawn()
             .unwrap();
-        Self(relay)
+        Self { process, settings }
     }
 
     /// Returns a field of the process's memory statistics, in KiB.
     fn memory_kib(&self, field: &str) -> Option<u64> {
-        let statistics = fs::read_to_string(format!("/proc/{}/smaps_rollup", self.0.id())).ok()?;
+        let statistics = fs::read_to_string(format!("/proc/{}/smaps_rollup", self.process.id())).ok()?;
         let line = statistics.lines().find_map(|line| line.strip_prefix(field)?.strip_prefix(':'))?;
         line.trim().strip_suffix("kB")?.trim().parse().ok()
     }
 
     /// Whether the process listens for connections.
     fn listens(&self) -> bool {
-        let Ok(descriptors) = fs::read_dir(format!("/proc/{}/fd", self.0.id())) else { return false };
+        let Ok(descriptors) = fs::read_dir(format!("/proc/{}/fd", self.process.id())) else { return false };
         let links = descriptors.filter_map(|entry| fs::read_link(entry.ok()?.path()).ok());
         links.filter(|link| link.to_string_lossy().starts_with("socket:")).count() >= 5
     }
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -2,9 +2,9 @@
 //!
 //! It covers the catalog and access keys ([`Dispatcher::is_fresh`], [`Dispatcher::is_catalog_valid`]),
 //! endpoints and their loads ([`fleet`]), other instances ([`peers`]), roll-outs
-//! ([`rollouts`]), evacuated failure domains ([`evacuations`]) and requests that crash endpoints (`crashes`). [`synchronization`]
-//! keeps the state current through other instances, so that few instances have to watch
-//! the store.
+//! ([`rollouts`]), evacuated failure domains ([`evacuations`]) and requests that crash
+//! endpoints (`crashes`). [`synchronization`] keeps the state current through other
+//! instances, so that few instances have to watch the store.
 //!
 //! One thread runs all tasks and the lock is never held across an await, so
 //! locking never blocks; the lock only lets tasks share the state without
@@ -350,8 +350,7 @@
 
     /// Whether the instance knows all that it needs to serve its first request.
     fn can_serve(&self, state: &State) -> bool {
-        let knows_evacuations = state.fleet.evacuations.is_known() || !self.settings.follows_evacuations();
-        state.catalog.is_some() && state.knowledge >= Knowledge::Endpoints && knows_evacuations
+        state.catalog.is_some() && state.knowledge >= Knowledge::Endpoints && self.knows_evacuations(state)
     }
 
     /// Returns this instance's phase of life.
--- a/crates/relay/src/dispatcher/evacuations.rs
+++ b/crates/relay/src/dispatcher/evacuations.rs
@@ -57,6 +57,7 @@
         if !self.evacuations.contains(&domain) {
             tracing::warn!(domain, "failure domain evacuated, its endpoints get no new requests");
             self.evacuations.domains.insert(domain, now);
+            self.apply_to_next_decision();
         }
     }
 
@@ -65,12 +66,12 @@
         let Some(since) = self.evacuations.domains.remove(domain) else { return false };
         let lasted_ms = clock::millis(now.saturating_sub(since));
         tracing::warn!(domain, lasted_ms, "evacuation of failure domain ended");
+        self.apply_to_next_decision();
         true
     }
 
-    /// Sets the revision after changes to the domains, and makes the next decisions apply them.
-    fn set_evacuations_revision(&mut self, revision: u64) {
-        self.evacuations.revision = Some(revision);
+    /// Makes the next decision use the changed domains, and shows their number in the metrics.
+    fn apply_to_next_decision(&mut self) {
         self.invalidate_pools();
         #[expect(clippy::cast_precision_loss, reason = "failure domains are far fewer than 2^53")]
         metrics::gauge!("relay_evacuated_domains").set(self.evacuations.domains.len() as f64);
@@ -102,7 +103,7 @@
         for domain in snapshot.domains {
             state.fleet.evacuate(domain, now);
         }
-        state.fleet.set_evacuations_revision(snapshot.revision);
+        state.fleet.evacuations.revision = Some(snapshot.revision);
         drop(state);
         self.startup_progressed.notify_waiters();
     }
@@ -121,7 +122,12 @@
                 state.end_evacuation(&name, now);
             }
         }
-        state.fleet.set_evacuations_revision(revision);
+        state.fleet.evacuations.revision = Some(revision);
+    }
+
+    /// Whether the evacuations have been listed, if the platform has any.
+    pub(super) fn knows_evacuations(&self, state: &State) -> bool {
+        state.fleet.evacuations.is_known() || !self.settings.follows_evacuations()
     }
 
     /// Returns the evacuated failure domains.
--- a/crates/relay/src/dispatcher/fleet/registry.rs
+++ b/crates/relay/src/dispatcher/fleet/registry.rs
@@ -134,6 +134,7 @@
             server.endpoint = Arc::new(endpoint);
             if kind != RegistrationKind::Same {
                 self.revision += 1;
+                // The endpoint knows best, also where it is warm sooner than assumed.
                 self.set_warm_at(key, warm_at, now);
             }
             return;
--- a/crates/relay/src/dispatcher/fleet/warmup.rs
+++ b/crates/relay/src/dispatcher/fleet/warmup.rs
@@ -8,7 +8,8 @@
 //! Unlike an announced limit, the rate must hold while instances are cut off from each
 //! other. Instances that were heard from within the last minute therefore keep their
 //! places among the senders, and an instance that may not know the others yet sends
-//! nothing.
+//! nothing. If a fleet restarts while it is cut in two, each half divides the rate among its
+//! own members; the parts are small enough for that ([`throttle::warmup_share`]).
 
 use std::time::Duration;
 
--- a/crates/relay/src/dispatcher/synchronization.rs
+++ b/crates/relay/src/dispatcher/synchronization.rs
@@ -225,8 +225,8 @@
         // A proof is an answer of the store too.
         let silence = proof_age.min(clock::now().saturating_sub(self.catalog_progress.last_arrival()));
         let state = self.lock();
-        let knows_evacuations = state.fleet.evacuations.is_known() || !self.settings.follows_evacuations();
-        if state.knowledge < Knowledge::Endpoints || !state.synchronization.orders_known || !knows_evacuations {
+        let knows_endpoints = state.knowledge >= Knowledge::Endpoints;
+        if !(knows_endpoints && state.synchronization.orders_known && self.knows_evacuations(&state)) {
             return None;
         }
         let since = state.synchronization.changes_since(question.revision, soft_limit);
