--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -253,6 +253,7 @@
         revocation_bound: None,
         replacement_bound: None,
         evacuation_bound: None,
+        warmup_excess: 1.0,
         allowance: allowance::Policy { ratio: 0.9, reserve: 50.0, window: Duration::from_secs(10) },
         max_exposure: 0.1,
         max_session_pause: Duration::from_secs(5),
--- a/crates/relay/src/dispatcher/fleet/warmup.rs
+++ b/crates/relay/src/dispatcher/fleet/warmup.rs
@@ -9,7 +9,7 @@
 //! other. Instances that were heard from within the last minute therefore keep their
 //! places among the senders, and an instance that may not know the others yet sends
 //! nothing. If a fleet restarts while it is cut in two, each half divides the rate among its
-//! own members; the parts are small enough for that ([`throttle::warmup_share`]).
+//! own members, so each uses at most half of what the operator allows.
 
 use std::time::Duration;
 
@@ -29,6 +29,13 @@
 /// some hundred hear from each other within about two seconds.
 const MEMBERSHIP_TIME: Duration = Duration::from_secs(4);
 
+/// Number of groups of instances, unknown to each other, that together keep to the operator's
+/// bound.
+const MAX_SEPARATE_GROUPS: f64 = 2.0;
+
+/// Largest part of the tolerated rate that is used.
+const USABLE_FRACTION: f64 = 0.9;
+
 /// The endpoints that warm up.
 #[derive(Debug, Default)]
 pub(super) struct WarmingEndpoints {
@@ -57,7 +64,7 @@
             };
             let others = self.peers.remembered();
             let share = if may_send {
-                throttle::warmup_share(per_s, server.hash, self.peers.me, others)
+                throttle::warmup_share(max_per_s(per_s, settings.warmup_excess), server.hash, self.peers.me, others)
             } else {
                 Share::default()
             };
@@ -131,6 +138,12 @@
     }
 }
 
+/// Returns how many requests in any second the instances that know each other may send to a
+/// warming endpoint that tolerates `per_s`, where the operator allows `excess` times that.
+fn max_per_s(per_s: f64, excess: f64) -> f64 {
+    per_s * (excess / MAX_SEPARATE_GROUPS).min(USABLE_FRACTION)
+}
+
 /// Returns how a service's endpoints warm up; `None` if they take any rate meanwhile.
 fn warmup(catalog: &Catalog, service: &str) -> Option<Warmup> {
     catalog.services.get(service)?.warmup
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -24,6 +24,9 @@
     /// Longest time after the store confirmed the evacuation of a failure domain for which
     /// its endpoints may still get requests; `None` if the platform has no evacuations.
     pub evacuation_bound: Option<Duration>,
+    /// Multiple of the rate that a warming endpoint tolerates up to which the operator allows
+    /// requests to it.
+    pub warmup_excess: f64,
     /// Limit on retries and other extra dispatches.
     pub allowance: allowance::Policy,
     /// Fraction of a service's requests that a bad version may get.
--- a/crates/route/src/relay/throttle.rs
+++ b/crates/route/src/relay/throttle.rs
@@ -25,9 +25,9 @@
 /// take.
 const MIN_SENDERS: usize = 4;
 
-/// Part of a warming endpoint's usable rate for one second that its senders may save up;
-/// the rest accrues in the course of a second.
-const WARMUP_SAVED_FRACTION: f64 = 0.33;
+/// Requests per second by which a sender's rate to a warming endpoint is below the number that
+/// it may send in any second, so that rounding never adds one.
+const WARMUP_RATE_MARGIN: f64 = 0.05;
 
 /// Time after the endpoint's last announcement at which its limit expires.
 const LIMIT_LIFETIME: Duration = Duration::from_mins(1);
@@ -131,22 +131,17 @@
 /// Computes one instance's part of the rate that a warming endpoint tolerates. `me` and
 /// `others` are the hashes of the names of the instances that may send it requests.
 ///
-/// In any second, the tokens that accrue and the saved ones are together at most
-/// [`USABLE_FRACTION`] of the rate. The endpoint thus gets less than twice the rate even
-/// from two groups of instances that have never heard of each other, as after a restart in
-/// a cut fleet, of which each divides the rate among its own members.
+/// All of them together send it at most `max_per_s` requests in any second, or one if that is
+/// less.
 #[must_use]
-pub fn warmup_share(per_s: f64, endpoint: u32, me: u64, others: impl Iterator<Item = u64>) -> Share {
-    let usable = USABLE_FRACTION * per_s;
-    // A sender that saves one token and gets less than one in a second sends at most one in
-    // any second. With fewer senders than this, each gets more.
+pub fn warmup_share(max_per_s: f64, endpoint: u32, me: u64, others: impl Iterator<Item = u64>) -> Share {
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "clamped to a small range")]
-    let senders = usable.clamp(1.0, 1e6) as usize;
+    let senders = max_per_s.clamp(1.0, 1e6) as usize;
     let Some(active_senders) = active_senders(senders, endpoint, me, others) else { return Share::default() };
-    Share {
-        rate: (1.0 - WARMUP_SAVED_FRACTION) * usable / active_senders,
-        max_tokens: WARMUP_SAVED_FRACTION * usable / active_senders,
-    }
+    // A whole number each: with one saved token and less than that accruing in a second, an
+    // instance never sends more.
+    let max_each = (max_per_s / active_senders).floor().max(1.0);
+    Share { rate: max_each - WARMUP_RATE_MARGIN, max_tokens: 1.0 }
 }
 
 /// Computes one instance's part of an endpoint's limit. `me` and `others` are the hashes of
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -46,6 +46,8 @@
     replace_ms: Option<u64>,
     #[serde(default)]
     evacuate_ms: Option<u64>,
+    #[serde(default = "default_warmup_excess")]
+    warmup_excess: f64,
     retries: FileRetries,
     exposure_share: f64,
     #[serde(default = "default_session_s")]
@@ -89,6 +91,11 @@
     5_000
 }
 
+/// Where nothing else is allowed, warming endpoints get no more than they tolerate.
+fn default_warmup_excess() -> f64 {
+    1.0
+}
+
 /// Instances that are told nothing else count as alike.
 fn default_cores() -> f64 {
     1.0
@@ -140,6 +147,7 @@
         check("memory_mib", self.memory_mib >= 16, "write at least 16");
         check("grace_ms", self.grace_ms >= 1_000, "write at least 1000");
         check("replace_ms", self.replace_ms.is_none_or(|bound| bound >= 1_000), "write at least 1000, or leave it out");
+        check("warmup_excess", (1.0..=10.0).contains(&self.warmup_excess), "write a number from 1 to 10");
         check(
             "evacuate_ms",
             self.evacuate_ms.is_none_or(|bound| bound >= 2_000),
@@ -165,6 +173,7 @@
                 revocation_bound: self.revoke_ms.map(millis),
                 replacement_bound: self.replace_ms.map(millis),
                 evacuation_bound: self.evacuate_ms.map(millis),
+                warmup_excess: self.warmup_excess,
                 allowance: allowance::Policy {
                     ratio: self.retries.ratio,
                     reserve: self.retries.reserve,
--- a/crates/settings/tests/relay.rs
+++ b/crates/settings/tests/relay.rs
@@ -51,6 +51,7 @@
 fn evacuations_without_a_bound_are_not_followed() {
     let settings = Relay::parse(&GOOD.replace("evacuate_ms: 5000\n", "")).unwrap();
     assert!(!settings.relay.follows_evacuations());
+    assert!((settings.relay.warmup_excess - 1.0).abs() < f64::EPSILON);
 }
 
 macro_rules! faults {
@@ -74,6 +75,7 @@
     share_out_of_range: "exposure_share: 0.15" => "exposure_share: 1.5", "exposure_share";
     too_little_memory: "memory_mib: 260" => "memory_mib: 8", "memory_mib";
     bound_too_short_to_keep: "revoke_ms: 5000" => "revoke_ms: 500", "revoke_ms";
+    warming_endpoints_get_less_than_they_tolerate: "exposure_share" => "warmup_excess: 0.5\nexposure_share", "warmup_excess";
     bound_too_short_to_learn_of_an_evacuation: "evacuate_ms: 5000" => "evacuate_ms: 900", "evacuate_ms";
     bound_too_short_to_read_a_catalog: "replace_ms: 2000" => "replace_ms: 500", "replace_ms";
 }
