Log and count services that an instance cannot reach

Logs of the incident in docs/incidents/unreachable-endpoints.md show hundreds of failed connections, one line each, and none says whether the instance has lost a whole service, since when and for how long.

Connections are opened through relay::network, so that tests can cut one instance off.

--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -261,6 +261,7 @@
         max_address_cache_time: Duration::from_secs(5),
         cores: Cores::default(),
         body_memory: 64 << 20,
+        network: Arc::new(relay::network::Tcp),
     }
 }
 
--- a/crates/relay/src/caches.rs
+++ b/crates/relay/src/caches.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use tokio::{task::JoinSet, time::timeout};
 
-use crate::{clock, dispatcher::Dispatcher, source::Endpoint, upstream};
+use crate::{clock, dispatcher::Dispatcher, network::Network, source::Endpoint, upstream};
 
 /// Time limit for connecting to an engine and reading its list; most lists arrive
 /// within some milliseconds.
@@ -29,7 +29,8 @@
     let (mut asking, mut parts, count) = (JoinSet::new(), 0, engines.len());
     for engine in engines {
         let path = dispatcher.dialect.cache_path;
-        asking.spawn(async move { (timeout(LIST_TIMEOUT, fetch_list(&engine, path)).await, engine) });
+        let network = Arc::clone(&dispatcher.settings.network);
+        asking.spawn(async move { (timeout(LIST_TIMEOUT, fetch_list(&*network, &engine, path)).await, engine) });
     }
     while let Some(Ok((answer, engine))) = asking.join_next().await {
         let Ok(Some(body)) = answer else {
@@ -53,11 +54,11 @@
     engines
 }
 
-async fn fetch_list(engine: &Endpoint, path: &'static str) -> Option<Bytes> {
-    let (mut sender, _connection) = upstream::connect(engine.address, LIST_TIMEOUT).await.ok()?;
+async fn fetch_list(network: &dyn Network, engine: &Endpoint, path: &'static str) -> Option<Bytes> {
+    let mut connected = upstream::connect(network, engine.address, LIST_TIMEOUT).await.ok()?;
     let host = engine.address.to_string();
     let request = Request::get(path).header(header::HOST, host).body(Full::default()).ok()?;
-    let response = sender.send_request(request).await.ok()?;
+    let response = connected.sender.send_request(request).await.ok()?;
     if response.status() != StatusCode::OK {
         return None;
     }
--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod notices;
 mod pool;
+mod reachability;
 mod registry;
 mod run;
 mod selection;
@@ -24,6 +25,7 @@
     latency,
     notice::Backlog,
     placement::Candidate,
+    reachability::Reachability,
     throttle::Throttle,
 };
 use slotmap::SlotMap;
@@ -84,6 +86,9 @@
     /// Endpoints that cache each prompt part.
     holders: Prefixes,
     limited: limits::LimitedEndpoints,
+    /// Whether this instance reaches the endpoints, by service; services without a failed
+    /// connection are missing.
+    reachability: HashMap<String, Reachability>,
     /// Failure domains whose endpoints get no new requests.
     pub(super) evacuations: Evacuations,
     /// Endpoints that take only a limited rate until they are warm.
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -270,6 +270,7 @@
             Outcome::Unreachable(Unreachable { cause, is_refused }) => {
                 self.unreachable += 1;
                 self.sent -= 1;
+                run.record_failed_connection(cause);
                 (if *is_refused { RunOutcome::Down } else { RunOutcome::Unreachable }, cause.clone())
             }
             Outcome::NotRun(StatusCode::MISDIRECTED_REQUEST) => {
@@ -313,14 +314,16 @@
         // The deadline may pass and cancel this call while the try is in flight. From here
         // on the caller must not be told that the request did not run.
         let ran_before = std::mem::replace(&mut self.may_have_run, true);
-        let TryResult { outcome, limit } = upstream::send(
-            run.endpoint.address,
-            request,
-            &self.params.id,
-            &self.dispatcher.dialect.names,
-            first_byte_timeout,
-        )
-        .await;
+        let network = &*self.dispatcher.settings.network;
+        let TryResult { outcome, limit } =
+            match upstream::connect(network, run.endpoint.address, first_byte_timeout).await {
+                Err(unreachable) => Outcome::Unreachable(unreachable).into(),
+                Ok(connected) => {
+                    run.record_connection();
+                    let names = &self.dispatcher.dialect.names;
+                    upstream::send(connected, request, &self.params.id, names, first_byte_timeout).await
+                }
+            };
         run.record_limit(limit);
         if matches!(outcome, Outcome::Unreachable(_) | Outcome::NotRun(_)) {
             self.may_have_run = ran_before;
@@ -399,7 +402,7 @@
 
 /// Reports a crash of an endpoint if it refuses connections.
 async fn check_for_crash(dispatcher: Arc<Dispatcher>, key: Key, address: SocketAddr) {
-    if upstream::is_refused(address).await {
+    if upstream::is_refused(&*dispatcher.settings.network, address).await {
         dispatcher.record_crash(key);
     }
 }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -272,7 +272,7 @@
     /// still asked first, because callers are directed to instances in contact with it.
     async fn copy_catalog(&self) -> bool {
         let Some(peer) = self.dispatcher.newer_catalog_peer() else { return false };
-        match share::fetch(peer).await {
+        match share::fetch(&*self.dispatcher.settings.network, peer).await {
             Ok(catalog) => self.dispatcher.install(catalog),
             Err(cause) => {
                 tracing::info!(teller = %peer, cause, "copying the catalog from another instance failed");
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -31,6 +31,7 @@
 mod front;
 mod handle;
 mod join;
+pub mod network;
 mod news;
 mod quarantine;
 mod report;
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -1,9 +1,11 @@
 //! Settings that the relay gets at startup.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use route::relay::allowance;
 
+use crate::network::Network;
+
 /// Settings of the relay.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -41,6 +43,8 @@
     pub cores: Cores,
     /// Memory that request bodies may take in total, in bytes.
     pub body_memory: usize,
+    /// Network over which endpoints and other instances are reached.
+    pub network: Arc<dyn Network>,
 }
 
 impl Settings {
--- a/crates/relay/src/share.rs
+++ b/crates/relay/src/share.rs
@@ -25,6 +25,7 @@
     answer::{self, Body},
     catalog::{Catalog, wire},
     dispatcher::Dispatcher,
+    network::Network,
     upstream,
 };
 
@@ -103,16 +104,16 @@
 /// # Errors
 ///
 /// Returns the cause as text for a log line.
-pub async fn fetch(from: SocketAddr) -> Result<Catalog, String> {
-    timeout(COPY_TIMEOUT, receive(from)).await.map_err(|_| "timed out".to_owned())?
+pub async fn fetch(network: &dyn Network, from: SocketAddr) -> Result<Catalog, String> {
+    timeout(COPY_TIMEOUT, receive(network, from)).await.map_err(|_| "timed out".to_owned())?
 }
 
-async fn receive(from: SocketAddr) -> Result<Catalog, String> {
-    let (mut sender, _connection) =
-        upstream::connect(from, COPY_TIMEOUT).await.map_err(|unreachable| unreachable.cause)?;
+async fn receive(network: &dyn Network, from: SocketAddr) -> Result<Catalog, String> {
+    let mut connected =
+        upstream::connect(network, from, COPY_TIMEOUT).await.map_err(|unreachable| unreachable.cause)?;
     let request = Request::get(CATALOG_PATH).header(header::HOST, from.to_string()).body(Full::default());
     let request = request.map_err(|error| error.to_string())?;
-    let response = sender.send_request(request).await.map_err(|error| error.to_string())?;
+    let response = connected.sender.send_request(request).await.map_err(|error| error.to_string())?;
     if response.status() != StatusCode::OK {
         return Err(response.status().to_string());
     }
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::{dialect::Names, dispatcher::fleet::Announcement};
+use crate::{dialect::Names, dispatcher::fleet::Announcement, network::Network};
 
 /// Time limit for connecting: many round trips, and well below the time after which TCP
 /// resends a lost first packet.
@@ -63,6 +63,14 @@
     pub is_refused: bool,
 }
 
+/// An open HTTP connection; dropping it closes the connection.
+#[derive(Debug)]
+pub struct Connected {
+    /// Sends requests over the connection.
+    pub sender: http1::SendRequest<Full<Bytes>>,
+    connection: AbortOnDropHandle<()>,
+}
+
 /// An answer whose body is still being received; dropping it cancels the run.
 #[derive(Debug)]
 pub struct Answer {
@@ -78,20 +86,17 @@
     }
 }
 
-/// Sends a request to an endpoint and waits for the head of its answer.
+/// Sends a request over a connection to an endpoint and waits for the head of its answer.
 ///
 /// `id` is the caller's id of the request, which the answer has to echo.
 pub async fn send(
-    address: SocketAddr,
+    connected: Connected,
     request: Request<Full<Bytes>>,
     id: &str,
     names: &Names,
     time_limit: Duration,
 ) -> TryResult {
-    let (mut sender, connection) = match connect(address, time_limit).await {
-        Ok(connected) => connected,
-        Err(unreachable) => return Outcome::Unreachable(unreachable).into(),
-    };
+    let Connected { mut sender, connection } = connected;
     let response = match tokio::time::timeout(time_limit, sender.try_send_request(request)).await {
         Err(_) => return Outcome::Unknown("no answer in time".into()).into(),
         Ok(Err(mut error)) => {
@@ -124,16 +129,17 @@
     per_s
 }
 
-/// Connects to an endpoint; dropping the returned handle closes the connection.
+/// Connects to an endpoint or another instance.
 ///
 /// # Errors
 ///
 /// Returns [`Unreachable`] with the cause.
 pub async fn connect(
+    network: &dyn Network,
     address: SocketAddr,
     time_limit: Duration,
-) -> Result<(http1::SendRequest<Full<Bytes>>, AbortOnDropHandle<()>), Unreachable> {
-    let stream = open_connection(address, time_limit).await?;
+) -> Result<Connected, Unreachable> {
+    let stream = open_connection(network, address, time_limit).await?;
     stream.set_nodelay(true).map_err(|error| Unreachable::without_answer(error.to_string()))?;
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(|error| Unreachable::without_answer(error.to_string()))?;
@@ -142,17 +148,21 @@
             tracing::debug!(%error, "connection to an endpoint ended");
         }
     }));
-    Ok((sender, connection))
+    Ok(Connected { sender, connection })
 }
 
 /// Returns whether an endpoint's address refuses connections.
-pub async fn is_refused(address: SocketAddr) -> bool {
-    open_connection(address, CONNECT_TIMEOUT).await.is_err_and(|unreachable| unreachable.is_refused)
+pub async fn is_refused(network: &dyn Network, address: SocketAddr) -> bool {
+    open_connection(network, address, CONNECT_TIMEOUT).await.is_err_and(|unreachable| unreachable.is_refused)
 }
 
 /// Opens a TCP connection to an endpoint.
-async fn open_connection(address: SocketAddr, time_limit: Duration) -> Result<TcpStream, Unreachable> {
-    match tokio::time::timeout(CONNECT_TIMEOUT.min(time_limit), TcpStream::connect(address)).await {
+async fn open_connection(
+    network: &dyn Network,
+    address: SocketAddr,
+    time_limit: Duration,
+) -> Result<TcpStream, Unreachable> {
+    match tokio::time::timeout(CONNECT_TIMEOUT.min(time_limit), network.connect(address)).await {
         Ok(Ok(stream)) => Ok(stream),
         Ok(Err(error)) => {
             let is_refused = error.kind() == io::ErrorKind::ConnectionRefused;
--- a/crates/relay/tests/it/site.rs
+++ b/crates/relay/tests/it/site.rs
@@ -299,6 +299,7 @@
         max_address_cache_time: Duration::from_secs(5),
         cores: Cores::default(),
         body_memory: 1 << 20,
+        network: Arc::new(relay::network::Tcp),
     }
 }
 
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -9,7 +9,8 @@
 //! access keys and the catalog may be used without confirmation. [`canary`] assigns
 //! requests to a version under roll-out and evaluates it. [`fronts`] picks the instances
 //! that are listed to a caller. [`content`] identifies equal requests, and [`quarantine`]
-//! refuses those that crash endpoints.
+//! refuses those that crash endpoints. [`reachability`] recognizes that this instance has lost
+//! its path to a service.
 //!
 //! Time is a [`std::time::Duration`] since an arbitrary fixed moment of the process, on a
 //! clock that also counts time in which the machine is suspended.
@@ -26,4 +27,5 @@
 pub mod notice;
 pub mod placement;
 pub mod quarantine;
+pub mod reachability;
 pub mod throttle;
--- /dev/null
+++ b/crates/route/src/relay/reachability.rs
@@ -0,0 +1,52 @@
+//! Recognizes that this instance has lost its network path to all endpoints of a service.
+//!
+//! A single failed connection does not show whether the endpoint is gone or the path to it.
+//! If connections to several endpoints fail and none succeeds in between, the path is the
+//! likelier cause, and trying further endpoints only delays the request. Only new
+//! connections count: those that are already open may outlive the path for new ones, and may
+//! be silent long after it is lost.
+
+use std::time::Duration;
+
+/// Number of different endpoints to which connections must fail in a row. With half of the
+/// endpoints down, one request in eight finds three of them in a row; a successful
+/// connection clears that mistake.
+const MIN_FAILED_ENDPOINTS: usize = 3;
+
+/// Whether a service's endpoints can be reached from this instance.
+#[derive(Debug, Clone, Default)]
+pub struct Reachability {
+    /// Different endpoints to which connections failed since the last successful one, at most
+    /// [`MIN_FAILED_ENDPOINTS`].
+    failed: Vec<u32>,
+    /// When the service was found to be unreachable.
+    lost_at: Option<Duration>,
+}
+
+impl Reachability {
+    /// Records a failed connection to `endpoint`, one of `endpoint_count` of the service, and
+    /// returns whether the service counts as unreachable from now on.
+    pub fn record_failure(&mut self, now: Duration, endpoint: u32, endpoint_count: usize) -> bool {
+        if self.failed.len() < MIN_FAILED_ENDPOINTS && !self.failed.contains(&endpoint) {
+            self.failed.push(endpoint);
+        }
+        if self.lost_at.is_some() || self.failed.len() < endpoint_count.clamp(1, MIN_FAILED_ENDPOINTS) {
+            return false;
+        }
+        self.lost_at = Some(now);
+        true
+    }
+
+    /// Records a successful connection, and returns for how long the service was unreachable
+    /// if it was.
+    pub fn record_connection(&mut self, now: Duration) -> Option<Duration> {
+        self.failed.clear();
+        self.lost_at.take().map(|lost_at| now.saturating_sub(lost_at))
+    }
+
+    /// Returns whether no endpoint of the service can be reached.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        self.lost_at.is_some()
+    }
+}
--- a/crates/route/tests/relay/main.rs
+++ b/crates/route/tests/relay/main.rs
@@ -12,4 +12,5 @@
 mod notice;
 mod placement;
 mod quarantine;
+mod reachability;
 mod throttle;
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -3,7 +3,7 @@
 //! Spans are in milliseconds and sizes in bytes or MiB, as the fields' names
 //! say. Unknown fields are errors, as in the daemon's other settings.
 
-use std::{net::SocketAddr, path::Path, time::Duration};
+use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
 use relay::settings::{Cores, Listeners, Settings};
 use route::relay::allowance;
@@ -185,6 +185,7 @@
                 max_address_cache_time: millis(self.keep_addresses_ms),
                 cores: Cores::new(self.cores),
                 body_memory: (self.memory_mib << 20) / BODIES_OF_MEMORY,
+                network: Arc::new(relay::network::Tcp),
             },
             store: self.store,
             metrics: self.metrics,
