Test that callers are served by instances that are partitioned from all endpoints

Requests end with 503 at their deadline or after 16 refused connections, and with 504 although nothing was sent; streams break off; the instances stay listed; and three partitions quarantine a request that crashed nothing. A network of the tests hangs, resets or refuses one instance's connections to the endpoints.

--- /dev/null
+++ b/crates/relay/tests/it/partitions.rs
@@ -0,0 +1,259 @@
+//! Instances that are partitioned from all endpoints, while callers, the store and other
+//! instances still reach them.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use relay::{catalog::Kind, dispatcher::peers::Caller};
+use tokio::time::sleep;
+
+use crate::{
+    caller::{self, Response},
+    network::{Cuttable, Mode, Stalled},
+    server::{Action, LAST_CHUNK, Server, event, ok_response, stream_head},
+    site::{Site, StoreContents, catalog, endpoint, route},
+};
+
+/// Time after the start of a partition in which the instances have to adapt to it.
+const ADAPTATION_TIME: Duration = Duration::from_secs(3);
+
+/// Number of events in a stream of the endpoints.
+const EVENTS: u32 = 40;
+
+/// Instances in one failure domain but for the last one, and the endpoints behind them.
+struct Fleet {
+    sites: Vec<Site>,
+    networks: Vec<Arc<Cuttable>>,
+    servers: Vec<Server>,
+}
+
+impl Fleet {
+    /// Starts endpoints that perform `actions`, and instances that all know each other.
+    async fn start(instances: usize, actions: &[Action]) -> Self {
+        let mut servers = Vec::new();
+        for _ in 0..4 {
+            servers.push(Server::start(actions.to_vec()).await);
+        }
+        let endpoints = servers.iter().enumerate().map(|(n, server)| endpoint(&format!("e{n}"), server.address));
+        let routes = vec![
+            route("/get/", Kind::Idempotent),
+            route("/post/", Kind::NonIdempotent),
+            route("/stream/", Kind::Stream { resumable: true }),
+        ];
+        let contents = StoreContents {
+            catalog: Some(catalog(1, routes)),
+            endpoints: endpoints.collect(),
+            ..StoreContents::default()
+        };
+        let (mut sites, mut networks): (Vec<Site>, Vec<Arc<Cuttable>>) = (Vec::new(), Vec::new());
+        for number in 0..instances {
+            let seeds = sites.iter().map(|site| site.relay.dispatcher().settings.listeners.news).collect();
+            let network = Arc::new(Cuttable::new(servers.iter().map(|server| server.address)));
+            let site = Site::start_with(contents.clone(), |settings| {
+                settings.instance = format!("instance-{number}");
+                settings.seeds = seeds;
+                settings.network = network.clone();
+                if number == instances - 1 {
+                    settings.domain = "voru".into();
+                }
+            });
+            sites.push(site.await);
+            networks.push(network);
+        }
+        for site in &sites {
+            while site.relay.dispatcher().live_instance_count() < instances {
+                sleep(Duration::from_millis(2)).await;
+            }
+        }
+        Self { sites, networks, servers }
+    }
+
+    /// Sets the mode of the first `count` instances' connections to endpoints.
+    fn cut(&self, count: usize, mode: Mode) {
+        for network in &self.networks[..count] {
+            network.set(mode);
+        }
+    }
+
+    async fn get(&self, instance: usize) -> Response {
+        caller::call(self.sites[instance].front(), "GET", "/get/x", "x-deadline: 4000\r\n", "").await
+    }
+
+    /// Returns the addresses that an instance gives to callers.
+    fn listed(&self, instance: usize) -> Vec<std::net::SocketAddr> {
+        self.sites[instance].relay.dispatcher().caller_addresses(&Caller::default())
+    }
+
+    /// Sends requests to the first `count` instances for the time that they have to adapt to a
+    /// partition.
+    async fn adapt(&self, count: usize) {
+        let started = Instant::now();
+        while started.elapsed() < ADAPTATION_TIME {
+            for site in &self.sites[..count] {
+                let front = site.front();
+                tokio::spawn(async move { caller::call(front, "GET", "/get/x", "x-deadline: 4000\r\n", "").await });
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+fn ok() -> Action {
+    Action::Write(ok_response("ok"))
+}
+
+/// Cuts off the first `cut` of four instances and checks that their callers are served at the
+/// first try nevertheless, and again after the partition.
+async fn check_served(cut: usize, mode: Mode) {
+    let fleet = Fleet::start(4, &[ok()]).await;
+    fleet.cut(cut, mode);
+    fleet.adapt(cut).await;
+    for turn in 0..20 {
+        let front = fleet.sites[turn % cut].front();
+        let get = caller::call(front, "GET", "/get/x", "x-deadline: 4000\r\n", "").await;
+        assert_eq!((get.status, get.body.as_str()), (200, "ok"), "{get:?}");
+        let post = caller::call(front, "POST", "/post/x", "x-deadline: 4000\r\n", "sheet").await;
+        assert_eq!((post.status, post.body.as_str()), (200, "ok"), "{post:?}");
+    }
+    fleet.cut(cut, Mode::Open);
+    sleep(ADAPTATION_TIME).await;
+    for network in &fleet.networks[cut..] {
+        network.set(Mode::NewRefused);
+    }
+    let response = fleet.get(0).await;
+    assert_eq!(response.status, 200, "after the partition: {response:?}");
+}
+
+macro_rules! served {
+    ($($name:ident: $cut:expr, $mode:ident;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            check_served($cut, Mode::$mode).await;
+        }
+    )*};
+}
+
+// Callers of an instance that reaches no endpoint must not wait for its deadline or be refused
+// while other instances reach the endpoints.
+served! {
+    callers_are_served_when_connections_hang: 1, Hung;
+    callers_are_served_when_connections_are_reset: 1, Reset;
+    callers_are_served_when_new_connections_are_refused: 1, NewRefused;
+    callers_are_served_when_most_of_a_domain_hangs: 2, Hung;
+    callers_are_served_when_a_whole_domain_hangs: 3, Hung;
+    callers_are_served_when_a_whole_domain_is_reset: 3, Reset;
+    callers_are_served_when_a_whole_domain_is_refused: 3, NewRefused;
+}
+
+/// Callers must not be sent to an instance that reaches no endpoint while others do.
+#[tokio::test]
+async fn instance_without_endpoints_is_not_listed() {
+    let fleet = Fleet::start(4, &[ok()]).await;
+    fleet.cut(1, Mode::NewRefused);
+    fleet.adapt(1).await;
+    for instance in 0..4 {
+        let listed = fleet.listed(instance);
+        assert!(!listed.contains(&fleet.sites[0].front()), "instance {instance} lists {listed:?}");
+        assert_eq!(listed.len(), 3);
+    }
+    fleet.cut(1, Mode::Open);
+    sleep(ADAPTATION_TIME).await;
+    assert_eq!(fleet.listed(3).len(), 4);
+}
+
+/// When no instance reaches an endpoint, callers must be refused at once, not at their deadline.
+#[tokio::test]
+async fn request_without_any_reachable_endpoint_is_refused_at_once() {
+    let fleet = Fleet::start(3, &[ok()]).await;
+    fleet.cut(3, Mode::Hung);
+    fleet.adapt(3).await;
+    for instance in 0..3 {
+        let started = Instant::now();
+        let response = fleet.get(instance).await;
+        assert_eq!(response.status, 503, "{response:?}");
+        assert!(response.header("retry-after").is_some(), "{response:?}");
+        assert!(started.elapsed() < Duration::from_millis(500), "refused after {:?}", started.elapsed());
+    }
+}
+
+/// Plays a partition in the middle of a stream, and checks that the caller receives each event
+/// once.
+async fn check_stream(mode: Mode) {
+    let events: Vec<String> =
+        std::iter::once(stream_head(90)).chain((1..=EVENTS).map(event)).chain([LAST_CHUNK.to_owned()]).collect();
+    let fleet = Fleet::start(3, &[Action::WriteSlowly(events)]).await;
+    let front = fleet.sites[0].front();
+    let stream = tokio::spawn(async move { caller::call(front, "POST", "/stream/x", "", "prompt").await });
+    while fleet.servers.iter().all(|server| server.requests().is_empty()) {
+        sleep(Duration::from_millis(1)).await;
+    }
+    sleep(Duration::from_millis(100)).await;
+    fleet.cut(1, mode);
+    let response = stream.await.unwrap();
+    assert!(response.complete, "{response:?}");
+    let received: Vec<&str> = response.body.lines().filter_map(|line| line.strip_prefix("id: ")).collect();
+    let expected: Vec<String> = (1..=EVENTS).map(|number| number.to_string()).collect();
+    assert_eq!(received, expected);
+}
+
+/// A stream whose connection falls silent must go on through another instance.
+#[tokio::test]
+async fn hung_stream_goes_on_elsewhere() {
+    check_stream(Mode::Hung).await;
+}
+
+/// A stream whose connection is reset must go on through another instance.
+#[tokio::test]
+async fn reset_stream_goes_on_elsewhere() {
+    check_stream(Mode::Reset).await;
+}
+
+/// A stream whose connection outlives the path for new ones must not be disturbed.
+#[tokio::test]
+async fn stream_on_an_open_connection_goes_on() {
+    check_stream(Mode::NewRefused).await;
+}
+
+/// A partitioned instance must not take endpoints that it cannot reach for crashed ones.
+/// Otherwise a request that several partitions interrupt is quarantined.
+#[tokio::test]
+async fn partitions_do_not_quarantine_a_request() {
+    let fleet = Fleet::start(1, &[Action::Hang(stream_head(90) + &event(1))]).await;
+    let site = &fleet.sites[0];
+    for (round, server) in fleet.servers[..3].iter().enumerate() {
+        site.store.change(|contents| {
+            for (number, endpoint) in contents.endpoints.iter_mut().enumerate() {
+                endpoint.draining = number != round;
+                endpoint.revision += 1;
+            }
+        });
+        sleep(Duration::from_millis(200)).await;
+        let front = site.front();
+        let stream = tokio::spawn(async move { caller::call(front, "POST", "/stream/x", "", "prompt").await });
+        let started = Instant::now();
+        while server.requests().is_empty() && started.elapsed() < ADAPTATION_TIME {
+            sleep(Duration::from_millis(1)).await;
+        }
+        fleet.cut(1, Mode::Reset);
+        stream.await.unwrap();
+        fleet.cut(1, Mode::Open);
+        sleep(ADAPTATION_TIME).await;
+    }
+    assert_eq!(site.relay.dispatcher().refused_requests(1), []);
+}
+
+/// A request whose connections only timed out was never sent. Told that it may have run, a
+/// caller does not retry it.
+#[tokio::test]
+async fn request_that_was_never_sent_counts_as_not_run() {
+    let contents = StoreContents {
+        catalog: Some(catalog(1, vec![route("/post/", Kind::NonIdempotent)])),
+        endpoints: vec![endpoint("e0", ([127, 0, 0, 1], 1).into())],
+        ..StoreContents::default()
+    };
+    let site = Site::start_with(contents, |settings| settings.network = Arc::new(Stalled)).await;
+    let response = caller::call(site.front(), "POST", "/post/x", "x-deadline: 300\r\n", "sheet").await;
+    assert_eq!(response.status, 503, "{response:?}");
+}
