Count a request as possibly run only once a connection is open

Callers saw 504 (it may have run) for requests that were never sent, and did not retry the ones that must not run twice: one of 26 refusals in the log of front-viljandi-2 is TimedOut with the cause "no connection in time".

Cause: the request was marked as possibly run before the connection was opened. If the deadline passed while connecting, the mark stayed. With a busy processor the limit of the connection, computed earlier, ends after the deadline.

--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -309,21 +309,20 @@
         let left = self.left();
         let request = self.request(run, model, last_event, left);
         self.sent += 1;
-        run.mark_sent(self.content);
         let first_byte_timeout = self.first_byte_timeout(run).min(left);
+        let network = &*self.dispatcher.settings.network;
+        let connected = match upstream::connect(network, run.endpoint.address, first_byte_timeout).await {
+            Ok(connected) => connected,
+            Err(unreachable) => return Outcome::Unreachable(unreachable),
+        };
+        run.record_connection();
+        run.mark_sent(self.content);
         // The deadline may pass and cancel this call while the try is in flight. From here
         // on the caller must not be told that the request did not run.
         let ran_before = std::mem::replace(&mut self.may_have_run, true);
-        let network = &*self.dispatcher.settings.network;
+        let names = &self.dispatcher.dialect.names;
         let TryResult { outcome, limit } =
-            match upstream::connect(network, run.endpoint.address, first_byte_timeout).await {
-                Err(unreachable) => Outcome::Unreachable(unreachable).into(),
-                Ok(connected) => {
-                    run.record_connection();
-                    let names = &self.dispatcher.dialect.names;
-                    upstream::send(connected, request, &self.params.id, names, first_byte_timeout).await
-                }
-            };
+            upstream::send(connected, request, &self.params.id, names, first_byte_timeout).await;
         run.record_limit(limit);
         if matches!(outcome, Outcome::Unreachable(_) | Outcome::NotRun(_)) {
             self.may_have_run = ran_before;
