Forward requests to other instances while an instance reaches no endpoint

Cause: an instance took each endpoint for a failed one by itself and had nothing else to try. Evidence: 299 to 313 lines of "no connection in time" at each of the three instances in 3.5 s, at all endpoints in turn, and none at the four others.

An instance that cannot connect to three different endpoints of a service in a row, or to all, sends the service's requests to another instance that reaches them, drawn by size, over the address that serves copies of the catalog. That instance handles a request like a caller's own and does not forward it again; attempts made before count. A stream that has begun goes on there after its last whole event. Probes find out when the path is back. News says which services an instance reaches none of; earlier builds ignore the field, and its absence reads as none. Where no instance reaches the service, requests are refused at once.

A request's first dispatch is counted when it is sent instead of when it is placed, so that a forwarded one is not counted twice.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -39,6 +39,9 @@
     Memory,
     /// The route's service has no endpoint that accepts requests.
     NoEndpoint,
+    /// Neither this instance nor, as far as it knows, any other one reaches an endpoint of the
+    /// route's service.
+    Unreachable,
     /// All failure domains with endpoints of the route's service are evacuated.
     Evacuated,
     /// No try succeeded and no further one is allowed.
@@ -80,6 +83,7 @@
             | Self::Replaced
             | Self::Memory
             | Self::NoEndpoint
+            | Self::Unreachable
             | Self::Evacuated
             | Self::TurnedAway
             | Self::Quarantined { .. }
@@ -101,7 +105,9 @@
             // The instance that announced the newer catalog has it.
             Self::Leaving | Self::Replaced | Self::KeysStale { elsewhere: true } => Some(RETRY_AFTER_ELSEWHERE),
             Self::NotStarted | Self::KeysStale { elsewhere: false } | Self::Evacuated => Some(RETRY_AFTER_STARTING),
-            Self::Memory | Self::NoEndpoint | Self::TurnedAway | Self::Expired => Some(RETRY_AFTER_BUSY),
+            Self::Memory | Self::NoEndpoint | Self::Unreachable | Self::TurnedAway | Self::Expired => {
+                Some(RETRY_AFTER_BUSY)
+            }
             Self::Quarantined { left: after } | Self::Throttled { after } => Some(*after),
             _ => None,
         }
@@ -136,6 +142,7 @@
             Self::Truncated => "the body ended early",
             Self::Memory => "not run: too many bodies under way; try again shortly",
             Self::NoEndpoint => "not run: no endpoint takes requests now; try again shortly",
+            Self::Unreachable => "not run: no endpoint can be reached now; try again shortly",
             Self::Evacuated => "not run: every endpoint is in an evacuated failure domain; try again shortly",
             Self::TurnedAway => "not run: every endpoint tried was full or unreachable; try again shortly",
             Self::Quarantined { .. } => "not run: endpoints crashed under it several times; it is refused for a while",
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -90,6 +90,8 @@
     /// Signals that another instance has become alive, for the first time or again, and
     /// should be sent news at once.
     peers_to_greet: Notify,
+    /// Signals that a service that could not be reached must be probed.
+    probe_wanted: Notify,
     /// Signals that the catalog must be read again.
     catalog_wanted: Notify,
     /// Signals that the endpoints must be read again.
@@ -182,6 +184,7 @@
             limits_ready: Notify::new(),
             quarantine_changes_ready: Notify::new(),
             peers_to_greet: Notify::new(),
+            probe_wanted: Notify::new(),
             catalog_wanted: Notify::new(),
             endpoints_wanted: Notify::new(),
             catalog_progress: Arc::default(),
--- a/crates/relay/src/dispatcher/fleet/reachability.rs
+++ b/crates/relay/src/dispatcher/fleet/reachability.rs
@@ -1,46 +1,132 @@
-//! Services whose endpoints this instance cannot reach.
+//! Services whose endpoints this instance cannot reach, and the instances that can.
 
-use route::relay::reachability::Reachability;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use super::{Fleet, Run};
-use crate::clock;
+use rand::seq::{IndexedRandom, SliceRandom};
+use route::relay::reachability::Reach;
+
+use super::{Fleet, Run, short_hash};
+use crate::{clock, dispatcher::Dispatcher, source::Endpoint};
 
 impl Run {
     /// Records that the connection to the endpoint was made.
     pub fn record_connection(&self) {
-        let now = clock::now();
-        let service = &self.endpoint.service;
-        let fleet = &mut self.dispatcher.lock().fleet;
-        let Some(reachability) = fleet.reachability.get_mut(service) else { return };
-        let Some(duration) = reachability.record_connection(now) else { return };
-        tracing::info!(service, lost_for_ms = clock::millis(duration), "service reachable again");
-        fleet.count_unreachable_services();
+        self.dispatcher.record_reachable(&self.endpoint.service);
     }
-}
 
-impl Run {
     /// Records that no connection to the endpoint could be made.
     pub fn record_failed_connection(&self, cause: &str) {
         let fleet = &mut self.dispatcher.lock().fleet;
         let Some(endpoint) = fleet.servers.get(self.key).map(|server| server.hash) else { return };
-        fleet.record_failed_connection(&self.endpoint.service, endpoint, cause);
+        if fleet.record_failed_connection(&self.endpoint.service, endpoint, cause) {
+            self.dispatcher.probe_wanted.notify_one();
+        }
+    }
+}
+
+impl Dispatcher {
+    /// Records that an endpoint of a service accepted a connection.
+    pub fn record_reachable(&self, service: &str) {
+        let fleet = &mut self.lock().fleet;
+        let Some(reachability) = fleet.reachability.get_mut(service) else { return };
+        let Some(duration) = reachability.record_connection(clock::now()) else { return };
+        tracing::info!(service, lost_for_ms = clock::millis(duration), "service reachable again");
+        fleet.end_backoffs(service);
+        fleet.count_unreachable_services();
+        self.urgent_news.notify_one();
+    }
+
+    /// Returns whether this instance reaches endpoints of a service.
+    #[must_use]
+    pub fn reach(&self, service: &str) -> Reach {
+        self.lock().fleet.reach(service, clock::now())
+    }
+
+    /// Returns the services of which this instance may reach no endpoint.
+    #[must_use]
+    pub fn unreachable_services(&self) -> Vec<String> {
+        self.lock().fleet.unreachable_services().cloned().collect()
+    }
+
+    /// Returns the short hashes of the services of which this instance reaches no endpoint.
+    #[must_use]
+    pub fn lost_services(&self) -> Vec<u32> {
+        self.lock().fleet.lost_services(clock::now()).collect()
+    }
+
+    /// Waits until a service must be probed: it has become unreachable, or may have become
+    /// reachable.
+    pub async fn wait_for_probe_request(&self) {
+        self.probe_wanted.notified().await;
+    }
+
+    /// Returns at most `max` endpoints of a service, to probe whether the service can be
+    /// reached: ones to which no connection has failed if there are any, else random ones.
+    #[must_use]
+    pub fn endpoints_to_probe(&self, service: &str, max: usize) -> Vec<Arc<Endpoint>> {
+        let state = self.lock();
+        let servers = state.fleet.servers.values().filter(|server| server.endpoint.service == service);
+        let mut drawn: Vec<_> = servers.map(|server| (server.failed_connections > 0, server)).collect();
+        drawn.shuffle(&mut rand::rng());
+        drawn.sort_by_key(|(has_failed, _)| *has_failed);
+        drawn.into_iter().take(max).map(|(_, server)| Arc::clone(&server.endpoint)).collect()
+    }
+
+    /// Returns the news address of another instance that serves callers and reaches the
+    /// service, as far as known, and is not among `tried`. Larger instances are drawn more
+    /// often; if all callers of partitioned instances went to the same one, it would be
+    /// overloaded.
+    #[must_use]
+    pub fn instance_reaching(&self, service: &str, tried: &[SocketAddr]) -> Option<SocketAddr> {
+        let state = self.lock();
+        let candidates = state.peers.reaching(short_hash(service), clock::now());
+        let untried: Vec<_> = candidates.filter(|(news, _)| !tried.contains(news)).collect();
+        untried.choose_weighted(&mut rand::rng(), |(_, cores)| cores.0.max(1)).ok().map(|(news, _)| *news)
     }
 }
 
 impl Fleet {
-    /// Records that no connection to an endpoint could be made.
-    pub(super) fn record_failed_connection(&mut self, service: &str, endpoint: u32, cause: &str) {
+    /// Returns whether this instance reaches endpoints of a service.
+    pub(super) fn reach(&self, service: &str, now: Duration) -> Reach {
+        self.reachability.get(service).map_or(Reach::Sound, |reachability| reachability.reach(now))
+    }
+
+    /// Records that no connection to an endpoint could be made, and returns whether the
+    /// service counts as unreachable from now on.
+    fn record_failed_connection(&mut self, service: &str, endpoint: u32, cause: &str) -> bool {
         let endpoint_count = self.endpoints_of(service).count();
-        let reachability = self.reachability.entry(service.to_owned()).or_insert_with(Reachability::default);
-        if reachability.record_failure(clock::now(), endpoint, endpoint_count) {
+        let reachability = self.reachability.entry(service.to_owned()).or_default();
+        let is_newly_lost = reachability.record_failure(clock::now(), endpoint, endpoint_count);
+        if is_newly_lost {
             tracing::warn!(service, endpoints = endpoint_count, cause, "no endpoint of the service can be reached");
             self.count_unreachable_services();
         }
+        is_newly_lost
+    }
+
+    /// Ends the backoffs of a service's endpoints, which were due to the network path.
+    fn end_backoffs(&mut self, service: &str) {
+        for server in self.servers.values_mut().filter(|server| server.endpoint.service == service) {
+            server.failed_connections = 0;
+            server.backoff_until = Duration::ZERO;
+        }
+        self.invalidate_pools();
+    }
+
+    fn lost_services(&self, now: Duration) -> impl Iterator<Item = u32> {
+        let lost = self.reachability.iter().filter(move |(_, reachability)| reachability.reach(now) == Reach::Lost);
+        lost.map(|(service, _)| short_hash(service))
+    }
+
+    fn unreachable_services(&self) -> impl Iterator<Item = &String> {
+        self.reachability
+            .iter()
+            .filter(|(_, reachability)| reachability.reach(Duration::ZERO) != Reach::Sound)
+            .map(|(service, _)| service)
     }
 
     #[expect(clippy::cast_precision_loss, reason = "services are far fewer than 2^53")]
     fn count_unreachable_services(&self) {
-        let count = self.reachability.values().filter(|reachability| reachability.is_lost()).count();
-        metrics::gauge!("relay_unreachable_services").set(count as f64);
+        metrics::gauge!("relay_unreachable_services").set(self.unreachable_services().count() as f64);
     }
 }
--- a/crates/relay/src/dispatcher/fleet/registry.rs
+++ b/crates/relay/src/dispatcher/fleet/registry.rs
@@ -2,6 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
+use route::relay::reachability::Reach;
+
 use super::{Fleet, Key, Load, Server, start_hash};
 use crate::{clock, dispatcher::Dispatcher, source::Endpoint};
 
@@ -69,6 +71,10 @@
             );
         }
         state.rollouts.record_version(&endpoint.service, &endpoint.version, now);
+        let is_new = matches!(kind, RegistrationKind::New | RegistrationKind::Restarted);
+        if is_new && state.fleet.reach(&endpoint.service, now) != Reach::Sound {
+            self.probe_wanted.notify_one();
+        }
         let peer_load = state.peers.load(start_hash(&endpoint));
         state.fleet.register(endpoint, kind, peer_load, now);
     }
--- a/crates/relay/src/dispatcher/peers.rs
+++ b/crates/relay/src/dispatcher/peers.rs
@@ -128,6 +128,8 @@
     pub reports: Vec<Report>,
     /// Version of its catalog; 0 before it has one.
     pub catalog: u64,
+    /// Short hashes of the services of which it reaches no endpoint.
+    pub unreachable: Vec<u32>,
 }
 
 impl Status {
@@ -212,6 +214,15 @@
         self.known.values().filter(move |peer| peer.is_live(now) && peer.status.is_ready()).map(|peer| peer.hash)
     }
 
+    /// Returns the news addresses and sizes of the other instances that serve callers and
+    /// reach a service, given by its short hash.
+    pub(super) fn reaching(&self, service: u32, now: Duration) -> impl Iterator<Item = (SocketAddr, Cores)> {
+        let reaches = move |peer: &&Peer| {
+            peer.is_live(now) && peer.status.is_ready() && !peer.status.unreachable.contains(&service)
+        };
+        self.known.values().filter(reaches).map(|peer| (peer.news, peer.status.cores))
+    }
+
     /// Returns the hashes of the names of the other instances that were heard from within the
     /// last minute and have not left.
     pub(super) fn remembered(&self) -> impl Iterator<Item = u64> {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -9,6 +9,7 @@
 //! first one.
 
 mod admit;
+mod forwarding;
 mod plan;
 mod stream;
 mod tries;
@@ -25,20 +26,31 @@
     request_params::{RequestParams, end_to_end},
 };
 
-/// Serves one request and returns the response to the caller.
-pub async fn serve(dispatcher: Arc<Dispatcher>, request: Request<Incoming>) -> Response<Body> {
-    let mut exchange = match admit::admit(&dispatcher, request).await {
+pub use forwarding::is_forwarded;
+
+/// Who sent a request to this instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// Another instance, which forwards a caller's request.
+    Instance,
+}
+
+/// Serves one request and returns the response.
+pub async fn serve(dispatcher: Arc<Dispatcher>, request: Request<Incoming>, origin: Origin) -> Response<Body> {
+    let mut exchange = match admit::admit(&dispatcher, request, origin).await {
         Ok(exchange) => exchange,
-        Err((params, refusal)) => return refuse(&dispatcher, &params, &refusal, None),
+        Err((params, refusal)) => return refuse(&dispatcher, &params, &refusal, None, origin),
     };
     let limit = tokio::time::Instant::now() + exchange.left();
     let mut response = match tokio::time::timeout_at(limit, exchange.run()).await {
         Ok(Ok(tries::AcceptedAnswer::Whole(response))) => response,
         Ok(Ok(tries::AcceptedAnswer::Stream(active))) => stream::forward(exchange, *active),
-        Ok(Err(refusal)) => refuse(&dispatcher, &exchange.params, &refusal, Some(&exchange)),
+        Ok(Err(refusal)) => refuse(&dispatcher, &exchange.params, &refusal, Some(&exchange), origin),
         Err(_) => {
             let refusal = exchange.refusal_for_caller(Refusal::Expired);
-            refuse(&dispatcher, &exchange.params, &refusal, Some(&exchange))
+            refuse(&dispatcher, &exchange.params, &refusal, Some(&exchange), origin)
         }
     };
     if dispatcher.is_draining() {
@@ -53,6 +65,7 @@
     params: &RequestParams,
     refusal: &Refusal,
     exchange: Option<&tries::Exchange>,
+    origin: Origin,
 ) -> Response<Body> {
     let age = dispatcher.keys_age().map(clock::millis);
     let catalog = dispatcher.catalog().map(|catalog| catalog.version);
@@ -72,6 +85,9 @@
     );
     metrics::counter!("relay_refusals_total", "status" => refusal.status().as_str().to_owned()).increment(1);
     let mut response = refusal.to_response(rand::random());
+    if origin == Origin::Instance {
+        forwarding::mark_refused(&mut response, refusal);
+    }
     if matches!(refusal, Refusal::TooLarge | Refusal::Truncated | Refusal::Memory) || dispatcher.is_draining() {
         // The rest of the body may still arrive and must not be read as the next request.
         response.headers_mut().insert(header::CONNECTION, http::HeaderValue::from_static("close"));
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -9,7 +9,7 @@
 use route::relay::{content::Content, ladder::Urgency};
 use tokio::time::timeout;
 
-use super::tries::Exchange;
+use super::{Origin, forwarding, tries::Exchange};
 use crate::{
     answer::Refusal,
     catalog::{Customer, Route},
@@ -41,10 +41,15 @@
 pub async fn admit(
     dispatcher: &Arc<Dispatcher>,
     request: Request<Incoming>,
+    origin: Origin,
 ) -> Result<Exchange, (RequestParams, Refusal)> {
     let started = clock::now();
     let in_flight = dispatcher.count_in_flight();
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
+    let sent = match origin {
+        Origin::Caller => 0,
+        Origin::Instance => forwarding::take_sent(&mut head.headers),
+    };
     let params = RequestParams::read(&head.headers, &dispatcher.dialect.names);
     let host = host(&head.headers, &head.uri);
     dispatcher.wait_until_started().await;
@@ -90,8 +95,10 @@
         started,
         limit,
         tried: Vec::new(),
-        sent: 0,
+        sent,
         unreachable: 0,
+        is_forwarded: origin == Origin::Instance,
+        tried_instances: Vec::new(),
         may_have_run: false,
         cause: String::new(),
         target_draw: rand::random(),
--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -100,6 +100,16 @@
         self.dispatcher.largest_caching_model(|model| self.prompt_key(Some(model)), models)
     }
 
+    /// Returns the model with which to go on with a stream whose model another instance chose.
+    pub(super) fn model_for_resumption(&self) -> Option<usize> {
+        let models = self.admission.route.models.len();
+        if models == 0 || !self.params.any_model {
+            return None;
+        }
+        let cached = self.dispatcher.largest_caching_model(|model| self.prompt_key(Some(model)), models);
+        Some(cached.unwrap_or(models - 1))
+    }
+
     /// Returns the time limit for the first byte of a run's answer.
     pub(super) fn first_byte_timeout(&self, run: &Run) -> Duration {
         let route = &self.admission.route;
--- a/crates/relay/src/exchange/stream.rs
+++ b/crates/relay/src/exchange/stream.rs
@@ -9,9 +9,16 @@
 
 use super::{
     forwarded_headers,
-    tries::{ActiveStream, Exchange},
+    tries::{ActiveStream, Exchange, Hop},
+};
+use crate::{
+    answer::Body,
+    catalog::Kind,
+    clock,
+    dispatcher::fleet::RunOutcome,
+    events::Splitter,
+    upstream::{Answer, Outcome},
 };
-use crate::{answer::Body, catalog::Kind, clock, dispatcher::fleet::RunOutcome, events::Splitter, upstream::Outcome};
 
 /// Pause between events that counts as a stall, as a multiple of the route's target pause.
 const STALL_FACTOR: f64 = 2.0;
@@ -42,13 +49,9 @@
     *response.status_mut() = active.answer.response.status();
     *response.headers_mut() = forwarded_headers(&active.answer.response);
     let confidence = exchange.confidence(&active.answer);
-    exchange.log_answer(
-        &active.run.endpoint,
-        active.run.choice,
-        active.answer.response.status(),
-        active.model,
-        confidence,
-    );
+    if let Hop::Endpoint(run) = &active.hop {
+        exchange.log_answer(&run.endpoint, run.choice, active.answer.response.status(), active.model, confidence);
+    }
     response.map(|()| StreamBody::new(event_frames(exchange, active)).boxed_unsync())
 }
 
@@ -71,13 +74,18 @@
                     Err(_) => Outcome::Unknown("an event is too long".into()),
                 },
                 Received::End if !splitter.is_partial() => {
-                    active.run.record_outcome(RunOutcome::Good);
+                    if let Hop::Endpoint(run) = &mut active.hop {
+                        run.record_outcome(RunOutcome::Good);
+                    }
                     break;
                 }
                 Received::End => Outcome::Broken("the stream ended within an event".into()),
                 Received::Failed(outcome) => outcome,
             };
-            exchange.record_failed_try(&mut active.run, &outcome);
+            match &mut active.hop {
+                Hop::Endpoint(run) => exchange.record_failed_try(run, &outcome),
+                Hop::Instance(instance) => exchange.record_failed_forward(*instance, &outcome),
+            }
             splitter.restart();
             let Some(resumed) = resume(&mut exchange, &active, splitter.last()).await else {
                 tracing::info!(
@@ -100,18 +108,19 @@
 
 /// Waits for the next bytes of the stream, or until the run has to be abandoned.
 async fn next_bytes(exchange: &Exchange, active: &mut ActiveStream) -> Received {
+    let Hop::Endpoint(run) = &active.hop else { return next_forwarded_bytes(exchange, &mut active.answer).await };
     let pause = exchange.admission.route.target_pause.unwrap_or(MIN_STALL);
     let stall = pause.mul_f64(STALL_FACTOR).max(MIN_STALL);
     for _ in 0..MAX_STALLS {
         let left = exchange.left();
         let frame = tokio::time::timeout(stall.min(left), active.answer.response.body_mut().frame()).await;
         match frame {
-            Err(_) if left <= stall || active.run.silence() > ENDPOINT_SILENCE => break,
+            Err(_) if left <= stall || run.silence() > ENDPOINT_SILENCE => break,
             Err(_) => {}
             Ok(None) => return Received::End,
             Ok(Some(Err(error))) => return Received::Failed(Outcome::Broken(error.to_string())),
             Ok(Some(Ok(frame))) => {
-                active.run.record_bytes();
+                run.record_bytes();
                 return Received::Bytes(frame.into_data().unwrap_or_default());
             }
         }
@@ -119,34 +128,64 @@
     Received::Failed(Outcome::Unknown("no event in time".into()))
 }
 
+/// Waits for the next bytes of a stream that comes through another instance, which detects
+/// stalls itself.
+async fn next_forwarded_bytes(exchange: &Exchange, answer: &mut Answer) -> Received {
+    match tokio::time::timeout(exchange.left(), answer.response.body_mut().frame()).await {
+        Err(_) => Received::Failed(Outcome::Unknown("no event in time".into())),
+        Ok(None) => Received::End,
+        Ok(Some(Err(error))) => Received::Failed(Outcome::Broken(error.to_string())),
+        Ok(Some(Ok(frame))) => Received::Bytes(frame.into_data().unwrap_or_default()),
+    }
+}
+
 /// Resumes the stream at another endpoint, with the same model and, if possible, the same
 /// version; `None` if that is not allowed or no try succeeds.
 async fn resume(exchange: &mut Exchange, broken: &ActiveStream, last: Option<u64>) -> Option<ActiveStream> {
     if !matches!(exchange.admission.route.kind, Kind::Stream { resumable: true }) {
         return None;
     }
-    let model = broken.model;
-    exchange.version = Some(broken.run.endpoint.version.clone());
+    let model = broken.model.or_else(|| exchange.model_for_resumption());
+    if let Hop::Endpoint(run) = &broken.hop {
+        exchange.version = Some(run.endpoint.version.clone());
+    }
+    let last_event = last.or(exchange.params.last_event);
     loop {
-        let mut run = exchange.next_run(model).await.ok()?;
-        let outcome = exchange.send(&mut run, model, last.or(exchange.params.last_event)).await;
-        match outcome {
+        let mut hop = exchange.next_hop(model).await.ok()?;
+        let outcome = match &mut hop {
+            Hop::Endpoint(run) => exchange.send(run, model, last_event).await,
+            Hop::Instance(instance) => exchange.send_to_instance(*instance, model, last_event).await,
+        };
+        let outcome = match outcome {
             Outcome::Answer(answer) if answer.response.status().is_success() => {
-                run.record_first_byte();
-                tracing::info!(
-                    request = exchange.params.id,
-                    endpoint = run.endpoint.id,
-                    last_event = last,
-                    tries = exchange.sent,
-                    "stream resumed"
-                );
-                return Some(ActiveStream { answer: *answer, run, model });
-            }
-            Outcome::Answer(answer) => {
-                let cause = format!("failed with {}", answer.response.status());
-                exchange.record_failed_try(&mut run, &Outcome::Unknown(cause));
+                log_resumed(exchange, &mut hop, last);
+                return Some(ActiveStream { answer: *answer, hop, model });
             }
-            other => exchange.record_failed_try(&mut run, &other),
+            Outcome::Answer(answer) => Outcome::Unknown(format!("failed with {}", answer.response.status())),
+            other => other,
+        };
+        match &mut hop {
+            Hop::Endpoint(run) => exchange.record_failed_try(run, &outcome),
+            Hop::Instance(instance) => exchange.record_failed_forward(*instance, &outcome),
         }
     }
 }
+
+/// Logs that a stream goes on after an event, and records its first byte.
+fn log_resumed(exchange: &Exchange, hop: &mut Hop, last_event: Option<u64>) {
+    let (endpoint, instance) = match hop {
+        Hop::Endpoint(run) => {
+            run.record_first_byte();
+            (Some(run.endpoint.id.as_str()), None)
+        }
+        Hop::Instance(instance) => (None, Some(instance.to_string())),
+    };
+    tracing::info!(
+        request = exchange.params.id,
+        endpoint,
+        instance,
+        last_event,
+        tries = exchange.sent,
+        "stream resumed"
+    );
+}
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -5,12 +5,13 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Limited};
-use route::relay::{allowance::Purpose, content::Content, placement::Choice};
+use route::relay::{allowance::Purpose, content::Content, placement::Choice, reachability::Reach};
 use tokio::task::JoinHandle;
 
 use super::{
     admit::{self, Admission},
     forwarded_headers,
+    forwarding::MAX_FORWARDS,
 };
 use crate::{
     answer::{self, Body, Refusal},
@@ -37,7 +38,7 @@
 
 /// Longest answer that is buffered, in bytes: several times the longest request. Without
 /// a limit, an answer that never ends would take all memory.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
+pub(super) const MAX_ANSWER_BYTES: usize = 16 << 20;
 
 /// Longest wait for the crash check of an endpoint; one that has crashed refuses
 /// connections within a round trip.
@@ -71,6 +72,10 @@
     pub(super) sent: u32,
     /// Number of tries that found the endpoint unreachable.
     pub(super) unreachable: u32,
+    /// Whether another instance forwarded the request to this one.
+    pub(super) is_forwarded: bool,
+    /// Instances to which the request was forwarded.
+    pub(super) tried_instances: Vec<SocketAddr>,
     /// Whether any endpoint may have run the request.
     pub(super) may_have_run: bool,
     /// Cause of the last failed try, for logs.
@@ -93,19 +98,28 @@
     Stream(Box<ActiveStream>),
 }
 
-/// A stream that an endpoint is sending.
+/// A stream that an endpoint is sending, directly or through another instance.
 #[derive(Debug)]
 pub struct ActiveStream {
     /// The endpoint's answer.
     pub answer: Answer,
-    /// The run at the endpoint.
-    pub run: Run,
-    /// Index of the answering model in the route's ladder.
+    /// Where it comes from.
+    pub hop: Hop,
+    /// Index of the answering model in the route's ladder, if this instance chose it.
     pub model: Option<usize>,
 }
 
+/// Where a request is sent.
+#[derive(Debug)]
+pub enum Hop {
+    /// To an endpoint.
+    Endpoint(Box<Run>),
+    /// To another instance, which chooses the endpoint.
+    Instance(SocketAddr),
+}
+
 /// An answer with a server error.
-struct Failure {
+pub(super) struct Failure {
     response: Response<Body>,
     status: StatusCode,
     endpoint: Arc<Endpoint>,
@@ -113,8 +127,10 @@
 }
 
 /// What to do with the request after one try.
-enum NextStep {
+pub(super) enum NextStep {
     Accepted(AcceptedAnswer),
+    /// No further try can succeed.
+    Refused(Refusal),
     /// A server error; it is returned to the caller if no later try gives a better answer.
     Failed(Failure),
     Retry,
@@ -131,27 +147,27 @@
         let mut model = self.start_model();
         let mut failed: Option<Failure> = None;
         loop {
-            let run = match (self.next_run(model).await, failed.take()) {
-                (Ok(run), earlier_failure) => {
-                    failed = earlier_failure;
-                    run
-                }
-                (Err(_), Some(failure)) => {
-                    self.log_answer(&failure.endpoint, failure.choice, failure.status, None, None);
-                    return Ok(AcceptedAnswer::Whole(failure.response));
-                }
-                (Err(refusal), None) => return Err(refusal),
+            let last_event = self.params.last_event;
+            let step = match self.next_hop(model).await {
+                Ok(Hop::Endpoint(run)) => self.try_at(*run, &mut model, last_event).await,
+                Ok(Hop::Instance(instance)) => self.forward(instance, None, last_event).await,
+                Err(refusal) => NextStep::Refused(refusal),
             };
-            match self.try_at(run, &mut model, self.params.last_event).await {
+            match step {
                 NextStep::Accepted(accepted) => return Ok(accepted),
                 NextStep::Failed(failure) => failed = Some(failure),
                 NextStep::Retry => {}
+                NextStep::Refused(refusal) => {
+                    let Some(failure) = failed else { return Err(refusal) };
+                    self.log_answer(&failure.endpoint, failure.choice, failure.status, None, None);
+                    return Ok(AcceptedAnswer::Whole(failure.response));
+                }
             }
         }
     }
 
-    /// Places the next try at an endpoint, or returns why no further try is possible.
-    pub(super) async fn next_run(&mut self, model: Option<usize>) -> Result<Run, Refusal> {
+    /// Chooses where to send the request next, or returns why no further try is possible.
+    pub(super) async fn next_hop(&mut self, model: Option<usize>) -> Result<Hop, Refusal> {
         self.await_crash_check().await;
         if let Some(left) = self.dispatcher.remaining_quarantine(self.content) {
             return Err(self.refusal_for_caller(Refusal::Quarantined { left }));
@@ -168,6 +184,14 @@
             return Err(self.refusal_for_caller(Refusal::TurnedAway));
         }
         self.admission.route.target(self.target_draw).ok_or(Refusal::NoRoute)?.clone_into(&mut self.service);
+        match self.dispatcher.reach(&self.service) {
+            Reach::Sound => {}
+            Reach::Doubtful | Reach::Lost if let Some(instance) = self.next_instance() => {
+                return Ok(Hop::Instance(instance));
+            }
+            Reach::Doubtful => {}
+            Reach::Lost => return Err(self.refusal_for_caller(Refusal::Unreachable)),
+        }
         let run = match self.place(model) {
             Some(run) => run,
             None if self.dispatcher.is_service_evacuated(&self.service) => {
@@ -175,14 +199,20 @@
             }
             None => self.wait_for_place(model).await?,
         };
-        if self.sent == 0 {
-            if self.unreachable == 0 {
-                self.dispatcher.record_first_dispatch(&self.service);
-            }
-        } else if !self.dispatcher.try_extra_dispatch(&self.service, Purpose::Retry) {
+        if self.sent > 0 && !self.dispatcher.try_extra_dispatch(&self.service, Purpose::Retry) {
             return Err(self.refusal_for_caller(Refusal::TurnedAway));
         }
-        Ok(run)
+        Ok(Hop::Endpoint(Box::new(run)))
+    }
+
+    /// Returns another instance that may reach the service, unless enough were tried.
+    fn next_instance(&mut self) -> Option<SocketAddr> {
+        if self.is_forwarded || self.tried_instances.len() >= MAX_FORWARDS {
+            return None;
+        }
+        let instance = self.dispatcher.instance_reaching(&self.service, &self.tried_instances)?;
+        self.tried_instances.push(instance);
+        Some(instance)
     }
 
     /// Waits until it is known whether the endpoint of the last try has crashed. If the
@@ -258,7 +288,10 @@
                 *model = Some(next);
                 return NextStep::Retry;
             }
-            return NextStep::Accepted(AcceptedAnswer::Stream(Box::new(ActiveStream { answer, run, model: *model })));
+            return {
+                let hop = Hop::Endpoint(Box::new(run));
+                NextStep::Accepted(AcceptedAnswer::Stream(Box::new(ActiveStream { answer, hop, model: *model })))
+            };
         }
         self.read_whole_answer(answer, run).await
     }
@@ -317,6 +350,9 @@
         };
         run.record_connection();
         run.mark_sent(self.content);
+        if self.sent == 1 {
+            self.dispatcher.record_first_dispatch(&self.service);
+        }
         // The deadline may pass and cancel this call while the try is in flight. From here
         // on the caller must not be told that the request did not run.
         let ran_before = std::mem::replace(&mut self.may_have_run, true);
--- a/crates/relay/src/handle.rs
+++ b/crates/relay/src/handle.rs
@@ -12,7 +12,8 @@
     dialect::Dialect,
     directory,
     dispatcher::Dispatcher,
-    exchange, follow, front, join, news, quarantine, report,
+    exchange::{self, Origin},
+    follow, front, join, news, probe, quarantine, report,
     settings::{Listeners, Settings},
     share::CatalogServer,
     source::{Kind, Source},
@@ -67,7 +68,7 @@
     let front_listener = front::bind(at.front).map_err(failed("front", at.front))?;
     let ready = front::bind(at.ready).map_err(failed("ready", at.ready))?;
     let directory = front::bind(at.directory).map_err(failed("directory", at.directory))?;
-    let (socket, catalog_listener) = news::bind(at.news).await.map_err(failed("news", at.news))?;
+    let (socket, instance_listener) = news::bind(at.news).await.map_err(failed("news", at.news))?;
     let bound = |listener: &tokio::net::TcpListener, requested| listener.local_addr().unwrap_or(requested);
     settings.listeners = Listeners {
         front: bound(&front_listener, at.front),
@@ -79,14 +80,24 @@
     dispatcher.set_identity();
     let mut tasks = JoinSet::new();
     let shared = Arc::clone(&dispatcher);
-    tasks.spawn(front::accept(front_listener, move |request| exchange::serve(Arc::clone(&shared), request)));
+    tasks.spawn(front::accept(front_listener, move |request| {
+        exchange::serve(Arc::clone(&shared), request, Origin::Caller)
+    }));
     let shared = Arc::clone(&dispatcher);
     tasks.spawn(front::accept(ready, move |request| std::future::ready(directory::ready(&shared, &request))));
     let shared = Arc::clone(&dispatcher);
     tasks.spawn(front::accept(directory, move |request| std::future::ready(directory::addresses(&shared, &request))));
     let (catalog_server, shared) = (Arc::new(CatalogServer::new()), Arc::clone(&dispatcher));
-    let serve_copy = move |request| std::future::ready(catalog_server.serve(&shared, &request));
-    tasks.spawn(front::accept(catalog_listener, serve_copy));
+    let serve_instance = move |request| {
+        let (catalog_server, dispatcher) = (Arc::clone(&catalog_server), Arc::clone(&shared));
+        async move {
+            if exchange::is_forwarded(&request) {
+                return exchange::serve(dispatcher, request, Origin::Instance).await;
+            }
+            catalog_server.serve(&dispatcher, &request)
+        }
+    };
+    tasks.spawn(front::accept(instance_listener, serve_instance));
     for kind in [Kind::Catalog, Kind::Rollouts, Kind::Endpoints] {
         tasks.spawn(follow::follow(Arc::clone(&dispatcher), Arc::clone(&source), kind));
     }
@@ -97,6 +108,7 @@
     tasks.spawn(join::join(Arc::clone(&dispatcher), Arc::clone(&source)));
     tasks.spawn(report::advance_rollouts(Arc::clone(&dispatcher), Arc::clone(&source)));
     tasks.spawn(quarantine::synchronize(Arc::clone(&dispatcher), Arc::clone(&source)));
+    tasks.spawn(probe::probe_unreachable_services(Arc::clone(&dispatcher)));
     tasks.spawn(news::exchange(Arc::clone(&dispatcher), socket));
     Ok(Handle { dispatcher, source, tasks })
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 //!   [`source::Source`]; `join` registers this instance and discovers the others;
 //!   `report` advances rollouts;
 //! - `news` exchanges loads, rollout evidence and membership with other instances;
+//! - `probe` notices when services that could not be reached can be reached again;
 //! - `quarantine` stores the requests that are refused because they crash endpoints;
 //! - `share` serves the catalog to instances that cannot read it from the store;
 //! - `front` and `directory` accept connections; `exchange` handles one request,
@@ -33,6 +34,7 @@
 mod join;
 pub mod network;
 mod news;
+mod probe;
 mod quarantine;
 mod report;
 pub mod request_params;
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -231,9 +231,9 @@
 
 /// Receives datagrams, applies them and answers questions.
 async fn receive(dispatcher: &Dispatcher, socket: &UdpSocket, last_question: &LastQuestion, broadcasts: &Broadcasts) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES + 1];
     loop {
-        let (length, from) = match socket.recv_from(&mut buffer).await {
+        let (length, from) = match socket.recv_from(&mut buffer[..MAX_DATAGRAM_BYTES]).await {
             Ok(received) => received,
             Err(error) => {
                 tracing::debug!(%error, "receiving a datagram failed");
@@ -241,7 +241,9 @@
                 continue;
             }
         };
-        match postcard::from_bytes(&buffer[..length]) {
+        // A list that an earlier build leaves out at the end is decoded from this byte, as empty.
+        buffer[length] = 0;
+        match postcard::from_bytes(&buffer[..=length]) {
             Ok(Packet::News(message)) => {
                 for (name, news) in &message.named {
                     dispatcher.discover_peer(name, *news);
@@ -312,6 +314,7 @@
         sessions: dispatcher.old_version_sessions(),
         orders: dispatcher.rollout_reports().iter().map(RolloutEvidence::from).collect(),
         catalog: dispatcher.catalog().map_or(0, |catalog| catalog.version),
+        unreachable: dispatcher.lost_services(),
     }
 }
 
--- a/crates/relay/src/news/wire.rs
+++ b/crates/relay/src/news/wire.rs
@@ -249,6 +249,9 @@
     pub(super) orders: Vec<RolloutEvidence>,
     /// Version of its catalog; 0 before the first.
     pub(super) catalog: u64,
+    /// Short hashes of the services of which it reaches no endpoint. Earlier builds do not
+    /// send this field, and ignore it.
+    pub(super) unreachable: Vec<u32>,
 }
 
 /// Serialized form of [`Sighting`].
@@ -503,6 +506,7 @@
             sessions: message.sessions.clone(),
             reports: message.orders.iter().map(Report::from).collect(),
             catalog: message.catalog,
+            unreachable: message.unreachable.clone(),
         }
     }
 }
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -37,6 +37,20 @@
     Answer(Box<Answer>),
 }
 
+impl Outcome {
+    /// Returns the label of the outcome in metrics.
+    #[must_use]
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Unreachable(_) => "unreachable",
+            Self::NotRun(_) => "not run",
+            Self::Unknown(_) => "unknown",
+            Self::Broken(_) => "broken",
+            Self::Answer(_) => "answer",
+        }
+    }
+}
+
 /// Outcome of a try, with the endpoint's rate limit.
 #[derive(Debug)]
 pub struct TryResult {
@@ -96,20 +110,12 @@
     names: &Names,
     time_limit: Duration,
 ) -> TryResult {
-    let Connected { mut sender, connection } = connected;
-    let response = match tokio::time::timeout(time_limit, sender.try_send_request(request)).await {
-        Err(_) => return Outcome::Unknown("no answer in time".into()).into(),
-        Ok(Err(mut error)) => {
-            let unsent = error.take_message().is_some();
-            let cause = error.into_error().to_string();
-            let outcome =
-                if unsent { Outcome::Unreachable(Unreachable::without_answer(cause)) } else { Outcome::Broken(cause) };
-            return outcome.into();
-        }
-        Ok(Ok(response)) => response,
+    let answer = match exchange(connected, request, time_limit).await {
+        Ok(answer) => answer,
+        Err(outcome) => return outcome.into(),
     };
-    let per_s = parse_limit(&response, names);
-    let outcome = check_answer(response, id, names, connection);
+    let per_s = parse_limit(&answer.response, names);
+    let outcome = check_answer(answer, id, names);
     let limit = match (per_s, &outcome) {
         (Some(per_s), _) => Announcement::Limit(per_s),
         (None, Outcome::Answer(_)) => Announcement::NoLimit,
@@ -119,6 +125,29 @@
     TryResult { outcome, limit }
 }
 
+/// Sends a request over a connection and waits for the head of its answer, which is not
+/// checked.
+///
+/// # Errors
+///
+/// Returns the outcome if there is no answer.
+pub async fn exchange(
+    connected: Connected,
+    request: Request<Full<Bytes>>,
+    time_limit: Duration,
+) -> Result<Answer, Outcome> {
+    let Connected { mut sender, connection } = connected;
+    match tokio::time::timeout(time_limit, sender.try_send_request(request)).await {
+        Err(_) => Err(Outcome::Unknown("no answer in time".into())),
+        Ok(Err(mut error)) => {
+            let unsent = error.take_message().is_some();
+            let cause = error.into_error().to_string();
+            Err(if unsent { Outcome::Unreachable(Unreachable::without_answer(cause)) } else { Outcome::Broken(cause) })
+        }
+        Ok(Ok(response)) => Ok(Answer { response, connection }),
+    }
+}
+
 /// Returns the rate limit in an answer's headers, if it is valid.
 fn parse_limit(response: &Response<Incoming>, names: &Names) -> Option<f64> {
     let text = response.headers().get(&names.rate_limit)?.to_str().ok()?;
@@ -156,6 +185,11 @@
     open_connection(network, address, CONNECT_TIMEOUT).await.is_err_and(|unreachable| unreachable.is_refused)
 }
 
+/// Returns whether an endpoint's address accepts connections.
+pub async fn is_reachable(network: &dyn Network, address: SocketAddr) -> bool {
+    open_connection(network, address, CONNECT_TIMEOUT).await.is_ok()
+}
+
 /// Opens a TCP connection to an endpoint.
 async fn open_connection(
     network: &dyn Network,
@@ -179,9 +213,9 @@
 }
 
 /// Checks an answer's headers to find whether the request ran and the answer is valid.
-fn check_answer(response: Response<Incoming>, id: &str, names: &Names, connection: AbortOnDropHandle<()>) -> Outcome {
-    let headers = response.headers();
-    let status = response.status();
+pub fn check_answer(answer: Answer, id: &str, names: &Names) -> Outcome {
+    let headers = answer.response.headers();
+    let status = answer.response.status();
     if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
         return Outcome::NotRun(status);
     }
@@ -196,5 +230,5 @@
     if headers.contains_key(header::CONTENT_ENCODING) {
         return Outcome::Unknown("the answer has a content encoding that was not requested".into());
     }
-    Outcome::Answer(Box::new(Answer { response, connection }))
+    Outcome::Answer(Box::new(answer))
 }
--- a/crates/route/src/relay/reachability.rs
+++ b/crates/route/src/relay/reachability.rs
@@ -13,7 +13,24 @@
 /// connection clears that mistake.
 const MIN_FAILED_ENDPOINTS: usize = 3;
 
-/// Whether a service's endpoints can be reached from this instance.
+/// Time after which a lost path is certain. Until then the instance may have tried nothing but
+/// crashed endpoints; it goes on connecting to others, which shows the mistake.
+const CONFIRMATION_TIME: Duration = Duration::from_millis(400);
+
+/// Whether an instance reaches endpoints of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// It does, or nothing is known.
+    Sound,
+    /// Connections fail, but perhaps only to endpoints that are down. Another instance serves
+    /// a request sooner; without one, further endpoints are worth a try.
+    Doubtful,
+    /// It reaches none. Requests that no other instance can serve are hopeless, and callers are
+    /// better off elsewhere.
+    Lost,
+}
+
+/// Connections of an instance to a service's endpoints.
 #[derive(Debug, Clone, Default)]
 pub struct Reachability {
     /// Different endpoints to which connections failed since the last successful one, at most
@@ -44,9 +61,13 @@
         self.lost_at.take().map(|lost_at| now.saturating_sub(lost_at))
     }
 
-    /// Returns whether no endpoint of the service can be reached.
+    /// Returns whether endpoints of the service can be reached.
     #[must_use]
-    pub fn is_lost(&self) -> bool {
-        self.lost_at.is_some()
+    pub fn reach(&self, now: Duration) -> Reach {
+        match self.lost_at {
+            None => Reach::Sound,
+            Some(lost_at) if now < lost_at + CONFIRMATION_TIME => Reach::Doubtful,
+            Some(_) => Reach::Lost,
+        }
     }
 }
--- a/crates/route/tests/relay/reachability.rs
+++ b/crates/route/tests/relay/reachability.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use route::relay::reachability::Reachability;
+use route::relay::reachability::{Reach, Reachability};
 
 /// A connection to an endpoint.
 #[derive(Debug, Clone, Copy)]
@@ -13,7 +13,7 @@
 
 use Connection::{Failed, Succeeded};
 
-/// Checks whether a service with `endpoint_count` endpoints is unreachable after `connections`.
+/// Checks whether a service with `endpoint_count` endpoints is lost a second after `connections`.
 fn check(endpoint_count: usize, connections: &[Connection], expected: bool) {
     let mut reachability = Reachability::default();
     for (second, connection) in (1..).zip(connections) {
@@ -27,7 +27,8 @@
             }
         }
     }
-    assert_eq!(reachability.is_lost(), expected);
+    let later = Duration::from_secs(connections.len() as u64 + 1);
+    assert_eq!(reachability.reach(later) == Reach::Lost, expected);
 }
 
 macro_rules! reachability {
@@ -51,6 +52,19 @@
     endpoint_that_is_no_longer_registered: 0, [Failed(1)] => true;
 }
 
+/// Nearly all endpoints may be down while the last one works. The instance must not give up
+/// before it had the time to try that one.
+#[test]
+fn path_is_doubtful_at_first() {
+    let ms = Duration::from_millis;
+    let mut reachability = Reachability::default();
+    for endpoint in 1..=3 {
+        reachability.record_failure(ms(1_000), endpoint, 18);
+    }
+    assert_eq!(reachability.reach(ms(1_001)), Reach::Doubtful);
+    assert_eq!(reachability.reach(ms(2_000)), Reach::Lost);
+}
+
 #[test]
 fn changes_are_reported_once_with_their_duration() {
     let seconds = Duration::from_secs;
