Do not list instances to callers that reach no endpoint of a service

Callers went on being sent to instances that had lost all endpoints: they stayed in every address list for the whole 12 s of both partitions. Forwarding serves these callers, but each request takes one more step, and other instances' descriptors.

Cause: address lists leave out instances that are not ready, have stale keys or have lost the store, and nothing told of lost endpoints.

--- a/crates/relay/src/dispatcher/fleet/reachability.rs
+++ b/crates/relay/src/dispatcher/fleet/reachability.rs
@@ -113,6 +113,11 @@
         self.invalidate_pools();
     }
 
+    /// Whether this instance reaches endpoints of every service.
+    pub(in crate::dispatcher) fn reaches_services(&self, now: Duration) -> bool {
+        self.lost_services(now).next().is_none()
+    }
+
     fn lost_services(&self, now: Duration) -> impl Iterator<Item = u32> {
         let lost = self.reachability.iter().filter(move |(_, reachability)| reachability.reach(now) == Reach::Lost);
         lost.map(|(service, _)| short_hash(service))
--- a/crates/relay/src/dispatcher/peers/fronts.rs
+++ b/crates/relay/src/dispatcher/peers/fronts.rs
@@ -35,6 +35,7 @@
     address: SocketAddr,
     is_fresh: bool,
     is_in_touch: bool,
+    reaches_services: bool,
     candidate: fronts::Candidate<'a>,
 }
 
@@ -47,6 +48,7 @@
             address: peer.status.front?,
             is_fresh: peer.status.fresh,
             is_in_touch: peer.status.in_touch,
+            reaches_services: peer.status.unreachable.is_empty(),
             candidate,
         })
     }
@@ -78,6 +80,7 @@
                 address: self.settings.listeners.front,
                 is_fresh: me_fresh,
                 is_in_touch: me_in_touch,
+                reaches_services: state.fleet.reaches_services(now),
                 candidate: me,
             });
         }
@@ -91,6 +94,13 @@
         if in_touch * 2 >= all.len() {
             all.retain(|front| front.is_in_touch);
         }
+        // An instance that reaches no endpoint of a service forwards its requests to others,
+        // which takes longer. If most do, the rest may not have room for the connections of all
+        // callers.
+        let reaching = all.iter().filter(|front| front.reaches_services).count();
+        if reaching * 2 >= all.len() {
+            all.retain(|front| front.reaches_services);
+        }
         let candidates: Vec<fronts::Candidate<'_>> = all.iter().map(|front| front.candidate).collect();
         let chosen = fronts::choose(&candidates, caller.to_hashed(), MAX_ADDRESSES);
         let mut addresses: Vec<SocketAddr> = chosen.into_iter().map(|index| all[index].address).collect();
