Count a refused connection as a crash only if another endpoint can be reached

After a partition, callers may be refused for ten minutes with a request that crashed nothing: three partitions that interrupt it quarantine it at all instances. In the incident the count of crashed endpoints rose at all seven instances within the second partition, to 7, while all 22 endpoints were at work; nothing was quarantined that time.

Cause: a refused connection counted as proof that the endpoint's process is gone. An instance whose network path is cut is refused by all endpoints, and it told the others.

--- a/crates/relay/src/dispatcher/crashes.rs
+++ b/crates/relay/src/dispatcher/crashes.rs
@@ -1,15 +1,23 @@
 //! Detects requests that crash endpoints, and exchanges findings about them with
 //! other instances and the store.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
+use rand::seq::IteratorRandom;
 use route::relay::{
     content::Content,
     quarantine::{Effect, Finding, REFUSAL_PERIOD},
 };
 
 use super::{Dispatcher, State, fleet::Key};
-use crate::{clock, quarantine::Change, source::Refused};
+use crate::{
+    clock,
+    quarantine::Change,
+    source::{Endpoint, Refused},
+};
 
 /// Time for which an abandoned run still counts as running at its endpoint. After this
 /// instance drops an answer or the caller disconnects, the endpoint takes a moment to notice,
@@ -49,6 +57,11 @@
         self.0.push(UnfinishedRun { content, sent_at, abandoned_at: now });
     }
 
+    /// Returns whether any run may still be active at `now`.
+    fn is_any_active(&self, now: Duration) -> bool {
+        self.0.iter().any(|run| now < run.abandoned_at + UNFINISHED_RUN_LIFETIME)
+    }
+
     /// Removes all runs and returns those that may still run at `now`.
     fn take(&mut self, now: Duration) -> Vec<UnfinishedRun> {
         let mut runs = std::mem::take(&mut self.0);
@@ -145,7 +158,20 @@
         self.lock().quarantine.is_suspect(clock::now(), content)
     }
 
-    /// Records the crash of an endpoint whose address refuses connections.
+    /// Returns at most `max` random other endpoints of any service, whose connections show
+    /// whether an endpoint that refuses this instance has crashed; `None` if no request of this
+    /// instance could be the cause.
+    #[must_use]
+    pub fn crash_witnesses(&self, key: Key, max: usize) -> Option<Vec<Arc<Endpoint>>> {
+        let mut state = self.lock();
+        let server = state.fleet.server(key)?;
+        if !server.unfinished_runs().is_any_active(clock::now()) {
+            return None;
+        }
+        Some(state.fleet.other_endpoints(key).choose_multiple(&mut rand::rng(), max))
+    }
+
+    /// Records the crash of an endpoint.
     pub fn record_crash(&self, key: Key) {
         let mut state = self.lock();
         state.record_crash(key, clock::now());
--- a/crates/relay/src/dispatcher/fleet/registry.rs
+++ b/crates/relay/src/dispatcher/fleet/registry.rs
@@ -160,6 +160,12 @@
         self.servers.values().map(|server| &*server.endpoint).filter(move |endpoint| endpoint.service == service)
     }
 
+    /// Returns all known endpoints but one.
+    pub(in crate::dispatcher) fn other_endpoints(&self, key: Key) -> impl Iterator<Item = Arc<Endpoint>> {
+        let others = self.servers.iter().filter(move |(other, _)| *other != key);
+        others.map(|(_, server)| Arc::clone(&server.endpoint))
+    }
+
     /// Has the pools rebuilt before the next decision.
     pub(in crate::dispatcher) fn invalidate_pools(&mut self) {
         self.revision += 1;
--- a/crates/relay/src/dispatcher/fleet/run.rs
+++ b/crates/relay/src/dispatcher/fleet/run.rs
@@ -144,7 +144,6 @@
         match (outcome, self.content.take()) {
             (RunOutcome::Good, Some(content)) => state.record_success(content, now),
             (RunOutcome::Broken, Some(content)) => self.record_unfinished(&mut state, content, now),
-            (RunOutcome::Down, _) => state.record_crash(self.key, now),
             _ => {}
         }
         self.dispatcher.notify_findings(&state);
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -9,6 +9,7 @@
 //! first one.
 
 mod admit;
+mod crash_check;
 mod forwarding;
 mod plan;
 mod stream;
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -10,7 +10,7 @@
 
 use super::{
     admit::{self, Admission},
-    forwarded_headers,
+    crash_check, forwarded_headers,
     forwarding::MAX_FORWARDS,
 };
 use crate::{
@@ -304,6 +304,9 @@
                 self.unreachable += 1;
                 self.sent -= 1;
                 run.record_failed_connection(cause);
+                if *is_refused {
+                    tokio::spawn(crash_check::confirm_crash(Arc::clone(&self.dispatcher), run.key));
+                }
                 (if *is_refused { RunOutcome::Down } else { RunOutcome::Unreachable }, cause.clone())
             }
             Outcome::NotRun(StatusCode::MISDIRECTED_REQUEST) => {
@@ -312,8 +315,11 @@
             Outcome::NotRun(status) => (RunOutcome::Full, format!("turned away with {status}")),
             Outcome::Unknown(cause) => (RunOutcome::Broken, cause.clone()),
             Outcome::Broken(cause) => {
-                self.crash_check =
-                    Some(tokio::spawn(check_for_crash(Arc::clone(&self.dispatcher), run.key, run.endpoint.address)));
+                self.crash_check = Some(tokio::spawn(crash_check::check_for_crash(
+                    Arc::clone(&self.dispatcher),
+                    run.key,
+                    run.endpoint.address,
+                )));
                 (RunOutcome::Broken, cause.clone())
             }
             Outcome::Answer(_) => (RunOutcome::Good, String::new()),
@@ -435,13 +441,6 @@
     }
 }
 
-/// Reports a crash of an endpoint if it refuses connections.
-async fn check_for_crash(dispatcher: Arc<Dispatcher>, key: Key, address: SocketAddr) {
-    if upstream::is_refused(&*dispatcher.settings.network, address).await {
-        dispatcher.record_crash(key);
-    }
-}
-
 /// Returns whether callers understand a status as a promise that the request did not run.
 fn promises_not_run(status: StatusCode) -> bool {
     matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS | StatusCode::REQUEST_TIMEOUT)
--- a/crates/relay/src/probe.rs
+++ b/crates/relay/src/probe.rs
@@ -34,7 +34,7 @@
             for endpoint in dispatcher.endpoints_to_probe(&service, PROBED_ENDPOINTS) {
                 let (dispatcher, service) = (Arc::clone(&dispatcher), service.clone());
                 probes.spawn(async move {
-                    if upstream::is_reachable(&*dispatcher.settings.network, endpoint.address).await {
+                    if upstream::probe(&*dispatcher.settings.network, endpoint.address).await.is_ok() {
                         dispatcher.record_reachable(&service);
                     }
                 });
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -182,12 +182,16 @@
 
 /// Returns whether an endpoint's address refuses connections.
 pub async fn is_refused(network: &dyn Network, address: SocketAddr) -> bool {
-    open_connection(network, address, CONNECT_TIMEOUT).await.is_err_and(|unreachable| unreachable.is_refused)
+    probe(network, address).await.is_err_and(|unreachable| unreachable.is_refused)
 }
 
-/// Returns whether an endpoint's address accepts connections.
-pub async fn is_reachable(network: &dyn Network, address: SocketAddr) -> bool {
-    open_connection(network, address, CONNECT_TIMEOUT).await.is_ok()
+/// Connects to an endpoint to find out whether it can be reached.
+///
+/// # Errors
+///
+/// Returns [`Unreachable`] with the cause if it cannot.
+pub async fn probe(network: &dyn Network, address: SocketAddr) -> Result<(), Unreachable> {
+    open_connection(network, address, CONNECT_TIMEOUT).await.map(drop)
 }
 
 /// Opens a TCP connection to an endpoint.
