Send no more to fragile endpoints than they may reject

Callers whose requests run at an endpoint lose them when it falls over because it had to turn too many others away; an endpoint of that kind says how many it survives in a second (Server-Brittle), and nothing read it.

A few instances now share the rejections of each endpoint (route::relay::rejection). A request counts as a possible rejection for 100 ms after it is sent, a rejection for one second, and no more is sent than the share. An instance without a share in any endpoint of a service forwards to another one.

--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -284,6 +284,7 @@
             signature: name("x-signature"),
             confidence: name("x-confidence"),
             rate_limit: HeaderName::from_static("x-limit"),
+            max_rejections: HeaderName::from_static("x-brittle"),
             copy_from: HeaderName::from_static("x-fetch"),
             reserved: Vec::new(),
         },
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -42,6 +42,8 @@
     /// Neither this instance nor, as far as it knows, any other one reaches an endpoint of the
     /// route's service.
     Unreachable,
+    /// The endpoints survive few rejections, and this instance has no share of them.
+    NoShare,
     /// All failure domains with endpoints of the route's service are evacuated.
     Evacuated,
     /// No try succeeded and no further one is allowed.
@@ -84,6 +86,7 @@
             | Self::Memory
             | Self::NoEndpoint
             | Self::Unreachable
+            | Self::NoShare
             | Self::Evacuated
             | Self::TurnedAway
             | Self::Quarantined { .. }
@@ -103,7 +106,9 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             // The instance that announced the newer catalog has it.
-            Self::Leaving | Self::Replaced | Self::KeysStale { elsewhere: true } => Some(RETRY_AFTER_ELSEWHERE),
+            Self::Leaving | Self::Replaced | Self::NoShare | Self::KeysStale { elsewhere: true } => {
+                Some(RETRY_AFTER_ELSEWHERE)
+            }
             Self::NotStarted | Self::KeysStale { elsewhere: false } | Self::Evacuated => Some(RETRY_AFTER_STARTING),
             Self::Memory | Self::NoEndpoint | Self::Unreachable | Self::TurnedAway | Self::Expired => {
                 Some(RETRY_AFTER_BUSY)
@@ -143,6 +148,7 @@
             Self::Memory => "not run: too many bodies under way; try again shortly",
             Self::NoEndpoint => "not run: no endpoint takes requests now; try again shortly",
             Self::Unreachable => "not run: no endpoint can be reached now; try again shortly",
+            Self::NoShare => "not run: only other instances may use the endpoints now; use another address",
             Self::Evacuated => "not run: every endpoint is in an evacuated failure domain; try again shortly",
             Self::TurnedAway => "not run: every endpoint tried was full or unreachable; try again shortly",
             Self::Quarantined { .. } => "not run: endpoints crashed under it several times; it is refused for a while",
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -69,6 +69,9 @@
     /// Rate limit of the endpoint, in requests per second over all instances; in force until
     /// an answer comes without it.
     pub rate_limit: HeaderName,
+    /// Number of rejections per second, over all instances, above which the endpoint crashes;
+    /// in force until an answer comes without it.
+    pub max_rejections: HeaderName,
     /// Endpoint from whose prompt cache the shared prefix is to be copied first.
     pub copy_from: HeaderName,
     /// Headers that only this instance sets; they are removed from callers' requests.
--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -13,6 +13,7 @@
 mod pool;
 mod reachability;
 mod registry;
+mod rejections;
 mod run;
 mod selection;
 mod warmup;
@@ -26,6 +27,7 @@
     notice::Backlog,
     placement::Candidate,
     reachability::Reachability,
+    rejection::Guard,
     throttle::Throttle,
 };
 use slotmap::SlotMap;
@@ -86,6 +88,7 @@
     /// Endpoints that cache each prompt part.
     holders: Prefixes,
     limited: limits::LimitedEndpoints,
+    fragile: rejections::FragileEndpoints,
     /// Whether this instance reaches the endpoints, by service; services without a failed
     /// connection are missing.
     reachability: HashMap<String, Reachability>,
@@ -136,6 +139,8 @@
     unfinished_runs: UnfinishedRuns,
     /// Rate at which this instance may send requests, if the endpoint announces a limit.
     throttle: Throttle,
+    /// Keeps this instance from crashing the endpoint by requests that it rejects.
+    guard: Guard,
     /// When the endpoint is warm.
     warm_at: Duration,
     /// Rate at which this instance may send requests until then.
@@ -193,6 +198,7 @@
         let backlog_ms = latency.processing_ms(units);
         server.runs += 1;
         server.throttle.take_token(now);
+        server.guard.record_send(now);
         server.take_token_while_warming(now);
         server.backlog_ms += backlog_ms;
         let endpoint = Arc::clone(&server.endpoint);
@@ -237,6 +243,7 @@
     /// Recomputes this instance's shares of endpoints' rates if they are out of date.
     fn update_shares(&self, state: &mut State, now: Duration) {
         state.update_limit_shares(now);
+        state.update_rejection_shares(now);
         state.update_warmups(&self.settings, self.created_at, now);
     }
 
@@ -277,6 +284,7 @@
             last_registered: now,
             unfinished_runs: UnfinishedRuns::default(),
             throttle: Throttle::default(),
+            guard: Guard::default(),
             warm_at: Duration::ZERO,
             warmup_throttle: Throttle::default(),
         }
--- a/crates/relay/src/dispatcher/fleet/limits.rs
+++ b/crates/relay/src/dispatcher/fleet/limits.rs
@@ -22,13 +22,13 @@
 /// Maximum number of updates kept for sending.
 const MAX_UNSENT_UPDATES: usize = 1_024;
 
-/// What an attempt at an endpoint revealed about its rate limit.
+/// What an attempt at an endpoint revealed about one of its limits.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Announcement {
+pub enum Announcement<T> {
     /// Nothing: no answer was received, or a refusal that states no limit.
     Nothing,
-    /// The answer states a limit, in requests a second from all instances together.
-    Limit(f64),
+    /// The answer states a limit, for all instances together.
+    Limit(T),
     /// The answer states no limit.
     NoLimit,
 }
@@ -56,7 +56,7 @@
 
 impl Run {
     /// Records what the endpoint announced about its limit, and queues a change for the other instances.
-    pub fn record_limit(&self, announced: Announcement) {
+    pub fn record_limit(&self, announced: Announcement<f64>) {
         let now = clock::now();
         let announcement = match announced {
             Announcement::Nothing => return,
--- a/crates/relay/src/dispatcher/fleet/run.rs
+++ b/crates/relay/src/dispatcher/fleet/run.rs
@@ -154,7 +154,10 @@
                 server.failed_connections = 0;
             }
             RunOutcome::Failed | RunOutcome::Broken => server.failure_rate.observe(1.0, 0.0, now),
-            RunOutcome::Full => server.full_until = now + FULL_PERIOD,
+            RunOutcome::Full => {
+                server.full_until = now + FULL_PERIOD;
+                server.guard.record_rejection(now);
+            }
             // A request for a model that does not exist is refused in the same way, so a
             // single refusal may be the caller's fault. A first byte or a good answer
             // in between shows that the endpoint is alive.
--- a/crates/relay/src/exchange/forwarding.rs
+++ b/crates/relay/src/exchange/forwarding.rs
@@ -1,4 +1,5 @@
-//! Forwards a request to another instance if this one reaches no endpoint of the service.
+//! Forwards a request to another instance if this one reaches no endpoint of the service, or
+//! may send to none.
 //!
 //! The other instance handles the request like a caller's own: it checks the access key,
 //! chooses endpoints and models, and retries. It does not forward the request again, so a
@@ -50,7 +51,8 @@
             | Refusal::NoRoute
             | Refusal::NoKey
             | Refusal::Memory
-            | Refusal::Unreachable => Self::Instance,
+            | Refusal::Unreachable
+            | Refusal::NoShare => Self::Instance,
             _ => Self::Fleet,
         }
     }
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -197,6 +197,10 @@
             None if self.dispatcher.is_service_evacuated(&self.service) => {
                 return Err(self.refusal_for_caller(Refusal::Evacuated));
             }
+            None if !self.dispatcher.has_rejection_share(&self.service) => {
+                let instance = self.next_instance().ok_or_else(|| self.refusal_for_caller(Refusal::NoShare))?;
+                return Ok(Hop::Instance(instance));
+            }
             None => self.wait_for_place(model).await?,
         };
         if self.sent > 0 && !self.dispatcher.try_extra_dispatch(&self.service, Purpose::Retry) {
@@ -363,9 +367,10 @@
         // on the caller must not be told that the request did not run.
         let ran_before = std::mem::replace(&mut self.may_have_run, true);
         let names = &self.dispatcher.dialect.names;
-        let TryResult { outcome, limit } =
+        let TryResult { outcome, limit, max_rejections } =
             upstream::send(connected, request, &self.params.id, names, first_byte_timeout).await;
         run.record_limit(limit);
+        run.record_max_rejections(max_rejections);
         if matches!(outcome, Outcome::Unreachable(_) | Outcome::NotRun(_)) {
             self.may_have_run = ran_before;
         }
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -5,10 +5,10 @@
 //! the next request, breaks that request, and one that must not run twice cannot be
 //! sent again. A new connection rules both out.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, str::FromStr, time::Duration};
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, header};
+use http::{HeaderName, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
@@ -51,19 +51,21 @@
     }
 }
 
-/// Outcome of a try, with the endpoint's rate limit.
+/// Outcome of a try, with the endpoint's limits.
 #[derive(Debug)]
 pub struct TryResult {
     /// Outcome of the try.
     pub outcome: Outcome,
-    /// What the endpoint said about its rate limit.
-    pub limit: Announcement,
+    /// What the endpoint said about its rate limit, in requests per second.
+    pub limit: Announcement<f64>,
+    /// What the endpoint said about the rejections per second that it survives.
+    pub max_rejections: Announcement<u32>,
 }
 
 impl From<Outcome> for TryResult {
-    /// Converts the outcome of a try in which the endpoint said nothing about its limit.
+    /// Converts the outcome of a try in which the endpoint said nothing about its limits.
     fn from(outcome: Outcome) -> Self {
-        Self { outcome, limit: Announcement::Nothing }
+        Self { outcome, limit: Announcement::Nothing, max_rejections: Announcement::Nothing }
     }
 }
 
@@ -114,15 +116,13 @@
         Ok(answer) => answer,
         Err(outcome) => return outcome.into(),
     };
-    let per_s = parse_limit(&answer.response, names);
+    let per_s = parse_limit(&answer.response, &names.rate_limit);
+    let max_rejections = parse_limit(&answer.response, &names.max_rejections);
     let outcome = check_answer(answer, id, names);
-    let limit = match (per_s, &outcome) {
-        (Some(per_s), _) => Announcement::Limit(per_s),
-        (None, Outcome::Answer(_)) => Announcement::NoLimit,
-        // An endpoint that rejects a request need not name its limit.
-        (None, _) => Announcement::Nothing,
-    };
-    TryResult { outcome, limit }
+    let is_answer = matches!(outcome, Outcome::Answer(_));
+    let limit = announcement(per_s.filter(|per_s: &f64| per_s.is_finite() && *per_s >= 0.0), is_answer);
+    let max_rejections = announcement(max_rejections, is_answer);
+    TryResult { outcome, limit, max_rejections }
 }
 
 /// Sends a request over a connection and waits for the head of its answer, which is not
@@ -148,14 +148,24 @@
     }
 }
 
-/// Returns the rate limit in an answer's headers, if it is valid.
-fn parse_limit(response: &Response<Incoming>, names: &Names) -> Option<f64> {
-    let text = response.headers().get(&names.rate_limit)?.to_str().ok()?;
-    let per_s = text.trim().parse().ok().filter(|per_s: &f64| per_s.is_finite() && *per_s >= 0.0);
-    if per_s.is_none() {
-        tracing::debug!(text, "endpoint's rate limit cannot be parsed");
+/// Returns a limit in an answer's headers, if it is valid.
+fn parse_limit<T: FromStr>(response: &Response<Incoming>, name: &HeaderName) -> Option<T> {
+    let text = response.headers().get(name)?.to_str().ok()?;
+    let limit = text.trim().parse().ok();
+    if limit.is_none() {
+        tracing::debug!(%name, text, "endpoint's limit cannot be parsed");
+    }
+    limit
+}
+
+/// Returns what an answer says with a limit or without one. An endpoint that rejects a request
+/// need not name its limit.
+fn announcement<T>(limit: Option<T>, is_answer: bool) -> Announcement<T> {
+    match limit {
+        Some(limit) => Announcement::Limit(limit),
+        None if is_answer => Announcement::NoLimit,
+        None => Announcement::Nothing,
     }
-    per_s
 }
 
 /// Connects to an endpoint or another instance.
--- a/crates/relay/tests/it/main.rs
+++ b/crates/relay/tests/it/main.rs
@@ -2,6 +2,7 @@
 //! endpoints that fail on purpose.
 
 mod answers;
+mod brittle_endpoints;
 mod caches;
 mod caller;
 mod crashes;
--- a/crates/relay/tests/it/site.rs
+++ b/crates/relay/tests/it/site.rs
@@ -379,6 +379,7 @@
             signature: name("x-signature"),
             confidence: name("x-confidence"),
             rate_limit: name("x-limit"),
+            max_rejections: name("x-brittle"),
             copy_from: HeaderName::from_static("x-fetch"),
             reserved: ["x-key", "x-team", "x-expect", "x-rank"].map(name).to_vec(),
         },
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -5,7 +5,8 @@
 //! [`latency`]. [`holders`] tracks which endpoints have a prompt prefix in their cache, and
 //! [`notice`] tracks the prompt processing that other instances have sent to them.
 //! [`allowance`] bounds retries over the whole fleet, and [`throttle`] divides the rate
-//! limits that endpoints announce among the instances. [`freshness`] decides how long
+//! limits that endpoints announce among the instances, and [`rejection`] the rejections that they
+//! survive. [`freshness`] decides how long
 //! access keys and the catalog may be used without confirmation. [`canary`] assigns
 //! requests to a version under roll-out and evaluates it. [`fronts`] picks the instances
 //! that are listed to a caller. [`content`] identifies equal requests, and [`quarantine`]
@@ -28,4 +29,5 @@
 pub mod placement;
 pub mod quarantine;
 pub mod reachability;
+pub mod rejection;
 pub mod throttle;
--- /dev/null
+++ b/crates/route/src/relay/rejection.rs
@@ -0,0 +1,116 @@
+//! Protects endpoints that crash if they have to reject too many requests within a second.
+//!
+//! Such an endpoint states in its answers how many rejections it survives, from all instances
+//! together. A few instances, selected by rendezvous hashing, share that number, and the others
+//! send it nothing while the statement is in force. A full endpoint rejects within a round
+//! trip. An instance therefore counts a request as a possible rejection for a short time after
+//! sending it, and sends no more than could all be rejected.
+
+use std::{collections::VecDeque, time::Duration};
+
+use super::throttle::active_senders;
+
+/// Window in which an endpoint counts rejections.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Time after which a request that was not rejected has been accepted: a round trip and a busy
+/// processor at either end.
+const ACCEPTANCE_TIME: Duration = Duration::from_millis(100);
+
+/// Part of the rejections that is used. The rest covers periods in which instances disagree
+/// about the membership.
+const USABLE_FRACTION: f64 = 0.9;
+
+/// Time after which a statement expires that no answer has repeated.
+const STATEMENT_LIFETIME: Duration = Duration::from_secs(10);
+
+/// What an endpoint's answer says about rejections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Statement {
+    /// Rejections per second that the endpoint survives; `None` if any number.
+    pub max_per_s: Option<u32>,
+    /// When the answer was received, or when its request was sent if it states no limit: it
+    /// may be older than a limit that arrived before it.
+    pub at: Duration,
+}
+
+/// Computes how many rejections per second by an endpoint one instance may cause. `me` and
+/// `others` are the hashes of the names of the instances that serve callers.
+///
+/// All of them together cause at most `max_per_s`, or one if that is less.
+#[must_use]
+pub fn share(max_per_s: u32, endpoint: u32, me: u64, others: impl Iterator<Item = u64>) -> usize {
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a fraction of a u32")]
+    let usable = (USABLE_FRACTION * f64::from(max_per_s)).max(1.0) as usize;
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a small whole number")]
+    active_senders(usable, endpoint, me, others).map_or(0, |senders| usable / senders as usize)
+}
+
+/// Limits the requests that this instance sends to one endpoint.
+#[derive(Debug, Clone, Default)]
+pub struct Guard {
+    statement: Option<Statement>,
+    /// Rejections per second that this instance may cause.
+    share: usize,
+    /// Times of the requests that may still be rejected.
+    sends: VecDeque<Duration>,
+    /// Times of the rejections within the window.
+    rejections: VecDeque<Duration>,
+}
+
+impl Guard {
+    /// Records what an answer says, unless a later one is known.
+    pub fn record(&mut self, statement: Statement) {
+        if self.statement.is_none_or(|known| known.at <= statement.at) {
+            self.statement = Some(statement);
+        }
+    }
+
+    /// Returns the number of rejections per second that the endpoint survives, or `None` if
+    /// it is not known to have a limit.
+    #[must_use]
+    pub fn max_per_s(&self, now: Duration) -> Option<u32> {
+        self.statement.filter(|statement| now < statement.at + STATEMENT_LIFETIME)?.max_per_s
+    }
+
+    /// Sets this instance's part of the rejections.
+    pub fn set_share(&mut self, share: usize) {
+        self.share = share;
+    }
+
+    /// Returns whether this instance may cause rejections at all.
+    #[must_use]
+    pub fn has_share(&self, now: Duration) -> bool {
+        self.max_per_s(now).is_none() || self.share > 0
+    }
+
+    /// Returns whether a request may be sent now.
+    #[must_use]
+    pub fn may_send(&self, now: Duration) -> bool {
+        if self.max_per_s(now).is_none() {
+            return true;
+        }
+        let recent = |times: &VecDeque<Duration>, span| times.iter().filter(|at| now < **at + span).count();
+        recent(&self.sends, ACCEPTANCE_TIME) + recent(&self.rejections, WINDOW) < self.share
+    }
+
+    /// Records that a request is sent.
+    pub fn record_send(&mut self, now: Duration) {
+        if self.max_per_s(now).is_some() {
+            push(&mut self.sends, now, ACCEPTANCE_TIME);
+        }
+    }
+
+    /// Records that the endpoint rejected a request.
+    pub fn record_rejection(&mut self, now: Duration) {
+        push(&mut self.rejections, now, WINDOW);
+    }
+}
+
+/// Adds a time and removes those that are older than `span`.
+fn push(times: &mut VecDeque<Duration>, now: Duration, span: Duration) {
+    while times.front().is_some_and(|at| now >= *at + span) {
+        times.pop_front();
+    }
+    times.push_back(now);
+}
--- a/crates/route/src/relay/throttle.rs
+++ b/crates/route/src/relay/throttle.rs
@@ -158,7 +158,7 @@
 
 /// Selects at most `senders` instances by rendezvous hashing, and returns their number if
 /// this instance is one of them.
-fn active_senders(senders: usize, endpoint: u32, me: u64, others: impl Iterator<Item = u64>) -> Option<f64> {
+pub(super) fn active_senders(senders: usize, endpoint: u32, me: u64, others: impl Iterator<Item = u64>) -> Option<f64> {
     let weight = |name: u64| (hash::rendezvous(name, &endpoint.to_le_bytes()), name);
     let own_weight = weight(me);
     let (mut count, mut ahead) = (1, 0);
--- a/crates/route/tests/relay/main.rs
+++ b/crates/route/tests/relay/main.rs
@@ -13,4 +13,5 @@
 mod placement;
 mod quarantine;
 mod reachability;
+mod rejection;
 mod throttle;
--- /dev/null
+++ b/crates/route/tests/relay/rejection.rs
@@ -0,0 +1,104 @@
+//! Requests that may be rejected by endpoints that survive few rejections.
+
+use std::time::Duration;
+
+use route::relay::rejection::{Guard, Statement, share};
+use world::hash;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Returns a guard of an endpoint that survives `max_per_s` rejections, with a share of them.
+fn guard(max_per_s: u32, share: usize) -> Guard {
+    let mut guard = Guard::default();
+    guard.record(Statement { max_per_s: Some(max_per_s), at: ms(0) });
+    guard.set_share(share);
+    guard
+}
+
+/// All instances together must not cause more rejections than the endpoint survives.
+fn check_shares(instances: u64, max_per_s: u32) {
+    let names: Vec<u64> = (0..instances).map(|name| hash::stable(&name.to_be_bytes())).collect();
+    for endpoint in 0..20 {
+        let others = |me: u64| names.iter().copied().filter(move |name| *name != me);
+        let shares: Vec<usize> = names.iter().map(|me| share(max_per_s, endpoint, *me, others(*me))).collect();
+        let sum = shares.iter().sum::<usize>();
+        assert!(sum <= usize::try_from(max_per_s).unwrap().max(1), "{shares:?}");
+        assert!(sum >= 1, "somebody must be able to send");
+    }
+}
+
+macro_rules! shares {
+    ($($name:ident: $instances:expr, $max_per_s:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            check_shares($instances, $max_per_s);
+        }
+    )*};
+}
+
+shares! {
+    one_instance: 1, 5;
+    several_instances: 7, 20;
+    as_many_rejections_as_instances: 7, 7;
+    fewer_rejections_than_instances: 7, 3;
+    hundreds_of_instances: 295, 10;
+    no_rejection_at_all: 7, 0;
+}
+
+/// A full endpoint must not get requests faster than it may reject them.
+#[test]
+fn rejections_in_any_second_stay_within_the_share() {
+    let mut guard = guard(10, 3);
+    let mut rejections: Vec<Duration> = Vec::new();
+    for now in (0..9_000).map(ms) {
+        if guard.may_send(now) {
+            guard.record_send(now);
+            guard.record_rejection(now);
+            rejections.push(now);
+        }
+    }
+    for from in &rejections {
+        let within = rejections.iter().filter(|at| (*from..*from + ms(1_000)).contains(at)).count();
+        assert!(within <= 3, "{within} rejections within a second");
+    }
+    assert!(rejections.len() > 8, "the endpoint must be tried again");
+}
+
+/// An endpoint with room gets requests although each of them might be rejected at first.
+#[test]
+fn accepted_requests_do_not_use_up_the_share() {
+    let mut guard = guard(10, 1);
+    let mut sent = 0;
+    for now in (0..1_000).map(ms) {
+        if guard.may_send(now) {
+            guard.record_send(now);
+            sent += 1;
+        }
+    }
+    assert!(sent >= 8, "{sent} requests in a second");
+}
+
+#[test]
+fn statement_ends_with_an_answer_without_one() {
+    let mut guard = guard(10, 0);
+    assert!(!guard.may_send(ms(100)));
+    guard.record(Statement { max_per_s: None, at: ms(50) });
+    assert!(guard.may_send(ms(100)));
+}
+
+/// An answer to an earlier request may arrive after a statement, and does not end it.
+#[test]
+fn statement_outlasts_an_answer_to_an_earlier_request() {
+    let mut guard = Guard::default();
+    guard.record(Statement { max_per_s: Some(10), at: ms(200) });
+    guard.record(Statement { max_per_s: None, at: ms(100) });
+    assert!(!guard.may_send(ms(300)));
+}
+
+/// An endpoint that no longer answers must not be avoided forever.
+#[test]
+fn statement_expires() {
+    assert!(guard(10, 0).may_send(ms(60_000)));
+}
