Wait for streams of endpoints that are silent for a second

A sound endpoint may fall silent for a second or so and go on. Its streams were restarted elsewhere after 1.2 s, with their prompts processed again; a stream that cannot be resumed was broken off.

Cause: a stall counted from 1.2 s of silence on a route whose target pause is up to 600 ms, and was acted on although nothing could follow.

A stall counts from 1.6 s of silence of the whole endpoint, below the two seconds after which the most impatient callers leave, and only for streams that can be resumed; others are waited for until their deadline. Both new tests of relay it streams failed before (one run too many; a broken stream) and hold now.

--- a/crates/relay/src/exchange/stream.rs
+++ b/crates/relay/src/exchange/stream.rs
@@ -13,7 +13,6 @@
 };
 use crate::{
     answer::Body,
-    catalog::Kind,
     clock,
     dispatcher::fleet::RunOutcome,
     events::Splitter,
@@ -23,14 +22,14 @@
 /// Pause between events that counts as a stall, as a multiple of the route's target pause.
 const STALL_FACTOR: f64 = 2.0;
 
-/// Shortest pause that counts as a stall: engines pause for about a second while they
-/// process long prompts of other runs.
-const MIN_STALL: Duration = Duration::from_millis(1_200);
+/// Shortest pause that counts as a stall: sound endpoints may be silent for a second or a
+/// little longer, and callers give up a stream after two seconds at the earliest.
+const MIN_STALL: Duration = Duration::from_millis(1_600);
 
 /// Silence of the whole endpoint after which a stalled run is abandoned. An endpoint that
 /// still sends on other runs is only overloaded, and restarting its runs elsewhere would
 /// make all of them wait longer.
-const ENDPOINT_SILENCE: Duration = Duration::from_secs(1);
+const ENDPOINT_SILENCE: Duration = Duration::from_millis(1_500);
 
 /// Number of consecutive stalls after which a run is abandoned even if the endpoint still
 /// sends on other runs.
@@ -43,6 +42,12 @@
     Failed(Outcome),
 }
 
+impl Received {
+    fn timed_out() -> Self {
+        Self::Failed(Outcome::Unknown("no event in time".into()))
+    }
+}
+
 /// Returns the response to a caller whose stream has begun.
 pub fn forward(exchange: Exchange, active: ActiveStream) -> Response<Body> {
     let mut response = Response::new(());
@@ -108,41 +113,43 @@
 
 /// Waits for the next bytes of the stream, or until the run has to be abandoned.
 async fn next_bytes(exchange: &Exchange, active: &mut ActiveStream) -> Received {
-    let Hop::Endpoint(run) = &active.hop else { return next_forwarded_bytes(exchange, &mut active.answer).await };
-    let pause = exchange.admission.route.target_pause.unwrap_or(MIN_STALL);
-    let stall = pause.mul_f64(STALL_FACTOR).max(MIN_STALL);
+    // Another instance detects stalls itself, and a stream that cannot be resumed is better
+    // late than broken off.
+    let detects_stalls = matches!(active.hop, Hop::Endpoint(_)) && exchange.is_resumable();
+    let target_pause = exchange.admission.route.target_pause.unwrap_or_default();
+    let stall = target_pause.mul_f64(STALL_FACTOR).max(MIN_STALL);
     for _ in 0..MAX_STALLS {
         let left = exchange.left();
-        let frame = tokio::time::timeout(stall.min(left), active.answer.response.body_mut().frame()).await;
-        match frame {
-            Err(_) if left <= stall || run.silence() > ENDPOINT_SILENCE => break,
-            Err(_) => {}
-            Ok(None) => return Received::End,
-            Ok(Some(Err(error))) => return Received::Failed(Outcome::Broken(error.to_string())),
-            Ok(Some(Ok(frame))) => {
+        let limit = if detects_stalls { stall.min(left) } else { left };
+        let received = receive(&mut active.answer, limit).await;
+        let Hop::Endpoint(run) = &active.hop else { return received.unwrap_or_else(Received::timed_out) };
+        match received {
+            Some(Received::Bytes(bytes)) => {
                 run.record_bytes();
-                return Received::Bytes(frame.into_data().unwrap_or_default());
+                return Received::Bytes(bytes);
             }
+            Some(other) => return other,
+            None if limit == left || run.silence() > ENDPOINT_SILENCE => break,
+            None => {}
         }
     }
-    Received::Failed(Outcome::Unknown("no event in time".into()))
+    Received::timed_out()
 }
 
-/// Waits for the next bytes of a stream that comes through another instance, which detects
-/// stalls itself.
-async fn next_forwarded_bytes(exchange: &Exchange, answer: &mut Answer) -> Received {
-    match tokio::time::timeout(exchange.left(), answer.response.body_mut().frame()).await {
-        Err(_) => Received::Failed(Outcome::Unknown("no event in time".into())),
-        Ok(None) => Received::End,
-        Ok(Some(Err(error))) => Received::Failed(Outcome::Broken(error.to_string())),
-        Ok(Some(Ok(frame))) => Received::Bytes(frame.into_data().unwrap_or_default()),
-    }
+/// Waits for the next bytes of an answer; `None` if none come within `limit`.
+async fn receive(answer: &mut Answer, limit: Duration) -> Option<Received> {
+    let frame = tokio::time::timeout(limit, answer.response.body_mut().frame()).await.ok()?;
+    Some(match frame {
+        None => Received::End,
+        Some(Err(error)) => Received::Failed(Outcome::Broken(error.to_string())),
+        Some(Ok(frame)) => Received::Bytes(frame.into_data().unwrap_or_default()),
+    })
 }
 
 /// Resumes the stream at another endpoint, with the same model and, if possible, the same
 /// version; `None` if that is not allowed or no try succeeds.
 async fn resume(exchange: &mut Exchange, broken: &ActiveStream, last: Option<u64>) -> Option<ActiveStream> {
-    if !matches!(exchange.admission.route.kind, Kind::Stream { resumable: true }) {
+    if !exchange.is_resumable() {
         return None;
     }
     let model = broken.model.or_else(|| exchange.model_for_resumption());
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -142,6 +142,11 @@
         self.limit.saturating_sub(clock::now())
     }
 
+    /// Whether the answer is a stream that may go on at another endpoint.
+    pub(super) fn is_resumable(&self) -> bool {
+        matches!(self.admission.route.kind, Kind::Stream { resumable: true })
+    }
+
     /// Tries endpoints until an answer is accepted or no further try is allowed.
     pub async fn run(&mut self) -> Result<AcceptedAnswer, Refusal> {
         let mut model = self.start_model();
--- a/crates/relay/tests/it/server.rs
+++ b/crates/relay/tests/it/server.rs
@@ -24,6 +24,8 @@
     Hang(String),
     /// Writes each part, with a pause after it.
     WriteSlowly(Vec<String>),
+    /// Writes bytes, stays silent for a while, and writes further bytes.
+    Pause(String, Duration, String),
     /// Crashes on a request that contains the word: writes the bytes, resets every connection
     /// and stops listening. Other requests get the boxed action.
     CrashOn(&'static str, String, Box<Action>),
@@ -143,6 +145,11 @@
                 *disconnects.lock().unwrap() += 1;
             }
         }
+        Action::Pause(before, silence, after) => {
+            stream.write_all(fill(&before).as_bytes()).await.ok();
+            tokio::time::sleep(silence).await;
+            stream.write_all(fill(&after).as_bytes()).await.ok();
+        }
         Action::WriteSlowly(parts) => {
             for part in parts {
                 if stream.write_all(fill(&part).as_bytes()).await.is_err() {
--- a/crates/relay/tests/it/streams.rs
+++ b/crates/relay/tests/it/streams.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use relay::catalog::Kind;
+use relay::catalog::{Kind, Route};
 
 use crate::{
     caller,
@@ -47,6 +47,33 @@
     assert!(started_at.elapsed() < Duration::from_secs(4), "{:?}", started_at.elapsed());
 }
 
+/// Plays a stream whose server is silent for a while after its first event, and checks that it
+/// is neither restarted nor broken off.
+async fn check_silence(kind: Kind, silence: Duration) {
+    let pause = || Action::Pause(stream_head(90) + &event(1), silence, event(2) + LAST_CHUNK);
+    let servers = [Server::start(vec![pause()]).await, Server::start(vec![pause()]).await];
+    let addresses = servers.each_ref().map(|server| server.address);
+    let route = Route { target_pause: Some(Duration::from_millis(600)), ..route("/s/", kind) };
+    let site = Site::start(vec![route], &addresses).await;
+    let response = caller::call(site.front(), "POST", "/s/x", "", "prompt").await;
+    assert!(response.complete, "{response:?}");
+    assert_eq!(response.body, "id: 1\ndata: d1\n\nid: 2\ndata: d2\n\n");
+    assert_eq!(servers.iter().map(|server| server.requests().len()).sum::<usize>(), 1);
+}
+
+/// A server falls silent for a second and goes on. Restarted elsewhere, its streams would end
+/// later, and their prompts would be processed again.
+#[tokio::test]
+async fn stream_of_a_server_that_is_silent_for_a_second_is_not_restarted() {
+    check_silence(RESUMABLE, Duration::from_millis(1_400)).await;
+}
+
+/// A stream that cannot be resumed must not be broken off because its server is silent.
+#[tokio::test]
+async fn stream_that_cannot_be_resumed_is_waited_for() {
+    check_silence(Kind::Stream { resumable: false }, Duration::from_secs(3)).await;
+}
+
 /// A server has so many prompts to process that one of its streams pauses for seconds, while events
 /// of another stream arrive. If such streams were restarted elsewhere, their prompts would have
 /// to be processed again and delay everyone further; so the relay waits for as long as it receives
