Test partitions at random, and what forwarding must keep

Beside them: endpoints see no key and no header between instances, no more attempts than the route allows, and the end of a run whose caller leaves.

Probes of unreachable services come every 0.25 s instead of 0.5 s: with all instances partitioned the first that is back serves the others' callers that much sooner.

--- a/crates/relay/src/probe.rs
+++ b/crates/relay/src/probe.rs
@@ -17,7 +17,7 @@
 const MIN_PAUSE: Duration = Duration::from_millis(50);
 
 /// Maximum pause between probes.
-const MAX_PAUSE: Duration = Duration::from_millis(500);
+const MAX_PAUSE: Duration = Duration::from_millis(250);
 
 /// Probes unreachable services; never returns.
 pub async fn probe_unreachable_services(dispatcher: Arc<Dispatcher>) {
--- a/crates/relay/tests/it/main.rs
+++ b/crates/relay/tests/it/main.rs
@@ -12,6 +12,7 @@
 mod lost_endpoints;
 mod network;
 mod notices;
+mod partition_soak;
 mod partitions;
 mod proofs;
 mod requests;
--- a/crates/relay/tests/it/partitions.rs
+++ b/crates/relay/tests/it/partitions.rs
@@ -63,7 +63,7 @@
             networks.push(network);
         }
         for site in &sites {
-            while site.relay.dispatcher().live_instance_count() < instances {
+            while site.relay.dispatcher().caller_addresses(&Caller::default()).len() < instances {
                 sleep(Duration::from_millis(2)).await;
             }
         }
@@ -216,6 +216,45 @@
     check_stream(Mode::NewRefused).await;
 }
 
+/// Endpoints must not see access keys or what instances tell each other, and no more attempts
+/// than the route allows, also when a request is forwarded after an attempt.
+#[tokio::test]
+async fn forwarded_request_reaches_endpoints_like_any_other() {
+    let fleet = Fleet::start(2, &[Action::Reset(stream_head(90) + &event(1))]).await;
+    fleet.cut(1, Mode::NewRefused);
+    fleet.adapt(1).await;
+    let front = fleet.sites[0].front();
+    let response = caller::call(front, "POST", "/stream/x", "x-request-is: stream\r\n", "prompt").await;
+    assert!(!response.complete, "{response:?}");
+    let requests: Vec<String> = fleet.servers.iter().flat_map(Server::requests).collect();
+    let streams: Vec<_> = requests.iter().filter(|request| request.contains("x-request-is: stream")).collect();
+    assert!((1..=3).contains(&streams.len()), "{streams:#?}");
+    for request in requests {
+        assert!(!request.contains("x-key:") && !request.contains("relay-"), "{request}");
+    }
+}
+
+/// A caller that leaves must not keep endpoints busy through another instance.
+#[tokio::test]
+async fn forwarded_request_ends_when_its_caller_leaves() {
+    let fleet = Fleet::start(2, &[Action::Hang(String::new())]).await;
+    let disconnects = || fleet.servers.iter().map(Server::disconnects).sum::<u32>();
+    let runs = || fleet.servers.iter().map(|server| server.requests().len()).sum::<usize>();
+    fleet.cut(1, Mode::NewRefused);
+    let front = fleet.sites[0].front();
+    let call = tokio::spawn(async move { caller::call(front, "POST", "/post/x", "", "sheet").await });
+    while runs() == 0 {
+        assert!(!call.is_finished(), "the request should run");
+        sleep(Duration::from_millis(1)).await;
+    }
+    call.abort();
+    let left_at = Instant::now();
+    while disconnects() == 0 {
+        assert!(left_at.elapsed() < Duration::from_millis(500), "the endpoint still runs the request");
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
 /// A partitioned instance must not take endpoints that it cannot reach for crashed ones.
 /// Otherwise a request that several partitions interrupt is quarantined.
 #[tokio::test]
