--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -190,12 +190,11 @@
         }
         self.admission.route.target(self.target_draw).ok_or(Refusal::NoRoute)?.clone_into(&mut self.service);
         match self.dispatcher.reach(&self.service) {
-            Reach::Sound => {}
             Reach::Doubtful | Reach::Lost if let Some(instance) = self.next_instance() => {
                 return Ok(Hop::Instance(instance));
             }
-            Reach::Doubtful => {}
             Reach::Lost => return Err(self.refusal_for_caller(Refusal::Unreachable)),
+            Reach::Sound | Reach::Doubtful => {}
         }
         let run = match self.place(model) {
             Some(run) => run,
