--- a/crates/relay/src/dispatcher/fleet/rejections.rs
+++ b/crates/relay/src/dispatcher/fleet/rejections.rs
@@ -20,8 +20,6 @@
     keys: Vec<Key>,
     /// When this instance's shares were last computed.
     shares_updated_at: Duration,
-    /// When a statement was last applied to all endpoints of its service.
-    spread_at: Duration,
 }
 
 impl Run {
@@ -34,23 +32,21 @@
             Announcement::NoLimit => Statement { max_per_s: None, at: self.started },
         };
         let mut state = self.dispatcher.lock();
-        let is_spread_due = now >= state.fleet.fragile.spread_at + SHARE_UPDATE_INTERVAL;
-        if statement.max_per_s.is_some() && is_spread_due {
-            state.fleet.fragile.spread_at = now;
-            state.state_for_service(&self.endpoint.service, statement, now);
+        if statement.max_per_s.is_some() {
+            state.extend_to_service(&self.endpoint.service, statement, now);
         }
         state.record_statement(self.key, statement, now);
     }
 }
 
 impl State {
-    /// Applies a statement to all endpoints of its service. A service's endpoints become
-    /// fragile together, and one that has no request yet would get too many before its first
-    /// answer. An answer of its own without a limit ends that.
-    fn state_for_service(&mut self, service: &str, statement: Statement, now: Duration) {
+    /// Applies a statement to the endpoints of its service that are not known to have a limit.
+    /// A service's endpoints become fragile together, and one that has no request yet would get
+    /// too many before its first answer. An answer of its own without a limit ends that.
+    fn extend_to_service(&mut self, service: &str, statement: Statement, now: Duration) {
         let servers = self.fleet.servers.iter().filter(|(_, server)| server.endpoint.service == service);
-        let silent = servers.filter(|(_, server)| server.guard.max_per_s(now).is_none()).map(|(key, _)| key);
-        for key in silent.collect::<Vec<_>>() {
+        let unlimited = servers.filter(|(_, server)| server.guard.max_per_s(now).is_none()).map(|(key, _)| key);
+        for key in unlimited.collect::<Vec<_>>() {
             self.record_statement(key, statement, now);
         }
     }
--- a/crates/relay/src/exchange/forwarding.rs
+++ b/crates/relay/src/exchange/forwarding.rs
@@ -91,14 +91,9 @@
 
 impl Exchange {
     /// Sends the request to another instance and decides what to do with the answer.
-    pub(super) async fn forward(
-        &mut self,
-        instance: SocketAddr,
-        model: Option<usize>,
-        last_event: Option<u64>,
-    ) -> NextStep {
+    pub(super) async fn forward(&mut self, instance: SocketAddr) -> NextStep {
         let ran_before = self.may_have_run;
-        let answer = match self.send_to_instance(instance, model, last_event).await {
+        let answer = match self.send_to_instance(instance, None, self.params.last_event).await {
             Outcome::Answer(answer) => *answer,
             other => {
                 self.record_failed_forward(instance, &other);
@@ -116,14 +111,15 @@
             "answered through another instance"
         );
         if status.is_success() && matches!(self.admission.route.kind, Kind::Stream { .. }) {
-            let stream = ActiveStream { answer, hop: Hop::Instance(instance), model };
+            let stream = ActiveStream { answer, hop: Hop::Instance(instance), model: None };
             return NextStep::Accepted(AcceptedAnswer::Stream(Box::new(stream)));
         }
         self.read_forwarded_answer(instance, answer, ran_before).await
     }
 
-    /// Sends the request to another instance. A refusal of that instance counts as
-    /// [`Outcome::NotRun`] if another one may accept the request.
+    /// Sends the request to another instance, which chooses the model unless `model` is given.
+    /// A refusal of that instance counts as [`Outcome::NotRun`] if another one may accept the
+    /// request.
     pub(super) async fn send_to_instance(
         &mut self,
         instance: SocketAddr,
@@ -137,6 +133,8 @@
             Err(unreachable) => return Outcome::Unreachable(unreachable),
         };
         let request = self.forwarded_request(model, last_event);
+        // The deadline may pass and cancel this call, when the other instance may have sent the
+        // request already.
         let ran_before = std::mem::replace(&mut self.may_have_run, true);
         let names = &self.dispatcher.dialect.names;
         let outcome = match upstream::exchange(connected, request, left).await {
@@ -215,9 +213,7 @@
         if let Some(last) = last_event {
             headers.insert(names.last_event.clone(), request_params::value(&last.to_string()));
         }
-        // A stream that has begun goes on with the model that began it.
-        let begun = last_event.and(model).and_then(|index| self.admission.route.models.get(index));
-        if let Some(model) = begun {
+        if let Some(model) = model.and_then(|index| self.admission.route.models.get(index)) {
             headers.insert(names.model.clone(), request_params::value(&model.name));
         }
         let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -155,7 +155,7 @@
             let last_event = self.params.last_event;
             let step = match self.next_hop(model).await {
                 Ok(Hop::Endpoint(run)) => self.try_at(*run, &mut model, last_event).await,
-                Ok(Hop::Instance(instance)) => self.forward(instance, None, last_event).await,
+                Ok(Hop::Instance(instance)) => self.forward(instance).await,
                 Err(refusal) => NextStep::Refused(refusal),
             };
             match step {
