Keep the backoffs of crashed endpoints beside sound ones

Requests go to crashed endpoints again and again while most of a service's endpoints are down; each waits up to 0.4 s there if the endpoint is silent. With eight of nine endpoints down, 60 requests made 127 and 236 connections to crashed ones.

Cause: an instance that happens to find three crashed endpoints in a row doubts its network path, and the next successful connection ended the backoffs of all endpoints, as after a partition.

Backoffs end only if the path was lost for the 0.4 s after which that is certain; a probe shows a sound endpoint sooner. crashed_endpoints_stay_in_backoff_beside_a_sound_one failed before and holds now.

--- a/crates/relay/src/dispatcher/fleet/reachability.rs
+++ b/crates/relay/src/dispatcher/fleet/reachability.rs
@@ -27,11 +27,16 @@
 impl Dispatcher {
     /// Records that an endpoint of a service accepted a connection.
     pub fn record_reachable(&self, service: &str) {
+        let now = clock::now();
         let fleet = &mut self.lock().fleet;
         let Some(reachability) = fleet.reachability.get_mut(service) else { return };
-        let Some(duration) = reachability.record_connection(clock::now()) else { return };
+        let was_lost = reachability.reach(now) == Reach::Lost;
+        let Some(duration) = reachability.record_connection(now) else { return };
         tracing::info!(service, lost_for_ms = clock::millis(duration), "service reachable again");
-        fleet.end_backoffs(service);
+        // Otherwise only some endpoints were down, and their backoffs are still right.
+        if was_lost {
+            fleet.end_backoffs(service);
+        }
         fleet.count_unreachable_services();
         self.urgent_news.notify_one();
     }
@@ -119,15 +124,12 @@
     }
 
     fn lost_services(&self, now: Duration) -> impl Iterator<Item = u32> {
-        let lost = self.reachability.iter().filter(move |(_, reachability)| reachability.reach(now) == Reach::Lost);
-        lost.map(|(service, _)| short_hash(service))
+        let lost = self.reachability.keys().filter(move |service| self.reach(service, now) == Reach::Lost);
+        lost.map(|service| short_hash(service))
     }
 
     fn unreachable_services(&self) -> impl Iterator<Item = &String> {
-        self.reachability
-            .iter()
-            .filter(|(_, reachability)| reachability.reach(Duration::ZERO) != Reach::Sound)
-            .map(|(service, _)| service)
+        self.reachability.keys().filter(|service| self.reach(service, clock::now()) != Reach::Sound)
     }
 
     #[expect(clippy::cast_precision_loss, reason = "services are far fewer than 2^53")]
--- a/crates/relay/tests/it/network.rs
+++ b/crates/relay/tests/it/network.rs
@@ -1,6 +1,15 @@
 //! A network between one instance and the endpoints that can be cut.
 
-use std::{collections::HashSet, io, net::SocketAddr, sync::Mutex, time::Duration};
+use std::{
+    collections::HashSet,
+    io,
+    net::SocketAddr,
+    sync::{
+        Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use futures::future::BoxFuture;
 use relay::network::Network;
@@ -60,6 +69,24 @@
     }
 }
 
+/// A network that counts connections.
+#[derive(Debug, Default)]
+pub struct Counting(AtomicUsize);
+
+impl Counting {
+    /// Returns the number of connections, failed ones included.
+    pub fn connections(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+impl Network for Counting {
+    fn connect(&self, address: SocketAddr) -> BoxFuture<'_, io::Result<TcpStream>> {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        Box::pin(TcpStream::connect(address))
+    }
+}
+
 /// A network that answers nothing, on a processor so busy that a connection begins some
 /// milliseconds after its time limit was computed.
 #[derive(Debug)]
--- a/crates/relay/tests/it/partitions.rs
+++ b/crates/relay/tests/it/partitions.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     caller::{self, Response},
-    network::{Cuttable, Mode, Stalled},
+    network::{Counting, Cuttable, Mode, Stalled},
     server::{Action, LAST_CHUNK, Server, event, ok_response, stream_head},
     site::{Site, StoreContents, catalog, endpoint, route},
 };
@@ -163,6 +163,30 @@
     assert_eq!(fleet.listed(3).len(), 4);
 }
 
+/// Most endpoints are down, and an instance often finds several of them in a row. It must not
+/// take that for a partition which has ended, and forget their backoffs each time.
+#[tokio::test]
+async fn crashed_endpoints_stay_in_backoff_beside_a_sound_one() {
+    let healthy = Server::start(vec![ok()]).await;
+    let network = Arc::new(Counting::default());
+    let closed = (1..=8).map(|port| ([127, 0, 0, 1], port).into());
+    let endpoints = closed.chain([healthy.address]).enumerate();
+    let contents = StoreContents {
+        catalog: Some(catalog(1, vec![route("/get/", Kind::Idempotent)])),
+        endpoints: endpoints.map(|(n, address)| endpoint(&format!("e{n}"), address)).collect(),
+        ..StoreContents::default()
+    };
+    let site = Site::start_with(contents, |settings| settings.network = network.clone()).await;
+    let requests = 60;
+    for _ in 0..requests {
+        let response = caller::call(site.front(), "GET", "/get/x", "", "").await;
+        assert_eq!(response.status, 200, "{response:?}");
+        sleep(Duration::from_millis(10)).await;
+    }
+    let failed = network.connections() - healthy.requests().len();
+    assert!(failed < requests, "{failed} connections to crashed endpoints for {requests} requests");
+}
+
 /// When no instance reaches an endpoint, callers must be refused at once, not at their deadline.
 #[tokio::test]
 async fn request_without_any_reachable_endpoint_is_refused_at_once() {
