List an instance again if a lost service has no endpoints left

An instance that loses all endpoints of a service whose endpoints are then deregistered was never listed to callers again, as nothing was left to connect to.

A service without endpoints does not count as unreachable; requests for it are refused as before.

--- a/crates/relay/src/dispatcher/fleet/reachability.rs
+++ b/crates/relay/src/dispatcher/fleet/reachability.rs
@@ -93,7 +93,10 @@
 impl Fleet {
     /// Returns whether this instance reaches endpoints of a service.
     pub(super) fn reach(&self, service: &str, now: Duration) -> Reach {
-        self.reachability.get(service).map_or(Reach::Sound, |reachability| reachability.reach(now))
+        match self.reachability.get(service) {
+            Some(reachability) if self.endpoints_of(service).next().is_some() => reachability.reach(now),
+            _ => Reach::Sound,
+        }
     }
 
     /// Records that no connection to an endpoint could be made, and returns whether the
--- a/crates/relay/tests/it/partitions.rs
+++ b/crates/relay/tests/it/partitions.rs
@@ -163,6 +163,21 @@
     assert_eq!(fleet.listed(3).len(), 4);
 }
 
+/// A service whose endpoints are all deregistered is not out of reach: an instance that has
+/// lost it before must be listed again.
+#[tokio::test]
+async fn instance_is_listed_if_a_lost_service_has_no_endpoints_left() {
+    let fleet = Fleet::start(4, &[ok()]).await;
+    fleet.cut(1, Mode::NewRefused);
+    fleet.adapt(1).await;
+    assert_eq!(fleet.listed(3).len(), 3);
+    for site in &fleet.sites {
+        site.store.change(|contents| contents.endpoints.clear());
+    }
+    sleep(ADAPTATION_TIME).await;
+    assert_eq!(fleet.listed(3).len(), 4);
+}
+
 /// Most endpoints are down, and an instance often finds several of them in a row. It must not
 /// take that for a partition which has ended, and forget their backoffs each time.
 #[tokio::test]
