Give up on an instance that falls silent while it serves a forwarded request

Callers of a partitioned instance got 504 at their deadline, or a stream that went silent, if the instance that served them froze or lost power.

Cause: it was waited for as long as the request had time, although no news of it came any more.

The wait ends when the other instance counts as gone, 1.1 s after its last news in a small fleet; what may run twice then goes to the next instance.

--- a/crates/relay/src/dispatcher/peers.rs
+++ b/crates/relay/src/dispatcher/peers.rs
@@ -43,6 +43,9 @@
 /// takes. In large fleets other instances report when they last received its news.
 const MAX_SILENCE: Duration = Duration::from_secs(4);
 
+/// Interval at which an instance that serves a forwarded request is checked.
+const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Silence after which an instance is forgotten and no longer sent news.
 const FORGET_AFTER: Duration = Duration::from_mins(1);
 
@@ -330,6 +333,17 @@
         self.lock().peers.forget(name);
     }
 
+    /// Waits until another instance, given by its news address, counts as gone.
+    pub async fn wait_until_gone(&self, news: SocketAddr) {
+        let is_live = || {
+            let now = clock::now();
+            self.lock().peers.known.values().any(|peer| peer.news == news && peer.is_live(now))
+        };
+        while is_live() {
+            tokio::time::sleep(LIVENESS_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Whether another live and ready instance has fresh access keys.
     #[must_use]
     pub fn is_fresh_elsewhere(&self) -> bool {
--- a/crates/relay/src/exchange/forwarding.rs
+++ b/crates/relay/src/exchange/forwarding.rs
@@ -32,6 +32,9 @@
 /// Maximum number of other instances that a request is forwarded to.
 pub(super) const MAX_FORWARDS: usize = 3;
 
+/// Cause of a failure for logs: no news of the other instance has come for some time.
+pub(super) const INSTANCE_GONE: &str = "the other instance is gone";
+
 /// Whether the reason of a refusal also applies at other instances.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Scope {
@@ -137,7 +140,11 @@
         // request already.
         let ran_before = std::mem::replace(&mut self.may_have_run, true);
         let names = &self.dispatcher.dialect.names;
-        let outcome = match upstream::exchange(connected, request, left).await {
+        let answer = tokio::select! {
+            answer = upstream::exchange(connected, request, left) => answer,
+            () = self.dispatcher.wait_until_gone(instance) => Err(Outcome::Broken(INSTANCE_GONE.into())),
+        };
+        let outcome = match answer {
             Ok(answer) => match Scope::read(answer.response.headers()) {
                 Some(Scope::Instance) => Outcome::NotRun(answer.response.status()),
                 Some(Scope::Fleet) => Outcome::Answer(Box::new(answer)),
--- a/crates/relay/src/exchange/stream.rs
+++ b/crates/relay/src/exchange/stream.rs
@@ -1,6 +1,6 @@
 //! Forwards a stream to the caller and resumes it at another endpoint if a run breaks.
 
-use std::{io, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::Response;
@@ -9,6 +9,7 @@
 
 use super::{
     forwarded_headers,
+    forwarding::INSTANCE_GONE,
     tries::{ActiveStream, Exchange, Hop},
 };
 use crate::{
@@ -113,17 +114,17 @@
 
 /// Waits for the next bytes of the stream, or until the run has to be abandoned.
 async fn next_bytes(exchange: &Exchange, active: &mut ActiveStream) -> Received {
-    // Another instance detects stalls itself, and a stream that cannot be resumed is better
-    // late than broken off.
-    let detects_stalls = matches!(active.hop, Hop::Endpoint(_)) && exchange.is_resumable();
+    let run = match &active.hop {
+        Hop::Endpoint(run) => run,
+        Hop::Instance(instance) => return next_forwarded_bytes(exchange, *instance, &mut active.answer).await,
+    };
     let target_pause = exchange.admission.route.target_pause.unwrap_or_default();
     let stall = target_pause.mul_f64(STALL_FACTOR).max(MIN_STALL);
     for _ in 0..MAX_STALLS {
         let left = exchange.left();
-        let limit = if detects_stalls { stall.min(left) } else { left };
-        let received = receive(&mut active.answer, limit).await;
-        let Hop::Endpoint(run) = &active.hop else { return received.unwrap_or_else(Received::timed_out) };
-        match received {
+        // A stream that cannot be resumed is better late than broken off.
+        let limit = if exchange.is_resumable() { stall.min(left) } else { left };
+        match receive(&mut active.answer, limit).await {
             Some(Received::Bytes(bytes)) => {
                 run.record_bytes();
                 return Received::Bytes(bytes);
@@ -136,6 +137,17 @@
     Received::timed_out()
 }
 
+/// Waits for the next bytes of a stream that comes through another instance, which detects
+/// stalls of endpoints itself.
+async fn next_forwarded_bytes(exchange: &Exchange, instance: SocketAddr, answer: &mut Answer) -> Received {
+    tokio::select! {
+        received = receive(answer, exchange.left()) => received.unwrap_or_else(Received::timed_out),
+        () = exchange.dispatcher.wait_until_gone(instance) => {
+            Received::Failed(Outcome::Broken(INSTANCE_GONE.into()))
+        }
+    }
+}
+
 /// Waits for the next bytes of an answer; `None` if none come within `limit`.
 async fn receive(answer: &mut Answer, limit: Duration) -> Option<Received> {
     let frame = tokio::time::timeout(limit, answer.response.body_mut().frame()).await.ok()?;
--- a/crates/relay/tests/it/partitions.rs
+++ b/crates/relay/tests/it/partitions.rs
@@ -2,7 +2,8 @@
 //! instances still reach them.
 
 use std::{
-    sync::Arc,
+    net::SocketAddr,
+    sync::{Arc, mpsc},
     time::{Duration, Instant},
 };
 
@@ -82,7 +83,7 @@
     }
 
     /// Returns the addresses that an instance gives to callers.
-    fn listed(&self, instance: usize) -> Vec<std::net::SocketAddr> {
+    fn listed(&self, instance: usize) -> Vec<SocketAddr> {
         self.sites[instance].relay.dispatcher().caller_addresses(&Caller::default())
     }
 
@@ -273,6 +274,59 @@
     }
 }
 
+/// Starts an instance on a thread of its own. It freezes for each duration that is sent to it.
+fn start_on_thread(contents: StoreContents, seeds: Vec<SocketAddr>) -> mpsc::Sender<Duration> {
+    let (freeze, frozen) = mpsc::channel();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async move {
+            let site = Site::start_with(contents, |settings| {
+                settings.instance = "freezing".into();
+                settings.seeds = seeds;
+            });
+            let _site = site.await;
+            loop {
+                match frozen.try_recv() {
+                    Ok(duration) => std::thread::sleep(duration),
+                    Err(mpsc::TryRecvError::Empty) => sleep(Duration::from_millis(5)).await,
+                    Err(mpsc::TryRecvError::Disconnected) => return,
+                }
+            }
+        });
+    });
+    freeze
+}
+
+/// A partitioned instance forwards requests to one that freezes. Requests that may run twice
+/// must go to another instance well before their deadline.
+#[tokio::test]
+async fn frozen_instance_does_not_hold_forwarded_requests() {
+    let fleet = Fleet::start(2, &[ok()]).await;
+    let addresses: Vec<SocketAddr> = fleet.servers.iter().map(|server| server.address).collect();
+    let contents = StoreContents {
+        catalog: Some(catalog(1, vec![route("/get/", Kind::Idempotent)])),
+        endpoints: addresses.iter().enumerate().map(|(n, at)| endpoint(&format!("e{n}"), *at)).collect(),
+        ..StoreContents::default()
+    };
+    let seeds = vec![fleet.sites[0].relay.dispatcher().settings.listeners.news];
+    let freeze = start_on_thread(contents, seeds);
+    while fleet.listed(0).len() < 3 {
+        sleep(Duration::from_millis(2)).await;
+    }
+    fleet.cut(1, Mode::NewRefused);
+    fleet.adapt(1).await;
+    freeze.send(Duration::from_secs(6)).unwrap();
+    sleep(Duration::from_millis(20)).await;
+    let front = fleet.sites[0].front();
+    let requests: Vec<_> = (0..10)
+        .map(|_| tokio::spawn(async move { caller::call(front, "GET", "/get/x", "x-deadline: 4000\r\n", "").await }))
+        .collect();
+    for request in requests {
+        let response = request.await.unwrap();
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+}
+
 /// A caller that leaves must not keep endpoints busy through another instance.
 #[tokio::test]
 async fn forwarded_request_ends_when_its_caller_leaves() {
