Send requests to a new endpoint of a lost service without waiting for a probe

Cause: a registration only asked for a probe, and the service counted as lost until a connection succeeded.

--- a/crates/relay/src/dispatcher/fleet/registry.rs
+++ b/crates/relay/src/dispatcher/fleet/registry.rs
@@ -2,8 +2,6 @@
 
 use std::{sync::Arc, time::Duration};
 
-use route::relay::reachability::Reach;
-
 use super::{Fleet, Key, Load, Server, start_hash};
 use crate::{clock, dispatcher::Dispatcher, source::Endpoint};
 
@@ -71,8 +69,10 @@
             );
         }
         state.rollouts.record_version(&endpoint.service, &endpoint.version, now);
-        let is_new = matches!(kind, RegistrationKind::New | RegistrationKind::Restarted);
-        if is_new && state.fleet.reach(&endpoint.service, now) != Reach::Sound {
+        if matches!(kind, RegistrationKind::New | RegistrationKind::Restarted)
+            && let Some(reachability) = state.fleet.reachability.get_mut(&endpoint.service)
+        {
+            reachability.record_registration(now);
             self.probe_wanted.notify_one();
         }
         let peer_load = state.peers.load(start_hash(&endpoint));
--- a/crates/route/src/relay/reachability.rs
+++ b/crates/route/src/relay/reachability.rs
@@ -38,6 +38,8 @@
     failed: Vec<u32>,
     /// When the service was found to be unreachable.
     lost_at: Option<Duration>,
+    /// When an endpoint was last registered that was not known before.
+    registered_at: Option<Duration>,
 }
 
 impl Reachability {
@@ -61,13 +63,21 @@
         self.lost_at.take().map(|lost_at| now.saturating_sub(lost_at))
     }
 
+    /// Records that an endpoint was registered to which no connection was tried yet.
+    pub fn record_registration(&mut self, now: Duration) {
+        self.registered_at = Some(now);
+    }
+
     /// Returns whether endpoints of the service can be reached.
     #[must_use]
     pub fn reach(&self, now: Duration) -> Reach {
-        match self.lost_at {
-            None => Reach::Sound,
-            Some(lost_at) if now < lost_at + CONFIRMATION_TIME => Reach::Doubtful,
-            Some(_) => Reach::Lost,
+        let is_recent = |at: Option<Duration>| at.is_some_and(|at| now < at + CONFIRMATION_TIME);
+        if self.lost_at.is_none() {
+            Reach::Sound
+        } else if is_recent(self.lost_at) || is_recent(self.registered_at) {
+            Reach::Doubtful
+        } else {
+            Reach::Lost
         }
     }
 }
--- a/crates/route/tests/relay/reachability.rs
+++ b/crates/route/tests/relay/reachability.rs
@@ -65,6 +65,19 @@
     assert_eq!(reachability.reach(ms(2_000)), Reach::Lost);
 }
 
+/// All endpoints of a service were down, and a new one is registered. Requests must be sent
+/// there instead of being refused until a probe has succeeded.
+#[test]
+fn new_endpoint_makes_a_lost_service_doubtful() {
+    let ms = Duration::from_millis;
+    let mut reachability = Reachability::default();
+    reachability.record_failure(ms(1_000), 1, 1);
+    assert_eq!(reachability.reach(ms(5_000)), Reach::Lost);
+    reachability.record_registration(ms(5_000));
+    assert_eq!(reachability.reach(ms(5_001)), Reach::Doubtful);
+    assert_eq!(reachability.reach(ms(6_000)), Reach::Lost);
+}
+
 #[test]
 fn changes_are_reported_once_with_their_duration() {
     let seconds = Duration::from_secs;
