--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -6,6 +6,8 @@
 //! changes, and urgent items are broadcast at once (`spread`).
 
 mod spread;
+#[cfg(test)]
+mod tests;
 mod wire;
 
 use std::{
@@ -241,9 +243,7 @@
                 continue;
             }
         };
-        // A list that an earlier build leaves out at the end is decoded from this byte, as empty.
-        buffer[length] = 0;
-        match postcard::from_bytes(&buffer[..=length]) {
+        match decode(&mut buffer, length) {
             Ok(Packet::News(message)) => {
                 for (name, news) in &message.named {
                     dispatcher.discover_peer(name, *news);
@@ -336,6 +336,15 @@
     dispatcher.recent_sightings(MAX_SIGHTINGS).into_iter().map(SerializedSighting::from).collect()
 }
 
+/// Decodes the datagram in the first `length` bytes of a buffer that is longer.
+///
+/// Earlier builds ignore what follows the fields that they know. Lists that they leave out at
+/// the end are decoded as empty, from a zero byte after the datagram.
+fn decode(buffer: &mut [u8], length: usize) -> postcard::Result<Packet> {
+    buffer[length] = 0;
+    postcard::from_bytes(&buffer[..=length])
+}
+
 fn encode(packet: &Packet) -> Vec<u8> {
     postcard::to_allocvec(packet).unwrap_or_else(|error| {
         tracing::error!(%error, "encoding a datagram failed");
