Test partitions as they begin and end, in a large fleet, and what they must not be taken for

Cause to look closer: the tests played a partition that lasts, of one to three of four instances. They now also play its beginning in each way (one, most and all of a failure domain), its end beside a forwarded stream, a third of 72 instances (LARGE_FLEET for other sizes by hand), requests that nobody can serve, an endpoint that refuses one instance only, and answers that a partition held up.

--- a/crates/relay/tests/it/network.rs
+++ b/crates/relay/tests/it/network.rs
@@ -45,6 +45,11 @@
         Self { mode: watch::Sender::new(Mode::Open), endpoints: Mutex::new(endpoints.into_iter().collect()) }
     }
 
+    /// Replaces the endpoints to which connections can be cut.
+    pub fn cut_only(&self, endpoints: impl IntoIterator<Item = SocketAddr>) {
+        *self.endpoints.lock().unwrap() = endpoints.into_iter().collect();
+    }
+
     /// Changes what happens to all open and new connections to endpoints.
     pub fn set(&self, mode: Mode) {
         self.mode.send_replace(mode);
--- a/crates/relay/tests/it/partitions.rs
+++ b/crates/relay/tests/it/partitions.rs
@@ -7,19 +7,25 @@
     time::{Duration, Instant},
 };
 
-use relay::{catalog::Kind, dispatcher::peers::Caller};
+use relay::{
+    catalog::Kind,
+    dispatcher::{fleet::Job, peers::Caller},
+};
 use tokio::time::sleep;
 
 use crate::{
     caller::{self, Response},
     network::{Counting, Cuttable, Mode, Stalled},
     server::{Action, LAST_CHUNK, Server, event, ok_response, stream_head},
-    site::{Site, StoreContents, catalog, endpoint, route},
+    site::{SERVICE, Site, StoreContents, catalog, endpoint, route},
 };
 
 /// Time after the start of a partition in which the instances have to adapt to it.
 const ADAPTATION_TIME: Duration = Duration::from_secs(3);
 
+/// Maximum number of addresses in a list for callers.
+const MAX_LISTED: usize = 64;
+
 /// Number of events in a stream of the endpoints.
 const EVENTS: u32 = 40;
 
@@ -64,7 +70,7 @@
             networks.push(network);
         }
         for site in &sites {
-            while site.relay.dispatcher().caller_addresses(&Caller::default()).len() < instances {
+            while site.relay.dispatcher().caller_addresses(&Caller::default()).len() < instances.min(MAX_LISTED) {
                 sleep(Duration::from_millis(2)).await;
             }
         }
@@ -82,6 +88,11 @@
         caller::call(self.sites[instance].front(), "GET", "/get/x", "x-deadline: 4000\r\n", "").await
     }
 
+    /// Returns the number of requests that the endpoints have received.
+    fn received(&self) -> usize {
+        self.servers.iter().map(|server| server.requests().len()).sum()
+    }
+
     /// Returns the addresses that an instance gives to callers.
     fn listed(&self, instance: usize) -> Vec<SocketAddr> {
         self.sites[instance].relay.dispatcher().caller_addresses(&Caller::default())
@@ -105,6 +116,21 @@
     Action::Write(ok_response("ok"))
 }
 
+fn slow_stream() -> Action {
+    let events = (1..=EVENTS).map(event);
+    Action::WriteSlowly(std::iter::once(stream_head(90)).chain(events).chain([LAST_CHUNK.to_owned()]).collect())
+}
+
+/// Returns the numbers of the events in a complete stream.
+fn received_events(response: &Response) -> Vec<String> {
+    assert!(response.complete, "{response:?}");
+    response.body.lines().filter_map(|line| Some(line.strip_prefix("id: ")?.to_owned())).collect()
+}
+
+fn all_events() -> Vec<String> {
+    (1..=EVENTS).map(|number| number.to_string()).collect()
+}
+
 /// Cuts off the first `cut` of four instances and checks that their callers are served at the
 /// first try nevertheless, and again after the partition.
 async fn check_served(cut: usize, mode: Mode) {
@@ -143,11 +169,89 @@
     callers_are_served_when_connections_are_reset: 1, Reset;
     callers_are_served_when_new_connections_are_refused: 1, NewRefused;
     callers_are_served_when_most_of_a_domain_hangs: 2, Hung;
+    callers_are_served_when_most_of_a_domain_is_reset: 2, Reset;
+    callers_are_served_when_most_of_a_domain_is_refused: 2, NewRefused;
     callers_are_served_when_a_whole_domain_hangs: 3, Hung;
     callers_are_served_when_a_whole_domain_is_reset: 3, Reset;
     callers_are_served_when_a_whole_domain_is_refused: 3, NewRefused;
 }
 
+/// Cuts off the first `cut` of four instances and checks that callers are served who come while
+/// the instances do not know of it yet.
+async fn check_beginning(cut: usize, mode: Mode) {
+    let fleet = Fleet::start(4, &[ok()]).await;
+    fleet.cut(cut, mode);
+    let mut requests = Vec::new();
+    for turn in 0..30 {
+        let front = fleet.sites[turn % cut].front();
+        let (method, path) = if turn % 2 == 0 { ("GET", "/get/x") } else { ("POST", "/post/x") };
+        requests.push(tokio::spawn(async move { caller::call(front, method, path, "x-deadline: 4000\r\n", "").await }));
+        sleep(Duration::from_millis(20)).await;
+    }
+    for request in requests {
+        let response = request.await.unwrap();
+        assert_eq!((response.status, response.body.as_str()), (200, "ok"), "{response:?}");
+    }
+}
+
+macro_rules! served_from_the_beginning {
+    ($($name:ident: $cut:expr, $mode:ident;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            check_beginning($cut, Mode::$mode).await;
+        }
+    )*};
+}
+
+// Requests that were not sent yet must be served although the instance still has to find out
+// that it reaches no endpoint.
+served_from_the_beginning! {
+    first_callers_are_served_when_connections_hang: 1, Hung;
+    first_callers_are_served_when_connections_are_reset: 1, Reset;
+    first_callers_are_served_when_new_connections_are_refused: 1, NewRefused;
+    first_callers_are_served_when_most_of_a_domain_hangs: 2, Hung;
+    first_callers_are_served_when_a_whole_domain_hangs: 3, Hung;
+    first_callers_are_served_when_a_whole_domain_is_reset: 3, Reset;
+    first_callers_are_served_when_a_whole_domain_is_refused: 3, NewRefused;
+}
+
+/// A stream that comes through another instance must not notice that the partition ends, and
+/// callers must be served while it does.
+#[tokio::test]
+async fn end_of_a_partition_disturbs_nobody() {
+    let fleet = Fleet::start(3, &[slow_stream()]).await;
+    fleet.cut(1, Mode::Hung);
+    fleet.adapt(1).await;
+    let front = fleet.sites[0].front();
+    let stream = tokio::spawn(async move { caller::call(front, "POST", "/stream/x", "", "prompt").await });
+    sleep(Duration::from_millis(150)).await;
+    fleet.cut(1, Mode::Open);
+    for _ in 0..20 {
+        let response = caller::call(front, "POST", "/stream/x", "x-deadline: 4000\r\n", "prompt").await;
+        assert_eq!(received_events(&response), all_events());
+    }
+    assert_eq!(received_events(&stream.await.unwrap()), all_events());
+}
+
+/// In a fleet that is too large for news to reach all instances at once, callers of a whole
+/// failure domain are cut off from the endpoints. `LARGE_FLEET` gives another size by hand.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn callers_are_served_when_a_domain_of_a_large_fleet_hangs() {
+    let instances = std::env::var("LARGE_FLEET").ok().and_then(|text| text.parse().ok()).unwrap_or(72);
+    let fleet = Fleet::start(instances, &[ok()]).await;
+    let cut = instances / 3;
+    fleet.cut(cut, Mode::Hung);
+    fleet.adapt(cut).await;
+    let mut failed = Vec::new();
+    for instance in 0..cut {
+        let response = fleet.get(instance).await;
+        if response.status != 200 {
+            failed.push((instance, response));
+        }
+    }
+    assert!(failed.len() <= 10 + cut / 50, "{} of {cut}: {failed:?}", failed.len());
+}
+
 /// Callers must not be sent to an instance that reaches no endpoint while others do.
 #[tokio::test]
 async fn instance_without_endpoints_is_not_listed() {
@@ -209,21 +313,26 @@
     let fleet = Fleet::start(3, &[ok()]).await;
     fleet.cut(3, Mode::Hung);
     fleet.adapt(3).await;
+    let received_before = fleet.received();
     for instance in 0..3 {
-        let started = Instant::now();
-        let response = fleet.get(instance).await;
-        assert_eq!(response.status, 503, "{response:?}");
-        assert!(response.header("retry-after").is_some(), "{response:?}");
-        assert!(started.elapsed() < Duration::from_millis(500), "refused after {:?}", started.elapsed());
+        for (method, path) in [("GET", "/get/x"), ("POST", "/post/x"), ("POST", "/stream/x")] {
+            let started = Instant::now();
+            let front = fleet.sites[instance].front();
+            let response = caller::call(front, method, path, "x-deadline: 4000\r\n", "").await;
+            assert_eq!(response.status, 503, "{response:?}");
+            assert!(started.elapsed() < Duration::from_millis(500), "refused after {:?}", started.elapsed());
+            let after: f64 = response.header("retry-after").unwrap().parse().unwrap();
+            // The outage has lasted for most of the time to adapt, and may last as long again.
+            assert!((1.0..5.0).contains(&after), "{after}");
+        }
     }
+    assert_eq!(fleet.received(), received_before, "a request was told \"not run\" and has run");
 }
 
 /// Plays a partition in the middle of a stream, and checks that the caller receives each event
 /// once.
 async fn check_stream(mode: Mode) {
-    let events: Vec<String> =
-        std::iter::once(stream_head(90)).chain((1..=EVENTS).map(event)).chain([LAST_CHUNK.to_owned()]).collect();
-    let fleet = Fleet::start(3, &[Action::WriteSlowly(events)]).await;
+    let fleet = Fleet::start(3, &[slow_stream()]).await;
     let front = fleet.sites[0].front();
     let stream = tokio::spawn(async move { caller::call(front, "POST", "/stream/x", "", "prompt").await });
     while fleet.servers.iter().all(|server| server.requests().is_empty()) {
@@ -232,10 +341,7 @@
     sleep(Duration::from_millis(100)).await;
     fleet.cut(1, mode);
     let response = stream.await.unwrap();
-    assert!(response.complete, "{response:?}");
-    let received: Vec<&str> = response.body.lines().filter_map(|line| line.strip_prefix("id: ")).collect();
-    let expected: Vec<String> = (1..=EVENTS).map(|number| number.to_string()).collect();
-    assert_eq!(received, expected);
+    assert_eq!(received_events(&response), all_events());
 }
 
 /// A stream whose connection falls silent must go on through another instance.
@@ -355,19 +461,7 @@
     let fleet = Fleet::start(1, &[Action::Hang(stream_head(90) + &event(1))]).await;
     let site = &fleet.sites[0];
     for (round, server) in fleet.servers[..3].iter().enumerate() {
-        site.store.change(|contents| {
-            for (number, endpoint) in contents.endpoints.iter_mut().enumerate() {
-                endpoint.draining = number != round;
-                endpoint.revision += 1;
-            }
-        });
-        let is_known = || {
-            let known = site.relay.dispatcher().known_endpoints();
-            known.iter().all(|endpoint| endpoint.draining == (endpoint.address != server.address))
-        };
-        while !is_known() {
-            sleep(Duration::from_millis(2)).await;
-        }
+        list_only(site, &fleet.servers, round).await;
         let front = site.front();
         let stream = tokio::spawn(async move { caller::call(front, "POST", "/stream/x", "", "prompt").await });
         while server.requests().is_empty() {
@@ -381,6 +475,89 @@
     assert_eq!(site.relay.dispatcher().refused_requests(1), []);
 }
 
+/// Answers that a partition held up arrive when it ends, seconds after their requests. Taken for
+/// the endpoints' own time, they would make the instance expect late answers from then on.
+#[tokio::test]
+async fn answers_that_a_partition_held_up_do_not_count_as_slow() {
+    let late = Action::Pause(String::new(), Duration::from_millis(60), ok_response("ok"));
+    let fleet = Fleet::start(2, &[late]).await;
+    let expected_ms = || fleet.sites[0].relay.dispatcher().expected_ms(&job()).unwrap();
+    let front = fleet.sites[0].front();
+    fleet.adapt(1).await;
+    let before = expected_ms();
+    let received = fleet.received();
+    let held_up: Vec<_> = (0..20)
+        .map(|_| tokio::spawn(async move { caller::call(front, "POST", "/post/x", "", "sheet").await }))
+        .collect();
+    while fleet.received() < received + held_up.len() {
+        sleep(Duration::from_millis(1)).await;
+    }
+    fleet.cut(1, Mode::Hung);
+    fleet.adapt(1).await;
+    fleet.cut(1, Mode::Open);
+    for response in held_up {
+        assert_eq!(response.await.unwrap().status, 200);
+    }
+    let after = expected_ms();
+    assert!(after < 1.3 * before, "{before} ms expected before, {after} ms after");
+}
+
+fn job() -> Job<'static> {
+    Job {
+        service: SERVICE,
+        model: None,
+        size: 1.0,
+        affinity: None,
+        whole: None,
+        shared_tokens: 0,
+        own_tokens: 0,
+        session: 0,
+        in_session: false,
+        tried: &[],
+        version: None,
+    }
+}
+
+/// An endpoint that refuses one instance and serves others has not crashed. A request that is
+/// interrupted at three of them must not be quarantined.
+#[tokio::test]
+async fn endpoints_that_refuse_one_instance_do_not_quarantine_a_request() {
+    let fleet = Fleet::start(2, &[Action::Hang(stream_head(90) + &event(1))]).await;
+    let (site, network) = (&fleet.sites[0], &fleet.networks[0]);
+    for (round, server) in fleet.servers[..3].iter().enumerate() {
+        network.cut_only([server.address]);
+        list_only(site, &fleet.servers, round).await;
+        let front = site.front();
+        let stream = tokio::spawn(async move { caller::call(front, "POST", "/stream/x", "", "prompt").await });
+        while server.requests().is_empty() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        network.set(Mode::Reset);
+        sleep(Duration::from_millis(500)).await;
+        stream.abort();
+        network.set(Mode::Open);
+        sleep(Duration::from_millis(1_200)).await;
+    }
+    assert_eq!(site.relay.dispatcher().refused_requests(1), []);
+}
+
+/// Registers all endpoints but one as leaving, and waits until the instance knows.
+async fn list_only(site: &Site, servers: &[Server], only: usize) {
+    site.store.change(|contents| {
+        for (number, endpoint) in contents.endpoints.iter_mut().enumerate() {
+            endpoint.draining = number != only;
+            endpoint.revision += 1;
+        }
+    });
+    let is_known = || {
+        let known = site.relay.dispatcher().known_endpoints();
+        known.iter().all(|endpoint| endpoint.draining == (endpoint.address != servers[only].address))
+    };
+    while !is_known() {
+        sleep(Duration::from_millis(2)).await;
+    }
+}
+
 /// A request whose connections only timed out was never sent. Told that it may have run, a
 /// caller does not retry it.
 #[tokio::test]
