Learn nothing about endpoints from runs that a partition held up

After a partition an instance expects answers twelve times later than they come (62 ms before, 741 ms after, 20 answers held up): callers get smaller models and wait longer for retries, and versions under roll-out and endpoints look slow or failing.

Cause: first bytes that arrive when a partition ends, and runs that break by it, counted as the endpoint's own time and failure, and as evidence about its version.

--- a/crates/relay/src/dispatcher/fleet/reachability.rs
+++ b/crates/relay/src/dispatcher/fleet/reachability.rs
@@ -5,7 +5,7 @@
 use rand::seq::{IndexedRandom, SliceRandom};
 use route::relay::reachability::Reach;
 
-use super::{Fleet, Run, short_hash};
+use super::{Fleet, Run, decaying_mean::DecayingMean, short_hash};
 use crate::{clock, dispatcher::Dispatcher, source::Endpoint};
 
 impl Run {
@@ -33,9 +33,9 @@
         let was_lost = reachability.reach(now) == Reach::Lost;
         let Some(duration) = reachability.record_connection(now) else { return };
         tracing::info!(service, lost_for_ms = clock::millis(duration), "service reachable again");
-        // Otherwise only some endpoints were down, and their backoffs are still right.
+        // Otherwise only some endpoints were down, and what is known of them is still right.
         if was_lost {
-            fleet.end_backoffs(service);
+            fleet.forget_failures(service);
         }
         fleet.count_unreachable_services();
         self.urgent_news.notify_one();
@@ -106,14 +106,21 @@
         let reachability = self.reachability.entry(service.to_owned()).or_default();
         let is_newly_lost = reachability.record_failure(clock::now(), endpoint, endpoint_count);
         if is_newly_lost {
+    /// Returns whether a service was unreachable at any time since `since`.
+    pub(super) fn was_lost_since(&self, service: &str, since: Duration) -> bool {
+        self.reachability.get(service).is_some_and(|reachability| reachability.was_lost_since(since))
+    }
+
             tracing::warn!(service, endpoints = endpoint_count, cause, "no endpoint of the service can be reached");
             self.count_unreachable_services();
         }
         is_newly_lost
     }
 
-    /// Ends the backoffs of a service's endpoints, which were due to the network path.
-    fn end_backoffs(&mut self, service: &str) {
+    /// Ends the backoffs of a service's endpoints and forgets their failures. While the path was
+    /// lost they were due to it, and so were the broken runs by which its loss began.
+    fn forget_failures(&mut self, service: &str) {
+        let now = clock::now();
         for server in self.servers.values_mut().filter(|server| server.endpoint.service == service) {
             server.failed_connections = 0;
             server.backoff_until = Duration::ZERO;
@@ -124,6 +131,7 @@
     /// Whether this instance reaches endpoints of every service.
     pub(in crate::dispatcher) fn reaches_services(&self, now: Duration) -> bool {
         self.lost_services(now).next().is_none()
+            server.failure_rate = DecayingMean { value: 0.0, updated_at: now };
     }
 
     fn lost_services(&self, now: Duration) -> impl Iterator<Item = u32> {
--- a/crates/relay/src/dispatcher/fleet/run.rs
+++ b/crates/relay/src/dispatcher/fleet/run.rs
@@ -94,6 +94,13 @@
         let mut state = dispatcher.lock();
         self.remove_backlog(&mut state);
         let fleet = &mut state.fleet;
+        if let Some(server) = fleet.servers.get_mut(self.key) {
+            server.failed_connections = 0;
+            server.last_received = now;
+        }
+        if fleet.was_lost_since(&self.endpoint.service, self.started) {
+            return;
+        }
         if let Some(server) = fleet.servers.get_mut(self.key) {
             let ratio = (took / self.nominal_ms.max(1.0)).clamp(0.1, 20.0);
             // Slowness is relative to the service's usual ratio. Otherwise an estimate that is
@@ -102,8 +109,6 @@
             *usual_lateness += USUAL_LATENESS_WEIGHT * (ratio - *usual_lateness);
             self.lateness = Lateness::from_ratio(ratio);
             server.slowness.observe(ratio / usual_lateness.max(0.1), 1.0, now);
-            server.failed_connections = 0;
-            server.last_received = now;
         }
         let guess = initial_latency(self.latency_key.model);
         fleet.latencies.entry(self.latency_key.clone()).or_insert(guess).learn(self.units, took);
@@ -147,12 +152,14 @@
             _ => {}
         }
         self.dispatcher.notify_findings(&state);
+        let is_path_sound = !state.fleet.was_lost_since(&self.endpoint.service, self.started);
         let Some(server) = state.fleet.servers.get_mut(self.key) else { return };
         match outcome {
             RunOutcome::Good => {
                 server.failure_rate.observe(0.0, 0.0, now);
                 server.failed_connections = 0;
             }
+            RunOutcome::Broken if !is_path_sound => {}
             RunOutcome::Failed | RunOutcome::Broken => server.failure_rate.observe(1.0, 0.0, now),
             RunOutcome::Full => {
                 server.full_until = now + FULL_PERIOD;
--- a/crates/route/src/relay/reachability.rs
+++ b/crates/route/src/relay/reachability.rs
@@ -38,6 +38,8 @@
     failed: Vec<u32>,
     /// When the service was found to be unreachable.
     lost_at: Option<Duration>,
+    /// When the service was last found to be reachable again.
+    restored_at: Option<Duration>,
     /// When an endpoint was last registered that was not known before.
     registered_at: Option<Duration>,
 }
@@ -60,7 +62,22 @@
     /// if it was.
     pub fn record_connection(&mut self, now: Duration) -> Option<Duration> {
         self.failed.clear();
-        self.lost_at.take().map(|lost_at| now.saturating_sub(lost_at))
+        let lost_at = self.lost_at.take()?;
+        self.restored_at = Some(now);
+        Some(now.saturating_sub(lost_at))
+    }
+
+    /// Returns for how long the service has been unreachable; zero if it is not.
+    #[must_use]
+    pub fn lost_for(&self, now: Duration) -> Duration {
+        self.lost_at.map_or(Duration::ZERO, |lost_at| now.saturating_sub(lost_at))
+    }
+
+    /// Returns whether the service was unreachable at any time since `since`. What happened to a
+    /// run in that time says nothing about its endpoint.
+    #[must_use]
+    pub fn was_lost_since(&self, since: Duration) -> bool {
+        self.lost_at.is_some() || self.restored_at.is_some_and(|restored_at| restored_at >= since)
     }
 
     /// Records that an endpoint was registered to which no connection was tried yet.
--- a/crates/route/tests/relay/reachability.rs
+++ b/crates/route/tests/relay/reachability.rs
@@ -78,6 +78,19 @@
     assert_eq!(reachability.reach(ms(6_000)), Reach::Lost);
 }
 
+/// A run that was sent before a partition, or during it, was held up by it.
+#[test]
+fn runs_that_overlap_with_a_lost_path_are_known() {
+    let ms = Duration::from_millis;
+    let mut reachability = Reachability::default();
+    assert!(!reachability.was_lost_since(ms(0)));
+    reachability.record_failure(ms(1_000), 1, 1);
+    assert!(reachability.was_lost_since(ms(1_500)));
+    reachability.record_connection(ms(2_000));
+    assert!(reachability.was_lost_since(ms(900)) && reachability.was_lost_since(ms(1_900)));
+    assert!(!reachability.was_lost_since(ms(2_001)));
+}
+
 #[test]
 fn changes_are_reported_once_with_their_duration() {
     let seconds = Duration::from_secs;
