Count a request as a possible rejection until its first byte arrives

Cause: a request counted as accepted 100 ms after it was sent; on a starved processor its rejection is handled later, and further requests had been sent by then.

A request counts until its first byte or its end is recorded, at most 0.3 s.

--- a/crates/relay/src/dispatcher/fleet/run.rs
+++ b/crates/relay/src/dispatcher/fleet/run.rs
@@ -95,6 +95,7 @@
         self.remove_backlog(&mut state);
         let fleet = &mut state.fleet;
         if let Some(server) = fleet.servers.get_mut(self.key) {
+            server.guard.record_acceptance(self.started);
             server.failed_connections = 0;
             server.last_received = now;
         }
@@ -154,6 +155,7 @@
         self.dispatcher.notify_findings(&state);
         let is_path_sound = !state.fleet.was_lost_since(&self.endpoint.service, self.started);
         let Some(server) = state.fleet.servers.get_mut(self.key) else { return };
+        server.guard.record_acceptance(self.started);
         match outcome {
             RunOutcome::Good => {
                 server.failure_rate.observe(0.0, 0.0, now);
@@ -163,7 +165,7 @@
             RunOutcome::Failed | RunOutcome::Broken => server.failure_rate.observe(1.0, 0.0, now),
             RunOutcome::Full => {
                 server.full_until = now + FULL_PERIOD;
-                server.guard.record_rejection(now);
+                server.guard.record_rejection(now, self.started);
             }
             // A request for a model that does not exist is refused in the same way, so a
             // single refusal may be the caller's fault. A first byte or a good answer
--- a/crates/route/src/relay/rejection.rs
+++ b/crates/route/src/relay/rejection.rs
@@ -2,9 +2,9 @@
 //!
 //! Such an endpoint states in its answers how many rejections it survives, from all instances
 //! together. A few instances, selected by rendezvous hashing, share that number, and the others
-//! send it nothing while the statement is in force. A full endpoint rejects within a round
-//! trip. An instance therefore counts a request as a possible rejection for a short time after
-//! sending it, and sends no more than could all be rejected.
+//! send it nothing while the statement is in force. An instance counts a request as a possible
+//! rejection until its first byte arrives, or for the time in which a full endpoint has
+//! rejected it for certain, and sends no more than could all be rejected.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -13,9 +13,9 @@
 /// Window in which an endpoint counts rejections.
 const WINDOW: Duration = Duration::from_secs(1);
 
-/// Time after which a request that was not rejected has been accepted: a round trip and a busy
-/// processor at either end.
-const ACCEPTANCE_TIME: Duration = Duration::from_millis(100);
+/// Time after which a request that was not rejected has been accepted. A full endpoint rejects
+/// within a round trip; the rest is for a busy processor at either end.
+const ACCEPTANCE_TIME: Duration = Duration::from_millis(300);
 
 /// Part of the rejections that is used. The rest covers periods in which instances disagree
 /// about the membership.
@@ -101,8 +101,17 @@
         }
     }
 
-    /// Records that the endpoint rejected a request.
-    pub fn record_rejection(&mut self, now: Duration) {
+    /// Records that the endpoint accepted the request that was sent at `sent_at`, or that it
+    /// did not receive it.
+    pub fn record_acceptance(&mut self, sent_at: Duration) {
+        if let Some(index) = self.sends.iter().position(|at| *at == sent_at) {
+            self.sends.remove(index);
+        }
+    }
+
+    /// Records that the endpoint rejected the request that was sent at `sent_at`.
+    pub fn record_rejection(&mut self, now: Duration, sent_at: Duration) {
+        self.record_acceptance(sent_at);
         push(&mut self.rejections, now, WINDOW);
     }
 }
