Ask callers to return later, the longer no endpoint has been reachable

Callers whose request no instance can serve come back after 0.4 to 0.6 s, are refused again and have used up the repeats that they allow themselves while a partition lasts seconds.

Cause: Retry-After was the time for a busy service, whatever is known of the outage.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -41,7 +41,10 @@
     NoEndpoint,
     /// Neither this instance nor, as far as it knows, any other one reaches an endpoint of the
     /// route's service.
-    Unreachable,
+    Unreachable {
+        /// Time for which this instance has reached none.
+        lost_for: Duration,
+    },
     /// The endpoints survive few rejections, and this instance has no share of them.
     NoShare,
     /// All failure domains with endpoints of the route's service are evacuated.
@@ -73,6 +76,9 @@
 const RETRY_AFTER_STARTING: Duration = Duration::from_secs(1);
 /// `Retry-After` when endpoints are missing or full: the usual queueing time.
 const RETRY_AFTER_BUSY: Duration = Duration::from_millis(400);
+/// Longest `Retry-After` while no endpoint can be reached. Callers that come back late after the
+/// end of an outage lose the time that they would have been served in.
+const MAX_RETRY_AFTER_OUTAGE: Duration = Duration::from_secs(3);
 
 impl Refusal {
     /// Returns the HTTP status of the response.
@@ -85,7 +91,7 @@
             | Self::Replaced
             | Self::Memory
             | Self::NoEndpoint
-            | Self::Unreachable
+            | Self::Unreachable { .. }
             | Self::NoShare
             | Self::Evacuated
             | Self::TurnedAway
@@ -110,9 +116,9 @@
                 Some(RETRY_AFTER_ELSEWHERE)
             }
             Self::NotStarted | Self::KeysStale { elsewhere: false } | Self::Evacuated => Some(RETRY_AFTER_STARTING),
-            Self::Memory | Self::NoEndpoint | Self::Unreachable | Self::TurnedAway | Self::Expired => {
-                Some(RETRY_AFTER_BUSY)
-            }
+            Self::Memory | Self::NoEndpoint | Self::TurnedAway | Self::Expired => Some(RETRY_AFTER_BUSY),
+            // An outage that has lasted for a while is likely to last as long again.
+            Self::Unreachable { lost_for } => Some((*lost_for).clamp(RETRY_AFTER_BUSY, MAX_RETRY_AFTER_OUTAGE)),
             Self::Quarantined { left: after } | Self::Throttled { after } => Some(*after),
             _ => None,
         }
@@ -147,7 +153,7 @@
             Self::Truncated => "the body ended early",
             Self::Memory => "not run: too many bodies under way; try again shortly",
             Self::NoEndpoint => "not run: no endpoint takes requests now; try again shortly",
-            Self::Unreachable => "not run: no endpoint can be reached now; try again shortly",
+            Self::Unreachable { .. } => "not run: no endpoint can be reached now; try again shortly",
             Self::NoShare => "not run: only other instances may use the endpoints now; use another address",
             Self::Evacuated => "not run: every endpoint is in an evacuated failure domain; try again shortly",
             Self::TurnedAway => "not run: every endpoint tried was full or unreachable; try again shortly",
--- a/crates/relay/src/dispatcher/fleet/reachability.rs
+++ b/crates/relay/src/dispatcher/fleet/reachability.rs
@@ -47,6 +47,13 @@
         self.lock().fleet.reach(service, clock::now())
     }
 
+    /// Returns for how long this instance has reached no endpoint of a service.
+    #[must_use]
+    pub fn lost_for(&self, service: &str) -> Duration {
+        let state = self.lock();
+        state.fleet.reachability.get(service).map_or(Duration::ZERO, |reachability| reachability.lost_for(clock::now()))
+    }
+
     /// Returns the services of which this instance may reach no endpoint.
     #[must_use]
     pub fn unreachable_services(&self) -> Vec<String> {
@@ -99,6 +106,11 @@
         }
     }
 
+    /// Returns whether a service was unreachable at any time since `since`.
+    pub(super) fn was_lost_since(&self, service: &str, since: Duration) -> bool {
+        self.reachability.get(service).is_some_and(|reachability| reachability.was_lost_since(since))
+    }
+
     /// Records that no connection to an endpoint could be made, and returns whether the
     /// service counts as unreachable from now on.
     fn record_failed_connection(&mut self, service: &str, endpoint: u32, cause: &str) -> bool {
@@ -106,11 +118,6 @@
         let reachability = self.reachability.entry(service.to_owned()).or_default();
         let is_newly_lost = reachability.record_failure(clock::now(), endpoint, endpoint_count);
         if is_newly_lost {
-    /// Returns whether a service was unreachable at any time since `since`.
-    pub(super) fn was_lost_since(&self, service: &str, since: Duration) -> bool {
-        self.reachability.get(service).is_some_and(|reachability| reachability.was_lost_since(since))
-    }
-
             tracing::warn!(service, endpoints = endpoint_count, cause, "no endpoint of the service can be reached");
             self.count_unreachable_services();
         }
@@ -124,6 +131,7 @@
         for server in self.servers.values_mut().filter(|server| server.endpoint.service == service) {
             server.failed_connections = 0;
             server.backoff_until = Duration::ZERO;
+            server.failure_rate = DecayingMean { value: 0.0, updated_at: now };
         }
         self.invalidate_pools();
     }
@@ -131,7 +139,6 @@
     /// Whether this instance reaches endpoints of every service.
     pub(in crate::dispatcher) fn reaches_services(&self, now: Duration) -> bool {
         self.lost_services(now).next().is_none()
-            server.failure_rate = DecayingMean { value: 0.0, updated_at: now };
     }
 
     fn lost_services(&self, now: Duration) -> impl Iterator<Item = u32> {
--- a/crates/relay/src/exchange/forwarding.rs
+++ b/crates/relay/src/exchange/forwarding.rs
@@ -54,7 +54,7 @@
             | Refusal::NoRoute
             | Refusal::NoKey
             | Refusal::Memory
-            | Refusal::Unreachable
+            | Refusal::Unreachable { .. }
             | Refusal::NoShare => Self::Instance,
             _ => Self::Fleet,
         }
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -193,7 +193,10 @@
             Reach::Doubtful | Reach::Lost if let Some(instance) = self.next_instance() => {
                 return Ok(Hop::Instance(instance));
             }
-            Reach::Lost => return Err(self.refusal_for_caller(Refusal::Unreachable)),
+            Reach::Lost => {
+                let lost_for = self.dispatcher.lost_for(&self.service);
+                return Err(self.refusal_for_caller(Refusal::Unreachable { lost_for }));
+            }
             Reach::Sound | Reach::Doubtful => {}
         }
         let run = match self.place(model) {
