Have partitioned instances turn forwarded requests away at once

Callers who come as a partition of several instances begins are refused (503, every endpoint tried was full or unreachable) although a sound instance is left.

Cause: an instance that has just lost its path itself tried endpoint after endpoint for a forwarded request, and its refusal then counted as that of the whole fleet.

Such an instance turns forwarded requests away as soon as it doubts its path, and the first one asks another. One that could not serve a request is asked again after a second; in a fleet of hundreds, news of its state takes longer.

--- a/crates/relay/src/dispatcher/peers.rs
+++ b/crates/relay/src/dispatcher/peers.rs
@@ -43,6 +43,9 @@
 /// takes. In large fleets other instances report when they last received its news.
 const MAX_SILENCE: Duration = Duration::from_secs(4);
 
+/// Time for which no requests are forwarded to an instance that could not serve one.
+const AVOIDANCE_PERIOD: Duration = Duration::from_secs(1);
+
 /// Interval at which an instance that serves a forwarded request is checked.
 const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -86,6 +89,8 @@
     last_heard: Option<Duration>,
     /// Whether it counts as alive, as of the last [`Peers::update_live`].
     counts_as_live: bool,
+    /// Time until which no requests are forwarded to it, since it could not serve one.
+    avoided_until: Duration,
     /// Its latest news.
     status: Status,
 }
@@ -217,13 +222,10 @@
         self.known.values().filter(move |peer| peer.is_live(now) && peer.status.is_ready()).map(|peer| peer.hash)
     }
 
-    /// Returns the news addresses and sizes of the other instances that serve callers and
-    /// reach a service, given by its short hash.
-    pub(super) fn reaching(&self, service: u32, now: Duration) -> impl Iterator<Item = (SocketAddr, Cores)> {
-        let reaches = move |peer: &&Peer| {
-            peer.is_live(now) && peer.status.is_ready() && !peer.status.unreachable.contains(&service)
-        };
-        self.known.values().filter(reaches).map(|peer| (peer.news, peer.status.cores))
+    /// Returns the hashes of the names of the other instances that serve callers and reach a
+    /// service, given by its short hash.
+    pub(super) fn senders(&self, service: u32, now: Duration) -> impl Iterator<Item = u64> {
+        self.known.values().filter(move |peer| peer.reaches(service, now)).map(|peer| peer.hash)
     }
 
     /// Returns the hashes of the names of the other instances that were heard from within the
@@ -267,6 +269,11 @@
 
     /// Returns the time at which it counts as gone unless it is heard from before.
     fn expires_at(&self) -> Duration {
+    /// Whether it serves callers and, as far as known, reaches a service.
+    fn reaches(&self, service: u32, now: Duration) -> bool {
+        self.is_live(now) && self.status.is_ready() && !self.status.unreachable.contains(&service)
+    }
+
         let silent = MIN_SILENCE.max((self.status.time_to_next * MAX_MISSING_NEWS).min(MAX_SILENCE));
         self.last_heard.map_or(Duration::ZERO, |last_heard| last_heard + silent)
     }
@@ -304,7 +311,15 @@
             by_hash.insert(short_hash(name), name.to_owned());
             tracing::info!(instance = name, %news, "instance discovered");
             let hash = hash::stable(name.as_bytes());
-            Peer { hash, news, found_at: now, last_heard: None, counts_as_live: false, status: Status::default() }
+            Peer {
+                hash,
+                news,
+                found_at: now,
+                last_heard: None,
+                counts_as_live: false,
+                avoided_until: Duration::ZERO,
+                status: Status::default(),
+            }
         });
         peer.news = news;
     }
@@ -335,6 +350,16 @@
 
     /// Waits until another instance, given by its news address, counts as gone.
     pub async fn wait_until_gone(&self, news: SocketAddr) {
+    /// Records that another instance, given by its news address, could not serve a forwarded
+    /// request. News of the reason may take a while in a large fleet.
+    pub fn avoid_instance(&self, news: SocketAddr) {
+        let avoided_until = clock::now() + AVOIDANCE_PERIOD;
+        let mut state = self.lock();
+        for peer in state.peers.known.values_mut().filter(|peer| peer.news == news) {
+            peer.avoided_until = avoided_until;
+        }
+    }
+
         let is_live = || {
             let now = clock::now();
             self.lock().peers.known.values().any(|peer| peer.news == news && peer.is_live(now))
--- a/crates/relay/src/dispatcher/peers/tests.rs
+++ b/crates/relay/src/dispatcher/peers/tests.rs
@@ -39,6 +39,7 @@
         found_at: now,
         last_heard: None,
         counts_as_live: false,
+        avoided_until: Duration::ZERO,
         status: Status::default(),
     };
     peers.known.entry(name.clone()).or_insert(peer);
--- a/crates/relay/src/exchange/forwarding.rs
+++ b/crates/relay/src/exchange/forwarding.rs
@@ -163,6 +163,7 @@
 
     /// Records a failed attempt to forward the request.
     pub(super) fn record_failed_forward(&mut self, instance: SocketAddr, outcome: &Outcome) {
+        self.dispatcher.avoid_instance(instance);
         self.cause = match outcome {
             Outcome::Unreachable(unreachable) => unreachable.cause.clone(),
             Outcome::NotRun(status) => format!("another instance refused with {status}"),
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -189,15 +189,17 @@
             return Err(self.refusal_for_caller(Refusal::TurnedAway));
         }
         self.admission.route.target(self.target_draw).ok_or(Refusal::NoRoute)?.clone_into(&mut self.service);
-        match self.dispatcher.reach(&self.service) {
-            Reach::Doubtful | Reach::Lost if let Some(instance) = self.next_instance() => {
-                return Ok(Hop::Instance(instance));
-            }
-            Reach::Lost => {
-                let lost_for = self.dispatcher.lost_for(&self.service);
-                return Err(self.refusal_for_caller(Refusal::Unreachable { lost_for }));
-            }
-            Reach::Sound | Reach::Doubtful => {}
+        let reach = self.dispatcher.reach(&self.service);
+        if reach != Reach::Sound
+            && let Some(instance) = self.next_instance()
+        {
+            return Ok(Hop::Instance(instance));
+        }
+        // The instance that forwarded the request chooses another one sooner than this one
+        // finds an endpoint.
+        if reach == Reach::Lost || (reach == Reach::Doubtful && self.is_forwarded) {
+            let lost_for = self.dispatcher.lost_for(&self.service);
+            return Err(self.refusal_for_caller(Refusal::Unreachable { lost_for }));
         }
         let run = match self.place(model) {
             Some(run) => run,
