Divide endpoints' limits among the instances that reach them

Parts of the rate limits and rejections that endpoints announce lay idle during a partition, and callers were refused for want of them.

Cause: the parts were computed over all instances that serve callers, also those that had reached no endpoint of the service for a while.

They are computed over the instances that reach the service, as news tells. Found by reading; no test failed before, as the tests of limits have no partition.

--- a/crates/relay/src/dispatcher/fleet/limits.rs
+++ b/crates/relay/src/dispatcher/fleet/limits.rs
@@ -6,7 +6,7 @@
 use rand::seq::IteratorRandom;
 use route::relay::throttle::{self, Share};
 
-use super::{Fleet, Key, Run, Server};
+use super::{Fleet, Key, Run, Server, short_hash};
 use crate::{
     clock,
     dispatcher::{Dispatcher, State},
@@ -110,7 +110,7 @@
         for key in &limited.keys {
             let Some(server) = servers.get_mut(*key) else { continue };
             let Some(per_s) = server.throttle.limit(now) else { continue };
-            let others = self.peers.serving(now);
+            let others = self.peers.senders(short_hash(&server.endpoint.service), now);
             let share =
                 if takes_share { throttle::share(per_s, server.hash, self.peers.me, others) } else { Share::default() };
             server.throttle.set_share(now, share);
--- a/crates/relay/src/dispatcher/fleet/rejections.rs
+++ b/crates/relay/src/dispatcher/fleet/rejections.rs
@@ -4,7 +4,7 @@
 
 use route::relay::rejection::{self, Statement};
 
-use super::{Announcement, Key, Run};
+use super::{Announcement, Key, Run, short_hash};
 use crate::{
     clock,
     dispatcher::{Dispatcher, State},
@@ -83,7 +83,9 @@
         for key in &fragile.keys {
             let Some(server) = servers.get_mut(*key) else { continue };
             let Some(max_per_s) = server.guard.max_per_s(now) else { continue };
-            let share = rejection::share(max_per_s, server.hash, self.peers.me, self.peers.serving(now));
+            let service = short_hash(&server.endpoint.service);
+            let others = self.peers.senders(service, now);
+            let share = rejection::share(max_per_s, server.hash, self.peers.me, others);
             server.guard.set_share(share);
         }
     }
--- a/crates/relay/src/dispatcher/peers.rs
+++ b/crates/relay/src/dispatcher/peers.rs
@@ -217,9 +217,11 @@
         self.sums.of(endpoint)
     }
 
-    /// Returns the hashes of the names of the other instances that serve callers.
-    pub(super) fn serving(&self, now: Duration) -> impl Iterator<Item = u64> {
-        self.known.values().filter(move |peer| peer.is_live(now) && peer.status.is_ready()).map(|peer| peer.hash)
+    /// Returns the news addresses and sizes of the other instances to which requests for a
+    /// service, given by its short hash, may be forwarded.
+    pub(super) fn reaching(&self, service: u32, now: Duration) -> impl Iterator<Item = (SocketAddr, Cores)> {
+        let is_available = move |peer: &&Peer| peer.reaches(service, now) && peer.avoided_until <= now;
+        self.known.values().filter(is_available).map(|peer| (peer.news, peer.status.cores))
     }
 
     /// Returns the hashes of the names of the other instances that serve callers and reach a
@@ -267,13 +269,13 @@
         now < self.expires_at()
     }
 
-    /// Returns the time at which it counts as gone unless it is heard from before.
-    fn expires_at(&self) -> Duration {
     /// Whether it serves callers and, as far as known, reaches a service.
     fn reaches(&self, service: u32, now: Duration) -> bool {
         self.is_live(now) && self.status.is_ready() && !self.status.unreachable.contains(&service)
     }
 
+    /// Returns the time at which it counts as gone unless it is heard from before.
+    fn expires_at(&self) -> Duration {
         let silent = MIN_SILENCE.max((self.status.time_to_next * MAX_MISSING_NEWS).min(MAX_SILENCE));
         self.last_heard.map_or(Duration::ZERO, |last_heard| last_heard + silent)
     }
@@ -348,8 +350,6 @@
         self.lock().peers.forget(name);
     }
 
-    /// Waits until another instance, given by its news address, counts as gone.
-    pub async fn wait_until_gone(&self, news: SocketAddr) {
     /// Records that another instance, given by its news address, could not serve a forwarded
     /// request. News of the reason may take a while in a large fleet.
     pub fn avoid_instance(&self, news: SocketAddr) {
@@ -360,6 +360,8 @@
         }
     }
 
+    /// Waits until another instance, given by its news address, counts as gone.
+    pub async fn wait_until_gone(&self, news: SocketAddr) {
         let is_live = || {
             let now = clock::now();
             self.lock().peers.known.values().any(|peer| peer.news == news && peer.is_live(now))
