Ask another instance before a refused connection counts as a crash

A request that is interrupted at endpoints which refuse one instance only is quarantined for ten minutes at all instances.

Cause: the refusal counted as a crash as soon as any other endpoint could be reached; the path to single endpoints may be cut as well. Suspected in the postmortem, now reproduced.

Without an answer the crash counts as before.

--- a/crates/relay/src/dispatcher/crashes.rs
+++ b/crates/relay/src/dispatcher/crashes.rs
@@ -2,6 +2,7 @@
 //! other instances and the store.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -158,6 +159,12 @@
         self.lock().quarantine.is_suspect(clock::now(), content)
     }
 
+    /// Whether an endpoint is registered at an address.
+    #[must_use]
+    pub fn is_endpoint_address(&self, address: SocketAddr) -> bool {
+        self.known_endpoints().iter().any(|endpoint| endpoint.address == address)
+    }
+
     /// Returns at most `max` random other endpoints of any service, whose connections show
     /// whether an endpoint that refuses this instance has crashed; `None` if no request of this
     /// instance could be the cause.
--- a/crates/relay/src/exchange/crash_check.rs
+++ b/crates/relay/src/exchange/crash_check.rs
@@ -1,9 +1,11 @@
 //! Finds out whether an endpoint has crashed.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::sync::Arc;
 
 use crate::{
     dispatcher::{Dispatcher, fleet::Key},
+    inquiry,
+    source::Endpoint,
     upstream,
 };
 
@@ -12,24 +14,35 @@
 const CRASH_WITNESSES: usize = 3;
 
 /// Reports a crash of an endpoint if it refuses connections.
-pub(super) async fn check_for_crash(dispatcher: Arc<Dispatcher>, key: Key, address: SocketAddr) {
-    if upstream::is_refused(&*dispatcher.settings.network, address).await {
-        confirm_crash(dispatcher, key).await;
+pub(super) async fn check_for_crash(dispatcher: Arc<Dispatcher>, key: Key, endpoint: Arc<Endpoint>) {
+    if upstream::is_refused(&*dispatcher.settings.network, endpoint.address).await {
+        confirm_crash(dispatcher, key, endpoint).await;
     }
 }
 
-/// Reports a crash of an endpoint that refuses connections, if another one accepts them.
+/// Reports a crash of an endpoint that refuses connections, unless only this instance's network
+/// path is cut, to that endpoint or to all.
 ///
-/// An instance that has lost its network path is refused by all endpoints. Taken for crashes,
-/// three such refusals would quarantine a request at all instances.
-pub(super) async fn confirm_crash(dispatcher: Arc<Dispatcher>, key: Key) {
+/// Three crashes quarantine a request at all instances. Refusals that are due to the path of one
+/// instance must not count as crashes.
+pub(super) async fn confirm_crash(dispatcher: Arc<Dispatcher>, key: Key, endpoint: Arc<Endpoint>) {
     let Some(witnesses) = dispatcher.crash_witnesses(key, CRASH_WITNESSES) else { return };
-    let network = &dispatcher.settings.network;
+    let network = &*dispatcher.settings.network;
     let is_alone = witnesses.is_empty();
-    let connections = witnesses.iter().map(|witness| Box::pin(upstream::probe(&**network, witness.address)));
-    if is_alone || futures::future::select_ok(connections).await.is_ok() {
-        dispatcher.record_crash(key);
-    } else {
+    let connections = witnesses.iter().map(|witness| Box::pin(upstream::probe(network, witness.address)));
+    if !is_alone && futures::future::select_ok(connections).await.is_err() {
         tracing::info!("refused connection not counted as a crash: no endpoint can be reached");
+        return;
     }
+    if let Some(instance) = dispatcher.instance_reaching(&endpoint.service, &[])
+        && inquiry::accepts(network, instance, endpoint.address).await
+    {
+        tracing::info!(
+            endpoint = endpoint.id,
+            %instance,
+            "refused connection not counted as a crash: another instance reaches the endpoint"
+        );
+        return;
+    }
+    dispatcher.record_crash(key);
 }
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -318,7 +318,8 @@
                 self.sent -= 1;
                 run.record_failed_connection(cause);
                 if *is_refused {
-                    tokio::spawn(crash_check::confirm_crash(Arc::clone(&self.dispatcher), run.key));
+                    let endpoint = Arc::clone(&run.endpoint);
+                    tokio::spawn(crash_check::confirm_crash(Arc::clone(&self.dispatcher), run.key, endpoint));
                 }
                 (if *is_refused { RunOutcome::Down } else { RunOutcome::Unreachable }, cause.clone())
             }
@@ -328,11 +329,9 @@
             Outcome::NotRun(status) => (RunOutcome::Full, format!("turned away with {status}")),
             Outcome::Unknown(cause) => (RunOutcome::Broken, cause.clone()),
             Outcome::Broken(cause) => {
-                self.crash_check = Some(tokio::spawn(crash_check::check_for_crash(
-                    Arc::clone(&self.dispatcher),
-                    run.key,
-                    run.endpoint.address,
-                )));
+                let check =
+                    crash_check::check_for_crash(Arc::clone(&self.dispatcher), run.key, Arc::clone(&run.endpoint));
+                self.crash_check = Some(tokio::spawn(check));
                 (RunOutcome::Broken, cause.clone())
             }
             Outcome::Answer(_) => (RunOutcome::Good, String::new()),
--- a/crates/relay/src/handle.rs
+++ b/crates/relay/src/handle.rs
@@ -13,7 +13,7 @@
     directory,
     dispatcher::Dispatcher,
     exchange::{self, Origin},
-    follow, front, join, news, probe, quarantine, report,
+    follow, front, inquiry, join, news, probe, quarantine, report,
     settings::{Listeners, Settings},
     share::CatalogServer,
     source::{Kind, Source},
@@ -94,6 +94,9 @@
             if exchange::is_forwarded(&request) {
                 return exchange::serve(dispatcher, request, Origin::Instance).await;
             }
+            if inquiry::is_inquiry(&request) {
+                return inquiry::answer(&dispatcher, &request).await;
+            }
             catalog_server.serve(&dispatcher, &request)
         }
     };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,7 +11,8 @@
 //! - `news` exchanges loads, rollout evidence and membership with other instances;
 //! - `probe` notices when services that could not be reached can be reached again;
 //! - `quarantine` stores the requests that are refused because they crash endpoints;
-//! - `share` serves the catalog to instances that cannot read it from the store;
+//! - `share` serves the catalog to instances that cannot read it from the store, and
+//!   `inquiry` answers them whether an endpoint accepts connections;
 //! - `front` and `directory` accept connections; `exchange` handles one request,
 //!   `upstream` sends it to one endpoint, `events` splits event streams so that
 //!   they can be resumed at another endpoint.
@@ -31,6 +32,7 @@
 mod follow;
 mod front;
 mod handle;
+mod inquiry;
 mod join;
 pub mod network;
 mod news;
