--- a/crates/relay/tests/it/main.rs
+++ b/crates/relay/tests/it/main.rs
@@ -3,6 +3,8 @@
 
 mod answers;
 mod brittle_endpoints;
+mod brittle_fleet;
+mod brittle_server;
 mod caches;
 mod caller;
 mod crashes;
