--- a/crates/relay/tests/it/brittle_endpoints.rs
+++ b/crates/relay/tests/it/brittle_endpoints.rs
@@ -72,7 +72,9 @@
     let since = Instant::now();
     let partitions = async {
         for mode in [Mode::Reset, Mode::Open, Mode::Reset, Mode::Open] {
-            networks.iter().for_each(|network| network.set(mode));
+            for network in &networks {
+                network.set(mode);
+            }
             sleep(PHASE).await;
         }
     };
