Keep what endpoints state on rejections for their whole service, at all instances

Cause: a statement was kept for each start of an endpoint and renewed by its own answers to this instance only. With 74 instances and 3 senders to each endpoint, an instance gets no answer from 57 of 60 endpoints; their statements expired together 10 s after the first, at all instances, and each sent without a limit until its next answer. A restarted endpoint had no statement at all, and all instances sent to it at once.

Change: the last statement of a service's endpoints is kept for the service, applies to endpoints that have stated nothing themselves, new ones included, and is part of the news. An instance tells only what endpoints stated to itself, so that no statement is kept alive by instances that repeat it to each other. Its begin, change and end are logged.

--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -37,6 +37,7 @@
     caches::affinity,
     limits::{Announcement, Limit},
     notices::{Notice, Notices},
+    rejections::RejectionLimit,
     run::{Run, RunOutcome},
 };
 use self::{
@@ -88,7 +89,7 @@
     /// Endpoints that cache each prompt part.
     holders: Prefixes,
     limited: limits::LimitedEndpoints,
-    fragile: rejections::FragileEndpoints,
+    fragile: rejections::FragileServices,
     /// Whether this instance reaches the endpoints, by service; services without a failed
     /// connection are missing.
     reachability: HashMap<String, Reachability>,
@@ -111,6 +112,8 @@
     endpoint: Arc<Endpoint>,
     /// Hash that identifies the endpoint's start in messages of instances.
     hash: u32,
+    /// Short hash of its service's name.
+    service_hash: u32,
     /// Number of this instance's runs there.
     runs: u32,
     /// Prompt reading that is pending for this instance's runs, in milliseconds.
@@ -269,6 +272,7 @@
     fn new(endpoint: Endpoint, peer_load: Load, now: Duration) -> Self {
         Self {
             hash: start_hash(&endpoint),
+            service_hash: short_hash(&endpoint.service),
             endpoint: Arc::new(endpoint),
             runs: 0,
             backlog_ms: 0.0,
--- a/crates/relay/src/dispatcher/fleet/registry.rs
+++ b/crates/relay/src/dispatcher/fleet/registry.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{Fleet, Key, Load, Server, start_hash};
+use super::{Fleet, Key, Load, Server, short_hash, start_hash};
 use crate::{clock, dispatcher::Dispatcher, source::Endpoint};
 
 /// How a registration compares to the known one of the same name.
@@ -137,6 +137,7 @@
         let warm_at = now + endpoint.warmup_left;
         if let Some((key, server)) = known.and_then(|key| Some((key, self.servers.get_mut(key)?))) {
             server.last_registered = now;
+            server.service_hash = short_hash(&endpoint.service);
             server.endpoint = Arc::new(endpoint);
             if kind != RegistrationKind::Same {
                 self.revision += 1;
@@ -152,6 +153,7 @@
         self.by_name.insert(name, key);
         self.by_hash.insert(hash, key);
         self.revision += 1;
+        self.invalidate_rejection_shares();
         self.set_warm_at(key, warm_at, now);
     }
 
--- a/crates/relay/src/dispatcher/fleet/rejections.rs
+++ b/crates/relay/src/dispatcher/fleet/rejections.rs
@@ -1,10 +1,10 @@
 //! Endpoints that survive few rejections: what they state, and this instance's share of it.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use route::relay::rejection::{self, Statement};
 
-use super::{Announcement, Key, Run, short_hash};
+use super::{Announcement, Fleet, Run, Server, short_hash};
 use crate::{
     clock,
     dispatcher::{Dispatcher, State},
@@ -14,14 +14,36 @@
 /// leave.
 const SHARE_UPDATE_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Endpoints that state how many rejections they survive.
+/// Services with endpoints that state how many rejections they survive.
 #[derive(Debug, Default)]
-pub(super) struct FragileEndpoints {
-    keys: Vec<Key>,
+pub(super) struct FragileServices {
+    /// What is known of each, by its short hash.
+    statements: HashMap<u32, ServiceStatements>,
     /// When this instance's shares were last computed.
     shares_updated_at: Duration,
 }
 
+/// What endpoints of one service state about rejections.
+#[derive(Debug, Default)]
+struct ServiceStatements {
+    /// Last statement to any instance.
+    latest: Option<Statement>,
+    /// Last statement to this instance, which it tells the others. Were statements of others
+    /// passed on as well, each hop would make them look younger, and none would ever expire.
+    heard: Option<Statement>,
+}
+
+/// Statement of a service's endpoints, for other instances.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RejectionLimit {
+    /// Short hash of the service's name.
+    pub service: u32,
+    /// Rejections per second that each endpoint survives; `None` if any number.
+    pub max_per_s: Option<u32>,
+    /// Time since the statement.
+    pub age: Duration,
+}
+
 impl Run {
     /// Records what the endpoint's answer states about rejections.
     pub fn record_max_rejections(&self, announced: Announcement<u32>) {
@@ -32,62 +54,76 @@
             Announcement::NoLimit => Statement { max_per_s: None, at: self.started },
         };
         let mut state = self.dispatcher.lock();
-        if statement.max_per_s.is_some() {
-            state.extend_to_service(&self.endpoint.service, statement, now);
+        if let Some(server) = state.fleet.servers.get_mut(self.key) {
+            server.guard.record(statement);
+        }
+        let service = short_hash(&self.endpoint.service);
+        if state.record_statement_of_service(service, statement, now) {
+            let known = state.fleet.fragile.statements.entry(service).or_default();
+            known.heard = Some(statement);
         }
-        state.record_statement(self.key, statement, now);
     }
 }
 
 impl State {
-    /// Applies a statement to the endpoints of its service that are not known to have a limit.
-    /// A service's endpoints become fragile together, and one that has no request yet would get
-    /// too many before its first answer. An answer of its own without a limit ends that.
-    fn extend_to_service(&mut self, service: &str, statement: Statement, now: Duration) {
-        let servers = self.fleet.servers.iter().filter(|(_, server)| server.endpoint.service == service);
-        let unlimited = servers.filter(|(_, server)| server.guard.max_per_s(now).is_none()).map(|(key, _)| key);
-        for key in unlimited.collect::<Vec<_>>() {
-            self.record_statement(key, statement, now);
+    /// Records what an endpoint of a service states, and returns whether that is the latest
+    /// statement. Services whose endpoints state no limit are not recorded.
+    fn record_statement_of_service(&mut self, service: u32, statement: Statement, now: Duration) -> bool {
+        let fragile = &mut self.fleet.fragile;
+        if statement.max_per_s.is_none() && !fragile.statements.contains_key(&service) {
+            return false;
         }
-    }
-
-    fn record_statement(&mut self, key: Key, statement: Statement, now: Duration) {
-        let Some(server) = self.fleet.servers.get_mut(key) else { return };
-        let before = server.guard.max_per_s(now);
-        server.guard.record(statement);
-        let after = server.guard.max_per_s(now);
-        if after == before {
-            return;
+        let known = fragile.statements.entry(service).or_default();
+        if known.latest.is_some_and(|known| known.at > statement.at) {
+            return false;
         }
-        tracing::info!(
-            endpoint = server.endpoint.id,
-            max_per_s = after,
-            before,
-            "number of rejections that the endpoint survives changed"
-        );
-        if !self.fleet.fragile.keys.contains(&key) {
-            self.fleet.fragile.keys.push(key);
+        let before = known.latest.replace(statement).filter(|known| known.is_in_force(now));
+        let before = before.and_then(|before| before.max_per_s);
+        if before != statement.max_per_s {
+            let name = self.fleet.servers.values().find(|server| server.service_hash == service);
+            tracing::info!(
+                service = name.map(|server| server.endpoint.service.as_str()),
+                max_per_s = statement.max_per_s,
+                before,
+                "number of rejections that endpoints of the service survive changed"
+            );
+            self.fleet.fragile.shares_updated_at = Duration::ZERO;
+            self.update_rejection_shares(now);
         }
-        self.fleet.fragile.shares_updated_at = Duration::ZERO;
-        self.update_rejection_shares(now);
+        true
     }
 
     /// Recomputes this instance's shares of all rejections if they are out of date.
     pub(super) fn update_rejection_shares(&mut self, now: Duration) {
-        let super::Fleet { servers, fragile, .. } = &mut self.fleet;
-        if fragile.keys.is_empty() || now < fragile.shares_updated_at + SHARE_UPDATE_INTERVAL {
+        let Fleet { servers, fragile, .. } = &mut self.fleet;
+        if fragile.statements.is_empty() || now < fragile.shares_updated_at + SHARE_UPDATE_INTERVAL {
             return;
         }
         fragile.shares_updated_at = now;
-        fragile.keys.retain(|key| servers.get(*key).is_some_and(|server| server.guard.max_per_s(now).is_some()));
-        for key in &fragile.keys {
-            let Some(server) = servers.get_mut(*key) else { continue };
-            let Some(max_per_s) = server.guard.max_per_s(now) else { continue };
-            let service = short_hash(&server.endpoint.service);
-            let others = self.peers.senders(service, now);
-            let share = rejection::share(max_per_s, server.hash, self.peers.me, others);
-            server.guard.set_share(share);
+        for (service, known) in &fragile.statements {
+            let others: Vec<u64> = self.peers.senders(*service, now).collect();
+            for server in servers.values_mut().filter(|server| server.service_hash == *service) {
+                server.guard.set_statement_of_service(known.latest);
+                if let Some(max_per_s) = server.guard.max_per_s(now) {
+                    let share = rejection::share(max_per_s, server.hash, self.peers.me, others.iter().copied());
+                    server.guard.set_share(share);
+                }
+            }
         }
+        fragile.statements.retain(|service, known| {
+            let is_in_force = known.latest.is_some_and(|latest| latest.is_in_force(now));
+            if !is_in_force {
+                tracing::info!(service, "statement on the rejections that endpoints survive expired");
+            }
+            is_in_force
+        });
+    }
+}
+
+impl Fleet {
+    /// Has the shares recomputed before the next decision.
+    pub(super) fn invalidate_rejection_shares(&mut self) {
+        self.fragile.shares_updated_at = Duration::ZERO;
     }
 }
 
@@ -99,11 +135,29 @@
         let now = clock::now();
         let state = self.lock();
         let fleet = &state.fleet;
-        let mut in_service = fleet
-            .servers
-            .values()
-            .filter(|server| server.endpoint.service == service && fleet.is_in_service(server))
-            .peekable();
+        let is_candidate = |server: &&Server| server.endpoint.service == service && fleet.is_in_service(server);
+        let mut in_service = fleet.servers.values().filter(is_candidate).peekable();
         in_service.peek().is_none() || in_service.any(|server| server.guard.has_share(now))
     }
+
+    /// Returns what endpoints have stated to this instance about rejections.
+    #[must_use]
+    pub fn rejection_limits(&self) -> Vec<RejectionLimit> {
+        let now = clock::now();
+        let state = self.lock();
+        let heard = state.fleet.fragile.statements.iter().filter_map(|(service, known)| {
+            let Statement { max_per_s, at } = known.heard.filter(|heard| heard.is_in_force(now))?;
+            Some(RejectionLimit { service: *service, max_per_s, age: now.saturating_sub(at) })
+        });
+        heard.collect()
+    }
+
+    /// Applies what endpoints have stated to another instance.
+    pub fn apply_rejection_limits(&self, limits: impl IntoIterator<Item = RejectionLimit>) {
+        let now = clock::now();
+        let mut state = self.lock();
+        for RejectionLimit { service, max_per_s, age } in limits {
+            state.record_statement_of_service(service, Statement { max_per_s, at: now.saturating_sub(age) }, now);
+        }
+    }
 }
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -39,8 +39,8 @@
 use self::{
     spread::{Broadcasts, MAX_BATCH},
     wire::{
-        Finding, Limit, NewsMessage, Notice, Packet, Question, Reply, RolloutEvidence, SerializedSighting,
-        clamp_to_u16, millis_u32,
+        Finding, Limit, NewsMessage, Notice, Packet, Question, RejectionLimit, Reply, RolloutEvidence,
+        SerializedSighting, clamp_to_u16, millis_u32,
     },
 };
 
@@ -94,6 +94,9 @@
 /// more often.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
+/// Number of lists at the end of a message that earlier builds leave out.
+const MAX_MISSING_LISTS: usize = 2;
+
 /// Sends and receives datagrams; never returns.
 pub async fn exchange(dispatcher: Arc<Dispatcher>, socket: Arc<UdpSocket>) {
     // Wall-clock time is only used to order the starts of one instance. Time since boot
@@ -233,7 +236,7 @@
 
 /// Receives datagrams, applies them and answers questions.
 async fn receive(dispatcher: &Dispatcher, socket: &UdpSocket, last_question: &LastQuestion, broadcasts: &Broadcasts) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES + 1];
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES + MAX_MISSING_LISTS];
     loop {
         let (length, from) = match socket.recv_from(&mut buffer[..MAX_DATAGRAM_BYTES]).await {
             Ok(received) => received,
@@ -249,6 +252,7 @@
                     dispatcher.discover_peer(name, *news);
                 }
                 dispatcher.apply_sightings(message.sightings.iter().map(Sighting::from));
+                dispatcher.apply_rejection_limits(message.rejection_limits.iter().map(fleet::RejectionLimit::from));
                 dispatcher.update_peer(&message.name, from, Status::from(&message));
             }
             Ok(Packet::Evidence(name, evidence)) => {
@@ -315,6 +319,7 @@
         orders: dispatcher.rollout_reports().iter().map(RolloutEvidence::from).collect(),
         catalog: dispatcher.catalog().map_or(0, |catalog| catalog.version),
         unreachable: dispatcher.lost_services(),
+        rejection_limits: dispatcher.rejection_limits().into_iter().map(RejectionLimit::from).collect(),
     }
 }
 
@@ -336,13 +341,15 @@
     dispatcher.recent_sightings(MAX_SIGHTINGS).into_iter().map(SerializedSighting::from).collect()
 }
 
-/// Decodes the datagram in the first `length` bytes of a buffer that is longer.
+/// Decodes the datagram in the first `length` bytes of a buffer that is longer by
+/// [`MAX_MISSING_LISTS`] or more.
 ///
 /// Earlier builds ignore what follows the fields that they know. Lists that they leave out at
-/// the end are decoded as empty, from a zero byte after the datagram.
+/// the end are decoded as empty, from zero bytes after the datagram.
 fn decode(buffer: &mut [u8], length: usize) -> postcard::Result<Packet> {
-    buffer[length] = 0;
-    postcard::from_bytes(&buffer[..=length])
+    let padded = length + MAX_MISSING_LISTS;
+    buffer[length..padded].fill(0);
+    postcard::from_bytes(&buffer[..padded])
 }
 
 fn encode(packet: &Packet) -> Vec<u8> {
--- a/crates/relay/src/news/tests.rs
+++ b/crates/relay/src/news/tests.rs
@@ -26,6 +26,7 @@
         orders: Vec::new(),
         catalog: 3,
         unreachable,
+        rejection_limits: Vec::new(),
     }
 }
 
@@ -44,11 +45,24 @@
     assert_eq!(unreachable_in(&encode(&Packet::News(message(vec![7, 8])))), [7, 8]);
 }
 
-/// During an upgrade, instances of the earlier build send no list of unreachable services. If
-/// their news could not be decoded, they would count as gone.
-#[test]
-fn news_of_an_earlier_build_are_decoded() {
+/// During an upgrade, instances of an earlier build send fewer lists. If their news could not be
+/// decoded, they would count as gone.
+fn check_earlier_build(missing_lists: usize) {
     let datagram = encode(&Packet::News(message(Vec::new())));
-    let (_, earlier) = datagram.split_last().unwrap();
+    let earlier = &datagram[..datagram.len() - missing_lists];
     assert!(unreachable_in(earlier).is_empty());
 }
+
+macro_rules! earlier_builds {
+    ($($name:ident: $missing_lists:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            check_earlier_build($missing_lists);
+        }
+    )*};
+}
+
+earlier_builds! {
+    news_without_unreachable_services_are_decoded: 2;
+    news_without_rejection_limits_are_decoded: 1;
+}
--- a/crates/relay/src/news/wire.rs
+++ b/crates/relay/src/news/wire.rs
@@ -252,6 +252,33 @@
     /// Short hashes of the services of which it reaches no endpoint. Earlier builds do not
     /// send this field, and ignore it.
     pub(super) unreachable: Vec<u32>,
+    /// What endpoints have stated to it about rejections. Earlier builds do not send this
+    /// field, and ignore it.
+    pub(super) rejection_limits: Vec<RejectionLimit>,
+}
+
+/// Serialized form of [`fleet::RejectionLimit`].
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(super) struct RejectionLimit {
+    /// Short hash of the service's name.
+    service: u32,
+    /// Rejections per second; `None` if the endpoints survive any number.
+    max_per_s: Option<u32>,
+    /// Time since the statement.
+    age_ms: u32,
+}
+
+impl From<fleet::RejectionLimit> for RejectionLimit {
+    fn from(limit: fleet::RejectionLimit) -> Self {
+        Self { service: limit.service, max_per_s: limit.max_per_s, age_ms: millis_u32(limit.age) }
+    }
+}
+
+impl From<&RejectionLimit> for fleet::RejectionLimit {
+    fn from(limit: &RejectionLimit) -> Self {
+        let age = Duration::from_millis(u64::from(limit.age_ms));
+        Self { service: limit.service, max_per_s: limit.max_per_s, age }
+    }
 }
 
 /// Serialized form of [`Sighting`].
--- a/crates/route/src/relay/rejection.rs
+++ b/crates/route/src/relay/rejection.rs
@@ -2,7 +2,9 @@
 //!
 //! Such an endpoint states in its answers how many rejections it survives, from all instances
 //! together. A few instances, selected by rendezvous hashing, share that number, and the others
-//! send it nothing while the statement is in force. An instance counts a request as a possible
+//! send it nothing while the statement is in force. In a large fleet most instances thus get no
+//! answer from most endpoints, and an endpoint that has just started has answered nobody. What
+//! other endpoints of its service state, to any instance, applies to it meanwhile. An instance counts a request as a possible
 //! rejection until its first byte arrives, or for the time in which a full endpoint has
 //! rejected it for certain, and sends no more than could all be rejected.
 
@@ -46,10 +48,21 @@
     active_senders(usable, endpoint, me, others).map_or(0, |senders| usable / senders as usize)
 }
 
+impl Statement {
+    /// Returns whether the statement has not expired.
+    #[must_use]
+    pub fn is_in_force(&self, now: Duration) -> bool {
+        now < self.at + STATEMENT_LIFETIME
+    }
+}
+
 /// Limits the requests that this instance sends to one endpoint.
 #[derive(Debug, Clone, Default)]
 pub struct Guard {
-    statement: Option<Statement>,
+    /// The endpoint's own last statement to this instance.
+    own: Option<Statement>,
+    /// The last statement of any endpoint of its service.
+    of_service: Option<Statement>,
     /// Rejections per second that this instance may cause.
     share: usize,
     /// Times of the requests that may still be rejected.
@@ -59,18 +72,29 @@
 }
 
 impl Guard {
-    /// Records what an answer says, unless a later one is known.
+    /// Records what an answer of the endpoint says, unless a later one is known.
     pub fn record(&mut self, statement: Statement) {
-        if self.statement.is_none_or(|known| known.at <= statement.at) {
-            self.statement = Some(statement);
+        if self.own.is_none_or(|known| known.at <= statement.at) {
+            self.own = Some(statement);
         }
     }
 
+    /// Sets what endpoints of the service state.
+    pub fn set_statement_of_service(&mut self, statement: Option<Statement>) {
+        self.of_service = statement;
+    }
+
     /// Returns the number of rejections per second that the endpoint survives, or `None` if
     /// it is not known to have a limit.
     #[must_use]
     pub fn max_per_s(&self, now: Duration) -> Option<u32> {
-        self.statement.filter(|statement| now < statement.at + STATEMENT_LIFETIME)?.max_per_s
+        let in_force = |statement: &Statement| statement.is_in_force(now);
+        let (own, of_service) = (self.own.filter(in_force), self.of_service.filter(in_force));
+        match (own, of_service) {
+            (Some(own), Some(of_service)) if own.max_per_s.is_none() && own.at < of_service.at => of_service.max_per_s,
+            (Some(own), _) => own.max_per_s,
+            (None, of_service) => of_service?.max_per_s,
+        }
     }
 
     /// Sets this instance's part of the rejections.
