Wait longer for rejections of requests for which an endpoint may have no slot

Callers saw endpoints crash under the requests that they rejected (LIMIT).

Cause: a request counted as accepted 0.3 s after it was sent if no answer had been read by then. A rejection may be read later on a busy processor, and the next request was sent meanwhile: up to 8 rejections in a second where 4 are survived.

Change: each sender has a part of the endpoint's slots. A request within it, to an endpoint that was not full in the last 3 s, counts for 0.3 s as before. Any other counts until its rejection would be older than the window of a second, however late its answer is read.

Two unit tests of the guard, two of statements of a service.

--- a/crates/relay/src/dispatcher/fleet/rejections.rs
+++ b/crates/relay/src/dispatcher/fleet/rejections.rs
@@ -105,8 +105,8 @@
             for server in servers.values_mut().filter(|server| server.service_hash == *service) {
                 server.guard.set_statement_of_service(known.latest);
                 if let Some(max_per_s) = server.guard.max_per_s(now) {
-                    let share = rejection::share(max_per_s, server.hash, self.peers.me, others.iter().copied());
-                    server.guard.set_share(share);
+                    let endpoint = rejection::Endpoint { hash: server.hash, slots: server.endpoint.slots, max_per_s };
+                    server.guard.set_share(endpoint.share(self.peers.me, others.iter().copied()));
                 }
             }
         }
--- a/crates/route/src/relay/rejection.rs
+++ b/crates/route/src/relay/rejection.rs
@@ -4,9 +4,14 @@
 //! together. A few instances, selected by rendezvous hashing, share that number, and the others
 //! send it nothing while the statement is in force. In a large fleet most instances thus get no
 //! answer from most endpoints, and an endpoint that has just started has answered nobody. What
-//! other endpoints of its service state, to any instance, applies to it meanwhile. An instance counts a request as a possible
-//! rejection until its first byte arrives, or for the time in which a full endpoint has
-//! rejected it for certain, and sends no more than could all be rejected.
+//! other endpoints of its service state, to any instance, applies to it meanwhile.
+//!
+//! An instance counts a request as a possible rejection until its first byte arrives, or for
+//! the time in which a full endpoint has rejected it for certain, and sends no more than could
+//! all be rejected. A full endpoint rejects at once, but on a busy processor the instance may
+//! read its answer much later. So a request for which there may be no slot counts until its
+//! rejection is too old to matter. One within this instance's part of the slots counts for a
+//! shorter time, or waiting for first bytes would leave most slots empty.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -15,10 +20,19 @@
 /// Window in which an endpoint counts rejections.
 const WINDOW: Duration = Duration::from_secs(1);
 
-/// Time after which a request that was not rejected has been accepted. A full endpoint rejects
-/// within a round trip; the rest is for a busy processor at either end.
+/// Time after which a request has been accepted that was not rejected and for which there was
+/// a slot. A full endpoint rejects within a round trip; the rest is for a busy processor at
+/// either end.
 const ACCEPTANCE_TIME: Duration = Duration::from_millis(300);
 
+/// Time after which a request matters no longer, whether it was rejected or not: the rejection
+/// has left the window even if the request took long to arrive.
+const MAX_PENDING_TIME: Duration = Duration::from_millis(1_300);
+
+/// Time after a rejection for which none of the endpoint's slots counts as free: other
+/// instances' runs or a change of its size take up this instance's part.
+const FULL_MEMORY: Duration = Duration::from_secs(3);
+
 /// Part of the rejections that is used. The rest covers periods in which instances disagree
 /// about the membership.
 const USABLE_FRACTION: f64 = 0.9;
@@ -36,16 +50,46 @@
     pub at: Duration,
 }
 
-/// Computes how many rejections per second by an endpoint one instance may cause. `me` and
-/// `others` are the hashes of the names of the instances that serve callers.
-///
-/// All of them together cause at most `max_per_s`, or one if that is less.
-#[must_use]
-pub fn share(max_per_s: u32, endpoint: u32, me: u64, others: impl Iterator<Item = u64>) -> usize {
-    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a fraction of a u32")]
-    let usable = (USABLE_FRACTION * f64::from(max_per_s)).max(1.0) as usize;
-    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a small whole number")]
-    active_senders(usable, endpoint, me, others).map_or(0, |senders| usable / senders as usize)
+/// An endpoint that survives few rejections.
+#[derive(Debug, Clone, Copy)]
+pub struct Endpoint {
+    /// Hash that identifies its start.
+    pub hash: u32,
+    /// Number of requests that it runs at a time.
+    pub slots: u32,
+    /// Rejections per second that it survives.
+    pub max_per_s: u32,
+}
+
+/// One instance's part of an endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Share {
+    /// Rejections per second that the instance may cause; 0 if it may not send requests.
+    pub rejections: usize,
+    /// Number of the instance's runs for which there is a slot if all instances keep to their
+    /// parts.
+    pub slots: u32,
+}
+
+impl Endpoint {
+    /// Returns the number of instances that may send it requests, if there are so many.
+    fn max_senders(self) -> usize {
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a fraction of a u32")]
+        let usable = (USABLE_FRACTION * f64::from(self.max_per_s)).max(1.0) as usize;
+        usable
+    }
+
+    /// Computes one instance's part. `me` and `others` are the hashes of the names of the
+    /// instances that serve callers.
+    ///
+    /// All of them together cause at most `max_per_s` rejections, or one if that is less.
+    #[must_use]
+    pub fn share(self, me: u64, others: impl Iterator<Item = u64>) -> Share {
+        let Some(senders) = active_senders(self.max_senders(), self.hash, me, others) else { return Share::default() };
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a small whole number")]
+        let senders = senders as u32;
+        Share { rejections: self.max_senders() / senders as usize, slots: self.slots / senders }
+    }
 }
 
 impl Statement {
@@ -63,12 +107,20 @@
     own: Option<Statement>,
     /// The last statement of any endpoint of its service.
     of_service: Option<Statement>,
-    /// Rejections per second that this instance may cause.
-    share: usize,
-    /// Times of the requests that may still be rejected.
-    sends: VecDeque<Duration>,
+    share: Share,
+    /// Requests that may still be rejected.
+    sends: VecDeque<Send>,
     /// Times of the rejections within the window.
     rejections: VecDeque<Duration>,
+    last_rejection: Option<Duration>,
+}
+
+/// A request that may be rejected.
+#[derive(Debug, Clone, Copy)]
+struct Send {
+    at: Duration,
+    /// When it counts as accepted.
+    accepted_at: Duration,
 }
 
 impl Guard {
@@ -97,15 +149,15 @@
         }
     }
 
-    /// Sets this instance's part of the rejections.
-    pub fn set_share(&mut self, share: usize) {
+    /// Sets this instance's part of the endpoint.
+    pub fn set_share(&mut self, share: Share) {
         self.share = share;
     }
 
     /// Returns whether this instance may cause rejections at all.
     #[must_use]
     pub fn has_share(&self, now: Duration) -> bool {
-        self.max_per_s(now).is_none() || self.share > 0
+        self.max_per_s(now).is_none() || self.share.rejections > 0
     }
 
     /// Returns whether a request may be sent now.
@@ -114,21 +166,26 @@
         if self.max_per_s(now).is_none() {
             return true;
         }
-        let recent = |times: &VecDeque<Duration>, span| times.iter().filter(|at| now < **at + span).count();
-        recent(&self.sends, ACCEPTANCE_TIME) + recent(&self.rejections, WINDOW) < self.share
+        let pending = self.sends.iter().filter(|send| now < send.accepted_at).count();
+        let rejections = self.rejections.iter().filter(|at| now < **at + WINDOW).count();
+        pending + rejections < self.share.rejections
     }
 
-    /// Records that a request is sent.
-    pub fn record_send(&mut self, now: Duration) {
-        if self.max_per_s(now).is_some() {
-            push(&mut self.sends, now, ACCEPTANCE_TIME);
+    /// Records that a request is sent while this instance has `runs` other ones there.
+    pub fn record_send(&mut self, now: Duration, runs: u32) {
+        if self.max_per_s(now).is_none() {
+            return;
         }
+        self.sends.retain(|send| now < send.accepted_at);
+        let was_full = self.last_rejection.is_some_and(|at| now < at + FULL_MEMORY);
+        let span = if runs < self.share.slots && !was_full { ACCEPTANCE_TIME } else { MAX_PENDING_TIME };
+        self.sends.push_back(Send { at: now, accepted_at: now + span });
     }
 
     /// Records that the endpoint accepted the request that was sent at `sent_at`, or that it
     /// did not receive it.
     pub fn record_acceptance(&mut self, sent_at: Duration) {
-        if let Some(index) = self.sends.iter().position(|at| *at == sent_at) {
+        if let Some(index) = self.sends.iter().position(|send| send.at == sent_at) {
             self.sends.remove(index);
         }
     }
@@ -136,14 +193,8 @@
     /// Records that the endpoint rejected the request that was sent at `sent_at`.
     pub fn record_rejection(&mut self, now: Duration, sent_at: Duration) {
         self.record_acceptance(sent_at);
-        push(&mut self.rejections, now, WINDOW);
-    }
-}
-
-/// Adds a time and removes those that are older than `span`.
-fn push(times: &mut VecDeque<Duration>, now: Duration, span: Duration) {
-    while times.front().is_some_and(|at| now >= *at + span) {
-        times.pop_front();
+        self.rejections.retain(|at| now < *at + WINDOW);
+        self.rejections.push_back(now);
+        self.last_rejection = Some(now);
     }
-    times.push_back(now);
 }
--- a/crates/route/tests/relay/rejection.rs
+++ b/crates/route/tests/relay/rejection.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use route::relay::rejection::{Guard, Statement, share};
+use route::relay::rejection::{Endpoint, Guard, Share, Statement};
 use world::hash;
 
 fn ms(ms: u64) -> Duration {
@@ -13,7 +13,7 @@
 fn guard(max_per_s: u32, share: usize) -> Guard {
     let mut guard = Guard::default();
     guard.record(Statement { max_per_s: Some(max_per_s), at: ms(0) });
-    guard.set_share(share);
+    guard.set_share(Share { rejections: share, slots: 1 });
     guard
 }
 
@@ -22,10 +22,13 @@
     let names: Vec<u64> = (0..instances).map(|name| hash::stable(&name.to_be_bytes())).collect();
     for endpoint in 0..20 {
         let others = |me: u64| names.iter().copied().filter(move |name| *name != me);
-        let shares: Vec<usize> = names.iter().map(|me| share(max_per_s, endpoint, *me, others(*me))).collect();
+        let endpoint = Endpoint { hash: endpoint, slots: 32, max_per_s };
+        let parts: Vec<Share> = names.iter().map(|me| endpoint.share(*me, others(*me))).collect();
+        let shares: Vec<usize> = parts.iter().map(|part| part.rejections).collect();
         let sum = shares.iter().sum::<usize>();
         assert!(sum <= usize::try_from(max_per_s).unwrap().max(1), "{shares:?}");
         assert!(sum >= 1, "somebody must be able to send");
+        assert!(parts.iter().map(|part| part.slots).sum::<u32>() <= endpoint.slots, "{parts:?}");
     }
 }
 
@@ -54,7 +57,7 @@
     let mut rejections: Vec<Duration> = Vec::new();
     for now in (0..9_000).map(ms) {
         if guard.may_send(now) {
-            guard.record_send(now);
+            guard.record_send(now, 0);
             guard.record_rejection(now, now);
             rejections.push(now);
         }
@@ -73,7 +76,7 @@
     let mut sent = 0;
     for now in (0..1_000).map(ms) {
         if guard.may_send(now) {
-            guard.record_send(now);
+            guard.record_send(now, 0);
             sent += 1;
         }
     }
@@ -84,7 +87,7 @@
 #[test]
 fn answered_request_makes_room_at_once() {
     let mut guard = guard(10, 1);
-    guard.record_send(ms(0));
+    guard.record_send(ms(0), 0);
     assert!(!guard.may_send(ms(20)));
     guard.record_acceptance(ms(0));
     assert!(guard.may_send(ms(20)));
@@ -95,13 +98,61 @@
 #[test]
 fn late_rejection_is_waited_for() {
     let mut guard = guard(10, 1);
-    guard.record_send(ms(0));
+    guard.record_send(ms(0), 0);
     assert!(!guard.may_send(ms(250)));
     guard.record_rejection(ms(250), ms(0));
     assert!(!guard.may_send(ms(1_200)));
     assert!(guard.may_send(ms(1_300)));
 }
 
+/// A rejection that is read very late must not let another request through meanwhile, if there
+/// may be no slot for it.
+fn check_pending_without_slot(runs: u32, rejected_before: bool) {
+    let mut guard = guard(10, 1);
+    if rejected_before {
+        guard.record_send(ms(0), 0);
+        guard.record_rejection(ms(1), ms(0));
+    }
+    let sent_at = ms(1_500);
+    assert!(guard.may_send(sent_at));
+    guard.record_send(sent_at, runs);
+    assert!(!guard.may_send(sent_at + ms(1_200)));
+    assert!(guard.may_send(sent_at + ms(1_400)));
+}
+
+macro_rules! pending_without_slot {
+    ($($name:ident: $runs:expr, $rejected_before:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            check_pending_without_slot($runs, $rejected_before);
+        }
+    )*};
+}
+
+pending_without_slot! {
+    request_beyond_the_slots_stays_pending: 1, false;
+    request_to_a_recently_full_endpoint_stays_pending: 0, true;
+}
+
+/// An endpoint that has answered nobody yet is treated as others of its service say.
+#[test]
+fn statement_of_the_service_applies_to_an_endpoint_without_one() {
+    let mut guard = Guard::default();
+    guard.set_statement_of_service(Some(Statement { max_per_s: Some(10), at: ms(0) }));
+    assert_eq!(guard.max_per_s(ms(100)), Some(10));
+    guard.record(Statement { max_per_s: None, at: ms(50) });
+    assert_eq!(guard.max_per_s(ms(100)), None);
+}
+
+/// Another endpoint that survives any number of rejections must not end an endpoint's own
+/// statement.
+#[test]
+fn own_statement_precedes_the_statement_of_the_service() {
+    let mut guard = guard(10, 0);
+    guard.set_statement_of_service(Some(Statement { max_per_s: None, at: ms(50) }));
+    assert_eq!(guard.max_per_s(ms(100)), Some(10));
+}
+
 #[test]
 fn statement_ends_with_an_answer_without_one() {
     let mut guard = guard(10, 0);
