Give up shares of rejections while partitioned or leaving, and take them back late

Cause: instances disagreed about who may send. One that came back from a partition used its share at once, while those that had taken it over used it until they heard of the return; one that was cut off from other instances took it that they were gone.

Change: an instance has no share while a service is certainly lost or it is leaving, and for 2 s after a loss. Instances that are silent keep their shares for the minute in which they are remembered, unless they said that they leave or reach no endpoint.

--- a/crates/relay/src/dispatcher/fleet/reachability.rs
+++ b/crates/relay/src/dispatcher/fleet/reachability.rs
@@ -111,6 +111,13 @@
         self.reachability.get(service).is_some_and(|reachability| reachability.was_lost_since(since))
     }
 
+    /// Returns whether other instances may have been told since `since` that a service, given
+    /// by its short hash, is unreachable from here.
+    pub(super) fn was_certainly_lost_since(&self, service: u32, now: Duration, since: Duration) -> bool {
+        let mut states = self.reachability.iter().filter(|(name, _)| short_hash(name) == service);
+        states.any(|(_, reachability)| reachability.was_certainly_lost_since(now, since))
+    }
+
     /// Records that no connection to an endpoint could be made, and returns whether the
     /// service counts as unreachable from now on.
     fn record_failed_connection(&mut self, service: &str, endpoint: u32, cause: &str) -> bool {
--- a/crates/relay/src/dispatcher/fleet/rejections.rs
+++ b/crates/relay/src/dispatcher/fleet/rejections.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use route::relay::rejection::{self, Statement};
+use route::relay::rejection::{self, Share, Statement};
 
 use super::{Announcement, Fleet, Run, Server, short_hash};
 use crate::{
@@ -14,6 +14,11 @@
 /// leave.
 const SHARE_UPDATE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time for which an instance that reaches a service again sends nothing to its fragile
+/// endpoints. The instances that took its shares over hear of its return meanwhile, by the
+/// regular news.
+const RETURN_DELAY: Duration = Duration::from_secs(2);
+
 /// Services with endpoints that state how many rejections they survive.
 #[derive(Debug, Default)]
 pub(super) struct FragileServices {
@@ -95,22 +100,16 @@
 
     /// Recomputes this instance's shares of all rejections if they are out of date.
     pub(super) fn update_rejection_shares(&mut self, now: Duration) {
-        let Fleet { servers, fragile, .. } = &mut self.fleet;
+        let fragile = &mut self.fleet.fragile;
         if fragile.statements.is_empty() || now < fragile.shares_updated_at + SHARE_UPDATE_INTERVAL {
             return;
         }
         fragile.shares_updated_at = now;
-        for (service, known) in &fragile.statements {
-            let others: Vec<u64> = self.peers.senders(*service, now).collect();
-            for server in servers.values_mut().filter(|server| server.service_hash == *service) {
-                server.guard.set_statement_of_service(known.latest);
-                if let Some(max_per_s) = server.guard.max_per_s(now) {
-                    let endpoint = rejection::Endpoint { hash: server.hash, slots: server.endpoint.slots, max_per_s };
-                    server.guard.set_share(endpoint.share(self.peers.me, others.iter().copied()));
-                }
-            }
+        let services: Vec<u32> = fragile.statements.keys().copied().collect();
+        for service in services {
+            self.update_shares_of_service(service, now);
         }
-        fragile.statements.retain(|service, known| {
+        self.fleet.fragile.statements.retain(|service, known| {
             let is_in_force = known.latest.is_some_and(|latest| latest.is_in_force(now));
             if !is_in_force {
                 tracing::info!(service, "statement on the rejections that endpoints survive expired");
@@ -118,6 +117,25 @@
             is_in_force
         });
     }
+
+    /// Recomputes this instance's shares of the rejections of one service's endpoints.
+    fn update_shares_of_service(&mut self, service: u32, now: Duration) {
+        let since = now.saturating_sub(RETURN_DELAY);
+        let may_send = self.draining_since.is_none() && !self.fleet.was_certainly_lost_since(service, now, since);
+        // Instances that are not heard may still send: a cut between instances looks the same
+        // as their end.
+        let others: Vec<u64> = self.peers.remembered_senders(service).collect();
+        let Fleet { servers, fragile, .. } = &mut self.fleet;
+        let statement = fragile.statements.get(&service).and_then(|known| known.latest);
+        for server in servers.values_mut().filter(|server| server.service_hash == service) {
+            server.guard.set_statement_of_service(statement);
+            if let Some(max_per_s) = server.guard.max_per_s(now) {
+                let endpoint = rejection::Endpoint { hash: server.hash, slots: server.endpoint.slots, max_per_s };
+                let share = endpoint.share(self.peers.me, others.iter().copied());
+                server.guard.set_share(if may_send { share } else { Share::default() });
+            }
+        }
+    }
 }
 
 impl Fleet {
--- a/crates/relay/src/dispatcher/peers.rs
+++ b/crates/relay/src/dispatcher/peers.rs
@@ -144,6 +144,11 @@
     fn is_ready(&self) -> bool {
         self.phase == Phase::Ready
     }
+
+    /// Whether it serves callers and, as far as known, reaches a service.
+    fn may_send_to(&self, service: u32) -> bool {
+        self.is_ready() && !self.unreachable.contains(&service)
+    }
 }
 
 impl Peers {
@@ -230,6 +235,13 @@
         self.known.values().filter(move |peer| peer.reaches(service, now)).map(|peer| peer.hash)
     }
 
+    /// Returns the hashes of the names of the other instances that, when last heard from within
+    /// the last minute, served callers and reached a service, given by its short hash.
+    pub(super) fn remembered_senders(&self, service: u32) -> impl Iterator<Item = u64> {
+        let may_send = move |peer: &&Peer| peer.last_heard.is_some() && peer.status.may_send_to(service);
+        self.known.values().filter(may_send).map(|peer| peer.hash)
+    }
+
     /// Returns the hashes of the names of the other instances that were heard from within the
     /// last minute and have not left.
     pub(super) fn remembered(&self) -> impl Iterator<Item = u64> {
@@ -271,7 +283,7 @@
 
     /// Whether it serves callers and, as far as known, reaches a service.
     fn reaches(&self, service: u32, now: Duration) -> bool {
-        self.is_live(now) && self.status.is_ready() && !self.status.unreachable.contains(&service)
+        self.is_live(now) && self.status.may_send_to(service)
     }
 
     /// Returns the time at which it counts as gone unless it is heard from before.
--- a/crates/route/src/relay/reachability.rs
+++ b/crates/route/src/relay/reachability.rs
@@ -40,6 +40,8 @@
     lost_at: Option<Duration>,
     /// When the service was last found to be reachable again.
     restored_at: Option<Duration>,
+    /// The same after a loss that was certain, which other instances were told of.
+    restored_from_loss_at: Option<Duration>,
     /// When an endpoint was last registered that was not known before.
     registered_at: Option<Duration>,
 }
@@ -62,6 +64,9 @@
     /// if it was.
     pub fn record_connection(&mut self, now: Duration) -> Option<Duration> {
         self.failed.clear();
+        if self.reach(now) == Reach::Lost {
+            self.restored_from_loss_at = Some(now);
+        }
         let lost_at = self.lost_at.take()?;
         self.restored_at = Some(now);
         Some(now.saturating_sub(lost_at))
@@ -80,6 +85,13 @@
         self.lost_at.is_some() || self.restored_at.is_some_and(|restored_at| restored_at >= since)
     }
 
+    /// Returns whether other instances may have been told since `since` that the service is
+    /// unreachable from here.
+    #[must_use]
+    pub fn was_certainly_lost_since(&self, now: Duration, since: Duration) -> bool {
+        self.reach(now) == Reach::Lost || self.restored_from_loss_at.is_some_and(|restored_at| restored_at >= since)
+    }
+
     /// Records that an endpoint was registered to which no connection was tried yet.
     pub fn record_registration(&mut self, now: Duration) {
         self.registered_at = Some(now);
