Ask instances that have a share before a request to brittle endpoints is refused

Change: an instance that is held back by its shares alone forwards the request to a sender of some fragile endpoint, two at most, chosen by the hashes that decide the shares. An instance without a share asked any instance before, of which most have none either. Only then the request waits and is refused with the usual Retry-After.

--- a/crates/relay/src/dispatcher/fleet/reachability.rs
+++ b/crates/relay/src/dispatcher/fleet/reachability.rs
@@ -6,7 +6,11 @@
 use route::relay::reachability::Reach;
 
 use super::{Fleet, Run, decaying_mean::DecayingMean, short_hash};
-use crate::{clock, dispatcher::Dispatcher, source::Endpoint};
+use crate::{
+    clock,
+    dispatcher::{Dispatcher, peers::Substitute},
+    source::Endpoint,
+};
 
 impl Run {
     /// Records that the connection to the endpoint was made.
@@ -92,11 +96,17 @@
     pub fn instance_reaching(&self, service: &str, tried: &[SocketAddr]) -> Option<SocketAddr> {
         let state = self.lock();
         let candidates = state.peers.reaching(short_hash(service), clock::now());
-        let untried: Vec<_> = candidates.filter(|(news, _)| !tried.contains(news)).collect();
-        untried.choose_weighted(&mut rand::rng(), |(_, cores)| cores.0.max(1)).ok().map(|(news, _)| *news)
+        choose_untried(candidates, tried)
     }
 }
 
+/// Returns the news address of one of the instances that is not among `tried`, drawn in
+/// proportion to their sizes.
+pub(super) fn choose_untried(instances: impl Iterator<Item = Substitute>, tried: &[SocketAddr]) -> Option<SocketAddr> {
+    let untried: Vec<_> = instances.filter(|instance| !tried.contains(&instance.news)).collect();
+    untried.choose_weighted(&mut rand::rng(), |instance| instance.cores.0.max(1)).ok().map(|instance| instance.news)
+}
+
 impl Fleet {
     /// Returns whether this instance reaches endpoints of a service.
     pub(super) fn reach(&self, service: &str, now: Duration) -> Reach {
--- a/crates/relay/src/dispatcher/fleet/rejections.rs
+++ b/crates/relay/src/dispatcher/fleet/rejections.rs
@@ -1,10 +1,15 @@
 //! Endpoints that survive few rejections: what they state, and this instance's share of it.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
+use rand::seq::IteratorRandom;
 use route::relay::rejection::{self, Share, Statement};
 
-use super::{Announcement, Fleet, Run, Server, short_hash};
+use super::{Announcement, Fleet, Run, Server, reachability::choose_untried, short_hash};
 use crate::{
     clock,
     dispatcher::{Dispatcher, State},
@@ -19,6 +24,9 @@
 /// regular news.
 const RETURN_DELAY: Duration = Duration::from_secs(2);
 
+/// Number of endpoints of which one's senders get a request that this instance may not send.
+const DRAWN_ENDPOINTS: usize = 3;
+
 /// Services with endpoints that state how many rejections they survive.
 #[derive(Debug, Default)]
 pub(super) struct FragileServices {
@@ -158,6 +166,42 @@
         in_service.peek().is_none() || in_service.any(|server| server.guard.has_share(now))
     }
 
+    /// Whether an endpoint of a service would get a request if this instance might cause more
+    /// rejections.
+    #[must_use]
+    pub fn is_rejection_share_used_up(&self, service: &str) -> bool {
+        let now = clock::now();
+        let state = self.lock();
+        let is_held_back = |server: &Server| {
+            server.endpoint.service == service
+                && server.backoff_until <= now
+                && state.fleet.is_in_service(server)
+                && server.throttle.may_send(now)
+                && server.may_send_while_warming(now)
+                && !server.guard.may_send(now)
+        };
+        state.fleet.servers.values().any(is_held_back)
+    }
+
+    /// Returns the news address of another instance that may send requests to some fragile
+    /// endpoint of a service and is not among `tried`.
+    #[must_use]
+    pub fn instance_with_rejection_share(&self, service: &str, tried: &[SocketAddr]) -> Option<SocketAddr> {
+        let now = clock::now();
+        let state = self.lock();
+        let fragile = state.fleet.servers.values().filter_map(|server| {
+            let is_candidate = server.endpoint.service == service && state.fleet.is_in_service(server);
+            let max_per_s = server.guard.max_per_s(now).filter(|_| is_candidate)?;
+            Some(rejection::Endpoint { hash: server.hash, slots: server.endpoint.slots, max_per_s })
+        });
+        let drawn = fragile.choose_multiple(&mut rand::rng(), DRAWN_ENDPOINTS);
+        let (service, me) = (short_hash(service), state.peers.me);
+        let instances = || state.peers.remembered_senders(service).chain([me]);
+        let senders: HashSet<u64> = drawn.iter().flat_map(|endpoint| endpoint.senders(instances())).collect();
+        let candidates = state.peers.reaching(service, now).filter(|instance| senders.contains(&instance.name));
+        choose_untried(candidates, tried)
+    }
+
     /// Returns what endpoints have stated to this instance about rejections.
     #[must_use]
     pub fn rejection_limits(&self) -> Vec<RejectionLimit> {
--- a/crates/relay/src/dispatcher/peers.rs
+++ b/crates/relay/src/dispatcher/peers.rs
@@ -95,6 +95,17 @@
     status: Status,
 }
 
+/// Another instance that may serve a request instead of this one.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Substitute {
+    /// Hash of its name.
+    pub name: u64,
+    /// Address at which it receives news.
+    pub news: SocketAddr,
+    /// Its number of processor cores.
+    pub cores: Cores,
+}
+
 /// Phase of an instance's life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Phase {
@@ -222,11 +233,12 @@
         self.sums.of(endpoint)
     }
 
-    /// Returns the news addresses and sizes of the other instances to which requests for a
-    /// service, given by its short hash, may be forwarded.
-    pub(super) fn reaching(&self, service: u32, now: Duration) -> impl Iterator<Item = (SocketAddr, Cores)> {
+    /// Returns the other instances to which requests for a service, given by its short hash,
+    /// may be forwarded.
+    pub(super) fn reaching(&self, service: u32, now: Duration) -> impl Iterator<Item = Substitute> {
         let is_available = move |peer: &&Peer| peer.reaches(service, now) && peer.avoided_until <= now;
-        self.known.values().filter(is_available).map(|peer| (peer.news, peer.status.cores))
+        let substitute = |peer: &Peer| Substitute { name: peer.hash, news: peer.news, cores: peer.status.cores };
+        self.known.values().filter(is_available).map(substitute)
     }
 
     /// Returns the hashes of the names of the other instances that serve callers and reach a
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -47,6 +47,10 @@
 /// Longest wait for an endpoint if none of the service accepts the request.
 const ENDPOINT_WAIT: Duration = Duration::from_millis(250);
 
+/// Number of other instances that are asked for their shares of endpoints' rejections. With
+/// more, an overload would multiply the work of all instances.
+const MAX_FORWARDS_FOR_SHARES: usize = 2;
+
 /// A request being served.
 #[derive(Debug)]
 pub struct Exchange {
@@ -206,9 +210,17 @@
             None if self.dispatcher.is_service_evacuated(&self.service) => {
                 return Err(self.refusal_for_caller(Refusal::Evacuated));
             }
-            None if !self.dispatcher.has_rejection_share(&self.service) => {
-                let instance = self.next_instance().ok_or_else(|| self.refusal_for_caller(Refusal::NoShare))?;
-                return Ok(Hop::Instance(instance));
+            None if self.dispatcher.is_rejection_share_used_up(&self.service) => {
+                if let Some(instance) = self.next_instance_with_share() {
+                    return Ok(Hop::Instance(instance));
+                }
+                // The instance that forwarded the request asks another one at once.
+                if self.is_forwarded || !self.dispatcher.has_rejection_share(&self.service) {
+                    let were_others_asked = !self.tried_instances.is_empty();
+                    let refusal = if were_others_asked { Refusal::NoEndpoint } else { Refusal::NoShare };
+                    return Err(self.refusal_for_caller(refusal));
+                }
+                self.wait_for_place(model).await?
             }
             None => self.wait_for_place(model).await?,
         };
@@ -228,6 +240,17 @@
         Some(instance)
     }
 
+    /// Returns another instance that may send the request to an endpoint that survives few
+    /// rejections, unless enough were tried.
+    fn next_instance_with_share(&mut self) -> Option<SocketAddr> {
+        if self.is_forwarded || self.tried_instances.len() >= MAX_FORWARDS_FOR_SHARES {
+            return None;
+        }
+        let instance = self.dispatcher.instance_with_rejection_share(&self.service, &self.tried_instances)?;
+        self.tried_instances.push(instance);
+        Some(instance)
+    }
+
     /// Waits until it is known whether the endpoint of the last try has crashed. If the
     /// request is the cause, it would crash the next endpoint as well.
     async fn await_crash_check(&mut self) {
--- a/crates/route/src/relay/rejection.rs
+++ b/crates/route/src/relay/rejection.rs
@@ -15,7 +15,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use super::throttle::active_senders;
+use super::throttle::{active_senders, sender_names};
 
 /// Window in which an endpoint counts rejections.
 const WINDOW: Duration = Duration::from_secs(1);
@@ -79,6 +79,13 @@
         usable
     }
 
+    /// Returns the instances that may send it requests, of those given by the hashes of their
+    /// names.
+    #[must_use]
+    pub fn senders(self, instances: impl Iterator<Item = u64>) -> Vec<u64> {
+        sender_names(self.max_senders(), self.hash, instances)
+    }
+
     /// Computes one instance's part. `me` and `others` are the hashes of the names of the
     /// instances that serve callers.
     ///
--- a/crates/route/src/relay/throttle.rs
+++ b/crates/route/src/relay/throttle.rs
@@ -11,7 +11,7 @@
 //! are as many senders as allowed. Over any window an endpoint thus gets at most its limit
 //! plus one request for each sender that is allowed.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
 use world::hash;
 
@@ -159,14 +159,26 @@
 /// Selects at most `senders` instances by rendezvous hashing, and returns their number if
 /// this instance is one of them.
 pub(super) fn active_senders(senders: usize, endpoint: u32, me: u64, others: impl Iterator<Item = u64>) -> Option<f64> {
-    let weight = |name: u64| (hash::rendezvous(name, &endpoint.to_le_bytes()), name);
-    let own_weight = weight(me);
+    let own_weight = weight(me, endpoint);
     let (mut count, mut ahead) = (1, 0);
     for other in others {
         count += 1;
-        ahead += usize::from(weight(other) > own_weight);
+        ahead += usize::from(weight(other, endpoint) > own_weight);
     }
     #[expect(clippy::cast_precision_loss, reason = "instances are far fewer than 2^53")]
     let active_senders = senders.min(count) as f64;
     (ahead < senders).then_some(active_senders)
 }
+
+/// Returns the names of the at most `senders` instances that [`active_senders`] selects.
+pub(super) fn sender_names(senders: usize, endpoint: u32, names: impl Iterator<Item = u64>) -> Vec<u64> {
+    let mut ranked: Vec<u64> = names.collect();
+    ranked.sort_unstable_by_key(|name| Reverse(weight(*name, endpoint)));
+    ranked.truncate(senders);
+    ranked
+}
+
+/// Returns the rendezvous weight of an instance's name for an endpoint. The name breaks ties.
+fn weight(name: u64, endpoint: u32) -> (u64, u64) {
+    (hash::rendezvous(name, &endpoint.to_le_bytes()), name)
+}
