--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -371,6 +371,7 @@
             endpoint = run.endpoint.id,
             how = ?ended,
             cause,
+            parts = self.params.shared_parts_text(),
             wait_ms = run.choice.wait_ms,
             preferred = run.choice.preferred,
             "try failed"
--- a/crates/relay/src/request_params.rs
+++ b/crates/relay/src/request_params.rs
@@ -72,6 +72,13 @@
         Some(Part { id: last.id, tokens: shared.iter().map(|part| part.tokens).sum() })
     }
 
+    /// Returns the parts of the prompt that other requests may have as well, as text for logs.
+    #[must_use]
+    pub fn shared_parts_text(&self) -> String {
+        let shared = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| format!("{:016x}", part.id)).collect::<Vec<_>>().join(",")
+    }
+
     /// Returns the number of prompt tokens outside the shared prefix.
     #[must_use]
     pub fn own_tokens(&self) -> u32 {
