--- a/crates/relay/tests/it/crashes.rs
+++ b/crates/relay/tests/it/crashes.rs
@@ -19,7 +19,7 @@
 const RESUMABLE: Kind = Kind::Stream { resumable: true };
 
 /// Word in a body that makes endpoints crash.
-const DEADLY: &str = "deadly";
+pub const DEADLY: &str = "deadly";
 
 /// Most endpoints that may crash under one request: three until it is quarantined, and three to
 /// which it is sent while instances learn of that.
@@ -27,7 +27,7 @@
 
 /// Starts endpoints that crash on a deadly request after writing `partial`, and perform
 /// `otherwise` for all others.
-async fn start_endpoints(count: usize, partial: &str, otherwise: Action) -> Vec<Server> {
+pub async fn start_endpoints(count: usize, partial: &str, otherwise: Action) -> Vec<Server> {
     let mut servers = Vec::new();
     for _ in 0..count {
         servers
@@ -36,13 +36,13 @@
     servers
 }
 
-fn store_contents(routes: Vec<Route>, servers: &[Server]) -> StoreContents {
+pub fn store_contents(routes: Vec<Route>, servers: &[Server]) -> StoreContents {
     let endpoints = servers.iter().enumerate().map(|(n, server)| endpoint(&format!("e{n}"), server.address));
     StoreContents { catalog: Some(catalog(1, routes)), endpoints: endpoints.collect(), ..StoreContents::default() }
 }
 
 /// Starts instances and waits until each knows all others.
-async fn start_instances(names: &[&str], contents: &StoreContents) -> Vec<Site> {
+pub async fn start_instances(names: &[&str], contents: &StoreContents) -> Vec<Site> {
     let mut sites: Vec<Site> = Vec::new();
     for name in names {
         sites.push(start_instance(name, contents, &sites).await);
@@ -66,7 +66,7 @@
 }
 
 /// Returns the number of deadly requests that endpoints have received.
-fn deadly_request_count(servers: &[Server]) -> usize {
+pub fn deadly_request_count(servers: &[Server]) -> usize {
     servers.iter().flat_map(Server::requests).filter(|request| request.contains(DEADLY)).count()
 }
 
@@ -74,7 +74,7 @@
     caller::call(site.front(), "POST", path, "", body).await
 }
 
-fn complete_stream() -> Action {
+pub fn complete_stream() -> Action {
     Action::Write(stream_head(90) + &event(1) + LAST_CHUNK)
 }
 
--- a/crates/relay/tests/it/main.rs
+++ b/crates/relay/tests/it/main.rs
@@ -8,6 +8,7 @@
 mod caches;
 mod caller;
 mod crashes;
+mod crashing_parts;
 mod evacuations;
 mod large_pool;
 mod limits;
