Refuse requests with a part of their prompts under which endpoints crash

Cause: the quarantine knew whole requests only. What crashes is a part of the prompt, so that each new request with it had three crashes to come, at any instance.

Change: each part of a prompt but the last is a suspect beside the request, by the same findings, news and store. Five crashes of different starts refuse a part, of which one request adds at most two; a success of any request with it clears it. Runs whose answer has gone on for over a second blame no part. Of parts that only ever crashed together the one that comes later in the prompt is refused, the others if endpoints go on crashing.

The second hypothesis, callers or paths, is ruled out by sound requests of the same caller and path that the tests send beside them and that are served.

--- a/crates/relay/src/dispatcher/crashes.rs
+++ b/crates/relay/src/dispatcher/crashes.rs
@@ -1,4 +1,4 @@
-//! Detects requests that crash endpoints, and exchanges findings about them with
+//! Detects requests and parts of prompts that crash endpoints, and exchanges findings about them with
 //! other instances and the store.
 
 use std::{
@@ -9,8 +9,8 @@
 
 use rand::seq::IteratorRandom;
 use route::relay::{
-    content::Content,
-    quarantine::{Effect, Finding, REFUSAL_PERIOD},
+    content::{Content, Work},
+    quarantine::{Effect, Finding, MAX_PART_CRASHES_PER_REQUEST, REFUSAL_PERIOD},
 };
 
 use super::{Dispatcher, State, fleet::Key};
@@ -25,6 +25,10 @@
 /// and the run may crash it meanwhile.
 const UNFINISHED_RUN_LIFETIME: Duration = Duration::from_secs(2);
 
+/// Time after the first byte of an answer in which a part of its prompt may crash the endpoint.
+/// A run that has been answered on for longer was hit by another cause.
+const MAX_PART_CRASH_TIME: Duration = Duration::from_secs(1);
+
 /// Maximum number of unfinished runs kept for an endpoint. A run that crashes it at once
 /// is among the latest.
 const MAX_UNFINISHED_RUNS: usize = 64;
@@ -41,21 +45,39 @@
 #[derive(Debug, Default)]
 pub(super) struct UnfinishedRuns(Vec<UnfinishedRun>);
 
-#[derive(Debug, Clone, Copy)]
-struct UnfinishedRun {
-    content: Content,
-    sent_at: Duration,
-    abandoned_at: Duration,
+/// A run that was abandoned without an answer.
+#[derive(Debug, Clone)]
+pub(super) struct UnfinishedRun {
+    /// The request.
+    pub work: Work,
+    /// When it was sent.
+    pub sent_at: Duration,
+    /// When the first byte of its answer was received.
+    pub began_at: Option<Duration>,
+    /// When it was abandoned.
+    pub abandoned_at: Duration,
+}
+
+impl UnfinishedRun {
+    /// Returns the parts of its prompt that may have crashed the endpoint.
+    fn suspected_parts(&self) -> &[Content] {
+        let was_answered = self.began_at.is_some_and(|began_at| self.abandoned_at > began_at + MAX_PART_CRASH_TIME);
+        if was_answered { &[] } else { &self.work.parts }
+    }
 }
 
 impl UnfinishedRuns {
-    /// Adds a run that was sent at `sent_at` and is abandoned at `now`.
-    pub(super) fn add(&mut self, now: Duration, content: Content, sent_at: Duration) {
-        self.0.retain(|run| run.content != content && now < run.abandoned_at + UNFINISHED_RUN_LIFETIME);
+    /// Adds a run that is abandoned now.
+    pub(super) fn add(&mut self, run: UnfinishedRun) {
+        let now = run.abandoned_at;
+        let is_kept = |other: &UnfinishedRun| {
+            other.work.request != run.work.request && now < other.abandoned_at + UNFINISHED_RUN_LIFETIME
+        };
+        self.0.retain(is_kept);
         if self.0.len() == MAX_UNFINISHED_RUNS {
             self.0.remove(0);
         }
-        self.0.push(UnfinishedRun { content, sent_at, abandoned_at: now });
+        self.0.push(run);
     }
 
     /// Returns whether any run may still be active at `now`.
@@ -82,16 +104,31 @@
         }
         tracing::warn!(endpoint = endpoint.id, requests = runs.len(), "endpoint crashed");
         metrics::counter!("relay_crashes_total", "service" => endpoint.service.clone()).increment(1);
-        for UnfinishedRun { content, sent_at, .. } in runs {
-            if self.quarantine.is_new_evidence(now, content, sent_at) {
-                self.record_finding(Finding::Crash { content, start }, now);
+        for run in runs {
+            let earlier_crashes = self.quarantine.crash_count(now, run.work.request);
+            self.record_suspect(run.work.request, start, run.sent_at, now);
+            if earlier_crashes < MAX_PART_CRASHES_PER_REQUEST {
+                // A later part is refused first, see `route::relay::quarantine`.
+                for part in run.suspected_parts().iter().rev() {
+                    self.record_suspect(*part, start, run.sent_at, now);
+                }
             }
         }
     }
 
+    /// Records that an endpoint, given by the hash of its start, crashed while it ran a request
+    /// or answered on a part that was sent to it at `sent_at`.
+    fn record_suspect(&mut self, content: Content, start: u32, sent_at: Duration, now: Duration) {
+        if self.quarantine.is_new_evidence(now, content, sent_at) {
+            self.record_finding(Finding::Crash { content, start }, now);
+        }
+    }
+
     /// Records that a request was answered successfully.
-    pub(super) fn record_success(&mut self, content: Content, now: Duration) {
-        self.record_finding(Finding::EndedWell { content }, now);
+    pub(super) fn record_success(&mut self, work: &Work, now: Duration) {
+        for content in work.contents() {
+            self.record_finding(Finding::EndedWell { content }, now);
+        }
     }
 
     /// Applies a finding of this instance, and queues it for the other instances and the store.
@@ -131,10 +168,14 @@
         let content = finding.content();
         match effect {
             Effect::Held => {
-                tracing::warn!(%content, ?finding, "request quarantined, endpoints crash while running it");
+                if content.is_part() {
+                    tracing::warn!(%content, ?finding, "prompt part quarantined, endpoints crash while answering on it");
+                } else {
+                    tracing::warn!(%content, ?finding, "request quarantined, endpoints crash while running it");
+                }
                 metrics::counter!("relay_quarantined_total").increment(1);
             }
-            Effect::Released => tracing::info!(%content, "request released from quarantine after a success"),
+            Effect::Released => tracing::info!(%content, "released from quarantine after a success"),
             // At debug level: when many endpoints crash together, each instance receives a
             // finding for every run that was interrupted.
             Effect::Counted | Effect::Cleared => tracing::debug!(%content, ?finding, "finding about request applied"),
@@ -145,18 +186,23 @@
 }
 
 impl Dispatcher {
-    /// Returns how much longer a request is refused because it crashes endpoints, or
-    /// `None` if it is not quarantined.
+    /// Returns how much longer a request is refused because it or a part of its prompt crashes
+    /// endpoints, or `None` if neither is quarantined.
     #[must_use]
-    pub fn remaining_quarantine(&self, content: Content) -> Option<Duration> {
-        self.lock().quarantine.refusal_left(clock::now(), content)
+    pub fn remaining_quarantine(&self, work: &Work) -> Option<Duration> {
+        let now = clock::now();
+        let quarantine = &self.lock().quarantine;
+        work.contents().filter_map(|content| quarantine.refusal_left(now, content)).max()
     }
 
     /// Whether an endpoint has crashed while running a request that was not answered
-    /// successfully since.
+    /// successfully since, or several under different requests with a part of its prompt.
     #[must_use]
-    pub fn is_suspect(&self, content: Content) -> bool {
-        self.lock().quarantine.is_suspect(clock::now(), content)
+    pub fn is_suspect(&self, work: &Work) -> bool {
+        let now = clock::now();
+        let quarantine = &self.lock().quarantine;
+        quarantine.is_suspect(now, work.request)
+            || work.parts.iter().any(|part| quarantine.crash_count(now, *part) > MAX_PART_CRASHES_PER_REQUEST)
     }
 
     /// Whether an endpoint is registered at an address.
@@ -252,11 +298,15 @@
     #[must_use]
     pub fn is_change_current(&self, change: Change) -> bool {
         match change {
-            Change::Refuse(refused) => self.remaining_quarantine(refused.content).is_some(),
-            Change::Allow(refused) => self.remaining_quarantine(refused.content).is_none(),
+            Change::Refuse(refused) => self.is_quarantined(refused.content),
+            Change::Allow(refused) => !self.is_quarantined(refused.content),
         }
     }
 
+    fn is_quarantined(&self, content: Content) -> bool {
+        self.lock().quarantine.refusal_left(clock::now(), content).is_some()
+    }
+
     /// Waits until there are findings to send, and takes them.
     pub async fn next_findings(&self) -> Vec<Finding> {
         loop {
--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -228,7 +228,8 @@
             units,
             lateness: Lateness::default(),
             started: now,
-            content: None,
+            began_at: None,
+            work: None,
         })
     }
 
--- a/crates/relay/src/dispatcher/fleet/run.rs
+++ b/crates/relay/src/dispatcher/fleet/run.rs
@@ -4,14 +4,14 @@
 
 use route::relay::{
     canary::{Lateness, Tally},
-    content::Content,
+    content::Work,
     placement::Choice,
 };
 
 use super::{Key, LatencyKey, initial_latency};
 use crate::{
     clock,
-    dispatcher::{Dispatcher, State, rollouts::Arm},
+    dispatcher::{Dispatcher, State, crashes::UnfinishedRun, rollouts::Arm},
     source::Endpoint,
 };
 
@@ -57,8 +57,10 @@
     pub(super) lateness: Lateness,
     /// When the run was placed.
     pub(super) started: Duration,
-    /// Content of the request, from when it is sent until the run's outcome is known.
-    pub(super) content: Option<Content>,
+    /// When the first byte was received.
+    pub(super) began_at: Option<Duration>,
+    /// The request, from when it is sent until the run's outcome is known.
+    pub(super) work: Option<Work>,
 }
 
 /// Outcome of a run, for the endpoint's statistics.
@@ -82,13 +84,14 @@
 
 impl Run {
     /// Records that the request is sent.
-    pub fn mark_sent(&mut self, content: Content) {
-        self.content = Some(content);
+    pub fn mark_sent(&mut self, work: Work) {
+        self.work = Some(work);
     }
 
     /// Records that the first byte was received, so that the prompt has been read.
     pub fn record_first_byte(&mut self) {
         let now = clock::now();
+        self.began_at = Some(now);
         let took = clock::millis(now.saturating_sub(self.started));
         let dispatcher = Arc::clone(&self.dispatcher);
         let mut state = dispatcher.lock();
@@ -147,9 +150,9 @@
         let dispatcher = Arc::clone(&self.dispatcher);
         let mut state = dispatcher.lock();
         self.remove_backlog(&mut state);
-        match (outcome, self.content.take()) {
-            (RunOutcome::Good, Some(content)) => state.record_success(content, now),
-            (RunOutcome::Broken, Some(content)) => self.record_unfinished(&mut state, content, now),
+        match (outcome, self.work.take()) {
+            (RunOutcome::Good, Some(work)) => state.record_success(&work, now),
+            (RunOutcome::Broken, Some(work)) => self.record_unfinished(&mut state, work, now),
             _ => {}
         }
         self.dispatcher.notify_findings(&state);
@@ -193,9 +196,14 @@
 
     /// Records that this instance abandoned the run without an answer; the endpoint may
     /// continue it.
-    fn record_unfinished(&self, state: &mut State, content: Content, now: Duration) {
+    fn record_unfinished(&self, state: &mut State, work: Work, now: Duration) {
         if let Some(server) = state.fleet.server(self.key) {
-            server.unfinished_runs().add(now, content, self.started);
+            server.unfinished_runs().add(UnfinishedRun {
+                work,
+                sent_at: self.started,
+                began_at: self.began_at,
+                abandoned_at: now,
+            });
         }
     }
 
@@ -215,8 +223,8 @@
         let dispatcher = Arc::clone(&self.dispatcher);
         let mut state = dispatcher.lock();
         self.remove_backlog(&mut state);
-        if let Some(content) = self.content.take() {
-            self.record_unfinished(&mut state, content, clock::now());
+        if let Some(work) = self.work.take() {
+            self.record_unfinished(&mut state, work, clock::now());
         }
         if let Some(server) = state.fleet.servers.get_mut(self.key) {
             server.runs = server.runs.saturating_sub(1);
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -72,7 +72,7 @@
     let catalog = dispatcher.catalog().map(|catalog| catalog.version);
     tracing::info!(
         request = params.id,
-        content = exchange.map(|e| e.content.to_string()),
+        content = exchange.map(|e| e.work.request.to_string()),
         refused = ?refusal,
         status = refusal.status().as_u16(),
         route = exchange.map(|e| e.admission.route.name.as_str()),
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -6,7 +6,10 @@
 use http::{Request, header};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use route::relay::{content::Content, ladder::Urgency};
+use route::relay::{
+    content::{Content, Work},
+    ladder::Urgency,
+};
 use tokio::time::timeout;
 
 use super::{Origin, forwarding, tries::Exchange};
@@ -76,7 +79,8 @@
     };
     let customer = admission.customer.as_ref().map(|customer| customer.name.as_str());
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    let content = Content::of(customer, head.method.as_str(), &host, path, &body);
+    let request = Content::of(customer, head.method.as_str(), &host, path, &body);
+    let parts = params.shared_parts().iter().map(|part| Content::of_part(part.id)).collect();
     let mut headers = end_to_end(&head.headers);
     for name in &dispatcher.dialect.names.reserved {
         headers.remove(name);
@@ -85,7 +89,7 @@
         dispatcher: Arc::clone(dispatcher),
         in_flight: Some(in_flight),
         _body_memory: memory,
-        content,
+        work: Work { request, parts },
         service: String::new(),
         host,
         method: head.method,
--- a/crates/relay/src/exchange/forwarding.rs
+++ b/crates/relay/src/exchange/forwarding.rs
@@ -106,7 +106,7 @@
         let status = answer.response.status();
         tracing::info!(
             request = self.params.id,
-            content = %self.content,
+            content = %self.work.request,
             service = self.service,
             %instance,
             status = status.as_u16(),
@@ -172,7 +172,7 @@
         };
         tracing::info!(
             request = self.params.id,
-            content = %self.content,
+            content = %self.work.request,
             %instance,
             cause = self.cause,
             "forwarding to another instance failed"
--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -70,7 +70,7 @@
         if let Some(model) = self.resumed_model(models) {
             return Some(model);
         }
-        if self.dispatcher.is_suspect(self.content) {
+        if self.dispatcher.is_suspect(&self.work) {
             // Trying a smaller model first adds a run, which may crash one more endpoint.
             return Some(models - 1);
         }
--- a/crates/relay/src/exchange/stream.rs
+++ b/crates/relay/src/exchange/stream.rs
@@ -96,7 +96,7 @@
             let Some(resumed) = resume(&mut exchange, &active, splitter.last()).await else {
                 tracing::info!(
                     request = exchange.params.id,
-                    content = %exchange.content,
+                    content = %exchange.work.request,
                     cause = exchange.cause,
                     tries = exchange.sent,
                     last_event = splitter.last(),
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Limited};
-use route::relay::{allowance::Purpose, content::Content, placement::Choice, reachability::Reach};
+use route::relay::{allowance::Purpose, content::Work, placement::Choice, reachability::Reach};
 use tokio::task::JoinHandle;
 
 use super::{
@@ -57,7 +57,7 @@
     pub(super) dispatcher: Arc<Dispatcher>,
     pub(super) in_flight: Option<InFlight>,
     pub(super) _body_memory: Reservation,
-    pub(super) content: Content,
+    pub(super) work: Work,
     pub(super) params: RequestParams,
     pub(super) admission: Admission,
     /// Service selected from the route's targets; empty before the first try.
@@ -178,7 +178,7 @@
     /// Chooses where to send the request next, or returns why no further try is possible.
     pub(super) async fn next_hop(&mut self, model: Option<usize>) -> Result<Hop, Refusal> {
         self.await_crash_check().await;
-        if let Some(left) = self.dispatcher.remaining_quarantine(self.content) {
+        if let Some(left) = self.dispatcher.remaining_quarantine(&self.work) {
             return Err(self.refusal_for_caller(Refusal::Quarantined { left }));
         }
         // The catalog may have changed since the last check: a revoked key or an old route
@@ -312,7 +312,7 @@
             if let Some(next) = self.escalation(&answer, *model) {
                 tracing::info!(
                     request = self.params.id,
-                    content = %self.content,
+                    content = %self.work.request,
                     endpoint = run.endpoint.id,
                     from = *model,
                     to = next,
@@ -367,11 +367,11 @@
         run.record_outcome(ended);
         tracing::info!(
             request = self.params.id,
-            content = %self.content,
+            content = %self.work.request,
             endpoint = run.endpoint.id,
             how = ?ended,
             cause,
-            parts = self.params.shared_parts_text(),
+            parts = self.work.parts_text(),
             wait_ms = run.choice.wait_ms,
             preferred = run.choice.preferred,
             "try failed"
@@ -391,7 +391,7 @@
             Err(unreachable) => return Outcome::Unreachable(unreachable),
         };
         run.record_connection();
-        run.mark_sent(self.content);
+        run.mark_sent(self.work.clone());
         if self.sent == 1 {
             self.dispatcher.record_first_dispatch(&self.service);
         }
@@ -458,7 +458,7 @@
         let took = clock::millis(clock::now().saturating_sub(self.started));
         tracing::info!(
             request = self.params.id,
-            content = %self.content,
+            content = %self.work.request,
             route = self.admission.route.name,
             service = self.service,
             endpoint = endpoint.id,
--- a/crates/relay/src/request_params.rs
+++ b/crates/relay/src/request_params.rs
@@ -72,11 +72,10 @@
         Some(Part { id: last.id, tokens: shared.iter().map(|part| part.tokens).sum() })
     }
 
-    /// Returns the parts of the prompt that other requests may have as well, as text for logs.
+    /// Returns the parts of the prompt that other requests may have as well.
     #[must_use]
-    pub fn shared_parts_text(&self) -> String {
-        let shared = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
-        shared.iter().map(|part| format!("{:016x}", part.id)).collect::<Vec<_>>().join(",")
+    pub fn shared_parts(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
     /// Returns the number of prompt tokens outside the shared prefix.
--- a/crates/relay/tests/it/crashes.rs
+++ b/crates/relay/tests/it/crashes.rs
@@ -191,7 +191,7 @@
     while !site.store.refused().is_empty() {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
-    assert_eq!(site.relay.dispatcher().remaining_quarantine(refused.content), None);
+    assert_eq!(site.relay.dispatcher().remaining_quarantine(&refused.content.into()), None);
 }
 
 /// Half of the endpoints crash at once while they run many identical requests, which did not
@@ -242,14 +242,14 @@
     for _ in 0..3 {
         let mut run =
             instance.place(&Job { tried: &keys, ..prompt_job(None, 100) }).expect("an endpoint should take the job");
-        run.mark_sent(content);
+        run.mark_sent(content.into());
         keys.push(run.key);
     }
     for key in &keys {
         instance.record_crash(*key);
     }
-    assert!(instance.is_suspect(content));
-    assert_eq!(instance.remaining_quarantine(content), None);
+    assert!(instance.is_suspect(&content.into()));
+    assert_eq!(instance.remaining_quarantine(&content.into()), None);
 }
 
 /// A non-idempotent request crashes its endpoint before any response. The relay may not retry
--- a/crates/relay/tests/it/crashing_parts.rs
+++ b/crates/relay/tests/it/crashing_parts.rs
@@ -34,11 +34,13 @@
     (start_instances(names, &store_contents(routes, &servers)).await, servers)
 }
 
-/// Sends a request with the given middle part of its prompt, between a part that all requests
-/// share and one of its own.
-async fn call(site: &Site, path: &str, middle: &str, number: usize) -> Response {
+/// Sends a request with the given part in its prompt, a part that all requests share, and one
+/// of its own. The given part is the first one on paths that say so.
+async fn call(site: &Site, path: &str, part: &str, number: usize) -> Response {
     let model = if is_cascade(path) { "X-Model: *\r\n" } else { "" };
-    let headers = format!("X-Tokens: 100,10\r\n{model}X-Parts: shared:50,{middle}:20,own{number}:30\r\n");
+    let is_first = path.ends_with("/first");
+    let shared = if is_first { format!("{part}:20,shared:50") } else { format!("shared:50,{part}:20") };
+    let headers = format!("X-Tokens: 100,10\r\n{model}X-Parts: {shared},own{number}:30\r\n");
     caller::call(site.front(), "POST", path, &headers, &format!("prompt {number}")).await
 }
 
@@ -81,6 +83,7 @@
         ["here", "there", "elsewhere"], "/stream/x", true;
     requests_with_a_crashing_part_are_refused_without_sound_ones_between: ["here", "there"], "/stream/x", false;
     requests_with_a_crashing_part_are_refused_on_a_route_with_models: ["here", "there"], "/cascade/x", true;
+    requests_that_begin_with_a_crashing_part_are_refused: ["here", "there"], "/stream/first", true;
 }
 
 /// All instances are lost at once, and must learn from the store which part crashes endpoints.
--- a/crates/route/src/relay/quarantine.rs
+++ b/crates/route/src/relay/quarantine.rs
@@ -8,6 +8,15 @@
 //! popular request runs at many endpoints at any moment, so if it has completed recently,
 //! several simultaneous crashes count as one.
 //!
+//! One part of a prompt may have the same effect, whatever else the request holds. Each new
+//! request with it would crash further endpoints before it is refused itself, so parts are
+//! suspects of their own. Requests with sound parts run beside such requests and crash with
+//! them, but also complete, which clears their parts. More crashes are needed than for a
+//! request, and of several requests: a wrongly refused part hits many callers. Parts that only
+//! ever crashed together are told apart by their order: one that comes later in the prompt is
+//! shared by fewer requests and is refused first, and the others only if endpoints go on
+//! crashing.
+//!
 //! Instances share their findings, so that a [`Quarantine`] counts the crashes of the whole
 //! fleet. The number of records is bounded, and each record expires.
 
@@ -19,6 +28,18 @@
 /// it is refused.
 pub const CRASH_LIMIT: usize = 3;
 
+/// Number of crashes of different endpoint processes while they run requests with a part,
+/// after which requests with it are refused.
+pub const PART_CRASH_LIMIT: usize = 5;
+
+/// Number of crashes that one request adds to those of its parts, at most. Several different
+/// requests must have crashed endpoints before a part is refused.
+pub const MAX_PART_CRASHES_PER_REQUEST: usize = 2;
+
+/// Time for which a completion shows that a part does not crash endpoints now. A part that was
+/// in use may begin to.
+const PART_COMPLETION_LIFETIME: Duration = Duration::from_secs(2);
+
 /// Time for which a request is refused after its last crash. The endpoints may have been
 /// fixed by then.
 pub const REFUSAL_PERIOD: Duration = Duration::from_mins(10);
@@ -91,10 +112,10 @@
     records: HashMap<Content, Record>,
 }
 
-/// State of one request.
+/// State of one request or part.
 #[derive(Debug, Clone)]
 struct Record {
-    /// Distinct endpoint processes that crashed while they ran it, at most [`CRASH_LIMIT`].
+    /// Last distinct endpoint processes that crashed while they ran it, at most [`crash_limit`].
     starts: Vec<u32>,
     /// Whether it is refused, or on probation after a refusal.
     held: bool,
@@ -127,6 +148,12 @@
         self.suspect(now, content).is_some()
     }
 
+    /// Returns the number of crashes counted for a request that has not completed since.
+    #[must_use]
+    pub fn crash_count(&self, now: Duration, content: Content) -> usize {
+        self.suspect(now, content).map_or(0, |record| record.starts.len())
+    }
+
     /// Returns whether a crash that ended a run sent at `sent` is new evidence. A run that
     /// was already active at the last counted crash may have been hit by the same cause.
     #[must_use]
@@ -134,11 +161,12 @@
         self.suspect(now, content).is_none_or(|record| sent > record.last)
     }
 
-    /// Returns at most `limit` refused requests, the ones with the latest crash first.
+    /// Returns at most `limit` refused requests and parts: parts first, since each concerns many
+    /// requests, and then the ones with the latest crash.
     #[must_use]
     pub fn refused(&self, now: Duration, limit: usize) -> Vec<Finding> {
         let mut held: Vec<_> = self.records.iter().filter(|(_, record)| record.refusal_left(now).is_some()).collect();
-        held.sort_by_key(|(_, record)| std::cmp::Reverse(record.last));
+        held.sort_by_key(|(content, record)| std::cmp::Reverse((content.is_part(), record.last)));
         let finding =
             |(content, record): (&Content, &Record)| Finding::Held { content: *content, age: record.age(now) };
         held.into_iter().take(limit).map(finding).collect()
@@ -166,17 +194,31 @@
     fn count_crash(&mut self, now: Duration, content: Content, start: u32) -> Effect {
         let was_held = self.refusal_left(now, content).is_some();
         let record = self.record(now, content);
-        if record.starts.contains(&start) || record.is_same_crash(now) {
+        if record.starts.contains(&start) || record.is_same_crash(now, content) {
             return Effect::None;
         }
-        if record.starts.len() < CRASH_LIMIT {
-            record.starts.push(start);
+        let limit = crash_limit(content);
+        if content.is_part() && record.starts.len() + 1 == limit && self.is_explained(now, content, start) {
+            return Effect::None;
+        }
+        let record = self.record(now, content);
+        if record.starts.len() == limit {
+            record.starts.remove(0);
         }
+        record.starts.push(start);
         record.last = now;
-        record.held |= record.starts.len() == CRASH_LIMIT;
+        record.held |= record.starts.len() == limit;
         if record.held && !was_held { Effect::Held } else { Effect::Counted }
     }
 
+    /// Returns whether another part is refused that was answered on at the endpoint process.
+    fn is_explained(&self, now: Duration, part: Content, start: u32) -> bool {
+        let explains = |(other, record): (&Content, &Record)| {
+            other.is_part() && *other != part && record.refusal_left(now).is_some() && record.starts.contains(&start)
+        };
+        self.records.iter().any(explains)
+    }
+
     /// Resets the record of a request that completed. A refused request can still complete
     /// if it was already running when it was refused.
     fn clear(&mut self, now: Duration, content: Content) -> Effect {
@@ -239,6 +281,11 @@
     }
 }
 
+/// Returns the number of crashes after which a request, or requests with a part, are refused.
+fn crash_limit(content: Content) -> usize {
+    if content.is_part() { PART_CRASH_LIMIT } else { CRASH_LIMIT }
+}
+
 impl Record {
     fn new(now: Duration) -> Self {
         Self { starts: Vec::new(), held: false, last: now, completed_at: None }
@@ -251,8 +298,11 @@
     }
 
     /// Returns whether a crash at `now` belongs to the last one that was counted.
-    fn is_same_crash(&self, now: Duration) -> bool {
-        self.completed_at.is_some() && !self.starts.is_empty() && now < self.last + SAME_CRASH_WINDOW
+    fn is_same_crash(&self, now: Duration, content: Content) -> bool {
+        let has_completed = self
+            .completed_at
+            .is_some_and(|completed_at| !content.is_part() || now < completed_at + PART_COMPLETION_LIFETIME);
+        has_completed && !self.starts.is_empty() && now < self.last + SAME_CRASH_WINDOW
     }
 
     fn age(&self, now: Duration) -> Duration {
--- a/crates/route/tests/relay/quarantine.rs
+++ b/crates/route/tests/relay/quarantine.rs
@@ -218,3 +218,45 @@
         }
     }
 }
+
+/// Returns a crash of each of the endpoint processes `starts` under each of the parts in turn.
+fn crashes_of_parts(parts: &[Content], starts: std::ops::RangeInclusive<u32>) -> Vec<Finding> {
+    starts.flat_map(|start| parts.iter().map(move |part| crash(*part, start))).collect()
+}
+
+/// Each case has a name, findings applied at intervals of a second, and whether requests with
+/// the first and with the second part are refused afterwards.
+macro_rules! parts {
+    ($($name:ident: $findings:expr => $refused:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let (quarantine, now) = after(&$findings);
+            let is_refused = |part: u64| quarantine.refusal_left(now, Content::of_part(part)).is_some();
+            assert_eq!([is_refused(1), is_refused(2)], $refused);
+        }
+    )*};
+}
+
+parts! {
+    four_crashes_under_a_part_only_raise_a_suspicion: crashes_of_parts(&[Content::of_part(1)], 1..=4) => [false, false];
+    five_crashes_under_a_part_cause_a_refusal: crashes_of_parts(&[Content::of_part(1)], 1..=5) => [true, false];
+    completion_with_a_part_clears_it: [
+        crashes_of_parts(&[Content::of_part(1)], 1..=4),
+        vec![Finding::EndedWell { content: Content::of_part(1) }],
+        crashes_of_parts(&[Content::of_part(1)], 5..=8),
+    ].concat() => [false, false];
+    one_of_two_parts_that_crash_together_is_refused:
+        crashes_of_parts(&[Content::of_part(1), Content::of_part(2)], 1..=5) => [true, false];
+    other_part_is_refused_if_endpoints_go_on_crashing: [
+        crashes_of_parts(&[Content::of_part(1), Content::of_part(2)], 1..=5),
+        crashes_of_parts(&[Content::of_part(2)], 6..=6),
+    ].concat() => [true, true];
+}
+
+/// A customer must not be able to have requests refused by a name that looks like a part.
+#[test]
+fn request_of_a_customer_is_no_part() {
+    for name in 0..10_000 {
+        assert!(!Content::of(Some(&name.to_string()), "POST", "host", "/", b"").is_part());
+    }
+}
