Take a stream that ends with its connection before any event for broken off

Callers got an empty stream that looked complete when an endpoint closed the connection after the head of a stream that has neither a length nor chunks; it was counted as a good answer, which also cleared the suspicion against a request that crashes endpoints.

Change: such a stream has been broken off if it ends before its first event, unless the caller resumes one, and goes on at another endpoint.

--- a/crates/relay/src/exchange/stream.rs
+++ b/crates/relay/src/exchange/stream.rs
@@ -69,16 +69,21 @@
 ) -> impl futures::Stream<Item = io::Result<Frame<Bytes>>> {
     async_stream::stream! {
         let mut splitter = Splitter::new(exchange.params.last_event);
+        let mut has_events = exchange.params.last_event.is_some();
         loop {
             let outcome = match next_bytes(&exchange, &mut active).await {
                 Received::Bytes(bytes) => match splitter.push(&bytes) {
                     Ok(Some(whole)) => {
+                        has_events = true;
                         yield Ok(Frame::data(whole));
                         continue;
                     }
                     Ok(None) => continue,
                     Err(_) => Outcome::Unknown("an event is too long".into()),
                 },
+                Received::End if !has_events && active.answer.ends_with_connection() => {
+                    Outcome::Broken("the connection ended before the first event".into())
+                }
                 Received::End if !splitter.is_partial() => {
                     if let Hop::Endpoint(run) = &mut active.hop {
                         run.record_outcome(RunOutcome::Good);
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -96,6 +96,14 @@
 }
 
 impl Answer {
+    /// Whether the answer has neither a length nor chunks, so that its body ends with the
+    /// connection, and a closed connection does not show that the body is whole.
+    #[must_use]
+    pub fn ends_with_connection(&self) -> bool {
+        let headers = self.response.headers();
+        !headers.contains_key(header::CONTENT_LENGTH) && !headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
     /// Returns the body and the task that drives its connection.
     pub fn into_body(self) -> (Incoming, AbortOnDropHandle<()>) {
         (self.response.into_body(), self.connection)
