Let forwarded requests wait briefly for a share of endpoints' rejections

Change: a forwarded request waits up to 100 ms for a share; the instance that forwarded it asks another one after that.

--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -47,6 +47,9 @@
 /// Longest wait for an endpoint if none of the service accepts the request.
 const ENDPOINT_WAIT: Duration = Duration::from_millis(250);
 
+/// Longest wait of a forwarded request for a share of endpoints' rejections.
+const FORWARDED_REQUEST_WAIT: Duration = Duration::from_millis(100);
+
 /// Number of other instances that are asked for their shares of endpoints' rejections. With
 /// more, an overload would multiply the work of all instances.
 const MAX_FORWARDS_FOR_SHARES: usize = 2;
@@ -214,15 +217,14 @@
                 if let Some(instance) = self.next_instance_with_share() {
                     return Ok(Hop::Instance(instance));
                 }
-                // The instance that forwarded the request asks another one at once.
-                if self.is_forwarded || !self.dispatcher.has_rejection_share(&self.service) {
+                if !self.dispatcher.has_rejection_share(&self.service) {
                     let were_others_asked = !self.tried_instances.is_empty();
                     let refusal = if were_others_asked { Refusal::NoEndpoint } else { Refusal::NoShare };
                     return Err(self.refusal_for_caller(refusal));
                 }
-                self.wait_for_place(model).await?
+                self.wait_for_share(model).await?
             }
-            None => self.wait_for_place(model).await?,
+            None => self.wait_for_place(model, ENDPOINT_WAIT, Refusal::NoEndpoint).await?,
         };
         if self.sent > 0 && !self.dispatcher.try_extra_dispatch(&self.service, Purpose::Retry) {
             return Err(self.refusal_for_caller(Refusal::TurnedAway));
@@ -260,9 +262,22 @@
         }
     }
 
-    /// Retries placement until an endpoint accepts the request or the wait is over.
-    async fn wait_for_place(&self, model: Option<usize>) -> Result<Run, Refusal> {
-        let until = clock::now() + ENDPOINT_WAIT.min(self.left());
+    /// Waits until this instance may send the request to an endpoint that survives few
+    /// rejections. A forwarded request waits for a shorter time, since the instance that
+    /// forwarded it can ask another one.
+    async fn wait_for_share(&self, model: Option<usize>) -> Result<Run, Refusal> {
+        let (wait, refusal) = if self.is_forwarded {
+            (FORWARDED_REQUEST_WAIT, Refusal::NoShare)
+        } else {
+            (ENDPOINT_WAIT, Refusal::NoEndpoint)
+        };
+        self.wait_for_place(model, wait, refusal).await
+    }
+
+    /// Retries placement until an endpoint accepts the request or the wait is over, and returns
+    /// `refusal` in that case.
+    async fn wait_for_place(&self, model: Option<usize>, wait: Duration, refusal: Refusal) -> Result<Run, Refusal> {
+        let until = clock::now() + wait.min(self.left());
         while clock::now() < until {
             if let Some(after) = self.dispatcher.throttle_wait(&self.service)
                 && clock::now() + after > until
@@ -274,7 +289,7 @@
                 return Ok(run);
             }
         }
-        Err(self.refusal_for_caller(Refusal::NoEndpoint))
+        Err(self.refusal_for_caller(refusal))
     }
 
     /// Returns the refusal for the caller, which must not claim that a request did not run
--- a/crates/relay/tests/it/brittle_fleet.rs
+++ b/crates/relay/tests/it/brittle_fleet.rs
@@ -75,3 +75,18 @@
     check_rejections(&servers, since, &statuses);
     check_served(&statuses, 98);
 }
+
+/// Callers of the many instances that may send to no endpoint must be served by the few that may.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn few_brittle_endpoints_serve_a_large_fleet() {
+    const FEW_ENDPOINTS: usize = 5;
+    const PER_S: u32 = 120;
+    let behavior = Behavior { slots: 6, run_time: Duration::from_millis(60), rejection_delay: Duration::ZERO };
+    let servers = BrittleServer::start_many(FEW_ENDPOINTS, behavior).await;
+    let sites = start_instances(INSTANCES, &store_of(&servers), |_, _| {}).await;
+    send_requests(&sites, PER_S, LEARNING_TIME).await;
+    let since = Instant::now();
+    let statuses = send_requests(&sites, PER_S, Duration::from_secs(4)).await;
+    check_rejections(&servers, since, &statuses);
+    check_served(&statuses, 98);
+}
