Move the choice of a request's next hop to a file of its own

No change of behaviour: next_hop falls into its checks, the way past a lost path and the placement; tries.rs keeps what is sent and what becomes of it.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -11,6 +11,7 @@
 mod admit;
 mod crash_check;
 mod forwarding;
+mod hop;
 mod plan;
 mod stream;
 mod tries;
--- a/crates/relay/src/exchange/forwarding.rs
+++ b/crates/relay/src/exchange/forwarding.rs
@@ -14,7 +14,8 @@
 
 use super::{
     forwarded_headers,
-    tries::{AcceptedAnswer, ActiveStream, Exchange, Hop, MAX_ANSWER_BYTES, NextStep},
+    hop::Hop,
+    tries::{AcceptedAnswer, ActiveStream, Exchange, MAX_ANSWER_BYTES, NextStep},
 };
 use crate::{
     answer::{self, Body, Refusal},
--- a/crates/relay/src/exchange/stream.rs
+++ b/crates/relay/src/exchange/stream.rs
@@ -10,7 +10,8 @@
 use super::{
     forwarded_headers,
     forwarding::INSTANCE_GONE,
-    tries::{ActiveStream, Exchange, Hop},
+    hop::Hop,
+    tries::{ActiveStream, Exchange},
 };
 use crate::{
     answer::Body,
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -5,14 +5,10 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Limited};
-use route::relay::{allowance::Purpose, content::Work, placement::Choice, reachability::Reach};
+use route::relay::{content::Work, placement::Choice};
 use tokio::task::JoinHandle;
 
-use super::{
-    admit::{self, Admission},
-    crash_check, forwarded_headers,
-    forwarding::MAX_FORWARDS,
-};
+use super::{admit::Admission, crash_check, forwarded_headers, hop::Hop};
 use crate::{
     answer::{self, Body, Refusal},
     catalog::Kind,
@@ -26,34 +22,10 @@
     upstream::{self, Answer, Outcome, TryResult, Unreachable},
 };
 
-/// Number of unreachable endpoints after which a request is refused.
-///
-/// These tries are cheap: nothing has run, and a closed port answers within a round trip.
-/// When endpoints crash together, about half of those listed may be gone. Then one request
-/// in 65,000 finds 16 closed ports in a row; with a limit of four it would be one in 16.
-const MAX_UNREACHABLE: u32 = 16;
-
-/// Minimum time left for another try.
-const MIN_TRY_TIME: Duration = Duration::from_millis(30);
-
 /// Longest answer that is buffered, in bytes: several times the longest request. Without
 /// a limit, an answer that never ends would take all memory.
 pub(super) const MAX_ANSWER_BYTES: usize = 16 << 20;
 
-/// Longest wait for the crash check of an endpoint; one that has crashed refuses
-/// connections within a round trip.
-const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
-
-/// Longest wait for an endpoint if none of the service accepts the request.
-const ENDPOINT_WAIT: Duration = Duration::from_millis(250);
-
-/// Longest wait of a forwarded request for a share of endpoints' rejections.
-const FORWARDED_REQUEST_WAIT: Duration = Duration::from_millis(100);
-
-/// Number of other instances that are asked for their shares of endpoints' rejections. With
-/// more, an overload would multiply the work of all instances.
-const MAX_FORWARDS_FOR_SHARES: usize = 2;
-
 /// A request being served.
 #[derive(Debug)]
 pub struct Exchange {
@@ -116,15 +88,6 @@
     pub model: Option<usize>,
 }
 
-/// Where a request is sent.
-#[derive(Debug)]
-pub enum Hop {
-    /// To an endpoint.
-    Endpoint(Box<Run>),
-    /// To another instance, which chooses the endpoint.
-    Instance(SocketAddr),
-}
-
 /// An answer with a server error.
 pub(super) struct Failure {
     response: Response<Body>,
@@ -178,120 +141,6 @@
         }
     }
 
-    /// Chooses where to send the request next, or returns why no further try is possible.
-    pub(super) async fn next_hop(&mut self, model: Option<usize>) -> Result<Hop, Refusal> {
-        self.await_crash_check().await;
-        if let Some(left) = self.dispatcher.remaining_quarantine(&self.work) {
-            return Err(self.refusal_for_caller(Refusal::Quarantined { left }));
-        }
-        // The catalog may have changed since the last check: a revoked key or an old route
-        // must not be used again.
-        self.admission = admit::check(&self.dispatcher, &self.host, self.uri.path(), &self.params)
-            .map_err(|r| self.refusal_for_caller(r))?;
-        if self.left() < MIN_TRY_TIME {
-            return Err(self.refusal_for_caller(Refusal::Expired));
-        }
-        let may_try = !self.may_have_run || self.admission.route.kind.repeatable();
-        if !may_try || self.sent >= self.admission.route.attempts || self.unreachable >= MAX_UNREACHABLE {
-            return Err(self.refusal_for_caller(Refusal::TurnedAway));
-        }
-        self.admission.route.target(self.target_draw).ok_or(Refusal::NoRoute)?.clone_into(&mut self.service);
-        let reach = self.dispatcher.reach(&self.service);
-        if reach != Reach::Sound
-            && let Some(instance) = self.next_instance()
-        {
-            return Ok(Hop::Instance(instance));
-        }
-        // The instance that forwarded the request chooses another one sooner than this one
-        // finds an endpoint.
-        if reach == Reach::Lost || (reach == Reach::Doubtful && self.is_forwarded) {
-            let lost_for = self.dispatcher.lost_for(&self.service);
-            return Err(self.refusal_for_caller(Refusal::Unreachable { lost_for }));
-        }
-        let run = match self.place(model) {
-            Some(run) => run,
-            None if self.dispatcher.is_service_evacuated(&self.service) => {
-                return Err(self.refusal_for_caller(Refusal::Evacuated));
-            }
-            None if self.dispatcher.is_rejection_share_used_up(&self.service) => {
-                if let Some(instance) = self.next_instance_with_share() {
-                    return Ok(Hop::Instance(instance));
-                }
-                if !self.dispatcher.has_rejection_share(&self.service) {
-                    let were_others_asked = !self.tried_instances.is_empty();
-                    let refusal = if were_others_asked { Refusal::NoEndpoint } else { Refusal::NoShare };
-                    return Err(self.refusal_for_caller(refusal));
-                }
-                self.wait_for_share(model).await?
-            }
-            None => self.wait_for_place(model, ENDPOINT_WAIT, Refusal::NoEndpoint).await?,
-        };
-        if self.sent > 0 && !self.dispatcher.try_extra_dispatch(&self.service, Purpose::Retry) {
-            return Err(self.refusal_for_caller(Refusal::TurnedAway));
-        }
-        Ok(Hop::Endpoint(Box::new(run)))
-    }
-
-    /// Returns another instance that may reach the service, unless enough were tried.
-    fn next_instance(&mut self) -> Option<SocketAddr> {
-        if self.is_forwarded || self.tried_instances.len() >= MAX_FORWARDS {
-            return None;
-        }
-        let instance = self.dispatcher.instance_reaching(&self.service, &self.tried_instances)?;
-        self.tried_instances.push(instance);
-        Some(instance)
-    }
-
-    /// Returns another instance that may send the request to an endpoint that survives few
-    /// rejections, unless enough were tried.
-    fn next_instance_with_share(&mut self) -> Option<SocketAddr> {
-        if self.is_forwarded || self.tried_instances.len() >= MAX_FORWARDS_FOR_SHARES {
-            return None;
-        }
-        let instance = self.dispatcher.instance_with_rejection_share(&self.service, &self.tried_instances)?;
-        self.tried_instances.push(instance);
-        Some(instance)
-    }
-
-    /// Waits until it is known whether the endpoint of the last try has crashed. If the
-    /// request is the cause, it would crash the next endpoint as well.
-    async fn await_crash_check(&mut self) {
-        let Some(crash_check) = self.crash_check.take() else { return };
-        if tokio::time::timeout(CRASH_CHECK_TIMEOUT, crash_check).await.is_err() {
-            tracing::debug!(request = self.params.id, "retrying before the crash check of the last endpoint has ended");
-        }
-    }
-
-    /// Waits until this instance may send the request to an endpoint that survives few
-    /// rejections. A forwarded request waits for a shorter time, since the instance that
-    /// forwarded it can ask another one.
-    async fn wait_for_share(&self, model: Option<usize>) -> Result<Run, Refusal> {
-        let (wait, refusal) = if self.is_forwarded {
-            (FORWARDED_REQUEST_WAIT, Refusal::NoShare)
-        } else {
-            (ENDPOINT_WAIT, Refusal::NoEndpoint)
-        };
-        self.wait_for_place(model, wait, refusal).await
-    }
-
-    /// Retries placement until an endpoint accepts the request or the wait is over, and returns
-    /// `refusal` in that case.
-    async fn wait_for_place(&self, model: Option<usize>, wait: Duration, refusal: Refusal) -> Result<Run, Refusal> {
-        let until = clock::now() + wait.min(self.left());
-        while clock::now() < until {
-            if let Some(after) = self.dispatcher.throttle_wait(&self.service)
-                && clock::now() + after > until
-            {
-                return Err(self.refusal_for_caller(Refusal::Throttled { after }));
-            }
-            tokio::time::sleep(Duration::from_millis(25)).await;
-            if let Some(run) = self.place(model) {
-                return Ok(run);
-            }
-        }
-        Err(self.refusal_for_caller(refusal))
-    }
-
     /// Returns the refusal for the caller, which must not claim that a request did not run
     /// if it may have run.
     pub(super) fn refusal_for_caller(&self, refusal: Refusal) -> Refusal {
@@ -304,11 +153,6 @@
         }
     }
 
-    /// Places a run at an endpoint; `None` if no endpoint accepts the request.
-    fn place(&self, model: Option<usize>) -> Option<Run> {
-        self.dispatcher.place(&self.job(model))
-    }
-
     /// Sends the request once and decides what to do with the answer.
     async fn try_at(&mut self, mut run: Run, model: &mut Option<usize>, last_event: Option<u64>) -> NextStep {
         let outcome = self.send(&mut run, *model, last_event).await;
