--- a/crates/route/src/relay/rejection.rs
+++ b/crates/route/src/relay/rejection.rs
@@ -116,7 +116,7 @@
     of_service: Option<Statement>,
     share: Share,
     /// Requests that may still be rejected.
-    sends: VecDeque<Send>,
+    sends: VecDeque<Pending>,
     /// Times of the rejections within the window.
     rejections: VecDeque<Duration>,
     last_rejection: Option<Duration>,
@@ -124,7 +124,7 @@
 
 /// A request that may be rejected.
 #[derive(Debug, Clone, Copy)]
-struct Send {
+struct Pending {
     at: Duration,
     /// When it counts as accepted.
     accepted_at: Duration,
@@ -186,7 +186,7 @@
         self.sends.retain(|send| now < send.accepted_at);
         let was_full = self.last_rejection.is_some_and(|at| now < at + FULL_MEMORY);
         let span = if runs < self.share.slots && !was_full { ACCEPTANCE_TIME } else { MAX_PENDING_TIME };
-        self.sends.push_back(Send { at: now, accepted_at: now + span });
+        self.sends.push_back(Pending { at: now, accepted_at: now + span });
     }
 
     /// Records that the endpoint accepted the request that was sent at `sent_at`, or that it
