--- a/crates/relay/src/dispatcher/crashes.rs
+++ b/crates/relay/src/dispatcher/crashes.rs
@@ -1,5 +1,5 @@
-//! Detects requests and parts of prompts that crash endpoints, and exchanges findings about them with
-//! other instances and the store.
+//! Detects requests and parts of prompts that crash endpoints, and exchanges findings about
+//! them with other instances and the store.
 
 use std::{
     net::SocketAddr,
