--- a/crates/relay/tests/it/brittle_fleet.rs
+++ b/crates/relay/tests/it/brittle_fleet.rs
@@ -1,13 +1,19 @@
 //! Endpoints that crash if they have to reject too many requests within a second, behind so
 //! many instances that each may send to few of them.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use relay::source::Endpoint;
 use tokio::time::sleep;
 
-use crate::brittle_server::{
-    Behavior, BrittleServer, check_rejections, check_served, send_requests, start_instances, store_of,
+use crate::{
+    brittle_server::{
+        Behavior, BrittleServer, check_rejections, check_served, send_requests, start_instances, store_of,
+    },
+    network::{Cuttable, Mode},
 };
 
 const INSTANCES: usize = 74;
@@ -90,3 +96,29 @@
     check_rejections(&servers, since, &statuses);
     check_served(&statuses, 98);
 }
+
+/// Callers of partitioned instances must be served by the few others that may send.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn partitioned_instances_are_served_by_those_that_may_send_to_few_brittle_endpoints() {
+    const FEW_ENDPOINTS: usize = 5;
+    const PARTITIONED: usize = 20;
+    const PER_S: u32 = 60;
+    /// Time in which the instances have to adapt to the partition.
+    const ADAPTATION_TIME: Duration = Duration::from_secs(3);
+    let behavior = Behavior { slots: 6, run_time: Duration::from_millis(60), rejection_delay: Duration::ZERO };
+    let servers = BrittleServer::start_many(FEW_ENDPOINTS, behavior).await;
+    let network = Arc::new(Cuttable::new(servers.iter().map(BrittleServer::address)));
+    let sites = start_instances(INSTANCES, &store_of(&servers), |number, settings| {
+        if number < PARTITIONED {
+            settings.network = Arc::<Cuttable>::clone(&network);
+        }
+    })
+    .await;
+    send_requests(&sites, PER_S, LEARNING_TIME).await;
+    network.set(Mode::Reset);
+    send_requests(&sites, PER_S, ADAPTATION_TIME).await;
+    let since = Instant::now();
+    let statuses = send_requests(&sites[..PARTITIONED], PER_S, Duration::from_secs(4)).await;
+    check_rejections(&servers, since, &statuses);
+    check_served(&statuses, 98);
+}
