Find out that endpoints are unreachable from those that may be tried

Change: as many failures are needed as there are endpoints that the instance may send to, three at most. A probe of any endpoint of the service corrects a mistake, as before.

--- a/crates/relay/src/dispatcher/fleet/reachability.rs
+++ b/crates/relay/src/dispatcher/fleet/reachability.rs
@@ -5,7 +5,7 @@
 use rand::seq::{IndexedRandom, SliceRandom};
 use route::relay::reachability::Reach;
 
-use super::{Fleet, Run, decaying_mean::DecayingMean, short_hash};
+use super::{Fleet, Run, Server, decaying_mean::DecayingMean, short_hash};
 use crate::{
     clock,
     dispatcher::{Dispatcher, peers::Substitute},
@@ -131,9 +131,12 @@
     /// Records that no connection to an endpoint could be made, and returns whether the
     /// service counts as unreachable from now on.
     fn record_failed_connection(&mut self, service: &str, endpoint: u32, cause: &str) -> bool {
-        let endpoint_count = self.endpoints_of(service).count();
+        let now = clock::now();
+        // An instance that may send to one fragile endpoint only has no others to try.
+        let may_try = |server: &&Server| server.endpoint.service == service && server.guard.has_share(now);
+        let endpoint_count = self.servers.values().filter(may_try).count();
         let reachability = self.reachability.entry(service.to_owned()).or_default();
-        let is_newly_lost = reachability.record_failure(clock::now(), endpoint, endpoint_count);
+        let is_newly_lost = reachability.record_failure(now, endpoint, endpoint_count);
         if is_newly_lost {
             tracing::warn!(service, endpoints = endpoint_count, cause, "no endpoint of the service can be reached");
             self.count_unreachable_services();
