Forward partitioned instances' requests to instances that may send to brittle endpoints

Change: if the service's endpoints survive few rejections, the instance is drawn from those that may send to some of them.

--- a/crates/relay/src/exchange/hop.rs
+++ b/crates/relay/src/exchange/hop.rs
@@ -113,12 +113,16 @@
         Ok(Hop::Endpoint(Box::new(self.wait_for_share(model).await?)))
     }
 
-    /// Returns another instance that may reach the service, unless enough were tried.
+    /// Returns another instance that may reach the service, unless enough were tried. If its
+    /// endpoints survive few rejections, that is one that may send to some of them: most
+    /// instances of a large fleet may not.
     fn next_instance(&mut self) -> Option<SocketAddr> {
         if self.is_forwarded || self.tried_instances.len() >= MAX_FORWARDS {
             return None;
         }
-        let instance = self.dispatcher.instance_reaching(&self.service, &self.tried_instances)?;
+        let (service, tried) = (self.service.as_str(), &self.tried_instances);
+        let with_share = self.dispatcher.instance_with_rejection_share(service, tried);
+        let instance = with_share.or_else(|| self.dispatcher.instance_reaching(service, tried))?;
         self.tried_instances.push(instance);
         Some(instance)
     }
