--- a/crates/route/tests/relay/quarantine.rs
+++ b/crates/route/tests/relay/quarantine.rs
@@ -253,6 +253,19 @@
     ].concat() => [true, true];
 }
 
+/// Endpoints that crash together are reported by many instances at once, none of which has heard
+/// of the others' reports. A part that runs at all of them must not be refused.
+#[test]
+fn mass_crash_counts_once_for_a_part() {
+    let part = Content::of_part(1);
+    let (mut quarantine, mut now) = after(&[]);
+    for start in 0..20 {
+        now += STEP * 5;
+        quarantine.apply(now, crash(part, start));
+    }
+    assert_eq!(quarantine.refusal_left(now, part), None);
+}
+
 /// A customer must not be able to have requests refused by a name that looks like a part.
 #[test]
 fn request_of_a_customer_is_no_part() {
