Count crashes under a part that are reported together with the first as one

Each of 77 instances reported a crash as the first under a part before it had heard of the others; five such reports quarantined it.

Change: a reported crash under a part does not count within 150 ms after the first one. After that all instances know of it and report only what was sent later, as before. An instance's own crashes are in order and count at once.

--- a/crates/relay/src/dispatcher/crashes.rs
+++ b/crates/relay/src/dispatcher/crashes.rs
@@ -133,7 +133,8 @@
 
     /// Applies a finding of this instance, and queues it for the other instances and the store.
     fn record_finding(&mut self, finding: Finding, now: Duration) {
-        let effect = self.apply_finding(finding, now);
+        let effect = self.quarantine.apply(now, finding);
+        log_effect(finding, effect);
         if effect != Effect::None {
             tracing::info!(content = %finding.content(), ?finding, ?effect, "finding about a request recorded");
         }
@@ -162,25 +163,10 @@
         self.unwritten_changes.push_back(change);
     }
 
-    /// Applies a finding to the quarantine and returns its effect.
-    fn apply_finding(&mut self, finding: Finding, now: Duration) -> Effect {
-        let effect = self.quarantine.apply(now, finding);
-        let content = finding.content();
-        match effect {
-            Effect::Held => {
-                if content.is_part() {
-                    tracing::warn!(%content, ?finding, "prompt part quarantined, endpoints crash while answering on it");
-                } else {
-                    tracing::warn!(%content, ?finding, "request quarantined, endpoints crash while running it");
-                }
-                metrics::counter!("relay_quarantined_total").increment(1);
-            }
-            Effect::Released => tracing::info!(%content, "released from quarantine after a success"),
-            // At debug level: when many endpoints crash together, each instance receives a
-            // finding for every run that was interrupted.
-            Effect::Counted | Effect::Cleared => tracing::debug!(%content, ?finding, "finding about request applied"),
-            Effect::None | Effect::Disproved => {}
-        }
+    /// Applies a finding of another instance or of the store, and returns its effect.
+    fn apply_reported_finding(&mut self, finding: Finding, now: Duration) -> Effect {
+        let effect = self.quarantine.apply_reported(now, finding);
+        log_effect(finding, effect);
         effect
     }
 }
@@ -237,7 +223,7 @@
         let is_leader = self.is_leader();
         let mut state = self.lock();
         for finding in findings {
-            let effect = state.apply_finding(finding, now);
+            let effect = state.apply_reported_finding(finding, now);
             // The sender does not know that the request has succeeded since.
             if effect == Effect::Disproved && state.findings.len() < MAX_UNSENT_FINDINGS {
                 state.findings.push(Finding::EndedWell { content: finding.content() });
@@ -275,7 +261,7 @@
         for refused in refused {
             let age = Duration::from_millis(unix_now.saturating_sub(refused.since));
             if age < REFUSAL_PERIOD {
-                state.apply_finding(Finding::Held { content: refused.content, age }, now);
+                state.apply_reported_finding(Finding::Held { content: refused.content, age }, now);
             } else if rand::random_ratio(1, members) {
                 // Expired: on average one of the starting instances removes it from the store.
                 state.queue_change(Change::Allow(refused));
@@ -326,6 +312,26 @@
     }
 }
 
+/// Logs and counts the effect of a finding on the quarantine.
+fn log_effect(finding: Finding, effect: Effect) {
+    let content = finding.content();
+    match effect {
+        Effect::Held => {
+            if content.is_part() {
+                tracing::warn!(%content, ?finding, "prompt part quarantined, endpoints crash while answering on it");
+            } else {
+                tracing::warn!(%content, ?finding, "request quarantined, endpoints crash while running it");
+            }
+            metrics::counter!("relay_quarantined_total").increment(1);
+        }
+        Effect::Released => tracing::info!(%content, "released from quarantine after a success"),
+        // At debug level: when many endpoints crash together, each instance receives a
+        // finding for every run that was interrupted.
+        Effect::Counted | Effect::Cleared => tracing::debug!(%content, ?finding, "finding about request applied"),
+        Effect::None | Effect::Disproved => {}
+    }
+}
+
 /// Returns the wall-clock time in milliseconds since the Unix epoch. Only ages of minutes
 /// are computed from it, across restarts and machines, so small clock differences are
 /// harmless.
--- a/crates/route/src/relay/quarantine.rs
+++ b/crates/route/src/relay/quarantine.rs
@@ -40,6 +40,10 @@
 /// in use may begin to.
 const PART_COMPLETION_LIFETIME: Duration = Duration::from_secs(2);
 
+/// Time in which the first crash under a part becomes known to all instances. Until then each
+/// may report one as the first, although the endpoints crashed together.
+const FIRST_CRASH_SPREAD: Duration = Duration::from_millis(150);
+
 /// Time for which a request is refused after its last crash. The endpoints may have been
 /// fixed by then.
 pub const REFUSAL_PERIOD: Duration = Duration::from_mins(10);
@@ -135,6 +139,19 @@
         }
     }
 
+    /// Applies a finding of another instance, which may not have heard of this one's findings,
+    /// and returns its effect.
+    pub fn apply_reported(&mut self, now: Duration, finding: Finding) -> Effect {
+        let is_spreading = |content| {
+            let first = self.suspect(now, content).filter(|record| record.starts.len() == 1);
+            first.is_some_and(|record| now < record.last + FIRST_CRASH_SPREAD)
+        };
+        match finding {
+            Finding::Crash { content, .. } if content.is_part() && is_spreading(content) => Effect::None,
+            _ => self.apply(now, finding),
+        }
+    }
+
     /// Returns how much longer a request is refused, or `None` if it is not.
     #[must_use]
     pub fn refusal_left(&self, now: Duration, content: Content) -> Option<Duration> {
--- a/crates/route/tests/relay/quarantine.rs
+++ b/crates/route/tests/relay/quarantine.rs
@@ -261,7 +261,7 @@
     let (mut quarantine, mut now) = after(&[]);
     for start in 0..20 {
         now += STEP * 5;
-        quarantine.apply(now, crash(part, start));
+        quarantine.apply_reported(now, crash(part, start));
     }
     assert_eq!(quarantine.refusal_left(now, part), None);
 }
