--- a/crates/route/tests/relay/quarantine.rs
+++ b/crates/route/tests/relay/quarantine.rs
@@ -266,6 +266,19 @@
     assert_eq!(quarantine.refusal_left(now, part), None);
 }
 
+/// Endpoints crash together several times, each time reported by many instances at once. A part
+/// that runs at all of them must not be refused.
+#[test]
+fn waves_of_crashes_count_once_each_for_a_part() {
+    let part = Content::of_part(1);
+    let (mut quarantine, mut now) = after(&[]);
+    for start in 0..60 {
+        now += if start % 20 == 0 { SECOND } else { STEP * 5 };
+        quarantine.apply_reported(now, crash(part, start));
+    }
+    assert_eq!(quarantine.refusal_left(now, part), None);
+}
+
 /// A customer must not be able to have requests refused by a name that looks like a part.
 #[test]
 fn request_of_a_customer_is_no_part() {
