Count crashes under a part only for runs sent after the last counted one, at all instances

Cause: callers were refused for sound requests after endpoints had crashed together. Whether a crash is new evidence was decided by the instance that reports it, before it had heard of the others' reports; only the first 150 ms after a part's first crash were excepted, so that each instance's report of a second wave counted.

Change: a crash under a part is a finding of its own and says how long ago the request was sent. Each instance counts it only if that is later than the last crash that it counted, within the jitter of reports. It travels in a packet of its own, which earlier builds cannot decode.

--- a/crates/relay/src/dispatcher/crashes.rs
+++ b/crates/relay/src/dispatcher/crashes.rs
@@ -26,8 +26,9 @@
 const UNFINISHED_RUN_LIFETIME: Duration = Duration::from_secs(2);
 
 /// Time after the first byte of an answer in which a part of its prompt may crash the endpoint.
-/// A run that has been answered on for longer was hit by another cause.
-const MAX_PART_CRASH_TIME: Duration = Duration::from_secs(1);
+/// A run that has been answered on for longer was hit by another cause, and shows that its parts
+/// are sound.
+pub(super) const MAX_PART_CRASH_TIME: Duration = Duration::from_secs(1);
 
 /// Maximum number of unfinished runs kept for an endpoint. A run that crashes it at once
 /// is among the latest.
@@ -59,10 +60,10 @@
 }
 
 impl UnfinishedRun {
-    /// Returns the parts of its prompt that may have crashed the endpoint.
-    fn suspected_parts(&self) -> &[Content] {
-        let was_answered = self.began_at.is_some_and(|began_at| self.abandoned_at > began_at + MAX_PART_CRASH_TIME);
-        if was_answered { &[] } else { &self.work.parts }
+    /// Returns the time for which the endpoint had been answering it; zero if its first byte may
+    /// have been lost with the endpoint.
+    fn answer_time(&self) -> Duration {
+        self.began_at.map_or(Duration::ZERO, |began_at| self.abandoned_at.saturating_sub(began_at))
     }
 }
 
@@ -106,21 +107,30 @@
         metrics::counter!("relay_crashes_total", "service" => endpoint.service.clone()).increment(1);
         for run in runs {
             let earlier_crashes = self.quarantine.crash_count(now, run.work.request);
-            self.record_suspect(run.work.request, start, run.sent_at, now);
+            let request = run.work.request;
+            if self.quarantine.is_new_evidence(now, request, run.sent_at) {
+                self.record_finding(Finding::Crash { content: request, start }, now);
+            }
             if earlier_crashes < MAX_PART_CRASHES_PER_REQUEST {
-                // A later part is refused first, see `route::relay::quarantine`.
-                for part in run.suspected_parts().iter().rev() {
-                    self.record_suspect(*part, start, run.sent_at, now);
-                }
+                self.record_suspected_parts(&run, start, now);
             }
         }
     }
 
-    /// Records that an endpoint, given by the hash of its start, crashed while it ran a request
-    /// or answered on a part that was sent to it at `sent_at`.
-    fn record_suspect(&mut self, content: Content, start: u32, sent_at: Duration, now: Duration) {
-        if self.quarantine.is_new_evidence(now, content, sent_at) {
-            self.record_finding(Finding::Crash { content, start }, now);
+    /// Records that an endpoint, given by the hash of its start, crashed under the parts of a
+    /// run's prompt.
+    fn record_suspected_parts(&mut self, run: &UnfinishedRun, start: u32, now: Duration) {
+        let answer_time = run.answer_time();
+        if answer_time > MAX_PART_CRASH_TIME {
+            return;
+        }
+        let sent_age = now.saturating_sub(run.sent_at);
+        // A later part is refused first, see `route::relay::quarantine`.
+        for part in run.work.parts.iter().copied().rev() {
+            let is_suspect = self.quarantine.is_new_evidence(now, part, run.sent_at);
+            if is_suspect {
+                self.record_finding(Finding::PartCrash { part, start, sent_age }, now);
+            }
         }
     }
 
@@ -133,8 +143,7 @@
 
     /// Applies a finding of this instance, and queues it for the other instances and the store.
     fn record_finding(&mut self, finding: Finding, now: Duration) {
-        let effect = self.quarantine.apply(now, finding);
-        log_effect(finding, effect);
+        let effect = self.apply_finding(finding, now);
         if effect != Effect::None {
             tracing::info!(content = %finding.content(), ?finding, ?effect, "finding about a request recorded");
         }
@@ -163,9 +172,9 @@
         self.unwritten_changes.push_back(change);
     }
 
-    /// Applies a finding of another instance or of the store, and returns its effect.
-    fn apply_reported_finding(&mut self, finding: Finding, now: Duration) -> Effect {
-        let effect = self.quarantine.apply_reported(now, finding);
+    /// Applies a finding to the quarantine and returns its effect.
+    fn apply_finding(&mut self, finding: Finding, now: Duration) -> Effect {
+        let effect = self.quarantine.apply(now, finding);
         log_effect(finding, effect);
         effect
     }
@@ -223,18 +232,19 @@
         let is_leader = self.is_leader();
         let mut state = self.lock();
         for finding in findings {
-            let effect = state.apply_reported_finding(finding, now);
+            let effect = state.apply_finding(finding, now);
             // The sender does not know that the request has succeeded since.
             if effect == Effect::Disproved && state.findings.len() < MAX_UNSENT_FINDINGS {
                 state.findings.push(Finding::EndedWell { content: finding.content() });
             }
             // The instance that found the last crash may have missed earlier findings and so
             // not know that the request is quarantined now. The leader writes it to the store.
-            if is_leader && effect == Effect::Held && matches!(finding, Finding::Crash { .. }) {
+            let is_crash = matches!(finding, Finding::Crash { .. } | Finding::PartCrash { .. });
+            if is_leader && effect == Effect::Held && is_crash {
                 state.queue_finding_change(finding, effect);
             }
             // This instance's own unfinished runs may have caused the crash as well.
-            if let Finding::Crash { start, .. } = finding
+            if let Finding::Crash { start, .. } | Finding::PartCrash { start, .. } = finding
                 && let Some(key) = state.fleet.key_of(start)
             {
                 state.record_crash(key, now);
@@ -261,7 +271,7 @@
         for refused in refused {
             let age = Duration::from_millis(unix_now.saturating_sub(refused.since));
             if age < REFUSAL_PERIOD {
-                state.apply_reported_finding(Finding::Held { content: refused.content, age }, now);
+                state.apply_finding(Finding::Held { content: refused.content, age }, now);
             } else if rand::random_ratio(1, members) {
                 // Expired: on average one of the starting instances removes it from the store.
                 state.queue_change(Change::Allow(refused));
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -39,8 +39,8 @@
 use self::{
     spread::{Broadcasts, MAX_BATCH},
     wire::{
-        Finding, Limit, NewsMessage, Notice, Packet, Question, RejectionLimit, Reply, RolloutEvidence,
-        SerializedSighting, clamp_to_u16, millis_u32,
+        Limit, NewsMessage, Notice, Packet, Question, RejectionLimit, Reply, RolloutEvidence, SerializedSighting,
+        clamp_to_u16, divide, millis_u32,
     },
 };
 
@@ -201,7 +201,7 @@
 /// Returns encoded datagrams with quarantined requests and endpoint limits, for instances
 /// that missed them or started later; empty if there are none.
 fn reminders(dispatcher: &Dispatcher) -> Vec<Vec<u8>> {
-    let findings: Vec<Finding> = dispatcher.refused_requests(MAX_BATCH).into_iter().map(Finding::from).collect();
+    let (findings, _) = divide(dispatcher.refused_requests(MAX_BATCH));
     let limits: Vec<Limit> = dispatcher.recent_limits(MAX_REMINDER_LIMITS).into_iter().map(Limit::from).collect();
     let findings = (!findings.is_empty()).then_some(Packet::Findings(findings));
     let limits = (!limits.is_empty()).then_some(Packet::Limits(limits));
@@ -230,8 +230,8 @@
     }
 }
 
-fn apply_findings(dispatcher: &Dispatcher, findings: &[Finding]) {
-    dispatcher.apply_findings(findings.iter().copied().map(quarantine::Finding::from));
+fn apply_findings<F: Copy + Into<quarantine::Finding>>(dispatcher: &Dispatcher, findings: &[F]) {
+    dispatcher.apply_findings(findings.iter().copied().map(Into::into));
 }
 
 /// Receives datagrams, applies them and answers questions.
@@ -268,6 +268,11 @@
                 broadcasts.findings.enqueue(findings.clone());
                 apply_findings(dispatcher, &findings);
             }
+            Ok(Packet::PartCrashes(crashes)) => apply_findings(dispatcher, &crashes),
+            Ok(Packet::PassOnPartCrashes(crashes)) => {
+                broadcasts.part_crashes.enqueue(crashes.clone());
+                apply_findings(dispatcher, &crashes);
+            }
             Ok(Packet::Limits(limits)) => dispatcher.apply_limits(limits.iter().map(fleet::Limit::from)),
             Ok(Packet::PassOnLimits(limits)) => {
                 dispatcher.apply_limits(limits.iter().map(fleet::Limit::from));
--- a/crates/relay/src/news/spread.rs
+++ b/crates/relay/src/news/spread.rs
@@ -13,7 +13,7 @@
 
 use super::{
     encode, send,
-    wire::{Finding, Limit, Notice, Packet},
+    wire::{Finding, Limit, Notice, Packet, PartCrash, divide},
 };
 use crate::dispatcher::{Dispatcher, fleet::short_hash, peers::NoticeRecipients};
 
@@ -30,6 +30,8 @@
     pub(super) notices: Broadcast<Notice>,
     /// Findings about requests that crash endpoints.
     pub(super) findings: Broadcast<Finding>,
+    /// Crashes under parts of prompts.
+    pub(super) part_crashes: Broadcast<PartCrash>,
     /// Rate limits that endpoints report.
     pub(super) limits: Broadcast<Limit>,
 }
@@ -40,6 +42,7 @@
         Self {
             notices: Broadcast::new(Packet::Notices, Packet::PassOn),
             findings: Broadcast::new(Packet::Findings, Packet::PassOnFindings),
+            part_crashes: Broadcast::new(Packet::PartCrashes, Packet::PassOnPartCrashes),
             limits: Broadcast::new(Packet::Limits, Packet::PassOnLimits),
         }
     }
@@ -52,6 +55,7 @@
             self.send_limits(dispatcher, socket),
             self.notices.pass_on(dispatcher, socket),
             self.findings.pass_on(dispatcher, socket),
+            self.part_crashes.pass_on(dispatcher, socket),
             self.limits.pass_on(dispatcher, socket)
         );
     }
@@ -68,8 +72,9 @@
 
     async fn send_findings(&self, dispatcher: &Dispatcher, socket: &UdpSocket) {
         loop {
-            let findings: Vec<Finding> = dispatcher.next_findings().await.into_iter().map(Finding::from).collect();
+            let (findings, part_crashes) = divide(dispatcher.next_findings().await);
             self.findings.send_to_all(dispatcher, socket, &findings);
+            self.part_crashes.send_to_all(dispatcher, socket, &part_crashes);
         }
     }
 
--- a/crates/relay/src/news/wire.rs
+++ b/crates/relay/src/news/wire.rs
@@ -7,7 +7,7 @@
 use route::relay::canary::{Lateness, Stage, Tally};
 use serde::{Deserialize, Serialize};
 
-pub(super) use self::items::{Finding, Limit, Notice, RejectionLimit};
+pub(super) use self::items::{Finding, Limit, Notice, PartCrash, RejectionLimit, divide};
 use crate::{
     dispatcher::{
         evacuations,
@@ -44,6 +44,10 @@
     Limits(Vec<Limit>),
     /// Limits that the receiver passes on to the instances of its failure domain.
     PassOnLimits(Vec<Limit>),
+    /// Crashes of endpoints under parts of prompts. Earlier builds cannot decode this packet.
+    PartCrashes(Vec<PartCrash>),
+    /// Such crashes that the receiver passes on to the instances of its failure domain.
+    PassOnPartCrashes(Vec<PartCrash>),
 }
 
 /// Serialized form of [`synchronization::Question`]; the reply repeats the number.
--- a/crates/relay/src/news/wire/items.rs
+++ b/crates/relay/src/news/wire/items.rs
@@ -45,16 +45,44 @@
     Held { team: u32, work: u64, age_ms: u32 },
 }
 
-impl From<quarantine::Finding> for Finding {
-    fn from(finding: quarantine::Finding) -> Self {
+/// Serialized form of [`quarantine::Finding::PartCrash`].
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(in crate::news) struct PartCrash {
+    /// Hash of the part.
+    part: u64,
+    /// Hash of the endpoint's name and start time.
+    start: u32,
+    /// Time since the request was sent.
+    sent_age_ms: u32,
+}
+
+impl From<PartCrash> for quarantine::Finding {
+    fn from(crash: PartCrash) -> Self {
+        let sent_age = Duration::from_millis(u64::from(crash.sent_age_ms));
+        Self::PartCrash { part: Content::of_part(crash.part), start: crash.start, sent_age }
+    }
+}
+
+/// Divides findings by the kinds of packets in which they are sent.
+pub(in crate::news) fn divide(findings: Vec<quarantine::Finding>) -> (Vec<Finding>, Vec<PartCrash>) {
+    let (mut others, mut part_crashes) = (Vec::new(), Vec::new());
+    for finding in findings {
         match finding {
-            quarantine::Finding::Crash { content: Content { team, work }, start } => Self::Crash { team, work, start },
-            quarantine::Finding::EndedWell { content: Content { team, work } } => Self::EndedWell { team, work },
+            quarantine::Finding::PartCrash { part, start, sent_age } => {
+                part_crashes.push(PartCrash { part: part.work, start, sent_age_ms: millis_u32(sent_age) });
+            }
+            quarantine::Finding::Crash { content: Content { team, work }, start } => {
+                others.push(Finding::Crash { team, work, start });
+            }
+            quarantine::Finding::EndedWell { content: Content { team, work } } => {
+                others.push(Finding::EndedWell { team, work });
+            }
             quarantine::Finding::Held { content: Content { team, work }, age } => {
-                Self::Held { team, work, age_ms: millis_u32(age) }
+                others.push(Finding::Held { team, work, age_ms: millis_u32(age) });
             }
         }
     }
+    (others, part_crashes)
 }
 
 impl From<Finding> for quarantine::Finding {
--- a/crates/route/src/relay/quarantine.rs
+++ b/crates/route/src/relay/quarantine.rs
@@ -40,9 +40,9 @@
 /// in use may begin to.
 const PART_COMPLETION_LIFETIME: Duration = Duration::from_secs(2);
 
-/// Time in which the first crash under a part becomes known to all instances. Until then each
-/// may report one as the first, although the endpoints crashed together.
-const FIRST_CRASH_SPREAD: Duration = Duration::from_millis(150);
+/// Difference between the times that two reports take to arrive, at most. A report seems to be
+/// about a run that was sent before an earlier crash if that one's report came faster.
+const MAX_REPORT_JITTER: Duration = Duration::from_millis(50);
 
 /// Time for which a request is refused after its last crash. The endpoints may have been
 /// fixed by then.
@@ -68,7 +68,16 @@
         /// Hash of the endpoint's name and its process start.
         start: u32,
     },
-    /// The request completed.
+    /// An endpoint crashed while it answered on a part of a prompt.
+    PartCrash {
+        /// Part of the prompt.
+        part: Content,
+        /// Hash of the endpoint's name and its process start.
+        start: u32,
+        /// Time since the request was sent.
+        sent_age: Duration,
+    },
+    /// The request completed, or an endpoint went on answering on the part.
     EndedWell {
         /// Request that completed.
         content: Content,
@@ -88,6 +97,7 @@
     pub fn content(&self) -> Content {
         match self {
             Self::Crash { content, .. } | Self::EndedWell { content } | Self::Held { content, .. } => *content,
+            Self::PartCrash { part, .. } => *part,
         }
     }
 }
@@ -134,24 +144,12 @@
     pub fn apply(&mut self, now: Duration, finding: Finding) -> Effect {
         match finding {
             Finding::Crash { content, start } => self.count_crash(now, content, start),
+            Finding::PartCrash { part, start, sent_age } => self.count_part_crash(now, part, start, sent_age),
             Finding::EndedWell { content } => self.clear(now, content),
             Finding::Held { content, age } => self.hold(now, content, age),
         }
     }
 
-    /// Applies a finding of another instance, which may not have heard of this one's findings,
-    /// and returns its effect.
-    pub fn apply_reported(&mut self, now: Duration, finding: Finding) -> Effect {
-        let is_spreading = |content| {
-            let first = self.suspect(now, content).filter(|record| record.starts.len() == 1);
-            first.is_some_and(|record| now < record.last + FIRST_CRASH_SPREAD)
-        };
-        match finding {
-            Finding::Crash { content, .. } if content.is_part() && is_spreading(content) => Effect::None,
-            _ => self.apply(now, finding),
-        }
-    }
-
     /// Returns how much longer a request is refused, or `None` if it is not.
     #[must_use]
     pub fn refusal_left(&self, now: Duration, content: Content) -> Option<Duration> {
@@ -215,10 +213,6 @@
             return Effect::None;
         }
         let limit = crash_limit(content);
-        if content.is_part() && record.starts.len() + 1 == limit && self.is_explained(now, content, start) {
-            return Effect::None;
-        }
-        let record = self.record(now, content);
         if record.starts.len() == limit {
             record.starts.remove(0);
         }
@@ -228,6 +222,21 @@
         if record.held && !was_held { Effect::Held } else { Effect::Counted }
     }
 
+    /// Counts a crash of an endpoint that answered on the part, unless it may be one with the last
+    /// counted crash or is explained by another part. Many instances report endpoints that crash
+    /// together, each before it has heard of the others' reports.
+    fn count_part_crash(&mut self, now: Duration, part: Content, start: u32, sent_age: Duration) -> Effect {
+        let sent = now.saturating_sub(sent_age) + MAX_REPORT_JITTER;
+        if !self.is_new_evidence(now, part, sent) {
+            return Effect::None;
+        }
+        let record = self.record(now, part);
+        if record.starts.len() + 1 == PART_CRASH_LIMIT && self.is_explained(now, part, start) {
+            return Effect::None;
+        }
+        self.count_crash(now, part, start)
+    }
+
     /// Returns whether another part is refused that was answered on at the endpoint process.
     fn is_explained(&self, now: Duration, part: Content, start: u32) -> bool {
         let explains = |(other, record): (&Content, &Record)| {
--- a/crates/route/tests/relay/quarantine.rs
+++ b/crates/route/tests/relay/quarantine.rs
@@ -221,6 +221,7 @@
 
 /// Returns a crash of each of the endpoint processes `starts` under each of the parts in turn.
 fn crashes_of_parts(parts: &[Content], starts: std::ops::RangeInclusive<u32>) -> Vec<Finding> {
+    let crash = |part: Content, start| Finding::PartCrash { part, start, sent_age: STEP * 30 };
     starts.flat_map(|start| parts.iter().map(move |part| crash(*part, start))).collect()
 }
 
@@ -261,7 +262,7 @@
     let (mut quarantine, mut now) = after(&[]);
     for start in 0..20 {
         now += STEP * 5;
-        quarantine.apply_reported(now, crash(part, start));
+        quarantine.apply(now, Finding::PartCrash { part, start, sent_age: SECOND / 2 });
     }
     assert_eq!(quarantine.refusal_left(now, part), None);
 }
@@ -274,11 +275,24 @@
     let (mut quarantine, mut now) = after(&[]);
     for start in 0..60 {
         now += if start % 20 == 0 { SECOND } else { STEP * 5 };
-        quarantine.apply_reported(now, crash(part, start));
+        quarantine.apply(now, Finding::PartCrash { part, start, sent_age: SECOND / 2 });
     }
     assert_eq!(quarantine.refusal_left(now, part), None);
 }
 
+/// A request with the part is sent again as soon as the crash before was found. The crashes count
+/// although little time passes between.
+#[test]
+fn crashes_one_after_the_other_count_for_a_part() {
+    let part = Content::of_part(1);
+    let (mut quarantine, mut now) = after(&[]);
+    for start in 0..5 {
+        now += STEP * 40;
+        quarantine.apply(now, Finding::PartCrash { part, start, sent_age: STEP * 30 });
+    }
+    assert!(quarantine.refusal_left(now, part).is_some());
+}
+
 /// A customer must not be able to have requests refused by a name that looks like a part.
 #[test]
 fn request_of_a_customer_is_no_part() {
