--- a/crates/relay/src/dispatcher/crashes.rs
+++ b/crates/relay/src/dispatcher/crashes.rs
@@ -127,7 +127,8 @@
         let sent_age = now.saturating_sub(run.sent_at);
         // A later part is refused first, see `route::relay::quarantine`.
         for part in run.work.parts.iter().copied().rev() {
-            let is_suspect = self.quarantine.is_new_evidence(now, part, run.sent_at);
+            let is_suspect = self.quarantine.is_new_evidence(now, part, run.sent_at)
+                && !self.fleet.answers.outlived(part, answer_time, now);
             if is_suspect {
                 self.record_finding(Finding::PartCrash { part, start, sent_age }, now);
             }
@@ -141,6 +142,14 @@
         }
     }
 
+    /// Records that an endpoint has gone on answering a request for longer than a part of its
+    /// prompt would have taken to crash it.
+    pub(super) fn record_sound_parts(&mut self, work: &Work, now: Duration) {
+        for part in work.parts.iter() {
+            self.record_finding(Finding::EndedWell { content: *part }, now);
+        }
+    }
+
     /// Applies a finding of this instance, and queues it for the other instances and the store.
     fn record_finding(&mut self, finding: Finding, now: Duration) {
         let effect = self.apply_finding(finding, now);
--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -6,6 +6,7 @@
 //! longer than its peers for the same work. A slow or failing endpoint gets fewer
 //! runs and so fewer chances to improve its statistics, so these decay with time.
 
+mod answers;
 mod caches;
 mod decaying_mean;
 mod limits;
@@ -88,6 +89,8 @@
     usual_lateness: HashMap<String, f64>,
     /// Endpoints that cache each prompt part.
     holders: Prefixes,
+    /// Answers in progress.
+    pub(super) answers: answers::Answers,
     limited: limits::LimitedEndpoints,
     fragile: rejections::FragileServices,
     /// Whether this instance reaches the endpoints, by service; services without a failed
@@ -229,6 +232,8 @@
             lateness: Lateness::default(),
             started: now,
             began_at: None,
+            answer: None,
+            shows_sound_parts: false,
             work: None,
         })
     }
--- a/crates/relay/src/dispatcher/fleet/run.rs
+++ b/crates/relay/src/dispatcher/fleet/run.rs
@@ -8,10 +8,14 @@
     placement::Choice,
 };
 
-use super::{Key, LatencyKey, initial_latency};
+use super::{Key, LatencyKey, answers::AnswerKey, initial_latency};
 use crate::{
     clock,
-    dispatcher::{Dispatcher, State, crashes::UnfinishedRun, rollouts::Arm},
+    dispatcher::{
+        Dispatcher, State,
+        crashes::{MAX_PART_CRASH_TIME, UnfinishedRun},
+        rollouts::Arm,
+    },
     source::Endpoint,
 };
 
@@ -59,6 +63,10 @@
     pub(super) started: Duration,
     /// When the first byte was received.
     pub(super) began_at: Option<Duration>,
+    /// The answer, from its first byte until its end.
+    pub(super) answer: Option<AnswerKey>,
+    /// Whether the answer has gone on for long enough to show that the prompt's parts are sound.
+    pub(super) shows_sound_parts: bool,
     /// The request, from when it is sent until the run's outcome is known.
     pub(super) work: Option<Work>,
 }
@@ -97,6 +105,9 @@
         let mut state = dispatcher.lock();
         self.remove_backlog(&mut state);
         let fleet = &mut state.fleet;
+        if let Some(work) = self.work.clone().filter(|work| !work.parts.is_empty()) {
+            self.answer = Some(fleet.answers.add(work, now));
+        }
         if let Some(server) = fleet.servers.get_mut(self.key) {
             server.guard.record_acceptance(self.started);
             server.failed_connections = 0;
@@ -119,11 +130,20 @@
     }
 
     /// Records that more bytes of the answer were received.
-    pub fn record_bytes(&self) {
+    pub fn record_bytes(&mut self) {
         let now = clock::now();
-        if let Some(server) = self.dispatcher.lock().fleet.servers.get_mut(self.key) {
+        let mut state = self.dispatcher.lock();
+        if let Some(server) = state.fleet.servers.get_mut(self.key) {
             server.last_received = now;
         }
+        let has_gone_on = self.began_at.is_some_and(|began_at| now > began_at + MAX_PART_CRASH_TIME);
+        if has_gone_on && !self.shows_sound_parts {
+            self.shows_sound_parts = true;
+            if let Some(work) = &self.work {
+                state.record_sound_parts(work, now);
+                self.dispatcher.notify_findings(&state);
+            }
+        }
     }
 
     /// Returns the time since a run of this instance last received bytes from the endpoint.
@@ -150,6 +170,7 @@
         let dispatcher = Arc::clone(&self.dispatcher);
         let mut state = dispatcher.lock();
         self.remove_backlog(&mut state);
+        self.remove_answer(&mut state);
         match (outcome, self.work.take()) {
             (RunOutcome::Good, Some(work)) => state.record_success(&work, now),
             (RunOutcome::Broken, Some(work)) => self.record_unfinished(&mut state, work, now),
@@ -207,6 +228,13 @@
         }
     }
 
+    /// Removes the answer from those in progress.
+    fn remove_answer(&mut self, state: &mut State) {
+        if let Some(answer) = self.answer.take() {
+            state.fleet.answers.remove(answer);
+        }
+    }
+
     /// Removes the run's prompt reading from the endpoint's backlog.
     fn remove_backlog(&mut self, state: &mut State) {
         if let Some(server) = state.fleet.servers.get_mut(self.key) {
@@ -223,6 +251,7 @@
         let dispatcher = Arc::clone(&self.dispatcher);
         let mut state = dispatcher.lock();
         self.remove_backlog(&mut state);
+        self.remove_answer(&mut state);
         if let Some(work) = self.work.take() {
             self.record_unfinished(&mut state, work, clock::now());
         }
--- a/crates/relay/src/exchange/stream.rs
+++ b/crates/relay/src/exchange/stream.rs
@@ -120,7 +120,7 @@
 
 /// Waits for the next bytes of the stream, or until the run has to be abandoned.
 async fn next_bytes(exchange: &Exchange, active: &mut ActiveStream) -> Received {
-    let run = match &active.hop {
+    let run = match &mut active.hop {
         Hop::Endpoint(run) => run,
         Hop::Instance(instance) => return next_forwarded_bytes(exchange, *instance, &mut active.answer).await,
     };
