--- a/crates/relay/tests/it/brittle_endpoints.rs
+++ b/crates/relay/tests/it/brittle_endpoints.rs
@@ -24,9 +24,9 @@
     let sites = start_instances(instances, &store_of(&servers), |_, _| {}).await;
     send_requests(&sites, 5, LEARNING_TIME).await;
     let since = Instant::now();
-    let statuses = send_requests(&sites, per_s, Duration::from_secs(3)).await;
-    check_rejections(&servers, since, &statuses);
-    check_served(&statuses, min_served_percent);
+    let report = send_requests(&sites, per_s, Duration::from_secs(3)).await;
+    check_rejections(&servers, since, &report);
+    check_served(&report, min_served_percent);
 }
 
 macro_rules! brittle {
@@ -50,7 +50,7 @@
 #[tokio::test]
 async fn late_rejections_do_not_crash_brittle_endpoints() {
     let (run_time, rejection_delay) = (Duration::from_millis(500), Duration::from_millis(700));
-    check(3, Behavior { slots: 1, run_time, rejection_delay }, 200, 1).await;
+    check(3, Behavior { slots: 1, run_time, rejection_delay, ..Behavior::default() }, 200, 1).await;
 }
 
 /// Instances that come back from a partition must not use shares that others have taken over.
@@ -78,6 +78,6 @@
             sleep(PHASE).await;
         }
     };
-    let (statuses, ()) = tokio::join!(send_requests(&sites, 200, 4 * PHASE), partitions);
-    check_rejections(&servers, since, &statuses);
+    let (report, ()) = tokio::join!(send_requests(&sites, 200, 4 * PHASE), partitions);
+    check_rejections(&servers, since, &report);
 }
--- a/crates/relay/tests/it/brittle_server.rs
+++ b/crates/relay/tests/it/brittle_server.rs
@@ -21,9 +21,6 @@
     site::{Site, Store, StoreContents, catalog, endpoint, route, settings},
 };
 
-/// Number of rejections in a second that an endpoint survives.
-pub const MAX_REJECTIONS: usize = 4;
-
 /// Window in which rejections count.
 const WINDOW: Duration = Duration::from_secs(1);
 
@@ -36,14 +33,33 @@
     pub run_time: Duration,
     /// Time after which the answer to a rejected request is sent.
     pub rejection_delay: Duration,
+    /// Number of rejections in a second that it survives.
+    pub max_rejections: usize,
 }
 
 impl Default for Behavior {
     fn default() -> Self {
-        Self { slots: 4, run_time: Duration::from_millis(150), rejection_delay: Duration::ZERO }
+        Self { slots: 4, run_time: Duration::from_millis(150), rejection_delay: Duration::ZERO, max_rejections: 4 }
     }
 }
 
+impl Behavior {
+    /// Returns the number of requests that `endpoints` such endpoints complete in a second.
+    pub fn capacity_per_s(&self, endpoints: usize) -> u32 {
+        let run_ms = u32::try_from(self.run_time.as_millis()).unwrap();
+        u32::try_from(endpoints).unwrap() * self.slots * 1_000 / run_ms
+    }
+}
+
+/// What became of requests.
+#[derive(Debug, Default)]
+pub struct Report {
+    /// Number of responses by status.
+    pub statuses: HashMap<u16, usize>,
+    /// Times that responses other than successes took, in order.
+    pub refusal_times: Vec<Duration>,
+}
+
 /// An endpoint that rejects what it has no slot for, and says how much of that it survives.
 pub struct BrittleServer {
     address: SocketAddr,
@@ -119,7 +135,8 @@
         sleep(behavior.rejection_delay).await;
         "HTTP/1.1 503 X\r\nx-request: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n".to_owned()
     };
-    let text = text.replace("{id}", &id).replace("\r\n\r\n", &format!("\r\nx-brittle: {MAX_REJECTIONS}\r\n\r\n"));
+    let text =
+        text.replace("{id}", &id).replace("\r\n\r\n", &format!("\r\nx-brittle: {}\r\n\r\n", behavior.max_rejections));
     stream.write_all(text.as_bytes()).await.ok();
 }
 
@@ -151,33 +168,52 @@
     sites
 }
 
-/// Sends `per_s` requests a second to instances in turn for a while, and returns how many got
-/// each status.
-pub async fn send_requests(sites: &[Site], per_s: u32, duration: Duration) -> HashMap<u16, usize> {
+/// Sends `per_s` requests a second to instances in turn for a while.
+pub async fn send_requests(sites: &[Site], per_s: u32, duration: Duration) -> Report {
     let started = Instant::now();
     let mut calls = Vec::new();
     while started.elapsed() < duration {
         let front = sites[calls.len() % sites.len()].front();
-        calls.push(tokio::spawn(async move { caller::call(front, "GET", "/a/x", "x-deadline: 2000\r\n", "").await }));
+        calls.push(tokio::spawn(async move {
+            let sent_at = Instant::now();
+            let response = caller::call(front, "GET", "/a/x", "x-deadline: 2000\r\n", "").await;
+            (response.status, sent_at.elapsed())
+        }));
         let due = Duration::from_secs(1) * u32::try_from(calls.len()).unwrap() / per_s;
         sleep(due.saturating_sub(started.elapsed())).await;
     }
-    let mut statuses = HashMap::new();
+    let mut report = Report::default();
     for call in calls {
-        *statuses.entry(call.await.unwrap().status).or_default() += 1;
+        let (status, took) = call.await.unwrap();
+        *report.statuses.entry(status).or_default() += 1;
+        if status != 200 {
+            report.refusal_times.push(took);
+        }
     }
-    statuses
+    report.refusal_times.sort();
+    report
 }
 
 /// Checks that no endpoint has had to reject more within a second than it survives.
-pub fn check_rejections(servers: &[BrittleServer], since: Instant, statuses: &HashMap<u16, usize>) {
-    let crashed = servers.iter().filter(|server| server.max_rejections(since) > MAX_REJECTIONS).count();
+pub fn check_rejections(servers: &[BrittleServer], since: Instant, report: &Report) {
+    let is_crashed = |server: &&BrittleServer| server.max_rejections(since) > server.behavior.max_rejections;
+    let crashed = servers.iter().filter(is_crashed).count();
     let most = servers.iter().map(|server| server.max_rejections(since)).max();
-    assert_eq!(crashed, 0, "endpoints crash, up to {most:?} rejections within a second; {statuses:?}");
+    assert_eq!(crashed, 0, "endpoints crash, up to {most:?} rejections within a second; {:?}", report.statuses);
 }
 
 /// Checks that at least so many in a hundred requests were served.
-pub fn check_served(statuses: &HashMap<u16, usize>, min_percent: usize) {
-    let (served, sent) = (statuses.get(&200).copied().unwrap_or_default(), statuses.values().sum::<usize>());
-    assert!(100 * served >= min_percent * sent, "{statuses:?}");
+pub fn check_served(report: &Report, min_percent: usize) {
+    let served = report.statuses.get(&200).copied().unwrap_or_default();
+    let sent = report.statuses.values().sum::<usize>();
+    assert!(100 * served >= min_percent * sent, "{:?}", report.statuses);
+}
+
+/// Checks that requests that are not served are refused, nearly all of them within `max_time`.
+pub fn check_refusals(report: &Report, max_time: Duration) {
+    let is_expected = |status: &&u16| [200, 503].contains(*status);
+    assert!(report.statuses.keys().all(|status| is_expected(&status)), "{:?}", report.statuses);
+    let late = report.refusal_times.iter().filter(|time| **time > max_time).count();
+    let (count, last) = (report.refusal_times.len(), report.refusal_times.last());
+    assert!(20 * late <= count, "{late} of {count} refusals late, up to {last:?}; {:?}", report.statuses);
 }
