Log when an endpoint says that it leaves, or asks for a pause

Change: both are read from an endpoint's answer and logged. Nothing acts on them. An answer with 421 is another server's and does not count.

--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -258,10 +258,17 @@
         // on the caller must not be told that the request did not run.
         let ran_before = std::mem::replace(&mut self.may_have_run, true);
         let names = &self.dispatcher.dialect.names;
-        let TryResult { outcome, limit, max_rejections } =
+        let TryResult { outcome, limit, max_rejections, is_leaving, pause } =
             upstream::send(connected, request, &self.params.id, names, first_byte_timeout).await;
         run.record_limit(limit);
         run.record_max_rejections(max_rejections);
+        if is_leaving {
+            tracing::info!(request = self.params.id, endpoint = run.endpoint.id, "endpoint says that it leaves");
+        }
+        if let Some(pause) = pause {
+            let pause_ms = clock::millis(pause);
+            tracing::info!(request = self.params.id, endpoint = run.endpoint.id, pause_ms, "endpoint asks for a pause");
+        }
         if matches!(outcome, Outcome::Unreachable(_) | Outcome::NotRun(_)) {
             self.may_have_run = ran_before;
         }
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -51,7 +51,7 @@
     }
 }
 
-/// Outcome of a try, with the endpoint's limits.
+/// Outcome of a try, with what the endpoint said about further requests.
 #[derive(Debug)]
 pub struct TryResult {
     /// Outcome of the try.
@@ -60,12 +60,22 @@
     pub limit: Announcement<f64>,
     /// What the endpoint said about the rejections per second that it survives.
     pub max_rejections: Announcement<u32>,
+    /// Whether the endpoint said that it is leaving.
+    pub is_leaving: bool,
+    /// Time for which the endpoint asked this instance to send it nothing.
+    pub pause: Option<Duration>,
 }
 
 impl From<Outcome> for TryResult {
-    /// Converts the outcome of a try in which the endpoint said nothing about its limits.
+    /// Converts the outcome of a try in which the endpoint said nothing about further requests.
     fn from(outcome: Outcome) -> Self {
-        Self { outcome, limit: Announcement::Nothing, max_rejections: Announcement::Nothing }
+        Self {
+            outcome,
+            limit: Announcement::Nothing,
+            max_rejections: Announcement::Nothing,
+            is_leaving: false,
+            pause: None,
+        }
     }
 }
 
@@ -126,11 +136,15 @@
     };
     let per_s = parse_limit(&answer.response, &names.rate_limit);
     let max_rejections = parse_limit(&answer.response, &names.max_rejections);
+    // Another server at the endpoint's address speaks for itself only.
+    let is_endpoint = answer.response.status() != StatusCode::MISDIRECTED_REQUEST;
+    let is_leaving = is_endpoint && answer.response.headers().contains_key(&names.leaving);
+    let pause = parse_pause(&answer.response);
     let outcome = check_answer(answer, id, names);
     let is_answer = matches!(outcome, Outcome::Answer(_));
     let limit = announcement(per_s.filter(|per_s: &f64| per_s.is_finite() && *per_s >= 0.0), is_answer);
     let max_rejections = announcement(max_rejections, is_answer);
-    TryResult { outcome, limit, max_rejections }
+    TryResult { outcome, limit, max_rejections, is_leaving, pause }
 }
 
 /// Sends a request over a connection and waits for the head of its answer, which is not
@@ -166,6 +180,16 @@
     limit
 }
 
+/// Returns the time for which a rejection asks this instance to send nothing more. Only the form
+/// in seconds is understood, not a date.
+fn parse_pause(response: &Response<Incoming>) -> Option<Duration> {
+    if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let seconds = response.headers().get(header::RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok().filter(|pause| !pause.is_zero())
+}
+
 /// Returns what an answer says with a limit or without one. An endpoint that rejects a request
 /// need not name its limit.
 fn announcement<T>(limit: Option<T>, is_answer: bool) -> Announcement<T> {
--- a/crates/relay/tests/it/site.rs
+++ b/crates/relay/tests/it/site.rs
@@ -380,6 +380,7 @@
             confidence: name("x-confidence"),
             rate_limit: name("x-limit"),
             max_rejections: name("x-brittle"),
+            leaving: name("x-leaving"),
             copy_from: HeaderName::from_static("x-fetch"),
             reserved: ["x-key", "x-team", "x-expect", "x-rank"].map(name).to_vec(),
         },
