Test endpoints whose answers say that they leave

Only the registration took an endpoint out of use, and with the store away no change of it arrives.

Change: a fleet of instances and endpoints in which each endpoint records what it receives from which instance.

--- /dev/null
+++ b/crates/relay/tests/it/withdrawing_fleet.rs
@@ -0,0 +1,395 @@
+//! Endpoints that ask instances to send them nothing more, for good or for a while, instances in
+//! front of them, and a record of what each endpoint received from each instance.
+//!
+//! On the loopback address the source of a connection does not tell the instance. So each
+//! instance has a network of its own that notes which connections it has opened.
+
+use std::{
+    collections::{HashMap, HashSet},
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use futures::future::BoxFuture;
+use relay::{catalog::Kind, network::Network, source::Endpoint};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
+
+use crate::{
+    caller::{self, Response},
+    server::{LAST_CHUNK, event, header, ok_response},
+    site::{Site, Store, StoreContents, cascade_route, catalog, endpoint, route, settings},
+};
+
+/// Number of events in a stream.
+const EVENTS: u32 = 6;
+
+/// Number of events in a stream that breaks off.
+const EVENTS_BEFORE_BREAK: u32 = 2;
+
+const EVENT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Number of parts that prompts share, each kept in the caches of some endpoints.
+const SHARED_PARTS: u128 = 16;
+
+/// Time that the first byte of an answer takes.
+const ANSWER_TIME: Duration = Duration::from_millis(5);
+
+/// Confidence with which the small model's answers are dropped.
+const LOW_CONFIDENCE: u32 = 5;
+
+/// How an endpoint treats requests.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Mood {
+    /// It serves them.
+    Sound,
+    /// It serves them, and all its answers say that it leaves.
+    Leaving,
+    /// It rejects them and asks for a pause.
+    Shedding(Duration),
+    /// It rejects them.
+    Full,
+    /// It breaks streams off and rejects other requests.
+    Breaking,
+}
+
+/// A request that an endpoint received.
+#[derive(Debug, Clone, Copy)]
+pub struct Arrival {
+    pub server: usize,
+    pub instance: usize,
+    pub at: Duration,
+    /// When the caller sent the request.
+    pub sent_at: Duration,
+    /// Pause that the endpoint asked for in its answer.
+    pub pause: Option<Duration>,
+}
+
+/// What a caller received.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    pub instance: usize,
+    pub received_at: Duration,
+    pub response: Response,
+}
+
+impl Reply {
+    /// Returns the number of the endpoint that signed the response.
+    pub fn server(&self) -> Option<usize> {
+        self.response.header("x-signature")?.strip_prefix('e')?.parse().ok()
+    }
+
+    fn says_leaving(&self) -> bool {
+        self.response.header("x-leaving").is_some()
+    }
+}
+
+/// What endpoints received, and which connections are whose.
+#[derive(Debug)]
+pub struct Record {
+    started: Instant,
+    /// Instances by the local addresses of their connections.
+    origins: Mutex<HashMap<SocketAddr, usize>>,
+    endpoints: Mutex<HashSet<SocketAddr>>,
+    arrivals: Mutex<Vec<Arrival>>,
+}
+
+impl Record {
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+}
+
+/// The network of one instance.
+#[derive(Debug)]
+pub struct Origin {
+    instance: usize,
+    record: Arc<Record>,
+    /// Whether endpoints refuse connections of this instance.
+    is_cut: AtomicBool,
+    /// Whether connections open only when a long time has passed and their time limit has not
+    /// been looked at yet, as on a busy processor.
+    pub is_stalled: AtomicBool,
+}
+
+/// Time that a connection takes on a busy processor.
+pub const STALL: Duration = Duration::from_millis(700);
+
+impl Network for Origin {
+    fn connect(&self, address: SocketAddr) -> BoxFuture<'_, io::Result<TcpStream>> {
+        Box::pin(async move {
+            let is_endpoint = self.record.endpoints.lock().unwrap().contains(&address);
+            if is_endpoint && self.is_cut.load(Ordering::Relaxed) {
+                return Err(io::ErrorKind::ConnectionRefused.into());
+            }
+            let stream = TcpStream::connect(address).await?;
+            self.record.origins.lock().unwrap().insert(stream.local_addr()?, self.instance);
+            if is_endpoint && self.is_stalled.load(Ordering::Relaxed) {
+                tokio::task::block_in_place(|| std::thread::sleep(STALL));
+            }
+            Ok(stream)
+        })
+    }
+}
+
+/// Instances and endpoints.
+pub struct Fleet {
+    pub sites: Vec<Site>,
+    pub networks: Vec<Arc<Origin>>,
+    pub store: Arc<Store>,
+    pub record: Arc<Record>,
+    moods: Vec<Arc<Mutex<Mood>>>,
+}
+
+impl Fleet {
+    /// Starts endpoints, and instances that all know each other.
+    pub async fn start(instances: usize, endpoints: usize) -> Self {
+        let record = Arc::new(Record {
+            started: Instant::now(),
+            origins: Mutex::default(),
+            endpoints: Mutex::default(),
+            arrivals: Mutex::default(),
+        });
+        let (mut moods, mut registrations) = (Vec::new(), Vec::new());
+        for number in 0..endpoints {
+            let mood = Arc::new(Mutex::new(Mood::Sound));
+            registrations.push(start_endpoint(number, &mood, &record).await);
+            moods.push(mood);
+        }
+        let routes = vec![
+            route("/get/", Kind::Idempotent),
+            route("/post/", Kind::NonIdempotent),
+            route("/stream/", Kind::Stream { resumable: true }),
+            cascade_route("/cascade/"),
+        ];
+        let contents =
+            StoreContents { catalog: Some(catalog(1, routes)), endpoints: registrations, ..StoreContents::default() };
+        let store = Arc::new(Store::new(contents));
+        let (mut sites, mut networks): (Vec<Site>, Vec<Arc<Origin>>) = (Vec::new(), Vec::new());
+        for instance in 0..instances {
+            let seeds = sites.iter().take(3).map(|site| site.relay.dispatcher().settings.listeners.news).collect();
+            let network = Arc::new(Origin {
+                instance,
+                record: Arc::clone(&record),
+                is_cut: AtomicBool::new(false),
+                is_stalled: AtomicBool::new(false),
+            });
+            let settings = relay::Settings {
+                instance: format!("instance-{instance}"),
+                seeds,
+                network: Arc::<Origin>::clone(&network),
+                ..settings()
+            };
+            sites.push(Site::start_on(Arc::clone(&store), settings).await);
+            networks.push(network);
+        }
+        for site in &sites {
+            while site.relay.dispatcher().live_instance_count() < instances {
+                sleep(Duration::from_millis(2)).await;
+            }
+        }
+        Self { sites, networks, store, record, moods }
+    }
+
+    /// Changes how endpoints treat requests.
+    pub fn set(&self, endpoints: std::ops::Range<usize>, mood: Mood) {
+        for endpoint in &self.moods[endpoints] {
+            *endpoint.lock().unwrap() = mood;
+        }
+    }
+
+    /// Cuts an instance off from all endpoints, or ends that.
+    pub fn cut(&self, instance: usize, is_cut: bool) {
+        self.networks[instance].is_cut.store(is_cut, Ordering::Relaxed);
+    }
+
+    /// Sends a request to an instance.
+    pub fn send(&self, instance: usize, way: Way) -> impl Future<Output = Reply> + Send + 'static {
+        let (record, front) = (Arc::clone(&self.record), self.sites[instance].front());
+        async move {
+            let (method, path) = way.target();
+            let sent_at = record.now();
+            let headers = format!(
+                "x-deadline: 2000\r\nx-sent: {}\r\nx-model: *\r\nx-tokens: 100,10\r\nx-parts: shared-{}:60,own:40\r\n",
+                sent_at.as_micros(),
+                sent_at.as_micros() % SHARED_PARTS
+            );
+            let response = caller::call(front, method, path, &headers, "").await;
+            Reply { instance, received_at: record.now(), response }
+        }
+    }
+
+    /// Sends `per_s` requests a second to all instances in turn for a while.
+    pub async fn send_many(&self, way: Way, per_s: u32, duration: Duration) -> Vec<Reply> {
+        let started = Instant::now();
+        let mut calls = Vec::new();
+        while started.elapsed() < duration {
+            calls.push(tokio::spawn(self.send(calls.len() % self.sites.len(), way)));
+            let due = Duration::from_secs(1) * u32::try_from(calls.len()).unwrap() / per_s;
+            sleep(due.saturating_sub(started.elapsed())).await;
+        }
+        let mut replies = Vec::new();
+        for call in calls {
+            replies.push(call.await.unwrap());
+        }
+        replies
+    }
+
+    /// Returns what the endpoints have received so far.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.record.arrivals.lock().unwrap().clone()
+    }
+
+    /// Returns when each instance has first passed on an answer of each endpoint that leaves, by
+    /// instance and endpoint.
+    pub fn departures(replies: &[Reply]) -> HashMap<(usize, usize), Duration> {
+        let mut departures = HashMap::new();
+        for reply in replies.iter().filter(|reply| reply.says_leaving()) {
+            let Some(server) = reply.server() else { continue };
+            let first = departures.entry((reply.instance, server)).or_insert(reply.received_at);
+            *first = reply.received_at.min(*first);
+        }
+        departures
+    }
+
+    /// Returns the number of pauses that endpoints asked instances for, and the most requests
+    /// that any of them got from such an instance while it was to send none.
+    pub fn requests_in_pauses(&self) -> (usize, usize) {
+        let arrivals = self.arrivals();
+        let requests_in = |asked: &Arrival| {
+            let pause = asked.pause.unwrap_or_default();
+            let span = asked.at + PAUSE_GRACE..asked.at + pause;
+            let is_in = |arrival: &&Arrival| {
+                (arrival.server, arrival.instance) == (asked.server, asked.instance) && span.contains(&arrival.at)
+            };
+            arrivals.iter().filter(is_in).count()
+        };
+        let pauses: Vec<usize> = arrivals.iter().filter(|arrival| arrival.pause.is_some()).map(requests_in).collect();
+        (pauses.len(), pauses.iter().copied().max().unwrap_or_default())
+    }
+}
+
+/// Time after an answer that asks for a pause until the pause must hold.
+const PAUSE_GRACE: Duration = Duration::from_millis(500);
+
+/// In which way requests leave an instance for an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// As a call.
+    Call,
+    /// As a call that must not run twice.
+    Upload,
+    /// Again, after another endpoint has rejected it.
+    Retry,
+    /// As a stream.
+    Stream,
+    /// As the rest of a stream that another endpoint has broken off.
+    Resumption,
+    /// Again, to have a larger model answer it.
+    Escalation,
+}
+
+impl Way {
+    fn target(self) -> (&'static str, &'static str) {
+        match self {
+            Self::Call | Self::Retry => ("GET", "/get/x"),
+            Self::Upload => ("POST", "/post/x"),
+            Self::Stream | Self::Resumption => ("POST", "/stream/x"),
+            Self::Escalation => ("POST", "/cascade/x"),
+        }
+    }
+
+    /// Returns how the other endpoints treat requests, so that requests leave in this way.
+    pub fn mood_of_others(self) -> Mood {
+        match self {
+            Self::Retry => Mood::Full,
+            Self::Resumption => Mood::Breaking,
+            _ => Mood::Sound,
+        }
+    }
+}
+
+/// Starts an endpoint and returns its registration.
+async fn start_endpoint(number: usize, mood: &Arc<Mutex<Mood>>, record: &Arc<Record>) -> Endpoint {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    record.endpoints.lock().unwrap().insert(address);
+    let (mood, record) = (Arc::clone(mood), Arc::clone(record));
+    tokio::spawn(async move {
+        while let Ok((stream, origin)) = listener.accept().await {
+            let (mood, record) = (Arc::clone(&mood), Arc::clone(&record));
+            tokio::spawn(async move {
+                serve(stream, origin, number, &mood, &record).await.ok();
+            });
+        }
+    });
+    endpoint(&format!("e{number}"), address)
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    origin: SocketAddr,
+    number: usize,
+    mood: &Mutex<Mood>,
+    record: &Record,
+) -> io::Result<()> {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4096];
+    while !bytes.windows(4).any(|window| window == b"\r\n\r\n") {
+        let count = stream.read(&mut buffer).await?;
+        if count == 0 {
+            return Ok(());
+        }
+        bytes.extend_from_slice(&buffer[..count]);
+    }
+    let request = String::from_utf8_lossy(&bytes).into_owned();
+    let mood = *mood.lock().unwrap();
+    let Some(sent_us) = header(&request, "x-sent").and_then(|text| text.parse().ok()) else { return Ok(()) };
+    let instance = record.origins.lock().unwrap()[&origin];
+    let pause = if let Mood::Shedding(pause) = mood { Some(pause) } else { None };
+    let sent_at = Duration::from_micros(sent_us);
+    record.arrivals.lock().unwrap().push(Arrival { server: number, instance, at: record.now(), sent_at, pause });
+    sleep(ANSWER_TIME).await;
+    let is_stream = !request.starts_with("GET /get/") && !request.starts_with("POST /post/");
+    let rejection = "HTTP/1.1 503 X\r\nx-request: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+    let (text, last_event) = match mood {
+        Mood::Shedding(pause) => (with_header(rejection, &format!("retry-after: {}", pause.as_secs_f64())), None),
+        Mood::Full => (rejection.to_owned(), None),
+        Mood::Breaking if !is_stream => (rejection.to_owned(), None),
+        Mood::Breaking => (stream_head(&request), Some(EVENTS_BEFORE_BREAK)),
+        Mood::Sound | Mood::Leaving if is_stream => (stream_head(&request), Some(EVENTS)),
+        Mood::Sound | Mood::Leaving => (ok_response("ok"), None),
+    };
+    let text = if mood == Mood::Leaving { with_header(&text, "x-leaving: 1") } else { text };
+    let text = text.replace("{id}", &header(&request, "x-request").unwrap_or_default());
+    stream.write_all(text.replace("x-signature: s", &format!("x-signature: e{number}")).as_bytes()).await?;
+    let Some(last_event) = last_event else { return Ok(()) };
+    let after: u32 = header(&request, "last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
+    for number in after + 1..=last_event {
+        stream.write_all(event(number).as_bytes()).await?;
+        sleep(EVENT_PAUSE).await;
+    }
+    if last_event == EVENTS {
+        stream.write_all(LAST_CHUNK.as_bytes()).await?;
+    }
+    Ok(())
+}
+
+/// Returns the head of a stream; the small model has a low confidence in its answers.
+fn stream_head(request: &str) -> String {
+    let is_small = header(request, "x-model").as_deref() == Some("small");
+    crate::server::stream_head(if is_small { LOW_CONFIDENCE } else { 90 })
+}
+
+/// Adds a header to the head of a response.
+fn with_header(response: &str, header: &str) -> String {
+    response.replacen("\r\n\r\n", &format!("\r\n{header}\r\n\r\n"), 1)
+}
