Test endpoints that ask an instance for a pause

A rejected endpoint got requests again after 150 ms, whatever it had asked for.

Change: endpoints reject and name a time, while requests leave in each way, are forwarded, or wait for connections on a busy processor; registrations return, 74 instances before five endpoints, a large pool. Also: what asks for no pause, the end of a pause, other instances' freedom to send, and the refusal when every endpoint has asked for one.

--- a/crates/relay/tests/it/main.rs
+++ b/crates/relay/tests/it/main.rs
@@ -18,6 +18,7 @@
 mod notices;
 mod partition_soak;
 mod partitions;
+mod paused_endpoints;
 mod proofs;
 mod requests;
 mod restarts;
--- /dev/null
+++ b/crates/relay/tests/it/paused_endpoints.rs
@@ -0,0 +1,206 @@
+//! Endpoints that turn an instance away and ask it for a pause.
+
+use std::{sync::atomic::Ordering, time::Duration};
+
+use relay::catalog::Kind;
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    caller,
+    server::{Action, Server, ok_response},
+    site::{Site, route},
+    withdrawing_fleet::{Fleet, Mood, Way},
+};
+
+/// Most requests that an endpoint may get from an instance in a pause.
+const MAX_REQUESTS_IN_PAUSE: usize = 2;
+
+/// Pause that endpoints ask for.
+const PAUSE: Duration = Duration::from_millis(2_500);
+
+/// Number of endpoints that ask for it.
+const SHEDDING: usize = 2;
+
+fn check_pauses(fleet: &Fleet) {
+    let (pauses, most) = fleet.requests_in_pauses();
+    assert!(pauses > 0, "no endpoint has asked for a pause");
+    assert!(most <= MAX_REQUESTS_IN_PAUSE, "{most} requests in one of {pauses} pauses");
+}
+
+/// Has endpoints ask for pauses while requests leave in one way.
+async fn check(way: Way) {
+    let fleet = Fleet::start(3, 6).await;
+    fleet.set(0..SHEDDING, Mood::Shedding(PAUSE));
+    fleet.send_many(way, 150, Duration::from_millis(500)).await;
+    fleet.set(SHEDDING..6, way.mood_of_others());
+    fleet.send_many(way, 150, Duration::from_secs(4)).await;
+    check_pauses(&fleet);
+}
+
+macro_rules! ways {
+    ($($name:ident: $way:ident;)*) => {$(
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $name() {
+            check(Way::$way).await;
+        }
+    )*};
+}
+
+// An endpoint that has asked an instance for a pause must not get more requests from it in that
+// time, in whichever way they leave.
+ways! {
+    calls_are_not_sent_in_a_pause: Call;
+    uploads_are_not_sent_in_a_pause: Upload;
+    retries_are_not_sent_in_a_pause: Retry;
+    streams_are_not_sent_in_a_pause: Stream;
+    streams_are_not_resumed_in_a_pause: Resumption;
+    larger_models_are_not_asked_in_a_pause: Escalation;
+}
+
+/// A partitioned instance forwards its requests. The instances that send them must observe the
+/// pauses as for their own callers' requests.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn forwarded_requests_are_not_sent_in_a_pause() {
+    let fleet = Fleet::start(3, 4).await;
+    fleet.cut(0, true);
+    fleet.send_many(Way::Call, 100, Duration::from_secs(1)).await;
+    fleet.set(0..SHEDDING, Mood::Shedding(PAUSE));
+    fleet.send_many(Way::Call, 100, Duration::from_secs(4)).await;
+    check_pauses(&fleet);
+}
+
+/// The registration of an endpoint expires and comes back, as when the store was away. The pause
+/// goes on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn pause_outlasts_the_registration() {
+    let fleet = Fleet::start(3, 6).await;
+    fleet.set(0..SHEDDING, Mood::Shedding(PAUSE));
+    fleet.send_many(Way::Call, 150, Duration::from_millis(300)).await;
+    let mut expired = Vec::new();
+    fleet.store.change(|contents| expired = contents.endpoints.drain(0..SHEDDING).collect());
+    fleet.send_many(Way::Call, 150, Duration::from_millis(200)).await;
+    fleet.store.change(|contents| contents.endpoints.extend(expired));
+    fleet.send_many(Way::Call, 150, Duration::from_secs(3)).await;
+    check_pauses(&fleet);
+}
+
+/// Instances of a grown deployment before few endpoints, of which most ask for pauses while the
+/// store is away.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn large_fleet_observes_pauses() {
+    let fleet = Fleet::start(74, 5).await;
+    fleet.store.change(|contents| contents.silent = true);
+    fleet.set(0..3, Mood::Shedding(PAUSE));
+    fleet.send_many(Way::Call, 500, Duration::from_secs(4)).await;
+    check_pauses(&fleet);
+}
+
+/// Endpoints of a large pool, of which each decision examines a few.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn endpoints_of_a_large_pool_get_no_requests_in_a_pause() {
+    let fleet = Fleet::start(2, 70).await;
+    fleet.set(0..60, Mood::Shedding(PAUSE));
+    fleet.send_many(Way::Call, 500, Duration::from_secs(4)).await;
+    check_pauses(&fleet);
+}
+
+/// On a busy processor, connections open long after their endpoints were chosen. An endpoint may
+/// have asked for a pause meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 6)]
+async fn connections_that_open_in_a_pause_are_not_used() {
+    const LATE: usize = 3;
+    let fleet = Fleet::start(1, 1).await;
+    fleet.set(0..1, Mood::Shedding(PAUSE));
+    fleet.networks[0].is_stalled.store(true, Ordering::Relaxed);
+    let late: Vec<_> = (0..LATE).map(|_| tokio::spawn(fleet.send(0, Way::Call))).collect();
+    sleep(Duration::from_millis(50)).await;
+    fleet.networks[0].is_stalled.store(false, Ordering::Relaxed);
+    fleet.send(0, Way::Call).await;
+    for call in late {
+        call.await.unwrap();
+    }
+    check_pauses(&fleet);
+}
+
+/// After the pause the endpoint must get its part of the requests again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endpoint_gets_requests_after_a_pause() {
+    let fleet = Fleet::start(1, 3).await;
+    fleet.set(0..1, Mood::Shedding(Duration::from_secs(1)));
+    fleet.send_many(Way::Call, 100, Duration::from_millis(300)).await;
+    fleet.set(0..1, Mood::Sound);
+    fleet.send_many(Way::Call, 100, Duration::from_secs(2)).await;
+    let served = fleet.arrivals().iter().filter(|arrival| arrival.server == 0 && arrival.pause.is_none()).count();
+    assert!(served >= 10, "{served} of some 100 requests after the pause");
+}
+
+/// Every endpoint has asked for a pause. A request that could only wait until it is refused is
+/// refused at once, and a caller that comes back when it is told to is served.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_within_all_pauses_is_refused_at_once() {
+    const ENDPOINTS: usize = 4;
+    let fleet = Fleet::start(1, ENDPOINTS).await;
+    fleet.set(0..ENDPOINTS, Mood::Shedding(PAUSE));
+    fleet.send_many(Way::Call, 100, Duration::from_millis(400)).await;
+    fleet.set(0..ENDPOINTS, Mood::Sound);
+    let before = fleet.arrivals().len();
+    let started = Instant::now();
+    let refused = fleet.send(0, Way::Upload).await.response;
+    let (took, received) = (started.elapsed(), fleet.arrivals().len() - before);
+    assert_eq!((refused.status, received), (503, 0), "{refused:?}");
+    assert!(took < Duration::from_millis(200), "refused after {took:?}");
+    let after: f64 = refused.header("retry-after").expect("the response names a time").parse().unwrap();
+    assert!((0.5..1.5 * PAUSE.as_secs_f64()).contains(&after), "{after}");
+    sleep(Duration::from_secs_f64(after)).await;
+    assert_eq!(fleet.send(0, Way::Upload).await.response.status, 200);
+}
+
+/// A pause concerns the instance that was asked for it. Others must still send to the endpoint.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn pause_of_one_instance_does_not_bind_others() {
+    let fleet = Fleet::start(2, 1).await;
+    fleet.set(0..1, Mood::Shedding(PAUSE));
+    fleet.send(0, Way::Call).await;
+    fleet.set(0..1, Mood::Sound);
+    assert_eq!(fleet.send(1, Way::Call).await.response.status, 200);
+}
+
+/// Formats a rejection that asks for a pause.
+fn rejection(status: u16, headers: &str) -> Action {
+    Action::Write(format!("HTTP/1.1 {status} X\r\n{headers}content-length: 0\r\n\r\n"))
+}
+
+/// Sends requests for about 1.2 s, and returns how many reached an endpoint whose answers are
+/// given, beside a sound one.
+async fn requests_after(action: Action) -> usize {
+    let (asking, other) =
+        (Server::start(vec![action]).await, Server::start(vec![Action::Write(ok_response("ok"))]).await);
+    let site = Site::start(vec![route("/a/", Kind::Idempotent)], &[asking.address, other.address]).await;
+    for _ in 0..120 {
+        caller::call(site.front(), "GET", "/a/x", "", "").await;
+        sleep(Duration::from_millis(8)).await;
+    }
+    asking.requests().len()
+}
+
+macro_rules! rejections {
+    ($($name:ident: $status:expr, $headers:expr, $range:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let received = requests_after(rejection($status, $headers)).await;
+            assert!($range.contains(&received), "{received} requests");
+        }
+    )*};
+}
+
+// What asks for a pause, and what does not.
+rejections! {
+    pause_in_fractions_of_a_second_holds: 503, "x-request: {id}\r\nx-not-run: 1\r\nretry-after: 30.5\r\n", 1..=1;
+    pause_in_a_rejection_without_a_promise_holds: 503, "x-request: {id}\r\nretry-after: 30\r\n", 1..=1;
+    rejection_without_a_time_asks_for_no_pause: 503, "x-request: {id}\r\nx-not-run: 1\r\n", 3..=120;
+    negative_time_asks_for_no_pause: 503, "x-request: {id}\r\nx-not-run: 1\r\nretry-after: -5\r\n", 3..=120;
+    unreadable_time_asks_for_no_pause: 503, "x-request: {id}\r\nx-not-run: 1\r\nretry-after: soon\r\n", 3..=120;
+    infinite_time_asks_for_no_pause: 503, "x-request: {id}\r\nx-not-run: 1\r\nretry-after: inf\r\n", 3..=120;
+    pause_of_another_server_at_the_address_does_not_count:
+        421, "x-request: {id}\r\nx-not-run: 1\r\nretry-after: 30\r\n", 2..=120;
+}
