Send nothing more to endpoints whose answers say that they leave

What callers saw: nothing yet; requests reached an endpoint 2.1 and 2.3 s after an instance had passed on its word that it leaves (DRAIN), where long ones are cut when it ends.

Cause: an endpoint's state was taken from its registration only. With the store away, no change of it arrives, and the endpoint's own word in its answers was not read. Knowledge with a single source, though a nearer one was at hand.

Change: an answer that says so takes the endpoint's start out of use at once, for calls, repeats, rests of streams and larger models alike, since all are placed by one check. The word is kept apart from the registration, so that one that expires and returns, or is written anew, does not take it back; another start is another endpoint. An instance that passes on an answer through another one is told which endpoint leaves.

--- a/crates/relay/src/dispatcher/evacuations.rs
+++ b/crates/relay/src/dispatcher/evacuations.rs
@@ -140,8 +140,9 @@
     /// domains.
     #[must_use]
     pub fn is_service_evacuated(&self, service: &str) -> bool {
+        let now = clock::now();
         let state = self.lock();
-        let mut endpoints = state.fleet.endpoints_of(service).filter(|endpoint| !endpoint.draining).peekable();
+        let mut endpoints = state.fleet.staying_endpoints_of(service, now).peekable();
         endpoints.peek().is_some() && endpoints.all(|endpoint| state.fleet.evacuations.contains(&endpoint.domain))
     }
 }
--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -9,6 +9,7 @@
 mod answers;
 mod caches;
 mod decaying_mean;
+mod departures;
 mod limits;
 mod notices;
 mod pool;
@@ -96,6 +97,7 @@
     /// Whether this instance reaches the endpoints, by service; services without a failed
     /// connection are missing.
     reachability: HashMap<String, Reachability>,
+    departures: departures::Departures,
     /// Failure domains whose endpoints get no new requests.
     pub(super) evacuations: Evacuations,
     /// Endpoints that take only a limited rate until they are warm.
@@ -147,6 +149,8 @@
     throttle: Throttle,
     /// Keeps this instance from crashing the endpoint by requests that it rejects.
     guard: Guard,
+    /// Time until which the endpoint counts as leaving by its own word.
+    leaving_until: Duration,
     /// When the endpoint is warm.
     warm_at: Duration,
     /// Rate at which this instance may send requests until then.
@@ -295,6 +299,7 @@
             unfinished_runs: UnfinishedRuns::default(),
             throttle: Throttle::default(),
             guard: Guard::default(),
+            leaving_until: Duration::ZERO,
             warm_at: Duration::ZERO,
             warmup_throttle: Throttle::default(),
         }
--- a/crates/relay/src/dispatcher/fleet/limits.rs
+++ b/crates/relay/src/dispatcher/fleet/limits.rs
@@ -164,7 +164,7 @@
         let now = clock::now();
         let state = self.lock();
         let up = |server: &&Server| {
-            server.endpoint.service == service && state.fleet.is_in_service(server) && server.backoff_until <= now
+            server.endpoint.service == service && state.fleet.is_in_service(server, now) && server.backoff_until <= now
         };
         let mut least = None;
         for server in state.fleet.servers.values().filter(up) {
--- a/crates/relay/src/dispatcher/fleet/registry.rs
+++ b/crates/relay/src/dispatcher/fleet/registry.rs
@@ -147,8 +147,9 @@
             return;
         }
         let name = endpoint.id.clone();
-        let server = Server::new(endpoint, peer_load, now);
+        let mut server = Server::new(endpoint, peer_load, now);
         let hash = server.hash;
+        server.leaving_until = self.departures.leaving_until(hash);
         let key = self.servers.insert(server);
         self.by_name.insert(name, key);
         self.by_hash.insert(hash, key);
@@ -162,6 +163,16 @@
         self.servers.values().map(|server| &*server.endpoint).filter(move |endpoint| endpoint.service == service)
     }
 
+    /// Returns the registrations of a service's endpoints that are not leaving.
+    pub(in crate::dispatcher) fn staying_endpoints_of(
+        &self,
+        service: &str,
+        now: Duration,
+    ) -> impl Iterator<Item = &Endpoint> {
+        let stays = move |server: &&Server| server.endpoint.service == service && !server.is_leaving(now);
+        self.servers.values().filter(stays).map(|server| &*server.endpoint)
+    }
+
     /// Returns all known endpoints but one.
     pub(in crate::dispatcher) fn other_endpoints(&self, key: Key) -> impl Iterator<Item = Arc<Endpoint>> {
         let others = self.servers.iter().filter(move |(other, _)| *other != key);
--- a/crates/relay/src/dispatcher/fleet/rejections.rs
+++ b/crates/relay/src/dispatcher/fleet/rejections.rs
@@ -161,7 +161,7 @@
         let now = clock::now();
         let state = self.lock();
         let fleet = &state.fleet;
-        let is_candidate = |server: &&Server| server.endpoint.service == service && fleet.is_in_service(server);
+        let is_candidate = |server: &&Server| server.endpoint.service == service && fleet.is_in_service(server, now);
         let mut in_service = fleet.servers.values().filter(is_candidate).peekable();
         in_service.peek().is_none() || in_service.any(|server| server.guard.has_share(now))
     }
@@ -175,7 +175,7 @@
         let is_held_back = |server: &Server| {
             server.endpoint.service == service
                 && server.backoff_until <= now
-                && state.fleet.is_in_service(server)
+                && state.fleet.is_in_service(server, now)
                 && server.throttle.may_send(now)
                 && server.may_send_while_warming(now)
                 && !server.guard.may_send(now)
@@ -190,7 +190,7 @@
         let now = clock::now();
         let state = self.lock();
         let fragile = state.fleet.servers.values().filter_map(|server| {
-            let is_candidate = server.endpoint.service == service && state.fleet.is_in_service(server);
+            let is_candidate = server.endpoint.service == service && state.fleet.is_in_service(server, now);
             let max_per_s = server.guard.max_per_s(now).filter(|_| is_candidate)?;
             Some(rejection::Endpoint { hash: server.hash, slots: server.endpoint.slots, max_per_s })
         });
--- a/crates/relay/src/dispatcher/fleet/selection.rs
+++ b/crates/relay/src/dispatcher/fleet/selection.rs
@@ -164,15 +164,15 @@
 
     /// Returns whether an endpoint may get a request now if it is reachable.
     pub(super) fn takes_requests(&self, server: &Server, now: Duration) -> bool {
-        self.is_in_service(server)
+        self.is_in_service(server, now)
             && server.throttle.may_send(now)
             && server.guard.may_send(now)
             && server.may_send_while_warming(now)
     }
 
     /// Returns whether an endpoint is neither leaving nor in an evacuated failure domain.
-    pub(super) fn is_in_service(&self, server: &Server) -> bool {
-        !server.endpoint.draining && !self.evacuations.contains(&server.endpoint.domain)
+    pub(super) fn is_in_service(&self, server: &Server, now: Duration) -> bool {
+        !server.is_leaving(now) && !self.evacuations.contains(&server.endpoint.domain)
     }
 
     /// Returns the learned latency estimate for a job's service and model, or the initial estimate.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -99,5 +99,7 @@
 
 /// Returns the headers of an endpoint's answer that are forwarded to the caller.
 fn forwarded_headers(response: &Response<Incoming>) -> http::HeaderMap {
-    end_to_end(response.headers())
+    let mut headers = end_to_end(response.headers());
+    forwarding::remove_instance_headers(&mut headers);
+    headers
 }
--- a/crates/relay/src/exchange/stream.rs
+++ b/crates/relay/src/exchange/stream.rs
@@ -54,11 +54,14 @@
 pub fn forward(exchange: Exchange, active: ActiveStream) -> Response<Body> {
     let mut response = Response::new(());
     *response.status_mut() = active.answer.response.status();
-    *response.headers_mut() = forwarded_headers(&active.answer.response);
     let confidence = exchange.confidence(&active.answer);
-    if let Hop::Endpoint(run) = &active.hop {
-        exchange.log_answer(&run.endpoint, run.choice, active.answer.response.status(), active.model, confidence);
-    }
+    *response.headers_mut() = match &active.hop {
+        Hop::Endpoint(run) => {
+            exchange.log_answer(&run.endpoint, run.choice, active.answer.response.status(), active.model, confidence);
+            exchange.headers_from(&run.endpoint, &active.answer)
+        }
+        Hop::Instance(_) => forwarded_headers(&active.answer.response),
+    };
     response.map(|()| StreamBody::new(event_frames(exchange, active)).boxed_unsync())
 }
 
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -8,7 +8,7 @@
 use route::relay::{content::Work, placement::Choice};
 use tokio::task::JoinHandle;
 
-use super::{admit::Admission, crash_check, forwarded_headers, hop::Hop};
+use super::{admit::Admission, crash_check, hop::Hop};
 use crate::{
     answer::{self, Body, Refusal},
     catalog::Kind,
@@ -263,7 +263,7 @@
         run.record_limit(limit);
         run.record_max_rejections(max_rejections);
         if is_leaving {
-            tracing::info!(request = self.params.id, endpoint = run.endpoint.id, "endpoint says that it leaves");
+            run.record_departure();
         }
         if let Some(pause) = pause {
             let pause_ms = clock::millis(pause);
@@ -277,7 +277,7 @@
 
     /// Reads an answer to its end. One that breaks off may be retried like a lost answer.
     async fn read_whole_answer(&mut self, answer: Answer, mut run: Run) -> NextStep {
-        let headers = forwarded_headers(&answer.response);
+        let headers = self.headers_from(&run.endpoint, &answer);
         let status = answer.response.status();
         if promises_not_run(status) {
             // A signed answer shows that the request ran. This status would tell the caller
