Keep deadlines of endpoints' starts in a type of their own

Cause: what an endpoint has said of itself must outlast its registration; pauses that endpoints ask for need the same as departures.

Change: the map moves out of departures. No behaviour changes.

--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -8,6 +8,7 @@
 
 mod answers;
 mod caches;
+mod deadlines;
 mod decaying_mean;
 mod departures;
 mod limits;
@@ -43,6 +44,7 @@
     run::{Run, RunOutcome},
 };
 use self::{
+    deadlines::Deadlines,
     decaying_mean::DecayingMean,
     selection::{Selection, job_units},
 };
@@ -97,7 +99,8 @@
     /// Whether this instance reaches the endpoints, by service; services without a failed
     /// connection are missing.
     reachability: HashMap<String, Reachability>,
-    departures: departures::Departures,
+    /// Until when starts of endpoints count as leaving by their own word.
+    departures: Deadlines,
     /// Failure domains whose endpoints get no new requests.
     pub(super) evacuations: Evacuations,
     /// Endpoints that take only a limited rate until they are warm.
--- a/crates/relay/src/dispatcher/fleet/departures.rs
+++ b/crates/relay/src/dispatcher/fleet/departures.rs
@@ -1,33 +1,22 @@
 //! Endpoints whose answers say that they leave.
 //!
 //! While the store cannot be reached, the registration of such an endpoint goes on saying that
-//! it is ready, or expires and comes back as it was. So the endpoint's own word is kept apart
-//! from its registration, by the hash of its start, and no registration takes it back.
+//! it is ready, or expires and comes back as it was. So no registration takes back what the
+//! endpoint itself has said.
 
-use std::{collections::HashMap, time::Duration};
+use std::time::Duration;
 
-use super::{Fleet, Run, Server};
+use super::{Run, Server, start_hash};
 use crate::{clock, dispatcher::Dispatcher};
 
 /// Time for which an endpoint's word holds. Endpoints that leave are gone long before. One that
 /// was told to stay after all gets a request again then, and its answer shows that it stays.
 const MAX_LEAVING_TIME: Duration = Duration::from_mins(10);
 
-/// Starts of endpoints that have said that they leave, with the time until which that holds.
-#[derive(Debug, Default)]
-pub(super) struct Departures(HashMap<u32, Duration>);
-
-impl Departures {
-    /// Returns the time until which a start of an endpoint counts as leaving.
-    pub fn leaving_until(&self, start: u32) -> Duration {
-        self.0.get(&start).copied().unwrap_or_default()
-    }
-}
-
 impl Run {
     /// Records that the endpoint's answer says that it leaves.
     pub fn record_departure(&self) {
-        self.dispatcher.record_departure(super::start_hash(&self.endpoint));
+        self.dispatcher.record_departure(start_hash(&self.endpoint));
     }
 }
 
@@ -37,11 +26,9 @@
     pub fn record_departure(&self, start: u32) {
         let now = clock::now();
         let mut state = self.lock();
-        let Fleet { departures, .. } = &mut state.fleet;
-        departures.0.retain(|_, until| now < *until);
-        let is_new = departures.0.insert(start, now + MAX_LEAVING_TIME).is_none();
+        let (leaving_until, is_new) = state.fleet.departures.extend(start, now + MAX_LEAVING_TIME, now);
         let Some(server) = state.fleet.server_by_hash(start) else { return };
-        server.leaving_until = now + MAX_LEAVING_TIME;
+        server.leaving_until = leaving_until;
         if is_new {
             tracing::info!(
                 endpoint = server.endpoint.id,
--- a/crates/relay/src/dispatcher/fleet/registry.rs
+++ b/crates/relay/src/dispatcher/fleet/registry.rs
@@ -149,7 +149,7 @@
         let name = endpoint.id.clone();
         let mut server = Server::new(endpoint, peer_load, now);
         let hash = server.hash;
-        server.leaving_until = self.departures.leaving_until(hash);
+        server.leaving_until = self.departures.get(hash);
         let key = self.servers.insert(server);
         self.by_name.insert(name, key);
         self.by_hash.insert(hash, key);
