Send nothing to an endpoint in the pause that it has asked for

Cause: the time in a rejection was not read. A rejected endpoint counted as full for 150 ms, and since it ran nothing it then looked like the least loaded one. The same class as the departures: what an endpoint says of itself in an answer was not taken from there.

Change: a 503 with Retry-After, with or without the promise that the request did not run, takes the endpoint out of use for this instance until the time is over (ten minutes at most), for every way in which requests leave, and past a registration that expires and returns. A connection that opens after its endpoint has asked for a pause, or has said that it leaves, is not used. Where all endpoints have asked, another instance is asked to send the request, since a pause binds one instance only; if none can, the request is refused at once, with the rest of the pause of an endpoint drawn by its slots, so that callers return as endpoints do.

Without the check after connecting, connections_that_open_in_a_pause_are_not_used fails, and pause_outlasts_the_registration (which now flaps four times) without the deadlines apart from registrations.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -61,6 +61,11 @@
         /// Time until an endpoint accepts a request again.
         after: Duration,
     },
+    /// All endpoints have asked this instance for a pause.
+    Paused {
+        /// Time after which the caller should come back.
+        after: Duration,
+    },
     /// The deadline passed before the request ran.
     Expired,
     /// The request may have run, and no answer came in time.
@@ -97,6 +102,7 @@
             | Self::TurnedAway
             | Self::Quarantined { .. }
             | Self::Throttled { .. }
+            | Self::Paused { .. }
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
@@ -119,7 +125,7 @@
             Self::Memory | Self::NoEndpoint | Self::TurnedAway | Self::Expired => Some(RETRY_AFTER_BUSY),
             // An outage that has lasted for a while is likely to last as long again.
             Self::Unreachable { lost_for } => Some((*lost_for).clamp(RETRY_AFTER_BUSY, MAX_RETRY_AFTER_OUTAGE)),
-            Self::Quarantined { left: after } | Self::Throttled { after } => Some(*after),
+            Self::Quarantined { left: after } | Self::Throttled { after } | Self::Paused { after } => Some(*after),
             _ => None,
         }
     }
@@ -158,7 +164,9 @@
             Self::Evacuated => "not run: every endpoint is in an evacuated failure domain; try again shortly",
             Self::TurnedAway => "not run: every endpoint tried was full or unreachable; try again shortly",
             Self::Quarantined { .. } => "not run: endpoints crashed under it several times; it is refused for a while",
-            Self::Throttled { .. } => "not run: no endpoint takes more requests now; try again when told",
+            Self::Throttled { .. } | Self::Paused { .. } => {
+                "not run: no endpoint takes more requests now; try again when told"
+            }
             Self::Expired => "not run: its time ran out first",
             Self::TimedOut => "it may have run; no answer came in time",
             Self::Lost => "it may have run; its answer was lost",
--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -13,6 +13,7 @@
 mod departures;
 mod limits;
 mod notices;
+mod pauses;
 mod pool;
 mod reachability;
 mod registry;
@@ -101,6 +102,8 @@
     reachability: HashMap<String, Reachability>,
     /// Until when starts of endpoints count as leaving by their own word.
     departures: Deadlines,
+    /// Until when starts of endpoints want no requests from this instance.
+    pauses: Deadlines,
     /// Failure domains whose endpoints get no new requests.
     pub(super) evacuations: Evacuations,
     /// Endpoints that take only a limited rate until they are warm.
@@ -154,6 +157,8 @@
     guard: Guard,
     /// Time until which the endpoint counts as leaving by its own word.
     leaving_until: Duration,
+    /// End of the pause that the endpoint has asked this instance for.
+    paused_until: Duration,
     /// When the endpoint is warm.
     warm_at: Duration,
     /// Rate at which this instance may send requests until then.
@@ -303,6 +308,7 @@
             throttle: Throttle::default(),
             guard: Guard::default(),
             leaving_until: Duration::ZERO,
+            paused_until: Duration::ZERO,
             warm_at: Duration::ZERO,
             warmup_throttle: Throttle::default(),
         }
--- /dev/null
+++ b/crates/relay/src/dispatcher/fleet/pauses.rs
@@ -0,0 +1,75 @@
+//! Endpoints that have turned this instance away and asked it for a pause.
+//!
+//! A pause is a matter between an endpoint and one instance. The others are not told of it, and
+//! may go on sending to the endpoint. Like a departure, it outlasts the endpoint's registration.
+
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+
+use super::{Fleet, Key, Run, Server, start_hash};
+use crate::{clock, dispatcher::Dispatcher};
+
+/// Longest pause. An endpoint that wants a longer one gets a request after this time, and can ask
+/// again. It limits the damage of a time that is meant in milliseconds.
+const MAX_PAUSE: Duration = Duration::from_mins(10);
+
+impl Run {
+    /// Records that the endpoint has asked this instance to send it nothing for a while.
+    pub fn record_pause(&self, pause: Duration) {
+        let now = clock::now();
+        let start = start_hash(&self.endpoint);
+        let mut state = self.dispatcher.lock();
+        let (paused_until, is_new) = state.fleet.pauses.extend(start, now + pause.min(MAX_PAUSE), now);
+        let Some(server) = state.fleet.server_by_hash(start) else { return };
+        server.paused_until = paused_until;
+        if is_new {
+            tracing::info!(endpoint = server.endpoint.id, pause_ms = clock::millis(pause), "endpoint asks for a pause");
+            metrics::counter!("relay_endpoint_pauses_total", "service" => self.endpoint.service.clone()).increment(1);
+            state.fleet.invalidate_pools();
+        }
+    }
+}
+
+impl Dispatcher {
+    /// Whether an endpoint has asked for no more requests, for a while or for good.
+    #[must_use]
+    pub fn has_withdrawn(&self, key: Key) -> bool {
+        let now = clock::now();
+        let state = self.lock();
+        state.fleet.servers.get(key).is_some_and(|server| server.is_leaving(now) || server.is_paused(now))
+    }
+
+    /// Returns the time after which a caller should come back if all available endpoints of a
+    /// service have asked for a pause, or `None` if one has not.
+    ///
+    /// It is the rest of the pause of an endpoint drawn by its slots. Callers then return as
+    /// endpoints do; all at the end of the first pause would be too many for that one.
+    #[must_use]
+    pub fn pause_left(&self, service: &str) -> Option<Duration> {
+        let now = clock::now();
+        let state = self.lock();
+        let available: Vec<&Server> = state.fleet.servers_in_service(service, now).collect();
+        if !available.iter().all(|server| server.is_paused(now)) {
+            return None;
+        }
+        let drawn = available.choose_weighted(&mut rand::rng(), |server| server.endpoint.slots.max(1)).ok()?;
+        Some(drawn.paused_until.saturating_sub(now))
+    }
+}
+
+impl Fleet {
+    /// Returns the endpoints of a service that are in service and not in backoff.
+    pub(super) fn servers_in_service(&self, service: &str, now: Duration) -> impl Iterator<Item = &Server> {
+        self.servers.values().filter(move |server| {
+            server.endpoint.service == service && self.is_in_service(server, now) && server.backoff_until <= now
+        })
+    }
+}
+
+impl Server {
+    /// Whether the endpoint has asked this instance for a pause that has not ended.
+    pub(super) fn is_paused(&self, now: Duration) -> bool {
+        now < self.paused_until
+    }
+}
--- a/crates/relay/src/dispatcher/fleet/registry.rs
+++ b/crates/relay/src/dispatcher/fleet/registry.rs
@@ -150,6 +150,7 @@
         let mut server = Server::new(endpoint, peer_load, now);
         let hash = server.hash;
         server.leaving_until = self.departures.get(hash);
+        server.paused_until = self.pauses.get(hash);
         let key = self.servers.insert(server);
         self.by_name.insert(name, key);
         self.by_hash.insert(hash, key);
--- a/crates/relay/src/dispatcher/fleet/rejections.rs
+++ b/crates/relay/src/dispatcher/fleet/rejections.rs
@@ -176,6 +176,7 @@
             server.endpoint.service == service
                 && server.backoff_until <= now
                 && state.fleet.is_in_service(server, now)
+                && !server.is_paused(now)
                 && server.throttle.may_send(now)
                 && server.may_send_while_warming(now)
                 && !server.guard.may_send(now)
--- a/crates/relay/src/dispatcher/fleet/run.rs
+++ b/crates/relay/src/dispatcher/fleet/run.rs
@@ -80,6 +80,8 @@
     Failed,
     /// The answer broke off, was malformed, or did not come in time.
     Broken,
+    /// The request was not sent.
+    Unsent,
     /// The endpoint refused the run without starting it, as full endpoints do.
     Full,
     /// The connection failed.
@@ -185,6 +187,7 @@
                 server.failure_rate.observe(0.0, 0.0, now);
                 server.failed_connections = 0;
             }
+            RunOutcome::Unsent => {}
             RunOutcome::Broken if !is_path_sound => {}
             RunOutcome::Failed | RunOutcome::Broken => server.failure_rate.observe(1.0, 0.0, now),
             RunOutcome::Full => {
--- a/crates/relay/src/dispatcher/fleet/selection.rs
+++ b/crates/relay/src/dispatcher/fleet/selection.rs
@@ -165,6 +165,7 @@
     /// Returns whether an endpoint may get a request now if it is reachable.
     pub(super) fn takes_requests(&self, server: &Server, now: Duration) -> bool {
         self.is_in_service(server, now)
+            && !server.is_paused(now)
             && server.throttle.may_send(now)
             && server.guard.may_send(now)
             && server.may_send_while_warming(now)
--- a/crates/relay/src/exchange/forwarding.rs
+++ b/crates/relay/src/exchange/forwarding.rs
@@ -63,7 +63,8 @@
             | Refusal::NoKey
             | Refusal::Memory
             | Refusal::Unreachable { .. }
-            | Refusal::NoShare => Self::Instance,
+            | Refusal::NoShare
+            | Refusal::Paused { .. } => Self::Instance,
             _ => Self::Fleet,
         }
     }
@@ -200,7 +201,7 @@
             Outcome::Unreachable(unreachable) => unreachable.cause.clone(),
             Outcome::NotRun(status) => format!("another instance refused with {status}"),
             Outcome::Unknown(cause) | Outcome::Broken(cause) => cause.clone(),
-            Outcome::Answer(_) => String::new(),
+            Outcome::Withdrawn | Outcome::Answer(_) => String::new(),
         };
         tracing::info!(
             request = self.params.id,
--- a/crates/relay/src/exchange/hop.rs
+++ b/crates/relay/src/exchange/hop.rs
@@ -99,6 +99,12 @@
         if self.dispatcher.is_service_evacuated(&self.service) {
             return Err(self.refusal_for_caller(Refusal::Evacuated));
         }
+        // The pauses are this instance's; the endpoints may still take requests from others.
+        if self.dispatcher.pause_left(&self.service).is_some()
+            && let Some(instance) = self.next_instance()
+        {
+            return Ok(Hop::Instance(instance));
+        }
         if !self.dispatcher.is_rejection_share_used_up(&self.service) {
             let run = self.wait_for_place(model, ENDPOINT_WAIT, Refusal::NoEndpoint).await?;
             return Ok(Hop::Endpoint(Box::new(run)));
@@ -168,7 +174,9 @@
             if let Some(after) = self.dispatcher.throttle_wait(&self.service)
                 && clock::now() + after > until
             {
-                return Err(self.refusal_for_caller(Refusal::Throttled { after }));
+                let pause = self.dispatcher.pause_left(&self.service);
+                let refusal = pause.map_or(Refusal::Throttled { after }, |after| Refusal::Paused { after });
+                return Err(self.refusal_for_caller(refusal));
             }
             tokio::time::sleep(Duration::from_millis(25)).await;
             if let Some(run) = self.place(model) {
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -205,6 +205,10 @@
                 }
                 (if *is_refused { RunOutcome::Down } else { RunOutcome::Unreachable }, cause.clone())
             }
+            Outcome::Withdrawn => {
+                self.sent -= 1;
+                (RunOutcome::Unsent, "it asked for no more requests meanwhile".to_owned())
+            }
             Outcome::NotRun(StatusCode::MISDIRECTED_REQUEST) => {
                 (RunOutcome::Replaced, "another server stands at its address".to_owned())
             }
@@ -250,6 +254,9 @@
             Err(unreachable) => return Outcome::Unreachable(unreachable),
         };
         run.record_connection();
+        if self.dispatcher.has_withdrawn(run.key) {
+            return Outcome::Withdrawn;
+        }
         run.mark_sent(self.work.clone());
         if self.sent == 1 {
             self.dispatcher.record_first_dispatch(&self.service);
@@ -266,8 +273,7 @@
             run.record_departure();
         }
         if let Some(pause) = pause {
-            let pause_ms = clock::millis(pause);
-            tracing::info!(request = self.params.id, endpoint = run.endpoint.id, pause_ms, "endpoint asks for a pause");
+            run.record_pause(pause);
         }
         if matches!(outcome, Outcome::Unreachable(_) | Outcome::NotRun(_)) {
             self.may_have_run = ran_before;
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -26,6 +26,9 @@
 pub enum Outcome {
     /// No connection was made, so nothing was sent.
     Unreachable(Unreachable),
+    /// Nothing was sent, since the endpoint asked for no more requests before the connection was
+    /// open.
+    Withdrawn,
     /// The endpoint said that it did not and will not run the request.
     NotRun(StatusCode),
     /// The request may have run; no trustworthy answer came.
@@ -43,6 +46,7 @@
     pub fn label(&self) -> &'static str {
         match self {
             Self::Unreachable(_) => "unreachable",
+            Self::Withdrawn => "withdrawn",
             Self::NotRun(_) => "not run",
             Self::Unknown(_) => "unknown",
             Self::Broken(_) => "broken",
--- a/crates/relay/tests/it/paused_endpoints.rs
+++ b/crates/relay/tests/it/paused_endpoints.rs
@@ -69,18 +69,20 @@
     check_pauses(&fleet);
 }
 
-/// The registration of an endpoint expires and comes back, as when the store was away. The pause
-/// goes on.
+/// The registration of an endpoint expires and comes back several times, as when the store is away
+/// again and again. The pause goes on.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn pause_outlasts_the_registration() {
     let fleet = Fleet::start(3, 6).await;
     fleet.set(0..SHEDDING, Mood::Shedding(PAUSE));
-    fleet.send_many(Way::Call, 150, Duration::from_millis(300)).await;
-    let mut expired = Vec::new();
-    fleet.store.change(|contents| expired = contents.endpoints.drain(0..SHEDDING).collect());
-    fleet.send_many(Way::Call, 150, Duration::from_millis(200)).await;
-    fleet.store.change(|contents| contents.endpoints.extend(expired));
-    fleet.send_many(Way::Call, 150, Duration::from_secs(3)).await;
+    fleet.send_many(Way::Call, 150, Duration::from_millis(600)).await;
+    for _ in 0..4 {
+        let mut expired = Vec::new();
+        fleet.store.change(|contents| expired = contents.endpoints.drain(0..SHEDDING).collect());
+        fleet.send_many(Way::Call, 150, Duration::from_millis(100)).await;
+        fleet.store.change(|contents| contents.endpoints.splice(0..0, expired).for_each(drop));
+        fleet.send_many(Way::Call, 150, Duration::from_millis(300)).await;
+    }
     check_pauses(&fleet);
 }
 
@@ -165,6 +167,23 @@
     assert_eq!(fleet.send(1, Way::Call).await.response.status, 200);
 }
 
+/// Callers of an instance that all endpoints have asked for a pause must be served by another
+/// instance, to which they still answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_of_a_paused_instance_are_served_by_others() {
+    const ENDPOINTS: usize = 3;
+    let fleet = Fleet::start(3, ENDPOINTS).await;
+    fleet.set(0..ENDPOINTS, Mood::Shedding(PAUSE));
+    assert_eq!(fleet.send(0, Way::Call).await.response.status, 503);
+    let asked: Vec<_> = fleet.arrivals().iter().map(|arrival| (arrival.instance, arrival.server)).collect();
+    assert!((0..ENDPOINTS).all(|server| asked.contains(&(0, server))), "{asked:?}");
+    fleet.set(0..ENDPOINTS, Mood::Sound);
+    for way in [Way::Call, Way::Upload, Way::Stream] {
+        let response = fleet.send(0, way).await.response;
+        assert_eq!(response.status, 200, "{way:?}: {response:?}");
+    }
+}
+
 /// Formats a rejection that asks for a pause.
 fn rejection(status: u16, headers: &str) -> Action {
     Action::Write(format!("HTTP/1.1 {status} X\r\n{headers}content-length: 0\r\n\r\n"))
