--- a/crates/relay/tests/it/paused_endpoints.rs
+++ b/crates/relay/tests/it/paused_endpoints.rs
@@ -9,7 +9,7 @@
     caller,
     server::{Action, Server, ok_response},
     site::{Site, route},
-    withdrawing_fleet::{Fleet, Mood, Way},
+    withdrawing_fleet::{Fleet, Mood, Reply, Way},
 };
 
 /// Most requests that an endpoint may get from an instance in a pause.
@@ -184,6 +184,28 @@
     }
 }
 
+/// All endpoints of a large fleet ask for pauses. Callers must be refused early and told when to
+/// come back, and must be served again when the endpoints take requests.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn large_fleet_refuses_early_while_all_endpoints_ask_for_pauses() {
+    const ENDPOINTS: usize = 5;
+    const MAX_REFUSAL_TIME: Duration = Duration::from_millis(500);
+    let fleet = Fleet::start(74, ENDPOINTS).await;
+    fleet.send_many(Way::Call, 200, Duration::from_secs(1)).await;
+    fleet.set(0..ENDPOINTS, Mood::Shedding(PAUSE));
+    let refused = fleet.send_many(Way::Call, 200, Duration::from_secs(4)).await;
+    check_pauses(&fleet);
+    let is_refused = |reply: &&Reply| reply.response.status == 503 && reply.response.header("retry-after").is_some();
+    assert_eq!(refused.iter().filter(is_refused).count(), refused.len());
+    let late = refused.iter().filter(|reply| reply.took > MAX_REFUSAL_TIME).count();
+    assert!(20 * late <= refused.len(), "{late} of {} refused late", refused.len());
+    fleet.set(0..ENDPOINTS, Mood::Sound);
+    sleep(PAUSE).await;
+    let served = fleet.send_many(Way::Call, 200, Duration::from_secs(1)).await;
+    let statuses: Vec<u16> = served.iter().map(|reply| reply.response.status).filter(|status| *status != 200).collect();
+    assert!(statuses.is_empty(), "{statuses:?} of {}", served.len());
+}
+
 /// Formats a rejection that asks for a pause.
 fn rejection(status: u16, headers: &str) -> Action {
     Action::Write(format!("HTTP/1.1 {status} X\r\n{headers}content-length: 0\r\n\r\n"))
--- a/crates/relay/tests/it/withdrawing_fleet.rs
+++ b/crates/relay/tests/it/withdrawing_fleet.rs
@@ -78,6 +78,8 @@
 pub struct Reply {
     pub instance: usize,
     pub received_at: Duration,
+    /// Time from the request to the end of the response.
+    pub took: Duration,
     pub response: Response,
 }
 
@@ -223,7 +225,8 @@
                 sent_at.as_micros() % SHARED_PARTS
             );
             let response = caller::call(front, method, path, &headers, "").await;
-            Reply { instance, received_at: record.now(), response }
+            let received_at = record.now();
+            Reply { instance, received_at, took: received_at.saturating_sub(sent_at), response }
         }
     }
 
