Move the checks of endpoints' availability together

Cause: the wait for an endpoint that accepts a request stood with the rate limits, though warm-ups and pauses count in it too, and whether an endpoint has withdrawn stood with the pauses, though departures count.

Change: both move to the module that selects endpoints; throttle_wait is capacity_wait. No behaviour changes.

--- a/crates/relay/src/dispatcher/fleet/limits.rs
+++ b/crates/relay/src/dispatcher/fleet/limits.rs
@@ -155,25 +155,6 @@
         });
         recent.choose_multiple(&mut rand::rng(), max)
     }
-
-    /// Returns the time until an endpoint of a service accepts a request, if the rates of
-    /// all available ones are used up now or they have asked for pauses; `None` if one accepts
-    /// a request at once or none is available.
-    #[must_use]
-    pub fn throttle_wait(&self, service: &str) -> Option<Duration> {
-        let now = clock::now();
-        let state = self.lock();
-        let mut least = None;
-        for server in state.fleet.servers_in_service(service, now) {
-            if state.fleet.takes_requests(server, now) {
-                return None;
-            }
-            let pause = server.paused_until.saturating_sub(now);
-            let wait = server.throttle.wait(now).max(server.warmup_wait(now)).max(pause);
-            least = Some(least.map_or(wait, |least: Duration| least.min(wait)));
-        }
-        least
-    }
 }
 
 impl Server {
--- a/crates/relay/src/dispatcher/fleet/pauses.rs
+++ b/crates/relay/src/dispatcher/fleet/pauses.rs
@@ -7,7 +7,7 @@
 
 use rand::seq::IndexedRandom;
 
-use super::{Fleet, Key, Run, Server, start_hash};
+use super::{Run, Server, start_hash};
 use crate::{clock, dispatcher::Dispatcher};
 
 /// Longest pause. An endpoint that wants a longer one gets a request after this time, and can ask
@@ -32,14 +32,6 @@
 }
 
 impl Dispatcher {
-    /// Whether an endpoint has asked for no more requests, for a while or for good.
-    #[must_use]
-    pub fn has_withdrawn(&self, key: Key) -> bool {
-        let now = clock::now();
-        let state = self.lock();
-        state.fleet.servers.get(key).is_some_and(|server| server.is_leaving(now) || server.is_paused(now))
-    }
-
     /// Returns the time after which a caller should come back if all available endpoints of a
     /// service have asked for a pause, or `None` if one has not.
     ///
@@ -49,7 +41,7 @@
     pub fn pause_left(&self, service: &str) -> Option<Duration> {
         let now = clock::now();
         let state = self.lock();
-        let available: Vec<&Server> = state.fleet.servers_in_service(service, now).collect();
+        let available: Vec<&Server> = state.fleet.in_service(service, now).collect();
         if !available.iter().all(|server| server.is_paused(now)) {
             return None;
         }
@@ -58,15 +50,6 @@
     }
 }
 
-impl Fleet {
-    /// Returns the endpoints of a service that are in service and not in backoff.
-    pub(super) fn servers_in_service(&self, service: &str, now: Duration) -> impl Iterator<Item = &Server> {
-        self.servers.values().filter(move |server| {
-            server.endpoint.service == service && self.is_in_service(server, now) && server.backoff_until <= now
-        })
-    }
-}
-
 impl Server {
     /// Whether the endpoint has asked this instance for a pause that has not ended.
     pub(super) fn is_paused(&self, now: Duration) -> bool {
--- a/crates/relay/src/dispatcher/fleet/selection.rs
+++ b/crates/relay/src/dispatcher/fleet/selection.rs
@@ -10,7 +10,13 @@
 use super::{
     Fleet, Job, Key, LatencyKey, Server, State, caches::part_hash, initial_latency, notices::MIN_ANNOUNCED_PART_TOKENS,
 };
-use crate::dispatcher::rollouts::{self, Arm, Assignment};
+use crate::{
+    clock,
+    dispatcher::{
+        Dispatcher,
+        rollouts::{self, Arm, Assignment},
+    },
+};
 
 /// Number of preceding tokens at which reading a token takes twice as long as at the start
 /// of the text, because of the share of attention in the work of dense models of about
@@ -107,6 +113,35 @@
     }
 }
 
+impl Dispatcher {
+    /// Whether an endpoint has asked for no more requests, for a while or for good.
+    #[must_use]
+    pub fn has_withdrawn(&self, key: Key) -> bool {
+        let now = clock::now();
+        let state = self.lock();
+        state.fleet.servers.get(key).is_some_and(|server| server.is_leaving(now) || server.is_paused(now))
+    }
+
+    /// Returns the time until an endpoint of a service accepts a request, if none does now
+    /// because of rate limits, warm-ups and pauses; `None` if one accepts a request at once or
+    /// none is available.
+    #[must_use]
+    pub fn capacity_wait(&self, service: &str) -> Option<Duration> {
+        let now = clock::now();
+        let state = self.lock();
+        let mut least = None;
+        for server in state.fleet.in_service(service, now) {
+            if state.fleet.takes_requests(server, now) {
+                return None;
+            }
+            let pause = server.paused_until.saturating_sub(now);
+            let wait = server.throttle.wait(now).max(server.warmup_wait(now)).max(pause);
+            least = Some(least.map_or(wait, |least: Duration| least.min(wait)));
+        }
+        least
+    }
+}
+
 /// Returns the mean of a value over endpoints.
 pub(super) fn mean(servers: &[(Key, &Server)], value: &dyn Fn(&Server) -> f64) -> f64 {
     #[expect(clippy::cast_precision_loss, reason = "endpoints are far fewer than 2^53")]
@@ -162,6 +197,12 @@
         if available.is_empty() { all().collect() } else { available }
     }
 
+    /// Returns the endpoints of a service that are in service and not in backoff.
+    pub(super) fn in_service(&self, service: &str, now: Duration) -> impl Iterator<Item = &Server> {
+        let is_up = move |server: &&Server| server.endpoint.service == service && server.backoff_until <= now;
+        self.servers.values().filter(is_up).filter(move |server| self.is_in_service(server, now))
+    }
+
     /// Returns whether an endpoint may get a request now if it is reachable.
     pub(super) fn takes_requests(&self, server: &Server, now: Duration) -> bool {
         self.is_in_service(server, now)
--- a/crates/relay/src/exchange/hop.rs
+++ b/crates/relay/src/exchange/hop.rs
@@ -171,7 +171,7 @@
     async fn wait_for_place(&self, model: Option<usize>, wait: Duration, refusal: Refusal) -> Result<Run, Refusal> {
         let until = clock::now() + wait.min(self.left());
         while clock::now() < until {
-            if let Some(after) = self.dispatcher.throttle_wait(&self.service)
+            if let Some(after) = self.dispatcher.capacity_wait(&self.service)
                 && clock::now() + after > until
             {
                 let pause = self.dispatcher.pause_left(&self.service);
