Divide brittle endpoints' slots among the instances that may send to them

Cause: an instance counted each request as a possible rejection for 0.3 s or until its first byte, with a share of one, and so used the endpoint's slots one after the other.

Change: the few instances that may send divide an endpoint's slots, four or more each, and keep to their parts, so that a full endpoint has nothing to reject; a request then counts as a possible rejection for 50 ms, and longer after a rejection. A request that two other instances have held for a tenth of a second each waits that much less at its own.

--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -214,7 +214,7 @@
         let Selection { key, arm, choice, latency, units, source, .. } = selection;
         let server = state.fleet.servers.get_mut(key)?;
         let backlog_ms = latency.processing_ms(units);
-        server.guard.record_send(now, server.runs);
+        server.guard.record_send(now);
         server.runs += 1;
         server.throttle.take_token(now);
         server.take_token_while_warming(now);
--- a/crates/relay/src/dispatcher/fleet/rejections.rs
+++ b/crates/relay/src/dispatcher/fleet/rejections.rs
@@ -179,7 +179,7 @@
                 && !server.is_paused(now)
                 && server.throttle.may_send(now)
                 && server.may_send_while_warming(now)
-                && !server.guard.may_send(now)
+                && !server.guard.may_send(now, server.runs)
         };
         state.fleet.servers.values().any(is_held_back)
     }
--- a/crates/relay/src/dispatcher/fleet/selection.rs
+++ b/crates/relay/src/dispatcher/fleet/selection.rs
@@ -208,7 +208,7 @@
         self.is_in_service(server, now)
             && !server.is_paused(now)
             && server.throttle.may_send(now)
-            && server.guard.may_send(now)
+            && server.guard.may_send(now, server.runs)
             && server.may_send_while_warming(now)
     }
 
--- a/crates/relay/src/exchange/hop.rs
+++ b/crates/relay/src/exchange/hop.rs
@@ -161,7 +161,9 @@
         let (wait, refusal) = if self.is_forwarded {
             (FORWARDED_REQUEST_WAIT, Refusal::NoShare)
         } else {
-            (ENDPOINT_WAIT, Refusal::NoEndpoint)
+            // The other instances have waited before they refused the request.
+            let waited = FORWARDED_REQUEST_WAIT * u32::try_from(self.tried_instances.len()).unwrap_or(u32::MAX);
+            (ENDPOINT_WAIT.saturating_sub(waited), Refusal::NoEndpoint)
         };
         self.wait_for_place(model, wait, refusal).await
     }
--- a/crates/route/src/relay/throttle.rs
+++ b/crates/route/src/relay/throttle.rs
@@ -156,21 +156,34 @@
     Share { rate: USABLE_FRACTION * per_s / active_senders, max_tokens: max_senders / active_senders }
 }
 
-/// Selects at most `senders` instances by rendezvous hashing, and returns their number if
-/// this instance is one of them.
-pub(super) fn active_senders(senders: usize, endpoint: u32, me: u64, others: impl Iterator<Item = u64>) -> Option<f64> {
+/// An instance among those that are selected to send requests to an endpoint.
+pub(super) struct Sender {
+    /// Number of selected instances that come before it.
+    pub rank: usize,
+    /// Number of selected instances.
+    pub count: usize,
+}
+
+/// Selects at most `senders` instances by rendezvous hashing, and returns this instance's place
+/// among them if it is one.
+pub(super) fn sender(senders: usize, endpoint: u32, me: u64, others: impl Iterator<Item = u64>) -> Option<Sender> {
     let own_weight = weight(me, endpoint);
-    let (mut count, mut ahead) = (1, 0);
+    let (mut count, mut rank) = (1, 0);
     for other in others {
         count += 1;
-        ahead += usize::from(weight(other, endpoint) > own_weight);
+        rank += usize::from(weight(other, endpoint) > own_weight);
     }
+    (rank < senders).then_some(Sender { rank, count: senders.min(count) })
+}
+
+/// Selects at most `senders` instances as [`sender`] does, and returns their number if this
+/// instance is one of them.
+fn active_senders(senders: usize, endpoint: u32, me: u64, others: impl Iterator<Item = u64>) -> Option<f64> {
     #[expect(clippy::cast_precision_loss, reason = "instances are far fewer than 2^53")]
-    let active_senders = senders.min(count) as f64;
-    (ahead < senders).then_some(active_senders)
+    sender(senders, endpoint, me, others).map(|sender| sender.count as f64)
 }
 
-/// Returns the names of the at most `senders` instances that [`active_senders`] selects.
+/// Returns the names of the at most `senders` instances that [`sender`] selects.
 pub(super) fn sender_names(senders: usize, endpoint: u32, names: impl Iterator<Item = u64>) -> Vec<u64> {
     let mut ranked: Vec<u64> = names.collect();
     ranked.sort_unstable_by_key(|name| Reverse(weight(*name, endpoint)));
