--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -285,6 +285,7 @@
             confidence: name("x-confidence"),
             rate_limit: HeaderName::from_static("x-limit"),
             max_rejections: HeaderName::from_static("x-brittle"),
+            leaving: name("x-leaving"),
             copy_from: HeaderName::from_static("x-fetch"),
             reserved: Vec::new(),
         },
