--- a/crates/relay/tests/it/leaving_endpoints.rs
+++ b/crates/relay/tests/it/leaving_endpoints.rs
@@ -9,7 +9,7 @@
     caller,
     server::{Action, Server, ok_response, response_head},
     site::{Site, StoreContents, catalog, endpoint, route},
-    withdrawing_fleet::{Fleet, Mood, Reply, Way},
+    withdrawing_fleet::{Behavior, Fleet, Reply, Way},
 };
 
 /// Time after an answer says that an endpoint leaves until it must get no more requests.
@@ -37,9 +37,9 @@
 async fn check(way: Way) {
     let fleet = Fleet::start(3, 6).await;
     fleet.store.change(|contents| contents.silent = true);
-    fleet.set(0..LEAVING, Mood::Leaving);
+    fleet.set(0..LEAVING, Behavior::Leaving);
     let mut replies = fleet.send_many(way, 150, Duration::from_secs(1)).await;
-    fleet.set(LEAVING..6, way.mood_of_others());
+    fleet.set(LEAVING..6, way.behavior_of_others());
     replies.extend(fleet.send_many(way, 150, DRAIN_TIME + Duration::from_secs(1)).await);
     check_departures(&fleet, &replies);
 }
@@ -72,7 +72,7 @@
     fleet.store.change(|contents| contents.silent = true);
     fleet.cut(0, true);
     fleet.send_many(Way::Call, 100, Duration::from_secs(1)).await;
-    fleet.set(0..LEAVING, Mood::Leaving);
+    fleet.set(0..LEAVING, Behavior::Leaving);
     let mut replies = Vec::new();
     for _ in 0..50 {
         replies.push(fleet.send(0, Way::Call).await);
@@ -89,7 +89,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn leaving_endpoint_whose_registration_returns_gets_no_requests() {
     let fleet = Fleet::start(3, 6).await;
-    fleet.set(0..LEAVING, Mood::Leaving);
+    fleet.set(0..LEAVING, Behavior::Leaving);
     let mut replies = fleet.send_many(Way::Call, 150, Duration::from_secs(1)).await;
     let mut expired = Vec::new();
     fleet.store.change(|contents| expired = contents.endpoints.drain(0..LEAVING).collect());
@@ -104,7 +104,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn newer_registration_does_not_bring_a_leaving_endpoint_back() {
     let fleet = Fleet::start(3, 6).await;
-    fleet.set(0..LEAVING, Mood::Leaving);
+    fleet.set(0..LEAVING, Behavior::Leaving);
     let mut replies = fleet.send_many(Way::Call, 150, Duration::from_secs(1)).await;
     fleet.store.change(|contents| {
         for registered in &mut contents.endpoints[0..LEAVING] {
@@ -121,7 +121,7 @@
 async fn large_fleet_sends_nothing_to_leaving_endpoints() {
     let fleet = Fleet::start(74, 60).await;
     fleet.store.change(|contents| contents.silent = true);
-    fleet.set(0..30, Mood::Leaving);
+    fleet.set(0..30, Behavior::Leaving);
     let mut replies = fleet.send_many(Way::Call, 400, Duration::from_secs(4)).await;
     replies.extend(fleet.send_many(Way::Stream, 250, Duration::from_secs(4)).await);
     check_departures(&fleet, &replies);
@@ -132,7 +132,7 @@
 async fn leaving_endpoints_of_a_large_pool_get_no_requests() {
     let fleet = Fleet::start(2, 100).await;
     fleet.store.change(|contents| contents.silent = true);
-    fleet.set(0..50, Mood::Leaving);
+    fleet.set(0..50, Behavior::Leaving);
     let replies = fleet.send_many(Way::Call, 300, Duration::from_secs(5)).await;
     check_departures(&fleet, &replies);
 }
--- a/crates/relay/tests/it/paused_endpoints.rs
+++ b/crates/relay/tests/it/paused_endpoints.rs
@@ -9,7 +9,7 @@
     caller,
     server::{Action, Server, ok_response},
     site::{Site, route},
-    withdrawing_fleet::{Fleet, Mood, Reply, Way},
+    withdrawing_fleet::{Behavior, Fleet, Reply, Way},
 };
 
 /// Most requests that an endpoint may get from an instance in a pause.
@@ -30,9 +30,9 @@
 /// Has endpoints ask for pauses while requests leave in one way.
 async fn check(way: Way) {
     let fleet = Fleet::start(3, 6).await;
-    fleet.set(0..SHEDDING, Mood::Shedding(PAUSE));
+    fleet.set(0..SHEDDING, Behavior::Shedding(PAUSE));
     fleet.send_many(way, 150, Duration::from_millis(500)).await;
-    fleet.set(SHEDDING..6, way.mood_of_others());
+    fleet.set(SHEDDING..6, way.behavior_of_others());
     fleet.send_many(way, 150, Duration::from_secs(4)).await;
     check_pauses(&fleet);
 }
@@ -64,7 +64,7 @@
     let fleet = Fleet::start(3, 4).await;
     fleet.cut(0, true);
     fleet.send_many(Way::Call, 100, Duration::from_secs(1)).await;
-    fleet.set(0..SHEDDING, Mood::Shedding(PAUSE));
+    fleet.set(0..SHEDDING, Behavior::Shedding(PAUSE));
     fleet.send_many(Way::Call, 100, Duration::from_secs(4)).await;
     check_pauses(&fleet);
 }
@@ -74,7 +74,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn pause_outlasts_the_registration() {
     let fleet = Fleet::start(3, 6).await;
-    fleet.set(0..SHEDDING, Mood::Shedding(PAUSE));
+    fleet.set(0..SHEDDING, Behavior::Shedding(PAUSE));
     fleet.send_many(Way::Call, 150, Duration::from_millis(600)).await;
     for _ in 0..4 {
         let mut expired = Vec::new();
@@ -92,7 +92,7 @@
 async fn large_fleet_observes_pauses() {
     let fleet = Fleet::start(74, 5).await;
     fleet.store.change(|contents| contents.silent = true);
-    fleet.set(0..3, Mood::Shedding(PAUSE));
+    fleet.set(0..3, Behavior::Shedding(PAUSE));
     fleet.send_many(Way::Call, 500, Duration::from_secs(4)).await;
     check_pauses(&fleet);
 }
@@ -101,7 +101,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn endpoints_of_a_large_pool_get_no_requests_in_a_pause() {
     let fleet = Fleet::start(2, 70).await;
-    fleet.set(0..60, Mood::Shedding(PAUSE));
+    fleet.set(0..60, Behavior::Shedding(PAUSE));
     fleet.send_many(Way::Call, 500, Duration::from_secs(4)).await;
     check_pauses(&fleet);
 }
@@ -112,7 +112,7 @@
 async fn connections_that_open_in_a_pause_are_not_used() {
     const LATE: usize = 3;
     let fleet = Fleet::start(1, 1).await;
-    fleet.set(0..1, Mood::Shedding(PAUSE));
+    fleet.set(0..1, Behavior::Shedding(PAUSE));
     fleet.networks[0].is_stalled.store(true, Ordering::Relaxed);
     let late: Vec<_> = (0..LATE).map(|_| tokio::spawn(fleet.send(0, Way::Call))).collect();
     sleep(Duration::from_millis(50)).await;
@@ -128,9 +128,9 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn endpoint_gets_requests_after_a_pause() {
     let fleet = Fleet::start(1, 3).await;
-    fleet.set(0..1, Mood::Shedding(Duration::from_secs(1)));
+    fleet.set(0..1, Behavior::Shedding(Duration::from_secs(1)));
     fleet.send_many(Way::Call, 100, Duration::from_millis(300)).await;
-    fleet.set(0..1, Mood::Sound);
+    fleet.set(0..1, Behavior::Sound);
     fleet.send_many(Way::Call, 100, Duration::from_secs(2)).await;
     let served = fleet.arrivals().iter().filter(|arrival| arrival.server == 0 && arrival.pause.is_none()).count();
     assert!(served >= 10, "{served} of some 100 requests after the pause");
@@ -142,9 +142,9 @@
 async fn request_within_all_pauses_is_refused_at_once() {
     const ENDPOINTS: usize = 4;
     let fleet = Fleet::start(1, ENDPOINTS).await;
-    fleet.set(0..ENDPOINTS, Mood::Shedding(PAUSE));
+    fleet.set(0..ENDPOINTS, Behavior::Shedding(PAUSE));
     fleet.send_many(Way::Call, 100, Duration::from_millis(400)).await;
-    fleet.set(0..ENDPOINTS, Mood::Sound);
+    fleet.set(0..ENDPOINTS, Behavior::Sound);
     let before = fleet.arrivals().len();
     let started = Instant::now();
     let refused = fleet.send(0, Way::Upload).await.response;
@@ -161,9 +161,9 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn pause_of_one_instance_does_not_bind_others() {
     let fleet = Fleet::start(2, 1).await;
-    fleet.set(0..1, Mood::Shedding(PAUSE));
+    fleet.set(0..1, Behavior::Shedding(PAUSE));
     fleet.send(0, Way::Call).await;
-    fleet.set(0..1, Mood::Sound);
+    fleet.set(0..1, Behavior::Sound);
     assert_eq!(fleet.send(1, Way::Call).await.response.status, 200);
 }
 
@@ -173,11 +173,11 @@
 async fn callers_of_a_paused_instance_are_served_by_others() {
     const ENDPOINTS: usize = 3;
     let fleet = Fleet::start(3, ENDPOINTS).await;
-    fleet.set(0..ENDPOINTS, Mood::Shedding(PAUSE));
+    fleet.set(0..ENDPOINTS, Behavior::Shedding(PAUSE));
     assert_eq!(fleet.send(0, Way::Call).await.response.status, 503);
     let asked: Vec<_> = fleet.arrivals().iter().map(|arrival| (arrival.instance, arrival.server)).collect();
     assert!((0..ENDPOINTS).all(|server| asked.contains(&(0, server))), "{asked:?}");
-    fleet.set(0..ENDPOINTS, Mood::Sound);
+    fleet.set(0..ENDPOINTS, Behavior::Sound);
     for way in [Way::Call, Way::Upload, Way::Stream] {
         let response = fleet.send(0, way).await.response;
         assert_eq!(response.status, 200, "{way:?}: {response:?}");
@@ -192,14 +192,14 @@
     const MAX_REFUSAL_TIME: Duration = Duration::from_millis(500);
     let fleet = Fleet::start(74, ENDPOINTS).await;
     fleet.send_many(Way::Call, 200, Duration::from_secs(1)).await;
-    fleet.set(0..ENDPOINTS, Mood::Shedding(PAUSE));
+    fleet.set(0..ENDPOINTS, Behavior::Shedding(PAUSE));
     let refused = fleet.send_many(Way::Call, 200, Duration::from_secs(4)).await;
     check_pauses(&fleet);
     let is_refused = |reply: &&Reply| reply.response.status == 503 && reply.response.header("retry-after").is_some();
     assert_eq!(refused.iter().filter(is_refused).count(), refused.len());
     let late = refused.iter().filter(|reply| reply.took > MAX_REFUSAL_TIME).count();
     assert!(20 * late <= refused.len(), "{late} of {} refused late", refused.len());
-    fleet.set(0..ENDPOINTS, Mood::Sound);
+    fleet.set(0..ENDPOINTS, Behavior::Sound);
     sleep(PAUSE).await;
     let served = fleet.send_many(Way::Call, 200, Duration::from_secs(1)).await;
     let statuses: Vec<u16> = served.iter().map(|reply| reply.response.status).filter(|status| *status != 200).collect();
--- a/crates/relay/tests/it/withdrawing_fleet.rs
+++ b/crates/relay/tests/it/withdrawing_fleet.rs
@@ -48,7 +48,7 @@
 
 /// How an endpoint treats requests.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Mood {
+pub enum Behavior {
     /// It serves them.
     Sound,
     /// It serves them, and all its answers say that it leaves.
@@ -148,7 +148,7 @@
     pub networks: Vec<Arc<Origin>>,
     pub store: Arc<Store>,
     pub record: Arc<Record>,
-    moods: Vec<Arc<Mutex<Mood>>>,
+    behaviors: Vec<Arc<Mutex<Behavior>>>,
 }
 
 impl Fleet {
@@ -160,11 +160,11 @@
             endpoints: Mutex::default(),
             arrivals: Mutex::default(),
         });
-        let (mut moods, mut registrations) = (Vec::new(), Vec::new());
+        let (mut behaviors, mut registrations) = (Vec::new(), Vec::new());
         for number in 0..endpoints {
-            let mood = Arc::new(Mutex::new(Mood::Sound));
-            registrations.push(start_endpoint(number, &mood, &record).await);
-            moods.push(mood);
+            let behavior = Arc::new(Mutex::new(Behavior::Sound));
+            registrations.push(start_endpoint(number, &behavior, &record).await);
+            behaviors.push(behavior);
         }
         let routes = vec![
             route("/get/", Kind::Idempotent),
@@ -198,13 +198,13 @@
                 sleep(Duration::from_millis(2)).await;
             }
         }
-        Self { sites, networks, store, record, moods }
+        Self { sites, networks, store, record, behaviors }
     }
 
     /// Changes how endpoints treat requests.
-    pub fn set(&self, endpoints: std::ops::Range<usize>, mood: Mood) {
-        for endpoint in &self.moods[endpoints] {
-            *endpoint.lock().unwrap() = mood;
+    pub fn set(&self, endpoints: std::ops::Range<usize>, behavior: Behavior) {
+        for endpoint in &self.behaviors[endpoints] {
+            *endpoint.lock().unwrap() = behavior;
         }
     }
 
@@ -311,26 +311,26 @@
     }
 
     /// Returns how the other endpoints treat requests, so that requests leave in this way.
-    pub fn mood_of_others(self) -> Mood {
+    pub fn behavior_of_others(self) -> Behavior {
         match self {
-            Self::Retry => Mood::Full,
-            Self::Resumption => Mood::Breaking,
-            _ => Mood::Sound,
+            Self::Retry => Behavior::Full,
+            Self::Resumption => Behavior::Breaking,
+            _ => Behavior::Sound,
         }
     }
 }
 
 /// Starts an endpoint and returns its registration.
-async fn start_endpoint(number: usize, mood: &Arc<Mutex<Mood>>, record: &Arc<Record>) -> Endpoint {
+async fn start_endpoint(number: usize, behavior: &Arc<Mutex<Behavior>>, record: &Arc<Record>) -> Endpoint {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     record.endpoints.lock().unwrap().insert(address);
-    let (mood, record) = (Arc::clone(mood), Arc::clone(record));
+    let (behavior, record) = (Arc::clone(behavior), Arc::clone(record));
     tokio::spawn(async move {
         while let Ok((stream, origin)) = listener.accept().await {
-            let (mood, record) = (Arc::clone(&mood), Arc::clone(&record));
+            let (behavior, record) = (Arc::clone(&behavior), Arc::clone(&record));
             tokio::spawn(async move {
-                serve(stream, origin, number, &mood, &record).await.ok();
+                serve(stream, origin, number, &behavior, &record).await.ok();
             });
         }
     });
@@ -341,7 +341,7 @@
     mut stream: TcpStream,
     origin: SocketAddr,
     number: usize,
-    mood: &Mutex<Mood>,
+    behavior: &Mutex<Behavior>,
     record: &Record,
 ) -> io::Result<()> {
     let mut bytes = Vec::new();
@@ -354,24 +354,24 @@
         bytes.extend_from_slice(&buffer[..count]);
     }
     let request = String::from_utf8_lossy(&bytes).into_owned();
-    let mood = *mood.lock().unwrap();
+    let behavior = *behavior.lock().unwrap();
     let Some(sent_us) = header(&request, "x-sent").and_then(|text| text.parse().ok()) else { return Ok(()) };
     let instance = record.origins.lock().unwrap()[&origin];
-    let pause = if let Mood::Shedding(pause) = mood { Some(pause) } else { None };
+    let pause = if let Behavior::Shedding(pause) = behavior { Some(pause) } else { None };
     let sent_at = Duration::from_micros(sent_us);
     record.arrivals.lock().unwrap().push(Arrival { server: number, instance, at: record.now(), sent_at, pause });
     sleep(ANSWER_TIME).await;
     let is_stream = !request.starts_with("GET /get/") && !request.starts_with("POST /post/");
     let rejection = "HTTP/1.1 503 X\r\nx-request: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
-    let (text, last_event) = match mood {
-        Mood::Shedding(pause) => (with_header(rejection, &format!("retry-after: {}", pause.as_secs_f64())), None),
-        Mood::Full => (rejection.to_owned(), None),
-        Mood::Breaking if !is_stream => (rejection.to_owned(), None),
-        Mood::Breaking => (stream_head(&request), Some(EVENTS_BEFORE_BREAK)),
-        Mood::Sound | Mood::Leaving if is_stream => (stream_head(&request), Some(EVENTS)),
-        Mood::Sound | Mood::Leaving => (ok_response("ok"), None),
+    let (text, last_event) = match behavior {
+        Behavior::Shedding(pause) => (with_header(rejection, &format!("retry-after: {}", pause.as_secs_f64())), None),
+        Behavior::Full => (rejection.to_owned(), None),
+        Behavior::Breaking if !is_stream => (rejection.to_owned(), None),
+        Behavior::Breaking => (stream_head(&request), Some(EVENTS_BEFORE_BREAK)),
+        Behavior::Sound | Behavior::Leaving if is_stream => (stream_head(&request), Some(EVENTS)),
+        Behavior::Sound | Behavior::Leaving => (ok_response("ok"), None),
     };
-    let text = if mood == Mood::Leaving { with_header(&text, "x-leaving: 1") } else { text };
+    let text = if behavior == Behavior::Leaving { with_header(&text, "x-leaving: 1") } else { text };
     let text = text.replace("{id}", &header(&request, "x-request").unwrap_or_default());
     stream.write_all(text.replace("x-signature: s", &format!("x-signature: e{number}")).as_bytes()).await?;
     let Some(last_event) = last_event else { return Ok(()) };
