Test that a pause binds one instance where the other was not asked for one

Its only endpoint had asked instance 0 for a pause, which then forwarded the request to instance 1, if it had heard already that this one serves callers; the endpoint asked instance 1 as well, and that one kept to it. With the instances known to each other it failed in each play.

Change: the fleets of these tests start when all instances are known to serve callers. The test has a second endpoint, so that nothing is forwarded, checks that only instance 0 was asked, and that requests of the other reach the endpoint while instance 0's do not.

--- a/crates/relay/tests/it/paused_endpoints.rs
+++ b/crates/relay/tests/it/paused_endpoints.rs
@@ -9,7 +9,7 @@
     caller,
     server::{Action, Server, ok_response},
     site::{Site, route},
-    withdrawing_fleet::{Behavior, Fleet, Reply, Way},
+    withdrawing_fleet::{Arrival, Behavior, Fleet, Reply, Way},
 };
 
 /// Most requests that an endpoint may get from an instance in a pause.
@@ -160,11 +160,20 @@
 /// A pause concerns the instance that was asked for it. Others must still send to the endpoint.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn pause_of_one_instance_does_not_bind_others() {
-    let fleet = Fleet::start(2, 1).await;
+    let fleet = Fleet::start(2, 2).await;
     fleet.set(0..1, Behavior::Shedding(PAUSE));
-    fleet.send(0, Way::Call).await;
+    while !fleet.arrivals().iter().any(|arrival| arrival.server == 0) {
+        assert_eq!(fleet.send(0, Way::Call).await.response.status, 200);
+    }
     fleet.set(0..1, Behavior::Sound);
-    assert_eq!(fleet.send(1, Way::Call).await.response.status, 200);
+    let asked = fleet.arrivals();
+    assert!(asked.iter().all(|arrival| arrival.instance == 0), "{asked:?}");
+    for _ in 0..50 {
+        fleet.send(1, Way::Call).await;
+    }
+    let received = |arrival: &&Arrival| (arrival.instance, arrival.server) == (1, 0);
+    assert!(fleet.arrivals().iter().filter(received).count() > 0, "no request of the other instance");
+    check_pauses(&fleet);
 }
 
 /// Callers of an instance that all endpoints have asked for a pause must be served by another
--- a/crates/relay/tests/it/withdrawing_fleet.rs
+++ b/crates/relay/tests/it/withdrawing_fleet.rs
@@ -16,7 +16,7 @@
 };
 
 use futures::future::BoxFuture;
-use relay::{catalog::Kind, network::Network, source::Endpoint};
+use relay::{catalog::Kind, dispatcher::peers::Caller, network::Network, source::Endpoint};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -29,6 +29,9 @@
     site::{Site, Store, StoreContents, cascade_route, catalog, endpoint, route, settings},
 };
 
+/// Maximum number of addresses in a list for callers.
+const MAX_LISTED: usize = 64;
+
 /// Number of events in a stream.
 const EVENTS: u32 = 6;
 
@@ -152,7 +155,7 @@
 }
 
 impl Fleet {
-    /// Starts endpoints, and instances that all know each other.
+    /// Starts endpoints, and instances that all know that the others serve callers.
     pub async fn start(instances: usize, endpoints: usize) -> Self {
         let record = Arc::new(Record {
             started: Instant::now(),
@@ -194,7 +197,7 @@
             networks.push(network);
         }
         for site in &sites {
-            while site.relay.dispatcher().live_instance_count() < instances {
+            while site.relay.dispatcher().caller_addresses(&Caller::default()).len() < instances.min(MAX_LISTED) {
                 sleep(Duration::from_millis(2)).await;
             }
         }
