Test what endpoints' statements must reach, outlast and not cause

Change: instances without an answer of a leaving endpoint, and one that starts later; all endpoints leave; a running stream; engines' answers to the cache query; a limit whose registration returns; the end of one endpoint's pause before a whole fleet; a brittle endpoint whose senders pause; good answers and shorter pauses during a pause; odd times. `LARGE_FLEET` gives the first a size by hand.

--- a/crates/relay/tests/it/caches.rs
+++ b/crates/relay/tests/it/caches.rs
@@ -76,6 +76,37 @@
     }
 }
 
+/// Starts two engines of which the first gives a response to the cache query, and checks whether
+/// it gets any of several prompts.
+async fn check_prompts_after_query(response: &str, gets_prompts: bool) {
+    let asked = Server::start(vec![Action::Write(response.into()), Action::Write(stream())]).await;
+    let other = engine("").await;
+    let site = start(&[&asked, &other]).await;
+    for number in 0..30 {
+        let headers = format!("X-Tokens: 6000,20\r\nX-Parts: part-{number}:5000,bb:1000\r\nX-Model: large\r\n");
+        caller::call(site.front(), "POST", "/a/x", &headers, "prompt").await;
+    }
+    assert_eq!(!prompts_received(&asked).is_empty(), gets_prompts);
+}
+
+// What an engine states in its response to the cache query counts like what it states in answers.
+macro_rules! queries {
+    ($($name:ident: $response:expr, $gets_prompts:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            check_prompts_after_query($response, $gets_prompts).await;
+        }
+    )*};
+}
+
+queries! {
+    engine_whose_list_states_nothing_gets_prompts: "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", true;
+    engine_whose_list_says_that_it_leaves_gets_no_prompts:
+        "HTTP/1.1 200 OK\r\nx-leaving: 1\r\ncontent-length: 0\r\n\r\n", false;
+    engine_that_rejects_the_query_and_asks_for_a_pause_gets_no_prompts:
+        "HTTP/1.1 503 X\r\nretry-after: 30\r\ncontent-length: 0\r\n\r\n", false;
+}
+
 /// One engine never answers the cache query, another returns a malformed list. Requests wait for
 /// the queries only briefly and are then served.
 #[tokio::test]
--- a/crates/relay/tests/it/leaving_endpoints.rs
+++ b/crates/relay/tests/it/leaving_endpoints.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     caller,
-    server::{Action, Server, ok_response, response_head},
+    server::{Action, LAST_CHUNK, Server, event, ok_response, response_head, stream_head},
     site::{Site, StoreContents, catalog, endpoint, route},
     withdrawing_fleet::{Behavior, Fleet, Reply, Way},
 };
@@ -137,6 +137,88 @@
     check_departures(&fleet, &replies);
 }
 
+/// Sends requests to an instance until it has passed on an answer of each leaving endpoint.
+async fn let_instance_learn(fleet: &Fleet, instance: usize) {
+    let mut replies = Vec::new();
+    while Fleet::departures(&replies).len() < LEAVING {
+        replies.push(fleet.send(instance, Way::Call).await);
+        assert!(replies.len() < 500, "no answer of some leaving endpoint");
+    }
+}
+
+/// Returns the number of requests that reached leaving endpoints after the first `before` arrivals.
+fn requests_to_leaving(fleet: &Fleet, before: usize) -> usize {
+    fleet.arrivals()[before..].iter().filter(|arrival| arrival.server < LEAVING).count()
+}
+
+/// Instances that have had no answer of a leaving endpoint must learn from others that it leaves.
+/// `LARGE_FLEET` gives another number of instances by hand.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn instances_of_a_large_fleet_learn_from_one_that_endpoints_leave() {
+    let instances = std::env::var("LARGE_FLEET").ok().and_then(|text| text.parse().ok()).unwrap_or(74);
+    let fleet = Fleet::start(instances, 6).await;
+    fleet.store.change(|contents| contents.silent = true);
+    fleet.set(0..LEAVING, Behavior::Leaving);
+    let_instance_learn(&fleet, 0).await;
+    sleep(DRAIN_TIME).await;
+    let before = fleet.arrivals().len();
+    fleet.send_many(Way::Call, 300, Duration::from_secs(3)).await;
+    assert_eq!(requests_to_leaving(&fleet, before), 0);
+}
+
+/// An instance that starts long after a leaving endpoint has last answered must learn from others
+/// that it leaves.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn instance_that_starts_later_learns_that_endpoints_leave() {
+    let mut fleet = Fleet::start(3, 6).await;
+    fleet.set(0..LEAVING, Behavior::Leaving);
+    for instance in 0..3 {
+        let_instance_learn(&fleet, instance).await;
+    }
+    sleep(Duration::from_secs(6)).await;
+    fleet.start_late().await;
+    sleep(DRAIN_TIME).await;
+    let before = fleet.arrivals().len();
+    for _ in 0..100 {
+        fleet.send(3, Way::Call).await;
+    }
+    assert_eq!(requests_to_leaving(&fleet, before), 0);
+}
+
+/// All endpoints of a service leave. A request that could only wait until it is refused must be
+/// refused at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_is_refused_at_once_when_all_endpoints_leave() {
+    let fleet = Fleet::start(1, LEAVING).await;
+    fleet.set(0..LEAVING, Behavior::Leaving);
+    let_instance_learn(&fleet, 0).await;
+    let before = fleet.arrivals().len();
+    let reply = fleet.send(0, Way::Upload).await;
+    assert_eq!((reply.response.status, requests_to_leaving(&fleet, before)), (503, 0));
+    assert!(reply.response.header("retry-after").is_some(), "{reply:?}");
+    assert!(reply.took < Duration::from_millis(150), "refused after {:?}", reply.took);
+}
+
+/// A stream that runs when another answer says that its endpoint leaves must go on there.
+#[tokio::test]
+async fn running_stream_ends_at_its_leaving_endpoint() {
+    const EVENTS: u32 = 30;
+    let events = (1..=EVENTS).map(event);
+    let stream = std::iter::once(stream_head(90)).chain(events).chain([LAST_CHUNK.to_owned()]).collect();
+    let leaving = Server::start(vec![Action::WriteSlowly(stream), leaving(&ok_response("ok"))]).await;
+    let routes = vec![route("/a/", Kind::Idempotent), route("/stream/", Kind::Stream { resumable: true })];
+    let site = Site::start(routes, &[leaving.address]).await;
+    let front = site.front();
+    let running = tokio::spawn(async move { caller::call(front, "POST", "/stream/x", "", "prompt").await });
+    while leaving.requests().is_empty() {
+        sleep(Duration::from_millis(2)).await;
+    }
+    assert_eq!(caller::call(front, "GET", "/a/x", "", "").await.status, 200);
+    let response = running.await.unwrap();
+    assert!(response.complete && response.body.matches("data:").count() == 30, "{response:?}");
+    assert_eq!(leaving.requests().len(), 2);
+}
+
 /// Formats a response of a leaving endpoint.
 fn leaving(response: &str) -> Action {
     Action::Write(response.replacen("\r\n\r\n", "\r\nx-leaving: 1\r\n\r\n", 1))
--- a/crates/relay/tests/it/limits.rs
+++ b/crates/relay/tests/it/limits.rs
@@ -114,6 +114,27 @@
     assert!(received <= max_requests(since), "{received} requests in {:?}", since.elapsed());
 }
 
+/// The registration of a limited endpoint expires and comes back several times, as when the store is
+/// away again and again. The limit goes on.
+#[tokio::test]
+async fn limit_outlasts_the_registration() {
+    let (overloaded, other) = (Server::start(vec![limited()]).await, Server::start(vec![unlimited()]).await);
+    let sites = start_instances(1, &[&overloaded, &other]).await;
+    while overloaded.requests().is_empty() {
+        send_requests(&sites, 1).await;
+    }
+    let (since, before) = (Instant::now(), request_count(&overloaded));
+    for _ in 0..30 {
+        let mut expired = Vec::new();
+        sites[0].store.change(|contents| expired = contents.endpoints.drain(0..1).collect());
+        send_requests(&sites, 3).await;
+        sites[0].store.change(|contents| contents.endpoints.splice(0..0, expired).for_each(drop));
+        send_requests(&sites, 3).await;
+    }
+    let received = request_count(&overloaded) - before;
+    assert!(received <= max_requests(since), "{received} requests in {:?}", since.elapsed());
+}
+
 /// Every endpoint has announced a limit, and it is used up. A request that could only wait until
 /// it is refused is refused at once, with the time at which the next one is accepted; a caller
 /// that retries then is served.
--- a/crates/relay/tests/it/paused_endpoints.rs
+++ b/crates/relay/tests/it/paused_endpoints.rs
@@ -215,6 +215,98 @@
     assert!(statuses.is_empty(), "{statuses:?} of {}", served.len());
 }
 
+/// All endpoints have asked all instances of a large fleet for pauses. When the pauses end one after
+/// the other, the first endpoint must not get the requests of the whole fleet, which would make it
+/// ask for the next pause, and so on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn large_fleet_recovers_from_pauses_of_all_endpoints() {
+    const ENDPOINTS: usize = 5;
+    /// About half of what the endpoints run.
+    const PER_S: u32 = 400;
+    let bounded =
+        Behavior::Bounded { slots: 8, run_time: Duration::from_millis(50), pause: Duration::from_millis(2_000) };
+    let fleet = Fleet::start(74, ENDPOINTS).await;
+    fleet.set(0..ENDPOINTS, Behavior::Shedding(Duration::from_millis(2_000)));
+    fleet.send_many(Way::Call, PER_S, Duration::from_millis(800)).await;
+    fleet.set(0..ENDPOINTS, bounded);
+    fleet.send_many(Way::Call, PER_S, Duration::from_secs(5)).await;
+    let replies = fleet.send_many(Way::Call, PER_S, Duration::from_secs(2)).await;
+    let served = replies.iter().filter(|reply| reply.response.status == 200).count();
+    assert!(100 * served >= 95 * replies.len(), "{served} of {} served", replies.len());
+    check_pauses(&fleet);
+}
+
+/// One endpoint's pause ends long before those of the others. It must not get the requests of a
+/// whole large fleet at that moment.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn large_fleet_does_not_rush_to_the_first_endpoint_after_its_pause() {
+    const INSTANCES: usize = 74;
+    const ENDPOINTS: usize = 5;
+    const SLOTS: u32 = 8;
+    const RUN_TIME: Duration = Duration::from_millis(50);
+    const WINDOW: Duration = Duration::from_millis(250);
+    /// Twice what the endpoint runs in the window.
+    const MAX_ARRIVALS: u32 = 2 * SLOTS * 5;
+    let fleet = Fleet::start(INSTANCES, ENDPOINTS).await;
+    fleet.set(0..1, Behavior::Shedding(Duration::from_millis(1_500)));
+    fleet.set(1..ENDPOINTS, Behavior::Shedding(Duration::from_secs(8)));
+    let calls: Vec<_> = (0..INSTANCES).map(|instance| tokio::spawn(fleet.send(instance, Way::Call))).collect();
+    for call in calls {
+        call.await.unwrap();
+    }
+    fleet.send_many(Way::Call, 800, Duration::from_millis(500)).await;
+    fleet
+        .set(0..ENDPOINTS, Behavior::Bounded { slots: SLOTS, run_time: RUN_TIME, pause: Duration::from_millis(1_500) });
+    let before = fleet.arrivals().len();
+    fleet.send_many(Way::Call, 800, Duration::from_secs(3)).await;
+    let times: Vec<Duration> = fleet.arrivals()[before..].iter().map(|arrival| arrival.at).collect();
+    assert!(!times.is_empty(), "no request after the pause");
+    let within = |from: &Duration| times.iter().filter(|at| (*from..*from + WINDOW).contains(at)).count();
+    let most = times.iter().map(within).max().unwrap_or_default();
+    assert!(most <= MAX_ARRIVALS as usize, "{most} requests within {WINDOW:?}, {} in all", times.len());
+    check_pauses(&fleet);
+}
+
+/// The instances that may send to a brittle endpoint are asked for a pause. Others must take their
+/// places, as it answers them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn others_send_to_a_brittle_endpoint_while_its_senders_pause() {
+    let fleet = Fleet::start(4, 1).await;
+    fleet.state("x-brittle: 4");
+    fleet.send_many(Way::Call, 100, Duration::from_secs(2)).await;
+    let arrivals = fleet.arrivals();
+    let sends = |instance| arrivals[arrivals.len() - 50..].iter().any(|arrival| arrival.instance == instance);
+    let is_sender: Vec<bool> = (0..4).map(sends).collect();
+    assert!(is_sender.contains(&false), "all instances send: {is_sender:?}");
+    fleet.set_for(0, &is_sender, Duration::from_secs(4));
+    fleet.send_many(Way::Call, 50, Duration::from_secs(1)).await;
+    let replies = fleet.send_many(Way::Call, 50, Duration::from_secs(2)).await;
+    let served = replies.iter().filter(|reply| reply.response.status == 200).count();
+    assert!(100 * served >= 90 * replies.len(), "{served} of {} served", replies.len());
+    check_pauses(&fleet);
+}
+
+/// A good answer to an earlier request does not end a pause, nor does a shorter one that was asked
+/// for later.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn pause_outlasts_good_answers_and_shorter_pauses() {
+    let fleet = Fleet::start(1, 1).await;
+    let run_time = Duration::from_millis(600);
+    fleet.set(0..1, Behavior::Bounded { slots: 1, run_time, pause: PAUSE });
+    let good = tokio::spawn(fleet.send(0, Way::Call));
+    sleep(Duration::from_millis(100)).await;
+    let rejected: Vec<_> = (0..2).map(|_| tokio::spawn(fleet.send(0, Way::Upload))).collect();
+    sleep(Duration::from_millis(3)).await;
+    fleet.set(0..1, Behavior::Shedding(Duration::from_millis(600)));
+    for call in rejected {
+        assert_eq!(call.await.unwrap().response.status, 503);
+    }
+    assert_eq!(good.await.unwrap().response.status, 200);
+    fleet.set(0..1, Behavior::Sound);
+    fleet.send_many(Way::Call, 50, Duration::from_millis(1_200)).await;
+    check_pauses(&fleet);
+}
+
 /// Formats a rejection that asks for a pause.
 fn rejection(status: u16, headers: &str) -> Action {
     Action::Write(format!("HTTP/1.1 {status} X\r\n{headers}content-length: 0\r\n\r\n"))
@@ -250,6 +342,12 @@
     rejection_without_a_time_asks_for_no_pause: 503, "x-request: {id}\r\nx-not-run: 1\r\n", 3..=120;
     negative_time_asks_for_no_pause: 503, "x-request: {id}\r\nx-not-run: 1\r\nretry-after: -5\r\n", 3..=120;
     unreadable_time_asks_for_no_pause: 503, "x-request: {id}\r\nx-not-run: 1\r\nretry-after: soon\r\n", 3..=120;
+    empty_time_asks_for_no_pause: 503, "x-request: {id}\r\nx-not-run: 1\r\nretry-after: \r\n", 3..=120;
+    date_asks_for_no_pause:
+        503, "x-request: {id}\r\nx-not-run: 1\r\nretry-after: Fri, 31 Dec 2049 23:59:59 GMT\r\n", 3..=120;
+    endless_time_asks_for_no_pause: 503, "x-request: {id}\r\nx-not-run: 1\r\nretry-after: 1e308\r\n", 3..=120;
+    time_of_a_year_asks_for_no_pause:
+        503, "x-request: {id}\r\nx-not-run: 1\r\nretry-after: 31536000\r\n", 3..=120;
     infinite_time_asks_for_no_pause: 503, "x-request: {id}\r\nx-not-run: 1\r\nretry-after: inf\r\n", 3..=120;
     pause_of_another_server_at_the_address_does_not_count:
         421, "x-request: {id}\r\nx-not-run: 1\r\nretry-after: 30\r\n", 2..=120;
--- a/crates/relay/tests/it/withdrawing_fleet.rs
+++ b/crates/relay/tests/it/withdrawing_fleet.rs
@@ -10,7 +10,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -58,6 +58,11 @@
     Leaving,
     /// It rejects them and asks for a pause.
     Shedding(Duration),
+    /// It rejects those of some instances, given as a set of bits, and asks these for a pause. It
+    /// serves the others'.
+    SheddingInstances(u64, Duration),
+    /// It runs a number of requests at a time, rejects others and asks for a pause.
+    Bounded { slots: u32, run_time: Duration, pause: Duration },
     /// It rejects them.
     Full,
     /// It breaks streams off and rejects other requests.
@@ -105,6 +110,8 @@
     origins: Mutex<HashMap<SocketAddr, usize>>,
     endpoints: Mutex<HashSet<SocketAddr>>,
     arrivals: Mutex<Vec<Arrival>>,
+    /// Header that endpoints add to all answers.
+    statement: Mutex<Option<&'static str>>,
 }
 
 impl Record {
@@ -162,6 +169,7 @@
             origins: Mutex::default(),
             endpoints: Mutex::default(),
             arrivals: Mutex::default(),
+            statement: Mutex::default(),
         });
         let (mut behaviors, mut registrations) = (Vec::new(), Vec::new());
         for number in 0..endpoints {
@@ -181,19 +189,8 @@
         let (mut sites, mut networks): (Vec<Site>, Vec<Arc<Origin>>) = (Vec::new(), Vec::new());
         for instance in 0..instances {
             let seeds = sites.iter().take(3).map(|site| site.relay.dispatcher().settings.listeners.news).collect();
-            let network = Arc::new(Origin {
-                instance,
-                record: Arc::clone(&record),
-                is_cut: AtomicBool::new(false),
-                is_stalled: AtomicBool::new(false),
-            });
-            let settings = relay::Settings {
-                instance: format!("instance-{instance}"),
-                seeds,
-                network: Arc::<Origin>::clone(&network),
-                ..settings()
-            };
-            sites.push(Site::start_on(Arc::clone(&store), settings).await);
+            let (site, network) = start_instance(instance, seeds, &store, &record).await;
+            sites.push(site);
             networks.push(network);
         }
         for site in &sites {
@@ -211,6 +208,26 @@
         }
     }
 
+    /// Has an endpoint reject the requests of some instances and ask these for a pause.
+    pub fn set_for(&self, endpoint: usize, is_shed: &[bool], pause: Duration) {
+        let instances = is_shed.iter().rev().fold(0, |bits, is_shed| bits << 1 | u64::from(*is_shed));
+        *self.behaviors[endpoint].lock().unwrap() = Behavior::SheddingInstances(instances, pause);
+    }
+
+    /// Has all endpoints add a header to their answers.
+    pub fn state(&self, header: &'static str) {
+        *self.record.statement.lock().unwrap() = Some(header);
+    }
+
+    /// Starts one more instance, which the others learn of by its first message.
+    pub async fn start_late(&mut self) {
+        let instance = self.sites.len();
+        let seeds = vec![self.sites[0].relay.dispatcher().settings.listeners.news];
+        let (site, network) = start_instance(instance, seeds, &self.store, &self.record).await;
+        self.sites.push(site);
+        self.networks.push(network);
+    }
+
     /// Cuts an instance off from all endpoints, or ends that.
     pub fn cut(&self, instance: usize, is_cut: bool) {
         self.networks[instance].is_cut.store(is_cut, Ordering::Relaxed);
@@ -283,6 +300,28 @@
     }
 }
 
+/// Starts an instance on a network of its own.
+async fn start_instance(
+    instance: usize,
+    seeds: Vec<SocketAddr>,
+    store: &Arc<Store>,
+    record: &Arc<Record>,
+) -> (Site, Arc<Origin>) {
+    let network = Arc::new(Origin {
+        instance,
+        record: Arc::clone(record),
+        is_cut: AtomicBool::new(false),
+        is_stalled: AtomicBool::new(false),
+    });
+    let settings = relay::Settings {
+        instance: format!("instance-{instance}"),
+        seeds,
+        network: Arc::<Origin>::clone(&network),
+        ..settings()
+    };
+    (Site::start_on(Arc::clone(store), settings).await, network)
+}
+
 /// Time after an answer that asks for a pause until the pause must hold.
 const PAUSE_GRACE: Duration = Duration::from_millis(500);
 
@@ -329,11 +368,12 @@
     let address = listener.local_addr().unwrap();
     record.endpoints.lock().unwrap().insert(address);
     let (behavior, record) = (Arc::clone(behavior), Arc::clone(record));
+    let active = Arc::new(AtomicU32::new(0));
     tokio::spawn(async move {
         while let Ok((stream, origin)) = listener.accept().await {
-            let (behavior, record) = (Arc::clone(&behavior), Arc::clone(&record));
+            let (behavior, record, active) = (Arc::clone(&behavior), Arc::clone(&record), Arc::clone(&active));
             tokio::spawn(async move {
-                serve(stream, origin, number, &behavior, &record).await.ok();
+                serve(stream, origin, number, &behavior, &record, &active).await.ok();
             });
         }
     });
@@ -346,6 +386,7 @@
     number: usize,
     behavior: &Mutex<Behavior>,
     record: &Record,
+    active: &AtomicU32,
 ) -> io::Result<()> {
     let mut bytes = Vec::new();
     let mut buffer = [0; 4096];
@@ -360,10 +401,22 @@
     let behavior = *behavior.lock().unwrap();
     let Some(sent_us) = header(&request, "x-sent").and_then(|text| text.parse().ok()) else { return Ok(()) };
     let instance = record.origins.lock().unwrap()[&origin];
+    let behavior = match behavior {
+        Behavior::SheddingInstances(instances, pause) if instances >> instance & 1 == 1 => Behavior::Shedding(pause),
+        Behavior::SheddingInstances(..) => Behavior::Sound,
+        Behavior::Bounded { slots, pause, .. } if active.load(Ordering::Relaxed) >= slots => Behavior::Shedding(pause),
+        other => other,
+    };
     let pause = if let Behavior::Shedding(pause) = behavior { Some(pause) } else { None };
     let sent_at = Duration::from_micros(sent_us);
     record.arrivals.lock().unwrap().push(Arrival { server: number, instance, at: record.now(), sent_at, pause });
-    sleep(ANSWER_TIME).await;
+    if let Behavior::Bounded { run_time, .. } = behavior {
+        active.fetch_add(1, Ordering::Relaxed);
+        sleep(run_time).await;
+        active.fetch_sub(1, Ordering::Relaxed);
+    } else {
+        sleep(ANSWER_TIME).await;
+    }
     let is_stream = !request.starts_with("GET /get/") && !request.starts_with("POST /post/");
     let rejection = "HTTP/1.1 503 X\r\nx-request: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
     let (text, last_event) = match behavior {
@@ -371,9 +424,10 @@
         Behavior::Full => (rejection.to_owned(), None),
         Behavior::Breaking if !is_stream => (rejection.to_owned(), None),
         Behavior::Breaking => (stream_head(&request), Some(EVENTS_BEFORE_BREAK)),
-        Behavior::Sound | Behavior::Leaving if is_stream => (stream_head(&request), Some(EVENTS)),
-        Behavior::Sound | Behavior::Leaving => (ok_response("ok"), None),
+        _ if is_stream => (stream_head(&request), Some(EVENTS)),
+        _ => (ok_response("ok"), None),
     };
+    let text = record.statement.lock().unwrap().map_or(text.clone(), |header| with_header(&text, header));
     let text = if behavior == Behavior::Leaving { with_header(&text, "x-leaving: 1") } else { text };
     let text = text.replace("{id}", &header(&request, "x-request").unwrap_or_default());
     stream.write_all(text.replace("x-signature: s", &format!("x-signature: e{number}")).as_bytes()).await?;
