Read what engines state in their answers to the cache query

Cause: a starting instance asks engines for their caches, and read nothing else in the answers. One that said that it leaves, or rejected the query and asked for a pause, got prompts at once.

Change: the answers are read for statements like all others. A limit that is missing there says nothing.

--- a/crates/relay/src/caches.rs
+++ b/crates/relay/src/caches.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use tokio::{task::JoinSet, time::timeout};
 
-use crate::{clock, dispatcher::Dispatcher, network::Network, source::Endpoint, upstream};
+use crate::{clock, dispatcher::Dispatcher, source::Endpoint, statements::Statements, upstream};
 
 /// Time limit for connecting to an engine and reading its list; most lists arrive
 /// within some milliseconds.
@@ -28,9 +28,8 @@
     let started = clock::now();
     let (mut asking, mut parts, count) = (JoinSet::new(), 0, engines.len());
     for engine in engines {
-        let path = dispatcher.dialect.cache_path;
-        let network = Arc::clone(&dispatcher.settings.network);
-        asking.spawn(async move { (timeout(LIST_TIMEOUT, fetch_list(&*network, &engine, path)).await, engine) });
+        let dispatcher = Arc::clone(&dispatcher);
+        asking.spawn(async move { (timeout(LIST_TIMEOUT, fetch_list(&dispatcher, &engine)).await, engine) });
     }
     while let Some(Ok((answer, engine))) = asking.join_next().await {
         let Ok(Some(body)) = answer else {
@@ -54,11 +53,15 @@
     engines
 }
 
-async fn fetch_list(network: &dyn Network, engine: &Endpoint, path: &'static str) -> Option<Bytes> {
-    let mut connected = upstream::connect(network, engine.address, LIST_TIMEOUT).await.ok()?;
+/// Asks an engine for its list and records what it states about itself.
+async fn fetch_list(dispatcher: &Dispatcher, engine: &Endpoint) -> Option<Bytes> {
+    let sent_at = clock::now();
+    let mut connected = upstream::connect(&*dispatcher.settings.network, engine.address, LIST_TIMEOUT).await.ok()?;
     let host = engine.address.to_string();
-    let request = Request::get(path).header(header::HOST, host).body(Full::default()).ok()?;
+    let request = Request::get(dispatcher.dialect.cache_path).header(header::HOST, host).body(Full::default()).ok()?;
     let response = connected.sender.send_request(request).await.ok()?;
+    let statements = Statements::read(&response, &dispatcher.dialect.names, false);
+    dispatcher.record_statements(engine, statements, sent_at);
     if response.status() != StatusCode::OK {
         return None;
     }
