Refuse requests at once where all endpoints of a service leave

What callers saw: a refusal after 0.25 s, in which the instance waited for a place that none of its endpoints could give.

Cause: endpoints that leave were left out of the choice, as those that are full are, and a request waited for a short time in either case.

Change: where a service has endpoints and all of them leave, a request is refused at once as not run, to come back after a second, as where all are evacuated.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -49,6 +49,8 @@
     NoShare,
     /// All failure domains with endpoints of the route's service are evacuated.
     Evacuated,
+    /// All endpoints of the route's service are leaving.
+    EndpointsLeaving,
     /// No try succeeded and no further one is allowed.
     TurnedAway,
     /// The request is quarantined because endpoints crashed while running it.
@@ -76,8 +78,8 @@
 
 /// `Retry-After` when another instance can serve the request at once.
 const RETRY_AFTER_ELSEWHERE: Duration = Duration::from_millis(20);
-/// `Retry-After` while the instance starts, the store is unreachable or all failure domains
-/// are evacuated: about the duration of one watch.
+/// `Retry-After` while the instance starts, the store is unreachable, all failure domains are
+/// evacuated or all endpoints are leaving: about the duration of one watch.
 const RETRY_AFTER_STARTING: Duration = Duration::from_secs(1);
 /// `Retry-After` when endpoints are missing or full: the usual queueing time.
 const RETRY_AFTER_BUSY: Duration = Duration::from_millis(400);
@@ -99,6 +101,7 @@
             | Self::Unreachable { .. }
             | Self::NoShare
             | Self::Evacuated
+            | Self::EndpointsLeaving
             | Self::TurnedAway
             | Self::Quarantined { .. }
             | Self::Throttled { .. }
@@ -121,7 +124,9 @@
             Self::Leaving | Self::Replaced | Self::NoShare | Self::KeysStale { elsewhere: true } => {
                 Some(RETRY_AFTER_ELSEWHERE)
             }
-            Self::NotStarted | Self::KeysStale { elsewhere: false } | Self::Evacuated => Some(RETRY_AFTER_STARTING),
+            Self::NotStarted | Self::KeysStale { elsewhere: false } | Self::Evacuated | Self::EndpointsLeaving => {
+                Some(RETRY_AFTER_STARTING)
+            }
             Self::Memory | Self::NoEndpoint | Self::TurnedAway | Self::Expired => Some(RETRY_AFTER_BUSY),
             // An outage that has lasted for a while is likely to last as long again.
             Self::Unreachable { lost_for } => Some((*lost_for).clamp(RETRY_AFTER_BUSY, MAX_RETRY_AFTER_OUTAGE)),
@@ -162,6 +167,7 @@
             Self::Unreachable { .. } => "not run: no endpoint can be reached now; try again shortly",
             Self::NoShare => "not run: only other instances may use the endpoints now; use another address",
             Self::Evacuated => "not run: every endpoint is in an evacuated failure domain; try again shortly",
+            Self::EndpointsLeaving => "not run: every endpoint is leaving; try again shortly",
             Self::TurnedAway => "not run: every endpoint tried was full or unreachable; try again shortly",
             Self::Quarantined { .. } => "not run: endpoints crashed under it several times; it is refused for a while",
             Self::Throttled { .. } | Self::Paused { .. } => {
--- a/crates/relay/src/dispatcher/fleet/departures.rs
+++ b/crates/relay/src/dispatcher/fleet/departures.rs
@@ -31,6 +31,15 @@
             state.fleet.invalidate_pools();
         }
     }
+
+    /// Whether a service has endpoints, and all of them are leaving.
+    #[must_use]
+    pub fn are_endpoints_leaving(&self, service: &str) -> bool {
+        let now = clock::now();
+        let state = self.lock();
+        state.fleet.endpoints_of(service).next().is_some()
+            && state.fleet.staying_endpoints_of(service, now).next().is_none()
+    }
 }
 
 impl Server {
--- a/crates/relay/src/exchange/hop.rs
+++ b/crates/relay/src/exchange/hop.rs
@@ -99,6 +99,9 @@
         if self.dispatcher.is_service_evacuated(&self.service) {
             return Err(self.refusal_for_caller(Refusal::Evacuated));
         }
+        if self.dispatcher.are_endpoints_leaving(&self.service) {
+            return Err(self.refusal_for_caller(Refusal::EndpointsLeaving));
+        }
         // The pauses are this instance's; the endpoints may still take requests from others.
         if self.dispatcher.pause_left(&self.service).is_some()
             && let Some(instance) = self.next_instance()
