Tell other instances that an endpoint leaves

What callers saw: long streams that an instance begins at an endpoint which has told another instance already that it leaves, and that are cut when it ends.

Cause: an endpoint's own word was kept by the instance that got it. In a large fleet each instance has few answers of each endpoint, and one that starts has none: each sent a request to find out.

Change: a departure is broadcast once, as rate limits are, by way of relay instances where the fleet is large, unless the registration says so too, and repeated among the reminders to instances that missed it or started later. It is sent with its age, rounded up.

--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -88,6 +88,8 @@
     quarantine_changes_ready: Notify,
     /// Signals that updates of endpoints' rate limits are ready to send.
     limits_ready: Notify,
+    /// Notified when there are withdrawals of endpoints to send.
+    withdrawals_ready: Notify,
     /// Signals that another instance has become alive, for the first time or again, and
     /// should be sent news at once.
     peers_to_greet: Notify,
@@ -186,6 +188,7 @@
             notices_ready: Notify::new(),
             findings_ready: Notify::new(),
             limits_ready: Notify::new(),
+            withdrawals_ready: Notify::new(),
             quarantine_changes_ready: Notify::new(),
             peers_to_greet: Notify::new(),
             probe_wanted: Notify::new(),
--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -21,6 +21,7 @@
 mod selection;
 mod stated;
 mod warmup;
+mod withdrawals;
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
@@ -42,6 +43,7 @@
     notices::{Notice, Notices},
     rejections::RejectionLimit,
     run::{Run, RunOutcome},
+    withdrawals::Withdrawal,
 };
 use self::{
     decaying_mean::DecayingMean,
@@ -99,6 +101,7 @@
     /// Whether this instance reaches the endpoints, by service; services without a failed
     /// connection are missing.
     reachability: HashMap<String, Reachability>,
+    withdrawals: withdrawals::Withdrawals,
     /// What endpoints have stated that have no registration now.
     unregistered: stated::Unregistered,
     /// Failure domains whose endpoints get no new requests.
--- a/crates/relay/src/dispatcher/fleet/departures.rs
+++ b/crates/relay/src/dispatcher/fleet/departures.rs
@@ -2,33 +2,32 @@
 //!
 //! While the store cannot be reached, the registration of such an endpoint goes on saying that
 //! it is ready, or expires and comes back as it was. So no registration takes back what the
-//! endpoint itself has said.
+//! endpoint itself has said, to this instance or to another one.
 
 use std::time::Duration;
 
 use super::Server;
-use crate::{clock, dispatcher::Dispatcher};
+use crate::{
+    clock,
+    dispatcher::{Dispatcher, State},
+};
 
 /// Time for which an endpoint's word holds. Endpoints that leave are gone long before. One that
 /// was told to stay after all gets a request again then, and its answer shows that it stays.
-const MAX_LEAVING_TIME: Duration = Duration::from_mins(10);
+pub(super) const MAX_LEAVING_TIME: Duration = Duration::from_mins(10);
 
 impl Dispatcher {
-    /// Records that an endpoint has said that it leaves, to this instance or to another one that
-    /// ran a request for it. `start` is the hash of the endpoint's start.
+    /// Records that an endpoint has said that it leaves, in an answer to this instance or to
+    /// another one that ran a request for it. `start` is the hash of the endpoint's start.
     pub fn record_departure(&self, start: u32) {
         let now = clock::now();
         let mut state = self.lock();
-        let stated = state.fleet.stated(start, now);
-        let is_new = stated.leaving_until <= now;
-        stated.leaving_until = now + MAX_LEAVING_TIME;
-        if is_new && let Some(server) = state.fleet.server_by_hash(start) {
-            tracing::info!(
-                endpoint = server.endpoint.id,
-                registered_as_draining = server.endpoint.draining,
-                "endpoint says that it leaves"
-            );
-            state.fleet.invalidate_pools();
+        if state.apply_departure(start, MAX_LEAVING_TIME, now) {
+            let withdrawal = state.fleet.server_by_hash(start).and_then(|server| server.withdrawal(now));
+            if let Some(withdrawal) = withdrawal {
+                state.queue_withdrawal(withdrawal);
+                self.withdrawals_ready.notify_one();
+            }
         }
     }
 
@@ -42,6 +41,24 @@
     }
 }
 
+impl State {
+    /// Has an endpoint count as leaving for a time, and returns whether it did not before.
+    pub(super) fn apply_departure(&mut self, start: u32, time: Duration, now: Duration) -> bool {
+        let stated = self.fleet.stated(start, now);
+        let is_new = stated.leaving_until <= now;
+        stated.leaving_until = stated.leaving_until.max(now + time);
+        if is_new && let Some(server) = self.fleet.server_by_hash(start) {
+            tracing::info!(
+                endpoint = server.endpoint.id,
+                registered_as_draining = server.endpoint.draining,
+                "endpoint says that it leaves"
+            );
+            self.fleet.invalidate_pools();
+        }
+        is_new
+    }
+}
+
 impl Server {
     /// Whether the endpoint is leaving, by its registration or its own word.
     pub(super) fn is_leaving(&self, now: Duration) -> bool {
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -40,7 +40,7 @@
     spread::{Broadcasts, MAX_BATCH},
     wire::{
         Limit, NewsMessage, Notice, Packet, Question, RejectionLimit, Reply, RolloutEvidence, SerializedSighting,
-        clamp_to_u16, divide, millis_u32,
+        Withdrawal, clamp_to_u16, divide, millis_u32,
     },
 };
 
@@ -60,8 +60,8 @@
 /// Maximum number of changes in a reply; about as many as fit into a datagram.
 const MAX_REPLY_CHANGES: usize = 60;
 
-/// One in this many news messages, on average, is sent with reminders of quarantined requests
-/// and endpoint limits. They only make up for lost datagrams and for instances that were cut
+/// One in this many news messages, on average, is sent with reminders of quarantined requests,
+/// endpoint limits and withdrawals. They only make up for lost datagrams and for instances that were cut
 /// off.
 const REMINDER_RATIO: u32 = 4;
 
@@ -69,6 +69,9 @@
 /// that instances that missed a limit receive it within a few reminders.
 const MAX_REMINDER_LIMITS: usize = 16;
 
+/// Maximum number of endpoints in a reminder that leave, drawn likewise.
+const MAX_REMINDER_WITHDRAWALS: usize = 16;
+
 /// Number of other instances named in a news message, so that instances discover each other.
 const MAX_NAMED: usize = 4;
 
@@ -198,14 +201,17 @@
     }
 }
 
-/// Returns encoded datagrams with quarantined requests and endpoint limits, for instances
-/// that missed them or started later; empty if there are none.
+/// Returns encoded datagrams with quarantined requests, endpoint limits and withdrawals, for
+/// instances that missed them or started later; empty if there are none.
 fn reminders(dispatcher: &Dispatcher) -> Vec<Vec<u8>> {
     let (findings, _) = divide(dispatcher.refused_requests(MAX_BATCH));
     let limits: Vec<Limit> = dispatcher.recent_limits(MAX_REMINDER_LIMITS).into_iter().map(Limit::from).collect();
     let findings = (!findings.is_empty()).then_some(Packet::Findings(findings));
     let limits = (!limits.is_empty()).then_some(Packet::Limits(limits));
-    findings.iter().chain(&limits).map(encode).collect()
+    let withdrawals: Vec<Withdrawal> =
+        dispatcher.recent_withdrawals(MAX_REMINDER_WITHDRAWALS).into_iter().map(Withdrawal::from).collect();
+    let withdrawals = (!withdrawals.is_empty()).then_some(Packet::Withdrawals(withdrawals));
+    findings.iter().chain(&limits).chain(&withdrawals).map(encode).collect()
 }
 
 fn send(socket: &UdpSocket, to: SocketAddr, bytes: &[u8]) {
@@ -234,6 +240,10 @@
     dispatcher.apply_findings(findings.iter().copied().map(Into::into));
 }
 
+fn apply_withdrawals(dispatcher: &Dispatcher, withdrawals: &[Withdrawal]) {
+    dispatcher.apply_withdrawals(withdrawals.iter().map(fleet::Withdrawal::from));
+}
+
 /// Receives datagrams, applies them and answers questions.
 async fn receive(dispatcher: &Dispatcher, socket: &UdpSocket, last_question: &LastQuestion, broadcasts: &Broadcasts) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES + MAX_MISSING_LISTS];
@@ -278,6 +288,11 @@
                 dispatcher.apply_limits(limits.iter().map(fleet::Limit::from));
                 broadcasts.limits.enqueue(limits);
             }
+            Ok(Packet::Withdrawals(withdrawals)) => apply_withdrawals(dispatcher, &withdrawals),
+            Ok(Packet::PassOnWithdrawals(withdrawals)) => {
+                apply_withdrawals(dispatcher, &withdrawals);
+                broadcasts.withdrawals.enqueue(withdrawals);
+            }
             Ok(Packet::Question(question)) => {
                 let asked = synchronization::Question { revision: question.revision };
                 if let Some(reply) = dispatcher.reply(asked, MAX_REPLY_CHANGES) {
--- a/crates/relay/src/news/spread.rs
+++ b/crates/relay/src/news/spread.rs
@@ -13,7 +13,7 @@
 
 use super::{
     encode, send,
-    wire::{Finding, Limit, Notice, Packet, PartCrash, divide},
+    wire::{Finding, Limit, Notice, Packet, PartCrash, Withdrawal, divide},
 };
 use crate::dispatcher::{Dispatcher, fleet::short_hash, peers::NoticeRecipients};
 
@@ -34,6 +34,8 @@
     pub(super) part_crashes: Broadcast<PartCrash>,
     /// Rate limits that endpoints report.
     pub(super) limits: Broadcast<Limit>,
+    /// Endpoints that leave.
+    pub(super) withdrawals: Broadcast<Withdrawal>,
 }
 
 impl Broadcasts {
@@ -44,6 +46,7 @@
             findings: Broadcast::new(Packet::Findings, Packet::PassOnFindings),
             part_crashes: Broadcast::new(Packet::PartCrashes, Packet::PassOnPartCrashes),
             limits: Broadcast::new(Packet::Limits, Packet::PassOnLimits),
+            withdrawals: Broadcast::new(Packet::Withdrawals, Packet::PassOnWithdrawals),
         }
     }
 
@@ -53,10 +56,12 @@
             self.send_notices(dispatcher, socket),
             self.send_findings(dispatcher, socket),
             self.send_limits(dispatcher, socket),
+            self.send_withdrawals(dispatcher, socket),
             self.notices.pass_on(dispatcher, socket),
             self.findings.pass_on(dispatcher, socket),
             self.part_crashes.pass_on(dispatcher, socket),
-            self.limits.pass_on(dispatcher, socket)
+            self.limits.pass_on(dispatcher, socket),
+            self.withdrawals.pass_on(dispatcher, socket)
         );
     }
 
@@ -84,6 +89,14 @@
             self.limits.send_to_all(dispatcher, socket, &limits);
         }
     }
+
+    async fn send_withdrawals(&self, dispatcher: &Dispatcher, socket: &UdpSocket) {
+        loop {
+            let withdrawals: Vec<Withdrawal> =
+                dispatcher.next_withdrawals().await.into_iter().map(Withdrawal::from).collect();
+            self.withdrawals.send_to_all(dispatcher, socket, &withdrawals);
+        }
+    }
 }
 
 /// Broadcast of items of one kind, with the items that wait to be passed on.
--- a/crates/relay/src/news/wire.rs
+++ b/crates/relay/src/news/wire.rs
@@ -7,7 +7,7 @@
 use route::relay::canary::{Lateness, Stage, Tally};
 use serde::{Deserialize, Serialize};
 
-pub(super) use self::items::{Finding, Limit, Notice, PartCrash, RejectionLimit, divide};
+pub(super) use self::items::{Finding, Limit, Notice, PartCrash, RejectionLimit, Withdrawal, divide};
 use crate::{
     dispatcher::{
         evacuations,
@@ -48,6 +48,10 @@
     PartCrashes(Vec<PartCrash>),
     /// Such crashes that the receiver passes on to the instances of its failure domain.
     PassOnPartCrashes(Vec<PartCrash>),
+    /// Endpoints that leave. Earlier builds cannot decode this packet.
+    Withdrawals(Vec<Withdrawal>),
+    /// Such endpoints that the receiver passes on to the instances of its failure domain.
+    PassOnWithdrawals(Vec<Withdrawal>),
 }
 
 /// Serialized form of [`synchronization::Question`]; the reply repeats the number.
--- a/crates/relay/src/news/wire/items.rs
+++ b/crates/relay/src/news/wire/items.rs
@@ -144,3 +144,27 @@
         Self { service: limit.service, max_per_s: limit.max_per_s, age }
     }
 }
+
+/// Serialized form of [`fleet::Withdrawal`].
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(in crate::news) enum Withdrawal {
+    /// The endpoint leaves. `start` is the hash of its name and start time.
+    Leaving { start: u32, age_ms: u32 },
+}
+
+impl From<fleet::Withdrawal> for Withdrawal {
+    fn from(withdrawal: fleet::Withdrawal) -> Self {
+        match withdrawal {
+            fleet::Withdrawal::Leaving { start, age } => Self::Leaving { start, age_ms: millis_u32(age) },
+        }
+    }
+}
+
+impl From<&Withdrawal> for fleet::Withdrawal {
+    fn from(withdrawal: &Withdrawal) -> Self {
+        let time = |ms: u32| Duration::from_millis(u64::from(ms));
+        match *withdrawal {
+            Withdrawal::Leaving { start, age_ms } => Self::Leaving { start, age: time(age_ms) },
+        }
+    }
+}
