Give the shares of instances that pause to others

What callers saw: requests refused for as long as the few instances that may send to a brittle, limited or warming endpoint pause, though it answers others (0 of 100 served).

Cause: shares are divided among instances by their names alone. One that an endpoint has asked for a pause kept its share and could not use it.

Change: an instance whose pause concerns such an endpoint tells the others, which leave it out of that endpoint's senders until half a second before the pause ends, and forward no requests for the endpoint to it. Other pauses are told nobody.

--- a/crates/relay/src/dispatcher/fleet/departures.rs
+++ b/crates/relay/src/dispatcher/fleet/departures.rs
@@ -23,7 +23,8 @@
         let now = clock::now();
         let mut state = self.lock();
         if state.apply_departure(start, MAX_LEAVING_TIME, now) {
-            let withdrawal = state.fleet.server_by_hash(start).and_then(|server| server.withdrawal(now));
+            let me = state.peers.me;
+            let withdrawal = state.fleet.server_by_hash(start).and_then(|server| server.withdrawal(me, now));
             if let Some(withdrawal) = withdrawal {
                 state.queue_withdrawal(withdrawal);
                 self.withdrawals_ready.notify_one();
--- a/crates/relay/src/dispatcher/fleet/limits.rs
+++ b/crates/relay/src/dispatcher/fleet/limits.rs
@@ -68,7 +68,7 @@
 
     /// Recomputes this instance's shares of all limits if they are out of date.
     pub(super) fn update_limit_shares(&mut self, now: Duration) {
-        let Fleet { servers, limited, .. } = &mut self.fleet;
+        let Fleet { servers, limited, withdrawals, .. } = &mut self.fleet;
         if limited.keys.is_empty() || now < limited.shares_updated_at + SHARE_UPDATE_INTERVAL {
             return;
         }
@@ -79,8 +79,12 @@
             let Some(server) = servers.get_mut(*key) else { continue };
             let Some(per_s) = server.stated.throttle.limit(now) else { continue };
             let others = self.peers.senders(short_hash(&server.endpoint.service), now);
-            let share =
-                if takes_share { throttle::share(per_s, server.hash, self.peers.me, others) } else { Share::default() };
+            let others = others.filter(|instance| !withdrawals.is_paused(server.hash, *instance, now));
+            let share = if takes_share && !server.is_paused(now) {
+                throttle::share(per_s, server.hash, self.peers.me, others)
+            } else {
+                Share::default()
+            };
             server.stated.throttle.set_share(now, share);
         }
     }
@@ -92,7 +96,14 @@
         if !self.limited.keys.contains(&key) {
             self.limited.keys.push(key);
         }
-        self.limited.shares_updated_at = Duration::ZERO;
+        self.limited.invalidate_shares();
+    }
+}
+
+impl LimitedEndpoints {
+    /// Has the shares recomputed before the next decision.
+    pub(super) fn invalidate_shares(&mut self) {
+        self.shares_updated_at = Duration::ZERO;
     }
 }
 
--- a/crates/relay/src/dispatcher/fleet/pauses.rs
+++ b/crates/relay/src/dispatcher/fleet/pauses.rs
@@ -18,13 +18,20 @@
     /// Records that an endpoint has asked this instance to send it nothing for a while.
     pub(super) fn record_pause(&self, endpoint: &Endpoint, pause: Duration, now: Duration) {
         let mut state = self.lock();
-        let stated = state.fleet.stated(start_hash(endpoint), now);
+        let start = start_hash(endpoint);
+        let stated = state.fleet.stated(start, now);
         let is_new = stated.paused_until <= now;
         stated.paused_until = stated.paused_until.max(now + pause.min(MAX_PAUSE));
         if is_new {
             tracing::info!(endpoint = endpoint.id, pause_ms = clock::millis(pause), "endpoint asks for a pause");
             metrics::counter!("relay_endpoint_pauses_total", "service" => endpoint.service.clone()).increment(1);
             state.fleet.invalidate_pools();
+            let me = state.peers.me;
+            let withdrawal = state.fleet.server_by_hash(start).and_then(|server| server.withdrawal(me, now));
+            if let Some(withdrawal) = withdrawal {
+                state.queue_withdrawal(withdrawal);
+                self.withdrawals_ready.notify_one();
+            }
         }
     }
 
--- a/crates/relay/src/dispatcher/fleet/rejections.rs
+++ b/crates/relay/src/dispatcher/fleet/rejections.rs
@@ -139,13 +139,15 @@
         // Instances that are not heard may still send: a cut between instances looks the same
         // as their end.
         let others: Vec<u64> = self.peers.remembered_senders(service).collect();
-        let Fleet { servers, fragile, .. } = &mut self.fleet;
+        let Fleet { servers, fragile, withdrawals, .. } = &mut self.fleet;
         let statement = fragile.statements.get(&service).and_then(|known| known.latest);
         for server in servers.values_mut().filter(|server| server.service_hash == service) {
             server.stated.guard.set_statement_of_service(statement);
             if let Some(max_per_s) = server.stated.guard.max_per_s(now) {
                 let endpoint = rejection::Endpoint { hash: server.hash, slots: server.endpoint.slots, max_per_s };
-                let share = endpoint.share(self.peers.me, others.iter().copied());
+                let is_active = |instance: &u64| !withdrawals.is_paused(server.hash, *instance, now);
+                let share = endpoint.share(self.peers.me, others.iter().copied().filter(is_active));
+                let may_send = may_send && !server.is_paused(now);
                 server.stated.guard.set_share(if may_send { share } else { Share::default() });
             }
         }
@@ -203,8 +205,11 @@
         });
         let drawn = fragile.choose_multiple(&mut rand::rng(), DRAWN_ENDPOINTS);
         let (service, me) = (short_hash(service), state.peers.me);
-        let instances = || state.peers.remembered_senders(service).chain([me]);
-        let senders: HashSet<u64> = drawn.iter().flat_map(|endpoint| endpoint.senders(instances())).collect();
+        let senders_of = |endpoint: &rejection::Endpoint| {
+            let is_active = |instance: &u64| !state.fleet.withdrawals.is_paused(endpoint.hash, *instance, now);
+            endpoint.senders(state.peers.remembered_senders(service).chain([me]).filter(is_active))
+        };
+        let senders: HashSet<u64> = drawn.iter().flat_map(senders_of).collect();
         let candidates = state.peers.reaching(service, now).filter(|instance| senders.contains(&instance.name));
         choose_untried(candidates, tried)
     }
--- a/crates/relay/src/dispatcher/fleet/warmup.rs
+++ b/crates/relay/src/dispatcher/fleet/warmup.rs
@@ -44,11 +44,18 @@
     next_update: Duration,
 }
 
+impl WarmingEndpoints {
+    /// Has the shares recomputed before the next decision.
+    pub(super) fn invalidate_shares(&mut self) {
+        self.next_update = Duration::ZERO;
+    }
+}
+
 impl State {
     /// Recomputes which endpoints warm up, and this instance's shares of their rates, if
     /// those are out of date.
     pub(super) fn update_warmups(&mut self, settings: &Settings, started_at: Duration, now: Duration) {
-        let Fleet { servers, warming, .. } = &mut self.fleet;
+        let Fleet { servers, warming, withdrawals, .. } = &mut self.fleet;
         if now < warming.next_update {
             return;
         }
@@ -62,8 +69,8 @@
                 server.warm_at = Duration::ZERO;
                 continue;
             };
-            let others = self.peers.remembered();
-            let share = if may_send {
+            let others = self.peers.remembered().filter(|instance| !withdrawals.is_paused(server.hash, *instance, now));
+            let share = if may_send && !server.is_paused(now) {
                 throttle::warmup_share(max_per_s(per_s, settings.warmup_excess), server.hash, self.peers.me, others)
             } else {
                 Share::default()
@@ -114,7 +121,7 @@
             self.warming.keys.push(key);
         }
         // The next decision must already apply the limit.
-        self.warming.next_update = Duration::ZERO;
+        self.warming.invalidate_shares();
     }
 }
 
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -69,7 +69,7 @@
 /// that instances that missed a limit receive it within a few reminders.
 const MAX_REMINDER_LIMITS: usize = 16;
 
-/// Maximum number of endpoints in a reminder that leave, drawn likewise.
+/// Maximum number of endpoints in a reminder that leave or have asked for pauses, drawn likewise.
 const MAX_REMINDER_WITHDRAWALS: usize = 16;
 
 /// Number of other instances named in a news message, so that instances discover each other.
--- a/crates/relay/src/news/spread.rs
+++ b/crates/relay/src/news/spread.rs
@@ -34,7 +34,7 @@
     pub(super) part_crashes: Broadcast<PartCrash>,
     /// Rate limits that endpoints report.
     pub(super) limits: Broadcast<Limit>,
-    /// Endpoints that leave.
+    /// Endpoints that leave or have asked for pauses.
     pub(super) withdrawals: Broadcast<Withdrawal>,
 }
 
--- a/crates/relay/src/news/wire.rs
+++ b/crates/relay/src/news/wire.rs
@@ -48,7 +48,7 @@
     PartCrashes(Vec<PartCrash>),
     /// Such crashes that the receiver passes on to the instances of its failure domain.
     PassOnPartCrashes(Vec<PartCrash>),
-    /// Endpoints that leave. Earlier builds cannot decode this packet.
+    /// Endpoints that leave or have asked for pauses. Earlier builds cannot decode this packet.
     Withdrawals(Vec<Withdrawal>),
     /// Such endpoints that the receiver passes on to the instances of its failure domain.
     PassOnWithdrawals(Vec<Withdrawal>),
--- a/crates/relay/src/news/wire/items.rs
+++ b/crates/relay/src/news/wire/items.rs
@@ -150,12 +150,17 @@
 pub(in crate::news) enum Withdrawal {
     /// The endpoint leaves. `start` is the hash of its name and start time.
     Leaving { start: u32, age_ms: u32 },
+    /// The endpoint has asked an instance, given by the hash of its name, for a pause.
+    Paused { start: u32, instance: u64, left_ms: u32 },
 }
 
 impl From<fleet::Withdrawal> for Withdrawal {
     fn from(withdrawal: fleet::Withdrawal) -> Self {
         match withdrawal {
             fleet::Withdrawal::Leaving { start, age } => Self::Leaving { start, age_ms: millis_u32(age) },
+            fleet::Withdrawal::Paused { start, instance, left } => {
+                Self::Paused { start, instance, left_ms: millis_u32(left) }
+            }
         }
     }
 }
@@ -165,6 +170,7 @@
         let time = |ms: u32| Duration::from_millis(u64::from(ms));
         match *withdrawal {
             Withdrawal::Leaving { start, age_ms } => Self::Leaving { start, age: time(age_ms) },
+            Withdrawal::Paused { start, instance, left_ms } => Self::Paused { start, instance, left: time(left_ms) },
         }
     }
 }
