--- a/crates/relay/src/dispatcher/fleet/departures.rs
+++ b/crates/relay/src/dispatcher/fleet/departures.rs
@@ -23,12 +23,7 @@
         let now = clock::now();
         let mut state = self.lock();
         if state.apply_departure(start, MAX_LEAVING_TIME, now) {
-            let me = state.peers.me;
-            let withdrawal = state.fleet.server_by_hash(start).and_then(|server| server.withdrawal(me, now));
-            if let Some(withdrawal) = withdrawal {
-                state.queue_withdrawal(withdrawal);
-                self.withdrawals_ready.notify_one();
-            }
+            self.queue_withdrawal(&mut state, start, now);
         }
     }
 
@@ -45,6 +40,9 @@
 impl State {
     /// Has an endpoint count as leaving for a time, and returns whether it did not before.
     pub(super) fn apply_departure(&mut self, start: u32, time: Duration, now: Duration) -> bool {
+        if time.is_zero() {
+            return false;
+        }
         let stated = self.fleet.stated(start, now);
         let is_new = stated.leaving_until <= now;
         stated.leaving_until = stated.leaving_until.max(now + time);
--- a/crates/relay/src/dispatcher/fleet/pauses.rs
+++ b/crates/relay/src/dispatcher/fleet/pauses.rs
@@ -1,14 +1,14 @@
 //! Endpoints that have turned this instance away and asked it for a pause.
 //!
-//! A pause is a matter between an endpoint and one instance. The others are not told of it, and
-//! may go on sending to the endpoint.
+//! A pause is a matter between an endpoint and one instance. The others may go on sending to the
+//! endpoint, and are told only where they take over a share ([`super::withdrawals`]).
 
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
 use route::relay::throttle::Throttle;
 
-use super::{Server, Stated, start_hash};
+use super::{Server, Stated, start_hash, withdrawals::RETURN_MARGIN};
 use crate::{clock, dispatcher::Dispatcher, source::Endpoint};
 
 /// Time after a pause in which the endpoint gets requests at a limited rate. An endpoint whose pause
@@ -29,8 +29,10 @@
         let mut state = self.lock();
         let start = start_hash(endpoint);
         let stated = state.fleet.stated(start, now);
-        let is_new = stated.paused_until <= now;
-        stated.paused_until = stated.paused_until.max(now + pause.min(MAX_PAUSE));
+        let paused_before = stated.paused_until;
+        let is_new = paused_before <= now;
+        stated.paused_until = paused_before.max(now + pause.min(MAX_PAUSE));
+        let is_longer = stated.paused_until > paused_before + RETURN_MARGIN;
         stated.return_throttle = Throttle::default();
         if let Some(key) = state.fleet.key_of(start) {
             state.fleet.add_limited(key);
@@ -39,12 +41,9 @@
             tracing::info!(endpoint = endpoint.id, pause_ms = clock::millis(pause), "endpoint asks for a pause");
             metrics::counter!("relay_endpoint_pauses_total", "service" => endpoint.service.clone()).increment(1);
             state.fleet.invalidate_pools();
-            let me = state.peers.me;
-            let withdrawal = state.fleet.server_by_hash(start).and_then(|server| server.withdrawal(me, now));
-            if let Some(withdrawal) = withdrawal {
-                state.queue_withdrawal(withdrawal);
-                self.withdrawals_ready.notify_one();
-            }
+        }
+        if is_longer {
+            self.queue_withdrawal(&mut state, start, now);
         }
     }
 
--- a/crates/relay/src/dispatcher/fleet/stated.rs
+++ b/crates/relay/src/dispatcher/fleet/stated.rs
@@ -48,6 +48,7 @@
 
     /// Returns the statements of a start, which may not be registered yet.
     fn entry(&mut self, start: u32, now: Duration) -> &mut Stated {
+        self.0.retain(|_, (_, until)| now < *until);
         let (stated, until) = self.0.entry(start).or_default();
         *until = now + MAX_UNREGISTERED_TIME;
         stated
--- a/crates/relay/src/dispatcher/fleet/withdrawals.rs
+++ b/crates/relay/src/dispatcher/fleet/withdrawals.rs
@@ -16,7 +16,7 @@
 
 /// Time before the end of its pause from which an instance counts as a sender again. The others
 /// give its share back before it uses it.
-const RETURN_MARGIN: Duration = Duration::from_millis(500);
+pub(super) const RETURN_MARGIN: Duration = Duration::from_millis(500);
 
 /// Maximum number of withdrawals kept for sending.
 const MAX_UNSENT: usize = 1_024;
@@ -59,14 +59,7 @@
 }
 
 impl State {
-    /// Queues a withdrawal for the other instances.
-    pub(super) fn queue_withdrawal(&mut self, withdrawal: Withdrawal) {
-        let unsent = &mut self.fleet.withdrawals.unsent;
-        if unsent.len() < MAX_UNSENT {
-            unsent.push(withdrawal);
-        }
-    }
-
+    /// Gives another instance's shares of an endpoint to others while that one pauses.
     fn apply_pause(&mut self, start: u32, instance: u64, left: Duration, now: Duration) {
         let paused = &mut self.fleet.withdrawals.paused_senders;
         paused.retain(|_, until| now < *until);
@@ -76,6 +69,17 @@
 }
 
 impl Dispatcher {
+    /// Queues what other instances need to know of an endpoint's withdrawal, if anything.
+    pub(super) fn queue_withdrawal(&self, state: &mut State, start: u32, now: Duration) {
+        let me = state.peers.me;
+        let withdrawal = state.fleet.server_by_hash(start).and_then(|server| server.withdrawal(me, now));
+        let unsent = &mut state.fleet.withdrawals.unsent;
+        if let Some(withdrawal) = withdrawal.filter(|_| unsent.len() < MAX_UNSENT) {
+            unsent.push(withdrawal);
+            self.withdrawals_ready.notify_one();
+        }
+    }
+
     /// Waits until there are withdrawals to send, and takes them.
     pub async fn next_withdrawals(&self) -> Vec<Withdrawal> {
         loop {
@@ -116,7 +120,7 @@
 impl Server {
     /// Returns what other instances need to know of the endpoint's departure or of its pause for
     /// this instance.
-    pub(super) fn withdrawal(&self, me: u64, now: Duration) -> Option<Withdrawal> {
+    fn withdrawal(&self, me: u64, now: Duration) -> Option<Withdrawal> {
         let leaving_left = self.stated.leaving_until.saturating_sub(now);
         if !leaving_left.is_zero() && !self.endpoint.draining {
             // Rounded up, so that the word never looks more recent than it is.
