Judge departures by the answers that instances got, and split the tests' endpoints from their fleet

Cause: larger_models_are_not_asked_at_leaving_endpoints failed once in five plays with "no answer said that its endpoint leaves": the only answers that said so were dropped for a larger model, and since departures are told other instances no further one was passed on. Allowed; what the check counted as told was too little. A pause had all shares recomputed, at each rejection; by reading.

Change: an instance counts as told by the first answer that it gets, passed on or not, which is stricter. Endpoints, their record and the instances' networks are a file of their own. Shares of an endpoint that asks for a pause are computed with the next regular update.

--- a/crates/relay/src/dispatcher/fleet/limits.rs
+++ b/crates/relay/src/dispatcher/fleet/limits.rs
@@ -104,14 +104,19 @@
 impl Fleet {
     /// Has an endpoint's limit shared among the instances before the next decision.
     pub(super) fn add_limited(&mut self, key: Key) {
-        if !self.limited.keys.contains(&key) {
-            self.limited.keys.push(key);
-        }
+        self.limited.add(key);
         self.limited.invalidate_shares();
     }
 }
 
 impl LimitedEndpoints {
+    /// Has an endpoint's limit shared from the next update on.
+    pub(super) fn add(&mut self, key: Key) {
+        if !self.keys.contains(&key) {
+            self.keys.push(key);
+        }
+    }
+
     /// Has the shares recomputed before the next decision.
     pub(super) fn invalidate_shares(&mut self) {
         self.shares_updated_at = Duration::ZERO;
--- a/crates/relay/src/dispatcher/fleet/pauses.rs
+++ b/crates/relay/src/dispatcher/fleet/pauses.rs
@@ -35,7 +35,7 @@
         let is_longer = stated.paused_until > paused_before + RETURN_MARGIN;
         stated.return_throttle = Throttle::default();
         if let Some(key) = state.fleet.key_of(start) {
-            state.fleet.add_limited(key);
+            state.fleet.limited.add(key);
         }
         if is_new {
             tracing::info!(endpoint = endpoint.id, pause_ms = clock::millis(pause), "endpoint asks for a pause");
--- a/crates/relay/tests/it/leaving_endpoints.rs
+++ b/crates/relay/tests/it/leaving_endpoints.rs
@@ -9,7 +9,8 @@
     caller,
     server::{Action, LAST_CHUNK, Server, event, ok_response, response_head, stream_head},
     site::{Site, StoreContents, catalog, endpoint, route},
-    withdrawing_fleet::{Behavior, Fleet, Reply, Way},
+    withdrawing_fleet::{Fleet, Reply, Way},
+    withdrawing_server::Behavior,
 };
 
 /// Time after an answer says that an endpoint leaves until it must get no more requests.
@@ -18,10 +19,14 @@
 /// Number of endpoints that leave.
 const LEAVING: usize = 2;
 
-/// Checks that requests that callers sent later than [`DRAIN_TIME`] after an instance had passed
-/// on an answer of a leaving endpoint did not reach that endpoint from the instance.
+/// Checks that requests that callers sent later than [`DRAIN_TIME`] after an instance had got or
+/// passed on an answer of a leaving endpoint did not reach that endpoint from the instance.
 fn check_departures(fleet: &Fleet, replies: &[Reply]) {
-    let departures = Fleet::departures(replies);
+    let mut departures = Fleet::departures(replies);
+    for (pair, at) in fleet.words() {
+        let first = departures.entry(pair).or_insert(at);
+        *first = at.min(*first);
+    }
     assert!(!departures.is_empty(), "no answer said that its endpoint leaves");
     let mut late: HashMap<(usize, usize), usize> = HashMap::new();
     for arrival in fleet.arrivals() {
--- a/crates/relay/tests/it/main.rs
+++ b/crates/relay/tests/it/main.rs
@@ -33,3 +33,4 @@
 mod unreadable_registrations;
 mod warmup;
 mod withdrawing_fleet;
+mod withdrawing_server;
--- a/crates/relay/tests/it/paused_endpoints.rs
+++ b/crates/relay/tests/it/paused_endpoints.rs
@@ -9,7 +9,8 @@
     caller,
     server::{Action, Server, ok_response},
     site::{Site, route},
-    withdrawing_fleet::{Arrival, Behavior, Fleet, Reply, Way},
+    withdrawing_fleet::{Fleet, Reply, Way},
+    withdrawing_server::{Arrival, Behavior},
 };
 
 /// Most requests that an endpoint may get from an instance in a pause.
