Add settings that switch on decisions under load

The parts that follow need a switch each, so that a deployment whose settings name none is served as before. Unknown keys and values are errors that name the key. No part uses them yet.

--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -43,6 +43,8 @@
     pub cores: Cores,
     /// Memory that bodies of requests and answers may take in total, in bytes.
     pub body_memory: usize,
+    /// Optional decisions that the operator has switched on.
+    pub policies: Policies,
     /// Network over which endpoints and other instances are reached.
     pub network: Arc<dyn Network>,
 }
@@ -55,6 +57,63 @@
     }
 }
 
+/// Optional decisions under load; the default is that all are off.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Policies {
+    /// Who may send to a service whose endpoints have too little room.
+    pub admission: Admission,
+    /// What an endpoint's capacity is taken from.
+    pub capacity: Capacity,
+    /// How an endpoint is chosen by loads that are out of date.
+    pub placement: Placement,
+    /// When a larger model is asked.
+    pub ladder: Ladder,
+}
+
+/// Who may send to a service whose endpoints have too little room.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Admission {
+    /// Whoever asks first.
+    #[default]
+    Unordered,
+    /// All teams get fair shares over all instances.
+    Fair,
+}
+
+/// What an endpoint's capacity is taken from.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Capacity {
+    /// The slots that it declares.
+    #[default]
+    Declared,
+    /// Observations of all instances; the declared slots are the upper limit.
+    Learned,
+}
+
+/// How an endpoint is chosen by loads that are out of date.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Placement {
+    /// The least wait by the loads as last reported.
+    #[default]
+    Reported,
+    /// Reported loads count for less the older they are.
+    Balanced,
+}
+
+/// When a larger model is asked.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub enum Ladder {
+    /// Below fixed confidences.
+    #[default]
+    Fixed,
+    /// When the answer is expected to gain more than it costs.
+    ExpectedValue {
+        /// Value of a right answer in time as a multiple of the largest model's price for it, by
+        /// rank; the last applies to all further ranks. Never empty.
+        values: Vec<f64>,
+    },
+}
+
 /// CPU capacity of an instance, in hundredths of a core, as sent in news.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Cores(pub u32);
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -5,7 +5,7 @@
 
 use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
-use relay::settings::{Cores, Listeners, Settings};
+use relay::settings::{Admission, Capacity, Cores, Ladder, Listeners, Placement, Policies, Settings};
 use route::relay::allowance;
 use serde::Deserialize;
 
@@ -58,6 +58,8 @@
     #[serde(default = "default_cores")]
     cores: f64,
     memory_mib: usize,
+    #[serde(default)]
+    policies: FilePolicies,
 }
 
 #[derive(Debug, Deserialize)]
@@ -77,6 +79,65 @@
     window_ms: u64,
 }
 
+/// Optional decisions under load, as written.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FilePolicies {
+    #[serde(default)]
+    admission: FileAdmission,
+    #[serde(default)]
+    capacity: FileCapacity,
+    #[serde(default)]
+    placement: FilePlacement,
+    /// Value of a right answer as a multiple of the largest model's price, by rank.
+    #[serde(default)]
+    ladder_values: Option<Vec<f64>>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum FileAdmission {
+    #[default]
+    Unordered,
+    Fair,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum FileCapacity {
+    #[default]
+    Declared,
+    Learned,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum FilePlacement {
+    #[default]
+    Reported,
+    Balanced,
+}
+
+impl From<FilePolicies> for Policies {
+    fn from(file: FilePolicies) -> Self {
+        Self {
+            admission: match file.admission {
+                FileAdmission::Unordered => Admission::Unordered,
+                FileAdmission::Fair => Admission::Fair,
+            },
+            capacity: match file.capacity {
+                FileCapacity::Declared => Capacity::Declared,
+                FileCapacity::Learned => Capacity::Learned,
+            },
+            placement: match file.placement {
+                FilePlacement::Reported => Placement::Reported,
+                FilePlacement::Balanced => Placement::Balanced,
+            },
+            ladder: file.ladder_values.map_or(Ladder::Fixed, |values| Ladder::ExpectedValue { values }),
+        }
+    }
+}
+
 fn default_log() -> String {
     crate::check::DEFAULT_LOG.into()
 }
@@ -147,6 +208,14 @@
         check("memory_mib", self.memory_mib >= 16, "write at least 16");
         check("grace_ms", self.grace_ms >= 1_000, "write at least 1000");
         check("replace_ms", self.replace_ms.is_none_or(|bound| bound >= 1_000), "write at least 1000, or leave it out");
+        check(
+            "policies.ladder_values",
+            self.policies
+                .ladder_values
+                .as_ref()
+                .is_none_or(|values| !values.is_empty() && values.iter().all(|value| (0.0..=1_000.0).contains(value))),
+            "write one number from 0 to 1000 for each rank, or leave it out",
+        );
         check("warmup_excess", (1.0..=10.0).contains(&self.warmup_excess), "write a number from 1 to 10");
         check(
             "evacuate_ms",
@@ -185,6 +254,7 @@
                 max_address_cache_time: millis(self.keep_addresses_ms),
                 cores: Cores::new(self.cores),
                 body_memory: (self.memory_mib << 20) / BODIES_OF_MEMORY,
+                policies: self.policies.into(),
                 network: Arc::new(relay::network::Tcp),
             },
             store: self.store,
--- a/crates/settings/tests/relay.rs
+++ b/crates/settings/tests/relay.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use relay::settings::{Admission, Capacity, Ladder, Placement, Policies};
 use settings::Relay;
 
 const GOOD: &str = r"
@@ -54,6 +55,26 @@
     assert!((settings.relay.warmup_excess - 1.0).abs() < f64::EPSILON);
 }
 
+#[test]
+fn policies_that_are_left_out_are_off() {
+    let settings = Relay::parse(GOOD).unwrap();
+    assert_eq!(settings.relay.policies, Policies::default());
+}
+
+#[test]
+fn policies_are_read() {
+    let written =
+        "policies: { admission: fair, capacity: learned, placement: balanced, ladder_values: [12, 6, 2.5] }\n";
+    let settings = Relay::parse(&format!("{GOOD}{written}")).unwrap();
+    let expected = Policies {
+        admission: Admission::Fair,
+        capacity: Capacity::Learned,
+        placement: Placement::Balanced,
+        ladder: Ladder::ExpectedValue { values: vec![12.0, 6.0, 2.5] },
+    };
+    assert_eq!(settings.relay.policies, expected);
+}
+
 macro_rules! faults {
     ($($name:ident: $from:expr => $to:expr, $named:expr;)*) => {$(
         #[test]
@@ -77,5 +98,9 @@
     bound_too_short_to_keep: "revoke_ms: 5000" => "revoke_ms: 500", "revoke_ms";
     warming_endpoints_get_less_than_they_tolerate: "exposure_share" => "warmup_excess: 0.5\nexposure_share", "warmup_excess";
     bound_too_short_to_learn_of_an_evacuation: "evacuate_ms: 5000" => "evacuate_ms: 900", "evacuate_ms";
+    unknown_policy: "memory_mib: 260" => "memory_mib: 260\npolicies: { admision: fair }", "admision";
+    unknown_admission: "memory_mib: 260" => "memory_mib: 260\npolicies: { admission: even }", "admission";
+    no_ladder_values: "memory_mib: 260" => "memory_mib: 260\npolicies: { ladder_values: [] }", "policies.ladder_values";
+    negative_ladder_value: "memory_mib: 260" => "memory_mib: 260\npolicies: { ladder_values: [1, -2] }", "policies.ladder_values";
     bound_too_short_to_read_a_catalog: "replace_ms: 2000" => "replace_ms: 500", "replace_ms";
 }
