Confirm access keys as soon as a restored store is complete

Callers with valid keys were refused (503, KeysStale) for up to 0.75 s after one return of the store from an older copy: away for 0.6 s, bound on withdrawn keys 5 s. Instances saw the return 0.8 to 1.1 s late, the others counted the time in which records may be missing from when they heard of it, and the keys were read up to 0.95 s after the end of that time.

The instances that watch the store now make another call beside one that is silent, end the watch at the end of that time, and tell the others how long ago the era was first seen, so that all wait for the same moment. The others ask then. No answer within REWRITE_TIME confirms a key, as before: the time is only ever counted from when some instance has seen the era, which is after the return, and a proof of an instance that knew no earlier era counts from when it was heard of.

A reply between instances is longer by one to six bytes; earlier builds ignore them.

--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -246,7 +246,7 @@
     /// Renews the lease on access keys with an answer of the store that proves them current.
     /// The store was asked for it at `requested_at`.
     pub fn renew(&self, requested_at: Duration, proof: Proof) {
-        if self.is_store_complete(requested_at) {
+        if self.complete_after(requested_at).is_none() {
             self.lock().lease.renew(requested_at, proof);
         }
     }
--- a/crates/relay/src/dispatcher/era.rs
+++ b/crates/relay/src/dispatcher/era.rs
@@ -4,6 +4,10 @@
 //! operators and endpoints within [`REWRITE_TIME`], this system after it has seen the new era. In
 //! that time a record that is missing has not been deleted, and an older one says nothing about
 //! access keys.
+//!
+//! Callers with keys are refused if the last confirmation before the loss becomes too old within that
+//! time. So the time is counted from when any instance has first seen the era, and the keys are
+//! confirmed as soon as it ends.
 
 use std::time::Duration;
 
@@ -14,12 +18,21 @@
 /// also register again within this time after an outage.
 pub const REWRITE_TIME: Duration = Duration::from_millis(2_300);
 
+/// Pause between questions to the instances that watch the store after the end of that time, until
+/// the keys are confirmed. The watchers read them within some round trips.
+const CONFIRMATION_PAUSE: Duration = Duration::from_millis(120);
+
+/// Time after the end of that time from which questions are as far apart as usual again. The watchers
+/// have lost the store then, or confirm nothing for another reason.
+const MAX_CONFIRMATION_TIME: Duration = Duration::from_secs(1);
+
 /// The store's era, as far as this instance has seen it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Era {
     /// Number of the era; `None` before the first answer of the store.
     pub number: Option<u64>,
-    /// When this instance first saw it; `None` if it has seen no earlier one.
+    /// When it was first seen, as far as this instance knows; `None` if it is not known to have
+    /// followed an earlier one.
     seen_at: Option<Duration>,
 }
 
@@ -31,12 +44,26 @@
 }
 
 impl Dispatcher {
-    /// Records the era of an answer of the store, or of another instance's.
+    /// Records the era of an answer of the store.
     pub fn record_era(&self, number: u64) {
+        self.record_era_seen_at(number, clock::now());
+    }
+
+    /// Records the era of another instance's answer, which that one has first seen at `seen_at` if it
+    /// knew an earlier era. Else it cannot tell how complete the store was, and the time is counted
+    /// from now.
+    pub(super) fn record_era_of(&self, number: u64, seen_at: Option<Duration>) {
+        let now = clock::now();
+        self.record_era_seen_at(number, seen_at.unwrap_or(now).min(now));
+    }
+
+    fn record_era_seen_at(&self, number: u64, at: Duration) {
         let is_new = self.era.send_if_modified(|era| {
             let is_new = era.number.is_none_or(|known| number > known);
             if is_new {
-                *era = Era { number: Some(number), seen_at: era.number.map(|_| clock::now()) };
+                *era = Era { number: Some(number), seen_at: era.number.map(|_| at) };
+            } else if era.number == Some(number) && era.seen_at.is_some_and(|seen_at| at < seen_at) {
+                era.seen_at = Some(at);
             }
             is_new
         });
@@ -57,7 +84,31 @@
     pub async fn wait_for_restore(&self, known: Era) {
         let mut eras = self.era.subscribe();
         // The sender lives as long as this dispatcher.
-        eras.wait_for(|era| *era != known && era.seen_at.is_some()).await.ok();
+        eras.wait_for(|era| era.number != known.number && era.seen_at.is_some()).await.ok();
+    }
+
+    /// Returns the time since the store's era was first seen, if it followed an earlier one.
+    pub(super) fn era_age(&self) -> Option<Duration> {
+        self.era().seen_at.map(|seen_at| clock::now().saturating_sub(seen_at))
+    }
+
+    /// Returns the pause before the next question to an instance that watches the store, which is
+    /// `usual` unless the access keys can be confirmed sooner after a restore.
+    #[must_use]
+    pub fn question_pause(&self, usual: Duration) -> Duration {
+        let now = clock::now();
+        let complete_at = self.era().complete_at();
+        if now < complete_at {
+            // Spread, as the time ends at the same moment for all instances.
+            let spread = CONFIRMATION_PAUSE.mul_f64(0.5 + 0.5 * rand::random::<f64>());
+            return usual.min(complete_at.saturating_sub(now) + spread);
+        }
+        let is_unconfirmed = || self.keys_age().is_none_or(|age| now.saturating_sub(age) < complete_at);
+        if now < complete_at + MAX_CONFIRMATION_TIME && is_unconfirmed() {
+            CONFIRMATION_PAUSE.min(usual)
+        } else {
+            usual
+        }
     }
 
     /// Returns the rest of the time in which the store may lack what was written before it came back
@@ -68,9 +119,10 @@
         (!left.is_zero()).then_some(left)
     }
 
-    /// Whether an answer that the store was asked for at `requested_at` shows all that was written
-    /// before.
-    pub(super) fn is_store_complete(&self, requested_at: Duration) -> bool {
-        requested_at >= self.era().complete_at()
+    /// Returns from when on the store can be asked for all that was written before, or `None` if an
+    /// answer that it was asked for at `requested_at` shows that.
+    #[must_use]
+    pub fn complete_after(&self, requested_at: Duration) -> Option<Duration> {
+        Some(self.era().complete_at()).filter(|complete_at| requested_at < *complete_at)
     }
 }
--- a/crates/relay/src/dispatcher/synchronization.rs
+++ b/crates/relay/src/dispatcher/synchronization.rs
@@ -122,6 +122,8 @@
     pub orders: Vec<Rollout>,
     /// The evacuated failure domains.
     pub evacuations: evacuations::Snapshot,
+    /// Time since the store's era was first seen; `None` if no earlier one is known.
+    pub era_age: Option<Duration>,
 }
 
 impl Synchronization {
@@ -271,6 +273,7 @@
             orders_revision,
             orders: state.rollouts.orders(),
             evacuations: state.fleet.evacuations.snapshot(),
+            era_age: self.era_age(),
         })
     }
 
@@ -286,7 +289,10 @@
         if reply.revision > self.endpoints_revision() {
             self.apply_changes(&reply.changes);
         }
-        self.record_era(reply.revision.era);
+        // Counted back from the reply's arrival: that makes the era look younger, and the store complete
+        // later, never sooner.
+        let era_seen_at = reply.era_age.map(|age| clock::now().saturating_sub(age));
+        self.record_era_of(reply.revision.era, era_seen_at);
         self.apply_orders(reply.orders_revision, &reply.orders);
         if self.settings.follows_evacuations() {
             self.replace_evacuations(reply.evacuations);
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -13,19 +13,20 @@
 //! While another instance keeps this one synchronized ([`crate::dispatcher::synchronization`]), the
 //! store is called only for what that instance cannot provide.
 
+mod calls;
 mod intake;
 mod lapses;
 
 use std::{sync::Arc, time::Duration};
 
-use route::relay::freshness::{Proof, Schedule};
+use route::relay::freshness::Schedule;
 use tokio::time::{sleep, timeout};
 
 use self::lapses::Lapses;
 use crate::{
     clock,
     dispatcher::{Dispatcher, era::REWRITE_TIME},
-    share, silence,
+    share,
     source::{Fault, Kind, Progress, Read, Revision, Source},
 };
 
@@ -53,6 +54,11 @@
 /// First and longest backoff after failed calls.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(500));
 
+/// Longest backoff of an instance that watches the store after calls that the store has not answered.
+/// How soon it sees the store's return decides whether callers with keys are refused: keys are
+/// confirmed again only some time after it.
+const WATCHER_BACKOFF: Duration = Duration::from_millis(200);
+
 /// Pause between probes of an unreachable store by an instance that other instances will
 /// notify when the store is back. Every instance probes, and each call is paid for.
 const PROBE_PAUSE: Duration = Duration::from_millis(1_500);
@@ -195,7 +201,7 @@
             self.lost_since = Some(asked);
         }
         let wait = if self.dispatcher.probes_store_often() {
-            self.backoff(BACKOFF.1)
+            self.backoff(if matches!(fault, Fault::Lost(_)) { WATCHER_BACKOFF } else { BACKOFF.1 })
         } else {
             PROBE_PAUSE.max(
                 PROBE_PAUSE_PER_INSTANCE * u32::try_from(self.dispatcher.live_instance_count()).unwrap_or(u32::MAX),
@@ -351,51 +357,6 @@
         }
     }
 
-    /// Returns how to list. The first listing of endpoints may be old: the watch from its
-    /// revision, or the instance that synchronizes this one, delivers the later changes.
-    fn read_mode(&self) -> Read {
-        let may_be_old = matches!(self.kind, Kind::Endpoints | Kind::Evacuations);
-        if may_be_old && !self.has_listed { Read::AnyAge } else { Read::Latest }
-    }
-
-    /// Lists the kind and applies the listing.
-    async fn list(&mut self, read: Read, asked: Duration) -> Result<(), Fault> {
-        let call = self.source.list(self.kind, read, &self.progress);
-        let listing = silence::bounded(&self.progress, Duration::ZERO, call).await?;
-        // An empty listing is a proof only while no catalog has been read: then there is none.
-        let is_conclusive = !listing.records.is_empty() || self.dispatcher.catalog().is_none();
-        let proves = self.kind == Kind::Catalog && read == Read::Latest && is_conclusive;
-        if self.kind == Kind::Catalog {
-            self.schedule.record_read(self.progress.transfer_time(), clock::now());
-            self.dispatcher.set_narrow(self.schedule.was_last_read_long());
-        }
-        self.apply_listing(listing);
-        if proves {
-            self.dispatcher.renew(asked, Proof::Read);
-        }
-        Ok(())
-    }
-
-    /// Watches the kind from a revision and applies the changes.
-    async fn watch(&mut self, from: Revision, asked: Duration) -> Result<(), Fault> {
-        let relisted_in = self.relist_at.map_or(Duration::MAX, |at| at.saturating_sub(asked));
-        let wait = self.watch_wait(asked).min(relisted_in);
-        let call = self.source.watch(self.kind, from, wait, &self.progress);
-        let batch = silence::bounded(&self.progress, wait, call).await?;
-        self.apply_batch(batch);
-        if self.kind == Kind::Catalog {
-            self.dispatcher.renew(asked, Proof::QuietWatch);
-            // A watch without changes proves less than a read, since it may have missed
-            // one. With a read after each watch, callers are still served for three fifths
-            // of the bound on revoked keys once the store is lost; for a long catalog, which
-            // is not read after each watch, it is a third.
-            if self.schedule.is_due(clock::now()) {
-                self.revision = None;
-            }
-        }
-        Ok(())
-    }
-
     /// Returns how long the store may hold back its answer to a watch that starts at `asked`.
     fn watch_wait(&self, asked: Duration) -> Duration {
         match self.kind {
--- a/crates/relay/src/follow/intake.rs
+++ b/crates/relay/src/follow/intake.rs
@@ -1,6 +1,6 @@
 //! Applies listings and changes from the store to this instance's state.
 
-use std::collections::HashSet;
+use std::{collections::HashSet, time::Duration};
 
 use super::{ENDPOINT_CHANGES_PAUSE, Follower, LONG_OUTAGE};
 use crate::{
@@ -10,10 +10,10 @@
 };
 
 impl Follower {
-    /// Applies a whole listing. Endpoints that it lacks are removed, at once unless the store
+    /// Applies a whole listing that the store was asked for at `asked`. Endpoints that it lacks are removed, at once unless the store
     /// was unreachable for so long that their registrations may merely have expired, or has come
     /// back from a copy without them.
-    pub(super) fn apply_listing(&mut self, listing: Listing) {
+    pub(super) fn apply_listing(&mut self, listing: Listing, asked: Duration) {
         self.dispatcher.record_era(listing.revision.era);
         // Another instance may already have delivered newer changes. This listing would
         // undo them, and they would not be delivered again.
@@ -27,9 +27,8 @@
             self.compare_endpoints(&listing);
         }
         self.revision = Some(listing.revision);
-        let is_relisted = matches!(self.kind, Kind::Evacuations | Kind::Rollouts);
-        let rewriting_left = self.dispatcher.rewriting_left().filter(|_| is_relisted);
-        self.relist_at = rewriting_left.map(|left| clock::now() + left);
+        let is_relisted = matches!(self.kind, Kind::Catalog | Kind::Evacuations | Kind::Rollouts);
+        self.relist_at = self.dispatcher.complete_after(asked).filter(|_| is_relisted);
         let revision = listing.revision;
         match self.kind {
             Kind::Evacuations => self.replace_evacuations(listing),
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -132,7 +132,7 @@
             send(socket, watcher, &encode(&Packet::Question(question)));
         }
         send_evidence(dispatcher, socket);
-        sleep(QUESTION_PAUSE).await;
+        sleep(dispatcher.question_pause(QUESTION_PAUSE)).await;
     }
 }
 
--- a/crates/relay/src/news/tests.rs
+++ b/crates/relay/src/news/tests.rs
@@ -1,10 +1,14 @@
 //! Datagrams of other builds.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use super::{
     decode, encode,
-    wire::{NewsMessage, Packet, Phase},
+    wire::{NewsMessage, Packet, Phase, Reply},
+};
+use crate::{
+    dispatcher::{evacuations, synchronization},
+    source::Revision,
 };
 
 fn message(unreachable: Vec<u32>) -> NewsMessage {
@@ -66,3 +70,27 @@
     news_without_unreachable_services_are_decoded: 2;
     news_without_rejection_limits_are_decoded: 1;
 }
+
+/// Replies of earlier builds end before the age of the store's era. If they could not be decoded, each
+/// instance would watch the store by itself during an upgrade.
+#[test]
+fn reply_without_the_age_of_the_era_is_decoded() {
+    let reply = synchronization::Reply {
+        catalog: 3,
+        proof_age: Duration::from_millis(100),
+        silence: Duration::from_millis(100),
+        revision: Revision { era: 1, number: 5 },
+        gap: false,
+        changes: Vec::new(),
+        orders_revision: Revision::default(),
+        orders: Vec::new(),
+        evacuations: evacuations::Snapshot { revision: Revision::default(), domains: Vec::new() },
+        era_age: None,
+    };
+    let datagram = encode(&Packet::Reply(Reply::new(7, reply)));
+    let earlier = &datagram[..datagram.len() - 1];
+    let mut buffer = vec![0xff; 512];
+    buffer[..earlier.len()].copy_from_slice(earlier);
+    let decoded = decode(&mut buffer, earlier.len());
+    assert!(matches!(decoded, Ok(Packet::Reply(Reply { number: 7, era_age_ms: None, .. }))), "{decoded:?}");
+}
--- a/crates/relay/src/news/wire.rs
+++ b/crates/relay/src/news/wire.rs
@@ -100,6 +100,8 @@
     pub(super) rollouts_revision: Revision,
     pub(super) rollouts: Vec<RolloutOrder>,
     pub(super) evacuations: Evacuations,
+    /// Time since the store's era was first seen. Earlier builds leave it out.
+    pub(super) era_age_ms: Option<u32>,
 }
 
 /// Serialized form of [`evacuations::Snapshot`].
@@ -392,6 +394,8 @@
                 revision: reply.evacuations.revision.into(),
                 domains: reply.evacuations.domains,
             },
+            // Rounded down, so that the era never looks older than it is.
+            era_age_ms: reply.era_age.map(millis_u32),
         }
     }
 }
@@ -411,6 +415,7 @@
                 revision: reply.evacuations.revision.into(),
                 domains: reply.evacuations.domains,
             },
+            era_age: reply.era_age_ms.map(|age| Duration::from_millis(u64::from(age))),
         }
     }
 }
--- a/crates/relay/src/silence.rs
+++ b/crates/relay/src/silence.rs
@@ -11,6 +11,10 @@
 
 use std::{pin::pin, time::Duration};
 
+use futures::{
+    future::BoxFuture,
+    stream::{FuturesUnordered, StreamExt},
+};
 use tokio::time::timeout;
 
 use crate::{
@@ -57,3 +61,41 @@
         deadline = extended_deadline;
     }
 }
+
+/// Awaits a call like [`bounded`], and makes further calls beside it every `pause` for as long as nothing
+/// arrives, the first that long after the call's `wait`. Returns the first answer.
+///
+/// A store that is away for a moment leaves calls without an answer that were on their way. Another call
+/// is answered as soon as the store is back, and the silent one need not be given up, which a slow store
+/// would still answer.
+///
+/// # Errors
+///
+/// As [`bounded`]. A lost or rejected call is no error while another one is under way.
+pub async fn repeated<'a, T>(
+    progress: &Progress,
+    wait: Duration,
+    pause: Duration,
+    first: BoxFuture<'a, Result<T, Fault>>,
+    mut again: impl FnMut() -> BoxFuture<'a, Result<T, Fault>>,
+) -> Result<T, Fault> {
+    let started = clock::now();
+    let answer = async {
+        let mut calls = FuturesUnordered::from_iter([first]);
+        let mut repeat_at = started + wait + pause;
+        loop {
+            let left = repeat_at.saturating_sub(clock::now());
+            match timeout(left, calls.next()).await {
+                Ok(Some(Err(Fault::Lost(_) | Fault::Refused(_)))) if !calls.is_empty() => {}
+                Ok(answer) => return answer.unwrap_or_else(|| Err(Fault::Lost("no call is under way".into()))),
+                Err(_) => {
+                    repeat_at += pause;
+                    if progress.last_arrival() < started {
+                        calls.push(again());
+                    }
+                }
+            }
+        }
+    };
+    bounded(progress, wait, answer).await
+}
--- a/crates/relay/tests/it/site.rs
+++ b/crates/relay/tests/it/site.rs
@@ -51,6 +51,9 @@
     pub evacuations: Vec<String>,
     /// Whether calls are never answered.
     pub silent: bool,
+    /// Whether watches that are under way when the store falls silent are never answered, as if their
+    /// connections were lost.
+    pub loses_calls: bool,
     /// Whether the store rejects every listing and every write of the quarantine.
     pub refuses: bool,
     /// Time until the answer to a listing begins.
@@ -240,8 +243,15 @@
     ) -> BoxFuture<'a, Result<Batch, Fault>> {
         Box::pin(async move {
             let mut receiver = self.contents.subscribe();
-            let changed = receiver.wait_for(|contents| contents.revision != from && !contents.silent);
-            if tokio::time::timeout(wait, changed).await.is_err() {
+            let changed = receiver.wait_for(|contents| match (contents.silent, contents.loses_calls) {
+                (true, loses_calls) => loses_calls,
+                (false, _) => contents.revision != from,
+            });
+            let changed = tokio::time::timeout(wait, changed).await.map(|contents| contents.map(|c| c.silent));
+            if matches!(changed, Ok(Ok(true))) {
+                std::future::pending::<()>().await;
+            }
+            if changed.is_err() {
                 if self.contents.borrow().silent {
                     std::future::pending::<()>().await;
                 }
--- a/crates/relay/tests/outages/main.rs
+++ b/crates/relay/tests/outages/main.rs
@@ -10,6 +10,7 @@
 #[expect(dead_code, reason = "shared with the other tests of the relay")]
 #[path = "../it/network.rs"]
 mod network;
+mod restored_keys;
 mod restored_store;
 #[expect(dead_code, reason = "shared with the other tests of the relay")]
 #[path = "../it/server.rs"]
--- a/crates/relay/tests/outages/restored_store.rs
+++ b/crates/relay/tests/outages/restored_store.rs
@@ -35,10 +35,10 @@
 const OUTAGE: Duration = Duration::from_millis(1_200);
 
 /// Number of changes between the copy and the loss of the store.
-const LOST_CHANGES: u32 = 30;
+pub const LOST_CHANGES: u32 = 30;
 
 /// Requests a second.
-const RATE: u32 = 150;
+pub const RATE: u32 = 150;
 
 /// Makes changes that the store loses later, then takes the store away and brings it back from the
 /// copy.
@@ -235,7 +235,7 @@
 }
 
 /// First revision that is seen of a restored store.
-const RESTORED: Revision = Revision { era: 1, number: 5 };
+pub const RESTORED: Revision = Revision { era: 1, number: 5 };
 
 /// Instances that are behind the end of the lost history must not list the endpoints: the changes from
 /// there to the restored store are kept.
