Send a request elsewhere when its endpoint's registration is removed

Reported: 504 some 0.8 s after a request came, its endpoint gone, with seconds left. vanishing_endpoints plays an endpoint that closes, resets, refuses new connections, or loses its registration before its first byte, for each kind of route. Fourteen of the 16 cases held before; the two of a removed registration that may be sent again waited for the whole first-byte timeout, 2.5 s.

--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -94,6 +94,8 @@
     /// Signals that another instance has become alive, for the first time or again, and
     /// should be sent news at once.
     peers_to_greet: Notify,
+    /// Signals that the registration of an endpoint's start is gone.
+    endpoint_removed: Notify,
     /// Signals that a service that could not be reached must be probed.
     probe_wanted: Notify,
     /// Signals that the catalog must be read again.
@@ -194,6 +196,7 @@
             withdrawals_ready: Notify::new(),
             quarantine_changes_ready: Notify::new(),
             peers_to_greet: Notify::new(),
+            endpoint_removed: Notify::new(),
             probe_wanted: Notify::new(),
             catalog_wanted: Notify::new(),
             endpoints_wanted: Notify::new(),
--- a/crates/relay/src/dispatcher/fleet/registry.rs
+++ b/crates/relay/src/dispatcher/fleet/registry.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{Fleet, Key, Load, Server, departures::MAX_LEAVING_TIME, short_hash, start_hash, stated::Removal};
+use super::{Fleet, Key, Load, Run, Server, departures::MAX_LEAVING_TIME, short_hash, start_hash, stated::Removal};
 use crate::{clock, dispatcher::Dispatcher, source::Endpoint};
 
 /// How a registration compares to the known one of the same name.
@@ -84,6 +84,9 @@
         }
         let peer_load = state.peers.load(start_hash(&endpoint));
         state.fleet.register(endpoint, kind, peer_load, now);
+        if kind == RegistrationKind::Restarted {
+            self.endpoint_removed.notify_waiters();
+        }
     }
 
     /// Removes an endpoint whose registration is gone.
@@ -97,10 +100,27 @@
                 server.stated.removal = Some(Removal { era, was_draining: server.endpoint.draining });
             }
             fleet.remove(key, now);
+            self.endpoint_removed.notify_waiters();
             tracing::info!(endpoint = id, "endpoint removed");
         }
     }
 
+    /// Waits until the registration of a run's endpoint is gone, or the endpoint has restarted. Waits
+    /// for ever if it has said before that it leaves: such an endpoint finishes its runs.
+    pub async fn wait_until_removed(&self, run: &Run) {
+        loop {
+            // Registered before the check, or a removal right after it would be missed.
+            let removed = self.endpoint_removed.notified();
+            if !self.lock().fleet.servers.contains_key(run.key) {
+                break;
+            }
+            removed.await;
+        }
+        if self.lock().fleet.has_left(start_hash(&run.endpoint), clock::now()) {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Removes an endpoint whose registration was not received after `since`, and
     /// returns whether it did.
     ///
--- a/crates/relay/src/dispatcher/fleet/stated.rs
+++ b/crates/relay/src/dispatcher/fleet/stated.rs
@@ -77,6 +77,13 @@
         self.0.remove(&start).map_or_else(Stated::default, |(stated, _)| stated)
     }
 
+    /// Whether a start had said that it leaves before its registration was removed.
+    fn has_left(&self, start: u32, now: Duration) -> bool {
+        self.0.get(&start).is_some_and(|(stated, _)| {
+            now < stated.leaving_until || stated.removal.is_some_and(|removal| removal.was_draining)
+        })
+    }
+
     /// Returns the statements of a start, which may not be registered yet.
     fn entry(&mut self, start: u32, now: Duration) -> &mut Stated {
         self.0.retain(|_, (_, until)| now < *until);
@@ -87,6 +94,11 @@
 }
 
 impl Fleet {
+    /// Whether a start without a registration had said that it leaves.
+    pub(super) fn has_left(&self, start: u32, now: Duration) -> bool {
+        self.unregistered.has_left(start, now)
+    }
+
     /// Returns the statements of a start, registered or not.
     pub(super) fn stated(&mut self, start: u32, now: Duration) -> &mut Stated {
         match self.by_hash.get(&start).and_then(|key| self.servers.get_mut(*key)) {
--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -111,15 +111,20 @@
         Some(cached.unwrap_or(models - 1))
     }
 
+    /// Whether the request may be sent to another endpoint after the current try.
+    pub(super) fn may_send_again(&self) -> bool {
+        let route = &self.admission.route;
+        route.kind.repeatable()
+            && self.sent < route.attempts
+            && self.dispatcher.allows_extra_dispatch(&self.service, Purpose::Retry)
+    }
+
     /// Returns the time limit for the first byte of a run's answer.
     pub(super) fn first_byte_timeout(&self, run: &Run) -> Duration {
-        let route = &self.admission.route;
-        let is_last_try =
-            self.sent >= route.attempts || !self.dispatcher.allows_extra_dispatch(&self.service, Purpose::Retry);
-        if is_last_try || !route.kind.repeatable() {
+        if !self.may_send_again() {
             return self.left();
         }
-        first_byte_timeout(run.expected_ms(), route.target_time)
+        first_byte_timeout(run.expected_ms(), self.admission.route.target_time)
     }
 
     /// Builds the request to send to the endpoint of a run.
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -31,6 +31,9 @@
 /// before.
 const RECORDING_TIME: Duration = Duration::from_millis(3);
 
+/// Cause of a failed try for logs: the endpoint may be gone, and its connection does not show it.
+const REMOVED: &str = "its registration was removed before an answer came";
+
 /// A request being served.
 #[derive(Debug)]
 pub struct Exchange {
@@ -286,9 +289,18 @@
         // The deadline may pass and cancel this call while the try is in flight. From here
         // on the caller must not be told that the request did not run.
         let ran_before = std::mem::replace(&mut self.may_have_run, true);
-        let names = &self.dispatcher.dialect.names;
+        let answer = upstream::exchange(connected, request, first_byte_timeout);
+        let answer = if self.may_send_again() {
+            tokio::select! {
+                biased;
+                answer = answer => answer,
+                () = self.dispatcher.wait_until_removed(run) => Err(Outcome::Unknown(REMOVED.into())),
+            }
+        } else {
+            answer.await
+        };
         let TryResult { outcome, statements } =
-            upstream::send(connected, request, &self.params.id, names, first_byte_timeout).await;
+            upstream::check_try(answer, &self.params.id, &self.dispatcher.dialect.names);
         run.record_statements(statements);
         if matches!(outcome, Outcome::Unreachable(_) | Outcome::NotRun(_)) {
             self.may_have_run = ran_before;
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -8,6 +8,7 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use futures::{FutureExt, future::BoxFuture};
 use http::{Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::client::conn::http1;
@@ -129,23 +130,28 @@
     }
 }
 
-/// Sends a request over a connection to an endpoint and waits for the head of its answer.
-///
-/// `id` is the caller's id of the request, which the answer has to echo.
-pub async fn send(
-    connected: Connected,
-    request: Request<Full<Bytes>>,
-    id: &str,
-    names: &Names,
-    time_limit: Duration,
-) -> TryResult {
-    let answer = match exchange(connected, request, time_limit).await {
-        Ok(answer) => answer,
-        Err(outcome) => return outcome.into(),
+/// An answer that is awaited, for as long as it takes. Dropping it cancels the run.
+pub type Pending = BoxFuture<'static, Result<Answer, Outcome>>;
+
+/// Sends a request over a connection, which serves no other one.
+#[must_use]
+pub fn start(connected: Connected, request: Request<Full<Bytes>>) -> Pending {
+    let Connected { mut sender, connection, overhead } = connected;
+    let answer = async move {
+        match sender.try_send_request(request).await {
+            Ok(response) => Ok(Answer { response: response.map(|body| AnswerBody::new(body, overhead)), connection }),
+            Err(mut error) => {
+                let unsent = error.take_message().is_some();
+                let cause = error.into_error().to_string();
+                Err(if unsent {
+                    Outcome::Unreachable(Unreachable::without_answer(cause))
+                } else {
+                    Outcome::Broken(cause)
+                })
+            }
+        }
     };
-    let fault = find_fault(&answer.response, id, names);
-    let statements = Statements::read(&answer.response, names, fault.is_none());
-    TryResult { outcome: fault.unwrap_or_else(|| Outcome::Answer(Box::new(answer))), statements }
+    answer.boxed()
 }
 
 /// Sends a request over a connection and waits for the head of its answer, which is not
@@ -159,19 +165,21 @@
     request: Request<Full<Bytes>>,
     time_limit: Duration,
 ) -> Result<Answer, Outcome> {
-    let Connected { mut sender, connection, overhead } = connected;
-    match tokio::time::timeout(time_limit, sender.try_send_request(request)).await {
-        Err(_) => Err(Outcome::Unknown("no answer in time".into())),
-        Ok(Err(mut error)) => {
-            let unsent = error.take_message().is_some();
-            let cause = error.into_error().to_string();
-            Err(if unsent { Outcome::Unreachable(Unreachable::without_answer(cause)) } else { Outcome::Broken(cause) })
-        }
-        Ok(Ok(response)) => {
-            let response = response.map(|body| AnswerBody::new(body, overhead));
-            Ok(Answer { response, connection })
-        }
-    }
+    let answer = tokio::time::timeout(time_limit, start(connected, request)).await;
+    answer.unwrap_or_else(|_| Err(Outcome::Unknown("no answer in time".into())))
+}
+
+/// Checks an endpoint's answer, and reads what it states about the endpoint.
+///
+/// `id` is the caller's id of the request, which the answer has to echo.
+pub fn check_try(answer: Result<Answer, Outcome>, id: &str, names: &Names) -> TryResult {
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(outcome) => return outcome.into(),
+    };
+    let fault = find_fault(&answer.response, id, names);
+    let statements = Statements::read(&answer.response, names, fault.is_none());
+    TryResult { outcome: fault.unwrap_or_else(|| Outcome::Answer(Box::new(answer))), statements }
 }
 
 /// Connects to an endpoint or another instance.
