Carry the admission of a request that another instance goes on with

A stream that had begun was cut when it went on through another instance whose catalog had dropped its route meanwhile: that instance checked it like a new request. Here it stays with the catalog that admitted it, and so it has to there.

A forwarded request that may have run now names its route, service, team and catalog version in a header between instances, and is not checked again. The header is removed from callers' requests (a test guards that). Other forwarded requests are as before, byte for byte.

--- a/crates/relay/src/catalog/wire.rs
+++ b/crates/relay/src/catalog/wire.rs
@@ -26,8 +26,9 @@
     warmups: Vec<(String, Duration, f64)>,
 }
 
+/// Serialized form of [`Route`].
 #[derive(Debug, Serialize, Deserialize)]
-struct RouteCopy {
+pub(crate) struct RouteCopy {
     name: String,
     prefix: String,
     kind: KindCopy,
@@ -52,8 +53,9 @@
     Stream { resumable: bool },
 }
 
+/// Serialized form of [`Customer`].
 #[derive(Debug, Serialize, Deserialize)]
-struct CustomerCopy {
+pub(crate) struct CustomerCopy {
     name: String,
     rank: Option<u8>,
 }
@@ -61,13 +63,12 @@
 impl From<&Catalog> for CatalogCopy {
     fn from(catalog: &Catalog) -> Self {
         let routes = |routes: &Vec<Arc<Route>>| routes.iter().map(|route| RouteCopy::from(&**route)).collect();
-        let customer = |customer: &Customer| CustomerCopy { name: customer.name.clone(), rank: customer.rank };
         let Limits { header_bytes, body_bytes, header_time, idle_time } = catalog.limits;
         Self {
             version: catalog.version,
             hosts: catalog.hosts.iter().map(|(host, all)| (host.clone(), routes(all))).collect(),
             services: catalog.services.iter().map(|(name, service)| (name.clone(), service.memory_tokens)).collect(),
-            keys: catalog.keys.as_ref().map(|keys| keys.iter().map(|(key, t)| (key.clone(), customer(t))).collect()),
+            keys: catalog.keys.as_ref().map(|keys| keys.iter().map(|(key, t)| (key.clone(), (&**t).into())).collect()),
             header_bytes: u64::try_from(header_bytes).unwrap_or(u64::MAX),
             body_bytes: u64::try_from(body_bytes).unwrap_or(u64::MAX),
             header_time,
@@ -91,9 +92,7 @@
             let warmup = warmups.get(&name).copied();
             (name.clone(), Arc::new(Service { name, memory_tokens, warmup }))
         };
-        let customer = |(key, customer): (String, CustomerCopy)| {
-            (key, Arc::new(Customer { name: customer.name, rank: customer.rank }))
-        };
+        let customer = |(key, customer): (String, CustomerCopy)| (key, Arc::new(Customer::from(customer)));
         let mut catalog = Self {
             version: copy.version,
             services: copy.services.into_iter().map(service).collect(),
@@ -115,6 +114,18 @@
     }
 }
 
+impl From<&Customer> for CustomerCopy {
+    fn from(customer: &Customer) -> Self {
+        Self { name: customer.name.clone(), rank: customer.rank }
+    }
+}
+
+impl From<CustomerCopy> for Customer {
+    fn from(copy: CustomerCopy) -> Self {
+        Self { name: copy.name, rank: copy.rank }
+    }
+}
+
 impl From<&Route> for RouteCopy {
     fn from(route: &Route) -> Self {
         Self {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -9,6 +9,7 @@
 //! first one.
 
 mod admit;
+mod carried;
 mod crash_check;
 mod forwarding;
 mod hop;
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -12,7 +12,7 @@
 };
 use tokio::time::timeout;
 
-use super::{Origin, forwarding, tries::Exchange};
+use super::{Origin, carried, forwarding, tries::Exchange};
 use crate::{
     answer::Refusal,
     catalog::{Customer, Route},
@@ -54,15 +54,19 @@
     origin: Origin,
 ) -> Result<Exchange, (RequestParams, Refusal)> {
     let (mut head, mut body) = request.into_parts();
-    let sent = match origin {
-        Origin::Caller => 0,
-        Origin::Instance => forwarding::take_sent(&mut head.headers),
+    // Removed from a caller's request too: another instance would believe it.
+    let carried = carried::take(&mut head.headers);
+    let (sent, carried) = match origin {
+        Origin::Caller => (0, None),
+        Origin::Instance => (forwarding::take_sent(&mut head.headers), carried),
     };
+    let keeps_admission = carried.is_some();
     let params = RequestParams::read(&head.headers, &dispatcher.dialect.names);
     let in_flight = dispatcher.count_in_flight();
-    match read(dispatcher, &head, &params, &mut body).await {
+    match read(dispatcher, &head, &params, &mut body, carried).await {
         Ok(received) => Ok(Exchange {
             sent,
+            keeps_admission,
             in_flight: Some(in_flight),
             is_forwarded: origin == Origin::Instance,
             ..exchange(dispatcher, head, params, received)
@@ -84,17 +88,21 @@
     body: Bytes,
 }
 
-/// Checks a request, and reads its body if it is admitted.
+/// Checks a request, unless its admission was carried here, and reads its body if it is admitted.
 async fn read(
     dispatcher: &Arc<Dispatcher>,
     head: &Parts,
     params: &RequestParams,
     body: &mut Incoming,
+    carried: Option<Admission>,
 ) -> Result<Received, Refusal> {
     let started = clock::now();
     let host = host(&head.headers, &head.uri);
     dispatcher.wait_until_started().await;
-    let admission = check(dispatcher, &host, head.uri.path(), params)?;
+    let admission = match carried {
+        Some(admission) => admission,
+        None => check(dispatcher, &host, head.uri.path(), params)?,
+    };
     if dispatcher.leaves_within(admission.route.timeout) {
         return Err(Refusal::Leaving);
     }
@@ -141,6 +149,7 @@
         sent: 0,
         unreachable: 0,
         is_forwarded: false,
+        keeps_admission: false,
         tried_instances: Vec::new(),
         may_have_run: false,
         cause: String::new(),
--- a/crates/relay/src/exchange/forwarding.rs
+++ b/crates/relay/src/exchange/forwarding.rs
@@ -1,8 +1,8 @@
 //! Forwards a request to another instance if this one reaches no endpoint of the service, or
 //! may send to none.
 //!
-//! The other instance handles the request like a caller's own: it checks the access key,
-//! chooses endpoints and models, and retries. It does not forward the request again, so a
+//! The other instance handles the request like a caller's own: it checks the access key, unless the
+//! request may have run ([`carried`]), chooses endpoints and models, and retries. It does not forward the request again, so a
 //! request takes one such step however many instances are partitioned. Instances talk over
 //! the address that also serves copies of the catalog, which callers do not know.
 
@@ -13,7 +13,7 @@
 use http_body_util::Full;
 
 use super::{
-    forwarded_headers,
+    carried, forwarded_headers,
     hop::Hop,
     tries::{AcceptedAnswer, ActiveStream, Exchange, MAX_ANSWER_BYTES, NextStep},
 };
@@ -259,6 +259,9 @@
         if let Some(model) = model.and_then(|index| self.admission.route.models.get(index)) {
             headers.insert(names.model.clone(), request_params::value(&model.name));
         }
+        if self.may_have_run {
+            carried::insert(&mut headers, &self.admission, &self.service);
+        }
         let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
--- a/crates/relay/src/exchange/hop.rs
+++ b/crates/relay/src/exchange/hop.rs
@@ -49,8 +49,10 @@
         // The catalog may have changed since the last check: a revoked key or an old route must not
         // be used for a request that nobody has run. One that may have run could only be lost.
         if !self.may_have_run {
-            self.admission = admit::check(&self.dispatcher, &self.host, self.uri.path(), &self.params)
-                .map_err(|r| self.refusal_for_caller(r))?;
+            if !self.keeps_admission {
+                self.admission = admit::check(&self.dispatcher, &self.host, self.uri.path(), &self.params)
+                    .map_err(|r| self.refusal_for_caller(r))?;
+            }
             self.admission.route.target(self.target_draw).ok_or(Refusal::NoRoute)?.clone_into(&mut self.service);
         }
         self.choose_hop(model).await
--- a/crates/relay/tests/it/requests.rs
+++ b/crates/relay/tests/it/requests.rs
@@ -164,3 +164,13 @@
     assert!(!site.relay.dispatcher().install(catalog(2, vec![route("/a/", Kind::Idempotent)])));
     assert_eq!(caller::call(site.front(), "GET", "/a/x", "", "").await.status, 404);
 }
+
+/// A caller adds the header with which instances carry the admission of a request. Passed on to another
+/// instance, it would take the place of the check of the access key.
+#[tokio::test]
+async fn admission_that_a_caller_names_is_not_passed_on() {
+    let (server, site) = start(Kind::Idempotent).await;
+    let response = caller::call(site.front(), "GET", "/a/x", "Relay-Admission: 00ff\r\n", "").await;
+    assert_eq!(response.status, 200, "{response:?}");
+    assert_eq!(header(&server.requests()[0], "relay-admission"), None);
+}
