Refuse requests without an answer at the end of the grace period

The callers of a leaving instance whose requests were at a silent endpoint when the grace period ended saw their connections closed without a status: the process ended with them. The last 0.6 s of the period were kept for its end, and nothing was said in them.

Such requests now get a refusal when serving ends: 503 if nobody can have run them, else 502. Up to 0.2 s of the 0.6 s are used for that. Requests whose body is still arriving are refused as well. The log line `left` has the number of requests that were unanswered.

--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -34,6 +34,7 @@
 };
 
 use tokio::sync::{Notify, watch};
+use tokio_util::sync::CancellationToken;
 
 pub use self::in_flight::{InFlight, Reservation};
 use self::{era::Era, peers::Phase};
@@ -106,6 +107,8 @@
     catalog_progress: Arc<Progress>,
     /// The store's era.
     era: watch::Sender<Era>,
+    /// Cancelled when the process is about to exit.
+    serving_ended: CancellationToken,
     state: Mutex<State>,
 }
 
@@ -202,6 +205,7 @@
             endpoints_wanted: Notify::new(),
             catalog_progress: Arc::default(),
             era: watch::Sender::default(),
+            serving_ended: CancellationToken::new(),
             state: Mutex::new(state),
         })
     }
@@ -411,6 +415,16 @@
         self.urgent_news.notify_one();
     }
 
+    /// Ends serving: requests that have no answer yet get a refusal.
+    pub fn end_serving(&self) {
+        self.serving_ended.cancel();
+    }
+
+    /// Waits until requests get no more answers.
+    pub async fn wait_until_serving_ends(&self) {
+        self.serving_ended.cancelled().await;
+    }
+
     /// Waits until there is news that must be sent at once instead of at the next regular time.
     pub async fn wait_for_urgent_news(&self) {
         self.urgent_news.notified().await;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -47,14 +47,18 @@
         Err((params, refusal)) => return refuse(&dispatcher, &params, &refusal, None, origin),
     };
     let limit = tokio::time::Instant::now() + exchange.left();
-    let mut response = match tokio::time::timeout_at(limit, exchange.run()).await {
-        Ok(Ok(tries::AcceptedAnswer::Whole(response))) => response,
-        Ok(Ok(tries::AcceptedAnswer::Stream(active))) => stream::forward(exchange, *active),
-        Ok(Err(refusal)) => refuse(&dispatcher, &exchange.params, &refusal, Some(&exchange), origin),
-        Err(_) => {
-            let refusal = exchange.refusal_for_caller(Refusal::Expired);
-            refuse(&dispatcher, &exchange.params, &refusal, Some(&exchange), origin)
+    let result = tokio::select! {
+        biased;
+        result = tokio::time::timeout_at(limit, exchange.run()) => {
+            result.unwrap_or_else(|_| Err(exchange.refusal_for_caller(Refusal::Expired)))
         }
+        // Else the end of the process would close the connection without a word.
+        () = dispatcher.wait_until_serving_ends() => Err(exchange.refusal_for_caller(Refusal::Leaving)),
+    };
+    let mut response = match result {
+        Ok(tries::AcceptedAnswer::Whole(response)) => response,
+        Ok(tries::AcceptedAnswer::Stream(active)) => stream::forward(exchange, *active),
+        Err(refusal) => refuse(&dispatcher, &exchange.params, &refusal, Some(&exchange), origin),
     };
     if dispatcher.is_draining() {
         response.headers_mut().insert(header::CONNECTION, http::HeaderValue::from_static("close"));
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -63,7 +63,12 @@
     let keeps_admission = carried.is_some();
     let params = RequestParams::read(&head.headers, &dispatcher.dialect.names);
     let in_flight = dispatcher.count_in_flight();
-    match read(dispatcher, &head, &params, &mut body, carried).await {
+    let received = tokio::select! {
+        biased;
+        received = read(dispatcher, &head, &params, &mut body, carried) => received,
+        () = dispatcher.wait_until_serving_ends() => Err(Refusal::Leaving),
+    };
+    match received {
         Ok(received) => Ok(Exchange {
             sent,
             keeps_admission,
--- a/crates/relay/src/handle.rs
+++ b/crates/relay/src/handle.rs
@@ -22,6 +22,9 @@
 /// Part of the grace period that is reserved for ending the process.
 const EXIT_TIME: Duration = Duration::from_millis(600);
 
+/// Part of that time in which requests without an answer get a refusal.
+const REFUSAL_TIME: Duration = Duration::from_millis(200);
+
 /// Time without requests in flight after which no further callers are expected. Also the
 /// time limit for deregistering.
 const QUIET_TIME: Duration = Duration::from_millis(400);
@@ -124,7 +127,8 @@
     }
 
     /// Shuts down gracefully: other instances are notified at once, and callers that still
-    /// have the address are served until all answers are sent or the grace period is over.
+    /// have the address are served until all answers are sent or the grace period is over. Requests
+    /// that have no answer by then are refused.
     pub async fn shutdown(mut self) {
         let started = Instant::now();
         let grace = self.dispatcher.settings.grace.saturating_sub(EXIT_TIME);
@@ -147,7 +151,14 @@
             }
             sleep(Duration::from_millis(50)).await;
         }
-        tracing::info!(in_flight = self.dispatcher.in_flight(), took_ms = clock::millis(started.elapsed()), "left");
+        let unanswered = self.dispatcher.in_flight();
+        self.dispatcher.end_serving();
+        let refusing_since = Instant::now();
+        while self.dispatcher.in_flight() > 0 && refusing_since.elapsed() < REFUSAL_TIME {
+            sleep(Duration::from_millis(10)).await;
+        }
+        let in_flight = self.dispatcher.in_flight();
+        tracing::info!(unanswered, in_flight, took_ms = clock::millis(started.elapsed()), "left");
         self.tasks.shutdown().await;
     }
 }
