Count a request as in flight until its response is written

A leaving instance ended its process while a caller was still reading a long answer: the request counted as answered once the connection had taken the whole answer, and the process ended 0.4 s later with the bytes that the connection still held. The caller got 9.97 of 14.68 MB.

A request now counts as in flight until its connection has written all that it holds, which the HTTP implementation shows by a flush. What the operating system holds then is sent after the end of the process too.

silent_endpoints::answer_that_is_being_sent_outlasts_the_shutdown: its answer of 14 MB is larger than the 1 MB of memory for bodies that the tests' settings give since answers count against it, so the relay refused to hold it and the test failed for that (162 bytes, a 502) and not for the fault.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -27,6 +27,7 @@
     clock,
     dispatcher::Dispatcher,
     request_params::{RequestParams, end_to_end},
+    unsent::Unsent,
 };
 
 pub use forwarding::is_forwarded;
@@ -42,8 +43,9 @@
 
 /// Serves one request and returns the response.
 pub async fn serve(dispatcher: Arc<Dispatcher>, request: Request<Incoming>, origin: Origin) -> Response<Body> {
-    let mut exchange = match admit::admit(&dispatcher, request, origin).await {
-        Ok(exchange) => exchange,
+    let unsent = request.extensions().get::<Unsent>().cloned().unwrap_or_default();
+    let (mut exchange, in_flight) = match admit::admit(&dispatcher, request, origin).await {
+        Ok(admitted) => admitted,
         Err((params, refusal)) => return refuse(&dispatcher, &params, &refusal, None, origin),
     };
     let limit = tokio::time::Instant::now() + exchange.left();
@@ -63,7 +65,7 @@
     if dispatcher.is_draining() {
         response.headers_mut().insert(header::CONNECTION, http::HeaderValue::from_static("close"));
     }
-    response
+    unsent.track(response, in_flight)
 }
 
 /// Logs and counts a refused request and builds the response.
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -17,7 +17,7 @@
     answer::Refusal,
     catalog::{Customer, Route},
     clock,
-    dispatcher::{Dispatcher, Reservation},
+    dispatcher::{Dispatcher, InFlight, Reservation},
     request_params::{RequestParams, end_to_end},
 };
 
@@ -52,7 +52,7 @@
     dispatcher: &Arc<Dispatcher>,
     request: Request<Incoming>,
     origin: Origin,
-) -> Result<Exchange, (RequestParams, Refusal)> {
+) -> Result<(Exchange, InFlight), (RequestParams, Refusal)> {
     let (mut head, mut body) = request.into_parts();
     // Removed from a caller's request too: another instance would believe it.
     let carried = carried::take(&mut head.headers);
@@ -69,13 +69,11 @@
         () = dispatcher.wait_until_serving_ends() => Err(Refusal::Leaving),
     };
     match received {
-        Ok(received) => Ok(Exchange {
-            sent,
-            keeps_admission,
-            in_flight: Some(in_flight),
-            is_forwarded: origin == Origin::Instance,
-            ..exchange(dispatcher, head, params, received)
-        }),
+        Ok(received) => {
+            let is_forwarded = origin == Origin::Instance;
+            let admitted = exchange(dispatcher, head, params, received);
+            Ok((Exchange { sent, keeps_admission, is_forwarded, ..admitted }, in_flight))
+        }
         Err(refusal) => {
             // Beside the refusal: a caller may send nothing more until it has that.
             tokio::spawn(discard(body));
@@ -138,7 +136,6 @@
     }
     Exchange {
         dispatcher: Arc::clone(dispatcher),
-        in_flight: None,
         _body_memory: memory,
         work: Work { request, parts },
         service: String::new(),
--- a/crates/relay/src/exchange/stream.rs
+++ b/crates/relay/src/exchange/stream.rs
@@ -164,7 +164,6 @@
             };
             advanced_at = clock::now();
         }
-        drop(exchange.in_flight.take());
     }
 }
 
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -14,7 +14,7 @@
     catalog::Kind,
     clock,
     dispatcher::{
-        Dispatcher, InFlight, Reservation,
+        Dispatcher, Reservation,
         fleet::{Key, Run, RunOutcome},
     },
     request_params::RequestParams,
@@ -38,7 +38,6 @@
 #[derive(Debug)]
 pub struct Exchange {
     pub(super) dispatcher: Arc<Dispatcher>,
-    pub(super) in_flight: Option<InFlight>,
     pub(super) _body_memory: Reservation,
     pub(super) work: Work,
     pub(super) params: RequestParams,
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -14,7 +14,10 @@
 use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::answer::Body;
+use crate::{
+    answer::Body,
+    unsent::{Connection, Unsent},
+};
 
 /// Maximum number of connections waiting to be accepted. When many callers reconnect at
 /// once, a full queue would drop first packets, which are resent only a second later.
@@ -70,8 +73,11 @@
             continue;
         }
         let serve = Arc::clone(&serve);
+        let unsent = Unsent::default();
+        let connection = Connection::new(stream, unsent.clone());
         let service = service_fn(move |mut request: Request<Incoming>| {
             request.extensions_mut().insert(caller_ip);
+            request.extensions_mut().insert(unsent.clone());
             let answer = serve(request);
             async move { Ok::<_, Infallible>(answer.await) }
         });
@@ -80,7 +86,7 @@
                 .timer(TokioTimer::new())
                 .header_read_timeout(IDLE_TIMEOUT)
                 .max_buf_size(MAX_HEAD_BYTES)
-                .serve_connection(TokioIo::new(stream), service);
+                .serve_connection(TokioIo::new(connection), service);
             if let Err(error) = connection.await {
                 tracing::debug!(%error, "connection ended");
             }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -48,6 +48,7 @@
 mod silence;
 pub mod source;
 mod statements;
+mod unsent;
 mod upstream;
 
 pub use handle::{Error, Handle, spawn};
--- /dev/null
+++ b/crates/relay/src/unsent.rs
@@ -0,0 +1,125 @@
+//! Responses that were handed to a connection and have not been written to its socket yet.
+//!
+//! A connection takes a whole response at once, and its caller may read it slowly. The request counts as
+//! in flight until the last byte is with the operating system, which goes on sending when the process has
+//! ended. So an instance that leaves does not end while it still has bytes of a response.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{Arc, Mutex, PoisonError},
+    task::{Context, Poll, ready},
+};
+
+use bytes::Bytes;
+use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::{Frame, SizeHint};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+use crate::{answer::Body, dispatcher::InFlight};
+
+/// Requests of one connection whose responses it holds.
+#[derive(Debug, Clone, Default)]
+pub struct Unsent(Arc<Mutex<Vec<InFlight>>>);
+
+impl Unsent {
+    fn add(&self, request: InFlight) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).push(request);
+    }
+
+    fn clear(&self) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).clear();
+    }
+
+    /// Has a request count as in flight until its response has been written.
+    pub fn track(&self, response: Response<Body>, request: InFlight) -> Response<Body> {
+        response.map(|body| Tracked { body, request: Some(request), unsent: self.clone() }.boxed_unsync())
+    }
+}
+
+/// A body whose request is in flight.
+struct Tracked {
+    body: Body,
+    request: Option<InFlight>,
+    unsent: Unsent,
+}
+
+impl Drop for Tracked {
+    fn drop(&mut self) {
+        // The connection has taken the last bytes, or is gone and drops what it holds.
+        if let Some(request) = self.request.take() {
+            self.unsent.add(request);
+        }
+    }
+}
+
+impl hyper::body::Body for Tracked {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A connection to a caller that knows which responses it has not written yet.
+#[derive(Debug)]
+pub struct Connection {
+    stream: TcpStream,
+    unsent: Unsent,
+}
+
+impl Connection {
+    /// Wraps a connection; `unsent` receives the requests whose responses were handed to it.
+    #[must_use]
+    pub fn new(stream: TcpStream, unsent: Unsent) -> Self {
+        Self { stream, unsent }
+    }
+}
+
+impl AsyncRead for Connection {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buffer)
+    }
+}
+
+impl AsyncWrite for Connection {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    /// The HTTP implementation flushes once it has written all that it holds.
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.unsent.clear();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/relay/tests/outages/silent_endpoints.rs
+++ b/crates/relay/tests/outages/silent_endpoints.rs
@@ -163,6 +163,9 @@
     assert!(text.starts_with("HTTP/1.1 413") && took < Duration::from_millis(300), "{took:?} {text}");
 }
 
+/// Memory for bodies, in which an answer of 14 MB may be held: one takes up to half of it.
+const BODY_MEMORY: usize = 64 << 20;
+
 /// Starts a relay in a runtime of its own, which ends with the relay's shutdown like a process.
 fn start_process(server: SocketAddr, routes: Vec<Route>, grace: Duration) -> (SocketAddr, std::thread::JoinHandle<()>) {
     let (fronts, front) = std::sync::mpsc::channel();
@@ -174,7 +177,11 @@
                 endpoints: vec![endpoint("e0", server)],
                 ..StoreContents::default()
             };
-            let site = Site::start_with(contents, |settings| settings.grace = grace).await;
+            let adjust = |settings: &mut relay::Settings| {
+                settings.grace = grace;
+                settings.body_memory = BODY_MEMORY;
+            };
+            let site = Site::start_with(contents, adjust).await;
             fronts.send(site.front()).unwrap();
             sleep(Duration::from_millis(300)).await;
             site.relay.shutdown().await;
