--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -34,6 +34,7 @@
 };
 
 use tokio::sync::{Notify, watch};
+use tokio_util::sync::CancellationToken;
 
 pub use self::in_flight::{InFlight, Reservation};
 use self::{era::Era, peers::Phase};
@@ -94,6 +95,8 @@
     /// Signals that another instance has become alive, for the first time or again, and
     /// should be sent news at once.
     peers_to_greet: Notify,
+    /// Signals that the registration of an endpoint's start is gone.
+    endpoint_removed: Notify,
     /// Signals that a service that could not be reached must be probed.
     probe_wanted: Notify,
     /// Signals that the catalog must be read again.
@@ -104,6 +107,8 @@
     catalog_progress: Arc<Progress>,
     /// The store's era.
     era: watch::Sender<Era>,
+    /// Cancelled when the process is about to exit.
+    serving_ended: CancellationToken,
     state: Mutex<State>,
 }
 
@@ -194,11 +199,13 @@
             withdrawals_ready: Notify::new(),
             quarantine_changes_ready: Notify::new(),
             peers_to_greet: Notify::new(),
+            endpoint_removed: Notify::new(),
             probe_wanted: Notify::new(),
             catalog_wanted: Notify::new(),
             endpoints_wanted: Notify::new(),
             catalog_progress: Arc::default(),
             era: watch::Sender::default(),
+            serving_ended: CancellationToken::new(),
             state: Mutex::new(state),
         })
     }
@@ -246,7 +253,7 @@
     /// Renews the lease on access keys with an answer of the store that proves them current.
     /// The store was asked for it at `requested_at`.
     pub fn renew(&self, requested_at: Duration, proof: Proof) {
-        if self.is_store_complete(requested_at) {
+        if self.complete_after(requested_at).is_none() {
             self.lock().lease.renew(requested_at, proof);
         }
     }
@@ -408,6 +415,16 @@
         self.urgent_news.notify_one();
     }
 
+    /// Ends serving: requests that have no answer yet get a refusal.
+    pub fn end_serving(&self) {
+        self.serving_ended.cancel();
+    }
+
+    /// Waits until requests get no more answers.
+    pub async fn wait_until_serving_ends(&self) {
+        self.serving_ended.cancelled().await;
+    }
+
     /// Waits until there is news that must be sent at once instead of at the next regular time.
     pub async fn wait_for_urgent_news(&self) {
         self.urgent_news.notified().await;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -9,6 +9,7 @@
 //! first one.
 
 mod admit;
+mod carried;
 mod crash_check;
 mod forwarding;
 mod hop;
@@ -26,6 +27,7 @@
     clock,
     dispatcher::Dispatcher,
     request_params::{RequestParams, end_to_end},
+    unsent::Unsent,
 };
 
 pub use forwarding::is_forwarded;
@@ -41,24 +43,29 @@
 
 /// Serves one request and returns the response.
 pub async fn serve(dispatcher: Arc<Dispatcher>, request: Request<Incoming>, origin: Origin) -> Response<Body> {
-    let mut exchange = match admit::admit(&dispatcher, request, origin).await {
-        Ok(exchange) => exchange,
+    let unsent = request.extensions().get::<Unsent>().cloned().unwrap_or_default();
+    let (mut exchange, in_flight) = match admit::admit(&dispatcher, request, origin).await {
+        Ok(admitted) => admitted,
         Err((params, refusal)) => return refuse(&dispatcher, &params, &refusal, None, origin),
     };
     let limit = tokio::time::Instant::now() + exchange.left();
-    let mut response = match tokio::time::timeout_at(limit, exchange.run()).await {
-        Ok(Ok(tries::AcceptedAnswer::Whole(response))) => response,
-        Ok(Ok(tries::AcceptedAnswer::Stream(active))) => stream::forward(exchange, *active),
-        Ok(Err(refusal)) => refuse(&dispatcher, &exchange.params, &refusal, Some(&exchange), origin),
-        Err(_) => {
-            let refusal = exchange.refusal_for_caller(Refusal::Expired);
-            refuse(&dispatcher, &exchange.params, &refusal, Some(&exchange), origin)
+    let result = tokio::select! {
+        biased;
+        result = tokio::time::timeout_at(limit, exchange.run()) => {
+            result.unwrap_or_else(|_| Err(exchange.refusal_for_caller(Refusal::Expired)))
         }
+        // Else the end of the process would close the connection without a word.
+        () = dispatcher.wait_until_serving_ends() => Err(exchange.refusal_for_caller(Refusal::Leaving)),
+    };
+    let mut response = match result {
+        Ok(tries::AcceptedAnswer::Whole(response)) => response,
+        Ok(tries::AcceptedAnswer::Stream(active)) => stream::forward(exchange, *active),
+        Err(refusal) => refuse(&dispatcher, &exchange.params, &refusal, Some(&exchange), origin),
     };
     if dispatcher.is_draining() {
         response.headers_mut().insert(header::CONNECTION, http::HeaderValue::from_static("close"));
     }
-    response
+    unsent.track(response, in_flight)
 }
 
 /// Logs and counts a refused request and builds the response.
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -12,12 +12,12 @@
 };
 use tokio::time::timeout;
 
-use super::{Origin, forwarding, tries::Exchange};
+use super::{Origin, carried, forwarding, tries::Exchange};
 use crate::{
     answer::Refusal,
     catalog::{Customer, Route},
     clock,
-    dispatcher::{Dispatcher, Reservation},
+    dispatcher::{Dispatcher, InFlight, Reservation},
     request_params::{RequestParams, end_to_end},
 };
 
@@ -52,21 +52,28 @@
     dispatcher: &Arc<Dispatcher>,
     request: Request<Incoming>,
     origin: Origin,
-) -> Result<Exchange, (RequestParams, Refusal)> {
+) -> Result<(Exchange, InFlight), (RequestParams, Refusal)> {
     let (mut head, mut body) = request.into_parts();
-    let sent = match origin {
-        Origin::Caller => 0,
-        Origin::Instance => forwarding::take_sent(&mut head.headers),
+    // Removed from a caller's request too: another instance would believe it.
+    let carried = carried::take(&mut head.headers);
+    let (sent, carried) = match origin {
+        Origin::Caller => (0, None),
+        Origin::Instance => (forwarding::take_sent(&mut head.headers), carried),
     };
+    let keeps_admission = carried.is_some();
     let params = RequestParams::read(&head.headers, &dispatcher.dialect.names);
     let in_flight = dispatcher.count_in_flight();
-    match read(dispatcher, &head, &params, &mut body).await {
-        Ok(received) => Ok(Exchange {
-            sent,
-            in_flight: Some(in_flight),
-            is_forwarded: origin == Origin::Instance,
-            ..exchange(dispatcher, head, params, received)
-        }),
+    let received = tokio::select! {
+        biased;
+        received = read(dispatcher, &head, &params, &mut body, carried) => received,
+        () = dispatcher.wait_until_serving_ends() => Err(Refusal::Leaving),
+    };
+    match received {
+        Ok(received) => {
+            let is_forwarded = origin == Origin::Instance;
+            let admitted = exchange(dispatcher, head, params, received);
+            Ok((Exchange { sent, keeps_admission, is_forwarded, ..admitted }, in_flight))
+        }
         Err(refusal) => {
             // Beside the refusal: a caller may send nothing more until it has that.
             tokio::spawn(discard(body));
@@ -84,17 +91,21 @@
     body: Bytes,
 }
 
-/// Checks a request, and reads its body if it is admitted.
+/// Checks a request, unless its admission was carried here, and reads its body if it is admitted.
 async fn read(
     dispatcher: &Arc<Dispatcher>,
     head: &Parts,
     params: &RequestParams,
     body: &mut Incoming,
+    carried: Option<Admission>,
 ) -> Result<Received, Refusal> {
     let started = clock::now();
     let host = host(&head.headers, &head.uri);
     dispatcher.wait_until_started().await;
-    let admission = check(dispatcher, &host, head.uri.path(), params)?;
+    let admission = match carried {
+        Some(admission) => admission,
+        None => check(dispatcher, &host, head.uri.path(), params)?,
+    };
     if dispatcher.leaves_within(admission.route.timeout) {
         return Err(Refusal::Leaving);
     }
@@ -125,7 +136,6 @@
     }
     Exchange {
         dispatcher: Arc::clone(dispatcher),
-        in_flight: None,
         _body_memory: memory,
         work: Work { request, parts },
         service: String::new(),
@@ -141,6 +151,7 @@
         sent: 0,
         unreachable: 0,
         is_forwarded: false,
+        keeps_admission: false,
         tried_instances: Vec::new(),
         may_have_run: false,
         cause: String::new(),
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -14,7 +14,7 @@
     catalog::Kind,
     clock,
     dispatcher::{
-        Dispatcher, InFlight, Reservation,
+        Dispatcher, Reservation,
         fleet::{Key, Run, RunOutcome},
     },
     request_params::RequestParams,
@@ -31,11 +31,13 @@
 /// before.
 const RECORDING_TIME: Duration = Duration::from_millis(3);
 
+/// Cause of a failed try for logs: the endpoint may be gone, and its connection does not show it.
+const REMOVED: &str = "its registration was removed before an answer came";
+
 /// A request being served.
 #[derive(Debug)]
 pub struct Exchange {
     pub(super) dispatcher: Arc<Dispatcher>,
-    pub(super) in_flight: Option<InFlight>,
     pub(super) _body_memory: Reservation,
     pub(super) work: Work,
     pub(super) params: RequestParams,
@@ -60,6 +62,9 @@
     pub(super) unreachable: u32,
     /// Whether another instance forwarded the request to this one.
     pub(super) is_forwarded: bool,
+    /// Whether that instance goes on with a request that may have run, under the catalog that admitted
+    /// it there.
+    pub(super) keeps_admission: bool,
     /// Instances to which the request was forwarded.
     pub(super) tried_instances: Vec<SocketAddr>,
     /// Whether any endpoint may have run the request.
@@ -286,9 +291,18 @@
         // The deadline may pass and cancel this call while the try is in flight. From here
         // on the caller must not be told that the request did not run.
         let ran_before = std::mem::replace(&mut self.may_have_run, true);
-        let names = &self.dispatcher.dialect.names;
+        let answer = upstream::exchange(connected, request, first_byte_timeout);
+        let answer = if self.may_send_again() {
+            tokio::select! {
+                biased;
+                answer = answer => answer,
+                () = self.dispatcher.wait_until_removed(run) => Err(Outcome::Unknown(REMOVED.into())),
+            }
+        } else {
+            answer.await
+        };
         let TryResult { outcome, statements } =
-            upstream::send(connected, request, &self.params.id, names, first_byte_timeout).await;
+            upstream::check_try(answer, &self.params.id, &self.dispatcher.dialect.names);
         run.record_statements(statements);
         if matches!(outcome, Outcome::Unreachable(_) | Outcome::NotRun(_)) {
             self.may_have_run = ran_before;
