Learn endpoints' paces and engines' memory (not finished)

Cause: all slots count as equal, whatever an endpoint's speed, and with 62 instances each sees few runs at any one endpoint. Change: pure pooling of observations (route::relay::pace), their state and datagram in the relay, and a count of tokens against engines' memory.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -132,6 +132,7 @@
         whole: None,
         shared_tokens: 5_000,
         own_tokens: 500,
+        output_tokens: 0,
         session,
         in_session: false,
         tried: &[],
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -68,6 +68,8 @@
         /// Time after which the caller should come back.
         after: Duration,
     },
+    /// The prompt does not fit into the memory of any engine.
+    ExceedsMemory,
     /// The deadline passed before the request ran.
     Expired,
     /// The request may have run, and no answer came in time.
@@ -106,6 +108,7 @@
             | Self::Quarantined { .. }
             | Self::Throttled { .. }
             | Self::Paused { .. }
+            | Self::ExceedsMemory
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
@@ -173,6 +176,7 @@
             Self::Throttled { .. } | Self::Paused { .. } => {
                 "not run: no endpoint takes more requests now; try again when told"
             }
+            Self::ExceedsMemory => "not run: its prompt is longer than any engine can hold; shorten it",
             Self::Expired => "not run: its time ran out first",
             Self::TimedOut => "it may have run; no answer came in time",
             Self::Lost => "it may have run; its answer was lost",
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -164,7 +164,7 @@
             catalog: None,
             lease: Lease::new(settings.revocation_bound),
             allowances: HashMap::new(),
-            fleet: fleet::Fleet::default(),
+            fleet: fleet::Fleet::new(settings.policies.capacity),
             notices: fleet::Notices::new(clock::now()),
             quarantine: Quarantine::default(),
             findings: Vec::new(),
--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -11,7 +11,9 @@
 mod decaying_mean;
 mod departures;
 mod limits;
+mod memory;
 mod notices;
+mod paces;
 mod pauses;
 mod pool;
 mod reachability;
@@ -30,6 +32,7 @@
     holders::Prefixes,
     latency,
     notice::Backlog,
+    pace::{Learned, Observations},
     placement::Candidate,
     reachability::Reachability,
     throttle::Throttle,
@@ -41,6 +44,7 @@
     caches::affinity,
     limits::Limit,
     notices::{Notice, Notices},
+    paces::PaceReport,
     rejections::RejectionLimit,
     run::{Run, RunOutcome},
     withdrawals::Withdrawal,
@@ -51,7 +55,7 @@
     stated::Stated,
 };
 use super::{Dispatcher, State, crashes::UnfinishedRuns, evacuations::Evacuations, rollouts::Arm};
-use crate::{clock, source::Endpoint};
+use crate::{clock, settings::Capacity, source::Endpoint};
 
 slotmap::new_key_type! {
     /// Identifies a known endpoint; an endpoint that restarts gets a new key.
@@ -110,6 +114,12 @@
     pub(super) evacuations: Evacuations,
     /// Endpoints that take only a limited rate until they are warm.
     warming: warmup::WarmingEndpoints,
+    /// What the capacity of endpoints is taken from.
+    capacity: Capacity,
+    /// What is known of the endpoints' paces; empty unless capacity is learned.
+    paces: paces::Paces,
+    /// Mean number of tokens of a run, by service; empty unless capacity is learned.
+    mean_tokens: HashMap<String, f64>,
 }
 
 /// Service and model whose latency is learned.
@@ -166,6 +176,12 @@
     warm_at: Duration,
     /// Rate at which this instance may send requests until then.
     warmup_throttle: Throttle,
+    /// This instance's observations of its pace.
+    observations: Observations,
+    /// What all instances' observations say about it.
+    learned: Learned,
+    /// Tokens of this instance's runs there.
+    memory_tokens: u64,
 }
 
 /// Load of the runs at an endpoint.
@@ -196,6 +212,8 @@
     pub shared_tokens: u32,
     /// Number of tokens after the shared part.
     pub own_tokens: u32,
+    /// Maximum number of tokens to generate.
+    pub output_tokens: u32,
     /// Key by which requests are assigned to versions: the session's, or the request's own.
     pub session: u64,
     /// Whether `session` stands for a caller's session and not only for this request.
@@ -217,9 +235,14 @@
         let selection = state.select_endpoint(job, now, self.settings.max_exposure)?;
         let (nominal_ms, expected_ms) = (selection.nominal_ms(), selection.expected_ms());
         let reference_ms = selection.reference_ms();
-        let Selection { key, arm, choice, latency, units, source, .. } = selection;
+        let Selection { key, arm, choice, latency, units, source, memory_tokens, .. } = selection;
+        state.fleet.observe_tokens(job.service, memory_tokens);
         let server = state.fleet.servers.get_mut(key)?;
         let backlog_ms = latency.processing_ms(units);
+        let first_byte_ms = latency.first_byte_ms(units);
+        let pace =
+            server.pace_reference(if job.model.is_some() { reference_ms } else { first_byte_ms }, first_byte_ms, now);
+        server.memory_tokens += memory_tokens;
         server.stated.guard.record_send(now);
         server.runs += 1;
         server.stated.throttle.take_token(now);
@@ -256,6 +279,8 @@
             answer: None,
             shows_sound_parts: false,
             work: None,
+            pace,
+            memory_tokens,
         })
     }
 
@@ -275,6 +300,7 @@
         state.update_limit_shares(now);
         state.update_rejection_shares(now);
         state.update_warmups(&self.settings, self.created_at, now);
+        state.update_paces(now);
     }
 
     /// Returns the expected time to the first byte at an idle endpoint, in milliseconds.
@@ -317,6 +343,9 @@
             stated,
             warm_at: Duration::ZERO,
             warmup_throttle: Throttle::default(),
+            observations: Observations::default(),
+            learned: Learned::default(),
+            memory_tokens: 0,
         }
     }
 
@@ -341,11 +370,11 @@
         let slowness = self.slowness.value_at(1.0, now) / mean_slowness;
         Candidate {
             id: &self.endpoint.id,
-            slots: self.endpoint.slots,
+            slots: self.learned.room.unwrap_or(self.endpoint.slots),
             runs: f64::from(self.runs) + self.peer_load.runs + full,
             backlog_ms: self.backlog_ms + self.announced_backlog.left_ms(now),
             reported_backlog_ms: self.peer_load.backlog_ms,
-            slowness: if slowness > NOISE_FACTOR { slowness } else { 1.0 },
+            slowness: self.learned.pace.unwrap_or(if slowness > NOISE_FACTOR { slowness } else { 1.0 }),
             excess_failure_rate: (self.failure_rate.value_at(0.0, now) - NOISE_FACTOR * mean_failure_rate).max(0.0),
             local: self.endpoint.domain == domain,
             holds_prefix: false,
--- /dev/null
+++ b/crates/relay/src/dispatcher/fleet/paces.rs
@@ -0,0 +1,278 @@
+//! Paces of endpoints, learned from the runs of all instances.
+//!
+//! An endpoint's own observations and what was learned of it belong to its entry among the
+//! known endpoints. They are discarded when it restarts, since a restarted endpoint gets a new
+//! entry, and reports about its earlier start have another hash.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use rand::seq::IteratorRandom;
+use route::relay::pace::{self, Assessment, Learned, Member, Noise, Observations, Usual};
+
+use super::{BaselineKey, Fleet, Key, Server};
+use crate::{
+    clock,
+    dispatcher::{Dispatcher, State},
+    settings::Capacity,
+};
+
+/// Time between assessments. Reports of other instances arrive at the same pause.
+const ASSESSMENT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Prompt processing that is pending at an endpoint, as a multiple of the run's own time, above
+/// which the run's time shows the wait rather than the endpoint's pace.
+const MAX_BACKLOG_SHARE: f64 = 0.25;
+
+/// Number of observations from which an endpoint is reported to other instances.
+const MIN_REPORTED_COUNT: f64 = 0.1;
+
+/// Maximum number of usual ratios by team; further teams share one for each kind of run.
+const MAX_USUAL_RATIOS: usize = 1_024;
+
+/// Ratios are limited to this factor, so that a run of no measurable time is no outlier.
+const MAX_RATIO: f64 = 20.0;
+
+/// What is known of the endpoints' paces, besides what belongs to a single endpoint.
+#[derive(Debug, Default)]
+pub(super) struct Paces {
+    usual: HashMap<UsualKey, Usual>,
+    services: HashMap<String, ServicePaces>,
+    /// Observations that other instances reported, by the hashes of the endpoint's start and of
+    /// the instance.
+    reports: HashMap<u32, HashMap<u32, Observations>>,
+    assessed_at: Duration,
+}
+
+/// Kind of run whose usual ratio is learned.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct UsualKey {
+    kind: BaselineKey,
+    /// Hash of the team's name; `None` for all teams that have no ratio of their own. One team
+    /// may always send more work than it declares, and to the same endpoint.
+    team: Option<u32>,
+}
+
+#[derive(Debug, Default)]
+struct ServicePaces {
+    noise: Noise,
+    differs: bool,
+}
+
+/// What a run's time is compared with to learn the endpoint's pace.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct PaceReference {
+    /// Pace of the endpoint by which the run was placed.
+    pub pace: f64,
+    /// Expected time at an average endpoint, in milliseconds.
+    expected_ms: f64,
+    /// Number of runs at the endpoint, this one included, as a fraction of its declared slots.
+    load: f64,
+    /// Whether the run was expected to wait, so that its time does not show the pace.
+    waits: bool,
+}
+
+/// An instance's observations of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PaceReport {
+    /// Hash of the endpoint's name and start.
+    pub start: u32,
+    /// The observations.
+    pub observations: Observations,
+}
+
+impl Server {
+    /// Returns what a run that is placed now is compared with. `expected_ms` is its expected time
+    /// at an average endpoint, and `first_byte_ms` that at an idle one.
+    pub(super) fn pace_reference(&self, expected_ms: f64, first_byte_ms: f64, now: Duration) -> PaceReference {
+        let backlog_ms = self.backlog_ms + self.announced_backlog.left_ms(now) + self.peer_load.backlog_ms;
+        let load = (f64::from(self.runs) + self.peer_load.runs + 1.0) / f64::from(self.endpoint.slots.max(1));
+        let waits = load > 1.0 || self.full_until > now || backlog_ms > MAX_BACKLOG_SHARE * first_byte_ms;
+        PaceReference { pace: self.learned.pace.unwrap_or(1.0), expected_ms, load, waits }
+    }
+
+    /// Returns the number of runs that the endpoint serves in the time of an average one's run.
+    fn effective_slots(&self) -> f64 {
+        pace::effective_slots(self.endpoint.slots, self.learned.pace, self.learned.room)
+    }
+}
+
+impl Fleet {
+    /// Creates a fleet without endpoints.
+    pub(in crate::dispatcher) fn new(capacity: Capacity) -> Self {
+        Self { capacity, ..Self::default() }
+    }
+
+    /// Whether capacity is learned.
+    pub(super) fn learns_capacity(&self) -> bool {
+        self.capacity == Capacity::Learned
+    }
+
+    /// Adds a run of a team that took `took_ms` milliseconds to the observations of its
+    /// endpoint.
+    pub(super) fn observe_pace(
+        &mut self,
+        key: Key,
+        reference: &PaceReference,
+        kind: BaselineKey,
+        team: u32,
+        took_ms: f64,
+        now: Duration,
+    ) {
+        if !self.learns_capacity() || reference.waits {
+            return;
+        }
+        let Some(server) = self.servers.get_mut(key) else { return };
+        let ratio_log = (took_ms / reference.expected_ms.max(1.0)).clamp(MAX_RATIO.recip(), MAX_RATIO).ln();
+        let service = kind.latency.service.clone();
+        let log = self.paces.usual(kind, team).observe(ratio_log, server.learned.log);
+        self.paces.services.entry(service).or_default().noise.observe(log, server.learned.log);
+        server.observations.observe(log, reference.load, now);
+    }
+}
+
+impl Paces {
+    /// Returns the usual ratio of a team's runs of a kind.
+    fn usual(&mut self, kind: BaselineKey, team: u32) -> &mut Usual {
+        let key = UsualKey { kind, team: Some(team) };
+        let is_full = self.usual.len() >= MAX_USUAL_RATIOS && !self.usual.contains_key(&key);
+        let key = if is_full { UsualKey { team: None, ..key } } else { key };
+        self.usual.entry(key).or_default()
+    }
+
+    /// Returns the pooled observations of an endpoint.
+    fn pooled(&self, server: &Server, now: Duration) -> Observations {
+        let reports: Vec<Observations> =
+            self.reports.get(&server.hash).map(|reports| reports.values().copied().collect()).unwrap_or_default();
+        server.observations.pooled(&reports, now)
+    }
+}
+
+impl State {
+    /// Assesses the endpoints of all services if the last assessment is out of date.
+    pub(super) fn update_paces(&mut self, now: Duration) {
+        let fleet = &mut self.fleet;
+        if !fleet.learns_capacity() || now < fleet.paces.assessed_at + ASSESSMENT_INTERVAL {
+            return;
+        }
+        fleet.paces.assessed_at = now;
+        fleet.forget_reports(now);
+        let mut services: HashMap<&str, Vec<Key>> = HashMap::new();
+        for (key, server) in &fleet.servers {
+            services.entry(&server.endpoint.service).or_default().push(key);
+        }
+        let services: Vec<(String, Vec<Key>)> =
+            services.into_iter().map(|(service, keys)| (service.to_owned(), keys)).collect();
+        for (service, keys) in services {
+            fleet.assess_service(&service, &keys, now);
+        }
+    }
+}
+
+impl Fleet {
+    /// Forgets reports that count no more, and those on endpoints that are not known any more.
+    fn forget_reports(&mut self, now: Duration) {
+        let by_hash = &self.by_hash;
+        self.paces.reports.retain(|start, reports| {
+            reports.retain(|_, report| is_relevant(&report.at(now)));
+            !reports.is_empty() && by_hash.contains_key(start)
+        });
+    }
+
+    /// Assesses the endpoints of a service.
+    fn assess_service(&mut self, service: &str, keys: &[Key], now: Duration) {
+        let member = |key: &Key| {
+            let server = &self.servers[*key];
+            Member { observations: self.paces.pooled(server, now), slots: server.endpoint.slots }
+        };
+        let members: Vec<Member> = keys.iter().map(member).collect();
+        let paces = self.paces.services.entry(service.to_owned()).or_default();
+        let Assessment { differs, learned } = pace::assess(&members, paces.noise.variance(), paces.differs);
+        if differs != paces.differs {
+            paces.differs = differs;
+            let (fastest, slowest) = range(&learned);
+            tracing::info!(service, differs, fastest, slowest, "whether the paces of endpoints differ has changed");
+        }
+        record_metrics(service, &learned);
+        for (key, learned) in keys.iter().zip(learned) {
+            self.servers[*key].learned = learned;
+        }
+    }
+}
+
+impl Dispatcher {
+    /// Returns the number of runs that an endpoint serves in the time of an average one's run: its
+    /// slots, or fewer where more only make all of them slower, by its pace. Without learned
+    /// capacity these are its declared slots. 0 if the endpoint is not known.
+    #[must_use]
+    pub fn effective_slots(&self, key: Key) -> f64 {
+        let now = clock::now();
+        let mut state = self.lock();
+        state.update_paces(now);
+        state.fleet.servers.get(key).map_or(0.0, Server::effective_slots)
+    }
+
+    /// Returns the sum of [`Dispatcher::effective_slots`] over the endpoints of a service that are
+    /// in service.
+    #[must_use]
+    pub fn service_slots(&self, service: &str) -> f64 {
+        let now = clock::now();
+        let mut state = self.lock();
+        state.update_paces(now);
+        state.fleet.in_service(service, now).map(Server::effective_slots).sum()
+    }
+
+    /// Returns this instance's observations of up to `max` endpoints, drawn at random if it has
+    /// observed more recently. Empty unless capacity is learned.
+    #[must_use]
+    pub fn own_paces(&self, max: usize) -> Vec<PaceReport> {
+        if self.settings.policies.capacity != Capacity::Learned {
+            return Vec::new();
+        }
+        let now = clock::now();
+        let state = self.lock();
+        let report = |server: &Server| PaceReport { start: server.hash, observations: server.observations.at(now) };
+        let reports = state.fleet.servers.values().map(report).filter(|report| is_relevant(&report.observations));
+        reports.choose_multiple(&mut rand::rng(), max)
+    }
+
+    /// Applies the observations of another instance, given by the hash of its name and the
+    /// address that sent them. Those of instances that are not known to be alive are ignored:
+    /// a sender that changes its name would count several times.
+    pub fn apply_paces(&self, instance: u32, from: SocketAddr, reports: impl IntoIterator<Item = PaceReport>) {
+        let now = clock::now();
+        let mut state = self.lock();
+        if !state.fleet.learns_capacity() || !state.peers.is_live_at(instance, from, now) {
+            return;
+        }
+        let Fleet { by_hash, paces, .. } = &mut state.fleet;
+        for PaceReport { start, observations } in
+            reports.into_iter().filter(|report| by_hash.contains_key(&report.start))
+        {
+            let observations = Observations { updated_at: now, ..observations };
+            paces.reports.entry(start).or_default().insert(instance, observations);
+        }
+    }
+}
+
+/// Whether observations still count.
+fn is_relevant(observations: &Observations) -> bool {
+    observations.pace.count >= MIN_REPORTED_COUNT
+        || observations.bands.iter().any(|band| band.count >= MIN_REPORTED_COUNT)
+}
+
+/// Returns the fastest and the slowest pace.
+fn range(learned: &[Learned]) -> (f64, f64) {
+    let paces = learned.iter().map(|learned| learned.log.exp());
+    paces.fold((f64::INFINITY, 0.0), |(fastest, slowest), pace| (pace.min(fastest), pace.max(slowest)))
+}
+
+fn record_metrics(service: &str, learned: &[Learned]) {
+    let in_effect: Vec<f64> = learned.iter().filter_map(|learned| learned.pace).collect();
+    let slowest = in_effect.iter().copied().fold(1.0, f64::max);
+    let fastest = in_effect.iter().copied().fold(1.0, f64::min);
+    #[expect(clippy::cast_precision_loss, reason = "endpoints are far fewer than 2^53")]
+    let reduced = learned.iter().filter(|learned| learned.room.is_some()).count() as f64;
+    metrics::gauge!("relay_slowest_pace", "service" => service.to_owned()).set(slowest);
+    metrics::gauge!("relay_fastest_pace", "service" => service.to_owned()).set(fastest);
+    metrics::gauge!("relay_reduced_rooms", "service" => service.to_owned()).set(reduced);
+}
--- a/crates/relay/src/dispatcher/fleet/run.rs
+++ b/crates/relay/src/dispatcher/fleet/run.rs
@@ -8,7 +8,7 @@
     placement::Choice,
 };
 
-use super::{BaselineKey, Key, LatencyKey, answers::AnswerKey, initial_latency};
+use super::{BaselineKey, Key, LatencyKey, answers::AnswerKey, initial_latency, paces::PaceReference};
 use crate::{
     clock,
     dispatcher::{
@@ -73,6 +73,10 @@
     pub(super) shows_sound_parts: bool,
     /// The request, from when it is sent until the run's outcome is known.
     pub(super) work: Option<Work>,
+    /// What the run's time is compared with to learn the endpoint's pace.
+    pub(super) pace: PaceReference,
+    /// Tokens that the run takes of the engine's memory.
+    pub(super) memory_tokens: u64,
 }
 
 /// Outcome of a run, for the endpoint's statistics.
@@ -132,7 +136,11 @@
             server.slowness.observe(ratio / usual_lateness.max(0.1), 1.0, now);
         }
         let guess = initial_latency(self.latency_key.model);
-        fleet.latencies.entry(self.latency_key.clone()).or_insert(guess).learn(self.units, took);
+        // The estimate is that of an average endpoint.
+        let took_on_average = took / self.pace.pace;
+        fleet.latencies.entry(self.latency_key.clone()).or_insert(guess).learn(self.units, took_on_average);
+        let team = self.work.as_ref().map_or(0, |work| work.request.team);
+        fleet.observe_pace(self.key, &self.pace, self.baseline_key(), team, took, now);
     }
 
     /// Records that more bytes of the answer were received.
@@ -314,6 +322,7 @@
         self.record_missing_verdict(&mut state);
         if let Some(server) = state.fleet.servers.get_mut(self.key) {
             server.runs = server.runs.saturating_sub(1);
+            server.memory_tokens = server.memory_tokens.saturating_sub(self.memory_tokens);
         }
     }
 }
--- a/crates/relay/src/dispatcher/fleet/selection.rs
+++ b/crates/relay/src/dispatcher/fleet/selection.rs
@@ -40,6 +40,8 @@
     pub source: Option<SocketAddr>,
     /// Wait for the runs on the endpoint if it is as fast as its peers, in milliseconds.
     pub queue_ms: f64,
+    /// Tokens that the run takes of the engine's memory; 0 unless that is limited.
+    pub memory_tokens: u64,
 }
 
 impl Selection {
@@ -52,7 +54,7 @@
 
     /// Returns the expected time to the first byte if no endpoint were late, in milliseconds.
     pub fn nominal_ms(&self) -> f64 {
-        self.choice.wait_ms.max(0.0) + self.latency.first_byte_ms(self.units)
+        (self.choice.wait_ms + self.latency.first_byte_ms(self.units)).max(0.0)
     }
 
     /// Returns the expected time to the first byte, in milliseconds.
@@ -73,7 +75,7 @@
         let settled = job.in_session && canary::is_in_trial_group(job.session, exposure) && settled();
         let assignment =
             self.rollouts.assign(job.service, rollouts::Request { session: job.session, settled, exposure }, now);
-        let (chosen, mean_slowness, mean_failure_rate) =
+        let (mut chosen, mean_slowness, mean_failure_rate) =
             if let Some((pool, chosen)) = self.fleet.sample_endpoints(job, &assignment, now) {
                 (chosen, pool.mean_slowness, pool.mean_failure_rate)
             } else {
@@ -86,6 +88,10 @@
         let usual_lateness = self.fleet.usual_lateness.get(job.service).copied().unwrap_or(1.0);
         let holders = self.fleet.holders_of(job.affinity, now);
         let holders_of_whole = self.fleet.holders_of(job.whole, now);
+        let memory = self.memory_check(job, &holders, &holders_of_whole);
+        if let Some(memory) = &memory {
+            memory.retain_with_room(&mut chosen);
+        }
         let mut candidates = Vec::with_capacity(chosen.len());
         for (_, server) in &chosen {
             let (holds_prefix, holds_prompt) =
@@ -111,7 +117,9 @@
         choice.source = choice.source.filter(is_same);
         let source = choice.source.map(|index| chosen[index].1.endpoint.address);
         let Candidate { holds_prefix, holds_prompt, .. } = candidates[choice.index];
-        let queue_ms = placement::queue_ms(&candidates[choice.index]);
+        let declared = Candidate { slots: server.endpoint.slots, ..candidates[choice.index] };
+        let queue_ms = placement::queue_ms(&declared);
+        let memory_tokens = memory.map_or(0, |memory| memory.demand(server).added());
         let is_shared_part_available =
             holds_prefix || source.is_some() || job.shared_tokens < MIN_ANNOUNCED_PART_TOKENS;
         let units = match (holds_prompt, is_shared_part_available) {
@@ -119,7 +127,8 @@
             (false, true) => job_units(job),
             (false, false) => job_units(job) + reading_units(job, job.shared_tokens, 0),
         };
-        Some(Selection { key, arm, choice, latency, usual_lateness: usual_lateness.max(1.0), units, source, queue_ms })
+        let usual_lateness = usual_lateness.max(1.0);
+        Some(Selection { key, arm, choice, latency, usual_lateness, units, source, queue_ms, memory_tokens })
     }
 }
 
--- a/crates/relay/src/dispatcher/peers.rs
+++ b/crates/relay/src/dispatcher/peers.rs
@@ -241,6 +241,13 @@
         self.known.values().filter(is_available).map(substitute)
     }
 
+    /// Whether an instance, given by the hash of its name, is alive and receives news at an
+    /// address.
+    pub(super) fn is_live_at(&self, name: u32, news: SocketAddr, now: Duration) -> bool {
+        let peer = self.by_hash.get(&name).and_then(|name| self.known.get(name));
+        peer.is_some_and(|peer| peer.news == news && peer.is_live(now))
+    }
+
     /// Returns the hashes of the names of the other instances that serve callers and reach a
     /// service, given by its short hash.
     pub(super) fn senders(&self, service: u32, now: Duration) -> impl Iterator<Item = u64> {
--- a/crates/relay/src/news/wire.rs
+++ b/crates/relay/src/news/wire.rs
@@ -1,13 +1,17 @@
 //! Serialized datagrams between instances, and their conversions.
 
 mod items;
+mod paces;
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use route::relay::canary::{Lateness, Stage, Tally};
 use serde::{Deserialize, Serialize};
 
-pub(super) use self::items::{Finding, Limit, Notice, PartCrash, RejectionLimit, Withdrawal, divide};
+pub(super) use self::{
+    items::{Finding, Limit, Notice, PartCrash, RejectionLimit, Withdrawal, divide},
+    paces::PaceReport,
+};
 use crate::{
     dispatcher::{
         evacuations,
@@ -52,6 +56,9 @@
     Withdrawals(Vec<Withdrawal>),
     /// Such endpoints that the receiver passes on to the instances of its failure domain.
     PassOnWithdrawals(Vec<Withdrawal>),
+    /// Observations of endpoints' paces, with the hash of the sender's name. Sent only by
+    /// instances that learn capacity; earlier builds cannot decode this packet.
+    Paces(u32, Vec<PaceReport>),
 }
 
 /// Serialized form of [`source::Revision`].
--- a/crates/relay/tests/it/partitions.rs
+++ b/crates/relay/tests/it/partitions.rs
@@ -512,6 +512,7 @@
         whole: None,
         shared_tokens: 0,
         own_tokens: 0,
+        output_tokens: 0,
         session: 0,
         in_session: false,
         tried: &[],
--- a/crates/relay/tests/it/synchronization.rs
+++ b/crates/relay/tests/it/synchronization.rs
@@ -172,6 +172,7 @@
         whole: None,
         shared_tokens: 0,
         own_tokens: 0,
+        output_tokens: 0,
         session: 1,
         in_session: false,
         tried: &[],
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -2,7 +2,8 @@
 //!
 //! [`placement`] picks the endpoint, [`ladder`] picks the model, and
 //! [`mod@first_byte_timeout`] sets the timeout for the first byte, based on the estimate of
-//! [`latency`]. [`holders`] tracks which endpoints have a prompt prefix in their cache, and
+//! [`latency`]. [`pace`] learns how fast each endpoint is, and [`engine_memory`] counts the
+//! tokens of runs against engines' memory. [`holders`] tracks which endpoints have a prompt prefix in their cache, and
 //! [`notice`] tracks the prompt processing that other instances have sent to them.
 //! [`allowance`] bounds retries over the whole fleet, and [`throttle`] divides the rate
 //! limits that endpoints announce among the instances, and [`rejection`] the rejections that they
@@ -19,6 +20,7 @@
 pub mod allowance;
 pub mod canary;
 pub mod content;
+pub mod engine_memory;
 pub mod first_byte_timeout;
 pub mod freshness;
 pub mod fronts;
@@ -26,6 +28,7 @@
 pub mod ladder;
 pub mod latency;
 pub mod notice;
+pub mod pace;
 pub mod placement;
 pub mod quarantine;
 pub mod reachability;
--- a/crates/route/src/relay/placement.rs
+++ b/crates/route/src/relay/placement.rs
@@ -85,7 +85,8 @@
     /// Outstanding prompt processing in milliseconds that is known only from earlier load
     /// updates of other instances.
     pub reported_backlog_ms: f64,
-    /// Its latency relative to other endpoints for the same work; 1 if equal.
+    /// Its latency relative to other endpoints for the same work; 1 if equal, below 1 if it is
+    /// faster.
     pub slowness: f64,
     /// Share of its runs that fail in excess of its peers' share.
     pub excess_failure_rate: f64,
@@ -184,9 +185,19 @@
     candidate.backlog_ms + candidate.reported_backlog_ms + candidate.runs * ACTIVE_RUN_MS + excess * QUEUED_RUN_MS
 }
 
+/// Returns the time by which an endpoint's wait is longer than its pace alone makes it, in
+/// milliseconds.
+///
+/// A fast endpoint with a queue would otherwise be preferred to a slow one that is idle, by all
+/// instances at the same time, and the requests would wait although there are free slots.
+fn full_penalty_ms(candidate: &Candidate<'_>) -> f64 {
+    let excess = (candidate.runs + 1.0 - f64::from(candidate.slots)).max(0.0);
+    excess * QUEUED_RUN_MS * (1.0 - candidate.slowness).max(0.0)
+}
+
 /// Returns the wait before the first byte by up-to-date information only, in milliseconds.
 fn known_wait_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
-    (candidate.backlog_ms + request.first_byte_ms) * candidate.slowness.max(1.0)
+    (candidate.backlog_ms + request.first_byte_ms) * candidate.slowness
         + candidate.excess_failure_rate * FAILURE_PENALTY_MS
 }
 
@@ -242,7 +253,8 @@
 fn wait_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
     let queue = queue_ms(candidate);
     let remote = if candidate.local { 0.0 } else { REMOTE_PENALTY_MS };
-    (queue + request.first_byte_ms) * candidate.slowness.max(1.0) - request.first_byte_ms
+    (queue + request.first_byte_ms) * candidate.slowness - request.first_byte_ms
+        + full_penalty_ms(candidate)
         + remote
         + candidate.excess_failure_rate * FAILURE_PENALTY_MS
 }
--- a/crates/route/tests/relay/main.rs
+++ b/crates/route/tests/relay/main.rs
@@ -3,6 +3,7 @@
 mod allowance;
 mod canary;
 mod content;
+mod engine_memory;
 mod first_byte_timeout;
 mod freshness;
 mod fronts;
@@ -10,6 +11,7 @@
 mod ladder;
 mod latency;
 mod notice;
+mod pace;
 mod placement;
 mod quarantine;
 mod reachability;
