--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -74,7 +74,7 @@
 
 /// Maximum number of endpoints whose paces are sent with a news message, so that they fit into
 /// a datagram that is not fragmented. Of more, others are drawn at random each time.
-const MAX_PACES: usize = 64;
+const MAX_PACES: usize = 60;
 
 /// Number of other instances named in a news message, so that instances discover each other.
 const MAX_NAMED: usize = 4;
--- a/crates/relay/src/news/tests.rs
+++ b/crates/relay/src/news/tests.rs
@@ -1,11 +1,14 @@
-//! Datagrams of other builds.
+//! Datagrams of other builds, and the size of datagrams.
 
 use std::net::SocketAddr;
 
+use route::relay::pace::{BANDS, MAX_COUNT, MAX_LOG, Observations, Sum};
+
 use super::{
-    decode, encode,
-    wire::{NewsMessage, Packet, Phase},
+    MAX_PACES, decode, encode,
+    wire::{NewsMessage, PaceReport, Packet, Phase},
 };
+use crate::dispatcher::fleet;
 
 fn message(unreachable: Vec<u32>) -> NewsMessage {
     NewsMessage {
@@ -66,3 +69,44 @@
     news_without_unreachable_services_are_decoded: 2;
     news_without_rejection_limits_are_decoded: 1;
 }
+
+/// Largest datagram that links pass on whole, in bytes, less the headers of IP and UDP.
+const MAX_UNFRAGMENTED_BYTES: usize = 1_400;
+
+fn decode_paces(datagram: &[u8]) -> Vec<fleet::PaceReport> {
+    let mut buffer = vec![0xff; 1 << 12];
+    buffer[..datagram.len()].copy_from_slice(datagram);
+    match decode(&mut buffer, datagram.len()) {
+        Ok(Packet::Paces(_, paces)) => paces.into_iter().map(fleet::PaceReport::from).collect(),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// A fragmented datagram is lost if any of its fragments is. The longest one has the largest values.
+#[test]
+fn paces_are_sent_in_one_fragment() {
+    let sum = |count| Sum { count, log_sum: -count * MAX_LOG };
+    let observations = Observations { pace: sum(MAX_COUNT), bands: [sum(100.0); BANDS], ..Observations::default() };
+    let report = fleet::PaceReport { start: u32::MAX, observations };
+    let datagram = encode(&Packet::Paces(u32::MAX, vec![PaceReport::from(report); MAX_PACES]));
+    assert!(datagram.len() <= MAX_UNFRAGMENTED_BYTES, "{}", datagram.len());
+    let decoded = decode_paces(&datagram)[0].observations;
+    assert!((decoded.pace.mean() + MAX_LOG).abs() < 0.001 && (decoded.pace.count - MAX_COUNT).abs() < 0.01);
+    assert!((decoded.bands[3].mean() + MAX_LOG).abs() < 0.02 && (decoded.bands[3].count - 100.0).abs() < 0.5);
+}
+
+/// An instance of a later build may divide slots into more bands.
+#[test]
+fn unknown_bands_are_ignored() {
+    let pace = Sum { count: 1.0, log_sum: 0.5 };
+    let report = fleet::PaceReport {
+        start: 1,
+        observations: Observations { pace, bands: [pace; BANDS], ..Observations::default() },
+    };
+    let mut datagram = encode(&Packet::Paces(1, vec![report.into()]));
+    let length = datagram.len();
+    datagram[length - 3] = 200;
+    let decoded = decode_paces(&datagram)[0].observations;
+    assert_eq!(decoded.bands[3], Sum::default());
+    assert!(decoded.bands[2].count > 0.0);
+}
--- a/crates/route/src/relay/placement.rs
+++ b/crates/route/src/relay/placement.rs
@@ -70,6 +70,9 @@
 /// [`REPROCESSING_TOKEN_MS`].
 const COPY_TOKEN_MS: f64 = 0.035;
 
+/// Odd number that spreads the places of endpoints over all bits of a random number.
+const PLACE_FACTOR: u64 = 0x9E37_79B9_7F4A_7C15;
+
 /// State of an endpoint as input to the decision.
 #[derive(Debug, Clone, Copy)]
 pub struct Candidate<'a> {
@@ -85,9 +88,11 @@
     /// Outstanding prompt processing in milliseconds that is known only from earlier load
     /// updates of other instances.
     pub reported_backlog_ms: f64,
-    /// Its latency relative to other endpoints for the same work; 1 if equal, below 1 if it is
-    /// faster.
+    /// Its latency relative to other endpoints for the same work; 1 if equal.
     pub slowness: f64,
+    /// Its pace, if it was learned from the runs of all instances: the time of a run relative to
+    /// other endpoints; 1 if equal or not known, below 1 if it is faster.
+    pub pace: f64,
     /// Share of its runs that fail in excess of its peers' share.
     pub excess_failure_rate: f64,
     /// Whether it is in this instance's failure domain.
@@ -129,33 +134,34 @@
 /// `seed` is a random number that determines which endpoints are compared.
 #[must_use]
 pub fn choose(candidates: &[Candidate<'_>], request: Request, seed: u64) -> Option<Choice> {
-    let with_wait = |index: usize| (index, wait_ms(&candidates[index], request));
-    let (best_index, wait_ms) =
-        shortlist(candidates, request, seed).into_iter().map(with_wait).min_by(|a, b| a.1.total_cmp(&b.1))?;
-    let other = Choice { index: best_index, wait_ms, preferred: false, source: None };
+    let with_cost = |index: usize| (index, cost_ms(&candidates[index], request));
+    let (best_index, cost_ms) =
+        shortlist(candidates, request, seed).into_iter().map(with_cost).min_by(|a, b| a.1.total_cmp(&b.1))?;
+    let wait_ms = |index: usize| wait_ms(&candidates[index], request);
+    let other = Choice { index: best_index, wait_ms: wait_ms(best_index), preferred: false, source: None };
     let least_busy = |is_holder: fn(&Candidate<'_>) -> bool| {
-        let holders = (0..candidates.len()).filter(|&index| is_holder(&candidates[index])).map(with_wait);
+        let holders = (0..candidates.len()).filter(|&index| is_holder(&candidates[index])).map(with_cost);
         holders.min_by(|a, b| a.1.total_cmp(&b.1))
     };
     let reprocessing_ms =
         REPROCESSING_FACTOR * request.reprocess_ms + REPROCESSING_TOKEN_MS * f64::from(request.shared_tokens);
     let copy_ms = reprocessing_ms.min(COPY_TOKEN_MS * f64::from(request.shared_tokens));
     if let Some((holder, holder_ms)) = least_busy(|candidate| candidate.holds_prompt)
-        && holder_ms <= wait_ms + request.first_byte_ms + copy_ms
+        && holder_ms <= cost_ms + request.first_byte_ms + copy_ms
     {
-        return Some(Choice { index: holder, wait_ms: holder_ms, preferred: true, source: None });
+        return Some(Choice { index: holder, wait_ms: wait_ms(holder), preferred: true, source: None });
     }
     let Some(key) = request.affinity else { return Some(other) };
     if let Some((holder, holder_ms)) = least_busy(|candidate| candidate.holds_prefix) {
-        if holder_ms <= wait_ms + copy_ms {
-            return Some(Choice { index: holder, wait_ms: holder_ms, preferred: true, source: None });
+        if holder_ms <= cost_ms + copy_ms {
+            return Some(Choice { index: holder, wait_ms: wait_ms(holder), preferred: true, source: None });
         }
         return Some(Choice { source: Some(holder), ..other });
     }
-    let max_hash_wait_ms = wait_ms + HASH_PREFERENCE * reprocessing_ms;
+    let max_hash_cost_ms = cost_ms + HASH_PREFERENCE * reprocessing_ms;
     let preferred = preferred_by_hash(key, candidates.iter().map(|candidate| candidate.id));
-    let by_hash = preferred.into_iter().map(with_wait).find(|(_, wait)| *wait <= max_hash_wait_ms);
-    Some(by_hash.map_or(other, |(index, wait_ms)| Choice { index, wait_ms, preferred: true, source: None }))
+    let by_hash = preferred.into_iter().map(with_cost).find(|(_, cost)| *cost <= max_hash_cost_ms);
+    Some(by_hash.map_or(other, |(index, _)| Choice { index, wait_ms: wait_ms(index), preferred: true, source: None }))
 }
 
 /// Draws local endpoints and endpoints of any domain at random, and returns the few with
@@ -170,6 +176,7 @@
         drawn.extend(of_local.next());
         drawn.push(index);
     }
+    thin_out_slow(&mut drawn, candidates, draw);
     let known_ms = |index: &usize| known_wait_ms(&candidates[*index], request);
     // The sort is stable: equal endpoints stay in the order in which they were drawn.
     drawn.sort_by(|a, b| known_ms(a).total_cmp(&known_ms(b)));
@@ -177,6 +184,23 @@
     drawn
 }
 
+/// Removes slow endpoints from those drawn, so that an endpoint is left with a probability in
+/// proportion to the requests that it completes in a given time.
+///
+/// Loads of plain services are out of date before they arrive, since dozens of runs begin
+/// at an endpoint between two updates. If they alone decided, endpoints would get equal numbers
+/// of requests: the slow ones would have queues while the fast ones had free slots.
+fn thin_out_slow(drawn: &mut Vec<usize>, candidates: &[Candidate<'_>], draw: u64) {
+    let fastest = drawn.iter().map(|index| candidates[*index].pace).fold(f64::INFINITY, f64::min);
+    drawn.retain(|&index| {
+        let place = u64::try_from(index).unwrap_or_default();
+        let fraction = hash::stable(&(draw ^ place.wrapping_mul(PLACE_FACTOR)).to_le_bytes()) >> 32;
+        #[expect(clippy::cast_precision_loss, reason = "32 bits are left")]
+        let fraction = fraction as f64 / f64::from(u32::MAX);
+        candidates[index].pace * fraction <= fastest
+    });
+}
+
 /// Returns the time that the runs on an endpoint make another one wait, in milliseconds, if
 /// it is as fast as its peers.
 #[must_use]
@@ -185,19 +209,9 @@
     candidate.backlog_ms + candidate.reported_backlog_ms + candidate.runs * ACTIVE_RUN_MS + excess * QUEUED_RUN_MS
 }
 
-/// Returns the time by which an endpoint's wait is longer than its pace alone makes it, in
-/// milliseconds.
-///
-/// A fast endpoint with a queue would otherwise be preferred to a slow one that is idle, by all
-/// instances at the same time, and the requests would wait although there are free slots.
-fn full_penalty_ms(candidate: &Candidate<'_>) -> f64 {
-    let excess = (candidate.runs + 1.0 - f64::from(candidate.slots)).max(0.0);
-    excess * QUEUED_RUN_MS * (1.0 - candidate.slowness).max(0.0)
-}
-
 /// Returns the wait before the first byte by up-to-date information only, in milliseconds.
 fn known_wait_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
-    (candidate.backlog_ms + request.first_byte_ms) * candidate.slowness
+    (candidate.backlog_ms * candidate.pace + request.first_byte_ms) * candidate.slowness.max(1.0)
         + candidate.excess_failure_rate * FAILURE_PENALTY_MS
 }
 
@@ -249,12 +263,21 @@
     if b == 0 { a } else { gcd(b, a % b) }
 }
 
-/// Returns the wait before the first byte at an endpoint, in milliseconds.
-fn wait_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
-    let queue = queue_ms(candidate);
+/// Returns the cost by which endpoints are compared, in milliseconds: the wait before the first
+/// byte, without the time that the run itself takes longer there.
+///
+/// Otherwise a fast endpoint with a queue would be preferred to a slow one with free slots, by
+/// all instances at the same time.
+fn cost_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
+    let queue = queue_ms(candidate) * candidate.pace;
     let remote = if candidate.local { 0.0 } else { REMOTE_PENALTY_MS };
-    (queue + request.first_byte_ms) * candidate.slowness - request.first_byte_ms
-        + full_penalty_ms(candidate)
+    (queue + request.first_byte_ms) * candidate.slowness.max(1.0) - request.first_byte_ms
         + remote
         + candidate.excess_failure_rate * FAILURE_PENALTY_MS
 }
+
+/// Returns the wait before the first byte at an endpoint, in milliseconds; negative if it is so
+/// fast that the first byte comes sooner than from an idle endpoint of average pace.
+fn wait_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
+    cost_ms(candidate, request) + request.first_byte_ms * (candidate.pace - 1.0)
+}
--- a/crates/route/tests/relay/pace.rs
+++ b/crates/route/tests/relay/pace.rs
@@ -126,6 +126,7 @@
         self.assessment.learned[endpoint].room
     }
 
+    #[expect(clippy::cast_precision_loss, reason = "endpoints are few")]
     fn mean_pace(&self, endpoints: impl Iterator<Item = usize> + Clone) -> f64 {
         endpoints.clone().map(|endpoint| self.pace(endpoint)).sum::<f64>() / endpoints.count() as f64
     }
@@ -133,7 +134,7 @@
 
 /// A third of the endpoints is slow.
 fn is_slow(endpoint: usize) -> bool {
-    endpoint % 3 == 0
+    endpoint.is_multiple_of(3)
 }
 
 fn unequal(draw: &Draw) -> f64 {
@@ -198,7 +199,9 @@
             20_000,
             |_| 1.0,
             |simulation| {
-                let is_unchanged = |endpoint| simulation.pace(endpoint) == 1.0 && simulation.room(endpoint).is_none();
+                let is_unchanged = |endpoint: usize| {
+                    simulation.assessment.learned[endpoint].pace.is_none() && simulation.room(endpoint).is_none()
+                };
                 assert!((0..ENDPOINTS).all(is_unchanged), "seed {seed}: {:?}", simulation.assessment);
             },
         );
--- a/crates/route/tests/relay/placement.rs
+++ b/crates/route/tests/relay/placement.rs
@@ -9,6 +9,7 @@
     backlog_ms: 0.0,
     reported_backlog_ms: 0.0,
     slowness: 1.0,
+    pace: 1.0,
     excess_failure_rate: 0.0,
     local: true,
     holds_prefix: false,
@@ -230,3 +231,40 @@
         assert_eq!(drawn.len(), 20.min(count.div_ceil(2)));
     }
 }
+
+/// Two thirds of the endpoints take 0.7 times as long as the average, one third 1.7 times, and no
+/// loads are known, as between two updates. Each must get requests in proportion to what it
+/// completes; otherwise the slow ones have queues while the fast ones have free slots.
+#[test]
+fn endpoints_get_requests_in_proportion_to_their_pace() {
+    let names: Vec<String> = (0..60).map(|n| format!("e{n}")).collect();
+    let pace = |n: usize| if n.is_multiple_of(3) { 1.7 } else { 0.7 };
+    let candidates: Vec<_> =
+        (0..60).map(|n| Candidate { id: &names[n], local: n < 20, pace: pace(n), ..IDLE }).collect();
+    let request = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 30.0 };
+    let mut placed = [0.0; 2];
+    for seed in 0..30_000 {
+        let index = choose(&candidates, request, seed).unwrap().index;
+        placed[usize::from(index.is_multiple_of(3))] += 1.0;
+    }
+    let ratio = (placed[0] / 40.0) / (placed[1] / 20.0);
+    assert!((2.0..3.0).contains(&ratio), "{ratio}");
+}
+
+/// A slow endpoint with free slots is used before a fast one with a queue.
+#[test]
+fn idle_slow_endpoint_is_chosen_before_full_fast_ones() {
+    let full = Candidate { runs: 32.0, pace: 0.7, ..IDLE };
+    let candidates = [full, Candidate { id: "b", pace: 1.7, ..IDLE }];
+    let request = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 1_000.0 };
+    let chosen = (0..1_000).filter(|seed| choose(&candidates, request, *seed).unwrap().index == 1).count();
+    assert!(chosen > 300, "{chosen}");
+}
+
+/// The wait of an endpoint includes the time by which the run itself takes longer or shorter.
+#[test]
+fn expected_wait_includes_the_pace_of_the_run() {
+    let request = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 100.0 };
+    let wait = |pace| choose(&[Candidate { pace, ..IDLE }], request, 0).unwrap().wait_ms;
+    assert!((wait(1.7) - 70.0).abs() < 1e-9 && (wait(0.7) + 30.0).abs() < 1e-9);
+}
