Learn from runs given up without an answer, and describe learned capacity

Cause: an endpoint that is many times slower gets its runs given up before their answers begin, so that its pace was not learned. Change: such a run counts after three times its expected time. A hash of 3,000 choices pins the decisions without learned paces.

--- a/crates/relay/src/dispatcher/fleet/paces.rs
+++ b/crates/relay/src/dispatcher/fleet/paces.rs
@@ -29,6 +29,10 @@
 /// Maximum number of usual ratios by team; further teams share one for each kind of run.
 const MAX_USUAL_RATIOS: usize = 1_024;
 
+/// Multiple of the expected time from which a run without an answer shows that its endpoint is
+/// slow. One that breaks off sooner shows a fault.
+const MIN_MISSING_RATIO: f64 = 3.0;
+
 /// Ratios are limited to this factor, so that a run of no measurable time is no outlier.
 const MAX_RATIO: f64 = 20.0;
 
@@ -130,6 +134,28 @@
     }
 }
 
+impl Fleet {
+    /// Adds a run that ended without an answer after `took_ms` milliseconds, if that is several
+    /// times as long as expected.
+    ///
+    /// The run of an endpoint that is many times slower is given up before its answer begins, so
+    /// that without these runs the slowest endpoints would be the only ones whose pace is not
+    /// learned.
+    pub(super) fn observe_missing_answer(
+        &mut self,
+        key: Key,
+        reference: &PaceReference,
+        kind: BaselineKey,
+        team: u32,
+        took_ms: f64,
+        now: Duration,
+    ) {
+        if took_ms > MIN_MISSING_RATIO * reference.expected_ms * reference.pace {
+            self.observe_pace(key, reference, kind, team, took_ms, now);
+        }
+    }
+}
+
 impl Paces {
     /// Returns the usual ratio of a team's runs of a kind.
     fn usual(&mut self, kind: BaselineKey, team: u32) -> &mut Usual {
@@ -190,7 +216,11 @@
         if differs != paces.differs {
             paces.differs = differs;
             let (fastest, slowest) = range(&learned);
-            tracing::info!(service, differs, fastest, slowest, "whether the paces of endpoints differ has changed");
+            if differs {
+                tracing::info!(service, fastest, slowest, "endpoints differ in pace, requests are divided by it");
+            } else {
+                tracing::info!(service, fastest, slowest, "endpoints no longer differ in pace");
+            }
         }
         record_metrics(service, &learned);
         for (key, learned) in keys.iter().zip(learned) {
--- a/crates/relay/src/dispatcher/fleet/run.rs
+++ b/crates/relay/src/dispatcher/fleet/run.rs
@@ -188,6 +188,17 @@
         match (outcome, self.work.take()) {
             (RunOutcome::Good, Some(work)) => state.record_success(&work, now),
             (RunOutcome::Broken, Some(work)) => {
+                if self.began_at.is_none() && !state.fleet.was_lost_since(&self.endpoint.service, self.started) {
+                    let took = clock::millis(now.saturating_sub(self.started));
+                    state.fleet.observe_missing_answer(
+                        self.key,
+                        &self.pace,
+                        self.baseline_key(),
+                        work.request.team,
+                        took,
+                        now,
+                    );
+                }
                 self.record_unfinished(&mut state, work, now);
                 self.record_missing_verdict(&mut state);
             }
--- a/crates/relay/src/news/tests.rs
+++ b/crates/relay/src/news/tests.rs
@@ -70,6 +70,22 @@
     news_without_rejection_limits_are_decoded: 1;
 }
 
+/// The position of a packet in the list of all is its first byte, by which earlier builds tell
+/// packets apart.
+#[test]
+fn packets_of_earlier_builds_keep_their_first_bytes() {
+    let packets = [
+        (Packet::News(message(Vec::new())), 0),
+        (Packet::Notices(Vec::new()), 3),
+        (Packet::Evidence(0, Vec::new()), 5),
+        (Packet::Limits(Vec::new()), 8),
+        (Packet::PassOnWithdrawals(Vec::new()), 13),
+    ];
+    for (packet, first) in packets {
+        assert_eq!(encode(&packet)[0], first, "{packet:?}");
+    }
+}
+
 /// Largest datagram that links pass on whole, in bytes, less the headers of IP and UDP.
 const MAX_UNFRAGMENTED_BYTES: usize = 1_400;
 
--- a/crates/relay/tests/it/learned_capacity.rs
+++ b/crates/relay/tests/it/learned_capacity.rs
@@ -7,13 +7,16 @@
     catalog::{Catalog, Kind, Service},
     dispatcher::{
         Dispatcher,
-        fleet::{Job, PaceReport, Run, start_hash},
+        fleet::{Job, PaceReport, Run, RunOutcome, start_hash},
         peers::Status,
     },
     settings::{Capacity, Policies},
     source::Endpoint,
 };
-use route::relay::pace::{Observations, Sum};
+use route::relay::{
+    content::{Content, Work},
+    pace::{Observations, Sum},
+};
 use tokio::{net::UdpSocket, time::timeout};
 
 use crate::{
@@ -156,6 +159,41 @@
     assert!((7.9..8.1).contains(&slots), "{slots}");
 }
 
+/// Sends a run that ends without an answer after a while, and returns what the instance has observed
+/// of the endpoint's pace.
+async fn observed_without_answer(after: Duration) -> Sum {
+    let instance = instance(Capacity::Learned);
+    let work = Work { request: Content::of(Some("club"), "GET", "", "/a/", b""), parts: Vec::new().into() };
+    for _ in 0..5 {
+        let mut run = place_at(&instance, "e1");
+        run.mark_sent(work.clone());
+        tokio::time::sleep(Duration::from_millis(15)).await;
+        run.record_first_byte();
+        run.record_outcome(RunOutcome::Good);
+    }
+    let mut run = place_at(&instance, "e0");
+    run.mark_sent(work);
+    tokio::time::sleep(after).await;
+    run.record_outcome(RunOutcome::Broken);
+    let start = start_hash(&registration(0, 1));
+    let found = instance.own_paces(64).into_iter().find(|report| report.start == start);
+    found.map(|report| report.observations.pace).unwrap_or_default()
+}
+
+/// A run of an endpoint that is many times slower is given up before its answer begins. Without
+/// these runs, the slowest endpoint would be the only one whose pace is not learned.
+#[tokio::test]
+async fn run_without_answer_shows_a_slow_endpoint() {
+    let pace = observed_without_answer(Duration::from_millis(400)).await;
+    assert!(pace.mean() > 0.5, "{pace:?}");
+}
+
+/// An answer that breaks off at once shows a fault and not a pace.
+#[tokio::test]
+async fn run_that_breaks_off_shows_no_pace() {
+    assert_eq!(observed_without_answer(Duration::ZERO).await, Sum::default());
+}
+
 fn long_job(own_tokens: u32, session: u64) -> Job<'static> {
     Job { own_tokens, session, output_tokens: 1_000, ..prompt_job(None, own_tokens) }
 }
--- a/crates/route/tests/relay/pace.rs
+++ b/crates/route/tests/relay/pace.rs
@@ -285,6 +285,25 @@
     simulation.run(20_000, slow_class, |simulation| assert!(!simulation.assessment.differs));
 }
 
+/// Half of the requests take five times as long from one moment on, since a large caller sends
+/// other work than before. All endpoints get some of it.
+#[test]
+fn caller_that_becomes_slow_does_not_make_endpoints_look_slow() {
+    let mut simulation = Simulation::new(9);
+    simulation.run(5_000, |_| 1.0, |_| {});
+    let caller = |draw: &Draw| if draw.instance % 2 == 1 { 5.0 } else { 1.0 };
+    simulation.run(15_000, caller, |simulation| assert!(!simulation.assessment.differs));
+}
+
+/// The requests of one instance's caller, all to one endpoint, become five times slower.
+#[test]
+fn slow_caller_at_one_endpoint_does_not_make_it_look_slow() {
+    let mut simulation = Simulation::new(10);
+    simulation.run(5_000, |_| 1.0, |_| {});
+    let caller = |draw: &Draw| if draw.instance == 4 && draw.endpoint == 7 { 5.0 } else { 1.0 };
+    simulation.run(15_000, caller, |simulation| assert!(!simulation.assessment.differs));
+}
+
 /// An instance sends mostly to the endpoints of its own failure domain. If those are all slow,
 /// they are the usual ones for it, and only the other instances' observations show the difference.
 #[test]
--- a/crates/route/tests/relay/placement.rs
+++ b/crates/route/tests/relay/placement.rs
@@ -1,6 +1,9 @@
 //! Requests are placed at endpoints that hold their prefix until waiting there costs more.
 
-use route::relay::placement::{Candidate, Request, choose, sample};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use route::relay::placement::{Candidate, Choice, Request, choose, sample};
+use world::hash;
 
 const IDLE: Candidate<'_> = Candidate {
     id: "a",
@@ -268,3 +271,43 @@
     let wait = |pace| choose(&[Candidate { pace, ..IDLE }], request, 0).unwrap().wait_ms;
     assert!((wait(1.7) - 70.0).abs() < 1e-9 && (wait(0.7) + 30.0).abs() < 1e-9);
 }
+
+/// Returns a hash of the choices among random candidates without learned paces.
+fn hash_of_choices(rounds: u32) -> u64 {
+    let names: Vec<String> = (0..64).map(|n| format!("e{n}")).collect();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut seen = Vec::new();
+    for _ in 0..rounds {
+        let candidates: Vec<Candidate<'_>> = names[..rng.random_range(1..64)]
+            .iter()
+            .map(|id| Candidate {
+                id,
+                slots: rng.random_range(1..48),
+                runs: f64::from(rng.random_range(0..60)),
+                backlog_ms: f64::from(rng.random_range(0..900) / 2 * u32::from(rng.random_bool(0.3))),
+                reported_backlog_ms: f64::from(rng.random_range(0..900) * u32::from(rng.random_bool(0.3))),
+                slowness: if rng.random_bool(0.2) { rng.random_range(1.6..9.0) } else { 1.0 },
+                pace: 1.0,
+                excess_failure_rate: if rng.random_bool(0.1) { 0.25 } else { 0.0 },
+                local: rng.random_bool(0.3),
+                holds_prefix: rng.random_bool(0.05),
+                holds_prompt: rng.random_bool(0.02),
+            })
+            .collect();
+        let request = Request {
+            affinity: rng.random_bool(0.5).then(|| rng.random()),
+            reprocess_ms: f64::from(rng.random_range(0..500)),
+            shared_tokens: rng.random_range(0..9_000),
+            first_byte_ms: f64::from(rng.random_range(5..900)),
+        };
+        let Choice { index, wait_ms, preferred, source } = choose(&candidates, request, rng.random()).unwrap();
+        seen.extend_from_slice(format!("{index} {:x} {preferred} {source:?};", wait_ms.to_bits()).as_bytes());
+    }
+    hash::stable(&seen)
+}
+
+/// Without learned paces, each decision and each expected wait is the same as before there were any.
+#[test]
+fn decisions_without_learned_paces_are_unchanged() {
+    assert_eq!(hash_of_choices(3_000), 4_295_145_547_613_222_966);
+}
