--- a/crates/route/tests/relay/placement.rs
+++ b/crates/route/tests/relay/placement.rs
@@ -1,6 +1,9 @@
 //! Requests are placed at endpoints that hold their prefix until waiting there costs more.
 
-use route::relay::placement::{Candidate, Request, choose, sample};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use route::relay::placement::{Candidate, Choice, Request, choose, sample};
+use world::hash;
 
 const IDLE: Candidate<'_> = Candidate {
     id: "a",
@@ -9,6 +12,7 @@
     backlog_ms: 0.0,
     reported_backlog_ms: 0.0,
     slowness: 1.0,
+    pace: 1.0,
     excess_failure_rate: 0.0,
     local: true,
     holds_prefix: false,
@@ -230,3 +234,80 @@
         assert_eq!(drawn.len(), 20.min(count.div_ceil(2)));
     }
 }
+
+/// Two thirds of the endpoints take 0.7 times as long as the average, one third 1.7 times, and no
+/// loads are known, as between two updates. Each must get requests in proportion to what it
+/// completes; otherwise the slow ones have queues while the fast ones have free slots.
+#[test]
+fn endpoints_get_requests_in_proportion_to_their_pace() {
+    let names: Vec<String> = (0..60).map(|n| format!("e{n}")).collect();
+    let pace = |n: usize| if n.is_multiple_of(3) { 1.7 } else { 0.7 };
+    let candidates: Vec<_> =
+        (0..60).map(|n| Candidate { id: &names[n], local: n < 20, pace: pace(n), ..IDLE }).collect();
+    let request = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 30.0 };
+    let mut placed = [0.0; 2];
+    for seed in 0..30_000 {
+        let index = choose(&candidates, request, seed).unwrap().index;
+        placed[usize::from(index.is_multiple_of(3))] += 1.0;
+    }
+    let ratio = (placed[0] / 40.0) / (placed[1] / 20.0);
+    assert!((2.0..3.0).contains(&ratio), "{ratio}");
+}
+
+/// A slow endpoint with free slots is used before a fast one with a queue.
+#[test]
+fn idle_slow_endpoint_is_chosen_before_full_fast_ones() {
+    let full = Candidate { runs: 32.0, pace: 0.7, ..IDLE };
+    let candidates = [full, Candidate { id: "b", pace: 1.7, ..IDLE }];
+    let request = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 1_000.0 };
+    let chosen = (0..1_000).filter(|seed| choose(&candidates, request, *seed).unwrap().index == 1).count();
+    assert!(chosen > 300, "{chosen}");
+}
+
+/// The wait of an endpoint includes the time by which the run itself takes longer or shorter.
+#[test]
+fn expected_wait_includes_the_pace_of_the_run() {
+    let request = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 100.0 };
+    let wait = |pace| choose(&[Candidate { pace, ..IDLE }], request, 0).unwrap().wait_ms;
+    assert!((wait(1.7) - 70.0).abs() < 1e-9 && (wait(0.7) + 30.0).abs() < 1e-9);
+}
+
+/// Returns a hash of the choices among random candidates without learned paces.
+fn hash_of_choices(rounds: u32) -> u64 {
+    let names: Vec<String> = (0..64).map(|n| format!("e{n}")).collect();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut seen = Vec::new();
+    for _ in 0..rounds {
+        let candidates: Vec<Candidate<'_>> = names[..rng.random_range(1..64)]
+            .iter()
+            .map(|id| Candidate {
+                id,
+                slots: rng.random_range(1..48),
+                runs: f64::from(rng.random_range(0..60)),
+                backlog_ms: f64::from(rng.random_range(0..900) / 2 * u32::from(rng.random_bool(0.3))),
+                reported_backlog_ms: f64::from(rng.random_range(0..900) * u32::from(rng.random_bool(0.3))),
+                slowness: if rng.random_bool(0.2) { rng.random_range(1.6..9.0) } else { 1.0 },
+                pace: 1.0,
+                excess_failure_rate: if rng.random_bool(0.1) { 0.25 } else { 0.0 },
+                local: rng.random_bool(0.3),
+                holds_prefix: rng.random_bool(0.05),
+                holds_prompt: rng.random_bool(0.02),
+            })
+            .collect();
+        let request = Request {
+            affinity: rng.random_bool(0.5).then(|| rng.random()),
+            reprocess_ms: f64::from(rng.random_range(0..500)),
+            shared_tokens: rng.random_range(0..9_000),
+            first_byte_ms: f64::from(rng.random_range(5..900)),
+        };
+        let Choice { index, wait_ms, preferred, source } = choose(&candidates, request, rng.random()).unwrap();
+        seen.extend_from_slice(format!("{index} {:x} {preferred} {source:?};", wait_ms.to_bits()).as_bytes());
+    }
+    hash::stable(&seen)
+}
+
+/// Without learned paces, each decision and each expected wait is the same as before there were any.
+#[test]
+fn decisions_without_learned_paces_are_unchanged() {
+    assert_eq!(hash_of_choices(3_000), 4_295_145_547_613_222_966);
+}
