--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -10,6 +10,7 @@
 mod caches;
 mod decaying_mean;
 mod departures;
+mod interruptions;
 mod limits;
 mod notices;
 mod pauses;
@@ -39,6 +40,7 @@
 
 pub use self::{
     caches::affinity,
+    interruptions::InterruptionReport,
     limits::Limit,
     notices::{Notice, Notices},
     rejections::RejectionLimit,
@@ -51,7 +53,7 @@
     stated::Stated,
 };
 use super::{Dispatcher, State, crashes::UnfinishedRuns, evacuations::Evacuations, rollouts::Arm};
-use crate::{clock, source::Endpoint};
+use crate::{clock, settings::Interruptions, source::Endpoint};
 
 slotmap::new_key_type! {
     /// Identifies a known endpoint; an endpoint that restarts gets a new key.
@@ -110,6 +112,8 @@
     pub(super) evacuations: Evacuations,
     /// Endpoints that take only a limited rate until they are warm.
     warming: warmup::WarmingEndpoints,
+    /// Streams that paused for too long.
+    interruptions: interruptions::Observations,
 }
 
 /// Service and model whose latency is learned.
@@ -196,6 +200,8 @@
     pub shared_tokens: u32,
     /// Number of tokens after the shared part.
     pub own_tokens: u32,
+    /// Target for the longest pause between two events of a stream.
+    pub target_pause: Option<Duration>,
     /// Key by which requests are assigned to versions: the session's, or the request's own.
     pub session: u64,
     /// Whether `session` stands for a caller's session and not only for this request.
@@ -255,6 +261,8 @@
             began_at: None,
             answer: None,
             shows_sound_parts: false,
+            has_streamed: false,
+            has_paused_late: false,
             work: None,
         })
     }
@@ -275,6 +283,9 @@
         state.update_limit_shares(now);
         state.update_rejection_shares(now);
         state.update_warmups(&self.settings, self.created_at, now);
+        if self.settings.policies.interruptions == Interruptions::Learned {
+            state.fleet.update_interruptions(now);
+        }
     }
 
     /// Returns the expected time to the first byte at an idle endpoint, in milliseconds.
@@ -347,6 +358,7 @@
             reported_backlog_ms: self.peer_load.backlog_ms,
             slowness: if slowness > NOISE_FACTOR { slowness } else { 1.0 },
             excess_failure_rate: (self.failure_rate.value_at(0.0, now) - NOISE_FACTOR * mean_failure_rate).max(0.0),
+            late_share: 0.0,
             local: self.endpoint.domain == domain,
             holds_prefix: false,
             holds_prompt: false,
--- a/crates/relay/src/dispatcher/fleet/pool.rs
+++ b/crates/relay/src/dispatcher/fleet/pool.rs
@@ -108,6 +108,12 @@
         Some((pool, keys.into_iter().filter_map(usable).collect()))
     }
 
+    /// Returns the number of a service's endpoints that may get requests, as of the last
+    /// [`Fleet::refresh_pool`].
+    pub(super) fn endpoint_count(&self, service: &str) -> usize {
+        self.pools.get(service).map_or(0, |pool| pool.all.len())
+    }
+
     /// Returns the keys of the known endpoints among `hashes`.
     fn keys_of(&self, hashes: &[u32]) -> Vec<Key> {
         hashes.iter().filter_map(|hash| self.by_hash.get(hash)).copied().collect()
--- a/crates/relay/src/dispatcher/fleet/run.rs
+++ b/crates/relay/src/dispatcher/fleet/run.rs
@@ -71,6 +71,10 @@
     pub(super) answer: Option<AnswerKey>,
     /// Whether the answer has gone on for long enough to show that the prompt's parts are sound.
     pub(super) shows_sound_parts: bool,
+    /// Whether the answer has had a second event.
+    pub(super) has_streamed: bool,
+    /// Whether events of the answer have paused for longer than their target.
+    pub(super) has_paused_late: bool,
     /// The request, from when it is sent until the run's outcome is known.
     pub(super) work: Option<Work>,
 }
@@ -312,6 +316,7 @@
             self.record_unfinished(&mut state, work, clock::now());
         }
         self.record_missing_verdict(&mut state);
+        self.record_stream(&mut state.fleet, clock::now());
         if let Some(server) = state.fleet.servers.get_mut(self.key) {
             server.runs = server.runs.saturating_sub(1);
         }
--- a/crates/relay/src/dispatcher/fleet/selection.rs
+++ b/crates/relay/src/dispatcher/fleet/selection.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use route::relay::{
-    canary, latency,
+    canary, interruptions, latency,
     placement::{self, Candidate, Choice, Request},
 };
 
@@ -86,6 +86,7 @@
         let usual_lateness = self.fleet.usual_lateness.get(job.service).copied().unwrap_or(1.0);
         let holders = self.fleet.holders_of(job.affinity, now);
         let holders_of_whole = self.fleet.holders_of(job.whole, now);
+        let endpoints = self.fleet.endpoint_count(job.service);
         let mut candidates = Vec::with_capacity(chosen.len());
         for (_, server) in &chosen {
             let (holds_prefix, holds_prompt) =
@@ -93,6 +94,7 @@
             candidates.push(Candidate {
                 holds_prefix,
                 holds_prompt,
+                late_share: self.fleet.late_share(server, endpoints),
                 ..server.candidate(&self.peers.domain, mean_slowness, mean_failure_rate, now)
             });
         }
@@ -101,6 +103,9 @@
             reprocess_ms: latency.processing_ms(reading_units(job, job.shared_tokens, 0)),
             shared_tokens: job.shared_tokens,
             first_byte_ms: latency.first_byte_ms(job_units(job)),
+            disturbance: job.target_pause.map_or(0.0, |target| {
+                interruptions::disturbance(latency.processing_ms(job_units(job)), clock::millis(target))
+            }),
         };
         let mut choice =
             placement::choose(&candidates, request, job.session ^ u64::try_from(now.as_nanos()).unwrap_or(0))?;
--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -42,6 +42,7 @@
             whole: self.prompt_key(model),
             shared_tokens: shared.map_or(0, |part| part.tokens),
             own_tokens: self.params.own_tokens(),
+            target_pause: self.admission.route.target_pause,
             session,
             in_session: self.params.session.is_some(),
             tried: &self.tried,
--- a/crates/relay/src/exchange/stream.rs
+++ b/crates/relay/src/exchange/stream.rs
@@ -93,15 +93,22 @@
         let mut received = None;
         let mut memory = exchange.dispatcher.reserve_body_memory();
         let (mut events, mut advanced_at) = (0, clock::now());
+        let mut waited = Duration::ZERO;
         loop {
             let next = match received.take() {
                 Some(received) => received,
-                None => next_bytes(&exchange, &mut active).await,
+                None => {
+                    let from = clock::now();
+                    let next = next_bytes(&exchange, &mut active).await;
+                    waited += clock::now().saturating_sub(from);
+                    next
+                }
             };
             let outcome = match next {
                 Received::Bytes(bytes) => match splitter.push(&bytes) {
                     Ok(whole) => {
                         if let Some(whole) = whole {
+                            record_event_wait(&exchange, &mut active, std::mem::take(&mut waited), events);
                             has_events = true;
                             yield Ok(Frame::data(whole));
                         }
@@ -168,6 +175,14 @@
     }
 }
 
+/// Records how long a whole event was waited for. The first one waits for the prompt, not for other
+/// runs.
+fn record_event_wait(exchange: &Exchange, active: &mut ActiveStream, waited: Duration, events: u64) {
+    if let (Hop::Endpoint(run), Some(target), 1..) = (&mut active.hop, exchange.admission.route.target_pause, events) {
+        run.record_event_wait(waited, target);
+    }
+}
+
 /// Waits for the next bytes of the stream, or until the run has to be abandoned.
 async fn next_bytes(exchange: &Exchange, active: &mut ActiveStream) -> Received {
     if clock::now() > exchange.limit + MAX_LATENESS {
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -39,8 +39,8 @@
 use self::{
     spread::{Broadcasts, MAX_BATCH},
     wire::{
-        Limit, NewsMessage, Notice, Packet, Question, RejectionLimit, Reply, RolloutEvidence, SerializedSighting,
-        Withdrawal, clamp_to_u16, divide, millis_u32,
+        Interruptions, Limit, NewsMessage, Notice, Packet, Question, RejectionLimit, Reply, RolloutEvidence,
+        SerializedSighting, Withdrawal, clamp_to_u16, divide, millis_u32,
     },
 };
 
@@ -167,7 +167,8 @@
         let bytes = encode(&Packet::News(news_message(dispatcher, start_time, time_to_next, MAX_NAMED)));
         // Random, because with a counter the same instances would miss the reminders in each
         // round.
-        let reminders = if rand::random_ratio(1, REMINDER_RATIO) { reminders(dispatcher) } else { Vec::new() };
+        let mut reminders = if rand::random_ratio(1, REMINDER_RATIO) { reminders(dispatcher) } else { Vec::new() };
+        reminders.extend(interruptions(dispatcher));
         for receiver in near.news.into_iter().chain(dispatcher.take_extra_recipients()) {
             send_news(socket, receiver, &bytes, &reminders);
         }
@@ -214,6 +215,14 @@
     findings.iter().chain(&limits).chain(&withdrawals).map(encode).collect()
 }
 
+/// Returns an encoded datagram with this instance's observations of streams that paused for too
+/// long, if it has any to send.
+fn interruptions(dispatcher: &Dispatcher) -> Option<Vec<u8>> {
+    let report = dispatcher.interruption_report()?;
+    let me = short_hash(&dispatcher.settings.instance);
+    Some(encode(&Packet::Interruptions(Interruptions::new(me, &report))))
+}
+
 fn send(socket: &UdpSocket, to: SocketAddr, bytes: &[u8]) {
     if let Err(error) = socket.try_send_to(bytes, to) {
         tracing::debug!(%to, %error, "sending a datagram failed; a later one makes up for it");
@@ -293,6 +302,9 @@
                 apply_withdrawals(dispatcher, &withdrawals);
                 broadcasts.withdrawals.enqueue(withdrawals);
             }
+            Ok(Packet::Interruptions(observed)) => {
+                dispatcher.apply_interruption_report(observed.instance, observed.into());
+            }
             Ok(Packet::Question(question)) => {
                 let asked = synchronization::Question { revision: question.revision.into() };
                 if let Some(reply) = dispatcher.reply(asked, MAX_REPLY_CHANGES) {
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -68,6 +68,8 @@
     pub placement: Placement,
     /// When a larger model is asked.
     pub ladder: Ladder,
+    /// Whether placement avoids pauses in streams.
+    pub interruptions: Interruptions,
 }
 
 /// Who may send to a service whose endpoints have too little room.
@@ -100,6 +102,17 @@
     Balanced,
 }
 
+/// Whether placement avoids pauses in streams.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Interruptions {
+    /// It does not.
+    #[default]
+    Ignored,
+    /// It avoids endpoints at which streams paused for longer than their target, above all for
+    /// long prompts.
+    Learned,
+}
+
 /// When a larger model is asked.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub enum Ladder {
--- a/crates/route/src/relay/placement.rs
+++ b/crates/route/src/relay/placement.rs
@@ -19,6 +19,8 @@
 
 use world::hash;
 
+use super::interruptions;
+
 /// Wait added by each run in excess of the slots, in milliseconds: about the decoding time
 /// of a run divided by the slots that may become free meanwhile.
 const QUEUED_RUN_MS: f64 = 150.0;
@@ -89,6 +91,8 @@
     pub slowness: f64,
     /// Share of its runs that fail in excess of its peers' share.
     pub excess_failure_rate: f64,
+    /// Share of its streams whose events paused for too long; 0 if that is not observed.
+    pub late_share: f64,
     /// Whether it is in this instance's failure domain.
     pub local: bool,
     /// Whether it is assumed to have the shared prefix in its cache.
@@ -108,6 +112,8 @@
     pub shared_tokens: u32,
     /// Time that an idle endpoint needs until the request's first byte, in milliseconds.
     pub first_byte_ms: f64,
+    /// How much its processing disturbs other streams ([`interruptions::disturbance`]).
+    pub disturbance: f64,
 }
 
 /// The chosen endpoint and the reasons for it.
@@ -128,33 +134,37 @@
 /// `seed` is a random number that determines which endpoints are compared.
 #[must_use]
 pub fn choose(candidates: &[Candidate<'_>], request: Request, seed: u64) -> Option<Choice> {
-    let with_wait = |index: usize| (index, wait_ms(&candidates[index], request));
-    let (best_index, wait_ms) =
-        shortlist(candidates, request, seed).into_iter().map(with_wait).min_by(|a, b| a.1.total_cmp(&b.1))?;
-    let other = Choice { index: best_index, wait_ms, preferred: false, source: None };
+    let with_cost = |index: usize| (index, cost_ms(&candidates[index], request));
+    let (best_index, best_ms) =
+        shortlist(candidates, request, seed).into_iter().map(with_cost).min_by(|a, b| a.1.total_cmp(&b.1))?;
+    let choice = |index: usize, preferred: bool| {
+        let wait_ms = wait_ms(&candidates[index], request);
+        Choice { index, wait_ms, preferred, source: None }
+    };
+    let other = choice(best_index, false);
     let least_busy = |is_holder: fn(&Candidate<'_>) -> bool| {
-        let holders = (0..candidates.len()).filter(|&index| is_holder(&candidates[index])).map(with_wait);
+        let holders = (0..candidates.len()).filter(|&index| is_holder(&candidates[index])).map(with_cost);
         holders.min_by(|a, b| a.1.total_cmp(&b.1))
     };
     let reprocessing_ms =
         REPROCESSING_FACTOR * request.reprocess_ms + REPROCESSING_TOKEN_MS * f64::from(request.shared_tokens);
     let copy_ms = reprocessing_ms.min(COPY_TOKEN_MS * f64::from(request.shared_tokens));
     if let Some((holder, holder_ms)) = least_busy(|candidate| candidate.holds_prompt)
-        && holder_ms <= wait_ms + request.first_byte_ms + copy_ms
+        && holder_ms <= best_ms + request.first_byte_ms + copy_ms
     {
-        return Some(Choice { index: holder, wait_ms: holder_ms, preferred: true, source: None });
+        return Some(choice(holder, true));
     }
     let Some(key) = request.affinity else { return Some(other) };
     if let Some((holder, holder_ms)) = least_busy(|candidate| candidate.holds_prefix) {
-        if holder_ms <= wait_ms + copy_ms {
-            return Some(Choice { index: holder, wait_ms: holder_ms, preferred: true, source: None });
+        if holder_ms <= best_ms + copy_ms {
+            return Some(choice(holder, true));
         }
         return Some(Choice { source: Some(holder), ..other });
     }
-    let max_hash_wait_ms = wait_ms + HASH_PREFERENCE * reprocessing_ms;
+    let max_hash_ms = best_ms + HASH_PREFERENCE * reprocessing_ms;
     let preferred = preferred_by_hash(key, candidates.iter().map(|candidate| candidate.id));
-    let by_hash = preferred.into_iter().map(with_wait).find(|(_, wait)| *wait <= max_hash_wait_ms);
-    Some(by_hash.map_or(other, |(index, wait_ms)| Choice { index, wait_ms, preferred: true, source: None }))
+    let by_hash = preferred.into_iter().map(with_cost).find(|(_, cost)| *cost <= max_hash_ms);
+    Some(by_hash.map_or(other, |(index, _)| choice(index, true)))
 }
 
 /// Draws local endpoints and endpoints of any domain at random, and returns the few with
@@ -188,6 +198,7 @@
 fn known_wait_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
     (candidate.backlog_ms + request.first_byte_ms) * candidate.slowness.max(1.0)
         + candidate.excess_failure_rate * FAILURE_PENALTY_MS
+        + late_streams_ms(candidate, request)
 }
 
 /// Draws up to `wanted` different indices below `count` for which `fits` returns true.
@@ -246,3 +257,14 @@
         + remote
         + candidate.excess_failure_rate * FAILURE_PENALTY_MS
 }
+
+/// Returns the cost of the request at an endpoint to its caller and to those of the endpoint's
+/// other streams, in milliseconds of waiting.
+fn cost_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
+    wait_ms(candidate, request) + late_streams_ms(candidate, request)
+}
+
+/// Returns the cost of streams that pause for too long at an endpoint, in milliseconds of waiting.
+fn late_streams_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
+    interruptions::penalty_ms(candidate.late_share, candidate.runs, request.disturbance)
+}
