--- a/crates/route/src/relay/placement.rs
+++ b/crates/route/src/relay/placement.rs
@@ -198,7 +198,9 @@
 fn known_wait_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
     (candidate.backlog_ms + request.first_byte_ms) * candidate.slowness.max(1.0)
         + candidate.excess_failure_rate * FAILURE_PENALTY_MS
-        + late_streams_ms(candidate, request)
+        // A short request may go to any endpoint once the others are busy, which only older
+        // load updates show.
+        + if request.disturbance > 0.0 { late_streams_ms(candidate, request) } else { 0.0 }
 }
 
 /// Draws up to `wanted` different indices below `count` for which `fits` returns true.
--- a/crates/route/tests/relay/main.rs
+++ b/crates/route/tests/relay/main.rs
@@ -7,6 +7,7 @@
 mod freshness;
 mod fronts;
 mod holders;
+mod interruptions;
 mod ladder;
 mod latency;
 mod notice;
--- a/crates/route/tests/relay/placement.rs
+++ b/crates/route/tests/relay/placement.rs
@@ -10,6 +10,7 @@
     reported_backlog_ms: 0.0,
     slowness: 1.0,
     excess_failure_rate: 0.0,
+    late_share: 0.0,
     local: true,
     holds_prefix: false,
     holds_prompt: false,
@@ -22,7 +23,7 @@
 }
 
 fn shared(key: u64) -> Request {
-    Request { affinity: Some(key), reprocess_ms: 150.0, shared_tokens: 5_000, first_byte_ms: 60.0 }
+    Request { affinity: Some(key), reprocess_ms: 150.0, shared_tokens: 5_000, first_byte_ms: 60.0, disturbance: 0.0 }
 }
 
 #[test]
@@ -43,7 +44,8 @@
 /// worthwhile and is never processed again.
 #[test]
 fn hot_prefix_spreads_only_as_far_as_worthwhile() {
-    let request = Request { affinity: Some(7), reprocess_ms: 150.0, shared_tokens: 5_000, first_byte_ms: 60.0 };
+    let request =
+        Request { affinity: Some(7), reprocess_ms: 150.0, shared_tokens: 5_000, first_byte_ms: 60.0, disturbance: 0.0 };
     let mut candidates = idle();
     let mut taken = Vec::new();
     for _ in 0..5 {
@@ -65,7 +67,13 @@
 /// same applies to a prompt without a shared prefix.
 #[test]
 fn request_goes_to_the_holder_of_its_whole_prompt() {
-    let request = Request { affinity: Some(7), reprocess_ms: 150.0, shared_tokens: 5_000, first_byte_ms: 300.0 };
+    let request = Request {
+        affinity: Some(7),
+        reprocess_ms: 150.0,
+        shared_tokens: 5_000,
+        first_byte_ms: 300.0,
+        disturbance: 0.0,
+    };
     for request in [request, Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, ..request }] {
         let mut candidates = idle();
         candidates[2].holds_prefix = true;
@@ -83,7 +91,8 @@
 /// and half of all shared prefixes would be processed again.
 #[test]
 fn small_model_requests_stay_with_the_prefix_holder() {
-    let request = Request { affinity: Some(7), reprocess_ms: 15.0, shared_tokens: 5_000, first_byte_ms: 10.0 };
+    let request =
+        Request { affinity: Some(7), reprocess_ms: 15.0, shared_tokens: 5_000, first_byte_ms: 10.0, disturbance: 0.0 };
     let mut candidates = idle();
     let first = choose(&candidates, request, 0).unwrap().index;
     candidates[first].holds_prefix = true;
@@ -98,7 +107,8 @@
 /// almost nothing.
 #[test]
 fn short_prefix_does_not_wait_for_its_holder() {
-    let request = Request { affinity: Some(7), reprocess_ms: 1.0, shared_tokens: 200, first_byte_ms: 10.0 };
+    let request =
+        Request { affinity: Some(7), reprocess_ms: 1.0, shared_tokens: 200, first_byte_ms: 10.0, disturbance: 0.0 };
     let mut candidates = idle();
     candidates[2].holds_prefix = true;
     candidates[2].backlog_ms = 10.0;
@@ -139,7 +149,7 @@
 /// Almost no request may be placed behind a prompt while other endpoints are free.
 #[test]
 fn endpoints_with_announced_backlog_are_skipped() {
-    let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0 };
+    let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0, disturbance: 0.0 };
     let names: Vec<String> = (0..60).map(|n| format!("e{n}")).collect();
     let reads = |n: usize| n % 5 < 2;
     let candidate = |n: usize| Candidate {
@@ -158,7 +168,7 @@
         $(#[$doc])*
         #[test]
         fn $name() {
-            let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0 };
+            let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0, disturbance: 0.0 };
             for seed in 0..30 {
                 let mut candidates = idle();
                 let degrade: fn(&mut Candidate<'_>) = $degrade;
@@ -180,7 +190,7 @@
 
 #[test]
 fn equal_endpoints_share_the_load() {
-    let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0 };
+    let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0, disturbance: 0.0 };
     let mut counts = [0_u32; 6];
     for seed in 0..600 {
         counts[choose(&idle(), plain, seed).unwrap().index] += 1;
@@ -193,7 +203,7 @@
 #[test]
 fn stale_loads_cause_no_herding() {
     let names: Vec<String> = (0..60).map(|n| format!("e{n}")).collect();
-    let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0 };
+    let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0, disturbance: 0.0 };
     let mut placed = [0_u32; 60];
     for seed in 0..740 {
         // Instances of four failure domains in turn.
