--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -10,6 +10,7 @@
 mod caches;
 mod decaying_mean;
 mod departures;
+mod interruptions;
 mod limits;
 mod memory;
 mod notices;
@@ -42,6 +43,7 @@
 
 pub use self::{
     caches::affinity,
+    interruptions::InterruptionReport,
     limits::Limit,
     notices::{Notice, Notices},
     paces::PaceReport,
@@ -55,7 +57,11 @@
     stated::Stated,
 };
 use super::{Dispatcher, State, crashes::UnfinishedRuns, evacuations::Evacuations, rollouts::Arm};
-use crate::{clock, settings::Capacity, source::Endpoint};
+use crate::{
+    clock,
+    settings::{Capacity, Interruptions},
+    source::Endpoint,
+};
 
 slotmap::new_key_type! {
     /// Identifies a known endpoint; an endpoint that restarts gets a new key.
@@ -120,6 +126,8 @@
     paces: paces::Paces,
     /// Mean number of tokens of a run, by service; empty unless capacity is learned.
     mean_tokens: HashMap<String, f64>,
+    /// Streams that paused for too long.
+    interruptions: interruptions::Observations,
 }
 
 /// Service and model whose latency is learned.
@@ -214,6 +222,8 @@
     pub own_tokens: u32,
     /// Maximum number of tokens to generate.
     pub output_tokens: u32,
+    /// Target for the longest pause between two events of a stream.
+    pub target_pause: Option<Duration>,
     /// Key by which requests are assigned to versions: the session's, or the request's own.
     pub session: u64,
     /// Whether `session` stands for a caller's session and not only for this request.
@@ -278,6 +288,8 @@
             began_at: None,
             answer: None,
             shows_sound_parts: false,
+            has_streamed: false,
+            has_paused_late: false,
             work: None,
             pace,
             memory_tokens,
@@ -301,6 +313,9 @@
         state.update_rejection_shares(now);
         state.update_warmups(&self.settings, self.created_at, now);
         state.update_paces(now);
+        if self.settings.policies.interruptions == Interruptions::Learned {
+            state.fleet.update_interruptions(now);
+        }
     }
 
     /// Returns the expected time to the first byte at an idle endpoint, in milliseconds.
@@ -377,6 +392,7 @@
             slowness: if slowness > NOISE_FACTOR && self.learned.pace.is_none() { slowness } else { 1.0 },
             pace: self.learned.pace.unwrap_or(1.0),
             excess_failure_rate: (self.failure_rate.value_at(0.0, now) - NOISE_FACTOR * mean_failure_rate).max(0.0),
+            late_share: 0.0,
             local: self.endpoint.domain == domain,
             holds_prefix: false,
             holds_prompt: false,
--- a/crates/relay/src/news/wire.rs
+++ b/crates/relay/src/news/wire.rs
@@ -1,5 +1,6 @@
 //! Serialized datagrams between instances, and their conversions.
 
+mod interruptions;
 mod items;
 mod paces;
 
@@ -9,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 pub(super) use self::{
+    interruptions::Interruptions,
     items::{Finding, Limit, Notice, PartCrash, RejectionLimit, Withdrawal, divide},
     paces::PaceReport,
 };
@@ -59,6 +61,9 @@
     /// Observations of endpoints' paces, with the hash of the sender's name. Sent only by
     /// instances that learn capacity; earlier builds cannot decode this packet.
     Paces(u32, Vec<PaceReport>),
+    /// An instance's observations of streams that paused for too long. Sent only where the
+    /// operator has them learned; earlier builds cannot decode this packet.
+    Interruptions(Interruptions),
 }
 
 /// Serialized form of [`source::Revision`].
--- a/crates/route/src/relay/placement.rs
+++ b/crates/route/src/relay/placement.rs
@@ -19,6 +19,8 @@
 
 use world::hash;
 
+use super::interruptions;
+
 /// Wait added by each run in excess of the slots, in milliseconds: about the decoding time
 /// of a run divided by the slots that may become free meanwhile.
 const QUEUED_RUN_MS: f64 = 150.0;
@@ -95,6 +97,8 @@
     pub pace: f64,
     /// Share of its runs that fail in excess of its peers' share.
     pub excess_failure_rate: f64,
+    /// Share of its streams whose events paused for too long; 0 if that is not observed.
+    pub late_share: f64,
     /// Whether it is in this instance's failure domain.
     pub local: bool,
     /// Whether it is assumed to have the shared prefix in its cache.
@@ -114,6 +118,8 @@
     pub shared_tokens: u32,
     /// Time that an idle endpoint needs until the request's first byte, in milliseconds.
     pub first_byte_ms: f64,
+    /// How much its processing disturbs other streams ([`interruptions::disturbance`]).
+    pub disturbance: f64,
 }
 
 /// The chosen endpoint and the reasons for it.
@@ -135,10 +141,13 @@
 #[must_use]
 pub fn choose(candidates: &[Candidate<'_>], request: Request, seed: u64) -> Option<Choice> {
     let with_cost = |index: usize| (index, cost_ms(&candidates[index], request));
-    let (best_index, cost_ms) =
+    let (best_index, best_ms) =
         shortlist(candidates, request, seed).into_iter().map(with_cost).min_by(|a, b| a.1.total_cmp(&b.1))?;
-    let wait_ms = |index: usize| wait_ms(&candidates[index], request);
-    let other = Choice { index: best_index, wait_ms: wait_ms(best_index), preferred: false, source: None };
+    let choice = |index: usize, preferred: bool| {
+        let wait_ms = wait_ms(&candidates[index], request);
+        Choice { index, wait_ms, preferred, source: None }
+    };
+    let other = choice(best_index, false);
     let least_busy = |is_holder: fn(&Candidate<'_>) -> bool| {
         let holders = (0..candidates.len()).filter(|&index| is_holder(&candidates[index])).map(with_cost);
         holders.min_by(|a, b| a.1.total_cmp(&b.1))
@@ -147,21 +156,21 @@
         REPROCESSING_FACTOR * request.reprocess_ms + REPROCESSING_TOKEN_MS * f64::from(request.shared_tokens);
     let copy_ms = reprocessing_ms.min(COPY_TOKEN_MS * f64::from(request.shared_tokens));
     if let Some((holder, holder_ms)) = least_busy(|candidate| candidate.holds_prompt)
-        && holder_ms <= cost_ms + request.first_byte_ms + copy_ms
+        && holder_ms <= best_ms + request.first_byte_ms + copy_ms
     {
-        return Some(Choice { index: holder, wait_ms: wait_ms(holder), preferred: true, source: None });
+        return Some(choice(holder, true));
     }
     let Some(key) = request.affinity else { return Some(other) };
     if let Some((holder, holder_ms)) = least_busy(|candidate| candidate.holds_prefix) {
-        if holder_ms <= cost_ms + copy_ms {
-            return Some(Choice { index: holder, wait_ms: wait_ms(holder), preferred: true, source: None });
+        if holder_ms <= best_ms + copy_ms {
+            return Some(choice(holder, true));
         }
         return Some(Choice { source: Some(holder), ..other });
     }
-    let max_hash_cost_ms = cost_ms + HASH_PREFERENCE * reprocessing_ms;
+    let max_hash_ms = best_ms + HASH_PREFERENCE * reprocessing_ms;
     let preferred = preferred_by_hash(key, candidates.iter().map(|candidate| candidate.id));
-    let by_hash = preferred.into_iter().map(with_cost).find(|(_, cost)| *cost <= max_hash_cost_ms);
-    Some(by_hash.map_or(other, |(index, _)| Choice { index, wait_ms: wait_ms(index), preferred: true, source: None }))
+    let by_hash = preferred.into_iter().map(with_cost).find(|(_, cost)| *cost <= max_hash_ms);
+    Some(by_hash.map_or(other, |(index, _)| choice(index, true)))
 }
 
 /// Draws local endpoints and endpoints of any domain at random, and returns the few with
@@ -213,6 +222,9 @@
 fn known_wait_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
     (candidate.backlog_ms * candidate.pace + request.first_byte_ms) * candidate.slowness.max(1.0)
         + candidate.excess_failure_rate * FAILURE_PENALTY_MS
+        // A short request may go to any endpoint once the others are busy, which only older
+        // load updates show.
+        + if request.disturbance > 0.0 { late_streams_ms(candidate, request) } else { 0.0 }
 }
 
 /// Draws up to `wanted` different indices below `count` for which `fits` returns true.
@@ -263,12 +275,12 @@
     if b == 0 { a } else { gcd(b, a % b) }
 }
 
-/// Returns the cost by which endpoints are compared, in milliseconds: the wait before the first
-/// byte, without the time that the run itself takes longer there.
+/// Returns the cost of an endpoint's load, in milliseconds: the wait before the first byte, without
+/// the time that the run itself takes longer there.
 ///
 /// Otherwise a fast endpoint with a queue would be preferred to a slow one with free slots, by
 /// all instances at the same time.
-fn cost_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
+fn load_cost_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
     let queue = queue_ms(candidate) * candidate.pace;
     let remote = if candidate.local { 0.0 } else { REMOTE_PENALTY_MS };
     (queue + request.first_byte_ms) * candidate.slowness.max(1.0) - request.first_byte_ms
@@ -279,5 +291,16 @@
 /// Returns the wait before the first byte at an endpoint, in milliseconds; negative if it is so
 /// fast that the first byte comes sooner than from an idle endpoint of average pace.
 fn wait_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
-    cost_ms(candidate, request) + request.first_byte_ms * (candidate.pace - 1.0)
+    load_cost_ms(candidate, request) + request.first_byte_ms * (candidate.pace - 1.0)
+}
+
+/// Returns the cost by which endpoints are compared, in milliseconds of waiting, to the request's
+/// caller and to those of the endpoint's other streams.
+fn cost_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
+    load_cost_ms(candidate, request) + late_streams_ms(candidate, request)
+}
+
+/// Returns the cost of streams that pause for too long at an endpoint, in milliseconds of waiting.
+fn late_streams_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
+    interruptions::penalty_ms(candidate.late_share, candidate.runs, request.disturbance)
 }
