--- a/crates/route/tests/relay/placement.rs
+++ b/crates/route/tests/relay/placement.rs
@@ -254,7 +254,8 @@
     let pace = |n: usize| if n.is_multiple_of(3) { 1.7 } else { 0.7 };
     let candidates: Vec<_> =
         (0..60).map(|n| Candidate { id: &names[n], local: n < 20, pace: pace(n), ..IDLE }).collect();
-    let request = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 30.0 };
+    let request =
+        Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 30.0, disturbance: 0.0 };
     let mut placed = [0.0; 2];
     for seed in 0..30_000 {
         let index = choose(&candidates, request, seed).unwrap().index;
@@ -269,7 +270,8 @@
 fn idle_slow_endpoint_is_chosen_before_full_fast_ones() {
     let full = Candidate { runs: 32.0, pace: 0.7, ..IDLE };
     let candidates = [full, Candidate { id: "b", pace: 1.7, ..IDLE }];
-    let request = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 1_000.0 };
+    let request =
+        Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 1_000.0, disturbance: 0.0 };
     let chosen = (0..1_000).filter(|seed| choose(&candidates, request, *seed).unwrap().index == 1).count();
     assert!(chosen > 300, "{chosen}");
 }
@@ -277,7 +279,8 @@
 /// The wait of an endpoint includes the time by which the run itself takes longer or shorter.
 #[test]
 fn expected_wait_includes_the_pace_of_the_run() {
-    let request = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 100.0 };
+    let request =
+        Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 100.0, disturbance: 0.0 };
     let wait = |pace| choose(&[Candidate { pace, ..IDLE }], request, 0).unwrap().wait_ms;
     assert!((wait(1.7) - 70.0).abs() < 1e-9 && (wait(0.7) + 30.0).abs() < 1e-9);
 }
@@ -299,6 +302,7 @@
                 slowness: if rng.random_bool(0.2) { rng.random_range(1.6..9.0) } else { 1.0 },
                 pace: 1.0,
                 excess_failure_rate: if rng.random_bool(0.1) { 0.25 } else { 0.0 },
+                late_share: 0.0,
                 local: rng.random_bool(0.3),
                 holds_prefix: rng.random_bool(0.05),
                 holds_prompt: rng.random_bool(0.02),
@@ -309,6 +313,7 @@
             reprocess_ms: f64::from(rng.random_range(0..500)),
             shared_tokens: rng.random_range(0..9_000),
             first_byte_ms: f64::from(rng.random_range(5..900)),
+            disturbance: 0.0,
         };
         let Choice { index, wait_ms, preferred, source } = choose(&candidates, request, rng.random()).unwrap();
         seen.extend_from_slice(format!("{index} {:x} {preferred} {source:?};", wait_ms.to_bits()).as_bytes());
