Keep long prompts away from running streams

Played with a trace of pauses, 84 in 100 late streams of a model service had a prompt of 30,000 tokens or more for the largest model at their engine, and 7 in 100 of the others. Now a long prompt counts the streams that it would interrupt, and a stream the long prompts that notices announced at an endpoint, so that the two separate. No further datagram is needed.

--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -169,7 +169,7 @@
             catalog: None,
             lease: Lease::new(settings.revocation_bound),
             allowances: HashMap::new(),
-            fleet: fleet::Fleet::new(settings.policies.capacity),
+            fleet: fleet::Fleet::new(&settings.policies),
             notices: fleet::Notices::new(clock::now()),
             quarantine: Quarantine::default(),
             findings: Vec::new(),
--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -31,6 +31,7 @@
 use route::relay::{
     canary::{self, Baseline},
     holders::Prefixes,
+    interruptions::Arrivals,
     latency,
     notice::Backlog,
     pace::{Learned, Observations},
@@ -43,7 +44,6 @@
 
 pub use self::{
     caches::affinity,
-    interruptions::InterruptionReport,
     limits::Limit,
     notices::{Notice, Notices},
     paces::PaceReport,
@@ -59,7 +59,7 @@
 use super::{Dispatcher, State, crashes::UnfinishedRuns, evacuations::Evacuations, rollouts::Arm};
 use crate::{
     clock,
-    settings::{Capacity, Interruptions},
+    settings::{Capacity, Interruptions, Policies},
     source::Endpoint,
 };
 
@@ -126,8 +126,10 @@
     paces: paces::Paces,
     /// Mean number of tokens of a run, by service; empty unless capacity is learned.
     mean_tokens: HashMap<String, f64>,
-    /// Streams that paused for too long.
-    interruptions: interruptions::Observations,
+    /// Whether long prompts are kept away from running streams.
+    interruptions: Interruptions,
+    /// Shortest target pause of a service's streams; empty unless interruptions are avoided.
+    target_pauses: HashMap<String, Duration>,
 }
 
 /// Service and model whose latency is learned.
@@ -184,6 +186,8 @@
     warm_at: Duration,
     /// Rate at which this instance may send requests until then.
     warmup_throttle: Throttle,
+    /// Long prompts that it got lately; none unless interruptions are avoided.
+    long_prompts: Arrivals,
     /// This instance's observations of its pace.
     observations: Observations,
     /// What all instances' observations say about it.
@@ -260,6 +264,9 @@
         server.take_token_while_returning(now);
         server.backlog_ms += backlog_ms;
         let endpoint = Arc::clone(&server.endpoint);
+        if self.settings.policies.interruptions == Interruptions::Avoided {
+            state.fleet.record_own_prompt(key, job, backlog_ms, now);
+        }
         let is_announced = state.queue_notice(key, job, backlog_ms, now);
         if is_announced {
             self.notices_ready.notify_one();
@@ -288,8 +295,7 @@
             began_at: None,
             answer: None,
             shows_sound_parts: false,
-            has_streamed: false,
-            has_paused_late: false,
+            was_interrupted: false,
             work: None,
             pace,
             memory_tokens,
@@ -313,9 +319,6 @@
         state.update_rejection_shares(now);
         state.update_warmups(&self.settings, self.created_at, now);
         state.update_paces(now);
-        if self.settings.policies.interruptions == Interruptions::Learned {
-            state.fleet.update_interruptions(now);
-        }
     }
 
     /// Returns the expected time to the first byte at an idle endpoint, in milliseconds.
@@ -336,6 +339,13 @@
     }
 }
 
+impl Fleet {
+    /// Creates a fleet without endpoints.
+    pub(super) fn new(policies: &Policies) -> Self {
+        Self { capacity: policies.capacity, interruptions: policies.interruptions, ..Self::default() }
+    }
+}
+
 impl Server {
     fn new(endpoint: Endpoint, peer_load: Load, stated: Stated, now: Duration) -> Self {
         Self {
@@ -358,6 +368,7 @@
             stated,
             warm_at: Duration::ZERO,
             warmup_throttle: Throttle::default(),
+            long_prompts: Arrivals::default(),
             observations: Observations::default(),
             learned: Learned::default(),
             memory_tokens: 0,
@@ -392,7 +403,7 @@
             slowness: if slowness > NOISE_FACTOR && self.learned.pace.is_none() { slowness } else { 1.0 },
             pace: self.learned.pace.unwrap_or(1.0),
             excess_failure_rate: (self.failure_rate.value_at(0.0, now) - NOISE_FACTOR * mean_failure_rate).max(0.0),
-            late_share: 0.0,
+            long_prompts_per_s: self.long_prompts.per_s(now),
             local: self.endpoint.domain == domain,
             holds_prefix: false,
             holds_prompt: false,
--- a/crates/relay/src/dispatcher/fleet/run.rs
+++ b/crates/relay/src/dispatcher/fleet/run.rs
@@ -71,10 +71,8 @@
     pub(super) answer: Option<AnswerKey>,
     /// Whether the answer has gone on for long enough to show that the prompt's parts are sound.
     pub(super) shows_sound_parts: bool,
-    /// Whether the answer has had a second event.
-    pub(super) has_streamed: bool,
     /// Whether events of the answer have paused for longer than their target.
-    pub(super) has_paused_late: bool,
+    pub(super) was_interrupted: bool,
     /// The request, from when it is sent until the run's outcome is known.
     pub(super) work: Option<Work>,
     /// What the run's time is compared with to learn the endpoint's pace.
@@ -335,7 +333,6 @@
             self.record_unfinished(&mut state, work, clock::now());
         }
         self.record_missing_verdict(&mut state);
-        self.record_stream(&mut state.fleet, clock::now());
         if let Some(server) = state.fleet.servers.get_mut(self.key) {
             server.runs = server.runs.saturating_sub(1);
             server.memory_tokens = server.memory_tokens.saturating_sub(self.memory_tokens);
--- a/crates/relay/src/dispatcher/fleet/selection.rs
+++ b/crates/relay/src/dispatcher/fleet/selection.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use route::relay::{
-    canary, interruptions, latency,
+    canary, latency,
     placement::{self, Candidate, Choice, Request},
 };
 
@@ -92,7 +92,6 @@
         if let Some(memory) = &memory {
             memory.retain_with_room(&mut chosen);
         }
-        let endpoints = self.fleet.endpoint_count(job.service);
         let mut candidates = Vec::with_capacity(chosen.len());
         for (_, server) in &chosen {
             let (holds_prefix, holds_prompt) =
@@ -100,7 +99,6 @@
             candidates.push(Candidate {
                 holds_prefix,
                 holds_prompt,
-                late_share: self.fleet.late_share(server, endpoints),
                 ..server.candidate(&self.peers.domain, mean_slowness, mean_failure_rate, now)
             });
         }
@@ -109,9 +107,7 @@
             reprocess_ms: latency.processing_ms(reading_units(job, job.shared_tokens, 0)),
             shared_tokens: job.shared_tokens,
             first_byte_ms: latency.first_byte_ms(job_units(job)),
-            disturbance: job.target_pause.map_or(0.0, |target| {
-                interruptions::disturbance(latency.processing_ms(job_units(job)), clock::millis(target))
-            }),
+            interruption: self.fleet.severity(job, latency.processing_ms(job_units(job)), self.fleet.interruptions),
         };
         let mut choice =
             placement::choose(&candidates, request, job.session ^ u64::try_from(now.as_nanos()).unwrap_or(0))?;
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -108,9 +108,8 @@
     /// It does not.
     #[default]
     Ignored,
-    /// It avoids endpoints at which streams paused for longer than their target, above all for
-    /// long prompts.
-    Learned,
+    /// Long prompts and running streams are kept at different endpoints.
+    Avoided,
 }
 
 /// When a larger model is asked.
--- a/crates/route/src/relay/placement.rs
+++ b/crates/route/src/relay/placement.rs
@@ -52,6 +52,10 @@
 /// Number of drawn endpoints that are also compared by older load updates.
 const MAX_SHORTLIST: usize = 4;
 
+/// The same where the endpoints were drawn by their pace. If more were compared, the division by
+/// pace would count for less than loads that are out of date.
+const MAX_SHORTLIST_BY_PACE: usize = 2;
+
 /// Additional wait that is accepted at an endpoint selected only by the prefix's hash, as a
 /// fraction of the cost of processing the prefix again.
 const HASH_PREFERENCE: f64 = 0.25;
@@ -97,8 +101,8 @@
     pub pace: f64,
     /// Share of its runs that fail in excess of its peers' share.
     pub excess_failure_rate: f64,
-    /// Share of its streams whose events paused for too long; 0 if that is not observed.
-    pub late_share: f64,
+    /// Number of prompts per second that it got lately and that make its streams late; 0 if they are not counted.
+    pub long_prompts_per_s: f64,
     /// Whether it is in this instance's failure domain.
     pub local: bool,
     /// Whether it is assumed to have the shared prefix in its cache.
@@ -118,8 +122,8 @@
     pub shared_tokens: u32,
     /// Time that an idle endpoint needs until the request's first byte, in milliseconds.
     pub first_byte_ms: f64,
-    /// How much its processing disturbs other streams ([`interruptions::disturbance`]).
-    pub disturbance: f64,
+    /// Share of an endpoint's streams that its prompt makes late ([`interruptions::severity`]).
+    pub interruption: f64,
 }
 
 /// The chosen endpoint and the reasons for it.
@@ -189,7 +193,8 @@
     let known_ms = |index: &usize| known_wait_ms(&candidates[*index], request);
     // The sort is stable: equal endpoints stay in the order in which they were drawn.
     drawn.sort_by(|a, b| known_ms(a).total_cmp(&known_ms(b)));
-    drawn.truncate(MAX_SHORTLIST);
+    let has_paces = drawn.iter().any(|index| (candidates[*index].pace - 1.0).abs() > f64::EPSILON);
+    drawn.truncate(if has_paces { MAX_SHORTLIST_BY_PACE } else { MAX_SHORTLIST });
     drawn
 }
 
@@ -222,9 +227,7 @@
 fn known_wait_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
     (candidate.backlog_ms * candidate.pace + request.first_byte_ms) * candidate.slowness.max(1.0)
         + candidate.excess_failure_rate * FAILURE_PENALTY_MS
-        // A short request may go to any endpoint once the others are busy, which only older
-        // load updates show.
-        + if request.disturbance > 0.0 { late_streams_ms(candidate, request) } else { 0.0 }
+        + late_streams_ms(candidate, request)
 }
 
 /// Draws up to `wanted` different indices below `count` for which `fits` returns true.
@@ -302,5 +305,5 @@
 
 /// Returns the cost of streams that pause for too long at an endpoint, in milliseconds of waiting.
 fn late_streams_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
-    interruptions::penalty_ms(candidate.late_share, candidate.runs, request.disturbance)
+    interruptions::cost_ms(request.interruption, candidate.runs, candidate.long_prompts_per_s)
 }
--- a/crates/route/tests/relay/interruptions.rs
+++ b/crates/route/tests/relay/interruptions.rs
@@ -1,26 +1,22 @@
-//! Long prompts stay away from endpoints at which they would interrupt running streams.
+//! Long prompts and running streams are kept at different endpoints.
 
 use std::time::Duration;
 
 use proptest::prelude::*;
 use route::relay::{
-    interruptions::{Count, disturbance, late_share, penalty_ms},
-    placement::{Candidate, Choice, Request, choose},
+    interruptions::{Arrivals, cost_ms, severity},
+    placement::{Candidate, Request, choose},
 };
 
-/// Streams of a service's endpoints on average, about as many as each of 60 endpoints has in the
-/// time that counts while 90 instances get 370 requests per second.
-const MEAN_STREAMS: f64 = 80.0;
+/// Target for the pause between two events of a stream, in milliseconds.
+const TARGET_PAUSE_MS: f64 = 1_200.0;
 
 const NAMES: [&str; 12] = ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"];
 
-/// Number of endpoints that are a third slower: there the same prompts make streams late.
-const SLOW: usize = 4;
-
-/// Endpoints with ten streams each; the streams of the slow ones paused for too long.
-fn endpoints(late: f64) -> Vec<Candidate<'static>> {
-    let candidate = |index: usize| Candidate {
-        id: NAMES[index],
+/// Endpoints with ten streams each and no long prompts.
+fn endpoints() -> Vec<Candidate<'static>> {
+    let candidate = |id| Candidate {
+        id,
         slots: 48,
         runs: 10.0,
         backlog_ms: 0.0,
@@ -28,98 +24,116 @@
         slowness: 1.0,
         pace: 1.0,
         excess_failure_rate: 0.0,
-        late_share: if index < SLOW { late_share(late, MEAN_STREAMS) } else { 0.0 },
+        long_prompts_per_s: 0.0,
         local: true,
         holds_prefix: false,
         holds_prompt: false,
     };
-    (0..NAMES.len()).map(candidate).collect()
+    NAMES.into_iter().map(candidate).collect()
 }
 
 /// A prompt of 38,000 tokens for the largest model.
 const LONG: Request =
-    Request { affinity: Some(7), reprocess_ms: 120.0, shared_tokens: 5_000, first_byte_ms: 1_300.0, disturbance: 1.0 };
+    Request { affinity: Some(7), reprocess_ms: 120.0, shared_tokens: 5_000, first_byte_ms: 1_300.0, interruption: 1.0 };
 
 /// A question of some hundred tokens.
 const SHORT: Request =
-    Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 30.0, disturbance: 0.0 };
+    Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 30.0, interruption: 0.0 };
 
-fn chosen(candidates: &[Candidate<'_>], request: Request) -> Vec<Choice> {
-    (0..400).map(|seed| choose(candidates, request, seed).unwrap()).collect()
+fn chosen(candidates: &[Candidate<'_>], request: Request) -> Vec<usize> {
+    (0..400).map(|seed| choose(candidates, request, seed).unwrap().index).collect()
 }
 
-/// Load: a few long prompts a second among hundreds of streams, a third of the endpoints slower.
-/// One in eight streams of a slow endpoint was interrupted for too long.
+/// Load: a few long prompts a second among hundreds of streams. Requests are placed one after the
+/// other, and streams end after five seconds. Long prompts must gather at a few endpoints, and
+/// hardly a stream run there.
 #[test]
-fn long_prompts_go_where_they_interrupt_nobody() {
-    let candidates = endpoints(10.0);
-    assert!(chosen(&candidates, LONG).iter().all(|choice| choice.index >= SLOW));
+fn long_prompts_gather_where_few_streams_run() {
+    const STEP: Duration = Duration::from_millis(25);
+    let mut arrivals = [Arrivals::default(); NAMES.len()];
+    let mut streams: Vec<(usize, Duration)> = Vec::new();
+    let (mut long_prompts, mut interrupted) = (0_u32, 0_usize);
+    for step in 0..2_400_u32 {
+        let now = STEP * step;
+        streams.retain(|(_, end)| *end > now);
+        let mut candidates = endpoints();
+        for (index, candidate) in candidates.iter_mut().enumerate() {
+            candidate.runs = streams.iter().filter(|(endpoint, _)| *endpoint == index).map(|_| 1.0).sum();
+            candidate.long_prompts_per_s = arrivals[index].per_s(now);
+        }
+        let is_long = step % 40 == 0;
+        let request = if is_long { Request { affinity: None, ..LONG } } else { SHORT };
+        let index = choose(&candidates, request, u64::from(step)).unwrap().index;
+        if is_long {
+            arrivals[index].add(request.interruption, now);
+            if step >= 1_200 {
+                long_prompts += 1;
+                interrupted += streams.iter().filter(|(endpoint, _)| *endpoint == index).count();
+            }
+        }
+        streams.push((index, now + Duration::from_secs(5)));
+    }
+    // An even spread would interrupt 16 streams with each long prompt.
+    assert!(interrupted <= 3 * usize::try_from(long_prompts).unwrap(), "{interrupted} by {long_prompts} prompts");
 }
 
-/// The holder of a long prompt's shared prefix is a slow endpoint. Its streams are worth more than
-/// the copy of the prefix.
+/// The holder of a long prompt's shared prefix is busy with streams. They are worth more than the
+/// copy of the prefix.
 #[test]
 fn long_prompt_leaves_the_holder_of_its_prefix_if_it_would_interrupt_streams() {
-    let mut candidates = endpoints(10.0);
+    let mut candidates = endpoints();
     candidates[0].holds_prefix = true;
-    assert!(chosen(&candidates, LONG).iter().all(|choice| choice.index >= SLOW && choice.source == Some(0)));
+    candidates[5].runs = 0.0;
+    assert!(chosen(&candidates, LONG).iter().all(|index| *index == 5));
 }
 
-/// Load: the other endpoints are full. Slow ones must not idle while requests wait.
+/// Load: all other endpoints are full. Those that get long prompts must not idle meanwhile.
 #[test]
-fn short_requests_use_slow_endpoints_when_others_are_busy() {
-    let mut candidates = endpoints(10.0);
-    for candidate in &mut candidates[SLOW..] {
-        candidate.runs = 52.0;
+fn streams_use_endpoints_with_long_prompts_when_others_are_full() {
+    let mut candidates = endpoints();
+    for candidate in &mut candidates[2..] {
+        candidate.backlog_ms = 2_500.0;
     }
-    assert!(chosen(&candidates, SHORT).iter().any(|choice| choice.index < SLOW));
+    candidates[0].long_prompts_per_s = 0.5;
+    candidates[1].long_prompts_per_s = 0.5;
+    assert!(chosen(&candidates, SHORT).iter().all(|index| *index < 2));
 }
 
-/// One late stream by chance must not move long prompts away from an endpoint whose queue is
-/// clearly shorter.
+/// A long prompt does not wait for seconds so that one or two streams stay undisturbed.
 #[test]
-fn single_late_stream_does_not_keep_long_prompts_away() {
-    let mut candidates = endpoints(1.0);
-    for candidate in &mut candidates[SLOW..] {
-        candidate.backlog_ms = 400.0;
+fn long_prompt_does_not_wait_for_long() {
+    let mut candidates = endpoints();
+    for candidate in &mut candidates {
+        candidate.backlog_ms = 3_000.0;
     }
-    assert!(chosen(&candidates, LONG).iter().all(|choice| choice.index < SLOW));
+    candidates[4].backlog_ms = 0.0;
+    candidates[4].runs = 2.0;
+    candidates[6].runs = 0.0;
+    assert!(chosen(&candidates, Request { affinity: None, ..LONG }).iter().all(|index| *index == 4));
 }
 
-/// An endpoint that was slow for some seconds gets long prompts again: late streams are forgotten.
+/// An endpoint that got long prompts for a while gets streams again when they stop.
 #[test]
-fn late_streams_are_forgotten() {
-    let mut late = Count::default();
-    for _ in 0..20 {
-        late.increment(Duration::from_secs(1));
+fn long_prompts_are_forgotten() {
+    let mut arrivals = Arrivals::default();
+    for second in 0..30 {
+        arrivals.add(1.0, Duration::from_secs(second));
     }
-    let share = |at: u64| late_share(late.at(Duration::from_secs(at)), MEAN_STREAMS);
-    assert!(share(1) > 0.15);
-    assert!(penalty_ms(share(61), 10.0, 1.0) < 100.0);
-}
-
-/// Few streams are known after a start of all instances. A share must stay within its bounds, and
-/// one late stream of one must not look like certainty.
-#[test]
-fn share_of_few_streams_is_small() {
-    assert!(late_share(1.0, 0.0) < 0.05);
-    assert!(late_share(1e9, 1.0) <= 1.0);
+    assert!((arrivals.per_s(Duration::from_secs(30)) - 1.0).abs() < 0.2);
+    assert!(arrivals.per_s(Duration::from_secs(120)) < 0.01);
 }
 
 /// A prompt that is processed between two events interrupts nothing.
 #[test]
-fn short_prompts_disturb_nobody() {
-    assert!(disturbance(30.0, 800.0) <= 0.0);
-    assert!((disturbance(2_000.0, 800.0) - 1.0).abs() < f64::EPSILON);
+fn short_prompts_interrupt_nobody() {
+    assert!(severity(300.0, TARGET_PAUSE_MS) <= 0.0);
+    assert!((severity(2_000.0, TARGET_PAUSE_MS) - 1.0).abs() < f64::EPSILON);
 }
 
 proptest! {
-    /// Where nothing is learned, prompts of any length are placed as if it were not looked for.
+    /// Where no long prompt is counted, neither the number of streams nor the seed changes a cost.
     #[test]
-    fn without_late_streams_nothing_changes(seed: u64, runs in 0.0..60.0_f64, disturbance in 0.0..1.0_f64) {
-        let mut candidates = endpoints(0.0);
-        candidates[3].runs = runs;
-        let plain = choose(&candidates, Request { disturbance: 0.0, ..LONG }, seed);
-        prop_assert_eq!(choose(&candidates, Request { disturbance, ..LONG }, seed), plain);
+    fn nothing_is_added_without_long_prompts(streams in 0.0..200.0_f64) {
+        prop_assert!(cost_ms(0.0, streams, 0.0).abs() < f64::EPSILON);
     }
 }
--- a/crates/route/tests/relay/placement.rs
+++ b/crates/route/tests/relay/placement.rs
@@ -14,7 +14,7 @@
     slowness: 1.0,
     pace: 1.0,
     excess_failure_rate: 0.0,
-    late_share: 0.0,
+    long_prompts_per_s: 0.0,
     local: true,
     holds_prefix: false,
     holds_prompt: false,
@@ -27,7 +27,7 @@
 }
 
 fn shared(key: u64) -> Request {
-    Request { affinity: Some(key), reprocess_ms: 150.0, shared_tokens: 5_000, first_byte_ms: 60.0, disturbance: 0.0 }
+    Request { affinity: Some(key), reprocess_ms: 150.0, shared_tokens: 5_000, first_byte_ms: 60.0, interruption: 0.0 }
 }
 
 #[test]
@@ -48,8 +48,13 @@
 /// worthwhile and is never processed again.
 #[test]
 fn hot_prefix_spreads_only_as_far_as_worthwhile() {
-    let request =
-        Request { affinity: Some(7), reprocess_ms: 150.0, shared_tokens: 5_000, first_byte_ms: 60.0, disturbance: 0.0 };
+    let request = Request {
+        affinity: Some(7),
+        reprocess_ms: 150.0,
+        shared_tokens: 5_000,
+        first_byte_ms: 60.0,
+        interruption: 0.0,
+    };
     let mut candidates = idle();
     let mut taken = Vec::new();
     for _ in 0..5 {
@@ -76,7 +81,7 @@
         reprocess_ms: 150.0,
         shared_tokens: 5_000,
         first_byte_ms: 300.0,
-        disturbance: 0.0,
+        interruption: 0.0,
     };
     for request in [request, Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, ..request }] {
         let mut candidates = idle();
@@ -96,7 +101,7 @@
 #[test]
 fn small_model_requests_stay_with_the_prefix_holder() {
     let request =
-        Request { affinity: Some(7), reprocess_ms: 15.0, shared_tokens: 5_000, first_byte_ms: 10.0, disturbance: 0.0 };
+        Request { affinity: Some(7), reprocess_ms: 15.0, shared_tokens: 5_000, first_byte_ms: 10.0, interruption: 0.0 };
     let mut candidates = idle();
     let first = choose(&candidates, request, 0).unwrap().index;
     candidates[first].holds_prefix = true;
@@ -112,7 +117,7 @@
 #[test]
 fn short_prefix_does_not_wait_for_its_holder() {
     let request =
-        Request { affinity: Some(7), reprocess_ms: 1.0, shared_tokens: 200, first_byte_ms: 10.0, disturbance: 0.0 };
+        Request { affinity: Some(7), reprocess_ms: 1.0, shared_tokens: 200, first_byte_ms: 10.0, interruption: 0.0 };
     let mut candidates = idle();
     candidates[2].holds_prefix = true;
     candidates[2].backlog_ms = 10.0;
@@ -153,7 +158,7 @@
 /// Almost no request may be placed behind a prompt while other endpoints are free.
 #[test]
 fn endpoints_with_announced_backlog_are_skipped() {
-    let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0, disturbance: 0.0 };
+    let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0, interruption: 0.0 };
     let names: Vec<String> = (0..60).map(|n| format!("e{n}")).collect();
     let reads = |n: usize| n % 5 < 2;
     let candidate = |n: usize| Candidate {
@@ -172,7 +177,7 @@
         $(#[$doc])*
         #[test]
         fn $name() {
-            let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0, disturbance: 0.0 };
+            let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0, interruption: 0.0 };
             for seed in 0..30 {
                 let mut candidates = idle();
                 let degrade: fn(&mut Candidate<'_>) = $degrade;
@@ -194,7 +199,7 @@
 
 #[test]
 fn equal_endpoints_share_the_load() {
-    let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0, disturbance: 0.0 };
+    let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0, interruption: 0.0 };
     let mut counts = [0_u32; 6];
     for seed in 0..600 {
         counts[choose(&idle(), plain, seed).unwrap().index] += 1;
@@ -207,7 +212,7 @@
 #[test]
 fn stale_loads_cause_no_herding() {
     let names: Vec<String> = (0..60).map(|n| format!("e{n}")).collect();
-    let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0, disturbance: 0.0 };
+    let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0, interruption: 0.0 };
     let mut placed = [0_u32; 60];
     for seed in 0..740 {
         // Instances of four failure domains in turn.
@@ -255,7 +260,7 @@
     let candidates: Vec<_> =
         (0..60).map(|n| Candidate { id: &names[n], local: n < 20, pace: pace(n), ..IDLE }).collect();
     let request =
-        Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 30.0, disturbance: 0.0 };
+        Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 30.0, interruption: 0.0 };
     let mut placed = [0.0; 2];
     for seed in 0..30_000 {
         let index = choose(&candidates, request, seed).unwrap().index;
@@ -271,7 +276,7 @@
     let full = Candidate { runs: 32.0, pace: 0.7, ..IDLE };
     let candidates = [full, Candidate { id: "b", pace: 1.7, ..IDLE }];
     let request =
-        Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 1_000.0, disturbance: 0.0 };
+        Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 1_000.0, interruption: 0.0 };
     let chosen = (0..1_000).filter(|seed| choose(&candidates, request, *seed).unwrap().index == 1).count();
     assert!(chosen > 300, "{chosen}");
 }
@@ -280,7 +285,7 @@
 #[test]
 fn expected_wait_includes_the_pace_of_the_run() {
     let request =
-        Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 100.0, disturbance: 0.0 };
+        Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 100.0, interruption: 0.0 };
     let wait = |pace| choose(&[Candidate { pace, ..IDLE }], request, 0).unwrap().wait_ms;
     assert!((wait(1.7) - 70.0).abs() < 1e-9 && (wait(0.7) + 30.0).abs() < 1e-9);
 }
@@ -302,7 +307,7 @@
                 slowness: if rng.random_bool(0.2) { rng.random_range(1.6..9.0) } else { 1.0 },
                 pace: 1.0,
                 excess_failure_rate: if rng.random_bool(0.1) { 0.25 } else { 0.0 },
-                late_share: 0.0,
+                long_prompts_per_s: 0.0,
                 local: rng.random_bool(0.3),
                 holds_prefix: rng.random_bool(0.05),
                 holds_prompt: rng.random_bool(0.02),
@@ -313,7 +318,7 @@
             reprocess_ms: f64::from(rng.random_range(0..500)),
             shared_tokens: rng.random_range(0..9_000),
             first_byte_ms: f64::from(rng.random_range(5..900)),
-            disturbance: 0.0,
+            interruption: 0.0,
         };
         let Choice { index, wait_ms, preferred, source } = choose(&candidates, request, rng.random()).unwrap();
         seen.extend_from_slice(format!("{index} {:x} {preferred} {source:?};", wait_ms.to_bits()).as_bytes());
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -125,7 +125,7 @@
 enum FileInterruptions {
     #[default]
     Ignored,
-    Learned,
+    Avoided,
 }
 
 impl From<FilePolicies> for Policies {
@@ -145,7 +145,7 @@
             },
             interruptions: match file.interruptions {
                 FileInterruptions::Ignored => Interruptions::Ignored,
-                FileInterruptions::Learned => Interruptions::Learned,
+                FileInterruptions::Avoided => Interruptions::Avoided,
             },
             ladder: file.ladder_values.map_or(Ladder::Fixed, |values| Ladder::ExpectedValue { values }),
         }
