Compare all endpoints for a prompt that would interrupt streams

An endpoint with few streams was not always among the twelve drawn. A few such prompts a second, announced to all instances at once, cause no herding.

--- a/crates/route/src/relay/placement.rs
+++ b/crates/route/src/relay/placement.rs
@@ -179,7 +179,13 @@
 
 /// Draws local endpoints and endpoints of any domain at random, and returns the few with
 /// the shortest wait by up-to-date information.
+///
+/// For a prompt that would interrupt streams it returns all endpoints: a few such prompts per
+/// second cause no herding, and an endpoint with few streams may not be among those drawn.
 fn shortlist(candidates: &[Candidate<'_>], request: Request, seed: u64) -> Vec<usize> {
+    if request.interruption > 0.0 {
+        return (0..candidates.len()).collect();
+    }
     let local_indices: Vec<usize> = (0..candidates.len()).filter(|&index| candidates[index].local).collect();
     let draw = hash::stable(&seed.to_le_bytes());
     let of_all = draw_indices(candidates.len(), draw.rotate_left(32));
