Choose endpoints in turns with `placement: balanced`

Cause: loads of other instances are older than most runs take, so instances that choose the least known load overload endpoints in turn.

Change: each instance sends to a service's endpoints in a rotation of its own, in proportion to slots over the response times of its own runs. Prompt backlog and holders of prompt parts keep their precedence. Reported loads are weighted by age towards the mean; the age of a sum is kept as one number per endpoint.

--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -17,6 +17,7 @@
 mod reachability;
 mod registry;
 mod rejections;
+mod rotation;
 mod run;
 mod selection;
 mod stated;
@@ -110,6 +111,7 @@
     pub(super) evacuations: Evacuations,
     /// Endpoints that take only a limited rate until they are warm.
     warming: warmup::WarmingEndpoints,
+    rotations: rotation::Rotations,
 }
 
 /// Service and model whose latency is learned.
@@ -166,6 +168,7 @@
     warm_at: Duration,
     /// Rate at which this instance may send requests until then.
     warmup_throttle: Throttle,
+    rotation: rotation::Place,
 }
 
 /// Load of the runs at an endpoint.
@@ -214,10 +217,13 @@
         let mut state = self.lock();
         self.update_shares(&mut state, now);
         state.fleet.refresh_pool(job.service, &self.settings.domain, now);
-        let selection = state.select_endpoint(job, now, self.settings.max_exposure)?;
+        let selection = state.select_endpoint(job, now, &self.settings)?;
         let (nominal_ms, expected_ms) = (selection.nominal_ms(), selection.expected_ms());
         let reference_ms = selection.reference_ms();
-        let Selection { key, arm, choice, latency, units, source, .. } = selection;
+        let Selection { key, arm, choice, latency, units, idle_ms, source, turn, .. } = selection;
+        if let Some(turn) = turn {
+            state.fleet.take_turn(job.service, key, turn);
+        }
         let server = state.fleet.servers.get_mut(key)?;
         let backlog_ms = latency.processing_ms(units);
         server.stated.guard.record_send(now);
@@ -245,6 +251,7 @@
             backlog_ms,
             announced_ms: if is_announced { backlog_ms } else { 0.0 },
             nominal_ms,
+            idle_ms,
             expected_ms,
             latency_key,
             units,
@@ -267,7 +274,7 @@
         let mut state = self.lock();
         self.update_shares(&mut state, now);
         state.fleet.refresh_pool(job.service, &self.settings.domain, now);
-        Some(state.select_endpoint(job, now, self.settings.max_exposure)?.expected_ms())
+        Some(state.select_endpoint(job, now, &self.settings)?.expected_ms())
     }
 
     /// Recomputes this instance's shares of endpoints' rates if they are out of date.
@@ -317,6 +324,7 @@
             stated,
             warm_at: Duration::ZERO,
             warmup_throttle: Throttle::default(),
+            rotation: rotation::Place::default(),
         }
     }
 
--- a/crates/relay/src/dispatcher/fleet/registry.rs
+++ b/crates/relay/src/dispatcher/fleet/registry.rs
@@ -82,8 +82,13 @@
         if kind == RegistrationKind::Changed && takes_departure_back && is_forgotten {
             state.apply_departure(start_hash(&endpoint), MAX_LEAVING_TIME, now);
         }
-        let peer_load = state.peers.load(start_hash(&endpoint));
+        let hash = start_hash(&endpoint);
+        let peer_load = state.peers.load(hash);
+        let reported_at = state.peers.reported_at(hash);
         state.fleet.register(endpoint, kind, peer_load, now);
+        if let Some(server) = state.fleet.server_by_hash(hash) {
+            server.rotation.reported_at = reported_at;
+        }
     }
 
     /// Removes an endpoint whose registration is gone.
@@ -227,10 +232,12 @@
         self.servers.get_mut(*self.by_hash.get(&hash)?)
     }
 
-    /// Sets the load of other instances on an endpoint, if it is known.
-    pub(in crate::dispatcher) fn set_peer_load(&mut self, endpoint: u32, load: Load) {
+    /// Sets the load of other instances on an endpoint and the mean time at which it was reported,
+    /// if the endpoint is known.
+    pub(in crate::dispatcher) fn set_peer_load(&mut self, endpoint: u32, load: Load, reported_at: Option<Duration>) {
         if let Some(server) = self.server_by_hash(endpoint) {
             server.peer_load = load;
+            server.rotation.reported_at = reported_at;
         }
     }
 }
--- a/crates/relay/src/dispatcher/fleet/run.rs
+++ b/crates/relay/src/dispatcher/fleet/run.rs
@@ -52,6 +52,8 @@
     pub(super) announced_ms: f64,
     /// Expected time to the first byte if no endpoint were late, in milliseconds.
     pub(super) nominal_ms: f64,
+    /// Expected time to the first byte without a wait for other runs, in milliseconds.
+    pub(super) idle_ms: f64,
     /// Expected time to the first byte, in milliseconds.
     pub(super) expected_ms: f64,
     pub(super) latency_key: LatencyKey,
@@ -131,6 +133,7 @@
             *usual_lateness += USUAL_LATENESS_WEIGHT * (ratio - *usual_lateness);
             server.slowness.observe(ratio / usual_lateness.max(0.1), 1.0, now);
         }
+        self.record_response(fleet, took, now);
         let guess = initial_latency(self.latency_key.model);
         fleet.latencies.entry(self.latency_key.clone()).or_insert(guess).learn(self.units, took);
     }
@@ -200,6 +203,8 @@
             RunOutcome::Failed | RunOutcome::Broken => server.failure_rate.observe(1.0, 0.0, now),
             RunOutcome::Full => {
                 server.full_until = now + FULL_PERIOD;
+                let service = server.endpoint.service.clone();
+                metrics::counter!("relay_full_rejections_total", "service" => service).increment(1);
                 server.stated.guard.record_rejection(now, self.started);
             }
             // A request for a model that does not exist is refused in the same way, so a
@@ -312,6 +317,7 @@
             self.record_unfinished(&mut state, work, clock::now());
         }
         self.record_missing_verdict(&mut state);
+        self.record_run_time(&mut state.fleet, clock::now());
         if let Some(server) = state.fleet.servers.get_mut(self.key) {
             server.runs = server.runs.saturating_sub(1);
         }
--- a/crates/relay/src/dispatcher/fleet/selection.rs
+++ b/crates/relay/src/dispatcher/fleet/selection.rs
@@ -9,6 +9,7 @@
 
 use super::{
     Fleet, Job, Key, LatencyKey, Server, State, caches::part_hash, initial_latency, notices::MIN_ANNOUNCED_PART_TOKENS,
+    rotation::NextTurn,
 };
 use crate::{
     clock,
@@ -16,6 +17,7 @@
         Dispatcher,
         rollouts::{self, Arm, Assignment},
     },
+    settings::{Placement, Settings},
 };
 
 /// Number of preceding tokens at which reading a token takes twice as long as at the start
@@ -40,6 +42,11 @@
     pub source: Option<SocketAddr>,
     /// Wait for the runs on the endpoint if it is as fast as its peers, in milliseconds.
     pub queue_ms: f64,
+    /// Expected time to the first byte if the endpoint had no runs but the prompt backlog that is
+    /// known up to date, in milliseconds.
+    pub idle_ms: f64,
+    /// The rotation after this job, if the endpoint was chosen in turn.
+    pub turn: Option<NextTurn>,
 }
 
 impl Selection {
@@ -63,7 +70,8 @@
 
 impl State {
     /// Selects an endpoint for a job, or returns `None` if none may run it.
-    pub(super) fn select_endpoint(&self, job: &Job<'_>, now: Duration, exposure: f64) -> Option<Selection> {
+    pub(super) fn select_endpoint(&self, job: &Job<'_>, now: Duration, settings: &Settings) -> Option<Selection> {
+        let exposure = settings.max_exposure;
         let latency = self.fleet.latency(job);
         let settled = || {
             let (session, lifetime) = (job.session, self.session_lifetime);
@@ -102,15 +110,24 @@
             shared_tokens: job.shared_tokens,
             first_byte_ms: latency.first_byte_ms(job_units(job)),
         };
-        let mut choice =
-            placement::choose(&candidates, request, job.session ^ u64::try_from(now.as_nanos()).unwrap_or(0))?;
+        let (mut choice, turn) = match settings.policies.placement {
+            Placement::Reported => {
+                let seed = job.session ^ u64::try_from(now.as_nanos()).unwrap_or(0);
+                (placement::choose(&candidates, request, seed)?, None)
+            }
+            Placement::Balanced => {
+                let (policies, seed) = (&settings.policies, self.peers.me);
+                let chosen = self.fleet.choose_in_turn(job, policies, &chosen, &mut candidates, request, seed, now)?;
+                (chosen.0, Some(chosen.1))
+            }
+        };
         let (key, server) = chosen[choice.index];
         let arm = assignment.arm(&server.endpoint.version);
         // Cached parts of another version cannot be used with this version's weights.
         let is_same = |index: &usize| chosen[*index].1.endpoint.version == server.endpoint.version;
         choice.source = choice.source.filter(is_same);
         let source = choice.source.map(|index| chosen[index].1.endpoint.address);
-        let Candidate { holds_prefix, holds_prompt, .. } = candidates[choice.index];
+        let Candidate { holds_prefix, holds_prompt, backlog_ms, .. } = candidates[choice.index];
         let queue_ms = placement::queue_ms(&candidates[choice.index]);
         let is_shared_part_available =
             holds_prefix || source.is_some() || job.shared_tokens < MIN_ANNOUNCED_PART_TOKENS;
@@ -119,7 +136,9 @@
             (false, true) => job_units(job),
             (false, false) => job_units(job) + reading_units(job, job.shared_tokens, 0),
         };
-        Some(Selection { key, arm, choice, latency, usual_lateness: usual_lateness.max(1.0), units, source, queue_ms })
+        let usual_lateness = usual_lateness.max(1.0);
+        let idle_ms = backlog_ms + latency.first_byte_ms(units);
+        Some(Selection { key, arm, choice, latency, usual_lateness, units, source, queue_ms, idle_ms, turn })
     }
 }
 
--- a/crates/relay/src/dispatcher/peers.rs
+++ b/crates/relay/src/dispatcher/peers.rs
@@ -93,6 +93,8 @@
     avoided_until: Duration,
     /// Its latest news.
     status: Status,
+    /// When that was received; unlike `last_heard`, other instances' reports do not change it.
+    reported_at: Duration,
 }
 
 /// Another instance that may serve a request instead of this one.
@@ -179,7 +181,7 @@
             }
             peer.counts_as_live = false;
             self.live_count -= 1;
-            self.sums.subtract(&peer.status.loads);
+            self.sums.subtract(&peer.status.loads, peer.reported_at);
         }
     }
 
@@ -193,7 +195,7 @@
             return;
         }
         if peer.counts_as_live {
-            self.sums.subtract(&peer.status.loads);
+            self.sums.subtract(&peer.status.loads, peer.reported_at);
         } else {
             tracing::info!(instance = name, "instance alive");
             self.to_greet.push(peer.news);
@@ -202,7 +204,8 @@
         }
         peer.last_heard = Some(now);
         peer.status = status;
-        self.sums.add(&peer.status.loads);
+        peer.reported_at = now;
+        self.sums.add(&peer.status.loads, now);
         self.next_expiry = self.next_expiry.min(peer.expires_at());
     }
 
@@ -223,7 +226,7 @@
         self.by_hash.remove(&short_hash(name));
         if peer.counts_as_live {
             self.live_count -= 1;
-            self.sums.subtract(&peer.status.loads);
+            self.sums.subtract(&peer.status.loads, peer.reported_at);
         }
     }
 
@@ -233,6 +236,11 @@
         self.sums.of(endpoint)
     }
 
+    /// Returns the mean time at which that load was reported, or `None` if there is none.
+    pub(super) fn reported_at(&self, endpoint: u32) -> Option<Duration> {
+        self.sums.reported_at(endpoint)
+    }
+
     /// Returns the other instances to which requests for a service, given by its short hash,
     /// may be forwarded.
     pub(super) fn reaching(&self, service: u32, now: Duration) -> impl Iterator<Item = Substitute> {
@@ -311,7 +319,7 @@
     pub(super) fn update_peer_loads(&mut self, now: Duration) -> usize {
         self.peers.update_live(now);
         for endpoint in self.peers.sums.take_changed() {
-            self.fleet.set_peer_load(endpoint, self.peers.sums.of(endpoint));
+            self.fleet.set_peer_load(endpoint, self.peers.load(endpoint), self.peers.reported_at(endpoint));
         }
         self.peers.live_count
     }
@@ -345,6 +353,7 @@
                 counts_as_live: false,
                 avoided_until: Duration::ZERO,
                 status: Status::default(),
+                reported_at: Duration::ZERO,
             }
         });
         peer.news = news;
--- a/crates/relay/tests/it/main.rs
+++ b/crates/relay/tests/it/main.rs
@@ -2,6 +2,7 @@
 //! endpoints that fail on purpose.
 
 mod answers;
+mod balanced;
 mod brittle_endpoints;
 mod brittle_fleet;
 mod brittle_server;
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -1,6 +1,6 @@
 //! Decisions about requests that are relayed to endpoints unchanged.
 //!
-//! [`placement`] picks the endpoint, [`ladder`] picks the model, and
+//! [`placement`] picks the endpoint, [`balance`] does so in turns, [`ladder`] picks the model, and
 //! [`mod@first_byte_timeout`] sets the timeout for the first byte, based on the estimate of
 //! [`latency`]. [`holders`] tracks which endpoints have a prompt prefix in their cache, and
 //! [`notice`] tracks the prompt processing that other instances have sent to them.
@@ -17,6 +17,7 @@
 //! clock that also counts time in which the machine is suspended.
 
 pub mod allowance;
+pub mod balance;
 pub mod canary;
 pub mod content;
 pub mod first_byte_timeout;
--- /dev/null
+++ b/crates/route/src/relay/balance.rs
@@ -0,0 +1,197 @@
+//! Selects endpoints in turns, for instances whose knowledge of loads is out of date.
+//!
+//! What an instance knows of other instances' runs is up to 1.25 s old, longer than most runs
+//! take. An instance that sends to the endpoint with the least known load does what all others
+//! do at that moment, so endpoints are overloaded in turn. Each instance therefore sends to all
+//! endpoints in a rotation of its own, in proportion to the rate at which an endpoint completes
+//! requests: its slots over its response time. Both are properties of the endpoint that hold for
+//! seconds. Response times come from the instance's own runs, are never late and include the wait
+//! in the endpoint's queue, so that an endpoint that others overload gets fewer requests. A
+//! rotation spreads the sends of one instance evenly over time, which independent random draws
+//! do not.
+//!
+//! The rotation is start-time fair queueing: a virtual clock advances with each request by the
+//! inverse of the sum of all rates, and an endpoint is due again one inverse of its own rate after
+//! its last turn. An endpoint that was away for a while is due once, not once for each turn that
+//! it missed.
+//!
+//! Information that is up to date decides before the turn does: an endpoint takes part in the
+//! rotation only if its prompt backlog, which notices announce, is about as short as the
+//! shortest. Holders of a shared prefix keep the preference that [`placement`] gives them.
+
+use std::time::Duration;
+
+use world::hash;
+
+use super::placement::{self, Candidate, Choice, Request};
+
+/// Scale on which a longer wait by up-to-date information makes an endpoint less eligible, in
+/// milliseconds. Shorter waits make no difference to callers, and are within the error of the
+/// estimated reading times.
+const WAIT_SCALE_MS: f64 = 20.0;
+
+/// Share of the best endpoint's eligibility below which an endpoint has no turn.
+const MIN_ELIGIBILITY: f64 = 0.3;
+
+/// Rate of sends to endpoints in other failure domains, as a fraction of that to local ones.
+/// Lower values leave endpoints of a domain overloaded if its instances have more traffic than
+/// those of other domains.
+const REMOTE_RATE: f64 = 0.8;
+
+/// Maximum number of turns by which an endpoint may be ahead of the rotation. Sends to the holder
+/// of a hot prefix count as turns; with this bound the endpoint returns to the rotation soon after
+/// the prefix has cooled down.
+const MAX_TURNS_AHEAD: f64 = 4.0;
+
+/// Smallest and largest response time of an endpoint relative to those of the service. Larger
+/// differences are due to single requests rather than to the endpoint.
+const PACE_BOUNDS: (f64, f64) = (0.2, 5.0);
+
+/// Maximum number of observations in the mean response time of an endpoint.
+const MAX_OBSERVATIONS: f64 = 10.0;
+
+/// Number of observations that count against an endpoint's first ones, so that a single slow
+/// request does not make an endpoint look slow.
+const PRIOR_OBSERVATIONS: f64 = 1.0;
+
+/// Time in which half of the observations of an endpoint are forgotten.
+const OBSERVATION_HALF_LIFE: Duration = Duration::from_secs(10);
+
+/// What an instance knows of an endpoint besides its load.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Turn {
+    /// Virtual time at which the endpoint is due; `None` before the first send.
+    pub due: Option<f64>,
+    /// Response time relative to the mean of the service, as a factor.
+    pub pace: f64,
+    /// Whether the endpoint rejected a request as full a moment ago.
+    pub is_full: bool,
+}
+
+/// The chosen endpoint and the rotation after a send there.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Balanced {
+    /// The choice.
+    pub choice: Choice,
+    /// Virtual time after the send.
+    pub clock: f64,
+    /// Virtual time at which the chosen endpoint is due again.
+    pub due: f64,
+}
+
+/// Chooses an endpoint, or returns `None` if there is no candidate.
+///
+/// `turns` belongs to the candidates, in the same order, and `clock` is the virtual time of the
+/// rotation. `seed` stands for the instance and decides in which order endpoints have their first
+/// turns.
+#[must_use]
+pub fn choose(
+    candidates: &[Candidate<'_>],
+    turns: &[Turn],
+    request: Request,
+    clock: f64,
+    seed: u64,
+) -> Option<Balanced> {
+    let eligibility = eligibilities(candidates, turns);
+    let best = eligibility.iter().copied().fold(0.0, f64::max);
+    let has_turn = |index: &usize| eligibility[*index] >= MIN_ELIGIBILITY * best;
+    let rate = |index: usize| rate(&candidates[index], &turns[index]);
+    let start = |index: usize| {
+        let length = 1.0 / rate(index);
+        let first = || clock + length * phase(seed, candidates[index].id);
+        turns[index].due.map_or_else(first, |due| due.max(clock - length))
+    };
+    let finish =
+        |index: &usize| start(*index) + 1.0 / (rate(*index) * eligibility[*index] / best.max(f64::MIN_POSITIVE));
+    let next = (0..candidates.len()).filter(has_turn).min_by(|a, b| finish(a).total_cmp(&finish(b)))?;
+    let choice = placement::choose_beside(candidates, request, next);
+    let total: f64 = (0..candidates.len()).filter(has_turn).map(rate).sum();
+    let length = 1.0 / rate(choice.index);
+    let due = (start(choice.index) + length).min(clock + MAX_TURNS_AHEAD * length);
+    Some(Balanced { choice, clock: clock + 1.0 / total.max(f64::MIN_POSITIVE), due })
+}
+
+/// Returns how eligible each candidate is for a request by information that is up to date, from 0
+/// to 1.
+fn eligibilities(candidates: &[Candidate<'_>], turns: &[Turn]) -> Vec<f64> {
+    let waits: Vec<f64> = candidates.iter().map(placement::known_delay_ms).collect();
+    let least = waits.iter().copied().fold(f64::MAX, f64::min);
+    let is_any_free = turns.iter().any(|turn| !turn.is_full);
+    let eligibility = |(turn, wait): (&Turn, &f64)| {
+        if turn.is_full && is_any_free { 0.0 } else { (-(wait - least) / WAIT_SCALE_MS).exp() }
+    };
+    turns.iter().zip(&waits).map(eligibility).collect()
+}
+
+/// Returns the rate at which an endpoint should get requests, relative to others.
+fn rate(candidate: &Candidate<'_>, turn: &Turn) -> f64 {
+    let slots = f64::from(candidate.slots.max(1));
+    let excess = (candidate.runs + 1.0 - slots).max(0.0);
+    let distance = if candidate.local { 1.0 } else { REMOTE_RATE };
+    distance * slots * slots / (slots + excess) / turn.pace.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1)
+}
+
+/// Returns a fraction at which an instance starts its turns of an endpoint. Without it all
+/// instances that start together would send to the endpoints in the same order.
+fn phase(seed: u64, id: &str) -> f64 {
+    let draw = u32::try_from(hash::rendezvous(seed, id.as_bytes()) >> 32).unwrap_or_default();
+    f64::from(draw) / f64::from(u32::MAX)
+}
+
+/// Returns the expected number of runs of other instances on an endpoint.
+///
+/// `reported` runs are `age` old and take `run_time` on average; those that have ended are
+/// replaced by the `mean` over the service's endpoints.
+#[must_use]
+pub fn runs_now(reported: f64, mean: f64, age: Duration, run_time: Duration) -> f64 {
+    mean + kept_share(age, run_time) * (reported - mean)
+}
+
+/// Returns the part of reported prompt processing that is left after a while, in milliseconds. An
+/// endpoint processes one prompt after another, a millisecond in each millisecond.
+#[must_use]
+pub fn backlog_now(reported_ms: f64, age: Duration) -> f64 {
+    (reported_ms - age.as_secs_f64() * 1_000.0).max(0.0)
+}
+
+/// Returns the share of runs that have not ended after a while.
+fn kept_share(age: Duration, run_time: Duration) -> f64 {
+    if run_time.is_zero() {
+        return if age.is_zero() { 1.0 } else { 0.0 };
+    }
+    (-age.as_secs_f64() / run_time.as_secs_f64()).exp()
+}
+
+/// Mean response time of an endpoint relative to that of its service, observed by one instance.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Pace {
+    /// Number of observations, of which old ones count less.
+    count: f64,
+    /// Mean logarithm of the observed ratios.
+    mean_log: f64,
+    /// Time of the latest observation.
+    observed_at: Duration,
+}
+
+impl Pace {
+    /// Adds the ratio of an observed response time to the service's usual one.
+    pub fn observe(&mut self, ratio: f64, now: Duration) {
+        let observed = ratio.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1).ln();
+        let count = self.count_at(now).min(MAX_OBSERVATIONS - 1.0) + 1.0;
+        *self = Self { count, mean_log: self.mean_log + (observed - self.mean_log) / count, observed_at: now };
+    }
+
+    /// Returns the mean, as a factor. `prior` is the factor that is assumed without observations;
+    /// few observations move it only slightly.
+    #[must_use]
+    pub fn factor(&self, prior: f64, now: Duration) -> f64 {
+        let count = self.count_at(now);
+        let prior_log = prior.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1).ln();
+        ((self.mean_log * count + prior_log * PRIOR_OBSERVATIONS) / (count + PRIOR_OBSERVATIONS)).exp()
+    }
+
+    fn count_at(&self, now: Duration) -> f64 {
+        let half_lives = now.saturating_sub(self.observed_at).as_secs_f64() / OBSERVATION_HALF_LIFE.as_secs_f64();
+        self.count * 0.5_f64.powf(half_lives)
+    }
+}
--- a/crates/route/src/relay/placement.rs
+++ b/crates/route/src/relay/placement.rs
@@ -128,9 +128,16 @@
 /// `seed` is a random number that determines which endpoints are compared.
 #[must_use]
 pub fn choose(candidates: &[Candidate<'_>], request: Request, seed: u64) -> Option<Choice> {
+    let wait = |index: &usize| wait_ms(&candidates[*index], request);
+    let best = shortlist(candidates, request, seed).into_iter().min_by(|a, b| wait(a).total_cmp(&wait(b)))?;
+    Some(choose_beside(candidates, request, best))
+}
+
+/// Chooses between an endpoint for requests without a shared prefix and the endpoints that hold
+/// the prompt or prefix or are selected by the prefix's hash.
+pub(super) fn choose_beside(candidates: &[Candidate<'_>], request: Request, best_index: usize) -> Choice {
     let with_wait = |index: usize| (index, wait_ms(&candidates[index], request));
-    let (best_index, wait_ms) =
-        shortlist(candidates, request, seed).into_iter().map(with_wait).min_by(|a, b| a.1.total_cmp(&b.1))?;
+    let (_, wait_ms) = with_wait(best_index);
     let other = Choice { index: best_index, wait_ms, preferred: false, source: None };
     let least_busy = |is_holder: fn(&Candidate<'_>) -> bool| {
         let holders = (0..candidates.len()).filter(|&index| is_holder(&candidates[index])).map(with_wait);
@@ -142,19 +149,19 @@
     if let Some((holder, holder_ms)) = least_busy(|candidate| candidate.holds_prompt)
         && holder_ms <= wait_ms + request.first_byte_ms + copy_ms
     {
-        return Some(Choice { index: holder, wait_ms: holder_ms, preferred: true, source: None });
+        return Choice { index: holder, wait_ms: holder_ms, preferred: true, source: None };
     }
-    let Some(key) = request.affinity else { return Some(other) };
+    let Some(key) = request.affinity else { return other };
     if let Some((holder, holder_ms)) = least_busy(|candidate| candidate.holds_prefix) {
         if holder_ms <= wait_ms + copy_ms {
-            return Some(Choice { index: holder, wait_ms: holder_ms, preferred: true, source: None });
+            return Choice { index: holder, wait_ms: holder_ms, preferred: true, source: None };
         }
-        return Some(Choice { source: Some(holder), ..other });
+        return Choice { source: Some(holder), ..other };
     }
     let max_hash_wait_ms = wait_ms + HASH_PREFERENCE * reprocessing_ms;
     let preferred = preferred_by_hash(key, candidates.iter().map(|candidate| candidate.id));
     let by_hash = preferred.into_iter().map(with_wait).find(|(_, wait)| *wait <= max_hash_wait_ms);
-    Some(by_hash.map_or(other, |(index, wait_ms)| Choice { index, wait_ms, preferred: true, source: None }))
+    by_hash.map_or(other, |(index, wait_ms)| Choice { index, wait_ms, preferred: true, source: None })
 }
 
 /// Draws local endpoints and endpoints of any domain at random, and returns the few with
@@ -190,6 +197,12 @@
         + candidate.excess_failure_rate * FAILURE_PENALTY_MS
 }
 
+/// Returns the delay by prompt backlog and failures at an endpoint, which are known up to date, in
+/// milliseconds. The endpoint's pace does not count.
+pub(super) fn known_delay_ms(candidate: &Candidate<'_>) -> f64 {
+    candidate.backlog_ms + candidate.excess_failure_rate * FAILURE_PENALTY_MS
+}
+
 /// Draws up to `wanted` different indices below `count` for which `fits` returns true.
 /// `draw` is a random number.
 ///
