Compare ways to choose among endpoints by loads that are out of date

`replay balance` simulates 8, 62 and 300 instances whose loads are known every 0 to 2 s, with nine ways to choose, and calls the decisions of `route`.

A rotation in proportion to slots over response times alone left engines with runs of a second uneven in fleets that observe each of them rarely. The rate therefore also falls with the estimated runs of an endpoint, which are close to the mean where reports are older than runs last. An endpoint that is new or returns enters each instance's rotation at a random place, so that instances do not send to it together; tests of `route::relay::balance` show both.

--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -222,7 +222,7 @@
         let reference_ms = selection.reference_ms();
         let Selection { key, arm, choice, latency, units, idle_ms, source, turn, .. } = selection;
         if let Some(turn) = turn {
-            state.fleet.take_turn(job.service, key, turn);
+            state.fleet.take_turn(job.service, &turn);
         }
         let server = state.fleet.servers.get_mut(key)?;
         let backlog_ms = latency.processing_ms(units);
--- a/crates/relay/src/dispatcher/fleet/rotation.rs
+++ b/crates/relay/src/dispatcher/fleet/rotation.rs
@@ -47,10 +47,11 @@
 }
 
 /// The state of a rotation after a send.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 pub(super) struct NextTurn {
     clock: f64,
-    due: f64,
+    /// When the chosen endpoint and those that entered the rotation are due.
+    due: Vec<(Key, f64)>,
     /// What the decision was based on, for metrics.
     basis: Basis,
 }
@@ -99,13 +100,18 @@
         let clock = rotation.map_or(0.0, |rotation| rotation.clock);
         let balanced = balance::choose(candidates, &turns, request, clock, seed)?;
         let basis = Basis { age, spread: spread(candidates) };
-        Some((balanced.choice, NextTurn { clock: balanced.clock, due: balanced.due, basis }))
+        let chosen = (balanced.choice.index, balanced.due);
+        let due = balanced.entered.into_iter().chain([chosen]).map(|(index, due)| (servers[index].0, due));
+        Some((balanced.choice, NextTurn { clock: balanced.clock, due: due.collect(), basis }))
     }
 
-    /// Records that a request is sent to an endpoint whose turn it was.
-    pub(super) fn take_turn(&mut self, service: &str, key: Key, turn: NextTurn) {
-        let Some(server) = self.servers.get_mut(key) else { return };
-        server.rotation.due = Some(turn.due);
+    /// Records that a request of a service is sent to the endpoint that was chosen.
+    pub(super) fn take_turn(&mut self, service: &str, turn: &NextTurn) {
+        for (key, due) in &turn.due {
+            if let Some(server) = self.servers.get_mut(*key) {
+                server.rotation.due = Some(*due);
+            }
+        }
         self.rotations.0.entry(service.to_owned()).or_default().clock = turn.clock;
         if let Some(age) = turn.basis.age {
             metrics::histogram!("relay_load_age_ms", "service" => service.to_owned()).record(clock::millis(age));
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -5,6 +5,7 @@
 //! users, engines and ratings that answer from a table, no networks and no
 //! instances run.
 
+mod balance;
 mod cost;
 mod exposure;
 mod fairness;
@@ -26,6 +27,7 @@
 }
 
 const QUESTIONS: &[Question] = &[
+    Question { name: "balance", about: "Even load by loads that are out of date", tables: balance::tables },
     Question { name: "cost", about: "Cost at the quality target, against baselines", tables: cost::tables },
     Question { name: "load", about: "Latency and load by endpoint choice", tables: load::tables },
     Question { name: "fairness", about: "A small customer beside a flood", tables: fairness::tables },
--- a/crates/route/src/relay/balance.rs
+++ b/crates/route/src/relay/balance.rs
@@ -12,8 +12,8 @@
 //!
 //! The rotation is start-time fair queueing: a virtual clock advances with each request by the
 //! inverse of the sum of all rates, and an endpoint is due again one inverse of its own rate after
-//! its last turn. An endpoint that was away for a while is due once, not once for each turn that
-//! it missed.
+//! its last turn. An endpoint that is new, or was away for a while, enters the rotation at a random
+//! place. Otherwise all instances would send to it at the moment at which it returns.
 //!
 //! Information that is up to date decides before the turn does: an endpoint takes part in the
 //! rotation only if its prompt backlog, which notices announce, is about as short as the
@@ -38,11 +38,20 @@
 /// those of other domains.
 const REMOTE_RATE: f64 = 0.8;
 
+/// Effect of a larger number of runs for each slot on the rate of sends, as the decrease of its
+/// logarithm. Where reports are older than runs last, the estimated runs are close to the mean and
+/// have little effect.
+const OCCUPANCY_WEIGHT: f64 = 1.5;
+
 /// Maximum number of turns by which an endpoint may be ahead of the rotation. Sends to the holder
 /// of a hot prefix count as turns; with this bound the endpoint returns to the rotation soon after
 /// the prefix has cooled down.
 const MAX_TURNS_AHEAD: f64 = 4.0;
 
+/// Fraction of a turn by which an endpoint may be overdue. Those that were away for longer enter the
+/// rotation again, so that they do not get the requests that they missed.
+const MAX_OVERDUE: f64 = 0.5;
+
 /// Smallest and largest response time of an endpoint relative to those of the service. Larger
 /// differences are due to single requests rather than to the endpoint.
 const PACE_BOUNDS: (f64, f64) = (0.2, 5.0);
@@ -69,7 +78,7 @@
 }
 
 /// The chosen endpoint and the rotation after a send there.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Balanced {
     /// The choice.
     pub choice: Choice,
@@ -77,13 +86,14 @@
     pub clock: f64,
     /// Virtual time at which the chosen endpoint is due again.
     pub due: f64,
+    /// Other endpoints that entered the rotation, by index, and when each is due.
+    pub entered: Vec<(usize, f64)>,
 }
 
 /// Chooses an endpoint, or returns `None` if there is no candidate.
 ///
 /// `turns` belongs to the candidates, in the same order, and `clock` is the virtual time of the
-/// rotation. `seed` stands for the instance and decides in which order endpoints have their first
-/// turns.
+/// rotation. `seed` stands for the instance and decides where endpoints enter its rotation.
 #[must_use]
 pub fn choose(
     candidates: &[Candidate<'_>],
@@ -95,20 +105,28 @@
     let eligibility = eligibilities(candidates, turns);
     let best = eligibility.iter().copied().fold(0.0, f64::max);
     let has_turn = |index: &usize| eligibility[*index] >= MIN_ELIGIBILITY * best;
-    let rate = |index: usize| rate(&candidates[index], &turns[index]);
-    let start = |index: usize| {
-        let length = 1.0 / rate(index);
-        let first = || clock + length * phase(seed, candidates[index].id);
-        turns[index].due.map_or_else(first, |due| due.max(clock - length))
-    };
-    let finish =
-        |index: &usize| start(*index) + 1.0 / (rate(*index) * eligibility[*index] / best.max(f64::MIN_POSITIVE));
+    let mean_occupancy = mean_occupancy(candidates);
+    let rate = |index: usize| rate(&candidates[index], &turns[index], mean_occupancy);
+    let length = |index: usize| 1.0 / rate(index);
+    let mut entered = Vec::new();
+    let mut starts = Vec::with_capacity(candidates.len());
+    for (index, turn) in turns.iter().enumerate() {
+        let length = length(index);
+        let is_overdue = |due: &f64| due + length < clock - MAX_OVERDUE * length;
+        let start = turn.due.filter(|due| !is_overdue(due)).unwrap_or_else(|| {
+            let due = clock - length * phase(seed ^ clock.to_bits(), candidates[index].id);
+            entered.push((index, due));
+            due
+        });
+        starts.push(start);
+    }
+    let finish = |index: &usize| starts[*index] + length(*index) * best / eligibility[*index];
     let next = (0..candidates.len()).filter(has_turn).min_by(|a, b| finish(a).total_cmp(&finish(b)))?;
     let choice = placement::choose_beside(candidates, request, next);
     let total: f64 = (0..candidates.len()).filter(has_turn).map(rate).sum();
-    let length = 1.0 / rate(choice.index);
-    let due = (start(choice.index) + length).min(clock + MAX_TURNS_AHEAD * length);
-    Some(Balanced { choice, clock: clock + 1.0 / total.max(f64::MIN_POSITIVE), due })
+    let due = starts[choice.index].min(clock + MAX_TURNS_AHEAD * length(choice.index)) + length(choice.index);
+    entered.retain(|(index, _)| *index != choice.index);
+    Some(Balanced { choice, clock: clock + 1.0 / total, due, entered })
 }
 
 /// Returns how eligible each candidate is for a request by information that is up to date, from 0
@@ -123,16 +141,23 @@
     turns.iter().zip(&waits).map(eligibility).collect()
 }
 
-/// Returns the rate at which an endpoint should get requests, relative to others.
-fn rate(candidate: &Candidate<'_>, turn: &Turn) -> f64 {
+/// Returns the rate at which an endpoint should get requests, relative to others. `mean_occupancy`
+/// is the number of runs for each slot of all candidates.
+fn rate(candidate: &Candidate<'_>, turn: &Turn, mean_occupancy: f64) -> f64 {
     let slots = f64::from(candidate.slots.max(1));
-    let excess = (candidate.runs + 1.0 - slots).max(0.0);
+    let occupancy = candidate.runs / slots;
     let distance = if candidate.local { 1.0 } else { REMOTE_RATE };
-    distance * slots * slots / (slots + excess) / turn.pace.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1)
+    let vacancy = (-OCCUPANCY_WEIGHT * (occupancy - mean_occupancy).clamp(-1.0, 1.0)).exp();
+    distance * slots * vacancy / turn.pace.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1)
+}
+
+/// Returns the number of runs for each slot of all candidates.
+fn mean_occupancy(candidates: &[Candidate<'_>]) -> f64 {
+    let slots: f64 = candidates.iter().map(|candidate| f64::from(candidate.slots.max(1))).sum();
+    candidates.iter().map(|candidate| candidate.runs).sum::<f64>() / slots.max(1.0)
 }
 
-/// Returns a fraction at which an instance starts its turns of an endpoint. Without it all
-/// instances that start together would send to the endpoints in the same order.
+/// Returns a random fraction of a turn, by which an endpoint enters the rotation.
 fn phase(seed: u64, id: &str) -> f64 {
     let draw = u32::try_from(hash::rendezvous(seed, id.as_bytes()) >> 32).unwrap_or_default();
     f64::from(draw) / f64::from(u32::MAX)
--- a/crates/route/tests/relay/main.rs
+++ b/crates/route/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions about relayed requests.
 
 mod allowance;
+mod balance;
 mod canary;
 mod content;
 mod first_byte_timeout;
