--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -20,6 +20,7 @@
 mod reachability;
 mod registry;
 mod rejections;
+mod rotation;
 mod run;
 mod selection;
 mod stated;
@@ -130,6 +131,7 @@
     interruptions: Interruptions,
     /// Shortest target pause of a service's streams; empty unless interruptions are avoided.
     target_pauses: HashMap<String, Duration>,
+    rotations: rotation::Rotations,
 }
 
 /// Service and model whose latency is learned.
@@ -194,6 +196,7 @@
     learned: Learned,
     /// Tokens of this instance's runs there.
     memory_tokens: u64,
+    rotation: rotation::Place,
 }
 
 /// Load of the runs at an endpoint.
@@ -246,11 +249,14 @@
         let mut state = self.lock();
         self.update_shares(&mut state, now);
         state.fleet.refresh_pool(job.service, &self.settings.domain, now);
-        let selection = state.select_endpoint(job, now, self.settings.max_exposure)?;
+        let selection = state.select_endpoint(job, now, &self.settings)?;
         let (nominal_ms, expected_ms) = (selection.nominal_ms(), selection.expected_ms());
         let reference_ms = selection.reference_ms();
-        let Selection { key, arm, choice, latency, units, source, memory_tokens, .. } = selection;
+        let Selection { key, arm, choice, latency, units, idle_ms, source, turn, memory_tokens, .. } = selection;
         state.fleet.observe_tokens(job.service, memory_tokens);
+        if let Some(turn) = turn {
+            state.fleet.take_turn(job.service, &turn);
+        }
         let server = state.fleet.servers.get_mut(key)?;
         let backlog_ms = latency.processing_ms(units);
         let first_byte_ms = latency.first_byte_ms(units);
@@ -285,6 +291,7 @@
             backlog_ms,
             announced_ms: if is_announced { backlog_ms } else { 0.0 },
             nominal_ms,
+            idle_ms,
             expected_ms,
             latency_key,
             units,
@@ -310,7 +317,7 @@
         let mut state = self.lock();
         self.update_shares(&mut state, now);
         state.fleet.refresh_pool(job.service, &self.settings.domain, now);
-        Some(state.select_endpoint(job, now, self.settings.max_exposure)?.expected_ms())
+        Some(state.select_endpoint(job, now, &self.settings)?.expected_ms())
     }
 
     /// Recomputes this instance's shares of endpoints' rates if they are out of date.
@@ -372,6 +379,7 @@
             observations: Observations::default(),
             learned: Learned::default(),
             memory_tokens: 0,
+            rotation: rotation::Place::default(),
         }
     }
 
--- a/crates/relay/src/dispatcher/fleet/selection.rs
+++ b/crates/relay/src/dispatcher/fleet/selection.rs
@@ -9,6 +9,7 @@
 
 use super::{
     Fleet, Job, Key, LatencyKey, Server, State, caches::part_hash, initial_latency, notices::MIN_ANNOUNCED_PART_TOKENS,
+    rotation::NextTurn,
 };
 use crate::{
     clock,
@@ -16,6 +17,7 @@
         Dispatcher,
         rollouts::{self, Arm, Assignment},
     },
+    settings::{Placement, Settings},
 };
 
 /// Number of preceding tokens at which reading a token takes twice as long as at the start
@@ -42,6 +44,11 @@
     pub queue_ms: f64,
     /// Tokens that the run takes of the engine's memory; 0 unless that is limited.
     pub memory_tokens: u64,
+    /// Expected time to the first byte if the endpoint had no runs but the prompt backlog that is
+    /// known up to date, in milliseconds.
+    pub idle_ms: f64,
+    /// The rotation after this job, if the endpoint was chosen in turn.
+    pub turn: Option<NextTurn>,
 }
 
 impl Selection {
@@ -65,7 +72,8 @@
 
 impl State {
     /// Selects an endpoint for a job, or returns `None` if none may run it.
-    pub(super) fn select_endpoint(&self, job: &Job<'_>, now: Duration, exposure: f64) -> Option<Selection> {
+    pub(super) fn select_endpoint(&self, job: &Job<'_>, now: Duration, settings: &Settings) -> Option<Selection> {
+        let exposure = settings.max_exposure;
         let latency = self.fleet.latency(job);
         let settled = || {
             let (session, lifetime) = (job.session, self.session_lifetime);
@@ -109,15 +117,24 @@
             first_byte_ms: latency.first_byte_ms(job_units(job)),
             interruption: self.fleet.severity(job, latency.processing_ms(job_units(job)), self.fleet.interruptions),
         };
-        let mut choice =
-            placement::choose(&candidates, request, job.session ^ u64::try_from(now.as_nanos()).unwrap_or(0))?;
+        let (mut choice, turn) = match settings.policies.placement {
+            Placement::Reported => {
+                let seed = job.session ^ u64::try_from(now.as_nanos()).unwrap_or(0);
+                (placement::choose(&candidates, request, seed)?, None)
+            }
+            Placement::Balanced => {
+                let (policies, seed) = (&settings.policies, self.peers.me);
+                let chosen = self.fleet.choose_in_turn(job, policies, &chosen, &mut candidates, request, seed, now)?;
+                (chosen.0, Some(chosen.1))
+            }
+        };
         let (key, server) = chosen[choice.index];
         let arm = assignment.arm(&server.endpoint.version);
         // Cached parts of another version cannot be used with this version's weights.
         let is_same = |index: &usize| chosen[*index].1.endpoint.version == server.endpoint.version;
         choice.source = choice.source.filter(is_same);
         let source = choice.source.map(|index| chosen[index].1.endpoint.address);
-        let Candidate { holds_prefix, holds_prompt, .. } = candidates[choice.index];
+        let Candidate { holds_prefix, holds_prompt, backlog_ms, .. } = candidates[choice.index];
         let declared = Candidate { slots: server.endpoint.slots, ..candidates[choice.index] };
         let queue_ms = placement::queue_ms(&declared);
         let memory_tokens = memory.map_or(0, |memory| memory.demand(server).added());
@@ -129,7 +146,20 @@
             (false, false) => job_units(job) + reading_units(job, job.shared_tokens, 0),
         };
         let usual_lateness = usual_lateness.max(1.0);
-        Some(Selection { key, arm, choice, latency, usual_lateness, units, source, queue_ms, memory_tokens })
+        let idle_ms = backlog_ms + latency.first_byte_ms(units);
+        Some(Selection {
+            key,
+            arm,
+            choice,
+            latency,
+            usual_lateness,
+            units,
+            source,
+            queue_ms,
+            memory_tokens,
+            idle_ms,
+            turn,
+        })
     }
 }
 
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -1,6 +1,6 @@
 //! Decisions about requests that are relayed to endpoints unchanged.
 //!
-//! [`placement`] picks the endpoint, [`ladder`] picks the model, and
+//! [`placement`] picks the endpoint, [`balance`] does so in turns, [`ladder`] picks the model, and
 //! [`mod@first_byte_timeout`] sets the timeout for the first byte, based on the estimate of
 //! [`latency`]. [`pace`] learns how fast each endpoint is, and [`engine_memory`] counts the
 //! tokens of runs against engines' memory. [`holders`] tracks which endpoints have a prompt prefix in their cache, and
@@ -18,6 +18,7 @@
 //! clock that also counts time in which the machine is suspended.
 
 pub mod allowance;
+pub mod balance;
 pub mod canary;
 pub mod content;
 pub mod engine_memory;
--- a/crates/route/src/relay/placement.rs
+++ b/crates/route/src/relay/placement.rs
@@ -144,9 +144,16 @@
 /// `seed` is a random number that determines which endpoints are compared.
 #[must_use]
 pub fn choose(candidates: &[Candidate<'_>], request: Request, seed: u64) -> Option<Choice> {
+    let cost = |index: &usize| cost_ms(&candidates[*index], request);
+    let best = shortlist(candidates, request, seed).into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
+    Some(choose_beside(candidates, request, best))
+}
+
+/// Chooses between an endpoint for requests without a shared prefix and the endpoints that hold
+/// the prompt or prefix or are selected by the prefix's hash.
+pub(super) fn choose_beside(candidates: &[Candidate<'_>], request: Request, best_index: usize) -> Choice {
     let with_cost = |index: usize| (index, cost_ms(&candidates[index], request));
-    let (best_index, best_ms) =
-        shortlist(candidates, request, seed).into_iter().map(with_cost).min_by(|a, b| a.1.total_cmp(&b.1))?;
+    let (_, best_ms) = with_cost(best_index);
     let choice = |index: usize, preferred: bool| {
         let wait_ms = wait_ms(&candidates[index], request);
         Choice { index, wait_ms, preferred, source: None }
@@ -162,19 +169,19 @@
     if let Some((holder, holder_ms)) = least_busy(|candidate| candidate.holds_prompt)
         && holder_ms <= best_ms + request.first_byte_ms + copy_ms
     {
-        return Some(choice(holder, true));
+        return choice(holder, true);
     }
-    let Some(key) = request.affinity else { return Some(other) };
+    let Some(key) = request.affinity else { return other };
     if let Some((holder, holder_ms)) = least_busy(|candidate| candidate.holds_prefix) {
         if holder_ms <= best_ms + copy_ms {
-            return Some(choice(holder, true));
+            return choice(holder, true);
         }
-        return Some(Choice { source: Some(holder), ..other });
+        return Choice { source: Some(holder), ..other };
     }
     let max_hash_ms = best_ms + HASH_PREFERENCE * reprocessing_ms;
     let preferred = preferred_by_hash(key, candidates.iter().map(|candidate| candidate.id));
     let by_hash = preferred.into_iter().map(with_cost).find(|(_, cost)| *cost <= max_hash_ms);
-    Some(by_hash.map_or(other, |(index, _)| choice(index, true)))
+    by_hash.map_or(other, |(index, _)| choice(index, true))
 }
 
 /// Draws local endpoints and endpoints of any domain at random, and returns the few with
@@ -236,6 +243,12 @@
         + late_streams_ms(candidate, request)
 }
 
+/// Returns the delay by prompt backlog, failures and interruptions at an endpoint, which are known
+/// up to date, in milliseconds. The endpoint's pace does not count.
+pub(super) fn known_delay_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
+    candidate.backlog_ms + candidate.excess_failure_rate * FAILURE_PENALTY_MS + late_streams_ms(candidate, request)
+}
+
 /// Draws up to `wanted` different indices below `count` for which `fits` returns true.
 /// `draw` is a random number.
 ///
