Decide by expected value which models of a ladder are asked

Cause: fixed confidences decide when a small model's answer is dropped, whatever a request is worth. Models are the largest cost.

Change: pure decisions in route::relay::ladder::value: the model to start with, and whether an answer is kept, from the value of a right answer, prices, expected times and the pressure on the service. ladder::calibration turns a confidence into a probability; its prior is not corrected at run time, since low readings and hard requests look the same. The functions with fixed thresholds are unchanged.

--- a/crates/route/src/relay/ladder.rs
+++ b/crates/route/src/relay/ladder.rs
@@ -5,6 +5,12 @@
 //! correctly. Its answer comes with its own rough confidence before any of it has reached
 //! the caller. A request therefore starts at a small model and escalates to the largest one
 //! if the confidence is low. The dropped answer costs only the small model's first tokens.
+//!
+//! The functions here compare confidences with fixed thresholds; those of [`value`] compare what a
+//! larger model is expected to gain with its price.
+
+pub mod calibration;
+pub mod value;
 
 use std::ops::RangeInclusive;
 
