Choose models by value where the operator gives the values

Cause: the decisions by expected value had no caller.

Change: exchange::plan passes values by rank (a team's goes before its route's), prices and expected times; the pressure is 0 until admission control measures it. The line `answer dropped for a larger model` has the reason and the gain. Counted: quality shed under pressure; confidences by model, in buckets of ten. Without ladder_values the fixed thresholds decide as before.

--- a/crates/arbutuslugd/src/meter.rs
+++ b/crates/arbutuslugd/src/meter.rs
@@ -17,6 +17,9 @@
 /// Bounds of every other distribution's buckets.
 const COUNTS: [f64; 10] = [1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1_000.0];
 
+/// Bounds of the buckets of models' confidences, which are compared with answers checked elsewhere.
+const CONFIDENCES: [f64; 10] = [10.0, 20.0, 30.0, 40.0, 50.0, 60.0, 70.0, 80.0, 90.0, 100.0];
+
 /// How often samples are gathered into buckets.
 const GATHER: Duration = Duration::from_secs(5);
 
@@ -31,6 +34,7 @@
     let builder = PrometheusBuilder::new()
         .set_buckets(&COUNTS)
         .and_then(|builder| builder.set_buckets_for_metric(Matcher::Suffix("_seconds".into()), &SPANS))
+        .and_then(|builder| builder.set_buckets_for_metric(Matcher::Full("relay_confidence".into()), &CONFIDENCES))
         .expect("there are bounds");
     let recorder = builder.build_recorder();
     let handle = recorder.handle();
--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -8,7 +8,10 @@
 use route::relay::{
     allowance::Purpose,
     first_byte_timeout::first_byte_timeout,
-    ladder::{self, Outlook, RelativeTime, Remaining, Step},
+    ladder::{
+        self, Outlook, RelativeTime, Remaining, Step,
+        value::{self, Worth},
+    },
 };
 use world::hash;
 
@@ -17,6 +20,7 @@
     clock,
     dispatcher::fleet::{Job, Run, affinity},
     request_params,
+    settings::Ladder,
     upstream::Answer,
 };
 
@@ -24,6 +28,18 @@
 /// as short. If a short prompt misses the goal, it is because of queueing.
 const SHORT_PROMPT_FRACTION: f64 = 0.25;
 
+/// A larger model to ask instead of accepting an answer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Escalation {
+    /// Index of the model.
+    pub to: usize,
+    /// Why the answer is dropped.
+    pub reason: &'static str,
+    /// Expected gain less the price of the run, as a multiple of the largest model's price; `None`
+    /// if the answer was dropped by a fixed threshold.
+    pub gain: Option<f64>,
+}
+
 impl Exchange {
     /// Returns the job to place, for a model, at the request's service.
     pub(super) fn job(&self, model: Option<usize>) -> Job<'_> {
@@ -87,7 +103,47 @@
             RelativeTime { idle: self.dispatcher.expected_idle_ms(&job) / goal_ms, now: now_ms / goal_ms }
         };
         let times: Vec<RelativeTime> = (0..models).map(time).collect();
-        Some(ladder::first_model(remaining, &times))
+        let Some(right_answer) = self.right_answer_value() else {
+            return Some(ladder::first_model(remaining, &times));
+        };
+        let prices = self.prices();
+        let worth = Worth { right_answer, prices: &prices, pressure: self.pressure(service) };
+        let start = value::first_model(remaining, &times, clock::millis(self.left()) / goal_ms, &worth);
+        if start.is_shed {
+            self.count_shed_quality("start");
+        }
+        Some(start.model)
+    }
+
+    /// Returns the request's rank; a team's own takes precedence over its route's.
+    fn rank(&self) -> u8 {
+        self.admission.customer.as_ref().and_then(|customer| customer.rank).unwrap_or(self.admission.route.rank)
+    }
+
+    /// Returns the value of a right answer in time as a multiple of the largest model's price;
+    /// `None` if fixed thresholds decide.
+    fn right_answer_value(&self) -> Option<f64> {
+        match &self.dispatcher.settings.policies.ladder {
+            Ladder::Fixed => None,
+            Ladder::ExpectedValue { values } => Some(value::of_rank(values, self.rank())),
+        }
+    }
+
+    /// Returns the price of a run of each model, relative to that of the largest.
+    fn prices(&self) -> Vec<f64> {
+        (0..self.admission.route.models.len()).map(|model| self.relative_cost(Some(model))).collect()
+    }
+
+    /// Returns the demand for a service over its capacity; 0 while nothing measures it.
+    #[expect(clippy::unused_self, reason = "the dispatcher will know the demand")]
+    fn pressure(&self, _service: &str) -> f64 {
+        0.0
+    }
+
+    /// Counts a request that gets a smaller model because of pressure.
+    fn count_shed_quality(&self, at: &'static str) {
+        metrics::counter!("relay_quality_shed_total", "at" => at, "rank" => self.rank().min(9).to_string())
+            .increment(1);
     }
 
     /// Returns the largest model that has processed the prompt of a stream that the caller
@@ -142,13 +198,7 @@
             headers.insert(names.model.clone(), request_params::value(&model.name));
         }
         if self.params.tokens.is_some() {
-            let rank = self
-                .admission
-                .customer
-                .as_ref()
-                .and_then(|customer| customer.rank)
-                .unwrap_or(self.admission.route.rank);
-            headers.insert(names.rank.clone(), request_params::value(&rank.min(9).to_string()));
+            headers.insert(names.rank.clone(), request_params::value(&self.rank().min(9).to_string()));
         }
         if let Some(source) = run.source {
             headers.insert(names.copy_from.clone(), request_params::value(&source.to_string()));
@@ -165,10 +215,13 @@
     }
 
     /// Returns the larger model to ask instead of accepting an answer, if any.
-    pub(super) fn escalation(&self, answer: &Answer, model: Option<usize>) -> Option<usize> {
+    pub(super) fn escalation(&self, answer: &Answer, model: Option<usize>) -> Option<Escalation> {
         let index = model?;
         let confidence = self.confidence(answer);
         let models = self.admission.route.models.len();
+        if let (Some(confidence), Some(model)) = (confidence, self.admission.route.models.get(index)) {
+            metrics::histogram!("relay_confidence", "model" => model.name.clone()).record(f64::from(confidence));
+        }
         if self.resumed_model(models) == Some(index) {
             return None;
         }
@@ -177,10 +230,19 @@
             allowance: self.dispatcher.allows_extra_dispatch(&self.service, Purpose::Escalation),
         };
         let outlooks: Vec<Outlook> = (0..models).map(|model| self.outlook(model)).collect();
-        match ladder::next_step(index, confidence, self.admission.urgency, remaining, &outlooks) {
-            Step::Keep => None,
-            Step::Escalate(next) => Some(next),
+        let Some(right_answer) = self.right_answer_value() else {
+            let step = ladder::next_step(index, confidence, self.admission.urgency, remaining, &outlooks);
+            return Escalation::from_step(step, "confidence below the fixed threshold", None);
+        };
+        let prices = self.prices();
+        let worth = Worth { right_answer, prices: &prices, pressure: self.pressure(&self.service) };
+        let is_late = clock::now().saturating_sub(self.started) > self.admission.route.target_time;
+        let decision = value::next_step(value::Answer { index, confidence, is_late }, remaining, &outlooks, &worth);
+        if decision.is_shed {
+            self.count_shed_quality("answer");
         }
+        tracing::debug!(request = self.params.id, confidence, decision = ?decision, "answer weighed");
+        Escalation::from_step(decision.step, "expected gain exceeds the price", decision.gain)
     }
 
     /// Returns the model's confidence in its answer.
@@ -206,3 +268,12 @@
         }
     }
 }
+
+impl Escalation {
+    fn from_step(step: Step, reason: &'static str, gain: Option<f64>) -> Option<Self> {
+        match step {
+            Step::Keep => None,
+            Step::Escalate(to) => Some(Self { to, reason, gain }),
+        }
+    }
+}
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -175,19 +175,21 @@
         let stream = matches!(self.admission.route.kind, Kind::Stream { .. });
         if status.is_success() && stream {
             run.record_verdict(false);
-            if let Some(next) = self.escalation(&answer, *model) {
+            if let Some(escalation) = self.escalation(&answer, *model) {
                 tracing::info!(
                     request = self.params.id,
                     content = %self.work.request,
                     endpoint = run.endpoint.id,
                     from = *model,
-                    to = next,
+                    to = escalation.to,
                     confidence = self.confidence(&answer),
                     urgency = ?self.admission.urgency,
+                    reason = escalation.reason,
+                    gain = escalation.gain,
                     took_ms = clock::millis(clock::now().saturating_sub(self.started)),
                     "answer dropped for a larger model"
                 );
-                *model = Some(next);
+                *model = Some(escalation.to);
                 return NextStep::Retry;
             }
             return {
--- a/crates/relay/tests/it/main.rs
+++ b/crates/relay/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod crashing_parts;
 mod evacuations;
+mod ladder_values;
 mod large_pool;
 mod leaving_endpoints;
 mod limits;
