Receive streams ahead of callers, and disconnect those that stop reading

Cause: a stream was received at its caller's pace, so that a slow caller occupied a slot of the endpoint, and one that read nothing kept its response for ever.

Change: a task receives each stream into memory, all of them together up to half of the memory for bodies and each up to what it leaves to the others. Where a request's body finds no memory, the callers that have taken nothing for longest are disconnected first.

--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -35,7 +35,7 @@
 
 use tokio::sync::{Notify, watch};
 
-pub use self::in_flight::{InFlight, Reservation};
+pub use self::in_flight::{InFlight, ReadAheadMemory, Reservation};
 use self::{era::Era, peers::Phase};
 use crate::{
     catalog::Catalog,
@@ -44,6 +44,7 @@
     quarantine,
     settings::Settings,
     source::{Kind, Progress},
+    write_timeout::StalledCallers,
 };
 
 /// Share of the grace period, from its start, in which callers may not know yet that the
@@ -74,6 +75,8 @@
     pub settings: Settings,
     /// Names of headers and paths on the wire.
     pub dialect: Dialect,
+    /// Callers that have stopped reading their responses.
+    pub(crate) stalled_callers: Arc<StalledCallers>,
     /// When this value was created, which is the start of the instance.
     created_at: Duration,
     /// Signals progress of the start-up, which early requests wait for.
@@ -143,6 +146,8 @@
     session_lifetime: Duration,
     /// Memory that bodies of requests and answers occupy, in bytes.
     held_body_bytes: usize,
+    /// Part of it that streams occupy which are received ahead of their callers, in bytes.
+    read_ahead_bytes: usize,
 }
 
 /// What an instance has learned about endpoints since its start.
@@ -181,10 +186,12 @@
             in_flight: 0,
             session_lifetime: settings.max_session_pause,
             held_body_bytes: 0,
+            read_ahead_bytes: 0,
         };
         Arc::new(Self {
             settings,
             dialect,
+            stalled_callers: Arc::default(),
             created_at: clock::now(),
             startup_progressed: Notify::new(),
             urgent_news: Notify::new(),
--- a/crates/relay/src/dispatcher/in_flight.rs
+++ b/crates/relay/src/dispatcher/in_flight.rs
@@ -2,7 +2,11 @@
 
 use std::sync::Arc;
 
-use super::Dispatcher;
+use super::{Dispatcher, State};
+
+/// Part of the memory for bodies, as a divisor, that streams received ahead of their callers may
+/// take. The rest is left to requests and whole answers, which are refused or lost without it.
+const READ_AHEAD_DIVISOR: usize = 2;
 
 impl Dispatcher {
     /// Returns the number of requests without a complete answer.
@@ -23,6 +27,18 @@
     pub fn reserve_body_memory(self: &Arc<Self>) -> Reservation {
         Reservation { dispatcher: Arc::clone(self), bytes: 0 }
     }
+
+    /// Returns an empty reservation of the memory for streams received ahead of their callers.
+    #[must_use]
+    pub fn reserve_read_ahead_memory(self: &Arc<Self>) -> ReadAheadMemory {
+        ReadAheadMemory(self.reserve_body_memory())
+    }
+
+    /// Returns the memory that bodies of requests and answers occupy, in bytes.
+    #[must_use]
+    pub fn held_body_bytes(&self) -> usize {
+        self.lock().held_body_bytes
+    }
 }
 
 /// A guard that counts a request as in flight until it is dropped.
@@ -90,3 +106,45 @@
         self.dispatcher.lock().held_body_bytes -= self.bytes;
     }
 }
+
+/// Memory reserved for a stream that is received ahead of its caller; dropping it releases the
+/// memory.
+#[derive(Debug)]
+pub struct ReadAheadMemory(Reservation);
+
+impl ReadAheadMemory {
+    /// Reserves `bytes` more and returns true, or returns false if the stream would take more than
+    /// it leaves to other streams.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        let dispatcher = Arc::clone(&self.0.dispatcher);
+        let limit = dispatcher.settings.body_memory / READ_AHEAD_DIVISOR;
+        let used = dispatcher.lock().read_ahead_bytes + bytes;
+        if used + self.0.bytes + bytes > limit || !self.0.grow_within_share(bytes) {
+            return false;
+        }
+        dispatcher.lock().count_read_ahead(bytes, 0);
+        true
+    }
+
+    /// Releases `bytes`, which were reserved before.
+    pub fn shrink(&mut self, bytes: usize) {
+        let bytes = bytes.min(self.0.bytes);
+        self.0.resize_within_share(self.0.bytes - bytes);
+        self.0.dispatcher.lock().count_read_ahead(0, bytes);
+    }
+}
+
+impl Drop for ReadAheadMemory {
+    fn drop(&mut self) {
+        self.0.dispatcher.lock().count_read_ahead(0, self.0.bytes);
+    }
+}
+
+impl State {
+    /// Changes the memory that streams received ahead of their callers occupy.
+    fn count_read_ahead(&mut self, more: usize, less: usize) {
+        self.read_ahead_bytes = (self.read_ahead_bytes + more).saturating_sub(less);
+        #[expect(clippy::cast_precision_loss, reason = "memory is far below 2^53 bytes")]
+        metrics::gauge!("relay_read_ahead_bytes").set(self.read_ahead_bytes as f64);
+    }
+}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -13,6 +13,7 @@
 mod forwarding;
 mod hop;
 mod plan;
+mod read_ahead;
 mod stream;
 mod tries;
 
@@ -26,6 +27,7 @@
     clock,
     dispatcher::Dispatcher,
     request_params::{RequestParams, end_to_end},
+    write_timeout::WriteTimeout,
 };
 
 pub use forwarding::is_forwarded;
@@ -41,10 +43,14 @@
 
 /// Serves one request and returns the response.
 pub async fn serve(dispatcher: Arc<Dispatcher>, request: Request<Incoming>, origin: Origin) -> Response<Body> {
+    let write_timeout = request.extensions().get::<WriteTimeout>().cloned();
     let mut exchange = match admit::admit(&dispatcher, request, origin).await {
         Ok(exchange) => exchange,
         Err((params, refusal)) => return refuse(&dispatcher, &params, &refusal, None, origin),
     };
+    if let Some(write_timeout) = write_timeout {
+        write_timeout.set(exchange.limit.saturating_sub(exchange.started), &dispatcher.stalled_callers);
+    }
     let limit = tokio::time::Instant::now() + exchange.left();
     let mut response = match tokio::time::timeout_at(limit, exchange.run()).await {
         Ok(Ok(tries::AcceptedAnswer::Whole(response))) => response,
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -10,7 +10,7 @@
     content::{Content, Work},
     ladder::Urgency,
 };
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::{Origin, forwarding, tries::Exchange};
 use crate::{
@@ -31,6 +31,11 @@
 /// Maximum number of bytes of a refused request's body that are read.
 const MAX_DISCARDED_BYTES: usize = 4 << 20;
 
+/// Interval, and number of times, in which memory is looked for after a caller was disconnected. Its
+/// connection's task releases the memory when it runs next.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(2);
+const MAX_RELEASE_CHECKS: u32 = 25;
+
 /// Deadline of a request that gives none.
 const DEFAULT_DEADLINE: Duration = Duration::from_mins(1);
 
@@ -107,7 +112,8 @@
     let limit = started + time.saturating_sub(ANSWER_TIME_RESERVE);
     let max_bytes = dispatcher.catalog().map_or(0, |catalog| catalog.limits.body_bytes);
     let mut memory = dispatcher.reserve_body_memory();
-    let body = timeout(time, read_body(body, max_bytes, &mut memory)).await.unwrap_or(Err(Refusal::Truncated))?;
+    let body =
+        timeout(time, read_body(dispatcher, body, max_bytes, &mut memory)).await.unwrap_or(Err(Refusal::Truncated))?;
     Ok(Received { started, limit, admission, memory, body })
 }
 
@@ -201,7 +207,12 @@
 }
 
 /// Reads a body of up to `max_bytes` bytes and accounts for its memory in `reservation`.
-async fn read_body(body: &mut Incoming, max_bytes: usize, reservation: &mut Reservation) -> Result<Bytes, Refusal> {
+async fn read_body(
+    dispatcher: &Dispatcher,
+    body: &mut Incoming,
+    max_bytes: usize,
+    reservation: &mut Reservation,
+) -> Result<Bytes, Refusal> {
     if body.size_hint().lower() > u64::try_from(max_bytes).unwrap_or(u64::MAX) {
         return Err(Refusal::TooLarge);
     }
@@ -213,10 +224,29 @@
         }
         // Thousands of slow callers with long bodies could otherwise use up the memory and
         // get the process killed, with all requests in flight.
-        if !reservation.grow(data.len()) {
+        if !reserve(dispatcher, reservation, data.len()).await {
             return Err(Refusal::Memory);
         }
         whole.extend_from_slice(&data);
     }
     Ok(whole.freeze())
 }
+
+/// Reserves `bytes` more and returns true, or returns false if there is no memory.
+///
+/// Callers that have stopped reading lose their responses first: a request must not be refused
+/// because of them.
+async fn reserve(dispatcher: &Dispatcher, reservation: &mut Reservation, bytes: usize) -> bool {
+    if reservation.grow(bytes) {
+        return true;
+    }
+    while dispatcher.stalled_callers.disconnect_longest() {
+        for _ in 0..MAX_RELEASE_CHECKS {
+            if reservation.grow(bytes) {
+                return true;
+            }
+            sleep(RELEASE_INTERVAL).await;
+        }
+    }
+    false
+}
--- /dev/null
+++ b/crates/relay/src/exchange/read_ahead.rs
@@ -0,0 +1,178 @@
+//! Receives a stream ahead of its caller.
+//!
+//! A caller may read more slowly than an endpoint writes. If the stream were received at the
+//! caller's pace, its run would occupy a slot of the endpoint for as long as the caller takes. So a
+//! task of its own receives the stream into memory, and the run ends when the endpoint has ended it.
+//! The response consists of the same frames in the same order.
+//!
+//! The memory of all streams together is a part of the memory for bodies, and one stream takes no
+//! more of it than it leaves to others. A stream that has used up its share is received at its
+//! caller's pace. Dropping the response, as happens when the caller disconnects, ends the task and
+//! cancels the run.
+
+use std::{
+    collections::VecDeque,
+    io,
+    pin::Pin,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    task::{Context, Poll, Waker},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures::{Stream, StreamExt};
+use hyper::body::{Body, Frame};
+use tokio::{sync::Notify, time::timeout};
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::dispatcher::{Dispatcher, InFlight, ReadAheadMemory};
+
+/// Memory that a frame takes besides its bytes. Without it, events of a few bytes each would take
+/// several times what is counted.
+const FRAME_OVERHEAD_BYTES: usize = 96;
+
+/// Time after which a stream without memory tries to reserve some again, since others may have
+/// released theirs.
+const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Body of a response whose stream is received ahead of the caller.
+#[derive(Debug)]
+pub struct ReadAhead {
+    queue: Arc<Queue>,
+    receiving: AbortOnDropHandle<io::Result<()>>,
+    /// How the stream ended, once it has.
+    end: Option<io::Result<()>>,
+    /// Counts the request as in flight until the caller has all of the response.
+    in_flight: Option<InFlight>,
+}
+
+impl ReadAhead {
+    /// Starts to receive a stream.
+    pub fn spawn(
+        dispatcher: &Arc<Dispatcher>,
+        frames: impl Stream<Item = io::Result<Frame<Bytes>>> + Send + 'static,
+        in_flight: Option<InFlight>,
+    ) -> Self {
+        let queue = Arc::new(Queue::new(dispatcher.reserve_read_ahead_memory()));
+        let receiving = AbortOnDropHandle::new(tokio::spawn(receive(frames, Arc::clone(&queue))));
+        Self { queue, receiving, end: None, in_flight }
+    }
+
+    /// Notes how the stream ended.
+    fn poll_end(&mut self, cx: &mut Context<'_>) {
+        if self.end.is_some() {
+            return;
+        }
+        if let Poll::Ready(end) = Pin::new(&mut self.receiving).poll(cx) {
+            self.end = Some(end.unwrap_or_else(|error| Err(io::Error::other(error))));
+        }
+    }
+}
+
+impl Body for ReadAhead {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        // Before the queue: frames that arrive in between are in it, and not lost.
+        self.poll_end(cx);
+        if let Some(frame) = self.queue.pop() {
+            return Poll::Ready(Some(Ok(Frame::data(frame))));
+        }
+        if let Some(end) = self.end.take() {
+            self.end = Some(Ok(()));
+            self.in_flight = None;
+            return Poll::Ready(end.err().map(Err));
+        }
+        if self.queue.wake_when_filled(cx) { Poll::Pending } else { self.poll_frame(cx) }
+    }
+}
+
+/// Receives frames until the stream ends.
+async fn receive(frames: impl Stream<Item = io::Result<Frame<Bytes>>> + Send, queue: Arc<Queue>) -> io::Result<()> {
+    let mut frames = std::pin::pin!(frames);
+    while let Some(frame) = frames.next().await {
+        if let Ok(bytes) = frame?.into_data() {
+            queue.push(bytes).await;
+        }
+    }
+    Ok(())
+}
+
+/// Frames that were received and not taken by the caller yet.
+#[derive(Debug)]
+struct Queue {
+    state: Mutex<State>,
+    /// Notified when the caller has taken a frame.
+    taken: Notify,
+}
+
+#[derive(Debug)]
+struct State {
+    frames: VecDeque<Held>,
+    memory: ReadAheadMemory,
+    /// Task that waits for a frame.
+    waiting: Option<Waker>,
+}
+
+/// A frame, and how much memory is reserved for it.
+#[derive(Debug)]
+struct Held {
+    bytes: Bytes,
+    reserved: usize,
+}
+
+impl Queue {
+    fn new(memory: ReadAheadMemory) -> Self {
+        let state = State { frames: VecDeque::new(), memory, waiting: None };
+        Self { state: Mutex::new(state), taken: Notify::new() }
+    }
+
+    /// Adds a frame, and waits first until there is memory for it. One frame is always held.
+    async fn push(&self, bytes: Bytes) {
+        while !self.try_push(&bytes) {
+            // The end of the wait needs no notice: the memory is checked again in any case.
+            let _ = timeout(RETRY_INTERVAL, self.taken.notified()).await;
+        }
+    }
+
+    fn try_push(&self, bytes: &Bytes) -> bool {
+        let mut state = self.lock();
+        let wanted = bytes.len() + FRAME_OVERHEAD_BYTES;
+        let is_reserved = state.memory.grow(wanted);
+        if !is_reserved && !state.frames.is_empty() {
+            return false;
+        }
+        let reserved = if is_reserved { wanted } else { 0 };
+        state.frames.push_back(Held { bytes: bytes.clone(), reserved });
+        if let Some(waiting) = state.waiting.take() {
+            waiting.wake();
+        }
+        true
+    }
+
+    /// Takes the first frame and releases its memory.
+    fn pop(&self) -> Option<Bytes> {
+        let mut state = self.lock();
+        let Held { bytes, reserved } = state.frames.pop_front()?;
+        state.memory.shrink(reserved);
+        drop(state);
+        self.taken.notify_one();
+        Some(bytes)
+    }
+
+    /// Wakes a task when there is a frame; returns false if there is one already.
+    fn wake_when_filled(&self, cx: &Context<'_>) -> bool {
+        let mut state = self.lock();
+        if !state.frames.is_empty() {
+            return false;
+        }
+        state.waiting = Some(cx.waker().clone());
+        true
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        // A panic ends one stream at worst, and must not end those who look at it.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/relay/src/exchange/stream.rs
+++ b/crates/relay/src/exchange/stream.rs
@@ -1,16 +1,17 @@
 //! Forwards a stream to the caller and resumes it at another endpoint if a run breaks.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::Response;
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::BodyExt;
 use hyper::body::Frame;
 
 use super::{
     forwarded_headers,
     forwarding::INSTANCE_GONE,
     hop::Hop,
+    read_ahead::ReadAhead,
     tries::{ActiveStream, Exchange},
 };
 use crate::{
@@ -67,7 +68,7 @@
 }
 
 /// Returns the response to a caller whose stream has begun.
-pub fn forward(exchange: Exchange, active: ActiveStream) -> Response<Body> {
+pub fn forward(mut exchange: Exchange, active: ActiveStream) -> Response<Body> {
     let mut response = Response::new(());
     *response.status_mut() = active.answer.response.status();
     let confidence = exchange.confidence(&active.answer);
@@ -78,7 +79,8 @@
         }
         Hop::Instance(_) => forwarded_headers(&active.answer.response),
     };
-    response.map(|()| StreamBody::new(event_frames(exchange, active)).boxed_unsync())
+    let (dispatcher, in_flight) = (Arc::clone(&exchange.dispatcher), exchange.in_flight.take());
+    response.map(|()| ReadAhead::spawn(&dispatcher, event_frames(exchange, active), in_flight).boxed_unsync())
 }
 
 /// Returns the stream's whole events as body frames. If the stream cannot be resumed, it
@@ -164,7 +166,6 @@
             };
             advanced_at = clock::now();
         }
-        drop(exchange.in_flight.take());
     }
 }
 
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -14,7 +14,10 @@
 use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::answer::Body;
+use crate::{
+    answer::Body,
+    write_timeout::{TimedStream, WriteTimeout},
+};
 
 /// Maximum number of connections waiting to be accepted. When many callers reconnect at
 /// once, a full queue would drop first packets, which are resent only a second later.
@@ -70,8 +73,11 @@
             continue;
         }
         let serve = Arc::clone(&serve);
+        let write_timeout = WriteTimeout::default();
+        let stream = TimedStream::new(stream, write_timeout.clone());
         let service = service_fn(move |mut request: Request<Incoming>| {
             request.extensions_mut().insert(caller_ip);
+            request.extensions_mut().insert(write_timeout.clone());
             let answer = serve(request);
             async move { Ok::<_, Infallible>(answer.await) }
         });
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,7 +15,8 @@
 //!   `inquiry` answers them whether an endpoint accepts connections;
 //! - `front` and `directory` accept connections; `exchange` handles one request,
 //!   `upstream` sends it to one endpoint, `events` splits event streams so that
-//!   they can be resumed at another endpoint.
+//!   they can be resumed at another endpoint, and `write_timeout` closes connections whose
+//!   callers have stopped reading.
 //!
 //! Decisions are made in [`route::relay`]. The names of headers, paths and body
 //! formats are passed in as a [`dialect::Dialect`].
@@ -49,6 +50,7 @@
 pub mod source;
 mod statements;
 mod upstream;
+mod write_timeout;
 
 pub use handle::{Error, Handle, spawn};
 pub use settings::Settings;
--- a/crates/relay/tests/it/main.rs
+++ b/crates/relay/tests/it/main.rs
@@ -29,6 +29,7 @@
 mod shutdown;
 #[expect(dead_code, reason = "shared with the other tests of the relay")]
 mod site;
+mod slow_readers;
 mod stale_catalog;
 mod startup;
 mod streams;
