--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -14,6 +14,7 @@
 mod forwarding;
 mod hop;
 mod plan;
+mod read_ahead;
 mod stream;
 mod tries;
 
@@ -28,6 +29,7 @@
     dispatcher::Dispatcher,
     request_params::{RequestParams, end_to_end},
     unsent::Unsent,
+    write_timeout::WriteTimeout,
 };
 
 pub use forwarding::is_forwarded;
@@ -44,10 +46,14 @@
 /// Serves one request and returns the response.
 pub async fn serve(dispatcher: Arc<Dispatcher>, request: Request<Incoming>, origin: Origin) -> Response<Body> {
     let unsent = request.extensions().get::<Unsent>().cloned().unwrap_or_default();
+    let write_timeout = request.extensions().get::<WriteTimeout>().cloned();
     let (mut exchange, in_flight) = match admit::admit(&dispatcher, request, origin).await {
         Ok(admitted) => admitted,
         Err((params, refusal)) => return refuse(&dispatcher, &params, &refusal, None, origin),
     };
+    if let Some(write_timeout) = write_timeout {
+        write_timeout.set(exchange.limit.saturating_sub(exchange.started), &dispatcher.stalled_callers);
+    }
     let limit = tokio::time::Instant::now() + exchange.left();
     let result = tokio::select! {
         biased;
--- a/crates/relay/src/exchange/stream.rs
+++ b/crates/relay/src/exchange/stream.rs
@@ -1,16 +1,17 @@
 //! Forwards a stream to the caller and resumes it at another endpoint if a run breaks.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::Response;
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::BodyExt;
 use hyper::body::Frame;
 
 use super::{
     forwarded_headers,
     forwarding::INSTANCE_GONE,
     hop::Hop,
+    read_ahead::ReadAhead,
     tries::{ActiveStream, Exchange},
 };
 use crate::{
@@ -78,7 +79,8 @@
         }
         Hop::Instance(_) => forwarded_headers(&active.answer.response),
     };
-    response.map(|()| StreamBody::new(event_frames(exchange, active)).boxed_unsync())
+    let dispatcher = Arc::clone(&exchange.dispatcher);
+    response.map(|()| ReadAhead::spawn(&dispatcher, event_frames(exchange, active)).boxed_unsync())
 }
 
 /// Returns the stream's whole events as body frames. If the stream cannot be resumed, it
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -17,6 +17,7 @@
 use crate::{
     answer::Body,
     unsent::{Connection, Unsent},
+    write_timeout::{TimedStream, WriteTimeout},
 };
 
 /// Maximum number of connections waiting to be accepted. When many callers reconnect at
@@ -73,11 +74,13 @@
             continue;
         }
         let serve = Arc::clone(&serve);
-        let unsent = Unsent::default();
+        let (unsent, write_timeout) = (Unsent::default(), WriteTimeout::default());
+        let stream = TimedStream::new(stream, write_timeout.clone());
         let connection = Connection::new(stream, unsent.clone());
         let service = service_fn(move |mut request: Request<Incoming>| {
             request.extensions_mut().insert(caller_ip);
             request.extensions_mut().insert(unsent.clone());
+            request.extensions_mut().insert(write_timeout.clone());
             let answer = serve(request);
             async move { Ok::<_, Infallible>(answer.await) }
         });
--- a/crates/relay/src/unsent.rs
+++ b/crates/relay/src/unsent.rs
@@ -15,12 +15,9 @@
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, SizeHint};
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
-};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use crate::{answer::Body, dispatcher::InFlight};
+use crate::{answer::Body, dispatcher::InFlight, write_timeout::TimedStream};
 
 /// Requests of one connection whose responses it holds.
 #[derive(Debug, Clone, Default)]
@@ -77,14 +74,14 @@
 /// A connection to a caller that knows which responses it has not written yet.
 #[derive(Debug)]
 pub struct Connection {
-    stream: TcpStream,
+    stream: TimedStream,
     unsent: Unsent,
 }
 
 impl Connection {
     /// Wraps a connection; `unsent` receives the requests whose responses were handed to it.
     #[must_use]
-    pub fn new(stream: TcpStream, unsent: Unsent) -> Self {
+    pub fn new(stream: TimedStream, unsent: Unsent) -> Self {
         Self { stream, unsent }
     }
 }
--- a/crates/relay/tests/it/main.rs
+++ b/crates/relay/tests/it/main.rs
@@ -11,6 +11,7 @@
 mod crashes;
 mod crashing_parts;
 mod evacuations;
+mod ladder_values;
 mod large_pool;
 mod learned_capacity;
 mod leaving_endpoints;
@@ -30,6 +31,7 @@
 mod shutdown;
 #[expect(dead_code, reason = "shared with the other tests of the relay")]
 mod site;
+mod slow_readers;
 mod stale_catalog;
 mod startup;
 mod streams;
