Extend the admission queue with paced runs, and divide capacity among teams

Cause: only endpoints decided which requests are served, which favours whoever sends most often. Change: the queue can pace runs by cost and order a customer's requests by rank, deadline and size; new pure modules measure demands, divide the capacity by max-min fairness, pace it with a token bucket and correct it by observed waits and rejections.

--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -4,16 +4,29 @@
 //! its weight (start-time fair queueing). Within one customer, the earliest deadline
 //! goes first. A request that would not finish by its deadline is refused on arrival,
 //! with a time after which to retry, instead of waiting in vain.
+//!
+//! A queue limits either the number of runs at a time ([`Queue::new`]) or the cost of the
+//! runs that start in a time ([`Queue::paced`]). In the second case a customer's requests
+//! are ordered by rank, then by deadline, then by size ([`Order`]); [`share`] divides the
+//! capacity among customers and instances, and [`demand`], [`capacity`] and [`bucket`]
+//! measure and pace it.
 
+pub mod bucket;
+pub mod capacity;
+pub mod demand;
 mod flow;
+mod order;
 mod rate;
+pub mod share;
 
 use std::{collections::HashMap, fmt};
 
 use slotmap::SlotMap;
 use world::{Millis, Timestamp, contract::Customer};
 
-use flow::Flow;
+use flow::{Flow, Place};
+use order::Fit;
+pub use order::{Order, Pace};
 use rate::CompletionRate;
 
 slotmap::new_key_type! {
@@ -118,12 +131,15 @@
     arrived_at: Timestamp,
     run_ms: Millis,
     draw: u64,
+    order: Order,
 }
 
 /// Requests that wait to run, and the number of running ones.
 #[derive(Debug)]
 pub struct Queue {
     limit: u32,
+    /// Rate at which cost may start, if that is what limits the runs.
+    pace: Option<Pace>,
     running: u32,
     flows: HashMap<Customer, Flow>,
     waiting: SlotMap<Key, WaitingRequest>,
@@ -137,6 +153,7 @@
     pub fn new(limit: u32) -> Self {
         Self {
             limit: limit.max(1),
+            pace: None,
             running: 0,
             flows: HashMap::new(),
             waiting: SlotMap::with_key(),
@@ -145,6 +162,18 @@
         }
     }
 
+    /// Returns an empty queue that lets cost start at a rate, whatever the number of runs. The
+    /// caller decides when the next request may run.
+    #[must_use]
+    pub fn paced() -> Self {
+        Self { pace: Some(Pace::default()), ..Self::new(u32::MAX) }
+    }
+
+    /// Changes the rate at which cost may start.
+    pub fn set_pace(&mut self, pace: Pace) {
+        self.pace = Some(pace);
+    }
+
     /// Changes the maximum number of requests that run at a time.
     pub fn set_limit(&mut self, limit: u32) {
         self.limit = limit.max(1);
@@ -168,8 +197,20 @@
     ///
     /// Returns a [`Refusal`]; the request has not run and is not in the queue.
     pub fn offer(&mut self, ticket: &Ticket<'_>, now: Timestamp) -> Result<Key, Refusal> {
-        let left_ms = ticket.deadline.since(now);
-        let wait_ms = self.expected_wait_ms(ticket);
+        self.offer_ordered(ticket, Order::default(), now)
+    }
+
+    /// Adds a request with its place among those of its customer, or refuses it immediately.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Refusal`]; the request has not run and is not in the queue.
+    pub fn offer_ordered(&mut self, ticket: &Ticket<'_>, order: Order, now: Timestamp) -> Result<Key, Refusal> {
+        let left_ms = order.latest_end.unwrap_or(ticket.deadline).since(now);
+        let wait_ms = match self.pace {
+            Some(pace) => self.paced_wait_ms(ticket, order, pace),
+            None => self.expected_wait_ms(ticket),
+        };
         let late_by = (wait_ms + self.required_ms(ticket.run_ms)).saturating_sub(left_ms);
         if late_by > 0 {
             return Err(refusal(Cause::Deadline { wait_ms, left_ms }, late_by, ticket.draw));
@@ -183,6 +224,7 @@
             arrived_at: now,
             run_ms: ticket.run_ms,
             draw: ticket.draw,
+            order,
         };
         let key = self.waiting.insert(waiting);
         if self.flows.len() >= MIN_FLOWS_FOR_CLEANUP {
@@ -192,7 +234,7 @@
             });
         }
         let flow = self.flows.entry(ticket.customer.clone()).or_default();
-        flow.push(key, ticket, self.virtual_time);
+        flow.push(place(ticket.deadline, order, key), ticket.weight, self.virtual_time, self.pace.is_some());
         Ok(key)
     }
 
@@ -204,17 +246,23 @@
         if self.running >= self.limit {
             return None;
         }
-        let in_time = |key: &Key| self.waiting.get(*key).is_some_and(|w| w.deadline.since(now) >= w.run_ms);
-        let candidates = self.flows.iter().filter_map(|(id, flow)| Some((id, flow.start(), flow.earliest(in_time)?)));
+        let fit = |key: Key| self.waiting.get(key).map_or(Fit::Never, |w| w.order.fit(w.deadline, w.run_ms, now));
+        let is_bounded = self.pace.is_some();
+        let next = |flow: &Flow| flow.next(fit, is_bounded);
+        let candidates = self.flows.iter().filter_map(|(id, flow)| Some((id, flow.start(), next(flow)?)));
         let (customer, start, key) = candidates.min_by(|(a, x, _), (b, y, _)| x.total_cmp(y).then(a.cmp(b)))?;
 
         let customer = customer.clone();
         let waiting = self.waiting.remove(key)?;
         let flow = self.flows.get_mut(&customer)?;
         self.virtual_time = self.virtual_time.max(start);
-        flow.remove(key, waiting.deadline);
-        flow.charge(waiting.run_ms, start, now);
-        self.running += 1;
+        flow.count_passes(key);
+        flow.remove(place(waiting.deadline, waiting.order, key));
+        let amount = if is_bounded { waiting.order.cost } else { as_f64(waiting.run_ms.max(1)) };
+        flow.charge(amount, start, now);
+        if !is_bounded {
+            self.running += 1;
+        }
         let slack_ms = waiting.deadline.since(now).saturating_sub(waiting.run_ms);
         let priority = self.priority(&customer, slack_ms, waiting.run_ms, now);
         let waited_ms = now.since(waiting.arrived_at);
@@ -232,7 +280,7 @@
     pub fn cancel(&mut self, key: Key) -> bool {
         let Some(waiting) = self.waiting.remove(key) else { return false };
         if let Some(flow) = self.flows.get_mut(&waiting.customer) {
-            flow.remove(key, waiting.deadline);
+            flow.remove(place(waiting.deadline, waiting.order, key));
         }
         true
     }
@@ -273,6 +321,27 @@
         self.rate.time_for(turns).unwrap_or_else(|| turns * ticket.run_ms / u64::from(self.limit))
     }
 
+    /// Returns the expected time in the queue of a request that arrives now at a paced queue,
+    /// in milliseconds.
+    ///
+    /// The cost ahead of it is that of its customer's requests that go first, divided by the
+    /// customer's share of the rate, but at most that of all waiting requests. Requests of its
+    /// rank have a rate of their own where higher ranks leave them only a part of the share.
+    fn paced_wait_ms(&self, ticket: &Ticket<'_>, order: Order, pace: Pace) -> Millis {
+        let cost = |key: Key| self.waiting.get(key).map_or(0.0, |w| w.order.cost);
+        let active = self.flows.iter().filter(|(id, flow)| !flow.is_empty() && *id != ticket.customer);
+        let other_weights: f64 = active.map(|(_, flow)| f64::from(flow.weight())).sum();
+        let own_weight = f64::from(ticket.weight.max(1));
+        let here = place(ticket.deadline, order, Key::default());
+        let flow = self.flows.get(ticket.customer);
+        let ahead = flow.map_or(0.0, |flow| flow.cost_ahead(here, cost));
+        let all: f64 = self.waiting.values().map(|w| w.order.cost).sum();
+        let by_share = (ahead * (own_weight + other_weights) / own_weight).min(all);
+        let by_rank = flow.map_or(0.0, |flow| flow.cost_of_rank(order.rank, cost));
+        let by_rank_ms = order.rank_per_ms.map_or(0.0, |per_ms| by_rank / per_ms.max(f64::MIN_POSITIVE));
+        to_millis(((by_share + pace.debt) / pace.per_ms.max(f64::MIN_POSITIVE)).max(by_rank_ms))
+    }
+
     /// Returns the time between the start of a run and the deadline that admission
     /// requires, in milliseconds.
     ///
@@ -281,7 +350,8 @@
     /// admission, half of the requests that only just fit would run and finish too
     /// late.
     fn required_ms(&self, expected_ms: Millis) -> Millis {
-        if self.waiting.is_empty() && self.running < self.limit {
+        let is_idle = self.pace.is_none_or(|pace| pace.debt <= 0.0) && self.running < self.limit;
+        if self.waiting.is_empty() && is_idle {
             return expected_ms;
         }
         expected_ms * BACKLOG_RUN_PERCENT / 100
@@ -306,6 +376,21 @@
     }
 }
 
+/// Returns a request's place among those of its customer.
+fn place(deadline: Timestamp, order: Order, key: Key) -> Place {
+    Place { rank: order.rank, deadline, size: order.size, key }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "run times are far below 2^52 milliseconds")]
+fn as_f64(millis: Millis) -> f64 {
+    millis as f64
+}
+
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "clamped")]
+fn to_millis(millis: f64) -> Millis {
+    millis.clamp(0.0, 1e12).ceil() as Millis
+}
+
 fn refusal(cause: Cause, after_ms: Millis, draw: u64) -> Refusal {
     let after_ms = after_ms.max(MIN_RETRY_MS);
     let spread = draw % (after_ms / RETRY_SPREAD_DIVISOR + 1);
--- /dev/null
+++ b/crates/route/src/admission/demand.rs
@@ -0,0 +1,104 @@
+//! Measures what callers demand of a service.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+/// Time in which a past request's weight falls to 1/e, in milliseconds. The measurement then
+/// covers about the last second.
+const DECAY_MS: f64 = 500.0;
+
+/// Demand below which a class is forgotten, as a fraction of the service.
+const FORGOTTEN: f64 = 1e-6;
+
+/// Maximum number of teams whose demands are told to other instances.
+pub const MAX_TOLD_TEAMS: usize = 32;
+
+/// Requests of one team and one rank.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Class {
+    /// Short hash of the team's name.
+    pub team: u32,
+    /// Rank of the requests.
+    pub rank: u8,
+}
+
+/// Rate of cost over about the last second.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Meter {
+    sum: f64,
+    updated_at: Duration,
+}
+
+impl Meter {
+    /// Adds a cost in milliseconds of the whole service.
+    pub fn add(&mut self, cost: f64, now: Duration) {
+        self.sum = self.rate(now) * DECAY_MS + cost;
+        self.updated_at = now;
+    }
+
+    /// Returns the rate as a fraction of the service.
+    #[must_use]
+    pub fn rate(&self, now: Duration) -> f64 {
+        let passed_ms = now.saturating_sub(self.updated_at).as_secs_f64() * 1_000.0;
+        self.sum * (-passed_ms / DECAY_MS).exp() / DECAY_MS
+    }
+}
+
+/// Demands of an instance's own callers at a service.
+#[derive(Debug, Default)]
+pub struct Demands {
+    meters: HashMap<Class, Meter>,
+}
+
+impl Demands {
+    /// Records a request of a cost.
+    pub fn record(&mut self, class: Class, cost: f64, now: Duration) {
+        self.meters.entry(class).or_default().add(cost, now);
+    }
+
+    /// Returns the demand of each class as a fraction of the service, and forgets those without
+    /// recent requests.
+    pub fn current(&mut self, now: Duration) -> BTreeMap<Class, f64> {
+        self.meters.retain(|_, meter| meter.rate(now) > FORGOTTEN);
+        self.meters.iter().map(|(class, meter)| (*class, meter.rate(now))).collect()
+    }
+}
+
+/// Demands as an instance tells them to others: those of its largest teams, and what remains.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Summary {
+    /// Demands of the largest teams, as fractions of the service.
+    pub classes: Vec<(Class, f64)>,
+    /// Number of the other teams.
+    pub other_teams: u32,
+    /// Sum of their demands.
+    pub other_demand: f64,
+}
+
+impl Summary {
+    /// Summarizes the demands of an instance's callers.
+    #[must_use]
+    pub fn new(demands: &BTreeMap<Class, f64>) -> Self {
+        let mut teams: BTreeMap<u32, f64> = BTreeMap::new();
+        for (class, demand) in demands {
+            *teams.entry(class.team).or_default() += demand;
+        }
+        let mut by_size: Vec<(u32, f64)> = teams.into_iter().collect();
+        by_size.sort_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
+        let others = by_size.split_off(by_size.len().min(MAX_TOLD_TEAMS));
+        let is_told = |team: u32| by_size.iter().any(|(told, _)| *told == team);
+        Self {
+            classes: demands.iter().filter(|(class, _)| is_told(class.team)).map(|(c, d)| (*c, *d)).collect(),
+            other_teams: u32::try_from(others.len()).unwrap_or(u32::MAX),
+            other_demand: others.iter().map(|(_, demand)| demand).sum(),
+        }
+    }
+
+    /// Returns the sum of all demands.
+    #[must_use]
+    pub fn total(&self) -> f64 {
+        self.classes.iter().map(|(_, demand)| demand).sum::<f64>() + self.other_demand
+    }
+}
