Admit requests by fair shares before they are sent to endpoints

Cause: an instance forwarded every request immediately, so a service above its capacity served whoever sent most. Change: with admission: fair, a gate measures demands, exchanges them with other instances (Packet::Demands), limits teams above their share with a token bucket and a bounded queue, and refuses what would wait for too long.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -10,6 +10,8 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 
+use crate::admission::Refused;
+
 /// Response body sent to a caller; an error closes the caller's connection.
 pub type Body = UnsyncBoxBody<Bytes, io::Error>;
 
@@ -68,6 +70,19 @@
         /// Time after which the caller should come back.
         after: Duration,
     },
+    /// The service is above its capacity, and the request would wait for too long.
+    Overloaded {
+        /// Time until capacity is available.
+        after: Duration,
+        /// Time in which the callers that were refused can be served.
+        spread: Duration,
+        /// Expected time in the queue.
+        wait: Duration,
+        /// Time that was left until the request had to end.
+        left: Duration,
+        /// Age of the oldest demands of another instance that were used.
+        oldest_news: Duration,
+    },
     /// The deadline passed before the request ran.
     Expired,
     /// The request may have run, and no answer came in time.
@@ -106,6 +121,7 @@
             | Self::Quarantined { .. }
             | Self::Throttled { .. }
             | Self::Paused { .. }
+            | Self::Overloaded { .. }
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
@@ -130,13 +146,24 @@
             Self::Memory | Self::NoEndpoint | Self::TurnedAway | Self::Expired => Some(RETRY_AFTER_BUSY),
             // An outage that has lasted for a while is likely to last as long again.
             Self::Unreachable { lost_for } => Some((*lost_for).clamp(RETRY_AFTER_BUSY, MAX_RETRY_AFTER_OUTAGE)),
-            Self::Quarantined { left: after } | Self::Throttled { after } | Self::Paused { after } => Some(*after),
+            Self::Quarantined { left: after }
+            | Self::Throttled { after }
+            | Self::Paused { after }
+            | Self::Overloaded { after, .. } => Some(*after),
             _ => None,
         }
     }
 
-    /// Builds the response; `jitter` from 0 to 1 lengthens `Retry-After` by up to half, so
-    /// that callers do not all retry at once.
+    /// Returns the longest time by which `Retry-After` is lengthened, so that callers do not all
+    /// retry at once.
+    fn retry_spread(&self, after: Duration) -> Duration {
+        match self {
+            Self::Overloaded { spread, .. } => *spread,
+            _ => after / 2,
+        }
+    }
+
+    /// Builds the response; `jitter` from 0 to 1 lengthens `Retry-After`.
     #[must_use]
     pub fn to_response(&self, jitter: f64) -> Response<Body> {
         let mut response = Response::new(text_body(self.to_string()));
@@ -144,13 +171,20 @@
         let headers = response.headers_mut();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain; charset=utf-8"));
         if let Some(after) = self.retry_after() {
-            let seconds = after.as_secs_f64() * (1.0 + 0.5 * jitter);
+            let seconds = after.as_secs_f64() + self.retry_spread(after).as_secs_f64() * jitter;
             headers.insert(header::RETRY_AFTER, crate::request_params::value(&format!("{seconds:.2}")));
         }
         response
     }
 }
 
+impl From<Refused> for Refusal {
+    fn from(refused: Refused) -> Self {
+        let Refused { after, spread, wait, left, oldest_news } = refused;
+        Self::Overloaded { after, spread, wait, left, oldest_news }
+    }
+}
+
 impl fmt::Display for Refusal {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
@@ -173,6 +207,7 @@
             Self::Throttled { .. } | Self::Paused { .. } => {
                 "not run: no endpoint takes more requests now; try again when told"
             }
+            Self::Overloaded { .. } => "not run: the service is above its capacity; try again when told",
             Self::Expired => "not run: its time ran out first",
             Self::TimedOut => "it may have run; no answer came in time",
             Self::Lost => "it may have run; its answer was lost",
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -38,11 +38,12 @@
 pub use self::in_flight::{InFlight, Reservation};
 use self::{era::Era, peers::Phase};
 use crate::{
+    admission::Gate,
     catalog::Catalog,
     clock,
     dialect::Dialect,
     quarantine,
-    settings::Settings,
+    settings::{Admission, Settings},
     source::{Kind, Progress},
 };
 
@@ -74,6 +75,8 @@
     pub settings: Settings,
     /// Names of headers and paths on the wire.
     pub dialect: Dialect,
+    /// Admission control; `None` if the operator has not switched it on.
+    pub gate: Option<Arc<Gate>>,
     /// When this value was created, which is the start of the instance.
     created_at: Duration,
     /// Signals progress of the start-up, which early requests wait for.
@@ -182,9 +185,12 @@
             session_lifetime: settings.max_session_pause,
             held_body_bytes: 0,
         };
+        let is_fair = settings.policies.admission == Admission::Fair;
+        let gate = is_fair.then(|| Gate::new(settings.seeds.len()));
         Arc::new(Self {
             settings,
             dialect,
+            gate,
             created_at: clock::now(),
             startup_progressed: Notify::new(),
             urgent_news: Notify::new(),
--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -20,6 +20,7 @@
 mod run;
 mod selection;
 mod stated;
+mod supply;
 mod warmup;
 mod withdrawals;
 
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -12,6 +12,7 @@
 mod crash_check;
 mod forwarding;
 mod hop;
+mod passage;
 mod plan;
 mod stream;
 mod tries;
@@ -78,6 +79,8 @@
         status = refusal.status().as_u16(),
         route = exchange.map(|e| e.admission.route.name.as_str()),
         service = exchange.map(|e| e.service.as_str()),
+        team = exchange.and_then(|e| e.admission.customer.as_ref()).map(|customer| customer.name.as_str()),
+        rank = exchange.map(tries::Exchange::rank),
         tries = exchange.map(|e| e.sent),
         cause = exchange.map(|e| e.cause.as_str()),
         took_ms = exchange.map(|e| clock::millis(clock::now().saturating_sub(e.started))),
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -147,6 +147,7 @@
         target_draw: rand::random(),
         version: None,
         crash_check: None,
+        permit: None,
         admission,
         params,
     }
--- a/crates/relay/src/exchange/hop.rs
+++ b/crates/relay/src/exchange/hop.rs
@@ -66,7 +66,7 @@
     }
 
     /// Refuses a request that is quarantined because of crashes.
-    fn check_quarantine(&mut self) -> Result<(), Refusal> {
+    pub(super) fn check_quarantine(&mut self) -> Result<(), Refusal> {
         let Some((content, left)) = self.dispatcher.remaining_quarantine(&self.work) else { return Ok(()) };
         self.cause = format!("{content} is quarantined");
         Err(self.refusal_for_caller(Refusal::Quarantined { left }))
--- /dev/null
+++ b/crates/relay/src/exchange/passage.rs
@@ -0,0 +1,75 @@
+//! A request's passage through admission control, and what its runs report there.
+//!
+//! Nothing of this happens unless the operator has switched admission control on.
+
+use std::sync::Arc;
+
+use super::tries::Exchange;
+use crate::{
+    admission::{Entry, Permit},
+    answer::Refusal,
+    catalog::Kind,
+    clock,
+};
+
+impl Exchange {
+    /// Waits until admission control lets the request pass, or returns its refusal. A request
+    /// that another instance has forwarded has passed there.
+    pub(super) async fn pass_gate(&mut self, model: Option<usize>) -> Result<(), Refusal> {
+        let Some(gate) = self.dispatcher.gate.clone() else { return Ok(()) };
+        if self.is_forwarded {
+            return Ok(());
+        }
+        // It would be refused after its wait.
+        self.check_quarantine()?;
+        self.admission.route.target(self.target_draw).ok_or(Refusal::NoRoute)?.clone_into(&mut self.service);
+        let job = self.job(model);
+        let route = &self.admission.route;
+        let passed = clock::now().saturating_sub(self.started);
+        let entry = Entry {
+            service: &self.service,
+            team: self.admission.customer.as_ref().map_or("", |customer| customer.name.as_str()),
+            rank: self.rank(),
+            route: &route.name,
+            content: self.work.request,
+            left: self.left(),
+            target_left: route.target_time.saturating_sub(passed),
+            target_time: route.target_time,
+            model: job.model,
+            first_byte_ms: self.dispatcher.expected_idle_ms(&job),
+            prompt_ms: self.dispatcher.expected_prompt_ms(&job),
+            is_whole: !matches!(route.kind, Kind::Stream { .. }),
+            is_resumption: self.params.last_event.is_some(),
+        };
+        let dispatcher = Arc::clone(&self.dispatcher);
+        let permit = gate.enter(&entry, || dispatcher.supply(entry.service)).await.map_err(Refusal::from)?;
+        self.permit = Some(permit);
+        Ok(())
+    }
+
+    /// Reports that the request is sent to an endpoint.
+    pub(super) fn start_run(&mut self) {
+        self.with_permit(Permit::start_run);
+    }
+
+    /// Reports the first byte of an endpoint's answer.
+    pub(super) fn record_first_byte(&mut self) {
+        self.with_permit(Permit::record_first_byte);
+    }
+
+    /// Reports that a full endpoint has rejected the request.
+    pub(super) fn record_rejection(&mut self) {
+        self.with_permit(Permit::record_rejection);
+    }
+
+    /// Reports that an endpoint's answer is complete.
+    pub(super) fn complete_run(&mut self) {
+        self.with_permit(Permit::complete_run);
+    }
+
+    fn with_permit(&mut self, report: impl FnOnce(&mut Permit)) {
+        if let Some(permit) = &mut self.permit {
+            report(permit);
+        }
+    }
+}
--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -14,6 +14,7 @@
 
 use super::tries::Exchange;
 use crate::{
+    admission::Permit,
     clock,
     dispatcher::fleet::{Job, Run, affinity},
     request_params,
@@ -49,6 +50,11 @@
         }
     }
 
+    /// Returns the request's rank: that of its team, or else that of its route.
+    pub(super) fn rank(&self) -> u8 {
+        self.admission.customer.as_ref().and_then(|customer| customer.rank).unwrap_or(self.admission.route.rank)
+    }
+
     /// Returns a hash of the whole prompt and the model that processes it.
     fn prompt_key(&self, model: Option<usize>) -> Option<u64> {
         Some(affinity(self.params.parts.last()?.id, model))
@@ -142,13 +148,8 @@
             headers.insert(names.model.clone(), request_params::value(&model.name));
         }
         if self.params.tokens.is_some() {
-            let rank = self
-                .admission
-                .customer
-                .as_ref()
-                .and_then(|customer| customer.rank)
-                .unwrap_or(self.admission.route.rank);
-            headers.insert(names.rank.clone(), request_params::value(&rank.min(9).to_string()));
+            let priority = self.permit.as_ref().and_then(Permit::priority).unwrap_or_else(|| self.rank());
+            headers.insert(names.rank.clone(), request_params::value(&priority.min(9).to_string()));
         }
         if let Some(source) = run.source {
             headers.insert(names.copy_from.clone(), request_params::value(&source.to_string()));
--- a/crates/relay/src/exchange/stream.rs
+++ b/crates/relay/src/exchange/stream.rs
@@ -124,6 +124,7 @@
                 Received::End if !splitter.is_partial() => {
                     if let Hop::Endpoint(run) = &mut active.hop {
                         run.record_outcome(RunOutcome::Good);
+                        exchange.complete_run();
                     }
                     break;
                 }
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -9,6 +9,7 @@
 
 use super::{admit::Admission, crash_check, hop::Hop};
 use crate::{
+    admission::Permit,
     answer::{self, Body, Refusal},
     buffer,
     catalog::Kind,
@@ -73,6 +74,8 @@
     /// Task that checks whether the endpoint of the last try has crashed, if its answer broke
     /// off.
     pub(super) crash_check: Option<JoinHandle<()>>,
+    /// Permission to run the request, once it has passed admission control.
+    pub(super) permit: Option<Permit>,
 }
 
 /// An answer that is accepted for the caller.
@@ -127,6 +130,7 @@
     /// Tries endpoints until an answer is accepted or no further try is allowed.
     pub async fn run(&mut self) -> Result<AcceptedAnswer, Refusal> {
         let mut model = self.start_model();
+        self.pass_gate(model).await?;
         let mut failed: Option<Failure> = None;
         loop {
             let last_event = self.params.last_event;
@@ -171,6 +175,7 @@
             }
         };
         run.record_first_byte();
+        self.record_first_byte();
         let status = answer.response.status();
         let stream = matches!(self.admission.route.kind, Kind::Stream { .. });
         if status.is_success() && stream {
@@ -234,7 +239,10 @@
             Outcome::NotRun(StatusCode::MISDIRECTED_REQUEST) => {
                 (RunOutcome::Replaced, "another server stands at its address".to_owned())
             }
-            Outcome::NotRun(status) => (RunOutcome::Full, format!("turned away with {status}")),
+            Outcome::NotRun(status) => {
+                self.record_rejection();
+                (RunOutcome::Full, format!("turned away with {status}"))
+            }
             Outcome::Unknown(cause) => (RunOutcome::Broken, cause.clone()),
             Outcome::Broken(cause) => {
                 let check =
@@ -280,6 +288,7 @@
             return Outcome::Withdrawn;
         }
         run.mark_sent(self.work.clone());
+        self.start_run();
         if self.sent == 1 {
             self.dispatcher.record_first_dispatch(&self.service);
         }
@@ -322,6 +331,7 @@
         };
         let failed = status.is_server_error();
         run.record_verdict(failed);
+        self.complete_run();
         let mut response = Response::new(answer::full_body(bytes));
         *response.status_mut() = status;
         *response.headers_mut() = headers;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 //! - `quarantine` stores the requests that are refused because they crash endpoints;
 //! - `share` serves the catalog to instances that cannot read it from the store, and
 //!   `inquiry` answers them whether an endpoint accepts connections;
+//! - `admission` decides when a request may be sent to a service above its capacity;
 //! - `front` and `directory` accept connections; `exchange` handles one request,
 //!   `upstream` sends it to one endpoint, `events` splits event streams so that
 //!   they can be resumed at another endpoint.
@@ -20,6 +21,7 @@
 //! Decisions are made in [`route::relay`]. The names of headers, paths and body
 //! formats are passed in as a [`dialect::Dialect`].
 
+pub mod admission;
 mod answer;
 mod buffer;
 mod caches;
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -39,7 +39,7 @@
 use self::{
     spread::{Broadcasts, MAX_BATCH},
     wire::{
-        Limit, NewsMessage, Notice, Packet, Question, RejectionLimit, Reply, RolloutEvidence, SerializedSighting,
+        Demands, Limit, NewsMessage, Notice, Packet, Question, RejectionLimit, Reply, RolloutEvidence, SerializedSighting,
         Withdrawal, clamp_to_u16, divide, millis_u32,
     },
 };
@@ -97,6 +97,14 @@
 /// more often.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
+/// Number of messages about demands in a row that must be missing before the demands are
+/// forgotten, as with loads: one may be lost, and the next one late.
+const MAX_MISSING_DEMANDS: u32 = 4;
+
+/// Bounds of the time for which another instance's demands hold without a message.
+const MIN_DEMANDS_LIFETIME: Duration = Duration::from_millis(1_100);
+const MAX_DEMANDS_LIFETIME: Duration = Duration::from_secs(20);
+
 /// Number of lists at the end of a message that earlier builds leave out.
 const MAX_MISSING_LISTS: usize = 2;
 
@@ -168,14 +176,18 @@
         // Random, because with a counter the same instances would miss the reminders in each
         // round.
         let reminders = if rand::random_ratio(1, REMINDER_RATIO) { reminders(dispatcher) } else { Vec::new() };
+        let demands = demands(dispatcher, time_to_next);
         for receiver in near.news.into_iter().chain(dispatcher.take_extra_recipients()) {
             send_news(socket, receiver, &bytes, &reminders);
+            send_all(socket, receiver, &demands);
         }
         if !far.news.is_empty() {
             let pause = NEWS_PAUSE * u32::try_from(far.turns).unwrap_or(u32::MAX);
             let bytes = encode(&Packet::News(brief_message(dispatcher, start_time, pause)));
+            let demands = self::demands(dispatcher, pause);
             for receiver in far.news {
                 send_news(socket, receiver, &bytes, &reminders);
+                send_all(socket, receiver, &demands);
             }
         }
         turn += 1;
@@ -220,11 +232,32 @@
     }
 }
 
+/// Returns encoded datagrams with the demands of this instance's callers at services that may be
+/// above about half of their capacity; none without admission control. `pause` is the time until
+/// the receivers get the next ones.
+fn demands(dispatcher: &Dispatcher, pause: Duration) -> Vec<Vec<u8>> {
+    let Some(gate) = &dispatcher.gate else { return Vec::new() };
+    gate.set_instances(dispatcher.live_instance_count());
+    let origin = short_hash(&dispatcher.settings.instance);
+    gate.reports().iter().map(|report| encode(&Packet::Demands(Demands::new(origin, report, pause)))).collect()
+}
+
+/// Records demands that another instance tells, until it is due to have told others three times.
+fn apply_demands(dispatcher: &Dispatcher, demands: Demands) {
+    let Some(gate) = &dispatcher.gate else { return };
+    let lifetime = (demands.pause() * MAX_MISSING_DEMANDS).clamp(MIN_DEMANDS_LIFETIME, MAX_DEMANDS_LIFETIME);
+    gate.record_report(demands.origin, demands.into(), lifetime);
+}
+
 /// Sends a news message and then reminders.
 fn send_news(socket: &UdpSocket, to: SocketAddr, message: &[u8], reminders: &[Vec<u8>]) {
     send(socket, to, message);
-    for reminder in reminders {
-        send(socket, to, reminder);
+    send_all(socket, to, reminders);
+}
+
+fn send_all(socket: &UdpSocket, to: SocketAddr, messages: &[Vec<u8>]) {
+    for message in messages {
+        send(socket, to, message);
     }
 }
 
@@ -293,6 +326,7 @@
                 apply_withdrawals(dispatcher, &withdrawals);
                 broadcasts.withdrawals.enqueue(withdrawals);
             }
+            Ok(Packet::Demands(demands)) => apply_demands(dispatcher, demands),
             Ok(Packet::Question(question)) => {
                 let asked = synchronization::Question { revision: question.revision.into() };
                 if let Some(reply) = dispatcher.reply(asked, MAX_REPLY_CHANGES) {
--- a/crates/relay/src/news/wire.rs
+++ b/crates/relay/src/news/wire.rs
@@ -1,5 +1,6 @@
 //! Serialized datagrams between instances, and their conversions.
 
+mod demands;
 mod items;
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
@@ -7,6 +8,7 @@
 use route::relay::canary::{Lateness, Stage, Tally};
 use serde::{Deserialize, Serialize};
 
+pub(super) use self::demands::Demands;
 pub(super) use self::items::{Finding, Limit, Notice, PartCrash, RejectionLimit, Withdrawal, divide};
 use crate::{
     dispatcher::{
@@ -52,6 +54,9 @@
     Withdrawals(Vec<Withdrawal>),
     /// Such endpoints that the receiver passes on to the instances of its failure domain.
     PassOnWithdrawals(Vec<Withdrawal>),
+    /// Demands of the sender's callers at a service. Earlier builds cannot decode this packet;
+    /// it is only sent where the operator has switched admission control on.
+    Demands(Demands),
 }
 
 /// Serialized form of [`source::Revision`].
