Keep the capacity of an overload and its first moments apart

Cause: first runs of an overload taught wrong run times, queues that it left at endpoints lowered the assumed capacity, and rejected requests were given back to the bucket. Change: run times come from runs below the capacity or the least that an instance has told, waits slow down limited classes only, by what they lack, and cost of rejected runs is kept.

--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -73,6 +73,8 @@
     pub service: u32,
     /// Demands of the sender's callers.
     pub summary: Summary,
+    /// Usual times of runs, in milliseconds, by the hash of their kind.
+    pub run_times: Vec<(u32, f64)>,
 }
 
 impl Gate {
@@ -151,7 +153,7 @@
         let mut reports = Vec::new();
         for (hash, service) in self.lock().iter_mut() {
             if let Some(summary) = service.summary(fleet, TOLD_ABOVE, now) {
-                reports.push(Report { service: *hash, summary });
+                reports.push(Report { service: *hash, summary, run_times: service.told_run_times() });
             }
         }
         reports
@@ -166,7 +168,7 @@
             return;
         }
         let service = services.entry(report.service).or_insert_with(|| Service::new(now));
-        service.record_remote(origin, Remote::new(report.summary, now, lifetime));
+        service.record_remote(origin, Remote::new(report.summary, report.run_times, now, lifetime));
     }
 
     /// Grants and refuses waiting requests of a service until none is left.
--- a/crates/relay/src/admission/permit.rs
+++ b/crates/relay/src/admission/permit.rs
@@ -4,8 +4,8 @@
 
 use route::{admission::demand::Class, relay::content::Content};
 
-use super::{Entry, Gate};
-use crate::{clock, dispatcher::fleet::short_hash};
+use super::{Entry, Gate, service};
+use crate::clock;
 
 /// Multiple of the expected cost up to which a request's actual cost is charged. One run that
 /// never ends must not keep its team from being served.
@@ -16,9 +16,8 @@
 pub(super) struct Pass {
     pub class: Class,
     pub content: Content,
-    /// Short hash of the route's name.
-    pub route: u32,
-    pub model: Option<usize>,
+    /// Hash of the kind of its runs.
+    pub kind: u32,
     /// Priority for engines, if it is not the request's rank.
     pub priority: Option<u8>,
     /// Whether the request was charged to the token bucket.
@@ -42,8 +41,7 @@
         Self {
             class,
             content: entry.content,
-            route: short_hash(entry.route),
-            model: entry.model,
+            kind: service::kind(entry),
             priority: None,
             is_charged: false,
             cost: 0.0,
@@ -70,6 +68,8 @@
     runs: u32,
     /// Time in slots of the runs that have ended, in milliseconds.
     spent_ms: f64,
+    /// Whether a full endpoint has rejected a run.
+    is_rejected: bool,
 }
 
 /// A run in progress.
@@ -82,16 +82,14 @@
 /// What a run that has ended showed.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Observation {
-    /// Short hash of the route's name.
-    pub route: u32,
-    pub model: Option<usize>,
+    pub kind: u32,
     pub took_ms: f64,
 }
 
 impl Permit {
     pub(super) fn new(gate: Arc<Gate>, service: u32, pass: Pass) -> Self {
         let charged = if pass.is_charged { pass.cost } else { 0.0 };
-        Self { gate, service, pass, charged, run: None, runs: 0, spent_ms: 0.0 }
+        Self { gate, service, pass, charged, run: None, runs: 0, spent_ms: 0.0, is_rejected: false }
     }
 
     /// Returns the priority for engines, if it is not the request's rank.
@@ -127,6 +125,7 @@
     /// Records that a full endpoint has rejected the run.
     pub fn record_rejection(&mut self) {
         self.run = None;
+        self.is_rejected = true;
         let now = clock::now();
         self.gate.with_service(self.service, |service| service.record_rejection(now));
     }
@@ -139,7 +138,7 @@
         self.spent_ms += in_slot_ms;
         // A whole answer's wait is known only from the usual time of its run.
         let took_ms = if self.pass.is_whole { took_ms } else { in_slot_ms };
-        let observation = Observation { route: self.pass.route, model: self.pass.model, took_ms };
+        let observation = Observation { kind: self.pass.kind, took_ms };
         self.gate.with_service(self.service, |service| service.record_run(observation));
     }
 
@@ -159,7 +158,11 @@
             return;
         }
         let prompt_cost = if self.spent_ms > 0.0 { self.pass.prompt_cost } else { 0.0 };
-        let actual = (self.spent_ms * self.pass.slot_cost).max(prompt_cost);
+        let mut actual = (self.spent_ms * self.pass.slot_cost).max(prompt_cost);
+        if self.is_rejected {
+            // Given back, the cost would let the next request be sent to the full endpoints at once.
+            actual = actual.max(self.charged);
+        }
         let difference = actual.min(MAX_COST_FACTOR * self.charged) - self.charged;
         self.gate.with_service(self.service, |service| service.charge(difference));
     }
--- a/crates/relay/src/admission/refusals.rs
+++ b/crates/relay/src/admission/refusals.rs
@@ -44,7 +44,7 @@
         if self.refused.len() >= MAX_CLASSES {
             self.refused.clear();
         }
-        let meter = self.refused.entry(class).or_default();
+        let meter = self.refused.entry(class).or_insert_with(|| Meter::new(now));
         meter.add(cost, now);
         let spread_ms = meter.rate(now) * METERED_MS / per_ms.max(f64::MIN_POSITIVE);
         let spread = Duration::from_secs_f64((spread_ms / 1_000.0).min(MAX_SPREAD.as_secs_f64()));
--- a/crates/relay/src/admission/remote.rs
+++ b/crates/relay/src/admission/remote.rs
@@ -18,13 +18,14 @@
 #[derive(Debug)]
 pub(super) struct Remote {
     summary: Summary,
+    run_times: Vec<(u32, f64)>,
     received_at: Duration,
     expires_at: Duration,
 }
 
 impl Remote {
-    pub fn new(summary: Summary, now: Duration, lifetime: Duration) -> Self {
-        Self { summary, received_at: now, expires_at: now + lifetime }
+    pub fn new(summary: Summary, run_times: Vec<(u32, f64)>, now: Duration, lifetime: Duration) -> Self {
+        Self { summary, run_times, received_at: now, expires_at: now + lifetime }
     }
 }
 
@@ -35,6 +36,8 @@
     /// Sums over the instances, as of the last update.
     pub sums: BTreeMap<Class, f64>,
     pub unnamed: Unnamed,
+    /// Least usual times of runs, in milliseconds, by the hash of their kind.
+    pub run_times: HashMap<u32, f64>,
     next_expiry: Duration,
     is_changed: bool,
 }
@@ -57,11 +60,16 @@
         self.is_changed = false;
         self.next_expiry = self.by_instance.values().map(|remote| remote.expires_at).min().unwrap_or(Duration::MAX);
         self.sums.clear();
+        self.run_times.clear();
         self.unnamed = Unnamed::default();
         for remote in self.by_instance.values() {
             for (class, demand) in &remote.summary.classes {
                 *self.sums.entry(*class).or_default() += demand;
             }
+            for (kind, ms) in &remote.run_times {
+                let least = self.run_times.entry(*kind).or_insert(*ms);
+                *least = least.min(*ms);
+            }
             // The unnamed teams of two instances are likely to be the same ones.
             self.unnamed.teams = self.unnamed.teams.max(remote.summary.other_teams);
             self.unnamed.demand += remote.summary.other_demand;
--- a/crates/relay/src/admission/service.rs
+++ b/crates/relay/src/admission/service.rs
@@ -37,9 +37,11 @@
 /// Time between updates of the metrics.
 const METRICS_AGE: Duration = Duration::from_secs(1);
 
-/// Usual wait at the endpoints of a busy service, as a fraction of the route's target time, and at
-/// most the time of a run. Endpoints need some requests in their queues to be busy all the time.
-const USUAL_WAIT_FRACTION: f64 = 1.0 / 6.0;
+/// Usual wait at the endpoints of a busy service, as a fraction of a run's time, and at most a
+/// fraction of the route's target time. Endpoints need some requests in their queues to be busy all
+/// the time; with more, requests of teams within their shares find them full.
+const USUAL_WAIT_OF_RUN: f64 = 0.8;
+const USUAL_WAIT_OF_TARGET: f64 = 1.0 / 6.0;
 
 /// Least usual wait, in milliseconds: shorter ones cannot be told from the network's.
 const MIN_USUAL_WAIT_MS: f64 = 5.0;
@@ -47,6 +49,15 @@
 /// Demand over capacity above which runs are likely to have waited at their endpoints.
 const CROWDED_ABOVE: f64 = 0.7;
 
+/// Part of the time until its target by which a request has to be expected to end, or it does not
+/// wait. The rest is for shares that shrink while it waits: a request that was let wait should be
+/// served, and its target time kept.
+const QUEUED_PART_OF_TARGET: f64 = 0.6;
+
+/// Demand over capacity below which the queue is taken to empty, so that requests may wait until
+/// their deadlines.
+const DRAINING_BELOW: f64 = 0.9;
+
 /// Part of the capacity by which waiting requests are served at least after an overload.
 const MIN_DRAIN_RATE: f64 = 0.1;
 
@@ -59,6 +70,9 @@
 /// Weight of a request in the usual cost.
 const USUAL_COST_WEIGHT: f64 = 0.05;
 
+/// Maximum number of kinds of runs whose times are told to other instances.
+const MAX_TOLD_KINDS: usize = 16;
+
 /// Maximum number of kinds of runs whose times are learned.
 const MAX_KINDS: usize = 1_024;
 
@@ -99,13 +113,6 @@
     pass: Pass,
 }
 
-/// Kind of runs whose time is learned: a route and the model that is asked first.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct Kind {
-    route: u32,
-    model: Option<usize>,
-}
-
 #[derive(Debug)]
 pub(super) struct Service {
     name: String,
@@ -113,7 +120,8 @@
     demands: Demands,
     remotes: Remotes,
     correction: Correction,
-    run_times: HashMap<Kind, RunTime>,
+    /// Times of runs by the hash of their kind: a route and the model that is asked first.
+    run_times: HashMap<u32, RunTime>,
     usual_cost: f64,
     division: Division,
     divided_at: Duration,
@@ -216,7 +224,9 @@
         // While more is demanded than can be served, each request that is served late takes the
         // place of one that could be served in time.
         let can_be_in_time = target.since(at) > whole_millis(run_ms);
-        let latest_end = (self.division.is_limiting() && can_be_in_time && target < deadline).then_some(target);
+        let is_over = self.division.demand > DRAINING_BELOW * self.correction.capacity();
+        let early = at.plus(whole_millis(clock::millis(entry.target_left) * QUEUED_PART_OF_TARGET));
+        let latest_end = (is_over && can_be_in_time && target < deadline).then_some(early);
         let allocation = if grant.is_limited { self.division.limited_allocation(class.team) } else { 0.0 };
         let ticket = Ticket {
             customer: &customer,
@@ -231,7 +241,7 @@
             latest_end,
             size: whole_millis(pass.cost * 1_000.0),
             cost: pass.cost,
-            rank_per_ms: grant.is_limited.then_some(grant.allocation * self.correction.boost()),
+            rank_per_ms: grant.is_limited.then_some(grant.paced(self.correction.pace().min(1.0))),
         };
         self.queue.set_pace(Pace { per_ms: self.per_ms, debt: self.bucket.debt() });
         match self.queue.offer_ordered(&ticket, order, at) {
@@ -252,7 +262,7 @@
     /// Returns what a refused request is told.
     fn refuse(&mut self, pass: Pass, content: Content, refusal: Refusal, now: Duration) -> Refused {
         let grant = self.division.grant(pass.class);
-        let per_ms = if grant.is_limited { grant.allocation * self.correction.boost() } else { self.per_ms };
+        let per_ms = if grant.is_limited { grant.paced(self.correction.pace()) } else { self.per_ms };
         let (wait_ms, left_ms) = match refusal.cause {
             route::admission::Cause::Deadline { wait_ms, left_ms } => (wait_ms, left_ms),
             route::admission::Cause::Full => (refusal.retry_after_ms, 0),
@@ -327,9 +337,10 @@
             demands.entry(*class).or_insert(Demand { class: *class, own: 0.0, others: 0.0 }).others += sum;
         }
         let demands: Vec<Demand> = demands.into_values().collect();
-        let capacity = self.correction.capacity();
+        let total = demands.iter().map(|demand| demand.own + demand.others).sum::<f64>() + self.remotes.unnamed.demand;
+        let capacity = self.correction.capacity_for(total);
         self.division = share::divide(capacity, &demands, self.remotes.unnamed);
-        let mut rate = self.division.limited_total() * self.correction.boost();
+        let mut rate = self.division.limited_rate(self.correction.pace());
         if !self.division.is_limiting() {
             // What waits since an overload is served besides what arrives now.
             let arriving: f64 = self.waiting_by_class.keys().filter_map(|class| own.get(class)).sum();
@@ -354,13 +365,17 @@
 
     /// Computes what a request costs, in milliseconds of the whole service.
     fn price(&self, class: Class, entry: &Entry<'_>, supply: Supply) -> Pass {
-        let run_ms = self.run_times.get(&kind(entry)).copied().unwrap_or_default().get(entry.first_byte_ms);
+        let kind = kind(entry);
+        let told_ms = self.remotes.run_times.get(&kind).copied();
+        let run_time = self.run_times.get(&kind).copied().unwrap_or_default();
+        let run_ms = run_time.with_told(told_ms).unwrap_or(entry.first_byte_ms);
         let first_byte_ms = if entry.is_whole { run_ms } else { entry.first_byte_ms };
         let run_ms = run_ms.max(first_byte_ms);
         let slot_cost = 1.0 / supply.slots;
         let prompt_cost = entry.prompt_ms / supply.engines.max(1.0);
-        let usual_wait_ms = (clock::millis(entry.target_time) * USUAL_WAIT_FRACTION).min(run_ms);
+        let usual_wait_ms = (clock::millis(entry.target_time) * USUAL_WAIT_OF_TARGET).min(run_ms * USUAL_WAIT_OF_RUN);
         Pass {
+            kind,
             run_ms,
             cost: (run_ms * slot_cost).max(prompt_cost),
             slot_cost,
@@ -393,6 +408,12 @@
         (own > 0.0 && (pressure > told_above || in_proportion > told_above)).then_some(summary)
     }
 
+    /// Returns the usual times of some kinds of runs, for other instances.
+    pub fn told_run_times(&self) -> Vec<(u32, f64)> {
+        let known = self.run_times.iter().filter_map(|(kind, time)| Some((*kind, time.get()?)));
+        known.take(MAX_TOLD_KINDS).collect()
+    }
+
     pub fn record_remote(&mut self, origin: u32, remote: Remote) {
         self.remotes.record(origin, remote);
     }
@@ -411,9 +432,9 @@
     }
 
     pub fn record_run(&mut self, observation: Observation) {
-        let Observation { route, model, took_ms } = observation;
-        let is_crowded = self.division.demand > CROWDED_ABOVE * self.correction.capacity();
-        let kind = Kind { route, model };
+        let Observation { kind, took_ms } = observation;
+        let is_busy = self.division.demand > CROWDED_ABOVE * self.correction.capacity();
+        let is_crowded = is_busy || self.correction.is_late();
         if self.run_times.len() >= MAX_KINDS && !self.run_times.contains_key(&kind) {
             self.run_times.clear();
         }
@@ -421,8 +442,9 @@
     }
 }
 
-fn kind(entry: &Entry<'_>) -> Kind {
-    Kind { route: short_hash(entry.route), model: entry.model }
+/// Returns the hash of a kind of runs.
+pub(super) fn kind(entry: &Entry<'_>) -> u32 {
+    short_hash(&format!("{}/{:?}", entry.route, entry.model))
 }
 
 /// Returns the name under which a team's requests wait.
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -39,8 +39,8 @@
 use self::{
     spread::{Broadcasts, MAX_BATCH},
     wire::{
-        Demands, Limit, NewsMessage, Notice, Packet, Question, RejectionLimit, Reply, RolloutEvidence, SerializedSighting,
-        Withdrawal, clamp_to_u16, divide, millis_u32,
+        Demands, Limit, NewsMessage, Notice, Packet, Question, RejectionLimit, Reply, RolloutEvidence,
+        SerializedSighting, Withdrawal, clamp_to_u16, divide, millis_u32,
     },
 };
 
--- a/crates/relay/src/news/wire/demands.rs
+++ b/crates/relay/src/news/wire/demands.rs
@@ -26,11 +26,13 @@
     other_teams: u32,
     /// Sum of their demands.
     other_demand: f32,
+    /// Usual times of runs, in milliseconds, by the hash of their kind.
+    run_times: Vec<(u32, f32)>,
 }
 
 impl Demands {
     pub(in crate::news) fn new(origin: u32, report: &Report, pause: Duration) -> Self {
-        let Report { service, summary } = report;
+        let Report { service, summary, run_times } = report;
         Self {
             origin,
             pause_ms: millis_u32(pause),
@@ -38,6 +40,7 @@
             classes: summary.classes.iter().map(|(class, demand)| (class.team, class.rank, to_f32(*demand))).collect(),
             other_teams: summary.other_teams,
             other_demand: to_f32(summary.other_demand),
+            run_times: run_times.iter().map(|(kind, ms)| (*kind, to_f32(*ms))).collect(),
         }
     }
 
@@ -56,7 +59,10 @@
             other_teams: demands.other_teams,
             other_demand: believed(demands.other_demand),
         };
-        Self { service: demands.service, summary }
+        let is_time = |ms: f32| ms.is_finite() && ms > 0.0;
+        let run_times = demands.run_times.into_iter().filter(|(_, ms)| is_time(*ms));
+        let run_times = run_times.map(|(kind, ms)| (kind, f64::from(ms))).collect();
+        Self { service: demands.service, summary, run_times }
     }
 }
 
--- a/crates/relay/tests/load/fleet.rs
+++ b/crates/relay/tests/load/fleet.rs
@@ -21,7 +21,7 @@
 use crate::{
     caller,
     site::{HOST, Site, Store, StoreContents, catalog, route, settings},
-    slots::{RUN_TIME, SLOTS, Server},
+    slots::{RUN_TIME, Server},
 };
 
 /// Number of instances.
@@ -93,7 +93,7 @@
 
     /// Returns the times that refusals took, in order.
     pub fn refusal_times(&self) -> Vec<Duration> {
-        let mut times: Vec<Duration> = self.answers.iter().filter(|a| a.status != 200).map(|a| a.took).collect();
+        let mut times: Vec<Duration> = self.answers.iter().filter(|a| a.status == 503).map(|a| a.took).collect();
         times.sort();
         times
     }
@@ -142,7 +142,6 @@
 /// Instances and endpoints.
 pub struct Fleet {
     pub sites: Vec<Site>,
-    pub store: Arc<Store>,
     servers: Vec<Server>,
     _turn: MutexGuard<'static, ()>,
 }
@@ -180,7 +179,7 @@
                 sleep(Duration::from_millis(2)).await;
             }
         }
-        Self { sites, store, servers, _turn: turn }
+        Self { sites, servers, _turn: turn }
     }
 
     /// Sends the flows' requests for a time and waits for all answers.
@@ -233,9 +232,4 @@
         }
         Served { answers }
     }
-
-    /// Returns the slots of all endpoints.
-    pub fn slots(&self) -> u32 {
-        SLOTS * u32::try_from(self.servers.len()).unwrap()
-    }
 }
--- a/crates/relay/tests/load/main.rs
+++ b/crates/relay/tests/load/main.rs
@@ -9,7 +9,7 @@
 mod fleet;
 mod gate;
 mod overload;
-mod slots;
 #[path = "../it/site.rs"]
 #[expect(dead_code, reason = "shared with the other tests of the relay")]
 mod site;
+mod slots;
--- a/crates/route/src/admission/capacity.rs
+++ b/crates/route/src/admission/capacity.rs
@@ -7,20 +7,46 @@
 
 use std::time::Duration;
 
-/// Number of runs over which the estimate of a run's time averages.
+/// Number of runs over which the mean time of runs averages.
 const RUNS_AVERAGED: f64 = 32.0;
 
-/// Weight of a run above the estimate while the service is above its capacity. Such runs have
-/// waited at their endpoint, which must not look like work.
-const WEIGHT_OF_WAITS: f64 = 0.005;
+/// Number of runs below the capacity after which their mean is used. The first runs of an overload
+/// count as such too, since it is recognized with a delay.
+const MIN_CALM_RUNS: f64 = 20.0;
 
-/// Change of the assumed capacity, as a power of e per second, while waits are at the bounds of
-/// what is corrected. An error by half is corrected in a second.
-const CORRECTION_PER_S: f64 = 0.7;
+/// Weight of a run that took less than the estimate, while the mean is not known. The first runs of
+/// an overload may have waited for longer than they ran.
+const WEIGHT_BELOW: f64 = 0.5;
 
-/// Part of the capacity by which a wait at those bounds lowers or raises the rate at once.
+/// Weight of a run that took longer, while the mean is not known. Nearly all of the excess is a
+/// wait at its endpoint, which must not look like work.
+const WEIGHT_ABOVE: f64 = 0.01;
+
+/// Decrease of the assumed capacity, as a power of e per second, while waits are at the upper bound
+/// of what is corrected. An error by half is corrected in some four seconds. Faster, the queues
+/// that the first moments of an overload leave at endpoints would look like a lack of capacity.
+const DECREASE_PER_S: f64 = 0.2;
+
+/// Increase while waits are at the lower bound, which means that requests are held back although
+/// there is room.
+const INCREASE_PER_S: f64 = 0.5;
+
+/// Part by which waits at those bounds lower or raise the rate of limited requests at once.
 /// Without it the assumed capacity would swing: it changes the rate of the waits' growth.
-const DAMPING: f64 = 0.5;
+const DAMPING: f64 = 0.4;
+
+/// Excess of waits above which endpoints are nearly full, and the further part by which the rate of
+/// limited requests is lowered at the upper bound. Requests that are not limited need the room.
+const FULL_EXCESS: f64 = 0.5;
+const FULL_DAMPING: f64 = 0.3;
+
+/// Part by which waits at those bounds lower the assumed capacity at once while the measured demand
+/// does not explain them. Demand is measured over a second, and endpoints are full sooner.
+const SURPRISE: f64 = 0.5;
+
+/// Demand over capacity above which it explains long waits, and from which on it partly does.
+const EXPLAINED_ABOVE: f64 = 1.5;
+const UNEXPLAINED_BELOW: f64 = 1.0;
 
 /// Longest time that one observation stands for, in seconds. Otherwise the first run after a
 /// pause would count for all of it.
@@ -31,7 +57,7 @@
 const MIN_REJECTION_STEP_S: f64 = 0.02;
 
 /// Weight of an observation in the smoothed excess of waits.
-const EXCESS_WEIGHT: f64 = 0.15;
+const EXCESS_WEIGHT: f64 = 0.3;
 
 /// Time in which the assumed capacity returns to the declared one while nothing is limited, in
 /// seconds.
@@ -41,27 +67,44 @@
 const MIN_FACTOR: f64 = 0.2;
 const MAX_FACTOR: f64 = 3.0;
 
-/// Estimated time of runs of one kind, in milliseconds.
+/// Estimated time of runs of one kind, in milliseconds: the mean of those that ran while the
+/// service was below its capacity or, before enough of these, about the shortest ones.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct RunTime {
-    mean_ms: f64,
-    runs: f64,
+    calm_ms: f64,
+    calm_runs: f64,
+    shortest_ms: Option<f64>,
 }
 
 impl RunTime {
-    /// Returns the estimate, or `initial_ms` before any run.
+    /// Returns the estimate; `None` before any run.
+    #[must_use]
+    pub fn get(&self) -> Option<f64> {
+        if self.calm_runs >= MIN_CALM_RUNS { Some(self.calm_ms) } else { self.shortest_ms }
+    }
+
+    /// Returns the estimate, where `told_ms` is the least that another instance has told. Its first
+    /// runs may have waited less.
     #[must_use]
-    pub fn get(&self, initial_ms: f64) -> f64 {
-        if self.runs > 0.0 { self.mean_ms } else { initial_ms }
+    pub fn with_told(&self, told_ms: Option<f64>) -> Option<f64> {
+        if self.calm_runs >= MIN_CALM_RUNS {
+            return Some(self.calm_ms);
+        }
+        match (self.shortest_ms, told_ms) {
+            (Some(own), Some(told)) => Some(own.min(told)),
+            (own, told) => own.or(told),
+        }
     }
 
     /// Records the time of a run; `is_crowded` says whether it is likely to have waited at its
     /// endpoint.
     pub fn observe(&mut self, took_ms: f64, is_crowded: bool) {
-        self.runs = (self.runs + 1.0).min(RUNS_AVERAGED);
-        let weight = 1.0 / self.runs;
-        let is_wait = is_crowded && took_ms > self.mean_ms && self.runs > 1.0;
-        self.mean_ms += if is_wait { weight.min(WEIGHT_OF_WAITS) } else { weight } * (took_ms - self.mean_ms);
+        let shortest_ms = self.shortest_ms.get_or_insert(took_ms);
+        *shortest_ms += if took_ms < *shortest_ms { WEIGHT_BELOW } else { WEIGHT_ABOVE } * (took_ms - *shortest_ms);
+        if !is_crowded {
+            self.calm_runs += 1.0;
+            self.calm_ms += (took_ms - self.calm_ms) / self.calm_runs.min(RUNS_AVERAGED);
+        }
     }
 }
 
@@ -105,14 +148,30 @@
     /// Returns the assumed capacity as a fraction of the declared one.
     #[must_use]
     pub fn capacity(&self) -> f64 {
-        self.factor * (1.0 - DAMPING * self.excess.max(0.0))
+        self.factor
+    }
+
+    /// Returns the capacity to divide while a demand is known. It is lower where waits are long
+    /// although the demand is not above the capacity: the demand is still rising, or that of other
+    /// instances is not known yet.
+    #[must_use]
+    pub fn capacity_for(&self, demand: f64) -> f64 {
+        let excess = (EXPLAINED_ABOVE - demand / self.factor) / (EXPLAINED_ABOVE - UNEXPLAINED_BELOW);
+        self.factor * (1.0 - SURPRISE * self.excess.max(0.0) * excess.clamp(0.0, 1.0))
+    }
+
+    /// Whether recent waits were longer than usual.
+    #[must_use]
+    pub fn is_late(&self) -> bool {
+        self.excess > 0.0
     }
 
-    /// Returns the rate at which runs may start where they are limited, as a multiple of
-    /// [`Correction::capacity`].
+    /// Returns the rate at which limited requests may start, as a multiple of their allocation.
+    /// It keeps the waits at endpoints short and above zero, and leaves what is not limited alone.
     #[must_use]
-    pub fn boost(&self) -> f64 {
-        1.0 - DAMPING * self.excess.min(0.0)
+    pub fn pace(&self) -> f64 {
+        let fullness = (self.excess - FULL_EXCESS).max(0.0) / (1.0 - FULL_EXCESS);
+        1.0 - DAMPING * self.excess - FULL_DAMPING * fullness
     }
 
     fn step(&mut self, now: Duration) -> f64 {
@@ -122,6 +181,7 @@
     }
 
     fn scale(&mut self, change: f64) {
-        self.factor = (self.factor * (CORRECTION_PER_S * change).exp()).clamp(MIN_FACTOR, MAX_FACTOR);
+        let per_s = if change < 0.0 { DECREASE_PER_S } else { INCREASE_PER_S };
+        self.factor = (self.factor * (per_s * change).exp()).clamp(MIN_FACTOR, MAX_FACTOR);
     }
 }
--- a/crates/route/src/admission/demand.rs
+++ b/crates/route/src/admission/demand.rs
@@ -24,26 +24,45 @@
     pub rank: u8,
 }
 
-/// Rate of cost over about the last second.
-#[derive(Debug, Clone, Copy, Default)]
+/// Shortest time over which a demand is measured, in milliseconds. A single request is no rate.
+const MIN_MEASURED_MS: f64 = 100.0;
+
+/// Rate of cost over about the last second, or since the first request if that is less.
+#[derive(Debug, Clone, Copy)]
 pub struct Meter {
     sum: f64,
+    started_at: Duration,
     updated_at: Duration,
 }
 
 impl Meter {
+    /// Starts a measurement.
+    #[must_use]
+    pub fn new(now: Duration) -> Self {
+        Self { sum: 0.0, started_at: now, updated_at: now }
+    }
+
     /// Adds a cost in milliseconds of the whole service.
     pub fn add(&mut self, cost: f64, now: Duration) {
-        self.sum = self.rate(now) * DECAY_MS + cost;
+        self.sum = self.decayed(now) + cost;
         self.updated_at = now;
     }
 
     /// Returns the rate as a fraction of the service.
     #[must_use]
     pub fn rate(&self, now: Duration) -> f64 {
-        let passed_ms = now.saturating_sub(self.updated_at).as_secs_f64() * 1_000.0;
-        self.sum * (-passed_ms / DECAY_MS).exp() / DECAY_MS
+        // An overload that begins would otherwise be recognized only after half a second.
+        let measured_ms = millis(now.saturating_sub(self.started_at)).max(MIN_MEASURED_MS);
+        self.decayed(now) / (DECAY_MS * (1.0 - (-measured_ms / DECAY_MS).exp()))
     }
+
+    fn decayed(&self, now: Duration) -> f64 {
+        self.sum * (-millis(now.saturating_sub(self.updated_at)) / DECAY_MS).exp()
+    }
+}
+
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1_000.0
 }
 
 /// Demands of an instance's own callers at a service.
@@ -55,7 +74,7 @@
 impl Demands {
     /// Records a request of a cost.
     pub fn record(&mut self, class: Class, cost: f64, now: Duration) {
-        self.meters.entry(class).or_default().add(cost, now);
+        self.meters.entry(class).or_insert_with(|| Meter::new(now)).add(cost, now);
     }
 
     /// Returns the demand of each class as a fraction of the service, and forgets those without
--- a/crates/route/src/admission/share.rs
+++ b/crates/route/src/admission/share.rs
@@ -13,10 +13,10 @@
 /// that a flood of a higher rank does not starve it.
 const MIN_RANK_SHARE: f64 = 0.05;
 
-/// Excess over the equal share that counts as an error of measurement, as a fraction of it.
-/// Demand is measured over a second; a team that asks for just its share would otherwise wait
-/// half of the time.
-const TOLERANCE: f64 = 0.15;
+/// Excess over the equal share that counts as an error of measurement, as a fraction of it. Demand
+/// is measured over a second and the capacity is corrected by some tenths in the first seconds of an
+/// overload; a team that asks for just its share would otherwise be refused meanwhile.
+const TOLERANCE: f64 = 0.3;
 
 /// Demand of a team at a rank, as fractions of the service.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -43,12 +43,23 @@
 pub struct Grant {
     /// Fraction of the service that this instance may use for the class.
     pub allocation: f64,
+    /// Part of the class's demand that this is.
+    pub part: f64,
     /// Whether the class asks for more than it gets.
     pub is_limited: bool,
     /// Whether its team asks for more than its share.
     pub is_team_over: bool,
 }
 
+impl Grant {
+    /// Returns the allocation at a pace. A change of the pace falls to the classes that get least of
+    /// what they ask for; one that gets nearly all keeps it.
+    #[must_use]
+    pub fn paced(&self, pace: f64) -> f64 {
+        self.allocation * (1.0 + (pace - 1.0) * (1.0 - self.part))
+    }
+}
+
 /// A service's capacity divided among teams.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Division {
@@ -61,7 +72,7 @@
     /// Returns what a class may use. An unknown one counts as small, and is not limited.
     #[must_use]
     pub fn grant(&self, class: Class) -> Grant {
-        let unknown = Grant { allocation: 0.0, is_limited: false, is_team_over: false };
+        let unknown = Grant { allocation: 0.0, part: 1.0, is_limited: false, is_team_over: false };
         self.grants.get(&class).copied().unwrap_or(unknown)
     }
 
@@ -73,10 +84,11 @@
         of_team.map(|(_, grant)| grant.allocation).sum()
     }
 
-    /// Returns the fraction of the service that this instance may use for all limited classes.
+    /// Returns the fraction of the service that this instance may use for all limited classes at a
+    /// pace, where 1 is neither slowed down nor sped up.
     #[must_use]
-    pub fn limited_total(&self) -> f64 {
-        self.grants.values().filter(|grant| grant.is_limited).map(|grant| grant.allocation).sum()
+    pub fn limited_rate(&self, pace: f64) -> f64 {
+        self.grants.values().filter(|grant| grant.is_limited).map(|grant| grant.paced(pace)).sum()
     }
 
     /// Whether any class is limited.
@@ -115,7 +127,7 @@
         let share = shares.get(&id).copied();
         let is_team_over = share.is_some_and(|share| share < total);
         for (demand, part) in rank_parts(share.unwrap_or(total).min(total), &of_team) {
-            let grant = Grant { allocation: demand.own * part, is_limited: part < 1.0, is_team_over };
+            let grant = Grant { allocation: demand.own * part, part, is_limited: part < 1.0, is_team_over };
             grants.insert(demand.class, grant);
         }
     }
