--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -134,6 +134,12 @@
         self.lock().get_mut(&short_hash(service)).map_or(0.0, |service| service.pressure(fleet, now))
     }
 
+    /// Returns the number of requests that wait for a service.
+    #[must_use]
+    pub fn waiting(&self, service: &str) -> usize {
+        self.lock().get(&short_hash(service)).map_or(0, Service::waiting)
+    }
+
     /// Sets the number of instances that are alive, this one included.
     pub fn set_instances(&self, instances: usize) {
         let is_start = clock::now() < self.started + START_WINDOW;
--- a/crates/relay/src/admission/service.rs
+++ b/crates/relay/src/admission/service.rs
@@ -1,22 +1,20 @@
 //! State of admission at one service.
 
+mod waiting;
+
 use std::{
     collections::{BTreeMap, HashMap},
     time::Duration,
 };
 
-use route::{
-    admission::{
-        Key, Order, Pace, Queue, Refusal, Ticket,
-        bucket::Bucket,
-        capacity::{Correction, RunTime},
-        demand::{Class, Demands, Summary},
-        share::{self, Demand, Division, Grant},
-    },
-    relay::content::Content,
+use route::admission::{
+    Key, Queue,
+    bucket::Bucket,
+    capacity::{Correction, RunTime},
+    demand::{Class, Demands, Summary},
+    share::{self, Demand, Division, Grant},
 };
 use tokio::sync::oneshot;
-use world::{Timestamp, contract::Customer};
 
 use super::{
     entry::{Entry, Refused, Supply},
@@ -49,21 +47,9 @@
 /// Demand over capacity above which runs are likely to have waited at their endpoints.
 const CROWDED_ABOVE: f64 = 0.7;
 
-/// Part of the time until its target by which a request has to be expected to end, or it does not
-/// wait. The rest is for shares that shrink while it waits: a request that was let wait should be
-/// served, and its target time kept.
-const QUEUED_PART_OF_TARGET: f64 = 0.6;
-
-/// Demand over capacity below which the queue is taken to empty, so that requests may wait until
-/// their deadlines.
-const DRAINING_BELOW: f64 = 0.9;
-
 /// Part of the capacity by which waiting requests are served at least after an overload.
 const MIN_DRAIN_RATE: f64 = 0.1;
 
-/// Units of the weights of teams in the queue, which are whole numbers.
-const WEIGHT_SCALE: f64 = 1e6;
-
 /// Number by which the priority of teams above their shares is greater, and so lower.
 const PRIORITY_STEP: u8 = 5;
 
@@ -211,114 +197,6 @@
         Decision::Pass(pass)
     }
 
-    /// Adds a request to the queue, or refuses it.
-    fn enqueue(&mut self, entry: &Entry<'_>, pass: Pass, grant: Grant, now: Duration) -> Decision {
-        let class = pass.class;
-        let at = timestamp(now);
-        let customer = customer(class.team);
-        // The target is the time to the first byte, the deadline that to the end.
-        let run_ms = pass.first_byte_ms + pass.usual_wait_ms / 2.0;
-        let rest_ms = (pass.run_ms - pass.first_byte_ms).max(0.0);
-        let deadline = at.plus(whole_millis(clock::millis(entry.left) - rest_ms));
-        let target = at.plus(whole_millis(clock::millis(entry.target_left)));
-        // While more is demanded than can be served, each request that is served late takes the
-        // place of one that could be served in time.
-        let can_be_in_time = target.since(at) > whole_millis(run_ms);
-        let is_over = self.division.demand > DRAINING_BELOW * self.correction.capacity();
-        let early = at.plus(whole_millis(clock::millis(entry.target_left) * QUEUED_PART_OF_TARGET));
-        let latest_end = (is_over && can_be_in_time && target < deadline).then_some(early);
-        let allocation = if grant.is_limited { self.division.limited_allocation(class.team) } else { 0.0 };
-        let ticket = Ticket {
-            customer: &customer,
-            weight: u32::try_from(whole_millis(allocation * WEIGHT_SCALE)).unwrap_or(u32::MAX),
-            deadline,
-            run_ms: whole_millis(run_ms),
-            draw: 0,
-        };
-        let order = Order {
-            rank: class.rank,
-            target: Some(target),
-            latest_end,
-            size: whole_millis(pass.cost * 1_000.0),
-            cost: pass.cost,
-            rank_per_ms: grant.is_limited.then_some(grant.paced(self.correction.pace().min(1.0))),
-        };
-        self.queue.set_pace(Pace { per_ms: self.per_ms, debt: self.bucket.debt() });
-        match self.queue.offer_ordered(&ticket, order, at) {
-            Err(refusal) => {
-                metrics::count(&self.name, class.rank, "refused");
-                Decision::Refuse(self.refuse(pass, entry.content, refusal, now))
-            }
-            Ok(key) => {
-                let (reply, receiver) = oneshot::channel();
-                self.waiters.insert(key, Waiter { reply, pass });
-                *self.waiting_by_class.entry(class).or_default() += 1;
-                let needs_driver = !std::mem::replace(&mut self.is_driven, true);
-                Decision::Wait { key, receiver, needs_driver }
-            }
-        }
-    }
-
-    /// Returns what a refused request is told.
-    fn refuse(&mut self, pass: Pass, content: Content, refusal: Refusal, now: Duration) -> Refused {
-        let grant = self.division.grant(pass.class);
-        let per_ms = if grant.is_limited { grant.paced(self.correction.pace()) } else { self.per_ms };
-        let (wait_ms, left_ms) = match refusal.cause {
-            route::admission::Cause::Deadline { wait_ms, left_ms } => (wait_ms, left_ms),
-            route::admission::Cause::Full => (refusal.retry_after_ms, 0),
-        };
-        let (after, spread) = self.refusals.record(pass.class, pass.cost, per_ms, refusal.retry_after_ms, now);
-        self.refusals.expect_return(content, after + spread, now);
-        Refused {
-            after,
-            spread,
-            wait: Duration::from_millis(wait_ms),
-            left: Duration::from_millis(left_ms),
-            oldest_news: self.remotes.oldest(now),
-        }
-    }
-
-    /// Grants waiting requests as far as the bucket allows and refuses hopeless ones. Returns the
-    /// time until more can be granted, or `None` if none is left.
-    pub fn release(&mut self, fleet: Fleet, now: Duration) -> (Vec<Outcome>, Option<Duration>) {
-        self.refresh(fleet, now);
-        self.bucket.refill(now);
-        let mut outcomes = Vec::new();
-        while self.bucket.may_start() {
-            let Some(admitted) = self.queue.next(timestamp(now)) else { break };
-            let Some(Waiter { reply, mut pass }) = self.take_waiter(admitted.key) else { continue };
-            self.bucket.charge(pass.cost);
-            pass.priority = self.priority(pass.class, self.division.grant(pass.class));
-            metrics::count(&self.name, pass.class.rank, "admitted");
-            outcomes.push(Outcome { reply, result: Ok(pass) });
-        }
-        for (key, refusal) in self.queue.shed(timestamp(now)) {
-            let Some(Waiter { reply, pass }) = self.take_waiter(key) else { continue };
-            metrics::count(&self.name, pass.class.rank, "shed");
-            let refused = self.refuse(pass, pass.content, refusal, now);
-            outcomes.push(Outcome { reply, result: Err(refused) });
-        }
-        self.is_driven = !self.waiters.is_empty();
-        (outcomes, self.is_driven.then(|| self.bucket.wait()))
-    }
-
-    /// Removes a request whose caller does not wait any more, if it is still waiting.
-    pub fn cancel(&mut self, key: Key) {
-        self.queue.cancel(key);
-        self.take_waiter(key);
-    }
-
-    fn take_waiter(&mut self, key: Key) -> Option<Waiter> {
-        let waiter = self.waiters.remove(&key)?;
-        if let Some(count) = self.waiting_by_class.get_mut(&waiter.pass.class) {
-            *count -= 1;
-            if *count == 0 {
-                self.waiting_by_class.remove(&waiter.pass.class);
-            }
-        }
-        Some(waiter)
-    }
-
     /// Divides the capacity anew if the last division is out of date.
     fn refresh(&mut self, fleet: Fleet, now: Duration) {
         if now < self.divided_at + DIVISION_AGE {
@@ -447,20 +325,6 @@
     short_hash(&format!("{}/{:?}", entry.route, entry.model))
 }
 
-/// Returns the name under which a team's requests wait.
-fn customer(team: u32) -> Customer {
-    Customer::parse(&format!("{team:08x}")).expect("hexadecimal digits are a valid name")
-}
-
-fn timestamp(now: Duration) -> Timestamp {
-    Timestamp(u64::try_from(now.as_millis()).unwrap_or(u64::MAX))
-}
-
-#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "clamped")]
-fn whole_millis(millis: f64) -> u64 {
-    millis.clamp(0.0, 1e12).ceil() as u64
-}
-
 #[expect(clippy::cast_precision_loss, reason = "a count of instances")]
 fn as_f64(count: usize) -> f64 {
     count as f64
--- a/crates/relay/tests/load/fleet.rs
+++ b/crates/relay/tests/load/fleet.rs
@@ -191,7 +191,7 @@
             flows.iter().enumerate().map(|(number, flow)| self.send(number, flow.clone(), began, time)).collect();
         let busy_in_time = async {
             sleep(time).await;
-            (busy() - busy_before).as_secs_f64() / (time.as_secs_f64() * ALL_SLOTS)
+            busy().saturating_sub(busy_before).as_secs_f64() / (time.as_secs_f64() * ALL_SLOTS)
         };
         let (flows, busy) = tokio::join!(futures::future::join_all(flows), busy_in_time);
         let rejections = self.servers.iter().map(Server::rejections).sum();
--- a/crates/relay/tests/load/slots.rs
+++ b/crates/relay/tests/load/slots.rs
@@ -138,7 +138,7 @@
     };
     let ran = tokio::select! {
         ran = run => ran,
-        _ = async { while !matches!(stream.read(&mut rest).await, Ok(0) | Err(_)) {} } => return,
+        () = async { while !matches!(stream.read(&mut rest).await, Ok(0) | Err(_)) {} } => return,
     };
     let head = if ran.is_some() { "200 OK" } else { "429 Full\r\nx-not-run: full" };
     let response = format!("HTTP/1.1 {head}\r\nx-request: {id}\r\nx-signature: s\r\ncontent-length: 2\r\n\r\nok");
