Measure the demand of costly requests over a longer time

Cause: a single run of half a second at a service with one slot looked like an overload. Change: the time over which demand is measured grows with the usual cost.

--- a/crates/relay/tests/load/gate.rs
+++ b/crates/relay/tests/load/gate.rs
@@ -1,21 +1,32 @@
 //! What callers notice of admission control beside their shares.
 
 use std::{
+    collections::HashSet,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use relay::{
     admission::{Entry, Gate, Permit, Refused, Report, Supply},
+    catalog::Kind,
     settings::Admission,
 };
 use route::{
     admission::demand::{Class, Summary},
     relay::content::Content,
 };
-use tokio::{task::JoinHandle, time::sleep};
+use tokio::{
+    net::UdpSocket,
+    task::JoinHandle,
+    time::{sleep, timeout_at},
+};
 
-use crate::fleet::{Fleet, Flow, INSTANCES};
+use crate::{
+    caller,
+    fleet::{Fleet, Flow, INSTANCES},
+    site::{Site, StoreContents, catalog, route},
+    slots::Server,
+};
 
 /// Without the setting, an overload has to be treated as before: nothing is measured, nothing is
 /// told to other instances, and full endpoints decide.
@@ -33,9 +44,9 @@
 /// Time within which a request that is given up stops waiting.
 const MAX_CANCEL_TIME: Duration = Duration::from_millis(500);
 
-/// A service with one slot whose only team asks for ten times its capacity.
-async fn enter(gate: &Arc<Gate>, number: u64) -> Result<Permit, Refused> {
-    let entry = Entry {
+/// A request of half a second to a service with one slot.
+fn entry(number: u64) -> Entry<'static> {
+    Entry {
         service: "logbook",
         team: "large",
         rank: 1,
@@ -49,8 +60,15 @@
         prompt_ms: 0.0,
         is_whole: true,
         is_resumption: false,
-    };
-    gate.enter(&entry, || Supply { slots: 1.0, engines: 1.0 }).await
+    }
+}
+
+fn supply() -> Supply {
+    Supply { slots: 1.0, engines: 1.0 }
+}
+
+async fn enter(gate: &Arc<Gate>, number: u64) -> Result<Permit, Refused> {
+    gate.enter(&entry(number), supply).await
 }
 
 /// Waits until the service is above its capacity.
@@ -114,3 +132,62 @@
     sleep(Duration::from_millis(300)).await;
     assert!(gate.pressure("logbook") <= own, "{} after {own}", gate.pressure("logbook"));
 }
+
+/// Engines order the runs of all instances by priority. Above the capacity, a team within its share
+/// has to go before one above it, whatever their ranks; below it, ranks decide as before.
+#[tokio::test]
+async fn teams_above_their_share_get_a_lower_priority() {
+    let gate = Gate::new(1);
+    let calm = enter(&gate, 0).await.unwrap();
+    assert_eq!(calm.priority(), None);
+    drop(calm);
+    let calls = overload(&gate).await;
+    let small = Entry { team: "small", rank: 3, ..entry(100) };
+    let small = gate.enter(&small, supply).await.unwrap();
+    assert_eq!(small.priority(), Some(3));
+    let mut priorities = Vec::new();
+    for call in calls {
+        priorities.extend(call.await.unwrap().ok().and_then(|permit| permit.priority()));
+    }
+    assert!(priorities.contains(&6), "{priorities:?}");
+}
+
+/// Returns the kinds of datagrams that an overloaded instance sends to another one.
+async fn kinds_of_datagrams(admission: Admission) -> HashSet<u8> {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let server = Server::start().await;
+    let contents = StoreContents {
+        catalog: Some(catalog(1, vec![route("/a/", Kind::Idempotent)])),
+        endpoints: vec![server.registration("e0")],
+        ..StoreContents::default()
+    };
+    let seed = socket.local_addr().unwrap();
+    let site = Site::start_with(contents, |settings| {
+        settings.seeds = vec![seed];
+        settings.policies.admission = admission;
+    })
+    .await;
+    site.relay.dispatcher().discover_peer("other", seed);
+    for _ in 0..30 {
+        tokio::spawn(caller::call(site.front(), "GET", "/a/1", "X-Deadline: 500\r\n", ""));
+    }
+    let mut kinds = HashSet::new();
+    let (mut buffer, until) = ([0; 4096], Instant::now() + Duration::from_secs(1));
+    while let Ok(received) = timeout_at(until.into(), socket.recv_from(&mut buffer)).await {
+        received.unwrap();
+        kinds.insert(buffer[0]);
+    }
+    kinds
+}
+
+/// Kind of the datagrams that tell demands.
+const DEMANDS: u8 = 14;
+
+/// Instances of earlier builds cannot decode demands, so they may only be told with the setting.
+#[tokio::test]
+async fn demands_are_told_with_the_setting_only() {
+    let without = kinds_of_datagrams(Admission::Unordered).await;
+    assert!(!without.is_empty() && without.iter().all(|kind| *kind < DEMANDS), "{without:?}");
+    let with = kinds_of_datagrams(Admission::Fair).await;
+    assert!(with.contains(&DEMANDS), "{with:?}");
+}
--- a/crates/route/src/admission/demand.rs
+++ b/crates/route/src/admission/demand.rs
@@ -27,10 +27,19 @@
 /// Shortest time over which a demand is measured, in milliseconds. A single request is no rate.
 const MIN_MEASURED_MS: f64 = 100.0;
 
+/// The same, and the time in which a request's weight falls to 1/e, in usual costs.
+const MIN_MEASURED_COSTS: f64 = 2.0;
+const MIN_DECAY_COSTS: f64 = 4.0;
+
+/// Weight of a request in the usual cost.
+const USUAL_COST_WEIGHT: f64 = 0.1;
+
 /// Rate of cost over about the last second, or since the first request if that is less.
 #[derive(Debug, Clone, Copy)]
 pub struct Meter {
     sum: f64,
+    /// Cost of a usual request.
+    usual_cost: f64,
     started_at: Duration,
     updated_at: Duration,
 }
@@ -39,12 +48,14 @@
     /// Starts a measurement.
     #[must_use]
     pub fn new(now: Duration) -> Self {
-        Self { sum: 0.0, started_at: now, updated_at: now }
+        Self { sum: 0.0, usual_cost: 0.0, started_at: now, updated_at: now }
     }
 
     /// Adds a cost in milliseconds of the whole service.
     pub fn add(&mut self, cost: f64, now: Duration) {
+        let weight = if self.usual_cost > 0.0 { USUAL_COST_WEIGHT } else { 1.0 };
         self.sum = self.decayed(now) + cost;
+        self.usual_cost += weight * (cost - self.usual_cost);
         self.updated_at = now;
     }
 
@@ -52,12 +63,20 @@
     #[must_use]
     pub fn rate(&self, now: Duration) -> f64 {
         // An overload that begins would otherwise be recognized only after half a second.
-        let measured_ms = millis(now.saturating_sub(self.started_at)).max(MIN_MEASURED_MS);
-        self.decayed(now) / (DECAY_MS * (1.0 - (-measured_ms / DECAY_MS).exp()))
+        let least_ms = MIN_MEASURED_MS.max(MIN_MEASURED_COSTS * self.usual_cost);
+        let (measured_ms, decay_ms) = (millis(now.saturating_sub(self.started_at)).max(least_ms), self.decay_ms());
+        self.decayed(now) / (decay_ms * (1.0 - (-measured_ms / decay_ms).exp()))
     }
 
     fn decayed(&self, now: Duration) -> f64 {
-        self.sum * (-millis(now.saturating_sub(self.updated_at)) / DECAY_MS).exp()
+        self.sum * (-millis(now.saturating_sub(self.updated_at)) / self.decay_ms()).exp()
+    }
+
+    /// Returns the time in which a past request's weight falls to 1/e. It is longer where a request
+    /// costs more than a small part of a second of the whole service: a single long run at a service
+    /// with few slots would otherwise look like an overload.
+    fn decay_ms(&self) -> f64 {
+        DECAY_MS.max(MIN_DECAY_COSTS * self.usual_cost)
     }
 }
 
--- a/crates/route/tests/shares.rs
+++ b/crates/route/tests/shares.rs
@@ -247,3 +247,13 @@
     assert_eq!(summary.other_teams, 268);
     assert!((summary.total() - demands.values().sum::<f64>()).abs() < 1e-9);
 }
+
+/// A single long run at a service with one slot takes half a second of all of it. That is no
+/// overload: the next request must not wait because of it once it is over.
+#[test]
+fn single_long_run_is_no_overload() {
+    let mut demands = Demands::default();
+    demands.record(class(1, 0), 500.0, Duration::ZERO);
+    let measured = demands.current(Duration::ZERO)[&class(1, 0)];
+    assert!(measured < 1.0, "{measured}");
+}
