--- a/crates/route/src/admission/capacity.rs
+++ b/crates/route/src/admission/capacity.rs
@@ -38,11 +38,11 @@
 /// Excess of waits above which endpoints are nearly full, and the further part by which the rate of
 /// limited requests is lowered at the upper bound. Requests that are not limited need the room.
 const FULL_EXCESS: f64 = 0.5;
-const FULL_DAMPING: f64 = 0.3;
+const FULL_DAMPING: f64 = 0.2;
 
 /// Part by which waits at those bounds lower the assumed capacity at once while the measured demand
 /// does not explain them. Demand is measured over a second, and endpoints are full sooner.
-const SURPRISE: f64 = 0.5;
+const SURPRISE: f64 = 0.3;
 
 /// Demand over capacity above which it explains long waits, and from which on it partly does.
 const EXPLAINED_ABOVE: f64 = 1.5;
