--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -39,11 +39,12 @@
 pub use self::in_flight::{InFlight, ReadAheadMemory, Reservation};
 use self::{era::Era, peers::Phase};
 use crate::{
+    admission::Gate,
     catalog::Catalog,
     clock,
     dialect::Dialect,
     quarantine,
-    settings::Settings,
+    settings::{Admission, Settings},
     source::{Kind, Progress},
     write_timeout::StalledCallers,
 };
@@ -78,6 +79,8 @@
     pub dialect: Dialect,
     /// Callers that have stopped reading their responses.
     pub(crate) stalled_callers: Arc<StalledCallers>,
+    /// Admission control; `None` if the operator has not switched it on.
+    pub gate: Option<Arc<Gate>>,
     /// When this value was created, which is the start of the instance.
     created_at: Duration,
     /// Signals progress of the start-up, which early requests wait for.
@@ -193,10 +196,13 @@
             held_body_bytes: 0,
             read_ahead_bytes: 0,
         };
+        let is_fair = settings.policies.admission == Admission::Fair;
+        let gate = is_fair.then(|| Gate::new(settings.seeds.len()));
         Arc::new(Self {
             settings,
             dialect,
             stalled_callers: Arc::default(),
+            gate,
             created_at: clock::now(),
             startup_progressed: Notify::new(),
             urgent_news: Notify::new(),
--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -24,6 +24,7 @@
 mod run;
 mod selection;
 mod stated;
+mod supply;
 mod warmup;
 mod withdrawals;
 
--- a/crates/relay/src/dispatcher/fleet/paces.rs
+++ b/crates/relay/src/dispatcher/fleet/paces.rs
@@ -100,9 +100,14 @@
     }
 
     /// Returns the number of runs that the endpoint serves in the time of an average one's run.
-    fn effective_slots(&self) -> f64 {
+    pub(super) fn effective_slots(&self) -> f64 {
         pace::effective_slots(self.endpoint.slots, self.learned.pace, self.learned.room)
     }
+
+    /// Returns the number of average engines that process prompts as fast as this one.
+    pub(super) fn effective_engines(&self) -> f64 {
+        1.0 / self.learned.pace.unwrap_or(1.0)
+    }
 }
 
 impl Fleet {
--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -17,6 +17,7 @@
 
 use super::tries::Exchange;
 use crate::{
+    admission::Permit,
     clock,
     dispatcher::fleet::{Job, Run, affinity},
     request_params,
@@ -67,6 +68,11 @@
         }
     }
 
+    /// Returns the request's rank: that of its team, or else that of its route.
+    pub(super) fn rank(&self) -> u8 {
+        self.admission.customer.as_ref().and_then(|customer| customer.rank).unwrap_or(self.admission.route.rank)
+    }
+
     /// Returns a hash of the whole prompt and the model that processes it.
     fn prompt_key(&self, model: Option<usize>) -> Option<u64> {
         Some(affinity(self.params.parts.last()?.id, model))
@@ -117,11 +123,6 @@
         Some(start.model)
     }
 
-    /// Returns the request's rank; a team's own takes precedence over its route's.
-    fn rank(&self) -> u8 {
-        self.admission.customer.as_ref().and_then(|customer| customer.rank).unwrap_or(self.admission.route.rank)
-    }
-
     /// Returns the value of a right answer in time as a multiple of the largest model's price;
     /// `None` if fixed thresholds decide.
     fn right_answer_value(&self) -> Option<f64> {
@@ -136,10 +137,9 @@
         (0..self.admission.route.models.len()).map(|model| self.relative_cost(Some(model))).collect()
     }
 
-    /// Returns the demand for a service over its capacity; 0 while nothing measures it.
-    #[expect(clippy::unused_self, reason = "the dispatcher will know the demand")]
-    fn pressure(&self, _service: &str) -> f64 {
-        0.0
+    /// Returns the demand for a service over its capacity; 0 without admission control.
+    fn pressure(&self, service: &str) -> f64 {
+        self.dispatcher.gate.as_ref().map_or(0.0, |gate| gate.pressure(service))
     }
 
     /// Counts a request that gets a smaller model because of pressure.
@@ -205,7 +205,8 @@
             headers.insert(names.model.clone(), request_params::value(&model.name));
         }
         if self.params.tokens.is_some() {
-            headers.insert(names.rank.clone(), request_params::value(&self.rank().min(9).to_string()));
+            let priority = self.permit.as_ref().and_then(Permit::priority).unwrap_or_else(|| self.rank());
+            headers.insert(names.rank.clone(), request_params::value(&priority.min(9).to_string()));
         }
         if let Some(source) = run.source {
             headers.insert(names.copy_from.clone(), request_params::value(&source.to_string()));
