Keep a silent run beside the retry of its request

An idempotent request got 502 (it may have run; its answer was lost) 0.13 to 0.5 s after it was sent to the only server that took requests, which stood still for 0.8 s and then answered: its run was given up for a retry, and the others rejected that.

A run whose endpoint is silent for longer than a first byte may take, or whose registration is removed, is now kept beside the next tries and given up only once another answer is accepted. If nobody else takes the request, it is waited for until the deadline. The endpoint's failure is recorded at the same time as before, so that other requests go elsewhere.

late_answers: 4 of 10 failed before, all hold.

--- a/crates/relay/src/dispatcher/fleet/run.rs
+++ b/crates/relay/src/dispatcher/fleet/run.rs
@@ -103,6 +103,12 @@
         self.is_verdict_due = true;
     }
 
+    /// Records that the endpoint goes on with a run that had been recorded as broken. The run has counted
+    /// as evidence about its version then.
+    pub fn record_return(&mut self, work: Work) {
+        self.work = Some(work);
+    }
+
     /// Records that the first byte was received, so that the prompt has been read.
     pub fn record_first_byte(&mut self) {
         let now = clock::now();
@@ -221,9 +227,11 @@
     }
 
     /// Counts the run as evidence about its version, at the first byte of a stream or the end
-    /// of another answer. One that took several times as long as usual counts as bad.
+    /// of another answer. One that took several times as long as usual counts as bad. A run counts once.
     pub fn record_verdict(&mut self, failed: bool) {
-        self.is_verdict_due = false;
+        if !std::mem::take(&mut self.is_verdict_due) {
+            return;
+        }
         let dispatcher = Arc::clone(&self.dispatcher);
         let mut state = dispatcher.lock();
         let relative = self.relative_time(&state);
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -14,6 +14,8 @@
 mod forwarding;
 mod hop;
 mod plan;
+mod send;
+mod silent;
 mod stream;
 mod tries;
 
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -7,7 +7,12 @@
 use route::relay::{content::Work, placement::Choice};
 use tokio::{task::JoinHandle, time::timeout};
 
-use super::{admit::Admission, crash_check, hop::Hop};
+use super::{
+    admit::Admission,
+    crash_check,
+    hop::Hop,
+    silent::{SilentTries, SilentTry},
+};
 use crate::{
     answer::{self, Body, Refusal},
     buffer,
@@ -19,7 +24,7 @@
     },
     request_params::RequestParams,
     source::Endpoint,
-    upstream::{self, Answer, Outcome, TryResult, Unreachable},
+    upstream::{Answer, Outcome, Unreachable},
 };
 
 /// Longest answer that is buffered, in bytes: several times the longest request. All answers and
@@ -29,10 +34,7 @@
 /// Time before the deadline at which an unfinished answer is given up. The deadline itself cancels
 /// the try, and the endpoint's failure would not be recorded: it would get as many requests as
 /// before.
-const RECORDING_TIME: Duration = Duration::from_millis(3);
-
-/// Cause of a failed try for logs: the endpoint may be gone, and its connection does not show it.
-const REMOVED: &str = "its registration was removed before an answer came";
+pub(super) const RECORDING_TIME: Duration = Duration::from_millis(3);
 
 /// A request being served.
 #[derive(Debug)]
@@ -115,6 +117,8 @@
     Refused(Refusal),
     /// A server error; it is returned to the caller if no later try gives a better answer.
     Failed(Failure),
+    /// The endpoint is silent; its run is kept beside the next tries.
+    Silent(Box<SilentTry>),
     Retry,
 }
 
@@ -133,26 +137,40 @@
     pub async fn run(&mut self) -> Result<AcceptedAnswer, Refusal> {
         let mut model = self.start_model();
         let mut failed: Option<Failure> = None;
+        let mut silent = SilentTries::default();
         loop {
-            let last_event = self.params.last_event;
-            let step = match self.next_hop(model).await {
-                Ok(Hop::Endpoint(run)) => self.try_at(*run, &mut model, last_event).await,
-                Ok(Hop::Instance(instance)) => self.forward(instance).await,
-                Err(refusal) => NextStep::Refused(refusal),
-            };
-            match step {
-                NextStep::Accepted(accepted) => return Ok(accepted),
-                NextStep::Failed(failure) => failed = Some(failure),
-                NextStep::Retry => {}
-                NextStep::Refused(refusal) => {
-                    let Some(failure) = failed else { return Err(refusal) };
-                    self.log_answer(&failure.endpoint, failure.choice, failure.status, None, None);
-                    return Ok(AcceptedAnswer::Whole(failure.response));
+            for step in self.next_step(&mut model, &mut silent).await {
+                let step = match step {
+                    NextStep::Refused(refusal) if failed.is_none() => {
+                        self.await_silent(&mut model, &mut silent, refusal).await
+                    }
+                    other => other,
+                };
+                match step {
+                    NextStep::Accepted(accepted) => return Ok(accepted),
+                    NextStep::Failed(failure) => failed = Some(failure),
+                    NextStep::Silent(kept) => self.keep(&mut silent, *kept),
+                    NextStep::Retry => {}
+                    NextStep::Refused(refusal) => {
+                        let Some(failure) = failed else { return Err(refusal) };
+                        self.log_answer(&failure.endpoint, failure.choice, failure.status, None, None);
+                        return Ok(AcceptedAnswer::Whole(failure.response));
+                    }
                 }
             }
         }
     }
 
+    /// Makes one try.
+    pub(super) async fn try_next(&mut self, model: &mut Option<usize>) -> NextStep {
+        let last_event = self.params.last_event;
+        match self.next_hop(*model).await {
+            Ok(Hop::Endpoint(run)) => self.try_at(*run, model, last_event).await,
+            Ok(Hop::Instance(instance)) => self.forward(instance).await,
+            Err(refusal) => NextStep::Refused(refusal),
+        }
+    }
+
     /// Returns the refusal for the caller, which must not claim that a request did not run
     /// if it may have run.
     pub(super) fn refusal_for_caller(&self, refusal: Refusal) -> Refusal {
@@ -167,14 +185,21 @@
 
     /// Sends the request once and decides what to do with the answer.
     async fn try_at(&mut self, mut run: Run, model: &mut Option<usize>, last_event: Option<u64>) -> NextStep {
-        let outcome = self.send(&mut run, *model, last_event).await;
-        let answer = match outcome {
-            Outcome::Answer(answer) => *answer,
-            other => {
+        match self.send_until_silent(&mut run, *model, last_event).await {
+            Ok(Outcome::Answer(answer)) => self.take_answer(*answer, run, model).await,
+            Ok(other) => {
                 self.record_failed_try(&mut run, &other);
-                return NextStep::Retry;
+                NextStep::Retry
             }
-        };
+            Err((answer, cause)) => {
+                self.record_failed_try(&mut run, &Outcome::Unknown(cause.into()));
+                NextStep::Silent(Box::new(SilentTry { run, model: *model, answer }))
+            }
+        }
+    }
+
+    /// Decides what to do with an answer that has begun.
+    pub(super) async fn take_answer(&mut self, answer: Answer, mut run: Run, model: &mut Option<usize>) -> NextStep {
         run.record_first_byte();
         let status = answer.response.status();
         let stream = matches!(self.admission.route.kind, Kind::Stream { .. });
@@ -269,47 +294,6 @@
         self.cause = cause;
     }
 
-    /// Sends the request to the endpoint of a run.
-    pub(super) async fn send(&mut self, run: &mut Run, model: Option<usize>, last_event: Option<u64>) -> Outcome {
-        let left = self.left();
-        let request = self.request(run, model, last_event, left);
-        self.sent += 1;
-        let first_byte_timeout = self.first_byte_timeout(run).min(left);
-        let network = &*self.dispatcher.settings.network;
-        let connected = match upstream::connect(network, run.endpoint.address, first_byte_timeout).await {
-            Ok(connected) => connected,
-            Err(unreachable) => return Outcome::Unreachable(unreachable),
-        };
-        run.record_connection();
-        if self.dispatcher.has_withdrawn(run.key) {
-            return Outcome::Withdrawn;
-        }
-        run.mark_sent(self.work.clone());
-        if self.sent == 1 {
-            self.dispatcher.record_first_dispatch(&self.service);
-        }
-        // The deadline may pass and cancel this call while the try is in flight. From here
-        // on the caller must not be told that the request did not run.
-        let ran_before = std::mem::replace(&mut self.may_have_run, true);
-        let answer = upstream::exchange(connected, request, first_byte_timeout);
-        let answer = if self.may_send_again() {
-            tokio::select! {
-                biased;
-                answer = answer => answer,
-                () = self.dispatcher.wait_until_removed(run) => Err(Outcome::Unknown(REMOVED.into())),
-            }
-        } else {
-            answer.await
-        };
-        let TryResult { outcome, statements } =
-            upstream::check_try(answer, &self.params.id, &self.dispatcher.dialect.names);
-        run.record_statements(statements);
-        if matches!(outcome, Outcome::Unreachable(_) | Outcome::NotRun(_)) {
-            self.may_have_run = ran_before;
-        }
-        outcome
-    }
-
     /// Reads an answer to its end. One that breaks off may be retried like a lost answer.
     async fn read_whole_answer(&mut self, answer: Answer, mut run: Run) -> NextStep {
         let headers = self.headers_from(&run.endpoint, &answer);
--- /dev/null
+++ b/crates/relay/tests/outages/late_answers.rs
@@ -0,0 +1,95 @@
+//! Requests at an endpoint that is silent for longer than a first byte may take, and answers after all.
+//!
+//! The run was given up for a retry. When nobody else took the request, its caller was told that the
+//! answer was lost (502), while the silent endpoint was about to give it.
+
+use std::time::{Duration, Instant};
+
+use relay::catalog::{Kind, Route};
+use tokio::time::sleep;
+
+use crate::{
+    caller::{self, Response},
+    server::{Action, LAST_CHUNK, Server, event, ok_response, response_head, stream_head},
+    site::{Site, route},
+};
+
+const RESUMABLE: Kind = Kind::Stream { resumable: true };
+
+/// Longest time until the answer of an endpoint that answers at once after the first byte took too long.
+const SOON: Duration = Duration::from_millis(2_200);
+
+fn full() -> Action {
+    Action::Write(ok_response("full").replace("200 X", "503 X").replace("x-signature: s", "x-not-run: 1"))
+}
+
+fn after(ms: u64, answer: String) -> Action {
+    Action::Pause(String::new(), Duration::from_millis(ms), answer)
+}
+
+fn stream() -> String {
+    stream_head(90) + &event(1) + LAST_CHUNK
+}
+
+/// Plays actions, in the order of the requests, at two endpoints of one program. A first byte may take
+/// one second.
+async fn play(kind: Kind, headers: &str, actions: Vec<Action>) -> (Response, Duration, Server) {
+    let server = Server::start(actions).await;
+    let quick = Route { target_time: Duration::from_secs(4), ..route("/a/", kind) };
+    let site = Site::start(vec![quick], &[server.address, server.address]).await;
+    let started = Instant::now();
+    let response = caller::call(site.front(), "POST", "/a/x", headers, "sheet").await;
+    (response, started.elapsed(), server)
+}
+
+macro_rules! answers {
+    ($($(#[$doc:meta])* $name:ident: $kind:expr, $headers:expr, $actions:expr => $status:expr, $body:expr;)*) => {$(
+        $(#[$doc])*
+        #[tokio::test]
+        async fn $name() {
+            let (response, took, server) = play($kind, $headers, $actions).await;
+            let requests = server.requests().len();
+            assert_eq!((response.status, response.complete), ($status, true), "{took:?} {requests} {response:?}");
+            assert!(response.body.contains($body), "{took:?} {response:?}");
+        }
+    )*};
+}
+
+answers! {
+    /// The others are full. Nobody else ever runs the request.
+    late_answer_arrives_if_the_others_are_full:
+        Kind::Idempotent, "", vec![after(1_500, ok_response("first")), full()] => 200, "first";
+    late_stream_arrives_if_the_others_are_full:
+        RESUMABLE, "", vec![after(1_500, stream()), full()] => 200, "d1";
+    /// The other endpoint has begun to run the request, and is silent too.
+    late_answer_arrives_before_that_of_a_silent_retry:
+        Kind::Idempotent, "", vec![after(1_500, ok_response("first")), after(3_000, ok_response("second"))] => 200, "first";
+    answer_of_a_retry_arrives_before_a_later_one:
+        Kind::Idempotent, "", vec![after(3_000, ok_response("first")), after(100, ok_response("second"))] => 200, "second";
+    /// The silent endpoint reports a failure while another one runs the request.
+    late_failure_does_not_end_a_retry:
+        Kind::Idempotent, "", vec![after(1_200, response_head(500, 0)), after(700, ok_response("second"))] => 200, "second";
+    /// The late answer breaks off. The request may still be sent to another endpoint.
+    late_answer_that_breaks_off_is_retried:
+        Kind::Idempotent, "",
+        vec![after(1_500, response_head(200, 20)), full(), Action::Write(ok_response("third"))] => 200, "third";
+    lost_late_answer_may_have_run:
+        Kind::Idempotent, "",
+        vec![Action::PauseAndReset(String::new(), Duration::from_millis(1_500)), full()] => 502, "it may have run";
+    silence_until_the_deadline_may_have_run:
+        Kind::Idempotent, "X-Deadline: 2500\r\n", vec![Action::Hang(String::new()), full()] => 504, "it may have run";
+    /// It must not be sent again, and is waited for.
+    late_answer_of_another_request_arrives:
+        Kind::NonIdempotent, "", vec![after(1_500, ok_response("first")), Action::Write(ok_response("second"))] => 200, "first";
+}
+
+/// A run that nobody waits for any more has to end, or it would keep a slot of its endpoint.
+#[tokio::test]
+async fn silent_run_is_cancelled_once_another_answer_is_accepted() {
+    let actions = vec![Action::Hang(String::new()), Action::Write(ok_response("second"))];
+    let (response, took, server) = play(Kind::Idempotent, "", actions).await;
+    assert_eq!(response.body, "second");
+    assert!(took < SOON, "{took:?}");
+    sleep(Duration::from_millis(300)).await;
+    assert_eq!(server.disconnects(), 1);
+}
--- a/crates/relay/tests/outages/main.rs
+++ b/crates/relay/tests/outages/main.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod changed_catalog;
 mod endless_answers;
+mod late_answers;
 #[expect(dead_code, reason = "shared with the other tests of the relay")]
 #[path = "../it/network.rs"]
 mod network;
--- a/crates/relay/tests/outages/vanishing_endpoints.rs
+++ b/crates/relay/tests/outages/vanishing_endpoints.rs
@@ -140,7 +140,7 @@
 #[tokio::test]
 async fn run_of_an_endpoint_that_leaves_is_waited_for() {
     let leaving =
-        Server::start(vec![Action::Pause(String::new(), Duration::from_millis(1_500), ok_response("first"))]).await;
+        Server::start(vec![Action::Pause(String::new(), Duration::from_millis(2_200), ok_response("first"))]).await;
     let sound = Server::start(vec![Action::Write(ok_response("again"))]).await;
     let site = Site::start(vec![route("/a/", Kind::Idempotent)], &[leaving.address]).await;
     let (front, store) = (site.front(), &site.store);
@@ -150,7 +150,9 @@
     }
     store.register_endpoint(&endpoint("e1", sound.address));
     store.register_endpoint(&Endpoint { draining: true, ..endpoint("e0", leaving.address) });
-    sleep(Duration::from_millis(500)).await;
+    while !site.relay.dispatcher().known_endpoints().iter().any(|endpoint| endpoint.draining) {
+        sleep(Duration::from_millis(5)).await;
+    }
     store.remove_endpoint("e0");
     let response = call.await.unwrap();
     assert_eq!((response.body.as_str(), sound.requests().len()), ("first", 0), "{response:?}");
