--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -16,6 +16,8 @@
 mod passage;
 mod plan;
 mod read_ahead;
+mod send;
+mod silent;
 mod stream;
 mod tries;
 
