Weigh reported runs by their age in the rotation

Change: only other instances' runs count, with the square of the part that is expected to be left. An endpoint that looks empty gets at most twice its share.

--- a/crates/relay/src/dispatcher/fleet/rotation.rs
+++ b/crates/relay/src/dispatcher/fleet/rotation.rs
@@ -87,16 +87,17 @@
     ) -> Option<(Choice, NextTurn)> {
         let rotation = self.rotations.0.get(job.service);
         let run_ms = rotation.and_then(|rotation| rotation.run_ms).unwrap_or(request.first_byte_ms);
-        let age = estimate_loads(servers, candidates, Duration::from_secs_f64(run_ms.max(0.0) / 1_000.0), now);
-        let turn = |((_, server), candidate): (&(Key, &Server), &Candidate<'_>)| {
+        let run_time = Duration::from_secs_f64(run_ms.max(0.0) / 1_000.0);
+        let (age, others) = estimate_loads(servers, candidates, run_time, now);
+        let turn = |(((_, server), candidate), others): ((&(Key, &Server), &Candidate<'_>), f64)| {
             let prior = match policies.capacity {
                 Capacity::Declared => 1.0,
                 Capacity::Learned => candidate.slowness,
             };
             let Place { due, pace, .. } = server.rotation;
-            Turn { due, pace: pace.factor(prior, now), is_full: server.full_until > now }
+            Turn { due, others, pace: pace.factor(prior, now), is_full: server.full_until > now }
         };
-        let turns: Vec<Turn> = servers.iter().zip(candidates.iter()).map(turn).collect();
+        let turns: Vec<Turn> = servers.iter().zip(candidates.iter()).zip(others).map(turn).collect();
         let clock = rotation.map_or(0.0, |rotation| rotation.clock);
         let balanced = balance::choose(candidates, &turns, request, clock, seed)?;
         let basis = Basis { age, spread: spread(candidates) };
@@ -160,13 +161,13 @@
 }
 
 /// Replaces the reported runs and prompt backlogs of candidates by those that are expected now.
-/// Returns the mean age of the reported runs.
+/// Returns the mean age of the reported runs and, for each candidate, the dependable number of them.
 fn estimate_loads(
     servers: &[(Key, &Server)],
     candidates: &mut [Candidate<'_>],
     run_time: Duration,
     now: Duration,
-) -> Option<Duration> {
+) -> (Option<Duration>, Vec<f64>) {
     let reported = |server: &Server| {
         let age =
             |reported_at: Duration| Reported { runs: server.peer_load.runs, age: now.saturating_sub(reported_at) };
@@ -177,14 +178,16 @@
     let runs_by_age: f64 =
         servers.iter().map(|(_, server)| reported(server)).map(|r| r.runs * r.age.as_secs_f64()).sum();
     let mean_age = (total > 0.0).then(|| Duration::from_secs_f64((runs_by_age / total).max(0.0)));
+    let mut others = Vec::with_capacity(servers.len());
     for ((_, server), candidate) in servers.iter().zip(candidates) {
         let Reported { runs, age } = reported(server);
         let age = if runs > 0.0 { age } else { mean_age.unwrap_or_default() };
         let mean = total * f64::from(server.endpoint.slots) / slots.max(1.0);
+        others.push(balance::dependable_runs(runs, mean, age, run_time));
         candidate.runs += balance::runs_now(runs, mean, age, run_time) - server.peer_load.runs;
         candidate.reported_backlog_ms = balance::backlog_now(candidate.reported_backlog_ms, age);
     }
-    mean_age
+    (mean_age, others)
 }
 
 /// Returns the largest number of runs for each slot, divided by the mean; 1 if there are no runs.
--- a/crates/replay/src/balance/method.rs
+++ b/crates/replay/src/balance/method.rs
@@ -162,6 +162,7 @@
         let now = Duration::from_micros(view.now_us);
         let turn = |endpoint: &usize| Turn {
             due: self.due[*endpoint],
+            others: self.runs(Method::Balanced, view, *endpoint) - f64::from(view.own[*endpoint]),
             pace: self.paces[*endpoint].factor(1.0, now),
             is_full: self.full_until_us[*endpoint] > view.now_us,
         };
@@ -217,6 +218,7 @@
                 let sent = f64::from(self.sends[endpoint]) / f64::from(self.sends.iter().sum::<u32>().max(1));
                 balance::runs_now(reported, sent * total, age, run)
             }
+            Method::Balanced => balance::dependable_runs(reported, total * view.slots(endpoint) / all_slots, age, run),
             _ => balance::runs_now(reported, total * view.slots(endpoint) / all_slots, age, run),
         };
         f64::from(view.own[endpoint]) + others + full
--- a/crates/route/src/relay/balance.rs
+++ b/crates/route/src/relay/balance.rs
@@ -41,7 +41,11 @@
 /// Effect of a larger number of runs for each slot on the rate of sends, as the decrease of its
 /// logarithm. Where reports are older than runs last, the estimated runs are close to the mean and
 /// have little effect.
-const OCCUPANCY_WEIGHT: f64 = 1.5;
+const OCCUPANCY_WEIGHT: f64 = 3.0;
+
+/// Maximum increase of the rate of sends to an endpoint with fewer runs than others. All instances
+/// see the same empty endpoint, and do so until their next reports.
+const MAX_VACANCY: f64 = 2.0;
 
 /// Maximum number of turns by which an endpoint may be ahead of the rotation. Sends to the holder
 /// of a hot prefix count as turns; with this bound the endpoint returns to the rotation soon after
@@ -71,6 +75,9 @@
 pub struct Turn {
     /// Virtual time at which the endpoint is due; `None` before the first send.
     pub due: Option<f64>,
+    /// Number of runs of other instances, by [`dependable_runs`]. Own runs do not count: the
+    /// rotation spreads them already.
+    pub others: f64,
     /// Response time relative to the mean of the service, as a factor.
     pub pace: f64,
     /// Whether the endpoint rejected a request as full a moment ago.
@@ -105,7 +112,7 @@
     let eligibility = eligibilities(candidates, turns);
     let best = eligibility.iter().copied().fold(0.0, f64::max);
     let has_turn = |index: &usize| eligibility[*index] >= MIN_ELIGIBILITY * best;
-    let mean_occupancy = mean_occupancy(candidates);
+    let mean_occupancy = mean_occupancy(candidates, turns);
     let rate = |index: usize| rate(&candidates[index], &turns[index], mean_occupancy);
     let length = |index: usize| 1.0 / rate(index);
     let mut entered = Vec::new();
@@ -145,16 +152,16 @@
 /// is the number of runs for each slot of all candidates.
 fn rate(candidate: &Candidate<'_>, turn: &Turn, mean_occupancy: f64) -> f64 {
     let slots = f64::from(candidate.slots.max(1));
-    let occupancy = candidate.runs / slots;
+    let occupancy = turn.others / slots;
     let distance = if candidate.local { 1.0 } else { REMOTE_RATE };
-    let vacancy = (-OCCUPANCY_WEIGHT * (occupancy - mean_occupancy).clamp(-1.0, 1.0)).exp();
+    let vacancy = (-OCCUPANCY_WEIGHT * (occupancy - mean_occupancy).min(1.0)).exp().min(MAX_VACANCY);
     distance * slots * vacancy / turn.pace.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1)
 }
 
-/// Returns the number of runs for each slot of all candidates.
-fn mean_occupancy(candidates: &[Candidate<'_>]) -> f64 {
+/// Returns the number of other instances' runs for each slot of all candidates.
+fn mean_occupancy(candidates: &[Candidate<'_>], turns: &[Turn]) -> f64 {
     let slots: f64 = candidates.iter().map(|candidate| f64::from(candidate.slots.max(1))).sum();
-    candidates.iter().map(|candidate| candidate.runs).sum::<f64>() / slots.max(1.0)
+    turns.iter().map(|turn| turn.others).sum::<f64>() / slots.max(1.0)
 }
 
 /// Returns a random fraction of a turn, by which an endpoint enters the rotation.
@@ -172,6 +179,16 @@
     mean + kept_share(age, run_time) * (reported - mean)
 }
 
+/// Returns the number of runs of other instances as far as reports of them can be relied on: the
+/// longer ago they were, the closer it is to the mean.
+///
+/// Of the difference to the mean, the part that is expected to be left counts, and of that the same
+/// part again, since as much of the endpoint's runs is known.
+#[must_use]
+pub fn dependable_runs(reported: f64, mean: f64, age: Duration, run_time: Duration) -> f64 {
+    mean + kept_share(age, run_time).powi(2) * (reported - mean)
+}
+
 /// Returns the part of reported prompt processing that is left after a while, in milliseconds. An
 /// endpoint processes one prompt after another, a millisecond in each millisecond.
 #[must_use]
