--- a/crates/relay/src/admission/service/waiting.rs
+++ b/crates/relay/src/admission/service/waiting.rs
@@ -24,6 +24,10 @@
 /// served, and its target time kept.
 const QUEUED_PART_OF_TARGET: f64 = 0.75;
 
+/// Number of runs that have to fit into that time, or the request may wait until its deadline. Long
+/// prompts would otherwise be refused whenever anything waits.
+const MIN_RUNS_UNTIL_TARGET: f64 = 2.0;
+
 /// Demand over capacity below which the queue is taken to empty, so that requests may wait until
 /// their deadlines.
 const DRAINING_BELOW: f64 = 0.9;
@@ -44,10 +48,10 @@
         let target = at.plus(whole_millis(clock::millis(entry.target_left)));
         // While more is demanded than can be served, each request that is served late takes the
         // place of one that could be served in time.
-        let can_be_in_time = target.since(at) > whole_millis(run_ms);
         let is_over = self.division.demand > DRAINING_BELOW * self.correction.capacity();
         let early = at.plus(whole_millis(clock::millis(entry.target_left) * QUEUED_PART_OF_TARGET));
-        let latest_end = (is_over && can_be_in_time && target < deadline).then_some(early);
+        let can_be_early = early.since(at) > whole_millis(run_ms * MIN_RUNS_UNTIL_TARGET);
+        let latest_end = (is_over && can_be_early && target < deadline).then_some(early);
         let allocation = if grant.is_limited { self.division.limited_allocation(class.team) } else { 0.0 };
         let ticket = Ticket {
             customer: &customer,
--- a/crates/relay/tests/load/gate.rs
+++ b/crates/relay/tests/load/gate.rs
@@ -18,7 +18,7 @@
 use tokio::{
     net::UdpSocket,
     task::JoinHandle,
-    time::{sleep, timeout_at},
+    time::{sleep, timeout, timeout_at},
 };
 
 use crate::{
@@ -152,6 +152,21 @@
     assert!(priorities.contains(&6), "{priorities:?}");
 }
 
+/// A long prompt that takes most of its target time can hardly be served in time while others wait.
+/// It may be late, but must not be refused as long as it can meet its deadline.
+#[tokio::test]
+async fn long_request_is_not_refused_because_of_its_length() {
+    let gate = Gate::new(1);
+    let calls = overload(&gate).await;
+    assert!(gate.waiting("logbook") > 0, "some requests wait");
+    let long = Entry { route: "long", first_byte_ms: 15_000.0, ..entry(100) };
+    let result = timeout(Duration::from_millis(100), gate.enter(&long, supply)).await;
+    assert!(!matches!(result, Ok(Err(_))), "{result:?}");
+    for call in calls {
+        call.abort();
+    }
+}
+
 /// Returns the kinds of datagrams that an overloaded instance sends to another one.
 async fn kinds_of_datagrams(admission: Admission) -> HashSet<u8> {
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
