Smooth demands that do not change

Cause: a team that asks for just its share was measured above it half of the time and limited. Change: demands of all instances are smoothed over three seconds until they change by 0.4.

--- a/crates/relay/src/admission/service.rs
+++ b/crates/relay/src/admission/service.rs
@@ -11,7 +11,7 @@
     Key, Queue,
     bucket::Bucket,
     capacity::{Correction, RunTime},
-    demand::{Class, Demands, Summary},
+    demand::{Class, Demands, Smoothed, Summary},
     share::{self, Demand, Division, Grant},
 };
 use tokio::sync::oneshot;
@@ -104,6 +104,7 @@
     name: String,
     supply: Option<(Supply, Duration)>,
     demands: Demands,
+    smoothed: Smoothed,
     remotes: Remotes,
     correction: Correction,
     /// Times of runs by the hash of their kind: a route and the model that is asked first.
@@ -128,6 +129,7 @@
             name: String::new(),
             supply: None,
             demands: Demands::default(),
+            smoothed: Smoothed::default(),
             remotes: Remotes::default(),
             correction: Correction::new(now),
             run_times: HashMap::new(),
@@ -214,6 +216,11 @@
         for (class, sum) in &self.remotes.sums {
             demands.entry(*class).or_insert(Demand { class: *class, own: 0.0, others: 0.0 }).others += sum;
         }
+        let scale = |demand: &mut Demand, factor: f64| {
+            demand.own *= factor;
+            demand.others *= factor;
+        };
+        self.smoothed.apply(&mut demands, now, |demand| demand.own + demand.others, scale);
         let demands: Vec<Demand> = demands.into_values().collect();
         let total = demands.iter().map(|demand| demand.own + demand.others).sum::<f64>() + self.remotes.unnamed.demand;
         let capacity = self.correction.capacity_for(total);
--- a/crates/route/src/admission/demand.rs
+++ b/crates/route/src/admission/demand.rs
@@ -104,6 +104,45 @@
     }
 }
 
+/// Time over which the demand of all instances is smoothed, in milliseconds. What a team asks for in
+/// a second varies by a tenth or two; one that asks for just its share would be limited half of the
+/// time.
+const SMOOTHING_MS: f64 = 3_000.0;
+
+/// Ratio of a demand to the smoothed one, or the reverse, from which on it has changed.
+const CHANGED: f64 = 1.4;
+
+/// Demands of all instances, smoothed while they do not change.
+#[derive(Debug, Default)]
+pub struct Smoothed {
+    demands: HashMap<Class, f64>,
+    updated_at: Duration,
+}
+
+impl Smoothed {
+    /// Replaces each demand by its smoothed value. `total` and `scale` read and change one.
+    pub fn apply<T>(
+        &mut self,
+        demands: &mut BTreeMap<Class, T>,
+        now: Duration,
+        total: impl Fn(&T) -> f64,
+        scale: impl Fn(&mut T, f64),
+    ) {
+        let weight = 1.0 - (-millis(now.saturating_sub(self.updated_at)) / SMOOTHING_MS).exp();
+        self.updated_at = now;
+        self.demands.retain(|class, _| demands.contains_key(class));
+        for (class, demand) in demands {
+            let current = total(demand);
+            let smoothed = self.demands.entry(*class).or_insert(current);
+            let has_changed = current > *smoothed * CHANGED || current * CHANGED < *smoothed;
+            *smoothed += if has_changed { 1.0 } else { weight } * (current - *smoothed);
+            if current > 0.0 {
+                scale(demand, *smoothed / current);
+            }
+        }
+    }
+}
+
 /// Demands as an instance tells them to others: those of its largest teams, and what remains.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Summary {
--- a/crates/route/tests/shares.rs
+++ b/crates/route/tests/shares.rs
@@ -5,7 +5,7 @@
 use route::admission::{
     bucket::Bucket,
     capacity::{Correction, RunTime},
-    demand::{Class, Demands, MAX_TOLD_TEAMS, Summary},
+    demand::{Class, Demands, MAX_TOLD_TEAMS, Smoothed, Summary},
     share::{Demand, Division, Unnamed, divide},
 };
 
@@ -257,3 +257,25 @@
     let measured = demands.current(Duration::ZERO)[&class(1, 0)];
     assert!(measured < 1.0, "{measured}");
 }
+
+/// A team that asks for about its share varies around it; a flood is another demand at once.
+#[test]
+fn noise_is_smoothed_and_a_flood_is_not() {
+    let mut smoothed = Smoothed::default();
+    let mut measure = |demand: f64, at_ms: u64| {
+        let mut demands = BTreeMap::from([(class(1, 0), demand)]);
+        smoothed.apply(
+            &mut demands,
+            Duration::from_millis(at_ms),
+            |demand| *demand,
+            |demand, factor| *demand *= factor,
+        );
+        demands[&class(1, 0)]
+    };
+    for step in 0..200 {
+        let noisy = if step % 20 < 10 { 0.6 } else { 0.45 };
+        let got = measure(noisy, step * 20);
+        assert!(step < 100 || (0.48..0.58).contains(&got), "{got}");
+    }
+    assert!((measure(2.5, 4_000) - 2.5).abs() < 1e-9);
+}
