--- a/crates/relay/src/admission/service/waiting.rs
+++ b/crates/relay/src/admission/service/waiting.rs
@@ -22,7 +22,7 @@
 /// Part of the time until its target by which a request has to be expected to end, or it does not
 /// wait. The rest is for shares that shrink while it waits: a request that was let wait should be
 /// served, and its target time kept.
-const QUEUED_PART_OF_TARGET: f64 = 0.75;
+const QUEUED_PART_OF_TARGET: f64 = 0.8;
 
 /// Number of runs that have to fit into that time, or the request may wait until its deadline. Long
 /// prompts would otherwise be refused whenever anything waits.
