--- a/crates/relay/src/dispatcher/fleet/rotation.rs
+++ b/crates/relay/src/dispatcher/fleet/rotation.rs
@@ -11,10 +11,10 @@
     placement::{Candidate, Choice, Request},
 };
 
-use super::{Fleet, Job, Key, Run, Server};
+use super::{Fleet, Key, Run, Server};
 use crate::{
     clock,
-    settings::{Capacity, Placement, Policies},
+    settings::{Capacity, Placement},
 };
 
 /// Weight of an observation in the usual response time and run time of a service, which thus
@@ -65,6 +65,17 @@
     spread: f64,
 }
 
+/// What an endpoint is chosen for.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Task<'a> {
+    pub service: &'a str,
+    pub request: Request,
+    /// What endpoints' pace is taken from before this instance has observed it.
+    pub capacity: Capacity,
+    /// Stands for this instance.
+    pub seed: u64,
+}
+
 /// Number of runs, and an age that applies to all of them.
 #[derive(Debug, Clone, Copy, Default)]
 struct Reported {
@@ -77,20 +88,18 @@
     /// are expected now.
     pub(super) fn choose_in_turn(
         &self,
-        job: &Job<'_>,
-        policies: &Policies,
+        task: &Task<'_>,
         servers: &[(Key, &Server)],
         candidates: &mut [Candidate<'_>],
-        request: Request,
-        seed: u64,
         now: Duration,
     ) -> Option<(Choice, NextTurn)> {
-        let rotation = self.rotations.0.get(job.service);
+        let Task { service, request, capacity, seed } = *task;
+        let rotation = self.rotations.0.get(service);
         let run_ms = rotation.and_then(|rotation| rotation.run_ms).unwrap_or(request.first_byte_ms);
         let run_time = Duration::from_secs_f64(run_ms.max(0.0) / 1_000.0);
         let (age, others) = estimate_loads(servers, candidates, run_time, now);
         let turn = |(((_, server), candidate), others): ((&(Key, &Server), &Candidate<'_>), f64)| {
-            let prior = match policies.capacity {
+            let prior = match capacity {
                 Capacity::Declared => 1.0,
                 Capacity::Learned => candidate.slowness,
             };
--- a/crates/relay/src/dispatcher/fleet/selection.rs
+++ b/crates/relay/src/dispatcher/fleet/selection.rs
@@ -8,8 +8,11 @@
 };
 
 use super::{
-    Fleet, Job, Key, LatencyKey, Server, State, caches::part_hash, initial_latency, notices::MIN_ANNOUNCED_PART_TOKENS,
-    rotation::NextTurn,
+    Fleet, Job, Key, LatencyKey, Server, State,
+    caches::part_hash,
+    initial_latency,
+    notices::MIN_ANNOUNCED_PART_TOKENS,
+    rotation::{NextTurn, Task},
 };
 use crate::{
     clock,
@@ -17,7 +20,7 @@
         Dispatcher,
         rollouts::{self, Arm, Assignment},
     },
-    settings::{Placement, Settings},
+    settings::{Placement, Policies, Settings},
 };
 
 /// Number of preceding tokens at which reading a token takes twice as long as at the start
@@ -116,8 +119,9 @@
                 (placement::choose(&candidates, request, seed)?, None)
             }
             Placement::Balanced => {
-                let (policies, seed) = (&settings.policies, self.peers.me);
-                let chosen = self.fleet.choose_in_turn(job, policies, &chosen, &mut candidates, request, seed, now)?;
+                let Policies { capacity, .. } = settings.policies;
+                let task = Task { service: job.service, request, capacity, seed: self.peers.me };
+                let chosen = self.fleet.choose_in_turn(&task, &chosen, &mut candidates, now)?;
                 (chosen.0, Some(chosen.1))
             }
         };
--- a/crates/relay/tests/it/balanced.rs
+++ b/crates/relay/tests/it/balanced.rs
@@ -174,6 +174,8 @@
     assert!(balanced.p95_wait < MAX_P95_WAIT, "{balanced:?}, with reported loads {reported:?}");
     assert!(balanced.rejections * 20 <= reported.rejections.max(20), "{balanced:?}, {reported:?}");
     assert_eq!(balanced.served, balanced.requests, "{balanced:?}");
+    assert!(balanced.busy[1] < reported.busy[1], "{balanced:?}, {reported:?}");
     // Endpoints are not asked for their loads.
+    assert_eq!(balanced.sends, balanced.requests + balanced.rejections, "{balanced:?}");
     assert_eq!(balanced.other_connections, reported.other_connections, "{balanced:?}, {reported:?}");
 }
--- a/crates/replay/src/balance.rs
+++ b/crates/replay/src/balance.rs
@@ -22,7 +22,7 @@
 const RUNS: [(f64, Service); 3] = [(30.0, PLAIN), (100.0, PLAIN), (1_000.0, ENGINES)];
 
 /// Simulated time, in milliseconds.
-const SPAN_MS: u64 = 12_000;
+const SPAN_MS: u64 = 8_000;
 
 /// Traffic of each fourth instance as a multiple of the others'.
 const SKEW: f64 = 3.0;
@@ -54,13 +54,18 @@
 
 /// The tables of this question.
 pub fn tables(seed: u64) -> Vec<Table> {
+    std::thread::scope(|scope| {
+        let threads = RUNS.map(|(run_ms, service)| scope.spawn(move || tables_of(seed, run_ms, service)));
+        threads.into_iter().flat_map(|thread| thread.join().expect("no simulation fails")).collect()
+    })
+}
+
+fn tables_of(seed: u64, run_ms: f64, service: Service) -> Vec<Table> {
     let mut tables = Vec::new();
-    for (run_ms, service) in RUNS {
-        for (paces, kind) in [(&[1.0][..], "equal"), (&UNEQUAL[..], "unequal")] {
-            for load in LOADS {
-                let endpoints = service.endpoints(run_ms, paces);
-                tables.push(table(seed, &endpoints, load, &format!("{run_ms:.0} ms runs, {kind} endpoints")));
-            }
+    for (paces, kind) in [(&[1.0][..], "equal"), (&UNEQUAL[..], "unequal")] {
+        for load in LOADS {
+            let endpoints = service.endpoints(run_ms, paces);
+            tables.push(table(seed, &endpoints, load, &format!("{run_ms:.0} ms runs, {kind} endpoints")));
         }
     }
     tables
--- a/crates/route/src/relay/balance.rs
+++ b/crates/route/src/relay/balance.rs
@@ -182,11 +182,12 @@
 /// Returns the number of runs of other instances as far as reports of them can be relied on: the
 /// longer ago they were, the closer it is to the mean.
 ///
-/// Of the difference to the mean, the part that is expected to be left counts, and of that the same
-/// part again, since as much of the endpoint's runs is known.
+/// A difference to the mean counts only while most of the reported runs are expected to be left.
+/// When half of them have been replaced, their places tell little about the others, and instances
+/// that follow them send to the same endpoints.
 #[must_use]
 pub fn dependable_runs(reported: f64, mean: f64, age: Duration, run_time: Duration) -> f64 {
-    mean + kept_share(age, run_time).powi(2) * (reported - mean)
+    mean + kept_share(age, run_time).powi(3) * (reported - mean)
 }
 
 /// Returns the part of reported prompt processing that is left after a while, in milliseconds. An
--- a/crates/route/tests/relay/balance.rs
+++ b/crates/route/tests/relay/balance.rs
@@ -8,6 +8,8 @@
     placement::{self, Candidate, Request},
 };
 
+use crate::reported_placement;
+
 const IDLE: Candidate<'_> = Candidate {
     id: "a",
     slots: 4,
@@ -311,6 +313,18 @@
         }
     }
 
+    /// Without the setting, each decision is the same as before the setting existed.
+    #[test]
+    fn reported_decisions_are_unchanged(
+        list in prop::collection::vec(candidate(), 0..8),
+        request in request(),
+        seed in any::<u64>(),
+    ) {
+        let candidates = named(list);
+        let before = reported_placement::choose(&candidates, request, seed);
+        prop_assert_eq!(placement::choose(&candidates, request, seed), before);
+    }
+
     /// Holders and the hash are preferred by the same rules as with reported loads: where there is
     /// one candidate besides, both ways decide the same.
     #[test]
--- a/crates/route/tests/relay/main.rs
+++ b/crates/route/tests/relay/main.rs
@@ -15,4 +15,5 @@
 mod quarantine;
 mod reachability;
 mod rejection;
+mod reported_placement;
 mod throttle;
