--- a/crates/relay/src/dispatcher/fleet/selection.rs
+++ b/crates/relay/src/dispatcher/fleet/selection.rs
@@ -8,8 +8,11 @@
 };
 
 use super::{
-    Fleet, Job, Key, LatencyKey, Server, State, caches::part_hash, initial_latency, notices::MIN_ANNOUNCED_PART_TOKENS,
-    rotation::NextTurn,
+    Fleet, Job, Key, LatencyKey, Server, State,
+    caches::part_hash,
+    initial_latency,
+    notices::MIN_ANNOUNCED_PART_TOKENS,
+    rotation::{NextTurn, Task},
 };
 use crate::{
     clock,
@@ -123,8 +126,8 @@
                 (placement::choose(&candidates, request, seed)?, None)
             }
             Placement::Balanced => {
-                let seed = self.peers.me;
-                let chosen = self.fleet.choose_in_turn(job, &chosen, &mut candidates, request, seed, now)?;
+                let task = Task { service: job.service, request, seed: self.peers.me };
+                let chosen = self.fleet.choose_in_turn(&task, &chosen, &mut candidates, now)?;
                 (chosen.0, Some(chosen.1))
             }
         };
--- a/crates/route/tests/relay/main.rs
+++ b/crates/route/tests/relay/main.rs
@@ -21,4 +21,5 @@
 mod quarantine;
 mod reachability;
 mod rejection;
+mod reported_placement;
 mod throttle;
