--- a/crates/relay/src/dispatcher/peers/sums.rs
+++ b/crates/relay/src/dispatcher/peers/sums.rs
@@ -79,6 +79,6 @@
 
 /// Returns a number of runs, which is a whole number.
 #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "runs in news are u16")]
-fn whole(runs: f64) -> u128 {
+pub(super) fn whole(runs: f64) -> u128 {
     runs as u128
 }
--- a/crates/relay/src/dispatcher/peers/tests.rs
+++ b/crates/relay/src/dispatcher/peers/tests.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 
-use super::{Peer, Peers, Phase, Sighting, Status};
+use super::{Peer, Peers, Phase, Sighting, Status, sums::whole};
 use crate::dispatcher::fleet::{Load, short_hash};
 
 const INSTANCES: u32 = 6;
@@ -63,6 +63,15 @@
     })
 }
 
+/// Returns the mean time of the reports of all live instances' runs on an endpoint from scratch.
+fn expected_time(peers: &Peers, endpoint: u32, now: Duration) -> Option<Duration> {
+    let live = peers.known.values().filter(|peer| peer.is_live(now));
+    let runs = |peer: &Peer| peer.status.loads.get(&endpoint).map_or(0, |load| whole(load.runs));
+    let (count, sum) =
+        live.fold((0, 0), |(count, sum), peer| (count + runs(peer), sum + runs(peer) * peer.reported_at.as_millis()));
+    Some(Duration::from_millis(u64::try_from(sum.checked_div(count)?).unwrap()))
+}
+
 proptest! {
     /// Guards against loads of an instance that became silent, left or restarted being kept
     /// in the sums or subtracted twice.
@@ -79,6 +88,7 @@
             prop_assert_eq!(peers.live_count, peers.known.values().filter(|peer| peer.is_live(now)).count());
             for endpoint in 0..ENDPOINTS {
                 prop_assert_eq!(peers.load(endpoint), expected_sum(&peers, endpoint, now));
+                prop_assert_eq!(peers.reported_at(endpoint), expected_time(&peers, endpoint, now));
             }
         }
     }
