--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -133,7 +133,6 @@
         shared_tokens: 5_000,
         own_tokens: 500,
         output_tokens: 0,
-        target_pause: None,
         session,
         in_session: false,
         tried: &[],
--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -33,7 +33,6 @@
 use route::relay::{
     canary::{self, Baseline},
     holders::Prefixes,
-    interruptions::Arrivals,
     latency,
     notice::Backlog,
     pace::{Learned, Observations},
@@ -61,7 +60,7 @@
 use super::{Dispatcher, State, crashes::UnfinishedRuns, evacuations::Evacuations, rollouts::Arm};
 use crate::{
     clock,
-    settings::{Capacity, Interruptions, Policies},
+    settings::{Capacity, Policies},
     source::Endpoint,
 };
 
@@ -128,10 +127,6 @@
     paces: paces::Paces,
     /// Mean number of tokens of a run, by service; empty unless capacity is learned.
     mean_tokens: HashMap<String, f64>,
-    /// Whether long prompts are kept away from running streams.
-    interruptions: Interruptions,
-    /// Shortest target pause of a service's streams; empty unless interruptions are avoided.
-    target_pauses: HashMap<String, Duration>,
     rotations: rotation::Rotations,
 }
 
@@ -189,8 +184,6 @@
     warm_at: Duration,
     /// Rate at which this instance may send requests until then.
     warmup_throttle: Throttle,
-    /// Long prompts that it got lately; none unless interruptions are avoided.
-    long_prompts: Arrivals,
     /// This instance's observations of its pace.
     observations: Observations,
     /// What all instances' observations say about it.
@@ -230,8 +223,6 @@
     pub own_tokens: u32,
     /// Maximum number of tokens to generate.
     pub output_tokens: u32,
-    /// Target for the longest pause between two events of a stream.
-    pub target_pause: Option<Duration>,
     /// Key by which requests are assigned to versions: the session's, or the request's own.
     pub session: u64,
     /// Whether `session` stands for a caller's session and not only for this request.
@@ -271,9 +262,6 @@
         server.take_token_while_returning(now);
         server.backlog_ms += backlog_ms;
         let endpoint = Arc::clone(&server.endpoint);
-        if self.settings.policies.interruptions == Interruptions::Avoided {
-            state.fleet.record_own_prompt(key, job, backlog_ms, now);
-        }
         let is_announced = state.queue_notice(key, job, backlog_ms, now);
         if is_announced {
             self.notices_ready.notify_one();
@@ -350,7 +338,7 @@
 impl Fleet {
     /// Creates a fleet without endpoints.
     pub(super) fn new(policies: &Policies) -> Self {
-        Self { capacity: policies.capacity, interruptions: policies.interruptions, ..Self::default() }
+        Self { capacity: policies.capacity, ..Self::default() }
     }
 }
 
@@ -376,7 +364,6 @@
             stated,
             warm_at: Duration::ZERO,
             warmup_throttle: Throttle::default(),
-            long_prompts: Arrivals::default(),
             observations: Observations::default(),
             learned: Learned::default(),
             memory_tokens: 0,
@@ -412,7 +399,6 @@
             slowness: if slowness > NOISE_FACTOR && self.learned.pace.is_none() { slowness } else { 1.0 },
             pace: self.learned.pace.unwrap_or(1.0),
             excess_failure_rate: (self.failure_rate.value_at(0.0, now) - NOISE_FACTOR * mean_failure_rate).max(0.0),
-            long_prompts_per_s: self.long_prompts.per_s(now),
             local: self.endpoint.domain == domain,
             holds_prefix: false,
             holds_prompt: false,
--- a/crates/relay/src/dispatcher/fleet/notices.rs
+++ b/crates/relay/src/dispatcher/fleet/notices.rs
@@ -8,7 +8,6 @@
 use crate::{
     clock,
     dispatcher::{Dispatcher, State},
-    settings::Interruptions,
 };
 
 /// Maximum number of notices kept for sending. They are sent within a turn of the
@@ -86,9 +85,6 @@
         if let Some(server) = state.fleet.server_by_hash(notice.endpoint) {
             server.announced_backlog.add(now, notice.reading_ms);
         }
-        if self.settings.policies.interruptions == Interruptions::Avoided {
-            state.fleet.record_announced_prompt(notice.endpoint, notice.reading_ms, now);
-        }
         if let Some(part) = notice.part {
             state.fleet.holders.record(part, notice.endpoint, now);
         }
--- a/crates/relay/src/dispatcher/fleet/selection.rs
+++ b/crates/relay/src/dispatcher/fleet/selection.rs
@@ -118,7 +118,6 @@
             reprocess_ms: latency.processing_ms(reading_units(job, job.shared_tokens, 0)),
             shared_tokens: job.shared_tokens,
             first_byte_ms: latency.first_byte_ms(job_units(job)),
-            interruption: self.fleet.severity(job, latency.processing_ms(job_units(job)), self.fleet.interruptions),
         };
         let (mut choice, turn) = match settings.policies.placement {
             Placement::Reported => {
--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -60,7 +60,6 @@
             shared_tokens: shared.map_or(0, |part| part.tokens),
             own_tokens: self.params.own_tokens(),
             output_tokens: self.params.tokens.map_or(0, |tokens| tokens.output),
-            target_pause: self.admission.route.target_pause,
             session,
             in_session: self.params.session.is_some(),
             tried: &self.tried,
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -68,8 +68,6 @@
     pub placement: Placement,
     /// When a larger model is asked.
     pub ladder: Ladder,
-    /// Whether placement avoids pauses in streams.
-    pub interruptions: Interruptions,
 }
 
 /// Who may send to a service whose endpoints have too little room.
@@ -102,16 +100,6 @@
     Balanced,
 }
 
-/// Whether placement avoids pauses in streams.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum Interruptions {
-    /// It does not.
-    #[default]
-    Ignored,
-    /// Long prompts and running streams are kept at different endpoints.
-    Avoided,
-}
-
 /// When a larger model is asked.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub enum Ladder {
--- a/crates/relay/tests/it/balanced.rs
+++ b/crates/relay/tests/it/balanced.rs
@@ -114,7 +114,6 @@
 }
 
 /// What was measured with one setting.
-#[expect(dead_code, reason = "some values are only printed")]
 #[derive(Debug)]
 struct Measurement {
     p95_wait: Duration,
--- a/crates/relay/tests/it/notices.rs
+++ b/crates/relay/tests/it/notices.rs
@@ -51,7 +51,6 @@
         shared_tokens: if part.is_some() { 5_000 } else { 0 },
         own_tokens,
         output_tokens: 0,
-        target_pause: None,
         session: 1,
         in_session: false,
         tried: &[],
--- a/crates/relay/tests/it/partitions.rs
+++ b/crates/relay/tests/it/partitions.rs
@@ -513,7 +513,6 @@
         shared_tokens: 0,
         own_tokens: 0,
         output_tokens: 0,
-        target_pause: None,
         session: 0,
         in_session: false,
         tried: &[],
--- a/crates/relay/tests/it/synchronization.rs
+++ b/crates/relay/tests/it/synchronization.rs
@@ -173,7 +173,6 @@
         shared_tokens: 0,
         own_tokens: 0,
         output_tokens: 0,
-        target_pause: None,
         session: 1,
         in_session: false,
         tried: &[],
--- a/crates/replay/src/balance/method.rs
+++ b/crates/replay/src/balance/method.rs
@@ -198,7 +198,6 @@
             slowness: 1.0,
             pace: 1.0,
             excess_failure_rate: 0.0,
-            long_prompts_per_s: 0.0,
             local: endpoint % DOMAINS == self.number % DOMAINS,
             holds_prefix: false,
             holds_prompt: false,
@@ -227,7 +226,7 @@
     }
 
     fn request(&self) -> Request {
-        Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: self.usual_ms, interruption: 0.0 }
+        Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: self.usual_ms }
     }
 }
 
--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -26,7 +26,6 @@
 pub mod freshness;
 pub mod fronts;
 pub mod holders;
-pub mod interruptions;
 pub mod ladder;
 pub mod latency;
 pub mod notice;
--- a/crates/route/src/relay/balance.rs
+++ b/crates/route/src/relay/balance.rs
@@ -109,7 +109,7 @@
     clock: f64,
     seed: u64,
 ) -> Option<Balanced> {
-    let eligibility = eligibilities(candidates, turns, request);
+    let eligibility = eligibilities(candidates, turns);
     let best = eligibility.iter().copied().fold(0.0, f64::max);
     let has_turn = |index: &usize| eligibility[*index] >= MIN_ELIGIBILITY * best;
     let mean_occupancy = mean_occupancy(candidates, turns);
@@ -138,8 +138,8 @@
 
 /// Returns how eligible each candidate is for a request by information that is up to date, from 0
 /// to 1.
-fn eligibilities(candidates: &[Candidate<'_>], turns: &[Turn], request: Request) -> Vec<f64> {
-    let waits: Vec<f64> = candidates.iter().map(|candidate| placement::known_delay_ms(candidate, request)).collect();
+fn eligibilities(candidates: &[Candidate<'_>], turns: &[Turn]) -> Vec<f64> {
+    let waits: Vec<f64> = candidates.iter().map(placement::known_delay_ms).collect();
     let least = waits.iter().copied().fold(f64::MAX, f64::min);
     let is_any_free = turns.iter().any(|turn| !turn.is_full);
     let eligibility = |(turn, wait): (&Turn, &f64)| {
--- a/crates/route/src/relay/placement.rs
+++ b/crates/route/src/relay/placement.rs
@@ -19,8 +19,6 @@
 
 use world::hash;
 
-use super::interruptions;
-
 /// Wait added by each run in excess of the slots, in milliseconds: about the decoding time
 /// of a run divided by the slots that may become free meanwhile.
 const QUEUED_RUN_MS: f64 = 150.0;
@@ -101,8 +99,6 @@
     pub pace: f64,
     /// Share of its runs that fail in excess of its peers' share.
     pub excess_failure_rate: f64,
-    /// Number of prompts per second that it got lately and that make its streams late; 0 if they are not counted.
-    pub long_prompts_per_s: f64,
     /// Whether it is in this instance's failure domain.
     pub local: bool,
     /// Whether it is assumed to have the shared prefix in its cache.
@@ -122,8 +118,6 @@
     pub shared_tokens: u32,
     /// Time that an idle endpoint needs until the request's first byte, in milliseconds.
     pub first_byte_ms: f64,
-    /// Share of an endpoint's streams that its prompt makes late ([`interruptions::severity`]).
-    pub interruption: f64,
 }
 
 /// The chosen endpoint and the reasons for it.
@@ -186,13 +180,7 @@
 
 /// Draws local endpoints and endpoints of any domain at random, and returns the few with
 /// the shortest wait by up-to-date information.
-///
-/// For a prompt that would interrupt streams it returns all endpoints: a few such prompts per
-/// second cause no herding, and an endpoint with few streams may not be among those drawn.
 fn shortlist(candidates: &[Candidate<'_>], request: Request, seed: u64) -> Vec<usize> {
-    if request.interruption > 0.0 {
-        return (0..candidates.len()).collect();
-    }
     let local_indices: Vec<usize> = (0..candidates.len()).filter(|&index| candidates[index].local).collect();
     let draw = hash::stable(&seed.to_le_bytes());
     let of_all = draw_indices(candidates.len(), draw.rotate_left(32));
@@ -240,13 +228,12 @@
 fn known_wait_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
     (candidate.backlog_ms * candidate.pace + request.first_byte_ms) * candidate.slowness.max(1.0)
         + candidate.excess_failure_rate * FAILURE_PENALTY_MS
-        + late_streams_ms(candidate, request)
 }
 
-/// Returns the delay by prompt backlog, failures and interruptions at an endpoint, which are known
-/// up to date, in milliseconds. The endpoint's pace does not count.
-pub(super) fn known_delay_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
-    candidate.backlog_ms + candidate.excess_failure_rate * FAILURE_PENALTY_MS + late_streams_ms(candidate, request)
+/// Returns the delay by prompt backlog and failures at an endpoint, which are known up to date, in
+/// milliseconds. The endpoint's pace does not count.
+pub(super) fn known_delay_ms(candidate: &Candidate<'_>) -> f64 {
+    candidate.backlog_ms + candidate.excess_failure_rate * FAILURE_PENALTY_MS
 }
 
 /// Draws up to `wanted` different indices below `count` for which `fits` returns true.
@@ -297,12 +284,12 @@
     if b == 0 { a } else { gcd(b, a % b) }
 }
 
-/// Returns the cost of an endpoint's load, in milliseconds: the wait before the first byte, without
-/// the time that the run itself takes longer there.
+/// Returns the cost by which endpoints are compared, in milliseconds: the wait before the first
+/// byte, without the time that the run itself takes longer there.
 ///
 /// Otherwise a fast endpoint with a queue would be preferred to a slow one with free slots, by
 /// all instances at the same time.
-fn load_cost_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
+fn cost_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
     let queue = queue_ms(candidate) * candidate.pace;
     let remote = if candidate.local { 0.0 } else { REMOTE_PENALTY_MS };
     (queue + request.first_byte_ms) * candidate.slowness.max(1.0) - request.first_byte_ms
@@ -313,16 +300,5 @@
 /// Returns the wait before the first byte at an endpoint, in milliseconds; negative if it is so
 /// fast that the first byte comes sooner than from an idle endpoint of average pace.
 fn wait_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
-    load_cost_ms(candidate, request) + request.first_byte_ms * (candidate.pace - 1.0)
-}
-
-/// Returns the cost by which endpoints are compared, in milliseconds of waiting, to the request's
-/// caller and to those of the endpoint's other streams.
-fn cost_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
-    load_cost_ms(candidate, request) + late_streams_ms(candidate, request)
-}
-
-/// Returns the cost of streams that pause for too long at an endpoint, in milliseconds of waiting.
-fn late_streams_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
-    interruptions::cost_ms(request.interruption, candidate.runs, candidate.long_prompts_per_s)
+    cost_ms(candidate, request) + request.first_byte_ms * (candidate.pace - 1.0)
 }
--- a/crates/route/tests/relay/balance.rs
+++ b/crates/route/tests/relay/balance.rs
@@ -18,15 +18,13 @@
     reported_backlog_ms: 0.0,
     slowness: 1.0,
     pace: 1.0,
-    long_prompts_per_s: 0.0,
     excess_failure_rate: 0.0,
     local: true,
     holds_prefix: false,
     holds_prompt: false,
 };
 
-const PLAIN: Request =
-    Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0, interruption: 0.0 };
+const PLAIN: Request = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0 };
 
 const NEW: Turn = Turn { due: None, others: 0.0, pace: 1.0, is_full: false };
 
@@ -203,13 +201,7 @@
 /// get out of its way, and it returns to the rotation soon after the prefix has cooled down.
 #[test]
 fn holder_of_a_hot_prefix_keeps_its_preference() {
-    let hot = Request {
-        affinity: Some(7),
-        reprocess_ms: 150.0,
-        shared_tokens: 5_000,
-        first_byte_ms: 60.0,
-        interruption: 0.0,
-    };
+    let hot = Request { affinity: Some(7), reprocess_ms: 150.0, shared_tokens: 5_000, first_byte_ms: 60.0 };
     let mut endpoints = candidates(6);
     endpoints[3].holds_prefix = true;
     let mut instance = Instance::new(1, 6);
@@ -281,7 +273,6 @@
         reported_backlog_ms,
         slowness: rest.0,
         pace: 1.0,
-        long_prompts_per_s: 0.0,
         excess_failure_rate: rest.1,
         local: rest.2,
         holds_prefix: rest.3,
@@ -300,7 +291,6 @@
             reprocess_ms,
             shared_tokens,
             first_byte_ms,
-            interruption: 0.0,
         },
     )
 }
--- a/crates/route/tests/relay/main.rs
+++ b/crates/route/tests/relay/main.rs
@@ -9,7 +9,6 @@
 mod freshness;
 mod fronts;
 mod holders;
-mod interruptions;
 mod ladder;
 mod ladder_calibration;
 mod ladder_gain;
--- a/crates/route/tests/relay/placement.rs
+++ b/crates/route/tests/relay/placement.rs
@@ -14,7 +14,6 @@
     slowness: 1.0,
     pace: 1.0,
     excess_failure_rate: 0.0,
-    long_prompts_per_s: 0.0,
     local: true,
     holds_prefix: false,
     holds_prompt: false,
@@ -27,7 +26,7 @@
 }
 
 fn shared(key: u64) -> Request {
-    Request { affinity: Some(key), reprocess_ms: 150.0, shared_tokens: 5_000, first_byte_ms: 60.0, interruption: 0.0 }
+    Request { affinity: Some(key), reprocess_ms: 150.0, shared_tokens: 5_000, first_byte_ms: 60.0 }
 }
 
 #[test]
@@ -48,13 +47,7 @@
 /// worthwhile and is never processed again.
 #[test]
 fn hot_prefix_spreads_only_as_far_as_worthwhile() {
-    let request = Request {
-        affinity: Some(7),
-        reprocess_ms: 150.0,
-        shared_tokens: 5_000,
-        first_byte_ms: 60.0,
-        interruption: 0.0,
-    };
+    let request = Request { affinity: Some(7), reprocess_ms: 150.0, shared_tokens: 5_000, first_byte_ms: 60.0 };
     let mut candidates = idle();
     let mut taken = Vec::new();
     for _ in 0..5 {
@@ -76,13 +69,7 @@
 /// same applies to a prompt without a shared prefix.
 #[test]
 fn request_goes_to_the_holder_of_its_whole_prompt() {
-    let request = Request {
-        affinity: Some(7),
-        reprocess_ms: 150.0,
-        shared_tokens: 5_000,
-        first_byte_ms: 300.0,
-        interruption: 0.0,
-    };
+    let request = Request { affinity: Some(7), reprocess_ms: 150.0, shared_tokens: 5_000, first_byte_ms: 300.0 };
     for request in [request, Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, ..request }] {
         let mut candidates = idle();
         candidates[2].holds_prefix = true;
@@ -100,8 +87,7 @@
 /// and half of all shared prefixes would be processed again.
 #[test]
 fn small_model_requests_stay_with_the_prefix_holder() {
-    let request =
-        Request { affinity: Some(7), reprocess_ms: 15.0, shared_tokens: 5_000, first_byte_ms: 10.0, interruption: 0.0 };
+    let request = Request { affinity: Some(7), reprocess_ms: 15.0, shared_tokens: 5_000, first_byte_ms: 10.0 };
     let mut candidates = idle();
     let first = choose(&candidates, request, 0).unwrap().index;
     candidates[first].holds_prefix = true;
@@ -116,8 +102,7 @@
 /// almost nothing.
 #[test]
 fn short_prefix_does_not_wait_for_its_holder() {
-    let request =
-        Request { affinity: Some(7), reprocess_ms: 1.0, shared_tokens: 200, first_byte_ms: 10.0, interruption: 0.0 };
+    let request = Request { affinity: Some(7), reprocess_ms: 1.0, shared_tokens: 200, first_byte_ms: 10.0 };
     let mut candidates = idle();
     candidates[2].holds_prefix = true;
     candidates[2].backlog_ms = 10.0;
@@ -158,7 +143,7 @@
 /// Almost no request may be placed behind a prompt while other endpoints are free.
 #[test]
 fn endpoints_with_announced_backlog_are_skipped() {
-    let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0, interruption: 0.0 };
+    let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0 };
     let names: Vec<String> = (0..60).map(|n| format!("e{n}")).collect();
     let reads = |n: usize| n % 5 < 2;
     let candidate = |n: usize| Candidate {
@@ -177,7 +162,7 @@
         $(#[$doc])*
         #[test]
         fn $name() {
-            let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0, interruption: 0.0 };
+            let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0 };
             for seed in 0..30 {
                 let mut candidates = idle();
                 let degrade: fn(&mut Candidate<'_>) = $degrade;
@@ -199,7 +184,7 @@
 
 #[test]
 fn equal_endpoints_share_the_load() {
-    let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0, interruption: 0.0 };
+    let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0 };
     let mut counts = [0_u32; 6];
     for seed in 0..600 {
         counts[choose(&idle(), plain, seed).unwrap().index] += 1;
@@ -212,7 +197,7 @@
 #[test]
 fn stale_loads_cause_no_herding() {
     let names: Vec<String> = (0..60).map(|n| format!("e{n}")).collect();
-    let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0, interruption: 0.0 };
+    let plain = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0 };
     let mut placed = [0_u32; 60];
     for seed in 0..740 {
         // Instances of four failure domains in turn.
@@ -259,8 +244,7 @@
     let pace = |n: usize| if n.is_multiple_of(3) { 1.7 } else { 0.7 };
     let candidates: Vec<_> =
         (0..60).map(|n| Candidate { id: &names[n], local: n < 20, pace: pace(n), ..IDLE }).collect();
-    let request =
-        Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 30.0, interruption: 0.0 };
+    let request = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 30.0 };
     let mut placed = [0.0; 2];
     for seed in 0..30_000 {
         let index = choose(&candidates, request, seed).unwrap().index;
@@ -275,8 +259,7 @@
 fn idle_slow_endpoint_is_chosen_before_full_fast_ones() {
     let full = Candidate { runs: 32.0, pace: 0.7, ..IDLE };
     let candidates = [full, Candidate { id: "b", pace: 1.7, ..IDLE }];
-    let request =
-        Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 1_000.0, interruption: 0.0 };
+    let request = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 1_000.0 };
     let chosen = (0..1_000).filter(|seed| choose(&candidates, request, *seed).unwrap().index == 1).count();
     assert!(chosen > 300, "{chosen}");
 }
@@ -284,8 +267,7 @@
 /// The wait of an endpoint includes the time by which the run itself takes longer or shorter.
 #[test]
 fn expected_wait_includes_the_pace_of_the_run() {
-    let request =
-        Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 100.0, interruption: 0.0 };
+    let request = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 100.0 };
     let wait = |pace| choose(&[Candidate { pace, ..IDLE }], request, 0).unwrap().wait_ms;
     assert!((wait(1.7) - 70.0).abs() < 1e-9 && (wait(0.7) + 30.0).abs() < 1e-9);
 }
@@ -307,7 +289,6 @@
                 slowness: if rng.random_bool(0.2) { rng.random_range(1.6..9.0) } else { 1.0 },
                 pace: 1.0,
                 excess_failure_rate: if rng.random_bool(0.1) { 0.25 } else { 0.0 },
-                long_prompts_per_s: 0.0,
                 local: rng.random_bool(0.3),
                 holds_prefix: rng.random_bool(0.05),
                 holds_prompt: rng.random_bool(0.02),
@@ -318,7 +299,6 @@
             reprocess_ms: f64::from(rng.random_range(0..500)),
             shared_tokens: rng.random_range(0..9_000),
             first_byte_ms: f64::from(rng.random_range(5..900)),
-            interruption: 0.0,
         };
         let Choice { index, wait_ms, preferred, source } = choose(&candidates, request, rng.random()).unwrap();
         seen.extend_from_slice(format!("{index} {:x} {preferred} {source:?};", wait_ms.to_bits()).as_bytes());
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -5,7 +5,7 @@
 
 use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
-use relay::settings::{Admission, Capacity, Cores, Interruptions, Ladder, Listeners, Placement, Policies, Settings};
+use relay::settings::{Admission, Capacity, Cores, Ladder, Listeners, Placement, Policies, Settings};
 use route::relay::allowance;
 use serde::Deserialize;
 
@@ -92,8 +92,6 @@
     /// Value of a right answer as a multiple of the largest model's price, by rank.
     #[serde(default)]
     ladder_values: Option<Vec<f64>>,
-    #[serde(default)]
-    interruptions: FileInterruptions,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -120,14 +118,6 @@
     Balanced,
 }
 
-#[derive(Debug, Default, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum FileInterruptions {
-    #[default]
-    Ignored,
-    Avoided,
-}
-
 impl From<FilePolicies> for Policies {
     fn from(file: FilePolicies) -> Self {
         Self {
@@ -143,10 +133,6 @@
                 FilePlacement::Reported => Placement::Reported,
                 FilePlacement::Balanced => Placement::Balanced,
             },
-            interruptions: match file.interruptions {
-                FileInterruptions::Ignored => Interruptions::Ignored,
-                FileInterruptions::Avoided => Interruptions::Avoided,
-            },
             ladder: file.ladder_values.map_or(Ladder::Fixed, |values| Ladder::ExpectedValue { values }),
         }
     }
--- a/crates/settings/tests/relay.rs
+++ b/crates/settings/tests/relay.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use relay::settings::{Admission, Capacity, Interruptions, Ladder, Placement, Policies};
+use relay::settings::{Admission, Capacity, Ladder, Placement, Policies};
 use settings::Relay;
 
 const GOOD: &str = r"
@@ -63,14 +63,14 @@
 
 #[test]
 fn policies_are_read() {
-    let written = "policies: { admission: fair, capacity: learned, placement: balanced, interruptions: avoided, ladder_values: [12, 6, 2.5] }\n";
+    let written =
+        "policies: { admission: fair, capacity: learned, placement: balanced, ladder_values: [12, 6, 2.5] }\n";
     let settings = Relay::parse(&format!("{GOOD}{written}")).unwrap();
     let expected = Policies {
         admission: Admission::Fair,
         capacity: Capacity::Learned,
         placement: Placement::Balanced,
         ladder: Ladder::ExpectedValue { values: vec![12.0, 6.0, 2.5] },
-        interruptions: Interruptions::Avoided,
     };
     assert_eq!(settings.relay.policies, expected);
 }
