--- a/crates/relay/src/dispatcher/fleet/paces.rs
+++ b/crates/relay/src/dispatcher/fleet/paces.rs
@@ -273,6 +273,12 @@
         reports.choose_multiple(&mut rand::rng(), max)
     }
 
+    /// Whether endpoints of any service are known to differ in pace.
+    #[must_use]
+    pub fn are_paces_in_effect(&self) -> bool {
+        self.lock().fleet.servers.values().any(|server| server.learned.pace.is_some())
+    }
+
     /// Applies the observations of another instance, given by the hash of its name and the
     /// address that sent them. Those of instances that are not known to be alive are ignored:
     /// a sender that changes its name would count several times.
