--- a/crates/route/src/relay/ladder/calibration.rs
+++ b/crates/route/src/relay/ladder/calibration.rs
@@ -18,10 +18,10 @@
 
 /// Noise of a confidence, in points: one this far above the midpoint is right in 73% of cases, one
 /// three times as far in 95%.
-const WIDTH: f64 = 7.0;
+const WIDTH: f64 = 8.0;
 
 /// Points of confidence between the easiest request and the hardest.
-const DIFFICULTY_POINTS: f64 = 160.0;
+const DIFFICULTY_POINTS: f64 = 100.0;
 
 /// Share of requests that the smallest model answers correctly.
 const SMALLEST_QUALITY: f64 = 0.54;
