Predict whether a model's output ends before the deadline

The ladder knew only times to the first event. answer_length learns the time per expected token as a share of recent streams, which contains the errors of the hints, and limits the models to start with and those that may follow an answer.

--- a/crates/route/src/relay.rs
+++ b/crates/route/src/relay.rs
@@ -2,7 +2,8 @@
 //!
 //! [`placement`] picks the endpoint, [`balance`] does so in turns, [`ladder`] picks the model, and
 //! [`mod@first_byte_timeout`] sets the timeout for the first byte, based on the estimate of
-//! [`latency`]. [`pace`] learns how fast each endpoint is, and [`engine_memory`] counts the
+//! [`latency`]. [`answer_length`] predicts whether a model's output ends before the deadline.
+//! [`pace`] learns how fast each endpoint is, and [`engine_memory`] counts the
 //! tokens of runs against engines' memory. [`holders`] tracks which endpoints have a prompt prefix in their cache, and
 //! [`notice`] tracks the prompt processing that other instances have sent to them.
 //! [`allowance`] bounds retries over the whole fleet, and [`throttle`] divides the rate
@@ -18,6 +19,7 @@
 //! clock that also counts time in which the machine is suspended.
 
 pub mod allowance;
+pub mod answer_length;
 pub mod balance;
 pub mod canary;
 pub mod content;
--- a/crates/route/src/relay/ladder.rs
+++ b/crates/route/src/relay/ladder.rs
@@ -111,6 +111,11 @@
     pub now: f64,
 }
 
+impl RelativeTime {
+    /// Time of a model whose answer would end too late.
+    pub const NEVER: Self = Self { idle: f64::INFINITY, now: f64::INFINITY };
+}
+
 /// Largest relative time that counts as in time. Above it half of the answers would be
 /// late.
 const MAX_IN_TIME: f64 = 0.85;
@@ -125,8 +130,12 @@
 /// like long prompts. The large model, which takes ten times longer to process a prompt,
 /// would then prolong the overload. So a prompt's length is judged by the time at an idle
 /// endpoint, and queues can only prevent a start at the large model, never cause one.
+///
+/// Models whose answers would end too late count as if the ladder ended before them.
 #[must_use]
 pub fn first_model(remaining: Remaining, times: &[RelativeTime]) -> usize {
+    let count = times.iter().rposition(|time| *time != RelativeTime::NEVER).map_or(times.len(), |last| last + 1);
+    let times = &times[..count];
     let last = times.len().saturating_sub(1);
     let (Some(small), Some(large)) = (times.first(), times.last()) else { return last };
     if remaining.attempts < 2 {
--- /dev/null
+++ b/crates/route/tests/relay/answer_length.rs
@@ -0,0 +1,187 @@
+//! Models whose output would end after the deadline are not asked. Times are in milliseconds, and models
+//! are those of a ladder of three that take 3, 6 and 25 ms for a token.
+
+use std::time::Duration;
+
+use route::relay::{
+    answer_length::{
+        Ending, Limit, START_SHARE, TokenTimes, ends_in_time, expected_tokens, limit, limit_outlooks, output_times,
+    },
+    ladder::{
+        Outlook, RelativeTime, Remaining, Step, Urgency, first_model, next_step,
+        value::{self, Worth},
+    },
+};
+
+const REMAINING: Remaining = Remaining { attempts: 2, allowance: true };
+const SINGLE: Remaining = Remaining { attempts: 1, allowance: true };
+const DEADLINE: f64 = 20_000.0;
+
+/// Times to the first event: 1,500 ms are the target.
+const IDLE: [f64; 3] = [80.0, 150.0, 300.0];
+const TARGET: f64 = 1_500.0;
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn times(wait: f64) -> Vec<RelativeTime> {
+    IDLE.iter().map(|idle| RelativeTime { idle: idle / TARGET, now: (idle + wait) / TARGET }).collect()
+}
+
+fn outputs(tokens: f64) -> Vec<Option<f64>> {
+    [3.0, 6.0, 25.0].iter().map(|token_ms| Some(token_ms * tokens / TARGET)).collect()
+}
+
+/// Returns the start by fixed thresholds, and by value at 20 times the price.
+fn starts(remaining: Remaining, wait: f64, tokens: f64) -> [usize; 2] {
+    let times = times(wait);
+    let worth = Worth { right_answer: 20.0, prices: &[0.1, 0.33, 1.0], pressure: 0.0 };
+    let choose = |times: &[RelativeTime]| {
+        [first_model(remaining, times), value::first_model(remaining, times, DEADLINE / TARGET, &worth).model]
+    };
+    match limit(&times, &outputs(tokens), DEADLINE / TARGET) {
+        Limit::None => choose(&times),
+        Limit::Times(limited) => choose(&limited),
+        Limit::FirstToEnd(model) => [model; 2],
+    }
+}
+
+macro_rules! starts {
+    ($($(#[$doc:meta])* $name:ident: $remaining:expr, $wait:expr, $tokens:expr => $starts:expr;)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            assert_eq!(starts($remaining, $wait, $tokens), $starts);
+        }
+    )*};
+}
+
+starts! {
+    short_streams_start_as_without_a_length: REMAINING, 0.0, 100.0 => [0, 0];
+    short_streams_of_a_single_attempt_start_at_the_largest: SINGLE, 0.0, 100.0 => [2, 2];
+    // 110 events of eight tokens take the largest model 22 s.
+    long_streams_of_a_single_attempt_start_at_the_largest_that_ends_in_time: SINGLE, 0.0, 880.0 => [1, 1];
+    // By value, the middle model is better at once than after an answer that is nearly always dropped.
+    long_streams_start_below_the_largest: REMAINING, 0.0, 880.0 => [0, 1];
+    // 785 tokens end in 19.9 s on the largest model, and in 20.0 s if it is asked after the smallest.
+    streams_that_end_in_time_only_at_once_start_at_the_largest: REMAINING, 0.0, 785.0 => [2, 2];
+    // An overload must not send requests to the largest model at once.
+    streams_in_an_overload_start_small: REMAINING, 3_000.0, 700.0 => [0, 0];
+    streams_that_no_model_ends_in_time_start_at_the_first_to_end: REMAINING, 0.0, 9_000.0 => [0, 0];
+    streams_of_four_billion_tokens_are_not_refused: SINGLE, 0.0, 4e9 => [0, 0];
+}
+
+/// A model without observations must not look faster than a smaller one that is too slow.
+#[test]
+fn unknown_larger_models_are_no_faster_than_known_smaller_ones() {
+    assert_eq!(output_times(&[None, Some(3.0), None, Some(2.0)]), [None, Some(3.0), Some(3.0), Some(2.0)]);
+    let outputs = output_times(&[Some(14.0), None, None]);
+    assert_eq!(limit(&times(0.0), &outputs, DEADLINE / TARGET), Limit::FirstToEnd(0));
+}
+
+#[test]
+fn unknown_times_limit_nothing() {
+    assert_eq!(limit(&times(0.0), &[None; 3], 0.0), Limit::None);
+    assert_eq!(limit(&[], &[], 1.0), Limit::None);
+}
+
+/// While endpoints pause, the time to the first event is unknown, but a request may still be placed.
+#[test]
+fn models_without_an_endpoint_at_the_moment_are_judged_by_idle_ones() {
+    let times: Vec<RelativeTime> = times(f64::INFINITY);
+    assert_eq!(limit(&times, &outputs(100.0), DEADLINE / TARGET), Limit::None);
+}
+
+/// An answer of low confidence is better than one that is cut off.
+#[test]
+fn low_confidence_is_kept_if_no_larger_model_ends_in_time() {
+    let step = |left: f64, tokens: f64| {
+        let ends = |model: usize| ends_in_time(IDLE[model], Some([3.0, 6.0, 25.0][model] * tokens), left);
+        let outlooks = limit_outlooks(&[Outlook::InTime; 3], ends);
+        let worth = Worth { right_answer: 20.0, prices: &[0.1, 0.33, 1.0], pressure: 0.0 };
+        let answer = value::Answer { index: 0, confidence: Some(45), is_late: false };
+        let fixed = next_step(0, Some(45), Urgency::Usual, REMAINING, &outlooks);
+        [fixed, value::next_step(answer, REMAINING, &outlooks, &worth).step]
+    };
+    assert_eq!(step(19_000.0, 100.0), [Step::Escalate(2); 2], "short streams reach the largest model");
+    assert_eq!(step(19_000.0, 880.0), [Step::Escalate(1); 2], "a model in between ends in time");
+    assert_eq!(step(4_000.0, 880.0), [Step::Keep; 2]);
+}
+
+#[test]
+fn hint_is_capped_at_the_maximum_output() {
+    assert_eq!(expected_tokens(Some(300), 1_000), Some(300));
+    assert_eq!(expected_tokens(Some(u32::MAX), 1_000), Some(1_000));
+    assert_eq!(expected_tokens(None, 1_000), None);
+    assert_eq!(expected_tokens(Some(0), 1_000), None);
+    assert_eq!(expected_tokens(Some(300), 0), None);
+}
+
+/// Returns what is learned from streams of 100 expected tokens that take the given times per token.
+fn learned(token_ms: &[f64], ending: Ending) -> TokenTimes {
+    let mut times = TokenTimes::default();
+    for token_ms in token_ms {
+        times.observe(100, token_ms * 100.0, ending, at(0));
+    }
+    times
+}
+
+fn token_ms(times: &TokenTimes) -> Option<f64> {
+    times.token_ms(START_SHARE, at(10))
+}
+
+#[test]
+fn few_streams_teach_nothing() {
+    assert_eq!(token_ms(&learned(&[25.0; 5], Ending::Whole)), None);
+    assert_eq!(token_ms(&learned(&[25.0; 6], Ending::Whole)), Some(25.0));
+}
+
+/// Hints are often off by a factor of two and at times by a thousand.
+#[test]
+fn hints_that_are_far_off_move_the_time_little() {
+    let times = learned(&[0.02, 10.0, 12.0, 20.0, 25.0, 25.0, 30.0, 40.0, 60.0, 25_000.0], Ending::Whole);
+    assert_eq!(token_ms(&times), Some(25.0));
+}
+
+/// All observations come from one caller with wrong hints.
+#[test]
+fn wrong_hints_of_one_caller_are_bounded() {
+    assert_eq!(token_ms(&learned(&[1e-6; 64], Ending::Whole)), Some(0.1));
+    assert_eq!(token_ms(&learned(&[1e9; 64], Ending::Whole)), Some(1_000.0));
+    assert_eq!(token_ms(&learned(&[f64::INFINITY; 64], Ending::Whole)), None);
+}
+
+/// The largest model of a service is too slow for all streams that it gets.
+#[test]
+fn streams_that_are_all_cut_off_teach_a_bound() {
+    assert_eq!(token_ms(&learned(&[22.0; 8], Ending::CutOff)), Some(22.0));
+}
+
+/// A stream with too long a hint is cut off at a low time per token, which the model does not reach.
+#[test]
+fn streams_that_are_cut_off_never_lower_the_time() {
+    let mut times = learned(&[25.0; 8], Ending::Whole);
+    (0..40).for_each(|_| times.observe(5_000, 20_000.0, Ending::CutOff, at(1)));
+    assert_eq!(token_ms(&times), Some(25.0));
+    (0..40).for_each(|_| times.observe(500, 20_000.0, Ending::CutOff, at(1)));
+    assert_eq!(token_ms(&times), Some(40.0));
+}
+
+/// A load that is over must not keep requests from the largest model.
+#[test]
+fn observations_are_forgotten() {
+    let mut times = learned(&[80.0; 10], Ending::Whole);
+    assert_eq!(times.token_ms(START_SHARE, at(44)), Some(80.0));
+    assert_eq!(times.token_ms(START_SHARE, at(45)), None);
+    (0..64).for_each(|_| times.observe(100, 2_500.0, Ending::Whole, at(11)));
+    assert_eq!(times.token_ms(START_SHARE, at(12)), Some(25.0));
+}
+
+/// Checks of a few tokens end with their first event, and would make every model look fast.
+#[test]
+fn streams_of_a_few_tokens_teach_nothing() {
+    let mut times = TokenTimes::default();
+    (0..64).for_each(|_| times.observe(8, 1.0, Ending::Whole, at(0)));
+    assert_eq!(token_ms(&times), None);
+}
--- a/crates/route/tests/relay/main.rs
+++ b/crates/route/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions about relayed requests.
 
 mod allowance;
+mod answer_length;
 mod balance;
 mod canary;
 mod content;
