--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -52,6 +52,8 @@
     pub model: HeaderName,
     /// Prompt tokens and maximum output tokens, separated by a comma.
     pub tokens: HeaderName,
+    /// Number of output tokens that the caller expects.
+    pub expected_output: HeaderName,
     /// Parts of the prompt in order, as `ID:TOKENS` separated by commas.
     pub prompt_parts: HeaderName,
     /// Session of the caller.
--- a/crates/relay/src/request_params.rs
+++ b/crates/relay/src/request_params.rs
@@ -18,6 +18,8 @@
     pub key: Option<String>,
     /// Prompt length and maximum output length.
     pub tokens: Option<Tokens>,
+    /// Number of output tokens that the caller expects; often far off.
+    pub expected_output: Option<u32>,
     /// Parts of the prompt, in order.
     pub parts: Vec<Part>,
     /// Hash of the caller's session.
@@ -56,6 +58,7 @@
             deadline: text(&names.deadline).and_then(|text| text.trim().parse().ok()).map(Duration::from_millis),
             key: text(&names.key).map(|key| key.trim().to_owned()),
             tokens: text(&names.tokens).and_then(tokens),
+            expected_output: text(&names.expected_output).and_then(|text| text.trim().parse().ok()),
             parts: text(&names.prompt_parts).map(parts).unwrap_or_default(),
             session: text(&names.session).map(|session| hash::stable(session.as_bytes())),
             last_event: text(&names.last_event).and_then(|text| text.trim().parse().ok()),
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -68,6 +68,8 @@
     pub placement: Placement,
     /// When a larger model is asked.
     pub ladder: Ladder,
+    /// Whether the length of a response affects which model is asked.
+    pub answer_length: AnswerLength,
 }
 
 /// Who may send to a service whose endpoints have too little room.
@@ -114,6 +116,17 @@
     },
 }
 
+/// Whether the length of a response affects which model is asked.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum AnswerLength {
+    /// It does not.
+    #[default]
+    Ignored,
+    /// Models whose output would end after the deadline, by the length that the caller expects, count as too
+    /// late.
+    Expected,
+}
+
 /// CPU capacity of an instance, in hundredths of a core, as sent in news.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Cores(pub u32);
--- a/crates/relay/tests/it/site.rs
+++ b/crates/relay/tests/it/site.rs
@@ -438,6 +438,7 @@
             expect_endpoint: name("x-expect"),
             model: name("x-model"),
             tokens: name("x-tokens"),
+            expected_output: name("x-expected-output"),
             prompt_parts: name("x-parts"),
             session: name("x-session"),
             rank: name("x-rank"),
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -5,7 +5,7 @@
 
 use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
-use relay::settings::{Admission, Capacity, Cores, Ladder, Listeners, Placement, Policies, Settings};
+use relay::settings::{Admission, AnswerLength, Capacity, Cores, Ladder, Listeners, Placement, Policies, Settings};
 use route::relay::allowance;
 use serde::Deserialize;
 
@@ -92,6 +92,8 @@
     /// Value of a right answer as a multiple of the largest model's price, by rank.
     #[serde(default)]
     ladder_values: Option<Vec<f64>>,
+    #[serde(default)]
+    answer_length: FileAnswerLength,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -118,6 +120,14 @@
     Balanced,
 }
 
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum FileAnswerLength {
+    #[default]
+    Ignored,
+    Expected,
+}
+
 impl From<FilePolicies> for Policies {
     fn from(file: FilePolicies) -> Self {
         Self {
@@ -134,6 +144,10 @@
                 FilePlacement::Balanced => Placement::Balanced,
             },
             ladder: file.ladder_values.map_or(Ladder::Fixed, |values| Ladder::ExpectedValue { values }),
+            answer_length: match file.answer_length {
+                FileAnswerLength::Ignored => AnswerLength::Ignored,
+                FileAnswerLength::Expected => AnswerLength::Expected,
+            },
         }
     }
 }
--- a/crates/settings/tests/relay.rs
+++ b/crates/settings/tests/relay.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use relay::settings::{Admission, Capacity, Ladder, Placement, Policies};
+use relay::settings::{Admission, AnswerLength, Capacity, Ladder, Placement, Policies};
 use settings::Relay;
 
 const GOOD: &str = r"
@@ -63,14 +63,15 @@
 
 #[test]
 fn policies_are_read() {
-    let written =
-        "policies: { admission: fair, capacity: learned, placement: balanced, ladder_values: [12, 6, 2.5] }\n";
+    let written = "policies: { admission: fair, capacity: learned, placement: balanced, \
+                   ladder_values: [12, 6, 2.5], answer_length: expected }\n";
     let settings = Relay::parse(&format!("{GOOD}{written}")).unwrap();
     let expected = Policies {
         admission: Admission::Fair,
         capacity: Capacity::Learned,
         placement: Placement::Balanced,
         ladder: Ladder::ExpectedValue { values: vec![12.0, 6.0, 2.5] },
+        answer_length: AnswerLength::Expected,
     };
     assert_eq!(settings.relay.policies, expected);
 }
@@ -100,6 +101,7 @@
     bound_too_short_to_learn_of_an_evacuation: "evacuate_ms: 5000" => "evacuate_ms: 900", "evacuate_ms";
     unknown_policy: "memory_mib: 260" => "memory_mib: 260\npolicies: { admision: fair }", "admision";
     unknown_admission: "memory_mib: 260" => "memory_mib: 260\npolicies: { admission: even }", "admission";
+    unknown_answer_length: "memory_mib: 260" => "memory_mib: 260\npolicies: { answer_length: known }", "answer_length";
     no_ladder_values: "memory_mib: 260" => "memory_mib: 260\npolicies: { ladder_values: [] }", "policies.ladder_values";
     negative_ladder_value: "memory_mib: 260" => "memory_mib: 260\npolicies: { ladder_values: [1, -2] }", "policies.ladder_values";
     bound_too_short_to_read_a_catalog: "replace_ms: 2000" => "replace_ms: 500", "replace_ms";
