Ask only models whose output ends before the deadline

With answer_length: expected, an instance observes the output times of its streams by service and model, and leaves out models that would be cut off, at the start and after an answer of low confidence. Streams that waited for their reader, moved or were resumed are not observed; those that are cut off give a lower bound.

--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -14,6 +14,7 @@
 mod limits;
 mod memory;
 mod notices;
+mod output_times;
 mod paces;
 mod pauses;
 mod pool;
@@ -47,6 +48,7 @@
     caches::affinity,
     limits::Limit,
     notices::{Notice, Notices},
+    output_times::OutputKind,
     paces::PaceReport,
     rejections::RejectionLimit,
     run::{Run, RunOutcome},
@@ -128,6 +130,8 @@
     /// Mean number of tokens of a run, by service; empty unless capacity is learned.
     mean_tokens: HashMap<String, f64>,
     rotations: rotation::Rotations,
+    /// Time per output token of recent streams; empty unless the length of responses is considered.
+    output_times: output_times::OutputTimes,
 }
 
 /// Service and model whose latency is learned.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -9,6 +9,7 @@
 //! first one.
 
 mod admit;
+mod answer_length;
 mod carried;
 mod crash_check;
 mod forwarding;
--- /dev/null
+++ b/crates/relay/src/exchange/answer_length.rs
@@ -0,0 +1,202 @@
+//! Expected lengths of responses, and how long the output of streams takes.
+//!
+//! Nothing of this happens unless the operator has switched it on.
+
+use std::{sync::Arc, time::Duration};
+
+use route::relay::{
+    answer_length::{self, Ending, Limit},
+    ladder::{Outlook, RelativeTime},
+};
+
+use super::{
+    hop::Hop,
+    tries::{ActiveStream, Exchange},
+};
+use crate::{
+    clock,
+    dispatcher::{
+        Dispatcher,
+        fleet::{Job, OutputKind},
+    },
+    settings::AnswerLength,
+};
+
+/// Part of a stream's time that it may wait for its reader; the time of one that waits longer shows the
+/// reader's pace. The minimum keeps short streams whose task was not run for a moment.
+const MAX_READER_SHARE: f64 = 0.05;
+const MIN_READER_WAIT: Duration = Duration::from_millis(20);
+
+/// Time before the deadline from which a stream that ends unfinished counts as cut off by it. Callers close
+/// their connections at the deadline by their own clocks.
+const CUT_OFF_TOLERANCE: Duration = Duration::from_millis(150);
+
+impl Exchange {
+    /// Returns the number of output tokens that the caller expects; `None` if it has not stated one or the
+    /// length is not considered.
+    fn expected_output(&self) -> Option<u32> {
+        match self.dispatcher.settings.policies.answer_length {
+            AnswerLength::Ignored => None,
+            AnswerLength::Expected => {
+                answer_length::expected_tokens(self.params.expected_output, self.params.tokens?.output)
+            }
+        }
+    }
+
+    /// Returns the models that the request may start with at a service. `times` are the times to the first
+    /// event as multiples of `unit_ms`, and `job` returns the job of a model.
+    pub(super) fn limit_start<'a>(
+        &'a self,
+        times: &[RelativeTime],
+        unit_ms: f64,
+        job: impl Fn(usize) -> Job<'a>,
+    ) -> Limit {
+        let Some(outputs) = self.output_times_ms(times.len(), answer_length::START_SHARE, job) else {
+            return Limit::None;
+        };
+        let outputs: Vec<Option<f64>> = outputs.iter().map(|output| output.map(|ms| ms / unit_ms)).collect();
+        answer_length::limit(times, &outputs, clock::millis(self.left()) / unit_ms)
+    }
+
+    /// Returns the outlooks of the models that may follow an answer; those whose output would not end before
+    /// the deadline are too late.
+    pub(super) fn limit_outlooks(&self, outlooks: &[Outlook]) -> Vec<Outlook> {
+        let job = |model| self.job(Some(model));
+        let Some(outputs) = self.output_times_ms(outlooks.len(), answer_length::ESCALATION_SHARE, job) else {
+            return outlooks.to_vec();
+        };
+        let left_ms = clock::millis(self.left());
+        let ends = |model: usize| {
+            let first_event_ms = self.dispatcher.expected_ms(&self.job(Some(model))).unwrap_or_default();
+            answer_length::ends_in_time(first_event_ms, outputs[model], left_ms)
+        };
+        answer_length::limit_outlooks(outlooks, ends)
+    }
+
+    /// Returns the times of the models' outputs, in milliseconds; `None` if the length is not considered.
+    fn output_times_ms<'a>(
+        &'a self,
+        models: usize,
+        share: f64,
+        job: impl Fn(usize) -> Job<'a>,
+    ) -> Option<Vec<Option<f64>>> {
+        let tokens = self.expected_output()?;
+        let known = |model| self.dispatcher.output_ms(&job(model), tokens, share);
+        Some(answer_length::output_times(&(0..models).map(known).collect::<Vec<_>>()))
+    }
+
+    /// Records that the length of the response has changed which model is asked.
+    pub(super) fn record_length_choice(&self, at: &'static str, service: &str, without: usize, chosen: usize) {
+        tracing::debug!(
+            request = self.params.id,
+            service,
+            at,
+            expected_tokens = self.expected_output(),
+            without,
+            chosen,
+            "length of the response changed the model"
+        );
+        metrics::counter!("relay_length_choices_total", "service" => service.to_owned(), "at" => at).increment(1);
+    }
+}
+
+/// Measures how long the output of a stream takes.
+///
+/// Dropping it before the stream has ended records a stream that was cut off, if its deadline has come.
+#[derive(Debug)]
+pub(super) struct OutputTimer {
+    dispatcher: Arc<Dispatcher>,
+    request: String,
+    service: String,
+    /// Name of the model, if this instance chose it.
+    model: Option<String>,
+    expected_tokens: Option<u32>,
+    /// What the stream's time is an observation of; `None` if it is not one.
+    kind: Option<OutputKind>,
+    /// Deadline of the request.
+    limit: Duration,
+    first_event_at: Option<Duration>,
+    /// Time that the stream has waited for its reader.
+    reader_wait: Duration,
+    has_ended: bool,
+}
+
+impl OutputTimer {
+    /// Starts to measure a stream; `None` if the length of responses is not considered, or another instance
+    /// measures the stream.
+    pub(super) fn start(exchange: &Exchange, active: &ActiveStream) -> Option<Self> {
+        if exchange.dispatcher.settings.policies.answer_length == AnswerLength::Ignored {
+            return None;
+        }
+        let Hop::Endpoint(run) = &active.hop else { return None };
+        let model = active.model.and_then(|index| exchange.admission.route.models.get(index));
+        let is_whole = exchange.params.last_event.is_none();
+        Some(Self {
+            dispatcher: Arc::clone(&exchange.dispatcher),
+            request: exchange.params.id.clone(),
+            service: exchange.service.clone(),
+            model: model.map(|model| model.name.clone()),
+            expected_tokens: exchange.expected_output(),
+            kind: (model.is_some() && is_whole).then(|| run.output_kind()),
+            limit: exchange.limit,
+            first_event_at: None,
+            reader_wait: Duration::ZERO,
+            has_ended: false,
+        })
+    }
+
+    /// Records that events were received.
+    pub(super) fn record_events(&mut self) {
+        self.first_event_at.get_or_insert_with(clock::now);
+    }
+
+    /// Records that the stream waited for its reader since `from`.
+    pub(super) fn record_reader_wait(&mut self, from: Duration) {
+        self.reader_wait += clock::now().saturating_sub(from);
+    }
+
+    /// Records that the stream goes on at another endpoint; its time is no observation of either.
+    pub(super) fn record_move(&mut self) {
+        self.kind = None;
+    }
+
+    /// Records the end of the stream.
+    pub(super) fn end(&mut self) {
+        self.has_ended = true;
+        self.observe(Ending::Whole);
+    }
+
+    /// Adds the time of the output to the observations, unless it shows something else.
+    fn observe(&self, ending: Ending) {
+        let (Some(kind), Some(tokens), Some(first_event_at)) = (&self.kind, self.expected_tokens, self.first_event_at)
+        else {
+            return;
+        };
+        let took = clock::now().saturating_sub(first_event_at);
+        if self.reader_wait <= took.mul_f64(MAX_READER_SHARE).max(MIN_READER_WAIT) {
+            self.dispatcher.observe_output(kind, tokens, clock::millis(took), ending);
+        }
+    }
+}
+
+impl Drop for OutputTimer {
+    fn drop(&mut self) {
+        if self.has_ended || clock::now() + CUT_OFF_TOLERANCE < self.limit {
+            return;
+        }
+        self.observe(Ending::CutOff);
+        let model = self.model.clone().unwrap_or_else(|| "named by the caller".to_owned());
+        tracing::debug!(
+            request = self.request,
+            service = self.service,
+            model,
+            expected_tokens = self.expected_tokens,
+            "stream cut off at its deadline"
+        );
+        let hint = if self.expected_tokens.is_some() { "yes" } else { "no" };
+        metrics::counter!(
+            "relay_streams_cut_off_total", "service" => self.service.clone(), "model" => model, "hint" => hint
+        )
+        .increment(1);
+    }
+}
--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -7,6 +7,7 @@
 use http_body_util::Full;
 use route::relay::{
     allowance::Purpose,
+    answer_length::Limit,
     first_byte_timeout::first_byte_timeout,
     ladder::{
         self, Outlook, RelativeTime, Remaining, Step,
@@ -110,16 +111,35 @@
             RelativeTime { idle: self.dispatcher.expected_idle_ms(&job) / goal_ms, now: now_ms / goal_ms }
         };
         let times: Vec<RelativeTime> = (0..models).map(time).collect();
+        let choose = |times: &[RelativeTime]| self.first_model(service, remaining, times, goal_ms);
+        let limit = self.limit_start(&times, goal_ms, |model| self.job_at(service, Some(model)));
+        let (model, is_shed) = match &limit {
+            Limit::None => choose(&times),
+            Limit::Times(limited) => choose(limited),
+            Limit::FirstToEnd(model) => (*model, false),
+        };
+        if limit != Limit::None {
+            let (without, _) = choose(&times);
+            if model != without {
+                self.record_length_choice("start", service, without, model);
+            }
+        }
+        if is_shed {
+            self.count_shed_quality("start");
+        }
+        Some(model)
+    }
+
+    /// Returns the index of the model to ask first, given the times to the first event of all as multiples of
+    /// `goal_ms`, and whether it is a smaller one because of pressure.
+    fn first_model(&self, service: &str, remaining: Remaining, times: &[RelativeTime], goal_ms: f64) -> (usize, bool) {
         let Some(right_answer) = self.right_answer_value() else {
-            return Some(ladder::first_model(remaining, &times));
+            return (ladder::first_model(remaining, times), false);
         };
         let prices = self.prices();
         let worth = Worth { right_answer, prices: &prices, pressure: self.pressure(service) };
-        let start = value::first_model(remaining, &times, clock::millis(self.left()) / goal_ms, &worth);
-        if start.is_shed {
-            self.count_shed_quality("start");
-        }
-        Some(start.model)
+        let start = value::first_model(remaining, times, clock::millis(self.left()) / goal_ms, &worth);
+        (start.model, start.is_shed)
     }
 
     /// Returns the value of a right answer in time as a multiple of the largest model's price;
@@ -237,19 +257,40 @@
             allowance: self.dispatcher.allows_extra_dispatch(&self.service, Purpose::Escalation),
         };
         let outlooks: Vec<Outlook> = (0..models).map(|model| self.outlook(model)).collect();
+        let limited = self.limit_outlooks(&outlooks);
+        let (escalation, is_shed) = self.weigh(index, confidence, remaining, &limited);
+        if is_shed {
+            self.count_shed_quality("answer");
+        }
+        if limited != outlooks {
+            let asked = |escalation: Option<Escalation>| escalation.map_or(index, |escalation| escalation.to);
+            let without = asked(self.weigh(index, confidence, remaining, &outlooks).0);
+            if asked(escalation) != without {
+                self.record_length_choice("answer", &self.service, without, asked(escalation));
+            }
+        }
+        escalation
+    }
+
+    /// Returns the larger model to ask instead of accepting the answer of the model at `index`, if any, and
+    /// whether a larger one would be asked without pressure.
+    fn weigh(
+        &self,
+        index: usize,
+        confidence: Option<u32>,
+        remaining: Remaining,
+        outlooks: &[Outlook],
+    ) -> (Option<Escalation>, bool) {
         let Some(right_answer) = self.right_answer_value() else {
-            let step = ladder::next_step(index, confidence, self.admission.urgency, remaining, &outlooks);
-            return Escalation::from_step(step, "confidence below the fixed threshold", None);
+            let step = ladder::next_step(index, confidence, self.admission.urgency, remaining, outlooks);
+            return (Escalation::from_step(step, "confidence below the fixed threshold", None), false);
         };
         let prices = self.prices();
         let worth = Worth { right_answer, prices: &prices, pressure: self.pressure(&self.service) };
         let is_late = clock::now().saturating_sub(self.started) > self.admission.route.target_time;
-        let decision = value::next_step(value::Answer { index, confidence, is_late }, remaining, &outlooks, &worth);
-        if decision.is_shed {
-            self.count_shed_quality("answer");
-        }
+        let decision = value::next_step(value::Answer { index, confidence, is_late }, remaining, outlooks, &worth);
         tracing::debug!(request = self.params.id, confidence, decision = ?decision, "answer weighed");
-        Escalation::from_step(decision.step, "expected gain exceeds the price", decision.gain)
+        (Escalation::from_step(decision.step, "expected gain exceeds the price", decision.gain), decision.is_shed)
     }
 
     /// Returns the model's confidence in its answer.
--- a/crates/relay/src/exchange/stream.rs
+++ b/crates/relay/src/exchange/stream.rs
@@ -8,6 +8,7 @@
 use hyper::body::Frame;
 
 use super::{
+    answer_length::OutputTimer,
     forwarded_headers,
     forwarding::INSTANCE_GONE,
     hop::Hop,
@@ -96,6 +97,7 @@
         let mut memory = exchange.dispatcher.reserve_body_memory();
         let (mut events, mut advanced_at) = (0, clock::now());
         let mut waited = Duration::ZERO;
+        let mut output = OutputTimer::start(&exchange, &active);
         loop {
             let next = if let Some(received) = received.take() {
                 received
@@ -111,7 +113,12 @@
                         if let Some(whole) = whole {
                             record_event_wait(&exchange, &mut active, std::mem::take(&mut waited), events);
                             has_events = true;
+                            output.iter_mut().for_each(OutputTimer::record_events);
+                            let held_from = clock::now();
                             yield Ok(Frame::data(whole));
+                            if let Some(output) = &mut output {
+                                output.record_reader_wait(held_from);
+                            }
                         }
                         if splitter.new_events() > events {
                             (events, advanced_at) = (splitter.new_events(), clock::now());
@@ -130,6 +137,7 @@
                     Outcome::Broken("the connection ended before the first event".into())
                 }
                 Received::End if !splitter.is_partial() => {
+                    output.iter_mut().for_each(OutputTimer::end);
                     if let Hop::Endpoint(run) = &mut active.hop {
                         run.record_outcome(RunOutcome::Good);
                         exchange.complete_run();
@@ -148,6 +156,7 @@
                             received = Some(next);
                         }
                         Moved::Resumed(resumed) => {
+                            output.iter_mut().for_each(OutputTimer::record_move);
                             splitter.restart();
                             active = resumed;
                         }
@@ -171,6 +180,7 @@
                     break;
                 }
             };
+            output.iter_mut().for_each(OutputTimer::record_move);
             advanced_at = clock::now();
         }
     }
--- a/crates/relay/tests/it/main.rs
+++ b/crates/relay/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the relay between callers and endpoints, on real sockets, with a store in memory and
 //! endpoints that fail on purpose.
 
+mod answer_length;
 mod answers;
 mod balanced;
 mod brittle_endpoints;
--- a/crates/relay/tests/it/server.rs
+++ b/crates/relay/tests/it/server.rs
@@ -31,6 +31,8 @@
     /// Crashes on a request that contains the word: writes the bytes, resets every connection
     /// and stops listening. Other requests get the boxed action.
     CrashOn(&'static str, String, Box<Action>),
+    /// Performs the first action on a request that contains the text, and the second one on others.
+    IfContains(&'static str, Box<Action>, Box<Action>),
     /// Writes bytes and then further parts, with a pause after each, until the connection is
     /// closed. Without a pause it writes as fast as the relay reads.
     Endless(String, Part, Duration),
@@ -141,6 +143,10 @@
             std::future::pending::<()>().await;
         }
         Action::CrashOn(_, _, other) => Box::pin(perform(stream, *other, request, id, observations, crash)).await,
+        Action::IfContains(text, one, other) => {
+            let action = if request.contains(text) { one } else { other };
+            Box::pin(perform(stream, *action, request, id, observations, crash)).await;
+        }
         Action::Write(text) => {
             stream.write_all(fill(&text).as_bytes()).await.ok();
         }
