Bound what a stated maximum output adds to the mean run

A caller may state any maximum output. One request with 4,294,967,295 tokens raised the mean size of a run by 2.1e8 tokens, so that every engine with a known run of another instance counted as out of memory for some 190 runs.

A demand's output is now limited to what fits beside the prompt. In the mean a run counts at most four times the mean, the first one a twentieth of an engine's memory.

--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -32,6 +32,7 @@
 
 use route::relay::{
     canary::{self, Baseline},
+    engine_memory::MeanRun,
     holders::Prefixes,
     latency,
     notice::Backlog,
@@ -126,7 +127,7 @@
     /// What is known of the endpoints' paces; empty unless capacity is learned.
     paces: paces::Paces,
     /// Mean number of tokens of a run, by service; empty unless capacity is learned.
-    mean_tokens: HashMap<String, f64>,
+    mean_runs: HashMap<String, MeanRun>,
     rotations: rotation::Rotations,
 }
 
@@ -245,7 +246,7 @@
         let (nominal_ms, expected_ms) = (selection.nominal_ms(), selection.expected_ms());
         let reference_ms = selection.reference_ms();
         let Selection { key, arm, choice, latency, units, idle_ms, source, turn, memory_tokens, .. } = selection;
-        state.fleet.observe_tokens(job.service, memory_tokens);
+        state.observe_tokens(job, memory_tokens);
         if let Some(turn) = turn {
             state.fleet.take_turn(job.service, &turn);
         }
--- a/crates/relay/src/dispatcher/fleet/memory.rs
+++ b/crates/relay/src/dispatcher/fleet/memory.rs
@@ -2,15 +2,12 @@
 
 use route::relay::engine_memory::{Demand, Memory};
 
-use super::{Fleet, Job, Key, Server};
+use super::{Job, Key, Server};
 use crate::{
     dispatcher::{Dispatcher, State},
     settings::Capacity,
 };
 
-/// Weight of a run in the mean number of tokens.
-const MEAN_WEIGHT: f64 = 0.05;
-
 /// Checks whether engines have room for a job's tokens.
 pub(super) struct MemoryCheck<'a> {
     job: &'a Job<'a>,
@@ -42,7 +39,7 @@
         } else {
             0
         };
-        Demand { prompt, cached, output: self.job.output_tokens }
+        Demand { prompt, cached, output: self.job.output_tokens }.within(self.capacity)
     }
 
     fn has_room(&self, server: &Server) -> bool {
@@ -62,20 +59,14 @@
     }
 }
 
-impl Fleet {
-    /// Adds a run's tokens to the service's mean.
-    pub(super) fn observe_tokens(&mut self, service: &str, tokens: u64) {
-        if tokens == 0 {
-            return;
+impl State {
+    /// Adds a job's tokens to the service's mean, if engines' memory is limited.
+    pub(super) fn observe_tokens(&mut self, job: &Job<'_>, tokens: u64) {
+        if let Some(capacity) = self.memory_capacity(job) {
+            self.fleet.mean_runs.entry(job.service.to_owned()).or_default().observe(tokens, capacity);
         }
-        #[expect(clippy::cast_precision_loss, reason = "tokens of a run are far fewer than 2^53")]
-        let tokens = tokens as f64;
-        let mean = self.mean_tokens.entry(service.to_owned()).or_insert(tokens);
-        *mean += MEAN_WEIGHT * (tokens - *mean);
     }
-}
 
-impl State {
     /// Returns a check of engines' memory for a job, or `None` if the memory is not limited or
     /// capacity is not learned.
     pub(super) fn memory_check<'a>(
@@ -85,7 +76,7 @@
         holders_of_whole: &'a [u32],
     ) -> Option<MemoryCheck<'a>> {
         let capacity = self.memory_capacity(job)?;
-        let mean_run = self.fleet.mean_tokens.get(job.service).copied().unwrap_or(0.0);
+        let mean_run = self.fleet.mean_runs.get(job.service).copied().unwrap_or_default().tokens();
         Some(MemoryCheck { job, capacity, mean_run, holders, holders_of_whole })
     }
 
--- a/crates/relay/tests/it/learned_capacity.rs
+++ b/crates/relay/tests/it/learned_capacity.rs
@@ -34,7 +34,7 @@
 /// Number of other instances that report paces.
 const REPORTERS: u16 = 5;
 
-const ENDPOINTS: u16 = 6;
+pub const ENDPOINTS: u16 = 6;
 
 fn with_capacity(capacity: Capacity) -> Settings {
     Settings { policies: Policies { capacity, ..Policies::default() }, ..settings() }
@@ -49,7 +49,7 @@
 }
 
 /// Returns an instance that knows six engines and five other instances.
-fn instance(capacity: Capacity) -> Arc<Dispatcher> {
+pub fn instance(capacity: Capacity) -> Arc<Dispatcher> {
     let instance = Dispatcher::new(with_capacity(capacity), dialect());
     instance.install(catalog_of_engines());
     for number in 0..ENDPOINTS {
@@ -62,7 +62,7 @@
     instance
 }
 
-fn registration(number: u16, born: u64) -> Endpoint {
+pub fn registration(number: u16, born: u64) -> Endpoint {
     Endpoint {
         started_at_ms: Some(born),
         revision: revision(born),
@@ -70,16 +70,16 @@
     }
 }
 
-fn reporter(number: u16) -> String {
+pub fn reporter(number: u16) -> String {
     format!("other-{number}")
 }
 
-fn news_address(number: u16) -> SocketAddr {
+pub fn news_address(number: u16) -> SocketAddr {
     ([127, 0, 0, 1], 1 + number).into()
 }
 
 /// Reports of every other instance: the first endpoint is twice as slow as the rest.
-fn report_first_as_slow(instance: &Dispatcher) {
+pub fn report_first_as_slow(instance: &Dispatcher) {
     let report = |number: u16| {
         let pace = Sum { count: 8.0, log_sum: if number == 0 { 8.0 * 0.7 } else { 0.0 } };
         let observations = Observations { pace, ..Observations::default() };
@@ -92,7 +92,7 @@
 }
 
 /// Places a run at an endpoint.
-fn place_at(instance: &Arc<Dispatcher>, id: &str) -> Run {
+pub fn place_at(instance: &Arc<Dispatcher>, id: &str) -> Run {
     loop {
         let run = instance.place(&prompt_job(None, 10)).expect("an endpoint should take the job");
         if run.endpoint.id == id {
@@ -194,7 +194,7 @@
     assert_eq!(observed_without_answer(Duration::ZERO).await, Sum::default());
 }
 
-fn long_job(own_tokens: u32, session: u64) -> Job<'static> {
+pub fn long_job(own_tokens: u32, session: u64) -> Job<'static> {
     Job { own_tokens, session, output_tokens: 1_000, ..prompt_job(None, own_tokens) }
 }
 
--- a/crates/relay/tests/it/main.rs
+++ b/crates/relay/tests/it/main.rs
@@ -17,6 +17,7 @@
 mod leaving_endpoints;
 mod limits;
 mod lost_endpoints;
+mod misleading_observations;
 mod network;
 mod notices;
 mod partition_soak;
--- a/crates/route/tests/relay/engine_memory.rs
+++ b/crates/route/tests/relay/engine_memory.rs
@@ -1,6 +1,6 @@
 //! Tokens of runs against the memory of engines.
 
-use route::relay::engine_memory::{Demand, Memory};
+use route::relay::engine_memory::{Demand, MeanRun, Memory};
 
 const CAPACITY: u64 = 670_000;
 
@@ -35,3 +35,20 @@
     assert!(!of(669_999).exceeds(CAPACITY));
     assert!(of(670_000).exceeds(CAPACITY));
 }
+
+/// One caller states the largest possible output, before any other request or after them. Runs of
+/// other instances must not count as many times their size for the next hundred requests.
+#[test]
+fn stated_maximum_output_moves_the_mean_only_slightly() {
+    let huge = Demand { prompt: 1_000, cached: 0, output: u32::MAX }.within(CAPACITY).added();
+    assert_eq!(huge, CAPACITY);
+    let mut mean = MeanRun::default();
+    (0..100).for_each(|_| mean.observe(2_000, CAPACITY));
+    mean.observe(huge, CAPACITY);
+    assert!((2_000.0..2_400.0).contains(&mean.tokens()), "{mean:?}");
+    let mut first = MeanRun::default();
+    first.observe(huge, CAPACITY);
+    assert!(first.tokens() < 40_000.0, "{first:?}");
+    (0..200).for_each(|_| first.observe(30_000, CAPACITY));
+    assert!((first.tokens() - 30_000.0).abs() < 100.0, "{first:?}");
+}
