Assess paces in a task of its own

Some request's placement pooled the reports of all instances on all endpoints every 250 ms, 18,000 with 60 endpoints and 300 instances, and an instance without requests never forgot any.

A task assesses the paces, and lets other tasks run after each 2,000 reports. Reports that no longer count are removed as they are pooled, those on unknown endpoints before. The processor time of an assessment is not reduced.

placement_does_not_assess_paces guards it. The tests that apply reports now run an assessment instead of waiting for the next placement to do so.

--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -48,7 +48,7 @@
     caches::affinity,
     limits::Limit,
     notices::{Notice, Notices},
-    paces::PaceReport,
+    paces::{PaceReport, assess_regularly},
     rejections::RejectionLimit,
     run::{Run, RunOutcome},
     withdrawals::Withdrawal,
@@ -315,7 +315,6 @@
         state.update_limit_shares(now);
         state.update_rejection_shares(now);
         state.update_warmups(&self.settings, self.created_at, now);
-        state.update_paces(now);
     }
 
     /// Returns the expected time to the first byte at an idle endpoint, in milliseconds.
--- a/crates/relay/src/dispatcher/fleet/paces.rs
+++ b/crates/relay/src/dispatcher/fleet/paces.rs
@@ -4,23 +4,20 @@
 //! known endpoints. They are discarded when it restarts, since a restarted endpoint gets a new
 //! entry, and reports about its earlier start have another hash.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use rand::seq::IteratorRandom;
 use route::relay::pace::{self, Assessment, Learned, Member, Noise, Observations, Usual};
 
 use super::{BaselineKey, Fleet, Key, Server};
-use crate::{
-    clock,
-    dispatcher::{Dispatcher, State},
-    settings::Capacity,
-};
+use crate::{clock, dispatcher::Dispatcher, settings::Capacity};
 
 /// Time between assessments. Reports of other instances arrive at the same pause.
 const ASSESSMENT_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time between removals of reports that no longer count.
-const REMOVAL_INTERVAL: Duration = Duration::from_secs(2);
+/// Number of reports after which an assessment lets other tasks run. A fleet of 300 instances and 60
+/// endpoints has 18,000 of them.
+const REPORTS_PER_STEP: usize = 2_000;
 
 /// Prompt processing that is pending at an endpoint, as a multiple of the run's own time, above
 /// which the run's time shows the wait rather than the endpoint's pace.
@@ -47,9 +44,6 @@
     /// Observations that other instances reported, by the hashes of the endpoint's start and of
     /// the instance.
     reports: HashMap<u32, HashMap<u32, Observations>>,
-    assessed_at: Duration,
-    /// When reports that no longer count were last removed.
-    cleaned_at: Duration,
 }
 
 /// Kind of run whose usual ratio is learned.
@@ -170,55 +164,59 @@
         self.usual.entry(key).or_default()
     }
 
-    /// Returns the pooled observations of an endpoint.
-    fn pooled(&self, server: &Server, now: Duration) -> Observations {
-        let reports: Vec<Observations> =
-            self.reports.get(&server.hash).map(|reports| reports.values().copied().collect()).unwrap_or_default();
-        server.observations.pooled(&reports, now)
+    /// Returns the pooled observations of an endpoint. Forgets reports that count no more.
+    fn pool(&mut self, own: &Observations, start: u32, now: Duration) -> Observations {
+        let Some(reports) = self.reports.get_mut(&start) else { return own.at(now) };
+        reports.retain(|_, report| {
+            *report = report.at(now);
+            is_relevant(report)
+        });
+        let reports: Vec<Observations> = reports.values().copied().collect();
+        own.pooled(&reports, now)
     }
 }
 
-impl State {
-    /// Assesses the endpoints of all services if the last assessment is out of date.
-    pub(super) fn update_paces(&mut self, now: Duration) {
-        let fleet = &mut self.fleet;
-        if !fleet.learns_capacity() || now < fleet.paces.assessed_at + ASSESSMENT_INTERVAL {
-            return;
-        }
-        fleet.paces.assessed_at = now;
-        if now >= fleet.paces.cleaned_at + REMOVAL_INTERVAL {
-            fleet.paces.cleaned_at = now;
-            fleet.forget_reports(now);
-        }
+/// Assesses the endpoints' paces at regular intervals; never returns. A task of its own, since a
+/// request must not wait until the reports of all instances are pooled, and since an instance
+/// without requests must forget reports as well.
+pub async fn assess_regularly(dispatcher: Arc<Dispatcher>) {
+    loop {
+        dispatcher.assess_paces().await;
+        tokio::time::sleep(ASSESSMENT_INTERVAL).await;
+    }
+}
+
+impl Fleet {
+    /// Forgets reports on endpoints that are not known any more, and returns the known ones by
+    /// service.
+    fn begin_assessment(&mut self) -> Vec<(String, Vec<Key>)> {
+        let Self { by_hash, paces, servers, .. } = self;
+        paces.reports.retain(|start, _| by_hash.contains_key(start));
         let mut services: HashMap<&str, Vec<Key>> = HashMap::new();
-        for (key, server) in &fleet.servers {
+        for (key, server) in &*servers {
             services.entry(&server.endpoint.service).or_default().push(key);
         }
-        let services: Vec<(String, Vec<Key>)> =
-            services.into_iter().map(|(service, keys)| (service.to_owned(), keys)).collect();
-        for (service, keys) in services {
-            fleet.assess_service(&service, &keys, now);
-        }
+        services.into_iter().map(|(service, keys)| (service.to_owned(), keys)).collect()
     }
-}
 
-impl Fleet {
-    /// Forgets reports that count no more, and those on endpoints that are not known any more.
-    fn forget_reports(&mut self, now: Duration) {
-        let by_hash = &self.by_hash;
-        self.paces.reports.retain(|start, reports| {
-            reports.retain(|_, report| is_relevant(&report.at(now)));
-            !reports.is_empty() && by_hash.contains_key(start)
-        });
+    /// Pools the observations of the first of the endpoints, and returns them and the others.
+    fn pool_some<'a>(&mut self, keys: &'a [Key], now: Duration) -> (Vec<(Key, Member)>, &'a [Key]) {
+        let (mut members, mut pooled) = (Vec::new(), 0);
+        for (index, key) in keys.iter().enumerate() {
+            if pooled >= REPORTS_PER_STEP {
+                return (members, &keys[index..]);
+            }
+            let Some(server) = self.servers.get(*key) else { continue };
+            pooled += 1 + self.paces.reports.get(&server.hash).map_or(0, HashMap::len);
+            let observations = self.paces.pool(&server.observations, server.hash, now);
+            members.push((*key, Member { observations, slots: server.endpoint.slots }));
+        }
+        (members, &[])
     }
 
-    /// Assesses the endpoints of a service.
-    fn assess_service(&mut self, service: &str, keys: &[Key], now: Duration) {
-        let member = |key: &Key| {
-            let server = &self.servers[*key];
-            Member { observations: self.paces.pooled(server, now), slots: server.endpoint.slots }
-        };
-        let members: Vec<Member> = keys.iter().map(member).collect();
+    /// Assesses the endpoints of a service by their pooled observations.
+    fn assess_service(&mut self, service: &str, members: Vec<(Key, Member)>) {
+        let (keys, members): (Vec<Key>, Vec<Member>) = members.into_iter().unzip();
         let paces = self.paces.services.entry(service.to_owned()).or_default();
         let Assessment { differs, learned } = pace::assess(&members, paces.noise.variance(), paces.differs);
         if differs != paces.differs {
@@ -232,21 +230,39 @@
         }
         record_metrics(service, &learned);
         for (key, learned) in keys.iter().zip(learned) {
-            self.servers[*key].learned = learned;
+            if let Some(server) = self.servers.get_mut(*key) {
+                server.learned = learned;
+            }
         }
     }
 }
 
 impl Dispatcher {
+    /// Assesses the endpoints' paces by the observations of all instances. Other tasks run
+    /// between its steps.
+    pub async fn assess_paces(&self) {
+        if self.settings.policies.capacity != Capacity::Learned {
+            return;
+        }
+        let services = self.lock().fleet.begin_assessment();
+        for (service, keys) in services {
+            let (mut members, mut rest) = (Vec::with_capacity(keys.len()), keys.as_slice());
+            while !rest.is_empty() {
+                let pooled = self.lock().fleet.pool_some(rest, clock::now());
+                members.extend(pooled.0);
+                rest = pooled.1;
+                tokio::task::yield_now().await;
+            }
+            self.lock().fleet.assess_service(&service, members);
+        }
+    }
+
     /// Returns the number of runs that an endpoint serves in the time of an average one's run: its
     /// slots, or fewer where more only make all of them slower, by its pace. Without learned
     /// capacity these are its declared slots. 0 if the endpoint is not known.
     #[must_use]
     pub fn effective_slots(&self, key: Key) -> f64 {
-        let now = clock::now();
-        let mut state = self.lock();
-        state.update_paces(now);
-        state.fleet.servers.get(key).map_or(0.0, Server::effective_slots)
+        self.lock().fleet.servers.get(key).map_or(0.0, Server::effective_slots)
     }
 
     /// Returns the sum of [`Dispatcher::effective_slots`] over the endpoints of a service that are
@@ -254,8 +270,7 @@
     #[must_use]
     pub fn service_slots(&self, service: &str) -> f64 {
         let now = clock::now();
-        let mut state = self.lock();
-        state.update_paces(now);
+        let state = self.lock();
         state.fleet.in_service(service, now).map(Server::effective_slots).sum()
     }
 
--- a/crates/relay/src/handle.rs
+++ b/crates/relay/src/handle.rs
@@ -11,10 +11,10 @@
     caches, clock,
     dialect::Dialect,
     directory,
-    dispatcher::Dispatcher,
+    dispatcher::{Dispatcher, fleet},
     exchange::{self, Origin},
     follow, front, inquiry, join, news, probe, quarantine, report,
-    settings::{Listeners, Settings},
+    settings::{Capacity, Listeners, Settings},
     share::CatalogServer,
     source::{Kind, Source},
 };
@@ -115,6 +115,9 @@
     tasks.spawn(report::advance_rollouts(Arc::clone(&dispatcher), Arc::clone(&source)));
     tasks.spawn(quarantine::synchronize(Arc::clone(&dispatcher), Arc::clone(&source)));
     tasks.spawn(probe::probe_unreachable_services(Arc::clone(&dispatcher)));
+    if dispatcher.settings.policies.capacity == Capacity::Learned {
+        tasks.spawn(fleet::assess_regularly(Arc::clone(&dispatcher)));
+    }
     tasks.spawn(news::exchange(Arc::clone(&dispatcher), socket));
     Ok(Handle { dispatcher, source, tasks })
 }
--- a/crates/relay/tests/it/learned_capacity.rs
+++ b/crates/relay/tests/it/learned_capacity.rs
@@ -79,7 +79,12 @@
 }
 
 /// Reports of every other instance: the first endpoint is twice as slow as the rest.
-pub fn report_first_as_slow(instance: &Dispatcher) {
+pub async fn report_first_as_slow(instance: &Dispatcher) {
+    apply_reports(instance);
+    instance.assess_paces().await;
+}
+
+fn apply_reports(instance: &Dispatcher) {
     let report = |number: u16| {
         let pace = Sum { count: 8.0, log_sum: if number == 0 { 8.0 * 0.7 } else { 0.0 } };
         let observations = Observations { pace, ..Observations::default() };
@@ -106,8 +111,7 @@
 async fn paces_of_other_instances_scale_expected_times_and_slots() {
     let instance = instance(Capacity::Learned);
     let before = place_at(&instance, "e0").expected_ms();
-    tokio::time::sleep(Duration::from_millis(260)).await;
-    report_first_as_slow(&instance);
+    report_first_as_slow(&instance).await;
     let slow = place_at(&instance, "e0");
     // The pace scales the 15 ms of the run, but not the cost of the way to another failure domain.
     assert!(slow.expected_ms() > before + 8.0, "{} {before}", slow.expected_ms());
@@ -120,7 +124,7 @@
 #[tokio::test]
 async fn reports_have_no_effect_on_declared_capacity() {
     let (instance, untouched) = (instance(Capacity::Declared), instance(Capacity::Declared));
-    report_first_as_slow(&instance);
+    report_first_as_slow(&instance).await;
     let (run, other) = (place_at(&instance, "e0"), place_at(&untouched, "e0"));
     assert_eq!((run.expected_ms(), run.choice.wait_ms), (other.expected_ms(), other.choice.wait_ms));
     assert_eq!(instance.effective_slots(run.key).to_bits(), 8.0_f64.to_bits());
@@ -128,6 +132,18 @@
     assert!(instance.own_paces(64).is_empty());
 }
 
+/// An assessment pools the reports of all instances on all endpoints. A request must not wait for
+/// that: with 300 instances it takes milliseconds, each quarter of a second.
+#[tokio::test]
+async fn placement_does_not_assess_paces() {
+    let instance = instance(Capacity::Learned);
+    apply_reports(&instance);
+    let run = place_at(&instance, "e0");
+    assert_eq!(instance.effective_slots(run.key).to_bits(), 8.0_f64.to_bits());
+    instance.assess_paces().await;
+    assert!(instance.effective_slots(run.key) < 6.0);
+}
+
 /// A sender that is no known instance could count any number of times under different names.
 #[tokio::test]
 async fn reports_of_unknown_instances_are_ignored() {
@@ -142,6 +158,7 @@
         let known = relay::dispatcher::fleet::short_hash(&reporter(0));
         instance.apply_paces(known, news_address(1), (0..ENDPOINTS).map(report));
     }
+    instance.assess_paces().await;
     assert_eq!(instance.service_slots(SERVICE).to_bits(), 48.0_f64.to_bits());
 }
 
@@ -150,11 +167,10 @@
 #[tokio::test]
 async fn restarted_endpoint_has_no_pace() {
     let instance = instance(Capacity::Learned);
-    report_first_as_slow(&instance);
+    report_first_as_slow(&instance).await;
     assert!(instance.effective_slots(place_at(&instance, "e0").key) < 6.0);
     instance.register_endpoint(registration(0, 2));
-    report_first_as_slow(&instance);
-    tokio::time::sleep(Duration::from_millis(260)).await;
+    report_first_as_slow(&instance).await;
     let slots = instance.effective_slots(place_at(&instance, "e0").key);
     assert!((7.9..8.1).contains(&slots), "{slots}");
 }
