Copy a prompt part from a holder without free memory

Engines without free memory were removed before the candidates were built. If one of them cached the request's shared part, no copy was made, and another engine processed the part again.

Removed engines that cache the part are kept as a source of the copy, if their version is that of the chosen engine and this does not hold the part itself.

holder_without_memory_is_the_source_of_the_copy failed before (no source) and passes.

--- a/crates/relay/src/dispatcher/fleet/memory.rs
+++ b/crates/relay/src/dispatcher/fleet/memory.rs
@@ -22,11 +22,14 @@
 }
 
 impl MemoryCheck<'_> {
-    /// Removes the engines without room, unless none has room.
-    pub(super) fn retain_with_room(&self, engines: &mut Vec<(Key, &Server)>) {
-        if engines.iter().any(|(_, server)| self.has_room(server)) {
-            engines.retain(|(_, server)| self.has_room(server));
+    /// Removes the engines without room, unless none has room. Returns those removed that cache
+    /// the shared part: another engine can still copy it from there.
+    pub(super) fn retain_with_room<'s>(&self, engines: &mut Vec<(Key, &'s Server)>) -> Vec<&'s Server> {
+        if !engines.iter().any(|(_, server)| self.has_room(server)) {
+            return Vec::new();
         }
+        let without_room = engines.extract_if(.., |(_, server)| !self.has_room(server)).map(|(_, server)| server);
+        without_room.filter(|server| self.holders.contains(&server.hash)).collect()
     }
 
     /// Returns what the job needs of an engine's memory.
--- a/crates/relay/src/dispatcher/fleet/selection.rs
+++ b/crates/relay/src/dispatcher/fleet/selection.rs
@@ -100,9 +100,7 @@
         let holders = self.fleet.holders_of(job.affinity, now);
         let holders_of_whole = self.fleet.holders_of(job.whole, now);
         let memory = self.memory_check(job, &holders, &holders_of_whole);
-        if let Some(memory) = &memory {
-            memory.retain_with_room(&mut chosen);
-        }
+        let full_holders = memory.as_ref().map(|memory| memory.retain_with_room(&mut chosen)).unwrap_or_default();
         let mut candidates = Vec::with_capacity(chosen.len());
         for (_, server) in &chosen {
             let (holds_prefix, holds_prompt) =
@@ -135,8 +133,14 @@
         // Cached parts of another version cannot be used with this version's weights.
         let is_same = |index: &usize| chosen[*index].1.endpoint.version == server.endpoint.version;
         choice.source = choice.source.filter(is_same);
-        let source = choice.source.map(|index| chosen[index].1.endpoint.address);
         let Candidate { holds_prefix, holds_prompt, backlog_ms, .. } = candidates[choice.index];
+        let source = choice.source.map(|index| chosen[index].1);
+        let full_holder = || {
+            let of_version = |holder: &&Server| holder.endpoint.version == server.endpoint.version;
+            full_holders.into_iter().filter(of_version).min_by_key(|holder| holder.runs)
+        };
+        let source = source.or_else(|| if holds_prefix || holds_prompt { None } else { full_holder() });
+        let source = source.map(|holder| holder.endpoint.address);
         let declared = Candidate { slots: server.endpoint.slots, ..candidates[choice.index] };
         let queue_ms = placement::queue_ms(&declared);
         let memory_tokens = memory.map_or(0, |memory| memory.demand(server).added());
--- a/crates/relay/tests/it/misleading_observations.rs
+++ b/crates/relay/tests/it/misleading_observations.rs
@@ -1,6 +1,6 @@
 //! Observations and statements that say little about an endpoint, and what they must not cause.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use relay::{
     dispatcher::{
@@ -10,7 +10,10 @@
     settings::Capacity,
 };
 
-use crate::learned_capacity::{ENDPOINTS, instance, long_job, news_address, registration, reporter};
+use crate::{
+    learned_capacity::{ENDPOINTS, instance, long_job, news_address, registration, reporter},
+    notices::prompt_job,
+};
 
 /// One caller states the largest possible output. Engines with a few runs of other instances must
 /// still have room for the next requests, or all go to the one engine without any.
@@ -28,3 +31,24 @@
     let runs: Vec<Run> = (0..12).map(|session| instance.place(&long_job(1_000, session)).unwrap()).collect();
     assert!(runs.iter().any(|run| run.endpoint.id != "e0"), "no engine with runs has room");
 }
+
+/// The engine that caches a part has no memory left. Another one must copy the part from there and
+/// not process it again.
+#[tokio::test]
+async fn holder_without_memory_is_the_source_of_the_copy() {
+    let instance = instance(Capacity::Learned);
+    let holder = Arc::clone(&instance.place(&prompt_job(Some(7), 10)).unwrap().endpoint);
+    let mut full = Vec::new();
+    loop {
+        let run = instance.place(&prompt_job(None, 99_995)).unwrap();
+        if run.endpoint.id == holder.id {
+            full.push(run);
+            break;
+        }
+        full.push(run);
+    }
+    full.retain(|run| run.endpoint.id == holder.id);
+    let run = instance.place(&prompt_job(Some(7), 10)).unwrap();
+    assert_ne!(run.endpoint.id, holder.id);
+    assert_eq!(run.source, Some(holder.address));
+}
