Count own observations of slowness beside paces

While paces were in effect, an instance ignored the slowness that it observed itself. One outlier gives every endpoint of a service a pace, and an endpoint that is slow from one instance only, by a bad path, then counted as average there.

Runs are compared with the pace in effect at their start, so the observed slowness does not contain it. It counts again. When a pace rises by a tenth or more, what was observed before is divided by the rise, so that nothing counts twice. Dividing the slowness by the pace at each choice would take the pace off twice, and make fast endpoints look slow.

--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -396,7 +396,7 @@
             runs: f64::from(self.runs) + self.peer_load.runs + full,
             backlog_ms: self.backlog_ms + self.announced_backlog.left_ms(now),
             reported_backlog_ms: self.peer_load.backlog_ms,
-            slowness: if slowness > NOISE_FACTOR && self.learned.pace.is_none() { slowness } else { 1.0 },
+            slowness: if slowness > NOISE_FACTOR { slowness } else { 1.0 },
             pace: self.learned.pace.unwrap_or(1.0),
             excess_failure_rate: (self.failure_rate.value_at(0.0, now) - NOISE_FACTOR * mean_failure_rate).max(0.0),
             local: self.endpoint.domain == domain,
--- a/crates/relay/src/dispatcher/fleet/paces.rs
+++ b/crates/relay/src/dispatcher/fleet/paces.rs
@@ -231,6 +231,8 @@
         record_metrics(service, &learned);
         for (key, learned) in keys.iter().zip(learned) {
             if let Some(server) = self.servers.get_mut(*key) {
+                let (before, pace) = (server.learned.pace.unwrap_or(1.0), learned.pace.unwrap_or(1.0));
+                server.slowness.value = pace::unexplained_slowness(server.slowness.value, before, pace);
                 server.learned = learned;
             }
         }
--- a/crates/relay/tests/it/misleading_observations.rs
+++ b/crates/relay/tests/it/misleading_observations.rs
@@ -9,9 +9,12 @@
     },
     settings::Capacity,
 };
+use route::relay::content::{Content, Work};
 
 use crate::{
-    learned_capacity::{ENDPOINTS, instance, long_job, news_address, registration, reporter},
+    learned_capacity::{
+        ENDPOINTS, instance, long_job, news_address, place_at, registration, report_first_as_slow, reporter,
+    },
     notices::prompt_job,
 };
 
@@ -52,3 +55,32 @@
     assert_ne!(run.endpoint.id, holder.id);
     assert_eq!(run.source, Some(holder.address));
 }
+
+fn work() -> Work {
+    Work { request: Content::of(Some("club"), "GET", "", "/a/", b""), parts: Vec::new().into() }
+}
+
+/// One endpoint is slow for all instances, so that paces are in effect. Another one is slow only
+/// from this instance, by a bad path: the others' observations do not show it, and this instance
+/// must avoid it by its own.
+#[tokio::test]
+async fn bad_path_counts_beside_a_slow_endpoint() {
+    let instance = instance(Capacity::Learned);
+    report_first_as_slow(&instance).await;
+    // An endpoint with more runs than the others would not be chosen.
+    let mut runs: Vec<Vec<Run>> = (1..ENDPOINTS).map(|_| Vec::new()).collect();
+    for _ in 0..4 {
+        for (number, runs) in (1..ENDPOINTS).zip(&mut runs) {
+            runs.push(place_at(&instance, &format!("e{number}")));
+        }
+    }
+    runs.iter_mut().flatten().for_each(|run| run.mark_sent(work()));
+    tokio::time::sleep(Duration::from_millis(15)).await;
+    runs[1..].iter_mut().flatten().for_each(Run::record_first_byte);
+    tokio::time::sleep(Duration::from_millis(135)).await;
+    runs[0].iter_mut().for_each(Run::record_first_byte);
+    drop(runs);
+    instance.assess_paces().await;
+    let at_bad_path = (0..300).filter(|_| instance.place(&prompt_job(None, 10)).unwrap().endpoint.id == "e1").count();
+    assert!(at_bad_path < 10, "{at_bad_path} of 300");
+}
--- a/crates/route/src/relay/pace.rs
+++ b/crates/route/src/relay/pace.rs
@@ -51,6 +51,10 @@
 /// endpoint.
 const MAX_REPORT_FACTOR: f64 = 2.0;
 
+/// Smallest rise of a pace between two assessments that explains an endpoint's slowness. Paces
+/// vary by less without any cause, and each rise by noise would take part of the slowness away.
+const MIN_RISE: f64 = 1.1;
+
 /// Smallest weight of an observation in the usual ratio and in the noise.
 const MIN_WEIGHT: f64 = 0.02;
 
@@ -177,6 +181,18 @@
     bands as f64 / BANDS as f64
 }
 
+/// Returns the part of an endpoint's slowness, as one instance has observed it, that a change of its
+/// pace does not explain.
+///
+/// Runs are compared with the pace that is in effect when they start. What was observed before a
+/// pace rises is therefore explained by it, as far as the pace has risen. What is left is slow from
+/// this instance only, as by a bad path.
+#[must_use]
+pub fn unexplained_slowness(slowness: f64, pace_before: f64, pace: f64) -> f64 {
+    let rise = pace / pace_before;
+    if rise < MIN_RISE || slowness <= 1.0 { slowness } else { (slowness / rise).max(1.0) }
+}
+
 /// Usual ratio of the time that runs of one kind take to their expected time, over all
 /// endpoints of a service, as one instance sees it.
 ///
