Check memory only for requests that have not run

A catalog that lowers the memory of engines broke off a stream that was about to resume, and a retry of a request that may have run, although their prompts had fitted.

The check against memory moves to the checks that apply to a request that nobody has run. Not covered by a test of its own: resuming a stream needs a network. The tests of prompts that are refused pass unchanged.

--- a/crates/relay/src/exchange/hop.rs
+++ b/crates/relay/src/exchange/hop.rs
@@ -54,6 +54,9 @@
                     .map_err(|r| self.refusal_for_caller(r))?;
             }
             self.admission.route.target(self.target_draw).ok_or(Refusal::NoRoute)?.clone_into(&mut self.service);
+            if self.dispatcher.exceeds_memory(&self.job(model)) {
+                return Err(self.refusal_for_caller(Refusal::ExceedsMemory));
+            }
         }
         self.choose_hop(model).await
     }
@@ -79,9 +82,6 @@
         if self.left() < MIN_TRY_TIME {
             return Err(self.refusal_for_caller(Refusal::Expired));
         }
-        if self.dispatcher.exceeds_memory(&self.job(model)) {
-            return Err(self.refusal_for_caller(Refusal::ExceedsMemory));
-        }
         let may_try = !self.may_have_run || self.admission.route.kind.repeatable();
         if !may_try || self.sent >= self.admission.route.attempts || self.unreachable >= MAX_UNREACHABLE {
             return Err(self.refusal_for_caller(Refusal::TurnedAway));
