Let failures lengthen turns instead of ending them

With placement: balanced, an endpoint had no turn from an excess failure rate of 0.008 on: a single failed run took it out of the rotation for some 14 s, also while all others were full.

Only prompt backlog decides who has a turn. Failures lower the rate of sends, by half after one failure and to less than a hundredth for an endpoint that always fails.

endpoint_that_failed_once_keeps_part_of_its_share failed before (none of its requests, 0.43 of all for a sound one) and passes.

--- a/crates/route/src/relay/balance.rs
+++ b/crates/route/src/relay/balance.rs
@@ -17,7 +17,8 @@
 //!
 //! Information that is up to date decides before the turn does: an endpoint takes part in the
 //! rotation only if its prompt backlog, which notices announce, is about as short as the
-//! shortest. Holders of a shared prefix keep the preference that [`placement`] gives them.
+//! shortest. An endpoint at which runs fail gets fewer requests, but keeps its turns: the others may
+//! be full, and a single failure says little. Holders of a shared prefix keep the preference that [`placement`] gives them.
 
 use std::time::Duration;
 
@@ -47,6 +48,11 @@
 /// see the same empty endpoint, and do so until their next reports.
 const MAX_VACANCY: f64 = 2.0;
 
+/// Effect of failed runs on the rate of sends, as the decrease of its logarithm for an endpoint that
+/// is certain to fail: it gets less than a hundredth of the requests of others, and one with a single
+/// recent failure about half.
+const FAILURE_WEIGHT: f64 = 5.0;
+
 /// Maximum number of turns by which an endpoint may be ahead of the rotation. Sends to the holder
 /// of a hot prefix count as turns; with this bound the endpoint returns to the rotation soon after
 /// the prefix has cooled down.
@@ -139,13 +145,12 @@
 /// Returns how eligible each candidate is for a request by information that is up to date, from 0
 /// to 1.
 fn eligibilities(candidates: &[Candidate<'_>], turns: &[Turn]) -> Vec<f64> {
-    let waits: Vec<f64> = candidates.iter().map(placement::known_delay_ms).collect();
-    let least = waits.iter().copied().fold(f64::MAX, f64::min);
+    let least = candidates.iter().map(|candidate| candidate.backlog_ms).fold(f64::MAX, f64::min);
     let is_any_free = turns.iter().any(|turn| !turn.is_full);
-    let eligibility = |(turn, wait): (&Turn, &f64)| {
-        if turn.is_full && is_any_free { 0.0 } else { (-(wait - least) / WAIT_SCALE_MS).exp() }
+    let eligibility = |(turn, candidate): (&Turn, &Candidate<'_>)| {
+        if turn.is_full && is_any_free { 0.0 } else { (-(candidate.backlog_ms - least) / WAIT_SCALE_MS).exp() }
     };
-    turns.iter().zip(&waits).map(eligibility).collect()
+    turns.iter().zip(candidates).map(eligibility).collect()
 }
 
 /// Returns the rate at which an endpoint should get requests, relative to others. `mean_occupancy`
@@ -155,7 +160,8 @@
     let occupancy = turn.others / slots;
     let distance = if candidate.local { 1.0 } else { REMOTE_RATE };
     let vacancy = (-OCCUPANCY_WEIGHT * (occupancy - mean_occupancy).min(1.0)).exp().min(MAX_VACANCY);
-    distance * slots * vacancy / turn.pace.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1)
+    let soundness = (-FAILURE_WEIGHT * candidate.excess_failure_rate).exp();
+    distance * slots * vacancy * soundness / turn.pace.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1)
 }
 
 /// Returns the number of other instances' runs for each slot of all candidates.
--- a/crates/route/src/relay/placement.rs
+++ b/crates/route/src/relay/placement.rs
@@ -230,12 +230,6 @@
         + candidate.excess_failure_rate * FAILURE_PENALTY_MS
 }
 
-/// Returns the delay by prompt backlog and failures at an endpoint, which are known up to date, in
-/// milliseconds. The endpoint's pace does not count.
-pub(super) fn known_delay_ms(candidate: &Candidate<'_>) -> f64 {
-    candidate.backlog_ms + candidate.excess_failure_rate * FAILURE_PENALTY_MS
-}
-
 /// Draws up to `wanted` different indices below `count` for which `fits` returns true.
 /// `draw` is a random number.
 ///
--- a/crates/route/tests/relay/balance.rs
+++ b/crates/route/tests/relay/balance.rs
@@ -197,6 +197,21 @@
     instance.choose(&candidates(6), PLAIN);
 }
 
+/// One run failed at an endpoint with free slots, and the others have more runs than slots. It must
+/// keep part of its share. One that always fails must get next to nothing.
+#[test]
+fn endpoint_that_failed_once_keeps_part_of_its_share() {
+    let turns: Vec<Turn> = (0..6).map(|index| Turn { others: if index == 2 { 1.0 } else { 6.0 }, ..NEW }).collect();
+    let share = |excess_failure_rate: f64| {
+        let mut endpoints = candidates(6);
+        endpoints[2].excess_failure_rate = excess_failure_rate;
+        f64::from(sends(8, 300, &endpoints, &turns)[2]) / 2_400.0
+    };
+    let (sound, failed_once, failing) = (share(0.0), share(0.15), share(0.9));
+    assert!(failed_once < 0.7 * sound && failed_once > 0.25 * sound, "{sound} {failed_once}");
+    assert!(failing < 0.02, "{failing}");
+}
+
 /// All requests with a hot prefix go to its holder while it is not too busy. Other requests must
 /// get out of its way, and it returns to the rotation soon after the prefix has cooled down.
 #[test]
