Give silent endpoints no turn while others answer

With placement: balanced, an endpoint that hangs kept its share of requests until the first deadline passed: own runs did not count, and its pace came from answers only.

An endpoint has no turn while this instance's runs there have had no response for four times the usual time of a run, at least 100 ms, and others respond. It is not preferred as the holder of a prompt part then, and not used as a source. Silence is local and up to date, so nothing follows from old reports.

--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -257,6 +257,9 @@
             server.pace_reference(if job.model.is_some() { reference_ms } else { first_byte_ms }, first_byte_ms, now);
         server.memory_tokens += memory_tokens;
         server.stated.guard.record_send(now);
+        if server.runs == 0 {
+            server.rotation.busy_since = now;
+        }
         server.runs += 1;
         server.stated.throttle.take_token(now);
         server.take_token_while_warming(now);
--- a/crates/relay/src/dispatcher/fleet/rotation.rs
+++ b/crates/relay/src/dispatcher/fleet/rotation.rs
@@ -25,6 +25,8 @@
     due: Option<f64>,
     /// Response times of this instance's runs there.
     pace: Pace,
+    /// When this instance last sent a run there while it had no other one there.
+    pub(super) busy_since: Duration,
     /// Mean time at which the runs of other instances there were reported.
     pub(super) reported_at: Option<Duration>,
 }
@@ -95,7 +97,10 @@
         let (age, others) = estimate_loads(servers, candidates, run_time, now);
         let turn = |(((_, server), candidate), others): ((&(Key, &Server), &Candidate<'_>), f64)| {
             let Place { due, pace, .. } = server.rotation;
-            Turn { due, others, pace: pace.factor(candidate.pace, now), is_full: server.full_until > now }
+            let is_silent = server.silence(now).is_some_and(|silence| {
+                balance::is_silent(silence, run_time, candidate.backlog_ms + candidate.reported_backlog_ms)
+            });
+            Turn { due, others, pace: pace.factor(candidate.pace, now), is_full: server.full_until > now, is_silent }
         };
         let turns: Vec<Turn> = servers.iter().zip(candidates.iter()).zip(others).map(turn).collect();
         let clock = rotation.map_or(0.0, |rotation| rotation.clock);
@@ -140,6 +145,14 @@
     }
 }
 
+impl Server {
+    /// Returns how long this instance's runs there have got no bytes; `None` if there are none.
+    fn silence(&self, now: Duration) -> Option<Duration> {
+        let since = self.last_received.max(self.rotation.busy_since);
+        (self.runs > 0).then(|| now.saturating_sub(since))
+    }
+}
+
 impl Run {
     fn is_balanced(&self) -> bool {
         self.dispatcher.settings.policies.placement == Placement::Balanced
--- a/crates/relay/tests/it/misleading_observations.rs
+++ b/crates/relay/tests/it/misleading_observations.rs
@@ -3,11 +3,14 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use relay::{
+    Settings,
+    catalog::Kind,
     dispatcher::{
-        fleet::{Job, Load, Run, start_hash},
+        Dispatcher,
+        fleet::{Job, Load, Run, RunOutcome, start_hash},
         peers::Status,
     },
-    settings::Capacity,
+    settings::{Capacity, Placement, Policies},
 };
 use route::relay::content::{Content, Work};
 
@@ -16,6 +19,7 @@
         ENDPOINTS, instance, long_job, news_address, place_at, registration, report_first_as_slow, reporter,
     },
     notices::prompt_job,
+    site::{catalog, dialect, route, settings},
 };
 
 /// One caller states the largest possible output. Engines with a few runs of other instances must
@@ -84,3 +88,28 @@
     let at_bad_path = (0..300).filter(|_| instance.place(&prompt_job(None, 10)).unwrap().endpoint.id == "e1").count();
     assert!(at_bad_path < 10, "{at_bad_path} of 300");
 }
+
+/// One of six endpoints accepts requests and never answers. It must not get its full share of
+/// requests until their deadlines pass.
+#[tokio::test]
+async fn hanging_endpoint_loses_its_turns() {
+    let policies = Policies { placement: Placement::Balanced, ..Policies::default() };
+    let instance = Dispatcher::new(Settings { policies, ..settings() }, dialect());
+    instance.install(catalog(1, vec![route("/a/", Kind::Idempotent)]));
+    for number in 0..ENDPOINTS {
+        instance.register_endpoint(registration(number, 1));
+    }
+    let mut hanging = Vec::new();
+    for _ in 0..300 {
+        let mut run = instance.place(&prompt_job(None, 10)).unwrap();
+        run.mark_sent(work());
+        tokio::time::sleep(Duration::from_millis(3)).await;
+        if run.endpoint.id == "e0" {
+            hanging.push(run);
+        } else {
+            run.record_first_byte();
+            run.record_outcome(RunOutcome::Good);
+        }
+    }
+    assert!(hanging.len() <= 16, "{} of 300", hanging.len());
+}
--- a/crates/replay/src/balance/method.rs
+++ b/crates/replay/src/balance/method.rs
@@ -95,6 +95,9 @@
     usual_ms: f64,
     /// Sends to each endpoint since the last report.
     sends: Vec<u32>,
+    /// When the first of its runs at each endpoint was sent, and the latest response came from there.
+    busy_since_us: Vec<u64>,
+    responded_us: Vec<u64>,
     clock: f64,
     due: Vec<Option<f64>>,
 }
@@ -109,6 +112,8 @@
             paces: vec![Pace::default(); endpoints.len()],
             usual_ms: total_ms / f64::from(count(endpoints.len())),
             sends: vec![0; endpoints.len()],
+            busy_since_us: vec![0; endpoints.len()],
+            responded_us: vec![0; endpoints.len()],
             clock: 0.0,
             due: vec![None; endpoints.len()],
         }
@@ -119,6 +124,7 @@
     }
 
     pub fn record_response(&mut self, endpoint: usize, took_ms: f64, now_us: u64) {
+        self.responded_us[endpoint] = now_us;
         self.paces[endpoint].observe(took_ms / self.usual_ms, Duration::from_micros(now_us));
         self.usual_ms += USUAL_WEIGHT * (took_ms - self.usual_ms);
     }
@@ -146,6 +152,9 @@
             Method::Balanced => self.next_in_turn(view, &open),
             Method::Perfect => least_wait(view, &open),
         };
+        if view.own[chosen] == 0 {
+            self.busy_since_us[chosen] = view.now_us;
+        }
         self.sends[chosen] += 1;
         chosen
     }
@@ -165,6 +174,7 @@
             others: self.runs(Method::Balanced, view, *endpoint) - f64::from(view.own[*endpoint]),
             pace: self.paces[*endpoint].factor(1.0, now),
             is_full: self.full_until_us[*endpoint] > view.now_us,
+            is_silent: self.is_silent(view, *endpoint),
         };
         let turns: Vec<Turn> = open.iter().map(turn).collect();
         let seed = u64::from(count(self.number));
@@ -178,6 +188,12 @@
         chosen
     }
 
+    fn is_silent(&self, view: &View<'_>, endpoint: usize) -> bool {
+        let since_us = self.busy_since_us[endpoint].max(self.responded_us[endpoint]);
+        let silence = Duration::from_micros(view.now_us.saturating_sub(since_us));
+        view.own[endpoint] > 0 && balance::is_silent(silence, Duration::from_secs_f64(self.usual_ms / 1_000.0), 0.0)
+    }
+
     fn least_of_subset(&self, view: &View<'_>, open: &[usize]) -> usize {
         let turn = usize::try_from(view.now_us / SUBSET_US).unwrap_or_default() + self.number;
         let (count, width) = (view.endpoints.len(), view.endpoints.len().div_ceil(3));
--- a/crates/route/src/relay/balance.rs
+++ b/crates/route/src/relay/balance.rs
@@ -53,6 +53,14 @@
 /// recent failure about half.
 const FAILURE_WEIGHT: f64 = 5.0;
 
+/// Time without a response after which an endpoint has no turn, in usual times of a run. The longest
+/// runs and those that wait in a queue take a few times the usual time.
+const SILENT_RUNS: f64 = 4.0;
+
+/// Shortest time without a response after which an endpoint has no turn. Short runs are late by more
+/// where the processor of an instance is busy.
+const MIN_SILENCE: Duration = Duration::from_millis(100);
+
 /// Maximum number of turns by which an endpoint may be ahead of the rotation. Sends to the holder
 /// of a hot prefix count as turns; with this bound the endpoint returns to the rotation soon after
 /// the prefix has cooled down.
@@ -88,6 +96,8 @@
     pub pace: f64,
     /// Whether the endpoint rejected a request as full a moment ago.
     pub is_full: bool,
+    /// Whether the instance's own runs there get no answer, by [`is_silent`].
+    pub is_silent: bool,
 }
 
 /// The chosen endpoint and the rotation after a send there.
@@ -135,7 +145,12 @@
     }
     let finish = |index: &usize| starts[*index] + length(*index) * best / eligibility[*index];
     let next = (0..candidates.len()).filter(has_turn).min_by(|a, b| finish(a).total_cmp(&finish(b)))?;
-    let choice = placement::choose_beside(candidates, request, next);
+    let answers = |index: usize| eligibility[index] > 0.0 || !turns[index].is_silent;
+    let mut choice = placement::choose_beside(candidates, request, next);
+    if !answers(choice.index) {
+        choice = placement::choice_of(candidates, request, next);
+    }
+    choice.source = choice.source.filter(|source| answers(*source));
     let total: f64 = (0..candidates.len()).filter(has_turn).map(rate).sum();
     let due = starts[choice.index].min(clock + MAX_TURNS_AHEAD * length(choice.index)) + length(choice.index);
     entered.retain(|(index, _)| *index != choice.index);
@@ -146,9 +161,12 @@
 /// to 1.
 fn eligibilities(candidates: &[Candidate<'_>], turns: &[Turn]) -> Vec<f64> {
     let least = candidates.iter().map(|candidate| candidate.backlog_ms).fold(f64::MAX, f64::min);
-    let is_any_free = turns.iter().any(|turn| !turn.is_full);
+    // Of endpoints that are all silent, as in an overload, and of those that are all full, each has
+    // its turn.
+    let hindrance = |turn: &Turn| u8::from(turn.is_silent) + 2 * u8::from(turn.is_full);
+    let least_hindrance = turns.iter().map(hindrance).min().unwrap_or_default();
     let eligibility = |(turn, candidate): (&Turn, &Candidate<'_>)| {
-        if turn.is_full && is_any_free { 0.0 } else { (-(candidate.backlog_ms - least) / WAIT_SCALE_MS).exp() }
+        if hindrance(turn) > least_hindrance { 0.0 } else { (-(candidate.backlog_ms - least) / WAIT_SCALE_MS).exp() }
     };
     turns.iter().zip(candidates).map(eligibility).collect()
 }
@@ -196,6 +214,17 @@
     mean + kept_share(age, run_time).powi(3) * (reported - mean)
 }
 
+/// Whether an endpoint has not responded to any of the instance's runs there for so long that it
+/// may hang. Response times do not show that: a run that hangs has none before its deadline.
+///
+/// `silence` is the time since the latest bytes, or since the oldest run was sent if that is later,
+/// `run_time` the usual time of a run, and `backlog_ms` the prompt processing that the runs wait for.
+#[must_use]
+pub fn is_silent(silence: Duration, run_time: Duration, backlog_ms: f64) -> bool {
+    let expected = run_time.mul_f64(SILENT_RUNS) + Duration::from_secs_f64(backlog_ms.max(0.0) / 1_000.0);
+    silence > expected.max(MIN_SILENCE)
+}
+
 /// Returns the part of reported prompt processing that is left after a while, in milliseconds. An
 /// endpoint processes one prompt after another, a millisecond in each millisecond.
 #[must_use]
--- a/crates/route/src/relay/placement.rs
+++ b/crates/route/src/relay/placement.rs
@@ -178,6 +178,11 @@
     by_hash.map_or(other, |(index, _)| choice(index, true))
 }
 
+/// Returns the choice of an endpoint for no preference of the request.
+pub(super) fn choice_of(candidates: &[Candidate<'_>], request: Request, index: usize) -> Choice {
+    Choice { index, wait_ms: wait_ms(&candidates[index], request), preferred: false, source: None }
+}
+
 /// Draws local endpoints and endpoints of any domain at random, and returns the few with
 /// the shortest wait by up-to-date information.
 fn shortlist(candidates: &[Candidate<'_>], request: Request, seed: u64) -> Vec<usize> {
--- a/crates/route/tests/relay/balance.rs
+++ b/crates/route/tests/relay/balance.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 use route::relay::{
-    balance::{Balanced, Pace, Turn, backlog_now, choose, dependable_runs},
+    balance::{Balanced, Pace, Turn, backlog_now, choose, dependable_runs, is_silent},
     placement::{self, Candidate, Request},
 };
 
@@ -26,7 +26,7 @@
 
 const PLAIN: Request = Request { affinity: None, reprocess_ms: 0.0, shared_tokens: 0, first_byte_ms: 40.0 };
 
-const NEW: Turn = Turn { due: None, others: 0.0, pace: 1.0, is_full: false };
+const NEW: Turn = Turn { due: None, others: 0.0, pace: 1.0, is_full: false, is_silent: false };
 
 const NAMES: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
 
@@ -197,6 +197,46 @@
     instance.choose(&candidates(6), PLAIN);
 }
 
+/// Runs at one endpoint get no answer. It must get no further ones while others answer, or it would
+/// keep its share of requests until the first deadline passes. If all are silent, as in an overload,
+/// each keeps its share; a silent endpoint is preferred to one that rejects.
+#[test]
+fn silent_endpoint_has_no_turn_while_others_answer() {
+    let silent = Turn { is_silent: true, ..NEW };
+    let mut turns = vec![NEW; 6];
+    turns[2] = silent;
+    assert_eq!(sends(8, 60, &candidates(6), &turns)[2], 0);
+    assert!(sends(8, 60, &candidates(6), &[silent; 6]).iter().all(|count| (60..100).contains(count)));
+    turns.fill(Turn { is_full: true, ..NEW });
+    turns[2] = silent;
+    assert_eq!(sends(8, 60, &candidates(6), &turns)[2], 480);
+}
+
+/// The holder of a hot prefix gets no answers out. Requests with the prefix must go elsewhere, and not
+/// wait for a copy from there.
+#[test]
+fn silent_holder_of_a_prefix_loses_its_preference() {
+    let hot = Request { affinity: Some(7), reprocess_ms: 150.0, shared_tokens: 5_000, first_byte_ms: 60.0 };
+    let mut endpoints = candidates(6);
+    endpoints[3].holds_prefix = true;
+    let mut instance = Instance::new(1, 6);
+    instance.turns[3].is_silent = true;
+    for _ in 0..60 {
+        let choice = instance.choose(&endpoints, hot).choice;
+        assert!(choice.index != 3 && choice.source.is_none());
+    }
+}
+
+/// Runs that take a few times as long as usual, wait for a prompt or are short must not make an
+/// endpoint look silent.
+#[test]
+fn late_answers_are_no_silence() {
+    let ms = Duration::from_millis;
+    assert!(!is_silent(ms(1_900), ms(500), 0.0) && is_silent(ms(2_100), ms(500), 0.0));
+    assert!(!is_silent(ms(2_900), ms(500), 1_000.0) && is_silent(ms(3_100), ms(500), 1_000.0));
+    assert!(!is_silent(ms(90), ms(2), 0.0) && is_silent(ms(110), ms(2), 0.0));
+}
+
 /// One run failed at an endpoint with free slots, and the others have more runs than slots. It must
 /// keep part of its share. One that always fails must get next to nothing.
 #[test]
