Count a run that answers after a silence once

A run that was given up as silent and then answered counted twice in the pace of its endpoint.

The run notes that it counts already.

run_that_answers_after_a_silence_counts_once failed before (2.0 observations) and passes.

--- a/crates/relay/src/dispatcher/fleet/paces.rs
+++ b/crates/relay/src/dispatcher/fleet/paces.rs
@@ -72,6 +72,8 @@
     load: f64,
     /// Whether the run was expected to wait, so that its time does not show the pace.
     waits: bool,
+    /// Whether the run counts already, as one without an answer.
+    pub is_counted: bool,
 }
 
 /// An instance's observations of an endpoint.
@@ -90,7 +92,7 @@
         let backlog_ms = self.backlog_ms + self.announced_backlog.left_ms(now) + self.peer_load.backlog_ms;
         let load = (f64::from(self.runs) + self.peer_load.runs + 1.0) / f64::from(self.endpoint.slots.max(1));
         let waits = load > 1.0 || self.full_until > now || backlog_ms > MAX_BACKLOG_SHARE * first_byte_ms;
-        PaceReference { pace: self.learned.pace.unwrap_or(1.0), expected_ms, load, waits }
+        PaceReference { pace: self.learned.pace.unwrap_or(1.0), expected_ms, load, waits, is_counted: false }
     }
 
     /// Returns the number of runs that the endpoint serves in the time of an average one's run.
--- a/crates/relay/src/dispatcher/fleet/run.rs
+++ b/crates/relay/src/dispatcher/fleet/run.rs
@@ -151,7 +151,9 @@
         let took_on_average = took / self.pace.pace;
         fleet.latencies.entry(self.latency_key.clone()).or_insert(guess).learn(self.units, took_on_average);
         let team = self.work.as_ref().map_or(0, |work| work.request.team);
-        fleet.observe_pace(self.key, &self.pace, self.baseline_key(), team, took, now);
+        if !std::mem::take(&mut self.pace.is_counted) {
+            fleet.observe_pace(self.key, &self.pace, self.baseline_key(), team, took, now);
+        }
     }
 
     /// Records that more bytes of the answer were received.
@@ -209,6 +211,7 @@
                         took,
                         now,
                     );
+                    self.pace.is_counted = true;
                 }
                 self.record_unfinished(&mut state, work, now);
                 self.record_missing_verdict(&mut state);
--- a/crates/relay/tests/it/misleading_observations.rs
+++ b/crates/relay/tests/it/misleading_observations.rs
@@ -113,3 +113,18 @@
     }
     assert!(hanging.len() <= 16, "{} of 300", hanging.len());
 }
+
+/// A run that was silent, so that the request was sent again, answers after all. It took one time
+/// and must count once.
+#[tokio::test]
+async fn run_that_answers_after_a_silence_counts_once() {
+    let instance = instance(Capacity::Learned);
+    let mut run = place_at(&instance, "e0");
+    run.mark_sent(work());
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    run.record_outcome(RunOutcome::Broken);
+    run.record_return(work());
+    run.record_first_byte();
+    let count: f64 = instance.own_paces(64).iter().map(|report| report.observations.pace.count).sum();
+    assert!((0.5..1.5).contains(&count), "{count}");
+}
