Keep paces while all runs wait

Runs that wait do not show a pace and are left out. Near saturation nothing was observed, and paces returned to 1 within seconds, when they matter most.

While runs are left out, observations are not forgotten, for at most 10 s after the latest one.

pace_is_kept_while_all_runs_wait guards it.

--- a/crates/relay/src/dispatcher/fleet/paces.rs
+++ b/crates/relay/src/dispatcher/fleet/paces.rs
@@ -123,10 +123,14 @@
         took_ms: f64,
         now: Duration,
     ) {
-        if !self.learns_capacity() || reference.waits {
+        if !self.learns_capacity() {
             return;
         }
         let Some(server) = self.servers.get_mut(key) else { return };
+        if reference.waits {
+            server.observations.hold(now);
+            return;
+        }
         let ratio_log = (took_ms / reference.expected_ms.max(1.0)).clamp(MAX_RATIO.recip(), MAX_RATIO).ln();
         let service = kind.latency.service.clone();
         let log = self.paces.usual(kind, team).observe(ratio_log, server.learned.log);
--- a/crates/route/src/relay/pace.rs
+++ b/crates/route/src/relay/pace.rs
@@ -36,6 +36,10 @@
 /// come in, so each loss of this knowledge costs another overload of the endpoint.
 const BAND_HALF_LIFE: Duration = Duration::from_secs(8);
 
+/// Longest time after the latest observation for which observations are kept while runs wait.
+/// Near saturation all runs wait for some seconds; later the pace is likely to have changed.
+const MAX_HOLD: Duration = Duration::from_secs(10);
+
 /// Largest number of observations that count for a pace. It bounds the time until a slow
 /// period is forgotten, however many runs were seen in it.
 pub const MAX_COUNT: f64 = 32.0;
@@ -129,6 +133,8 @@
     pub bands: [Sum; BANDS],
     /// Time up to which old observations have been forgotten.
     pub updated_at: Duration,
+    /// Time of the latest observation of this instance.
+    pub observed_at: Duration,
 }
 
 impl Observations {
@@ -139,6 +145,15 @@
         let log = log.clamp(-MAX_LOG, MAX_LOG);
         self.pace.add(log, MAX_COUNT);
         self.bands[band(load)].add(log, MAX_BAND_COUNT);
+        self.observed_at = now;
+    }
+
+    /// Keeps the observations as they are, since a run waits and its time will not show the pace.
+    /// Without this, paces would return to 1 when all endpoints are full, which is when they matter.
+    pub fn hold(&mut self, now: Duration) {
+        if now.saturating_sub(self.observed_at) <= MAX_HOLD {
+            self.updated_at = now.max(self.updated_at);
+        }
     }
 
     /// Returns the observations as they count at a time.
@@ -151,6 +166,7 @@
             pace: self.pace.scaled(pace),
             bands: self.bands.map(|band| band.scaled(bands)),
             updated_at: now.max(self.updated_at),
+            observed_at: self.observed_at,
         }
     }
 
@@ -165,7 +181,7 @@
             *band = Sum::pooled(*band, reports.iter().map(|report| report.bands[index]), MAX_BAND_COUNT);
         }
         let pace = Sum::pooled(own.pace, reports.iter().map(|report| report.pace), MAX_COUNT);
-        Self { pace, bands, updated_at: own.updated_at }
+        Self { pace, bands, ..own }
     }
 }
 
--- a/crates/route/tests/relay/pace.rs
+++ b/crates/route/tests/relay/pace.rs
@@ -257,6 +257,23 @@
     assert!(log_after(16) < 0.05);
 }
 
+/// At 1.0 to 1.5 of capacity all runs wait, so that nothing is observed. Paces must not return to 1
+/// while that lasts for seconds, and an endpoint may not count as slow for ever.
+#[test]
+fn pace_is_kept_while_all_runs_wait() {
+    let mut observations = Observations::default();
+    for ms in 0..64 {
+        observations.observe(1.0, 0.9, Duration::from_millis(ms));
+    }
+    let before = observations.pace.count;
+    let mut count_after = |from: u64, to: u64| {
+        (from..to).for_each(|s| observations.hold(Duration::from_secs(s)));
+        observations.at(Duration::from_secs(to)).pace.count
+    };
+    assert!(count_after(1, 9) > 0.6 * before);
+    assert!(count_after(9, 30) < 0.01 * before);
+}
+
 /// An endpoint that takes three times as long in its last quarter of slots gets no more runs
 /// than it has room for. The others keep all of theirs.
 #[test]
