Compare rooms only among endpoints that were as busy

A reduced room takes effect where less than half of the endpoints have one. All endpoints counted, but only those that were observed near full can be found reduced. Where all slow down near full and few are ever that busy, these lost slots.

Only endpoints that were observed in the reduced band or a higher one, and in a lower one, are compared.

busy_endpoints_of_a_service_that_slows_down_near_full_keep_their_slots failed before and passes.

--- a/crates/route/src/relay/pace/assessment.rs
+++ b/crates/route/src/relay/pace/assessment.rs
@@ -1,6 +1,9 @@
 //! Paces of a service's endpoints, and whether they differ by more than noise.
 
-use super::{Observations, room::room};
+use super::{
+    Observations,
+    room::{first_useless, is_observed_from, room},
+};
 
 /// Number of observations of an average endpoint that are added to those of each endpoint, so
 /// that few observations move its pace only slightly from 1.
@@ -123,16 +126,18 @@
 
 /// Returns the endpoints' rooms where they are below the declared slots. Where half of the
 /// endpoints have less room than they declare, they are alike in that, and it is not used:
-/// a request would only wait here for the same time as it would wait there.
+/// a request would only wait here for the same time as it would wait there. Endpoints that were
+/// never so busy do not count: they may have as little room.
 fn rooms(members: &[Member], variance: f64) -> Vec<Option<u32>> {
-    let rooms: Vec<Option<u32>> = members
-        .iter()
-        .map(|member| {
-            Some(room(&member.observations.bands, variance, member.slots)).filter(|room| *room < member.slots)
-        })
-        .collect();
-    let reduced = rooms.iter().flatten().count();
-    if 2 * reduced >= members.len() { vec![None; members.len()] } else { rooms }
+    let reduced = |member: &Member| {
+        Some(room(&member.observations.bands, variance, member.slots)).filter(|room| *room < member.slots)
+    };
+    let rooms: Vec<Option<u32>> = members.iter().map(reduced).collect();
+    let of_reduced = members.iter().zip(&rooms).filter(|(_, room)| room.is_some());
+    let reduced_from = of_reduced.filter_map(|(member, _)| first_useless(&member.observations.bands, variance)).min();
+    let Some(band) = reduced_from else { return rooms };
+    let compared = members.iter().filter(|member| is_observed_from(&member.observations.bands, band)).count();
+    if 2 * rooms.iter().flatten().count() >= compared { vec![None; members.len()] } else { rooms }
 }
 
 /// Returns the number of runs that an endpoint serves in the time in which an average one of
--- a/crates/route/src/relay/pace/room.rs
+++ b/crates/route/src/relay/pace/room.rs
@@ -20,17 +20,29 @@
 /// 1 to its declared slots. `variance` is that of an observation.
 #[must_use]
 pub fn room(bands: &[Sum; BANDS], variance: f64, slots: u32) -> u32 {
-    let lacks_gain = |higher: usize| {
-        let gains = (0..higher).filter_map(|lower| gain_bound(bands, lower, higher, variance));
-        gains.min_by(f64::total_cmp).is_some_and(|gain| gain < MIN_GAIN)
-    };
-    let Some(first_useless) = (1..BANDS).find(|&band| lacks_gain(band)) else { return slots };
+    let Some(first_useless) = first_useless(bands, variance) else { return slots };
     let room = (f64::from(slots) * band_end(first_useless)).ceil().max(1.0);
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "between 1 and the slots")]
     let room = room as u32;
     room.min(slots)
 }
 
+/// Returns the lowest band that adds no throughput to a lower one.
+pub(super) fn first_useless(bands: &[Sum; BANDS], variance: f64) -> Option<usize> {
+    let lacks_gain = |higher: &usize| {
+        let gains = (0..*higher).filter_map(|lower| gain_bound(bands, lower, *higher, variance));
+        gains.min_by(f64::total_cmp).is_some_and(|gain| gain < MIN_GAIN)
+    };
+    (1..BANDS).find(lacks_gain)
+}
+
+/// Whether enough was observed in a band, or in a higher one, and in a lower one to tell whether the
+/// band adds throughput.
+pub(super) fn is_observed_from(bands: &[Sum; BANDS], band: usize) -> bool {
+    let is_observed = |sum: &Sum| sum.count >= MIN_COUNT;
+    bands[..band].iter().any(is_observed) && bands[band..].iter().any(is_observed)
+}
+
 /// Returns the upper bound of the gain in throughput from one band to a higher one, as a
 /// logarithm; `None` if too little was observed.
 fn gain_bound(bands: &[Sum; BANDS], lower: usize, higher: usize, variance: f64) -> Option<f64> {
--- a/crates/route/tests/relay/pace.rs
+++ b/crates/route/tests/relay/pace.rs
@@ -294,6 +294,23 @@
     assert_eq!(kept, ENDPOINTS);
 }
 
+/// All endpoints slow down near full, but only a few of them are ever so busy. These must keep
+/// their slots: nothing shows that the others have more room.
+#[test]
+fn busy_endpoints_of_a_service_that_slows_down_near_full_keep_their_slots() {
+    let member = |is_busy: bool| {
+        let mut observations = Observations::default();
+        observations.bands[0] = Sum { count: 40.0, log_sum: 0.0 };
+        observations.bands[1] = Sum { count: 40.0, log_sum: 0.0 };
+        if is_busy {
+            observations.bands[3] = Sum { count: 40.0, log_sum: 40.0 * 3.0_f64.ln() };
+        }
+        Member { observations, slots: SLOTS }
+    };
+    let members: Vec<Member> = (0..ENDPOINTS).map(|endpoint| member(endpoint < 5)).collect();
+    assert!(assess(&members, 0.1, false).learned.iter().all(|learned| learned.room.is_none()));
+}
+
 /// The requests of one class take five times as long as expected, and they all go to half of
 /// the endpoints, as requests with a shared prefix do.
 #[test]
