--- a/crates/replay/src/balance/simulation.rs
+++ b/crates/replay/src/balance/simulation.rs
@@ -36,6 +36,9 @@
     pub slots: u32,
     pub max_queue: usize,
     pub run_ms: f64,
+    /// Time after which the runs of an endpoint that hangs are given up, in milliseconds; `None` for
+    /// one that answers. It accepts runs until its queue is full.
+    pub hangs_ms: Option<f64>,
 }
 
 /// What is simulated.
@@ -65,6 +68,8 @@
     pub rejections: u32,
     /// Requests that no endpoint took.
     pub lost: u32,
+    /// Requests that an endpoint took that hangs.
+    pub hung: u32,
     /// Sum over samples of the largest relative load of an endpoint.
     largest: f64,
     /// Sum over samples of the mean relative load.
@@ -88,6 +93,11 @@
         f64::from(tenths) / 10.0
     }
 
+    /// Sends to an endpoint that hangs, as a share of all.
+    pub fn hung_share(&self) -> f64 {
+        f64::from(self.hung) / f64::from(self.sends.max(1))
+    }
+
     /// Sends that a full endpoint rejected, as a share of all.
     pub fn rejected_share(&self) -> f64 {
         f64::from(self.rejections) / f64::from(self.sends.max(1))
@@ -138,6 +148,7 @@
         sends: 0,
         rejections: 0,
         lost: 0,
+        hung: 0,
         largest: 0.0,
         mean: 0.0,
         idle: 0.0,
@@ -260,10 +271,18 @@
 
     fn send(&mut self, instance: usize, endpoint: usize) -> bool {
         let spec = self.plan.endpoints[endpoint];
-        if self.busy[endpoint] >= spec.slots && self.queues[endpoint].len() >= spec.max_queue {
+        let slots = if spec.hangs_ms.is_some() { 0 } else { spec.slots };
+        if self.busy[endpoint] >= slots && self.queues[endpoint].len() >= spec.max_queue {
             return false;
         }
         self.runs[instance][endpoint] += 1;
+        if let Some(hangs_ms) = spec.hangs_ms {
+            self.queues[endpoint].push_back(Waiting { instance, sent_us: self.now_us });
+            self.outcome.hung += u32::from(self.is_counted());
+            let given_up = Event::Finish { endpoint, instance, sent_us: self.now_us };
+            self.schedule(self.now_us + micros(hangs_ms), given_up);
+            return true;
+        }
         let waiting = Waiting { instance, sent_us: self.now_us };
         if self.busy[endpoint] < spec.slots {
             self.start(endpoint, &waiting);
@@ -284,6 +303,11 @@
     }
 
     fn finish(&mut self, endpoint: usize, instance: usize, sent_us: u64) {
+        if self.plan.endpoints[endpoint].hangs_ms.is_some() {
+            self.runs[instance][endpoint] -= 1;
+            self.queues[endpoint].pop_front();
+            return;
+        }
         self.busy[endpoint] -= 1;
         self.runs[instance][endpoint] -= 1;
         let took_ms = millis(self.now_us - sent_us);
