--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -33,6 +33,7 @@
 
 use route::relay::{
     canary::{self, Baseline},
+    engine_memory::MeanRun,
     holders::Prefixes,
     latency,
     notice::Backlog,
@@ -49,7 +50,7 @@
     limits::Limit,
     notices::{Notice, Notices},
     output_times::OutputKind,
-    paces::PaceReport,
+    paces::{PaceReport, assess_regularly},
     rejections::RejectionLimit,
     run::{Run, RunOutcome},
     withdrawals::Withdrawal,
@@ -128,7 +129,7 @@
     /// What is known of the endpoints' paces; empty unless capacity is learned.
     paces: paces::Paces,
     /// Mean number of tokens of a run, by service; empty unless capacity is learned.
-    mean_tokens: HashMap<String, f64>,
+    mean_runs: HashMap<String, MeanRun>,
     rotations: rotation::Rotations,
     /// Time per output token of recent streams; empty unless the length of responses is considered.
     output_times: output_times::OutputTimes,
@@ -249,7 +250,7 @@
         let (nominal_ms, expected_ms) = (selection.nominal_ms(), selection.expected_ms());
         let reference_ms = selection.reference_ms();
         let Selection { key, arm, choice, latency, units, idle_ms, source, turn, memory_tokens, .. } = selection;
-        state.fleet.observe_tokens(job.service, memory_tokens);
+        state.observe_tokens(job, memory_tokens);
         if let Some(turn) = turn {
             state.fleet.take_turn(job.service, &turn);
         }
@@ -260,6 +261,9 @@
             server.pace_reference(if job.model.is_some() { reference_ms } else { first_byte_ms }, first_byte_ms, now);
         server.memory_tokens += memory_tokens;
         server.stated.guard.record_send(now);
+        if server.runs == 0 {
+            server.rotation.busy_since = now;
+        }
         server.runs += 1;
         server.stated.throttle.take_token(now);
         server.take_token_while_warming(now);
@@ -318,7 +322,6 @@
         state.update_limit_shares(now);
         state.update_rejection_shares(now);
         state.update_warmups(&self.settings, self.created_at, now);
-        state.update_paces(now);
     }
 
     /// Returns the expected time to the first byte at an idle endpoint, in milliseconds.
@@ -400,7 +403,7 @@
             runs: f64::from(self.runs) + self.peer_load.runs + full,
             backlog_ms: self.backlog_ms + self.announced_backlog.left_ms(now),
             reported_backlog_ms: self.peer_load.backlog_ms,
-            slowness: if slowness > NOISE_FACTOR && self.learned.pace.is_none() { slowness } else { 1.0 },
+            slowness: if slowness > NOISE_FACTOR { slowness } else { 1.0 },
             pace: self.learned.pace.unwrap_or(1.0),
             excess_failure_rate: (self.failure_rate.value_at(0.0, now) - NOISE_FACTOR * mean_failure_rate).max(0.0),
             local: self.endpoint.domain == domain,
--- a/crates/route/src/relay/balance.rs
+++ b/crates/route/src/relay/balance.rs
@@ -17,7 +17,8 @@
 //!
 //! Information that is up to date decides before the turn does: an endpoint takes part in the
 //! rotation only if its prompt backlog, which notices announce, is about as short as the
-//! shortest. Holders of a shared prefix keep the preference that [`placement`] gives them.
+//! shortest. An endpoint at which runs fail gets fewer requests, but keeps its turns: the others may
+//! be full, and a single failure says little. Holders of a shared prefix keep the preference that [`placement`] gives them.
 
 use std::time::Duration;
 
@@ -47,6 +48,19 @@
 /// see the same empty endpoint, and do so until their next reports.
 const MAX_VACANCY: f64 = 2.0;
 
+/// Effect of failed runs on the rate of sends, as the decrease of its logarithm for an endpoint that
+/// is certain to fail: it gets less than a hundredth of the requests of others, and one with a single
+/// recent failure about half.
+const FAILURE_WEIGHT: f64 = 5.0;
+
+/// Time without a response after which an endpoint has no turn, in usual times of a run. The longest
+/// runs and those that wait in a queue take a few times the usual time.
+const SILENT_RUNS: f64 = 4.0;
+
+/// Shortest time without a response after which an endpoint has no turn. Short runs are late by more
+/// where the processor of an instance is busy.
+const MIN_SILENCE: Duration = Duration::from_millis(100);
+
 /// Maximum number of turns by which an endpoint may be ahead of the rotation. Sends to the holder
 /// of a hot prefix count as turns; with this bound the endpoint returns to the rotation soon after
 /// the prefix has cooled down.
@@ -82,6 +96,8 @@
     pub pace: f64,
     /// Whether the endpoint rejected a request as full a moment ago.
     pub is_full: bool,
+    /// Whether the instance's own runs there get no answer, by [`is_silent`].
+    pub is_silent: bool,
 }
 
 /// The chosen endpoint and the rotation after a send there.
@@ -129,7 +145,12 @@
     }
     let finish = |index: &usize| starts[*index] + length(*index) * best / eligibility[*index];
     let next = (0..candidates.len()).filter(has_turn).min_by(|a, b| finish(a).total_cmp(&finish(b)))?;
-    let choice = placement::choose_beside(candidates, request, next);
+    let answers = |index: usize| eligibility[index] > 0.0 || !turns[index].is_silent;
+    let mut choice = placement::choose_beside(candidates, request, next);
+    if !answers(choice.index) {
+        choice = placement::choice_of(candidates, request, next);
+    }
+    choice.source = choice.source.filter(|source| answers(*source));
     let total: f64 = (0..candidates.len()).filter(has_turn).map(rate).sum();
     let due = starts[choice.index].min(clock + MAX_TURNS_AHEAD * length(choice.index)) + length(choice.index);
     entered.retain(|(index, _)| *index != choice.index);
@@ -139,13 +160,15 @@
 /// Returns how eligible each candidate is for a request by information that is up to date, from 0
 /// to 1.
 fn eligibilities(candidates: &[Candidate<'_>], turns: &[Turn]) -> Vec<f64> {
-    let waits: Vec<f64> = candidates.iter().map(placement::known_delay_ms).collect();
-    let least = waits.iter().copied().fold(f64::MAX, f64::min);
-    let is_any_free = turns.iter().any(|turn| !turn.is_full);
-    let eligibility = |(turn, wait): (&Turn, &f64)| {
-        if turn.is_full && is_any_free { 0.0 } else { (-(wait - least) / WAIT_SCALE_MS).exp() }
+    let least = candidates.iter().map(|candidate| candidate.backlog_ms).fold(f64::MAX, f64::min);
+    // Of endpoints that are all silent, as in an overload, and of those that are all full, each has
+    // its turn.
+    let hindrance = |turn: &Turn| u8::from(turn.is_silent) + 2 * u8::from(turn.is_full);
+    let least_hindrance = turns.iter().map(hindrance).min().unwrap_or_default();
+    let eligibility = |(turn, candidate): (&Turn, &Candidate<'_>)| {
+        if hindrance(turn) > least_hindrance { 0.0 } else { (-(candidate.backlog_ms - least) / WAIT_SCALE_MS).exp() }
     };
-    turns.iter().zip(&waits).map(eligibility).collect()
+    turns.iter().zip(candidates).map(eligibility).collect()
 }
 
 /// Returns the rate at which an endpoint should get requests, relative to others. `mean_occupancy`
@@ -155,7 +178,8 @@
     let occupancy = turn.others / slots;
     let distance = if candidate.local { 1.0 } else { REMOTE_RATE };
     let vacancy = (-OCCUPANCY_WEIGHT * (occupancy - mean_occupancy).min(1.0)).exp().min(MAX_VACANCY);
-    distance * slots * vacancy / turn.pace.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1)
+    let soundness = (-FAILURE_WEIGHT * candidate.excess_failure_rate).exp();
+    distance * slots * vacancy * soundness / turn.pace.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1)
 }
 
 /// Returns the number of other instances' runs for each slot of all candidates.
@@ -190,6 +214,17 @@
     mean + kept_share(age, run_time).powi(3) * (reported - mean)
 }
 
+/// Whether an endpoint has not responded to any of the instance's runs there for so long that it
+/// may hang. Response times do not show that: a run that hangs has none before its deadline.
+///
+/// `silence` is the time since the latest bytes, or since the oldest run was sent if that is later,
+/// `run_time` the usual time of a run, and `backlog_ms` the prompt processing that the runs wait for.
+#[must_use]
+pub fn is_silent(silence: Duration, run_time: Duration, backlog_ms: f64) -> bool {
+    let expected = run_time.mul_f64(SILENT_RUNS) + Duration::from_secs_f64(backlog_ms.max(0.0) / 1_000.0);
+    silence > expected.max(MIN_SILENCE)
+}
+
 /// Returns the part of reported prompt processing that is left after a while, in milliseconds. An
 /// endpoint processes one prompt after another, a millisecond in each millisecond.
 #[must_use]
--- a/crates/route/src/relay/placement.rs
+++ b/crates/route/src/relay/placement.rs
@@ -178,6 +178,11 @@
     by_hash.map_or(other, |(index, _)| choice(index, true))
 }
 
+/// Returns the choice of an endpoint for no preference of the request.
+pub(super) fn choice_of(candidates: &[Candidate<'_>], request: Request, index: usize) -> Choice {
+    Choice { index, wait_ms: wait_ms(&candidates[index], request), preferred: false, source: None }
+}
+
 /// Draws local endpoints and endpoints of any domain at random, and returns the few with
 /// the shortest wait by up-to-date information.
 fn shortlist(candidates: &[Candidate<'_>], request: Request, seed: u64) -> Vec<usize> {
@@ -230,12 +235,6 @@
         + candidate.excess_failure_rate * FAILURE_PENALTY_MS
 }
 
-/// Returns the delay by prompt backlog and failures at an endpoint, which are known up to date, in
-/// milliseconds. The endpoint's pace does not count.
-pub(super) fn known_delay_ms(candidate: &Candidate<'_>) -> f64 {
-    candidate.backlog_ms + candidate.excess_failure_rate * FAILURE_PENALTY_MS
-}
-
 /// Draws up to `wanted` different indices below `count` for which `fits` returns true.
 /// `draw` is a random number.
 ///
--- a/crates/route/tests/relay/pace.rs
+++ b/crates/route/tests/relay/pace.rs
@@ -6,6 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 use route::relay::pace::{
     Assessment, MAX_COUNT, MAX_LOG, Member, Noise, Observations, Sum, Usual, assess, effective_slots,
+    unexplained_slowness,
 };
 
 const INSTANCES: usize = 62;
@@ -256,6 +257,23 @@
     assert!(log_after(16) < 0.05);
 }
 
+/// At 1.0 to 1.5 of capacity all runs wait, so that nothing is observed. Paces must not return to 1
+/// while that lasts for seconds, and an endpoint may not count as slow for ever.
+#[test]
+fn pace_is_kept_while_all_runs_wait() {
+    let mut observations = Observations::default();
+    for ms in 0..64 {
+        observations.observe(1.0, 0.9, Duration::from_millis(ms));
+    }
+    let before = observations.pace.count;
+    let mut count_after = |from: u64, to: u64| {
+        (from..to).for_each(|s| observations.hold(Duration::from_secs(s)));
+        observations.at(Duration::from_secs(to)).pace.count
+    };
+    assert!(count_after(1, 9) > 0.6 * before);
+    assert!(count_after(9, 30) < 0.01 * before);
+}
+
 /// An endpoint that takes three times as long in its last quarter of slots gets no more runs
 /// than it has room for. The others keep all of theirs.
 #[test]
@@ -276,6 +294,23 @@
     assert_eq!(kept, ENDPOINTS);
 }
 
+/// All endpoints slow down near full, but only a few of them are ever so busy. These must keep
+/// their slots: nothing shows that the others have more room.
+#[test]
+fn busy_endpoints_of_a_service_that_slows_down_near_full_keep_their_slots() {
+    let member = |is_busy: bool| {
+        let mut observations = Observations::default();
+        observations.bands[0] = Sum { count: 40.0, log_sum: 0.0 };
+        observations.bands[1] = Sum { count: 40.0, log_sum: 0.0 };
+        if is_busy {
+            observations.bands[3] = Sum { count: 40.0, log_sum: 40.0 * 3.0_f64.ln() };
+        }
+        Member { observations, slots: SLOTS }
+    };
+    let members: Vec<Member> = (0..ENDPOINTS).map(|endpoint| member(endpoint < 5)).collect();
+    assert!(assess(&members, 0.1, false).learned.iter().all(|learned| learned.room.is_none()));
+}
+
 /// The requests of one class take five times as long as expected, and they all go to half of
 /// the endpoints, as requests with a shared prefix do.
 #[test]
@@ -385,3 +420,23 @@
     room_is_at_most_the_declared_slots: 48, None, Some(100) => 48.0;
     room_limits_effective_slots: 48, Some(2.0), Some(36) => 18.0;
 }
+
+macro_rules! slowness_cases {
+    ($($name:ident: $slowness:expr, $before:expr, $pace:expr => $expected:expr;)*) => {$(
+        /// Guards against slowness that counts twice, by the pace and by itself, and against one
+        /// that does not count at all because a pace is in effect.
+        #[test]
+        fn $name() {
+            assert!((unexplained_slowness($slowness, $before, $pace) - $expected).abs() < 1e-9);
+        }
+    )*};
+}
+
+slowness_cases! {
+    pace_that_takes_effect_explains_slowness: 3.0, 1.0, 3.0 => 1.0;
+    bad_path_is_left_beside_a_pace: 6.0, 1.0, 1.5 => 4.0;
+    bad_path_is_left_beside_an_ordinary_pace: 6.0, 1.0, 1.05 => 6.0;
+    pace_that_falls_explains_nothing: 3.0, 3.0, 1.0 => 3.0;
+    fast_endpoint_does_not_look_slow: 1.0, 1.0, 0.5 => 1.0;
+    pace_explains_no_more_than_the_slowness: 1.2, 1.0, 3.0 => 1.0;
+}
