Keep a silent stream of a plain service beside its retry

Its server stood still for 0.83 s, and its run was given up when no first byte had arrived in 0.4 s; both retries went to a server whose connections were reset. The stalled server ran the request 25 ms after it went on.

Only idempotent requests kept a silent run beside the next tries, since an engine would process the prompt twice. Streams of routes without models, to services whose endpoints are not engines, keep it now too. Streams of engines are given up as before, which a new test pins.

--- a/crates/relay/src/catalog.rs
+++ b/crates/relay/src/catalog.rs
@@ -160,6 +160,12 @@
         self.ladder_ranks.map_or(Urgency::Usual, |(first, last)| Urgency::of(route.rank, first..=last))
     }
 
+    /// Whether the endpoints of a service are engines.
+    #[must_use]
+    pub fn has_engines(&self, service: &str) -> bool {
+        self.services.get(service).is_some_and(|service| service.memory_tokens.is_some())
+    }
+
     /// Adds a route to a host, keeping its routes sorted by prefix length.
     pub fn add(&mut self, host: String, route: Route) {
         if !route.models.is_empty() {
--- a/crates/relay/src/dispatcher/fleet/caches.rs
+++ b/crates/relay/src/dispatcher/fleet/caches.rs
@@ -32,15 +32,19 @@
     #[must_use]
     pub fn engines(&self) -> Vec<Endpoint> {
         let Some(catalog) = self.catalog() else { return Vec::new() };
-        let is_engine = |endpoint: &Endpoint| {
-            catalog.services.get(&endpoint.service).is_some_and(|service| service.memory_tokens.is_some())
-        };
+        let is_engine = |endpoint: &Endpoint| catalog.has_engines(&endpoint.service);
         let state = self.lock();
         let is_evacuated = |endpoint: &Endpoint| state.fleet.evacuations.contains(&endpoint.domain);
         let known = state.fleet.servers.values().map(|server| &*server.endpoint);
         known.filter(|endpoint| is_engine(endpoint) && !is_evacuated(endpoint)).cloned().collect()
     }
 
+    /// Whether the endpoints of a service are engines, as the catalog says.
+    #[must_use]
+    pub fn has_engines(&self, service: &str) -> bool {
+        self.catalog().is_some_and(|catalog| catalog.has_engines(service))
+    }
+
     /// Records the cache contents that an engine listed.
     pub fn record_cache(&self, engine: &Endpoint, cached: &[CachedPart]) {
         let Some(catalog) = self.catalog() else { return };
--- a/crates/relay/src/exchange/silent.rs
+++ b/crates/relay/src/exchange/silent.rs
@@ -16,6 +16,7 @@
 use super::tries::{Exchange, NextStep, RECORDING_TIME};
 use crate::{
     answer::Refusal,
+    catalog::Kind,
     clock,
     dispatcher::fleet::Run,
     upstream::{self, Outcome, Pending, TryResult},
@@ -65,6 +66,17 @@
 }
 
 impl Exchange {
+    /// Whether a silent run may go on beside the next tries. A slow engine would process the prompt
+    /// beside the engine that gets it next.
+    pub(super) fn may_run_beside_retry(&self) -> bool {
+        let route = &self.admission.route;
+        match route.kind {
+            Kind::Idempotent => true,
+            Kind::Stream { .. } => route.models.is_empty() && !self.dispatcher.has_engines(&self.service),
+            Kind::NonIdempotent => false,
+        }
+    }
+
     /// Keeps a silent try beside the next ones.
     pub(super) fn keep(&self, silent: &mut SilentTries, SilentTry { run, model, answer }: SilentTry) {
         let (id, names) = (self.params.id.clone(), self.dispatcher.dialect.names.clone());
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -194,8 +194,7 @@
             }
             Err((answer, cause)) => {
                 self.record_failed_try(&mut run, &Outcome::Unknown(cause.into()));
-                // An engine would go on with the prompt beside the engine that gets it next.
-                if self.admission.route.kind != Kind::Idempotent {
+                if !self.may_run_beside_retry() {
                     return NextStep::Retry;
                 }
                 NextStep::Silent(Box::new(SilentTry { run, model: *model, answer }))
--- a/crates/relay/tests/outages/late_answers.rs
+++ b/crates/relay/tests/outages/late_answers.rs
@@ -3,15 +3,18 @@
 //! The run was given up for a retry. When nobody else took the request, its caller was told that the
 //! answer was lost (502), while the silent endpoint was about to give it.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
-use relay::catalog::{Kind, Route};
+use relay::catalog::{Kind, Route, Service};
 use tokio::time::sleep;
 
 use crate::{
     caller::{self, Response},
     server::{Action, LAST_CHUNK, Server, event, ok_response, response_head, stream_head},
-    site::{Site, route},
+    site::{SERVICE, Site, StoreContents, catalog, endpoint, route},
 };
 
 const RESUMABLE: Kind = Kind::Stream { resumable: true };
@@ -27,6 +30,10 @@
     Action::Pause(String::new(), Duration::from_millis(ms), answer)
 }
 
+fn break_off() -> Action {
+    Action::PauseAndReset(String::new(), Duration::from_millis(50))
+}
+
 fn stream() -> String {
     stream_head(90) + &event(1) + LAST_CHUNK
 }
@@ -61,6 +68,9 @@
         Kind::Idempotent, "", vec![after(1_500, ok_response("first")), full()] => 200, "first";
     late_stream_arrives_if_the_others_are_full:
         RESUMABLE, "", vec![after(1_500, stream()), full()] => 200, "d1";
+    /// The others break the connection off. Its caller was told that the answer was lost (502).
+    late_stream_arrives_if_the_others_break_off:
+        RESUMABLE, "", vec![after(1_500, stream()), break_off(), break_off()] => 200, "d1";
     /// The other endpoint has begun to run the request, and is silent too.
     late_answer_arrives_before_that_of_a_silent_retry:
         Kind::Idempotent, "", vec![after(1_500, ok_response("first")), after(3_000, ok_response("second"))] => 200, "first";
@@ -83,6 +93,32 @@
         Kind::NonIdempotent, "", vec![after(1_500, ok_response("first")), Action::Write(ok_response("second"))] => 200, "first";
 }
 
+/// An engine that is only slow would process the prompt beside the engine that gets it next.
+#[tokio::test]
+async fn silent_run_of_an_engine_is_cancelled_for_its_retry() {
+    let nothing_cached = || Action::Write(ok_response("[]"));
+    let actions = vec![nothing_cached(), nothing_cached(), Action::Hang(String::new()), after(900, stream())];
+    let server = Server::start(actions).await;
+    let quick = Route { target_time: Duration::from_secs(4), ..route("/a/", RESUMABLE) };
+    let mut catalog = catalog(1, vec![quick]);
+    let service = Service { name: SERVICE.into(), memory_tokens: Some(100_000), warmup: None };
+    catalog.services.insert(SERVICE.into(), Arc::new(service));
+    let endpoints = vec![endpoint("e0", server.address), endpoint("e1", server.address)];
+    let contents = StoreContents { catalog: Some(catalog), endpoints, ..StoreContents::default() };
+    let site = Site::start_with(contents, |_| {}).await;
+    while server.requests().len() < 2 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let call = tokio::spawn(async move { caller::call(site.front(), "POST", "/a/x", "", "sheet").await });
+    while server.requests().len() < 4 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    sleep(Duration::from_millis(200)).await;
+    assert_eq!(server.disconnects(), 1);
+    let response = call.await.expect("the caller does not panic");
+    assert_eq!(response.status, 200, "{response:?}");
+}
+
 /// A run that nobody waits for any more has to end, or it would keep a slot of its endpoint.
 #[tokio::test]
 async fn silent_run_is_cancelled_once_another_answer_is_accepted() {
