--- a/crates/relay/tests/outages/late_answers.rs
+++ b/crates/relay/tests/outages/late_answers.rs
@@ -23,7 +23,11 @@
 const SOON: Duration = Duration::from_millis(2_200);
 
 fn full() -> Action {
-    Action::Write(ok_response("full").replace("200 X", "503 X").replace("x-signature: s", "x-not-run: 1"))
+    Action::Write(rejection())
+}
+
+fn rejection() -> String {
+    ok_response("full").replace("200 X", "503 X").replace("x-signature: s", "x-not-run: 1")
 }
 
 fn after(ms: u64, answer: String) -> Action {
@@ -79,6 +83,10 @@
     /// The silent endpoint reports a failure while another one runs the request.
     late_failure_does_not_end_a_retry:
         Kind::Idempotent, "", vec![after(1_200, response_head(500, 0)), after(700, ok_response("second"))] => 200, "second";
+    /// The silent endpoint rejects the request after all, as the others did. Its caller was told that
+    /// it may have run (502).
+    late_rejection_states_that_the_request_has_not_run:
+        Kind::Idempotent, "", vec![after(1_200, rejection()), full(), full()] => 503, "";
     /// The late answer breaks off. The request may still be sent to another endpoint.
     late_answer_that_breaks_off_is_retried:
         Kind::Idempotent, "",
