Wait for unrepeatable runs at instances that are not heard from

Cause: a forwarded request was given up when news of the other instance was missing for a second, whatever its kind. A run that must not be repeated was cancelled and its caller told 502, while the endpoint was about to answer. Change: before the head of an answer, missing news ends only runs that may be repeated, as it does after the head. Result: the new test failed before (502 after a second), and passes now for both kinds.

--- a/crates/relay/src/exchange/forwarding.rs
+++ b/crates/relay/src/exchange/forwarding.rs
@@ -2,9 +2,9 @@
 //! may send to none.
 //!
 //! The other instance handles the request like a caller's own: it checks the access key, unless the
-//! request may have run ([`carried`]), chooses endpoints and models, and retries. It does not forward the request again, so a
-//! request takes one such step however many instances are partitioned. Instances talk over
-//! the address that also serves copies of the catalog, which callers do not know.
+//! request may have run ([`carried`]), chooses endpoints and models, and retries. It does not forward
+//! the request again, so a request takes one such step however many instances are partitioned.
+//! Instances talk over the address that also serves copies of the catalog, which callers do not know.
 
 use std::net::SocketAddr;
 
@@ -164,7 +164,10 @@
         let names = &self.dispatcher.dialect.names;
         let answer = tokio::select! {
             answer = upstream::exchange(connected, request, left) => answer,
-            () = self.dispatcher.wait_until_gone(instance) => Err(Outcome::Broken(INSTANCE_GONE.into())),
+            // A run that may not be repeated could only be lost, and news may be missing for another reason.
+            () = self.dispatcher.wait_until_gone(instance), if self.admission.route.kind.repeatable() => {
+                Err(Outcome::Broken(INSTANCE_GONE.into()))
+            }
         };
         if let Some(start) = answer.as_ref().ok().and_then(|answer| leaving_start(answer.response.headers())) {
             self.dispatcher.record_departure(start);
--- a/crates/relay/tests/outages/silent_endpoints.rs
+++ b/crates/relay/tests/outages/silent_endpoints.rs
@@ -312,12 +312,12 @@
     check_resumption_elsewhere(true).await;
 }
 
-/// A stream that may not be resumed comes through another instance, which is heard from again only
-/// after the stream's end.
-async fn check_unheard_instance(is_heard: bool) {
-    let peer = Server::start(vec![silent_stream(3_000)]).await;
+/// A request that may not be repeated is answered through another instance, which is heard from again
+/// only after the end of the answer. Returns the response and the number of requests at that instance.
+async fn call_through_instance(kind: Kind, action: Action, is_heard: bool) -> (Response, Server) {
+    let peer = Server::start(vec![action]).await;
     let contents = StoreContents {
-        catalog: Some(catalog(1, vec![route("/s/", Kind::Stream { resumable: false })])),
+        catalog: Some(catalog(1, vec![route("/s/", kind)])),
         endpoints: vec![endpoint("e0", ([127, 0, 0, 1], 9).into())],
         ..StoreContents::default()
     };
@@ -343,7 +343,7 @@
     let call = tokio::spawn(async move {
         loop {
             let response = caller::call(front, "POST", "/s/x", "", "prompt").await;
-            if response.status == 200 {
+            if response.status != 503 {
                 return response;
             }
             sleep(Duration::from_millis(50)).await;
@@ -355,7 +355,13 @@
     if !is_heard {
         news.abort();
     }
-    check_whole(&call.await.unwrap(), &peer);
+    (call.await.unwrap(), peer)
+}
+
+async fn check_unheard_instance(is_heard: bool) {
+    let kind = Kind::Stream { resumable: false };
+    let (response, peer) = call_through_instance(kind, silent_stream(3_000), is_heard).await;
+    check_whole(&response, &peer);
 }
 
 #[tokio::test]
@@ -367,3 +373,17 @@
 async fn unresumable_stream_outlasts_missing_news_of_its_instance() {
     check_unheard_instance(false).await;
 }
+
+/// Guards against the loss of a run that may not be repeated: its instance is not heard from before the
+/// head of the answer.
+#[tokio::test]
+async fn unrepeatable_request_outlasts_missing_news_of_its_instance() {
+    for kind in [Kind::NonIdempotent, Kind::Stream { resumable: false }] {
+        let answer = match kind {
+            Kind::NonIdempotent => ok_response("ok"),
+            _ => stream_head(90) + &event(1) + LAST_CHUNK,
+        };
+        let (response, peer) = call_through_instance(kind, silence(3_000, answer), false).await;
+        assert_eq!((response.status, response.complete, peer.requests().len()), (200, true, 1), "{response:?}");
+    }
+}
