Take the answer of a silent endpoint only when it is whole

Cause: the head of a late answer ended the try under way, also if that one had sent most of its answer, and if the late answer broke off or had a status that is not believed. Failures of other silent runs went unrecorded then. Change: a late answer is read into memory beside the try, and taken when it is whole. Failures of silent runs are recorded whatever ends the step. A model is no longer kept with a silent run, since only plain requests have those.

--- a/crates/relay/src/exchange/forwarding.rs
+++ b/crates/relay/src/exchange/forwarding.rs
@@ -191,8 +191,8 @@
 
     /// Returns the headers of an endpoint's answer for the sender of the request. Another instance
     /// passes the answer on to its caller as well, so it is told which endpoint leaves.
-    pub(super) fn headers_from(&self, endpoint: &Endpoint, answer: &Answer) -> HeaderMap {
-        let mut headers = forwarded_headers(&answer.response);
+    pub(super) fn headers_from<B>(&self, endpoint: &Endpoint, response: &Response<B>) -> HeaderMap {
+        let mut headers = forwarded_headers(response);
         if self.is_forwarded && says_leaving(&headers, &self.dispatcher.dialect.names) {
             headers.insert(LEAVING_START, start_hash(endpoint).into());
         }
--- a/crates/relay/src/exchange/silent.rs
+++ b/crates/relay/src/exchange/silent.rs
@@ -1,19 +1,21 @@
 //! Tries whose endpoints are silent for longer than a first byte may take.
 //!
 //! Such an endpoint may be sound and go on. So its run is kept, and listened to, beside the next tries, and
-//! given up only when another answer has been accepted. If nobody else takes the request, it is waited
-//! for until the deadline.
+//! given up only when another answer has been accepted, and the next try when an answer of a silent one is
+//! whole. If nobody else takes the request, it is waited for until the deadline.
 
 use std::{fmt, time::Duration};
 
+use bytes::Bytes;
 use futures::{
     FutureExt,
     future::BoxFuture,
     stream::{FuturesUnordered, StreamExt},
 };
+use http::Response;
 use tokio::time::timeout;
 
-use super::tries::{Exchange, NextStep, RECORDING_TIME};
+use super::tries::{Exchange, NextStep, RECORDING_TIME, read_whole};
 use crate::{
     answer::Refusal,
     clock,
@@ -24,29 +26,26 @@
 /// A try whose endpoint is silent.
 pub(super) struct SilentTry {
     pub run: Run,
-    /// Index of the model in the route's ladder.
-    pub model: Option<usize>,
     pub answer: Pending,
 }
 
 impl fmt::Debug for SilentTry {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("SilentTry").field("run", &self.run).field("model", &self.model).finish_non_exhaustive()
+        f.debug_struct("SilentTry").field("run", &self.run).finish_non_exhaustive()
     }
 }
 
-/// The end of the silence of a try.
-#[derive(Debug)]
+/// The end of a try that was silent.
 struct LateResult {
     run: Run,
-    model: Option<usize>,
-    result: TryResult,
+    /// The whole answer, so that nothing is given up for one that breaks off.
+    result: Result<Response<Bytes>, Outcome>,
 }
 
 impl LateResult {
-    /// Whether an answer has begun that is worth more than a try that is under way.
+    /// Whether there is an answer that is worth more than a try that is under way.
     fn is_usable(&self) -> bool {
-        matches!(&self.result.outcome, Outcome::Answer(answer) if !answer.response.status().is_server_error())
+        self.result.as_ref().is_ok_and(|whole| !whole.status().is_server_error())
     }
 }
 
@@ -55,7 +54,7 @@
 pub(super) struct SilentTries(FuturesUnordered<BoxFuture<'static, LateResult>>);
 
 impl SilentTries {
-    /// Returns the next try that is no longer silent; never if there is none.
+    /// Returns the next try that has ended; never if there is none.
     async fn next(&mut self) -> LateResult {
         match self.0.next().await {
             Some(late) => late,
@@ -66,18 +65,30 @@
 
 impl Exchange {
     /// Keeps a silent try beside the next ones.
-    pub(super) fn keep(&self, silent: &mut SilentTries, SilentTry { run, model, answer }: SilentTry) {
+    pub(super) fn keep(&self, silent: &mut SilentTries, SilentTry { mut run, answer }: SilentTry) {
         let (id, names) = (self.params.id.clone(), self.dispatcher.dialect.names.clone());
-        let late = async move { LateResult { run, model, result: upstream::check_try(answer.await, &id, &names) } };
+        let (work, memory) = (self.work.clone(), self.dispatcher.reserve_body_memory());
+        let late = async move {
+            let TryResult { outcome, statements } = upstream::check_try(answer.await, &id, &names);
+            run.record_statements(statements);
+            let result = match outcome {
+                Outcome::Answer(answer) => {
+                    run.record_return(work);
+                    run.record_first_byte();
+                    read_whole(*answer, memory).await
+                }
+                other => Err(other),
+            };
+            LateResult { run, result }
+        };
         silent.0.push(late.boxed());
     }
 
-    /// Makes the next try. The answer of a silent one that begins first is taken instead.
+    /// Makes the next try. The answer of a silent one that is whole first is taken instead.
     pub(super) async fn next_step(&mut self, model: &mut Option<usize>, silent: &mut SilentTries) -> Vec<NextStep> {
-        let mut next_model = *model;
         let mut failed = Vec::new();
         let first = {
-            let mut next = std::pin::pin!(self.try_next(&mut next_model));
+            let mut next = std::pin::pin!(self.try_next(model));
             loop {
                 tokio::select! {
                     biased;
@@ -91,60 +102,49 @@
                 }
             }
         };
+        let mut steps: Vec<NextStep> = failed.into_iter().map(|late| self.take_late(late)).collect();
         match first {
             Ok(accepted @ NextStep::Accepted(_)) => vec![accepted],
             Ok(step) => {
-                *model = next_model;
-                let mut steps = Vec::new();
-                for late in failed {
-                    steps.push(self.take_late(late, model).await);
-                }
                 steps.push(step);
                 steps
             }
-            Err(late) => vec![self.take_late(late, model).await],
+            Err(late) => vec![self.take_late(late)],
         }
     }
 
     /// Waits for a silent try after all other ways to an answer have ended with `refusal`.
-    pub(super) async fn await_silent(
-        &mut self,
-        model: &mut Option<usize>,
-        silent: &mut SilentTries,
-        refusal: Refusal,
-    ) -> NextStep {
+    pub(super) async fn await_silent(&mut self, silent: &mut SilentTries, refusal: Refusal) -> NextStep {
         if silent.0.is_empty() {
             return NextStep::Refused(refusal);
         }
         let limit: Duration = self.left().saturating_sub(RECORDING_TIME);
         tracing::info!(request = self.params.id, ?refusal, "waiting for silent endpoints, as no other one answers");
         match timeout(limit, silent.next()).await {
-            Ok(late) => self.take_late(late, model).await,
+            Ok(late) => self.take_late(late),
             Err(_) => NextStep::Refused(self.refusal_for_caller(Refusal::Expired)),
         }
     }
 
     /// Decides what to do with the end of a try that was silent.
-    async fn take_late(&mut self, late: LateResult, model: &mut Option<usize>) -> NextStep {
-        let LateResult { mut run, model: late_model, result: TryResult { outcome, statements } } = late;
-        run.record_statements(statements);
+    fn take_late(&mut self, LateResult { mut run, result }: LateResult) -> NextStep {
+        let outcome = result.as_ref().map_or_else(Outcome::label, |_| "answer");
         tracing::info!(
             request = self.params.id,
             content = %self.work.request,
             endpoint = run.endpoint.id,
-            outcome = outcome.label(),
+            outcome,
             took_ms = clock::millis(clock::now().saturating_sub(self.started)),
             "silent endpoint went on"
         );
-        metrics::counter!("relay_silent_tries_total", "outcome" => outcome.label()).increment(1);
-        match outcome {
-            Outcome::Answer(answer) => {
-                run.record_return(self.work.clone());
-                *model = late_model;
-                self.take_answer(*answer, run, model).await
+        metrics::counter!("relay_silent_tries_total", "outcome" => outcome).increment(1);
+        match result {
+            Ok(whole) => {
+                self.record_first_byte();
+                self.accept_whole(whole, run)
             }
-            other => {
-                self.record_failed_try(&mut run, &other);
+            Err(outcome) => {
+                self.record_failed_try(&mut run, &outcome);
                 NextStep::Retry
             }
         }
--- a/crates/relay/src/exchange/stream.rs
+++ b/crates/relay/src/exchange/stream.rs
@@ -75,7 +75,7 @@
     *response.headers_mut() = match &active.hop {
         Hop::Endpoint(run) => {
             exchange.log_answer(&run.endpoint, run.choice, active.answer.response.status(), active.model, confidence);
-            exchange.headers_from(&run.endpoint, &active.answer)
+            exchange.headers_from(&run.endpoint, &active.answer.response)
         }
         Hop::Instance(_) => forwarded_headers(&active.answer.response),
     };
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -142,9 +142,7 @@
         loop {
             for step in self.next_step(&mut model, &mut silent).await {
                 let step = match step {
-                    NextStep::Refused(refusal) if failed.is_none() => {
-                        self.await_silent(&mut model, &mut silent, refusal).await
-                    }
+                    NextStep::Refused(refusal) if failed.is_none() => self.await_silent(&mut silent, refusal).await,
                     other => other,
                 };
                 match step {
@@ -198,13 +196,13 @@
                 if self.admission.route.kind != Kind::Idempotent {
                     return NextStep::Retry;
                 }
-                NextStep::Silent(Box::new(SilentTry { run, model: *model, answer }))
+                NextStep::Silent(Box::new(SilentTry { run, answer }))
             }
         }
     }
 
     /// Decides what to do with an answer that has begun.
-    pub(super) async fn take_answer(&mut self, answer: Answer, mut run: Run, model: &mut Option<usize>) -> NextStep {
+    async fn take_answer(&mut self, answer: Answer, mut run: Run, model: &mut Option<usize>) -> NextStep {
         run.record_first_byte();
         self.record_first_byte();
         let status = answer.response.status();
@@ -307,28 +305,22 @@
 
     /// Reads an answer to its end. One that breaks off may be retried like a lost answer.
     async fn read_whole_answer(&mut self, answer: Answer, mut run: Run) -> NextStep {
-        let headers = self.headers_from(&run.endpoint, &answer);
-        let status = answer.response.status();
-        if promises_not_run(status) {
-            // A signed answer shows that the request ran. This status would tell the caller
-            // that it did not, and changing it would invalidate the signature.
-            self.record_failed_try(
-                &mut run,
-                &Outcome::Unknown(format!("answered {status} without saying that it did not run")),
-            );
-            return NextStep::Retry;
-        }
-        let (body, _connection) = answer.into_body();
         let memory = self.dispatcher.reserve_body_memory();
-        let reading = buffer::read(body, MAX_ANSWER_BYTES, Some(memory));
         let limit = self.left().saturating_sub(RECORDING_TIME);
-        let bytes = match timeout(limit, reading).await.unwrap_or(Err(buffer::Fault::Unfinished)) {
-            Ok(bytes) => bytes,
-            Err(fault) => {
-                self.record_failed_try(&mut run, &fault.into());
-                return NextStep::Retry;
+        let whole = timeout(limit, read_whole(answer, memory)).await;
+        match whole.unwrap_or_else(|_| Err(buffer::Fault::Unfinished.into())) {
+            Ok(whole) => self.accept_whole(whole, run),
+            Err(outcome) => {
+                self.record_failed_try(&mut run, &outcome);
+                NextStep::Retry
             }
-        };
+        }
+    }
+
+    /// Decides what to do with an answer that was read to its end.
+    pub(super) fn accept_whole(&mut self, whole: Response<Bytes>, mut run: Run) -> NextStep {
+        let headers = self.headers_from(&run.endpoint, &whole);
+        let (status, bytes) = (whole.status(), whole.into_body());
         let failed = status.is_server_error();
         run.record_verdict(failed);
         self.complete_run();
@@ -378,6 +370,22 @@
     }
 }
 
+/// Reads an answer to its end.
+pub(super) async fn read_whole(answer: Answer, memory: Reservation) -> Result<Response<Bytes>, Outcome> {
+    let status = answer.response.status();
+    if promises_not_run(status) {
+        // A signed answer shows that the request ran. This status would tell the caller
+        // that it did not, and changing it would invalidate the signature.
+        return Err(Outcome::Unknown(format!("answered {status} without saying that it did not run")));
+    }
+    let mut whole = Response::new(());
+    *whole.status_mut() = status;
+    whole.headers_mut().clone_from(answer.response.headers());
+    let (body, _connection) = answer.into_body();
+    let bytes = buffer::read(body, MAX_ANSWER_BYTES, Some(memory)).await?;
+    Ok(whole.map(|()| bytes))
+}
+
 /// Returns whether callers understand a status as a promise that the request did not run.
 fn promises_not_run(status: StatusCode) -> bool {
     matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS | StatusCode::REQUEST_TIMEOUT)
--- a/crates/relay/tests/outages/late_answers.rs
+++ b/crates/relay/tests/outages/late_answers.rs
@@ -73,6 +73,18 @@
     late_answer_that_breaks_off_is_retried:
         Kind::Idempotent, "",
         vec![after(1_500, response_head(200, 20)), full(), Action::Write(ok_response("third"))] => 200, "third";
+    /// The retry has sent most of its answer when the late one begins, which breaks off.
+    late_head_does_not_end_an_answer_that_is_arriving:
+        Kind::Idempotent, "",
+        vec![
+            after(1_500, response_head(200, 20)),
+            Action::Pause(response_head(200, 6) + "sec", Duration::from_millis(1_000), "ond".into()),
+            full(),
+        ] => 200, "second";
+    /// The late answer claims that the request has not run, which is not believed.
+    late_answer_without_use_does_not_end_a_retry:
+        Kind::Idempotent, "",
+        vec![after(1_200, response_head(429, 0)), after(700, ok_response("second")), full()] => 200, "second";
     lost_late_answer_may_have_run:
         Kind::Idempotent, "",
         vec![Action::PauseAndReset(String::new(), Duration::from_millis(1_500)), full()] => 502, "it may have run";
