Do not repeat a run whose answer finds no memory

Cause: an answer for which no memory was left counted as a failure of its endpoint. Idempotent requests ran up to three times, and each sound endpoint was recorded as failing. Change: such an answer ends the request with 502, and says nothing about the endpoint or the other instance that gave it. Result: the new test counted 3 runs before and counts 1 now.

--- a/crates/relay/src/dispatcher/fleet/run.rs
+++ b/crates/relay/src/dispatcher/fleet/run.rs
@@ -92,7 +92,7 @@
     Failed,
     /// The answer broke off, was malformed, or did not come in time.
     Broken,
-    /// The request was not sent.
+    /// The request was not sent, or its end says nothing about the endpoint.
     Unsent,
     /// The endpoint refused the run without starting it, as full endpoints do.
     Full,
--- a/crates/relay/src/exchange/forwarding.rs
+++ b/crates/relay/src/exchange/forwarding.rs
@@ -205,7 +205,7 @@
         self.cause = match outcome {
             Outcome::Unreachable(unreachable) => unreachable.cause.clone(),
             Outcome::NotRun(status) => format!("another instance refused with {status}"),
-            Outcome::Unknown(cause) | Outcome::Broken(cause) => cause.clone(),
+            Outcome::Unknown(cause) | Outcome::Broken(cause) | Outcome::NotHeld(cause) => cause.clone(),
             Outcome::Withdrawn | Outcome::Answer(_) => String::new(),
         };
         tracing::info!(
@@ -228,7 +228,12 @@
         let bytes = match buffer::read(body, MAX_ANSWER_BYTES, Some(memory)).await {
             Ok(bytes) => bytes,
             Err(fault) => {
-                self.record_failed_forward(instance, &fault.into());
+                let outcome = fault.into();
+                if let Outcome::NotHeld(cause) = outcome {
+                    self.cause = cause;
+                    return NextStep::Lost;
+                }
+                self.record_failed_forward(instance, &outcome);
                 return NextStep::Retry;
             }
         };
--- a/crates/relay/src/exchange/silent.rs
+++ b/crates/relay/src/exchange/silent.rs
@@ -143,10 +143,7 @@
                 self.record_first_byte();
                 self.accept_whole(whole, run)
             }
-            Err(outcome) => {
-                self.record_failed_try(&mut run, &outcome);
-                NextStep::Retry
-            }
+            Err(outcome) => self.give_up_answer(&mut run, &outcome),
         }
     }
 }
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -115,6 +115,8 @@
     Accepted(AcceptedAnswer),
     /// No further try can succeed.
     Refused(Refusal),
+    /// No memory is left for the answer, so a further run would be lost as well.
+    Lost,
     /// A server error; it is returned to the caller if no later try gives a better answer.
     Failed(Failure),
     /// The endpoint is silent; its run is kept beside the next tries.
@@ -142,6 +144,7 @@
         loop {
             for step in self.next_step(&mut model, &mut silent).await {
                 let step = match step {
+                    NextStep::Lost => NextStep::Refused(Refusal::Lost),
                     NextStep::Refused(refusal) if failed.is_none() => self.await_silent(&mut silent, refusal).await,
                     other => other,
                 };
@@ -149,7 +152,7 @@
                     NextStep::Accepted(accepted) => return Ok(accepted),
                     NextStep::Failed(failure) => failed = Some(failure),
                     NextStep::Silent(kept) => self.keep(&mut silent, *kept),
-                    NextStep::Retry => {}
+                    NextStep::Retry | NextStep::Lost => {}
                     NextStep::Refused(refusal) => {
                         let Some(failure) = failed else { return Err(refusal) };
                         self.log_answer(&failure.endpoint, failure.choice, failure.status, None, None);
@@ -275,6 +278,7 @@
                 (RunOutcome::Full, format!("turned away with {status}"))
             }
             Outcome::Unknown(cause) => (RunOutcome::Broken, cause.clone()),
+            Outcome::NotHeld(cause) => (RunOutcome::Unsent, cause.clone()),
             Outcome::Broken(cause) => {
                 let check =
                     crash_check::check_for_crash(Arc::clone(&self.dispatcher), run.key, Arc::clone(&run.endpoint));
@@ -310,13 +314,16 @@
         let whole = timeout(limit, read_whole(answer, memory)).await;
         match whole.unwrap_or_else(|_| Err(buffer::Fault::Unfinished.into())) {
             Ok(whole) => self.accept_whole(whole, run),
-            Err(outcome) => {
-                self.record_failed_try(&mut run, &outcome);
-                NextStep::Retry
-            }
+            Err(outcome) => self.give_up_answer(&mut run, &outcome),
         }
     }
 
+    /// Records an answer that could not be read to its end, and decides what to do next.
+    pub(super) fn give_up_answer(&mut self, run: &mut Run, outcome: &Outcome) -> NextStep {
+        self.record_failed_try(run, outcome);
+        if matches!(outcome, Outcome::NotHeld(_)) { NextStep::Lost } else { NextStep::Retry }
+    }
+
     /// Decides what to do with an answer that was read to its end.
     pub(super) fn accept_whole(&mut self, whole: Response<Bytes>, mut run: Run) -> NextStep {
         let headers = self.headers_from(&run.endpoint, &whole);
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -43,6 +43,8 @@
     /// The request may have run; the endpoint closed the connection before the answer was
     /// complete.
     Broken(String),
+    /// The request has run, and no memory is left here for its answer, whichever endpoint gives it.
+    NotHeld(String),
     /// An answer whose body is still being received.
     Answer(Box<Answer>),
 }
@@ -57,6 +59,7 @@
             Self::NotRun(_) => "not run",
             Self::Unknown(_) => "unknown",
             Self::Broken(_) => "broken",
+            Self::NotHeld(_) => "not held",
             Self::Answer(_) => "answer",
         }
     }
@@ -66,9 +69,8 @@
     fn from(fault: buffer::Fault) -> Self {
         match fault {
             buffer::Fault::Broken(cause) => Self::Broken(cause),
-            buffer::Fault::TooLong | buffer::Fault::Memory | buffer::Fault::Unfinished => {
-                Self::Unknown(fault.to_string())
-            }
+            buffer::Fault::Memory => Self::NotHeld(fault.to_string()),
+            buffer::Fault::TooLong | buffer::Fault::Unfinished => Self::Unknown(fault.to_string()),
         }
     }
 }
--- a/crates/relay/tests/it/slow_readers.rs
+++ b/crates/relay/tests/it/slow_readers.rs
@@ -297,3 +297,14 @@
     received += read_some(&mut caller, length - received).await.len();
     assert!(received >= length, "{received} bytes");
 }
+
+/// Guards against further runs of a request whose answer finds no memory: that of the next endpoint would
+/// find none either.
+#[tokio::test]
+async fn answer_that_finds_no_memory_is_not_asked_for_again() {
+    let long = Action::Write(ok_response(&"x".repeat(6 << 20)));
+    let (site, server) = start(Kind::Idempotent, vec![long; 3], 8 << 20).await;
+    let response = caller::call(site.front(), "POST", "/s/x", "", "").await;
+    assert_eq!((response.status, response.complete), (502, true), "{response:?}");
+    assert_eq!(server.requests().len(), 1, "runs");
+}
