Ask the largest model for requests that may not be repeated

Cause: a stream that may not be resumed began at the small model. An answer of low confidence was dropped for the larger one, which could not be asked: 502. Change: such a request counts as having a single run, which the ladder gives to the largest model, and no answer of it is dropped. Result: the new test failed before (502) and passes now.

--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -100,7 +100,7 @@
         }
         let service = self.admission.route.target(self.target_draw).unwrap_or_default();
         let remaining = Remaining {
-            attempts: self.admission.route.attempts,
+            attempts: if self.admission.route.kind.repeatable() { self.admission.route.attempts } else { 1 },
             allowance: self.dispatcher.allows_extra_dispatch(service, Purpose::Escalation),
         };
         let goal_ms = clock::millis(self.admission.route.target_time).max(1.0);
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -212,7 +212,9 @@
         let stream = matches!(self.admission.route.kind, Kind::Stream { .. });
         if status.is_success() && stream {
             run.record_verdict(false);
-            if let Some(escalation) = self.escalation(&answer, *model) {
+            // No larger model could be asked, and the caller would get no answer at all.
+            let is_repeatable = self.admission.route.kind.repeatable();
+            if let Some(escalation) = is_repeatable.then(|| self.escalation(&answer, *model)).flatten() {
                 tracing::info!(
                     request = self.params.id,
                     content = %self.work.request,
--- a/crates/relay/tests/it/streams.rs
+++ b/crates/relay/tests/it/streams.rs
@@ -137,6 +137,20 @@
     assert_eq!(models, ["small", "large"]);
 }
 
+/// Guards against an answer that is dropped although the request may not be sent again: the caller would
+/// get none.
+#[tokio::test]
+async fn stream_that_may_not_be_repeated_is_asked_of_the_largest_model_only() {
+    let unsure = stream_head(10) + &event(1) + &event(2) + LAST_CHUNK;
+    let server = Server::start(vec![Action::Write(unsure), Action::Write(complete_stream(1, 2))]).await;
+    let route = Route { kind: Kind::Stream { resumable: false }, ..cascade_route("/s/") };
+    let site = Site::start(vec![route], &[server.address]).await;
+    let response = caller::call(site.front(), "POST", "/s/x", "X-Model: *\r\nX-Tokens: 100,10\r\n", "prompt").await;
+    assert_eq!((response.status, response.complete), (200, true), "{response:?}");
+    let models: Vec<_> = server.requests().iter().map(|request| header(request, "x-model").unwrap()).collect();
+    assert_eq!(models, ["large"]);
+}
+
 #[tokio::test]
 async fn answer_of_the_small_model_with_high_confidence_is_kept() {
     let server = Server::start(vec![Action::Write(complete_stream(1, 2))]).await;
