Disconnect for memory only callers that take nothing

Cause: a connection counted as standing still until a third of its send buffer was free, so that a slow but steady reader was disconnected before one that reads nothing. Requests that found no memory at the same time each disconnected another caller, without a limit of time; past the deadline the caller was told that its body had ended early (400). Change: it is looked every 200 ms whether a connection takes something, and once more before it is closed. One caller is disconnected at a time, and a request waits 75 ms at most and is then refused for lack of memory.

--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -10,7 +10,7 @@
     content::{Content, Work},
     ladder::Urgency,
 };
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use super::{Origin, carried, forwarding, tries::Exchange};
 use crate::{
@@ -31,10 +31,12 @@
 /// Maximum number of bytes of a refused request's body that are read.
 const MAX_DISCARDED_BYTES: usize = 4 << 20;
 
-/// Interval, and number of times, in which memory is looked for after a caller was disconnected. Its
-/// connection's task releases the memory when it runs next.
-const RELEASE_INTERVAL: Duration = Duration::from_millis(2);
-const MAX_RELEASE_CHECKS: u32 = 25;
+/// Longest wait for memory of callers that have stopped reading: refusals come within 75 ms.
+const MAX_MEMORY_WAIT: Duration = Duration::from_millis(75);
+
+/// Time before the end of a request at which the wait for memory ends. The refusal would else blame the
+/// caller's body.
+const MEMORY_WAIT_MARGIN: Duration = Duration::from_millis(2);
 
 /// Deadline of a request that gives none.
 const DEFAULT_DEADLINE: Duration = Duration::from_mins(1);
@@ -124,8 +126,8 @@
     let limit = started + time.saturating_sub(ANSWER_TIME_RESERVE);
     let max_bytes = dispatcher.catalog().map_or(0, |catalog| catalog.limits.body_bytes);
     let mut memory = dispatcher.reserve_body_memory();
-    let body =
-        timeout(time, read_body(dispatcher, body, max_bytes, &mut memory)).await.unwrap_or(Err(Refusal::Truncated))?;
+    let reading = read_body(dispatcher, body, max_bytes, &mut memory, clock::now() + time);
+    let body = timeout(time, reading).await.unwrap_or(Err(Refusal::Truncated))?;
     Ok(Received { started, limit, admission, memory, body })
 }
 
@@ -218,12 +220,13 @@
     tracing::info!(discarded, "connection of a refused request is closed before its body has arrived");
 }
 
-/// Reads a body of up to `max_bytes` bytes and accounts for its memory in `reservation`.
+/// Reads a body of up to `max_bytes` bytes until `limit`, and accounts for its memory in `reservation`.
 async fn read_body(
     dispatcher: &Dispatcher,
     body: &mut Incoming,
     max_bytes: usize,
     reservation: &mut Reservation,
+    limit: Duration,
 ) -> Result<Bytes, Refusal> {
     if body.size_hint().lower() > u64::try_from(max_bytes).unwrap_or(u64::MAX) {
         return Err(Refusal::TooLarge);
@@ -236,7 +239,7 @@
         }
         // Thousands of slow callers with long bodies could otherwise use up the memory and
         // get the process killed, with all requests in flight.
-        if !reserve(dispatcher, reservation, data.len()).await {
+        if !reserve(dispatcher, reservation, data.len(), limit).await {
             return Err(Refusal::Memory);
         }
         whole.extend_from_slice(&data);
@@ -244,21 +247,14 @@
     Ok(whole.freeze())
 }
 
-/// Reserves `bytes` more and returns true, or returns false if there is no memory.
+/// Reserves `bytes` more until `limit` and returns true, or returns false if there is no memory.
 ///
 /// Callers that have stopped reading lose their responses first: a request must not be refused
 /// because of them.
-async fn reserve(dispatcher: &Dispatcher, reservation: &mut Reservation, bytes: usize) -> bool {
+async fn reserve(dispatcher: &Dispatcher, reservation: &mut Reservation, bytes: usize, limit: Duration) -> bool {
     if reservation.grow(bytes) {
         return true;
     }
-    while dispatcher.stalled_callers.disconnect_longest() {
-        for _ in 0..MAX_RELEASE_CHECKS {
-            if reservation.grow(bytes) {
-                return true;
-            }
-            sleep(RELEASE_INTERVAL).await;
-        }
-    }
-    false
+    let left = limit.saturating_sub(clock::now() + MEMORY_WAIT_MARGIN);
+    dispatcher.stalled_callers.make_room(left.min(MAX_MEMORY_WAIT), || reservation.grow(bytes)).await
 }
--- a/crates/relay/src/write_timeout.rs
+++ b/crates/relay/src/write_timeout.rs
@@ -3,7 +3,8 @@
 //! A response is kept in memory until its caller has taken it. A caller that stops reading without
 //! closing its connection would keep the memory for as long as it likes. A request therefore sets
 //! how long its connection may stand still; a caller that reads slowly is not affected. If memory
-//! runs out before, those that have stood still for longest are disconnected first.
+//! runs out before, those that have stood still for longest are disconnected first, one at a time, and
+//! no further ones than the memory takes.
 
 use std::{
     io::{self, IoSlice},
@@ -21,7 +22,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
-    time::{Sleep, sleep},
+    time::{Instant, Sleep, sleep, timeout},
 };
 
 use crate::clock;
@@ -34,9 +35,22 @@
 /// that has lost a packet goes on sooner.
 const MIN_STALL: Duration = Duration::from_millis(800);
 
+/// Interval in which it is looked whether a connection still stands still: several times within the
+/// shortest stall for which one is closed.
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Interval, and number of times, in which memory is looked for after a caller was disconnected. Its
+/// connection's task releases the memory when it runs next.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(2);
+const MAX_RELEASE_CHECKS: u32 = 25;
+
 /// Callers that take nothing, the one that has done so for longest first.
 #[derive(Debug, Default)]
-pub struct StalledCallers(Mutex<Vec<StalledCaller>>);
+pub struct StalledCallers {
+    callers: Mutex<Vec<StalledCaller>>,
+    /// Held by the request for which callers are disconnected.
+    turn: tokio::sync::Mutex<()>,
+}
 
 #[derive(Debug)]
 struct StalledCaller {
@@ -45,17 +59,43 @@
 }
 
 impl StalledCallers {
-    /// Disconnects the caller that has taken nothing for longest and returns true, or returns false
-    /// if none has for long enough. Its memory is released soon after.
-    pub fn disconnect_longest(&self) -> bool {
+    /// Disconnects callers, the one that has taken nothing for longest first, until `has_room` and
+    /// returns true, or returns false if none is left that has stood still for long enough, or after
+    /// `limit`.
+    ///
+    /// Other requests that need memory meanwhile wait for their turn, as the memory of one caller may do
+    /// for all.
+    pub async fn make_room(&self, limit: Duration, mut has_room: impl FnMut() -> bool) -> bool {
+        let making_room = async {
+            let _turn = self.turn.lock().await;
+            while !has_room() {
+                let Some(connection) = self.disconnect_longest() else { return false };
+                for _ in 0..MAX_RELEASE_CHECKS {
+                    if has_room() {
+                        return true;
+                    }
+                    if !connection.is_unwanted.load(Ordering::Relaxed) {
+                        break;
+                    }
+                    sleep(RELEASE_INTERVAL).await;
+                }
+            }
+            true
+        };
+        timeout(limit, making_room).await.unwrap_or(false)
+    }
+
+    /// Has the caller that has taken nothing for longest disconnected unless it takes something now;
+    /// `None` if none has stood still for long enough.
+    fn disconnect_longest(&self) -> Option<Arc<Connection>> {
         let mut callers = self.lock();
         if callers.first().is_none_or(|caller| clock::now() < caller.since + MIN_STALL) {
-            return false;
+            return None;
         }
-        let caller = callers.remove(0);
-        caller.connection.is_unwanted.store(true, Ordering::Relaxed);
-        caller.connection.waker.wake();
-        true
+        let connection = callers.remove(0).connection;
+        connection.is_unwanted.store(true, Ordering::Relaxed);
+        connection.waker.wake();
+        Some(connection)
     }
 
     fn add(&self, connection: &Arc<Connection>) {
@@ -67,7 +107,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<StalledCaller>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.callers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -76,7 +116,7 @@
 struct Connection {
     /// Time limit in milliseconds; 0 if no request has set one.
     limit_ms: AtomicU64,
-    /// Whether the connection is closed for lack of memory.
+    /// Whether the connection is closed for lack of memory, unless its caller takes something.
     is_unwanted: AtomicBool,
     /// Task that serves the connection while it stands still.
     waker: AtomicWaker,
@@ -118,7 +158,10 @@
 /// A stall of a connection, listed until it is dropped.
 #[derive(Debug)]
 struct Stall {
+    /// Rest of the time limit.
     left: Pin<Box<Sleep>>,
+    /// Time until it is looked whether the peer has taken anything.
+    next_look: Pin<Box<Sleep>>,
     connection: Arc<Connection>,
     listed_in: Arc<StalledCallers>,
 }
@@ -127,7 +170,8 @@
     fn new(timeout: &WriteTimeout, limit: Duration) -> Self {
         let listed_in = Arc::clone(&timeout.list());
         listed_in.add(&timeout.0);
-        Self { left: Box::pin(sleep(limit)), connection: Arc::clone(&timeout.0), listed_in }
+        let (left, next_look) = (Box::pin(sleep(limit)), Box::pin(sleep(LOOK_INTERVAL)));
+        Self { left, next_look, connection: Arc::clone(&timeout.0), listed_in }
     }
 }
 
@@ -148,30 +192,39 @@
     ///
     /// A connection is reported as writable only when a third of its send buffer is free, which may
     /// be megabytes. So the buffer is filled before the time begins, and whether the peer has taken
-    /// anything since is seen by whether some of `bytes` fit in.
+    /// anything since is seen by whether some of `bytes` fit in, which is looked at from time to time.
     fn poll_stalled(&mut self, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let Some(limit) = self.timeout.limit().filter(|_| !bytes.is_empty()) else { return Poll::Pending };
         let connection = &self.timeout.0;
         connection.waker.register(cx.waker());
-        if let Some(stall) = &mut self.stall {
-            if connection.is_unwanted.load(Ordering::Relaxed) {
-                return Poll::Ready(Err(give_up("memory is needed for others")));
+        let is_unwanted = connection.is_unwanted.load(Ordering::Relaxed);
+        let mut is_over = is_unwanted;
+        if let Some(stall) = self.stall.as_mut().filter(|_| !is_unwanted) {
+            is_over = stall.left.as_mut().poll(cx).is_ready();
+            if !is_over {
+                ready!(stall.next_look.as_mut().poll(cx));
             }
-            ready!(stall.left.as_mut().poll(cx));
         }
         match SockRef::from(&self.stream).send(bytes) {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
             result => {
-                self.stall = None;
+                self.end_stall();
                 return Poll::Ready(result);
             }
         }
-        if self.stall.is_some() {
-            return Poll::Ready(Err(give_up("its time is over")));
+        if self.stall.is_some() && is_over {
+            let reason = if is_unwanted { "memory is needed for others" } else { "its time is over" };
+            return Poll::Ready(Err(give_up(reason)));
+        }
+        if self.stall.is_none() {
+            connection.is_unwanted.store(false, Ordering::Relaxed);
+        }
+        let stall = self.stall.get_or_insert_with(|| Stall::new(&self.timeout, limit));
+        stall.next_look.as_mut().reset(Instant::now() + LOOK_INTERVAL);
+        // Both wake the task. One that is over already would not.
+        if stall.left.as_mut().poll(cx).is_ready() || stall.next_look.as_mut().poll(cx).is_ready() {
+            cx.waker().wake_by_ref();
         }
-        connection.is_unwanted.store(false, Ordering::Relaxed);
-        let stall = self.stall.insert(Stall::new(&self.timeout, limit));
-        ready!(stall.left.as_mut().poll(cx));
         Poll::Pending
     }
 
@@ -185,9 +238,16 @@
         if written.is_pending() {
             return self.poll_stalled(cx, bytes);
         }
-        self.stall = None;
+        self.end_stall();
         written
     }
+
+    /// Notes that the peer has taken something.
+    fn end_stall(&mut self) {
+        if self.stall.take().is_some() {
+            self.timeout.0.is_unwanted.store(false, Ordering::Relaxed);
+        }
+    }
 }
 
 /// Logs and counts that a caller is disconnected.
--- a/crates/relay/tests/it/slow_readers.rs
+++ b/crates/relay/tests/it/slow_readers.rs
@@ -308,3 +308,50 @@
     assert_eq!((response.status, response.complete), (502, true), "{response:?}");
     assert_eq!(server.requests().len(), 1, "runs");
 }
+
+/// Guards against the loss of answers of callers that read: one reads slowly and one not at all, and ten
+/// requests find no memory at once. Only the one that reads nothing loses its answer.
+#[tokio::test]
+async fn slow_but_steady_reader_keeps_its_answer_beside_a_stalled_one() {
+    let (memory, length) = (48 << 20, 11 << 20);
+    let long = || Action::Write(ok_response(&"x".repeat(length)));
+    let short = (0..10).map(|_| Action::Write(ok_response("short")));
+    let actions = [long(), long(), long()].into_iter().chain(short).collect();
+    let (site, server) = start(Kind::NonIdempotent, actions, memory).await;
+    let held = || site.relay.dispatcher().held_body_bytes();
+    let mut callers = Vec::new();
+    for count in 1..=3 {
+        callers.push(send(site.front(), "").await);
+        wait_until("the request should be sent", || server.requests().len() == count).await;
+        wait_until("the answer should be held", || held() >= count * length).await;
+    }
+    let mut stalled = callers.pop().unwrap();
+    let steady: Vec<_> = callers
+        .into_iter()
+        .map(|mut caller| {
+            tokio::spawn(async move {
+                let mut received = 0;
+                for _ in 0..20 {
+                    received += read_some(&mut caller, 64 << 10).await.len();
+                    sleep(Duration::from_millis(100)).await;
+                }
+                received + read_some(&mut caller, length - received).await.len()
+            })
+        })
+        .collect();
+    let mut other = site.relay.dispatcher().reserve_body_memory();
+    assert!(other.grow(memory - held() - (256 << 10)));
+    sleep(Duration::from_millis(1_200)).await;
+    let front = site.front();
+    let calls = (0..10)
+        .map(|_| tokio::spawn(async move { caller::call(front, "POST", "/s/x", "", &"x".repeat(512 << 10)).await }));
+    for call in calls.collect::<Vec<_>>() {
+        let response = call.await.unwrap();
+        assert_eq!((response.status, response.body.as_str()), (200, "short"), "{response:?}");
+    }
+    for steady in steady {
+        let received = steady.await.unwrap();
+        assert!(received >= length, "{received} bytes");
+    }
+    assert!(read_some(&mut stalled, length).await.len() < length, "the stalled caller should lose its answer");
+}
