Look for free endpoints while others are silent

Cause: when no endpoint accepted a retry for 250 ms, only the silent run was waited for, until the deadline, with attempts left and endpoints free again. And a failure of the last attempt ended a silent run that was about to answer. Change: the wait is interrupted every 250 ms for another look if a further run is allowed, and a failure is kept for up to a second while a run is silent. The notice of the wait is logged at debug level, as it may recur.

--- a/crates/relay/src/exchange/hop.rs
+++ b/crates/relay/src/exchange/hop.rs
@@ -16,14 +16,14 @@
 const MAX_UNREACHABLE: u32 = 16;
 
 /// Minimum time left for another try.
-const MIN_TRY_TIME: Duration = Duration::from_millis(30);
+pub(super) const MIN_TRY_TIME: Duration = Duration::from_millis(30);
 
 /// Longest wait for the crash check of an endpoint; one that has crashed refuses
 /// connections within a round trip.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Longest wait for an endpoint if none of the service accepts the request.
-const ENDPOINT_WAIT: Duration = Duration::from_millis(250);
+pub(super) const ENDPOINT_WAIT: Duration = Duration::from_millis(250);
 
 /// Longest wait of a forwarded request for a share of endpoints' rejections.
 const FORWARDED_REQUEST_WAIT: Duration = Duration::from_millis(100);
--- a/crates/relay/src/exchange/silent.rs
+++ b/crates/relay/src/exchange/silent.rs
@@ -2,7 +2,8 @@
 //!
 //! Such an endpoint may be sound and go on. So its run is kept, and listened to, beside the next tries, and
 //! given up only when another answer has been accepted, and the next try when an answer of a silent one is
-//! whole. If nobody else takes the request, it is waited for until the deadline.
+//! whole. If nobody else takes the request, it is waited for until the deadline, and the others are asked
+//! again from time to time.
 
 use std::{fmt, time::Duration};
 
@@ -15,7 +16,10 @@
 use http::Response;
 use tokio::time::timeout;
 
-use super::tries::{Exchange, NextStep, RECORDING_TIME, read_whole};
+use super::{
+    hop::{ENDPOINT_WAIT, MIN_TRY_TIME},
+    tries::{Exchange, NextStep, RECORDING_TIME, read_whole},
+};
 use crate::{
     answer::Refusal,
     clock,
@@ -23,6 +27,10 @@
     upstream::{self, Outcome, Pending, TryResult},
 };
 
+/// Longest time for which the failure of one endpoint is kept while others are silent. They may be gone,
+/// and the caller may have a use for the time that is left.
+const FAILURE_WAIT: Duration = Duration::from_secs(1);
+
 /// A try whose endpoint is silent.
 pub(super) struct SilentTry {
     pub run: Run,
@@ -113,16 +121,31 @@
         }
     }
 
-    /// Waits for a silent try after all other ways to an answer have ended with `refusal`.
-    pub(super) async fn await_silent(&mut self, silent: &mut SilentTries, refusal: Refusal) -> NextStep {
+    /// Waits for a silent try after the other ways to an answer have ended with `refusal`, and retries
+    /// if they may be open again. A failure that was received at `failed_at` is kept for a while only.
+    pub(super) async fn await_silent(
+        &mut self,
+        silent: &mut SilentTries,
+        refusal: Refusal,
+        failed_at: Option<Duration>,
+    ) -> NextStep {
         if silent.0.is_empty() {
             return NextStep::Refused(refusal);
         }
-        let limit: Duration = self.left().saturating_sub(RECORDING_TIME);
-        tracing::info!(request = self.params.id, ?refusal, "waiting for silent endpoints, as no other one answers");
-        match timeout(limit, silent.next()).await {
-            Ok(late) => self.take_late(late),
-            Err(_) => NextStep::Refused(self.refusal_for_caller(Refusal::Expired)),
+        tracing::debug!(request = self.params.id, ?refusal, "waiting for silent endpoints, as no other one answers");
+        let limit = self.limit.saturating_sub(RECORDING_TIME);
+        let end = failed_at.map_or(limit, |failed_at| limit.min(failed_at + FAILURE_WAIT));
+        loop {
+            let left = end.saturating_sub(clock::now());
+            if left.is_zero() {
+                return NextStep::Refused(self.refusal_for_caller(Refusal::Expired));
+            }
+            if let Ok(late) = timeout(left.min(ENDPOINT_WAIT), silent.next()).await {
+                return self.take_late(late);
+            }
+            if self.may_send_again() && self.left() >= MIN_TRY_TIME {
+                return NextStep::Retry;
+            }
         }
     }
 
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -108,6 +108,8 @@
     status: StatusCode,
     endpoint: Arc<Endpoint>,
     choice: Choice,
+    /// When it was received.
+    at: Duration,
 }
 
 /// What to do with the request after one try.
@@ -145,7 +147,10 @@
             for step in self.next_step(&mut model, &mut silent).await {
                 let step = match step {
                     NextStep::Lost => NextStep::Refused(Refusal::Lost),
-                    NextStep::Refused(refusal) if failed.is_none() => self.await_silent(&mut silent, refusal).await,
+                    NextStep::Refused(refusal) => {
+                        let failed_at = failed.as_ref().map(|failure| failure.at);
+                        self.await_silent(&mut silent, refusal, failed_at).await
+                    }
                     other => other,
                 };
                 match step {
@@ -340,7 +345,7 @@
         if failed {
             self.record_failure(&mut run, RunOutcome::Failed, format!("failed with {status}"));
             self.tried.push(run.key);
-            return NextStep::Failed(Failure { response, status, endpoint, choice });
+            return NextStep::Failed(Failure { response, status, endpoint, choice, at: clock::now() });
         }
         run.record_outcome(RunOutcome::Good);
         self.log_answer(&endpoint, choice, status, None, None);
--- a/crates/relay/tests/outages/late_answers.rs
+++ b/crates/relay/tests/outages/late_answers.rs
@@ -3,15 +3,19 @@
 //! The run was given up for a retry. When nobody else took the request, its caller was told that the
 //! answer was lost (502), while the silent endpoint was about to give it.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use relay::catalog::{Kind, Route};
 use tokio::time::sleep;
 
 use crate::{
     caller::{self, Response},
+    network::Cuttable,
     server::{Action, LAST_CHUNK, Server, event, ok_response, response_head, stream_head},
-    site::{Site, route},
+    site::{Site, StoreContents, catalog, endpoint, route},
 };
 
 const RESUMABLE: Kind = Kind::Stream { resumable: true };
@@ -85,6 +89,22 @@
     late_answer_without_use_does_not_end_a_retry:
         Kind::Idempotent, "",
         vec![after(1_200, response_head(429, 0)), after(700, ok_response("second")), full()] => 200, "second";
+    /// All others have failed, and no attempt is left.
+    late_answer_arrives_after_failures_of_the_others:
+        Kind::Idempotent, "",
+        vec![
+            after(1_500, ok_response("first")),
+            Action::Write(response_head(500, 0)),
+            Action::Write(response_head(500, 0)),
+        ] => 200, "first";
+    /// The failure is an answer too, and the silent endpoint may be gone.
+    failure_is_not_kept_for_long_for_a_silent_endpoint:
+        Kind::Idempotent, "X-Deadline: 8000\r\n",
+        vec![
+            Action::Hang(String::new()),
+            Action::Write(response_head(500, 0)),
+            Action::Write(response_head(500, 0)),
+        ] => 500, "";
     lost_late_answer_may_have_run:
         Kind::Idempotent, "",
         vec![Action::PauseAndReset(String::new(), Duration::from_millis(1_500)), full()] => 502, "it may have run";
@@ -105,3 +125,50 @@
     sleep(Duration::from_millis(300)).await;
     assert_eq!(server.disconnects(), 1);
 }
+
+/// An idempotent request at the first of two endpoints, which is silent, on a network that can be cut.
+struct AtSilentEndpoint {
+    silent: Server,
+    other: Server,
+    network: Arc<Cuttable>,
+    site: Site,
+    call: tokio::task::JoinHandle<Response>,
+}
+
+impl AtSilentEndpoint {
+    /// Both endpoints perform `others` after the first request, which is never answered.
+    async fn start(attempts: u32, headers: &'static str, others: Vec<Action>) -> Self {
+        let first = Server::start([vec![Action::Hang(String::new())], others.clone()].concat()).await;
+        let second = Server::start(others.clone()).await;
+        let network = Arc::new(Cuttable::new([first.address]));
+        let quick = Route { attempts, target_time: Duration::from_secs(4), ..route("/a/", Kind::Idempotent) };
+        let contents = StoreContents {
+            catalog: Some(catalog(1, vec![quick])),
+            endpoints: vec![endpoint("e0", first.address)],
+            ..StoreContents::default()
+        };
+        let shared = Arc::clone(&network);
+        let site = Site::start_with(contents, |settings| settings.network = shared).await;
+        let front = site.front();
+        let call = tokio::spawn(async move { caller::call(front, "POST", "/a/x", headers, "sheet").await });
+        while first.requests().is_empty() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        site.store.register_endpoint(&endpoint("e1", second.address));
+        Self { silent: first, other: second, network, site, call }
+    }
+}
+
+/// Guards against a wait for a lost machine until the deadline: its connections are silent, its
+/// registration is removed, and the other endpoint asks for a pause of a second and is free then.
+#[tokio::test]
+async fn endpoint_that_is_free_again_answers_beside_a_silent_one() {
+    let pause =
+        ok_response("full").replace("200 X", "503 X").replace("x-signature: s", "x-not-run: 1\r\nretry-after: 1");
+    let others = vec![Action::Write(pause), Action::Write(ok_response("second"))];
+    let play = AtSilentEndpoint::start(3, "X-Deadline: 6000\r\n", others).await;
+    play.site.store.remove_endpoint("e0");
+    let response = play.call.await.unwrap();
+    assert_eq!((response.status, response.body.as_str()), (200, "second"), "{response:?}");
+    assert_eq!((play.silent.requests().len(), play.other.requests().len()), (1, 2));
+}
