End a stream at its deadline while it waits for memory

Cause: the deadline of a stream was only checked when its next frame was received. While a frame waited for memory, the run occupied its endpoint until the caller read on or was disconnected.

--- a/crates/relay/src/exchange/read_ahead.rs
+++ b/crates/relay/src/exchange/read_ahead.rs
@@ -7,8 +7,8 @@
 //!
 //! The memory of all streams together is a part of the memory for bodies, and one stream takes no
 //! more of it than it leaves to others. A stream that has used up its share is received at its
-//! caller's pace. Dropping the response, as happens when the caller disconnects, ends the task and
-//! cancels the run.
+//! caller's pace, until its deadline. Dropping the response, as happens when the caller disconnects,
+//! ends the task and cancels the run.
 
 use std::{
     collections::VecDeque,
@@ -25,7 +25,10 @@
 use tokio::{sync::Notify, time::timeout};
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::dispatcher::{Dispatcher, ReadAheadMemory};
+use crate::{
+    clock,
+    dispatcher::{Dispatcher, ReadAheadMemory},
+};
 
 /// Memory that a frame takes besides its bytes. Without it, events of a few bytes each would take
 /// several times what is counted.
@@ -45,13 +48,14 @@
 }
 
 impl ReadAhead {
-    /// Starts to receive a stream.
+    /// Starts to receive a stream, which may wait for memory until `limit`.
     pub fn spawn(
         dispatcher: &Arc<Dispatcher>,
+        limit: Duration,
         frames: impl Stream<Item = io::Result<Frame<Bytes>>> + Send + 'static,
     ) -> Self {
         let queue = Arc::new(Queue::new(dispatcher.reserve_read_ahead_memory()));
-        let receiving = AbortOnDropHandle::new(tokio::spawn(receive(frames, Arc::clone(&queue))));
+        let receiving = AbortOnDropHandle::new(tokio::spawn(receive(frames, Arc::clone(&queue), limit)));
         Self { queue, receiving, end: None }
     }
 
@@ -84,12 +88,21 @@
     }
 }
 
-/// Receives frames until the stream ends.
-async fn receive(frames: impl Stream<Item = io::Result<Frame<Bytes>>> + Send, queue: Arc<Queue>) -> io::Result<()> {
+/// Receives frames until the stream ends, or there is no memory for one at `limit`. The caller gets those
+/// that were received.
+async fn receive(
+    frames: impl Stream<Item = io::Result<Frame<Bytes>>> + Send,
+    queue: Arc<Queue>,
+    limit: Duration,
+) -> io::Result<()> {
     let mut frames = std::pin::pin!(frames);
     while let Some(frame) = frames.next().await {
-        if let Ok(bytes) = frame?.into_data() {
-            queue.push(bytes).await;
+        if let Ok(bytes) = frame?.into_data()
+            && !queue.push(bytes, limit).await
+        {
+            tracing::info!("stream ended at its deadline, as its caller has not taken what was received");
+            metrics::counter!("relay_streams_broken_off_total").increment(1);
+            return Err(io::Error::other("no memory was left for the stream until its deadline"));
         }
     }
     Ok(())
@@ -124,12 +137,18 @@
         Self { state: Mutex::new(state), taken: Notify::new() }
     }
 
-    /// Adds a frame, and waits first until there is memory for it. One frame is always held.
-    async fn push(&self, bytes: Bytes) {
+    /// Adds a frame and returns true, and waits first until there is memory for it. Returns false if
+    /// there is none until `limit`. One frame is always held.
+    async fn push(&self, bytes: Bytes, limit: Duration) -> bool {
         while !self.try_push(&bytes) {
+            let left = limit.saturating_sub(clock::now());
+            if left.is_zero() {
+                return false;
+            }
             // The end of the wait needs no notice: the memory is checked again in any case.
-            let _ = timeout(RETRY_INTERVAL, self.taken.notified()).await;
+            let _ = timeout(RETRY_INTERVAL.min(left), self.taken.notified()).await;
         }
+        true
     }
 
     fn try_push(&self, bytes: &Bytes) -> bool {
--- a/crates/relay/src/exchange/stream.rs
+++ b/crates/relay/src/exchange/stream.rs
@@ -79,8 +79,8 @@
         }
         Hop::Instance(_) => forwarded_headers(&active.answer.response),
     };
-    let dispatcher = Arc::clone(&exchange.dispatcher);
-    response.map(|()| ReadAhead::spawn(&dispatcher, event_frames(exchange, active)).boxed_unsync())
+    let (dispatcher, limit) = (Arc::clone(&exchange.dispatcher), exchange.limit + MAX_LATENESS);
+    response.map(|()| ReadAhead::spawn(&dispatcher, limit, event_frames(exchange, active)).boxed_unsync())
 }
 
 /// Returns the stream's whole events as body frames. If the stream cannot be resumed, it
--- a/crates/relay/tests/it/slow_readers.rs
+++ b/crates/relay/tests/it/slow_readers.rs
@@ -355,3 +355,15 @@
     }
     assert!(read_some(&mut stalled, length).await.len() < length, "the stalled caller should lose its answer");
 }
+
+/// Guards against a run that outlasts its deadline: its caller reads nothing, and no memory is left to
+/// receive more.
+#[tokio::test]
+async fn run_of_a_stream_without_memory_ends_with_its_deadline() {
+    let (site, server) = start(STREAM, vec![endless()], 4 << 20).await;
+    let since = Instant::now();
+    let _caller = send(site.front(), "X-Deadline: 1000\r\n").await;
+    wait_until("the run should be cancelled", || server.disconnects() == 1).await;
+    assert!(since.elapsed() < Duration::from_millis(1_600), "{:?}", since.elapsed());
+    wait_until("the run should be recorded as ended", || has_no_runs(&site)).await;
+}
