Attribute crashes to silent runs

Cause: a run counted as abandoned when its endpoint fell silent. A crash later than two seconds after that was attributed to nobody, so that a request that hangs each engine and then crashes it was never quarantined. Change: a silent run counts as running until it ends. If its connection breaks, it is checked at once whether the endpoint has crashed, and the failure is not counted a second time.

--- a/crates/relay/src/exchange/silent.rs
+++ b/crates/relay/src/exchange/silent.rs
@@ -5,7 +5,7 @@
 //! whole. If nobody else takes the request, it is waited for until the deadline, and the others are asked
 //! again from time to time.
 
-use std::{fmt, time::Duration};
+use std::{fmt, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures::{
@@ -14,9 +14,10 @@
     stream::{FuturesUnordered, StreamExt},
 };
 use http::Response;
-use tokio::time::timeout;
+use tokio::{task::JoinHandle, time::timeout};
 
 use super::{
+    crash_check::check_for_crash,
     hop::{ENDPOINT_WAIT, MIN_TRY_TIME},
     tries::{Exchange, NextStep, RECORDING_TIME, read_whole},
 };
@@ -24,6 +25,7 @@
     answer::Refusal,
     clock,
     dispatcher::fleet::Run,
+    source::Endpoint,
     upstream::{self, Outcome, Pending, TryResult},
 };
 
@@ -44,16 +46,34 @@
 }
 
 /// The end of a try that was silent.
-struct LateResult {
-    run: Run,
+enum LateResult {
     /// The whole answer, so that nothing is given up for one that breaks off.
-    result: Result<Response<Bytes>, Outcome>,
+    Whole(Run, Response<Bytes>),
+    /// The connection broke. It is being checked whether the endpoint has crashed.
+    Broken { endpoint: Arc<Endpoint>, cause: String, check: JoinHandle<()> },
+    /// Another failure.
+    Failed(Run, Outcome),
 }
 
 impl LateResult {
     /// Whether there is an answer that is worth more than a try that is under way.
     fn is_usable(&self) -> bool {
-        self.result.as_ref().is_ok_and(|whole| !whole.status().is_server_error())
+        matches!(self, Self::Whole(_, whole) if !whole.status().is_server_error())
+    }
+
+    fn endpoint(&self) -> &Endpoint {
+        match self {
+            Self::Whole(run, _) | Self::Failed(run, _) => &run.endpoint,
+            Self::Broken { endpoint, .. } => endpoint,
+        }
+    }
+
+    fn label(&self) -> &'static str {
+        match self {
+            Self::Whole(..) => "answer",
+            Self::Broken { .. } => "broken",
+            Self::Failed(_, outcome) => outcome.label(),
+        }
     }
 }
 
@@ -75,19 +95,32 @@
     /// Keeps a silent try beside the next ones.
     pub(super) fn keep(&self, silent: &mut SilentTries, SilentTry { mut run, answer }: SilentTry) {
         let (id, names) = (self.params.id.clone(), self.dispatcher.dialect.names.clone());
-        let (work, memory) = (self.work.clone(), self.dispatcher.reserve_body_memory());
+        let memory = self.dispatcher.reserve_body_memory();
+        // The run goes on, and may crash its endpoint.
+        run.record_return(self.work.clone());
+        let dispatcher = Arc::clone(&self.dispatcher);
         let late = async move {
             let TryResult { outcome, statements } = upstream::check_try(answer.await, &id, &names);
             run.record_statements(statements);
             let result = match outcome {
                 Outcome::Answer(answer) => {
-                    run.record_return(work);
                     run.record_first_byte();
                     read_whole(*answer, memory).await
                 }
                 other => Err(other),
             };
-            LateResult { run, result }
+            match result {
+                Ok(whole) => LateResult::Whole(run, whole),
+                Err(Outcome::Broken(cause)) => {
+                    // The failure was counted when the endpoint fell silent. Now the run counts as unfinished,
+                    // and the check looks for such runs.
+                    let (key, endpoint) = (run.key, Arc::clone(&run.endpoint));
+                    drop(run);
+                    let check = tokio::spawn(check_for_crash(dispatcher, key, Arc::clone(&endpoint)));
+                    LateResult::Broken { endpoint, cause, check }
+                }
+                Err(outcome) => LateResult::Failed(run, outcome),
+            }
         };
         silent.0.push(late.boxed());
     }
@@ -150,23 +183,32 @@
     }
 
     /// Decides what to do with the end of a try that was silent.
-    fn take_late(&mut self, LateResult { mut run, result }: LateResult) -> NextStep {
-        let outcome = result.as_ref().map_or_else(Outcome::label, |_| "answer");
+    fn take_late(&mut self, late: LateResult) -> NextStep {
         tracing::info!(
             request = self.params.id,
             content = %self.work.request,
-            endpoint = run.endpoint.id,
-            outcome,
+            endpoint = late.endpoint().id,
+            outcome = late.label(),
             took_ms = clock::millis(clock::now().saturating_sub(self.started)),
             "silent endpoint went on"
         );
-        metrics::counter!("relay_silent_tries_total", "outcome" => outcome).increment(1);
-        match result {
-            Ok(whole) => {
+        metrics::counter!("relay_silent_tries_total", "outcome" => late.label()).increment(1);
+        match late {
+            LateResult::Whole(run, whole) => {
                 self.record_first_byte();
                 self.accept_whole(whole, run)
             }
-            Err(outcome) => self.give_up_answer(&mut run, &outcome),
+            LateResult::Broken { cause, check, .. } => {
+                self.crash_check = Some(check);
+                self.cause = cause;
+                NextStep::Retry
+            }
+            LateResult::Failed(_, Outcome::Unknown(cause)) => {
+                // Counted as a failure when the endpoint fell silent.
+                self.cause = cause;
+                NextStep::Retry
+            }
+            LateResult::Failed(mut run, outcome) => self.give_up_answer(&mut run, &outcome),
         }
     }
 }
--- a/crates/relay/tests/outages/late_answers.rs
+++ b/crates/relay/tests/outages/late_answers.rs
@@ -9,13 +9,14 @@
 };
 
 use relay::catalog::{Kind, Route};
+use route::relay::content::{Content, Work};
 use tokio::time::sleep;
 
 use crate::{
     caller::{self, Response},
-    network::Cuttable,
+    network::{Cuttable, Mode},
     server::{Action, LAST_CHUNK, Server, event, ok_response, response_head, stream_head},
-    site::{Site, StoreContents, catalog, endpoint, route},
+    site::{HOST, Site, StoreContents, catalog, endpoint, route},
 };
 
 const RESUMABLE: Kind = Kind::Stream { resumable: true };
@@ -172,3 +173,21 @@
     assert_eq!((response.status, response.body.as_str()), (200, "second"), "{response:?}");
     assert_eq!((play.silent.requests().len(), play.other.requests().len()), (1, 2));
 }
+
+/// Guards against a request that hangs each engine, crashes it and is never found out: its silent run
+/// breaks off with the endpoint while another one runs it.
+#[tokio::test]
+async fn crash_during_a_silent_run_is_attributed_to_it() {
+    let play = AtSilentEndpoint::start(2, "", vec![Action::Hang(String::new())]).await;
+    while play.other.requests().is_empty() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    // Longer than an abandoned run counts as running.
+    sleep(Duration::from_millis(2_300)).await;
+    play.network.set(Mode::Reset);
+    sleep(Duration::from_millis(400)).await;
+    let request = Content::of(Some("club"), "POST", HOST, "/a/x", b"sheet");
+    let work = Work { request, parts: std::iter::empty().collect() };
+    assert!(play.site.relay.dispatcher().is_suspect(&work));
+    play.call.abort();
+}
