Write a pause of a test in seconds

Cause: clippy rejects a whole second that is written in milliseconds. Change: the unit. Result: clippy passes for the workspace with warnings denied.

--- a/crates/relay/tests/outages/late_answers.rs
+++ b/crates/relay/tests/outages/late_answers.rs
@@ -83,7 +83,7 @@
         Kind::Idempotent, "",
         vec![
             after(1_500, response_head(200, 20)),
-            Action::Pause(response_head(200, 6) + "sec", Duration::from_millis(1_000), "ond".into()),
+            Action::Pause(response_head(200, 6) + "sec", Duration::from_secs(1), "ond".into()),
             full(),
         ] => 200, "second";
     /// The late answer claims that the request has not run, which is not believed.
