State that a request has not run once its silent endpoints have rejected it

Cause: a try whose endpoint is silent left the request marked as possibly run. If the endpoint rejected it later, as all others did, its caller still got 502 (it may have run; its answer was lost). Change: silent tries are counted apart, and only the end of each tells whether the request may have run there. Result: late_answers::late_rejection_states_that_the_request_has_not_run failed before and holds now; the 50 tests of late answers and silent endpoints hold.

--- a/crates/relay/src/exchange/forwarding.rs
+++ b/crates/relay/src/exchange/forwarding.rs
@@ -268,7 +268,7 @@
         if let Some(model) = model.and_then(|index| self.admission.route.models.get(index)) {
             headers.insert(names.model.clone(), request_params::value(&model.name));
         }
-        if self.may_have_run {
+        if self.may_have_run() {
             carried::insert(&mut headers, &self.admission, &self.service);
         }
         let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
--- a/crates/relay/src/exchange/hop.rs
+++ b/crates/relay/src/exchange/hop.rs
@@ -48,7 +48,7 @@
         self.check_quarantine()?;
         // The catalog may have changed since the last check: a revoked key or an old route must not
         // be used for a request that nobody has run. One that may have run could only be lost.
-        if !self.may_have_run {
+        if !self.may_have_run() {
             if !self.admission.is_carried {
                 self.admission = admit::check(&self.dispatcher, &self.host, self.uri.path(), &self.params)
                     .map_err(|r| self.refusal_for_caller(r))?;
@@ -82,7 +82,7 @@
         if self.left() < MIN_TRY_TIME {
             return Err(self.refusal_for_caller(Refusal::Expired));
         }
-        let may_try = !self.may_have_run || self.admission.route.kind.repeatable();
+        let may_try = !self.may_have_run() || self.admission.route.kind.repeatable();
         if !may_try || self.sent >= self.admission.route.attempts || self.unreachable >= MAX_UNREACHABLE {
             return Err(self.refusal_for_caller(Refusal::TurnedAway));
         }
--- a/crates/relay/src/exchange/silent.rs
+++ b/crates/relay/src/exchange/silent.rs
@@ -63,6 +63,11 @@
         matches!(self, Self::Whole(_, whole) if !whole.status().is_server_error())
     }
 
+    /// Whether the endpoint may have run the request.
+    fn may_have_run(&self) -> bool {
+        !matches!(self, Self::Failed(_, Outcome::Unreachable(_) | Outcome::Withdrawn | Outcome::NotRun(_)))
+    }
+
     fn endpoint(&self) -> &Endpoint {
         match self {
             Self::Whole(run, _) | Self::Failed(run, _) => &run.endpoint,
@@ -206,6 +211,8 @@
             "silent endpoint went on"
         );
         metrics::counter!("relay_silent_tries_total", "outcome" => late.label()).increment(1);
+        self.silent_tries = self.silent_tries.saturating_sub(1);
+        self.may_have_run |= late.may_have_run();
         match late {
             LateResult::Whole(run, whole) => {
                 self.record_first_byte();
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -64,8 +64,10 @@
     pub(super) is_forwarded: bool,
     /// Instances to which the request was forwarded.
     pub(super) tried_instances: Vec<SocketAddr>,
-    /// Whether any endpoint may have run the request.
+    /// Whether any endpoint may have run the request, apart from the silent ones.
     pub(super) may_have_run: bool,
+    /// Number of silent tries, of which it is not known whether they run the request.
+    pub(super) silent_tries: usize,
     /// Cause of the last failed try, for logs.
     pub(super) cause: String,
     /// Random number that selects the route's target, the same for all tries.
@@ -175,10 +177,15 @@
         }
     }
 
+    /// Whether any endpoint may have run the request, or may run it still.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.may_have_run || self.silent_tries > 0
+    }
+
     /// Returns the refusal for the caller, which must not claim that a request did not run
     /// if it may have run.
     pub(super) fn refusal_for_caller(&self, refusal: Refusal) -> Refusal {
-        if !self.may_have_run {
+        if !self.may_have_run() {
             return refusal;
         }
         match refusal {
@@ -189,6 +196,7 @@
 
     /// Sends the request once and decides what to do with the answer.
     async fn try_at(&mut self, mut run: Run, model: &mut Option<usize>, last_event: Option<u64>) -> NextStep {
+        let ran_before = self.may_have_run;
         match self.send_until_silent(&mut run, *model, last_event).await {
             Ok(Outcome::Answer(answer)) => self.take_answer(*answer, run, model).await,
             Ok(other) => {
@@ -200,6 +208,9 @@
                 if !self.may_run_beside_retry() {
                     return NextStep::Retry;
                 }
+                // Its end tells whether the request has run there.
+                self.may_have_run = ran_before;
+                self.silent_tries += 1;
                 NextStep::Silent(Box::new(SilentTry { run, answer }))
             }
         }
