Let waiting requests be placed without a change to the queue

Explaining a decision has to show where a request would stand in a paced queue, how long it was expected to wait on arrival, and which candidates a placement compared.

`Queue` can be cloned, and tells the position and expected wait of a waiting request. `placement::cost_ms` is public and `placement::compared` returns the draw of `choose`.

--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -16,6 +16,7 @@
 pub mod demand;
 mod flow;
 mod order;
+mod position;
 mod rate;
 pub mod share;
 
@@ -124,18 +125,20 @@
 impl std::error::Error for Refusal {}
 
 /// A waiting request.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct WaitingRequest {
     customer: Customer,
     deadline: Timestamp,
     arrived_at: Timestamp,
     run_ms: Millis,
+    /// Expected time in the queue on arrival, in milliseconds.
+    wait_ms: Millis,
     draw: u64,
     order: Order,
 }
 
 /// Requests that wait to run, and the number of running ones.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Queue {
     limit: u32,
     /// Rate at which cost may start, if that is what limits the runs.
@@ -179,12 +182,6 @@
         self.limit = limit.max(1);
     }
 
-    /// Returns the number of waiting requests.
-    #[must_use]
-    pub fn waiting(&self) -> usize {
-        self.waiting.len()
-    }
-
     /// Returns the number of running requests.
     #[must_use]
     pub fn running(&self) -> u32 {
@@ -223,6 +220,7 @@
             deadline: ticket.deadline,
             arrived_at: now,
             run_ms: ticket.run_ms,
+            wait_ms,
             draw: ticket.draw,
             order,
         };
--- a/crates/route/src/admission/demand.rs
+++ b/crates/route/src/admission/demand.rs
@@ -85,7 +85,7 @@
 }
 
 /// Demands of an instance's own callers at a service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Demands {
     meters: HashMap<Class, Meter>,
 }
@@ -113,7 +113,7 @@
 const CHANGED: f64 = 1.4;
 
 /// Demands of all instances, smoothed while they do not change.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Smoothed {
     demands: HashMap<Class, f64>,
     updated_at: Duration,
--- a/crates/route/src/admission/flow.rs
+++ b/crates/route/src/admission/flow.rs
@@ -23,7 +23,7 @@
     pub key: Key,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Flow {
     weight: u32,
     start: f64,
--- a/crates/route/src/relay/placement.rs
+++ b/crates/route/src/relay/placement.rs
@@ -178,6 +178,13 @@
     by_hash.map_or(other, |(index, _)| choice(index, true))
 }
 
+/// Returns the indices of the candidates that [`choose`] compares for the same `seed`, beside those
+/// that hold the prompt or prefix or are selected by the prefix's hash.
+#[must_use]
+pub fn compared(candidates: &[Candidate<'_>], request: Request, seed: u64) -> Vec<usize> {
+    shortlist(candidates, request, seed)
+}
+
 /// Draws local endpoints and endpoints of any domain at random, and returns the few with
 /// the shortest wait by up-to-date information.
 fn shortlist(candidates: &[Candidate<'_>], request: Request, seed: u64) -> Vec<usize> {
@@ -289,7 +296,8 @@
 ///
 /// Otherwise a fast endpoint with a queue would be preferred to a slow one with free slots, by
 /// all instances at the same time.
-fn cost_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
+#[must_use]
+pub fn cost_ms(candidate: &Candidate<'_>, request: Request) -> f64 {
     let queue = queue_ms(candidate) * candidate.pace;
     let remote = if candidate.local { 0.0 } else { REMOTE_PENALTY_MS };
     (queue + request.first_byte_ms) * candidate.slowness.max(1.0) - request.first_byte_ms
--- a/crates/route/tests/paced_queue.rs
+++ b/crates/route/tests/paced_queue.rs
@@ -214,3 +214,30 @@
     assert!(queue.cancel(key) && !queue.cancel(key));
     offer(&mut queue, with(|r| r.deadline = 500)).expect("nothing is ahead");
 }
+
+/// Positions are those in which the requests run, and asking for them leaves the queue as it is.
+#[test]
+fn positions_are_the_order_of_the_turns() {
+    let mut queue = queue();
+    let urgent = with(|request| request.order.rank = 0);
+    let usual = with(|request| request.order.rank = 3);
+    let other = with(|request| request.team = "b");
+    let keys = [usual, other, urgent, usual].map(|request| offer(&mut queue, request).expect("enough time"));
+    let positions = keys.map(|key| queue.position(key, Timestamp(0)).expect("it waits"));
+    let mut order: Vec<(usize, Key)> = positions.into_iter().zip(keys).collect();
+    order.sort_by_key(|(position, _)| *position);
+    for (turn, (position, key)) in (1..).zip(order) {
+        assert_eq!(position, turn);
+        assert_eq!(queue.next(Timestamp(0)).expect("it waits").key, key);
+    }
+    assert_eq!(queue.position(keys[0], Timestamp(0)), None);
+}
+
+/// The expected wait of a waiting request is the one that admitted it to the queue.
+#[test]
+fn expected_wait_is_that_of_the_arrival() {
+    let mut queue = queue();
+    let first = offer(&mut queue, Request::default()).expect("enough time");
+    let second = offer(&mut queue, Request::default()).expect("enough time");
+    assert_eq!((queue.expected_wait(first), queue.expected_wait(second)), (Some(0), Some(6)));
+}
