Explain where a request would be sent, on a copy of the state

Operators can see from logs what was decided, but not what would be decided now.

`Dispatcher::scratch` copies the state of an instance, and `relay::explain` takes the steps of a request on the copy up to its first send, without metrics and log lines. `Gate::enter` is split into the decision and the wait, `pass_gate` into its parts, and `takes_requests` is now the absence of an `Exclusion`, so that reasons are not found by second rules. `select_observed` notes what was considered.

Measured: 28 tests pass, among them one that compares the whole state before and after explanations with 0 to 100 endpoints and both placements.

--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -13,6 +13,7 @@
 mod entry;
 mod metrics;
 mod permit;
+mod preview;
 mod refusals;
 mod remote;
 mod service;
@@ -29,6 +30,7 @@
 use route::admission::{Key, demand::Summary};
 use tokio::time::sleep;
 
+pub(crate) use self::preview::Preview;
 pub use self::{
     entry::{Entry, Refused, Supply},
     permit::Permit,
@@ -101,18 +103,8 @@
         entry: &Entry<'_>,
         supply: impl FnOnce() -> Supply,
     ) -> Result<Permit, Refused> {
-        let now = clock::now();
         let service = short_hash(entry.service);
-        let is_outdated = self.lock().get(&service).is_none_or(|known| known.is_supply_outdated(now));
-        let supply = is_outdated.then(supply);
-        let fleet = self.fleet(now);
-        let decision = {
-            let mut services = self.lock();
-            let known = services.entry(service).or_insert_with(|| Service::new(now));
-            known.set_supply(entry.service, supply, now);
-            known.decide(entry, fleet, now)
-        };
-        match decision {
+        match self.decide(entry, supply) {
             Decision::Pass(pass) => Ok(Permit::new(Arc::clone(self), service, pass)),
             Decision::Refuse(refused) => Err(refused),
             Decision::Wait { key, receiver, needs_driver } => {
@@ -126,6 +118,19 @@
         }
     }
 
+    /// Decides on a request that arrives, and counts it.
+    fn decide(&self, entry: &Entry<'_>, supply: impl FnOnce() -> Supply) -> Decision {
+        let now = clock::now();
+        let service = short_hash(entry.service);
+        let is_outdated = self.lock().get(&service).is_none_or(|known| known.is_supply_outdated(now));
+        let supply = is_outdated.then(supply);
+        let fleet = self.fleet(now);
+        let mut services = self.lock();
+        let known = services.entry(service).or_insert_with(|| Service::new(now));
+        known.set_supply(entry.service, supply, now);
+        known.decide(entry, fleet, now)
+    }
+
     /// Returns a service's demand over its capacity as known to this instance.
     #[must_use]
     pub fn pressure(&self, service: &str) -> f64 {
--- a/crates/relay/src/admission/refusals.rs
+++ b/crates/relay/src/admission/refusals.rs
@@ -22,7 +22,7 @@
 /// Time in which the meter of refused cost counts it, in milliseconds.
 const METERED_MS: f64 = 500.0;
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Refusals {
     /// Cost that was refused lately, by class.
     refused: HashMap<Class, Meter>,
--- a/crates/relay/src/admission/remote.rs
+++ b/crates/relay/src/admission/remote.rs
@@ -15,7 +15,7 @@
 const MAX_INSTANCES: usize = 2_048;
 
 /// Demands of another instance at a service.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Remote {
     summary: Summary,
     run_times: Vec<(u32, f64)>,
@@ -30,7 +30,7 @@
 }
 
 /// Demands of all other instances at a service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Remotes {
     by_instance: HashMap<u32, Remote>,
     /// Sums over the instances, as of the last update.
--- a/crates/relay/src/admission/service.rs
+++ b/crates/relay/src/admission/service.rs
@@ -1,5 +1,6 @@
 //! State of admission at one service.
 
+mod preview;
 mod waiting;
 
 use std::{
@@ -99,7 +100,7 @@
     pass: Pass,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Service {
     name: String,
     supply: Option<(Supply, Duration)>,
--- a/crates/relay/src/admission/service/waiting.rs
+++ b/crates/relay/src/admission/service/waiting.rs
@@ -154,7 +154,7 @@
     Customer::parse(&format!("{team:08x}")).expect("hexadecimal digits are a valid name")
 }
 
-fn timestamp(now: Duration) -> Timestamp {
+pub(super) fn timestamp(now: Duration) -> Timestamp {
     Timestamp(u64::try_from(now.as_millis()).unwrap_or(u64::MAX))
 }
 
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -159,7 +159,7 @@
 
     /// Returns the longest time by which `Retry-After` is lengthened, so that callers do not all
     /// retry at once.
-    fn retry_spread(&self, after: Duration) -> Duration {
+    pub(crate) fn retry_spread(&self, after: Duration) -> Duration {
         match self {
             Self::Overloaded { spread, .. } => *spread,
             _ => after / 2,
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -17,6 +17,7 @@
 mod in_flight;
 pub mod peers;
 pub mod rollouts;
+mod scratch;
 pub mod synchronization;
 pub mod watchers;
 
@@ -119,7 +120,7 @@
 }
 
 /// The mutable part of the state.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct State {
     catalog: Option<Arc<Catalog>>,
     /// Lease on the access keys in the catalog.
--- a/crates/relay/src/dispatcher/crashes.rs
+++ b/crates/relay/src/dispatcher/crashes.rs
@@ -44,7 +44,7 @@
 
 /// Runs at an endpoint that this instance has abandoned without an answer, at most
 /// one for each request content.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct UnfinishedRuns(Vec<UnfinishedRun>);
 
 /// A run that was abandoned without an answer.
--- a/crates/relay/src/dispatcher/evacuations.rs
+++ b/crates/relay/src/dispatcher/evacuations.rs
@@ -15,7 +15,7 @@
 };
 
 /// The known evacuations.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Evacuations {
     /// Revision of the store at which these were the evacuations; `None` before the first
     /// listing.
--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -10,6 +10,8 @@
 mod caches;
 mod decaying_mean;
 mod departures;
+mod exclusion;
+mod explain;
 mod interruptions;
 mod limits;
 mod memory;
@@ -45,6 +47,8 @@
 
 pub use self::{
     caches::affinity,
+    exclusion::Exclusion,
+    explain::{Considered, Standing},
     limits::Limit,
     notices::{Notice, Notices},
     paces::PaceReport,
@@ -89,7 +93,7 @@
 const NOISE_FACTOR: f64 = 1.6;
 
 /// Known endpoints, and statistics about them.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Fleet {
     servers: SlotMap<Key, Server>,
     by_name: HashMap<String, Key>,
@@ -145,7 +149,7 @@
 }
 
 /// A known endpoint with its load and statistics.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Server {
     endpoint: Arc<Endpoint>,
     /// Hash that identifies the endpoint's start in messages of instances.
--- a/crates/relay/src/dispatcher/fleet/answers.rs
+++ b/crates/relay/src/dispatcher/fleet/answers.rs
@@ -21,10 +21,10 @@
 const MIN_OUTLIVING_TIME: Duration = Duration::from_millis(300);
 
 /// Answers that endpoints are sending to this instance.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(in crate::dispatcher) struct Answers(SlotMap<AnswerKey, Answer>);
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Answer {
     work: Work,
     began_at: Duration,
--- a/crates/relay/src/dispatcher/fleet/limits.rs
+++ b/crates/relay/src/dispatcher/fleet/limits.rs
@@ -35,7 +35,7 @@
 }
 
 /// Endpoints that announce a limit.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct LimitedEndpoints {
     keys: Vec<Key>,
     /// When this instance's shares were last computed.
--- a/crates/relay/src/dispatcher/fleet/notices.rs
+++ b/crates/relay/src/dispatcher/fleet/notices.rs
@@ -30,7 +30,7 @@
 }
 
 /// Notices that were not sent yet, and the budget for sending them.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Notices {
     budget: Budget,
     unsent: Vec<Notice>,
--- a/crates/relay/src/dispatcher/fleet/paces.rs
+++ b/crates/relay/src/dispatcher/fleet/paces.rs
@@ -40,7 +40,7 @@
 const MAX_RATIO: f64 = 20.0;
 
 /// What is known of the endpoints' paces, besides what belongs to a single endpoint.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Paces {
     usual: HashMap<UsualKey, Usual>,
     services: HashMap<String, ServicePaces>,
@@ -61,7 +61,7 @@
     team: Option<u32>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct ServicePaces {
     noise: Noise,
     differs: bool,
--- a/crates/relay/src/dispatcher/fleet/pool.rs
+++ b/crates/relay/src/dispatcher/fleet/pool.rs
@@ -24,7 +24,7 @@
 const MAX_POOL_AGE: Duration = Duration::from_millis(100);
 
 /// Available endpoints of a service at some moment.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Pool {
     /// When the pool was built.
     built_at: Duration,
--- a/crates/relay/src/dispatcher/fleet/rejections.rs
+++ b/crates/relay/src/dispatcher/fleet/rejections.rs
@@ -30,7 +30,7 @@
 const DRAWN_ENDPOINTS: usize = 3;
 
 /// Services with endpoints that state how many rejections they survive.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct FragileServices {
     /// What is known of each, by its short hash.
     statements: HashMap<u32, ServiceStatements>,
@@ -39,7 +39,7 @@
 }
 
 /// What endpoints of one service state about rejections.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct ServiceStatements {
     /// Last statement to any instance.
     latest: Option<Statement>,
--- a/crates/relay/src/dispatcher/fleet/rotation.rs
+++ b/crates/relay/src/dispatcher/fleet/rotation.rs
@@ -30,10 +30,10 @@
 }
 
 /// Rotation of this instance through the endpoints of each service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Rotations(HashMap<String, Rotation>);
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Rotation {
     /// Virtual time.
     clock: f64,
--- a/crates/relay/src/dispatcher/fleet/selection.rs
+++ b/crates/relay/src/dispatcher/fleet/selection.rs
@@ -10,6 +10,7 @@
 use super::{
     Fleet, Job, Key, LatencyKey, Server, State,
     caches::part_hash,
+    explain::Observed,
     initial_latency,
     notices::MIN_ANNOUNCED_PART_TOKENS,
     rotation::{NextTurn, Task},
@@ -76,6 +77,17 @@
 impl State {
     /// Selects an endpoint for a job, or returns `None` if none may run it.
     pub(super) fn select_endpoint(&self, job: &Job<'_>, now: Duration, settings: &Settings) -> Option<Selection> {
+        self.select_observed(job, now, settings, None)
+    }
+
+    /// Selects an endpoint for a job and notes in `observed` which ones were considered.
+    pub(super) fn select_observed(
+        &self,
+        job: &Job<'_>,
+        now: Duration,
+        settings: &Settings,
+        observed: Option<&mut Observed>,
+    ) -> Option<Selection> {
         let exposure = settings.max_exposure;
         let latency = self.fleet.latency(job);
         let settled = || {
@@ -100,6 +112,7 @@
         let holders = self.fleet.holders_of(job.affinity, now);
         let holders_of_whole = self.fleet.holders_of(job.whole, now);
         let memory = self.memory_check(job, &holders, &holders_of_whole);
+        let eligible = observed.as_ref().map(|_| chosen.iter().map(|(key, _)| *key).collect());
         if let Some(memory) = &memory {
             memory.retain_with_room(&mut chosen);
         }
@@ -119,17 +132,23 @@
             shared_tokens: job.shared_tokens,
             first_byte_ms: latency.first_byte_ms(job_units(job)),
         };
+        let seed = job.session ^ u64::try_from(now.as_nanos()).unwrap_or(0);
         let (mut choice, turn) = match settings.policies.placement {
-            Placement::Reported => {
-                let seed = job.session ^ u64::try_from(now.as_nanos()).unwrap_or(0);
-                (placement::choose(&candidates, request, seed)?, None)
-            }
+            Placement::Reported => (placement::choose(&candidates, request, seed)?, None),
             Placement::Balanced => {
                 let task = Task { service: job.service, request, seed: self.peers.me };
                 let chosen = self.fleet.choose_in_turn(&task, &chosen, &mut candidates, now)?;
                 (chosen.0, Some(chosen.1))
             }
         };
+        if let Some(observed) = observed {
+            let compared = match settings.policies.placement {
+                Placement::Reported => placement::compared(&candidates, request, seed),
+                Placement::Balanced => (0..candidates.len()).collect(),
+            };
+            *observed = Observed::new(assignment.clone(), eligible.unwrap_or_default(), &chosen, &candidates, request);
+            observed.mark_compared(&compared);
+        }
         let (key, server) = chosen[choice.index];
         let arm = assignment.arm(&server.endpoint.version);
         // Cached parts of another version cannot be used with this version's weights.
@@ -254,20 +273,6 @@
         self.servers.values().filter(is_up).filter(move |server| self.is_in_service(server, now))
     }
 
-    /// Returns whether an endpoint may get a request now if it is reachable.
-    pub(super) fn takes_requests(&self, server: &Server, now: Duration) -> bool {
-        self.is_in_service(server, now)
-            && server.may_send_beside_pauses(now)
-            && server.stated.throttle.may_send(now)
-            && server.stated.guard.may_send(now, server.runs)
-            && server.may_send_while_warming(now)
-    }
-
-    /// Returns whether an endpoint is neither leaving nor in an evacuated failure domain.
-    pub(super) fn is_in_service(&self, server: &Server, now: Duration) -> bool {
-        !server.is_leaving(now) && !self.evacuations.contains(&server.endpoint.domain)
-    }
-
     /// Returns the learned latency estimate for a job's service and model, or the initial estimate.
     pub(super) fn latency(&self, job: &Job<'_>) -> latency::Estimate {
         let latency_key = LatencyKey { service: job.service.to_owned(), model: job.model };
--- a/crates/relay/src/dispatcher/fleet/stated.rs
+++ b/crates/relay/src/dispatcher/fleet/stated.rs
@@ -21,7 +21,7 @@
 const MAX_UNREGISTERED_TIME: Duration = Duration::from_mins(10);
 
 /// What one start of an endpoint has stated.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Stated {
     /// Rate at which this instance may send requests, if the endpoint announces a limit.
     pub throttle: Throttle,
@@ -62,7 +62,7 @@
 }
 
 /// Statements of starts that have no registration, with the time at which they are forgotten.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Unregistered(HashMap<u32, (Stated, Duration)>);
 
 impl Unregistered {
--- a/crates/relay/src/dispatcher/fleet/warmup.rs
+++ b/crates/relay/src/dispatcher/fleet/warmup.rs
@@ -37,7 +37,7 @@
 const USABLE_FRACTION: f64 = 0.9;
 
 /// The endpoints that warm up.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct WarmingEndpoints {
     keys: Vec<Key>,
     /// When the shares are to be computed next.
--- a/crates/relay/src/dispatcher/fleet/withdrawals.rs
+++ b/crates/relay/src/dispatcher/fleet/withdrawals.rs
@@ -43,7 +43,7 @@
 }
 
 /// Withdrawals from and for other instances.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Withdrawals {
     /// Withdrawals that were not sent yet.
     unsent: Vec<Withdrawal>,
--- a/crates/relay/src/dispatcher/peers.rs
+++ b/crates/relay/src/dispatcher/peers.rs
@@ -53,7 +53,7 @@
 const FORGET_AFTER: Duration = Duration::from_mins(1);
 
 /// The known other instances and the sums of their loads.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Peers {
     /// Hash of this instance's name.
     pub(super) me: u64,
@@ -77,7 +77,7 @@
 }
 
 /// Another instance.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Peer {
     /// Hash of its name.
     hash: u64,
--- a/crates/relay/src/dispatcher/peers/sums.rs
+++ b/crates/relay/src/dispatcher/peers/sums.rs
@@ -14,14 +14,14 @@
 use crate::dispatcher::fleet::Load;
 
 /// Sums by the hash of the endpoint's start.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Sums {
     sums: HashMap<u32, Sum>,
     /// Endpoints whose sums may have changed since the last [`Sums::take_changed`].
     changed: Vec<u32>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Sum {
     /// Number of instances that contribute.
     instances: u32,
--- a/crates/relay/src/dispatcher/rollouts.rs
+++ b/crates/relay/src/dispatcher/rollouts.rs
@@ -20,7 +20,7 @@
 const ORDER_WAIT: Duration = Duration::from_secs(6);
 
 /// Roll-out state of all services.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Rollouts {
     services: HashMap<String, Service>,
     /// Sessions on an old version, with the time of their latest request.
@@ -46,7 +46,7 @@
 }
 
 /// Versions and roll-out of a service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Service {
     /// Versions of its endpoints, with the time when each was first seen.
     first_seen: HashMap<String, Duration>,
@@ -56,7 +56,7 @@
 }
 
 /// An ordered roll-out and its progress.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Order {
     rollout: Rollout,
     stage: Stage,
--- a/crates/relay/src/dispatcher/synchronization.rs
+++ b/crates/relay/src/dispatcher/synchronization.rs
@@ -66,7 +66,7 @@
 }
 
 /// State of the synchronization of this instance.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Synchronization {
     /// Revision up to which the endpoints are known; the default before they were listed.
     pub(super) revision: Revision,
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -11,10 +11,11 @@
 mod admit;
 mod carried;
 mod crash_check;
+pub(crate) mod explain;
 mod forwarding;
 mod hop;
 mod passage;
-mod plan;
+pub(crate) mod plan;
 mod read_ahead;
 mod send;
 mod silent;
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -112,15 +112,12 @@
         Some(admission) => admission,
         None => check(dispatcher, &host, head.uri.path(), params)?,
     };
-    if dispatcher.leaves_within(admission.route.timeout) {
-        return Err(Refusal::Leaving);
-    }
+    let time = time_allowed(dispatcher, &admission, params)?;
     if params.tokens.is_some() {
         // Until it is known which engines have the prompt cached, the request might be sent
         // to one that has to process the prompt again.
         dispatcher.wait_until_caches_known().await;
     }
-    let time = params.deadline.unwrap_or(DEFAULT_DEADLINE).min(admission.route.timeout);
     let limit = started + time.saturating_sub(ANSWER_TIME_RESERVE);
     let max_bytes = dispatcher.catalog().map_or(0, |catalog| catalog.limits.body_bytes);
     let mut memory = dispatcher.reserve_body_memory();
@@ -129,6 +126,29 @@
     Ok(Received { started, limit, admission, memory, body })
 }
 
+/// Returns the time that a request may take, or the refusal if this instance may be gone before.
+fn time_allowed(dispatcher: &Dispatcher, admission: &Admission, params: &RequestParams) -> Result<Duration, Refusal> {
+    if dispatcher.leaves_within(admission.route.timeout) {
+        return Err(Refusal::Leaving);
+    }
+    Ok(params.deadline.unwrap_or(DEFAULT_DEADLINE).min(admission.route.timeout))
+}
+
+/// Returns the exchange of a caller's request whose body would be empty, without reading any, or the
+/// refusal.
+pub fn exchange_without_body(
+    dispatcher: &Arc<Dispatcher>,
+    head: Parts,
+    params: RequestParams,
+) -> Result<Exchange, Refusal> {
+    let started = clock::now();
+    let admission = check(dispatcher, &host(&head.headers, &head.uri), head.uri.path(), &params)?;
+    let time = time_allowed(dispatcher, &admission, &params)?;
+    let limit = started + time.saturating_sub(ANSWER_TIME_RESERVE);
+    let memory = dispatcher.reserve_body_memory();
+    Ok(exchange(dispatcher, head, params, Received { started, limit, admission, memory, body: Bytes::new() }))
+}
+
 /// Returns the exchange of an admitted request of a caller.
 fn exchange(dispatcher: &Arc<Dispatcher>, head: Parts, params: RequestParams, received: Received) -> Exchange {
     let Received { started, limit, admission, memory, body } = received;
--- /dev/null
+++ b/crates/relay/src/exchange/explain.rs
@@ -0,0 +1,164 @@
+//! What would become of a request, without sending it.
+//!
+//! It runs the steps of [`Exchange::run`] up to the first send, on a copy of the state
+//! ([`Dispatcher::scratch`]) that is thrown away.
+
+use std::{
+    pin::{Pin, pin},
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use http::request::Parts;
+use metrics::NoopRecorder;
+use tracing::Dispatch;
+
+use super::{
+    admit::{self, Admission},
+    hop::Hop,
+    plan::{Basis, Expected},
+    tries::Exchange,
+};
+use crate::{
+    admission::Preview,
+    answer::Refusal,
+    clock,
+    dispatcher::{Dispatcher, fleet::Considered},
+    request_params::RequestParams,
+};
+
+/// What would become of a request.
+#[derive(Debug)]
+pub(crate) struct Outlook {
+    /// The check against the catalog; `None` if it failed.
+    pub admission: Option<Admission>,
+    /// Rank of the request.
+    pub rank: u8,
+    /// Service selected from the route's targets; empty if none was.
+    pub service: String,
+    /// Index of the model to ask first, and the rule that selects it.
+    pub model: Option<(Option<usize>, Basis)>,
+    /// What is expected of the models of the ladder.
+    pub models: Vec<Expected>,
+    /// Decision of admission control; `None` if that is off or not reached.
+    pub preview: Option<Preview>,
+    /// Endpoints of the service.
+    pub endpoints: Vec<Considered>,
+    /// Where the request would be sent, or why it would be refused.
+    pub result: Result<Destination, Refusal>,
+    /// Time that the request would wait for an endpoint before that.
+    pub waited: Duration,
+}
+
+/// Where a request would be sent.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum Destination {
+    /// To an endpoint.
+    Endpoint {
+        /// Name of the endpoint.
+        id: String,
+        /// Expected wait there, in milliseconds.
+        wait_ms: f64,
+        /// Expected time to the first byte, in milliseconds.
+        first_byte_ms: f64,
+        /// Whether it was chosen since it holds the prompt or a shared part, or by the part's hash.
+        is_preferred: bool,
+        /// Whether the shared part would be copied from another endpoint.
+        is_copied: bool,
+    },
+    /// To another instance, since this one may not reach the endpoints or send to them.
+    Instance,
+}
+
+/// Returns what would become of a request whose body has not been read. `draw` from 0 to 1 selects
+/// the route's target.
+pub(crate) async fn explain(dispatcher: &Dispatcher, head: Parts, params: RequestParams, draw: f64) -> Outlook {
+    let scratch = dispatcher.scratch();
+    quietly(async move {
+        let mut outlook = Outlook::default();
+        outlook.result = match admit::exchange_without_body(&scratch, head, params) {
+            Ok(exchange) => Exchange { target_draw: draw, ..exchange }.foresee(&mut outlook).await,
+            Err(refusal) => Err(refusal),
+        };
+        outlook
+    })
+    .await
+}
+
+impl Exchange {
+    /// Takes the steps up to the first send and notes each in `outlook`.
+    async fn foresee(mut self, outlook: &mut Outlook) -> Result<Destination, Refusal> {
+        outlook.admission = Some(self.admission.clone());
+        outlook.rank = self.rank();
+        outlook.models = self.expected_models();
+        let basis = self.model_basis();
+        let model = self.start_model();
+        outlook.model = Some((model, basis));
+        let selected = self.select_service();
+        outlook.service.clone_from(&self.service);
+        let before = self.dispatcher.scratch();
+        let hop = match selected {
+            Ok(()) => self.foresee_hop(model, outlook).await,
+            Err(refusal) => Err(refusal),
+        };
+        // The moment decides the random draw, so that both come to the same selection.
+        let placed_at = match &hop {
+            Ok(Hop::Endpoint(run)) => run.started(),
+            Ok(Hop::Instance(_)) | Err(_) => clock::now(),
+        };
+        outlook.endpoints = before.considered_endpoints(&self.job(model), placed_at);
+        match hop? {
+            Hop::Instance(_) => Ok(Destination::Instance),
+            Hop::Endpoint(run) => Ok(Destination::Endpoint {
+                id: run.endpoint.id.clone(),
+                wait_ms: run.choice.wait_ms,
+                first_byte_ms: run.expected_ms(),
+                is_preferred: run.choice.preferred,
+                is_copied: run.source.is_some(),
+            }),
+        }
+    }
+
+    /// Asks admission control and chooses the first hop.
+    async fn foresee_hop(&mut self, model: Option<usize>, outlook: &mut Outlook) -> Result<Hop, Refusal> {
+        if let Some(gate) = self.dispatcher.gate.clone() {
+            let preview = gate.preview(&self.entry(model), || self.dispatcher.supply(&self.service));
+            outlook.preview = Some(preview);
+            if let Preview::Refuse(refused) = preview {
+                return Err(refused.into());
+            }
+        }
+        let started = clock::now();
+        let hop = self.next_hop(model).await;
+        outlook.waited = clock::now().saturating_sub(started);
+        hop
+    }
+}
+
+impl Default for Outlook {
+    fn default() -> Self {
+        Self {
+            admission: None,
+            rank: 0,
+            service: String::new(),
+            model: None,
+            models: Vec::new(),
+            preview: None,
+            endpoints: Vec::new(),
+            result: Err(Refusal::NotStarted),
+            waited: Duration::ZERO,
+        }
+    }
+}
+
+/// Runs a future without its metrics and log lines, which would tell of decisions that were not made.
+async fn quietly<T>(future: impl Future<Output = T>) -> T {
+    let mut future = pin!(future);
+    let quiet = Dispatch::none();
+    std::future::poll_fn(move |context| poll_quietly(&quiet, future.as_mut(), context)).await
+}
+
+fn poll_quietly<T>(quiet: &Dispatch, future: Pin<&mut impl Future<Output = T>>, context: &mut Context<'_>) -> Poll<T> {
+    let poll = || metrics::with_local_recorder(&NoopRecorder, || future.poll(context));
+    tracing::dispatcher::with_default(quiet, poll)
+}
--- a/crates/relay/src/exchange/passage.rs
+++ b/crates/relay/src/exchange/passage.rs
@@ -20,13 +20,28 @@
         if self.is_forwarded {
             return Ok(());
         }
-        // It would be refused after its wait.
+        self.select_service()?;
+        let entry = self.entry(model);
+        let dispatcher = Arc::clone(&self.dispatcher);
+        let permit = gate.enter(&entry, || dispatcher.supply(entry.service)).await.map_err(Refusal::from)?;
+        self.permit = Some(permit);
+        Ok(())
+    }
+
+    /// Selects the service at whose gate the request asks, or returns why it would be refused after
+    /// its wait.
+    pub(super) fn select_service(&mut self) -> Result<(), Refusal> {
         self.check_quarantine()?;
         self.admission.route.target(self.target_draw).ok_or(Refusal::NoRoute)?.clone_into(&mut self.service);
+        Ok(())
+    }
+
+    /// Describes the request for admission control.
+    pub(super) fn entry(&self, model: Option<usize>) -> Entry<'_> {
         let job = self.job(model);
         let route = &self.admission.route;
         let passed = clock::now().saturating_sub(self.started);
-        let entry = Entry {
+        Entry {
             service: &self.service,
             team: self.admission.customer.as_ref().map_or("", |customer| customer.name.as_str()),
             rank: self.rank(),
@@ -40,11 +55,7 @@
             prompt_ms: self.dispatcher.expected_prompt_ms(&job),
             is_whole: !matches!(route.kind, Kind::Stream { .. }),
             is_resumption: self.params.last_event.is_some(),
-        };
-        let dispatcher = Arc::clone(&self.dispatcher);
-        let permit = gate.enter(&entry, || dispatcher.supply(entry.service)).await.map_err(Refusal::from)?;
-        self.permit = Some(permit);
-        Ok(())
+        }
     }
 
     /// Reports that the request is sent to an endpoint.
--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -1,5 +1,7 @@
 //! Prepares a request's next try: the model, the time limit and the headers.
 
+mod models;
+
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -25,6 +27,8 @@
     upstream::Answer,
 };
 
+pub use models::{Basis, Expected};
+
 /// Fraction of the route's goal up to which processing a prompt at an idle endpoint counts
 /// as short. If a short prompt misses the goal, it is because of queueing.
 const SHORT_PROMPT_FRACTION: f64 = 0.25;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod dispatcher;
 mod events;
 mod exchange;
+pub mod explain;
 mod follow;
 mod front;
 mod handle;
--- a/crates/relay/tests/it/main.rs
+++ b/crates/relay/tests/it/main.rs
@@ -11,6 +11,7 @@
 mod crashes;
 mod crashing_parts;
 mod evacuations;
+mod explain;
 mod ladder_values;
 mod large_pool;
 mod learned_capacity;
