Add the command `explain` and serve explanations to operators

`arbutuslugd explain` describes a request to a running instance and prints where it would go and why, as text or JSON. The operators' listener of a relay, now a module of its own, answers `POST /explain` and returns the metrics at every other path, as before.

--- a/crates/arbutuslugd/src/lib.rs
+++ b/crates/arbutuslugd/src/lib.rs
@@ -5,6 +5,7 @@
 //! thread of its own, for trials and tests that hold many in one process.
 
 pub mod daemon;
+pub mod explain;
 mod list;
 mod members;
 mod meter;
--- a/crates/arbutuslugd/src/main.rs
+++ b/crates/arbutuslugd/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::{path::PathBuf, process::ExitCode};
 
-use arbutuslugd::{Daemon, relaying};
+use arbutuslugd::{Daemon, explain, relaying};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use settings::Settings;
 use tokio::signal::unix::{SignalKind, signal};
@@ -36,6 +36,7 @@
                     .help("Settings of this instance, YAML; the file the platform names if not given"),
             ),
         )
+        .subcommand(explain::command())
         .arg(Arg::new("check").long("check").action(ArgAction::SetTrue).help("Check the settings and exit"))
 }
 
@@ -44,6 +45,9 @@
     if let Some(("relay", arguments)) = arguments.subcommand() {
         return relaying::run(arguments.get_one::<PathBuf>("settings").cloned());
     }
+    if let Some(("explain", arguments)) = arguments.subcommand() {
+        return explain::run(arguments);
+    }
     daemon(&arguments)
 }
 
--- a/crates/arbutuslugd/src/relaying.rs
+++ b/crates/arbutuslugd/src/relaying.rs
@@ -5,22 +5,17 @@
 //! through a bounded queue that drops rather than waits; what it dropped is
 //! counted and told at the next look.
 
+pub mod listener;
+mod query;
+
 use std::{net::SocketAddr, path::PathBuf, process::ExitCode, sync::Arc, time::Duration};
 
-use http::{Request, Response};
-use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use listener::{Instance, Listener};
 use settings::Relay;
-use tokio::{
-    net::TcpListener,
-    signal::unix::{SignalKind, signal},
-};
+use tokio::signal::unix::{SignalKind, signal};
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
-use crate::meter;
-
 /// Log lines that wait for standard output; at a hundred a second, what a
 /// stalled reader misses within half a minute.
 const LINES: usize = 4_096;
@@ -66,7 +61,8 @@
 }
 
 async fn serve(settings: Relay, path: PathBuf, dropped: ErrorCounter) -> ExitCode {
-    tokio::spawn(metrics(settings.metrics));
+    let explained = Instance::default();
+    tokio::spawn(serve_operators(settings.metrics, explained.clone()));
     tokio::spawn(count_dropped(dropped));
     let source = Arc::new(platform::Objects::open(settings.store));
     let instance = settings.relay.instance.clone();
@@ -78,6 +74,7 @@
             return ExitCode::FAILURE;
         }
     };
+    explained.set(relay.dispatcher());
     tracing::info!(instance, version = env!("CARGO_PKG_VERSION"), "started");
     until_terminated(&path).await;
     relay.shutdown().await;
@@ -116,32 +113,11 @@
     }
 }
 
-/// Serves metrics as text, at any path.
-async fn metrics(address: SocketAddr) {
-    let handle = meter::handle();
-    let listener = match TcpListener::bind(address).await {
-        Ok(listener) => listener,
+async fn serve_operators(address: SocketAddr, instance: Instance) {
+    match Listener::bind(address).await {
+        Ok(listener) => listener.serve(instance).await,
         Err(error) => {
             tracing::warn!(%address, %error, "metrics are not served; free the address or change `metrics`");
-            return;
         }
-    };
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(LOOK).await;
-            continue;
-        };
-        let handle = handle.clone();
-        let service = service_fn(move |_: Request<Incoming>| {
-            let text = handle.render();
-            async move { Ok::<_, std::convert::Infallible>(Response::new(Full::new(bytes::Bytes::from(text)))) }
-        });
-        tokio::spawn(async move {
-            let connection =
-                http1::Builder::new().timer(TokioTimer::new()).serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                tracing::debug!(%error, "metrics connection ended");
-            }
-        });
     }
 }
--- /dev/null
+++ b/crates/arbutuslugd/src/relaying/listener.rs
@@ -0,0 +1,145 @@
+//! The operators' listener of a relay: explanations of decisions at `POST /explain`, and metrics as
+//! text at every other path.
+
+use std::{
+    convert::Infallible,
+    io,
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use metrics_exporter_prometheus::PrometheusHandle;
+use relay::{dispatcher::Dispatcher, explain};
+use tokio::{net::TcpListener, sync::Semaphore, time::timeout};
+
+use super::query;
+use crate::meter;
+
+/// Path of explanations.
+pub const EXPLAIN_PATH: &str = "/explain";
+
+/// Longest body of a query, in bytes.
+pub const MAX_QUERY_BYTES: usize = 64 << 10;
+
+/// Longest time in which a query's body may arrive.
+const QUERY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Pause after a failed accept, since the next one would fail at once as well.
+const ACCEPT_PAUSE: Duration = Duration::from_secs(5);
+
+/// Number of explanations at a time. Each copies the state of the instance.
+const MAX_EXPLANATIONS: usize = 1;
+
+/// The instance whose decisions are explained, once it has started.
+#[derive(Debug, Clone, Default)]
+pub struct Instance(Arc<OnceLock<Arc<Dispatcher>>>);
+
+impl Instance {
+    /// Sets the instance; only the first call counts.
+    pub fn set(&self, dispatcher: &Arc<Dispatcher>) {
+        self.0.get_or_init(|| Arc::clone(dispatcher));
+    }
+}
+
+/// The operators' listener.
+#[derive(Debug)]
+pub struct Listener {
+    listener: TcpListener,
+}
+
+impl Listener {
+    /// Binds the listener.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system if the address cannot be bound.
+    pub async fn bind(address: SocketAddr) -> io::Result<Self> {
+        Ok(Self { listener: TcpListener::bind(address).await? })
+    }
+
+    /// Returns the address that is bound.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system if it does not know the address.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves operators; never returns.
+    pub async fn serve(self, instance: Instance) {
+        let server = Arc::new(Server { metrics: meter::handle(), instance, permits: Semaphore::new(MAX_EXPLANATIONS) });
+        loop {
+            let Ok((stream, _)) = self.listener.accept().await else {
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let server = Arc::clone(&server);
+            let service = service_fn(move |request| {
+                let server = Arc::clone(&server);
+                async move { Ok::<_, Infallible>(server.answer(request).await) }
+            });
+            tokio::spawn(async move {
+                let connection =
+                    http1::Builder::new().timer(TokioTimer::new()).serve_connection(TokioIo::new(stream), service);
+                if let Err(error) = connection.await {
+                    tracing::debug!(%error, "operators' connection ended");
+                }
+            });
+        }
+    }
+}
+
+struct Server {
+    metrics: PrometheusHandle,
+    instance: Instance,
+    permits: Semaphore,
+}
+
+impl Server {
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        if request.method() != Method::POST || request.uri().path() != EXPLAIN_PATH {
+            return Response::new(Full::new(Bytes::from(self.metrics.render())));
+        }
+        let Some(dispatcher) = self.instance.0.get() else {
+            return refuse(StatusCode::SERVICE_UNAVAILABLE, "instance", "it has not started yet");
+        };
+        let body = timeout(QUERY_TIMEOUT, Limited::new(request.into_body(), MAX_QUERY_BYTES).collect()).await;
+        let body = match body {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                return refuse(StatusCode::PAYLOAD_TOO_LARGE, "body", "longer than 64 KiB");
+            }
+            Ok(Err(_)) | Err(_) => return refuse(StatusCode::BAD_REQUEST, "body", "it ended early or came too slowly"),
+        };
+        let query = match query::parse(&body) {
+            Ok(query) => query,
+            Err(invalid) => return refuse(StatusCode::BAD_REQUEST, &invalid.field, invalid.cause),
+        };
+        let _permit = self.permits.acquire().await;
+        match explain::explain(dispatcher, &query, rand::random()).await {
+            Ok(explanation) => json(StatusCode::OK, serde_json::to_vec(&explanation).unwrap_or_default()),
+            Err(invalid) => refuse(StatusCode::BAD_REQUEST, &invalid.field, invalid.cause),
+        }
+    }
+}
+
+fn refuse(status: StatusCode, field: &str, cause: &str) -> Response<Full<Bytes>> {
+    let mut response = json(status, serde_json::json!({ "field": field, "cause": cause }).to_string().into_bytes());
+    // The rest of a body may still arrive and must not be read as the next request.
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+fn json(status: StatusCode, body: Vec<u8>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
