Keep the turns of a class that is no longer limited

A class that the last division did not limit, or did not know of here, was queued with a weight of 1 beside tens of thousands of others, and its team waited until their queues were empty. The weight is now at least the class's own part, and the capacity is divided anew for a class without one. Both new tests failed before and pass now.

--- a/crates/relay/src/admission/service.rs
+++ b/crates/relay/src/admission/service.rs
@@ -1,5 +1,7 @@
 //! State of admission at one service.
 
+#[cfg(test)]
+mod tests;
 mod waiting;
 
 use std::{
@@ -174,6 +176,10 @@
             self.demands.record(class, pass.cost, now);
         }
         self.refresh(fleet, now);
+        if self.division.grant(class).allocation <= 0.0 {
+            // The last division did not know of its demand here.
+            self.divide(fleet, now);
+        }
         let grant = self.division.grant(class);
         pass.priority = self.priority(class, grant);
         let is_waiting = self.waiting_by_class.contains_key(&class);
@@ -201,9 +207,13 @@
 
     /// Divides the capacity anew if the last division is out of date.
     fn refresh(&mut self, fleet: Fleet, now: Duration) {
-        if now < self.divided_at + DIVISION_AGE {
-            return;
+        if now >= self.divided_at + DIVISION_AGE {
+            self.divide(fleet, now);
         }
+    }
+
+    /// Divides the capacity.
+    fn divide(&mut self, fleet: Fleet, now: Duration) {
         self.divided_at = now;
         self.remotes.update(now);
         let own = self.demands.current(now);
--- /dev/null
+++ b/crates/relay/src/admission/service/tests.rs
@@ -0,0 +1,128 @@
+//! Decisions at one service, with the time as an argument and without a network.
+
+use std::time::Duration;
+
+use route::{
+    admission::demand::{Class, Summary},
+    relay::content::Content,
+};
+
+use super::{Decision, Fleet, Service};
+use crate::{
+    admission::{
+        entry::{Entry, Supply},
+        remote::Remote,
+    },
+    dispatcher::fleet::short_hash,
+};
+
+const FLEET: Fleet = Fleet { instances: 2, is_starting: false };
+
+/// Start of each test; a clock does not begin at zero.
+const START: Duration = Duration::from_secs(100);
+
+fn entry(team: &'static str, number: u64) -> Entry<'static> {
+    Entry {
+        service: "logbook",
+        team,
+        rank: 1,
+        route: "usual",
+        content: Content { team: short_hash(team), work: number },
+        left: Duration::from_secs(10),
+        target_left: Duration::from_secs(5),
+        target_time: Duration::from_secs(5),
+        model: None,
+        first_byte_ms: 100.0,
+        prompt_ms: 0.0,
+        is_whole: true,
+        is_resumption: false,
+    }
+}
+
+/// A service and its time.
+struct Play {
+    service: Service,
+    now: Duration,
+    number: u64,
+}
+
+impl Play {
+    /// Starts with a service of one slot, which a request of these tests takes for 100 ms.
+    fn new() -> Self {
+        Self::with(Supply { slots: 1.0, engines: 1.0 })
+    }
+
+    fn with(supply: Supply) -> Self {
+        let mut service = Service::new(START);
+        service.set_supply("logbook", Some(supply), START);
+        Self { service, now: START, number: 0 }
+    }
+
+    fn decide(&mut self, entry: &Entry<'_>) -> Decision {
+        self.service.decide(entry, FLEET, self.now)
+    }
+
+    /// Sends a request of a team that was not sent before, and returns what becomes of it.
+    fn send(&mut self, team: &'static str) -> (Content, Decision) {
+        self.number += 1;
+        let entry = entry(team, self.number);
+        (entry.content, self.decide(&entry))
+    }
+
+    /// Lets 10 ms pass and returns the waiting requests that are let pass.
+    fn step(&mut self) -> Vec<Content> {
+        self.now += Duration::from_millis(10);
+        let (outcomes, _) = self.service.release(FLEET, self.now);
+        outcomes.into_iter().filter_map(|outcome| Some(outcome.result.ok()?.content)).collect()
+    }
+
+    /// Records that another instance has told a team's demand.
+    fn tell(&mut self, team: &str, demand: f64) {
+        let class = Class { team: short_hash(team), rank: 1 };
+        let summary = Summary { classes: vec![(class, demand)], ..Summary::default() };
+        let remote = Remote::new(summary, Vec::new(), self.now, Duration::from_secs(2));
+        self.service.record_remote(short_hash(team), remote);
+    }
+
+    fn pressure(&mut self) -> f64 {
+        self.service.divided_at = Duration::ZERO;
+        self.service.pressure(FLEET, self.now)
+    }
+}
+
+/// A team that was limited and is not any more while its request waits must not queue behind the
+/// flood of another one: its flow would be charged thousands of times its cost.
+#[test]
+fn class_that_is_no_longer_limited_keeps_its_turns() {
+    let mut play = Play::with(Supply { slots: 20.0, engines: 20.0 });
+    play.tell("a", 5.0);
+    for _ in 0..20 {
+        (0..4).for_each(|_| drop(play.send("b")));
+        play.step();
+    }
+    let (first, decision) = play.send("a");
+    assert!(matches!(decision, Decision::Wait { .. }), "{decision:?}");
+    play.tell("a", 0.0);
+    play.now += Duration::from_millis(20);
+    let (second, decision) = play.send("a");
+    assert!(matches!(decision, Decision::Wait { .. }), "{decision:?}");
+    let mut passed = Vec::new();
+    for _ in 0..200 {
+        passed.extend(play.step());
+        (0..4).for_each(|_| drop(play.send("b")));
+    }
+    assert!(passed.contains(&first) && passed.contains(&second), "{} of b passed", passed.len());
+}
+
+/// A class that is known only from other instances has no allocation here; its first request must
+/// not be queued with none.
+#[test]
+fn class_known_only_from_others_gets_its_part_at_once() {
+    let mut play = Play::new();
+    play.tell("a", 3.0);
+    play.pressure();
+    play.send("b");
+    play.send("a");
+    let grant = play.service.division.grant(Class { team: short_hash("a"), rank: 1 });
+    assert!(grant.is_limited && grant.allocation > 0.0, "{grant:?}");
+}
--- a/crates/relay/src/admission/service/waiting.rs
+++ b/crates/relay/src/admission/service/waiting.rs
@@ -52,7 +52,9 @@
         let early = at.plus(whole_millis(clock::millis(entry.target_left) * QUEUED_PART_OF_TARGET));
         let can_be_early = early.since(at) > whole_millis(run_ms * MIN_RUNS_UNTIL_TARGET);
         let latest_end = (is_over && can_be_early && target < deadline).then_some(early);
-        let allocation = if grant.is_limited { self.division.limited_allocation(class.team) } else { 0.0 };
+        // A class that is no longer limited may still queue behind its own requests; with less weight
+        // than its demand, its team would wait for the queues of all others.
+        let allocation = self.division.limited_allocation(class.team).max(grant.allocation);
         let ticket = Ticket {
             customer: &customer,
             weight: u32::try_from(whole_millis(allocation * WEIGHT_SCALE)).unwrap_or(u32::MAX),
