Serve waiting requests after their arrivals stop

Requests that wait were served at a rate that follows from the demand measured of arrivals, which falls to a third in half a second, and at no rate at all where their class was no longer limited while another one was. A waiting request now counts as one that has just arrived, and classes that are no longer limited add their demand to the rate.

--- a/crates/relay/src/admission/service.rs
+++ b/crates/relay/src/admission/service.rs
@@ -13,7 +13,7 @@
     Key, Queue,
     bucket::Bucket,
     capacity::{Correction, RunTime},
-    demand::{Class, Demands, Smoothed, Summary},
+    demand::{Class, DECAY_MS, Demands, Smoothed, Summary},
     share::{self, Demand, Division, Grant},
 };
 use tokio::sync::oneshot;
@@ -101,6 +101,13 @@
     pass: Pass,
 }
 
+/// Waiting requests of a class.
+#[derive(Debug, Default)]
+struct WaitingOfClass {
+    count: usize,
+    cost: f64,
+}
+
 #[derive(Debug)]
 pub(super) struct Service {
     name: String,
@@ -120,7 +127,7 @@
     per_ms: f64,
     queue: Queue,
     waiters: HashMap<Key, Waiter>,
-    waiting_by_class: BTreeMap<Class, usize>,
+    waiting_by_class: BTreeMap<Class, WaitingOfClass>,
     refusals: Refusals,
     is_driven: bool,
 }
@@ -212,11 +219,22 @@
         }
     }
 
+    /// Returns the demand of this instance's callers by class. A request that waits counts as one that
+    /// has just arrived: once arrivals stop, those that wait would otherwise get ever less.
+    fn own_demands(&mut self, now: Duration) -> BTreeMap<Class, f64> {
+        let mut demands = self.demands.current(now);
+        for (class, waiting) in &self.waiting_by_class {
+            let demand = demands.entry(*class).or_default();
+            *demand = demand.max(waiting.cost / DECAY_MS);
+        }
+        demands
+    }
+
     /// Divides the capacity.
     fn divide(&mut self, fleet: Fleet, now: Duration) {
         self.divided_at = now;
         self.remotes.update(now);
-        let own = self.demands.current(now);
+        let own = self.own_demands(now);
         let silent = fleet.instances.saturating_sub(1 + self.remotes.len());
         let silent = if fleet.is_starting { as_f64(silent) } else { 0.0 };
         let mut demands: BTreeMap<Class, Demand> = BTreeMap::new();
@@ -235,13 +253,16 @@
         let total = demands.iter().map(|demand| demand.own + demand.others).sum::<f64>() + self.remotes.unnamed.demand;
         let capacity = self.correction.capacity_for(total);
         self.division = share::divide(capacity, &demands, self.remotes.unnamed);
-        let mut rate = self.division.limited_rate(self.correction.pace());
+        // Requests that wait although their class is not limited any more are served at the rate of
+        // its demand.
+        let is_unlimited = |class: &&Class| !self.division.grant(**class).is_limited;
+        let unlimited = self.waiting_by_class.keys().filter(is_unlimited).filter_map(|class| own.get(class));
+        let mut rate = self.division.limited_rate(self.correction.pace()) + unlimited.sum::<f64>();
         if !self.division.is_limiting() {
             // What waits since an overload is served besides what arrives now.
-            let arriving: f64 = self.waiting_by_class.keys().filter_map(|class| own.get(class)).sum();
             let own_part = own.values().sum::<f64>() / self.division.demand.max(f64::MIN_POSITIVE);
             let left = (capacity - self.division.demand).max(MIN_DRAIN_RATE * capacity);
-            rate = arriving + left * own_part.min(1.0);
+            rate += left * own_part.min(1.0);
         }
         self.per_ms = rate;
         self.bucket.update(rate, self.usual_cost, now);
@@ -296,7 +317,7 @@
     /// fraction of its capacity.
     pub fn summary(&mut self, fleet: Fleet, told_above: f64, now: Duration) -> Option<Summary> {
         let pressure = self.pressure(fleet, now);
-        let summary = Summary::new(&self.demands.current(now));
+        let summary = Summary::new(&self.own_demands(now));
         let own = summary.total();
         // Before the others tell anything, each may see only its own small part.
         let in_proportion = own * as_f64(fleet.instances) / self.correction.capacity().max(f64::MIN_POSITIVE);
--- a/crates/relay/src/admission/service/tests.rs
+++ b/crates/relay/src/admission/service/tests.rs
@@ -76,6 +76,19 @@
         outcomes.into_iter().filter_map(|outcome| Some(outcome.result.ok()?.content)).collect()
     }
 
+    /// Sends requests of a team that were not sent before, one each 10 ms, and returns those that wait.
+    fn flood(&mut self, team: &'static str, count: usize) -> Vec<Content> {
+        let mut waiting = Vec::new();
+        for _ in 0..count {
+            if let (content, Decision::Wait { .. }) = self.send(team) {
+                waiting.push(content);
+            }
+            let passed = self.step();
+            waiting.retain(|content| !passed.contains(content));
+        }
+        waiting
+    }
+
     /// Records that another instance has told a team's demand.
     fn tell(&mut self, team: &str, demand: f64) {
         let class = Class { team: short_hash(team), rank: 1 };
@@ -126,3 +139,21 @@
     let grant = play.service.division.grant(Class { team: short_hash("a"), rank: 1 });
     assert!(grant.is_limited && grant.allocation > 0.0, "{grant:?}");
 }
+
+/// Requests that wait while arrivals stop and another instance goes on must be served by their
+/// team's share, not at a rate that falls with the measured demand.
+#[test]
+fn requests_that_wait_are_served_after_arrivals_stop() {
+    let mut play = Play::new();
+    play.tell("other", 3.0);
+    let waiting = play.flood("large", 10);
+    assert!(waiting.len() >= 3, "{} wait", waiting.len());
+    let mut passed = Vec::new();
+    for step in 0..400 {
+        if step % 25 == 0 {
+            play.tell("other", 3.0);
+        }
+        passed.extend(play.step());
+    }
+    assert_eq!(passed.len(), waiting.len(), "all that wait are let pass within 4 s");
+}
--- a/crates/relay/src/admission/service/waiting.rs
+++ b/crates/relay/src/admission/service/waiting.rs
@@ -79,7 +79,9 @@
             Ok(key) => {
                 let (reply, receiver) = oneshot::channel();
                 self.waiters.insert(key, Waiter { reply, pass });
-                *self.waiting_by_class.entry(class).or_default() += 1;
+                let waiting = self.waiting_by_class.entry(class).or_default();
+                waiting.count += 1;
+                waiting.cost += pass.cost;
                 let needs_driver = !std::mem::replace(&mut self.is_driven, true);
                 Decision::Wait { key, receiver, needs_driver }
             }
@@ -141,9 +143,10 @@
 
     fn take_waiter(&mut self, key: Key) -> Option<Waiter> {
         let waiter = self.waiters.remove(&key)?;
-        if let Some(count) = self.waiting_by_class.get_mut(&waiter.pass.class) {
-            *count -= 1;
-            if *count == 0 {
+        if let Some(waiting) = self.waiting_by_class.get_mut(&waiter.pass.class) {
+            waiting.count -= 1;
+            waiting.cost -= waiter.pass.cost;
+            if waiting.count == 0 {
                 self.waiting_by_class.remove(&waiter.pass.class);
             }
         }
--- a/crates/route/src/admission/demand.rs
+++ b/crates/route/src/admission/demand.rs
@@ -7,7 +7,7 @@
 
 /// Time in which a past request's weight falls to 1/e, in milliseconds. The measurement then
 /// covers about the last second.
-const DECAY_MS: f64 = 500.0;
+pub const DECAY_MS: f64 = 500.0;
 
 /// Demand below which a class is forgotten, as a fraction of the service.
 const FORGOTTEN: f64 = 1e-6;
