Bound the demand of a request whose prompt cannot be as long as stated

Callers state the lengths of their prompts. One request with an impossible length made the demand read as 2,000 times the capacity 8 s later, in a test of the gate's decisions. A request now costs no more than the time left until its deadline, one that exceeds every engine's memory is refused before the gate, and the cost of a long run is counted over its own time when short runs follow.

--- a/crates/relay/src/admission/service.rs
+++ b/crates/relay/src/admission/service.rs
@@ -291,12 +291,14 @@
         let first_byte_ms = if entry.is_whole { run_ms } else { entry.first_byte_ms };
         let run_ms = run_ms.max(first_byte_ms);
         let slot_cost = 1.0 / supply.slots;
-        let prompt_cost = entry.prompt_ms / supply.engines.max(1.0);
+        // Callers state the lengths of their prompts. A run that takes longer than is left ends with it.
+        let left_ms = clock::millis(entry.left);
+        let prompt_cost = entry.prompt_ms.min(left_ms) / supply.engines.max(1.0);
         let usual_wait_ms = (clock::millis(entry.target_time) * USUAL_WAIT_OF_TARGET).min(run_ms * USUAL_WAIT_OF_RUN);
         Pass {
             kind,
             run_ms,
-            cost: (run_ms * slot_cost).max(prompt_cost),
+            cost: (run_ms.min(left_ms) * slot_cost).max(prompt_cost),
             slot_cost,
             prompt_cost,
             first_byte_ms,
--- a/crates/relay/src/admission/service/tests.rs
+++ b/crates/relay/src/admission/service/tests.rs
@@ -183,3 +183,17 @@
     let first = (0..500).find_map(|_| play.step().first().copied());
     assert_eq!(first, Some(resumption.content));
 }
+
+/// Callers state the length of their prompts. One that states an impossible length must not make
+/// the service look overloaded afterwards.
+#[test]
+fn impossible_prompt_is_no_lasting_demand() {
+    let mut play = Play::with(Supply { slots: 400.0, engines: 10.0 });
+    play.decide(&Entry { prompt_ms: 1e11, first_byte_ms: 1e11, ..entry("a", 0) });
+    assert!(play.pressure() < 10.0, "{}", play.pressure());
+    for _ in 0..400 {
+        play.now += Duration::from_millis(20);
+        play.send("a");
+    }
+    assert!(play.pressure() < 0.1, "{} after 8 s", play.pressure());
+}
--- a/crates/relay/src/exchange/passage.rs
+++ b/crates/relay/src/exchange/passage.rs
@@ -24,6 +24,9 @@
         self.check_quarantine()?;
         self.admission.route.target(self.target_draw).ok_or(Refusal::NoRoute)?.clone_into(&mut self.service);
         let job = self.job(model);
+        if self.dispatcher.exceeds_memory(&job) {
+            return Err(Refusal::ExceedsMemory);
+        }
         let route = &self.admission.route;
         let passed = clock::now().saturating_sub(self.started);
         let entry = Entry {
--- a/crates/route/src/admission/demand.rs
+++ b/crates/route/src/admission/demand.rs
@@ -40,6 +40,10 @@
     sum: f64,
     /// Cost of a usual request.
     usual_cost: f64,
+    /// Time in which the weight of the sum falls to 1/e, in milliseconds.
+    decay_ms: f64,
+    /// Shortest time over which the sum is measured, in milliseconds.
+    least_ms: f64,
     started_at: Duration,
     updated_at: Duration,
 }
@@ -48,14 +52,30 @@
     /// Starts a measurement.
     #[must_use]
     pub fn new(now: Duration) -> Self {
-        Self { sum: 0.0, usual_cost: 0.0, started_at: now, updated_at: now }
+        Self {
+            sum: 0.0,
+            usual_cost: 0.0,
+            decay_ms: DECAY_MS,
+            least_ms: MIN_MEASURED_MS,
+            started_at: now,
+            updated_at: now,
+        }
     }
 
     /// Adds a cost in milliseconds of the whole service.
     pub fn add(&mut self, cost: f64, now: Duration) {
         let weight = if self.usual_cost > 0.0 { USUAL_COST_WEIGHT } else { 1.0 };
-        self.sum = self.decayed(now) + cost;
+        let before = self.decayed(now);
+        self.sum = before + cost;
         self.usual_cost += weight * (cost - self.usual_cost);
+        // It is longer where a request costs more than a small part of a second of the whole service: a
+        // single long run at a service with few slots would otherwise look like an overload. A long run
+        // keeps its time when short ones follow; counted over a shorter time, it would look like many.
+        let decay_ms = DECAY_MS.max(MIN_DECAY_COSTS * self.usual_cost);
+        let least_ms = MIN_MEASURED_MS.max(MIN_MEASURED_COSTS * self.usual_cost);
+        let part = cost / self.sum.max(f64::MIN_POSITIVE);
+        self.decay_ms += part * (decay_ms - self.decay_ms);
+        self.least_ms += part * (least_ms - self.least_ms);
         self.updated_at = now;
     }
 
@@ -63,20 +83,13 @@
     #[must_use]
     pub fn rate(&self, now: Duration) -> f64 {
         // An overload that begins would otherwise be recognized only after half a second.
-        let least_ms = MIN_MEASURED_MS.max(MIN_MEASURED_COSTS * self.usual_cost);
-        let (measured_ms, decay_ms) = (millis(now.saturating_sub(self.started_at)).max(least_ms), self.decay_ms());
+        let measured_ms = millis(now.saturating_sub(self.started_at)).max(self.least_ms);
+        let decay_ms = self.decay_ms;
         self.decayed(now) / (decay_ms * (1.0 - (-measured_ms / decay_ms).exp()))
     }
 
     fn decayed(&self, now: Duration) -> f64 {
-        self.sum * (-millis(now.saturating_sub(self.updated_at)) / self.decay_ms()).exp()
-    }
-
-    /// Returns the time in which a past request's weight falls to 1/e. It is longer where a request
-    /// costs more than a small part of a second of the whole service: a single long run at a service
-    /// with few slots would otherwise look like an overload.
-    fn decay_ms(&self) -> f64 {
-        DECAY_MS.max(MIN_DECAY_COSTS * self.usual_cost)
+        self.sum * (-millis(now.saturating_sub(self.updated_at)) / self.decay_ms).exp()
     }
 }
 
--- a/crates/route/tests/shares.rs
+++ b/crates/route/tests/shares.rs
@@ -279,3 +279,18 @@
     }
     assert!((measure(2.5, 4_000) - 2.5).abs() < 1e-9);
 }
+
+/// One request that costs thousands of usual ones, followed by usual ones: its cost must not be counted
+/// over the short time of the usual ones, as if there were many.
+#[test]
+fn costly_request_counts_once_beside_cheap_ones() {
+    let mut demands = Demands::default();
+    demands.record(class(1, 0), 20_000.0, Duration::ZERO);
+    let mut highest: f64 = 0.0;
+    for step in 1..200 {
+        let now = Duration::from_millis(step * 20);
+        demands.record(class(1, 0), 1.0, now);
+        highest = highest.max(demands.current(now)[&class(1, 0)]);
+    }
+    assert!(highest <= 1.0, "{highest}");
+}
