Learn a lasting change of run times

Runs that became longer counted as late, were never learned below the capacity either, and lowered the assumed capacity to its least. They are now learned slowly while the demand is below the declared capacity, and runs that end with an error are not learned.

--- a/crates/relay/src/admission/service.rs
+++ b/crates/relay/src/admission/service.rs
@@ -12,7 +12,7 @@
 use route::admission::{
     Key, Queue,
     bucket::Bucket,
-    capacity::{Correction, RunTime},
+    capacity::{Correction, RunLoad, RunTime},
     demand::{Class, DECAY_MS, Demands, Smoothed, Summary},
     share::{self, Demand, Division, Grant},
 };
@@ -354,12 +354,16 @@
 
     pub fn record_run(&mut self, observation: Observation) {
         let Observation { kind, took_ms } = observation;
-        let is_busy = self.division.demand > CROWDED_ABOVE * self.correction.capacity();
-        let is_crowded = is_busy || self.correction.is_late();
+        // Late runs lower the assumed capacity, so it does not show whether they wait for others.
+        let load = match self.correction.is_late() {
+            true if self.division.demand <= CROWDED_ABOVE => RunLoad::Late,
+            false if self.division.demand <= CROWDED_ABOVE * self.correction.capacity() => RunLoad::Calm,
+            _ => RunLoad::Crowded,
+        };
         if self.run_times.len() >= MAX_KINDS && !self.run_times.contains_key(&kind) {
             self.run_times.clear();
         }
-        self.run_times.entry(kind).or_default().observe(took_ms, is_crowded);
+        self.run_times.entry(kind).or_default().observe(took_ms, load);
     }
 }
 
--- a/crates/relay/src/admission/service/tests.rs
+++ b/crates/relay/src/admission/service/tests.rs
@@ -7,7 +7,7 @@
     relay::content::Content,
 };
 
-use super::{Decision, Fleet, Service};
+use super::{Decision, Fleet, Observation, Service, kind};
 use crate::{
     admission::{
         entry::{Entry, Supply},
@@ -197,3 +197,23 @@
     }
     assert!(play.pressure() < 0.1, "{} after 8 s", play.pressure());
 }
+
+/// Runs that take three times as long from some moment on, at a third of the capacity, must be learned as
+/// such: the assumed capacity would otherwise stay at its lowest.
+#[test]
+fn lasting_change_of_run_times_is_learned() {
+    let mut play = Play::with(Supply { slots: 20.0, engines: 20.0 });
+    let usual = entry("a", 0);
+    for number in 0..3_000 {
+        play.now += Duration::from_millis(33);
+        let took_ms = if number < 300 { 100.0 } else { 300.0 };
+        let Decision::Pass(pass) = play.send("a").1 else { continue };
+        play.service.record_wait((took_ms - pass.first_byte_ms).max(0.0), pass.usual_wait_ms, play.now);
+        play.service.record_run(Observation { kind: kind(&usual), took_ms });
+        play.step();
+    }
+    let price = play.service.price(Class { team: 1, rank: 1 }, &usual, Supply { slots: 20.0, engines: 20.0 });
+    assert!((250.0..=310.0).contains(&price.run_ms), "{} ms", price.run_ms);
+    let capacity = play.service.correction.capacity();
+    assert!(capacity > 0.8, "{capacity}");
+}
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -331,7 +331,10 @@
         };
         let failed = status.is_server_error();
         run.record_verdict(failed);
-        self.complete_run();
+        if status.is_success() {
+            // Errors come sooner than answers and would be taken for short runs.
+            self.complete_run();
+        }
         let mut response = Response::new(answer::full_body(bytes));
         *response.status_mut() = status;
         *response.headers_mut() = headers;
--- a/crates/route/src/admission/capacity.rs
+++ b/crates/route/src/admission/capacity.rs
@@ -10,6 +10,10 @@
 /// Number of runs over which the mean time of runs averages.
 const RUNS_AVERAGED: f64 = 32.0;
 
+/// The same for runs that took longer than usual although the demand is below the capacity. Some of
+/// them wait in an overload that begins; a lasting change outlasts this number.
+const LATE_RUNS_AVERAGED: f64 = 256.0;
+
 /// Number of runs below the capacity after which their mean is used. The first runs of an overload
 /// count as such too, since it is recognized with a delay.
 const MIN_CALM_RUNS: f64 = 20.0;
@@ -67,6 +71,17 @@
 const MIN_FACTOR: f64 = 0.2;
 const MAX_FACTOR: f64 = 3.0;
 
+/// Load under which a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunLoad {
+    /// Demand below the capacity, and no longer waits than usual.
+    Calm,
+    /// Demand below the capacity, but longer waits than usual: runs may have become longer.
+    Late,
+    /// Demand near or above the capacity; the run is likely to have waited at its endpoint.
+    Crowded,
+}
+
 /// Estimated time of runs of one kind, in milliseconds: the mean of those that ran while the
 /// service was below its capacity or, before enough of these, about the shortest ones.
 #[derive(Debug, Clone, Copy, Default)]
@@ -96,14 +111,19 @@
         }
     }
 
-    /// Records the time of a run; `is_crowded` says whether it is likely to have waited at its
-    /// endpoint.
-    pub fn observe(&mut self, took_ms: f64, is_crowded: bool) {
+    /// Records the time of a run.
+    pub fn observe(&mut self, took_ms: f64, load: RunLoad) {
         let shortest_ms = self.shortest_ms.get_or_insert(took_ms);
         *shortest_ms += if took_ms < *shortest_ms { WEIGHT_BELOW } else { WEIGHT_ABOVE } * (took_ms - *shortest_ms);
-        if !is_crowded {
-            self.calm_runs += 1.0;
-            self.calm_ms += (took_ms - self.calm_ms) / self.calm_runs.min(RUNS_AVERAGED);
+        match load {
+            RunLoad::Calm => {
+                self.calm_runs += 1.0;
+                self.calm_ms += (took_ms - self.calm_ms) / self.calm_runs.min(RUNS_AVERAGED);
+            }
+            RunLoad::Late if self.calm_runs >= MIN_CALM_RUNS => {
+                self.calm_ms += (took_ms - self.calm_ms) / LATE_RUNS_AVERAGED;
+            }
+            RunLoad::Late | RunLoad::Crowded => {}
         }
     }
 }
--- a/crates/route/tests/shares.rs
+++ b/crates/route/tests/shares.rs
@@ -4,7 +4,7 @@
 
 use route::admission::{
     bucket::Bucket,
-    capacity::{Correction, RunTime},
+    capacity::{Correction, RunLoad, RunTime},
     demand::{Class, Demands, MAX_TOLD_TEAMS, Smoothed, Summary},
     share::{Demand, Division, Unnamed, divide},
 };
@@ -174,15 +174,15 @@
 fn waits_of_an_overload_do_not_look_like_work() {
     let mut run_time = RunTime::default();
     for _ in 0..30 {
-        run_time.observe(100.0, false);
+        run_time.observe(100.0, RunLoad::Calm);
     }
     for _ in 0..1_000 {
-        run_time.observe(300.0, true);
+        run_time.observe(300.0, RunLoad::Crowded);
     }
     assert!((run_time.get().expect("there were runs") - 100.0).abs() < 1.0, "{run_time:?}");
     // Where an overload is all that was seen, another instance may have seen runs without waits.
     let mut first = RunTime::default();
-    first.observe(280.0, true);
+    first.observe(280.0, RunLoad::Crowded);
     assert_eq!(first.with_told(Some(105.0)), Some(105.0));
 }
 
@@ -294,3 +294,15 @@
     }
     assert!(highest <= 1.0, "{highest}");
 }
+
+/// Runs that become longer for good look like ones that wait, at any load. Without an overload they have
+/// to be learned; the few of an overload that begins must move the estimate only slightly.
+#[test]
+fn late_runs_are_learned_slowly() {
+    let mut run_time = RunTime::default();
+    (0..100).for_each(|_| run_time.observe(100.0, RunLoad::Calm));
+    (0..20).for_each(|_| run_time.observe(200.0, RunLoad::Late));
+    assert!(run_time.get().is_some_and(|ms| ms < 110.0), "{run_time:?}");
+    (0..1_000).for_each(|_| run_time.observe(200.0, RunLoad::Late));
+    assert!(run_time.get().is_some_and(|ms| ms > 190.0), "{run_time:?}");
+}
