Excuse only the first return of a refused request, and only while it counts

Each refusal excused a return of the same content for up to 7 s, while demand is measured over about a second: 200 identical requests read as 0.23 of the demand of 200 different ones, and callers who returned as told were not counted at all. One return is excused for each request that was counted, within a second.

--- a/crates/relay/src/admission/permit.rs
+++ b/crates/relay/src/admission/permit.rs
@@ -16,6 +16,8 @@
 pub(super) struct Pass {
     pub class: Class,
     pub content: Content,
+    /// When the request was counted as demand, unless it is the return of a refused one.
+    pub counted_at: Option<Duration>,
     /// Hash of the kind of its runs.
     pub kind: u32,
     /// Priority for engines, if it is not the request's rank.
@@ -41,6 +43,7 @@
         Self {
             class,
             content: entry.content,
+            counted_at: None,
             kind: service::kind(entry),
             priority: None,
             is_charged: false,
--- a/crates/relay/src/admission/refusals.rs
+++ b/crates/relay/src/admission/refusals.rs
@@ -10,6 +10,9 @@
 /// Longest time over which the returns of refused callers are spread.
 const MAX_SPREAD: Duration = Duration::from_secs(4);
 
+/// Time for which the demand of a request is measured. One that comes later counts again.
+const COUNTED_FOR: Duration = Duration::from_secs(1);
+
 /// Longest `Retry-After` before the spread.
 const MAX_AFTER: Duration = Duration::from_secs(3);
 
@@ -22,12 +25,18 @@
 /// Time in which the meter of refused cost counts it, in milliseconds.
 const METERED_MS: f64 = 500.0;
 
+/// Return of a request that was counted and refused.
+#[derive(Debug)]
+struct Expected {
+    until: Duration,
+    has_returned: bool,
+}
+
 #[derive(Debug, Default)]
 pub(super) struct Refusals {
     /// Cost that was refused lately, by class.
     refused: HashMap<Class, Meter>,
-    /// Number of refusals of a request, and until when its return is expected.
-    expected: HashMap<Content, (u32, Duration)>,
+    expected: HashMap<Content, Expected>,
 }
 
 impl Refusals {
@@ -51,27 +60,25 @@
         (Duration::from_millis(after_ms).min(MAX_AFTER), spread)
     }
 
-    /// Expects the request to return within a time.
-    pub fn expect_return(&mut self, content: Content, within: Duration, now: Duration) {
+    /// Expects a request that was counted at a time to return until another one.
+    pub fn expect_return(&mut self, content: Content, counted_at: Duration, until: Duration, now: Duration) {
         if self.expected.len() >= MAX_EXPECTED {
-            self.expected.retain(|_, (_, until)| *until > now);
+            self.expected.retain(|_, expected| expected.until > now);
         }
-        if self.expected.len() < MAX_EXPECTED {
-            let (count, until) = self.expected.entry(content).or_default();
-            *count += 1;
-            *until = now + within;
+        // A flood of identical requests must not excuse itself again and again.
+        let is_known = self.expected.get(&content).is_some_and(|expected| expected.until > now);
+        if !is_known && self.expected.len() < MAX_EXPECTED {
+            let until = until.min(counted_at + COUNTED_FOR);
+            self.expected.insert(content, Expected { until, has_returned: false });
         }
     }
 
-    /// Whether a request that arrives was refused and returns before it was told to, or just then.
-    /// Each refusal excuses one return.
+    /// Whether a request that arrives was refused and returns before it was told to, or just then,
+    /// while it is still counted. Only its first return is excused.
     pub fn is_return(&mut self, content: Content, now: Duration) -> bool {
-        let Some((count, until)) = self.expected.get_mut(&content) else { return false };
-        let is_return = *until > now;
-        *count -= 1;
-        if *count == 0 || !is_return {
-            self.expected.remove(&content);
-        }
+        let Some(expected) = self.expected.get_mut(&content) else { return false };
+        let is_return = expected.until > now && !expected.has_returned;
+        expected.has_returned = true;
         is_return
     }
 }
--- a/crates/relay/src/admission/service.rs
+++ b/crates/relay/src/admission/service.rs
@@ -181,6 +181,7 @@
         self.usual_cost += USUAL_COST_WEIGHT * (pass.cost - self.usual_cost);
         if !self.refusals.is_return(entry.content, now) {
             self.demands.record(class, pass.cost, now);
+            pass.counted_at = Some(now);
         }
         self.refresh(fleet, now);
         if self.division.grant(class).allocation <= 0.0 {
--- a/crates/relay/src/admission/service/tests.rs
+++ b/crates/relay/src/admission/service/tests.rs
@@ -7,7 +7,7 @@
     relay::content::Content,
 };
 
-use super::{Decision, Fleet, Observation, Service, kind};
+use super::{Decision, Fleet, Observation, Refused, Service, kind};
 use crate::{
     admission::{
         entry::{Entry, Supply},
@@ -103,6 +103,13 @@
     }
 }
 
+fn refused(decision: Decision) -> Option<Refused> {
+    match decision {
+        Decision::Refuse(refused) => Some(refused),
+        _ => None,
+    }
+}
+
 /// A team that was limited and is not any more while its request waits must not queue behind the
 /// flood of another one: its flow would be charged thousands of times its cost.
 #[test]
@@ -217,3 +224,41 @@
     let capacity = play.service.correction.capacity();
     assert!(capacity > 0.8, "{capacity}");
 }
+
+/// A flood of identical requests is as much demand as one of different ones.
+#[test]
+fn identical_requests_count_as_demand() {
+    let mut play = Play::new();
+    play.flood("large", 100);
+    for _ in 0..100 {
+        play.decide(&entry("large", 0));
+        play.step();
+    }
+    let (identical, mut play) = (play.pressure(), Play::new());
+    play.flood("large", 200);
+    let different = play.pressure();
+    assert!(identical > 0.9 * different, "{identical} of {different}");
+}
+
+/// A caller that returns seconds after its refusal comes on top of those that arrive now: what was
+/// counted of it is forgotten.
+#[test]
+fn late_return_counts_as_demand() {
+    let mut play = Play::new();
+    play.flood("large", 300);
+    let mut number = 1_000;
+    let refused_content = loop {
+        number += 1;
+        play.step();
+        if refused(play.decide(&entry("large", number))).is_some() {
+            break number;
+        }
+        assert!(number < 2_000, "one is refused");
+    };
+    let keys: Vec<_> = play.service.waiters.keys().copied().collect();
+    keys.into_iter().for_each(|key| play.service.cancel(key));
+    play.now += Duration::from_millis(2_500);
+    let before = play.pressure();
+    play.decide(&entry("large", refused_content));
+    assert!(play.pressure() > before + 0.1, "{} after {before}", play.pressure());
+}
--- a/crates/relay/src/admission/service/waiting.rs
+++ b/crates/relay/src/admission/service/waiting.rs
@@ -99,7 +99,9 @@
             Cause::Full => (refusal.retry_after_ms, 0),
         };
         let (after, spread) = self.refusals.record(pass.class, pass.cost, per_ms, refusal.retry_after_ms, now);
-        self.refusals.expect_return(content, after + spread, now);
+        if let Some(counted_at) = pass.counted_at {
+            self.refusals.expect_return(content, counted_at, now + after + spread, now);
+        }
         Refused {
             after,
             spread,
