Judge the run of a larger model by its own time

A run of another model than the first was compared with the first one's expected time to the first byte, so that every escalation looked like a long wait and lowered the assumed capacity, and its time was learned as that of the smaller model. The new test fails when the run is recorded as one of the first model.

--- a/crates/relay/src/admission/permit.rs
+++ b/crates/relay/src/admission/permit.rs
@@ -16,6 +16,8 @@
 pub(super) struct Pass {
     pub class: Class,
     pub content: Content,
+    /// Index of the model that is asked first.
+    pub model: Option<usize>,
     /// When the request was counted as demand, unless it is the return of a refused one.
     pub counted_at: Option<Duration>,
     /// Hash of the kind of its runs.
@@ -43,6 +45,7 @@
         Self {
             class,
             content: entry.content,
+            model: entry.model,
             counted_at: None,
             kind: service::kind(entry),
             priority: None,
@@ -80,6 +83,8 @@
 struct Run {
     started: Duration,
     wait_ms: Option<f64>,
+    /// Expected time to the first byte, if another model than the first one is asked.
+    other_first_byte_ms: Option<f64>,
 }
 
 /// What a run that has ended showed.
@@ -101,10 +106,18 @@
         self.pass.priority
     }
 
+    /// Returns the index of the model that the request was expected to ask.
+    #[must_use]
+    pub fn model(&self) -> Option<usize> {
+        self.pass.model
+    }
+
     /// Records that the request is sent to an endpoint; a further run is charged as well.
-    pub fn start_run(&mut self) {
+    /// `other_first_byte_ms` is the expected time to the first byte if the model is another one than
+    /// [`Permit::model`].
+    pub fn start_run(&mut self, other_first_byte_ms: Option<f64>) {
         self.abandon_run();
-        self.run = Some(Run { started: clock::now(), wait_ms: None });
+        self.run = Some(Run { started: clock::now(), wait_ms: None, other_first_byte_ms });
         self.runs += 1;
         if self.runs > 1 && self.pass.is_charged {
             let cost = self.pass.cost;
@@ -118,7 +131,7 @@
         let now = clock::now();
         let Some(run) = &mut self.run else { return };
         let took_ms = clock::millis(now.saturating_sub(run.started));
-        let expected_ms = self.pass.first_byte_ms;
+        let expected_ms = run.other_first_byte_ms.unwrap_or(self.pass.first_byte_ms);
         let wait_ms = (took_ms - expected_ms).max(0.0);
         run.wait_ms = Some(wait_ms);
         let usual_ms = self.pass.usual_wait_ms;
@@ -139,6 +152,9 @@
         let took_ms = clock::millis(clock::now().saturating_sub(run.started));
         let in_slot_ms = (took_ms - run.wait_ms.unwrap_or_default()).max(0.0);
         self.spent_ms += in_slot_ms;
+        if run.other_first_byte_ms.is_some() {
+            return;
+        }
         // A whole answer's wait is known only from the usual time of its run.
         let took_ms = if self.pass.is_whole { took_ms } else { in_slot_ms };
         let observation = Observation { kind: self.pass.kind, took_ms };
--- a/crates/relay/src/admission/service/tests.rs
+++ b/crates/relay/src/admission/service/tests.rs
@@ -1,6 +1,6 @@
 //! Decisions at one service, with the time as an argument and without a network.
 
-use std::time::Duration;
+use std::{sync::Arc, thread::sleep, time::Duration};
 
 use route::{
     admission::demand::{Class, Summary},
@@ -10,6 +10,7 @@
 use super::{Decision, Fleet, Observation, Refused, Service, kind};
 use crate::{
     admission::{
+        Gate, Permit,
         entry::{Entry, Supply},
         remote::Remote,
     },
@@ -262,3 +263,22 @@
     play.decide(&entry("large", refused_content));
     assert!(play.pressure() > before + 0.1, "{} after {before}", play.pressure());
 }
+
+/// A larger model that is asked after the first one takes longer to its first byte. That must not look
+/// like a wait at a full endpoint, nor its run like one of the smaller model.
+#[test]
+fn run_of_a_larger_model_is_judged_by_its_own_time() {
+    let (gate, service) = (Gate::new(1), short_hash("logbook"));
+    let mut play = Play::new();
+    let stream = Entry { is_whole: false, first_byte_ms: 5.0, target_time: Duration::from_millis(60), ..entry("a", 1) };
+    let Decision::Pass(pass) = play.decide(&stream) else { panic!("it passes") };
+    gate.lock().insert(service, play.service);
+    let mut permit = Permit::new(Arc::clone(&gate), service, pass);
+    permit.start_run(Some(10_000.0));
+    sleep(Duration::from_millis(40));
+    permit.record_first_byte();
+    permit.complete_run();
+    let services = gate.lock();
+    assert!(!services[&service].correction.is_late(), "no wait was seen");
+    assert!(services[&service].run_times.is_empty(), "no run time was learned");
+}
--- a/crates/relay/src/exchange/passage.rs
+++ b/crates/relay/src/exchange/passage.rs
@@ -50,9 +50,12 @@
         Ok(())
     }
 
-    /// Reports that the request is sent to an endpoint.
-    pub(super) fn start_run(&mut self) {
-        self.with_permit(Permit::start_run);
+    /// Reports that the request is sent to an endpoint to ask a model.
+    pub(super) fn start_run(&mut self, model: Option<usize>) {
+        let Some(permit) = &self.permit else { return };
+        let job = self.job(model);
+        let other_first_byte_ms = (job.model != permit.model()).then(|| self.dispatcher.expected_idle_ms(&job));
+        self.with_permit(|permit| permit.start_run(other_first_byte_ms));
     }
 
     /// Reports the first byte of an endpoint's answer.
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -47,7 +47,7 @@
             return Ok(Outcome::Withdrawn);
         }
         run.mark_sent(self.work.clone());
-        self.start_run();
+        self.start_run(model);
         if self.sent == 1 {
             self.dispatcher.record_first_dispatch(&self.service);
         }
