Charge forwarded runs

A request that was sent through another instance never counted as run, so its whole charge was given back when it ended. Its run starts when it is sent there, and is taken back if that instance has not run it. The permit is tested without a network; that the exchange reports it is not.

--- a/crates/relay/src/admission/permit.rs
+++ b/crates/relay/src/admission/permit.rs
@@ -126,6 +126,11 @@
         }
     }
 
+    /// Records that the request was not run where it was sent, for another reason than a full endpoint.
+    pub fn record_not_run(&mut self) {
+        self.run = None;
+    }
+
     /// Records the first byte of an answer.
     pub fn record_first_byte(&mut self) {
         let now = clock::now();
--- a/crates/relay/src/admission/service/tests.rs
+++ b/crates/relay/src/admission/service/tests.rs
@@ -12,6 +12,7 @@
     admission::{
         Gate, Permit,
         entry::{Entry, Supply},
+        permit::Pass,
         remote::Remote,
     },
     dispatcher::fleet::short_hash,
@@ -282,3 +283,36 @@
     assert!(!services[&service].correction.is_late(), "no wait was seen");
     assert!(services[&service].run_times.is_empty(), "no run time was learned");
 }
+
+/// Cost that is left for further requests of a limited team after one that ran for 40 ms, elsewhere or
+/// not at all, and that cost 100 ms in advance.
+fn charge_after_run(has_run: bool) -> f64 {
+    let (gate, service) = (Gate::new(1), short_hash("logbook"));
+    let mut play = Play::new();
+    let Decision::Pass(pass) = play.decide(&entry("a", 1)) else { panic!("it passes") };
+    play.service.charge(1_000.0);
+    let before = play.service.bucket.debt();
+    gate.lock().insert(service, play.service);
+    let mut permit = Permit::new(Arc::clone(&gate), service, Pass { is_charged: true, ..pass });
+    permit.start_run(None);
+    sleep(Duration::from_millis(40));
+    if !has_run {
+        permit.record_not_run();
+    }
+    drop(permit);
+    before - gate.lock()[&service].bucket.debt()
+}
+
+/// A request that is forwarded runs as long as any other one; the time until its end is charged.
+#[test]
+fn forwarded_run_is_charged() {
+    let returned = charge_after_run(true);
+    assert!((1.0..=61.0).contains(&returned), "{returned} of 100 were given back");
+}
+
+/// One that another instance has not run costs nothing.
+#[test]
+fn forwarded_request_that_did_not_run_costs_nothing() {
+    let returned = charge_after_run(false);
+    assert!((returned - 100.0).abs() < 1e-6, "{returned} of 100 were given back");
+}
--- a/crates/relay/src/exchange/forwarding.rs
+++ b/crates/relay/src/exchange/forwarding.rs
@@ -158,6 +158,7 @@
             Err(unreachable) => return Outcome::Unreachable(unreachable),
         };
         let request = self.forwarded_request(model, last_event);
+        self.start_run(model);
         // The deadline may pass and cancel this call, when the other instance may have sent the
         // request already.
         let ran_before = std::mem::replace(&mut self.may_have_run, true);
@@ -179,6 +180,7 @@
         };
         if matches!(outcome, Outcome::Unreachable(_) | Outcome::NotRun(_)) {
             self.may_have_run = ran_before;
+            self.record_not_run();
         } else {
             self.sent += 1;
         }
@@ -231,6 +233,7 @@
         };
         if is_refusal && status == StatusCode::SERVICE_UNAVAILABLE {
             self.may_have_run = ran_before;
+            self.record_not_run();
             // The other instance vouches for what it did itself, not for an earlier try here.
             if ran_before {
                 return NextStep::Refused(Refusal::Lost);
--- a/crates/relay/src/exchange/passage.rs
+++ b/crates/relay/src/exchange/passage.rs
@@ -58,6 +58,11 @@
         self.with_permit(|permit| permit.start_run(other_first_byte_ms));
     }
 
+    /// Reports that the instance to which the request was forwarded has not run it.
+    pub(super) fn record_not_run(&mut self) {
+        self.with_permit(Permit::record_not_run);
+    }
+
     /// Reports the first byte of an endpoint's answer.
     pub(super) fn record_first_byte(&mut self) {
         self.with_permit(Permit::record_first_byte);
