Tell slow classes the time until there is room

Retry-After was cut to 3 s whatever the request's deadline, so callers whose requests take longer returned only to be refused again. The bound is now the time that the caller gave the request, and at least 3 s. A part of the capacity of 0 counts as not known. The new test needs more than 4 s.

--- a/crates/relay/src/admission/permit.rs
+++ b/crates/relay/src/admission/permit.rs
@@ -18,6 +18,8 @@
     pub content: Content,
     /// Index of the model that is asked first.
     pub model: Option<usize>,
+    /// Time that was left until its deadline when it arrived.
+    pub left: Duration,
     /// When the request was counted as demand, unless it is the return of a refused one.
     pub counted_at: Option<Duration>,
     /// Hash of the kind of its runs.
@@ -46,6 +48,7 @@
             class,
             content: entry.content,
             model: entry.model,
+            left: entry.left,
             counted_at: None,
             kind: service::kind(entry),
             priority: None,
--- a/crates/relay/src/admission/refusals.rs
+++ b/crates/relay/src/admission/refusals.rs
@@ -13,8 +13,9 @@
 /// Time for which the demand of a request is measured. One that comes later counts again.
 const COUNTED_FOR: Duration = Duration::from_secs(1);
 
-/// Longest `Retry-After` before the spread.
-const MAX_AFTER: Duration = Duration::from_secs(3);
+/// Least upper bound of `Retry-After` before the spread, where the request's deadline is shorter. Callers
+/// with short deadlines send new requests, and some seconds are as far as shares are known.
+const MIN_MAX_AFTER: Duration = Duration::from_secs(3);
 
 /// Maximum number of refused requests that are recognized when they return.
 const MAX_EXPECTED: usize = 4_096;
@@ -42,12 +43,16 @@
 impl Refusals {
     /// Records a refusal and returns the time after which the caller should return and the time
     /// over which the returns are spread: that in which those refused lately can be served.
+    ///
+    /// `left` is the time that the caller gave the request. One that returns after more than that is
+    /// another request; demand then tells no more of its wait than at its arrival.
     pub fn record(
         &mut self,
         class: Class,
         cost: f64,
         per_ms: f64,
         after_ms: u64,
+        left: Duration,
         now: Duration,
     ) -> (Duration, Duration) {
         if self.refused.len() >= MAX_CLASSES {
@@ -57,7 +62,7 @@
         meter.add(cost, now);
         let spread_ms = meter.rate(now) * METERED_MS / per_ms.max(f64::MIN_POSITIVE);
         let spread = Duration::from_secs_f64((spread_ms / 1_000.0).min(MAX_SPREAD.as_secs_f64()));
-        (Duration::from_millis(after_ms).min(MAX_AFTER), spread)
+        (Duration::from_millis(after_ms).min(left.max(MIN_MAX_AFTER)), spread)
     }
 
     /// Expects a request that was counted at a time to return until another one.
--- a/crates/relay/src/admission/service/tests.rs
+++ b/crates/relay/src/admission/service/tests.rs
@@ -265,6 +265,30 @@
     assert!(play.pressure() > before + 0.1, "{} after {before}", play.pressure());
 }
 
+/// A class whose requests take seconds gets a `Retry-After` that is as long as the queue, since a
+/// caller that returns sooner is refused again.
+#[test]
+fn slow_class_is_told_the_time_until_there_is_room() {
+    let mut play = Play::new();
+    let slow = |number| Entry {
+        first_byte_ms: 15_000.0,
+        left: Duration::from_mins(1),
+        target_left: Duration::from_secs(50),
+        target_time: Duration::from_secs(50),
+        ..entry("large", number)
+    };
+    let told = (0..100).find_map(|number| {
+        play.step();
+        refused(play.decide(&slow(number)))
+    });
+    let told = told.expect("one is refused");
+    // A run under backlog is given 1.6 times its time and half of the usual wait.
+    let run = Duration::from_secs_f64(1.6 * (15.0 + 50.0 / 6.0 / 2.0));
+    let expected = (told.wait + run).saturating_sub(told.left);
+    assert!(expected > Duration::from_secs(4), "{told:?}");
+    assert!(told.after + Duration::from_millis(10) >= expected, "{told:?}, {expected:?} expected");
+}
+
 /// A larger model that is asked after the first one takes longer to its first byte. That must not look
 /// like a wait at a full endpoint, nor its run like one of the smaller model.
 #[test]
--- a/crates/relay/src/admission/service/waiting.rs
+++ b/crates/relay/src/admission/service/waiting.rs
@@ -93,12 +93,15 @@
     /// Returns what a refused request is told.
     fn refuse(&mut self, pass: Pass, content: Content, refusal: Refusal, now: Duration) -> Refused {
         let grant = self.division.grant(pass.class);
-        let per_ms = if grant.is_limited { grant.paced(self.correction.pace()) } else { self.per_ms };
+        let of_class = if grant.is_limited { grant.paced(self.correction.pace()) } else { 0.0 };
+        // The part of a class that has told no demand lately is not known.
+        let per_ms = if of_class > 0.0 { of_class } else { self.per_ms };
         let (wait_ms, left_ms) = match refusal.cause {
             Cause::Deadline { wait_ms, left_ms } => (wait_ms, left_ms),
             Cause::Full => (refusal.retry_after_ms, 0),
         };
-        let (after, spread) = self.refusals.record(pass.class, pass.cost, per_ms, refusal.retry_after_ms, now);
+        let (after, spread) =
+            self.refusals.record(pass.class, pass.cost, per_ms, refusal.retry_after_ms, pass.left, now);
         if let Some(counted_at) = pass.counted_at {
             self.refusals.expect_return(content, counted_at, now + after + spread, now);
         }
