Count an answer past the caller's deadline as worth nothing

A deadline shorter than the target time left an answer past it with its full value, as the target was looked at first. The new test fails without the change. The outlook of a further run (exchange::plan) looks at the target first as well, and is left to its own change.

--- a/crates/route/src/relay/ladder/value.rs
+++ b/crates/route/src/relay/ladder/value.rs
@@ -162,7 +162,10 @@
 
 /// Returns the part of its value that an answer at a relative time has.
 fn time_value(time: f64, deadline: f64) -> f64 {
-    if time <= MAX_IN_TIME {
+    if time >= deadline {
+        // A deadline may end before the target time.
+        0.0
+    } else if time <= MAX_IN_TIME {
         1.0
     } else if time <= MAX_OF_DEADLINE * deadline {
         LATE_VALUE
--- a/crates/route/tests/relay/ladder_values.rs
+++ b/crates/route/tests/relay/ladder_values.rs
@@ -223,6 +223,15 @@
     assert_eq!(start.model, 1);
 }
 
+/// A caller may allow less than the target time. An answer in time for the target is then worth nothing.
+#[test]
+fn deadline_before_the_target_time_counts() {
+    let times = [0.1, 0.3, 0.6].map(|time| RelativeTime { idle: time, now: time });
+    let start = |deadline| first_model(SINGLE, &times, deadline, &worth(DEAR, 0.0)).model;
+    assert_eq!(start(FAR), 2);
+    assert_eq!(start(0.5), 1);
+}
+
 /// A request whose prices are unknown or zero must still get an answer.
 #[test]
 fn free_models_are_escalated_at_any_doubt() {
