Learn hardly anything from waits of a lasting overload

Before enough calm runs, the estimate of a run's time followed the waits at endpoints by 1% a run, from 100 to 212 ms within 2 s of a play, and a team that asked for just its share was limited. Above the capacity it now follows by 0.1%.

--- a/crates/route/src/admission/capacity.rs
+++ b/crates/route/src/admission/capacity.rs
@@ -22,10 +22,13 @@
 /// an overload may have waited for longer than they ran.
 const WEIGHT_BELOW: f64 = 0.5;
 
-/// Weight of a run that took longer, while the mean is not known. Nearly all of the excess is a
-/// wait at its endpoint, which must not look like work.
+/// Weight of a run that took longer, while the mean is not known.
 const WEIGHT_ABOVE: f64 = 0.01;
 
+/// The same above the capacity. Nearly all of the excess is a wait at its endpoint, which must not look
+/// like work: after some hundred runs, a team that asks for just its share would seem to ask for more.
+const CROWDED_WEIGHT_ABOVE: f64 = 0.001;
+
 /// Decrease of the assumed capacity, as a power of e per second, while waits are at the upper bound
 /// of what is corrected. An error by half is corrected in some four seconds. Faster, the queues
 /// that the first moments of an overload leave at endpoints would look like a lack of capacity.
@@ -114,7 +117,12 @@
     /// Records the time of a run.
     pub fn observe(&mut self, took_ms: f64, load: RunLoad) {
         let shortest_ms = self.shortest_ms.get_or_insert(took_ms);
-        *shortest_ms += if took_ms < *shortest_ms { WEIGHT_BELOW } else { WEIGHT_ABOVE } * (took_ms - *shortest_ms);
+        let weight = match load {
+            _ if took_ms < *shortest_ms => WEIGHT_BELOW,
+            RunLoad::Crowded => CROWDED_WEIGHT_ABOVE,
+            RunLoad::Calm | RunLoad::Late => WEIGHT_ABOVE,
+        };
+        *shortest_ms += weight * (took_ms - *shortest_ms);
         match load {
             RunLoad::Calm => {
                 self.calm_runs += 1.0;
--- a/crates/route/tests/shares.rs
+++ b/crates/route/tests/shares.rs
@@ -306,3 +306,13 @@
     (0..1_000).for_each(|_| run_time.observe(200.0, RunLoad::Late));
     assert!(run_time.get().is_some_and(|ms| ms > 190.0), "{run_time:?}");
 }
+
+/// In an overload that lasts from the first run on, every run waits at its endpoint. The estimate must not
+/// follow the waits, or teams within their shares look as if they asked for more.
+#[test]
+fn waits_of_a_lasting_overload_are_not_learned() {
+    let mut run_time = RunTime::default();
+    run_time.observe(100.0, RunLoad::Crowded);
+    (0..200).for_each(|_| run_time.observe(180.0, RunLoad::Crowded));
+    assert!(run_time.get().is_some_and(|ms| ms < 125.0), "{run_time:?}");
+}
