Divide and queue without a pass over all classes and requests

Each division looked at every class for every team, and each arrival at a paced queue summed up the costs of all that wait. Classes are grouped by team once, and the queue keeps the sum. Not measured yet; the shared lock and the sums over instances remain.

--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -17,9 +17,10 @@
 mod flow;
 mod order;
 mod rate;
+mod refusal;
 pub mod share;
 
-use std::{collections::HashMap, fmt};
+use std::collections::HashMap;
 
 use slotmap::SlotMap;
 use world::{Millis, Timestamp, contract::Customer};
@@ -28,6 +29,8 @@
 use order::Fit;
 pub use order::{Order, Pace};
 use rate::CompletionRate;
+use refusal::refusal;
+pub use refusal::{Cause, Refusal};
 
 slotmap::new_key_type! {
     /// Key of a waiting request in a [`Queue`].
@@ -38,12 +41,6 @@
 const MAX_WAITING_REQUESTS: usize = 10_000;
 /// Number of customers at which idle ones are removed from a queue.
 const MIN_FLOWS_FOR_CLEANUP: usize = 256;
-/// Minimum retry time of a refused request, in milliseconds.
-const MIN_RETRY_MS: Millis = 100;
-/// Divisor of a retry time that gives the maximum delay added to it. The delay differs
-/// between requests, so that callers refused at the same time don't retry at the same
-/// time.
-const RETRY_SPREAD_DIVISOR: u64 = 4;
 /// Time that must be left until the deadline under backlog, in percent of the expected
 /// duration of the run.
 const BACKLOG_RUN_PERCENT: u64 = 160;
@@ -85,44 +82,6 @@
     pub run_ms: Millis,
 }
 
-/// Refusal of a request. The request has not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Refusal {
-    /// Cause of the refusal.
-    pub cause: Cause,
-    /// Time after which to retry, in milliseconds.
-    pub retry_after_ms: Millis,
-}
-
-/// Cause of a refusal.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Cause {
-    /// The request would not finish by its deadline.
-    Deadline {
-        /// Expected time in the queue, in milliseconds.
-        wait_ms: Millis,
-        /// Time left until the deadline, in milliseconds.
-        left_ms: Millis,
-    },
-    /// Too many requests are waiting.
-    Full,
-}
-
-impl fmt::Display for Refusal {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.cause {
-            Cause::Deadline { wait_ms, left_ms } => write!(
-                f,
-                "would wait {wait_ms} ms and has {left_ms} ms left; come back in {} ms or allow more time",
-                self.retry_after_ms
-            ),
-            Cause::Full => write!(f, "too many requests wait; come back in {} ms", self.retry_after_ms),
-        }
-    }
-}
-
-impl std::error::Error for Refusal {}
-
 /// A waiting request.
 #[derive(Debug)]
 struct WaitingRequest {
@@ -143,6 +102,8 @@
     running: u32,
     flows: HashMap<Customer, Flow>,
     waiting: SlotMap<Key, WaitingRequest>,
+    /// Sum of the costs of the waiting requests.
+    waiting_cost: f64,
     virtual_time: f64,
     rate: CompletionRate,
 }
@@ -157,6 +118,7 @@
             running: 0,
             flows: HashMap::new(),
             waiting: SlotMap::with_key(),
+            waiting_cost: 0.0,
             virtual_time: 0.0,
             rate: CompletionRate::default(),
         }
@@ -227,6 +189,7 @@
             order,
         };
         let key = self.waiting.insert(waiting);
+        self.waiting_cost += order.cost;
         if self.flows.len() >= MIN_FLOWS_FOR_CLEANUP {
             let virtual_time = self.virtual_time;
             self.flows.retain(|_, flow| {
@@ -253,7 +216,7 @@
         let (customer, start, key) = candidates.min_by(|(a, x, _), (b, y, _)| x.total_cmp(y).then(a.cmp(b)))?;
 
         let customer = customer.clone();
-        let waiting = self.waiting.remove(key)?;
+        let waiting = self.take(key)?;
         let flow = self.flows.get_mut(&customer)?;
         self.virtual_time = self.virtual_time.max(start);
         flow.count_passes(key);
@@ -278,13 +241,21 @@
     /// Removes a waiting request whose caller has disconnected. Returns false if it is
     /// no longer in the queue.
     pub fn cancel(&mut self, key: Key) -> bool {
-        let Some(waiting) = self.waiting.remove(key) else { return false };
+        let Some(waiting) = self.take(key) else { return false };
         if let Some(flow) = self.flows.get_mut(&waiting.customer) {
             flow.remove(place(waiting.deadline, waiting.order, key));
         }
         true
     }
 
+    /// Removes a waiting request, but not its place among those of its customer.
+    fn take(&mut self, key: Key) -> Option<WaitingRequest> {
+        let waiting = self.waiting.remove(key)?;
+        // Rounding errors must not outlast the requests.
+        self.waiting_cost = if self.waiting.is_empty() { 0.0 } else { self.waiting_cost - waiting.order.cost };
+        Some(waiting)
+    }
+
     /// Removes and returns all requests that can no longer meet their deadline.
     ///
     /// A request with an earlier deadline may have overtaken them, or runs may have
@@ -335,8 +306,7 @@
         let here = place(ticket.deadline, order, Key::default());
         let flow = self.flows.get(ticket.customer);
         let ahead = flow.map_or(0.0, |flow| flow.cost_ahead(here, cost));
-        let all: f64 = self.waiting.values().map(|w| w.order.cost).sum();
-        let by_share = (ahead * (own_weight + other_weights) / own_weight).min(all);
+        let by_share = (ahead * (own_weight + other_weights) / own_weight).min(self.waiting_cost);
         let by_rank = flow.map_or(0.0, |flow| flow.cost_of_rank(order.rank, cost));
         let by_rank_ms = order.rank_per_ms.map_or(0.0, |per_ms| by_rank / per_ms.max(f64::MIN_POSITIVE));
         to_millis(((by_share + pace.debt) / pace.per_ms.max(f64::MIN_POSITIVE)).max(by_rank_ms))
@@ -390,9 +360,3 @@
 fn to_millis(millis: f64) -> Millis {
     millis.clamp(0.0, 1e12).ceil() as Millis
 }
-
-fn refusal(cause: Cause, after_ms: Millis, draw: u64) -> Refusal {
-    let after_ms = after_ms.max(MIN_RETRY_MS);
-    let spread = draw % (after_ms / RETRY_SPREAD_DIVISOR + 1);
-    Refusal { cause, retry_after_ms: after_ms + spread }
-}
--- a/crates/route/src/admission/share.rs
+++ b/crates/route/src/admission/share.rs
@@ -109,12 +109,13 @@
 /// Divides `capacity`, as a fraction of the service, among the teams that demand it.
 #[must_use]
 pub fn divide(capacity: f64, demands: &[Demand], unnamed: Unnamed) -> Division {
-    let mut totals: BTreeMap<u32, f64> = BTreeMap::new();
+    let mut by_team: BTreeMap<u32, Vec<&Demand>> = BTreeMap::new();
     for demand in demands {
-        *totals.entry(demand.class.team).or_default() += demand.own + demand.others;
+        by_team.entry(demand.class.team).or_default().push(demand);
     }
+    let total = |of_team: &[&Demand]| of_team.iter().map(|demand| demand.own + demand.others).sum();
     let mut teams: Vec<Team> =
-        totals.iter().map(|(id, demand)| Team { id: Some(*id), count: 1.0, demand: *demand }).collect();
+        by_team.iter().map(|(id, of_team)| Team { id: Some(*id), count: 1.0, demand: total(of_team) }).collect();
     if unnamed.teams > 0 {
         let count = f64::from(unnamed.teams);
         teams.push(Team { id: None, count, demand: unnamed.demand / count });
@@ -122,8 +123,8 @@
     let demand = teams.iter().map(|team| team.demand * team.count).sum();
     let shares = shares(capacity, teams);
     let mut grants = BTreeMap::new();
-    for (id, total) in totals {
-        let of_team: Vec<&Demand> = demands.iter().filter(|demand| demand.class.team == id).collect();
+    for (id, of_team) in by_team {
+        let total: f64 = total(&of_team);
         let share = shares.get(&id).copied();
         let is_team_over = share.is_some_and(|share| share < total);
         for (demand, part) in rank_parts(share.unwrap_or(total).min(total), &of_team) {
