--- a/crates/relay/src/admission/service.rs
+++ b/crates/relay/src/admission/service.rs
@@ -346,11 +346,24 @@
     }
 
     pub fn record_wait(&mut self, wait_ms: f64, usual_ms: f64, now: Duration) {
-        self.correction.record_wait(wait_ms, usual_ms, self.division.is_limiting(), now);
+        if self.is_held_back_elsewhere() {
+            self.correction.record_wait_of_others(wait_ms, usual_ms, now);
+        } else {
+            self.correction.record_wait(wait_ms, usual_ms, self.division.is_limiting(), now);
+        }
     }
 
     pub fn record_rejection(&mut self, now: Duration) {
-        self.correction.record_rejection(now);
+        if self.is_held_back_elsewhere() {
+            self.correction.record_wait_of_others(f64::INFINITY, 1.0, now);
+        } else {
+            self.correction.record_rejection(now);
+        }
+    }
+
+    /// Whether teams are limited, but none that asks for anything here.
+    fn is_held_back_elsewhere(&self) -> bool {
+        self.division.is_limiting() && self.division.limited_rate(1.0) <= 0.0
     }
 
     pub fn record_run(&mut self, observation: Observation) {
--- a/crates/relay/src/admission/service/tests.rs
+++ b/crates/relay/src/admission/service/tests.rs
@@ -356,3 +356,23 @@
     permit.complete_run();
     assert!(gate.lock()[&service].run_times.is_empty(), "no run time was learned");
 }
+
+/// The waits that another instance's flood causes must not lower the capacity that is assumed here, or
+/// a team that asks for just its share is limited. The flood is held back where it comes from.
+#[test]
+fn waits_of_a_flood_elsewhere_do_not_lower_the_capacity() {
+    let mut play = Play::with(Supply { slots: 20.0, engines: 20.0 });
+    let mut passed = 0;
+    for step in 0..400 {
+        if step % 25 == 0 {
+            play.tell("other", 2.5);
+        }
+        if let (_, Decision::Pass(pass)) = play.send("small") {
+            passed += 1;
+            play.service.record_wait(150.0, pass.usual_wait_ms, play.now);
+        }
+        play.step();
+    }
+    assert!(play.service.correction.capacity() > 0.9, "{}", play.service.correction.capacity());
+    assert!(passed >= 396, "{passed} of 400 passed");
+}
--- a/crates/route/src/admission/capacity.rs
+++ b/crates/route/src/admission/capacity.rs
@@ -173,6 +173,16 @@
         self.scale(-step);
     }
 
+    /// Records a wait, or a rejection as the longest one, while requests are held back at other instances
+    /// only. They see the same waits and can shorten them; here, a lower capacity would only hold back
+    /// teams within their shares.
+    pub fn record_wait_of_others(&mut self, wait_ms: f64, usual_ms: f64, now: Duration) {
+        let excess = ((wait_ms - usual_ms) / usual_ms.max(1.0)).clamp(-1.0, 1.0);
+        let step = self.step(now);
+        self.excess += EXCESS_WEIGHT * (excess - self.excess);
+        self.factor += (1.0 - self.factor) * (step / RETURN_S).min(1.0);
+    }
+
     /// Returns the assumed capacity as a fraction of the declared one.
     #[must_use]
     pub fn capacity(&self) -> f64 {
