--- a/crates/relay/src/admission/service/tests.rs
+++ b/crates/relay/src/admission/service/tests.rs
@@ -105,9 +105,9 @@
     }
 }
 
-fn refused(decision: Decision) -> Option<Refused> {
+fn refused(decision: &Decision) -> Option<Refused> {
     match decision {
-        Decision::Refuse(refused) => Some(refused),
+        Decision::Refuse(refused) => Some(*refused),
         _ => None,
     }
 }
@@ -252,13 +252,15 @@
     let refused_content = loop {
         number += 1;
         play.step();
-        if refused(play.decide(&entry("large", number))).is_some() {
+        if refused(&play.decide(&entry("large", number))).is_some() {
             break number;
         }
         assert!(number < 2_000, "one is refused");
     };
     let keys: Vec<_> = play.service.waiters.keys().copied().collect();
-    keys.into_iter().for_each(|key| play.service.cancel(key));
+    for key in keys {
+        play.service.cancel(key);
+    }
     play.now += Duration::from_millis(2_500);
     let before = play.pressure();
     play.decide(&entry("large", refused_content));
@@ -279,7 +281,7 @@
     };
     let told = (0..100).find_map(|number| {
         play.step();
-        refused(play.decide(&slow(number)))
+        refused(&play.decide(&slow(number)))
     });
     let told = told.expect("one is refused");
     // A run under backlog is given 1.6 times its time and half of the usual wait.
