--- a/crates/relay/src/admission/permit.rs
+++ b/crates/relay/src/admission/permit.rs
@@ -16,6 +16,12 @@
 pub(super) struct Pass {
     pub class: Class,
     pub content: Content,
+    /// Index of the model that is asked first.
+    pub model: Option<usize>,
+    /// Time that was left until its deadline when it arrived.
+    pub left: Duration,
+    /// When the request was counted as demand, unless it is the return of a refused one.
+    pub counted_at: Option<Duration>,
     /// Hash of the kind of its runs.
     pub kind: u32,
     /// Priority for engines, if it is not the request's rank.
@@ -41,6 +47,9 @@
         Self {
             class,
             content: entry.content,
+            model: entry.model,
+            left: entry.left,
+            counted_at: None,
             kind: service::kind(entry),
             priority: None,
             is_charged: false,
@@ -70,6 +79,9 @@
     spent_ms: f64,
     /// Whether a full endpoint has rejected a run.
     is_rejected: bool,
+    /// Whether a run was started while it was open how the one before would end. The next answer may
+    /// be that of either, so it shows no times.
+    has_overlap: bool,
 }
 
 /// A run in progress.
@@ -77,6 +89,8 @@
 struct Run {
     started: Duration,
     wait_ms: Option<f64>,
+    /// Expected time to the first byte, if another model than the first one is asked.
+    other_first_byte_ms: Option<f64>,
 }
 
 /// What a run that has ended showed.
@@ -89,7 +103,7 @@
 impl Permit {
     pub(super) fn new(gate: Arc<Gate>, service: u32, pass: Pass) -> Self {
         let charged = if pass.is_charged { pass.cost } else { 0.0 };
-        Self { gate, service, pass, charged, run: None, runs: 0, spent_ms: 0.0, is_rejected: false }
+        Self { gate, service, pass, charged, run: None, runs: 0, spent_ms: 0.0, is_rejected: false, has_overlap: false }
     }
 
     /// Returns the priority for engines, if it is not the request's rank.
@@ -98,10 +112,19 @@
         self.pass.priority
     }
 
+    /// Returns the index of the model that the request was expected to ask.
+    #[must_use]
+    pub fn model(&self) -> Option<usize> {
+        self.pass.model
+    }
+
     /// Records that the request is sent to an endpoint; a further run is charged as well.
-    pub fn start_run(&mut self) {
+    /// `other_first_byte_ms` is the expected time to the first byte if the model is another one than
+    /// [`Permit::model`].
+    pub fn start_run(&mut self, other_first_byte_ms: Option<f64>) {
+        self.has_overlap |= self.run.is_some();
         self.abandon_run();
-        self.run = Some(Run { started: clock::now(), wait_ms: None });
+        self.run = Some(Run { started: clock::now(), wait_ms: None, other_first_byte_ms });
         self.runs += 1;
         if self.runs > 1 && self.pass.is_charged {
             let cost = self.pass.cost;
@@ -110,12 +133,20 @@
         }
     }
 
+    /// Records that the request was not run where it was sent, for another reason than a full endpoint.
+    pub fn record_not_run(&mut self) {
+        self.run = None;
+    }
+
     /// Records the first byte of an answer.
     pub fn record_first_byte(&mut self) {
         let now = clock::now();
         let Some(run) = &mut self.run else { return };
+        if self.has_overlap {
+            return;
+        }
         let took_ms = clock::millis(now.saturating_sub(run.started));
-        let expected_ms = self.pass.first_byte_ms;
+        let expected_ms = run.other_first_byte_ms.unwrap_or(self.pass.first_byte_ms);
         let wait_ms = (took_ms - expected_ms).max(0.0);
         run.wait_ms = Some(wait_ms);
         let usual_ms = self.pass.usual_wait_ms;
@@ -136,6 +167,9 @@
         let took_ms = clock::millis(clock::now().saturating_sub(run.started));
         let in_slot_ms = (took_ms - run.wait_ms.unwrap_or_default()).max(0.0);
         self.spent_ms += in_slot_ms;
+        if self.has_overlap || run.other_first_byte_ms.is_some() {
+            return;
+        }
         // A whole answer's wait is known only from the usual time of its run.
         let took_ms = if self.pass.is_whole { took_ms } else { in_slot_ms };
         let observation = Observation { kind: self.pass.kind, took_ms };
--- a/crates/relay/src/admission/service.rs
+++ b/crates/relay/src/admission/service.rs
@@ -1,6 +1,8 @@
 //! State of admission at one service.
 
 mod preview;
+#[cfg(test)]
+mod tests;
 mod waiting;
 
 use std::{
@@ -11,8 +13,8 @@
 use route::admission::{
     Key, Queue,
     bucket::Bucket,
-    capacity::{Correction, RunTime},
-    demand::{Class, Demands, Smoothed, Summary},
+    capacity::{Correction, RunLoad, RunTime},
+    demand::{Class, DECAY_MS, Demands, Smoothed, Summary},
     share::{self, Demand, Division, Grant},
 };
 use tokio::sync::oneshot;
@@ -100,6 +102,13 @@
     pass: Pass,
 }
 
+/// Waiting requests of a class.
+#[derive(Debug, Clone, Default)]
+struct WaitingOfClass {
+    count: usize,
+    cost: f64,
+}
+
 #[derive(Debug, Clone)]
 pub(super) struct Service {
     name: String,
@@ -119,7 +128,7 @@
     per_ms: f64,
     queue: Queue,
     waiters: HashMap<Key, Waiter>,
-    waiting_by_class: BTreeMap<Class, usize>,
+    waiting_by_class: BTreeMap<Class, WaitingOfClass>,
     refusals: Refusals,
     is_driven: bool,
 }
@@ -173,17 +182,25 @@
         self.usual_cost += USUAL_COST_WEIGHT * (pass.cost - self.usual_cost);
         if !self.refusals.is_return(entry.content, now) {
             self.demands.record(class, pass.cost, now);
+            pass.counted_at = Some(now);
         }
         self.refresh(fleet, now);
+        if self.division.grant(class).allocation <= 0.0 {
+            // The last division did not know of its demand here.
+            self.divide(fleet, now);
+        }
         let grant = self.division.grant(class);
         pass.priority = self.priority(class, grant);
         let is_waiting = self.waiting_by_class.contains_key(&class);
-        if entry.is_resumption || !(grant.is_limited || is_waiting) {
-            pass.is_charged = grant.is_limited;
+        if !grant.is_limited && !is_waiting {
             return self.pass(pass, now);
         }
         pass.is_charged = true;
         self.bucket.refill(now);
+        // The caller has a part of the answer already. Any caller may claim so, within bounds.
+        if entry.is_resumption && self.bucket.debt() < self.bucket.depth() {
+            return self.pass(pass, now);
+        }
         if self.waiters.is_empty() && self.bucket.may_start() {
             return self.pass(pass, now);
         }
@@ -202,12 +219,27 @@
 
     /// Divides the capacity anew if the last division is out of date.
     fn refresh(&mut self, fleet: Fleet, now: Duration) {
-        if now < self.divided_at + DIVISION_AGE {
-            return;
+        if now >= self.divided_at + DIVISION_AGE {
+            self.divide(fleet, now);
+        }
+    }
+
+    /// Returns the demand of this instance's callers by class. A request that waits counts as one that
+    /// has just arrived: once arrivals stop, those that wait would otherwise get ever less.
+    fn own_demands(&mut self, now: Duration) -> BTreeMap<Class, f64> {
+        let mut demands = self.demands.current(now);
+        for (class, waiting) in &self.waiting_by_class {
+            let demand = demands.entry(*class).or_default();
+            *demand = demand.max(waiting.cost / DECAY_MS);
         }
+        demands
+    }
+
+    /// Divides the capacity.
+    fn divide(&mut self, fleet: Fleet, now: Duration) {
         self.divided_at = now;
         self.remotes.update(now);
-        let own = self.demands.current(now);
+        let own = self.own_demands(now);
         let silent = fleet.instances.saturating_sub(1 + self.remotes.len());
         let silent = if fleet.is_starting { as_f64(silent) } else { 0.0 };
         let mut demands: BTreeMap<Class, Demand> = BTreeMap::new();
@@ -226,13 +258,16 @@
         let total = demands.iter().map(|demand| demand.own + demand.others).sum::<f64>() + self.remotes.unnamed.demand;
         let capacity = self.correction.capacity_for(total);
         self.division = share::divide(capacity, &demands, self.remotes.unnamed);
-        let mut rate = self.division.limited_rate(self.correction.pace());
+        // Requests that wait although their class is not limited any more are served at the rate of
+        // its demand.
+        let is_unlimited = |class: &&Class| !self.division.grant(**class).is_limited;
+        let unlimited = self.waiting_by_class.keys().filter(is_unlimited).filter_map(|class| own.get(class));
+        let mut rate = self.division.limited_rate(self.correction.pace()) + unlimited.sum::<f64>();
         if !self.division.is_limiting() {
             // What waits since an overload is served besides what arrives now.
-            let arriving: f64 = self.waiting_by_class.keys().filter_map(|class| own.get(class)).sum();
             let own_part = own.values().sum::<f64>() / self.division.demand.max(f64::MIN_POSITIVE);
             let left = (capacity - self.division.demand).max(MIN_DRAIN_RATE * capacity);
-            rate = arriving + left * own_part.min(1.0);
+            rate += left * own_part.min(1.0);
         }
         self.per_ms = rate;
         self.bucket.update(rate, self.usual_cost, now);
@@ -258,12 +293,14 @@
         let first_byte_ms = if entry.is_whole { run_ms } else { entry.first_byte_ms };
         let run_ms = run_ms.max(first_byte_ms);
         let slot_cost = 1.0 / supply.slots;
-        let prompt_cost = entry.prompt_ms / supply.engines.max(1.0);
+        // Callers state the lengths of their prompts. A run that takes longer than is left ends with it.
+        let left_ms = clock::millis(entry.left);
+        let prompt_cost = entry.prompt_ms.min(left_ms) / supply.engines.max(1.0);
         let usual_wait_ms = (clock::millis(entry.target_time) * USUAL_WAIT_OF_TARGET).min(run_ms * USUAL_WAIT_OF_RUN);
         Pass {
             kind,
             run_ms,
-            cost: (run_ms * slot_cost).max(prompt_cost),
+            cost: (run_ms.min(left_ms) * slot_cost).max(prompt_cost),
             slot_cost,
             prompt_cost,
             first_byte_ms,
@@ -287,7 +324,7 @@
     /// fraction of its capacity.
     pub fn summary(&mut self, fleet: Fleet, told_above: f64, now: Duration) -> Option<Summary> {
         let pressure = self.pressure(fleet, now);
-        let summary = Summary::new(&self.demands.current(now));
+        let summary = Summary::new(&self.own_demands(now));
         let own = summary.total();
         // Before the others tell anything, each may see only its own small part.
         let in_proportion = own * as_f64(fleet.instances) / self.correction.capacity().max(f64::MIN_POSITIVE);
@@ -310,21 +347,38 @@
     }
 
     pub fn record_wait(&mut self, wait_ms: f64, usual_ms: f64, now: Duration) {
-        self.correction.record_wait(wait_ms, usual_ms, self.division.is_limiting(), now);
+        if self.is_held_back_elsewhere() {
+            self.correction.record_wait_of_others(wait_ms, usual_ms, now);
+        } else {
+            self.correction.record_wait(wait_ms, usual_ms, self.division.is_limiting(), now);
+        }
     }
 
     pub fn record_rejection(&mut self, now: Duration) {
-        self.correction.record_rejection(now);
+        if self.is_held_back_elsewhere() {
+            self.correction.record_wait_of_others(f64::INFINITY, 1.0, now);
+        } else {
+            self.correction.record_rejection(now);
+        }
+    }
+
+    /// Whether teams are limited, but none that asks for anything here.
+    fn is_held_back_elsewhere(&self) -> bool {
+        self.division.is_limiting() && self.division.limited_rate(1.0) <= 0.0
     }
 
     pub fn record_run(&mut self, observation: Observation) {
         let Observation { kind, took_ms } = observation;
-        let is_busy = self.division.demand > CROWDED_ABOVE * self.correction.capacity();
-        let is_crowded = is_busy || self.correction.is_late();
+        // Late runs lower the assumed capacity, so it does not show whether they wait for others.
+        let load = match self.correction.is_late() {
+            true if self.division.demand <= CROWDED_ABOVE => RunLoad::Late,
+            false if self.division.demand <= CROWDED_ABOVE * self.correction.capacity() => RunLoad::Calm,
+            _ => RunLoad::Crowded,
+        };
         if self.run_times.len() >= MAX_KINDS && !self.run_times.contains_key(&kind) {
             self.run_times.clear();
         }
-        self.run_times.entry(kind).or_default().observe(took_ms, is_crowded);
+        self.run_times.entry(kind).or_default().observe(took_ms, load);
     }
 }
 
--- a/crates/relay/src/admission/service/waiting.rs
+++ b/crates/relay/src/admission/service/waiting.rs
@@ -50,9 +50,11 @@
         // place of one that could be served in time.
         let is_over = self.division.demand > DRAINING_BELOW * self.correction.capacity();
         let early = at.plus(whole_millis(clock::millis(entry.target_left) * QUEUED_PART_OF_TARGET));
-        let can_be_early = early.since(at) > whole_millis(run_ms * MIN_RUNS_UNTIL_TARGET);
+        let can_be_early = !entry.is_resumption && early.since(at) > whole_millis(run_ms * MIN_RUNS_UNTIL_TARGET);
         let latest_end = (is_over && can_be_early && target < deadline).then_some(early);
-        let allocation = if grant.is_limited { self.division.limited_allocation(class.team) } else { 0.0 };
+        // A class that is no longer limited may still queue behind its own requests; with less weight
+        // than its demand, its team would wait for the queues of all others.
+        let allocation = self.division.limited_allocation(class.team).max(grant.allocation);
         let ticket = Ticket {
             customer: &customer,
             weight: u32::try_from(whole_millis(allocation * WEIGHT_SCALE)).unwrap_or(u32::MAX),
@@ -61,12 +63,14 @@
             draw: 0,
         };
         let order = Order {
-            rank: class.rank,
+            // Its caller has waited before.
+            rank: if entry.is_resumption { 0 } else { class.rank },
             target: Some(target),
             latest_end,
             size: whole_millis(pass.cost * 1_000.0),
             cost: pass.cost,
-            rank_per_ms: grant.is_limited.then_some(grant.paced(self.correction.pace().min(1.0))),
+            rank_per_ms: (grant.is_limited && !entry.is_resumption)
+                .then_some(grant.paced(self.correction.pace().min(1.0))),
         };
         self.queue.set_pace(Pace { per_ms: self.per_ms, debt: self.bucket.debt() });
         match self.queue.offer_ordered(&ticket, order, at) {
@@ -77,7 +81,9 @@
             Ok(key) => {
                 let (reply, receiver) = oneshot::channel();
                 self.waiters.insert(key, Waiter { reply, pass });
-                *self.waiting_by_class.entry(class).or_default() += 1;
+                let waiting = self.waiting_by_class.entry(class).or_default();
+                waiting.count += 1;
+                waiting.cost += pass.cost;
                 let needs_driver = !std::mem::replace(&mut self.is_driven, true);
                 Decision::Wait { key, receiver, needs_driver }
             }
@@ -87,13 +93,18 @@
     /// Returns what a refused request is told.
     fn refuse(&mut self, pass: Pass, content: Content, refusal: Refusal, now: Duration) -> Refused {
         let grant = self.division.grant(pass.class);
-        let per_ms = if grant.is_limited { grant.paced(self.correction.pace()) } else { self.per_ms };
+        let of_class = if grant.is_limited { grant.paced(self.correction.pace()) } else { 0.0 };
+        // The part of a class that has told no demand lately is not known.
+        let per_ms = if of_class > 0.0 { of_class } else { self.per_ms };
         let (wait_ms, left_ms) = match refusal.cause {
             Cause::Deadline { wait_ms, left_ms } => (wait_ms, left_ms),
             Cause::Full => (refusal.retry_after_ms, 0),
         };
-        let (after, spread) = self.refusals.record(pass.class, pass.cost, per_ms, refusal.retry_after_ms, now);
-        self.refusals.expect_return(content, after + spread, now);
+        let (after, spread) =
+            self.refusals.record(pass.class, pass.cost, per_ms, refusal.retry_after_ms, pass.left, now);
+        if let Some(counted_at) = pass.counted_at {
+            self.refusals.expect_return(content, counted_at, now + after + spread, now);
+        }
         Refused {
             after,
             spread,
@@ -139,9 +150,10 @@
 
     fn take_waiter(&mut self, key: Key) -> Option<Waiter> {
         let waiter = self.waiters.remove(&key)?;
-        if let Some(count) = self.waiting_by_class.get_mut(&waiter.pass.class) {
-            *count -= 1;
-            if *count == 0 {
+        if let Some(waiting) = self.waiting_by_class.get_mut(&waiter.pass.class) {
+            waiting.count -= 1;
+            waiting.cost -= waiter.pass.cost;
+            if waiting.count == 0 {
                 self.waiting_by_class.remove(&waiter.pass.class);
             }
         }
--- a/crates/relay/src/exchange/explain.rs
+++ b/crates/relay/src/exchange/explain.rs
@@ -94,7 +94,7 @@
         let basis = self.model_basis();
         let model = self.start_model();
         outlook.model = Some((model, basis));
-        let selected = self.select_service();
+        let selected = self.select_service(model);
         outlook.service.clone_from(&self.service);
         let before = self.dispatcher.scratch();
         let hop = match selected {
--- a/crates/relay/src/exchange/passage.rs
+++ b/crates/relay/src/exchange/passage.rs
@@ -20,7 +20,7 @@
         if self.is_forwarded {
             return Ok(());
         }
-        self.select_service()?;
+        self.select_service(model)?;
         let entry = self.entry(model);
         let dispatcher = Arc::clone(&self.dispatcher);
         let permit = gate.enter(&entry, || dispatcher.supply(entry.service)).await.map_err(Refusal::from)?;
@@ -30,9 +30,12 @@
 
     /// Selects the service at whose gate the request asks, or returns why it would be refused after
     /// its wait.
-    pub(super) fn select_service(&mut self) -> Result<(), Refusal> {
+    pub(super) fn select_service(&mut self, model: Option<usize>) -> Result<(), Refusal> {
         self.check_quarantine()?;
         self.admission.route.target(self.target_draw).ok_or(Refusal::NoRoute)?.clone_into(&mut self.service);
+        if self.dispatcher.exceeds_memory(&self.job(model)) {
+            return Err(Refusal::ExceedsMemory);
+        }
         Ok(())
     }
 
@@ -54,13 +57,21 @@
             first_byte_ms: self.dispatcher.expected_idle_ms(&job),
             prompt_ms: self.dispatcher.expected_prompt_ms(&job),
             is_whole: !matches!(route.kind, Kind::Stream { .. }),
-            is_resumption: self.params.last_event.is_some(),
+            is_resumption: self.params.last_event.is_some() && self.is_resumable(),
         }
     }
 
-    /// Reports that the request is sent to an endpoint.
-    pub(super) fn start_run(&mut self) {
-        self.with_permit(Permit::start_run);
+    /// Reports that the request is sent to an endpoint to ask a model.
+    pub(super) fn start_run(&mut self, model: Option<usize>) {
+        let Some(permit) = &self.permit else { return };
+        let job = self.job(model);
+        let other_first_byte_ms = (job.model != permit.model()).then(|| self.dispatcher.expected_idle_ms(&job));
+        self.with_permit(|permit| permit.start_run(other_first_byte_ms));
+    }
+
+    /// Reports that the instance to which the request was forwarded has not run it.
+    pub(super) fn record_not_run(&mut self) {
+        self.with_permit(Permit::record_not_run);
     }
 
     /// Reports the first byte of an endpoint's answer.
--- a/crates/route/src/admission/capacity.rs
+++ b/crates/route/src/admission/capacity.rs
@@ -10,6 +10,10 @@
 /// Number of runs over which the mean time of runs averages.
 const RUNS_AVERAGED: f64 = 32.0;
 
+/// The same for runs that took longer than usual although the demand is below the capacity. Some of
+/// them wait in an overload that begins; a lasting change outlasts this number.
+const LATE_RUNS_AVERAGED: f64 = 256.0;
+
 /// Number of runs below the capacity after which their mean is used. The first runs of an overload
 /// count as such too, since it is recognized with a delay.
 const MIN_CALM_RUNS: f64 = 20.0;
@@ -18,10 +22,13 @@
 /// an overload may have waited for longer than they ran.
 const WEIGHT_BELOW: f64 = 0.5;
 
-/// Weight of a run that took longer, while the mean is not known. Nearly all of the excess is a
-/// wait at its endpoint, which must not look like work.
+/// Weight of a run that took longer, while the mean is not known.
 const WEIGHT_ABOVE: f64 = 0.01;
 
+/// The same above the capacity. Nearly all of the excess is a wait at its endpoint, which must not look
+/// like work: after some hundred runs, a team that asks for just its share would seem to ask for more.
+const CROWDED_WEIGHT_ABOVE: f64 = 0.001;
+
 /// Decrease of the assumed capacity, as a power of e per second, while waits are at the upper bound
 /// of what is corrected. An error by half is corrected in some four seconds. Faster, the queues
 /// that the first moments of an overload leave at endpoints would look like a lack of capacity.
@@ -67,6 +74,17 @@
 const MIN_FACTOR: f64 = 0.2;
 const MAX_FACTOR: f64 = 3.0;
 
+/// Load under which a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunLoad {
+    /// Demand below the capacity, and no longer waits than usual.
+    Calm,
+    /// Demand below the capacity, but longer waits than usual: runs may have become longer.
+    Late,
+    /// Demand near or above the capacity; the run is likely to have waited at its endpoint.
+    Crowded,
+}
+
 /// Estimated time of runs of one kind, in milliseconds: the mean of those that ran while the
 /// service was below its capacity or, before enough of these, about the shortest ones.
 #[derive(Debug, Clone, Copy, Default)]
@@ -96,14 +114,24 @@
         }
     }
 
-    /// Records the time of a run; `is_crowded` says whether it is likely to have waited at its
-    /// endpoint.
-    pub fn observe(&mut self, took_ms: f64, is_crowded: bool) {
+    /// Records the time of a run.
+    pub fn observe(&mut self, took_ms: f64, load: RunLoad) {
         let shortest_ms = self.shortest_ms.get_or_insert(took_ms);
-        *shortest_ms += if took_ms < *shortest_ms { WEIGHT_BELOW } else { WEIGHT_ABOVE } * (took_ms - *shortest_ms);
-        if !is_crowded {
-            self.calm_runs += 1.0;
-            self.calm_ms += (took_ms - self.calm_ms) / self.calm_runs.min(RUNS_AVERAGED);
+        let weight = match load {
+            _ if took_ms < *shortest_ms => WEIGHT_BELOW,
+            RunLoad::Crowded => CROWDED_WEIGHT_ABOVE,
+            RunLoad::Calm | RunLoad::Late => WEIGHT_ABOVE,
+        };
+        *shortest_ms += weight * (took_ms - *shortest_ms);
+        match load {
+            RunLoad::Calm => {
+                self.calm_runs += 1.0;
+                self.calm_ms += (took_ms - self.calm_ms) / self.calm_runs.min(RUNS_AVERAGED);
+            }
+            RunLoad::Late if self.calm_runs >= MIN_CALM_RUNS => {
+                self.calm_ms += (took_ms - self.calm_ms) / LATE_RUNS_AVERAGED;
+            }
+            RunLoad::Late | RunLoad::Crowded => {}
         }
     }
 }
@@ -145,6 +173,16 @@
         self.scale(-step);
     }
 
+    /// Records a wait, or a rejection as the longest one, while requests are held back at other instances
+    /// only. They see the same waits and can shorten them; here, a lower capacity would only hold back
+    /// teams within their shares.
+    pub fn record_wait_of_others(&mut self, wait_ms: f64, usual_ms: f64, now: Duration) {
+        let excess = ((wait_ms - usual_ms) / usual_ms.max(1.0)).clamp(-1.0, 1.0);
+        let step = self.step(now);
+        self.excess += EXCESS_WEIGHT * (excess - self.excess);
+        self.factor += (1.0 - self.factor) * (step / RETURN_S).min(1.0);
+    }
+
     /// Returns the assumed capacity as a fraction of the declared one.
     #[must_use]
     pub fn capacity(&self) -> f64 {
