--- a/crates/route/src/relay/balance.rs
+++ b/crates/route/src/relay/balance.rs
@@ -17,8 +17,9 @@
 //!
 //! Information that is up to date decides before the turn does: an endpoint takes part in the
 //! rotation only if its prompt backlog, which notices announce, is about as short as the
-//! shortest. An endpoint at which runs fail gets fewer requests, but keeps its turns: the others may
-//! be full, and a single failure says little. Holders of a shared prefix keep the preference that [`placement`] gives them.
+//! shortest, and if it answers. An endpoint at which runs fail gets fewer requests, but keeps its
+//! turns: the others may be full, and a single failure says little. Holders of a shared prefix keep
+//! the preference that [`placement`] gives them.
 
 use std::time::Duration;
 
--- a/crates/route/tests/relay/main.rs
+++ b/crates/route/tests/relay/main.rs
@@ -16,6 +16,7 @@
 mod latency;
 mod notice;
 mod pace;
+mod pace_effects;
 mod placement;
 mod quarantine;
 mod reachability;
