Start at no model that is known to end too late

The ladder left out only the largest models that end too late. With a smallest model that does, and long queues at the others, it fell back to the smallest, which would cut the stream off. Both ways of choosing now fall back to the smallest model that ends in time.

--- a/crates/route/src/relay/ladder.rs
+++ b/crates/route/src/relay/ladder.rs
@@ -131,22 +131,28 @@
 /// would then prolong the overload. So a prompt's length is judged by the time at an idle
 /// endpoint, and queues can only prevent a start at the large model, never cause one.
 ///
-/// Models whose answers would end too late count as if the ladder ended before them.
+/// Models whose answers would end too late are not selected unless all of them are.
 #[must_use]
 pub fn first_model(remaining: Remaining, times: &[RelativeTime]) -> usize {
     let count = times.iter().rposition(|time| *time != RelativeTime::NEVER).map_or(times.len(), |last| last + 1);
     let times = &times[..count];
     let last = times.len().saturating_sub(1);
     let (Some(small), Some(large)) = (times.first(), times.last()) else { return last };
+    let smallest = smallest_in_time(times);
     if remaining.attempts < 2 {
         return last;
     }
     let in_time = |time: &RelativeTime| time.now <= MAX_IN_TIME;
     if large.idle > MAX_IN_TIME {
-        return times.iter().rposition(in_time).unwrap_or(0);
+        return times.iter().rposition(in_time).unwrap_or(smallest);
     }
     let fits_after_small = small.idle + large.idle <= MAX_IN_TIME;
-    if in_time(large) && !(remaining.allowance && fits_after_small) { last } else { 0 }
+    if in_time(large) && !(remaining.allowance && fits_after_small) { last } else { smallest }
+}
+
+/// Returns the index of the smallest model whose answer would not end too late; 0 if there is none.
+fn smallest_in_time(times: &[RelativeTime]) -> usize {
+    times.iter().position(|time| *time != RelativeTime::NEVER).unwrap_or(0)
 }
 
 /// Decides what to do with the answer of the model at `index`. `outlooks` holds the
--- a/crates/route/src/relay/ladder/value.rs
+++ b/crates/route/src/relay/ladder/value.rs
@@ -135,11 +135,12 @@
 }
 
 /// Returns the index of the model whose course has the highest expected value, and the smallest of
-/// equal ones.
+/// equal ones. Models whose answers would end too late are left out unless all of them are.
 fn best_start(remaining: Remaining, times: &[RelativeTime], deadline: f64, worth: &Worth<'_>) -> usize {
     let value = |index| course_value(index, remaining, times, deadline, worth);
     let better = |best: (usize, f64), next: (usize, f64)| if next.1 > best.1 { next } else { best };
-    (0..times.len()).map(|index| (index, value(index))).reduce(better).map_or(0, |(index, _)| index)
+    let in_time = (0..times.len()).filter(|index| times[*index] != RelativeTime::NEVER);
+    in_time.map(|index| (index, value(index))).reduce(better).map_or(0, |(index, _)| index)
 }
 
 /// Returns the expected value of a request that starts at the model at `index`.
--- a/crates/route/tests/relay/answer_length.rs
+++ b/crates/route/tests/relay/answer_length.rs
@@ -72,6 +72,19 @@
     streams_of_four_billion_tokens_are_not_refused: SINGLE, 0.0, 4e9 => [0, 0];
 }
 
+/// The smallest model is too slow for the stream, and the queues of the others are long: the request must not
+/// go to the one that is known to cut it off.
+#[test]
+fn smallest_model_that_ends_too_late_is_no_fallback() {
+    let later = |idle: f64| RelativeTime { idle, now: 1.0 };
+    let cases = [[RelativeTime::NEVER, later(0.1), later(0.2)], [RelativeTime::NEVER, later(0.1), later(1.0)]];
+    let worth = Worth { right_answer: 0.0, prices: &[0.1, 0.33, 1.0], pressure: 0.0 };
+    for times in cases {
+        assert_eq!(first_model(REMAINING, &times), 1);
+        assert_eq!(value::first_model(REMAINING, &times, DEADLINE / TARGET, &worth).model, 1);
+    }
+}
+
 /// A model without observations must not look faster than a smaller one that is too slow.
 #[test]
 fn unknown_larger_models_are_no_faster_than_known_smaller_ones() {
