Count streams cut off above their lower bound

A stream that was cut off counted with the time that it had, so an equally long one seemed to end just in time and was cut off again; with mixed hints the low bounds of long ones admitted the others, and with five ended streams the bounds outvoted them. Bounds now count 1.2 times, and as the largest one or the usual time of the ended streams while fewer than six ended. Two assertions that pinned the bare bound (22 and 40 ms) now pin the bound with its margin.

--- a/crates/route/src/relay/answer_length.rs
+++ b/crates/route/src/relay/answer_length.rs
@@ -28,6 +28,11 @@
 const MIN_TOKEN_MS: f64 = 0.1;
 const MAX_TOKEN_MS: f64 = 1_000.0;
 
+/// Time of a stream that was cut off as a multiple of its lower bound. The stream needed more than its bound,
+/// and a stream of the same length must count as too late also if the caller closed the connection a little
+/// before the deadline, or if this time the first event comes sooner.
+const BOUND_MARGIN: f64 = 1.2;
+
 /// Number of observations from which the time per token is known.
 const MIN_OBSERVATIONS: usize = 6;
 
@@ -89,31 +94,33 @@
     /// if there are too few of them.
     ///
     /// The time of a stream that was cut off is at least that of the streams that ended: it would otherwise
-    /// make a model look faster that is too slow for it.
+    /// make a model look faster that is too slow for it. If few streams ended, it is at least the largest
+    /// bound: the bounds of long expected lengths are low, and say nothing of the shorter ones.
     #[must_use]
     pub fn token_ms(&self, share: f64, now: Duration) -> Option<f64> {
-        let recent = || self.observations.iter().filter(|one| one.at + MAX_AGE > now);
-        let ended: Vec<f64> = recent().filter(|one| one.ending == Ending::Whole).map(|one| one.token_ms).collect();
-        let usual = quantile(ended, share).unwrap_or_default();
-        let at_least = |one: &Observation| match one.ending {
-            Ending::Whole => one.token_ms,
-            Ending::CutOff => one.token_ms.max(usual),
-        };
-        quantile(recent().map(at_least).collect(), share)
+        let recent: Vec<&Observation> = self.observations.iter().filter(|one| one.at + MAX_AGE > now).collect();
+        if recent.len() < MIN_OBSERVATIONS {
+            return None;
+        }
+        let of = |ending: Ending| recent.iter().filter(move |one| one.ending == ending);
+        let mut times: Vec<f64> = of(Ending::Whole).map(|one| one.token_ms).collect();
+        let bounds: Vec<f64> = of(Ending::CutOff).map(|one| (one.token_ms * BOUND_MARGIN).min(MAX_TOKEN_MS)).collect();
+        let usual = quantile(&mut times, share).unwrap_or_default();
+        let largest = bounds.iter().copied().fold(usual, f64::max);
+        let at_least = if times.len() < MIN_OBSERVATIONS { largest } else { usual };
+        times.extend(bounds.iter().map(|bound| bound.max(at_least)));
+        quantile(&mut times, share)
     }
 }
 
-/// Returns the smallest value that is not below a share of the values; `None` if there are too few.
-fn quantile(mut values: Vec<f64>, share: f64) -> Option<f64> {
-    if values.len() < MIN_OBSERVATIONS {
-        return None;
-    }
+/// Sorts values, and returns the smallest one that is not below a share of them; `None` if there are none.
+fn quantile(values: &mut [f64], share: f64) -> Option<f64> {
     values.sort_by(f64::total_cmp);
     #[expect(clippy::cast_precision_loss, reason = "few observations are kept")]
     let rank = share.clamp(0.0, 1.0) * values.len() as f64;
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "between 0 and the number of values")]
-    let index = (rank.ceil() as usize).clamp(1, values.len()) - 1;
-    Some(values[index])
+    let index = (rank.ceil() as usize).max(1) - 1;
+    values.get(index).copied()
 }
 
 /// Returns the expected times of the models' outputs, smallest model first, given those that are known. A
--- a/crates/route/tests/relay/answer_length.rs
+++ b/crates/route/tests/relay/answer_length.rs
@@ -165,10 +165,66 @@
     assert_eq!(token_ms(&learned(&[f64::INFINITY; 64], Ending::Whole)), None);
 }
 
+/// Adds streams that a model of 25 ms per token could not end within the deadline, and of which the callers
+/// close the connection a little before.
+fn cut_off(times: &mut TokenTimes, hints: impl IntoIterator<Item = u32>, early_ms: f64) {
+    for hint in hints {
+        times.observe(hint, DEADLINE - early_ms - IDLE[2], Ending::CutOff, at(0));
+    }
+}
+
+/// Returns whether a stream is expected to end in time on the largest model.
+fn is_asked(times: &TokenTimes, tokens: u32) -> bool {
+    let output = token_ms(times).map(|token_ms| f64::from(tokens) * token_ms);
+    ends_in_time(IDLE[2], output, DEADLINE)
+}
+
+macro_rules! cut_off {
+    ($($(#[$doc:meta])* $name:ident: $hints:expr, $early_ms:expr => $too_long:expr, $short:expr;)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            let mut times = TokenTimes::default();
+            cut_off(&mut times, $hints, $early_ms);
+            assert!(!is_asked(&times, $too_long), "{:?}", token_ms(&times));
+            assert!(is_asked(&times, $short), "{:?}", token_ms(&times));
+        }
+    )*};
+}
+
+cut_off! {
+    /// All streams of a service are equally long, and each of them is cut off.
+    streams_as_long_as_those_cut_off_are_too_late: [1_000; 8], 0.0 => 1_000, 800;
+    /// Callers close their connections by their own clocks, and the bound seems to fit the deadline.
+    streams_closed_before_the_deadline_are_too_late: [1_000; 8], 100.0 => 1_000, 800;
+    /// The bounds of longer hints are lower, and must not admit the shorter ones that were cut off as well.
+    streams_of_mixed_lengths_that_are_cut_off_are_too_late: (880..=2_000).step_by(70), 100.0 => 880, 700;
+    /// The first event of the cut-off streams came late.
+    streams_whose_queues_are_gone_are_too_late: [1_000; 8], 2_000.0 => 1_000, 800;
+}
+
+/// Few streams ended, and many with too long a hint were cut off at a time that the model does not reach.
+#[test]
+fn streams_that_are_cut_off_do_not_outvote_few_that_ended() {
+    let mut times = learned(&[25.0; 5], Ending::Whole);
+    cut_off(&mut times, [5_000; 40], 0.0);
+    assert_eq!(token_ms(&times), Some(25.0));
+}
+
+/// One stream with too short a hint must not keep the others from a model that ends its streams.
+#[test]
+fn one_stream_that_is_cut_off_moves_the_time_little() {
+    let mut times = learned(&[5.0; 5], Ending::Whole);
+    cut_off(&mut times, [100], 0.0);
+    assert_eq!(token_ms(&times), Some(5.0));
+}
+
 /// The largest model of a service is too slow for all streams that it gets.
 #[test]
 fn streams_that_are_all_cut_off_teach_a_bound() {
-    assert_eq!(token_ms(&learned(&[22.0; 8], Ending::CutOff)), Some(22.0));
+    assert_eq!(token_ms(&learned(&[20.0; 8], Ending::CutOff)), Some(24.0));
+    assert_eq!(token_ms(&learned(&[20.0; 5], Ending::CutOff)), None);
+    assert_eq!(token_ms(&learned(&[1e9; 8], Ending::CutOff)), Some(1_000.0));
 }
 
 /// A stream with too long a hint is cut off at a low time per token, which the model does not reach.
@@ -178,7 +234,7 @@
     (0..40).for_each(|_| times.observe(5_000, 20_000.0, Ending::CutOff, at(1)));
     assert_eq!(token_ms(&times), Some(25.0));
     (0..40).for_each(|_| times.observe(500, 20_000.0, Ending::CutOff, at(1)));
-    assert_eq!(token_ms(&times), Some(40.0));
+    assert_eq!(token_ms(&times), Some(48.0));
 }
 
 /// A load that is over must not keep requests from the largest model.
