Count the current wait for a stream's reader

The wait was added only after the reader had taken an event. A reader that stopped for good never did, and its stream taught that the model is slow and counted as cut off at its deadline. The progress of a stream is now kept apart from the network, and its current wait counts.

--- a/crates/relay/src/exchange/answer_length.rs
+++ b/crates/relay/src/exchange/answer_length.rs
@@ -5,7 +5,7 @@
 use std::{sync::Arc, time::Duration};
 
 use route::relay::{
-    answer_length::{self, Ending, Limit},
+    answer_length::{self, Ending, Limit, progress::Progress},
     ladder::{Outlook, RelativeTime},
 };
 
@@ -22,11 +22,6 @@
     settings::AnswerLength,
 };
 
-/// Part of a stream's time that it may wait for its reader; the time of one that waits longer shows the
-/// reader's pace. The minimum keeps short streams whose task was not run for a moment.
-const MAX_READER_SHARE: f64 = 0.05;
-const MIN_READER_WAIT: Duration = Duration::from_millis(20);
-
 /// Time before the deadline from which a stream that ends unfinished counts as cut off by it. Callers close
 /// their connections at the deadline by their own clocks.
 const CUT_OFF_TOLERANCE: Duration = Duration::from_millis(150);
@@ -115,9 +110,7 @@
     kind: Option<OutputKind>,
     /// Deadline of the request.
     limit: Duration,
-    first_event_at: Option<Duration>,
-    /// Time that the stream has waited for its reader.
-    reader_wait: Duration,
+    progress: Progress,
     has_ended: bool,
 }
 
@@ -139,20 +132,20 @@
             expected_tokens: exchange.expected_output(),
             kind: (model.is_some() && is_whole).then(|| run.output_kind()),
             limit: exchange.limit,
-            first_event_at: None,
-            reader_wait: Duration::ZERO,
+            progress: Progress::default(),
             has_ended: false,
         })
     }
 
-    /// Records that events were received.
+    /// Records that events were received, and that the stream waits for its reader to take them. A reader that
+    /// stops for good never does.
     pub(super) fn record_events(&mut self) {
-        self.first_event_at.get_or_insert_with(clock::now);
+        self.progress.hold(clock::now());
     }
 
-    /// Records that the stream waited for its reader since `from`.
-    pub(super) fn record_reader_wait(&mut self, from: Duration) {
-        self.reader_wait += clock::now().saturating_sub(from);
+    /// Records that the reader has taken the events.
+    pub(super) fn record_taken(&mut self) {
+        self.progress.release(clock::now());
     }
 
     /// Records that the stream goes on at another endpoint; its time is no observation of either.
@@ -168,12 +161,11 @@
 
     /// Adds the time of the output to the observations, unless it shows something else.
     fn observe(&self, ending: Ending) {
-        let (Some(kind), Some(tokens), Some(first_event_at)) = (&self.kind, self.expected_tokens, self.first_event_at)
-        else {
+        let now = clock::now();
+        let (Some(kind), Some(tokens), Some(took)) = (&self.kind, self.expected_tokens, self.progress.took(now)) else {
             return;
         };
-        let took = clock::now().saturating_sub(first_event_at);
-        if self.reader_wait <= took.mul_f64(MAX_READER_SHARE).max(MIN_READER_WAIT) {
+        if !self.progress.is_held_up(now) {
             self.dispatcher.observe_output(kind, tokens, clock::millis(took), ending);
         }
     }
@@ -181,7 +173,8 @@
 
 impl Drop for OutputTimer {
     fn drop(&mut self) {
-        if self.has_ended || clock::now() + CUT_OFF_TOLERANCE < self.limit {
+        let now = clock::now();
+        if self.has_ended || now + CUT_OFF_TOLERANCE < self.limit || self.progress.is_held_up(now) {
             return;
         }
         self.observe(Ending::CutOff);
--- a/crates/relay/src/exchange/stream.rs
+++ b/crates/relay/src/exchange/stream.rs
@@ -114,11 +114,8 @@
                             record_event_wait(&exchange, &mut active, std::mem::take(&mut waited), events);
                             has_events = true;
                             output.iter_mut().for_each(OutputTimer::record_events);
-                            let held_from = clock::now();
                             yield Ok(Frame::data(whole));
-                            if let Some(output) = &mut output {
-                                output.record_reader_wait(held_from);
-                            }
+                            output.iter_mut().for_each(OutputTimer::record_taken);
                         }
                         if splitter.new_events() > events {
                             (events, advanced_at) = (splitter.new_events(), clock::now());
--- a/crates/route/tests/relay/answer_length.rs
+++ b/crates/route/tests/relay/answer_length.rs
@@ -6,6 +6,7 @@
 use route::relay::{
     answer_length::{
         Ending, Limit, START_SHARE, TokenTimes, ends_in_time, expected_tokens, limit, limit_outlooks, output_times,
+        progress::Progress,
     },
     ladder::{
         Outlook, RelativeTime, Remaining, Step, Urgency, first_model, next_step,
@@ -254,3 +255,30 @@
     (0..64).for_each(|_| times.observe(8, 1.0, Ending::Whole, at(0)));
     assert_eq!(token_ms(&times), None);
 }
+
+/// Returns whether a stream of ten seconds is held up, whose reader takes the given milliseconds for its first
+/// event; `None` if it takes nothing more.
+fn is_held_up(reader_ms: Option<u64>) -> bool {
+    let mut progress = Progress::default();
+    progress.hold(at(1));
+    if let Some(reader_ms) = reader_ms {
+        progress.release(at(1) + Duration::from_millis(reader_ms));
+    }
+    assert_eq!(progress.took(at(11)), Some(at(10)));
+    progress.is_held_up(at(11))
+}
+
+/// The time of a stream that waits for its reader must not make the model look slow, nor count as one that the
+/// model could not end.
+#[test]
+fn streams_that_their_reader_holds_up_are_told_apart() {
+    assert!(!is_held_up(Some(500)));
+    assert!(is_held_up(Some(501)));
+    assert!(is_held_up(None), "a reader that stops for good never takes its event");
+}
+
+#[test]
+fn streams_without_an_event_are_not_held_up() {
+    assert_eq!(Progress::default().took(at(1)), None);
+    assert!(!Progress::default().is_held_up(at(1)));
+}
