Count each stream that is cut off once, and where it is

A stream that went on through another instance was counted by both instances, a caller that gave up a short request counted as cut off, and a stream whose model another instance had chosen counted as one of its caller's. The timer ends with such a move, the tolerance is at most a tenth of the whole time, and the label is the name of the model if the ladder has it. The constants state their reasons. The move and the label have no test.

--- a/crates/relay/src/exchange/answer_length.rs
+++ b/crates/relay/src/exchange/answer_length.rs
@@ -5,7 +5,10 @@
 use std::{sync::Arc, time::Duration};
 
 use route::relay::{
-    answer_length::{self, Ending, Limit, progress::Progress},
+    answer_length::{
+        self, Ending, Limit,
+        progress::{self, Progress},
+    },
     ladder::{Outlook, RelativeTime},
 };
 
@@ -14,6 +17,7 @@
     tries::{ActiveStream, Exchange},
 };
 use crate::{
+    catalog::Model,
     clock,
     dispatcher::{
         Dispatcher,
@@ -22,10 +26,6 @@
     settings::AnswerLength,
 };
 
-/// Time before the deadline from which a stream that ends unfinished counts as cut off by it. Callers close
-/// their connections at the deadline by their own clocks.
-const CUT_OFF_TOLERANCE: Duration = Duration::from_millis(150);
-
 impl Exchange {
     /// Returns the number of output tokens that the caller expects; `None` if it has not stated one or the
     /// length is not considered.
@@ -103,11 +103,12 @@
     dispatcher: Arc<Dispatcher>,
     request: String,
     service: String,
-    /// Name of the model, if this instance chose it.
+    /// Name of the model, if it is one of the route's ladder.
     model: Option<String>,
     expected_tokens: Option<u32>,
     /// What the stream's time is an observation of; `None` if it is not one.
     kind: Option<OutputKind>,
+    started: Duration,
     /// Deadline of the request.
     limit: Duration,
     progress: Progress,
@@ -122,15 +123,22 @@
             return None;
         }
         let Hop::Endpoint(run) = &active.hop else { return None };
-        let model = active.model.and_then(|index| exchange.admission.route.models.get(index));
+        let models = &exchange.admission.route.models;
+        let chosen = active.model.and_then(|index| models.get(index));
+        // Another instance names the model that it has chosen.
+        let is_named = |model: &&Model| {
+            let named = exchange.headers.get(&exchange.dispatcher.dialect.names.model);
+            named.is_some_and(|named| named.as_bytes() == model.name.as_bytes())
+        };
         let is_whole = exchange.params.last_event.is_none();
         Some(Self {
             dispatcher: Arc::clone(&exchange.dispatcher),
             request: exchange.params.id.clone(),
             service: exchange.service.clone(),
-            model: model.map(|model| model.name.clone()),
+            model: chosen.or_else(|| models.iter().find(is_named)).map(|model| model.name.clone()),
             expected_tokens: exchange.expected_output(),
-            kind: (model.is_some() && is_whole).then(|| run.output_kind()),
+            kind: (chosen.is_some() && is_whole).then(|| run.output_kind()),
+            started: exchange.started,
             limit: exchange.limit,
             progress: Progress::default(),
             has_ended: false,
@@ -148,9 +156,12 @@
         self.progress.release(clock::now());
     }
 
-    /// Records that the stream goes on at another endpoint; its time is no observation of either.
-    pub(super) fn record_move(&mut self) {
+    /// Records that the stream goes on at another endpoint, and returns the timer of the rest. Its time is no
+    /// observation of either endpoint. Another instance counts a stream that is cut off there itself.
+    pub(super) fn moved(mut self, active: &ActiveStream) -> Option<Self> {
         self.kind = None;
+        self.has_ended = matches!(active.hop, Hop::Instance(_));
+        (!self.has_ended).then_some(self)
     }
 
     /// Records the end of the stream.
@@ -174,11 +185,11 @@
 impl Drop for OutputTimer {
     fn drop(&mut self) {
         let now = clock::now();
-        if self.has_ended || now + CUT_OFF_TOLERANCE < self.limit || self.progress.is_held_up(now) {
+        if self.has_ended || !progress::is_cut_off(now, self.started, self.limit) || self.progress.is_held_up(now) {
             return;
         }
         self.observe(Ending::CutOff);
-        let model = self.model.clone().unwrap_or_else(|| "named by the caller".to_owned());
+        let model = self.model.clone().unwrap_or_else(|| "not in the ladder".to_owned());
         tracing::debug!(
             request = self.request,
             service = self.service,
--- a/crates/relay/src/exchange/stream.rs
+++ b/crates/relay/src/exchange/stream.rs
@@ -153,7 +153,7 @@
                             received = Some(next);
                         }
                         Moved::Resumed(resumed) => {
-                            output.iter_mut().for_each(OutputTimer::record_move);
+                            output = output.and_then(|output| output.moved(&resumed));
                             splitter.restart();
                             active = resumed;
                         }
@@ -177,7 +177,7 @@
                     break;
                 }
             };
-            output.iter_mut().for_each(OutputTimer::record_move);
+            output = output.and_then(|output| output.moved(&active));
             advanced_at = clock::now();
         }
     }
--- a/crates/route/src/relay/answer_length.rs
+++ b/crates/route/src/relay/answer_length.rs
@@ -35,10 +35,12 @@
 /// before the deadline, or if this time the first event comes sooner.
 const BOUND_MARGIN: f64 = 1.2;
 
-/// Number of observations from which the time per token is known.
+/// Number of observations from which the time per token is known. One stream whose hint is far off then moves
+/// the shares by one of six, and cannot decide alone.
 const MIN_OBSERVATIONS: usize = 6;
 
-/// Maximum number of observations that are kept.
+/// Maximum number of observations that are kept: enough for steps of 2% in the shares. They are sorted for
+/// each decision with a hint.
 const MAX_OBSERVATIONS: usize = 64;
 
 /// Time for which observations count. A stream that is cut off at its deadline is observed some 20 s
--- a/crates/route/src/relay/answer_length/progress.rs
+++ b/crates/route/src/relay/answer_length/progress.rs
@@ -7,6 +7,20 @@
 const MAX_READER_SHARE: f64 = 0.05;
 const MIN_READER_WAIT: Duration = Duration::from_millis(20);
 
+/// Time before the deadline from which a stream that ends unfinished counts as cut off by it. Callers close
+/// their connections at the deadline by their own clocks, which start up to a slow connection's setup earlier.
+/// The part of the whole time keeps callers who give up a short request early from counting.
+const CUT_OFF_TOLERANCE: Duration = Duration::from_millis(150);
+const CUT_OFF_TOLERANCE_SHARE: f64 = 0.1;
+
+/// Whether a request that ends unfinished is cut off by its deadline. It started at `started`, and `limit` is
+/// the deadline.
+#[must_use]
+pub fn is_cut_off(now: Duration, started: Duration, limit: Duration) -> bool {
+    let share = limit.saturating_sub(started).mul_f64(CUT_OFF_TOLERANCE_SHARE);
+    now + CUT_OFF_TOLERANCE.min(share) >= limit
+}
+
 /// Progress of a stream to its reader. All times are those of one clock.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Progress {
--- a/crates/route/tests/relay/answer_length.rs
+++ b/crates/route/tests/relay/answer_length.rs
@@ -6,7 +6,7 @@
 use route::relay::{
     answer_length::{
         Ending, Limit, START_SHARE, TokenTimes, ends_in_time, expected_tokens, limit, limit_outlooks, output_times,
-        progress::Progress,
+        progress::{Progress, is_cut_off},
     },
     ladder::{
         Outlook, RelativeTime, Remaining, Step, Urgency, first_model, next_step,
@@ -282,3 +282,23 @@
     assert_eq!(Progress::default().took(at(1)), None);
     assert!(!Progress::default().is_held_up(at(1)));
 }
+
+macro_rules! cut_off_at {
+    ($($(#[$doc:meta])* $name:ident: $deadline_ms:expr, $early_ms:expr => $is_cut_off:expr;)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            let limit = at(1) + Duration::from_millis($deadline_ms);
+            assert_eq!(is_cut_off(limit - Duration::from_millis($early_ms), at(1), limit), $is_cut_off);
+        }
+    )*};
+}
+
+cut_off_at! {
+    caller_that_closes_at_the_deadline_by_its_own_clock: 20_000, 150 => true;
+    caller_that_gives_up_before_the_deadline: 20_000, 151 => false;
+    caller_of_a_short_request_that_closes_at_the_deadline: 400, 40 => true;
+    /// A caller that gives up in the middle of a short deadline must not count as cut off.
+    caller_that_gives_up_a_short_request: 300, 150 => false;
+    caller_that_gives_up_shortly_before_a_short_deadline: 400, 41 => false;
+}
