Take both expected times of a model from one endpoint

The time to the first event and that of the output came from two selections, which may differ, and the second one was made under the lock for each answer, also for those that are kept. One call now returns both, after an answer only if it would be dropped without the length, and the debug line of the decision is written once. Pressure counts as the cause of a kept answer also where the length would have kept it.

--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -48,7 +48,7 @@
     caches::affinity,
     limits::Limit,
     notices::{Notice, Notices},
-    output_times::OutputKind,
+    output_times::{ExpectedTimes, Length, OutputKind},
     paces::PaceReport,
     rejections::RejectionLimit,
     run::{Run, RunOutcome},
--- a/crates/relay/src/dispatcher/fleet/output_times.rs
+++ b/crates/relay/src/dispatcher/fleet/output_times.rs
@@ -18,6 +18,24 @@
     pace: f64,
 }
 
+/// Expected length of a stream, and the share of recent streams whose time per token it is judged by.
+#[derive(Debug, Clone, Copy)]
+pub struct Length {
+    /// Number of output tokens.
+    pub tokens: u32,
+    /// Share, from 0 to 1.
+    pub share: f64,
+}
+
+/// Expected times of a run at one endpoint, in milliseconds.
+#[derive(Debug, Clone, Copy)]
+pub struct ExpectedTimes {
+    /// Time to the first event; `None` if no endpoint may run the job now.
+    pub first_event_ms: Option<f64>,
+    /// Time from there to the end; `None` if the length is not considered or too few streams were observed.
+    pub output_ms: Option<f64>,
+}
+
 impl Run {
     /// Returns what the time of the run's output depends on.
     #[must_use]
@@ -37,20 +55,22 @@
         state.fleet.output_times.entry(kind.key.clone()).or_default().observe(tokens, took_on_average, ending, now);
     }
 
-    /// Returns the time within which a share of recent streams of the job's model would have generated
-    /// `tokens` tokens, at the endpoint that would be selected now, in milliseconds; `None` if too few
-    /// streams were observed.
+    /// Returns the expected times of a job at the endpoint that would be selected now.
     #[must_use]
-    pub fn output_ms(&self, job: &Job<'_>, tokens: u32, share: f64) -> Option<f64> {
+    pub fn expected_times(&self, job: &Job<'_>, length: Option<Length>) -> ExpectedTimes {
         let now = clock::now();
-        let state = self.lock();
-        let key = LatencyKey { service: job.service.to_owned(), model: job.model };
-        let token_ms = state.fleet.output_times.get(&key)?.token_ms(share, now)?;
-        let pace = || {
-            let server = state.fleet.servers.get(state.select_endpoint(job, now, &self.settings)?.key)?;
-            server.learned.pace
+        let mut state = self.lock();
+        self.update_shares(&mut state, now);
+        state.fleet.refresh_pool(job.service, &self.settings.domain, now);
+        let selection = state.select_endpoint(job, now, &self.settings);
+        let pace = || state.fleet.servers.get(selection.as_ref()?.key)?.learned.pace;
+        let output_ms = |Length { tokens, share }| {
+            let key = LatencyKey { service: job.service.to_owned(), model: job.model };
+            let token_ms = state.fleet.output_times.get(&key)?.token_ms(share, now)?;
+            let pace = if state.fleet.learns_capacity() { pace().unwrap_or(1.0) } else { 1.0 };
+            Some(f64::from(tokens) * token_ms * pace)
         };
-        let pace = if state.fleet.learns_capacity() { pace().unwrap_or(1.0) } else { 1.0 };
-        Some(f64::from(tokens) * token_ms * pace)
+        let output_ms = length.and_then(output_ms);
+        ExpectedTimes { first_event_ms: selection.map(|selection| selection.expected_ms()), output_ms }
     }
 }
--- a/crates/relay/src/exchange/answer_length.rs
+++ b/crates/relay/src/exchange/answer_length.rs
@@ -21,7 +21,7 @@
     clock,
     dispatcher::{
         Dispatcher,
-        fleet::{Job, OutputKind},
+        fleet::{ExpectedTimes, Length, OutputKind},
     },
     settings::AnswerLength,
 };
@@ -38,48 +38,34 @@
         }
     }
 
-    /// Returns the models that the request may start with at a service. `times` are the times to the first
-    /// event as multiples of `unit_ms`, and `job` returns the job of a model.
-    pub(super) fn limit_start<'a>(
-        &'a self,
-        times: &[RelativeTime],
-        unit_ms: f64,
-        job: impl Fn(usize) -> Job<'a>,
-    ) -> Limit {
-        let Some(outputs) = self.output_times_ms(times.len(), answer_length::START_SHARE, job) else {
-            return Limit::None;
-        };
-        let outputs: Vec<Option<f64>> = outputs.iter().map(|output| output.map(|ms| ms / unit_ms)).collect();
+    /// Returns the length by which models are judged; `None` if it is not considered.
+    pub(super) fn length(&self, share: f64) -> Option<Length> {
+        Some(Length { tokens: self.expected_output()?, share })
+    }
+
+    /// Returns the models that the request may start with. `times` are the times to the first event as
+    /// multiples of `unit_ms`, and `expected` the times that they are from.
+    pub(super) fn limit_start(&self, times: &[RelativeTime], expected: &[ExpectedTimes], unit_ms: f64) -> Limit {
+        let outputs: Vec<Option<f64>> =
+            output_times_ms(expected).iter().map(|output| output.map(|ms| ms / unit_ms)).collect();
         answer_length::limit(times, &outputs, clock::millis(self.left()) / unit_ms)
     }
 
     /// Returns the outlooks of the models that may follow an answer; those whose output would not end before
     /// the deadline are too late.
     pub(super) fn limit_outlooks(&self, outlooks: &[Outlook]) -> Vec<Outlook> {
-        let job = |model| self.job(Some(model));
-        let Some(outputs) = self.output_times_ms(outlooks.len(), answer_length::ESCALATION_SHARE, job) else {
-            return outlooks.to_vec();
-        };
+        let Some(length) = self.length(answer_length::ESCALATION_SHARE) else { return outlooks.to_vec() };
+        let expected = |model| self.dispatcher.expected_times(&self.job(Some(model)), Some(length));
+        let expected: Vec<ExpectedTimes> = (0..outlooks.len()).map(expected).collect();
+        let outputs = output_times_ms(&expected);
         let left_ms = clock::millis(self.left());
         let ends = |model: usize| {
-            let first_event_ms = self.dispatcher.expected_ms(&self.job(Some(model))).unwrap_or_default();
+            let first_event_ms = expected[model].first_event_ms.unwrap_or_default();
             answer_length::ends_in_time(first_event_ms, outputs[model], left_ms)
         };
         answer_length::limit_outlooks(outlooks, ends)
     }
 
-    /// Returns the times of the models' outputs, in milliseconds; `None` if the length is not considered.
-    fn output_times_ms<'a>(
-        &'a self,
-        models: usize,
-        share: f64,
-        job: impl Fn(usize) -> Job<'a>,
-    ) -> Option<Vec<Option<f64>>> {
-        let tokens = self.expected_output()?;
-        let known = |model| self.dispatcher.output_ms(&job(model), tokens, share);
-        Some(answer_length::output_times(&(0..models).map(known).collect::<Vec<_>>()))
-    }
-
     /// Records that the length of the response has changed which model is asked.
     pub(super) fn record_length_choice(&self, at: &'static str, service: &str, without: usize, chosen: usize) {
         tracing::debug!(
@@ -95,6 +81,11 @@
     }
 }
 
+/// Returns the times of the models' outputs, in milliseconds.
+fn output_times_ms(expected: &[ExpectedTimes]) -> Vec<Option<f64>> {
+    answer_length::output_times(&expected.iter().map(|times| times.output_ms).collect::<Vec<_>>())
+}
+
 /// Measures how long the output of a stream takes.
 ///
 /// Dropping it before the stream has ended records a stream that was cut off, if its deadline has come.
--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use route::relay::{
     allowance::Purpose,
-    answer_length::Limit,
+    answer_length::{self, Limit},
     first_byte_timeout::first_byte_timeout,
     ladder::{
         self, Outlook, RelativeTime, Remaining, Step,
@@ -20,7 +20,7 @@
 use crate::{
     admission::Permit,
     clock,
-    dispatcher::fleet::{Job, Run, affinity},
+    dispatcher::fleet::{ExpectedTimes, Job, Run, affinity},
     request_params,
     settings::Ladder,
     upstream::Answer,
@@ -42,6 +42,14 @@
     pub gain: Option<f64>,
 }
 
+/// What to do with an answer.
+#[derive(Debug, Clone, Copy)]
+struct Weighed {
+    escalation: Option<Escalation>,
+    /// Decision by expected value; `None` if a fixed threshold decided.
+    decision: Option<value::Decision>,
+}
+
 impl Exchange {
     /// Returns the job to place, for a model, at the request's service.
     pub(super) fn job(&self, model: Option<usize>) -> Job<'_> {
@@ -105,14 +113,17 @@
             allowance: self.dispatcher.allows_extra_dispatch(service, Purpose::Escalation),
         };
         let goal_ms = clock::millis(self.admission.route.target_time).max(1.0);
+        let length = self.length(answer_length::START_SHARE);
         let time = |model| {
             let job = self.job_at(service, Some(model));
-            let now_ms = self.dispatcher.expected_ms(&job).unwrap_or(f64::INFINITY);
-            RelativeTime { idle: self.dispatcher.expected_idle_ms(&job) / goal_ms, now: now_ms / goal_ms }
+            let expected = self.dispatcher.expected_times(&job, length);
+            let now_ms = expected.first_event_ms.unwrap_or(f64::INFINITY);
+            let idle_ms = self.dispatcher.expected_idle_ms(&job);
+            (RelativeTime { idle: idle_ms / goal_ms, now: now_ms / goal_ms }, expected)
         };
-        let times: Vec<RelativeTime> = (0..models).map(time).collect();
+        let (times, expected): (Vec<RelativeTime>, Vec<ExpectedTimes>) = (0..models).map(time).unzip();
         let choose = |times: &[RelativeTime]| self.first_model(service, remaining, times, goal_ms);
-        let limit = self.limit_start(&times, goal_ms, |model| self.job_at(service, Some(model)));
+        let limit = self.limit_start(&times, &expected, goal_ms);
         let (model, is_shed) = match &limit {
             Limit::None => choose(&times),
             Limit::Times(limited) => choose(limited),
@@ -257,40 +268,40 @@
             allowance: self.dispatcher.allows_extra_dispatch(&self.service, Purpose::Escalation),
         };
         let outlooks: Vec<Outlook> = (0..models).map(|model| self.outlook(model)).collect();
-        let limited = self.limit_outlooks(&outlooks);
-        let (escalation, is_shed) = self.weigh(index, confidence, remaining, &limited);
-        if is_shed {
-            self.count_shed_quality("answer");
-        }
-        if limited != outlooks {
-            let asked = |escalation: Option<Escalation>| escalation.map_or(index, |escalation| escalation.to);
-            let without = asked(self.weigh(index, confidence, remaining, &outlooks).0);
-            if asked(escalation) != without {
-                self.record_length_choice("answer", &self.service, without, asked(escalation));
+        let mut weighed = self.weigh(index, confidence, remaining, &outlooks);
+        // An answer that is kept whatever the length is kept with it, too.
+        if let Some(without) = weighed.escalation {
+            let limited = self.limit_outlooks(&outlooks);
+            if limited != outlooks {
+                weighed = self.weigh(index, confidence, remaining, &limited);
+                let asked = weighed.escalation.map_or(index, |escalation| escalation.to);
+                if asked != without.to {
+                    self.record_length_choice("answer", &self.service, without.to, asked);
+                }
             }
         }
-        escalation
+        if let Some(decision) = weighed.decision {
+            tracing::debug!(request = self.params.id, confidence, decision = ?decision, "answer weighed");
+        }
+        if weighed.decision.is_some_and(|decision| decision.is_shed) {
+            self.count_shed_quality("answer");
+        }
+        weighed.escalation
     }
 
-    /// Returns the larger model to ask instead of accepting the answer of the model at `index`, if any, and
-    /// whether a larger one would be asked without pressure.
-    fn weigh(
-        &self,
-        index: usize,
-        confidence: Option<u32>,
-        remaining: Remaining,
-        outlooks: &[Outlook],
-    ) -> (Option<Escalation>, bool) {
+    /// Returns the larger model to ask instead of accepting the answer of the model at `index`, if any.
+    fn weigh(&self, index: usize, confidence: Option<u32>, remaining: Remaining, outlooks: &[Outlook]) -> Weighed {
         let Some(right_answer) = self.right_answer_value() else {
             let step = ladder::next_step(index, confidence, self.admission.urgency, remaining, outlooks);
-            return (Escalation::from_step(step, "confidence below the fixed threshold", None), false);
+            let escalation = Escalation::from_step(step, "confidence below the fixed threshold", None);
+            return Weighed { escalation, decision: None };
         };
         let prices = self.prices();
         let worth = Worth { right_answer, prices: &prices, pressure: self.pressure(&self.service) };
         let is_late = clock::now().saturating_sub(self.started) > self.admission.route.target_time;
         let decision = value::next_step(value::Answer { index, confidence, is_late }, remaining, outlooks, &worth);
-        tracing::debug!(request = self.params.id, confidence, decision = ?decision, "answer weighed");
-        (Escalation::from_step(decision.step, "expected gain exceeds the price", decision.gain), decision.is_shed)
+        let escalation = Escalation::from_step(decision.step, "expected gain exceeds the price", decision.gain);
+        Weighed { escalation, decision: Some(decision) }
     }
 
     /// Returns the model's confidence in its answer.
--- a/crates/route/tests/relay/answer_length.rs
+++ b/crates/route/tests/relay/answer_length.rs
@@ -302,3 +302,23 @@
     caller_that_gives_up_a_short_request: 300, 150 => false;
     caller_that_gives_up_shortly_before_a_short_deadline: 400, 41 => false;
 }
+
+/// The length is not looked at for an answer that is kept without it, so it must never cause an escalation.
+#[test]
+fn answers_that_are_kept_without_a_length_are_kept_with_it() {
+    let all = [Outlook::InTime, Outlook::LateByLength, Outlook::LateByQueues, Outlook::TooLate];
+    let steps = |confidence: u32, outlooks: &[Outlook]| {
+        let answer = value::Answer { index: 0, confidence: Some(confidence), is_late: false };
+        let worth = Worth { right_answer: 20.0, prices: &[0.1, 0.33, 1.0], pressure: 0.9 };
+        let fixed = next_step(0, Some(confidence), Urgency::Usual, REMAINING, outlooks);
+        [fixed, value::next_step(answer, REMAINING, outlooks, &worth).step]
+    };
+    for (middle, largest) in all.iter().flat_map(|middle| all.iter().map(move |largest| (*middle, *largest))) {
+        let outlooks = [Outlook::InTime, middle, largest];
+        for (confidence, late) in (0..=100).flat_map(|confidence| (0..8_u32).map(move |late| (confidence, late))) {
+            let limited = limit_outlooks(&outlooks, |model| late >> model & 1 == 0);
+            let (without, with) = (steps(confidence, &outlooks), steps(confidence, &limited));
+            assert!(without.iter().zip(&with).all(|(without, with)| *without != Step::Keep || *with == Step::Keep));
+        }
+    }
+}
