Learn the times of models by their names

Times per token were kept by a model's place in its ladder, so that two ladders of a service, or a ladder changed by a new catalog, mixed the times of different models. The key is now the service and the name, and models that the catalog no longer has are forgotten.

--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -243,6 +243,7 @@
             "catalog in force"
         );
         state.synchronization.announced_catalogs.install(catalog.version);
+        state.fleet.forget_output_times(&catalog);
         state.catalog = Some(Arc::new(catalog));
         self.startup_progressed.notify_waiters();
         true
--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -131,7 +131,7 @@
     mean_tokens: HashMap<String, f64>,
     rotations: rotation::Rotations,
     /// Time per output token of recent streams; empty unless the length of responses is considered.
-    output_times: output_times::OutputTimes,
+    output_times: route::relay::answer_length::models::ModelTimes,
 }
 
 /// Service and model whose latency is learned.
--- a/crates/relay/src/exchange/answer_length.rs
+++ b/crates/relay/src/exchange/answer_length.rs
@@ -38,9 +38,9 @@
         }
     }
 
-    /// Returns the length by which models are judged; `None` if it is not considered.
-    pub(super) fn length(&self, share: f64) -> Option<Length> {
-        Some(Length { tokens: self.expected_output()?, share })
+    /// Returns the length by which a model is judged; `None` if it is not considered.
+    pub(super) fn length(&self, model: usize, share: f64) -> Option<Length<'_>> {
+        Some(Length { model: &self.admission.route.models.get(model)?.name, tokens: self.expected_output()?, share })
     }
 
     /// Returns the models that the request may start with. `times` are the times to the first event as
@@ -54,8 +54,11 @@
     /// Returns the outlooks of the models that may follow an answer; those whose output would not end before
     /// the deadline are too late.
     pub(super) fn limit_outlooks(&self, outlooks: &[Outlook]) -> Vec<Outlook> {
-        let Some(length) = self.length(answer_length::ESCALATION_SHARE) else { return outlooks.to_vec() };
-        let expected = |model| self.dispatcher.expected_times(&self.job(Some(model)), Some(length));
+        if self.expected_output().is_none() {
+            return outlooks.to_vec();
+        }
+        let length = |model| self.length(model, answer_length::ESCALATION_SHARE);
+        let expected = |model| self.dispatcher.expected_times(&self.job(Some(model)), length(model));
         let expected: Vec<ExpectedTimes> = (0..outlooks.len()).map(expected).collect();
         let outputs = output_times_ms(&expected);
         let left_ms = clock::millis(self.left());
@@ -128,7 +131,7 @@
             service: exchange.service.clone(),
             model: chosen.or_else(|| models.iter().find(is_named)).map(|model| model.name.clone()),
             expected_tokens: exchange.expected_output(),
-            kind: (chosen.is_some() && is_whole).then(|| run.output_kind()),
+            kind: chosen.filter(|_| is_whole).map(|model| run.output_kind(&model.name)),
             started: exchange.started,
             limit: exchange.limit,
             progress: Progress::default(),
--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -113,10 +113,9 @@
             allowance: self.dispatcher.allows_extra_dispatch(service, Purpose::Escalation),
         };
         let goal_ms = clock::millis(self.admission.route.target_time).max(1.0);
-        let length = self.length(answer_length::START_SHARE);
         let time = |model| {
             let job = self.job_at(service, Some(model));
-            let expected = self.dispatcher.expected_times(&job, length);
+            let expected = self.dispatcher.expected_times(&job, self.length(model, answer_length::START_SHARE));
             let now_ms = expected.first_event_ms.unwrap_or(f64::INFINITY);
             let idle_ms = self.dispatcher.expected_idle_ms(&job);
             (RelativeTime { idle: idle_ms / goal_ms, now: now_ms / goal_ms }, expected)
--- a/crates/route/src/relay/answer_length.rs
+++ b/crates/route/src/relay/answer_length.rs
@@ -10,6 +10,7 @@
 //! whole request. The larger model is worth asking if it ends in time with a higher probability than
 //! that of a right answer by the smaller one.
 
+pub mod models;
 pub mod progress;
 
 use std::{collections::VecDeque, time::Duration};
--- a/crates/route/tests/relay/answer_length.rs
+++ b/crates/route/tests/relay/answer_length.rs
@@ -5,7 +5,9 @@
 
 use route::relay::{
     answer_length::{
-        Ending, Limit, START_SHARE, TokenTimes, ends_in_time, expected_tokens, limit, limit_outlooks, output_times,
+        Ending, Limit, START_SHARE, TokenTimes, ends_in_time, expected_tokens, limit, limit_outlooks,
+        models::{Model, ModelTimes},
+        output_times,
         progress::{Progress, is_cut_off},
     },
     ladder::{
@@ -322,3 +324,18 @@
         }
     }
 }
+
+/// Two ladders of a service have other models at the same place, and a new catalog removes one of them.
+#[test]
+fn models_of_one_service_are_told_apart_by_name() {
+    let model = |name: &str| Model { service: "chat".to_owned(), name: name.to_owned() };
+    let mut times = ModelTimes::default();
+    (0..8).for_each(|_| times.observe(&model("large"), 100, 2_500.0, Ending::Whole, at(0)));
+    (0..8).for_each(|_| times.observe(&model("small"), 100, 300.0, Ending::Whole, at(0)));
+    assert_eq!(times.token_ms(&model("large"), START_SHARE, at(1)), Some(25.0));
+    assert_eq!(times.token_ms(&model("small"), START_SHARE, at(1)), Some(3.0));
+    assert_eq!(times.token_ms(&model("other"), START_SHARE, at(1)), None);
+    times.retain(|model| model.name == "small");
+    assert_eq!(times.token_ms(&model("large"), START_SHARE, at(1)), None);
+    assert_eq!(times.token_ms(&model("small"), START_SHARE, at(1)), Some(3.0));
+}
