--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -53,7 +53,7 @@
     explain::{Considered, Standing},
     limits::Limit,
     notices::{Notice, Notices},
-    output_times::OutputKind,
+    output_times::{ExpectedTimes, Length, OutputKind},
     paces::{PaceReport, assess_regularly},
     rejections::RejectionLimit,
     run::{Run, RunOutcome},
@@ -136,7 +136,7 @@
     mean_runs: HashMap<String, MeanRun>,
     rotations: rotation::Rotations,
     /// Time per output token of recent streams; empty unless the length of responses is considered.
-    output_times: output_times::OutputTimes,
+    output_times: route::relay::answer_length::models::ModelTimes,
 }
 
 /// Service and model whose latency is learned.
--- a/crates/relay/src/exchange/answer_length.rs
+++ b/crates/relay/src/exchange/answer_length.rs
@@ -5,7 +5,10 @@
 use std::{sync::Arc, time::Duration};
 
 use route::relay::{
-    answer_length::{self, Ending, Limit},
+    answer_length::{
+        self, Ending, Limit,
+        progress::{self, Progress},
+    },
     ladder::{Outlook, RelativeTime},
 };
 
@@ -14,23 +17,15 @@
     tries::{ActiveStream, Exchange},
 };
 use crate::{
+    catalog::Model,
     clock,
     dispatcher::{
         Dispatcher,
-        fleet::{Job, OutputKind},
+        fleet::{ExpectedTimes, Length, OutputKind},
     },
     settings::AnswerLength,
 };
 
-/// Part of a stream's time that it may wait for its reader; the time of one that waits longer shows the
-/// reader's pace. The minimum keeps short streams whose task was not run for a moment.
-const MAX_READER_SHARE: f64 = 0.05;
-const MIN_READER_WAIT: Duration = Duration::from_millis(20);
-
-/// Time before the deadline from which a stream that ends unfinished counts as cut off by it. Callers close
-/// their connections at the deadline by their own clocks.
-const CUT_OFF_TOLERANCE: Duration = Duration::from_millis(150);
-
 impl Exchange {
     /// Returns the number of output tokens that the caller expects; `None` if it has not stated one or the
     /// length is not considered.
@@ -43,48 +38,37 @@
         }
     }
 
-    /// Returns the models that the request may start with at a service. `times` are the times to the first
-    /// event as multiples of `unit_ms`, and `job` returns the job of a model.
-    pub(super) fn limit_start<'a>(
-        &'a self,
-        times: &[RelativeTime],
-        unit_ms: f64,
-        job: impl Fn(usize) -> Job<'a>,
-    ) -> Limit {
-        let Some(outputs) = self.output_times_ms(times.len(), answer_length::START_SHARE, job) else {
-            return Limit::None;
-        };
-        let outputs: Vec<Option<f64>> = outputs.iter().map(|output| output.map(|ms| ms / unit_ms)).collect();
+    /// Returns the length by which a model is judged; `None` if it is not considered.
+    pub(super) fn length(&self, model: usize, share: f64) -> Option<Length<'_>> {
+        Some(Length { model: &self.admission.route.models.get(model)?.name, tokens: self.expected_output()?, share })
+    }
+
+    /// Returns the models that the request may start with. `times` are the times to the first event as
+    /// multiples of `unit_ms`, and `expected` the times that they are from.
+    pub(super) fn limit_start(&self, times: &[RelativeTime], expected: &[ExpectedTimes], unit_ms: f64) -> Limit {
+        let outputs: Vec<Option<f64>> =
+            output_times_ms(expected).iter().map(|output| output.map(|ms| ms / unit_ms)).collect();
         answer_length::limit(times, &outputs, clock::millis(self.left()) / unit_ms)
     }
 
     /// Returns the outlooks of the models that may follow an answer; those whose output would not end before
     /// the deadline are too late.
     pub(super) fn limit_outlooks(&self, outlooks: &[Outlook]) -> Vec<Outlook> {
-        let job = |model| self.job(Some(model));
-        let Some(outputs) = self.output_times_ms(outlooks.len(), answer_length::ESCALATION_SHARE, job) else {
+        if self.expected_output().is_none() {
             return outlooks.to_vec();
-        };
+        }
+        let length = |model| self.length(model, answer_length::ESCALATION_SHARE);
+        let expected = |model| self.dispatcher.expected_times(&self.job(Some(model)), length(model));
+        let expected: Vec<ExpectedTimes> = (0..outlooks.len()).map(expected).collect();
+        let outputs = output_times_ms(&expected);
         let left_ms = clock::millis(self.left());
         let ends = |model: usize| {
-            let first_event_ms = self.dispatcher.expected_ms(&self.job(Some(model))).unwrap_or_default();
+            let first_event_ms = expected[model].first_event_ms.unwrap_or_default();
             answer_length::ends_in_time(first_event_ms, outputs[model], left_ms)
         };
         answer_length::limit_outlooks(outlooks, ends)
     }
 
-    /// Returns the times of the models' outputs, in milliseconds; `None` if the length is not considered.
-    fn output_times_ms<'a>(
-        &'a self,
-        models: usize,
-        share: f64,
-        job: impl Fn(usize) -> Job<'a>,
-    ) -> Option<Vec<Option<f64>>> {
-        let tokens = self.expected_output()?;
-        let known = |model| self.dispatcher.output_ms(&job(model), tokens, share);
-        Some(answer_length::output_times(&(0..models).map(known).collect::<Vec<_>>()))
-    }
-
     /// Records that the length of the response has changed which model is asked.
     pub(super) fn record_length_choice(&self, at: &'static str, service: &str, without: usize, chosen: usize) {
         tracing::debug!(
@@ -100,6 +84,11 @@
     }
 }
 
+/// Returns the times of the models' outputs, in milliseconds.
+fn output_times_ms(expected: &[ExpectedTimes]) -> Vec<Option<f64>> {
+    answer_length::output_times(&expected.iter().map(|times| times.output_ms).collect::<Vec<_>>())
+}
+
 /// Measures how long the output of a stream takes.
 ///
 /// Dropping it before the stream has ended records a stream that was cut off, if its deadline has come.
@@ -108,16 +97,15 @@
     dispatcher: Arc<Dispatcher>,
     request: String,
     service: String,
-    /// Name of the model, if this instance chose it.
+    /// Name of the model, if it is one of the route's ladder.
     model: Option<String>,
     expected_tokens: Option<u32>,
     /// What the stream's time is an observation of; `None` if it is not one.
     kind: Option<OutputKind>,
+    started: Duration,
     /// Deadline of the request.
     limit: Duration,
-    first_event_at: Option<Duration>,
-    /// Time that the stream has waited for its reader.
-    reader_wait: Duration,
+    progress: Progress,
     has_ended: bool,
 }
 
@@ -129,35 +117,45 @@
             return None;
         }
         let Hop::Endpoint(run) = &active.hop else { return None };
-        let model = active.model.and_then(|index| exchange.admission.route.models.get(index));
+        let models = &exchange.admission.route.models;
+        let chosen = active.model.and_then(|index| models.get(index));
+        // Another instance names the model that it has chosen.
+        let is_named = |model: &&Model| {
+            let named = exchange.headers.get(&exchange.dispatcher.dialect.names.model);
+            named.is_some_and(|named| named.as_bytes() == model.name.as_bytes())
+        };
         let is_whole = exchange.params.last_event.is_none();
         Some(Self {
             dispatcher: Arc::clone(&exchange.dispatcher),
             request: exchange.params.id.clone(),
             service: exchange.service.clone(),
-            model: model.map(|model| model.name.clone()),
+            model: chosen.or_else(|| models.iter().find(is_named)).map(|model| model.name.clone()),
             expected_tokens: exchange.expected_output(),
-            kind: (model.is_some() && is_whole).then(|| run.output_kind()),
+            kind: chosen.filter(|_| is_whole).map(|model| run.output_kind(&model.name)),
+            started: exchange.started,
             limit: exchange.limit,
-            first_event_at: None,
-            reader_wait: Duration::ZERO,
+            progress: Progress::default(),
             has_ended: false,
         })
     }
 
-    /// Records that events were received.
+    /// Records that events were received, and that the stream waits for its reader to take them. A reader that
+    /// stops for good never does.
     pub(super) fn record_events(&mut self) {
-        self.first_event_at.get_or_insert_with(clock::now);
+        self.progress.hold(clock::now());
     }
 
-    /// Records that the stream waited for its reader since `from`.
-    pub(super) fn record_reader_wait(&mut self, from: Duration) {
-        self.reader_wait += clock::now().saturating_sub(from);
+    /// Records that the reader has taken the events.
+    pub(super) fn record_taken(&mut self) {
+        self.progress.release(clock::now());
     }
 
-    /// Records that the stream goes on at another endpoint; its time is no observation of either.
-    pub(super) fn record_move(&mut self) {
+    /// Records that the stream goes on at another endpoint, and returns the timer of the rest. Its time is no
+    /// observation of either endpoint. Another instance counts a stream that is cut off there itself.
+    pub(super) fn moved(mut self, active: &ActiveStream) -> Option<Self> {
         self.kind = None;
+        self.has_ended = matches!(active.hop, Hop::Instance(_));
+        (!self.has_ended).then_some(self)
     }
 
     /// Records the end of the stream.
@@ -168,12 +166,11 @@
 
     /// Adds the time of the output to the observations, unless it shows something else.
     fn observe(&self, ending: Ending) {
-        let (Some(kind), Some(tokens), Some(first_event_at)) = (&self.kind, self.expected_tokens, self.first_event_at)
-        else {
+        let now = clock::now();
+        let (Some(kind), Some(tokens), Some(took)) = (&self.kind, self.expected_tokens, self.progress.took(now)) else {
             return;
         };
-        let took = clock::now().saturating_sub(first_event_at);
-        if self.reader_wait <= took.mul_f64(MAX_READER_SHARE).max(MIN_READER_WAIT) {
+        if !self.progress.is_held_up(now) {
             self.dispatcher.observe_output(kind, tokens, clock::millis(took), ending);
         }
     }
@@ -181,11 +178,12 @@
 
 impl Drop for OutputTimer {
     fn drop(&mut self) {
-        if self.has_ended || clock::now() + CUT_OFF_TOLERANCE < self.limit {
+        let now = clock::now();
+        if self.has_ended || !progress::is_cut_off(now, self.started, self.limit) || self.progress.is_held_up(now) {
             return;
         }
         self.observe(Ending::CutOff);
-        let model = self.model.clone().unwrap_or_else(|| "named by the caller".to_owned());
+        let model = self.model.clone().unwrap_or_else(|| "not in the ladder".to_owned());
         tracing::debug!(
             request = self.request,
             service = self.service,
