Select the first model and name the rule in one place

Cause: the explanation of a decision repeated the order of the conditions by which the first model is selected, and lacked two that were added meanwhile: unrepeatable requests have one run, and the expected length excludes models. Change: Exchange::start returns the model, its rule and whether the length limits it; the copy of the conditions is gone.

--- a/crates/relay/src/exchange/explain.rs
+++ b/crates/relay/src/exchange/explain.rs
@@ -16,7 +16,7 @@
 use super::{
     admit::{self, Admission},
     hop::Hop,
-    plan::{Basis, Expected},
+    plan::{Expected, Start},
     tries::Exchange,
 };
 use crate::{
@@ -36,8 +36,8 @@
     pub rank: u8,
     /// Service selected from the route's targets; empty if none was.
     pub service: String,
-    /// Index of the model to ask first, and the rule that selects it.
-    pub model: Option<(Option<usize>, Basis)>,
+    /// The model to ask first, and why.
+    pub start: Option<Start>,
     /// What is expected of the models of the ladder.
     pub models: Vec<Expected>,
     /// Decision of admission control; `None` if that is off or not reached.
@@ -91,9 +91,9 @@
         outlook.admission = Some(self.admission.clone());
         outlook.rank = self.rank();
         outlook.models = self.expected_models();
-        let basis = self.model_basis();
-        let model = self.start_model();
-        outlook.model = Some((model, basis));
+        let start = self.start();
+        let model = start.model;
+        outlook.start = Some(start);
         let selected = self.select_service(model);
         outlook.service.clone_from(&self.service);
         let before = self.dispatcher.scratch();
@@ -141,7 +141,7 @@
             admission: None,
             rank: 0,
             service: String::new(),
-            model: None,
+            start: None,
             models: Vec::new(),
             preview: None,
             endpoints: Vec::new(),
--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -28,7 +28,7 @@
     upstream::Answer,
 };
 
-pub use models::{Basis, Expected};
+pub use models::{Basis, Expected, Start};
 
 /// Fraction of the route's goal up to which processing a prompt at an idle endpoint counts
 /// as short. If a short prompt misses the goal, it is because of queueing.
@@ -100,16 +100,24 @@
     /// Returns the index of the model to ask first; `None` if the route has no models or the
     /// caller chose one.
     pub(super) fn start_model(&self) -> Option<usize> {
+        self.start().model
+    }
+
+    /// Selects the model to ask first.
+    pub(super) fn start(&self) -> Start {
         let models = self.admission.route.models.len();
-        if models == 0 || !self.params.any_model {
-            return None;
+        if models == 0 {
+            return Start::new(None, Basis::NoLadder);
+        }
+        if !self.params.any_model {
+            return Start::new(None, Basis::Caller);
         }
         if let Some(model) = self.resumed_model(models) {
-            return Some(model);
+            return Start::new(Some(model), Basis::Resumption);
         }
         if self.dispatcher.is_suspect(&self.work) {
             // Trying a smaller model first adds a run, which may crash one more endpoint.
-            return Some(models - 1);
+            return Start::new(Some(models - 1), Basis::Suspect);
         }
         let service = self.admission.route.target(self.target_draw).unwrap_or_default();
         let remaining = Remaining {
@@ -141,7 +149,12 @@
         if is_shed {
             self.count_shed_quality("start");
         }
-        Some(model)
+        let may_escalate = remaining.allowance && remaining.attempts > 1;
+        let basis = match self.right_answer_value() {
+            None => Basis::Times { may_escalate },
+            Some(right_answer) => Basis::Values { right_answer, pressure: self.pressure(service), may_escalate },
+        };
+        Start { is_limited: limit != Limit::None, ..Start::new(Some(model), basis) }
     }
 
     /// Returns the index of the model to ask first, given the times to the first event of all as multiples of
--- a/crates/relay/src/exchange/plan/models.rs
+++ b/crates/relay/src/exchange/plan/models.rs
@@ -1,9 +1,6 @@
 //! What the choice of the model to start with is based on.
 
-use route::relay::allowance::Purpose;
-
 use super::Exchange;
-use crate::settings::Ladder;
 
 /// A model of the route's ladder, and the time that its first event is expected to take.
 #[derive(Debug, Clone, PartialEq)]
@@ -31,7 +28,7 @@
     Suspect,
     /// The expected times of the models, compared with the target time.
     Times {
-        /// Whether the allowance permits a second run.
+        /// Whether a second run is allowed.
         may_escalate: bool,
     },
     /// The value of a right answer, compared with the models' prices.
@@ -40,37 +37,29 @@
         right_answer: f64,
         /// Demand for the service over its capacity.
         pressure: f64,
-        /// Whether the allowance permits a second run.
+        /// Whether a second run is allowed.
         may_escalate: bool,
     },
 }
 
-impl Exchange {
-    /// Returns the rule that [`Exchange::start_model`] follows for this request.
-    pub(in crate::exchange) fn model_basis(&self) -> Basis {
-        let models = self.admission.route.models.len();
-        if models == 0 {
-            return Basis::NoLadder;
-        }
-        if !self.params.any_model {
-            return Basis::Caller;
-        }
-        if self.resumed_model(models).is_some() {
-            return Basis::Resumption;
-        }
-        if self.dispatcher.is_suspect(&self.work) {
-            return Basis::Suspect;
-        }
-        let service = self.admission.route.target(self.target_draw).unwrap_or_default();
-        let may_escalate = self.dispatcher.allows_extra_dispatch(service, Purpose::Escalation);
-        match (&self.dispatcher.settings.policies.ladder, self.right_answer_value()) {
-            (Ladder::ExpectedValue { .. }, Some(right_answer)) => {
-                Basis::Values { right_answer, pressure: self.pressure(service), may_escalate }
-            }
-            _ => Basis::Times { may_escalate },
-        }
+/// The model to start with, and why.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Start {
+    /// Index of the model; `None` if the route has no models or the caller chose one.
+    pub model: Option<usize>,
+    /// Rule that selects it.
+    pub basis: Basis,
+    /// Whether the expected length of the response excludes models.
+    pub is_limited: bool,
+}
+
+impl Start {
+    pub(super) fn new(model: Option<usize>, basis: Basis) -> Self {
+        Self { model, basis, is_limited: false }
     }
+}
 
+impl Exchange {
     /// Returns what is expected of each model of the ladder; nothing if this instance does not choose.
     pub(in crate::exchange) fn expected_models(&self) -> Vec<Expected> {
         if !self.params.any_model {
--- a/crates/relay/src/explain/report.rs
+++ b/crates/relay/src/explain/report.rs
@@ -14,7 +14,7 @@
         fleet::{Considered, Exclusion, Standing},
     },
     exchange::explain::{Destination, Outlook},
-    exchange::plan::{Basis, Expected},
+    exchange::plan::{Basis, Expected, Start},
     settings::Placement,
 };
 
@@ -164,7 +164,7 @@
 
 impl Explanation {
     pub(super) fn new(dispatcher: &Dispatcher, outlook: Outlook) -> Self {
-        let Outlook { admission, rank, service, model, models, preview, endpoints, result, waited } = outlook;
+        let Outlook { admission, rank, service, start, models, preview, endpoints, result, waited } = outlook;
         let is_balanced = dispatcher.settings.policies.placement == Placement::Balanced;
         let sent = result.as_ref().ok().map(|destination| Sent::new(destination, is_balanced, waited));
         let candidate_count = endpoints.iter().filter(|c| matches!(c.standing, Standing::Candidate { .. })).count();
@@ -192,7 +192,7 @@
             Decision::Refused(_) => None,
         };
         let ladder = admission.as_ref().map(|admission| &admission.route.models);
-        let selected_model = model.and_then(|(model, _)| ladder?.get(model?));
+        let selected_model = start.and_then(|start| ladder?.get(start.model?));
         Self {
             instance: dispatcher.settings.instance.clone(),
             catalog: dispatcher.catalog().map(|catalog| catalog.version),
@@ -202,7 +202,7 @@
             rank: admission.as_ref().map(|_| rank),
             service: Some(service).filter(|service| !service.is_empty()),
             model: selected_model.map(|model| model.name.clone()),
-            model_reason: model.map(|(_, basis)| model_reason(basis)),
+            model_reason: start.map(model_reason),
             models: models.into_iter().map(Estimate::from).collect(),
             decision,
             is_drawn,
@@ -318,8 +318,8 @@
     text.into()
 }
 
-fn model_reason(basis: Basis) -> String {
-    match basis {
+fn model_reason(start: Start) -> String {
+    let reason = match start.basis {
         Basis::NoLadder => "the route has no models to choose from".into(),
         Basis::Caller => "the caller names the model".into(),
         Basis::Resumption => "it has processed the prompt of the stream that is resumed".into(),
@@ -329,9 +329,10 @@
             "a right answer is worth {right_answer} runs of the largest model; pressure {pressure:.2}; {}",
             extra_run(may_escalate)
         ),
-    }
+    };
+    if start.is_limited { reason + "; the expected length excludes models that would end too late" } else { reason }
 }
 
 fn extra_run(may_escalate: bool) -> &'static str {
-    if may_escalate { "a second run is allowed" } else { "the allowance permits no second run" }
+    if may_escalate { "a second run is allowed" } else { "no second run is allowed" }
 }
