Deliver late streams event by event, and never refuse what a silent endpoint runs

Cause, three faults found in the review of the silent tries: the 503 of another instance was passed on although an endpoint here was silent and ran the request, since silent tries are counted apart from the flag that was looked at; a late stream was read to its end before its caller got the first event; a refusal decided on before a late rejection arrived still told the caller that the request may have run. Change: the flag and the silent tries decide together; a stream is taken at its head; an outdated refusal is decided on anew. The third change has no test of its own.

--- a/crates/relay/src/exchange/forwarding.rs
+++ b/crates/relay/src/exchange/forwarding.rs
@@ -243,8 +243,8 @@
         if is_refusal && status == StatusCode::SERVICE_UNAVAILABLE {
             self.may_have_run = ran_before;
             self.record_not_run();
-            // The other instance vouches for what it did itself, not for an earlier try here.
-            if ran_before {
+            // The other instance vouches for what it did itself, not for an earlier or silent try here.
+            if self.may_have_run() {
                 return NextStep::Refused(Refusal::Lost);
             }
         }
--- a/crates/relay/src/exchange/silent.rs
+++ b/crates/relay/src/exchange/silent.rs
@@ -18,8 +18,8 @@
 
 use super::{
     crash_check::check_for_crash,
-    hop::{ENDPOINT_WAIT, MIN_TRY_TIME},
-    tries::{Exchange, NextStep, RECORDING_TIME},
+    hop::{ENDPOINT_WAIT, Hop, MIN_TRY_TIME},
+    tries::{AcceptedAnswer, ActiveStream, Exchange, NextStep, RECORDING_TIME},
     whole::read_whole,
 };
 use crate::{
@@ -28,7 +28,7 @@
     clock,
     dispatcher::fleet::Run,
     source::Endpoint,
-    upstream::{self, Outcome, Pending, TryResult},
+    upstream::{self, Answer, Outcome, Pending, TryResult},
 };
 
 /// Longest time for which the failure of one endpoint is kept while others are silent. They may be gone,
@@ -51,6 +51,8 @@
 enum LateResult {
     /// The whole answer, so that nothing is given up for one that breaks off.
     Whole(Run, Response<Bytes>),
+    /// A stream that has begun, of a route without models. Its caller waits for its events.
+    Stream(Run, Box<Answer>),
     /// The connection broke. It is being checked whether the endpoint has crashed.
     Broken { endpoint: Arc<Endpoint>, cause: String, check: JoinHandle<()> },
     /// Another failure.
@@ -60,7 +62,11 @@
 impl LateResult {
     /// Whether there is an answer that is worth more than a try that is under way.
     fn is_usable(&self) -> bool {
-        matches!(self, Self::Whole(_, whole) if !whole.status().is_server_error())
+        match self {
+            Self::Whole(_, whole) => !whole.status().is_server_error(),
+            Self::Stream(..) => true,
+            Self::Broken { .. } | Self::Failed(..) => false,
+        }
     }
 
     /// Whether the endpoint may have run the request.
@@ -70,14 +76,14 @@
 
     fn endpoint(&self) -> &Endpoint {
         match self {
-            Self::Whole(run, _) | Self::Failed(run, _) => &run.endpoint,
+            Self::Whole(run, _) | Self::Stream(run, _) | Self::Failed(run, _) => &run.endpoint,
             Self::Broken { endpoint, .. } => endpoint,
         }
     }
 
     fn label(&self) -> &'static str {
         match self {
-            Self::Whole(..) => "answer",
+            Self::Whole(..) | Self::Stream(..) => "answer",
             Self::Broken { .. } => "broken",
             Self::Failed(_, outcome) => outcome.label(),
         }
@@ -117,12 +123,16 @@
         // The run goes on, and may crash its endpoint.
         run.record_return(self.work.clone());
         let dispatcher = Arc::clone(&self.dispatcher);
+        let is_stream = matches!(self.admission.route.kind, Kind::Stream { .. });
         let late = async move {
             let TryResult { outcome, statements } = upstream::check_try(answer.await, &id, &names);
             run.record_statements(statements);
             let result = match outcome {
                 Outcome::Answer(answer) => {
                     run.record_first_byte();
+                    if is_stream && answer.response.status().is_success() {
+                        return LateResult::Stream(run, answer);
+                    }
                     read_whole(*answer, memory).await
                 }
                 other => Err(other),
@@ -165,7 +175,9 @@
         match first {
             Ok(accepted @ NextStep::Accepted(_)) => vec![accepted],
             Ok(step) => {
-                steps.push(step);
+                // A refusal was decided on before the ends of the silent tries were known.
+                let is_outdated = !steps.is_empty() && matches!(step, NextStep::Refused(_));
+                steps.push(if is_outdated { NextStep::Retry } else { step });
                 steps
             }
             Err(late) => vec![self.take_late(late)],
@@ -218,6 +230,12 @@
                 self.record_first_byte();
                 self.accept_whole(whole, run)
             }
+            LateResult::Stream(mut run, answer) => {
+                self.record_first_byte();
+                run.record_verdict(false);
+                let hop = Hop::Endpoint(Box::new(run));
+                NextStep::Accepted(AcceptedAnswer::Stream(Box::new(ActiveStream { answer: *answer, hop, model: None })))
+            }
             LateResult::Broken { cause, check, .. } => {
                 self.crash_check = Some(check);
                 self.cause = cause;
--- a/crates/relay/tests/outages/late_answers.rs
+++ b/crates/relay/tests/outages/late_answers.rs
@@ -8,9 +8,16 @@
     time::{Duration, Instant},
 };
 
-use relay::catalog::{Kind, Route, Service};
+use relay::{
+    catalog::{Kind, Route, Service},
+    dispatcher::peers::{Phase, Status},
+};
 use route::relay::content::{Content, Work};
-use tokio::time::sleep;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::sleep,
+};
 
 use crate::{
     caller::{self, Response},
@@ -232,3 +239,59 @@
     assert!(play.site.relay.dispatcher().is_suspect(&work));
     play.call.abort();
 }
+
+/// A late stream must reach its caller event by event. When it was read to its end first, callers
+/// waited for all of it.
+#[tokio::test]
+async fn late_stream_arrives_event_by_event() {
+    let pause = |ms: usize| vec![String::new(); ms / 10];
+    let parts = [pause(1_500), vec![stream_head(90) + &event(1)], pause(2_000), vec![event(2) + LAST_CHUNK]];
+    let server = Server::start(vec![Action::WriteSlowly(parts.concat()), full()]).await;
+    let quick = Route { target_time: Duration::from_secs(4), ..route("/a/", RESUMABLE) };
+    let site = Site::start(vec![quick], &[server.address, server.address]).await;
+    let started = Instant::now();
+    let mut stream = TcpStream::connect(site.front()).await.unwrap();
+    stream.write_all(caller::request("POST", "/a/x", "", "sheet").as_bytes()).await.unwrap();
+    let (mut received, mut buffer) = (String::new(), [0; 1_024]);
+    while !received.contains("d1") {
+        let length = stream.read(&mut buffer).await.unwrap();
+        assert!(length > 0, "{received}");
+        received.push_str(&String::from_utf8_lossy(&buffer[..length]));
+    }
+    assert!(started.elapsed() < Duration::from_millis(3_000), "{:?} {received}", started.elapsed());
+    while !received.contains("d2") {
+        let length = stream.read(&mut buffer).await.unwrap();
+        assert!(length > 0, "{received}");
+        received.push_str(&String::from_utf8_lossy(&buffer[..length]));
+    }
+}
+
+/// Another instance refuses a request that a silent endpoint runs here. Its caller must get the answer,
+/// and not that the request has not run.
+#[tokio::test]
+async fn late_answer_arrives_after_a_refusal_by_another_instance() {
+    let paused = rejection().replace("x-not-run: 1", "x-not-run: 1\r\nretry-after: 2");
+    let server = Server::start(vec![after(1_500, ok_response("first")), Action::Write(paused)]).await;
+    let refusal = rejection().replace("x-not-run: 1", "x-not-run: 1\r\nrelay-refused: fleet");
+    let peer = Server::start(vec![Action::Write(refusal)]).await;
+    let quick = Route { target_time: Duration::from_secs(4), attempts: 5, ..route("/a/", Kind::Idempotent) };
+    let contents = StoreContents {
+        catalog: Some(catalog(1, vec![quick])),
+        endpoints: vec![endpoint("e0", server.address), endpoint("e1", server.address)],
+        ..StoreContents::default()
+    };
+    let site = Site::start_with(contents, |_| {}).await;
+    let status = Status {
+        start: 1,
+        phase: Phase::Ready,
+        fresh: true,
+        in_touch: true,
+        time_to_next: Duration::from_mins(1),
+        catalog: 1,
+        ..Status::default()
+    };
+    site.relay.dispatcher().update_peer("there", peer.address, status);
+    let response = caller::call(site.front(), "POST", "/a/x", "", "sheet").await;
+    assert!(response.status == 200 && response.body.contains("first"), "{response:?}");
+    assert_eq!(peer.requests().len(), 1);
+}
