Learn of a restore of the store that preceded the start

An instance that started within the rewrite time after a return of the store took the older copy for complete: it knew the era without an age, and ignored the age that others told it. A key that was taken away after the copy was made stayed accepted there for up to 2.3 s.

The told age is adopted, also with the first word of the era, and a confirmation from before the end of the rewrite time is discarded. The instance does not register again for a restore that it has not seen. An age is told only with a revision of its own era: otherwise an instance that had read the endpoints in the earlier era made the others discard their keys.

Before: first_told_era_is_as_old_as_it_is_told and started_instance_drops_keys_that_it_confirmed_within_the_rewrite_time fail.

--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -267,8 +267,10 @@
     /// Renews the lease on access keys with an answer of the store that proves them current.
     /// The store was asked for it at `requested_at`.
     pub fn renew(&self, requested_at: Duration, proof: Proof) {
+        // Looked at under the lock: another task may learn of a restore and discard the lease meanwhile.
+        let mut state = self.lock();
         if self.complete_after(requested_at).is_none() {
-            self.lock().lease.renew(requested_at, proof);
+            state.lease.renew(requested_at, proof);
         }
     }
 
--- a/crates/relay/src/dispatcher/era.rs
+++ b/crates/relay/src/dispatcher/era.rs
@@ -7,7 +7,8 @@
 //!
 //! Callers with keys are refused if the last confirmation before the loss becomes too old within that
 //! time. So the time is counted from when any instance has first seen the era, and the keys are
-//! confirmed as soon as it ends.
+//! confirmed as soon as it ends. An instance that has started since then learns the time from the others,
+//! and discards what the store has confirmed to it before the end.
 
 use std::time::Duration;
 
@@ -34,6 +35,8 @@
     /// When it was first seen, as far as this instance knows; `None` if it is not known to have
     /// followed an earlier one.
     seen_at: Option<Duration>,
+    /// Whether this instance itself knew an earlier one.
+    is_witnessed: bool,
 }
 
 impl Era {
@@ -46,28 +49,36 @@
 impl Dispatcher {
     /// Records the era of an answer of the store.
     pub fn record_era(&self, number: u64) {
-        self.record_era_seen_at(number, clock::now());
+        self.record_era_of(number, None);
     }
 
-    /// Records the era of another instance's answer, which that one has first seen at `seen_at` if it
-    /// knew an earlier era. Else it cannot tell how complete the store was, and the time is counted
-    /// from now.
-    pub(super) fn record_era_of(&self, number: u64, seen_at: Option<Duration>) {
+    /// Records the era of another instance's answer, which that one has first seen at `told_at` if it
+    /// knows of an earlier era. Else it cannot tell how complete the store was. The time is counted from
+    /// now then if this instance knew an earlier one.
+    pub(super) fn record_era_of(&self, number: u64, told_at: Option<Duration>) {
         let now = clock::now();
-        self.record_era_seen_at(number, seen_at.unwrap_or(now).min(now));
-    }
-
-    fn record_era_seen_at(&self, number: u64, at: Duration) {
-        let is_new = self.era.send_if_modified(|era| {
-            let is_new = era.number.is_none_or(|known| number > known);
-            if is_new {
-                *era = Era { number: Some(number), seen_at: era.number.map(|_| at) };
-            } else if era.number == Some(number) && era.seen_at.is_some_and(|seen_at| at < seen_at) {
-                era.seen_at = Some(at);
+        let told_at = told_at.map(|told_at| told_at.min(now));
+        let (mut is_new, mut is_first_told) = (false, false);
+        self.era.send_if_modified(|era| {
+            if era.number.is_none_or(|known| number > known) {
+                let is_witnessed = era.number.is_some();
+                let seen_at = told_at.or(is_witnessed.then_some(now));
+                *era = Era { number: Some(number), seen_at, is_witnessed };
+                is_new = true;
+            } else if era.number == Some(number)
+                && let Some(told_at) = told_at
+            {
+                is_first_told = era.seen_at.is_none();
+                era.seen_at = Some(era.seen_at.map_or(told_at, |seen_at| seen_at.min(told_at)));
             }
             is_new
         });
-        if is_new && self.era().seen_at.is_some() {
+        let era = self.era();
+        if is_first_told {
+            // Until now the answers of the store were taken for complete.
+            self.lock().lease.discard_before(era.complete_at());
+        }
+        if is_new && era.is_witnessed {
             tracing::warn!(era = number, "store came back from an older copy");
             metrics::counter!("relay_store_restores_total").increment(1);
             self.store_quarantine_again();
@@ -84,12 +95,14 @@
     pub async fn wait_for_restore(&self, known: Era) {
         let mut eras = self.era.subscribe();
         // The sender lives as long as this dispatcher.
-        eras.wait_for(|era| era.number != known.number && era.seen_at.is_some()).await.ok();
+        eras.wait_for(|era| era.number != known.number && era.is_witnessed).await.ok();
     }
 
-    /// Returns the time since the store's era was first seen, if it followed an earlier one.
-    pub(super) fn era_age(&self) -> Option<Duration> {
-        self.era().seen_at.map(|seen_at| clock::now().saturating_sub(seen_at))
+    /// Returns the time since the store's era was first seen, if it is known to have followed an earlier one;
+    /// `None` if `number` is another era than the store's, such as that of records that were not read since.
+    pub(super) fn era_age(&self, number: u64) -> Option<Duration> {
+        let era = self.era();
+        era.seen_at.filter(|_| era.number == Some(number)).map(|seen_at| clock::now().saturating_sub(seen_at))
     }
 
     /// Returns the pause before the next question to an instance that watches the store, which is
--- a/crates/relay/src/dispatcher/synchronization.rs
+++ b/crates/relay/src/dispatcher/synchronization.rs
@@ -122,7 +122,7 @@
     pub orders: Vec<Rollout>,
     /// The evacuated failure domains.
     pub evacuations: evacuations::Snapshot,
-    /// Time since the store's era was first seen; `None` if no earlier one is known.
+    /// Time since the era of the revision was first seen; `None` if no earlier one is known.
     pub era_age: Option<Duration>,
 }
 
@@ -273,7 +273,7 @@
             orders_revision,
             orders: state.rollouts.orders(),
             evacuations: state.fleet.evacuations.snapshot(),
-            era_age: self.era_age(),
+            era_age: self.era_age(revision.era),
         })
     }
 
--- a/crates/relay/tests/outages/restored_keys.rs
+++ b/crates/relay/tests/outages/restored_keys.rs
@@ -1,10 +1,16 @@
 //! Callers with access keys while a store is away for a moment and comes back from an older copy.
 
-use std::{sync::atomic::Ordering, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
-use relay::{clock, dispatcher::synchronization};
+use relay::{
+    clock,
+    dispatcher::{Dispatcher, synchronization},
+};
 use route::relay::freshness::Proof;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     restored_store::{LOST_CHANGES, RATE, RESTORED},
@@ -108,3 +114,79 @@
     instance_that_saw_a_restore_a_moment_ago_confirms_no_keys: Some(Duration::from_secs(2)) => false;
     instance_that_saw_a_restore_long_before_confirms_keys: Some(Duration::from_millis(2_400)) => true;
 }
+
+/// Returns an instance that has started after a restore: its first contact with the store is with the
+/// restored one, whose keys it confirms.
+fn instance_started_after_a_restore() -> Arc<Dispatcher> {
+    let instance = instance_with_catalog(1);
+    instance.record_era(RESTORED.era);
+    instance.renew(clock::now(), Proof::Read);
+    instance
+}
+
+/// Applies a reply to an instance that has started after a restore, and returns whether its keys are
+/// confirmed then. `era_age` is how long ago the replying instance saw the era begin.
+fn stays_confirmed(era_age: Option<Duration>) -> bool {
+    let (watcher, instance) = (instance_with_catalog(1), instance_started_after_a_restore());
+    watcher.renew(clock::now(), Proof::Read);
+    let reply = watcher.reply(instance.question(), 60).unwrap();
+    let asked_at = clock::now().saturating_sub(Duration::from_millis(50));
+    instance.apply_reply(asked_at, synchronization::Reply { revision: RESTORED, era_age, ..reply });
+    instance.keys_age().is_some()
+}
+
+macro_rules! starts_after_a_restore {
+    ($($name:ident: $era_age:expr => $confirmed:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!(stays_confirmed($era_age), $confirmed);
+        }
+    )*};
+}
+
+// Guards against keys that are confirmed by the older copy at an instance that did not see the restore
+// itself, although others tell it of the restore.
+starts_after_a_restore! {
+    started_instance_drops_keys_that_it_confirmed_within_the_rewrite_time: Some(Duration::from_secs(1)) => false;
+    started_instance_keeps_keys_that_it_confirmed_after_the_rewrite_time: Some(Duration::from_secs(5)) => true;
+    started_instance_keeps_its_keys_if_nobody_saw_the_restore: None => true;
+}
+
+/// Guards against the loss of a told age that comes with the first word of the era.
+#[test]
+fn first_told_era_is_as_old_as_it_is_told() {
+    let (watcher, instance) = (instance_with_catalog(1), instance_with_catalog(1));
+    watcher.renew(clock::now(), Proof::Read);
+    let reply = watcher.reply(instance.question(), 60).unwrap();
+    let era_age = Some(Duration::from_secs(1));
+    instance.apply_reply(clock::now(), synchronization::Reply { revision: RESTORED, era_age, ..reply });
+    assert_eq!(instance.keys_age(), None);
+}
+
+/// Guards against an instance that registers again, which is a write to the store, only because it was
+/// told of a restore before its start.
+#[tokio::test]
+async fn told_restore_is_none_of_the_started_instance() {
+    let instance = instance_with_catalog(1);
+    let before = instance.era();
+    let watcher = instance_with_catalog(1);
+    watcher.renew(clock::now(), Proof::Read);
+    let reply = watcher.reply(instance.question(), 60).unwrap();
+    let era_age = Some(Duration::from_secs(60));
+    instance.apply_reply(clock::now(), synchronization::Reply { revision: RESTORED, era_age, ..reply });
+    assert!(timeout(Duration::from_millis(50), instance.wait_for_restore(before)).await.is_err());
+    instance.record_era(RESTORED.era + 1);
+    assert!(timeout(Duration::from_millis(50), instance.wait_for_restore(before)).await.is_ok());
+}
+
+/// Guards against the age of a new era that is told with a revision of the earlier one, as by an instance
+/// that has not read the endpoints since a restore: the keys would be discarded all over the fleet.
+#[test]
+fn age_of_another_era_is_not_told() {
+    let watcher = instance_with_catalog(1);
+    watcher.record_era(0);
+    watcher.renew(clock::now(), Proof::Read);
+    watcher.record_era(RESTORED.era);
+    let reply = watcher.reply(instance_with_catalog(1).question(), 60).unwrap();
+    assert_eq!((reply.revision.era, reply.era_age), (0, None));
+}
--- a/crates/route/src/relay/freshness.rs
+++ b/crates/route/src/relay/freshness.rs
@@ -117,6 +117,11 @@
         self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
     }
 
+    /// Discards a confirmation of the state before `at`, as the store was incomplete until then.
+    pub fn discard_before(&mut self, at: Duration) {
+        self.confirmed_at = self.confirmed_at.filter(|confirmed_at| *confirmed_at >= at);
+    }
+
     /// Returns whether a request with a key may be served now.
     #[must_use]
     pub fn is_valid(&self, now: Duration) -> bool {
