Count frames of streams until they are written, and long ones always

The memory of a frame was released when the HTTP library took it, and the one frame that a stream may always hold was not counted, although an event may have 1 MB: 300 slow readers of large events held some 300 MB outside the bound.

A frame releases its memory when its bytes are dropped, as whole answers do. A frame beyond the stream's share takes no memory up to 16 KB; a longer one needs memory for bodies, of which a quarter stays free.

With both rules undone, frame_counts_until_it_is_written and long_frame_is_not_held_without_memory fail; all 17 tests of slow_readers pass with them.

--- a/crates/relay/src/dispatcher/in_flight.rs
+++ b/crates/relay/src/dispatcher/in_flight.rs
@@ -1,6 +1,12 @@
 //! Counts of requests in flight and of the memory that their bodies and answers occupy.
 
-use std::sync::Arc;
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicUsize, Ordering},
+};
+
+use bytes::Bytes;
+use tokio::sync::Notify;
 
 use super::{Dispatcher, State};
 
@@ -8,6 +14,18 @@
 /// take. The rest is left to requests and whole answers, which are refused or lost without it.
 const READ_AHEAD_DIVISOR: usize = 2;
 
+/// Memory that a frame takes besides its bytes. Without it, events of a few bytes each would take
+/// several times what is counted.
+const FRAME_OVERHEAD_BYTES: usize = 96;
+
+/// Longest frame of a stream that needs no memory of the bound if the stream holds no other. An event may
+/// have a megabyte, and some hundred slow readers would take several times the bound with one each.
+const MAX_FREE_FRAME_BYTES: usize = 16 << 10;
+
+/// Part of the memory for bodies, as a divisor, that longer frames beyond the part for streams leave to
+/// requests and whole answers.
+const LEFT_BY_LONG_FRAMES_DIVISOR: usize = 4;
+
 impl Dispatcher {
     /// Returns the number of requests without a complete answer.
     #[must_use]
@@ -31,7 +49,8 @@
     /// Returns an empty reservation of the memory for streams received ahead of their callers.
     #[must_use]
     pub fn reserve_read_ahead_memory(self: &Arc<Self>) -> ReadAheadMemory {
-        ReadAheadMemory(self.reserve_body_memory())
+        let reservation = Mutex::new(self.reserve_body_memory());
+        ReadAheadMemory(Arc::new(StreamMemory { reservation, frames: AtomicUsize::new(0), released: Notify::new() }))
     }
 
     /// Returns the memory that bodies of requests and answers occupy, in bytes.
@@ -107,19 +126,67 @@
     }
 }
 
-/// Memory reserved for a stream that is received ahead of its caller; dropping it releases the
-/// memory.
+/// Memory for a stream that is received ahead of its caller.
 #[derive(Debug)]
-pub struct ReadAheadMemory(Reservation);
+pub struct ReadAheadMemory(Arc<StreamMemory>);
+
+/// What a stream and its frames share.
+#[derive(Debug)]
+struct StreamMemory {
+    /// Reserved of the part that streams may take together.
+    reservation: Mutex<Reservation>,
+    /// Number of frames that are held.
+    frames: AtomicUsize,
+    /// Notified when a frame was dropped.
+    released: Notify,
+}
 
 impl ReadAheadMemory {
-    /// Reserves `bytes` more and returns true, or returns false if the stream would take more than
-    /// it leaves to other streams.
-    pub fn grow(&mut self, bytes: usize) -> bool {
-        let dispatcher = Arc::clone(&self.0.dispatcher);
+    /// Holds a frame until the returned bytes are dropped, which is when they were written to the caller.
+    /// Returns `None` if the stream would take more than it leaves to others.
+    ///
+    /// A stream that holds no frame may have one beyond that, so that its caller gets on while slower ones
+    /// have taken the part for streams. A short one needs no memory, and a longer one that of bodies.
+    #[must_use]
+    pub fn hold(&self, bytes: &Bytes) -> Option<Bytes> {
+        let wanted = bytes.len() + FRAME_OVERHEAD_BYTES;
+        let claim = if self.0.grow(wanted) {
+            Claim::ReadAhead(wanted)
+        } else if self.0.frames.load(Ordering::Relaxed) > 0 {
+            return None;
+        } else if wanted <= MAX_FREE_FRAME_BYTES {
+            Claim::Free
+        } else {
+            let mut reservation = self.0.dispatcher().reserve_body_memory();
+            let left = reservation.dispatcher.settings.body_memory / LEFT_BY_LONG_FRAMES_DIVISOR;
+            if !reservation.grow_leaving(wanted, left) {
+                return None;
+            }
+            Claim::Body(reservation)
+        };
+        self.0.frames.fetch_add(1, Ordering::Relaxed);
+        Some(Bytes::from_owner(HeldFrame { bytes: bytes.clone(), claim, stream: Arc::clone(&self.0) }))
+    }
+
+    /// Waits until a frame was dropped since the last call.
+    pub async fn wait_for_release(&self) {
+        self.0.released.notified().await;
+    }
+}
+
+impl StreamMemory {
+    fn dispatcher(&self) -> Arc<Dispatcher> {
+        Arc::clone(&self.lock().dispatcher)
+    }
+
+    /// Reserves `bytes` more and returns true, or returns false if the stream would take more than it
+    /// leaves to other streams.
+    fn grow(&self, bytes: usize) -> bool {
+        let mut reservation = self.lock();
+        let dispatcher = Arc::clone(&reservation.dispatcher);
         let limit = dispatcher.settings.body_memory / READ_AHEAD_DIVISOR;
         let used = dispatcher.lock().read_ahead_bytes + bytes;
-        if used + self.0.bytes + bytes > limit || !self.0.grow_within_share(bytes) {
+        if used + reservation.bytes + bytes > limit || !reservation.grow_within_share(bytes) {
             return false;
         }
         dispatcher.lock().count_read_ahead(bytes, 0);
@@ -127,16 +194,47 @@
     }
 
     /// Releases `bytes`, which were reserved before.
-    pub fn shrink(&mut self, bytes: usize) {
-        let bytes = bytes.min(self.0.bytes);
-        self.0.resize_within_share(self.0.bytes - bytes);
-        self.0.dispatcher.lock().count_read_ahead(0, bytes);
+    fn shrink(&self, bytes: usize) {
+        let mut reservation = self.lock();
+        let left = reservation.bytes.saturating_sub(bytes);
+        reservation.resize_within_share(left);
+        reservation.dispatcher.lock().count_read_ahead(0, bytes);
     }
+
+    fn lock(&self) -> MutexGuard<'_, Reservation> {
+        self.reservation.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A frame of a stream, whose memory is released when it is dropped.
+struct HeldFrame {
+    bytes: Bytes,
+    claim: Claim,
+    stream: Arc<StreamMemory>,
 }
 
-impl Drop for ReadAheadMemory {
+/// The memory that a frame takes.
+enum Claim {
+    /// Bytes of the part for streams.
+    ReadAhead(usize),
+    /// Memory for bodies, which is released with the reservation.
+    Body(#[expect(dead_code, reason = "only dropped")] Reservation),
+    Free,
+}
+
+impl AsRef<[u8]> for HeldFrame {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for HeldFrame {
     fn drop(&mut self) {
-        self.0.dispatcher.lock().count_read_ahead(0, self.0.bytes);
+        if let Claim::ReadAhead(bytes) = std::mem::replace(&mut self.claim, Claim::Free) {
+            self.stream.shrink(bytes);
+        }
+        self.stream.frames.fetch_sub(1, Ordering::Relaxed);
+        self.stream.released.notify_one();
     }
 }
 
--- a/crates/relay/src/exchange/read_ahead.rs
+++ b/crates/relay/src/exchange/read_ahead.rs
@@ -6,8 +6,8 @@
 //! The response consists of the same frames in the same order.
 //!
 //! The memory of all streams together is a part of the memory for bodies, and one stream takes no
-//! more of it than it leaves to others. A stream that has used up its share is received at its
-//! caller's pace, until its deadline. Dropping the response, as happens when the caller disconnects,
+//! more of it than it leaves to others. A frame counts until it is written to the caller. A stream that
+//! has used up its share is received at its caller's pace, until its deadline. Dropping the response, as happens when the caller disconnects,
 //! ends the task and cancels the run.
 
 use std::{
@@ -22,7 +22,7 @@
 use bytes::Bytes;
 use futures::{Stream, StreamExt};
 use hyper::body::{Body, Frame};
-use tokio::{sync::Notify, time::timeout};
+use tokio::time::timeout;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::{
@@ -30,10 +30,6 @@
     dispatcher::{Dispatcher, ReadAheadMemory},
 };
 
-/// Memory that a frame takes besides its bytes. Without it, events of a few bytes each would take
-/// several times what is counted.
-const FRAME_OVERHEAD_BYTES: usize = 96;
-
 /// Time after which a stream without memory tries to reserve some again, since others may have
 /// released theirs.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
@@ -112,68 +108,47 @@
 #[derive(Debug)]
 struct Queue {
     state: Mutex<State>,
-    /// Notified when the caller has taken a frame.
-    taken: Notify,
+    memory: ReadAheadMemory,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct State {
-    frames: VecDeque<Held>,
-    memory: ReadAheadMemory,
+    /// Each holds its memory until it is dropped.
+    frames: VecDeque<Bytes>,
     /// Task that waits for a frame.
     waiting: Option<Waker>,
 }
 
-/// A frame, and how much memory is reserved for it.
-#[derive(Debug)]
-struct Held {
-    bytes: Bytes,
-    reserved: usize,
-}
-
 impl Queue {
     fn new(memory: ReadAheadMemory) -> Self {
-        let state = State { frames: VecDeque::new(), memory, waiting: None };
-        Self { state: Mutex::new(state), taken: Notify::new() }
+        Self { state: Mutex::default(), memory }
     }
 
     /// Adds a frame and returns true, and waits first until there is memory for it. Returns false if
-    /// there is none until `limit`. One frame is always held.
+    /// there is none until `limit`.
     async fn push(&self, bytes: Bytes, limit: Duration) -> bool {
-        while !self.try_push(&bytes) {
+        let held = loop {
+            if let Some(held) = self.memory.hold(&bytes) {
+                break held;
+            }
             let left = limit.saturating_sub(clock::now());
             if left.is_zero() {
                 return false;
             }
             // The end of the wait needs no notice: the memory is checked again in any case.
-            let _ = timeout(RETRY_INTERVAL.min(left), self.taken.notified()).await;
-        }
-        true
-    }
-
-    fn try_push(&self, bytes: &Bytes) -> bool {
+            let _ = timeout(RETRY_INTERVAL.min(left), self.memory.wait_for_release()).await;
+        };
         let mut state = self.lock();
-        let wanted = bytes.len() + FRAME_OVERHEAD_BYTES;
-        let is_reserved = state.memory.grow(wanted);
-        if !is_reserved && !state.frames.is_empty() {
-            return false;
-        }
-        let reserved = if is_reserved { wanted } else { 0 };
-        state.frames.push_back(Held { bytes: bytes.clone(), reserved });
+        state.frames.push_back(held);
         if let Some(waiting) = state.waiting.take() {
             waiting.wake();
         }
         true
     }
 
-    /// Takes the first frame and releases its memory.
+    /// Takes the first frame.
     fn pop(&self) -> Option<Bytes> {
-        let mut state = self.lock();
-        let Held { bytes, reserved } = state.frames.pop_front()?;
-        state.memory.shrink(reserved);
-        drop(state);
-        self.taken.notify_one();
-        Some(bytes)
+        self.lock().frames.pop_front()
     }
 
     /// Wakes a task when there is a frame; returns false if there is one already.
--- a/crates/relay/tests/it/slow_readers.rs
+++ b/crates/relay/tests/it/slow_readers.rs
@@ -5,7 +5,8 @@
     time::{Duration, Instant},
 };
 
-use relay::catalog::Kind;
+use bytes::Bytes;
+use relay::{catalog::Kind, dispatcher::ReadAheadMemory};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpSocket, TcpStream},
@@ -15,7 +16,7 @@
 use crate::{
     caller,
     server::{Action, LAST_CHUNK, Server, chunk, event, ok_response, stream_head},
-    site::{Site, StoreContents, catalog, endpoint, route},
+    site::{Site, StoreContents, catalog, endpoint, instance_with_catalog, route},
 };
 
 const STREAM: Kind = Kind::Stream { resumable: true };
@@ -370,3 +371,56 @@
     assert!(since.elapsed() < Duration::from_millis(1_600), "{:?}", since.elapsed());
     wait_until("the run should be recorded as ended", || has_no_runs(&site)).await;
 }
+
+/// Returns a frame of a stream.
+fn frame(kilobytes: usize) -> Bytes {
+    Bytes::from(vec![b'x'; kilobytes << 10])
+}
+
+/// Guards against frames that the HTTP library holds and nobody counts: some hundred slow readers would take
+/// several times the bound.
+#[tokio::test]
+async fn frame_counts_until_it_is_written() {
+    let instance = instance_with_catalog(1);
+    let stream = instance.reserve_read_ahead_memory();
+    let held = stream.hold(&frame(200)).unwrap();
+    assert!(instance.held_body_bytes() >= 200 << 10);
+    drop(stream);
+    assert!(instance.held_body_bytes() >= 200 << 10, "the HTTP library still writes it");
+    drop(held);
+    assert_eq!(instance.held_body_bytes(), 0);
+}
+
+/// Guards against long events outside the bound: a stream may always hold one frame, but none of a megabyte.
+#[tokio::test]
+async fn long_frame_is_not_held_without_memory() {
+    let instance = instance_with_catalog(1);
+    let mut requests = instance.reserve_body_memory();
+    assert!(requests.grow(instance.settings.body_memory));
+    let stream = instance.reserve_read_ahead_memory();
+    assert!(stream.hold(&frame(200)).is_none());
+    let short = stream.hold(&frame(8)).unwrap();
+    assert!(stream.hold(&frame(8)).is_none(), "one at a time");
+    drop(short);
+    stream.wait_for_release().await;
+    assert!(stream.hold(&frame(8)).is_some());
+}
+
+/// Guards against quick readers that wait for slow ones, whose streams have used up their part of the memory.
+#[tokio::test]
+async fn quick_stream_of_long_frames_goes_on_beside_slow_ones() {
+    let instance = instance_with_catalog(1);
+    let memory = instance.settings.body_memory;
+    let slow: Vec<_> = (0..100).map(|_| instance.reserve_read_ahead_memory()).collect();
+    let fill = |stream: &ReadAheadMemory| std::iter::from_fn(|| stream.hold(&frame(8))).collect::<Vec<_>>();
+    let _held: Vec<_> = slow.iter().map(fill).collect();
+    let quick = instance.reserve_read_ahead_memory();
+    for _ in 0..10 {
+        let long = quick.hold(&frame(60)).expect("its caller has taken what was held");
+        assert!(quick.hold(&frame(60)).is_none(), "one at a time");
+        drop(long);
+    }
+    let streams: Vec<_> = (0..100).map(|_| instance.reserve_read_ahead_memory()).collect();
+    let _long: Vec<_> = streams.iter().filter_map(|stream| stream.hold(&frame(60))).collect();
+    assert!(instance.held_body_bytes() <= memory / 4 * 3, "a quarter is left to requests and whole answers");
+}
