--- a/crates/relay/tests/outages/restored_keys.rs
+++ b/crates/relay/tests/outages/restored_keys.rs
@@ -172,7 +172,7 @@
     let watcher = instance_with_catalog(1);
     watcher.renew(clock::now(), Proof::Read);
     let reply = watcher.reply(instance.question(), 60).unwrap();
-    let era_age = Some(Duration::from_secs(60));
+    let era_age = Some(Duration::from_mins(1));
     instance.apply_reply(clock::now(), synchronization::Reply { revision: RESTORED, era_age, ..reply });
     assert!(timeout(Duration::from_millis(50), instance.wait_for_restore(before)).await.is_err());
     instance.record_era(RESTORED.era + 1);
