Send a request once only to an endpoint with its silent run

Tried endpoints are eligible when no other is. So a request at the only endpoint of its service ran there up to three times at once while the first run was silent. A stream that was to go on elsewhere placed a whole run at a tried endpoint and dropped it, every 25 ms, and each took a token of the rate limit, the warm-up and the pause.

A job names the endpoints that are barred, and the selection leaves them out: those with silent runs of the request, and all tried ones for a stream that is to go on elsewhere. Other tried endpoints stay eligible.

lone_silent_endpoint_gets_the_request_once failed before ("second" for "first"); 68 tests of late_answers, silent_endpoints and vanishing_endpoints pass.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -136,6 +136,7 @@
         session,
         in_session: false,
         tried: &[],
+        barred: &[],
         version: None,
     }
 }
--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -238,6 +238,8 @@
     pub in_session: bool,
     /// Endpoints that were tried already.
     pub tried: &'a [Key],
+    /// Endpoints that may not get it, some of those that were tried.
+    pub barred: &'a [Key],
     /// Version to stay on, if an endpoint of it is available.
     pub version: Option<&'a str>,
 }
--- a/crates/relay/src/dispatcher/fleet/selection.rs
+++ b/crates/relay/src/dispatcher/fleet/selection.rs
@@ -242,9 +242,10 @@
 impl Fleet {
     /// Returns the endpoints that may run a job: untried ones of the version it is to stay
     /// on, or else of an assigned version; if there are none, tried ones of an assigned
-    /// version; if there are none, any whose version is tolerated.
+    /// version; if there are none, any whose version is tolerated. Never barred ones.
     fn eligible(&self, job: &Job<'_>, assignment: &Assignment, now: Duration) -> Vec<(Key, &Server)> {
-        let pool = self.available(job.service, now);
+        let mut pool = self.available(job.service, now);
+        pool.retain(|(key, _)| !job.barred.contains(key));
         let among = |wanted: &dyn Fn(&str) -> bool, untried: bool| -> Vec<(Key, &Server)> {
             let skipped = |key: &Key| untried && job.tried.contains(key);
             pool.iter().filter(|(key, s)| wanted(&s.endpoint.version) && !skipped(key)).copied().collect()
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -182,7 +182,7 @@
         is_forwarded: false,
         tried_instances: Vec::new(),
         may_have_run: false,
-        silent_tries: 0,
+        silent_at: Vec::new(),
         cause: String::new(),
         target_draw: rand::random(),
         version: None,
--- a/crates/relay/src/exchange/hop.rs
+++ b/crates/relay/src/exchange/hop.rs
@@ -218,8 +218,6 @@
 
     /// Places a run at an endpoint; `None` if no endpoint accepts the request.
     fn place(&self, model: Option<usize>) -> Option<Run> {
-        let run = self.dispatcher.place(&self.job(model))?;
-        let is_avoided = self.avoids_tried && self.tried.contains(&run.key);
-        (!is_avoided).then_some(run)
+        self.dispatcher.place(&self.job(model))
     }
 }
--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -68,6 +68,7 @@
             session,
             in_session: self.params.session.is_some(),
             tried: &self.tried,
+            barred: if self.avoids_tried { &self.tried } else { &self.silent_at },
             version: self.version.as_deref(),
         }
     }
--- a/crates/relay/src/exchange/silent.rs
+++ b/crates/relay/src/exchange/silent.rs
@@ -26,7 +26,7 @@
     answer::Refusal,
     catalog::Kind,
     clock,
-    dispatcher::fleet::Run,
+    dispatcher::fleet::{Key, Run},
     source::Endpoint,
     upstream::{self, Outcome, Pending, TryResult},
 };
@@ -52,7 +52,7 @@
     /// The whole answer, so that nothing is given up for one that breaks off.
     Whole(Run, Response<Bytes>),
     /// The connection broke. It is being checked whether the endpoint has crashed.
-    Broken { endpoint: Arc<Endpoint>, cause: String, check: JoinHandle<()> },
+    Broken { key: Key, endpoint: Arc<Endpoint>, cause: String, check: JoinHandle<()> },
     /// Another failure.
     Failed(Run, Outcome),
 }
@@ -75,6 +75,13 @@
         }
     }
 
+    fn key(&self) -> Key {
+        match self {
+            Self::Whole(run, _) | Self::Failed(run, _) => run.key,
+            Self::Broken { key, .. } => *key,
+        }
+    }
+
     fn label(&self) -> &'static str {
         match self {
             Self::Whole(..) => "answer",
@@ -135,7 +142,7 @@
                     let (key, endpoint) = (run.key, Arc::clone(&run.endpoint));
                     drop(run);
                     let check = tokio::spawn(check_for_crash(dispatcher, key, Arc::clone(&endpoint)));
-                    LateResult::Broken { endpoint, cause, check }
+                    LateResult::Broken { key, endpoint, cause, check }
                 }
                 Err(outcome) => LateResult::Failed(run, outcome),
             }
@@ -211,7 +218,9 @@
             "silent endpoint went on"
         );
         metrics::counter!("relay_silent_tries_total", "outcome" => late.label()).increment(1);
-        self.silent_tries = self.silent_tries.saturating_sub(1);
+        if let Some(place) = self.silent_at.iter().position(|key| *key == late.key()) {
+            self.silent_at.swap_remove(place);
+        }
         self.may_have_run |= late.may_have_run();
         match late {
             LateResult::Whole(run, whole) => {
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -66,8 +66,9 @@
     pub(super) tried_instances: Vec<SocketAddr>,
     /// Whether any endpoint may have run the request, apart from the silent ones.
     pub(super) may_have_run: bool,
-    /// Number of silent tries, of which it is not known whether they run the request.
-    pub(super) silent_tries: usize,
+    /// Endpoints of the silent tries, of which it is not known whether they run the request. They get it no
+    /// second time meanwhile.
+    pub(super) silent_at: Vec<Key>,
     /// Cause of the last failed try, for logs.
     pub(super) cause: String,
     /// Random number that selects the route's target, the same for all tries.
@@ -179,7 +180,7 @@
 
     /// Whether any endpoint may have run the request, or may run it still.
     pub(super) fn may_have_run(&self) -> bool {
-        self.may_have_run || self.silent_tries > 0
+        self.may_have_run || !self.silent_at.is_empty()
     }
 
     /// Returns the refusal for the caller, which must not claim that a request did not run
@@ -210,7 +211,7 @@
                 }
                 // Its end tells whether the request has run there.
                 self.may_have_run = ran_before;
-                self.silent_tries += 1;
+                self.silent_at.push(run.key);
                 NextStep::Silent(Box::new(SilentTry { run, answer }))
             }
         }
--- a/crates/relay/tests/it/notices.rs
+++ b/crates/relay/tests/it/notices.rs
@@ -54,6 +54,7 @@
         session: 1,
         in_session: false,
         tried: &[],
+        barred: &[],
         version: None,
     }
 }
--- a/crates/relay/tests/it/partitions.rs
+++ b/crates/relay/tests/it/partitions.rs
@@ -516,6 +516,7 @@
         session: 0,
         in_session: false,
         tried: &[],
+        barred: &[],
         version: None,
     }
 }
--- a/crates/relay/tests/it/synchronization.rs
+++ b/crates/relay/tests/it/synchronization.rs
@@ -176,6 +176,7 @@
         session: 1,
         in_session: false,
         tried: &[],
+        barred: &[],
         version: None,
     };
     let busy_ms = here.expected_ms(&job).unwrap();
--- a/crates/relay/tests/outages/late_answers.rs
+++ b/crates/relay/tests/outages/late_answers.rs
@@ -232,3 +232,15 @@
     assert!(play.site.relay.dispatcher().is_suspect(&work));
     play.call.abort();
 }
+
+/// Guards against a second copy of a request at an endpoint that is silent: it is the only one of its
+/// service, and its answer comes late.
+#[tokio::test]
+async fn lone_silent_endpoint_gets_the_request_once() {
+    let server = Server::start(vec![after(1_500, ok_response("first")), Action::Write(ok_response("second"))]).await;
+    let quick = Route { target_time: Duration::from_secs(4), ..route("/a/", Kind::Idempotent) };
+    let site = Site::start(vec![quick], &[server.address]).await;
+    let response = caller::call(site.front(), "POST", "/a/x", "", "sheet").await;
+    assert_eq!((response.status, response.body.as_str()), (200, "first"), "{response:?}");
+    assert_eq!(server.requests().len(), 1, "runs");
+}
