--- a/crates/relay/src/exchange/read_ahead.rs
+++ b/crates/relay/src/exchange/read_ahead.rs
@@ -6,9 +6,9 @@
 //! The response consists of the same frames in the same order.
 //!
 //! The memory of all streams together is a part of the memory for bodies, and one stream takes no
-//! more of it than it leaves to others. A frame counts until it is written to the caller. A stream that
-//! has used up its share is received at its caller's pace, until its deadline. Dropping the response, as happens when the caller disconnects,
-//! ends the task and cancels the run.
+//! more of it than it leaves to others. A frame counts until it is written to the caller. A stream
+//! that has used up its share is received at its caller's pace, until its deadline. Dropping the
+//! response, as happens when the caller disconnects, ends the task and cancels the run.
 
 use std::{
     collections::VecDeque,
