Keep log lines that an explanation reaches first

An explanation runs without log lines under `Dispatch::none`. Where only one subscriber is registered, a line that is first reached there takes its interest from that dispatcher, which is "never", and tracing keeps the answer for the process: real requests do not log the line any more.

A registered subscriber of our own takes its place. It wants no line, but asks for each line to be looked at again at its next use. It is registered once for the process and states no level, so that the most verbose level stays that of the real subscriber.

A new test has an explanation reach a line before the instance does.

--- a/crates/arbutuslugd/tests/explain.rs
+++ b/crates/arbutuslugd/tests/explain.rs
@@ -10,15 +10,23 @@
     net::{SocketAddr, TcpStream},
     process::{Command, Output, Stdio},
     sync::{Mutex, OnceLock},
+    time::Duration,
 };
 
 use arbutuslugd::relaying::listener::{Instance, Listener};
 use relay::{
     catalog::Kind,
+    clock,
+    dispatcher::{
+        Dispatcher,
+        fleet::{Job, RejectionLimit, short_hash},
+    },
+    explain::{Caller, Query},
     settings::{Admission, Placement, Settings},
 };
+use route::relay::freshness::Proof;
 use serde_json::{Value, json};
-use site::{HOST, KEY, Site, StoreContents, cascade_route, catalog, endpoint, route};
+use site::{HOST, KEY, SERVICE, Site, StoreContents, cascade_route, catalog, endpoint, route};
 
 /// Returns the address of an operators' listener of an instance with two endpoints.
 async fn start() -> (Site, SocketAddr) {
@@ -277,3 +285,52 @@
     assert!(!logged.contains("request refused"), "{logged}");
     drop(site);
 }
+
+/// A log line that an explanation reaches first, here of a statement that has expired, must still be
+/// logged when the instance itself comes to it.
+#[tokio::test]
+async fn line_that_an_explanation_reaches_first_is_logged_afterwards() {
+    const LINE: &str = "statement on the rejections that endpoints survive expired";
+    let _ = lines();
+    let instance = Dispatcher::new(site::settings(), site::dialect());
+    instance.set_identity();
+    instance.install(catalog(1, vec![route("/a/", Kind::Idempotent)]));
+    instance.record_listing(site::revision(10));
+    instance.record_orders_revision(site::revision(10));
+    instance.mark_listed();
+    instance.renew(clock::now(), Proof::Read);
+    instance.register_endpoint(endpoint("e0", ([127, 0, 0, 1], 9).into()));
+    // Statements expire after 10 s.
+    let age = Duration::from_millis(9_800);
+    instance.apply_rejection_limits([RejectionLimit { service: short_hash(SERVICE), max_per_s: Some(9), age }]);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let query = Query {
+        method: http::Method::GET,
+        host: HOST.into(),
+        path: "/a/x".parse().unwrap(),
+        caller: Caller::Key(KEY.into()),
+        headers: http::HeaderMap::new(),
+        parts: Vec::new(),
+        tokens: None,
+    };
+    let logged = || String::from_utf8(lines().lock().unwrap().clone()).unwrap().contains(LINE);
+    relay::explain::explain(&instance, &query, 0.5).await.unwrap();
+    assert!(!logged());
+    let job = Job {
+        route: "/a/",
+        service: SERVICE,
+        model: None,
+        size: 1.0,
+        affinity: None,
+        whole: None,
+        shared_tokens: 0,
+        own_tokens: 0,
+        output_tokens: 0,
+        session: 1,
+        in_session: false,
+        tried: &[],
+        version: None,
+    };
+    let _run = instance.place(&job).unwrap();
+    assert!(logged());
+}
--- a/crates/relay/src/exchange/explain.rs
+++ b/crates/relay/src/exchange/explain.rs
@@ -5,13 +5,19 @@
 
 use std::{
     pin::{Pin, pin},
+    sync::LazyLock,
     task::{Context, Poll},
     time::Duration,
 };
 
 use http::request::Parts;
 use metrics::NoopRecorder;
-use tracing::Dispatch;
+use tracing::{
+    Dispatch, Event, Metadata, Subscriber,
+    level_filters::LevelFilter,
+    span::{Attributes, Id, Record},
+    subscriber::Interest,
+};
 
 use super::{
     admit::{self, Admission},
@@ -151,14 +157,52 @@
     }
 }
 
+/// Subscriber for log lines of decisions that are not made. It is registered once, since each
+/// registration asks all subscribers about all lines again.
+static QUIET: LazyLock<Dispatch> = LazyLock::new(|| Dispatch::new(Quiet));
+
 /// Runs a future without its metrics and log lines, which would tell of decisions that were not made.
 async fn quietly<T>(future: impl Future<Output = T>) -> T {
     let mut future = pin!(future);
-    let quiet = Dispatch::none();
-    std::future::poll_fn(move |context| poll_quietly(&quiet, future.as_mut(), context)).await
+    std::future::poll_fn(move |context| poll_quietly(future.as_mut(), context)).await
 }
 
-fn poll_quietly<T>(quiet: &Dispatch, future: Pin<&mut impl Future<Output = T>>, context: &mut Context<'_>) -> Poll<T> {
+fn poll_quietly<T>(future: Pin<&mut impl Future<Output = T>>, context: &mut Context<'_>) -> Poll<T> {
     let poll = || metrics::with_local_recorder(&NoopRecorder, || future.poll(context));
-    tracing::dispatcher::with_default(quiet, poll)
+    tracing::dispatcher::with_default(&QUIET, poll)
+}
+
+/// Drops all log lines, and has each asked about again at its next use.
+///
+/// `Dispatch::none` answers that it never wants a line. That answer is kept for the process if the line
+/// is first reached under it, so that real requests would not log it either.
+struct Quiet;
+
+impl Subscriber for Quiet {
+    fn register_callsite(&self, _: &'static Metadata<'static>) -> Interest {
+        Interest::sometimes()
+    }
+
+    fn enabled(&self, _: &Metadata<'_>) -> bool {
+        false
+    }
+
+    /// The most verbose level of all subscribers holds for the process, so this one has none.
+    fn max_level_hint(&self) -> Option<LevelFilter> {
+        Some(LevelFilter::OFF)
+    }
+
+    fn new_span(&self, _: &Attributes<'_>) -> Id {
+        Id::from_u64(1)
+    }
+
+    fn record(&self, _: &Id, _: &Record<'_>) {}
+
+    fn record_follows_from(&self, _: &Id, _: &Id) {}
+
+    fn event(&self, _: &Event<'_>) {}
+
+    fn enter(&self, _: &Id) {}
+
+    fn exit(&self, _: &Id) {}
 }
