Refuse the key and repeated names among the headers of a query

`--header` took the header of the key, so a key could stand on the command line, which docs/design/explain.md excludes. Of two headers of one name only the last counted, without a sign.

The instance refuses the key's header with the field `headers` and names the field `key` instead. A name that is repeated, also in other case, is refused by the command and by the instance. `Caller::Headers` is now `Caller::Nobody`, since headers name nobody any more.

The case `in_header` of `no_key_is_shown` and the case `key_in_a_header` of the command now require the refusal; a repeated name has cases of its own.

--- a/crates/arbutuslugd/src/explain.rs
+++ b/crates/arbutuslugd/src/explain.rs
@@ -36,7 +36,7 @@
                 .value_parser(value_parser!(PathBuf)),
         )
         .group(ArgGroup::new("caller").args(["team", "key-file"]))
-        .arg(value("header", "NAME:VALUE", "Header of the request").action(ArgAction::Append))
+        .arg(value("header", "NAME:VALUE", "Header of the request, except the key's").action(ArgAction::Append))
         .arg(value("part", "ID:TOKENS", "Part of the prompt; repeat it in order").action(ArgAction::Append))
         .arg(value("tokens", "PROMPT,OUTPUT", "Tokens in the prompt and maximum number to generate"))
         .arg(Arg::new("json").long("json").action(ArgAction::SetTrue).help("Print the explanation as JSON"))
@@ -105,7 +105,9 @@
     for header in all("header") {
         // The value may be a key, so it is not repeated.
         let (name, value) = header.split_once(':').ok_or("--header: not `NAME:VALUE`")?;
-        headers.insert(name.trim().to_owned(), value.trim().into());
+        if headers.insert(name.trim().to_ascii_lowercase(), value.trim().into()).is_some() {
+            return Err("--header: a name is repeated".into());
+        }
     }
     query.insert("headers".into(), headers.into());
     let part = |part: &String| {
--- a/crates/arbutuslugd/src/relaying/query.rs
+++ b/crates/arbutuslugd/src/relaying/query.rs
@@ -44,7 +44,7 @@
         (Some(_), Some(_)) => return Err(invalid("team", "given besides `key`")),
         (Some(key), None) => Caller::Key(key.to_owned()),
         (None, Some(team)) => Caller::Team(team.to_owned()),
-        (None, None) => Caller::Headers,
+        (None, None) => Caller::Nobody,
     };
     Ok(Query {
         method,
@@ -72,7 +72,11 @@
     for (name, value) in given {
         let name = HeaderName::from_bytes(name.as_bytes()).map_err(|_| invalid("headers", "a name is not valid"))?;
         let value = value.as_str().and_then(|value| HeaderValue::from_str(value).ok());
-        headers.insert(name, value.ok_or_else(|| invalid("headers", "a value is not a header's text"))?);
+        let value = value.ok_or_else(|| invalid("headers", "a value is not a header's text"))?;
+        // Names are equal in upper and lower case.
+        if headers.insert(name, value).is_some() {
+            return Err(invalid("headers", "a name is repeated"));
+        }
     }
     Ok(headers)
 }
--- a/crates/arbutuslugd/tests/explain.rs
+++ b/crates/arbutuslugd/tests/explain.rs
@@ -101,7 +101,9 @@
 commands! {
     request_that_would_be_sent: ["--path", "/a/x", "--team", "club"], "" => 0, "sent to e";
     key_is_read_from_standard_input: ["--path", "/a/x", "--key-file", "-"], "key-of-club\n" => 0, "team club";
-    key_in_a_header: ["--path", "/a/x", "--header", "x-key: key-of-club"], "" => 0, "team club";
+    key_in_a_header: ["--path", "/a/x", "--header", "x-key: key-of-club"], "" => 2, "give the key as `key`";
+    repeated_header: ["--path", "/a/x", "--header", "x-model:a", "--header", "X-Model:b"], ""
+        => 2, "--header: a name is repeated";
     prompt_with_parts: ["--path", "/s/x", "--team", "club", "--header", "x-model:*", "--part", "p1:2000",
         "--part", "p2:10", "--tokens", "2010,5"], "" => 0, "model small: expected times";
     unknown_key_is_refused: ["--path", "/a/x", "--key-file", "-"], "secret" => 1, "refused: NoKey (401)";
@@ -193,6 +195,8 @@
         ("team", with("team", json!("nobody"))),
         ("headers", with("headers", json!({ "a b": "secret" }))),
         ("headers", with("headers", json!({ "x-key": 1 }))),
+        ("headers", with("headers", json!({ "x-key": "secret" }))),
+        ("headers", with("headers", json!({ "x-model": "a", "X-Model": "b" }))),
         ("parts", with("parts", json!([{ "id": "p1" }]))),
         ("parts", with("parts", json!([{ "id": "p1,p2", "tokens": 1 }]))),
         ("parts", with("parts", json!([{ "id": "p1", "tokens": 5_000_000_000_u64 }]))),
--- a/crates/relay/src/explain.rs
+++ b/crates/relay/src/explain.rs
@@ -27,7 +27,7 @@
     pub path: Uri,
     /// Who sends the request.
     pub caller: Caller,
-    /// Further headers, by the names that callers use.
+    /// Further headers, by the names that callers use, without that of the key.
     pub headers: HeaderMap,
     /// Parts of the prompt in order, with their numbers of tokens; they replace the header.
     pub parts: Vec<(String, u32)>,
@@ -38,8 +38,8 @@
 /// Who sends a request.
 #[derive(Clone)]
 pub enum Caller {
-    /// Whoever the headers name, or nobody.
-    Headers,
+    /// Nobody; the request has no key.
+    Nobody,
     /// The owner of an access key.
     Key(String),
     /// A team by its name. Any of its keys is used.
@@ -73,7 +73,7 @@
 impl fmt::Debug for Caller {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::Headers => "Headers",
+            Self::Nobody => "Nobody",
             Self::Key(_) => "Key",
             Self::Team(_) => "Team",
         })
@@ -87,7 +87,8 @@
 ///
 /// # Errors
 ///
-/// Returns [`Invalid`] if a field cannot be part of a request, or no team has the given name.
+/// Returns [`Invalid`] if a field cannot be part of a request, the headers hold an access key, or no
+/// team has the given name.
 pub async fn explain(dispatcher: &Dispatcher, query: &Query, draw: f64) -> Result<Explanation, Invalid> {
     let headers = headers(dispatcher, query)?;
     let params = RequestParams::read(&headers, &dispatcher.dialect.names);
@@ -103,11 +104,15 @@
 /// Returns the headers with which a caller would send the request.
 fn headers(dispatcher: &Dispatcher, query: &Query) -> Result<HeaderMap, Invalid> {
     let names = &dispatcher.dialect.names;
+    // A key is accepted only where it is treated as a secret.
+    if query.headers.contains_key(&names.key) {
+        return Err(invalid("headers", "give the key as `key`"));
+    }
     let mut headers = query.headers.clone();
     let host = HeaderValue::from_str(&query.host).map_err(|_| invalid("host", "not a host name"))?;
     headers.insert(header::HOST, host);
     match &query.caller {
-        Caller::Headers => {}
+        Caller::Nobody => {}
         Caller::Key(key) => insert_secret(&mut headers, &names.key, key)?,
         Caller::Team(team) => {
             let catalog = dispatcher.catalog();
--- a/crates/relay/tests/it/explain.rs
+++ b/crates/relay/tests/it/explain.rs
@@ -197,7 +197,7 @@
     unknown_path: instance_with(2, |_| {}), Query { path: "/other".parse().unwrap(), ..query() } => "NoRoute", 404;
     unknown_host: instance_with(2, |_| {}), Query { host: "other.example".into(), ..query() } => "NoRoute", 404;
     unknown_key: instance_with(2, |_| {}), Query { caller: Caller::Key("no-key".into()), ..query() } => "NoKey", 401;
-    missing_key: instance_with(2, |_| {}), Query { caller: Caller::Headers, ..query() } => "NoKey", 401;
+    missing_key: instance_with(2, |_| {}), Query { caller: Caller::Nobody, ..query() } => "NoKey", 401;
     service_without_endpoints: instance_with(0, |_| {}), query() => "NoEndpoint", 503;
     lost_service: changed(lose), query() => "Unreachable", 503;
     evacuated_service: changed(|instance| evacuate(instance)), query() => "Evacuated", 503;
--- a/crates/relay/tests/it/explain/effects.rs
+++ b/crates/relay/tests/it/explain/effects.rs
@@ -69,8 +69,7 @@
     add_endpoints(&instance, 2);
     let team = Query { caller: Caller::Team("crew".into()), ..query() };
     let wrong = Query { caller: Caller::Key("key-of-nobody".into()), ..query() };
-    let in_header = with_header("x-key", KEY, Query { caller: Caller::Headers, ..query() });
-    for query in [query(), team, wrong, in_header] {
+    for query in [query(), team, wrong] {
         let explanation = explain(&instance, &query).await;
         let shown = format!("{explanation:?} {query:?}");
         assert!(!shown.contains("key-of-"), "{shown}");
@@ -78,6 +77,11 @@
     let unknown = Query { caller: Caller::Team("nobody".into()), ..query() };
     let invalid = explain::explain(&instance, &unknown, 0.5).await.unwrap_err();
     assert_eq!(invalid.field, "team");
+    let in_header = with_header("x-key", KEY, Query { caller: Caller::Nobody, ..query() });
+    let invalid = relay::explain::explain(&instance, &in_header, 0.5).await.unwrap_err();
+    assert_eq!((invalid.field.as_ref(), invalid.cause), ("headers", "give the key as `key`"));
+    let shown = format!("{invalid:?} {invalid} {in_header:?}");
+    assert!(!shown.contains("key-of-"), "{shown}");
 }
 
 /// The gate has a lock, buckets and a queue of its own. A copy is asked, since waiting requests of the
