Bound the turns that are looked at for a queue position

The position of a queued request was found by running all turns before it on a copy of the queue. A turn may look at every waiting request, so the work grew with the square of their number, on the thread that serves all requests.

`Queue::position` stops after 500 turns and says that the place is after them; the explanation shows `position_after`. A request that does not wait takes no turn at all.

A new test asks for the last of 10,000 requests that have all missed their target times.

--- a/crates/arbutuslugd/src/explain/text.rs
+++ b/crates/arbutuslugd/src/explain/text.rs
@@ -67,7 +67,11 @@
 }
 
 fn write_queued(text: &mut String, queued: &Queued) -> fmt::Result {
-    let position = queued.position.map_or_else(|| "unknown".into(), |position| position.to_string());
+    let position = match (queued.position, queued.position_after) {
+        (Some(position), _) => position.to_string(),
+        (None, Some(turns)) => format!("after {turns}"),
+        (None, None) => "unknown".into(),
+    };
     let (waiting, wait) = (queued.waiting, queued.wait_ms);
     writeln!(text, "queued: position {position} of {waiting}, expected wait {wait:.0} ms")?;
     match &queued.then {
--- a/crates/relay/src/admission/preview.rs
+++ b/crates/relay/src/admission/preview.rs
@@ -8,6 +8,8 @@
     time::Duration,
 };
 
+use route::admission::Position;
+
 use super::{Decision, Entry, Gate, Refused, Service, Supply};
 use crate::{clock, dispatcher::fleet::short_hash};
 
@@ -18,8 +20,8 @@
     Pass { priority: Option<u8> },
     /// It waits.
     Wait {
-        /// Place in the order in which those that wait now would be sent, from 1.
-        position: Option<usize>,
+        /// Place in the order in which those that wait now would be sent.
+        position: Option<Position>,
         /// Number of requests that wait, this one included.
         waiting: usize,
         /// Expected time in the queue.
--- a/crates/relay/src/admission/service/preview.rs
+++ b/crates/relay/src/admission/service/preview.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use route::admission::Key;
+use route::admission::{Key, Position};
 use tokio::sync::oneshot;
 
 use super::{Service, Waiter, waiting::timestamp};
@@ -15,8 +15,8 @@
 }
 
 impl Service {
-    /// Returns the place of a waiting request, from 1, and its expected wait.
-    pub fn place(&self, key: Key, now: Duration) -> (Option<usize>, Duration) {
+    /// Returns the place of a waiting request and its expected wait.
+    pub fn place(&self, key: Key, now: Duration) -> (Option<Position>, Duration) {
         let wait_ms = self.queue.expected_wait(key).unwrap_or_default();
         (self.queue.position(key, timestamp(now)), Duration::from_millis(wait_ms))
     }
--- a/crates/relay/src/explain/report.rs
+++ b/crates/relay/src/explain/report.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use route::admission::Position;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -83,6 +84,8 @@
 pub struct Queued {
     /// Place in the order in which the requests that wait now would be sent, from 1.
     pub position: Option<usize>,
+    /// Number of turns after which its place is, if that is too far back to be counted.
+    pub position_after: Option<usize>,
     /// Number of requests that would wait, this one included.
     pub waiting: usize,
     /// Expected time in the queue.
@@ -174,7 +177,13 @@
         let is_drawn = targets > 1 || (result.is_ok() && !is_balanced && candidate_count > 1);
         let decision = match (preview, result) {
             (Some(Preview::Wait { position, waiting, wait }), _) => {
-                Decision::Queued(Queued { position, waiting, wait_ms: clock::millis(wait), then: sent })
+                let (position, position_after) = match position {
+                    Some(Position::Turn(turn)) => (Some(turn), None),
+                    Some(Position::After(turns)) => (None, Some(turns)),
+                    None => (None, None),
+                };
+                let wait_ms = clock::millis(wait);
+                Decision::Queued(Queued { position, position_after, waiting, wait_ms, then: sent })
             }
             (_, Err(refusal)) => Decision::Refused(Refused::from(&refusal)),
             (preview, Ok(_)) => {
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -29,6 +29,7 @@
 use flow::{Flow, Place};
 use order::Fit;
 pub use order::{Order, Pace};
+pub use position::Position;
 use rate::CompletionRate;
 use refusal::refusal;
 pub use refusal::{Cause, Refusal};
--- a/crates/route/src/admission/position.rs
+++ b/crates/route/src/admission/position.rs
@@ -4,6 +4,19 @@
 
 use super::{Key, Queue};
 
+/// Number of turns that are looked at for a position. Each turn may look at all waiting requests, of
+/// which there may be 10,000.
+const MAX_TURNS: usize = 500;
+
+/// Place in the order in which requests that wait now would run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Position {
+    /// Number of its turn, from 1.
+    Turn(usize),
+    /// Later than this number of turns; how much later is not known.
+    After(usize),
+}
+
 impl Queue {
     /// Returns the number of waiting requests.
     #[must_use]
@@ -19,12 +32,17 @@
     }
 
     /// Returns the place of a request in the order in which [`Queue::next`] would return those that
-    /// wait now, from 1; `None` if it would not be returned.
+    /// wait now; `None` if it would not be returned. At most 500 turns are looked at.
     #[must_use]
-    pub fn position(&self, key: Key, now: Timestamp) -> Option<usize> {
+    pub fn position(&self, key: Key, now: Timestamp) -> Option<Position> {
+        self.waiting.get(key)?;
         let mut queue = self.clone();
         queue.limit = u32::MAX;
-        let mut next = std::iter::from_fn(|| queue.next(now));
-        next.position(|admitted| admitted.key == key).map(|ahead| ahead + 1)
+        for turn in 1..=MAX_TURNS {
+            if queue.next(now)?.key == key {
+                return Some(Position::Turn(turn));
+            }
+        }
+        Some(Position::After(MAX_TURNS))
     }
 }
--- a/crates/route/tests/paced_queue.rs
+++ b/crates/route/tests/paced_queue.rs
@@ -1,6 +1,6 @@
 //! Order of requests in a paced queue, and which are refused.
 
-use route::admission::{Cause, Key, Order, Pace, Queue, Ticket};
+use route::admission::{Cause, Key, Order, Pace, Position, Queue, Ticket};
 use world::{Timestamp, contract::Customer};
 
 const RUN_MS: u64 = 100;
@@ -223,8 +223,11 @@
     let usual = with(|request| request.order.rank = 3);
     let other = with(|request| request.team = "b");
     let keys = [usual, other, urgent, usual].map(|request| offer(&mut queue, request).expect("enough time"));
-    let positions = keys.map(|key| queue.position(key, Timestamp(0)).expect("it waits"));
-    let mut order: Vec<(usize, Key)> = positions.into_iter().zip(keys).collect();
+    let turn = |key| match queue.position(key, Timestamp(0)) {
+        Some(Position::Turn(turn)) => turn,
+        position => panic!("it waits among few: {position:?}"),
+    };
+    let mut order: Vec<(usize, Key)> = keys.map(turn).into_iter().zip(keys).collect();
     order.sort_by_key(|(position, _)| *position);
     for (turn, (position, key)) in (1..).zip(order) {
         assert_eq!(position, turn);
@@ -233,6 +236,20 @@
     assert_eq!(queue.position(keys[0], Timestamp(0)), None);
 }
 
+/// An instance explains on the thread that serves all requests. With a full queue, whose requests have
+/// all missed their target times and are all looked at for each turn, it must not look at every turn.
+#[test]
+fn position_far_back_in_a_full_queue_is_not_counted() {
+    const TEAMS: [&str; 10] = ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j"];
+    let mut queue = queue();
+    let late = |team| with(|request| (request.team, request.order.target) = (team, Some(Timestamp(0))));
+    let mut keys = (0..1_000).flat_map(|_| TEAMS).map(|team| offer(&mut queue, late(team)).expect("enough time"));
+    let (first, last) = (keys.next().expect("10,000"), keys.last().expect("10,000"));
+    assert_eq!(queue.waiting(), 10_000);
+    assert_eq!(queue.position(first, Timestamp(0)), Some(Position::Turn(1)));
+    assert_eq!(queue.position(last, Timestamp(0)), Some(Position::After(500)));
+}
+
 /// The expected wait of a waiting request is the one that admitted it to the queue.
 #[test]
 fn expected_wait_is_that_of_the_arrival() {
