Show the catalog and era by which the explanation was decided

Catalog version and store era were read from the instance after the explanation, which may wait up to 250 ms for an endpoint. A catalog or era that arrived meanwhile was shown for a decision that it had not made.

`Outlook` now holds both, as read from the copy that decides.

A new test installs a catalog and an era while the explanation waits.

--- a/crates/relay/src/exchange/explain.rs
+++ b/crates/relay/src/exchange/explain.rs
@@ -36,6 +36,10 @@
 /// What would become of a request.
 #[derive(Debug)]
 pub(crate) struct Outlook {
+    /// Version of the catalog that decides; `None` before there is one.
+    pub catalog: Option<u64>,
+    /// Era of the store; `None` before its first answer.
+    pub era: Option<u64>,
     /// The check against the catalog; `None` if it failed.
     pub admission: Option<Admission>,
     /// Rank of the request.
@@ -81,7 +85,8 @@
 pub(crate) async fn explain(dispatcher: &Dispatcher, head: Parts, params: RequestParams, draw: f64) -> Outlook {
     let scratch = dispatcher.scratch();
     quietly(async move {
-        let mut outlook = Outlook::default();
+        let catalog = scratch.catalog().map(|catalog| catalog.version);
+        let mut outlook = Outlook { catalog, era: scratch.era().number, ..Outlook::default() };
         outlook.result = match admit::exchange_without_body(&scratch, head, params) {
             Ok(exchange) => Exchange { target_draw: draw, ..exchange }.foresee(&mut outlook).await,
             Err(refusal) => Err(refusal),
@@ -144,6 +149,8 @@
 impl Default for Outlook {
     fn default() -> Self {
         Self {
+            catalog: None,
+            era: None,
             admission: None,
             rank: 0,
             service: String::new(),
--- a/crates/relay/src/explain.rs
+++ b/crates/relay/src/explain.rs
@@ -98,7 +98,7 @@
     *request.headers_mut() = headers;
     let (head, ()) = request.into_parts();
     let outlook = exchange::explain::explain(dispatcher, head, params, draw).await;
-    Ok(Explanation::new(dispatcher, outlook))
+    Ok(Explanation::new(&dispatcher.settings, outlook))
 }
 
 /// Returns the headers with which a caller would send the request.
--- a/crates/relay/src/explain/report.rs
+++ b/crates/relay/src/explain/report.rs
@@ -10,13 +10,10 @@
     admission::Preview,
     answer::Refusal,
     clock,
-    dispatcher::{
-        Dispatcher,
-        fleet::{Considered, Exclusion, Standing},
-    },
+    dispatcher::fleet::{Considered, Exclusion, Standing},
     exchange::explain::{Destination, Outlook},
     exchange::plan::{Basis, Expected, Start},
-    settings::Placement,
+    settings::{Placement, Settings},
 };
 
 /// What would become of a request, and why. Times are in milliseconds.
@@ -166,9 +163,10 @@
 }
 
 impl Explanation {
-    pub(super) fn new(dispatcher: &Dispatcher, outlook: Outlook) -> Self {
-        let Outlook { admission, rank, service, start, models, preview, endpoints, result, waited } = outlook;
-        let is_balanced = dispatcher.settings.policies.placement == Placement::Balanced;
+    pub(super) fn new(settings: &Settings, outlook: Outlook) -> Self {
+        let Outlook { catalog, era, admission, rank, service, start, models, preview, endpoints, result, waited } =
+            outlook;
+        let is_balanced = settings.policies.placement == Placement::Balanced;
         let sent = result.as_ref().ok().map(|destination| Sent::new(destination, is_balanced, waited));
         let candidate_count = endpoints.iter().filter(|c| matches!(c.standing, Standing::Candidate { .. })).count();
         let targets = admission
@@ -203,9 +201,9 @@
         let ladder = admission.as_ref().map(|admission| &admission.route.models);
         let selected_model = start.and_then(|start| ladder?.get(start.model?));
         Self {
-            instance: dispatcher.settings.instance.clone(),
-            catalog: dispatcher.catalog().map(|catalog| catalog.version),
-            era: dispatcher.era().number,
+            instance: settings.instance.clone(),
+            catalog,
+            era,
             route: admission.as_ref().map(|admission| admission.route.name.clone()),
             team: admission.as_ref().and_then(|a| a.customer.as_ref()).map(|customer| customer.name.clone()),
             rank: admission.as_ref().map(|_| rank),
--- a/crates/relay/tests/it/explain.rs
+++ b/crates/relay/tests/it/explain.rs
@@ -359,6 +359,22 @@
     assert_eq!((explanation.endpoints.len(), selected.standing.as_str()), (8, "compared"));
 }
 
+/// A catalog or era that arrives while the explanation waits for an endpoint has not decided, so it must
+/// not be shown as if it had.
+#[tokio::test]
+async fn catalog_and_era_are_those_of_the_decision() {
+    let instance = instance_with(0, |_| {});
+    instance.record_era(2);
+    let news = async {
+        instance.install(site::catalog(CATALOG + 1, routes()));
+        instance.record_era(3);
+    };
+    let started = clock::now();
+    let (explanation, ()) = tokio::join!(async { explain(&instance, &query()).await }, news);
+    assert!(clock::now() - started > Duration::from_millis(100), "the news came while it waited");
+    assert_eq!((explanation.catalog, explanation.era), (Some(CATALOG), Some(2)));
+}
+
 /// The endpoint that holds the shared part is preferred, and the explanation says so.
 #[tokio::test]
 async fn holder_of_the_shared_part_is_shown() {
