Show other versions as such where no endpoint is a candidate

A selection without candidates ended before it noted the request's assignment and the eligible endpoints. Endpoints of a version to which the request is not assigned were then shown as not drawn from many.

The assignment and the eligible endpoints are noted before the choice, and the candidates after it.

A new test has one endpoint that leaves and one of a version without an order.

--- a/crates/relay/src/dispatcher/fleet/explain.rs
+++ b/crates/relay/src/dispatcher/fleet/explain.rs
@@ -77,20 +77,20 @@
 }
 
 impl Observed {
-    pub fn new(
-        assignment: Assignment,
-        eligible: Vec<Key>,
-        chosen: &[(Key, &Server)],
-        candidates: &[Candidate<'_>],
-        request: Request,
-    ) -> Self {
+    /// Records to which version the request is assigned, and the endpoints that may run it.
+    pub fn record_eligible(&mut self, assignment: Assignment, eligible: &[(Key, &Server)]) {
+        self.assignment = Some(assignment);
+        self.eligible = eligible.iter().map(|(key, _)| *key).collect();
+    }
+
+    /// Records the candidates with their costs.
+    pub fn record_candidates(&mut self, chosen: &[(Key, &Server)], candidates: &[Candidate<'_>], request: Request) {
         let weigh = |((key, _), candidate): (&(Key, &Server), &Candidate<'_>)| Weighed {
             key: *key,
             cost_ms: placement::cost_ms(candidate, request),
             is_compared: false,
         };
-        let candidates = chosen.iter().zip(candidates).map(weigh).collect();
-        Self { assignment: Some(assignment), eligible, candidates }
+        self.candidates = chosen.iter().zip(candidates).map(weigh).collect();
     }
 
     /// Records the places of the candidates that were compared.
--- a/crates/relay/src/dispatcher/fleet/selection.rs
+++ b/crates/relay/src/dispatcher/fleet/selection.rs
@@ -86,7 +86,7 @@
         job: &Job<'_>,
         now: Duration,
         settings: &Settings,
-        observed: Option<&mut Observed>,
+        mut observed: Option<&mut Observed>,
     ) -> Option<Selection> {
         let exposure = settings.max_exposure;
         let latency = self.fleet.latency(job);
@@ -112,7 +112,10 @@
         let holders = self.fleet.holders_of(job.affinity, now);
         let holders_of_whole = self.fleet.holders_of(job.whole, now);
         let memory = self.memory_check(job, &holders, &holders_of_whole);
-        let eligible = observed.as_ref().map(|_| chosen.iter().map(|(key, _)| *key).collect());
+        // Before the choice, which is left early if there is no candidate.
+        if let Some(observed) = observed.as_deref_mut() {
+            observed.record_eligible(assignment.clone(), &chosen);
+        }
         let full_holders = memory.as_ref().map(|memory| memory.retain_with_room(&mut chosen)).unwrap_or_default();
         let mut candidates = Vec::with_capacity(chosen.len());
         for (_, server) in &chosen {
@@ -144,7 +147,7 @@
                 Placement::Reported => placement::compared(&candidates, request, seed),
                 Placement::Balanced => (0..candidates.len()).collect(),
             };
-            *observed = Observed::new(assignment.clone(), eligible.unwrap_or_default(), &chosen, &candidates, request);
+            observed.record_candidates(&chosen, &candidates, request);
             observed.mark_compared(&compared);
         }
         let (key, server) = chosen[choice.index];
--- a/crates/relay/tests/it/explain.rs
+++ b/crates/relay/tests/it/explain.rs
@@ -343,6 +343,20 @@
     assert_eq!(sent(&explanation).endpoint.as_deref(), Some("sound"));
 }
 
+/// Without any candidate, an endpoint of a version to which the request is not assigned must not look as
+/// if it had been left out by chance.
+#[tokio::test]
+async fn endpoint_of_another_version_is_shown_without_a_candidate() {
+    let instance = instance_with(1, |_| {});
+    leave(&instance);
+    let newer = endpoint("newer", ([127, 0, 0, 1], 20).into());
+    instance.register_endpoint(source::Endpoint { version: "v2".into(), ..newer });
+    let explanation = explain(&instance, &query()).await;
+    refused(&explanation);
+    assert_eq!(standing(&explanation, "e0"), "excluded: it is leaving");
+    assert_eq!(standing(&explanation, "newer"), "excluded: the request is assigned to another version");
+}
+
 /// What the instance knows of the request and of the endpoints is shown, and one draw is said to be one.
 #[tokio::test]
 async fn sent_request_is_shown_with_what_decided() {
