Say that endpoints of a large service are drawn with balanced placement

Candidates are drawn at random from services of more than 64 endpoints for both placements, but an explanation said so only for `reported`. With `balanced`, one draw was shown as certain.

The selection notes whether its candidates were drawn, and `is_drawn` follows it.

A new test has 8 and 100 endpoints.

--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -50,7 +50,7 @@
 pub use self::{
     caches::affinity,
     exclusion::Exclusion,
-    explain::{Considered, Standing},
+    explain::{Considered, Standing, Survey},
     limits::Limit,
     notices::{Notice, Notices},
     output_times::{ExpectedTimes, Length, OutputKind},
--- a/crates/relay/src/dispatcher/fleet/explain.rs
+++ b/crates/relay/src/dispatcher/fleet/explain.rs
@@ -60,9 +60,20 @@
     },
 }
 
+/// What becomes of the endpoints of a service at a selection.
+#[derive(Debug, Default)]
+pub struct Survey {
+    /// The endpoints, by name.
+    pub endpoints: Vec<Considered>,
+    /// Whether the candidates were drawn at random from a large service.
+    pub is_sampled: bool,
+}
+
 /// What a selection has considered.
 #[derive(Debug, Default)]
 pub(super) struct Observed {
+    /// Whether the eligible endpoints were drawn from a large service.
+    pub is_sampled: bool,
     assignment: Option<Assignment>,
     /// Endpoints that may run the job, before a look at their memory.
     eligible: Vec<Key>,
@@ -128,7 +139,7 @@
     /// Returns the endpoints of a job's service, by name, and what becomes of each if
     /// [`Dispatcher::place`] is called at a moment. What is out of date is recomputed first, so this is
     /// called for a copy of the state.
-    pub(crate) fn considered_endpoints(&self, job: &Job<'_>, now: Duration) -> Vec<Considered> {
+    pub(crate) fn considered_endpoints(&self, job: &Job<'_>, now: Duration) -> Survey {
         let mut state = self.lock();
         self.update_shares(&mut state, now);
         state.fleet.refresh_pool(job.service, &self.settings.domain, now);
@@ -155,6 +166,6 @@
         let of_service = fleet.servers.iter().filter(|(_, server)| server.endpoint.service == job.service);
         let mut endpoints: Vec<Considered> = of_service.map(consider).collect();
         endpoints.sort_by(|a, b| a.endpoint.id.cmp(&b.endpoint.id));
-        endpoints
+        Survey { endpoints, is_sampled: observed.is_sampled }
     }
 }
--- a/crates/relay/src/dispatcher/fleet/selection.rs
+++ b/crates/relay/src/dispatcher/fleet/selection.rs
@@ -98,15 +98,16 @@
         let settled = job.in_session && canary::is_in_trial_group(job.session, exposure) && settled();
         let assignment =
             self.rollouts.assign(job.service, rollouts::Request { session: job.session, settled, exposure }, now);
-        let (mut chosen, mean_slowness, mean_failure_rate) =
-            if let Some((pool, chosen)) = self.fleet.sample_endpoints(job, &assignment, now) {
-                (chosen, pool.mean_slowness, pool.mean_failure_rate)
-            } else {
-                let chosen = self.fleet.eligible(job, &assignment, now);
-                let mean_slowness = mean(&chosen, &|server| server.slowness.value_at(1.0, now));
-                let mean_failure_rate = mean(&chosen, &|server| server.failure_rate.value_at(0.0, now));
-                (chosen, mean_slowness, mean_failure_rate)
-            };
+        let sample = self.fleet.sample_endpoints(job, &assignment, now);
+        let is_sampled = sample.is_some();
+        let (mut chosen, mean_slowness, mean_failure_rate) = if let Some((pool, chosen)) = sample {
+            (chosen, pool.mean_slowness, pool.mean_failure_rate)
+        } else {
+            let chosen = self.fleet.eligible(job, &assignment, now);
+            let mean_slowness = mean(&chosen, &|server| server.slowness.value_at(1.0, now));
+            let mean_failure_rate = mean(&chosen, &|server| server.failure_rate.value_at(0.0, now));
+            (chosen, mean_slowness, mean_failure_rate)
+        };
         let mean_slowness = mean_slowness.max(0.05);
         let usual_lateness = self.fleet.usual_lateness.get(job.service).copied().unwrap_or(1.0);
         let holders = self.fleet.holders_of(job.affinity, now);
@@ -114,6 +115,7 @@
         let memory = self.memory_check(job, &holders, &holders_of_whole);
         // Before the choice, which is left early if there is no candidate.
         if let Some(observed) = observed.as_deref_mut() {
+            observed.is_sampled = is_sampled;
             observed.record_eligible(assignment.clone(), &chosen);
         }
         let full_holders = memory.as_ref().map(|memory| memory.retain_with_room(&mut chosen)).unwrap_or_default();
--- a/crates/relay/src/exchange/explain.rs
+++ b/crates/relay/src/exchange/explain.rs
@@ -29,7 +29,7 @@
     admission::Preview,
     answer::Refusal,
     clock,
-    dispatcher::{Dispatcher, fleet::Considered},
+    dispatcher::{Dispatcher, fleet::Survey},
     request_params::RequestParams,
 };
 
@@ -53,7 +53,7 @@
     /// Decision of admission control; `None` if that is off or not reached.
     pub preview: Option<Preview>,
     /// Endpoints of the service.
-    pub endpoints: Vec<Considered>,
+    pub survey: Survey,
     /// Where the request would be sent, or why it would be refused.
     pub result: Result<Destination, Refusal>,
     /// Time that the request would wait for an endpoint before that.
@@ -117,7 +117,7 @@
             Ok(Hop::Endpoint(run)) => run.started(),
             Ok(Hop::Instance(_)) | Err(_) => clock::now(),
         };
-        outlook.endpoints = before.considered_endpoints(&self.job(model), placed_at);
+        outlook.survey = before.considered_endpoints(&self.job(model), placed_at);
         match hop? {
             Hop::Instance(_) => Ok(Destination::Instance),
             Hop::Endpoint(run) => Ok(Destination::Endpoint {
@@ -157,7 +157,7 @@
             start: None,
             models: Vec::new(),
             preview: None,
-            endpoints: Vec::new(),
+            survey: Survey::default(),
             result: Err(Refusal::NotStarted),
             waited: Duration::ZERO,
         }
--- a/crates/relay/src/explain/report.rs
+++ b/crates/relay/src/explain/report.rs
@@ -10,7 +10,7 @@
     admission::Preview,
     answer::Refusal,
     clock,
-    dispatcher::fleet::{Considered, Exclusion, Standing},
+    dispatcher::fleet::{Considered, Exclusion, Standing, Survey},
     exchange::explain::{Destination, Outlook},
     exchange::plan::{Basis, Expected, Start},
     settings::{Placement, Settings},
@@ -164,15 +164,16 @@
 
 impl Explanation {
     pub(super) fn new(settings: &Settings, outlook: Outlook) -> Self {
-        let Outlook { catalog, era, admission, rank, service, start, models, preview, endpoints, result, waited } =
+        let Outlook { catalog, era, admission, rank, service, start, models, preview, survey, result, waited } =
             outlook;
+        let Survey { endpoints, is_sampled } = survey;
         let is_balanced = settings.policies.placement == Placement::Balanced;
         let sent = result.as_ref().ok().map(|destination| Sent::new(destination, is_balanced, waited));
         let candidate_count = endpoints.iter().filter(|c| matches!(c.standing, Standing::Candidate { .. })).count();
         let targets = admission
             .as_ref()
             .map_or(0, |admission| admission.route.targets.iter().filter(|target| target.weight > 0).count());
-        let is_drawn = targets > 1 || (result.is_ok() && !is_balanced && candidate_count > 1);
+        let is_drawn = targets > 1 || (result.is_ok() && (is_sampled || (!is_balanced && candidate_count > 1)));
         let decision = match (preview, result) {
             (Some(Preview::Wait { position, waiting, wait }), _) => {
                 let (position, position_after) = match position {
--- a/crates/relay/tests/it/explain.rs
+++ b/crates/relay/tests/it/explain.rs
@@ -21,7 +21,7 @@
     },
     explain::{self, Caller, Decision, Explanation, Query, Refused, Sent},
     request_params::Tokens,
-    settings::{Admission, Capacity, Ladder, Settings},
+    settings::{Admission, Capacity, Ladder, Placement, Settings},
     source,
 };
 use route::relay::{content::Content, freshness::Proof};
@@ -373,6 +373,18 @@
     assert_eq!((explanation.endpoints.len(), selected.standing.as_str()), (8, "compared"));
 }
 
+/// The turns of a rotation are no draw, but its candidates are drawn from a large service. One draw must
+/// not be shown as certain.
+#[tokio::test]
+async fn draw_from_a_large_service_is_said_to_be_one() {
+    for (count, is_drawn) in [(8, false), (100, true)] {
+        let instance = instance_with(count, |settings| settings.policies.placement = Placement::Balanced);
+        let explanation = explain(&instance, &query()).await;
+        sent(&explanation);
+        assert_eq!(explanation.is_drawn, is_drawn, "{count} endpoints");
+    }
+}
+
 /// A catalog or era that arrives while the explanation waits for an endpoint has not decided, so it must
 /// not be shown as if it had.
 #[tokio::test]
