Pause between explanations in proportion to the time that they take

An explanation copies the state twice and decides on the thread that serves requests. Asked for without a pause, explanations could take all of that time, and the copies grow with instances times endpoints.

`relaying::turns` lets one run at a time and adds a pause of 10 times the time for which the last one kept the thread busy. Waiting for an endpoint is not counted.

A new test checks the pause after a busy and after an idle turn.

--- a/crates/arbutuslugd/src/relaying.rs
+++ b/crates/arbutuslugd/src/relaying.rs
@@ -7,6 +7,7 @@
 
 pub mod listener;
 mod query;
+pub mod turns;
 
 use std::{net::SocketAddr, path::PathBuf, process::ExitCode, sync::Arc, time::Duration};
 
--- a/crates/arbutuslugd/src/relaying/listener.rs
+++ b/crates/arbutuslugd/src/relaying/listener.rs
@@ -16,9 +16,9 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics_exporter_prometheus::PrometheusHandle;
 use relay::{dispatcher::Dispatcher, explain};
-use tokio::{net::TcpListener, sync::Semaphore, time::timeout};
+use tokio::{net::TcpListener, time::timeout};
 
-use super::query;
+use super::{query, turns::Turns};
 use crate::meter;
 
 /// Path of explanations.
@@ -33,9 +33,6 @@
 /// Pause after a failed accept, since the next one would fail at once as well.
 const ACCEPT_PAUSE: Duration = Duration::from_secs(5);
 
-/// Number of explanations at a time. Each copies the state of the instance.
-const MAX_EXPLANATIONS: usize = 1;
-
 /// The instance whose decisions are explained, once it has started.
 #[derive(Debug, Clone, Default)]
 pub struct Instance(Arc<OnceLock<Arc<Dispatcher>>>);
@@ -74,7 +71,7 @@
 
     /// Serves operators; never returns.
     pub async fn serve(self, instance: Instance) {
-        let server = Arc::new(Server { metrics: meter::handle(), instance, permits: Semaphore::new(MAX_EXPLANATIONS) });
+        let server = Arc::new(Server { metrics: meter::handle(), instance, turns: Turns::default() });
         loop {
             let Ok((stream, _)) = self.listener.accept().await else {
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -99,7 +96,7 @@
 struct Server {
     metrics: PrometheusHandle,
     instance: Instance,
-    permits: Semaphore,
+    turns: Turns,
 }
 
 impl Server {
@@ -122,8 +119,7 @@
             Ok(query) => query,
             Err(invalid) => return refuse(StatusCode::BAD_REQUEST, &invalid.field, invalid.cause),
         };
-        let _permit = self.permits.acquire().await;
-        match explain::explain(dispatcher, &query, rand::random()).await {
+        match self.turns.run(explain::explain(dispatcher, &query, rand::random())).await {
             Ok(explanation) => json(StatusCode::OK, serde_json::to_vec(&explanation).unwrap_or_default()),
             Err(invalid) => refuse(StatusCode::BAD_REQUEST, &invalid.field, invalid.cause),
         }
--- a/crates/arbutuslugd/tests/explain.rs
+++ b/crates/arbutuslugd/tests/explain.rs
@@ -13,7 +13,10 @@
     time::Duration,
 };
 
-use arbutuslugd::relaying::listener::{Instance, Listener};
+use arbutuslugd::relaying::{
+    listener::{Instance, Listener},
+    turns::Turns,
+};
 use relay::{
     catalog::Kind,
     clock,
@@ -247,6 +250,27 @@
     }
 }
 
+/// Explanations that are asked for without a pause must leave the thread to the requests, and those that
+/// only wait for an endpoint must not hold up others.
+#[tokio::test]
+async fn next_explanation_waits_in_proportion_to_the_last_one() {
+    let turns = Turns::default();
+    let turn = async |busy_ms, idle_ms| {
+        let run = async {
+            std::thread::sleep(Duration::from_millis(busy_ms));
+            tokio::time::sleep(Duration::from_millis(idle_ms)).await;
+        };
+        turns.run(run).await;
+        clock::now()
+    };
+    let ended = turn(30, 0).await;
+    let pause = turn(0, 300).await - ended;
+    assert!(pause >= Duration::from_millis(600), "{pause:?}");
+    let ended = clock::now();
+    let pause = turn(0, 0).await - ended;
+    assert!(pause < Duration::from_secs(1), "{pause:?}");
+}
+
 /// Log lines of this process.
 fn lines() -> &'static Mutex<Vec<u8>> {
     static LINES: OnceLock<Mutex<Vec<u8>>> = OnceLock::new();
