Show why a queued request would be refused, and its priority

A request that would wait for admission and then find no endpoint was shown as queued without the reason, and the priority for engines of a queued request was lost.

`Queued` has `then_refused` with the refusal as of now, and the endpoint shown for a queued request has the priority that it would get now.

One new test has a queue before an endpoint at its rate limit, and the test of the queue's position checks the priority.

--- a/crates/arbutuslugd/src/explain/text.rs
+++ b/crates/arbutuslugd/src/explain/text.rs
@@ -39,7 +39,7 @@
     match &explanation.decision {
         Decision::Sent(sent) => write_sent(text, "sent", sent)?,
         Decision::Queued(queued) => write_queued(text, queued)?,
-        Decision::Refused(refused) => write_refused(text, refused)?,
+        Decision::Refused(refused) => write_refused(text, "refused", refused)?,
     }
     if explanation.is_drawn {
         writeln!(text, "a random draw takes part; this is one, and the next may differ")?;
@@ -74,14 +74,15 @@
     };
     let (waiting, wait) = (queued.waiting, queued.wait_ms);
     writeln!(text, "queued: position {position} of {waiting}, expected wait {wait:.0} ms")?;
-    match &queued.then {
-        Some(sent) => write_sent(text, "then, as of now,", sent),
-        None => writeln!(text, "no endpoint takes it now"),
+    match (&queued.then, &queued.then_refused) {
+        (Some(sent), _) => write_sent(text, "then, as of now, sent", sent),
+        (None, Some(refused)) => write_refused(text, "then, as of now, refused", refused),
+        (None, None) => writeln!(text, "no endpoint takes it now"),
     }
 }
 
-fn write_refused(text: &mut String, refused: &Refused) -> fmt::Result {
-    writeln!(text, "refused: {} ({}), {}", refused.reason, refused.status, refused.message)?;
+fn write_refused(text: &mut String, verb: &str, refused: &Refused) -> fmt::Result {
+    writeln!(text, "{verb}: {} ({}), {}", refused.reason, refused.status, refused.message)?;
     if let Some(after) = refused.retry_after_ms {
         let spread = refused.spread_ms.unwrap_or_default();
         writeln!(text, "  Retry-After {after:.0} ms and up to {spread:.0} ms more")?;
--- a/crates/relay/src/admission/preview.rs
+++ b/crates/relay/src/admission/preview.rs
@@ -26,6 +26,8 @@
         waiting: usize,
         /// Expected time in the queue.
         wait: Duration,
+        /// Priority for engines as of now, if that is not its rank.
+        priority: Option<u8>,
     },
     /// It is refused.
     Refuse(Refused),
@@ -52,7 +54,8 @@
                 let service = services.get(&short_hash(entry.service));
                 let (position, wait) =
                     service.map_or_else(Default::default, |service| service.place(key, clock::now()));
-                Preview::Wait { position, waiting: service.map_or(0, Service::waiting), wait }
+                let priority = service.and_then(|service| service.priority_of(key));
+                Preview::Wait { position, waiting: service.map_or(0, Service::waiting), wait, priority }
             }
         }
     }
--- a/crates/relay/src/admission/service/preview.rs
+++ b/crates/relay/src/admission/service/preview.rs
@@ -15,6 +15,11 @@
 }
 
 impl Service {
+    /// Returns the priority for engines that a waiting request would have now; `None` if it is its rank.
+    pub fn priority_of(&self, key: Key) -> Option<u8> {
+        self.waiters.get(&key).and_then(|waiter| waiter.pass.priority)
+    }
+
     /// Returns the place of a waiting request and its expected wait.
     pub fn place(&self, key: Key, now: Duration) -> (Option<Position>, Duration) {
         let wait_ms = self.queue.expected_wait(key).unwrap_or_default();
--- a/crates/relay/src/explain/report.rs
+++ b/crates/relay/src/explain/report.rs
@@ -87,8 +87,10 @@
     pub waiting: usize,
     /// Expected time in the queue.
     pub wait_ms: f64,
-    /// Where it would be sent now; `None` if no endpoint takes it now.
+    /// Where it would be sent now; `None` if it would be refused.
     pub then: Option<Sent>,
+    /// Why it would be refused now if its turn came; `None` if it would be sent.
+    pub then_refused: Option<Refused>,
 }
 
 /// A refusal.
@@ -175,14 +177,16 @@
             .map_or(0, |admission| admission.route.targets.iter().filter(|target| target.weight > 0).count());
         let is_drawn = targets > 1 || (result.is_ok() && (is_sampled || (!is_balanced && candidate_count > 1)));
         let decision = match (preview, result) {
-            (Some(Preview::Wait { position, waiting, wait }), _) => {
+            (Some(Preview::Wait { position, waiting, wait, priority }), result) => {
                 let (position, position_after) = match position {
                     Some(Position::Turn(turn)) => (Some(turn), None),
                     Some(Position::After(turns)) => (None, Some(turns)),
                     None => (None, None),
                 };
                 let wait_ms = clock::millis(wait);
-                Decision::Queued(Queued { position, position_after, waiting, wait_ms, then: sent })
+                let then = sent.map(|sent| Sent { priority, ..sent });
+                let then_refused = result.err().map(|refusal| Refused::from(&refusal));
+                Decision::Queued(Queued { position, position_after, waiting, wait_ms, then, then_refused })
             }
             (_, Err(refusal)) => Decision::Refused(Refused::from(&refusal)),
             (preview, Ok(_)) => {
--- a/crates/relay/tests/it/explain.rs
+++ b/crates/relay/tests/it/explain.rs
@@ -291,10 +291,25 @@
     let Decision::Queued(queued) = &explanation.decision else { panic!("{explanation:?}") };
     assert!(queued.position.is_some_and(|position| (1..=queued.waiting).contains(&position)), "{queued:?}");
     assert!(queued.wait_ms > 0.0, "{queued:?}");
-    assert_eq!(queued.then.as_ref().unwrap().endpoint.as_deref(), Some("e0"));
+    let then = queued.then.as_ref().unwrap();
+    assert_eq!(then.endpoint.as_deref(), Some("e0"));
+    // Above the capacity engines are told a priority.
+    assert!(then.priority.is_some() && queued.then_refused.is_none(), "{queued:?}");
     assert!(gate.waiting(SERVICE) <= before);
 }
 
+/// A request that would wait and then find no endpoint must not look as if it were only queued.
+#[tokio::test]
+async fn queued_request_that_no_endpoint_takes_is_shown_with_the_reason() {
+    let (instance, _calls) = overloaded_instance().await;
+    throttle(&instance, "e0", 0.1);
+    while instance.place(&prompt_job(None, 10)).is_some() {}
+    let explanation = explain(&instance, &query()).await;
+    let Decision::Queued(queued) = &explanation.decision else { panic!("{explanation:?}") };
+    assert!(queued.then.is_none(), "{queued:?}");
+    assert_eq!(queued.then_refused.as_ref().unwrap().reason, "Throttled", "{queued:?}");
+}
+
 /// A request whose wait does not fit its time is refused with the wait and the time until it can return.
 #[tokio::test]
 async fn request_whose_wait_is_too_long_is_refused() {
