--- a/crates/arbutuslugd/src/relaying/listener.rs
+++ b/crates/arbutuslugd/src/relaying/listener.rs
@@ -119,7 +119,7 @@
             Ok(query) => query,
             Err(invalid) => return refuse(StatusCode::BAD_REQUEST, &invalid.field, invalid.cause),
         };
-        match self.turns.run(explain::explain(dispatcher, &query, rand::random())).await {
+        match self.turns.run(Box::pin(explain::explain(dispatcher, &query, rand::random()))).await {
             Ok(explanation) => json(StatusCode::OK, serde_json::to_vec(&explanation).unwrap_or_default()),
             Err(invalid) => refuse(StatusCode::BAD_REQUEST, &invalid.field, invalid.cause),
         }
--- a/crates/arbutuslugd/tests/explain.rs
+++ b/crates/arbutuslugd/tests/explain.rs
@@ -264,10 +264,10 @@
         clock::now()
     };
     let ended = turn(30, 0).await;
-    let pause = turn(0, 300).await - ended;
+    let pause = turn(0, 300).await.saturating_sub(ended);
     assert!(pause >= Duration::from_millis(600), "{pause:?}");
     let ended = clock::now();
-    let pause = turn(0, 0).await - ended;
+    let pause = turn(0, 0).await.saturating_sub(ended);
     assert!(pause < Duration::from_secs(1), "{pause:?}");
 }
 
--- a/crates/relay/tests/it/explain/effects.rs
+++ b/crates/relay/tests/it/explain/effects.rs
@@ -10,8 +10,8 @@
 };
 
 use super::{
-    CATALOG, add_endpoints, bare_instance, explain, instance_with, overloaded_instance, prompt, query, routes, sent,
-    throttle, with_header,
+    CATALOG, add_endpoints, bare_instance, explain, instance_with, prompt, query, queued::overloaded_instance, routes,
+    sent, throttle, with_header,
 };
 use crate::{
     notices::prompt_job,
