--- a/crates/relay/src/admission/preview.rs
+++ b/crates/relay/src/admission/preview.rs
@@ -8,6 +8,8 @@
     time::Duration,
 };
 
+use route::admission::Position;
+
 use super::{Decision, Entry, Gate, Refused, Service, Supply};
 use crate::{clock, dispatcher::fleet::short_hash};
 
@@ -18,12 +20,14 @@
     Pass { priority: Option<u8> },
     /// It waits.
     Wait {
-        /// Place in the order in which those that wait now would be sent, from 1.
-        position: Option<usize>,
+        /// Place in the order in which those that wait now would be sent.
+        position: Option<Position>,
         /// Number of requests that wait, this one included.
         waiting: usize,
         /// Expected time in the queue.
         wait: Duration,
+        /// Priority for engines as of now, if that is not its rank.
+        priority: Option<u8>,
     },
     /// It is refused.
     Refuse(Refused),
@@ -50,7 +54,8 @@
                 let service = services.get(&short_hash(entry.service));
                 let (position, wait) =
                     service.map_or_else(Default::default, |service| service.place(key, clock::now()));
-                Preview::Wait { position, waiting: service.map_or(0, Service::waiting), wait }
+                let priority = service.and_then(|service| service.priority_of(key));
+                Preview::Wait { position, waiting: service.map_or(0, Service::waiting), wait, priority }
             }
         }
     }
--- a/crates/relay/src/exchange/explain.rs
+++ b/crates/relay/src/exchange/explain.rs
@@ -5,13 +5,19 @@
 
 use std::{
     pin::{Pin, pin},
+    sync::LazyLock,
     task::{Context, Poll},
     time::Duration,
 };
 
 use http::request::Parts;
 use metrics::NoopRecorder;
-use tracing::Dispatch;
+use tracing::{
+    Dispatch, Event, Metadata, Subscriber,
+    level_filters::LevelFilter,
+    span::{Attributes, Id, Record},
+    subscriber::Interest,
+};
 
 use super::{
     admit::{self, Admission},
@@ -23,13 +29,17 @@
     admission::Preview,
     answer::Refusal,
     clock,
-    dispatcher::{Dispatcher, fleet::Considered},
+    dispatcher::{Dispatcher, fleet::Survey},
     request_params::RequestParams,
 };
 
 /// What would become of a request.
 #[derive(Debug)]
 pub(crate) struct Outlook {
+    /// Version of the catalog that decides; `None` before there is one.
+    pub catalog: Option<u64>,
+    /// Era of the store; `None` before its first answer.
+    pub era: Option<u64>,
     /// The check against the catalog; `None` if it failed.
     pub admission: Option<Admission>,
     /// Rank of the request.
@@ -43,7 +53,7 @@
     /// Decision of admission control; `None` if that is off or not reached.
     pub preview: Option<Preview>,
     /// Endpoints of the service.
-    pub endpoints: Vec<Considered>,
+    pub survey: Survey,
     /// Where the request would be sent, or why it would be refused.
     pub result: Result<Destination, Refusal>,
     /// Time that the request would wait for an endpoint before that.
@@ -75,7 +85,8 @@
 pub(crate) async fn explain(dispatcher: &Dispatcher, head: Parts, params: RequestParams, draw: f64) -> Outlook {
     let scratch = dispatcher.scratch();
     quietly(async move {
-        let mut outlook = Outlook::default();
+        let catalog = scratch.catalog().map(|catalog| catalog.version);
+        let mut outlook = Outlook { catalog, era: scratch.era().number, ..Outlook::default() };
         outlook.result = match admit::exchange_without_body(&scratch, head, params) {
             Ok(exchange) => Exchange { target_draw: draw, ..exchange }.foresee(&mut outlook).await,
             Err(refusal) => Err(refusal),
@@ -106,7 +117,7 @@
             Ok(Hop::Endpoint(run)) => run.started(),
             Ok(Hop::Instance(_)) | Err(_) => clock::now(),
         };
-        outlook.endpoints = before.considered_endpoints(&self.job(model), placed_at);
+        outlook.survey = before.considered_endpoints(&self.job(model), placed_at);
         match hop? {
             Hop::Instance(_) => Ok(Destination::Instance),
             Hop::Endpoint(run) => Ok(Destination::Endpoint {
@@ -138,27 +149,67 @@
 impl Default for Outlook {
     fn default() -> Self {
         Self {
+            catalog: None,
+            era: None,
             admission: None,
             rank: 0,
             service: String::new(),
             start: None,
             models: Vec::new(),
             preview: None,
-            endpoints: Vec::new(),
+            survey: Survey::default(),
             result: Err(Refusal::NotStarted),
             waited: Duration::ZERO,
         }
     }
 }
 
+/// Subscriber for log lines of decisions that are not made. It is registered once, since each
+/// registration asks all subscribers about all lines again.
+static QUIET: LazyLock<Dispatch> = LazyLock::new(|| Dispatch::new(Quiet));
+
 /// Runs a future without its metrics and log lines, which would tell of decisions that were not made.
 async fn quietly<T>(future: impl Future<Output = T>) -> T {
     let mut future = pin!(future);
-    let quiet = Dispatch::none();
-    std::future::poll_fn(move |context| poll_quietly(&quiet, future.as_mut(), context)).await
+    std::future::poll_fn(move |context| poll_quietly(future.as_mut(), context)).await
 }
 
-fn poll_quietly<T>(quiet: &Dispatch, future: Pin<&mut impl Future<Output = T>>, context: &mut Context<'_>) -> Poll<T> {
+fn poll_quietly<T>(future: Pin<&mut impl Future<Output = T>>, context: &mut Context<'_>) -> Poll<T> {
     let poll = || metrics::with_local_recorder(&NoopRecorder, || future.poll(context));
-    tracing::dispatcher::with_default(quiet, poll)
+    tracing::dispatcher::with_default(&QUIET, poll)
+}
+
+/// Drops all log lines, and has each asked about again at its next use.
+///
+/// `Dispatch::none` answers that it never wants a line. That answer is kept for the process if the line
+/// is first reached under it, so that real requests would not log it either.
+struct Quiet;
+
+impl Subscriber for Quiet {
+    fn register_callsite(&self, _: &'static Metadata<'static>) -> Interest {
+        Interest::sometimes()
+    }
+
+    fn enabled(&self, _: &Metadata<'_>) -> bool {
+        false
+    }
+
+    /// The most verbose level of all subscribers holds for the process, so this one has none.
+    fn max_level_hint(&self) -> Option<LevelFilter> {
+        Some(LevelFilter::OFF)
+    }
+
+    fn new_span(&self, _: &Attributes<'_>) -> Id {
+        Id::from_u64(1)
+    }
+
+    fn record(&self, _: &Id, _: &Record<'_>) {}
+
+    fn record_follows_from(&self, _: &Id, _: &Id) {}
+
+    fn event(&self, _: &Event<'_>) {}
+
+    fn enter(&self, _: &Id) {}
+
+    fn exit(&self, _: &Id) {}
 }
--- a/crates/relay/src/explain/report.rs
+++ b/crates/relay/src/explain/report.rs
@@ -3,19 +3,17 @@
 
 use std::time::Duration;
 
+use route::admission::Position;
 use serde::{Deserialize, Serialize};
 
 use crate::{
     admission::Preview,
     answer::Refusal,
     clock,
-    dispatcher::{
-        Dispatcher,
-        fleet::{Considered, Exclusion, Standing},
-    },
+    dispatcher::fleet::{Considered, Exclusion, Standing, Survey},
     exchange::explain::{Destination, Outlook},
     exchange::plan::{Basis, Expected, Start},
-    settings::Placement,
+    settings::{Placement, Settings},
 };
 
 /// What would become of a request, and why. Times are in milliseconds.
@@ -83,12 +81,16 @@
 pub struct Queued {
     /// Place in the order in which the requests that wait now would be sent, from 1.
     pub position: Option<usize>,
+    /// Number of turns after which its place is, if that is too far back to be counted.
+    pub position_after: Option<usize>,
     /// Number of requests that would wait, this one included.
     pub waiting: usize,
     /// Expected time in the queue.
     pub wait_ms: f64,
-    /// Where it would be sent now; `None` if no endpoint takes it now.
+    /// Where it would be sent now; `None` if it would be refused.
     pub then: Option<Sent>,
+    /// Why it would be refused now if its turn came; `None` if it would be sent.
+    pub then_refused: Option<Refused>,
 }
 
 /// A refusal.
@@ -163,18 +165,28 @@
 }
 
 impl Explanation {
-    pub(super) fn new(dispatcher: &Dispatcher, outlook: Outlook) -> Self {
-        let Outlook { admission, rank, service, start, models, preview, endpoints, result, waited } = outlook;
-        let is_balanced = dispatcher.settings.policies.placement == Placement::Balanced;
+    pub(super) fn new(settings: &Settings, outlook: Outlook) -> Self {
+        let Outlook { catalog, era, admission, rank, service, start, models, preview, survey, result, waited } =
+            outlook;
+        let Survey { endpoints, is_sampled } = survey;
+        let is_balanced = settings.policies.placement == Placement::Balanced;
         let sent = result.as_ref().ok().map(|destination| Sent::new(destination, is_balanced, waited));
         let candidate_count = endpoints.iter().filter(|c| matches!(c.standing, Standing::Candidate { .. })).count();
         let targets = admission
             .as_ref()
             .map_or(0, |admission| admission.route.targets.iter().filter(|target| target.weight > 0).count());
-        let is_drawn = targets > 1 || (result.is_ok() && !is_balanced && candidate_count > 1);
+        let is_drawn = targets > 1 || (result.is_ok() && (is_sampled || (!is_balanced && candidate_count > 1)));
         let decision = match (preview, result) {
-            (Some(Preview::Wait { position, waiting, wait }), _) => {
-                Decision::Queued(Queued { position, waiting, wait_ms: clock::millis(wait), then: sent })
+            (Some(Preview::Wait { position, waiting, wait, priority }), result) => {
+                let (position, position_after) = match position {
+                    Some(Position::Turn(turn)) => (Some(turn), None),
+                    Some(Position::After(turns)) => (None, Some(turns)),
+                    None => (None, None),
+                };
+                let wait_ms = clock::millis(wait);
+                let then = sent.map(|sent| Sent { priority, ..sent });
+                let then_refused = result.err().map(|refusal| Refused::from(&refusal));
+                Decision::Queued(Queued { position, position_after, waiting, wait_ms, then, then_refused })
             }
             (_, Err(refusal)) => Decision::Refused(Refused::from(&refusal)),
             (preview, Ok(_)) => {
@@ -194,9 +206,9 @@
         let ladder = admission.as_ref().map(|admission| &admission.route.models);
         let selected_model = start.and_then(|start| ladder?.get(start.model?));
         Self {
-            instance: dispatcher.settings.instance.clone(),
-            catalog: dispatcher.catalog().map(|catalog| catalog.version),
-            era: dispatcher.era().number,
+            instance: settings.instance.clone(),
+            catalog,
+            era,
             route: admission.as_ref().map(|admission| admission.route.name.clone()),
             team: admission.as_ref().and_then(|a| a.customer.as_ref()).map(|customer| customer.name.clone()),
             rank: admission.as_ref().map(|_| rank),
