--- a/crates/arbutuslugd/tests/explain.rs
+++ b/crates/arbutuslugd/tests/explain.rs
@@ -357,6 +357,7 @@
         session: 1,
         in_session: false,
         tried: &[],
+        barred: &[],
         version: None,
     };
     let _run = instance.place(&job).unwrap();
