--- a/crates/relay/src/exchange/silent.rs
+++ b/crates/relay/src/exchange/silent.rs
@@ -2,7 +2,7 @@
 //!
 //! Such an endpoint may be sound and go on. So its run is kept, and listened to, beside the next tries, and
 //! given up only when another answer has been accepted, and the next try when an answer of a silent one is
-//! whole. If nobody else takes the request, it is waited for until the deadline, and the others are asked
+//! whole or its stream has begun. If nobody else takes the request, it is waited for until the deadline, and the others are asked
 //! again from time to time.
 
 use std::{fmt, sync::Arc, time::Duration};
@@ -160,7 +160,8 @@
         silent.0.push(late.boxed());
     }
 
-    /// Makes the next try. The answer of a silent one that is whole first is taken instead.
+    /// Makes the next try. The answer of a silent one that is whole, or begins as a stream, first is taken
+    /// instead.
     pub(super) async fn next_step(&mut self, model: &mut Option<usize>, silent: &mut SilentTries) -> Vec<NextStep> {
         let mut failed = Vec::new();
         let first = {
