--- a/crates/relay/src/exchange/silent.rs
+++ b/crates/relay/src/exchange/silent.rs
@@ -2,8 +2,8 @@
 //!
 //! Such an endpoint may be sound and go on. So its run is kept, and listened to, beside the next tries, and
 //! given up only when another answer has been accepted, and the next try when an answer of a silent one is
-//! whole or its stream has begun. If nobody else takes the request, it is waited for until the deadline, and the others are asked
-//! again from time to time.
+//! whole or its stream has begun. If nobody else takes the request, it is waited for until the deadline,
+//! and the others are asked again from time to time.
 
 use std::{fmt, sync::Arc, time::Duration};
 
