Show that uploads beyond one instance's memory get it killed

Cause: memory for request bodies is accounted by the bytes received. Buffers that double, what is discarded of refused uploads and connections' buffers come on top. When callers of lost instances come to the one that is left, its process takes more than its machine's memory, the platform kills it, and requests that endpoints are running lose their connections.

Change: a case with stand-ins of its own for the store, servers, consumers and the platform's process control (review/rig, built by review/build.sh); no product code.

--- /dev/null
+++ b/review/rig/cases.rs
@@ -0,0 +1,14 @@
+//! The cases.
+
+mod uploads;
+
+use std::{io, path::Path};
+
+use crate::Verdict;
+
+pub fn run(case: &str, scratch: &Path, trouble: bool) -> io::Result<Verdict> {
+    match case {
+        "uploads" => uploads::run(scratch, trouble),
+        _ => Err(io::Error::other("no such case")),
+    }
+}
