Show that a key that was taken away works after a restore of the store

Cause: an instance that starts after the store has come back from an older copy knew no earlier era, so it takes the store for complete and its listing for a proof of the access keys. It asks no other instance while it watches the store itself.

--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -224,6 +224,7 @@
     status: String,
 }
 
+#[derive(Clone)]
 struct Event {
     rev: u64,
     kind: String,
@@ -231,13 +232,18 @@
     deleted: bool,
 }
 
-#[derive(Default)]
+#[derive(Default, Clone)]
 struct Contents {
     rev: u64,
+    era: u64,
+    is_away: bool,
     objects: BTreeMap<(String, String), Object>,
     events: Vec<Event>,
 }
 
+/// A copy of the store.
+pub struct Copy(Contents);
+
 /// The platform's store; sound.
 #[derive(Default)]
 pub struct Store {
@@ -262,7 +268,7 @@
         Ok((store, address))
     }
 
-    /// Writes an object's specification, as its owner does.
+    /// Writes an object's specification, as its owner does. Owners write again what a restore has lost.
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
         let status = self.get(kind, name).map_or("null".to_owned(), |object| object.status);
         self.write(kind, name, spec, &status);
@@ -278,6 +284,24 @@
         self.changed.notify_all();
     }
 
+    /// Returns a copy of all that it holds.
+    pub fn copy(&self) -> Copy {
+        Copy(self.contents.lock().unwrap().clone())
+    }
+
+    /// Goes away: connections are closed without an answer.
+    pub fn leave(&self) {
+        self.contents.lock().unwrap().is_away = true;
+        self.changed.notify_all();
+    }
+
+    /// Comes back from an older copy, in the next era.
+    pub fn restore(&self, copy: &Copy) {
+        let mut contents = self.contents.lock().unwrap();
+        let era = contents.era + 1;
+        *contents = Contents { era, is_away: false, events: Vec::new(), ..copy.0.clone() };
+    }
+
     /// Returns the status of an object as JSON.
     pub fn status(&self, kind: &str, name: &str) -> Option<String> {
         self.get(kind, name).map(|object| object.status)
@@ -311,7 +335,15 @@
         while let Some(mut call) = read_head(&mut reader)? {
             read_body(&mut reader, &mut call)?;
             let (status, body) = self.answer(&call);
-            respond(&mut stream, status, "Content-Type: application/json\r\n", body.as_bytes())?;
+            let (era, is_away) = {
+                let contents = self.contents.lock().unwrap();
+                (contents.era, contents.is_away)
+            };
+            if is_away {
+                return Ok(());
+            }
+            let headers = format!("Content-Type: application/json\r\nStore-Era: {era}\r\n");
+            respond(&mut stream, status, &headers, body.as_bytes())?;
         }
         Ok(())
     }
@@ -374,7 +406,11 @@
     fn watch(&self, kind: &str, from: u64, wait_ms: Option<u64>) -> (u16, String) {
         let until = Instant::now() + Duration::from_millis(wait_ms.unwrap_or(0).min(30_000));
         let mut contents = self.contents.lock().unwrap();
+        let era = contents.era;
         loop {
+            if from > contents.rev || contents.era != era || contents.is_away {
+                return (410, "null".into());
+            }
             let events: Vec<String> = contents
                 .events
                 .iter()
