--- a/review/rig/cases/uploads.rs
+++ b/review/rig/cases/uploads.rs
@@ -1,6 +1,6 @@
-//! Consumers upload bodies of half of the manifest's `max-body-bytes`, and three of four instances are killed at
-//! the same moment. Their consumers go on at the one that is left. The platform kills a process that has
-//! more memory than its machine, as it says.
+//! Consumers upload bodies of three quarters of the manifest's `max-body-bytes`, and three of four
+//! instances are killed at the same moment. Their consumers go on at the one that is left. The platform
+//! kills a process that has more memory than its machine, as it says.
 
 use std::{
     collections::HashMap,
@@ -26,13 +26,13 @@
 const MEMORY_MB: u32 = 110;
 const MEMORY_BYTES: u64 = 110 << 20;
 /// Consumers that upload, and consumers that look things up.
-const UPLOADERS: usize = 80;
-const READERS: usize = 13;
+const UPLOADERS: usize = 64;
+const READERS: usize = 12;
 /// Instances, and those of them that are killed at the same moment.
 const INSTANCES: usize = 4;
 const KILLED: usize = 3;
 /// Bytes of an upload; the manifest allows 4,194,304.
-const UPLOAD: usize = 2 << 20;
+const UPLOAD: usize = 3 << 20;
 /// Shortest time between two uploads of a consumer; up to as much is added.
 const THINK_MS: usize = 100;
 /// Time that a server works on a request, and its slots.
