--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -1,8 +1,8 @@
 //! Stand-ins for the platform's store, for servers and for consumers, and control of the instances'
 //! processes, for the cases of this folder. Standard library only.
 //!
-//! Usage: `rig CASE FOLDER`. Writes `FOLDER/record.txt` and exits with 1 if the rule of the case was
-//! broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` the case runs without its
+//! Usage: `rig CASE FOLDER TROUBLE`. Writes `FOLDER/record.txt` and exits with 1 if the rule of the case was
+//! broken, 0 if it held, and 2 if the case could not run. With 0 for TROUBLE the case runs without its
 //! disruption.
 
 use std::{
@@ -560,8 +560,8 @@
 
 fn main() {
     let arguments: Vec<String> = env::args().collect();
-    let (Some(case), Some(folder)) = (arguments.get(1), arguments.get(2)) else {
-        eprintln!("usage: rig CASE FOLDER");
+    let (Some(case), Some(folder), Some(trouble)) = (arguments.get(1), arguments.get(2), arguments.get(3)) else {
+        eprintln!("usage: rig CASE FOLDER TROUBLE");
         std::process::exit(2);
     };
     let record = match fs::File::create(Path::new(folder).join("record.txt")) {
@@ -572,7 +572,8 @@
         }
     };
     let _ = RECORD.set(record);
-    let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
+    let trouble = trouble != "0";
+    note(&format!("case {case}, with its disruption: {trouble}"));
     let scratch = env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
     let result = fs::create_dir_all(&scratch).and_then(|()| cases::run(case, &scratch, trouble));
     let _ = fs::remove_dir_all(&scratch);
