Hold bodies of requests and answers in blocks

What callers saw: instances that took long bodies were killed for their memory although the bodies' reservation was within its bound.

Cause: a body was received into a buffer that doubles. While it grows it holds the old and the new buffer, up to three times its bytes, and it kept its spare capacity until the answer; only the bytes were reserved.

Change: bodies of requests and whole answers are held in blocks of at most 16 KiB that are never moved, and the capacity of a block is reserved before it is allocated. A block of a body of known length is no larger than what is left of it. The hash of a request's content is that of the whole body as before.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -10,7 +10,7 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 
-use crate::admission::Refused;
+use crate::{admission::Refused, payload::Payload};
 
 /// Response body sent to a caller; an error closes the caller's connection.
 pub type Body = UnsyncBoxBody<Bytes, io::Error>;
@@ -37,7 +37,7 @@
     TooLarge,
     /// The body ended early or did not arrive in time.
     Truncated,
-    /// The memory for request bodies is used up.
+    /// The memory for what connections hold is used up.
     Memory,
     /// The route's service has no endpoint that accepts requests.
     NoEndpoint,
@@ -199,7 +199,7 @@
             Self::NoKey => "the access key is missing or unknown",
             Self::TooLarge => "the body is longer than allowed",
             Self::Truncated => "the body ended early",
-            Self::Memory => "not run: too many bodies under way; try again shortly",
+            Self::Memory => "not run: too many requests and bodies under way; try again shortly",
             Self::NoEndpoint => "not run: no endpoint takes requests now; try again shortly",
             Self::Unreachable { .. } => "not run: no endpoint can be reached now; try again shortly",
             Self::NoShare => "not run: only other instances may use the endpoints now; use another address",
@@ -224,6 +224,11 @@
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
 }
 
+/// Returns a body that consists of blocks.
+pub fn payload_body(payload: Payload) -> Body {
+    payload.map_err(|never| match never {}).boxed_unsync()
+}
+
 /// Returns a response with an empty body.
 #[must_use]
 pub fn empty_response(code: StatusCode) -> Response<Body> {
--- a/crates/relay/src/buffer.rs
+++ b/crates/relay/src/buffer.rs
@@ -1,4 +1,7 @@
 //! Reads whole bodies of answers into memory.
+//!
+//! An answer for a caller is held in blocks: one buffer would have to grow, and hold up to three times its
+//! bytes meanwhile.
 
 use std::fmt;
 
@@ -6,7 +9,10 @@
 use http_body_util::BodyExt;
 use hyper::body::Body;
 
-use crate::dispatcher::Reservation;
+use crate::{
+    dispatcher::Reservation,
+    payload::{self, Payload},
+};
 
 /// Why a body was not read to its end.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -44,7 +50,46 @@
     }
 }
 
-/// Reads a body of up to `max_bytes` bytes, and accounts for it in `memory` if that is given.
+/// Reads a body of up to `max_bytes` bytes into blocks, whose memory is reserved in `memory` until a
+/// caller has taken them.
+///
+/// # Errors
+///
+/// Returns the [`Fault`] that ended the reading; the body is given up as soon as it is known.
+pub async fn read_blocks<B>(mut body: B, max_bytes: usize, mut memory: Reservation) -> Result<Payload, Fault>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: fmt::Display,
+{
+    let announced = announced_length(&body, max_bytes)?;
+    let mut whole = payload::Builder::new(announced);
+    while let Some(frame) = body.frame().await {
+        let Ok(mut data) = frame.map_err(|error| Fault::Broken(error.to_string()))?.into_data() else { continue };
+        if whole.len() + data.len() > max_bytes {
+            return Err(Fault::TooLong);
+        }
+        while !data.is_empty() {
+            if let Some(block) = whole.next_block() {
+                if !memory.grow_within_share(block) {
+                    return Err(Fault::Memory);
+                }
+                whole.add_block(block);
+            }
+            whole.fill(&mut data);
+        }
+    }
+    Ok(whole.finish().holding(memory))
+}
+
+/// Returns the length of a body if it is announced.
+fn announced_length(body: &impl Body, max_bytes: usize) -> Result<Option<usize>, Fault> {
+    if body.size_hint().lower() > u64::try_from(max_bytes).unwrap_or(u64::MAX) {
+        return Err(Fault::TooLong);
+    }
+    Ok(body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok()))
+}
+
+/// Reads a body of up to `max_bytes` bytes into one buffer, and accounts for it in `memory` if that is given.
 ///
 /// The body is copied into one buffer. A list of its pieces would take many times its length if a
 /// server sent it in chunks of one byte.
@@ -57,9 +102,7 @@
     B: Body<Data = Bytes> + Unpin,
     B::Error: fmt::Display,
 {
-    if body.size_hint().lower() > u64::try_from(max_bytes).unwrap_or(u64::MAX) {
-        return Err(Fault::TooLong);
-    }
+    announced_length(&body, max_bytes)?;
     let mut bytes = Vec::new();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|error| Fault::Broken(error.to_string()))?.into_data() else { continue };
--- a/crates/relay/src/caches.rs
+++ b/crates/relay/src/caches.rs
@@ -5,10 +5,11 @@
 
 use bytes::Bytes;
 use http::{Request, StatusCode, header};
-use http_body_util::Full;
 use tokio::{task::JoinSet, time::timeout};
 
-use crate::{buffer, clock, dispatcher::Dispatcher, source::Endpoint, statements::Statements, upstream};
+use crate::{
+    buffer, clock, dispatcher::Dispatcher, payload::Payload, source::Endpoint, statements::Statements, upstream,
+};
 
 /// Time limit for connecting to an engine and reading its list; most lists arrive
 /// within some milliseconds.
@@ -58,7 +59,8 @@
     let sent_at = clock::now();
     let connected = upstream::connect(&*dispatcher.settings.network, engine.address, LIST_TIMEOUT).await.ok()?;
     let host = engine.address.to_string();
-    let request = Request::get(dispatcher.dialect.cache_path).header(header::HOST, host).body(Full::default()).ok()?;
+    let request =
+        Request::get(dispatcher.dialect.cache_path).header(header::HOST, host).body(Payload::default()).ok()?;
     let answer = upstream::exchange(connected, request, LIST_TIMEOUT).await.ok()?;
     let statements = Statements::read(&answer.response, &dispatcher.dialect.names, false);
     dispatcher.record_statements(engine, statements, sent_at);
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{Request, header, request::Parts};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -18,6 +18,7 @@
     catalog::{Customer, Route},
     clock,
     dispatcher::{Dispatcher, InFlight, Reservation},
+    payload::{self, Payload},
     request_params::{RequestParams, end_to_end},
 };
 
@@ -96,7 +97,7 @@
     limit: Duration,
     admission: Admission,
     memory: Reservation,
-    body: Bytes,
+    body: Payload,
 }
 
 /// Checks a request, unless its admission was carried here, and reads its body if it is admitted.
@@ -148,7 +149,7 @@
     let time = time_allowed(dispatcher, &admission, &params)?;
     let limit = started + time.saturating_sub(ANSWER_TIME_RESERVE);
     let memory = dispatcher.reserve_body_memory();
-    Ok(exchange(dispatcher, head, params, Received { started, limit, admission, memory, body: Bytes::new() }))
+    Ok(exchange(dispatcher, head, params, Received { started, limit, admission, memory, body: Payload::default() }))
 }
 
 /// Returns the exchange of an admitted request of a caller.
@@ -157,7 +158,7 @@
     let host = host(&head.headers, &head.uri);
     let customer = admission.customer.as_ref().map(|customer| customer.name.as_str());
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    let request = Content::of(customer, head.method.as_str(), &host, path, &body);
+    let request = Content::of_blocks(customer, head.method.as_str(), &host, path, body.blocks());
     let parts = params.shared_parts().iter().map(|part| Content::of_part(part.id)).collect();
     let mut headers = end_to_end(&head.headers);
     for name in &dispatcher.dialect.names.reserved {
@@ -248,24 +249,30 @@
     max_bytes: usize,
     reservation: &mut Reservation,
     limit: Duration,
-) -> Result<Bytes, Refusal> {
+) -> Result<Payload, Refusal> {
     if body.size_hint().lower() > u64::try_from(max_bytes).unwrap_or(u64::MAX) {
         return Err(Refusal::TooLarge);
     }
-    let mut whole = BytesMut::new();
+    let expected = body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok());
+    let mut whole = payload::Builder::new(expected);
     while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|_| Refusal::Truncated)?.into_data() else { continue };
+        let Ok(mut data) = frame.map_err(|_| Refusal::Truncated)?.into_data() else { continue };
         if whole.len() + data.len() > max_bytes {
             return Err(Refusal::TooLarge);
         }
-        // Thousands of slow callers with long bodies could otherwise use up the memory and
-        // get the process killed, with all requests in flight.
-        if !reserve(dispatcher, reservation, data.len(), limit).await {
-            return Err(Refusal::Memory);
+        while !data.is_empty() {
+            if let Some(block) = whole.next_block() {
+                // Thousands of slow callers with long bodies could otherwise use up the memory and
+                // get the process killed, with all requests in flight.
+                if !reserve(dispatcher, reservation, block, limit).await {
+                    return Err(Refusal::Memory);
+                }
+                whole.add_block(block);
+            }
+            whole.fill(&mut data);
         }
-        whole.extend_from_slice(&data);
     }
-    Ok(whole.freeze())
+    Ok(whole.finish())
 }
 
 /// Reserves `bytes` more until `limit` and returns true, or returns false if there is no memory.
--- a/crates/relay/src/exchange/forwarding.rs
+++ b/crates/relay/src/exchange/forwarding.rs
@@ -8,9 +8,7 @@
 
 use std::net::SocketAddr;
 
-use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Request, Response, StatusCode, header};
-use http_body_util::Full;
 
 use super::{
     carried, forwarded_headers,
@@ -24,6 +22,7 @@
     catalog::Kind,
     clock,
     dispatcher::fleet::start_hash,
+    payload::Payload,
     request_params,
     source::Endpoint,
     statements::says_leaving,
@@ -228,7 +227,7 @@
         let headers = forwarded_headers(&answer.response);
         let (body, _connection) = answer.into_body();
         let memory = self.dispatcher.reserve_body_memory();
-        let bytes = match buffer::read(body, MAX_ANSWER_BYTES, Some(memory)).await {
+        let bytes = match buffer::read_blocks(body, MAX_ANSWER_BYTES, memory).await {
             Ok(bytes) => bytes,
             Err(fault) => {
                 let outcome = fault.into();
@@ -248,14 +247,14 @@
                 return NextStep::Refused(Refusal::Lost);
             }
         }
-        let mut response = Response::new(answer::full_body(bytes));
+        let mut response = Response::new(answer::payload_body(bytes));
         *response.status_mut() = status;
         *response.headers_mut() = headers;
         NextStep::Accepted(AcceptedAnswer::Whole(response))
     }
 
     /// Builds the request to another instance from the caller's.
-    fn forwarded_request(&self, model: Option<usize>, last_event: Option<u64>) -> Request<Full<Bytes>> {
+    fn forwarded_request(&self, model: Option<usize>, last_event: Option<u64>) -> Request<Payload> {
         let names = &self.dispatcher.dialect.names;
         let mut headers = self.headers.clone();
         let left_ms = u64::try_from(self.left().as_millis()).unwrap_or(u64::MAX);
@@ -275,7 +274,7 @@
             carried::insert(&mut headers, &self.admission, &self.service);
         }
         let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let mut request = Request::new(self.body.clone());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = path.parse().unwrap_or_else(|_| self.uri.clone());
         *request.headers_mut() = headers;
--- a/crates/relay/src/exchange/plan.rs
+++ b/crates/relay/src/exchange/plan.rs
@@ -4,9 +4,7 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Request;
-use http_body_util::Full;
 use route::relay::{
     allowance::Purpose,
     answer_length::{self, Limit},
@@ -23,6 +21,7 @@
     admission::Permit,
     clock,
     dispatcher::fleet::{ExpectedTimes, Job, Run, affinity},
+    payload::Payload,
     request_params,
     settings::Ladder,
     upstream::Answer,
@@ -239,7 +238,7 @@
         model: Option<usize>,
         last_event: Option<u64>,
         left: Duration,
-    ) -> Request<Full<Bytes>> {
+    ) -> Request<Payload> {
         let names = &self.dispatcher.dialect.names;
         let mut headers = self.headers.clone();
         let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
@@ -262,7 +261,7 @@
             headers.insert(names.last_event.clone(), request_params::value(&last.to_string()));
         }
         let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let mut request = Request::new(self.body.clone());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = path.parse().unwrap_or_else(|_| self.uri.clone());
         *request.headers_mut() = headers;
--- a/crates/relay/src/exchange/silent.rs
+++ b/crates/relay/src/exchange/silent.rs
@@ -7,7 +7,6 @@
 
 use std::{fmt, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use futures::{
     FutureExt,
     future::BoxFuture,
@@ -27,6 +26,7 @@
     catalog::Kind,
     clock,
     dispatcher::fleet::{Key, Run},
+    payload::Payload,
     source::Endpoint,
     upstream::{self, Answer, Outcome, Pending, TryResult},
 };
@@ -50,7 +50,7 @@
 /// The end of a try that was silent.
 enum LateResult {
     /// The whole answer, so that nothing is given up for one that breaks off.
-    Whole(Run, Response<Bytes>),
+    Whole(Run, Response<Payload>),
     /// A stream that has begun, of a route without models. Its caller waits for its events.
     Stream(Run, Box<Answer>),
     /// The connection broke. It is being checked whether the endpoint has crashed.
--- a/crates/relay/src/exchange/tries.rs
+++ b/crates/relay/src/exchange/tries.rs
@@ -2,7 +2,6 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use http::{HeaderMap, Method, Response, StatusCode, Uri};
 use route::relay::{content::Work, placement::Choice};
 use tokio::{task::JoinHandle, time::timeout};
@@ -24,6 +23,7 @@
         Dispatcher, Reservation,
         fleet::{Key, Run, RunOutcome},
     },
+    payload::Payload,
     request_params::RequestParams,
     source::Endpoint,
     upstream::{Answer, Outcome, Unreachable},
@@ -48,7 +48,7 @@
     pub(super) method: Method,
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
+    pub(super) body: Payload,
     pub(super) started: Duration,
     /// Deadline of the request, less the time reserved for sending the answer.
     pub(super) limit: Duration,
@@ -340,16 +340,16 @@
     }
 
     /// Decides what to do with an answer that was read to its end.
-    pub(super) fn accept_whole(&mut self, whole: Response<Bytes>, mut run: Run) -> NextStep {
+    pub(super) fn accept_whole(&mut self, whole: Response<Payload>, mut run: Run) -> NextStep {
         let headers = self.headers_from(&run.endpoint, &whole);
-        let (status, bytes) = (whole.status(), whole.into_body());
+        let (status, body) = (whole.status(), whole.into_body());
         let failed = status.is_server_error();
         run.record_verdict(failed);
         if status.is_success() {
             // Errors come sooner than answers and would be taken for short runs.
             self.complete_run();
         }
-        let mut response = Response::new(answer::full_body(bytes));
+        let mut response = Response::new(answer::payload_body(body));
         *response.status_mut() = status;
         *response.headers_mut() = headers;
         let (endpoint, choice) = (Arc::clone(&run.endpoint), run.choice);
--- a/crates/relay/src/exchange/whole.rs
+++ b/crates/relay/src/exchange/whole.rs
@@ -1,11 +1,11 @@
 //! Reads answers that are handed to callers as a whole.
 
-use bytes::Bytes;
 use http::{Response, StatusCode};
 
 use crate::{
     buffer,
     dispatcher::Reservation,
+    payload::Payload,
     upstream::{Answer, Outcome},
 };
 
@@ -14,7 +14,7 @@
 pub(super) const MAX_ANSWER_BYTES: usize = 16 << 20;
 
 /// Reads an answer to its end.
-pub(super) async fn read_whole(answer: Answer, memory: Reservation) -> Result<Response<Bytes>, Outcome> {
+pub(super) async fn read_whole(answer: Answer, memory: Reservation) -> Result<Response<Payload>, Outcome> {
     let status = answer.response.status();
     if promises_not_run(status) {
         // A signed answer shows that the request ran. This status would tell the caller
@@ -25,7 +25,7 @@
     *whole.status_mut() = status;
     whole.headers_mut().clone_from(answer.response.headers());
     let (body, _connection) = answer.into_body();
-    let bytes = buffer::read(body, MAX_ANSWER_BYTES, Some(memory)).await?;
+    let bytes = buffer::read_blocks(body, MAX_ANSWER_BYTES, memory).await?;
     Ok(whole.map(|()| bytes))
 }
 
--- a/crates/relay/src/inquiry.rs
+++ b/crates/relay/src/inquiry.rs
@@ -6,7 +6,6 @@
 use std::{net::SocketAddr, time::Duration};
 
 use http::{Request, Response, StatusCode, header};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
@@ -14,6 +13,7 @@
     answer::{self, Body},
     dispatcher::Dispatcher,
     network::Network,
+    payload::Payload,
     upstream,
 };
 
@@ -51,7 +51,7 @@
     let connected = upstream::connect(network, instance, ANSWER_TIMEOUT).await.ok()?;
     let request = Request::get(format!("{PATH}{endpoint}"))
         .header(header::HOST, instance.to_string())
-        .body(Full::default())
+        .body(Payload::default())
         .ok()?;
     Some(upstream::exchange(connected, request, ANSWER_TIMEOUT).await.ok()?.response.status())
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod network;
 mod news;
 pub mod overhead;
+mod payload;
 mod probe;
 mod quarantine;
 mod report;
--- a/crates/relay/src/share.rs
+++ b/crates/relay/src/share.rs
@@ -14,7 +14,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, StreamBody};
+use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use tokio::{
     sync::{OwnedSemaphorePermit, Semaphore},
@@ -27,6 +27,7 @@
     catalog::{Catalog, wire},
     dispatcher::Dispatcher,
     network::Network,
+    payload::Payload,
     upstream,
 };
 
@@ -112,7 +113,7 @@
 
 async fn receive(network: &dyn Network, from: SocketAddr) -> Result<Catalog, String> {
     let connected = upstream::connect(network, from, COPY_TIMEOUT).await.map_err(|unreachable| unreachable.cause)?;
-    let request = Request::get(CATALOG_PATH).header(header::HOST, from.to_string()).body(Full::default());
+    let request = Request::get(CATALOG_PATH).header(header::HOST, from.to_string()).body(Payload::default());
     let request = request.map_err(|error| error.to_string())?;
     let answer =
         upstream::exchange(connected, request, COPY_TIMEOUT).await.map_err(|outcome| outcome.label().to_owned())?;
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -7,10 +7,8 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
 use futures::{FutureExt, future::BoxFuture};
 use http::{Request, Response, StatusCode, header};
-use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -21,6 +19,7 @@
     dialect::Names,
     network::Network,
     overhead::{AnswerBody, Limited, MAX_HEAD_BYTES, Overhead},
+    payload::Payload,
     statements::Statements,
 };
 
@@ -104,7 +103,7 @@
 /// An open HTTP connection; dropping it closes the connection.
 #[derive(Debug)]
 pub struct Connected {
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<Payload>,
     connection: AbortOnDropHandle<()>,
     overhead: Overhead,
 }
@@ -137,7 +136,7 @@
 
 /// Sends a request over a connection, which serves no other one.
 #[must_use]
-pub fn start(connected: Connected, request: Request<Full<Bytes>>) -> Pending {
+pub fn start(connected: Connected, request: Request<Payload>) -> Pending {
     let Connected { mut sender, connection, overhead } = connected;
     let answer = async move {
         match sender.try_send_request(request).await {
@@ -164,7 +163,7 @@
 /// Returns the outcome if there is no answer.
 pub async fn exchange(
     connected: Connected,
-    request: Request<Full<Bytes>>,
+    request: Request<Payload>,
     time_limit: Duration,
 ) -> Result<Answer, Outcome> {
     let answer = tokio::time::timeout(time_limit, start(connected, request)).await;
--- a/crates/route/src/relay/content.rs
+++ b/crates/route/src/relay/content.rs
@@ -32,9 +32,21 @@
     /// Computes the identity of a request. `team` is the customer's name.
     #[must_use]
     pub fn of(team: Option<&str>, method: &str, host: &str, path: &str, body: &[u8]) -> Self {
+        Self::of_blocks(team, method, host, path, std::iter::once(body))
+    }
+
+    /// Computes the identity of a request whose body is held in blocks.
+    #[must_use]
+    pub fn of_blocks<'a>(
+        team: Option<&str>,
+        method: &str,
+        host: &str,
+        path: &str,
+        body: impl Iterator<Item = &'a [u8]>,
+    ) -> Self {
         let target = hash::stable(format!("{method}\0{host}\0{path}").as_bytes());
         let team = team.map_or(0, |team| hash::stable(team.as_bytes()) % u64::from(PART_MARK));
-        Self { team: u32::try_from(team).unwrap_or_default(), work: hash::rendezvous(target, body) }
+        Self { team: u32::try_from(team).unwrap_or_default(), work: hash::rendezvous_of_parts(target, body) }
     }
 
     /// Returns the identity of a part of prompts by the part's hash.
