Charge all that connections hold to one account

What callers saw: clients that stayed within a head or a body, or only connected, took all memory or all descriptors of an instance. It was killed, or answered nobody.

Cause: only bodies were accounted for. A head could hold 128 KiB for two minutes, the HTTP library's buffer grew to 64 KiB on every connection that sent much, connections had no limit, and nothing was ever closed for others. A body that had stopped was kept until its request's deadline, and the rest of a refused body was read for as long as its caller sent a byte each second.

Change: connections of all relaying listeners, heads, awaited bodies, requests in progress, bodies and answers are charged to one account, half of memory_mib. Connections are limited by the descriptors. The one that is worth least gives way: who stands still within a head or body, then who has been idle for longest. A body that lags behind 4 KiB a second gives way by its lag, and gets 408 after five seconds. Bodies leave memory to short ones and to answers. A head has the operator's time, a refused body three seconds. A reload of the settings puts the limits in force.

--- a/crates/arbutuslugd/src/relaying.rs
+++ b/crates/arbutuslugd/src/relaying.rs
@@ -77,15 +77,16 @@
     };
     explained.set(relay.dispatcher());
     tracing::info!(instance, version = env!("CARGO_PKG_VERSION"), "started");
-    until_terminated(&path).await;
+    until_terminated(&path, &relay).await;
     relay.shutdown().await;
     tracing::info!(instance, "stopped");
     ExitCode::SUCCESS
 }
 
 /// Waits for the signal to leave. At the signal that settings have changed
-/// they are read and checked; addresses and bounds hold from the next start.
-async fn until_terminated(path: &std::path::Path) {
+/// they are read and checked, and limits on connections are put in force; the
+/// others hold from the next start.
+async fn until_terminated(path: &std::path::Path, relay: &relay::Handle) {
     let mut terminate = signal(SignalKind::terminate()).expect("signals can be watched");
     let mut interrupt = signal(SignalKind::interrupt()).expect("signals can be watched");
     let mut reload = signal(SignalKind::hangup()).expect("signals can be watched");
@@ -94,7 +95,10 @@
             _ = terminate.recv() => return,
             _ = interrupt.recv() => return,
             _ = reload.recv() => match Relay::load(path) {
-                Ok(settings) => tracing::info!(instance = settings.relay.instance, "settings read again"),
+                Ok(settings) => {
+                    relay.reload(&settings.relay);
+                    tracing::info!(instance = settings.relay.instance, "settings read again");
+                }
                 Err(error) => tracing::warn!(%error, "settings are not valid; the earlier ones stay"),
             },
         }
--- a/crates/bench/src/relay.rs
+++ b/crates/bench/src/relay.rs
@@ -23,7 +23,7 @@
     catalog::{Catalog, Kind as Repeat, Route, Service, Target},
     dialect::{Dialect, Names},
     rollout::Rollout,
-    settings::{Cores, Listeners, Policies},
+    settings::{Connections, Cores, Listeners, Policies},
     source::{
         Batch, Change, Endpoint, Fault, Instance, Kind, Listing, Progress, Read, Record, Refused, Revision, Source,
     },
@@ -269,6 +269,7 @@
         max_address_cache_time: Duration::from_secs(5),
         cores: Cores::default(),
         body_memory: 64 << 20,
+        connections: Connections::default(),
         policies: Policies::default(),
         network: Arc::new(relay::network::Tcp),
     }
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -39,6 +39,8 @@
     Truncated,
     /// The memory for what connections hold is used up.
     Memory,
+    /// The body has stopped arriving.
+    Stalled,
     /// The route's service has no endpoint that accepts requests.
     NoEndpoint,
     /// Neither this instance nor, as far as it knows, any other one reaches an endpoint of the
@@ -130,6 +132,8 @@
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Truncated => StatusCode::BAD_REQUEST,
+            // A promise that it has not run, unlike 400.
+            Self::Stalled => StatusCode::REQUEST_TIMEOUT,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Self::Lost => StatusCode::BAD_GATEWAY,
         }
@@ -199,6 +203,7 @@
             Self::NoKey => "the access key is missing or unknown",
             Self::TooLarge => "the body is longer than allowed",
             Self::Truncated => "the body ended early",
+            Self::Stalled => "not run: its body has stopped arriving; send it again",
             Self::Memory => "not run: too many requests and bodies under way; try again shortly",
             Self::NoEndpoint => "not run: no endpoint takes requests now; try again shortly",
             Self::Unreachable { .. } => "not run: no endpoint can be reached now; try again shortly",
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -13,6 +13,7 @@
 mod crashes;
 pub mod era;
 pub mod evacuations;
+mod eviction;
 pub mod fleet;
 mod in_flight;
 pub mod peers;
@@ -43,10 +44,13 @@
     admission::Gate,
     catalog::Catalog,
     clock,
+    connections::Connections,
     dialect::Dialect,
+    memory::Account,
     quarantine,
     settings::{Admission, Settings},
     source::{Kind, Progress},
+    uploads::Uploads,
     write_timeout::StalledCallers,
 };
 
@@ -78,8 +82,16 @@
     pub settings: Settings,
     /// Names of headers and paths on the wire.
     pub dialect: Dialect,
+    /// Memory that connections hold.
+    pub(crate) account: Arc<Account>,
+    /// Open connections of all listeners.
+    pub(crate) connections: Arc<Connections>,
+    /// Requests whose bodies have not arrived whole.
+    pub(crate) uploads: Arc<Uploads>,
     /// Callers that have stopped reading their responses.
     pub(crate) stalled_callers: Arc<StalledCallers>,
+    /// Held by the request for which others give way.
+    eviction: tokio::sync::Mutex<()>,
     /// Admission control; `None` if the operator has not switched it on.
     pub gate: Option<Arc<Gate>>,
     /// When this value was created, which is the start of the instance.
@@ -153,9 +165,8 @@
     in_flight: usize,
     /// Time for which a session lasts after its latest request.
     session_lifetime: Duration,
-    /// Memory that bodies of requests and answers occupy, in bytes.
-    held_body_bytes: usize,
-    /// Part of it that streams occupy which are received ahead of their callers, in bytes.
+    /// Part of the memory for bodies that streams occupy which are received ahead of their callers, in
+    /// bytes.
     read_ahead_bytes: usize,
 }
 
@@ -194,15 +205,19 @@
             draining_since: None,
             in_flight: 0,
             session_lifetime: settings.max_session_pause,
-            held_body_bytes: 0,
             read_ahead_bytes: 0,
         };
         let is_fair = settings.policies.admission == Admission::Fair;
         let gate = is_fair.then(|| Gate::new(settings.seeds.len()));
+        let account = Arc::new(Account::new(settings.memory_bounds()));
         Arc::new(Self {
+            connections: Connections::new(Arc::clone(&account), &settings.connections),
+            uploads: Arc::new(Uploads::new(settings.connections.max_upload_lag)),
+            account,
             settings,
             dialect,
             stalled_callers: Arc::default(),
+            eviction: tokio::sync::Mutex::default(),
             gate,
             created_at: clock::now(),
             startup_progressed: Notify::new(),
@@ -224,6 +239,13 @@
         })
     }
 
+    /// Puts the limits on what connections hold in force.
+    pub fn set_limits(&self, settings: &Settings) {
+        self.account.set_bounds(settings.memory_bounds());
+        self.connections.set_limits(&settings.connections);
+        self.uploads.set_max_lag(settings.connections.max_upload_lag);
+    }
+
     /// Returns the catalog in force, or `None` before the first one was read.
     #[must_use]
     pub fn catalog(&self) -> Option<Arc<Catalog>> {
--- a/crates/relay/src/dispatcher/in_flight.rs
+++ b/crates/relay/src/dispatcher/in_flight.rs
@@ -56,7 +56,7 @@
     /// Returns the memory that bodies of requests and answers occupy, in bytes.
     #[must_use]
     pub fn held_body_bytes(&self) -> usize {
-        self.lock().held_body_bytes
+        self.account.bodies()
     }
 }
 
@@ -102,27 +102,34 @@
             return self.grow_within_share(bytes - self.bytes);
         }
         if bytes < self.bytes {
-            self.dispatcher.lock().held_body_bytes -= self.bytes - bytes;
+            self.dispatcher.account.release_body(self.bytes - bytes);
             self.bytes = bytes;
         }
         true
     }
 
     /// Reserves `bytes` more and returns true if at least `free` bytes are left then.
-    fn grow_leaving(&mut self, bytes: usize, free: usize) -> bool {
-        let mut state = self.dispatcher.lock();
-        if state.held_body_bytes + bytes + free > self.dispatcher.settings.body_memory {
+    pub fn grow_leaving(&mut self, bytes: usize, free: usize) -> bool {
+        let Dispatcher { account, connections, .. } = &*self.dispatcher;
+        if account.bodies() + bytes + free > account.body_bound() {
             return false;
         }
-        state.held_body_bytes += bytes;
-        self.bytes += bytes;
-        true
+        while account.is_exceeded_by(bytes) && connections.displace() {}
+        let is_charged = account.charge_body(bytes, free);
+        self.bytes += if is_charged { bytes } else { 0 };
+        is_charged
+    }
+
+    /// Returns the number of bytes that are reserved.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.bytes
     }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.dispatcher.lock().held_body_bytes -= self.bytes;
+        self.dispatcher.account.release_body(self.bytes);
     }
 }
 
@@ -158,7 +165,7 @@
             Claim::Free
         } else {
             let mut reservation = self.0.dispatcher().reserve_body_memory();
-            let left = reservation.dispatcher.settings.body_memory / LEFT_BY_LONG_FRAMES_DIVISOR;
+            let left = reservation.dispatcher.account.body_bound() / LEFT_BY_LONG_FRAMES_DIVISOR;
             if !reservation.grow_leaving(wanted, left) {
                 return None;
             }
@@ -184,7 +191,7 @@
     fn grow(&self, bytes: usize) -> bool {
         let mut reservation = self.lock();
         let dispatcher = Arc::clone(&reservation.dispatcher);
-        let limit = dispatcher.settings.body_memory / READ_AHEAD_DIVISOR;
+        let limit = dispatcher.account.body_bound() / READ_AHEAD_DIVISOR;
         let used = dispatcher.lock().read_ahead_bytes + bytes;
         if used + reservation.bytes + bytes > limit || !reservation.grow_within_share(bytes) {
             return false;
--- a/crates/relay/src/dispatcher/scratch.rs
+++ b/crates/relay/src/dispatcher/scratch.rs
@@ -5,6 +5,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::Dispatcher;
+use crate::{connections::Connections, memory::Account};
 
 impl Dispatcher {
     /// Returns a copy of the state at this moment. No task serves it, hears of changes from it or
@@ -12,10 +13,15 @@
     #[must_use]
     pub fn scratch(&self) -> Arc<Self> {
         let state = self.lock().clone();
+        let account = Arc::new(Account::new(self.settings.memory_bounds()));
         Arc::new(Self {
             settings: self.settings.clone(),
             dialect: self.dialect.clone(),
+            connections: Connections::new(Arc::clone(&account), &self.settings.connections),
+            account,
+            uploads: Arc::clone(&self.uploads),
             stalled_callers: Arc::default(),
+            eviction: tokio::sync::Mutex::default(),
             gate: self.gate.as_ref().map(|gate| gate.scratch()),
             created_at: self.created_at,
             startup_progressed: Notify::new(),
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -111,7 +111,9 @@
     if origin == Origin::Instance {
         forwarding::mark_refused(&mut response, refusal);
     }
-    if matches!(refusal, Refusal::TooLarge | Refusal::Truncated | Refusal::Memory) || dispatcher.is_draining() {
+    if matches!(refusal, Refusal::TooLarge | Refusal::Truncated | Refusal::Memory | Refusal::Stalled)
+        || dispatcher.is_draining()
+    {
         // The rest of the body may still arrive and must not be read as the next request.
         response.headers_mut().insert(header::CONNECTION, http::HeaderValue::from_static("close"));
     }
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -1,11 +1,11 @@
 //! Decides whether a request may be served, and reads its body.
 
-use std::{sync::Arc, time::Duration};
+use std::{sync::Arc, task::Poll, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, header, request::Parts};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use route::relay::{
     content::{Content, Work},
     ladder::Urgency,
@@ -17,9 +17,11 @@
     answer::Refusal,
     catalog::{Customer, Route},
     clock,
+    connections::Handle,
     dispatcher::{Dispatcher, InFlight, Reservation},
     payload::{self, Payload},
     request_params::{RequestParams, end_to_end},
+    uploads::Upload,
 };
 
 /// Part of a request's time that is reserved for sending the answer to the caller.
@@ -39,6 +41,15 @@
 /// caller's body.
 const MEMORY_WAIT_MARGIN: Duration = Duration::from_millis(2);
 
+/// Longest body that counts as short, in bytes. Short bodies arrive within a round trip or two.
+const MAX_SHORT_BODY: usize = 64 << 10;
+
+/// Parts of the memory for bodies, as divisors, that long and short bodies of requests leave to others.
+/// Long ones leave room to short ones, and these to answers: a request whose answer finds no memory has
+/// run in vain.
+const LEFT_BY_LONG_BODIES_DIVISOR: usize = 8;
+const LEFT_BY_SHORT_BODIES_DIVISOR: usize = 16;
+
 /// Deadline of a request that gives none.
 const DEFAULT_DEADLINE: Duration = Duration::from_mins(1);
 
@@ -64,6 +75,7 @@
     origin: Origin,
 ) -> Result<(Exchange, InFlight), (RequestParams, Refusal)> {
     let (mut head, mut body) = request.into_parts();
+    let connection = head.extensions.remove::<Handle>();
     // Removed from a caller's request too: another instance would believe it.
     let carried = carried::take(&mut head.headers);
     let (sent, carried) = match origin {
@@ -74,7 +86,7 @@
     let in_flight = dispatcher.count_in_flight();
     let received = tokio::select! {
         biased;
-        received = read(dispatcher, &head, &params, &mut body, carried) => received,
+        received = read(dispatcher, &head, &params, &mut body, carried, connection.as_ref()) => received,
         () = dispatcher.wait_until_serving_ends() => Err(Refusal::Leaving),
     };
     match received {
@@ -84,8 +96,10 @@
             Ok((Exchange { sent, is_forwarded, ..admitted }, in_flight))
         }
         Err(refusal) => {
-            // Beside the refusal: a caller may send nothing more until it has that.
-            tokio::spawn(discard(body));
+            if !body.is_end_stream() {
+                // Beside the refusal: a caller may send nothing more until it has that.
+                tokio::spawn(discard(body, connection, dispatcher.connections.max_discard()));
+            }
             Err((params, refusal))
         }
     }
@@ -107,6 +121,7 @@
     params: &RequestParams,
     body: &mut Incoming,
     carried: Option<Admission>,
+    connection: Option<&Handle>,
 ) -> Result<Received, Refusal> {
     let started = clock::now();
     let host = host(&head.headers, &head.uri);
@@ -124,8 +139,12 @@
     let limit = started + time.saturating_sub(ANSWER_TIME_RESERVE);
     let max_bytes = dispatcher.catalog().map_or(0, |catalog| catalog.limits.body_bytes);
     let mut memory = dispatcher.reserve_body_memory();
-    let reading = read_body(dispatcher, body, max_bytes, &mut memory, clock::now() + time);
+    let reading = read_body(dispatcher, body, max_bytes, &mut memory, clock::now() + time, connection);
     let body = timeout(time, reading).await.unwrap_or(Err(Refusal::Truncated))?;
+    // The rest of what the request takes is charged only now: while it arrives, it may give way.
+    if connection.is_some_and(|connection| !connection.charge_request()) {
+        return Err(Refusal::Memory);
+    }
     Ok(Received { started, limit, admission, memory, body })
 }
 
@@ -229,17 +248,28 @@
     host.split(':').next().unwrap_or_default().to_ascii_lowercase()
 }
 
-/// Reads the rest of a refused request's body. A connection that is closed with bytes unread is
+/// Reads the rest of a refused request's body for up to `limit`. A connection that is closed with bytes unread is
 /// reset, and its caller, who may still be sending, does not get the refusal.
-async fn discard(mut body: Incoming) {
+async fn discard(mut body: Incoming, connection: Option<Handle>, limit: Duration) {
+    if let Some(connection) = &connection {
+        connection.start_discarding();
+    }
     let mut discarded = 0;
-    while discarded <= MAX_DISCARDED_BYTES
-        && let Ok(frame) = timeout(DISCARD_TIMEOUT, body.frame()).await
-    {
-        let Some(Ok(frame)) = frame else { return };
-        discarded += frame.data_ref().map_or(0, Bytes::len);
+    let discarding = async {
+        while discarded <= MAX_DISCARDED_BYTES
+            && let Ok(frame) = timeout(DISCARD_TIMEOUT, body.frame()).await
+        {
+            let Some(Ok(frame)) = frame else { return true };
+            discarded += frame.data_ref().map_or(0, Bytes::len);
+        }
+        false
+    };
+    if !timeout(limit, discarding).await.unwrap_or(false) {
+        tracing::info!(discarded, "connection of a refused request is closed before its body has arrived");
+    }
+    if let Some(connection) = &connection {
+        connection.end_discarding();
     }
-    tracing::info!(discarded, "connection of a refused request is closed before its body has arrived");
 }
 
 /// Reads a body of up to `max_bytes` bytes until `limit`, and accounts for its memory in `reservation`.
@@ -249,40 +279,92 @@
     max_bytes: usize,
     reservation: &mut Reservation,
     limit: Duration,
+    connection: Option<&Handle>,
 ) -> Result<Payload, Refusal> {
     if body.size_hint().lower() > u64::try_from(max_bytes).unwrap_or(u64::MAX) {
         return Err(Refusal::TooLarge);
     }
     let expected = body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok());
-    let mut whole = payload::Builder::new(expected);
-    while let Some(frame) = body.frame().await {
-        let Ok(mut data) = frame.map_err(|_| Refusal::Truncated)?.into_data() else { continue };
-        if whole.len() + data.len() > max_bytes {
+    let (mut whole, mut upload) = (payload::Builder::new(expected), None);
+    while let Some(frame) = next_frame(dispatcher, body, &mut upload, connection).await? {
+        let Ok(mut data) = frame.into_data() else { continue };
+        let arrived = data.len();
+        if whole.len() + arrived > max_bytes {
             return Err(Refusal::TooLarge);
         }
         while !data.is_empty() {
             if let Some(block) = whole.next_block() {
+                let is_short = expected.unwrap_or(whole.len() + data.len()) <= MAX_SHORT_BODY;
                 // Thousands of slow callers with long bodies could otherwise use up the memory and
                 // get the process killed, with all requests in flight.
-                if !reserve(dispatcher, reservation, block, limit).await {
+                let demand = Demand { bytes: block, is_short, max_bytes };
+                if !demand.reserve(dispatcher, reservation, limit).await {
                     return Err(Refusal::Memory);
                 }
                 whole.add_block(block);
             }
             whole.fill(&mut data);
         }
+        if let Some(upload) = &upload {
+            upload.record(arrived, reservation.bytes());
+        }
     }
     Ok(whole.finish())
 }
 
-/// Reserves `bytes` more until `limit` and returns true, or returns false if there is no memory.
-///
-/// Callers that have stopped reading lose their responses first: a request must not be refused
-/// because of them.
-async fn reserve(dispatcher: &Dispatcher, reservation: &mut Reservation, bytes: usize, limit: Duration) -> bool {
-    if reservation.grow(bytes) {
-        return true;
+/// Waits for the next frame of a body; `None` at its end. A body that has to be waited for is listed in
+/// `upload` and may be given up.
+async fn next_frame(
+    dispatcher: &Dispatcher,
+    body: &mut Incoming,
+    upload: &mut Option<Upload>,
+    connection: Option<&Handle>,
+) -> Result<Option<Frame<Bytes>>, Refusal> {
+    if let Poll::Ready(frame) = futures::poll!(body.frame()) {
+        return frame.transpose().map_err(|_| Refusal::Truncated);
+    }
+    let upload = upload.get_or_insert_with(|| dispatcher.uploads.add(clock::now()));
+    if let Some(connection) = connection {
+        connection.await_body(upload.behind_since());
+    }
+    let frame = tokio::select! {
+        biased;
+        frame = timeout(upload.time_left(), body.frame()) => frame,
+        () = upload.given_up() => return Err(Refusal::Memory),
+    };
+    let Ok(frame) = frame else {
+        metrics::counter!("relay_uploads_given_up_total", "reason" => "lag").increment(1);
+        return Err(Refusal::Stalled);
+    };
+    frame.transpose().map_err(|_| Refusal::Truncated)
+}
+
+/// Memory that a body needs to go on.
+struct Demand {
+    bytes: usize,
+    /// Whether the body is known to be short, or has been so far.
+    is_short: bool,
+    /// Longest body that the operator allows, in bytes.
+    max_bytes: usize,
+}
+
+impl Demand {
+    /// Reserves the memory until `limit` and returns true, or returns false if there is none.
+    ///
+    /// Others that have stopped sending or reading give way first: a request must not be refused
+    /// because of them.
+    async fn reserve(&self, dispatcher: &Dispatcher, reservation: &mut Reservation, limit: Duration) -> bool {
+        let free = self.left_to_others(dispatcher.account.body_bound());
+        if reservation.grow_leaving(self.bytes, free) {
+            return true;
+        }
+        let left = limit.saturating_sub(clock::now() + MEMORY_WAIT_MARGIN).min(MAX_MEMORY_WAIT);
+        dispatcher.make_room(self.is_short, left, || reservation.grow_leaving(self.bytes, free)).await
+    }
+
+    /// Returns the memory that has to stay free. One body of the largest legal size always fits.
+    fn left_to_others(&self, bound: usize) -> usize {
+        let divisor = if self.is_short { LEFT_BY_SHORT_BODIES_DIVISOR } else { LEFT_BY_LONG_BODIES_DIVISOR };
+        (bound / divisor).min(bound.saturating_sub(self.max_bytes + payload::MAX_BLOCK_BYTES))
     }
-    let left = limit.saturating_sub(clock::now() + MEMORY_WAIT_MARGIN);
-    dispatcher.stalled_callers.make_room(left.min(MAX_MEMORY_WAIT), || reservation.grow(bytes)).await
 }
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -16,6 +16,8 @@
 
 use crate::{
     answer::Body,
+    connections::Peer,
+    dispatcher::Dispatcher,
     unsent::{Connection, Unsent},
     write_timeout::{TimedStream, WriteTimeout},
 };
@@ -39,6 +41,10 @@
 /// the connection of a caller that lost power would stay open for hours.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Longest time for which the peer of a connection may take nothing of a response, unless the request has
+/// set another one.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Request extension that holds the IP address of the caller.
 #[derive(Debug, Clone, Copy)]
 pub struct CallerIp(pub IpAddr);
@@ -53,8 +59,8 @@
     TcpListener::from_std(socket.into())
 }
 
-/// Accepts connections and passes their requests to `serve`; never returns.
-pub async fn accept<S, F>(listener: TcpListener, serve: S)
+/// Accepts connections of `peer` and passes their requests to `serve`; never returns.
+pub async fn accept<S, F>(listener: TcpListener, dispatcher: Arc<Dispatcher>, peer: Peer, serve: S)
 where
     S: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
@@ -65,24 +71,33 @@
             Ok((stream, address)) => (stream, CallerIp(address.ip())),
             Err(error) => {
                 tracing::warn!(%error, "accepting a connection failed");
+                dispatcher.connections.displace();
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
+        let Some(handle) = dispatcher.connections.open(peer) else { continue };
         if let Err(error) = set_socket_options(&stream) {
             tracing::debug!(%error, "setting socket options failed; connection dropped");
             continue;
         }
         let serve = Arc::clone(&serve);
         let (unsent, write_timeout) = (Unsent::default(), WriteTimeout::default());
+        write_timeout.set(WRITE_TIMEOUT, &dispatcher.stalled_callers);
         let stream = TimedStream::new(stream, write_timeout.clone());
-        let connection = Connection::new(stream, unsent.clone());
+        let connection = Connection::new(stream, unsent.clone(), handle.clone());
         let service = service_fn(move |mut request: Request<Incoming>| {
             request.extensions_mut().insert(caller_ip);
             request.extensions_mut().insert(unsent.clone());
             request.extensions_mut().insert(write_timeout.clone());
-            let answer = serve(request);
-            async move { Ok::<_, Infallible>(answer.await) }
+            handle.start_request();
+            request.extensions_mut().insert(handle.clone());
+            let (answer, unsent) = (serve(request), unsent.clone());
+            async move {
+                let response = answer.await;
+                unsent.record_response();
+                Ok::<_, Infallible>(response)
+            }
         });
         tokio::spawn(async move {
             let connection = http1::Builder::new()
--- a/crates/relay/src/handle.rs
+++ b/crates/relay/src/handle.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     caches, clock,
+    connections::{self, Peer},
     dialect::Dialect,
     directory,
     dispatcher::{Dispatcher, fleet},
@@ -83,13 +84,17 @@
     dispatcher.set_identity();
     let mut tasks = JoinSet::new();
     let shared = Arc::clone(&dispatcher);
-    tasks.spawn(front::accept(front_listener, move |request| {
+    tasks.spawn(front::accept(front_listener, Arc::clone(&dispatcher), Peer::Caller, move |request| {
         exchange::serve(Arc::clone(&shared), request, Origin::Caller)
     }));
     let shared = Arc::clone(&dispatcher);
-    tasks.spawn(front::accept(ready, move |request| std::future::ready(directory::ready(&shared, &request))));
+    tasks.spawn(front::accept(ready, Arc::clone(&dispatcher), Peer::Infrastructure, move |request| {
+        std::future::ready(directory::ready(&shared, &request))
+    }));
     let shared = Arc::clone(&dispatcher);
-    tasks.spawn(front::accept(directory, move |request| std::future::ready(directory::addresses(&shared, &request))));
+    tasks.spawn(front::accept(directory, Arc::clone(&dispatcher), Peer::Infrastructure, move |request| {
+        std::future::ready(directory::addresses(&shared, &request))
+    }));
     let (catalog_server, shared) = (Arc::new(CatalogServer::new()), Arc::clone(&dispatcher));
     let serve_instance = move |request| {
         let (catalog_server, dispatcher) = (Arc::clone(&catalog_server), Arc::clone(&shared));
@@ -103,7 +108,8 @@
             catalog_server.serve(&dispatcher, &request)
         }
     };
-    tasks.spawn(front::accept(instance_listener, serve_instance));
+    tasks.spawn(front::accept(instance_listener, Arc::clone(&dispatcher), Peer::Infrastructure, serve_instance));
+    tasks.spawn(connections::sweep(Arc::clone(&dispatcher)));
     for kind in [Kind::Catalog, Kind::Rollouts, Kind::Endpoints] {
         tasks.spawn(follow::follow(Arc::clone(&dispatcher), Arc::clone(&source), kind));
     }
@@ -129,6 +135,12 @@
         &self.dispatcher
     }
 
+    /// Puts the limits on what connections hold in force, out of settings that were read again. What is
+    /// held beyond lower ones is released as connections give way and requests end.
+    pub fn reload(&self, settings: &Settings) {
+        self.dispatcher.set_limits(settings);
+    }
+
     /// Shuts down gracefully: other instances are notified at once, and callers that still
     /// have the address are served until all answers are sent or the grace period is over. Requests
     /// that have no answer by then are refused.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,7 +17,9 @@
 //! - `front` and `directory` accept connections; `exchange` handles one request,
 //!   `upstream` sends it to one endpoint, `events` splits event streams so that
 //!   they can be resumed at another endpoint, and `write_timeout` closes connections whose
-//!   callers have stopped reading.
+//!   callers have stopped reading;
+//! - `memory` accounts for all that connections hold, and `connections` and `uploads` decide which of
+//!   them give way when it or the descriptors run out.
 //!
 //! Decisions are made in [`route::relay`]. The names of headers, paths and body
 //! formats are passed in as a [`dialect::Dialect`].
@@ -28,6 +30,7 @@
 mod caches;
 pub mod catalog;
 pub mod clock;
+mod connections;
 pub mod dialect;
 mod directory;
 pub mod dispatcher;
@@ -39,6 +42,7 @@
 mod handle;
 mod inquiry;
 mod join;
+mod memory;
 pub mod network;
 mod news;
 pub mod overhead;
@@ -54,6 +58,7 @@
 pub mod source;
 mod statements;
 mod unsent;
+mod uploads;
 mod upstream;
 mod write_timeout;
 
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -4,7 +4,7 @@
 
 use route::relay::allowance;
 
-use crate::network::Network;
+use crate::{memory, network::Network};
 
 /// Settings of the relay.
 #[derive(Debug, Clone)]
@@ -43,6 +43,8 @@
     pub cores: Cores,
     /// Memory that bodies of requests and answers may take in total, in bytes.
     pub body_memory: usize,
+    /// Limits on connections.
+    pub connections: Connections,
     /// Optional decisions that the operator has switched on.
     pub policies: Policies,
     /// Network over which endpoints and other instances are reached.
@@ -50,6 +52,12 @@
 }
 
 impl Settings {
+    /// Returns the bounds of the memory that connections hold.
+    #[must_use]
+    pub(crate) fn memory_bounds(&self) -> memory::Bounds {
+        memory::Bounds { total: self.connections.memory, bodies: self.body_memory }
+    }
+
     /// Whether the platform has evacuations, so that they have to be read.
     #[must_use]
     pub fn follows_evacuations(&self) -> bool {
@@ -57,6 +65,31 @@
     }
 }
 
+/// Limits on connections and what they hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Connections {
+    /// Memory that connections, requests in progress and bodies may take in total, in bytes.
+    pub memory: usize,
+    /// Connections of callers at a time.
+    pub max: usize,
+    /// Longest time by which a request's body may lag behind a steady rate.
+    pub max_upload_lag: Duration,
+    /// Longest time for which the rest of a refused request is received.
+    pub max_discard: Duration,
+}
+
+impl Default for Connections {
+    /// Returns limits of a machine with much memory.
+    fn default() -> Self {
+        Self {
+            memory: 1 << 30,
+            max: 8_192,
+            max_upload_lag: Duration::from_secs(5),
+            max_discard: Duration::from_secs(3),
+        }
+    }
+}
+
 /// Optional decisions under load; the default is that all are off.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Policies {
--- a/crates/relay/src/unsent.rs
+++ b/crates/relay/src/unsent.rs
@@ -7,7 +7,7 @@
 use std::{
     io,
     pin::Pin,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     task::{Context, Poll, ready},
 };
 
@@ -15,26 +15,50 @@
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, SizeHint};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 
-use crate::{answer::Body, dispatcher::InFlight, write_timeout::TimedStream};
+use crate::{answer::Body, connections, dispatcher::InFlight, write_timeout::TimedStream};
+
+/// Most bytes that one read takes. The HTTP library doubles the buffer of a connection that fills it in
+/// one read, up to its limit, and this is just too little for the smallest buffer.
+const MAX_READ_BYTES: u64 = (8 << 10) - 1;
 
 /// Requests of one connection whose responses it holds.
 #[derive(Debug, Clone, Default)]
-pub struct Unsent(Arc<Mutex<Vec<InFlight>>>);
+pub struct Unsent(Arc<Mutex<State>>);
+
+#[derive(Debug, Default)]
+struct State {
+    /// Requests whose responses the connection has taken.
+    requests: Vec<InFlight>,
+    /// Number of responses that the connection is still taking.
+    open: usize,
+    /// Whether a response was given to the connection since it last had written all.
+    has_response: bool,
+}
 
 impl Unsent {
-    fn add(&self, request: InFlight) {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).push(request);
+    /// Has a request count as in flight until its response has been written.
+    pub fn track(&self, response: Response<Body>, request: InFlight) -> Response<Body> {
+        self.lock().open += 1;
+        response.map(|body| Tracked { body, request: Some(request), unsent: self.clone() }.boxed_unsync())
     }
 
-    fn clear(&self) {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).clear();
+    /// Records that the connection is given a response.
+    pub fn record_response(&self) {
+        self.lock().has_response = true;
     }
 
-    /// Has a request count as in flight until its response has been written.
-    pub fn track(&self, response: Response<Body>, request: InFlight) -> Response<Body> {
-        response.map(|body| Tracked { body, request: Some(request), unsent: self.clone() }.boxed_unsync())
+    /// Records that the connection has written all that it holds, and returns whether a whole response
+    /// was written with it.
+    fn record_written(&self) -> bool {
+        let mut state = self.lock();
+        state.requests.clear();
+        state.open == 0 && std::mem::take(&mut state.has_response)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -48,9 +72,9 @@
 impl Drop for Tracked {
     fn drop(&mut self) {
         // The connection has taken the last bytes, or is gone and drops what it holds.
-        if let Some(request) = self.request.take() {
-            self.unsent.add(request);
-        }
+        let mut state = self.unsent.lock();
+        state.open -= 1;
+        state.requests.extend(self.request.take());
     }
 }
 
@@ -71,24 +95,36 @@
     }
 }
 
-/// A connection to a caller that knows which responses it has not written yet.
+/// A connection that knows which responses it has not written yet, and ends when it is closed for others.
 #[derive(Debug)]
 pub struct Connection {
     stream: TimedStream,
     unsent: Unsent,
+    handle: connections::Handle,
 }
 
 impl Connection {
     /// Wraps a connection; `unsent` receives the requests whose responses were handed to it.
     #[must_use]
-    pub fn new(stream: TimedStream, unsent: Unsent) -> Self {
-        Self { stream, unsent }
+    pub fn new(stream: TimedStream, unsent: Unsent, handle: connections::Handle) -> Self {
+        Self { stream, unsent, handle }
     }
 }
 
+fn closed() -> Poll<io::Result<()>> {
+    Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()))
+}
+
 impl AsyncRead for Connection {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buffer)
+        if self.handle.poll_closed(cx) {
+            return closed();
+        }
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut (&mut self.stream).take(MAX_READ_BYTES)).poll_read(cx, buffer))?;
+        let count = buffer.filled().len() - before;
+        self.handle.received(count);
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -111,8 +147,13 @@
 
     /// The HTTP implementation flushes once it has written all that it holds.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.handle.poll_closed(cx) {
+            return closed();
+        }
         ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
-        self.unsent.clear();
+        if self.unsent.record_written() {
+            self.handle.end_request();
+        }
         Poll::Ready(Ok(()))
     }
 
--- a/crates/relay/src/write_timeout.rs
+++ b/crates/relay/src/write_timeout.rs
@@ -22,7 +22,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
-    time::{Instant, Sleep, sleep, timeout},
+    time::{Instant, Sleep, sleep},
 };
 
 use crate::clock;
@@ -39,17 +39,10 @@
 /// shortest stall for which one is closed.
 const LOOK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Interval, and number of times, in which memory is looked for after a caller was disconnected. Its
-/// connection's task releases the memory when it runs next.
-const RELEASE_INTERVAL: Duration = Duration::from_millis(2);
-const MAX_RELEASE_CHECKS: u32 = 25;
-
 /// Callers that take nothing, the one that has done so for longest first.
 #[derive(Debug, Default)]
 pub struct StalledCallers {
     callers: Mutex<Vec<StalledCaller>>,
-    /// Held by the request for which callers are disconnected.
-    turn: tokio::sync::Mutex<()>,
 }
 
 #[derive(Debug)]
@@ -59,35 +52,9 @@
 }
 
 impl StalledCallers {
-    /// Disconnects callers, the one that has taken nothing for longest first, until `has_room` and
-    /// returns true, or returns false if none is left that has stood still for long enough, or after
-    /// `limit`.
-    ///
-    /// Other requests that need memory meanwhile wait for their turn, as the memory of one caller may do
-    /// for all.
-    pub async fn make_room(&self, limit: Duration, mut has_room: impl FnMut() -> bool) -> bool {
-        let making_room = async {
-            let _turn = self.turn.lock().await;
-            while !has_room() {
-                let Some(connection) = self.disconnect_longest() else { return false };
-                for _ in 0..MAX_RELEASE_CHECKS {
-                    if has_room() {
-                        return true;
-                    }
-                    if !connection.is_unwanted.load(Ordering::Relaxed) {
-                        break;
-                    }
-                    sleep(RELEASE_INTERVAL).await;
-                }
-            }
-            true
-        };
-        timeout(limit, making_room).await.unwrap_or(false)
-    }
-
     /// Has the caller that has taken nothing for longest disconnected unless it takes something now;
     /// `None` if none has stood still for long enough.
-    fn disconnect_longest(&self) -> Option<Arc<Connection>> {
+    pub fn disconnect_longest(&self) -> Option<Arc<Connection>> {
         let mut callers = self.lock();
         if callers.first().is_none_or(|caller| clock::now() < caller.since + MIN_STALL) {
             return None;
@@ -113,7 +80,7 @@
 
 /// What a connection and the requests on it share.
 #[derive(Debug, Default)]
-struct Connection {
+pub struct Connection {
     /// Time limit in milliseconds; 0 if no request has set one.
     limit_ms: AtomicU64,
     /// Whether the connection is closed for lack of memory, unless its caller takes something.
@@ -124,6 +91,13 @@
     stalled_callers: Mutex<Arc<StalledCallers>>,
 }
 
+impl Connection {
+    /// Whether the connection is still to be closed for lack of memory.
+    pub fn is_unwanted(&self) -> bool {
+        self.is_unwanted.load(Ordering::Relaxed)
+    }
+}
+
 /// Time limit of a connection, as set by the requests on it; there is none at first.
 #[derive(Debug, Clone, Default)]
 pub struct WriteTimeout(Arc<Connection>);
--- a/crates/relay/tests/it/site.rs
+++ b/crates/relay/tests/it/site.rs
@@ -19,7 +19,7 @@
     dialect::{CachedPart, Dialect, Names},
     dispatcher::Dispatcher,
     rollout::Rollout,
-    settings::{Cores, Listeners, Policies},
+    settings::{Connections, Cores, Listeners, Policies},
     source::{self, Batch, Change, Endpoint, Fault, Instance, Listing, Progress, Record, Refused, Revision, Source},
 };
 use route::relay::{allowance, canary::Stage};
@@ -349,6 +349,7 @@
         max_address_cache_time: Duration::from_secs(5),
         cores: Cores::default(),
         body_memory: 1 << 20,
+        connections: Connections::default(),
         policies: Policies::default(),
         network: Arc::new(relay::network::Tcp),
     }
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -5,7 +5,9 @@
 
 use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
-use relay::settings::{Admission, AnswerLength, Capacity, Cores, Ladder, Listeners, Placement, Policies, Settings};
+use relay::settings::{
+    Admission, AnswerLength, Capacity, Connections, Cores, Ladder, Listeners, Placement, Policies, Settings,
+};
 use route::relay::allowance;
 use serde::Deserialize;
 
@@ -24,8 +26,15 @@
     pub log: String,
 }
 
-/// Part of the memory that waiting bodies may take.
-const BODIES_OF_MEMORY: usize = 4;
+/// Descriptors that are not connections: files, timers, pipes.
+const RESERVED_DESCRIPTORS: u64 = 200;
+
+/// Part of the other descriptors that callers' connections may take by default. The rest is left to
+/// connections to endpoints, other instances and the store.
+const CALLERS_OF_DESCRIPTORS: f64 = 0.75;
+
+/// Fewest connections of callers.
+const MIN_CONNECTIONS: u64 = 16;
 
 /// The file as written.
 #[derive(Debug, Deserialize)]
@@ -59,9 +68,32 @@
     cores: f64,
     memory_mib: usize,
     #[serde(default)]
+    descriptors: Option<u64>,
+    #[serde(default)]
+    limits: FileLimits,
+    #[serde(default)]
     policies: FilePolicies,
 }
 
+/// Limits on what connections hold, as written.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct FileLimits {
+    /// Part of the memory that connections, requests and bodies may take.
+    held_share: f64,
+    /// Part of the memory that bodies may take.
+    body_share: f64,
+    connections: Option<u64>,
+    upload_lag_ms: u64,
+    discard_ms: u64,
+}
+
+impl Default for FileLimits {
+    fn default() -> Self {
+        Self { held_share: 0.5, body_share: 0.25, connections: None, upload_lag_ms: 5_000, discard_ms: 3_000 }
+    }
+}
+
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct FileListeners {
@@ -220,6 +252,32 @@
         check("session_s", (0.0..=3_600.0).contains(&self.session_s), "write seconds from 0 to 3600");
         check("cores", (0.01..=1_024.0).contains(&self.cores), "write cores from 0.01 to 1024");
         check("memory_mib", self.memory_mib >= 16, "write at least 16");
+        check(
+            "descriptors",
+            self.descriptors.is_none_or(|descriptors| (64..=1_048_576).contains(&descriptors)),
+            "write descriptors from 64 to 1048576, or leave it out",
+        );
+        check("limits.held_share", (0.1..=0.75).contains(&self.limits.held_share), "write a share from 0.1 to 0.75");
+        check(
+            "limits.body_share",
+            (0.05..=self.limits.held_share).contains(&self.limits.body_share),
+            "write a share from 0.05 to `limits.held_share`",
+        );
+        check(
+            "limits.connections",
+            self.limits.connections.is_none_or(|connections| (MIN_CONNECTIONS..=1_000_000).contains(&connections)),
+            "write connections from 16 to 1000000, or leave it out",
+        );
+        check(
+            "limits.upload_lag_ms",
+            (1_000..=60_000).contains(&self.limits.upload_lag_ms),
+            "write milliseconds from 1000 to 60000",
+        );
+        check(
+            "limits.discard_ms",
+            (500..=60_000).contains(&self.limits.discard_ms),
+            "write milliseconds from 500 to 60000",
+        );
         check("grace_ms", self.grace_ms >= 1_000, "write at least 1000");
         check("replace_ms", self.replace_ms.is_none_or(|bound| bound >= 1_000), "write at least 1000, or leave it out");
         check(
@@ -240,8 +298,21 @@
         faults
     }
 
+    /// Returns the limit on connections of callers, which leaves descriptors to other connections.
+    fn max_connections(&self) -> usize {
+        let process = descriptor_limit().unwrap_or(u64::MAX);
+        let descriptors = self.descriptors.unwrap_or(u64::MAX).min(process).min(1 << 20);
+        #[expect(clippy::cast_precision_loss, reason = "far fewer than 2^53 descriptors")]
+        let free = descriptors.saturating_sub(RESERVED_DESCRIPTORS) as f64;
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a part of a small number")]
+        let most = (free * CALLERS_OF_DESCRIPTORS) as u64;
+        let connections = self.limits.connections.unwrap_or(most).min(most).max(MIN_CONNECTIONS);
+        usize::try_from(connections).unwrap_or(usize::MAX)
+    }
+
     fn settings(self) -> Relay {
         let millis = Duration::from_millis;
+        let max_connections = self.max_connections();
         Relay {
             relay: Settings {
                 instance: self.instance,
@@ -267,7 +338,13 @@
                 grace: millis(self.grace_ms),
                 max_address_cache_time: millis(self.keep_addresses_ms),
                 cores: Cores::new(self.cores),
-                body_memory: (self.memory_mib << 20) / BODIES_OF_MEMORY,
+                body_memory: share(self.memory_mib << 20, self.limits.body_share),
+                connections: Connections {
+                    memory: share(self.memory_mib << 20, self.limits.held_share),
+                    max: max_connections,
+                    max_upload_lag: millis(self.limits.upload_lag_ms),
+                    max_discard: millis(self.limits.discard_ms),
+                },
                 policies: self.policies.into(),
                 network: Arc::new(relay::network::Tcp),
             },
@@ -277,3 +354,22 @@
         }
     }
 }
+
+/// Returns a part of an amount of memory.
+fn share(bytes: usize, share: f64) -> usize {
+    #[expect(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "shares are below 1, and memory is far below 2^53 bytes"
+    )]
+    let bytes = (bytes as f64 * share) as usize;
+    bytes
+}
+
+/// Returns the number of descriptors that this process may have, if the system tells it.
+fn descriptor_limit() -> Option<u64> {
+    let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
+    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
--- a/crates/settings/tests/relay.rs
+++ b/crates/settings/tests/relay.rs
@@ -33,6 +33,8 @@
     assert_eq!(settings.relay.evacuation_bound, Some(Duration::from_secs(5)));
     assert_eq!(settings.relay.allowance.window, Duration::from_secs(10));
     assert_eq!(settings.relay.body_memory, 65 << 20);
+    assert_eq!(settings.relay.connections.memory, 130 << 20);
+    assert_eq!(settings.relay.connections.max_upload_lag, Duration::from_secs(5));
     assert_eq!(settings.log, "info");
 }
 
@@ -76,6 +78,16 @@
     assert_eq!(settings.relay.policies, expected);
 }
 
+/// Connections of callers must leave descriptors to those to endpoints and the store.
+#[test]
+fn connections_follow_from_descriptors() {
+    let connections = |more: &str| Relay::parse(&format!("{GOOD}{more}")).unwrap().relay.connections.max;
+    assert_eq!(connections("descriptors: 600\n"), 300);
+    assert_eq!(connections("descriptors: 600\nlimits: { connections: 100 }\n"), 100);
+    assert_eq!(connections("descriptors: 600\nlimits: { connections: 5000 }\n"), 300);
+    assert_eq!(connections("descriptors: 64\n"), 16);
+}
+
 macro_rules! faults {
     ($($name:ident: $from:expr => $to:expr, $named:expr;)*) => {$(
         #[test]
@@ -104,5 +116,13 @@
     unknown_answer_length: "memory_mib: 260" => "memory_mib: 260\npolicies: { answer_length: known }", "answer_length";
     no_ladder_values: "memory_mib: 260" => "memory_mib: 260\npolicies: { ladder_values: [] }", "policies.ladder_values";
     negative_ladder_value: "memory_mib: 260" => "memory_mib: 260\npolicies: { ladder_values: [1, -2] }", "policies.ladder_values";
+    too_few_descriptors: "memory_mib: 260" => "memory_mib: 260\ndescriptors: 8", "descriptors";
+    no_memory_for_connections: "memory_mib: 260" => "memory_mib: 260\nlimits: { held_share: 0 }", "limits.held_share";
+    more_memory_for_bodies_than_in_total: "memory_mib: 260" => "memory_mib: 260\nlimits: { held_share: 0.3, body_share: 0.4 }",
+        "limits.body_share";
+    too_few_connections: "memory_mib: 260" => "memory_mib: 260\nlimits: { connections: 2 }", "limits.connections";
+    lag_shorter_than_a_lost_packet: "memory_mib: 260" => "memory_mib: 260\nlimits: { upload_lag_ms: 100 }",
+        "limits.upload_lag_ms";
+    no_time_to_discard: "memory_mib: 260" => "memory_mib: 260\nlimits: { discard_ms: 0 }", "limits.discard_ms";
     bound_too_short_to_read_a_catalog: "replace_ms: 2000" => "replace_ms: 500", "replace_ms";
 }
