Take the number of descriptors from the settings alone where they name it

Cause: the limit on connections took the lesser of `descriptors` and what the process reads as its own limit.

Change: `descriptors` decides; the process's own limit only where it is not given. A connection that is refused while its body is awaited is idle after its refusal.

--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -101,6 +101,7 @@
     }
 
     fn count(self) {
+        tracing::debug!(reason = self.label(), "connection closed early");
         metrics::counter!("relay_connections_closed_total", "reason" => self.label()).increment(1);
     }
 }
@@ -375,7 +376,7 @@
     /// Records that a response has been written, unless the rest of its request is still received.
     pub fn end_request(&self) {
         self.with_entry(|entry, account| {
-            if entry.phase == Phase::Busy {
+            if matches!(entry.phase, Phase::Body | Phase::Busy) {
                 entry.enter(Phase::Idle);
                 entry.charge(account, CONNECTION_BYTES);
             }
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -28,6 +28,9 @@
     pub log: String,
 }
 
+/// Most descriptors that a process has.
+const MAX_DESCRIPTORS: u64 = 1 << 20;
+
 /// Descriptors that are not connections: files, timers, pipes.
 const RESERVED_DESCRIPTORS: u64 = 200;
 
@@ -264,7 +267,7 @@
         check("memory_mib", self.memory_mib >= 16, "write at least 16");
         check(
             "descriptors",
-            self.descriptors.is_none_or(|descriptors| (64..=1_048_576).contains(&descriptors)),
+            self.descriptors.is_none_or(|descriptors| (64..=MAX_DESCRIPTORS).contains(&descriptors)),
             "write descriptors from 64 to 1048576, or leave it out",
         );
         check("limits.held_share", (0.1..=0.75).contains(&self.limits.held_share), "write a share from 0.1 to 0.75");
@@ -315,8 +318,7 @@
 
     /// Returns the limit on connections of callers, which leaves descriptors to other connections.
     fn max_connections(&self) -> usize {
-        let process = descriptor_limit().unwrap_or(u64::MAX);
-        let descriptors = self.descriptors.unwrap_or(u64::MAX).min(process).min(1 << 20);
+        let descriptors = self.descriptors.or_else(descriptor_limit).unwrap_or(MAX_DESCRIPTORS).min(MAX_DESCRIPTORS);
         #[expect(clippy::cast_precision_loss, reason = "far fewer than 2^53 descriptors")]
         let free = descriptors.saturating_sub(RESERVED_DESCRIPTORS) as f64;
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a part of a small number")]
