Test blocks and the lag of bodies without a network

Blocks hold a body whole and never more than is charged for them; the identity of a request does not depend on how its body is held, also among instances of other builds.

--- a/crates/relay/src/payload.rs
+++ b/crates/relay/src/payload.rs
@@ -141,3 +141,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/relay/src/uploads.rs
+++ b/crates/relay/src/uploads.rs
@@ -160,3 +160,6 @@
         self.end.is_gone.store(true, Ordering::Relaxed);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/route/tests/relay/content.rs
+++ b/crates/route/tests/relay/content.rs
@@ -28,6 +28,17 @@
     host_and_path_are_separated: (None, "GET", "a", "/b/c", ""), (None, "GET", "a/b", "/c", "") => false;
 }
 
+/// A body in blocks is the same work, also for instances that hold theirs in one piece.
+#[test]
+fn blocks_do_not_change_the_identity() {
+    let body: Vec<u8> = (0..5_000).map(|number| u8::try_from(number % 251).unwrap()).collect();
+    let whole = Content::of(ONE.0, ONE.1, ONE.2, ONE.3, &body);
+    assert_eq!(whole.work, world::hash::rendezvous(world::hash::stable(b"POST\0a.example\0/a/1"), &body));
+    for length in [1, 7, 240, 1_024, 4_999] {
+        assert_eq!(Content::of_blocks(ONE.0, ONE.1, ONE.2, ONE.3, body.chunks(length)), whole);
+    }
+}
+
 /// The hash of the work does not depend on the customer and the customer's hash is
 /// separate, so nobody can find a body with which a request collides with one of another
 /// customer.
