Keep the buffers of connections to endpoints small

What callers saw: streams that nobody reads took the process to 100 MB of 88 allowed.

Cause: the HTTP library doubles the buffer of a connection that fills it in one read. Reads from callers were kept short, those from endpoints were not: each stalled stream held two buffers of 32 KiB, and less was charged for a request than it takes.

Change: one read of any connection takes just less than the smallest buffer, and 56 KiB are charged for a request in progress.

--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -29,8 +29,8 @@
 const BODY_BYTES: usize = 16 << 10;
 
 /// Memory of a request in progress besides its body, in bytes: its state, the connection to an endpoint,
-/// and a frame of a stream that its caller has not taken.
-const REQUEST_BYTES: usize = 40 << 10;
+/// and an event of a stream that its caller has not taken.
+const REQUEST_BYTES: usize = 56 << 10;
 
 /// Memory of a received byte of a head, in bytes: the buffer doubles when it is full.
 const BYTES_PER_HEAD_BYTE: usize = 2;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod rollout;
 pub mod settings;
 mod share;
+mod short_read;
 mod silence;
 pub mod source;
 mod statements;
--- a/crates/relay/src/overhead.rs
+++ b/crates/relay/src/overhead.rs
@@ -21,6 +21,8 @@
     net::TcpStream,
 };
 
+use crate::short_read;
+
 /// Longest head of an answer, in bytes: twice what operators allow callers. It is also the size of
 /// a connection's read buffer, of which an instance with 4,000 descriptors may have 2,000 at a time.
 pub const MAX_HEAD_BYTES: usize = 32 << 10;
@@ -69,7 +71,7 @@
 impl AsyncRead for Limited {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        ready!(short_read::poll(&mut self.stream, cx, buffer))?;
         let count = buffer.filled().len() - before;
         if self.overhead.is_exceeded_by(count) {
             return Poll::Ready(Err(io::Error::other("the server sends no data but goes on")));
--- a/crates/relay/src/unsent.rs
+++ b/crates/relay/src/unsent.rs
@@ -15,13 +15,9 @@
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, SizeHint};
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use crate::{answer::Body, connections, dispatcher::InFlight, write_timeout::TimedStream};
-
-/// Most bytes that one read takes. The HTTP library doubles the buffer of a connection that fills it in
-/// one read, up to its limit, and this is just too little for the smallest buffer.
-const MAX_READ_BYTES: u64 = (8 << 10) - 1;
+use crate::{answer::Body, connections, dispatcher::InFlight, short_read, write_timeout::TimedStream};
 
 /// Requests of one connection whose responses it holds.
 #[derive(Debug, Clone, Default)]
@@ -121,7 +117,7 @@
             return closed();
         }
         let before = buffer.filled().len();
-        ready!(Pin::new(&mut (&mut self.stream).take(MAX_READ_BYTES)).poll_read(cx, buffer))?;
+        ready!(short_read::poll(&mut self.stream, cx, buffer))?;
         let count = buffer.filled().len() - before;
         self.handle.received(count);
         Poll::Ready(Ok(()))
