Let bodies pause, and refused ones arrive, for as long as the operator allows

What callers saw: a body of legal size that paused for 6 s got 408 although its time was not over and nobody needed its memory. A caller that was refused while it was still sending was reset after 3 s.

Cause: both limits were set without regard to those of the operator.

Change: a body may pause for the operator's idle limit, or limits.body_pause_ms where it is given. Its lag decides only who gives way when memory is short. The rest of a refused request is received for 30 s. A body that was given up while its request was not waiting for it is refused with 503 and not with 408.

--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -24,7 +24,10 @@
 
 use std::{
     collections::{HashMap, HashSet, VecDeque},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -88,6 +91,8 @@
     pub(crate) connections: Arc<Connections>,
     /// Requests whose bodies have not arrived whole.
     pub(crate) uploads: Arc<Uploads>,
+    /// Longest pause within a body in milliseconds; 0 if the settings name none.
+    max_body_pause_ms: AtomicU64,
     /// Callers that have stopped reading their responses.
     pub(crate) stalled_callers: Arc<StalledCallers>,
     /// Held by the request for which others give way.
@@ -210,9 +215,10 @@
         let is_fair = settings.policies.admission == Admission::Fair;
         let gate = is_fair.then(|| Gate::new(settings.seeds.len()));
         let account = Arc::new(Account::new(settings.memory_bounds()));
-        Arc::new(Self {
+        let dispatcher = Arc::new(Self {
             connections: Connections::new(Arc::clone(&account), &settings.connections),
-            uploads: Arc::new(Uploads::new(settings.connections.max_upload_lag)),
+            uploads: Arc::default(),
+            max_body_pause_ms: AtomicU64::default(),
             account,
             settings,
             dialect,
@@ -236,14 +242,27 @@
             era: watch::Sender::default(),
             serving_ended: CancellationToken::new(),
             state: Mutex::new(state),
-        })
+        });
+        dispatcher.set_limits(&dispatcher.settings);
+        dispatcher
     }
 
     /// Puts the limits on what connections hold in force.
     pub fn set_limits(&self, settings: &Settings) {
         self.account.set_bounds(settings.memory_bounds());
         self.connections.set_limits(&settings.connections);
-        self.uploads.set_max_lag(settings.connections.max_upload_lag);
+        let max_body_pause_ms = settings.connections.max_body_pause.map_or(0, |pause| pause.as_millis());
+        self.max_body_pause_ms.store(u64::try_from(max_body_pause_ms).unwrap_or(u64::MAX), Ordering::Relaxed);
+    }
+
+    /// Returns the longest time for which nothing of an awaited body may arrive: as long as the operator
+    /// lets callers be idle, unless the settings name another one.
+    #[must_use]
+    pub fn max_body_pause(&self) -> Duration {
+        match self.max_body_pause_ms.load(Ordering::Relaxed) {
+            0 => self.catalog().map(|catalog| catalog.limits).unwrap_or_default().idle_time,
+            millis => Duration::from_millis(millis),
+        }
     }
 
     /// Returns the catalog in force, or `None` before the first one was read.
--- a/crates/relay/src/dispatcher/eviction.rs
+++ b/crates/relay/src/dispatcher/eviction.rs
@@ -62,10 +62,6 @@
         let slow = self.uploads.give_up_slowest().map(Victim::Upload);
         let unread = || self.stalled_callers.disconnect_longest().map(Victim::Response);
         let large = || is_short.then(|| self.uploads.give_up_largest()).flatten().map(Victim::Upload);
-        let victim = slow.or_else(unread).or_else(large)?;
-        if matches!(victim, Victim::Upload(_)) {
-            metrics::counter!("relay_uploads_given_up_total", "reason" => "memory").increment(1);
-        }
-        Some(victim)
+        slow.or_else(unread).or_else(large)
     }
 }
--- a/crates/relay/src/dispatcher/scratch.rs
+++ b/crates/relay/src/dispatcher/scratch.rs
@@ -1,6 +1,6 @@
 //! Copies of an instance's state, on which decisions can be made without an effect.
 
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, atomic::AtomicU64};
 
 use tokio::sync::{Notify, watch};
 
@@ -19,7 +19,8 @@
             dialect: self.dialect.clone(),
             connections: Connections::new(Arc::clone(&account), &self.settings.connections),
             account,
-            uploads: Arc::clone(&self.uploads),
+            uploads: Arc::default(),
+            max_body_pause_ms: AtomicU64::default(),
             stalled_callers: Arc::default(),
             eviction: tokio::sync::Mutex::default(),
             gate: self.gate.as_ref().map(|gate| gate.scratch()),
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -320,20 +320,23 @@
     upload: &mut Option<Upload>,
     connection: Option<&Handle>,
 ) -> Result<Option<Frame<Bytes>>, Refusal> {
+    if upload.as_ref().is_some_and(Upload::is_given_up) {
+        return Err(Refusal::Memory);
+    }
     if let Poll::Ready(frame) = futures::poll!(body.frame()) {
         return frame.transpose().map_err(|_| Refusal::Truncated);
     }
-    let upload = upload.get_or_insert_with(|| dispatcher.uploads.add(clock::now()));
+    let upload = upload.get_or_insert_with(|| dispatcher.uploads.add());
     if let Some(connection) = connection {
         connection.await_body(upload.behind_since());
     }
     let frame = tokio::select! {
         biased;
-        frame = timeout(upload.time_left(), body.frame()) => frame,
+        frame = timeout(dispatcher.max_body_pause(), body.frame()) => frame,
         () = upload.given_up() => return Err(Refusal::Memory),
     };
     let Ok(frame) = frame else {
-        metrics::counter!("relay_uploads_given_up_total", "reason" => "lag").increment(1);
+        metrics::counter!("relay_uploads_given_up_total", "reason" => "pause").increment(1);
         return Err(Refusal::Stalled);
     };
     frame.transpose().map_err(|_| Refusal::Truncated)
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -72,8 +72,9 @@
     pub memory: usize,
     /// Connections of callers at a time.
     pub max: usize,
-    /// Longest time by which a request's body may lag behind a steady rate.
-    pub max_upload_lag: Duration,
+    /// Longest time for which nothing of an awaited body may arrive; `None` if it is that for which the
+    /// operator lets callers be idle.
+    pub max_body_pause: Option<Duration>,
     /// Longest time for which the rest of a refused request is received.
     pub max_discard: Duration,
 }
@@ -81,12 +82,7 @@
 impl Default for Connections {
     /// Returns limits of a machine with much memory.
     fn default() -> Self {
-        Self {
-            memory: 1 << 30,
-            max: 8_192,
-            max_upload_lag: Duration::from_secs(5),
-            max_discard: Duration::from_secs(3),
-        }
+        Self { memory: 1 << 30, max: 8_192, max_body_pause: None, max_discard: Duration::from_secs(30) }
     }
 }
 
--- a/crates/relay/src/uploads.rs
+++ b/crates/relay/src/uploads.rs
@@ -1,14 +1,15 @@
 //! Requests whose bodies have not arrived whole.
 //!
-//! A body occupies memory from its first byte. A caller that stops short of its end, or sends more slowly
-//! than any sound one, must not keep that memory from others until its own deadline. Each body therefore
-//! has a lag: how far it is behind a steady rate. A caller that pauses falls behind, one that sends in
-//! bursts catches up, and a single byte now and then does not help.
+//! A body occupies memory from its first byte. A caller that stops short of its end must not keep that
+//! memory from others until its own deadline. Each body therefore has a lag: how far it is behind a steady
+//! rate. A caller that pauses falls behind, one that sends in bursts catches up, and a single byte now and
+//! then does not help. The lag only decides who gives way: a body whose memory nobody needs may pause for
+//! as long as the operator lets callers be idle.
 
 use std::{
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     time::Duration,
 };
@@ -34,11 +35,8 @@
 }
 
 /// Unfinished bodies.
-#[derive(Debug)]
-pub struct Uploads {
-    entries: Mutex<SlotMap<Id, Entry>>,
-    max_lag_ms: AtomicU64,
-}
+#[derive(Debug, Default)]
+pub struct Uploads(Mutex<SlotMap<Id, Entry>>);
 
 #[derive(Debug)]
 struct Entry {
@@ -50,14 +48,22 @@
     end: Arc<End>,
 }
 
-/// What a body and the request that is served instead share.
+/// What a body and those for which it is given up share.
 #[derive(Debug, Default)]
 pub struct End {
+    is_given_up: AtomicBool,
     given_up: Notify,
     is_gone: AtomicBool,
 }
 
 impl End {
+    /// Gives the body up; its request is refused.
+    pub fn give_up(&self) {
+        self.is_given_up.store(true, Ordering::Relaxed);
+        self.given_up.notify_one();
+        metrics::counter!("relay_uploads_given_up_total", "reason" => "memory").increment(1);
+    }
+
     /// Whether the memory of the body has been released.
     #[must_use]
     pub fn is_gone(&self) -> bool {
@@ -66,24 +72,11 @@
 }
 
 impl Uploads {
-    /// Creates an empty registry; a body that lags by `max_lag` is given up in any case.
-    #[must_use]
-    pub fn new(max_lag: Duration) -> Self {
-        let uploads = Self { entries: Mutex::default(), max_lag_ms: AtomicU64::new(0) };
-        uploads.set_max_lag(max_lag);
-        uploads
-    }
-
-    /// Changes the longest lag.
-    pub fn set_max_lag(&self, max_lag: Duration) {
-        self.max_lag_ms.store(u64::try_from(max_lag.as_millis()).unwrap_or(u64::MAX), Ordering::Relaxed);
-    }
-
     /// Adds an unfinished body.
     #[must_use]
-    pub fn add(self: &Arc<Self>, started: Duration) -> Upload {
-        let end = Arc::<End>::default();
-        let entry = Entry { started, behind_since: clock::now(), bytes: 0, end: Arc::clone(&end) };
+    pub fn add(self: &Arc<Self>) -> Upload {
+        let (now, end) = (clock::now(), Arc::<End>::default());
+        let entry = Entry { started: now, behind_since: now, bytes: 0, end: Arc::clone(&end) };
         let id = self.lock().insert(entry);
         Upload { uploads: Arc::clone(self), id, end }
     }
@@ -107,12 +100,12 @@
         let ranked = entries.iter().filter_map(|(id, entry)| Some((rank(entry)?, id)));
         let (_, id) = ranked.max()?;
         let end = entries.remove(id)?.end;
-        end.given_up.notify_one();
+        end.give_up();
         Some(end)
     }
 
     fn lock(&self) -> MutexGuard<'_, SlotMap<Id, Entry>> {
-        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -141,11 +134,10 @@
         self.uploads.lock().get(self.id).map_or(Duration::ZERO, |entry| entry.behind_since)
     }
 
-    /// Returns the time until the body lags for too long if nothing more arrives.
+    /// Whether the body was given up for others.
     #[must_use]
-    pub fn time_left(&self) -> Duration {
-        let max_lag = Duration::from_millis(self.uploads.max_lag_ms.load(Ordering::Relaxed));
-        (self.behind_since() + max_lag).saturating_sub(clock::now())
+    pub fn is_given_up(&self) -> bool {
+        self.end.is_given_up.load(Ordering::Relaxed)
     }
 
     /// Waits until the body is given up for others.
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -89,7 +89,7 @@
     /// Part of the memory that bodies may take.
     body_share: f64,
     connections: Option<u64>,
-    upload_lag_ms: u64,
+    body_pause_ms: Option<u64>,
     discard_ms: u64,
     operator_connections: usize,
 }
@@ -100,8 +100,8 @@
             held_share: 0.5,
             body_share: 0.25,
             connections: None,
-            upload_lag_ms: 5_000,
-            discard_ms: 3_000,
+            body_pause_ms: None,
+            discard_ms: 30_000,
             operator_connections: 24,
         }
     }
@@ -282,9 +282,9 @@
             "write connections from 16 to 1000000, or leave it out",
         );
         check(
-            "limits.upload_lag_ms",
-            (1_000..=60_000).contains(&self.limits.upload_lag_ms),
-            "write milliseconds from 1000 to 60000",
+            "limits.body_pause_ms",
+            self.limits.body_pause_ms.is_none_or(|pause| (1_000..=600_000).contains(&pause)),
+            "write milliseconds from 1000 to 600000, or leave it out",
         );
         check(
             "limits.discard_ms",
@@ -359,7 +359,7 @@
                 connections: Connections {
                     memory: share(self.memory_mib << 20, self.limits.held_share),
                     max: max_connections,
-                    max_upload_lag: millis(self.limits.upload_lag_ms),
+                    max_body_pause: self.limits.body_pause_ms.map(millis),
                     max_discard: millis(self.limits.discard_ms),
                 },
                 policies: self.policies.into(),
