Limit the log lines that callers can cause at will

What operators saw: a line for each refusal, and for each connection that was closed for its caller's reading. A crowd made thousands a second, and the queue of the log dropped those of other requests with them.

Change: refusals that anybody can cause with requests that are never sent (unknown routes and keys, bodies that are too long, broken off, stopped, or without memory) and stalled callers are logged 100 times in five seconds at most; metrics count all. What the operators' listener closes is told in one line every five seconds.

--- a/crates/arbutuslugd/src/relaying/listener.rs
+++ b/crates/arbutuslugd/src/relaying/listener.rs
@@ -5,9 +5,9 @@
     collections::VecDeque,
     convert::Infallible,
     io,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, OnceLock},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -38,6 +38,9 @@
 /// Largest head, in bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 
+/// Shortest time between two log lines about closed connections.
+const LOG_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Pause after a failed accept, since the next one would fail at once as well.
 const ACCEPT_PAUSE: Duration = Duration::from_secs(1);
 
@@ -84,8 +87,9 @@
     pub async fn serve(self, instance: Instance) {
         let server = Arc::new(Server { metrics: meter::handle(), instance, turns: Turns::default() });
         let mut connections: VecDeque<AbortOnDropHandle<()>> = VecDeque::new();
+        let mut displaced = Displaced::default();
         loop {
-            let Ok((stream, _)) = self.listener.accept().await else {
+            let Ok((stream, address)) = self.listener.accept().await else {
                 // Without descriptors the platform would not see the metrics that tell so.
                 connections.pop_front();
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -95,6 +99,7 @@
             if connections.len() >= self.max_connections {
                 connections.pop_front();
                 metrics::counter!("relay_operators_displaced_total").increment(1);
+                displaced.log(address.ip());
             }
             let server = Arc::clone(&server);
             let service = service_fn(move |request| {
@@ -115,6 +120,24 @@
     }
 }
 
+/// Connections that were closed for new ones since the last log line.
+#[derive(Default)]
+struct Displaced {
+    count: u64,
+    last_line: Option<Instant>,
+}
+
+impl Displaced {
+    /// Counts one, and logs how many there were unless it was logged just now. `ip` is whose the new one is.
+    fn log(&mut self, ip: IpAddr) {
+        self.count += 1;
+        if self.last_line.is_none_or(|last| last.elapsed() >= LOG_INTERVAL) {
+            tracing::warn!(displaced = self.count, last_from = %ip, "operators' connections closed for new ones");
+            *self = Self { count: 0, last_line: Some(Instant::now()) };
+        }
+    }
+}
+
 struct Server {
     metrics: PrometheusHandle,
     instance: Instance,
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -139,6 +139,13 @@
         }
     }
 
+    /// Whether anybody can cause the refusal at will and as often as they like, with requests that are
+    /// never sent to an endpoint.
+    #[must_use]
+    pub fn is_at_will(&self) -> bool {
+        matches!(self, Self::NoRoute | Self::NoKey | Self::TooLarge | Self::Truncated | Self::Memory | Self::Stalled)
+    }
+
     /// Returns the time after which the caller should retry, before jitter.
     #[must_use]
     pub fn retry_after(&self) -> Option<Duration> {
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -49,6 +49,7 @@
     clock,
     connections::Connections,
     dialect::Dialect,
+    log_limit::LogLimit,
     memory::Account,
     quarantine,
     settings::{Admission, Settings},
@@ -93,6 +94,8 @@
     pub(crate) uploads: Arc<Uploads>,
     /// Longest pause within a body in milliseconds; 0 if the settings name none.
     max_body_pause_ms: AtomicU64,
+    /// Limits the log lines about requests that were refused before they could be sent.
+    pub(crate) refusal_log: LogLimit,
     /// Callers that have stopped reading their responses.
     pub(crate) stalled_callers: Arc<StalledCallers>,
     /// Held by the request for which others give way.
@@ -219,6 +222,7 @@
             connections: Connections::new(Arc::clone(&account), &settings.connections),
             uploads: Arc::default(),
             max_body_pause_ms: AtomicU64::default(),
+            refusal_log: LogLimit::default(),
             account,
             settings,
             dialect,
--- a/crates/relay/src/dispatcher/scratch.rs
+++ b/crates/relay/src/dispatcher/scratch.rs
@@ -5,7 +5,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::Dispatcher;
-use crate::{connections::Connections, memory::Account};
+use crate::{connections::Connections, log_limit::LogLimit, memory::Account};
 
 impl Dispatcher {
     /// Returns a copy of the state at this moment. No task serves it, hears of changes from it or
@@ -21,6 +21,7 @@
             account,
             uploads: Arc::default(),
             max_body_pause_ms: AtomicU64::default(),
+            refusal_log: LogLimit::default(),
             stalled_callers: Arc::default(),
             eviction: tokio::sync::Mutex::default(),
             gate: self.gate.as_ref().map(|gate| gate.scratch()),
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -88,6 +88,24 @@
     exchange: Option<&tries::Exchange>,
     origin: Origin,
 ) -> Response<Body> {
+    if !refusal.is_at_will() || dispatcher.refusal_log.admits() {
+        log_refused(dispatcher, params, refusal, exchange);
+    }
+    metrics::counter!("relay_refusals_total", "status" => refusal.status().as_str().to_owned()).increment(1);
+    let mut response = refusal.to_response(rand::random());
+    if origin == Origin::Instance {
+        forwarding::mark_refused(&mut response, refusal);
+    }
+    if matches!(refusal, Refusal::TooLarge | Refusal::Truncated | Refusal::Memory | Refusal::Stalled)
+        || dispatcher.is_draining()
+    {
+        // The rest of the body may still arrive and must not be read as the next request.
+        response.headers_mut().insert(header::CONNECTION, http::HeaderValue::from_static("close"));
+    }
+    response
+}
+
+fn log_refused(dispatcher: &Dispatcher, params: &RequestParams, refusal: &Refusal, exchange: Option<&tries::Exchange>) {
     let age = dispatcher.keys_age().map(clock::millis);
     let catalog = dispatcher.catalog().map(|catalog| catalog.version);
     tracing::info!(
@@ -106,18 +124,6 @@
         keys_age_ms = age,
         "request refused"
     );
-    metrics::counter!("relay_refusals_total", "status" => refusal.status().as_str().to_owned()).increment(1);
-    let mut response = refusal.to_response(rand::random());
-    if origin == Origin::Instance {
-        forwarding::mark_refused(&mut response, refusal);
-    }
-    if matches!(refusal, Refusal::TooLarge | Refusal::Truncated | Refusal::Memory | Refusal::Stalled)
-        || dispatcher.is_draining()
-    {
-        // The rest of the body may still arrive and must not be read as the next request.
-        response.headers_mut().insert(header::CONNECTION, http::HeaderValue::from_static("close"));
-    }
-    response
 }
 
 /// Returns the headers of an endpoint's answer that are forwarded to the caller.
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -265,7 +265,7 @@
         false
     };
     if !timeout(limit, discarding).await.unwrap_or(false) {
-        tracing::info!(discarded, "connection of a refused request is closed before its body has arrived");
+        tracing::debug!(discarded, "connection of a refused request is closed before its body has arrived");
     }
     if let Some(connection) = &connection {
         connection.end_discarding();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -42,6 +42,7 @@
 mod handle;
 mod inquiry;
 mod join;
+mod log_limit;
 mod memory;
 pub mod network;
 mod news;
--- a/crates/relay/src/write_timeout.rs
+++ b/crates/relay/src/write_timeout.rs
@@ -25,7 +25,7 @@
     time::{Instant, Sleep, sleep},
 };
 
-use crate::clock;
+use crate::{clock, log_limit::LogLimit};
 
 /// Shortest time limit: a network that loses some packets in a row makes a connection stand still
 /// for a second.
@@ -43,6 +43,7 @@
 #[derive(Debug, Default)]
 pub struct StalledCallers {
     callers: Mutex<Vec<StalledCaller>>,
+    log: LogLimit,
 }
 
 #[derive(Debug)]
@@ -188,7 +189,7 @@
         }
         if self.stall.is_some() && is_over {
             let reason = if is_unwanted { "memory is needed for others" } else { "its time is over" };
-            return Poll::Ready(Err(give_up(reason)));
+            return Poll::Ready(Err(give_up(reason, &self.timeout.list().log)));
         }
         if self.stall.is_none() {
             connection.is_unwanted.store(false, Ordering::Relaxed);
@@ -225,9 +226,11 @@
 }
 
 /// Logs and counts that a caller is disconnected.
-fn give_up(reason: &'static str) -> io::Error {
+fn give_up(reason: &'static str, log: &LogLimit) -> io::Error {
     metrics::counter!("relay_stalled_callers_total").increment(1);
-    tracing::info!(reason, "caller takes nothing, connection closed");
+    if log.admits() {
+        tracing::info!(reason, unlogged = log.take_suppressed(), "caller takes nothing, connection closed");
+    }
     io::ErrorKind::TimedOut.into()
 }
 
