Charge heads, trailers and prompts, and spare callers that have been served

What callers saw: long heads before bodies that stop short, prompts of thousands of parts and trailers that stop short took the process to 125, 116 and 92 MB of 88 allowed. Callers lost kept channels to clients that only connect. A body that gave way to a connection was cut off without a refusal. Nothing in the log told of any of it.

Cause: what a head holds was charged only until it had arrived, and its decoded parts and the bytes after the last data of a body never. The connection that was idle for longest gave way, and that is a kept channel rather than one of a crowd. Many connections were accepted before the first of them was read.

Change: a head is charged three times its bytes while its request goes on, with what was decoded from it; bytes after the last data of a body twice. Connections on which a request was served give way after those on which none was. A new one has 0.2 s for its first byte, and the next one waits for its place. A body that gives way is refused, and its connection closes with the refusal. One line every five seconds says how many connections gave way, why, and whose hold most.

--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -1,16 +1,24 @@
-//! Connections of all listeners, and which of them are closed when memory or descriptors run out.
+//! Connections of all listeners, and which of them give way when memory or descriptors run out.
 //!
-//! Whoever connects gets a connection, and it may never send a request, stop within a head, or stay open
-//! for good. So connections are counted and charged to the memory [`Account`], and the one that is worth
-//! least is closed when another needs its place: first those that have stood still within a head or a
-//! body, then the one that has been idle for longest, and last those whose requests are still arriving. A
-//! connection whose request has arrived is never closed for another: its run may have begun.
+//! Whoever connects gets a connection, and it may never send a request, stop within one, or stay open for
+//! good. So connections are counted and charged to the memory [`Account`], and the one that is worth least
+//! gives way when another needs its place: first those that stand still within a request, then those on
+//! which none was ever served, then the one that has been idle for longest. A connection whose request has
+//! arrived never gives way: its run may have begun.
+//!
+//! A connection that gives way is closed. If the body of its request was arriving, the request is refused
+//! before, since its caller may send it again only if it is told that it has not run.
+
+mod entry;
+mod report;
 
 use std::{
+    net::IpAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
+    task::Context,
     time::Duration,
 };
 
@@ -18,29 +26,11 @@
 use slotmap::{SlotMap, new_key_type};
 use tokio::time::sleep;
 
-use crate::{clock, dispatcher::Dispatcher, memory::Account, settings};
-
-/// Memory of an open connection, in bytes: its task, and the buffers that the HTTP library keeps for
-/// reading and writing.
-const CONNECTION_BYTES: usize = 24 << 10;
-
-/// Memory of a request whose body is awaited besides that of the body, in bytes: its head, its state, and
-/// a buffer with received bytes.
-const BODY_BYTES: usize = 16 << 10;
-
-/// Memory of a request in progress besides its body, in bytes: its state, the connection to an endpoint,
-/// and an event of a stream that its caller has not taken.
-const REQUEST_BYTES: usize = 56 << 10;
-
-/// Memory of a received byte of a head, in bytes: the buffer doubles when it is full.
-const BYTES_PER_HEAD_BYTE: usize = 2;
-
-/// Time from which a connection whose request is arriving may be closed for others although it goes on.
-const MIN_AGE: Duration = Duration::from_secs(1);
-
-/// Time for which a connection must have stood still before it is closed rather than an idle one. A
-/// network that loses a packet delays a head for less.
-const MIN_STALL: Duration = Duration::from_millis(800);
+use self::{
+    entry::{CONNECTION_BYTES, Entry, FIRST_BYTE_TIME, Phase, REQUEST_BYTES, Worth},
+    report::{Reason, Report},
+};
+use crate::{clock, dispatcher::Dispatcher, memory::Account, settings, uploads::Upload};
 
 /// Time beyond the operator's limit on a head after which its connection is closed.
 const HEAD_SLACK: Duration = Duration::from_millis(500);
@@ -65,47 +55,6 @@
     Infrastructure,
 }
 
-/// What a connection is doing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
-    /// Waiting for a request.
-    Idle,
-    /// Receiving the head of a request.
-    Head,
-    /// Receiving the body of a request.
-    Body,
-    /// Serving a request.
-    Busy,
-    /// Receiving the rest of a refused request.
-    Discarding,
-}
-
-/// Why a connection is closed before its peer ends it.
-#[derive(Debug, Clone, Copy)]
-enum Reason {
-    /// Another connection or request needs its place.
-    Displaced,
-    /// Its head or body takes too long.
-    Overdue,
-    /// There is no place for it.
-    NoPlace,
-}
-
-impl Reason {
-    fn label(self) -> &'static str {
-        match self {
-            Self::Displaced => "displaced",
-            Self::Overdue => "overdue",
-            Self::NoPlace => "no place",
-        }
-    }
-
-    fn count(self) {
-        tracing::debug!(reason = self.label(), "connection closed early");
-        metrics::counter!("relay_connections_closed_total", "reason" => self.label()).increment(1);
-    }
-}
-
 /// All open connections.
 #[derive(Debug)]
 pub struct Connections {
@@ -113,18 +62,7 @@
     max: AtomicUsize,
     max_discard_ms: AtomicU64,
     entries: Mutex<SlotMap<Id, Entry>>,
-}
-
-#[derive(Debug)]
-struct Entry {
-    phase: Phase,
-    /// When the phase began, or since when a body lags.
-    since: Duration,
-    /// When the request began to arrive.
-    started: Duration,
-    /// Memory that is charged for the connection.
-    bytes: usize,
-    closer: Arc<Closer>,
+    report: Mutex<Report>,
 }
 
 /// What a connection and those that close it share.
@@ -138,14 +76,18 @@
     /// Creates an empty registry.
     #[must_use]
     pub fn new(account: Arc<Account>, limits: &settings::Connections) -> Arc<Self> {
-        let (max, max_discard_ms) = (AtomicUsize::default(), AtomicU64::default());
-        let connections = Self { account, max, max_discard_ms, entries: Mutex::default() };
+        let connections = Self {
+            account,
+            max: AtomicUsize::default(),
+            max_discard_ms: AtomicU64::default(),
+            entries: Mutex::default(),
+            report: Mutex::default(),
+        };
         connections.set_limits(limits);
         Arc::new(connections)
     }
 
-    /// Changes the limits, and closes connections that may be closed until they and the memory's bounds
-    /// hold.
+    /// Changes the limits, and has connections give way until they and the memory's bounds hold.
     pub fn set_limits(&self, limits: &settings::Connections) {
         self.max.store(limits.max, Ordering::Relaxed);
         let max_discard_ms = u64::try_from(limits.max_discard.as_millis()).unwrap_or(u64::MAX);
@@ -160,121 +102,103 @@
         Duration::from_millis(self.max_discard_ms.load(Ordering::Relaxed))
     }
 
-    /// Closes connections until the memory's bounds hold, if enough may be closed.
-    fn displace_excess(&self) {
-        while self.account.is_exceeded_by(0) && self.displace() {}
-    }
-
     /// Returns the number of open connections.
     #[must_use]
     pub fn len(&self) -> usize {
         self.lock().len()
     }
 
-    /// Registers a new connection, for which others may be closed; `None` if there is no place for it.
+    /// Registers a new connection, for which others may give way.
     #[must_use]
-    pub fn open(self: &Arc<Self>, peer: Peer) -> Option<Handle> {
+    pub fn open(self: &Arc<Self>, ip: IpAddr, peer: Peer) -> Opened {
         let max = self.max.load(Ordering::Relaxed);
         let (max, wanted) = match peer {
             Peer::Caller => (max, CONNECTION_BYTES),
             Peer::Infrastructure => (max + RESERVED_CONNECTIONS, 0),
         };
         while self.len() >= max || self.account.is_exceeded_by(wanted) {
+            // A crowd that comes back at once would otherwise close callers before their first byte.
+            if let Some(newcomer_since) = self.next_newcomer() {
+                return Opened::After((newcomer_since + FIRST_BYTE_TIME).saturating_sub(clock::now()));
+            }
             if !self.displace() {
-                Reason::NoPlace.count();
-                return None;
+                self.report().count(Reason::NoPlace);
+                return Opened::NoPlace;
             }
         }
         let closer = Arc::<Closer>::default();
+        let id = self.lock().insert(Entry::new(ip, peer, Arc::clone(&closer)));
+        let handle = Handle(Arc::new(Inner { connections: Arc::clone(self), id, closer }));
+        // Charges it.
+        handle.update(|_| {});
+        Opened::Registered(handle)
+    }
+
+    /// Returns since when the connection that would give way next is open, if it is a new one.
+    fn next_newcomer(&self) -> Option<Duration> {
         let now = clock::now();
-        let entry = Entry {
-            phase: Phase::Idle,
-            since: now,
-            started: now,
-            bytes: CONNECTION_BYTES,
-            closer: Arc::clone(&closer),
-        };
-        self.account.charge_connection(CONNECTION_BYTES);
-        let id = self.lock().insert(entry);
-        Some(Handle(Arc::new(Inner { connections: Arc::clone(self), id, closer })))
+        let entries = self.lock();
+        let (worth, since) = entries.values().filter_map(|entry| Some((entry.worth(now)?, entry.since))).min()?;
+        (worth == Worth::Newcomer).then_some(since)
     }
 
-    /// Closes the connection that is worth least; returns false if none may be closed.
+    /// Has the connection that is worth least give way; returns false if none may.
     pub fn displace(&self) -> bool {
         let now = clock::now();
         let mut entries = self.lock();
-        let ranked = entries.iter().filter_map(|(id, entry)| Some((entry.rank(now)?, id)));
-        let Some((_, id)) = ranked.min() else { return false };
+        let ranked = entries.iter().filter_map(|(id, entry)| Some((entry.worth(now)?, entry.since, id)));
+        let Some((_, _, id)) = ranked.min() else { return false };
         if let Some(entry) = entries.remove(id) {
             drop(entries);
-            self.close(&entry, Reason::Displaced);
+            self.end(&entry, Reason::Displaced);
         }
         true
     }
 
-    /// Closes connections whose heads, or whose bodies of refused requests, take too long.
-    fn close_overdue(&self, head_limit: Duration) {
+    /// Has connections give way until the memory's bounds hold, if enough may.
+    fn displace_excess(&self) {
+        while self.account.is_exceeded_by(0) && self.displace() {}
+    }
+
+    /// Closes connections whose heads, or whose rests of refused requests, take too long.
+    fn close_overdue(&self, max_head: Duration) {
         let (now, max_discard) = (clock::now(), self.max_discard());
-        let mut overdue = Vec::new();
-        self.lock().retain(|_, entry| {
-            let limit = match entry.phase {
-                Phase::Head => head_limit,
-                Phase::Discarding => max_discard,
-                Phase::Idle | Phase::Body | Phase::Busy => return true,
-            };
-            if now < entry.since + limit {
-                return true;
-            }
-            overdue.push((entry.bytes, Arc::clone(&entry.closer)));
-            false
-        });
-        for (bytes, closer) in overdue {
-            self.account.release_connection(bytes);
-            closer.close(Reason::Overdue);
+        let mut entries = self.lock();
+        let is_overdue = |entry: &Entry| match entry.phase {
+            Phase::Head => now >= entry.since + max_head,
+            Phase::Discarding => now >= entry.since + max_discard,
+            Phase::Idle | Phase::Body(_) | Phase::Busy => false,
+        };
+        let overdue: Vec<Id> = entries.iter().filter(|(_, entry)| is_overdue(entry)).map(|(id, _)| id).collect();
+        let overdue: Vec<Entry> = overdue.into_iter().filter_map(|id| entries.remove(id)).collect();
+        drop(entries);
+        for entry in &overdue {
+            self.end(entry, Reason::Overdue);
         }
     }
 
-    fn close(&self, entry: &Entry, reason: Reason) {
-        self.account.release_connection(entry.bytes);
-        entry.closer.close(reason);
+    /// Ends a connection that was removed.
+    fn end(&self, entry: &Entry, reason: Reason) {
+        self.account.release_connection(entry.charged);
+        self.report().count(reason);
+        match &entry.phase {
+            // The refusal closes it.
+            Phase::Body(end) => end.give_up(),
+            Phase::Idle | Phase::Head | Phase::Busy | Phase::Discarding => entry.closer.close(),
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, SlotMap<Id, Entry>> {
         self.entries.lock().unwrap_or_else(PoisonError::into_inner)
     }
-}
-
-impl Entry {
-    /// Returns the order in which connections are closed for others, or `None` if this one is not.
-    fn rank(&self, now: Duration) -> Option<(u8, Duration)> {
-        let class = match self.phase {
-            Phase::Head | Phase::Body | Phase::Discarding if now >= self.since + MIN_STALL => 0,
-            Phase::Idle => 1,
-            Phase::Head | Phase::Discarding => 2,
-            Phase::Body if now >= self.started + MIN_AGE => 3,
-            Phase::Body | Phase::Busy => return None,
-        };
-        Some((class, self.since))
-    }
-
-    fn enter(&mut self, phase: Phase) {
-        (self.phase, self.since) = (phase, clock::now());
-        if phase == Phase::Head {
-            self.started = self.since;
-        }
-    }
 
-    /// Changes what is charged for the connection to `bytes`.
-    fn charge(&mut self, account: &Account, bytes: usize) {
-        account.charge_connection(bytes);
-        account.release_connection(self.bytes);
-        self.bytes = bytes;
+    fn report(&self) -> MutexGuard<'_, Report> {
+        self.report.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Closer {
-    fn close(&self, reason: Reason) {
-        reason.count();
+    fn close(&self) {
         self.is_closed.store(true, Ordering::Relaxed);
         self.waker.wake();
     }
@@ -291,12 +215,21 @@
             let limits = dispatcher.catalog().map(|catalog| catalog.limits).unwrap_or_default();
             connections.close_overdue(limits.header_time + HEAD_SLACK);
         }
-        connections.account.report();
-        #[expect(clippy::cast_precision_loss, reason = "a process has far fewer than 2^53 descriptors")]
-        metrics::gauge!("relay_connections").set(connections.len() as f64);
+        report::tell(connections, &dispatcher.account, || dispatcher.refusal_log.take_suppressed());
     }
 }
 
+/// Result of registering a new connection.
+#[derive(Debug)]
+pub enum Opened {
+    /// It is registered.
+    Registered(Handle),
+    /// Others that are as new would have to give way, and may not before this time has passed.
+    After(Duration),
+    /// There is no place for it.
+    NoPlace,
+}
+
 /// An open connection; dropping the last clone removes it.
 #[derive(Debug, Clone)]
 pub struct Handle(Arc<Inner>);
@@ -310,83 +243,112 @@
 
 impl Handle {
     /// Whether the connection is to be closed; `cx` is woken when that changes.
-    pub fn poll_closed(&self, cx: &std::task::Context<'_>) -> bool {
+    pub fn poll_closed(&self, cx: &Context<'_>) -> bool {
         self.0.closer.waker.register(cx.waker());
         self.0.closer.is_closed.load(Ordering::Relaxed)
     }
 
+    /// Whether the connection has not given way to another one.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.0.connections.lock().contains_key(self.0.id)
+    }
+
     /// Records that bytes were received.
     pub fn received(&self, bytes: usize) {
-        self.with_entry(|entry, account| {
-            if entry.phase == Phase::Idle {
+        self.update(|entry| {
+            if bytes > 0 && matches!(entry.phase, Phase::Idle) {
                 entry.enter(Phase::Head);
             }
-            if entry.phase == Phase::Head {
-                entry.charge(account, entry.bytes + bytes * BYTES_PER_HEAD_BYTE);
+            match entry.phase {
+                Phase::Head => entry.head += bytes,
+                Phase::Body(_) | Phase::Busy | Phase::Discarding => entry.pending += bytes,
+                Phase::Idle => {}
             }
         });
         self.0.connections.displace_excess();
     }
 
-    /// Records that the head of a request has arrived.
-    pub fn start_request(&self) {
-        self.with_entry(|entry, account| {
+    /// Records that the head of a request has arrived, of so many bytes.
+    pub fn start_request(&self, head: usize) {
+        self.update(|entry| {
             entry.enter(Phase::Busy);
-            entry.charge(account, CONNECTION_BYTES);
+            let after_head = entry.head.saturating_sub(head);
+            (entry.head, entry.params, entry.pending, entry.has_request) = (head, 0, after_head, false);
         });
     }
 
-    /// Records that the body of the request is awaited, and has lagged since `behind_since`.
-    pub fn await_body(&self, behind_since: Duration) {
-        self.with_entry(|entry, account| {
-            (entry.phase, entry.since) = (Phase::Body, behind_since);
-            entry.charge(account, CONNECTION_BYTES + BODY_BYTES);
+    /// Charges the memory of what was decoded from the head.
+    pub fn charge_params(&self, bytes: usize) {
+        self.update(|entry| entry.params = bytes);
+    }
+
+    /// Records that the body of the request is awaited.
+    pub fn await_body(&self, upload: &Upload) {
+        self.update(|entry| {
+            if !matches!(entry.phase, Phase::Body(_)) {
+                entry.enter(Phase::Body(Arc::clone(upload.end())));
+            }
+            entry.since = upload.behind_since();
         });
         self.0.connections.displace_excess();
     }
 
+    /// Records that data of a body was taken, and nothing received before it is kept elsewhere.
+    pub fn took_data(&self) {
+        self.update(|entry| entry.pending = 0);
+    }
+
     /// Charges the memory of a request that has arrived and returns true, or returns false if there is
-    /// none. Other connections may be closed for it.
+    /// none or the connection has given way meanwhile. Others may give way for it.
     #[must_use]
     pub fn charge_request(&self) -> bool {
         let connections = &self.0.connections;
-        self.with_entry(|entry, _| entry.enter(Phase::Busy));
+        self.update(|entry| {
+            entry.enter(Phase::Busy);
+            entry.pending = 0;
+        });
         while connections.account.is_exceeded_by(REQUEST_BYTES) {
             if !connections.displace() {
                 return false;
             }
         }
-        self.with_entry(|entry, account| entry.charge(account, CONNECTION_BYTES + REQUEST_BYTES));
-        true
+        self.update(|entry| entry.has_request = true);
+        self.is_open()
     }
 
     /// Records that the rest of a refused request is received.
     pub fn start_discarding(&self) {
-        self.with_entry(|entry, account| {
+        self.update(|entry| {
             entry.enter(Phase::Discarding);
-            entry.charge(account, CONNECTION_BYTES);
+            (entry.head, entry.params, entry.has_request) = (0, 0, false);
         });
     }
 
     /// Records that the rest of a refused request has been received.
     pub fn end_discarding(&self) {
-        self.with_entry(|entry, _| entry.enter(Phase::Idle));
+        self.update(|entry| entry.enter(Phase::Idle));
     }
 
     /// Records that a response has been written, unless the rest of its request is still received.
     pub fn end_request(&self) {
-        self.with_entry(|entry, account| {
-            if matches!(entry.phase, Phase::Body | Phase::Busy) {
+        self.update(|entry| {
+            if matches!(entry.phase, Phase::Body(_) | Phase::Busy) {
+                entry.has_served |= entry.has_request || entry.peer == Peer::Infrastructure;
                 entry.enter(Phase::Idle);
-                entry.charge(account, CONNECTION_BYTES);
             }
         });
     }
 
-    fn with_entry(&self, change: impl FnOnce(&mut Entry, &Account)) {
+    /// Changes what is known of the connection, unless it has given way, and charges what it takes then.
+    fn update(&self, change: impl FnOnce(&mut Entry)) {
         let connections = &self.0.connections;
         if let Some(entry) = connections.lock().get_mut(self.0.id) {
-            change(entry, &connections.account);
+            change(entry);
+            let bytes = entry.bytes();
+            connections.account.charge_connection(bytes);
+            connections.account.release_connection(entry.charged);
+            entry.charged = bytes;
         }
     }
 }
@@ -394,7 +356,7 @@
 impl Drop for Inner {
     fn drop(&mut self) {
         if let Some(entry) = self.connections.lock().remove(self.id) {
-            self.connections.account.release_connection(entry.bytes);
+            self.connections.account.release_connection(entry.charged);
         }
     }
 }
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -83,6 +83,9 @@
         Origin::Instance => (forwarding::take_sent(&mut head.headers), carried),
     };
     let params = RequestParams::read(&head.headers, &dispatcher.dialect.names);
+    if let Some(connection) = &connection {
+        connection.charge_params(params.held_bytes());
+    }
     let in_flight = dispatcher.count_in_flight();
     let received = tokio::select! {
         biased;
@@ -96,7 +99,9 @@
             Ok((Exchange { sent, is_forwarded, ..admitted }, in_flight))
         }
         Err(refusal) => {
-            if !body.is_end_stream() {
+            // One that has given way closes with the refusal.
+            let is_open = connection.as_ref().is_none_or(Handle::is_open);
+            if is_open && !body.is_end_stream() {
                 // Beside the refusal: a caller may send nothing more until it has that.
                 tokio::spawn(discard(body, connection, dispatcher.connections.max_discard()));
             }
@@ -261,6 +266,9 @@
         {
             let Some(Ok(frame)) = frame else { return true };
             discarded += frame.data_ref().map_or(0, Bytes::len);
+            if let Some(connection) = &connection {
+                connection.took_data();
+            }
         }
         false
     };
@@ -305,6 +313,9 @@
             }
             whole.fill(&mut data);
         }
+        if let Some(connection) = connection {
+            connection.took_data();
+        }
         if let Some(upload) = &upload {
             upload.record(arrived, reservation.bytes());
         }
@@ -328,7 +339,7 @@
     }
     let upload = upload.get_or_insert_with(|| dispatcher.uploads.add());
     if let Some(connection) = connection {
-        connection.await_body(upload.behind_since());
+        connection.await_body(upload);
     }
     let frame = tokio::select! {
         biased;
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     answer::Body,
-    connections::Peer,
+    connections::{Connections, Handle, Opened, Peer},
     dispatcher::Dispatcher,
     unsent::{Connection, Unsent},
     write_timeout::{TimedStream, WriteTimeout},
@@ -76,7 +76,7 @@
                 continue;
             }
         };
-        let Some(handle) = dispatcher.connections.open(peer) else { continue };
+        let Some(handle) = register(&dispatcher.connections, caller_ip, peer).await else { continue };
         if let Err(error) = set_socket_options(&stream) {
             tracing::debug!(%error, "setting socket options failed; connection dropped");
             continue;
@@ -90,7 +90,7 @@
             request.extensions_mut().insert(caller_ip);
             request.extensions_mut().insert(unsent.clone());
             request.extensions_mut().insert(write_timeout.clone());
-            handle.start_request();
+            handle.start_request(head_bytes(&request));
             request.extensions_mut().insert(handle.clone());
             let (answer, unsent) = (serve(request), unsent.clone());
             async move {
@@ -109,9 +109,28 @@
                 tracing::debug!(%error, "connection ended");
             }
         });
+        // The connection's task reads what has arrived before further connections need its place.
+        tokio::task::yield_now().await;
     }
 }
 
+/// Registers a new connection, and waits for a place if others are as new; `None` if there is none.
+async fn register(connections: &Arc<Connections>, CallerIp(ip): CallerIp, peer: Peer) -> Option<Handle> {
+    loop {
+        match connections.open(ip, peer) {
+            Opened::Registered(handle) => return Some(handle),
+            Opened::After(wait) => tokio::time::sleep(wait).await,
+            Opened::NoPlace => return None,
+        }
+    }
+}
+
+/// Returns the bytes of a request's head.
+fn head_bytes<B>(request: &Request<B>) -> usize {
+    let headers = request.headers().iter().map(|(name, value)| name.as_str().len() + value.len());
+    request.uri().path_and_query().map_or(0, |path| path.as_str().len()) + headers.sum::<usize>()
+}
+
 fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
--- a/crates/relay/src/request_params.rs
+++ b/crates/relay/src/request_params.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderName, HeaderValue};
+use route::relay::content::Content;
 use world::hash;
 
 use crate::dialect::Names;
@@ -66,6 +67,14 @@
         }
     }
 
+    /// Returns the memory that the parameters take besides the head, in bytes, with that of the identities
+    /// of the prompt's parts.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        let parts = self.parts.capacity() * size_of::<Part>() + self.parts.len() * size_of::<Content>();
+        self.id.len() + self.key.as_ref().map_or(0, String::len) + parts
+    }
+
     /// Returns the longest prefix of the prompt that other requests share: the hash of its
     /// last part, and the tokens of all its parts. The prompt's last part is never shared.
     #[must_use]
@@ -99,7 +108,9 @@
         let (id, tokens) = entry.trim().split_once(':')?;
         Some(Part { id: hash::stable(id.as_bytes()), tokens: tokens.trim().parse().ok()? })
     };
-    text.split(',').filter_map(part).collect()
+    let mut parts: Vec<Part> = text.split(',').filter_map(part).collect();
+    parts.shrink_to_fit();
+    parts
 }
 
 /// Headers that apply to one connection only; the HTTP library sets its own.
--- a/crates/relay/src/uploads.rs
+++ b/crates/relay/src/uploads.rs
@@ -134,6 +134,12 @@
         self.uploads.lock().get(self.id).map_or(Duration::ZERO, |entry| entry.behind_since)
     }
 
+    /// Returns what the body shares with those for which it is given up.
+    #[must_use]
+    pub fn end(&self) -> &Arc<End> {
+        &self.end
+    }
+
     /// Whether the body was given up for others.
     #[must_use]
     pub fn is_given_up(&self) -> bool {
