Test without a network who gives way, and that nothing stays charged

Eight cases: the order in which connections give way, places for the platform and other instances, the wait of new connections, the refusal of a body before its connection closes, and the charge from the first byte to the end.

--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -360,3 +360,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
