--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -4,10 +4,13 @@
 //! it: the platform's store, a server, and consumers. Usage: `rig CASE FOLDER`, in the repository's root.
 //! Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
 
+mod grace;
 mod http;
 mod instance;
 mod server;
+mod settings;
 mod store;
+mod template;
 mod uploads;
 
 use std::{env, path::PathBuf, process::exit};
@@ -20,6 +23,8 @@
     };
     let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match case.as_str() {
+        "grace" => grace::play(&folder, has_trouble),
+        "settings" => settings::play(&folder, has_trouble),
         "uploads" => uploads::play(&folder, has_trouble),
         _ => Err(format!("there is no case {case}")),
     };
