--- a/review/rig-2/instance.rs
+++ b/review/rig-2/instance.rs
@@ -39,6 +39,11 @@
         Ok(Self { front: addresses.front, ready: addresses.ready, file, child })
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Changes the settings file and sends SIGHUP.
     pub fn reload(&self, fields: &Fields) -> io::Result<()> {
         write_settings(&self.file, fields)?;
@@ -115,7 +120,7 @@
     ready: SocketAddr,
     directory: SocketAddr,
     control: SocketAddr,
-    metrics: SocketAddr,
+    pub metrics: SocketAddr,
 }
 
 impl Addresses {
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -5,6 +5,7 @@
 //! Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
 
 mod grace;
+mod growth;
 mod http;
 mod instance;
 mod server;
@@ -24,6 +25,7 @@
     let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match case.as_str() {
         "grace" => grace::play(&folder, has_trouble),
+        "growth" => growth::play(&folder),
         "settings" => settings::play(&folder, has_trouble),
         "uploads" => uploads::play(&folder, has_trouble),
         _ => Err(format!("there is no case {case}")),
