Read the platform's figures in each of their forms

What callers saw: nobody served them.

Cause: the template wrote three zeros behind seconds, and the settings took whole numbers only. Figures are whole numbers, fractions, true or false, or absent where their part of the contract is not in force; of the eleven bounds in the template, six did not take a fraction or a whole number written as one, six not their absence, and seven not `false`.

Change: `settings::scalar` reads a number in any form; absent, empty and `false` leave a documented default. `grace_s`, `retries.window_s` and `keep_addresses_s` let the template copy what it is given; the names in milliseconds still hold. A value that is refused is named with its field and range. A fault without a known line no longer claims line 0.

--- a/crates/settings/src/error.rs
+++ b/crates/settings/src/error.rs
@@ -127,7 +127,9 @@
 
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "line {}: ", self.line())?;
+        if self.line() > 0 {
+            write!(f, "line {}: ", self.line())?;
+        }
         match self {
             Self::Syntax { message, .. } => write!(f, "{message}"),
             Self::UnknownField { field, nearest, known, .. } => {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -8,6 +8,7 @@
 mod error;
 mod file;
 pub mod relay;
+mod scalar;
 mod secret;
 
 use std::{net::SocketAddr, path::Path};
--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -1,7 +1,9 @@
 //! Settings of an instance that passes requests through unchanged.
 //!
-//! Spans are in milliseconds and sizes in bytes or MiB, as the fields' names
+//! Spans are in milliseconds or seconds and sizes in bytes or MiB, as the fields' names
 //! say. Unknown fields are errors, as in the daemon's other settings.
+//!
+//! Numbers that a platform decides are [`Scalar`]s: whole, a fraction, or absent where they do not apply.
 
 use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
@@ -11,7 +13,10 @@
 use route::relay::allowance;
 use serde::Deserialize;
 
-use crate::{Error, Fault};
+use crate::{
+    Error, Fault,
+    scalar::{self, Field, MAX_SPAN_S, Scalar},
+};
 
 /// Everything such an instance is told at its start.
 #[derive(Debug, Clone)]
@@ -55,25 +60,33 @@
     #[serde(default)]
     seeds: Vec<SocketAddr>,
     #[serde(default)]
-    revoke_ms: Option<u64>,
+    revoke_ms: Scalar,
     #[serde(default)]
-    replace_ms: Option<u64>,
+    replace_ms: Scalar,
+    #[serde(default)]
+    evacuate_ms: Scalar,
+    #[serde(default)]
+    warmup_excess: Scalar,
     #[serde(default)]
-    evacuate_ms: Option<u64>,
-    #[serde(default = "default_warmup_excess")]
-    warmup_excess: f64,
     retries: FileRetries,
-    exposure_share: f64,
-    #[serde(default = "default_session_s")]
-    session_s: f64,
-    grace_ms: u64,
-    #[serde(default = "default_keep_ms")]
-    keep_addresses_ms: u64,
-    #[serde(default = "default_cores")]
-    cores: f64,
-    memory_mib: usize,
     #[serde(default)]
-    descriptors: Option<u64>,
+    exposure_share: Scalar,
+    #[serde(default)]
+    session_s: Scalar,
+    #[serde(default)]
+    grace_s: Scalar,
+    #[serde(default)]
+    grace_ms: Scalar,
+    #[serde(default)]
+    keep_addresses_s: Scalar,
+    #[serde(default)]
+    keep_addresses_ms: Scalar,
+    #[serde(default)]
+    cores: Scalar,
+    #[serde(default)]
+    memory_mib: Scalar,
+    #[serde(default)]
+    descriptors: Scalar,
     #[serde(default)]
     limits: FileLimits,
     #[serde(default)]
@@ -116,12 +129,13 @@
     news: SocketAddr,
 }
 
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
 struct FileRetries {
-    ratio: f64,
-    reserve: f64,
-    window_ms: u64,
+    ratio: Scalar,
+    reserve: Scalar,
+    window_s: Scalar,
+    window_ms: Scalar,
 }
 
 /// Optional decisions under load, as written.
@@ -201,25 +215,37 @@
     crate::check::DEFAULT_LOG.into()
 }
 
-/// Sessions whose pauses nobody bounds are taken to pause this long.
-fn default_session_s() -> f64 {
-    10.0
-}
+/// Limit on retries where the operator sets none: a fifth of the first tries, as is usual, and some on top for
+/// services with few requests.
+const DEFAULT_ALLOWANCE: allowance::Policy =
+    allowance::Policy { ratio: 0.2, reserve: 50.0, window: Duration::from_secs(10) };
 
-/// Callers that are told nothing else keep addresses this long.
-fn default_keep_ms() -> u64 {
-    5_000
-}
+/// Share of a service's requests that a bad version may get where the operator sets none.
+const DEFAULT_MAX_EXPOSURE: f64 = 0.1;
+
+/// Longest pause in a session where the operator sets none.
+const DEFAULT_SESSION_PAUSE: Duration = Duration::from_secs(10);
+
+/// Grace period where the operator sets none: it outlasts the addresses that callers keep.
+const DEFAULT_GRACE: Duration = Duration::from_secs(8);
+
+/// Time for which callers that are told nothing else keep addresses.
+const DEFAULT_ADDRESS_CACHE_TIME: Duration = Duration::from_secs(5);
 
 /// Where nothing else is allowed, warming endpoints get no more than they tolerate.
-fn default_warmup_excess() -> f64 {
-    1.0
-}
+const DEFAULT_WARMUP_EXCESS: f64 = 1.0;
 
 /// Instances that are told nothing else count as alike.
-fn default_cores() -> f64 {
-    1.0
-}
+const DEFAULT_CORES: f64 = 1.0;
+
+/// Most retries on top.
+const MAX_RESERVE: f64 = 1e9;
+
+/// Bytes of a MiB.
+const MIB: f64 = 1_048_576.0;
+
+/// Largest machine, in MiB.
+const MAX_MEMORY_MIB: f64 = 16.0 * 1_024.0 * 1_024.0;
 
 impl Relay {
     /// Reads a settings file.
@@ -241,35 +267,104 @@
     pub fn parse(text: &str) -> Result<Self, Error> {
         let file: File = serde_saphyr::from_str(text)
             .map_err(|error| Error::Invalid { faults: vec![Fault::Syntax { line: 0, message: error.to_string() }] })?;
-        let faults = file.faults();
-        if !faults.is_empty() {
-            return Err(Error::Invalid { faults });
+        file.check().map_err(|faults| Error::Invalid { faults })
+    }
+}
+
+/// Numbers of a file, checked and with defaults for the absent ones.
+struct Figures {
+    revocation_bound: Option<Duration>,
+    replacement_bound: Option<Duration>,
+    evacuation_bound: Option<Duration>,
+    warmup_excess: f64,
+    allowance: allowance::Policy,
+    max_exposure: f64,
+    max_session_pause: Duration,
+    grace: Duration,
+    max_address_cache_time: Duration,
+    cores: f64,
+    memory: usize,
+    descriptors: Option<u64>,
+}
+
+impl Figures {
+    /// Reads the numbers of a file and adds those that are refused to `faults`.
+    fn read(file: &File, faults: &mut Vec<Fault>) -> Self {
+        let number =
+            |name, range, unit, scalar, faults: &mut Vec<Fault>| Field { name, range, unit }.check(scalar, faults);
+        let memory = number("memory_mib", 16.0..=MAX_MEMORY_MIB, "MiB", &file.memory_mib, faults);
+        if file.memory_mib == Scalar::Absent {
+            faults.push(Fault::MissingField { line: 0, field: "memory_mib" });
+        }
+        #[expect(clippy::cast_precision_loss, reason = "far fewer than 2^53 descriptors")]
+        let max_descriptors = MAX_DESCRIPTORS as f64;
+        let descriptors = number("descriptors", 64.0..=max_descriptors, "descriptors", &file.descriptors, faults);
+        Self {
+            revocation_bound: scalar::millis("revoke_ms", 2_000.0, &file.revoke_ms, faults),
+            replacement_bound: scalar::millis("replace_ms", 1_000.0, &file.replace_ms, faults),
+            evacuation_bound: scalar::millis("evacuate_ms", 2_000.0, &file.evacuate_ms, faults),
+            warmup_excess: number("warmup_excess", 1.0..=10.0, "times the rate", &file.warmup_excess, faults)
+                .unwrap_or(DEFAULT_WARMUP_EXCESS),
+            allowance: file.retries.allowance(faults),
+            max_exposure: number("exposure_share", 0.0..=1.0, "of all requests", &file.exposure_share, faults)
+                .unwrap_or(DEFAULT_MAX_EXPOSURE),
+            max_session_pause: scalar::seconds("session_s", 0.0..=3_600.0, &file.session_s, faults)
+                .unwrap_or(DEFAULT_SESSION_PAUSE),
+            grace: Span { name_s: "grace_s", name_ms: "grace_ms", least_ms: 1_000.0 }
+                .check(&file.grace_s, &file.grace_ms, faults)
+                .unwrap_or(DEFAULT_GRACE),
+            max_address_cache_time: Span { name_s: "keep_addresses_s", name_ms: "keep_addresses_ms", least_ms: 0.0 }
+                .check(&file.keep_addresses_s, &file.keep_addresses_ms, faults)
+                .unwrap_or(DEFAULT_ADDRESS_CACHE_TIME),
+            cores: number("cores", 0.01..=1_024.0, "cores", &file.cores, faults).unwrap_or(DEFAULT_CORES),
+            memory: floor(memory.unwrap_or_default() * MIB),
+            descriptors: descriptors.map(|descriptors| floor(descriptors) as u64),
+        }
+    }
+}
+
+impl FileRetries {
+    fn allowance(&self, faults: &mut Vec<Fault>) -> allowance::Policy {
+        let ratio = Field { name: "retries.ratio", range: 0.0..=10.0, unit: "retries per first try" };
+        let reserve = Field { name: "retries.reserve", range: 0.0..=MAX_RESERVE, unit: "retries" };
+        let window = Span { name_s: "retries.window_s", name_ms: "retries.window_ms", least_ms: 1.0 };
+        allowance::Policy {
+            ratio: ratio.check(&self.ratio, faults).unwrap_or(DEFAULT_ALLOWANCE.ratio),
+            reserve: reserve.check(&self.reserve, faults).unwrap_or(DEFAULT_ALLOWANCE.reserve),
+            window: window.check(&self.window_s, &self.window_ms, faults).unwrap_or(DEFAULT_ALLOWANCE.window),
+        }
+    }
+}
+
+/// A span that operators give either in seconds or in milliseconds.
+struct Span {
+    name_s: &'static str,
+    name_ms: &'static str,
+    least_ms: f64,
+}
+
+impl Span {
+    fn check(&self, seconds: &Scalar, millis: &Scalar, faults: &mut Vec<Fault>) -> Option<Duration> {
+        if *seconds != Scalar::Absent && *millis != Scalar::Absent {
+            let message = format!("given together with `{}`; leave one of them out", self.name_ms);
+            faults.push(Fault::Value { line: 0, field: self.name_s, message });
         }
-        Ok(file.settings())
+        let by_seconds = scalar::seconds(self.name_s, self.least_ms / 1_000.0..=MAX_SPAN_S, seconds, faults);
+        by_seconds.or(scalar::millis(self.name_ms, self.least_ms, millis, faults))
     }
 }
 
 impl File {
-    fn faults(&self) -> Vec<Fault> {
+    /// Returns the settings, or everything that is wrong with them.
+    fn check(self) -> Result<Relay, Vec<Fault>> {
         let mut faults = Vec::new();
+        let figures = Figures::read(&self, &mut faults);
         let mut check = |field: &'static str, good: bool, remedy: &'static str| {
             if !good {
                 faults.push(Fault::Value { line: 0, field, message: remedy.to_owned() });
             }
         };
         check("instance", !self.instance.is_empty(), "name the instance");
-        check("retries.ratio", (0.0..=10.0).contains(&self.retries.ratio), "write a number from 0 to 10");
-        check("retries.reserve", self.retries.reserve >= 0.0, "write a number from 0 on");
-        check("retries.window_ms", self.retries.window_ms > 0, "write milliseconds above 0");
-        check("exposure_share", (0.0..=1.0).contains(&self.exposure_share), "write a share from 0 to 1");
-        check("session_s", (0.0..=3_600.0).contains(&self.session_s), "write seconds from 0 to 3600");
-        check("cores", (0.01..=1_024.0).contains(&self.cores), "write cores from 0.01 to 1024");
-        check("memory_mib", self.memory_mib >= 16, "write at least 16");
-        check(
-            "descriptors",
-            self.descriptors.is_none_or(|descriptors| (64..=MAX_DESCRIPTORS).contains(&descriptors)),
-            "write descriptors from 64 to 1048576, or leave it out",
-        );
         check("limits.held_share", (0.1..=0.75).contains(&self.limits.held_share), "write a share from 0.1 to 0.75");
         check(
             "limits.body_share",
@@ -296,8 +391,6 @@
             (4..=1_024).contains(&self.limits.operator_connections),
             "write connections from 4 to 1024",
         );
-        check("grace_ms", self.grace_ms >= 1_000, "write at least 1000");
-        check("replace_ms", self.replace_ms.is_none_or(|bound| bound >= 1_000), "write at least 1000, or leave it out");
         check(
             "policies.ladder_values",
             self.policies
@@ -306,30 +399,22 @@
                 .is_none_or(|values| !values.is_empty() && values.iter().all(|value| (0.0..=1_000.0).contains(value))),
             "write one number from 0 to 1000 for each rank, or leave it out",
         );
-        check("warmup_excess", (1.0..=10.0).contains(&self.warmup_excess), "write a number from 1 to 10");
-        check(
-            "evacuate_ms",
-            self.evacuate_ms.is_none_or(|bound| bound >= 2_000),
-            "write at least 2000, or leave it out",
-        );
-        check("revoke_ms", self.revoke_ms.is_none_or(|bound| bound >= 2_000), "write at least 2000, or leave it out");
-        faults
+        if faults.is_empty() { Ok(self.settings(&figures)) } else { Err(faults) }
     }
 
     /// Returns the limit on connections of callers, which leaves descriptors to other connections.
-    fn max_connections(&self) -> usize {
-        let descriptors = self.descriptors.or_else(descriptor_limit).unwrap_or(MAX_DESCRIPTORS).min(MAX_DESCRIPTORS);
+    fn max_connections(&self, figures: &Figures) -> usize {
+        let descriptors = figures.descriptors.or_else(descriptor_limit).unwrap_or(MAX_DESCRIPTORS).min(MAX_DESCRIPTORS);
         #[expect(clippy::cast_precision_loss, reason = "far fewer than 2^53 descriptors")]
         let free = descriptors.saturating_sub(RESERVED_DESCRIPTORS) as f64;
-        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a part of a small number")]
-        let most = (free * CALLERS_OF_DESCRIPTORS) as u64;
+        let most = floor(free * CALLERS_OF_DESCRIPTORS) as u64;
         let connections = self.limits.connections.unwrap_or(most).min(most).max(MIN_CONNECTIONS);
         usize::try_from(connections).unwrap_or(usize::MAX)
     }
 
-    fn settings(self) -> Relay {
+    fn settings(self, figures: &Figures) -> Relay {
         let millis = Duration::from_millis;
-        let max_connections = self.max_connections();
+        let max_connections = self.max_connections(figures);
         Relay {
             relay: Settings {
                 instance: self.instance,
@@ -341,23 +426,19 @@
                     news: self.listeners.news,
                 },
                 seeds: self.seeds,
-                revocation_bound: self.revoke_ms.map(millis),
-                replacement_bound: self.replace_ms.map(millis),
-                evacuation_bound: self.evacuate_ms.map(millis),
-                warmup_excess: self.warmup_excess,
-                allowance: allowance::Policy {
-                    ratio: self.retries.ratio,
-                    reserve: self.retries.reserve,
-                    window: millis(self.retries.window_ms),
-                },
-                max_exposure: self.exposure_share,
-                max_session_pause: Duration::from_secs_f64(self.session_s),
-                grace: millis(self.grace_ms),
-                max_address_cache_time: millis(self.keep_addresses_ms),
-                cores: Cores::new(self.cores),
-                body_memory: share(self.memory_mib << 20, self.limits.body_share),
+                revocation_bound: figures.revocation_bound,
+                replacement_bound: figures.replacement_bound,
+                evacuation_bound: figures.evacuation_bound,
+                warmup_excess: figures.warmup_excess,
+                allowance: figures.allowance,
+                max_exposure: figures.max_exposure,
+                max_session_pause: figures.max_session_pause,
+                grace: figures.grace,
+                max_address_cache_time: figures.max_address_cache_time,
+                cores: Cores::new(figures.cores),
+                body_memory: share(figures.memory, self.limits.body_share),
                 connections: Connections {
-                    memory: share(self.memory_mib << 20, self.limits.held_share),
+                    memory: share(figures.memory, self.limits.held_share),
                     max: max_connections,
                     max_body_pause: self.limits.body_pause_ms.map(millis),
                     max_discard: millis(self.limits.discard_ms),
@@ -375,14 +456,16 @@
 
 /// Returns a part of an amount of memory.
 fn share(bytes: usize, share: f64) -> usize {
-    #[expect(
-        clippy::cast_precision_loss,
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "shares are below 1, and memory is far below 2^53 bytes"
-    )]
-    let bytes = (bytes as f64 * share) as usize;
-    bytes
+    #[expect(clippy::cast_precision_loss, reason = "memory is far below 2^53 bytes")]
+    let bytes = bytes as f64;
+    floor(bytes * share)
+}
+
+/// Returns the whole part of a number from 0 on.
+fn floor(number: f64) -> usize {
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "ranges are far below 2^53")]
+    let whole = number as usize;
+    whole
 }
 
 /// Returns the number of descriptors that this process may have, if the system tells it.
--- a/crates/settings/tests/relay.rs
+++ b/crates/settings/tests/relay.rs
@@ -90,6 +90,90 @@
     assert_eq!(connections("descriptors: 64\n"), 16);
 }
 
+macro_rules! numbers {
+    ($($name:ident: $from:expr => $to:expr, $read:expr, $expected:expr;)*) => {$(
+        /// A number that the platform writes in another form, or not at all, would keep every process from starting.
+        #[test]
+        fn $name() {
+            let text = GOOD.replace($from, $to);
+            assert_ne!(text, GOOD);
+            let read: fn(&relay::settings::Settings) -> _ = $read;
+            assert_eq!(read(&Relay::parse(&text).unwrap().relay), $expected);
+        }
+    )*};
+}
+
+const fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+numbers! {
+    fraction_of_a_second_of_grace: "grace_ms: 8000" => "grace_s: 7.5", |s| s.grace, millis(7_500);
+    whole_seconds_of_grace: "grace_ms: 8000" => "grace_s: 8", |s| s.grace, millis(8_000);
+    whole_seconds_of_grace_as_a_fraction: "grace_ms: 8000" => "grace_s: 8.0", |s| s.grace, millis(8_000);
+    fraction_of_a_millisecond_of_grace: "grace_ms: 8000" => "grace_ms: 7500.5", |s| s.grace, Duration::from_micros(7_500_500);
+    no_grace: "grace_ms: 8000\n" => "", |s| s.grace, millis(8_000);
+    empty_grace: "grace_ms: 8000" => "grace_s:", |s| s.grace, millis(8_000);
+    grace_that_is_not_in_force: "grace_ms: 8000" => "grace_s: false", |s| s.grace, millis(8_000);
+    fraction_of_a_window: "window_ms: 10000" => "window_s: 2.25", |s| s.allowance.window, millis(2_250);
+    empty_window: "window_ms: 10000" => "window_s:", |s| s.allowance.window, millis(10_000);
+    empty_ratio: "ratio: 0.9" => "ratio:", |s| s.allowance.ratio.to_bits(), 0.2_f64.to_bits();
+    whole_ratio: "ratio: 0.9" => "ratio: 1", |s| s.allowance.ratio.to_bits(), 1.0_f64.to_bits();
+    reserve_that_is_not_in_force: "reserve: 54" => "reserve: false", |s| s.allowance.reserve.to_bits(), 50.0_f64.to_bits();
+    no_retries: "retries: { ratio: 0.9, reserve: 54, window_ms: 10000 }\n" => "", |s| s.allowance.window, millis(10_000);
+    fraction_of_a_revocation: "revoke_ms: 5000" => "revoke_ms: 2500.5", |s| s.revocation_bound, Some(Duration::from_micros(2_500_500));
+    empty_revocation: "revoke_ms: 5000" => "revoke_ms:", |s| s.revocation_bound, None;
+    replacement_as_a_fraction: "replace_ms: 2000" => "replace_ms: 2000.0", |s| s.replacement_bound, Some(millis(2_000));
+    replacement_that_is_not_in_force: "replace_ms: 2000" => "replace_ms: false", |s| s.replacement_bound, None;
+    fraction_of_an_evacuation: "evacuate_ms: 5000" => "evacuate_ms: 4999.5", |s| s.evacuation_bound, Some(Duration::from_micros(4_999_500));
+    empty_evacuation: "evacuate_ms: 5000" => "evacuate_ms:", |s| s.evacuation_bound, None;
+    empty_exposure: "exposure_share: 0.15" => "exposure_share:", |s| s.max_exposure.to_bits(), 0.1_f64.to_bits();
+    whole_exposure: "exposure_share: 0.15" => "exposure_share: 1", |s| s.max_exposure.to_bits(), 1.0_f64.to_bits();
+    fraction_of_a_cache_time: "grace_ms" => "keep_addresses_s: 4.5\ngrace_ms", |s| s.max_address_cache_time, millis(4_500);
+    empty_cache_time: "grace_ms" => "keep_addresses_s:\ngrace_ms", |s| s.max_address_cache_time, millis(5_000);
+    fraction_of_a_session: "grace_ms" => "session_s: 8.5\ngrace_ms", |s| s.max_session_pause, millis(8_500);
+    empty_session: "grace_ms" => "session_s:\ngrace_ms", |s| s.max_session_pause, millis(10_000);
+    empty_warmup: "grace_ms" => "warmup_excess:\ngrace_ms", |s| s.warmup_excess.to_bits(), 1.0_f64.to_bits();
+    whole_warmup: "grace_ms" => "warmup_excess: 2\ngrace_ms", |s| s.warmup_excess.to_bits(), 2.0_f64.to_bits();
+    empty_cores: "grace_ms" => "cores:\ngrace_ms", |s| s.cores, relay::settings::Cores::default();
+    fraction_of_memory: "memory_mib: 260" => "memory_mib: 259.5", |s| s.body_memory, (64 << 20) + (7 << 17);
+    fraction_of_descriptors: "memory_mib: 260" => "memory_mib: 260\ndescriptors: 600.0", |s| s.connections.max, 300;
+}
+
+macro_rules! refusals {
+    ($($name:ident: $from:expr => $to:expr, $message:expr;)*) => {$(
+        /// Operators have to find the field, and the value that they did not expect.
+        #[test]
+        fn $name() {
+            let text = GOOD.replace($from, $to);
+            assert_ne!(text, GOOD);
+            let error = Relay::parse(&text).unwrap_err().to_string();
+            assert!(error.starts_with($message), "{error}");
+        }
+    )*};
+}
+
+refusals! {
+    grace_that_is_true: "grace_ms: 8000" => "grace_s: true", "`grace_s` is true; give 1 to ";
+    grace_that_is_text: "grace_ms: 8000" => "grace_s: \"8\"", "`grace_s` is \"8\"; give 1 to ";
+    grace_that_is_a_list: "grace_ms: 8000" => "grace_s: [8]", "`grace_s` is a list; give 1 to ";
+    grace_that_is_a_table: "grace_ms: 8000" => "grace_s: { s: 8 }", "`grace_s` is a table; give 1 to ";
+    grace_without_end: "grace_ms: 8000" => "grace_s: inf", "`grace_s` is \"inf\"; give 1 to ";
+    grace_that_is_no_number: "grace_ms: 8000" => "grace_s: nan", "`grace_s` is \"nan\"; give 1 to ";
+    too_short_a_grace: "grace_ms: 8000" => "grace_s: 0.5", "`grace_s` is 0.5; give 1 to ";
+    too_long_a_grace: "grace_ms: 8000" => "grace_s: 1e30", "`grace_s` is 1000000000000000000000000000000; give 1 to ";
+    huge_whole_number: "grace_ms: 8000" => "grace_ms: 99999999999999999999999999", "`grace_ms` is 1";
+    negative_grace: "grace_ms: 8000" => "grace_ms: -8000", "`grace_ms` is -8000; give 1000 to ";
+    grace_in_both_units: "grace_ms: 8000" => "grace_ms: 8000\ngrace_s: 8", "`grace_s`: given together with `grace_ms`";
+    window_that_is_true: "window_ms: 10000" => "window_s: true", "`retries.window_s` is true; give 0.001 to ";
+    ratio_that_is_true: "ratio: 0.9" => "ratio: true", "`retries.ratio` is true; give 0 to 10 ";
+    too_large_a_reserve: "reserve: 54" => "reserve: 1e12", "`retries.reserve` is 1000000000000; give 0 to ";
+    revocation_that_is_text: "revoke_ms: 5000" => "revoke_ms: soon", "`revoke_ms` is \"soon\"; give 2000 to ";
+    exposure_that_is_true: "exposure_share: 0.15" => "exposure_share: true", "`exposure_share` is true; give 0 to 1 ";
+    missing_memory: "memory_mib: 260\n" => "", "field `memory_mib` is missing";
+    empty_memory: "memory_mib: 260" => "memory_mib:", "field `memory_mib` is missing";
+}
+
 macro_rules! faults {
     ($($name:ident: $from:expr => $to:expr, $named:expr;)*) => {$(
         #[test]
