Take no status outside 200 to 599 for an answer

What callers saw: an endpoint's signed answer with status 101, 600 or 999 reached them as an answer. With the header that claims "not run", or on the chat path without it, such an answer counted as proof that the request had not run, and one that must not run twice was sent again.

Cause: the HTTP library takes each number of three digits from 100 on for a status, and nobody checked it. 000, 099, other lengths and letters were no answer before.

Change: a final response has a status from 200 to 599 (RFC 9110, section 15); any other makes the outcome of the try unknown. Checked where the answer of a connection begins, which endpoints, instances, cache queries and inquiries share, and in the client of the chat path.

--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -47,7 +47,11 @@
     ///
     /// `Refused` says that no byte can have arrived.
     pub(crate) async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
-        self.http.request(request).await.map_err(|error| from_client(&error))
+        let response = self.http.request(request).await.map_err(|error| from_client(&error))?;
+        if !is_final(response.status()) {
+            return Err(Error::unknown(format!("{} is no status of an answer", response.status().as_str())));
+        }
+        Ok(response)
     }
 
     /// Sends a short call and reads the whole answer within the call's time limit.
@@ -73,6 +77,12 @@
     }
 }
 
+/// Whether a status is one that a final response may have, by RFC 9110, section 15. The HTTP library takes any other
+/// number of three digits for a status too.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Builds a call to an endpoint.
 pub(crate) fn request(method: Method, address: SocketAddr, path: &str, body: Bytes) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(body));
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -140,6 +140,9 @@
     let Connected { mut sender, connection, overhead } = connected;
     let answer = async move {
         match sender.try_send_request(request).await {
+            Ok(response) if !is_final(response.status()) => {
+                Err(Outcome::Unknown(format!("{} is no status of an answer", response.status().as_str())))
+            }
             Ok(response) => Ok(Answer { response: response.map(|body| AnswerBody::new(body, overhead)), connection }),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
@@ -155,7 +158,14 @@
     answer.boxed()
 }
 
-/// Sends a request over a connection and waits for the head of its answer, which is not
+/// Whether a status is one that a final response may have, by RFC 9110, section 15. The HTTP library takes
+/// any other number of three digits for a status too.
+#[must_use]
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
+/// Sends a request over a connection and waits for the head of its answer, of which only the status is
 /// checked. The connection serves no other request.
 ///
 /// # Errors
--- a/crates/relay/tests/it/answers.rs
+++ b/crates/relay/tests/it/answers.rs
@@ -1,10 +1,12 @@
 //! Endpoint responses that are truncated, unsigned, malformed or meant for another request.
 
+use std::time::Duration;
+
 use relay::catalog::Kind;
 
 use crate::{
     caller::{self, Response},
-    server::{Action, Server, ok_response, response_head},
+    server::{Action, LAST_CHUNK, Server, event, ok_response, response_head, stream_head},
     site::{Site, route},
 };
 
@@ -91,6 +93,89 @@
         Kind::Idempotent, vec![Action::Write(response_head(500, 0))] => 500, 3;
 }
 
+/// Returns a signed answer with a status that is none.
+fn status(text: &str) -> String {
+    ok_response("theirs").replace("200", text)
+}
+
+/// Returns a signed stream with a status that is none.
+fn stream_status(text: &str) -> String {
+    stream_head(90).replace("200", text) + &event(1) + LAST_CHUNK
+}
+
+macro_rules! statuses {
+    ($($name:ident: $status:expr;)*) => {$(
+        /// Bytes with such a status would reach the caller as an answer.
+        mod $name {
+            use super::*;
+
+            #[tokio::test]
+            async fn upload_is_lost() {
+                let (response, runs) = send(Kind::NonIdempotent, "", vec![Action::Write(status($status))]).await;
+                assert_eq!((response.status, runs), (502, 1), "{response:?}");
+                assert_eq!(response.header("x-signature"), None);
+            }
+
+            #[tokio::test]
+            async fn idempotent_request_is_repeated() {
+                let actions = vec![Action::Write(status($status)), Action::Write(ok_response("mine"))];
+                let (response, runs) = send(Kind::Idempotent, "", actions).await;
+                assert_eq!((response.status, response.body.as_str(), runs), (200, "mine", 2), "{response:?}");
+            }
+
+            #[tokio::test]
+            async fn claim_of_not_run_is_not_believed() {
+                let refused = refused().replace("503", $status);
+                let (response, runs) = send(Kind::NonIdempotent, "", vec![Action::Write(refused)]).await;
+                assert_eq!((response.status, runs), (502, 1), "{response:?}");
+            }
+
+            #[tokio::test]
+            async fn late_answer_of_a_silent_endpoint_is_repeated() {
+                let silent = Action::Pause(String::new(), Duration::from_millis(2_600), status($status));
+                let rejected = Action::Write(refused());
+                let actions = vec![silent, rejected.clone(), Action::Write(ok_response("mine"))];
+                let (response, _) = send(Kind::Idempotent, "", actions).await;
+                assert_eq!((response.status, response.body.as_str()), (200, "mine"), "{response:?}");
+            }
+
+            #[tokio::test]
+            async fn stream_is_not_begun() {
+                let kind = Kind::Stream { resumable: false };
+                let (response, runs) = send(kind, "", vec![Action::Write(stream_status($status))]).await;
+                assert_eq!((response.status, runs), (502, 1), "{response:?}");
+            }
+
+            #[tokio::test]
+            async fn stream_is_resumed_elsewhere() {
+                // The second connection only checks whether the endpoint has crashed.
+                let actions = vec![
+                    Action::Reset(stream_head(90) + &event(1)),
+                    Action::Hang(String::new()),
+                    Action::Write(stream_status($status)),
+                    Action::Write(stream_head(90) + &event(2) + LAST_CHUNK),
+                ];
+                let (response, runs) = send(Kind::Stream { resumable: true }, "", actions).await;
+                assert_eq!((response.status, response.complete, runs), (200, true, 3), "{response:?}");
+                assert!(response.body.contains("d1") && response.body.contains("d2"), "{response:?}");
+            }
+        }
+    )*};
+}
+
+statuses! {
+    status_000: "000";
+    status_099: "099";
+    status_101: "101";
+    status_600: "600";
+    status_999: "999";
+    status_of_four_digits: "2000";
+    status_of_two_digits: "20";
+    status_without_digits: "abc";
+    status_that_is_signed: "+20";
+    no_status: "";
+}
+
 /// The deadline expires after the request was sent to an endpoint: the response must not say
 /// that it was not run.
 ///
--- a/crates/relay/tests/outages/main.rs
+++ b/crates/relay/tests/outages/main.rs
@@ -6,6 +6,7 @@
 #[path = "../it/caller.rs"]
 mod caller;
 mod changed_catalog;
+mod early_answers;
 mod endless_answers;
 mod late_answers;
 #[expect(dead_code, reason = "shared with the other tests of the relay")]
