Leave by the grace period in force, and send no request that cannot end

Cause: a reload changed the limits on connections only, and a leaving process read no settings; with less than 6 s of grace requests were admitted beyond the moment at which they are given up; with more than 10 s they were admitted regardless of their time for longer than callers keep addresses; and a request that had waited or was rejected was sent without another look at the time.

Change: the grace period is read where it is needed and reloaded at any time, also while the process leaves. Admission ends by the earlier of both bounds, its first part is three seconds at most, and the time is checked before each try of a request that has not run. SIGHUP is watched before the listeners are bound.

--- a/crates/arbutuslugd/src/relaying.rs
+++ b/crates/arbutuslugd/src/relaying.rs
@@ -12,8 +12,9 @@
 use std::{net::SocketAddr, path::PathBuf, process::ExitCode, sync::Arc, time::Duration};
 
 use listener::{Instance, Listener};
+use relay::dispatcher::Dispatcher;
 use settings::Relay;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
@@ -62,6 +63,7 @@
 }
 
 async fn serve(settings: Relay, path: PathBuf, dropped: ErrorCounter) -> ExitCode {
+    let reload = watch(SignalKind::hangup());
     let explained = Instance::default();
     tokio::spawn(serve_operators(settings.metrics, settings.operator_connections, explained.clone()));
     tokio::spawn(count_dropped(dropped));
@@ -77,30 +79,39 @@
     };
     explained.set(relay.dispatcher());
     tracing::info!(instance, version = env!("CARGO_PKG_VERSION"), "started");
-    until_terminated(&path, &relay).await;
+    tokio::spawn(read_settings_again(reload, path, Arc::clone(relay.dispatcher())));
+    until_terminated().await;
     relay.shutdown().await;
     tracing::info!(instance, "stopped");
     ExitCode::SUCCESS
 }
 
-/// Waits for the signal to leave. At the signal that settings have changed
-/// they are read and checked, and limits on connections are put in force; the
-/// others hold from the next start.
-async fn until_terminated(path: &std::path::Path, relay: &relay::Handle) {
-    let mut terminate = signal(SignalKind::terminate()).expect("signals can be watched");
-    let mut interrupt = signal(SignalKind::interrupt()).expect("signals can be watched");
-    let mut reload = signal(SignalKind::hangup()).expect("signals can be watched");
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return,
-            _ = interrupt.recv() => return,
-            _ = reload.recv() => match Relay::load(path) {
-                Ok(settings) => {
-                    relay.reload(&settings.relay);
-                    tracing::info!(instance = settings.relay.instance, "settings read again");
-                }
-                Err(error) => tracing::warn!(%error, "settings are not valid; the earlier ones stay"),
-            },
+fn watch(kind: SignalKind) -> Signal {
+    signal(kind).expect("signals can be watched")
+}
+
+async fn until_terminated() {
+    let (mut terminate, mut interrupt) = (watch(SignalKind::terminate()), watch(SignalKind::interrupt()));
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
+/// Reads and checks the settings at each signal that they have changed, also while the process leaves. Limits on
+/// connections and the grace period are put in force; the others hold from the next start.
+async fn read_settings_again(mut changed: Signal, path: PathBuf, dispatcher: Arc<Dispatcher>) {
+    while changed.recv().await.is_some() {
+        match Relay::load(&path) {
+            Ok(settings) => {
+                dispatcher.reload(&settings.relay);
+                tracing::info!(
+                    instance = settings.relay.instance,
+                    grace_ms = settings.relay.grace.as_millis(),
+                    "settings read again"
+                );
+            }
+            Err(error) => tracing::warn!(%error, "settings are not valid; the earlier ones stay"),
         }
     }
 }
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -62,10 +62,17 @@
 /// instance leaves.
 const LEAVE_UNNOTICED_SHARE: f64 = 0.3;
 
+/// Longest time after which callers know that the instance leaves: they keep a list of addresses for two
+/// seconds.
+const MAX_LEAVE_UNNOTICED: Duration = Duration::from_secs(3);
+
 /// Share of the grace period by which requests must have ended; the rest is for the process to
 /// exit.
 const SERVING_SHARE: f64 = 0.9;
 
+/// Part of the grace period that is reserved for ending the process.
+const EXIT_TIME: Duration = Duration::from_millis(600);
+
 /// Longest time after the start for which requests wait until the instance can
 /// serve them, unless a call to the store has failed.
 ///
@@ -94,6 +101,8 @@
     pub(crate) uploads: Arc<Uploads>,
     /// Longest pause within a body in milliseconds; 0 if the settings name none.
     max_body_pause_ms: AtomicU64,
+    /// Grace period for requests in flight at shutdown, in milliseconds.
+    grace_ms: AtomicU64,
     /// Limits the log lines about requests that were refused before they could be sent.
     pub(crate) refusal_log: LogLimit,
     /// Callers that have stopped reading their responses.
@@ -222,6 +231,7 @@
             connections: Connections::new(Arc::clone(&account), &settings.connections),
             uploads: Arc::default(),
             max_body_pause_ms: AtomicU64::default(),
+            grace_ms: AtomicU64::default(),
             refusal_log: LogLimit::default(),
             account,
             settings,
@@ -247,18 +257,30 @@
             serving_ended: CancellationToken::new(),
             state: Mutex::new(state),
         });
-        dispatcher.set_limits(&dispatcher.settings);
+        dispatcher.reload(&dispatcher.settings);
         dispatcher
     }
 
-    /// Puts the limits on what connections hold in force.
-    pub fn set_limits(&self, settings: &Settings) {
+    /// Puts the limits on what connections hold and the grace period in force. What is held beyond lower
+    /// limits is released as connections give way and requests end.
+    pub fn reload(&self, settings: &Settings) {
+        self.grace_ms.store(u64::try_from(settings.grace.as_millis()).unwrap_or(u64::MAX), Ordering::Relaxed);
         self.account.set_bounds(settings.memory_bounds());
         self.connections.set_limits(&settings.connections);
         let max_body_pause_ms = settings.connections.max_body_pause.map_or(0, |pause| pause.as_millis());
         self.max_body_pause_ms.store(u64::try_from(max_body_pause_ms).unwrap_or(u64::MAX), Ordering::Relaxed);
     }
 
+    /// Returns the time after the start of the shutdown at which requests without an answer are refused.
+    #[must_use]
+    pub fn serving_time(&self) -> Duration {
+        self.grace().saturating_sub(EXIT_TIME)
+    }
+
+    fn grace(&self) -> Duration {
+        Duration::from_millis(self.grace_ms.load(Ordering::Relaxed))
+    }
+
     /// Returns the longest time for which nothing of an awaited body may arrive: as long as the operator
     /// lets callers be idle, unless the settings name another one.
     #[must_use]
@@ -466,9 +488,10 @@
     #[must_use]
     pub fn leaves_within(&self, time: Duration) -> bool {
         let Some(since) = self.lock().draining_since else { return false };
-        let grace = self.settings.grace;
+        let grace = self.grace();
         let passed = clock::now().saturating_sub(since);
-        passed > grace.mul_f64(LEAVE_UNNOTICED_SHARE) && passed + time > grace.mul_f64(SERVING_SHARE)
+        let is_noticed = passed > grace.mul_f64(LEAVE_UNNOTICED_SHARE).min(MAX_LEAVE_UNNOTICED);
+        is_noticed && passed + time > grace.mul_f64(SERVING_SHARE).min(self.serving_time())
     }
 
     /// Starts leaving: the instance is no longer ready, and connections close after their answers.
--- a/crates/relay/src/dispatcher/scratch.rs
+++ b/crates/relay/src/dispatcher/scratch.rs
@@ -1,6 +1,9 @@
 //! Copies of an instance's state, on which decisions can be made without an effect.
 
-use std::sync::{Arc, Mutex, atomic::AtomicU64};
+use std::sync::{
+    Arc, Mutex,
+    atomic::{AtomicU64, Ordering},
+};
 
 use tokio::sync::{Notify, watch};
 
@@ -21,6 +24,7 @@
             account,
             uploads: Arc::default(),
             max_body_pause_ms: AtomicU64::default(),
+            grace_ms: AtomicU64::new(self.grace_ms.load(Ordering::Relaxed)),
             refusal_log: LogLimit::default(),
             stalled_callers: Arc::default(),
             eviction: tokio::sync::Mutex::default(),
--- a/crates/relay/src/exchange/hop.rs
+++ b/crates/relay/src/exchange/hop.rs
@@ -49,6 +49,10 @@
         // The catalog may have changed since the last check: a revoked key or an old route must not
         // be used for a request that nobody has run. One that may have run could only be lost.
         if !self.may_have_run() {
+            // It may have waited since it was admitted. Sent now, it would be cut off at the end of the process.
+            if self.dispatcher.leaves_within(self.left()) {
+                return Err(Refusal::Leaving);
+            }
             if !self.admission.is_carried {
                 self.admission = admit::check(&self.dispatcher, &self.host, self.uri.path(), &self.params)
                     .map_err(|r| self.refusal_for_caller(r))?;
--- a/crates/relay/src/handle.rs
+++ b/crates/relay/src/handle.rs
@@ -20,10 +20,7 @@
     source::{Kind, Source},
 };
 
-/// Part of the grace period that is reserved for ending the process.
-const EXIT_TIME: Duration = Duration::from_millis(600);
-
-/// Part of that time in which requests without an answer get a refusal.
+/// Part of the time after the serving in which requests without an answer get a refusal.
 const REFUSAL_TIME: Duration = Duration::from_millis(200);
 
 /// Time without requests in flight after which no further callers are expected. Also the
@@ -135,18 +132,11 @@
         &self.dispatcher
     }
 
-    /// Puts the limits on what connections hold in force, out of settings that were read again. What is
-    /// held beyond lower ones is released as connections give way and requests end.
-    pub fn reload(&self, settings: &Settings) {
-        self.dispatcher.set_limits(settings);
-    }
-
     /// Shuts down gracefully: other instances are notified at once, and callers that still
-    /// have the address are served until all answers are sent or the grace period is over. Requests
-    /// that have no answer by then are refused.
+    /// have the address are served until all answers are sent or the grace period is over, also when that
+    /// is changed meanwhile. Requests that have no answer by then are refused.
     pub async fn shutdown(mut self) {
         let started = Instant::now();
-        let grace = self.dispatcher.settings.grace.saturating_sub(EXIT_TIME);
         self.dispatcher.start_draining();
         tracing::info!(in_flight = self.dispatcher.in_flight(), "leaving");
         let name = self.dispatcher.settings.instance.clone();
@@ -157,7 +147,7 @@
         }
         let addresses_cached_for = Duration::from_secs((directory::ADDRESS_CACHE_S * ADDRESS_CACHE_FACTOR).into());
         let mut quiet_since = Instant::now();
-        while started.elapsed() < grace {
+        while started.elapsed() < self.dispatcher.serving_time() {
             if self.dispatcher.in_flight() > 0 {
                 quiet_since = Instant::now();
             }
