Sum weights and slots beyond 32 bits

A catalog with weights whose sum no type of 32 bits holds ended a request in a build with checks and chose a wrong service without; slots as large hid that all endpoints of a service have asked for a pause. Evidence: `weights_beyond_32_bits` holds, and the sum of two weights of 4,294,967,295 overflows by reading; slots have no test.

--- a/crates/relay/src/catalog.rs
+++ b/crates/relay/src/catalog.rs
@@ -183,8 +183,8 @@
     /// weights.
     #[must_use]
     pub fn target(&self, draw: f64) -> Option<&str> {
-        let sum: u32 = self.targets.iter().map(|target| target.weight).sum();
-        let mut left = draw * f64::from(sum);
+        let sum: f64 = self.targets.iter().map(|target| f64::from(target.weight)).sum();
+        let mut left = draw * sum;
         for target in &self.targets {
             left -= f64::from(target.weight);
             if left < 0.0 {
--- a/crates/relay/src/dispatcher/fleet/pauses.rs
+++ b/crates/relay/src/dispatcher/fleet/pauses.rs
@@ -64,7 +64,8 @@
         if !available.iter().all(|server| server.is_paused(now)) {
             return None;
         }
-        let drawn = available.choose_weighted(&mut rand::rng(), |server| server.endpoint.slots.max(1)).ok()?;
+        let drawn =
+            available.choose_weighted(&mut rand::rng(), |server| f64::from(server.endpoint.slots.max(1))).ok()?;
         Some(drawn.pause_left(now))
     }
 }
