--- a/crates/settings/src/relay.rs
+++ b/crates/settings/src/relay.rs
@@ -3,7 +3,7 @@
 //! Spans are in milliseconds or seconds and sizes in bytes or MiB, as the fields' names
 //! say. Unknown fields are errors, as in the daemon's other settings.
 //!
-//! Numbers that a platform decides are [`Scalar`]s: whole, a fraction, or absent where they do not apply.
+//! Numbers that a platform decides may be whole, a fraction, or absent where they do not apply.
 
 use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
