Charge answers without losing a release of another thread

The daemon has one thread and was not affected.

Evidence: `charges_of_several_threads_add_up` failed before with the same words.

--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -92,11 +92,10 @@
             return false;
         }
         if body == Body::Answer {
-            let answers = self.answers.load(Ordering::Relaxed) + bytes;
-            if answers > bound - bound / LEFT_BY_ANSWERS_DIVISOR {
+            if self.answers.load(Ordering::Relaxed) + bytes > bound - bound / LEFT_BY_ANSWERS_DIVISOR {
                 return false;
             }
-            self.answers.store(answers, Ordering::Relaxed);
+            self.answers.fetch_add(bytes, Ordering::Relaxed);
         }
         self.bodies.fetch_add(bytes, Ordering::Relaxed);
         true
@@ -127,3 +126,6 @@
         metrics::gauge!("relay_held_bytes", "by" => "bodies").set(self.bodies() as f64);
     }
 }
+
+#[cfg(test)]
+mod tests;
