Limit what answers without end take on the chat path

What callers would have seen: a process killed with everybody's requests. 48 calls and 48 runs at a time at a faulty endpoint took 1,272 MiB, since each answer had a limit of 16 MiB and all together none; chunks of one byte were kept as a list of pieces; and chunk sizes without end kept the processor from a sound answer for more than ten seconds.

Change: answers and events that are being received take 256 MiB together, of which an eighth is left to short ones; bodies are copied into one buffer; connections have the relay's limit on bytes without data and on heads, whose code is a crate of its own now (`overhead`).

--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -4,16 +4,18 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full};
 use hyper_util::{
     client::legacy::{self, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
+use overhead::{AnswerBody, MAX_HEAD_BYTES, Overhead};
 
 use crate::{
     Settings,
+    connector::Connector,
     error::{Error, Refusal},
+    held::{Buffer, Memory, Reservation},
     wire,
 };
 
@@ -23,8 +25,9 @@
 /// The edge to all endpoints; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct Handle {
-    pub(crate) http: legacy::Client<HttpConnector, Full<Bytes>>,
+    pub(crate) http: legacy::Client<Connector, Full<Bytes>>,
     pub(crate) settings: Arc<Settings>,
+    pub(crate) memory: Arc<Memory>,
 }
 
 impl Handle {
@@ -39,19 +42,23 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_CONNECTION)
             .pool_max_idle_per_host(settings.idle_connections)
-            .build(connector);
-        Self { http, settings: Arc::new(settings) }
+            .http1_max_buf_size(MAX_HEAD_BYTES)
+            .build(Connector::new(connector));
+        Self { http, memory: Memory::new(settings.max_held), settings: Arc::new(settings) }
     }
 
     /// Sends a call and waits for the answer's head.
     ///
     /// `Refused` says that no byte can have arrived.
-    pub(crate) async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
-        let response = self.http.request(request).await.map_err(|error| from_client(&error))?;
+    pub(crate) async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<AnswerBody>, Error> {
+        let mut response = self.http.request(request).await.map_err(|error| from_client(&error))?;
         if !is_final(response.status()) {
             return Err(Error::unknown(format!("{} is no status of an answer", response.status().as_str())));
         }
-        Ok(response)
+        let overhead: Overhead = response.extensions_mut().remove().unwrap_or_default();
+        // A kept connection may carry many answers without data.
+        overhead.reset();
+        Ok(response.map(|body| AnswerBody::new(body, overhead)))
     }
 
     /// Sends a short call and reads the whole answer within the call's time limit.
@@ -70,7 +77,7 @@
         let whole = async {
             let response = self.send(request).await?;
             let (parts, body) = response.into_parts();
-            let body = collect(body, self.settings.max_answer).await?;
+            let body = collect(body, self.settings.max_answer, self.memory.reserve()).await?;
             Ok(Response::from_parts(parts, body))
         };
         tokio::time::timeout(limit, whole).await.unwrap_or_else(|_| Err(Error::unknown("no whole answer in time")))
@@ -98,9 +105,21 @@
 }
 
 /// Reads a whole body of at most `limit` bytes.
-pub(crate) async fn collect(body: Incoming, limit: usize) -> Result<Bytes, Error> {
-    let body = Limited::new(body, limit).collect().await.map_err(Error::unknown)?;
-    Ok(body.to_bytes())
+///
+/// It is copied into one buffer: a list of its pieces would take many times its length if an endpoint sent it
+/// in chunks of one byte.
+pub(crate) async fn collect(mut body: AnswerBody, limit: usize, memory: Reservation) -> Result<Bytes, Error> {
+    let mut whole = Buffer::new(memory);
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(Error::unknown)?.into_data() else { continue };
+        if whole.len() + data.len() > limit {
+            return Err(Error::unknown("the answer is too long"));
+        }
+        if !whole.extend(&data) {
+            return Err(Error::unknown("no memory is left for the answer"));
+        }
+    }
+    Ok(whole.into_bytes())
 }
 
 /// What an endpoint's refusal says.
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -7,8 +7,10 @@
 //! [`Handle`] is cheap to clone and holds only the pool of idle connections.
 
 mod client;
+mod connector;
 pub mod error;
 pub mod frame;
+mod held;
 pub mod order;
 pub mod rating;
 pub mod report;
@@ -37,6 +39,8 @@
     pub call_timeout: Duration,
     /// Most bytes of one answer.
     pub max_answer: usize,
+    /// Most bytes of all answers, and events of streams, that are being received or used at a time.
+    pub max_held: usize,
     /// Frames that wait between an engine and a slow caller.
     pub frame_buffer: usize,
     /// Idle connections kept per endpoint.
@@ -51,6 +55,7 @@
             idle_timeout: Duration::from_secs(20),
             call_timeout: Duration::from_secs(2),
             max_answer: 16 * 1024 * 1024,
+            max_held: 256 * 1024 * 1024,
             frame_buffer: 16,
             idle_connections: 64,
         }
--- a/crates/endpoint/src/run.rs
+++ b/crates/endpoint/src/run.rs
@@ -12,7 +12,7 @@
 use futures::StreamExt;
 use http::{HeaderValue, Method, StatusCode};
 use http_body_util::{BodyExt, Limited, combinators::UnsyncBoxBody};
-use hyper::body::Incoming;
+use overhead::AnswerBody;
 use sse_stream::{Sse, SseStream};
 use tokio::{
     sync::mpsc,
@@ -24,6 +24,7 @@
     client::{self, Handle},
     error::Error,
     frame::{Frame, Reason, Usage},
+    held::{self, Event, Reservation},
     sequence::{Sequence, Verdict},
     wire,
 };
@@ -170,7 +171,7 @@
             guard.armed = false;
             let error = client::refusal(response.status(), response.headers());
             let (_, body) = response.into_parts();
-            drop(tokio::spawn(drain(body)));
+            drop(tokio::spawn(drain(body, self.memory.reserve())));
             return Err(error);
         }
         Ok(self.follow(&dispatch, response.into_body(), 0, guard))
@@ -209,11 +210,14 @@
         }
     }
 
-    fn follow(&self, dispatch: &Dispatch, body: Incoming, from: u64, guard: CancelGuard) -> Run {
+    fn follow(&self, dispatch: &Dispatch, body: AnswerBody, from: u64, guard: CancelGuard) -> Run {
         let (sender, frames) = mpsc::channel(self.settings.frame_buffer);
-        let body: Body = Limited::new(body, self.settings.max_answer).map_err(io::Error::other).boxed_unsync();
+        let event = Event::new(self.memory.reserve());
+        let body = Limited::new(body, self.settings.max_answer).map_err(io::Error::other);
+        let body: Body = held::Stream::new(body, event.clone()).boxed_unsync();
         let source = Source {
             events: SseStream::new(body),
+            event,
             sequence: Sequence::new(dispatch.attempt.clone(), from),
             idle: self.settings.idle_timeout,
             deadline: dispatch.deadline,
@@ -227,8 +231,8 @@
     HeaderValue::from_str(text).unwrap_or_else(|_| HeaderValue::from_static("invalid"))
 }
 
-async fn drain(body: Incoming) {
-    drop(timeout(DRAIN, client::collect(body, 64 * 1024)).await);
+async fn drain(body: AnswerBody, memory: Reservation) {
+    drop(timeout(DRAIN, client::collect(body, 64 * 1024, memory)).await);
 }
 
 /// Cancels an attempt when dropped while armed.
@@ -332,6 +336,8 @@
 /// One attempt's connection.
 struct Source {
     events: SseStream<Body>,
+    /// Memory of the event that is being received.
+    event: Event,
     sequence: Sequence,
     idle: Duration,
     deadline: Instant,
@@ -345,7 +351,10 @@
             Err(_) => Step::Broken(Broken::Idle),
             Ok(None | Some(Err(sse_stream::Error::Body(_)))) => Step::Broken(Broken::Cut),
             Ok(Some(Err(_))) => Step::Broken(Broken::Malformed),
-            Ok(Some(Ok(event))) => self.judge(&event),
+            Ok(Some(Ok(event))) => {
+                self.event.end();
+                self.judge(&event)
+            }
         }
     }
 
@@ -369,7 +378,13 @@
 
     /// Reads what follows the last frame, so that the connection is kept.
     async fn drain(&mut self) {
-        let rest = async { while let Some(Ok(_)) = self.events.next().await {} };
+        let event = &self.event;
+        let events = &mut self.events;
+        let rest = async {
+            while let Some(Ok(_)) = events.next().await {
+                event.end();
+            }
+        };
         drop(timeout(DRAIN, rest).await);
     }
 }
--- a/crates/relay/src/overhead.rs
+++ b/crates/overhead/src/lib.rs
@@ -4,6 +4,8 @@
 //! zeros before a chunk size and blanks after it, however many there are. A server that sends them
 //! without end would be read until the deadline.
 
+pub mod short_read;
+
 use std::{
     io,
     pin::Pin,
@@ -21,8 +23,6 @@
     net::TcpStream,
 };
 
-use crate::short_read;
-
 /// Longest head of an answer, in bytes: twice what operators allow callers. It is also the size of
 /// a connection's read buffer, of which an instance with 4,000 descriptors may have 2,000 at a time.
 pub const MAX_HEAD_BYTES: usize = 32 << 10;
--- a/crates/relay/src/short_read.rs
+++ b/crates/overhead/src/short_read.rs
@@ -13,6 +13,10 @@
 const MAX_BYTES: u64 = (8 << 10) - 1;
 
 /// Reads no more than leaves the buffer at its smallest size.
+///
+/// # Errors
+///
+/// Returns the error of the stream.
 pub fn poll<S>(stream: &mut S, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>>
 where
     S: AsyncRead + Unpin,
--- a/crates/relay/src/unsent.rs
+++ b/crates/relay/src/unsent.rs
@@ -17,7 +17,7 @@
 use hyper::body::{Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use crate::{answer::Body, connections, dispatcher::InFlight, short_read, write_timeout::TimedStream};
+use crate::{answer::Body, connections, dispatcher::InFlight, write_timeout::TimedStream};
 
 /// Requests of one connection whose responses it holds.
 #[derive(Debug, Clone, Default)]
@@ -117,7 +117,7 @@
             return closed();
         }
         let before = buffer.filled().len();
-        ready!(short_read::poll(&mut self.stream, cx, buffer))?;
+        ready!(overhead::short_read::poll(&mut self.stream, cx, buffer))?;
         let count = buffer.filled().len() - before;
         self.handle.received(count);
         Poll::Ready(Ok(()))
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -11,17 +11,11 @@
 use http::{Request, Response, StatusCode, header};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use overhead::{AnswerBody, Limited, MAX_HEAD_BYTES, Overhead};
 use tokio::net::TcpStream;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::{
-    buffer,
-    dialect::Names,
-    network::Network,
-    overhead::{AnswerBody, Limited, MAX_HEAD_BYTES, Overhead},
-    payload::Payload,
-    statements::Statements,
-};
+use crate::{buffer, dialect::Names, network::Network, payload::Payload, statements::Statements};
 
 /// Time limit for connecting: many round trips, and well below the time after which TCP
 /// resends a lost first packet.
