Reset the connection of a broken stream that would end with it

What callers saw: a caller of HTTP/1.0 knows no chunks, so that a stream to it ends with its connection; one that was broken off was closed in an orderly way, and its part passed for the whole.

Change: a connection whose response ends with it, and has not come to its end, is reset.

Evidence: `broken_stream_to_a_caller_without_chunks_is_reset` failed before ("HTTP/1.0 200 OK", closed in an orderly way); `whole_stream_to_a_caller_without_chunks_is_closed` held before and holds.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -53,6 +53,7 @@
 pub async fn serve(dispatcher: Arc<Dispatcher>, request: Request<Incoming>, origin: Origin) -> Response<Body> {
     let unsent = request.extensions().get::<Unsent>().cloned().unwrap_or_default();
     let write_timeout = request.extensions().get::<WriteTimeout>().cloned();
+    let version = request.version();
     let (mut exchange, in_flight) = match admit::admit(&dispatcher, request, origin).await {
         Ok(admitted) => admitted,
         Err((params, refusal)) => return refuse(&dispatcher, &params, &refusal, None, origin),
@@ -77,7 +78,7 @@
     if dispatcher.is_draining() {
         response.headers_mut().insert(header::CONNECTION, http::HeaderValue::from_static("close"));
     }
-    unsent.track(response, in_flight)
+    unsent.track(response, version, in_flight)
 }
 
 /// Logs and counts a refused request and builds the response.
--- a/crates/relay/src/unsent.rs
+++ b/crates/relay/src/unsent.rs
@@ -3,6 +3,9 @@
 //! A connection takes a whole response at once, and its caller may read it slowly. The request counts as
 //! in flight until the last byte is with the operating system, which goes on sending when the process has
 //! ended. So an instance that leaves does not end while it still has bytes of a response.
+//!
+//! A response without a length to a caller that knows no chunks ends with its connection. If it does not come to its
+//! end, the connection is reset: an orderly close would make it look whole.
 
 use std::{
     io,
@@ -12,7 +15,7 @@
 };
 
 use bytes::Bytes;
-use http::Response;
+use http::{Response, Version};
 use http_body_util::BodyExt;
 use hyper::body::{Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -31,12 +34,18 @@
     open: usize,
     /// Whether a response was given to the connection since it last had written all.
     has_response: bool,
+    /// Whether a response that ends with the connection has not come to its end.
+    is_unended: bool,
 }
 
 impl Unsent {
-    /// Has a request count as in flight until its response has been written.
-    pub fn track(&self, response: Response<Body>, request: InFlight) -> Response<Body> {
-        self.lock().open += 1;
+    /// Has a request of an HTTP version count as in flight until its response has been written.
+    pub fn track(&self, response: Response<Body>, version: Version, request: InFlight) -> Response<Body> {
+        let mut state = self.lock();
+        state.open += 1;
+        state.is_unended =
+            version < Version::HTTP_11 && hyper::body::Body::size_hint(response.body()).exact().is_none();
+        drop(state);
         response.map(|body| Tracked { body, request: Some(request), unsent: self.clone() }.boxed_unsync())
     }
 
@@ -79,7 +88,11 @@
     type Error = io::Error;
 
     fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if frame.is_none() {
+            self.unsent.lock().is_unended = false;
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
@@ -154,6 +167,17 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.unsent.lock().is_unended {
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.unsent.lock().is_unended {
+            self.stream.reset_when_dropped();
+        }
+    }
+}
--- a/crates/relay/src/write_timeout.rs
+++ b/crates/relay/src/write_timeout.rs
@@ -217,6 +217,13 @@
         written
     }
 
+    /// Has the connection reset rather than closed in an orderly way.
+    pub fn reset_when_dropped(&self) {
+        if let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
+            tracing::debug!(%error, "connection is closed in an orderly way");
+        }
+    }
+
     /// Notes that the peer has taken something.
     fn end_stall(&mut self) {
         if self.stall.take().is_some() {
--- a/crates/relay/tests/it/streams.rs
+++ b/crates/relay/tests/it/streams.rs
@@ -3,6 +3,10 @@
 use std::time::{Duration, Instant};
 
 use relay::catalog::{Kind, Route};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 use crate::{
     caller,
@@ -198,3 +202,31 @@
     stream_without_a_length_that_ends_within_an_event_is_continued: "id: 1\ndata: d1\n\nid: 2\nda" => true;
     stream_without_a_length_that_ends_before_its_first_event_is_repeated: "" => true;
 }
+
+/// Returns all bytes of a response to a caller that knows no chunks, and whether its connection was closed in an orderly
+/// way, which ends such a response.
+async fn call_without_chunks(actions: Vec<Action>) -> (String, bool) {
+    let server = Server::start(actions).await;
+    let site = Site::start(vec![route("/s/", Kind::Stream { resumable: false })], &[server.address]).await;
+    let mut stream = TcpStream::connect(site.front()).await.unwrap();
+    let request = caller::request("POST", "/s/x", "", "prompt").replace("HTTP/1.1", "HTTP/1.0");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut bytes = Vec::new();
+    let end = stream.read_to_end(&mut bytes).await;
+    (String::from_utf8_lossy(&bytes).into_owned(), end.is_ok())
+}
+
+/// A caller that knows no chunks takes the end of its connection for the end of a stream, and a broken stream for a whole
+/// one.
+#[tokio::test]
+async fn broken_stream_to_a_caller_without_chunks_is_reset() {
+    let (text, is_closed) = call_without_chunks(vec![Action::Reset(stream_head(90) + &event(1))]).await;
+    assert!(!is_closed, "{text}");
+}
+
+#[tokio::test]
+async fn whole_stream_to_a_caller_without_chunks_is_closed() {
+    let whole = stream_head(90) + &event(1) + &event(2) + LAST_CHUNK;
+    let (text, is_closed) = call_without_chunks(vec![Action::Write(whole)]).await;
+    assert!(is_closed && text.contains("d1") && text.contains("d2"), "{text}");
+}
