--- a/crates/arbutuslugd/tests/settings.rs
+++ b/crates/arbutuslugd/tests/settings.rs
@@ -60,7 +60,7 @@
         let output = fs::File::create(&log).unwrap();
         let process = Command::new(env!("CARGO_BIN_EXE_arbutuslugd"))
             .arg("relay")
-            .env("ARBUTUSLUG_NODE_FILE", &file)
+            .env(platform::SETTINGS_VARIABLE, &file)
             .stderr(output.try_clone().unwrap())
             .stdout(output)
             .stdin(Stdio::null())
