Follow the list of instances beside entries that cannot be decoded

Callers on the chat path: endpoints that were leaving went on getting work. The platform's list of instances was decoded as a whole, so one odd entry of another writer (an unknown state, no object, a name that is no text, deep nesting in a known field) hid all others for as long as it stood there, and nothing said so but calls counted as lost.

Entries are decoded one by one now. The stand-in can list entries of any kind.

--- a/crates/arbutuslugd/tests/path.rs
+++ b/crates/arbutuslugd/tests/path.rs
@@ -175,7 +175,7 @@
     let site = Site::spawn().await;
     site.configure().await;
     let listed = |name: &str, state| Listed { name: name.into(), role: Role::Endpoint, state };
-    site.objects.set_instances(vec![listed("small-1", Standing::Leaving), listed("small-2", Standing::Live)]);
+    site.objects.set_instances(&[listed("small-1", Standing::Leaving), listed("small-2", Standing::Live)]);
     tokio::time::sleep(LISTED).await;
     let before = site.engines[0].records().len();
     for at in 0..site.daemons.len() {
--- a/crates/standin/src/objects.rs
+++ b/crates/standin/src/objects.rs
@@ -12,7 +12,10 @@
 };
 
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
+use serde_json::{
+    Value,
+    value::{RawValue, to_raw_value},
+};
 use tokio::{sync::watch, time::Instant};
 use world::Millis;
 
@@ -146,7 +149,7 @@
 #[derive(Debug)]
 struct State {
     store: Store,
-    instances: Vec<Listed>,
+    instances: Box<RawValue>,
     calls: Calls,
     writes: Bucket,
     reads: Bucket,
@@ -166,7 +169,7 @@
     pub async fn bind(addr: SocketAddr, limits: Limits) -> io::Result<Handle> {
         let state = State {
             store: Store::default(),
-            instances: Vec::new(),
+            instances: raw::<Listed>(&[]),
             calls: Calls::default(),
             writes: Bucket::new(limits.writes_per_s, Instant::now()),
             reads: Bucket::new(limits.reads_per_s, Instant::now()),
@@ -195,8 +198,13 @@
     }
 
     /// What the lagging list says from now on.
-    pub fn set_instances(&self, instances: Vec<Listed>) {
-        self.shared.lock().instances = instances;
+    pub fn set_instances(&self, instances: &[Listed]) {
+        self.shared.lock().instances = raw(instances);
+    }
+
+    /// What the lagging list says from now on, out of entries of any kind.
+    pub fn set_raw_instances(&self, entries: &[Box<RawValue>]) {
+        self.shared.lock().instances = raw(entries);
     }
 
     /// Every object under a prefix, by key.
@@ -229,6 +237,10 @@
     }
 }
 
+fn raw<T: Serialize>(entries: &[T]) -> Box<RawValue> {
+    to_raw_value(entries).expect("entries have text keys and finite numbers")
+}
+
 impl Shared {
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/standin/src/objects/api.rs
+++ b/crates/standin/src/objects/api.rs
@@ -3,7 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use http::{Method, Response, StatusCode};
-use serde_json::json;
+use serde::Serialize;
+use serde_json::{json, value::RawValue};
 use tokio::time::Instant;
 use world::Millis;
 
@@ -22,6 +23,12 @@
 /// Hint of an outage answer.
 const DOWN_RETRY: Duration = Duration::from_millis(500);
 
+/// The lagging list. Its entries are not parsed, which would limit their depth.
+#[derive(Serialize)]
+struct Instances<'a> {
+    instances: &'a RawValue,
+}
+
 /// Takes a call through outage, rate and delay to its answer.
 pub(super) async fn answer(shared: Arc<Shared>, call: Call) -> Answer {
     if call.uri().path() == "/switch" {
@@ -117,7 +124,7 @@
 
     fn list_instances(&mut self) -> Response<Body> {
         self.calls.instances += 1;
-        json(StatusCode::OK, &json!({ "instances": self.instances }))
+        json(StatusCode::OK, &Instances { instances: &self.instances })
     }
 
     fn list(&mut self, call: &Call) -> Response<Body> {
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 client of the object API (docs/design/outside-protocols.md).
 
+mod members;
 mod wire;
 
 use std::{fmt, net::SocketAddr, time::Duration};
@@ -28,7 +29,8 @@
 /// The platform's object API at one address.
 pub struct Client {
     base: String,
-    client: legacy::Client<HttpConnector, Full<Bytes>>,
+    http: legacy::Client<HttpConnector, Full<Bytes>>,
+    members: members::Decoder,
 }
 
 impl fmt::Debug for Client {
@@ -44,16 +46,16 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        let client = legacy::Client::builder(TokioExecutor::new())
+        let http = legacy::Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .build(connector);
-        Self { base: format!("http://{address}"), client }
+        Self { base: format!("http://{address}"), http, members: members::Decoder::default() }
     }
 
     async fn exchange(&self, call: Call) -> Result<Answer, Fault> {
         let request = self.request(&call)?;
-        let response = self.client.request(request).await.map_err(|error| fault_of(&error))?;
+        let response = self.http.request(request).await.map_err(|error| fault_of(&error))?;
         let status = response.status();
         if status == StatusCode::TOO_MANY_REQUESTS {
             return Err(Fault::Busy { retry_after: retry_after(&response) });
@@ -62,7 +64,27 @@
             return Err(Fault::Down { cause: "the platform answers 503".into() });
         }
         let body = read_body(response).await?;
-        answer(&call, status, &body)
+        self.answer(&call, status, &body)
+    }
+
+    fn answer(&self, call: &Call, status: StatusCode, body: &[u8]) -> Result<Answer, Fault> {
+        match (call, status) {
+            (_, StatusCode::PRECONDITION_FAILED) => {
+                wire::read(body).map(|wire::Version { version }| Answer::Conflict(version))
+            }
+            (_, StatusCode::GONE) => wire::read(body).map(|wire::Oldest { oldest }| Answer::Compacted { oldest }),
+            (_, StatusCode::NOT_FOUND) => Ok(Answer::Absent),
+            (Call::Get { .. }, StatusCode::OK) => wire::read::<wire::Object>(body).map(|o| Answer::Found(o.into())),
+            (Call::List { .. }, StatusCode::OK) => wire::read::<wire::Listing>(body).map(Answer::from),
+            (Call::Watch { .. }, StatusCode::OK) => wire::read::<wire::Changes>(body).map(Answer::from),
+            (Call::Instances, StatusCode::OK) => self.members.decode(body).map(Answer::Instances),
+            (_, StatusCode::OK | StatusCode::CREATED) => {
+                wire::read(body).map(|wire::Version { version }| Answer::Written(version))
+            }
+            // A 4xx status means that the call had no effect; any other may follow an effect.
+            (_, status) if status.is_client_error() => Err(Fault::Refused { message: refusal(status, body) }),
+            (_, status) => Err(Fault::Lost { cause: refusal(status, body) }),
+        }
     }
 
     fn request(&self, call: &Call) -> Result<Request<Full<Bytes>>, Fault> {
@@ -110,28 +132,6 @@
     }
 }
 
-fn answer(call: &Call, status: StatusCode, body: &[u8]) -> Result<Answer, Fault> {
-    match (call, status) {
-        (_, StatusCode::PRECONDITION_FAILED) => {
-            wire::read(body).map(|wire::Version { version }| Answer::Conflict(version))
-        }
-        (_, StatusCode::GONE) => wire::read(body).map(|wire::Oldest { oldest }| Answer::Compacted { oldest }),
-        (_, StatusCode::NOT_FOUND) => Ok(Answer::Absent),
-        (Call::Get { .. }, StatusCode::OK) => wire::read::<wire::Object>(body).map(|o| Answer::Found(o.into())),
-        (Call::List { .. }, StatusCode::OK) => wire::read::<wire::Listing>(body).map(Answer::from),
-        (Call::Watch { .. }, StatusCode::OK) => wire::read::<wire::Changes>(body).map(Answer::from),
-        (Call::Instances, StatusCode::OK) => {
-            wire::read(body).map(|wire::Instances { instances }| Answer::Instances(instances))
-        }
-        (_, StatusCode::OK | StatusCode::CREATED) => {
-            wire::read(body).map(|wire::Version { version }| Answer::Written(version))
-        }
-        // A 4xx status means that the call had no effect; any other may follow an effect.
-        (_, status) if status.is_client_error() => Err(Fault::Refused { message: refusal(status, body) }),
-        (_, status) => Err(Fault::Lost { cause: refusal(status, body) }),
-    }
-}
-
 fn refusal(status: StatusCode, body: &[u8]) -> String {
     let text: String = String::from_utf8_lossy(body).chars().take(200).collect();
     format!("{status} {text}")
--- a/crates/store/src/http/wire.rs
+++ b/crates/store/src/http/wire.rs
@@ -1,16 +1,13 @@
 //! JSON bodies of the object API.
 
 use bytes::Bytes;
-use serde::{Deserialize, de::DeserializeOwned};
+use serde::Deserialize;
 use serde_json::value::RawValue;
 
-use crate::{
-    Member,
-    api::{self, Answer, Fault},
-};
+use crate::api::{self, Answer, Fault};
 
 /// Decodes a body. If that fails, the call may still have had an effect.
-pub(super) fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, Fault> {
+pub(super) fn read<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, Fault> {
     serde_json::from_slice(body).map_err(|error| Fault::Lost { cause: format!("the answer does not read: {error}") })
 }
 
@@ -47,8 +44,9 @@
 }
 
 #[derive(Deserialize)]
-pub(super) struct Instances {
-    pub(super) instances: Vec<Member>,
+pub(super) struct Instances<'a> {
+    #[serde(borrow)]
+    pub(super) instances: Vec<&'a RawValue>,
 }
 
 impl From<Object> for api::Object {
--- a/crates/store/tests/http.rs
+++ b/crates/store/tests/http.rs
@@ -64,7 +64,7 @@
 async fn instance_list_is_read() {
     let (standin, handle) = start(Limits::none()).await;
     let listed = |name: &str, role, state| Listed { name: name.into(), role, state };
-    standin.set_instances(vec![
+    standin.set_instances(&[
         listed("i0", objects::Role::Entry, objects::Standing::Live),
         listed("e0", objects::Role::Endpoint, objects::Standing::Leaving),
     ]);
--- a/crates/trial/src/site.rs
+++ b/crates/trial/src/site.rs
@@ -172,7 +172,7 @@
             let state = if leaving.contains(&name) { Standing::Leaving } else { Standing::Live };
             Listed { name, role, state }
         });
-        self.objects.set_instances(listed.collect());
+        self.objects.set_instances(&listed.collect::<Vec<_>>());
     }
 
     /// The key that the examples' contracts hold the hash of.
