Give up answers of the chat path's store that do not end

Cause: the client of the object API collected an answer's body without a limit, for as long as the call may take.

Change: an answer is given up after 64 MiB, and counts as lost.

--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use http::{Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{self, connect::HttpConnector},
@@ -23,6 +23,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time after which to try again after a 429 that names none.
 const RETRY_AFTER: Duration = Duration::from_millis(50);
+/// Longest answer, in bytes. It is far more than arrives within the time limit of a call, unless it is sent without end.
+const MAX_ANSWER: usize = 64 << 20;
 /// Header with the time after which to try again, in milliseconds.
 const RETRY_AFTER_MS: &str = "retry-after-ms";
 
@@ -138,8 +140,8 @@
 }
 
 async fn read_body(response: Response<Incoming>) -> Result<Bytes, Fault> {
-    let lost = |error: hyper::Error| Fault::Lost { cause: error.to_string() };
-    Ok(response.into_body().collect().await.map_err(lost)?.to_bytes())
+    let body = Limited::new(response.into_body(), MAX_ANSWER).collect().await;
+    Ok(body.map_err(|error| Fault::Lost { cause: error.to_string() })?.to_bytes())
 }
 
 fn retry_after(response: &Response<Incoming>) -> Duration {
--- a/crates/store/tests/http.rs
+++ b/crates/store/tests/http.rs
@@ -6,7 +6,16 @@
     fault::Odds,
     objects::{self, Limits, Listed, Objects, Switch},
 };
-use store::{Batch, Change, Error, Handle, Priority, Role, Settings, Standing, Write, open};
+use store::{
+    Batch, Change, Error, Handle, Priority, Role, Settings, Standing, Write,
+    api::{Call, Fault, Store},
+    http::Client,
+    open,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
 
 async fn start(limits: Limits) -> (objects::Handle, Handle) {
     let standin = Objects::bind(SocketAddr::from(([127, 0, 0, 1], 0)), limits).await.expect("a free port");
@@ -104,3 +113,25 @@
     let write = handle.within(Duration::from_millis(300)).create(Priority::Claim, "a", "a").await;
     assert!(matches!(write, Err(Error::Down { .. })), "{write:?}");
 }
+
+/// A platform that sends an answer without end would have the process killed for its memory.
+#[tokio::test]
+async fn answer_without_end_is_given_up() {
+    const MIB: usize = 1 << 20;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let client = Client::open(listener.local_addr().expect("it listens"));
+    let sending = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a call");
+        let (mut sent, mut part) = (0, vec![b' '; MIB]);
+        assert!(stream.read(&mut part).await.expect("the call") > 0);
+        part[..19].copy_from_slice(b"HTTP/1.1 200 OK\r\n\r\n");
+        while sent < 512 * MIB && stream.write_all(&part).await.is_ok() {
+            sent += MIB;
+        }
+        sent
+    });
+    let answer = client.call(Call::Instances).await;
+    assert!(matches!(answer, Err(Fault::Lost { .. })), "{answer:?}");
+    let sent = sending.await.expect("it ends");
+    assert!(sent < 96 * MIB, "{sent} bytes were taken");
+}
