Name figures, types and faults for readers who come new, and test what was only read

Cause: a second reading of the whole change.

Change: one table of all fourteen figures of the template, each in each form at a start and at SIGHUP, and three wrong values of each at both; a test of huge slots; lines and names. No behavior changes.

--- a/crates/arbutuslugd/tests/settings.rs
+++ b/crates/arbutuslugd/tests/settings.rs
@@ -17,19 +17,41 @@
 
 use serde_json::{Value, json};
 
-/// Bounds that the template fills in, with a whole number and a fraction.
-const BOUNDS: [(&str, u32, f64); 11] = [
-    ("grace-s", 8, 7.5),
-    ("budget-window-s", 10, 2.25),
-    ("budget-ratio", 1, 0.9),
-    ("budget-extra", 54, 53.5),
-    ("expose-share", 1, 0.15),
-    ("session-s", 5, 8.5),
-    ("ttl_max_s", 5, 2.5),
-    ("revoke-ms", 5_000, 2_500.5),
-    ("config-ms", 3_000, 2_000.25),
-    ("evac-ms", 5_000, 2_500.5),
-    ("cold-excess", 2, 1.5),
+/// A figure of the platform that the template fills in.
+struct Figure {
+    /// Section of the platform's fields, and name in it.
+    at: (&'static str, &'static str),
+    /// Name in the settings.
+    field: &'static str,
+    whole: u32,
+    fraction: f64,
+    /// Whether it may be absent.
+    is_optional: bool,
+}
+
+const fn bound(name: &'static str, field: &'static str, whole: u32, fraction: f64) -> Figure {
+    Figure { at: ("bounds", name), field, whole, fraction, is_optional: true }
+}
+
+const fn limit(name: &'static str, field: &'static str, whole: u32, fraction: f64) -> Figure {
+    Figure { at: ("limits", name), field, whole, fraction, is_optional: true }
+}
+
+const FIGURES: [Figure; 14] = [
+    bound("grace-s", "grace_s", 8, 7.5),
+    bound("budget-window-s", "retries.window_s", 10, 2.25),
+    bound("budget-ratio", "retries.ratio", 1, 0.9),
+    bound("budget-extra", "retries.reserve", 54, 53.5),
+    bound("expose-share", "exposure_share", 1, 0.15),
+    bound("session-s", "session_s", 5, 8.5),
+    bound("ttl_max_s", "keep_addresses_s", 5, 2.5),
+    bound("revoke-ms", "revoke_ms", 5_000, 2_500.5),
+    bound("config-ms", "replace_ms", 3_000, 2_000.25),
+    bound("evac-ms", "evacuate_ms", 5_000, 2_500.5),
+    bound("cold-excess", "warmup_excess", 2, 1.5),
+    limit("cpu-share", "cores", 1, 0.25),
+    limit("max-fds", "descriptors", 4_200, 4_200.5),
+    Figure { is_optional: false, ..limit("memory-mb", "memory_mib", 260, 259.5) },
 ];
 
 /// Longest time until a process has logged what it is told.
@@ -120,38 +142,55 @@
     fields
 }
 
-/// Returns the settings with a figure for a bound, or with none.
-fn settings(bound: &str, figure: Option<Value>) -> String {
+/// Returns the settings with a value in the place of a figure, or with none.
+fn settings((section, name): (&str, &str), value: Option<Value>) -> String {
     let mut fields = fields();
-    let bounds = fields["bounds"].as_object_mut().unwrap();
-    match figure {
-        Some(figure) => bounds.insert(bound.to_owned(), figure),
-        None => bounds.remove(bound),
+    let section = fields[section].as_object_mut().unwrap();
+    match value {
+        Some(value) => section.insert(name.to_owned(), value),
+        None => section.remove(name),
     };
     // The metrics port of the template is the same for all processes of a machine.
     fill::fill_in(&fields).replace(":9464", ":0")
 }
 
-/// Returns the settings with each bound in each form that is allowed.
+/// Returns the settings with each figure in each form that is allowed.
 fn valid() -> Vec<String> {
-    let forms = BOUNDS.iter().flat_map(|(bound, whole, fraction)| {
-        let figures =
-            [Some(json!(whole)), Some(json!(f64::from(*whole))), Some(json!(fraction)), Some(json!(false)), None];
-        figures.into_iter().map(|figure| settings(bound, figure))
-    });
-    let strict = [Some(json!(false)), None].into_iter().map(|figure| settings("strict-revoke", figure));
-    forms.chain(strict).collect()
+    let mut valid = Vec::new();
+    for figure in &FIGURES {
+        let numbers = [json!(figure.whole), json!(f64::from(figure.whole)), json!(figure.fraction)];
+        valid.extend(numbers.map(|number| settings(figure.at, Some(number))));
+        if figure.is_optional {
+            valid.extend([Some(json!(false)), None].map(|absent| settings(figure.at, absent)));
+        }
+    }
+    let strict = [Some(json!(true)), Some(json!(false)), None];
+    valid.extend(strict.map(|strict| settings(("bounds", "strict-revoke"), strict)));
+    valid
 }
 
+/// Returns settings with each figure in forms that are refused, and how the error begins.
+fn wrong() -> Vec<(String, String)> {
+    let mut wrong = Vec::new();
+    for figure in &FIGURES {
+        for (value, shown) in [(json!(true), "true"), (json!(-3.5), "-3.5"), (json!("soon"), "\"soon\"")] {
+            wrong.push((settings(figure.at, Some(value)), format!("`{}` is {shown}; give ", figure.field)));
+        }
+    }
+    wrong
+}
+
+/// A process that refused one of them would not start again after a planned stop.
 #[test]
-fn process_starts_with_each_form_of_each_bound() {
+fn process_starts_with_each_form_of_each_figure() {
     for settings in valid() {
         Relay::start(&settings).wait_for("\"started\"", 1);
     }
 }
 
+/// A process that refused one of them would go on with figures that no longer hold.
 #[test]
-fn each_form_of_each_bound_is_read_again() {
+fn each_form_of_each_figure_is_read_again() {
     let valid = valid();
     let mut relay = Relay::start(&valid[0]);
     relay.wait_for("\"started\"", 1);
@@ -162,48 +201,26 @@
     assert_eq!(relay.count("settings are not valid"), 0);
 }
 
-/// Names of the bounds in the settings.
-fn name(bound: &str) -> &'static str {
-    match bound {
-        "grace-s" => "grace_s",
-        "budget-window-s" => "retries.window_s",
-        "budget-ratio" => "retries.ratio",
-        "budget-extra" => "retries.reserve",
-        "expose-share" => "exposure_share",
-        "session-s" => "session_s",
-        "ttl_max_s" => "keep_addresses_s",
-        "revoke-ms" => "revoke_ms",
-        "config-ms" => "replace_ms",
-        "evac-ms" => "evacuate_ms",
-        "cold-excess" => "warmup_excess",
-        other => panic!("{other}"),
-    }
-}
-
 /// Operators have only the output of the process to find what the platform has written.
 #[test]
 fn start_with_a_wrong_figure_names_field_and_value() {
-    for (bound, _, _) in BOUNDS {
-        for (figure, shown) in [(json!(true), "true"), (json!(-3.5), "-3.5"), (json!("soon"), "\"soon\"")] {
-            let mut relay = Relay::start(&settings(bound, Some(figure)));
-            assert_eq!(relay.end(), Some(2), "{}", relay.log());
-            let expected = format!("`{}` is {shown}; give ", name(bound));
-            assert!(relay.log().contains(&expected), "{expected}: {}", relay.log());
-        }
+    for (settings, error) in wrong() {
+        let mut relay = Relay::start(&settings);
+        assert_eq!(relay.end(), Some(2), "{}", relay.log());
+        assert!(relay.log().contains(&error), "{error}: {}", relay.log());
     }
 }
 
 /// A process that ended, or took a wrong figure, because of a change would lose requests.
 #[test]
 fn wrong_figure_is_named_when_it_is_read_again_and_the_earlier_stays() {
-    let good = settings("grace-s", Some(json!(8)));
+    let good = settings(("bounds", "grace-s"), Some(json!(8)));
     let mut relay = Relay::start(&good);
     relay.wait_for("\"started\"", 1);
-    for (number, (bound, _, _)) in BOUNDS.iter().enumerate() {
-        relay.reload(&settings(bound, Some(json!(true))));
+    for (number, (settings, error)) in wrong().into_iter().enumerate() {
+        relay.reload(&settings);
         relay.wait_for("settings are not valid; the earlier ones stay", number + 1);
-        let expected = format!("`{}` is true; give ", name(bound));
-        assert!(relay.log().contains(&expected), "{expected}: {}", relay.log());
+        assert!(relay.log().contains(&error.replace('"', "\\\"")), "{error}: {}", relay.log());
     }
     relay.reload(&good);
     relay.wait_for("settings read again", 1);
--- a/crates/relay/src/dispatcher.rs
+++ b/crates/relay/src/dispatcher.rs
@@ -3,8 +3,8 @@
 //! It covers the catalog and access keys ([`Dispatcher::is_fresh`], [`Dispatcher::is_catalog_valid`]),
 //! endpoints and their loads ([`fleet`]), other instances ([`peers`]), roll-outs
 //! ([`rollouts`]), evacuated failure domains ([`evacuations`]), requests that crash
-//! endpoints (`crashes`), the shutdown (`leaving`) and the store's [`era`]. [`synchronization`] keeps the state current through other
-//! instances, so that few instances have to watch the store.
+//! endpoints (`crashes`), the shutdown (`leaving`) and the store's [`era`]. [`synchronization`] keeps
+//! the state current through other instances, so that few instances have to watch the store.
 //!
 //! One thread runs all tasks and the lock is never held across an await, so
 //! locking never blocks; the lock only lets tasks share the state without
--- a/crates/relay/tests/it/paused_endpoints.rs
+++ b/crates/relay/tests/it/paused_endpoints.rs
@@ -2,13 +2,13 @@
 
 use std::{sync::atomic::Ordering, time::Duration};
 
-use relay::catalog::Kind;
+use relay::{catalog::Kind, source::Endpoint};
 use tokio::time::{Instant, sleep};
 
 use crate::{
     caller,
     server::{Action, Server, ok_response},
-    site::{Site, route},
+    site::{SERVICE, Site, StoreContents, catalog, endpoint, route},
     withdrawing_fleet::{Fleet, Reply, Way},
     withdrawing_server::{Arrival, Behavior},
 };
@@ -365,3 +365,21 @@
     pause_of_another_server_at_the_address_does_not_count:
         421, "x-request: {id}\r\nx-not-run: 1\r\nretry-after: 30\r\n", 2..=120;
 }
+
+/// Slots whose sum no type of 32 bits holds would hide that all endpoints of a service ask for pauses.
+#[tokio::test]
+async fn pauses_of_endpoints_with_huge_slots_are_known() {
+    let pausing = || rejection(503, "x-request: {id}\r\nretry-after: 30\r\n");
+    let servers = [Server::start(vec![pausing()]).await, Server::start(vec![pausing()]).await];
+    let with_huge_slots = |id: &str, server: &Server| Endpoint { slots: u32::MAX, ..endpoint(id, server.address) };
+    let contents = StoreContents {
+        catalog: Some(catalog(1, vec![route("/a/", Kind::Idempotent)])),
+        endpoints: vec![with_huge_slots("e0", &servers[0]), with_huge_slots("e1", &servers[1])],
+        ..StoreContents::default()
+    };
+    let site = Site::start_with(contents, |_| {}).await;
+    while servers.iter().any(|server| server.requests().is_empty()) {
+        caller::call(site.front(), "GET", "/a/x", "", "").await;
+    }
+    assert!(site.relay.dispatcher().pause_left(SERVICE).is_some());
+}
--- a/crates/settings/src/relay/numbers.rs
+++ b/crates/settings/src/relay/numbers.rs
@@ -111,7 +111,7 @@
 struct Span {
     name_s: &'static str,
     name_ms: &'static str,
-    pub least_ms: f64,
+    least_ms: f64,
 }
 
 impl Span {
