Keep sessions on their version after long runs

What callers saw: while a version was on trial, a few sessions that had run on the old one were answered by the new one.

Cause: a session in the trial group was noted when its request was sent and forgotten session_s later, while its pause begins when the run ends. After a run of several seconds it counted as new.

Change: a session is noted while it has runs, and its time counts from the end of the latest.

Result: session_keeps_its_version_after_a_long_run failed before (4 of 16 requests on the new version) and holds now; the other ten tests of roll-outs hold.

--- a/crates/relay/src/dispatcher/fleet.rs
+++ b/crates/relay/src/dispatcher/fleet.rs
@@ -280,8 +280,10 @@
         if is_announced {
             self.notices_ready.notify_one();
         }
-        if job.in_session && arm == Arm::Old && canary::is_in_trial_group(job.session, self.settings.max_exposure) {
-            state.rollouts.record_session(job.session, now, self.settings.max_session_pause);
+        let is_in_trial_group = || canary::is_in_trial_group(job.session, self.settings.max_exposure);
+        let old_session = (job.in_session && arm == Arm::Old && is_in_trial_group()).then_some(job.session);
+        if let Some(session) = old_session {
+            state.rollouts.begin_old_run(session, now, self.settings.max_session_pause);
         }
         let latency_key = LatencyKey { service: job.service.to_owned(), model: job.model };
         Some(Run {
@@ -290,6 +292,7 @@
             endpoint,
             source,
             arm,
+            old_session,
             choice,
             backlog_ms,
             announced_ms: if is_announced { backlog_ms } else { 0.0 },
--- a/crates/relay/src/dispatcher/fleet/run.rs
+++ b/crates/relay/src/dispatcher/fleet/run.rs
@@ -44,6 +44,8 @@
     pub source: Option<SocketAddr>,
     /// Version of a roll-out for which the run counts as evidence.
     pub arm: Arm,
+    /// Session that is kept on an old version while a new one is on trial.
+    pub(super) old_session: Option<u64>,
     /// The placement decision.
     pub choice: Choice,
     /// Prompt reading that the run adds to the endpoint's backlog, in milliseconds.
@@ -349,6 +351,9 @@
             self.record_unfinished(&mut state, work, clock::now());
         }
         self.record_missing_verdict(&mut state);
+        if let Some(session) = self.old_session {
+            state.rollouts.end_old_run(session, clock::now());
+        }
         self.record_run_time(&mut state.fleet, clock::now());
         if let Some(server) = state.fleet.servers.get_mut(self.key) {
             server.runs = server.runs.saturating_sub(1);
--- a/crates/relay/src/dispatcher/rollouts.rs
+++ b/crates/relay/src/dispatcher/rollouts.rs
@@ -23,8 +23,24 @@
 #[derive(Debug, Clone, Default)]
 pub struct Rollouts {
     services: HashMap<String, Service>,
-    /// Sessions on an old version, with the time of their latest request.
-    sessions: HashMap<u64, Duration>,
+    /// Sessions on an old version.
+    sessions: HashMap<u64, OldSession>,
+}
+
+/// A session on an old version.
+#[derive(Debug, Clone, Default)]
+struct OldSession {
+    /// Runs that have not ended.
+    runs: u32,
+    /// When a run last began or ended.
+    seen: Duration,
+}
+
+impl OldSession {
+    /// Whether the session goes on: its pauses, which are shorter than `lifetime`, begin at the end of a run.
+    fn is_current(&self, now: Duration, lifetime: Duration) -> bool {
+        self.runs > 0 || now < self.seen + lifetime
+    }
 }
 
 /// Number of recorded sessions from which expired ones are removed before another is added.
@@ -190,17 +206,27 @@
         self.services.values().filter_map(|service| Some(service.order.as_ref()?.rollout.clone())).collect()
     }
 
-    /// Records that a session runs on an old version.
-    pub(super) fn record_session(&mut self, session: u64, now: Duration, lifetime: Duration) {
+    /// Records that a run of a session begins on an old version.
+    pub(super) fn begin_old_run(&mut self, session: u64, now: Duration, lifetime: Duration) {
         if self.sessions.len() >= SESSION_CLEANUP_THRESHOLD {
-            self.sessions.retain(|_, seen| now < *seen + lifetime);
+            self.sessions.retain(|_, session| session.is_current(now, lifetime));
+        }
+        let session = self.sessions.entry(session).or_default();
+        session.runs += 1;
+        session.seen = now;
+    }
+
+    /// Records that a run that was begun has ended.
+    pub(super) fn end_old_run(&mut self, session: u64, now: Duration) {
+        if let Some(session) = self.sessions.get_mut(&session) {
+            session.runs = session.runs.saturating_sub(1);
+            session.seen = now;
         }
-        self.sessions.insert(session, now);
     }
 
-    /// Whether a session ran on an old version here within `lifetime`.
+    /// Whether a session runs on an old version here, or did so within `lifetime`.
     pub(super) fn ran_on_old_version(&self, session: u64, now: Duration, lifetime: Duration) -> bool {
-        self.sessions.get(&session).is_some_and(|seen| now < *seen + lifetime)
+        self.sessions.get(&session).is_some_and(|session| session.is_current(now, lifetime))
     }
 
     /// Adds evidence to a service's roll-out.
@@ -297,7 +323,7 @@
     pub fn old_version_sessions(&self) -> Vec<u64> {
         let (now, lifetime) = (clock::now(), self.settings.max_session_pause);
         let mut state = self.lock();
-        state.rollouts.sessions.retain(|_, seen| now < *seen + lifetime);
+        state.rollouts.sessions.retain(|_, session| session.is_current(now, lifetime));
         state.rollouts.sessions.keys().copied().take(MAX_SENT_SESSIONS).collect()
     }
 
--- a/crates/relay/tests/it/rollouts.rs
+++ b/crates/relay/tests/it/rollouts.rs
@@ -138,6 +138,41 @@
     }
 }
 
+/// A run may take longer than the pauses of its session, which begin when it has ended.
+///
+/// A session that was forgotten meanwhile would change its version with its next request.
+#[tokio::test]
+async fn session_keeps_its_version_after_a_long_run() {
+    const SESSIONS: usize = 8;
+    let (head, run_time) = (response_head(200, 2), Duration::from_secs(2));
+    let old = Server::start(vec![Action::Pause(head, run_time, "ok".into())]).await;
+    let new = Server::start(vec![Action::Write(ok_response("ok"))]).await;
+    let target = relay::source::Endpoint { version: "v2".into(), ..endpoint("e1", new.address) };
+    let contents = StoreContents {
+        catalog: Some(catalog(1, vec![route("/a/", Kind::NonIdempotent)])),
+        endpoints: vec![endpoint("e0", old.address), target],
+        rollouts: vec![rollout()],
+        ..StoreContents::default()
+    };
+    let site = Site::start_with(contents, |settings| {
+        settings.max_exposure = 1.0;
+        settings.max_session_pause = Duration::from_secs(1);
+    })
+    .await;
+    let calls = (0..SESSIONS).map(|number| {
+        let at = site.front();
+        async move {
+            let session = format!("X-Session: s{number}\r\n");
+            // The roll-out is ordered already, and the trial begins during this run.
+            for _ in 0..2 {
+                assert_eq!(caller::call(at, "POST", "/a/x", &session, "sheet").await.status, 200);
+            }
+        }
+    });
+    futures::future::join_all(calls).await;
+    assert_eq!((old.requests().len(), new.requests().len()), (2 * SESSIONS, 0));
+}
+
 #[tokio::test]
 async fn good_version_stays_on_trial() {
     let (old, new, site) = start(Action::WriteSlowly(vec![String::new(), ok_response("ok")])).await;
